--- /dev/null
+++ b/internal/events/events.go
@@ -0,0 +1,77 @@
+// Package events carries typed events between the goroutines of one daemon. It
+// is a thin layer over a watermill publisher and subscriber in memory: topics
+// are typed, payloads are protobuf messages, and a handler that fails is
+// reported through the router's middleware and never blocks the publisher.
+package events
+
+import (
+	"context"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/ThreeDotsLabs/watermill/message/router/middleware"
+	"github.com/ThreeDotsLabs/watermill/pubsub/gochannel"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+// bufferedEvents is how many events a subscriber may lag behind before the
+// publisher's goroutine has to wait.
+const bufferedEvents = 4096
+
+// Topic names a stream of events whose payload is the message type T.
+type Topic[T proto.Message] struct {
+	// Name is the topic's name in watermill.
+	Name string
+	// New returns an empty payload.
+	New func() T
+}
+
+// Bus routes the events of one daemon.
+type Bus struct {
+	channel *gochannel.GoChannel
+	router  *message.Router
+}
+
+// NewBus returns a bus whose handlers start when Run is called.
+func NewBus() (*Bus, error) {
+	logger := watermill.NopLogger{}
+	router, err := message.NewRouter(message.RouterConfig{}, logger)
+	if err != nil {
+		return nil, errors.Wrap(err, "create event router")
+	}
+	router.AddMiddleware(middleware.Recoverer)
+	channel := gochannel.NewGoChannel(gochannel.Config{OutputChannelBuffer: bufferedEvents}, logger)
+	return &Bus{channel: channel, router: router}, nil
+}
+
+// Run serves the handlers until the context ends.
+func (b *Bus) Run(ctx context.Context) error {
+	return b.router.Run(ctx)
+}
+
+// Running is closed once the handlers receive events.
+func (b *Bus) Running() <-chan struct{} {
+	return b.router.Running()
+}
+
+// Publish sends an event to the handlers of the topic.
+func Publish[T proto.Message](b *Bus, topic Topic[T], payload T) error {
+	bytes, err := proto.Marshal(payload)
+	if err != nil {
+		return errors.Wrapf(err, "encode event for %s", topic.Name)
+	}
+	return b.channel.Publish(topic.Name, message.NewMessage(watermill.NewShortUUID(), bytes))
+}
+
+// Handle registers a handler for the topic under a name that is unique in the
+// bus. It must be called before Run.
+func Handle[T proto.Message](b *Bus, name string, topic Topic[T], handler func(context.Context, T) error) {
+	b.router.AddConsumerHandler(name, topic.Name, b.channel, func(received *message.Message) error {
+		payload := topic.New()
+		if err := proto.Unmarshal(received.Payload, payload); err != nil {
+			return errors.Wrapf(err, "decode event of %s", topic.Name)
+		}
+		return handler(received.Context(), payload)
+	})
+}
--- /dev/null
+++ b/internal/replica/local.go
@@ -0,0 +1,67 @@
+package replica
+
+import (
+	"context"
+	"sync"
+
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// Local is a group of one replica held in memory. It serves tests and the
+// simulator; it keeps nothing after a restart.
+type Local struct {
+	mutex   sync.Mutex
+	machine StateMachine
+	index   uint64
+	applied chan struct{}
+}
+
+// NewLocal returns a group that applies commands to machine at once.
+func NewLocal(machine StateMachine) *Local {
+	return &Local{machine: machine, applied: make(chan struct{})}
+}
+
+// Propose implements Group.
+func (l *Local) Propose(_ context.Context, command []byte) (any, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.index++
+	result := l.machine.Apply(l.index, command)
+	close(l.applied)
+	l.applied = make(chan struct{})
+	return result, nil
+}
+
+// Read implements Group.
+func (l *Local) Read(_ context.Context, view func()) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	view()
+	return nil
+}
+
+// ReadLocal implements Group.
+func (l *Local) ReadLocal(ctx context.Context, view func()) error {
+	return l.Read(ctx, view)
+}
+
+// Leading implements Group.
+func (l *Local) Leading() (uint64, bool) {
+	return 1, true
+}
+
+// Status implements Group.
+func (l *Local) Status() *rockwindpb.GroupStatus {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return &rockwindpb.GroupStatus{Term: 1, Commit: l.index, Applied: l.index, Last: l.index, Voter: true}
+}
+
+// Applied implements Group.
+func (l *Local) Applied() <-chan struct{} {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.applied
+}
+
+var _ Group = (*Local)(nil)
