--- /dev/null
+++ b/Makefile
@@ -0,0 +1,53 @@
+# Everything a person runs here. `make help` lists the targets.
+GO ?= go
+BIN := bin
+SOURCES := $(shell find cmd internal -name '*.go' -not -name '*.pb.go' -not -name '*.twirp.go')
+FUZZTIME ?= 20s
+STATICCHECK_VERSION := v0.8.2
+
+.PHONY: help build test race lint format-check generate generate-check model fuzz demo capacity clean
+
+help: ## list the targets
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | awk -F':.*## ' '{printf "%-16s %s\n", $$1, $$2}'
+
+build: ## build both programs into bin/
+	$(GO) build -o $(BIN)/rockwind ./cmd/rockwind
+	$(GO) build -o $(BIN)/rockwind-bench ./cmd/rockwind-bench
+
+test: ## run all tests with their fixed seeds
+	$(GO) test -timeout 20m ./...
+
+race: ## run all tests with the race detector, short seed sets
+	$(GO) test -race -short -timeout 30m ./...
+
+format-check: ## fail where a file is not formatted
+	@unformatted=$$(gofmt -l $(SOURCES)); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted; run gofmt -w"; exit 1; fi
+
+lint: format-check ## formatter, vet and staticcheck
+	$(GO) vet ./...
+	$(GO) run honnef.co/go/tools/cmd/staticcheck@$(STATICCHECK_VERSION) ./...
+
+generate: ## generate code from proto/ (needs buf, protoc-gen-go, protoc-gen-twirp)
+	buf lint
+	buf generate
+
+generate-check: ## fail where generated code is not current; passes over it where the tools are absent
+	@if command -v buf >/dev/null && command -v protoc-gen-go >/dev/null && command -v protoc-gen-twirp >/dev/null; then \
+		$(MAKE) generate && git diff --exit-code -- internal/rockwindpb; \
+	else echo "generate-check: buf or a generator is not installed; not checked"; fi
+
+model: ## check the specifications with spin
+	@command -v spin >/dev/null || (apt-get update -qq && apt-get install -y -qq spin gcc)
+	bash spec/run.sh
+
+fuzz: ## fuzz decoders and state machines for FUZZTIME each
+	FUZZTIME=$(FUZZTIME) bash .ci/fuzz
+
+demo: build ## run the whole system on loopback for a minute; KEEP=1 leaves it running
+	$(BIN)/rockwind-bench fleet demo $(if $(KEEP),--keep,)
+
+capacity: build ## make the tables and plots of docs/CAPACITY.md again
+	$(BIN)/rockwind-bench scale --sweep --output docs/capacity
+
+clean: ## remove what was built
+	rm -rf $(BIN) spec/build demo-data
