Start whole fleets of real processes on loopback

Cause: the demonstration and the experiments need one way to run everything. Change: internal/bench/fleet starts control daemons, gateways and stand-ins, founds the control groups, applies a generated configuration, and kills, freezes, wipes and stops processes.

--- /dev/null
+++ b/internal/bench/fleet/fleet.go
@@ -0,0 +1,420 @@
+// Package fleet starts a whole rockwind on loopback for demonstrations and
+// experiments: control daemons, gateways and the stand-ins for everything
+// outside, each a process of its own, and stops them again.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"buf.build/go/protoyaml"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// Names of files and folders of a fleet.
+const (
+	dataFolderName    = "data"
+	settingsFileName  = "settings.yaml"
+	configurationFile = "configuration.yaml"
+	serverProgram     = "rockwind"
+	benchProgram      = "rockwind-bench"
+)
+
+// Timing of a fleet.
+const (
+	startTimeout     = 30 * time.Second
+	stopTimeout      = 20 * time.Second
+	probeGap         = 20 * time.Millisecond
+	exchangeInterval = 500 * time.Millisecond
+	controlTick      = 20 * time.Millisecond
+	batchConcurrency = 256
+)
+
+// Fleet is a running fleet.
+type Fleet struct {
+	// Plan is what the fleet was made from.
+	Plan Plan
+	// Folder holds all files of the fleet.
+	Folder string
+	// The processes by role.
+	Controls, Gateways, Engines, Services []*Process
+	// Platform is nil where the plan has none.
+	Platform *Process
+
+	programs  string
+	addresses addressBook
+	client    *http.Client
+	number    uint64
+}
+
+// Start starts the processes of the plan under folder, founds the control
+// group and applies a configuration. The programs are looked for in the folder
+// of the running executable, or in programs when it is not empty.
+func Start(ctx context.Context, plan Plan, folder, programs string) (*Fleet, error) {
+	if programs == "" {
+		executable, err := os.Executable()
+		if err != nil {
+			return nil, errors.Wrap(err, "find the programs")
+		}
+		programs = filepath.Dir(executable)
+	}
+	f := &Fleet{Plan: plan, Folder: folder, programs: programs, client: &http.Client{Timeout: 2 * time.Second}}
+	if err := f.start(ctx); err != nil {
+		f.Kill()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	steps := []func(context.Context) error{
+		f.startStandIns, f.startControls, f.found, f.startGateways, f.applyFirst, f.awaitReady,
+	}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) zone(number int) string {
+	return f.Plan.Zones[number%len(f.Plan.Zones)]
+}
+
+// newProcess prepares a process with an address of its own.
+func (f *Fleet) newProcess(role string, number int, program string) (*Process, error) {
+	address, err := f.addresses.allocate()
+	if err != nil {
+		return nil, err
+	}
+	name := fmt.Sprintf("%s-%d", role, number+1)
+	return &Process{
+		Name: name, Role: role, Zone: f.zone(number), Address: address,
+		Folder:   filepath.Join(f.Folder, name),
+		program:  filepath.Join(f.programs, program),
+		detached: f.Plan.Detached,
+	}, nil
+}
+
+func (f *Fleet) startStandIns(ctx context.Context) error {
+	for number := range f.Plan.Engines {
+		if _, err := f.AddEngine(number); err != nil {
+			return err
+		}
+	}
+	for number := range f.Plan.Services {
+		process, err := f.newProcess("service", number, benchProgram)
+		if err != nil {
+			return err
+		}
+		process.arguments = []string{"service", "--listen", process.Address, "--name", process.Name}
+		if err := process.Start(); err != nil {
+			return err
+		}
+		f.Services = append(f.Services, process)
+	}
+	if f.Plan.WithPlatform {
+		if err := f.startPlatform(); err != nil {
+			return err
+		}
+	}
+	for _, process := range f.standIns() {
+		if err := f.await(ctx, process, process.Address, "/healthz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startPlatform() error {
+	process, err := f.newProcess("platform", 0, benchProgram)
+	if err != nil {
+		return err
+	}
+	process.arguments = []string{"platform", "--listen", process.Address}
+	f.Platform = process
+	return process.Start()
+}
+
+// AddEngine starts one more engine stand-in. It is not in the configuration
+// until the next Apply.
+func (f *Fleet) AddEngine(number int) (*Process, error) {
+	process, err := f.newProcess("engine", number, benchProgram)
+	if err != nil {
+		return nil, err
+	}
+	process.arguments = append([]string{
+		"engine", "--listen", process.Address, "--name", process.Name,
+		"--load", ModelName + "@" + ModelVersion,
+	}, f.Plan.EngineArguments...)
+	if err := process.Start(); err != nil {
+		return nil, err
+	}
+	f.Engines = append(f.Engines, process)
+	return process, nil
+}
+
+func (f *Fleet) startControls(ctx context.Context) error {
+	for number := range f.Plan.Controls {
+		process, err := f.newProcess("control", number, serverProgram)
+		if err != nil {
+			return err
+		}
+		process.InternalAddress = process.Address
+		f.Controls = append(f.Controls, process)
+	}
+	for _, process := range f.Controls {
+		if err := f.startControl(process); err != nil {
+			return err
+		}
+	}
+	for _, process := range f.Controls {
+		if err := f.await(ctx, process, process.Address, "/healthz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startControl(process *Process) error {
+	settings := &rockwindpb.ControlSettings{
+		Machine: process.Name, Zone: process.Zone, Listen: process.Address,
+		DataFolder: filepath.Join(process.Folder, dataFolderName),
+		Control:    f.ControlMachines(),
+		Tick:       durationpb.New(controlTick),
+	}
+	file, err := writeSettings(process.Folder, settings)
+	if err != nil {
+		return err
+	}
+	process.arguments = append([]string{"control", "--settings", file}, f.Plan.ControlArguments...)
+	return process.Start()
+}
+
+// ControlMachines lists the control daemons as settings name them.
+func (f *Fleet) ControlMachines() []*rockwindpb.ControlMachine {
+	var machines []*rockwindpb.ControlMachine
+	for _, process := range f.Controls {
+		machines = append(machines, &rockwindpb.ControlMachine{
+			Machine: process.Name, Address: process.Address, Zone: process.Zone,
+		})
+	}
+	return machines
+}
+
+// ControlAddresses lists the control daemons' addresses.
+func (f *Fleet) ControlAddresses() []string {
+	var addresses []string
+	for _, process := range f.Controls {
+		addresses = append(addresses, process.Address)
+	}
+	return addresses
+}
+
+func (f *Fleet) found(ctx context.Context) error {
+	return f.Operate(ctx, "cluster", "init", "--shards", fmt.Sprint(f.Plan.Shards))
+}
+
+func (f *Fleet) startGateways(ctx context.Context) error {
+	for number := range f.Plan.Gateways {
+		process, err := f.newProcess("gateway", number, serverProgram)
+		if err != nil {
+			return err
+		}
+		if process.InternalAddress, err = f.addresses.allocate(); err != nil {
+			return err
+		}
+		if err := f.startGateway(process); err != nil {
+			return err
+		}
+		f.Gateways = append(f.Gateways, process)
+	}
+	for _, process := range f.Gateways {
+		if err := f.await(ctx, process, process.InternalAddress, "/healthz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startGateway(process *Process) error {
+	settings := &rockwindpb.GatewaySettings{
+		Name: process.Name, Zone: process.Zone, Listen: process.Address,
+		InternalListen:   process.InternalAddress,
+		DataFolder:       filepath.Join(process.Folder, dataFolderName),
+		Control:          f.ControlMachines(),
+		ExchangeInterval: durationpb.New(exchangeInterval),
+		BatchConcurrency: batchConcurrency,
+	}
+	if f.Platform != nil {
+		settings.PlatformUrl = "http://" + f.Platform.Address
+	}
+	file, err := writeSettings(process.Folder, settings)
+	if err != nil {
+		return err
+	}
+	process.arguments = append([]string{"gateway", "--settings", file}, f.Plan.GatewayArguments...)
+	return process.Start()
+}
+
+// Configuration is the next configuration of the fleet as it stands, ready to
+// be changed and applied.
+func (f *Fleet) Configuration() *rockwindpb.Configuration {
+	return f.Plan.configuration(f.number+1, f.backEnds())
+}
+
+func (f *Fleet) backEnds() []*rockwindpb.BackEnd {
+	var backEnds []*rockwindpb.BackEnd
+	for _, process := range f.Engines {
+		backEnds = append(backEnds, &rockwindpb.BackEnd{
+			Name: process.Name, Kind: rockwindpb.BackEndKind_BACK_END_KIND_ENGINE,
+			Address: process.Address, Zone: process.Zone,
+			Serves: []string{ModelName}, Accelerators: planEngineBoards,
+		})
+	}
+	for _, process := range f.Services {
+		backEnds = append(backEnds, &rockwindpb.BackEnd{
+			Name: process.Name, Kind: rockwindpb.BackEndKind_BACK_END_KIND_SERVICE,
+			Address: process.Address, Zone: process.Zone,
+			Serves: []string{ServiceName}, Version: ServiceVersion,
+		})
+	}
+	return backEnds
+}
+
+func (f *Fleet) applyFirst(ctx context.Context) error {
+	return f.Apply(ctx, f.Configuration())
+}
+
+// Apply applies a configuration through the operator's command.
+func (f *Fleet) Apply(ctx context.Context, configuration *rockwindpb.Configuration) error {
+	file := filepath.Join(f.Folder, configurationFile)
+	if err := writeYAML(file, configuration); err != nil {
+		return err
+	}
+	if err := f.Operate(ctx, "apply", "-f", file); err != nil {
+		return err
+	}
+	f.number = configuration.GetNumber()
+	return nil
+}
+
+func (f *Fleet) awaitReady(ctx context.Context) error {
+	for _, process := range f.Gateways {
+		if err := f.await(ctx, process, process.InternalAddress, "/readyz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AwaitReady waits until a process answers its readiness check.
+func (f *Fleet) AwaitReady(ctx context.Context, process *Process) error {
+	address := process.InternalAddress
+	if address == "" {
+		address = process.Address
+	}
+	return f.await(ctx, process, address, "/readyz")
+}
+
+// await polls a health page until it answers 200.
+func (f *Fleet) await(ctx context.Context, process *Process, address, page string) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for {
+		if f.probe(ctx, address, page) {
+			return nil
+		}
+		if !process.Running() {
+			return fault.Newf(fault.Unavailable, "read its output", "%s ended at start:\n%s", process.Name, process.Output())
+		}
+		select {
+		case <-ctx.Done():
+			return fault.Newf(fault.Unavailable, "read its output",
+				"%s did not answer %s in time:\n%s", process.Name, page, process.Output())
+		case <-time.After(probeGap):
+		}
+	}
+}
+
+func (f *Fleet) probe(ctx context.Context, address, page string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+page, nil)
+	if err != nil {
+		return false
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (f *Fleet) standIns() []*Process {
+	processes := append([]*Process(nil), f.Engines...)
+	processes = append(processes, f.Services...)
+	if f.Platform != nil {
+		processes = append(processes, f.Platform)
+	}
+	return processes
+}
+
+// Processes lists all processes of the fleet.
+func (f *Fleet) Processes() []*Process {
+	processes := append([]*Process(nil), f.Gateways...)
+	processes = append(processes, f.Controls...)
+	return append(processes, f.standIns()...)
+}
+
+// Stop stops the fleet: gateways drain first, then control, then the rest.
+func (f *Fleet) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	var failed error
+	for _, process := range f.Processes() {
+		if err := process.Terminate(ctx); err != nil {
+			failed = errors.CombineErrors(failed, err)
+		}
+	}
+	f.Kill()
+	return failed
+}
+
+// Kill ends all processes without warning.
+func (f *Fleet) Kill() {
+	for _, process := range f.Processes() {
+		process.Thaw()
+		process.Kill()
+	}
+}
+
+// writeSettings writes the settings file of a process.
+func writeSettings(folder string, settings proto.Message) (string, error) {
+	file := filepath.Join(folder, settingsFileName)
+	return file, writeYAML(file, settings)
+}
+
+func writeYAML(file string, value proto.Message) error {
+	encoded, err := protoyaml.MarshalOptions{UseProtoNames: true}.Marshal(value)
+	if err != nil {
+		return errors.Wrapf(err, "encode %s", file)
+	}
+	if err := os.MkdirAll(filepath.Dir(file), 0o755); err != nil {
+		return errors.Wrap(err, "create folder")
+	}
+	return os.WriteFile(file, encoded, 0o644)
+}
+
+// joinAddresses writes addresses as one flag value.
+func joinAddresses(addresses []string) string { return strings.Join(addresses, ",") }
