--- /dev/null
+++ b/internal/routing/choose.go
@@ -0,0 +1,254 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// WeightedVersion is a version that may answer a request, with its part of the
+// traffic.
+type WeightedVersion struct {
+	Name   NameID
+	Weight uint32
+}
+
+// Hint says that a server probably caches a prefix of the prompt. Cache
+// knowledge is late and has gaps, so that it only ever lowers an estimate.
+type Hint struct {
+	Server int32
+	// CachedTokens is the length of the cached prefix.
+	CachedTokens int32
+}
+
+// Request is what routing needs to know of a request.
+type Request struct {
+	// Versions lists the versions that may answer; one is drawn by weight.
+	Versions []WeightedVersion
+	// Adapter must be loaded too; NoName for none.
+	Adapter NameID
+	// PromptTokens estimates the length of the prompt.
+	PromptTokens int32
+	// Hints lists servers that may cache the prompt's prefix or hold the
+	// session, best first. Only the first MaxHints are considered.
+	Hints []Hint
+	// Exclude is a server that already refused this request, plus one; zero
+	// excludes none.
+	Exclude int32
+	// Batch requests avoid servers with online load.
+	Batch bool
+}
+
+// Decision is the chosen back end.
+type Decision struct {
+	// Server is an index in View.Servers.
+	Server int
+	// Version is the version drawn for the request.
+	Version NameID
+	// Wait estimates the time until the first token, network included.
+	Wait time.Duration
+	// Hinted tells that the server came from a hint.
+	Hinted bool
+}
+
+// Policy chooses a back end. Implementations hold no hidden state besides what
+// their documentation names.
+type Policy interface {
+	Choose(view *View, request *Request, now time.Duration, random *rand.Rand) (Decision, bool)
+}
+
+// MaxHints bounds the hints that one choice considers.
+const MaxHints = 4
+
+// PowerOfChoices samples a few servers of the own zone, adds the hinted ones and
+// takes the least estimated wait. Other zones are sampled once the own zone's
+// wait exceeds SpillWait.
+type PowerOfChoices struct {
+	// Choices is the number of servers sampled per zone; at least 1.
+	Choices int
+	// SpillWait is the estimated wait in the own zone from which servers of
+	// other zones are considered.
+	SpillWait time.Duration
+	// AffinityLimit bounds what a hint may take off an estimate, so that a hot
+	// prefix never makes a hot spot.
+	AffinityLimit time.Duration
+	// BatchPenalty is added to an online request's estimate for each batch
+	// request that runs on the server.
+	BatchPenalty time.Duration
+	// of the candidates' own counts; zero trusts reports of any age.
+}
+
+// Default is the policy that gateways use.
+var Default = PowerOfChoices{
+	Choices:       2,
+	SpillWait:     50 * time.Millisecond,
+	AffinityLimit: 150 * time.Millisecond,
+	BatchPenalty:  200 * time.Microsecond,
+}
+
+// Choose picks a server with the default policy. It returns false when no
+// server may take the request: none has a version and the adapter loaded, or
+// all that have are ejected, leaving or excluded.
+func Choose(view *View, request *Request, now time.Duration, random *rand.Rand) (Decision, bool) {
+	return Default.Choose(view, request, now, random)
+}
+
+// Choose implements Policy.
+func (p PowerOfChoices) Choose(view *View, request *Request, now time.Duration, random *rand.Rand) (Decision, bool) {
+	version, found := drawVersion(request.Versions, random)
+	if !found {
+		return Decision{}, false
+	}
+	if decision, found := p.chooseVersion(view, request, version, now, random); found {
+		return decision, true
+	}
+	for _, other := range request.Versions {
+		if other.Name == version || other.Weight == 0 {
+			continue
+		}
+		if decision, found := p.chooseVersion(view, request, other.Name, now, random); found {
+			return decision, true
+		}
+	}
+	return Decision{}, false
+}
+
+// drawVersion draws a version by weight.
+func drawVersion(versions []WeightedVersion, random *rand.Rand) (NameID, bool) {
+	var total uint32
+	for _, version := range versions {
+		total += version.Weight
+	}
+	if total == 0 {
+		return NoName, false
+	}
+	point := random.Uint32N(total)
+	for _, version := range versions {
+		if point < version.Weight {
+			return version.Name, true
+		}
+		point -= version.Weight
+	}
+	return NoName, false
+}
+
+func (p PowerOfChoices) chooseVersion(view *View, request *Request, version NameID, now time.Duration, random *rand.Rand) (Decision, bool) {
+	chosen := best{health: Ejected}
+	p.considerHints(view, request, version, now, &chosen)
+	for index := range view.Zones {
+		if index > 0 && chosen.found() && chosen.health == Healthy && chosen.wait < p.SpillWait {
+			break
+		}
+		p.sampleZone(view, &view.Zones[index], request, version, now, random, &chosen)
+	}
+	if !chosen.found() {
+		return Decision{}, false
+	}
+	return Decision{Server: int(chosen.server), Version: version, Wait: chosen.wait, Hinted: chosen.hinted}, true
+}
+
+// best is the best candidate so far. Healthy beats suspect; then the least
+// score wins.
+type best struct {
+	server int32
+	health Health
+	hinted bool
+	wait   time.Duration
+	score  time.Duration
+}
+
+func (b *best) found() bool {
+	return b.health != Ejected
+}
+
+func (b *best) offer(candidate best) {
+	if candidate.health > b.health {
+		return
+	}
+	if candidate.health == b.health && candidate.score >= b.score {
+		return
+	}
+	*b = candidate
+}
+
+// Eligible tells whether a server may take the request at all.
+func (s *Server) Eligible(request *Request, version NameID) bool {
+	return !s.Leaving && s.Health != Ejected && s.Loaded.Has(version) && s.Loaded.Has(request.Adapter)
+}
+
+func (p PowerOfChoices) considerHints(view *View, request *Request, version NameID, now time.Duration, chosen *best) {
+	hints := request.Hints[:min(len(request.Hints), MaxHints)]
+	for _, hint := range hints {
+		if hint.Server < 0 || int(hint.Server) >= len(view.Servers) || hint.Server+1 == request.Exclude {
+			continue
+		}
+		server := &view.Servers[hint.Server]
+		if !server.Eligible(request, version) {
+			continue
+		}
+		wait := view.Estimate(server, request, now)
+		saved := time.Duration(min(hint.CachedTokens, request.PromptTokens)) * view.Cost.PerPromptToken
+		score := p.score(server, request, wait) - min(saved, p.AffinityLimit)
+		chosen.offer(best{server: hint.Server, health: server.Health, hinted: true, wait: max(0, wait-saved), score: score})
+	}
+}
+
+// triesPerChoice bounds the random draws for one eligible server before the
+// zone is scanned.
+const triesPerChoice = 4
+
+func (p PowerOfChoices) sampleZone(view *View, zone *Zone, request *Request, version NameID, now time.Duration, random *rand.Rand, chosen *best) {
+	if zone.Count <= 0 {
+		return
+	}
+	wanted := max(1, p.Choices)
+	taken := 0
+	healthy := false
+	for try := 0; try < wanted*triesPerChoice && taken < wanted; try++ {
+		index := zone.First + random.Int32N(zone.Count)
+		server := &view.Servers[index]
+		if index+1 == request.Exclude || !server.Eligible(request, version) || server.skippedInSlowStart(random) {
+			continue
+		}
+		taken++
+		healthy = healthy || server.Health == Healthy
+		p.offer(view, index, request, now, chosen)
+	}
+	if !healthy {
+		p.scanZone(view, zone, request, version, now, random, chosen)
+	}
+}
+
+// scanZone offers every eligible server from a random start; it runs only when
+// sampling found no healthy server.
+func (p PowerOfChoices) scanZone(view *View, zone *Zone, request *Request, version NameID, now time.Duration, random *rand.Rand, chosen *best) {
+	start := random.Int32N(zone.Count)
+	for step := int32(0); step < zone.Count; step++ {
+		index := zone.First + (start+step)%zone.Count
+		if index+1 == request.Exclude || !view.Servers[index].Eligible(request, version) {
+			continue
+		}
+		p.offer(view, index, request, now, chosen)
+	}
+}
+
+func (p PowerOfChoices) offer(view *View, index int32, request *Request, now time.Duration, chosen *best) {
+	server := &view.Servers[index]
+	wait := view.Estimate(server, request, now)
+	chosen.offer(best{server: index, health: server.Health, wait: wait, score: p.score(server, request, wait)})
+}
+
+func (p PowerOfChoices) score(server *Server, request *Request, wait time.Duration) time.Duration {
+	if request.Batch {
+		return wait
+	}
+	batch := max(float32(server.OwnBatch), server.Report.RunningBatch)
+	return wait + time.Duration(batch*float32(p.BatchPenalty))
+}
+
+// skippedInSlowStart draws whether a server that warms up sits this choice out.
+func (s *Server) skippedInSlowStart(random *rand.Rand) bool {
+	if s.SlowStart <= 0 || s.SlowStart >= 1 {
+		return false
+	}
+	return random.Float32() >= s.SlowStart
+}
--- /dev/null
+++ b/internal/routing/estimate.go
@@ -0,0 +1,27 @@
+package routing
+
+import "time"
+
+// Estimate is the expected time until the first token of a request on a
+// server, network included. It starts from the reported load, corrected by what
+// this gateway sent and ended since the report was taken, and is never below
+// what this gateway knows to be in flight.
+func (v *View) Estimate(server *Server, request *Request, now time.Duration) time.Duration {
+	running := server.running()
+	waitingTokens := server.Report.Waiting * v.Cost.MeanPromptTokens
+	promptTokens := max(waitingTokens, float32(server.OwnPromptTokens)) + float32(request.PromptTokens)
+	speed := float32(max(1, server.Accelerators))
+	step := float32(v.Cost.StepBase) + running*float32(v.Cost.PerSequence)
+	step = max(step, float32(server.Report.Step))
+	prefill := promptTokens * float32(v.Cost.PerPromptToken)
+	network := v.Zones[server.Zone].Cost
+	return network + time.Duration((step+prefill)/speed)
+}
+
+// running estimates the requests that decode on the server now.
+func (s *Server) running() float32 {
+	online := s.Report.RunningOnline + float32(s.SentSinceReport-s.EndedSinceReport)
+	online = max(online, float32(s.OwnOnline))
+	batch := max(s.Report.RunningBatch, float32(s.OwnBatch))
+	return online + batch
+}
