--- a/internal/sharing/allowance.go
+++ b/internal/sharing/allowance.go
@@ -121,7 +121,7 @@
 		balance.settle(use, period, a.policy)
 		claims[index] = claim{
 			weight: max(0, use.Share/max(shares, 1e-12)*total-use.OnlineCost),
-			demand: use.Demand / seconds * period.Seconds(),
+			demand: use.Demand,
 		}
 		if total == 0 {
 			claims[index].weight = use.Share
--- a/internal/sharing/pick.go
+++ b/internal/sharing/pick.go
@@ -36,6 +36,7 @@
 type Picker struct {
 	groups  queue
 	tenants map[string]*queue
+	parts   map[string]float64
 }
 
 // queue is start-time fair queueing among named flows.
@@ -46,7 +47,16 @@
 
 // NewPicker returns a picker that has served nobody.
 func NewPicker() *Picker {
-	return &Picker{groups: newQueue(), tenants: make(map[string]*queue)}
+	return &Picker{groups: newQueue(), tenants: make(map[string]*queue), parts: make(map[string]float64)}
+}
+
+// SetAllowances puts the newest allowances in force. A group without one gets
+// the least weight.
+func (p *Picker) SetAllowances(allowances []GroupAllowance) {
+	clear(p.parts)
+	for _, allowance := range allowances {
+		p.parts[allowance.Group] = allowance.BatchPart
+	}
 }
 
 func newQueue() queue {
@@ -78,10 +88,9 @@
 // minimumWeight keeps groups without allowance from starving for ever.
 const minimumWeight = 1e-3
 
-// Pick returns the index of the candidate to run next. Parts holds the batch
-// part of each group; a group without one gets the least weight. It returns
-// false when there is no candidate.
-func (p *Picker) Pick(candidates []Candidate, parts map[string]float64, now time.Duration) (int, bool) {
+// Pick returns the index of the candidate to run next. It returns false when
+// there is no candidate.
+func (p *Picker) Pick(candidates []Candidate, now time.Duration) (int, bool) {
 	chosen := -1
 	for index := range candidates {
 		if chosen < 0 || p.before(&candidates[index], &candidates[chosen], now) {
@@ -144,8 +153,8 @@
 
 // Charge books the cost of an item that starts: its estimate first, then the
 // difference, which may be negative, once it is over.
-func (p *Picker) Charge(candidate *Candidate, cost float64, parts map[string]float64) {
-	p.groups.charge(candidate.Group, cost, parts[candidate.Group])
+func (p *Picker) Charge(candidate *Candidate, cost float64) {
+	p.groups.charge(candidate.Group, cost, p.parts[candidate.Group])
 	p.tenantsOf(candidate.Group).charge(candidate.Tenant, cost, 1)
 }
 
