--- /dev/null
+++ b/internal/controlclient/client.go
@@ -0,0 +1,213 @@
+// Package controlclient calls the control machines: it finds the leader of the
+// shard that owns a job, a file or a key, follows hints to a new leader, and
+// repeats what may be repeated within a budget.
+//
+// Every call of rockwind's internal services may be repeated: Submit, Put and
+// Begin are matched by key, Finish by key and owner, completions by fence, Apply
+// by number and checksum, bodies are stored under fresh references. So a call
+// whose outcome is unknown is sent again until the context ends. What is left
+// unanswered then is reported as a fault whose Ran field tells "not_run" (no
+// attempt can have been executed) from "outcome_unknown".
+package controlclient
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// Defaults of Options.
+const (
+	defaultAttemptTimeout = 2 * time.Second
+	defaultCallTimeout    = 15 * time.Second
+	defaultBodyTimeout    = 10 * time.Second
+	dialTimeout           = 500 * time.Millisecond
+	idleConnectionTimeout = 90 * time.Second
+	idleConnections       = 64
+)
+
+// Options of a client.
+type Options struct {
+	// Control lists the control machines.
+	Control []*rockwindpb.ControlMachine
+	// Zone is the caller's zone; machines of the same zone are preferred where
+	// any machine may answer.
+	Zone string
+	// HTTPClient carries the calls; nil makes one that keeps connections open.
+	HTTPClient *http.Client
+	// Secure makes the client speak TLS; the HTTPClient must be set up for it.
+	Secure bool
+	// AttemptTimeout bounds one attempt at one machine; zero means 2 s. Time that
+	// the call asks the machine to wait comes on top.
+	AttemptTimeout time.Duration
+	// CallTimeout bounds a call whose context has no deadline; zero means 15 s.
+	CallTimeout time.Duration
+	// Random returns a number in [0, 1) for jitter; nil uses math/rand.
+	Random func() float64
+}
+
+// Client calls the control machines. It is safe for concurrent use.
+type Client struct {
+	options  Options
+	machines []*machine
+	budget   *budget
+
+	mutex   sync.Mutex
+	shards  uint32
+	leaders map[uint32]*machine
+	rotate  int
+}
+
+// machine holds the connections to one control machine.
+type machine struct {
+	name          string
+	zone          string
+	address       string
+	replica       rockwindpb.ReplicaService
+	configuration rockwindpb.ConfigurationService
+	jobs          rockwindpb.JobService
+	records       rockwindpb.RecordService
+	files         rockwindpb.FileService
+	bodies        rockwindpb.BodyService
+	fleet         rockwindpb.FleetService
+}
+
+// New returns a client of the given control machines. It makes no call.
+func New(options Options) *Client {
+	options = withDefaults(options)
+	client := &Client{
+		options: options,
+		budget:  newBudget(),
+		leaders: make(map[uint32]*machine),
+	}
+	for _, settings := range options.Control {
+		client.machines = append(client.machines, newMachine(options, settings))
+	}
+	client.rotate = int(options.Random() * float64(len(client.machines)))
+	return client
+}
+
+func withDefaults(options Options) Options {
+	if options.HTTPClient == nil {
+		options.HTTPClient = &http.Client{Transport: NewTransport()}
+	}
+	if options.AttemptTimeout <= 0 {
+		options.AttemptTimeout = defaultAttemptTimeout
+	}
+	if options.CallTimeout <= 0 {
+		options.CallTimeout = defaultCallTimeout
+	}
+	if options.Random == nil {
+		options.Random = rand.Float64
+	}
+	return options
+}
+
+// NewTransport returns an HTTP transport that keeps connections to the control
+// machines open and gives up dialling early.
+func NewTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleConnectionTimeout,
+		DisableCompression:  true,
+	}
+}
+
+func newMachine(options Options, settings *rockwindpb.ControlMachine) *machine {
+	scheme := "http://"
+	if options.Secure {
+		scheme = "https://"
+	}
+	base := scheme + settings.GetAddress()
+	carrier := slimClient{options.HTTPClient}
+	return &machine{
+		name:          settings.GetMachine(),
+		zone:          settings.GetZone(),
+		address:       settings.GetAddress(),
+		replica:       rockwindpb.NewReplicaServiceProtobufClient(base, carrier),
+		configuration: rockwindpb.NewConfigurationServiceProtobufClient(base, carrier),
+		jobs:          rockwindpb.NewJobServiceProtobufClient(base, carrier),
+		records:       rockwindpb.NewRecordServiceProtobufClient(base, carrier),
+		files:         rockwindpb.NewFileServiceProtobufClient(base, carrier),
+		bodies:        rockwindpb.NewBodyServiceProtobufClient(base, carrier),
+		fleet:         rockwindpb.NewFleetServiceProtobufClient(base, carrier),
+	}
+}
+
+// slimClient drops headers that the services do not need, because the control
+// traffic of a daemon is small enough for headers to count.
+type slimClient struct {
+	carrier *http.Client
+}
+
+// Do implements rockwindpb.HTTPClient.
+func (s slimClient) Do(request *http.Request) (*http.Response, error) {
+	request.Header.Del("Twirp-Version")
+	request.Header.Del("Accept")
+	request.Header.Set("User-Agent", "")
+	return s.carrier.Do(request)
+}
+
+// Shards returns the number of job shards, asking a control machine the first
+// time.
+func (c *Client) Shards(ctx context.Context) (uint32, error) {
+	c.mutex.Lock()
+	known := c.shards
+	c.mutex.Unlock()
+	if known > 0 {
+		return known, nil
+	}
+	identity, err := call(ctx, c, c.anywhere(), reading, identify, &rockwindpb.IdentityRequest{})
+	if err != nil {
+		return 0, err
+	}
+	c.learn(identity)
+	count := shardCount(identity)
+	if count == 0 {
+		return 0, fault.New(fault.Unavailable, "the control machines belong to no cluster yet",
+			"found the cluster with 'rockwind found'").WithRan(fault.NotRun)
+	}
+	return count, nil
+}
+
+func identify(ctx context.Context, at *machine, request *rockwindpb.IdentityRequest) (*rockwindpb.IdentityResponse, error) {
+	return at.replica.Identity(ctx, request)
+}
+
+// learn keeps the number of shards and the leaders that an identity names.
+func (c *Client) learn(identity *rockwindpb.IdentityResponse) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.shards = shardCount(identity)
+	for _, group := range identity.GetGroups() {
+		leader := c.byAddress(group.GetLeaderAddress())
+		if leader != nil {
+			c.leaders[group.GetGroup()] = leader
+		}
+	}
+}
+
+func shardCount(identity *rockwindpb.IdentityResponse) uint32 {
+	highest := uint32(0)
+	for _, group := range identity.GetGroups() {
+		highest = max(highest, group.GetGroup())
+	}
+	return highest
+}
+
+func (c *Client) byAddress(address string) *machine {
+	for _, candidate := range c.machines {
+		if candidate.address == address {
+			return candidate
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/sharding/sharding.go
@@ -0,0 +1,53 @@
+// Package sharding tells which job shard owns a job, a file or an idempotency
+// key. Shards are numbered from 1; group 0 is the root group. Identifiers carry
+// their shard, so that an identifier alone is enough to find its owner. The
+// package is pure.
+package sharding
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// RootGroup is the group of the configuration.
+const RootGroup uint32 = 0
+
+// separator stands between the fields of an identifier.
+const separator = "_"
+
+// shardBase is the base of the shard number in an identifier.
+const shardBase = 36
+
+// ForKey returns the shard of a tenant's key, between 1 and shards. It returns
+// zero where there are no shards.
+func ForKey(tenant, key string, shards uint32) uint32 {
+	if shards == 0 {
+		return 0
+	}
+	digest := xxhash.New()
+	_, _ = digest.WriteString(tenant)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(key)
+	return uint32(digest.Sum64()%uint64(shards)) + 1
+}
+
+// Identifier builds "prefix_shard_unique".
+func Identifier(prefix string, shard uint32, unique string) string {
+	return prefix + separator + strconv.FormatUint(uint64(shard), shardBase) + separator + unique
+}
+
+// OfIdentifier returns the shard that an identifier carries, and whether it is
+// one of the shards that exist.
+func OfIdentifier(identifier string, shards uint32) (uint32, bool) {
+	fields := strings.SplitN(identifier, separator, 3)
+	if len(fields) != 3 {
+		return 0, false
+	}
+	shard, err := strconv.ParseUint(fields[1], shardBase, 32)
+	if err != nil {
+		return 0, false
+	}
+	return uint32(shard), shard >= 1 && shard <= uint64(shards)
+}
