--- /dev/null
+++ b/internal/wal/filesystem.go
@@ -0,0 +1,140 @@
+package wal
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+)
+
+// File is an open file of a FileSystem. Writes append.
+type File interface {
+	io.Writer
+	io.Closer
+	// Sync returns once all that was written is on stable storage. After an
+	// error nothing may be assumed of what was written since the last success.
+	Sync() error
+	// Truncate cuts the file to size bytes.
+	Truncate(size int64) error
+}
+
+// FileSystem is what the log needs of a disk. Tests inject faults through it.
+// Paths use the separators of the operating system.
+type FileSystem interface {
+	// MakeFolder creates a folder and its missing parents.
+	MakeFolder(path string) error
+	// Create opens an empty file for appending, in place of any old one.
+	Create(path string) (File, error)
+	// Append opens an existing file for appending.
+	Append(path string) (File, error)
+	// ReadFile returns the whole content. Its error satisfies
+	// errors.Is(err, fs.ErrNotExist) when there is no such file.
+	ReadFile(path string) ([]byte, error)
+	// List returns the names of the files in a folder, sorted.
+	List(folder string) ([]string, error)
+	// Rename replaces the file at to, atomically.
+	Rename(from, to string) error
+	// Remove deletes a file.
+	Remove(path string) error
+	// SyncFolder makes creations, renames and removals in a folder durable.
+	SyncFolder(folder string) error
+}
+
+// Permissions of what the log creates.
+const (
+	folderPermission = 0o750
+	filePermission   = 0o640
+)
+
+// OperatingSystem is the FileSystem of the machine.
+type OperatingSystem struct{}
+
+// MakeFolder implements FileSystem.
+func (OperatingSystem) MakeFolder(path string) error {
+	return os.MkdirAll(path, folderPermission)
+}
+
+// Create implements FileSystem.
+func (OperatingSystem) Create(path string) (File, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, filePermission)
+}
+
+// Append implements FileSystem.
+func (OperatingSystem) Append(path string) (File, error) {
+	return os.OpenFile(path, os.O_WRONLY|os.O_APPEND, filePermission)
+}
+
+// ReadFile implements FileSystem.
+func (OperatingSystem) ReadFile(path string) ([]byte, error) {
+	return os.ReadFile(path)
+}
+
+// List implements FileSystem.
+func (OperatingSystem) List(folder string) ([]string, error) {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, 0, len(entries))
+	for _, entry := range entries {
+		if entry.Type().IsRegular() {
+			names = append(names, entry.Name())
+		}
+	}
+	return names, nil
+}
+
+// Rename implements FileSystem.
+func (OperatingSystem) Rename(from, to string) error {
+	return os.Rename(from, to)
+}
+
+// Remove implements FileSystem.
+func (OperatingSystem) Remove(path string) error {
+	return os.Remove(path)
+}
+
+// SyncFolder implements FileSystem.
+func (OperatingSystem) SyncFolder(folder string) error {
+	handle, err := os.Open(filepath.Clean(folder))
+	if err != nil {
+		return err
+	}
+	syncError := handle.Sync()
+	closeError := handle.Close()
+	if syncError != nil {
+		return syncError
+	}
+	return closeError
+}
+
+var _ FileSystem = OperatingSystem{}
+
+// WriteAtomically replaces the file name in folder by content: it writes a
+// temporary file, syncs it, renames it and syncs the folder. After a crash the
+// file holds either the old content or the new one.
+func WriteAtomically(fileSystem FileSystem, folder, name string, content []byte) error {
+	temporary := filepath.Join(folder, name+temporarySuffix)
+	if err := writeSynced(fileSystem, temporary, content); err != nil {
+		return err
+	}
+	if err := fileSystem.Rename(temporary, filepath.Join(folder, name)); err != nil {
+		return err
+	}
+	return fileSystem.SyncFolder(folder)
+}
+
+func writeSynced(fileSystem FileSystem, path string, content []byte) error {
+	file, err := fileSystem.Create(path)
+	if err != nil {
+		return err
+	}
+	if _, err := file.Write(content); err != nil {
+		_ = file.Close()
+		return err
+	}
+	if err := file.Sync(); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
+}
--- /dev/null
+++ b/internal/wal/index.go
@@ -0,0 +1,194 @@
+package wal
+
+import (
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// Errors of reading a group's entries.
+var (
+	// ErrCompacted: the entries asked for were replaced by a snapshot.
+	ErrCompacted = errors.New("log entries were replaced by a snapshot")
+	// ErrUnavailable: the entries asked for are not in the log.
+	ErrUnavailable = errors.New("log entries are not in the log")
+)
+
+// Group is the view of one group in the log, held in memory. It is safe for
+// use by many goroutines. The entries that it returns must not be changed.
+type Group struct {
+	mutex     sync.RWMutex
+	hardState *rockwindpb.HardState
+	snapshot  *rockwindpb.SnapshotMetadata
+	// base is the index before the first entry held, baseTerm its term.
+	base     uint64
+	baseTerm uint64
+	entries  []*rockwindpb.Entry
+	// bytes is the size of the entries behind the snapshot.
+	bytes int64
+}
+
+func newGroup() *Group {
+	return &Group{
+		hardState: &rockwindpb.HardState{},
+		snapshot:  &rockwindpb.SnapshotMetadata{Membership: &rockwindpb.Membership{}},
+	}
+}
+
+// HardState returns the last synced term, vote and commit index.
+func (g *Group) HardState() *rockwindpb.HardState {
+	g.mutex.RLock()
+	defer g.mutex.RUnlock()
+	return proto.CloneOf(g.hardState)
+}
+
+// Snapshot returns the metadata of the newest snapshot, with index 0 when
+// there is none.
+func (g *Group) Snapshot() *rockwindpb.SnapshotMetadata {
+	g.mutex.RLock()
+	defer g.mutex.RUnlock()
+	return proto.CloneOf(g.snapshot)
+}
+
+// FirstIndex returns the index of the first entry that can be read.
+func (g *Group) FirstIndex() uint64 {
+	g.mutex.RLock()
+	defer g.mutex.RUnlock()
+	return g.base + 1
+}
+
+// LastIndex returns the index of the last entry, or of the snapshot when there
+// is none behind it.
+func (g *Group) LastIndex() uint64 {
+	g.mutex.RLock()
+	defer g.mutex.RUnlock()
+	return g.last()
+}
+
+func (g *Group) last() uint64 {
+	return g.base + uint64(len(g.entries))
+}
+
+// Term returns the term of the entry at index. It knows the one before
+// FirstIndex too.
+func (g *Group) Term(index uint64) (uint64, error) {
+	g.mutex.RLock()
+	defer g.mutex.RUnlock()
+	return g.term(index)
+}
+
+func (g *Group) term(index uint64) (uint64, error) {
+	switch {
+	case index < g.base:
+		return 0, ErrCompacted
+	case index == g.base:
+		return g.baseTerm, nil
+	case index > g.last():
+		return 0, ErrUnavailable
+	}
+	return g.entries[index-g.base-1].Term, nil
+}
+
+// holds tells whether the log has the entry that a snapshot ends with.
+func (g *Group) holds(metadata *rockwindpb.SnapshotMetadata) bool {
+	g.mutex.RLock()
+	defer g.mutex.RUnlock()
+	term, err := g.term(metadata.Index)
+	return err == nil && term == metadata.Term
+}
+
+// Entries returns the entries from low up to, not including, high: as many as
+// fit in maximumBytes, but at least one.
+func (g *Group) Entries(low, high, maximumBytes uint64) ([]*rockwindpb.Entry, error) {
+	g.mutex.RLock()
+	defer g.mutex.RUnlock()
+	if low <= g.base {
+		return nil, ErrCompacted
+	}
+	if high > g.last()+1 || low > high {
+		return nil, ErrUnavailable
+	}
+	selected := g.entries[low-g.base-1 : high-g.base-1]
+	var size uint64
+	for position, entry := range selected {
+		size += uint64(proto.Size(entry))
+		if size > maximumBytes && position > 0 {
+			return selected[:position:position], nil
+		}
+	}
+	return selected[:len(selected):len(selected)], nil
+}
+
+// Behind returns how many entries, and how many bytes of commands, stand
+// behind the newest snapshot.
+func (g *Group) Behind() (entries uint64, bytes int64) {
+	g.mutex.RLock()
+	defer g.mutex.RUnlock()
+	return g.last() - min(g.snapshot.Index, g.last()), g.bytes
+}
+
+func (g *Group) setHardState(state *rockwindpb.HardState) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.hardState = proto.CloneOf(state)
+}
+
+// truncate removes the entries from index on.
+func (g *Group) truncate(index uint64) error {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if index <= g.snapshot.Index || index > g.last() {
+		return errors.Wrapf(errRecord, "truncation at %d outside of %d to %d", index, g.snapshot.Index+1, g.last())
+	}
+	for _, entry := range g.entries[index-g.base-1:] {
+		g.bytes -= int64(len(entry.Data))
+	}
+	// A new array: readers may hold the old one.
+	g.entries = append([]*rockwindpb.Entry(nil), g.entries[:index-g.base-1]...)
+	return nil
+}
+
+func (g *Group) appendEntries(entries []*rockwindpb.Entry) error {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, entry := range entries {
+		if entry.Index != g.last()+1 {
+			return errors.Wrapf(errRecord, "entry %d after entry %d", entry.Index, g.last())
+		}
+		g.entries = append(g.entries, entry)
+		g.bytes += int64(len(entry.Data))
+	}
+	return nil
+}
+
+// install makes metadata the newest snapshot. When the log holds the entry
+// that the snapshot ends with, it keeps what is behind, and up to trailing
+// entries before it for replicas that lag; otherwise it starts anew.
+func (g *Group) install(metadata *rockwindpb.SnapshotMetadata, trailing uint64) error {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if metadata.Index < g.snapshot.Index {
+		return errors.Wrapf(errRecord, "snapshot %d after snapshot %d", metadata.Index, g.snapshot.Index)
+	}
+	g.snapshot = proto.CloneOf(metadata)
+	term, err := g.term(metadata.Index)
+	if err != nil || term != metadata.Term {
+		g.entries = nil
+		g.base, g.baseTerm = metadata.Index, metadata.Term
+		g.bytes = 0
+		return nil
+	}
+	if keepFrom := metadata.Index - min(trailing, metadata.Index); keepFrom > g.base {
+		g.baseTerm = g.entries[keepFrom-g.base-1].Term
+		g.entries = append([]*rockwindpb.Entry(nil), g.entries[keepFrom-g.base:]...)
+		g.base = keepFrom
+	}
+	g.bytes = 0
+	for _, entry := range g.entries[metadata.Index-g.base:] {
+		g.bytes += int64(len(entry.Data))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wal/record.go
@@ -0,0 +1,126 @@
+package wal
+
+import (
+	"encoding/binary"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// recordKind tells what a record holds. The numbers are on disk: never reuse
+// one.
+type recordKind byte
+
+const (
+	// recordSegment opens a segment and carries the identity of the disk.
+	recordSegment recordKind = 1
+	// recordEntry holds the entry after the last one of its group.
+	recordEntry recordKind = 2
+	// recordHardState holds a group's term, vote and commit index.
+	recordHardState recordKind = 3
+	// recordSnapshot says that a snapshot file replaces the entries up to its index.
+	recordSnapshot recordKind = 4
+	// recordTruncation removes the entries of a group from an index on.
+	recordTruncation recordKind = 5
+)
+
+// record is one unit of a frame's payload:
+//
+//	kind (1) | group (varint) | body length (varint) | body
+type record struct {
+	kind  recordKind
+	group uint32
+	body  []byte
+}
+
+var errRecord = errors.New("malformed record")
+
+func appendRecord(target []byte, r record) []byte {
+	target = append(target, byte(r.kind))
+	target = binary.AppendUvarint(target, uint64(r.group))
+	target = binary.AppendUvarint(target, uint64(len(r.body)))
+	return append(target, r.body...)
+}
+
+func appendMessage(target []byte, kind recordKind, group uint32, message proto.Message) ([]byte, error) {
+	body, err := proto.Marshal(message)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode log record")
+	}
+	return appendRecord(target, record{kind: kind, group: group, body: body}), nil
+}
+
+func appendNumber(target []byte, kind recordKind, group uint32, number uint64) []byte {
+	body := binary.LittleEndian.AppendUint64(nil, number)
+	return appendRecord(target, record{kind: kind, group: group, body: body})
+}
+
+// decodeRecords splits a frame's payload. The bodies alias the payload.
+func decodeRecords(payload []byte) ([]record, error) {
+	var records []record
+	for len(payload) > 0 {
+		decoded, rest, err := decodeRecord(payload)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, decoded)
+		payload = rest
+	}
+	return records, nil
+}
+
+func decodeRecord(payload []byte) (record, []byte, error) {
+	decoded := record{kind: recordKind(payload[0])}
+	if decoded.kind < recordSegment || decoded.kind > recordTruncation {
+		return record{}, nil, errors.Wrapf(errRecord, "kind %d", decoded.kind)
+	}
+	group, rest, err := decodeVarint(payload[1:])
+	if err != nil {
+		return record{}, nil, err
+	}
+	if group > uint64(^uint32(0)) {
+		return record{}, nil, errors.Wrap(errRecord, "group out of range")
+	}
+	decoded.group = uint32(group)
+	length, rest, err := decodeVarint(rest)
+	if err != nil {
+		return record{}, nil, err
+	}
+	if length > uint64(len(rest)) {
+		return record{}, nil, errors.Wrap(errRecord, "body longer than its frame")
+	}
+	decoded.body = rest[:length]
+	return decoded, rest[length:], nil
+}
+
+func decodeVarint(content []byte) (uint64, []byte, error) {
+	value, size := binary.Uvarint(content)
+	if size <= 0 {
+		return 0, nil, errors.Wrap(errRecord, "number cut short")
+	}
+	return value, content[size:], nil
+}
+
+func (r record) number() (uint64, error) {
+	if len(r.body) != 8 {
+		return 0, errors.Wrap(errRecord, "number of the wrong size")
+	}
+	return binary.LittleEndian.Uint64(r.body), nil
+}
+
+func (r record) entry() (*rockwindpb.Entry, error) {
+	entry := &rockwindpb.Entry{}
+	return entry, proto.Unmarshal(r.body, entry)
+}
+
+func (r record) hardState() (*rockwindpb.HardState, error) {
+	state := &rockwindpb.HardState{}
+	return state, proto.Unmarshal(r.body, state)
+}
+
+func (r record) snapshot() (*rockwindpb.SnapshotMetadata, error) {
+	metadata := &rockwindpb.SnapshotMetadata{}
+	return metadata, proto.Unmarshal(r.body, metadata)
+}
