--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,64 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestAdmittedRequestsMeetTheirBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "now"))
+		wait := time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "wait"))
+		deadline := time.Duration(0)
+		if rapid.Bool().Draw(t, "has deadline") {
+			deadline = now + time.Duration(rapid.Int64Range(1, int64(time.Minute)).Draw(t, "left"))
+		}
+		verdict := Decide(DefaultPolicy, Estimate{Wait: wait, Found: true}, deadline, now)
+		if verdict.Admit() {
+			if wait > DefaultPolicy.QueueTimeout || (deadline > 0 && now+wait > deadline) {
+				t.Fatalf("admitted a wait of %v", wait)
+			}
+			return
+		}
+		if verdict.RetryAfter < DefaultPolicy.MinimumRetryAfter || verdict.RetryAfter > DefaultPolicy.MaximumRetryAfter {
+			t.Fatalf("come back after %v", verdict.RetryAfter)
+		}
+		if wait*2 < DefaultPolicy.QueueTimeout && (deadline == 0 || now+wait*2 < deadline) {
+			t.Fatalf("refused a wait of %v", wait)
+		}
+	})
+}
+
+func TestRetriesNeverExceedTheirRatio(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := NewRetryBudget(0.1, 5)
+		attempts, retries := 0, 0
+		for range rapid.IntRange(1, 500).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "first") {
+				budget.FirstAttempt()
+				attempts++
+				continue
+			}
+			if budget.TryRetry() {
+				retries++
+			}
+		}
+		if float64(retries) > 5+0.1*float64(attempts)+1e-9 {
+			t.Fatalf("%d retries for %d attempts", retries, attempts)
+		}
+	})
+}
+
+func TestOnlyRepeatableRequestsAreHedged(t *testing.T) {
+	if _, hedge := HedgeAfter(DefaultHedgePolicy, false, time.Second, 0); hedge {
+		t.Fatal("hedged a request that may not be repeated")
+	}
+	if _, hedge := HedgeAfter(DefaultHedgePolicy, true, time.Second, 0.9); hedge {
+		t.Fatal("hedged on a full fleet")
+	}
+	if after, hedge := HedgeAfter(DefaultHedgePolicy, true, time.Second, 0.1); !hedge || after < time.Second {
+		t.Fatalf("hedge %v after %v", hedge, after)
+	}
+}
