--- /dev/null
+++ b/internal/raft/election.go
@@ -0,0 +1,163 @@
+package raft
+
+import (
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// Campaign starts an election now, unless a leader was heard within the
+// election timeout or this replica may not lead.
+func (n *Node) Campaign() {
+	if n.halted == nil && n.role != Leader && !n.leaderPromised() && n.mayCampaign() {
+		n.campaignPreVote()
+	}
+}
+
+// mayCampaign tells whether this replica may become leader.
+func (n *Node) mayCampaign() bool {
+	return isVoter(n.members.current(), n.id) && n.log.snapshot == nil
+}
+
+// leaderPromised tells whether a leader may hold a lease that rests on this
+// replica. A leader itself gives way only through check-quorum.
+func (n *Node) leaderPromised() bool {
+	if n.faults.forgetLeaderPromise {
+		return false
+	}
+	return n.role == Leader || n.leaderElapsed < n.config.ElectionTicks
+}
+
+func (n *Node) campaignPreVote() {
+	n.becomeFollower(n.term, 0)
+	n.role = PreCandidate
+	n.granted = map[uint64]bool{n.id: true}
+	if n.votesWon() {
+		n.campaign(false)
+		return
+	}
+	n.requestVotes(rockwindpb.MessageKind_MESSAGE_KIND_PRE_VOTE, n.term+1, false)
+}
+
+// campaign starts a new term. A transfer was ordered by the leader, who gave up
+// its lease before.
+func (n *Node) campaign(transfer bool) {
+	n.becomeFollower(n.term+1, 0)
+	n.role = Candidate
+	n.vote = n.id
+	n.granted = map[uint64]bool{n.id: true}
+	if n.votesWon() {
+		n.becomeLeader()
+		return
+	}
+	n.requestVotes(rockwindpb.MessageKind_MESSAGE_KIND_VOTE, n.term, transfer)
+}
+
+func (n *Node) requestVotes(kind rockwindpb.MessageKind, term uint64, transfer bool) {
+	last := n.log.lastIndex()
+	lastTerm, err := n.log.lastTerm()
+	if err != nil {
+		_ = n.halt(err)
+		return
+	}
+	for _, id := range voters(n.members.current()) {
+		if id == n.id {
+			continue
+		}
+		n.send(&rockwindpb.Message{
+			Kind: kind, To: id, Term: term, Index: last, LogTerm: lastTerm, Transfer: transfer,
+		})
+	}
+}
+
+// votesWon tells whether a majority of the voters of this replica's own
+// membership granted their votes. Answers of others do not count.
+func (n *Node) votesWon() bool {
+	return n.countVotes(true) >= quorumOf(len(voters(n.members.current())))
+}
+
+func (n *Node) countVotes(granted bool) int {
+	count := 0
+	for _, id := range voters(n.members.current()) {
+		if answer, answered := n.granted[id]; answered && answer == granted {
+			count++
+		}
+	}
+	return count
+}
+
+// upToDate tells whether a candidate's log holds at least what this one holds.
+func (n *Node) upToDate(message *rockwindpb.Message) (bool, error) {
+	lastTerm, err := n.log.lastTerm()
+	if err != nil {
+		return false, n.halt(err)
+	}
+	if message.GetLogTerm() != lastTerm {
+		return message.GetLogTerm() > lastTerm, nil
+	}
+	return message.GetIndex() >= n.log.lastIndex(), nil
+}
+
+func (n *Node) handlePreVote(message *rockwindpb.Message) error {
+	current, err := n.upToDate(message)
+	if err != nil {
+		return err
+	}
+	reply := &rockwindpb.Message{
+		Kind: rockwindpb.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY, To: message.GetFrom(),
+	}
+	if message.GetTerm() > n.term && current {
+		reply.Term = message.GetTerm()
+	} else {
+		reply.Reject = true
+	}
+	n.send(reply)
+	return nil
+}
+
+// handleVote votes for the first candidate of the term whose log is up to date.
+// A learner answers too: it may have been promoted by an entry that it lacks,
+// and the candidate counts only the voters of its own membership.
+func (n *Node) handleVote(message *rockwindpb.Message) error {
+	current, err := n.upToDate(message)
+	if err != nil {
+		return err
+	}
+	free := n.vote == message.GetFrom() || (n.vote == 0 && n.leader == 0)
+	granted := free && current && n.role != Leader
+	if granted {
+		n.vote = message.GetFrom()
+		n.resetElectionTimer()
+	}
+	n.send(&rockwindpb.Message{
+		Kind: rockwindpb.MessageKind_MESSAGE_KIND_VOTE_REPLY, To: message.GetFrom(), Reject: !granted,
+	})
+	return nil
+}
+
+// handleVoteReply counts an answer to the election that is going on in role.
+func (n *Node) handleVoteReply(message *rockwindpb.Message, role Role) error {
+	if n.role != role {
+		return nil
+	}
+	if role == PreCandidate && !message.GetReject() && message.GetTerm() != n.term+1 {
+		return nil
+	}
+	if _, answered := n.granted[message.GetFrom()]; !answered {
+		n.granted[message.GetFrom()] = !message.GetReject()
+	}
+	switch {
+	case n.votesWon() && role == PreCandidate:
+		n.campaign(false)
+	case n.votesWon():
+		n.becomeLeader()
+	case n.countVotes(false) >= quorumOf(len(voters(n.members.current()))):
+		n.becomeFollower(n.term, 0)
+	}
+	return nil
+}
+
+func (n *Node) handleTimeoutNow(message *rockwindpb.Message) error {
+	if n.role == Follower && n.leader == message.GetFrom() && n.mayCampaign() {
+		n.campaign(true)
+	}
+	return nil
+}
