Number heartbeat rounds over terms, and hold promises against votes of the same term

Change: the promise to a leader is checked for votes of the current term too; rounds are numbered since the start, so a caller need not key them by term.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -121,6 +121,9 @@
 	if err != nil {
 		return err
 	}
+	if !message.GetTransfer() && n.leaderPromised() {
+		return nil
+	}
 	free := n.vote == message.GetFrom() || (n.vote == 0 && n.leader == 0)
 	granted := free && current && n.role != Leader
 	if granted {
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -125,7 +125,9 @@
 	return nil
 }
 
-// Tick moves the node's time on by one tick.
+// Tick moves the node's time on by one tick. Ticks that were missed, because
+// the process was frozen or busy, must not be made up: two calls must never be
+// closer than the tick interval, or a promise to a leader would end too early.
 func (n *Node) Tick() {
 	if n.halted != nil {
 		return
@@ -199,9 +201,10 @@
 		if isVoter(n.members.current(), id) {
 			continue
 		}
-		if match := n.leading.progress[id].match; match < n.log.committed {
+		p := n.leading.progress[id]
+		if p.match < n.log.committed || !n.active(p) {
 			return errors.Wrapf(ErrMembershipInvalid, "member %x holds entries up to %d, committed is %d",
-				id, match, n.log.committed)
+				id, p.match, n.log.committed)
 		}
 	}
 	return nil
@@ -246,6 +249,12 @@
 	return status
 }
 
+// Err returns the reason for which the node halted, nil while it runs. A halted
+// node does nothing any more; its process should stop and be looked at.
+func (n *Node) Err() error {
+	return n.halted
+}
+
 // halt stops the node for good.
 func (n *Node) halt(err error) error {
 	if n.halted == nil {
--- a/internal/raft/read.go
+++ b/internal/raft/read.go
@@ -46,7 +46,7 @@
 }
 
 // LeaseRound is the newest heartbeat round of this term that a quorum answered,
-// 0 when there is none. The caller notes the time of a monotonic clock before
+// 0 when there is none. Rounds are numbered upwards since NewNode. The caller notes the time of a monotonic clock before
 // it takes a Ready with a new HeartbeatRound; the lease may be used only while
 // less than LeaseTicks times the tick interval has passed since the time noted
 // for LeaseRound. The clock must be read after the request arrived.
@@ -75,7 +75,7 @@
 	n.leading.sentRounds = append(n.leading.sentRounds, sentRound{round: n.round, tick: n.ticks})
 	for i := range n.leading.reads {
 		if n.leading.reads[i].round == 0 {
-			n.leading.reads[i].round = n.leading.round
+			n.leading.reads[i].round = n.round
 		}
 	}
 	for _, member := range n.members.current().GetMembers() {
@@ -89,7 +89,7 @@
 			Context: n.round,
 		})
 	}
-	n.leading.progress[n.id].ackedRound = n.leading.round
+	n.leading.progress[n.id].ackedRound = n.round
 	n.confirmRounds()
 }
 
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -28,9 +28,7 @@
 		MessagesBeforeSync: n.earlyMessages,
 		Messages:           n.messages,
 		ReadStates:         n.readStates,
-	}
-	if n.role == Leader {
-		ready.HeartbeatRound = n.leading.round
+		HeartbeatRound:     n.round,
 	}
 	n.takeHardState(&ready)
 	n.takeCommitted(&ready)
