--- /dev/null
+++ b/internal/ledger/bitmap.go
@@ -0,0 +1,56 @@
+package ledger
+
+import "math/bits"
+
+// bitmap is a set of item numbers, least significant bit first.
+type bitmap []byte
+
+// newBitmap returns an empty set that can hold count items.
+func newBitmap(count uint32) bitmap {
+	return make(bitmap, (count+7)/8)
+}
+
+func (b bitmap) has(item uint32) bool {
+	return b[item/8]&(1<<(item%8)) != 0
+}
+
+func (b bitmap) add(item uint32) {
+	b[item/8] |= 1 << (item % 8)
+}
+
+func (b bitmap) remove(item uint32) {
+	b[item/8] &^= 1 << (item % 8)
+}
+
+// count returns the size of the set.
+func (b bitmap) count() uint32 {
+	total := 0
+	for _, word := range b {
+		total += bits.OnesCount8(word)
+	}
+	return uint32(total)
+}
+
+// valid tells whether the set has the length for count items and holds none
+// above.
+func (b bitmap) valid(count uint32) bool {
+	if uint32(len(b)) != (count+7)/8 {
+		return false
+	}
+	unused := uint32(len(b))*8 - count
+	return unused == 0 || b[len(b)-1]>>(8-unused) == 0
+}
+
+// each calls visit with each member in order.
+func (b bitmap) each(visit func(item uint32)) {
+	for index, word := range b {
+		for word != 0 {
+			visit(uint32(index*8 + bits.TrailingZeros8(word)))
+			word &= word - 1
+		}
+	}
+}
+
+func (b bitmap) clone() bitmap {
+	return append(bitmap(nil), b...)
+}
