--- /dev/null
+++ b/internal/configuration/check.go
@@ -0,0 +1,227 @@
+package configuration
+
+import (
+	"math"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// Bounds of the values in a configuration.
+const (
+	maximumNameBytes = 128
+	maximumShare     = 1e6
+	maximumWeight    = 1e6
+	maximumTries     = 1000
+	maximumDuration  = 10 * 365 * 24 * time.Hour
+	minimumRatio     = 0.001
+	maximumRatio     = 1.0
+)
+
+// positions finds where a value stands in a file.
+type positions interface {
+	Position(path ...Step) Position
+}
+
+// noPositions is used for configurations that did not come from a file.
+type noPositions struct{}
+
+// Position implements positions.
+func (noPositions) Position(...Step) Position { return Position{} }
+
+// checker finds the faults in the meaning of a configuration.
+type checker struct {
+	configuration *rockwindpb.Configuration
+	positions     positions
+	problems      *problemList
+
+	groups   map[string]bool
+	models   map[string]*rockwindpb.Model
+	services map[string]*rockwindpb.Service
+}
+
+func (c *checker) run() {
+	if c.configuration.GetNumber() == 0 {
+		c.problems.add(c.positions.Position(field("number")), "the configuration has no number",
+			"set 'number' to one more than the number in force; 'rockwind get configuration' shows it")
+	}
+	c.collect()
+	c.checkGroups()
+	c.checkTenants()
+	c.checkModels()
+	c.checkServices()
+	c.checkBatchClasses()
+	c.checkBackEnds()
+	c.checkPolicy()
+}
+
+func (c *checker) collect() {
+	c.groups = make(map[string]bool)
+	c.models = make(map[string]*rockwindpb.Model)
+	c.services = make(map[string]*rockwindpb.Service)
+	for _, group := range c.configuration.GetGroups() {
+		c.groups[group.GetName()] = true
+	}
+	for _, model := range c.configuration.GetModels() {
+		c.models[model.GetName()] = model
+	}
+	for _, service := range c.configuration.GetServices() {
+		c.services[service.GetName()] = service
+	}
+}
+
+// field is a step to a field that is not repeated.
+func field(name string) Step {
+	return Step{Field: name, Element: -1}
+}
+
+// element is a step to one element of a repeated field.
+func element(name string, index int) Step {
+	return Step{Field: name, Element: index}
+}
+
+// at returns the position of a field below a path.
+func (c *checker) at(path []Step, last Step) Position {
+	return c.positions.Position(append(path[:len(path):len(path)], last)...)
+}
+
+// names finds names that are wrong or given twice among the objects of a kind.
+type names struct {
+	checker *checker
+	kind    string
+	seen    map[string]bool
+}
+
+func (c *checker) names(kind string) *names {
+	return &names{checker: c, kind: kind, seen: make(map[string]bool)}
+}
+
+func (n *names) check(name string, at Position) {
+	if fault := nameFault(name); fault != "" {
+		n.checker.problems.addf(at, "use 1 to 128 letters, digits, '.', '_', '-' or '/', starting with a letter or digit",
+			"the %s name %q %s", n.kind, quotable(name), fault)
+		return
+	}
+	if n.seen[name] {
+		n.checker.problems.addf(at, "rename or remove one of them", "there are two %s entries named %q", n.kind, name)
+		return
+	}
+	n.seen[name] = true
+}
+
+func nameFault(name string) string {
+	if name == "" {
+		return "is missing"
+	}
+	if len(name) > maximumNameBytes {
+		return "is too long"
+	}
+	if !isAlphanumeric(name[0]) {
+		return "starts with a character that is not allowed there"
+	}
+	for i := range len(name) {
+		if !isAlphanumeric(name[i]) && !strings.ContainsRune("._-/", rune(name[i])) {
+			return "holds a character that is not allowed"
+		}
+	}
+	return ""
+}
+
+func isAlphanumeric(character byte) bool {
+	switch {
+	case character >= 'a' && character <= 'z':
+		return true
+	case character >= 'A' && character <= 'Z':
+		return true
+	default:
+		return character >= '0' && character <= '9'
+	}
+}
+
+func (c *checker) checkGroups() {
+	names := c.names("group")
+	for i, group := range c.configuration.GetGroups() {
+		path := []Step{element("groups", i)}
+		names.check(group.GetName(), c.at(path, field("name")))
+		if !inRange(group.GetShare(), math.SmallestNonzeroFloat64, maximumShare) {
+			c.problems.addf(c.at(path, field("share")), "give the group a share above 0, at most 1000000",
+				"the share of group %q is %v", quotable(group.GetName()), group.GetShare())
+		}
+		if _, known := rockwindpb.Objective_name[int32(group.GetObjective())]; !known {
+			c.problems.addf(c.at(path, field("objective")), "write throughput or latency",
+				"the objective %d of group %q is unknown", group.GetObjective(), quotable(group.GetName()))
+		}
+	}
+}
+
+func inRange(value, lowest, highest float64) bool {
+	return value >= lowest && value <= highest
+}
+
+// checkGroupName reports a group that an object names and the file lacks.
+func (c *checker) checkGroupName(owner, group string, at Position) {
+	if !c.groups[group] {
+		c.problems.addf(at, "add the group, or name one that the file has", "%s belongs to group %q, which does not exist", owner, quotable(group))
+	}
+}
+
+func (c *checker) checkBatchClasses() {
+	names := c.names("batch class")
+	for i, class := range c.configuration.GetBatchClasses() {
+		path := []Step{element("batch_classes", i)}
+		names.check(class.GetName(), c.at(path, field("name")))
+		if class.GetTries() == 0 || class.GetTries() > maximumTries {
+			c.problems.addf(c.at(path, field("tries")), "set 'tries' between 1 and 1000",
+				"batch class %q allows %d tries", quotable(class.GetName()), class.GetTries())
+		}
+		c.checkDuration(class.GetDeadline(), c.at(path, field("deadline")), "the deadline")
+		c.checkPositive(class.GetWeight(), c.at(path, field("weight")), "the weight")
+	}
+}
+
+// checkPositive accepts a value above zero, and zero that the file does not
+// give: the default takes its place.
+func (c *checker) checkPositive(value float64, at Position, what string) {
+	if value == 0 && !at.given {
+		return
+	}
+	if !inRange(value, math.SmallestNonzeroFloat64, maximumWeight) {
+		c.problems.addf(at, "write a number above 0, at most 1000000, or leave it out for the default", "%s is %v", what, value)
+	}
+}
+
+// checkDuration accepts a time above zero, and none: the default takes its
+// place.
+func (c *checker) checkDuration(value *durationpb.Duration, at Position, what string) {
+	if value == nil {
+		return
+	}
+	length := value.AsDuration()
+	if value.CheckValid() != nil || length <= 0 || length > maximumDuration {
+		c.problems.addf(at, "write a duration above 0 with its unit, for example 30s, at most 10 years, or leave it out for the default",
+			"%s is %v", what, length)
+	}
+}
+
+func (c *checker) checkPolicy() {
+	policy := c.configuration.GetPolicy()
+	if policy == nil {
+		return
+	}
+	path := []Step{field("policy")}
+	c.checkDuration(policy.GetResultRetention(), c.at(path, field("result_retention")), "the retention of results")
+	c.checkDuration(policy.GetOnlineStepTarget(), c.at(path, field("online_step_target")), "the target of an engine step")
+	c.checkDuration(policy.GetOnlineQueueTimeout(), c.at(path, field("online_queue_timeout")), "the queue timeout")
+	c.checkDuration(policy.GetIdempotencyRetention(), c.at(path, field("idempotency_retention")), "the retention of idempotency records")
+	ratio := policy.GetRetryRatio()
+	at := c.at(path, field("retry_ratio"))
+	if ratio == 0 && !at.given {
+		return
+	}
+	if !inRange(ratio, minimumRatio, maximumRatio) {
+		c.problems.addf(at, "write a number from 0.001 to 1, or leave it out for 0.1", "the retry ratio is %v", ratio)
+	}
+}
--- /dev/null
+++ b/internal/configuration/decode.go
@@ -0,0 +1,189 @@
+package configuration
+
+import (
+	"bytes"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"buf.build/go/protoyaml"
+	"github.com/cockroachdb/errors"
+	yaml "go.yaml.in/yaml/v3"
+	"google.golang.org/protobuf/proto"
+)
+
+// Decode reads YAML text into a message of the schema. It returns the document
+// for positions, or nil where the text could not be read at all, and the
+// problems found so far. The settings of daemons are read through it as well.
+func Decode(fileName string, data []byte, message proto.Message) (*Document, *problemList) {
+	problems := newProblemList(fileName)
+	if !checkText(data, problems) {
+		return nil, problems
+	}
+	if !checkDocuments(data, problems) {
+		return nil, problems
+	}
+	reader := &treeReader{problems: problems}
+	options := protoyaml.UnmarshalOptions{CustomUnmarshaler: reader}
+	err := options.Unmarshal(data, message)
+	if reader.root == nil {
+		addSyntaxError(err, problems)
+		return nil, problems
+	}
+	if reader.abandoned {
+		return nil, problems
+	}
+	if !isBlockMapping(reader.root) && trailing(data) {
+		problems.add(positionOf(reader.root), "more text follows the end of the YAML document", "keep one document a file")
+		return nil, problems
+	}
+	addDecodingErrors(err, problems)
+	return &Document{root: reader.root}, problems
+}
+
+// DecodeProblems is Decode for callers that need only the problems.
+func DecodeProblems(fileName string, data []byte, message proto.Message) (*Document, []Problem) {
+	document, problems := Decode(fileName, data, message)
+	return document, problems.result()
+}
+
+// errAbandoned stops the decoder when the tree already has too many problems.
+var errAbandoned = errors.New("too many problems")
+
+// treeReader looks at the tree of nodes before its values are decoded.
+type treeReader struct {
+	problems  *problemList
+	root      *yaml.Node
+	abandoned bool
+}
+
+// Unmarshal implements protoyaml.CustomUnmarshaler. It handles no message by
+// itself: it only takes the root of the tree and checks its structure.
+func (r *treeReader) Unmarshal(node *yaml.Node, message proto.Message) (bool, error) {
+	if r.root != nil {
+		return false, nil
+	}
+	r.root = node
+	checkStructure(node, message.ProtoReflect().Descriptor(), r.problems)
+	if r.problems.full() {
+		r.abandoned = true
+		return false, errAbandoned
+	}
+	return false, nil
+}
+
+// checkDocuments refuses files with more than one YAML document, since all but
+// the first would be ignored in silence.
+func checkDocuments(data []byte, problems *problemList) bool {
+	content := false
+	line := 0
+	for len(data) > 0 {
+		var current []byte
+		current, data = cutLine(data)
+		line++
+		marker := isMarker(current, "---")
+		if isMarker(current, "...") || (marker && content) {
+			problems.add(Position{Line: line, Column: 1}, "the file holds more than one YAML document", "keep one document a file")
+			return false
+		}
+		trimmed := bytes.TrimSpace(current)
+		if marker || (len(trimmed) > 0 && trimmed[0] != '#') {
+			content = true
+		}
+	}
+	return true
+}
+
+func isMarker(line []byte, marker string) bool {
+	rest, found := bytes.CutPrefix(line, []byte(marker))
+	if !found {
+		return false
+	}
+	return len(rest) == 0 || rest[0] == ' ' || rest[0] == '\t'
+}
+
+// isBlockMapping tells whether the document can end only at the end of the file.
+func isBlockMapping(root *yaml.Node) bool {
+	return root.Kind == yaml.MappingNode && root.Style&yaml.FlowStyle == 0 && root.Column == 1
+}
+
+// trailing tells whether a flow-style document is followed by more text, which
+// the YAML reader would ignore.
+func trailing(data []byte) bool {
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	var first, second yaml.Node
+	if decoder.Decode(&first) != nil {
+		return false
+	}
+	return !errors.Is(decoder.Decode(&second), io.EOF)
+}
+
+var syntaxPosition = regexp.MustCompile(`^yaml: line (\d+): (.*)$`)
+
+func addSyntaxError(err error, problems *problemList) {
+	if err == nil {
+		problems.add(Position{}, "the file is empty", "write at least 'number'")
+		return
+	}
+	const remedy = "mend the YAML: indentation, quotes and brackets"
+	text := err.Error()
+	found := syntaxPosition.FindStringSubmatch(text)
+	if found == nil {
+		problems.add(Position{}, "the file is not YAML: "+strings.TrimPrefix(text, "yaml: "), remedy)
+		return
+	}
+	line, _ := strconv.Atoi(found[1])
+	problems.add(Position{Line: line, Column: 1}, "the file is not YAML: "+found[2], remedy)
+}
+
+var decodingPosition = regexp.MustCompile(`^:(\d+):(\d+) `)
+
+// addDecodingErrors takes over the decoder's errors about values.
+func addDecodingErrors(err error, problems *problemList) {
+	if err == nil {
+		return
+	}
+	joined, ok := err.(interface{ Unwrap() []error })
+	if !ok {
+		problems.add(Position{}, err.Error(), "")
+		return
+	}
+	for _, each := range joined.Unwrap() {
+		if problems.full() {
+			problems.unlisted++
+			continue
+		}
+		addDecodingError(each, problems)
+	}
+}
+
+func addDecodingError(err error, problems *problemList) {
+	found := decodingPosition.FindStringSubmatch(err.Error())
+	if found == nil {
+		problems.add(Position{}, err.Error(), "")
+		return
+	}
+	line, _ := strconv.Atoi(found[1])
+	column, _ := strconv.Atoi(found[2])
+	at := Position{Line: line, Column: column}
+	cause := errors.UnwrapOnce(err)
+	problems.unreadable[at.place()] = true
+	problems.add(at, cause.Error(), remedyFor(cause.Error()))
+}
+
+// remedyFor advises on the decoder's messages.
+func remedyFor(message string) string {
+	switch {
+	case strings.Contains(message, "duration"), strings.Contains(message, "unit"):
+		return "write a duration with its unit, for example 30s, 5m or 24h"
+	case strings.Contains(message, "enum"):
+		return "use one of the listed values"
+	case strings.Contains(message, "integer"), strings.Contains(message, "float"):
+		return "write a plain number"
+	case strings.Contains(message, "expected bool"):
+		return "write true or false"
+	default:
+		return "compare with docs/operations/configuration.md"
+	}
+}
--- /dev/null
+++ b/internal/configuration/object.go
@@ -0,0 +1,155 @@
+package configuration
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// Hash is a SHA-256 sum.
+type Hash [sha256.Size]byte
+
+// Key identifies an object within a configuration. It may be compared with ==.
+type Key struct {
+	Kind rockwindpb.ObjectKind
+	// Name is empty for the policy, of which there is one.
+	Name string
+}
+
+// String is the key as people write it, for example "back end engine-1".
+func (k Key) String() string {
+	if k.Name == "" {
+		return KindName(k.Kind)
+	}
+	return KindName(k.Kind) + " " + k.Name
+}
+
+// KindName is the kind as people write it, for example "back end".
+func KindName(kind rockwindpb.ObjectKind) string {
+	text := strings.TrimPrefix(kind.String(), "OBJECT_KIND_")
+	return strings.ToLower(strings.ReplaceAll(text, "_", " "))
+}
+
+// Compare orders keys by kind, then by name.
+func (k Key) Compare(other Key) int {
+	if order := cmp.Compare(k.Kind, other.Kind); order != 0 {
+		return order
+	}
+	return strings.Compare(k.Name, other.Name)
+}
+
+// KeyOf returns the key of an object. The kind is unspecified for an object
+// without content, or of a kind that this version does not know.
+func KeyOf(object *rockwindpb.ConfigurationObject) Key {
+	switch content := object.GetObject().(type) {
+	case *rockwindpb.ConfigurationObject_Group:
+		return Key{Kind: rockwindpb.ObjectKind_OBJECT_KIND_GROUP, Name: content.Group.GetName()}
+	case *rockwindpb.ConfigurationObject_Tenant:
+		return Key{Kind: rockwindpb.ObjectKind_OBJECT_KIND_TENANT, Name: content.Tenant.GetName()}
+	case *rockwindpb.ConfigurationObject_Model:
+		return Key{Kind: rockwindpb.ObjectKind_OBJECT_KIND_MODEL, Name: content.Model.GetName()}
+	case *rockwindpb.ConfigurationObject_Service:
+		return Key{Kind: rockwindpb.ObjectKind_OBJECT_KIND_SERVICE, Name: content.Service.GetName()}
+	case *rockwindpb.ConfigurationObject_BatchClass:
+		return Key{Kind: rockwindpb.ObjectKind_OBJECT_KIND_BATCH_CLASS, Name: content.BatchClass.GetName()}
+	case *rockwindpb.ConfigurationObject_BackEnd:
+		return Key{Kind: rockwindpb.ObjectKind_OBJECT_KIND_BACK_END, Name: content.BackEnd.GetName()}
+	case *rockwindpb.ConfigurationObject_Policy:
+		return Key{Kind: rockwindpb.ObjectKind_OBJECT_KIND_POLICY}
+	default:
+		return Key{}
+	}
+}
+
+// Objects returns the objects of a configuration. They share their content
+// with it.
+func Objects(configuration *rockwindpb.Configuration) []*rockwindpb.ConfigurationObject {
+	var objects []*rockwindpb.ConfigurationObject
+	for _, group := range configuration.GetGroups() {
+		objects = append(objects, &rockwindpb.ConfigurationObject{Object: &rockwindpb.ConfigurationObject_Group{Group: group}})
+	}
+	for _, tenant := range configuration.GetTenants() {
+		objects = append(objects, &rockwindpb.ConfigurationObject{Object: &rockwindpb.ConfigurationObject_Tenant{Tenant: tenant}})
+	}
+	for _, model := range configuration.GetModels() {
+		objects = append(objects, &rockwindpb.ConfigurationObject{Object: &rockwindpb.ConfigurationObject_Model{Model: model}})
+	}
+	for _, service := range configuration.GetServices() {
+		objects = append(objects, &rockwindpb.ConfigurationObject{Object: &rockwindpb.ConfigurationObject_Service{Service: service}})
+	}
+	for _, class := range configuration.GetBatchClasses() {
+		objects = append(objects, &rockwindpb.ConfigurationObject{Object: &rockwindpb.ConfigurationObject_BatchClass{BatchClass: class}})
+	}
+	for _, backEnd := range configuration.GetBackEnds() {
+		objects = append(objects, &rockwindpb.ConfigurationObject{Object: &rockwindpb.ConfigurationObject_BackEnd{BackEnd: backEnd}})
+	}
+	if configuration.GetPolicy() != nil {
+		objects = append(objects, &rockwindpb.ConfigurationObject{Object: &rockwindpb.ConfigurationObject_Policy{Policy: configuration.GetPolicy()}})
+	}
+	return objects
+}
+
+// addObject appends an object to its list in a configuration.
+func addObject(configuration *rockwindpb.Configuration, object *rockwindpb.ConfigurationObject) {
+	switch content := object.GetObject().(type) {
+	case *rockwindpb.ConfigurationObject_Group:
+		configuration.Groups = append(configuration.Groups, content.Group)
+	case *rockwindpb.ConfigurationObject_Tenant:
+		configuration.Tenants = append(configuration.Tenants, content.Tenant)
+	case *rockwindpb.ConfigurationObject_Model:
+		configuration.Models = append(configuration.Models, content.Model)
+	case *rockwindpb.ConfigurationObject_Service:
+		configuration.Services = append(configuration.Services, content.Service)
+	case *rockwindpb.ConfigurationObject_BatchClass:
+		configuration.BatchClasses = append(configuration.BatchClasses, content.BatchClass)
+	case *rockwindpb.ConfigurationObject_BackEnd:
+		configuration.BackEnds = append(configuration.BackEnds, content.BackEnd)
+	case *rockwindpb.ConfigurationObject_Policy:
+		configuration.Policy = content.Policy
+	}
+}
+
+// entry is one object with its key and the hash of its canonical bytes.
+type entry struct {
+	key    Key
+	hash   Hash
+	object *rockwindpb.ConfigurationObject
+}
+
+// newEntry hashes an object. Its canonical bytes are its protobuf encoding with
+// fields in the order of their numbers.
+func newEntry(object *rockwindpb.ConfigurationObject) (entry, error) {
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(object)
+	if err != nil {
+		return entry{}, corrupt("an object of the configuration cannot be encoded: %v", err)
+	}
+	return entry{key: KeyOf(object), hash: sha256.Sum256(encoded), object: object}, nil
+}
+
+// newEntries returns the entries of objects in the order of their keys. It
+// refuses objects without a known kind, and two objects with the same key.
+func newEntries(objects []*rockwindpb.ConfigurationObject) ([]entry, error) {
+	entries := make([]entry, 0, len(objects))
+	for _, object := range objects {
+		added, err := newEntry(object)
+		if err != nil {
+			return nil, err
+		}
+		if added.key.Kind == rockwindpb.ObjectKind_OBJECT_KIND_UNSPECIFIED {
+			return nil, corrupt("the configuration holds an object of unknown kind")
+		}
+		entries = append(entries, added)
+	}
+	slices.SortFunc(entries, func(a, b entry) int { return a.key.Compare(b.key) })
+	for i := 1; i < len(entries); i++ {
+		if entries[i].key == entries[i-1].key {
+			return nil, corrupt("the configuration holds %s twice", entries[i].key)
+		}
+	}
+	return entries, nil
+}
--- /dev/null
+++ b/internal/configuration/text.go
@@ -0,0 +1,86 @@
+package configuration
+
+import (
+	"bytes"
+	"unicode/utf8"
+)
+
+// maximumLineBytes bounds one line of a file.
+const maximumLineBytes = 64 << 10
+
+const (
+	lineSeparator      = '\u2028'
+	paragraphSeparator = '\u2029'
+	byteOrderMark      = '\ufeff'
+	firstPrintable     = 0x20
+	lastControl        = 0x9f
+	deleteCharacter    = 0x7f
+)
+
+// checkText refuses what is not a plain text file of moderate size, before the
+// YAML reader sees it. It tells whether the text may be parsed.
+func checkText(data []byte, problems *problemList) bool {
+	if len(data) > MaximumFileBytes {
+		problems.addf(Position{}, "split the fleet, or check that this is the right file",
+			"the file has %d bytes, more than the %d allowed", len(data), MaximumFileBytes)
+		return false
+	}
+	line := 1
+	for len(data) > 0 {
+		current, rest := cutLine(data)
+		if !checkLine(current, line, problems) {
+			return false
+		}
+		data = rest
+		line++
+	}
+	return true
+}
+
+func cutLine(data []byte) (line, rest []byte) {
+	end := bytes.IndexByte(data, '\n')
+	if end < 0 {
+		return data, nil
+	}
+	return bytes.TrimSuffix(data[:end], []byte{'\r'}), data[end+1:]
+}
+
+func checkLine(line []byte, number int, problems *problemList) bool {
+	if len(line) > maximumLineBytes {
+		problems.addf(Position{Line: number, Column: 1}, "write one field a line",
+			"the line has %d bytes, more than the %d allowed", len(line), maximumLineBytes)
+		return false
+	}
+	column := 1
+	for offset := 0; offset < len(line); {
+		character, size := utf8.DecodeRune(line[offset:])
+		if message := badCharacter(character, size); message != "" {
+			problems.addf(Position{Line: number, Column: column}, "save the file as plain UTF-8 text",
+				"%s at this place", message)
+			return false
+		}
+		offset += size
+		column++
+	}
+	return true
+}
+
+// badCharacter names what is wrong with a character, or returns nothing.
+func badCharacter(character rune, size int) string {
+	switch {
+	case character == utf8.RuneError && size <= 1:
+		return "a byte that is not UTF-8"
+	case character == '\t':
+		return ""
+	case character < firstPrintable:
+		return "a control character"
+	case character >= deleteCharacter && character <= lastControl:
+		return "a control character"
+	case character == lineSeparator, character == paragraphSeparator:
+		return "a Unicode line separator"
+	case character == byteOrderMark:
+		return "a byte order mark"
+	default:
+		return ""
+	}
+}
