Add the view of the back ends that one gateway holds

Requests need a choice of back end from sources that lag: reports polled by the owner of a server, digests passed on by the control machines, the platform's list, and this gateway's own traffic. internal/serverview merges them on one goroutine and serves routing and batch budgets under a short lock.

--- /dev/null
+++ b/internal/serverview/batch.go
@@ -0,0 +1,206 @@
+package serverview
+
+import (
+	"time"
+
+	"rockwind.example/rockwind/internal/routing"
+	"rockwind.example/rockwind/internal/sharing"
+	"rockwind.example/rockwind/internal/upstream"
+)
+
+// latencyStepPart is the part of the step target that batch of a group that
+// favours latency may fill.
+const latencyStepPart = 0.7
+
+// BatchWanted is what a batch item needs of a back end.
+type BatchWanted struct {
+	// Model and Adapter must be loaded.
+	Model   string
+	Adapter string
+	// PromptTokens estimates the length of the prompt.
+	PromptTokens int
+	// Objective is that of the group that owns the job.
+	Objective sharing.Objective
+}
+
+// BatchChoice is a server that takes one more batch item now.
+type BatchChoice struct {
+	// Target is the back end.
+	Target upstream.Target
+	// TokensPerStep goes into the request's batch token budget.
+	TokensPerStep int
+}
+
+// BatchYield tells that so many batch items must leave a server now, or, where
+// Count is below zero, that so many paused ones may come back.
+type BatchYield struct {
+	// Target is the back end.
+	Target upstream.Target
+	// Count is the number of items.
+	Count int
+}
+
+// BatchFree returns how many more batch items of a model the servers that this
+// gateway owns take now.
+func (v *View) BatchFree(wanted BatchWanted) int {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	free := 0
+	v.eachBatchServer(wanted, func(_ *entry, budget sharing.Budget, running int) {
+		free += max(0, budget.Items-running)
+	})
+	return free
+}
+
+// StartBatch picks the owned server with the most free places for an item and
+// counts the item as running there.
+func (v *View) StartBatch(wanted BatchWanted, tried []string) (BatchChoice, bool) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	var best *entry
+	var choice BatchChoice
+	most := 0
+	v.eachBatchServer(wanted, func(e *entry, budget sharing.Budget, running int) {
+		free := budget.Items - running
+		if free <= most || contains(tried, e.name) {
+			return
+		}
+		most, best = free, e
+		choice = BatchChoice{
+			Target:        upstream.Target{Name: e.name, Address: e.address},
+			TokensPerStep: budget.TokensPerStep,
+		}
+	})
+	if best == nil {
+		return BatchChoice{}, false
+	}
+	best.batch.running++
+	v.routing.Sent(best.index, wanted.PromptTokens, true)
+	return choice, true
+}
+
+func contains(names []string, name string) bool {
+	for _, found := range names {
+		if found == name {
+			return true
+		}
+	}
+	return false
+}
+
+// eachBatchServer visits the servers that may take batch of the model.
+func (v *View) eachBatchServer(wanted BatchWanted, visit func(e *entry, budget sharing.Budget, running int)) {
+	request, ok := v.request(Wanted{Model: wanted.Model, Adapter: wanted.Adapter})
+	if !ok {
+		return
+	}
+	now := v.now()
+	for _, e := range v.entries {
+		server := &v.routing.Servers[e.index]
+		if !e.own || server.Health == routing.Ejected || !eligible(server, &request) {
+			continue
+		}
+		state := v.batchServerState(e, now)
+		visit(e, sharing.BatchBudget(state, v.budgetPolicy(wanted.Objective)), e.batch.running)
+	}
+}
+
+// eligible tells whether a server holds any of the versions.
+func eligible(server *routing.Server, request *routing.Request) bool {
+	for _, version := range request.Versions {
+		if server.Eligible(request, version.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+// budgetPolicy is the policy of an objective under the configured step target.
+func (v *View) budgetPolicy(objective sharing.Objective) sharing.BudgetPolicy {
+	policy := sharing.DefaultBudgetPolicy(objective)
+	if v.stepTarget <= 0 {
+		return policy
+	}
+	policy.StepTarget = v.stepTarget
+	if objective == sharing.Latency {
+		policy.StepTarget = time.Duration(latencyStepPart * float64(v.stepTarget))
+	}
+	return policy
+}
+
+// batchServerState corrects the newest report by what was sent since.
+func (v *View) batchServerState(e *entry, now time.Duration) sharing.ServerState {
+	server := &v.routing.Servers[e.index]
+	running := float64(server.Report.RunningOnline) + float64(server.SentSinceReport) - float64(server.EndedSinceReport)
+	return sharing.ServerState{
+		OnlineRunning: max(running, float64(server.OwnOnline)),
+		OnlineWaiting: float64(server.Report.Waiting),
+		OnlinePeak:    e.batch.peak.Value(now, peakHalfLife),
+		BatchRunning:  e.batch.running,
+		KVUsed:        float64(server.Report.KVUsed),
+		Step:          server.Report.Step,
+		ReportAge:     now - e.reportedAt,
+	}
+}
+
+// BatchYields lists the servers on which the number of running batch items
+// does not fit the budget of the moment.
+func (v *View) BatchYields() []BatchYield {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	now := v.now()
+	var yields []BatchYield
+	for _, e := range v.entries {
+		if e.batch.running == 0 && e.batch.paused == 0 {
+			continue
+		}
+		count := v.yieldCount(e, now)
+		if count != 0 {
+			yields = append(yields, BatchYield{Target: upstream.Target{Name: e.name, Address: e.address}, Count: count})
+		}
+	}
+	return yields
+}
+
+func (v *View) yieldCount(e *entry, now time.Duration) int {
+	policy := v.budgetPolicy(sharing.Throughput)
+	state := v.batchServerState(e, now)
+	if over := sharing.ShouldYield(state, policy); over > 0 {
+		return over
+	}
+	free := sharing.BatchBudget(state, policy).Items - e.batch.running
+	return -min(max(free, 0), e.batch.paused)
+}
+
+// BatchPaused moves an item between running and paused in the counts.
+func (v *View) BatchPaused(server string, paused bool) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	e := v.byName[server]
+	if e == nil {
+		return
+	}
+	change := 1
+	if !paused {
+		change = -1
+	}
+	e.batch.paused += change
+	e.batch.running -= change
+}
+
+// BatchEnded counts a batch item down and hands the evidence to the owner.
+func (v *View) BatchEnded(target upstream.Target, report upstream.Report, paused bool, promptTokens int) {
+	v.mutex.Lock()
+	if e := v.byName[target.Name]; e != nil {
+		v.routing.FirstToken(e.index, promptTokens)
+		v.routing.Ended(e.index, true)
+		if paused {
+			e.batch.paused--
+		} else {
+			e.batch.running--
+		}
+	}
+	v.mutex.Unlock()
+	report.FirstByte = 0
+	v.note(target, report)
+}
--- /dev/null
+++ b/internal/serverview/choose.go
@@ -0,0 +1,167 @@
+package serverview
+
+import (
+	"slices"
+	"time"
+
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/routing"
+	"rockwind.example/rockwind/internal/upstream"
+)
+
+// Wanted is what a request needs of a back end.
+type Wanted struct {
+	// Model is the model's name without an adapter; empty for services.
+	Model string
+	// Adapter must be loaded too; empty for none.
+	Adapter string
+	// Service is the service's name; empty for models.
+	Service string
+	// PromptTokens estimates the length of the prompt.
+	PromptTokens int
+	// Prefix is the hash of the prompt's first blocks, zero for none.
+	Prefix uint64
+}
+
+// Choice is a back end chosen for one attempt. The request counts as sent to it
+// until Ended is called.
+type Choice struct {
+	// Target is the back end.
+	Target upstream.Target
+	// Version is the version that answers, as "model@version".
+	Version string
+	// Wait estimates the time until the first token.
+	Wait time.Duration
+}
+
+// Estimate tells how long a request would wait for its first token now, and
+// whether any back end may take it.
+func (v *View) Estimate(wanted Wanted) (time.Duration, bool) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	decision, ok := v.decide(wanted, nil, v.now())
+	return decision.Wait, ok
+}
+
+// Choose picks the back end of an online request and counts it as sent.
+func (v *View) Choose(wanted Wanted, tried []string) (Choice, error) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	now := v.now()
+	decision, ok := v.decide(wanted, tried, now)
+	if !ok {
+		return Choice{}, noBackEnd(wanted)
+	}
+	e := v.entries[decision.Server]
+	v.routing.Sent(decision.Server, wanted.PromptTokens, false)
+	e.history.sent.add(now)
+	if wanted.Prefix != 0 {
+		v.hints.remember(wanted.Prefix, e.name, wanted.PromptTokens)
+	}
+	return Choice{
+		Target:  upstream.Target{Name: e.name, Address: e.address},
+		Version: v.names.Name(decision.Version),
+		Wait:    decision.Wait,
+	}, nil
+}
+
+// noBackEndRetryAfter is the advice to callers while no server may take work.
+const noBackEndRetryAfter = time.Second
+
+func noBackEnd(wanted Wanted) error {
+	name := wanted.Model
+	if name == "" {
+		name = wanted.Service
+	}
+	return fault.Newf(fault.Unavailable, "send the request again later",
+		"no back end that serves %q can take the request now", name).
+		WithRan(fault.NotRun).WithRetryAfter(noBackEndRetryAfter)
+}
+
+// decide asks routing, with the servers tried before left out.
+func (v *View) decide(wanted Wanted, tried []string, now time.Duration) (routing.Decision, bool) {
+	request, ok := v.request(wanted)
+	if !ok {
+		return routing.Decision{}, false
+	}
+	var hidden []int
+	for _, name := range tried {
+		e := v.byName[name]
+		if e != nil && !v.routing.Servers[e.index].Leaving {
+			v.routing.Servers[e.index].Leaving = true
+			hidden = append(hidden, e.index)
+		}
+	}
+	decision, ok := routing.Choose(&v.routing, &request, now, v.random)
+	for _, index := range hidden {
+		v.routing.Servers[index].Leaving = false
+	}
+	return decision, ok
+}
+
+func (v *View) request(wanted Wanted) (routing.Request, bool) {
+	key := modelKey(wanted.Model)
+	if wanted.Service != "" {
+		key = serviceKey(wanted.Service)
+	}
+	known, ok := v.models[key]
+	if !ok || len(known.versions) == 0 {
+		return routing.Request{}, false
+	}
+	request := routing.Request{
+		Versions: known.versions, Adapter: routing.NoName, PromptTokens: int32(wanted.PromptTokens),
+	}
+	if wanted.Adapter != "" {
+		if request.Adapter, ok = known.adapters[wanted.Adapter]; !ok {
+			return routing.Request{}, false
+		}
+	}
+	if wanted.Prefix != 0 {
+		request.Hints = v.hintsFor(wanted)
+	}
+	return request, true
+}
+
+// hintsFor lists the servers that probably cache the prompt's prefix.
+func (v *View) hintsFor(wanted Wanted) []routing.Hint {
+	name, tokens, ok := v.hints.find(wanted.Prefix)
+	if !ok {
+		return nil
+	}
+	e := v.byName[name]
+	if e == nil {
+		return nil
+	}
+	return []routing.Hint{{Server: int32(e.index), CachedTokens: int32(min(tokens, wanted.PromptTokens))}}
+}
+
+// FirstToken tells that the prompt of a request was processed.
+func (v *View) FirstToken(target upstream.Target, promptTokens int) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if e := v.byName[target.Name]; e != nil {
+		v.routing.FirstToken(e.index, promptTokens)
+	}
+}
+
+// Ended counts an online request down and hands the evidence to the owner.
+// FirstToken must have been called before, also when none came.
+func (v *View) Ended(target upstream.Target, report upstream.Report) {
+	v.mutex.Lock()
+	if e := v.byName[target.Name]; e != nil {
+		v.routing.Ended(e.index, false)
+		e.history.ended.add(v.now())
+	}
+	v.mutex.Unlock()
+	v.note(target, report)
+}
+
+// Models tells which of the models can be answered by some server now.
+func (v *View) Models(names []string) []string {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return slices.DeleteFunc(slices.Clone(names), func(name string) bool {
+		_, ok := v.decide(Wanted{Model: name}, nil, v.now())
+		return !ok
+	})
+}
--- /dev/null
+++ b/internal/serverview/poll.go
@@ -0,0 +1,123 @@
+package serverview
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"rockwind.example/rockwind/internal/health"
+	"rockwind.example/rockwind/internal/upstream"
+)
+
+// Timing of polls.
+const (
+	// pollInterval is how often an owned server is asked for its load.
+	pollInterval = time.Second
+	// pollJitter is the part of the interval that is drawn at random.
+	pollJitter = 0.2
+	// pollTimeout bounds one poll.
+	pollTimeout = time.Second
+	// orphanAge is the age of the newest report from which a server of the own
+	// zone is polled although another gateway owns it.
+	orphanAge = 5 * time.Second
+	// orphanInterval is how often such a server is polled.
+	orphanInterval = 4 * time.Second
+	// maximumReport bounds the answer to a poll or probe in bytes.
+	maximumReport = 1 << 20
+)
+
+// pollResult is the answer to one poll.
+type pollResult struct {
+	server  string
+	report  loadReport
+	askedAt time.Duration
+	err     error
+}
+
+// duePolls lists the servers to be polled now.
+func (v *View) duePolls() []upstream.Target {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	now := v.now()
+	var due []upstream.Target
+	for _, e := range v.entries {
+		if e.zone != v.options.Zone || e.polling || now < e.nextPoll {
+			continue
+		}
+		interval := pollInterval
+		if !e.own {
+			if now-e.reportedAt < orphanAge {
+				continue
+			}
+			interval = orphanInterval
+		}
+		jitter := 1 + pollJitter*(2*v.random.Float64()-1)
+		e.nextPoll = now + time.Duration(float64(interval)*jitter)
+		e.polling = true
+		due = append(due, upstream.Target{Name: e.name, Address: e.address})
+	}
+	return due
+}
+
+// poll asks one server for its load.
+func (v *View) poll(ctx context.Context, target upstream.Target) pollResult {
+	result := pollResult{server: target.Name, askedAt: v.now()}
+	body, status, err := v.get(ctx, target, "/load")
+	if err == nil && status != http.StatusOK {
+		err = errStatus
+	}
+	if err == nil {
+		err = json.Unmarshal(body, &result.report)
+	}
+	result.err = err
+	return result
+}
+
+// probe asks an ejected server whether it takes requests, as its trial.
+func (v *View) probe(ctx context.Context, target upstream.Target) evidence {
+	_, status, err := v.get(ctx, target, "/readyz")
+	found := evidence{server: target.Name, outcome: health.Success}
+	if err != nil || status != http.StatusOK {
+		found.outcome = health.Failure
+	}
+	return found
+}
+
+// get sends a small request and reads its answer.
+func (v *View) get(ctx context.Context, target upstream.Target, path string) ([]byte, int, error) {
+	bounded, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	request := &upstream.Request{
+		ID: "poll", Kind: upstream.Service, Method: http.MethodGet, Path: path, Repeatable: true,
+		Timeouts: upstream.Timeouts{Connect: pollTimeout, FirstByte: pollTimeout},
+	}
+	response, err := v.options.Client.Do(bounded, target.Address, request, 0)
+	if err != nil {
+		return nil, 0, err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body(pollTimeout), maximumReport))
+	if err != nil {
+		response.Abandon()
+		return nil, 0, err
+	}
+	response.Finish()
+	return body, response.Status, nil
+}
+
+// took merges the result of a poll. Only the owner goroutine calls it.
+func (v *View) took(ctx context.Context, result pollResult, wall time.Time) {
+	v.mutex.Lock()
+	if e := v.byName[result.server]; e != nil {
+		e.polling = false
+	}
+	v.mutex.Unlock()
+	if result.err == nil {
+		v.polled(result.server, result.report, result.askedAt, wall)
+		return
+	}
+	if ctx.Err() == nil {
+		v.record(evidence{server: result.server, outcome: health.Failure})
+	}
+}
--- /dev/null
+++ b/internal/serverview/report.go
@@ -0,0 +1,217 @@
+package serverview
+
+import (
+	"slices"
+	"time"
+
+	"rockwind.example/rockwind/internal/ownership"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/routing"
+	"rockwind.example/rockwind/internal/sharing"
+)
+
+// loadReport is the answer to GET /load of an engine or a service.
+type loadReport struct {
+	Sequence       uint64   `json:"sequence"`
+	AtMs           int64    `json:"at_ms"`
+	RunningOnline  uint32   `json:"running_online"`
+	RunningBatch   uint32   `json:"running_batch"`
+	Waiting        uint32   `json:"waiting"`
+	WaitingOnline  *uint32  `json:"waiting_online"`
+	KVUsedPermille uint32   `json:"kv_used_permille"`
+	StepUs         uint32   `json:"step_us"`
+	Loaded         []string `json:"loaded"`
+	Draining       bool     `json:"draining"`
+}
+
+// onlineWaiting is the part of the queue that is online, where it is told.
+func (r *loadReport) onlineWaiting() uint32 {
+	if r.WaitingOnline != nil {
+		return *r.WaitingOnline
+	}
+	return r.Waiting
+}
+
+// maximumClockSkew bounds how far a server's clock is trusted: a report that
+// claims to be older counts as taken when it was asked for.
+const maximumClockSkew = 10 * time.Second
+
+// polled merges a report that this gateway asked for. The report counts as
+// taken by the server's clock, as far as that is plausible.
+func (v *View) polled(server string, report loadReport, askedAt time.Duration, wall time.Time) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	e := v.byName[server]
+	if e == nil {
+		return
+	}
+	now := v.now()
+	age := wall.Sub(time.UnixMilli(report.AtMs))
+	takenAt := now - age
+	if age < 0 || age > maximumClockSkew {
+		takenAt = askedAt
+	}
+	if e.reportedAt > takenAt {
+		return
+	}
+	e.leaving.said(report.Draining, takenAt)
+	v.merge(e, report, takenAt)
+}
+
+// merge puts a report in place. The caller holds the lock.
+func (v *View) merge(e *entry, report loadReport, takenAt time.Duration) {
+	e.report = report
+	e.reportedAt = takenAt
+	if report.Loaded != nil {
+		e.loaded = report.Loaded
+	}
+	v.routing.Reported(e.index, routing.Report{
+		TakenAt:       takenAt,
+		RunningOnline: float32(report.RunningOnline),
+		RunningBatch:  float32(report.RunningBatch),
+		Waiting:       float32(report.onlineWaiting()),
+		KVUsed:        float32(report.KVUsedPermille) / permille,
+		Step:          time.Duration(report.StepUs) * time.Microsecond,
+	}, e.history.sent.after(takenAt), e.history.ended.after(takenAt))
+	e.batch.peak.Observe(float64(report.RunningOnline+report.onlineWaiting()), v.now(), peakHalfLife)
+	v.publish(e)
+}
+
+const permille = 1000
+
+// Digests describes the servers that this gateway owns, for the exchange.
+func (v *View) Digests() []*rockwindpb.ServerDigest {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	var digests []*rockwindpb.ServerDigest
+	for _, e := range v.entries {
+		if e.reportedAt > 0 && e.own {
+			digests = append(digests, v.digest(e))
+		}
+	}
+	return digests
+}
+
+func (v *View) digest(e *entry) *rockwindpb.ServerDigest {
+	state := rockwindpb.HealthState_HEALTH_STATE_HEALTHY
+	switch v.routing.Servers[e.index].Health {
+	case routing.Suspect:
+		state = rockwindpb.HealthState_HEALTH_STATE_SUSPECT
+	case routing.Ejected:
+		state = rockwindpb.HealthState_HEALTH_STATE_EJECTED
+	}
+	return &rockwindpb.ServerDigest{
+		Name: e.name, RunningOnline: e.report.RunningOnline, RunningBatch: e.report.RunningBatch,
+		Waiting: e.report.onlineWaiting(), KvUsedPermille: e.report.KVUsedPermille,
+		StepMicroseconds: e.report.StepUs, AgeMs: uint32((v.now() - e.reportedAt).Milliseconds()),
+		Health: state, Leaving: e.leaving.out(), Loaded: e.digestLoaded(),
+	}
+}
+
+// digestLoaded is the list of what is loaded, only where it changed since the
+// last digest.
+func (e *entry) digestLoaded() []string {
+	if slices.Equal(e.sentLoaded, e.loaded) && e.sentCount%loadedEvery != 0 {
+		e.sentCount++
+		return nil
+	}
+	e.sentLoaded = e.loaded
+	e.sentCount++
+	return e.loaded
+}
+
+// loadedEvery is after how many digests the unchanged list is sent again, for
+// control machines that restarted.
+const loadedEvery = 16
+
+// Exchanged merges what the control machines passed on.
+func (v *View) Exchanged(response *rockwindpb.ExchangeResponse) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if peers := response.GetPeers(); len(peers) > 0 {
+		v.setPeers(peers)
+	}
+	for _, digest := range response.GetServers() {
+		if e := v.byName[digest.GetName()]; e != nil && !e.own {
+			v.passedOn(e, digest)
+		}
+	}
+	for _, zone := range response.GetZones() {
+		v.summed(zone)
+	}
+}
+
+// setPeers takes the live gateways of the zone.
+func (v *View) setPeers(peers []string) {
+	if slices.Equal(v.peers, peers) {
+		return
+	}
+	v.peers = slices.Clone(peers)
+	v.assignOwners()
+}
+
+// passedOn merges the digest of a server that another gateway polls.
+func (v *View) passedOn(e *entry, digest *rockwindpb.ServerDigest) {
+	takenAt := v.now() - time.Duration(digest.GetAgeMs())*time.Millisecond
+	if e.reportedAt > takenAt {
+		return
+	}
+	e.leaving.passedOn(digest.GetLeaving())
+	e.digestHealth = digest.GetHealth()
+	report := loadReport{
+		RunningOnline: digest.GetRunningOnline(), RunningBatch: digest.GetRunningBatch(),
+		Waiting: digest.GetWaiting(), KVUsedPermille: digest.GetKvUsedPermille(), StepUs: digest.GetStepMicroseconds(),
+	}
+	if len(digest.GetLoaded()) > 0 {
+		report.Loaded = digest.GetLoaded()
+	}
+	v.merge(e, report, takenAt)
+}
+
+// summed spreads the sums of another zone evenly over its servers.
+func (v *View) summed(zone *rockwindpb.ZoneDigest) {
+	if zone.GetZone() == v.options.Zone || zone.GetServers() == 0 {
+		return
+	}
+	servers := float32(zone.GetServers())
+	report := routing.Report{
+		TakenAt:       v.now(),
+		RunningOnline: float32(zone.GetRunningOnline()) / servers,
+		RunningBatch:  float32(zone.GetRunningBatch()) / servers,
+		Waiting:       float32(zone.GetWaiting()) / servers,
+	}
+	for _, e := range v.entries {
+		if e.zone == zone.GetZone() && slices.Contains(e.serves, zone.GetModel()) {
+			v.routing.Reported(e.index, report, e.history.sent.after(report.TakenAt), e.history.ended.after(report.TakenAt))
+		}
+	}
+}
+
+// assignOwners notes which servers this gateway polls and feeds batch.
+func (v *View) assignOwners() {
+	for _, e := range v.entries {
+		e.own = v.owned(e)
+	}
+}
+
+func (v *View) owned(e *entry) bool {
+	if e.zone != v.options.Zone {
+		return false
+	}
+	if len(v.peers) == 0 {
+		return true
+	}
+	return ownership.Owner(v.peers, e.name) == v.options.Gateway
+}
+
+// peakHalfLife is how fast the peak of online requests is forgotten.
+const peakHalfLife = 10 * time.Second
+
+// batchState is what is known for batch on one server.
+type batchState struct {
+	peak sharing.Peak
+	// running counts the batch items that this gateway runs there now; paused
+	// ones are counted apart.
+	running int
+	paused  int
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -253,6 +253,22 @@
 	return r.body.Read(p)
 }
 
+// Body returns the body as a reader whose silence is bounded.
+func (r *Response) Body(silence time.Duration) io.Reader {
+	return boundedBody{response: r, silence: silence}
+}
+
+// boundedBody reads a body with a limit of silence.
+type boundedBody struct {
+	response *Response
+	silence  time.Duration
+}
+
+// Read implements io.Reader.
+func (b boundedBody) Read(p []byte) (int, error) {
+	return b.response.Read(p, b.silence)
+}
+
 // Finish ends an exchange whose body was read to its end and keeps the
 // connection when it can carry another.
 func (r *Response) Finish() {
