Add HTTP stand-ins and the bench program

Cause: experiments need engines, services, a platform and a weight store that speak the engine protocol as separate processes.

--- /dev/null
+++ b/cmd/rockwind-bench/main.go
@@ -0,0 +1,33 @@
+// Command rockwind-bench runs what measures rockwind: stand-ins for the back
+// ends and the platform, the load generator, and the experiments.
+package main
+
+import (
+	"github.com/alecthomas/kong"
+
+	"rockwind.example/rockwind/internal/standin"
+)
+
+// arguments is the command line; each subcommand lives in its own package.
+type arguments struct {
+	Engine   standin.EngineCommand   `cmd:"" help:"Run a stand-in for a model engine."`
+	Service  standin.ServiceCommand  `cmd:"" help:"Run a stand-in for a plain HTTP service."`
+	Platform standin.PlatformCommand `cmd:"" help:"Run a stand-in for the platform's list of machines."`
+	Weights  standin.WeightsCommand  `cmd:"" help:"Run a stand-in for the weight store."`
+
+	Experiment experiments `cmd:"" help:"Run an experiment and print its figures."`
+}
+
+// experiments lists the experiments; each is a package under internal/bench.
+type experiments struct {
+}
+
+func main() {
+	var command arguments
+	parsed := kong.Parse(&command,
+		kong.Name("rockwind-bench"),
+		kong.Description("Stand-ins, load and experiments for rockwind."),
+		kong.UsageOnError(),
+	)
+	parsed.FatalIfErrorf(parsed.Run())
+}
--- a/internal/engine/config.go
+++ b/internal/engine/config.go
@@ -112,7 +112,8 @@
 // produces tokens quickly, for measurements of what stands before it.
 func FastConfig() Config {
 	config := DefaultConfig()
-	config.BaseStep = time.Millisecond
+	config.BaseStep = 5 * time.Millisecond
+	config.TokensPerStep = 8
 	config.PerSequence = 0
 	config.PerPrefillToken = 0
 	config.PerAttendedToken = 0
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -51,6 +51,8 @@
 	Role      Role   `json:"role,omitempty"`
 	// WeightsBytes is the size of the weights; zero takes the engine's default.
 	WeightsBytes int64 `json:"weights_bytes,omitempty"`
+	// External leaves the loading to the caller, who ends it with CompleteLoad.
+	External bool `json:"-"`
 }
 
 // OrderStatus tells what became of an order.
@@ -164,7 +166,9 @@
 	}
 	loading := loadingOrder{fence: order.Fence, name: name}
 	e.orders.loading = append(e.orders.loading, loading)
-	e.timers.add(timer{at: now + e.loadTime(order), kind: timerLoaded, loading: loading})
+	if !order.External {
+		e.timers.add(timer{at: now + e.loadTime(order), kind: timerLoaded, loading: loading})
+	}
 	return OrderLoading
 }
 
@@ -179,6 +183,20 @@
 	return time.Duration(float64(size) / e.config.WeightsRate * float64(time.Second))
 }
 
+// CompleteLoad ends an external load: the weights arrived, or could not be had.
+func (e *Engine) CompleteLoad(now time.Duration, fence uint64, arrived bool) {
+	index := slices.IndexFunc(e.orders.loading, func(other loadingOrder) bool { return other.fence == fence })
+	if index < 0 {
+		return
+	}
+	if arrived {
+		e.finishLoading(now, e.orders.loading[index])
+	} else {
+		e.orders.loading = slices.Delete(e.orders.loading, index, index+1)
+	}
+	e.record(now)
+}
+
 // finishLoading puts a load in force unless an unload came between.
 func (e *Engine) finishLoading(now time.Duration, loading loadingOrder) {
 	index := slices.Index(e.orders.loading, loading)
@@ -206,6 +224,11 @@
 	e.record(now)
 }
 
+// Draining tells whether the engine refuses new requests.
+func (e *Engine) Draining() bool {
+	return e.orders.draining
+}
+
 // Loaded returns the names of what is loaded; empty accepts every model.
 func (e *Engine) Loaded() []string {
 	return slices.Clone(e.orders.loaded)
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -8,6 +8,8 @@
 	ID string
 	// Tag is handed back in events and not looked at.
 	Tag uint64
+	// Payload is handed back by Resume and not looked at.
+	Payload any
 	// Model is "model", "model@version" or "model:adapter".
 	Model string
 	// Priority decides who runs first; lower first.
--- a/internal/engine/resume.go
+++ b/internal/engine/resume.go
@@ -19,7 +19,8 @@
 
 // Resumed is what a new reader gets at once.
 type Resumed struct {
-	Tag uint64
+	Tag     uint64
+	Payload any
 	// First and Last are the sequence numbers of the tokens that the reader
 	// misses; Last is below First when it misses none yet.
 	First, Last int
@@ -66,6 +67,7 @@
 	entry.attached = true
 	resumed := Resumed{
 		Tag:       entry.request.Tag,
+		Payload:   entry.request.Payload,
 		First:     offset + 1,
 		Last:      delivered,
 		Finished:  finished,
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,259 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+
+	"rockwind.example/rockwind/internal/engine"
+)
+
+// maxBody bounds the body of a request in bytes.
+const maxBody = 64 << 20
+
+// deathExitCode is the exit status of a process that a fault made die.
+const deathExitCode = 3
+
+// EngineOptions say what an engine stand-in is like.
+type EngineOptions struct {
+	Name, Zone string
+	Config     engine.Config
+	Seed       int64
+	// EventPerToken writes an event for every token, also where a step or a
+	// slow reader leaves several to write at once.
+	EventPerToken bool
+	// WeightsURL is the weight store, "http://ip:port"; empty loads at the
+	// model's rate.
+	WeightsURL string
+	// JournalFile keeps the journal; empty keeps it in memory only.
+	JournalFile string
+	// KVBytesPerToken is the size of exported KV.
+	KVBytesPerToken int
+	// Exit ends the process for a fault that kills it; nil breaks all
+	// connections instead.
+	Exit func(code int)
+}
+
+// Engine is a model engine behind HTTP.
+type Engine struct {
+	options EngineOptions
+	driver  *driver
+	journal *journal
+	handler http.Handler
+	client  *http.Client
+	// loads is cancelled by Close and ends downloads of weights.
+	loads     context.Context
+	stopLoads context.CancelFunc
+}
+
+// NewEngine starts an engine stand-in; serve its Handler and Close it at the end.
+func NewEngine(options EngineOptions) (*Engine, error) {
+	notes, err := newJournal(options.JournalFile)
+	if err != nil {
+		return nil, err
+	}
+	result := &Engine{
+		options: options,
+		driver:  newDriver(options.Config, options.Seed),
+		journal: notes,
+		client:  &http.Client{},
+	}
+	result.loads, result.stopLoads = context.WithCancel(context.Background())
+	result.handler = result.routes()
+	return result, nil
+}
+
+// Handler returns the HTTP interface of the engine.
+func (e *Engine) Handler() http.Handler {
+	return e.handler
+}
+
+// Close stops the engine.
+func (e *Engine) Close() error {
+	e.stopLoads()
+	e.driver.close()
+	if e.journal.file == nil {
+		return nil
+	}
+	return errors.Wrap(e.journal.file.Close(), "close the journal file")
+}
+
+// Inject makes the engine fail as the order says.
+func (e *Engine) Inject(order FaultOrder) {
+	if order.Kind == engine.FaultDie && order.DurationMs == 0 && e.options.Exit != nil {
+		e.options.Exit(deathExitCode)
+	}
+	e.driver.do(func(model *engine.Engine, now time.Duration) { model.Inject(now, order.Fault()) })
+}
+
+func (e *Engine) routes() http.Handler {
+	router := chi.NewRouter()
+	router.Post("/fault", e.serveFault)
+	router.Post("/drain", e.serveDrain)
+	router.Get("/journal", e.journal.serve)
+	router.Group(func(router chi.Router) {
+		router.Use(e.failing)
+		router.Get("/healthz", e.serveHealth)
+		router.Get("/readyz", e.serveReady)
+		router.Get("/load", e.serveLoad)
+		router.Get("/cache_events", e.serveCacheEvents)
+		router.Get("/cache_snapshot", e.serveCacheSnapshot)
+		router.Post("/kv/export", e.serveExport)
+		router.Post("/kv/import", e.serveImport)
+		router.Post("/orders", e.serveOrder)
+		router.Post("/v1/chat/completions", e.serveChat)
+		router.Post("/v1/completions", e.serveCompletion)
+		router.Post("/v1/requests/{id}/resume", e.serveResume)
+		router.Post("/v1/requests/{id}/pause", e.servePause)
+		router.Post("/v1/requests/{id}/unpause", e.serveUnpause)
+		router.Delete("/v1/requests/{id}", e.serveCancel)
+	})
+	return router
+}
+
+// failing gives requests to a dead engine a broken connection and lets those to
+// a hung one wait.
+func (e *Engine) failing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		for e.driver.hung.Load() {
+			if !pause(request.Context(), pollInterval) {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		if e.driver.dead.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
+func (e *Engine) serveFault(writer http.ResponseWriter, request *http.Request) {
+	var order FaultOrder
+	if !readJSON(writer, request, &order) {
+		return
+	}
+	writeJSON(writer, http.StatusOK, order)
+	_ = http.NewResponseController(writer).Flush()
+	e.Inject(order)
+}
+
+func (e *Engine) serveDrain(writer http.ResponseWriter, request *http.Request) {
+	var order DrainRequest
+	if !readJSON(writer, request, &order) {
+		return
+	}
+	e.driver.do(func(model *engine.Engine, now time.Duration) { model.SetDraining(now, order.Draining) })
+	writeJSON(writer, http.StatusOK, order)
+}
+
+// HealthAnswer is the body of GET /healthz.
+type HealthAnswer struct {
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+}
+
+func (e *Engine) serveHealth(writer http.ResponseWriter, _ *http.Request) {
+	writeJSON(writer, http.StatusOK, HealthAnswer{Name: e.options.Name, Zone: e.options.Zone})
+}
+
+func (e *Engine) serveReady(writer http.ResponseWriter, _ *http.Request) {
+	draining := true
+	e.driver.do(func(model *engine.Engine, _ time.Duration) { draining = model.Draining() })
+	if draining {
+		writeError(writer, http.StatusServiceUnavailable, "draining", "the engine takes no new requests")
+		return
+	}
+	writeJSON(writer, http.StatusOK, HealthAnswer{Name: e.options.Name, Zone: e.options.Zone})
+}
+
+// EngineCommand is `rockwind-bench engine`.
+type EngineCommand struct {
+	Process
+	Name            string        `help:"Name of the engine." default:"engine"`
+	Zone            string        `help:"Zone of the engine."`
+	Load            []string      `help:"What is loaded at the start, model@version or model:adapter; none accepts every model."`
+	Role            string        `help:"Role at the start." enum:"mixed,online,batch" default:"mixed"`
+	TimeScale       float64       `help:"Factor on the time of steps; 0.1 runs ten times as fast." default:"1"`
+	Fast            bool          `help:"Take the profile that costs little, to measure what stands before the engine."`
+	StepMs          float64       `help:"Time of an empty step in ms; zero takes the profile's."`
+	TokensPerStep   int           `help:"Tokens that a step gives a sequence; zero takes the profile's."`
+	MaxSequences    int           `help:"Places in a step; zero takes the profile's."`
+	MaxWaiting      int           `help:"Requests that may wait; negative takes the profile's." default:"-1"`
+	KVCapacity      int           `help:"Memory for KV in tokens; zero takes the profile's."`
+	PrefixBlocks    int           `help:"Blocks of the prefix cache; negative takes the profile's." default:"-1"`
+	Retention       time.Duration `help:"How long a request without a reader stays known." default:"10s"`
+	ReportLag       time.Duration `help:"Age of load reports." default:"100ms"`
+	CacheLag        time.Duration `help:"Age at which cache events are published." default:"200ms"`
+	CacheLoss       float64       `help:"Probability that a cache event leaves a gap." default:"0.001"`
+	EventPerToken   bool          `help:"Write an event for every token."`
+	WeightsURL      string        `help:"Weight store, http://ip:port; empty loads at the model's rate."`
+	WeightsRate     float64       `help:"Rate of loading in bytes a second; zero takes the profile's."`
+	JournalFile     string        `help:"File that keeps the journal." type:"path"`
+	KVBytesPerToken int           `help:"Size of exported KV in bytes a token." default:"16"`
+	Seed            int64         `help:"Seed of the engine's randomness." default:"1"`
+	Fault           []string      `help:"Fault from the start, as the JSON of POST /fault." sep:"none"`
+}
+
+// config returns the parameters that the flags ask for.
+func (c *EngineCommand) config() engine.Config {
+	config := engine.DefaultConfig()
+	if c.Fast {
+		config = engine.FastConfig()
+	}
+	if c.StepMs > 0 {
+		config.BaseStep = time.Duration(c.StepMs * float64(time.Millisecond))
+	}
+	override(&config.TokensPerStep, c.TokensPerStep, 1)
+	override(&config.MaxSequences, c.MaxSequences, 1)
+	override(&config.MaxWaiting, c.MaxWaiting, 0)
+	override(&config.KVCapacity, c.KVCapacity, 1)
+	override(&config.PrefixBlocks, c.PrefixBlocks, 0)
+	if c.WeightsRate > 0 {
+		config.WeightsRate = c.WeightsRate
+	}
+	config.Retention = c.Retention
+	config.ReportLag = c.ReportLag
+	config.CacheEventLag = c.CacheLag
+	config.CacheEventLoss = c.CacheLoss
+	config.Loaded = c.Load
+	config.Role = engine.Role(c.Role)
+	return config.Scale(c.TimeScale)
+}
+
+// override replaces a value when the flag is at least the least sensible one.
+func override(value *int, flag, least int) {
+	if flag >= least {
+		*value = flag
+	}
+}
+
+// Run serves the engine until a signal ends it.
+func (c *EngineCommand) Run() error {
+	server, err := NewEngine(EngineOptions{
+		Name:            c.Name,
+		Zone:            c.Zone,
+		Config:          c.config(),
+		Seed:            c.Seed,
+		EventPerToken:   c.EventPerToken,
+		WeightsURL:      c.WeightsURL,
+		JournalFile:     c.JournalFile,
+		KVBytesPerToken: c.KVBytesPerToken,
+		Exit:            exitProcess,
+	})
+	if err != nil {
+		return err
+	}
+	for _, text := range c.Fault {
+		var order FaultOrder
+		if err := json.Unmarshal([]byte(text), &order); err != nil {
+			return errors.Wrapf(err, "fault %q", text)
+		}
+		server.Inject(order)
+	}
+	serveError := c.serve(server.Handler())
+	return errors.CombineErrors(serveError, server.Close())
+}
--- /dev/null
+++ b/internal/standin/messages.go
@@ -0,0 +1,148 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"rockwind.example/rockwind/internal/engine"
+)
+
+// Headers of the engine protocol.
+const (
+	HeaderRequestID      = "X-Request-Id"
+	HeaderPriority       = "X-Priority"
+	HeaderBudget         = "X-Batch-Token-Budget"
+	HeaderNotRun         = "X-Not-Run"
+	HeaderBlock          = "X-Block"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// LoadReport is the body of GET /load.
+type LoadReport struct {
+	Sequence       uint64   `json:"sequence"`
+	AtMs           int64    `json:"at_ms"`
+	RunningOnline  int      `json:"running_online"`
+	RunningBatch   int      `json:"running_batch"`
+	Waiting        int      `json:"waiting"`
+	KVUsedPermille int      `json:"kv_used_permille"`
+	StepUs         int64    `json:"step_us"`
+	Loaded         []string `json:"loaded"`
+	Role           string   `json:"role"`
+	Draining       bool     `json:"draining"`
+}
+
+// CacheEvent is one event of GET /cache_events.
+type CacheEvent struct {
+	Sequence uint64 `json:"sequence"`
+	Kind     string `json:"kind"`
+	Block    string `json:"block"`
+}
+
+// CacheEvents is the body of GET /cache_events.
+type CacheEvents struct {
+	Epoch  uint64       `json:"epoch"`
+	First  uint64       `json:"first"`
+	Next   uint64       `json:"next"`
+	Events []CacheEvent `json:"events"`
+}
+
+// CacheSnapshot is the body of GET /cache_snapshot.
+type CacheSnapshot struct {
+	Epoch  uint64   `json:"epoch"`
+	Next   uint64   `json:"next"`
+	Blocks []string `json:"blocks"`
+}
+
+// FaultOrder is the body of POST /fault; durations are in milliseconds.
+type FaultOrder struct {
+	Kind       engine.FaultKind `json:"kind"`
+	DurationMs int64            `json:"duration_ms,omitempty"`
+	Factor     float64          `json:"factor,omitempty"`
+	Count      int              `json:"count,omitempty"`
+	Tokens     int              `json:"tokens,omitempty"`
+}
+
+// Fault returns the order as the model takes it.
+func (o FaultOrder) Fault() engine.Fault {
+	return engine.Fault{
+		Kind:     o.Kind,
+		Duration: time.Duration(o.DurationMs) * time.Millisecond,
+		Factor:   o.Factor,
+		Count:    o.Count,
+		Tokens:   o.Tokens,
+	}
+}
+
+// ResumeRequest is the body of POST /v1/requests/{id}/resume.
+type ResumeRequest struct {
+	Offset int `json:"offset"`
+}
+
+// CancelAnswer is the body of DELETE /v1/requests/{id}.
+type CancelAnswer struct {
+	Cancelled bool `json:"cancelled"`
+}
+
+// FenceAnswer is the body of an answer to an order.
+type FenceAnswer struct {
+	Fence uint64 `json:"fence"`
+}
+
+// DrainRequest is the body of POST /drain.
+type DrainRequest struct {
+	Draining bool `json:"draining"`
+}
+
+// ErrorAnswer is the body of a failed request.
+type ErrorAnswer struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail says what failed.
+type ErrorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+}
+
+// formatBlock writes a block hash as the protocol does.
+func formatBlock(hash uint64) string {
+	return strconv.FormatUint(hash, 16)
+}
+
+func parseBlock(text string) (uint64, error) {
+	return strconv.ParseUint(text, 16, 64)
+}
+
+func writeJSON(writer http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	writer.WriteHeader(status)
+	_, _ = writer.Write(data)
+}
+
+func writeError(writer http.ResponseWriter, status int, kind, message string) {
+	writeJSON(writer, status, ErrorAnswer{Error: ErrorDetail{Message: message, Type: kind}})
+}
+
+// writeNotRun refuses a request that did not run.
+func writeNotRun(writer http.ResponseWriter, status int, kind, message string) {
+	writer.Header().Set(HeaderNotRun, "true")
+	writer.Header().Set("Retry-After", "1")
+	writeError(writer, status, kind, message)
+}
+
+// readJSON decodes a body and answers 400 when it cannot.
+func readJSON(writer http.ResponseWriter, request *http.Request, into any) bool {
+	if err := json.NewDecoder(request.Body).Decode(into); err != nil {
+		writeError(writer, http.StatusBadRequest, "invalid_request_error", "the body is not valid JSON: "+err.Error())
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/weights.go
@@ -0,0 +1,97 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/time/rate"
+)
+
+// weightsChunk is the size of one write of weights in bytes.
+const weightsChunk = 64 << 10
+
+// fetchWeights reads weights from the store and drops them.
+func (e *Engine) fetchWeights(ctx context.Context, id string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, e.options.WeightsURL+"/weights/"+url.PathEscape(id), nil)
+	if err != nil {
+		return errors.Wrap(err, "weights")
+	}
+	response, err := e.client.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "weights")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("the weight store answered %d", response.StatusCode)
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return errors.Wrap(err, "weights")
+}
+
+// WeightsCommand is `rockwind-bench weights`: the weight store.
+type WeightsCommand struct {
+	Process
+	Rate  float64 `help:"Rate in bytes a second, over all readers." default:"100e6"`
+	Bytes int64   `help:"Size of every set of weights in bytes." default:"200000000"`
+}
+
+// Weights is a weight store with a rate limit over all its readers.
+type Weights struct {
+	size     int64
+	limiter  *rate.Limiter
+	reading  atomic.Int64
+	finished atomic.Int64
+}
+
+// WeightsStatus is the body of GET /status of the weight store.
+type WeightsStatus struct {
+	Reading  int64 `json:"reading"`
+	Finished int64 `json:"finished"`
+}
+
+// NewWeights returns a store that gives size bytes for every identity, at
+// bytesPerSecond over all readers.
+func NewWeights(size int64, bytesPerSecond float64) *Weights {
+	return &Weights{size: size, limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), weightsChunk)}
+}
+
+// Handler returns the HTTP interface of the store.
+func (w *Weights) Handler() http.Handler {
+	router := chi.NewRouter()
+	router.Get("/healthz", func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusOK) })
+	router.Get("/status", func(writer http.ResponseWriter, _ *http.Request) {
+		writeJSON(writer, http.StatusOK, WeightsStatus{Reading: w.reading.Load(), Finished: w.finished.Load()})
+	})
+	router.Get("/weights/{id}", w.serve)
+	return router
+}
+
+func (w *Weights) serve(writer http.ResponseWriter, request *http.Request) {
+	w.reading.Add(1)
+	defer w.reading.Add(-1)
+	writer.Header().Set("Content-Type", "application/octet-stream")
+	writer.Header().Set("Content-Length", strconv.FormatInt(w.size, 10))
+	chunk := make([]byte, weightsChunk)
+	for left := w.size; left > 0; {
+		part := min(left, weightsChunk)
+		if err := w.limiter.WaitN(request.Context(), int(part)); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := writer.Write(chunk[:part]); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		left -= part
+	}
+	w.finished.Add(1)
+}
+
+// Run serves the weight store until a signal ends it.
+func (c *WeightsCommand) Run() error {
+	return c.serve(NewWeights(c.Bytes, c.Rate).Handler())
+}
