--- /dev/null
+++ b/internal/bench/caller/chat.go
@@ -0,0 +1,126 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// ChatRequest is the body of a chat call.
+type ChatRequest struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	MaxTokens int       `json:"max_tokens"`
+	Stream    bool      `json:"stream,omitempty"`
+}
+
+// UserChat is a chat with one message of the user.
+func UserChat(model, content string, maxTokens int, stream bool) ChatRequest {
+	return ChatRequest{
+		Model: model, MaxTokens: maxTokens, Stream: stream,
+		Messages: []Message{{Role: "user", Content: content}},
+	}
+}
+
+// ErrCut is the error of a stream that ended without its terminal marker and
+// without a typed error.
+var ErrCut = errors.New("the stream ended without its terminal marker")
+
+// chunk is the part of a streamed or whole answer that the bench reads.
+type chunk struct {
+	Choices []struct {
+		Delta        Message `json:"delta"`
+		Message      Message `json:"message"`
+		FinishReason string  `json:"finish_reason"`
+	} `json:"choices"`
+	Error *Refusal `json:"error"`
+}
+
+// Markers of server-sent events.
+const (
+	dataPrefix     = "data:"
+	terminalMarker = "[DONE]"
+	// maximumEvent bounds the length of one event's line.
+	maximumEvent = 1 << 20
+)
+
+// Chat makes a chat call and returns the whole text. For a stream, onToken is
+// called at each chunk that carries text; it may be nil.
+func (c *Caller) Chat(ctx context.Context, gateway, requestID string, body ChatRequest, onToken func()) (string, error) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return "", err
+	}
+	call := Request{
+		Method: http.MethodPost, URL: gateway + "/v1/chat/completions",
+		ContentType: "application/json", Body: encoded, RequestID: requestID,
+	}
+	if !body.Stream {
+		return wholeChat(c.Do(ctx, call))
+	}
+	response, err := c.open(ctx, call)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	return readStream(bufio.NewScanner(response.Body), onToken)
+}
+
+func wholeChat(body []byte, err error) (string, error) {
+	answer, err := decode[chunk](body, err)
+	if err != nil {
+		return "", err
+	}
+	if len(answer.Choices) == 0 || answer.Choices[0].FinishReason == "" {
+		return "", ErrCut
+	}
+	return answer.Choices[0].Message.Content, nil
+}
+
+func readStream(scanner *bufio.Scanner, onToken func()) (string, error) {
+	scanner.Buffer(nil, maximumEvent)
+	var text strings.Builder
+	for scanner.Scan() {
+		line := scanner.Bytes()
+		if !bytes.HasPrefix(line, []byte(dataPrefix)) {
+			continue
+		}
+		data := bytes.TrimSpace(line[len(dataPrefix):])
+		if string(data) == terminalMarker {
+			return text.String(), nil
+		}
+		event, err := decode[chunk](data, nil)
+		if err != nil {
+			return text.String(), err
+		}
+		if event.Error != nil {
+			return text.String(), event.Error
+		}
+		if appendText(&text, event) && onToken != nil {
+			onToken()
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return text.String(), errors.Wrap(errors.CombineErrors(ErrCut, err), "read stream")
+	}
+	return text.String(), ErrCut
+}
+
+func appendText(text *strings.Builder, event chunk) bool {
+	if len(event.Choices) == 0 || event.Choices[0].Delta.Content == "" {
+		return false
+	}
+	text.WriteString(event.Choices[0].Delta.Content)
+	return true
+}
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -118,7 +118,10 @@
 		if err != nil {
 			return err
 		}
-		process.arguments = []string{"service", "--listen", process.Address, "--name", process.Name}
+		process.arguments = []string{
+			"service", "--listen", process.Address, "--name", process.Name, "--zone", process.Zone,
+			"--journal-file", process.JournalFile(),
+		}
 		if err := process.Start(); err != nil {
 			return err
 		}
@@ -155,8 +158,8 @@
 		return nil, err
 	}
 	process.arguments = append([]string{
-		"engine", "--listen", process.Address, "--name", process.Name,
-		"--load", ModelName + "@" + ModelVersion,
+		"engine", "--listen", process.Address, "--name", process.Name, "--zone", process.Zone,
+		"--journal-file", process.JournalFile(), "--load", ModelName + "@" + ModelVersion,
 	}, f.Plan.EngineArguments...)
 	if err := process.Start(); err != nil {
 		return nil, err
@@ -297,6 +300,9 @@
 	return f.Apply(ctx, f.Configuration())
 }
 
+// Number is the number of the last configuration that Apply applied.
+func (f *Fleet) Number() uint64 { return f.number }
+
 // Apply applies a configuration through the operator's command.
 func (f *Fleet) Apply(ctx context.Context, configuration *rockwindpb.Configuration) error {
 	file := filepath.Join(f.Folder, configurationFile)
--- a/internal/bench/fleet/process.go
+++ b/internal/bench/fleet/process.go
@@ -46,6 +46,13 @@
 	output  *tailBuffer
 }
 
+// journalName is the file in which a stand-in notes the requests that ran.
+const journalName = "journal.jsonl"
+
+// JournalFile is where a stand-in notes the requests that ran. It survives the
+// end of the process.
+func (p *Process) JournalFile() string { return filepath.Join(p.Folder, journalName) }
+
 // Start runs the process.
 func (p *Process) Start() error {
 	p.mutex.Lock()
