Budget batch by the mean step and the part of time that prompts take

Cause: priority alone slows online steps; the tail comes from prompts. Change: the budget of a server follows its online requests and the part of its time that online prompts take.

--- a/internal/routing/estimate.go
+++ b/internal/routing/estimate.go
@@ -18,10 +18,14 @@
 	return network + time.Duration((step+prefill)/speed)
 }
 
-// running estimates the requests that decode on the server now.
+// Online estimates the online requests on the server now, waiting ones included.
+func (s *Server) Online() float32 {
+	reported := s.Report.RunningOnline + s.Report.Waiting
+	corrected := reported + float32(s.SentSinceReport-s.EndedSinceReport)
+	return max(corrected, float32(s.OwnOnline))
+}
+
+// running estimates the requests in the step now.
 func (s *Server) running() float32 {
-	online := s.Report.RunningOnline + float32(s.SentSinceReport-s.EndedSinceReport)
-	online = max(online, float32(s.OwnOnline))
-	batch := max(s.Report.RunningBatch, float32(s.OwnBatch))
-	return online + batch
+	return s.Online() + max(s.Report.RunningBatch, float32(s.OwnBatch))
 }
--- a/internal/sharing/budget.go
+++ b/internal/sharing/budget.go
@@ -16,19 +16,16 @@
 // ServerState is what the gateway that feeds batch to a server knows of it. One
 // gateway of the zone feeds a server, so that its count of batch items is exact.
 type ServerState struct {
-	// OnlineRunning and OnlineWaiting count online requests, reported and
-	// corrected by what this gateway sent since.
-	OnlineRunning float64
-	OnlineWaiting float64
-	// OnlinePeak is the number of online requests that a burst brings to the
-	// server at a time, from Peak.
-	OnlinePeak float64
+	// Online counts online requests, waiting ones included, reported and
+	// corrected by what this gateway sent and saw ending since.
+	Online float64
+	// PrefillPart is the part of the server's time that online prompts take now,
+	// from PrefillLoad.
+	PrefillPart float64
 	// BatchRunning counts batch items in flight on the server.
 	BatchRunning int
 	// KVUsed is the part of KV memory in use, between 0 and 1.
 	KVUsed float64
-	// Step is the measured duration of a step.
-	Step time.Duration
 	// ReportAge is how old the newest report is.
 	ReportAge time.Duration
 }
@@ -39,14 +36,19 @@
 	StepBase       time.Duration
 	PerSequence    time.Duration
 	PerPromptToken time.Duration
-	// StepTarget bounds a step that holds online requests.
+	// PerItem is what one batch item adds to a step on average, the prefill of
+	// its successors included.
+	PerItem time.Duration
+	// StepTarget bounds the mean step of a server with online requests.
 	StepTarget time.Duration
-	// Headroom multiplies OnlinePeak to give the places kept free for a burst.
+	// Headroom is the number of online requests that may arrive before batch can
+	// yield.
 	Headroom float64
 	// MaximumItems bounds batch items on a server.
 	MaximumItems int
-	// MaximumTokens bounds batch tokens in a step while no online request runs.
-	MaximumTokens int
+	// TokensPerStep bounds batch tokens, prompts included, in a step that also
+	// holds online requests.
+	TokensPerStep int
 	// KVLimit is the part of KV memory above which no more batch is started,
 	// and KVYield the part above which batch yields.
 	KVLimit float64
@@ -58,20 +60,21 @@
 // DefaultBudgetPolicy returns the policy of an objective.
 func DefaultBudgetPolicy(objective Objective) BudgetPolicy {
 	policy := BudgetPolicy{
-		StepBase:       10 * time.Millisecond,
-		PerSequence:    100 * time.Microsecond,
-		PerPromptToken: 25 * time.Microsecond,
+		StepBase:       12 * time.Millisecond,
+		PerSequence:    140 * time.Microsecond,
+		PerPromptToken: 30 * time.Microsecond,
+		PerItem:        200 * time.Microsecond,
 		StepTarget:     25 * time.Millisecond,
 		Headroom:       1,
 		MaximumItems:   64,
-		MaximumTokens:  2048,
-		KVLimit:        0.85,
-		KVYield:        0.93,
+		TokensPerStep:  160,
+		KVLimit:        0.9,
+		KVYield:        0.97,
 		StaleAfter:     3 * time.Second,
 	}
 	if objective == Latency {
-		policy.StepTarget = 18 * time.Millisecond
-		policy.Headroom = 1.5
+		policy.StepTarget = 20 * time.Millisecond
+		policy.Headroom = 2
 	}
 	return policy
 }
@@ -88,20 +91,33 @@
 // staleItems is the budget of a server whose report is too old to trust.
 const staleItems = 1
 
+// maximumPrefillPart keeps the model of a step finite on an overloaded server.
+const maximumPrefillPart = 0.9
+
 // BatchBudget returns what batch may use of a server now.
 func BatchBudget(state ServerState, policy BudgetPolicy) Budget {
 	if policy.StaleAfter > 0 && state.ReportAge > policy.StaleAfter {
 		return Budget{Items: staleItems, TokensPerStep: 1}
 	}
-	spare := policy.StepTarget - policy.StepBase - time.Duration((state.OnlineRunning+state.OnlineWaiting)*float64(policy.PerSequence))
-	reserved := time.Duration(policy.Headroom * state.OnlinePeak * float64(policy.PerSequence))
-	items := int((spare - reserved) / max(1, policy.PerSequence))
-	items = min(max(items, 0), policy.MaximumItems)
+	items := min(policy.spareItems(state), policy.MaximumItems)
 	if state.KVUsed >= policy.KVLimit {
 		items = min(items, state.BatchRunning)
 	}
-	tokens := int(spare / max(1, policy.PerPromptToken))
-	return Budget{Items: items, TokensPerStep: min(max(tokens, 1), policy.MaximumTokens)}
+	return Budget{Items: items, TokensPerStep: policy.TokensPerStep}
+}
+
+// spareItems is how many batch items fit beside the online requests so that the
+// mean step stays at the target. Prompts of online requests take a part of the
+// time, which stretches the steps of all others; what is left of the target is
+// shared by decoding.
+func (p BudgetPolicy) spareItems(state ServerState) int {
+	if state.Online <= 0 {
+		return p.MaximumItems
+	}
+	left := 1 - min(max(state.PrefillPart, 0), maximumPrefillPart)
+	online := (state.Online + p.Headroom) * float64(p.PerSequence)
+	spare := float64(p.StepTarget)*left - float64(p.StepBase) - online
+	return max(0, int(spare/float64(max(1, p.PerItem))))
 }
 
 // ShouldYield returns how many batch items must be paused on a server now.
--- /dev/null
+++ b/internal/simulator/fleet.go
@@ -0,0 +1,205 @@
+package simulator
+
+import (
+	"math"
+	"math/rand"
+	"strconv"
+	"time"
+
+	"rockwind.example/rockwind/internal/engine"
+)
+
+// never is the time of a wake-up that is not scheduled.
+const never = time.Duration(math.MaxInt64)
+
+// drainTime is how long a run goes on after its end for online answers.
+const drainTime = 20 * time.Second
+
+// node is one engine in its place.
+type node struct {
+	engine *engine.Engine
+	zone   int
+	wakeAt time.Duration
+	owner  *gateway
+}
+
+// fleet is one run in progress.
+type fleet struct {
+	clock    clock
+	scenario *Scenario
+	policy   Policy
+	nodes    []node
+	gateways []*gateway
+	ledger   *ledger
+	online   []onlineRecord
+	items    []*item
+	events   []engine.Event
+	totals   batchTotals
+}
+
+// Run simulates a policy on a scenario and returns what was measured.
+func Run(scenario Scenario, policy Policy, seed uint64) Result {
+	run := newFleet(&scenario, policy, seed)
+	run.start(seed)
+	for {
+		entry, some := run.clock.next(scenario.End() + drainTime)
+		if !some {
+			return run.result()
+		}
+		if entry.run != nil {
+			entry.run()
+			continue
+		}
+		run.advance(entry.engine)
+	}
+}
+
+func newFleet(scenario *Scenario, policy Policy, seed uint64) *fleet {
+	run := &fleet{scenario: scenario, policy: policy}
+	if policy.Fresh {
+		scenario.Engine.ReportLag = 0
+	}
+	random := newRandom(seed, streamEngines)
+	for index := range scenario.Engines() {
+		source := rand.New(rand.NewSource(int64(random.Uint64() >> 1)))
+		run.nodes = append(run.nodes, node{
+			engine: engine.New(scenario.Engine, source),
+			zone:   index / scenario.EnginesPerZone,
+			wakeAt: never,
+		})
+	}
+	run.ledger = newLedger(run)
+	for index := range scenario.Gateways() {
+		run.gateways = append(run.gateways, newGateway(run, index, seed))
+	}
+	run.assignOwners()
+	return run
+}
+
+// assignOwners gives each engine to a gateway of its zone, evenly.
+func (f *fleet) assignOwners() {
+	for index := range f.nodes {
+		place := index % f.scenario.EnginesPerZone
+		zone := f.nodes[index].zone
+		owner := f.gateways[zone*f.scenario.GatewaysPerZone+place%f.scenario.GatewaysPerZone]
+		f.nodes[index].owner = owner
+		owner.own(index)
+	}
+}
+
+// start schedules the whole load and the gateways' periodic work.
+func (f *fleet) start(seed uint64) {
+	if f.policy.Online {
+		f.startOnline(seed)
+	}
+	if f.policy.Batch {
+		f.startBatch(seed)
+	}
+	for _, gateway := range f.gateways {
+		gateway.start()
+	}
+	for _, fault := range f.scenario.Faults {
+		f.clock.at(fault.At, func() {
+			f.nodes[fault.Engine].engine.Inject(f.clock.now, fault.Fault)
+			f.schedule(fault.Engine)
+		})
+	}
+}
+
+func (f *fleet) startOnline(seed uint64) {
+	arrivals := onlineArrivals(f.scenario, seed)
+	f.online = make([]onlineRecord, len(arrivals))
+	for index := range arrivals {
+		f.online[index] = onlineRecord{arrival: arrivals[index], server: -1}
+		gateway := f.gateways[arrivals[index].gateway]
+		f.clock.at(arrivals[index].at+f.scenario.ClientDelay, func() { gateway.arrive(index) })
+	}
+}
+
+func (f *fleet) startBatch(seed uint64) {
+	for _, heap := range batchHeaps(f.scenario, seed) {
+		f.clock.at(heap.at, func() { f.ledger.accept(heap) })
+	}
+}
+
+// delay is the one-way time between a gateway and an engine.
+func (f *fleet) delay(gateway *gateway, server int) time.Duration {
+	if f.nodes[server].zone == gateway.zone {
+		return f.scenario.LocalDelay
+	}
+	return f.scenario.ZoneDelay
+}
+
+// schedule makes sure that an engine is advanced at its next event.
+func (f *fleet) schedule(server int) {
+	node := &f.nodes[server]
+	next, some := node.engine.NextEvent()
+	if !some {
+		return
+	}
+	next = max(next, f.clock.now)
+	if next >= node.wakeAt {
+		return
+	}
+	node.wakeAt = next
+	f.clock.wake(next, server)
+}
+
+func (f *fleet) advance(server int) {
+	node := &f.nodes[server]
+	if node.wakeAt != f.clock.now {
+		return
+	}
+	node.wakeAt = never
+	f.events = node.engine.Advance(f.clock.now, f.events[:0])
+	for _, event := range f.events {
+		if event.Tag&tagBatch != 0 {
+			f.deliverBatch(server, event)
+		} else {
+			f.deliverOnline(server, event)
+		}
+	}
+	f.schedule(server)
+}
+
+// tagBatch marks the tags of batch items; the rest of a tag is an index.
+const tagBatch = 1 << 63
+
+func onlineID(index, attempt int) string {
+	return "o" + strconv.Itoa(index) + "-" + strconv.Itoa(attempt)
+}
+
+func (f *fleet) deliverOnline(server int, event engine.Event) {
+	record := &f.online[event.Tag]
+	gateway := f.gateways[record.arrival.gateway]
+	arrives := event.At + f.delay(gateway, server)
+	switch event.Kind {
+	case engine.EventTokens:
+		if event.Sequence != event.Count || record.firstAt > 0 {
+			return
+		}
+		record.firstAt = arrives + f.scenario.ClientDelay
+		f.clock.at(arrives, func() { gateway.firstToken(record, server) })
+	case engine.EventFinished:
+		record.doneAt = arrives + f.scenario.ClientDelay
+		f.clock.at(arrives, func() { gateway.ended(record, server) })
+	case engine.EventLost:
+		f.clock.at(arrives, func() { gateway.lost(int(event.Tag), server) })
+	}
+}
+
+func (f *fleet) deliverBatch(server int, event engine.Event) {
+	item := f.items[event.Tag&^uint64(tagBatch)]
+	gateway := item.holder
+	arrives := event.At + f.delay(gateway, server)
+	switch event.Kind {
+	case engine.EventTokens:
+		if event.Sequence == event.Count {
+			f.clock.at(arrives, func() { gateway.view.FirstToken(server, item.shape.prompt) })
+		}
+	case engine.EventFinished:
+		f.clock.at(arrives, func() { gateway.itemDone(item, server) })
+	case engine.EventLost:
+		f.clock.at(arrives, func() { gateway.itemLost(item, server) })
+	}
+}
--- /dev/null
+++ b/internal/simulator/gateway.go
@@ -0,0 +1,209 @@
+package simulator
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"rockwind.example/rockwind/internal/engine"
+	"rockwind.example/rockwind/internal/health"
+	"rockwind.example/rockwind/internal/routing"
+	"rockwind.example/rockwind/internal/sharing"
+)
+
+// modelName is the single model of the simulated fleet.
+const modelName routing.NameID = 0
+
+// gateway is one gateway with a lagging view of its own.
+type gateway struct {
+	fleet    *fleet
+	index    int
+	zone     int
+	view     routing.View
+	recent   []routing.Recent
+	random   *rand.Rand
+	routing  routing.Policy
+	health   *health.Tracker
+	owned    []int
+	lanes    []lane
+	prefill  []sharing.PrefillLoad
+	prefixes map[int][2]int
+	queues   []itemQueue
+	asked    bool
+	picker   *sharing.Picker
+	versions []routing.WeightedVersion
+	hints    []routing.Hint
+	// used counts the service of each group since the last exchange.
+	used []sharing.GroupUse
+}
+
+func newGateway(run *fleet, index int, seed uint64) *gateway {
+	scenario := run.scenario
+	servers := scenario.Engines()
+	created := &gateway{
+		fleet:    run,
+		index:    index,
+		zone:     index / scenario.GatewaysPerZone,
+		random:   newRandom(seed, streamGateways+uint64(index)),
+		routing:  run.policy.Routing(),
+		health:   health.NewTracker(health.DefaultPolicy, servers),
+		recent:   make([]routing.Recent, servers),
+		lanes:    make([]lane, servers),
+		prefill:  make([]sharing.PrefillLoad, servers),
+		prefixes: make(map[int][2]int),
+		queues:   make([]itemQueue, len(scenario.Batch)),
+		picker:   sharing.NewPicker(),
+		versions: []routing.WeightedVersion{{Name: modelName, Weight: 1}},
+		used:     make([]sharing.GroupUse, len(scenario.Batch)),
+	}
+	created.fillView()
+	return created
+}
+
+// fillView puts the own zone first, as routing wants it.
+func (g *gateway) fillView() {
+	scenario := g.fleet.scenario
+	g.view.Cost = routing.CostModel{
+		StepBase:         scenario.Engine.BaseStep,
+		PerSequence:      scenario.Engine.PerSequence,
+		PerPromptToken:   scenario.Engine.PerPrefillToken,
+		MeanPromptTokens: 400,
+	}
+	g.view.Servers = make([]routing.Server, scenario.Engines())
+	for offset := range scenario.Zones {
+		zone := (g.zone + offset) % scenario.Zones
+		cost := 2 * (scenario.ZoneDelay - scenario.LocalDelay)
+		if offset == 0 {
+			cost = 0
+		}
+		first := zone * scenario.EnginesPerZone
+		g.view.Zones = append(g.view.Zones, routing.Zone{First: int32(first), Count: int32(scenario.EnginesPerZone), Cost: cost})
+		for place := range scenario.EnginesPerZone {
+			server := &g.view.Servers[first+place]
+			server.Zone = uint16(offset)
+			if g.fleet.policy.BatchOnly == nil || !g.fleet.policy.BatchOnly(place, scenario.EnginesPerZone) {
+				server.Loaded.Add(modelName)
+			}
+		}
+	}
+}
+
+func (g *gateway) own(server int) {
+	g.owned = append(g.owned, server)
+}
+
+// start schedules the periodic work, out of step with the other gateways.
+func (g *gateway) start() {
+	scenario := g.fleet.scenario
+	g.every(scenario.PollInterval, g.poll)
+	g.every(scenario.ExchangeInterval, g.exchange)
+	g.every(balanceInterval, g.balanceAll)
+}
+
+func (g *gateway) every(interval time.Duration, run func()) {
+	var again func()
+	again = func() {
+		run()
+		g.fleet.clock.after(interval, again)
+	}
+	g.fleet.clock.after(time.Duration(g.random.Float64()*float64(interval)), again)
+}
+
+// arrive routes an online request.
+func (g *gateway) arrive(index int) {
+	record := &g.fleet.online[index]
+	now := g.fleet.clock.now
+	if g.fleet.policy.Fresh {
+		g.refresh()
+	}
+	request := routing.Request{
+		Versions:     g.versions,
+		Adapter:      routing.NoName,
+		PromptTokens: int32(record.arrival.shape.prompt),
+		Hints:        g.hintsFor(record.arrival.shape),
+	}
+	decision, found := g.routing.Choose(&g.view, &request, now, g.random)
+	if !found {
+		record.refused = true
+		return
+	}
+	g.dispatch(index, decision.Server)
+}
+
+// hintsFor lists the servers that this gateway last sent the prefix to.
+func (g *gateway) hintsFor(shape shape) []routing.Hint {
+	g.hints = g.hints[:0]
+	servers, known := g.prefixes[shape.prefix]
+	if shape.prefix == 0 || !known {
+		return nil
+	}
+	cached := int32(len(shape.blocks) * engine.TokensPerBlock)
+	for _, server := range servers {
+		g.hints = append(g.hints, routing.Hint{Server: int32(server), CachedTokens: cached})
+	}
+	return g.hints
+}
+
+func (g *gateway) dispatch(index, server int) {
+	run := g.fleet
+	record := &run.online[index]
+	shape := record.arrival.shape
+	record.server = server
+	record.attempts++
+	attempt := record.attempts
+	if shape.prefix > 0 && g.prefixes[shape.prefix][0] != server {
+		g.prefixes[shape.prefix] = [2]int{server, g.prefixes[shape.prefix][0]}
+	}
+	g.view.Sent(server, shape.prompt, false)
+	g.recent[server].Sent(run.clock.now)
+	g.prefill[server].Sent(float64(shape.prompt), run.clock.now)
+	g.balance(server)
+	run.clock.after(run.delay(g, server), func() {
+		_, accepted := run.nodes[server].engine.Submit(run.clock.now, engine.Request{
+			ID:           onlineID(index, attempt),
+			Tag:          uint64(index),
+			Priority:     engine.PriorityOnline,
+			PromptTokens: shape.prompt,
+			MaxTokens:    shape.output,
+			Blocks:       shape.blocks,
+		})
+		run.schedule(server)
+		if !accepted {
+			run.clock.after(run.delay(g, server), func() { g.lost(index, server) })
+		}
+	})
+}
+
+func (g *gateway) firstToken(record *onlineRecord, server int) {
+	g.view.FirstToken(server, record.arrival.shape.prompt)
+	g.health.Record(server, health.Success, 0, g.fleet.clock.now, g.random)
+}
+
+func (g *gateway) ended(_ *onlineRecord, server int) {
+	g.view.Ended(server, false)
+	g.recent[server].Ended(g.fleet.clock.now)
+	g.balance(server)
+}
+
+// maxAttempts bounds how often a request that was lost or refused is sent.
+const maxAttempts = 3
+
+// lost handles a request whose server died or refused it.
+func (g *gateway) lost(index, server int) {
+	record := &g.fleet.online[index]
+	g.view.Ended(server, false)
+	g.view.FirstToken(server, record.arrival.shape.prompt)
+	g.recent[server].Ended(g.fleet.clock.now)
+	g.health.Record(server, health.Failure, 0, g.fleet.clock.now, g.random)
+	g.publishHealth(server)
+	if record.attempts >= maxAttempts || record.firstAt > 0 {
+		record.refused = true
+		return
+	}
+	g.arrive(index)
+}
+
+func (g *gateway) publishHealth(server int) {
+	state, weight := g.health.State(server, g.fleet.clock.now)
+	g.view.Servers[server].Health = routing.Health(state)
+	g.view.Servers[server].SlowStart = weight
+}
--- /dev/null
+++ b/internal/simulator/policy.go
@@ -0,0 +1,134 @@
+package simulator
+
+import (
+	"rockwind.example/rockwind/internal/engine"
+	"rockwind.example/rockwind/internal/routing"
+	"rockwind.example/rockwind/internal/sharing"
+)
+
+// Policy is a way to share engines between online and batch.
+type Policy struct {
+	Name string
+	// Online and Batch say which load takes part.
+	Online bool
+	Batch  bool
+	// Routing makes the routing policy of one gateway.
+	Routing func() routing.Policy
+	// Budget decides what batch may use of a server.
+	Budget BudgetFunction
+	// BatchPriority is the engine priority of batch items.
+	BatchPriority int
+	// OnlineOnly and BatchOnly reserve engines, by their place in the zone; nil
+	// reserves none.
+	OnlineOnly func(place, count int) bool
+	BatchOnly  func(place, count int) bool
+	// Fresh gives every gateway reports of age zero at each decision.
+	Fresh bool
+}
+
+// BudgetFunction returns the budget of a server and how many items must yield.
+type BudgetFunction func(state sharing.ServerState) (sharing.Budget, int)
+
+// Rockwind is the policy that the gateways run.
+func Rockwind(scenario *Scenario) Policy {
+	return Policy{
+		Name: "rockwind", Online: true, Batch: true,
+		Routing:       func() routing.Policy { return routingPolicy(scenario) },
+		Budget:        budgetOf(budgetPolicy(scenario)),
+		BatchPriority: engine.PriorityBatch,
+	}
+}
+
+// routingPolicy is the default routing.
+func routingPolicy(_ *Scenario) routing.Policy {
+	return routing.Default
+}
+
+// budgetPolicy is the policy of the scenario's objective with the step model of
+// its engines.
+func budgetPolicy(scenario *Scenario) sharing.BudgetPolicy {
+	policy := sharing.DefaultBudgetPolicy(scenario.Objective)
+	policy.StepBase = scenario.Engine.BaseStep
+	policy.PerPromptToken = scenario.Engine.PerPrefillToken
+	policy.MaximumItems = scenario.Engine.MaxSequences
+	return policy
+}
+
+func budgetOf(policy sharing.BudgetPolicy) BudgetFunction {
+	return func(state sharing.ServerState) (sharing.Budget, int) {
+		return sharing.BatchBudget(state, policy), sharing.ShouldYield(state, policy)
+	}
+}
+
+// unbounded fills a server without regard to online.
+func unbounded(scenario *Scenario) BudgetFunction {
+	return func(sharing.ServerState) (sharing.Budget, int) {
+		return sharing.Budget{Items: scenario.Engine.MaxSequences}, 0
+	}
+}
+
+// OnlineAlone is the online load without any batch, routed as rockwind does.
+func OnlineAlone(scenario *Scenario) Policy {
+	policy := Rockwind(scenario)
+	policy.Name = "online_alone"
+	policy.Batch = false
+	return policy
+}
+
+// BatchAlone is the batch load without any online request.
+func BatchAlone(scenario *Scenario) Policy {
+	policy := Rockwind(scenario)
+	policy.Name = "batch_alone"
+	policy.Online = false
+	policy.Budget = unbounded(scenario)
+	return policy
+}
+
+// RoundRobinFirstCome spreads online in turn and lets batch queue with it.
+func RoundRobinFirstCome(scenario *Scenario) Policy {
+	policy := Rockwind(scenario)
+	policy.Name = "round_robin_first_come"
+	policy.Routing = func() routing.Policy { return &routing.RoundRobin{} }
+	policy.Budget = unbounded(scenario)
+	policy.BatchPriority = engine.PriorityOnline
+	return policy
+}
+
+// PriorityOnly relies on the engine's priorities without headroom or budget.
+func PriorityOnly(scenario *Scenario) Policy {
+	policy := Rockwind(scenario)
+	policy.Name = "priority_only"
+	policy.Budget = unbounded(scenario)
+	return policy
+}
+
+// StaticSplit reserves a part of each zone's engines for batch and the rest for
+// online.
+func StaticSplit(scenario *Scenario, part float64, name string) Policy {
+	policy := Rockwind(scenario)
+	policy.Name = name
+	policy.Budget = unbounded(scenario)
+	forBatch := func(place, count int) bool { return float64(place) < part*float64(count) }
+	policy.BatchOnly = forBatch
+	policy.OnlineOnly = func(place, count int) bool { return !forBatch(place, count) }
+	return policy
+}
+
+// Oracle is rockwind with reports of age zero for every gateway.
+func Oracle(scenario *Scenario) Policy {
+	policy := Rockwind(scenario)
+	policy.Name = "fresh_oracle"
+	policy.Fresh = true
+	return policy
+}
+
+// Baselines lists the policies that rockwind is compared with.
+func Baselines(scenario *Scenario) []Policy {
+	return []Policy{
+		RoundRobinFirstCome(scenario),
+		StaticSplit(scenario, 0.5, "static_split_half"),
+		StaticSplit(scenario, 0.75, "static_split_three_quarters"),
+		PriorityOnly(scenario),
+		Oracle(scenario),
+	}
+}
--- /dev/null
+++ b/internal/simulator/reports.go
@@ -0,0 +1,118 @@
+package simulator
+
+import (
+	"time"
+
+	"rockwind.example/rockwind/internal/engine"
+	"rockwind.example/rockwind/internal/routing"
+)
+
+// poll asks the owned engines for their load.
+func (g *gateway) poll() {
+	run := g.fleet
+	for _, server := range g.owned {
+		delay := run.delay(g, server)
+		run.clock.after(delay, func() {
+			load := run.nodes[server].engine.Load(run.clock.now)
+			dead := run.nodes[server].engine.Dead()
+			run.clock.after(delay, func() {
+				if !dead {
+					g.reported(server, load)
+				}
+			})
+		})
+	}
+	g.health.Evaluate(run.clock.now, g.random)
+	for server := range g.view.Servers {
+		g.trial(server)
+		g.publishHealth(server)
+	}
+}
+
+// trial stands for a trial request to an ejected server.
+func (g *gateway) trial(server int) {
+	run := g.fleet
+	if !g.health.StartTrial(server, run.clock.now) {
+		return
+	}
+	outcome := healthOutcome(run.nodes[server].engine.Dead())
+	run.clock.after(2*run.delay(g, server), func() {
+		g.health.Record(server, outcome, 0, run.clock.now, g.random)
+	})
+}
+
+func (g *gateway) reported(server int, load engine.Report) {
+	sent, ended := g.recent[server].Since(load.At)
+	g.view.Reported(server, reportOf(load), sent, ended)
+	g.balance(server)
+}
+
+func reportOf(load engine.Report) routing.Report {
+	return routing.Report{
+		TakenAt:       load.At,
+		RunningOnline: float32(load.RunningOnline),
+		RunningBatch:  float32(load.RunningBatch),
+		Waiting:       float32(load.WaitingOnline),
+		KVUsed:        float32(load.KVUsedPermille) / 1000,
+		Step:          load.Step,
+	}
+}
+
+// exchangeDelay is the extra time that a digest spends in control.
+const exchangeDelay = 5 * time.Millisecond
+
+// exchange tells the other gateways what this one knows of the servers that it
+// owns: single servers within the zone, the mean of the zone elsewhere.
+func (g *gateway) exchange() {
+	run := g.fleet
+	reports := make([]routing.Report, len(g.owned))
+	for index, server := range g.owned {
+		reports[index] = g.view.Servers[server].Report
+	}
+	mean := meanReport(reports)
+	for _, other := range run.gateways {
+		if other == g {
+			continue
+		}
+		run.clock.after(2*run.scenario.ZoneDelay+exchangeDelay, func() { other.learn(g, reports, mean) })
+	}
+	g.shareUse()
+}
+
+func meanReport(reports []routing.Report) routing.Report {
+	var mean routing.Report
+	count := float32(max(1, len(reports)))
+	for _, report := range reports {
+		mean.TakenAt = max(mean.TakenAt, report.TakenAt)
+		mean.RunningOnline += report.RunningOnline / count
+		mean.RunningBatch += report.RunningBatch / count
+		mean.Waiting += report.Waiting / count
+		mean.KVUsed += report.KVUsed / count
+		mean.Step += report.Step / time.Duration(count)
+	}
+	return mean
+}
+
+// learn takes a digest from another gateway.
+func (g *gateway) learn(from *gateway, reports []routing.Report, mean routing.Report) {
+	for index, server := range from.owned {
+		report := mean
+		if from.zone == g.zone {
+			report = reports[index]
+		}
+		sent, ended := g.recent[server].Since(report.TakenAt)
+		g.view.Reported(server, report, sent, ended)
+	}
+}
+
+// refresh gives the view reports of age zero, for the oracle.
+func (g *gateway) refresh() {
+	for server := range g.fleet.nodes {
+		g.refreshOne(server)
+	}
+}
+
+func (g *gateway) refreshOne(server int) {
+	load := g.fleet.nodes[server].engine.Load(g.fleet.clock.now)
+	g.view.Reported(server, reportOf(load), 0, 0)
+}
--- /dev/null
+++ b/internal/simulator/scenario.go
@@ -0,0 +1,185 @@
+package simulator
+
+import (
+	"time"
+
+	"rockwind.example/rockwind/internal/engine"
+	"rockwind.example/rockwind/internal/sharing"
+)
+
+// Scenario is a fleet and the load on it.
+type Scenario struct {
+	Name string
+	// Zones, GatewaysPerZone and EnginesPerZone give the size of the fleet.
+	Zones           int
+	GatewaysPerZone int
+	EnginesPerZone  int
+	// ZoneDelay is the one-way delay between zones, LocalDelay within one, and
+	// ClientDelay between clients and gateways.
+	ZoneDelay   time.Duration
+	LocalDelay  time.Duration
+	ClientDelay time.Duration
+	// Engine holds the parameters of every engine.
+	Engine engine.Config
+	// Objective is what the group weighs more heavily.
+	Objective sharing.Objective
+	// PollInterval is how often a gateway asks the engines that it owns for
+	// their load, ExchangeInterval how often gateways hear of the others.
+	PollInterval     time.Duration
+	ExchangeInterval time.Duration
+	Online           OnlineLoad
+	Batch            []BatchLoad
+	// Warmup is left out of the measures; Measured is the time measured.
+	Warmup   time.Duration
+	Measured time.Duration
+	Faults   []ScheduledFault
+}
+
+// ScheduledFault makes an engine fail at a time.
+type ScheduledFault struct {
+	At     time.Duration
+	Engine int
+	Fault  engine.Fault
+}
+
+// OnlineLoad is a Poisson stream of requests with bursts in which the rate is
+// multiplied, plus clumps of requests that arrive together.
+type OnlineLoad struct {
+	// Rate is the requests per second and engine outside bursts.
+	Rate float64
+	// BurstFactor multiplies the rate in bursts, which last BurstMean on average
+	// and come BurstEvery apart on average, both exponential.
+	BurstFactor float64
+	BurstMean   time.Duration
+	BurstEvery  time.Duration
+	// ClumpSize requests arrive at one zone's gateways within ClumpSpread, every
+	// ClumpEvery on average; zero ClumpSize means none.
+	ClumpSize   int
+	ClumpSpread time.Duration
+	ClumpEvery  time.Duration
+	Classes     []RequestClass
+}
+
+// RequestClass is a kind of request.
+type RequestClass struct {
+	// Part is the relative part of the requests.
+	Part float64
+	// Prompt and Output bound uniform draws of lengths in tokens.
+	Prompt [2]int
+	Output [2]int
+	// SharedPrefix is the leading part of the prompt, in tokens, that is one of
+	// Prefixes texts; zero Prefixes means that nothing is shared.
+	SharedPrefix int
+	Prefixes     int
+}
+
+// BatchLoad is the batch work of one group: heaps of items in jobs.
+type BatchLoad struct {
+	Group string
+	Share float64
+	// HeapEvery is the time between heaps, HeapItems the items of a heap.
+	HeapEvery time.Duration
+	HeapItems int
+	// ActiveFrom and ActiveUntil bound when heaps arrive; a zero ActiveUntil
+	// means to the end. PausedFrom and PausedUntil cut a hole into that.
+	ActiveFrom  time.Duration
+	ActiveUntil time.Duration
+	PausedFrom  time.Duration
+	PausedUntil time.Duration
+	// Deadline is the time from a heap's arrival to when it must be complete.
+	Deadline time.Duration
+	Class    RequestClass
+}
+
+// Engines returns the number of engines.
+func (s *Scenario) Engines() int { return s.Zones * s.EnginesPerZone }
+
+// Gateways returns the number of gateways.
+func (s *Scenario) Gateways() int { return s.Zones * s.GatewaysPerZone }
+
+// End returns when the run ends.
+func (s *Scenario) End() time.Duration { return s.Warmup + s.Measured }
+
+// engineConfig is the engine of all scenarios: the model's defaults with the
+// noise of real steps and without what the simulation does not read.
+func engineConfig() engine.Config {
+	config := engine.DefaultConfig()
+	config.StepJitter = 0.05
+	config.MilestonesOnly = true
+	config.Retention = 0
+	return config
+}
+
+// Magnolia is a booking assistant: short drafts, some long client histories,
+// and weekly rebuilds in heaps. It weighs batch throughput more heavily.
+func Magnolia() Scenario {
+	return Scenario{
+		Name: "magnolia", Zones: 3, GatewaysPerZone: 2, EnginesPerZone: 4,
+		ZoneDelay: time.Millisecond, LocalDelay: 100 * time.Microsecond, ClientDelay: 3 * time.Millisecond,
+		Engine: engineConfig(), Objective: sharing.Throughput,
+		PollInterval: 250 * time.Millisecond, ExchangeInterval: time.Second,
+		Online: OnlineLoad{
+			Rate: 2, BurstFactor: 6, BurstMean: 1500 * time.Millisecond, BurstEvery: 8 * time.Second,
+			Classes: []RequestClass{
+				{Part: 0.85, Prompt: [2]int{150, 600}, Output: [2]int{60, 200}, SharedPrefix: 128, Prefixes: 40},
+				{Part: 0.15, Prompt: [2]int{1500, 4000}, Output: [2]int{120, 300}},
+			},
+		},
+		Batch: []BatchLoad{{
+			Group: "rebuilds", Share: 1, HeapEvery: 10 * time.Second, HeapItems: 2600, Deadline: time.Hour,
+			Class: RequestClass{Part: 1, Prompt: [2]int{250, 500}, Output: [2]int{80, 200}, SharedPrefix: 128, Prefixes: 20},
+		}},
+		Warmup: 10 * time.Second, Measured: 120 * time.Second,
+	}
+}
+
+// Kvistborg is a puzzle companion: short hint questions, rulebooks as long
+// prompts with shared prefixes, classes of pupils that ask together, and batches
+// of clues. It weighs the online tail more heavily.
+func Kvistborg() Scenario {
+	return Scenario{
+		Name: "kvistborg", Zones: 3, GatewaysPerZone: 2, EnginesPerZone: 6,
+		ZoneDelay: 500 * time.Microsecond, LocalDelay: 100 * time.Microsecond, ClientDelay: 3 * time.Millisecond,
+		Engine: engineConfig(), Objective: sharing.Latency,
+		PollInterval: 250 * time.Millisecond, ExchangeInterval: time.Second,
+		Online: OnlineLoad{
+			Rate: 2, BurstFactor: 4, BurstMean: time.Second, BurstEvery: 6 * time.Second,
+			ClumpSize: 30, ClumpSpread: 2 * time.Second, ClumpEvery: 5 * time.Second,
+			Classes: []RequestClass{
+				{Part: 0.8, Prompt: [2]int{80, 250}, Output: [2]int{40, 120}},
+				{Part: 0.2, Prompt: [2]int{3000, 6000}, Output: [2]int{100, 300}, SharedPrefix: 2816, Prefixes: 30},
+			},
+		},
+		Batch: []BatchLoad{{
+			Group: "clues", Share: 1, HeapEvery: 10 * time.Second, HeapItems: 5200, Deadline: time.Hour,
+			Class: RequestClass{Part: 1, Prompt: [2]int{200, 400}, Output: [2]int{60, 180}, SharedPrefix: 128, Prefixes: 20},
+		}},
+		Warmup: 10 * time.Second, Measured: 120 * time.Second,
+	}
+}
+
+// Scale multiplies the engines and gateways of a scenario by adding zones, and
+// its heaps with them.
+func (s Scenario) Scale(zones int) Scenario {
+	factor := float64(zones) / float64(s.Zones)
+	s.Zones = zones
+	loads := make([]BatchLoad, len(s.Batch))
+	for index, load := range s.Batch {
+		load.HeapItems = int(float64(load.HeapItems) * factor)
+		loads[index] = load
+	}
+	s.Batch = loads
+	return s
+}
+
+// ScenarioNamed returns a scenario by its name.
+func ScenarioNamed(name string) (Scenario, bool) {
+	switch name {
+	case "magnolia":
+		return Magnolia(), true
+	case "kvistborg":
+		return Kvistborg(), true
+	default:
+		return Scenario{}, false
+	}
+}
