--- a/internal/sharing/budget.go
+++ b/internal/sharing/budget.go
@@ -16,9 +16,13 @@
 // ServerState is what the gateway that feeds batch to a server knows of it. One
 // gateway of the zone feeds a server, so that its count of batch items is exact.
 type ServerState struct {
-	// Online counts online requests, waiting ones included, reported and
+	// OnlineRunning and OnlineWaiting count online requests, reported and
 	// corrected by what this gateway sent and saw ending since.
-	Online float64
+	OnlineRunning float64
+	OnlineWaiting float64
+	// OnlinePeak is the number of online requests that a burst brings to the
+	// server at a time, from Peak.
+	OnlinePeak float64
 	// PrefillPart is the part of the server's time that online prompts take now,
 	// from PrefillLoad.
 	PrefillPart float64
@@ -26,6 +30,8 @@
 	BatchRunning int
 	// KVUsed is the part of KV memory in use, between 0 and 1.
 	KVUsed float64
+	// Step is the measured duration of a step.
+	Step time.Duration
 	// ReportAge is how old the newest report is.
 	ReportAge time.Duration
 }
@@ -111,11 +117,12 @@
 // time, which stretches the steps of all others; what is left of the target is
 // shared by decoding.
 func (p BudgetPolicy) spareItems(state ServerState) int {
-	if state.Online <= 0 {
+	waiting := state.OnlineRunning + state.OnlineWaiting
+	if waiting <= 0 {
 		return p.MaximumItems
 	}
 	left := 1 - min(max(state.PrefillPart, 0), maximumPrefillPart)
-	online := (state.Online + p.Headroom) * float64(p.PerSequence)
+	online := (waiting + p.Headroom) * float64(p.PerSequence)
 	spare := float64(p.StepTarget)*left - float64(p.StepBase) - online
 	return max(0, int(spare/float64(max(1, p.PerItem))))
 }
--- a/internal/simulator/executor.go
+++ b/internal/simulator/executor.go
@@ -48,11 +48,11 @@
 	entry := &g.view.Servers[server]
 	now := g.fleet.clock.now
 	return sharing.ServerState{
-		Online:       float64(entry.Online()),
-		PrefillPart:  g.prefillPart(server),
-		BatchRunning: len(g.lanes[server].running),
-		KVUsed:       float64(entry.Report.KVUsed),
-		ReportAge:    now - entry.Report.TakenAt,
+		OnlineRunning: float64(entry.Online()),
+		PrefillPart:   g.prefillPart(server),
+		BatchRunning:  len(g.lanes[server].running),
+		KVUsed:        float64(entry.Report.KVUsed),
+		ReportAge:     now - entry.Report.TakenAt,
 	}
 }
 
