Let an engine report the tokens of online requests only

Cause: simulations follow the pace of online requests, and the token events of batch items would be most of the events. Change: a setting of the engine model.

--- a/internal/engine/config.go
+++ b/internal/engine/config.go
@@ -82,6 +82,8 @@
 	// MilestonesOnly leaves out the token events between the first token and
 	// the end, for simulations that do not look at them.
 	MilestonesOnly bool
+	// OnlineTokens keeps the token events of online requests all the same.
+	OnlineTokens bool
 }
 
 // DefaultConfig returns the parameters of a mid-range accelerator.
@@ -153,3 +155,8 @@
 	}
 	return c
 }
+
+// reportsTokens tells whether a sequence gets an event for each of its tokens.
+func (c *Config) reportsTokens(entry *sequence) bool {
+	return !c.MilestonesOnly || (c.OnlineTokens && !entry.batch())
+}
--- a/internal/engine/step.go
+++ b/internal/engine/step.go
@@ -262,7 +262,7 @@
 		return
 	}
 	first := entry.produced == decoded
-	if first || done || !e.config.MilestonesOnly {
+	if first || done || e.config.reportsTokens(entry) {
 		e.emit(now, entry, EventTokens, decoded)
 	}
 	e.truncate(now, entry)
