Add an open-loop load generator that checks every answer

Cause: latencies measured in a closed loop hide the requests that a stalled server keeps waiting, and an answer that is fast but wrong must not count. Change: package load sends schedules and traces at their intended times, counts latency from there, compares every answer with the one that its prompt gives, and tells outcomes apart; stand-ins are tested through it.

--- a/cmd/rockwind-bench/main.go
+++ b/cmd/rockwind-bench/main.go
@@ -5,6 +5,7 @@
 import (
 	"github.com/alecthomas/kong"
 
+	"rockwind.example/rockwind/internal/bench/load"
 	"rockwind.example/rockwind/internal/standin"
 )
 
@@ -15,6 +16,9 @@
 	Platform standin.PlatformCommand `cmd:"" help:"Run a stand-in for the platform's list of machines."`
 	Weights  standin.WeightsCommand  `cmd:"" help:"Run a stand-in for the weight store."`
 
+	Load  load.Command      `cmd:"" help:"Send load and check every answer."`
+	Trace load.TraceCommand `cmd:"" help:"Write a trace of the two deployments' load."`
+
 	Experiment experiments `cmd:"" help:"Run an experiment and print its figures."`
 }
 
