Run replicated groups over the log, the clock and the network

Cause: the consensus core does no I/O; a control machine needs something that drives many of them. Tests run whole fleets in virtual time.

--- /dev/null
+++ b/internal/replica/cluster_test.go
@@ -0,0 +1,300 @@
+package replica_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rockwind.example/rockwind/internal/replica"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/wal/faultfs"
+)
+
+const (
+	tick = 100 * time.Millisecond
+	// patience is how long, in virtual time, a condition may take.
+	patience = 2 * time.Minute
+)
+
+// registers is the replicated state of the tests: an integer for each key.
+type registers struct {
+	mutex  sync.Mutex
+	values map[string]int
+}
+
+// command sets or increments a register.
+type command struct {
+	Key   string
+	Set   bool
+	Value int
+}
+
+func newRegisters(uint32) replica.StateMachine {
+	return &registers{values: map[string]int{}}
+}
+
+// Apply returns the register's new value.
+func (r *registers) Apply(_ uint64, encoded []byte) any {
+	var c command
+	if err := json.Unmarshal(encoded, &c); err != nil {
+		return err
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if c.Set {
+		r.values[c.Key] = c.Value
+	} else {
+		r.values[c.Key] += c.Value
+	}
+	return r.values[c.Key]
+}
+
+func (r *registers) Snapshot() ([]byte, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return json.Marshal(r.values)
+}
+
+func (r *registers) Restore(snapshot []byte) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.values = map[string]int{}
+	return json.Unmarshal(snapshot, &r.values)
+}
+
+func (r *registers) get(key string) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.values[key]
+}
+
+// network carries calls between the machines of a test in memory.
+type network struct {
+	mutex    sync.Mutex
+	handlers map[string]http.Handler
+}
+
+// RoundTrip implements http.RoundTripper.
+func (n *network) RoundTrip(request *http.Request) (*http.Response, error) {
+	n.mutex.Lock()
+	handler := n.handlers[request.URL.Host]
+	n.mutex.Unlock()
+	if handler == nil {
+		return nil, errors.Newf("no process at %s", request.URL.Host)
+	}
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, request)
+	return recorder.Result(), nil
+}
+
+func (n *network) mount(address string, handler http.Handler) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.handlers[address] = handler
+}
+
+// machine is one control machine of a test.
+type machine struct {
+	name     string
+	disk     *faultfs.Disk
+	host     *replica.Host
+	machines map[uint32]*registers
+	cancel   context.CancelFunc
+	ended    chan error
+}
+
+// fleet is the control machines of a test.
+type fleet struct {
+	t        *testing.T
+	network  *network
+	links    *replica.Links
+	client   *http.Client
+	machines []*machine
+	peers    []*rockwindpb.ControlMachine
+	random   *rand.Rand
+	adjust   func(*replica.Options)
+}
+
+// inBubble runs a test with virtual time and stops its fleet at the end.
+func inBubble(t *testing.T, size int, adjust func(*replica.Options), run func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, links: &replica.Links{}, random: rand.New(rand.NewPCG(1, 2)), adjust: adjust}
+		f.network = &network{handlers: map[string]http.Handler{}}
+		f.client = &http.Client{Transport: f.network}
+		for position := range size {
+			name := fmt.Sprintf("control-%d", position)
+			f.machines = append(f.machines, &machine{name: name, disk: faultfs.New()})
+			f.peers = append(f.peers, &rockwindpb.ControlMachine{Machine: name, Address: name})
+		}
+		for _, m := range f.machines {
+			f.start(m)
+		}
+		defer func() {
+			for _, m := range f.machines {
+				f.kill(m)
+			}
+		}()
+		f.found(2)
+		run(f)
+	})
+}
+
+func (f *fleet) start(m *machine) {
+	f.t.Helper()
+	m.machines = map[uint32]*registers{}
+	options := replica.Options{
+		Machine:    m.name,
+		Address:    m.name,
+		Folder:     "data",
+		FileSystem: m.disk,
+		Client:     f.client,
+		Tick:       tick,
+		Peers:      f.peers,
+		Allow:      f.links.Allow,
+		Random:     f.random.Uint64(),
+		StateMachines: func(group uint32) replica.StateMachine {
+			created := newRegisters(group).(*registers)
+			m.machines[group] = created
+			return created
+		},
+	}
+	if f.adjust != nil {
+		f.adjust(&options)
+	}
+	host, err := replica.NewHost(options)
+	if err != nil {
+		f.t.Fatalf("start %s: %v", m.name, err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m.host, m.cancel, m.ended = host, cancel, make(chan error, 1)
+	f.network.mount(m.name, rockwindpb.NewReplicaServiceServer(host.Service()))
+	ended := m.ended
+	go func() { ended <- host.Run(ctx) }()
+	synctest.Wait()
+}
+
+// kill ends a process: what it had written but not synced stays readable.
+func (f *fleet) kill(m *machine) {
+	if m.host == nil {
+		return
+	}
+	f.network.mount(m.name, nil)
+	m.disk.Kill()
+	m.cancel()
+	<-m.ended
+	m.host = nil
+}
+
+// crash ends a machine: what was not synced is lost.
+func (f *fleet) crash(m *machine) {
+	f.kill(m)
+	m.disk.Crash(f.random)
+}
+
+// lose ends a machine and its disk.
+func (f *fleet) lose(m *machine) {
+	f.kill(m)
+	m.disk.Lose()
+}
+
+func (f *fleet) found(shards int) {
+	f.t.Helper()
+	var addresses []string
+	for _, peer := range f.peers {
+		addresses = append(addresses, peer.GetAddress())
+	}
+	if err := replica.Found(context.Background(), f.client, addresses, shards); err != nil {
+		f.t.Fatalf("found: %v", err)
+	}
+}
+
+// eventually waits, in virtual time, until a condition holds.
+func (f *fleet) eventually(what string, condition func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(tick / 2) {
+		if condition() {
+			return
+		}
+	}
+	f.t.Fatalf("not reached: %s", what)
+}
+
+// leader waits for a machine that leads the group with a lease.
+func (f *fleet) leader(group uint32) *machine {
+	f.t.Helper()
+	var found *machine
+	f.eventually(fmt.Sprintf("group %d has a leader", group), func() bool {
+		found = f.leaderNow(group)
+		return found != nil
+	})
+	return found
+}
+
+func (f *fleet) leaderNow(group uint32) *machine {
+	for _, m := range f.machines {
+		if g := m.group(group); g != nil {
+			if _, leading := g.Leading(); leading {
+				return m
+			}
+		}
+	}
+	return nil
+}
+
+func (m *machine) group(id uint32) replica.Group {
+	if m.host == nil {
+		return nil
+	}
+	group, found := m.host.Group(id)
+	if !found {
+		return nil
+	}
+	return group
+}
+
+func encode(c command) []byte {
+	encoded, err := json.Marshal(c)
+	if err != nil {
+		panic(err)
+	}
+	return encoded
+}
+
+// add increments a register at the leader until that is known to have worked
+// once; it returns the new value. It is used where no fault is under way.
+func (f *fleet) add(group uint32, key string) int {
+	f.t.Helper()
+	for range 100 {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		result, err := f.leader(group).group(group).Propose(ctx, encode(command{Key: key, Value: 1}))
+		cancel()
+		if err == nil {
+			return result.(int)
+		}
+		time.Sleep(tick)
+	}
+	f.t.Fatalf("no proposal of group %d was accepted", group)
+	return 0
+}
+
+// read reads a register at the leader.
+func (f *fleet) read(group uint32, key string) int {
+	f.t.Helper()
+	value := 0
+	f.eventually("a read is served", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		leader := f.leader(group)
+		return leader.group(group).Read(ctx, func() { value = leader.machines[group].get(key) }) == nil
+	})
+	return value
+}
--- /dev/null
+++ b/internal/replica/host_test.go
@@ -0,0 +1,178 @@
+package replica_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/replica"
+)
+
+// TestRestartsKeepEverything kills and crashes the machines one after another,
+// and all at once.
+func TestRestartsKeepEverything(t *testing.T) {
+	inBubble(t, 3, nil, func(f *fleet) {
+		for count := 1; count <= 9; count++ {
+			if got := f.add(1, "a"); got != count {
+				t.Fatalf("increment %d gave %d", count, got)
+			}
+			m := f.machines[count%3]
+			f.crash(m)
+			f.start(m)
+		}
+		for _, m := range f.machines {
+			f.crash(m)
+		}
+		for _, m := range f.machines {
+			f.start(m)
+		}
+		if got := f.read(1, "a"); got != 9 {
+			t.Fatalf("%d increments are left of 9", got)
+		}
+	})
+}
+
+// TestCutLeaderIsSilent cuts the leader from the others: it must refuse reads
+// and proposals, and must not disturb the new leader when it is back.
+func TestCutLeaderIsSilent(t *testing.T) {
+	inBubble(t, 3, nil, func(f *fleet) {
+		f.add(0, "a")
+		old := f.leader(0)
+		for _, m := range f.machines {
+			if m != old {
+				f.links.CutBoth(m.name, old.name)
+			}
+		}
+		proposed := make(chan error, 1)
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			_, err := old.group(0).Propose(ctx, encode(command{Key: "a", Value: 100}))
+			proposed <- err
+		}()
+		f.eventually("another machine leads", func() bool {
+			now := f.leaderNow(0)
+			return now != nil && now != old
+		})
+		if _, leading := old.group(0).Leading(); leading {
+			t.Fatal("the old leader still holds a lease beside the new one")
+		}
+		if err := <-proposed; !fault.Is(err, fault.OutcomeUnknown) {
+			t.Fatalf("a proposal at the cut leader ended with %v", err)
+		}
+		if got := f.add(0, "a"); got != 2 {
+			t.Fatalf("the second increment gave %d", got)
+		}
+		f.refuses(old)
+		time.Sleep(time.Minute)
+		current := f.leader(0)
+		term, _ := current.group(0).Leading()
+		f.links.Heal()
+		f.eventually("the old leader follows", func() bool {
+			return old.group(0).Status().GetLeader() == current.host.DiskID() && old.machines[0].get("a") == 2
+		})
+		time.Sleep(time.Minute)
+		if now, leading := current.group(0).Leading(); !leading || now != term {
+			t.Fatalf("the returned machine forced an election: term %d became %d", term, now)
+		}
+	})
+}
+
+func (f *fleet) refuses(m *machine) {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if err := m.group(0).Read(ctx, func() {}); !fault.Is(err, fault.NotLeader) {
+		f.t.Fatalf("a cut machine answered a read with %v", err)
+	}
+	if _, err := m.group(0).Propose(ctx, encode(command{Key: "a", Value: 1})); !fault.Is(err, fault.NotLeader) {
+		f.t.Fatalf("a cut machine answered a proposal with %v", err)
+	}
+}
+
+// TestFrozenLeaderServesNothingStale holds up the owner of the leader's group
+// for longer than a lease, as a frozen process is.
+func TestFrozenLeaderServesNothingStale(t *testing.T) {
+	inBubble(t, 3, nil, func(f *fleet) {
+		f.add(0, "a")
+		old := f.leader(0)
+		thaw := make(chan struct{})
+		go func() { _ = old.group(0).ReadLocal(context.Background(), func() { <-thaw }) }()
+		f.eventually("another machine leads", func() bool {
+			now := f.leaderNow(0)
+			return now != nil && now != old
+		})
+		if got := f.add(0, "a"); got != 2 {
+			t.Fatalf("the second increment gave %d", got)
+		}
+		value, ended := 0, make(chan error, 1)
+		go func() {
+			ended <- old.group(0).Read(context.Background(), func() { value = old.machines[0].get("a") })
+		}()
+		time.Sleep(tick)
+		close(thaw)
+		if err := <-ended; err == nil && value != 2 {
+			t.Fatalf("the thawed leader served %d", value)
+		}
+	})
+}
+
+// TestLaggingReplicaCatchesUpBySnapshot cuts a machine until the others have
+// dropped the entries that it lacks.
+func TestLaggingReplicaCatchesUpBySnapshot(t *testing.T) {
+	adjust := func(o *replica.Options) {
+		o.SnapshotEntries = 50
+		o.SegmentBytes = 4096
+	}
+	inBubble(t, 3, adjust, func(f *fleet) {
+		f.add(1, "a")
+		lagging := f.machines[0]
+		for _, m := range f.machines[1:] {
+			f.links.CutBoth(lagging.name, m.name)
+		}
+		f.eventually("another machine leads", func() bool {
+			now := f.leaderNow(1)
+			return now != nil && now != lagging
+		})
+		const increments = 3000
+		for range increments {
+			f.add(1, "a")
+		}
+		f.links.Heal()
+		f.eventually("the lagging machine holds the state", func() bool {
+			return lagging.machines[1].get("a") == increments+1
+		})
+		f.crash(lagging)
+		f.start(lagging)
+		f.eventually("the restarted machine holds the state", func() bool {
+			return lagging.machines[1].get("a") == increments+1
+		})
+	})
+}
+
+// TestDrainHandsOver checks that a planned stop leaves no leadership behind and
+// that the new leaders serve at once.
+func TestDrainHandsOver(t *testing.T) {
+	inBubble(t, 3, nil, func(f *fleet) {
+		for group := range uint32(3) {
+			f.add(group, "a")
+		}
+		leaving := f.leader(0)
+		began := time.Now()
+		if err := leaving.host.Drain(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		for group := range uint32(3) {
+			if _, leading := leaving.group(group).Leading(); leading {
+				t.Fatalf("group %d is still led by the machine that leaves", group)
+			}
+			if got := f.add(group, "a"); got != 2 {
+				t.Fatalf("group %d counted %d", group, got)
+			}
+		}
+		if took := time.Since(began); took > 10*tick {
+			t.Fatalf("the handover took %v", took)
+		}
+	})
+}
--- /dev/null
+++ b/internal/replica/joining.go
@@ -0,0 +1,236 @@
+package replica
+
+import (
+	"context"
+	"slices"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/raft"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// keepJoining asks the peers to let this machine join while it belongs to no
+// cluster, or while a group does not count its disk as a voter yet.
+func (h *Host) keepJoining() error {
+	for h.pause(h.options.electionTimeout()) {
+		if !h.wantsToJoin() {
+			continue
+		}
+		for _, peer := range h.options.Peers {
+			if peer.GetMachine() != h.options.Machine && h.allowedBoth(peer.GetMachine()) {
+				h.askToJoin(peer)
+			}
+		}
+	}
+	return nil
+}
+
+func (h *Host) wantsToJoin() bool {
+	if h.clusterID() == "" {
+		return true
+	}
+	for _, o := range h.allOwners() {
+		if !o.Status().GetVoter() {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Host) askToJoin(peer *rockwindpb.ControlMachine) {
+	ctx, cancel := context.WithTimeout(h.ctx, sendTimeout)
+	defer cancel()
+	response, err := h.clientOf(peer.GetAddress()).Join(ctx, &rockwindpb.JoinRequest{
+		Machine: h.options.Machine,
+		DiskId:  h.log.DiskID(),
+		Address: h.options.Address,
+	})
+	if err != nil {
+		log.WithError(fault.From(err)).WithField("machine", peer.GetMachine()).Info("not joined")
+		return
+	}
+	if err := h.enter(&cluster{id: response.GetClusterId(), groups: response.GetGroups()}); err != nil {
+		log.WithError(err).WithField("machine", peer.GetMachine()).Warn("not joined")
+	}
+}
+
+// Join implements rockwindpb.ReplicaService. It begins the replacement in the
+// groups that this machine leads, and tells the caller about all groups.
+func (s *service) Join(ctx context.Context, request *rockwindpb.JoinRequest) (*rockwindpb.JoinResponse, error) {
+	response, err := s.host.letJoin(ctx, request)
+	return response, fault.ToTwirp(err)
+}
+
+func (h *Host) letJoin(ctx context.Context, request *rockwindpb.JoinRequest) (*rockwindpb.JoinResponse, error) {
+	if !h.allowedBoth(request.GetMachine()) {
+		return nil, notBegun("the link is cut")
+	}
+	if request.GetMachine() == "" || request.GetDiskId() == 0 {
+		return nil, fault.New(fault.InvalidArgument, "the machine that joins has no name or no disk", "check its settings")
+	}
+	response, err := h.describeGroups()
+	if err != nil {
+		return nil, err
+	}
+	if !slices.ContainsFunc(response.GetGroups(), func(group *rockwindpb.FoundingGroup) bool {
+		return hasMachine(group.GetMembership(), request.GetMachine())
+	}) {
+		return nil, fault.Newf(fault.Conflict, "give it the name of the machine that it replaces",
+			"no member of this cluster is named %s", request.GetMachine())
+	}
+	for _, o := range h.allOwners() {
+		if !o.leads() {
+			continue
+		}
+		err := o.do(ctx, func() error { return o.admit(request) })
+		if fault.Is(err, fault.Conflict) {
+			return nil, err
+		}
+	}
+	return response, nil
+}
+
+func (h *Host) describeGroups() (*rockwindpb.JoinResponse, error) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.cluster == nil {
+		return nil, notBegun("this control machine belongs to no cluster")
+	}
+	response := &rockwindpb.JoinResponse{ClusterId: h.cluster.id}
+	for _, group := range h.cluster.groups {
+		membership := group.GetMembership()
+		if o := h.owners[group.GetGroup()]; o != nil && len(o.Status().GetMembership().GetMembers()) > 0 {
+			membership = o.Status().GetMembership()
+		}
+		response.Groups = append(response.Groups, &rockwindpb.FoundingGroup{Group: group.GetGroup(), Membership: membership})
+	}
+	return response, nil
+}
+
+// admit adds a disk as a learner beside the member of the same machine name.
+// It is refused while the old disk is heard: two processes would carry one
+// name. The learner replaces an earlier learner of that name, which never
+// counted.
+func (o *owner) admit(request *rockwindpb.JoinRequest) error {
+	status := o.node.Status()
+	if status.Role != raft.Leader {
+		return o.notLeader()
+	}
+	if memberByID(status.Membership, request.GetDiskId()) != nil {
+		return nil
+	}
+	if !hasMachine(status.Membership, request.GetMachine()) {
+		return nil
+	}
+	changed := &rockwindpb.Membership{}
+	for _, member := range status.Membership.GetMembers() {
+		if member.GetMachine() == request.GetMachine() {
+			if progressOf(status, member.GetId()).Active {
+				return stillAlive(member)
+			}
+			if member.GetLearner() {
+				continue
+			}
+		}
+		changed.Members = append(changed.Members, member)
+	}
+	changed.Members = append(changed.Members, &rockwindpb.Member{
+		Id:      request.GetDiskId(),
+		Machine: request.GetMachine(),
+		Address: request.GetAddress(),
+		Learner: true,
+	})
+	return o.changeMembers(changed)
+}
+
+func stillAlive(member *rockwindpb.Member) error {
+	return fault.Newf(fault.Conflict,
+		"stop one of the two processes, or wait for an election timeout when the old one has just ended",
+		"machine %s is alive with disk %016x", member.GetMachine(), member.GetId())
+}
+
+func progressOf(status raft.Status, id uint64) raft.ProgressStatus {
+	for _, progress := range status.Progress {
+		if progress.ID == id {
+			return progress
+		}
+	}
+	return raft.ProgressStatus{}
+}
+
+// changeMembers proposes a membership. A change that has to wait for another
+// is tried again: the joining machine asks until it is a voter, and the leader
+// looks at each tick.
+func (o *owner) changeMembers(changed *rockwindpb.Membership) error {
+	err := o.node.ProposeMembership(changed)
+	if errors.Is(err, raft.ErrMembershipPending) || errors.Is(err, raft.ErrTransferring) {
+		return notBegun("another change of the membership is under way")
+	}
+	if errors.Is(err, raft.ErrNotLeader) {
+		return o.notLeader()
+	}
+	return err
+}
+
+// replaceMembers takes the next step of a replacement at the leader: it
+// promotes a learner that holds everything that was committed when it was
+// added, and after that removes the older member of the same machine. So an
+// acknowledged write never has fewer copies than before.
+func (o *owner) replaceMembers() {
+	status := o.node.Status()
+	if status.Role != raft.Leader || status.MembershipIndex > status.Commit {
+		return
+	}
+	for _, member := range status.Membership.GetMembers() {
+		if member.GetLearner() {
+			if o.promote(status, member) {
+				return
+			}
+		}
+	}
+	for position, member := range status.Membership.GetMembers() {
+		if !member.GetLearner() && replaced(status.Membership, position) {
+			o.remove(status.Membership, member)
+			return
+		}
+	}
+}
+
+func (o *owner) promote(status raft.Status, learner *rockwindpb.Member) bool {
+	target, known := o.targets[learner.GetId()]
+	if !known {
+		o.targets[learner.GetId()] = status.Commit
+		return false
+	}
+	progress := progressOf(status, learner.GetId())
+	if !progress.Active || progress.Match < target {
+		return false
+	}
+	changed := proto.CloneOf(status.Membership)
+	memberByID(changed, learner.GetId()).Learner = false
+	return o.changeMembers(changed) == nil
+}
+
+// replaced tells whether a later voter carries the same machine name.
+func replaced(membership *rockwindpb.Membership, position int) bool {
+	members := membership.GetMembers()
+	return slices.ContainsFunc(members[position+1:], func(later *rockwindpb.Member) bool {
+		return !later.GetLearner() && later.GetMachine() == members[position].GetMachine()
+	})
+}
+
+func (o *owner) remove(membership *rockwindpb.Membership, old *rockwindpb.Member) {
+	changed := &rockwindpb.Membership{}
+	for _, member := range membership.GetMembers() {
+		if member.GetId() != old.GetId() {
+			changed.Members = append(changed.Members, member)
+		}
+	}
+	if err := o.changeMembers(changed); err != nil {
+		log.WithError(err).WithField("group", o.id).Info("replaced member not removed yet")
+	}
+}
--- /dev/null
+++ b/internal/replica/options.go
@@ -0,0 +1,104 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/wal"
+)
+
+// Defaults of Options.
+const (
+	DefaultTick            = 100 * time.Millisecond
+	DefaultElectionTicks   = 10
+	DefaultSnapshotEntries = 20_000
+	DefaultSnapshotBytes   = 16 << 20
+)
+
+// Options configure a Host.
+type Options struct {
+	// Machine is this machine's name, unique among the control machines.
+	Machine string
+	// Address is where the other machines reach Service, "ip:port".
+	Address string
+	// Folder is the data folder. It belongs to the host alone.
+	Folder string
+	// FileSystem is the disk; nil means that of the operating system.
+	FileSystem wal.FileSystem
+	// Client carries the calls to other machines; nil means a client with
+	// keep-alive connections. TLS is the business of the caller, who sets Secure
+	// beside it.
+	Client *http.Client
+	// Secure makes the host call the other machines by https.
+	Secure bool
+	// Tick is the unit of the protocol's time; zero means DefaultTick.
+	Tick time.Duration
+	// ElectionTicks is the shortest time without a leader, in ticks, after which
+	// a replica asks for votes; zero means DefaultElectionTicks. It is at least 6.
+	ElectionTicks int
+	// Peers lists the control machines; this one may be among them. Their
+	// addresses go before the ones that the memberships record.
+	Peers []*rockwindpb.ControlMachine
+	// StateMachines returns the empty state machine of a group. The host calls
+	// it once for each group that it runs. Group 0 is the root group, 1 and up
+	// are the job shards.
+	StateMachines func(group uint32) StateMachine
+	// SnapshotEntries and SnapshotBytes limit the log behind the newest snapshot
+	// of a group, in entries and in bytes of commands; zero means the defaults.
+	SnapshotEntries uint64
+	SnapshotBytes   int64
+	// SegmentBytes is the size of a log segment; zero means the default of the log.
+	SegmentBytes int64
+	// Allow tells whether traffic may pass from one machine to another. It is for
+	// experiments with cut links, and is asked on both sides; nil allows
+	// everything. Links.Allow is one that can be changed while the host runs.
+	Allow func(from, to string) bool
+	// Random seeds election timeouts; zero means a seed from the system.
+	Random uint64
+}
+
+// leaseMarginTicks is the part of an election timeout that a lease leaves
+// unused. A follower's first tick may come at once, one more may be buffered in
+// its ticker, and ticks are at least three quarters of Options.Tick apart; so
+// ten of its ticks last at least six of the leader's, and the rest is for
+// clocks that run at different speeds.
+const leaseMarginTicks = 4
+
+func (o *Options) setDefaults() {
+	if o.FileSystem == nil {
+		o.FileSystem = wal.OperatingSystem{}
+	}
+	if o.Client == nil {
+		o.Client = &http.Client{Transport: newTransport()}
+	}
+	if o.Tick == 0 {
+		o.Tick = DefaultTick
+	}
+	if o.ElectionTicks == 0 {
+		o.ElectionTicks = DefaultElectionTicks
+	}
+	if o.SnapshotEntries == 0 {
+		o.SnapshotEntries = DefaultSnapshotEntries
+	}
+	if o.SnapshotBytes == 0 {
+		o.SnapshotBytes = DefaultSnapshotBytes
+	}
+	if o.Allow == nil {
+		o.Allow = func(string, string) bool { return true }
+	}
+	if o.Random == 0 {
+		o.Random = rand.Uint64()
+	}
+}
+
+// electionTimeout is the shortest time without a leader before an election.
+func (o *Options) electionTimeout() time.Duration {
+	return time.Duration(o.ElectionTicks) * o.Tick
+}
+
+// leaseTicks is how long a lease lasts.
+func (o *Options) leaseTicks() int {
+	return o.ElectionTicks - leaseMarginTicks
+}
--- /dev/null
+++ b/internal/replica/service.go
@@ -0,0 +1,82 @@
+package replica
+
+import (
+	"context"
+
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// service answers the calls of other machines.
+type service struct {
+	host *Host
+}
+
+var _ rockwindpb.ReplicaService = (*service)(nil)
+
+// Service returns the host's side of the protocol among control machines; the
+// caller mounts it with rockwindpb.NewReplicaServiceServer.
+func (h *Host) Service() rockwindpb.ReplicaService {
+	return &service{host: h}
+}
+
+// Send implements rockwindpb.ReplicaService. It hands the messages on and does
+// not wait for their effect; what does not fit is dropped, as on a lossy link.
+func (s *service) Send(_ context.Context, request *rockwindpb.SendRequest) (*rockwindpb.SendResponse, error) {
+	for _, message := range request.GetMessages() {
+		o, err := s.host.addressed(request.GetClusterId(), request.GetMachine(), message.GetGroup())
+		if err != nil {
+			return nil, fault.ToTwirp(err)
+		}
+		if message.GetMessage().GetTo() != s.host.log.DiskID() {
+			continue
+		}
+		from := route{machine: request.GetMachine(), address: request.GetAddress()}
+		s.host.transport.learn(message.GetMessage().GetFrom(), from)
+		select {
+		case o.inbox <- message.GetMessage():
+		default:
+		}
+	}
+	return &rockwindpb.SendResponse{}, nil
+}
+
+// Identity implements rockwindpb.ReplicaService. It lists all groups of the
+// cluster, those that do not run here with the membership known at founding.
+func (s *service) Identity(context.Context, *rockwindpb.IdentityRequest) (*rockwindpb.IdentityResponse, error) {
+	h := s.host
+	response := &rockwindpb.IdentityResponse{Machine: h.options.Machine, DiskId: h.log.DiskID()}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.cluster == nil {
+		return response, nil
+	}
+	response.ClusterId = h.cluster.id
+	for _, group := range h.cluster.groups {
+		status := &rockwindpb.GroupStatus{Group: group.GetGroup(), Membership: group.GetMembership()}
+		if o := h.owners[group.GetGroup()]; o != nil {
+			status = o.Status()
+		}
+		response.Groups = append(response.Groups, status)
+	}
+	return response, nil
+}
+
+// TransferLeadership implements rockwindpb.ReplicaService. It starts the
+// handover and returns.
+func (s *service) TransferLeadership(ctx context.Context, request *rockwindpb.TransferLeadershipRequest) (*rockwindpb.TransferLeadershipResponse, error) {
+	groups := request.GetGroups()
+	if len(groups) == 0 {
+		groups = s.host.Groups()
+	}
+	for _, id := range groups {
+		o := s.host.owner(id)
+		if o == nil || !o.leads() {
+			continue
+		}
+		if err := o.do(ctx, func() error { return o.handOver() }); err != nil {
+			return nil, fault.ToTwirp(err)
+		}
+	}
+	return &rockwindpb.TransferLeadershipResponse{}, nil
+}
--- a/internal/wal/index.go
+++ b/internal/wal/index.go
@@ -122,12 +122,11 @@
 	return selected[:len(selected):len(selected)], nil
 }
 
-// Behind returns how many entries, and how many bytes of commands, stand
-// behind the newest snapshot.
-func (g *Group) Behind() (entries uint64, bytes int64) {
+// Behind returns how many bytes of commands stand behind the newest snapshot.
+func (g *Group) Behind() int64 {
 	g.mutex.RLock()
 	defer g.mutex.RUnlock()
-	return g.last() - min(g.snapshot.Index, g.last()), g.bytes
+	return g.bytes
 }
 
 func (g *Group) setHardState(state *rockwindpb.HardState) {
@@ -166,12 +165,14 @@
 
 // install makes metadata the newest snapshot. When the log holds the entry
 // that the snapshot ends with, it keeps what is behind, and up to trailing
-// entries before it for replicas that lag; otherwise it starts anew.
-func (g *Group) install(metadata *rockwindpb.SnapshotMetadata, trailing uint64) error {
+// entries before it for replicas that lag; otherwise it starts anew. It ignores
+// a snapshot that is not newer: one that was taken here may be saved after one
+// that came from the leader.
+func (g *Group) install(metadata *rockwindpb.SnapshotMetadata, trailing uint64) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if metadata.Index < g.snapshot.Index {
-		return errors.Wrapf(errRecord, "snapshot %d after snapshot %d", metadata.Index, g.snapshot.Index)
+	if metadata.Index <= g.snapshot.Index {
+		return
 	}
 	g.snapshot = proto.CloneOf(metadata)
 	term, err := g.term(metadata.Index)
@@ -179,7 +180,7 @@
 		g.entries = nil
 		g.base, g.baseTerm = metadata.Index, metadata.Term
 		g.bytes = 0
-		return nil
+		return
 	}
 	if keepFrom := metadata.Index - min(trailing, metadata.Index); keepFrom > g.base {
 		g.baseTerm = g.entries[keepFrom-g.base-1].Term
@@ -190,5 +191,4 @@
 	for _, entry := range g.entries[metadata.Index-g.base:] {
 		g.bytes += int64(len(entry.Data))
 	}
-	return nil
 }
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -56,6 +56,8 @@
 type Log struct {
 	options  Options
 	identity uint64
+	// fresh tells that there was no log when this one was opened.
+	fresh bool
 
 	mutex  sync.RWMutex
 	groups map[uint32]*Group
@@ -82,6 +84,7 @@
 	if err := l.replay(); err != nil {
 		return nil, err
 	}
+	l.fresh = len(l.segments) == 0
 	if err := l.verifySnapshots(); err != nil {
 		return nil, err
 	}
@@ -139,6 +142,12 @@
 	return l.identity
 }
 
+// Fresh tells whether the disk held no log before Open. A machine that belongs
+// to a cluster and finds no log has lost its votes.
+func (l *Log) Fresh() bool {
+	return l.fresh
+}
+
 // Group returns the view of a group; it is empty for a group without records.
 func (l *Log) Group(id uint32) *Group {
 	l.mutex.Lock()
@@ -261,7 +270,7 @@
 // lastAfter is the last index of the group once the update's snapshot is in.
 func (l *Log) lastAfter(update *Update) uint64 {
 	group := l.Group(update.Group)
-	if update.Snapshot != nil && !group.holds(update.Snapshot) {
+	if update.Snapshot != nil && update.Snapshot.Index > group.Snapshot().Index && !group.holds(update.Snapshot) {
 		return update.Snapshot.Index
 	}
 	return group.LastIndex()
@@ -272,6 +281,9 @@
 func (l *Log) encodeReset(payload []byte, update *Update) []byte {
 	group := l.Group(update.Group)
 	first := group.Snapshot().Index + 1
+	if update.Snapshot.Index < first {
+		return payload
+	}
 	if group.holds(update.Snapshot) || first > group.LastIndex() {
 		return payload
 	}
@@ -298,10 +310,8 @@
 }
 
 func (l *Log) applySnapshot(id uint32, group *Group, metadata *rockwindpb.SnapshotMetadata) error {
-	if err := group.install(metadata, l.options.TrailingEntries); err != nil {
-		return err
-	}
-	return l.removeOldSnapshots(id, metadata)
+	group.install(metadata, l.options.TrailingEntries)
+	return l.removeOldSnapshots(id, group.Snapshot())
 }
 
 func (l *Log) applyEntries(id uint32, group *Group, entries []*rockwindpb.Entry) error {
--- a/internal/wal/replay.go
+++ b/internal/wal/replay.go
@@ -157,7 +157,8 @@
 	if err != nil {
 		return err
 	}
-	return l.Group(r.group).install(metadata, 0)
+	l.Group(r.group).install(metadata, 0)
+	return nil
 }
 
 // replayInto is the second pass. It notes in current what the segment holds.
