--- a/internal/controlclient/jobs.go
+++ b/internal/controlclient/jobs.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
-	"encoding/hex"
+	"encoding/binary"
 	"slices"
 	"strings"
 
@@ -16,10 +16,8 @@
 
 // Prefixes of identifiers.
 const (
-	jobPrefix  = "batch"
+	jobPrefix  = "job"
 	filePrefix = "file"
-	// uniqueBytes is how many bytes of a digest go into an identifier.
-	uniqueBytes = 16
 )
 
 type jobService struct{ client *Client }
@@ -37,16 +35,17 @@
 		return nil, err
 	}
 	job.Shard = shard
-	job.Id = sharding.Identifier(jobPrefix, shard, uniqueOfKey(job.GetTenant(), job.GetClientKey()))
+	job.Id = sharding.Identifier(jobPrefix, shard, numberOfKey(job.GetTenant(), job.GetClientKey()))
 	return call(ctx, s.client, s.client.toLeader(shard), changing,
 		func(ctx context.Context, at *machine, request *rockwindpb.SubmitJobRequest) (*rockwindpb.SubmitJobResponse, error) {
 			return at.jobs.Submit(ctx, request)
 		}, &rockwindpb.SubmitJobRequest{Job: job})
 }
 
-func uniqueOfKey(tenant, key string) string {
+// numberOfKey makes a resend propose the same identifier.
+func numberOfKey(tenant, key string) uint64 {
 	digest := sha256.Sum256([]byte(tenant + "\x00" + key))
-	return hex.EncodeToString(digest[:uniqueBytes])
+	return binary.BigEndian.Uint64(digest[:])
 }
 
 // Get reads and may be repeated.
@@ -120,12 +119,12 @@
 func (s fileService) Put(ctx context.Context, request *rockwindpb.PutFileRequest) (*rockwindpb.PutFileResponse, error) {
 	file := proto.CloneOf(request.GetFile())
 	if file.GetId() == "" {
-		unique := strings.ReplaceAll(uuid.NewString(), "-", "")
+		unique := uuid.NewString()
 		shard, err := s.client.ShardForKey(ctx, file.GetTenant(), unique)
 		if err != nil {
 			return nil, err
 		}
-		file.Id = sharding.Identifier(filePrefix, shard, unique)
+		file.Id = sharding.Identifier(filePrefix, shard, numberOfKey(file.GetTenant(), unique))
 	}
 	shard, err := s.client.ShardOf(ctx, file.GetId())
 	if err != nil {
--- a/internal/sharding/sharding.go
+++ b/internal/sharding/sharding.go
@@ -5,6 +5,7 @@
 package sharding
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 
@@ -14,11 +15,12 @@
 // RootGroup is the group of the configuration.
 const RootGroup uint32 = 0
 
-// separator stands between the fields of an identifier.
-const separator = "_"
-
-// shardBase is the base of the shard number in an identifier.
-const shardBase = 36
+const (
+	// separator stands between the fields of an identifier.
+	separator = "-"
+	// identifierFields is the number of fields of an identifier.
+	identifierFields = 3
+)
 
 // ForKey returns the shard of a tenant's key, between 1 and shards. It returns
 // zero where there are no shards.
@@ -33,19 +35,20 @@
 	return uint32(digest.Sum64()%uint64(shards)) + 1
 }
 
-// Identifier builds "prefix_shard_unique".
-func Identifier(prefix string, shard uint32, unique string) string {
-	return prefix + separator + strconv.FormatUint(uint64(shard), shardBase) + separator + unique
+// Identifier builds "prefix-shard-number", the form that package ledger checks;
+// the number has 16 hexadecimal digits.
+func Identifier(prefix string, shard uint32, number uint64) string {
+	return fmt.Sprintf("%s%s%d%s%016x", prefix, separator, shard, separator, number)
 }
 
 // OfIdentifier returns the shard that an identifier carries, and whether it is
 // one of the shards that exist.
 func OfIdentifier(identifier string, shards uint32) (uint32, bool) {
-	fields := strings.SplitN(identifier, separator, 3)
-	if len(fields) != 3 {
+	fields := strings.SplitN(identifier, separator, identifierFields)
+	if len(fields) != identifierFields {
 		return 0, false
 	}
-	shard, err := strconv.ParseUint(fields[1], shardBase, 32)
+	shard, err := strconv.ParseUint(fields[1], 10, 32)
 	if err != nil {
 		return 0, false
 	}
