Add replicated segments for bodies

Cause: inputs and results need a place that survives lost disks without going through the consensus log.

--- /dev/null
+++ b/internal/segment/scrub.go
@@ -0,0 +1,147 @@
+package segment
+
+import (
+	"context"
+	"io"
+	"slices"
+
+	"github.com/apex/log"
+	"golang.org/x/time/rate"
+
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// openAgeSlack covers a commit that began just before its segment grew too old.
+const openAgeSlackMilliseconds = 60_000
+
+// Scrub verifies all segments of this disk, at the repair rate, and mends what is
+// damaged from peers.
+func (n *Node) Scrub(ctx context.Context) {
+	for _, held := range n.store.all() {
+		if ctx.Err() != nil {
+			return
+		}
+		n.scrubOne(ctx, held)
+	}
+}
+
+func (n *Node) scrubOne(ctx context.Context, held *localSegment) {
+	end := held.extent().durable
+	source := limitedReader{ctx: ctx, source: held.file, limiter: n.limiter}
+	spans, err := scan(source, 0, end)
+	if err != nil {
+		log.WithError(err).WithField("segment", segmentKey(held.header.segment)).Warn("cannot verify a segment")
+		return
+	}
+	damaged := damagedSpans(spans)
+	if len(damaged) == 0 {
+		return
+	}
+	for _, found := range damaged {
+		n.count(func(counted *statistics) { counted.damaged += uint64(found.end - found.start) })
+	}
+	log.WithField("segment", segmentKey(held.header.segment)).Warn("a segment is damaged; it is copied again from a peer")
+	held.setDamaged(damaged)
+	n.mend(ctx, held)
+}
+
+// limitedReader reads at a bounded rate.
+type limitedReader struct {
+	ctx     context.Context
+	source  io.ReaderAt
+	limiter *rate.Limiter
+}
+
+// ReadAt implements io.ReaderAt.
+func (l limitedReader) ReadAt(into []byte, position int64) (int, error) {
+	if err := l.limiter.WaitN(l.ctx, len(into)); err != nil {
+		return 0, err
+	}
+	return l.source.ReadAt(into, position)
+}
+
+// mend copies the damaged spans of a segment again; spans that no peer holds
+// intact are kept for the next round.
+func (n *Node) mend(ctx context.Context, held *localSegment) {
+	damaged := held.extent().damaged
+	if len(damaged) == 0 {
+		return
+	}
+	var left []span
+	for _, wanted := range damaged {
+		if !n.mendSpan(ctx, held, wanted) {
+			left = append(left, wanted)
+		}
+	}
+	held.setDamaged(left)
+}
+
+func (n *Node) mendSpan(ctx context.Context, held *localSegment, wanted span) bool {
+	for _, candidate := range n.likelyHolders(held.header.segment) {
+		answer, err := candidate.Service.Read(ctx, &rockwindpb.ReadSegmentRequest{
+			Segment: held.header.segment,
+			Offset:  uint64(wanted.start),
+			Length:  uint32(wanted.end - wanted.start),
+		})
+		if err != nil || int64(len(answer.GetData())) != wanted.end-wanted.start {
+			continue
+		}
+		if verifyWhole(answer.GetData(), wanted.start) != nil {
+			continue
+		}
+		if err := held.patch(wanted.start, answer.GetData()); err != nil {
+			log.WithError(err).Warn("cannot mend a segment")
+			return false
+		}
+		n.count(func(counted *statistics) { counted.repaired += uint64(len(answer.GetData())) })
+		return true
+	}
+	return false
+}
+
+// patch replaces damaged bytes and syncs.
+func (l *localSegment) patch(offset int64, data []byte) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.broken || offset+int64(len(data)) > l.length {
+		return diskFault(io.ErrShortWrite)
+	}
+	if _, err := l.file.WriteAt(data, offset); err != nil {
+		return diskFault(err)
+	}
+	if err := l.file.Sync(); err != nil {
+		return diskFault(err)
+	}
+	return nil
+}
+
+// Retain tells the node that no live reference was made before the given time,
+// in Unix milliseconds. Segments whose last append lies before it are removed,
+// on every machine by the same rule, because the creation time is part of the
+// segment.
+func (n *Node) Retain(horizonUnixMs int64) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.horizonUnixMs = max(n.horizonUnixMs, horizonUnixMs)
+}
+
+// expired tells whether a segment created at a time can hold no live reference.
+func (n *Node) expired(createdUnixMs int64) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	lastAppend := createdUnixMs + n.options.OpenAge.Milliseconds() + openAgeSlackMilliseconds
+	return lastAppend < n.horizonUnixMs
+}
+
+func (n *Node) removeExpired() {
+	expired := slices.DeleteFunc(n.store.all(), func(held *localSegment) bool {
+		return !held.extent().sealed || !n.expired(held.header.createdUnixMs)
+	})
+	for _, held := range expired {
+		if err := n.store.remove(held); err != nil {
+			log.WithError(err).Warn("cannot remove a segment")
+			continue
+		}
+		n.count(func(counted *statistics) { counted.removed++ })
+	}
+}
