Add the control daemon and the exchange of digests

Cause: gateways need the services of a control machine. Change: control.Run serves configuration, jobs, records, files, bodies, the exchange of digests and administration. The groups are held in memory until the replicated host is there.

--- /dev/null
+++ b/internal/control/configuration.go
@@ -0,0 +1,113 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"rockwind.example/rockwind/internal/catalog"
+	"rockwind.example/rockwind/internal/configuration"
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/sharding"
+)
+
+// configurationService answers once this machine replicates the root group.
+type configurationService struct{ daemon *daemon }
+
+// Apply implements rockwindpb.ConfigurationService.
+func (s configurationService) Apply(ctx context.Context, request *rockwindpb.ApplyConfigurationRequest) (*rockwindpb.ApplyConfigurationResponse, error) {
+	service, err := s.daemon.catalogService()
+	if err != nil {
+		return nil, fault.ToTwirp(err)
+	}
+	return service.Apply(ctx, request)
+}
+
+// Get implements rockwindpb.ConfigurationService.
+func (s configurationService) Get(ctx context.Context, request *rockwindpb.GetConfigurationRequest) (*rockwindpb.GetConfigurationResponse, error) {
+	service, err := s.daemon.catalogService()
+	if err != nil {
+		return nil, fault.ToTwirp(err)
+	}
+	return service.Get(ctx, request)
+}
+
+// Watch implements rockwindpb.ConfigurationService.
+func (s configurationService) Watch(ctx context.Context, request *rockwindpb.WatchConfigurationRequest) (*rockwindpb.WatchConfigurationResponse, error) {
+	service, err := s.daemon.catalogService()
+	if err != nil {
+		return nil, fault.ToTwirp(err)
+	}
+	ctx, cancel := s.daemon.whileServing(ctx)
+	defer cancel()
+	return service.Watch(ctx, request)
+}
+
+// catalogService returns the service over the root group.
+func (d *daemon) catalogService() (*catalog.Service, error) {
+	group, known := d.host.Group(sharding.RootGroup)
+	machine := d.machines.catalog()
+	if !known || machine == nil {
+		return nil, fault.New(fault.Unavailable, "this machine belongs to no cluster yet",
+			"found the cluster, or wait until the machine has joined it").WithRan(fault.NotRun)
+	}
+	return catalog.NewService(group, machine, time.Now), nil
+}
+
+// index returns the configuration as applied on this machine, and whether the
+// machine replicates the root group.
+func (d *daemon) index(ctx context.Context) (*configuration.Index, bool) {
+	view, known := d.catalogView(ctx)
+	if !known {
+		return nil, false
+	}
+	return view.Index(), true
+}
+
+func (d *daemon) catalogView(ctx context.Context) (*catalog.View, bool) {
+	group, known := d.host.Group(sharding.RootGroup)
+	machine := d.machines.catalog()
+	if !known || machine == nil {
+		return nil, false
+	}
+	var view *catalog.View
+	if err := group.ReadLocal(ctx, func() { view = machine.View() }); err != nil {
+		return nil, false
+	}
+	return view, true
+}
+
+// policy returns the policy in force, and whether a configuration was accepted.
+func (d *daemon) policy(ctx context.Context) (*rockwindpb.Policy, bool) {
+	index, known := d.index(ctx)
+	if !known || index.Number() == 0 {
+		return nil, false
+	}
+	return index.Policy(), true
+}
+
+// followRoot publishes each configuration that is applied on this machine, and
+// changes of the root group's leadership.
+func (d *daemon) followRoot(ctx context.Context) {
+	group, _ := d.host.Group(sharding.RootGroup)
+	number := uint64(0)
+	lastTerm, wasLeading := uint64(0), false
+	for ctx.Err() == nil {
+		applied := group.Applied()
+		if view, known := d.catalogView(ctx); known && view.Index().Number() > number {
+			number = view.Index().Number()
+			d.publishConfiguration(view.Acceptance())
+		}
+		if term, leading := group.Leading(); leading != wasLeading || term != lastTerm {
+			lastTerm, wasLeading = term, leading
+			d.publishLeadership(sharding.RootGroup, term, leading)
+		}
+		timer := time.NewTimer(keeperPause)
+		select {
+		case <-applied:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
--- /dev/null
+++ b/internal/control/daemon.go
@@ -0,0 +1,243 @@
+// Package control is the control daemon: it serves the replicated groups of its
+// machine (configuration and job shards), the store of bodies, and the exchange
+// of load digests among gateways.
+package control
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"rockwind.example/rockwind/internal/controlclient"
+	"rockwind.example/rockwind/internal/events"
+	"rockwind.example/rockwind/internal/logring"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/segment"
+	"rockwind.example/rockwind/internal/sharding"
+)
+
+// segmentFolder holds the bodies under the data folder.
+const segmentFolder = "segments"
+
+// Option changes how the daemon runs.
+type Option func(*daemon)
+
+// WithLogs lets the administration service hand out the entries of a log ring.
+func WithLogs(ring *logring.Ring) Option {
+	return func(d *daemon) { d.ring = ring }
+}
+
+// WithClient sets the HTTP client for calls to other control machines, and
+// whether they are reached by TLS.
+func WithClient(client *http.Client, secure bool) Option {
+	return func(d *daemon) { d.client, d.secure = client, secure }
+}
+
+// daemon is a running control machine.
+type daemon struct {
+	settings *rockwindpb.ControlSettings
+	address  string
+	ring     *logring.Ring
+	client   *http.Client
+	secure   bool
+
+	host     host
+	machines *machines
+	bodies   *segment.Node
+	exchange *fleetService
+	bus      *events.Bus
+	metrics  *metrics
+
+	draining   atomic.Bool
+	inProgress atomic.Int64
+	// stopping ends when calls that wait must return.
+	stopping    context.Context
+	stopWaiting context.CancelFunc
+
+	mutex  sync.Mutex
+	shards map[uint32]*shard
+}
+
+// Run serves until the context ends, and then stops as planned: it hands over
+// leadership, finishes the calls in progress and syncs.
+func Run(ctx context.Context, settings *rockwindpb.ControlSettings, options ...Option) error {
+	if err := os.MkdirAll(settings.GetDataFolder(), folderMode); err != nil {
+		return errors.Wrap(err, "create the data folder")
+	}
+	listener, err := listen(settings)
+	if err != nil {
+		return err
+	}
+	created, err := newDaemon(settings, listener, options)
+	if err != nil {
+		return errors.CombineErrors(err, listener.Close())
+	}
+	return created.run(ctx, listener)
+}
+
+func newDaemon(settings *rockwindpb.ControlSettings, listener net.Listener, options []Option) (*daemon, error) {
+	d := &daemon{
+		settings: settings,
+		address:  listener.Addr().String(),
+		machines: newMachines(),
+		shards:   make(map[uint32]*shard),
+	}
+	d.stopping, d.stopWaiting = context.WithCancel(context.Background())
+	for _, option := range options {
+		option(d)
+	}
+	if d.client == nil {
+		d.client = &http.Client{Transport: controlclient.NewTransport()}
+	}
+	var err error
+	if d.host, err = d.openHost(); err != nil {
+		return nil, err
+	}
+	if d.bodies, err = d.openBodies(); err != nil {
+		return nil, err
+	}
+	if d.bus, err = events.NewBus(); err != nil {
+		return nil, err
+	}
+	d.metrics = newMetrics(d.bodies)
+	d.exchange = newFleetService(d)
+	d.handleEvents()
+	return d, nil
+}
+
+func (d *daemon) openHost() (host, error) {
+	return newLocalHost(d.address, d.machines.create), nil
+}
+
+// openBodies opens the segments of this machine.
+func (d *daemon) openBodies() (*segment.Node, error) {
+	files, err := segment.NewFolder(filepath.Join(d.settings.GetDataFolder(), segmentFolder))
+	if err != nil {
+		return nil, err
+	}
+	return segment.Open(segment.Options{
+		Machine: d.settings.GetMachine(),
+		DiskID:  d.settings.GetMachine(),
+		Files:   files,
+		Peers:   d.segmentPeers(),
+	})
+}
+
+func (d *daemon) segmentPeers() []segment.Peer {
+	var peers []segment.Peer
+	for _, other := range d.others() {
+		peers = append(peers, segment.Peer{
+			Machine: other.GetMachine(),
+			Service: rockwindpb.NewSegmentServiceProtobufClient(d.baseURL(other), d.client),
+		})
+	}
+	return peers
+}
+
+// others returns the control machines but this one.
+func (d *daemon) others() []*rockwindpb.ControlMachine {
+	var result []*rockwindpb.ControlMachine
+	for _, machine := range d.settings.GetControl() {
+		if machine.GetMachine() != d.settings.GetMachine() {
+			result = append(result, machine)
+		}
+	}
+	return result
+}
+
+func (d *daemon) baseURL(machine *rockwindpb.ControlMachine) string {
+	if d.secure {
+		return "https://" + machine.GetAddress()
+	}
+	return "http://" + machine.GetAddress()
+}
+
+// run drives all parts. The server stops first, while the parts that it needs to
+// finish its calls still run.
+func (d *daemon) run(ctx context.Context, listener net.Listener) error {
+	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopParts()
+	group, parts := errgroup.WithContext(parts)
+	group.Go(func() error { return d.host.Run(parts) })
+	group.Go(func() error { return d.bodies.Run(parts) })
+	group.Go(func() error { return d.bus.Run(parts) })
+	group.Go(func() error { return d.exchange.run(parts) })
+	group.Go(func() error { return d.keepGroups(parts, group) })
+	group.Go(func() error {
+		defer stopParts()
+		serving, cancel := joined(ctx, parts)
+		defer cancel()
+		return d.serve(serving, listener)
+	})
+	log.WithField("address", d.address).Info("control machine serves")
+	err := group.Wait()
+	d.stopWaiting()
+	return errors.CombineErrors(err, d.bodies.Close())
+}
+
+// joined returns a context that ends with either of two.
+func joined(first, second context.Context) (context.Context, context.CancelFunc) {
+	both, cancel := context.WithCancel(first)
+	detach := context.AfterFunc(second, cancel)
+	return both, func() {
+		detach()
+		cancel()
+	}
+}
+
+// whileServing returns a context that also ends when the daemon stops, for calls
+// that wait.
+func (d *daemon) whileServing(ctx context.Context) (context.Context, context.CancelFunc) {
+	return joined(ctx, d.stopping)
+}
+
+// groupPause is the time between looks for a group whose state machine was made.
+const groupPause = 10 * time.Millisecond
+
+// keepGroups starts a keeper for each group as it appears.
+func (d *daemon) keepGroups(ctx context.Context, parts *errgroup.Group) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case number := <-d.machines.created:
+			parts.Go(func() error {
+				d.keepGroup(ctx, number)
+				return nil
+			})
+		}
+	}
+}
+
+func (d *daemon) keepGroup(ctx context.Context, number uint32) {
+	group, known := d.host.Group(number)
+	for !known {
+		if !wait(ctx, groupPause) {
+			return
+		}
+		group, known = d.host.Group(number)
+	}
+	if number == sharding.RootGroup {
+		d.followRoot(ctx)
+		return
+	}
+	started := &shard{number: number, group: group, ledger: d.machines.ledger(number), work: newWorkBoard()}
+	d.mutex.Lock()
+	d.shards[number] = started
+	d.mutex.Unlock()
+	keeper := &keeper{daemon: d, shard: started}
+	keeper.run(ctx)
+}
+
+func (d *daemon) noteStop(err error) {
+	log.WithError(err).Warn("cannot hand over all leadership")
+}
--- /dev/null
+++ b/internal/control/records.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"context"
+
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/ledger"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/sharding"
+)
+
+// recordService implements rockwindpb.RecordService over the shards.
+type recordService struct{ daemon *daemon }
+
+// Begin implements rockwindpb.RecordService.
+func (s recordService) Begin(ctx context.Context, request *rockwindpb.BeginRequestRequest) (*rockwindpb.BeginRequestResponse, error) {
+	owner, err := s.owner(ctx, request.GetTenant(), request.GetKey())
+	if err != nil {
+		return nil, fault.ToTwirp(err)
+	}
+	response, err := propose[rockwindpb.BeginRequestResponse](ctx, owner,
+		&rockwindpb.JobCommand{Command: &rockwindpb.JobCommand_BeginRequest{BeginRequest: request}})
+	return response, fault.ToTwirp(err)
+}
+
+// Finish implements rockwindpb.RecordService.
+func (s recordService) Finish(ctx context.Context, request *rockwindpb.FinishRequestRequest) (*rockwindpb.FinishRequestResponse, error) {
+	owner, err := s.owner(ctx, request.GetTenant(), request.GetKey())
+	if err != nil {
+		return nil, fault.ToTwirp(err)
+	}
+	response, err := propose[rockwindpb.FinishRequestResponse](ctx, owner,
+		&rockwindpb.JobCommand{Command: &rockwindpb.JobCommand_FinishRequest{FinishRequest: request}})
+	return response, fault.ToTwirp(err)
+}
+
+// owner returns the shard of a key. The number of shards is that of the groups
+// of the cluster and never changes.
+func (s recordService) owner(ctx context.Context, tenant, key string) (*shard, error) {
+	if tenant == "" || key == "" {
+		return nil, fault.New(fault.InvalidArgument, "an idempotency record needs a tenant and a key", "name both")
+	}
+	identity, err := s.daemon.host.Service().Identity(ctx, &rockwindpb.IdentityRequest{})
+	if err != nil {
+		return nil, err
+	}
+	shards := uint32(0)
+	for _, group := range identity.GetGroups() {
+		shards = max(shards, group.GetGroup())
+	}
+	return s.daemon.shard(sharding.ForKey(tenant, key, shards))
+}
+
+// fileService implements rockwindpb.FileService over the shards.
+type fileService struct{ daemon *daemon }
+
+// Put implements rockwindpb.FileService.
+func (s fileService) Put(ctx context.Context, request *rockwindpb.PutFileRequest) (*rockwindpb.PutFileResponse, error) {
+	owner, err := s.daemon.shardOfFile(request.GetFile().GetId())
+	if err != nil {
+		return nil, fault.ToTwirp(err)
+	}
+	response, err := propose[rockwindpb.PutFileResponse](ctx, owner,
+		&rockwindpb.JobCommand{Command: &rockwindpb.JobCommand_PutFile{PutFile: request}})
+	return response, fault.ToTwirp(err)
+}
+
+// Get implements rockwindpb.FileService.
+func (s fileService) Get(ctx context.Context, request *rockwindpb.GetFileRequest) (*rockwindpb.GetFileResponse, error) {
+	owner, err := s.daemon.shardOfFile(request.GetId())
+	if err != nil {
+		return nil, fault.ToTwirp(err)
+	}
+	response, err := view(ctx, owner, func(state *ledger.Ledger) (*rockwindpb.GetFileResponse, error) {
+		return state.GetFile(request)
+	})
+	return response, fault.ToTwirp(err)
+}
--- /dev/null
+++ b/internal/control/server.go
@@ -0,0 +1,115 @@
+package control
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/twitchtv/twirp"
+
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+const (
+	// addressFile holds the bound address, for tests and tools.
+	addressFile = "address"
+	// readHeaderTimeout bounds how long a caller may take to send its headers.
+	readHeaderTimeout = 5 * time.Second
+	// stopTimeout bounds a planned stop.
+	stopTimeout = 15 * time.Second
+	folderMode  = 0o750
+	fileMode    = 0o640
+)
+
+// handler mounts the services.
+func (d *daemon) handler() http.Handler {
+	router := chi.NewRouter()
+	router.Use(d.countInProgress)
+	hooks := twirp.WithServerHooks(d.metrics.hooks())
+	for _, server := range []rockwindpb.TwirpServer{
+		rockwindpb.NewReplicaServiceServer(d.host.Service(), hooks),
+		rockwindpb.NewConfigurationServiceServer(configurationService{daemon: d}, hooks),
+		rockwindpb.NewJobServiceServer(jobService{daemon: d}, hooks),
+		rockwindpb.NewRecordServiceServer(recordService{daemon: d}, hooks),
+		rockwindpb.NewFileServiceServer(fileService{daemon: d}, hooks),
+		rockwindpb.NewBodyServiceServer(d.bodies.Bodies(), hooks),
+		rockwindpb.NewSegmentServiceServer(d.bodies.Segments(), hooks),
+		rockwindpb.NewFleetServiceServer(d.exchange, hooks),
+		rockwindpb.NewAdminServiceServer(adminService{daemon: d, ring: d.ring}, hooks),
+	} {
+		router.Mount(server.PathPrefix(), server)
+	}
+	router.Get("/healthz", func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusOK) })
+	router.Get("/readyz", d.ready)
+	router.Method(http.MethodGet, "/metrics", promhttp.HandlerFor(d.metrics.registry, promhttp.HandlerOpts{}))
+	return router
+}
+
+// ready answers 200 once the machine replicates its groups and is not leaving.
+func (d *daemon) ready(writer http.ResponseWriter, _ *http.Request) {
+	if d.draining.Load() || d.machines.catalog() == nil {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	writer.WriteHeader(http.StatusOK)
+}
+
+func (d *daemon) countInProgress(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		d.inProgress.Add(1)
+		defer d.inProgress.Add(-1)
+		next.ServeHTTP(writer, request)
+	})
+}
+
+// listen binds the address of the settings and writes down which one it got.
+func listen(settings *rockwindpb.ControlSettings) (net.Listener, error) {
+	listener, err := net.Listen("tcp", settings.GetListen())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	path := filepath.Join(settings.GetDataFolder(), addressFile)
+	if err := replaceFile(path, []byte(listener.Addr().String())); err != nil {
+		return nil, errors.CombineErrors(err, listener.Close())
+	}
+	return listener, nil
+}
+
+// replaceFile writes a file such that a reader sees the old or the new content.
+func replaceFile(path string, content []byte) error {
+	temporary := path + ".new"
+	if err := os.WriteFile(temporary, content, fileMode); err != nil {
+		return errors.Wrap(err, "write the address file")
+	}
+	return errors.Wrap(os.Rename(temporary, path), "write the address file")
+}
+
+// serve answers calls until the context ends. Then it hands over leadership,
+// ends the calls that wait for news or work, and finishes the others.
+func (d *daemon) serve(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{
+		Handler:           d.handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	d.draining.Store(true)
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancel()
+	if err := d.host.Drain(stopping); err != nil {
+		d.noteStop(err)
+	}
+	d.stopWaiting()
+	return errors.Wrap(server.Shutdown(stopping), "stop the server")
+}
