--- /dev/null
+++ b/internal/command/diff.go
@@ -0,0 +1,67 @@
+package command
+
+import (
+	"rockwind.example/rockwind/internal/configuration"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// diffCommand is 'rockwind diff'.
+type diffCommand struct {
+	File string `short:"f" required:"" placeholder:"FILE" help:"Configuration file in YAML; '-' reads the input."`
+}
+
+// Help implements kong.HelpProvider.
+func (*diffCommand) Help() string {
+	return `Compares the file with the configuration in force. Nothing is changed; the number of the file is not compared.`
+}
+
+// Run prints what the file would change.
+func (d *diffCommand) Run(s *session) error {
+	parsed, err := s.readConfiguration(d.File)
+	if err != nil {
+		return err
+	}
+	after, err := configuration.NewIndex(parsed)
+	if err != nil {
+		return err
+	}
+	before, _, err := s.inForce()
+	if err != nil {
+		return err
+	}
+	differences := configuration.Diff(before, after)
+	if len(differences) == 0 && !s.printer.json {
+		return s.printer.line(nil, "no difference from configuration %d", before.Number())
+	}
+	return s.printer.print(differences, differenceTable(differences))
+}
+
+func differenceTable(differences []configuration.Difference) *table {
+	people := &table{header: []string{"DIFFERENCE", "OBJECT", "NAME", "FIELD"}}
+	for _, difference := range differences {
+		kind := string(difference.Kind)
+		if len(difference.Fields) == 0 {
+			people.add(kind, difference.Object, difference.Name, "")
+		}
+		for _, changed := range difference.Fields {
+			people.add(kind, difference.Object, difference.Name, changed.String())
+		}
+	}
+	return people
+}
+
+// inForce returns the configuration in force and its acceptance.
+func (s *session) inForce() (*configuration.Index, *rockwindpb.Acceptance, error) {
+	client, err := s.client()
+	if err != nil {
+		return nil, nil, err
+	}
+	ctx, cancel := s.bounded()
+	defer cancel()
+	response, err := client.Configuration().Get(ctx, &rockwindpb.GetConfigurationRequest{})
+	if err != nil {
+		return nil, nil, err
+	}
+	index, err := configuration.NewIndex(response.GetConfiguration())
+	return index, response.GetAcceptance(), err
+}
--- /dev/null
+++ b/internal/command/jobs_gateway.go
@@ -0,0 +1,246 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"rockwind.example/rockwind/internal/fault"
+)
+
+// Names that the gateway's batch interface understands besides the published
+// ones.
+const (
+	idempotencyHeader = "Idempotency-Key"
+	classMetadata     = "batch_class"
+)
+
+// maximumRequestBytes bounds the size of a file of requests.
+const maximumRequestBytes = 512 << 20
+
+// gatewayJobs looks at jobs through a gateway, as a tenant.
+type gatewayJobs struct {
+	client openai.Client
+}
+
+func newGatewayJobs(s *session, gateway, apiKey string) (*gatewayJobs, error) {
+	if err := needKey(apiKey); err != nil {
+		return nil, err
+	}
+	carrier, err := s.connection.httpClient()
+	if err != nil {
+		return nil, err
+	}
+	base := strings.TrimSuffix(gateway, "/") + "/v1/"
+	client := openai.NewClient(option.WithBaseURL(base), option.WithAPIKey(apiKey), option.WithHTTPClient(carrier))
+	return &gatewayJobs{client: client}, nil
+}
+
+// readRequests reads the file of a job.
+func (s *session) readRequests(name string) ([]byte, error) {
+	input := s.stdin
+	if name != standardInput {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, fault.Newf(fault.InvalidArgument, "check the path", "the file cannot be read: %v", err)
+		}
+		defer file.Close()
+		input = file
+	}
+	data, err := io.ReadAll(io.LimitReader(input, maximumRequestBytes+1))
+	if err != nil {
+		return nil, fault.Newf(fault.InvalidArgument, "check the path", "the file cannot be read: %v", err)
+	}
+	if len(data) > maximumRequestBytes {
+		return nil, fault.Newf(fault.InvalidArgument, "split it into several jobs", "the file has more than %d bytes", maximumRequestBytes)
+	}
+	return data, nil
+}
+
+// submit uploads the file and starts the job under a key, so that a repeated
+// submission gives the same job.
+func (g *gatewayJobs) submit(ctx context.Context, wanted *jobsSubmit, data []byte) (job, error) {
+	file, err := g.client.Files.New(ctx, openai.FileNewParams{
+		File:    openai.File(bytes.NewReader(data), "requests.jsonl", "application/jsonl"),
+		Purpose: openai.FilePurposeBatch,
+	})
+	if err != nil {
+		return job{}, fromGateway(err)
+	}
+	metadata := make(map[string]string, len(wanted.Metadata)+1)
+	for name, value := range wanted.Metadata {
+		metadata[name] = value
+	}
+	if wanted.Class != "" {
+		metadata[classMetadata] = wanted.Class
+	}
+	batch, err := g.client.Batches.New(ctx, openai.BatchNewParams{
+		InputFileID:      file.ID,
+		Endpoint:         openai.BatchNewParamsEndpoint(wanted.Endpoint),
+		CompletionWindow: openai.BatchNewParamsCompletionWindow24h,
+		Metadata:         metadata,
+	}, option.WithHeader(idempotencyHeader, wanted.clientKey(data)))
+	if err != nil {
+		return job{}, fromGateway(err)
+	}
+	return fromBatch(batch), nil
+}
+
+// clientKey is the key that the caller gave, or one that names the content.
+func (j *jobsSubmit) clientKey(data []byte) string {
+	if j.Key != "" {
+		return j.Key
+	}
+	hasher := sha256.New()
+	for _, part := range []string{j.Class, j.Endpoint} {
+		hasher.Write([]byte(part))
+		hasher.Write([]byte{0})
+	}
+	hasher.Write(data)
+	return hex.EncodeToString(hasher.Sum(nil))
+}
+
+func (g *gatewayJobs) list(ctx context.Context, after string, limit int) ([]job, error) {
+	parameters := openai.BatchListParams{Limit: openai.Int(int64(limit))}
+	if after != "" {
+		parameters.After = openai.String(after)
+	}
+	page, err := g.client.Batches.List(ctx, parameters)
+	if err != nil {
+		return nil, fromGateway(err)
+	}
+	jobs := make([]job, 0, len(page.Data))
+	for i := range page.Data {
+		jobs = append(jobs, fromBatch(&page.Data[i]))
+	}
+	return jobs, nil
+}
+
+func (g *gatewayJobs) show(ctx context.Context, id string) (job, error) {
+	batch, err := g.client.Batches.Get(ctx, id)
+	if err != nil {
+		return job{}, fromGateway(err)
+	}
+	return fromBatch(batch), nil
+}
+
+func (g *gatewayJobs) cancel(ctx context.Context, id string) (job, error) {
+	batch, err := g.client.Batches.Cancel(ctx, id)
+	if err != nil {
+		return job{}, fromGateway(err)
+	}
+	return fromBatch(batch), nil
+}
+
+// results copies the output file of the job.
+func (g *gatewayJobs) results(ctx context.Context, id string, output io.Writer, progress *progress) error {
+	shown, err := g.show(ctx, id)
+	if err != nil {
+		return err
+	}
+	if shown.resultFileID == "" {
+		progress.note("the job is %s and has no results yet (%d of %d items)", shown.State, shown.Completed, shown.Items)
+		return nil
+	}
+	response, err := g.client.Files.Content(ctx, shown.resultFileID)
+	if err != nil {
+		return fromGateway(err)
+	}
+	defer response.Body.Close()
+	counter := &lineCounter{output: output, progress: progress, total: uint32(shown.Items)}
+	if _, err := io.Copy(counter, response.Body); err != nil {
+		return fault.Newf(fault.Unavailable, "repeat the command", "the results ended early after %d items: %v", counter.lines, err)
+	}
+	return nil
+}
+
+// lineCounter passes text on and reports progress by its lines.
+type lineCounter struct {
+	output   io.Writer
+	progress *progress
+	lines    uint32
+	total    uint32
+}
+
+// Write implements io.Writer.
+func (l *lineCounter) Write(data []byte) (int, error) {
+	l.lines += uint32(bytes.Count(data, []byte{'\n'}))
+	l.progress.report(l.lines, l.total)
+	return l.output.Write(data)
+}
+
+func fromBatch(batch *openai.Batch) job {
+	return job{
+		ID:           batch.ID,
+		Class:        batch.Metadata[classMetadata],
+		Model:        batch.Model,
+		State:        string(batch.Status),
+		Items:        batch.RequestCounts.Total,
+		Completed:    batch.RequestCounts.Completed,
+		Failed:       batch.RequestCounts.Failed,
+		AcceptedMs:   milliseconds(batch.CreatedAt),
+		DeadlineMs:   milliseconds(batch.ExpiresAt),
+		EndedMs:      milliseconds(max(batch.CompletedAt, batch.CancelledAt, batch.FailedAt, batch.ExpiredAt)),
+		InputFile:    batch.InputFileID,
+		resultFileID: batch.OutputFileID,
+	}
+}
+
+func milliseconds(unixSeconds int64) int64 {
+	return unixSeconds * time.Second.Milliseconds()
+}
+
+// gatewayError is the body of a gateway's refusal.
+type gatewayError struct {
+	Error fault.Fault `json:"error"`
+}
+
+// fromGateway restores the fault of a gateway's refusal.
+func fromGateway(err error) error {
+	var refused *openai.Error
+	if !errors.As(err, &refused) {
+		return fault.Newf(fault.Unavailable, "check --gateway and that the gateway runs, then repeat the command", "the gateway did not answer: %v", err)
+	}
+	body, readErr := io.ReadAll(io.LimitReader(refused.Response.Body, maximumErrorBytes))
+	decoded := &gatewayError{}
+	if readErr == nil && json.Unmarshal(body, decoded) == nil && decoded.Error.Kind != "" {
+		return &decoded.Error
+	}
+	return fault.Newf(kindOfStatus(refused.StatusCode), "look at the gateway's log with 'rockwind logs'", "the gateway answered with status %d: %s", refused.StatusCode, refused.Message)
+}
+
+const maximumErrorBytes = 64 << 10
+
+func kindOfStatus(status int) fault.Kind {
+	switch {
+	case status == http.StatusUnauthorized:
+		return fault.Unauthenticated
+	case status == http.StatusNotFound:
+		return fault.NotFound
+	case status == http.StatusConflict:
+		return fault.Conflict
+	case status == http.StatusTooManyRequests:
+		return fault.LimitReached
+	case status < http.StatusInternalServerError:
+		return fault.InvalidArgument
+	case status == http.StatusServiceUnavailable, status == http.StatusBadGateway:
+		return fault.Unavailable
+	default:
+		return fault.Internal
+	}
+}
+
+func missingBodies(got, wanted int) error {
+	return fault.Newf(fault.Corrupt, "repeat the command; if it repeats, look at the control machines' logs", "control returned %d of %d results", got, wanted)
+}
