--- /dev/null
+++ b/internal/bench/report/report_test.go
@@ -0,0 +1,68 @@
+package report
+
+import (
+	"image/png"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"rockwind.example/rockwind/internal/bench/load"
+)
+
+func TestChartsAndPageAreWritten(t *testing.T) {
+	folder := t.TempDir()
+	histogram := load.NewHistogram()
+	for milliseconds := range 100 {
+		histogram.Record(time.Duration(milliseconds+1) * time.Millisecond)
+	}
+	series := Distribution("latency", histogram)
+	last := series.Points[len(series.Points)-1]
+	if last.Y < 0.999 || last.X < 99 || last.X > 101 {
+		t.Fatalf("the distribution ends at %+v", last)
+	}
+	constant := Series{Name: "constant", Points: []Point{{X: 1, Y: 5}, {X: 1, Y: 5}}}
+	for name, write := range map[string]func(string) error{
+		"cdf.png":     func(file string) error { return CDF(file, "latency", series) },
+		"lines.png":   func(file string) error { return Lines(file, Chart{Title: "share", Series: []Series{constant}}) },
+		"scatter.png": func(file string) error { return Scatter(file, Chart{LogX: true, Series: []Series{series, constant}}) },
+	} {
+		file := filepath.Join(folder, name)
+		if err := write(file); err != nil {
+			t.Fatal(name, err)
+		}
+		checkImage(t, file)
+	}
+	section := Section{Heading: "Overhead <1>", Table: Table{Header: []string{"a"}, Rows: [][]string{{"1"}}}, Charts: []string{"cdf.png"}}
+	if err := WriteHTML(folder, "Report", []Section{section}); err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile(filepath.Join(folder, pageFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, wanted := range []string{"Overhead &lt;1&gt;", `<img src="cdf.png"`, "<td>1</td>"} {
+		if !strings.Contains(string(page), wanted) {
+			t.Fatalf("the page lacks %s", wanted)
+		}
+	}
+}
+
+func TestEmptyChartIsAnError(t *testing.T) {
+	if err := CDF(filepath.Join(t.TempDir(), "x.png"), "nothing"); err == nil {
+		t.Fatal("a chart without points was written")
+	}
+}
+
+func checkImage(t *testing.T, file string) {
+	t.Helper()
+	data, err := os.Open(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer data.Close()
+	if _, err := png.Decode(data); err != nil {
+		t.Fatal(file, err)
+	}
+}
