Add tenant limits that are spent by local allowances

Limits summed over all gateways must not cost a round trip a request. internal/limits spends the allowance that the exchange gives and reports use.

--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,245 @@
+// Package limits holds tenants to their limits of requests per second,
+// concurrency and tokens per second without a round trip: each gateway spends
+// its own allowance of every limit. The control machines set the allowances at
+// each exchange, from the use that all gateways report. The package has no
+// clock of its own: time is an argument.
+package limits
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// Bounds of the limiter.
+const (
+	// burst is how many seconds of an allowance may be used at once.
+	burst = 1.0
+	// minimumRetryAfter is the least advice to callers.
+	minimumRetryAfter = 50 * time.Millisecond
+	// maximumRetryAfter is the greatest advice to callers.
+	maximumRetryAfter = 30 * time.Second
+	// concurrencyRetryAfter is the advice while a tenant's concurrency is used up.
+	concurrencyRetryAfter = 250 * time.Millisecond
+	// allowanceLife is how long an allowance holds without a newer one. Then the
+	// equal part of the limit holds again.
+	allowanceLife = 30 * time.Second
+	// idleLife is after how long without requests a tenant is forgotten.
+	idleLife = time.Minute
+	// maximumParts bounds the number of gateways that a limit is divided by.
+	maximumParts = 4096
+)
+
+// Limiter holds the tenants of one gateway to their allowances. It is safe for
+// concurrent use.
+type Limiter struct {
+	mutex   sync.Mutex
+	parts   int
+	tenants map[string]*tenant
+}
+
+// tenant is what is known of one tenant with limits.
+type tenant struct {
+	limits      *rockwindpb.Limits
+	allowance   *rockwindpb.TenantAllowance
+	allowedAt   time.Time
+	requests    bucket
+	tokens      bucket
+	running     uint32
+	lastRequest time.Time
+	used        use
+}
+
+// use counts what was used since the last report.
+type use struct {
+	requests float64
+	tokens   float64
+	peak     uint32
+}
+
+// bucket is a token bucket; its level may go below zero when the cost is known
+// only afterwards.
+type bucket struct {
+	level  float64
+	filled time.Time
+}
+
+// refill adds what the time since the last call earned.
+func (b *bucket) refill(rate float64, now time.Time) {
+	capacity := max(rate*burst, 1)
+	if b.filled.IsZero() {
+		b.level = capacity
+	} else if elapsed := now.Sub(b.filled).Seconds(); elapsed > 0 {
+		b.level = min(b.level+rate*elapsed, capacity)
+	}
+	b.filled = now
+}
+
+// wait is the time until the level reaches need.
+func (b *bucket) wait(rate, need float64) time.Duration {
+	if rate <= 0 {
+		return maximumRetryAfter
+	}
+	seconds := (need - b.level) / rate
+	return time.Duration(math.Ceil(seconds*1000)) * time.Millisecond
+}
+
+// New returns a limiter without tenants.
+func New() *Limiter {
+	return &Limiter{parts: 1, tenants: make(map[string]*tenant)}
+}
+
+// SetGateways tells how many gateways share the limits of tenants for which no
+// allowance is known yet.
+func (l *Limiter) SetGateways(count int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.parts = min(max(count, 1), maximumParts)
+}
+
+// Grant is the permission of one request. Done must be called once.
+type Grant struct {
+	limiter *Limiter
+	tenant  *tenant
+}
+
+// unlimited tells whether nothing is limited.
+func unlimited(limits *rockwindpb.Limits) bool {
+	return limits.GetRequestsPerSecond() <= 0 && limits.GetConcurrency() == 0 && limits.GetTokensPerSecond() <= 0
+}
+
+// Admit takes one request out of the tenant's allowance. It fails with
+// fault.LimitReached, not run, and the time to come back.
+func (l *Limiter) Admit(name string, limits *rockwindpb.Limits, now time.Time) (*Grant, error) {
+	if unlimited(limits) {
+		return &Grant{}, nil
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	found := l.tenants[name]
+	if found == nil {
+		found = &tenant{}
+		l.tenants[name] = found
+	}
+	found.limits = limits
+	found.lastRequest = now
+	// Demand is reported also when it is refused, so that the control machines
+	// can move allowances to where the requests are.
+	found.used.requests++
+	if err := found.admit(l.parts, now); err != nil {
+		return nil, err
+	}
+	found.running++
+	found.used.peak = max(found.used.peak, found.running)
+	return &Grant{limiter: l, tenant: found}, nil
+}
+
+func (t *tenant) admit(parts int, now time.Time) error {
+	allowed := t.allowed(parts, now)
+	if t.limits.GetConcurrency() > 0 && t.running >= allowed.concurrency {
+		return reached("concurrency", concurrencyRetryAfter)
+	}
+	if t.limits.GetTokensPerSecond() > 0 {
+		t.tokens.refill(allowed.tokens, now)
+		if t.tokens.level <= 0 {
+			return reached("tokens_per_second", t.tokens.wait(allowed.tokens, 1))
+		}
+	}
+	if t.limits.GetRequestsPerSecond() > 0 {
+		t.requests.refill(allowed.requests, now)
+		if t.requests.level < 1 {
+			return reached("requests_per_second", t.requests.wait(allowed.requests, 1))
+		}
+		t.requests.level--
+	}
+	return nil
+}
+
+func reached(limit string, after time.Duration) error {
+	after = min(max(after, minimumRetryAfter), maximumRetryAfter)
+	return fault.Newf(fault.LimitReached, "send the request again after the time in Retry-After, or ask for a higher limit",
+		"the tenant's limit %s is used up", limit).WithRan(fault.NotRun).WithRetryAfter(after)
+}
+
+// allowed is the part of the limits that this gateway may use.
+type allowed struct {
+	requests    float64
+	tokens      float64
+	concurrency uint32
+}
+
+func (t *tenant) allowed(parts int, now time.Time) allowed {
+	if t.allowance != nil && now.Sub(t.allowedAt) < allowanceLife {
+		return allowed{
+			requests:    min(t.allowance.GetRequestsPerSecond(), t.limits.GetRequestsPerSecond()),
+			tokens:      min(t.allowance.GetTokensPerSecond(), t.limits.GetTokensPerSecond()),
+			concurrency: min(t.allowance.GetConcurrency(), t.limits.GetConcurrency()),
+		}
+	}
+	return allowed{
+		requests:    t.limits.GetRequestsPerSecond() / float64(parts),
+		tokens:      t.limits.GetTokensPerSecond() / float64(parts),
+		concurrency: max(1, t.limits.GetConcurrency()/uint32(parts)),
+	}
+}
+
+// Done ends the request and charges the tokens that it used.
+func (g *Grant) Done(tokens float64) {
+	if g.tenant == nil {
+		return
+	}
+	g.limiter.mutex.Lock()
+	defer g.limiter.mutex.Unlock()
+	g.tenant.running--
+	g.tenant.tokens.level -= tokens
+	g.tenant.used.tokens += tokens
+}
+
+// Allow puts newer allowances in force.
+func (l *Limiter) Allow(allowances []*rockwindpb.TenantAllowance, now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, allowance := range allowances {
+		if found := l.tenants[allowance.GetTenant()]; found != nil {
+			found.allowance = allowance
+			found.allowedAt = now
+		}
+	}
+}
+
+// Usage returns what the tenants used since the last call, and forgets tenants
+// that have been idle for long.
+func (l *Limiter) Usage(now time.Time) []*rockwindpb.TenantUsage {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var usage []*rockwindpb.TenantUsage
+	for name, found := range l.tenants {
+		if found.used != (use{}) || found.running > 0 {
+			usage = append(usage, &rockwindpb.TenantUsage{
+				Tenant: name, Requests: found.used.requests, Tokens: found.used.tokens,
+				Concurrency: max(found.used.peak, found.running),
+			})
+		}
+		found.used = use{}
+		if found.running == 0 && now.Sub(found.lastRequest) > idleLife {
+			delete(l.tenants, name)
+		}
+	}
+	return usage
+}
+
+// Restore gives back a usage report that was not delivered.
+func (l *Limiter) Restore(usage []*rockwindpb.TenantUsage) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, report := range usage {
+		if found := l.tenants[report.GetTenant()]; found != nil {
+			found.used.requests += report.GetRequests()
+			found.used.tokens += report.GetTokens()
+			found.used.peak = max(found.used.peak, report.GetConcurrency())
+		}
+	}
+}
