--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"rockwind.example/rockwind/internal/upstream"
+)
+
+// metrics are the gateway's counters under the names that
+// docs/operations/gateway.md lists.
+type metrics struct {
+	registry   *prometheus.Registry
+	requests   *prometheus.CounterVec
+	refused    *prometheus.CounterVec
+	attempts   prometheus.Counter
+	resumes    prometheus.Counter
+	tokens     prometheus.Counter
+	firstByte  *prometheus.HistogramVec
+	duration   *prometheus.HistogramVec
+	inProgress prometheus.Gauge
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rockwind_gateway_requests_total", Help: "Online requests by kind and result.",
+		}, []string{"kind", "result"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rockwind_gateway_refused_total", Help: "Online requests refused as not run, by reason.",
+		}, []string{"reason"}),
+		attempts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "rockwind_gateway_attempts_total", Help: "Attempts at back ends for online requests.",
+		}),
+		resumes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "rockwind_gateway_resumes_total", Help: "Broken streams that were taken up again.",
+		}),
+		tokens: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "rockwind_gateway_tokens_total", Help: "Tokens relayed to callers.",
+		}),
+		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "rockwind_gateway_first_byte_seconds", Help: "Time to the first byte of the answer.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
+		}, []string{"kind"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "rockwind_gateway_request_seconds", Help: "Time to the end of the answer.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 20),
+		}, []string{"kind"}),
+		inProgress: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "rockwind_gateway_requests_in_progress", Help: "Callers' requests in progress.",
+		}),
+	}
+	m.registry.MustRegister(m.requests, m.refused, m.attempts, m.resumes, m.tokens, m.firstByte, m.duration,
+		m.inProgress, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+// observe counts a request that ended.
+func (g *Gateway) observe(request *upstream.Request, result upstream.Result, started time.Time) {
+	kind := "engine"
+	if request.Kind == upstream.Service {
+		kind = "service"
+	}
+	outcome := "whole"
+	switch {
+	case result.CallerLeft:
+		outcome = "caller_left"
+	case result.Fault != nil:
+		outcome = string(result.Fault.Kind)
+	case !result.Whole:
+		outcome = "refused"
+	}
+	m := g.metrics
+	m.requests.WithLabelValues(kind, outcome).Inc()
+	m.attempts.Add(float64(result.Attempts))
+	m.resumes.Add(float64(result.Resumes))
+	m.tokens.Add(float64(result.Tokens))
+	if result.Begun {
+		m.firstByte.WithLabelValues(kind).Observe(result.FirstByte.Seconds())
+		m.duration.WithLabelValues(kind).Observe(time.Since(started).Seconds())
+	}
+}
--- a/internal/serverview/choose.go
+++ b/internal/serverview/choose.go
@@ -19,8 +19,16 @@
 	Service string
 	// PromptTokens estimates the length of the prompt.
 	PromptTokens int
-	// Prefix is the hash of the prompt's first blocks, zero for none.
-	Prefix uint64
+	// Prefixes are hashes of prefixes of the prompt, longest first.
+	Prefixes []Prefix
+}
+
+// Prefix is a prefix of a prompt that a server may have cached.
+type Prefix struct {
+	// Hash is the chain hash of the prefix's last block.
+	Hash uint64
+	// Tokens is the length of the prefix.
+	Tokens int
 }
 
 // Choice is a back end chosen for one attempt. The request counts as sent to it
@@ -55,8 +63,8 @@
 	e := v.entries[decision.Server]
 	v.routing.Sent(decision.Server, wanted.PromptTokens, false)
 	e.history.sent.add(now)
-	if wanted.Prefix != 0 {
-		v.hints.remember(wanted.Prefix, e.name, wanted.PromptTokens)
+	for _, prefix := range wanted.Prefixes {
+		v.hints.remember(prefix.Hash, e.name)
 	}
 	return Choice{
 		Target:  upstream.Target{Name: e.name, Address: e.address},
@@ -116,23 +124,22 @@
 			return routing.Request{}, false
 		}
 	}
-	if wanted.Prefix != 0 {
-		request.Hints = v.hintsFor(wanted)
-	}
+	request.Hints = v.hintsFor(wanted)
 	return request, true
 }
 
-// hintsFor lists the servers that probably cache the prompt's prefix.
+// hintsFor names the server that probably caches the longest prefix.
 func (v *View) hintsFor(wanted Wanted) []routing.Hint {
-	name, tokens, ok := v.hints.find(wanted.Prefix)
-	if !ok {
-		return nil
-	}
-	e := v.byName[name]
-	if e == nil {
-		return nil
+	for _, prefix := range wanted.Prefixes {
+		name, ok := v.hints.find(prefix.Hash)
+		if !ok {
+			continue
+		}
+		if e := v.byName[name]; e != nil {
+			return []routing.Hint{{Server: int32(e.index), CachedTokens: int32(prefix.Tokens)}}
+		}
 	}
-	return []routing.Hint{{Server: int32(e.index), CachedTokens: int32(min(tokens, wanted.PromptTokens))}}
+	return nil
 }
 
 // FirstToken tells that the prompt of a request was processed.
--- a/internal/serverview/hints.go
+++ b/internal/serverview/hints.go
@@ -16,20 +16,19 @@
 type hint struct {
 	prefix uint64
 	server string
-	tokens int
 }
 
 func newHintTable() *hintTable {
 	return &hintTable{order: list.New(), byKey: make(map[uint64]*list.Element)}
 }
 
-func (t *hintTable) remember(prefix uint64, server string, tokens int) {
+func (t *hintTable) remember(prefix uint64, server string) {
 	if element := t.byKey[prefix]; element != nil {
-		*element.Value.(*hint) = hint{prefix: prefix, server: server, tokens: tokens}
+		*element.Value.(*hint) = hint{prefix: prefix, server: server}
 		t.order.MoveToFront(element)
 		return
 	}
-	t.byKey[prefix] = t.order.PushFront(&hint{prefix: prefix, server: server, tokens: tokens})
+	t.byKey[prefix] = t.order.PushFront(&hint{prefix: prefix, server: server})
 	if t.order.Len() > maximumHints {
 		oldest := t.order.Back()
 		delete(t.byKey, oldest.Value.(*hint).prefix)
@@ -37,13 +36,12 @@
 	}
 }
 
-func (t *hintTable) find(prefix uint64) (server string, tokens int, ok bool) {
+func (t *hintTable) find(prefix uint64) (server string, ok bool) {
 	element := t.byKey[prefix]
 	if element == nil {
-		return "", 0, false
+		return "", false
 	}
-	found := element.Value.(*hint)
-	return found.server, found.tokens, true
+	return element.Value.(*hint).server, true
 }
 
 // forget drops a prefix that a server evicted.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -34,6 +34,8 @@
 	Name string
 	// Address is "ip:port".
 	Address string
+	// Body replaces the request's body at this back end, where it is not nil.
+	Body []byte
 }
 
 // Client sends single attempts over pooled connections. It is safe for
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -177,7 +177,13 @@
 // exchange sends the request to the target and relays the answer.
 func (r *run) exchange(ctx context.Context, target Target, number int, report *Report) verdict {
 	begun := time.Now()
-	response, err := r.relay.client.Do(ctx, target.Address, r.request, number)
+	request := r.request
+	if target.Body != nil {
+		copied := *r.request
+		copied.Body = target.Body
+		request = &copied
+	}
+	response, err := r.relay.client.Do(ctx, target.Address, request, number)
 	if err != nil {
 		return r.failedBeforeAnswer(ctx, target, number, err, report)
 	}
