Add the thin gateway: completions, services, models, drain and exchange

Callers need an authenticated way to engines and services. internal/gateway answers the OpenAI-compatible completions and models, passes requests on to plain services, keeps idempotency records, and drains without cutting requests.

--- a/internal/gateway/completion_request.go
+++ b/internal/gateway/completion_request.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"strings"
 
 	"rockwind.example/rockwind/internal/configuration"
@@ -139,3 +140,11 @@
 	fields["model"] = encoded
 	return json.Marshal(fields)
 }
+
+// prefixHash is the hint for the engine: the longest prefix, in hexadecimal.
+func prefixHash(found []serverview.Prefix) string {
+	if len(found) == 0 {
+		return ""
+	}
+	return strconv.FormatUint(found[0].Hash, 16)
+}
--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -206,4 +206,3 @@
 	_, _ = w.Write([]byte("\n\n"))
 	_ = http.NewResponseController(w).Flush()
 }
-
--- /dev/null
+++ b/internal/gateway/exchange.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// Timing of the exchange.
+const (
+	// defaultExchangeInterval holds where the settings give none.
+	defaultExchangeInterval = time.Second
+	// minimumExchangeInterval bounds what a control machine may ask for.
+	minimumExchangeInterval = 100 * time.Millisecond
+	// maximumExchangeInterval bounds what a control machine may ask for.
+	maximumExchangeInterval = 10 * time.Second
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = 2 * time.Second
+	// exchangeJitter is the part of the interval that is drawn at random.
+	exchangeJitter = 0.1
+)
+
+// exchangeLoop exchanges digests until the context ends.
+func (g *Gateway) exchangeLoop(ctx context.Context) {
+	interval := g.settings.GetExchangeInterval().AsDuration()
+	if interval <= 0 {
+		interval = defaultExchangeInterval
+	}
+	var version uint64
+	for {
+		pause := interval
+		if response := g.exchange(ctx, version); response != nil {
+			version = response.GetVersion()
+			if asked := time.Duration(response.GetNextExchangeMs()) * time.Millisecond; asked > 0 {
+				pause = min(max(asked, minimumExchangeInterval), maximumExchangeInterval)
+			}
+		}
+		pause = time.Duration(float64(pause) * (1 + exchangeJitter*(2*rand.Float64()-1)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+	}
+}
+
+// exchange sends what this gateway knows and merges the answer. It returns nil
+// when no control machine answered.
+func (g *Gateway) exchange(ctx context.Context, version uint64) *rockwindpb.ExchangeResponse {
+	bounded, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	draining, _ := g.drain.state()
+	groups, tenants := g.usage.take(g.batchDemand()), g.limiter.Usage(time.Now())
+	response, err := g.control.Fleet().Exchange(bounded, &rockwindpb.ExchangeRequest{
+		Gateway: g.settings.GetName(), Address: g.settings.GetInternalListen(), Zone: g.settings.GetZone(),
+		ConfigurationNumber: g.follower.Current().Number(), Owned: g.view.Digests(),
+		Groups: groups, Tenants: tenants, Draining: draining,
+		SinceVersion: version, StartedUnixMs: g.started.UnixMilli(),
+	})
+	if err != nil {
+		g.usage.restore(groups)
+		g.limiter.Restore(tenants)
+		return nil
+	}
+	g.view.Exchanged(response)
+	if peers := len(response.GetPeers()); peers > 0 {
+		g.limiter.SetGateways(peers)
+	}
+	g.limiter.Allow(response.GetTenants(), time.Now())
+	g.allowBatch(response.GetGroups())
+	g.follower.Hint(response.GetLatestConfiguration())
+	return response
+}
+
+// batchDemand is the cost of batch work that waits here, by group.
+func (g *Gateway) batchDemand() map[string]float64 { return nil }
+
+// allowBatch puts the groups' parts of the batch capacity in force.
+func (g *Gateway) allowBatch([]*rockwindpb.GroupAllowance) {}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"rockwind.example/rockwind/internal/configuration"
+	"rockwind.example/rockwind/internal/controlclient"
+	"rockwind.example/rockwind/internal/follower"
+	"rockwind.example/rockwind/internal/limits"
+	"rockwind.example/rockwind/internal/logring"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/serverview"
+	"rockwind.example/rockwind/internal/upstream"
+)
+
+// Names in the data folder.
+const (
+	addressFile         = "address"
+	internalAddressFile = "internal_address"
+	configurationFolder = "configuration"
+	folderMode          = 0o755
+	fileMode            = 0o644
+)
+
+// control is how the gateway reaches the control machines.
+type control interface {
+	Jobs() rockwindpb.JobService
+	Records() rockwindpb.RecordService
+	Files() rockwindpb.FileService
+	Bodies() rockwindpb.BodyService
+	Fleet() rockwindpb.FleetService
+}
+
+// configurations is where the configuration in force comes from.
+type configurations interface {
+	Current() *configuration.Index
+	Changed() <-chan struct{}
+	Hint(number uint64)
+	Run(ctx context.Context) error
+}
+
+// Gateway is one gateway daemon.
+type Gateway struct {
+	settings *rockwindpb.GatewaySettings
+	log      log.Interface
+	ring     *logring.Ring
+	started  time.Time
+	follower configurations
+	control  control
+	client   *upstream.Client
+	relay    *upstream.Relay
+	budget   *upstream.Budget
+	view     *serverview.View
+	limiter  *limits.Limiter
+	usage    *groupUsage
+	metrics  *metrics
+	drain    *drainState
+}
+
+// Run runs a gateway until the context ends, then drains it: new requests are
+// refused as not run, and Run returns when those in progress have ended.
+func Run(ctx context.Context, settings *rockwindpb.GatewaySettings) error {
+	g, err := newGateway(settings)
+	if err != nil {
+		return err
+	}
+	return g.run(ctx)
+}
+
+func newGateway(settings *rockwindpb.GatewaySettings) (*Gateway, error) {
+	if err := os.MkdirAll(settings.GetDataFolder(), folderMode); err != nil {
+		return nil, errors.Wrap(err, "create the data folder")
+	}
+	ring := logring.New(logring.DefaultCapacity, os.Stderr)
+	logger := &log.Logger{Handler: ring, Level: log.InfoLevel}
+	following, err := follower.New(follower.Options{
+		Sources: configurationSources(settings), Log: logger,
+		Folder: filepath.Join(settings.GetDataFolder(), configurationFolder),
+	})
+	if err != nil {
+		return nil, err
+	}
+	client := controlclient.New(controlclient.Options{Control: settings.GetControl(), Zone: settings.GetZone()})
+	return assemble(settings, ring, logger, following, client), nil
+}
+
+// configurationSources are the control machines, each asked on its own.
+func configurationSources(settings *rockwindpb.GatewaySettings) []rockwindpb.ConfigurationService {
+	carrier := &http.Client{Transport: controlclient.NewTransport()}
+	var sources []rockwindpb.ConfigurationService
+	for _, machine := range settings.GetControl() {
+		sources = append(sources, rockwindpb.NewConfigurationServiceProtobufClient("http://"+machine.GetAddress(), carrier))
+	}
+	return sources
+}
+
+// assemble puts a gateway together.
+func assemble(settings *rockwindpb.GatewaySettings, ring *logring.Ring, logger log.Interface, following configurations, client control) *Gateway {
+	g := &Gateway{
+		settings: settings, log: logger, ring: ring, started: time.Now(), follower: following, control: client,
+		client: upstream.NewClient(), budget: upstream.NewBudget(), limiter: limits.New(),
+		usage: newGroupUsage(), metrics: newMetrics(), drain: newDrainState(),
+	}
+	g.relay = upstream.NewRelay(g.client, g.budget)
+	g.view = serverview.New(serverview.Options{
+		Gateway: settings.GetName(), Zone: settings.GetZone(), Client: g.client, PlatformURL: settings.GetPlatformUrl(),
+	})
+	return g
+}
+
+// run serves until the context ends and the drain is over.
+func (g *Gateway) run(ctx context.Context) error {
+	defer g.client.Close()
+	listeners, err := g.listen()
+	if err != nil {
+		return err
+	}
+	// Work in the background goes on while the gateway drains.
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, background := errgroup.WithContext(background)
+	g.configure()
+	group.Go(func() error { return endedBy(background, g.follower.Run(background)) })
+	group.Go(func() error { g.followConfiguration(background); return nil })
+	group.Go(func() error { g.view.Run(background); return nil })
+	group.Go(func() error { g.exchangeLoop(background); return nil })
+	listeners.serve(group, g)
+	select {
+	case <-ctx.Done():
+	case <-background.Done():
+	case <-g.drain.started:
+	}
+	g.stop(listeners)
+	stop()
+	return group.Wait()
+}
+
+// endedBy drops the error of a loop that ended with its context.
+func endedBy(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// followConfiguration gives every new configuration to the view.
+func (g *Gateway) followConfiguration(ctx context.Context) {
+	for {
+		changed := g.follower.Changed()
+		g.configure()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (g *Gateway) configure() {
+	index := g.follower.Current()
+	g.view.Configure(serverview.Declared{
+		Models: index.Models(), Services: index.Services(), BackEnds: index.BackEnds(),
+		StepTarget: index.Policy().GetOnlineStepTarget().AsDuration(),
+	})
+}
--- /dev/null
+++ b/internal/gateway/internal.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// role is the gateway's role in answers to operators.
+const role = "gateway"
+
+// internalRoutes are the paths that operators and probes use.
+func (g *Gateway) internalRoutes() http.Handler {
+	router := chi.NewRouter()
+	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	router.Get("/readyz", g.serveReady)
+	router.Handle("/metrics", promhttp.HandlerFor(g.metrics.registry, promhttp.HandlerOpts{}))
+	admin := rockwindpb.NewAdminServiceServer(adminService{gateway: g})
+	router.Handle(admin.PathPrefix()+"*", admin)
+	return router
+}
+
+// serveReady tells whether the gateway takes requests: it has a configuration
+// and does not drain.
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	draining, _ := g.drain.state()
+	if draining || g.follower.Current().Number() == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// adminService implements rockwindpb.AdminService.
+type adminService struct {
+	gateway *Gateway
+}
+
+// Logs returns the last log entries.
+func (s adminService) Logs(_ context.Context, request *rockwindpb.LogsRequest) (*rockwindpb.LogsResponse, error) {
+	return &rockwindpb.LogsResponse{Lines: s.gateway.ring.Lines(int(request.GetLimit()))}, nil
+}
+
+// Drain starts the drain and returns once no request is in progress, or the
+// deadline has passed. The daemon ends then.
+func (s adminService) Drain(ctx context.Context, request *rockwindpb.DrainRequest) (*rockwindpb.DrainResponse, error) {
+	s.gateway.drain.begin()
+	if milliseconds := request.GetDeadlineMs(); milliseconds > 0 {
+		bounded, cancel := context.WithTimeout(ctx, time.Duration(milliseconds)*time.Millisecond)
+		defer cancel()
+		ctx = bounded
+	}
+	select {
+	case <-s.gateway.drain.idle:
+	case <-ctx.Done():
+	}
+	return &rockwindpb.DrainResponse{}, nil
+}
+
+// State describes the daemon.
+func (s adminService) State(context.Context, *rockwindpb.DaemonStateRequest) (*rockwindpb.DaemonStateResponse, error) {
+	g := s.gateway
+	draining, active := g.drain.state()
+	index := g.follower.Current()
+	return &rockwindpb.DaemonStateResponse{
+		Name: g.settings.GetName(), Role: role, ConfigurationNumber: index.Number(),
+		ConfigurationChecksum: index.Checksum(), Draining: draining, RequestsInProgress: uint32(active),
+	}, nil
+}
--- /dev/null
+++ b/internal/gateway/listeners.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/upstream"
+)
+
+// Timing of the listeners.
+const (
+	// headerTimeout bounds the time that a caller takes to send a head.
+	headerTimeout = 10 * time.Second
+	// idleTimeout bounds how long a kept connection may be idle.
+	idleTimeout = 2 * time.Minute
+	// refusalPeriod is how long a draining gateway goes on to answer new
+	// requests with a typed refusal before it stops listening.
+	refusalPeriod = time.Second
+	// shutdownTimeout bounds the end of connections that carry no request.
+	shutdownTimeout = 5 * time.Second
+)
+
+// listeners are the callers' and the internal listener.
+type listeners struct {
+	callers        net.Listener
+	internal       net.Listener
+	callerServer   *http.Server
+	internalServer *http.Server
+}
+
+// listen opens both listeners and writes their addresses to the data folder.
+func (g *Gateway) listen() (*listeners, error) {
+	callers, err := net.Listen("tcp", g.settings.GetListen())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for callers")
+	}
+	internal, err := net.Listen("tcp", g.settings.GetInternalListen())
+	if err != nil {
+		callers.Close()
+		return nil, errors.Wrap(err, "listen for operators")
+	}
+	opened := &listeners{
+		callers: callers, internal: internal,
+		callerServer:   newServer(g.callerRoutes()),
+		internalServer: newServer(g.internalRoutes()),
+	}
+	for name, listener := range map[string]net.Listener{addressFile: callers, internalAddressFile: internal} {
+		if err := g.writeAddress(name, listener.Addr().String()); err != nil {
+			opened.close()
+			return nil, err
+		}
+	}
+	return opened, nil
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
+// writeAddress replaces the file in one step, so that readers see a whole one.
+func (g *Gateway) writeAddress(name, address string) error {
+	path := filepath.Join(g.settings.GetDataFolder(), name)
+	if err := os.WriteFile(path+".new", []byte(address), fileMode); err != nil {
+		return errors.Wrap(err, "write the bound address")
+	}
+	return errors.Wrap(os.Rename(path+".new", path), "write the bound address")
+}
+
+// serve runs both servers in the group.
+func (l *listeners) serve(group *errgroup.Group, g *Gateway) {
+	group.Go(func() error { return served(l.callerServer.Serve(l.callers)) })
+	group.Go(func() error { return served(l.internalServer.Serve(l.internal)) })
+}
+
+func served(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve")
+}
+
+func (l *listeners) close() {
+	l.callers.Close()
+	l.internal.Close()
+}
+
+// stop drains the gateway: callers get refusals until the last request in
+// progress has ended, and then the listeners close.
+func (g *Gateway) stop(l *listeners) {
+	g.drain.begin()
+	g.log.Info("draining")
+	l.callerServer.SetKeepAlivesEnabled(false)
+	refusing := time.NewTimer(refusalPeriod)
+	defer refusing.Stop()
+	<-g.drain.idle
+	<-refusing.C
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	_ = l.callerServer.Shutdown(ctx)
+	_ = l.internalServer.Shutdown(ctx)
+	l.close()
+}
+
+// callerRoutes are the paths that callers use.
+func (g *Gateway) callerRoutes() http.Handler {
+	router := chi.NewRouter()
+	router.Use(identify, g.track, g.recoverDefects, g.authenticate)
+	router.Get("/v1/models", g.serveModels)
+	router.Get("/v1/models/{id}", g.serveModel)
+	router.Post(pathChatCompletions, g.serveCompletion)
+	router.Post(pathCompletions, g.serveCompletion)
+	router.HandleFunc(servicesPrefix+"{service}", g.serveService)
+	router.HandleFunc(servicesPrefix+"{service}/*", g.serveService)
+	router.NotFound(func(w http.ResponseWriter, r *http.Request) {
+		writeFault(w, fault.Newf(fault.NotFound, "see docs/API.md for the paths", "there is nothing at %s", r.URL.Path).WithRan(fault.NotRun))
+	})
+	router.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
+		writeFault(w, invalid("see docs/API.md for the methods", "%s is not allowed at %s", r.Method, r.URL.Path))
+	})
+	return router
+}
+
+// maximumRequestID bounds a caller's own request identity in bytes.
+const maximumRequestID = 128
+
+// identify gives back the caller's request identity, or a new one.
+func identify(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(upstream.HeaderRequestID)
+		if id == "" || len(id) > maximumRequestID {
+			id = uuid.NewString()
+		}
+		w.Header().Set(upstream.HeaderRequestID, id)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// recoverDefects turns a panic into a typed error. An aborted answer stays
+// aborted, so that a part is not taken for the whole.
+func (g *Gateway) recoverDefects(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			found := recover()
+			if found == nil {
+				return
+			}
+			if found == http.ErrAbortHandler {
+				panic(found)
+			}
+			g.log.WithField("panic", found).WithField("path", r.URL.Path).Error("a request met a defect")
+			panic(http.ErrAbortHandler)
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
