--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -58,6 +58,9 @@
 		Stream: parsed.Stream, Repeatable: completionRepeatable(r), Deterministic: parsed.deterministic(),
 		Timeouts: completionTimeouts(parsed.Stream),
 	}
+	if key := r.Header.Get(headerIdempotencyKey); key != "" {
+		call.upstream.Header = http.Header{headerIdempotencyKey: {key}}
+	}
 	call.serve()
 }
 
--- /dev/null
+++ b/internal/gateway/harness_test.go
@@ -0,0 +1,170 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"rockwind.example/rockwind/internal/configuration"
+	"rockwind.example/rockwind/internal/engine"
+	"rockwind.example/rockwind/internal/logring"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/standin"
+)
+
+// Names of the test fleet.
+const (
+	testModel   = "writer"
+	testService = "bookings"
+	testTenant  = "clinic"
+	testKey     = "key-of-clinic"
+	testZone    = "zone-a"
+	testWait    = 20 * time.Second
+)
+
+// fleet is a gateway over stand-ins, in one process on loopback.
+type fleet struct {
+	t        testing.TB
+	control  *memoryControl
+	source   *fixedConfiguration
+	gateway  *Gateway
+	engines  []*standin.Engine
+	service  *standin.Service
+	backEnds []*rockwindpb.BackEnd
+	url      string
+	stop     context.CancelFunc
+	ended    chan error
+}
+
+// startFleet starts a gateway over so many engines and one service.
+func startFleet(t testing.TB, engines int, config engine.Config) *fleet {
+	t.Helper()
+	f := &fleet{t: t, control: newMemoryControl(), source: newFixedConfiguration(), ended: make(chan error, 1)}
+	for number := range engines {
+		f.startEngine(number, config)
+	}
+	f.startService()
+	f.configure(f.configuration())
+	f.startGateway()
+	return f
+}
+
+func (f *fleet) startEngine(number int, config engine.Config) {
+	config.Loaded = []string{testModel + "@v1"}
+	stand, err := standin.NewEngine(standin.EngineOptions{Name: "engine", Config: config, Seed: int64(number), EventPerToken: true})
+	must(f.t, err)
+	server := httptest.NewServer(stand.Handler())
+	f.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+		_ = stand.Close()
+	})
+	f.engines = append(f.engines, stand)
+	f.backEnds = append(f.backEnds, &rockwindpb.BackEnd{
+		Name: "engine-" + string(rune('a'+number)), Kind: rockwindpb.BackEndKind_BACK_END_KIND_ENGINE,
+		Address: server.Listener.Addr().String(), Zone: testZone, Serves: []string{testModel}, Accelerators: 1,
+	})
+}
+
+func (f *fleet) startService() {
+	stand, err := standin.NewService(standin.ServiceOptions{Name: testService, Latency: time.Millisecond, Concurrency: 16})
+	must(f.t, err)
+	server := httptest.NewServer(stand.Handler())
+	f.t.Cleanup(server.Close)
+	f.service = stand
+	f.backEnds = append(f.backEnds, &rockwindpb.BackEnd{
+		Name: "service-a", Kind: rockwindpb.BackEndKind_BACK_END_KIND_SERVICE,
+		Address: server.Listener.Addr().String(), Zone: testZone, Serves: []string{testService}, Version: "v1",
+	})
+}
+
+func (f *fleet) configuration() *rockwindpb.Configuration {
+	hash := sha256.Sum256([]byte(testKey))
+	version := []*rockwindpb.Version{{Name: "v1", Weight: 1, WeightsId: "w"}}
+	return &rockwindpb.Configuration{
+		Number: 1,
+		Groups: []*rockwindpb.Group{{Name: "south", Share: 1, Objective: rockwindpb.Objective_OBJECTIVE_THROUGHPUT}},
+		Tenants: []*rockwindpb.Tenant{{
+			Name: testTenant, Group: "south", ApiKeySha256: []string{hex.EncodeToString(hash[:])},
+		}},
+		Models:       []*rockwindpb.Model{{Name: testModel, Versions: version, ContextTokens: 4096}},
+		Services:     []*rockwindpb.Service{{Name: testService, Group: "south", Versions: version, Timeout: durationpb.New(5 * time.Second)}},
+		BatchClasses: []*rockwindpb.BatchClass{{Name: "nightly", Tries: 3, Deadline: durationpb.New(time.Hour), Weight: 1}},
+		BackEnds:     f.backEnds,
+		Policy: &rockwindpb.Policy{
+			RetryRatio: 0.5, OnlineStepTarget: durationpb.New(50 * time.Millisecond), OnlineQueueTimeout: durationpb.New(5 * time.Second),
+		},
+	}
+}
+
+func (f *fleet) configure(next *rockwindpb.Configuration) {
+	index, err := configuration.NewIndex(next)
+	must(f.t, err)
+	f.source.set(index)
+}
+
+func (f *fleet) startGateway() {
+	folder := f.t.TempDir()
+	settings := &rockwindpb.GatewaySettings{
+		Name: "gateway-a", Zone: testZone, Listen: "127.0.0.1:0", InternalListen: "127.0.0.1:0", DataFolder: folder,
+		ExchangeInterval: durationpb.New(100 * time.Millisecond), BatchConcurrency: 64,
+	}
+	ring := logring.New(64, io.Discard)
+	f.gateway = assemble(settings, ring, &log.Logger{Handler: ring, Level: log.InfoLevel}, f.source, f.control)
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stop = cancel
+	go func() { f.ended <- f.gateway.run(ctx) }()
+	f.t.Cleanup(func() {
+		cancel()
+		<-f.ended
+	})
+	f.url = "http://" + f.awaitFile(filepath.Join(folder, addressFile))
+}
+
+// awaitFile waits until a file is there.
+func (f *fleet) awaitFile(path string) string {
+	var content []byte
+	f.await("the file "+path, func() bool {
+		var err error
+		content, err = os.ReadFile(path)
+		return err == nil
+	})
+	return string(content)
+}
+
+// await waits for a condition that other goroutines bring about.
+func (f *fleet) await(what string, met func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(testWait)
+	for !met() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("waited in vain for %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (f *fleet) client(options ...option.RequestOption) openai.Client {
+	all := append([]option.RequestOption{
+		option.WithBaseURL(f.url + "/v1/"), option.WithAPIKey(testKey), option.WithMaxRetries(0),
+	}, options...)
+	return openai.NewClient(all...)
+}
+
+func must(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
-	"github.com/google/uuid"
 
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/serverview"
@@ -39,7 +38,7 @@
 	call := &call{gateway: g, writer: w, request: r, body: body}
 	call.chooser = &chooser{view: g.view, wanted: serverview.Wanted{Service: name}}
 	call.upstream = &upstream.Request{
-		ID: uuid.NewString(), Kind: upstream.Service, Method: r.Method, Path: servicePath(r, name), Body: body,
+		ID: w.Header().Get(upstream.HeaderRequestID), Kind: upstream.Service, Method: r.Method, Path: servicePath(r, name), Body: body,
 		Header: serviceHeader(r.Header), Repeatable: serviceRepeatable(r),
 		Timeouts: upstream.Timeouts{Connect: connectTimeout, FirstByte: timeout, BetweenBytes: timeout},
 	}
