Poll servers of other owners only while no exchange works

The exchange leaves out servers whose load did not change, so an old report is no sign of a lost owner while exchanges go on.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -1,7 +1,9 @@
 // Package limits holds tenants to their limits of requests per second,
 // concurrency and tokens per second without a round trip: each gateway spends
 // its own allowance of every limit. The control machines set the allowances at
-// each exchange, from the use that all gateways report. The package has no
+// each exchange, from the use that all gateways report. A gateway always lets
+// one request of a tenant run, so a concurrency limit below the number of
+// gateways that the tenant uses is exceeded by at most that number. The package has no
 // clock of its own: time is an argument.
 package limits
 
@@ -129,11 +131,11 @@
 	// Demand is reported also when it is refused, so that the control machines
 	// can move allowances to where the requests are.
 	found.used.requests++
+	found.used.peak = max(found.used.peak, found.running+1)
 	if err := found.admit(l.parts, now); err != nil {
 		return nil, err
 	}
 	found.running++
-	found.used.peak = max(found.used.peak, found.running)
 	return &Grant{limiter: l, tenant: found}, nil
 }
 
@@ -176,7 +178,7 @@
 		return allowed{
 			requests:    min(t.allowance.GetRequestsPerSecond(), t.limits.GetRequestsPerSecond()),
 			tokens:      min(t.allowance.GetTokensPerSecond(), t.limits.GetTokensPerSecond()),
-			concurrency: min(t.allowance.GetConcurrency(), t.limits.GetConcurrency()),
+			concurrency: max(1, min(t.allowance.GetConcurrency(), t.limits.GetConcurrency())),
 		}
 	}
 	return allowed{
--- a/internal/serverview/poll.go
+++ b/internal/serverview/poll.go
@@ -19,9 +19,10 @@
 	pollJitter = 0.2
 	// pollTimeout bounds one poll.
 	pollTimeout = time.Second
-	// orphanAge is the age of the newest report from which a server of the own
-	// zone is polled although another gateway owns it.
-	orphanAge = 5 * time.Second
+	// orphanAge is the age of the last exchange and of a server's newest report
+	// from which a server of the own zone is polled although another gateway owns
+	// it. While exchanges go on, a server without news has not changed.
+	orphanAge = 8 * time.Second
 	// orphanInterval is how often such a server is polled.
 	orphanInterval = 4 * time.Second
 	// maximumReport bounds the answer to a poll or probe in bytes.
@@ -48,7 +49,7 @@
 		}
 		interval := pollInterval
 		if !e.own {
-			if now-e.reportedAt < orphanAge {
+			if now-e.reportedAt < orphanAge || now-v.exchangedAt < orphanAge {
 				continue
 			}
 			interval = orphanInterval
--- a/internal/serverview/report.go
+++ b/internal/serverview/report.go
@@ -128,6 +128,7 @@
 func (v *View) Exchanged(response *rockwindpb.ExchangeResponse) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
+	v.exchangedAt = v.now()
 	if peers := response.GetPeers(); len(peers) > 0 {
 		v.setPeers(peers)
 	}
--- a/internal/serverview/view.go
+++ b/internal/serverview/view.go
@@ -54,9 +54,11 @@
 	models  map[string]loadable
 	zones   []string
 	peers   []string
-	hints   *hintTable
-	tracker *health.Tracker
-	slots   slotTable
+	// exchangedAt is when digests were last exchanged; zero before the first.
+	exchangedAt time.Duration
+	hints       *hintTable
+	tracker     *health.Tracker
+	slots       slotTable
 	// step is the target of steps that hold online requests.
 	stepTarget time.Duration
 }
