Add the demonstration

Cause: a newcomer must see the whole system run with one command. Change: rockwind-bench fleet demo starts a fleet, streams an answer, runs both groups' online load and a batch job each, checks every answer and result, and prints latency and throughput of both groups; the fault experiment is on the command line.

--- a/cmd/rockwind-bench/main.go
+++ b/cmd/rockwind-bench/main.go
@@ -5,6 +5,8 @@
 import (
 	"github.com/alecthomas/kong"
 
+	"rockwind.example/rockwind/internal/bench/demo"
+	"rockwind.example/rockwind/internal/bench/faults"
 	"rockwind.example/rockwind/internal/bench/load"
 	"rockwind.example/rockwind/internal/standin"
 )
@@ -19,11 +21,19 @@
 	Load  load.Command      `cmd:"" help:"Send load and check every answer."`
 	Trace load.TraceCommand `cmd:"" help:"Write a trace of the two deployments' load."`
 
+	Fleet fleetCommands `cmd:"" help:"Run whole fleets of processes on loopback."`
+
 	Experiment experiments `cmd:"" help:"Run an experiment and print its figures."`
 }
 
 // experiments lists the experiments; each is a package under internal/bench.
 type experiments struct {
+	Faults faults.Command `cmd:"" help:"Bring faults about on real processes and judge what must always hold."`
+}
+
+// fleetCommands run whole fleets.
+type fleetCommands struct {
+	Demo demo.Command `cmd:"" help:"Run the whole system for a minute and show what it does."`
 }
 
 func main() {
