--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -104,12 +104,33 @@
 
 // machine is one control machine of a test.
 type machine struct {
-	name     string
-	disk     *faultfs.Disk
+	name   string
+	disk   *faultfs.Disk
+	cancel context.CancelFunc
+	ended  chan error
+
+	mutex    sync.Mutex
 	host     *replica.Host
 	machines map[uint32]*registers
-	cancel   context.CancelFunc
-	ended    chan error
+}
+
+// state is the machine's copy of a group's registers.
+func (m *machine) state(group uint32) *registers {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.machines[group]
+}
+
+func (m *machine) running() *replica.Host {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.host
+}
+
+func (m *machine) set(host *replica.Host) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.host = host
 }
 
 // fleet is the control machines of a test.
@@ -150,7 +171,9 @@
 
 func (f *fleet) start(m *machine) {
 	f.t.Helper()
+	m.mutex.Lock()
 	m.machines = map[uint32]*registers{}
+	m.mutex.Unlock()
 	options := replica.Options{
 		Machine:    m.name,
 		Address:    m.name,
@@ -163,6 +186,8 @@
 		Random:     f.random.Uint64(),
 		StateMachines: func(group uint32) replica.StateMachine {
 			created := newRegisters(group).(*registers)
+			m.mutex.Lock()
+			defer m.mutex.Unlock()
 			m.machines[group] = created
 			return created
 		},
@@ -175,7 +200,8 @@
 		f.t.Fatalf("start %s: %v", m.name, err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	m.host, m.cancel, m.ended = host, cancel, make(chan error, 1)
+	m.cancel, m.ended = cancel, make(chan error, 1)
+	m.set(host)
 	f.network.mount(m.name, rockwindpb.NewReplicaServiceServer(host.Service()))
 	ended := m.ended
 	go func() { ended <- host.Run(ctx) }()
@@ -184,14 +210,14 @@
 
 // kill ends a process: what it had written but not synced stays readable.
 func (f *fleet) kill(m *machine) {
-	if m.host == nil {
+	if m.running() == nil {
 		return
 	}
 	f.network.mount(m.name, nil)
 	m.disk.Kill()
 	m.cancel()
 	<-m.ended
-	m.host = nil
+	m.set(nil)
 }
 
 // crash ends a machine: what was not synced is lost.
@@ -251,10 +277,11 @@
 }
 
 func (m *machine) group(id uint32) replica.Group {
-	if m.host == nil {
+	host := m.running()
+	if host == nil {
 		return nil
 	}
-	group, found := m.host.Group(id)
+	group, found := host.Group(id)
 	if !found {
 		return nil
 	}
@@ -294,7 +321,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancel()
 		leader := f.leader(group)
-		return leader.group(group).Read(ctx, func() { value = leader.machines[group].get(key) }) == nil
+		return leader.group(group).Read(ctx, func() { value = leader.state(group).get(key) }) == nil
 	})
 	return value
 }
--- a/internal/replica/host_test.go
+++ b/internal/replica/host_test.go
@@ -70,7 +70,7 @@
 		term, _ := current.group(0).Leading()
 		f.links.Heal()
 		f.eventually("the old leader follows", func() bool {
-			return old.group(0).Status().GetLeader() == current.host.DiskID() && old.machines[0].get("a") == 2
+			return old.group(0).Status().GetLeader() == current.host.DiskID() && old.state(0).get("a") == 2
 		})
 		time.Sleep(time.Minute)
 		if now, leading := current.group(0).Leading(); !leading || now != term {
@@ -108,7 +108,7 @@
 		}
 		value, ended := 0, make(chan error, 1)
 		go func() {
-			ended <- old.group(0).Read(context.Background(), func() { value = old.machines[0].get("a") })
+			ended <- old.group(0).Read(context.Background(), func() { value = old.state(0).get("a") })
 		}()
 		time.Sleep(tick)
 		close(thaw)
@@ -141,12 +141,12 @@
 		}
 		f.links.Heal()
 		f.eventually("the lagging machine holds the state", func() bool {
-			return lagging.machines[1].get("a") == increments+1
+			return lagging.state(1).get("a") == increments+1
 		})
 		f.crash(lagging)
 		f.start(lagging)
 		f.eventually("the restarted machine holds the state", func() bool {
-			return lagging.machines[1].get("a") == increments+1
+			return lagging.state(1).get("a") == increments+1
 		})
 	})
 }
--- /dev/null
+++ b/internal/replica/repair_test.go
@@ -0,0 +1,206 @@
+package replica_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/replica"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/wal/faultfs"
+)
+
+// whole tells whether every group has one voter a machine, each with the disk
+// that the machine has now, and all hold what is committed.
+func (f *fleet) whole() bool {
+	for group := range uint32(3) {
+		leader := f.leaderNow(group)
+		if leader == nil {
+			return false
+		}
+		status := leader.group(group).Status()
+		members := status.GetMembership().GetMembers()
+		if len(members) != len(f.machines) {
+			return false
+		}
+		for _, m := range f.machines {
+			host, replicated := m.running(), m.group(group)
+			if host == nil || replicated == nil || !isVoter(members, host.DiskID()) {
+				return false
+			}
+			if replicated.Status().GetApplied() < status.GetCommit() {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func isVoter(members []*rockwindpb.Member, id uint64) bool {
+	for _, member := range members {
+		if member.GetId() == id {
+			return !member.GetLearner()
+		}
+	}
+	return false
+}
+
+// TestEveryDiskIsLostInTurn replaces the disk of each machine, right after the
+// repair of the one before. In the end no disk is left that was there when the
+// writes were acknowledged.
+func TestEveryDiskIsLostInTurn(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		t.Run(fmt.Sprintf("%d machines", size), func(t *testing.T) {
+			adjust := func(o *replica.Options) { o.SnapshotEntries = 20 }
+			inBubble(t, size, adjust, func(f *fleet) {
+				for range 50 {
+					f.add(1, "a")
+				}
+				f.add(0, "b")
+				for _, m := range f.machines {
+					before := m.host.DiskID()
+					f.lose(m)
+					f.start(m)
+					if m.host.DiskID() == before {
+						t.Fatal("a new disk has the identity of the old one")
+					}
+					if len(m.host.Groups()) != 0 {
+						t.Fatal("a machine with a new disk runs groups before it has joined")
+					}
+					f.eventually("the lost disk is replaced", f.whole)
+				}
+				if a, b := f.read(1, "a"), f.read(0, "b"); a != 50 || b != 1 {
+					t.Fatalf("50 and 1 increments were acknowledged, %d and %d are left", a, b)
+				}
+			})
+		})
+	}
+}
+
+// TestMinorityOfNewDisksDecidesNothing loses the disks of two machines out of
+// three at once: what was acknowledged is not on a majority any more, so
+// nothing may be served, least of all an empty state.
+func TestMinorityOfNewDisksDecidesNothing(t *testing.T) {
+	inBubble(t, 3, nil, func(f *fleet) {
+		f.add(1, "a")
+		survivor := f.machines[2]
+		f.eventually("the survivor holds the write", func() bool { return survivor.state(1).get("a") == 1 })
+		for _, m := range f.machines[:2] {
+			f.lose(m)
+			f.start(m)
+		}
+		time.Sleep(time.Minute)
+		if m := f.leaderNow(1); m != nil {
+			t.Fatalf("%s leads without a majority", m.name)
+		}
+		f.found(2)
+		time.Sleep(time.Minute)
+		if m := f.leaderNow(1); m != nil {
+			t.Fatalf("%s leads after a second founding", m.name)
+		}
+	})
+}
+
+// TestSecondProcessOfOneNameIsRefused starts a process with a new disk under
+// the name of a machine that is alive.
+func TestSecondProcessOfOneNameIsRefused(t *testing.T) {
+	inBubble(t, 3, nil, func(f *fleet) {
+		f.add(1, "a")
+		original := f.machines[0]
+		imposter := &machine{name: original.name, disk: faultfs.New()}
+		f.start(imposter)
+		f.network.mount(original.name, rockwindpb.NewReplicaServiceServer(original.host.Service()))
+		time.Sleep(time.Minute)
+		members := f.leader(1).group(1).Status().GetMembership().GetMembers()
+		if len(members) != 3 || !isVoter(members, original.host.DiskID()) {
+			t.Fatalf("the members are %v", members)
+		}
+		imposter.cancel()
+		<-imposter.ended
+	})
+}
+
+// TestFoundingIsRepeatable founds again, with other numbers, and with a machine
+// of another cluster.
+func TestFoundingIsRepeatable(t *testing.T) {
+	inBubble(t, 3, nil, func(f *fleet) {
+		f.add(1, "a")
+		f.found(2)
+		addresses := []string{"control-0", "control-1", "control-2"}
+		if err := replica.Found(context.Background(), f.client, addresses, 7); !fault.Is(err, fault.Conflict) {
+			t.Fatalf("founding with another number of shards ended with %v", err)
+		}
+		stranger := &machine{name: "stranger", disk: faultfs.New()}
+		f.start(stranger)
+		defer func() { f.kill(stranger) }()
+		if err := replica.Found(context.Background(), f.client, append(addresses, "stranger"), 2); !fault.Is(err, fault.Conflict) {
+			t.Fatalf("founding with a machine more ended with %v", err)
+		}
+		if err := replica.Found(context.Background(), f.client, []string{"stranger"}, 1); err != nil {
+			t.Fatal(err)
+		}
+		if err := replica.Found(context.Background(), f.client, append(addresses, "stranger"), 2); !fault.Is(err, fault.Conflict) {
+			t.Fatalf("founding over two clusters ended with %v", err)
+		}
+		if got := f.add(1, "a"); got != 2 {
+			t.Fatalf("the second increment gave %d", got)
+		}
+	})
+}
+
+// TestFullDiskRefusesAndLosesNothing fills the disks of a majority, and makes
+// room again.
+func TestFullDiskRefusesAndLosesNothing(t *testing.T) {
+	inBubble(t, 3, nil, func(f *fleet) {
+		f.add(1, "a")
+		for _, m := range f.machines {
+			m.disk.SetCapacity(m.disk.Used() + 300)
+		}
+		refused := false
+		f.eventually("a proposal is refused for the full disk", func() bool {
+			for _, m := range f.machines {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				_, err := m.group(1).Propose(ctx, encode(command{Key: "b", Value: 1}))
+				cancel()
+				refused = refused || fault.Is(err, fault.Overloaded)
+			}
+			return refused
+		})
+		for _, m := range f.machines {
+			m.disk.SetCapacity(1 << 40)
+		}
+		if got := f.add(1, "a"); got != 2 {
+			t.Fatalf("the second increment gave %d", got)
+		}
+	})
+}
+
+// TestFailedSyncEndsTheReplica checks that a replica whose sync failed goes on
+// in no way, and that the others lose nothing by it.
+func TestFailedSyncEndsTheReplica(t *testing.T) {
+	inBubble(t, 3, nil, func(f *fleet) {
+		f.add(1, "a")
+		broken := f.leader(1)
+		broken.disk.FailSync(true)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		if _, err := broken.group(1).Propose(ctx, encode(command{Key: "a", Value: 0})); !fault.Is(err, fault.OutcomeUnknown) {
+			t.Fatalf("a proposal on a disk that fails ended with %v", err)
+		}
+		err := <-broken.ended
+		broken.ended <- err
+		if fault.From(err).Remedy == "" || !fault.Is(err, fault.Unavailable) {
+			t.Fatalf("the host ended with %v", err)
+		}
+		f.network.mount(broken.name, nil)
+		if got := f.add(1, "a"); got != 2 {
+			t.Fatalf("the second increment gave %d", got)
+		}
+		broken.disk.FailSync(false)
+		f.crash(broken)
+		f.start(broken)
+		f.eventually("the machine is back", func() bool { return broken.state(1).get("a") == 2 })
+	})
+}
