Test the engine model's priorities, cache, reports and orders

Change: properties for online beside batch, kept and dropped KV, cached prefixes, lagging reports, readers of cache events with gaps, and fences.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -256,3 +256,248 @@
 		t.Fatalf("only %d events", len(first))
 	}
 }
+
+// drain advances the engine until nothing is left to do, or to the limit.
+func drain(engine *Engine, limit time.Duration) []Event {
+	var events []Event
+	for {
+		at, some := engine.NextEvent()
+		if !some || at > limit {
+			return events
+		}
+		events = engine.Advance(at, events)
+	}
+}
+
+func find(events []Event, kind EventKind, id string) (Event, bool) {
+	index := slices.IndexFunc(events, func(event Event) bool { return event.Kind == kind && event.ID == id })
+	if index < 0 {
+		return Event{}, false
+	}
+	return events[index], true
+}
+
+// TestOnlineTimesDoNotDependOnWaitingBatch submits the same online requests to
+// an engine alone and to one whose places and memory are full of batch. Places
+// and prefill go to online first, so that it starts at the first step that
+// begins after its arrival.
+func TestOnlineTimesDoNotDependOnWaitingBatch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := DefaultConfig()
+		config.MaxSequences = rapid.IntRange(1, 8).Draw(t, "places")
+		config.KVCapacity = rapid.IntRange(600, 4000).Draw(t, "memory")
+		engine := New(config, rand.New(rand.NewSource(1)))
+		for number := range 30 {
+			engine.Submit(0, Request{ID: fmt.Sprint("b", number), Priority: PriorityBatch, PromptTokens: 300, MaxTokens: 200})
+		}
+		arrival := time.Duration(rapid.IntRange(0, 2000).Draw(t, "arrival ms")) * time.Millisecond
+		events := engine.Advance(arrival, nil)
+		stepEnd := engine.stepEnd
+		engine.Submit(arrival, Request{ID: "o", Priority: PriorityOnline, PromptTokens: 400, MaxTokens: 5})
+		events = append(events, drain(engine, arrival+time.Second)...)
+		started, found := find(events, EventStarted, "o")
+		if !found || started.At > max(stepEnd, arrival) {
+			t.Fatalf("online started at %v; the step in progress ended at %v", started.At, stepEnd)
+		}
+		first, _ := find(events, EventTokens, "o")
+		// One step prefills the whole prompt; batch gets the rest of the chunk and
+		// decodes.
+		longest := config.BaseStep + time.Duration(config.PrefillChunk)*config.PerPrefillToken +
+			time.Duration(config.MaxSequences)*config.PerSequence + time.Duration(config.KVCapacity)*config.PerAttendedToken
+		if first.At-started.At > longest {
+			t.Fatalf("the first token took %v from the start, a step at most %v", first.At-started.At, longest)
+		}
+	})
+}
+
+// TestCachedPrefixSkipsPrefill asks the same prompt twice.
+func TestCachedPrefixSkipsPrefill(t *testing.T) {
+	engine := New(DefaultConfig(), rand.New(rand.NewSource(1)))
+	chain := []uint64{11, 12, 13, 14}
+	request := Request{ID: "first", PromptTokens: 4*TokensPerBlock + 10, MaxTokens: 1, Blocks: chain}
+	engine.Submit(0, request)
+	drain(engine, time.Second)
+	before := engine.Totals()
+	request.ID = "second"
+	engine.Submit(time.Second, request)
+	drain(engine, 2*time.Second)
+	after := engine.Totals()
+	if computed := after.PrefillTokens - before.PrefillTokens; computed != 10 {
+		t.Fatalf("the second prompt computed %d tokens", computed)
+	}
+	if engine.CachedBlocks(chain) != 4 {
+		t.Fatalf("%d blocks are cached", engine.CachedBlocks(chain))
+	}
+}
+
+// TestKeptKVIsNotComputedAgain pauses a request in the middle: with memory left
+// it goes on decoding; when another request needed the memory, its prompt and
+// what it had produced are computed again.
+func TestKeptKVIsNotComputedAgain(t *testing.T) {
+	for _, crowded := range []bool{false, true} {
+		config := DefaultConfig()
+		config.KVCapacity = 1000
+		engine := New(config, rand.New(rand.NewSource(1)))
+		engine.Submit(0, Request{ID: "paused", Priority: PriorityBatch, PromptTokens: 500, MaxTokens: 100})
+		events := engine.Advance(500*time.Millisecond, nil)
+		produced := events[len(events)-1].Sequence
+		engine.Pause(500*time.Millisecond, "paused")
+		if crowded {
+			engine.Submit(500*time.Millisecond, Request{ID: "other", PromptTokens: 800, MaxTokens: 2})
+			drain(engine, 2*time.Second)
+		}
+		before := engine.Totals().PrefillTokens
+		engine.Unpause(2*time.Second, "paused")
+		events = drain(engine, time.Minute)
+		computed := int(engine.Totals().PrefillTokens - before)
+		wanted := 0
+		if crowded {
+			wanted = 500 + produced
+		}
+		if computed != wanted {
+			t.Fatalf("crowded %t: %d tokens were computed after the pause, not %d", crowded, computed, wanted)
+		}
+		if finished, found := find(events, EventFinished, "paused"); !found || finished.Sequence != 100 {
+			t.Fatalf("crowded %t: finished %t with %d tokens", crowded, found, finished.Sequence)
+		}
+	}
+}
+
+// TestReportsLag compares reports with what was true when they say they were
+// taken.
+func TestReportsLag(t *testing.T) {
+	config := DefaultConfig()
+	engine := New(config, rand.New(rand.NewSource(1)))
+	start := time.Second
+	engine.Advance(start, nil)
+	engine.Submit(start, Request{ID: "r", PromptTokens: 10, MaxTokens: 1000})
+	for elapsed := time.Duration(0); elapsed < time.Second; elapsed += 10 * time.Millisecond {
+		now := start + elapsed
+		engine.Advance(now, nil)
+		report := engine.Load(now)
+		if now-report.At < config.ReportLag {
+			t.Fatalf("at %v a report of %v", now, report.At)
+		}
+		if busy := report.RunningOnline == 1; busy != (report.At >= start) {
+			t.Fatalf("at %v the report of %v says %d running", now, report.At, report.RunningOnline)
+		}
+	}
+	engine.Inject(start+time.Second, Fault{Kind: FaultLie})
+	if report := engine.Load(start + time.Second); report.RunningOnline != 0 {
+		t.Fatal("a lying engine tells the truth")
+	}
+}
+
+// TestCacheReadersNeverMissAnEventUnseen follows the events with gaps and
+// resynchronises where a gap shows; the mirror must then equal the cache.
+func TestCacheReadersNeverMissAnEventUnseen(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := DefaultConfig()
+		config.PrefixBlocks = rapid.IntRange(1, 12).Draw(t, "blocks")
+		config.CacheEventLoss = rapid.Float64Range(0, 0.3).Draw(t, "loss")
+		config.CacheEventLog = rapid.IntRange(1, 10).Draw(t, "log")
+		config.CacheEventLag = 0
+		engine := New(config, rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed"))))
+		mirror := map[uint64]bool{}
+		next := uint64(1)
+		now := time.Duration(0)
+		for number := range rapid.IntRange(1, 60).Draw(t, "requests") {
+			now += 100 * time.Millisecond
+			family := rapid.Uint64Range(1, 5).Draw(t, "family")
+			chain := []uint64{family * 10, family*10 + 1, family*10 + 2}
+			engine.Submit(now, Request{ID: fmt.Sprint(number), PromptTokens: 200, MaxTokens: 1, Blocks: chain})
+			if !rapid.Bool().Draw(t, "read") {
+				continue
+			}
+			now += 100 * time.Millisecond
+			engine.Advance(now, nil)
+			page := engine.CacheEvents(now, next)
+			if page.First > next {
+				snapshot := engine.Snapshot()
+				clear(mirror)
+				for _, block := range snapshot.Blocks {
+					mirror[block] = true
+				}
+				next = snapshot.Next
+				continue
+			}
+			for _, event := range page.Events {
+				if event.Sequence != next {
+					t.Fatalf("event %d after %d without a gap in First", event.Sequence, next-1)
+				}
+				next++
+				if event.Kind == CacheStored {
+					mirror[event.Block] = true
+				} else {
+					delete(mirror, event.Block)
+				}
+			}
+			for _, block := range engine.Snapshot().Blocks {
+				if !mirror[block] {
+					t.Fatalf("block %d is cached and not in the mirror", block)
+				}
+			}
+			if len(mirror) != len(engine.cache.blocks) {
+				t.Fatalf("the mirror has %d blocks, the cache %d", len(mirror), len(engine.cache.blocks))
+			}
+		}
+	})
+}
+
+// TestFencesOrderOrders sends orders in any order of fences: only rising ones
+// count.
+func TestFencesOrderOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := DefaultConfig()
+		config.Loaded = []string{"m@v1"}
+		engine := New(config, rand.New(rand.NewSource(1)))
+		highest := uint64(0)
+		role := RoleMixed
+		for _, fence := range rapid.SliceOfN(rapid.Uint64Range(0, 20), 1, 30).Draw(t, "fences") {
+			wanted := rapid.SampledFrom([]Role{RoleMixed, RoleOnline, RoleBatch}).Draw(t, "role")
+			last, status := engine.Order(0, Order{Fence: fence, Action: ActionSetRole, Role: wanted})
+			if accepted := status == OrderDone; accepted != (fence > highest) {
+				t.Fatalf("fence %d after %d: status %d", fence, highest, status)
+			}
+			if fence > highest {
+				highest, role = fence, wanted
+			}
+			if last != highest || engine.orders.role != role {
+				t.Fatalf("fence %d and role %s; not %d and %s", last, engine.orders.role, highest, role)
+			}
+		}
+	})
+}
+
+// TestAnUnloadBeatsTheLoadInProgress unloads a version that is still loading.
+func TestAnUnloadBeatsTheLoadInProgress(t *testing.T) {
+	config := DefaultConfig()
+	config.Loaded = []string{"m@v1"}
+	engine := New(config, rand.New(rand.NewSource(1)))
+	load := Order{Fence: 1, Action: ActionLoadModel, Model: "m", Version: "v2"}
+	if _, status := engine.Order(0, load); status != OrderLoading {
+		t.Fatalf("status %d", status)
+	}
+	engine.Order(time.Second, Order{Fence: 2, Action: ActionUnloadModel, Model: "m", Version: "v2"})
+	drain(engine, time.Hour)
+	if loaded := engine.Loaded(); !slices.Equal(loaded, []string{"m@v1"}) {
+		t.Fatalf("loaded %v", loaded)
+	}
+}
+
+func BenchmarkStep(b *testing.B) {
+	config := DefaultConfig()
+	config.MilestonesOnly = true
+	engine := New(config, rand.New(rand.NewSource(1)))
+	var events []Event
+	number := 0
+	now := time.Duration(0)
+	for b.Loop() {
+		for engine.Running()+engine.Waiting() < config.MaxSequences {
+			number++
+			engine.Submit(now, Request{ID: fmt.Sprint(number), Priority: number % 2 * PriorityBatch, PromptTokens: 200, MaxTokens: 100})
+		}
+		now, _ = engine.NextEvent()
+		events = engine.Advance(now, events[:0])
+	}
+}
