Run the control daemon over replicated groups

Cause: the daemon held its groups in memory. Change: replica.Host under the data folder; machines without a replica of the root group follow the configuration; the client prefers the members of a group, asks machines that did not answer last, and spends its budget only on retries that cost a machine something.

--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"path/filepath"
 	"time"
 
+	"github.com/apex/log"
+
 	"rockwind.example/rockwind/internal/catalog"
 	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/follower"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/sharding"
 )
@@ -54,14 +58,59 @@
 	return catalog.NewService(group, machine, time.Now), nil
 }
 
-// index returns the configuration as applied on this machine, and whether the
-// machine replicates the root group.
+// index returns the newest configuration that this machine knows: as applied
+// here where it replicates the root group, else as followed from the others.
 func (d *daemon) index(ctx context.Context) (*configuration.Index, bool) {
-	view, known := d.catalogView(ctx)
-	if !known {
-		return nil, false
+	if view, known := d.catalogView(ctx); known {
+		return view.Index(), true
+	}
+	if following := d.following.Load(); following != nil {
+		return following.Current(), true
+	}
+	return nil, false
+}
+
+// followConfiguration keeps a machine that does not replicate the root group on
+// the newest configuration.
+func (d *daemon) followConfiguration(ctx context.Context) error {
+	select {
+	case <-d.host.Founded():
+	case <-ctx.Done():
+		return nil
+	}
+	if _, replicated := d.host.Group(sharding.RootGroup); replicated {
+		return nil
+	}
+	var sources []rockwindpb.ConfigurationService
+	for _, other := range d.others() {
+		sources = append(sources, rockwindpb.NewConfigurationServiceProtobufClient(d.baseURL(other), d.client))
+	}
+	folder := filepath.Join(d.settings.GetDataFolder(), configurationFolder)
+	following, err := follower.New(follower.Options{Sources: sources, Folder: folder, Log: log.Log})
+	if err != nil {
+		return err
+	}
+	d.following.Store(following)
+	go d.publishFollowed(ctx, following)
+	if err := following.Run(ctx); ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
+// publishFollowed publishes each configuration that the follower puts in force.
+func (d *daemon) publishFollowed(ctx context.Context, following *follower.Follower) {
+	for ctx.Err() == nil {
+		changed := following.Changed()
+		current := following.Current()
+		if current.Number() > 0 {
+			d.publishConfiguration(&rockwindpb.Acceptance{Number: current.Number(), Checksum: current.Checksum()})
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
 	}
-	return view.Index(), true
 }
 
 func (d *daemon) catalogView(ctx context.Context) (*catalog.View, bool) {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -1,67 +1,286 @@
 package control_test
 
 import (
+	"bytes"
 	"context"
+	"fmt"
+	"net"
+	"net/http"
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	"rockwind.example/rockwind/internal/control"
 	"rockwind.example/rockwind/internal/controlclient"
+	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
-func start(t *testing.T) *controlclient.Client {
+const (
+	machineCount = 3
+	testShards   = 2
+	testTick     = 20 * time.Millisecond
+	testTimeout  = 60 * time.Second
+)
+
+// cluster runs control daemons in this process.
+type cluster struct {
+	t        *testing.T
+	machines []*rockwindpb.ControlMachine
+	folders  []string
+	running  []*running
+}
+
+type running struct {
+	stop context.CancelFunc
+	done chan error
+}
+
+func startCluster(t *testing.T) *cluster {
 	t.Helper()
-	folder := t.TempDir()
-	settings := &rockwindpb.ControlSettings{Machine: "one", Zone: "z", Listen: "127.0.0.1:0", DataFolder: folder}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- control.Run(ctx, settings) }()
+	c := &cluster{t: t, running: make([]*running, machineCount)}
+	listeners := make([]net.Listener, machineCount)
+	for index := range machineCount {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners[index] = listener
+		c.folders = append(c.folders, t.TempDir())
+		c.machines = append(c.machines, &rockwindpb.ControlMachine{
+			Machine: fmt.Sprintf("machine-%d", index),
+			Address: listener.Addr().String(),
+			Zone:    fmt.Sprintf("zone-%d", index),
+		})
+	}
+	for index := range machineCount {
+		c.start(index, listeners[index])
+	}
 	t.Cleanup(func() {
-		cancel()
-		if err := <-done; err != nil {
-			t.Error(err)
+		for index := range machineCount {
+			c.stop(index)
 		}
 	})
-	var address []byte
-	for len(address) == 0 {
-		address, _ = os.ReadFile(filepath.Join(folder, "address"))
-		time.Sleep(time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	if err := replica.Found(ctx, http.DefaultClient, c.addresses(), testShards); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func (c *cluster) addresses() []string {
+	var addresses []string
+	for _, machine := range c.machines {
+		addresses = append(addresses, machine.GetAddress())
+	}
+	return addresses
+}
+
+func (c *cluster) start(index int, listener net.Listener) {
+	ctx, stop := context.WithCancel(context.Background())
+	started := &running{stop: stop, done: make(chan error, 1)}
+	c.running[index] = started
+	settings := &rockwindpb.ControlSettings{
+		Machine:    c.machines[index].GetMachine(),
+		Zone:       c.machines[index].GetZone(),
+		DataFolder: c.folders[index],
+		Control:    c.machines,
+		Tick:       durationpb.New(testTick),
+	}
+	go func() {
+		started.done <- control.Run(ctx, settings, control.WithListener(listener), control.WithRepairInterval(10*testTick))
+	}()
+}
+
+func (c *cluster) stop(index int) {
+	c.t.Helper()
+	stopped := c.running[index]
+	if stopped == nil {
+		return
+	}
+	c.running[index] = nil
+	stopped.stop()
+	if err := <-stopped.done; err != nil {
+		c.t.Errorf("machine %d: %v", index, err)
+	}
+}
+
+// replaceDisk starts a stopped machine with an empty disk.
+func (c *cluster) replaceDisk(index int) {
+	c.t.Helper()
+	if err := os.RemoveAll(c.folders[index]); err != nil {
+		c.t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", c.machines[index].GetAddress())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.start(index, listener)
+}
+
+func (c *cluster) client() *controlclient.Client {
+	return controlclient.New(controlclient.Options{Control: c.machines, Zone: "zone-0", CallTimeout: testTimeout})
+}
+
+// awaitCopies waits until one machine holds every segment of another.
+func (c *cluster) awaitCopies(ctx context.Context, from, to int) {
+	c.t.Helper()
+	for {
+		if ctx.Err() != nil {
+			c.t.Fatalf("machine %d did not get its copies", to)
+		}
+		have := c.segments(ctx, to)
+		missing := false
+		for id, length := range c.segments(ctx, from) {
+			missing = missing || have[id] < length
+		}
+		if !missing && len(have) > 0 {
+			return
+		}
+		time.Sleep(testTick)
+	}
+}
+
+func (c *cluster) segments(ctx context.Context, index int) map[uint64]uint64 {
+	service := rockwindpb.NewSegmentServiceProtobufClient("http://"+c.machines[index].GetAddress(), http.DefaultClient)
+	lengths := make(map[uint64]uint64)
+	listed, err := service.List(ctx, &rockwindpb.ListSegmentsRequest{})
+	if err != nil {
+		return lengths
 	}
-	return controlclient.New(controlclient.Options{Control: []*rockwindpb.ControlMachine{{Machine: "one", Address: string(address), Zone: "z"}}, Zone: "z"})
+	for _, summary := range listed.GetSegments() {
+		lengths[summary.GetSegment()] = summary.GetLength()
+	}
+	return lengths
 }
 
-func TestJobThroughOneMachine(t *testing.T) {
-	client := start(t)
-	ctx := t.Context()
-	stored, err := client.Bodies().Store(ctx, &rockwindpb.StoreBodiesRequest{Bodies: [][]byte{[]byte("input"), []byte("result")}})
+// TestJobSurvivesLostDisks runs jobs through three daemons over HTTP. One loses
+// its disk; after it was repaired another is stopped for good, so that the
+// repaired copies have to serve.
+func TestJobSurvivesLostDisks(t *testing.T) {
+	c := startCluster(t)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	client := c.client()
+
+	bodies := [][]byte{bytes.Repeat([]byte("input"), 100), []byte("first result"), []byte("second result")}
+	stored, err := client.Bodies().Store(ctx, &rockwindpb.StoreBodiesRequest{Bodies: bodies})
+	if err != nil {
+		t.Fatal(err)
+	}
+	references := stored.GetReferences()
+	submitted := submit(ctx, t, client, "key", 2, references[0], false)
+	again := submit(ctx, t, client, "key", 2, references[0], true)
+	if again.GetId() != submitted.GetId() {
+		t.Fatalf("a resend made another job: %s and %s", submitted.GetId(), again.GetId())
+	}
+	lease := acquire(ctx, t, client, 1)
+	complete(ctx, t, client, lease, references[1])
+
+	c.stop(0)
+	second := acquire(ctx, t, client, 1)
+	c.replaceDisk(0)
+	complete(ctx, t, client, second, references[2])
+	c.awaitVoter(ctx, 0)
+	c.awaitCopies(ctx, 1, 0)
+	c.awaitCopies(ctx, 2, 0)
+
+	c.stop(1)
+	results, err := client.Jobs().ListResults(ctx, &rockwindpb.ListResultsRequest{JobId: submitted.GetId(), Tenant: "tenant", Limit: 10})
 	if err != nil {
 		t.Fatal(err)
 	}
-	job := &rockwindpb.Job{Tenant: "t", Group: "g", Model: "m", ClientKey: "k", ItemCount: 1,
-		Input: []*rockwindpb.InputChunk{{ItemCount: 1, Body: stored.References[0]}}}
-	submitted, err := client.Jobs().Submit(ctx, &rockwindpb.SubmitJobRequest{Job: job})
+	if len(results.GetResults()) != 2 {
+		t.Fatalf("2 results were recorded, %d are listed", len(results.GetResults()))
+	}
+	for index, result := range results.GetResults() {
+		read, err := client.Bodies().Read(ctx, &rockwindpb.ReadBodiesRequest{References: []*rockwindpb.BodyReference{result.GetResult()}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !bytes.Equal(read.GetBodies()[0], bodies[index+1]) {
+			t.Fatalf("item %d reads %q", index, read.GetBodies()[0])
+		}
+	}
+	cancelled := submit(ctx, t, client, "other", 5, references[0], false)
+	if _, err := client.Jobs().Cancel(ctx, &rockwindpb.CancelJobRequest{JobId: cancelled.GetId(), Tenant: "tenant"}); err != nil {
+		t.Fatal(err)
+	}
+	none, err := client.Jobs().AcquireLeases(ctx, &rockwindpb.AcquireLeasesRequest{Holder: "gateway", MaxItems: 5, Models: []string{"model"}})
+	if err != nil || len(none.GetGrants()) != 0 {
+		t.Fatalf("a cancelled job gave %v (%v)", none.GetGrants(), err)
+	}
+}
+
+// awaitVoter waits until a machine votes in all groups and its old disk is no
+// member any more; until then the groups cannot do without another machine.
+func (c *cluster) awaitVoter(ctx context.Context, index int) {
+	c.t.Helper()
+	service := rockwindpb.NewReplicaServiceProtobufClient("http://"+c.machines[index].GetAddress(), http.DefaultClient)
+	for {
+		if ctx.Err() != nil {
+			c.t.Fatalf("machine %d did not become a voter", index)
+		}
+		identity, err := service.Identity(ctx, &rockwindpb.IdentityRequest{})
+		voting := err == nil && len(identity.GetGroups()) == testShards+1
+		for _, group := range identity.GetGroups() {
+			voting = voting && group.GetVoter() && len(group.GetMembership().GetMembers()) == machineCount
+		}
+		if voting {
+			return
+		}
+		time.Sleep(testTick)
+	}
+}
+
+func submit(ctx context.Context, t *testing.T, client *controlclient.Client, key string, items uint32, input *rockwindpb.BodyReference, resent bool) *rockwindpb.Job {
+	t.Helper()
+	job := &rockwindpb.Job{
+		Tenant: "tenant", Group: "group", Model: "model", ClientKey: key, ItemCount: items,
+		Input: []*rockwindpb.InputChunk{{ItemCount: items, Body: input}},
+	}
+	response, err := client.Jobs().Submit(ctx, &rockwindpb.SubmitJobRequest{Job: job})
 	if err != nil {
 		t.Fatal(err)
 	}
-	acquired, err := client.Jobs().AcquireLeases(ctx, &rockwindpb.AcquireLeasesRequest{Holder: "h", MaxItems: 10, Models: []string{"m"}, LeaseMs: 1000, WaitMs: 5000})
-	if err != nil || len(acquired.Grants) != 1 {
-		t.Fatal(err, acquired)
+	if response.GetResent() != resent {
+		t.Fatalf("resent is %v, want %v", response.GetResent(), resent)
 	}
-	lease := acquired.Grants[0].Lease
-	completed, err := client.Jobs().CompleteItems(ctx, &rockwindpb.CompleteItemsRequest{Holder: "h", Completions: []*rockwindpb.LeaseCompletion{{
-		JobId: lease.JobId, Fence: lease.Fence, Items: []*rockwindpb.ItemCompletion{{Item: 0, Outcome: rockwindpb.ItemOutcome_ITEM_OUTCOME_COMPLETED, Result: stored.References[1]}}, Release: true}}})
-	if err != nil || completed.Verdicts[0].Recorded != 1 {
-		t.Fatal(err, completed)
+	return response.GetJob()
+}
+
+func acquire(ctx context.Context, t *testing.T, client *controlclient.Client, items uint32) *rockwindpb.Lease {
+	t.Helper()
+	response, err := client.Jobs().AcquireLeases(ctx, &rockwindpb.AcquireLeasesRequest{
+		Holder: "gateway", MaxItems: items, Models: []string{"model"}, LeaseMs: 30_000, WaitMs: 30_000,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(response.GetGrants()) != 1 {
+		t.Fatalf("%d leases were granted, want 1", len(response.GetGrants()))
 	}
-	results, err := client.Jobs().ListResults(ctx, &rockwindpb.ListResultsRequest{JobId: submitted.Job.Id, Tenant: "t"})
-	if err != nil || len(results.Results) != 1 {
-		t.Fatal(err, results)
+	return response.GetGrants()[0].GetLease()
+}
+
+func complete(ctx context.Context, t *testing.T, client *controlclient.Client, lease *rockwindpb.Lease, result *rockwindpb.BodyReference) {
+	t.Helper()
+	response, err := client.Jobs().CompleteItems(ctx, &rockwindpb.CompleteItemsRequest{
+		Holder: "gateway",
+		Completions: []*rockwindpb.LeaseCompletion{{
+			JobId: lease.GetJobId(), Fence: lease.GetFence(), Release: true,
+			Items: []*rockwindpb.ItemCompletion{{
+				Item: lease.GetFirstItem(), Outcome: rockwindpb.ItemOutcome_ITEM_OUTCOME_COMPLETED, Result: result,
+			}},
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
 	}
-	bodies, err := client.Bodies().Read(ctx, &rockwindpb.ReadBodiesRequest{References: []*rockwindpb.BodyReference{results.Results[0].Result}})
-	if err != nil || string(bodies.Bodies[0]) != "result" {
-		t.Fatal(err, bodies)
+	if len(response.GetVerdicts()) != 1 || response.GetVerdicts()[0].GetRecorded() != 1 {
+		t.Fatalf("the completion was answered with %v", response)
 	}
 }
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -19,14 +20,20 @@
 
 	"rockwind.example/rockwind/internal/controlclient"
 	"rockwind.example/rockwind/internal/events"
+	"rockwind.example/rockwind/internal/follower"
 	"rockwind.example/rockwind/internal/logring"
+	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/segment"
 	"rockwind.example/rockwind/internal/sharding"
 )
 
-// segmentFolder holds the bodies under the data folder.
-const segmentFolder = "segments"
+// Folders under the data folder.
+const (
+	groupFolder         = "groups"
+	segmentFolder       = "segments"
+	configurationFolder = "configuration"
+)
 
 // Option changes how the daemon runs.
 type Option func(*daemon)
@@ -42,6 +49,18 @@
 	return func(d *daemon) { d.client, d.secure = client, secure }
 }
 
+// WithListener makes the daemon serve on a listener in place of the address in
+// its settings.
+func WithListener(listener net.Listener) Option {
+	return func(d *daemon) { d.listener = listener }
+}
+
+// WithRepairInterval sets the time between rounds in which the machine looks for
+// bodies that it lacks.
+func WithRepairInterval(interval time.Duration) Option {
+	return func(d *daemon) { d.repairInterval = interval }
+}
+
 // daemon is a running control machine.
 type daemon struct {
 	settings *rockwindpb.ControlSettings
@@ -49,14 +68,20 @@
 	ring     *logring.Ring
 	client   *http.Client
 	secure   bool
+	listener net.Listener
+	// repairInterval is zero for the default.
+	repairInterval time.Duration
 
-	host     host
+	host     *replica.Host
 	machines *machines
 	bodies   *segment.Node
 	exchange *fleetService
 	bus      *events.Bus
 	metrics  *metrics
 
+	// following is set on a machine that does not replicate the root group.
+	following atomic.Pointer[follower.Follower]
+
 	draining   atomic.Bool
 	inProgress atomic.Int64
 	// stopping ends when calls that wait must return.
@@ -73,49 +98,57 @@
 	if err := os.MkdirAll(settings.GetDataFolder(), folderMode); err != nil {
 		return errors.Wrap(err, "create the data folder")
 	}
-	listener, err := listen(settings)
-	if err != nil {
-		return err
-	}
-	created, err := newDaemon(settings, listener, options)
-	if err != nil {
-		return errors.CombineErrors(err, listener.Close())
-	}
-	return created.run(ctx, listener)
-}
-
-func newDaemon(settings *rockwindpb.ControlSettings, listener net.Listener, options []Option) (*daemon, error) {
-	d := &daemon{
+	created := &daemon{
 		settings: settings,
-		address:  listener.Addr().String(),
 		machines: newMachines(),
 		shards:   make(map[uint32]*shard),
 	}
-	d.stopping, d.stopWaiting = context.WithCancel(context.Background())
 	for _, option := range options {
-		option(d)
+		option(created)
 	}
+	if err := created.listen(); err != nil {
+		return err
+	}
+	if err := created.open(); err != nil {
+		return errors.CombineErrors(err, created.listener.Close())
+	}
+	return created.run(ctx)
+}
+
+// open opens the parts of the daemon.
+func (d *daemon) open() error {
+	d.stopping, d.stopWaiting = context.WithCancel(context.Background())
 	if d.client == nil {
 		d.client = &http.Client{Transport: controlclient.NewTransport()}
 	}
 	var err error
 	if d.host, err = d.openHost(); err != nil {
-		return nil, err
+		return err
 	}
 	if d.bodies, err = d.openBodies(); err != nil {
-		return nil, err
+		return err
 	}
 	if d.bus, err = events.NewBus(); err != nil {
-		return nil, err
+		return err
 	}
 	d.metrics = newMetrics(d.bodies)
 	d.exchange = newFleetService(d)
 	d.handleEvents()
-	return d, nil
+	return nil
 }
 
-func (d *daemon) openHost() (host, error) {
-	return newLocalHost(d.address, d.machines.create), nil
+// openHost opens the replicated groups of this machine.
+func (d *daemon) openHost() (*replica.Host, error) {
+	return replica.NewHost(replica.Options{
+		Machine:       d.settings.GetMachine(),
+		Address:       d.address,
+		Folder:        filepath.Join(d.settings.GetDataFolder(), groupFolder),
+		Client:        d.client,
+		Secure:        d.secure,
+		Tick:          d.settings.GetTick().AsDuration(),
+		Peers:         d.settings.GetControl(),
+		StateMachines: d.machines.create,
+	})
 }
 
 // openBodies opens the segments of this machine.
@@ -126,9 +159,11 @@
 	}
 	return segment.Open(segment.Options{
 		Machine: d.settings.GetMachine(),
-		DiskID:  d.settings.GetMachine(),
+		DiskID:  fmt.Sprintf("%016x", d.host.DiskID()),
 		Files:   files,
 		Peers:   d.segmentPeers(),
+
+		RepairInterval: d.repairInterval,
 	})
 }
 
@@ -163,7 +198,7 @@
 
 // run drives all parts. The server stops first, while the parts that it needs to
 // finish its calls still run.
-func (d *daemon) run(ctx context.Context, listener net.Listener) error {
+func (d *daemon) run(ctx context.Context) error {
 	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopParts()
 	group, parts := errgroup.WithContext(parts)
@@ -172,11 +207,12 @@
 	group.Go(func() error { return d.bus.Run(parts) })
 	group.Go(func() error { return d.exchange.run(parts) })
 	group.Go(func() error { return d.keepGroups(parts, group) })
+	group.Go(func() error { return d.followConfiguration(parts) })
 	group.Go(func() error {
 		defer stopParts()
 		serving, cancel := joined(ctx, parts)
 		defer cancel()
-		return d.serve(serving, listener)
+		return d.serve(serving)
 	})
 	log.WithField("address", d.address).Info("control machine serves")
 	err := group.Wait()
@@ -238,6 +274,11 @@
 	keeper.run(ctx)
 }
 
-func (d *daemon) noteStop(err error) {
-	log.WithError(err).Warn("cannot hand over all leadership")
+// handOver gives up the leadership of all groups before a stop.
+func (d *daemon) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	if err := d.host.Drain(ctx); err != nil {
+		log.WithError(err).Warn("cannot hand over all leadership")
+	}
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -23,8 +23,10 @@
 	readHeaderTimeout = 5 * time.Second
 	// stopTimeout bounds a planned stop.
 	stopTimeout = 15 * time.Second
-	folderMode  = 0o750
-	fileMode    = 0o640
+	// handOverTimeout bounds the part of it in which leadership is handed over.
+	handOverTimeout = 5 * time.Second
+	folderMode      = 0o750
+	fileMode        = 0o640
 )
 
 // handler mounts the services.
@@ -53,13 +55,23 @@
 
 // ready answers 200 once the machine replicates its groups and is not leaving.
 func (d *daemon) ready(writer http.ResponseWriter, _ *http.Request) {
-	if d.draining.Load() || d.machines.catalog() == nil {
+	if d.draining.Load() || !d.founded() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	writer.WriteHeader(http.StatusOK)
 }
 
+// founded tells whether this machine belongs to a cluster.
+func (d *daemon) founded() bool {
+	select {
+	case <-d.host.Founded():
+		return true
+	default:
+		return false
+	}
+}
+
 func (d *daemon) countInProgress(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		d.inProgress.Add(1)
@@ -68,17 +80,22 @@
 	})
 }
 
-// listen binds the address of the settings and writes down which one it got.
-func listen(settings *rockwindpb.ControlSettings) (net.Listener, error) {
-	listener, err := net.Listen("tcp", settings.GetListen())
-	if err != nil {
-		return nil, errors.Wrap(err, "listen")
+// listen binds the address of the settings, unless a listener was given, and
+// writes down which address it got.
+func (d *daemon) listen() error {
+	if d.listener == nil {
+		listener, err := net.Listen("tcp", d.settings.GetListen())
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		d.listener = listener
 	}
-	path := filepath.Join(settings.GetDataFolder(), addressFile)
-	if err := replaceFile(path, []byte(listener.Addr().String())); err != nil {
-		return nil, errors.CombineErrors(err, listener.Close())
+	d.address = d.listener.Addr().String()
+	path := filepath.Join(d.settings.GetDataFolder(), addressFile)
+	if err := replaceFile(path, []byte(d.address)); err != nil {
+		return errors.CombineErrors(err, d.listener.Close())
 	}
-	return listener, nil
+	return nil
 }
 
 // replaceFile writes a file such that a reader sees the old or the new content.
@@ -92,13 +109,13 @@
 
 // serve answers calls until the context ends. Then it hands over leadership,
 // ends the calls that wait for news or work, and finishes the others.
-func (d *daemon) serve(ctx context.Context, listener net.Listener) error {
+func (d *daemon) serve(ctx context.Context) error {
 	server := &http.Server{
 		Handler:           d.handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
+	go func() { failed <- server.Serve(d.listener) }()
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "serve")
@@ -107,9 +124,7 @@
 	d.draining.Store(true)
 	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
-	if err := d.host.Drain(stopping); err != nil {
-		d.noteStop(err)
-	}
+	d.handOver(stopping)
 	d.stopWaiting()
 	return errors.Wrap(server.Shutdown(stopping), "stop the server")
 }
--- a/internal/controlclient/call.go
+++ b/internal/controlclient/call.go
@@ -43,10 +43,17 @@
 // method performs one attempt at one machine.
 type method[Request, Response any] func(ctx context.Context, at *machine, request Request) (Response, error)
 
-// anywhere returns a route over all machines, those of the client's zone first,
-// spread over callers.
+// anywhere returns a route over all machines: those that answer before those
+// that did not, those of the client's zone first, spread over callers.
 func (c *Client) anywhere() *route {
-	return &route{leaderless: true, order: c.spread()}
+	return &route{leaderless: true, order: c.spread(nil)}
+}
+
+// replicas returns a route over the machines that replicate a group.
+func (c *Client) replicas(ctx context.Context, group uint32) *route {
+	// Without an answer all machines are tried, which is slower but as good.
+	_, _ = c.Shards(ctx)
+	return &route{leaderless: true, order: c.spread(c.membersOf(group))}
 }
 
 // meeting returns a route in the order of rendezvous with the client's zone, so
@@ -61,12 +68,22 @@
 		index := slices.IndexFunc(c.machines, func(candidate *machine) bool { return candidate.name == name })
 		order = append(order, c.machines[index])
 	}
+	slices.SortStableFunc(order, func(left, right *machine) int {
+		return asInt(left.paused()) - asInt(right.paused())
+	})
 	return &route{leaderless: true, order: order}
 }
 
+func asInt(condition bool) int {
+	if condition {
+		return 1
+	}
+	return 0
+}
+
 // toLeader returns a route to the leader of a group.
 func (c *Client) toLeader(group uint32) *route {
-	return &route{group: group, order: c.spread()}
+	return &route{group: group, order: c.spread(c.membersOf(group))}
 }
 
 // waiting lets each attempt take longer by the given time.
@@ -75,7 +92,15 @@
 	return r
 }
 
-func (c *Client) spread() []*machine {
+func (c *Client) membersOf(group uint32) []string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.members[group]
+}
+
+// spread orders the machines: the named ones first, then those that answer, then
+// those of the client's zone; equals are rotated.
+func (c *Client) spread(named []string) []*machine {
 	c.mutex.Lock()
 	c.rotate++
 	start := c.rotate
@@ -85,16 +110,30 @@
 		order = append(order, c.machines[(start+offset)%len(c.machines)])
 	}
 	slices.SortStableFunc(order, func(left, right *machine) int {
-		return c.distance(left) - c.distance(right)
+		return c.distance(left, named) - c.distance(right, named)
 	})
 	return order
 }
 
-func (c *Client) distance(candidate *machine) int {
-	if candidate.zone == c.options.Zone {
-		return 0
+// Weights of what makes a machine a worse choice.
+const (
+	notNamedWeight  = 4
+	pausedWeight    = 2
+	otherZoneWeight = 1
+)
+
+func (c *Client) distance(candidate *machine, named []string) int {
+	distance := 0
+	if len(named) > 0 && !slices.Contains(named, candidate.name) {
+		distance += notNamedWeight
+	}
+	if candidate.paused() {
+		distance += pausedWeight
 	}
-	return 1
+	if candidate.zone != c.options.Zone {
+		distance += otherZoneWeight
+	}
+	return distance
 }
 
 // pick returns the machine for the next attempt.
@@ -157,6 +196,10 @@
 			}
 			return response, nil
 		}
+		if errors.Is(ctx.Err(), context.Canceled) {
+			cause := fault.New(fault.Unavailable, "the caller gave the call up", "call again when the answer is wanted")
+			return none, gaveUp(cause, kind, executed || !neverConnected(err))
+		}
 		verdict := c.judge(r, at, err)
 		executed = executed || verdict.mayHaveRun
 		if verdict.final {
@@ -167,7 +210,7 @@
 			continue
 		}
 		redirects = 0
-		if !c.budget.spend() || !c.pause(ctx, backOff) {
+		if !verdict.free && !c.budget.spend() || !c.pause(ctx, backOff) {
 			return none, gaveUp(verdict.cause, kind, executed)
 		}
 		backOff = min(2*backOff, longestBackOff)
@@ -196,21 +239,25 @@
 	redirected bool
 	// mayHaveRun means that the attempt may have been executed.
 	mayHaveRun bool
+	// free means that the attempt cost the machine next to nothing: it was not
+	// reached, or it refused at once. The pause between attempts is bound enough.
+	free bool
 }
 
 func (c *Client) judge(r *route, at *machine, err error) verdict {
 	cause := fault.From(err)
 	if isTransport(err) {
+		at.pause()
 		c.forgetLeader(r.group, at)
 		cause = fault.Newf(fault.Unavailable, "check that the process at the other end is running",
 			"call to control machine %s at %s failed: %v", at.name, at.address, err)
-		return verdict{cause: cause, mayHaveRun: !neverConnected(err)}
+		return verdict{cause: cause, mayHaveRun: !neverConnected(err), free: neverConnected(err)}
 	}
 	switch cause.Kind {
 	case fault.NotLeader:
 		c.forgetLeader(r.group, at)
 		r.hinted = c.byAddress(cause.Leader)
-		return verdict{cause: cause, redirected: r.hinted != nil && r.hinted != at}
+		return verdict{cause: cause, free: true, redirected: r.hinted != nil && r.hinted != at}
 	case fault.Unavailable, fault.Overloaded:
 		c.forgetLeader(r.group, at)
 		return verdict{cause: cause, mayHaveRun: cause.Ran != fault.NotRun}
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rockwind.example/rockwind/internal/fault"
@@ -61,6 +62,8 @@
 	mutex   sync.Mutex
 	shards  uint32
 	leaders map[uint32]*machine
+	// members holds the names of the machines that replicate each group.
+	members map[uint32][]string
 	rotate  int
 }
 
@@ -76,6 +79,21 @@
 	files         rockwindpb.FileService
 	bodies        rockwindpb.BodyService
 	fleet         rockwindpb.FleetService
+
+	// pausedUntil is when a machine that did not answer is preferred again, in
+	// Unix nanoseconds.
+	pausedUntil atomic.Int64
+}
+
+// machinePause is how long a machine that did not answer is asked last.
+const machinePause = 3 * time.Second
+
+func (m *machine) pause() {
+	m.pausedUntil.Store(time.Now().Add(machinePause).UnixNano())
+}
+
+func (m *machine) paused() bool {
+	return time.Now().UnixNano() < m.pausedUntil.Load()
 }
 
 // New returns a client of the given control machines. It makes no call.
@@ -85,6 +103,7 @@
 		options: options,
 		budget:  newBudget(),
 		leaders: make(map[uint32]*machine),
+		members: make(map[uint32][]string),
 	}
 	for _, settings := range options.Control {
 		client.machines = append(client.machines, newMachine(options, settings))
@@ -170,19 +189,23 @@
 		return 0, err
 	}
 	c.learn(identity)
-	count := shardCount(identity)
-	if count == 0 {
-		return 0, fault.New(fault.Unavailable, "the control machines belong to no cluster yet",
-			"found the cluster with 'rockwind found'").WithRan(fault.NotRun)
-	}
-	return count, nil
+	return shardCount(identity), nil
 }
 
+// identify asks one machine which groups there are; a machine that belongs to no
+// cluster, because it is new or its disk is, does not know.
 func identify(ctx context.Context, at *machine, request *rockwindpb.IdentityRequest) (*rockwindpb.IdentityResponse, error) {
-	return at.replica.Identity(ctx, request)
+	identity, err := at.replica.Identity(ctx, request)
+	if err == nil && shardCount(identity) == 0 {
+		return nil, fault.Newf(fault.Unavailable, "found the cluster, or wait until the machine has joined it",
+			"control machine %s belongs to no cluster", at.name).WithRan(fault.NotRun)
+	}
+	return identity, err
 }
 
-// learn keeps the number of shards and the leaders that an identity names.
+// learn keeps what an identity tells: the number of shards, the leaders and the
+// machines that replicate each group. A group never moves to another machine
+// name.
 func (c *Client) learn(identity *rockwindpb.IdentityResponse) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -192,6 +215,11 @@
 		if leader != nil {
 			c.leaders[group.GetGroup()] = leader
 		}
+		var names []string
+		for _, member := range group.GetMembership().GetMembers() {
+			names = append(names, member.GetMachine())
+		}
+		c.members[group.GetGroup()] = names
 	}
 }
 
--- a/internal/controlclient/services.go
+++ b/internal/controlclient/services.go
@@ -69,7 +69,7 @@
 
 // Get reads and may be repeated.
 func (s configurationService) Get(ctx context.Context, request *rockwindpb.GetConfigurationRequest) (*rockwindpb.GetConfigurationResponse, error) {
-	return call(ctx, s.client, s.client.anywhere(), reading,
+	return call(ctx, s.client, s.client.replicas(ctx, sharding.RootGroup), reading,
 		func(ctx context.Context, at *machine, request *rockwindpb.GetConfigurationRequest) (*rockwindpb.GetConfigurationResponse, error) {
 			return at.configuration.Get(ctx, request)
 		}, request)
@@ -77,7 +77,7 @@
 
 // Watch reads and may be repeated.
 func (s configurationService) Watch(ctx context.Context, request *rockwindpb.WatchConfigurationRequest) (*rockwindpb.WatchConfigurationResponse, error) {
-	return call(ctx, s.client, s.client.anywhere().waiting(milliseconds(request.GetWaitMs())), reading,
+	return call(ctx, s.client, s.client.replicas(ctx, sharding.RootGroup).waiting(milliseconds(request.GetWaitMs())), reading,
 		func(ctx context.Context, at *machine, request *rockwindpb.WatchConfigurationRequest) (*rockwindpb.WatchConfigurationResponse, error) {
 			return at.configuration.Watch(ctx, request)
 		}, request)
