Run batches end to end: files, jobs, leases, results

POST /v1/files stores whole lines in chunks and checks the items of a batch; POST /v1/batches submits a job under the client's key; internal/batch leases ranges, runs items on the servers that the gateway feeds, pauses them when online needs the place, stores results in groups and records them in groups. Output and error files are made from the results in the order of items.

--- /dev/null
+++ b/internal/batch/line.go
@@ -0,0 +1,74 @@
+package batch
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"rockwind.example/rockwind/internal/fault"
+)
+
+// errNoBody is the failure of a read that returned another number of bodies.
+var errNoBody = errors.New("the store returned another number of bodies than was asked for")
+
+// InputLine is one line of a batch's input file in the published shape.
+type InputLine struct {
+	// CustomID is the caller's name of the item.
+	CustomID string `json:"custom_id"`
+	// Method is the HTTP method, always POST.
+	Method string `json:"method"`
+	// URL is the endpoint, for example /v1/chat/completions.
+	URL string `json:"url"`
+	// Body is the request.
+	Body json.RawMessage `json:"body"`
+}
+
+// OutputLine is one line of a batch's output or error file in the published
+// shape.
+type OutputLine struct {
+	ID       string        `json:"id"`
+	CustomID string        `json:"custom_id"`
+	Response *LineResponse `json:"response"`
+	Error    *LineError    `json:"error"`
+}
+
+// LineResponse is the answer to one item.
+type LineResponse struct {
+	StatusCode int             `json:"status_code"`
+	RequestID  string          `json:"request_id"`
+	Body       json.RawMessage `json:"body"`
+}
+
+// LineError says why an item has no answer.
+type LineError struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+// lineID is the identity of an item's line.
+func lineID(job string, item uint32) string {
+	return fmt.Sprintf("batch_req_%s_%d", job, item)
+}
+
+// EncodeAnswer is the output line of an item that was answered.
+func EncodeAnswer(job string, item uint32, customID string, status int, requestID string, body []byte) ([]byte, error) {
+	if !json.Valid(body) {
+		quoted, err := json.Marshal(string(body))
+		if err != nil {
+			return nil, err
+		}
+		body = quoted
+	}
+	return json.Marshal(OutputLine{
+		ID: lineID(job, item), CustomID: customID,
+		Response: &LineResponse{StatusCode: status, RequestID: requestID, Body: body},
+	})
+}
+
+// EncodeFailure is the error line of an item that ended without an answer.
+func EncodeFailure(job string, item uint32, customID string, why *fault.Fault) ([]byte, error) {
+	return json.Marshal(OutputLine{
+		ID: lineID(job, item), CustomID: customID,
+		Error: &LineError{Code: string(why.Kind), Message: why.Error()},
+	})
+}
--- a/internal/gateway/control_test.go
+++ b/internal/gateway/control_test.go
@@ -13,7 +13,6 @@
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/ledger"
 	"rockwind.example/rockwind/internal/rockwindpb"
-	"rockwind.example/rockwind/internal/sharding"
 )
 
 // memoryControl is a control plane in memory: the real ledger without
@@ -71,7 +70,7 @@
 func (c memoryJobs) Submit(_ context.Context, request *rockwindpb.SubmitJobRequest) (*rockwindpb.SubmitJobResponse, error) {
 	job := proto.CloneOf(request.GetJob())
 	if job.Id == "" {
-		job.Id = sharding.Identifier("batch", 1, rand.Uint64())
+		job.Id = ledger.JobID(1, rand.Uint64())
 	}
 	job.Shard = 1
 	return apply[*rockwindpb.SubmitJobResponse](c.memoryControl, &rockwindpb.JobCommand{
@@ -161,7 +160,7 @@
 func (c memoryFiles) Put(_ context.Context, request *rockwindpb.PutFileRequest) (*rockwindpb.PutFileResponse, error) {
 	file := proto.CloneOf(request.GetFile())
 	if file.Id == "" {
-		file.Id = sharding.Identifier("file", 1, rand.Uint64())
+		file.Id = ledger.FileID(1, rand.Uint64())
 	}
 	return apply[*rockwindpb.PutFileResponse](c.memoryControl, &rockwindpb.JobCommand{
 		Command: &rockwindpb.JobCommand_PutFile{PutFile: &rockwindpb.PutFileRequest{File: file}},
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -52,7 +52,7 @@
 	bounded, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	draining, _ := g.drain.state()
-	groups, tenants := g.usage.take(g.batchDemand()), g.limiter.Usage(time.Now())
+	groups, tenants := g.usage.take(g.batch.Demand()), g.limiter.Usage(time.Now())
 	response, err := g.control.Fleet().Exchange(bounded, &rockwindpb.ExchangeRequest{
 		Gateway: g.settings.GetName(), Address: g.settings.GetInternalListen(), Zone: g.settings.GetZone(),
 		ConfigurationNumber: g.follower.Current().Number(), Owned: g.view.Digests(),
@@ -69,13 +69,7 @@
 		g.limiter.SetGateways(peers)
 	}
 	g.limiter.Allow(response.GetTenants(), time.Now())
-	g.allowBatch(response.GetGroups())
+	g.batch.Allow(response.GetGroups())
 	g.follower.Hint(response.GetLatestConfiguration())
 	return response
 }
-
-// batchDemand is the cost of batch work that waits here, by group.
-func (g *Gateway) batchDemand() map[string]float64 { return nil }
-
-// allowBatch puts the groups' parts of the batch capacity in force.
-func (g *Gateway) allowBatch([]*rockwindpb.GroupAllowance) {}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,12 +5,14 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"rockwind.example/rockwind/internal/batch"
 	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/controlclient"
 	"rockwind.example/rockwind/internal/follower"
@@ -63,6 +65,7 @@
 	usage    *groupUsage
 	metrics  *metrics
 	drain    *drainState
+	batch    *batch.Executor
 }
 
 // Run runs a gateway until the context ends, then drains it: new requests are
@@ -113,6 +116,12 @@
 	g.view = serverview.New(serverview.Options{
 		Gateway: settings.GetName(), Zone: settings.GetZone(), Client: g.client, PlatformURL: settings.GetPlatformUrl(),
 	})
+	g.batch = batch.New(batch.Options{
+		Holder: settings.GetName() + "/" + strconv.FormatInt(g.started.UnixMilli(), 10),
+		Jobs:   client.Jobs(), Bodies: client.Bodies(), Relay: g.relay, View: g.view,
+		Current: following.Current, Concurrency: int(settings.GetBatchConcurrency()),
+		Served: g.usage.batch, Ended: g.metrics.itemEnded, Log: logger,
+	})
 	return g
 }
 
@@ -132,13 +141,20 @@
 	group.Go(func() error { g.followConfiguration(background); return nil })
 	group.Go(func() error { g.view.Run(background); return nil })
 	group.Go(func() error { g.exchangeLoop(background); return nil })
+	batching, stopBatch := context.WithCancel(background)
+	defer stopBatch()
+	batchEnded := make(chan struct{})
+	group.Go(func() error { defer close(batchEnded); g.batch.Run(batching); return nil })
 	listeners.serve(group, g)
 	select {
 	case <-ctx.Done():
 	case <-background.Done():
 	case <-g.drain.started:
 	}
+	g.drain.begin()
+	stopBatch()
 	g.stop(listeners)
+	<-batchEnded
 	stop()
 	return group.Wait()
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"io"
 	"net/http/httptest"
 	"os"
@@ -164,7 +165,12 @@
 
 func must(t testing.TB, err error) {
 	t.Helper()
-	if err != nil {
-		t.Fatal(err)
+	if err == nil {
+		return
 	}
+	var typed *openai.Error
+	if errors.As(err, &typed) {
+		t.Fatalf("%v: %s", err, typed.RawJSON())
+	}
+	t.Fatal(err)
 }
--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -119,6 +119,13 @@
 	router.Get("/v1/models/{id}", g.serveModel)
 	router.Post(pathChatCompletions, g.serveCompletion)
 	router.Post(pathCompletions, g.serveCompletion)
+	router.Post("/v1/files", g.serveUpload)
+	router.Get("/v1/files/{id}", g.serveFile)
+	router.Get("/v1/files/{id}/content", g.serveContent)
+	router.Post("/v1/batches", g.serveCreateBatch)
+	router.Get("/v1/batches", g.serveBatches)
+	router.Get("/v1/batches/{id}", g.serveBatch)
+	router.Post("/v1/batches/{id}/cancel", g.serveCancelBatch)
 	router.HandleFunc(servicesPrefix+"{service}", g.serveService)
 	router.HandleFunc(servicesPrefix+"{service}/*", g.serveService)
 	router.NotFound(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/upstream"
 )
 
@@ -21,6 +22,7 @@
 	firstByte  *prometheus.HistogramVec
 	duration   *prometheus.HistogramVec
 	inProgress prometheus.Gauge
+	items      *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -53,11 +55,27 @@
 			Name: "rockwind_gateway_requests_in_progress", Help: "Callers' requests in progress.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.refused, m.attempts, m.resumes, m.tokens, m.firstByte, m.duration,
+	m.items = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "rockwind_gateway_batch_items_total", Help: "Batch items that ended here, by outcome.",
+	}, []string{"outcome"})
+	m.registry.MustRegister(m.items, m.requests, m.refused, m.attempts, m.resumes, m.tokens, m.firstByte, m.duration,
 		m.inProgress, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
+// itemEnded counts a batch item.
+func (m *metrics) itemEnded(outcome rockwindpb.ItemOutcome) {
+	m.items.WithLabelValues(outcomeLabels[outcome]).Inc()
+}
+
+// outcomeLabels are the outcomes of items in metrics.
+var outcomeLabels = map[rockwindpb.ItemOutcome]string{
+	rockwindpb.ItemOutcome_ITEM_OUTCOME_COMPLETED: "completed",
+	rockwindpb.ItemOutcome_ITEM_OUTCOME_FAILED:    "failed",
+	rockwindpb.ItemOutcome_ITEM_OUTCOME_RETRY:     "retry",
+	rockwindpb.ItemOutcome_ITEM_OUTCOME_RETURNED:  "returned",
+}
+
 // observe counts a request that ended.
 func (g *Gateway) observe(request *upstream.Request, result upstream.Result, started time.Time) {
 	kind := "engine"
--- a/internal/gateway/openai_test.go
+++ b/internal/gateway/openai_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
+	"io"
+	"strings"
 	"testing"
 
 	"github.com/openai/openai-go/v3"
@@ -20,6 +24,8 @@
 	t.Run("chat", func(t *testing.T) { checkChat(ctx, t, client) })
 	t.Run("stream", func(t *testing.T) { checkStream(ctx, t, client) })
 	t.Run("models", func(t *testing.T) { checkModels(ctx, t, client) })
+	t.Run("batch", func(t *testing.T) { checkBatch(ctx, t, f) })
+	t.Run("cancel", func(t *testing.T) { checkCancel(ctx, t, f) })
 	t.Run("errors", func(t *testing.T) { checkErrors(ctx, t, f) })
 }
 
@@ -80,6 +86,123 @@
 	expectError(t, err, 401, "unauthenticated")
 }
 
+// inputFile is a batch input with one item for each text.
+func inputFile(texts []string, tokens int) string {
+	var file strings.Builder
+	for number, text := range texts {
+		fmt.Fprintf(&file, `{"custom_id":"item-%d","method":"POST","url":"/v1/chat/completions","body":`+
+			`{"model":%q,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}}`+"\n", number, testModel, tokens, text)
+	}
+	return file.String()
+}
+
+// texts makes different messages.
+func texts(count int, about string) []string {
+	made := make([]string, count)
+	for number := range made {
+		made[number] = fmt.Sprintf("%s number %d", about, number)
+	}
+	return made
+}
+
+func uploadBatch(ctx context.Context, t testing.TB, client openai.Client, content string) *openai.FileObject {
+	file, err := client.Files.New(ctx, openai.FileNewParams{
+		File: openai.File(strings.NewReader(content), "items.jsonl", "application/jsonl"), Purpose: openai.FilePurposeBatch,
+	})
+	must(t, err)
+	return file
+}
+
+func submitBatch(ctx context.Context, t testing.TB, client openai.Client, file string) *openai.Batch {
+	created, err := client.Batches.New(ctx, openai.BatchNewParams{
+		InputFileID: file, Endpoint: openai.BatchNewParamsEndpointV1ChatCompletions,
+		CompletionWindow: openai.BatchNewParamsCompletionWindow24h,
+	}, option.WithHeader("Idempotency-Key", "batch of "+file))
+	must(t, err)
+	return created
+}
+
+// outputLine is one line of the output as a client reads it.
+type outputLine struct {
+	CustomID string `json:"custom_id"`
+	Response struct {
+		StatusCode int                   `json:"status_code"`
+		Body       openai.ChatCompletion `json:"body"`
+	} `json:"response"`
+}
+
+// checkOutput checks that the output holds the whole answer to every item, in
+// order and once.
+func checkOutput(ctx context.Context, t testing.TB, client openai.Client, id string, asked []string, tokens int) {
+	response, err := client.Files.Content(ctx, id)
+	must(t, err)
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	must(t, err)
+	lines := strings.Split(strings.TrimSpace(string(content)), "\n")
+	if len(lines) != len(asked) {
+		t.Fatalf("%d lines of output for %d items", len(lines), len(asked))
+	}
+	for number, line := range lines {
+		var parsed outputLine
+		must(t, json.Unmarshal([]byte(line), &parsed))
+		want := answerTo(asked[number], tokens)
+		if parsed.CustomID != fmt.Sprintf("item-%d", number) || parsed.Response.Body.Choices[0].Message.Content != want {
+			t.Fatalf("line %d is %s, want %q", number, line, want)
+		}
+	}
+}
+
+// awaitBatch asks for a batch until it has ended.
+func awaitBatch(ctx context.Context, t testing.TB, f *fleet, client openai.Client, id string) *openai.Batch {
+	var found *openai.Batch
+	f.await("the end of batch "+id, func() bool {
+		var err error
+		found, err = client.Batches.Get(ctx, id)
+		must(t, err)
+		return found.Status != openai.BatchStatusInProgress
+	})
+	return found
+}
+
+func checkBatch(ctx context.Context, t *testing.T, f *fleet) {
+	client := f.client()
+	asked := texts(1500, "clue")
+	file := uploadBatch(ctx, t, client, inputFile(asked, 8))
+	again, err := client.Files.Get(ctx, file.ID)
+	must(t, err)
+	if again.Bytes != file.Bytes || again.Filename != "items.jsonl" {
+		t.Fatalf("file %v, want %v", again, file)
+	}
+	created := submitBatch(ctx, t, client, file.ID)
+	if resent := submitBatch(ctx, t, client, file.ID); resent.ID != created.ID {
+		t.Fatalf("a resubmission made another batch: %s and %s", resent.ID, created.ID)
+	}
+	ended := awaitBatch(ctx, t, f, client, created.ID)
+	if ended.Status != openai.BatchStatusCompleted || ended.RequestCounts.Completed != int64(len(asked)) {
+		t.Fatalf("batch ended as %s with %+v", ended.Status, ended.RequestCounts)
+	}
+	checkOutput(ctx, t, client, ended.OutputFileID, asked, 8)
+	page, err := client.Batches.List(ctx, openai.BatchListParams{})
+	must(t, err)
+	if len(page.Data) != 1 || page.Data[0].ID != created.ID {
+		t.Fatalf("list of batches %v", page.Data)
+	}
+}
+
+func checkCancel(ctx context.Context, t *testing.T, f *fleet) {
+	client := f.client()
+	file := uploadBatch(ctx, t, client, inputFile(texts(500, "rebuild"), 3000))
+	created := submitBatch(ctx, t, client, file.ID)
+	f.await("a running item", func() bool { return len(f.gateway.batch.Demand()) > 0 })
+	cancelled, err := client.Batches.Cancel(ctx, created.ID)
+	must(t, err)
+	if cancelled.Status != openai.BatchStatusCancelled {
+		t.Fatalf("cancelled batch is %s", cancelled.Status)
+	}
+	f.await("the items to stop", func() bool { return len(f.gateway.batch.Demand()) == 0 })
+}
+
 // expectError checks a typed error as the published client reads it.
 func expectError(t *testing.T, err error, status int, code string) *openai.Error {
 	t.Helper()
--- a/internal/serverview/batch.go
+++ b/internal/serverview/batch.go
@@ -38,6 +38,9 @@
 	Target upstream.Target
 	// Count is the number of items.
 	Count int
+	// Lost tells that the server is out because of its failures, so that no
+	// answer can be expected.
+	Lost bool
 }
 
 // BatchFree returns how many more batch items of a model the servers that this
@@ -154,9 +157,11 @@
 		if e.batch.running == 0 && e.batch.paused == 0 {
 			continue
 		}
-		count := v.yieldCount(e, now)
-		if count != 0 {
-			yields = append(yields, BatchYield{Target: upstream.Target{Name: e.name, Address: e.address}, Count: count})
+		found := BatchYield{Target: upstream.Target{Name: e.name, Address: e.address}}
+		found.Lost = v.routing.Servers[e.index].Health == routing.Ejected
+		found.Count = v.yieldCount(e, now)
+		if found.Lost || found.Count != 0 {
+			yields = append(yields, found)
 		}
 	}
 	return yields
