--- a/internal/ledger/complete.go
+++ b/internal/ledger/complete.go
@@ -84,7 +84,7 @@
 func (l *Ledger) applyReport(now int64, found *job, current *lease, report *rockwindpb.ItemCompletion) bool {
 	switch report.Outcome {
 	case rockwindpb.ItemOutcome_ITEM_OUTCOME_RETRY:
-		if l.defects.blindRetry {
+		if l.defects.unboundedRetry {
 			found.giveBack(current, report.Item)
 			return false
 		}
--- a/internal/ledger/expire.go
+++ b/internal/ledger/expire.go
@@ -32,22 +32,33 @@
 
 // expireLeases ends the leases past their time; each of their items counts a try.
 func (l *Ledger) expireLeases(now int64) uint32 {
-	expired := uint32(0)
+	expired := l.takeDueLeases(now)
+	for _, key := range expired {
+		// The job may have ended with an earlier one of these leases.
+		if found, current := l.leaseOf(key); current != nil {
+			l.expireLease(now, found, current)
+		}
+	}
+	return uint32(len(expired))
+}
+
+// takeDueLeases removes the leases past their time from the queue. An entry
+// whose lease was renewed goes back under its new time.
+func (l *Ledger) takeDueLeases(now int64) []leaseKey {
+	var expired []leaseKey
 	for {
 		entry, due := l.leaseDue.take(now)
 		if !due {
 			return expired
 		}
-		found, current := l.leaseOf(entry.key)
-		if current == nil {
-			continue
-		}
-		if current.expires > now {
+		_, current := l.leaseOf(entry.key)
+		switch {
+		case current == nil:
+		case current.expires > now:
 			l.leaseDue.add(current.expires, entry.key)
-			continue
+		default:
+			expired = append(expired, entry.key)
 		}
-		l.expireLease(now, found, current)
-		expired++
 	}
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -82,10 +82,16 @@
 
 // defects are faults that tests switch on to prove that the checks see them.
 type defects struct {
-	noFence           bool
-	blindRetry        bool
-	cancelUnchecked   bool
-	recordGrantedTwoX bool
+	// noFence accepts reports without a lease.
+	noFence bool
+	// unboundedRetry counts no tries.
+	unboundedRetry bool
+	// cancelUnchecked accepts reports after a cancel.
+	cancelUnchecked bool
+	// recordGrantedTwice grants a started request to a second owner.
+	recordGrantedTwice bool
+	// blindRetry frees the key of a request whose owner was given up.
+	blindRetry bool
 }
 
 // clientKey is a tenant's own name for a job.
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -55,7 +55,7 @@
 			"idempotency key %q was used with another body", request.Key).WithRan(fault.NotRun)
 	}
 	granted := found.in(rockwindpb.RecordState_RECORD_STATE_STARTED) &&
-		(found.definition.Owner == request.Owner || l.defects.recordGrantedTwoX)
+		(found.definition.Owner == request.Owner || l.defects.recordGrantedTwice)
 	return &rockwindpb.BeginRequestResponse{Granted: granted, Record: found.describe()}, nil
 }
 
@@ -147,6 +147,9 @@
 			continue
 		}
 		found.definition.State = rockwindpb.RecordState_RECORD_STATE_UNKNOWN
+		if l.defects.blindRetry {
+			found.definition.State = rockwindpb.RecordState_RECORD_STATE_NOT_RUN
+		}
 		l.markEnded(now, entry.key, found)
 		given++
 	}
--- a/internal/ledger/restore.go
+++ b/internal/ledger/restore.go
@@ -8,6 +8,9 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
+// maximumFence is above any fence that a shard can reach by granting leases.
+const maximumFence = 1 << 62
+
 // Restore replaces the whole state by the one in a snapshot. It checks all that
 // later commands rely on, fails with fault.Corrupt, and then changes nothing.
 func (l *Ledger) Restore(snapshot []byte) error {
@@ -33,6 +36,9 @@
 	if decoded.Version != snapshotVersion || decoded.Shard != l.shard {
 		return restored, errors.Newf("it has version %d and shard %d", decoded.Version, decoded.Shard)
 	}
+	if decoded.Fence > maximumFence {
+		return restored, errors.Newf("fence %d", decoded.Fence)
+	}
 	restored.fence = decoded.Fence
 	restored.lastGroup = decoded.LastGroup
 	for _, kept := range decoded.Jobs {
--- a/internal/ledger/result.go
+++ b/internal/ledger/result.go
@@ -10,8 +10,6 @@
 	chunkItems = 256
 	// BlockItems results are sealed together: their references move to a body.
 	BlockItems = 4096
-	// chunksPerBlock is the number of chunks of a whole block.
-	chunksPerBlock = BlockItems / chunkItems
 	// minimumSealed is the number of results from which sealing saves memory.
 	minimumSealed = 64
 )
