--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -40,6 +40,9 @@
 	Connection `group:"Connection"`
 	Output     string `enum:"table,json" default:"table" help:"Form of the output: ${enum}."`
 
+	Gateway gatewayCommand `cmd:"" group:"Daemons" help:"Run a gateway."`
+	Control controlCommand `cmd:"" group:"Daemons" help:"Run a control daemon."`
+
 	Cluster clusterCommand `cmd:"" group:"Operation" help:"Found a cluster and look at its replicas."`
 	Apply   applyCommand   `cmd:"" group:"Operation" help:"Apply a configuration file as a whole."`
 	Diff    diffCommand    `cmd:"" group:"Operation" help:"Show what a configuration file would change."`
--- /dev/null
+++ b/internal/command/daemons.go
@@ -0,0 +1,95 @@
+package command
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+
+	"rockwind.example/rockwind/internal/control"
+	"rockwind.example/rockwind/internal/controlclient"
+	"rockwind.example/rockwind/internal/gateway"
+	"rockwind.example/rockwind/internal/linkfault"
+	"rockwind.example/rockwind/internal/logring"
+	"rockwind.example/rockwind/internal/settings"
+)
+
+// daemonFlags are common to the daemons.
+type daemonFlags struct {
+	Settings string   `required:"" type:"path" placeholder:"FILE" help:"Settings file."`
+	Set      []string `placeholder:"FIELD=VALUE" sep:"none" help:"Replace a field of the settings; may be repeated."`
+}
+
+// gatewayCommand is 'rockwind gateway'.
+type gatewayCommand struct {
+	daemonFlags
+}
+
+// Help implements kong.HelpProvider.
+func (*gatewayCommand) Help() string {
+	return `Runs a gateway until SIGTERM or SIGINT. It then takes no new requests, lets those in progress run to
+their end, and exits. SIGUSR1 writes the last log entries to standard error.`
+}
+
+// Run runs the daemon.
+func (g *gatewayCommand) Run(s *session) error {
+	loaded, err := settings.LoadGateway(g.Settings, g.Set)
+	if err != nil {
+		return err
+	}
+	return gateway.Run(s.context, loaded)
+}
+
+// controlCommand is 'rockwind control'.
+type controlCommand struct {
+	daemonFlags
+	AllowFaultInjection bool `help:"Let experiments cut this process's links over HTTP. Never set it in production."`
+}
+
+// Help implements kong.HelpProvider.
+func (*controlCommand) Help() string {
+	return `Runs a control daemon until SIGTERM or SIGINT. It then hands over leadership, finishes the calls in
+progress, and exits. SIGUSR1 writes the last log entries to standard error.`
+}
+
+// Run runs the daemon.
+func (c *controlCommand) Run(s *session) error {
+	loaded, err := settings.LoadControl(c.Settings, c.Set)
+	if err != nil {
+		return err
+	}
+	ring := logring.New(logring.DefaultCapacity, s.stderr)
+	log.SetHandler(ring)
+	stop := dumpOnSignal(s.context, ring)
+	defer stop()
+	options := []control.Option{control.WithLogs(ring)}
+	if c.AllowFaultInjection {
+		links := &linkfault.Links{}
+		client := &http.Client{Transport: links.Transport(controlclient.NewTransport())}
+		options = append(options, control.WithClient(client, false), control.WithLinkFaults(links))
+	}
+	return control.Run(s.context, loaded, options...)
+}
+
+// dumpOnSignal writes the ring to standard error at SIGUSR1 until the context
+// ends or the returned function is called.
+func dumpOnSignal(ctx context.Context, ring *logring.Ring) func() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-signals:
+				if err := ring.Dump(os.Stderr); err != nil {
+					log.WithError(err).Warn("could not write the log ring")
+				}
+			}
+		}
+	}()
+	return func() { signal.Stop(signals) }
+}
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -21,6 +21,7 @@
 	"rockwind.example/rockwind/internal/controlclient"
 	"rockwind.example/rockwind/internal/events"
 	"rockwind.example/rockwind/internal/follower"
+	"rockwind.example/rockwind/internal/linkfault"
 	"rockwind.example/rockwind/internal/logring"
 	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/rockwindpb"
@@ -49,6 +50,11 @@
 	return func(d *daemon) { d.client, d.secure = client, secure }
 }
 
+// WithLinkFaults lets experiments cut the links of the client over HTTP.
+func WithLinkFaults(links *linkfault.Links) Option {
+	return func(d *daemon) { d.links = links }
+}
+
 // WithListener makes the daemon serve on a listener in place of the address in
 // its settings.
 func WithListener(listener net.Listener) Option {
@@ -69,6 +75,8 @@
 	client   *http.Client
 	secure   bool
 	listener net.Listener
+	// links is nil outside experiments.
+	links *linkfault.Links
 	// repairInterval is zero for the default.
 	repairInterval time.Duration
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/twitchtv/twirp"
 
+	"rockwind.example/rockwind/internal/linkfault"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -50,6 +51,9 @@
 	router.Get("/healthz", func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusOK) })
 	router.Get("/readyz", d.ready)
 	router.Method(http.MethodGet, "/metrics", promhttp.HandlerFor(d.metrics.registry, promhttp.HandlerOpts{}))
+	if d.links != nil {
+		router.Mount(linkfault.Path, d.links.Handler())
+	}
 	return router
 }
 
