--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -41,15 +41,27 @@
 // Client sends single attempts over pooled connections. It is safe for
 // concurrent use.
 type Client struct {
-	dialer  net.Dialer
+	dial    DialFunc
 	buffers sync.Pool
 	mutex   sync.RWMutex
 	pools   map[string]*pool
 }
 
+// DialFunc opens a connection to an address within the context.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // NewClient returns a client without connections.
 func NewClient() *Client {
+	var dialer net.Dialer
+	return NewClientWithDial(func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	})
+}
+
+// NewClientWithDial is NewClient with another way to open connections.
+func NewClientWithDial(dial DialFunc) *Client {
 	return &Client{
+		dial:    dial,
 		buffers: sync.Pool{New: func() any { return new(bytes.Buffer) }},
 		pools:   make(map[string]*pool),
 	}
@@ -184,7 +196,7 @@
 	}
 	dialing, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	network, err := c.dialer.DialContext(dialing, "tcp", address)
+	network, err := c.dial(dialing, address)
 	if err != nil {
 		return nil, err
 	}
