--- /dev/null
+++ b/internal/control/exchange/exchange_test.go
@@ -0,0 +1,163 @@
+package exchange_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"rockwind.example/rockwind/internal/configuration"
+	"rockwind.example/rockwind/internal/control/exchange"
+	"rockwind.example/rockwind/internal/ownership"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+const limitPerSecond = 100
+
+func index(t interface{ Fatal(...any) }) *configuration.Index {
+	built, err := configuration.NewIndex(&rockwindpb.Configuration{
+		Number: 3,
+		Groups: []*rockwindpb.Group{{Name: "a", Share: 1}, {Name: "b", Share: 1}},
+		Tenants: []*rockwindpb.Tenant{
+			{Name: "limited", Group: "a", Limits: &rockwindpb.Limits{RequestsPerSecond: limitPerSecond}},
+			{Name: "free", Group: "a"},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return built
+}
+
+// TestGatewaysLearnAllDigests lets gateways come, go and report in any order, and
+// checks that each that stays holds the newest digest of every server of its
+// zone, although only changes are sent.
+func TestGatewaysLearnAllDigests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		board := exchange.NewBoard("control", 1)
+		now := time.Unix(1000, 0)
+		servers := []string{"s0", "s1", "s2", "s3", "s4"}
+		running := make(map[string]uint32)
+		held := make([]map[string]uint32, 3)
+		versions := make([]uint64, 3)
+		for index := range held {
+			held[index] = make(map[string]uint32)
+		}
+		steps := rapid.SliceOfN(rapid.IntRange(0, 2), 5, 60).Draw(t, "steps")
+		for _, caller := range append(steps, 0, 1, 2, 0, 1, 2) {
+			name := fmt.Sprintf("gateway-%d", caller)
+			report := &rockwindpb.ExchangeRequest{Gateway: name, Zone: "zone", SinceVersion: versions[caller]}
+			for _, server := range servers {
+				if ownership.Owner([]string{"gateway-0", "gateway-1", "gateway-2"}, server) != name {
+					continue
+				}
+				running[server] = rapid.Uint32Range(0, 2).Draw(t, "running")
+				held[caller][server] = running[server]
+				report.Owned = append(report.Owned, &rockwindpb.ServerDigest{Name: server, RunningOnline: running[server]})
+			}
+			answer := board.Exchange(now, report)
+			versions[caller] = answer.GetVersion()
+			for _, digest := range answer.GetServers() {
+				held[caller][digest.GetName()] = digest.GetRunningOnline()
+			}
+			for server, value := range running {
+				if have, known := held[caller][server]; !known || have != value {
+					t.Fatalf("%s holds %d for %s, newest is %d", name, have, server, value)
+				}
+			}
+			now = now.Add(exchange.Period / 3)
+		}
+	})
+}
+
+// TestAllowancesSumToTheLimit spreads a tenant over gateways of two control
+// machines and checks that the parts sum to the limit and follow the demand.
+func TestAllowancesSumToTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		boards := []*exchange.Board{exchange.NewBoard("one", 1), exchange.NewBoard("two", 1)}
+		for _, board := range boards {
+			board.Configure(index(t))
+		}
+		demands := rapid.SliceOfN(rapid.Float64Range(1, 100), 2, 8).Draw(t, "demands")
+		now := time.Unix(1000, 0)
+		sum := 0.0
+		for range 40 {
+			sum = 0
+			for gateway, demand := range demands {
+				answer := boards[gateway%2].Exchange(now, &rockwindpb.ExchangeRequest{
+					Gateway: fmt.Sprintf("gateway-%d", gateway), Zone: "zone",
+					Tenants: []*rockwindpb.TenantUsage{
+						{Tenant: "limited", Requests: demand * exchange.Period.Seconds()},
+						{Tenant: "free", Requests: demand},
+					},
+				})
+				if len(answer.GetTenants()) != 1 {
+					t.Fatalf("%d allowances were given, one tenant has limits", len(answer.GetTenants()))
+				}
+				sum += answer.GetTenants()[0].GetRequestsPerSecond()
+			}
+			boards[0].Learn(now, boards[1].Aggregates(now))
+			boards[1].Learn(now, boards[0].Aggregates(now))
+			now = now.Add(exchange.Period)
+		}
+		if math.Abs(sum-limitPerSecond) > 0.01*limitPerSecond {
+			t.Fatalf("the parts sum to %.2f of %d", sum, limitPerSecond)
+		}
+	})
+}
+
+// TestExchangeIsSmall counts the bytes of an exchange in a zone of the target
+// size: 37 servers, 11 gateways, 31 other zones and 12 models.
+func TestExchangeIsSmall(t *testing.T) {
+	const (
+		servers  = 37
+		gateways = 11
+		zones    = 32
+		models   = 12
+		// budget is what protobuf may take of 6 KB/s, the rest is for headers and
+		// all other calls of a daemon.
+		budget = 3000
+	)
+	board := exchange.NewBoard("control", 1)
+	now := time.Unix(1000, 0)
+	other := &rockwindpb.ShareAggregatesRequest{Machine: "other"}
+	for zone := range zones {
+		for model := range models {
+			other.Zones = append(other.Zones, &rockwindpb.ZoneDigest{
+				Zone: fmt.Sprintf("region-%d-zone-%d", zone/4, zone%4), Model: fmt.Sprintf("model-%d", model),
+				Servers: servers, RunningOnline: 500, RunningBatch: 500, Waiting: 10,
+			})
+		}
+	}
+	versions := make([]uint64, gateways)
+	total := 0
+	const rounds = 30
+	for round := range rounds {
+		board.Learn(now, other)
+		for gateway := range gateways {
+			request := &rockwindpb.ExchangeRequest{
+				Gateway: fmt.Sprintf("gateway-%d", gateway), Zone: "region-0-zone-0", SinceVersion: versions[gateway],
+			}
+			for server := gateway; server < servers; server += gateways {
+				request.Owned = append(request.Owned, &rockwindpb.ServerDigest{
+					Name: fmt.Sprintf("engine-0-0-%d", server), RunningOnline: uint32(round), RunningBatch: 100, Waiting: 3,
+					KvUsedPermille: 700, StepMicroseconds: 20_000, AgeMs: 150, Health: rockwindpb.HealthState_HEALTH_STATE_HEALTHY,
+				})
+			}
+			answer := board.Exchange(now, request)
+			versions[gateway] = answer.GetVersion()
+			if round > 0 {
+				total += proto.Size(request) + proto.Size(answer)
+			}
+		}
+		now = now.Add(exchange.Period)
+	}
+	perSecond := float64(total) / (rounds - 1) / gateways / exchange.Period.Seconds()
+	t.Logf("an exchange takes %.0f B/s of each gateway in protobuf", perSecond)
+	if perSecond > budget {
+		t.Fatalf("an exchange takes %.0f B/s of each gateway, more than %d", perSecond, budget)
+	}
+}
