Run hollow gateways and engines, many to a process

Cause: the target size needs 350 gateways and 1,200 engines on one machine. Change: rockwind-bench hollow runs whole gateways over counted connections and engines that answer load reports; gateways take an HTTP client for control and an observer of configurations.

--- /dev/null
+++ b/internal/bench/hollow/report.go
@@ -0,0 +1,50 @@
+// Package hollow runs many daemons and engines in one process, with their real
+// control code and real sockets but no traffic, so that one machine can stand
+// for a large fleet.
+package hollow
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Commands are `rockwind-bench hollow`.
+type Commands struct {
+	Engines  EnginesCommand  `cmd:"" help:"Run many hollow engines in one process."`
+	Gateways GatewaysCommand `cmd:"" help:"Run many hollow gateways in one process."`
+}
+
+// Pages of a process of hollow daemons.
+const (
+	// ReportPage answers the process's report as JSON.
+	ReportPage = "/report"
+	// RestartPage restarts a gateway as planned; the query names it.
+	RestartPage = "/restart"
+	// StopPage stops a gateway for good; the query names it.
+	StopPage = "/stop"
+)
+
+// serveReport prints the address of the report page and serves it for as long
+// as the process runs. More pages may be given.
+func serveReport(address string, report func() any, pages map[string]http.HandlerFunc) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen for the report page")
+	}
+	handler := http.NewServeMux()
+	handler.HandleFunc(ReportPage, func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Type", "application/json")
+		// A caller that went away is no fault of this process.
+		_ = json.NewEncoder(writer).Encode(report())
+	})
+	handler.HandleFunc("/readyz", func(http.ResponseWriter, *http.Request) {})
+	for page, serve := range pages {
+		handler.HandleFunc(page, serve)
+	}
+	fmt.Printf("listening %s\n", listener.Addr())
+	return http.Serve(listener, handler)
+}
--- a/internal/bench/wire/wire.go
+++ b/internal/bench/wire/wire.go
@@ -91,3 +91,22 @@
 	}
 	return count, err
 }
+
+// Listener returns a listener whose connections are counted.
+func (c *Counter) Listener(listener net.Listener) net.Listener {
+	return &countedListener{Listener: listener, counter: c}
+}
+
+type countedListener struct {
+	net.Listener
+	counter *Counter
+}
+
+// Accept implements net.Listener.
+func (l *countedListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConnection{Conn: connection, counter: l.counter}, nil
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,38 +66,43 @@
 	metrics  *metrics
 	drain    *drainState
 	batch    *batch.Executor
+	// inForce is called with every configuration that is put in force.
+	inForce func(*configuration.Index)
 }
 
 // Run runs a gateway until the context ends, then drains it: new requests are
 // refused as not run, and Run returns when those in progress have ended.
-func Run(ctx context.Context, settings *rockwindpb.GatewaySettings) error {
-	g, err := newGateway(settings)
+func Run(ctx context.Context, settings *rockwindpb.GatewaySettings, given ...Option) error {
+	g, err := newGateway(settings, collect(given))
 	if err != nil {
 		return err
 	}
 	return g.run(ctx)
 }
 
-func newGateway(settings *rockwindpb.GatewaySettings) (*Gateway, error) {
+func newGateway(settings *rockwindpb.GatewaySettings, chosen options) (*Gateway, error) {
 	if err := os.MkdirAll(settings.GetDataFolder(), folderMode); err != nil {
 		return nil, errors.Wrap(err, "create the data folder")
 	}
 	ring := logring.New(logring.DefaultCapacity, os.Stderr)
 	logger := &log.Logger{Handler: ring, Level: log.InfoLevel}
 	following, err := follower.New(follower.Options{
-		Sources: configurationSources(settings), Log: logger,
+		Sources: configurationSources(settings, chosen.controlClient), Log: logger,
 		Folder: filepath.Join(settings.GetDataFolder(), configurationFolder),
 	})
 	if err != nil {
 		return nil, err
 	}
-	client := controlclient.New(controlclient.Options{Control: settings.GetControl(), Zone: settings.GetZone()})
-	return assemble(settings, ring, logger, following, client), nil
+	client := controlclient.New(controlclient.Options{
+		Control: settings.GetControl(), Zone: settings.GetZone(), HTTPClient: chosen.controlClient,
+	})
+	g := assemble(settings, ring, logger, following, client)
+	g.inForce = chosen.observe
+	return g, nil
 }
 
 // configurationSources are the control machines, each asked on its own.
-func configurationSources(settings *rockwindpb.GatewaySettings) []rockwindpb.ConfigurationService {
-	carrier := &http.Client{Transport: controlclient.NewTransport()}
+func configurationSources(settings *rockwindpb.GatewaySettings, carrier *http.Client) []rockwindpb.ConfigurationService {
 	var sources []rockwindpb.ConfigurationService
 	for _, machine := range settings.GetControl() {
 		sources = append(sources, rockwindpb.NewConfigurationServiceProtobufClient("http://"+machine.GetAddress(), carrier))
@@ -111,6 +116,7 @@
 		settings: settings, log: logger, ring: ring, started: time.Now(), follower: following, control: client,
 		client: upstream.NewClient(), budget: upstream.NewBudget(), limiter: limits.New(),
 		usage: newGroupUsage(), metrics: newMetrics(), drain: newDrainState(),
+		inForce: func(*configuration.Index) {},
 	}
 	g.relay = upstream.NewRelay(g.client, g.budget)
 	g.view = serverview.New(serverview.Options{
@@ -182,6 +188,7 @@
 
 func (g *Gateway) configure() {
 	index := g.follower.Current()
+	defer g.inForce(index)
 	g.view.Configure(serverview.Declared{
 		Models: index.Models(), Services: index.Services(), BackEnds: index.BackEnds(),
 		StepTarget: index.Policy().GetOnlineStepTarget().AsDuration(),
