--- a/internal/command/daemons.go
+++ b/internal/command/daemons.go
@@ -40,7 +40,10 @@
 	if err != nil {
 		return err
 	}
-	return gateway.Run(s.context, loaded)
+	ring := logring.New(logring.DefaultCapacity, s.stderr)
+	stop := dumpOnSignal(s.context, ring)
+	defer stop()
+	return gateway.Run(s.context, loaded, gateway.WithLogs(ring))
 }
 
 // controlCommand is 'rockwind control'.
--- a/internal/command/drain.go
+++ b/internal/command/drain.go
@@ -9,13 +9,14 @@
 // drainCommand is 'rockwind drain'.
 type drainCommand struct {
 	Address  string        `arg:"" help:"Internal address of the daemon, IP:PORT."`
-	Deadline time.Duration `placeholder:"TIME" help:"End requests that still run after this time. Without it all requests run to their end."`
+	Deadline time.Duration `placeholder:"TIME" help:"Wait at most this long for the requests in progress. Without it the command waits until they have ended."`
 }
 
 // Help implements kong.HelpProvider.
 func (*drainCommand) Help() string {
-	return `The daemon takes no new work, ends its leases, and lets requests in progress run to their end.
-'rockwind status' shows it as draining. Stopping the process with SIGTERM does the same and then ends it.`
+	return `The daemon takes no new work, ends its leases, lets requests in progress run to their end, and ends. The
+command waits for that; when it is interrupted, the daemon goes on draining. 'rockwind status' shows it as
+draining. SIGTERM to the process does the same.`
 }
 
 // Run starts the drain.
@@ -24,11 +25,9 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := s.bounded()
-	defer cancel()
-	response, err := admin.Drain(ctx, &rockwindpb.DrainRequest{DeadlineMs: uint32(d.Deadline.Milliseconds())})
+	response, err := admin.Drain(s.context, &rockwindpb.DrainRequest{DeadlineMs: uint32(d.Deadline.Milliseconds())})
 	if err != nil {
 		return err
 	}
-	return s.printer.line(response, "%s drains", d.Address)
+	return s.printer.line(response, "%s is drained, or drains on after the deadline", d.Address)
 }
--- a/internal/command/jobs.go
+++ b/internal/command/jobs.go
@@ -29,20 +29,19 @@
 
 // job is what people and programs are shown of a batch job.
 type job struct {
-	ID           string `json:"id"`
-	Tenant       string `json:"tenant,omitempty"`
-	Class        string `json:"batch_class,omitempty"`
-	Model        string `json:"model,omitempty"`
-	State        string `json:"state"`
-	Items        int64  `json:"items"`
-	Completed    int64  `json:"completed"`
-	Failed       int64  `json:"failed"`
-	AcceptedMs   int64  `json:"accepted_unix_ms"`
-	DeadlineMs   int64  `json:"deadline_unix_ms,omitempty"`
-	EndedMs      int64  `json:"ended_unix_ms,omitempty"`
-	ExpectedMs   int64  `json:"estimated_end_unix_ms,omitempty"`
-	InputFile    string `json:"input_file,omitempty"`
-	resultFileID string
+	ID         string `json:"id"`
+	Tenant     string `json:"tenant,omitempty"`
+	Class      string `json:"batch_class,omitempty"`
+	Model      string `json:"model,omitempty"`
+	State      string `json:"state"`
+	Items      int64  `json:"items"`
+	Completed  int64  `json:"completed"`
+	Failed     int64  `json:"failed"`
+	AcceptedMs int64  `json:"accepted_unix_ms"`
+	DeadlineMs int64  `json:"deadline_unix_ms,omitempty"`
+	EndedMs    int64  `json:"ended_unix_ms,omitempty"`
+	ExpectedMs int64  `json:"estimated_end_unix_ms,omitempty"`
+	InputFile  string `json:"input_file,omitempty"`
 }
 
 // jobAccess looks at jobs and cancels them.
@@ -154,8 +153,9 @@
 
 // Help implements kong.HelpProvider.
 func (*jobsResults) Help() string {
-	return `Prints one JSON object a line. Items that have no result yet are left out; how many there are is said at
-the end on the error output, where progress of long outputs is shown as well.`
+	return `Prints one JSON object a line. From the control machines, results come in the order of the items, also while
+the job runs. From a gateway they come when the job has ended: completed items first, then failed ones. How
+many items have no result is said at the end on the error output, which shows the progress of long outputs.`
 }
 
 // Run prints the results. Pages are bounded by the timeout each, not all of
@@ -199,7 +199,7 @@
 	File     string            `short:"f" required:"" placeholder:"FILE" help:"Requests, one JSON object a line, in the published batch form; '-' reads the input."`
 	Endpoint string            `default:"/v1/chat/completions" help:"Endpoint of all requests."`
 	Class    string            `placeholder:"NAME" help:"Batch class, which decides deadline, tries and weight."`
-	Key      string            `placeholder:"KEY" help:"Key under which a resend gets the same job. The default is the SHA-256 of the file with class and endpoint."`
+	Key      string            `placeholder:"KEY" help:"Key under which a resend gets the same job. The default names the file, class, endpoint and metadata."`
 	Metadata map[string]string `placeholder:"NAME=VALUE" help:"Pairs kept with the job."`
 }
 
--- a/internal/command/jobs_control.go
+++ b/internal/command/jobs_control.go
@@ -127,14 +127,44 @@
 	Result  json.RawMessage `json:"result,omitempty"`
 }
 
-// writePage reads the bodies of a page in one call and writes its lines.
+// Bounds of one read of bodies.
+const (
+	readItems = 256
+	readBytes = 2 << 20
+)
+
+// writePage writes the lines of a page, reading the bodies in groups.
 func (c *controlJobs) writePage(ctx context.Context, page *rockwindpb.ListResultsResponse, output io.Writer) error {
-	bodies, err := c.bodies(ctx, page.GetResults())
+	rest := page.GetResults()
+	for len(rest) > 0 {
+		count := groupLength(rest)
+		if err := c.writeGroup(ctx, rest[:count], output); err != nil {
+			return err
+		}
+		rest = rest[count:]
+	}
+	return nil
+}
+
+// groupLength is how many results are read together: at least one.
+func groupLength(results []*rockwindpb.ItemResult) int {
+	size := 0
+	for i, result := range results {
+		size += int(result.GetResult().GetLength())
+		if i > 0 && (size > readBytes || i >= readItems) {
+			return i
+		}
+	}
+	return len(results)
+}
+
+func (c *controlJobs) writeGroup(ctx context.Context, results []*rockwindpb.ItemResult, output io.Writer) error {
+	bodies, err := c.bodies(ctx, results)
 	if err != nil {
 		return err
 	}
 	encoder := json.NewEncoder(output)
-	for _, result := range page.GetResults() {
+	for _, result := range results {
 		line := resultLine{Item: result.GetItem(), Outcome: outcomeName(result.GetOutcome()), Tries: result.GetTries()}
 		if result.GetResult() != nil {
 			line.Result = asJSON(bodies[0])
--- a/internal/command/jobs_gateway.go
+++ b/internal/command/jobs_gateway.go
@@ -7,8 +7,11 @@
 	"encoding/hex"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -103,9 +106,12 @@
 		return j.Key
 	}
 	hasher := sha256.New()
-	for _, part := range []string{j.Class, j.Endpoint} {
-		hasher.Write([]byte(part))
-		hasher.Write([]byte{0})
+	parts := []string{j.Class, j.Endpoint}
+	for _, name := range slices.Sorted(maps.Keys(j.Metadata)) {
+		parts = append(parts, name, j.Metadata[name])
+	}
+	for _, part := range parts {
+		hasher.Write([]byte(strconv.Quote(part)))
 	}
 	hasher.Write(data)
 	return hex.EncodeToString(hasher.Sum(nil))
@@ -143,24 +149,40 @@
 	return fromBatch(batch), nil
 }
 
-// results copies the output file of the job.
+// results copies the output file of the job, and then the file of failed items.
 func (g *gatewayJobs) results(ctx context.Context, id string, output io.Writer, progress *progress) error {
-	shown, err := g.show(ctx, id)
+	batch, err := g.client.Batches.Get(ctx, id)
 	if err != nil {
-		return err
+		return fromGateway(err)
+	}
+	shown := fromBatch(batch)
+	if batch.OutputFileID == "" {
+		progress.note("the job is %s; its results can be read when it has ended (%d of %d items are done)", shown.State, shown.Completed, shown.Items)
+		return nil
+	}
+	counter := &lineCounter{output: output, progress: progress, total: uint32(shown.Items)}
+	for _, file := range []string{batch.OutputFileID, batch.ErrorFileID} {
+		if err := g.copyFile(ctx, file, counter); err != nil {
+			return err
+		}
+	}
+	if missing := shown.Items - int64(counter.lines); missing > 0 {
+		progress.note("%d of %d items have no result (the job is %s)", missing, shown.Items, shown.State)
 	}
-	if shown.resultFileID == "" {
-		progress.note("the job is %s and has no results yet (%d of %d items)", shown.State, shown.Completed, shown.Items)
+	return nil
+}
+
+func (g *gatewayJobs) copyFile(ctx context.Context, file string, output *lineCounter) error {
+	if file == "" {
 		return nil
 	}
-	response, err := g.client.Files.Content(ctx, shown.resultFileID)
+	response, err := g.client.Files.Content(ctx, file)
 	if err != nil {
 		return fromGateway(err)
 	}
 	defer response.Body.Close()
-	counter := &lineCounter{output: output, progress: progress, total: uint32(shown.Items)}
-	if _, err := io.Copy(counter, response.Body); err != nil {
-		return fault.Newf(fault.Unavailable, "repeat the command", "the results ended early after %d items: %v", counter.lines, err)
+	if _, err := io.Copy(output, response.Body); err != nil {
+		return fault.Newf(fault.Unavailable, "repeat the command", "the results ended early after %d items: %v", output.lines, err)
 	}
 	return nil
 }
@@ -182,18 +204,17 @@
 
 func fromBatch(batch *openai.Batch) job {
 	return job{
-		ID:           batch.ID,
-		Class:        batch.Metadata[classMetadata],
-		Model:        batch.Model,
-		State:        string(batch.Status),
-		Items:        batch.RequestCounts.Total,
-		Completed:    batch.RequestCounts.Completed,
-		Failed:       batch.RequestCounts.Failed,
-		AcceptedMs:   milliseconds(batch.CreatedAt),
-		DeadlineMs:   milliseconds(batch.ExpiresAt),
-		EndedMs:      milliseconds(max(batch.CompletedAt, batch.CancelledAt, batch.FailedAt, batch.ExpiredAt)),
-		InputFile:    batch.InputFileID,
-		resultFileID: batch.OutputFileID,
+		ID:         batch.ID,
+		Class:      batch.Metadata[classMetadata],
+		Model:      batch.Model,
+		State:      string(batch.Status),
+		Items:      batch.RequestCounts.Total,
+		Completed:  batch.RequestCounts.Completed,
+		Failed:     batch.RequestCounts.Failed,
+		AcceptedMs: milliseconds(batch.CreatedAt),
+		DeadlineMs: milliseconds(batch.ExpiresAt),
+		EndedMs:    milliseconds(max(batch.CompletedAt, batch.CancelledAt, batch.FailedAt, batch.ExpiredAt)),
+		InputFile:  batch.InputFileID,
 	}
 }
 
@@ -201,9 +222,10 @@
 	return unixSeconds * time.Second.Milliseconds()
 }
 
-// gatewayError is the body of a gateway's refusal.
+// gatewayError is what a gateway adds to the published form of an error.
 type gatewayError struct {
-	Error fault.Fault `json:"error"`
+	Code   fault.Kind `json:"code"`
+	Remedy string     `json:"remedy"`
 }
 
 // fromGateway restores the fault of a gateway's refusal.
@@ -212,16 +234,13 @@
 	if !errors.As(err, &refused) {
 		return fault.Newf(fault.Unavailable, "check --gateway and that the gateway runs, then repeat the command", "the gateway did not answer: %v", err)
 	}
-	body, readErr := io.ReadAll(io.LimitReader(refused.Response.Body, maximumErrorBytes))
 	decoded := &gatewayError{}
-	if readErr == nil && json.Unmarshal(body, decoded) == nil && decoded.Error.Kind != "" {
-		return &decoded.Error
+	if json.Unmarshal([]byte(refused.RawJSON()), decoded) == nil && decoded.Code != "" {
+		return fault.New(decoded.Code, refused.Message, decoded.Remedy)
 	}
 	return fault.Newf(kindOfStatus(refused.StatusCode), "look at the gateway's log with 'rockwind logs'", "the gateway answered with status %d: %s", refused.StatusCode, refused.Message)
 }
 
-const maximumErrorBytes = 64 << 10
-
 func kindOfStatus(status int) fault.Kind {
 	switch {
 	case status == http.StatusUnauthorized:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,8 +84,7 @@
 	if err := os.MkdirAll(settings.GetDataFolder(), folderMode); err != nil {
 		return nil, errors.Wrap(err, "create the data folder")
 	}
-	ring := logring.New(logring.DefaultCapacity, os.Stderr)
-	logger := &log.Logger{Handler: ring, Level: log.InfoLevel}
+	logger := &log.Logger{Handler: chosen.ring, Level: log.InfoLevel}
 	following, err := follower.New(follower.Options{
 		Sources: configurationSources(settings, chosen.controlClient), Log: logger,
 		Folder: filepath.Join(settings.GetDataFolder(), configurationFolder),
@@ -96,7 +95,7 @@
 	client := controlclient.New(controlclient.Options{
 		Control: settings.GetControl(), Zone: settings.GetZone(), HTTPClient: chosen.controlClient,
 	})
-	g := assemble(settings, ring, logger, following, client)
+	g := assemble(settings, chosen.ring, logger, following, client)
 	g.inForce = chosen.observe
 	return g, nil
 }
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/http"
+	"os"
 
 	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/controlclient"
+	"rockwind.example/rockwind/internal/logring"
 )
 
 // Option changes how a gateway runs.
@@ -13,6 +15,7 @@
 type options struct {
 	controlClient *http.Client
 	observe       func(*configuration.Index)
+	ring          *logring.Ring
 }
 
 // WithControlClient sets the HTTP client of all calls to control machines.
@@ -26,10 +29,17 @@
 	return func(o *options) { o.observe = observe }
 }
 
+// WithLogs makes the gateway log to the given ring, which its owner can write
+// out.
+func WithLogs(ring *logring.Ring) Option {
+	return func(o *options) { o.ring = ring }
+}
+
 func collect(given []Option) options {
 	collected := options{
 		controlClient: &http.Client{Transport: controlclient.NewTransport()},
 		observe:       func(*configuration.Index) {},
+		ring:          logring.New(logring.DefaultCapacity, os.Stderr),
 	}
 	for _, option := range given {
 		option(&collected)
