Remove segments that nothing refers to any more

Cause: bodies were never removed. Change: the leader of each shard reports once a minute the oldest job that it keeps and the segments of all inputs; a machine removes a sealed segment only after an hour of unbroken reports of all shards, when its last append is older than each report's bound and no report named it.

--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -126,13 +126,13 @@
 	return view, true
 }
 
-// policy returns the policy in force, and whether a configuration was accepted.
-func (d *daemon) policy(ctx context.Context) (*rockwindpb.Policy, bool) {
+// policy returns the policy in force, nil before the first configuration.
+func (d *daemon) policy(ctx context.Context) *rockwindpb.Policy {
 	index, known := d.index(ctx)
 	if !known || index.Number() == 0 {
-		return nil, false
+		return nil
 	}
-	return index.Policy(), true
+	return index.Policy()
 }
 
 // followRoot publishes each configuration that is applied on this machine, and
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -27,7 +27,7 @@
 
 // cluster runs control daemons in this process.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	machines []*rockwindpb.ControlMachine
 	folders  []string
 	running  []*running
@@ -38,7 +38,7 @@
 	done chan error
 }
 
-func startCluster(t *testing.T) *cluster {
+func startCluster(t testing.TB) *cluster {
 	t.Helper()
 	c := &cluster{t: t, running: make([]*running, machineCount)}
 	listeners := make([]net.Listener, machineCount)
--- a/internal/control/keeper.go
+++ b/internal/control/keeper.go
@@ -120,21 +120,27 @@
 		return
 	}
 	command := &rockwindpb.ExpireCommand{}
+	var policy *rockwindpb.Policy
 	if retention {
 		k.nextRetained = now.Add(retentionPause)
-		policy, known := k.daemon.policy(ctx)
-		if !known {
-			return
-		}
+		policy = k.daemon.policy(ctx)
+	}
+	if policy != nil {
 		command.RetentionMs = policy.GetResultRetention().AsDuration().Milliseconds()
 		command.IdempotencyRetentionMs = policy.GetIdempotencyRetention().AsDuration().Milliseconds()
 	}
+	if !due && policy == nil {
+		return
+	}
 	k.lastExpiry = now
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	_, err := propose[rockwindpb.ExpireResponse](ctx, k.shard,
 		&rockwindpb.JobCommand{Command: &rockwindpb.JobCommand_Expire{Expire: command}})
 	k.note(err, "cannot expire leases")
+	if err == nil && policy != nil {
+		k.reportReferences(ctx, now, policy)
+	}
 }
 
 // seal moves results that will not change into bodies.
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -40,13 +40,12 @@
 	if tenant == "" || key == "" {
 		return nil, fault.New(fault.InvalidArgument, "an idempotency record needs a tenant and a key", "name both")
 	}
-	identity, err := s.daemon.host.Service().Identity(ctx, &rockwindpb.IdentityRequest{})
+	shards, err := s.daemon.shardCount(ctx)
 	if err != nil {
 		return nil, err
 	}
-	shards := uint32(0)
-	for _, group := range identity.GetGroups() {
-		shards = max(shards, group.GetGroup())
+	if shards == 0 {
+		return nil, unknownGroup(0)
 	}
 	return s.daemon.shard(sharding.ForKey(tenant, key, shards))
 }
--- a/internal/segment/node.go
+++ b/internal/segment/node.go
@@ -78,9 +78,8 @@
 	holders map[uint64][]*peer
 	// lagging holds the lengths of unsealed segments that were too short here in
 	// the last round of repair.
-	lagging map[uint64]int64
-	// horizonUnixMs is the time before which no live reference was made.
-	horizonUnixMs int64
+	lagging   map[uint64]int64
+	retention retention
 	statistics
 }
 
@@ -123,6 +122,10 @@
 		limiter: rate.NewLimiter(rate.Limit(options.RepairBytesPerSecond), max(options.RepairBytesPerSecond, copyBytes)),
 		holders: make(map[uint64][]*peer),
 		lagging: make(map[uint64]int64),
+		retention: retention{
+			reports: make(map[uint32]shardReport),
+			pinned:  make(map[uint64]time.Time),
+		},
 	}
 	for _, settings := range options.Peers {
 		node.peers = append(node.peers, &peer{Peer: settings, heard: options.Now()})
--- a/internal/segment/repair.go
+++ b/internal/segment/repair.go
@@ -33,7 +33,7 @@
 	known := n.survey(ctx)
 	n.rememberHolders(known)
 	n.sealOrphans()
-	n.removeExpired()
+	n.removeUnused()
 	lagging := make(map[uint64]int64)
 	for _, id := range slices.Sorted(maps.Keys(known.copies)) {
 		if ctx.Err() != nil {
@@ -124,7 +124,7 @@
 		sealed = sealed || other.summary.GetSealed()
 		created = max(created, other.summary.GetCreatedUnixMs())
 	}
-	if n.expired(created) {
+	if n.removable(id, created) {
 		return
 	}
 	have := int64(0)
--- a/internal/segment/scrub.go
+++ b/internal/segment/scrub.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"slices"
 
 	"github.com/apex/log"
 	"golang.org/x/time/rate"
@@ -11,9 +10,6 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
-// openAgeSlack covers a commit that began just before its segment grew too old.
-const openAgeSlackMilliseconds = 60_000
-
 // Scrub verifies all segments of this disk, at the repair rate, and mends what is
 // damaged from peers.
 func (n *Node) Scrub(ctx context.Context) {
@@ -114,34 +110,3 @@
 	}
 	return nil
 }
-
-// Retain tells the node that no live reference was made before the given time,
-// in Unix milliseconds. Segments whose last append lies before it are removed,
-// on every machine by the same rule, because the creation time is part of the
-// segment.
-func (n *Node) Retain(horizonUnixMs int64) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	n.horizonUnixMs = max(n.horizonUnixMs, horizonUnixMs)
-}
-
-// expired tells whether a segment created at a time can hold no live reference.
-func (n *Node) expired(createdUnixMs int64) bool {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	lastAppend := createdUnixMs + n.options.OpenAge.Milliseconds() + openAgeSlackMilliseconds
-	return lastAppend < n.horizonUnixMs
-}
-
-func (n *Node) removeExpired() {
-	expired := slices.DeleteFunc(n.store.all(), func(held *localSegment) bool {
-		return !held.extent().sealed || !n.expired(held.header.createdUnixMs)
-	})
-	for _, held := range expired {
-		if err := n.store.remove(held); err != nil {
-			log.WithError(err).Warn("cannot remove a segment")
-			continue
-		}
-		n.count(func(counted *statistics) { counted.removed++ })
-	}
-}
--- a/internal/segment/segment_test.go
+++ b/internal/segment/segment_test.go
@@ -112,6 +112,14 @@
 	return service.List(ctx, request)
 }
 
+func (l link) Retain(ctx context.Context, request *rockwindpb.RetainSegmentsRequest) (*rockwindpb.RetainSegmentsResponse, error) {
+	service, err := l.service(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return service.Retain(ctx, request)
+}
+
 func (w *world) start(index int) {
 	starting := w.machines[index]
 	if starting.node != nil {
--- a/internal/segment/service.go
+++ b/internal/segment/service.go
@@ -163,3 +163,9 @@
 	}
 	return response, nil
 }
+
+// Retain implements rockwindpb.SegmentService.
+func (s segmentService) Retain(_ context.Context, request *rockwindpb.RetainSegmentsRequest) (*rockwindpb.RetainSegmentsResponse, error) {
+	s.node.retain(request)
+	return &rockwindpb.RetainSegmentsResponse{}, nil
+}
