Bound every call of the body store to another machine

Cause: the repairer, the scrubber and reads called their peers under the context of the daemon. A machine that was cut off in silence, or stood still, while it was asked held up the caller for good: from then on that control machine made no missing copies any more, and a second loss of disks took bodies that had been acknowledged. The fault experiment showed it as "was not repaired in time" after cut-control. The test's links had hidden it with a timeout of their own.

Change: listing and reading at a peer is bounded by 3 s, and a peer that fails a read is asked last for 5 s. The links of the tests now hang until the caller gives up.

TestRepairOutlivesASilentMachine fails without the change ("2 copies are left after a repair") and passes with it.

--- a/internal/segment/peer.go
+++ b/internal/segment/peer.go
@@ -1,6 +1,7 @@
 package segment
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"slices"
@@ -10,8 +11,13 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
-// peerPause is how long a peer that failed is not chosen for a new segment.
-const peerPause = 5 * time.Second
+const (
+	// peerPause is how long a peer that failed is not chosen for a new segment.
+	peerPause = 5 * time.Second
+	// peerTimeout bounds a call that lists or reads at a peer. A machine that is
+	// cut off in silence, or stands still, would hold up its caller for good.
+	peerTimeout = 3 * time.Second
+)
 
 // peer is another machine as this node knows it.
 type peer struct {
@@ -27,6 +33,45 @@
 	heard time.Time
 }
 
+// read reads bytes of a segment at the peer, fewer where it holds fewer. A
+// failure pauses the peer.
+func (p *peer) read(ctx context.Context, now func() time.Time, segment uint64, offset, length int64) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	answer, err := p.Service.Read(ctx, &rockwindpb.ReadSegmentRequest{
+		Segment: segment, Offset: uint64(offset), Length: uint32(length),
+	})
+	if err != nil {
+		p.failed(now())
+		return nil, err
+	}
+	return answer.GetData(), nil
+}
+
+// listAll lists the segments that the peer holds.
+func (p *peer) listAll(ctx context.Context) ([]*rockwindpb.SegmentSummary, error) {
+	var all []*rockwindpb.SegmentSummary
+	after := uint64(0)
+	for {
+		page, err := p.listPage(ctx, after)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, page...)
+		if len(page) < listPage {
+			return all, nil
+		}
+		after = all[len(all)-1].GetSegment()
+	}
+}
+
+func (p *peer) listPage(ctx context.Context, after uint64) ([]*rockwindpb.SegmentSummary, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	answer, err := p.Service.List(ctx, &rockwindpb.ListSegmentsRequest{After: after})
+	return answer.GetSegments(), err
+}
+
 func (p *peer) failed(now time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/segment/read.go
+++ b/internal/segment/read.go
@@ -124,21 +124,17 @@
 	unreachable := false
 	remaining := wanted.indexes
 	for _, candidate := range n.likelyHolders(wanted.segment) {
-		answer, err := candidate.Service.Read(ctx, &rockwindpb.ReadSegmentRequest{
-			Segment: wanted.segment,
-			Offset:  wanted.start,
-			Length:  uint32(wanted.end - wanted.start),
-		})
+		data, err := candidate.read(ctx, n.options.Now, wanted.segment, int64(wanted.start), int64(wanted.end-wanted.start))
 		if err != nil {
 			unreachable = true
 			continue
 		}
 		remaining = slices.DeleteFunc(remaining, func(index int) bool {
 			relative := references[index].GetOffset() - wanted.start
-			if relative > uint64(len(answer.GetData())) {
+			if relative > uint64(len(data)) {
 				return false
 			}
-			body, intact := extractBody(answer.GetData()[relative:], references[index])
+			body, intact := extractBody(data[relative:], references[index])
 			if intact {
 				bodies[index] = body
 			}
--- a/internal/segment/repair.go
+++ b/internal/segment/repair.go
@@ -72,22 +72,6 @@
 	return result
 }
 
-func (p *peer) listAll(ctx context.Context) ([]*rockwindpb.SegmentSummary, error) {
-	var all []*rockwindpb.SegmentSummary
-	after := uint64(0)
-	for {
-		page, err := p.Service.List(ctx, &rockwindpb.ListSegmentsRequest{After: after})
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, page.GetSegments()...)
-		if len(page.GetSegments()) < listPage {
-			return all, nil
-		}
-		after = all[len(all)-1].GetSegment()
-	}
-}
-
 func (n *Node) rememberHolders(known survey) {
 	holders := make(map[uint64][]*peer, len(known.copies))
 	for id, copies := range known.copies {
@@ -205,11 +189,11 @@
 		if err := n.limiter.WaitN(ctx, min(chunk, n.limiter.Burst())); err != nil {
 			return err
 		}
-		answer, err := source.holder.Service.Read(ctx, &rockwindpb.ReadSegmentRequest{Segment: id, Offset: uint64(offset), Length: uint32(chunk)})
+		data, err := source.holder.read(ctx, n.options.Now, id, offset, int64(chunk))
 		if err != nil {
 			return err
 		}
-		taken, err := n.takeCopy(id, offset, answer.GetData())
+		taken, err := n.takeCopy(id, offset, data)
 		if err != nil {
 			return err
 		}
@@ -218,7 +202,7 @@
 			chunk = copyBytes
 			continue
 		}
-		if chunk >= MaximumBodyBytes || len(answer.GetData()) < chunk {
+		if chunk >= MaximumBodyBytes || len(data) < chunk {
 			return fault.Newf(fault.Corrupt, "the scrubber of that machine mends it from another copy",
 				"the copy of segment %016x is damaged at %d", id, offset)
 		}
--- a/internal/segment/retention_test.go
+++ b/internal/segment/retention_test.go
@@ -61,6 +61,14 @@
 }
 
 func (w *world) expectHolders(t *testing.T, reference *rockwindpb.BodyReference, expected int) {
+	t.Helper()
+	if holders := w.holders(t, reference); holders != expected {
+		t.Fatalf("%d machines hold segment %x, want %d", holders, reference.GetSegment(), expected)
+	}
+}
+
+// holders counts the machines that hold a body.
+func (w *world) holders(t *testing.T, reference *rockwindpb.BodyReference) int {
 	t.Helper()
 	holders := 0
 	for _, asked := range w.machines {
@@ -69,12 +77,11 @@
 			t.Fatal(err)
 		}
 		for _, summary := range listed.GetSegments() {
-			if summary.GetSegment() == reference.GetSegment() {
+			end := reference.GetOffset() + uint64(reference.GetLength())
+			if summary.GetSegment() == reference.GetSegment() && summary.GetLength() >= end {
 				holders++
 			}
 		}
 	}
-	if holders != expected {
-		t.Fatalf("%d machines hold segment %x, want %d", holders, reference.GetSegment(), expected)
-	}
+	return holders
 }
--- a/internal/segment/scrub.go
+++ b/internal/segment/scrub.go
@@ -6,8 +6,6 @@
 
 	"github.com/apex/log"
 	"golang.org/x/time/rate"
-
-	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
 // Scrub verifies all segments of this disk, at the repair rate, and mends what is
@@ -74,22 +72,16 @@
 
 func (n *Node) mendSpan(ctx context.Context, held *localSegment, wanted span) bool {
 	for _, candidate := range n.likelyHolders(held.header.segment) {
-		answer, err := candidate.Service.Read(ctx, &rockwindpb.ReadSegmentRequest{
-			Segment: held.header.segment,
-			Offset:  uint64(wanted.start),
-			Length:  uint32(wanted.end - wanted.start),
-		})
-		if err != nil || int64(len(answer.GetData())) != wanted.end-wanted.start {
-			continue
-		}
-		if verifyWhole(answer.GetData(), wanted.start) != nil {
+		length := wanted.end - wanted.start
+		data, err := candidate.read(ctx, n.options.Now, held.header.segment, wanted.start, length)
+		if err != nil || int64(len(data)) != length || verifyWhole(data, wanted.start) != nil {
 			continue
 		}
-		if err := held.patch(wanted.start, answer.GetData()); err != nil {
+		if err := held.patch(wanted.start, data); err != nil {
 			log.WithError(err).Warn("cannot mend a segment")
 			return false
 		}
-		n.count(func(counted *statistics) { counted.repaired += uint64(len(answer.GetData())) })
+		n.count(func(counted *statistics) { counted.repaired += uint64(length) })
 		return true
 	}
 	return false
--- a/internal/segment/segment_test.go
+++ b/internal/segment/segment_test.go
@@ -93,8 +93,6 @@
 }
 
 func (l link) Read(ctx context.Context, request *rockwindpb.ReadSegmentRequest) (*rockwindpb.ReadSegmentResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
 	service, err := l.service(ctx)
 	if err != nil {
 		return nil, err
@@ -103,8 +101,6 @@
 }
 
 func (l link) List(ctx context.Context, request *rockwindpb.ListSegmentsRequest) (*rockwindpb.ListSegmentsResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
 	service, err := l.service(ctx)
 	if err != nil {
 		return nil, err
@@ -387,3 +383,30 @@
 	})
 	return failure
 }
+
+// TestRepairOutlivesASilentMachine lets one machine stand still, in silence,
+// while the others repair. Once it goes on, a repair must make all copies again
+// that the loss of two disks took, so that two more may be lost.
+func TestRepairOutlivesASilentMachine(t *testing.T) {
+	const machines, survivable, silent = 5, 2, 4
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(machines, 1)
+		defer w.end()
+		if err := w.perform(action{Kind: actionFreeze, Machine: silent}, survivable); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		w.startAll()
+		for first := range machines {
+			w.store(first, -1)
+			if err := w.round(first, survivable, w.loseDisk); err != nil {
+				t.Fatalf("round %d: %v", first, err)
+			}
+			for _, stored := range w.stored {
+				if holders := w.holders(t, stored.reference); holders < survivable+1 {
+					t.Fatalf("round %d: %d copies are left after a repair", first, holders)
+				}
+			}
+		}
+	})
+}
