Measure routing against baselines and an oracle in virtual time

Cause: nothing showed what the gateways' routing does to the time to the first token when load reports lag and cache events are lost.

Change: routingfleet runs the daemon's routing, health, admission and retry code over the engine model, with the daemon's polls, exchanges and zones; rockwind-bench experiment routing compares it with round robin, least in flight and an oracle that knows true load and caches. FreshOracle now counts what a cached prefix saves.

--- a/cmd/rockwind-bench/main.go
+++ b/cmd/rockwind-bench/main.go
@@ -10,6 +10,7 @@
 	"rockwind.example/rockwind/internal/bench/ledgerbench"
 	"rockwind.example/rockwind/internal/bench/load"
 	"rockwind.example/rockwind/internal/bench/overhead"
+	"rockwind.example/rockwind/internal/bench/routingexperiment"
 	"rockwind.example/rockwind/internal/standin"
 )
 
@@ -30,9 +31,10 @@
 
 // experiments lists the experiments; each is a package under internal/bench.
 type experiments struct {
-	Overhead overhead.Command    `cmd:"" help:"Measure what a gateway adds to a request."`
-	Ledger   ledgerbench.Command `cmd:"" help:"Measure what keeping the state of jobs costs, and recovery and failover."`
-	Faults   faults.Command      `cmd:"" help:"Bring faults about on real processes and judge what must always hold."`
+	Overhead overhead.Command          `cmd:"" help:"Measure what a gateway adds to a request."`
+	Ledger   ledgerbench.Command       `cmd:"" help:"Measure what keeping the state of jobs costs, and recovery and failover."`
+	Faults   faults.Command            `cmd:"" help:"Bring faults about on real processes and judge what must always hold."`
+	Routing  routingexperiment.Command `cmd:"" help:"Measure routing against baselines under lagging reports and lost cache events."`
 }
 
 // fleetCommands run whole fleets.
--- /dev/null
+++ b/internal/bench/routingfleet/caches.go
@@ -0,0 +1,85 @@
+package routingfleet
+
+import (
+	"time"
+
+	"rockwind.example/rockwind/internal/engine"
+	"rockwind.example/rockwind/internal/routing"
+)
+
+// snapshotInterval is the least time between two snapshots of one server's
+// cache, as the daemon's.
+const snapshotInterval = 5 * time.Second
+
+// maximumPrefixBlocks bounds the blocks of a prompt that are looked up, as the
+// daemon's.
+const maximumPrefixBlocks = 64
+
+// prefixesOf appends the prefixes of a prompt whose lengths are powers of two
+// in blocks, longest first, as the daemon looks them up.
+func prefixesOf(blocks []uint64, found []routing.Prefix) []routing.Prefix {
+	count := min(len(blocks), maximumPrefixBlocks)
+	length := 1
+	for 2*length <= count {
+		length *= 2
+	}
+	for ; length > 0 && count > 0; length /= 2 {
+		found = append(found, routing.Prefix{Block: blocks[length-1], Tokens: int32(length * engine.TokensPerBlock)})
+	}
+	return found
+}
+
+// rememberPrefixes notes that a server will cache the prompt at hand, whose
+// prefixes were looked up last.
+func (g *gateway) rememberPrefixes(server int) {
+	if !g.fleet.policy.Hints || g.fleet.policy.Fresh {
+		return
+	}
+	for _, prefix := range g.wanted {
+		g.prefixes.Remember(prefix.Block, int32(server))
+	}
+}
+
+// readCacheEvents reads the new cache events of an owned server.
+func (g *gateway) readCacheEvents(server int) {
+	run := g.fleet
+	if !run.policy.Events || !run.policy.Hints || run.policy.Fresh {
+		return
+	}
+	page := run.nodes[server].engine.CacheEvents(run.queue.now, g.prefixes.Cursor(int32(server)))
+	run.totals.cacheEvents += len(page.Events)
+	delay := run.delay(g, server)
+	run.queue.after(delay, func() {
+		if g.prefixes.Apply(int32(server), pageOf(page)) {
+			g.resynchronise(server)
+		}
+	})
+}
+
+func pageOf(page engine.CachePage) routing.CachePage {
+	result := routing.CachePage{Epoch: page.Epoch, First: page.First, Next: page.Next}
+	for _, event := range page.Events {
+		result.Events = append(result.Events, routing.CacheEvent{
+			Block: event.Block, Evicted: event.Kind == engine.CacheEvicted,
+		})
+	}
+	return result
+}
+
+// resynchronise fetches a snapshot of a server's cache after a gap.
+func (g *gateway) resynchronise(server int) {
+	run := g.fleet
+	last, asked := g.snapshotAt[server]
+	if asked && run.queue.now-last < snapshotInterval {
+		return
+	}
+	g.snapshotAt[server] = run.queue.now
+	run.totals.snapshots++
+	delay := run.delay(g, server)
+	run.queue.after(delay, func() {
+		snapshot := run.nodes[server].engine.Snapshot()
+		run.queue.after(delay, func() {
+			g.prefixes.Replace(int32(server), snapshot.Epoch, snapshot.Next, snapshot.Blocks)
+		})
+	})
+}
--- /dev/null
+++ b/internal/bench/routingfleet/faults.go
@@ -0,0 +1,106 @@
+package routingfleet
+
+import (
+	"time"
+
+	"rockwind.example/rockwind/internal/engine"
+)
+
+// Fault is something that goes wrong, or a planned stop, at a time.
+type Fault struct {
+	At time.Duration
+	// Servers are affected by it.
+	Servers []int
+	// Engine is brought about in the engines, where it is not empty.
+	Engine engine.Fault
+	// Cut takes the servers off the network; Heal puts them back.
+	Cut  bool
+	Heal bool
+	// Drain is a planned stop: the engines take no new work, and the platform's
+	// list shows them as leaving after ListLag.
+	Drain bool
+	// Silent drains are announced by the list alone; the engines go on to accept.
+	Silent  bool
+	ListLag time.Duration
+}
+
+// nodeState is what is wrong with a node besides its engine.
+type nodeState struct {
+	cut     bool
+	leaving bool
+}
+
+// answers tells whether a small request gets an answer.
+func (n *node) answers() bool {
+	return !n.state.cut && !n.engine.Dead()
+}
+
+// platform is the platform's list of leaving machines, which lags.
+type platform struct {
+	leaving map[int]bool
+}
+
+// inject brings a fault about.
+func (f *fleet) inject(fault Fault) {
+	for _, server := range fault.Servers {
+		node := &f.nodes[server]
+		switch {
+		case fault.Cut:
+			node.state.cut = true
+		case fault.Heal:
+			node.state.cut = false
+		case fault.Drain:
+			f.drain(server, fault)
+		default:
+			node.engine.Inject(f.queue.now, fault.Engine)
+		}
+		f.schedule(server)
+	}
+}
+
+func (f *fleet) drain(server int, fault Fault) {
+	node := &f.nodes[server]
+	node.state.leaving = true
+	if !fault.Silent {
+		node.engine.SetDraining(f.queue.now, true)
+	}
+	if f.totals.drainedAt == 0 {
+		f.totals.drainedAt = f.queue.now
+	}
+	f.queue.after(fault.ListLag, func() {
+		if f.platform.leaving == nil {
+			f.platform.leaving = make(map[int]bool)
+		}
+		f.platform.leaving[server] = true
+	})
+}
+
+// sent notes when new work last went to a leaving server.
+func (f *fleet) sent(_ *gateway, server int) {
+	f.totals.attempts++
+	if f.nodes[server].state.leaving {
+		f.totals.sentToLeaving++
+		f.totals.lastToLeaving = f.queue.now
+	}
+}
+
+// leavingState is a gateway's evidence that a server is leaving.
+type leavingState struct {
+	draining bool
+	digest   bool
+	platform bool
+}
+
+func (s *leavingState) out() bool { return s.draining || s.digest || s.platform }
+
+func (g *gateway) publishLeaving(server int) {
+	g.view.Servers[server].Leaving = g.leaving[server].out()
+}
+
+// readPlatform merges the platform's list.
+func (g *gateway) readPlatform() {
+	for server := range g.fleet.platform.leaving {
+		g.leaving[server].platform = true
+		g.publishLeaving(server)
+	}
+}
--- /dev/null
+++ b/internal/bench/routingfleet/fleet.go
@@ -0,0 +1,196 @@
+package routingfleet
+
+import (
+	"math"
+	"math/rand"
+	"time"
+
+	"rockwind.example/rockwind/internal/engine"
+)
+
+// never is the time of a wake-up that is not scheduled.
+const never = time.Duration(math.MaxInt64)
+
+// drainTime is how long a run goes on after its last arrival.
+const drainTime = 30 * time.Second
+
+// node is one engine in its place.
+type node struct {
+	engine *engine.Engine
+	zone   int
+	wakeAt time.Duration
+	owner  *gateway
+	state  nodeState
+}
+
+// fleet is one run in progress.
+type fleet struct {
+	queue    queue
+	scenario *Scenario
+	policy   *Policy
+	nodes    []node
+	gateways []*gateway
+	arrivals []arrival
+	requests []request
+	board    *board
+	platform platform
+	events   []engine.Event
+	warm     engine.Totals
+	totals   totals
+}
+
+// Run simulates a policy on a scenario and returns what was measured.
+func Run(scenario Scenario, policy Policy, seed uint64) Result {
+	run := newFleet(&scenario, &policy, seed)
+	run.start()
+	for {
+		next, some := run.queue.next(scenario.End() + drainTime)
+		if !some {
+			return run.result()
+		}
+		if next.run != nil {
+			next.run()
+			continue
+		}
+		run.advance(next.engine)
+	}
+}
+
+func newFleet(scenario *Scenario, policy *Policy, seed uint64) *fleet {
+	if policy.Fresh {
+		scenario.Engine.ReportLag = 0
+	}
+	run := &fleet{scenario: scenario, policy: policy, arrivals: drawLoad(scenario, seed)}
+	run.requests = make([]request, len(run.arrivals))
+	random := newRandom(seed, streamEngines)
+	for server := range scenario.Servers {
+		source := rand.New(rand.NewSource(int64(random.Uint64() >> 1)))
+		run.nodes = append(run.nodes, node{
+			engine: engine.New(scenario.Engine, source),
+			zone:   scenario.zoneOfServer(server),
+			wakeAt: never,
+		})
+	}
+	run.board = newBoard(run)
+	for index := range scenario.Gateways {
+		run.gateways = append(run.gateways, newGateway(run, index, seed))
+	}
+	run.assignOwners()
+	return run
+}
+
+// assignOwners gives each engine to a gateway of its zone, evenly.
+func (f *fleet) assignOwners() {
+	for zone := range f.scenario.Zones {
+		var ofZone []*gateway
+		for _, candidate := range f.gateways {
+			if candidate.zone == zone {
+				ofZone = append(ofZone, candidate)
+			}
+		}
+		first, end := f.scenario.zoneServers(zone)
+		for server := first; server < end; server++ {
+			owner := ofZone[(server-first)%len(ofZone)]
+			f.nodes[server].owner = owner
+			owner.owned = append(owner.owned, server)
+		}
+	}
+}
+
+func (f *fleet) start() {
+	for _, gateway := range f.gateways {
+		gateway.start()
+	}
+	for _, fault := range f.scenario.Faults {
+		f.queue.at(fault.At, func() { f.inject(fault) })
+	}
+	f.queue.at(f.scenario.Warmup, func() { f.warm = f.engineTotals() })
+	f.nextArrival(0)
+}
+
+// nextArrival schedules the arrivals one after the other.
+func (f *fleet) nextArrival(index int) {
+	if index >= len(f.arrivals) {
+		return
+	}
+	f.queue.at(f.arrivals[index].at, func() {
+		f.call(index)
+		f.nextArrival(index + 1)
+	})
+}
+
+// call is a caller's sending of a request to its gateway.
+func (f *fleet) call(index int) {
+	gateway := f.gateways[f.arrivals[index].gateway]
+	f.queue.after(f.scenario.ClientDelay, func() { gateway.arrive(index) })
+}
+
+// delay is the one-way time between a gateway and an engine.
+func (f *fleet) delay(gateway *gateway, server int) time.Duration {
+	if f.nodes[server].zone == gateway.zone {
+		return f.scenario.LocalDelay
+	}
+	return f.scenario.ZoneDelay
+}
+
+// schedule makes sure that an engine is advanced at its next event.
+func (f *fleet) schedule(server int) {
+	node := &f.nodes[server]
+	next, some := node.engine.NextEvent()
+	if !some {
+		return
+	}
+	next = max(next, f.queue.now)
+	if next >= node.wakeAt {
+		return
+	}
+	node.wakeAt = next
+	f.queue.wake(next, server)
+}
+
+func (f *fleet) advance(server int) {
+	node := &f.nodes[server]
+	if node.wakeAt != f.queue.now {
+		return
+	}
+	node.wakeAt = never
+	f.events = node.engine.Advance(f.queue.now, f.events[:0])
+	for _, event := range f.events {
+		f.deliver(server, event)
+	}
+	f.schedule(server)
+}
+
+// deliver brings an engine's event to the gateway that sent the request.
+func (f *fleet) deliver(server int, event engine.Event) {
+	if f.nodes[server].state.cut {
+		return
+	}
+	index, number := untag(event.Tag)
+	gateway := f.gateways[f.arrivals[index].gateway]
+	arrives := event.At + f.delay(gateway, server)
+	switch event.Kind {
+	case engine.EventTokens:
+		if event.Sequence == event.Count {
+			f.queue.at(arrives, func() { gateway.firstToken(index, number) })
+		}
+	case engine.EventFinished:
+		f.queue.at(arrives, func() { gateway.finished(index, number) })
+	case engine.EventLost:
+		f.queue.at(arrives, func() { gateway.failed(index, number, failureBroken) })
+	}
+}
+
+// engineTotals sums what all engines did.
+func (f *fleet) engineTotals() engine.Totals {
+	var sum engine.Totals
+	for index := range f.nodes {
+		totals := f.nodes[index].engine.Totals()
+		sum.PrefillTokens += totals.PrefillTokens
+		sum.PrefixTokens += totals.PrefixTokens
+		sum.TokensOnline += totals.TokensOnline
+		sum.Submitted += totals.Submitted
+		sum.Busy += totals.Busy
+	}
+	return sum
+}
--- a/internal/routing/baselines.go
+++ b/internal/routing/baselines.go
@@ -69,15 +69,31 @@
 	})
 }
 
-// FreshOracle takes the least estimated wait over all servers. Given a view
-// with reports of age zero it is what perfect information allows.
+// FreshOracle takes the least estimated wait over all servers, what a hinted
+// server saves included. Given a view with reports of age zero and a hint for
+// every server that caches a prefix, it is what perfect information allows.
 type FreshOracle struct{}
 
 // Choose implements Policy.
 func (FreshOracle) Choose(view *View, request *Request, now time.Duration, random *rand.Rand) (Decision, bool) {
-	return chooseLeast(view, request, now, random, func(server *Server) float32 {
+	decision, found := chooseLeast(view, request, now, random, func(server *Server) float32 {
 		return float32(view.Estimate(server, request, now))
 	})
+	if !found {
+		return decision, false
+	}
+	for _, hint := range request.Hints {
+		if !view.mayTake(int(hint.Server), request, decision.Version) {
+			continue
+		}
+		cached := *request
+		cached.PromptTokens -= min(hint.CachedTokens, request.PromptTokens)
+		wait := view.Estimate(&view.Servers[hint.Server], &cached, now)
+		if wait < decision.Wait {
+			decision = Decision{Server: int(hint.Server), Version: decision.Version, Wait: wait, Hinted: true}
+		}
+	}
+	return decision, true
 }
 
 // chooseLeast takes the eligible server with the least value, from a random
@@ -110,6 +126,9 @@
 }
 
 func (v *View) mayTake(index int, request *Request, version NameID) bool {
+	if index < 0 || index >= len(v.Servers) {
+		return false
+	}
 	return int32(index)+1 != request.Exclude && v.Servers[index].Eligible(request, version)
 }
 
--- a/internal/serverview/poll.go
+++ b/internal/serverview/poll.go
@@ -13,8 +13,8 @@
 
 // Timing of polls.
 const (
-	// pollInterval is how often an owned server is asked for its load.
-	pollInterval = time.Second
+	// PollInterval is how often an owned server is asked for its load.
+	PollInterval = time.Second
 	// pollJitter is the part of the interval that is drawn at random.
 	pollJitter = 0.2
 	// pollTimeout bounds one poll.
@@ -47,7 +47,7 @@
 		if e.zone != v.options.Zone || e.polling || now < e.nextPoll {
 			continue
 		}
-		interval := pollInterval
+		interval := PollInterval
 		if !e.own {
 			if now-e.reportedAt < orphanAge || now-v.exchangedAt < orphanAge {
 				continue
