Measure the control cost of a fleet of hollow daemons

Nothing measured what control costs a daemon at the target size. The new command rockwind-bench scale starts hollow gateways and engines, a process for each zone, beside 14 control machines and six real gateways, takes samples over an idle and a busy window, restarts and loses daemons, a control machine and a zone, and fails over a budget.

The counter of bytes now reads the kernel's counts of segments and payload and also covers the polls of back ends, which it left out before. Hollow gateways can be lost without warning.

--- a/cmd/rockwind-bench/main.go
+++ b/cmd/rockwind-bench/main.go
@@ -7,10 +7,12 @@
 
 	"rockwind.example/rockwind/internal/bench/demo"
 	"rockwind.example/rockwind/internal/bench/faults"
+	"rockwind.example/rockwind/internal/bench/hollow"
 	"rockwind.example/rockwind/internal/bench/ledgerbench"
 	"rockwind.example/rockwind/internal/bench/load"
 	"rockwind.example/rockwind/internal/bench/overhead"
 	"rockwind.example/rockwind/internal/bench/routingexperiment"
+	"rockwind.example/rockwind/internal/bench/scale"
 	"rockwind.example/rockwind/internal/standin"
 )
 
@@ -24,6 +26,10 @@
 	Load  load.Command      `cmd:"" help:"Send load and check every answer."`
 	Trace load.TraceCommand `cmd:"" help:"Write a trace of the two deployments' load."`
 
+	Scale scale.Command `cmd:"" help:"Run hundreds of hollow daemons beside real ones and measure what control costs."`
+
+	Hollow hollow.Commands `cmd:"" help:"Run hollow daemons and engines, many to a process."`
+
 	Fleet fleetCommands `cmd:"" help:"Run whole fleets of processes on loopback."`
 
 	Experiment experiments `cmd:"" help:"Run an experiment and print its figures."`
--- /dev/null
+++ b/internal/bench/fleet/standalone.go
@@ -0,0 +1,49 @@
+package fleet
+
+import (
+	"google.golang.org/protobuf/proto"
+)
+
+// Standalone describes a process that belongs to no planned fleet.
+type Standalone struct {
+	// Name is unique; Role and Zone are as in Process.
+	Name, Role, Zone string
+	// Address and InternalAddress are where it will serve, if they are known.
+	Address, InternalAddress string
+	// Folder is the process's own folder.
+	Folder string
+	// Program is the path of the program, Arguments its command line.
+	Program   string
+	Arguments []string
+}
+
+// NewProcess prepares a process; Start runs it.
+func NewProcess(described Standalone) *Process {
+	return &Process{
+		Name: described.Name, Role: described.Role, Zone: described.Zone,
+		Address: described.Address, InternalAddress: described.InternalAddress,
+		Folder: described.Folder, program: described.Program, arguments: described.Arguments,
+	}
+}
+
+// WriteSettings writes the settings file of a daemon into its folder and returns
+// the file's path.
+func WriteSettings(folder string, settings proto.Message) (string, error) {
+	return writeSettings(folder, settings)
+}
+
+// Addresses hands out loopback addresses, an IP number each. The zero value is
+// ready for use.
+type Addresses struct{ book addressBook }
+
+// Next returns an address whose port is free.
+func (a *Addresses) Next() (string, error) { return a.book.allocate() }
+
+// Again prepares a process like this one, with the same folder and without the
+// output of this one.
+func (p *Process) Again() *Process {
+	return &Process{
+		Name: p.Name, Role: p.Role, Zone: p.Zone, Address: p.Address, InternalAddress: p.InternalAddress,
+		Folder: p.Folder, program: p.program, arguments: p.arguments,
+	}
+}
--- a/internal/bench/hollow/engines.go
+++ b/internal/bench/hollow/engines.go
@@ -14,18 +14,16 @@
 
 // EnginesCommand is `rockwind-bench hollow engines`.
 type EnginesCommand struct {
-	Count   int      `help:"How many hollow engines run in this process." default:"100"`
-	Hosts   []string `help:"Loopback IP numbers to listen on, one engine after another." default:"127.0.0.1"`
-	Loaded  []string `help:"What each engine reports as loaded, model@version."`
-	Control string   `help:"Address of this process's own report page." default:"127.0.0.1:0"`
+	Count  int      `help:"How many hollow engines run in this process." default:"100"`
+	Host   string   `help:"Loopback IP number to listen on." default:"127.0.0.1"`
+	Loaded []string `help:"What the engines report as loaded, one entry an engine, in turn: model@version."`
+	Report string   `help:"Address of the report page." default:"127.0.0.1:0"`
 }
 
-// engineHost is a process that answers load reports for many hollow engines.
-type engineHost struct {
-	loaded    []string
-	sequence  atomic.Int64
-	counter   wire.Counter
-	addresses []string
+// hollowEngine answers load reports.
+type hollowEngine struct {
+	loaded   []string
+	sequence atomic.Int64
 }
 
 // loadReport is the body of GET /load, as an idle engine gives it.
@@ -42,51 +40,62 @@
 	Draining       bool     `json:"draining"`
 }
 
-// reportedStep is the step time that a hollow engine reports.
-const reportedStep = 12_000
+const (
+	// reportedStep is the step time that a hollow engine reports, in microseconds.
+	reportedStep = 12_000
+	// reportedRunning is the number of loads that its reports run through.
+	reportedRunning = 16
+)
 
-func (e *engineHost) load(writer http.ResponseWriter, _ *http.Request) {
+func (e *hollowEngine) load(writer http.ResponseWriter, _ *http.Request) {
 	sequence := e.sequence.Add(1)
 	report := loadReport{
 		Sequence: sequence, AtMs: time.Now().UnixMilli(), StepUs: reportedStep,
-		// The load moves, so that digests change as they do in use.
-		RunningOnline: int(sequence % 16), Loaded: e.loaded, Role: "mixed",
+		// The load moves, so that every digest changes in every period.
+		RunningOnline: int(sequence % reportedRunning), Loaded: e.loaded, Role: "mixed",
 	}
 	writer.Header().Set("Content-Type", "application/json")
 	// A caller that went away is no fault of this process.
 	_ = json.NewEncoder(writer).Encode(report)
 }
 
-// EngineReport is what the report page of a process of hollow engines says.
-type EngineReport struct {
-	Addresses []string `json:"addresses"`
-	// SentBytes and ReceivedBytes are all traffic of load reports, on the wire.
-	SentBytes     int64 `json:"sent_bytes"`
-	ReceivedBytes int64 `json:"received_bytes"`
-}
-
-// Run implements the command. It ends with the process.
-func (c *EnginesCommand) Run() error {
-	host := &engineHost{loaded: c.Loaded}
+func (e *hollowEngine) handler() http.Handler {
 	handler := http.NewServeMux()
-	handler.HandleFunc("GET /load", host.load)
+	handler.HandleFunc("GET /load", e.load)
 	handler.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
 	handler.HandleFunc("GET /readyz", func(http.ResponseWriter, *http.Request) {})
 	handler.HandleFunc("GET /cache_events", func(writer http.ResponseWriter, _ *http.Request) {
 		writer.WriteHeader(http.StatusNotFound)
 	})
-	server := &http.Server{Handler: handler}
+	return handler
+}
+
+// EnginesReport is what the report page of a process of hollow engines says.
+type EnginesReport struct {
+	// Addresses are those of the engines, in order.
+	Addresses []string `json:"addresses"`
+	// Traffic is that of all load reports, on the wire.
+	Traffic wire.Traffic `json:"traffic"`
+}
+
+// Run implements the command. It ends with the process.
+func (c *EnginesCommand) Run() error {
+	var counter wire.Counter
+	var addresses []string
 	for number := range c.Count {
-		listener, err := net.Listen("tcp", net.JoinHostPort(c.Hosts[number%len(c.Hosts)], "0"))
+		listener, err := net.Listen("tcp", net.JoinHostPort(c.Host, "0"))
 		if err != nil {
 			return errors.Wrapf(err, "listen for hollow engine %d", number)
 		}
-		host.addresses = append(host.addresses, listener.Addr().String())
-		go func() { _ = server.Serve(host.counter.Listener(listener)) }()
-	}
-	return serveReport(c.Control, func() any {
-		return EngineReport{
-			Addresses: host.addresses, SentBytes: host.counter.Sent(), ReceivedBytes: host.counter.Received(),
+		addresses = append(addresses, listener.Addr().String())
+		engine := &hollowEngine{}
+		if len(c.Loaded) > 0 {
+			engine.loaded = []string{c.Loaded[number%len(c.Loaded)]}
 		}
+		server := &http.Server{Handler: engine.handler()}
+		go func() { _ = server.Serve(counter.Listener(listener)) }()
+	}
+	return serveReport(c.Report, func() any {
+		return EnginesReport{Addresses: addresses, Traffic: counter.Traffic()}
 	}, nil)
 }
--- a/internal/bench/hollow/report.go
+++ b/internal/bench/hollow/report.go
@@ -1,6 +1,6 @@
 // Package hollow runs many daemons and engines in one process, with their real
 // control code and real sockets but no traffic, so that one machine can stand
-// for a large fleet.
+// for a large fleet. All connections are counted.
 package hollow
 
 import (
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 
 	"github.com/cockroachdb/errors"
 )
@@ -16,6 +17,7 @@
 type Commands struct {
 	Engines  EnginesCommand  `cmd:"" help:"Run many hollow engines in one process."`
 	Gateways GatewaysCommand `cmd:"" help:"Run many hollow gateways in one process."`
+	Control  ControlCommand  `cmd:"" help:"Run a real control daemon and count its traffic."`
 }
 
 // Pages of a process of hollow daemons.
@@ -24,10 +26,16 @@
 	ReportPage = "/report"
 	// RestartPage restarts a gateway as planned; the query names it.
 	RestartPage = "/restart"
-	// StopPage stops a gateway for good; the query names it.
-	StopPage = "/stop"
+	// LosePage breaks a gateway's connections without warning and replaces it; the
+	// query names it.
+	LosePage = "/lose"
+	// ProfilePage answers a profile of the process's CPU time.
+	ProfilePage = "/profile"
 )
 
+// ListeningPrefix begins the line that tells the address of the report page.
+const ListeningPrefix = "report page at "
+
 // serveReport prints the address of the report page and serves it for as long
 // as the process runs. More pages may be given.
 func serveReport(address string, report func() any, pages map[string]http.HandlerFunc) error {
@@ -41,10 +49,10 @@
 		// A caller that went away is no fault of this process.
 		_ = json.NewEncoder(writer).Encode(report())
 	})
-	handler.HandleFunc("/readyz", func(http.ResponseWriter, *http.Request) {})
+	handler.HandleFunc(ProfilePage, pprof.Profile)
 	for page, serve := range pages {
 		handler.HandleFunc(page, serve)
 	}
-	fmt.Printf("listening %s\n", listener.Addr())
+	fmt.Printf("%s%s\n", ListeningPrefix, listener.Addr())
 	return http.Serve(listener, handler)
 }
--- /dev/null
+++ b/internal/bench/scale/budget.go
@@ -0,0 +1,62 @@
+package scale
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// What control may cost a daemon.
+const (
+	budgetCPU      = 0.023
+	budgetResident = 256 << 20
+	budgetBytes    = 6000
+)
+
+// judge lists what is over budget or went wrong.
+func (r *Result) judge() {
+	for _, window := range r.Windows {
+		r.judgeDaemons(window)
+	}
+	for _, change := range r.Changes {
+		if change.Missing > 0 || change.Slowest > inForceLimit.Seconds() {
+			r.violate("configuration %d (%s) is not in force on %d daemons after %s, slowest %.1f s",
+				change.Number, change.During, change.Missing, inForceLimit, change.Slowest)
+		}
+	}
+	if r.Reverts > 0 {
+		r.violate("a daemon went back to an older configuration %d times", r.Reverts)
+	}
+	if r.Online.LongestGap > stallLimit.Seconds() {
+		r.violate("online requests went without an answer for %.1f s", r.Online.LongestGap)
+	}
+	if r.Online.Failed > 0 {
+		r.violate("%d online requests failed, one of them: %s", r.Online.Failed, r.Online.FirstFailure)
+	}
+}
+
+func (r *Result) violate(format string, arguments ...any) {
+	r.Violations = append(r.Violations, fmt.Sprintf(format, arguments...))
+}
+
+func (r *Result) judgeDaemons(window Window) {
+	figures := window.Daemons
+	for _, each := range []struct {
+		name          string
+		value, budget float64
+	}{
+		{"cores of a daemon", max(figures.CPU.Worst, figures.RealCPU.Worst), budgetCPU},
+		{"resident bytes of a daemon", max(figures.Resident.Worst, figures.RealResident.Worst), budgetResident},
+		{"bytes a second of a daemon", figures.Total.Worst, budgetBytes},
+	} {
+		if each.value > each.budget {
+			r.violate("%s window: %s: worst is %.4g, budget %.4g", window.Name, each.name, each.value, each.budget)
+		}
+	}
+}
+
+func sortControls(controls []ControlFigures) {
+	slices.SortFunc(controls, func(left, right ControlFigures) int {
+		return strings.Compare(left.Machine, right.Machine)
+	})
+}
--- /dev/null
+++ b/internal/bench/scale/pages.go
@@ -0,0 +1,74 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"rockwind.example/rockwind/internal/bench/hollow"
+)
+
+// get reads a page and decodes it, where there is something to decode into.
+func (c *cluster) get(ctx context.Context, address string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return errors.Wrap(err, "make a request")
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "read a page")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("%s answers status %d", address, response.StatusCode)
+	}
+	if into == nil {
+		return nil
+	}
+	return errors.Wrapf(json.NewDecoder(response.Body).Decode(into), "decode %s", address)
+}
+
+// daemonReports reads what all running hollow gateways say.
+func (c *cluster) daemonReports(ctx context.Context) ([]hollow.GatewayReport, error) {
+	members := c.of(roleGateways)
+	parts := make([][]hollow.GatewayReport, len(members))
+	var group errgroup.Group
+	for index, each := range members {
+		group.Go(func() error { return c.get(ctx, each.page+hollow.ReportPage, &parts[index]) })
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	var all []hollow.GatewayReport
+	for _, part := range parts {
+		all = append(all, part...)
+	}
+	return all, nil
+}
+
+// controlReports reads what the running control machines say.
+func (c *cluster) controlReports(ctx context.Context) ([]hollow.ControlReport, error) {
+	members := c.of(roleControl)
+	reports := make([]hollow.ControlReport, len(members))
+	var group errgroup.Group
+	for index, each := range members {
+		group.Go(func() error { return c.get(ctx, each.page+hollow.ReportPage, &reports[index]) })
+	}
+	return reports, group.Wait()
+}
+
+// command calls a page of the process that runs a hollow gateway.
+func (c *cluster) command(ctx context.Context, number int, page string) error {
+	for _, each := range c.of(roleGateways) {
+		for _, daemon := range each.daemons {
+			if daemon == number {
+				return c.get(ctx, each.page+page+"?name="+url.QueryEscape(daemonName(number)), nil)
+			}
+		}
+	}
+	return errors.Newf("no process runs %s", daemonName(number))
+}
--- a/internal/bench/wire/wire.go
+++ b/internal/bench/wire/wire.go
@@ -1,95 +1,147 @@
-// Package wire counts the bytes that a client puts on and takes off the wire,
-// HTTP headers included, so that the cost of control traffic is measured and
-// not worked out from payload sizes.
+// Package wire counts the bytes that connections put on and take off the wire,
+// with HTTP, TCP and IP headers, so that the cost of control traffic is measured
+// and not worked out from payload sizes.
+//
+// Payload and segments are those that the kernel counts for each connection.
+// Segments on loopback are larger than on an Ethernet, so payload that would
+// need more segments there is charged their headers too.
 package wire
 
 import (
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
-// packetHeader is the size of the IP and TCP headers of one segment, with the
-// timestamp option.
-const packetHeader = 52
+const (
+	// packetHeader is the size of the IPv4 and TCP headers of one segment, with
+	// the timestamp option, in bytes.
+	packetHeader = 52
+	// segmentBytes is the payload of a full segment on an Ethernet.
+	segmentBytes = 1448
+	// closingSegments is the segments of an orderly end in each direction, which
+	// come after the kernel's last count: one that closes and one that
+	// acknowledges.
+	closingSegments = 2
+)
 
-// segmentBytes is the payload of a full segment on an Ethernet.
-const segmentBytes = 1448
+// Traffic is a number of bytes in each direction.
+type Traffic struct {
+	Sent     int64 `json:"sent"`
+	Received int64 `json:"received"`
+}
 
-// Counter sums the traffic of one hollow daemon.
-type Counter struct {
-	sent, received atomic.Int64
+// Plus returns the sum of two counts.
+func (t Traffic) Plus(other Traffic) Traffic {
+	return Traffic{Sent: t.Sent + other.Sent, Received: t.Received + other.Received}
 }
 
-// Sent is the bytes sent: payload, plus the IP and TCP headers of its segments
-// and of the acknowledgements of what was received.
-func (c *Counter) Sent() int64 { return c.sent.Load() }
+// Minus returns what was added since an earlier count.
+func (t Traffic) Minus(earlier Traffic) Traffic {
+	return Traffic{Sent: t.Sent - earlier.Sent, Received: t.Received - earlier.Received}
+}
 
-// Received is the bytes received, headers likewise.
-func (c *Counter) Received() int64 { return c.received.Load() }
+// Total is the bytes of both directions.
+func (t Traffic) Total() int64 { return t.Sent + t.Received }
 
-// onWire is what a transfer of payload bytes costs in its own direction.
-func onWire(payload int) int64 {
-	segments := (payload + segmentBytes - 1) / segmentBytes
-	return int64(payload + segments*packetHeader)
+// Counter sums the traffic of one daemon. The zero value is ready for use, and
+// its methods may be called by any goroutine.
+type Counter struct {
+	mutex sync.Mutex
+	open  map[*countedConnection]struct{}
+	ended Traffic
+	cut   bool
 }
 
-func (c *Counter) wrote(payload int) {
-	c.sent.Add(onWire(payload))
-	c.received.Add(packetHeader)
+// Traffic is what all connections carried so far.
+func (c *Counter) Traffic() Traffic {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	sum := c.ended
+	for connection := range c.open {
+		sum = sum.Plus(connection.traffic())
+	}
+	return sum
 }
 
-func (c *Counter) read(payload int) {
-	c.received.Add(onWire(payload))
-	c.sent.Add(packetHeader)
+// errCut is the error of a connection attempt while the links are cut.
+var errCut = errors.New("the machine is cut off")
+
+// Cut breaks all connections and refuses new ones until Mend, as if the machine
+// had been lost.
+func (c *Counter) Cut() {
+	c.mutex.Lock()
+	c.cut = true
+	var open []*countedConnection
+	for connection := range c.open {
+		open = append(open, connection)
+	}
+	c.mutex.Unlock()
+	for _, connection := range open {
+		// A connection that has just ended by itself is as good.
+		_ = connection.Close()
+	}
 }
 
-// Timeouts and pools of a counted client.
-const (
-	dialTimeout = time.Second
-	idleTimeout = 90 * time.Second
-)
+// Mend ends a Cut.
+func (c *Counter) Mend() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.cut = false
+}
 
-// Client returns an HTTP client whose connections are counted.
-func (c *Counter) Client() *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			connection, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &countedConnection{Conn: connection, counter: c}, nil
-		},
-		IdleConnTimeout:    idleTimeout,
-		DisableCompression: true,
+// add counts a new connection, or closes it where the links are cut.
+func (c *Counter) add(plain net.Conn) (net.Conn, error) {
+	connection := &countedConnection{Conn: plain, counter: c}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.cut {
+		return nil, errors.CombineErrors(errCut, plain.Close())
 	}
-	return &http.Client{Transport: transport}
+	if c.open == nil {
+		c.open = make(map[*countedConnection]struct{})
+	}
+	c.open[connection] = struct{}{}
+	return connection, nil
 }
 
-type countedConnection struct {
-	net.Conn
-	counter *Counter
+// remove keeps the final count of a connection that ends.
+func (c *Counter) remove(connection *countedConnection) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if _, found := c.open[connection]; !found {
+		return
+	}
+	delete(c.open, connection)
+	closing := Traffic{Sent: closingSegments * packetHeader, Received: closingSegments * packetHeader}
+	c.ended = c.ended.Plus(connection.traffic()).Plus(closing)
 }
 
-// Read implements net.Conn.
-func (c *countedConnection) Read(buffer []byte) (int, error) {
-	count, err := c.Conn.Read(buffer)
-	if count > 0 {
-		c.counter.read(count)
+// dialTimeout bounds a connection attempt.
+const dialTimeout = time.Second
+
+// Dial opens a counted TCP connection.
+func (c *Counter) Dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	connection, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
 	}
-	return count, err
+	return c.add(connection)
 }
 
-// Write implements net.Conn.
-func (c *countedConnection) Write(data []byte) (int, error) {
-	count, err := c.Conn.Write(data)
-	if count > 0 {
-		c.counter.wrote(count)
+// Client returns an HTTP client with counted connections. The transport is
+// changed to dial them; its pools and timeouts stay.
+func (c *Counter) Client(transport *http.Transport) *http.Client {
+	transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
+		return c.Dial(ctx, address)
 	}
-	return count, err
+	return &http.Client{Transport: transport}
 }
 
 // Listener returns a listener whose connections are counted.
@@ -104,9 +156,59 @@
 
 // Accept implements net.Listener.
 func (l *countedListener) Accept() (net.Conn, error) {
-	connection, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		connection, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		counted, err := l.counter.add(connection)
+		if err == nil {
+			return counted, nil
+		}
+	}
+}
+
+// countedConnection is one connection with the part of its count that the
+// kernel does not have.
+type countedConnection struct {
+	net.Conn
+	counter *Counter
+	// extraSent and extraReceived are headers of segments that an Ethernet would
+	// need on top of those on loopback.
+	extraSent, extraReceived atomic.Int64
+}
+
+// extraHeaders is the headers of the segments that payload of one transfer
+// needs beyond the first.
+func extraHeaders(payload int) int64 {
+	if payload <= segmentBytes {
+		return 0
 	}
-	return &countedConnection{Conn: connection, counter: l.counter}, nil
+	return int64((payload-1)/segmentBytes) * packetHeader
+}
+
+// Read implements net.Conn.
+func (c *countedConnection) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	c.extraReceived.Add(extraHeaders(count))
+	return count, err
+}
+
+// Write implements net.Conn.
+func (c *countedConnection) Write(data []byte) (int, error) {
+	count, err := c.Conn.Write(data)
+	c.extraSent.Add(extraHeaders(count))
+	return count, err
+}
+
+// Close implements net.Conn.
+func (c *countedConnection) Close() error {
+	c.counter.remove(c)
+	return c.Conn.Close()
+}
+
+// traffic is what the connection carried so far.
+func (c *countedConnection) traffic() Traffic {
+	kernel := kernelTraffic(c.Conn)
+	return kernel.Plus(Traffic{Sent: c.extraSent.Load(), Received: c.extraReceived.Load()})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,7 +95,7 @@
 	client := controlclient.New(controlclient.Options{
 		Control: settings.GetControl(), Zone: settings.GetZone(), HTTPClient: chosen.controlClient,
 	})
-	g := assemble(settings, chosen.ring, logger, following, client)
+	g := assemble(settings, chosen.ring, logger, following, client, chosen.backEndClient)
 	g.inForce = chosen.observe
 	return g, nil
 }
@@ -110,10 +110,10 @@
 }
 
 // assemble puts a gateway together.
-func assemble(settings *rockwindpb.GatewaySettings, ring *logring.Ring, logger log.Interface, following configurations, client control) *Gateway {
+func assemble(settings *rockwindpb.GatewaySettings, ring *logring.Ring, logger log.Interface, following configurations, client control, backEnds *upstream.Client) *Gateway {
 	g := &Gateway{
 		settings: settings, log: logger, ring: ring, started: time.Now(), follower: following, control: client,
-		client: upstream.NewClient(), budget: upstream.NewBudget(), limiter: limits.New(),
+		client: backEnds, budget: upstream.NewBudget(), limiter: limits.New(),
 		usage: newGroupUsage(), metrics: newMetrics(), drain: newDrainState(),
 		inForce: func(*configuration.Index) {},
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -22,6 +22,7 @@
 	"rockwind.example/rockwind/internal/logring"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/standin"
+	"rockwind.example/rockwind/internal/upstream"
 )
 
 // Names of the test fleet.
@@ -122,7 +123,7 @@
 		ExchangeInterval: durationpb.New(100 * time.Millisecond), BatchConcurrency: 64,
 	}
 	ring := logring.New(64, io.Discard)
-	f.gateway = assemble(settings, ring, &log.Logger{Handler: ring, Level: log.InfoLevel}, f.source, f.control)
+	f.gateway = assemble(settings, ring, &log.Logger{Handler: ring, Level: log.InfoLevel}, f.source, f.control, upstream.NewClient())
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
 	go func() { f.ended <- f.gateway.run(ctx) }()
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -7,6 +7,7 @@
 	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/controlclient"
 	"rockwind.example/rockwind/internal/logring"
+	"rockwind.example/rockwind/internal/upstream"
 )
 
 // Option changes how a gateway runs.
@@ -14,6 +15,7 @@
 
 type options struct {
 	controlClient *http.Client
+	backEndClient *upstream.Client
 	observe       func(*configuration.Index)
 	ring          *logring.Ring
 }
@@ -23,6 +25,11 @@
 	return func(o *options) { o.controlClient = client }
 }
 
+// WithBackEndDial sets how connections to back ends are opened.
+func WithBackEndDial(dial upstream.DialFunc) Option {
+	return func(o *options) { o.backEndClient = upstream.NewClientWithDial(dial) }
+}
+
 // WithConfigurationObserver calls observe whenever a configuration is put in
 // force, from the goroutine that follows configurations.
 func WithConfigurationObserver(observe func(*configuration.Index)) Option {
@@ -38,6 +45,7 @@
 func collect(given []Option) options {
 	collected := options{
 		controlClient: &http.Client{Transport: controlclient.NewTransport()},
+		backEndClient: upstream.NewClient(),
 		observe:       func(*configuration.Index) {},
 		ring:          logring.New(logring.DefaultCapacity, os.Stderr),
 	}
