--- a/internal/wal/frame_test.go
+++ b/internal/wal/frame_test.go
@@ -42,3 +42,13 @@
 		}
 	})
 }
+
+// decodeRecords collects the records of a frame's payload.
+func decodeRecords(payload []byte) ([]record, error) {
+	var records []record
+	err := eachRecord(payload, func(r record) error {
+		records = append(records, r)
+		return nil
+	})
+	return records, err
+}
--- a/internal/wal/index.go
+++ b/internal/wal/index.go
@@ -53,6 +53,13 @@
 	return proto.CloneOf(g.snapshot)
 }
 
+// snapshotIndex returns the index of the newest snapshot, 0 where there is none.
+func (g *Group) snapshotIndex() uint64 {
+	g.mutex.RLock()
+	defer g.mutex.RUnlock()
+	return g.snapshot.Index
+}
+
 // FirstIndex returns the index of the first entry that can be read.
 func (g *Group) FirstIndex() uint64 {
 	g.mutex.RLock()
@@ -130,9 +137,14 @@
 }
 
 func (g *Group) setHardState(state *rockwindpb.HardState) {
+	g.adoptHardState(proto.CloneOf(state))
+}
+
+// adoptHardState takes over a message that nobody else changes.
+func (g *Group) adoptHardState(state *rockwindpb.HardState) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.hardState = proto.CloneOf(state)
+	g.hardState = state
 }
 
 // truncate removes the entries from index on.
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -20,7 +20,9 @@
 )
 
 const (
-	defaultSegmentBytes    = 32 << 20
+	// defaultSegmentBytes bounds what a restart reads beside the entries behind
+	// the newest snapshots.
+	defaultSegmentBytes    = 4 << 20
 	defaultTrailingEntries = 2048
 )
 
@@ -30,7 +32,7 @@
 	Folder string
 	// FileSystem is the disk; nil means OperatingSystem.
 	FileSystem FileSystem
-	// SegmentBytes is the size at which a new segment is started; zero means 32 MiB.
+	// SegmentBytes is the size at which a new segment is started; zero means 4 MiB.
 	SegmentBytes int64
 	// TrailingEntries is how many entries before a snapshot stay in memory for
 	// replicas that lag a little; zero means 2048.
--- a/internal/wal/record.go
+++ b/internal/wal/record.go
@@ -57,18 +57,20 @@
 	return appendRecord(target, record{kind: kind, group: group, body: body})
 }
 
-// decodeRecords splits a frame's payload. The bodies alias the payload.
-func decodeRecords(payload []byte) ([]record, error) {
-	var records []record
+// eachRecord calls visit with each record of a frame's payload until one fails.
+// The bodies alias the payload.
+func eachRecord(payload []byte, visit func(record) error) error {
 	for len(payload) > 0 {
 		decoded, rest, err := decodeRecord(payload)
 		if err != nil {
-			return nil, err
+			return err
+		}
+		if err := visit(decoded); err != nil {
+			return err
 		}
-		records = append(records, decoded)
 		payload = rest
 	}
-	return records, nil
+	return nil
 }
 
 func decodeRecord(payload []byte) (record, []byte, error) {
--- a/internal/wal/replay.go
+++ b/internal/wal/replay.go
@@ -116,36 +116,36 @@
 }
 
 func (l *Log) visitFrame(payload []byte, first bool, visit func(record) error) error {
-	records, err := decodeRecords(payload)
-	if err != nil {
-		return err
-	}
 	if first {
-		if err := l.checkSegmentHead(records); err != nil {
-			return err
-		}
-		records = records[1:]
-	}
-	for _, r := range records {
-		if err := visit(r); err != nil {
+		var err error
+		if payload, err = l.checkSegmentHead(payload); err != nil {
 			return err
 		}
 	}
-	return nil
+	return eachRecord(payload, visit)
 }
 
-func (l *Log) checkSegmentHead(records []record) error {
-	if len(records) == 0 || records[0].kind != recordSegment {
-		return errors.Wrap(errRecord, "no segment head")
+// checkSegmentHead checks the first record of a segment and returns the rest of
+// its frame.
+func (l *Log) checkSegmentHead(payload []byte) ([]byte, error) {
+	if len(payload) == 0 {
+		return nil, errors.Wrap(errRecord, "no segment head")
 	}
-	identity, err := records[0].number()
+	head, rest, err := decodeRecord(payload)
 	if err != nil {
-		return err
+		return nil, err
+	}
+	if head.kind != recordSegment {
+		return nil, errors.Wrap(errRecord, "no segment head")
+	}
+	identity, err := head.number()
+	if err != nil {
+		return nil, err
 	}
 	if identity != l.identity {
-		return errors.Newf("segment of disk %016x on disk %016x", identity, l.identity)
+		return nil, errors.Newf("segment of disk %016x on disk %016x", identity, l.identity)
 	}
-	return nil
+	return rest, nil
 }
 
 // replaySnapshot is the first pass.
@@ -184,7 +184,7 @@
 			if err != nil {
 				return err
 			}
-			group.setHardState(state)
+			group.adoptHardState(state)
 			return nil
 		case recordSnapshot:
 			return nil
@@ -195,14 +195,14 @@
 }
 
 func replayEntry(group *Group, entry *rockwindpb.Entry) error {
-	if entry.Index <= group.Snapshot().Index {
+	if entry.Index <= group.snapshotIndex() {
 		return nil
 	}
 	return group.appendEntries([]*rockwindpb.Entry{entry})
 }
 
 func replayTruncation(group *Group, index uint64) error {
-	index = max(index, group.Snapshot().Index+1)
+	index = max(index, group.snapshotIndex()+1)
 	if index > group.LastIndex() {
 		return nil
 	}
--- a/internal/wal/segment.go
+++ b/internal/wal/segment.go
@@ -124,7 +124,7 @@
 }
 
 func (l *Log) snapshotIndex(id uint32) uint64 {
-	return l.Group(id).Snapshot().Index
+	return l.Group(id).snapshotIndex()
 }
 
 // Pinning returns the groups whose entries keep the oldest segment when there
