Compare a restored job's items by the block

Restoring a job looked at each of its items and made an error with a stack trace for each chunk of results before it knew that it needed one. The sets are now counted in words and the errors are made where they are returned.

--- a/internal/ledger/bitmap.go
+++ b/internal/ledger/bitmap.go
@@ -1,6 +1,9 @@
 package ledger
 
-import "math/bits"
+import (
+	"encoding/binary"
+	"math/bits"
+)
 
 // bitmap is a set of item numbers, least significant bit first.
 type bitmap []byte
@@ -24,13 +27,24 @@
 
 // count returns the size of the set.
 func (b bitmap) count() uint32 {
+	const wordBytes = 8
 	total := 0
-	for _, word := range b {
-		total += bits.OnesCount8(word)
+	rest := b
+	for ; len(rest) >= wordBytes; rest = rest[wordBytes:] {
+		total += bits.OnesCount64(binary.LittleEndian.Uint64(rest))
+	}
+	for _, last := range rest {
+		total += bits.OnesCount8(last)
 	}
 	return uint32(total)
 }
 
+// countBlock returns how many of size items from first on, which is a multiple of
+// 8, are in the set.
+func (b bitmap) countBlock(first, size uint32) uint32 {
+	return b[first/8 : (first+size+7)/8].count()
+}
+
 // valid tells whether the set has the length for count items and holds none
 // above.
 func (b bitmap) valid(count uint32) bool {
--- a/internal/ledger/restore.go
+++ b/internal/ledger/restore.go
@@ -123,17 +123,17 @@
 }
 
 func (j *job) restoreChunk(chunk *rockwindpb.LedgerResults) error {
-	wrong := errors.Newf("results at item %d", chunk.FirstItem)
+	wrong := func() error { return errors.Newf("results at item %d", chunk.FirstItem) }
 	if chunk.FirstItem%chunkItems != 0 || chunk.FirstItem >= j.definition.ItemCount {
-		return wrong
+		return wrong()
 	}
 	block := chunk.FirstItem / BlockItems
 	place := chunk.FirstItem % BlockItems / chunkItems
 	if chunk.ItemCount != j.results.chunkSize(block, place) || j.results.blocks[block].sealed != nil {
-		return wrong
+		return wrong()
 	}
 	if existing := j.results.blocks[block].chunks; existing != nil && existing[place].recorded > 0 {
-		return wrong
+		return wrong()
 	}
 	results, err := unpackResults(chunk.Packed, chunk.ItemCount)
 	if err != nil {
@@ -141,7 +141,7 @@
 	}
 	for offset, stored := range results {
 		if stored.recorded() && !stored.final() {
-			return wrong
+			return wrong()
 		}
 		if stored.recorded() {
 			j.results.put(chunk.FirstItem+uint32(offset), stored)
@@ -206,12 +206,7 @@
 			held = size
 			block.recorded = size
 		}
-		for item := first; item < first+size; item++ {
-			if j.done.has(item) {
-				held--
-			}
-		}
-		if held != 0 {
+		if j.done.countBlock(first, size) != held {
 			return errors.Newf("results from item %d on", first)
 		}
 	}
