Log completions in the order of the items

Items of a lease end in any order, and gateways reported them so. The packed form of a completion needs ascending items, hence every real report went to the log in the plain form. The ledger now sorts the reports of a lease before it packs them, which changes nothing else since the items are distinct, and a gateway sorts a group before it stores the results, so that each reference starts where the one before it ended.

--- a/internal/batch/reporter.go
+++ b/internal/batch/reporter.go
@@ -1,7 +1,9 @@
 package batch
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -125,6 +127,7 @@
 // until the ledger has answered for each lease. Both may be repeated: bodies
 // are stored under fresh references, and the ledger records an item once.
 func (r *reporter) deliver(ctx context.Context, group []report) {
+	slices.SortStableFunc(group, compareReports)
 	references := r.store(ctx, group)
 	if references == nil {
 		return
@@ -146,6 +149,17 @@
 	}
 }
 
+// compareReports orders reports by lease and item. Items end in any order; results
+// that are stored in the order of the items cost less of the ledger's log, and are
+// read back in one run.
+func compareReports(left, right report) int {
+	return cmp.Or(
+		cmp.Compare(left.key.job, right.key.job),
+		cmp.Compare(left.key.fence, right.key.fence),
+		cmp.Compare(left.item, right.item),
+	)
+}
+
 // store stores the bodies of a group until it succeeds; the result is aligned
 // with the group, and nil when the context ended.
 func (r *reporter) store(ctx context.Context, group []report) []*rockwindpb.BodyReference {
--- a/internal/bench/ledgerbench/completions.go
+++ b/internal/bench/ledgerbench/completions.go
@@ -104,7 +104,7 @@
 
 // holder is a gateway that leases items of jobs of its own and reports them. As in
 // a gateway, items of a lease end in any order, and the results of a report are
-// stored one behind the other.
+// sorted by item and stored one behind the other.
 type holder struct {
 	name    string
 	phase   phase
@@ -188,6 +188,7 @@
 			return nil
 		}
 		completion := &rockwindpb.LeaseCompletion{JobId: lease.GetJobId(), Fence: lease.GetFence()}
+		slices.Sort(group)
 		for _, offset := range group {
 			completion.Items = append(completion.Items, &rockwindpb.ItemCompletion{
 				Item:    lease.GetFirstItem() + uint32(offset),
--- a/internal/ledger/damage_test.go
+++ b/internal/ledger/damage_test.go
@@ -117,6 +117,35 @@
 	})
 }
 
+// TestOrderOfReportsIsNotLogged: items end in any order, which must cost no log.
+func TestOrderOfReportsIsNotLogged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var ordered []*rockwindpb.ItemCompletion
+		for item := range rapid.Uint32Range(2, 200).Draw(t, "items") {
+			ordered = append(ordered, report(item, "cfry"[item%4], uint64(item)))
+		}
+		shuffled := rapid.Permutation(ordered).Draw(t, "shuffled")
+		first, err := EncodeCommand(completionOf(ordered))
+		if err != nil {
+			t.Fatal(err)
+		}
+		second, err := EncodeCommand(completionOf(shuffled))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(first) != len(second) {
+			t.Fatalf("%d bytes in order, %d bytes shuffled", len(first), len(second))
+		}
+	})
+}
+
+func completionOf(reports []*rockwindpb.ItemCompletion) *rockwindpb.JobCommand {
+	completion := &rockwindpb.LeaseCompletion{JobId: JobID(testShard, 1), Fence: 1, Items: reports}
+	return &rockwindpb.JobCommand{Command: &rockwindpb.JobCommand_Complete{Complete: &rockwindpb.CompleteItemsRequest{
+		Holder: "g1", Completions: []*rockwindpb.LeaseCompletion{completion},
+	}}}
+}
+
 // TestWholeJobIsSealed runs a job of three blocks, seals it and reads it back,
 // also after a restore.
 func TestWholeJobIsSealed(t *testing.T) {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -7,6 +7,7 @@
 	"hash/crc32"
 	"os"
 	"runtime"
+	"slices"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -156,6 +157,9 @@
 	if rapid.IntRange(0, 9).Draw(t, "outside") == 0 {
 		completion.Items = append(completion.Items, report(lease.FirstItem+lease.ItemCount+1, 'c', s.serial))
 	}
+	if rapid.Bool().Draw(t, "reversed") {
+		slices.Reverse(completion.Items)
+	}
 	request := &rockwindpb.CompleteItemsRequest{Holder: holderOf(t, lease), Completions: []*rockwindpb.LeaseCompletion{completion}}
 	s.run(t, &rockwindpb.JobCommand{Command: &rockwindpb.JobCommand_Complete{Complete: request}})
 }
--- a/internal/ledger/packing.go
+++ b/internal/ledger/packing.go
@@ -1,8 +1,10 @@
 package ledger
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
@@ -204,17 +206,20 @@
 	return packed
 }
 
-// packCompletion returns the shorter of the plain and the packed form.
+// packCompletion returns the shorter of the plain and the packed form. Items end
+// in any order, and the order of the reports of different items does not matter,
+// so they are packed in the order of the items.
 func packCompletion(completion *rockwindpb.LeaseCompletion) *rockwindpb.LeaseCompletion {
-	results, packable := consecutive(completion)
-	if !packable {
+	reports := slices.SortedStableFunc(slices.Values(completion.GetItems()), compareItems)
+	results, packable := consecutive(reports)
+	if !packable || len(completion.GetPacked()) > 0 {
 		return completion
 	}
 	packed := &rockwindpb.LeaseCompletion{
 		JobId:           completion.JobId,
 		Fence:           completion.Fence,
 		Release:         completion.Release,
-		PackedFirstItem: completion.Items[0].Item,
+		PackedFirstItem: reports[0].GetItem(),
 		Packed:          packResults(results),
 	}
 	if proto.Size(packed) >= proto.Size(completion) {
@@ -223,17 +228,22 @@
 	return packed
 }
 
-// consecutive lays out reports by item, with gaps where nothing is reported. It
-// declines reports out of order, too far apart, or with an unknown outcome.
-func consecutive(completion *rockwindpb.LeaseCompletion) ([]storedResult, bool) {
-	if len(completion.GetItems()) == 0 || len(completion.GetPacked()) > 0 {
+func compareItems(left, right *rockwindpb.ItemCompletion) int {
+	return cmp.Compare(left.GetItem(), right.GetItem())
+}
+
+// consecutive lays out reports that are sorted by item, with gaps where nothing is
+// reported. It declines two reports of an item, reports too far apart, and unknown
+// outcomes.
+func consecutive(reports []*rockwindpb.ItemCompletion) ([]storedResult, bool) {
+	if len(reports) == 0 {
 		return nil, false
 	}
-	first := completion.Items[0].GetItem()
+	first := reports[0].GetItem()
 	var results []storedResult
-	for _, report := range completion.Items {
+	for _, report := range reports {
 		place := uint64(report.GetItem()) - uint64(first)
-		if report.GetItem() < first || place < uint64(len(results)) || place >= MaxLeaseItems {
+		if place < uint64(len(results)) || place >= MaxLeaseItems {
 			return nil, false
 		}
 		if checkReport(report) != nil {
