Add TLS for callers and mutual TLS between processes

The settings caller_tls and internal_tls were checked and then ignored: every connection was in the clear.

Package secure holds the certificates of one use. Listeners and the calls between processes ask it for the files in force at each connection. It reads the files every five seconds and at SIGHUP; files that cannot be used (noise, a key that doesn't fit, an expired certificate, one that the authority did not sign) leave the old ones in force and are logged once and counted. Internal connections always check both sides; sessions are not resumed, so that each connection meets the authorities in force. `cluster init` reaches its machines by TLS as the other commands do. SIGHUP no longer ends a daemon without TLS.

`rockwind-bench certificates` makes an authority for trials, which the tests use as well. What net/http tells of single connections goes to the log ring. A gateway answers /healthz and /readyz on the callers' listener, since the internal one asks for a client certificate under internal_tls.

Tests: processes of another authority, without a certificate or in the clear are refused, by a real group of three control machines too; a reload takes force on both sides; four bad reloads keep the old files.

--- a/cmd/rockwind-bench/main.go
+++ b/cmd/rockwind-bench/main.go
@@ -5,6 +5,7 @@
 import (
 	"github.com/alecthomas/kong"
 
+	"rockwind.example/rockwind/internal/bench/authority"
 	"rockwind.example/rockwind/internal/bench/demo"
 	"rockwind.example/rockwind/internal/bench/faults"
 	"rockwind.example/rockwind/internal/bench/hollow"
@@ -30,6 +31,8 @@
 
 	Hollow hollow.Commands `cmd:"" help:"Run hollow daemons and engines, many to a process."`
 
+	Certificates authority.Command `cmd:"" help:"Make an authority and certificates for trials of TLS."`
+
 	Fleet fleetCommands `cmd:"" help:"Run whole fleets of processes on loopback."`
 
 	Experiment experiments `cmd:"" help:"Run an experiment and print its figures."`
--- a/internal/bench/hollow/control.go
+++ b/internal/bench/hollow/control.go
@@ -60,7 +60,7 @@
 	go func() {
 		ended <- control.Run(ctx, c.settings(machines), control.WithLogs(ring),
 			control.WithListener(served.Listener(listener)),
-			control.WithClient(calls.Client(controlclient.NewTransport()), false))
+			control.WithClient(calls.Client(controlclient.NewTransport())))
 	}()
 	page := func() any {
 		return ControlReport{Machine: c.Machine, Served: served.Traffic(), Calls: calls.Traffic()}
--- a/internal/command/cluster.go
+++ b/internal/command/cluster.go
@@ -34,7 +34,7 @@
 	}
 	addresses := make([]string, 0, len(machines))
 	for _, machine := range machines {
-		addresses = append(addresses, machine.GetAddress())
+		addresses = append(addresses, s.connection.baseURL(machine.GetAddress()))
 	}
 	ctx, cancel := s.bounded()
 	defer cancel()
--- a/internal/command/connection.go
+++ b/internal/command/connection.go
@@ -24,7 +24,7 @@
 }
 
 func (c *Connection) secure() bool {
-	return c.Certificate != "" || c.Authority != ""
+	return c.Certificate != "" || c.Key != "" || c.Authority != ""
 }
 
 // machines reads the addresses. The form of settings, "machine=ip:port@zone", is
@@ -82,6 +82,9 @@
 
 func (c *Connection) tlsSettings() (*tls.Config, error) {
 	settings := &tls.Config{MinVersion: tls.VersionTLS13}
+	if (c.Certificate == "") != (c.Key == "") {
+		return nil, fault.New(fault.InvalidArgument, "one of --tls-certificate and --tls-key is given", "give both or none")
+	}
 	if c.Certificate != "" {
 		pair, err := tls.LoadX509KeyPair(c.Certificate, c.Key)
 		if err != nil {
--- a/internal/command/daemons.go
+++ b/internal/command/daemons.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -10,7 +9,6 @@
 	"github.com/apex/log"
 
 	"rockwind.example/rockwind/internal/control"
-	"rockwind.example/rockwind/internal/controlclient"
 	"rockwind.example/rockwind/internal/gateway"
 	"rockwind.example/rockwind/internal/linkfault"
 	"rockwind.example/rockwind/internal/logring"
@@ -31,7 +29,8 @@
 // Help implements kong.HelpProvider.
 func (*gatewayCommand) Help() string {
 	return `Runs a gateway until SIGTERM or SIGINT. It then takes no new requests, lets those in progress run to
-their end, and exits. SIGUSR1 writes the last log entries to standard error.`
+their end, and exits. SIGUSR1 writes the last log entries to standard error. SIGHUP reads the
+certificates again.`
 }
 
 // Run runs the daemon.
@@ -40,6 +39,7 @@
 	if err != nil {
 		return err
 	}
+	signal.Ignore(syscall.SIGHUP)
 	ring := logring.New(logring.DefaultCapacity, s.stderr)
 	stop := dumpOnSignal(s.context, ring)
 	defer stop()
@@ -55,7 +55,8 @@
 // Help implements kong.HelpProvider.
 func (*controlCommand) Help() string {
 	return `Runs a control daemon until SIGTERM or SIGINT. It then hands over leadership, finishes the calls in
-progress, and exits. SIGUSR1 writes the last log entries to standard error.`
+progress, and exits. SIGUSR1 writes the last log entries to standard error. SIGHUP reads the
+certificates again.`
 }
 
 // Run runs the daemon.
@@ -64,15 +65,14 @@
 	if err != nil {
 		return err
 	}
+	signal.Ignore(syscall.SIGHUP)
 	ring := logring.New(logring.DefaultCapacity, s.stderr)
 	log.SetHandler(ring)
 	stop := dumpOnSignal(s.context, ring)
 	defer stop()
 	options := []control.Option{control.WithLogs(ring)}
 	if c.AllowFaultInjection {
-		links := &linkfault.Links{}
-		client := &http.Client{Transport: links.Transport(controlclient.NewTransport())}
-		options = append(options, control.WithClient(client, false), control.WithLinkFaults(links))
+		options = append(options, control.WithLinkFaults(&linkfault.Links{}))
 	}
 	return control.Run(s.context, loaded, options...)
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -31,6 +31,8 @@
 	machines []*rockwindpb.ControlMachine
 	folders  []string
 	running  []*running
+	// tls is nil where the machines talk in the clear.
+	tls *rockwindpb.TlsSettings
 }
 
 type running struct {
@@ -40,7 +42,15 @@
 
 func startCluster(t testing.TB) *cluster {
 	t.Helper()
-	c := &cluster{t: t, running: make([]*running, machineCount)}
+	c := newCluster(t, nil)
+	c.found(http.DefaultClient, "http://")
+	return c
+}
+
+// newCluster starts machines that belong to no cluster yet.
+func newCluster(t testing.TB, tls *rockwindpb.TlsSettings) *cluster {
+	t.Helper()
+	c := &cluster{t: t, running: make([]*running, machineCount), tls: tls}
 	listeners := make([]net.Listener, machineCount)
 	for index := range machineCount {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -63,20 +73,21 @@
 			c.stop(index)
 		}
 	})
-	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
-	defer cancel()
-	if err := replica.Found(ctx, http.DefaultClient, c.addresses(), testShards); err != nil {
-		t.Fatal(err)
-	}
 	return c
 }
 
-func (c *cluster) addresses() []string {
+// found makes a cluster of the machines.
+func (c *cluster) found(client *http.Client, scheme string) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(c.t.Context(), testTimeout)
+	defer cancel()
 	var addresses []string
 	for _, machine := range c.machines {
-		addresses = append(addresses, machine.GetAddress())
+		addresses = append(addresses, scheme+machine.GetAddress())
+	}
+	if err := replica.Found(ctx, client, addresses, testShards); err != nil {
+		c.t.Fatal(err)
 	}
-	return addresses
 }
 
 func (c *cluster) start(index int, listener net.Listener) {
@@ -84,11 +95,12 @@
 	started := &running{stop: stop, done: make(chan error, 1)}
 	c.running[index] = started
 	settings := &rockwindpb.ControlSettings{
-		Machine:    c.machines[index].GetMachine(),
-		Zone:       c.machines[index].GetZone(),
-		DataFolder: c.folders[index],
-		Control:    c.machines,
-		Tick:       durationpb.New(testTick),
+		Machine:     c.machines[index].GetMachine(),
+		Zone:        c.machines[index].GetZone(),
+		DataFolder:  c.folders[index],
+		Control:     c.machines,
+		InternalTls: c.tls,
+		Tick:        durationpb.New(testTick),
 	}
 	go func() {
 		started.done <- control.Run(ctx, settings, control.WithListener(listener), control.WithRepairInterval(10*testTick))
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -25,6 +25,7 @@
 	"rockwind.example/rockwind/internal/logring"
 	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/secure"
 	"rockwind.example/rockwind/internal/segment"
 	"rockwind.example/rockwind/internal/sharding"
 )
@@ -44,13 +45,14 @@
 	return func(d *daemon) { d.ring = ring }
 }
 
-// WithClient sets the HTTP client for calls to other control machines, and
-// whether they are reached by TLS.
-func WithClient(client *http.Client, secure bool) Option {
-	return func(d *daemon) { d.client, d.secure = client, secure }
+// WithClient sets the HTTP client for calls to other control machines, in place
+// of one that the settings describe.
+func WithClient(client *http.Client) Option {
+	return func(d *daemon) { d.client = client }
 }
 
-// WithLinkFaults lets experiments cut the links of the client over HTTP.
+// WithLinkFaults lets experiments cut the links to other control machines over
+// HTTP.
 func WithLinkFaults(links *linkfault.Links) Option {
 	return func(d *daemon) { d.links = links }
 }
@@ -73,8 +75,9 @@
 	address  string
 	ring     *logring.Ring
 	client   *http.Client
-	secure   bool
 	listener net.Listener
+	// certificates is nil where TLS is off.
+	certificates *secure.Source
 	// links is nil outside experiments.
 	links *linkfault.Links
 	// repairInterval is zero for the default.
@@ -126,10 +129,13 @@
 // open opens the parts of the daemon.
 func (d *daemon) open() error {
 	d.stopping, d.stopWaiting = context.WithCancel(context.Background())
+	var err error
+	if d.certificates, err = secure.Open(secure.Internal, d.settings.GetInternalTls(), log.Log); err != nil {
+		return err
+	}
 	if d.client == nil {
-		d.client = &http.Client{Transport: controlclient.NewTransport()}
+		d.client = d.newClient()
 	}
-	var err error
 	if d.host, err = d.openHost(); err != nil {
 		return err
 	}
@@ -140,11 +146,26 @@
 		return err
 	}
 	d.metrics = newMetrics(d.bodies)
+	if d.certificates != nil {
+		d.metrics.registry.MustRegister(secure.Metrics{d.certificates})
+	}
 	d.exchange = newFleetService(d)
 	d.handleEvents()
 	return nil
 }
 
+// newClient returns the client for calls to other control machines.
+func (d *daemon) newClient() *http.Client {
+	transport := controlclient.NewTransport()
+	if d.certificates != nil {
+		d.certificates.Transport(transport)
+	}
+	if d.links != nil {
+		return &http.Client{Transport: d.links.Transport(transport)}
+	}
+	return &http.Client{Transport: transport}
+}
+
 // openHost opens the replicated groups of this machine.
 func (d *daemon) openHost() (*replica.Host, error) {
 	return replica.NewHost(replica.Options{
@@ -152,7 +173,7 @@
 		Address:       d.address,
 		Folder:        filepath.Join(d.settings.GetDataFolder(), groupFolder),
 		Client:        d.client,
-		Secure:        d.secure,
+		Secure:        d.certificates != nil,
 		Tick:          d.settings.GetTick().AsDuration(),
 		Peers:         d.settings.GetControl(),
 		StateMachines: d.machines.create,
@@ -198,7 +219,7 @@
 }
 
 func (d *daemon) baseURL(machine *rockwindpb.ControlMachine) string {
-	if d.secure {
+	if d.certificates != nil {
 		return "https://" + machine.GetAddress()
 	}
 	return "http://" + machine.GetAddress()
@@ -210,6 +231,9 @@
 	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopParts()
 	group, parts := errgroup.WithContext(parts)
+	if d.certificates != nil {
+		group.Go(func() error { d.certificates.Run(parts); return nil })
+	}
 	group.Go(func() error { return d.host.Run(parts) })
 	group.Go(func() error { return d.bodies.Run(parts) })
 	group.Go(func() error { return d.bus.Run(parts) })
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -8,12 +8,14 @@
 	"path/filepath"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/twitchtv/twirp"
 
 	"rockwind.example/rockwind/internal/linkfault"
+	"rockwind.example/rockwind/internal/logring"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -111,15 +113,25 @@
 	return errors.Wrap(os.Rename(temporary, path), "write the address file")
 }
 
+// accept serves on the listener, by TLS where it is turned on.
+func (d *daemon) accept(server *http.Server) error {
+	if d.certificates == nil {
+		return server.Serve(d.listener)
+	}
+	server.TLSConfig = d.certificates.ServerConfig()
+	return server.ServeTLS(d.listener, "", "")
+}
+
 // serve answers calls until the context ends. Then it hands over leadership,
 // ends the calls that wait for news or work, and finishes the others.
 func (d *daemon) serve(ctx context.Context) error {
 	server := &http.Server{
 		Handler:           d.handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
+		ErrorLog:          logring.ServerLog(log.Log),
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(d.listener) }()
+	go func() { failed <- d.accept(server) }()
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "serve")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,8 @@
 	metrics  *metrics
 	drain    *drainState
 	batch    *batch.Executor
+	// certificates are of the listeners and of the calls to control machines.
+	certificates certificates
 	// inForce is called with every configuration that is put in force.
 	inForce func(*configuration.Index)
 }
@@ -85,26 +87,39 @@
 		return nil, errors.Wrap(err, "create the data folder")
 	}
 	logger := &log.Logger{Handler: chosen.ring, Level: log.InfoLevel}
+	opened, err := openCertificates(settings, logger)
+	if err != nil {
+		return nil, err
+	}
+	carrier := chosen.controlClient
+	if carrier == nil {
+		carrier = opened.controlClient()
+	}
 	following, err := follower.New(follower.Options{
-		Sources: configurationSources(settings, chosen.controlClient), Log: logger,
+		Sources: configurationSources(settings, carrier, opened.internal != nil), Log: logger,
 		Folder: filepath.Join(settings.GetDataFolder(), configurationFolder),
 	})
 	if err != nil {
 		return nil, err
 	}
 	client := controlclient.New(controlclient.Options{
-		Control: settings.GetControl(), Zone: settings.GetZone(), HTTPClient: chosen.controlClient,
+		Control: settings.GetControl(), Zone: settings.GetZone(), HTTPClient: carrier, Secure: opened.internal != nil,
 	})
 	g := assemble(settings, chosen.ring, logger, following, client, chosen.backEndClient)
+	g.secure(opened)
 	g.inForce = chosen.observe
 	return g, nil
 }
 
 // configurationSources are the control machines, each asked on its own.
-func configurationSources(settings *rockwindpb.GatewaySettings, carrier *http.Client) []rockwindpb.ConfigurationService {
+func configurationSources(settings *rockwindpb.GatewaySettings, carrier *http.Client, secured bool) []rockwindpb.ConfigurationService {
+	scheme := "http://"
+	if secured {
+		scheme = "https://"
+	}
 	var sources []rockwindpb.ConfigurationService
 	for _, machine := range settings.GetControl() {
-		sources = append(sources, rockwindpb.NewConfigurationServiceProtobufClient("http://"+machine.GetAddress(), carrier))
+		sources = append(sources, rockwindpb.NewConfigurationServiceProtobufClient(scheme+machine.GetAddress(), carrier))
 	}
 	return sources
 }
@@ -142,6 +157,7 @@
 	defer stop()
 	group, background := errgroup.WithContext(background)
 	g.configure()
+	g.certificates.watch(background, group)
 	group.Go(func() error { return endedBy(background, g.follower.Run(background)) })
 	group.Go(func() error { g.followConfiguration(background); return nil })
 	group.Go(func() error { g.view.Run(background); return nil })
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -45,21 +45,30 @@
 	service  *standin.Service
 	backEnds []*rockwindpb.BackEnd
 	url      string
-	stop     context.CancelFunc
-	ended    chan error
+	// probes is the internal listener.
+	probes string
+	// callerTLS is nil where callers talk in the clear.
+	callerTLS *rockwindpb.TlsSettings
+	stop      context.CancelFunc
+	ended     chan error
 }
 
 // startFleet starts a gateway over so many engines and one service.
 func startFleet(t testing.TB, engines int, config engine.Config) *fleet {
 	t.Helper()
 	f := &fleet{t: t, control: newMemoryControl(), source: newFixedConfiguration(), ended: make(chan error, 1)}
+	f.start(engines, config)
+	return f
+}
+
+func (f *fleet) start(engines int, config engine.Config) {
+	f.t.Helper()
 	for number := range engines {
 		f.startEngine(number, config)
 	}
 	f.startService()
 	f.configure(f.configuration())
 	f.startGateway()
-	return f
 }
 
 func (f *fleet) startEngine(number int, config engine.Config) {
@@ -123,7 +132,12 @@
 		ExchangeInterval: durationpb.New(100 * time.Millisecond), BatchConcurrency: 64,
 	}
 	ring := logring.New(64, io.Discard)
-	f.gateway = assemble(settings, ring, &log.Logger{Handler: ring, Level: log.InfoLevel}, f.source, f.control, upstream.NewClient())
+	logger := &log.Logger{Handler: ring, Level: log.InfoLevel}
+	settings.CallerTls = f.callerTLS
+	opened, err := openCertificates(settings, logger)
+	must(f.t, err)
+	f.gateway = assemble(settings, ring, logger, f.source, f.control, upstream.NewClient())
+	f.gateway.secure(opened)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
 	go func() { f.ended <- f.gateway.run(ctx) }()
@@ -131,7 +145,12 @@
 		cancel()
 		<-f.ended
 	})
-	f.url = "http://" + f.awaitFile(filepath.Join(folder, addressFile))
+	scheme := "http://"
+	if f.callerTLS != nil {
+		scheme = "https://"
+	}
+	f.url = scheme + f.awaitFile(filepath.Join(folder, addressFile))
+	f.probes = "http://" + f.awaitFile(filepath.Join(folder, internalAddressFile))
 }
 
 // awaitFile waits until a file is there.
--- a/internal/gateway/internal.go
+++ b/internal/gateway/internal.go
@@ -17,8 +17,8 @@
 // internalRoutes are the paths that operators and probes use.
 func (g *Gateway) internalRoutes() http.Handler {
 	router := chi.NewRouter()
-	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	router.Get("/readyz", g.serveReady)
+	router.Get(pathAlive, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	router.Get(pathReady, g.serveReady)
 	router.Handle("/metrics", promhttp.HandlerFor(g.metrics.registry, promhttp.HandlerOpts{}))
 	admin := rockwindpb.NewAdminServiceServer(adminService{gateway: g})
 	router.Handle(admin.PathPrefix()+"*", admin)
--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/logring"
 	"rockwind.example/rockwind/internal/upstream"
 )
 
@@ -51,8 +52,8 @@
 	}
 	opened := &listeners{
 		callers: callers, internal: internal,
-		callerServer:   newServer(g.callerRoutes()),
-		internalServer: newServer(g.internalRoutes()),
+		callerServer:   g.newServer(g.callerRoutes()),
+		internalServer: g.newServer(g.internalRoutes()),
 	}
 	for name, listener := range map[string]net.Listener{addressFile: callers, internalAddressFile: internal} {
 		if err := g.writeAddress(name, listener.Addr().String()); err != nil {
@@ -63,8 +64,10 @@
 	return opened, nil
 }
 
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+func (g *Gateway) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: logring.ServerLog(g.log),
+	}
 }
 
 // writeAddress replaces the file in one step, so that readers see a whole one.
@@ -78,8 +81,8 @@
 
 // serve runs both servers in the group.
 func (l *listeners) serve(group *errgroup.Group, g *Gateway) {
-	group.Go(func() error { return served(l.callerServer.Serve(l.callers)) })
-	group.Go(func() error { return served(l.internalServer.Serve(l.internal)) })
+	group.Go(func() error { return served(accept(l.callerServer, l.callers, g.certificates.callers)) })
+	group.Go(func() error { return served(accept(l.internalServer, l.internal, g.certificates.internal)) })
 }
 
 func served(err error) error {
@@ -111,8 +114,30 @@
 	l.close()
 }
 
-// callerRoutes are the paths that callers use.
+// Paths of probes.
+const (
+	pathAlive = "/healthz"
+	pathReady = "/readyz"
+)
+
+// callerRoutes are the paths that callers use, and probes without an API key for
+// what balances load over gateways.
 func (g *Gateway) callerRoutes() http.Handler {
+	callers := g.apiRoutes()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case pathAlive:
+			w.WriteHeader(http.StatusOK)
+		case pathReady:
+			g.serveReady(w, r)
+		default:
+			callers.ServeHTTP(w, r)
+		}
+	})
+}
+
+// apiRoutes are the paths that need an API key.
+func (g *Gateway) apiRoutes() http.Handler {
 	router := chi.NewRouter()
 	router.Use(identify, g.track, g.recoverDefects, g.authenticate)
 	router.Get("/v1/models", g.serveModels)
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -5,7 +5,6 @@
 	"os"
 
 	"rockwind.example/rockwind/internal/configuration"
-	"rockwind.example/rockwind/internal/controlclient"
 	"rockwind.example/rockwind/internal/logring"
 	"rockwind.example/rockwind/internal/upstream"
 )
@@ -20,7 +19,8 @@
 	ring          *logring.Ring
 }
 
-// WithControlClient sets the HTTP client of all calls to control machines.
+// WithControlClient sets the HTTP client of all calls to control machines, in
+// place of one that the settings describe.
 func WithControlClient(client *http.Client) Option {
 	return func(o *options) { o.controlClient = client }
 }
@@ -44,7 +44,6 @@
 
 func collect(given []Option) options {
 	collected := options{
-		controlClient: &http.Client{Transport: controlclient.NewTransport()},
 		backEndClient: upstream.NewClient(),
 		observe:       func(*configuration.Index) {},
 		ring:          logring.New(logring.DefaultCapacity, os.Stderr),
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -41,7 +41,7 @@
 	l.checkText(fieldPath{"data_folder"}, settings.GetDataFolder(), "name a folder for the daemon's files")
 	l.checkMachines(settings.GetControl())
 	l.checkTLS("caller_tls", settings.GetCallerTls())
-	l.checkTLS("internal_tls", settings.GetInternalTls())
+	l.checkMutualTLS("internal_tls", settings.GetInternalTls())
 	l.checkURL(fieldPath{"platform_url"}, settings.GetPlatformUrl())
 	l.checkDuration(fieldPath{"exchange_interval"}, settings.GetExchangeInterval(), minimumExchangeInterval, maximumExchangeInterval)
 	if settings.GetBatchConcurrency() > maximumBatchConcurrency {
@@ -56,7 +56,7 @@
 	l.checkText(fieldPath{"data_folder"}, settings.GetDataFolder(), "name a folder for the daemon's files")
 	l.checkMachines(settings.GetControl())
 	l.checkSelf(settings)
-	l.checkTLS("internal_tls", settings.GetInternalTls())
+	l.checkMutualTLS("internal_tls", settings.GetInternalTls())
 	l.checkDuration(fieldPath{"tick"}, settings.GetTick(), minimumTick, maximumTick)
 }
 
@@ -121,6 +121,14 @@
 	}
 }
 
+// checkMutualTLS checks the files of connections whose both sides are checked.
+func (l *loader) checkMutualTLS(name string, settings *rockwindpb.TlsSettings) {
+	l.checkTLS(name, settings)
+	if settings.GetCertificateFile() != "" && settings.GetCaFile() == "" {
+		l.add(fieldPath{name, "ca_file"}, name+" has no ca_file", "name the authority that signs the certificates of all daemons")
+	}
+}
+
 func (l *loader) checkReadable(path fieldPath, file string) {
 	if file == "" {
 		return
