End a tenant's grant when an answer is cut off

When a back end broke off an answer of unknown length, the gateway cut the caller's connection with a panic that skipped the end of the tenant's grant: the concurrency stayed in use for good, the request was not counted, and an idempotency record stayed open. The connection is now cut as the last step.

Further tests: a stop cuts no stream and refuses new requests as not run, with both probes; the three limits of a tenant answer 429 with not_run and Retry-After; the published client chats, streams and runs a batch over TLS, and refuses an unknown authority.

--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -112,14 +112,19 @@
 		writeFault(c.writer, err)
 		return
 	}
+	tokens := 0.0
+	defer func() { grant.Done(tokens) }()
 	result := c.run(tenant, started)
-	tokens := float64(result.Tokens)
+	tokens = float64(result.Tokens)
 	if result.Attempts > 0 {
 		tokens += float64(c.promptTokens)
 	}
-	grant.Done(tokens)
 	g.observe(c.upstream, result, started)
 	g.usage.online(tenant.GetGroup(), c.served(result))
+	if result.Begun && !result.Whole && !c.upstream.Stream {
+		// The connection is cut, so that a part is not taken for the whole.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // served is the service that the request received, in cost units.
@@ -187,7 +192,8 @@
 	return result
 }
 
-// finish tells the caller of a request without a whole answer.
+// finish tells the caller of a request without a whole answer. Where a part of
+// an unstreamed answer was sent, serve cuts the connection in the end.
 func (c *call) finish(result upstream.Result) {
 	switch {
 	case result.Whole || result.CallerLeft:
@@ -195,9 +201,6 @@
 		writeFault(c.writer, result.Fault)
 	case c.upstream.Stream:
 		writeStreamFault(c.writer, result.Fault)
-	default:
-		// The connection is cut, so that a part is not taken for the whole.
-		panic(http.ErrAbortHandler)
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/serving_test.go
@@ -0,0 +1,221 @@
+package gateway
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"google.golang.org/protobuf/proto"
+
+	"rockwind.example/rockwind/internal/bench/authority"
+	"rockwind.example/rockwind/internal/engine"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// slowConfig is an engine whose streams last long enough to meet a stop.
+func slowConfig() engine.Config {
+	config := engine.FastConfig()
+	config.TokensPerStep = 1
+	config.BaseStep = 10 * time.Millisecond
+	return config
+}
+
+// status is what a probe answers.
+func (f *fleet) status(url string) int {
+	f.t.Helper()
+	response, err := http.Get(url)
+	must(f.t, err)
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
+// errorOf reads a typed error.
+func errorOf(t *testing.T, response *http.Response) errorObject {
+	t.Helper()
+	defer response.Body.Close()
+	var body errorBody
+	must(t, json.NewDecoder(response.Body).Decode(&body))
+	return body.Error
+}
+
+// post sends a request as the test tenant.
+func (f *fleet) post(path, body string) (*http.Response, error) {
+	request, err := http.NewRequest(http.MethodPost, f.url+path, strings.NewReader(body))
+	must(f.t, err)
+	request.Header.Set(headerAuthorization, bearerPrefix+testKey)
+	return http.DefaultClient.Do(request)
+}
+
+const shortRequest = `{"model":"` + testModel + `","max_tokens":1,"messages":[{"role":"user","content":"x"}]}`
+
+func TestStopCutsNoStream(t *testing.T) {
+	f := startFleet(t, 1, slowConfig())
+	if f.status(f.url+pathReady) != http.StatusOK || f.status(f.probes+pathReady) != http.StatusOK {
+		t.Fatal("the gateway is not ready")
+	}
+	client := f.client()
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	defer cancel()
+	stream := client.Chat.Completions.NewStreaming(ctx, chatParameters(testModel, "a long saga", 100))
+	defer stream.Close()
+	if !stream.Next() {
+		t.Fatal(stream.Err())
+	}
+	text := stream.Current().Choices[0].Delta.Content
+	f.stop()
+	<-f.gateway.drain.started
+	for _, base := range []string{f.url, f.probes} {
+		if status := f.status(base + pathReady); status != http.StatusServiceUnavailable {
+			t.Errorf("readiness while draining is %d", status)
+		}
+		if status := f.status(base + pathAlive); status != http.StatusOK {
+			t.Errorf("health while draining is %d", status)
+		}
+	}
+	response, err := f.post(pathChatCompletions, shortRequest)
+	must(t, err)
+	if refusal := errorOf(t, response); response.StatusCode != http.StatusServiceUnavailable || refusal.Ran != "not_run" || refusal.RetryAfterMs <= 0 {
+		t.Errorf("a new request was answered with %d %+v", response.StatusCode, refusal)
+	}
+	if draining, active := f.gateway.drain.state(); !draining || active == 0 {
+		t.Error("the stream ended before the stop was looked at")
+	}
+	for stream.Next() {
+		for _, choice := range stream.Current().Choices {
+			text += choice.Delta.Content
+		}
+	}
+	must(t, stream.Err())
+	if want := answerTo("a long saga", 100); text != want {
+		t.Errorf("streamed %q, want %q", text, want)
+	}
+}
+
+func TestLimitsOfTenants(t *testing.T) {
+	f := startFleet(t, 1, slowConfig())
+	limit := func(limits *rockwindpb.Limits) {
+		next := f.configuration()
+		next.Number = f.source.Current().Number() + 1
+		next.Tenants[0].Limits = limits
+		f.configure(next)
+	}
+	expectRefusal := func(limit string) {
+		t.Helper()
+		response, err := f.post(pathChatCompletions, shortRequest)
+		must(t, err)
+		refusal := errorOf(t, response)
+		if response.StatusCode != http.StatusTooManyRequests || refusal.Ran != "not_run" || refusal.Type != "rate_limit_error" ||
+			response.Header.Get(headerRetryAfter) == "" || !strings.Contains(refusal.Message, limit) {
+			t.Errorf("%s: answered with %d %+v", limit, response.StatusCode, refusal)
+		}
+	}
+	client := f.client()
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	defer cancel()
+
+	limit(&rockwindpb.Limits{Concurrency: 1})
+	stream := client.Chat.Completions.NewStreaming(ctx, chatParameters(testModel, "a saga", 1000))
+	if !stream.Next() {
+		t.Fatal(stream.Err())
+	}
+	expectRefusal("concurrency")
+	stream.Close()
+	f.await("the end of the stream", func() bool { _, active := f.gateway.drain.state(); return active == 0 })
+
+	limit(&rockwindpb.Limits{RequestsPerSecond: 0.001})
+	_, err := client.Chat.Completions.New(ctx, chatParameters(testModel, "first", 1))
+	must(t, err)
+	expectRefusal("requests_per_second")
+
+	limit(&rockwindpb.Limits{TokensPerSecond: 0.001})
+	_, err = client.Chat.Completions.New(ctx, chatParameters(testModel, "second", 1))
+	must(t, err)
+	expectRefusal("tokens_per_second")
+}
+
+// TestCutAnswerEndsItsGrant sends requests to a service that breaks its answers
+// off: the caller sees no whole answer, and the tenant's concurrency is free
+// again.
+func TestCutAnswerEndsItsGrant(t *testing.T) {
+	broken := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "a part")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(broken.Close)
+	f := startFleet(t, 1, engine.FastConfig())
+	next := proto.CloneOf(f.configuration())
+	next.Number = 2
+	next.Tenants[0].Limits = &rockwindpb.Limits{Concurrency: 1}
+	for _, backEnd := range next.BackEnds {
+		if backEnd.GetKind() == rockwindpb.BackEndKind_BACK_END_KIND_SERVICE {
+			backEnd.Address = broken.Listener.Addr().String()
+		}
+	}
+	f.configure(next)
+	f.await("the broken service to be in use", func() bool {
+		response, err := f.post(servicesPrefix+testService+"/book", "{}")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		if response.StatusCode == http.StatusTooManyRequests {
+			t.Fatal("the concurrency is used up by requests that have ended")
+		}
+		_, err = io.ReadAll(response.Body)
+		return err != nil
+	})
+	f.await("the end of the request", func() bool { _, active := f.gateway.drain.state(); return active == 0 })
+	response, err := f.post(pathChatCompletions, shortRequest)
+	must(t, err)
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		t.Errorf("the next request was answered with %d", response.StatusCode)
+	}
+}
+
+func TestCallersOverTLS(t *testing.T) {
+	signer, err := authority.New("callers", time.Hour)
+	must(t, err)
+	folder := t.TempDir()
+	must(t, signer.Write(folder, "gateway", netip.MustParseAddr("127.0.0.1")))
+	f := &fleet{t: t, control: newMemoryControl(), source: newFixedConfiguration(), ended: make(chan error, 1)}
+	f.callerTLS = &rockwindpb.TlsSettings{
+		CertificateFile: filepath.Join(folder, "gateway.pem"), KeyFile: filepath.Join(folder, "gateway.key"),
+	}
+	f.start(1, engine.FastConfig())
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(signer.Certificate())
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}, ForceAttemptHTTP2: true}
+	t.Cleanup(transport.CloseIdleConnections)
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	defer cancel()
+	client := f.client(option.WithHTTPClient(&http.Client{Transport: transport}))
+	checkChat(ctx, t, client)
+	checkStream(ctx, t, client)
+	checkBatchOverTLS(ctx, t, f, client)
+
+	distrustful := f.client()
+	_, err = distrustful.Models.List(ctx)
+	if err == nil || !strings.Contains(err.Error(), "unknown authority") {
+		t.Errorf("a caller that does not know the authority got %v", err)
+	}
+}
+
+func checkBatchOverTLS(ctx context.Context, t *testing.T, f *fleet, client openai.Client) {
+	asked := texts(20, "clue")
+	created := submitBatch(ctx, t, client, uploadBatch(ctx, t, client, inputFile(asked, 8)).ID)
+	ended := awaitBatch(ctx, t, f, client, created.ID)
+	checkOutput(ctx, t, client, ended.OutputFileID, asked, 8)
+}
