--- a/cmd/rockwind-bench/main.go
+++ b/cmd/rockwind-bench/main.go
@@ -6,6 +6,7 @@
 	"github.com/alecthomas/kong"
 
 	"rockwind.example/rockwind/internal/bench/authority"
+	"rockwind.example/rockwind/internal/bench/calibration"
 	"rockwind.example/rockwind/internal/bench/demo"
 	"rockwind.example/rockwind/internal/bench/faults"
 	"rockwind.example/rockwind/internal/bench/hollow"
@@ -40,6 +41,8 @@
 
 // experiments lists the experiments; each is a package under internal/bench.
 type experiments struct {
+	Calibration calibration.Command `cmd:"" help:"Compare real processes with the simulator on one load."`
+
 	Overhead overhead.Command          `cmd:"" help:"Measure what a gateway adds to a request."`
 	Ledger   ledgerbench.Command       `cmd:"" help:"Measure what keeping the state of jobs costs, and recovery and failover."`
 	Faults   faults.Command            `cmd:"" help:"Bring faults about on real processes and judge what must always hold."`
--- /dev/null
+++ b/internal/bench/calibration/processes.go
@@ -0,0 +1,132 @@
+package calibration
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"rockwind.example/rockwind/internal/bench/caller"
+	"rockwind.example/rockwind/internal/bench/fleet"
+	"rockwind.example/rockwind/internal/bench/load"
+	"rockwind.example/rockwind/internal/sharing"
+)
+
+// plan is the fleet of the real side: a gateway in each zone.
+func (o *Options) plan() fleet.Plan {
+	plan := fleet.DefaultPlan()
+	plan.Controls = 1
+	plan.Shards = 1
+	plan.Gateways = o.Zones
+	plan.Engines = o.Zones * o.EnginesPerZone
+	plan.Services = 0
+	plan.Zones = nil
+	for number := range o.Zones {
+		plan.Zones = append(plan.Zones, fmt.Sprintf("zone-%d", number+1))
+	}
+	return plan
+}
+
+// runProcesses starts the fleet, replays the trace and stops the fleet.
+func (o *Options) runProcesses(ctx context.Context, records []load.Record, folder string) (*measured, error) {
+	running, err := fleet.Start(ctx, o.plan(), folder, o.Programs)
+	if err != nil {
+		return nil, err
+	}
+	result, err := o.replay(ctx, running, records)
+	stopped := running.Stop(context.WithoutCancel(ctx))
+	return result, errors.CombineErrors(err, stopped)
+}
+
+// collector gathers the online answers of the measured window.
+type collector struct {
+	mutex    sync.Mutex
+	from     time.Duration
+	gathered measured
+}
+
+func (c *collector) observe(planned load.Planned, answer load.Measured) {
+	if planned.At < c.from {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if answer.Outcome != load.OutcomeOK {
+		c.gathered.failed++
+		return
+	}
+	c.gathered.requests++
+	c.gathered.tokens += answer.Tokens
+	c.gathered.ttft = append(c.gathered.ttft, answer.FirstToken)
+	between := time.Duration(max(1, answer.Tokens-1))
+	c.gathered.tpot = append(c.gathered.tpot, (answer.Latency-answer.FirstToken)/between)
+}
+
+// replay sends the trace: online requests open loop, jobs beside them.
+func (o *Options) replay(ctx context.Context, running *fleet.Fleet, records []load.Record) (*measured, error) {
+	if err := matchStepTarget(ctx, running); err != nil {
+		return nil, err
+	}
+	gathered := &collector{from: o.Warmup}
+	probing, stopProbing := context.WithTimeout(ctx, o.Duration)
+	defer stopProbing()
+	var trips []time.Duration
+	begin := time.Now()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		trips = probeRoundTrips(probing, running.Gateways[0].InternalAddress)
+		return nil
+	})
+	group.Go(func() error {
+		load.Run(ctx, o.schedule(running, records), load.Options{Observe: gathered.observe})
+		return ctx.Err()
+	})
+	jobs := &jobRunner{
+		running: running, begin: begin,
+		caller: caller.Caller{Client: &http.Client{}, Key: fleet.APIKey(fleet.TenantName(fleet.GroupScheduling, 0))},
+	}
+	group.Go(func() error { return jobs.submitAll(ctx, records) })
+	group.Go(func() error {
+		var err error
+		gathered.gathered.items, err = jobs.completedBetween(ctx, o.Warmup, o.Duration)
+		return err
+	})
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	result := &gathered.gathered
+	result.window = o.Duration - o.Warmup
+	result.late = jobs.late
+	result.hop = hopOf(trips)
+	slices.Sort(result.ttft)
+	slices.Sort(result.tpot)
+	return result, nil
+}
+
+// matchStepTarget applies the step target that the simulator's policy has.
+func matchStepTarget(ctx context.Context, running *fleet.Fleet) error {
+	configuration := running.Configuration()
+	target := sharing.DefaultBudgetPolicy(sharing.Throughput).StepTarget
+	configuration.Policy.OnlineStepTarget = durationpb.New(target)
+	return running.Apply(ctx, configuration)
+}
+
+func (o *Options) schedule(running *fleet.Fleet, records []load.Record) load.Schedule {
+	return load.Replay(records, func(record load.Record, number int) (load.Call, bool) {
+		if record.Kind != load.KindOnline {
+			return load.Call{}, false
+		}
+		return load.Call{
+			Target: running.Gateways[number%len(running.Gateways)].Address,
+			APIKey: fleet.APIKey(fleet.TenantName(fleet.GroupScheduling, 0)),
+			Model:  record.Model, Content: content(record, number, 0),
+			MaxTokens: record.MaxTokens, Stream: true,
+		}, true
+	})
+}
--- a/internal/simulator/scenario.go
+++ b/internal/simulator/scenario.go
@@ -29,6 +29,9 @@
 	ExchangeInterval time.Duration
 	Online           OnlineLoad
 	Batch            []BatchLoad
+	// Replay, where it is not nil, takes the place of the draws by Online and
+	// Batch; Batch still names the groups.
+	Replay *Replay
 	// Warmup is left out of the measures; Measured is the time measured.
 	Warmup   time.Duration
 	Measured time.Duration
--- a/internal/simulator/workload.go
+++ b/internal/simulator/workload.go
@@ -83,6 +83,9 @@
 
 // onlineArrivals draws the whole online load of a run.
 func onlineArrivals(scenario *Scenario, seed uint64) []arrival {
+	if scenario.Replay != nil {
+		return scenario.Replay.arrivals()
+	}
 	random := newRandom(seed, streamOnline)
 	load := &scenario.Online
 	bursts := drawBursts(load, scenario.End(), random)
@@ -177,6 +180,9 @@
 
 // batchHeaps draws the whole batch load of a run.
 func batchHeaps(scenario *Scenario, seed uint64) []heapOfItems {
+	if scenario.Replay != nil {
+		return scenario.Replay.heaps(scenario)
+	}
 	random := newRandom(seed, streamBatch)
 	var heaps []heapOfItems
 	for index := range scenario.Batch {
