Add the experiment that measures how a configuration spreads

Nothing measured how fast an accepted configuration is in force everywhere. `rockwind-bench experiment config` runs three control processes and the followers of 350 daemons, 50 to a process, each with sockets and a folder of its own, and applies changes to a configuration of 11,000 tenants: without and with restarts, while one process of daemons is killed, and with two daemons that stay away for more changes than control keeps. It exits 1 where a daemon moves to a lower number or lacks the last one. The followers are a command of their own, `rockwind-bench hollow followers`.

--- a/cmd/rockwind-bench/main.go
+++ b/cmd/rockwind-bench/main.go
@@ -7,6 +7,7 @@
 
 	"rockwind.example/rockwind/internal/bench/authority"
 	"rockwind.example/rockwind/internal/bench/calibration"
+	"rockwind.example/rockwind/internal/bench/configbench"
 	"rockwind.example/rockwind/internal/bench/demo"
 	"rockwind.example/rockwind/internal/bench/faults"
 	"rockwind.example/rockwind/internal/bench/hollow"
@@ -45,6 +46,7 @@
 
 	Overhead overhead.Command          `cmd:"" help:"Measure what a gateway adds to a request."`
 	Ledger   ledgerbench.Command       `cmd:"" help:"Measure what keeping the state of jobs costs, and recovery and failover."`
+	Config   configbench.Command       `cmd:"" help:"Measure how fast a configuration is in force everywhere, and what it costs."`
 	Faults   faults.Command            `cmd:"" help:"Bring faults about on real processes and judge what must always hold."`
 	Routing  routingexperiment.Command `cmd:"" help:"Measure routing against baselines under lagging reports and lost cache events."`
 }
--- /dev/null
+++ b/internal/bench/configbench/hosts.go
@@ -0,0 +1,144 @@
+package configbench
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"rockwind.example/rockwind/internal/bench/fleet"
+	"rockwind.example/rockwind/internal/bench/hollow"
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+const (
+	benchProgram = "rockwind-bench"
+	startTimeout = 60 * time.Second
+	pollGap      = 10 * time.Millisecond
+)
+
+// host is a process of followers.
+type host struct {
+	process *fleet.Process
+	names   []string
+	// page is where its pages are, known once it has started.
+	page string
+}
+
+// newHost prepares a process for the named followers.
+func newHost(name, folder, programs string, control []*rockwindpb.ControlMachine, names []string) *host {
+	arguments := []string{"hollow", "followers", "--names", strings.Join(names, ","), "--folder", filepath.Join(folder, name)}
+	for _, machine := range control {
+		arguments = append(arguments, "--control", hollow.ControlFlag(machine))
+	}
+	return &host{names: names, process: fleet.NewProcess(fleet.Standalone{
+		Name: name, Role: "followers", Folder: filepath.Join(folder, name),
+		Program: filepath.Join(programs, benchProgram), Arguments: arguments,
+	})}
+}
+
+// start starts the process and waits until it serves its pages.
+func (h *host) start(ctx context.Context) error {
+	h.process = h.process.Again()
+	if err := h.process.Start(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for {
+		_, rest, printed := strings.Cut(h.process.Output(), hollow.ListeningPrefix)
+		address, _, whole := strings.Cut(rest, "\n")
+		if printed && whole {
+			h.page = "http://" + address
+			return nil
+		}
+		if !h.process.Running() || ctx.Err() != nil {
+			return fault.Newf(fault.Unavailable, "read its output", "%s does not serve:\n%s", h.process.Name, h.process.Output())
+		}
+		pause(ctx)
+	}
+}
+
+// reports reads what the followers of the process say.
+func (h *host) reports(ctx context.Context) ([]hollow.FollowerReport, error) {
+	var reports []hollow.FollowerReport
+	err := get(ctx, h.page+hollow.ReportPage, &reports)
+	return reports, err
+}
+
+// command does something with one follower of the process.
+func (h *host) command(ctx context.Context, page, name string) error {
+	return get(ctx, h.page+page+"?name="+url.QueryEscape(name), nil)
+}
+
+// get reads a page and decodes it, where there is something to decode into.
+func get(ctx context.Context, address string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return errors.Wrap(err, "make a request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "read a page")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("%s answers status %d", address, response.StatusCode)
+	}
+	if into == nil {
+		return nil
+	}
+	return errors.Wrapf(json.NewDecoder(response.Body).Decode(into), "decode %s", address)
+}
+
+// reportsOf reads the reports of several processes.
+func reportsOf(ctx context.Context, hosts []*host) ([]hollow.FollowerReport, error) {
+	parts := make([][]hollow.FollowerReport, len(hosts))
+	group, ctx := errgroup.WithContext(ctx)
+	for index, each := range hosts {
+		group.Go(func() error {
+			var err error
+			parts[index], err = each.reports(ctx)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	var all []hollow.FollowerReport
+	for _, part := range parts {
+		all = append(all, part...)
+	}
+	return all, nil
+}
+
+// startAll starts processes at once.
+func startAll(ctx context.Context, hosts []*host) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, each := range hosts {
+		group.Go(func() error { return each.start(ctx) })
+	}
+	return group.Wait()
+}
+
+func pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(pollGap):
+	}
+}
+
+// newest is the last configuration that a follower put in force.
+func newest(report hollow.FollowerReport) uint64 {
+	if len(report.InForce) == 0 {
+		return 0
+	}
+	return report.InForce[len(report.InForce)-1].Number
+}
--- a/internal/bench/hollow/report.go
+++ b/internal/bench/hollow/report.go
@@ -15,9 +15,10 @@
 
 // Commands are `rockwind-bench hollow`.
 type Commands struct {
-	Engines  EnginesCommand  `cmd:"" help:"Run many hollow engines in one process."`
-	Gateways GatewaysCommand `cmd:"" help:"Run many hollow gateways in one process."`
-	Control  ControlCommand  `cmd:"" help:"Run a real control daemon and count its traffic."`
+	Engines   EnginesCommand   `cmd:"" help:"Run many hollow engines in one process."`
+	Gateways  GatewaysCommand  `cmd:"" help:"Run many hollow gateways in one process."`
+	Followers FollowersCommand `cmd:"" help:"Run many followers of the configuration in one process."`
+	Control   ControlCommand   `cmd:"" help:"Run a real control daemon and count its traffic."`
 }
 
 // Pages of a process of hollow daemons.
