Follow the configuration at the machines that replicate it

With 14 control machines only five replicate the root group. A follower asked all machines in turn, and each of the other nine counted as a failure after which the pause doubled up to 3 s, so a round took up to 20 s.

A follower now keeps a pause for each machine and goes on at once to one that answers; a machine that does not replicate the configuration says so by its kind of fault and is asked last for five minutes.

--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -51,6 +51,9 @@
 func (d *daemon) catalogService() (*catalog.Service, error) {
 	group, known := d.host.Group(sharding.RootGroup)
 	machine := d.machines.catalog()
+	if d.founded() && !known {
+		return nil, unknownGroup(sharding.RootGroup)
+	}
 	if !known || machine == nil {
 		return nil, fault.New(fault.Unavailable, "this machine belongs to no cluster yet",
 			"found the cluster, or wait until the machine has joined it").WithRan(fault.NotRun)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -67,10 +67,13 @@
 	changed chan struct{}
 
 	// Owned by Run.
-	next     int
-	failures int
-	full     bool
-	hooks    hooks
+	sources []*source
+	next    int
+	// storeFailures counts the failures to keep a configuration since the last
+	// success.
+	storeFailures int
+	full          bool
+	hooks         hooks
 }
 
 // hooks let tests break the follower on purpose.
@@ -97,6 +100,9 @@
 		changed: make(chan struct{}),
 		next:    options.Random.IntN(len(options.Sources)),
 	}
+	for _, service := range options.Sources {
+		follower.sources = append(follower.sources, &source{service: service})
+	}
 	index, damaged := opened.load()
 	for _, err := range damaged {
 		options.Log.WithError(err).Warn("a configuration on disk is damaged; an older one is used")
@@ -178,18 +184,21 @@
 
 // step asks one replica and returns how long to pause before the next.
 func (f *Follower) step(ctx context.Context) time.Duration {
-	source := f.options.Sources[f.next]
-	f.next = (f.next + 1) % len(f.options.Sources)
 	asked := time.Now()
-	response, hinted, err := f.watch(ctx, source)
-	if hinted {
+	chosen, due := f.choose(asked)
+	if due.After(asked) {
+		return due.Sub(asked)
+	}
+	response, hinted, err := f.watch(ctx, chosen.service)
+	if hinted || ctx.Err() != nil {
 		return 0
 	}
 	if err != nil {
 		f.options.Log.WithError(err).Debug("a control replica did not answer for configuration")
-		return f.backOff()
+		f.failed(chosen, fault.From(err))
+		return 0
 	}
-	f.failures = 0
+	chosen.answered()
 	f.heard.Store(time.Now().UnixMilli())
 	if response.GetChange() == nil {
 		// An answer without news before the wait is over must not turn into a
@@ -255,6 +264,7 @@
 		f.options.Log.WithError(err).Error("the new configuration cannot be kept on disk and is not in force; free or mend the disk")
 		return f.backOff()
 	}
+	f.storeFailures = 0
 	return 0
 }
 
@@ -288,11 +298,12 @@
 	f.changed = make(chan struct{})
 }
 
-// backOff is the pause after one more failure: it doubles, with jitter.
+// backOff is the pause after one more failure of the disk: it doubles, with
+// jitter.
 func (f *Follower) backOff() time.Duration {
 	const maximumDoublings = 16
-	pause := f.options.Retry << min(f.failures, maximumDoublings)
-	f.failures++
+	pause := f.options.Retry << min(f.storeFailures, maximumDoublings)
+	f.storeFailures++
 	return f.jitter(min(pause, f.options.MaximumRetry))
 }
 
