Name reverted daemons and wait for hollow gateways to open

A restarted process of hollow gateways served its report page before its gateways had read their disks, so the scale run took their number zero for a revert. The page now waits for them, and a revert is reported with its daemon and numbers. The first configuration, which all daemons read whole and at once on one machine, is waited for, reported and not judged.

--- a/internal/bench/hollow/gateway.go
+++ b/internal/bench/hollow/gateway.go
@@ -50,14 +50,17 @@
 	report  GatewayReport
 	cancel  context.CancelFunc
 	stopped chan struct{}
+	// opened is closed when the gateway has read its configuration from disk.
+	opened chan struct{}
 }
 
-// start runs the gateway until stop.
+// start runs the gateway until stop. It returns once the gateway has the
+// configuration from its disk in force, or has failed.
 func (h *hollowGateway) start() {
 	ctx, cancel := context.WithCancel(context.Background())
-	stopped := make(chan struct{})
+	stopped, opened := make(chan struct{}), make(chan struct{})
 	h.mutex.Lock()
-	h.cancel, h.stopped, h.report.Running = cancel, stopped, true
+	h.cancel, h.stopped, h.opened, h.report.Running = cancel, stopped, opened, true
 	h.mutex.Unlock()
 	go func() {
 		defer close(stopped)
@@ -67,6 +70,10 @@
 			gateway.WithConfigurationObserver(h.observe))
 		h.ended(err)
 	}()
+	select {
+	case <-opened:
+	case <-stopped:
+	}
 }
 
 func (h *hollowGateway) ended(err error) {
@@ -91,6 +98,10 @@
 		h.report.InForceUnixNs = time.Now().UnixNano()
 	}
 	h.report.Number = number
+	if h.opened != nil {
+		close(h.opened)
+		h.opened = nil
+	}
 }
 
 // stop ends the gateway as planned and waits for the end.
--- a/internal/bench/hollow/gateways.go
+++ b/internal/bench/hollow/gateways.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"path/filepath"
 	"strings"
+	"sync"
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
@@ -53,9 +54,11 @@
 			report:   GatewayReport{Name: name, Zone: c.Zone},
 		})
 	}
+	var starting sync.WaitGroup
 	for _, each := range host.gateways {
-		each.start()
+		starting.Go(each.start)
 	}
+	starting.Wait()
 	return serveReport(c.Report, host.report, map[string]http.HandlerFunc{
 		RestartPage: host.each((*hollowGateway).restart),
 		LosePage:    host.each((*hollowGateway).lose),
--- a/internal/bench/scale/run.go
+++ b/internal/bench/scale/run.go
@@ -27,9 +27,9 @@
 	Changes     []Change `json:"changes"`
 	// Restarted is how many daemons the rolling restart stopped, LostProcesses how
 	// many processes the loss of the zone killed.
-	Restarted     int `json:"rolling_restarts"`
-	LostProcesses int `json:"lost_processes"`
-	Reverts       int `json:"reverts"`
+	Restarted     int      `json:"rolling_restarts"`
+	LostProcesses int      `json:"lost_processes"`
+	Reverts       []Revert `json:"reverts"`
 	// Online is the load beside all of it.
 	Online Online `json:"online"`
 	// Violations lists what is over budget or went wrong; empty for a pass.
@@ -47,7 +47,7 @@
 func run(ctx context.Context, c *cluster, options Options) (*Result, error) {
 	result := &Result{Size: c.size, Processes: len(c.members)}
 	track := newTracker(c)
-	first, err := track.await(ctx, time.Now(), Change{During: "start"})
+	first, err := track.first(ctx)
 	if err != nil {
 		return nil, err
 	}
