Bound batch by how far each server's online answers lag

Change: sharing.Pace follows the prompts that wait on a server and the lag of its streamed answers; the budget keeps first tokens and tokens within the tail to protect. Gateways feed it from their streams, the simulator from its events. routing.OwnedFirst, so far in the simulator only, prefers servers whose requests the gateway knows itself.

--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -52,6 +52,7 @@
 	}
 	call := &call{gateway: g, writer: w, request: r, body: body, cost: sharing.Cost(wanted.PromptTokens, 0, 0), promptTokens: wanted.PromptTokens}
 	call.chooser = &chooser{view: g.view, wanted: wanted, body: body, versions: len(model.GetVersions())}
+	call.chooser.streamed = parsed.Stream && r.Header.Get(headerIdempotencyKey) == ""
 	call.upstream = &upstream.Request{
 		ID: uuid.NewString(), Kind: upstream.Engine, Method: http.MethodPost, Path: r.URL.Path, Body: body,
 		Priority: upstream.PriorityOnline, PrefixHash: prefixHash(wanted.Prefixes),
@@ -152,7 +153,9 @@
 	if key := c.request.Header.Get(headerIdempotencyKey); key != "" {
 		return c.runKeyed(key)
 	}
-	result := g.relay.Run(c.request.Context(), c.upstream, c.chooser, newCallerSink(c.writer, c.chooser.tokenSeen))
+	sink := newCallerSink(c.writer, c.chooser.tokenSeen)
+	sink.onTokens = c.chooser.relayed
+	result := g.relay.Run(c.request.Context(), c.upstream, c.chooser, sink)
 	c.finish(result)
 	return result
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -19,11 +19,16 @@
 	// body is rewritten for the version drawn where the model has several.
 	body     []byte
 	versions int
+	// streamed tells that the answer is a stream of tokens.
+	streamed bool
 
 	mutex sync.Mutex
 	// firstToken is set once the prompt of the current attempt was processed.
 	firstToken bool
 	target     upstream.Target
+	attempt    serverview.Attempt
+	// tokens is the number of tokens that the view was told of.
+	tokens uint64
 }
 
 // Choose implements upstream.Chooser.
@@ -40,14 +45,14 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.target, c.firstToken = target, false
+	c.target, c.attempt, c.firstToken = target, choice.Attempt, false
 	return target, nil
 }
 
 // Ended implements upstream.Chooser.
 func (c *chooser) Ended(target upstream.Target, report upstream.Report) {
 	c.tokenSeen()
-	c.view.Ended(target, report)
+	c.view.Ended(target, c.attempt, report)
 }
 
 // tokenSeen tells the view, once per attempt, that the prompt was processed.
@@ -58,7 +63,21 @@
 		return
 	}
 	c.firstToken = true
-	c.view.FirstToken(c.target, c.wanted.PromptTokens)
+	c.view.FirstToken(c.target, c.attempt, c.wanted.PromptTokens, c.streamed)
+}
+
+// relayed tells the view how far the stream has come.
+func (c *chooser) relayed(sequence uint64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if sequence <= c.tokens {
+		return
+	}
+	count := sequence - c.tokens
+	c.tokens = sequence
+	if c.attempt.Leads() {
+		c.view.Tokens(c.target, c.attempt, int(count))
+	}
 }
 
 // admit refuses a request at once that can't start in time.
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -22,6 +22,9 @@
 	control *http.ResponseController
 	// onBegin is called with the first byte of the answer; it may be nil.
 	onBegin func()
+	// onTokens is called with the number of the last token passed on; it may be
+	// nil.
+	onTokens func(sequence uint64)
 	// flush is set for answers that are passed on as they come.
 	flush bool
 }
@@ -60,6 +63,13 @@
 	return nil
 }
 
+// Relayed implements upstream.TokenCounter.
+func (s *callerSink) Relayed(sequence uint64) {
+	if s.onTokens != nil {
+		s.onTokens(sequence)
+	}
+}
+
 // maximumKeptAnswer bounds the answer that is kept under an idempotency key.
 const maximumKeptAnswer = 4 << 20
 
--- /dev/null
+++ b/internal/routing/owned.go
@@ -0,0 +1,76 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// OwnedFirst takes the server of the own zone with the least estimated wait
+// behind online requests. Servers that this gateway feeds with batch work come
+// before the others by a margin: of these it knows nearly every request at once,
+// so that neither herds nor surprises come up there. Batch work does not count:
+// it gives way. Where the own zone is slow it asks PowerOfChoices, which knows
+// the other zones. One gateway owns an OwnedFirst.
+type OwnedFirst struct {
+	// Owned lists the servers that this gateway feeds, all of the own zone.
+	Owned []int32
+	// Others lists the other servers of the own zone.
+	Others []int32
+	// Margin is added to the estimate of servers that are not owned.
+	Margin time.Duration
+	// Backlog returns the online prompt tokens that this gateway knows to wait
+	// on a server.
+	Backlog func(server int) int
+	// Otherwise chooses where the wait in the own zone exceeds its SpillWait.
+	Otherwise PowerOfChoices
+}
+
+// Choose implements Policy.
+func (p *OwnedFirst) Choose(view *View, request *Request, now time.Duration, random *rand.Rand) (Decision, bool) {
+	version, found := drawVersion(request.Versions, random)
+	if !found {
+		return Decision{}, false
+	}
+	chosen := best{health: Ejected}
+	for _, index := range p.Owned {
+		p.offer(view, index, 0, request, version, random, &chosen)
+	}
+	for _, index := range p.Others {
+		p.offer(view, index, p.Margin, request, version, random, &chosen)
+	}
+	if chosen.health != Healthy || chosen.wait > p.Otherwise.SpillWait {
+		other, found := p.Otherwise.Choose(view, request, now, random)
+		if found && (!chosen.found() || other.Wait < chosen.wait) {
+			return other, true
+		}
+	}
+	return Decision{Server: int(chosen.server), Version: version, Wait: chosen.wait, Hinted: chosen.hinted}, chosen.found()
+}
+
+func (p *OwnedFirst) offer(view *View, index int32, margin time.Duration, request *Request, version NameID, random *rand.Rand, chosen *best) {
+	server := &view.Servers[index]
+	if index+1 == request.Exclude || !server.Eligible(request, version) || server.skippedInSlowStart(random) {
+		return
+	}
+	cached := cachedTokens(request, index)
+	wait := p.wait(view, server, index, int(request.PromptTokens)-cached)
+	chosen.offer(best{server: index, health: server.Health, hinted: cached > 0, wait: wait, score: wait + margin})
+}
+
+// cachedTokens is the length of the prefix that a hint says a server caches.
+func cachedTokens(request *Request, server int32) int {
+	for _, hint := range request.Hints[:min(len(request.Hints), MaxHints)] {
+		if hint.Server == server {
+			return int(min(hint.CachedTokens, request.PromptTokens))
+		}
+	}
+	return 0
+}
+
+// wait estimates the time to the first token behind online requests alone.
+func (p *OwnedFirst) wait(view *View, server *Server, index int32, promptTokens int) time.Duration {
+	backlog := max(p.Backlog(int(index)), int(server.Report.Waiting*view.Cost.MeanPromptTokens))
+	step := float32(view.Cost.StepBase) + server.Online()*float32(view.Cost.PerSequence)
+	prefill := time.Duration(backlog+promptTokens) * view.Cost.PerPromptToken
+	return (time.Duration(step) + prefill) / time.Duration(max(1, server.Accelerators))
+}
--- a/internal/serverview/batch.go
+++ b/internal/serverview/batch.go
@@ -8,9 +8,9 @@
 	"rockwind.example/rockwind/internal/upstream"
 )
 
-// latencyStepPart is the part of the step target that batch of a group that
-// favours latency may fill.
-const latencyStepPart = 0.7
+// firstTokenTarget is the time to the first token that batch leaves to online
+// requests.
+const firstTokenTarget = 500 * time.Millisecond
 
 // BatchWanted is what a batch item needs of a back end.
 type BatchWanted struct {
@@ -104,7 +104,7 @@
 			continue
 		}
 		state := v.batchServerState(e, now)
-		visit(e, sharing.BatchBudget(state, v.budgetPolicy(wanted.Objective)), e.batch.running)
+		visit(e, sharing.BatchBudget(state, v.budgetPolicy(wanted.Objective), now), e.batch.running)
 	}
 }
 
@@ -118,31 +118,37 @@
 	return false
 }
 
-// budgetPolicy is the policy of an objective under the configured step target.
+// budgetPolicy is the policy of an objective with the step model of the view.
 func (v *View) budgetPolicy(objective sharing.Objective) sharing.BudgetPolicy {
 	policy := sharing.DefaultBudgetPolicy(objective)
-	if v.stepTarget <= 0 {
-		return policy
-	}
-	policy.StepTarget = v.stepTarget
-	if objective == sharing.Latency {
-		policy.StepTarget = time.Duration(latencyStepPart * float64(v.stepTarget))
-	}
+	policy.StepBase = v.routing.Cost.StepBase
+	policy.PerSequence = v.routing.Cost.PerSequence
+	policy.PerPromptToken = v.routing.Cost.PerPromptToken
 	return policy
 }
 
+// target is the tail of online latency that batch may not lengthen.
+func (v *View) target() sharing.Target {
+	target := sharing.Target{FirstToken: firstTokenTarget, PerToken: defaultStepTarget}
+	if v.stepTarget > 0 {
+		target.PerToken = v.stepTarget
+	}
+	return target
+}
+
+// defaultStepTarget is the time per token without a configuration.
+const defaultStepTarget = 50 * time.Millisecond
+
 // batchServerState corrects the newest report by what was sent since.
 func (v *View) batchServerState(e *entry, now time.Duration) sharing.ServerState {
 	server := &v.routing.Servers[e.index]
-	running := float64(server.Report.RunningOnline) + float64(server.SentSinceReport) - float64(server.EndedSinceReport)
 	return sharing.ServerState{
-		OnlineRunning: max(running, float64(server.OwnOnline)),
-		OnlineWaiting: float64(server.Report.Waiting),
-		OnlinePeak:    e.batch.peak.Value(now, peakHalfLife),
-		BatchRunning:  e.batch.running,
-		KVUsed:        float64(server.Report.KVUsed),
-		Step:          server.Report.Step,
-		ReportAge:     now - e.reportedAt,
+		Online:       float64(server.Online()),
+		Pace:         &e.batch.pace,
+		Target:       v.target(),
+		BatchRunning: e.batch.running,
+		KVUsed:       float64(server.Report.KVUsed),
+		ReportAge:    now - e.reportedAt,
 	}
 }
 
@@ -170,10 +176,10 @@
 func (v *View) yieldCount(e *entry, now time.Duration) int {
 	policy := v.budgetPolicy(sharing.Throughput)
 	state := v.batchServerState(e, now)
-	if over := sharing.ShouldYield(state, policy); over > 0 {
+	if over := sharing.ShouldYield(state, policy, now); over > 0 {
 		return over
 	}
-	free := sharing.BatchBudget(state, policy).Items - e.batch.running
+	free := sharing.BatchBudget(state, policy, now).Items - e.batch.running
 	return -min(max(free, 0), e.batch.paused)
 }
 
--- a/internal/serverview/choose.go
+++ b/internal/serverview/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"rockwind.example/rockwind/internal/fault"
@@ -40,6 +41,21 @@
 	Version string
 	// Wait estimates the time until the first token.
 	Wait time.Duration
+	// Attempt names the attempt in FirstToken, Tokens and Ended.
+	Attempt Attempt
+}
+
+// Attempt names one attempt of an online request at a server.
+type Attempt struct {
+	ticket uint64
+	// leader is the ticket whose tokens the server's pace is taken from.
+	leader *atomic.Uint64
+}
+
+// Leads tells whether the tokens of the attempt are wanted now. It takes no
+// lock.
+func (a Attempt) Leads() bool {
+	return a.leader != nil && a.leader.Load() == a.ticket
 }
 
 // Estimate tells how long a request would wait for its first token now, and
@@ -63,6 +79,8 @@
 	e := v.entries[decision.Server]
 	v.routing.Sent(decision.Server, wanted.PromptTokens, false)
 	e.history.sent.add(now)
+	v.tickets++
+	e.batch.pace.Sent(v.tickets, v.uncached(wanted, e), now)
 	for _, prefix := range wanted.Prefixes {
 		v.hints.remember(prefix.Hash, e.name)
 	}
@@ -70,9 +88,20 @@
 		Target:  upstream.Target{Name: e.name, Address: e.address},
 		Version: v.names.Name(decision.Version),
 		Wait:    decision.Wait,
+		Attempt: Attempt{ticket: v.tickets, leader: &e.batch.leader},
 	}, nil
 }
 
+// uncached estimates the prompt tokens that a server must process.
+func (v *View) uncached(wanted Wanted, e *entry) int {
+	for _, prefix := range wanted.Prefixes {
+		if name, ok := v.hints.find(prefix.Hash); ok && name == e.name {
+			return max(1, wanted.PromptTokens-prefix.Tokens)
+		}
+	}
+	return wanted.PromptTokens
+}
+
 // noBackEndRetryAfter is the advice to callers while no server may take work.
 const noBackEndRetryAfter = time.Second
 
@@ -142,20 +171,34 @@
 	return nil
 }
 
-// FirstToken tells that the prompt of a request was processed.
-func (v *View) FirstToken(target upstream.Target, promptTokens int) {
+// FirstToken tells that the prompt of a request was processed. Streamed tells
+// that Tokens will be called for the rest of the answer.
+func (v *View) FirstToken(target upstream.Target, attempt Attempt, promptTokens int, streamed bool) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	if e := v.byName[target.Name]; e != nil {
 		v.routing.FirstToken(e.index, promptTokens)
+		e.batch.pace.FirstToken(attempt.ticket, streamed, v.now())
+		e.batch.publishLeader()
+	}
+}
+
+// Tokens tells that so many more tokens of a streamed answer arrived.
+func (v *View) Tokens(target upstream.Target, attempt Attempt, count int) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if e := v.byName[target.Name]; e != nil {
+		e.batch.pace.Token(attempt.ticket, count, v.target().PerToken, v.now())
 	}
 }
 
 // Ended counts an online request down and hands the evidence to the owner.
 // FirstToken must have been called before, also when none came.
-func (v *View) Ended(target upstream.Target, report upstream.Report) {
+func (v *View) Ended(target upstream.Target, attempt Attempt, report upstream.Report) {
 	v.mutex.Lock()
 	if e := v.byName[target.Name]; e != nil {
+		e.batch.pace.Ended(attempt.ticket, v.now())
+		e.batch.publishLeader()
 		v.routing.Ended(e.index, false)
 		e.history.ended.add(v.now())
 	}
--- a/internal/serverview/report.go
+++ b/internal/serverview/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"rockwind.example/rockwind/internal/ownership"
@@ -73,7 +74,6 @@
 		KVUsed:        float32(report.KVUsedPermille) / permille,
 		Step:          time.Duration(report.StepUs) * time.Microsecond,
 	}, e.history.sent.after(takenAt), e.history.ended.after(takenAt))
-	e.batch.peak.Observe(float64(report.RunningOnline+report.onlineWaiting()), v.now(), peakHalfLife)
 	v.publish(e)
 }
 
@@ -205,14 +205,20 @@
 	}
 }
 
-// peakHalfLife is how fast the peak of online requests is forgotten.
-const peakHalfLife = 10 * time.Second
-
 // batchState is what is known for batch on one server.
 type batchState struct {
-	peak sharing.Peak
+	// pace follows the online requests that this gateway sent there.
+	pace sharing.Pace
+	// leader is the ticket of the pace's leader; zero for none.
+	leader atomic.Uint64
 	// running counts the batch items that this gateway runs there now; paused
 	// ones are counted apart.
 	running int
 	paused  int
 }
+
+// publishLeader makes the leader known to the requests, which look without the
+// lock.
+func (b *batchState) publishLeader() {
+	b.leader.Store(b.pace.Leader())
+}
--- a/internal/serverview/view.go
+++ b/internal/serverview/view.go
@@ -59,6 +59,8 @@
 	hints       *hintTable
 	tracker     *health.Tracker
 	slots       slotTable
+	// tickets numbers the attempts of online requests.
+	tickets uint64
 	// step is the target of steps that hold online requests.
 	stepTarget time.Duration
 }
@@ -86,7 +88,7 @@
 	// nextPoll is when the server is polled next, and polling is set meanwhile.
 	nextPoll time.Duration
 	polling  bool
-	batch    batchState
+	batch    *batchState
 	// own is set where this gateway polls the server and feeds it batch.
 	own bool
 	// sentLoaded and sentCount tell what the last digests held.
@@ -202,7 +204,7 @@
 
 func (v *View) layOut(backEnd *rockwindpb.BackEnd, zone uint16, known *entry, oldServers []routing.Server, fresh *routing.View) {
 	var server routing.Server
-	e := &entry{name: backEnd.GetName(), slot: noSlot}
+	e := &entry{name: backEnd.GetName(), slot: noSlot, batch: &batchState{}}
 	switch {
 	case known != nil && known.address == backEnd.GetAddress():
 		e = known
--- a/internal/sharing/budget.go
+++ b/internal/sharing/budget.go
@@ -13,25 +13,29 @@
 	Latency
 )
 
+// String returns the name of the objective.
+func (o Objective) String() string {
+	if o == Latency {
+		return "latency"
+	}
+	return "throughput"
+}
+
 // ServerState is what the gateway that feeds batch to a server knows of it. One
 // gateway of the zone feeds a server, so that its count of batch items is exact.
 type ServerState struct {
-	// OnlineRunning and OnlineWaiting count online requests, reported and
-	// corrected by what this gateway sent and saw ending since.
-	OnlineRunning float64
-	OnlineWaiting float64
-	// OnlinePeak is the number of online requests that a burst brings to the
-	// server at a time, from Peak.
-	OnlinePeak float64
-	// PrefillPart is the part of the server's time that online prompts take now,
-	// from PrefillLoad.
-	PrefillPart float64
+	// Online counts the online requests on the server: reported ones corrected
+	// by what this gateway sent and saw ending since.
+	Online float64
+	// Pace follows the online requests that this gateway knows of; nil where it
+	// knows of none.
+	Pace *Pace
+	// Target is the tail of online latency to keep.
+	Target Target
 	// BatchRunning counts batch items in flight on the server.
 	BatchRunning int
 	// KVUsed is the part of KV memory in use, between 0 and 1.
 	KVUsed float64
-	// Step is the measured duration of a step.
-	Step time.Duration
 	// ReportAge is how old the newest report is.
 	ReportAge time.Duration
 }
@@ -45,11 +49,17 @@
 	// PerItem is what one batch item adds to a step on average, the prefill of
 	// its successors included.
 	PerItem time.Duration
-	// StepTarget bounds the mean step of a server with online requests.
-	StepTarget time.Duration
-	// Headroom is the number of online requests that may arrive before batch can
-	// yield.
-	Headroom float64
+	// PromptChunk is the largest number of prompt tokens in a step.
+	PromptChunk int
+	// PromptWeight is the part of the prompts of the next step that counts
+	// against the target for a token; what does not count is made good later.
+	PromptWeight float64
+	// RepaySteps is over how many steps answers that lag behind catch up.
+	RepaySteps int
+	// FirstTokenPart and PerTokenPart are the parts of the target that batch may
+	// fill.
+	FirstTokenPart float64
+	PerTokenPart   float64
 	// MaximumItems bounds batch items on a server.
 	MaximumItems int
 	// TokensPerStep bounds batch tokens, prompts included, in a step that also
@@ -67,20 +77,22 @@
 func DefaultBudgetPolicy(objective Objective) BudgetPolicy {
 	policy := BudgetPolicy{
 		StepBase:       12 * time.Millisecond,
-		PerSequence:    140 * time.Microsecond,
+		PerSequence:    136 * time.Microsecond,
 		PerPromptToken: 30 * time.Microsecond,
 		PerItem:        200 * time.Microsecond,
-		StepTarget:     25 * time.Millisecond,
-		Headroom:       1,
+		PromptChunk:    512,
+		PromptWeight:   1,
+		RepaySteps:     4,
+		FirstTokenPart: 0.95,
+		PerTokenPart:   1,
 		MaximumItems:   64,
-		TokensPerStep:  160,
+		TokensPerStep:  200,
 		KVLimit:        0.9,
 		KVYield:        0.97,
 		StaleAfter:     3 * time.Second,
 	}
 	if objective == Latency {
-		policy.StepTarget = 20 * time.Millisecond
-		policy.Headroom = 2
+		policy.PerTokenPart = 0.97
 	}
 	return policy
 }
@@ -97,39 +109,54 @@
 // staleItems is the budget of a server whose report is too old to trust.
 const staleItems = 1
 
-// maximumPrefillPart keeps the model of a step finite on an overloaded server.
-const maximumPrefillPart = 0.9
-
 // BatchBudget returns what batch may use of a server now.
-func BatchBudget(state ServerState, policy BudgetPolicy) Budget {
+func BatchBudget(state ServerState, policy BudgetPolicy, now time.Duration) Budget {
 	if policy.StaleAfter > 0 && state.ReportAge > policy.StaleAfter {
 		return Budget{Items: staleItems, TokensPerStep: 1}
 	}
-	items := min(policy.spareItems(state), policy.MaximumItems)
+	items := min(policy.spareItems(state, now), policy.MaximumItems-int(state.Online))
 	if state.KVUsed >= policy.KVLimit {
 		items = min(items, state.BatchRunning)
 	}
-	return Budget{Items: items, TokensPerStep: policy.TokensPerStep}
+	return Budget{Items: max(0, items), TokensPerStep: policy.TokensPerStep}
 }
 
-// spareItems is how many batch items fit beside the online requests so that the
-// mean step stays at the target. Prompts of online requests take a part of the
-// time, which stretches the steps of all others; what is left of the target is
-// shared by decoding.
-func (p BudgetPolicy) spareItems(state ServerState) int {
-	waiting := state.OnlineRunning + state.OnlineWaiting
-	if waiting <= 0 {
+// spareItems is how many batch items fit into a step beside the online requests
+// so that none of them misses the target on account of batch.
+func (p BudgetPolicy) spareItems(state ServerState, now time.Duration) int {
+	if state.Online < 1 && (state.Pace == nil || state.Pace.Prompts() == 0) {
 		return p.MaximumItems
 	}
-	left := 1 - min(max(state.PrefillPart, 0), maximumPrefillPart)
-	online := (waiting + p.Headroom) * float64(p.PerSequence)
-	spare := float64(p.StepTarget)*left - float64(p.StepBase) - online
-	return max(0, int(spare/float64(max(1, p.PerItem))))
+	decoding := state.Online
+	chunk := 0
+	debt := time.Duration(0)
+	if state.Pace != nil {
+		waiting := state.Pace.Prompts()
+		decoding = max(float64(state.Pace.Decoding()), state.Online-float64(waiting))
+		chunk = min(p.PromptChunk, state.Pace.PromptTokens())
+		debt = state.Pace.Debt()
+	}
+	online := p.StepBase + time.Duration(decoding*float64(p.PerSequence))
+	withPrompts := online + scaled(time.Duration(chunk)*p.PerPromptToken, p.PromptWeight)
+	limit := scaled(state.Target.PerToken, p.PerTokenPart) - debt/time.Duration(max(1, p.RepaySteps))
+	spare := limit - withPrompts
+	if state.Pace != nil {
+		full := online + time.Duration(p.PromptChunk)*p.PerPromptToken
+		target := scaled(state.Target.FirstToken, p.FirstTokenPart)
+		if forPrompts, some := state.Pace.StepForPrompts(target, p.PromptChunk, full, now); some {
+			spare = min(spare, forPrompts-full)
+		}
+	}
+	return max(0, int(spare/max(1, p.PerItem)))
+}
+
+func scaled(value time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(value) * factor)
 }
 
 // ShouldYield returns how many batch items must be paused on a server now.
-func ShouldYield(state ServerState, policy BudgetPolicy) int {
-	budget := BatchBudget(state, policy)
+func ShouldYield(state ServerState, policy BudgetPolicy, now time.Duration) int {
+	budget := BatchBudget(state, policy, now)
 	over := max(0, state.BatchRunning-budget.Items)
 	if state.KVUsed >= policy.KVYield {
 		return max(over, (state.BatchRunning+1)/2)
--- a/internal/simulator/fleet.go
+++ b/internal/simulator/fleet.go
@@ -73,6 +73,11 @@
 		run.gateways = append(run.gateways, newGateway(run, index, seed))
 	}
 	run.assignOwners()
+	for _, gateway := range run.gateways {
+		if policy.Routing == nil {
+			gateway.routeOwnedFirst()
+		}
+	}
 	return run
 }
 
@@ -110,7 +115,7 @@
 	arrivals := onlineArrivals(f.scenario, seed)
 	f.online = make([]onlineRecord, len(arrivals))
 	for index := range arrivals {
-		f.online[index] = onlineRecord{arrival: arrivals[index], server: -1}
+		f.online[index] = onlineRecord{index: index, arrival: arrivals[index], server: -1}
 		gateway := f.gateways[arrivals[index].gateway]
 		f.clock.at(arrivals[index].at+f.scenario.ClientDelay, func() { gateway.arrive(index) })
 	}
@@ -176,6 +181,7 @@
 	switch event.Kind {
 	case engine.EventTokens:
 		if event.Sequence != event.Count || record.firstAt > 0 {
+			f.clock.at(arrives, func() { gateway.noteTokens(record, server, event.Count) })
 			return
 		}
 		record.firstAt = arrives + f.scenario.ClientDelay
--- a/internal/simulator/gateway.go
+++ b/internal/simulator/gateway.go
@@ -25,7 +25,7 @@
 	health   *health.Tracker
 	owned    []int
 	lanes    []lane
-	prefill  []sharing.PrefillLoad
+	paces    []sharing.Pace
 	prefixes map[int][2]int
 	queues   []itemQueue
 	asked    bool
@@ -44,17 +44,19 @@
 		index:    index,
 		zone:     index / scenario.GatewaysPerZone,
 		random:   newRandom(seed, streamGateways+uint64(index)),
-		routing:  run.policy.Routing(),
 		health:   health.NewTracker(health.DefaultPolicy, servers),
 		recent:   make([]routing.Recent, servers),
 		lanes:    make([]lane, servers),
-		prefill:  make([]sharing.PrefillLoad, servers),
+		paces:    make([]sharing.Pace, servers),
 		prefixes: make(map[int][2]int),
 		queues:   make([]itemQueue, len(scenario.Batch)),
 		picker:   sharing.NewPicker(),
 		versions: []routing.WeightedVersion{{Name: modelName, Weight: 1}},
 		used:     make([]sharing.GroupUse, len(scenario.Batch)),
 	}
+	if run.policy.Routing != nil {
+		created.routing = run.policy.Routing()
+	}
 	created.fillView()
 	return created
 }
@@ -155,7 +157,7 @@
 	}
 	g.view.Sent(server, shape.prompt, false)
 	g.recent[server].Sent(run.clock.now)
-	g.prefill[server].Sent(float64(shape.prompt), run.clock.now)
+	g.noteSent(index, server)
 	g.balance(server)
 	run.clock.after(run.delay(g, server), func() {
 		_, accepted := run.nodes[server].engine.Submit(run.clock.now, engine.Request{
@@ -176,9 +178,11 @@
 func (g *gateway) firstToken(record *onlineRecord, server int) {
 	g.view.FirstToken(server, record.arrival.shape.prompt)
 	g.health.Record(server, health.Success, 0, g.fleet.clock.now, g.random)
+	g.noteFirstToken(record, server)
 }
 
-func (g *gateway) ended(_ *onlineRecord, server int) {
+func (g *gateway) ended(record *onlineRecord, server int) {
+	g.noteEnded(record, server)
 	g.view.Ended(server, false)
 	g.recent[server].Ended(g.fleet.clock.now)
 	g.balance(server)
@@ -190,6 +194,7 @@
 // lost handles a request whose server died or refused it.
 func (g *gateway) lost(index, server int) {
 	record := &g.fleet.online[index]
+	g.noteEnded(record, server)
 	g.view.Ended(server, false)
 	g.view.FirstToken(server, record.arrival.shape.prompt)
 	g.recent[server].Ended(g.fleet.clock.now)
--- /dev/null
+++ b/internal/simulator/pace.go
@@ -0,0 +1,109 @@
+package simulator
+
+import (
+	"rockwind.example/rockwind/internal/routing"
+	"rockwind.example/rockwind/internal/sharing"
+)
+
+// target is the tail of online latency to keep.
+func (g *gateway) target() sharing.Target {
+	return g.fleet.scenario.Target
+}
+
+// observer is the gateway that hears of an online request of this gateway on a
+// server, beside this one; nil where nobody does.
+func (g *gateway) observer(server int) *gateway {
+	owner := g.fleet.nodes[server].owner
+	if owner == g || !g.fleet.policy.Notices || (owner.zone != g.zone && !g.fleet.policy.Fresh) {
+		return nil
+	}
+	return owner
+}
+
+// notify tells the observer of a server after the way there.
+func (g *gateway) notify(server int, tell func(observer *gateway)) {
+	observer := g.observer(server)
+	if observer == nil {
+		return
+	}
+	if g.fleet.policy.Fresh {
+		tell(observer)
+		return
+	}
+	g.fleet.clock.after(g.fleet.scenario.LocalDelay, func() { tell(observer) })
+}
+
+// uncached estimates the prompt tokens of a request that a server must process.
+func (g *gateway) uncached(record *onlineRecord, server int) int {
+	shape := record.arrival.shape
+	for _, hint := range g.hintsFor(shape) {
+		if int(hint.Server) == server {
+			return shape.prompt - int(hint.CachedTokens)
+		}
+	}
+	return shape.prompt
+}
+
+func (g *gateway) noteSent(index, server int) {
+	record := &g.fleet.online[index]
+	tokens := g.uncached(record, server)
+	g.paces[server].Sent(uint64(index), tokens, g.fleet.clock.now)
+	g.notify(server, func(observer *gateway) {
+		observer.paces[server].Sent(uint64(index), tokens, observer.fleet.clock.now)
+		observer.balance(server)
+	})
+}
+
+func (g *gateway) noteFirstToken(record *onlineRecord, server int) {
+	g.paces[server].FirstToken(uint64(record.index), true, g.fleet.clock.now)
+	g.notify(server, func(observer *gateway) {
+		observer.paces[server].FirstToken(uint64(record.index), g.fleet.policy.Fresh, observer.fleet.clock.now)
+		observer.balance(server)
+	})
+	g.balance(server)
+}
+
+func (g *gateway) noteTokens(record *onlineRecord, server, tokens int) {
+	id := uint64(record.index)
+	now := g.fleet.clock.now
+	g.paces[server].Token(id, tokens, g.target().PerToken, now)
+	if g.fleet.policy.Fresh {
+		g.notify(server, func(observer *gateway) {
+			if !observer.paces[server].Leads(id) {
+				return
+			}
+			observer.paces[server].Token(id, tokens, g.target().PerToken, now)
+			observer.balance(server)
+		})
+	}
+	if g.paces[server].Leads(id) {
+		g.balance(server)
+	}
+}
+
+func (g *gateway) noteEnded(record *onlineRecord, server int) {
+	g.paces[server].Ended(uint64(record.index), g.fleet.clock.now)
+	g.notify(server, func(observer *gateway) {
+		observer.paces[server].Ended(uint64(record.index), observer.fleet.clock.now)
+		observer.balance(server)
+	})
+}
+
+// routeOwnedFirst sets the routing policy of the gateways up, which needs to
+// know the owners.
+func (g *gateway) routeOwnedFirst() {
+	policy := &routing.OwnedFirst{
+		Margin:    g.fleet.policy.OwnedMargin,
+		Backlog:   func(server int) int { return g.paces[server].PromptTokens() },
+		Otherwise: routing.Default,
+	}
+	zone := g.view.Zones[0]
+	for server := zone.First; server < zone.First+zone.Count; server++ {
+		if g.fleet.nodes[server].owner == g {
+			policy.Owned = append(policy.Owned, server)
+		} else {
+			policy.Others = append(policy.Others, server)
+		}
+	}
+	g.routing = policy
+}
--- a/internal/simulator/result.go
+++ b/internal/simulator/result.go
@@ -9,6 +9,7 @@
 
 // onlineRecord follows one online request. Times are the client's.
 type onlineRecord struct {
+	index    int
 	arrival  arrival
 	server   int
 	attempts int
@@ -22,12 +23,19 @@
 	items  int
 	cost   float64
 	pauses int
+	// series is the cost completed in each second of the run.
+	series []float64
 }
 
 // completed books an item that is done.
 func (f *fleet) completed(entry *item) {
 	entry.job.left--
 	now := f.clock.now
+	second := int(now / time.Second)
+	for len(f.totals.series) <= second {
+		f.totals.series = append(f.totals.series, 0)
+	}
+	f.totals.series[second] += entry.cost()
 	if now < f.scenario.Warmup || now >= f.scenario.End() {
 		return
 	}
@@ -38,6 +46,8 @@
 // Result is what one run measured between warm-up and end.
 type Result struct {
 	Policy string
+	// Seconds is the time measured.
+	Seconds float64
 	// Requests counts online requests, Refused those refused or lost, and
 	// Unfinished those without a whole answer at the end.
 	Requests   int
@@ -50,6 +60,9 @@
 	// BatchItems and BatchCost count the batch work completed.
 	BatchItems int
 	BatchCost  float64
+	// BatchPerSecond is the cost of the batch work completed in each second,
+	// warm-up included.
+	BatchPerSecond []float64
 	// Pauses counts items paused.
 	Pauses int
 	// Engines sums what all engines did, warm-up included.
@@ -60,8 +73,8 @@
 
 func (f *fleet) result() Result {
 	result := Result{
-		Policy: f.policy.Name, BatchItems: f.totals.items, BatchCost: f.totals.cost,
-		Pauses: f.totals.pauses, Served: f.ledger.served,
+		Policy: f.policy.Name, Seconds: f.scenario.Measured.Seconds(), BatchItems: f.totals.items, BatchCost: f.totals.cost,
+		BatchPerSecond: f.totals.series, Pauses: f.totals.pauses, Served: f.ledger.served,
 	}
 	for index := range f.online {
 		f.measure(&f.online[index], &result)
--- a/internal/simulator/scenario.go
+++ b/internal/simulator/scenario.go
@@ -23,6 +23,8 @@
 	Engine engine.Config
 	// Objective is what the group weighs more heavily.
 	Objective sharing.Objective
+	// Target is the tail of online latency that batch may not lengthen.
+	Target sharing.Target
 	// PollInterval is how often a gateway asks the engines that it owns for
 	// their load, ExchangeInterval how often gateways hear of the others.
 	PollInterval     time.Duration
@@ -109,6 +111,7 @@
 	config := engine.DefaultConfig()
 	config.StepJitter = 0.05
 	config.MilestonesOnly = true
+	config.OnlineTokens = true
 	config.Retention = 0
 	return config
 }
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -60,6 +60,13 @@
 	Write(p []byte) error
 }
 
+// TokenCounter is implemented by sinks that want to know how far a stream has
+// come. Relayed is called after the Write that passed the token with the given
+// sequence number on.
+type TokenCounter interface {
+	Relayed(sequence uint64)
+}
+
 // Result is how a request ended, after all attempts.
 type Result struct {
 	// Begun tells that the sink was given the head of an answer.
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -121,6 +121,9 @@
 			response.Abandon()
 			return streamSinkFailed, true
 		}
+		if counter, wanted := r.sink.(TokenCounter); wanted {
+			counter.Relayed(r.relayed.sequence)
+		}
 	}
 	if torn {
 		response.Abandon()
