--- a/cmd/rockwind-bench/main.go
+++ b/cmd/rockwind-bench/main.go
@@ -16,6 +16,7 @@
 	"rockwind.example/rockwind/internal/bench/overhead"
 	"rockwind.example/rockwind/internal/bench/routingexperiment"
 	"rockwind.example/rockwind/internal/bench/scale"
+	"rockwind.example/rockwind/internal/bench/sharing"
 	"rockwind.example/rockwind/internal/standin"
 )
 
@@ -49,6 +50,7 @@
 	Config   configbench.Command       `cmd:"" help:"Measure how fast a configuration is in force everywhere, and what it costs."`
 	Faults   faults.Command            `cmd:"" help:"Bring faults about on real processes and judge what must always hold."`
 	Routing  routingexperiment.Command `cmd:"" help:"Measure routing against baselines under lagging reports and lost cache events."`
+	Sharing  sharing.Command           `cmd:"" help:"Judge batch throughput against harm to the online tail, in virtual time."`
 }
 
 // fleetCommands run whole fleets.
--- a/internal/bench/calibration/processes.go
+++ b/internal/bench/calibration/processes.go
@@ -112,8 +112,7 @@
 // matchStepTarget applies the step target that the simulator's policy has.
 func matchStepTarget(ctx context.Context, running *fleet.Fleet) error {
 	configuration := running.Configuration()
-	target := sharing.DefaultBudgetPolicy(sharing.Throughput).StepTarget
-	configuration.Policy.OnlineStepTarget = durationpb.New(target)
+	configuration.Policy.OnlineStepTarget = durationpb.New(sharing.DefaultTarget.PerToken)
 	return running.Apply(ctx, configuration)
 }
 
--- a/internal/serverview/batch.go
+++ b/internal/serverview/batch.go
@@ -8,10 +8,6 @@
 	"rockwind.example/rockwind/internal/upstream"
 )
 
-// firstTokenTarget is the time to the first token that batch leaves to online
-// requests.
-const firstTokenTarget = 500 * time.Millisecond
-
 // BatchWanted is what a batch item needs of a back end.
 type BatchWanted struct {
 	// Model and Adapter must be loaded.
@@ -129,16 +125,13 @@
 
 // target is the tail of online latency that batch may not lengthen.
 func (v *View) target() sharing.Target {
-	target := sharing.Target{FirstToken: firstTokenTarget, PerToken: defaultStepTarget}
+	target := sharing.DefaultTarget
 	if v.stepTarget > 0 {
 		target.PerToken = v.stepTarget
 	}
 	return target
 }
 
-// defaultStepTarget is the time per token without a configuration.
-const defaultStepTarget = 50 * time.Millisecond
-
 // batchServerState corrects the newest report by what was sent since.
 func (v *View) batchServerState(e *entry, now time.Duration) sharing.ServerState {
 	server := &v.routing.Servers[e.index]
--- a/internal/sharing/pace.go
+++ b/internal/sharing/pace.go
@@ -13,6 +13,9 @@
 	PerToken time.Duration
 }
 
+// DefaultTarget is the target without a configuration.
+var DefaultTarget = Target{FirstToken: 500 * time.Millisecond, PerToken: 25 * time.Millisecond}
+
 // Pace follows the online requests on one server: the prompts that wait to be
 // processed, and how far answers lag behind the target for a token. The zero
 // value follows none. One goroutine owns it.
--- a/internal/simulator/pace.go
+++ b/internal/simulator/pace.go
@@ -5,8 +5,11 @@
 	"rockwind.example/rockwind/internal/sharing"
 )
 
-// target is the tail of online latency to keep.
+// target is the tail of online latency to keep, by default the gateways' one.
 func (g *gateway) target() sharing.Target {
+	if g.fleet.scenario.Target == (sharing.Target{}) {
+		return sharing.DefaultTarget
+	}
 	return g.fleet.scenario.Target
 }
 
