Profile a gateway in the overhead experiment and count events

The cost of relaying goes by events, not by tokens: with eight tokens an event the figure by token looks eight times better. For that, and for operators, both daemons serve /debug/pprof on their internal listeners.

--- a/internal/bench/overhead/command.go
+++ b/internal/bench/overhead/command.go
@@ -31,6 +31,7 @@
 	Programs      string        `help:"Folder of the programs; empty takes that of this one." type:"path"`
 	Output        string        `help:"Folder for a page with charts." type:"path"`
 	Seed          int64         `help:"Seed of the arrivals." default:"1"`
+	Profile       string        `help:"File for a processor profile of the gateway in the throughput phase." type:"path"`
 	JSON          bool          `help:"Print the figures as JSON." name:"json"`
 }
 
@@ -82,15 +83,17 @@
 		StreamTokens: c.StreamTokens,
 		RequestRate:  c.RequestRate,
 		Seed:         c.Seed,
+		Profile:      c.Profile,
 	}
 }
 
 func environment(running *fleet.Fleet) Environment {
 	result := Environment{
-		Gateway:    running.Gateways[0].Address,
-		GatewayPid: running.Gateways[0].Pid(),
-		APIKey:     fleet.APIKey(fleet.TenantName(fleet.GroupPuzzles, 0)),
-		Model:      fleet.ModelName,
+		Gateway:         running.Gateways[0].Address,
+		GatewayInternal: running.Gateways[0].InternalAddress,
+		GatewayPid:      running.Gateways[0].Pid(),
+		APIKey:          fleet.APIKey(fleet.TenantName(fleet.GroupPuzzles, 0)),
+		Model:           fleet.ModelName,
 	}
 	for _, process := range running.Engines {
 		result.Engines = append(result.Engines, process.Address)
@@ -129,8 +132,8 @@
 }
 
 func (r Relaying) print(name string) {
-	fmt.Printf("%s: %.0f requests/s, %.0f tokens/s on %.2f cores; %.0f requests and %.0f tokens a core second; failures %v, not sent %d\n",
-		name, r.RequestsPerSecond, r.TokensPerSecond, r.Cores, r.RequestsPerCoreSecond, r.TokensPerCoreSecond, r.Failures, r.NotSent)
+	fmt.Printf("%s: %.0f requests/s, %.0f tokens/s on %.2f cores; %.0f requests, %.0f events and %.0f tokens a core second; failures %v, not sent %d\n",
+		name, r.RequestsPerSecond, r.TokensPerSecond, r.Cores, r.RequestsPerCoreSecond, r.EventsPerCoreSecond, r.TokensPerCoreSecond, r.Failures, r.NotSent)
 }
 
 // write makes the page of the experiment.
--- a/internal/bench/overhead/overhead.go
+++ b/internal/bench/overhead/overhead.go
@@ -26,6 +26,8 @@
 	// Gateway and Engines are addresses, "ip:port".
 	Gateway string
 	Engines []string
+	// GatewayInternal is the internal address of the gateway.
+	GatewayInternal string
 	// GatewayPid is the process whose processor time is read.
 	GatewayPid int
 	APIKey     string
@@ -48,6 +50,9 @@
 	// RequestRate is the rate of one-token requests in the request phase.
 	RequestRate float64
 	Seed        int64
+	// Profile is the file for a processor profile of the gateway in the
+	// throughput phase; empty takes none.
+	Profile string
 }
 
 // Comparison is a quantity of direct and of relayed calls.
@@ -63,6 +68,7 @@
 type Relaying struct {
 	Requests          int     `json:"requests"`
 	Tokens            int64   `json:"tokens"`
+	Events            int64   `json:"events"`
 	ElapsedSeconds    float64 `json:"elapsed_seconds"`
 	RequestsPerSecond float64 `json:"requests_per_second"`
 	TokensPerSecond   float64 `json:"tokens_per_second"`
@@ -72,6 +78,7 @@
 	Cores                 float64             `json:"cores"`
 	RequestsPerCoreSecond float64             `json:"requests_per_core_second"`
 	TokensPerCoreSecond   float64             `json:"tokens_per_core_second"`
+	EventsPerCoreSecond   float64             `json:"events_per_core_second"`
 	Failures              []load.OutcomeCount `json:"failures"`
 	NotSent               int                 `json:"not_sent"`
 	Latency               load.Summary        `json:"latency"`
@@ -84,8 +91,11 @@
 	AddedP50Ms float64 `json:"added_p50_ms"`
 	AddedP99Ms float64 `json:"added_p99_ms"`
 	RatioP99   float64 `json:"ratio_p99"`
-	// TokensPerCoreSecond is of the throughput phase.
+	// TokensPerCoreSecond and EventsPerCoreSecond are of the throughput phase.
+	// How many tokens an event carries is the engine's choice; the cost is by
+	// event.
 	TokensPerCoreSecond float64 `json:"tokens_per_core_second"`
+	EventsPerCoreSecond float64 `json:"events_per_core_second"`
 	// RequestsPerSecond and RequestsPerCoreSecond are of the request phase.
 	RequestsPerSecond     float64 `json:"requests_per_second"`
 	RequestsPerCoreSecond float64 `json:"requests_per_core_second"`
@@ -105,14 +115,19 @@
 func Measure(ctx context.Context, environment Environment, options Options) (*Result, error) {
 	result := &Result{MachineLoad: machineLoad()}
 	result.measureLatency(ctx, environment, options)
+	profiled := startProfile(ctx, environment, options)
 	var err error
 	if result.Throughput, err = relay(ctx, environment, options, streamCalls(environment, options)); err != nil {
 		return nil, err
 	}
+	if err := profiled(); err != nil {
+		return nil, err
+	}
 	if result.Requests, err = relay(ctx, environment, options, shortCalls(environment, options)); err != nil {
 		return nil, err
 	}
 	result.TokensPerCoreSecond = result.Throughput.TokensPerCoreSecond
+	result.EventsPerCoreSecond = result.Throughput.EventsPerCoreSecond
 	result.RequestsPerSecond = result.Requests.RequestsPerSecond
 	result.RequestsPerCoreSecond = result.Requests.RequestsPerCoreSecond
 	return result, ctx.Err()
@@ -234,6 +249,7 @@
 	relayed := Relaying{
 		Requests:          answered,
 		Tokens:            class.Tokens,
+		Events:            int64(answered) + int64(class.BetweenTokens.Count),
 		ElapsedSeconds:    result.Elapsed.Seconds(),
 		RequestsPerSecond: class.RequestsPerSecond,
 		TokensPerSecond:   class.TokensPerSecond,
@@ -247,6 +263,7 @@
 	if processor > 0 {
 		relayed.RequestsPerCoreSecond = float64(answered) / processor.Seconds()
 		relayed.TokensPerCoreSecond = float64(class.Tokens) / processor.Seconds()
+		relayed.EventsPerCoreSecond = float64(relayed.Events) / processor.Seconds()
 	}
 	return relayed
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
+	"github.com/go-chi/chi/v5/middleware"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/twitchtv/twirp"
 
@@ -32,7 +33,7 @@
 	fileMode        = 0o640
 )
 
-// handler mounts the services.
+// handler mounts the services. Profiles of the process are under /debug/pprof.
 func (d *daemon) handler() http.Handler {
 	router := chi.NewRouter()
 	router.Use(d.countInProgress)
@@ -53,6 +54,7 @@
 	router.Get("/healthz", func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusOK) })
 	router.Get("/readyz", d.ready)
 	router.Method(http.MethodGet, "/metrics", promhttp.HandlerFor(d.metrics.registry, promhttp.HandlerOpts{}))
+	router.Mount("/debug", middleware.Profiler())
 	if d.links != nil {
 		router.Mount(linkfault.Path, d.links.Handler())
 	}
--- a/internal/gateway/internal.go
+++ b/internal/gateway/internal.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/go-chi/chi/v5/middleware"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"rockwind.example/rockwind/internal/rockwindpb"
@@ -14,12 +15,14 @@
 // role is the gateway's role in answers to operators.
 const role = "gateway"
 
-// internalRoutes are the paths that operators and probes use.
+// internalRoutes are the paths that operators and probes use. Profiles of the
+// process are under /debug/pprof.
 func (g *Gateway) internalRoutes() http.Handler {
 	router := chi.NewRouter()
 	router.Get(pathAlive, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	router.Get(pathReady, g.serveReady)
 	router.Handle("/metrics", promhttp.HandlerFor(g.metrics.registry, promhttp.HandlerOpts{}))
+	router.Mount("/debug", middleware.Profiler())
 	admin := rockwindpb.NewAdminServiceServer(adminService{gateway: g})
 	router.Handle(admin.PathPrefix()+"*", admin)
 	return router
