Let a gateway collect garbage less often

A gateway's live heap is tens of megabytes of its 256, and the profile of short requests showed the collector at 5 to 8% of the processor time.

--- a/internal/command/daemons.go
+++ b/internal/command/daemons.go
@@ -40,6 +40,7 @@
 		return err
 	}
 	signal.Ignore(syscall.SIGHUP)
+	tuneCollector()
 	ring := logring.New(logring.DefaultCapacity, s.stderr)
 	stop := dumpOnSignal(s.context, ring)
 	defer stop()
