--- a/internal/configuration/decode.go
+++ b/internal/configuration/decode.go
@@ -130,7 +130,8 @@
 	text := err.Error()
 	found := syntaxPosition.FindStringSubmatch(text)
 	if found == nil {
-		problems.add(Position{}, "the file is not YAML: "+strings.TrimPrefix(text, "yaml: "), remedy)
+		// The reader names no line for what it finds in the first one.
+		problems.add(Position{Line: 1, Column: 1}, "the file is not YAML: "+strings.TrimPrefix(text, "yaml: "), remedy)
 		return
 	}
 	line, _ := strconv.Atoi(found[1])
--- a/internal/configuration/parse_test.go
+++ b/internal/configuration/parse_test.go
@@ -119,6 +119,7 @@
 	{"number: 3", "number: 3\x00", Position{Line: 1, Column: 10}, "control character"},
 	{"number: 3", "number: 3 # \x9b\xff", Position{Line: 1, Column: 13}, "not UTF-8"},
 	{"number: 3", "number: 3 # \u2028", Position{Line: 1, Column: 13}, "line separator"},
+	{"number: 3", ": : 3", Position{Line: 1, Column: 1}, "not YAML"},
 	{"number: 3", "number: [3", Position{Line: 1, Column: 1}, "not YAML"},
 	{"    share: 1", "    share: 0", Position{Line: 4, Column: 12}, "the share"},
 	{"    share: 1", "    share: -2", Position{Line: 4, Column: 12}, "the share"},
