Compress the answers of the exchange of digests

The sums of other zones repeat the names of zones and models; they were the largest part of a daemon's control traffic. Answers of the fleet service are now compressed for callers which ask for it, and the control client asks in an exchange.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -29,8 +29,11 @@
 	stopTimeout = 15 * time.Second
 	// handOverTimeout bounds the part of it in which leadership is handed over.
 	handOverTimeout = 5 * time.Second
-	folderMode      = 0o750
-	fileMode        = 0o640
+	// contentProtobuf is the type of the answers that may be compressed.
+	contentProtobuf  = "application/protobuf"
+	compressionLevel = 5
+	folderMode       = 0o750
+	fileMode         = 0o640
 )
 
 // handler mounts the services. Profiles of the process are under /debug/pprof.
@@ -46,11 +49,11 @@
 		rockwindpb.NewFileServiceServer(fileService{daemon: d}, hooks),
 		rockwindpb.NewBodyServiceServer(d.bodies.Bodies(), hooks),
 		rockwindpb.NewSegmentServiceServer(d.bodies.Segments(), hooks),
-		rockwindpb.NewFleetServiceServer(d.exchange, hooks),
 		rockwindpb.NewAdminServiceServer(adminService{daemon: d, ring: d.ring}, hooks),
 	} {
 		router.Mount(server.PathPrefix(), server)
 	}
+	mountCompressed(router, rockwindpb.NewFleetServiceServer(d.exchange, hooks))
 	router.Get("/healthz", func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusOK) })
 	router.Get("/readyz", d.ready)
 	router.Method(http.MethodGet, "/metrics", promhttp.HandlerFor(d.metrics.registry, promhttp.HandlerOpts{}))
@@ -61,6 +64,12 @@
 	return router
 }
 
+// mountCompressed mounts a service whose answers are compressed for callers which
+// ask for it.
+func mountCompressed(router chi.Router, server rockwindpb.TwirpServer) {
+	router.With(middleware.Compress(compressionLevel, contentProtobuf)).Mount(server.PathPrefix(), server)
+}
+
 // ready answers 200 once the machine replicates its groups and is not leaving.
 func (d *daemon) ready(writer http.ResponseWriter, _ *http.Request) {
 	if d.draining.Load() || !d.founded() {
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -157,7 +157,7 @@
 		records:       rockwindpb.NewRecordServiceProtobufClient(base, carrier),
 		files:         rockwindpb.NewFileServiceProtobufClient(base, carrier),
 		bodies:        rockwindpb.NewBodyServiceProtobufClient(base, carrier),
-		fleet:         rockwindpb.NewFleetServiceProtobufClient(base, carrier),
+		fleet:         rockwindpb.NewFleetServiceProtobufClient(base, compressedClient{carrier}),
 	}
 }
 
