Let a starting gateway wait for the first exchange before it polls

A gateway that started owned every server of its zone until its first exchange was answered, opened 38 connections and polled them all.

It now leaves the polls to its peers until the first exchange, for two seconds at most.

--- a/internal/serverview/poll.go
+++ b/internal/serverview/poll.go
@@ -19,6 +19,9 @@
 	pollJitter = 0.2
 	// pollTimeout bounds one poll.
 	pollTimeout = time.Second
+	// firstExchangeGrace is how long a gateway that has just started leaves the
+	// polls to its peers, because the first exchange tells it what they know.
+	firstExchangeGrace = 2 * time.Second
 	// orphanAge is the age of the last exchange and of a server's newest report
 	// from which a server of the own zone is polled although another gateway owns
 	// it. While exchanges go on, a server without news has not changed.
@@ -42,6 +45,9 @@
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	now := v.now()
+	if v.exchangedAt == 0 && now-v.startedAt < firstExchangeGrace {
+		return nil
+	}
 	var due []upstream.Target
 	for _, e := range v.entries {
 		if e.zone != v.options.Zone || e.polling || now < e.nextPoll {
--- a/internal/serverview/view.go
+++ b/internal/serverview/view.go
@@ -54,6 +54,8 @@
 	models  map[string]loadable
 	zones   []string
 	peers   []string
+	// startedAt is when the view was made.
+	startedAt time.Duration
 	// exchangedAt is when digests were last exchanged; zero before the first.
 	exchangedAt time.Duration
 	hints       *hintTable
@@ -127,6 +129,7 @@
 		hints:    newHintTable(),
 		tracker:  health.NewTracker(health.DefaultPolicy, 0),
 	}
+	v.startedAt = v.now()
 	v.Configure(Declared{})
 	return v
 }
