Send a gateway 1,000 requests a second in the overhead experiment

The aim for the added latency holds at 1,000 requests a second through the gateway; the default of the latency phase was 200 calls, half of them direct. It is now 2,000, so that the gateway gets 1,000.

--- a/internal/bench/overhead/command.go
+++ b/internal/bench/overhead/command.go
@@ -19,7 +19,7 @@
 // Command is `rockwind-bench experiment overhead`.
 type Command struct {
 	Duration      time.Duration `help:"Length of each phase." default:"10s"`
-	LatencyRate   float64       `help:"Calls a second of the latency phase, direct and relayed together." default:"200"`
+	LatencyRate   float64       `help:"Calls a second of the latency phase, half of them direct and half relayed." default:"2000"`
 	PromptTokens  int           `help:"Length of prompts in tokens." default:"100"`
 	MaxTokens     int           `help:"Length of answers of the latency phase." default:"64"`
 	TokenRate     float64       `help:"Tokens a second to relay in the throughput phase." default:"300000"`
