Document the metrics and check the page against the daemons

The comment named a page that didn't exist. docs/operations/metrics.md lists each metric with its labels and what to alert on; a test compares names and labels with the registries of both daemons. Gateways also show the number of the configuration in force and whether they drain, which the alerts need.

--- /dev/null
+++ b/internal/command/documentation_test.go
@@ -0,0 +1,96 @@
+package command
+
+import (
+	"maps"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"rockwind.example/rockwind/internal/control"
+	"rockwind.example/rockwind/internal/gateway"
+)
+
+// page reads a page of the documentation.
+func page(t *testing.T, name string) string {
+	t.Helper()
+	content, err := os.ReadFile(filepath.Join("..", "..", "docs", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(content)
+}
+
+var (
+	// codeCell finds the names in code quotes in a cell of a table.
+	codeCell = regexp.MustCompile("`([^`]+)`")
+	// descriptionParts finds the name and the labels in the text of a description.
+	descriptionParts = regexp.MustCompile(`fqName: "([^"]+)".*variableLabels: \{([^}]*)\}`)
+)
+
+// tableRows returns the cells of all table rows of a page whose first cell holds
+// code, by that code.
+func tableRows(content string) map[string][]string {
+	rows := make(map[string][]string)
+	for _, line := range strings.Split(content, "\n") {
+		cells := strings.Split(strings.Trim(line, "|"), "|")
+		if !strings.HasPrefix(line, "| `") || len(cells) < 2 {
+			continue
+		}
+		rows[codeCell.FindStringSubmatch(cells[0])[1]] = cells[1:]
+	}
+	return rows
+}
+
+func codes(cell string) []string {
+	var found []string
+	for _, match := range codeCell.FindAllStringSubmatch(cell, -1) {
+		found = append(found, match[1])
+	}
+	slices.Sort(found)
+	return found
+}
+
+// described are the labels of all metrics of the daemons, by name.
+func described() map[string][]string {
+	descriptions := make(chan *prometheus.Desc)
+	go func() {
+		defer close(descriptions)
+		gateway.DescribeMetrics(descriptions)
+		control.DescribeMetrics(descriptions)
+	}()
+	found := make(map[string][]string)
+	for description := range descriptions {
+		parts := descriptionParts.FindStringSubmatch(description.String())
+		if parts == nil || strings.HasPrefix(parts[1], "go_") || strings.HasPrefix(parts[1], "process_") {
+			continue
+		}
+		labels := strings.FieldsFunc(parts[2], func(r rune) bool { return r == ',' || r == ' ' })
+		slices.Sort(labels)
+		found[parts[1]] = labels
+	}
+	return found
+}
+
+func TestMetricsPageAgreesWithTheDaemons(t *testing.T) {
+	documented, registered := tableRows(page(t, "operations/metrics.md")), described()
+	for _, name := range slices.Sorted(maps.Keys(registered)) {
+		cells, found := documented[name]
+		if !found {
+			t.Errorf("docs/operations/metrics.md lacks %s", name)
+			continue
+		}
+		if labels := codes(cells[0]); !slices.Equal(labels, registered[name]) {
+			t.Errorf("docs/operations/metrics.md gives %s the labels %v, and it has %v", name, labels, registered[name])
+		}
+	}
+	for name := range documented {
+		if _, found := registered[name]; !found {
+			t.Errorf("docs/operations/metrics.md lists %s, which no daemon has", name)
+		}
+	}
+}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -10,6 +10,7 @@
 
 	"rockwind.example/rockwind/internal/ledger"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/secure"
 	"rockwind.example/rockwind/internal/segment"
 )
 
@@ -53,6 +54,13 @@
 	return created
 }
 
+// DescribeMetrics sends the descriptions of all metrics of a control machine, for
+// checks of their documentation.
+func DescribeMetrics(descriptions chan<- *prometheus.Desc) {
+	newMetrics(nil).registry.Describe(descriptions)
+	secure.Metrics(nil).Describe(descriptions)
+}
+
 func (m *metrics) registerBodies(bodies *segment.Node) {
 	register := func(name, help string, value func(segment.Statistics) float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,6 +132,7 @@
 		usage: newGroupUsage(), metrics: newMetrics(), drain: newDrainState(),
 		inForce: func(*configuration.Index) {},
 	}
+	g.metrics.describeState(func() uint64 { return following.Current().Number() }, g.drain)
 	g.relay = upstream.NewRelay(g.client, g.budget)
 	g.view = serverview.New(serverview.Options{
 		Gateway: settings.GetName(), Zone: settings.GetZone(), Client: g.client, PlatformURL: settings.GetPlatformUrl(),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,11 +7,12 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/secure"
 	"rockwind.example/rockwind/internal/upstream"
 )
 
 // metrics are the gateway's counters under the names that
-// docs/operations/gateway.md lists.
+// docs/operations/metrics.md lists.
 type metrics struct {
 	registry   *prometheus.Registry
 	requests   *prometheus.CounterVec
@@ -63,6 +64,32 @@
 	return m
 }
 
+// describeState adds what is read from the gateway when the metrics are.
+func (m *metrics) describeState(configurationNumber func() uint64, drain *drainState) {
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "rockwind_gateway_configuration_number", Help: "Number of the configuration in force here.",
+		}, func() float64 { return float64(configurationNumber()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "rockwind_gateway_draining", Help: "One while the gateway finishes its requests and takes no new ones.",
+		}, func() float64 {
+			if draining, _ := drain.state(); draining {
+				return 1
+			}
+			return 0
+		}),
+	)
+}
+
+// DescribeMetrics sends the descriptions of all metrics of a gateway, for checks
+// of their documentation.
+func DescribeMetrics(descriptions chan<- *prometheus.Desc) {
+	m := newMetrics()
+	m.describeState(nil, nil)
+	m.registry.Describe(descriptions)
+	secure.Metrics(nil).Describe(descriptions)
+}
+
 // itemEnded counts a batch item.
 func (m *metrics) itemEnded(outcome rockwindpb.ItemOutcome) {
 	m.items.WithLabelValues(outcomeLabels[outcome]).Inc()
