Give conversations and documents homes that all gateways agree on

Cause: a gateway knew only the one server that it had sent a prefix to last.

Change: the first four blocks of a prompt name its conversation or document; the two servers of the zone with the highest rendezvous scores for that name get up to 40 ms off their estimate, so all gateways meet at the same caches without a word between them. Prompt tokens that a server probably caches no longer count as work sent to it.

--- a/internal/bench/routingfleet/attempts.go
+++ b/internal/bench/routingfleet/attempts.go
@@ -38,6 +38,8 @@
 type attempt struct {
 	server int32
 	sentAt time.Duration
+	// tokens is the part of the prompt that was counted as sent.
+	tokens int
 	open   bool
 	// prefilled tells that the first token arrived or that none will come.
 	prefilled bool
@@ -110,10 +112,10 @@
 	drawn := &run.arrivals[index]
 	server := decision.Server
 	number := len(entry.attempts)
-	entry.attempts = append(entry.attempts, attempt{server: int32(server), sentAt: run.queue.now, open: true, hedge: hedge})
+	entry.attempts = append(entry.attempts, attempt{server: int32(server), sentAt: run.queue.now, tokens: drawn.prompt - int(decision.CachedTokens), open: true, hedge: hedge})
 	entry.tried = append(entry.tried, int32(server))
 	entry.hinted = decision.Hinted
-	g.view.Sent(server, drawn.prompt, false)
+	g.view.Sent(server, drawn.prompt-int(decision.CachedTokens), false)
 	g.recent[server].Sent(run.queue.now)
 	g.rememberPrefixes(server)
 	run.sent(g, server)
@@ -214,7 +216,7 @@
 		return
 	}
 	current.prefilled = true
-	g.view.FirstToken(int(current.server), g.fleet.arrivals[index].prompt)
+	g.view.FirstToken(int(current.server), current.tokens)
 }
 
 // close counts an attempt down.
--- a/internal/bench/routingfleet/caches.go
+++ b/internal/bench/routingfleet/caches.go
@@ -11,24 +11,6 @@
 // cache, as the daemon's.
 const snapshotInterval = 5 * time.Second
 
-// maximumPrefixBlocks bounds the blocks of a prompt that are looked up, as the
-// daemon's.
-const maximumPrefixBlocks = 64
-
-// prefixesOf appends the prefixes of a prompt whose lengths are powers of two
-// in blocks, longest first, as the daemon looks them up.
-func prefixesOf(blocks []uint64, found []routing.Prefix) []routing.Prefix {
-	count := min(len(blocks), maximumPrefixBlocks)
-	length := 1
-	for 2*length <= count {
-		length *= 2
-	}
-	for ; length > 0 && count > 0; length /= 2 {
-		found = append(found, routing.Prefix{Block: blocks[length-1], Tokens: int32(length * engine.TokensPerBlock)})
-	}
-	return found
-}
-
 // rememberPrefixes notes that a server will cache the prompt at hand, whose
 // prefixes were looked up last.
 func (g *gateway) rememberPrefixes(server int) {
--- a/internal/bench/routingfleet/gateway.go
+++ b/internal/bench/routingfleet/gateway.go
@@ -2,9 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rockwind.example/rockwind/internal/admission"
+	"rockwind.example/rockwind/internal/engine"
 	"rockwind.example/rockwind/internal/health"
 	"rockwind.example/rockwind/internal/routing"
 )
@@ -89,6 +93,7 @@
 		g.view.Zones = append(g.view.Zones, routing.Zone{First: int32(first), Count: int32(end - first), Cost: cost})
 		for server := first; server < end; server++ {
 			g.view.Servers[server].Zone = uint16(offset)
+			g.view.Servers[server].Key = xxhash.Sum64String(strconv.Itoa(server))
 			g.view.Servers[server].Loaded.Add(modelName)
 		}
 	}
@@ -124,9 +129,10 @@
 		g.refresh(drawn)
 		wanted.Hints = g.hints
 	} else if g.fleet.policy.Hints {
-		g.wanted = prefixesOf(drawn.blocks, g.wanted[:0])
+		g.wanted = routing.PrefixesOf(drawn.blocks, engine.TokensPerBlock, g.wanted[:0])
 		g.hints = g.prefixes.Hints(g.wanted, g.hints[:0])
 		wanted.Hints = g.hints
+		wanted.AffinityKey = routing.AffinityKeyOf(drawn.blocks)
 	}
 	var hidden [maximumAttempts]int32
 	count := 0
--- a/internal/gateway/completion_request.go
+++ b/internal/gateway/completion_request.go
@@ -9,6 +9,7 @@
 	"rockwind.example/rockwind/internal/engine"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/routing"
 	"rockwind.example/rockwind/internal/serverview"
 )
 
@@ -18,9 +19,6 @@
 	pathCompletions     = "/v1/completions"
 )
 
-// maximumPrefixBlocks bounds the prefixes of a prompt that are looked up.
-const maximumPrefixBlocks = 64
-
 // messageText is the content of a message: a string or a list of parts.
 type messageText string
 
@@ -106,27 +104,14 @@
 			"there is no model %q", r.Model).WithRan(fault.NotRun)
 	}
 	prompt := r.promptText()
+	hashes := engine.BlockHashes(prompt[:min(len(prompt), routing.MaximumPrefixBlocks*engine.BlockBytes)])
 	return serverview.Wanted{
-		Model: model.GetName(), Adapter: adapter,
-		PromptTokens: engine.PromptTokens(prompt), Prefixes: prefixes(prompt),
+		Model: model.GetName(), Adapter: adapter, PromptTokens: engine.PromptTokens(prompt),
+		Prefixes:    routing.PrefixesOf(hashes, engine.TokensPerBlock, nil),
+		AffinityKey: routing.AffinityKeyOf(hashes),
 	}, model, nil
 }
 
-// prefixes lists prefixes of the prompt whose lengths are powers of two in
-// blocks, longest first.
-func prefixes(prompt string) []serverview.Prefix {
-	hashes := engine.BlockHashes(prompt[:min(len(prompt), maximumPrefixBlocks*engine.BlockBytes)])
-	var found []serverview.Prefix
-	length := 1
-	for 2*length <= len(hashes) {
-		length *= 2
-	}
-	for ; length > 0 && len(hashes) > 0; length /= 2 {
-		found = append(found, serverview.Prefix{Hash: hashes[length-1], Tokens: length * engine.TokensPerBlock})
-	}
-	return found
-}
-
 // withModel returns the body with another model name.
 func withModel(body []byte, model string) ([]byte, error) {
 	var fields map[string]json.RawMessage
@@ -142,9 +127,9 @@
 }
 
 // prefixHash is the hint for the engine: the longest prefix, in hexadecimal.
-func prefixHash(found []serverview.Prefix) string {
+func prefixHash(found []routing.Prefix) string {
 	if len(found) == 0 {
 		return ""
 	}
-	return strconv.FormatUint(found[0].Hash, 16)
+	return strconv.FormatUint(found[0].Block, 16)
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -63,7 +63,7 @@
 		return
 	}
 	c.firstToken = true
-	c.view.FirstToken(c.target, c.attempt, c.wanted.PromptTokens, c.streamed)
+	c.view.FirstToken(c.target, c.attempt, c.streamed)
 }
 
 // relayed tells the view how far the stream has come.
--- a/internal/routing/baselines.go
+++ b/internal/routing/baselines.go
@@ -86,11 +86,12 @@
 		if !view.mayTake(int(hint.Server), request, decision.Version) {
 			continue
 		}
-		cached := *request
-		cached.PromptTokens -= min(hint.CachedTokens, request.PromptTokens)
-		wait := view.Estimate(&view.Servers[hint.Server], &cached, now)
+		rest := *request
+		cached := min(hint.CachedTokens, request.PromptTokens)
+		rest.PromptTokens -= cached
+		wait := view.Estimate(&view.Servers[hint.Server], &rest, now)
 		if wait < decision.Wait {
-			decision = Decision{Server: int(hint.Server), Version: decision.Version, Wait: wait, Hinted: true}
+			decision = Decision{Server: int(hint.Server), Version: decision.Version, Wait: wait, Hinted: true, CachedTokens: cached}
 		}
 	}
 	return decision, true
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -31,6 +31,9 @@
 	// Hints lists servers that may cache the prompt's prefix or hold the
 	// session, best first. Only the first MaxHints are considered.
 	Hints []Hint
+	// AffinityKey names the conversation or document that the prompt belongs to,
+	// so that all gateways prefer the same servers for it; zero for none.
+	AffinityKey uint64
 	// Exclude is a server that already refused this request, plus one; zero
 	// excludes none.
 	Exclude int32
@@ -48,6 +51,9 @@
 	Wait time.Duration
 	// Hinted tells that the server came from a hint.
 	Hinted bool
+	// CachedTokens is the part of the prompt that the server probably caches.
+	// Callers leave it out of the prompt tokens that they count as sent.
+	CachedTokens int32
 }
 
 // Policy chooses a back end. Implementations hold no hidden state besides what
@@ -71,10 +77,13 @@
 	// AffinityLimit bounds what a hint may take off an estimate, so that a hot
 	// prefix never makes a hot spot.
 	AffinityLimit time.Duration
+	// HomeBonus is taken off the estimate of the server that all gateways of the
+	// zone prefer for the request's AffinityKey, and half of it off that of the
+	// next one.
+	HomeBonus time.Duration
 	// BatchPenalty is added to an online request's estimate for each batch
 	// request that runs on the server.
 	BatchPenalty time.Duration
-	// of the candidates' own counts; zero trusts reports of any age.
 }
 
 // Default is the policy that gateways use.
@@ -82,6 +91,7 @@
 	Choices:       2,
 	SpillWait:     50 * time.Millisecond,
 	AffinityLimit: 150 * time.Millisecond,
+	HomeBonus:     40 * time.Millisecond,
 	BatchPenalty:  200 * time.Microsecond,
 }
 
@@ -134,6 +144,7 @@
 func (p PowerOfChoices) chooseVersion(view *View, request *Request, version NameID, now time.Duration, random *rand.Rand) (Decision, bool) {
 	chosen := best{health: Ejected}
 	p.considerHints(view, request, version, now, &chosen)
+	p.considerHomes(view, request, version, now, &chosen)
 	for index := range view.Zones {
 		if index > 0 && chosen.found() && chosen.health == Healthy && chosen.wait < p.SpillWait {
 			break
@@ -143,7 +154,7 @@
 	if !chosen.found() {
 		return Decision{}, false
 	}
-	return Decision{Server: int(chosen.server), Version: version, Wait: chosen.wait, Hinted: chosen.hinted}, true
+	return Decision{Server: int(chosen.server), Version: version, Wait: chosen.wait, Hinted: chosen.hinted, CachedTokens: chosen.cached}, true
 }
 
 // best is the best candidate so far. Healthy beats suspect; then the least
@@ -152,6 +163,7 @@
 	server int32
 	health Health
 	hinted bool
+	cached int32
 	wait   time.Duration
 	score  time.Duration
 }
@@ -186,9 +198,10 @@
 			continue
 		}
 		wait := view.Estimate(server, request, now)
-		saved := time.Duration(min(hint.CachedTokens, request.PromptTokens)) * view.Cost.PerPromptToken
+		cached := min(hint.CachedTokens, request.PromptTokens)
+		saved := time.Duration(cached) * view.Cost.PerPromptToken
 		score := p.score(server, request, wait) - min(saved, p.AffinityLimit)
-		chosen.offer(best{server: hint.Server, health: server.Health, hinted: true, wait: max(0, wait-saved), score: score})
+		chosen.offer(best{server: hint.Server, health: server.Health, hinted: true, cached: cached, wait: max(0, wait-saved), score: score})
 	}
 }
 
--- a/internal/routing/choose_test.go
+++ b/internal/routing/choose_test.go
@@ -209,12 +209,14 @@
 	random := rand.New(rand.NewPCG(7, 8))
 	for index := range view.Servers {
 		view.Servers[index].Report.RunningOnline = float32(random.IntN(30))
+		view.Servers[index].Key = random.Uint64()
 	}
 	request := &Request{
 		Versions:     []WeightedVersion{{Name: 0, Weight: 1}},
 		Adapter:      NoName,
 		PromptTokens: 300,
 		Hints:        []Hint{{Server: 1, CachedTokens: 256}, {Server: 5, CachedTokens: 128}},
+		AffinityKey:  1,
 	}
 	b.ReportAllocs()
 	for b.Loop() {
@@ -231,7 +233,10 @@
 func TestChooseAllocatesNothing(t *testing.T) {
 	view := uniformView(37)
 	random := rand.New(rand.NewPCG(9, 10))
-	request := &Request{Versions: []WeightedVersion{{Name: 0, Weight: 1}}, Adapter: NoName, PromptTokens: 300}
+	request := &Request{
+		Versions: []WeightedVersion{{Name: 0, Weight: 1}}, Adapter: NoName, PromptTokens: 300,
+		Hints: []Hint{{Server: 1, CachedTokens: 256}}, AffinityKey: 1,
+	}
 	allocations := testing.AllocsPerRun(100, func() {
 		Choose(view, request, time.Second, random)
 	})
--- a/internal/routing/prefixindex.go
+++ b/internal/routing/prefixindex.go
@@ -158,6 +158,12 @@
 	return max(x.server(server).cursor, 1)
 }
 
+// Epoch returns the epoch of the server's cache that is known, zero before any
+// was read.
+func (x *PrefixIndex) Epoch(server int32) uint64 {
+	return x.server(server).epoch
+}
+
 // Apply takes a page of events and tells whether the reader must fetch a
 // snapshot, because events are missing or the cache was emptied. What is known
 // of the server stays in use as a hint until then, except after an emptied
@@ -211,14 +217,6 @@
 	delete(x.servers, server)
 }
 
-// Prefix is a leading part of a prompt.
-type Prefix struct {
-	// Block is the chain hash of the part's last block.
-	Block uint64
-	// Tokens is the length of the part.
-	Tokens int32
-}
-
 // Hints appends the servers that probably cache one of the prefixes, which are
 // given longest first, and returns them, best first and each once. It allocates
 // only when the list must grow.
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -136,6 +136,8 @@
 	// SlowStart scales the traffic that the server gets, above 0 and at most 1.
 	// Zero counts as 1.
 	SlowStart float32
+	// Key names the server to all gateways alike, as a hash of its name.
+	Key uint64
 	// Zone is the index of the server's zone in View.Zones.
 	Zone uint16
 	// Health is the verdict of passive health.
--- /dev/null
+++ b/internal/serverview/caches_test.go
@@ -0,0 +1,152 @@
+package serverview
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"rockwind.example/rockwind/internal/engine"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/routing"
+	"rockwind.example/rockwind/internal/standin"
+	"rockwind.example/rockwind/internal/upstream"
+)
+
+// cacheFixture is a view of one engine.
+type cacheFixture struct {
+	*testing.T
+	view    *View
+	engine  *standin.Engine
+	address string
+}
+
+func newCacheFixture(t *testing.T, loss float64) *cacheFixture {
+	config := engine.DefaultConfig().Scale(0.01)
+	config.CacheEventLag = 0
+	config.CacheEventLoss = loss
+	server, err := standin.NewEngine(standin.EngineOptions{Config: config, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := httptest.NewServer(server.Handler())
+	t.Cleanup(func() {
+		listener.Close()
+		if err := server.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	fixture := &cacheFixture{T: t, engine: server, address: listener.Listener.Addr().String()}
+	client := upstream.NewClient()
+	t.Cleanup(client.Close)
+	fixture.view = New(Options{Gateway: "g", Zone: "z", Client: client, Random: rand.New(rand.NewPCG(1, 2))})
+	fixture.view.Configure(Declared{
+		Models: []*rockwindpb.Model{{Name: "m", Versions: []*rockwindpb.Version{{Name: "1", Weight: 1}}}},
+		BackEnds: []*rockwindpb.BackEnd{
+			{Name: "other", Address: "127.0.0.1:1", Zone: "z", Serves: []string{"m"}},
+			{Name: "engine", Address: fixture.address, Zone: "z", Serves: []string{"m"}},
+		},
+	})
+	return fixture
+}
+
+// complete runs a prompt to its end at the engine, past the gateway.
+func (f *cacheFixture) complete(prompt string) {
+	f.Helper()
+	body := fmt.Sprintf(`{"model":"m","prompt":%q,"max_tokens":1}`, prompt)
+	response, err := http.Post("http://"+f.address+"/v1/completions", "application/json", strings.NewReader(body))
+	if err != nil {
+		f.Fatal(err)
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != http.StatusOK {
+		f.Fatalf("status %d, %v", response.StatusCode, err)
+	}
+}
+
+// poll polls the engine once, as the owner goroutine does.
+func (f *cacheFixture) poll() {
+	v := f.view
+	v.mutex.Lock()
+	e := v.byName["engine"]
+	task := pollTask{target: upstream.Target{Name: e.name, Address: e.address}, cache: v.questionFor(e, v.now())}
+	v.mutex.Unlock()
+	v.took(context.Background(), v.poll(context.Background(), task), time.Now())
+}
+
+// hintedTokens returns the length of the prefix that the view believes cached
+// by the engine.
+func (f *cacheFixture) hintedTokens(prompt string) int32 {
+	v := f.view
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	wanted := Wanted{Prefixes: routing.PrefixesOf(engine.BlockHashes(prompt), engine.TokensPerBlock, nil)}
+	for _, hint := range v.hintsFor(wanted) {
+		if v.entries[hint.Server].name == "engine" {
+			return hint.CachedTokens
+		}
+	}
+	return 0
+}
+
+const cachedBlocks = 8
+
+func testPrompt(number int) string {
+	return strings.Repeat(fmt.Sprintf("%08d", number), cachedBlocks*engine.BlockBytes/8)
+}
+
+func TestViewLearnsCachesFromEvents(t *testing.T) {
+	f := newCacheFixture(t, 0)
+	f.poll()
+	f.complete(testPrompt(1))
+	if found := f.hintedTokens(testPrompt(1)); found != 0 {
+		t.Fatalf("%d tokens hinted before any event", found)
+	}
+	f.poll()
+	if found := f.hintedTokens(testPrompt(1)); found != cachedBlocks*engine.TokensPerBlock {
+		t.Fatalf("%d tokens hinted after the events", found)
+	}
+}
+
+func TestViewResynchronisesAfterAGapAndForgetsAnEmptiedCache(t *testing.T) {
+	f := newCacheFixture(t, 1)
+	f.complete(testPrompt(1))
+	f.poll()
+	if found := f.hintedTokens(testPrompt(1)); found != cachedBlocks*engine.TokensPerBlock {
+		t.Fatalf("%d tokens hinted though every event is lost", found)
+	}
+	f.complete(testPrompt(2))
+	f.poll()
+	if found := f.hintedTokens(testPrompt(2)); found != 0 {
+		t.Fatal("a second snapshot within its interval")
+	}
+	f.engine.Inject(standin.FaultOrder{Kind: engine.FaultDie})
+	f.engine.Inject(standin.FaultOrder{Kind: engine.FaultNone})
+	f.poll()
+	if found := f.hintedTokens(testPrompt(1)); found != 0 {
+		t.Fatalf("%d tokens hinted after the cache was emptied", found)
+	}
+}
+
+func TestCacheReadsStopAtTheirBudget(t *testing.T) {
+	f := newCacheFixture(t, 0)
+	f.view.mutex.Lock()
+	defer f.view.mutex.Unlock()
+	e := f.view.byName["engine"]
+	now := f.view.now()
+	if !f.view.questionFor(e, now).read {
+		t.Fatal("cache events are not read within the budget")
+	}
+	f.view.learnCache(e, cacheAnswer{bytes: cacheBytesBurst + cacheBytesPerSecond})
+	if f.view.questionFor(e, now).read {
+		t.Fatal("cache events are read beyond the budget")
+	}
+	if !f.view.questionFor(e, now+2*time.Second).read {
+		t.Fatal("cache events are not read although the budget was earned again")
+	}
+}
--- a/internal/serverview/choose.go
+++ b/internal/serverview/choose.go
@@ -20,16 +20,11 @@
 	Service string
 	// PromptTokens estimates the length of the prompt.
 	PromptTokens int
-	// Prefixes are hashes of prefixes of the prompt, longest first.
-	Prefixes []Prefix
-}
-
-// Prefix is a prefix of a prompt that a server may have cached.
-type Prefix struct {
-	// Hash is the chain hash of the prefix's last block.
-	Hash uint64
-	// Tokens is the length of the prefix.
-	Tokens int
+	// Prefixes are prefixes of the prompt, longest first.
+	Prefixes []routing.Prefix
+	// AffinityKey names the conversation or document of the prompt; zero for
+	// none.
+	AffinityKey uint64
 }
 
 // Choice is a back end chosen for one attempt. The request counts as sent to it
@@ -48,6 +43,9 @@
 // Attempt names one attempt of an online request at a server.
 type Attempt struct {
 	ticket uint64
+	// promptTokens is the part of the prompt that the server probably has to
+	// compute, as it was counted as sent.
+	promptTokens int
 	// leader is the ticket whose tokens the server's pace is taken from.
 	leader *atomic.Uint64
 }
@@ -77,31 +75,22 @@
 		return Choice{}, noBackEnd(wanted)
 	}
 	e := v.entries[decision.Server]
-	v.routing.Sent(decision.Server, wanted.PromptTokens, false)
+	promptTokens := max(1, wanted.PromptTokens-int(decision.CachedTokens))
+	v.routing.Sent(decision.Server, promptTokens, false)
 	e.history.sent.add(now)
 	v.tickets++
-	e.batch.pace.Sent(v.tickets, v.uncached(wanted, e), now)
+	e.batch.pace.Sent(v.tickets, promptTokens, now)
 	for _, prefix := range wanted.Prefixes {
-		v.hints.remember(prefix.Hash, e.name)
+		v.prefixes.Remember(prefix.Block, int32(e.slot))
 	}
 	return Choice{
 		Target:  upstream.Target{Name: e.name, Address: e.address},
 		Version: v.names.Name(decision.Version),
 		Wait:    decision.Wait,
-		Attempt: Attempt{ticket: v.tickets, leader: &e.batch.leader},
+		Attempt: Attempt{ticket: v.tickets, promptTokens: promptTokens, leader: &e.batch.leader},
 	}, nil
 }
 
-// uncached estimates the prompt tokens that a server must process.
-func (v *View) uncached(wanted Wanted, e *entry) int {
-	for _, prefix := range wanted.Prefixes {
-		if name, ok := v.hints.find(prefix.Hash); ok && name == e.name {
-			return max(1, wanted.PromptTokens-prefix.Tokens)
-		}
-	}
-	return wanted.PromptTokens
-}
-
 // noBackEndRetryAfter is the advice to callers while no server may take work.
 const noBackEndRetryAfter = time.Second
 
@@ -147,6 +136,7 @@
 	}
 	request := routing.Request{
 		Versions: known.versions, Adapter: routing.NoName, PromptTokens: int32(wanted.PromptTokens),
+		AffinityKey: wanted.AffinityKey,
 	}
 	if wanted.Adapter != "" {
 		if request.Adapter, ok = known.adapters[wanted.Adapter]; !ok {
@@ -157,27 +147,13 @@
 	return request, true
 }
 
-// hintsFor names the server that probably caches the longest prefix.
-func (v *View) hintsFor(wanted Wanted) []routing.Hint {
-	for _, prefix := range wanted.Prefixes {
-		name, ok := v.hints.find(prefix.Hash)
-		if !ok {
-			continue
-		}
-		if e := v.byName[name]; e != nil {
-			return []routing.Hint{{Server: int32(e.index), CachedTokens: int32(prefix.Tokens)}}
-		}
-	}
-	return nil
-}
-
 // FirstToken tells that the prompt of a request was processed. Streamed tells
 // that Tokens will be called for the rest of the answer.
-func (v *View) FirstToken(target upstream.Target, attempt Attempt, promptTokens int, streamed bool) {
+func (v *View) FirstToken(target upstream.Target, attempt Attempt, streamed bool) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	if e := v.byName[target.Name]; e != nil {
-		v.routing.FirstToken(e.index, promptTokens)
+		v.routing.FirstToken(e.index, attempt.promptTokens)
 		e.batch.pace.FirstToken(attempt.ticket, streamed, v.now())
 		e.batch.publishLeader()
 	}
--- a/internal/serverview/poll.go
+++ b/internal/serverview/poll.go
@@ -37,18 +37,25 @@
 	server  string
 	report  loadReport
 	askedAt time.Duration
+	cache   cacheAnswer
 	err     error
 }
 
+// pollTask is a poll that is due.
+type pollTask struct {
+	target upstream.Target
+	cache  cacheQuestion
+}
+
 // duePolls lists the servers to be polled now.
-func (v *View) duePolls() []upstream.Target {
+func (v *View) duePolls() []pollTask {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	now := v.now()
 	if v.exchangedAt == 0 && now-v.startedAt < firstExchangeGrace {
 		return nil
 	}
-	var due []upstream.Target
+	var due []pollTask
 	for _, e := range v.entries {
 		if e.zone != v.options.Zone || e.polling || now < e.nextPoll {
 			continue
@@ -63,15 +70,18 @@
 		jitter := 1 + pollJitter*(2*v.random.Float64()-1)
 		e.nextPoll = now + time.Duration(float64(interval)*jitter)
 		e.polling = true
-		due = append(due, upstream.Target{Name: e.name, Address: e.address})
+		due = append(due, pollTask{
+			target: upstream.Target{Name: e.name, Address: e.address},
+			cache:  v.questionFor(e, now),
+		})
 	}
 	return due
 }
 
-// poll asks one server for its load.
-func (v *View) poll(ctx context.Context, target upstream.Target) pollResult {
-	result := pollResult{server: target.Name, askedAt: v.now()}
-	body, status, err := v.get(ctx, target, "/load")
+// poll asks one server for its load, and for its cache events where it is to.
+func (v *View) poll(ctx context.Context, task pollTask) pollResult {
+	result := pollResult{server: task.target.Name, askedAt: v.now()}
+	body, status, err := v.get(ctx, task.target, "/load")
 	if err == nil && status != http.StatusOK {
 		err = errStatus
 	}
@@ -79,6 +89,9 @@
 		err = json.Unmarshal(body, &result.report)
 	}
 	result.err = err
+	if err == nil && task.cache.read {
+		result.cache = v.readCache(ctx, task.target, task.cache)
+	}
 	return result
 }
 
@@ -118,6 +131,7 @@
 	v.mutex.Lock()
 	if e := v.byName[result.server]; e != nil {
 		e.polling = false
+		v.learnCache(e, result.cache)
 	}
 	v.mutex.Unlock()
 	if result.err == nil {
--- a/internal/serverview/run.go
+++ b/internal/serverview/run.go
@@ -61,9 +61,9 @@
 }
 
 func (v *View) startPolls(ctx context.Context, results chan<- pollResult) {
-	for _, target := range v.duePolls() {
+	for _, task := range v.duePolls() {
 		go func() {
-			result := v.poll(ctx, target)
+			result := v.poll(ctx, task)
 			select {
 			case results <- result:
 			case <-ctx.Done():
--- a/internal/serverview/view.go
+++ b/internal/serverview/view.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rockwind.example/rockwind/internal/health"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/routing"
@@ -58,7 +60,12 @@
 	startedAt time.Duration
 	// exchangedAt is when digests were last exchanged; zero before the first.
 	exchangedAt time.Duration
-	hints       *hintTable
+	// prefixes knows which server, by slot, caches which prefixes, and hints is
+	// reused by every choice.
+	prefixes    *routing.PrefixIndex
+	hints       []routing.Hint
+	bySlot      map[int]*entry
+	cacheBudget byteBudget
 	tracker     *health.Tracker
 	slots       slotTable
 	// tickets numbers the attempts of online requests.
@@ -90,7 +97,9 @@
 	// nextPoll is when the server is polled next, and polling is set meanwhile.
 	nextPoll time.Duration
 	polling  bool
-	batch    *batchState
+	// snapshotAt is when a snapshot of the cache was read last; zero before any.
+	snapshotAt time.Duration
+	batch      *batchState
 	// own is set where this gateway polls the server and feeds it batch.
 	own bool
 	// sentLoaded and sentCount tell what the last digests held.
@@ -126,7 +135,7 @@
 		outcomes: make(chan evidence, evidenceBuffer),
 		random:   options.Random,
 		byName:   make(map[string]*entry),
-		hints:    newHintTable(),
+		prefixes: routing.NewPrefixIndex(),
 		tracker:  health.NewTracker(health.DefaultPolicy, 0),
 	}
 	v.startedAt = v.now()
@@ -181,6 +190,7 @@
 	v.zones = zoneOrder(v.options.Zone, backEnds)
 	old, oldServers := v.byName, v.routing.Servers
 	v.byName = make(map[string]*entry, len(backEnds))
+	v.bySlot = make(map[int]*entry, len(backEnds))
 	v.entries = nil
 	fresh := routing.View{Cost: costModel()}
 	for number, zone := range v.zones {
@@ -219,6 +229,7 @@
 		server.OwnBatch = oldServers[known.index].OwnBatch
 		e.slot, e.batch = known.slot, known.batch
 		v.tracker.Forget(e.slot)
+		v.prefixes.Forget(int32(e.slot))
 	}
 	if e.slot == noSlot {
 		e.slot = v.slots.take()
@@ -230,10 +241,12 @@
 	e.accelerators = backEnd.GetAccelerators()
 	e.index = len(fresh.Servers)
 	server.Zone = zone
+	server.Key = xxhash.Sum64String(e.name)
 	server.Accelerators = uint16(min(backEnd.GetAccelerators(), maximumAccelerators))
 	fresh.Servers = append(fresh.Servers, server)
 	v.entries = append(v.entries, e)
 	v.byName[e.name] = e
+	v.bySlot[e.slot] = e
 }
 
 const maximumAccelerators = 1 << 15
@@ -242,6 +255,7 @@
 func (v *View) forgetRemoved(old map[string]*entry) {
 	for name, e := range old {
 		if v.byName[name] == nil {
+			v.prefixes.Forget(int32(e.slot))
 			v.slots.give(e.slot)
 		}
 	}
