--- a/internal/command/refusal_test.go
+++ b/internal/command/refusal_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -197,7 +196,7 @@
 			t.Errorf("%s: %v", name, err)
 		}
 		if now := o.must("get", "configuration"); now != inForce {
-			t.Fatal(fmt.Sprintf("%s: another configuration is in force:\n%s", name, now))
+			t.Fatalf("%s: another configuration is in force:\n%s", name, now)
 		}
 	}
 }
