Ask for the new leader more often while one is elected

A call that finds no leader doubled its pause up to 500 ms with jitter, although attempts that are refused at once cost the machines next to nothing. After a leader's death a call therefore went on waiting long after another led. Such pauses are now bounded by 100 ms; those after failures that cost something stay.

--- a/internal/controlclient/call.go
+++ b/internal/controlclient/call.go
@@ -24,6 +24,9 @@
 const (
 	firstBackOff   = 20 * time.Millisecond
 	longestBackOff = 500 * time.Millisecond
+	// longestFreeBackOff bounds the pause after attempts that cost the machines
+	// next to nothing, such as those made while a leader is elected.
+	longestFreeBackOff = 100 * time.Millisecond
 	// redirectLimit bounds hints followed without a pause.
 	redirectLimit = 4
 )
@@ -213,10 +216,18 @@
 		if !verdict.free && !c.budget.spend() || !c.pause(ctx, backOff) {
 			return none, gaveUp(verdict.cause, kind, executed)
 		}
-		backOff = min(2*backOff, longestBackOff)
+		backOff = nextBackOff(backOff, verdict)
 	}
 }
 
+// nextBackOff doubles a pause up to the bound for the kind of failure.
+func nextBackOff(backOff time.Duration, failed verdict) time.Duration {
+	if failed.free {
+		return min(2*backOff, longestFreeBackOff)
+	}
+	return min(2*backOff, longestBackOff)
+}
+
 func (c *Client) bounded(ctx context.Context, r *route) (context.Context, context.CancelFunc) {
 	if _, has := ctx.Deadline(); has {
 		return ctx, func() {}
