Share one retry budget, pause, twirp carrier and address file

Change: packages retry and twirphttp hold them; settings writes the address files; the operator's commands read files by one function.

--- a/internal/batch/reporter.go
+++ b/internal/batch/reporter.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -143,7 +144,7 @@
 			r.options.Log.WithError(err).Warn("items are not recorded yet")
 		}
 		pending = r.answered(ctx, pending, response.GetVerdicts())
-		if len(pending) > 0 && !pause(ctx, reportPause) {
+		if len(pending) > 0 && !retry.Pause(ctx, reportPause) {
 			return
 		}
 	}
@@ -183,7 +184,7 @@
 			break
 		}
 		r.options.Log.WithField("error", err).Warn("results are not stored yet")
-		if !pause(ctx, reportPause) {
+		if !retry.Pause(ctx, reportPause) {
 			return nil
 		}
 	}
@@ -239,16 +240,6 @@
 	return left
 }
 
-// pause waits, or returns false when the context ended.
-func pause(ctx context.Context, length time.Duration) bool {
-	select {
-	case <-time.After(length):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // acknowledge takes the ledger's answers to reports.
 func (e *Executor) acknowledge(acks []acknowledged) {
 	for _, ack := range acks {
--- a/internal/command/apply.go
+++ b/internal/command/apply.go
@@ -69,7 +69,7 @@
 
 // readConfiguration reads and checks a configuration file.
 func (s *session) readConfiguration(name string) (*rockwindpb.Configuration, error) {
-	data, err := s.readFile(name)
+	data, err := s.readFile(name, configuration.MaximumFileBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -81,9 +81,10 @@
 	return nil, fault.New(refusal.Kind, "the file is refused, and nothing was changed:\n"+refusal.Message, "")
 }
 
-// readFile reads at most a little more than a configuration may have, so that
-// the check of the size still sees what is too large.
-func (s *session) readFile(name string) ([]byte, error) {
+// readFile reads a file, or the standard input for "-", and at most one byte
+// more than the limit, so that the check of the size still sees what is too
+// large.
+func (s *session) readFile(name string, limit int64) ([]byte, error) {
 	input := s.stdin
 	if name != standardInput {
 		file, err := os.Open(name)
@@ -93,7 +94,7 @@
 		defer file.Close()
 		input = file
 	}
-	data, err := io.ReadAll(io.LimitReader(input, configuration.MaximumFileBytes+1))
+	data, err := io.ReadAll(io.LimitReader(input, limit+1))
 	if err != nil {
 		return nil, fault.Newf(fault.InvalidArgument, "check the path", "the file cannot be read: %v", err)
 	}
--- a/internal/command/jobs_gateway.go
+++ b/internal/command/jobs_gateway.go
@@ -9,7 +9,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -52,18 +51,9 @@
 
 // readRequests reads the file of a job.
 func (s *session) readRequests(name string) ([]byte, error) {
-	input := s.stdin
-	if name != standardInput {
-		file, err := os.Open(name)
-		if err != nil {
-			return nil, fault.Newf(fault.InvalidArgument, "check the path", "the file cannot be read: %v", err)
-		}
-		defer file.Close()
-		input = file
-	}
-	data, err := io.ReadAll(io.LimitReader(input, maximumRequestBytes+1))
+	data, err := s.readFile(name, maximumRequestBytes)
 	if err != nil {
-		return nil, fault.Newf(fault.InvalidArgument, "check the path", "the file cannot be read: %v", err)
+		return nil, err
 	}
 	if len(data) > maximumRequestBytes {
 		return nil, fault.Newf(fault.InvalidArgument, "split it into several jobs", "the file has more than %d bytes", maximumRequestBytes)
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -24,6 +24,7 @@
 	"rockwind.example/rockwind/internal/linkfault"
 	"rockwind.example/rockwind/internal/logring"
 	"rockwind.example/rockwind/internal/replica"
+	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/secure"
 	"rockwind.example/rockwind/internal/segment"
@@ -289,7 +290,7 @@
 func (d *daemon) keepGroup(ctx context.Context, number uint32) {
 	group, known := d.host.Group(number)
 	for !known {
-		if !wait(ctx, groupPause) {
+		if !retry.Pause(ctx, groupPause) {
 			return
 		}
 		group, known = d.host.Group(number)
--- a/internal/control/keeper.go
+++ b/internal/control/keeper.go
@@ -8,6 +8,7 @@
 
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/ledger"
+	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -43,7 +44,7 @@
 	for ctx.Err() == nil {
 		applied := k.shard.group.Applied()
 		due := k.look(ctx)
-		if !wait(ctx, boardPause) {
+		if !retry.Pause(ctx, boardPause) {
 			return
 		}
 		timer := time.NewTimer(due)
@@ -56,17 +57,6 @@
 	}
 }
 
-func wait(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // ledgerView is what a keeper reads of the ledger in one go.
 type ledgerView struct {
 	work       *workView
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"rockwind.example/rockwind/internal/controlclient"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
@@ -98,7 +99,7 @@
 			return nil, err
 		}
 		merged.Grants = append(merged.Grants, part.GetGrants()...)
-		remaining -= min(remaining, grantedItems(part))
+		remaining -= min(remaining, controlclient.GrantedItems(part))
 		if remaining == 0 {
 			return merged, nil
 		}
@@ -106,14 +107,6 @@
 	return merged, nil
 }
 
-func grantedItems(response *rockwindpb.AcquireLeasesResponse) uint32 {
-	total := uint32(0)
-	for _, grant := range response.GetGrants() {
-		total += grant.GetLease().GetItemCount()
-	}
-	return total
-}
-
 // led returns the shards that this machine leads now.
 func (d *daemon) led() []*shard {
 	d.mutex.Lock()
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -4,8 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/apex/log"
@@ -18,11 +16,10 @@
 	"rockwind.example/rockwind/internal/linkfault"
 	"rockwind.example/rockwind/internal/logring"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/settings"
 )
 
 const (
-	// addressFile holds the bound address, for tests and tools.
-	addressFile = "address"
 	// readHeaderTimeout bounds how long a caller may take to send its headers.
 	readHeaderTimeout = 5 * time.Second
 	// stopTimeout bounds a planned stop.
@@ -108,22 +105,12 @@
 		d.listener = listener
 	}
 	d.address = d.listener.Addr().String()
-	path := filepath.Join(d.settings.GetDataFolder(), addressFile)
-	if err := replaceFile(path, []byte(d.address)); err != nil {
+	if err := settings.WriteAddress(d.settings.GetDataFolder(), settings.AddressFile, d.address); err != nil {
 		return errors.CombineErrors(err, d.listener.Close())
 	}
 	return nil
 }
 
-// replaceFile writes a file such that a reader sees the old or the new content.
-func replaceFile(path string, content []byte) error {
-	temporary := path + ".new"
-	if err := os.WriteFile(temporary, content, fileMode); err != nil {
-		return errors.Wrap(err, "write the address file")
-	}
-	return errors.Wrap(os.Rename(temporary, path), "write the address file")
-}
-
 // accept serves on the listener, by TLS where it is turned on.
 func (d *daemon) accept(server *http.Server) error {
 	if d.certificates == nil {
--- a/internal/controlclient/call.go
+++ b/internal/controlclient/call.go
@@ -10,6 +10,7 @@
 
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/ownership"
+	"rockwind.example/rockwind/internal/retry"
 )
 
 // effect tells whether a call changes state, which decides what an unanswered
@@ -186,7 +187,7 @@
 	}
 	ctx, cancel := c.bounded(ctx, r)
 	defer cancel()
-	c.budget.earn()
+	c.budget.Deposit(retryRatio)
 	backOff := firstBackOff
 	redirects := 0
 	executed := false
@@ -213,7 +214,7 @@
 			continue
 		}
 		redirects = 0
-		if !verdict.free && !c.budget.spend() || !c.pause(ctx, backOff) {
+		if !verdict.free && !c.budget.Withdraw() || !c.pause(ctx, backOff) {
 			return none, gaveUp(verdict.cause, kind, executed)
 		}
 		backOff = nextBackOff(backOff, verdict)
@@ -283,14 +284,7 @@
 // pause waits about the given time and tells whether the call may go on.
 func (c *Client) pause(ctx context.Context, about time.Duration) bool {
 	jittered := time.Duration((0.5 + c.options.Random()) * float64(about))
-	timer := time.NewTimer(jittered)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return retry.Pause(ctx, jittered)
 }
 
 // gaveUp turns the last failure into what the caller needs to know.
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -20,11 +20,18 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/twirphttp"
 )
 
 // Defaults of Options.
 const (
+	// retryRatio is the part of a retry that each call earns.
+	retryRatio = 0.2
+	// retryReserve is how many retries may be spent in a burst.
+	retryReserve = 50
+
 	defaultAttemptTimeout = 2 * time.Second
 	defaultCallTimeout    = 15 * time.Second
 	defaultBodyTimeout    = 10 * time.Second
@@ -57,7 +64,7 @@
 type Client struct {
 	options  Options
 	machines []*machine
-	budget   *budget
+	budget   *retry.Budget
 
 	mutex   sync.Mutex
 	shards  uint32
@@ -101,7 +108,7 @@
 	options = withDefaults(options)
 	client := &Client{
 		options: options,
-		budget:  newBudget(),
+		budget:  retry.NewBudget(retryReserve),
 		leaders: make(map[uint32]*machine),
 		members: make(map[uint32][]string),
 	}
@@ -146,7 +153,7 @@
 		scheme = "https://"
 	}
 	base := scheme + settings.GetAddress()
-	carrier := slimClient{options.HTTPClient}
+	carrier := twirphttp.Client{Carrier: options.HTTPClient}
 	return &machine{
 		name:          settings.GetMachine(),
 		zone:          settings.GetZone(),
@@ -161,20 +168,6 @@
 	}
 }
 
-// slimClient drops headers that the services do not need, because the control
-// traffic of a daemon is small enough for headers to count.
-type slimClient struct {
-	carrier *http.Client
-}
-
-// Do implements rockwindpb.HTTPClient.
-func (s slimClient) Do(request *http.Request) (*http.Response, error) {
-	request.Header.Del("Twirp-Version")
-	request.Header.Del("Accept")
-	request.Header.Set("User-Agent", "")
-	return s.carrier.Do(request)
-}
-
 // Shards returns the number of job shards, asking a control machine the first
 // time.
 func (c *Client) Shards(ctx context.Context) (uint32, error) {
--- a/internal/controlclient/leases.go
+++ b/internal/controlclient/leases.go
@@ -68,7 +68,7 @@
 		}
 		answered = true
 		merged.Grants = append(merged.Grants, part.GetGrants()...)
-		remaining -= min(remaining, grantedItems(part))
+		remaining -= min(remaining, GrantedItems(part))
 		if remaining == 0 {
 			break
 		}
@@ -79,7 +79,8 @@
 	return merged, nil
 }
 
-func grantedItems(response *rockwindpb.AcquireLeasesResponse) uint32 {
+// GrantedItems counts the items of all the leases that an answer grants.
+func GrantedItems(response *rockwindpb.AcquireLeasesResponse) uint32 {
 	total := uint32(0)
 	for _, grant := range response.GetGrants() {
 		total += grant.GetLease().GetItemCount()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"rockwind.example/rockwind/internal/follower"
 	"rockwind.example/rockwind/internal/limits"
 	"rockwind.example/rockwind/internal/logring"
+	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/serverview"
 	"rockwind.example/rockwind/internal/upstream"
@@ -25,8 +26,6 @@
 
 // Names in the data folder.
 const (
-	addressFile         = "address"
-	internalAddressFile = "internal_address"
 	configurationFolder = "configuration"
 	folderMode          = 0o755
 	fileMode            = 0o644
@@ -59,7 +58,7 @@
 	control  control
 	client   *upstream.Client
 	relay    *upstream.Relay
-	budget   *upstream.Budget
+	budget   *retry.Budget
 	view     *serverview.View
 	limiter  *limits.Limiter
 	usage    *groupUsage
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -21,6 +21,7 @@
 	"rockwind.example/rockwind/internal/engine"
 	"rockwind.example/rockwind/internal/logring"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/settings"
 	"rockwind.example/rockwind/internal/standin"
 	"rockwind.example/rockwind/internal/upstream"
 )
@@ -127,16 +128,16 @@
 
 func (f *fleet) startGateway() {
 	folder := f.t.TempDir()
-	settings := &rockwindpb.GatewaySettings{
+	wanted := &rockwindpb.GatewaySettings{
 		Name: "gateway-a", Zone: testZone, Listen: "127.0.0.1:0", InternalListen: "127.0.0.1:0", DataFolder: folder,
 		ExchangeInterval: durationpb.New(100 * time.Millisecond), BatchConcurrency: 64,
 	}
 	ring := logring.New(64, io.Discard)
 	logger := &log.Logger{Handler: ring, Level: log.InfoLevel}
-	settings.CallerTls = f.callerTLS
-	opened, err := openCertificates(settings, logger)
+	wanted.CallerTls = f.callerTLS
+	opened, err := openCertificates(wanted, logger)
 	must(f.t, err)
-	f.gateway = assemble(settings, ring, logger, f.source, f.control, upstream.NewClient())
+	f.gateway = assemble(wanted, ring, logger, f.source, f.control, upstream.NewClient())
 	f.gateway.secure(opened)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
@@ -149,8 +150,8 @@
 	if f.callerTLS != nil {
 		scheme = "https://"
 	}
-	f.url = scheme + f.awaitFile(filepath.Join(folder, addressFile))
-	f.probes = "http://" + f.awaitFile(filepath.Join(folder, internalAddressFile))
+	f.url = scheme + f.awaitFile(filepath.Join(folder, settings.AddressFile))
+	f.probes = "http://" + f.awaitFile(filepath.Join(folder, settings.InternalAddressFile))
 }
 
 // awaitFile waits until a file is there.
--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -4,8 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +13,7 @@
 
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/logring"
+	"rockwind.example/rockwind/internal/settings"
 	"rockwind.example/rockwind/internal/upstream"
 )
 
@@ -55,8 +54,8 @@
 		callerServer:   g.newServer(g.callerRoutes()),
 		internalServer: g.newServer(g.internalRoutes()),
 	}
-	for name, listener := range map[string]net.Listener{addressFile: callers, internalAddressFile: internal} {
-		if err := g.writeAddress(name, listener.Addr().String()); err != nil {
+	for name, listener := range map[string]net.Listener{settings.AddressFile: callers, settings.InternalAddressFile: internal} {
+		if err := settings.WriteAddress(g.settings.GetDataFolder(), name, listener.Addr().String()); err != nil {
 			opened.close()
 			return nil, err
 		}
@@ -70,15 +69,6 @@
 	}
 }
 
-// writeAddress replaces the file in one step, so that readers see a whole one.
-func (g *Gateway) writeAddress(name, address string) error {
-	path := filepath.Join(g.settings.GetDataFolder(), name)
-	if err := os.WriteFile(path+".new", []byte(address), fileMode); err != nil {
-		return errors.Wrap(err, "write the bound address")
-	}
-	return errors.Wrap(os.Rename(path+".new", path), "write the bound address")
-}
-
 // serve runs both servers in the group.
 func (l *listeners) serve(group *errgroup.Group, g *Gateway) {
 	group.Go(func() error { return served(accept(l.callerServer, l.callers, g.certificates.callers)) })
--- a/internal/replica/founding.go
+++ b/internal/replica/founding.go
@@ -14,6 +14,7 @@
 
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/twirphttp"
 )
 
 // largestGroup is how many machines hold a replica of one group.
@@ -66,7 +67,7 @@
 			base = scheme + address
 		}
 		c := &candidate{address: address[strings.LastIndex(address, "/")+1:]}
-		c.client = rockwindpb.NewReplicaServiceProtobufClient(base, slimClient{client})
+		c.client = rockwindpb.NewReplicaServiceProtobufClient(base, twirphttp.Client{Carrier: client})
 		identity, err := c.client.Identity(ctx, &rockwindpb.IdentityRequest{})
 		if err != nil {
 			return nil, errors.Wrapf(fault.From(err), "ask the machine at %s", address)
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -12,6 +12,7 @@
 
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/twirphttp"
 	"rockwind.example/rockwind/internal/wal"
 )
 
@@ -302,7 +303,7 @@
 	if h.options.Secure {
 		base = secureScheme + address
 	}
-	return rockwindpb.NewReplicaServiceProtobufClient(base, slimClient{h.options.Client})
+	return rockwindpb.NewReplicaServiceProtobufClient(base, twirphttp.Client{Carrier: h.options.Client})
 }
 
 // allowedBoth tells whether a call and its answer may pass.
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -195,16 +195,3 @@
 		p.host.reportUnreachable(to.group, to.id)
 	}
 }
-
-// slimClient drops headers that the service does not need.
-type slimClient struct {
-	client *http.Client
-}
-
-// Do implements rockwindpb.HTTPClient.
-func (s slimClient) Do(request *http.Request) (*http.Response, error) {
-	request.Header.Del("Twirp-Version")
-	request.Header.Del("Accept")
-	request.Header.Set("User-Agent", "")
-	return s.client.Do(request)
-}
--- a/internal/segment/lane.go
+++ b/internal/segment/lane.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -178,7 +179,7 @@
 			failures++
 			l.peer.failed(o.node.options.Now())
 			o.update(func() { l.failing = true })
-			if !sleep(ctx, laneBackOff) {
+			if !retry.Pause(ctx, laneBackOff) {
 				return
 			}
 		}
@@ -255,17 +256,6 @@
 	}
 }
 
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // segmentKey is the key of a segment in rendezvous hashing.
 func segmentKey(id uint64) string {
 	return strconv.FormatUint(id, 16)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -10,6 +10,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"rockwind.example/rockwind/internal/engine"
+	"rockwind.example/rockwind/internal/retry"
 )
 
 // maxBody bounds the body of a request in bytes.
@@ -120,7 +121,7 @@
 func (e *Engine) failing(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		for e.driver.hung.Load() {
-			if !pause(request.Context(), pollInterval) {
+			if !retry.Pause(request.Context(), pollInterval) {
 				panic(http.ErrAbortHandler)
 			}
 		}
--- a/internal/standin/operations.go
+++ b/internal/standin/operations.go
@@ -10,6 +10,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"rockwind.example/rockwind/internal/engine"
+	"rockwind.example/rockwind/internal/retry"
 )
 
 // pollInterval is how often a waiting handler looks again.
@@ -102,7 +103,7 @@
 			writeJSON(writer, http.StatusOK, cacheEvents(page))
 			return
 		}
-		if !pause(request.Context(), pollInterval) {
+		if !retry.Pause(request.Context(), pollInterval) {
 			return
 		}
 	}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -14,6 +14,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"rockwind.example/rockwind/internal/engine"
+	"rockwind.example/rockwind/internal/retry"
 )
 
 // ServiceOptions say what a service stand-in is like.
@@ -135,7 +136,7 @@
 func (s *Service) failing(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		for s.failure(false).Kind == engine.FaultHang {
-			if !pause(request.Context(), pollInterval) {
+			if !retry.Pause(request.Context(), pollInterval) {
 				panic(http.ErrAbortHandler)
 			}
 		}
@@ -146,18 +147,6 @@
 	})
 }
 
-// pause waits and tells whether the context still lasts.
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (s *Service) serveFault(writer http.ResponseWriter, request *http.Request) {
 	var order FaultOrder
 	if !readJSON(writer, request, &order) {
@@ -279,7 +268,7 @@
 	case engine.FaultSlow:
 		duration = time.Duration(float64(duration) * max(failure.Factor, 1))
 	}
-	pause(context.WithoutCancel(request.Context()), duration)
+	retry.Pause(context.WithoutCancel(request.Context()), duration)
 	if failure.Kind == engine.FaultTruncate {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/upstream/budget.go
+++ b/internal/upstream/budget.go
@@ -1,8 +1,6 @@
 package upstream
 
-import (
-	"sync"
-)
+import "rockwind.example/rockwind/internal/retry"
 
 // Bounds of the retry budget.
 const (
@@ -13,32 +11,7 @@
 	retryReserve = 20
 )
 
-// Budget bounds retries to a part of the first attempts, so that a failure
-// never multiplies the traffic. It is safe for concurrent use.
-type Budget struct {
-	mutex  sync.Mutex
-	tokens float64
-}
-
-// NewBudget returns a budget with a full reserve.
-func NewBudget() *Budget {
-	return &Budget{tokens: retryReserve}
-}
-
-// Deposit counts a first attempt; ratio is the retries allowed per attempt.
-func (b *Budget) Deposit(ratio float64) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.tokens = min(b.tokens+ratio, retryReserve)
-}
-
-// Withdraw takes one retry and reports whether there was one.
-func (b *Budget) Withdraw() bool {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
+// NewBudget returns the retry budget of one gateway.
+func NewBudget() *retry.Budget {
+	return retry.NewBudget(retryReserve)
 }
--- a/internal/upstream/pause.go
+++ b/internal/upstream/pause.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"rockwind.example/rockwind/internal/retry"
 )
 
 // pauseTimeout bounds an order to pause or unpause a request.
@@ -19,7 +21,7 @@
 // for a request that stays paused would never end.
 func (r *Relay) Unpause(ctx context.Context, target Target, id string) {
 	for try := 0; try < resumeTries; try++ {
-		if r.order(ctx, target, id, "unpause") || !sleep(ctx, maximumResumePause) {
+		if r.order(ctx, target, id, "unpause") || !retry.Pause(ctx, maximumResumePause) {
 			return
 		}
 	}
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/retry"
 )
 
 // Outcome is how one attempt ended, as evidence about its back end.
@@ -97,11 +98,11 @@
 // Relay carries out requests. It is safe for concurrent use.
 type Relay struct {
 	client *Client
-	budget *Budget
+	budget *retry.Budget
 }
 
 // NewRelay returns a relay over the client's connections.
-func NewRelay(client *Client, budget *Budget) *Relay {
+func NewRelay(client *Client, budget *retry.Budget) *Relay {
 	return &Relay{client: client, budget: budget}
 }
 
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"rockwind.example/rockwind/internal/retry"
 )
 
 // Bounds of taking up a broken stream.
@@ -241,7 +243,7 @@
 	}
 	pause, failures := resumePause, 0
 	for try := 0; try < resumeTries && failures < resumeFailures; try++ {
-		if try > 0 && !sleep(ctx, pause) {
+		if try > 0 && !retry.Pause(ctx, pause) {
 			return nil
 		}
 		pause = min(2*pause, maximumResumePause)
@@ -261,17 +263,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // cancelAnswer is the engine's answer to a cancel order.
 type cancelAnswer struct {
 	Cancelled bool `json:"cancelled"`
