Measure failures with and without the gateways' protections

Cause: nothing showed what engine deaths, hangs, slowness, false reports, a lost zone, a retry storm or a planned stop do to online requests.

Change: rockwind-bench experiment failures runs these over routingfleet, with the gateways' policy and with an unprotected one (no health, no budget, no early refusal), and gives goodput, amplification, recovery and the time to the last new request on a leaving server.

--- a/cmd/rockwind-bench/main.go
+++ b/cmd/rockwind-bench/main.go
@@ -9,6 +9,7 @@
 	"rockwind.example/rockwind/internal/bench/calibration"
 	"rockwind.example/rockwind/internal/bench/configbench"
 	"rockwind.example/rockwind/internal/bench/demo"
+	"rockwind.example/rockwind/internal/bench/failures"
 	"rockwind.example/rockwind/internal/bench/faults"
 	"rockwind.example/rockwind/internal/bench/hollow"
 	"rockwind.example/rockwind/internal/bench/ledgerbench"
@@ -49,6 +50,7 @@
 	Ledger   ledgerbench.Command       `cmd:"" help:"Measure what keeping the state of jobs costs, and recovery and failover."`
 	Config   configbench.Command       `cmd:"" help:"Measure how fast a configuration is in force everywhere, and what it costs."`
 	Faults   faults.Command            `cmd:"" help:"Bring faults about on real processes and judge what must always hold."`
+	Failures failures.Command          `cmd:"" help:"Measure what failures do to online requests, with and without protections."`
 	Routing  routingexperiment.Command `cmd:"" help:"Measure routing against baselines under lagging reports and lost cache events."`
 	Sharing  sharing.Command           `cmd:"" help:"Judge batch throughput against harm to the online tail, in virtual time."`
 }
--- a/internal/bench/routingfleet/attempts.go
+++ b/internal/bench/routingfleet/attempts.go
@@ -57,7 +57,7 @@
 )
 
 // attemptBits is the part of a tag that numbers the attempts of a request.
-const attemptBits = 4
+const attemptBits = 8
 
 func tag(index, number int) uint64 { return uint64(index)<<attemptBits | uint64(number) }
 
@@ -77,6 +77,7 @@
 	}
 	entry.calls++
 	entry.tried = entry.tried[:0]
+	g.lose(index, entry.calls)
 	run.totals.calls++
 	decision, found := g.choose(index, nil)
 	if policy := run.policy.Admission; policy != nil {
@@ -94,6 +95,31 @@
 	g.send(index, decision, false)
 }
 
+// lose makes the caller of a request give up once its patience is at an end.
+func (g *gateway) lose(index, call int) {
+	run := g.fleet
+	patience := run.scenario.Load.Patience
+	if patience <= 0 {
+		return
+	}
+	run.queue.after(patience, func() {
+		entry := &run.requests[index]
+		if entry.calls != call || entry.firstAt > 0 || entry.state != stateRunning {
+			return
+		}
+		for number := range entry.attempts {
+			if entry.attempts[number].open {
+				g.cancel(index, number)
+				g.close(index, number)
+			}
+		}
+		entry.state = stateLost
+		if entry.calls <= run.scenario.Load.Resend {
+			run.call(index)
+		}
+	})
+}
+
 // refuse answers a request as not run; the caller may send it again later.
 func (g *gateway) refuse(index int, retryAfter time.Duration) {
 	run := g.fleet
--- a/internal/bench/routingfleet/faults.go
+++ b/internal/bench/routingfleet/faults.go
@@ -16,6 +16,9 @@
 	// Cut takes the servers off the network; Heal puts them back.
 	Cut  bool
 	Heal bool
+	// Mute makes the servers answer nothing while the engine's fault lasts; else
+	// a hung engine goes on to answer polls and probes.
+	Mute bool
 	// Drain is a planned stop: the engines take no new work, and the platform's
 	// list shows them as leaving after ListLag.
 	Drain bool
@@ -27,12 +30,13 @@
 // nodeState is what is wrong with a node besides its engine.
 type nodeState struct {
 	cut     bool
+	mute    bool
 	leaving bool
 }
 
 // answers tells whether a small request gets an answer.
 func (n *node) answers() bool {
-	return !n.state.cut && !n.engine.Dead()
+	return !n.state.cut && !n.engine.Dead() && !(n.state.mute && n.engine.Hung())
 }
 
 // platform is the platform's list of leaving machines, which lags.
@@ -52,6 +56,7 @@
 		case fault.Drain:
 			f.drain(server, fault)
 		default:
+			node.state.mute = fault.Mute
 			node.engine.Inject(f.queue.now, fault.Engine)
 		}
 		f.schedule(server)
--- a/internal/bench/routingfleet/policy.go
+++ b/internal/bench/routingfleet/policy.go
@@ -91,3 +91,20 @@
 	policy.Routing = func() routing.Policy { return routing.FreshOracle{} }
 	return policy
 }
+
+// Unprotected routes as the gateways do, and retries without a budget, with no
+// verdict of health, no early refusal and no hedge.
+func Unprotected() Policy {
+	policy := Rockwind()
+	policy.Name = "unprotected"
+	policy.Admission = nil
+	policy.RetryRatio = -1
+	policy.Hedge = nil
+	policy.Health.SuspectAfter = neverReached
+	policy.Health.EjectAfter = neverReached
+	policy.Health.SlowFactor = neverReached
+	return policy
+}
+
+// neverReached is a threshold that no score reaches.
+const neverReached = 1e12
--- a/internal/bench/routingfleet/result.go
+++ b/internal/bench/routingfleet/result.go
@@ -20,6 +20,10 @@
 	lastToLeaving time.Duration
 }
 
+// GoodWithin is the time to the first token within which an answer is of use to
+// its caller.
+const GoodWithin = 2 * time.Second
+
 // Result is what one run measured between warm-up and end.
 type Result struct {
 	Policy string
@@ -49,10 +53,12 @@
 	// CacheEvents and Snapshots count what gateways read.
 	CacheEvents int
 	Snapshots   int
-	// AnsweredAt counts whole answers by the second in which the request was
-	// sent, and SentAt the requests.
-	AnsweredAt []int
-	SentAt     []int
+	// MeasuredAttempts counts the sendings of the requests measured.
+	MeasuredAttempts int
+	// GoodAt counts whole answers whose first token came within GoodWithin, by
+	// the second in which the request was sent, and SentAt the requests.
+	GoodAt []int
+	SentAt []int
 	// LastOnLeaving is the time from the begin of a drain to the last new
 	// request at a leaving server; zero when none was sent.
 	LastOnLeaving time.Duration
@@ -75,7 +81,7 @@
 		Retries: f.totals.retries, Hedges: f.totals.hedges,
 		CacheEvents: f.totals.cacheEvents, Snapshots: f.totals.snapshots,
 		SentToLeaving: f.totals.sentToLeaving,
-		AnsweredAt:    make([]int, seconds), SentAt: make([]int, seconds),
+		GoodAt:        make([]int, seconds), SentAt: make([]int, seconds),
 	}
 	if f.totals.lastToLeaving > 0 {
 		result.LastOnLeaving = f.totals.lastToLeaving - f.totals.drainedAt
@@ -101,14 +107,17 @@
 	second := int(drawn.at / time.Second)
 	result.Requests++
 	result.SentAt[second]++
+	result.MeasuredAttempts += len(entry.attempts)
 	if entry.hinted {
 		result.Hinted++
 	}
 	switch entry.state {
 	case stateDone:
 		result.Answered++
-		result.AnsweredAt[second]++
 		result.TTFT = append(result.TTFT, entry.firstAt-drawn.at)
+		if entry.firstAt-drawn.at <= GoodWithin {
+			result.GoodAt[second]++
+		}
 	case stateRefused:
 		result.Refused++
 	default:
--- a/internal/bench/routingfleet/scenario.go
+++ b/internal/bench/routingfleet/scenario.go
@@ -58,8 +58,11 @@
 	Documents    int
 	Instructions int
 	// Resend makes callers send a refused request again after the time that
-	// the refusal names, up to so many times.
+	// the refusal names, and one that they gave up at once, up to so many times.
 	Resend int
+	// Patience is how long callers wait for a first token before they give up;
+	// zero means for ever.
+	Patience time.Duration
 }
 
 // End returns when arrivals end.
