--- a/internal/controlclient/compress.go
+++ b/internal/controlclient/compress.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"rockwind.example/rockwind/internal/twirphttp"
 )
 
 // Headers of compressed answers.
@@ -19,7 +21,7 @@
 // digests, whose answers repeat the names of zones and models; other answers are
 // short or do not shrink.
 type compressedClient struct {
-	carrier slimClient
+	carrier twirphttp.Client
 }
 
 // Do implements rockwindpb.HTTPClient.
