--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 	$(BIN)/rockwind-bench fleet demo $(if $(KEEP),--keep,)
 
 capacity: build ## make the tables and plots of docs/CAPACITY.md again
-	$(BIN)/rockwind-bench scale --sweep --output docs/capacity
+	$(BIN)/rockwind-bench scale --sweep --output docs/capacity --page docs/CAPACITY.md
 
 clean: ## remove what was built
 	rm -rf $(BIN) spec/build demo-data
--- a/internal/bench/scale/command.go
+++ b/internal/bench/scale/command.go
@@ -25,7 +25,11 @@
 	Shards   int           `help:"Job shards." default:"4"`
 	Idle     time.Duration `help:"Length of the idle window." default:"15s"`
 	Busy     time.Duration `help:"Length of the busy window." default:"25s"`
-	Quiet    bool          `help:"Measure the idle window only."`
+	Jobs     int           `help:"Batch jobs that wait."`
+	JobItems int           `help:"Items of each of them." default:"1000"`
+	Sweep    bool          `help:"Measure fleets of many sizes, fit how the costs grow, and end with a run of the full size."`
+	Output   string        `help:"Folder for the tables and plots of a sweep." default:"docs/capacity" type:"path"`
+	Page     string        `help:"Page whose generated parts a sweep replaces; empty for none." type:"path"`
 	Programs string        `help:"Folder of the programs; empty takes that of this one." type:"path"`
 	Folder   string        `help:"Folder for the processes' files; empty makes one and removes it." type:"path"`
 	JSON     bool          `help:"Print the figures as JSON." name:"json"`
@@ -38,24 +42,32 @@
 	if err := c.size().check(); err != nil {
 		return err
 	}
-	result, err := c.measure(ctx, c.size())
+	if c.Sweep {
+		return c.sweep(ctx)
+	}
+	result, err := c.measure(ctx, c.size(), Options{Idle: c.Idle, Busy: c.Busy, Settle: settleTime})
 	if err != nil {
 		return err
 	}
 	if err := c.print(result); err != nil {
 		return err
 	}
-	if len(result.Violations) > 0 {
-		return fault.Newf(fault.Internal, "see the figures above for the part that costs too much",
-			"%d limits are exceeded; the first: %s", len(result.Violations), result.Violations[0])
+	return result.verdict()
+}
+
+// verdict is an error where a limit is exceeded.
+func (r *Result) verdict() error {
+	if len(r.Violations) == 0 {
+		return nil
 	}
-	return nil
+	return fault.Newf(fault.Internal, "see the figures above for the part that costs too much",
+		"%d limits are exceeded; the first: %s", len(r.Violations), r.Violations[0])
 }
 
 func (c *Command) size() Size {
 	return Size{
 		Daemons: c.Daemons, Servers: c.Servers, Tenants: c.Tenants, Models: c.Models,
-		Controls: c.Controls, Shards: c.Shards,
+		Controls: c.Controls, Shards: c.Shards, Jobs: c.Jobs, JobItems: c.JobItems,
 	}
 }
 
@@ -75,7 +87,7 @@
 }
 
 // measure runs one fleet from start to end.
-func (c *Command) measure(ctx context.Context, size Size) (*Result, error) {
+func (c *Command) measure(ctx context.Context, size Size, options Options) (*Result, error) {
 	folder, programs := c.Folder, c.Programs
 	if folder == "" {
 		made, err := os.MkdirTemp("", "rockwind-scale-")
@@ -99,7 +111,7 @@
 	}
 	defer started.kill()
 	startSeconds := time.Since(begun).Seconds()
-	result, err := run(ctx, started, Options{Idle: c.Idle, Busy: c.Busy, Quiet: c.Quiet})
+	result, err := run(ctx, started, options)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bench/scale/layout.go
+++ b/internal/bench/scale/layout.go
@@ -1,9 +1,6 @@
 package scale
 
-import (
-	"fmt"
-	"slices"
-)
+import "fmt"
 
 // Size of the fleet that is planned for.
 const (
@@ -23,6 +20,10 @@
 	// Controls is the number of control machines, Shards that of the job shards.
 	Controls int `json:"controls"`
 	Shards   int `json:"shards"`
+	// Jobs is how many batch jobs wait, with JobItems items each. They ask for a
+	// model that no server holds, so nothing takes them up.
+	Jobs     int `json:"jobs"`
+	JobItems int `json:"job_items"`
 }
 
 // zoneName names the zone of the given number; zones of a region follow each
@@ -70,12 +71,3 @@
 func lostZone(size Size) int {
 	return spreadZone(min(1, size.Controls-1))
 }
-
-// middle returns the median of values, which it sorts, and the worst of them.
-func middle(values []float64) (median, worst float64) {
-	if len(values) == 0 {
-		return 0, 0
-	}
-	slices.Sort(values)
-	return values[len(values)/2], values[len(values)-1]
-}
--- a/internal/bench/scale/run.go
+++ b/internal/bench/scale/run.go
@@ -11,6 +11,8 @@
 	settleTime = 8 * time.Second
 	// spareTime is how long the zone stays lost.
 	spareTime = 5 * time.Second
+	// sweepChanges is how many changes a run of a sweep makes.
+	sweepChanges = 3
 )
 
 // Result is what a run found.
@@ -38,9 +40,10 @@
 
 // Options says how long the windows are.
 type Options struct {
-	Idle, Busy time.Duration
-	// Quiet leaves out all but the idle window.
-	Quiet bool
+	Idle, Busy, Settle time.Duration
+	// ChangesOnly leaves out the online load, the restarts and the losses: the busy
+	// window holds changes of configuration only.
+	ChangesOnly bool
 }
 
 // run measures a started cluster.
@@ -52,28 +55,71 @@
 		return nil, err
 	}
 	result.Changes = append(result.Changes, first)
-	load := c.startOnline(ctx)
-	defer load.stop()
-	if err := pause(ctx, settleTime); err != nil {
+	if err := c.submitJobs(ctx); err != nil {
 		return nil, err
 	}
-	if err := c.measureWindow(ctx, "idle", result, func() error { return pause(ctx, options.Idle) }); err != nil {
-		return nil, err
+	if options.ChangesOnly {
+		err = c.measureChanges(ctx, options, track, result)
+	} else {
+		err = c.measureAll(ctx, options, track, result)
 	}
-	if !options.Quiet {
-		if err := c.busy(ctx, options, track, result); err != nil {
-			return nil, err
-		}
-		if err := c.losses(ctx, track, result); err != nil {
-			return nil, err
-		}
+	if err != nil {
+		return nil, err
 	}
 	result.Reverts = track.reverts
-	result.Online = load.stop()
 	result.judge()
 	return result, nil
 }
 
+// measureAll measures the idle and the busy window and brings about all losses,
+// under online load.
+func (c *cluster) measureAll(ctx context.Context, options Options, track *tracker, result *Result) error {
+	load := c.startOnline(ctx)
+	defer load.stop()
+	if err := c.idle(ctx, options, result); err != nil {
+		return err
+	}
+	if err := c.busy(ctx, options, track, result); err != nil {
+		return err
+	}
+	if err := c.losses(ctx, track, result); err != nil {
+		return err
+	}
+	result.Online = load.stop()
+	return nil
+}
+
+// measureChanges measures the idle window and one with changes only.
+func (c *cluster) measureChanges(ctx context.Context, options Options, track *tracker, result *Result) error {
+	if err := c.idle(ctx, options, result); err != nil {
+		return err
+	}
+	return c.measureWindow(ctx, windowChanges, result, func() error {
+		ended := time.Now().Add(options.Busy)
+		for range sweepChanges {
+			if err := c.changeAfter(ctx, "changes", track, result); err != nil {
+				return err
+			}
+			result.Events.Changes++
+		}
+		return pause(ctx, time.Until(ended))
+	})
+}
+
+func (c *cluster) idle(ctx context.Context, options Options, result *Result) error {
+	if err := pause(ctx, options.Settle); err != nil {
+		return err
+	}
+	return c.measureWindow(ctx, windowIdle, result, func() error { return pause(ctx, options.Idle) })
+}
+
+// Names of the windows.
+const (
+	windowIdle    = "idle"
+	windowBusy    = "busy"
+	windowChanges = "changes"
+)
+
 func pause(ctx context.Context, length time.Duration) error {
 	select {
 	case <-ctx.Done():
@@ -105,7 +151,7 @@
 }
 
 func (c *cluster) busy(ctx context.Context, options Options, track *tracker, result *Result) error {
-	return c.measureWindow(ctx, "busy", result, func() error {
+	return c.measureWindow(ctx, windowBusy, result, func() error {
 		var err error
 		var changes []Change
 		result.Events, changes, err = c.disturb(ctx, options.Busy, track)
--- a/internal/bench/scale/sample.go
+++ b/internal/bench/scale/sample.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"gonum.org/v1/gonum/stat"
+
 	"rockwind.example/rockwind/internal/bench/fleet"
 	"rockwind.example/rockwind/internal/bench/hollow"
 )
@@ -48,15 +51,20 @@
 	return taken, nil
 }
 
-// Spread is the median and the worst of a figure over daemons or processes.
+// Spread is the median, the mean and the worst of a figure over daemons or
+// processes.
 type Spread struct {
 	Median float64 `json:"median"`
+	Mean   float64 `json:"mean"`
 	Worst  float64 `json:"worst"`
 }
 
 func spreadOf(values []float64) Spread {
-	median, worst := middle(values)
-	return Spread{Median: median, Worst: worst}
+	if len(values) == 0 {
+		return Spread{}
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return Spread{Median: sorted[len(sorted)/2], Mean: stat.Mean(values, nil), Worst: sorted[len(sorted)-1]}
 }
 
 // DaemonFigures is what control costs the gateways in one window.
