Give engines of an ended version to the model that needs them most

Cause: a server that held an ended version of a model counted as holding the model, so that the model could not take it; a model under less pressure did, and the server moved back later. The test of versions side by side over engine stand-ins ended with 3 engines of 4. Change: only versions with traffic count, and a model under less pressure waits while one under more waits for its need to last.

--- a/internal/placement/moves.go
+++ b/internal/placement/moves.go
@@ -29,7 +29,7 @@
 	zones := d.tallies[model.Name].replicas.zones
 	var best candidate
 	for _, server := range d.servers {
-		if !server.mayHold(model.Name) || server.holdsModel(model.Name) || !d.idle(server, urgent) || !wanted(server) {
+		if !server.mayHold(model.Name) || model.replicaOn(server) || !d.idle(server, urgent) || !wanted(server) {
 			continue
 		}
 		offered, possible := d.offer(server)
@@ -163,7 +163,8 @@
 			continue
 		}
 		if !d.lasted(ReasonDemand, model.Name, d.policy.Sustain) || !d.mayLoad() {
-			continue
+			// A model under less pressure must not take what this one waits for.
+			return false
 		}
 		if chosen, found := d.takeServer(model, false, justified); found {
 			d.load(model, chosen, ReasonDemand)
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -212,12 +212,6 @@
 	}
 }
 
-// holdsModel tells whether the server holds or loads a version of a model.
-func (s *Server) holdsModel(model string) bool {
-	isOf := func(version VersionName) bool { return version.Model == model }
-	return slices.ContainsFunc(s.Versions, isOf) || slices.ContainsFunc(s.LoadingVersions, isOf)
-}
-
 func (s *Server) mayHold(model string) bool { return slices.Contains(s.May, model) }
 
 // free returns the number of free slots.
