Report the demand for each model in the exchange

Cause: placement needs to know what is asked of each model, also of models that no server holds; digests and group use do not tell. Change: gateways count served and refused cost by model and adapter and report it with their exchange; the board keeps rates, and Status gives them.

--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -220,7 +220,7 @@
 	}
 	candidate := e.candidate(current.lease, time.Now())
 	e.picker.Charge(&candidate, cost-current.estimate)
-	e.options.Served(job.GetGroup(), cost)
+	e.options.Served(job.GetGroup(), job.GetModel(), cost)
 }
 
 // answered reports the answer of an item: an answer with an error status ends
--- a/internal/batch/executor.go
+++ b/internal/batch/executor.go
@@ -41,8 +41,8 @@
 	Current func() *configuration.Index
 	// Concurrency bounds the items in flight.
 	Concurrency int
-	// Served is told what a group's items received, in cost units.
-	Served func(group string, cost float64)
+	// Served is told what an item of a group and model received, in cost units.
+	Served func(group, model string, cost float64)
 	// Ended is told how each item ended.
 	Ended func(outcome rockwindpb.ItemOutcome)
 	// Log takes what operators should know.
--- a/internal/control/exchange/board.go
+++ b/internal/control/exchange/board.go
@@ -57,6 +57,7 @@
 	turn          int
 	groups        map[string]*groupRate
 	tenants       map[string]*tenantRate
+	models        map[string]*rate
 }
 
 // zone holds the servers of one zone.
@@ -100,6 +101,7 @@
 		b.update(now, caller, digest)
 	}
 	b.countUsage(now, caller, request)
+	caller.countModels(now, request.GetModels())
 	response := &rockwindpb.ExchangeResponse{
 		Version:             b.version(),
 		Servers:             b.changedServers(now, caller, request.GetSinceVersion()),
@@ -124,6 +126,7 @@
 			startedUnixMs: request.GetStartedUnixMs(),
 			groups:        make(map[string]*groupRate),
 			tenants:       make(map[string]*tenantRate),
+			models:        make(map[string]*rate),
 		}
 		b.gateways[caller.name] = caller
 	}
--- a/internal/control/exchange/zones.go
+++ b/internal/control/exchange/zones.go
@@ -128,6 +128,7 @@
 	response := &rockwindpb.FleetStatusResponse{
 		Daemons:             b.ownDaemons(now),
 		LatestConfiguration: b.index.Number(),
+		Models:              b.ModelDemands(now),
 	}
 	for _, name := range slices.Sorted(maps.Keys(b.others)) {
 		response.Daemons = append(response.Daemons, b.others[name].daemons...)
--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -122,6 +122,7 @@
 	}
 	g.observe(c.upstream, result, started)
 	g.usage.online(tenant.GetGroup(), c.served(result))
+	g.models.online(c.chooser.wanted, c.served(result), result.Begun)
 	if result.Begun && !result.Whole && !c.upstream.Stream {
 		// The connection is cut, so that a part is not taken for the whole.
 		panic(http.ErrAbortHandler)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -52,15 +52,16 @@
 	bounded, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	draining, _ := g.drain.state()
-	groups, tenants := g.usage.take(g.batch.Demand()), g.limiter.Usage(time.Now())
+	groups, tenants, models := g.usage.take(g.batch.Demand()), g.limiter.Usage(time.Now()), g.models.take()
 	response, err := g.control.Fleet().Exchange(bounded, &rockwindpb.ExchangeRequest{
 		Gateway: g.settings.GetName(), Address: g.settings.GetInternalListen(), Zone: g.settings.GetZone(),
 		ConfigurationNumber: g.follower.Current().Number(), Owned: g.view.Digests(),
-		Groups: groups, Tenants: tenants, Draining: draining,
+		Groups: groups, Tenants: tenants, Models: models, Draining: draining,
 		SinceVersion: version, StartedUnixMs: g.started.UnixMilli(),
 	})
 	if err != nil {
 		g.usage.restore(groups)
+		g.models.restore(models)
 		g.limiter.Restore(tenants)
 		return nil
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,7 @@
 	view     *serverview.View
 	limiter  *limits.Limiter
 	usage    *groupUsage
+	models   *modelUsage
 	metrics  *metrics
 	drain    *drainState
 	batch    *batch.Executor
@@ -128,7 +129,7 @@
 	g := &Gateway{
 		settings: settings, log: logger, ring: ring, started: time.Now(), follower: following, control: client,
 		client: backEnds, budget: upstream.NewBudget(), limiter: limits.New(),
-		usage: newGroupUsage(), metrics: newMetrics(), drain: newDrainState(),
+		usage: newGroupUsage(), models: newModelUsage(), metrics: newMetrics(), drain: newDrainState(),
 		inForce: func(*configuration.Index) {},
 	}
 	g.metrics.describeState(func() uint64 { return following.Current().Number() }, g.drain)
@@ -140,7 +141,7 @@
 		Holder: settings.GetName() + "/" + strconv.FormatInt(g.started.UnixMilli(), 10),
 		Jobs:   client.Jobs(), Bodies: client.Bodies(), Relay: g.relay, View: g.view,
 		Current: following.Current, Concurrency: int(settings.GetBatchConcurrency()),
-		Served: g.usage.batch, Ended: g.metrics.itemEnded, Log: logger,
+		Served: g.servedBatch, Ended: g.metrics.itemEnded, Log: logger,
 	})
 	return g
 }
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -40,6 +40,12 @@
 	u.group(group).BatchCost += cost
 }
 
+// servedBatch counts service to a batch item for its group and its model.
+func (g *Gateway) servedBatch(group, model string, cost float64) {
+	g.usage.batch(group, cost)
+	g.models.batch(model, cost)
+}
+
 // take returns the counts and starts anew; demand is the cost of batch work
 // that waits, by group.
 func (u *groupUsage) take(demand map[string]float64) []*rockwindpb.GroupUsage {
