Order engines by placement from the leader of the root group

Change: package placer surveys the fleet (digests and demand of all control machines), claims each engine with an order of its own term that changes nothing, plans, and sends orders whose fences hold the term, so that a deposed leader's are refused. The control daemon runs it where placement.enabled is set; flags may now set numbers and truths. Figures: go test ./internal/placer ./internal/control: over stand-ins a shift of demand moves two engines in two moves; an applier of an earlier term gets 409 and changes nothing; after the root leader's stop the next one moves engines on, and a fence of the former term is refused.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -33,6 +33,8 @@
 	running  []*running
 	// tls is nil where the machines talk in the clear.
 	tls *rockwindpb.TlsSettings
+	// placement is nil where it is off.
+	placement *rockwindpb.PlacementSettings
 }
 
 type running struct {
@@ -47,10 +49,23 @@
 	return c
 }
 
+// startPlacing starts a cluster with placement turned on.
+func startPlacing(t testing.TB, placement *rockwindpb.PlacementSettings) *cluster {
+	t.Helper()
+	c := newClusterWith(t, nil, placement)
+	c.found(http.DefaultClient, "http://")
+	return c
+}
+
 // newCluster starts machines that belong to no cluster yet.
 func newCluster(t testing.TB, tls *rockwindpb.TlsSettings) *cluster {
 	t.Helper()
-	c := &cluster{t: t, running: make([]*running, machineCount), tls: tls}
+	return newClusterWith(t, tls, nil)
+}
+
+func newClusterWith(t testing.TB, tls *rockwindpb.TlsSettings, placement *rockwindpb.PlacementSettings) *cluster {
+	t.Helper()
+	c := &cluster{t: t, running: make([]*running, machineCount), tls: tls, placement: placement}
 	listeners := make([]net.Listener, machineCount)
 	for index := range machineCount {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -100,6 +115,7 @@
 		DataFolder:  c.folders[index],
 		Control:     c.machines,
 		InternalTls: c.tls,
+		Placement:   c.placement,
 		Tick:        durationpb.New(testTick),
 	}
 	go func() {
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -241,6 +241,7 @@
 	group.Go(func() error { return d.exchange.run(parts) })
 	group.Go(func() error { return d.keepGroups(parts, group) })
 	group.Go(func() error { return d.followConfiguration(parts) })
+	group.Go(func() error { return d.place(parts) })
 	group.Go(func() error {
 		defer stopParts()
 		serving, cancel := joined(ctx, parts)
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -129,6 +129,7 @@
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
+	response.Models = append(response.Models, s.daemon.waitingItems()...)
 	return response, nil
 }
 
--- /dev/null
+++ b/internal/control/placement.go
@@ -0,0 +1,87 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
+
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/placer"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/sharding"
+)
+
+// place runs placement where the settings turn it on. It acts on the machine that
+// leads the root group.
+func (d *daemon) place(ctx context.Context) error {
+	settings := d.settings.GetPlacement()
+	if !settings.GetEnabled() {
+		return nil
+	}
+	started := time.Now()
+	options := placer.FromSettings(settings)
+	options.Leading = d.leadsRoot
+	options.Survey = d.surveyFleet
+	options.Client = &http.Client{}
+	options.Now = func() time.Duration { return time.Since(started) }
+	options.Log = log.Log
+	return placer.New(options).Run(ctx)
+}
+
+// leadsRoot tells whether this machine holds the leader lease of the root group.
+func (d *daemon) leadsRoot() (uint64, bool) {
+	group, known := d.host.Group(sharding.RootGroup)
+	if !known {
+		return 0, false
+	}
+	return group.Leading()
+}
+
+// surveyFleet gathers what all control machines know of the fleet. A machine that
+// does not answer is left out: its servers have no digest then and are left alone.
+func (d *daemon) surveyFleet(ctx context.Context) (placer.Survey, error) {
+	index, known := d.index(ctx)
+	if !known {
+		return placer.Survey{}, fault.New(fault.Unavailable, "this machine has no configuration yet", "wait for the first configuration")
+	}
+	others := d.others()
+	answers := make([]*rockwindpb.FleetStatusResponse, len(others)+1)
+	var calls errgroup.Group
+	calls.Go(func() error {
+		answers[len(others)], _ = d.exchange.Status(ctx, &rockwindpb.FleetStatusRequest{})
+		return nil
+	})
+	for position, other := range others {
+		calls.Go(func() error {
+			bounded, cancel := context.WithTimeout(ctx, shareTimeout)
+			defer cancel()
+			client := rockwindpb.NewFleetServiceProtobufClient(d.baseURL(other), d.client)
+			answers[position], _ = client.Status(bounded, &rockwindpb.FleetStatusRequest{})
+			return nil
+		})
+	}
+	_ = calls.Wait()
+	survey := placer.Survey{Index: index}
+	for _, answer := range answers {
+		survey.Digests = append(survey.Digests, answer.GetServers()...)
+		survey.Demands = append(survey.Demands, answer.GetModels()...)
+	}
+	return survey, nil
+}
+
+// waitingItems counts the batch items that wait by model in the shards that this
+// machine leads; keepers show no work elsewhere.
+func (d *daemon) waitingItems() []*rockwindpb.ModelDemand {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var demands []*rockwindpb.ModelDemand
+	for _, held := range d.shards {
+		for _, entry := range held.work.current().demand {
+			demands = append(demands, &rockwindpb.ModelDemand{Model: entry.Model, WaitingItems: entry.Waiting})
+		}
+	}
+	return demands
+}
--- /dev/null
+++ b/internal/placer/settings.go
@@ -0,0 +1,58 @@
+package placer
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"rockwind.example/rockwind/internal/placement"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// Defaults of the settings.
+const (
+	defaultInterval = 10 * time.Second
+	defaultWarmUp   = 15 * time.Second
+)
+
+// FromSettings returns the options that settings give; what they leave out takes
+// its default.
+func FromSettings(settings *rockwindpb.PlacementSettings) Options {
+	policy := placement.DefaultPolicy()
+	setDuration(&policy.Dwell, settings.GetDwell())
+	setDuration(&policy.Sustain, settings.GetSustain())
+	policy.FloorSustain = min(policy.FloorSustain, policy.Sustain)
+	setNumber(&policy.FloorReplicas, settings.GetFloorReplicas())
+	setNumber(&policy.FloorZones, settings.GetFloorZones())
+	setNumber(&policy.ChangesAtOnce, settings.GetChangesAtOnce())
+	setNumber(&policy.LoadsAtOnce, settings.GetLoadsAtOnce())
+	setPart(&policy.Margin, settings.GetMargin())
+	setPart(&policy.MinimumPressure, settings.GetMinimumPressure())
+	setPart(&policy.WeightStoreRate, settings.GetWeightStoreBytesPerSecond())
+	setPart(&policy.WeightsBytes, settings.GetWeightsBytes())
+	options := Options{
+		Policy: policy, Interval: defaultInterval, WarmUp: defaultWarmUp,
+		VersionsPerEngine: int(settings.GetVersionsPerEngine()),
+	}
+	setDuration(&options.Interval, settings.GetInterval())
+	setDuration(&options.WarmUp, settings.GetWarmUp())
+	return options
+}
+
+func setDuration(target *time.Duration, given *durationpb.Duration) {
+	if given != nil {
+		*target = given.AsDuration()
+	}
+}
+
+func setNumber(target *int, given uint32) {
+	if given > 0 {
+		*target = int(given)
+	}
+}
+
+func setPart(target *float64, given float64) {
+	if given > 0 {
+		*target = given
+	}
+}
--- /dev/null
+++ b/internal/placer/state.go
@@ -0,0 +1,132 @@
+package placer
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"rockwind.example/rockwind/internal/placement"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// engineState is what the applier knows of one engine in this term.
+type engineState struct {
+	name    string
+	address string
+	// claimed engines have accepted a fence of this term.
+	claimed bool
+	// known is set while report is what the engine said last.
+	known  bool
+	report engineReport
+	// pending is the change under way, nil for none.
+	pending   *pendingChange
+	changedAt time.Duration
+}
+
+// pendingChange is a change whose orders were accepted, or may have been.
+type pendingChange struct {
+	versions  []placement.VersionName
+	adapters  []placement.AdapterName
+	unloaded  []string
+	expiresAt time.Duration
+}
+
+// loadTimeout is how long a load may take before the engine counts as free again.
+const loadTimeout = 10 * time.Minute
+
+func newPending(orders []placement.Order, now time.Duration) *pendingChange {
+	pending := &pendingChange{expiresAt: now + loadTimeout}
+	for _, order := range orders {
+		switch order.Action {
+		case placement.ActionLoadModel:
+			pending.versions = append(pending.versions, order.Version)
+		case placement.ActionLoadAdapter:
+			pending.adapters = append(pending.adapters, order.Adapter)
+		case placement.ActionUnloadModel:
+			pending.unloaded = append(pending.unloaded, order.Version.String())
+		case placement.ActionUnloadAdapter:
+			pending.unloaded = append(pending.unloaded, order.Adapter.String())
+		}
+	}
+	return pending
+}
+
+// settled tells whether what an engine holds shows that a change is done.
+func (p *pendingChange) settled(loaded []string) bool {
+	for _, version := range p.versions {
+		if !slices.Contains(loaded, version.String()) {
+			return false
+		}
+	}
+	for _, adapter := range p.adapters {
+		if !slices.Contains(loaded, adapter.String()) {
+			return false
+		}
+	}
+	return !slices.ContainsFunc(p.unloaded, func(name string) bool { return slices.Contains(loaded, name) })
+}
+
+// observe takes what an engine said.
+func (e *engineState) observe(report engineReport, now time.Duration) {
+	e.report, e.known = report, true
+	if e.pending == nil {
+		return
+	}
+	if e.pending.settled(report.Loaded) {
+		e.pending = nil
+		return
+	}
+	if now >= e.pending.expiresAt {
+		e.pending, e.changedAt = nil, now
+	}
+}
+
+// differs tells whether a gateway saw something else than the applier knows. An
+// empty list in a digest stands for one that did not change.
+func (e *engineState) differs(digest *rockwindpb.ServerDigest) bool {
+	seen := digest.GetLoaded()
+	if len(seen) == 0 {
+		return false
+	}
+	return !slices.Equal(slices.Sorted(slices.Values(seen)), slices.Sorted(slices.Values(e.report.Loaded)))
+}
+
+// managed tells whether placement may order an engine about: it names versions of
+// models, and does not accept every model.
+func (e *engineState) managed() bool {
+	if !e.known || !e.claimed || e.report.Loaded == nil {
+		return false
+	}
+	return !slices.ContainsFunc(e.report.Loaded, func(name string) bool { return !strings.ContainsAny(name, "@:") })
+}
+
+// server turns the state into the planner's form.
+func (e *engineState) server() placement.Server {
+	server := placement.Server{
+		Name: e.name, Role: e.report.Role, Busy: e.pending != nil, ChangedAt: e.changedAt, Usable: e.managed(),
+	}
+	for _, name := range e.report.Loaded {
+		if e.pending != nil && slices.Contains(e.pending.unloaded, name) {
+			continue
+		}
+		if model, version, found := strings.Cut(name, "@"); found {
+			server.Versions = append(server.Versions, placement.VersionName{Model: model, Version: version})
+		} else if model, adapter, found := strings.Cut(name, ":"); found {
+			server.Adapters = append(server.Adapters, placement.AdapterName{Model: model, Adapter: adapter})
+		}
+	}
+	if e.pending == nil {
+		return server
+	}
+	for _, version := range e.pending.versions {
+		if !slices.Contains(server.Versions, version) {
+			server.LoadingVersions = append(server.LoadingVersions, version)
+		}
+	}
+	for _, adapter := range e.pending.adapters {
+		if !slices.Contains(server.Adapters, adapter) {
+			server.LoadingAdapters = append(server.LoadingAdapters, adapter)
+		}
+	}
+	return server
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -58,6 +58,7 @@
 	l.checkSelf(settings)
 	l.checkMutualTLS("internal_tls", settings.GetInternalTls())
 	l.checkDuration(fieldPath{"tick"}, settings.GetTick(), minimumTick, maximumTick)
+	l.checkPlacement(settings.GetPlacement())
 }
 
 func (l *loader) checkSelf(settings *rockwindpb.ControlSettings) {
--- a/internal/settings/override.go
+++ b/internal/settings/override.go
@@ -132,6 +132,18 @@
 			return "write a whole number"
 		}
 		target.Set(field, protoreflect.ValueOfUint32(uint32(number)))
+	case field.Kind() == protoreflect.DoubleKind:
+		number, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return "write a number"
+		}
+		target.Set(field, protoreflect.ValueOfFloat64(number))
+	case field.Kind() == protoreflect.BoolKind:
+		truth, err := strconv.ParseBool(value)
+		if err != nil {
+			return "write true or false"
+		}
+		target.Set(field, protoreflect.ValueOfBool(truth))
 	default:
 		target.Set(field, protoreflect.ValueOfString(value))
 	}
