Keep headroom for the prompts that are likely to follow

Change: the budget leaves room for three times the recent load of prompts and no longer counts the prompts of a single step in full.

--- a/internal/sharing/budget.go
+++ b/internal/sharing/budget.go
@@ -54,6 +54,9 @@
 	// PromptWeight is the part of the prompts of the next step that counts
 	// against the target for a token; what does not count is made good later.
 	PromptWeight float64
+	// PromptForecast is how much of the recent load of prompts is expected to go
+	// on.
+	PromptForecast float64
 	// RepaySteps is over how many steps answers that lag behind catch up.
 	RepaySteps int
 	// FirstTokenPart and PerTokenPart are the parts of the target that batch may
@@ -81,7 +84,8 @@
 		PerPromptToken: 30 * time.Microsecond,
 		PerItem:        200 * time.Microsecond,
 		PromptChunk:    512,
-		PromptWeight:   1,
+		PromptWeight:   0.3,
+		PromptForecast: 3,
 		RepaySteps:     4,
 		FirstTokenPart: 0.95,
 		PerTokenPart:   1,
@@ -106,6 +110,9 @@
 	TokensPerStep int
 }
 
+// maximumPromptPart keeps the model of a step finite on an overloaded server.
+const maximumPromptPart = 0.9
+
 // staleItems is the budget of a server whose report is too old to trust.
 const staleItems = 1
 
@@ -142,6 +149,8 @@
 	spare := limit - withPrompts
 	if state.Pace != nil {
 		full := online + time.Duration(p.PromptChunk)*p.PerPromptToken
+		part := min(maximumPromptPart, p.PromptForecast*state.Pace.PromptPart(p.PerPromptToken, now))
+		spare = min(spare, scaled(limit, 1-part)-online)
 		target := scaled(state.Target.FirstToken, p.FirstTokenPart)
 		if forPrompts, some := state.Pace.StepForPrompts(target, p.PromptChunk, full, now); some {
 			spare = min(spare, forPrompts-full)
--- a/internal/sharing/pace.go
+++ b/internal/sharing/pace.go
@@ -1,6 +1,7 @@
 package sharing
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -32,6 +33,8 @@
 	// debt is the largest time by which any answer that ends now would lag
 	// behind the target.
 	debt time.Duration
+	// promptLoad is the sum of prompt tokens sent, decaying with time.
+	promptLoad decaying
 	// progressAt is when the processing of the oldest prompt began.
 	progressAt time.Duration
 }
@@ -49,6 +52,7 @@
 	if len(p.prompts) == 0 {
 		p.progressAt = now
 	}
+	p.promptLoad.add(float64(promptTokens), now)
 	p.prompts = append(p.prompts, waitingPrompt{id: id, tokens: promptTokens, sentAt: now})
 }
 
@@ -134,6 +138,12 @@
 	return len(p.prompts)
 }
 
+// PromptPart is the part of the server's time that prompts took lately; it
+// exceeds 1 where prompts arrive faster than they are processed.
+func (p *Pace) PromptPart(perToken, now time.Duration) float64 {
+	return p.promptLoad.value(now) * float64(perToken) / float64(loadMemory)
+}
+
 // PromptTokens sums the prompts that wait to be processed.
 func (p *Pace) PromptTokens() int {
 	sum := 0
@@ -162,3 +172,21 @@
 	}
 	return least, true
 }
+
+// loadMemory is the time constant of recent load.
+const loadMemory = 700 * time.Millisecond
+
+// decaying is a sum that decays exponentially with loadMemory.
+type decaying struct {
+	sum float64
+	at  time.Duration
+}
+
+func (d *decaying) add(amount float64, now time.Duration) {
+	d.sum = d.value(now) + amount
+	d.at = now
+}
+
+func (d *decaying) value(now time.Duration) float64 {
+	return d.sum * math.Exp(-float64(now-d.at)/float64(loadMemory))
+}
