Sync the cluster file outside the mutex of the replica host

Cause: a machine that was founded or joined synced its cluster file while it held the mutex that every message, Identity and founding call needs, so a slow disk held up all of them.

Change: becoming part of a cluster is serialised by a semaphore of its own; the mutex is held only to look and to change.

--- a/internal/replica/founding.go
+++ b/internal/replica/founding.go
@@ -198,22 +198,40 @@
 	return h.enter(&cluster{id: request.GetClusterId(), groups: request.GetGroups()})
 }
 
-// enter makes this machine part of a cluster and starts its groups.
+// enter makes this machine part of a cluster and starts its groups. Calls take
+// turns; the cluster file is synced outside the host's mutex, which every message
+// needs.
 func (h *Host) enter(entered *cluster) error {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if !h.running {
-		return notBegun("this control machine is starting or stopping")
-	}
-	if h.cluster != nil {
-		if h.cluster.id != entered.id {
-			return otherCluster(h.options.Machine, h.cluster.id)
-		}
-		return nil
+	h.entering <- struct{}{}
+	defer func() { <-h.entering }()
+	done, err := h.entered(entered)
+	if done || err != nil {
+		return err
 	}
 	if err := saveCluster(h.options.FileSystem, h.options.Folder, h.log.DiskID(), entered); err != nil {
 		return errors.Wrap(err, "write cluster file")
 	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
 	h.cluster = entered
+	if !h.running {
+		return notBegun("this control machine is stopping; it takes part when it is started again")
+	}
 	return h.startGroups()
 }
+
+// entered tells whether this machine is part of a cluster already. It fails where
+// that is another one.
+func (h *Host) entered(wanted *cluster) (bool, error) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	switch {
+	case !h.running:
+		return false, notBegun("this control machine is starting or stopping")
+	case h.cluster == nil:
+		return false, nil
+	case h.cluster.id != wanted.id:
+		return false, otherCluster(h.options.Machine, h.cluster.id)
+	}
+	return true, nil
+}
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -34,6 +34,9 @@
 	ctx     context.Context
 	workers *errgroup.Group
 
+	// entering holds a value while the host becomes part of a cluster.
+	entering chan struct{}
+
 	mutex   sync.Mutex
 	running bool
 	cluster *cluster
@@ -61,6 +64,7 @@
 		log:      opened,
 		receiver: newReceiver(),
 		found:    make(chan struct{}),
+		entering: make(chan struct{}, 1),
 		owners:   map[uint32]*owner{},
 		changed:  make(chan struct{}),
 	}
