Test the commands over a real system and mend what they showed

A test starts a control machine and a gateway from the command line, in one process, and runs the operator's commands against them: cluster init, apply (also resent, raced and bad), diff, get, status, jobs (submit, resubmit, show, results, cancel, list, by gateway and by control), logs, SIGUSR1, drain, and fifteen kinds of bad input with their exit codes.

SIGUSR1 writes to the command's error output.

--- a/internal/command/apply.go
+++ b/internal/command/apply.go
@@ -123,11 +123,13 @@
 // force.
 func (s *session) awaitInForce(wanted uint64, limit time.Duration) error {
 	deadline := time.Now().Add(limit)
+	progress := newProgress(s.stderr)
 	for {
 		behind, err := s.gatewaysBehind(wanted)
 		if err == nil && len(behind) == 0 {
 			return nil
 		}
+		progress.report("configuration %d is not in force yet at %d gateways", wanted, len(behind))
 		if time.Now().After(deadline) {
 			return notInForce(wanted, behind, err)
 		}
--- /dev/null
+++ b/internal/command/cluster_test.go
@@ -0,0 +1,322 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"rockwind.example/rockwind/internal/bench/fleet"
+	"rockwind.example/rockwind/internal/engine"
+	"rockwind.example/rockwind/internal/standin"
+)
+
+const testWait = 30 * time.Second
+
+// output collects what a daemon or a command prints.
+type output struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.text.Write(p)
+}
+
+func (o *output) String() string {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.text.String()
+}
+
+// daemon is a daemon of the command line in this process.
+type daemon struct {
+	address string
+	stderr  *output
+	stop    context.CancelFunc
+	ended   chan int
+}
+
+// system is one control machine, one gateway and one engine.
+type system struct {
+	t       *testing.T
+	folder  string
+	control *daemon
+	gateway *daemon
+	callers string
+	engine  string
+}
+
+// freeAddress finds a loopback address whose port is free.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func startSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{t: t, folder: t.TempDir()}
+	s.startEngine()
+	address := freeAddress(t)
+	machines := fmt.Sprintf("control: [{machine: control-1, address: %q, zone: a}]\n", address)
+	s.control = s.start("control", address, machines+
+		fmt.Sprintf("machine: control-1\nzone: a\nlisten: %q\ndata_folder: %q\n", address, filepath.Join(s.folder, "control")))
+	s.await("/healthz", s.control.address)
+	s.expect(ExitOK, "founded", "cluster", "init", "--shards", "1")
+	s.callers, address = freeAddress(t), freeAddress(t)
+	s.gateway = s.start("gateway", address, machines+
+		fmt.Sprintf("name: gateway-1\nzone: a\nlisten: %q\ninternal_listen: %q\ndata_folder: %q\n", s.callers, address, filepath.Join(s.folder, "gateway")))
+	s.await("/healthz", s.gateway.address)
+	return s
+}
+
+func (s *system) startEngine() {
+	config := engine.FastConfig()
+	config.TokensPerStep = 1
+	config.Loaded = []string{"writer@v1"}
+	stand, err := standin.NewEngine(standin.EngineOptions{Name: "engine", Config: config})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	server := httptest.NewServer(stand.Handler())
+	s.engine = server.Listener.Addr().String()
+	s.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+		_ = stand.Close()
+	})
+}
+
+// start runs a daemon with the given settings.
+func (s *system) start(kind, address, settings string) *daemon {
+	ctx, stop := context.WithCancel(context.Background())
+	started := &daemon{address: address, stderr: &output{}, stop: stop, ended: make(chan int, 1)}
+	file := s.write(kind+".yaml", settings)
+	go func() {
+		started.ended <- Run(ctx, []string{kind, "--settings", file}, nil, started.stderr, started.stderr)
+	}()
+	s.t.Cleanup(func() {
+		stop()
+		if code := <-started.ended; code != ExitOK {
+			s.t.Errorf("the %s daemon ended with %d: %s", kind, code, started.stderr)
+		}
+		started.ended <- ExitOK
+	})
+	return started
+}
+
+func (s *system) write(name, content string) string {
+	s.t.Helper()
+	path := filepath.Join(s.folder, name)
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return path
+}
+
+// await waits until a page is there.
+func (s *system) await(page, address string) {
+	s.t.Helper()
+	s.eventually(page+" of "+address, func() bool {
+		response, err := http.Get("http://" + address + page)
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+func (s *system) eventually(what string, met func() bool) {
+	s.t.Helper()
+	for deadline := time.Now().Add(testWait); !met(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+// run runs a command and returns its exit code and what it printed.
+func (s *system) run(arguments ...string) (code int, stdout, stderr string) {
+	out, failure := &output{}, &output{}
+	arguments = append(arguments, "--control", s.control.address)
+	code = Run(s.t.Context(), arguments, strings.NewReader(""), out, failure)
+	return code, out.String(), failure.String()
+}
+
+// expect runs a command, checks its exit code and that it prints a text, and
+// returns its output.
+func (s *system) expect(code int, text string, arguments ...string) string {
+	s.t.Helper()
+	got, stdout, stderr := s.run(arguments...)
+	if got != code || !strings.Contains(stdout+stderr, text) {
+		s.t.Errorf("%v ended with %d, want %d with %q:\n%s%s", arguments, got, code, text, stdout, stderr)
+	}
+	return stdout
+}
+
+// expectJSON runs a command with --output json and decodes what it prints.
+func expectJSON[T any](s *system, arguments ...string) T {
+	s.t.Helper()
+	var decoded T
+	text := s.expect(ExitOK, "", append(arguments, "--output", "json")...)
+	if err := json.Unmarshal([]byte(text), &decoded); err != nil {
+		s.t.Errorf("%v printed no JSON: %v\n%s", arguments, err, text)
+	}
+	return decoded
+}
+
+// configuration is a file with the given number and share.
+func (s *system) configuration(number int, share string) string {
+	return s.write(fmt.Sprintf("configuration-%d-%s.yaml", number, share), fmt.Sprintf(`number: %d
+groups: [{name: south, share: %s, objective: throughput}]
+tenants: [{name: clinic, group: south, api_key_sha256: [%s]}]
+models: [{name: writer, context_tokens: 8192, versions: [{name: v1, weight: 1, weights_id: w}]}]
+batch_classes: [{name: nightly, tries: 3, deadline: 1h, weight: 1}]
+back_ends: [{name: engine-1, kind: engine, address: %q, zone: a, serves: [writer], accelerators: 1}]
+policy: {retry_ratio: 0.1, online_step_target: 50ms, online_queue_timeout: 2s, result_retention: 24h, idempotency_retention: 24h}
+`, number, share, fleet.KeyHash("secret"), s.engine))
+}
+
+// requests is the input of a batch.
+func (s *system) requests(name string, count, tokens int) string {
+	var lines strings.Builder
+	for number := range count {
+		fmt.Fprintf(&lines, `{"custom_id":"%s-%d","method":"POST","url":"/v1/chat/completions","body":`+
+			`{"model":"writer","max_tokens":%d,"messages":[{"role":"user","content":"%s"}]}}`+"\n", name, number, tokens, name)
+	}
+	return s.write(name+".jsonl", lines.String())
+}
+
+// TestCommandsOverARealSystem runs the operator's commands against daemons that
+// the command line started.
+func TestCommandsOverARealSystem(t *testing.T) {
+	s := startSystem(t)
+	t.Setenv("ROCKWIND_GATEWAY", "http://"+s.callers)
+	t.Setenv("ROCKWIND_API_KEY", "secret")
+	s.checkConfigurations()
+	s.await("/readyz", s.gateway.address)
+	s.checkStatus()
+	s.checkJobs()
+	s.checkRefusals()
+	s.checkLogs()
+	s.checkDrain()
+}
+
+func (s *system) checkConfigurations() {
+	first := s.configuration(1, "1")
+	s.expect(ExitOK, "configuration 1 accepted", "apply", "-f", first, "--operator", "ann", "--wait", "20s")
+	s.expect(ExitOK, "configuration 1 had been accepted before (operator ann", "apply", "-f", first, "--operator", "ann")
+	s.expect(ExitConflict, "ann", "apply", "-f", s.configuration(1, "2"), "--operator", "bob")
+	s.expect(ExitRefused, "bad.yaml:2:", "apply", "-f", s.write("bad.yaml", "number: 2\nnoise: 1\n"))
+	s.expect(ExitOK, "no difference", "diff", "-f", first)
+	if differences := expectJSON[[]any](s, "diff", "-f", first); differences == nil || len(differences) != 0 {
+		s.t.Errorf("no difference is printed as %v", differences)
+	}
+	s.expect(ExitOK, "share", "diff", "-f", s.configuration(2, "5"))
+	s.expect(ExitOK, "south", "get", "groups")
+}
+
+func (s *system) checkStatus() {
+	s.eventually("the gateway in the status", func() bool {
+		state := expectJSON[statusJSON](s, "status")
+		return state.LatestConfiguration == 1 && len(state.Gateways) == 1 && len(state.ControlMachines) == 1
+	})
+	s.expect(ExitOK, "gateway-1", "status")
+	s.expect(ExitOK, "leader", "cluster", "status")
+}
+
+func (s *system) checkJobs() {
+	input := s.requests("clue", 40, 3)
+	submitted := expectJSON[job](s, "jobs", "submit", "-f", input, "--class", "nightly")
+	if again := expectJSON[job](s, "jobs", "submit", "-f", input, "--class", "nightly"); again.ID != submitted.ID {
+		s.t.Errorf("a resubmission made job %s beside %s", again.ID, submitted.ID)
+	}
+	s.eventually("the end of the job", func() bool { return expectJSON[job](s, "jobs", "show", submitted.ID).State == "completed" })
+	results := s.expect(ExitOK, "clue-39", "jobs", "results", submitted.ID)
+	if lines := strings.Count(results, "\n"); lines != 40 {
+		s.t.Errorf("%d lines of results for 40 items", lines)
+	}
+	long := expectJSON[job](s, "jobs", "submit", "-f", s.requests("long", 10, 5000))
+	s.expect(ExitOK, "is cancelled", "jobs", "cancel", long.ID)
+	s.expect(ExitOK, "no result (the job is cancelled)", "jobs", "results", long.ID, "--gateway", "")
+	for _, source := range []string{"http://" + s.callers, ""} {
+		if listed := expectJSON[[]job](s, "jobs", "list", "--gateway", source); len(listed) != 2 {
+			s.t.Errorf("jobs at %q: %v", source, listed)
+		}
+	}
+}
+
+// checkRefusals gives bad input to the commands.
+func (s *system) checkRefusals() {
+	input := s.requests("again", 1, 1)
+	for _, refused := range []struct {
+		code      int
+		text      string
+		arguments []string
+	}{
+		{ExitRefused, "expected one of", []string{}},
+		{ExitRefused, "no such file", []string{"jobs", "submit", "-f", filepath.Join(s.folder, "nothing")}},
+		{ExitRefused, "item 1 of the file", []string{"jobs", "submit", "-f", s.write("noise", "noise\n")}},
+		{ExitRefused, "no items", []string{"jobs", "submit", "-f", s.write("empty", "")}},
+		{ExitRefused, `no batch class "daily"`, []string{"jobs", "submit", "-f", input, "--class", "daily"}},
+		{ExitRefused, "API key is not known", []string{"jobs", "submit", "-f", input, "--api-key", "guess"}},
+		{ExitRefused, "write a URL", []string{"jobs", "list", "--gateway", "127.0.0.1:1"}},
+		{ExitRefused, "--limit is -5", []string{"jobs", "list", "--limit=-5"}},
+		{ExitRefused, "no job", []string{"jobs", "cancel", "job-1-0000000000000000"}},
+		{ExitRefused, "check the identifier", []string{"jobs", "show", "nothing", "--gateway", ""}},
+		{ExitRefused, "not an address", []string{"drain", "gateway-1"}},
+		{ExitRefused, "--deadline is -1s", []string{"drain", s.gateway.address, "--deadline=-1s"}},
+		{ExitRefused, "give both or none", []string{"status", "--tls-key", input}},
+		{ExitUnavailable, "check that the process", []string{"logs", freeAddress(s.t)}},
+	} {
+		s.expect(refused.code, refused.text, refused.arguments...)
+	}
+	out := &output{}
+	code := Run(s.t.Context(), []string{"status", "--control", freeAddress(s.t), "--timeout", "1s"}, nil, out, out)
+	if code != ExitUnavailable || !strings.Contains(out.String(), "no control machine answered") {
+		s.t.Errorf("status without control ended with %d: %s", code, out)
+	}
+}
+
+func (s *system) checkLogs() {
+	s.expect(ExitOK, "configuration in force", "logs", s.gateway.address)
+	s.expect(ExitOK, "control machine serves", "logs", s.control.address)
+	if strings.Contains(s.gateway.stderr.String(), "configuration in force") {
+		s.t.Error("the gateway wrote its log without a reason")
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGUSR1); err != nil {
+		s.t.Fatal(err)
+	}
+	s.eventually("the log on SIGUSR1", func() bool {
+		return strings.Contains(s.gateway.stderr.String(), "configuration in force") &&
+			strings.Contains(s.control.stderr.String(), "control machine serves")
+	})
+}
+
+// checkDrain drains the gateway, which then ends.
+func (s *system) checkDrain() {
+	s.expect(ExitOK, "is drained", "drain", s.gateway.address, "--deadline", "20s")
+	code := <-s.gateway.ended
+	if code != ExitOK {
+		s.t.Errorf("the drained gateway ended with %d", code)
+	}
+	s.gateway.ended <- code
+}
--- a/internal/command/daemons.go
+++ b/internal/command/daemons.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -42,7 +43,7 @@
 	signal.Ignore(syscall.SIGHUP)
 	tuneCollector()
 	ring := logring.New(logring.DefaultCapacity, s.stderr)
-	stop := dumpOnSignal(s.context, ring)
+	stop := dumpOnSignal(s.context, ring, s.stderr)
 	defer stop()
 	return gateway.Run(s.context, loaded, gateway.WithLogs(ring))
 }
@@ -69,7 +70,7 @@
 	signal.Ignore(syscall.SIGHUP)
 	ring := logring.New(logring.DefaultCapacity, s.stderr)
 	log.SetHandler(ring)
-	stop := dumpOnSignal(s.context, ring)
+	stop := dumpOnSignal(s.context, ring, s.stderr)
 	defer stop()
 	options := []control.Option{control.WithLogs(ring)}
 	if c.AllowFaultInjection {
@@ -78,9 +79,9 @@
 	return control.Run(s.context, loaded, options...)
 }
 
-// dumpOnSignal writes the ring to standard error at SIGUSR1 until the context
+// dumpOnSignal writes the ring to the output at SIGUSR1 until the context
 // ends or the returned function is called.
-func dumpOnSignal(ctx context.Context, ring *logring.Ring) func() {
+func dumpOnSignal(ctx context.Context, ring *logring.Ring, output io.Writer) func() {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGUSR1)
 	go func() {
@@ -89,7 +90,7 @@
 			case <-ctx.Done():
 				return
 			case <-signals:
-				if err := ring.Dump(os.Stderr); err != nil {
+				if err := ring.Dump(output); err != nil {
 					log.WithError(err).Warn("could not write the log ring")
 				}
 			}
--- a/internal/command/diff.go
+++ b/internal/command/diff.go
@@ -30,8 +30,8 @@
 		return err
 	}
 	differences := configuration.Diff(before, after)
-	if len(differences) == 0 && !s.printer.json {
-		return s.printer.line(nil, "no difference from configuration %d", before.Number())
+	if len(differences) == 0 {
+		return s.printer.line([]configuration.Difference{}, "no difference from configuration %d", before.Number())
 	}
 	return s.printer.print(differences, differenceTable(differences))
 }
--- a/internal/command/drain.go
+++ b/internal/command/drain.go
@@ -1,8 +1,11 @@
 package command
 
 import (
+	"context"
+	"fmt"
 	"time"
 
+	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -25,9 +28,37 @@
 	if err != nil {
 		return err
 	}
+	if d.Deadline < 0 || d.Deadline > maximumDrainWait {
+		return fault.Newf(fault.InvalidArgument, fmt.Sprintf("write a time of at most %v", maximumDrainWait), "--deadline is %v", d.Deadline)
+	}
+	watching, stop := context.WithCancel(s.context)
+	defer stop()
+	go s.watchDrain(watching, admin)
 	response, err := admin.Drain(s.context, &rockwindpb.DrainRequest{DeadlineMs: uint32(d.Deadline.Milliseconds())})
+	stop()
 	if err != nil {
 		return err
 	}
 	return s.printer.line(response, "%s is drained, or drains on after the deadline", d.Address)
 }
+
+// maximumDrainWait bounds how long a command waits for a drain.
+const maximumDrainWait = 24 * time.Hour
+
+// watchDrain reports the requests in progress until the context ends.
+func (s *session) watchDrain(ctx context.Context, admin rockwindpb.AdminService) {
+	ticker := time.NewTicker(progressInterval)
+	defer ticker.Stop()
+	progress := newProgress(s.stderr)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		state, err := admin.State(ctx, &rockwindpb.DaemonStateRequest{})
+		if err == nil {
+			progress.note("%d requests in progress", state.GetRequestsInProgress())
+		}
+	}
+}
--- a/internal/command/jobs.go
+++ b/internal/command/jobs.go
@@ -61,6 +61,9 @@
 	return newControlJobs(s, j.Tenant)
 }
 
+// maximumListed is how many jobs a list may have.
+const maximumListed = 100
+
 // jobsList is 'rockwind jobs list' and 'rockwind get jobs'.
 type jobsList struct {
 	jobSource
@@ -74,6 +77,10 @@
 	if err != nil {
 		return err
 	}
+	if l.Limit < 1 || l.Limit > maximumListed {
+		return fault.Newf(fault.InvalidArgument, fmt.Sprintf("write a number from 1 to %d, and list further with --after", maximumListed),
+			"--limit is %d", l.Limit)
+	}
 	ctx, cancel := s.bounded()
 	defer cancel()
 	jobs, err := access.list(ctx, l.After, l.Limit)
@@ -168,7 +175,8 @@
 	return access.results(s.context, j.ID, s.printer.output, newProgress(s.stderr))
 }
 
-// progress reports how far a long output is, at most once a second.
+// progress reports on the error output how far a long command is, at most once a
+// second.
 type progress struct {
 	output io.Writer
 	last   time.Time
@@ -180,12 +188,13 @@
 	return &progress{output: output, last: time.Now()}
 }
 
-func (p *progress) report(done, total uint32) {
+// report writes a line, unless one was written within the last second.
+func (p *progress) report(format string, arguments ...any) {
 	if time.Since(p.last) < progressInterval {
 		return
 	}
 	p.last = time.Now()
-	fmt.Fprintf(p.output, "%d of %d items\n", done, total)
+	p.note(format, arguments...)
 }
 
 func (p *progress) note(format string, arguments ...any) {
@@ -218,6 +227,9 @@
 	if err != nil {
 		return err
 	}
+	if len(data) > longUpload {
+		newProgress(s.stderr).note("uploading %d MiB", len(data)>>20)
+	}
 	ctx, cancel := s.bounded()
 	defer cancel()
 	submitted, err := jobs.submit(ctx, j, data)
@@ -227,6 +239,9 @@
 	return s.printer.line(submitted, "job %s accepted with %d items (%s)", submitted.ID, submitted.Items, submitted.State)
 }
 
+// longUpload is the size in bytes from which an upload is announced.
+const longUpload = 4 << 20
+
 // stateName turns a state of the schema into a word.
 func stateName(state fmt.Stringer) string {
 	return strings.ToLower(strings.TrimPrefix(state.String(), "JOB_STATE_"))
--- a/internal/command/jobs_control.go
+++ b/internal/command/jobs_control.go
@@ -97,7 +97,7 @@
 			break
 		}
 		from = page.GetNextItem()
-		progress.report(from, total)
+		progress.report("%d of %d items", from, total)
 	}
 	if written < total {
 		progress.note("%d of %d items have no result (the job is %s)", total-written, total, shown.State)
--- a/internal/command/jobs_gateway.go
+++ b/internal/command/jobs_gateway.go
@@ -9,6 +9,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -40,6 +41,10 @@
 	if err := needKey(apiKey); err != nil {
 		return nil, err
 	}
+	parsed, err := url.Parse(gateway)
+	if err != nil || (parsed.Scheme != "http" && parsed.Scheme != "https") || parsed.Host == "" {
+		return nil, fault.Newf(fault.InvalidArgument, "write a URL, for example http://10.0.0.1:8080", "--gateway is %q", gateway)
+	}
 	carrier, err := s.connection.httpClient()
 	if err != nil {
 		return nil, err
@@ -188,7 +193,7 @@
 // Write implements io.Writer.
 func (l *lineCounter) Write(data []byte) (int, error) {
 	l.lines += uint32(bytes.Count(data, []byte{'\n'}))
-	l.progress.report(l.lines, l.total)
+	l.progress.report("%d of %d items", l.lines, l.total)
 	return l.output.Write(data)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -168,6 +168,7 @@
 	batchEnded := make(chan struct{})
 	group.Go(func() error { defer close(batchEnded); g.batch.Run(batching); return nil })
 	listeners.serve(group, g)
+	g.log.WithField("address", listeners.callers.Addr().String()).Info("gateway serves")
 	select {
 	case <-ctx.Done():
 	case <-background.Done():
@@ -191,9 +192,13 @@
 
 // followConfiguration gives every new configuration to the view.
 func (g *Gateway) followConfiguration(ctx context.Context) {
+	var inForce uint64
 	for {
 		changed := g.follower.Changed()
-		g.configure()
+		if number := g.configure(); number != inForce {
+			inForce = number
+			g.log.WithField("number", number).Info("configuration in force")
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -202,11 +207,13 @@
 	}
 }
 
-func (g *Gateway) configure() {
+// configure puts the current configuration in force and returns its number.
+func (g *Gateway) configure() uint64 {
 	index := g.follower.Current()
 	defer g.inForce(index)
 	g.view.Configure(serverview.Declared{
 		Models: index.Models(), Services: index.Services(), BackEnds: index.BackEnds(),
 		StepTarget: index.Policy().GetOnlineStepTarget().AsDuration(),
 	})
+	return index.Number()
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/secure"
 	"rockwind.example/rockwind/internal/upstream"
@@ -118,6 +119,10 @@
 	case !result.Whole:
 		outcome = "refused"
 	}
+	if result.Fault != nil && result.Fault.Ran == fault.RanUnknown {
+		g.log.WithField("request", request.ID).WithField("attempts", result.Attempts).WithError(result.Fault).
+			Warn("the outcome of a request is unknown")
+	}
 	m := g.metrics
 	m.requests.WithLabelValues(kind, outcome).Inc()
 	m.attempts.Add(float64(result.Attempts))
