--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -9,6 +9,7 @@
 	"math/rand"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -278,8 +279,23 @@
   bin/rockwind status
   bin/rockwind get configuration
 
+Submit a batch job, and look at it:
+  export ROCKWIND_GATEWAY=http://%[2]s ROCKWIND_API_KEY=%[3]s
+  echo '{"custom_id":"a","method":"POST","url":"/v1/chat/completions","body":{"model":"%[4]s","max_tokens":20,"messages":[{"role":"user","content":"hello"}]}}' |
+    bin/rockwind jobs submit -f -
+  bin/rockwind jobs list
+
 Stop it:
-  pkill -f %[1]s
+  kill %[6]s
 `, running.Folder, running.Gateways[0].Address, fleet.APIKey(fleet.TenantName(fleet.GroupScheduling, 0)),
-		fleet.ModelName, strings.Join(running.ControlAddresses(), ","))
+		fleet.ModelName, strings.Join(running.ControlAddresses(), ","), processIDs(running))
+}
+
+// processIDs lists the processes of a fleet for a shell.
+func processIDs(running *fleet.Fleet) string {
+	var list []string
+	for _, process := range running.Processes() {
+		list = append(list, strconv.Itoa(process.Pid()))
+	}
+	return strings.Join(list, " ")
 }
