Sync the newest log segment before its entries are trusted

Cause: a process killed between the write and the sync of a frame leaves bytes that the next process reads whole from the page cache. It took them for durable, acknowledged them, and started a new segment. A power cut then tore the frame, which no longer was in the newest segment, so the log was refused as damaged; a quorum could have lost an entry that was counted. Change: opening a log syncs the newest segment and its folder before the second pass builds the groups' views. The oracle test now also ends a process, and not only a machine, within a write.

--- a/internal/wal/replay.go
+++ b/internal/wal/replay.go
@@ -12,6 +12,11 @@
 // torn end and finds the newest snapshot of each group; a second one appends
 // what stands behind them. Entries under a snapshot are skipped, because the
 // segments that held their predecessors may be gone.
+//
+// In between, the newest segment is synced: a process that was killed in a
+// write may have left a frame that can be read and would not outlast the next
+// power cut. What a group's view shows must be durable, because the replica
+// acknowledges it.
 func (l *Log) replay() error {
 	numbers, err := l.listSegments()
 	if err != nil {
@@ -29,6 +34,9 @@
 	if numbers, err = l.listSegments(); err != nil {
 		return err
 	}
+	if err := l.syncNewest(numbers); err != nil {
+		return err
+	}
 	for _, number := range numbers {
 		current := &segment{number: number, last: map[uint32]uint64{}}
 		l.segments = append(l.segments, current)
@@ -39,6 +47,23 @@
 	return nil
 }
 
+// syncNewest makes the newest segment durable, by its content and by its name.
+func (l *Log) syncNewest(numbers []uint64) error {
+	if len(numbers) == 0 {
+		return nil
+	}
+	path := l.segmentPath(numbers[len(numbers)-1])
+	file, err := l.options.FileSystem.Append(path)
+	if err != nil {
+		return diskFault(err, "open the newest log segment")
+	}
+	defer func() { _ = file.Close() }()
+	if err := file.Sync(); err != nil {
+		return syncFault(err)
+	}
+	return diskFaultOrNil(l.options.FileSystem.SyncFolder(filepath.Dir(path)), "sync log folder")
+}
+
 func (l *Log) listSegments() ([]uint64, error) {
 	names, err := l.options.FileSystem.List(filepath.Join(l.options.Folder, segmentFolder))
 	if err != nil {
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -166,11 +166,12 @@
 	c.groups = next
 }
 
-// crash may interrupt a write: then the group holds the state before it or,
-// all groups together, the state behind it.
-func (c *checker) crash() {
+// stop ends the process, or the machine with it, and may do so within a write:
+// then the group holds the state before it or, all groups together, the state
+// behind it. What an opened log holds must withstand the next crash.
+func (c *checker) stop(end func()) {
 	if !rapid.Bool().Draw(c.t, "within a write") {
-		c.disk.Crash(c.random)
+		end()
 		c.open()
 		return
 	}
@@ -186,7 +187,7 @@
 	if err != nil && c.log.Write(nil) == nil {
 		c.t.Fatalf("the log goes on after a failed sync")
 	}
-	c.disk.Crash(c.random)
+	end()
 	c.open()
 	after := before[update.Group].clone()
 	after.apply(update, content)
@@ -255,8 +256,8 @@
 		c.open()
 		t.Repeat(map[string]func(*rapid.T){
 			"write":  func(*rapid.T) { c.write() },
-			"crash":  func(*rapid.T) { c.crash() },
-			"kill":   func(*rapid.T) { c.disk.Kill(); c.open() },
+			"crash":  func(*rapid.T) { c.stop(func() { c.disk.Crash(c.random) }) },
+			"kill":   func(*rapid.T) { c.stop(c.disk.Kill) },
 			"":       func(*rapid.T) { c.verify() },
 			"write2": func(*rapid.T) { c.write() },
 		})
