--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -212,7 +212,7 @@
 // marker.
 func writeStreamFault(w http.ResponseWriter, f *fault.Fault) {
 	_, _ = w.Write([]byte("event: error\ndata: "))
-	_, _ = w.Write(encodeError(f))
+	_, _ = w.Write(encodeError(withAdvice(f)))
 	_, _ = w.Write([]byte("\n\n"))
 	_ = http.NewResponseController(w).Flush()
 }
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -72,9 +72,31 @@
 	return encoded
 }
 
-// writeFault answers with a typed error.
+// defaultRetryAfter is the advice where a passing fault brings none.
+const defaultRetryAfter = time.Second
+
+// withAdvice makes every passing fault of a request that did not run tell when to
+// come back.
+func withAdvice(f *fault.Fault) *fault.Fault {
+	if f.RetryAfter > 0 || f.Ran == fault.RanUnknown {
+		return f
+	}
+	switch f.Kind {
+	case fault.LimitReached, fault.Overloaded, fault.Unavailable, fault.NotLeader:
+		return f.WithRetryAfter(defaultRetryAfter)
+	default:
+		return f
+	}
+}
+
+// writeFault answers with a typed error and the status of its kind.
 func writeFault(w http.ResponseWriter, err error) {
 	f := fault.From(err)
+	writeFaultStatus(w, f, f.Kind.HTTPStatus())
+}
+
+func writeFaultStatus(w http.ResponseWriter, f *fault.Fault, status int) {
+	f = withAdvice(f)
 	header := w.Header()
 	if f.Ran == fault.NotRun {
 		header.Set(upstream.HeaderNotRun, "true")
@@ -87,7 +109,7 @@
 		header.Set(headerShouldRetry, "false")
 	}
 	header.Set(headerContentType, contentTypeJSON)
-	w.WriteHeader(f.Kind.HTTPStatus())
+	w.WriteHeader(status)
 	_, _ = w.Write(encodeError(f))
 }
 
--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -147,7 +147,7 @@
 		writeFault(w, fault.Newf(fault.NotFound, "see docs/API.md for the paths", "there is nothing at %s", r.URL.Path).WithRan(fault.NotRun))
 	})
 	router.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
-		writeFault(w, invalid("see docs/API.md for the methods", "%s is not allowed at %s", r.Method, r.URL.Path))
+		writeFaultStatus(w, invalid("see docs/API.md for the methods", "%s is not allowed at %s", r.Method, r.URL.Path), http.StatusMethodNotAllowed)
 	})
 	return router
 }
