Sync a daemon's changes before they are in force again

Cause: a daemon killed between the write and the sync of a change found the record whole in the page cache at its restart and put it in force; a power cut then took it back, which would be a move to an older configuration. Change: the file of changes is synced before it is replayed; the folder was synced before already.

--- a/internal/follower/journal.go
+++ b/internal/follower/journal.go
@@ -76,7 +76,8 @@
 
 // replay returns the configuration after the changes in the file, up to the first
 // that is torn, does not follow on, or does not fit. Where there is such a one the
-// journal is broken.
+// journal is broken. The file is synced first: a process that was killed in a write
+// may have left a record that can be read and would not outlast a power cut.
 func (j *journal) replay(base *configuration.Index) *configuration.Index {
 	file, err := os.Open(j.path)
 	if errors.Is(err, fs.ErrNotExist) {
@@ -87,6 +88,10 @@
 		return base
 	}
 	defer file.Close()
+	if err := file.Sync(); err != nil {
+		j.broken = true
+		return base
+	}
 	changes := j.read(file, base.Number())
 	if len(changes) == 0 {
 		return base
