--- a/cmd/rockwind-bench/main.go
+++ b/cmd/rockwind-bench/main.go
@@ -15,6 +15,7 @@
 	"rockwind.example/rockwind/internal/bench/ledgerbench"
 	"rockwind.example/rockwind/internal/bench/load"
 	"rockwind.example/rockwind/internal/bench/overhead"
+	"rockwind.example/rockwind/internal/bench/placementexperiment"
 	"rockwind.example/rockwind/internal/bench/routingexperiment"
 	"rockwind.example/rockwind/internal/bench/scale"
 	"rockwind.example/rockwind/internal/bench/sharing"
@@ -46,6 +47,8 @@
 type experiments struct {
 	Calibration calibration.Command `cmd:"" help:"Compare real processes with the simulator on one load."`
 
+	Placement placementexperiment.Command `cmd:"" help:"Measure how placement follows a shift of demand, in virtual time."`
+
 	Overhead overhead.Command          `cmd:"" help:"Measure what a gateway adds to a request."`
 	Ledger   ledgerbench.Command       `cmd:"" help:"Measure what keeping the state of jobs costs, and recovery and failover."`
 	Config   configbench.Command       `cmd:"" help:"Measure how fast a configuration is in force everywhere, and what it costs."`
--- /dev/null
+++ b/internal/bench/placementexperiment/run_test.go
@@ -0,0 +1,30 @@
+package placementexperiment
+
+import (
+	"testing"
+	"time"
+)
+
+// TestPlacementFollowsAndBaselinesDoNot runs one small trial: the same seed gives
+// the same outcome, placement follows the shift, and a static fleet leaves the
+// demand unserved that its servers can't carry.
+func TestPlacementFollowsAndBaselinesDoNot(t *testing.T) {
+	trial := Trial{
+		Servers: 12, Load: 0.6, Settle: 10 * time.Minute, Follow: 20 * time.Minute,
+		WeightsBytes: 1e9, StoreRate: 1e9, LoadsAtOnce: 2,
+	}
+	policy := variants()[0].policy
+	outcome := Simulate(trial, policy, 1)
+	if again := Simulate(trial, policy, 1); again != outcome {
+		t.Fatalf("one seed gave %+v and %+v", outcome, again)
+	}
+	if outcome.MovesBefore != 0 || outcome.MovesAfter < 3 || outcome.FollowSeconds >= trial.Follow.Seconds() {
+		t.Fatalf("placement did not follow: %+v", outcome)
+	}
+	// Three servers of twelve carry 3,000 of 5,400 that move to their model, of
+	// 7,200 in all.
+	static := Simulate(trial, nil, 1)
+	if static.MovesAfter != 0 || static.UnservedAfter < 0.33 || static.UnservedAfter > 0.34 {
+		t.Fatalf("a static fleet gave %+v", static)
+	}
+}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -8,14 +8,13 @@
 )
 
 // Planner makes plans from successive views. It remembers averaged demand, how
-// long a need has lasted, and when the last load began. It has one owner.
+// long a need has lasted, and what the weight store has still to deliver. It has one owner.
 type Planner struct {
 	policy  Policy
 	demand  map[string]*average
 	lasting map[need]time.Duration
-	// loadedAt is when the last load of a version was ordered.
-	loadedAt time.Duration
-	loaded   bool
+	// storeFreeAt is when the weight store has delivered all loads ordered.
+	storeFreeAt time.Duration
 }
 
 // need names something that must last before it is acted on.
@@ -170,11 +169,16 @@
 	if !d.mayChange() || d.loading >= max(d.policy.LoadsAtOnce, 1) {
 		return false
 	}
-	if !d.planner.loaded || d.policy.WeightStoreRate <= 0 {
-		return true
+	return d.planner.storeFreeAt <= d.now+d.policy.LoadAhead
+}
+
+// delivery is how long the weight store takes for a version, if it serves nobody
+// else.
+func (p *Policy) delivery() time.Duration {
+	if p.WeightStoreRate <= 0 {
+		return 0
 	}
-	delivery := time.Duration(d.policy.WeightsBytes / d.policy.WeightStoreRate * float64(time.Second))
-	return d.now-d.planner.loadedAt >= delivery
+	return time.Duration(p.WeightsBytes / p.WeightStoreRate * float64(time.Second))
 }
 
 // idle tells whether a server may be changed: nothing is under way there and,
@@ -191,7 +195,7 @@
 		server.apply(order)
 		loads = loads || order.Loads()
 		if order.Action == ActionLoadModel {
-			d.planner.loadedAt, d.planner.loaded = d.now, true
+			d.planner.storeFreeAt = max(d.now, d.planner.storeFreeAt) + d.policy.delivery()
 		}
 	}
 	d.count(server, 1)
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -182,10 +182,14 @@
 	ChangesAtOnce int
 	LoadsAtOnce   int
 	// WeightStoreRate is the rate of the weight store in bytes a second, and
-	// WeightsBytes the size of a version's weights: a load begins only when the
-	// store can have delivered the one before. Zero means no such bound.
+	// WeightsBytes the size of a version's weights: a load is ordered only when the
+	// store can have delivered those before within LoadAhead. A rate of zero means
+	// no such bound.
 	WeightStoreRate float64
 	WeightsBytes    float64
+	// LoadAhead is about the time between two plans, so that the store does not
+	// stand still in between.
+	LoadAhead time.Duration
 	// AdapterReplicas is the least number of a model's replicas that hold each of
 	// its adapters.
 	AdapterReplicas int
@@ -208,6 +212,7 @@
 		SmoothingHalfLife: 20 * time.Second,
 		ChangesAtOnce:     4,
 		LoadsAtOnce:       2,
+		LoadAhead:         10 * time.Second,
 		AdapterReplicas:   2,
 	}
 }
--- a/internal/placer/settings.go
+++ b/internal/placer/settings.go
@@ -35,6 +35,7 @@
 		VersionsPerEngine: int(settings.GetVersionsPerEngine()),
 	}
 	setDuration(&options.Interval, settings.GetInterval())
+	options.Policy.LoadAhead = options.Interval
 	setDuration(&options.WarmUp, settings.GetWarmUp())
 	return options
 }
