Reclaim lent places at once, and add the experiment that judges shares

Cause: a group that came back waited for the next exchange and for borrowed places to fall free, and nothing measured it. Change: groups keep their allowance while idle; sharing.Reclaim pauses an item of the group furthest above its allowance for one furthest below, weighing young items by the prompt they received; gateways lease about a second of work a group. rockwind-bench experiment shares measures three groups in the simulator.

--- a/cmd/rockwind-bench/main.go
+++ b/cmd/rockwind-bench/main.go
@@ -18,6 +18,7 @@
 	"rockwind.example/rockwind/internal/bench/placementexperiment"
 	"rockwind.example/rockwind/internal/bench/routingexperiment"
 	"rockwind.example/rockwind/internal/bench/scale"
+	"rockwind.example/rockwind/internal/bench/shares"
 	"rockwind.example/rockwind/internal/bench/sharing"
 	"rockwind.example/rockwind/internal/standin"
 )
@@ -56,6 +57,7 @@
 	Failures failures.Command          `cmd:"" help:"Measure what failures do to online requests, with and without protections."`
 	Routing  routingexperiment.Command `cmd:"" help:"Measure routing against baselines under lagging reports and lost cache events."`
 	Sharing  sharing.Command           `cmd:"" help:"Judge batch throughput against harm to the online tail, in virtual time."`
+	Shares   shares.Command            `cmd:"" help:"Judge lending and reclaiming among three groups, in virtual time."`
 }
 
 // fleetCommands run whole fleets.
--- /dev/null
+++ b/internal/bench/shares/experiment.go
@@ -0,0 +1,117 @@
+// Package shares is the experiment that judges how batch capacity is lent and
+// reclaimed: three groups, one greedy, one bursty and one idle and back, share a
+// simulated fleet that also serves online requests.
+package shares
+
+import (
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"rockwind.example/rockwind/internal/bench/interval"
+	"rockwind.example/rockwind/internal/sharing"
+	"rockwind.example/rockwind/internal/simulator"
+)
+
+// What is looked at.
+const (
+	// shortfallWindow is the time over which shortfalls are taken.
+	shortfallWindow = 10 * time.Second
+	// reclaimWindow is the time over which a returning group must get its share.
+	reclaimWindow = 300 * time.Millisecond
+	// reclaimPart is the part of its share that it must get in that time.
+	reclaimPart = 0.9
+)
+
+// The aims, stated with the figures.
+const (
+	aimReclaimSeconds = 1
+	aimIdle           = 0.02
+)
+
+// Run holds the figures of one seed.
+type Run struct {
+	Seed uint64 `json:"seed"`
+	// Shortfall is the largest part of the service owed that a group with work
+	// waiting lacked over any ten seconds.
+	Shortfall float64 `json:"largest_shortfall_10s"`
+	// ShortGroup is the group of that shortfall.
+	ShortGroup string `json:"group_of_largest_shortfall"`
+	// Reclaim is the time from the return of the idle group until it gets its
+	// share.
+	Reclaim float64 `json:"time_to_reclaim_s"`
+	// Idle is the part of the places allowed to batch that stay free while work
+	// waits.
+	Idle float64 `json:"idle_while_work_waits"`
+
+	samples []simulator.ServedSample
+}
+
+// Result holds the figures of all seeds.
+type Result struct {
+	Shortfall   interval.Interval `json:"largest_shortfall_10s"`
+	Reclaim     interval.Interval `json:"time_to_reclaim_s"`
+	Idle        interval.Interval `json:"idle_while_work_waits"`
+	AimsMet     bool              `json:"aims_met"`
+	Groups      []string          `json:"groups"`
+	Shares      []float64         `json:"shares"`
+	Definitions map[string]string `json:"definitions"`
+	Runs        []Run             `json:"runs"`
+}
+
+func definitions() map[string]string {
+	return map[string]string{
+		"largest_shortfall_10s": "over every window of 10 s in which a group has items waiting throughout: 1 - service received / service owed; owed is the weighted max-min fair part of what all groups received, in cost units of processed tokens",
+		"time_to_reclaim_s":     "from the arrival of the returning group's job to the end of the first 0.3 s in which it receives 0.9 of what it is owed",
+		"idle_while_work_waits": "batch places that the budgets of the servers allow and that are free, over all allowed places, in samples every 100 ms in which any group's items wait",
+	}
+}
+
+// Measure runs the experiment over consecutive seeds.
+func Measure(scenario simulator.Scenario, seed uint64, seeds int) (*Result, error) {
+	result := &Result{Definitions: definitions(), Runs: make([]Run, seeds)}
+	for _, load := range scenario.Batch {
+		result.Groups = append(result.Groups, load.Group)
+		result.Shares = append(result.Shares, load.Share)
+	}
+	var workers errgroup.Group
+	workers.SetLimit(maximumWorkers)
+	for index := range result.Runs {
+		workers.Go(func() error {
+			result.Runs[index] = measureSeed(scenario, seed+uint64(index))
+			return nil
+		})
+	}
+	if err := workers.Wait(); err != nil {
+		return nil, err
+	}
+	result.Shortfall = interval.Map(result.Runs, func(run Run) float64 { return run.Shortfall })
+	result.Reclaim = interval.Map(result.Runs, func(run Run) float64 { return run.Reclaim })
+	result.Idle = interval.Map(result.Runs, func(run Run) float64 { return run.Idle })
+	result.AimsMet = true
+	for _, run := range result.Runs {
+		result.AimsMet = result.AimsMet && run.Reclaim < aimReclaimSeconds && run.Idle < aimIdle
+	}
+	return result, nil
+}
+
+// maximumWorkers bounds the simulations at a time.
+const maximumWorkers = 6
+
+func measureSeed(scenario simulator.Scenario, seed uint64) Run {
+	alone := simulator.Run(scenario, simulator.OnlineAlone(&scenario), seed)
+	scenario.Target = sharing.Target{
+		FirstToken: simulator.Quantile(alone.TTFT, tail),
+		PerToken:   simulator.Quantile(alone.TPOT, tail),
+	}
+	shared := simulator.Run(scenario, simulator.Rockwind(&scenario), seed)
+	judged := judge{scenario: &scenario, samples: shared.Served}
+	run := Run{Seed: seed, samples: shared.Served, Idle: judged.idle(), Reclaim: judged.reclaim(simulator.GroupReturning, simulator.IdleUntil).Seconds()}
+	var short int
+	run.Shortfall, short = judged.shortfall()
+	run.ShortGroup = scenario.Batch[short].Group
+	return run
+}
+
+// tail is the quantile of online latency that batch must keep.
+const tail = 0.99
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -203,6 +203,16 @@
 	return true
 }
 
+// Progress returns how many prompt and answer tokens of a request are done, and
+// whether the request is known and not over.
+func (e *Engine) Progress(id string) (prompt, answer int, some bool) {
+	entry := e.known[id]
+	if entry == nil || entry.state == stateFinished {
+		return 0, 0, false
+	}
+	return min(entry.computed, entry.request.PromptTokens), entry.produced, true
+}
+
 // Running returns the number of requests that have a place.
 func (e *Engine) Running() int {
 	return len(e.running)
--- a/internal/sharing/allowance.go
+++ b/internal/sharing/allowance.go
@@ -25,7 +25,8 @@
 type GroupAllowance struct {
 	Group string
 	// BatchPart is between 0 and 1. The parts of all groups sum to one unless
-	// there is no group.
+	// there is no group. A group without work keeps its part, so that it gets it
+	// at once when it comes back; the picker lends it to the others meanwhile.
 	BatchPart float64
 }
 
@@ -47,7 +48,7 @@
 var DefaultAccountPolicy = AccountPolicy{
 	Horizon:      2 * time.Second,
 	Memory:       10 * time.Second,
-	MaximumBoost: 0.5,
+	MaximumBoost: 0.02,
 	Reserve:      0.01,
 }
 
@@ -87,7 +88,7 @@
 // uses are forgotten. Output order is that of uses.
 func (a *Account) Allowances(uses []GroupUse, period time.Duration) []GroupAllowance {
 	claims := a.settle(uses, period)
-	parts := waterFill(claims)
+	parts := partsOf(claims)
 	a.boost(uses, parts)
 	a.reserve(parts)
 	allowances := make([]GroupAllowance, len(uses))
--- a/internal/sharing/fill.go
+++ b/internal/sharing/fill.go
@@ -55,28 +55,17 @@
 	return sum
 }
 
-// waterFill returns parts of the capacity that sum to one. Capacity is lent to
-// whoever has demand; without any demand it is split by weight.
-func waterFill(claims []claim) []float64 {
+// partsOf returns parts that sum to one, by weight.
+func partsOf(claims []claim) []float64 {
 	parts := make([]float64, len(claims))
-	wanting := 0.0
 	all := 0.0
 	for _, claim := range claims {
 		all += claim.weight
-		if claim.demand > 0 {
-			wanting += claim.weight
-		}
 	}
 	for index, claim := range claims {
-		switch {
-		case wanting > 0 && claim.demand > 0:
-			parts[index] = claim.weight / wanting
-		case wanting > 0:
-			parts[index] = 0
-		case all > 0:
+		parts[index] = 1 / float64(len(claims))
+		if all > 0 {
 			parts[index] = claim.weight / all
-		default:
-			parts[index] = 1 / float64(len(claims))
 		}
 	}
 	return parts
--- a/internal/simulator/executor.go
+++ b/internal/simulator/executor.go
@@ -20,6 +20,8 @@
 	job    *job
 	shape  shape
 	holder *gateway
+	// startedAt is when it was sent last.
+	startedAt time.Duration
 	// attempts counts the times it was sent.
 	attempts int
 }
@@ -77,6 +79,9 @@
 	}
 	for yield == 0 && len(lane.running) < budget.Items && g.startNext(server, budget) {
 	}
+	if yield == 0 {
+		g.reclaim(server, budget)
+	}
 }
 
 func (g *gateway) mayBatch(server int) bool {
@@ -89,13 +94,17 @@
 }
 
 func (g *gateway) pauseNewest(server int) {
+	if last := len(g.lanes[server].running) - 1; last >= 0 {
+		g.pause(server, last)
+	}
+}
+
+// pause pauses the running item at an index.
+func (g *gateway) pause(server, index int) {
 	run := g.fleet
 	lane := &g.lanes[server]
-	if len(lane.running) == 0 {
-		return
-	}
-	last := lane.running[len(lane.running)-1]
-	lane.running = lane.running[:len(lane.running)-1]
+	last := lane.running[index]
+	lane.running = slices.Delete(lane.running, index, index+1)
 	lane.paused = append(lane.paused, last)
 	run.totals.pauses++
 	id := last.id()
@@ -105,22 +114,41 @@
 	})
 }
 
-// startNext puts back the item that was paused last or starts a new one.
+// startNext starts an item of the group whose turn it is, or puts back the one
+// that it paused last on the server.
 func (g *gateway) startNext(server int, budget sharing.Budget) bool {
-	lane := &g.lanes[server]
-	if last := len(lane.paused) - 1; last >= 0 {
-		g.unpause(server, lane.paused[last])
-		lane.paused = lane.paused[:last]
-		return true
-	}
-	next := g.take()
-	if next == nil {
+	candidates, loads := g.candidates(server)
+	chosen, found := g.picker.Pick(candidates, g.fleet.clock.now)
+	if !found {
+		g.refill()
 		return false
 	}
-	g.submit(server, next, budget)
+	g.startOf(server, loads[chosen], &candidates[chosen], budget)
 	return true
 }
 
+// startOf puts back or starts an item of a group.
+func (g *gateway) startOf(server, load int, candidate *sharing.Candidate, budget sharing.Budget) {
+	lane := &g.lanes[server]
+	if last := lane.lastPaused(load); last >= 0 {
+		paused := lane.paused[last]
+		lane.paused = slices.Delete(lane.paused, last, last+1)
+		g.unpause(server, paused)
+		return
+	}
+	g.submit(server, g.take(load, candidate), budget)
+}
+
+// lastPaused is the index of the item of a group that was paused last.
+func (l *lane) lastPaused(load int) int {
+	for index := len(l.paused) - 1; index >= 0; index-- {
+		if l.paused[index].load == load {
+			return index
+		}
+	}
+	return -1
+}
+
 func (g *gateway) unpause(server int, paused *item) {
 	run := g.fleet
 	g.lanes[server].running = append(g.lanes[server].running, paused)
@@ -134,6 +162,7 @@
 func (g *gateway) submit(server int, next *item, budget sharing.Budget) {
 	run := g.fleet
 	next.attempts++
+	next.startedAt = run.clock.now
 	g.lanes[server].running = append(g.lanes[server].running, next)
 	g.view.Sent(server, next.shape.prompt, true)
 	request := engine.Request{
--- a/internal/simulator/fleet.go
+++ b/internal/simulator/fleet.go
@@ -35,6 +35,7 @@
 	items    []*item
 	events   []engine.Event
 	totals   batchTotals
+	sampling *sampling
 }
 
 // Run simulates a policy on a scenario and returns what was measured.
@@ -103,6 +104,9 @@
 	for _, gateway := range f.gateways {
 		gateway.start()
 	}
+	if f.scenario.SampleEvery > 0 {
+		f.startSampling()
+	}
 	for _, fault := range f.scenario.Faults {
 		f.clock.at(fault.At, func() {
 			f.nodes[fault.Engine].engine.Inject(f.clock.now, fault.Fault)
--- a/internal/simulator/ledger.go
+++ b/internal/simulator/ledger.go
@@ -12,8 +12,8 @@
 // leaseLow and leaseSize are the items queued in a gateway, per owned server,
 // below which it asks for more, and how many it asks for.
 const (
-	leaseLow  = 32
-	leaseSize = 48
+	leaseLow  = 6
+	leaseSize = 12
 )
 
 // job is one heap in the ledger.
@@ -32,7 +32,6 @@
 	uses    []sharing.GroupUse
 	settled time.Duration
 	parts   []sharing.GroupAllowance
-	served  []servedSample
 }
 
 func newLedger(run *fleet) *ledger {
@@ -140,15 +139,19 @@
 	}
 }
 
-// take picks the next item by the groups' allowances and charges it.
-func (g *gateway) take() *item {
+// candidates lists the groups with an item that may run on a server.
+func (g *gateway) candidates(server int) ([]sharing.Candidate, []int) {
 	candidates := make([]sharing.Candidate, 0, len(g.queues))
 	loads := make([]int, 0, len(g.queues))
 	for load := range g.queues {
-		if len(g.queues[load].items) == 0 {
+		var first *item
+		if last := g.lanes[server].lastPaused(load); last >= 0 {
+			first = g.lanes[server].paused[last]
+		} else if len(g.queues[load].items) > 0 {
+			first = g.queues[load].items[0]
+		} else {
 			continue
 		}
-		first := g.queues[load].items[0]
 		candidates = append(candidates, sharing.Candidate{
 			Group:     g.fleet.scenario.Batch[load].Group,
 			Deadline:  first.job.deadline,
@@ -156,15 +159,15 @@
 		})
 		loads = append(loads, load)
 	}
-	chosen, found := g.picker.Pick(candidates, g.fleet.clock.now)
-	if !found {
-		g.refill()
-		return nil
-	}
-	queue := &g.queues[loads[chosen]]
+	return candidates, loads
+}
+
+// take takes the next item of a group from its queue and charges it.
+func (g *gateway) take(load int, candidate *sharing.Candidate) *item {
+	queue := &g.queues[load]
 	next := queue.items[0]
 	queue.items = queue.items[1:]
-	g.picker.Charge(&candidates[chosen], next.cost())
+	g.picker.Charge(candidate, next.cost())
 	if len(queue.items) < leaseLow*len(g.owned) {
 		g.refill()
 	}
--- a/internal/simulator/result.go
+++ b/internal/simulator/result.go
@@ -30,6 +30,7 @@
 // completed books an item that is done.
 func (f *fleet) completed(entry *item) {
 	entry.job.left--
+	f.sampleDone(entry)
 	now := f.clock.now
 	second := int(now / time.Second)
 	for len(f.totals.series) <= second {
@@ -68,13 +69,16 @@
 	// Engines sums what all engines did, warm-up included.
 	Engines engine.Totals
 	// Served lists the batch service over time, for the shares experiment.
-	Served []servedSample
+	Served []ServedSample
 }
 
 func (f *fleet) result() Result {
 	result := Result{
 		Policy: f.policy.Name, Seconds: f.scenario.Measured.Seconds(), BatchItems: f.totals.items, BatchCost: f.totals.cost,
-		BatchPerSecond: f.totals.series, Pauses: f.totals.pauses, Served: f.ledger.served,
+		BatchPerSecond: f.totals.series, Pauses: f.totals.pauses,
+	}
+	if f.sampling != nil {
+		result.Served = f.sampling.samples
 	}
 	for index := range f.online {
 		f.measure(&f.online[index], &result)
--- a/internal/simulator/scenario.go
+++ b/internal/simulator/scenario.go
@@ -38,6 +38,9 @@
 	Warmup   time.Duration
 	Measured time.Duration
 	Faults   []ScheduledFault
+	// SampleEvery is the time between samples of the service that groups
+	// receive; zero takes none.
+	SampleEvery time.Duration
 }
 
 // ScheduledFault makes an engine fail at a time.
@@ -189,3 +192,36 @@
 		return Scenario{}, false
 	}
 }
+
+// The three groups of the shares scenario, in the order of their loads.
+const (
+	GroupGreedy = iota
+	GroupBursty
+	GroupReturning
+)
+
+// When the returning group is idle in the shares scenario.
+const (
+	IdleFrom  = 50 * time.Second
+	IdleUntil = 100 * time.Second
+)
+
+// Shares is Magnolia's fleet and online load with the batch work of three
+// groups: one always has more than it can get, one brings more than its share
+// every quarter of a minute and then nothing, and one is idle for a while.
+func Shares() Scenario {
+	scenario := Magnolia()
+	scenario.Name = "shares"
+	class := scenario.Batch[0].Class
+	scenario.Batch = []BatchLoad{
+		{Group: "greedy", Share: 1, HeapEvery: 10 * time.Second, HeapItems: 2600, Deadline: time.Hour, Class: class},
+		{Group: "bursty", Share: 1, HeapEvery: 15 * time.Second, HeapItems: 400, Deadline: time.Hour, Class: class},
+		{
+			Group: "returning", Share: 2, HeapEvery: 10 * time.Second, HeapItems: 1000, Deadline: time.Hour, Class: class,
+			PausedFrom: IdleFrom, PausedUntil: IdleUntil,
+		},
+	}
+	scenario.Measured = 150 * time.Second
+	scenario.SampleEvery = 100 * time.Millisecond
+	return scenario
+}
--- a/internal/simulator/shares.go
+++ b/internal/simulator/shares.go
@@ -6,12 +6,95 @@
 	"rockwind.example/rockwind/internal/sharing"
 )
 
-// servedSample is the batch service of each group in one exchange period.
-type servedSample struct {
-	At   time.Duration
+// ServedSample is what happened in one sampling period.
+type ServedSample struct {
+	// At is the end of the period.
+	At time.Duration
+	// Cost is the batch service that each group received, in cost units.
 	Cost []float64
-	// Wanted tells which groups had work waiting.
+	// Wanted tells which groups had items that waited at the end of the period.
 	Wanted []bool
+	// Places counts the batch items that budgets allowed, and Free those of them
+	// that were not taken, summed over the servers.
+	Places, Free int
+}
+
+// sampling follows the service that groups receive.
+type sampling struct {
+	samples []ServedSample
+	// running is the cost of the items in progress that was counted.
+	running map[*item]float64
+	current []float64
+}
+
+// startSampling schedules samples.
+func (f *fleet) startSampling() {
+	f.sampling = &sampling{running: make(map[*item]float64), current: make([]float64, len(f.scenario.Batch))}
+	var again func()
+	again = func() {
+		f.sample()
+		f.clock.after(f.scenario.SampleEvery, again)
+	}
+	f.clock.after(f.scenario.SampleEvery, again)
+}
+
+// sample takes one sample.
+func (f *fleet) sample() {
+	taken := ServedSample{At: f.clock.now, Wanted: make([]bool, len(f.scenario.Batch))}
+	for server := range f.nodes {
+		owner := f.nodes[server].owner
+		lane := &owner.lanes[server]
+		for _, entry := range lane.running {
+			f.sampleItem(entry, server)
+		}
+		for _, entry := range lane.paused {
+			f.sampleItem(entry, server)
+		}
+		budget, _ := f.policy.Budget(owner.state(server), f.clock.now)
+		taken.Places += budget.Items
+		taken.Free += max(0, budget.Items-len(lane.running))
+	}
+	for load := range taken.Wanted {
+		taken.Wanted[load] = f.waits(load)
+	}
+	taken.Cost = f.sampling.current
+	f.sampling.current = make([]float64, len(f.scenario.Batch))
+	f.sampling.samples = append(f.sampling.samples, taken)
+}
+
+// sampleItem counts the service of an item since the last sample.
+func (f *fleet) sampleItem(entry *item, server int) {
+	prompt, answer, some := f.nodes[server].engine.Progress(entry.id())
+	if !some {
+		return
+	}
+	cost := sharing.Cost(prompt, 0, answer)
+	f.sampling.current[entry.load] += cost - f.sampling.running[entry]
+	f.sampling.running[entry] = cost
+}
+
+// sampleDone counts the rest of an item that is done.
+func (f *fleet) sampleDone(entry *item) {
+	if f.sampling == nil {
+		return
+	}
+	f.sampling.current[entry.load] += entry.cost() - f.sampling.running[entry]
+	delete(f.sampling.running, entry)
+}
+
+// waits tells whether a group has items that wait in control or in a gateway.
+func (f *fleet) waits(load int) bool {
+	for _, job := range f.ledger.jobs[load] {
+		if len(job.waiting) > 0 {
+			return true
+		}
+	}
+	for _, gateway := range f.gateways {
+		if len(gateway.queues[load].items) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // shareUse reports the use since the last exchange to control, which answers
