--- /dev/null
+++ b/internal/command/exitcode_test.go
@@ -0,0 +1,24 @@
+package command
+
+import (
+	"regexp"
+	"strconv"
+	"testing"
+)
+
+// numberRow finds rows of a table that begin with a number.
+var numberRow = regexp.MustCompile(`(?m)^\| (\d+) \|`)
+
+func TestOperationsPageListsTheExitCodes(t *testing.T) {
+	codes := map[int]bool{ExitOK: true, ExitFailed: true, ExitRefused: true, ExitConflict: true, ExitUnavailable: true}
+	for _, row := range numberRow.FindAllStringSubmatch(page(t, "OPERATIONS.md"), -1) {
+		code, err := strconv.Atoi(row[1])
+		if err != nil || !codes[code] {
+			t.Errorf("docs/OPERATIONS.md has exit code %s, which no command gives", row[1])
+		}
+		delete(codes, code)
+	}
+	for code := range codes {
+		t.Errorf("docs/OPERATIONS.md lacks exit code %d", code)
+	}
+}
