Give holders of leases time to reach a new leader

Leases go on to run out while a shard has no leader, and no holder can renew them. After an outage of control longer than a lease (15 s), the next command of the new leader ended them all at once: gateways that worked were fenced and ran their items again, and every item counted a try, so that three such outages could end items as failed that nothing was wrong with.

A keeper that finds itself leading now first proposes the expiry command with renew_leases_ms, which lengthens all leases to at least 15 s, and shows no work before that is executed, hence nothing is granted or ended before. The price is that the items of a gateway that died with the leader wait up to 15 s longer.

The oracle of the ledger knows the renewal. A test restarts all machines while a lease is held; with the renewal taken out it fails, since the lease has its old end.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -142,6 +142,12 @@
 	if err := os.RemoveAll(c.folders[index]); err != nil {
 		c.t.Fatal(err)
 	}
+	c.restart(index)
+}
+
+// restart starts a stopped machine at its address.
+func (c *cluster) restart(index int) {
+	c.t.Helper()
 	listener, err := net.Listen("tcp", c.machines[index].GetAddress())
 	if err != nil {
 		c.t.Fatal(err)
@@ -243,6 +249,42 @@
 	}
 }
 
+// TestNewLeaderRenewsLeases restarts all machines while a gateway holds a lease. The
+// gateway could not renew it meanwhile, and must get the time to.
+func TestNewLeaderRenewsLeases(t *testing.T) {
+	const leaseLength = 10 * time.Second
+	c := startCluster(t)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	client := c.client()
+	submit(ctx, t, client, "key", 2, &rockwindpb.BodyReference{Segment: 1, Length: 1}, false)
+	response, err := client.Jobs().AcquireLeases(ctx, &rockwindpb.AcquireLeasesRequest{
+		Holder: "gateway", MaxItems: 1, Models: []string{"model"}, LeaseMs: uint32(leaseLength.Milliseconds()), WaitMs: 30_000,
+	})
+	if err != nil || len(response.GetGrants()) != 1 {
+		t.Fatalf("grants %v, %v", response.GetGrants(), err)
+	}
+	lease := response.GetGrants()[0].GetLease()
+	for index := range machineCount {
+		c.stop(index)
+	}
+	for index := range machineCount {
+		c.restart(index)
+	}
+	// Work is shown only after the leases were renewed.
+	acquire(ctx, t, client, 1)
+	renewed, err := client.Jobs().HeartbeatLeases(ctx, &rockwindpb.HeartbeatLeasesRequest{
+		Holder: "gateway", LeaseMs: 1, Leases: []*rockwindpb.LeaseKey{{JobId: lease.GetJobId(), Fence: lease.GetFence()}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	verdict := renewed.GetVerdicts()[0]
+	if verdict.GetStop() || verdict.GetExpiresUnixMs() <= lease.GetExpiresUnixMs() {
+		t.Fatalf("the lease ended at %d before the restart, and is %v after it", lease.GetExpiresUnixMs(), verdict)
+	}
+}
+
 // awaitVoter waits until a machine votes in all groups and its old disk is no
 // member any more; until then the groups cannot do without another machine.
 func (c *cluster) awaitVoter(ctx context.Context, index int) {
--- a/internal/control/keeper.go
+++ b/internal/control/keeper.go
@@ -22,6 +22,10 @@
 	retentionPause = time.Minute
 	// sealLimit is how many blocks of results are sealed in one look.
 	sealLimit = 8
+	// leaseGrace is how long holders have to reach a new leader: a few of their
+	// heartbeats. Without it an outage of control would end all leases, fence
+	// holders that work, and count a try for each item.
+	leaseGrace = 15 * time.Second
 	// commandTimeout bounds the commands that a keeper proposes.
 	commandTimeout = 5 * time.Second
 )
@@ -30,10 +34,12 @@
 // expires leases and records when they are due, drops what is past its
 // retention, and seals results. It runs on every replica and acts on the leader.
 type keeper struct {
-	daemon       *daemon
-	shard        *shard
-	term         uint64
-	leading      bool
+	daemon  *daemon
+	shard   *shard
+	term    uint64
+	leading bool
+	// renewedTerm is the last term of leadership in which leases were renewed.
+	renewedTerm  uint64
 	lastExpiry   time.Time
 	lastSealLook time.Time
 	nextRetained time.Time
@@ -77,6 +83,11 @@
 		k.shard.work.show(&workView{})
 		return keeperPause
 	}
+	if k.renewedTerm != term && !k.renewLeases(ctx) {
+		k.shard.work.show(&workView{})
+		return boardPause
+	}
+	k.renewedTerm = term
 	now := time.Now()
 	read := ledgerView{}
 	err := k.shard.group.ReadLocal(ctx, func() {
@@ -101,6 +112,18 @@
 	return max(boardPause, min(keeperPause, time.UnixMilli(read.nextExpiry).Sub(now)))
 }
 
+// renewLeases proposes the command that lengthens all leases, and tells whether it
+// was executed. No lease is ended or granted in a term before.
+func (k *keeper) renewLeases(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	command := &rockwindpb.ExpireCommand{RenewLeasesMs: leaseGrace.Milliseconds()}
+	_, err := propose[rockwindpb.ExpireResponse](ctx, k.shard,
+		&rockwindpb.JobCommand{Command: &rockwindpb.JobCommand_Expire{Expire: command}})
+	k.note(err, "cannot renew leases")
+	return err == nil
+}
+
 // expire proposes the command that ends leases, and once a minute the one that
 // also drops what is past its retention.
 func (k *keeper) expire(ctx context.Context, now time.Time, read ledgerView) {
--- a/internal/ledger/expire.go
+++ b/internal/ledger/expire.go
@@ -10,6 +10,9 @@
 // expire ends leases past their time and drops jobs, files and records past
 // their retention. A retention of zero keeps them.
 func (l *Ledger) expire(now int64, command *rockwindpb.ExpireCommand) (*rockwindpb.ExpireResponse, *fault.Fault) {
+	if renewal := command.GetRenewLeasesMs(); renewal > 0 {
+		l.renewLeases(now + renewal)
+	}
 	response := &rockwindpb.ExpireResponse{Leases: l.expireLeases(now)}
 	response.Unknown = l.giveUpRecords(now, command.GetStartedTimeoutMs())
 	if limit, bounded := keptSince(now, command.GetRetentionMs()); bounded {
@@ -22,6 +25,15 @@
 	return response, nil
 }
 
+// renewLeases lengthens all leases to at least a time.
+func (l *Ledger) renewLeases(until int64) {
+	for _, found := range l.jobs {
+		for _, current := range found.leases {
+			current.expires = max(current.expires, until)
+		}
+	}
+}
+
 // keptSince returns the time before which things are past their retention.
 func keptSince(now, retention int64) (limit int64, bounded bool) {
 	if retention <= 0 || now < math.MinInt64+retention {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -212,6 +212,7 @@
 		RetentionMs:            draw(t, "retention", int64(20_000), 300_000),
 		IdempotencyRetentionMs: draw(t, "records", int64(20_000), 300_000),
 		StartedTimeoutMs:       draw(t, "started", int64(1000), 30_000),
+		RenewLeasesMs:          draw(t, "renew", int64(0), 0, 15_000),
 	}
 	s.run(t, &rockwindpb.JobCommand{Command: &rockwindpb.JobCommand_Expire{Expire: command}})
 }
--- a/internal/ledger/oracle_test.go
+++ b/internal/ledger/oracle_test.go
@@ -381,6 +381,11 @@
 }
 
 func (o *oracle) expire(t *rapid.T, now int64, command *rockwindpb.ExpireCommand, answer any) {
+	if command.RenewLeasesMs > 0 {
+		for _, lease := range o.leases {
+			lease.expires = max(lease.expires, now+command.RenewLeasesMs)
+		}
+	}
 	wanted := &rockwindpb.ExpireResponse{Leases: o.expireLeases(now)}
 	for _, record := range o.records {
 		started := record.definition.State == rockwindpb.RecordState_RECORD_STATE_STARTED
