--- /dev/null
+++ b/internal/engine/reports_test.go
@@ -0,0 +1,133 @@
+package engine
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestReportsLag compares reports with what was true when they say they were
+// taken.
+func TestReportsLag(t *testing.T) {
+	config := DefaultConfig()
+	engine := New(config, rand.New(rand.NewSource(1)))
+	start := time.Second
+	engine.Advance(start, nil)
+	engine.Submit(start, Request{ID: "r", PromptTokens: 10, MaxTokens: 1000})
+	for elapsed := time.Duration(0); elapsed < time.Second; elapsed += 10 * time.Millisecond {
+		now := start + elapsed
+		engine.Advance(now, nil)
+		report := engine.Load(now)
+		if now-report.At < config.ReportLag {
+			t.Fatalf("at %v a report of %v", now, report.At)
+		}
+		if busy := report.RunningOnline == 1; busy != (report.At >= start) {
+			t.Fatalf("at %v the report of %v says %d running", now, report.At, report.RunningOnline)
+		}
+	}
+	engine.Inject(start+time.Second, Fault{Kind: FaultLie})
+	if report := engine.Load(start + time.Second); report.RunningOnline != 0 {
+		t.Fatal("a lying engine tells the truth")
+	}
+}
+
+// TestCacheReadersNeverMissAnEventUnseen follows the events with gaps and
+// resynchronises where a gap shows; the mirror must then equal the cache.
+func TestCacheReadersNeverMissAnEventUnseen(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := DefaultConfig()
+		config.PrefixBlocks = rapid.IntRange(1, 12).Draw(t, "blocks")
+		config.CacheEventLoss = rapid.Float64Range(0, 0.3).Draw(t, "loss")
+		config.CacheEventLog = rapid.IntRange(1, 10).Draw(t, "log")
+		config.CacheEventLag = 0
+		engine := New(config, rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed"))))
+		mirror := map[uint64]bool{}
+		next := uint64(1)
+		now := time.Duration(0)
+		for number := range rapid.IntRange(1, 60).Draw(t, "requests") {
+			now += 100 * time.Millisecond
+			family := rapid.Uint64Range(1, 5).Draw(t, "family")
+			chain := []uint64{family * 10, family*10 + 1, family*10 + 2}
+			engine.Submit(now, Request{ID: fmt.Sprint(number), PromptTokens: 200, MaxTokens: 1, Blocks: chain})
+			if !rapid.Bool().Draw(t, "read") {
+				continue
+			}
+			now += 100 * time.Millisecond
+			engine.Advance(now, nil)
+			page := engine.CacheEvents(now, next)
+			if page.First > next {
+				snapshot := engine.Snapshot()
+				clear(mirror)
+				for _, block := range snapshot.Blocks {
+					mirror[block] = true
+				}
+				next = snapshot.Next
+				continue
+			}
+			for _, event := range page.Events {
+				if event.Sequence != next {
+					t.Fatalf("event %d after %d without a gap in First", event.Sequence, next-1)
+				}
+				next++
+				if event.Kind == CacheStored {
+					mirror[event.Block] = true
+				} else {
+					delete(mirror, event.Block)
+				}
+			}
+			for _, block := range engine.Snapshot().Blocks {
+				if !mirror[block] {
+					t.Fatalf("block %d is cached and not in the mirror", block)
+				}
+			}
+			if len(mirror) != len(engine.cache.blocks) {
+				t.Fatalf("the mirror has %d blocks, the cache %d", len(mirror), len(engine.cache.blocks))
+			}
+		}
+	})
+}
+
+// TestFencesOrderOrders sends orders in any order of fences: only rising ones
+// count.
+func TestFencesOrderOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := DefaultConfig()
+		config.Loaded = []string{"m@v1"}
+		engine := New(config, rand.New(rand.NewSource(1)))
+		highest := uint64(0)
+		role := RoleMixed
+		for _, fence := range rapid.SliceOfN(rapid.Uint64Range(0, 20), 1, 30).Draw(t, "fences") {
+			wanted := rapid.SampledFrom([]Role{RoleMixed, RoleOnline, RoleBatch}).Draw(t, "role")
+			last, status := engine.Order(0, Order{Fence: fence, Action: ActionSetRole, Role: wanted})
+			if accepted := status == OrderDone; accepted != (fence > highest) {
+				t.Fatalf("fence %d after %d: status %d", fence, highest, status)
+			}
+			if fence > highest {
+				highest, role = fence, wanted
+			}
+			if last != highest || engine.orders.role != role {
+				t.Fatalf("fence %d and role %s; not %d and %s", last, engine.orders.role, highest, role)
+			}
+		}
+	})
+}
+
+// TestAnUnloadBeatsTheLoadInProgress unloads a version that is still loading.
+func TestAnUnloadBeatsTheLoadInProgress(t *testing.T) {
+	config := DefaultConfig()
+	config.Loaded = []string{"m@v1"}
+	engine := New(config, rand.New(rand.NewSource(1)))
+	load := Order{Fence: 1, Action: ActionLoadModel, Model: "m", Version: "v2"}
+	if _, status := engine.Order(0, load); status != OrderLoading {
+		t.Fatalf("status %d", status)
+	}
+	engine.Order(time.Second, Order{Fence: 2, Action: ActionUnloadModel, Model: "m", Version: "v2"})
+	drain(engine, time.Hour)
+	if loaded := engine.Loaded(); !slices.Equal(loaded, []string{"m@v1"}) {
+		t.Fatalf("loaded %v", loaded)
+	}
+}
