Count the copies of every body, and restore copies that a full disk broke

Cause: nothing told whether a lost disk had been repaired, so neither an operator nor the fault experiment could know when a second machine may go. Asking for it showed a copy that a full disk had broken: it was never written again until its process restarted, so a segment stayed one copy short for good.

Change: SegmentService.Copies lists all machines twice and tells how many synced, undamaged copies there are of everything that was written before the question. GroupStatus.repaired tells the same of a group, at its leader. Broken copies are cut to their last synced byte at the next round of repair and caught up; the writer never goes on in one. Damage that is intact at no machine is named and no longer blocks the rest. The peers are listed at the same time.

--- a/internal/replica/repair_test.go
+++ b/internal/replica/repair_test.go
@@ -22,7 +22,7 @@
 		}
 		status := leader.group(group).Status()
 		members := status.GetMembership().GetMembers()
-		if len(members) != len(f.machines) {
+		if len(members) != len(f.machines) || !status.GetRepaired() {
 			return false
 		}
 		for _, m := range f.machines {
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -254,9 +254,27 @@
 		Last:          status.Last,
 		Voter:         status.Voter,
 		Membership:    status.Membership,
+		Repaired:      repaired(status),
 	}
 }
 
+// repaired tells, at the leader, whether every member is a voter that is heard
+// and stands alone for its machine, by a membership that is committed.
+func repaired(status raft.Status) bool {
+	if status.Role != raft.Leader || status.MembershipIndex > status.Commit {
+		return false
+	}
+	machines := make(map[string]bool)
+	for _, member := range status.Membership.GetMembers() {
+		heard := member.GetId() == status.ID || progressOf(status, member.GetId()).Active
+		if member.GetLearner() || machines[member.GetMachine()] || !heard {
+			return false
+		}
+		machines[member.GetMachine()] = true
+	}
+	return true
+}
+
 func (o *owner) leaderAddress(status raft.Status) string {
 	if status.Leader == 0 {
 		return ""
--- a/internal/segment/lane.go
+++ b/internal/segment/lane.go
@@ -62,7 +62,7 @@
 	o.mutex.Unlock()
 	extent := o.local.extent()
 	age := o.node.options.Now().UnixMilli() - o.local.header.createdUnixMs
-	return !laneEnded && !extent.broken && !extent.sealed && extent.length < o.node.options.SegmentBytes &&
+	return !laneEnded && !extent.failed && !extent.sealed && extent.length < o.node.options.SegmentBytes &&
 		age < o.node.options.OpenAge.Milliseconds()
 }
 
--- a/internal/segment/node.go
+++ b/internal/segment/node.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -23,6 +24,9 @@
 	defaultCommitTimeout  = 2 * time.Second
 	// wantedCopies is how many copies a segment has once it is repaired.
 	wantedCopies = 3
+	// busyRepairDivisor shortens the time between rounds of repair while copies are
+	// missing.
+	busyRepairDivisor = 5
 	// pendingStores is how many Store calls may wait for the writer.
 	pendingStores = 4096
 )
@@ -163,7 +167,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return n.write(ctx) })
-	group.Go(func() error { return every(ctx, n.options.RepairInterval, n.Repair) })
+	group.Go(func() error { return n.keepRepairing(ctx) })
 	group.Go(func() error { return every(ctx, n.options.ScrubInterval, n.Scrub) })
 	err := group.Wait()
 	if errors.Is(err, context.Canceled) {
@@ -172,6 +176,20 @@
 	return err
 }
 
+// keepRepairing repairs in rounds, which follow each other faster while copies are
+// missing.
+func (n *Node) keepRepairing(ctx context.Context) error {
+	for {
+		pause := n.options.RepairInterval
+		if n.Repair(ctx) {
+			pause /= busyRepairDivisor
+		}
+		if !retry.Pause(ctx, pause) {
+			return ctx.Err()
+		}
+	}
+}
+
 // every calls work at once and then after each interval.
 func every(ctx context.Context, interval time.Duration, work func(context.Context)) error {
 	ticker := time.NewTicker(interval)
--- a/internal/segment/peer.go
+++ b/internal/segment/peer.go
@@ -48,28 +48,26 @@
 	return answer.GetData(), nil
 }
 
-// listAll lists the segments that the peer holds.
-func (p *peer) listAll(ctx context.Context) ([]*rockwindpb.SegmentSummary, error) {
-	var all []*rockwindpb.SegmentSummary
+// listAll lists the segments that the peer holds, and tells its disk.
+func (p *peer) listAll(ctx context.Context) (disk string, all []*rockwindpb.SegmentSummary, err error) {
 	after := uint64(0)
 	for {
 		page, err := p.listPage(ctx, after)
 		if err != nil {
-			return nil, err
+			return "", nil, err
 		}
-		all = append(all, page...)
-		if len(page) < listPage {
-			return all, nil
+		all = append(all, page.GetSegments()...)
+		if len(page.GetSegments()) < listPage {
+			return page.GetDiskId(), all, nil
 		}
 		after = all[len(all)-1].GetSegment()
 	}
 }
 
-func (p *peer) listPage(ctx context.Context, after uint64) ([]*rockwindpb.SegmentSummary, error) {
+func (p *peer) listPage(ctx context.Context, after uint64) (*rockwindpb.ListSegmentsResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	answer, err := p.Service.List(ctx, &rockwindpb.ListSegmentsRequest{After: after})
-	return answer.GetSegments(), err
+	return p.Service.List(ctx, &rockwindpb.ListSegmentsRequest{After: after})
 }
 
 func (p *peer) failed(now time.Time) {
--- a/internal/segment/repair.go
+++ b/internal/segment/repair.go
@@ -28,18 +28,20 @@
 
 // Repair performs one round: it asks the peers what they hold, seals segments
 // whose writer is gone, copies what is missing here and mends what is damaged.
-// Each machine only copies to itself, so rounds need no agreement.
-func (n *Node) Repair(ctx context.Context) {
+// Each machine only copies to itself, so rounds need no agreement. It tells whether
+// a copy was missing here.
+func (n *Node) Repair(ctx context.Context) (missing bool) {
 	known := n.survey(ctx)
 	n.rememberHolders(known)
+	n.restoreBroken()
 	n.sealOrphans()
 	n.removeUnused()
 	lagging := make(map[uint64]int64)
 	for _, id := range slices.Sorted(maps.Keys(known.copies)) {
 		if ctx.Err() != nil {
-			return
+			return missing
 		}
-		n.repairOne(ctx, id, known, lagging)
+		missing = n.repairOne(ctx, id, known, lagging) || missing
 	}
 	n.mutex.Lock()
 	n.lagging = lagging
@@ -47,21 +49,23 @@
 	for _, held := range n.store.all() {
 		n.mend(ctx, held)
 	}
+	return missing
 }
 
 // survey lists the segments of all peers. A peer that does not answer keeps
 // counting as a holder for the grace period.
 func (n *Node) survey(ctx context.Context) survey {
 	result := survey{copies: make(map[uint64][]copyOf), live: []string{n.options.Machine}}
+	answers, _ := n.holdings(ctx)
+	now := n.options.Now()
 	for _, candidate := range n.peers {
-		listed, err := candidate.listAll(ctx)
-		now := n.options.Now()
-		if err == nil {
+		position := slices.IndexFunc(answers, func(answer holding) bool { return answer.machine == candidate.Machine })
+		switch {
+		case position >= 0:
 			candidate.answered(now)
-			candidate.listed = listed
+			candidate.listed = answers[position].segments
 			result.live = append(result.live, candidate.Machine)
-		}
-		if err != nil && candidate.silentFor(now) > max(n.options.DownGrace, 0) {
+		case candidate.silentFor(now) > max(n.options.DownGrace, 0):
 			candidate.listed = nil
 		}
 		for _, summary := range candidate.listed {
@@ -84,6 +88,15 @@
 	n.holders = holders
 }
 
+// restoreBroken opens copies for writing again that a full or failing disk broke.
+func (n *Node) restoreBroken() {
+	for _, held := range n.store.all() {
+		if err := held.restore(); err != nil {
+			log.WithError(err).WithField("segment", segmentKey(held.header.segment)).Warn("cannot restore a segment")
+		}
+	}
+}
+
 // sealOrphans seals segments that nobody appends to any more.
 func (n *Node) sealOrphans() {
 	for _, held := range n.store.all() {
@@ -97,36 +110,43 @@
 	}
 }
 
-// repairOne copies a segment here where this machine has to hold it.
-func (n *Node) repairOne(ctx context.Context, id uint64, known survey, lagging map[uint64]int64) {
+// repairOne copies a segment here where this machine has to hold it. It tells
+// whether the copy was missing, or may be, here.
+func (n *Node) repairOne(ctx context.Context, id uint64, known survey, lagging map[uint64]int64) bool {
 	copies := known.copies[id]
 	longest := int64(0)
 	sealed := false
 	created := int64(0)
 	for _, other := range copies {
-		longest = max(longest, int64(other.summary.GetLength()))
+		longest = max(longest, reparable(other.summary, other.summary.GetLength()))
 		sealed = sealed || other.summary.GetSealed()
 		created = max(created, other.summary.GetCreatedUnixMs())
 	}
 	if n.removable(id, created) {
-		return
+		return false
 	}
 	have := int64(0)
 	held := n.store.find(id)
 	if held != nil {
 		have = held.extent().durable
 	}
-	if have >= longest {
-		return
-	}
-	if held == nil && !n.shouldHold(id, known) {
-		return
+	if have >= longest || (held == nil && !n.shouldHold(id, known)) {
+		return false
 	}
 	if !sealed && !n.laggedBefore(id, have) {
 		lagging[id] = have
-		return
+		return held == nil
 	}
 	n.copyHere(ctx, id, copies, longest, sealed)
+	return true
+}
+
+// reparable is the part of a copy that other machines can have, of a length.
+func reparable(summary *rockwindpb.SegmentSummary, length uint64) int64 {
+	if from := summary.GetIrreparableFrom(); from > 0 {
+		return int64(min(length, from))
+	}
+	return int64(length)
 }
 
 // shouldHold tells whether this machine is among those that make up for missing
@@ -183,7 +203,7 @@
 		if held != nil {
 			offset = held.extent().length
 		}
-		if offset >= int64(source.summary.GetLength()) {
+		if offset >= reparable(source.summary, source.summary.GetLength()) {
 			return nil
 		}
 		if err := n.limiter.WaitN(ctx, min(chunk, n.limiter.Burst())); err != nil {
--- a/internal/segment/retention_test.go
+++ b/internal/segment/retention_test.go
@@ -18,13 +18,13 @@
 		w := newWorld(3, 1)
 		defer w.end()
 		input := w.storeOne(t, "input")
-		w.repair()
+		time.Sleep(repairTime)
 		unused := w.storeOne(t, "unused")
-		w.repair()
+		time.Sleep(repairTime)
 		time.Sleep(24 * time.Hour)
 		horizon := time.Now().Add(-time.Hour).UnixMilli()
 		kept := w.storeOne(t, "kept")
-		w.repair()
+		time.Sleep(repairTime)
 
 		w.report(1, horizon, input)
 		for _, read := range []*rockwindpb.BodyReference{input, unused, kept} {
--- a/internal/segment/scrub.go
+++ b/internal/segment/scrub.go
@@ -35,7 +35,7 @@
 		n.count(func(counted *statistics) { counted.damaged += uint64(found.end - found.start) })
 	}
 	log.WithField("segment", segmentKey(held.header.segment)).Warn("a segment is damaged; it is copied again from a peer")
-	held.setDamaged(damaged)
+	held.setDamaged(damaged, 0)
 	n.mend(ctx, held)
 }
 
@@ -62,29 +62,51 @@
 		return
 	}
 	var left []span
+	irreparable := int64(0)
 	for _, wanted := range damaged {
-		if !n.mendSpan(ctx, held, wanted) {
+		outcome := n.mendSpan(ctx, held, wanted)
+		if outcome != spanMended {
 			left = append(left, wanted)
 		}
+		if outcome == spanIrreparable && (irreparable == 0 || wanted.start < irreparable) {
+			irreparable = wanted.start
+		}
 	}
-	held.setDamaged(left)
+	held.setDamaged(left, irreparable)
 }
 
-func (n *Node) mendSpan(ctx context.Context, held *localSegment, wanted span) bool {
+// mendOutcome is what became of a damaged span.
+type mendOutcome int
+
+const (
+	// spanMended spans are intact again.
+	spanMended mendOutcome = iota
+	// spanLeft spans are tried again: a peer did not answer.
+	spanLeft
+	// spanIrreparable spans are intact at no machine.
+	spanIrreparable
+)
+
+func (n *Node) mendSpan(ctx context.Context, held *localSegment, wanted span) mendOutcome {
+	outcome := spanIrreparable
 	for _, candidate := range n.likelyHolders(held.header.segment) {
 		length := wanted.end - wanted.start
 		data, err := candidate.read(ctx, n.options.Now, held.header.segment, wanted.start, length)
-		if err != nil || int64(len(data)) != length || verifyWhole(data, wanted.start) != nil {
+		if err != nil {
+			outcome = spanLeft
+			continue
+		}
+		if int64(len(data)) != length || verifyWhole(data, wanted.start) != nil {
 			continue
 		}
 		if err := held.patch(wanted.start, data); err != nil {
 			log.WithError(err).Warn("cannot mend a segment")
-			return false
+			return spanLeft
 		}
 		n.count(func(counted *statistics) { counted.repaired += uint64(length) })
-		return true
+		return spanMended
 	}
-	return false
+	return outcome
 }
 
 // patch replaces damaged bytes and syncs.
--- a/internal/segment/segment_test.go
+++ b/internal/segment/segment_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -44,6 +45,8 @@
 	// spoiled names the machines whose disk was lost or damaged since the last
 	// repair.
 	spoiled map[int]bool
+	// damaged tells that a disk was damaged, which only scrubbing finds.
+	damaged bool
 }
 
 type storedBody struct {
@@ -108,6 +111,14 @@
 	return service.List(ctx, request)
 }
 
+func (l link) Copies(ctx context.Context, request *rockwindpb.CopiesRequest) (*rockwindpb.CopiesResponse, error) {
+	service, err := l.service(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return service.Copies(ctx, request)
+}
+
 func (l link) Retain(ctx context.Context, request *rockwindpb.RetainSegmentsRequest) (*rockwindpb.RetainSegmentsResponse, error) {
 	service, err := l.service(ctx)
 	if err != nil {
@@ -199,11 +210,23 @@
 	}
 }
 
-// repair lets the machines restore the full count of copies.
-func (w *world) repair() {
+// repair waits until a machine says that all copies are made again. As much may
+// then be lost at once; damage, though, shows only after the next scrub.
+func (w *world) repair() error {
 	w.startAll()
-	time.Sleep(repairTime)
-	clear(w.spoiled)
+	if w.damaged {
+		time.Sleep(repairTime)
+		w.damaged = false
+	}
+	asked := w.machines[w.random.IntN(len(w.machines))].node
+	for range repairTime / time.Second {
+		if asked.Copies(context.Background()).GetRepaired() {
+			clear(w.spoiled)
+			return nil
+		}
+		time.Sleep(time.Second)
+	}
+	return fmt.Errorf("not repaired in %s: %v", repairTime, asked.Copies(context.Background()))
 }
 
 // check reads everything acknowledged from every machine.
@@ -278,8 +301,7 @@
 	case actionWait:
 		time.Sleep(7 * time.Second)
 	case actionRepair:
-		w.repair()
-		return w.check()
+		return errors.Join(w.repair(), w.check())
 	case actionLoseRound:
 		return w.round(index, survivable, w.loseDisk)
 	case actionDamageRound:
@@ -294,21 +316,21 @@
 // them be repaired, so that a next round shows whether the repair was whole.
 func (w *world) round(first, survivable int, spoil func(int)) error {
 	w.store(first, -1)
-	w.repair()
+	if err := w.repair(); err != nil {
+		return err
+	}
 	for offset := range survivable {
 		spoil((first + offset) % len(w.machines))
 	}
-	if err := w.check(); err != nil {
-		return err
-	}
-	w.repair()
-	return nil
+	return errors.Join(w.check(), w.repair())
 }
 
 // narrowRound stores while as many machines are down as can be, and then loses
 // disks of those that took the bodies.
 func (w *world) narrowRound(first, survivable int) error {
-	w.repair()
+	if err := w.repair(); err != nil {
+		return err
+	}
 	count := len(w.machines)
 	for offset := range survivable {
 		w.kill((first + 1 + offset) % count)
@@ -318,11 +340,7 @@
 	for offset := range survivable - 1 {
 		w.loseDisk((first + 1 + survivable + offset) % count)
 	}
-	if err := w.check(); err != nil {
-		return err
-	}
-	w.repair()
-	return nil
+	return errors.Join(w.check(), w.repair())
 }
 
 func (w *world) loseDisk(index int) {
@@ -340,6 +358,7 @@
 		w.machines[index].disk.damage(w.random)
 	}
 	w.spoiled[index] = true
+	w.damaged = true
 }
 
 func (w *world) end() {
--- a/internal/segment/service.go
+++ b/internal/segment/service.go
@@ -143,25 +143,42 @@
 // List implements rockwindpb.SegmentService.
 func (s segmentService) List(_ context.Context, request *rockwindpb.ListSegmentsRequest) (*rockwindpb.ListSegmentsResponse, error) {
 	response := &rockwindpb.ListSegmentsResponse{DiskId: s.node.options.DiskID}
-	for _, held := range s.node.store.all() {
-		if held.header.segment <= request.GetAfter() {
-			continue
+	for _, summary := range s.node.summaries() {
+		if summary.GetSegment() > request.GetAfter() {
+			response.Segments = append(response.Segments, summary)
 		}
+	}
+	if len(response.Segments) > listPage {
+		response.Segments = response.Segments[:listPage]
+	}
+	return response, nil
+}
+
+// summaries describes the segments of this disk, in the order of their ids.
+func (n *Node) summaries() []*rockwindpb.SegmentSummary {
+	var summaries []*rockwindpb.SegmentSummary
+	for _, held := range n.store.all() {
 		extent := held.extent()
-		response.Segments = append(response.Segments, &rockwindpb.SegmentSummary{
+		summaries = append(summaries, &rockwindpb.SegmentSummary{
 			Segment:       held.header.segment,
 			Length:        uint64(extent.durable),
+			WrittenLength: uint64(extent.length),
 			Sealed:        extent.sealed,
 			CreatedUnixMs: held.header.createdUnixMs,
+
+			Damaged:         len(extent.damaged) > 0 && extent.irreparable == 0,
+			IrreparableFrom: uint64(extent.irreparable),
 		})
 	}
-	slices.SortFunc(response.Segments, func(left, right *rockwindpb.SegmentSummary) int {
+	slices.SortFunc(summaries, func(left, right *rockwindpb.SegmentSummary) int {
 		return cmp.Compare(left.GetSegment(), right.GetSegment())
 	})
-	if len(response.Segments) > listPage {
-		response.Segments = response.Segments[:listPage]
-	}
-	return response, nil
+	return summaries
+}
+
+// Copies implements rockwindpb.SegmentService.
+func (s segmentService) Copies(ctx context.Context, _ *rockwindpb.CopiesRequest) (*rockwindpb.CopiesResponse, error) {
+	return s.node.Copies(ctx), nil
 }
 
 // Retain implements rockwindpb.SegmentService.
--- a/internal/segment/store.go
+++ b/internal/segment/store.go
@@ -38,10 +38,17 @@
 	length  int64
 	durable int64
 	sealed  bool
-	// broken segments are not written to any more after a failed write or sync.
-	broken  bool
+	// broken segments are not written to after a failed write or sync, until they
+	// are restored.
+	broken bool
+	// breaks counts how often it was broken. The writer appends nothing to a segment
+	// that ever was: followers may hold bytes that this copy lost.
+	breaks  int
 	touched time.Time
 	damaged []span
+	// irreparable is where the first damage begins that no machine holds intact,
+	// zero where there is none.
+	irreparable int64
 }
 
 // openLocalStore reads the folder. Tails of open segments that hold no valid
@@ -226,8 +233,7 @@
 		return nil
 	}
 	if _, err := l.file.WriteAt(data[present:], l.length); err != nil {
-		l.broken = true
-		l.length = l.durable
+		l.markBroken()
 		return diskFault(errors.CombineErrors(err, l.file.Truncate(l.durable)))
 	}
 	l.length = offset + int64(len(data))
@@ -239,7 +245,7 @@
 func (l *localSegment) sync() error {
 	l.mutex.Lock()
 	target := l.length
-	broken := l.broken
+	broken, breaks := l.broken, l.breaks
 	l.mutex.Unlock()
 	if broken {
 		return fault.New(fault.Unavailable, "the segment is not written to after a failed write",
@@ -250,14 +256,42 @@
 	defer l.mutex.Unlock()
 	if err != nil {
 		// The kernel may have dropped the pages: nothing after the last sync counts.
-		l.broken = true
-		l.length = l.durable
+		l.markBroken()
 		return diskFault(err)
 	}
+	if l.breaks != breaks {
+		return fault.New(fault.Unavailable, "a write to the segment failed during the sync", "store the body again")
+	}
 	l.durable = max(l.durable, target)
 	return nil
 }
 
+// markBroken stops writes and forgets what was not synced. The caller holds the
+// mutex.
+func (l *localSegment) markBroken() {
+	l.broken = true
+	l.breaks++
+	l.length = l.durable
+}
+
+// restore lets a broken copy be written again from its last synced byte on, once
+// the disk takes a cut and a sync.
+func (l *localSegment) restore() error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !l.broken {
+		return nil
+	}
+	if err := l.file.Truncate(l.durable); err != nil {
+		return diskFault(err)
+	}
+	if err := l.file.Sync(); err != nil {
+		return diskFault(err)
+	}
+	l.broken = false
+	return nil
+}
+
 // seal syncs the segment and renames it; it may still be extended by repair.
 func (l *localSegment) seal() error {
 	l.mutex.Lock()
@@ -283,20 +317,29 @@
 	durable int64
 	sealed  bool
 	broken  bool
+	failed  bool
 	touched time.Time
 	damaged []span
+
+	irreparable int64
 }
 
 func (l *localSegment) extent() extent {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return extent{length: l.length, durable: l.durable, sealed: l.sealed, broken: l.broken, touched: l.touched, damaged: l.damaged}
+	return extent{
+		length: l.length, durable: l.durable, sealed: l.sealed, broken: l.broken, failed: l.breaks > 0, touched: l.touched,
+		damaged: l.damaged, irreparable: l.irreparable,
+	}
 }
 
-func (l *localSegment) setDamaged(damaged []span) {
+// setDamaged notes what is damaged, and where the first damage begins that no
+// machine holds intact.
+func (l *localSegment) setDamaged(damaged []span, irreparable int64) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.damaged = damaged
+	l.irreparable = irreparable
 }
 
 // read returns up to length bytes from an offset, fewer at the end.
