Run the commands' test by TLS as well

The whole path, from cluster init to drain, runs once in the clear and once with mutual TLS between the processes and TLS for callers. An empty TLS flag or variable counted as the working folder; it now turns the file off, so that a command can leave out what the environment sets.

--- a/internal/command/cluster_test.go
+++ b/internal/command/cluster_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -16,8 +17,14 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+
+	"rockwind.example/rockwind/internal/bench/authority"
 	"rockwind.example/rockwind/internal/bench/fleet"
+	"rockwind.example/rockwind/internal/controlclient"
 	"rockwind.example/rockwind/internal/engine"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/secure"
 	"rockwind.example/rockwind/internal/standin"
 )
 
@@ -57,6 +64,9 @@
 	gateway *daemon
 	callers string
 	engine  string
+	// scheme is that of all addresses, and client fits it.
+	scheme string
+	client *http.Client
 }
 
 // freeAddress finds a loopback address whose port is free.
@@ -70,23 +80,59 @@
 	return listener.Addr().String()
 }
 
-func startSystem(t *testing.T) *system {
+func startSystem(t *testing.T, secured bool) *system {
 	t.Helper()
-	s := &system{t: t, folder: t.TempDir()}
+	s := &system{t: t, folder: t.TempDir(), scheme: "http://", client: http.DefaultClient}
 	s.startEngine()
 	address := freeAddress(t)
 	machines := fmt.Sprintf("control: [{machine: control-1, address: %q, zone: a}]\n", address)
+	callerTLS := ""
+	if secured {
+		files := s.issue()
+		machines += "internal_tls: " + files
+		callerTLS = "caller_tls: " + files
+	}
 	s.control = s.start("control", address, machines+
 		fmt.Sprintf("machine: control-1\nzone: a\nlisten: %q\ndata_folder: %q\n", address, filepath.Join(s.folder, "control")))
 	s.await("/healthz", s.control.address)
 	s.expect(ExitOK, "founded", "cluster", "init", "--shards", "1")
 	s.callers, address = freeAddress(t), freeAddress(t)
-	s.gateway = s.start("gateway", address, machines+
+	s.gateway = s.start("gateway", address, machines+callerTLS+
 		fmt.Sprintf("name: gateway-1\nzone: a\nlisten: %q\ninternal_listen: %q\ndata_folder: %q\n", s.callers, address, filepath.Join(s.folder, "gateway")))
 	s.await("/healthz", s.gateway.address)
 	return s
 }
 
+// issue makes certificates, gives them to the commands by their environment and
+// returns the settings that name them.
+func (s *system) issue() string {
+	s.t.Helper()
+	signer, err := authority.New("test", time.Hour)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if err := signer.Write(s.folder, "process", netip.MustParseAddr("127.0.0.1")); err != nil {
+		s.t.Fatal(err)
+	}
+	files := &rockwindpb.TlsSettings{
+		CertificateFile: filepath.Join(s.folder, "process.pem"),
+		KeyFile:         filepath.Join(s.folder, "process.key"),
+		CaFile:          filepath.Join(s.folder, authority.CertificateFile),
+	}
+	s.t.Setenv("ROCKWIND_TLS_CERTIFICATE", files.GetCertificateFile())
+	s.t.Setenv("ROCKWIND_TLS_KEY", files.GetKeyFile())
+	s.t.Setenv("ROCKWIND_TLS_CA", files.GetCaFile())
+	source, err := secure.Open(secure.Internal, files, log.Log)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	transport := source.Transport(controlclient.NewTransport())
+	s.t.Cleanup(transport.CloseIdleConnections)
+	s.scheme, s.client = "https://", &http.Client{Transport: transport}
+	return fmt.Sprintf("{certificate_file: %q, key_file: %q, ca_file: %q}\n",
+		files.GetCertificateFile(), files.GetKeyFile(), files.GetCaFile())
+}
+
 func (s *system) startEngine() {
 	config := engine.FastConfig()
 	config.TokensPerStep = 1
@@ -135,7 +181,7 @@
 func (s *system) await(page, address string) {
 	s.t.Helper()
 	s.eventually(page+" of "+address, func() bool {
-		response, err := http.Get("http://" + address + page)
+		response, err := s.client.Get(s.scheme + address + page)
 		if err != nil {
 			return false
 		}
@@ -208,8 +254,13 @@
 // TestCommandsOverARealSystem runs the operator's commands against daemons that
 // the command line started.
 func TestCommandsOverARealSystem(t *testing.T) {
-	s := startSystem(t)
-	t.Setenv("ROCKWIND_GATEWAY", "http://"+s.callers)
+	t.Run("in the clear", func(t *testing.T) { checkSystem(t, false) })
+	t.Run("by TLS", func(t *testing.T) { checkSystem(t, true) })
+}
+
+func checkSystem(t *testing.T, secured bool) {
+	s := startSystem(t, secured)
+	t.Setenv("ROCKWIND_GATEWAY", s.scheme+s.callers)
 	t.Setenv("ROCKWIND_API_KEY", "secret")
 	s.checkConfigurations()
 	s.await("/readyz", s.gateway.address)
@@ -257,7 +308,7 @@
 	long := expectJSON[job](s, "jobs", "submit", "-f", s.requests("long", 10, 5000))
 	s.expect(ExitOK, "is cancelled", "jobs", "cancel", long.ID)
 	s.expect(ExitOK, "no result (the job is cancelled)", "jobs", "results", long.ID, "--gateway", "")
-	for _, source := range []string{"http://" + s.callers, ""} {
+	for _, source := range []string{s.scheme + s.callers, ""} {
 		if listed := expectJSON[[]job](s, "jobs", "list", "--gateway", source); len(listed) != 2 {
 			s.t.Errorf("jobs at %q: %v", source, listed)
 		}
@@ -284,7 +335,7 @@
 		{ExitRefused, "check the identifier", []string{"jobs", "show", "nothing", "--gateway", ""}},
 		{ExitRefused, "not an address", []string{"drain", "gateway-1"}},
 		{ExitRefused, "--deadline is -1s", []string{"drain", s.gateway.address, "--deadline=-1s"}},
-		{ExitRefused, "give both or none", []string{"status", "--tls-key", input}},
+		{ExitRefused, "give both or none", []string{"status", "--tls-key", input, "--tls-certificate", ""}},
 		{ExitUnavailable, "check that the process", []string{"logs", freeAddress(s.t)}},
 	} {
 		s.expect(refused.code, refused.text, refused.arguments...)
--- a/internal/command/connection.go
+++ b/internal/command/connection.go
@@ -18,9 +18,9 @@
 type Connection struct {
 	ControlAddresses []string      `name:"control" env:"ROCKWIND_CONTROL" placeholder:"IP:PORT" help:"Internal addresses of the control machines; repeat the flag or use commas."`
 	Timeout          time.Duration `default:"30s" help:"Time after which a call is given up."`
-	Certificate      string        `name:"tls-certificate" env:"ROCKWIND_TLS_CERTIFICATE" type:"path" placeholder:"FILE" help:"Certificate shown to the daemons; turns on TLS."`
-	Key              string        `name:"tls-key" env:"ROCKWIND_TLS_KEY" type:"path" placeholder:"FILE" help:"Key of the certificate."`
-	Authority        string        `name:"tls-ca" env:"ROCKWIND_TLS_CA" type:"path" placeholder:"FILE" help:"Certificate of the authority that signed those of the daemons; turns on TLS."`
+	Certificate      string        `name:"tls-certificate" env:"ROCKWIND_TLS_CERTIFICATE" placeholder:"FILE" help:"Certificate shown to the daemons; turns on TLS."`
+	Key              string        `name:"tls-key" env:"ROCKWIND_TLS_KEY" placeholder:"FILE" help:"Key of the certificate."`
+	Authority        string        `name:"tls-ca" env:"ROCKWIND_TLS_CA" placeholder:"FILE" help:"Certificate of the authority that signed those of the daemons; turns on TLS."`
 }
 
 func (c *Connection) secure() bool {
