Refuse to start a fleet over the files of an earlier one

Cause: a fleet started in a folder that had been used before found the old cluster, and its first configuration was refused with a conflict on number 1 that said nothing about the folder.

Change: the start fails with a typed conflict that names the folder and the remedy, before any process runs; TestFolderOfAnEarlierFleetIsRefused.

--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -57,7 +57,8 @@
 	number    uint64
 }
 
-// Start starts the processes of the plan under folder, founds the control
+// Start starts the processes of the plan under folder, which must not hold the
+// files of an earlier fleet, founds the control
 // group and applies a configuration. The programs are looked for in the folder
 // of the running executable, or in programs when it is not empty.
 func Start(ctx context.Context, plan Plan, folder, programs string) (*Fleet, error) {
@@ -99,6 +100,10 @@
 		return nil, err
 	}
 	name := fmt.Sprintf("%s-%d", role, number+1)
+	if _, err := os.Stat(filepath.Join(f.Folder, name)); err == nil {
+		return nil, fault.Newf(fault.Conflict, "choose an empty folder, or remove the files of the earlier fleet",
+			"%s holds the files of an earlier fleet (%s)", f.Folder, name)
+	}
 	return &Process{
 		Name: name, Role: role, Zone: f.zone(number), Address: address,
 		Folder:   filepath.Join(f.Folder, name),
--- /dev/null
+++ b/internal/bench/fleet/fleet_test.go
@@ -0,0 +1,24 @@
+package fleet
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"rockwind.example/rockwind/internal/fault"
+)
+
+// TestFolderOfAnEarlierFleetIsRefused checks that nothing is started over the data
+// of a fleet that ran before: its cluster would refuse the first configuration.
+func TestFolderOfAnEarlierFleetIsRefused(t *testing.T) {
+	folder := t.TempDir()
+	if err := os.MkdirAll(filepath.Join(folder, "control-2"), 0o755); err != nil {
+		t.Fatal(err)
+	}
+	_, err := Start(context.Background(), Plan{Controls: 2, Zones: []string{"zone-a"}}, folder, t.TempDir())
+	if !fault.Is(err, fault.Conflict) || !strings.Contains(err.Error(), folder) {
+		t.Fatalf("the start gives %v", err)
+	}
+}
