Cut gateways off and stop control daemons in the fault experiment

Cause: no fault cut a gateway off from control in silence, longer than its leases last, and none stopped a control daemon as planned.

Change: the kinds cut-gateway and stop-control.

--- a/internal/bench/faults/command.go
+++ b/internal/bench/faults/command.go
@@ -93,6 +93,7 @@
 	plan.Controls, plan.Gateways, plan.Engines, plan.Services = controls, gateways, engines, services
 	plan.Shards = shards
 	plan.ControlArguments = []string{"--allow-fault-injection"}
+	plan.GatewayArguments = []string{"--allow-fault-injection"}
 	running, err := fleet.Start(ctx, plan, folder, c.Programs)
 	if err != nil {
 		return err
--- a/internal/bench/faults/injector.go
+++ b/internal/bench/faults/injector.go
@@ -57,6 +57,8 @@
 		return freeze(ctx, control, planned.Length)
 	case CutControl:
 		return i.cut(ctx, control, planned.Length)
+	case StopControl:
+		return i.stopAsPlanned(ctx, control)
 	case LoseDisk:
 		return i.loseDisks(ctx, control)
 	case LoseTwoDisks:
@@ -72,6 +74,8 @@
 		return i.stopAsPlanned(ctx, gateway)
 	case FreezeGateway:
 		return freeze(ctx, gateway, planned.Length*2)
+	case CutGateway:
+		return i.cutGateway(ctx, gateway, planned.Length)
 	case MissChanges:
 		return i.missChanges(ctx, gateway)
 	case KillEngine:
@@ -147,12 +151,30 @@
 	return nil
 }
 
+// cutGateway blocks the links of a gateway to all control machines.
+func (i *injector) cutGateway(ctx context.Context, victim *fleet.Process, length time.Duration) error {
+	if err := i.setGatewayLinks(ctx, victim, true); err != nil {
+		return err
+	}
+	wait(ctx, length*2)
+	return i.setGatewayLinks(ctx, victim, false)
+}
+
+func (i *injector) setGatewayLinks(ctx context.Context, victim *fleet.Process, blocked bool) error {
+	for _, control := range i.fleet.Controls {
+		if err := i.setLink(ctx, victim, control, blocked); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (i *injector) setLink(ctx context.Context, from, to *fleet.Process, blocked bool) error {
 	method := http.MethodDelete
 	if blocked {
 		method = http.MethodPut
 	}
-	url := fmt.Sprintf("http://%s/fault-injection/blocked-links/%s", from.Address, to.Address)
+	url := fmt.Sprintf("http://%s/fault-injection/blocked-links/%s", from.InternalAddress, to.Address)
 	request, err := http.NewRequestWithContext(ctx, method, url, nil)
 	if err != nil {
 		return err
@@ -163,7 +185,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusNoContent {
-		return fault.Newf(fault.Unavailable, "start control with --allow-fault-injection",
+		return fault.Newf(fault.Unavailable, "start daemons with --allow-fault-injection",
 			"%s answered %d to a link change", from.Name, response.StatusCode)
 	}
 	return nil
--- a/internal/bench/faults/schedule.go
+++ b/internal/bench/faults/schedule.go
@@ -17,6 +17,8 @@
 	FreezeControl Kind = "freeze-control"
 	// CutControl cuts a control daemon off from the others in silence, for long.
 	CutControl Kind = "cut-control"
+	// StopControl stops a control daemon as planned and starts it again.
+	StopControl Kind = "stop-control"
 	// LoseDisk kills a control daemon and empties its disk.
 	LoseDisk Kind = "lose-disk"
 	// LoseTwoDisks empties the disks of two control daemons at once.
@@ -30,6 +32,9 @@
 	StopGateway Kind = "stop-gateway"
 	// FreezeGateway stops a gateway for longer than its leases last.
 	FreezeGateway Kind = "freeze-gateway"
+	// CutGateway cuts a gateway off from all control machines in silence, for longer
+	// than its leases last.
+	CutGateway Kind = "cut-gateway"
 	// MissChanges keeps a gateway down while hundreds of configurations pass.
 	MissChanges Kind = "miss-changes"
 	// KillEngine kills an engine with requests in flight and starts it again.
@@ -41,8 +46,8 @@
 // controlKinds strike control machines, edgeKinds all others. One of each may
 // strike at the same time.
 var (
-	controlKinds = []Kind{KillControl, FreezeControl, CutControl, LoseDisk, LoseTwoDisks, LoseDiskAfterRepair}
-	edgeKinds    = []Kind{KillGateway, StopGateway, FreezeGateway, MissChanges, KillEngine, FreezeEngine}
+	controlKinds = []Kind{KillControl, FreezeControl, CutControl, StopControl, LoseDisk, LoseTwoDisks, LoseDiskAfterRepair}
+	edgeKinds    = []Kind{KillGateway, StopGateway, FreezeGateway, CutGateway, MissChanges, KillEngine, FreezeEngine}
 )
 
 // Bounds of a fault's length and of the gap between two on one track.
--- a/internal/command/daemons.go
+++ b/internal/command/daemons.go
@@ -25,6 +25,7 @@
 // gatewayCommand is 'rockwind gateway'.
 type gatewayCommand struct {
 	daemonFlags
+	AllowFaultInjection bool `help:"Let experiments cut this process's links to control machines over HTTP. Never set it in production."`
 }
 
 // Help implements kong.HelpProvider.
@@ -45,7 +46,11 @@
 	ring := logring.New(logring.DefaultCapacity, s.stderr)
 	stop := dumpOnSignal(s.context, ring, s.stderr)
 	defer stop()
-	return gateway.Run(s.context, loaded, gateway.WithLogs(ring))
+	options := []gateway.Option{gateway.WithLogs(ring)}
+	if g.AllowFaultInjection {
+		options = append(options, gateway.WithLinkFaults(&linkfault.Links{}))
+	}
+	return gateway.Run(s.context, loaded, options...)
 }
 
 // controlCommand is 'rockwind control'.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"rockwind.example/rockwind/internal/controlclient"
 	"rockwind.example/rockwind/internal/follower"
 	"rockwind.example/rockwind/internal/limits"
+	"rockwind.example/rockwind/internal/linkfault"
 	"rockwind.example/rockwind/internal/logring"
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
@@ -68,6 +69,8 @@
 	batch    *batch.Executor
 	// certificates are of the listeners and of the calls to control machines.
 	certificates certificates
+	// links is nil outside experiments.
+	links *linkfault.Links
 	// inForce is called with every configuration that is put in force.
 	inForce func(*configuration.Index)
 }
@@ -95,6 +98,9 @@
 	if carrier == nil {
 		carrier = opened.controlClient()
 	}
+	if chosen.links != nil {
+		carrier = &http.Client{Transport: chosen.links.Transport(carrier.Transport)}
+	}
 	following, err := follower.New(follower.Options{
 		Sources: configurationSources(settings, carrier, opened.internal != nil), Log: logger,
 		Folder: filepath.Join(settings.GetDataFolder(), configurationFolder),
@@ -108,6 +114,7 @@
 	g := assemble(settings, chosen.ring, logger, following, client, chosen.backEndClient)
 	g.secure(opened)
 	g.inForce = chosen.observe
+	g.links = chosen.links
 	return g, nil
 }
 
--- a/internal/gateway/internal.go
+++ b/internal/gateway/internal.go
@@ -9,6 +9,7 @@
 	"github.com/go-chi/chi/v5/middleware"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"rockwind.example/rockwind/internal/linkfault"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -25,6 +26,9 @@
 	router.Mount("/debug", middleware.Profiler())
 	admin := rockwindpb.NewAdminServiceServer(adminService{gateway: g})
 	router.Handle(admin.PathPrefix()+"*", admin)
+	if g.links != nil {
+		router.Mount(linkfault.Path, g.links.Handler())
+	}
 	return router
 }
 
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"rockwind.example/rockwind/internal/configuration"
+	"rockwind.example/rockwind/internal/linkfault"
 	"rockwind.example/rockwind/internal/logring"
 	"rockwind.example/rockwind/internal/upstream"
 )
@@ -17,6 +18,7 @@
 	backEndClient *upstream.Client
 	observe       func(*configuration.Index)
 	ring          *logring.Ring
+	links         *linkfault.Links
 }
 
 // WithControlClient sets the HTTP client of all calls to control machines, in
@@ -36,6 +38,12 @@
 	return func(o *options) { o.observe = observe }
 }
 
+// WithLinkFaults cuts the links to control machines over HTTP at the internal
+// address, for experiments.
+func WithLinkFaults(links *linkfault.Links) Option {
+	return func(o *options) { o.links = links }
+}
+
 // WithLogs makes the gateway log to the given ring, which its owner can write
 // out.
 func WithLogs(ring *logring.Ring) Option {
