--- a/internal/serverview/batch.go
+++ b/internal/serverview/batch.go
@@ -94,9 +94,9 @@
 		return
 	}
 	now := v.now()
-	for _, e := range v.entries {
+	for _, e := range v.owned {
 		server := &v.routing.Servers[e.index]
-		if !e.own || server.Health == routing.Ejected || !eligible(server, &request) {
+		if server.Health == routing.Ejected || !eligible(server, &request) {
 			continue
 		}
 		state := v.batchServerState(e, now)
--- a/internal/serverview/report.go
+++ b/internal/serverview/report.go
@@ -89,8 +89,8 @@
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	var digests []*rockwindpb.ServerDigest
-	for _, e := range v.entries {
-		if e.reportedAt > 0 && e.own {
+	for _, e := range v.owned {
+		if e.reportedAt > 0 {
 			digests = append(digests, v.digest(e))
 		}
 	}
@@ -204,10 +204,14 @@
 		}
 	}
 	owners := ownership.Assign(v.peers, names)
+	v.owned = v.owned[:0]
 	for _, e := range v.entries {
 		owner, assigned := owners[e.name]
 		alone := len(v.peers) == 0 && e.zone == v.options.Zone
 		e.own = alone || assigned && owner == v.options.Gateway
+		if e.own {
+			v.owned = append(v.owned, e)
+		}
 	}
 }
 
--- a/internal/serverview/view.go
+++ b/internal/serverview/view.go
@@ -54,10 +54,12 @@
 	routing routing.View
 	names   *routing.Names
 	entries []*entry
-	byName  map[string]*entry
-	models  map[string]loadable
-	zones   []string
-	peers   []string
+	// owned lists the entries that this gateway polls and feeds batch.
+	owned  []*entry
+	byName map[string]*entry
+	models map[string]loadable
+	zones  []string
+	peers  []string
 	// startedAt is when the view was made.
 	startedAt time.Duration
 	// exchangedAt is when digests were last exchanged; zero before the first.
