Lock a daemon's data folder and name the remedy of a failed start

Two daemons with the same data folder and different addresses would have written into the same log. A daemon now locks its folder until it ends.

--- a/internal/command/daemons.go
+++ b/internal/command/daemons.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"rockwind.example/rockwind/internal/control"
+	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/gateway"
 	"rockwind.example/rockwind/internal/linkfault"
 	"rockwind.example/rockwind/internal/logring"
@@ -18,7 +19,7 @@
 
 // daemonFlags are common to the daemons.
 type daemonFlags struct {
-	Settings string   `required:"" type:"path" placeholder:"FILE" help:"Settings file."`
+	Settings string   `type:"path" env:"ROCKWIND_SETTINGS" placeholder:"FILE" help:"Settings file. Without it the environment and --set must give all settings."`
 	Set      []string `placeholder:"FIELD=VALUE" sep:"none" help:"Replace a field of the settings; may be repeated."`
 }
 
@@ -50,7 +51,7 @@
 	if g.AllowFaultInjection {
 		options = append(options, gateway.WithLinkFaults(&linkfault.Links{}))
 	}
-	return gateway.Run(s.context, loaded, options...)
+	return dumpOnFailure(gateway.Run(s.context, loaded, options...), ring, s.stderr)
 }
 
 // controlCommand is 'rockwind control'.
@@ -81,7 +82,15 @@
 	if c.AllowFaultInjection {
 		options = append(options, control.WithLinkFaults(&linkfault.Links{}))
 	}
-	return control.Run(s.context, loaded, options...)
+	return dumpOnFailure(control.Run(s.context, loaded, options...), ring, s.stderr)
+}
+
+// dumpOnFailure writes the ring out where a daemon failed while it ran.
+func dumpOnFailure(err error, ring *logring.Ring, output io.Writer) error {
+	if err != nil && !fault.Is(err, fault.InvalidArgument) {
+		_ = ring.Dump(output)
+	}
+	return err
 }
 
 // dumpOnSignal writes the ring to the output at SIGUSR1 until the context
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -107,9 +106,11 @@
 // Run serves until the context ends, and then stops as planned: it hands over
 // leadership, finishes the calls in progress and syncs.
 func Run(ctx context.Context, settings *rockwindpb.ControlSettings, options ...Option) error {
-	if err := os.MkdirAll(settings.GetDataFolder(), folderMode); err != nil {
-		return errors.Wrap(err, "create the data folder")
+	release, err := openDataFolder(settings.GetDataFolder())
+	if err != nil {
+		return err
 	}
+	defer release()
 	created := &daemon{
 		settings: settings,
 		machines: newMachines(),
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"maps"
-	"slices"
 	"sync"
 
 	"rockwind.example/rockwind/internal/catalog"
@@ -57,13 +55,6 @@
 	return m.shards[number]
 }
 
-// numbers lists the shards that this machine replicates.
-func (m *machines) numbers() []uint32 {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	return slices.Sorted(maps.Keys(m.shards))
-}
-
 // unknownGroup is the fault for a group that another machine replicates.
 func unknownGroup(number uint32) error {
 	return fault.Newf(fault.NotLeader, "ask another control machine",
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -94,13 +93,18 @@
 	})
 }
 
+// openDataFolder locks the machine's folder until release is called.
+func openDataFolder(folder string) (release func(), err error) {
+	return settings.OpenDataFolder(folder)
+}
+
 // listen binds the address of the settings, unless a listener was given, and
 // writes down which address it got.
 func (d *daemon) listen() error {
 	if d.listener == nil {
-		listener, err := net.Listen("tcp", d.settings.GetListen())
+		listener, err := settings.Listen("listen", d.settings.GetListen())
 		if err != nil {
-			return errors.Wrap(err, "listen")
+			return err
 		}
 		d.listener = listener
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"net/http"
-	"os"
 	"path/filepath"
 	"strconv"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"rockwind.example/rockwind/internal/batch"
@@ -78,6 +76,11 @@
 // Run runs a gateway until the context ends, then drains it: new requests are
 // refused as not run, and Run returns when those in progress have ended.
 func Run(ctx context.Context, settings *rockwindpb.GatewaySettings, given ...Option) error {
+	release, err := openDataFolder(settings.GetDataFolder())
+	if err != nil {
+		return err
+	}
+	defer release()
 	g, err := newGateway(settings, collect(given))
 	if err != nil {
 		return err
@@ -86,9 +89,6 @@
 }
 
 func newGateway(settings *rockwindpb.GatewaySettings, chosen options) (*Gateway, error) {
-	if err := os.MkdirAll(settings.GetDataFolder(), folderMode); err != nil {
-		return nil, errors.Wrap(err, "create the data folder")
-	}
 	logger := &log.Logger{Handler: chosen.ring, Level: log.InfoLevel}
 	opened, err := openCertificates(settings, logger)
 	if err != nil {
--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -38,16 +38,21 @@
 	internalServer *http.Server
 }
 
+// openDataFolder locks the gateway's folder until release is called.
+func openDataFolder(folder string) (release func(), err error) {
+	return settings.OpenDataFolder(folder)
+}
+
 // listen opens both listeners and writes their addresses to the data folder.
 func (g *Gateway) listen() (*listeners, error) {
-	callers, err := net.Listen("tcp", g.settings.GetListen())
+	callers, err := settings.Listen("listen", g.settings.GetListen())
 	if err != nil {
-		return nil, errors.Wrap(err, "listen for callers")
+		return nil, err
 	}
-	internal, err := net.Listen("tcp", g.settings.GetInternalListen())
+	internal, err := settings.Listen("internal_listen", g.settings.GetInternalListen())
 	if err != nil {
 		callers.Close()
-		return nil, errors.Wrap(err, "listen for operators")
+		return nil, err
 	}
 	opened := &listeners{
 		callers: callers, internal: internal,
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -105,6 +105,34 @@
 	expectRefusal(t, err, "cannot be read")
 }
 
+func TestDataFolderHasOneDaemon(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "new", "data")
+	release, err := OpenDataFolder(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = OpenDataFolder(folder)
+	expectRefusal(t, err, "is in use")
+	release()
+	again, err := OpenDataFolder(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again()
+	_, err = OpenDataFolder(filepath.Join(write(t, "a file"), "data"))
+	expectRefusal(t, err, "can't be made")
+}
+
+func TestListenNamesTheSetting(t *testing.T) {
+	first, err := Listen("listen", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	_, err = Listen("internal_listen", first.Addr().String())
+	expectRefusal(t, err, "address already in use", "set internal_listen")
+}
+
 // settingRow finds the first cell of the rows of a table.
 var settingRow = regexp.MustCompile("(?m)^\\| `([a-z_.]+)` \\|")
 
