Answer kept connections during a drain

Cause: a draining gateway closed idle connections at once. A caller whose request crossed the close got the end of the connection instead of an answer that says not run; TestStopCutsNoStream met it under the race detector on a busy machine. Ruled out: the stream in progress, which went on. Change: connections stay open while the gateway drains; each answer closes its own, so that callers leave by a typed refusal. What is idle at the end is closed then.

--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -97,7 +97,6 @@
 func (g *Gateway) stop(l *listeners) {
 	g.drain.begin()
 	g.log.Info("draining")
-	l.callerServer.SetKeepAlivesEnabled(false)
 	refusing := time.NewTimer(refusalPeriod)
 	defer refusing.Stop()
 	<-g.drain.idle
@@ -120,6 +119,9 @@
 func (g *Gateway) callerRoutes() http.Handler {
 	callers := g.apiRoutes()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if draining, _ := g.drain.state(); draining {
+			w.Header().Set("Connection", "close")
+		}
 		switch r.URL.Path {
 		case pathAlive:
 			w.WriteHeader(http.StatusOK)
--- a/internal/gateway/serving_test.go
+++ b/internal/gateway/serving_test.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -51,14 +53,64 @@
 
 // post sends a request as the test tenant.
 func (f *fleet) post(path, body string) (*http.Response, error) {
+	return http.DefaultClient.Do(f.request(path, body))
+}
+
+// request makes a request of the test tenant.
+func (f *fleet) request(path, body string) *http.Request {
 	request, err := http.NewRequest(http.MethodPost, f.url+path, strings.NewReader(body))
 	must(f.t, err)
 	request.Header.Set(headerAuthorization, bearerPrefix+testKey)
-	return http.DefaultClient.Do(request)
+	return request
 }
 
 const shortRequest = `{"model":"` + testModel + `","max_tokens":1,"messages":[{"role":"user","content":"x"}]}`
 
+// keptConnection is a caller's connection that stays open between requests.
+type keptConnection struct {
+	t      testing.TB
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (f *fleet) keepConnection() *keptConnection {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	must(f.t, err)
+	f.t.Cleanup(func() { conn.Close() })
+	return &keptConnection{t: f.t, conn: conn, reader: bufio.NewReader(conn)}
+}
+
+func (k *keptConnection) send(request *http.Request) *http.Response {
+	must(k.t, request.Write(k.conn))
+	response, err := http.ReadResponse(k.reader, request)
+	must(k.t, err)
+	return response
+}
+
+// TestDrainAnswersKeptConnections sends a request by a connection that was idle
+// when the drain began: it is refused as not run, and not cut off.
+func TestDrainAnswersKeptConnections(t *testing.T) {
+	f := startFleet(t, 1, slowConfig())
+	client := f.client()
+	stream := client.Chat.Completions.NewStreaming(context.Background(), chatParameters(testModel, "a long saga", 100))
+	defer stream.Close()
+	if !stream.Next() {
+		t.Fatal(stream.Err())
+	}
+	kept := f.keepConnection()
+	first := kept.send(f.request(pathChatCompletions, shortRequest))
+	_, _ = io.Copy(io.Discard, first.Body)
+	f.stop()
+	<-f.gateway.drain.started
+	answer := kept.send(f.request(pathChatCompletions, shortRequest))
+	if refusal := errorOf(t, answer); answer.StatusCode != http.StatusServiceUnavailable || refusal.Ran != "not_run" || !answer.Close {
+		t.Errorf("answered with %d %+v, closing %v", answer.StatusCode, refusal, answer.Close)
+	}
+	for stream.Next() {
+	}
+	must(t, stream.Err())
+}
+
 func TestStopCutsNoStream(t *testing.T) {
 	f := startFleet(t, 1, slowConfig())
 	if f.status(f.url+pathReady) != http.StatusOK || f.status(f.probes+pathReady) != http.StatusOK {
