Report live references to all machines at the same time

Cause: the leader of a shard reported to one machine after another within 2 s together. A machine that was cut off in silence took all of it, so the ones listed after it removed nothing for as long as it was away, and their disks filled up.

Change: the reports go out together; TestSilentMachineKeepsNoOtherFromRemoving.

--- a/internal/control/retention.go
+++ b/internal/control/retention.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
 
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
@@ -42,17 +43,28 @@
 // retain passes a report to all machines. One that is not reached removes
 // nothing until it is.
 func (d *daemon) retain(ctx context.Context, report *rockwindpb.RetainSegmentsRequest) {
-	ctx, cancel := context.WithTimeout(ctx, retainTimeout)
-	defer cancel()
 	services := []rockwindpb.SegmentService{d.bodies.Segments()}
 	for _, peer := range d.segmentPeers() {
 		services = append(services, peer.Service)
 	}
+	retainAt(ctx, services, report)
+}
+
+// retainAt passes a report to all machines at the same time: one that does not
+// answer must not keep the others from removing what is unused.
+func retainAt(ctx context.Context, services []rockwindpb.SegmentService, report *rockwindpb.RetainSegmentsRequest) {
+	ctx, cancel := context.WithTimeout(ctx, retainTimeout)
+	defer cancel()
+	var calls errgroup.Group
 	for _, service := range services {
-		if _, err := service.Retain(ctx, report); err != nil {
-			log.WithError(err).Debug("cannot report references to a machine")
-		}
+		calls.Go(func() error {
+			if _, err := service.Retain(ctx, report); err != nil {
+				log.WithError(err).Debug("cannot report references to a machine")
+			}
+			return nil
+		})
 	}
+	_ = calls.Wait()
 }
 
 // shardCount is the number of job shards of the cluster.
