Blame a cut stream on the kill that it overlaps

Cause: a stream that began between the note of a kill and the kill itself saw the same count of kills before and after, and would have been counted as cut by a planned stop.

Change: a gateway counts as being killed from the note until its process is gone; TestCutStreamIsBlamedOnTheKillItOverlaps.

--- a/internal/bench/faults/injector.go
+++ b/internal/bench/faults/injector.go
@@ -106,8 +106,9 @@
 }
 
 func (i *injector) kill(ctx context.Context, victim *fleet.Process, length time.Duration) error {
-	i.kills.add(victim.Name)
+	i.kills.begin(victim.Name)
 	victim.Kill()
+	i.kills.end(victim.Name)
 	wait(ctx, length)
 	return i.startAgain(ctx, victim)
 }
@@ -220,8 +221,9 @@
 }
 
 func (i *injector) missChanges(ctx context.Context, victim *fleet.Process) error {
-	i.kills.add(victim.Name)
+	i.kills.begin(victim.Name)
 	victim.Kill()
+	i.kills.end(victim.Name)
 	if err := i.changes(ctx, missedChanges); err != nil {
 		return err
 	}
--- a/internal/bench/faults/judge_test.go
+++ b/internal/bench/faults/judge_test.go
@@ -130,3 +130,19 @@
 		}
 	}
 }
+
+// TestCutStreamIsBlamedOnTheKillItOverlaps looks before, during and after a kill.
+func TestCutStreamIsBlamedOnTheKillItOverlaps(t *testing.T) {
+	struck := newKills()
+	before := struck.look("gateway")
+	struck.begin("gateway")
+	during := struck.look("gateway")
+	struck.end("gateway")
+	after := struck.look("gateway")
+	if !struck.since("gateway", before) || !struck.since("gateway", during) {
+		t.Error("a stream that a kill cut is blamed on a planned stop")
+	}
+	if struck.since("gateway", after) {
+		t.Error("a stream that began after a kill is blamed on it")
+	}
+}
