Name a zone's gateways only once all of them may have been heard

A zone whose control machine is lost meets at another one, whose board is empty. The first gateway that exchanged there was told that it is the only one, took all servers of the zone for its own and polled them until the others had exchanged too.

A board now names a zone's gateways after one period and a quarter; until then they go on with the names that they have.

--- a/internal/control/exchange/board.go
+++ b/internal/control/exchange/board.go
@@ -19,6 +19,9 @@
 	Period = 2 * time.Second
 	// liveFor is how long a gateway counts as live after it was heard.
 	liveFor = 3 * Period
+	// gathering is how long a board hears a zone before it names the zone's live
+	// gateways: by then each of them has exchanged once, jitter included.
+	gathering = Period + Period/4
 	// forgetAfter is when a silent gateway or server is forgotten.
 	forgetAfter = 2 * time.Minute
 	// zoneTurns is in how many exchanges a gateway gets every other zone once.
@@ -67,6 +70,10 @@
 // zone holds the servers of one zone.
 type zone struct {
 	servers map[string]*server
+	// since is when this board heard the zone first.
+	since time.Time
+	// heard is when it heard the zone last.
+	heard time.Time
 }
 
 // server is the last digest of one back end.
@@ -118,9 +125,7 @@
 		LatestConfiguration: b.index.Number(),
 		Leaving:             b.allLeaving(now),
 	}
-	for _, peer := range b.peers(now, caller.zone) {
-		response.Peers = append(response.Peers, peer.name)
-	}
+	response.Peers = b.namedPeers(now, caller.zone)
 	return response
 }
 
@@ -143,6 +148,7 @@
 	caller.draining = request.GetDraining()
 	caller.heard = now
 	caller.turn++
+	b.zoneOf(caller.zone).hear(now)
 	return caller
 }
 
@@ -233,6 +239,29 @@
 	return digest
 }
 
+// hear notes that a gateway of the zone was heard. A zone that was away meets
+// afresh.
+func (z *zone) hear(now time.Time) {
+	if now.Sub(z.heard) >= liveFor {
+		z.since = now
+	}
+	z.heard = now
+}
+
+// namedPeers names the live gateways of a zone. It names none while it may not
+// have heard them all, because each gateway would take the others for lost and
+// poll their servers; the gateways go on with the names that they have.
+func (b *Board) namedPeers(now time.Time, zone string) []string {
+	if now.Sub(b.zoneOf(zone).since) < gathering {
+		return nil
+	}
+	var names []string
+	for _, peer := range b.peers(now, zone) {
+		names = append(names, peer.name)
+	}
+	return names
+}
+
 // peers returns the gateways of a zone that are live and not draining, by name.
 func (b *Board) peers(now time.Time, zone string) []*gateway {
 	var live []*gateway
--- a/internal/control/exchange/exchange_test.go
+++ b/internal/control/exchange/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -161,3 +162,39 @@
 		t.Fatalf("an exchange takes %.0f B/s of each gateway, more than %d", perSecond, budget)
 	}
 }
+
+// TestPeersAreNamedOnceAllAreHeard moves the gateways of a zone to a board that
+// has not heard them, in any order and with jitter, and checks that no answer
+// leaves out a gateway that lives.
+func TestPeersAreNamedOnceAllAreHeard(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const rounds = 6
+		gateways := rapid.IntRange(1, 12).Draw(t, "gateways")
+		jitter := rapid.SliceOfN(rapid.IntRange(-200, 200), gateways*rounds, gateways*rounds).Draw(t, "jitter")
+		type call struct {
+			at   time.Time
+			name string
+		}
+		var calls []call
+		for gateway := range gateways {
+			at := time.Unix(1000, 0).Add(time.Duration(gateway) * exchange.Period / time.Duration(gateways))
+			for round := range rounds {
+				calls = append(calls, call{at: at, name: fmt.Sprintf("gateway-%d", gateway)})
+				at = at.Add(exchange.Period + time.Duration(jitter[gateway*rounds+round])*time.Millisecond)
+			}
+		}
+		slices.SortFunc(calls, func(left, right call) int { return left.at.Compare(right.at) })
+		board := exchange.NewBoard("control", 1)
+		named := false
+		for _, each := range calls {
+			peers := board.Exchange(each.at, &rockwindpb.ExchangeRequest{Gateway: each.name, Zone: "zone"}).GetPeers()
+			if len(peers) != 0 && len(peers) != gateways {
+				t.Fatalf("%d of %d gateways are named", len(peers), gateways)
+			}
+			named = named || len(peers) == gateways
+		}
+		if !named {
+			t.Fatal("the gateways were never named")
+		}
+	})
+}
