Read the events of a cache every four seconds, not with each poll

Each poll of a server's load was followed by a read of its cache events, which costs as much even where there is no event: 350 to 400 B/s for each server, and a daemon owns four.

Events are read every four seconds, and the bound on their bytes is halved to 1 KB/s, so that a daemon with online load stays within its budget as well. A gateway that starts waits for the names of its peers for three seconds before it polls all servers of its zone.

--- a/internal/bench/hollow/engines.go
+++ b/internal/bench/hollow/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -40,6 +41,10 @@
 	Draining       bool     `json:"draining"`
 }
 
+// noCacheEvents is the answer of an engine whose cache does not change, because it
+// gets no requests.
+const noCacheEvents = `{"epoch":1,"first":0,"next":0,"events":[]}`
+
 const (
 	// reportedStep is the step time that a hollow engine reports, in microseconds.
 	reportedStep = 12_000
@@ -65,7 +70,8 @@
 	handler.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
 	handler.HandleFunc("GET /readyz", func(http.ResponseWriter, *http.Request) {})
 	handler.HandleFunc("GET /cache_events", func(writer http.ResponseWriter, _ *http.Request) {
-		writer.WriteHeader(http.StatusNotFound)
+		writer.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(writer, noCacheEvents)
 	})
 	return handler
 }
--- a/internal/serverview/caches.go
+++ b/internal/serverview/caches.go
@@ -17,8 +17,11 @@
 const (
 	// cacheBytesPerSecond bounds the bytes of cache events that a gateway reads
 	// on average, and cacheBytesBurst at once.
-	cacheBytesPerSecond = 2 << 10
+	cacheBytesPerSecond = 1 << 10
 	cacheBytesBurst     = 64 << 10
+	// cacheInterval is the least time between two reads of one cache's events: a
+	// read costs as much as a poll for load even where there is no event.
+	cacheInterval = 4 * time.Second
 	// snapshotInterval is the least time between two snapshots of one cache.
 	snapshotInterval = 5 * time.Second
 )
--- a/internal/serverview/poll.go
+++ b/internal/serverview/poll.go
@@ -19,9 +19,10 @@
 	pollJitter = 0.2
 	// pollTimeout bounds one poll.
 	pollTimeout = time.Second
-	// firstExchangeGrace is how long a gateway that has just started leaves the
-	// polls to its peers, because the first exchange tells it what they know.
-	firstExchangeGrace = 2 * time.Second
+	// firstPeersGrace is how long a gateway that has just started and knows no
+	// peers leaves the polls to others: a control machine names them once it has
+	// heard them all.
+	firstPeersGrace = 3 * time.Second
 	// orphanAge is the age of the last exchange and of a server's newest report
 	// from which a server of the own zone is polled although another gateway owns
 	// it. While exchanges go on, a server without news has not changed.
@@ -55,7 +56,7 @@
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	now := v.now()
-	if v.exchangedAt == 0 && now-v.startedAt < firstExchangeGrace {
+	if len(v.peers) == 0 && now-v.startedAt < firstPeersGrace {
 		return nil
 	}
 	var due []pollTask
@@ -73,11 +74,12 @@
 		jitter := 1 + pollJitter*(2*v.random.Float64()-1)
 		e.nextPoll = now + time.Duration(float64(interval)*jitter)
 		e.polling = true
-		due = append(due, pollTask{
-			target: upstream.Target{Name: e.name, Address: e.address},
-			cache:  v.questionFor(e, now),
-			ready:  e.lagging,
-		})
+		task := pollTask{target: upstream.Target{Name: e.name, Address: e.address}, ready: e.lagging}
+		if now >= e.nextCacheRead {
+			task.cache = v.questionFor(e, now)
+			e.nextCacheRead = now + cacheInterval
+		}
+		due = append(due, task)
 	}
 	return due
 }
--- a/internal/serverview/poll_test.go
+++ b/internal/serverview/poll_test.go
@@ -24,8 +24,8 @@
 	return view
 }
 
-// A gateway that starts leaves the polls to its peers until the first exchange,
-// polls its even part from then on, and everything where no exchange works.
+// A gateway that starts leaves the polls to its peers until it knows
+// them, polls its even part from then on, and everything where no exchange works.
 func TestStartedGatewayPollsItsPart(t *testing.T) {
 	const engines = 12
 	synctest.Test(t, func(t *testing.T) {
@@ -38,7 +38,7 @@
 			t.Fatalf("%d of %d servers are polled by one of three gateways", len(due), engines)
 		}
 		alone := newZoneView(engines)
-		time.Sleep(firstExchangeGrace)
+		time.Sleep(firstPeersGrace)
 		if due := alone.duePolls(); len(due) != engines {
 			t.Fatalf("%d of %d servers are polled without an exchange", len(due), engines)
 		}
--- a/internal/serverview/view.go
+++ b/internal/serverview/view.go
@@ -108,6 +108,8 @@
 	// lagging tells that the server's load reports are old when they arrive.
 	lagging bool
 	polling bool
+	// nextCacheRead is when the server's cache events may be read next.
+	nextCacheRead time.Duration
 	// snapshotAt is when a snapshot of the cache was read last; zero before any.
 	snapshotAt time.Duration
 	batch      *batchState
