--- a/internal/bench/scale/command.go
+++ b/internal/bench/scale/command.go
@@ -29,6 +29,7 @@
 	JobItems int           `help:"Items of each of them." default:"1000"`
 	Sweep    bool          `help:"Measure fleets of many sizes, fit how the costs grow, and end with a run of the full size."`
 	Output   string        `help:"Folder for the tables and plots of a sweep." default:"docs/capacity" type:"path"`
+	Figures  string        `help:"Write the page again from the figures of an earlier sweep, without a run." type:"existingfile"`
 	Page     string        `help:"Page whose generated parts a sweep replaces; empty for none." type:"path"`
 	Programs string        `help:"Folder of the programs; empty takes that of this one." type:"path"`
 	Folder   string        `help:"Folder for the processes' files; empty makes one and removes it." type:"path"`
@@ -42,6 +43,9 @@
 	if err := c.size().check(); err != nil {
 		return err
 	}
+	if c.Figures != "" {
+		return refill(c.Figures, c.Page)
+	}
 	if c.Sweep {
 		return c.sweep(ctx)
 	}
--- a/internal/bench/scale/fit.go
+++ b/internal/bench/scale/fit.go
@@ -12,7 +12,7 @@
 	// scale turns the cost into its unit.
 	scale float64
 	read  func(*Result) float64
-	// full reads the worst of the full run, nil where there is none.
+	// worst reads the worst daemon or machine, nil where there is none.
 	worst func(*Result) float64
 }
 
--- a/internal/bench/scale/page.go
+++ b/internal/bench/scale/page.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"math"
 	"os"
@@ -84,6 +85,23 @@
 	return chart
 }
 
+// refill writes the generated parts of a page from the figures of an earlier
+// sweep.
+func refill(figures, page string) error {
+	text, err := os.ReadFile(figures)
+	if err != nil {
+		return errors.Wrap(err, "read the figures")
+	}
+	var earlier Sweep
+	if err := json.Unmarshal(text, &earlier); err != nil {
+		return errors.Wrapf(err, "decode %s", figures)
+	}
+	if earlier.Full == nil {
+		return fault.Newf(fault.InvalidArgument, "name the figures.json of a sweep", "%s holds no sweep", figures)
+	}
+	return earlier.fillPage(page)
+}
+
 // fillPage replaces the generated parts of a page.
 func (s *Sweep) fillPage(file string) error {
 	page, err := os.ReadFile(file)
