Run the simulated sharing policy in the gateways

Cause: gateways yielded on a 20 ms tick, kept paused items waiting while fresh ones started, did not reclaim places for groups, and routed otherwise than the simulator. Change: online arrivals wake the executor at once; paused items of a group go on before new ones start; the executor reclaims with sharing.Reclaim; models are routed by routing.OwnedFirst, which keeps the homes of conversations.

--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -71,7 +71,7 @@
 			return
 		}
 		held := leases[index]
-		if !e.startNext(ctx, held, &candidates[index]) || len(held.pending) == 0 {
+		if !e.startNext(ctx, held, &candidates[index]) || !e.hasMore(held) {
 			candidates = append(candidates[:index], candidates[index+1:]...)
 			leases = append(leases[:index], leases[index+1:]...)
 		}
@@ -84,7 +84,7 @@
 	var leases []*lease
 	now := time.Now()
 	for _, held := range e.leases {
-		if len(held.pending) == 0 || held.lines == nil || now.Before(held.notBefore) {
+		if !held.ready(now) && !e.hasPaused(held) {
 			continue
 		}
 		candidates = append(candidates, e.candidate(held, now))
@@ -104,9 +104,23 @@
 	}
 }
 
-// startNext starts the first waiting item of a lease; false means that no
-// server takes it now.
+// hasMore tells whether a lease has items that wait to start or to go on.
+func (e *Executor) hasMore(held *lease) bool {
+	return len(held.pending) > 0 || e.hasPaused(held)
+}
+
+// startNext lets a paused item of the lease's group go on or starts the first
+// waiting item of the lease; false means that no server takes one now.
 func (e *Executor) startNext(ctx context.Context, held *lease, candidate *sharing.Candidate) bool {
+	if e.resumePaused(ctx, held.job.GetGroup()) {
+		return true
+	}
+	return held.ready(time.Now()) && e.startPending(ctx, held, candidate)
+}
+
+// startPending starts the first waiting item of a lease; false means that no
+// server takes it now.
+func (e *Executor) startPending(ctx context.Context, held *lease, candidate *sharing.Candidate) bool {
 	item := held.pending[0]
 	line, err := parseLine(held.lines[item])
 	if err != nil {
@@ -208,6 +222,7 @@
 	held := current.lease
 	delete(e.running, current)
 	delete(held.running, current.item)
+	e.forgetPaused(current)
 	e.options.View.BatchEnded(current.target, current.report, current.paused, current.prompt)
 	e.account(current)
 	if current.abandoned {
--- a/internal/batch/executor.go
+++ b/internal/batch/executor.go
@@ -71,10 +71,11 @@
 	acquireAfter time.Time
 	heartbeating bool
 	lastBeat     time.Time
-	yields       map[string]*yieldState
-	rate         rateMeter
-	epoch        time.Time
-	draining     bool
+	// paused lists the items that gave way, in the order in which they did.
+	paused   []*run
+	rate     rateMeter
+	epoch    time.Time
+	draining bool
 
 	mutex sync.Mutex
 	// demand is the cost of waiting work by group, guarded by mutex.
@@ -99,7 +100,6 @@
 		leases:    make(map[leaseKey]*lease),
 		running:   make(map[*run]struct{}),
 		picker:    sharing.NewPicker(),
-		yields:    make(map[string]*yieldState),
 		epoch:     time.Now(),
 		demand:    make(map[string]float64),
 		costs:     newCostMeter(),
@@ -133,6 +133,7 @@
 		case <-endAt:
 			e.leases = make(map[leaseKey]*lease)
 			clear(e.running)
+			e.paused = nil
 		case done := <-e.finished:
 			e.itemEnded(done)
 		case result := <-e.grants:
@@ -146,8 +147,11 @@
 			e.acknowledge(acks)
 		case allowances := <-e.allowance:
 			e.picker.SetAllowances(allowances)
+		case <-e.options.View.OnlineChanged():
+			e.yield(working)
 		case <-ticker.C:
 			e.yield(working)
+			e.reclaim(working)
 			e.heartbeat(working)
 			e.publishDemand()
 		}
--- a/internal/batch/yield.go
+++ b/internal/batch/yield.go
@@ -3,86 +3,71 @@
 import (
 	"context"
 	"slices"
-	"time"
 
 	"rockwind.example/rockwind/internal/serverview"
 )
 
-// unpauseAfter is how long a server must have had room before paused items
-// come back, so that items do not flap.
-const unpauseAfter = 250 * time.Millisecond
-
-// yieldState is what is known of giving way on one server.
-type yieldState struct {
-	// roomSince is when the server began to have room; zero while it has none.
-	roomSince time.Time
-}
-
-// yield makes running items give way where they harm online requests, and lets
-// paused ones go on where there is room.
+// yield makes running items give way where they harm online requests.
 func (e *Executor) yield(ctx context.Context) {
-	seen := make(map[string]bool)
 	for _, found := range e.options.View.BatchYields() {
 		if found.Lost {
 			e.cancelLost(found.Target.Name)
 			continue
 		}
-		seen[found.Target.Name] = true
-		state := e.yields[found.Target.Name]
-		if state == nil {
-			state = &yieldState{}
-			e.yields[found.Target.Name] = state
-		}
-		if found.Count > 0 {
-			state.roomSince = time.Time{}
-			e.pause(ctx, found)
-			continue
-		}
-		if state.roomSince.IsZero() {
-			state.roomSince = time.Now()
-		}
-		if time.Since(state.roomSince) >= unpauseAfter {
-			e.unpause(ctx, found)
-		}
-	}
-	for name := range e.yields {
-		if !seen[name] {
-			delete(e.yields, name)
-		}
+		e.pauseNewest(ctx, found)
 	}
 }
 
-// on lists the items at a server, youngest first.
-func (e *Executor) on(server string, paused bool) []*run {
-	var found []*run
+// pauseNewest frees the places of the youngest items of a server.
+func (e *Executor) pauseNewest(ctx context.Context, asked serverview.BatchYield) {
+	var candidates []*run
 	for current := range e.running {
-		if current.target.Name == server && current.paused == paused && !current.abandoned {
-			found = append(found, current)
+		if current.target.Name == asked.Target.Name && !current.paused && !current.abandoned {
+			candidates = append(candidates, current)
 		}
 	}
-	slices.SortFunc(found, func(left, right *run) int { return right.started.Compare(left.started) })
-	return found
-}
-
-// pause frees the places of the youngest items of a server.
-func (e *Executor) pause(ctx context.Context, asked serverview.BatchYield) {
-	candidates := e.on(asked.Target.Name, false)
+	slices.SortFunc(candidates, func(left, right *run) int { return right.started.Compare(left.started) })
 	for _, current := range candidates[:min(asked.Count, len(candidates))] {
-		current.paused = true
-		e.options.View.BatchPaused(asked.Target.Name, true)
-		go current.order(func() { e.options.Relay.Pause(ctx, current.target, current.id) })
+		e.pause(ctx, current)
 	}
 }
 
-// unpause puts the oldest paused items of a server back.
-func (e *Executor) unpause(ctx context.Context, asked serverview.BatchYield) {
-	candidates := e.on(asked.Target.Name, true)
-	slices.Reverse(candidates)
-	for _, current := range candidates[:min(-asked.Count, len(candidates))] {
+func (e *Executor) pause(ctx context.Context, current *run) {
+	current.paused = true
+	e.paused = append(e.paused, current)
+	e.options.View.BatchPaused(current.target.Name)
+	go current.order(func() { e.options.Relay.Pause(ctx, current.target, current.id) })
+}
+
+// resumePaused lets the item of a group that was paused last go on whose server
+// has room; false means that there is none.
+func (e *Executor) resumePaused(ctx context.Context, group string) bool {
+	for index := len(e.paused) - 1; index >= 0; index-- {
+		current := e.paused[index]
+		if current.lease.job.GetGroup() != group || current.abandoned {
+			continue
+		}
+		if !e.options.View.ResumeBatch(current.target.Name, e.objective(group)) {
+			continue
+		}
+		e.paused = slices.Delete(e.paused, index, index+1)
 		current.paused = false
-		e.options.View.BatchPaused(asked.Target.Name, false)
 		go current.order(func() { e.options.Relay.Unpause(ctx, current.target, current.id) })
+		return true
 	}
+	return false
+}
+
+// forgetPaused takes an item that ended off the paused ones.
+func (e *Executor) forgetPaused(current *run) {
+	if index := slices.Index(e.paused, current); index >= 0 {
+		e.paused = slices.Delete(e.paused, index, index+1)
+	}
+}
+
+// hasPaused tells whether items of a lease are paused.
+func (e *Executor) hasPaused(held *lease) bool {
+	return slices.ContainsFunc(e.paused, func(current *run) bool { return current.lease == held && !current.abandoned })
 }
 
 // cancelLost cancels the items at a server that was ejected: their answers are
--- a/internal/routing/owned.go
+++ b/internal/routing/owned.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// OwnedMargin is the margin that gateways use.
+const OwnedMargin = 5 * time.Millisecond
+
 // OwnedFirst takes the server of the own zone with the least estimated wait
 // behind online requests. Servers that this gateway feeds with batch work come
 // before the others by a margin: of these it knows nearly every request at once,
@@ -32,11 +35,14 @@
 		return Decision{}, false
 	}
 	chosen := best{health: Ejected}
+	p.considerHomes(view, request, version, &chosen)
 	for _, index := range p.Owned {
 		p.offer(view, index, 0, request, version, random, &chosen)
 	}
-	for _, index := range p.Others {
-		p.offer(view, index, p.Margin, request, version, random, &chosen)
+	if chosen.health != Healthy || chosen.score > p.leastOther(view, request) || len(request.Hints) > 0 {
+		for _, index := range p.Others {
+			p.offer(view, index, p.Margin, request, version, random, &chosen)
+		}
 	}
 	if chosen.health != Healthy || chosen.wait > p.Otherwise.SpillWait {
 		other, found := p.Otherwise.Choose(view, request, now, random)
@@ -44,7 +50,34 @@
 			return other, true
 		}
 	}
-	return Decision{Server: int(chosen.server), Version: version, Wait: chosen.wait, Hinted: chosen.hinted}, chosen.found()
+	return Decision{Server: int(chosen.server), Version: version, Wait: chosen.wait, Hinted: chosen.hinted, CachedTokens: chosen.cached}, chosen.found()
+}
+
+// leastOther is the score of an idle server that is not owned and caches none of
+// the prompt.
+func (p *OwnedFirst) leastOther(view *View, request *Request) time.Duration {
+	return p.Margin + view.Cost.StepBase + time.Duration(request.PromptTokens)*view.Cost.PerPromptToken
+}
+
+// considerHomes offers the homes of the request's key within the own zone.
+func (p *OwnedFirst) considerHomes(view *View, request *Request, version NameID, chosen *best) {
+	if request.AffinityKey == 0 || len(view.Zones) == 0 {
+		return
+	}
+	zone := &view.Zones[0]
+	first, second := view.homes(zone.First, zone.First+zone.Count, request, version)
+	p.offerHome(view, first, request, p.Otherwise.HomeBonus, chosen)
+	p.offerHome(view, second, request, p.Otherwise.HomeBonus/2, chosen)
+}
+
+func (p *OwnedFirst) offerHome(view *View, index int32, request *Request, bonus time.Duration, chosen *best) {
+	if index < 0 {
+		return
+	}
+	server := &view.Servers[index]
+	cached := cachedTokens(request, index)
+	wait := p.wait(view, server, index, int(request.PromptTokens)-cached)
+	chosen.offer(best{server: index, health: server.Health, hinted: true, cached: int32(cached), wait: wait, score: wait - bonus})
 }
 
 func (p *OwnedFirst) offer(view *View, index int32, margin time.Duration, request *Request, version NameID, random *rand.Rand, chosen *best) {
@@ -54,7 +87,7 @@
 	}
 	cached := cachedTokens(request, index)
 	wait := p.wait(view, server, index, int(request.PromptTokens)-cached)
-	chosen.offer(best{server: index, health: server.Health, hinted: cached > 0, wait: wait, score: wait + margin})
+	chosen.offer(best{server: index, health: server.Health, hinted: cached > 0, cached: int32(cached), wait: wait, score: wait + margin})
 }
 
 // cachedTokens is the length of the prefix that a hint says a server caches.
--- a/internal/serverview/batch.go
+++ b/internal/serverview/batch.go
@@ -27,8 +27,7 @@
 	TokensPerStep int
 }
 
-// BatchYield tells that so many batch items must leave a server now, or, where
-// Count is below zero, that so many paused ones may come back.
+// BatchYield tells that so many batch items must leave a server now.
 type BatchYield struct {
 	// Target is the back end.
 	Target upstream.Target
@@ -145,12 +144,30 @@
 	}
 }
 
-// BatchYields lists the servers on which the number of running batch items
-// does not fit the budget of the moment.
+// OnlineChanged receives after the online load of a server that this gateway
+// owns changed, so that batch gives way or goes on at once.
+func (v *View) OnlineChanged() <-chan struct{} {
+	return v.online
+}
+
+// changed wakes who waits for OnlineChanged. The caller holds the lock.
+func (v *View) changed(e *entry) {
+	if !e.own {
+		return
+	}
+	select {
+	case v.online <- struct{}{}:
+	default:
+	}
+}
+
+// BatchYields lists the servers on which more batch items run than the budget
+// of the moment allows, and those that are lost.
 func (v *View) BatchYields() []BatchYield {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	now := v.now()
+	policy := v.budgetPolicy(sharing.Throughput)
 	var yields []BatchYield
 	for _, e := range v.entries {
 		if e.batch.running == 0 && e.batch.paused == 0 {
@@ -158,38 +175,51 @@
 		}
 		found := BatchYield{Target: upstream.Target{Name: e.name, Address: e.address}}
 		found.Lost = v.routing.Servers[e.index].Health == routing.Ejected
-		found.Count = v.yieldCount(e, now)
-		if found.Lost || found.Count != 0 {
+		found.Count = sharing.ShouldYield(v.batchServerState(e, now), policy, now)
+		if found.Lost || found.Count > 0 {
 			yields = append(yields, found)
 		}
 	}
 	return yields
 }
 
-func (v *View) yieldCount(e *entry, now time.Duration) int {
-	policy := v.budgetPolicy(sharing.Throughput)
-	state := v.batchServerState(e, now)
-	if over := sharing.ShouldYield(state, policy, now); over > 0 {
-		return over
+// ResumeBatch counts a paused item as running again where its server has room,
+// and tells whether it has.
+func (v *View) ResumeBatch(server string, objective sharing.Objective) bool {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	e := v.byName[server]
+	if e == nil || e.batch.paused == 0 {
+		return false
+	}
+	now := v.now()
+	budget := sharing.BatchBudget(v.batchServerState(e, now), v.budgetPolicy(objective), now)
+	if e.batch.running >= budget.Items {
+		return false
 	}
-	free := sharing.BatchBudget(state, policy, now).Items - e.batch.running
-	return -min(max(free, 0), e.batch.paused)
+	e.batch.paused--
+	e.batch.running++
+	return true
 }
 
-// BatchPaused moves an item between running and paused in the counts.
-func (v *View) BatchPaused(server string, paused bool) {
+// BatchMayRun tells whether a server that this gateway owns may run batch items
+// of the model.
+func (v *View) BatchMayRun(server string, wanted BatchWanted) bool {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	e := v.byName[server]
-	if e == nil {
-		return
-	}
-	change := 1
-	if !paused {
-		change = -1
+	request, ok := v.request(Wanted{Model: wanted.Model, Adapter: wanted.Adapter})
+	return ok && e != nil && e.own && eligible(&v.routing.Servers[e.index], &request)
+}
+
+// BatchPaused counts a running item as paused.
+func (v *View) BatchPaused(server string) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if e := v.byName[server]; e != nil {
+		e.batch.paused++
+		e.batch.running--
 	}
-	e.batch.paused += change
-	e.batch.running -= change
 }
 
 // BatchEnded counts a batch item down and hands the evidence to the owner.
--- a/internal/serverview/choose.go
+++ b/internal/serverview/choose.go
@@ -88,6 +88,7 @@
 		v.tracker.Sent(e.slot, decision.Wait, now)
 	}
 	v.tickets++
+	defer v.changed(e)
 	e.batch.pace.Sent(v.tickets, promptTokens, now)
 	for _, prefix := range wanted.Prefixes {
 		v.prefixes.Remember(prefix.Block, int32(e.slot))
@@ -127,13 +128,22 @@
 			hidden = append(hidden, e.index)
 		}
 	}
-	decision, ok := routing.Choose(&v.routing, &request, now, v.random)
+	decision, ok := v.route(wanted, &request, now)
 	for _, index := range hidden {
 		v.routing.Servers[index].Leaving = false
 	}
 	return decision, ok
 }
 
+// route chooses among the servers: of models by what this gateway knows itself,
+// of services by sampling. It names the policies, so that nothing is allocated.
+func (v *View) route(wanted Wanted, request *routing.Request, now time.Duration) (routing.Decision, bool) {
+	if wanted.Service != "" {
+		return routing.Default.Choose(&v.routing, request, now, v.random)
+	}
+	return v.ownedFirst.Choose(&v.routing, request, now, v.random)
+}
+
 func (v *View) request(wanted Wanted) (routing.Request, bool) {
 	key := modelKey(wanted.Model)
 	if wanted.Service != "" {
@@ -167,6 +177,7 @@
 			v.tracker.FirstToken(e.slot, came, v.now())
 		}
 		e.batch.pace.FirstToken(attempt.ticket, streamed, v.now())
+		v.changed(e)
 		e.batch.publishLeader()
 	}
 }
@@ -186,6 +197,7 @@
 	v.mutex.Lock()
 	if e := v.byName[target.Name]; e != nil {
 		e.batch.pace.Ended(attempt.ticket, v.now())
+		v.changed(e)
 		e.batch.publishLeader()
 		v.routing.Ended(e.index, false)
 		e.history.ended.add(v.now())
--- a/internal/serverview/report.go
+++ b/internal/serverview/report.go
@@ -213,6 +213,27 @@
 			v.owned = append(v.owned, e)
 		}
 	}
+	v.preferOwned()
+}
+
+// preferOwned lists the servers of the own zone for routing.
+func (v *View) preferOwned() {
+	v.ownedFirst = routing.OwnedFirst{Margin: routing.OwnedMargin, Otherwise: routing.Default, Backlog: v.promptBacklog}
+	for index, e := range v.entries {
+		switch {
+		case e.zone != v.options.Zone:
+		case e.own:
+			v.ownedFirst.Owned = append(v.ownedFirst.Owned, int32(index))
+		default:
+			v.ownedFirst.Others = append(v.ownedFirst.Others, int32(index))
+		}
+	}
+}
+
+// promptBacklog is the number of prompt tokens of this gateway's online requests
+// that wait on a server. The caller holds the lock.
+func (v *View) promptBacklog(server int) int {
+	return v.entries[server].batch.pace.PromptTokens()
 }
 
 // batchState is what is known for batch on one server.
--- a/internal/serverview/view.go
+++ b/internal/serverview/view.go
@@ -45,6 +45,8 @@
 
 	// outcomes carries evidence to the owner goroutine.
 	outcomes chan evidence
+	// online holds a token while the online load of an own server changed.
+	online chan struct{}
 	// news tells the exchange that something must be passed on at once.
 	news chan struct{}
 
@@ -72,6 +74,8 @@
 	cacheBudget byteBudget
 	tracker     *health.Tracker
 	slots       slotTable
+	// ownedFirst chooses back ends of models.
+	ownedFirst routing.OwnedFirst
 	// tickets numbers the attempts of online requests.
 	tickets uint64
 	// step is the target of steps that hold online requests.
@@ -146,6 +150,7 @@
 		options:  options,
 		epoch:    time.Now().Add(-time.Hour),
 		outcomes: make(chan evidence, evidenceBuffer),
+		online:   make(chan struct{}, 1),
 		news:     make(chan struct{}, 1),
 		random:   options.Random,
 		byName:   make(map[string]*entry),
--- a/internal/simulator/gateway.go
+++ b/internal/simulator/gateway.go
@@ -13,6 +13,9 @@
 // modelName is the single model of the simulated fleet.
 const modelName routing.NameID = 0
 
+// serverKeySpread makes keys of the numbers of servers.
+const serverKeySpread = 0x9e3779b97f4a7c15
+
 // gateway is one gateway with a lagging view of its own.
 type gateway struct {
 	fleet    *fleet
@@ -82,6 +85,7 @@
 		for place := range scenario.EnginesPerZone {
 			server := &g.view.Servers[first+place]
 			server.Zone = uint16(offset)
+			server.Key = uint64(first+place+1) * serverKeySpread
 			if g.fleet.policy.BatchOnly == nil || !g.fleet.policy.BatchOnly(place, scenario.EnginesPerZone) {
 				server.Loaded.Add(modelName)
 			}
@@ -122,6 +126,7 @@
 		Adapter:      routing.NoName,
 		PromptTokens: int32(record.arrival.shape.prompt),
 		Hints:        g.hintsFor(record.arrival.shape),
+		AffinityKey:  affinityKey(&record.arrival.shape),
 	}
 	decision, found := g.routing.Choose(&g.view, &request, now, g.random)
 	if !found {
@@ -131,6 +136,11 @@
 	g.dispatch(index, decision.Server)
 }
 
+// affinityKey names the shared text of a prompt that is long enough to matter.
+func affinityKey(drawn *shape) uint64 {
+	return routing.AffinityKeyOf(drawn.blocks)
+}
+
 // hintsFor lists the servers that this gateway last sent the prefix to.
 func (g *gateway) hintsFor(shape shape) []routing.Hint {
 	g.hints = g.hints[:0]
--- a/internal/simulator/policy.go
+++ b/internal/simulator/policy.go
@@ -41,15 +41,12 @@
 func Rockwind(scenario *Scenario) Policy {
 	return Policy{
 		Name: "rockwind", Online: true, Batch: true,
-		OwnedMargin:   ownedMargin,
+		OwnedMargin:   routing.OwnedMargin,
 		Budget:        budgetOf(budgetPolicy(scenario)),
 		BatchPriority: engine.PriorityBatch,
 	}
 }
 
-// ownedMargin is the margin that gateways use.
-const ownedMargin = 5 * time.Millisecond
-
 // budgetPolicy is the policy of the scenario's objective with the step model of
 // its engines.
 func budgetPolicy(scenario *Scenario) sharing.BudgetPolicy {
