Split server-sent events alike in whatever pieces they arrive

The relay counts events to join a second run of a request to the first, so that the count must not depend on the network. wholeEvents now looks from the start.

--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -11,14 +11,17 @@
 	dataDoneRaw = []byte("data:[DONE]")
 )
 
-// wholeEvents returns the length of the longest prefix of p that ends with a
-// whole server-sent event.
+// wholeEvents returns the length of the longest prefix of p that holds whole
+// server-sent events only. It does not depend on the pieces in which p arrives.
 func wholeEvents(p []byte) int {
-	at := bytes.LastIndex(p, eventEnd)
-	if at < 0 {
-		return 0
+	end := 0
+	for {
+		at := bytes.Index(p[end:], eventEnd)
+		if at < 0 {
+			return end
+		}
+		end += at + len(eventEnd)
 	}
-	return at + len(eventEnd)
 }
 
 // nextEvent returns the length of the first event of p, which holds whole
