Wait longer for a home that may cache more of the prompt

Cause: the same 40 ms were taken off the estimate of a home for a prompt of 300 tokens and one of 4,000, whose prefill takes 120 ms.

Change: 30 ms and the prefill of the prompt, at most the limit of affinity.

--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -77,9 +77,9 @@
 	// AffinityLimit bounds what a hint may take off an estimate, so that a hot
 	// prefix never makes a hot spot.
 	AffinityLimit time.Duration
-	// HomeBonus is taken off the estimate of the server that all gateways of the
-	// zone prefer for the request's AffinityKey, and half of it off that of the
-	// next one.
+	// HomeBonus and the prefill of the prompt, at most AffinityLimit together, are
+	// taken off the estimate of the server that all gateways of the zone prefer
+	// for the request's AffinityKey, and half of that off the next one's.
 	HomeBonus time.Duration
 	// BatchPenalty is added to an online request's estimate for each batch
 	// request that runs on the server.
@@ -91,7 +91,7 @@
 	Choices:       2,
 	SpillWait:     50 * time.Millisecond,
 	AffinityLimit: 150 * time.Millisecond,
-	HomeBonus:     40 * time.Millisecond,
+	HomeBonus:     30 * time.Millisecond,
 	BatchPenalty:  200 * time.Microsecond,
 }
 
--- a/internal/routing/home.go
+++ b/internal/routing/home.go
@@ -59,8 +59,11 @@
 	}
 	from, to := view.homeSet()
 	first, second := view.homes(from, to, request, version)
-	p.offerHome(view, first, request, now, p.HomeBonus, chosen)
-	p.offerHome(view, second, request, now, p.HomeBonus/2, chosen)
+	// The more of a prompt a home may cache, the longer a wait it is worth.
+	prefill := time.Duration(request.PromptTokens) * view.Cost.PerPromptToken
+	bonus := min(p.HomeBonus+prefill, p.AffinityLimit)
+	p.offerHome(view, first, request, now, bonus, chosen)
+	p.offerHome(view, second, request, now, bonus/2, chosen)
 }
 
 func (p PowerOfChoices) offerHome(view *View, index int32, request *Request, now, bonus time.Duration, chosen *best) {
