--- a/internal/command/documentation_test.go
+++ b/internal/command/documentation_test.go
@@ -94,3 +94,37 @@
 		}
 	}
 }
+
+// link finds the targets of links in a page.
+var link = regexp.MustCompile(`\]\(([^)#\s]+)(#[^)]*)?\)`)
+
+// TestLinksOfTheDocumentation checks that pages link to files that exist, and
+// that docs/OPERATIONS.md lists every page about operations.
+func TestLinksOfTheDocumentation(t *testing.T) {
+	root := filepath.Join("..", "..")
+	var pages []string
+	for _, pattern := range []string{"docs/*.md", "docs/*/*.md"} {
+		found, err := filepath.Glob(filepath.Join(root, pattern))
+		if err != nil {
+			t.Fatal(err)
+		}
+		pages = append(pages, found...)
+	}
+	for _, name := range pages {
+		content, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, match := range link.FindAllStringSubmatch(string(content), -1) {
+			if strings.Contains(match[1], "://") {
+				continue
+			}
+			if _, err := os.Stat(filepath.Join(filepath.Dir(name), match[1])); err != nil {
+				t.Errorf("%s links to %s, which is not there", name, match[1])
+			}
+		}
+		if folder, file := filepath.Split(name); strings.HasSuffix(folder, "operations/") && !strings.Contains(page(t, "OPERATIONS.md"), "(operations/"+file+")") {
+			t.Errorf("docs/OPERATIONS.md does not list operations/%s", file)
+		}
+	}
+}
