Ask a group for its state without the mutex of the replica host

Cause: Identity and Join asked each group for its status while they held the host's mutex. A group whose leader is not in its membership yet, as at a machine that has just joined, asks the transport for the address; the transport, holding its own mutex, starts goroutines of the host, which needs the first. Both waited for each other and the control process answered nothing any more.

Change: the groups are listed under the mutex and asked after it is released.

--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -201,6 +201,28 @@
 	return owners
 }
 
+// knownGroup is a group of the cluster; owner is nil where it does not run here.
+type knownGroup struct {
+	founding *rockwindpb.FoundingGroup
+	owner    *owner
+}
+
+// knownGroups returns the cluster, nil outside of one, and its groups. Callers ask
+// the owners without the host's mutex: an owner may wait for the transport, which
+// in turn starts goroutines of the host.
+func (h *Host) knownGroups() (*cluster, []knownGroup) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.cluster == nil {
+		return nil, nil
+	}
+	var groups []knownGroup
+	for _, founding := range h.cluster.groups {
+		groups = append(groups, knownGroup{founding: founding, owner: h.owners[founding.GetGroup()]})
+	}
+	return h.cluster, groups
+}
+
 func (h *Host) clusterID() string {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/internal/replica/joining.go
+++ b/internal/replica/joining.go
@@ -95,18 +95,19 @@
 }
 
 func (h *Host) describeGroups() (*rockwindpb.JoinResponse, error) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if h.cluster == nil {
+	known, groups := h.knownGroups()
+	if known == nil {
 		return nil, notBegun("this control machine belongs to no cluster")
 	}
-	response := &rockwindpb.JoinResponse{ClusterId: h.cluster.id}
-	for _, group := range h.cluster.groups {
-		membership := group.GetMembership()
-		if o := h.owners[group.GetGroup()]; o != nil && len(o.Status().GetMembership().GetMembers()) > 0 {
-			membership = o.Status().GetMembership()
+	response := &rockwindpb.JoinResponse{ClusterId: known.id}
+	for _, group := range groups {
+		membership := group.founding.GetMembership()
+		if group.owner != nil {
+			if current := group.owner.Status().GetMembership(); len(current.GetMembers()) > 0 {
+				membership = current
+			}
 		}
-		response.Groups = append(response.Groups, &rockwindpb.FoundingGroup{Group: group.GetGroup(), Membership: membership})
+		response.Groups = append(response.Groups, &rockwindpb.FoundingGroup{Group: group.founding.GetGroup(), Membership: membership})
 	}
 	return response, nil
 }
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -46,16 +46,15 @@
 func (s *service) Identity(context.Context, *rockwindpb.IdentityRequest) (*rockwindpb.IdentityResponse, error) {
 	h := s.host
 	response := &rockwindpb.IdentityResponse{Machine: h.options.Machine, DiskId: h.log.DiskID()}
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if h.cluster == nil {
+	known, groups := h.knownGroups()
+	if known == nil {
 		return response, nil
 	}
-	response.ClusterId = h.cluster.id
-	for _, group := range h.cluster.groups {
-		status := &rockwindpb.GroupStatus{Group: group.GetGroup(), Membership: group.GetMembership()}
-		if o := h.owners[group.GetGroup()]; o != nil {
-			status = o.Status()
+	response.ClusterId = known.id
+	for _, group := range groups {
+		status := &rockwindpb.GroupStatus{Group: group.founding.GetGroup(), Membership: group.founding.GetMembership()}
+		if group.owner != nil {
+			status = group.owner.Status()
 		}
 		response.Groups = append(response.Groups, status)
 	}
