Lose a region in the scale run

The run now also kills the processes of four zones with two control machines, applies a change, brings them back and applies another.

--- a/internal/bench/scale/command.go
+++ b/internal/bench/scale/command.go
@@ -136,8 +136,8 @@
 		fmt.Printf("configuration %d (%s): accepted in %.2f s, in force on the last daemon after %.2f s, missing on %d\n",
 			change.Number, change.During, change.Accepted, change.Slowest, change.Missing)
 	}
-	fmt.Printf("events %+v, %d rolling restarts, %d processes lost with the zone, reverts %v\n",
-		result.Events, result.Restarted, result.LostProcesses, result.Reverts)
+	fmt.Printf("events %+v, %d rolling restarts, %d processes lost with the zone, %d with the region, reverts %v\n",
+		result.Events, result.Restarted, result.LostProcesses, result.LostWithRegion, result.Reverts)
 	fmt.Printf("online %+v\n", result.Online)
 	for _, violation := range result.Violations {
 		fmt.Println("VIOLATION", violation)
--- a/internal/bench/scale/layout.go
+++ b/internal/bench/scale/layout.go
@@ -71,3 +71,7 @@
 func lostZone(size Size) int {
 	return spreadZone(min(1, size.Controls-1))
 }
+
+// lostRegion is the region that a run loses. It holds a replica of the root group
+// and none of the gateways that carry the online load.
+const lostRegion = 3
