Ask further control machines whether copies are missing

Cause: a control machine knows only after an hour which segments are not needed any more. Asked before that, it would report copies as missing that the other machines had removed on purpose, and the cluster as not repaired.

Change: 'rockwind cluster status' asks one machine after another until one says that all copies are there, which any may say for all, and otherwise shows the answer that misses least.

--- a/internal/command/cluster_status.go
+++ b/internal/command/cluster_status.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -70,8 +71,10 @@
 	return nil
 }
 
-// clusterState asks all control machines for their groups, and the first one that
-// reaches the others for the copies of the bodies.
+// clusterState asks all control machines for their groups, and one after another
+// for the copies of the bodies until one says that all are there. Any may say so
+// for all; but one that was started lately does not know yet which segments are
+// not needed any more, and misses copies that the others have removed.
 func (s *session) clusterState() (*clusterState, error) {
 	machines, err := s.askMachines()
 	if err != nil {
@@ -90,16 +93,24 @@
 		if err != nil {
 			continue
 		}
-		if state.copies == nil || len(counted.GetSilentMachines()) < len(state.copies.GetSilentMachines()) {
+		if state.copies == nil || missesLess(counted, state.copies) {
 			state.copies = counted
 		}
-		if len(counted.GetSilentMachines()) == 0 {
+		if counted.GetRepaired() {
 			break
 		}
 	}
 	return state, nil
 }
 
+// missesLess tells whether one answer names less that is missing than another.
+func missesLess(one, other *rockwindpb.CopiesResponse) bool {
+	return cmp.Or(
+		cmp.Compare(len(one.GetSilentMachines()), len(other.GetSilentMachines())),
+		cmp.Compare(one.GetShortSegments(), other.GetShortSegments()),
+	) < 0
+}
+
 func (s *session) askCopies(asked peer) (*rockwindpb.CopiesResponse, error) {
 	ctx, cancel := context.WithTimeout(s.context, s.connection.Timeout)
 	defer cancel()
--- a/internal/command/cluster_status_test.go
+++ b/internal/command/cluster_status_test.go
@@ -47,3 +47,14 @@
 		}
 	}
 }
+
+// TestAnswerThatMissesLessIsTaken prefers the machine that reaches more, and then
+// the one that knows what is not needed any more.
+func TestAnswerThatMissesLessIsTaken(t *testing.T) {
+	cutOff := &rockwindpb.CopiesResponse{SilentMachines: []string{"b"}}
+	fresh := &rockwindpb.CopiesResponse{ShortSegments: 2}
+	whole := &rockwindpb.CopiesResponse{Repaired: true}
+	if !missesLess(fresh, cutOff) || !missesLess(whole, fresh) || missesLess(fresh, whole) {
+		t.Fatal("an answer that misses more is taken")
+	}
+}
