Measure the memory of items that have really ended

The measurement of memory took one grant of an answer that can hold two, so that items of most jobs stayed leased and the jobs did not end; and the descriptors of messages, made once, were counted as memory of items. Each job now has a group of its own, a small job goes before the measurement, and a job that has not ended is an error.

The ledger is the same.

--- a/internal/bench/ledgerbench/memory.go
+++ b/internal/bench/ledgerbench/memory.go
@@ -16,9 +16,12 @@
 	benchShard  = 1
 	benchModel  = "assistant-7b"
 	benchTenant = "tenant"
-	benchGroup  = "group"
 	// resultBytes is about the size of a result.
 	resultBytes = 2048
+	// longLease outlasts the measurement, in ms.
+	longLease = 24 * 60 * 60 * 1000
+	// minimumJob is the size of a job with all parts that larger ones have.
+	minimumJob = 128
 	// sealBatch is how many blocks are looked for in one go.
 	sealBatch = 64
 )
@@ -33,6 +36,14 @@
 
 // measureMemory works out the heap of an item in the states of its life.
 func measureMemory(jobs int, jobItems, leaseItems uint32) (Memory, error) {
+	// What is made once, such as the descriptors of messages, is no item's.
+	if _, err := measureStates(1, minimumJob, minimumJob); err != nil {
+		return Memory{}, err
+	}
+	return measureStates(jobs, jobItems, leaseItems)
+}
+
+func measureStates(jobs int, jobItems, leaseItems uint32) (Memory, error) {
 	held := &heldLedger{ledger: ledger.New(benchShard), now: 1}
 	items := float64(jobs) * float64(jobItems)
 	before := heapBytes()
@@ -56,6 +67,9 @@
 	}
 	held.seal()
 	measured.Ended = perItem()
+	if stats := held.ledger.Stats(); stats.JobsCompleted != jobs || stats.ItemsUnsealed != 0 {
+		held.err = errors.CombineErrors(held.err, errors.Newf("jobs have not ended: %+v", stats))
+	}
 	snapshot, err := held.ledger.Snapshot()
 	measured.SnapshotPerItem = float64(len(snapshot)) / items
 	runtime.KeepAlive(held)
@@ -91,21 +105,27 @@
 	h.apply(&rockwindpb.JobCommand{Command: &rockwindpb.JobCommand_Submit{Submit: &rockwindpb.SubmitJobRequest{
 		Job: &rockwindpb.Job{
 			Id:     sharding.Identifier("job", benchShard, uint64(number)+1),
-			Tenant: benchTenant, Group: benchGroup, Model: benchModel,
+			Tenant: benchTenant, Group: groupOf(number), Model: benchModel,
 			ClientKey: fmt.Sprint(number), ItemCount: items,
 		},
 	}}})
 }
 
+// groupOf gives each job a group of its own, so that a lease is of the job meant.
+func groupOf(number int) string {
+	return fmt.Sprint("group-", number)
+}
+
 // runJob completes a job but for its last lease, which it returns.
 func (h *heldLedger) runJob(number int, items, leaseItems uint32) *rockwindpb.Lease {
 	for {
 		answer := h.apply(&rockwindpb.JobCommand{Command: &rockwindpb.JobCommand_Acquire{Acquire: &rockwindpb.AcquireLeasesRequest{
-			Holder: benchTenant, MaxItems: leaseItems, Models: []string{benchModel},
+			Holder: benchTenant, MaxItems: leaseItems, Models: []string{benchModel}, Groups: []string{groupOf(number)},
+			LeaseMs: longLease,
 		}}})
 		acquired, granted := answer.(*rockwindpb.AcquireLeasesResponse)
-		if !granted || len(acquired.GetGrants()) == 0 {
-			h.err = errors.CombineErrors(h.err, errors.Newf("job %d was granted no lease", number))
+		if !granted || len(acquired.GetGrants()) != 1 {
+			h.err = errors.CombineErrors(h.err, errors.Newf("job %d was not granted one lease", number))
 			return nil
 		}
 		lease := acquired.GetGrants()[0].GetLease()
