--- a/internal/catalog/machine_test.go
+++ b/internal/catalog/machine_test.go
@@ -68,13 +68,12 @@
 
 // world runs commands against several replicas of the machine and the oracle.
 type world struct {
-	oracle   oracle
-	machine  *Machine
-	group    *replica.Local
-	service  *Service
-	now      time.Time
-	daemons  []*daemon
-	restored *Machine
+	oracle  oracle
+	machine *Machine
+	group   *replica.Local
+	service *Service
+	now     time.Time
+	daemons []*daemon
 	// submitted are files that operators may send again at any time.
 	submitted []*rockwindpb.Configuration
 	// delayed are commands that were prepared and not proposed yet.
--- a/internal/standin/driver.go
+++ b/internal/standin/driver.go
@@ -8,13 +8,12 @@
 	"rockwind.example/rockwind/internal/engine"
 )
 
-// streamState is how far a stream has come.
+// streamState is how far a stream has come; zero while it goes on.
 type streamState int32
 
 const (
-	streamOpen streamState = iota
 	// streamFinished: all tokens were produced.
-	streamFinished
+	streamFinished streamState = iota + 1
 	// streamCancelled: the request was cancelled or has expired.
 	streamCancelled
 	// streamCut: the connection is to be broken without an end.
