Lose a disk while another control machine is cut off

The fault experiment lost disks only while all other machines were heard. The kind lose-disk-while-cut empties one disk while another machine is cut off in silence; the machine must join without it.

--- a/internal/bench/faults/injector.go
+++ b/internal/bench/faults/injector.go
@@ -68,6 +68,8 @@
 			return err
 		}
 		return i.loseDisks(ctx, another(i.fleet.Controls, planned.Target, planned.Second))
+	case LoseDiskWhileCut:
+		return i.loseDiskWhileCut(ctx, control, another(i.fleet.Controls, planned.Target, planned.Second), planned.Length)
 	case KillGateway:
 		return i.kill(ctx, gateway, planned.Length)
 	case StopGateway:
@@ -195,6 +197,33 @@
 // loseDisks kills control daemons, empties their disks, starts them again and
 // waits until the product says that the loss is repaired.
 func (i *injector) loseDisks(ctx context.Context, victims ...*fleet.Process) error {
+	if err := emptyDisks(victims...); err != nil {
+		return err
+	}
+	return i.awaitRepaired(ctx)
+}
+
+// loseDiskWhileCut empties a disk while another machine is cut off from all.
+func (i *injector) loseDiskWhileCut(ctx context.Context, victim, cutOff *fleet.Process, length time.Duration) error {
+	if err := i.setLinks(ctx, cutOff, true); err != nil {
+		return err
+	}
+	if err := emptyDisks(victim); err != nil {
+		return err
+	}
+	wait(ctx, length)
+	// It joins without the machine that is cut off.
+	if err := i.fleet.AwaitReady(ctx, victim); err != nil {
+		return err
+	}
+	if err := i.setLinks(ctx, cutOff, false); err != nil {
+		return err
+	}
+	return i.awaitRepaired(ctx)
+}
+
+// emptyDisks kills control daemons, empties their disks and starts them again.
+func emptyDisks(victims ...*fleet.Process) error {
 	for _, victim := range victims {
 		victim.Kill()
 	}
@@ -208,7 +237,7 @@
 			return err
 		}
 	}
-	return i.awaitRepaired(ctx)
+	return nil
 }
 
 func (i *injector) stopAsPlanned(ctx context.Context, victim *fleet.Process) error {
--- a/internal/bench/faults/schedule.go
+++ b/internal/bench/faults/schedule.go
@@ -26,6 +26,9 @@
 	// LoseDiskAfterRepair empties a second disk right after the first has been
 	// repaired.
 	LoseDiskAfterRepair Kind = "lose-disk-after-repair"
+	// LoseDiskWhileCut empties the disk of a control daemon while another one is cut
+	// off.
+	LoseDiskWhileCut Kind = "lose-disk-while-cut"
 	// KillGateway kills a gateway with items in flight and starts it again.
 	KillGateway Kind = "kill-gateway"
 	// StopGateway stops a gateway as planned and starts it again.
@@ -46,7 +49,7 @@
 // controlKinds strike control machines, edgeKinds all others. One of each may
 // strike at the same time.
 var (
-	controlKinds = []Kind{KillControl, FreezeControl, CutControl, StopControl, LoseDisk, LoseTwoDisks, LoseDiskAfterRepair}
+	controlKinds = []Kind{KillControl, FreezeControl, CutControl, StopControl, LoseDisk, LoseTwoDisks, LoseDiskAfterRepair, LoseDiskWhileCut}
 	edgeKinds    = []Kind{KillGateway, StopGateway, FreezeGateway, CutGateway, MissChanges, KillEngine, FreezeEngine}
 )
 
