Cut a region off in the scale run and work out the roles of the page

Nothing showed what a region does while it is cut off from the others. The scale run now breaks the links between the control machines of one region and all others, and those of its hollow gateways, applies a change outside, sends requests through a gateway inside, and mends the links.

--- a/internal/bench/hollow/control.go
+++ b/internal/bench/hollow/control.go
@@ -65,7 +65,11 @@
 	page := func() any {
 		return ControlReport{Machine: c.Machine, Served: served.Traffic(), Calls: calls.Traffic()}
 	}
-	go func() { ended <- serveReport(c.Report, page, map[string]http.HandlerFunc{}) }()
+	go func() {
+		ended <- serveReport(c.Report, page, map[string]http.HandlerFunc{
+			BlockPage: blockPage([]*wire.Counter{&calls}),
+		})
+	}()
 	return <-ended
 }
 
--- a/internal/bench/hollow/gateways.go
+++ b/internal/bench/hollow/gateways.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"rockwind.example/rockwind/internal/bench/wire"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
@@ -62,6 +63,7 @@
 	return serveReport(c.Report, host.report, map[string]http.HandlerFunc{
 		RestartPage: host.each((*hollowGateway).restart),
 		LosePage:    host.each((*hollowGateway).lose),
+		BlockPage:   blockPage(host.counters()),
 	})
 }
 
@@ -89,6 +91,15 @@
 	return reports
 }
 
+// counters are those of all gateways, with control machines and back ends.
+func (g *gatewayHost) counters() []*wire.Counter {
+	var counters []*wire.Counter
+	for _, each := range g.gateways {
+		counters = append(counters, &each.control, &each.backEnds)
+	}
+	return counters
+}
+
 // nameParameter is the query parameter that names a gateway.
 const nameParameter = "name"
 
--- a/internal/bench/hollow/report.go
+++ b/internal/bench/hollow/report.go
@@ -9,8 +9,11 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"net/url"
 
 	"github.com/cockroachdb/errors"
+
+	"rockwind.example/rockwind/internal/bench/wire"
 )
 
 // Commands are `rockwind-bench hollow`.
@@ -30,6 +33,8 @@
 	// LosePage breaks a gateway's connections without warning and replaces it; the
 	// query names it.
 	LosePage = "/lose"
+	// BlockPage cuts the links to the addresses in the query and mends all others.
+	BlockPage = "/block"
 	// ProfilePage answers a profile of the process's CPU time.
 	ProfilePage = "/profile"
 )
@@ -57,3 +62,21 @@
 	fmt.Printf("%s%s\n", ListeningPrefix, listener.Addr())
 	return http.Serve(listener, handler)
 }
+
+// addressParameter is the query parameter that names addresses.
+const addressParameter = "address"
+
+// blockPage cuts the links of some counters to the addresses that the query names.
+func blockPage(counters []*wire.Counter) http.HandlerFunc {
+	return func(_ http.ResponseWriter, request *http.Request) {
+		addresses := request.URL.Query()[addressParameter]
+		for _, counter := range counters {
+			counter.Block(addresses...)
+		}
+	}
+}
+
+// BlockQuery is the query of BlockPage for some addresses.
+func BlockQuery(addresses []string) string {
+	return url.Values{addressParameter: addresses}.Encode()
+}
--- a/internal/bench/scale/command.go
+++ b/internal/bench/scale/command.go
@@ -139,6 +139,9 @@
 	fmt.Printf("events %+v, %d rolling restarts, %d processes lost with the zone, %d with the region, reverts %v\n",
 		result.Events, result.Restarted, result.LostProcesses, result.LostWithRegion, result.Reverts)
 	fmt.Printf("online %+v\n", result.Online)
+	if result.Apart != nil {
+		fmt.Printf("a region cut off: %+v\n", *result.Apart)
+	}
 	for _, violation := range result.Violations {
 		fmt.Println("VIOLATION", violation)
 	}
--- a/internal/bench/scale/fit.go
+++ b/internal/bench/scale/fit.go
@@ -61,6 +61,19 @@
 	kilo     = 1e3
 )
 
+// Names of the figures.
+const (
+	figureHollowCPU       = "daemon: CPU, hollow"
+	figureRealCPU         = "daemon: CPU, real"
+	figureRealResident    = "daemon: memory, real"
+	figureControlCalls    = "daemon: traffic with control"
+	figurePolls           = "daemon: traffic of polls"
+	figureChangeCPU       = "daemon: CPU of one change"
+	figureControlCPU      = "control machine: CPU"
+	figureControlResident = "control machine: memory"
+	figureControlTraffic  = "control machine: traffic"
+)
+
 // figures lists the costs of daemons and control machines.
 func figures() []figure {
 	idle := func(read func(DaemonFigures) Spread) figure {
@@ -76,20 +89,20 @@
 		}
 	}
 	return []figure{
-		idle(func(d DaemonFigures) Spread { return d.CPU }).named("daemon: CPU, hollow", "% of a core", percent),
-		idle(func(d DaemonFigures) Spread { return d.RealCPU }).named("daemon: CPU, real", "% of a core", percent),
-		idle(func(d DaemonFigures) Spread { return d.RealResident }).named("daemon: memory, real", "MB", 1/megabyte),
-		idle(func(d DaemonFigures) Spread { return d.Control }).named("daemon: traffic with control", "B/s", 1),
-		idle(func(d DaemonFigures) Spread { return d.Polls }).named("daemon: traffic of polls", "B/s", 1),
+		idle(func(d DaemonFigures) Spread { return d.CPU }).named(figureHollowCPU, "% of a core", percent),
+		idle(func(d DaemonFigures) Spread { return d.RealCPU }).named(figureRealCPU, "% of a core", percent),
+		idle(func(d DaemonFigures) Spread { return d.RealResident }).named(figureRealResident, "MB", 1/megabyte),
+		idle(func(d DaemonFigures) Spread { return d.Control }).named(figureControlCalls, "B/s", 1),
+		idle(func(d DaemonFigures) Spread { return d.Polls }).named(figurePolls, "B/s", 1),
 		{
-			name: "daemon: CPU of one change", unit: "ms", scale: milli,
+			name: figureChangeCPU, unit: "ms", scale: milli,
 			read: func(r *Result) float64 {
 				return r.changeCost(func(d DaemonFigures) float64 { return d.CPU.Mean })
 			},
 		},
-		control(func(c ControlFigures) float64 { return c.CPU }).named("control machine: CPU", "% of a core", percent),
-		control(func(c ControlFigures) float64 { return c.Resident }).named("control machine: memory", "MB", 1/megabyte),
-		control(func(c ControlFigures) float64 { return c.Sent + c.Received }).named("control machine: traffic", "KB/s", 1/kilo),
+		control(func(c ControlFigures) float64 { return c.CPU }).named(figureControlCPU, "% of a core", percent),
+		control(func(c ControlFigures) float64 { return c.Resident }).named(figureControlResident, "MB", 1/megabyte),
+		control(func(c ControlFigures) float64 { return c.Sent + c.Received }).named(figureControlTraffic, "KB/s", 1/kilo),
 	}
 }
 
@@ -145,6 +158,16 @@
 	}
 }
 
+// refit fits the runs that the sweep holds anew.
+func (s *Sweep) refit() {
+	measured := make(map[Size]*Result)
+	for _, run := range s.Runs {
+		measured[run.Size] = run
+	}
+	s.Slopes, s.Outlook = nil, nil
+	s.fit(measured)
+}
+
 func fitAlong(cost figure, along dimension, measured map[Size]*Result) Slope {
 	fitted := Slope{Figure: cost.name, Unit: cost.unit, Dimension: along.name}
 	for _, value := range along.values {
--- a/internal/bench/scale/page.go
+++ b/internal/bench/scale/page.go
@@ -99,6 +99,7 @@
 	if earlier.Full == nil {
 		return fault.Newf(fault.InvalidArgument, "name the figures.json of a sweep", "%s holds no sweep", figures)
 	}
+	earlier.refit()
 	return earlier.fillPage(page)
 }
 
@@ -118,6 +119,7 @@
 		{"changes", s.changesText()},
 		{"slopes", s.slopesText()},
 		{"outlook", s.outlookText()},
+		{"roles", s.rolesText()},
 	} {
 		if page, err = replacePart(page, part.name, part.content); err != nil {
 			return err
--- a/internal/bench/scale/run.go
+++ b/internal/bench/scale/run.go
@@ -34,6 +34,8 @@
 	LostProcesses  int      `json:"lost_processes"`
 	LostWithRegion int      `json:"lost_with_region"`
 	Reverts        []Revert `json:"reverts"`
+	// Apart is what happened while a region was cut off; nil where none was.
+	Apart *Apart `json:"apart,omitempty"`
 	// Online is the load beside all of it.
 	Online Online `json:"online"`
 	// Violations lists what is over budget or went wrong; empty for a pass.
@@ -163,7 +165,8 @@
 }
 
 // losses runs the rolling restart, loses a control machine, a zone and a region,
-// and brings them back, with a change of configuration after each.
+// brings them back, and cuts a region off, with a change of configuration after
+// each.
 func (c *cluster) losses(ctx context.Context, track *tracker, result *Result) error {
 	var err error
 	if result.Restarted, err = c.rollingRestart(ctx); err != nil {
@@ -182,8 +185,10 @@
 	if result.LostProcesses, err = c.loseAndReturn(ctx, "zone", track, result, lostZone(c.size)); err != nil {
 		return err
 	}
-	result.LostWithRegion, err = c.loseAndReturn(ctx, "region", track, result, zonesOf(lostRegion)...)
-	return err
+	if result.LostWithRegion, err = c.loseAndReturn(ctx, "region", track, result, zonesOf(lostRegion)...); err != nil {
+		return err
+	}
+	return c.cutRegion(ctx, lostRegion, track, result)
 }
 
 // loseAndReturn loses zones and brings them back, with a change after each, and
--- a/internal/bench/scale/scale_test.go
+++ b/internal/bench/scale/scale_test.go
@@ -86,6 +86,8 @@
 		"missing":       func(r *Result) { r.Changes[0].Missing = 1 },
 		"reverts":       func(r *Result) { r.Reverts = []Revert{{Daemon: daemonName(1), From: 2, To: 1}} },
 		"stall":         func(r *Result) { r.Online.LongestGap *= 1.1 },
+		"stall inside":  func(r *Result) { r.Apart = &Apart{Online: Online{LongestGap: 2 * stallLimit.Seconds()}} },
+		"moved inside":  func(r *Result) { r.Apart = &Apart{Moved: 1} },
 		"failed online": func(r *Result) { r.Online.Failed = 1 },
 	}
 	passed := within()
--- a/internal/bench/scale/tables.go
+++ b/internal/bench/scale/tables.go
@@ -61,6 +61,10 @@
 	}
 	text := table([]string{"while", "accepted after, s", "in force on the last daemon after, s", "daemons without it after 10 s", "kind"}, rows)
 	f, o := s.Full, s.Full.Online
+	if f.Apart != nil {
+		text += fmt.Sprintf("\nA region was cut off for %.0f s (measured): %d of its %d hollow daemons moved, %d of %d online requests through one of\nits gateways were answered, longest time without an answer %.2f s.\n",
+			f.Apart.Seconds, f.Apart.Moved, f.Apart.Inside, f.Apart.Online.Answered, f.Apart.Online.Sent, f.Apart.Online.LongestGap)
+	}
 	return text + fmt.Sprintf("\nIn this run (measured): %d changes and %d restarts in the busy window, %d daemons and %d control machine lost and\nreplaced, %d daemons in the rolling restart, %d processes lost with the zone, %d with the region; %d reverts; %d online requests, %d answered,\n%d refused as not run, %d failed, longest time without an answer through a gateway %.2f s. Violations: %d.\n",
 		f.Events.Changes, f.Events.Restarts, f.Events.DaemonLosses, f.Events.ControlLosses, f.Restarted, f.LostProcesses, f.LostWithRegion,
 		len(f.Reverts), o.Sent, o.Answered, o.Refused, o.Failed, o.LongestGap, len(f.Violations))
--- a/internal/bench/scale/tracker.go
+++ b/internal/bench/scale/tracker.go
@@ -53,6 +53,8 @@
 	// highest is the highest number seen in force on each daemon, over restarts.
 	highest map[string]uint64
 	reverts []Revert
+	// cut are the zones whose daemons are not waited for.
+	cut []int
 	// counted is the reverts that the daemons themselves reported.
 	counted map[string]int
 }
@@ -91,6 +93,9 @@
 	}
 	for _, report := range reports {
 		t.note(report)
+		if inZones(report.Zone, t.cut) {
+			continue
+		}
 		if report.Number < number {
 			behind++
 			continue
--- a/internal/bench/wire/wire_test.go
+++ b/internal/bench/wire/wire_test.go
@@ -104,3 +104,35 @@
 		t.Fatalf("a mended machine opens no connection: %v", err)
 	}
 }
+
+// A blocked address cannot be reached, and others can.
+func TestBlockCutsOneLink(t *testing.T) {
+	var counter Counter
+	var addresses []string
+	for range 2 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	connection, err := counter.Dial(context.Background(), addresses[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	counter.Block(addresses[0])
+	if _, err := connection.Write([]byte{1}); err == nil {
+		t.Fatal("a connection to a blocked address carries data")
+	}
+	if _, err := counter.Dial(context.Background(), addresses[0]); err == nil {
+		t.Fatal("a blocked address is reached")
+	}
+	if _, err := counter.Dial(context.Background(), addresses[1]); err != nil {
+		t.Fatalf("another address is not reached: %v", err)
+	}
+	counter.Block()
+	if _, err := counter.Dial(context.Background(), addresses[0]); err != nil {
+		t.Fatalf("the address is not reached after the block: %v", err)
+	}
+}
