Test the planned stop over HTTP/2, and refuse a timeout of zero

Callers by TLS speak HTTP/2, where a drain ends connections in another way: the test of a stop now runs there, too, and that TLS callers do get HTTP/2 is checked.

--- a/internal/command/cluster_test.go
+++ b/internal/command/cluster_test.go
@@ -335,6 +335,7 @@
 		{ExitRefused, "check the identifier", []string{"jobs", "show", "nothing", "--gateway", ""}},
 		{ExitRefused, "not an address", []string{"drain", "gateway-1"}},
 		{ExitRefused, "--deadline is -1s", []string{"drain", s.gateway.address, "--deadline=-1s"}},
+		{ExitRefused, "--timeout is 0s", []string{"status", "--timeout", "0s"}},
 		{ExitRefused, "give both or none", []string{"status", "--tls-key", input, "--tls-certificate", ""}},
 		{ExitUnavailable, "check that the process", []string{"logs", freeAddress(s.t)}},
 	} {
--- a/internal/command/connection.go
+++ b/internal/command/connection.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"os"
@@ -23,6 +24,14 @@
 	Authority        string        `name:"tls-ca" env:"ROCKWIND_TLS_CA" placeholder:"FILE" help:"Certificate of the authority that signed those of the daemons; turns on TLS."`
 }
 
+// Validate implements the check of the command line's parser.
+func (c *Connection) Validate() error {
+	if c.Timeout <= 0 {
+		return fmt.Errorf("--timeout is %v; write a time above zero, for example 30s", c.Timeout)
+	}
+	return nil
+}
+
 func (c *Connection) secure() bool {
 	return c.Certificate != "" || c.Key != "" || c.Authority != ""
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"errors"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -48,8 +49,10 @@
 	url      string
 	// probes is the internal listener.
 	probes string
-	// callerTLS is nil where callers talk in the clear.
+	// callerTLS is nil where callers talk in the clear; http is the callers'
+	// client.
 	callerTLS *rockwindpb.TlsSettings
+	http      *http.Client
 	stop      context.CancelFunc
 	ended     chan error
 }
@@ -57,11 +60,16 @@
 // startFleet starts a gateway over so many engines and one service.
 func startFleet(t testing.TB, engines int, config engine.Config) *fleet {
 	t.Helper()
-	f := &fleet{t: t, control: newMemoryControl(), source: newFixedConfiguration(), ended: make(chan error, 1)}
+	f := newFleet(t)
 	f.start(engines, config)
 	return f
 }
 
+// newFleet is a fleet that is not started yet.
+func newFleet(t testing.TB) *fleet {
+	return &fleet{t: t, control: newMemoryControl(), source: newFixedConfiguration(), ended: make(chan error, 1), http: http.DefaultClient}
+}
+
 func (f *fleet) start(engines int, config engine.Config) {
 	f.t.Helper()
 	for number := range engines {
@@ -179,7 +187,7 @@
 
 func (f *fleet) client(options ...option.RequestOption) openai.Client {
 	all := append([]option.RequestOption{
-		option.WithBaseURL(f.url + "/v1/"), option.WithAPIKey(testKey), option.WithMaxRetries(0),
+		option.WithBaseURL(f.url + "/v1/"), option.WithAPIKey(testKey), option.WithMaxRetries(0), option.WithHTTPClient(f.http),
 	}, options...)
 	return openai.NewClient(all...)
 }
--- a/internal/gateway/serving_test.go
+++ b/internal/gateway/serving_test.go
@@ -36,7 +36,7 @@
 // status is what a probe answers.
 func (f *fleet) status(url string) int {
 	f.t.Helper()
-	response, err := http.Get(url)
+	response, err := f.http.Get(url)
 	must(f.t, err)
 	defer response.Body.Close()
 	return response.StatusCode
@@ -53,7 +53,7 @@
 
 // post sends a request as the test tenant.
 func (f *fleet) post(path, body string) (*http.Response, error) {
-	return http.DefaultClient.Do(f.request(path, body))
+	return f.http.Do(f.request(path, body))
 }
 
 // request makes a request of the test tenant.
@@ -112,7 +112,16 @@
 }
 
 func TestStopCutsNoStream(t *testing.T) {
-	f := startFleet(t, 1, slowConfig())
+	t.Run("HTTP/1.1 in the clear", func(t *testing.T) { checkStop(t, startFleet(t, 1, slowConfig())) })
+	t.Run("HTTP/2 by TLS", func(t *testing.T) {
+		f := newFleet(t)
+		f.secureCallers()
+		f.start(1, slowConfig())
+		checkStop(t, f)
+	})
+}
+
+func checkStop(t *testing.T, f *fleet) {
 	if f.status(f.url+pathReady) != http.StatusOK || f.status(f.probes+pathReady) != http.StatusOK {
 		t.Fatal("the gateway is not ready")
 	}
@@ -237,28 +246,40 @@
 	}
 }
 
-func TestCallersOverTLS(t *testing.T) {
+// secureCallers turns TLS for callers on; the callers may use HTTP/2.
+func (f *fleet) secureCallers() {
 	signer, err := authority.New("callers", time.Hour)
-	must(t, err)
-	folder := t.TempDir()
-	must(t, signer.Write(folder, "gateway", netip.MustParseAddr("127.0.0.1")))
-	f := &fleet{t: t, control: newMemoryControl(), source: newFixedConfiguration(), ended: make(chan error, 1)}
+	must(f.t, err)
+	folder := f.t.TempDir()
+	must(f.t, signer.Write(folder, "gateway", netip.MustParseAddr("127.0.0.1")))
 	f.callerTLS = &rockwindpb.TlsSettings{
 		CertificateFile: filepath.Join(folder, "gateway.pem"), KeyFile: filepath.Join(folder, "gateway.key"),
 	}
-	f.start(1, engine.FastConfig())
 	pool := x509.NewCertPool()
 	pool.AppendCertsFromPEM(signer.Certificate())
 	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}, ForceAttemptHTTP2: true}
-	t.Cleanup(transport.CloseIdleConnections)
+	f.t.Cleanup(transport.CloseIdleConnections)
+	f.http = &http.Client{Transport: transport}
+}
+
+func TestCallersOverTLS(t *testing.T) {
+	f := newFleet(t)
+	f.secureCallers()
+	f.start(1, engine.FastConfig())
 	ctx, cancel := context.WithTimeout(context.Background(), testWait)
 	defer cancel()
-	client := f.client(option.WithHTTPClient(&http.Client{Transport: transport}))
+	client := f.client()
+	response, err := f.http.Get(f.url + pathAlive)
+	must(t, err)
+	response.Body.Close()
+	if response.ProtoMajor != 2 {
+		t.Errorf("callers by TLS speak %s", response.Proto)
+	}
 	checkChat(ctx, t, client)
 	checkStream(ctx, t, client)
 	checkBatchOverTLS(ctx, t, f, client)
 
-	distrustful := f.client()
+	distrustful := f.client(option.WithHTTPClient(http.DefaultClient))
 	_, err = distrustful.Models.List(ctx)
 	if err == nil || !strings.Contains(err.Error(), "unknown authority") {
 		t.Errorf("a caller that does not know the authority got %v", err)
