--- /dev/null
+++ b/internal/sharing/sharing_test.go
@@ -0,0 +1,145 @@
+package sharing
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestDebtCoversTheLagOfEveryAnswer holds the debt against an oracle that knows
+// the times of all tokens: no answer that begins at any token of the leader
+// lags by more.
+func TestDebtCoversTheLagOfEveryAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const perToken = 20 * time.Millisecond
+		var pace Pace
+		now := time.Second
+		pace.Sent(1, 100, now)
+		pace.FirstToken(1, true, now)
+		times := []time.Duration{now}
+		for range rapid.IntRange(1, 60).Draw(t, "tokens") {
+			now += time.Duration(rapid.IntRange(1, 60).Draw(t, "step")) * time.Millisecond
+			pace.Token(1, 1, perToken, now)
+			times = append(times, now)
+		}
+		largest := time.Duration(0)
+		for begin, at := range times {
+			lag := now - at - time.Duration(len(times)-1-begin)*perToken
+			largest = max(largest, lag)
+		}
+		if pace.Debt() != largest {
+			t.Fatalf("the debt is %v, the largest lag %v", pace.Debt(), largest)
+		}
+	})
+}
+
+// TestReclaimGivesEveryWaitingGroupItsPlaces applies Reclaim until it finds
+// nothing more to do.
+func TestReclaimGivesEveryWaitingGroupItsPlaces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		picker := NewPicker()
+		names := []string{"a", "b", "c", "d"}[:rapid.IntRange(2, 4).Draw(t, "groups")]
+		groups := make([]GroupRunning, len(names))
+		allowances := make([]GroupAllowance, len(names))
+		total := 0.0
+		for index, name := range names {
+			groups[index] = GroupRunning{
+				Group:   name,
+				Running: float64(rapid.IntRange(0, 40).Draw(t, "running")),
+				Waiting: rapid.IntRange(0, 40).Draw(t, "waiting"),
+			}
+			allowances[index] = GroupAllowance{Group: name, BatchPart: rapid.Float64Range(0.05, 1).Draw(t, "part")}
+			total += groups[index].Running
+		}
+		picker.SetAllowances(allowances)
+		for moves := 0; ; moves++ {
+			from, to, found := picker.Reclaim(groups)
+			if !found {
+				break
+			}
+			if moves > int(total) || groups[from].Running < 1 || groups[to].Waiting < 1 {
+				t.Fatalf("move %d from %+v to %+v", moves, groups[from], groups[to])
+			}
+			groups[from].Running, groups[from].Waiting = groups[from].Running-1, groups[from].Waiting+1
+			groups[to].Running, groups[to].Waiting = groups[to].Running+1, groups[to].Waiting-1
+		}
+		parts := 0.0
+		for index, group := range groups {
+			if group.Running > 0 || group.Waiting > 0 {
+				parts += allowances[index].BatchPart
+			}
+		}
+		borrowed := false
+		for index, group := range groups {
+			borrowed = borrowed || group.Running-total*allowances[index].BatchPart/parts >= 1
+		}
+		for index, group := range groups {
+			owed := total * allowances[index].BatchPart / parts
+			if borrowed && min(owed-group.Running, float64(group.Waiting)) >= 1 {
+				t.Fatalf("%+v lacks %.2f places while another borrows", group, owed-group.Running)
+			}
+		}
+	})
+}
+
+// TestPickerServesByAllowance checks that groups with work get their parts, and
+// that a group that was idle is not owed what others used meanwhile.
+func TestPickerServesByAllowance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		part := rapid.Float64Range(0.1, 0.9).Draw(t, "part")
+		picker := NewPicker()
+		picker.SetAllowances([]GroupAllowance{{Group: "a", BatchPart: part}, {Group: "b", BatchPart: 1 - part}})
+		both := []Candidate{{Group: "a", Tenant: "x", Job: "1"}, {Group: "b", Tenant: "y", Job: "2"}}
+		for range rapid.IntRange(0, 200).Draw(t, "alone") {
+			picker.Charge(&both[0], 1)
+		}
+		const items = 1000
+		served := 0.0
+		for range items {
+			chosen, found := picker.Pick(both, 0)
+			if !found {
+				t.Fatal("no candidate was picked")
+			}
+			picker.Charge(&both[chosen], 1)
+			if chosen == 0 {
+				served++
+			}
+		}
+		if math.Abs(served-part*items) > 2+1/part+1/(1-part) {
+			t.Fatalf("group a got %.0f of %d items with a part of %.2f", served, items, part)
+		}
+	})
+}
+
+// TestBudgetShrinksWithOnlineLoad checks that more online requests, more waiting
+// prompts and older reports never give batch more.
+func TestBudgetShrinksWithOnlineLoad(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		policy := DefaultBudgetPolicy(rapid.SampledFrom([]Objective{Throughput, Latency}).Draw(t, "objective"))
+		now := time.Second
+		pace := &Pace{}
+		state := ServerState{Pace: pace, Target: DefaultTarget, Online: float64(rapid.IntRange(0, 70).Draw(t, "online"))}
+		before := BatchBudget(state, policy, now)
+		if state.Online == 0 && before.Items != policy.MaximumItems {
+			t.Fatalf("an empty server gets %d items", before.Items)
+		}
+		more := state
+		more.Online++
+		if after := BatchBudget(more, policy, now); after.Items > before.Items {
+			t.Fatalf("one more online request raises the budget from %d to %d", before.Items, after.Items)
+		}
+		pace.Sent(1, rapid.IntRange(1, 8000).Draw(t, "prompt"), now)
+		if after := BatchBudget(more, policy, now); after.Items > before.Items {
+			t.Fatalf("a prompt raises the budget from %d to %d", before.Items, after.Items)
+		}
+		if late := BatchBudget(more, policy, now+DefaultTarget.FirstToken); late.Items != 0 {
+			t.Fatalf("a request that is late leaves %d items", late.Items)
+		}
+		more.ReportAge = policy.StaleAfter + 1
+		if stale := BatchBudget(more, policy, now); stale.Items > staleItems {
+			t.Fatalf("a stale report gives %d items", stale.Items)
+		}
+	})
+}
