--- a/cmd/rockwind-bench/main.go
+++ b/cmd/rockwind-bench/main.go
@@ -20,6 +20,7 @@
 	"rockwind.example/rockwind/internal/bench/scale"
 	"rockwind.example/rockwind/internal/bench/shares"
 	"rockwind.example/rockwind/internal/bench/sharing"
+	"rockwind.example/rockwind/internal/bench/simulate"
 	"rockwind.example/rockwind/internal/standin"
 )
 
@@ -39,6 +40,8 @@
 
 	Certificates authority.Command `cmd:"" help:"Make an authority and certificates for trials of TLS."`
 
+	Simulate simulate.Command `cmd:"" help:"Run a policy on a scenario in virtual time."`
+
 	Fleet fleetCommands `cmd:"" help:"Run whole fleets of processes on loopback."`
 
 	Experiment experiments `cmd:"" help:"Run an experiment and print its figures."`
--- a/internal/simulator/fleet.go
+++ b/internal/simulator/fleet.go
@@ -36,22 +36,30 @@
 	events   []engine.Event
 	totals   batchTotals
 	sampling *sampling
+	// onCompleted is told of every completed item; it may be nil.
+	onCompleted func(entry *item)
 }
 
 // Run simulates a policy on a scenario and returns what was measured.
 func Run(scenario Scenario, policy Policy, seed uint64) Result {
 	run := newFleet(&scenario, policy, seed)
 	run.start(seed)
+	run.drive()
+	return run.result()
+}
+
+// drive handles the events up to the end of the run.
+func (f *fleet) drive() {
 	for {
-		entry, some := run.clock.next(scenario.End() + drainTime)
+		entry, some := f.clock.next(f.scenario.End() + drainTime)
 		if !some {
-			return run.result()
+			return
 		}
 		if entry.run != nil {
 			entry.run()
 			continue
 		}
-		run.advance(entry.engine)
+		f.advance(entry.engine)
 	}
 }
 
--- a/internal/simulator/policy.go
+++ b/internal/simulator/policy.go
@@ -143,3 +143,28 @@
 		PriorityOnly(scenario),
 	}
 }
+
+// policies lists every policy by name.
+func policies(scenario *Scenario) []Policy {
+	listed := []Policy{Rockwind(scenario), OnlineAlone(scenario), BatchAlone(scenario), Oracle(scenario, 1)}
+	return append(listed, Baselines(scenario)...)
+}
+
+// PolicyNamed returns a policy by its name.
+func PolicyNamed(scenario *Scenario, name string) (Policy, bool) {
+	for _, policy := range policies(scenario) {
+		if policy.Name == name {
+			return policy, true
+		}
+	}
+	return Policy{}, false
+}
+
+// PolicyNames lists the names of all policies.
+func PolicyNames(scenario *Scenario) []string {
+	var names []string
+	for _, policy := range policies(scenario) {
+		names = append(names, policy.Name)
+	}
+	return names
+}
--- a/internal/simulator/result.go
+++ b/internal/simulator/result.go
@@ -31,6 +31,9 @@
 func (f *fleet) completed(entry *item) {
 	entry.job.left--
 	f.sampleDone(entry)
+	if f.onCompleted != nil {
+		f.onCompleted(entry)
+	}
 	now := f.clock.now
 	second := int(now / time.Second)
 	for len(f.totals.series) <= second {
--- a/internal/simulator/scenario.go
+++ b/internal/simulator/scenario.go
@@ -167,11 +167,30 @@
 	}
 }
 
-// Scale multiplies the engines and gateways of a scenario by adding zones, and
-// its heaps with them.
-func (s Scenario) Scale(zones int) Scenario {
-	factor := float64(zones) / float64(s.Zones)
-	s.Zones = zones
+// Sizes of scaled fleets.
+const (
+	// fewZones is the number of zones up to fewServers, manyZones that above.
+	fewZones   = 3
+	manyZones  = 32
+	fewServers = 120
+	// enginesPerGateway is the number of engines before a gateway.
+	enginesPerGateway = 3.4
+	// fewestGateways is the least number of gateways of a zone.
+	fewestGateways = 2
+)
+
+// Scale sets the number of engines, rounded up to whole zones, with as many
+// gateways and as much batch work as belong to it.
+func (s Scenario) Scale(servers int) Scenario {
+	before := float64(s.Engines())
+	s.Zones = fewZones
+	if servers > fewServers {
+		s.Zones = manyZones
+	}
+	s.EnginesPerZone = (servers + s.Zones - 1) / s.Zones
+	s.GatewaysPerZone = max(fewestGateways, int(float64(s.EnginesPerZone)/enginesPerGateway+0.5))
+	factor := float64(s.Engines()) / before
+	s.Online.ClumpEvery = time.Duration(float64(s.Online.ClumpEvery) / factor)
 	loads := make([]BatchLoad, len(s.Batch))
 	for index, load := range s.Batch {
 		load.HeapItems = int(float64(load.HeapItems) * factor)
@@ -188,6 +207,8 @@
 		return Magnolia(), true
 	case "kvistborg":
 		return Kvistborg(), true
+	case "shares":
+		return Shares(), true
 	default:
 		return Scenario{}, false
 	}
