Spread the replicas of groups evenly over the control machines

Groups now follow each other round the machines: no machine holds more than its even part of the replicas, rounded up, which is two of 25 in place of five.

A cluster that was founded before keeps its layout.

--- a/internal/replica/founding.go
+++ b/internal/replica/founding.go
@@ -118,18 +118,20 @@
 	for group := range uint32(jobShards) + 1 {
 		request.Groups = append(request.Groups, &rockwindpb.FoundingGroup{
 			Group:      group,
-			Membership: &rockwindpb.Membership{Members: spread(members, int(group))},
+			Membership: &rockwindpb.Membership{Members: groupMembers(members, int(group))},
 		})
 	}
 	return request
 }
 
-// spread chooses the machines of a group, starting at another one each time.
-func spread(members []*rockwindpb.Member, start int) []*rockwindpb.Member {
+// groupMembers chooses the machines of a group: those that follow the ones of the
+// group before it, round and round, so that each machine holds its even part of
+// the replicas, rounded up.
+func groupMembers(members []*rockwindpb.Member, group int) []*rockwindpb.Member {
 	count := min(len(members), largestGroup)
 	chosen := make([]*rockwindpb.Member, 0, count)
 	for offset := range count {
-		chosen = append(chosen, members[(start+offset)%len(members)])
+		chosen = append(chosen, members[(group*count+offset)%len(members)])
 	}
 	return chosen
 }
