Begin an idle gateway's calls for work with a wait

A gateway without work asked every shard without waiting and then waited at every shard, every 5 s: eight calls at four shards.

Where the last wait ended without work at all shards, the next call begins with a wait, which the leader answers at once where there is work. Idle calls halve; a gateway that finds work asks as before.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -66,6 +66,9 @@
 	machines []*machine
 	budget   *retry.Budget
 
+	// idle is set while the last wait for work at all shards ended without any.
+	idle atomic.Bool
+
 	mutex   sync.Mutex
 	shards  uint32
 	leaders map[uint32]*machine
--- a/internal/controlclient/leases.go
+++ b/internal/controlclient/leases.go
@@ -12,20 +12,23 @@
 // AcquireLeases asks the shards in turn, from a random one on, until max_items
 // are granted. Where no shard has work it waits at all leaders at once, without
 // asking for a grant, and asks again when one of them reports work: a wait that
-// is given up therefore never loses a lease. A grant whose answer is lost
-// expires by itself.
+// is given up therefore never loses a lease. Where the last wait ended without
+// work, the next call begins with a wait, which ends at once where there is some.
+// A grant whose answer is lost expires by itself.
 func (s jobService) AcquireLeases(ctx context.Context, request *rockwindpb.AcquireLeasesRequest) (*rockwindpb.AcquireLeasesResponse, error) {
 	shards, err := s.askedShards(ctx, request)
 	if err != nil {
 		return nil, err
 	}
-	response, err := s.acquireOnce(ctx, request, shards, s.randomStart(len(shards)))
-	if err != nil || len(response.GetGrants()) > 0 || request.GetWaitMs() == 0 {
-		return response, err
+	if request.GetWaitMs() == 0 || !s.client.idle.Load() {
+		response, err := s.acquireOnce(ctx, request, shards, s.randomStart(len(shards)))
+		if err != nil || len(response.GetGrants()) > 0 || request.GetWaitMs() == 0 {
+			return response, err
+		}
 	}
 	first, found := s.awaitWork(ctx, request, shards)
 	if !found {
-		return response, nil
+		return &rockwindpb.AcquireLeasesResponse{}, nil
 	}
 	return s.acquireOnce(ctx, request, shards, first)
 }
@@ -88,29 +91,38 @@
 	return total
 }
 
+// shardReport is what a shard said of its work.
+type shardReport struct {
+	position        int
+	answered, waits bool
+}
+
 // awaitWork waits at all shards and returns the position of the first that
 // reports work.
 func (s jobService) awaitWork(ctx context.Context, request *rockwindpb.AcquireLeasesRequest, shards []uint32) (int, bool) {
 	ctx, cancel := context.WithTimeout(ctx, milliseconds(request.GetWaitMs())+time.Second)
 	defer cancel()
-	reports := make(chan int, len(shards))
+	reports := make(chan shardReport, len(shards))
 	for position, shard := range shards {
 		asked := proto.CloneOf(request)
 		asked.MaxItems = 0
 		go func() {
 			answer, err := s.acquireAt(ctx, shard, asked)
-			if err == nil && answer.GetWorkWaits() {
-				reports <- position
-				return
-			}
-			reports <- -1
+			reports <- shardReport{position: position, answered: err == nil, waits: answer.GetWorkWaits()}
 		}()
 	}
+	allAnswered := true
 	for range shards {
-		if position := <-reports; position >= 0 {
-			return position, true
+		report := <-reports
+		if report.answered && report.waits {
+			s.client.idle.Store(false)
+			return report.position, true
 		}
+		allAnswered = allAnswered && report.answered
 	}
+	// After a wait at which a shard was missing, the next call asks all of them and
+	// tells what failed.
+	s.client.idle.Store(allAnswered)
 	return 0, false
 }
 
