Measure probes alone and undamped health beside the gateways' policy

Cause: nothing showed what passive evidence and growing hold-downs are worth.

Change: experiment failures runs deaths, hangs and wedged engines also with health judged by polls and probes alone, and flapping engines (down 2 s in every 5 s) also without growing hold-downs and slow start. Owners' verdicts travel with the simulated digests, as in the daemon.

--- a/internal/bench/failures/command.go
+++ b/internal/bench/failures/command.go
@@ -92,8 +92,13 @@
 		return err
 	}
 	var sections []report.Section
-	for first := 0; first < len(r.Cells); first += 2 {
-		section, err := section(folder, r.Cells[first:first+2])
+	for first := 0; first < len(r.Cells); {
+		end := first + 1
+		for end < len(r.Cells) && r.Cells[end].Scenario == r.Cells[first].Scenario {
+			end++
+		}
+		section, err := section(folder, r.Cells[first:end])
+		first = end
 		if err != nil {
 			return err
 		}
--- a/internal/bench/failures/experiment.go
+++ b/internal/bench/failures/experiment.go
@@ -91,7 +91,7 @@
 		if !wanted(options.Scenarios, found.name) {
 			continue
 		}
-		for _, policy := range []routingfleet.Policy{routingfleet.Rockwind(), routingfleet.Unprotected()} {
+		for _, policy := range found.policies() {
 			list = append(list, &Cell{
 				Scenario: found.name, Description: found.description, Policy: policy.Name,
 				fleet: found.build(options.Servers, options.ReportLag), policy: policy,
--- a/internal/bench/failures/scenarios.go
+++ b/internal/bench/failures/scenarios.go
@@ -47,6 +47,7 @@
 	{"death", "a tenth of the engines die and come back empty after 15 s", engineFault(fewPart, engine.FaultDie, 0, false)},
 	{"hang", "a tenth of the processes answer nothing for 15 s", engineFault(fewPart, engine.FaultHang, 0, true)},
 	{"wedged", "a tenth of the engines stop, and go on to answer polls and probes", engineFault(fewPart, engine.FaultHang, 0, false)},
+	{"flap", "a tenth of the engines die for 2 s in every 5 s", flap},
 	{"grey", "the steps of a tenth of the engines take 8 times as long", engineFault(fewPart, engine.FaultSlow, slowFactor, false)},
 	{"lie", "a tenth of the engines report that they are idle", engineFault(fewPart, engine.FaultLie, 0, false)},
 	{"zone", "all servers of one zone are cut off for 15 s", cutZone},
@@ -74,6 +75,35 @@
 	}
 }
 
+// Timing of engines that come and go.
+const (
+	flapDown  = 2 * time.Second
+	flapEvery = 5 * time.Second
+)
+
+func flap(fleet *routingfleet.Scenario) []routingfleet.Fault {
+	var faults []routingfleet.Fault
+	for at := warmup; at < warmup+window; at += flapEvery {
+		faults = append(faults, routingfleet.Fault{
+			At: at, Servers: spread(fleet, fewPart),
+			Engine: engine.Fault{Kind: engine.FaultDie, Duration: flapDown},
+		})
+	}
+	return faults
+}
+
+// policies lists what a scenario is measured with.
+func (s scenario) policies() []routingfleet.Policy {
+	list := []routingfleet.Policy{routingfleet.Rockwind(), routingfleet.Unprotected()}
+	switch s.name {
+	case "flap":
+		list = append(list, routingfleet.Undamped())
+	case "death", "hang", "wedged":
+		list = append(list, routingfleet.ProbesOnly())
+	}
+	return list
+}
+
 func cutZone(fleet *routingfleet.Scenario) []routingfleet.Fault {
 	var servers []int
 	for server := range fleet.Servers / fleet.Zones {
--- a/internal/bench/routingfleet/attempts.go
+++ b/internal/bench/routingfleet/attempts.go
@@ -229,7 +229,7 @@
 	}
 	g.prefilled(index, number, true)
 	server := int(current.server)
-	g.record(server, health.Success, run.queue.now-current.sentAt)
+	g.observe(server, health.Success, run.queue.now-current.sentAt)
 	if entry.firstAt == 0 {
 		entry.firstAt = run.queue.now + run.scenario.ClientDelay
 	}
@@ -293,7 +293,7 @@
 		return
 	}
 	g.close(index, number)
-	g.record(int(current.server), outcomeOf(how), 0)
+	g.observe(int(current.server), outcomeOf(how), 0)
 	if how == failureRefused {
 		g.askWhetherReady(int(current.server))
 	}
--- a/internal/bench/routingfleet/faults.go
+++ b/internal/bench/routingfleet/faults.go
@@ -89,11 +89,14 @@
 	}
 }
 
-// leavingState is a gateway's evidence that a server is leaving.
+// leavingState is a gateway's evidence that a server is leaving, and what the
+// server's owner said of its health.
 type leavingState struct {
 	draining bool
 	digest   bool
 	platform bool
+	// ejectedByOwner is the word of the gateway that polls the server.
+	ejectedByOwner bool
 }
 
 func (s *leavingState) out() bool { return s.draining || s.digest || s.platform }
--- a/internal/bench/routingfleet/gateway.go
+++ b/internal/bench/routingfleet/gateway.go
@@ -152,6 +152,13 @@
 	return decision, found
 }
 
+// observe hands the outcome of an attempt to passive health.
+func (g *gateway) observe(server int, outcome health.Outcome, latency time.Duration) {
+	if !g.fleet.policy.ProbesOnly {
+		g.record(server, outcome, latency)
+	}
+}
+
 // record hands the outcome of an attempt to passive health.
 func (g *gateway) record(server int, outcome health.Outcome, latency time.Duration) {
 	g.health.Record(server, outcome, latency, g.fleet.queue.now, g.random)
@@ -186,5 +193,8 @@
 func (g *gateway) publishHealth(server int) {
 	state, weight := g.health.State(server, g.fleet.queue.now)
 	g.view.Servers[server].Health = routing.Health(state)
+	if state == health.Healthy && g.leaving[server].ejectedByOwner {
+		g.view.Servers[server].Health = routing.Suspect
+	}
 	g.view.Servers[server].SlowStart = weight
 }
--- a/internal/bench/routingfleet/policy.go
+++ b/internal/bench/routingfleet/policy.go
@@ -23,6 +23,8 @@
 	Health health.Policy
 	// Admission refuses requests early; nil admits all.
 	Admission *admission.Policy
+	// ProbesOnly judges health by polls and probes alone, not by real traffic.
+	ProbesOnly bool
 	// Unbudgeted lets gateways retry without a budget.
 	Unbudgeted bool
 	// Hedge says when a second attempt starts beside a slow one; nil never.
@@ -100,5 +102,25 @@
 	return policy
 }
 
+// ProbesOnly is what the gateways run, but for health, which is judged by polls
+// and probes alone.
+func ProbesOnly() Policy {
+	policy := Rockwind()
+	policy.Name = "probes_only"
+	policy.ProbesOnly = true
+	policy.Health.SilentFor = 0
+	return policy
+}
+
+// Undamped is what the gateways run without growing hold-downs and without a
+// slow start.
+func Undamped() Policy {
+	policy := Rockwind()
+	policy.Name = "undamped"
+	policy.Health.MaxHoldDown = policy.Health.HoldDown
+	policy.Health.SlowStart = 0
+	return policy
+}
+
 // neverReached is a threshold that no score reaches.
 const neverReached = 1e12
--- a/internal/bench/routingfleet/reports.go
+++ b/internal/bench/routingfleet/reports.go
@@ -29,6 +29,8 @@
 	report  routing.Report
 	leaving bool
 	known   bool
+	// ejected tells that the owner ejected the server.
+	ejected bool
 }
 
 func newBoard(run *fleet) *board {
@@ -84,6 +86,7 @@
 	for index, server := range g.owned {
 		report := g.view.Servers[server].Report
 		digests[index] = digest{report: report, leaving: g.leaving[server].out(), known: report.TakenAt > 0}
+		digests[index].ejected = g.view.Servers[server].Health == routing.Ejected
 	}
 	run.queue.after(run.scenario.ZoneDelay, func() {
 		for index, server := range g.owned {
@@ -154,6 +157,7 @@
 			g.leaving[server].digest = true
 			g.publishLeaving(server)
 		}
+		g.leaving[server].ejectedByOwner = held.ejected
 		sent, ended := g.recent[server].Since(held.report.TakenAt)
 		g.view.Reported(server, held.report, sent, ended)
 	}
