Let a test's engine end a stream in good order without its end marker

Streams of the scripted back ends broke off inside a chunk only, so that a relay that takes a stream without its end marker for whole passed all tests (a trial on a scratch copy). They now also end the body cleanly, and the property test of the relay is red when the marker is not asked for.

--- a/internal/upstream/backend_test.go
+++ b/internal/upstream/backend_test.go
@@ -250,6 +250,9 @@
 	written := 0
 	for sequence := offset; sequence < answerTokens; {
 		if breaking.Behaviour == cutAnswer && written == breaking.Events {
+			if breaking.Step == endsEarlyStep {
+				return writeChunk(conn, "")
+			}
 			_ = writeChunk(conn, "id: 99\ndata: {half an ev")
 			return false
 		}
@@ -269,7 +272,7 @@
 		written++
 	}
 	if breaking.Behaviour == cutAnswer {
-		return false
+		return breaking.Step == endsEarlyStep && writeChunk(conn, "")
 	}
 	return writeChunk(conn, fmt.Sprintf("id: %d\ndata: usage\n\n", answerTokens)) &&
 		writeChunk(conn, "data: [DONE]\n\n") && writeChunk(conn, "")
@@ -280,8 +283,8 @@
 	return err == nil
 }
 
-// endsEarlyStep marks the scripts whose unstreamed answer is cut off by the
-// engine itself.
+// endsEarlyStep marks the scripts whose answer is cut off by the engine itself,
+// which ends the body in good order.
 const endsEarlyStep = 3
 
 // unstreamed writes a whole answer, or a part of one.
