Keep the bound on batch tokens of a stale server at its usual value

Cause: an item that started while a server's report was stale, as in a gateway's first seconds, took a bound of one batch token a step along. An engine keeps the least bound of its items, so that all batch there got one token a step beside online requests until that item ended. Change: a stale report bounds the items, not their tokens; the property test checks it.

--- a/internal/sharing/budget.go
+++ b/internal/sharing/budget.go
@@ -119,7 +119,9 @@
 // BatchBudget returns what batch may use of a server now.
 func BatchBudget(state ServerState, policy BudgetPolicy, now time.Duration) Budget {
 	if policy.StaleAfter > 0 && state.ReportAge > policy.StaleAfter {
-		return Budget{Items: staleItems, TokensPerStep: 1}
+		// The bound on tokens goes with the item and holds for all batch on the
+		// engine until it ends: it must not be the bound of this moment.
+		return Budget{Items: staleItems, TokensPerStep: policy.TokensPerStep}
 	}
 	items := min(policy.spareItems(state, now), policy.MaximumItems-int(state.Online))
 	if state.KVUsed >= policy.KVLimit {
--- a/internal/sharing/sharing_test.go
+++ b/internal/sharing/sharing_test.go
@@ -138,8 +138,13 @@
 			t.Fatalf("a request that is late leaves %d items", late.Items)
 		}
 		more.ReportAge = policy.StaleAfter + 1
-		if stale := BatchBudget(more, policy, now); stale.Items > staleItems {
+		stale := BatchBudget(more, policy, now)
+		if stale.Items > staleItems {
 			t.Fatalf("a stale report gives %d items", stale.Items)
 		}
+		// An engine takes the least bound of its items and keeps it while they run.
+		if stale.TokensPerStep != policy.TokensPerStep {
+			t.Fatalf("a stale report bounds all batch on the engine to %d tokens a step", stale.TokensPerStep)
+		}
 	})
 }
