Send the orders that pause an item and put it back one after the other

Cause: each order ran on a goroutine of its own under a lock, which does not keep their order: an order to put an item back could overtake the one that pauses it, and the item stayed paused at the engine while the gateway counted it as running. Items come back within milliseconds since gateways yield at once. Change: one goroutine for each item sends what is wanted, in turn; what is not wanted any more is left out.

--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -50,8 +49,8 @@
 	// estimate is the cost that the picker was charged.
 	estimate float64
 
-	// orders is held while an order to pause or unpause is under way.
-	orders sync.Mutex
+	// place sends the orders to pause the item at its engine and to put it back.
+	place place
 
 	result upstream.Result
 	report upstream.Report
--- a/internal/batch/yield.go
+++ b/internal/batch/yield.go
@@ -36,7 +36,7 @@
 	current.paused = true
 	e.paused = append(e.paused, current)
 	e.options.View.BatchPaused(current.target.Name)
-	go current.order(func() { e.options.Relay.Pause(ctx, current.target, current.id) })
+	e.order(ctx, current)
 }
 
 // resumePaused lets the item of a group that was paused last go on whose server
@@ -52,7 +52,7 @@
 		}
 		e.paused = slices.Delete(e.paused, index, index+1)
 		current.paused = false
-		go current.order(func() { e.options.Relay.Unpause(ctx, current.target, current.id) })
+		e.order(ctx, current)
 		return true
 	}
 	return false
@@ -80,10 +80,13 @@
 	}
 }
 
-// order sends one order about the item at a time, so that a later one does not
-// overtake an earlier one.
-func (c *run) order(send func()) {
-	c.orders.Lock()
-	defer c.orders.Unlock()
-	send()
+// order tells the item's engine whether the item is paused.
+func (e *Executor) order(ctx context.Context, current *run) {
+	current.place.want(current.paused, func(paused bool) {
+		if paused {
+			e.options.Relay.Pause(ctx, current.target, current.id)
+			return
+		}
+		e.options.Relay.Unpause(ctx, current.target, current.id)
+	})
 }
