--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,6 +144,7 @@
 	g.view = serverview.New(serverview.Options{
 		Gateway: settings.GetName(), Zone: settings.GetZone(), Client: g.client, PlatformURL: settings.GetPlatformUrl(),
 	})
+	g.metrics.registry.MustRegister(serverStates{view: g.view})
 	g.batch = batch.New(batch.Options{
 		Holder: settings.GetName() + "/" + strconv.FormatInt(g.started.UnixMilli(), 10),
 		Jobs:   client.Jobs(), Bodies: client.Bodies(), Relay: g.relay, View: g.view,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -91,6 +91,7 @@
 func DescribeMetrics(descriptions chan<- *prometheus.Desc) {
 	m := newMetrics()
 	m.describeState(nil, nil)
+	m.registry.MustRegister(serverStates{})
 	m.registry.Describe(descriptions)
 	secure.Metrics(nil).Describe(descriptions)
 }
--- a/internal/serverview/ready_test.go
+++ b/internal/serverview/ready_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/routing"
 	"rockwind.example/rockwind/internal/upstream"
 )
 
@@ -79,3 +80,26 @@
 		t.Fatal("out for ever")
 	}
 }
+
+func TestStatesTellWhyServersGetNoTraffic(t *testing.T) {
+	view := loadedView(12)
+	set := []func(server *routing.Server){
+		func(server *routing.Server) { server.Leaving, server.Health = true, routing.Ejected },
+		func(server *routing.Server) { server.Health = routing.Ejected },
+		func(server *routing.Server) { server.Loaded = routing.Set{} },
+		func(server *routing.Server) { server.Health, server.SlowStart = routing.Suspect, 0.5 },
+		func(server *routing.Server) { server.SlowStart = 0.5 },
+	}
+	for index, change := range set {
+		change(&view.routing.Servers[index])
+	}
+	counts := view.CountStates()
+	for _, state := range []State{StateLeaving, StateEjected, StateNotLoaded, StateSuspect, StateSlowStart} {
+		if counts[state] != 1 {
+			t.Errorf("%d servers count as %s", counts[state], state)
+		}
+	}
+	if counts[StateHealthy] != 12-len(set) {
+		t.Errorf("%d servers count as healthy", counts[StateHealthy])
+	}
+}
