Keep a poison item from taking others along

Items on their last try were kept apart from each other only.

A lease now also marks the items that were lost before. An item on its last try runs beside none of them, and on no back end that lost an item within the last second. Items that were lost once run beside each other as before, so that the death of a gateway with many leases slows nothing down.

The oracle of the ledger checks the marks, and the property test of the executor the new rule.

--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/http"
 	"time"
 
@@ -27,6 +28,8 @@
 	bytesPerToken = 4
 	// notRunPause holds a lease back after one of its items was refused.
 	notRunPause = 100 * time.Millisecond
+	// lossPause is how long a server that lost an item gets none on its last try.
+	lossPause = time.Second
 	// notRunTries is how often an item is tried here without running before it
 	// is returned to the job.
 	notRunTries = 20
@@ -129,7 +132,7 @@
 	}
 	wanted := held.wanted
 	wanted.PromptTokens = len(line.Body) / bytesPerToken
-	choice, ok := e.options.View.StartBatch(wanted, e.serversToAvoid(held, item))
+	choice, ok := e.options.View.StartBatch(wanted, e.serversToAvoid(held, item, time.Now()))
 	if !ok {
 		return false
 	}
@@ -147,21 +150,35 @@
 	return true
 }
 
-// serversToAvoid names the servers that run an item on its last try, for another
-// such item: one of them may be what brings servers down.
-func (e *Executor) serversToAvoid(held *lease, item uint32) []string {
-	if !held.lastTry[item] {
+// serversToAvoid names the servers that must not get an item now. An item that was
+// lost before may be what brings servers down, so one on its last try never runs
+// beside another that was lost, nor where one was lost a moment ago.
+func (e *Executor) serversToAvoid(held *lease, item uint32, now time.Time) []string {
+	if !held.lost[item] {
 		return nil
 	}
+	last := held.lastTry[item]
 	var avoided []string
 	for current := range e.running {
-		if current.lease.lastTry[current.item] {
+		other := current.lease
+		if other.lastTry[current.item] || last && other.lost[current.item] {
 			avoided = append(avoided, current.target.Name)
 		}
 	}
+	for name, at := range e.lostAt {
+		if last && now.Sub(at) < lossPause {
+			avoided = append(avoided, name)
+		}
+	}
 	return avoided
 }
 
+// noteLoss remembers when a server lost an item, and forgets what is long ago.
+func (e *Executor) noteLoss(server string, now time.Time) {
+	maps.DeleteFunc(e.lostAt, func(_ string, at time.Time) bool { return now.Sub(at) >= lossPause })
+	e.lostAt[server] = now
+}
+
 // parseLine reads one line of the input.
 func parseLine(line []byte) (InputLine, error) {
 	var parsed InputLine
@@ -233,6 +250,7 @@
 	case current.result.Fault != nil && current.result.Fault.Ran == fault.NotRun, current.result.Stopped:
 		e.notRun(current)
 	default:
+		e.noteLoss(current.target.Name, time.Now())
 		e.reportOutcome(held, current.item, rockwindpb.ItemOutcome_ITEM_OUTCOME_RETRY, nil)
 	}
 	e.releaseIfDone(held)
--- a/internal/batch/executor.go
+++ b/internal/batch/executor.go
@@ -72,7 +72,9 @@
 	heartbeating bool
 	lastBeat     time.Time
 	// paused lists the items that gave way, in the order in which they did.
-	paused   []*run
+	paused []*run
+	// lostAt is when a server last lost an item, by its name.
+	lostAt   map[string]time.Time
 	rate     rateMeter
 	epoch    time.Time
 	draining bool
@@ -100,6 +102,7 @@
 		leases:    make(map[leaseKey]*lease),
 		running:   make(map[*run]struct{}),
 		picker:    sharing.NewPicker(),
+		lostAt:    make(map[string]time.Time),
 		epoch:     time.Now(),
 		demand:    make(map[string]float64),
 		costs:     newCostMeter(),
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -50,7 +50,9 @@
 	// lines are the items' request lines; nil until they are read.
 	lines   map[uint32][]byte
 	running map[uint32]*run
-	// lastTry marks items that end as failed if they are lost once more.
+	// lost marks items that were lost before, lastTry those of them that end as
+	// failed if they are lost once more.
+	lost    map[uint32]bool
 	lastTry map[uint32]bool
 	// notRun counts how often items were tried and provably did not run.
 	notRun map[uint32]int
@@ -145,6 +147,7 @@
 		key:     leaseKey{job: granted.GetJobId(), fence: granted.GetFence()},
 		job:     job,
 		running: make(map[uint32]*run),
+		lost:    make(map[uint32]bool),
 		lastTry: make(map[uint32]bool),
 		notRun:  make(map[uint32]int),
 	}
@@ -158,11 +161,14 @@
 }
 
 // takeItems lists the items of a lease. Those on their last try come last, since
-// they may have to wait for a server without another such item.
+// they may have to wait for a server.
 func (l *lease) takeItems(granted *rockwindpb.Lease) {
 	var last []uint32
 	for offset := range granted.GetItemCount() {
 		item := granted.GetFirstItem() + offset
+		if marked(granted.GetLost(), offset) {
+			l.lost[item] = true
+		}
 		switch {
 		case marked(granted.GetSkip(), offset):
 		case marked(granted.GetLastTry(), offset):
--- a/internal/batch/lease_test.go
+++ b/internal/batch/lease_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"slices"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -27,14 +28,18 @@
 	granted *rockwindpb.Lease
 	wanted  []uint32
 	last    map[uint32]bool
+	lost    map[uint32]bool
 }
 
 func drawLease(t *rapid.T) drawnLease {
 	const first = 1000
 	count := rapid.Uint32Range(1, 60).Draw(t, "items")
 	drawn := drawnLease{
-		granted: &rockwindpb.Lease{FirstItem: first, ItemCount: count, Skip: make([]byte, 8), LastTry: make([]byte, 8)},
-		last:    map[uint32]bool{},
+		granted: &rockwindpb.Lease{
+			FirstItem: first, ItemCount: count, Skip: make([]byte, 8), LastTry: make([]byte, 8), Lost: make([]byte, 8),
+		},
+		last: map[uint32]bool{},
+		lost: map[uint32]bool{},
 	}
 	for offset := range count {
 		switch rapid.IntRange(0, 3).Draw(t, "kind") {
@@ -44,6 +49,10 @@
 		case 1:
 			drawn.granted.LastTry[offset/8] |= 1 << (offset % 8)
 			drawn.last[first+offset] = true
+			fallthrough
+		case 2:
+			drawn.granted.Lost[offset/8] |= 1 << (offset % 8)
+			drawn.lost[first+offset] = true
 		}
 		drawn.wanted = append(drawn.wanted, first+offset)
 	}
@@ -51,13 +60,13 @@
 }
 
 // TestItemsOnTheirLastTryRunApart starts and gives back the items of a lease at
-// random. Others go before those on their last try, and no two of those are let
-// onto one server.
+// random. Others go before those on their last try, and none of those is let onto a
+// server beside an item that was lost before.
 func TestItemsOnTheirLastTryRunApart(t *testing.T) {
 	servers := []string{"a", "b", "c"}
 	rapid.Check(t, func(t *rapid.T) {
 		drawn := drawLease(t)
-		held := &lease{lastTry: map[uint32]bool{}}
+		held := &lease{lastTry: map[uint32]bool{}, lost: map[uint32]bool{}}
 		held.takeItems(drawn.granted)
 		if waiting := slices.Sorted(slices.Values(held.pending)); !slices.Equal(waiting, drawn.wanted) {
 			t.Fatalf("items %v wait, want %v", waiting, drawn.wanted)
@@ -71,7 +80,7 @@
 			if drawn.last[item] && slices.ContainsFunc(held.pending, func(other uint32) bool { return !drawn.last[other] }) {
 				t.Fatalf("item %d on its last try goes before others: %v", item, held.pending)
 			}
-			avoided := e.serversToAvoid(held, item)
+			avoided := e.serversToAvoid(held, item, time.Time{})
 			chosen := rapid.SampledFrom(servers).Draw(t, "server")
 			if slices.Contains(avoided, chosen) {
 				e.endOne(held, rapid.Bool().Draw(t, "give back"))
@@ -79,7 +88,7 @@
 			}
 			held.pending = held.pending[1:]
 			e.running[&run{lease: held, item: item, target: upstream.Target{Name: chosen}}] = struct{}{}
-			e.checkApart(t, drawn.last)
+			e.checkApart(t, drawn)
 		}
 	})
 }
@@ -98,15 +107,30 @@
 	}
 }
 
-func (e *Executor) checkApart(t *rapid.T, last map[uint32]bool) {
-	taken := map[string]bool{}
-	for current := range e.running {
-		if !last[current.item] {
-			continue
+func (e *Executor) checkApart(t *rapid.T, drawn drawnLease) {
+	for one := range e.running {
+		for other := range e.running {
+			together := one != other && one.target.Name == other.target.Name
+			if together && drawn.last[one.item] && drawn.lost[other.item] {
+				t.Fatalf("item %d on its last try runs beside item %d, which was lost before", one.item, other.item)
+			}
 		}
-		if taken[current.target.Name] {
-			t.Fatalf("two items on their last try run at %s", current.target.Name)
+	}
+}
+
+// TestServerThatLostAnItemGetsNoLastTry looks at the pause after a loss.
+func TestServerThatLostAnItemGetsNoLastTry(t *testing.T) {
+	held := &lease{lost: map[uint32]bool{1: true, 2: true}, lastTry: map[uint32]bool{2: true}}
+	lost := time.Unix(100, 0)
+	e := &Executor{lostAt: map[string]time.Time{}}
+	e.noteLoss("a", lost)
+	for _, asked := range []struct {
+		item  uint32
+		after time.Duration
+		avoid bool
+	}{{0, 0, false}, {1, 0, false}, {2, 0, true}, {2, lossPause - 1, true}, {2, lossPause, false}} {
+		if avoided := e.serversToAvoid(held, asked.item, lost.Add(asked.after)); (len(avoided) > 0) != asked.avoid {
+			t.Errorf("item %d avoids %v %v after a loss", asked.item, avoided, asked.after)
 		}
-		taken[current.target.Name] = true
 	}
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -49,6 +49,8 @@
 	url      string
 	// probes is the internal listener.
 	probes string
+	// wrapEngine, where it is set, makes the handler of an engine.
+	wrapEngine func(*standin.Engine) http.Handler
 	// callerTLS is nil where callers talk in the clear; http is the callers'
 	// client.
 	callerTLS *rockwindpb.TlsSettings
@@ -84,7 +86,11 @@
 	config.Loaded = []string{testModel + "@v1"}
 	stand, err := standin.NewEngine(standin.EngineOptions{Name: "engine", Config: config, Seed: int64(number), EventPerToken: true})
 	must(f.t, err)
-	server := httptest.NewServer(stand.Handler())
+	handler := stand.Handler()
+	if f.wrapEngine != nil {
+		handler = f.wrapEngine(stand)
+	}
+	server := httptest.NewServer(handler)
 	f.t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
--- a/internal/ledger/acquire.go
+++ b/internal/ledger/acquire.go
@@ -127,16 +127,17 @@
 		Holder:        l.holder,
 		ExpiresUnixMs: l.expires,
 		Skip:          l.skip(),
-		LastTry:       of.lastTry(l),
+		LastTry:       of.markLost(l, of.definition.Tries-1),
+		Lost:          of.markLost(l, 1),
 	}
 }
 
-// lastTry marks the items of a lease that were lost before and end as failed if
-// they are lost once more; it is nil where there are none.
-func (j *job) lastTry(of *lease) []byte {
+// markLost marks the items of a lease that were lost before at least so many times;
+// it is nil where there are none.
+func (j *job) markLost(of *lease, times uint32) []byte {
 	var marked bitmap
 	for item, tries := range j.tries {
-		if tries+1 < j.definition.Tries || !of.holds(item) {
+		if tries < times || !of.holds(item) {
 			continue
 		}
 		if marked == nil {
--- a/internal/ledger/oracle_test.go
+++ b/internal/ledger/oracle_test.go
@@ -240,6 +240,10 @@
 			held[item] = true
 		}
 		last := lease.LastTry != nil && bitmap(lease.LastTry).has(item-lease.FirstItem)
+		marked := lease.Lost != nil && bitmap(lease.Lost).has(item-lease.FirstItem)
+		if marked != (!skipped && job.tries[item] > 0) {
+			t.Fatalf("grant %v marks item %d as lost: %v, after %d losses", lease, item, marked, job.tries[item])
+		}
 		if lost := job.tries[item]; last != (!skipped && lost > 0 && lost+1 >= job.definition.Tries) {
 			t.Fatalf("grant %v marks the last try of item %d as %v after %d losses", lease, item, last, lost)
 		}
