Log where the fault experiment stands and which job did not end

A run that took longer than its faults said nothing about why. It now logs when the faults are over, and the last state of each job that does not end.

--- a/internal/bench/faults/check.go
+++ b/internal/bench/faults/check.go
@@ -58,6 +58,7 @@
 	c.items.Accepted += len(made.items)
 	ended, err := c.awaitEnd(ctx, number, made)
 	if err != nil {
+		log.WithField("job", made.id).WithField("status", ended.Status).WithField("counts", ended.Counts).Error("a job did not end")
 		c.items.Lost += len(made.items)
 		return nil
 	}
@@ -85,9 +86,14 @@
 	c.items.Unreadable += len(made.items)
 }
 
+// awaitEnd waits for the end of a job; where it fails it returns what was seen last.
 func (c *checker) awaitEnd(ctx context.Context, number int, made *job) (caller.Batch, error) {
+	var batch caller.Batch
 	for {
-		batch, err := c.caller.GetBatch(ctx, c.gateway(number), made.id)
+		answer, err := c.caller.GetBatch(ctx, c.gateway(number), made.id)
+		if err == nil {
+			batch = answer
+		}
 		if err == nil && batch.Ended() {
 			return batch, nil
 		}
--- a/internal/bench/faults/command.go
+++ b/internal/bench/faults/command.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
+	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
 	"rockwind.example/rockwind/internal/bench/caller"
@@ -188,6 +189,7 @@
 	if err := c.storm(ctx, made, report); err != nil {
 		return nil, err
 	}
+	log.WithField("jobs", len(seen.allJobs())).Info("the faults are over; what is left is checked")
 	last := uint64(0)
 	for _, operator := range made.operators {
 		last = max(last, operator.number)
