--- a/internal/gateway/serving_test.go
+++ b/internal/gateway/serving_test.go
@@ -152,6 +152,11 @@
 	if draining, active := f.gateway.drain.state(); !draining || active == 0 {
 		t.Error("the stream ended before the stop was looked at")
 	}
+	select {
+	case <-f.gateway.drain.idle:
+		t.Error("the drain is over while a stream is in progress")
+	default:
+	}
 	for stream.Next() {
 		for _, choice := range stream.Current().Choices {
 			text += choice.Delta.Content
