--- a/internal/replica/repair_test.go
+++ b/internal/replica/repair_test.go
@@ -104,11 +104,15 @@
 }
 
 // TestSecondProcessOfOneNameIsRefused starts a process with a new disk under
-// the name of a machine that is alive.
+// the name of a machine that is alive. The machine does not lead: a process asks
+// the others to join, and only leaders admit.
 func TestSecondProcessOfOneNameIsRefused(t *testing.T) {
 	inBubble(t, 3, nil, func(f *fleet) {
 		f.add(1, "a")
 		original := f.machines[0]
+		if original == f.leader(1) {
+			original = f.machines[1]
+		}
 		imposter := &machine{name: original.name, disk: faultfs.New()}
 		f.start(imposter)
 		f.network.mount(original.name, rockwindpb.NewReplicaServiceServer(original.host.Service()))
