Advise a wait that is enough where the level of a limit rounds

make fuzz drew a case in which a caller that came back twice at the advised time was refused a third time: after 9.543 s the bucket held one request less a rounding error. The advice is now a millisecond longer.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -80,13 +80,14 @@
 	b.filled = now
 }
 
-// wait is the time until the level reaches need.
+// wait is the time until the level reaches need, and a millisecond more: the
+// level may round to just below.
 func (b *bucket) wait(rate, need float64) time.Duration {
 	if rate <= 0 {
 		return maximumRetryAfter
 	}
 	seconds := (need - b.level) / rate
-	return time.Duration(math.Ceil(seconds*1000)) * time.Millisecond
+	return time.Duration(math.Ceil(seconds*1000)+1) * time.Millisecond
 }
 
 // New returns a limiter without tenants.
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -129,6 +129,26 @@
 	})
 }
 
+// TestRetryAfterAllowsForRounding waits for a level that rounds to just below one.
+func TestRetryAfterAllowsForRounding(t *testing.T) {
+	limits := &rockwindpb.Limits{RequestsPerSecond: 0.1, TokensPerSecond: 16.921875}
+	limiter, now := New(), time.Unix(1_000_000, 0)
+	grant, err := limiter.Admit(tenantName, limits, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	grant.Done(23.640625)
+	for range 2 {
+		if _, err = limiter.Admit(tenantName, limits, now); err == nil {
+			t.Fatal("admitted above the limits")
+		}
+		now = now.Add(fault.From(err).RetryAfter)
+	}
+	if _, err := limiter.Admit(tenantName, limits, now); err != nil {
+		t.Fatalf("refused after both waits: %v", err)
+	}
+}
+
 func TestAllowancesMoveLimitsToTheTraffic(t *testing.T) {
 	limits := &rockwindpb.Limits{RequestsPerSecond: 10, Concurrency: 10}
 	limiter, now := New(), time.Unix(1_000_000, 0)
