Test that streams are answered while an engine hangs

Cause: hedging was tested over scripted back ends only, not through the gateway's counts of attempts.

Change: a gateway over two engines, one of which hangs: eight streams at once each get their whole answer, and no attempt is left in the counts.

--- /dev/null
+++ b/internal/gateway/hedge_test.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"rockwind.example/rockwind/internal/engine"
+	"rockwind.example/rockwind/internal/standin"
+)
+
+// TestStreamsAreAnsweredWhileAnEngineHangs stops one of two engines in silence
+// and starts streams at once, some of which go to it: each gets its whole answer
+// from the other long before the limit of silence of a single attempt, and the
+// view is left with no attempt in progress.
+func TestStreamsAreAnsweredWhileAnEngineHangs(t *testing.T) {
+	f := startFleet(t, 2, slowConfig())
+	client := f.client()
+	f.engines[0].Inject(standin.FaultOrder{Kind: engine.FaultHang})
+	ctx, cancel := context.WithTimeout(context.Background(), streamFirstByte/2)
+	defer cancel()
+	var streams sync.WaitGroup
+	for range 8 {
+		streams.Go(func() {
+			stream := client.Chat.Completions.NewStreaming(ctx, chatParameters(testModel, "a hint for level four", 20))
+			defer stream.Close()
+			text := ""
+			for stream.Next() {
+				for _, choice := range stream.Current().Choices {
+					text += choice.Delta.Content
+				}
+			}
+			if want := answerTo("a hint for level four", 20); stream.Err() != nil || text != want {
+				t.Errorf("streamed %q, want %q: %v", text, want, stream.Err())
+			}
+		})
+	}
+	streams.Wait()
+	f.engines[0].Inject(standin.FaultOrder{Kind: engine.FaultNone})
+	f.await("the end of every attempt", func() bool { return f.gateway.view.InProgress() == 0 })
+}
--- a/internal/serverview/states.go
+++ b/internal/serverview/states.go
@@ -51,3 +51,14 @@
 		return StateHealthy
 	}
 }
+
+// InProgress counts the online requests in flight at all servers.
+func (v *View) InProgress() int {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	count := 0
+	for index := range v.routing.Servers {
+		count += int(v.routing.Servers[index].OwnOnline)
+	}
+	return count
+}
