Let the test's shard grant work that waits at once

Cause: TestIdleWaitsCallEachShardOnce failed in about one run in ten: its shard chose at random between work that was there and a wait of zero that was over, so it sometimes refused an item that waited. Ruled out: the client, which asked the shard as it should. Change: the shard looks for work after the wait, whatever ended it; what the test asks of the client is unchanged.

--- a/internal/controlclient/leases_test.go
+++ b/internal/controlclient/leases_test.go
@@ -44,14 +44,24 @@
 	}
 	select {
 	case <-work:
-		if request.GetMaxItems() == 0 {
-			return &rockwindpb.AcquireLeasesResponse{WorkWaits: true}, nil
-		}
-		return &rockwindpb.AcquireLeasesResponse{Grants: []*rockwindpb.GrantedLease{{Lease: &rockwindpb.Lease{ItemCount: 1}}}}, nil
 	case <-time.After(time.Duration(request.GetWaitMs()) * time.Millisecond):
 	case <-ctx.Done():
 	}
-	return &rockwindpb.AcquireLeasesResponse{}, nil
+	return answerTo(request, work), nil
+}
+
+// answerTo reports or grants the item once the channel is closed, whatever ended
+// the wait.
+func answerTo(request *rockwindpb.AcquireLeasesRequest, work <-chan struct{}) *rockwindpb.AcquireLeasesResponse {
+	select {
+	case <-work:
+	default:
+		return &rockwindpb.AcquireLeasesResponse{}
+	}
+	if request.GetMaxItems() == 0 {
+		return &rockwindpb.AcquireLeasesResponse{WorkWaits: true}
+	}
+	return &rockwindpb.AcquireLeasesResponse{Grants: []*rockwindpb.GrantedLease{{Lease: &rockwindpb.Lease{ItemCount: 1}}}}
 }
 
 // RoundTrip implements http.RoundTripper.
