Let machines without a replica belong to the cluster

Cause: a cluster with more machines than its groups have replicas left the others out: nobody let them join, because no group has a member of their name, so they stayed "not ready" and asked for ever, and 'rockwind cluster status' could never say "repaired".

Change: a machine that the settings list may join the cluster; it becomes a member of no group. TestMachineOutsideAllGroupsBelongsToTheCluster fails without the change.

--- a/internal/replica/joining.go
+++ b/internal/replica/joining.go
@@ -76,11 +76,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if !slices.ContainsFunc(response.GetGroups(), func(group *rockwindpb.FoundingGroup) bool {
-		return hasMachine(group.GetMembership(), request.GetMachine())
-	}) {
-		return nil, fault.Newf(fault.Conflict, "give it the name of the machine that it replaces",
-			"no member of this cluster is named %s", request.GetMachine())
+	if !h.belongs(request.GetMachine(), response.GetGroups()) {
+		return nil, fault.Newf(fault.Conflict, "give it the name of the machine that it replaces, or list it in the settings of all machines",
+			"no machine of this cluster is named %s", request.GetMachine())
 	}
 	for _, o := range h.allOwners() {
 		if !o.leads() {
@@ -94,6 +92,17 @@
 	return response, nil
 }
 
+// belongs tells whether a machine is a member of a group, or is listed in the
+// settings: a large cluster has machines without a replica.
+func (h *Host) belongs(machine string, groups []*rockwindpb.FoundingGroup) bool {
+	member := slices.ContainsFunc(groups, func(group *rockwindpb.FoundingGroup) bool {
+		return hasMachine(group.GetMembership(), machine)
+	})
+	return member || slices.ContainsFunc(h.options.Peers, func(peer *rockwindpb.ControlMachine) bool {
+		return peer.GetMachine() == machine
+	})
+}
+
 func (h *Host) describeGroups() (*rockwindpb.JoinResponse, error) {
 	known, groups := h.knownGroups()
 	if known == nil {
--- a/internal/replica/repair_test.go
+++ b/internal/replica/repair_test.go
@@ -208,3 +208,28 @@
 		f.eventually("the machine is back", func() bool { return broken.state(1).get("a") == 2 })
 	})
 }
+
+// TestMachineOutsideAllGroupsBelongsToTheCluster founds a cluster of more machines
+// than its groups have replicas. A machine without a replica belongs to the cluster
+// too, also after it has lost its disk, and becomes a member of no group.
+func TestMachineOutsideAllGroupsBelongsToTheCluster(t *testing.T) {
+	inBubble(t, 16, nil, func(f *fleet) {
+		spare := f.machines[9] // the last one by name
+		founded := func() bool {
+			select {
+			case <-spare.host.Founded():
+				return true
+			default:
+				return false
+			}
+		}
+		f.eventually("the spare machine belongs to the cluster", founded)
+		f.lose(spare)
+		f.start(spare)
+		f.eventually("it belongs to the cluster with a new disk", founded)
+		if groups := spare.host.Groups(); len(groups) > 0 {
+			t.Fatalf("the spare machine runs groups %v", groups)
+		}
+		f.add(1, "a")
+	})
+}
