--- a/internal/bench/routingexperiment/command.go
+++ b/internal/bench/routingexperiment/command.go
@@ -15,6 +15,7 @@
 	Servers  []int           `help:"Sizes of the fleet." default:"12,120,1200"`
 	Lags     []time.Duration `help:"Ages of load reports." default:"100ms,1s,5s"`
 	Losses   []float64       `help:"Probabilities that the log of cache events is cut at an event." default:"0,0.05,0.3"`
+	Rate     float64         `help:"Requests a second and server outside bursts." default:"6"`
 	Seed     uint64          `help:"First seed." default:"1"`
 	Seeds    int             `help:"Runs of each cell, each with a seed of its own." default:"2"`
 	Parallel int             `help:"Runs at a time." default:"4"`
@@ -28,7 +29,7 @@
 		return err
 	}
 	result := Measure(Options{
-		Servers: c.Servers, Lags: c.Lags, Losses: c.Losses,
+		Servers: c.Servers, Lags: c.Lags, Losses: c.Losses, Rate: c.Rate,
 		Seed: c.Seed, Seeds: c.Seeds, Parallel: c.Parallel,
 	})
 	if c.Output != "" {
@@ -51,6 +52,7 @@
 	minimumServers = 3
 	maximumServers = 2000
 	maximumSeeds   = 100
+	maximumRate    = 100
 )
 
 func (c *Command) check() error {
@@ -69,6 +71,9 @@
 			return invalid("--losses", "give probabilities between 0 and 1")
 		}
 	}
+	if c.Rate <= 0 || c.Rate > maximumRate {
+		return invalid("--rate", fmt.Sprintf("give a rate above 0 and at most %d", maximumRate))
+	}
 	if c.Seeds < 1 || c.Seeds > maximumSeeds {
 		return invalid("--seeds", fmt.Sprintf("give a number from 1 to %d", maximumSeeds))
 	}
--- a/internal/bench/routingexperiment/experiment.go
+++ b/internal/bench/routingexperiment/experiment.go
@@ -20,7 +20,9 @@
 	// events is cut at an event.
 	Lags   []time.Duration
 	Losses []float64
-	Seed   uint64
+	// Rate is the requests a second and server outside bursts.
+	Rate float64
+	Seed uint64
 	// Seeds is the number of runs of each cell, with seeds from Seed on.
 	Seeds int
 	// Parallel bounds the runs at a time.
@@ -49,6 +51,7 @@
 
 // Result is what the experiment found.
 type Result struct {
+	Rate        float64 `json:"requests_per_second_and_server"`
 	Seed        uint64  `json:"seed"`
 	Seeds       int     `json:"seeds"`
 	WallSeconds float64 `json:"wall_s"`
@@ -58,7 +61,7 @@
 // Measure runs all cells, several at a time.
 func Measure(options Options) *Result {
 	begun := time.Now()
-	result := &Result{Seed: options.Seed, Seeds: options.Seeds}
+	result := &Result{Rate: options.Rate, Seed: options.Seed, Seeds: options.Seeds}
 	for _, servers := range options.Servers {
 		result.Cells = append(result.Cells, cells(servers, options)...)
 	}
@@ -87,6 +90,7 @@
 // cells lists what is measured at one size.
 func cells(servers int, options Options) []*Cell {
 	base := routingfleet.Sized(servers)
+	base.Load.Rate = options.Rate
 	var list []*Cell
 	for _, lag := range options.Lags {
 		for _, loss := range options.Losses {
--- a/internal/bench/routingfleet/caches.go
+++ b/internal/bench/routingfleet/caches.go
@@ -28,6 +28,10 @@
 	if !run.policy.Events || !run.policy.Hints || run.policy.Fresh {
 		return
 	}
+	if last, read := g.cacheRead[server]; read && run.queue.now-last < run.scenario.CacheInterval {
+		return
+	}
+	g.cacheRead[server] = run.queue.now
 	page := run.nodes[server].engine.CacheEvents(run.queue.now, g.prefixes.Cursor(int32(server)))
 	run.totals.cacheEvents += len(page.Events)
 	delay := run.delay(g, server)
--- a/internal/bench/routingfleet/gateway.go
+++ b/internal/bench/routingfleet/gateway.go
@@ -42,12 +42,14 @@
 	prefixes *routing.PrefixIndex
 	// snapshotAt is when a snapshot of a server's cache was last asked for.
 	snapshotAt map[int]time.Duration
-	leaving    []leavingState
-	owned      []int
-	versions   []routing.WeightedVersion
-	hints      []routing.Hint
-	wanted     []routing.Prefix
-	turn       int
+	// cacheRead is when a server's cache events were last read.
+	cacheRead map[int]time.Duration
+	leaving   []leavingState
+	owned     []int
+	versions  []routing.WeightedVersion
+	hints     []routing.Hint
+	wanted    []routing.Prefix
+	turn      int
 }
 
 func newGateway(run *fleet, index int, seed uint64) *gateway {
@@ -64,6 +66,7 @@
 		leaving:    make([]leavingState, servers),
 		prefixes:   routing.NewPrefixIndex(),
 		snapshotAt: make(map[int]time.Duration),
+		cacheRead:  make(map[int]time.Duration),
 		versions:   []routing.WeightedVersion{{Name: modelName, Weight: 1}},
 	}
 	created.fillView()
--- a/internal/bench/routingfleet/scenario.go
+++ b/internal/bench/routingfleet/scenario.go
@@ -30,8 +30,11 @@
 	// lag and loss of cache events among them.
 	Engine engine.Config
 	// PollInterval is how often a gateway asks the engines that it owns for
-	// their load and cache events.
+	// their load.
 	PollInterval time.Duration
+	// CacheInterval is the least time between two reads of one engine's cache
+	// events.
+	CacheInterval time.Duration
 	// ExchangeInterval is how often a gateway exchanges digests.
 	ExchangeInterval time.Duration
 	// Load is the online load.
@@ -101,6 +104,7 @@
 		ZoneDelay: time.Millisecond, LocalDelay: 100 * time.Microsecond, ClientDelay: 3 * time.Millisecond,
 		Engine:           config,
 		PollInterval:     serverview.PollInterval,
+		CacheInterval:    serverview.CacheInterval,
 		ExchangeInterval: exchange.Period,
 		Load: Load{
 			Rate: 6, BurstFactor: 2.5, BurstMean: 1500 * time.Millisecond, BurstEvery: 8 * time.Second,
--- a/internal/serverview/caches.go
+++ b/internal/serverview/caches.go
@@ -19,9 +19,9 @@
 	// on average, and cacheBytesBurst at once.
 	cacheBytesPerSecond = 1 << 10
 	cacheBytesBurst     = 64 << 10
-	// cacheInterval is the least time between two reads of one cache's events: a
+	// CacheInterval is the least time between two reads of one cache's events: a
 	// read costs as much as a poll for load even where there is no event.
-	cacheInterval = 4 * time.Second
+	CacheInterval = 4 * time.Second
 	// snapshotInterval is the least time between two snapshots of one cache.
 	snapshotInterval = 5 * time.Second
 )
--- a/internal/serverview/poll.go
+++ b/internal/serverview/poll.go
@@ -77,7 +77,7 @@
 		task := pollTask{target: upstream.Target{Name: e.name, Address: e.address}, ready: e.lagging}
 		if now >= e.nextCacheRead {
 			task.cache = v.questionFor(e, now)
-			e.nextCacheRead = now + cacheInterval
+			e.nextCacheRead = now + CacheInterval
 		}
 		due = append(due, task)
 	}
