Judge every job although one of them does not end

Cause: once the time for all jobs was over, the fault experiment could not ask for the others and counted them as lost: with one job of 52 items stuck (three items paused at an engine, mended meanwhile by sending the orders of an item in turn) it reported 206 items lost.

Change: each job is looked at once in any case.

--- a/internal/bench/faults/check.go
+++ b/internal/bench/faults/check.go
@@ -90,7 +90,7 @@
 func (c *checker) awaitEnd(ctx context.Context, number int, made *job) (caller.Batch, error) {
 	var batch caller.Batch
 	for {
-		answer, err := c.caller.GetBatch(ctx, c.gateway(number), made.id)
+		answer, err := c.look(ctx, number, made)
 		if err == nil {
 			batch = answer
 		}
@@ -104,6 +104,14 @@
 	}
 }
 
+// look asks for a job. It does so also when the time for all jobs is over: one that
+// did not end must not hide the others.
+func (c *checker) look(ctx context.Context, number int, made *job) (caller.Batch, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
+	return c.caller.GetBatch(ctx, c.gateway(number), made.id)
+}
+
 // checkCancelled judges a job whose cancel was answered with a cancelled job:
 // it must have stayed cancelled, and nothing was recorded after the answer.
 func (c *checker) checkCancelled(made *job, ended caller.Batch) {
@@ -115,7 +123,7 @@
 
 // outputs reads all outputs of an ended job.
 func (c *checker) outputs(ctx context.Context, number int, ended caller.Batch) (map[string][]caller.ItemOutput, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
 	defer cancel()
 	byID := map[string][]caller.ItemOutput{}
 	for _, fileID := range []string{ended.OutputFileID, ended.ErrorFileID} {
