--- a/internal/bench/scale/budget.go
+++ b/internal/bench/scale/budget.go
@@ -9,7 +9,7 @@
 // What control may cost a daemon.
 const (
 	budgetCPU      = 0.023
-	budgetResident = 256 << 20
+	budgetResident = 256e6
 	budgetBytes    = 6000
 )
 
