Put items back again that were put back and still run

Cause: the order that pauses an item and the one that puts it back go over connections of their own. Where the first reaches the engine after the second, for example at an engine that stood still in between, the engine holds the item as paused, the gateway counts it as running, and it ends only after 15 minutes.

Change: an item that was put back and still runs 5 s later is put back again, which an engine that runs it ignores. TestPutBackIsConfirmed holds the order sent. The rare case itself was not brought about on purpose.

--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -54,6 +54,8 @@
 
 	// place sends the orders to pause the item at its engine and to put it back.
 	place place
+	// putBack is when the item was last put back; zero where it never was.
+	putBack time.Time
 
 	result upstream.Result
 	report upstream.Report
--- a/internal/batch/executor.go
+++ b/internal/batch/executor.go
@@ -155,6 +155,7 @@
 		case <-ticker.C:
 			e.yield(working)
 			e.reclaim(working)
+			e.confirmPutBack(working, time.Now())
 			e.heartbeat(working)
 			e.publishDemand()
 		}
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -26,6 +26,22 @@
 	go p.deliver(send)
 }
 
+// confirm sends the order that put the item back once more. The order that paused
+// it may have reached the engine after it: over another connection, or when the
+// engine stood still for a while.
+func (p *place) confirm(send func(paused bool)) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.sending || p.wanted {
+		return
+	}
+	p.sending = true
+	go func() {
+		send(false)
+		p.deliver(send)
+	}()
+}
+
 // deliver sends orders until the last one is what is wanted.
 func (p *place) deliver(send func(paused bool)) {
 	for {
--- a/internal/batch/place_test.go
+++ b/internal/batch/place_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +9,29 @@
 	"pgregory.net/rapid"
 )
 
+// TestPutBackIsConfirmed sends the order that puts an item back again, and nothing
+// where the item is to be paused or never was.
+func TestPutBackIsConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var item place
+		var sent []bool
+		send := func(paused bool) { sent = append(sent, paused) }
+		item.want(true, send)
+		synctest.Wait()
+		item.confirm(send)
+		synctest.Wait()
+		item.want(false, send)
+		synctest.Wait()
+		item.confirm(send)
+		synctest.Wait()
+		item.want(true, send)
+		synctest.Wait()
+		if wanted := []bool{true, false, false, true}; !slices.Equal(sent, wanted) {
+			t.Fatalf("the orders are %v, want %v", sent, wanted)
+		}
+	})
+}
+
 // TestPlaceOrdersNeverOvertakeEachOther: however fast an item is paused and put
 // back, and however long orders take, orders alternate, never run two at once, and
 // the last one is the one that was wanted last.
--- a/internal/batch/yield.go
+++ b/internal/batch/yield.go
@@ -3,10 +3,15 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"rockwind.example/rockwind/internal/serverview"
 )
 
+// confirmAfter is how long after an item was put back, and still runs, it is put
+// back again.
+const confirmAfter = 5 * time.Second
+
 // yield makes running items give way where they harm online requests.
 func (e *Executor) yield(ctx context.Context) {
 	for _, found := range e.options.View.BatchYields() {
@@ -82,11 +87,32 @@
 
 // order tells the item's engine whether the item is paused.
 func (e *Executor) order(ctx context.Context, current *run) {
-	current.place.want(current.paused, func(paused bool) {
+	if !current.paused {
+		current.putBack = time.Now()
+	}
+	current.place.want(current.paused, e.sender(ctx, current))
+}
+
+// sender sends the orders of an item to its engine.
+func (e *Executor) sender(ctx context.Context, current *run) func(paused bool) {
+	target, id := current.target, current.id
+	return func(paused bool) {
 		if paused {
-			e.options.Relay.Pause(ctx, current.target, current.id)
+			e.options.Relay.Pause(ctx, target, id)
 			return
 		}
-		e.options.Relay.Unpause(ctx, current.target, current.id)
-	})
+		e.options.Relay.Unpause(ctx, target, id)
+	}
+}
+
+// confirmPutBack puts items back again that were put back a while ago and still
+// run: an item that its engine holds as paused would never end.
+func (e *Executor) confirmPutBack(ctx context.Context, now time.Time) {
+	for current := range e.running {
+		if current.paused || current.abandoned || current.putBack.IsZero() || now.Sub(current.putBack) < confirmAfter {
+			continue
+		}
+		current.putBack = now
+		current.place.confirm(e.sender(ctx, current))
+	}
 }
