Give the calibration the hops that the machine has

Cause: on a busy machine single hops take 100 times the median, which the simulator did not know; and since gateways follow the tokens of online answers, the simulated engines, which left those out, made answers look late: 7 to 18 batch items/s against 63 to 71 on processes. Change: hops of online requests are longer by draws from probes beside the load; the draws have a stream of their own, so that other runs are as before. The engines keep online tokens. Jobs are larger, so that batch never runs out of items in the window.

--- a/internal/bench/calibration/calibration.go
+++ b/internal/bench/calibration/calibration.go
@@ -29,8 +29,15 @@
 	window time.Duration
 	// late is how late the last job was accepted.
 	late time.Duration
-	// hop is the measured one-way time between processes.
-	hop time.Duration
+	// between tells of the hops between processes beside the load.
+	between hops
+}
+
+// hops tells what hops between processes take on the machine, one way.
+type hops struct {
+	median, slow time.Duration
+	// noise holds what single hops take longer than the median.
+	noise []time.Duration
 }
 
 // Figure is one quantity of both sides.
--- a/internal/bench/calibration/calibration_test.go
+++ b/internal/bench/calibration/calibration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -36,7 +37,11 @@
 	if online != len(replay.Online) || online == 0 || items == 0 {
 		t.Fatalf("%d of %d requests, %d items", online, len(replay.Online), items)
 	}
-	first, second := options.simulate(replay, time.Millisecond), options.simulate(replay, time.Millisecond)
+	probed := hopsOf([]time.Duration{time.Millisecond, 2 * time.Millisecond, 30 * time.Millisecond})
+	if probed.median != time.Millisecond || len(probed.noise) != 6 || slices.Max(probed.noise) != 28*time.Millisecond {
+		t.Fatalf("%+v", probed)
+	}
+	first, second := options.simulate(replay, probed), options.simulate(replay, probed)
 	if !reflect.DeepEqual(first, second) {
 		t.Fatal("the same seeds gave other results")
 	}
--- a/internal/bench/calibration/command.go
+++ b/internal/bench/calibration/command.go
@@ -24,7 +24,7 @@
 	Zones          int           `help:"Zones, each with one gateway." default:"2"`
 	EnginesPerZone int           `help:"Engine stand-ins of a zone." default:"2"`
 	Rate           float64       `help:"Mean rate of online requests a second." default:"10"`
-	Items          int           `help:"Mean items of a batch job; one job comes every four seconds." default:"400"`
+	Items          int           `help:"Mean items of a batch job; one job comes every four seconds." default:"600"`
 	Duration       time.Duration `help:"Length of a trace." default:"20s"`
 	Warmup         time.Duration `help:"Begin of a trace that is not measured." default:"6s"`
 	Seed           int64         `help:"Seed of the trace." default:"1"`
@@ -49,10 +49,12 @@
 	SimulatedFailed int `json:"simulated_failed"`
 	// SubmissionLateMs is how late the last job was accepted on the real side.
 	SubmissionLateMs float64 `json:"submission_late_ms"`
-	// HopMs is the one-way time between processes that was measured beside the
-	// load on the real side and given to the simulator.
-	HopMs   float64  `json:"hop_ms"`
-	Figures []Figure `json:"figures"`
+	// HopMs is the median one-way time between processes that was measured beside
+	// the load on the real side and given to the simulator, HopP99Ms its 99th
+	// percentile. The simulator draws how much longer hops take from the same probes.
+	HopMs    float64  `json:"hop_ms"`
+	HopP99Ms float64  `json:"hop_p99_ms"`
+	Figures  []Figure `json:"figures"`
 }
 
 // Result holds the figures of the experiment.
@@ -141,9 +143,10 @@
 		return Comparison{}, err
 	}
 	replay := replayOf(trace.records, c.Zones)
-	simulated := c.simulate(replay, actual.hop)
+	simulated := c.simulate(replay, actual.between)
 	return Comparison{
-		Load: trace.name, HopMs: float64(actual.hop) / float64(time.Millisecond), Requests: actual.requests,
+		Load: trace.name, HopMs: float64(actual.between.median) / float64(time.Millisecond),
+		HopP99Ms: float64(actual.between.slow) / float64(time.Millisecond), Requests: actual.requests,
 		RealFailed: actual.failed, SimulatedFailed: simulated[0].failed,
 		SubmissionLateMs: float64(actual.late) / float64(time.Millisecond),
 		Figures:          compare(len(replay.Jobs) > 0, actual, simulated),
@@ -179,8 +182,8 @@
 func (r *Result) print(writer io.Writer) error {
 	var text strings.Builder
 	for _, comparison := range r.Comparisons {
-		fmt.Fprintf(&text, "%s: %d requests; without a whole answer: %d real, %d simulated; jobs accepted at most %.0f ms late; a hop takes %.2f ms\n",
-			comparison.Load, comparison.Requests, comparison.RealFailed, comparison.SimulatedFailed, comparison.SubmissionLateMs, comparison.HopMs)
+		fmt.Fprintf(&text, "%s: %d requests; without a whole answer: %d real, %d simulated; jobs accepted at most %.0f ms late; a hop takes %.2f ms, p99 %.2f ms\n",
+			comparison.Load, comparison.Requests, comparison.RealFailed, comparison.SimulatedFailed, comparison.SubmissionLateMs, comparison.HopMs, comparison.HopP99Ms)
 		for _, figure := range comparison.Figures {
 			fmt.Fprintf(&text, "  %-18s real %9.2f  simulated %9.2f (%.2f to %.2f) %-8s ratio %.3f agrees %t\n",
 				figure.Name, figure.Real, figure.Simulated, figure.Lowest, figure.Highest, figure.Unit, figure.Ratio, figure.Agrees)
--- a/internal/bench/calibration/probe.go
+++ b/internal/bench/calibration/probe.go
@@ -50,7 +50,22 @@
 	return time.Since(begin), err == nil
 }
 
-// hopOf is the one-way time between processes: half the median round trip.
-func hopOf(trips []time.Duration) time.Duration {
-	return simulator.Quantile(trips, 0.5) / 2
+// noiseOf lists what each hop took longer than the median one. Of the two hops of a
+// round trip, one is taken to have been delayed.
+func noiseOf(trips []time.Duration) []time.Duration {
+	median := simulator.Quantile(trips, 0.5)
+	noise := make([]time.Duration, 0, 2*len(trips))
+	for _, trip := range trips {
+		noise = append(noise, max(0, trip-median), 0)
+	}
+	return noise
+}
+
+// hopsOf turns the sorted round trips of probes into hops, half a trip each.
+func hopsOf(trips []time.Duration) hops {
+	return hops{
+		median: simulator.Quantile(trips, 0.5) / 2,
+		slow:   simulator.Quantile(trips, 0.99) / 2,
+		noise:  noiseOf(trips),
+	}
 }
--- a/internal/bench/calibration/processes.go
+++ b/internal/bench/calibration/processes.go
@@ -103,7 +103,7 @@
 	result := &gathered.gathered
 	result.window = o.Duration - o.Warmup
 	result.late = jobs.late
-	result.hop = hopOf(trips)
+	result.between = hopsOf(trips)
 	slices.Sort(result.ttft)
 	slices.Sort(result.tpot)
 	return result, nil
--- a/internal/bench/calibration/simulated.go
+++ b/internal/bench/calibration/simulated.go
@@ -21,12 +21,14 @@
 
 // scenario is the fleet of the real side in the simulator. It has a gateway in
 // each zone, so that gateway N of the fleet is gateway N of the simulator.
-func (o *Options) scenario(replay *simulator.Replay, hop time.Duration) simulator.Scenario {
+func (o *Options) scenario(replay *simulator.Replay, between hops) simulator.Scenario {
 	config := engine.DefaultConfig()
 	config.MilestonesOnly = true
+	// Gateways follow the tokens of online answers.
+	config.OnlineTokens = true
 	return simulator.Scenario{
 		Name: "calibration", Zones: o.Zones, GatewaysPerZone: 1, EnginesPerZone: o.EnginesPerZone,
-		ZoneDelay: hop, LocalDelay: hop, ClientDelay: hop,
+		ZoneDelay: between.median, LocalDelay: between.median, ClientDelay: between.median, HopNoise: between.noise,
 		Engine: config, Objective: sharing.Throughput,
 		PollInterval: pollInterval, ExchangeInterval: exchangeInterval,
 		Batch:  []simulator.BatchLoad{{Group: fleet.GroupScheduling, Share: 1, Deadline: jobDeadline}},
@@ -37,8 +39,8 @@
 
 // simulate runs the trace with several seeds: the decisions of the gateways hold
 // randomness, so that one run of either side is one draw.
-func (o *Options) simulate(replay *simulator.Replay, hop time.Duration) []*measured {
-	scenario := o.scenario(replay, hop)
+func (o *Options) simulate(replay *simulator.Replay, between hops) []*measured {
+	scenario := o.scenario(replay, between)
 	policy := simulator.Rockwind(&scenario)
 	policy.Batch = len(replay.Jobs) > 0
 	var runs []*measured
--- a/internal/simulator/fleet.go
+++ b/internal/simulator/fleet.go
@@ -35,6 +35,7 @@
 	items    []*item
 	events   []engine.Event
 	totals   batchTotals
+	hops     hopNoise
 	sampling *sampling
 	// onCompleted is told of every completed item; it may be nil.
 	onCompleted func(entry *item)
@@ -64,7 +65,7 @@
 }
 
 func newFleet(scenario *Scenario, policy Policy, seed uint64) *fleet {
-	run := &fleet{scenario: scenario, policy: policy}
+	run := &fleet{scenario: scenario, policy: policy, hops: newHopNoise(scenario, seed)}
 	if policy.Fresh {
 		scenario.Engine.ReportLag = 0
 	}
@@ -129,7 +130,7 @@
 	for index := range arrivals {
 		f.online[index] = onlineRecord{index: index, arrival: arrivals[index], server: -1}
 		gateway := f.gateways[arrivals[index].gateway]
-		f.clock.at(arrivals[index].at+f.scenario.ClientDelay, func() { gateway.arrive(index) })
+		f.clock.at(arrivals[index].at+f.scenario.ClientDelay+f.hops.draw(), func() { gateway.arrive(index) })
 	}
 }
 
@@ -196,10 +197,10 @@
 			f.clock.at(arrives, func() { gateway.noteTokens(record, server, event.Count) })
 			return
 		}
-		record.firstAt = arrives + f.scenario.ClientDelay
+		record.firstAt = arrives + f.scenario.ClientDelay + f.hops.draw() + f.hops.draw()
 		f.clock.at(arrives, func() { gateway.firstToken(record, server) })
 	case engine.EventFinished:
-		record.doneAt = arrives + f.scenario.ClientDelay
+		record.doneAt = max(record.firstAt, arrives+f.scenario.ClientDelay+f.hops.draw()+f.hops.draw())
 		f.clock.at(arrives, func() { gateway.ended(record, server) })
 	case engine.EventLost:
 		f.clock.at(arrives, func() { gateway.lost(int(event.Tag), server) })
--- a/internal/simulator/gateway.go
+++ b/internal/simulator/gateway.go
@@ -170,7 +170,7 @@
 	g.recent[server].Sent(run.clock.now)
 	g.noteSent(index, server)
 	g.balance(server)
-	run.clock.after(run.delay(g, server), func() {
+	run.clock.after(run.delay(g, server)+run.hops.draw(), func() {
 		_, accepted := run.nodes[server].engine.Submit(run.clock.now, engine.Request{
 			ID:           onlineID(index, attempt),
 			Tag:          uint64(index),
--- a/internal/simulator/scenario.go
+++ b/internal/simulator/scenario.go
@@ -31,6 +31,10 @@
 	ExchangeInterval time.Duration
 	Online           OnlineLoad
 	Batch            []BatchLoad
+	// HopNoise holds what single hops of online requests and their answers, between
+	// processes, took longer than the delays, one to be drawn for each; empty for
+	// none.
+	HopNoise []time.Duration
 	// Replay, where it is not nil, takes the place of the draws by Online and
 	// Batch; Batch still names the groups.
 	Replay *Replay
