Bound how long a caller may stand still

Cause: a caller that stopped in the middle of a body, or stopped reading an answer, held its goroutine, its back end and its tenant's concurrency for good, and a planned stop waited for it for ever. Change: 30 s of silence in a body refuse the request as not run; an answer of which nothing is taken for two minutes is given up as if the caller had left. The deadline of answers moves only each quarter of the limit, off the path of tokens; that of bodies ends with the body, so that streams last as long as they must. Tests: stalled bodies on three paths are refused and leave nothing behind; a stream outlasts the limit of the body; an endless answer that nobody reads ends.

--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -159,7 +159,7 @@
 	if key := c.request.Header.Get(headerIdempotencyKey); key != "" {
 		return c.runKeyed(key)
 	}
-	sink := newCallerSink(c.writer, c.chooser.tokenSeen)
+	sink := g.newCallerSink(c.writer, c.chooser.tokenSeen)
 	sink.onTokens = c.chooser.relayed
 	result := g.relay.Run(c.request.Context(), c.upstream, c.chooser, sink)
 	c.finish(result)
@@ -187,7 +187,7 @@
 	if held == nil {
 		return upstream.Result{}
 	}
-	sink := &keepingSink{next: newCallerSink(c.writer, c.chooser.tokenSeen)}
+	sink := &keepingSink{next: g.newCallerSink(c.writer, c.chooser.tokenSeen)}
 	result := g.relay.Run(context.WithoutCancel(c.request.Context()), c.upstream, c.chooser, sink)
 	if result.Fault != nil && result.Fault.Ran == fault.NotRun {
 		// The key must be free again before the caller is told so.
--- a/internal/gateway/files.go
+++ b/internal/gateway/files.go
@@ -142,12 +142,14 @@
 	}
 	w.Header().Set(headerContentType, "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.FormatUint(file.GetBytes(), 10))
+	bound := g.newAnswerBound(w)
 	for _, chunk := range file.GetChunks() {
 		bodies, err := g.readBodies(r, []*rockwindpb.BodyReference{chunk.GetBody()})
 		if err != nil {
 			g.abandonContent(w, err)
 			return
 		}
+		bound.arm()
 		if _, err := w.Write(bodies[0]); err != nil {
 			return
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,7 @@
 	metrics  *metrics
 	drain    *drainState
 	batch    *batch.Executor
+	stalls   stallLimits
 	// certificates are of the listeners and of the calls to control machines.
 	certificates certificates
 	// links is nil outside experiments.
@@ -137,7 +138,7 @@
 		settings: settings, log: logger, ring: ring, started: time.Now(), follower: following, control: client,
 		client: backEnds, budget: upstream.NewBudget(), limiter: limits.New(),
 		usage: newGroupUsage(), models: newModelUsage(), metrics: newMetrics(), drain: newDrainState(),
-		inForce: func(*configuration.Index) {},
+		inForce: func(*configuration.Index) {}, stalls: defaultStallLimits,
 	}
 	g.metrics.describeState(func() uint64 { return following.Current().Number() }, g.drain)
 	g.relay = upstream.NewRelay(g.client, g.budget)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -55,8 +55,10 @@
 	// client.
 	callerTLS *rockwindpb.TlsSettings
 	http      *http.Client
-	stop      context.CancelFunc
-	ended     chan error
+	// stalls are the default ones where they are zero.
+	stalls stallLimits
+	stop   context.CancelFunc
+	ended  chan error
 }
 
 // startFleet starts a gateway over so many engines and one service.
@@ -153,6 +155,9 @@
 	must(f.t, err)
 	f.gateway = assemble(wanted, ring, logger, f.source, f.control, upstream.NewClient())
 	f.gateway.secure(opened)
+	if f.stalls != (stallLimits{}) {
+		f.gateway.stalls = f.stalls
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
 	go func() { f.ended <- f.gateway.run(ctx) }()
--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -136,7 +136,7 @@
 // apiRoutes are the paths that need an API key.
 func (g *Gateway) apiRoutes() http.Handler {
 	router := chi.NewRouter()
-	router.Use(identify, g.track, g.recoverDefects, g.authenticate)
+	router.Use(identify, g.track, g.recoverDefects, g.boundBody, g.authenticate)
 	router.Get("/v1/models", g.serveModels)
 	router.Get("/v1/models/{id}", g.serveModel)
 	router.Post(pathChatCompletions, g.serveCompletion)
--- a/internal/gateway/results.go
+++ b/internal/gateway/results.go
@@ -97,7 +97,7 @@
 		writeFault(w, err)
 		return
 	}
-	output := &contentWriter{writer: w}
+	output := &contentWriter{writer: w, bound: g.newAnswerBound(w)}
 	err = g.eachPage(r, job, func(results []*rockwindpb.ItemResult) error {
 		return g.writeResults(output, r, job, made, results)
 	})
@@ -113,6 +113,7 @@
 // contentWriter notes whether anything was written.
 type contentWriter struct {
 	writer http.ResponseWriter
+	bound  answerBound
 	begun  bool
 }
 
@@ -122,6 +123,7 @@
 		c.begun = true
 		c.writer.Header().Set(headerContentType, "application/jsonl")
 	}
+	c.bound.arm()
 	return c.writer.Write(p)
 }
 
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -18,8 +18,8 @@
 
 // callerSink writes an answer to the caller.
 type callerSink struct {
-	writer  http.ResponseWriter
-	control *http.ResponseController
+	writer http.ResponseWriter
+	bound  answerBound
 	// onBegin is called with the first byte of the answer; it may be nil.
 	onBegin func()
 	// onTokens is called with the number of the last token passed on; it may be
@@ -29,8 +29,8 @@
 	flush bool
 }
 
-func newCallerSink(w http.ResponseWriter, onBegin func()) *callerSink {
-	return &callerSink{writer: w, control: http.NewResponseController(w), onBegin: onBegin}
+func (g *Gateway) newCallerSink(w http.ResponseWriter, onBegin func()) *callerSink {
+	return &callerSink{writer: w, bound: g.newAnswerBound(w), onBegin: onBegin}
 }
 
 // Begin implements upstream.Sink.
@@ -54,11 +54,12 @@
 
 // Write implements upstream.Sink.
 func (s *callerSink) Write(p []byte) error {
+	s.bound.arm()
 	if _, err := s.writer.Write(p); err != nil {
 		return err
 	}
 	if s.flush {
-		return s.control.Flush()
+		return s.bound.control.Flush()
 	}
 	return nil
 }
