Let OwnedFirst look at homes and hints of the whole fleet

Cause: it looked for homes in the own zone only and was not what the routing experiment runs. Change: hints and homes are offered wherever they are, with the bonus of the sampling policy; the routing experiment runs OwnedFirst, as gateways do.

--- a/internal/bench/routingfleet/fleet.go
+++ b/internal/bench/routingfleet/fleet.go
@@ -95,6 +95,9 @@
 			owner := ofZone[(server-first)%len(ofZone)]
 			f.nodes[server].owner = owner
 			owner.owned = append(owner.owned, server)
+			for _, candidate := range ofZone {
+				candidate.prefer(server)
+			}
 		}
 	}
 }
--- a/internal/bench/routingfleet/gateway.go
+++ b/internal/bench/routingfleet/gateway.go
@@ -52,6 +52,21 @@
 	turn      int
 }
 
+// prefer puts a server of the own zone into the lists of routing.OwnedFirst, as
+// the daemon does.
+func (g *gateway) prefer(server int) {
+	policy, preferred := g.routing.(*routing.OwnedFirst)
+	if !preferred {
+		return
+	}
+	policy.Backlog = func(server int) int { return int(g.view.Servers[server].OwnPromptTokens) }
+	if g.fleet.nodes[server].owner == g {
+		policy.Owned = append(policy.Owned, int32(server))
+	} else {
+		policy.Others = append(policy.Others, int32(server))
+	}
+}
+
 func newGateway(run *fleet, index int, seed uint64) *gateway {
 	servers := run.scenario.Servers
 	created := &gateway{
--- a/internal/bench/routingfleet/policy.go
+++ b/internal/bench/routingfleet/policy.go
@@ -48,8 +48,10 @@
 	admit := admission.DefaultPolicy
 	hedge := admission.DefaultHedgePolicy
 	return Policy{
-		Name:      "rockwind",
-		Routing:   func() routing.Policy { return routing.Default },
+		Name: "rockwind",
+		Routing: func() routing.Policy {
+			return &routing.OwnedFirst{Margin: routing.OwnedMargin, Otherwise: routing.Default}
+		},
 		Hints:     true,
 		Events:    true,
 		Health:    health.DefaultPolicy,
--- a/internal/routing/owned.go
+++ b/internal/routing/owned.go
@@ -39,7 +39,7 @@
 	for _, index := range p.Owned {
 		p.offer(view, index, 0, request, version, random, &chosen)
 	}
-	if chosen.health != Healthy || chosen.score > p.leastOther(view, request) || len(request.Hints) > 0 {
+	if chosen.health != Healthy || chosen.score > p.leastOther(view, request) {
 		for _, index := range p.Others {
 			p.offer(view, index, p.Margin, request, version, random, &chosen)
 		}
@@ -59,25 +59,35 @@
 	return p.Margin + view.Cost.StepBase + time.Duration(request.PromptTokens)*view.Cost.PerPromptToken
 }
 
-// considerHomes offers the homes of the request's key within the own zone.
+// considerHomes offers the homes of the request's key and the servers that
+// probably cache a prefix, wherever they are.
 func (p *OwnedFirst) considerHomes(view *View, request *Request, version NameID, chosen *best) {
+	for _, hint := range request.Hints[:min(len(request.Hints), MaxHints)] {
+		if hint.Server >= 0 && int(hint.Server) < len(view.Servers) && hint.Server+1 != request.Exclude {
+			p.offerHome(view, hint.Server, request, version, 0, chosen)
+		}
+	}
 	if request.AffinityKey == 0 || len(view.Zones) == 0 {
 		return
 	}
-	zone := &view.Zones[0]
-	first, second := view.homes(zone.First, zone.First+zone.Count, request, version)
-	p.offerHome(view, first, request, p.Otherwise.HomeBonus, chosen)
-	p.offerHome(view, second, request, p.Otherwise.HomeBonus/2, chosen)
+	from, to := view.homeSet()
+	first, second := view.homes(from, to, request, version)
+	prefill := time.Duration(request.PromptTokens) * view.Cost.PerPromptToken
+	bonus := min(p.Otherwise.HomeBonus+prefill, p.Otherwise.AffinityLimit)
+	p.offerHome(view, first, request, version, bonus, chosen)
+	p.offerHome(view, second, request, version, bonus/2, chosen)
 }
 
-func (p *OwnedFirst) offerHome(view *View, index int32, request *Request, bonus time.Duration, chosen *best) {
-	if index < 0 {
+func (p *OwnedFirst) offerHome(view *View, index int32, request *Request, version NameID, bonus time.Duration, chosen *best) {
+	if index < 0 || !view.Servers[index].Eligible(request, version) {
 		return
 	}
 	server := &view.Servers[index]
 	cached := cachedTokens(request, index)
 	wait := p.wait(view, server, index, int(request.PromptTokens)-cached)
-	chosen.offer(best{server: index, health: server.Health, hinted: true, cached: int32(cached), wait: wait, score: wait - bonus})
+	saved := time.Duration(cached) * view.Cost.PerPromptToken
+	margin := p.Margin + max(0, saved-p.Otherwise.AffinityLimit) - bonus
+	chosen.offer(best{server: index, health: server.Health, hinted: true, cached: int32(cached), wait: wait, score: wait + margin})
 }
 
 func (p *OwnedFirst) offer(view *View, index int32, margin time.Duration, request *Request, version NameID, random *rand.Rand, chosen *best) {
@@ -105,5 +115,6 @@
 	backlog := max(p.Backlog(int(index)), int(server.Report.Waiting*view.Cost.MeanPromptTokens))
 	step := float32(view.Cost.StepBase) + server.Online()*float32(view.Cost.PerSequence)
 	prefill := time.Duration(backlog+promptTokens) * view.Cost.PerPromptToken
-	return (time.Duration(step) + prefill) / time.Duration(max(1, server.Accelerators))
+	network := view.Zones[server.Zone].Cost
+	return network + (time.Duration(step)+prefill)/time.Duration(max(1, server.Accelerators))
 }
