--- a/internal/batch/yield.go
+++ b/internal/batch/yield.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/serverview"
+	"rockwind.example/rockwind/internal/sharing"
 )
 
 // confirmAfter is how long after an item was put back, and still runs, it is put
@@ -14,7 +15,7 @@
 
 // yield makes running items give way where they harm online requests.
 func (e *Executor) yield(ctx context.Context) {
-	for _, found := range e.options.View.BatchYields() {
+	for _, found := range e.options.View.BatchYields(e.yieldObjective()) {
 		if found.Lost {
 			e.cancelLost(found.Target.Name)
 			continue
@@ -23,6 +24,17 @@
 	}
 }
 
+// yieldObjective is the objective by which running items give way: latency where
+// all their groups favour it.
+func (e *Executor) yieldObjective() sharing.Objective {
+	for current := range e.running {
+		if e.objective(current.lease.job.GetGroup()) == sharing.Throughput {
+			return sharing.Throughput
+		}
+	}
+	return sharing.Latency
+}
+
 // pauseNewest frees the places of the youngest items of a server.
 func (e *Executor) pauseNewest(ctx context.Context, asked serverview.BatchYield) {
 	var candidates []*run
--- a/internal/command/jobs.go
+++ b/internal/command/jobs.go
@@ -87,10 +87,11 @@
 	if err != nil {
 		return err
 	}
-	people := &table{header: []string{"JOB", "TENANT", "CLASS", "MODEL", "STATE", "ITEMS", "DONE", "FAILED", "ACCEPTED", "DEADLINE"}}
+	people := &table{header: []string{"JOB", "TENANT", "CLASS", "MODEL", "STATE", "ITEMS", "DONE", "FAILED", "ACCEPTED", "EXPECTED END", "DEADLINE"}}
 	for _, each := range jobs {
 		people.add(each.ID, orDash(each.Tenant), orDash(each.Class), orDash(each.Model), each.State, number(each.Items),
-			number(each.Completed), number(each.Failed), timeText(each.AcceptedMs), timeText(each.DeadlineMs))
+			number(each.Completed), number(each.Failed), timeText(each.AcceptedMs),
+			timeText(each.ExpectedMs), timeText(each.DeadlineMs))
 	}
 	return s.printer.print(jobs, people)
 }
--- a/internal/serverview/batch.go
+++ b/internal/serverview/batch.go
@@ -165,12 +165,12 @@
 }
 
 // BatchYields lists the servers on which more batch items run than the budget
-// of the moment allows, and those that are lost.
-func (v *View) BatchYields() []BatchYield {
+// of the moment allows under an objective, and those that are lost.
+func (v *View) BatchYields(objective sharing.Objective) []BatchYield {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	now := v.now()
-	policy := v.budgetPolicy(sharing.Throughput)
+	policy := v.budgetPolicy(objective)
 	var yields []BatchYield
 	for _, e := range v.entries {
 		if e.batch.running == 0 && e.batch.paused == 0 {
--- a/internal/sharing/budget.go
+++ b/internal/sharing/budget.go
@@ -88,7 +88,7 @@
 		PromptForecast: 3,
 		RepaySteps:     4,
 		FirstTokenPart: 0.95,
-		PerTokenPart:   1,
+		PerTokenPart:   0.97,
 		MaximumItems:   64,
 		TokensPerStep:  200,
 		KVLimit:        0.9,
