--- a/internal/command/documentation_test.go
+++ b/internal/command/documentation_test.go
@@ -103,7 +103,7 @@
 func TestLinksOfTheDocumentation(t *testing.T) {
 	root := filepath.Join("..", "..")
 	var pages []string
-	for _, pattern := range []string{"docs/*.md", "docs/*/*.md"} {
+	for _, pattern := range []string{"*.md", "docs/*.md", "docs/*/*.md"} {
 		found, err := filepath.Glob(filepath.Join(root, pattern))
 		if err != nil {
 			t.Fatal(err)
