Tell peers of an engine that holds nothing

Cause: a digest's empty list of what is loaded stands for a list that did not change. While placement exchanged an engine's only model, peers of its owner went on sending it requests, which it refused, for as long as the load took. Change: a digest says so where nothing is loaded; the board and the peers take it over, and placement reads such an engine anew.

--- a/internal/control/exchange/board.go
+++ b/internal/control/exchange/board.go
@@ -165,6 +165,10 @@
 		loaded = digest.GetLoaded()
 		known.loadedChanged = b.nextVersion()
 	}
+	if digest.GetNothingLoaded() && len(loaded) > 0 {
+		loaded = nil
+		known.loadedChanged = b.nextVersion()
+	}
 	if !found || differs(known.digest, digest) || known.loadedChanged > known.changed {
 		known.changed = b.nextVersion()
 	}
@@ -232,6 +236,7 @@
 		AgeMs:            s.digest.GetAgeMs() + uint32(now.Sub(s.received).Milliseconds()),
 		Health:           s.digest.GetHealth(),
 		Leaving:          s.digest.GetLeaving(),
+		NothingLoaded:    s.digest.GetNothingLoaded(),
 	}
 	if withLoaded {
 		digest.Loaded = s.digest.GetLoaded()
--- a/internal/placer/state.go
+++ b/internal/placer/state.go
@@ -82,11 +82,12 @@
 }
 
 // differs tells whether a gateway saw something else than the applier knows. An
-// empty list in a digest stands for one that did not change.
+// empty list in a digest stands for one that did not change, unless the digest
+// says that nothing is loaded.
 func (e *engineState) differs(digest *rockwindpb.ServerDigest) bool {
 	seen := digest.GetLoaded()
 	if len(seen) == 0 {
-		return false
+		return digest.GetNothingLoaded() && len(e.report.Loaded) > 0
 	}
 	return !slices.Equal(slices.Sorted(slices.Values(seen)), slices.Sorted(slices.Values(e.report.Loaded)))
 }
--- a/internal/serverview/report.go
+++ b/internal/serverview/report.go
@@ -110,6 +110,7 @@
 		Waiting: e.report.onlineWaiting(), KvUsedPermille: e.report.KVUsedPermille,
 		StepMicroseconds: e.report.StepUs, AgeMs: uint32((v.now() - e.reportedAt).Milliseconds()),
 		Health: state, Leaving: e.leaving.out(), Loaded: e.digestLoaded(),
+		NothingLoaded: e.loaded != nil && len(e.loaded) == 0,
 	}
 }
 
@@ -169,6 +170,9 @@
 		RunningOnline: digest.GetRunningOnline(), RunningBatch: digest.GetRunningBatch(),
 		Waiting: digest.GetWaiting(), KVUsedPermille: digest.GetKvUsedPermille(), StepUs: digest.GetStepMicroseconds(),
 	}
+	if digest.GetNothingLoaded() {
+		report.Loaded = []string{}
+	}
 	if len(digest.GetLoaded()) > 0 {
 		report.Loaded = digest.GetLoaded()
 	}
