Leave a busy zone earlier, for a few zones drawn at random

Cause: near saturation a gateway stayed in its zone until the best wait there was 50 ms, and then looked at every zone, so that gateways ran to the one that had been the idlest.

Change: from 25 ms on it samples up to four other zones drawn at random.

--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -71,7 +71,7 @@
 type PowerOfChoices struct {
 	// Choices is the number of servers sampled per zone; at least 1.
 	Choices int
-	// SpillWait is the estimated wait in the own zone from which servers of
+	// SpillWait is the estimated wait in the own zone from which servers of some
 	// other zones are considered.
 	SpillWait time.Duration
 	// AffinityLimit bounds what a hint may take off an estimate, so that a hot
@@ -89,7 +89,7 @@
 // Default is the policy that gateways use.
 var Default = PowerOfChoices{
 	Choices:       2,
-	SpillWait:     50 * time.Millisecond,
+	SpillWait:     25 * time.Millisecond,
 	AffinityLimit: 150 * time.Millisecond,
 	HomeBonus:     30 * time.Millisecond,
 	BatchPenalty:  200 * time.Microsecond,
@@ -145,18 +145,42 @@
 	chosen := best{health: Ejected}
 	p.considerHints(view, request, version, now, &chosen)
 	p.considerHomes(view, request, version, now, &chosen)
-	for index := range view.Zones {
-		if index > 0 && chosen.found() && chosen.health == Healthy && chosen.wait < p.SpillWait {
-			break
-		}
-		p.sampleZone(view, &view.Zones[index], request, version, now, random, &chosen)
+	if len(view.Zones) > 0 {
+		p.sampleZone(view, &view.Zones[0], request, version, now, random, &chosen)
 	}
+	p.spill(view, request, version, now, random, &chosen)
 	if !chosen.found() {
 		return Decision{}, false
 	}
 	return Decision{Server: int(chosen.server), Version: version, Wait: chosen.wait, Hinted: chosen.hinted, CachedTokens: chosen.cached}, true
 }
 
+// maximumSpillZones bounds the other zones that are sampled while a healthy
+// server is known. They are drawn, so that gateways do not all run to the zone
+// that was the idlest some seconds ago.
+const maximumSpillZones = 4
+
+// spill samples other zones from a random one on, once the own zone's wait is
+// too long; all of them while no healthy server was found.
+func (p PowerOfChoices) spill(view *View, request *Request, version NameID, now time.Duration, random *rand.Rand, chosen *best) {
+	others := len(view.Zones) - 1
+	if others <= 0 || chosen.settled(p.SpillWait) {
+		return
+	}
+	start := random.IntN(others)
+	for step := range others {
+		if step >= maximumSpillZones && chosen.found() && chosen.health == Healthy {
+			return
+		}
+		p.sampleZone(view, &view.Zones[1+(start+step)%others], request, version, now, random, chosen)
+	}
+}
+
+// settled tells whether the candidate is healthy and its wait short.
+func (b *best) settled(wait time.Duration) bool {
+	return b.found() && b.health == Healthy && b.wait < wait
+}
+
 // best is the best candidate so far. Healthy beats suspect; then the least
 // score wins.
 type best struct {
