Let a founding wait for a machine that is starting

Cause: a control daemon listens a moment before its groups can run, and refused to be founded in between; TestNewLeaderRenewsLeases met it on a busy machine, and 'rockwind cluster init' right after a start would. Ruled out: a machine that is stopping, which goes on to refuse. Change: the founding waits for the start or the end of the call. Figures: the new test fails without the wait and passes with it; the packages replica and control pass.

--- a/internal/replica/founding.go
+++ b/internal/replica/founding.go
@@ -181,8 +181,14 @@
 	return false
 }
 
-// Found implements rockwindpb.ReplicaService.
-func (s *service) Found(_ context.Context, request *rockwindpb.FoundRequest) (*rockwindpb.FoundResponse, error) {
+// Found implements rockwindpb.ReplicaService. It waits for a host that is
+// starting: a daemon may listen a little before its groups can be founded.
+func (s *service) Found(ctx context.Context, request *rockwindpb.FoundRequest) (*rockwindpb.FoundResponse, error) {
+	select {
+	case <-s.host.started:
+	case <-ctx.Done():
+		return nil, fault.ToTwirp(notBegun("this control machine is starting"))
+	}
 	if err := s.host.beFounded(request); err != nil {
 		return nil, fault.ToTwirp(err)
 	}
--- a/internal/replica/founding_test.go
+++ b/internal/replica/founding_test.go
@@ -1,11 +1,15 @@
 package replica
 
 import (
+	"context"
+	"net/http"
 	"testing"
+	"testing/synctest"
 
 	"pgregory.net/rapid"
 
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/wal/faultfs"
 )
 
 // Each group has five machines, or all where there are fewer, and no machine
@@ -40,3 +44,42 @@
 		}
 	})
 }
+
+// TestFoundingWaitsForAStart founds a machine whose services are called a moment
+// before its groups can run.
+func TestFoundingWaitsForAStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		host, err := NewHost(Options{
+			Machine: "machine", Address: "machine", Folder: "data", FileSystem: faultfs.New(),
+			Client: http.DefaultClient, StateMachines: func(uint32) StateMachine { return nil },
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		founded := make(chan error, 1)
+		member := &rockwindpb.Member{Id: host.DiskID(), Machine: "other", Address: "machine"}
+		go func() {
+			_, err := host.Service().Found(t.Context(), &rockwindpb.FoundRequest{
+				ClusterId: "cluster",
+				Groups:    []*rockwindpb.FoundingGroup{{Group: 1, Membership: &rockwindpb.Membership{Members: []*rockwindpb.Member{member}}}},
+			})
+			founded <- err
+		}()
+		synctest.Wait()
+		select {
+		case err := <-founded:
+			t.Fatalf("the founding did not wait for the start: %v", err)
+		default:
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- host.Run(ctx) }()
+		if err := <-founded; err != nil {
+			t.Fatal(err)
+		}
+		stop()
+		if err := <-ended; err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -30,6 +30,9 @@
 	receiver  *receiver
 	found     chan struct{}
 
+	// started is closed once Run has started the groups.
+	started chan struct{}
+
 	// Fields that Run sets before any goroutine starts.
 	ctx     context.Context
 	workers *errgroup.Group
@@ -65,6 +68,7 @@
 		receiver: newReceiver(),
 		found:    make(chan struct{}),
 		entering: make(chan struct{}, 1),
+		started:  make(chan struct{}),
 		owners:   map[uint32]*owner{},
 		changed:  make(chan struct{}),
 	}
@@ -111,6 +115,7 @@
 	h.running = true
 	err := h.startGroups()
 	h.mutex.Unlock()
+	close(h.started)
 	if err != nil {
 		workers.Go(func() error { return err })
 	}
