Let a transfer of the configuration end although hints repeat

Every exchange, each 2 s, tells a daemon the newest number, and each such hint broke off the call in progress to ask the next replica. A transfer of the whole that took longer than 2 s never ended, and every attempt was work for control and for the daemon.

A hint now counts once for each number. TestRepeatedHintsLetTransfersEnd fails with the rule taken out.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -25,6 +25,9 @@
 	// DefaultWait is how long a replica may hold a call without news. It also
 	// bounds how long a replica that is cut off can keep a daemon behind.
 	DefaultWait = 3 * time.Second
+	// firstWait is how long a replica may hold a call of a daemon that has no
+	// configuration yet.
+	firstWait = 500 * time.Millisecond
 	// DefaultGrace is how much longer than the wait an answer may take.
 	DefaultGrace = time.Second
 	// DefaultRetry is the first pause after a failed call, and the pause after an
@@ -62,6 +65,8 @@
 	heard atomic.Int64
 	// hint wakes Run when a newer number is known to exist.
 	hint chan struct{}
+	// hinted is the highest number that a hint named.
+	hinted atomic.Uint64
 
 	mutex   sync.Mutex
 	changed chan struct{}
@@ -154,8 +159,10 @@
 
 // Hint tells the follower that a configuration with the number was accepted. If
 // it is newer than the one in force, the follower asks the next replica at once.
+// It does so once for each number: hints come every few seconds, and a transfer
+// that takes longer must not be given up for the same news again.
 func (f *Follower) Hint(number uint64) {
-	if number <= f.Current().Number() {
+	if number <= f.Current().Number() || !f.firstHint(number) {
 		return
 	}
 	select {
@@ -164,6 +171,19 @@
 	}
 }
 
+// firstHint tells whether no hint named the number or a higher one before.
+func (f *Follower) firstHint(number uint64) bool {
+	for {
+		highest := f.hinted.Load()
+		if number <= highest {
+			return false
+		}
+		if f.hinted.CompareAndSwap(highest, number) {
+			return true
+		}
+	}
+}
+
 // Run follows until the context ends, and returns its error.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -234,12 +254,19 @@
 	}
 }
 
+// request asks for what comes after the configuration in force. Without any, the
+// answer is a whole configuration: the wait is short then, so that most of the
+// call's time is left for the transfer.
 func (f *Follower) request() *rockwindpb.WatchConfigurationRequest {
 	current := f.Current()
+	wait := f.options.Wait
+	if current.Number() == 0 {
+		wait = min(wait, firstWait)
+	}
 	return &rockwindpb.WatchConfigurationRequest{
 		HaveNumber:   current.Number(),
 		HaveChecksum: current.Checksum(),
-		WaitMs:       uint32(f.options.Wait.Milliseconds()),
+		WaitMs:       uint32(wait.Milliseconds()),
 		Full:         f.full,
 	}
 }
--- a/internal/follower/sources_test.go
+++ b/internal/follower/sources_test.go
@@ -142,3 +142,47 @@
 }
 
 func randomOf(seed int) *rand.Rand { return rand.New(rand.NewPCG(uint64(seed), 1)) }
+
+// slowMachine answers with news after a transfer that takes its time.
+type slowMachine struct {
+	rockwindpb.ConfigurationService
+	accepted *configuration.Index
+	transfer time.Duration
+}
+
+func (m slowMachine) Watch(ctx context.Context, _ *rockwindpb.WatchConfigurationRequest) (*rockwindpb.WatchConfigurationResponse, error) {
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(m.transfer):
+		return &rockwindpb.WatchConfigurationResponse{Change: m.accepted.Full()}, nil
+	}
+}
+
+// Hints that repeat the same news do not break off a transfer that takes longer
+// than the time between them.
+func TestRepeatedHintsLetTransfersEnd(t *testing.T) {
+	const transfer, between, limit = 3 * time.Second, time.Second, 10 * time.Second
+	folder := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		source := slowMachine{accepted: numbered(t, 1), transfer: transfer}
+		following, err := New(Options{
+			Sources: []rockwindpb.ConfigurationService{source, source}, Folder: folder,
+			Log: &log.Logger{Handler: discard.Default}, Random: randomOf(1),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { defer close(ended); _ = following.Run(ctx) }()
+		for begun := time.Now(); following.Current().Number() == 0; time.Sleep(between) {
+			if time.Since(begun) > limit {
+				t.Fatalf("no configuration after %s", limit)
+			}
+			following.Hint(1)
+		}
+		cancel()
+		<-ended
+	})
+}
