--- a/internal/bench/scale/command.go
+++ b/internal/bench/scale/command.go
@@ -27,6 +27,7 @@
 	Busy     time.Duration `help:"Length of the busy window." default:"25s"`
 	Jobs     int           `help:"Batch jobs that wait."`
 	JobItems int           `help:"Items of each of them." default:"1000"`
+	Quick    bool          `help:"Leave out the online load, restarts and losses."`
 	Sweep    bool          `help:"Measure fleets of many sizes, fit how the costs grow, and end with a run of the full size."`
 	Output   string        `help:"Folder for the tables and plots of a sweep." default:"docs/capacity" type:"path"`
 	Figures  string        `help:"Write the page again from the figures of an earlier sweep, without a run." type:"existingfile"`
@@ -49,7 +50,7 @@
 	if c.Sweep {
 		return c.sweep(ctx)
 	}
-	result, err := c.measure(ctx, c.size(), Options{Idle: c.Idle, Busy: c.Busy, Settle: settleTime})
+	result, err := c.measure(ctx, c.size(), c.options())
 	if err != nil {
 		return err
 	}
@@ -68,6 +69,10 @@
 		"%d limits are exceeded; the first: %s", len(r.Violations), r.Violations[0])
 }
 
+func (c *Command) options() Options {
+	return Options{Idle: c.Idle, Busy: c.Busy, Settle: settleTime, ChangesOnly: c.Quick}
+}
+
 func (c *Command) size() Size {
 	return Size{
 		Daemons: c.Daemons, Servers: c.Servers, Tenants: c.Tenants, Models: c.Models,
--- a/internal/bench/scale/run.go
+++ b/internal/bench/scale/run.go
@@ -52,7 +52,7 @@
 
 // run measures a started cluster.
 func run(ctx context.Context, c *cluster, options Options) (*Result, error) {
-	result := &Result{Size: c.size, Processes: len(c.members)}
+	result := &Result{Size: c.size, Processes: len(c.members), Reverts: []Revert{}, Violations: []string{}}
 	track := newTracker(c)
 	first, err := track.first(ctx)
 	if err != nil {
@@ -70,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	result.Reverts = track.reverts
+	result.Reverts = append(result.Reverts, track.reverts...)
 	result.judge()
 	return result, nil
 }
--- a/internal/bench/scale/sweep.go
+++ b/internal/bench/scale/sweep.go
@@ -132,7 +132,7 @@
 			swept.Runs = append(swept.Runs, result)
 		}
 	}
-	full, err := c.measure(ctx, c.size(), Options{Idle: c.Idle, Busy: c.Busy, Settle: settleTime})
+	full, err := c.measure(ctx, c.size(), c.options())
 	if err != nil {
 		return err
 	}
