Name submitted jobs in the simulator by the field's term

Cause: the simulator called jobs that arrive heaps, a term of users that a reader takes for the data structure beside it.

--- a/internal/bench/calibration/trace.go
+++ b/internal/bench/calibration/trace.go
@@ -11,7 +11,7 @@
 )
 
 // Shape of the default load: short drafts and some long texts, in bursts, and
-// jobs in heaps.
+// jobs in bursts.
 const (
 	defaultBurstFactor   = 3
 	defaultBurstFraction = 0.1
@@ -19,7 +19,7 @@
 	heapEvery            = 4 * time.Second
 )
 
-// makeTrace draws the load: online requests at a mean rate, and heaps of jobs
+// makeTrace draws the load: online requests at a mean rate, and bursts of jobs
 // unless items is zero.
 func makeTrace(rate float64, items int, duration time.Duration, seed int64) []load.Record {
 	mix := load.Mix{
--- a/internal/bench/load/mix.go
+++ b/internal/bench/load/mix.go
@@ -24,7 +24,7 @@
 	BurstLength   time.Duration
 	// Requests are the kinds of online request, with weights.
 	Requests []RequestShape
-	// JobEvery is the time between heaps of batch jobs.
+	// JobEvery is the time between bursts of batch jobs.
 	JobEvery time.Duration
 	// JobsPerHeap and ItemsPerJob are means.
 	JobsPerHeap int
@@ -130,7 +130,7 @@
 	return time.Duration(random.ExpFloat64() * mean)
 }
 
-// jobs draws heaps of jobs at a fixed interval.
+// jobs draws bursts of jobs at a fixed interval.
 func (m Mix) jobs(duration time.Duration, random *rand.Rand, number int) []Record {
 	var records []Record
 	if m.JobEvery <= 0 {
--- a/internal/simulator/fleet.go
+++ b/internal/simulator/fleet.go
@@ -135,8 +135,8 @@
 }
 
 func (f *fleet) startBatch(seed uint64) {
-	for _, heap := range batchHeaps(f.scenario, seed) {
-		f.clock.at(heap.at, func() { f.ledger.accept(heap) })
+	for _, submission := range batchSubmissions(f.scenario, seed) {
+		f.clock.at(submission.at, func() { f.ledger.accept(submission) })
 	}
 }
 
--- a/internal/simulator/ledger.go
+++ b/internal/simulator/ledger.go
@@ -16,7 +16,7 @@
 	leaseSize = 12
 )
 
-// job is one heap in the ledger.
+// job is one submission in the ledger.
 type job struct {
 	load     int
 	deadline time.Duration
@@ -46,15 +46,15 @@
 	return created
 }
 
-// accept takes a heap in as a job.
-func (l *ledger) accept(heap heapOfItems) {
-	created := &job{load: heap.load, deadline: heap.deadline, left: len(heap.items)}
-	for _, shape := range heap.items {
-		entry := &item{index: len(l.fleet.items), load: heap.load, job: created, shape: shape}
+// accept takes a submission in as a job.
+func (l *ledger) accept(submission jobSubmission) {
+	created := &job{load: submission.load, deadline: submission.deadline, left: len(submission.items)}
+	for _, shape := range submission.items {
+		entry := &item{index: len(l.fleet.items), load: submission.load, job: created, shape: shape}
 		l.fleet.items = append(l.fleet.items, entry)
 		created.waiting = append(created.waiting, entry)
 	}
-	l.jobs[heap.load] = append(l.jobs[heap.load], created)
+	l.jobs[submission.load] = append(l.jobs[submission.load], created)
 	for _, gateway := range l.fleet.gateways {
 		l.fleet.clock.after(controlDelay, gateway.refill)
 	}
--- a/internal/simulator/replay.go
+++ b/internal/simulator/replay.go
@@ -66,14 +66,14 @@
 	return arrivals
 }
 
-func (r *Replay) heaps(scenario *Scenario) []heapOfItems {
-	heaps := make([]heapOfItems, len(r.Jobs))
+func (r *Replay) submissions(scenario *Scenario) []jobSubmission {
+	submissions := make([]jobSubmission, len(r.Jobs))
 	for index := range r.Jobs {
 		job := &r.Jobs[index]
-		heaps[index] = heapOfItems{at: job.At, load: job.Load, deadline: job.At + scenario.Batch[job.Load].Deadline}
+		submissions[index] = jobSubmission{at: job.At, load: job.Load, deadline: job.At + scenario.Batch[job.Load].Deadline}
 		for item := range job.Items {
-			heaps[index].items = append(heaps[index].items, job.Items[item].shape())
+			submissions[index].items = append(submissions[index].items, job.Items[item].shape())
 		}
 	}
-	return heaps
+	return submissions
 }
--- a/internal/simulator/scenario.go
+++ b/internal/simulator/scenario.go
@@ -85,20 +85,20 @@
 	Prefixes     int
 }
 
-// BatchLoad is the batch work of one group: heaps of items in jobs.
+// BatchLoad is the batch work of one group: bursts of items in jobs.
 type BatchLoad struct {
 	Group string
 	Share float64
-	// HeapEvery is the time between heaps, HeapItems the items of a heap.
-	HeapEvery time.Duration
-	HeapItems int
-	// ActiveFrom and ActiveUntil bound when heaps arrive; a zero ActiveUntil
+	// JobEvery is the time between bursts, JobItems the items of a burst.
+	JobEvery time.Duration
+	JobItems int
+	// ActiveFrom and ActiveUntil bound when bursts arrive; a zero ActiveUntil
 	// means to the end. PausedFrom and PausedUntil cut a hole into that.
 	ActiveFrom  time.Duration
 	ActiveUntil time.Duration
 	PausedFrom  time.Duration
 	PausedUntil time.Duration
-	// Deadline is the time from a heap's arrival to when it must be complete.
+	// Deadline is the time from a burst's arrival to when it must be complete.
 	Deadline time.Duration
 	Class    RequestClass
 }
@@ -124,7 +124,7 @@
 }
 
 // Magnolia is a booking assistant: short drafts, some long client histories,
-// and weekly rebuilds in heaps. It weighs batch throughput more heavily.
+// and weekly rebuilds in bursts. It weighs batch throughput more heavily.
 func Magnolia() Scenario {
 	return Scenario{
 		Name: "magnolia", Zones: 3, GatewaysPerZone: 2, EnginesPerZone: 4,
@@ -139,7 +139,7 @@
 			},
 		},
 		Batch: []BatchLoad{{
-			Group: "rebuilds", Share: 1, HeapEvery: 10 * time.Second, HeapItems: 2600, Deadline: time.Hour,
+			Group: "rebuilds", Share: 1, JobEvery: 10 * time.Second, JobItems: 2600, Deadline: time.Hour,
 			Class: RequestClass{Part: 1, Prompt: [2]int{250, 500}, Output: [2]int{80, 200}, SharedPrefix: 128, Prefixes: 20},
 		}},
 		Warmup: 10 * time.Second, Measured: 120 * time.Second,
@@ -164,7 +164,7 @@
 			},
 		},
 		Batch: []BatchLoad{{
-			Group: "clues", Share: 1, HeapEvery: 10 * time.Second, HeapItems: 5200, Deadline: time.Hour,
+			Group: "clues", Share: 1, JobEvery: 10 * time.Second, JobItems: 5200, Deadline: time.Hour,
 			Class: RequestClass{Part: 1, Prompt: [2]int{200, 400}, Output: [2]int{60, 180}, SharedPrefix: 128, Prefixes: 20},
 		}},
 		Warmup: 10 * time.Second, Measured: 120 * time.Second,
@@ -197,7 +197,7 @@
 	s.Online.ClumpEvery = time.Duration(float64(s.Online.ClumpEvery) / factor)
 	loads := make([]BatchLoad, len(s.Batch))
 	for index, load := range s.Batch {
-		load.HeapItems = int(float64(load.HeapItems) * factor)
+		load.JobItems = int(float64(load.JobItems) * factor)
 		loads[index] = load
 	}
 	s.Batch = loads
@@ -239,10 +239,10 @@
 	scenario.Name = "shares"
 	class := scenario.Batch[0].Class
 	scenario.Batch = []BatchLoad{
-		{Group: "greedy", Share: 1, HeapEvery: 10 * time.Second, HeapItems: 2600, Deadline: time.Hour, Class: class},
-		{Group: "bursty", Share: 1, HeapEvery: 15 * time.Second, HeapItems: 400, Deadline: time.Hour, Class: class},
+		{Group: "greedy", Share: 1, JobEvery: 10 * time.Second, JobItems: 2600, Deadline: time.Hour, Class: class},
+		{Group: "bursty", Share: 1, JobEvery: 15 * time.Second, JobItems: 400, Deadline: time.Hour, Class: class},
 		{
-			Group: "returning", Share: 2, HeapEvery: 10 * time.Second, HeapItems: 1000, Deadline: time.Hour, Class: class,
+			Group: "returning", Share: 2, JobEvery: 10 * time.Second, JobItems: 1000, Deadline: time.Hour, Class: class,
 			PausedFrom: IdleFrom, PausedUntil: IdleUntil,
 		},
 	}
--- a/internal/simulator/simulator_test.go
+++ b/internal/simulator/simulator_test.go
@@ -51,7 +51,7 @@
 		scenario.GatewaysPerZone, scenario.EnginesPerZone = 1, 2
 		scenario.Online.BurstFactor = 1
 		for index := range scenario.Batch {
-			scenario.Batch[index].HeapItems = 40
+			scenario.Batch[index].JobItems = 40
 			scenario.Batch[index].ActiveUntil = 5 * time.Second
 		}
 		kinds := []engine.FaultKind{engine.FaultDie, engine.FaultHang, engine.FaultSlow, engine.FaultLie}
--- a/internal/simulator/workload.go
+++ b/internal/simulator/workload.go
@@ -25,8 +25,8 @@
 	blocks []uint64
 }
 
-// heapOfItems is a batch job that arrives.
-type heapOfItems struct {
+// jobSubmission is a batch job that arrives.
+type jobSubmission struct {
 	at       time.Duration
 	load     int
 	deadline time.Duration
@@ -178,29 +178,29 @@
 	return classes[len(classes)-1].draw(random)
 }
 
-// batchHeaps draws the whole batch load of a run.
-func batchHeaps(scenario *Scenario, seed uint64) []heapOfItems {
+// batchSubmissions draws the whole batch load of a run.
+func batchSubmissions(scenario *Scenario, seed uint64) []jobSubmission {
 	if scenario.Replay != nil {
-		return scenario.Replay.heaps(scenario)
+		return scenario.Replay.submissions(scenario)
 	}
 	random := newRandom(seed, streamBatch)
-	var heaps []heapOfItems
+	var submissions []jobSubmission
 	for index := range scenario.Batch {
 		load := &scenario.Batch[index]
-		for at := load.ActiveFrom; at < scenario.End(); at += load.HeapEvery {
+		for at := load.ActiveFrom; at < scenario.End(); at += load.JobEvery {
 			if load.ActiveUntil > 0 && at >= load.ActiveUntil {
 				break
 			}
 			if at >= load.PausedFrom && at < load.PausedUntil {
 				continue
 			}
-			heap := heapOfItems{at: at, load: index, deadline: at + load.Deadline}
-			for range load.HeapItems {
-				heap.items = append(heap.items, load.Class.draw(random))
+			submission := jobSubmission{at: at, load: index, deadline: at + load.Deadline}
+			for range load.JobItems {
+				submission.items = append(submission.items, load.Class.draw(random))
 			}
-			heaps = append(heaps, heap)
+			submissions = append(submissions, submission)
 		}
 	}
-	sort.SliceStable(heaps, func(i, j int) bool { return heaps[i].at < heaps[j].at })
-	return heaps
+	sort.SliceStable(submissions, func(i, j int) bool { return submissions[i].at < submissions[j].at })
+	return submissions
 }
