Put the experiments of the bench under one folder

Cause: ten experiments stood between the bench's tools under names of four patterns. Change: each lives in internal/bench/experiment under what it measures; the commands keep their names.

--- a/cmd/rockwind-bench/main.go
+++ b/cmd/rockwind-bench/main.go
@@ -6,20 +6,20 @@
 	"github.com/alecthomas/kong"
 
 	"rockwind.example/rockwind/internal/bench/authority"
-	"rockwind.example/rockwind/internal/bench/calibration"
-	"rockwind.example/rockwind/internal/bench/configbench"
 	"rockwind.example/rockwind/internal/bench/demo"
-	"rockwind.example/rockwind/internal/bench/failures"
-	"rockwind.example/rockwind/internal/bench/faults"
+	"rockwind.example/rockwind/internal/bench/experiment/calibration"
+	"rockwind.example/rockwind/internal/bench/experiment/failures"
+	"rockwind.example/rockwind/internal/bench/experiment/faults"
+	"rockwind.example/rockwind/internal/bench/experiment/ledgercost"
+	"rockwind.example/rockwind/internal/bench/experiment/overhead"
+	"rockwind.example/rockwind/internal/bench/experiment/placementshift"
+	"rockwind.example/rockwind/internal/bench/experiment/propagation"
+	"rockwind.example/rockwind/internal/bench/experiment/routingcomparison"
+	"rockwind.example/rockwind/internal/bench/experiment/shares"
+	"rockwind.example/rockwind/internal/bench/experiment/sharing"
 	"rockwind.example/rockwind/internal/bench/hollow"
-	"rockwind.example/rockwind/internal/bench/ledgerbench"
 	"rockwind.example/rockwind/internal/bench/load"
-	"rockwind.example/rockwind/internal/bench/overhead"
-	"rockwind.example/rockwind/internal/bench/placementexperiment"
-	"rockwind.example/rockwind/internal/bench/routingexperiment"
 	"rockwind.example/rockwind/internal/bench/scale"
-	"rockwind.example/rockwind/internal/bench/shares"
-	"rockwind.example/rockwind/internal/bench/sharing"
 	"rockwind.example/rockwind/internal/bench/simulate"
 	"rockwind.example/rockwind/internal/standin"
 )
@@ -51,14 +51,14 @@
 type experiments struct {
 	Calibration calibration.Command `cmd:"" help:"Compare real processes with the simulator on one load."`
 
-	Placement placementexperiment.Command `cmd:"" help:"Measure how placement follows a shift of demand, in virtual time."`
+	Placement placementshift.Command `cmd:"" help:"Measure how placement follows a shift of demand, in virtual time."`
 
 	Overhead overhead.Command          `cmd:"" help:"Measure what a gateway adds to a request."`
-	Ledger   ledgerbench.Command       `cmd:"" help:"Measure what keeping the state of jobs costs, and recovery and failover."`
-	Config   configbench.Command       `cmd:"" help:"Measure how fast a configuration is in force everywhere, and what it costs."`
+	Ledger   ledgercost.Command        `cmd:"" help:"Measure what keeping the state of jobs costs, and recovery and failover."`
+	Config   propagation.Command       `cmd:"" help:"Measure how fast a configuration is in force everywhere, and what it costs."`
 	Faults   faults.Command            `cmd:"" help:"Bring faults about on real processes and judge what must always hold."`
 	Failures failures.Command          `cmd:"" help:"Measure what failures do to online requests, with and without protections."`
-	Routing  routingexperiment.Command `cmd:"" help:"Measure routing against baselines under lagging reports and lost cache events."`
+	Routing  routingcomparison.Command `cmd:"" help:"Measure routing against baselines under lagging reports and lost cache events."`
 	Sharing  sharing.Command           `cmd:"" help:"Judge batch throughput against harm to the online tail, in virtual time."`
 	Shares   shares.Command            `cmd:"" help:"Judge lending and reclaiming among three groups, in virtual time."`
 }
--- a/internal/bench/ledgerbench/command.go
+++ b/internal/bench/experiment/ledgercost/command.go
@@ -1,11 +1,11 @@
-// Package ledgerbench measures what it costs to keep the state of jobs: how many
+// Package ledgercost measures what it costs to keep the state of jobs: how many
 // completions of items a replicated group records with synced disks, the bytes of
 // log and of memory that an item takes, how recovery grows with the number of
 // changes, and how long a group goes without a leader when one is killed.
 //
 // Three real control processes on loopback are measured; the memory of an item is
 // that of the ledger package in this process.
-package ledgerbench
+package ledgercost
 
 import (
 	"context"
--- a/internal/bench/ledgerbench/memory_test.go
+++ b/internal/bench/experiment/ledgercost/memory_test.go
@@ -1,4 +1,4 @@
-package ledgerbench
+package ledgercost
 
 import "testing"
 
--- a/internal/bench/placementexperiment/command.go
+++ b/internal/bench/experiment/placementshift/command.go
@@ -1,4 +1,4 @@
-package placementexperiment
+package placementshift
 
 import (
 	"fmt"
--- a/internal/bench/placementexperiment/run.go
+++ b/internal/bench/experiment/placementshift/run.go
@@ -1,7 +1,7 @@
-// Package placementexperiment measures in virtual time how placement follows a
+// Package placementshift measures in virtual time how placement follows a
 // shift of demand between two models, and how many moves it makes, against
 // placement without hysteresis and against none.
-package placementexperiment
+package placementshift
 
 import (
 	"fmt"
--- a/internal/bench/configbench/command.go
+++ b/internal/bench/experiment/propagation/command.go
@@ -1,9 +1,9 @@
-// Package configbench measures how fast and at what cost an accepted configuration
+// Package propagation measures how fast and at what cost an accepted configuration
 // is in force everywhere. The control machines are real processes; the daemons are
 // the followers that gateways run, with sockets and folders of their own, many to a
 // process. Daemons restart, are killed and stay away meanwhile, and none may ever
 // move to a lower number.
-package configbench
+package propagation
 
 import (
 	"context"
--- a/internal/bench/configbench/result.go
+++ b/internal/bench/experiment/propagation/result.go
@@ -1,4 +1,4 @@
-package configbench
+package propagation
 
 import (
 	"slices"
--- a/internal/bench/routingexperiment/command.go
+++ b/internal/bench/experiment/routingcomparison/command.go
@@ -1,4 +1,4 @@
-package routingexperiment
+package routingcomparison
 
 import (
 	"fmt"
--- a/internal/bench/routingexperiment/experiment.go
+++ b/internal/bench/experiment/routingcomparison/experiment.go
@@ -1,7 +1,7 @@
-// Package routingexperiment measures the time to the first token and the
+// Package routingcomparison measures the time to the first token and the
 // prefix-cache hit rate of the gateways' routing against baselines and an
 // oracle, with lagging load reports and cache events that are lost.
-package routingexperiment
+package routingcomparison
 
 import (
 	"runtime"
