Find property tests without a fixed seed at any depth

Cause: the check of fixed seeds read two levels of folders, and the experiments lie three deep; one of them drew fresh seeds.

--- a/internal/architecture/seed_test.go
+++ b/internal/architecture/seed_test.go
@@ -16,7 +16,7 @@
 // tests draw at random fixes the seed, so that each run gives the same verdict.
 func TestPropertyTestsHaveFixedSeeds(t *testing.T) {
 	draws, fixed := map[string]bool{}, map[string]bool{}
-	for _, depth := range []string{"*", "*/*"} {
+	for _, depth := range []string{"*", "*/*", "*/*/*"} {
 		paths, err := filepath.Glob(filepath.Join(internalFolder, depth, "*_test.go"))
 		if err != nil {
 			t.Fatal(err)
