Keep the event queue of virtual time in one package

Cause: the simulator and the bench's routing fleet each had a queue of events of their own, one on container/heap and one written out, with the same order. The present no longer moves when a run has no event left, which the simulator did not read. A property test compares the queue with a plain list. The test fails when equal times come out in reverse or when a past time is not moved to the present.

--- a/internal/bench/routingfleet/attempts.go
+++ b/internal/bench/routingfleet/attempts.go
@@ -76,7 +76,7 @@
 	run := g.fleet
 	entry := &run.requests[index]
 	if entry.calls == 0 {
-		entry.sent = run.queue.now - run.scenario.ClientDelay
+		entry.sent = run.queue.Now() - run.scenario.ClientDelay
 	}
 	entry.calls++
 	entry.coming = false
@@ -85,7 +85,7 @@
 	run.totals.calls++
 	decision, found := g.choose(index, nil)
 	if policy := run.policy.Admission; policy != nil {
-		verdict := admission.Decide(*policy, admission.Estimate{Wait: decision.Wait, Found: found}, 0, run.queue.now)
+		verdict := admission.Decide(*policy, admission.Estimate{Wait: decision.Wait, Found: found}, 0, run.queue.Now())
 		if !verdict.Admit() {
 			g.refuse(index, verdict.RetryAfter)
 			return
@@ -106,7 +106,7 @@
 	if patience <= 0 {
 		return
 	}
-	run.queue.after(patience, func() {
+	run.queue.After(patience, func() {
 		entry := &run.requests[index]
 		if entry.calls != call || entry.firstAt > 0 || entry.state != stateRunning {
 			return
@@ -132,7 +132,7 @@
 	run.totals.refusals++
 	if entry.calls <= run.scenario.Load.Resend {
 		entry.coming = true
-		run.queue.after(run.scenario.ClientDelay+retryAfter, func() { run.call(index) })
+		run.queue.After(run.scenario.ClientDelay+retryAfter, func() { run.call(index) })
 	}
 }
 
@@ -143,15 +143,15 @@
 	drawn := &run.arrivals[index]
 	server := decision.Server
 	number := len(entry.attempts)
-	entry.attempts = append(entry.attempts, attempt{server: int32(server), sentAt: run.queue.now, tokens: drawn.prompt - int(decision.CachedTokens), open: true, hedge: hedge})
+	entry.attempts = append(entry.attempts, attempt{server: int32(server), sentAt: run.queue.Now(), tokens: drawn.prompt - int(decision.CachedTokens), open: true, hedge: hedge})
 	entry.tried = append(entry.tried, int32(server))
 	entry.hinted = decision.Hinted
 	g.view.Sent(server, drawn.prompt-int(decision.CachedTokens), false)
-	g.health.Sent(server, decision.Wait, run.queue.now)
-	g.recent[server].Sent(run.queue.now)
+	g.health.Sent(server, decision.Wait, run.queue.Now())
+	g.recent[server].Sent(run.queue.Now())
 	g.rememberPrefixes(server)
 	run.sent(g, server)
-	run.queue.after(run.delay(g, server), func() { run.submit(g, index, number) })
+	run.queue.After(run.delay(g, server), func() { run.submit(g, index, number) })
 	g.watch(index, number, decision.Wait)
 }
 
@@ -161,11 +161,11 @@
 	node := &f.nodes[server]
 	back := f.delay(g, server)
 	if node.state.cut {
-		f.queue.after(connectTimeout, func() { g.failed(index, number, failureUnreachable) })
+		f.queue.After(connectTimeout, func() { g.failed(index, number, failureUnreachable) })
 		return
 	}
 	drawn := &f.arrivals[index]
-	refusal, accepted := node.engine.Submit(f.queue.now, engine.Request{
+	refusal, accepted := node.engine.Submit(f.queue.Now(), engine.Request{
 		ID:           attemptID(index, number),
 		Tag:          tag(index, number),
 		Priority:     engine.PriorityOnline,
@@ -178,16 +178,16 @@
 	case accepted:
 		f.totals.started++
 	case refusal == engine.RefusalDead:
-		f.queue.after(back, func() { g.failed(index, number, failureUnreachable) })
+		f.queue.After(back, func() { g.failed(index, number, failureUnreachable) })
 	default:
-		f.queue.after(back, func() { g.failed(index, number, failureRefused) })
+		f.queue.After(back, func() { g.failed(index, number, failureRefused) })
 	}
 }
 
 // watch bounds the time to the first token and hedges slow attempts.
 func (g *gateway) watch(index, number int, wait time.Duration) {
 	run := g.fleet
-	run.queue.after(firstByteTimeout, func() {
+	run.queue.After(firstByteTimeout, func() {
 		current := &run.requests[index].attempts[number]
 		if current.open && !current.prefilled {
 			g.cancel(index, number)
@@ -199,7 +199,7 @@
 	}
 	after, some := admission.HedgeAfter(*run.policy.Hedge, true, wait)
 	if some {
-		run.queue.after(after, func() { g.hedge(index, number) })
+		run.queue.After(after, func() { g.hedge(index, number) })
 	}
 }
 
@@ -229,9 +229,9 @@
 	}
 	g.prefilled(index, number, true)
 	server := int(current.server)
-	g.observe(server, health.Success, run.queue.now-current.sentAt)
+	g.observe(server, health.Success, run.queue.Now()-current.sentAt)
 	if entry.firstAt == 0 {
-		entry.firstAt = run.queue.now + run.scenario.ClientDelay
+		entry.firstAt = run.queue.Now() + run.scenario.ClientDelay
 	}
 	for other := range entry.attempts {
 		if other != number && entry.attempts[other].open {
@@ -249,7 +249,7 @@
 	}
 	current.prefilled = true
 	g.view.FirstToken(int(current.server), current.tokens)
-	g.health.FirstToken(int(current.server), came, g.fleet.queue.now)
+	g.health.FirstToken(int(current.server), came, g.fleet.queue.Now())
 }
 
 // close counts an attempt down.
@@ -258,16 +258,16 @@
 	current := &g.fleet.requests[index].attempts[number]
 	current.open = false
 	g.view.Ended(int(current.server), false)
-	g.recent[current.server].Ended(g.fleet.queue.now)
+	g.recent[current.server].Ended(g.fleet.queue.Now())
 }
 
 // cancel stops an attempt at its engine.
 func (g *gateway) cancel(index, number int) {
 	run := g.fleet
 	server := int(run.requests[index].attempts[number].server)
-	run.queue.after(run.delay(g, server), func() {
+	run.queue.After(run.delay(g, server), func() {
 		if !run.nodes[server].state.cut {
-			run.nodes[server].engine.Cancel(run.queue.now, attemptID(index, number))
+			run.nodes[server].engine.Cancel(run.queue.Now(), attemptID(index, number))
 			run.schedule(server)
 		}
 	})
@@ -281,7 +281,7 @@
 	}
 	g.close(index, number)
 	entry.state = stateDone
-	entry.doneAt = g.fleet.queue.now + g.fleet.scenario.ClientDelay
+	entry.doneAt = g.fleet.queue.Now() + g.fleet.scenario.ClientDelay
 }
 
 // failed handles an attempt that brings no whole answer.
--- a/internal/bench/routingfleet/caches.go
+++ b/internal/bench/routingfleet/caches.go
@@ -28,14 +28,14 @@
 	if !run.policy.Events || !run.policy.Hints || run.policy.Fresh {
 		return
 	}
-	if last, read := g.cacheRead[server]; read && run.queue.now-last < run.scenario.CacheInterval {
+	if last, read := g.cacheRead[server]; read && run.queue.Now()-last < run.scenario.CacheInterval {
 		return
 	}
-	g.cacheRead[server] = run.queue.now
-	page := run.nodes[server].engine.CacheEvents(run.queue.now, g.prefixes.Cursor(int32(server)))
+	g.cacheRead[server] = run.queue.Now()
+	page := run.nodes[server].engine.CacheEvents(run.queue.Now(), g.prefixes.Cursor(int32(server)))
 	run.totals.cacheEvents += len(page.Events)
 	delay := run.delay(g, server)
-	run.queue.after(delay, func() {
+	run.queue.After(delay, func() {
 		if g.prefixes.Apply(int32(server), pageOf(page)) {
 			g.resynchronise(server)
 		}
@@ -56,15 +56,15 @@
 func (g *gateway) resynchronise(server int) {
 	run := g.fleet
 	last, asked := g.snapshotAt[server]
-	if asked && run.queue.now-last < snapshotInterval {
+	if asked && run.queue.Now()-last < snapshotInterval {
 		return
 	}
-	g.snapshotAt[server] = run.queue.now
+	g.snapshotAt[server] = run.queue.Now()
 	run.totals.snapshots++
 	delay := run.delay(g, server)
-	run.queue.after(delay, func() {
+	run.queue.After(delay, func() {
 		snapshot := run.nodes[server].engine.Snapshot()
-		run.queue.after(delay, func() {
+		run.queue.After(delay, func() {
 			g.prefixes.Replace(int32(server), snapshot.Epoch, snapshot.Next, snapshot.Blocks)
 		})
 	})
--- a/internal/bench/routingfleet/faults.go
+++ b/internal/bench/routingfleet/faults.go
@@ -57,7 +57,7 @@
 			f.drain(server, fault)
 		default:
 			node.state.mute = fault.Mute
-			node.engine.Inject(f.queue.now, fault.Engine)
+			node.engine.Inject(f.queue.Now(), fault.Engine)
 		}
 		f.schedule(server)
 	}
@@ -67,12 +67,12 @@
 	node := &f.nodes[server]
 	node.state.leaving = true
 	if !fault.Silent {
-		node.engine.SetDraining(f.queue.now, true)
+		node.engine.SetDraining(f.queue.Now(), true)
 	}
 	if f.totals.drainedAt == 0 {
-		f.totals.drainedAt = f.queue.now
+		f.totals.drainedAt = f.queue.Now()
 	}
-	f.queue.after(fault.ListLag, func() {
+	f.queue.After(fault.ListLag, func() {
 		if f.platform.leaving == nil {
 			f.platform.leaving = make(map[int]bool)
 		}
@@ -85,7 +85,7 @@
 	f.totals.attempts++
 	if f.nodes[server].state.leaving {
 		f.totals.sentToLeaving++
-		f.totals.lastToLeaving = f.queue.now
+		f.totals.lastToLeaving = f.queue.Now()
 	}
 }
 
@@ -110,9 +110,9 @@
 func (g *gateway) askWhetherReady(server int) {
 	run := g.fleet
 	delay := run.delay(g, server)
-	run.queue.after(delay, func() {
+	run.queue.After(delay, func() {
 		draining := run.nodes[server].engine.Draining()
-		run.queue.after(delay, func() {
+		run.queue.After(delay, func() {
 			if draining && !g.leaving[server].draining {
 				g.leaving[server].draining = true
 				g.publishLeaving(server)
@@ -128,7 +128,7 @@
 	if run.policy.KeepLeaving {
 		return
 	}
-	run.queue.after(run.scenario.ZoneDelay, func() { run.board.leaving[server] = true })
+	run.queue.After(run.scenario.ZoneDelay, func() { run.board.leaving[server] = true })
 }
 
 // readPlatform merges the platform's list.
--- a/internal/bench/routingfleet/fleet.go
+++ b/internal/bench/routingfleet/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/engine"
+	"rockwind.example/rockwind/internal/virtualtime"
 )
 
 // never is the time of a wake-up that is not scheduled.
@@ -25,7 +26,7 @@
 
 // fleet is one run in progress.
 type fleet struct {
-	queue    queue
+	queue    virtualtime.Queue
 	scenario *Scenario
 	policy   *Policy
 	nodes    []node
@@ -46,15 +47,15 @@
 	run := newFleet(&scenario, &policy, seed)
 	run.start()
 	for {
-		next, some := run.queue.next(scenario.End() + drainTime)
+		next, some := run.queue.Next(scenario.End() + drainTime)
 		if !some || run.over {
 			return run.result()
 		}
-		if next.run != nil {
-			next.run()
+		if next.Run != nil {
+			next.Run()
 			continue
 		}
-		run.advance(next.engine)
+		run.advance(next.Engine)
 	}
 }
 
@@ -107,10 +108,10 @@
 		gateway.start()
 	}
 	for _, fault := range f.scenario.Faults {
-		f.queue.at(fault.At, func() { f.inject(fault) })
+		f.queue.At(fault.At, func() { f.inject(fault) })
 	}
-	f.queue.at(f.scenario.Warmup, func() { f.warm = f.engineTotals() })
-	f.queue.at(f.scenario.End(), f.watchEnd)
+	f.queue.At(f.scenario.Warmup, func() { f.warm = f.engineTotals() })
+	f.queue.At(f.scenario.End(), f.watchEnd)
 	f.nextArrival(0)
 }
 
@@ -119,7 +120,7 @@
 
 // watchEnd ends the run once every request has met its end.
 func (f *fleet) watchEnd() {
-	f.queue.after(watchEvery, f.watchEnd)
+	f.queue.After(watchEvery, f.watchEnd)
 	for index := range f.requests {
 		if entry := &f.requests[index]; entry.coming || entry.state == stateRunning {
 			return
@@ -133,7 +134,7 @@
 	if index >= len(f.arrivals) {
 		return
 	}
-	f.queue.at(f.arrivals[index].at, func() {
+	f.queue.At(f.arrivals[index].at, func() {
 		f.call(index)
 		f.nextArrival(index + 1)
 	})
@@ -143,7 +144,7 @@
 func (f *fleet) call(index int) {
 	gateway := f.gateways[f.arrivals[index].gateway]
 	f.requests[index].coming = true
-	f.queue.after(f.scenario.ClientDelay, func() { gateway.arrive(index) })
+	f.queue.After(f.scenario.ClientDelay, func() { gateway.arrive(index) })
 }
 
 // delay is the one-way time between a gateway and an engine.
@@ -161,21 +162,21 @@
 	if !some {
 		return
 	}
-	next = max(next, f.queue.now)
+	next = max(next, f.queue.Now())
 	if next >= node.wakeAt {
 		return
 	}
 	node.wakeAt = next
-	f.queue.wake(next, server)
+	f.queue.Wake(next, server)
 }
 
 func (f *fleet) advance(server int) {
 	node := &f.nodes[server]
-	if node.wakeAt != f.queue.now {
+	if node.wakeAt != f.queue.Now() {
 		return
 	}
 	node.wakeAt = never
-	f.events = node.engine.Advance(f.queue.now, f.events[:0])
+	f.events = node.engine.Advance(f.queue.Now(), f.events[:0])
 	for _, event := range f.events {
 		f.deliver(server, event)
 	}
@@ -193,12 +194,12 @@
 	switch event.Kind {
 	case engine.EventTokens:
 		if event.Sequence == event.Count {
-			f.queue.at(arrives, func() { gateway.firstToken(index, number) })
+			f.queue.At(arrives, func() { gateway.firstToken(index, number) })
 		}
 	case engine.EventFinished:
-		f.queue.at(arrives, func() { gateway.finished(index, number) })
+		f.queue.At(arrives, func() { gateway.finished(index, number) })
 	case engine.EventLost:
-		f.queue.at(arrives, func() { gateway.failed(index, number, failureBroken) })
+		f.queue.At(arrives, func() { gateway.failed(index, number, failureBroken) })
 	}
 }
 
--- a/internal/bench/routingfleet/gateway.go
+++ b/internal/bench/routingfleet/gateway.go
@@ -131,9 +131,9 @@
 	var again func()
 	again = func() {
 		run()
-		g.fleet.queue.after(interval, again)
+		g.fleet.queue.After(interval, again)
 	}
-	g.fleet.queue.after(time.Duration(g.random.Float64()*float64(interval)), again)
+	g.fleet.queue.After(time.Duration(g.random.Float64()*float64(interval)), again)
 }
 
 // choose asks routing for a server that was not tried before.
@@ -163,7 +163,7 @@
 			count++
 		}
 	}
-	decision, found := g.routing.Choose(&g.view, &wanted, g.fleet.queue.now, g.random)
+	decision, found := g.routing.Choose(&g.view, &wanted, g.fleet.queue.Now(), g.random)
 	for _, server := range hidden[:count] {
 		g.view.Servers[server].Leaving = false
 	}
@@ -179,14 +179,14 @@
 
 // record hands the outcome of an attempt to passive health.
 func (g *gateway) record(server int, outcome health.Outcome, latency time.Duration) {
-	g.health.Record(server, outcome, latency, g.fleet.queue.now, g.random)
+	g.health.Record(server, outcome, latency, g.fleet.queue.Now(), g.random)
 	g.publishHealth(server)
 }
 
 // evaluate runs the part of passive health that depends on time and peers, and
 // starts the trials that are due.
 func (g *gateway) evaluate() {
-	g.health.Evaluate(g.fleet.queue.now, g.random)
+	g.health.Evaluate(g.fleet.queue.Now(), g.random)
 	for server := range g.view.Servers {
 		g.publishHealth(server)
 		if g.view.Servers[server].Health == routing.Ejected {
@@ -198,18 +198,18 @@
 // trial probes an ejected server once its hold-down is over.
 func (g *gateway) trial(server int) {
 	run := g.fleet
-	if !g.health.StartTrial(server, run.queue.now) {
+	if !g.health.StartTrial(server, run.queue.Now()) {
 		return
 	}
 	outcome := health.Success
 	if !run.nodes[server].answers() {
 		outcome = health.Failure
 	}
-	run.queue.after(2*run.delay(g, server), func() { g.record(server, outcome, 0) })
+	run.queue.After(2*run.delay(g, server), func() { g.record(server, outcome, 0) })
 }
 
 func (g *gateway) publishHealth(server int) {
-	state, weight := g.health.State(server, g.fleet.queue.now)
+	state, weight := g.health.State(server, g.fleet.queue.Now())
 	g.view.Servers[server].Health = routing.Health(state)
 	if state == health.Healthy && g.leaving[server].ejectedByOwner {
 		g.view.Servers[server].Health = routing.Suspect
--- a/internal/bench/routingfleet/reports.go
+++ b/internal/bench/routingfleet/reports.go
@@ -42,17 +42,17 @@
 	run := g.fleet
 	for _, server := range g.owned {
 		delay := run.delay(g, server)
-		run.queue.after(delay, func() {
+		run.queue.After(delay, func() {
 			node := &run.nodes[server]
 			if !node.answers() {
-				run.queue.after(connectTimeout, func() { g.pollFailed(server) })
+				run.queue.After(connectTimeout, func() { g.pollFailed(server) })
 				return
 			}
-			load := node.engine.Load(run.queue.now)
+			load := node.engine.Load(run.queue.Now())
 			// The report lags; whether the server takes requests is asked apart.
 			load.Draining = node.engine.Draining()
 			g.readCacheEvents(server)
-			run.queue.after(delay, func() { g.reported(server, load) })
+			run.queue.After(delay, func() { g.reported(server, load) })
 		})
 	}
 }
@@ -88,7 +88,7 @@
 		digests[index] = digest{report: report, leaving: g.leaving[server].out(), known: report.TakenAt > 0}
 		digests[index].ejected = g.view.Servers[server].Health == routing.Ejected
 	}
-	run.queue.after(run.scenario.ZoneDelay, func() {
+	run.queue.After(run.scenario.ZoneDelay, func() {
 		for index, server := range g.owned {
 			run.board.digests[server] = digests[index]
 		}
@@ -109,7 +109,7 @@
 		}
 	}
 	leaving := slices.Collect(maps.Keys(b.leaving))
-	run.queue.after(run.scenario.ZoneDelay, func() {
+	run.queue.After(run.scenario.ZoneDelay, func() {
 		for _, server := range leaving {
 			g.leaving[server].digest = true
 			g.publishLeaving(server)
@@ -164,7 +164,7 @@
 }
 
 func (g *gateway) learnSum(sum zoneSum) {
-	sum.report.TakenAt = g.fleet.queue.now
+	sum.report.TakenAt = g.fleet.queue.Now()
 	first, end := g.fleet.scenario.zoneServers(sum.zone)
 	for server := first; server < end; server++ {
 		g.view.Reported(server, sum.report, 0, 0)
@@ -175,7 +175,7 @@
 // caches, for the oracle.
 func (g *gateway) refresh(drawn *arrival) {
 	g.hints = g.hints[:0]
-	now := g.fleet.queue.now
+	now := g.fleet.queue.Now()
 	for server := range g.fleet.nodes {
 		node := &g.fleet.nodes[server]
 		g.view.Reported(server, reportOf(node.engine.Load(now)), 0, 0)
--- a/internal/bench/routingfleet/result.go
+++ b/internal/bench/routingfleet/result.go
@@ -93,7 +93,7 @@
 	end := f.engineTotals()
 	result.PrefixTokens = end.PrefixTokens - f.warm.PrefixTokens
 	result.PrefillTokens = end.PrefillTokens - f.warm.PrefillTokens
-	length := f.queue.now - f.scenario.Warmup
+	length := f.queue.Now() - f.scenario.Warmup
 	result.Busy = float64(end.Busy-f.warm.Busy) / float64(length) / float64(len(f.nodes))
 	return result
 }
--- a/internal/simulator/executor.go
+++ b/internal/simulator/executor.go
@@ -48,7 +48,7 @@
 		g.refreshOne(server)
 	}
 	entry := &g.view.Servers[server]
-	now := g.fleet.clock.now
+	now := g.fleet.clock.Now()
 	return sharing.ServerState{
 		Online:       float64(entry.Online()),
 		Pace:         &g.paces[server],
@@ -72,7 +72,7 @@
 	if !run.policy.Batch || run.nodes[server].owner != g || !g.mayBatch(server) {
 		return
 	}
-	budget, yield := run.policy.Budget(g.state(server), run.clock.now)
+	budget, yield := run.policy.Budget(g.state(server), run.clock.Now())
 	lane := &g.lanes[server]
 	for range yield {
 		g.pauseNewest(server)
@@ -108,8 +108,8 @@
 	lane.paused = append(lane.paused, last)
 	run.totals.pauses++
 	id := last.id()
-	run.clock.after(run.delay(g, server), func() {
-		run.nodes[server].engine.Pause(run.clock.now, id)
+	run.clock.After(run.delay(g, server), func() {
+		run.nodes[server].engine.Pause(run.clock.Now(), id)
 		run.schedule(server)
 	})
 }
@@ -118,7 +118,7 @@
 // that it paused last on the server.
 func (g *gateway) startNext(server int, budget sharing.Budget) bool {
 	candidates, loads := g.candidates(server)
-	chosen, found := g.picker.Pick(candidates, g.fleet.clock.now)
+	chosen, found := g.picker.Pick(candidates, g.fleet.clock.Now())
 	if !found {
 		g.refill()
 		return false
@@ -153,8 +153,8 @@
 	run := g.fleet
 	g.lanes[server].running = append(g.lanes[server].running, paused)
 	id := paused.id()
-	run.clock.after(run.delay(g, server), func() {
-		run.nodes[server].engine.Unpause(run.clock.now, id)
+	run.clock.After(run.delay(g, server), func() {
+		run.nodes[server].engine.Unpause(run.clock.Now(), id)
 		run.schedule(server)
 	})
 }
@@ -162,7 +162,7 @@
 func (g *gateway) submit(server int, next *item, budget sharing.Budget) {
 	run := g.fleet
 	next.attempts++
-	next.startedAt = run.clock.now
+	next.startedAt = run.clock.Now()
 	g.lanes[server].running = append(g.lanes[server].running, next)
 	g.view.Sent(server, next.shape.prompt, true)
 	request := engine.Request{
@@ -174,11 +174,11 @@
 		MaxTokens:        next.shape.output,
 		Blocks:           next.shape.blocks,
 	}
-	run.clock.after(run.delay(g, server), func() {
-		_, accepted := run.nodes[server].engine.Submit(run.clock.now, request)
+	run.clock.After(run.delay(g, server), func() {
+		_, accepted := run.nodes[server].engine.Submit(run.clock.Now(), request)
 		run.schedule(server)
 		if !accepted {
-			run.clock.after(run.delay(g, server), func() { g.itemLost(next, server) })
+			run.clock.After(run.delay(g, server), func() { g.itemLost(next, server) })
 		}
 	})
 }
@@ -206,7 +206,7 @@
 func (g *gateway) itemLost(entry *item, server int) {
 	g.leave(entry, server)
 	g.view.FirstToken(server, entry.shape.prompt)
-	g.health.Record(server, health.Failure, 0, g.fleet.clock.now, g.random)
+	g.health.Record(server, health.Failure, 0, g.fleet.clock.Now(), g.random)
 	g.publishHealth(server)
 	g.fleet.ledger.giveBack(entry)
 }
--- a/internal/simulator/fleet.go
+++ b/internal/simulator/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/engine"
+	"rockwind.example/rockwind/internal/virtualtime"
 )
 
 // never is the time of a wake-up that is not scheduled.
@@ -25,7 +26,7 @@
 
 // fleet is one run in progress.
 type fleet struct {
-	clock    clock
+	clock    virtualtime.Queue
 	scenario *Scenario
 	policy   Policy
 	nodes    []node
@@ -52,15 +53,15 @@
 // drive handles the events up to the end of the run.
 func (f *fleet) drive() {
 	for {
-		entry, some := f.clock.next(f.scenario.End() + drainTime)
+		entry, some := f.clock.Next(f.scenario.End() + drainTime)
 		if !some {
 			return
 		}
-		if entry.run != nil {
-			entry.run()
+		if entry.Run != nil {
+			entry.Run()
 			continue
 		}
-		f.advance(entry.engine)
+		f.advance(entry.Engine)
 	}
 }
 
@@ -117,8 +118,8 @@
 		f.startSampling()
 	}
 	for _, fault := range f.scenario.Faults {
-		f.clock.at(fault.At, func() {
-			f.nodes[fault.Engine].engine.Inject(f.clock.now, fault.Fault)
+		f.clock.At(fault.At, func() {
+			f.nodes[fault.Engine].engine.Inject(f.clock.Now(), fault.Fault)
 			f.schedule(fault.Engine)
 		})
 	}
@@ -130,13 +131,13 @@
 	for index := range arrivals {
 		f.online[index] = onlineRecord{index: index, arrival: arrivals[index], server: -1}
 		gateway := f.gateways[arrivals[index].gateway]
-		f.clock.at(arrivals[index].at+f.scenario.ClientDelay+f.hops.draw(), func() { gateway.arrive(index) })
+		f.clock.At(arrivals[index].at+f.scenario.ClientDelay+f.hops.draw(), func() { gateway.arrive(index) })
 	}
 }
 
 func (f *fleet) startBatch(seed uint64) {
 	for _, submission := range batchSubmissions(f.scenario, seed) {
-		f.clock.at(submission.at, func() { f.ledger.accept(submission) })
+		f.clock.At(submission.at, func() { f.ledger.accept(submission) })
 	}
 }
 
@@ -155,21 +156,21 @@
 	if !some {
 		return
 	}
-	next = max(next, f.clock.now)
+	next = max(next, f.clock.Now())
 	if next >= node.wakeAt {
 		return
 	}
 	node.wakeAt = next
-	f.clock.wake(next, server)
+	f.clock.Wake(next, server)
 }
 
 func (f *fleet) advance(server int) {
 	node := &f.nodes[server]
-	if node.wakeAt != f.clock.now {
+	if node.wakeAt != f.clock.Now() {
 		return
 	}
 	node.wakeAt = never
-	f.events = node.engine.Advance(f.clock.now, f.events[:0])
+	f.events = node.engine.Advance(f.clock.Now(), f.events[:0])
 	for _, event := range f.events {
 		if event.Tag&tagBatch != 0 {
 			f.deliverBatch(server, event)
@@ -194,16 +195,16 @@
 	switch event.Kind {
 	case engine.EventTokens:
 		if event.Sequence != event.Count || record.firstAt > 0 {
-			f.clock.at(arrives, func() { gateway.noteTokens(record, server, event.Count) })
+			f.clock.At(arrives, func() { gateway.noteTokens(record, server, event.Count) })
 			return
 		}
 		record.firstAt = arrives + f.scenario.ClientDelay + f.hops.draw() + f.hops.draw()
-		f.clock.at(arrives, func() { gateway.firstToken(record, server) })
+		f.clock.At(arrives, func() { gateway.firstToken(record, server) })
 	case engine.EventFinished:
 		record.doneAt = max(record.firstAt, arrives+f.scenario.ClientDelay+f.hops.draw()+f.hops.draw())
-		f.clock.at(arrives, func() { gateway.ended(record, server) })
+		f.clock.At(arrives, func() { gateway.ended(record, server) })
 	case engine.EventLost:
-		f.clock.at(arrives, func() { gateway.lost(int(event.Tag), server) })
+		f.clock.At(arrives, func() { gateway.lost(int(event.Tag), server) })
 	}
 }
 
@@ -214,11 +215,11 @@
 	switch event.Kind {
 	case engine.EventTokens:
 		if event.Sequence == event.Count {
-			f.clock.at(arrives, func() { gateway.view.FirstToken(server, item.shape.prompt) })
+			f.clock.At(arrives, func() { gateway.view.FirstToken(server, item.shape.prompt) })
 		}
 	case engine.EventFinished:
-		f.clock.at(arrives, func() { gateway.itemDone(item, server) })
+		f.clock.At(arrives, func() { gateway.itemDone(item, server) })
 	case engine.EventLost:
-		f.clock.at(arrives, func() { gateway.itemLost(item, server) })
+		f.clock.At(arrives, func() { gateway.itemLost(item, server) })
 	}
 }
--- a/internal/simulator/gateway.go
+++ b/internal/simulator/gateway.go
@@ -110,15 +110,15 @@
 	var again func()
 	again = func() {
 		run()
-		g.fleet.clock.after(interval, again)
+		g.fleet.clock.After(interval, again)
 	}
-	g.fleet.clock.after(time.Duration(g.random.Float64()*float64(interval)), again)
+	g.fleet.clock.After(time.Duration(g.random.Float64()*float64(interval)), again)
 }
 
 // arrive routes an online request.
 func (g *gateway) arrive(index int) {
 	record := &g.fleet.online[index]
-	now := g.fleet.clock.now
+	now := g.fleet.clock.Now()
 	if g.fleet.policy.Fresh {
 		g.refresh()
 	}
@@ -167,11 +167,11 @@
 		g.prefixes[shape.prefix] = [2]int{server, g.prefixes[shape.prefix][0]}
 	}
 	g.view.Sent(server, shape.prompt, false)
-	g.recent[server].Sent(run.clock.now)
+	g.recent[server].Sent(run.clock.Now())
 	g.noteSent(index, server)
 	g.balance(server)
-	run.clock.after(run.delay(g, server)+run.hops.draw(), func() {
-		_, accepted := run.nodes[server].engine.Submit(run.clock.now, engine.Request{
+	run.clock.After(run.delay(g, server)+run.hops.draw(), func() {
+		_, accepted := run.nodes[server].engine.Submit(run.clock.Now(), engine.Request{
 			ID:           onlineID(index, attempt),
 			Tag:          uint64(index),
 			Priority:     engine.PriorityOnline,
@@ -181,21 +181,21 @@
 		})
 		run.schedule(server)
 		if !accepted {
-			run.clock.after(run.delay(g, server), func() { g.lost(index, server) })
+			run.clock.After(run.delay(g, server), func() { g.lost(index, server) })
 		}
 	})
 }
 
 func (g *gateway) firstToken(record *onlineRecord, server int) {
 	g.view.FirstToken(server, record.arrival.shape.prompt)
-	g.health.Record(server, health.Success, 0, g.fleet.clock.now, g.random)
+	g.health.Record(server, health.Success, 0, g.fleet.clock.Now(), g.random)
 	g.noteFirstToken(record, server)
 }
 
 func (g *gateway) ended(record *onlineRecord, server int) {
 	g.noteEnded(record, server)
 	g.view.Ended(server, false)
-	g.recent[server].Ended(g.fleet.clock.now)
+	g.recent[server].Ended(g.fleet.clock.Now())
 	g.balance(server)
 }
 
@@ -208,8 +208,8 @@
 	g.noteEnded(record, server)
 	g.view.Ended(server, false)
 	g.view.FirstToken(server, record.arrival.shape.prompt)
-	g.recent[server].Ended(g.fleet.clock.now)
-	g.health.Record(server, health.Failure, 0, g.fleet.clock.now, g.random)
+	g.recent[server].Ended(g.fleet.clock.Now())
+	g.health.Record(server, health.Failure, 0, g.fleet.clock.Now(), g.random)
 	g.publishHealth(server)
 	if record.attempts >= maxAttempts || record.firstAt > 0 {
 		record.refused = true
@@ -219,7 +219,7 @@
 }
 
 func (g *gateway) publishHealth(server int) {
-	state, weight := g.health.State(server, g.fleet.clock.now)
+	state, weight := g.health.State(server, g.fleet.clock.Now())
 	g.view.Servers[server].Health = routing.Health(state)
 	g.view.Servers[server].SlowStart = weight
 }
--- a/internal/simulator/ledger.go
+++ b/internal/simulator/ledger.go
@@ -56,7 +56,7 @@
 	}
 	l.jobs[submission.load] = append(l.jobs[submission.load], created)
 	for _, gateway := range l.fleet.gateways {
-		l.fleet.clock.after(controlDelay, gateway.refill)
+		l.fleet.clock.After(controlDelay, gateway.refill)
 	}
 }
 
@@ -115,12 +115,12 @@
 	}
 	g.asked = true
 	run := g.fleet
-	run.clock.after(controlDelay/2, func() {
+	run.clock.After(controlDelay/2, func() {
 		leased := make([][]*item, len(wanted))
 		for load, count := range wanted {
 			leased[load] = run.ledger.lease(load, count)
 		}
-		run.clock.after(controlDelay/2, func() { g.leased(leased) })
+		run.clock.After(controlDelay/2, func() { g.leased(leased) })
 	})
 }
 
--- a/internal/simulator/pace.go
+++ b/internal/simulator/pace.go
@@ -36,7 +36,7 @@
 		tell(observer)
 		return
 	}
-	g.fleet.clock.after(g.fleet.scenario.LocalDelay, func() { tell(observer) })
+	g.fleet.clock.After(g.fleet.scenario.LocalDelay, func() { tell(observer) })
 }
 
 // uncached estimates the prompt tokens of a request that a server must process.
@@ -53,18 +53,18 @@
 func (g *gateway) noteSent(index, server int) {
 	record := &g.fleet.online[index]
 	tokens := g.uncached(record, server)
-	g.paces[server].Sent(uint64(index), tokens, g.fleet.clock.now)
+	g.paces[server].Sent(uint64(index), tokens, g.fleet.clock.Now())
 	g.notify(server, func(observer *gateway) {
-		observer.paces[server].Sent(uint64(index), tokens, observer.fleet.clock.now)
+		observer.paces[server].Sent(uint64(index), tokens, observer.fleet.clock.Now())
 		observer.balance(server)
 	})
 }
 
 func (g *gateway) noteFirstToken(record *onlineRecord, server int) {
-	g.paces[server].FirstToken(uint64(record.index), true, g.fleet.clock.now)
-	g.tail.FirstToken(g.fleet.clock.now - record.arrival.at - g.fleet.scenario.ClientDelay)
+	g.paces[server].FirstToken(uint64(record.index), true, g.fleet.clock.Now())
+	g.tail.FirstToken(g.fleet.clock.Now() - record.arrival.at - g.fleet.scenario.ClientDelay)
 	g.notify(server, func(observer *gateway) {
-		observer.paces[server].FirstToken(uint64(record.index), g.fleet.policy.Fresh, observer.fleet.clock.now)
+		observer.paces[server].FirstToken(uint64(record.index), g.fleet.policy.Fresh, observer.fleet.clock.Now())
 		observer.balance(server)
 	})
 	g.balance(server)
@@ -72,7 +72,7 @@
 
 func (g *gateway) noteTokens(record *onlineRecord, server, tokens int) {
 	id := uint64(record.index)
-	now := g.fleet.clock.now
+	now := g.fleet.clock.Now()
 	g.paces[server].Token(id, tokens, g.target().PerToken, g.batchPart(server), now)
 	if g.fleet.policy.Fresh {
 		g.notify(server, func(observer *gateway) {
@@ -89,11 +89,11 @@
 }
 
 func (g *gateway) noteEnded(record *onlineRecord, server int) {
-	if mean, known := g.paces[server].Ended(uint64(record.index), g.view.Cost.StepBase, g.fleet.clock.now); known {
+	if mean, known := g.paces[server].Ended(uint64(record.index), g.view.Cost.StepBase, g.fleet.clock.Now()); known {
 		g.tail.PerToken(mean)
 	}
 	g.notify(server, func(observer *gateway) {
-		observer.paces[server].Ended(uint64(record.index), g.view.Cost.StepBase, observer.fleet.clock.now)
+		observer.paces[server].Ended(uint64(record.index), g.view.Cost.StepBase, observer.fleet.clock.Now())
 		observer.balance(server)
 	})
 }
--- a/internal/simulator/reclaim.go
+++ b/internal/simulator/reclaim.go
@@ -34,7 +34,7 @@
 		groups[load].Waiting = len(g.queues[load].items)
 	}
 	for _, entry := range g.lanes[server].running {
-		age := g.fleet.clock.now - entry.startedAt
+		age := g.fleet.clock.Now() - entry.startedAt
 		groups[entry.load].Running += sharing.Places(entry.shape.prompt, age)
 	}
 	for _, entry := range g.lanes[server].paused {
--- a/internal/simulator/reports.go
+++ b/internal/simulator/reports.go
@@ -12,17 +12,17 @@
 	run := g.fleet
 	for _, server := range g.owned {
 		delay := run.delay(g, server)
-		run.clock.after(delay, func() {
-			load := run.nodes[server].engine.Load(run.clock.now)
+		run.clock.After(delay, func() {
+			load := run.nodes[server].engine.Load(run.clock.Now())
 			dead := run.nodes[server].engine.Dead()
-			run.clock.after(delay, func() {
+			run.clock.After(delay, func() {
 				if !dead {
 					g.reported(server, load)
 				}
 			})
 		})
 	}
-	g.health.Evaluate(run.clock.now, g.random)
+	g.health.Evaluate(run.clock.Now(), g.random)
 	for server := range g.view.Servers {
 		g.trial(server)
 		g.publishHealth(server)
@@ -32,12 +32,12 @@
 // trial stands for a trial request to an ejected server.
 func (g *gateway) trial(server int) {
 	run := g.fleet
-	if !g.health.StartTrial(server, run.clock.now) {
+	if !g.health.StartTrial(server, run.clock.Now()) {
 		return
 	}
 	outcome := healthOutcome(run.nodes[server].engine.Dead())
-	run.clock.after(2*run.delay(g, server), func() {
-		g.health.Record(server, outcome, 0, run.clock.now, g.random)
+	run.clock.After(2*run.delay(g, server), func() {
+		g.health.Record(server, outcome, 0, run.clock.Now(), g.random)
 	})
 }
 
@@ -74,7 +74,7 @@
 		if other == g {
 			continue
 		}
-		run.clock.after(2*run.scenario.ZoneDelay+exchangeDelay, func() { other.learn(g, reports, mean) })
+		run.clock.After(2*run.scenario.ZoneDelay+exchangeDelay, func() { other.learn(g, reports, mean) })
 	}
 	g.shareUse()
 }
@@ -113,6 +113,6 @@
 }
 
 func (g *gateway) refreshOne(server int) {
-	load := g.fleet.nodes[server].engine.Load(g.fleet.clock.now)
+	load := g.fleet.nodes[server].engine.Load(g.fleet.clock.Now())
 	g.view.Reported(server, reportOf(load), 0, 0)
 }
--- a/internal/simulator/result.go
+++ b/internal/simulator/result.go
@@ -34,7 +34,7 @@
 	if f.onCompleted != nil {
 		f.onCompleted(entry)
 	}
-	now := f.clock.now
+	now := f.clock.Now()
 	second := int(now / time.Second)
 	for len(f.totals.series) <= second {
 		f.totals.series = append(f.totals.series, 0)
--- a/internal/simulator/scenario.go
+++ b/internal/simulator/scenario.go
@@ -1,3 +1,7 @@
+// Package simulator runs the decision packages over the engine model in virtual
+// time: gateways with lagging views of their own, zones with delays, bursts of
+// batch work, bursts of online requests and faults. One seed gives one run, to
+// the last event.
 package simulator
 
 import (
--- a/internal/simulator/shares.go
+++ b/internal/simulator/shares.go
@@ -33,14 +33,14 @@
 	var again func()
 	again = func() {
 		f.sample()
-		f.clock.after(f.scenario.SampleEvery, again)
+		f.clock.After(f.scenario.SampleEvery, again)
 	}
-	f.clock.after(f.scenario.SampleEvery, again)
+	f.clock.After(f.scenario.SampleEvery, again)
 }
 
 // sample takes one sample.
 func (f *fleet) sample() {
-	taken := ServedSample{At: f.clock.now, Wanted: make([]bool, len(f.scenario.Batch))}
+	taken := ServedSample{At: f.clock.Now(), Wanted: make([]bool, len(f.scenario.Batch))}
 	for server := range f.nodes {
 		owner := f.nodes[server].owner
 		lane := &owner.lanes[server]
@@ -50,7 +50,7 @@
 		for _, entry := range lane.paused {
 			f.sampleItem(entry, server)
 		}
-		budget, _ := f.policy.Budget(owner.state(server), f.clock.now)
+		budget, _ := f.policy.Budget(owner.state(server), f.clock.Now())
 		taken.Places += budget.Items
 		taken.Free += max(0, budget.Items-len(lane.running))
 	}
@@ -107,7 +107,7 @@
 		used[load].Demand = g.queuedCost(load)
 		g.used[load].BatchCost = 0
 	}
-	run.clock.after(controlDelay/2, func() { run.ledger.settle(g, used) })
+	run.clock.After(controlDelay/2, func() { run.ledger.settle(g, used) })
 }
 
 func (g *gateway) queuedCost(load int) float64 {
@@ -124,8 +124,8 @@
 		l.uses[load].BatchCost += used[load].BatchCost
 		l.uses[load].Demand += used[load].Demand
 	}
-	l.fleet.clock.after(controlDelay/2, func() { from.picker.SetAllowances(l.parts) })
-	period := l.fleet.clock.now - l.settled
+	l.fleet.clock.After(controlDelay/2, func() { from.picker.SetAllowances(l.parts) })
+	period := l.fleet.clock.Now() - l.settled
 	if period < l.fleet.scenario.ExchangeInterval {
 		return
 	}
@@ -133,7 +133,7 @@
 		l.uses[load].Demand += l.waitingCost(load)
 	}
 	l.parts = l.account.Allowances(l.uses, period)
-	l.settled = l.fleet.clock.now
+	l.settled = l.fleet.clock.Now()
 	for load := range l.uses {
 		l.uses[load].BatchCost = 0
 		l.uses[load].Demand = 0
--- /dev/null
+++ b/internal/virtualtime/queue_test.go
@@ -0,0 +1,94 @@
+package virtualtime
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// planned is an event as the model of the queue, a plain list, knows it.
+type planned struct {
+	at     time.Duration
+	engine int
+}
+
+// takeModel removes the earliest event up to a time, the first scheduled among
+// equals.
+func takeModel(events []planned, until time.Duration) (planned, []planned, bool) {
+	earliest := -1
+	for index, entry := range events {
+		if entry.at <= until && (earliest < 0 || entry.at < events[earliest].at) {
+			earliest = index
+		}
+	}
+	if earliest < 0 {
+		return planned{}, events, false
+	}
+	taken := events[earliest]
+	return taken, slices.Delete(events, earliest, earliest+1), true
+}
+
+// TestQueueOrdersByTimeThenInsertion schedules and takes events at random, many
+// of them at equal times or in the past, and compares each with a plain list.
+func TestQueueOrdersByTimeThenInsertion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var queue Queue
+		var model []planned
+		var now time.Duration
+		// ran is the event whose function was called last.
+		ran := -1
+		times := rapid.Custom(func(t *rapid.T) time.Duration {
+			return time.Duration(rapid.IntRange(0, 12).Draw(t, "time"))
+		})
+		number := 0
+		schedule := func(at time.Duration) int {
+			number++
+			model = append(model, planned{at: max(at, now), engine: number})
+			return number
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"at": func(t *rapid.T) {
+				at := times.Draw(t, "at")
+				event := schedule(at)
+				queue.At(at, func() { ran = event })
+			},
+			"after": func(t *rapid.T) {
+				delay := times.Draw(t, "delay")
+				event := schedule(now + delay)
+				queue.After(delay, func() { ran = event })
+			},
+			"wake": func(t *rapid.T) {
+				at := times.Draw(t, "at")
+				queue.Wake(at, schedule(at))
+			},
+			"next": func(t *rapid.T) {
+				until := times.Draw(t, "until")
+				wanted, rest, some := takeModel(model, until)
+				model = rest
+				event, found := queue.Next(until)
+				if found != some {
+					t.Fatalf("Next(%d) found %v, want %v", until, found, some)
+				}
+				if !some {
+					return
+				}
+				now = wanted.at
+				taken := event.Engine
+				if event.Run != nil {
+					event.Run()
+					taken = ran
+				}
+				if taken != wanted.engine {
+					t.Fatalf("Next(%d) took event %d, want %d", until, taken, wanted.engine)
+				}
+			},
+			"": func(t *rapid.T) {
+				if queue.Now() != now {
+					t.Fatalf("the present is %d, want %d", queue.Now(), now)
+				}
+			},
+		})
+	})
+}
