Repeat periodic events of virtual time in the queue

Cause: the gateways of both simulated fleets and the sampling of shares each rescheduled their periodic work by the same closure. Change: Queue.Every does it; a test pins the order of a periodic event among others of the same times.

--- a/internal/bench/routingfleet/gateway.go
+++ b/internal/bench/routingfleet/gateway.go
@@ -127,13 +127,10 @@
 	g.every(platformEvery, g.readPlatform)
 }
 
+// every runs periodic work, first at a random part of the interval.
 func (g *gateway) every(interval time.Duration, run func()) {
-	var again func()
-	again = func() {
-		run()
-		g.fleet.queue.After(interval, again)
-	}
-	g.fleet.queue.After(time.Duration(g.random.Float64()*float64(interval)), again)
+	first := time.Duration(g.random.Float64() * float64(interval))
+	g.fleet.queue.Every(first, interval, run)
 }
 
 // choose asks routing for a server that was not tried before.
--- a/internal/simulator/gateway.go
+++ b/internal/simulator/gateway.go
@@ -106,13 +106,10 @@
 	g.every(balanceInterval, g.balanceAll)
 }
 
+// every runs periodic work, first at a random part of the interval.
 func (g *gateway) every(interval time.Duration, run func()) {
-	var again func()
-	again = func() {
-		run()
-		g.fleet.clock.After(interval, again)
-	}
-	g.fleet.clock.After(time.Duration(g.random.Float64()*float64(interval)), again)
+	first := time.Duration(g.random.Float64() * float64(interval))
+	g.fleet.clock.Every(first, interval, run)
 }
 
 // arrive routes an online request.
--- a/internal/simulator/shares.go
+++ b/internal/simulator/shares.go
@@ -30,12 +30,7 @@
 // startSampling schedules samples.
 func (f *fleet) startSampling() {
 	f.sampling = &sampling{running: make(map[*item]float64), current: make([]float64, len(f.scenario.Batch))}
-	var again func()
-	again = func() {
-		f.sample()
-		f.clock.After(f.scenario.SampleEvery, again)
-	}
-	f.clock.After(f.scenario.SampleEvery, again)
+	f.clock.Every(f.scenario.SampleEvery, f.scenario.SampleEvery, f.sample)
 }
 
 // sample takes one sample.
--- a/internal/virtualtime/queue.go
+++ b/internal/virtualtime/queue.go
@@ -45,6 +45,15 @@
 	q.At(q.now+delay, run)
 }
 
+// Every schedules run a delay from now and then again at each interval, counted
+// from the run before.
+func (q *Queue) Every(first, interval time.Duration, run func()) {
+	q.After(first, func() {
+		run()
+		q.Every(interval, interval, run)
+	})
+}
+
 // Wake schedules that an engine is advanced; a time in the past counts as now.
 func (q *Queue) Wake(at time.Duration, engine int) {
 	q.push(Event{at: at, Engine: engine})
--- a/internal/virtualtime/queue_test.go
+++ b/internal/virtualtime/queue_test.go
@@ -92,3 +92,28 @@
 		})
 	})
 }
+
+// TestQueueRepeatsAtTheInterval follows one periodic event between others of the
+// same times: it comes after those that were scheduled before its last run.
+func TestQueueRepeatsAtTheInterval(t *testing.T) {
+	var queue Queue
+	var came []time.Duration
+	queue.Every(2, 5, func() { came = append(came, queue.Now()) })
+	for at := range time.Duration(20) {
+		queue.At(at, func() { came = append(came, -at) })
+	}
+	for {
+		event, some := queue.Next(19)
+		if !some {
+			break
+		}
+		event.Run()
+	}
+	want := []time.Duration{
+		0, -1, 2, -2, -3, -4, -5, -6, -7, 7, -8, -9, -10, -11, -12, 12,
+		-13, -14, -15, -16, -17, 17, -18, -19,
+	}
+	if !slices.Equal(came, want) {
+		t.Fatalf("the events came as %d, want %d", came, want)
+	}
+}
