Read the pages of hollow processes by one function

Cause: the scale run and the propagation experiment each had the same function that reads a page of a hollow process and decodes it. Change: hollow.ReadPage beside the pages that it reads; both call it with the HTTP client that they had.

--- a/internal/bench/experiment/propagation/hosts.go
+++ b/internal/bench/experiment/propagation/hosts.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/url"
 	"path/filepath"
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"rockwind.example/rockwind/internal/bench/fleet"
@@ -69,33 +67,13 @@
 // reports reads what the followers of the process say.
 func (h *host) reports(ctx context.Context) ([]hollow.FollowerReport, error) {
 	var reports []hollow.FollowerReport
-	err := get(ctx, h.page+hollow.ReportPage, &reports)
+	err := hollow.ReadPage(ctx, http.DefaultClient, h.page+hollow.ReportPage, &reports)
 	return reports, err
 }
 
 // command does something with one follower of the process.
 func (h *host) command(ctx context.Context, page, name string) error {
-	return get(ctx, h.page+page+"?name="+url.QueryEscape(name), nil)
-}
-
-// get reads a page and decodes it, where there is something to decode into.
-func get(ctx context.Context, address string, into any) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
-	if err != nil {
-		return errors.Wrap(err, "make a request")
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return errors.Wrap(err, "read a page")
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return errors.Newf("%s answers status %d", address, response.StatusCode)
-	}
-	if into == nil {
-		return nil
-	}
-	return errors.Wrapf(json.NewDecoder(response.Body).Decode(into), "decode %s", address)
+	return hollow.ReadPage(ctx, http.DefaultClient, h.page+page+"?name="+url.QueryEscape(name), nil)
 }
 
 // reportsOf reads the reports of several processes.
--- /dev/null
+++ b/internal/bench/hollow/read.go
@@ -0,0 +1,30 @@
+package hollow
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ReadPage reads a page of a process and decodes its JSON, where there is
+// something to decode into. Any status but 200 is an error.
+func ReadPage(ctx context.Context, client *http.Client, address string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return errors.Wrap(err, "make a request")
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "read a page")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("%s answers status %d", address, response.StatusCode)
+	}
+	if into == nil {
+		return nil
+	}
+	return errors.Wrapf(json.NewDecoder(response.Body).Decode(into), "decode %s", address)
+}
--- a/internal/bench/scale/pages.go
+++ b/internal/bench/scale/pages.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
 	"net/url"
 
 	"github.com/cockroachdb/errors"
@@ -14,22 +12,7 @@
 
 // get reads a page and decodes it, where there is something to decode into.
 func (c *cluster) get(ctx context.Context, address string, into any) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
-	if err != nil {
-		return errors.Wrap(err, "make a request")
-	}
-	response, err := c.client.Do(request)
-	if err != nil {
-		return errors.Wrap(err, "read a page")
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return errors.Newf("%s answers status %d", address, response.StatusCode)
-	}
-	if into == nil {
-		return nil
-	}
-	return errors.Wrapf(json.NewDecoder(response.Body).Decode(into), "decode %s", address)
+	return hollow.ReadPage(ctx, c.client, address, into)
 }
 
 // daemonReports reads what all running hollow gateways say.
