Hold uploads and new batches to their tenant's limits

Cause: only completions and services took from a tenant's limits, so one tenant could fill the disks of the control machines by POST /v1/files and POST /v1/batches.

Change: one middleware on the two routes takes a grant of the same limiter, for requests_per_second and concurrency, before the body is read, and gives it back when the handler ends in any way. A refusal is the same 429, not run, with Retry-After. Over HTTP/1.1 it closes the connection: the server held the answer back until the rest of a short body had come.

--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -112,9 +112,8 @@
 	g := c.gateway
 	started := time.Now()
 	tenant := tenantOf(c.request)
-	grant, err := g.limiter.Admit(tenant.GetName(), tenant.GetLimits(), started)
+	grant, err := g.admitTenant(tenant, tenant.GetLimits(), started)
 	if err != nil {
-		g.metrics.refused.WithLabelValues("limit").Inc()
 		writeFault(c.writer, err)
 		return
 	}
--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -133,6 +133,12 @@
 	})
 }
 
+// Paths of requests that make the control machines store something.
+const (
+	pathFiles   = "/v1/files"
+	pathBatches = "/v1/batches"
+)
+
 // apiRoutes are the paths that need an API key.
 func (g *Gateway) apiRoutes() http.Handler {
 	router := chi.NewRouter()
@@ -141,11 +147,11 @@
 	router.Get("/v1/models/{id}", g.serveModel)
 	router.Post(pathChatCompletions, g.serveCompletion)
 	router.Post(pathCompletions, g.serveCompletion)
-	router.Post("/v1/files", g.serveUpload)
+	router.With(g.limitWrites).Post(pathFiles, g.serveUpload)
 	router.Get("/v1/files/{id}", g.serveFile)
 	router.Get("/v1/files/{id}/content", g.serveContent)
-	router.Post("/v1/batches", g.serveCreateBatch)
-	router.Get("/v1/batches", g.serveBatches)
+	router.With(g.limitWrites).Post(pathBatches, g.serveCreateBatch)
+	router.Get(pathBatches, g.serveBatches)
 	router.Get("/v1/batches/{id}", g.serveBatch)
 	router.Post("/v1/batches/{id}/cancel", g.serveCancelBatch)
 	router.HandleFunc(servicesPrefix+"{service}", g.serveService)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,7 +35,7 @@
 			Name: "rockwind_gateway_requests_total", Help: "Online requests by kind and result.",
 		}, []string{"kind", "result"}),
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "rockwind_gateway_refused_total", Help: "Online requests refused as not run, by reason.",
+			Name: "rockwind_gateway_refused_total", Help: "Online requests, uploads and new batches refused as not run, by reason.",
 		}, []string{"reason"}),
 		attempts: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "rockwind_gateway_attempts_total", Help: "Attempts at back ends for online requests.",
