Let both stand-ins fail by the same code

Cause: the stand-ins of an engine and of a service each had the same handler of fault orders and the same middleware that hangs or breaks requests.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -10,7 +10,6 @@
 	"github.com/go-chi/chi/v5"
 
 	"rockwind.example/rockwind/internal/engine"
-	"rockwind.example/rockwind/internal/retry"
 )
 
 // maxBody bounds the body of a request in bytes.
@@ -93,11 +92,11 @@
 
 func (e *Engine) routes() http.Handler {
 	router := chi.NewRouter()
-	router.Post("/fault", e.serveFault)
+	router.Post("/fault", serveFault(e.Inject))
 	router.Post("/drain", e.serveDrain)
 	router.Get("/journal", e.journal.serve)
 	router.Group(func(router chi.Router) {
-		router.Use(e.failing)
+		router.Use(failing(e.driver.hung.Load, e.driver.dead.Load))
 		router.Get("/healthz", e.serveHealth)
 		router.Get("/readyz", e.serveReady)
 		router.Get("/load", e.serveLoad)
@@ -116,32 +115,6 @@
 	return router
 }
 
-// failing gives requests to a dead engine a broken connection and lets those to
-// a hung one wait.
-func (e *Engine) failing(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		for e.driver.hung.Load() {
-			if !retry.Pause(request.Context(), pollInterval) {
-				panic(http.ErrAbortHandler)
-			}
-		}
-		if e.driver.dead.Load() {
-			panic(http.ErrAbortHandler)
-		}
-		next.ServeHTTP(writer, request)
-	})
-}
-
-func (e *Engine) serveFault(writer http.ResponseWriter, request *http.Request) {
-	var order FaultOrder
-	if !readJSON(writer, request, &order) {
-		return
-	}
-	writeJSON(writer, http.StatusOK, order)
-	_ = http.NewResponseController(writer).Flush()
-	e.Inject(order)
-}
-
 func (e *Engine) serveDrain(writer http.ResponseWriter, request *http.Request) {
 	var order DrainRequest
 	if !readJSON(writer, request, &order) {
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -87,11 +87,11 @@
 // Handler returns the HTTP interface of the service.
 func (s *Service) Handler() http.Handler {
 	router := chi.NewRouter()
-	router.Post("/fault", s.serveFault)
+	router.Post("/fault", serveFault(s.Inject))
 	router.Post("/drain", s.serveDrain)
 	router.Get("/journal", s.journal.serve)
 	router.Group(func(router chi.Router) {
-		router.Use(s.failing)
+		router.Use(failing(s.failsBy(engine.FaultHang), s.failsBy(engine.FaultDie)))
 		router.Get("/healthz", s.serveHealth)
 		router.Get("/readyz", s.serveReady)
 		router.Get("/load", s.serveLoad)
@@ -133,28 +133,9 @@
 	return current
 }
 
-func (s *Service) failing(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		for s.failure(false).Kind == engine.FaultHang {
-			if !retry.Pause(request.Context(), pollInterval) {
-				panic(http.ErrAbortHandler)
-			}
-		}
-		if s.failure(false).Kind == engine.FaultDie {
-			panic(http.ErrAbortHandler)
-		}
-		next.ServeHTTP(writer, request)
-	})
-}
-
-func (s *Service) serveFault(writer http.ResponseWriter, request *http.Request) {
-	var order FaultOrder
-	if !readJSON(writer, request, &order) {
-		return
-	}
-	writeJSON(writer, http.StatusOK, order)
-	_ = http.NewResponseController(writer).Flush()
-	s.Inject(order)
+// failsBy tells whether the fault in force is of a kind.
+func (s *Service) failsBy(kind engine.FaultKind) func() bool {
+	return func() bool { return s.failure(false).Kind == kind }
 }
 
 func (s *Service) serveDrain(writer http.ResponseWriter, request *http.Request) {
