Refuse requests at once whose bodies are still to come

Cause: the HTTP server reads a short body before it sends an answer, so that a refusal for an unknown key, or by a gateway that drains, waited for a caller that did not send on. Change: refusals before the body is read close their connection, as those by tenants' limits do already; one function serves the three.

--- a/internal/gateway/auth.go
+++ b/internal/gateway/auth.go
@@ -24,13 +24,13 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		key := apiKey(r)
 		if key == "" {
-			writeFault(w, fault.New(fault.Unauthenticated, "the request carries no API key",
+			g.refuseUnread(w, r, fault.New(fault.Unauthenticated, "the request carries no API key",
 				"send it in the Authorization header as 'Bearer KEY'").WithRan(fault.NotRun))
 			return
 		}
 		tenant, found := g.follower.Current().TenantByAPIKey(key)
 		if !found {
-			writeFault(w, fault.New(fault.Unauthenticated, "the API key is not known",
+			g.refuseUnread(w, r, fault.New(fault.Unauthenticated, "the API key is not known",
 				"check the key, or ask the operator to add it to the tenant").WithRan(fault.NotRun))
 			return
 		}
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -78,7 +78,7 @@
 func (g *Gateway) track(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !g.drain.enter() {
-			writeFault(w, fault.New(fault.Unavailable, "this gateway is stopping",
+			g.refuseUnread(w, r, fault.New(fault.Unavailable, "this gateway is stopping",
 				"send the request again to another gateway").WithRan(fault.NotRun).WithRetryAfter(drainRetryAfter))
 			return
 		}
--- a/internal/gateway/limiting.go
+++ b/internal/gateway/limiting.go
@@ -30,8 +30,7 @@
 		}
 		grant, err := g.admitTenant(tenant, bounds, time.Now())
 		if err != nil {
-			g.abandonBody(w, r)
-			writeFault(w, err)
+			g.refuseUnread(w, r, err)
 			return
 		}
 		defer grant.Done(0)
@@ -39,6 +38,12 @@
 	})
 }
 
+// refuseUnread refuses a request whose body was not read, at once.
+func (g *Gateway) refuseUnread(w http.ResponseWriter, r *http.Request, err error) {
+	g.abandonBody(w, r)
+	writeFault(w, err)
+}
+
 // abandonBody lets the answer go out at once. Without it the server waits for a
 // part of the unread body first, for as long as the caller likes. HTTP/2 ends the
 // stream alone and needs none of it.
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -23,11 +23,17 @@
 // open sends the head of a request, and so much of its body, by a connection of
 // its own.
 func (f *fleet) open(path string, length int, part string) net.Conn {
+	f.t.Helper()
+	return f.openAs(testKey, path, length, part)
+}
+
+// openAs is open with another API key.
+func (f *fleet) openAs(key, path string, length int, part string) net.Conn {
 	f.t.Helper()
 	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
 	must(f.t, err)
 	f.t.Cleanup(func() { conn.Close() })
-	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: gateway\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", path, testKey, length, part)
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: gateway\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", path, key, length, part)
 	must(f.t, err)
 	return conn
 }
@@ -101,3 +107,28 @@
 	})
 	f.awaitIdle()
 }
+
+// TestRefusalsDoNotWaitForTheBody sends heads whose short bodies never come, with a
+// key that is not known and to a gateway that drains.
+func TestRefusalsDoNotWaitForTheBody(t *testing.T) {
+	f := startFleet(t, 1, slowConfig())
+	expect := func(conn net.Conn, status int) {
+		t.Helper()
+		must(t, conn.SetReadDeadline(time.Now().Add(testWait)))
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		must(t, err)
+		if refusal := errorOf(t, response); response.StatusCode != status || refusal.Ran != "not_run" {
+			t.Errorf("answered with %d %+v", response.StatusCode, refusal)
+		}
+	}
+	expect(f.openAs("unknown", pathFiles, 1000, ""), http.StatusUnauthorized)
+	client := f.client()
+	stream := client.Chat.Completions.NewStreaming(t.Context(), chatParameters(testModel, "a long saga", 1000))
+	defer stream.Close()
+	if !stream.Next() {
+		t.Fatal(stream.Err())
+	}
+	f.stop()
+	<-f.gateway.drain.started
+	expect(f.open(pathFiles, 1000, ""), http.StatusServiceUnavailable)
+}
