Remove options and readers that nothing uses

Cause: the ledger took another order of jobs as an option that no caller gave, and the engine had two readers without a reader. Change: jobs are ordered by deadline, acceptance and identifier in one place; the readers go. Figures: tests of ledger, engine and control pass.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -74,11 +74,6 @@
 	return engine
 }
 
-// Config returns the engine's parameters.
-func (e *Engine) Config() Config {
-	return e.config
-}
-
 // Totals returns what the engine did since it began.
 func (e *Engine) Totals() Totals {
 	return e.totals
@@ -227,8 +222,3 @@
 func (e *Engine) KVTokens() int {
 	return e.kvTokens + len(e.cache.blocks)*TokensPerBlock
 }
-
-// StepTime returns the length of the last step.
-func (e *Engine) StepTime() time.Duration {
-	return e.lastStep
-}
--- a/internal/ledger/acquire.go
+++ b/internal/ledger/acquire.go
@@ -78,7 +78,7 @@
 	from.waiting -= taken
 	from.firstWaiting = end
 	from.leases[granted.fence] = granted
-	l.waiting.update(from, l.order)
+	l.waiting.update(from)
 	l.leaseDue.add(granted.expires, leaseKey{jobID: from.definition.Id, fence: granted.fence})
 	return granted
 }
--- a/internal/ledger/complete.go
+++ b/internal/ledger/complete.go
@@ -109,7 +109,7 @@
 // settle brings the indexes up to date after a job's items changed, and ends the
 // job when its last item is recorded.
 func (l *Ledger) settle(now int64, changed *job) {
-	l.waiting.update(changed, l.order)
+	l.waiting.update(changed)
 	if changed.running() && changed.recorded() == changed.definition.ItemCount {
 		l.endJob(now, changed, rockwindpb.JobState_JOB_STATE_COMPLETED)
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -27,13 +27,10 @@
 	DefaultStartedTimeoutMilliseconds = 10 * 60_000
 )
 
-// Order tells whether left is to be granted before right, both of one group.
-// Replicas must agree on it: it may depend on the two jobs only.
-type Order func(left, right *rockwindpb.Job) bool
-
-// EarliestDeadlineFirst orders jobs by deadline, then by acceptance; jobs
-// without a deadline come last.
-func EarliestDeadlineFirst(left, right *rockwindpb.Job) bool {
+// earlierDeadline orders the jobs of a group by deadline, then by acceptance; jobs
+// without a deadline come last. Replicas must agree on it, so that it depends on
+// the two jobs only.
+func earlierDeadline(left, right *rockwindpb.Job) bool {
 	if left.DeadlineUnixMs != right.DeadlineUnixMs {
 		if left.DeadlineUnixMs == 0 || right.DeadlineUnixMs == 0 {
 			return right.DeadlineUnixMs == 0
@@ -43,18 +40,9 @@
 	return left.AcceptedUnixMs < right.AcceptedUnixMs
 }
 
-// Option changes a ledger under construction.
-type Option func(*Ledger)
-
-// WithOrder replaces EarliestDeadlineFirst as the order of jobs in a group.
-func WithOrder(order Order) Option {
-	return func(l *Ledger) { l.order = order }
-}
-
 // Ledger is the state of one job shard. It implements replica.StateMachine.
 type Ledger struct {
 	shard   uint32
-	order   Order
 	defects defects
 	state
 }
@@ -101,12 +89,8 @@
 }
 
 // New returns an empty ledger of the given shard.
-func New(shard uint32, options ...Option) *Ledger {
-	l := &Ledger{shard: shard, order: EarliestDeadlineFirst, state: newState()}
-	for _, option := range options {
-		option(l)
-	}
-	return l
+func New(shard uint32) *Ledger {
+	return &Ledger{shard: shard, state: newState()}
 }
 
 func newState() state {
--- a/internal/ledger/restore.go
+++ b/internal/ledger/restore.go
@@ -72,7 +72,7 @@
 		return err
 	}
 	into.addJob(restored)
-	into.waiting.update(restored, l.order)
+	into.waiting.update(restored)
 	if !restored.running() {
 		into.jobDue.add(restored.definition.EndedUnixMs, restored.definition.Id)
 	}
--- a/internal/ledger/submit.go
+++ b/internal/ledger/submit.go
@@ -21,7 +21,7 @@
 	accepted := newJob(l.acceptedDefinition(now, submitted))
 	accepted.samples.add(now, 0)
 	l.addJob(accepted)
-	l.waiting.update(accepted, l.order)
+	l.waiting.update(accepted)
 	return &rockwindpb.SubmitJobResponse{Job: accepted.describe()}, nil
 }
 
@@ -167,6 +167,6 @@
 	ended.leased = nil
 	ended.tries = nil
 	ended.waiting = 0
-	l.waiting.update(ended, l.order)
+	l.waiting.update(ended)
 	l.jobDue.add(now, ended.definition.Id)
 }
--- a/internal/ledger/waiting.go
+++ b/internal/ledger/waiting.go
@@ -11,7 +11,7 @@
 type waitingJobs map[string][]*job
 
 // update puts a job into the index or takes it out, as its items demand.
-func (w waitingJobs) update(changed *job, order Order) {
+func (w waitingJobs) update(changed *job) {
 	wanted := changed.waiting > 0
 	if wanted == changed.queued {
 		return
@@ -19,7 +19,7 @@
 	changed.queued = wanted
 	group := changed.definition.Group
 	queue := w[group]
-	position := sort.Search(len(queue), func(i int) bool { return !before(queue[i], changed, order) })
+	position := sort.Search(len(queue), func(i int) bool { return !before(queue[i], changed) })
 	if wanted {
 		w[group] = slices.Insert(queue, position, changed)
 		return
@@ -30,12 +30,12 @@
 	}
 }
 
-// before is the total order of jobs: the given one, then identifiers.
-func before(left, right *job, order Order) bool {
-	if order(left.definition, right.definition) {
+// before is the total order of jobs: earlierDeadline, then identifiers.
+func before(left, right *job) bool {
+	if earlierDeadline(left.definition, right.definition) {
 		return true
 	}
-	if order(right.definition, left.definition) {
+	if earlierDeadline(right.definition, left.definition) {
 		return false
 	}
 	return left.definition.Id < right.definition.Id
