Let the load generator pause by the shared function

Cause: sleepUntil held the same wait as retry.Pause, which came after it. Change: it calls retry.Pause for the time that is left; both return at once, with the state of the context, where none is left.

--- a/internal/bench/load/run.go
+++ b/internal/bench/load/run.go
@@ -5,6 +5,8 @@
 	"math/rand"
 	"sync"
 	"time"
+
+	"rockwind.example/rockwind/internal/retry"
 )
 
 // Planned is a call with its intended start since the begin of the run.
@@ -80,18 +82,7 @@
 
 // sleepUntil waits for a time and tells whether the context still lasts.
 func sleepUntil(ctx context.Context, at time.Time) bool {
-	wait := time.Until(at)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return retry.Pause(ctx, time.Until(at))
 }
 
 // Poisson returns a schedule of calls at random times with the given mean rate a
