Let machines with new names take the places of lost members

Cause: a store that was replaced by an empty one at another address was never admitted, since a machine could only join under the name of a member.

Change: a leader admits a new machine as a learner in place of a member that is silent for a second or has to leave, promotes it once it holds everything, and then removes the other. A machine that was left out asks again, as a spare. The route of an item is unknown, found or absent; only one that stays absent ends it.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -81,6 +81,7 @@
 		Client:          c.client,
 		Tick:            tick,
 		Discover:        c.peers,
+		AdmitNew:        true,
 		SnapshotEntries: snapshotEntries,
 		SnapshotBytes:   snapshotBytes,
 		SegmentBytes:    segmentBytes,
@@ -124,7 +125,9 @@
 	serving, stopServing := context.WithCancel(parts)
 	defer stopServing()
 	group.Go(func() error { return c.host.Run(parts) })
-	group.Go(func() error { return site.Serve(parts, site.NewServer(c.internalHandler(handler)), internal, stopTimeout) })
+	group.Go(func() error {
+		return site.Serve(parts, site.NewServer(c.internalHandler(handler)), internal, stopTimeout)
+	})
 	group.Go(func() error { c.found(parts); return nil })
 	group.Go(func() error { c.keep(parts); return nil })
 	if outer != nil {
--- a/internal/replica/founding.go
+++ b/internal/replica/founding.go
@@ -220,9 +220,14 @@
 	h.entering <- struct{}{}
 	defer func() { <-h.entering }()
 	done, err := h.entered(entered)
-	if done || err != nil {
+	if err != nil {
 		return err
 	}
+	if done {
+		if entered = h.extended(entered); entered == nil {
+			return nil
+		}
+	}
 	if err := saveCluster(h.options.FileSystem, h.options.Folder, h.log.DiskID(), entered); err != nil {
 		return errors.Wrap(err, "write cluster file")
 	}
@@ -235,6 +240,32 @@
 	return h.startGroups()
 }
 
+// extended returns the cluster of this machine with the groups that it has become
+// a member of since, or nil where there are none. Groups that run keep the
+// membership that they were started with.
+func (h *Host) extended(described *cluster) *cluster {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	known := map[uint32]*rockwindpb.FoundingGroup{}
+	for _, group := range h.cluster.groups {
+		known[group.GetGroup()] = group
+	}
+	changed := false
+	result := &cluster{id: h.cluster.id}
+	for _, group := range described.groups {
+		kept := known[group.GetGroup()]
+		if kept == nil || (h.owners[group.GetGroup()] == nil && memberByID(group.GetMembership(), h.log.DiskID()) != nil) {
+			kept = group
+			changed = true
+		}
+		result.groups = append(result.groups, kept)
+	}
+	if !changed {
+		return nil
+	}
+	return result
+}
+
 // entered tells whether this machine is part of a cluster already. It fails where
 // that is another one.
 func (h *Host) entered(wanted *cluster) (bool, error) {
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -45,6 +45,8 @@
 	cluster *cluster
 	owners  map[uint32]*owner
 	changed chan struct{}
+	// told lists the members that the last answer to a call to join named.
+	told []*rockwindpb.ControlMachine
 }
 
 // NewHost opens the log in options.Folder. It fails with fault.Corrupt when
@@ -156,7 +158,11 @@
 		h.owners[group.GetGroup()] = started
 		h.spawnLocked(started.run)
 	}
-	close(h.found)
+	select {
+	case <-h.found:
+	default:
+		close(h.found)
+	}
 	return nil
 }
 
--- a/internal/replica/joining.go
+++ b/internal/replica/joining.go
@@ -33,28 +33,62 @@
 	if h.options.Discover != nil {
 		known = slices.Concat(known, h.options.Discover())
 	}
+	known = slices.Concat(known, h.toldPeers())
+	asked := map[string]bool{h.options.Address: true}
 	var peers []*rockwindpb.ControlMachine
 	for _, peer := range known {
-		self := peer.GetMachine() == h.options.Machine || peer.GetAddress() == h.options.Address
-		if !self && h.allowedBoth(peer.GetMachine()) {
-			peers = append(peers, peer)
+		if peer.GetMachine() == h.options.Machine || asked[peer.GetAddress()] || !h.allowedBoth(peer.GetMachine()) {
+			continue
 		}
+		asked[peer.GetAddress()] = true
+		peers = append(peers, peer)
 	}
 	return peers
 }
 
+// tellPeers keeps the members that an answer to a call to join named: the leaders
+// may be machines that the settings do not list.
+func (h *Host) tellPeers(groups []*rockwindpb.FoundingGroup) {
+	var told []*rockwindpb.ControlMachine
+	for _, group := range groups {
+		for _, member := range group.GetMembership().GetMembers() {
+			told = append(told, &rockwindpb.ControlMachine{Machine: member.GetMachine(), Address: member.GetAddress()})
+		}
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.told = told
+}
+
+func (h *Host) toldPeers() []*rockwindpb.ControlMachine {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.told
+}
+
 func (h *Host) wantsToJoin() bool {
 	if h.clusterID() == "" {
 		return true
 	}
+	if h.options.AdmitNew && h.leftOut() {
+		return true
+	}
 	for _, o := range h.allOwners() {
-		if !o.Status().GetVoter() {
+		if status := o.Status(); !status.GetVoter() || (h.options.AdmitNew && !status.GetHearsLeader()) {
 			return true
 		}
 	}
 	return false
 }
 
+// leftOut tells whether there is a group that does not run here. This machine may
+// be wanted there.
+func (h *Host) leftOut() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return len(h.owners) < len(h.cluster.groups)
+}
+
 func (h *Host) askToJoin(peer *rockwindpb.ControlMachine) {
 	ctx, cancel := context.WithTimeout(h.ctx, sendTimeout)
 	defer cancel()
@@ -67,6 +101,7 @@
 		log.WithError(fault.From(err)).WithField("machine", peer.GetMachine()).Info("not joined")
 		return
 	}
+	h.tellPeers(response.GetGroups())
 	if err := h.enter(&cluster{id: response.GetClusterId(), groups: response.GetGroups()}); err != nil {
 		log.WithError(err).WithField("machine", peer.GetMachine()).Warn("not joined")
 	}
@@ -90,7 +125,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if !h.belongs(request.GetMachine(), response.GetGroups()) {
+	if !h.options.AdmitNew && !h.belongs(request.GetMachine(), response.GetGroups()) {
 		return nil, fault.Newf(fault.Conflict, "give it the name of the machine that it replaces, or list it in the settings of all machines",
 			"no machine of this cluster is named %s", request.GetMachine())
 	}
@@ -98,14 +133,30 @@
 		if !o.leads() {
 			continue
 		}
-		err := o.do(ctx, func() error { return o.admit(request) })
+		var membership *rockwindpb.Membership
+		err := o.do(ctx, func() error {
+			failure := o.admit(request)
+			membership = o.node.Status().Membership
+			return failure
+		})
 		if fault.Is(err, fault.Conflict) {
 			return nil, err
 		}
+		if err == nil {
+			setMembership(response, o.id, membership)
+		}
 	}
 	return response, nil
 }
 
+func setMembership(response *rockwindpb.JoinResponse, group uint32, membership *rockwindpb.Membership) {
+	for _, described := range response.GetGroups() {
+		if described.GetGroup() == group {
+			described.Membership = membership
+		}
+	}
+}
+
 // belongs tells whether a machine is a member of a group, or is listed in the
 // settings: a large cluster has machines without a replica.
 func (h *Host) belongs(machine string, groups []*rockwindpb.FoundingGroup) bool {
@@ -148,7 +199,7 @@
 		return nil
 	}
 	if !hasMachine(status.Membership, request.GetMachine()) {
-		return nil
+		return o.admitNew(status, request)
 	}
 	changed := &rockwindpb.Membership{}
 	for _, member := range status.Membership.GetMembers() {
@@ -217,6 +268,11 @@
 		}
 	}
 	for position, member := range status.Membership.GetMembers() {
+		if member.GetId() == status.ID && replaced(status.Membership, position) {
+			// The next leader removes this member.
+			_ = o.handOver()
+			return
+		}
 		if !member.GetLearner() && replaced(status.Membership, position) {
 			o.remove(status.Membership, member)
 			return
@@ -239,11 +295,13 @@
 	return o.changeMembers(changed) == nil
 }
 
-// replaced tells whether a later voter carries the same machine name.
+// replaced tells whether a later voter carries the same machine name, or was
+// admitted in place of the member.
 func replaced(membership *rockwindpb.Membership, position int) bool {
 	members := membership.GetMembers()
 	return slices.ContainsFunc(members[position+1:], func(later *rockwindpb.Member) bool {
-		return !later.GetLearner() && later.GetMachine() == members[position].GetMachine()
+		return !later.GetLearner() &&
+			(later.GetMachine() == members[position].GetMachine() || later.GetReplaces() == members[position].GetId())
 	})
 }
 
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -44,6 +44,12 @@
 	// Discover lists further machines that may let this one join; nil means none.
 	// Their names may be unknown. It is called from time to time.
 	Discover func() []*rockwindpb.ControlMachine
+	// AdmitNew lets machines with new names take the places of members that are
+	// silent for long, or that have to leave.
+	AdmitNew bool
+	// Vacate tells which machines have to leave their groups as soon as another one
+	// can take their place; nil means none.
+	Vacate func(machine string) bool
 	// StateMachines returns the empty state machine of a group. The host calls
 	// it once for each group that it runs. Group 0 is the root group, 1 and up
 	// are the job shards.
--- a/internal/replica/owner.go
+++ b/internal/replica/owner.go
@@ -77,6 +77,10 @@
 	// targets holds the index that each learner must reach to be promoted.
 	targets    map[uint64]uint64
 	wasLeading uint64
+	// silentSince holds since when members are silent, as this leader hears it in
+	// silenceTerm.
+	silentSince map[uint64]time.Time
+	silenceTerm uint64
 
 	// What other goroutines read.
 	mutex        sync.Mutex
@@ -117,6 +121,7 @@
 		pending:     map[uint64]*proposal{},
 		asked:       map[uint64][]*read{},
 		targets:     map[uint64]uint64{},
+		silentSince: map[uint64]time.Time{},
 		moved:       make(chan struct{}),
 	}
 	if err := o.restore(); err != nil {
@@ -249,6 +254,7 @@
 	}
 	o.lastTick = now
 	o.node.Tick()
+	o.noteSilence(now)
 	o.replaceMembers()
 	o.continueDrain()
 	return o.maybeSnapshot()
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -87,6 +87,8 @@
 	hasText bool
 	last    uint64
 	hasLast bool
+	// absentSince is since when the item's route is absent; zero while it is not.
+	absentSince time.Time
 	// after is when the item may be tried again.
 	after time.Time
 }
@@ -209,12 +211,13 @@
 	if now.Before(known.after) {
 		return true
 	}
-	route, found := e.route(item)
-	if reason := giveUpReason(item, route, found, known, now); reason != "" {
+	route, standing := e.route(item)
+	known.noteRoute(standing, now)
+	if reason := giveUpReason(item, route, known, now); reason != "" {
 		e.finish(itemEnd{term: e.term, key: key, outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DEAD, history: known, reason: reason})
 		return true
 	}
-	if !found {
+	if standing != routeFound {
 		return true
 	}
 	facts, err := e.store.protocol.Facts(itemHeader(item))
@@ -241,31 +244,54 @@
 	return true
 }
 
-func (e *executor) route(item jobstore.OpenItem) (*rockwindpb.Route, bool) {
+// routeStanding is what is known of an item's route.
+type routeStanding int
+
+const (
+	// routeUnknown: no configuration was heard from a coordinator since the start.
+	routeUnknown routeStanding = iota
+	// routeFound: the configuration in force has it.
+	routeFound
+	// routeAbsent: the configuration in force does not have it.
+	routeAbsent
+)
+
+func (e *executor) route(item jobstore.OpenItem) (*rockwindpb.Route, routeStanding) {
 	if !e.store.watcher.Known() {
-		return nil, false
+		return nil, routeUnknown
 	}
 	route, found := e.store.watcher.Configuration().Route(item.Host, item.JobPath)
-	if found && route.GetKind() != rockwindpb.RouteKind_ROUTE_KIND_BATCH {
-		return nil, false
+	if !found || route.GetKind() != rockwindpb.RouteKind_ROUTE_KIND_BATCH {
+		return nil, routeAbsent
 	}
-	return route, found
+	return route, routeFound
 }
 
-// routeGoneAfter is how long after its submission an item of a job without a
-// route is given up.
-const routeGoneAfter = 10 * time.Second
+// routeGoneAfter is how long an item's route must be absent before the item is
+// given up.
+const routeGoneAfter = 3 * time.Second
+
+// noteRoute keeps since when the item's route is absent.
+func (h *history) noteRoute(standing routeStanding, now time.Time) {
+	switch {
+	case standing != routeAbsent:
+		h.absentSince = time.Time{}
+	case h.absentSince.IsZero():
+		h.absentSince = now
+	}
+}
 
-// giveUpReason says why an item is given up, or nothing.
-func giveUpReason(item jobstore.OpenItem, route *rockwindpb.Route, found bool, known *history, now time.Time) string {
+// giveUpReason says why an item is given up, or nothing. The route is nil where it
+// is not found.
+func giveUpReason(item jobstore.OpenItem, route *rockwindpb.Route, known *history, now time.Time) string {
 	age := now.Sub(time.UnixMilli(item.SubmittedUnixMs))
 	limit := time.Duration(route.GetMaximumWaitMs()) * time.Millisecond
 	switch {
-	case !found && age > routeGoneAfter:
+	case !known.absentSince.IsZero() && now.Sub(known.absentSince) > routeGoneAfter:
 		return "its route is gone"
-	case found && limit > 0 && age > limit:
+	case limit > 0 && age > limit:
 		return "it has waited for too long"
-	case found && known.failures >= max(1, int(route.GetAttempts())):
+	case route != nil && known.failures >= max(1, int(route.GetAttempts())):
 		return "all attempts failed"
 	}
 	return ""
--- a/internal/store/item.go
+++ b/internal/store/item.go
@@ -89,7 +89,7 @@
 		drain(response)
 		t.lease.Done(health.Success, latency)
 		return itemEnd{key: t.key, outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DEAD, history: t.history, reason: "the server says that it can never be done"}
-	case response.Status >= http.StatusInternalServerError:
+	case response.Status == http.StatusInternalServerError:
 		drain(response)
 		t.lease.Done(health.Success, latency)
 		return t.failed("the server answered " + strconv.Itoa(response.Status))
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -88,6 +88,7 @@
 		Client:          s.client,
 		Tick:            tick,
 		Discover:        s.peers,
+		AdmitNew:        true,
 		SnapshotEntries: snapshotEntries,
 		SnapshotBytes:   snapshotBytes,
 		SegmentBytes:    segmentBytes,
