Empty stores on the operator's word, and forget machines that stay silent

Change: the directory marks a store as retiring; shard leaders give its places to spares; it is done when the leaders of all shards say that it is no member. Clients of jobs ask a store that did not answer after the others.

--- a/internal/coordinator/keeper.go
+++ b/internal/coordinator/keeper.go
@@ -51,6 +51,7 @@
 		}
 		c.live.take()
 		c.markSilent(ctx, view.directory, ledSince, now)
+		c.forgetMachines(ctx, view.directory, ledSince, now)
 		c.foundStores(ctx, view.directory, now)
 	}
 }
@@ -64,6 +65,7 @@
 		DiskId:    c.host.DiskID(),
 		Bootstrap: c.settings.GetBootstrap(),
 	}
+	c.live.note(machineKey(machine.GetName()), time.Now())
 	if view.KnowsMachine(machine) {
 		return true
 	}
--- a/internal/coordinator/liveness.go
+++ b/internal/coordinator/liveness.go
@@ -48,12 +48,24 @@
 	return ids
 }
 
+// heardSince tells whether a server or machine was heard after a time.
+func (l *liveness) heardSince(id string, since time.Time) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.heard[id].After(since)
+}
+
 // silent returns those of the given servers that were not heard since a time, and
-// forgets the others that are not among them.
+// forgets servers that are not among them.
 func (l *liveness) silent(ids []string, since time.Time) []string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	kept := make(map[string]time.Time, len(ids))
+	kept := make(map[string]time.Time, len(l.heard))
+	for id, heard := range l.heard {
+		if isMachineKey(id) {
+			kept[id] = heard
+		}
+	}
 	var silent []string
 	for _, id := range ids {
 		heard, known := l.heard[id]
--- a/internal/coordinator/services.go
+++ b/internal/coordinator/services.go
@@ -89,6 +89,7 @@
 			return nil, fault.ToTwirp(err)
 		}
 	}
+	s.coordinator.live.note(machineKey(request.GetMachine().GetName()), time.Now())
 	return &rockwindpb.AnnounceMachineResponse{StoreCluster: view.directory.StoreCluster()}, nil
 }
 
@@ -104,6 +105,16 @@
 	return &rockwindpb.AnnounceMachineResponse{}, fault.ToTwirp(err)
 }
 
+// Retire implements rockwindpb.DirectoryService.
+func (s directoryService) Retire(ctx context.Context, request *rockwindpb.RetireMachine) (*rockwindpb.RetireMachineResponse, error) {
+	if group, _, err := s.coordinator.group(); err == nil {
+		if _, leading := group.Leading(); !leading {
+			return nil, fault.ToTwirp(fault.New(fault.NotLeader, "this coordinator does not lead the root group", "ask the leader"))
+		}
+	}
+	return &rockwindpb.RetireMachineResponse{}, fault.ToTwirp(s.coordinator.Retire(ctx, request.GetName()))
+}
+
 // Watch implements rockwindpb.DirectoryService: it answers as soon as this
 // replica knows something newer, or without news after the wait. It fails as soon
 // as the replica no longer hears the leader.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -66,6 +66,8 @@
 		d.foundStores(content.FoundStores)
 	case *rockwindpb.DirectoryCommand_Forget:
 		d.forget(content.Forget.GetName())
+	case *rockwindpb.DirectoryCommand_Retire:
+		d.retire(content.Retire.GetName(), now)
 	}
 	d.dropOld(now)
 	if d.revision != before {
@@ -167,11 +169,27 @@
 	if sameMachine(d.machines[announced.GetName()], announced) {
 		return
 	}
-	d.revision++
 	added := proto.CloneOf(announced)
-	added.Revision = d.revision
-	added.ChangedUnixMs = now
-	d.machines[added.GetName()] = added
+	added.Retiring = d.machines[announced.GetName()].GetRetiring()
+	d.putMachine(added, now)
+}
+
+func (d *Directory) putMachine(machine *rockwindpb.Machine, now int64) {
+	d.revision++
+	machine.Revision = d.revision
+	machine.ChangedUnixMs = now
+	d.machines[machine.GetName()] = machine
+}
+
+// retire marks a machine for good.
+func (d *Directory) retire(name string, now int64) {
+	known := d.machines[name]
+	if known == nil || known.GetRetiring() {
+		return
+	}
+	retiring := proto.CloneOf(known)
+	retiring.Retiring = true
+	d.putMachine(retiring, now)
 }
 
 // foundStores decides the founding; a second decision has no effect.
--- a/internal/jobclient/client.go
+++ b/internal/jobclient/client.go
@@ -24,6 +24,8 @@
 	callTimeout = 2500 * time.Millisecond
 	// pause is the time between attempts.
 	pause = 25 * time.Millisecond
+	// avoidance is how long a store that did not answer is asked after the others.
+	avoidance = time.Second
 	// comeBack is the time to come back that is told where no leader was reached.
 	comeBack = 300 * time.Millisecond
 )
@@ -36,11 +38,13 @@
 	mutex   sync.Mutex
 	leaders map[uint32]string
 	rotate  int
+	// avoided holds until when stores that did not answer are asked after the others.
+	avoided map[string]time.Time
 }
 
 // New returns a client that finds the stores through the watcher.
 func New(watcher *site.Watcher, client *http.Client) *Client {
-	return &Client{watcher: watcher, client: client, leaders: make(map[uint32]string)}
+	return &Client{watcher: watcher, client: client, leaders: make(map[uint32]string), avoided: make(map[string]time.Time)}
 }
 
 // Submit hands a job over. It returns once enough copies are synced. It fails
@@ -151,8 +155,14 @@
 		return shard, "", false
 	}
 	c.rotate++
-	// The first store of a shard's founding leads it in ordinary times.
-	return shard, stores[(int(shard)+c.rotate)%len(stores)].GetAddress(), true
+	now := time.Now()
+	for offset := range stores {
+		address := stores[(int(shard)+c.rotate+offset)%len(stores)].GetAddress()
+		if now.After(c.avoided[address]) {
+			return shard, address, true
+		}
+	}
+	return shard, stores[c.rotate%len(stores)].GetAddress(), true
 }
 
 func (c *Client) remember(shard uint32, leader string) {
@@ -172,4 +182,7 @@
 	case c.leaders[shard] == asked:
 		delete(c.leaders, shard)
 	}
+	if failure.Kind != fault.NotLeader {
+		c.avoided[asked] = time.Now().Add(avoidance)
+	}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -89,6 +89,7 @@
 		Tick:            tick,
 		Discover:        s.peers,
 		AdmitNew:        true,
+		Vacate:          s.retiring,
 		SnapshotEntries: snapshotEntries,
 		SnapshotBytes:   snapshotBytes,
 		SegmentBytes:    segmentBytes,
@@ -129,6 +130,16 @@
 	return peers
 }
 
+// retiring tells whether a store has to hand over all it keeps.
+func (s *Store) retiring(name string) bool {
+	view := s.watcher.Directory()
+	if view == nil {
+		return false
+	}
+	machine, known := view.Machine(name)
+	return known && machine.GetRetiring()
+}
+
 func (s *Store) run(ctx context.Context, listener net.Listener) error {
 	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopParts()
