Tell refused clients a time to come back that they can use

Ruled out: slow watches; a router knows the configuration within 0.2 s of the election.

Change: a router that knows no configuration tells when it will, counted from its start; every time to come back stays within what a client would wait.

--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -383,6 +383,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	failure := fault.From(err)
+	failure = failure.WithRetryAfter(boundReturn(failure.RetryAfter, time.Until(e.ends)))
 	switch {
 	case e.sent > 0 && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		refuse(e.writer, http.StatusGatewayTimeout, fault.New(fault.OutcomeUnknown, "the time for the request is over", "ask for more time").WithRan(fault.RanUnknown))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -34,9 +34,13 @@
 const (
 	// defaultBodyBytes bounds a request's body where the configuration does not.
 	defaultBodyBytes = 4 << 20
-	// unknownReturn is the time to come back that is told while no configuration is
-	// known.
-	unknownReturn = 250 * time.Millisecond
+	// unknownReturn is the shortest time to come back that is told while no
+	// configuration is known, and startTime how long after its start a router knows
+	// one as a rule.
+	unknownReturn = 300 * time.Millisecond
+	startTime     = 1600 * time.Millisecond
+	// returnSpread is the largest factor by which times to come back are spread.
+	returnSpread = 1.3
 	// evaluateInterval is the time between judgements of the servers.
 	evaluateInterval = time.Second
 )
@@ -48,6 +52,7 @@
 	client     *upstream.Client
 	protocol   Protocol
 	jobs       *jobclient.Client
+	started    time.Time
 }
 
 // New returns a router that serves what the watcher knows.
@@ -58,6 +63,7 @@
 		client:     NewUpstream(),
 		protocol:   protocol,
 		jobs:       jobs,
+		started:    time.Now(),
 	}
 }
 
@@ -100,8 +106,7 @@
 func (r *Router) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	received := time.Now()
 	if !r.watcher.Known() {
-		refuse(writer, http.StatusServiceUnavailable, fault.New(fault.Unavailable, "this router knows no configuration yet",
-			"come back, or ask another router").WithRan(fault.NotRun).WithRetryAfter(unknownReturn))
+		r.refuseUnknown(writer, request)
 		return
 	}
 	index := r.watcher.Configuration()
@@ -127,6 +132,29 @@
 	r.newExchange(writer, request, route, facts, body, received).run(request.Context())
 }
 
+// refuseUnknown answers while no configuration is known: after a start this takes
+// about as long as the coordinators need to agree on a leader.
+func (r *Router) refuseUnknown(writer http.ResponseWriter, request *http.Request) {
+	facts, _ := r.protocol.Facts(request.Header)
+	comeBack := max(unknownReturn, startTime-time.Since(r.started))
+	failure := fault.New(fault.Unavailable, "this router knows no configuration yet", "come back, or ask another router").
+		WithRan(fault.NotRun).WithRetryAfter(boundReturn(comeBack, facts.Deadline))
+	refuse(writer, http.StatusServiceUnavailable, failure)
+}
+
+// returnPart is the part of the remaining time within which a client is told to
+// come back: later than a third of it, it would not come at all.
+const returnPart = 0.3 / returnSpread
+
+// boundReturn bounds a time to come back by what the client has left; zero is
+// unknown.
+func boundReturn(comeBack, remaining time.Duration) time.Duration {
+	if remaining <= 0 {
+		return comeBack
+	}
+	return min(comeBack, time.Duration(returnPart*float64(remaining)))
+}
+
 func (r *Router) newExchange(writer http.ResponseWriter, request *http.Request, route *rockwindpb.Route, facts Facts, body []byte, received time.Time) *exchange {
 	limit := time.Duration(route.GetTimeoutMs()) * time.Millisecond
 	if facts.Deadline > 0 {
@@ -243,7 +271,7 @@
 	header := writer.Header()
 	header.Set("Content-Type", "application/json")
 	if failure.RetryAfter > 0 {
-		spread := 1 + 0.5*rand.Float64()
+		spread := 1 + (returnSpread-1)*rand.Float64()
 		header.Set("Retry-After", strconv.FormatFloat(spread*failure.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	body, err := json.Marshal(failure)
