--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/health"
 	"rockwind.example/rockwind/internal/rockwindpb"
@@ -47,9 +48,14 @@
 	tried   []string
 	refused int
 	// sent counts the tries that may have run.
-	sent int
+	sent     int
+	received time.Time
+	number   uint64
+	waited   time.Duration
 	// started tells that the head of the answer went to the client.
 	started bool
+	// reason says why the last try gave no whole answer.
+	reason string
 	// last is the last event that was relayed.
 	last    uint64
 	hasLast bool
@@ -87,17 +93,25 @@
 	ctx, cancel := context.WithDeadline(ctx, e.ends)
 	defer cancel()
 	for {
+		asked := time.Now()
 		lease, err := e.router.dispatcher.Acquire(ctx, e.service, e.demand(), e.route.GetPriority(), e.tried, e.patience())
+		e.waited += time.Since(asked)
 		if err != nil {
 			e.fail(ctx, err)
 			return
 		}
 		switch e.try(ctx, lease) {
-		case verdictFinished, verdictGone:
+		case verdictFinished:
+			e.record(decision.RequestFinished, lease, "")
+			return
+		case verdictGone:
+			e.record(decision.RequestAbandoned, lease, "the client left")
 			return
 		case verdictBroken:
+			e.record(decision.RequestBroken, lease, e.reason)
 			panic(http.ErrAbortHandler)
 		}
+		e.record(decision.RequestTriedAgain, lease, e.reason)
 		e.tried = append(e.tried, lease.ID)
 		if !e.mayTryAgain() {
 			e.fail(ctx, fault.New(fault.Unavailable, "no server answered the request", "come back later").WithRetryAfter(shortestReturn))
@@ -143,6 +157,7 @@
 	}
 	if judgement.NotRun || judgement.OtherServer {
 		e.refused++
+		e.reason = "the server says that it did not run the request, status " + strconv.Itoa(response.Status)
 		discard(response)
 		outcome := health.Refused
 		if judgement.OtherServer {
@@ -164,6 +179,7 @@
 }
 
 func (e *exchange) tryFailed(ctx context.Context, lease *Lease, err error) verdict {
+	e.reason = err.Error()
 	var failure *upstream.AttemptError
 	notRun := errors.As(err, &failure) && failure.Ran() == fault.NotRun
 	if notRun {
@@ -198,6 +214,7 @@
 func (e *exchange) answer(ctx context.Context, lease *Lease, response *upstream.Response, latency time.Duration) verdict {
 	failed := response.Status >= http.StatusInternalServerError
 	if failed && e.repeatable() && e.mayTryAgain() {
+		e.reason = "the server answered " + strconv.Itoa(response.Status)
 		discard(response)
 		lease.Done(health.Failure, latency)
 		return verdictElsewhere
@@ -274,7 +291,9 @@
 // answerBroke ends a try whose answer broke off at the server.
 func (e *exchange) answerBroke(ctx context.Context, lease *Lease, response *upstream.Response, latency time.Duration) verdict {
 	response.Abandon()
+	e.reason = "the answer broke off at the server"
 	if ctx.Err() != nil {
+		e.reason = "the time is over, or the client left"
 		lease.Abandon()
 		if e.started {
 			return verdictBroken
@@ -384,6 +403,7 @@
 	}
 	failure := fault.From(err)
 	failure = failure.WithRetryAfter(boundReturn(failure.RetryAfter, time.Until(e.ends)))
+	e.recordRefusal(ctx, failure)
 	switch {
 	case e.sent > 0 && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		refuse(e.writer, http.StatusGatewayTimeout, fault.New(fault.OutcomeUnknown, "the time for the request is over", "ask for more time").WithRan(fault.RanUnknown))
--- /dev/null
+++ b/internal/router/recording.go
@@ -0,0 +1,55 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"rockwind.example/rockwind/internal/decision"
+	"rockwind.example/rockwind/internal/fault"
+)
+
+// record writes what was decided about the request, and on what it rested.
+func (e *exchange) record(kind decision.Kind, lease *Lease, reason string) {
+	if !decision.Wanted(kind, e.facts.ID) {
+		return
+	}
+	fields := e.fields()
+	fields["server"] = lease.ID
+	fields["load"] = lease.Load
+	fields["slots"] = lease.Slots
+	fields["candidates"] = lease.Candidates
+	fields["uncached_tokens"] = lease.Uncached
+	fields["load_age_ms"] = lease.ReportAge.Milliseconds()
+	if reason != "" {
+		fields["reason"] = reason
+	}
+	decision.Default.Record(kind, e.facts.ID, fields)
+}
+
+// recordRefusal writes a refusal of the router's own.
+func (e *exchange) recordRefusal(ctx context.Context, failure *fault.Fault) {
+	fields := e.fields()
+	fields["reason"] = failure.Message
+	fields["last_try"] = e.reason
+	fields["retry_after_ms"] = failure.RetryAfter.Milliseconds()
+	if ctx.Err() != nil {
+		fields["context"] = ctx.Err().Error()
+	}
+	decision.Default.Record(decision.RequestRefused, e.facts.ID, fields)
+}
+
+// fields are common to all lines about the request.
+func (e *exchange) fields() log.Fields {
+	return log.Fields{
+		"route":         e.route.GetName(),
+		"service":       e.service,
+		"configuration": e.number,
+		"sent":          e.sent,
+		"refused":       e.refused,
+		"waited_ms":     e.waited.Milliseconds(),
+		"held_ms":       time.Since(e.received).Milliseconds(),
+		"left_ms":       time.Until(e.ends).Milliseconds(),
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -129,7 +129,9 @@
 		refuseFault(writer, err)
 		return
 	}
-	r.newExchange(writer, request, route, facts, body, received).run(request.Context())
+	created := r.newExchange(writer, request, route, facts, body, received)
+	created.number = index.Number()
+	created.run(request.Context())
 }
 
 // refuseUnknown answers while no configuration is known: after a start this takes
@@ -173,6 +175,8 @@
 		facts:   facts,
 		header:  header,
 		ends:    received.Add(limit),
+
+		received: received,
 		request: upstream.Request{
 			ID:         facts.ID,
 			Kind:       upstream.Relayed,
