--- a/internal/balance/evidence.go
+++ b/internal/balance/evidence.go
@@ -26,12 +26,16 @@
 	}
 }
 
-// Read tells that the first event of a request came, or that it never will: the
-// server has read the prompt tokens that the choice counted.
-func (p *Pool) Read(choice Choice) {
-	if known := p.find(choice.ID); known != nil {
-		known.unread = max(0, known.unread-choice.Uncached)
+// Read tells that the first event of a request came, or that it never will. The
+// prompt tokens that the choice counted are no longer awaited.
+func (p *Pool) Read(choice Choice, came bool, now time.Duration) {
+	place := p.place(choice.ID)
+	if place < 0 {
+		return
 	}
+	known := p.servers[place]
+	known.unread = max(0, known.unread-choice.Uncached)
+	p.tracker.FirstToken(place, came, now)
 }
 
 // Ended takes the end of an exchange. Latency is the time to the answer's head;
@@ -58,7 +62,7 @@
 	}
 }
 
-// Evaluate runs the judgements that depend on time. Call it about once a second.
+// Evaluate runs the judgements that depend on time. Call it a few times a second.
 func (p *Pool) Evaluate(now time.Duration, random *rand.Rand) {
 	p.tracker.Evaluate(now, random)
 }
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -37,6 +37,9 @@
 	// homes is how many servers are expected to keep a shared part, and homeTrust
 	// how likely the first and the second of them do.
 	homes = 2
+	// silentFor is how long no first event may come from a server while some are
+	// awaited.
+	silentFor = 350 * time.Millisecond
 	// partFor is how long a part that was sent to a server counts as kept.
 	partFor = 20 * time.Second
 	// maximumParts bounds the parts remembered for a server.
@@ -102,7 +105,15 @@
 
 // NewPool returns a pool without servers, for a process in the given zone.
 func NewPool(zone string) *Pool {
-	return &Pool{zone: zone, tracker: health.NewTracker(health.DefaultPolicy, 0)}
+	return &Pool{zone: zone, tracker: health.NewTracker(policy(), 0)}
+}
+
+// policy judges servers as health.DefaultPolicy does, but takes silence for
+// sickness earlier: first events come within a tenth of a second as a rule.
+func policy() health.Policy {
+	adjusted := health.DefaultPolicy
+	adjusted.SilentFor = silentFor
+	return adjusted
 }
 
 // Update replaces the members and keeps what is known of those that stay.
@@ -185,6 +196,11 @@
 	Candidates int
 }
 
+// Expected is how long the first event is expected to take.
+func (c Choice) Expected() time.Duration {
+	return time.Duration(float64(c.Uncached) / readRate * float64(time.Millisecond))
+}
+
 // Choose returns the server with the least expected time to the first event among
 // those with room, and counts the request there. A server that is out for its
 // failures gets a single request as a trial when its time has come. It fails where no server that
@@ -221,6 +237,7 @@
 		found.ReportAge = now - best.toldAt
 	}
 	p.start(best, demand, found.Uncached, now)
+	p.tracker.Sent(p.place(best.ID), found.Expected(), now)
 	return found, true
 }
 
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -254,8 +254,10 @@
 	d.service(l.service).pool.Told(l.ID, load, d.now())
 }
 
-// Read tells that the first event came, or that none will.
-func (l *Lease) Read() {
+// Read tells that the first event, or the whole answer, came.
+func (l *Lease) Read() { l.noteRead(true) }
+
+func (l *Lease) noteRead(came bool) {
 	if l.read {
 		return
 	}
@@ -263,12 +265,12 @@
 	d := l.dispatcher
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.service(l.service).pool.Read(l.Choice)
+	d.service(l.service).pool.Read(l.Choice, came, d.now())
 }
 
 // Done ends the lease with what the exchange showed of the server.
 func (l *Lease) Done(outcome health.Outcome, latency time.Duration) {
-	l.Read()
+	l.noteRead(outcome == health.Success || outcome == health.Refused)
 	d := l.dispatcher
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -283,7 +285,7 @@
 
 // Abandon ends the lease of an exchange that shows nothing of the server.
 func (l *Lease) Abandon() {
-	l.Read()
+	l.noteRead(false)
 	d := l.dispatcher
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -42,7 +42,7 @@
 	// returnSpread is the largest factor by which times to come back are spread.
 	returnSpread = 1.3
 	// evaluateInterval is the time between judgements of the servers.
-	evaluateInterval = time.Second
+	evaluateInterval = 250 * time.Millisecond
 )
 
 // Router serves the routes of the configuration in force.
