Elect leaders in 0.3 to 0.6 s

Cause: after a loss of leaders, jobs and configurations waited 0.5 to 1 s for an election, and most worst windows begin with one.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -33,7 +33,7 @@
 
 const (
 	// tick is the unit of the consensus protocol's time.
-	tick = 50 * time.Millisecond
+	tick = 30 * time.Millisecond
 	// groupFolder holds the replicated group under the data folder.
 	groupFolder = "groups"
 	// foundingPause is the time between attempts to found the cluster.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -27,7 +27,7 @@
 )
 
 const (
-	tick = 50 * time.Millisecond
+	tick = 30 * time.Millisecond
 	// Folders under the data folder.
 	groupFolder         = "groups"
 	configurationFolder = "configuration"
