Let routers and stores tell each other what they have at servers

A busy server gets no requests, tells nothing, and looked empty to every router at once.

Change: each process sends a datagram with its requests and unread tokens at each server to all others every 50 ms or more, rarer among many; sums replace old reports.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -22,8 +22,10 @@
 
 // Tuning of the choice.
 const (
-	// reportFor is how long a told load counts.
-	reportFor = 1500 * time.Millisecond
+	// reportFor is how long a told load counts, and reportBeside how long where other
+	// processes tell theirs.
+	reportFor    = 1500 * time.Millisecond
+	reportBeside = 150 * time.Millisecond
 	// fullFor is how long a server that refused as full is passed over.
 	fullFor = 60 * time.Millisecond
 	// readRate is how many prompt tokens a server reads in a millisecond.
@@ -45,7 +47,7 @@
 	// maximumParts bounds the parts remembered for a server.
 	maximumParts = 512
 	// batchPart is the part of a server's slots that batch work may fill.
-	batchPart = 0.4
+	batchPart = 0.7
 )
 
 var homeTrust = [homes]float64{0.8, 0.5}
@@ -79,6 +81,8 @@
 // server is a member with what is known of its load.
 type server struct {
 	Member
+	// hash is its short name in digests.
+	hash uint32
 	// inflight counts the requests of this process.
 	inflight int
 	// unread is the number of prompt tokens sent whose first event is awaited.
@@ -99,13 +103,15 @@
 // goroutine at a time.
 type Pool struct {
 	zone    string
+	shares  *Shares
 	servers []*server
 	tracker *health.Tracker
 }
 
-// NewPool returns a pool without servers, for a process in the given zone.
-func NewPool(zone string) *Pool {
-	return &Pool{zone: zone, tracker: health.NewTracker(policy(), 0)}
+// NewPool returns a pool without servers, for a process in the given zone. The
+// shares are those of all pools of the process.
+func NewPool(zone string, shares *Shares) *Pool {
+	return &Pool{zone: zone, shares: shares, tracker: health.NewTracker(policy(), 0)}
 }
 
 // policy judges servers as health.DefaultPolicy does, but takes silence for
@@ -134,7 +140,7 @@
 	}
 	for _, member := range members {
 		if p.find(member.ID) == nil {
-			p.add(&server{Member: member, parts: make(map[uint64]time.Duration)})
+			p.add(&server{Member: member, hash: ServerHash(member.ID), parts: make(map[uint64]time.Duration)})
 		}
 	}
 }
@@ -173,12 +179,19 @@
 	return size
 }
 
-// load estimates how many requests a server has, from all callers.
-func (s *server) load(now time.Duration) int {
-	if !s.known || now-s.toldAt > reportFor {
-		return s.inflight
+// load estimates how many requests a server has, from all callers: those of this
+// process and those that the others tell of. What the server told itself counts
+// beside it while it is new, and for longer where no other process tells anything.
+func (p *Pool) load(s *server, now time.Duration) int {
+	estimate := s.inflight + p.shares.At(s.hash).Inflight
+	valid := reportFor
+	if p.shares.Known() {
+		valid = reportBeside
 	}
-	return max(s.inflight, s.told+s.since)
+	if s.known && now-s.toldAt <= valid {
+		estimate = max(estimate, s.told+s.since)
+	}
+	return estimate
 }
 
 // Choice is a chosen server.
@@ -210,7 +223,7 @@
 	var found Choice
 	lowest := 0.0
 	for place, candidate := range p.servers {
-		if candidate == nil || slices.Contains(tried, candidate.ID) || !candidate.room(demand, now) {
+		if candidate == nil || slices.Contains(tried, candidate.ID) || !p.room(candidate, demand, now) {
 			continue
 		}
 		state, _ := p.tracker.State(place, now)
@@ -232,7 +245,7 @@
 		return Choice{}, false
 	}
 	found.ID, found.Address, found.Slots = best.ID, best.Address, best.Slots
-	found.Load, found.ReportAge = best.load(now), -1
+	found.Load, found.ReportAge = p.load(best, now), -1
 	if best.known {
 		found.ReportAge = now - best.toldAt
 	}
@@ -242,7 +255,7 @@
 }
 
 // room tells whether a server can take a request at once.
-func (s *server) room(demand Demand, now time.Duration) bool {
+func (p *Pool) room(s *server, demand Demand, now time.Duration) bool {
 	if now < s.fullUntil {
 		return false
 	}
@@ -253,13 +266,13 @@
 	if demand.Batch {
 		limit = max(1, int(batchPart*float64(s.Slots)))
 	}
-	return s.load(now) < limit
+	return p.load(s, now) < limit
 }
 
 func (p *Pool) cost(candidate *server, state health.State, uncached int, now time.Duration) float64 {
-	cost := float64(uncached+candidate.unread) / readRate
+	cost := float64(uncached+candidate.unread+p.shares.At(candidate.hash).Unread) / readRate
 	if candidate.Slots > 0 {
-		cost += loadCost * float64(candidate.load(now)) / float64(candidate.Slots)
+		cost += loadCost * float64(p.load(candidate, now)) / float64(candidate.Slots)
 	}
 	if candidate.Zone != p.zone {
 		cost += otherZoneCost
--- /dev/null
+++ b/internal/balance/shared_test.go
@@ -0,0 +1,124 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func pool(slots int, names ...string) (*Pool, *Shares) {
+	shares := NewShares()
+	created := NewPool("here", shares)
+	var members []Member
+	for _, name := range names {
+		members = append(members, Member{ID: name, Address: name, Zone: "here", Slots: slots})
+	}
+	created.Update(members)
+	return created, shares
+}
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// TestBusyServerWithAnOldReportDoesNotSeemEmpty: a server that other processes
+// keep busy tells this process nothing, since it sends no request there.
+func TestBusyServerWithAnOldReportDoesNotSeemEmpty(t *testing.T) {
+	p, shares := pool(12, "busy", "free")
+	p.Told("busy", Load{Running: 12, Slots: 12}, 0)
+	now := 10 * time.Second
+	shares.Take("other", 1, 1, map[uint32]SharedLoad{ServerHash("busy"): {Inflight: 11}}, now)
+	for range 8 {
+		choice, found := p.Choose(Demand{}, nil, now, random())
+		if !found || choice.ID != "free" {
+			t.Fatalf("chose %+v, %v", choice, found)
+		}
+	}
+}
+
+func TestFullServersAreNotChosenByAnyone(t *testing.T) {
+	p, shares := pool(4, "a")
+	shares.Take("other", 1, 1, map[uint32]SharedLoad{ServerHash("a"): {Inflight: 3}}, 0)
+	if _, found := p.Choose(Demand{}, nil, 0, random()); !found {
+		t.Fatal("the last slot is not used")
+	}
+	if choice, found := p.Choose(Demand{}, nil, 0, random()); found {
+		t.Fatalf("chose %+v beyond its slots", choice)
+	}
+}
+
+func TestBatchLeavesRoomForOnline(t *testing.T) {
+	p, shares := pool(10, "a")
+	shares.Take("other", 1, 1, map[uint32]SharedLoad{ServerHash("a"): {Inflight: int(batchPart * 10)}}, 0)
+	if choice, found := p.Choose(Demand{Batch: true}, nil, 0, random()); found {
+		t.Fatalf("batch takes %+v", choice)
+	}
+	if _, found := p.Choose(Demand{}, nil, 0, random()); !found {
+		t.Fatal("online gets no room")
+	}
+}
+
+func TestOldAndRepeatedDigestsArePassedOver(t *testing.T) {
+	shares := NewShares()
+	load := func(n int) map[uint32]SharedLoad { return map[uint32]SharedLoad{1: {Inflight: n}} }
+	shares.Take("a", 5, 2, load(2), 0)
+	shares.Take("a", 5, 1, load(1), 0)
+	shares.Take("a", 4, 9, load(9), 0)
+	if got := shares.At(1).Inflight; got != 2 {
+		t.Fatalf("the sum is %d", got)
+	}
+	shares.Take("a", 6, 1, load(7), 0)
+	if got := shares.At(1).Inflight; got != 7 {
+		t.Fatalf("after a restart the sum is %d", got)
+	}
+	shares.Expire(senderFor + 1)
+	if shares.Known() || shares.At(1) != (SharedLoad{}) {
+		t.Fatal("a silent process still counts")
+	}
+}
+
+// TestSumsAreThoseOfTheNewestDigests compares the sums, which are kept as digests
+// come and go, with a count from scratch.
+func TestSumsAreThoseOfTheNewestDigests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shares := NewShares()
+		type held struct {
+			sequence uint64
+			at       time.Duration
+			loads    map[uint32]SharedLoad
+		}
+		oracle := map[string]held{}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 700).Draw(t, "pass")) * time.Millisecond
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "sender")
+			sequence := rapid.Uint64Range(1, 40).Draw(t, "sequence")
+			loads := map[uint32]SharedLoad{}
+			for server := range uint32(4) {
+				if n := rapid.IntRange(0, 3).Draw(t, "load"); n > 0 {
+					loads[server] = SharedLoad{Inflight: n, Unread: 10 * n}
+				}
+			}
+			if known, found := oracle[name]; !found || sequence > known.sequence {
+				oracle[name] = held{sequence, now, loads}
+			}
+			shares.Take(name, 1, sequence, loads, now)
+			shares.Expire(now)
+			for sender, known := range oracle {
+				if now-known.at > senderFor {
+					delete(oracle, sender)
+				}
+			}
+			for server := range uint32(4) {
+				want := SharedLoad{}
+				for _, known := range oracle {
+					want.Inflight += known.loads[server].Inflight
+					want.Unread += known.loads[server].Unread
+				}
+				if got := shares.At(server); got != want {
+					t.Fatalf("server %d: %+v, want %+v", server, got, want)
+				}
+			}
+		}
+	})
+}
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -12,6 +12,7 @@
 	"rockwind.example/rockwind/internal/dial"
 	"rockwind.example/rockwind/internal/jobclient"
 	"rockwind.example/rockwind/internal/logring"
+	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/site"
 )
@@ -63,6 +64,8 @@
 	group, parts := errgroup.WithContext(parts)
 	group.Go(func() error { return watcher.Run(parts) })
 	group.Go(func() error { router.Keep(parts); return nil })
+	group.Go(func() error { return router.dispatcher.Share(parts, settings) })
+	group.Go(func() error { router.announce(parts, settings); return nil })
 	group.Go(func() error {
 		return site.Serve(parts, site.NewServer(readiness(watcher, leaving)), readyListener, 0)
 	})
@@ -92,6 +95,30 @@
 	return group.Wait()
 }
 
+// announceInterval is the time between this router's announcements.
+const announceInterval = 3 * time.Second
+
+// announce makes this router known to the others.
+func (r *Router) announce(ctx context.Context, settings *rockwindpb.SiteSettings) {
+	if settings.GetInternalListen() == "" {
+		return
+	}
+	self := &rockwindpb.Machine{
+		Name:    settings.GetName(),
+		Role:    rockwindpb.SiteRole_SITE_ROLE_ROUTER,
+		Zone:    settings.GetZone(),
+		Address: settings.GetInternalListen(),
+	}
+	for {
+		if _, err := r.watcher.Announce(ctx, self); err != nil {
+			log.WithError(err).Debug("no coordinator took the announcement")
+		}
+		if !retry.Pause(ctx, announceInterval) {
+			return
+		}
+	}
+}
+
 func graceOf(settings *rockwindpb.SiteSettings) time.Duration {
 	grace := time.Duration(settings.GetGraceS() * float64(time.Second))
 	if grace <= 0 {
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -11,6 +11,7 @@
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/health"
+	"rockwind.example/rockwind/internal/loadshare"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -20,9 +21,13 @@
 	zone   string
 	origin time.Time
 
-	mutex  sync.Mutex
+	mutex sync.Mutex
+	// sharer tells other processes of this one's load; nil before Share.
+	sharer *loadshare.Sharer
+	name   string
 	random *rand.Rand
 	pools  map[string]*servicePool
+	shares *balance.Shares
 	order  uint64
 }
 
@@ -41,6 +46,7 @@
 		origin: time.Now(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pools:  make(map[string]*servicePool),
+		shares: balance.NewShares(),
 	}
 }
 
@@ -60,6 +66,7 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.setPeers(view)
 	for name := range d.pools {
 		if members[name] == nil {
 			members[name] = []balance.Member{}
@@ -74,7 +81,7 @@
 func (d *Dispatcher) service(name string) *servicePool {
 	found, known := d.pools[name]
 	if !known {
-		found = &servicePool{pool: balance.NewPool(d.zone), holding: typicalHolding}
+		found = &servicePool{pool: balance.NewPool(d.zone, d.shares), holding: typicalHolding}
 		d.pools[name] = found
 	}
 	return found
@@ -241,6 +248,7 @@
 func (d *Dispatcher) Evaluate() {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.shares.Expire(d.now())
 	for _, pool := range d.pools {
 		pool.pool.Evaluate(d.now(), d.random)
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -150,6 +150,7 @@
 	group.Go(func() error { s.announce(parts); return nil })
 	group.Go(func() error { router.Follow(parts, s.watcher, s.dispatcher, s.upstream); return nil })
 	group.Go(func() error { return s.execute(parts) })
+	group.Go(func() error { return s.dispatcher.Share(parts, s.settings) })
 	group.Go(func() error {
 		defer stopParts()
 		select {
