--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -46,8 +46,10 @@
 	partFor = 20 * time.Second
 	// maximumParts bounds the parts remembered for a server.
 	maximumParts = 512
-	// batchPart is the part of a server's slots that batch work may fill.
-	batchPart = 0.7
+	// batchPart is the part of a server's slots up to which batch work may start
+	// there, and urgentPart that for work that is about to be late.
+	batchPart  = 0.6
+	urgentPart = 0.9
 )
 
 var homeTrust = [homes]float64{0.8, 0.5}
@@ -65,6 +67,8 @@
 	Parts []Part
 	// Batch requests only take what online requests leave.
 	Batch bool
+	// Urgency of batch work, from 0 to 1.
+	Urgency float64
 }
 
 // Member is a server as the directory describes it.
@@ -264,7 +268,8 @@
 	}
 	limit := s.Slots
 	if demand.Batch {
-		limit = max(1, int(batchPart*float64(s.Slots)))
+		part := batchPart + demand.Urgency*(urgentPart-batchPart)
+		limit = max(1, int(part*float64(s.Slots)))
 	}
 	return p.load(s, now) < limit
 }
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -224,7 +224,9 @@
 	if err != nil {
 		facts = router.Facts{}
 	}
-	lease := e.store.dispatcher.TryAcquire(router.ServiceOf(route, item.Item.GetId()), balance.Demand{Parts: facts.Parts, Batch: true})
+	lease := e.store.dispatcher.TryAcquire(router.ServiceOf(route, item.Item.GetId()), balance.Demand{
+		Parts: facts.Parts, Batch: true, Urgency: urgency(route, now.Sub(time.UnixMilli(item.SubmittedUnixMs))),
+	})
 	if lease == nil {
 		return false
 	}
@@ -244,6 +246,22 @@
 	return true
 }
 
+// Parts of the time until a job is due between which its items become urgent.
+const (
+	calmPart   = 0.25
+	urgentPart = 0.6
+)
+
+// urgency is how urgent an item is at an age, from 0 to 1.
+func urgency(route *rockwindpb.Route, age time.Duration) float64 {
+	due := time.Duration(route.GetDueMs()) * time.Millisecond
+	if due <= 0 {
+		return 0
+	}
+	passed := float64(age) / float64(due)
+	return min(1, max(0, (passed-calmPart)/(urgentPart-calmPart)))
+}
+
 // routeStanding is what is known of an item's route.
 type routeStanding int
 
