Reach the coordinator that answers, however many do not

Ruled out: the hint that named the old coordinator, mended too; its test passes on the old code.

Change: coordinators that did not answer come after the others for 10 s, oldest failure first. The test with two silent coordinators failed before.

--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -5,6 +5,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -33,8 +34,9 @@
 	// retryPause is the pause after a failed call.
 	retryPause = 50 * time.Millisecond
 	// configurationWait is how long a coordinator may hold a call for a newer
-	// configuration; the watch of the directory tells at once that there is one.
-	configurationWait = 20 * time.Second
+	// configuration; the watch of the directory tells at once that there is one. It
+	// bounds how long the call hangs at a coordinator that falls silent under it.
+	configurationWait = 3 * time.Second
 )
 
 // Watcher follows the coordinators. Run owns its state; the other methods may be
@@ -52,12 +54,15 @@
 	changed chan struct{}
 	// preferred is the coordinator that answered last.
 	preferred string
+	// avoided holds until when coordinators that did not answer come after the
+	// others.
+	avoided map[string]time.Time
 }
 
 // NewWatcher returns a watcher that knows nothing yet. The folder keeps the
 // configuration over restarts; it is empty at processes without a disk.
 func NewWatcher(settings *rockwindpb.SiteSettings, client *http.Client, folder string) (*Watcher, error) {
-	w := &Watcher{settings: settings, client: client, changed: make(chan struct{})}
+	w := &Watcher{settings: settings, client: client, changed: make(chan struct{}), avoided: make(map[string]time.Time)}
 	following, err := follower.New(follower.Options{
 		Sources: []rockwindpb.ConfigurationService{configurationSource{w}},
 		Folder:  folder,
@@ -144,15 +149,14 @@
 func (w *Watcher) watchAt(ctx context.Context, address string) error {
 	service := rockwindpb.NewDirectoryServiceProtobufClient("http://"+address, twirphttp.Client{Carrier: w.client})
 	for ctx.Err() == nil {
-		if err := w.watchOnce(ctx, service); err != nil {
+		if err := w.watchOnce(ctx, address, service); err != nil {
 			return err
 		}
-		w.prefer(address)
 	}
 	return nil
 }
 
-func (w *Watcher) watchOnce(ctx context.Context, service rockwindpb.DirectoryService) error {
+func (w *Watcher) watchOnce(ctx context.Context, address string, service rockwindpb.DirectoryService) error {
 	held := w.Directory()
 	request := &rockwindpb.WatchDirectoryRequest{WaitMs: uint32(watchWait.Milliseconds())}
 	if held != nil {
@@ -166,6 +170,9 @@
 		return fault.From(err)
 	}
 	w.heard.Store(time.Now().UnixNano())
+	// The hint makes the follower ask the preferred coordinator, which must be the
+	// one that has the news.
+	w.prefer(address)
 	w.follower.Hint(response.GetConfigurationNumber())
 	merged := directory.Merge(held, response)
 	if merged != held {
@@ -184,7 +191,9 @@
 }
 
 // Coordinators lists the internal addresses of the coordinators: the one that
-// answered last, then those of this zone, then the others, then the seeds.
+// answered last, then those of this zone, then the others, then the seeds. Those
+// that failed to answer lately come last, the one that failed first before the
+// others.
 func (w *Watcher) Coordinators() []string {
 	w.mutex.Lock()
 	preferred := w.preferred
@@ -210,6 +219,16 @@
 			distinct = append(distinct, address)
 		}
 	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	now := time.Now()
+	failedAt := func(address string) int64 {
+		if until := w.avoided[address]; until.After(now) {
+			return until.UnixNano()
+		}
+		return 0
+	}
+	slices.SortStableFunc(distinct, func(a, b string) int { return cmp.Compare(failedAt(a), failedAt(b)) })
 	return distinct
 }
 
@@ -217,15 +236,19 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.preferred = address
+	delete(w.avoided, address)
 }
 
-// avoid puts another coordinator than the failed one first.
+// avoidance is how long a coordinator that did not answer comes after the others.
+const avoidance = 10 * time.Second
+
+// avoid notes that a coordinator did not answer.
 func (w *Watcher) avoid(failed string) {
-	for _, address := range w.Coordinators() {
-		if address != failed {
-			w.prefer(address)
-			return
-		}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.avoided[failed] = time.Now().Add(avoidance)
+	if w.preferred == failed {
+		w.preferred = ""
 	}
 }
 
--- a/internal/store/item.go
+++ b/internal/store/item.go
@@ -18,6 +18,9 @@
 
 const (
 	connectLimit = 400 * time.Millisecond
+	// answerLimit is how long the head of an answer may take: a server may run an item
+	// and lose the answer.
+	answerLimit = 5 * time.Second
 	// silenceLimit is how long a stream of an item may be silent.
 	silenceLimit = 4 * time.Second
 	// pauseAfterRefusal and pauseAfterFailure are the times before an item is tried
@@ -116,7 +119,7 @@
 		Path:       t.item.Item.GetPath(),
 		Header:     header,
 		Body:       t.item.Body,
-		Timeouts:   upstream.Timeouts{Connect: connectLimit},
+		Timeouts:   upstream.Timeouts{Connect: connectLimit, FirstByte: answerLimit},
 		Repeatable: true,
 		Belongs:    func(answer http.Header) bool { return t.store.protocol.Belongs(header, answer) },
 	}
