--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -42,6 +42,7 @@
 
 	Gateway gatewayCommand `cmd:"" group:"Daemons" help:"Run a gateway."`
 	Control controlCommand `cmd:"" group:"Daemons" help:"Run a control daemon."`
+	Site    siteCommand    `cmd:"" group:"Daemons" help:"Run a coordinator, router or store of a site."`
 
 	Cluster clusterCommand `cmd:"" group:"Operation" help:"Found a cluster and look at its replicas."`
 	Apply   applyCommand   `cmd:"" group:"Operation" help:"Apply a configuration file as a whole."`
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,209 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+const (
+	ready    = rockwindpb.ServerState_SERVER_STATE_READY
+	draining = rockwindpb.ServerState_SERVER_STATE_DRAINING
+	gone     = rockwindpb.ServerState_SERVER_STATE_GONE
+	silent   = rockwindpb.ServerState_SERVER_STATE_SILENT
+)
+
+func report(id, address string, state rockwindpb.ServerState, sequence uint64) *rockwindpb.DirectoryCommand {
+	return &rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Report{
+		Report: &rockwindpb.Server{Id: id, Service: "s", Address: address, State: state, Sequence: sequence},
+	}}
+}
+
+func leave(id string) *rockwindpb.DirectoryCommand {
+	return &rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Leave{Leave: &rockwindpb.LeaveServerRequest{Id: id}}}
+}
+
+func silence(ids ...string) *rockwindpb.DirectoryCommand {
+	return &rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Silence{Silence: &rockwindpb.SilenceServers{Ids: ids}}}
+}
+
+func announce(name string, role rockwindpb.SiteRole, disk uint64, at int64) *rockwindpb.DirectoryCommand {
+	return &rockwindpb.DirectoryCommand{NowUnixMs: at, Command: &rockwindpb.DirectoryCommand_Announce{
+		Announce: &rockwindpb.Machine{Name: name, Role: role, DiskId: disk, Address: name, Bootstrap: true},
+	}}
+}
+
+func state(d *Directory, id string) rockwindpb.ServerState {
+	server, _ := d.View().Server(id)
+	return server.GetState()
+}
+
+func TestLateReportsReviveNobody(t *testing.T) {
+	d := New()
+	d.Apply(report("a", "x", ready, 3))
+	d.Apply(report("a", "x", draining, 4))
+	d.Apply(report("a", "x", ready, 3))
+	d.Apply(report("a", "x", ready, 5))
+	if got := state(d, "a"); got != draining {
+		t.Fatalf("a draining server is %v", got)
+	}
+	d.Apply(leave("a"))
+	d.Apply(report("a", "x", ready, 9))
+	if got := state(d, "a"); got != gone {
+		t.Fatalf("a server that left is %v", got)
+	}
+	d.Apply(leave("never-seen"))
+	d.Apply(report("never-seen", "y", ready, 1))
+	if got := state(d, "never-seen"); got != gone {
+		t.Fatalf("a server whose leave came before its first report is %v", got)
+	}
+}
+
+func TestNewIncarnationTakesTheAddress(t *testing.T) {
+	d := New()
+	d.Apply(report("old", "x", ready, 9))
+	d.Apply(report("new", "x", ready, 1))
+	if state(d, "old") != gone || state(d, "new") != ready {
+		t.Fatalf("old is %v, new is %v", state(d, "old"), state(d, "new"))
+	}
+}
+
+func TestSilentServerIsBackWithItsNextReport(t *testing.T) {
+	d := New()
+	d.Apply(report("a", "x", ready, 1))
+	d.Apply(report("b", "y", draining, 1))
+	d.Apply(silence("a", "b"))
+	if state(d, "a") != silent || state(d, "b") != gone {
+		t.Fatalf("a is %v, b is %v", state(d, "a"), state(d, "b"))
+	}
+	d.Apply(report("a", "x", ready, 2))
+	if got := state(d, "a"); got != ready {
+		t.Fatalf("a is %v", got)
+	}
+}
+
+func TestRetiringLastsOverAnnouncements(t *testing.T) {
+	d := New()
+	d.Apply(announce("s", rockwindpb.SiteRole_SITE_ROLE_STORE, 1, 0))
+	d.Apply(&rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Retire{Retire: &rockwindpb.RetireMachine{Name: "s"}}})
+	d.Apply(announce("s", rockwindpb.SiteRole_SITE_ROLE_STORE, 2, 0))
+	if machine, _ := d.View().Machine("s"); !machine.GetRetiring() || machine.GetDiskId() != 2 {
+		t.Fatalf("%v", machine)
+	}
+}
+
+func TestStoresAreFoundedOnceWithAllThatAppeared(t *testing.T) {
+	d := New()
+	role := rockwindpb.SiteRole_SITE_ROLE_STORE
+	start := time.UnixMilli(10_000)
+	for i := range 3 {
+		d.Apply(announce(fmt.Sprintf("s%d", i), role, uint64(i+1), start.UnixMilli()))
+		if PlanStores(d.View(), 3, start.Add(foundingSettle-time.Millisecond)) != nil {
+			t.Fatal("founded before the stores have settled")
+		}
+	}
+	founding := PlanStores(d.View(), 3, start.Add(foundingSettle))
+	if len(founding.GetGroups()) != 3 {
+		t.Fatalf("%v", founding)
+	}
+	for _, group := range founding.GetGroups() {
+		if len(group.GetMembership().GetMembers()) != 3 {
+			t.Fatalf("%v", group)
+		}
+	}
+	if !proto.Equal(founding, PlanStores(d.View(), 3, start.Add(time.Hour))) {
+		t.Fatal("the same stores make another cluster")
+	}
+	found := &rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_FoundStores{FoundStores: founding}}
+	d.Apply(found)
+	other := proto.CloneOf(founding)
+	other.ClusterId = "other"
+	d.Apply(&rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_FoundStores{FoundStores: other}})
+	if got := d.View().StoreCluster().GetClusterId(); got != founding.GetClusterId() {
+		t.Fatalf("a second founding made %s", got)
+	}
+	if PlanStores(d.View(), 3, start.Add(time.Hour)) != nil {
+		t.Fatal("founded twice")
+	}
+}
+
+func TestTooFewStoresAreWaitedForOnlySoLong(t *testing.T) {
+	d := New()
+	start := time.UnixMilli(10_000)
+	d.Apply(announce("s0", rockwindpb.SiteRole_SITE_ROLE_STORE, 1, start.UnixMilli()))
+	if PlanStores(d.View(), 3, start.Add(foundingPatience-time.Millisecond)) != nil {
+		t.Fatal("founded with one store of three at once")
+	}
+	if PlanStores(d.View(), 3, start.Add(foundingPatience)) == nil {
+		t.Fatal("never founded")
+	}
+}
+
+// TestWatchersAndReplicasAgree runs random commands on two replicas, one of which
+// is restored from snapshots, and follows them with a watcher that misses some
+// revisions. All must hold the same servers.
+func TestWatchersAndReplicasAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		first, second := New(), New()
+		var held *View
+		now := int64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += rapid.Int64Range(0, 90_000).Draw(t, "pass")
+			id := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "server")
+			var command *rockwindpb.DirectoryCommand
+			switch rapid.IntRange(0, 3).Draw(t, "command") {
+			case 0:
+				command = report(id, rapid.SampledFrom([]string{"x", "y"}).Draw(t, "address"), ready, rapid.Uint64Range(0, 5).Draw(t, "sequence"))
+			case 1:
+				command = report(id, "x", draining, rapid.Uint64Range(0, 5).Draw(t, "sequence"))
+			case 2:
+				command = leave(id)
+			case 3:
+				command = silence("a", "b")
+			}
+			command.NowUnixMs = now
+			before := map[string]rockwindpb.ServerState{}
+			for _, server := range first.View().Servers() {
+				before[server.GetId()] = server.GetState()
+			}
+			first.Apply(command)
+			second.Apply(command)
+			for _, server := range first.View().Servers() {
+				was := before[server.GetId()]
+				if (was == gone && server.GetState() != gone) || (was == draining && server.GetState() != draining && server.GetState() != gone) {
+					t.Fatalf("server %s went from %v to %v", server.GetId(), was, server.GetState())
+				}
+			}
+			if rapid.Bool().Draw(t, "restart") {
+				restored := New()
+				restored.Load(second.Save())
+				second = restored
+			}
+			if rapid.Bool().Draw(t, "watch") {
+				revision := uint64(0)
+				if held != nil {
+					revision = held.Revision()
+				}
+				held = Merge(held, first.View().Since(revision))
+				same(t, "watcher", held, first.View())
+			}
+			same(t, "replica", second.View(), first.View())
+		}
+	})
+}
+
+func same(t *rapid.T, who string, got, want *View) {
+	if got.Revision() != want.Revision() || len(got.Servers()) != len(want.Servers()) {
+		t.Fatalf("the %s is at %d with %d servers, not %d with %d", who, got.Revision(), len(got.Servers()), want.Revision(), len(want.Servers()))
+	}
+	for _, server := range want.Servers() {
+		if held, _ := got.Server(server.GetId()); !proto.Equal(held, server) {
+			t.Fatalf("the %s holds %v, not %v", who, held, server)
+		}
+	}
+}
--- a/internal/jobstore/read.go
+++ b/internal/jobstore/read.go
@@ -1,7 +1,10 @@
 package jobstore
 
 import (
+	"crypto/sha256"
+
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
@@ -9,6 +12,18 @@
 
 func hash(id string) uint64 { return xxhash.Sum64String(id) }
 
+// Digest is the SHA-256 of what a job asks for: its items and the address that they
+// were submitted to. A resend has the same digest.
+func Digest(job *rockwindpb.StoredJob) ([]byte, error) {
+	asked := &rockwindpb.StoredJob{Id: job.GetId(), Host: job.GetHost(), Path: job.GetPath(), Items: job.GetItems()}
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(asked)
+	if err != nil {
+		return nil, fault.Newf(fault.InvalidArgument, "send the job again", "the job cannot be encoded: %v", err)
+	}
+	sum := sha256.Sum256(encoded)
+	return sum[:], nil
+}
+
 // OpenItem is an item that may still run.
 type OpenItem struct {
 	// Job is the identifier of its job, and Index its place there.
--- /dev/null
+++ b/internal/router/plain.go
@@ -0,0 +1,83 @@
+package router
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/upstream"
+)
+
+// Headers of the product's own protocol, beside those of package upstream.
+const (
+	// HeaderDeadline is how long the client waits, in milliseconds.
+	HeaderDeadline = "X-Deadline-Ms"
+	// HeaderServer names the incarnation that is meant.
+	HeaderServer = "X-Server"
+	// HeaderLastEvent is the last event that was received.
+	HeaderLastEvent = "Last-Event-ID"
+)
+
+// PlainProtocol is the product's own protocol of routes: see docs/API.md.
+type PlainProtocol struct{}
+
+var _ Protocol = PlainProtocol{}
+
+// Facts implements Protocol.
+func (PlainProtocol) Facts(header http.Header) (Facts, error) {
+	facts := Facts{ID: header.Get(upstream.HeaderRequestID), ResumeAfter: header.Get(HeaderLastEvent)}
+	if text := header.Get(HeaderDeadline); text != "" {
+		milliseconds, err := strconv.ParseUint(text, 10, 32)
+		if err != nil {
+			return facts, fault.Newf(fault.InvalidArgument, "send a number of milliseconds", "the header %s is %q", HeaderDeadline, text).WithRan(fault.NotRun)
+		}
+		facts.Deadline = time.Duration(milliseconds) * time.Millisecond
+	}
+	return facts, nil
+}
+
+// Prepare implements Protocol.
+func (PlainProtocol) Prepare(header http.Header, try Try) {
+	header.Set(HeaderServer, try.ServerID)
+	if try.RequestID != "" {
+		header.Set(upstream.HeaderRequestID, try.RequestID)
+	}
+	if try.Remaining > 0 {
+		header.Set(HeaderDeadline, strconv.FormatInt(max(1, try.Remaining.Milliseconds()), 10))
+	}
+	if try.ResumeAfter != "" {
+		header.Set(HeaderLastEvent, try.ResumeAfter)
+	}
+}
+
+// Belongs implements Protocol. Servers that do not name the request are believed.
+func (PlainProtocol) Belongs(request, answer http.Header) bool {
+	named := answer.Get(upstream.HeaderRequestID)
+	return named == "" || named == request.Get(upstream.HeaderRequestID)
+}
+
+// Judge implements Protocol.
+func (PlainProtocol) Judge(status int, answer http.Header) Judgement {
+	return Judgement{NotRun: answer.Get(upstream.HeaderNotRun) == "true", OtherServer: status == http.StatusMisdirectedRequest}
+}
+
+// Job implements Protocol: the submission is a StoredJob in protobuf's JSON.
+func (PlainProtocol) Job(header http.Header, body []byte) (*rockwindpb.StoredJob, error) {
+	job := &rockwindpb.StoredJob{}
+	if err := protojson.Unmarshal(body, job); err != nil {
+		return nil, fault.Newf(fault.InvalidArgument, "send the job as JSON", "the job cannot be read: %v", err).WithRan(fault.NotRun)
+	}
+	if job.GetId() == "" {
+		job.Id = header.Get(upstream.HeaderRequestID)
+	}
+	if job.GetId() == "" {
+		return nil, fault.New(fault.InvalidArgument, "the job has no identifier", "give it one").WithRan(fault.NotRun)
+	}
+	// Only what a client decides is taken over.
+	job.Results, job.Ended, job.SubmittedUnixMs = nil, false, 0
+	return job, nil
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -26,6 +26,7 @@
 	"rockwind.example/rockwind/internal/dial"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/jobclient"
+	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/site"
 	"rockwind.example/rockwind/internal/upstream"
@@ -241,6 +242,10 @@
 	}
 	job.Host, job.Path = request.Host, request.URL.EscapedPath()
 	job.SubmittedUnixMs = time.Now().UnixMilli()
+	if job.Digest, err = jobstore.Digest(job); err != nil {
+		refuseFault(writer, err)
+		return
+	}
 	if err := r.jobs.Submit(request.Context(), job); err != nil {
 		log.WithError(err).WithField("job", job.GetId()).WithField("route", route.GetName()).Warn("job not taken")
 		refuseFault(writer, err)
