--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -32,7 +32,7 @@
 	readRate = 85.0
 	// Costs in milliseconds of the time to the first event.
 	loadCost      = 60.0
-	otherZoneCost = 12.0
+	otherZoneCost = 4.0
 	suspectCost   = 1000.0
 	silentCost    = 2000.0
 	jitterCost    = 6.0
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,6 +23,7 @@
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
+	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/dial"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/jobclient"
@@ -39,7 +40,7 @@
 	// configuration is known, and startTime how long after its start a router knows
 	// one as a rule.
 	unknownReturn = 300 * time.Millisecond
-	startTime     = 1600 * time.Millisecond
+	startTime     = 700 * time.Millisecond
 	// returnSpread is the largest factor by which times to come back are spread.
 	returnSpread = 1.3
 	// evaluateInterval is the time between judgements of the servers.
@@ -246,14 +247,30 @@
 		refuseFault(writer, err)
 		return
 	}
-	if err := r.jobs.Submit(request.Context(), job); err != nil {
-		log.WithError(err).WithField("job", job.GetId()).WithField("route", route.GetName()).Warn("job not taken")
+	began := time.Now()
+	err = r.jobs.Submit(request.Context(), job)
+	fields := log.Fields{"route": route.GetName(), "items": len(job.GetItems()), "bytes": len(body), "took_ms": time.Since(began).Milliseconds()}
+	if err != nil {
+		fields["error"] = err.Error()
+		decision.Default.Record(decision.JobRefused, job.GetId(), fields)
 		refuseFault(writer, err)
 		return
 	}
+	decision.Default.Record(decision.JobTaken, job.GetId(), fields)
 	writer.WriteHeader(http.StatusAccepted)
 }
 
+// EndJob ends a job: once it returns nothing more of it is begun.
+func (r *Router) EndJob(ctx context.Context, id string) error {
+	err := r.jobs.End(ctx, id)
+	fields := log.Fields{}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	decision.Default.Record(decision.JobEnded, id, fields)
+	return err
+}
+
 // statusError is a fault with a status of its own.
 type statusError struct {
 	status int
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -7,8 +7,10 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rockwind.example/rockwind/internal/configuration"
+	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/follower"
@@ -54,6 +57,8 @@
 	changed chan struct{}
 	// preferred is the coordinator that answered last.
 	preferred string
+	// lost tells that the last watch failed; it is true before the first.
+	lost bool
 	// avoided holds until when coordinators that did not answer come after the
 	// others.
 	avoided map[string]time.Time
@@ -62,7 +67,7 @@
 // NewWatcher returns a watcher that knows nothing yet. The folder keeps the
 // configuration over restarts; it is empty at processes without a disk.
 func NewWatcher(settings *rockwindpb.SiteSettings, client *http.Client, folder string) (*Watcher, error) {
-	w := &Watcher{settings: settings, client: client, changed: make(chan struct{}), avoided: make(map[string]time.Time)}
+	w := &Watcher{settings: settings, client: client, changed: make(chan struct{}), avoided: make(map[string]time.Time), lost: true}
 	following, err := follower.New(follower.Options{
 		Sources: []rockwindpb.ConfigurationService{configurationSource{w}},
 		Folder:  folder,
@@ -93,6 +98,7 @@
 	for ctx.Err() == nil {
 		changed := w.follower.Changed()
 		w.announce()
+		w.recordConfiguration()
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -100,6 +106,41 @@
 	}
 }
 
+// recordConfiguration writes which configuration is in force here.
+func (w *Watcher) recordConfiguration() {
+	current := w.Configuration()
+	if current.Number() == 0 {
+		return
+	}
+	decision.Default.Record(decision.ConfigurationInForce, strconv.FormatUint(current.Number(), 10), log.Fields{
+		"routes": len(current.Routes()), "checksum": fmt.Sprintf("%x", current.Checksum()[:4]),
+	})
+}
+
+// recordDependency writes that a coordinator was lost, or that one is heard again.
+func (w *Watcher) recordDependency(address string, failure error) {
+	w.mutex.Lock()
+	lost := w.lost
+	w.lost = failure != nil
+	w.mutex.Unlock()
+	if lost == (failure != nil) {
+		return
+	}
+	fields := log.Fields{"directory": uint64(0), "heard_ms_ago": int64(-1)}
+	if w.heard.Load() != 0 {
+		fields["heard_ms_ago"] = time.Since(w.LastHeard()).Milliseconds()
+	}
+	if view := w.Directory(); view != nil {
+		fields["directory"] = view.Revision()
+	}
+	if failure != nil {
+		fields["error"] = failure.Error()
+		decision.Default.Record(decision.DependencyLost, address, fields)
+		return
+	}
+	decision.Default.Record(decision.DependencyRegained, address, fields)
+}
+
 // Configuration is the one in force; it has number zero before the first.
 func (w *Watcher) Configuration() *configuration.Index { return w.follower.Current() }
 
@@ -134,8 +175,10 @@
 	for ctx.Err() == nil {
 		for _, address := range w.Coordinators() {
 			if err := w.watchAt(ctx, address); err != nil {
-				log.WithError(err).WithField("coordinator", address).Debug("coordinator did not answer a watch")
 				w.avoid(address)
+				if ctx.Err() == nil {
+					w.recordDependency(address, err)
+				}
 				break
 			}
 		}
@@ -169,6 +212,7 @@
 	if err != nil {
 		return fault.From(err)
 	}
+	w.recordDependency(address, nil)
 	w.heard.Store(time.Now().UnixNano())
 	// The hint makes the follower ask the preferred coordinator, which must be the
 	// one that has the news.
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/retry"
@@ -102,6 +103,10 @@
 	outcome rockwindpb.StoredOutcome
 	history *history
 	reason  string
+	// item and server are the identifiers of the item and of the server that had it,
+	// for the log.
+	item   string
+	server string
 }
 
 // executor runs the items of one shard while this store leads it. One goroutine
@@ -214,7 +219,7 @@
 	route, standing := e.route(item)
 	known.noteRoute(standing, now)
 	if reason := giveUpReason(item, route, known, now); reason != "" {
-		e.finish(itemEnd{term: e.term, key: key, outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DEAD, history: known, reason: reason})
+		e.finish(itemEnd{term: e.term, key: key, outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DEAD, history: known, reason: reason, item: item.Item.GetId()})
 		return true
 	}
 	if standing != routeFound {
@@ -232,11 +237,17 @@
 	}
 	running, cancel := context.WithCancel(ctx)
 	e.running[key] = cancel
+	if decision.Wanted(decision.ItemStarted, item.Job) {
+		decision.Default.Record(decision.ItemStarted, item.Job, log.Fields{
+			"item": item.Index, "item_id": item.Item.GetId(), "server": lease.ID, "load": lease.Load, "slots": lease.Slots,
+			"failures": known.failures, "after_event": known.last, "age_ms": now.UnixMilli() - item.SubmittedUnixMs,
+		})
+	}
 	try := &itemTry{store: e.store, item: item, key: key, history: known, lease: lease, attempts: max(1, int(route.GetAttempts()))}
 	term := e.term
 	go func() {
 		end := try.run(running)
-		end.term = term
+		end.term, end.item, end.server = term, item.Item.GetId(), lease.ID
 		cancel()
 		select {
 		case e.ended <- end:
@@ -322,10 +333,7 @@
 	}
 	delete(e.running, end.key)
 	delete(e.recorded, end.key)
-	if end.reason != "" {
-		log.WithField("job", end.key.job).WithField("item", end.key.index).WithField("outcome", end.outcome.String()).
-			WithField("failures", end.history.failures).WithField("reason", end.reason).Info("item ended or returned")
-	}
+	recordEnd(end)
 	if end.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_UNSPECIFIED {
 		return
 	}
@@ -341,6 +349,31 @@
 	e.results[end.key.job] = append(e.results[end.key.job], result)
 }
 
+// recordEnd writes what became of a try. Ordinary ends are sampled by job.
+func recordEnd(end itemEnd) {
+	kind := decision.ItemRecorded
+	switch {
+	case end.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_UNSPECIFIED:
+		kind = decision.ItemReturned
+	case end.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_DONE && !decision.Sampled(end.key.job):
+		return
+	}
+	decision.Default.Record(kind, end.key.job, log.Fields{
+		"item": end.key.index, "item_id": end.item, "outcome": outcomeName(end.outcome), "failures": end.history.failures,
+		"reason": end.reason, "server": end.server, "term": end.term, "events": end.history.last,
+	})
+}
+
+func outcomeName(outcome rockwindpb.StoredOutcome) string {
+	switch outcome {
+	case rockwindpb.StoredOutcome_STORED_OUTCOME_DONE:
+		return "done"
+	case rockwindpb.StoredOutcome_STORED_OUTCOME_DEAD:
+		return "dead"
+	}
+	return "returned"
+}
+
 // gather takes further ends for a short while, so that they are recorded together.
 func (e *executor) gather(ctx context.Context) {
 	retry.Pause(ctx, recordLinger)
