Refuse early what has all its time left, and let who came back wait

Cause: while all servers were busy every request waited for twice its goal and was then refused: too late to be in time at its next try, and refusals that come late are priced. Ruled out: longer waits for all (late answers earn a third).

Change: a request whose client still has the whole time of the route waits for a fifth of its goal, and is told when to come back; one that has come back waits for half of what it has left.

--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -29,9 +29,12 @@
 	// readSize is the size of one read of a stream.
 	readSize = 8 << 10
 	// patiencePart is the part of the remaining time that a request may wait for
-	// room, and goalPatience that of its goal.
-	patiencePart = 0.5
-	goalPatience = 2.0
+	// room. One that may come back waits for earlyPatience of its goal only.
+	patiencePart  = 0.5
+	earlyPatience = 0.2
+	// wholePart is the part of the route's time that a client has at least which
+	// asks for the first time.
+	wholePart = 0.97
 )
 
 // exchange is one client request on its way through the servers.
@@ -126,12 +129,20 @@
 // patience is how long the request may wait for room now.
 func (e *exchange) patience() time.Duration {
 	remaining := time.Duration(patiencePart * float64(time.Until(e.ends)))
-	if goal := time.Duration(e.route.GetGoalMs()) * time.Millisecond; goal > 0 {
-		return min(remaining, time.Duration(goalPatience*float64(goal)))
+	goal := time.Duration(e.route.GetGoalMs()) * time.Millisecond
+	if goal > 0 && e.sent == 0 && e.mayComeBack() {
+		return min(remaining, time.Duration(earlyPatience*float64(goal)))
 	}
 	return remaining
 }
 
+// mayComeBack tells whether the client has all of its time left: it is told early
+// to come back, and is in time then. One that has come back waits instead.
+func (e *exchange) mayComeBack() bool {
+	whole := time.Duration(e.route.GetTimeoutMs()) * time.Millisecond
+	return e.facts.Deadline >= time.Duration(wholePart*float64(whole))
+}
+
 // mayTryAgain tells whether another server may be tried.
 func (e *exchange) mayTryAgain() bool {
 	attempts := max(1, int(e.route.GetAttempts()))
