--- a/internal/architecture/architecture_test.go
+++ b/internal/architecture/architecture_test.go
@@ -16,7 +16,7 @@
 
 // purePackages decide and do nothing else: time and randomness are arguments.
 var purePackages = []string{
-	"admission", "engine", "health", "ledger", "limits", "ownership", "placement",
+	"admission", "balance", "directory", "engine", "health", "jobstore", "ledger", "limits", "ownership", "placement",
 	"raft", "routing", "sharding", "sharing", "simulator", "virtualtime",
 }
 
