Keep the lifecycle of replicated daemons in one place

Coordinator and store opened and ran their replicas by the same lines, and two commands set up the log ring alike: site.OpenHost, site.RunHost and session.withRing serve both.

--- a/internal/command/daemons.go
+++ b/internal/command/daemons.go
@@ -73,16 +73,24 @@
 	if err != nil {
 		return err
 	}
+	return s.withRing(func(ring *logring.Ring) error {
+		options := []control.Option{control.WithLogs(ring)}
+		if c.AllowFaultInjection {
+			options = append(options, control.WithLinkFaults(&linkfault.Links{}))
+		}
+		return control.Run(s.context, loaded, options...)
+	})
+}
+
+// withRing runs a daemon whose log is a ring in memory, which is written out at
+// SIGUSR1 and where the daemon fails.
+func (s *session) withRing(run func(*logring.Ring) error) error {
 	signal.Ignore(syscall.SIGHUP)
 	ring := logring.New(logring.DefaultCapacity, s.stderr)
 	log.SetHandler(ring)
 	stop := dumpOnSignal(s.context, ring, s.stderr)
 	defer stop()
-	options := []control.Option{control.WithLogs(ring)}
-	if c.AllowFaultInjection {
-		options = append(options, control.WithLinkFaults(&linkfault.Links{}))
-	}
-	return dumpOnFailure(control.Run(s.context, loaded, options...), ring, s.stderr)
+	return dumpOnFailure(run(ring), ring, s.stderr)
 }
 
 // dumpOnFailure writes the ring out where a daemon failed while it ran.
--- a/internal/command/site.go
+++ b/internal/command/site.go
@@ -2,10 +2,6 @@
 
 import (
 	"net/http"
-	"os/signal"
-	"syscall"
-
-	"github.com/apex/log"
 
 	"rockwind.example/rockwind/internal/coordinator"
 	"rockwind.example/rockwind/internal/logring"
@@ -34,12 +30,7 @@
 	if err != nil {
 		return err
 	}
-	signal.Ignore(syscall.SIGHUP)
-	ring := logring.New(logring.DefaultCapacity, s.stderr)
-	log.SetHandler(ring)
-	stop := dumpOnSignal(s.context, ring, s.stderr)
-	defer stop()
-	return dumpOnFailure(runSite(s, loaded), ring, s.stderr)
+	return s.withRing(func(*logring.Ring) error { return runSite(s, loaded) })
 }
 
 func runSite(s *session, loaded *rockwindpb.SiteSettings) error {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -10,7 +10,6 @@
 	"context"
 	"net"
 	"net/http"
-	"path/filepath"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -25,29 +24,18 @@
 	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
-	"rockwind.example/rockwind/internal/settings"
 	"rockwind.example/rockwind/internal/sharding"
 	"rockwind.example/rockwind/internal/site"
 	"rockwind.example/rockwind/internal/twirphttp"
 )
 
 const (
-	// tick is the unit of the consensus protocol's time.
-	tick = 30 * time.Millisecond
-	// groupFolder holds the replicated group under the data folder.
-	groupFolder = "groups"
 	// foundingPause is the time between attempts to found the cluster.
 	foundingPause = 100 * time.Millisecond
 	// leaderPause is the time between attempts to reach a leader.
 	leaderPause = 30 * time.Millisecond
-	// handOverTimeout bounds the hand-over of leadership at a planned stop.
-	handOverTimeout = 2 * time.Second
 	// stopTimeout bounds the calls in progress at a planned stop.
 	stopTimeout = 2 * time.Second
-	// snapshotEntries and snapshotBytes bound the log on a small disk.
-	snapshotEntries = 4000
-	snapshotBytes   = 8 << 20
-	segmentBytes    = 4 << 20
 )
 
 // Coordinator is a running coordinator. Its methods may be called by any
@@ -66,25 +54,11 @@
 // Run serves until the context ends, and then stops as planned: it hands over
 // leadership and finishes the calls in progress. The handler answers on
 // settings.Listen, or on the internal address where that is empty; it may be nil.
-func Run(ctx context.Context, settings_ *rockwindpb.SiteSettings, handler Handler) error {
-	release, err := settings.OpenDataFolder(settings_.GetDataFolder())
-	if err != nil {
-		return err
-	}
-	defer release()
-	site.BoundMemory(settings_)
-	c := &Coordinator{settings: settings_, client: dial.NewClient(), live: newLiveness()}
-	c.host, err = replica.NewHost(replica.Options{
-		Machine:         settings_.GetName(),
-		Address:         settings_.GetInternalListen(),
-		Folder:          filepath.Join(settings_.GetDataFolder(), groupFolder),
-		Client:          c.client,
-		Tick:            tick,
-		Discover:        c.peers,
-		AdmitNew:        true,
-		SnapshotEntries: snapshotEntries,
-		SnapshotBytes:   snapshotBytes,
-		SegmentBytes:    segmentBytes,
+func Run(ctx context.Context, settings *rockwindpb.SiteSettings, handler Handler) error {
+	site.BoundMemory(settings)
+	c := &Coordinator{settings: settings, client: dial.NewClient(), live: newLiveness()}
+	host, release, err := site.OpenHost(settings, c.client, site.HostOptions{
+		Discover: c.peers,
 		StateMachines: func(uint32) replica.StateMachine {
 			created := newRootMachine()
 			c.root.Store(created)
@@ -94,6 +68,8 @@
 	if err != nil {
 		return err
 	}
+	defer release()
+	c.host = host
 	return c.run(ctx, handler)
 }
 
@@ -117,38 +93,23 @@
 			return errors.CombineErrors(err, internal.Close())
 		}
 	}
-	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopParts()
-	group, parts := errgroup.WithContext(parts)
+	log.WithField("machine", c.settings.GetName()).WithField("address", c.settings.GetInternalListen()).Info("coordinator serves")
 	// Callers are served until leadership is handed over, and other coordinators
 	// until the replicas have stopped.
-	serving, stopServing := context.WithCancel(parts)
-	defer stopServing()
-	group.Go(func() error { return c.host.Run(parts) })
-	group.Go(func() error {
-		return site.Serve(parts, site.NewServer(c.internalHandler(handler)), internal, stopTimeout)
-	})
-	group.Go(func() error { c.found(parts); return nil })
-	group.Go(func() error { c.keep(parts); return nil })
-	if outer != nil {
-		group.Go(func() error { return site.Serve(serving, site.NewServer(handler(c)), outer, stopTimeout) })
-	}
-	group.Go(func() error {
-		defer stopParts()
-		select {
-		case <-ctx.Done():
-		case <-parts.Done():
-		}
-		handingOver, cancel := context.WithTimeout(context.WithoutCancel(ctx), handOverTimeout)
-		defer cancel()
-		if err := c.host.Drain(handingOver); err != nil {
-			log.WithError(err).Warn("cannot hand over all leadership")
+	stopServing := func() {}
+	return site.RunHost(ctx, c.host, func(group *errgroup.Group, parts context.Context) {
+		group.Go(func() error {
+			return site.Serve(parts, site.NewServer(c.internalHandler(handler)), internal, stopTimeout)
+		})
+		group.Go(func() error { c.found(parts); return nil })
+		group.Go(func() error { c.keep(parts); return nil })
+		if outer == nil {
+			return
 		}
-		stopServing()
-		return nil
-	})
-	log.WithField("machine", c.settings.GetName()).WithField("address", c.settings.GetInternalListen()).Info("coordinator serves")
-	return group.Wait()
+		var serving context.Context
+		serving, stopServing = context.WithCancel(parts)
+		group.Go(func() error { return site.Serve(serving, site.NewServer(handler(c)), outer, stopTimeout) })
+	}, func() { stopServing() })
 }
 
 func (c *Coordinator) internalHandler(handler Handler) http.Handler {
--- /dev/null
+++ b/internal/site/host.go
@@ -0,0 +1,90 @@
+package site
+
+import (
+	"context"
+	"net/http"
+	"path/filepath"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
+
+	"rockwind.example/rockwind/internal/replica"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/settings"
+)
+
+const (
+	// tick is the unit of the consensus protocol's time; leaders are elected in ten
+	// to twenty of them.
+	tick = 30 * time.Millisecond
+	// groupFolder holds the replicated groups under the data folder.
+	groupFolder = "groups"
+	// Bounds of the log on a small disk.
+	snapshotEntries = 4000
+	snapshotBytes   = 12 << 20
+	segmentBytes    = 6 << 20
+	// handOverTimeout bounds the hand-over of leadership at a planned stop.
+	handOverTimeout = 2 * time.Second
+)
+
+// HostOptions are what differs between the replicated daemons of a site. The fields
+// are those of replica.Options.
+type HostOptions struct {
+	Discover      func() []*rockwindpb.ControlMachine
+	Vacate        func(machine string) bool
+	StateMachines func(group uint32) replica.StateMachine
+}
+
+// OpenHost locks the data folder of the settings and opens the replicas in it. The
+// returned function unlocks the folder.
+func OpenHost(given *rockwindpb.SiteSettings, client *http.Client, options HostOptions) (host *replica.Host, release func(), err error) {
+	if release, err = settings.OpenDataFolder(given.GetDataFolder()); err != nil {
+		return nil, nil, err
+	}
+	host, err = replica.NewHost(replica.Options{
+		Machine:         given.GetName(),
+		Address:         given.GetInternalListen(),
+		Folder:          filepath.Join(given.GetDataFolder(), groupFolder),
+		Client:          client,
+		Tick:            tick,
+		Discover:        options.Discover,
+		AdmitNew:        true,
+		Vacate:          options.Vacate,
+		SnapshotEntries: snapshotEntries,
+		SnapshotBytes:   snapshotBytes,
+		SegmentBytes:    segmentBytes,
+		StateMachines:   options.StateMachines,
+	})
+	if err != nil {
+		release()
+		return nil, nil, err
+	}
+	return host, release, nil
+}
+
+// RunHost runs the replicas and the parts that start adds until the context ends.
+// Then it hands over leadership while everything still runs, calls handedOver, and
+// ends the context of the parts.
+func RunHost(ctx context.Context, host *replica.Host, start func(group *errgroup.Group, parts context.Context), handedOver func()) error {
+	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopParts()
+	group, parts := errgroup.WithContext(parts)
+	group.Go(func() error { return host.Run(parts) })
+	start(group, parts)
+	group.Go(func() error {
+		defer stopParts()
+		select {
+		case <-ctx.Done():
+		case <-parts.Done():
+		}
+		handingOver, cancel := context.WithTimeout(context.WithoutCancel(ctx), handOverTimeout)
+		defer cancel()
+		if err := host.Drain(handingOver); err != nil {
+			log.WithError(err).Warn("cannot hand over all leadership")
+		}
+		handedOver()
+		return nil
+	})
+	return group.Wait()
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -21,26 +21,18 @@
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/router"
-	"rockwind.example/rockwind/internal/settings"
 	"rockwind.example/rockwind/internal/site"
 	"rockwind.example/rockwind/internal/upstream"
 )
 
 const (
-	tick = 30 * time.Millisecond
-	// Folders under the data folder.
-	groupFolder         = "groups"
+	// configurationFolder is under the data folder.
 	configurationFolder = "configuration"
 	// announceInterval is the time between announcements while the cluster is not
 	// founded, and steadyInterval afterwards.
 	announceInterval = 200 * time.Millisecond
 	steadyInterval   = 3 * time.Second
-	handOverTimeout  = 2 * time.Second
 	stopTimeout      = 2 * time.Second
-	// Bounds of the log on a small disk.
-	snapshotEntries = 4000
-	snapshotBytes   = 16 << 20
-	segmentBytes    = 8 << 20
 )
 
 // Store is a running store.
@@ -62,43 +54,29 @@
 const maximumShards = 1024
 
 // Run serves until the context ends, and then hands over leadership and stops.
-func Run(ctx context.Context, given *rockwindpb.SiteSettings, protocol router.Protocol) error {
-	release, err := settings.OpenDataFolder(given.GetDataFolder())
-	if err != nil {
-		return err
-	}
-	defer release()
-	site.BoundMemory(given)
+func Run(ctx context.Context, settings *rockwindpb.SiteSettings, protocol router.Protocol) error {
+	site.BoundMemory(settings)
 	s := &Store{
-		settings:   given,
+		settings:   settings,
 		client:     dial.NewClient(),
-		dispatcher: router.NewDispatcher(given.GetZone()),
+		dispatcher: router.NewDispatcher(settings.GetZone()),
 		upstream:   router.NewUpstream(),
 		protocol:   protocol,
 		machines:   make(map[uint32]*jobstore.Machine),
 		created:    make(chan uint32, maximumShards),
 	}
-	if s.watcher, err = site.NewWatcher(given, s.client, filepath.Join(given.GetDataFolder(), configurationFolder)); err != nil {
-		return err
-	}
-	s.host, err = replica.NewHost(replica.Options{
-		Machine:         given.GetName(),
-		Address:         given.GetInternalListen(),
-		Folder:          filepath.Join(given.GetDataFolder(), groupFolder),
-		Client:          s.client,
-		Tick:            tick,
-		Discover:        s.peers,
-		AdmitNew:        true,
-		Vacate:          s.retiring,
-		SnapshotEntries: snapshotEntries,
-		SnapshotBytes:   snapshotBytes,
-		SegmentBytes:    segmentBytes,
-		StateMachines:   s.create,
+	host, release, err := site.OpenHost(settings, s.client, site.HostOptions{
+		Discover: s.peers, Vacate: s.retiring, StateMachines: s.create,
 	})
 	if err != nil {
 		return err
 	}
-	listener, err := site.Listen("internal_listen", given.GetInternalListen())
+	defer release()
+	s.host = host
+	if s.watcher, err = site.NewWatcher(settings, s.client, filepath.Join(settings.GetDataFolder(), configurationFolder)); err != nil {
+		return err
+	}
+	listener, err := site.Listen("internal_listen", settings.GetInternalListen())
 	if err != nil {
 		return err
 	}
@@ -141,31 +119,15 @@
 }
 
 func (s *Store) run(ctx context.Context, listener net.Listener) error {
-	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopParts()
-	group, parts := errgroup.WithContext(parts)
-	group.Go(func() error { return s.host.Run(parts) })
-	group.Go(func() error { return s.watcher.Run(parts) })
-	group.Go(func() error { return site.Serve(parts, site.NewServer(s.handler()), listener, stopTimeout) })
-	group.Go(func() error { s.announce(parts); return nil })
-	group.Go(func() error { router.Follow(parts, s.watcher, s.dispatcher, s.upstream); return nil })
-	group.Go(func() error { return s.execute(parts) })
-	group.Go(func() error { return s.dispatcher.Share(parts, s.settings) })
-	group.Go(func() error {
-		defer stopParts()
-		select {
-		case <-ctx.Done():
-		case <-parts.Done():
-		}
-		handingOver, cancel := context.WithTimeout(context.WithoutCancel(ctx), handOverTimeout)
-		defer cancel()
-		if err := s.host.Drain(handingOver); err != nil {
-			log.WithError(err).Warn("cannot hand over all leadership")
-		}
-		return nil
-	})
 	log.WithField("machine", s.settings.GetName()).WithField("address", s.settings.GetInternalListen()).Info("store serves")
-	return group.Wait()
+	return site.RunHost(ctx, s.host, func(group *errgroup.Group, parts context.Context) {
+		group.Go(func() error { return s.watcher.Run(parts) })
+		group.Go(func() error { return site.Serve(parts, site.NewServer(s.handler()), listener, stopTimeout) })
+		group.Go(func() error { s.announce(parts); return nil })
+		group.Go(func() error { router.Follow(parts, s.watcher, s.dispatcher, s.upstream); return nil })
+		group.Go(func() error { return s.execute(parts) })
+		group.Go(func() error { return s.dispatcher.Share(parts, s.settings) })
+	}, func() {})
 }
 
 func (s *Store) handler() http.Handler {
