Among many processes, let each look at a part of the servers first

Change: beyond 16 processes a choice looks at a random part of the servers, and at those that keep half of its prompt; at all where none of these has room.

Sites of up to 16 processes are not touched.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -71,6 +71,15 @@
 	Urgency float64
 }
 
+// tokens is the length of the prompt.
+func (d Demand) tokens() int {
+	total := 0
+	for _, part := range d.Parts {
+		total += part.Tokens
+	}
+	return total
+}
+
 // Member is a server as the directory describes it.
 type Member struct {
 	ID      string
@@ -222,7 +231,31 @@
 // those with room, and counts the request there. A server that is out for its
 // failures gets a single request as a trial when its time has come. It fails where no server that
 // was not tried has room.
+//
+// Among many processes each looks at a random part of the servers first: their
+// digests are older then, and all would otherwise choose the same server until the
+// next ones come.
 func (p *Pool) Choose(demand Demand, tried []string, now time.Duration, random *rand.Rand) (Choice, bool) {
+	part := p.samplePart()
+	if part < 1 {
+		if choice, found := p.chooseAmong(part, demand, tried, now, random); found {
+			return choice, true
+		}
+	}
+	return p.chooseAmong(1, demand, tried, now, random)
+}
+
+// wholeSenders is how many processes may all look at all servers.
+const wholeSenders = 16
+
+// samplePart is the part of the servers that a choice looks at first.
+func (p *Pool) samplePart() float64 {
+	return min(1, wholeSenders/float64(max(1, p.shares.Senders())))
+}
+
+// chooseAmong is Choose over a random part of the servers, and over those that are
+// expected to keep half of the prompt.
+func (p *Pool) chooseAmong(part float64, demand Demand, tried []string, now time.Duration, random *rand.Rand) (Choice, bool) {
 	var best *server
 	var found Choice
 	lowest := 0.0
@@ -230,15 +263,19 @@
 		if candidate == nil || slices.Contains(tried, candidate.ID) || !p.room(candidate, demand, now) {
 			continue
 		}
+		uncached := p.uncached(candidate, demand, now)
+		keepsHalf := demand.tokens() > 0 && 2*uncached <= demand.tokens()
+		if part < 1 && !keepsHalf && random.Float64() >= part {
+			continue
+		}
 		state, _ := p.tracker.State(place, now)
 		if state == health.Ejected {
 			if !demand.Batch && p.tracker.StartTrial(place, now) {
-				best, found.Uncached = candidate, p.uncached(candidate, demand, now)
+				best, found.Uncached = candidate, uncached
 				break
 			}
 			continue
 		}
-		uncached := p.uncached(candidate, demand, now)
 		cost := p.cost(candidate, state, uncached, now) + jitterCost*random.Float64()
 		found.Candidates++
 		if best == nil || cost < lowest {
--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -81,6 +81,9 @@
 // Known tells whether any other process tells what it has.
 func (s *Shares) Known() bool { return len(s.senders) > 0 }
 
+// Senders is how many other processes tell what they have.
+func (s *Shares) Senders() int { return len(s.senders) }
+
 // At is what all other processes together have at a server.
 func (s *Shares) At(server uint32) SharedLoad { return s.sums[server] }
 
--- a/internal/balance/shared_test.go
+++ b/internal/balance/shared_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -122,3 +123,58 @@
 		}
 	})
 }
+
+// TestManyProcessesDoNotAllChooseTheSameServer: with the same digests, processes that
+// choose at the same moment spread over the servers.
+func TestManyProcessesDoNotAllChooseTheSameServer(t *testing.T) {
+	const processes = 64
+	var names []string
+	for i := range 40 {
+		names = append(names, fmt.Sprintf("server-%d", i))
+	}
+	loads := map[uint32]SharedLoad{}
+	for i, name := range names {
+		if i > 0 {
+			loads[ServerHash(name)] = SharedLoad{Inflight: 3}
+		}
+	}
+	chosen := map[string]int{}
+	for process := range processes {
+		p, shares := pool(8, names...)
+		for sender := range processes - 1 {
+			told := map[uint32]SharedLoad{}
+			if sender == 0 {
+				told = loads
+			}
+			shares.Take(fmt.Sprint(sender), 1, 1, told, 0)
+		}
+		choice, found := p.Choose(Demand{}, nil, 0, rand.New(rand.NewPCG(uint64(process), 7)))
+		if !found {
+			t.Fatal("no server is chosen")
+		}
+		chosen[choice.ID]++
+	}
+	// All would choose the one that is empty.
+	if most := chosen[names[0]]; most > processes/2 {
+		t.Fatalf("%d of %d processes choose the same server", most, processes)
+	}
+}
+
+func TestSampleThatHoldsNoRoomIsWidened(t *testing.T) {
+	names := []string{"full-1", "full-2", "full-3", "free"}
+	p, shares := pool(1, names...)
+	loads := map[uint32]SharedLoad{}
+	for _, name := range names[:3] {
+		loads[ServerHash(name)] = SharedLoad{Inflight: 1}
+	}
+	for sender := range 10 * wholeSenders {
+		told := map[uint32]SharedLoad{}
+		if sender == 0 {
+			told = loads
+		}
+		shares.Take(fmt.Sprint(sender), 1, 1, told, 0)
+	}
+	if choice, found := p.Choose(Demand{}, nil, 0, random()); !found || choice.ID != "free" {
+		t.Fatalf("%+v, %v", choice, found)
+	}
+}
