--- a/internal/configuration/routes.go
+++ b/internal/configuration/routes.go
@@ -63,6 +63,11 @@
 	return nil, false
 }
 
+// RouteKindName is the kind as a configuration file writes it, for example "safe".
+func RouteKindName(kind rockwindpb.RouteKind) string {
+	return strings.ToLower(strings.TrimPrefix(kind.String(), "ROUTE_KIND_"))
+}
+
 // Route finds the route of a request by its Host header and its path.
 func (x *Index) Route(host, path string) (*rockwindpb.Route, bool) { return x.routes.find(host, path) }
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rockwind.example/rockwind/internal/catalog"
+	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/dial"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/replica"
@@ -26,6 +27,7 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/sharding"
 	"rockwind.example/rockwind/internal/site"
+	"rockwind.example/rockwind/internal/sitemetrics"
 	"rockwind.example/rockwind/internal/twirphttp"
 )
 
@@ -101,6 +103,7 @@
 		group.Go(func() error {
 			return site.Serve(parts, site.NewServer(c.internalHandler(handler)), internal, stopTimeout)
 		})
+		group.Go(func() error { return sitemetrics.New("coordinator", decision.Default).Serve(parts, c.settings) })
 		group.Go(func() error { c.found(parts); return nil })
 		group.Go(func() error { c.keep(parts); return nil })
 		if outer == nil {
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -8,6 +8,7 @@
 package decision
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -67,6 +68,14 @@
 
 	mutex   sync.Mutex
 	budgets map[Kind]*budget
+	counts  map[Kind]Count
+}
+
+// Count is how many decisions of a kind there were.
+type Count struct {
+	Decided uint64
+	// Unwritten counts those without a line: sampled out, or over the budget.
+	Unwritten uint64
 }
 
 // budget is a token bucket of one kind.
@@ -78,7 +87,7 @@
 
 // NewRecorder returns a recorder that writes to the target.
 func NewRecorder(target log.Interface, now func() time.Time) *Recorder {
-	return &Recorder{target: target, now: now, budgets: make(map[Kind]*budget)}
+	return &Recorder{target: target, now: now, budgets: make(map[Kind]*budget), counts: make(map[Kind]Count)}
 }
 
 // Default is the recorder of this process, over the process's logger.
@@ -98,10 +107,7 @@
 // Record writes a line about a request, job or server, unless the kind's budget
 // is used up. The number of lines that were left out goes with the next one.
 func (r *Recorder) Record(kind Kind, id string, fields log.Fields) {
-	if !Wanted(kind, id) {
-		return
-	}
-	omitted, allowed := r.take(kind)
+	omitted, allowed := r.take(kind, Wanted(kind, id))
 	if !allowed {
 		return
 	}
@@ -112,9 +118,31 @@
 	entry.Info(string(kind))
 }
 
-func (r *Recorder) take(kind Kind) (omitted uint64, allowed bool) {
+// Skip counts a decision whose line the caller leaves out.
+func (r *Recorder) Skip(kind Kind) { r.take(kind, false) }
+
+// Counts returns the counts of all kinds so far.
+func (r *Recorder) Counts() map[Kind]Count {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	return maps.Clone(r.counts)
+}
+
+// take counts a decision and tells whether its line may be written.
+func (r *Recorder) take(kind Kind, wanted bool) (omitted uint64, allowed bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	count := r.counts[kind]
+	count.Decided++
+	defer func() {
+		if !allowed {
+			count.Unwritten++
+		}
+		r.counts[kind] = count
+	}()
+	if !wanted {
+		return 0, false
+	}
 	now := r.now()
 	current := r.budgets[kind]
 	if current == nil {
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -9,12 +9,14 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
+	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/dial"
 	"rockwind.example/rockwind/internal/jobclient"
 	"rockwind.example/rockwind/internal/logring"
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/site"
+	"rockwind.example/rockwind/internal/sitemetrics"
 )
 
 const (
@@ -44,6 +46,7 @@
 		return err
 	}
 	router := New(settings, watcher, protocol, jobclient.New(watcher, client))
+	router.metrics = sitemetrics.New("router", decision.Default)
 	listener, err := site.Listen("listen", settings.GetListen())
 	if err != nil {
 		return err
@@ -63,6 +66,7 @@
 	defer stopParts()
 	group, parts := errgroup.WithContext(parts)
 	group.Go(func() error { return watcher.Run(parts) })
+	group.Go(func() error { return router.metrics.Serve(parts, settings) })
 	group.Go(func() error { router.Keep(parts); return nil })
 	group.Go(func() error { return router.dispatcher.Share(parts, settings) })
 	group.Go(func() error { router.announce(parts, settings); return nil })
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -55,6 +55,9 @@
 	received time.Time
 	number   uint64
 	waited   time.Duration
+	// firstAfter is when the head of the answer went to the client, counted from the
+	// receipt of the request; zero before.
+	firstAfter time.Duration
 	// started tells that the head of the answer went to the client.
 	started bool
 	// reason says why the last try gave no whole answer.
@@ -327,6 +330,7 @@
 		return
 	}
 	e.started = true
+	e.firstAfter = time.Since(e.received)
 	header := e.writer.Header()
 	for name, values := range response.Header {
 		if !hopByHop[name] && name != "Content-Length" {
--- a/internal/router/recording.go
+++ b/internal/router/recording.go
@@ -5,13 +5,16 @@
 
 	"github.com/apex/log"
 
+	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/fault"
 )
 
 // record writes what was decided about the request, and on what it rested.
 func (e *exchange) record(kind decision.Kind, lease *Lease, reason string) {
+	e.measure(kind)
 	if !decision.Wanted(kind, e.facts.ID) {
+		decision.Default.Skip(kind)
 		return
 	}
 	fields := e.fields()
@@ -29,6 +32,7 @@
 
 // recordRefusal writes a refusal of the router's own.
 func (e *exchange) recordRefusal(status int, failure *fault.Fault) {
+	e.measure(decision.RequestRefused)
 	fields := e.fields()
 	fields["status"] = status
 	fields["reason"] = failure.Message
@@ -37,6 +41,13 @@
 	decision.Default.Record(decision.RequestRefused, e.facts.ID, fields)
 }
 
+// measure counts the end of the request.
+func (e *exchange) measure(kind decision.Kind) {
+	if kind != decision.RequestTriedAgain && e.router.metrics != nil {
+		e.router.metrics.Request(configuration.RouteKindName(e.route.GetKind()), kind, e.firstAfter, time.Since(e.received))
+	}
+}
+
 // fields are common to all lines about the request.
 func (e *exchange) fields() log.Fields {
 	return log.Fields{
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,6 +30,7 @@
 	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/site"
+	"rockwind.example/rockwind/internal/sitemetrics"
 	"rockwind.example/rockwind/internal/upstream"
 )
 
@@ -55,6 +56,8 @@
 	protocol   Protocol
 	jobs       *jobclient.Client
 	started    time.Time
+	// metrics is nil outside of Run.
+	metrics *sitemetrics.Set
 }
 
 // New returns a router that serves what the watcher knows.
--- /dev/null
+++ b/internal/sitemetrics/metrics_test.go
@@ -0,0 +1,50 @@
+package sitemetrics
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"rockwind.example/rockwind/internal/decision"
+)
+
+func TestScrapeShowsDecisionsAndLatencies(t *testing.T) {
+	recorder := decision.NewRecorder(&log.Logger{Handler: discard.New(), Level: log.InfoLevel}, time.Now)
+	set := New("router", recorder)
+	sampledOut := 0
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		recorder.Record(decision.RequestFinished, id, nil)
+		if !decision.Sampled(id) {
+			sampledOut++
+		}
+	}
+	recorder.Record(decision.RequestRefused, "x", nil)
+	set.Request("stream", decision.RequestFinished, 30*time.Millisecond, 900*time.Millisecond)
+	set.Request("safe", decision.RequestRefused, 0, time.Second)
+	answer := httptest.NewRecorder()
+	set.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, Path, nil))
+	page := answer.Body.String()
+	for _, want := range []string{
+		`rockwind_decisions_total{kind="request finished",role="router"} 5`,
+		`rockwind_decisions_total{kind="request refused",role="router"} 1`,
+		`rockwind_decisions_unwritten_total{kind="request refused",role="router"} 0`,
+		`rockwind_first_byte_seconds_bucket{role="router",route_kind="stream",le="0.025"} 0`,
+		`rockwind_first_byte_seconds_bucket{role="router",route_kind="stream",le="0.05"} 1`,
+		`rockwind_held_seconds_count{outcome="request refused",role="router",route_kind="safe"} 1`,
+	} {
+		if !strings.Contains(page, want) {
+			t.Errorf("the page lacks %s", want)
+		}
+	}
+	if sampledOut == 0 || strings.Contains(page, `rockwind_decisions_unwritten_total{kind="request finished",role="router"} 0`) {
+		t.Error("lines that were sampled out are not counted")
+	}
+	if strings.Contains(page, `rockwind_first_byte_seconds_count{role="router",route_kind="safe"}`) {
+		t.Error("a request without an answer counts as one with")
+	}
+}
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -237,7 +237,9 @@
 	}
 	running, cancel := context.WithCancel(ctx)
 	e.running[key] = cancel
-	if decision.Wanted(decision.ItemStarted, item.Job) {
+	if !decision.Wanted(decision.ItemStarted, item.Job) {
+		decision.Default.Skip(decision.ItemStarted)
+	} else {
 		decision.Default.Record(decision.ItemStarted, item.Job, log.Fields{
 			"item": item.Index, "item_id": item.Item.GetId(), "server": lease.ID, "load": lease.Load, "slots": lease.Slots,
 			"failures": known.failures, "after_event": known.last, "age_ms": now.UnixMilli() - item.SubmittedUnixMs,
@@ -356,6 +358,7 @@
 	case end.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_UNSPECIFIED:
 		kind = decision.ItemReturned
 	case end.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_DONE && !decision.Sampled(end.key.job):
+		decision.Default.Skip(kind)
 		return
 	}
 	decision.Default.Record(kind, end.key.job, log.Fields{
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
+	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/dial"
 	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/replica"
@@ -22,6 +23,7 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/router"
 	"rockwind.example/rockwind/internal/site"
+	"rockwind.example/rockwind/internal/sitemetrics"
 	"rockwind.example/rockwind/internal/upstream"
 )
 
@@ -122,6 +124,7 @@
 	log.WithField("machine", s.settings.GetName()).WithField("address", s.settings.GetInternalListen()).Info("store serves")
 	return site.RunHost(ctx, s.host, func(group *errgroup.Group, parts context.Context) {
 		group.Go(func() error { return s.watcher.Run(parts) })
+		group.Go(func() error { return sitemetrics.New("store", decision.Default).Serve(parts, s.settings) })
 		group.Go(func() error { return site.Serve(parts, site.NewServer(s.handler()), listener, stopTimeout) })
 		group.Go(func() error { s.announce(parts); return nil })
 		group.Go(func() error { router.Follow(parts, s.watcher, s.dispatcher, s.upstream); return nil })
