--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -22,8 +22,8 @@
 	// shortestInterval is the time between digests among few processes, and
 	// intervalPerPeer lengthens it among many, so that a process spends the same on
 	// digests however many there are.
-	shortestInterval = 50 * time.Millisecond
-	intervalPerPeer  = 6 * time.Millisecond
+	shortestInterval = 80 * time.Millisecond
+	intervalPerPeer  = 7 * time.Millisecond
 	// repeatInterval is the time after which a digest is sent although nothing has
 	// changed: receivers forget a sender that is silent for long.
 	repeatInterval = 400 * time.Millisecond
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -38,6 +38,9 @@
 	// ElectionTicks is the shortest time without a leader, in ticks, after which
 	// a replica asks for votes; zero means DefaultElectionTicks. It is at least 6.
 	ElectionTicks int
+	// HeartbeatTicks is the interval of a leader's heartbeats, in ticks; zero means 1.
+	// It must leave room for several within a lease.
+	HeartbeatTicks int
 	// Peers lists the control machines; this one may be among them. Their
 	// addresses go before the ones that the memberships record.
 	Peers []*rockwindpb.ControlMachine
@@ -88,6 +91,9 @@
 	if o.ElectionTicks == 0 {
 		o.ElectionTicks = DefaultElectionTicks
 	}
+	if o.HeartbeatTicks == 0 {
+		o.HeartbeatTicks = 1
+	}
 	if o.SnapshotEntries == 0 {
 		o.SnapshotEntries = DefaultSnapshotEntries
 	}
--- a/internal/replica/owner.go
+++ b/internal/replica/owner.go
@@ -130,7 +130,7 @@
 	node, err := raft.NewNode(raft.Config{
 		ID:             host.log.DiskID(),
 		ElectionTicks:  host.options.ElectionTicks,
-		HeartbeatTicks: 1,
+		HeartbeatTicks: host.options.HeartbeatTicks,
 		LeaseTicks:     host.options.leaseTicks(),
 		MaxInflight:    maxInflight,
 		MaxAppendBytes: maxAppendBytes,
--- a/internal/replica/replacing_test.go
+++ b/internal/replica/replacing_test.go
@@ -162,3 +162,22 @@
 		}
 	})
 }
+
+// TestLeaseHoldsBetweenRareHeartbeats: with a heartbeat every second tick the lease
+// of a leader that all hear never runs out.
+func TestLeaseHoldsBetweenRareHeartbeats(t *testing.T) {
+	adjust := func(options *replica.Options) { options.HeartbeatTicks = 2 }
+	inBubble(t, 3, adjust, func(f *fleet) {
+		f.add(1, "a")
+		leader := f.leaderNow(1)
+		if leader == nil {
+			t.Fatal("no leader after a write")
+		}
+		for range 1000 {
+			time.Sleep(tick / 4)
+			if _, leading := leader.group(1).Leading(); !leading {
+				t.Fatal("the lease ran out")
+			}
+		}
+	})
+}
--- a/internal/site/host.go
+++ b/internal/site/host.go
@@ -18,6 +18,8 @@
 	// tick is the unit of the consensus protocol's time; leaders are elected in ten
 	// to twenty of them.
 	tick = 30 * time.Millisecond
+	// heartbeatTicks is the interval of heartbeats: three fit into a lease.
+	heartbeatTicks = 2
 	// groupFolder holds the replicated groups under the data folder.
 	groupFolder = "groups"
 	// Bounds of the log on a small disk.
@@ -48,6 +50,7 @@
 		Folder:          filepath.Join(given.GetDataFolder(), groupFolder),
 		Client:          client,
 		Tick:            tick,
+		HeartbeatTicks:  heartbeatTicks,
 		Discover:        options.Discover,
 		AdmitNew:        true,
 		Vacate:          options.Vacate,
