--- a/internal/replica/replacing_test.go
+++ b/internal/replica/replacing_test.go
@@ -23,10 +23,12 @@
 	return added
 }
 
-// membersOf names the voters of a group as its leader knows them, nil without one.
+// membersOf names the voters of a group whose leader says that it is repaired: its
+// membership is committed and all members are heard. It is nil otherwise. Only then
+// may another machine be lost.
 func (f *fleet) membersOf(group uint32) []string {
 	leader := f.leaderNow(group)
-	if leader == nil {
+	if leader == nil || !leader.group(group).Status().GetRepaired() {
 		return nil
 	}
 	var names []string
