--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -14,8 +14,8 @@
 
 // Headers of the product's own protocol, beside those of package upstream.
 const (
-	// HeaderDeadline is how long the client waits, in milliseconds.
-	HeaderDeadline = "X-Deadline-Ms"
+	// HeaderTimeLeft is how long the client waits, in milliseconds.
+	HeaderTimeLeft = "X-Time-Left-Ms"
 	// HeaderServer names the incarnation that is meant.
 	HeaderServer = "X-Server"
 	// HeaderLastEvent is the last event that was received.
@@ -30,10 +30,10 @@
 // Facts implements Protocol.
 func (PlainProtocol) Facts(header http.Header) (Facts, error) {
 	facts := Facts{ID: header.Get(upstream.HeaderRequestID), ResumeAfter: header.Get(HeaderLastEvent)}
-	if text := header.Get(HeaderDeadline); text != "" {
+	if text := header.Get(HeaderTimeLeft); text != "" {
 		milliseconds, err := strconv.ParseUint(text, 10, 32)
 		if err != nil {
-			return facts, fault.Newf(fault.InvalidArgument, "send a number of milliseconds", "the header %s is %q", HeaderDeadline, text).WithRan(fault.NotRun)
+			return facts, fault.Newf(fault.InvalidArgument, "send a number of milliseconds", "the header %s is %q", HeaderTimeLeft, text).WithRan(fault.NotRun)
 		}
 		facts.Deadline = time.Duration(milliseconds) * time.Millisecond
 	}
@@ -47,7 +47,7 @@
 		header.Set(upstream.HeaderRequestID, try.RequestID)
 	}
 	if try.Remaining > 0 {
-		header.Set(HeaderDeadline, strconv.FormatInt(max(1, try.Remaining.Milliseconds()), 10))
+		header.Set(HeaderTimeLeft, strconv.FormatInt(max(1, try.Remaining.Milliseconds()), 10))
 	}
 	if try.ResumeAfter != "" {
 		header.Set(HeaderLastEvent, try.ResumeAfter)
