Discard answers by one method, and drop what nothing uses

Router and store each had the same function that reads the rest of an answer to keep its connection: upstream.Response.Discard serves both. The kind of line 'server belief changed' was never written and the tokens out were read from every request and never used. The length of a prompt is counted once a choice, not once a server.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -259,12 +259,13 @@
 	var best *server
 	var found Choice
 	lowest := 0.0
+	tokens := demand.tokens()
 	for place, candidate := range p.servers {
 		if candidate == nil || slices.Contains(tried, candidate.ID) || !p.room(candidate, demand, now) {
 			continue
 		}
 		uncached := p.uncached(candidate, demand, now)
-		keepsHalf := demand.tokens() > 0 && 2*uncached <= demand.tokens()
+		keepsHalf := tokens > 0 && 2*uncached <= tokens
 		if part < 1 && !keepsHalf && random.Float64() >= part {
 			continue
 		}
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -41,8 +41,6 @@
 	ItemReturned Kind = "item returned"
 	// ItemRecorded: an item has its result, done or dead.
 	ItemRecorded Kind = "item recorded"
-	// ServerBelief: what this process believes of a server has changed.
-	ServerBelief Kind = "server belief changed"
 	// ConfigurationInForce: another configuration is in force here.
 	ConfigurationInForce Kind = "configuration in force"
 	// DependencyLost and DependencyRegained tell of coordinators and stores.
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -173,7 +173,7 @@
 	if judgement.NotRun || judgement.OtherServer {
 		e.refused++
 		e.reason = "the server says that it did not run the request, status " + strconv.Itoa(response.Status)
-		discard(response)
+		response.Discard()
 		outcome := health.Refused
 		if judgement.OtherServer {
 			outcome = health.Failure
@@ -216,21 +216,12 @@
 	return verdictElsewhere
 }
 
-// discard reads the rest of a refusal, so that its connection can be kept.
-func discard(response *upstream.Response) {
-	if _, err := io.Copy(io.Discard, response.Body(time.Second)); err != nil {
-		response.Abandon()
-		return
-	}
-	response.Finish()
-}
-
 // answer passes an answer on.
 func (e *exchange) answer(ctx context.Context, lease *Lease, response *upstream.Response, latency time.Duration) verdict {
 	failed := response.Status >= http.StatusInternalServerError
 	if failed && e.repeatable() && e.mayTryAgain() {
 		e.reason = "the server answered " + strconv.Itoa(response.Status)
-		discard(response)
+		response.Discard()
 		lease.Done(health.Failure, latency)
 		return verdictElsewhere
 	}
--- a/internal/router/protocol.go
+++ b/internal/router/protocol.go
@@ -16,8 +16,6 @@
 	Deadline time.Duration
 	// Parts of its prompt, in order.
 	Parts []balance.Part
-	// OutputTokens is the most tokens that it asks for.
-	OutputTokens int
 	// ResumeAfter is the last event that the client has, empty for a new stream.
 	ResumeAfter string
 }
--- a/internal/store/item.go
+++ b/internal/store/item.go
@@ -81,23 +81,23 @@
 	latency := time.Since(began)
 	switch {
 	case judgement.NotRun:
-		drain(response)
+		response.Discard()
 		t.lease.Done(health.Refused, 0)
 		return t.again(pauseAfterRefusal, "")
 	case judgement.OtherServer:
-		drain(response)
+		response.Discard()
 		t.lease.Done(health.Failure, 0)
 		return t.again(pauseAfterRefusal, "another server has the address")
 	case response.Status == http.StatusUnprocessableEntity:
-		drain(response)
+		response.Discard()
 		t.lease.Done(health.Success, latency)
 		return itemEnd{key: t.key, outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DEAD, history: t.history, reason: "the server says that it can never be done"}
 	case response.Status == http.StatusInternalServerError:
-		drain(response)
+		response.Discard()
 		t.lease.Done(health.Success, latency)
 		return t.failed("the server answered " + strconv.Itoa(response.Status))
 	case response.Status != http.StatusOK:
-		drain(response)
+		response.Discard()
 		t.lease.Done(health.Success, latency)
 		return t.again(pauseAfterFailure, "the server answered "+strconv.Itoa(response.Status))
 	}
@@ -185,11 +185,3 @@
 		t.history.hasText = true
 	}
 }
-
-func drain(response *upstream.Response) {
-	if _, err := io.Copy(io.Discard, response.Body(time.Second)); err != nil {
-		response.Abandon()
-		return
-	}
-	response.Finish()
-}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -29,6 +29,8 @@
 	// maximumSurplus bounds the answers that are passed over before the one that
 	// belongs to the request.
 	maximumSurplus = 4
+	// discardSilence bounds the silence inside a body that is discarded.
+	discardSilence = time.Second
 	// keepAliveMargin is how much earlier than a back end says it will close an idle
 	// connection the connection is no longer used.
 	keepAliveMargin = 500 * time.Millisecond
@@ -339,6 +341,16 @@
 	return 0
 }
 
+// Discard ends an exchange whose body nobody wants: it reads the rest, so that the
+// connection can be kept, unless the back end falls silent.
+func (r *Response) Discard() {
+	if _, err := io.Copy(io.Discard, r.Body(discardSilence)); err != nil {
+		r.Abandon()
+		return
+	}
+	r.Finish()
+}
+
 // Abandon ends an exchange whose body was not read to its end.
 func (r *Response) Abandon() {
 	r.stop()
