Hold each batch item under a numbered claim

A leader whose lease lapses for a moment leads again in the same term. The executor dropped its tries and began new ones; the ends of the dropped tries carry the same term, so they were taken for the ends of the new ones, and a third try was begun that shares the text of the second.

Ruled out: answers of the server (the log shows both runs sent by one store, 9 ms apart, the second without an end of the first), a race of closing a connection.

Change: package store/claims, pure: a claim has a number, and only the current claim on an item can release it or decide its outcome. Claims also cover the time in which a result is on its way to the log.

Test: claims.TestLateEndOfDroppedTryDoesNotReleaseTheNext and a stateful fuzz against an oracle; both fail where a claim is compared by its item alone, as the old code did by its term.

--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -16,6 +16,7 @@
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/router"
+	"rockwind.example/rockwind/internal/store/claims"
 )
 
 const (
@@ -35,12 +36,6 @@
 	retentionMargin = 10 * time.Second
 )
 
-// itemKey names an item.
-type itemKey struct {
-	job   string
-	index uint32
-}
-
 // execute starts an executor for each shard as it appears.
 func (s *Store) execute(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -69,8 +64,8 @@
 		store:   s,
 		group:   replicated,
 		machine: s.machine(shard),
-		running: make(map[itemKey]context.CancelFunc),
-		history: make(map[itemKey]*history),
+		claims:  claims.NewTable(),
+		history: make(map[claims.Key]*history),
 		ended:   make(chan itemEnd, endBuffer),
 	}
 	e.run(ctx)
@@ -97,12 +92,12 @@
 // itemEnd is the end of one try of an item. Outcome is unspecified where the item
 // has to be tried again.
 type itemEnd struct {
-	// term is the one in which the try began; ends of earlier terms say nothing.
-	term    uint64
-	key     itemKey
-	outcome rockwindpb.StoredOutcome
-	history *history
-	reason  string
+	claim claims.Claim
+	// recorded tells that the state machine holds the item's result now.
+	recorded bool
+	outcome  rockwindpb.StoredOutcome
+	history  *history
+	reason   string
 	// item and server are the identifiers of the item and of the server that had it,
 	// for the log.
 	item   string
@@ -116,15 +111,14 @@
 	group   replica.Group
 	machine *jobstore.Machine
 
-	term    uint64
-	running map[itemKey]context.CancelFunc
-	history map[itemKey]*history
+	term uint64
+	// claims holds the items that run or whose results are on their way to the log.
+	claims  *claims.Table
+	history map[claims.Key]*history
 	ended   chan itemEnd
 	// results wait to be recorded, by job.
-	results map[string][]*rockwindpb.StoredResult
-	// recorded marks items whose results were handed to the log in this term.
-	recorded map[itemKey]bool
-	dropped  time.Time
+	results map[string][]pendingResult
+	dropped time.Time
 }
 
 func (e *executor) run(ctx context.Context) {
@@ -150,17 +144,16 @@
 			e.record(ctx)
 		}
 	}
-	e.stopAll()
+	e.claims.Drop()
 }
 
 // schedule starts what can be started, and tells whether items are open.
 func (e *executor) schedule(ctx context.Context) bool {
 	term, leading := e.group.Leading()
 	if !leading || term != e.term {
-		e.stopAll()
+		e.claims.Drop()
 		e.term = term
-		e.history = make(map[itemKey]*history)
-		e.recorded = make(map[itemKey]bool)
+		e.history = make(map[claims.Key]*history)
 		e.results = nil
 	}
 	if !leading {
@@ -185,29 +178,23 @@
 		}
 	}
 	e.record(ctx)
-	return len(open) > 0 || len(e.running) > 0
+	return len(open) > 0 || e.claims.Len() > 0
 }
 
 // waits tells whether an item neither runs nor has a result on its way.
 func (e *executor) waits(job string, index uint32) bool {
-	key := itemKey{job, index}
-	_, running := e.running[key]
-	return !running && !e.recorded[key]
+	return !e.claims.Held(claims.NewKey(job, index))
 }
 
 // cancelStale cancels the tries of items that must not run any more.
 func (e *executor) cancelStale() {
-	for key, cancel := range e.running {
-		if !e.machine.Runnable(key.job, key.index) {
-			cancel()
-		}
-	}
+	e.claims.Cancel(func(key claims.Key) bool { return !e.machine.Runnable(key.Job(), key.Index()) })
 }
 
 // begin starts an item, gives it up or passes it over. It returns false where no
 // server has room for batch work.
 func (e *executor) begin(ctx context.Context, item jobstore.OpenItem, now time.Time) bool {
-	key := itemKey{item.Job, item.Index}
+	key := claims.NewKey(item.Job, item.Index)
 	known := e.history[key]
 	if known == nil {
 		known = &history{}
@@ -219,7 +206,9 @@
 	route, standing := e.route(item)
 	known.noteRoute(standing, now)
 	if reason := giveUpReason(item, route, known, now); reason != "" {
-		e.finish(itemEnd{term: e.term, key: key, outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DEAD, history: known, reason: reason, item: item.Item.GetId()})
+		if claim, made := e.claims.Make(key, func() {}); made {
+			e.finish(itemEnd{claim: claim, outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DEAD, history: known, reason: reason, item: item.Item.GetId()})
+		}
 		return true
 	}
 	if standing != routeFound {
@@ -229,14 +218,20 @@
 	if err != nil {
 		facts = router.Facts{}
 	}
+	running, cancel := context.WithCancel(ctx)
+	claim, made := e.claims.Make(key, cancel)
+	if !made {
+		cancel()
+		return true
+	}
 	lease := e.store.dispatcher.TryAcquire(router.ServiceOf(route, item.Item.GetId()), balance.Demand{
 		Parts: facts.Parts, Batch: true, Urgency: urgency(route, now.Sub(time.UnixMilli(item.SubmittedUnixMs))),
 	})
 	if lease == nil {
+		cancel()
+		e.claims.Release(claim)
 		return false
 	}
-	running, cancel := context.WithCancel(ctx)
-	e.running[key] = cancel
 	if !decision.Wanted(decision.ItemStarted, item.Job) {
 		decision.Default.Skip(decision.ItemStarted)
 	} else {
@@ -245,11 +240,10 @@
 			"failures": known.failures, "after_event": known.last, "age_ms": now.UnixMilli() - item.SubmittedUnixMs,
 		})
 	}
-	try := &itemTry{store: e.store, item: item, key: key, history: known, lease: lease, attempts: max(1, int(route.GetAttempts()))}
-	term := e.term
+	try := &itemTry{store: e.store, item: item, history: known, lease: lease, attempts: max(1, int(route.GetAttempts()))}
 	go func() {
 		end := try.run(running)
-		end.term, end.item, end.server = term, item.Item.GetId(), lease.ID
+		end.claim, end.item, end.server = claim, item.Item.GetId(), lease.ID
 		cancel()
 		select {
 		case e.ended <- end:
@@ -330,40 +324,49 @@
 
 // finish takes the end of a try.
 func (e *executor) finish(end itemEnd) {
-	if end.term != e.term || e.term == 0 {
+	if !e.claims.Current(end.claim) {
+		return
+	}
+	if end.recorded {
+		e.claims.Release(end.claim)
 		return
 	}
-	delete(e.running, end.key)
-	delete(e.recorded, end.key)
-	recordEnd(end)
+	recordEnd(end, e.term)
 	if end.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_UNSPECIFIED {
+		e.claims.Release(end.claim)
 		return
 	}
-	result := &rockwindpb.StoredResult{Item: end.key.index, Outcome: end.outcome}
+	key := end.claim.Key()
+	result := &rockwindpb.StoredResult{Item: key.Index(), Outcome: end.outcome}
 	if end.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_DONE {
 		result.Text = end.history.text
 	}
-	delete(e.history, end.key)
-	e.recorded[end.key] = true
+	delete(e.history, key)
 	if e.results == nil {
-		e.results = make(map[string][]*rockwindpb.StoredResult)
+		e.results = make(map[string][]pendingResult)
 	}
-	e.results[end.key.job] = append(e.results[end.key.job], result)
+	e.results[key.Job()] = append(e.results[key.Job()], pendingResult{claim: end.claim, result: result})
+}
+
+// pendingResult is a result on its way to the log, with the claim that it ends.
+type pendingResult struct {
+	claim  claims.Claim
+	result *rockwindpb.StoredResult
 }
 
 // recordEnd writes what became of a try. Ordinary ends are sampled by job.
-func recordEnd(end itemEnd) {
+func recordEnd(end itemEnd, term uint64) {
 	kind := decision.ItemRecorded
 	switch {
 	case end.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_UNSPECIFIED:
 		kind = decision.ItemReturned
-	case end.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_DONE && !decision.Sampled(end.key.job):
+	case end.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_DONE && !decision.Sampled(end.claim.Key().Job()):
 		decision.Default.Skip(kind)
 		return
 	}
-	decision.Default.Record(kind, end.key.job, log.Fields{
-		"item": end.key.index, "item_id": end.item, "outcome": outcomeName(end.outcome), "failures": end.history.failures,
-		"reason": end.reason, "server": end.server, "term": end.term, "events": end.history.last,
+	decision.Default.Record(kind, end.claim.Key().Job(), log.Fields{
+		"item": end.claim.Key().Index(), "item_id": end.item, "outcome": outcomeName(end.outcome), "failures": end.history.failures,
+		"reason": end.reason, "server": end.server, "term": term, "events": end.history.last,
 	})
 }
 
@@ -395,41 +398,34 @@
 func (e *executor) record(ctx context.Context) {
 	results := e.results
 	e.results = nil
-	parent, term := ctx, e.term
 	for job, list := range results {
-		go func() {
-			ctx, cancel := context.WithTimeout(parent, recordTimeout)
-			defer cancel()
-			_, err := propose(ctx, e.group, &rockwindpb.JobStoreCommand{
-				Command: &rockwindpb.JobStoreCommand_Record{Record: &rockwindpb.RecordResults{Job: job, Results: list}},
-			})
-			if err != nil {
-				log.WithError(err).WithField("job", job).WithField("results", len(list)).Warn("results were not recorded")
-				e.unrecorded(parent, term, job, list)
-			}
-		}()
+		go e.recordJob(ctx, job, list)
 	}
 }
 
-// unrecorded lets items run again whose results were not recorded.
-func (e *executor) unrecorded(ctx context.Context, term uint64, job string, list []*rockwindpb.StoredResult) {
-	for _, result := range list {
+// recordJob records results of one job and then ends their claims. Where that
+// fails, the items run again.
+func (e *executor) recordJob(parent context.Context, job string, list []pendingResult) {
+	ctx, cancel := context.WithTimeout(parent, recordTimeout)
+	defer cancel()
+	command := &rockwindpb.RecordResults{Job: job}
+	for _, each := range list {
+		command.Results = append(command.Results, each.result)
+	}
+	_, err := propose(ctx, e.group, &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_Record{Record: command}})
+	if err != nil {
+		log.WithError(err).WithField("job", job).WithField("results", len(list)).Warn("results were not recorded")
+	}
+	for _, each := range list {
 		select {
-		case e.ended <- itemEnd{term: term, key: itemKey{job, result.GetItem()}, history: &history{}, reason: unrecordedReason}:
-		case <-ctx.Done():
+		case e.ended <- itemEnd{claim: each.claim, recorded: err == nil, history: &history{}, reason: unrecordedReason}:
+		case <-parent.Done():
 		}
 	}
 }
 
 const unrecordedReason = "its result was not recorded"
 
-func (e *executor) stopAll() {
-	for _, cancel := range e.running {
-		cancel()
-	}
-	e.running = make(map[itemKey]context.CancelFunc)
-}
-
 // dropExpired drops jobs past their retention.
 func (e *executor) dropExpired(ctx context.Context) {
 	now := time.Now()
--- a/internal/store/item.go
+++ b/internal/store/item.go
@@ -34,7 +34,6 @@
 type itemTry struct {
 	store    *Store
 	item     jobstore.OpenItem
-	key      itemKey
 	history  *history
 	lease    *router.Lease
 	attempts int
@@ -51,7 +50,7 @@
 // again ends the try without a result.
 func (t *itemTry) again(pause time.Duration, reason string) itemEnd {
 	t.history.after = time.Now().Add(pause)
-	return itemEnd{key: t.key, history: t.history, reason: reason}
+	return itemEnd{history: t.history, reason: reason}
 }
 
 // failed counts an answer that says that the item failed.
@@ -60,7 +59,7 @@
 	// The output of a failed run is not gone on with.
 	t.history.text, t.history.hasText, t.history.hasLast = nil, false, false
 	if t.history.failures >= t.attempts {
-		return itemEnd{key: t.key, outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DEAD, history: t.history, reason: reason}
+		return itemEnd{outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DEAD, history: t.history, reason: reason}
 	}
 	return t.again(pauseAfterFailure, reason)
 }
@@ -91,7 +90,7 @@
 	case response.Status == http.StatusUnprocessableEntity:
 		response.Discard()
 		t.lease.Done(health.Success, latency)
-		return itemEnd{key: t.key, outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DEAD, history: t.history, reason: "the server says that it can never be done"}
+		return itemEnd{outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DEAD, history: t.history, reason: "the server says that it can never be done"}
 	case response.Status == http.StatusInternalServerError:
 		response.Discard()
 		t.lease.Done(health.Success, latency)
@@ -154,7 +153,7 @@
 		case errors.Is(err, io.EOF):
 			response.Finish()
 			t.lease.Done(health.Success, latency)
-			return itemEnd{key: t.key, outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DONE, history: t.history}
+			return itemEnd{outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DONE, history: t.history}
 		default:
 			response.Abandon()
 			if ctx.Err() != nil {
