Let batch work fill what online leaves now, and give way when a server is full

Cause: batch work was held below fixed parts of each server's slots (0.6, 0.9 when urgent).

Ruled out by a trial: to reserve as many slots as online used in its last 8 s.

Change: a budget for the whole service (0.85 of all slots, 0.95 for urgent items, less online's load of the moment), where what was started within 200 ms counts twice; and stores end tries of their own at servers without a spare slot, their share of the excess, youngest jobs first, none that is urgent or younger than 0.25 s. An item goes on after the last event that came. A router whose announcement failed tries again after 0.25 s instead of 3 s: until then nobody tells it of loads (found by the new test of the whole path).

--- /dev/null
+++ b/internal/balance/headroom_test.go
@@ -0,0 +1,106 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"rockwind.example/rockwind/internal/balance"
+)
+
+// newPool returns a pool of so many servers with the shares that it reads.
+func newPool(servers, slots int) (*balance.Pool, *balance.Shares, []string) {
+	shares := balance.NewShares()
+	pool := balance.NewPool("here", shares)
+	var names []string
+	var members []balance.Member
+	for i := range servers {
+		name := fmt.Sprintf("server-%d", i)
+		names = append(names, name)
+		members = append(members, balance.Member{ID: name, Address: name, Zone: "here", Slots: slots})
+	}
+	pool.Update(members)
+	return pool, shares, names
+}
+
+func seeded(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
+
+// TestBatchWorkFillsWhatOnlineWorkLeaves counts the batch requests that start beside
+// online work of other processes, slowly enough for all to know of each start.
+func TestBatchWorkFillsWhatOnlineWorkLeaves(t *testing.T) {
+	const servers, slots = 10, 10
+	for online, want := range map[int]int{0: 60, 4: 20, 6: 0, 9: 0} {
+		pool, shares, names := newPool(servers, slots)
+		loads := map[uint32]balance.SharedLoad{}
+		for _, name := range names {
+			loads[balance.ServerHash(name)] = balance.SharedLoad{Inflight: online}
+		}
+		shares.Take("router", 1, 1, loads, 0)
+		started := 0
+		for now := time.Duration(0); now < 30*time.Second; now += 250 * time.Millisecond {
+			if _, found := pool.Choose(balance.Demand{Batch: true}, nil, now, seeded(1)); found {
+				started++
+			}
+		}
+		if started != want {
+			t.Errorf("beside %d online requests a server %d batch requests start, want %d", online, started, want)
+		}
+	}
+}
+
+// TestProcessDoesNotStartAllAtOnceWhatAllMayStart: what was started a moment ago is
+// counted twice, since another process may have started as much unseen.
+func TestProcessDoesNotStartAllAtOnceWhatAllMayStart(t *testing.T) {
+	pool, _, _ := newPool(20, 10)
+	started := 0
+	for {
+		if _, found := pool.Choose(balance.Demand{Batch: true, Urgency: 1}, nil, 0, seeded(1)); !found {
+			break
+		}
+		started++
+	}
+	if started != 95 {
+		t.Fatalf("%d started of a budget of 190", started)
+	}
+}
+
+// TestBatchWorkGivesWayByItsShare: over random loads the processes together give up
+// about what a server has too much, none more than it has, and nothing where the
+// server has a slot to spare.
+func TestBatchWorkGivesWayByItsShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const slots = 8
+		own := rapid.IntRange(1, 6).Draw(t, "own")
+		others := rapid.IntRange(0, 6).Draw(t, "others")
+		online := rapid.IntRange(0, 10).Draw(t, "online")
+		pool, shares, names := newPool(1, slots)
+		for range own {
+			shares.Expire(time.Hour)
+			if _, found := pool.Choose(balance.Demand{Batch: true, Urgency: 1}, nil, 0, seeded(1)); !found {
+				t.Skip("no room for the batch work itself")
+			}
+		}
+		shares.Take("others", 1, 1, map[uint32]balance.SharedLoad{
+			balance.ServerHash(names[0]): {Inflight: others + online, Batch: others},
+		}, 0)
+		const rounds = 400
+		total := 0
+		random := seeded(rapid.Uint64().Draw(t, "seed"))
+		for range rounds {
+			pool.Yield(0, random, func(_ string, requests int) {
+				if requests > own {
+					t.Fatalf("%d of %d give way", requests, own)
+				}
+				total += requests
+			})
+		}
+		excess := max(0, own+others+online-(slots-1))
+		want := min(float64(own), float64(excess)*float64(own)/float64(own+others))
+		if got := float64(total) / rounds; got < want-0.2 || got > want+0.2 {
+			t.Fatalf("%.2f give way on average, want %.2f", got, want)
+		}
+	})
+}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -121,6 +121,8 @@
 	shares  *Shares
 	servers []*server
 	tracker *health.Tracker
+	// headroom is what batch work leaves to online work.
+	headroom headroom
 }
 
 // NewPool returns a pool without servers, for a process in the given zone. The
@@ -240,6 +242,9 @@
 // digests are older then, and all would otherwise choose the same server until the
 // next ones come.
 func (p *Pool) Choose(demand Demand, tried []string, now time.Duration, random *rand.Rand) (Choice, bool) {
+	if demand.Batch && !p.batchFits(demand, now) {
+		return Choice{}, false
+	}
 	part := p.samplePart()
 	if part < 1 {
 		if choice, found := p.chooseAmong(part, demand, tried, now, random); found {
@@ -301,6 +306,12 @@
 	return found, true
 }
 
+// usable tells whether the server at a place is taken to answer.
+func (p *Pool) usable(place int, now time.Duration) bool {
+	state, _ := p.tracker.State(place, now)
+	return state != health.Ejected && !p.servers[place].Silent
+}
+
 // room tells whether a server can take a request at once.
 func (p *Pool) room(s *server, demand Demand, now time.Duration) bool {
 	if now < s.fullUntil {
@@ -386,6 +397,7 @@
 	chosen.since++
 	if demand.Batch {
 		chosen.batch++
+		p.headroom.started(now)
 	}
 	chosen.unread += uncached
 	for _, part := range demand.Parts {
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -99,8 +99,13 @@
 	return group.Wait()
 }
 
-// announceInterval is the time between this router's announcements.
-const announceInterval = 3 * time.Second
+// announceInterval is the time between this router's announcements, and
+// announceRetry the time until the next one where no coordinator took one: until
+// then nobody tells this router of loads, nor hears its own.
+const (
+	announceInterval = 3 * time.Second
+	announceRetry    = 250 * time.Millisecond
+)
 
 // announce makes this router known to the others.
 func (r *Router) announce(ctx context.Context, settings *rockwindpb.SiteSettings) {
@@ -114,10 +119,12 @@
 		Address: settings.GetInternalListen(),
 	}
 	for {
+		pause := announceInterval
 		if _, err := r.watcher.Announce(ctx, self); err != nil {
 			log.WithError(err).Debug("no coordinator took the announcement")
+			pause = announceRetry
 		}
-		if !retry.Pause(ctx, announceInterval) {
+		if !retry.Pause(ctx, pause) {
 			return
 		}
 	}
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -188,6 +188,14 @@
 	return d.lease(service, choice)
 }
 
+// Yield visits the servers of a service at which batch work of this process should
+// give way to online requests, with how many of its requests.
+func (d *Dispatcher) Yield(service string, visit func(server string, requests int)) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.service(service).pool.Yield(d.now(), d.random, visit)
+}
+
 func (d *Dispatcher) lease(service string, choice balance.Choice) *Lease {
 	return &Lease{Choice: choice, dispatcher: d, service: service, began: time.Now()}
 }
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -66,6 +66,7 @@
 		machine: s.machine(shard),
 		claims:  claims.NewTable(),
 		history: make(map[claims.Key]*history),
+		active:  make(map[claims.Key]*activeTry),
 		ended:   make(chan itemEnd, endBuffer),
 	}
 	e.run(ctx)
@@ -115,7 +116,9 @@
 	// claims holds the items that run or whose results are on their way to the log.
 	claims  *claims.Table
 	history map[claims.Key]*history
-	ended   chan itemEnd
+	// active holds the tries in progress.
+	active map[claims.Key]*activeTry
+	ended  chan itemEnd
 	// results wait to be recorded, by job.
 	results map[string][]pendingResult
 	dropped time.Time
@@ -152,6 +155,7 @@
 	term, leading := e.group.Leading()
 	if !leading || term != e.term {
 		e.claims.Drop()
+		clear(e.active)
 		e.term = term
 		e.history = make(map[claims.Key]*history)
 		e.results = nil
@@ -172,6 +176,7 @@
 		return cmp.Or(cmp.Compare(a.SubmittedUnixMs, b.SubmittedUnixMs), cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
 	})
 	now := time.Now()
+	e.yield(now)
 	for _, item := range open {
 		if !e.begin(ctx, item, now) {
 			break
@@ -218,20 +223,21 @@
 	if err != nil {
 		facts = router.Facts{}
 	}
-	running, cancel := context.WithCancel(ctx)
-	claim, made := e.claims.Make(key, cancel)
+	running, cancel := context.WithCancelCause(ctx)
+	claim, made := e.claims.Make(key, func() { cancel(nil) })
 	if !made {
-		cancel()
+		cancel(nil)
 		return true
 	}
-	lease := e.store.dispatcher.TryAcquire(router.ServiceOf(route, item.Item.GetId()), balance.Demand{
-		Parts: facts.Parts, Batch: true, Urgency: urgency(route, now.Sub(time.UnixMilli(item.SubmittedUnixMs))),
-	})
+	active := &activeTry{service: router.ServiceOf(route, item.Item.GetId()), route: route, submitted: time.UnixMilli(item.SubmittedUnixMs), began: now, cancel: cancel}
+	lease := e.store.dispatcher.TryAcquire(active.service, balance.Demand{Parts: facts.Parts, Batch: true, Urgency: active.urgency(now)})
 	if lease == nil {
-		cancel()
+		cancel(nil)
 		e.claims.Release(claim)
 		return false
 	}
+	active.server = lease.ID
+	e.active[key] = active
 	if !decision.Wanted(decision.ItemStarted, item.Job) {
 		decision.Default.Skip(decision.ItemStarted)
 	} else {
@@ -244,7 +250,7 @@
 	go func() {
 		end := try.run(running)
 		end.claim, end.item, end.server = claim, item.Item.GetId(), lease.ID
-		cancel()
+		cancel(nil)
 		select {
 		case e.ended <- end:
 		case <-ctx.Done():
@@ -327,6 +333,7 @@
 	if !e.claims.Current(end.claim) {
 		return
 	}
+	delete(e.active, end.claim.Key())
 	if end.recorded {
 		e.claims.Release(end.claim)
 		return
--- a/internal/store/item.go
+++ b/internal/store/item.go
@@ -126,8 +126,7 @@
 
 func (t *itemTry) unanswered(ctx context.Context, err error) itemEnd {
 	if ctx.Err() != nil {
-		t.lease.Abandon()
-		return t.again(0, "")
+		return t.stopped(ctx)
 	}
 	t.lease.Done(health.Failure, 0)
 	var failure *upstream.AttemptError
@@ -137,6 +136,15 @@
 	return t.again(pauseAfterFailure, "the server did not answer")
 }
 
+// stopped ends a try that this store has ended itself.
+func (t *itemTry) stopped(ctx context.Context) itemEnd {
+	t.lease.Abandon()
+	if errors.Is(context.Cause(ctx), errYielded) {
+		return t.again(pauseAfterYield, errYielded.Error())
+	}
+	return t.again(0, "")
+}
+
 // receive takes the stream of the item's output. What came before a break is kept:
 // the next try goes on after it.
 func (t *itemTry) receive(ctx context.Context, response *upstream.Response, latency time.Duration) itemEnd {
@@ -157,8 +165,7 @@
 		default:
 			response.Abandon()
 			if ctx.Err() != nil {
-				t.lease.Abandon()
-				return t.again(0, "")
+				return t.stopped(ctx)
 			}
 			t.lease.Done(health.Failure, latency)
 			return t.again(pauseAfterRefusal, "the stream broke off")
