Ask another store when the leader of a job's shard is silent

The store that led the shard lost its power at 9.22 s, another one led from 9.67 s on, but the call waited until 10.18 s for the dead one: an attempt lasts 700 ms and was alone.

Ruled out: the election (0.45 s, as designed), the syncing of the job (12 ms).

Change: after 120 ms without an answer (beyond what the call waits by design) another store is asked beside the first, three at the most. Calls take effect once, so this is safe. The client takes what it needs of the site through an interface.

Tests (internal/jobclient, external): a silent leader does not hold a call up (0.7 s before, under 0.4 s now), hints at the silent one do not end the search, a call that was not answered is in doubt, and calm calls are sent once.

--- a/internal/jobclient/client.go
+++ b/internal/jobclient/client.go
@@ -9,12 +9,10 @@
 	"sync"
 	"time"
 
+	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/jobstore"
-	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
-	"rockwind.example/rockwind/internal/site"
-	"rockwind.example/rockwind/internal/twirphttp"
 )
 
 const (
@@ -24,16 +22,30 @@
 	callTimeout = 2500 * time.Millisecond
 	// pause is the time between attempts.
 	pause = 25 * time.Millisecond
+	// hedgeAfter is the time without an answer, beyond what the call waits by design,
+	// after which another store is asked too: the leader may have lost its power, and
+	// another store may lead already.
+	hedgeAfter = 120 * time.Millisecond
+	// maximumAsked is how many stores are asked at a time.
+	maximumAsked = 3
 	// avoidance is how long a store that did not answer is asked after the others.
 	avoidance = time.Second
 	// comeBack is the time to come back that is told where no leader was reached.
 	comeBack = 300 * time.Millisecond
 )
 
+// Stores tells which stores a site has. A site.Watcher is one.
+type Stores interface {
+	// Directory is the newest directory that is known, nil before the first.
+	Directory() *directory.View
+	// Stores lists the machines that keep jobs.
+	Stores() []*rockwindpb.Machine
+}
+
 // Client calls the stores of a site. It is safe for concurrent use.
 type Client struct {
-	watcher *site.Watcher
-	client  *http.Client
+	site   Stores
+	client *http.Client
 
 	mutex   sync.Mutex
 	leaders map[uint32]string
@@ -42,75 +54,43 @@
 	avoided map[string]time.Time
 }
 
-// New returns a client that finds the stores through the watcher.
-func New(watcher *site.Watcher, client *http.Client) *Client {
-	return &Client{watcher: watcher, client: client, leaders: make(map[uint32]string), avoided: make(map[string]time.Time)}
+// New returns a client of the given stores.
+func New(site Stores, client *http.Client) *Client {
+	return &Client{site: site, client: client, leaders: make(map[uint32]string), avoided: make(map[string]time.Time)}
 }
 
 // Submit hands a job over. It returns once enough copies are synced. It fails
 // with fault.OutcomeUnknown where the job may have been taken although no answer
 // says so.
 func (c *Client) Submit(ctx context.Context, job *rockwindpb.StoredJob) error {
-	return c.call(ctx, job.GetId(), 0, func(ctx context.Context, service rockwindpb.JobStoreService) error {
-		_, err := service.Submit(ctx, &rockwindpb.SubmitStoredJobRequest{Job: job})
-		return err
+	_, err := call(ctx, c, job.GetId(), 0, func(ctx context.Context, service rockwindpb.JobStoreService) (*rockwindpb.SubmitStoredJobResponse, error) {
+		return service.Submit(ctx, &rockwindpb.SubmitStoredJobRequest{Job: job})
 	})
+	return err
 }
 
 // Read returns results of a job; see jobstore.Machine.Read.
 func (c *Client) Read(ctx context.Context, request *rockwindpb.ReadStoredJobRequest) (*rockwindpb.ReadStoredJobResponse, error) {
-	var response *rockwindpb.ReadStoredJobResponse
 	wait := time.Duration(request.GetWaitMs()) * time.Millisecond
-	err := c.call(ctx, request.GetId(), wait, func(ctx context.Context, service rockwindpb.JobStoreService) (err error) {
-		response, err = service.Read(ctx, request)
-		return err
+	return call(ctx, c, request.GetId(), wait, func(ctx context.Context, service rockwindpb.JobStoreService) (*rockwindpb.ReadStoredJobResponse, error) {
+		return service.Read(ctx, request)
 	})
-	return response, err
 }
 
 // ReadBody returns the body of an item that has no result yet.
 func (c *Client) ReadBody(ctx context.Context, request *rockwindpb.ReadItemBodyRequest) ([]byte, error) {
-	var body []byte
-	err := c.call(ctx, request.GetJob(), 0, func(ctx context.Context, service rockwindpb.JobStoreService) error {
-		response, err := service.ReadBody(ctx, request)
-		body = response.GetBody()
-		return err
+	response, err := call(ctx, c, request.GetJob(), 0, func(ctx context.Context, service rockwindpb.JobStoreService) (*rockwindpb.ReadItemBodyResponse, error) {
+		return service.ReadBody(ctx, request)
 	})
-	return body, err
+	return response.GetBody(), err
 }
 
 // End ends a job: once it returns nothing more of it is begun.
 func (c *Client) End(ctx context.Context, id string) error {
-	return c.call(ctx, id, 0, func(ctx context.Context, service rockwindpb.JobStoreService) error {
-		_, err := service.End(ctx, &rockwindpb.EndStoredJobRequest{Id: id})
-		return err
+	_, err := call(ctx, c, id, 0, func(ctx context.Context, service rockwindpb.JobStoreService) (*rockwindpb.EndStoredJobResponse, error) {
+		return service.End(ctx, &rockwindpb.EndStoredJobRequest{Id: id})
 	})
-}
-
-// call performs a call at the leader of a job's shard until it is answered.
-func (c *Client) call(ctx context.Context, job string, wait time.Duration, attempt func(context.Context, rockwindpb.JobStoreService) error) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
-	defer cancel()
-	doubt := false
-	for {
-		shard, address, known := c.pick(job)
-		if known {
-			err := c.once(ctx, address, wait, attempt)
-			if err == nil {
-				c.remember(shard, address)
-				return nil
-			}
-			failure := fault.From(err)
-			if final(failure.Kind) {
-				return failure
-			}
-			doubt = doubt || failure.Ran != fault.NotRun
-			c.follow(shard, address, failure)
-		}
-		if !retry.Pause(ctx, pause) {
-			return c.unanswered(doubt)
-		}
-	}
+	return err
 }
 
 // final tells whether another attempt would end alike.
@@ -131,38 +111,33 @@
 		WithRan(fault.NotRun).WithRetryAfter(comeBack)
 }
 
-func (c *Client) once(ctx context.Context, address string, wait time.Duration, attempt func(context.Context, rockwindpb.JobStoreService) error) error {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout+wait)
-	defer cancel()
-	return attempt(ctx, rockwindpb.NewJobStoreServiceProtobufClient("http://"+address, twirphttp.Client{Carrier: c.client}))
-}
-
-// pick returns the shard of a job and the store to ask: its leader where it is
-// known, else the members in turn.
-func (c *Client) pick(job string) (shard uint32, address string, known bool) {
-	view := c.watcher.Directory()
+// pick returns the shard of a job and a store to ask that is not asked already: the
+// shard's leader where it is known, else the members in turn.
+func (c *Client) pick(job string, asked map[string]bool) (shard uint32, address string, known bool) {
+	view := c.site.Directory()
 	if view == nil || view.StoreCluster() == nil {
 		return 0, "", false
 	}
 	shard = jobstore.ShardOf(job, len(view.StoreCluster().GetGroups()))
+	stores := c.site.Stores()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if leader := c.leaders[shard]; leader != "" {
+	if leader := c.leaders[shard]; leader != "" && !asked[leader] {
 		return shard, leader, true
 	}
-	stores := c.watcher.Stores()
-	if len(stores) == 0 {
-		return shard, "", false
-	}
 	c.rotate++
 	now := time.Now()
 	for offset := range stores {
-		address := stores[(int(shard)+c.rotate+offset)%len(stores)].GetAddress()
-		if now.After(c.avoided[address]) {
-			return shard, address, true
+		candidate := stores[(int(shard)+c.rotate+offset)%len(stores)].GetAddress()
+		if asked[candidate] {
+			continue
+		}
+		if now.After(c.avoided[candidate]) {
+			return shard, candidate, true
 		}
+		address = candidate
 	}
-	return shard, stores[c.rotate%len(stores)].GetAddress(), true
+	return shard, address, address != ""
 }
 
 func (c *Client) remember(shard uint32, leader string) {
