Soak a site of real processes with faults from outside; grow groups to their places

And the root group is founded by three seeds, so where a site tolerates two losses at once (both grown sites) two lost disks could take an acknowledged configuration along.

The soak (internal/bench/soak, `rockwind-bench soak`): nine processes, each behind a loopback proxy that delays, resets, cuts one way or silences TCP and datagrams; processes that are paused, stopped, killed singly or together and started again; disks that are emptied or end in a torn write; back ends that die, leave, refuse, cut answers and hang. A witness judges 17 rules from what callers, operators and back ends see. Faults on processes with a disk come one at a time, as the site bears one.

For it the product gained: `advertise`, the address that others use; calls about batch jobs at the routers of the product's own sites (`/site/jobs/`); log files of a bench's processes. Groups grow to 2 x tolerated losses + 1 voters as machines join.

Tests: faultproxy (each harm, TCP and datagrams), witness (each rule broken on purpose), plans (one disk at a time); replica.TestGroupGrowsToItsPlaces, which fails without places.

--- a/cmd/rockwind-bench/main.go
+++ b/cmd/rockwind-bench/main.go
@@ -21,6 +21,7 @@
 	"rockwind.example/rockwind/internal/bench/load"
 	"rockwind.example/rockwind/internal/bench/scale"
 	"rockwind.example/rockwind/internal/bench/simulate"
+	"rockwind.example/rockwind/internal/bench/soak"
 	"rockwind.example/rockwind/internal/standin"
 )
 
@@ -38,6 +39,8 @@
 
 	Hollow hollow.Commands `cmd:"" help:"Run hollow daemons and engines, many to a process."`
 
+	Soak soak.Command `cmd:"" help:"Harm a site of real processes from outside and check what must always hold."`
+
 	Certificates authority.Command `cmd:"" help:"Make an authority and certificates for trials of TLS."`
 
 	Simulate simulate.Command `cmd:"" help:"Run a policy on a scenario in virtual time."`
--- a/internal/bench/fleet/process.go
+++ b/internal/bench/fleet/process.go
@@ -37,6 +37,7 @@
 
 	program   string
 	arguments []string
+	logFile   string
 	// detached processes outlive the program that started them.
 	detached bool
 
@@ -75,7 +76,12 @@
 	} else {
 		command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	}
-	if err := command.Start(); err != nil {
+	err = command.Start()
+	if file, isFile := output.(*os.File); isFile {
+		// The process has its own descriptor now.
+		_ = file.Close()
+	}
+	if err != nil {
 		return errors.Wrapf(err, "start %s", p.Name)
 	}
 	p.command = command
@@ -87,6 +93,10 @@
 // openOutput is where the process prints to: a file for a detached process,
 // memory otherwise.
 func (p *Process) openOutput() (io.Writer, error) {
+	if p.logFile != "" {
+		file, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		return file, errors.Wrapf(err, "open log file of %s", p.Name)
+	}
 	if !p.detached {
 		return p.output, nil
 	}
--- a/internal/bench/fleet/standalone.go
+++ b/internal/bench/fleet/standalone.go
@@ -15,6 +15,9 @@
 	// Program is the path of the program, Arguments its command line.
 	Program   string
 	Arguments []string
+	// LogFile takes all that the process prints, over all its starts; without it the
+	// end of the output is kept in memory.
+	LogFile string
 }
 
 // NewProcess prepares a process; Start runs it.
@@ -23,6 +26,7 @@
 		Name: described.Name, Role: described.Role, Zone: described.Zone,
 		Address: described.Address, InternalAddress: described.InternalAddress,
 		Folder: described.Folder, program: described.Program, arguments: described.Arguments,
+		logFile: described.LogFile,
 	}
 }
 
@@ -44,6 +48,6 @@
 func (p *Process) Again() *Process {
 	return &Process{
 		Name: p.Name, Role: p.Role, Zone: p.Zone, Address: p.Address, InternalAddress: p.InternalAddress,
-		Folder: p.Folder, program: p.program, arguments: p.arguments,
+		Folder: p.Folder, program: p.program, arguments: p.arguments, logFile: p.logFile,
 	}
 }
--- /dev/null
+++ b/internal/bench/soak/jobs.go
@@ -0,0 +1,219 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"rockwind.example/rockwind/internal/bench/soak/backend"
+	"rockwind.example/rockwind/internal/bench/soak/witness"
+	"rockwind.example/rockwind/internal/retry"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/router"
+	"rockwind.example/rockwind/internal/upstream"
+)
+
+const (
+	// jobGap is the mean time between two jobs, mostItems the most items of one.
+	jobGap    = 700 * time.Millisecond
+	mostItems = 12
+	// poisonPart is the part of the items that can never be done, endPart the part of
+	// the jobs that are ended early, resendPart that of the jobs submitted again.
+	poisonPart = 0.05
+	endPart    = 0.2
+	resendPart = 0.3
+	// submitTries is how often a job is submitted at most.
+	submitTries = 30
+	// settle is how long after its acceptance a job may be unknown to a router.
+	settle = time.Second
+	// readGap is the time between two reads of a job.
+	readGap = 300 * time.Millisecond
+	// jobTimeout bounds one call about a job.
+	jobTimeout = 4 * time.Second
+)
+
+// jobClient submits, reads and ends jobs.
+type jobClient struct {
+	run    *run
+	random *rand.Rand
+	client *http.Client
+}
+
+func newJobClient(run *run, number uint64) *jobClient {
+	return &jobClient{run: run, random: rand.New(rand.NewPCG(run.seed, 1000+number)), client: newClient(jobTimeout)}
+}
+
+func (c *jobClient) router() *member {
+	routers := c.run.site.routers()
+	return routers[c.random.IntN(len(routers))]
+}
+
+// job submits one job and follows it until its end is read or the context ends.
+func (c *jobClient) job(ctx context.Context, id string) {
+	message, texts := c.newJob(id)
+	encoded, err := protojson.Marshal(message)
+	if err != nil {
+		c.run.submitting.Done()
+		c.run.witness.Report(witness.WrongAnswer, id, err.Error(), c.run.since())
+		return
+	}
+	c.run.witness.Submitting(id, texts)
+	taken := c.submit(ctx, id, encoded)
+	c.run.submitting.Done()
+	if !taken {
+		return
+	}
+	accepted := c.run.since()
+	if c.random.Float64() < resendPart {
+		c.submit(ctx, id, encoded)
+	}
+	ends := c.random.Float64() < endPart
+	for retry.Pause(ctx, readGap) {
+		if c.read(ctx, c.router(), id, accepted) == len(texts) {
+			return
+		}
+		if ends && c.random.Float64() < endPart {
+			c.end(ctx, id)
+			return
+		}
+	}
+}
+
+func (c *jobClient) newJob(id string) (*rockwindpb.StoredJob, map[string]string) {
+	message := &rockwindpb.StoredJob{Id: id}
+	texts := make(map[string]string)
+	for number := range 1 + c.random.IntN(mostItems) {
+		name := fmt.Sprintf("%s-i%d", id, number)
+		headers := []*rockwindpb.StoredHeader{{Name: backend.HeaderJob, Value: id}}
+		texts[name] = backend.Text(name)
+		if c.random.Float64() < poisonPart {
+			headers = append(headers, &rockwindpb.StoredHeader{Name: backend.HeaderPoison, Value: "true"})
+			texts[name] = ""
+		}
+		message.Items = append(message.Items, &rockwindpb.StoredItem{Id: name, Path: backend.PathBatch + name, Headers: headers, Body: []byte(name)})
+	}
+	return message, texts
+}
+
+// submit hands a job in until it is accepted, and tells whether it was.
+func (c *jobClient) submit(ctx context.Context, id string, encoded []byte) bool {
+	for range submitTries {
+		status, body, err := c.call(ctx, http.MethodPost, c.router(), backend.PathBatch+id, id, encoded)
+		switch {
+		case err == nil && status == http.StatusAccepted:
+			c.run.witness.Accepted(id)
+			c.run.witness.Count("jobs accepted")
+			return true
+		case err == nil && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests):
+			c.run.witness.Count("submissions refused")
+		case err != nil || status >= http.StatusInternalServerError:
+			c.run.witness.InDoubt(id)
+		default:
+			c.run.witness.Report(witness.Denied, id, fmt.Sprintf("submission: status %d %s", status, body), c.run.since())
+			return false
+		}
+		if !retry.Pause(ctx, readGap) {
+			return false
+		}
+	}
+	return false
+}
+
+func (c *jobClient) call(ctx context.Context, method string, at *member, path, id string, body []byte) (int, []byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+at.settings.GetListen()+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	request.Host = host
+	request.Header.Set(upstream.HeaderRequestID, id)
+	response, err := c.client.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return response.StatusCode, content, err
+}
+
+// read reads a job from a random position on and returns how many results it has;
+// -1 where that is not known.
+func (c *jobClient) read(ctx context.Context, at *member, id string, accepted time.Duration) int {
+	return c.readFrom(ctx, at, id, accepted, 0)
+}
+
+func (c *jobClient) readFrom(ctx context.Context, at *member, id string, accepted time.Duration, from int) int {
+	sent := c.run.since()
+	status, body, err := c.call(ctx, http.MethodGet, at, fmt.Sprintf("%s%s?from=%d", router.PathJobs, id, from), id, nil)
+	if err != nil || status >= http.StatusInternalServerError {
+		return -1
+	}
+	if status == http.StatusNotFound {
+		if sent > accepted+settle {
+			c.run.witness.Lost(id, at.Name+" answers: "+string(body), c.run.since())
+		}
+		return -1
+	}
+	response := &rockwindpb.ReadStoredJobResponse{}
+	if err := protojson.Unmarshal(body, response); err != nil || status != http.StatusOK {
+		c.run.witness.Report(witness.WrongAnswer, id, fmt.Sprintf("read at %s: status %d, %v", at.Name, status, err), c.run.since())
+		return -1
+	}
+	var seen []witness.Result
+	for _, each := range response.GetResults() {
+		done := each.GetOutcome() == rockwindpb.StoredOutcome_STORED_OUTCOME_DONE
+		seen = append(seen, witness.NewResult(each.GetId(), done, string(each.GetText())))
+	}
+	c.run.witness.Results(id, from, seen, c.run.since())
+	return from + len(seen)
+}
+
+// end ends a job until that is acknowledged.
+func (c *jobClient) end(ctx context.Context, id string) {
+	c.run.witness.Ending(id)
+	for {
+		status, _, err := c.call(ctx, http.MethodDelete, c.router(), router.PathJobs+id, id, nil)
+		if err == nil && status == http.StatusOK {
+			c.run.witness.Ended(id, c.run.since())
+			c.run.witness.Count("jobs ended early")
+			return
+		}
+		if !retry.Pause(ctx, readGap) {
+			return
+		}
+	}
+}
+
+// submitAll submits jobs until the context ends; they are followed until follow ends.
+func (r *run) submitAll(ctx, follow context.Context) {
+	random := rand.New(rand.NewPCG(r.seed, 999))
+	for number := uint64(0); retry.Pause(ctx, time.Duration(random.Int64N(2*int64(jobGap)))); number++ {
+		client := newJobClient(r, number)
+		r.submitting.Add(1)
+		r.clients.Go(func() { client.job(follow, fmt.Sprintf("job-%d-%d", r.seed, number)) })
+	}
+}
+
+// settleJobs reads all accepted jobs at every router until none is open, or the
+// context ends.
+func (r *run) settleJobs(ctx context.Context) {
+	client := newJobClient(r, 0)
+	for {
+		for _, id := range r.witness.Open() {
+			client.read(ctx, client.router(), id, 0)
+		}
+		if len(r.witness.Open()) == 0 || !retry.Pause(ctx, readGap) {
+			break
+		}
+	}
+	for _, id := range r.witness.Jobs() {
+		for _, at := range r.site.routers() {
+			client.read(context.WithoutCancel(ctx), at, id, 0)
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/soak/witness/witness_test.go
@@ -0,0 +1,139 @@
+package witness_test
+
+import (
+	"testing"
+	"time"
+
+	"rockwind.example/rockwind/internal/bench/soak/witness"
+)
+
+// rules lists the rules that a witness saw broken.
+func rules(w *witness.Witness) map[witness.Rule]int {
+	seen := map[witness.Rule]int{}
+	for _, violation := range w.Violations() {
+		seen[violation.Rule]++
+	}
+	return seen
+}
+
+func expect(t *testing.T, w *witness.Witness, want ...witness.Rule) {
+	t.Helper()
+	seen := rules(w)
+	if len(seen) != len(want) {
+		t.Fatalf("broken: %v, want %v", w.Violations(), want)
+	}
+	for _, rule := range want {
+		if seen[rule] == 0 {
+			t.Fatalf("broken: %v, want %v", w.Violations(), want)
+		}
+	}
+}
+
+// submitted returns a witness of one job with a good item and a poisoned one.
+func submitted() *witness.Witness {
+	w := witness.New()
+	w.Submitting("job", map[string]string{"good": "text", "poison": ""})
+	return w
+}
+
+var (
+	good   = witness.NewResult("good", true, "text")
+	poison = witness.NewResult("poison", false, "")
+)
+
+func TestWhatIsRightBreaksNothing(t *testing.T) {
+	w := submitted()
+	w.Sent("once", true)
+	w.Ran("once", "a", 0)
+	w.Sent("safe", false)
+	w.Ran("safe", "a", 0)
+	w.Ran("safe", "b", 0)
+	w.Sent("refused", true)
+	w.Refused("refused", 0)
+	w.Accepted("job")
+	w.ItemRan("job", "good", "a", 0)
+	w.ItemRan("job", "good", "b", 0)
+	w.Results("job", 0, []witness.Result{good}, 0)
+	w.Results("job", 0, []witness.Result{good, poison}, 0)
+	w.Finish(0)
+	expect(t, w)
+}
+
+// TestEachBreachIsSeen brings each breach about that the witness judges itself.
+func TestEachBreachIsSeen(t *testing.T) {
+	const now = 10 * time.Second
+	for rule, breach := range map[witness.Rule]func(*witness.Witness){
+		witness.RanTwice: func(w *witness.Witness) {
+			w.Sent("r", true)
+			w.Ran("r", "a", now)
+			w.Ran("r", "b", now)
+		},
+		witness.RefusedButRan: func(w *witness.Witness) {
+			w.Sent("r", false)
+			w.Refused("r", now)
+			w.Ran("r", "a", now)
+		},
+		witness.JobLost: func(w *witness.Witness) {
+			w.Accepted("job")
+			w.Results("job", 0, []witness.Result{good, poison}, now)
+			w.Lost("job", "unknown", now)
+		},
+		witness.ItemLost: func(w *witness.Witness) {
+			w.Accepted("job")
+			w.Results("job", 0, []witness.Result{good}, now)
+		},
+		witness.ResultChanged: func(w *witness.Witness) {
+			w.Accepted("job")
+			w.Results("job", 0, []witness.Result{good, poison}, now)
+			w.Results("job", 1, []witness.Result{good}, now)
+		},
+		witness.ResultWrong: func(w *witness.Witness) {
+			w.Accepted("job")
+			w.Results("job", 0, []witness.Result{witness.NewResult("good", true, "tex"), poison}, now)
+		},
+		witness.ItemTwice: func(w *witness.Witness) {
+			w.Accepted("job")
+			w.Results("job", 0, []witness.Result{good, good}, now)
+		},
+		witness.RanAfterEnd: func(w *witness.Witness) {
+			w.Accepted("job")
+			w.Ending("job")
+			w.Ended("job", now)
+			w.ItemRan("job", "good", "a", now+time.Second)
+			w.ItemRan("job", "good", "a", now+time.Minute)
+		},
+		witness.RefusedJobRan: func(w *witness.Witness) { w.ItemRan("job", "good", "a", now) },
+		witness.WrongAnswer:   func(w *witness.Witness) { w.ItemRan("job", "other", "a", now) },
+	} {
+		w := submitted()
+		breach(w)
+		w.Finish(now)
+		if rules(w)[rule] == 0 {
+			t.Errorf("%s was not seen; broken: %v", rule, w.Violations())
+		}
+	}
+}
+
+func TestItemThatDiesWithoutReasonIsWrongUnlessItsJobIsEnded(t *testing.T) {
+	dead := witness.NewResult("good", false, "")
+	w := submitted()
+	w.Accepted("job")
+	w.Results("job", 0, []witness.Result{dead, poison}, 0)
+	w.Finish(0)
+	expect(t, w, witness.ResultWrong)
+
+	w = submitted()
+	w.Accepted("job")
+	w.Ending("job")
+	w.Results("job", 0, []witness.Result{dead}, 0)
+	w.Finish(0)
+	expect(t, w)
+}
+
+func TestJobInDoubtMayRun(t *testing.T) {
+	w := submitted()
+	w.InDoubt("job")
+	w.ItemRan("job", "good", "a", 0)
+	w.Finish(0)
+	expect(t, w)
+}
--- a/internal/command/site.go
+++ b/internal/command/site.go
@@ -1,8 +1,6 @@
 package command
 
 import (
-	"net/http"
-
 	"rockwind.example/rockwind/internal/coordinator"
 	"rockwind.example/rockwind/internal/logring"
 	"rockwind.example/rockwind/internal/rockwindpb"
@@ -21,7 +19,7 @@
 	return `Runs one process of a site, in the role that its settings name, until SIGTERM or SIGINT. The
 processes find each other through the seeds, the internal addresses of some coordinators.
 Configurations are applied with 'rockwind apply' at a coordinator; servers report to the
-DirectoryService there. SIGUSR1 writes the last log entries to standard error.`
+DirectoryService there; clients read and end batch jobs at any router. SIGUSR1 writes the last log entries to standard error.`
 }
 
 // Run runs the daemon.
@@ -40,5 +38,5 @@
 	case rockwindpb.SiteRole_SITE_ROLE_STORE:
 		return store.Run(s.context, loaded, router.PlainProtocol{})
 	}
-	return router.Run(s.context, loaded, router.PlainProtocol{}, func(r *router.Router) http.Handler { return r })
+	return router.Run(s.context, loaded, router.PlainProtocol{}, router.PlainHandler)
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -133,7 +133,7 @@
 // found makes the seeds a cluster when the site starts for the first time. All
 // seeds may do so at once: the same machines always make the same cluster.
 func (c *Coordinator) found(ctx context.Context) {
-	seeded := slices.Contains(c.settings.GetSeeds(), c.settings.GetInternalListen())
+	seeded := slices.Contains(c.settings.GetSeeds(), site.Advertised(c.settings))
 	if !c.settings.GetBootstrap() || !seeded {
 		return
 	}
@@ -213,7 +213,7 @@
 		return here()
 	}
 	leader := group.Status().GetLeaderAddress()
-	if leader == "" || leader == c.settings.GetInternalListen() {
+	if leader == "" || leader == site.Advertised(c.settings) {
 		return fault.New(fault.Unavailable, "the root group has no leader that is known here", "try again, at another coordinator too")
 	}
 	return elsewhere("http://" + leader)
--- a/internal/coordinator/keeper.go
+++ b/internal/coordinator/keeper.go
@@ -11,6 +11,7 @@
 	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/site"
 )
 
 const (
@@ -61,7 +62,7 @@
 		Name:      c.settings.GetName(),
 		Role:      rockwindpb.SiteRole_SITE_ROLE_COORDINATOR,
 		Zone:      c.settings.GetZone(),
-		Address:   c.settings.GetInternalListen(),
+		Address:   site.Advertised(c.settings),
 		DiskId:    c.host.DiskID(),
 		Bootstrap: c.settings.GetBootstrap(),
 	}
@@ -78,7 +79,7 @@
 func (c *Coordinator) tellLeader(ctx context.Context, group replica.Group) {
 	leader := group.Status().GetLeaderAddress()
 	ids := c.live.take()
-	if len(ids) == 0 || leader == "" || leader == c.settings.GetInternalListen() {
+	if len(ids) == 0 || leader == "" || leader == site.Advertised(c.settings) {
 		return
 	}
 	calling, cancel := context.WithTimeout(ctx, keepTimeout)
@@ -120,7 +121,7 @@
 
 // foundStores decides the founding of the stores' cluster once.
 func (c *Coordinator) foundStores(ctx context.Context, view *directory.View, now time.Time) {
-	founding := directory.PlanStores(view, storesWanted(c.settings), now)
+	founding := directory.PlanStores(view, site.Places(c.settings), now)
 	if founding == nil {
 		return
 	}
@@ -131,8 +132,3 @@
 	})
 	log.WithField("cluster", founding.GetClusterId()).WithField("shards", len(founding.GetGroups())).WithField("committed", err == nil).Info("stores' cluster is founded")
 }
-
-// storesWanted is how many replicas bear the losses that the site tolerates.
-func storesWanted(settings *rockwindpb.SiteSettings) int {
-	return 2*int(settings.GetToleratedLosses()) + 1
-}
--- a/internal/coordinator/retiring.go
+++ b/internal/coordinator/retiring.go
@@ -12,6 +12,7 @@
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/site"
 )
 
 const (
@@ -75,7 +76,7 @@
 			left++
 		}
 	}
-	if wanted := storesWanted(c.settings); left < wanted {
+	if wanted := site.Places(c.settings); left < wanted {
 		return fault.Newf(fault.Conflict, "add a store first", "%d stores would be left, and the site needs %d", left, wanted)
 	}
 	err = c.change(ctx, &rockwindpb.DirectoryCommand{
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -50,6 +50,10 @@
 	// AdmitNew lets machines with new names take the places of members that are
 	// silent for long, or that have to leave.
 	AdmitNew bool
+	// Places is how many voters a group should have: where AdmitNew is set, machines
+	// with new names join groups that have fewer. Zero keeps the number of the
+	// founding.
+	Places int
 	// Vacate tells which machines have to leave their groups as soon as another one
 	// can take their place; nil means none.
 	Vacate func(machine string) bool
--- a/internal/replica/replacing.go
+++ b/internal/replica/replacing.go
@@ -34,20 +34,28 @@
 	}
 }
 
-// admitNew adds a machine with a new name as a learner in place of a member that
-// is silent or has to leave. It does nothing where there is no such member, or
-// where another machine takes its place already.
+// admitNew adds a machine with a new name as a learner: in a free place, or in the
+// place of a member that is silent or has to leave. It does nothing where there is
+// no place, or where another machine takes it already.
 func (o *owner) admitNew(status raft.Status, request *rockwindpb.JoinRequest) error {
 	if !o.host.options.AdmitNew || o.host.vacates(request.GetMachine()) {
 		return nil
 	}
+	if len(status.Membership.GetMembers()) < o.host.options.Places {
+		return o.admitTo(status, request, nil)
+	}
 	place := o.vacantPlace(status)
 	if place == nil {
 		return nil
 	}
+	return o.admitTo(status, request, place)
+}
+
+// admitTo adds a learner in the place of a member, nil for a free place.
+func (o *owner) admitTo(status raft.Status, request *rockwindpb.JoinRequest, place *rockwindpb.Member) error {
 	changed := &rockwindpb.Membership{}
 	for _, member := range status.Membership.GetMembers() {
-		if member.GetReplaces() != place.GetId() {
+		if place == nil || member.GetReplaces() != place.GetId() {
 			changed.Members = append(changed.Members, member)
 			continue
 		}
--- a/internal/replica/replacing_test.go
+++ b/internal/replica/replacing_test.go
@@ -81,6 +81,29 @@
 	})
 }
 
+// TestGroupGrowsToItsPlaces: a group founded by three machines bears two losses at
+// once as soon as two more have joined. A sixth one waits as a spare.
+func TestGroupGrowsToItsPlaces(t *testing.T) {
+	inBubble(t, 3, func(options *replica.Options) { options.AdmitNew, options.Places = true, 5 }, func(f *fleet) {
+		f.add(0, "key")
+		for _, name := range []string{"new-1", "new-2"} {
+			f.newcomer(name)
+			f.eventually(name+" joins", func() bool { return holds(f.membersOf(0), name) })
+		}
+		f.newcomer("new-3")
+		time.Sleep(time.Minute)
+		if members := f.membersOf(0); len(members) != 5 || holds(members, "new-3") {
+			t.Fatalf("the members are %v", members)
+		}
+		f.add(0, "key")
+		f.lose(f.machines[0])
+		f.lose(f.machines[3])
+		if got := f.add(0, "key"); got != 3 {
+			t.Fatalf("after two losses the third write counts %d", got)
+		}
+	})
+}
+
 // TestNewMachineWaitsWhileAllMembersAreHeard adds a machine to a healthy group:
 // the group does not grow.
 func TestNewMachineWaitsWhileAllMembersAreHeard(t *testing.T) {
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -116,7 +116,7 @@
 		Name:    settings.GetName(),
 		Role:    rockwindpb.SiteRole_SITE_ROLE_ROUTER,
 		Zone:    settings.GetZone(),
-		Address: settings.GetInternalListen(),
+		Address: site.Advertised(settings),
 	}
 	for {
 		pause := announceInterval
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -31,6 +31,9 @@
 			l.add(fieldPath{"seeds"}, "the seed "+seed+" cannot be used", addressRemedy)
 		}
 	}
+	if settings.GetAdvertise() != "" {
+		l.checkAddress(fieldPath{"advertise"}, settings.GetAdvertise())
+	}
 	switch settings.GetRole() {
 	case rockwindpb.SiteRole_SITE_ROLE_COORDINATOR:
 		l.checkAddress(fieldPath{"internal_listen"}, settings.GetInternalListen())
--- a/internal/site/host.go
+++ b/internal/site/host.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"path/filepath"
@@ -30,6 +31,15 @@
 	handOverTimeout = 2 * time.Second
 )
 
+// Advertised is the address under which other processes of the site reach the one
+// with the given settings.
+func Advertised(given *rockwindpb.SiteSettings) string {
+	return cmp.Or(given.GetAdvertise(), given.GetInternalListen())
+}
+
+// Places is how many replicas of a group bear the losses that the site tolerates.
+func Places(given *rockwindpb.SiteSettings) int { return 2*int(given.GetToleratedLosses()) + 1 }
+
 // HostOptions are what differs between the replicated daemons of a site. The fields
 // are those of replica.Options.
 type HostOptions struct {
@@ -46,13 +56,14 @@
 	}
 	host, err = replica.NewHost(replica.Options{
 		Machine:         given.GetName(),
-		Address:         given.GetInternalListen(),
+		Address:         Advertised(given),
 		Folder:          filepath.Join(given.GetDataFolder(), groupFolder),
 		Client:          client,
 		Tick:            tick,
 		HeartbeatTicks:  heartbeatTicks,
 		Discover:        options.Discover,
 		AdmitNew:        true,
+		Places:          Places(given),
 		Vacate:          options.Vacate,
 		SnapshotEntries: snapshotEntries,
 		SnapshotBytes:   snapshotBytes,
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -150,7 +150,7 @@
 		Name:      s.settings.GetName(),
 		Role:      rockwindpb.SiteRole_SITE_ROLE_STORE,
 		Zone:      s.settings.GetZone(),
-		Address:   s.settings.GetInternalListen(),
+		Address:   site.Advertised(s.settings),
 		DiskId:    s.host.DiskID(),
 		Bootstrap: s.settings.GetBootstrap(),
 	}
