--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 FUZZTIME ?= 20s
 STATICCHECK_VERSION := v0.8.2
 
-.PHONY: help build test race lint format-check generate generate-check model fuzz demo capacity clean
+.PHONY: help build test race lint format-check generate generate-check model fuzz demo soak capacity clean
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | awk -F':.*## ' '{printf "%-16s %s\n", $$1, $$2}'
@@ -46,6 +46,9 @@
 demo: build ## run the whole system on loopback for a minute; KEEP=1 leaves it running
 	$(BIN)/rockwind-bench fleet demo $(if $(KEEP),--keep,)
 
+soak: build ## harm a site of real processes from outside, three fresh seeds of 40 s
+	$(BIN)/rockwind-bench soak --count 3 --duration 40s
+
 capacity: build ## make the tables and plots of docs/CAPACITY.md again
 	$(BIN)/rockwind-bench scale --sweep --output docs/capacity --page docs/CAPACITY.md
 
