--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -62,9 +62,8 @@
 	started bool
 	// reason says why the last try gave no whole answer.
 	reason string
-	// last is the last event that was relayed.
-	last    uint64
-	hasLast bool
+	// relayed holds which events were relayed.
+	relayed upstream.Sequence
 }
 
 // verdict tells what becomes of the request after a try.
@@ -159,7 +158,7 @@
 func (e *exchange) try(ctx context.Context, lease *Lease) verdict {
 	e.request.Header = e.header.Clone()
 	e.router.protocol.Prepare(e.request.Header, Try{
-		ServerID: lease.ID, Remaining: time.Until(e.ends), ResumeAfter: e.resumeAfter(),
+		ServerID: lease.ID, Remaining: time.Until(e.ends), ResumeAfter: e.relayed.String(),
 	})
 	began := time.Now()
 	response, err := e.router.client.Do(ctx, lease.Address, &e.request, 0)
@@ -185,14 +184,6 @@
 	return e.answer(ctx, lease, response, time.Since(began))
 }
 
-// resumeAfter is the event after which a server should go on.
-func (e *exchange) resumeAfter() string {
-	if e.hasLast {
-		return strconv.FormatUint(e.last, 10)
-	}
-	return ""
-}
-
 func (e *exchange) tryFailed(ctx context.Context, lease *Lease, err error) verdict {
 	e.reason = err.Error()
 	var failure *upstream.AttemptError
@@ -392,17 +383,13 @@
 	return controller.Flush() == nil
 }
 
-// newEvents leaves out events that were relayed before, and notes the last one.
+// newEvents leaves out events that were relayed before.
 func (e *exchange) newEvents(whole []byte) []byte {
 	kept := make([]byte, 0, len(whole))
 	for _, event := range upstream.Events(whole) {
-		if event.HasSequence {
-			if e.hasLast && event.Sequence <= e.last {
-				continue
-			}
-			e.last, e.hasLast = event.Sequence, true
+		if e.relayed.Take(event) {
+			kept = append(kept, event.Raw...)
 		}
-		kept = append(kept, event.Raw...)
 	}
 	return kept
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -195,9 +195,7 @@
 	}
 	created.request.Repeatable = created.repeatable()
 	created.request.Belongs = func(answer http.Header) bool { return r.protocol.Belongs(header, answer) }
-	if last, err := strconv.ParseUint(facts.ResumeAfter, 10, 64); err == nil {
-		created.last, created.hasLast = last, true
-	}
+	created.relayed = upstream.ResumeAfter(facts.ResumeAfter)
 	return created
 }
 
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -17,6 +17,7 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/router"
 	"rockwind.example/rockwind/internal/store/claims"
+	"rockwind.example/rockwind/internal/upstream"
 )
 
 const (
@@ -79,11 +80,10 @@
 type history struct {
 	// failures counts answers that say that the item failed.
 	failures int
-	// text and last are what was received of the item's output so far.
-	text    []byte
-	hasText bool
-	last    uint64
-	hasLast bool
+	// text is what was received of the item's output so far, in the given events.
+	text     []byte
+	hasText  bool
+	received upstream.Sequence
 	// absentSince is since when the item's route is absent; zero while it is not.
 	absentSince time.Time
 	// after is when the item may be tried again.
@@ -243,7 +243,7 @@
 	} else {
 		decision.Default.Record(decision.ItemStarted, item.Job, log.Fields{
 			"item": item.Index, "item_id": item.Item.GetId(), "server": lease.ID, "load": lease.Load, "slots": lease.Slots,
-			"failures": known.failures, "after_event": known.last, "age_ms": now.UnixMilli() - item.SubmittedUnixMs,
+			"failures": known.failures, "after_event": known.received.Last(), "age_ms": now.UnixMilli() - item.SubmittedUnixMs,
 		})
 	}
 	try := &itemTry{store: e.store, item: item, history: known, lease: lease, attempts: max(1, int(route.GetAttempts()))}
@@ -373,7 +373,7 @@
 	}
 	decision.Default.Record(kind, end.claim.Key().Job(), log.Fields{
 		"item": end.claim.Key().Index(), "item_id": end.item, "outcome": outcomeName(end.outcome), "failures": end.history.failures,
-		"reason": end.reason, "server": end.server, "term": term, "events": end.history.last,
+		"reason": end.reason, "server": end.server, "term": term, "events": end.history.received.Last(),
 	})
 }
 
--- a/internal/store/item.go
+++ b/internal/store/item.go
@@ -57,7 +57,7 @@
 func (t *itemTry) failed(reason string) itemEnd {
 	t.history.failures++
 	// The output of a failed run is not gone on with.
-	t.history.text, t.history.hasText, t.history.hasLast = nil, false, false
+	t.history.text, t.history.hasText, t.history.received = nil, false, upstream.Sequence{}
 	if t.history.failures >= t.attempts {
 		return itemEnd{outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DEAD, history: t.history, reason: reason}
 	}
@@ -105,11 +105,7 @@
 
 func (t *itemTry) request() *upstream.Request {
 	header := itemHeader(t.item)
-	resume := ""
-	if t.history.hasLast {
-		resume = strconv.FormatUint(t.history.last, 10)
-	}
-	t.store.protocol.Prepare(header, router.Try{RequestID: t.item.Item.GetId(), ServerID: t.lease.ID, ResumeAfter: resume})
+	t.store.protocol.Prepare(header, router.Try{RequestID: t.item.Item.GetId(), ServerID: t.lease.ID, ResumeAfter: t.history.received.String()})
 	return &upstream.Request{
 		ID:         t.item.Item.GetId(),
 		Kind:       upstream.Relayed,
@@ -175,13 +171,7 @@
 
 func (t *itemTry) take(whole []byte) {
 	for _, event := range upstream.Events(whole) {
-		if event.HasSequence {
-			if t.history.hasLast && event.Sequence <= t.history.last {
-				continue
-			}
-			t.history.last, t.history.hasLast = event.Sequence, true
-		}
-		if !event.HasData {
+		if !t.history.received.Take(event) || !event.HasData {
 			continue
 		}
 		if t.history.hasText {
