Bound the log that a process keeps in memory by its memory

Ruled out: bodies of finished items (dropped with the result), the runtime's limit (it was set, the live heap was larger).

--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -57,9 +57,10 @@
 		return nil, err
 	}
 	opened, err := wal.Open(wal.Options{
-		Folder:       options.Folder,
-		FileSystem:   options.FileSystem,
-		SegmentBytes: options.SegmentBytes,
+		Folder:        options.Folder,
+		FileSystem:    options.FileSystem,
+		SegmentBytes:  options.SegmentBytes,
+		TrailingBytes: options.TrailingBytes,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -65,6 +65,9 @@
 	// of a group, in entries and in bytes of commands; zero means the defaults.
 	SnapshotEntries uint64
 	SnapshotBytes   int64
+	// TrailingBytes bounds what is kept in memory of the log before the newest
+	// snapshot of a group, in bytes of commands; zero means no bound.
+	TrailingBytes int64
 	// SegmentBytes is the size of a log segment; zero means the default of the log.
 	SegmentBytes int64
 	// Allow tells whether traffic may pass from one machine to another. It is for
--- a/internal/site/host.go
+++ b/internal/site/host.go
@@ -25,8 +25,13 @@
 	groupFolder = "groups"
 	// Bounds of the log on a small disk.
 	snapshotEntries = 4000
-	snapshotBytes   = 12 << 20
 	segmentBytes    = 6 << 20
+	// logPart is the part of a process's memory that the log of one group may take
+	// behind its newest snapshot; half as much is kept from before that. A store of a
+	// large site has five groups. leastLog and mostLog bound it.
+	logPart  = 0.02
+	leastLog = 1 << 20
+	mostLog  = 12 << 20
 	// handOverTimeout bounds the hand-over of leadership at a planned stop.
 	handOverTimeout = 2 * time.Second
 )
@@ -40,6 +45,15 @@
 // Places is how many replicas of a group bear the losses that the site tolerates.
 func Places(given *rockwindpb.SiteSettings) int { return 2*int(given.GetToleratedLosses()) + 1 }
 
+// LogBytes is how much of the log of one group is kept in memory behind its newest
+// snapshot.
+func LogBytes(given *rockwindpb.SiteSettings) int64 {
+	if given.GetMemoryMb() == 0 {
+		return mostLog
+	}
+	return min(mostLog, max(leastLog, int64(logPart*float64(given.GetMemoryMb())*megabyte)))
+}
+
 // HostOptions are what differs between the replicated daemons of a site. The fields
 // are those of replica.Options.
 type HostOptions struct {
@@ -67,7 +81,8 @@
 		Places:          options.Places,
 		Vacate:          options.Vacate,
 		SnapshotEntries: snapshotEntries,
-		SnapshotBytes:   snapshotBytes,
+		SnapshotBytes:   LogBytes(given),
+		TrailingBytes:   LogBytes(given) / 2,
 		SegmentBytes:    segmentBytes,
 		StateMachines:   options.StateMachines,
 	})
--- a/internal/wal/index.go
+++ b/internal/wal/index.go
@@ -175,12 +175,29 @@
 	return nil
 }
 
+// keepFrom is the index of the last entry that a snapshot at an index lets go of.
+func (g *Group) keepFrom(index, trailing uint64, trailingBytes int64) uint64 {
+	least := max(g.base, index-min(trailing, index))
+	if trailingBytes == 0 {
+		return least
+	}
+	kept := index
+	for size := int64(0); kept > least; kept-- {
+		size += int64(len(g.entries[kept-g.base-1].Data))
+		if size > trailingBytes {
+			break
+		}
+	}
+	return kept
+}
+
 // install makes metadata the newest snapshot. When the log holds the entry
 // that the snapshot ends with, it keeps what is behind, and up to trailing
-// entries before it for replicas that lag; otherwise it starts anew. It ignores
+// entries before it for replicas that lag, of at most so many bytes where that is not
+// zero; otherwise it starts anew. It ignores
 // a snapshot that is not newer: one that was taken here may be saved after one
 // that came from the leader.
-func (g *Group) install(metadata *rockwindpb.SnapshotMetadata, trailing uint64) {
+func (g *Group) install(metadata *rockwindpb.SnapshotMetadata, trailing uint64, trailingBytes int64) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if metadata.Index <= g.snapshot.Index {
@@ -194,7 +211,7 @@
 		g.bytes = 0
 		return
 	}
-	if keepFrom := metadata.Index - min(trailing, metadata.Index); keepFrom > g.base {
+	if keepFrom := g.keepFrom(metadata.Index, trailing, trailingBytes); keepFrom > g.base {
 		g.baseTerm = g.entries[keepFrom-g.base-1].Term
 		g.entries = append([]*rockwindpb.Entry(nil), g.entries[keepFrom-g.base:]...)
 		g.base = keepFrom
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -37,6 +37,8 @@
 	// TrailingEntries is how many entries before a snapshot stay in memory for
 	// replicas that lag a little; zero means 2048.
 	TrailingEntries uint64
+	// TrailingBytes bounds the bytes of those entries; zero means no bound.
+	TrailingBytes int64
 }
 
 // Update is what one group makes durable.
@@ -312,7 +314,7 @@
 }
 
 func (l *Log) applySnapshot(id uint32, group *Group, metadata *rockwindpb.SnapshotMetadata) error {
-	group.install(metadata, l.options.TrailingEntries)
+	group.install(metadata, l.options.TrailingEntries, l.options.TrailingBytes)
 	return l.removeOldSnapshots(id, group.Snapshot())
 }
 
--- a/internal/wal/replay.go
+++ b/internal/wal/replay.go
@@ -182,7 +182,7 @@
 	if err != nil {
 		return err
 	}
-	l.Group(r.group).install(metadata, 0)
+	l.Group(r.group).install(metadata, 0, 0)
 	return nil
 }
 
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -303,3 +303,31 @@
 		updates = nil
 	}
 }
+
+// TestEntriesBeforeASnapshotAreBoundedInBytes: a few large entries must not stay in
+// memory only because they are few.
+func TestEntriesBeforeASnapshotAreBoundedInBytes(t *testing.T) {
+	for bytes, first := range map[int64]uint64{0: 3, 250: 9, 300: 8, 10: 11} {
+		log, err := wal.Open(wal.Options{Folder: folder, FileSystem: faultfs.New(), TrailingEntries: 8, TrailingBytes: bytes})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var entries []*rockwindpb.Entry
+		for index := uint64(1); index <= 10; index++ {
+			entries = append(entries, &rockwindpb.Entry{Index: index, Term: 1, Data: make([]byte, 100)})
+		}
+		if err := log.Write([]wal.Update{{Group: 1, Entries: entries}}); err != nil {
+			t.Fatal(err)
+		}
+		metadata, err := log.SaveSnapshot(1, &rockwindpb.SnapshotMetadata{Index: 10, Term: 1}, []byte("state"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := log.Write([]wal.Update{{Group: 1, Snapshot: metadata}}); err != nil {
+			t.Fatal(err)
+		}
+		if got := log.Group(1).FirstIndex(); got != first {
+			t.Errorf("with %d bytes the first entry is %d, want %d", bytes, got, first)
+		}
+	}
+}
