--- a/internal/bench/soak/backend/backend.go
+++ b/internal/bench/soak/backend/backend.go
@@ -109,13 +109,6 @@
 	s.forbidden = s.since()
 }
 
-// Allow ends Forbid.
-func (s *Server) Allow() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.forbidden = 0
-}
-
 func (s *Server) chance(part float64) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
