Drop a parameter that was always zero, a wrapper and a nested switch

Found by reading the whole change again. The soak's read of a job had a position that was always 0, under a comment that said random; router had refuseRead and a wrapper that only exported it; loadshare.Layout.add listed a member in two branches alike. Behaviour is the same; the tests of router, loadshare, soak (real processes), platform and architecture pass unchanged.

--- a/internal/bench/soak/jobs.go
+++ b/internal/bench/soak/jobs.go
@@ -141,15 +141,11 @@
 	return response.StatusCode, content, err
 }
 
-// read reads a job from a random position on and returns how many results it has;
-// -1 where that is not known.
+// read reads a job from its first position and returns how many results it has; -1
+// where that is not known.
 func (c *jobClient) read(ctx context.Context, at *member, id string, accepted time.Duration) int {
-	return c.readFrom(ctx, at, id, accepted, 0)
-}
-
-func (c *jobClient) readFrom(ctx context.Context, at *member, id string, accepted time.Duration, from int) int {
 	sent := c.run.since()
-	status, body, err := c.call(ctx, http.MethodGet, at, fmt.Sprintf("%s%s?from=%d", router.PathJobs, id, from), id, nil)
+	status, body, err := c.call(ctx, http.MethodGet, at, router.PathJobs+id, id, nil)
 	if err != nil || status >= http.StatusInternalServerError {
 		return -1
 	}
@@ -169,8 +165,8 @@
 		done := each.GetOutcome() == rockwindpb.StoredOutcome_STORED_OUTCOME_DONE
 		seen = append(seen, witness.NewResult(each.GetId(), done, string(each.GetText())))
 	}
-	c.run.witness.Results(id, from, seen, c.run.since())
-	return from + len(seen)
+	c.run.witness.Results(id, 0, seen, c.run.since())
+	return len(seen)
 }
 
 // end ends a job until that is acknowledged.
--- a/internal/loadshare/layout.go
+++ b/internal/loadshare/layout.go
@@ -87,14 +87,13 @@
 		l.group = name
 	}
 	for _, member := range group {
-		switch {
-		case own && member.name == l.self:
-			l.ranked = append(l.ranked, member.name)
-		case own:
-			l.ranked = append(l.ranked, member.name)
-			l.peers = append(l.peers, member.address)
-		default:
+		if !own {
 			l.outsiders = append(l.outsiders, member.address)
+			continue
+		}
+		l.ranked = append(l.ranked, member.name)
+		if member.name != l.self {
+			l.peers = append(l.peers, member.address)
 		}
 	}
 }
--- a/internal/router/jobs.go
+++ b/internal/router/jobs.go
@@ -58,7 +58,7 @@
 		Id: request.PathValue("job"), From: from, WaitMs: wait, MaximumBytes: MaximumResultBytes,
 	})
 	if err != nil {
-		refuseRead(writer, err)
+		RefuseRead(writer, err)
 		return
 	}
 	answerMessage(writer, response)
@@ -75,7 +75,7 @@
 
 func (c jobCalls) end(writer http.ResponseWriter, request *http.Request) {
 	if err := c.router.EndJob(request.Context(), request.PathValue("job")); err != nil {
-		refuseRead(writer, err)
+		RefuseRead(writer, err)
 	}
 }
 
@@ -84,16 +84,16 @@
 		Job: request.PathValue("job"), Item: request.PathValue("item"),
 	})
 	if err != nil {
-		refuseRead(writer, err)
+		RefuseRead(writer, err)
 		return
 	}
 	writer.Header().Set("Content-Type", "application/octet-stream")
 	_, _ = writer.Write(body)
 }
 
-// refuseRead answers a call about a job that failed: what is not certain is
+// RefuseRead answers a call about a job that failed: what is not certain is
 // unavailable.
-func refuseRead(writer http.ResponseWriter, err error) {
+func RefuseRead(writer http.ResponseWriter, err error) {
 	failure := fault.From(err)
 	if failure.Kind == fault.OutcomeUnknown {
 		failure.Kind = fault.Unavailable
@@ -101,10 +101,6 @@
 	refuseFault(writer, failure)
 }
 
-// RefuseRead answers a call about a job that failed, for handlers beside the
-// router's own.
-func RefuseRead(writer http.ResponseWriter, err error) { refuseRead(writer, err) }
-
 func answerMessage(writer http.ResponseWriter, message proto.Message) {
 	encoded, err := protojson.Marshal(message)
 	if err != nil {
