--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -35,6 +35,8 @@
 	JobTaken   Kind = "job taken"
 	JobRefused Kind = "job refused"
 	JobEnded   Kind = "job ended"
+	// TokensRefused: a job does not fit below the limit of its route.
+	TokensRefused Kind = "tokens refused"
 	// ItemStarted: an item was sent to a server.
 	ItemStarted Kind = "item started"
 	// ItemReturned: a try of an item ended without a result.
--- a/internal/jobclient/call.go
+++ b/internal/jobclient/call.go
@@ -5,12 +5,26 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/rockwindpb"
-	"rockwind.example/rockwind/internal/twirphttp"
 )
 
+// store is one store as a call meets it.
+type store struct {
+	rockwindpb.JobStoreService
+	limits rockwindpb.TokenLimitService
+}
+
 // attempt is a call as it is made at one store.
-type attempt[T any] func(context.Context, rockwindpb.JobStoreService) (T, error)
+type attempt[T any] func(context.Context, store) (T, error)
+
+// target is the shard that a call is for, given how many there are.
+type target func(shards int) uint32
+
+// shardOf is the shard that keeps a job.
+func shardOf(job string) target {
+	return func(shards int) uint32 { return jobstore.ShardOf(job, shards) }
+}
 
 // outcome is how the attempt at one store ended.
 type outcome[T any] struct {
@@ -23,7 +37,7 @@
 // caller performs one call. Only the goroutine of the call uses it.
 type caller[T any] struct {
 	client  *Client
-	job     string
+	target  target
 	wait    time.Duration
 	attempt attempt[T]
 	asked   map[string]bool
@@ -32,13 +46,13 @@
 	doubt bool
 }
 
-// call performs a call at the leader of a job's shard until it is answered. A store
-// that does not answer soon does not hold it up: another one is asked beside it.
-func call[T any](ctx context.Context, client *Client, job string, wait time.Duration, made attempt[T]) (T, error) {
+// call performs a call at the leader of a shard until it is answered. A store that does
+// not answer soon does not hold it up: another one is asked beside it.
+func call[T any](ctx context.Context, client *Client, at target, wait time.Duration, made attempt[T]) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
 	defer cancel()
 	c := &caller[T]{
-		client: client, job: job, wait: wait, attempt: made,
+		client: client, target: at, wait: wait, attempt: made,
 		asked: make(map[string]bool), ended: make(chan outcome[T], maximumAsked),
 	}
 	return c.run(ctx)
@@ -65,6 +79,11 @@
 				return end.value, nil
 			}
 			failure := fault.From(end.err)
+			if failure.Kind == fault.LimitReached && (c.doubt || len(c.asked) > 0) {
+				// Another attempt may have taken effect, or may still: that nothing of it
+				// ever will cannot be said.
+				return nothing, c.client.unanswered(true)
+			}
 			if final(failure.Kind) {
 				return nothing, failure
 			}
@@ -80,7 +99,7 @@
 	if len(c.asked) >= maximumAsked {
 		return false
 	}
-	shard, address, known := c.client.pick(c.job, c.asked)
+	shard, address, known := c.client.pick(c.target, c.asked)
 	if !known {
 		return false
 	}
@@ -88,8 +107,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, attemptTimeout+c.wait)
 		defer cancel()
-		service := rockwindpb.NewJobStoreServiceProtobufClient("http://"+address, twirphttp.Client{Carrier: c.client.client})
-		value, err := c.attempt(ctx, service)
+		value, err := c.attempt(ctx, c.client.store(address))
 		c.ended <- outcome[T]{shard: shard, address: address, value: value, err: err}
 	}()
 	return true
--- a/internal/jobclient/call_test.go
+++ b/internal/jobclient/call_test.go
@@ -79,12 +79,12 @@
 	former, next := &fakeStore{submit: leads}, &fakeStore{}
 	client, addresses := newClient(t, former, next)
 	next.submit = notLeader(addresses[0])
-	if err := client.Submit(t.Context(), &rockwindpb.StoredJob{Id: "first"}); err != nil {
+	if err := client.Submit(t.Context(), &rockwindpb.StoredJob{Id: "first"}, 0); err != nil {
 		t.Fatal(err)
 	}
 	former.submit, next.submit = silent, leads
 	began := time.Now()
-	if err := client.Submit(t.Context(), &rockwindpb.StoredJob{Id: "second"}); err != nil {
+	if err := client.Submit(t.Context(), &rockwindpb.StoredJob{Id: "second"}, 0); err != nil {
 		t.Fatal(err)
 	}
 	if took := time.Since(began); took > soon {
@@ -104,7 +104,7 @@
 		}
 		return nil
 	}
-	if err := client.Submit(t.Context(), &rockwindpb.StoredJob{Id: "job"}); err != nil {
+	if err := client.Submit(t.Context(), &rockwindpb.StoredJob{Id: "job"}, 0); err != nil {
 		t.Fatal(err)
 	}
 	if late := time.Since(elected); late > 300*time.Millisecond {
@@ -117,7 +117,7 @@
 	client, _ := newClient(t, &fakeStore{submit: silent})
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
-	err := client.Submit(ctx, &rockwindpb.StoredJob{Id: "job"})
+	err := client.Submit(ctx, &rockwindpb.StoredJob{Id: "job"}, 0)
 	if failure := fault.From(err); failure.Kind != fault.OutcomeUnknown {
 		t.Fatalf("the call ends with %v", err)
 	}
@@ -128,7 +128,7 @@
 	first, second := &fakeStore{submit: leads}, &fakeStore{submit: leads}
 	client, _ := newClient(t, first, second)
 	for range 20 {
-		if err := client.Submit(t.Context(), &rockwindpb.StoredJob{Id: "job"}); err != nil {
+		if err := client.Submit(t.Context(), &rockwindpb.StoredJob{Id: "job"}, 0); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -136,3 +136,34 @@
 		t.Fatalf("20 calls were sent %d times", asked)
 	}
 }
+
+func full(context.Context) error {
+	return fault.New(fault.LimitReached, "full", "come back").WithRan(fault.NotRun).WithRetryAfter(2 * time.Second)
+}
+
+// TestLimitEndsACallWithTheTimeToComeBack, at once and not at another store.
+func TestLimitEndsACallWithTheTimeToComeBack(t *testing.T) {
+	store := &fakeStore{submit: full}
+	client, _ := newClient(t, store)
+	err := client.Submit(t.Context(), &rockwindpb.StoredJob{Id: "job"}, 7)
+	failure := fault.From(err)
+	if failure == nil || failure.Kind != fault.LimitReached || failure.RetryAfter != 2*time.Second || store.asked.Load() != 1 {
+		t.Fatalf("the call ends with %v after %d attempts", err, store.asked.Load())
+	}
+}
+
+// TestLimitAfterALostAttemptPromisesNothing: the attempt that got no answer may have
+// taken the job, so the caller must not be told that it never runs.
+func TestLimitAfterALostAttemptPromisesNothing(t *testing.T) {
+	former, next := &fakeStore{submit: leads}, &fakeStore{}
+	client, addresses := newClient(t, former, next)
+	next.submit = notLeader(addresses[0])
+	if err := client.Submit(t.Context(), &rockwindpb.StoredJob{Id: "first"}, 7); err != nil {
+		t.Fatal(err)
+	}
+	former.submit, next.submit = silent, full
+	err := client.Submit(t.Context(), &rockwindpb.StoredJob{Id: "second"}, 7)
+	if failure := fault.From(err); failure == nil || failure.Kind != fault.OutcomeUnknown {
+		t.Fatalf("the call ends with %v", err)
+	}
+}
--- a/internal/jobclient/client.go
+++ b/internal/jobclient/client.go
@@ -11,8 +11,9 @@
 
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
-	"rockwind.example/rockwind/internal/jobstore"
+	"rockwind.example/rockwind/internal/quota"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/twirphttp"
 )
 
 const (
@@ -59,12 +60,14 @@
 	return &Client{site: site, client: client, leaders: make(map[uint32]string), avoided: make(map[string]time.Time)}
 }
 
-// Submit hands a job over. It returns once enough copies are synced. It fails
-// with fault.OutcomeUnknown where the job may have been taken although no answer
-// says so.
-func (c *Client) Submit(ctx context.Context, job *rockwindpb.StoredJob) error {
-	_, err := call(ctx, c, job.GetId(), 0, func(ctx context.Context, service rockwindpb.JobStoreService) (*rockwindpb.SubmitStoredJobResponse, error) {
-		return service.Submit(ctx, &rockwindpb.SubmitStoredJobRequest{Job: job})
+// Submit hands a job over. It returns once enough copies are synced. It fails with
+// fault.OutcomeUnknown where the job may have been taken although no answer says so, and
+// with fault.LimitReached where it does not fit below the limit of its route. Limited is
+// the number of the configuration by which the route has one, else zero.
+func (c *Client) Submit(ctx context.Context, job *rockwindpb.StoredJob, limited uint64) error {
+	request := &rockwindpb.SubmitStoredJobRequest{Job: job, Configuration: limited}
+	_, err := call(ctx, c, shardOf(job.GetId()), 0, func(ctx context.Context, service store) (*rockwindpb.SubmitStoredJobResponse, error) {
+		return service.Submit(ctx, request)
 	})
 	return err
 }
@@ -72,14 +75,14 @@
 // Read returns results of a job; see jobstore.Machine.Read.
 func (c *Client) Read(ctx context.Context, request *rockwindpb.ReadStoredJobRequest) (*rockwindpb.ReadStoredJobResponse, error) {
 	wait := time.Duration(request.GetWaitMs()) * time.Millisecond
-	return call(ctx, c, request.GetId(), wait, func(ctx context.Context, service rockwindpb.JobStoreService) (*rockwindpb.ReadStoredJobResponse, error) {
+	return call(ctx, c, shardOf(request.GetId()), wait, func(ctx context.Context, service store) (*rockwindpb.ReadStoredJobResponse, error) {
 		return service.Read(ctx, request)
 	})
 }
 
 // ReadBody returns the body of an item that has no result yet.
 func (c *Client) ReadBody(ctx context.Context, request *rockwindpb.ReadItemBodyRequest) ([]byte, error) {
-	response, err := call(ctx, c, request.GetJob(), 0, func(ctx context.Context, service rockwindpb.JobStoreService) (*rockwindpb.ReadItemBodyResponse, error) {
+	response, err := call(ctx, c, shardOf(request.GetJob()), 0, func(ctx context.Context, service store) (*rockwindpb.ReadItemBodyResponse, error) {
 		return service.ReadBody(ctx, request)
 	})
 	return response.GetBody(), err
@@ -87,16 +90,42 @@
 
 // End ends a job: once it returns nothing more of it is begun.
 func (c *Client) End(ctx context.Context, id string) error {
-	_, err := call(ctx, c, id, 0, func(ctx context.Context, service rockwindpb.JobStoreService) (*rockwindpb.EndStoredJobResponse, error) {
+	_, err := call(ctx, c, shardOf(id), 0, func(ctx context.Context, service store) (*rockwindpb.EndStoredJobResponse, error) {
 		return service.End(ctx, &rockwindpb.EndStoredJobRequest{Id: id})
 	})
 	return err
 }
 
+// Reserve asks the owner of a route's count for the tokens of a job. It fails with
+// fault.LimitReached where they do not fit, and says when to come back.
+func (c *Client) Reserve(ctx context.Context, request *rockwindpb.ReserveTokensRequest) (*rockwindpb.ReserveTokensResponse, error) {
+	owner := func(shards int) uint32 { return quota.OwnerOf(request.GetRoute(), shards) }
+	return call(ctx, c, owner, 0, func(ctx context.Context, service store) (*rockwindpb.ReserveTokensResponse, error) {
+		return service.limits.Reserve(ctx, request)
+	})
+}
+
+// Report asks the leader of a shard for the tokens that wait there on a route.
+func (c *Client) Report(ctx context.Context, request *rockwindpb.ReportTokensRequest) (*rockwindpb.ReportTokensResponse, error) {
+	shard := func(int) uint32 { return request.GetShard() }
+	return call(ctx, c, shard, 0, func(ctx context.Context, service store) (*rockwindpb.ReportTokensResponse, error) {
+		return service.limits.Report(ctx, request)
+	})
+}
+
+// store is the one at an address.
+func (c *Client) store(address string) store {
+	carrier := twirphttp.Client{Carrier: c.client}
+	return store{
+		JobStoreService: rockwindpb.NewJobStoreServiceProtobufClient("http://"+address, carrier),
+		limits:          rockwindpb.NewTokenLimitServiceProtobufClient("http://"+address, carrier),
+	}
+}
+
 // final tells whether another attempt would end alike.
 func final(kind fault.Kind) bool {
 	switch kind {
-	case fault.NotFound, fault.Conflict, fault.InvalidArgument:
+	case fault.NotFound, fault.Conflict, fault.InvalidArgument, fault.LimitReached, fault.Stale:
 		return true
 	}
 	return false
@@ -111,14 +140,14 @@
 		WithRan(fault.NotRun).WithRetryAfter(comeBack)
 }
 
-// pick returns the shard of a job and a store to ask that is not asked already: the
+// pick returns the shard of a call and a store to ask that is not asked already: the
 // shard's leader where it is known, else the members in turn.
-func (c *Client) pick(job string, asked map[string]bool) (shard uint32, address string, known bool) {
+func (c *Client) pick(at target, asked map[string]bool) (shard uint32, address string, known bool) {
 	view := c.site.Directory()
 	if view == nil || view.StoreCluster() == nil {
 		return 0, "", false
 	}
-	shard = jobstore.ShardOf(job, len(view.StoreCluster().GetGroups()))
+	shard = at(len(view.StoreCluster().GetGroups()))
 	stores := c.site.Stores()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/jobstore/machine.go
+++ b/internal/jobstore/machine.go
@@ -33,6 +33,8 @@
 	position []uint32
 	// byID finds an item by its identifier.
 	byID map[string]uint32
+	// waiting is the tokens of the items without a result.
+	waiting uint64
 }
 
 func newJob(stored *rockwindpb.StoredJob) *job {
@@ -43,9 +45,11 @@
 	}
 	for i, item := range stored.GetItems() {
 		created.byID[item.GetId()] = uint32(i)
+		created.waiting += item.GetTokens()
 	}
 	for i, result := range stored.GetResults() {
 		created.position[result.GetItem()] = uint32(i) + 1
+		created.waiting -= stored.GetItems()[result.GetItem()].GetTokens()
 	}
 	return created
 }
@@ -123,6 +127,7 @@
 		}
 		known.stored.Results = append(known.stored.Results, result)
 		known.position[item] = uint32(len(known.stored.GetResults()))
+		known.waiting -= known.stored.GetItems()[item].GetTokens()
 		// The body has served its purpose.
 		known.stored.Items[item].Body = nil
 	}
--- a/internal/jobstore/read.go
+++ b/internal/jobstore/read.go
@@ -62,6 +62,33 @@
 	return open
 }
 
+// Has tells whether a job was taken.
+func (m *Machine) Has(id string) bool {
+	_, found := m.jobs[id]
+	return found
+}
+
+// WaitingTokens sums up the tokens of the items that may still run, over the jobs whose
+// host and path are wanted.
+func (m *Machine) WaitingTokens(wanted func(host, path string) bool) uint64 {
+	sum := uint64(0)
+	for _, known := range m.jobs {
+		if known.open() && wanted(known.stored.GetHost(), known.stored.GetPath()) {
+			sum += known.waiting
+		}
+	}
+	return sum
+}
+
+// TokensOf sums up the tokens of the items of a job.
+func TokensOf(job *rockwindpb.StoredJob) uint64 {
+	sum := uint64(0)
+	for _, item := range job.GetItems() {
+		sum += item.GetTokens()
+	}
+	return sum
+}
+
 // Runnable tells whether an item may still run.
 func (m *Machine) Runnable(id string, index uint32) bool {
 	known, found := m.jobs[id]
--- /dev/null
+++ b/internal/jobstore/waiting_test.go
@@ -0,0 +1,69 @@
+package jobstore_test
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"rockwind.example/rockwind/internal/jobstore"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+func apply(t *testing.T, machine *jobstore.Machine, command *rockwindpb.JobStoreCommand) {
+	t.Helper()
+	encoded, err := proto.Marshal(command)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if outcome := machine.Apply(0, encoded).(jobstore.Outcome); outcome.Fault != nil {
+		t.Fatal(outcome.Fault)
+	}
+}
+
+func submitted(id, path string, tokens ...uint64) *rockwindpb.JobStoreCommand {
+	job := &rockwindpb.StoredJob{Id: id, Host: "h", Path: path}
+	for i, each := range tokens {
+		job.Items = append(job.Items, &rockwindpb.StoredItem{Id: string(rune('a' + i)), Tokens: each})
+	}
+	return &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_Submit{Submit: job}}
+}
+
+// TestWaitingTokensAreThoseOfItemsWithoutAResult of open jobs, also after a restart from
+// a snapshot.
+func TestWaitingTokensAreThoseOfItemsWithoutAResult(t *testing.T) {
+	machine := jobstore.New()
+	of := func(m *jobstore.Machine, path string) uint64 {
+		return m.WaitingTokens(func(_, jobPath string) bool { return jobPath == path })
+	}
+	apply(t, machine, submitted("one", "/p/", 10, 20, 30))
+	apply(t, machine, submitted("two", "/p/", 5))
+	apply(t, machine, submitted("other", "/q/", 1000))
+	result := func(item uint32) *rockwindpb.JobStoreCommand {
+		return &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_Record{Record: &rockwindpb.RecordResults{
+			Job: "one", Results: []*rockwindpb.StoredResult{{Item: item, Outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DONE}},
+		}}}
+	}
+	apply(t, machine, result(1))
+	apply(t, machine, result(1))
+	if got := of(machine, "/p/"); got != 45 {
+		t.Errorf("%d tokens wait, want 45", got)
+	}
+	snapshot, err := machine.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := jobstore.New()
+	if err := restored.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	if got := of(restored, "/p/"); got != 45 {
+		t.Errorf("%d tokens wait after the restart, want 45", got)
+	}
+	apply(t, machine, &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_End{End: &rockwindpb.EndStoredJobRequest{Id: "one"}}})
+	if got := of(machine, "/p/"); got != 5 {
+		t.Errorf("%d tokens wait once a job is ended, want 5", got)
+	}
+	if !machine.Has("one") || machine.Has("none") {
+		t.Error("the jobs that were taken are not known")
+	}
+}
--- /dev/null
+++ b/internal/quota/seed_test.go
@@ -0,0 +1,16 @@
+package quota_test
+
+import (
+	"flag"
+
+	_ "pgregory.net/rapid" // registers the flags
+)
+
+// The seed of the property tests is fixed, so that each run gives the same
+// verdict. The flag -rapid.seed changes it; 0 draws a fresh one. A run has to be long
+// enough for a change of leaders between any two steps of a request.
+var (
+	_ = flag.Set("rapid.seed", "20261202")
+	_ = flag.Set("rapid.checks", "20000")
+	_ = flag.Set("rapid.steps", "150")
+)
--- a/internal/rockwindpb/jobstore.twirp.go
+++ b/internal/rockwindpb/jobstore.twirp.go
@@ -1354,62 +1354,850 @@
 	return baseServicePath(s.pathPrefix, "rockwind.v1", "JobStoreService")
 }
 
+// ===========================
+// TokenLimitService Interface
+// ===========================
+
+// TokenLimitService bounds the tokens that wait on a route. Reserve is answered by the
+// leader of the shard that counts for the route, Report by the leader of the shard that
+// is asked about.
+type TokenLimitService interface {
+	Reserve(context.Context, *ReserveTokensRequest) (*ReserveTokensResponse, error)
+
+	Report(context.Context, *ReportTokensRequest) (*ReportTokensResponse, error)
+}
+
+// =================================
+// TokenLimitService Protobuf Client
+// =================================
+
+type tokenLimitServiceProtobufClient struct {
+	client      HTTPClient
+	urls        [2]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewTokenLimitServiceProtobufClient creates a Protobuf client that implements the TokenLimitService interface.
+// It communicates using Protobuf and can be configured with a custom HTTPClient.
+func NewTokenLimitServiceProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) TokenLimitService {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "rockwind.v1", "TokenLimitService")
+	urls := [2]string{
+		serviceURL + "Reserve",
+		serviceURL + "Report",
+	}
+
+	return &tokenLimitServiceProtobufClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *tokenLimitServiceProtobufClient) Reserve(ctx context.Context, in *ReserveTokensRequest) (*ReserveTokensResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "rockwind.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "TokenLimitService")
+	ctx = ctxsetters.WithMethodName(ctx, "Reserve")
+	caller := c.callReserve
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReserveTokensRequest) (*ReserveTokensResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReserveTokensRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReserveTokensRequest) when calling interceptor")
+					}
+					return c.callReserve(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReserveTokensResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReserveTokensResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *tokenLimitServiceProtobufClient) callReserve(ctx context.Context, in *ReserveTokensRequest) (*ReserveTokensResponse, error) {
+	out := new(ReserveTokensResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *tokenLimitServiceProtobufClient) Report(ctx context.Context, in *ReportTokensRequest) (*ReportTokensResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "rockwind.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "TokenLimitService")
+	ctx = ctxsetters.WithMethodName(ctx, "Report")
+	caller := c.callReport
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReportTokensRequest) (*ReportTokensResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReportTokensRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReportTokensRequest) when calling interceptor")
+					}
+					return c.callReport(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReportTokensResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReportTokensResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *tokenLimitServiceProtobufClient) callReport(ctx context.Context, in *ReportTokensRequest) (*ReportTokensResponse, error) {
+	out := new(ReportTokensResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// =============================
+// TokenLimitService JSON Client
+// =============================
+
+type tokenLimitServiceJSONClient struct {
+	client      HTTPClient
+	urls        [2]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewTokenLimitServiceJSONClient creates a JSON client that implements the TokenLimitService interface.
+// It communicates using JSON and can be configured with a custom HTTPClient.
+func NewTokenLimitServiceJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) TokenLimitService {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "rockwind.v1", "TokenLimitService")
+	urls := [2]string{
+		serviceURL + "Reserve",
+		serviceURL + "Report",
+	}
+
+	return &tokenLimitServiceJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *tokenLimitServiceJSONClient) Reserve(ctx context.Context, in *ReserveTokensRequest) (*ReserveTokensResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "rockwind.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "TokenLimitService")
+	ctx = ctxsetters.WithMethodName(ctx, "Reserve")
+	caller := c.callReserve
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReserveTokensRequest) (*ReserveTokensResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReserveTokensRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReserveTokensRequest) when calling interceptor")
+					}
+					return c.callReserve(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReserveTokensResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReserveTokensResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *tokenLimitServiceJSONClient) callReserve(ctx context.Context, in *ReserveTokensRequest) (*ReserveTokensResponse, error) {
+	out := new(ReserveTokensResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *tokenLimitServiceJSONClient) Report(ctx context.Context, in *ReportTokensRequest) (*ReportTokensResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "rockwind.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "TokenLimitService")
+	ctx = ctxsetters.WithMethodName(ctx, "Report")
+	caller := c.callReport
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReportTokensRequest) (*ReportTokensResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReportTokensRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReportTokensRequest) when calling interceptor")
+					}
+					return c.callReport(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReportTokensResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReportTokensResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *tokenLimitServiceJSONClient) callReport(ctx context.Context, in *ReportTokensRequest) (*ReportTokensResponse, error) {
+	out := new(ReportTokensResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ================================
+// TokenLimitService Server Handler
+// ================================
+
+type tokenLimitServiceServer struct {
+	TokenLimitService
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewTokenLimitServiceServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewTokenLimitServiceServer(svc TokenLimitService, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &tokenLimitServiceServer{
+		TokenLimitService: svc,
+		hooks:             serverOpts.Hooks,
+		interceptor:       twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:        pathPrefix,
+		jsonSkipDefaults:  jsonSkipDefaults,
+		jsonCamelCase:     jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *tokenLimitServiceServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *tokenLimitServiceServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// TokenLimitServicePathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const TokenLimitServicePathPrefix = "/twirp/rockwind.v1.TokenLimitService/"
+
+func (s *tokenLimitServiceServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "rockwind.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "TokenLimitService")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "rockwind.v1.TokenLimitService" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	switch method {
+	case "Reserve":
+		s.serveReserve(ctx, resp, req)
+		return
+	case "Report":
+		s.serveReport(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+}
+
+func (s *tokenLimitServiceServer) serveReserve(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveReserveJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveReserveProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *tokenLimitServiceServer) serveReserveJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Reserve")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ReserveTokensRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.TokenLimitService.Reserve
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReserveTokensRequest) (*ReserveTokensResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReserveTokensRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReserveTokensRequest) when calling interceptor")
+					}
+					return s.TokenLimitService.Reserve(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReserveTokensResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReserveTokensResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReserveTokensResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReserveTokensResponse and nil error while calling Reserve. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *tokenLimitServiceServer) serveReserveProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Reserve")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ReserveTokensRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.TokenLimitService.Reserve
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReserveTokensRequest) (*ReserveTokensResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReserveTokensRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReserveTokensRequest) when calling interceptor")
+					}
+					return s.TokenLimitService.Reserve(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReserveTokensResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReserveTokensResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReserveTokensResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReserveTokensResponse and nil error while calling Reserve. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *tokenLimitServiceServer) serveReport(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveReportJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveReportProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *tokenLimitServiceServer) serveReportJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Report")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ReportTokensRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.TokenLimitService.Report
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReportTokensRequest) (*ReportTokensResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReportTokensRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReportTokensRequest) when calling interceptor")
+					}
+					return s.TokenLimitService.Report(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReportTokensResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReportTokensResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReportTokensResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReportTokensResponse and nil error while calling Report. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *tokenLimitServiceServer) serveReportProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Report")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ReportTokensRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.TokenLimitService.Report
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReportTokensRequest) (*ReportTokensResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReportTokensRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReportTokensRequest) when calling interceptor")
+					}
+					return s.TokenLimitService.Report(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReportTokensResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReportTokensResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReportTokensResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReportTokensResponse and nil error while calling Report. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *tokenLimitServiceServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor5, 1
+}
+
+func (s *tokenLimitServiceServer) ProtocGenTwirpVersion() string {
+	return "v8.1.3"
+}
+
+// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
+// that is everything in a Twirp route except for the <Method>. This can be used for routing,
+// for example to identify the requests that are targeted to this service in a mux.
+func (s *tokenLimitServiceServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "rockwind.v1", "TokenLimitService")
+}
+
 var twirpFileDescriptor5 = []byte{
-	// 896 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x56, 0xcf, 0x4f, 0x23, 0x37,
-	0x14, 0x66, 0x32, 0x21, 0x3f, 0x5e, 0xc8, 0x6e, 0x6a, 0x58, 0x98, 0x46, 0xd5, 0x2a, 0xeb, 0x6d,
-	0xa5, 0x88, 0xaa, 0x50, 0x02, 0x87, 0x55, 0x57, 0xaa, 0xd4, 0x90, 0x54, 0x80, 0xc4, 0xa6, 0x72,
-	0x96, 0x1e, 0x7a, 0x49, 0x67, 0x62, 0x6f, 0x99, 0xdd, 0x8c, 0x9d, 0x8e, 0x1d, 0x08, 0xc7, 0x9e,
-	0x7a, 0xee, 0xbf, 0xd6, 0xbf, 0xa8, 0xb2, 0x3d, 0x33, 0x21, 0xc9, 0x00, 0x3d, 0xec, 0xed, 0xd9,
-	0xfe, 0xde, 0xe7, 0xe7, 0xef, 0x7b, 0x6f, 0x12, 0x68, 0xc6, 0x62, 0xfc, 0xe9, 0x36, 0xe4, 0xf4,
-	0xf0, 0xe6, 0xe8, 0xf0, 0xa3, 0x08, 0xa4, 0x12, 0x31, 0x3b, 0x98, 0xc6, 0x42, 0x09, 0x54, 0x4b,
-	0xcf, 0x0e, 0x6e, 0x8e, 0xf0, 0x3f, 0x0e, 0xc0, 0x50, 0x1f, 0xd2, 0x73, 0xc5, 0x22, 0xf4, 0x0c,
-	0x0a, 0x21, 0xf5, 0x9c, 0x96, 0xd3, 0xae, 0x92, 0x42, 0x48, 0x11, 0x82, 0xe2, 0xd4, 0x57, 0xd7,
-	0x5e, 0xc1, 0xec, 0x98, 0x18, 0x1d, 0x43, 0xf9, 0x9a, 0xf9, 0x94, 0xc5, 0xd2, 0x73, 0x5b, 0x6e,
-	0xbb, 0xd6, 0xf9, 0xf2, 0xe0, 0x1e, 0xe3, 0x81, 0x65, 0x3b, 0x33, 0x08, 0x92, 0x22, 0x35, 0x51,
-	0x20, 0xe8, 0x9d, 0x57, 0x6c, 0x39, 0xed, 0x2d, 0x62, 0x62, 0xb4, 0x0b, 0x25, 0x25, 0x3e, 0x31,
-	0x2e, 0xbd, 0xcd, 0x96, 0xd3, 0x2e, 0x92, 0x64, 0x85, 0xdf, 0xc0, 0xd6, 0x7d, 0x12, 0x9d, 0xcb,
-	0xfd, 0x88, 0x25, 0x65, 0x99, 0x18, 0xed, 0xc0, 0xe6, 0x8d, 0x3f, 0x99, 0xb1, 0xa4, 0x32, 0xbb,
-	0xc0, 0x93, 0x34, 0x93, 0x30, 0x39, 0x9b, 0x28, 0x9d, 0x19, 0x2a, 0x16, 0x99, 0xcc, 0x3a, 0x31,
-	0x31, 0x3a, 0x81, 0xb2, 0x98, 0xa9, 0xb1, 0x88, 0x6c, 0xee, 0xb3, 0x4e, 0x33, 0xa7, 0xfc, 0x81,
-	0x45, 0x90, 0x14, 0xaa, 0x99, 0x14, 0x9b, 0x2b, 0xcf, 0xb5, 0xf5, 0xeb, 0x18, 0xff, 0x55, 0x80,
-	0xaa, 0x85, 0x5f, 0x88, 0x20, 0x4f, 0xba, 0x6b, 0x21, 0x55, 0x2a, 0x9d, 0x8e, 0x33, 0x39, 0xdd,
-	0x7b, 0x72, 0x7e, 0x07, 0x9b, 0xba, 0x2e, 0xe9, 0x15, 0x8d, 0x98, 0x7b, 0x39, 0xd5, 0x68, 0x6b,
-	0x88, 0x45, 0xa1, 0x7d, 0xf8, 0x42, 0xce, 0x82, 0x28, 0x54, 0x8a, 0xd1, 0xd1, 0x8c, 0x87, 0xf3,
-	0x51, 0x64, 0xf5, 0x73, 0xc9, 0xf3, 0xec, 0xe0, 0x8a, 0x87, 0xf3, 0x4b, 0xa9, 0x9d, 0x8a, 0x8d,
-	0x10, 0xd2, 0x2b, 0x3d, 0xe8, 0x94, 0x95, 0x8a, 0xa4, 0x48, 0xad, 0x2c, 0xe3, 0x94, 0x51, 0xaf,
-	0xdc, 0x72, 0xda, 0x15, 0x62, 0x17, 0xda, 0x2b, 0x1a, 0xfe, 0xc1, 0xa4, 0xf2, 0x2a, 0x46, 0x81,
-	0x64, 0x85, 0xbb, 0xb0, 0x3b, 0x34, 0xb7, 0x66, 0x42, 0x10, 0xf6, 0xe7, 0x8c, 0x49, 0x85, 0xda,
-	0xe0, 0x7e, 0x14, 0x81, 0x11, 0xa4, 0xd6, 0xd9, 0xcd, 0xb9, 0x58, 0x63, 0x35, 0x04, 0x1f, 0xc1,
-	0xde, 0x1a, 0x87, 0x9c, 0x0a, 0x2e, 0x99, 0xbe, 0x36, 0x66, 0x92, 0x71, 0x65, 0x78, 0x2a, 0x24,
-	0x59, 0xe1, 0x39, 0xec, 0x10, 0xe6, 0xd3, 0xb5, 0x4b, 0x73, 0x4c, 0xf8, 0x10, 0x8b, 0xc8, 0x98,
-	0x50, 0x27, 0x26, 0x46, 0x7b, 0x50, 0xbe, 0xf5, 0x43, 0xa5, 0x75, 0x73, 0xcd, 0x76, 0x49, 0x2f,
-	0x2f, 0x25, 0x7a, 0x0d, 0xf5, 0xc8, 0x9f, 0x87, 0xd1, 0x2c, 0x1a, 0x05, 0x77, 0x8a, 0x49, 0xd3,
-	0xac, 0x75, 0xb2, 0x95, 0x6c, 0x76, 0xf5, 0x1e, 0xfe, 0x1d, 0x5e, 0xac, 0xdc, 0x9c, 0x94, 0xba,
-	0x03, 0x9b, 0x4a, 0x28, 0x7f, 0x92, 0x34, 0x9b, 0x5d, 0xa0, 0xa3, 0x85, 0x05, 0x85, 0x1c, 0x7f,
-	0x35, 0xd5, 0x8a, 0x01, 0xf8, 0x03, 0xc0, 0x62, 0x7b, 0xed, 0x45, 0x9f, 0xaf, 0x7d, 0xdf, 0xc2,
-	0xb6, 0xbe, 0x47, 0x37, 0x57, 0x57, 0xd0, 0xbb, 0x54, 0xc2, 0xc6, 0xc2, 0xb7, 0xaa, 0xf1, 0x27,
-	0x9b, 0xa2, 0xa4, 0x93, 0x75, 0x8c, 0xf7, 0xad, 0x01, 0x8b, 0xe4, 0x44, 0x85, 0x74, 0xce, 0x9d,
-	0xc5, 0x9c, 0xe3, 0x6f, 0x60, 0xbb, 0xcf, 0x9f, 0xf4, 0x0a, 0xef, 0xc2, 0xce, 0x32, 0xcc, 0x52,
-	0xe2, 0x5f, 0xa1, 0x4e, 0xd8, 0x58, 0xc4, 0x89, 0x22, 0x32, 0xa7, 0xc2, 0xe3, 0x55, 0x95, 0xff,
-	0x47, 0xa3, 0xe3, 0xaf, 0xa0, 0xd2, 0x8b, 0xc5, 0xf4, 0x42, 0x04, 0x86, 0x32, 0xa4, 0xd2, 0x73,
-	0x5a, 0xae, 0xa6, 0x0c, 0xa9, 0xc4, 0x7f, 0x17, 0xe0, 0xf9, 0x85, 0x08, 0x4c, 0xea, 0xa9, 0x88,
-	0x22, 0x9f, 0x53, 0xf4, 0x12, 0x6a, 0x5c, 0xdc, 0x66, 0x53, 0xe7, 0x98, 0xa9, 0xab, 0x72, 0x71,
-	0x9b, 0xcc, 0xdb, 0xf7, 0x50, 0xb2, 0x23, 0x68, 0xa4, 0x7a, 0xb0, 0xeb, 0xcf, 0x36, 0x48, 0x82,
-	0x43, 0x27, 0xba, 0xbf, 0xf5, 0xdb, 0x8c, 0x33, 0xb5, 0x15, 0x33, 0x97, 0x9e, 0xad, 0xb3, 0x2c,
-	0x16, 0x9d, 0x80, 0xcb, 0x38, 0x35, 0xed, 0x59, 0xeb, 0xb4, 0x96, 0x52, 0x72, 0x84, 0x3e, 0xdb,
-	0x20, 0x1a, 0x8e, 0xbe, 0x85, 0x22, 0x8d, 0xc5, 0xd4, 0x7c, 0x2c, 0x6a, 0x9d, 0x17, 0x4b, 0x69,
-	0xa9, 0x10, 0x67, 0x1b, 0xc4, 0x80, 0xba, 0x55, 0x28, 0x8f, 0xed, 0xab, 0xf1, 0x8f, 0xd0, 0x48,
-	0x85, 0x18, 0x72, 0x7f, 0x2a, 0xaf, 0x85, 0x42, 0xfb, 0x50, 0xd4, 0xbf, 0x2a, 0x46, 0xb0, 0x87,
-	0xa7, 0xdb, 0x60, 0xf6, 0x7d, 0xa8, 0x2f, 0x75, 0x25, 0x7a, 0x09, 0xcd, 0xe1, 0xfb, 0x01, 0xe9,
-	0xf7, 0x46, 0x83, 0xab, 0xf7, 0xa7, 0x83, 0xcb, 0xfe, 0xe8, 0xea, 0xdd, 0xf0, 0x97, 0xfe, 0xe9,
-	0xf9, 0xcf, 0xe7, 0xfd, 0x5e, 0x63, 0x03, 0xed, 0xc1, 0xf6, 0xca, 0x79, 0x6f, 0xf0, 0xae, 0xdf,
-	0x70, 0xf2, 0x0e, 0xfa, 0x3f, 0xf5, 0x1a, 0x85, 0xce, 0xbf, 0xf7, 0xcc, 0x1a, 0xb2, 0xf8, 0x26,
-	0x1c, 0x33, 0x34, 0x84, 0x92, 0xfd, 0xaa, 0xa0, 0xd7, 0xcb, 0xe5, 0xe5, 0x7e, 0xae, 0x9a, 0x5f,
-	0x3f, 0x0e, 0x4a, 0xda, 0xfb, 0x12, 0x8a, 0xba, 0xed, 0xd1, 0xab, 0xb5, 0x29, 0x5e, 0x23, 0xc4,
-	0x8f, 0x41, 0x12, 0xba, 0x01, 0x54, 0xf4, 0x81, 0x9e, 0x20, 0xd4, 0x5a, 0xc3, 0xaf, 0x4c, 0x66,
-	0xf3, 0xd5, 0x23, 0x88, 0x84, 0xf0, 0x02, 0xdc, 0x3e, 0xa7, 0xe8, 0xc9, 0x9e, 0x58, 0xe1, 0xca,
-	0x9b, 0xbb, 0xee, 0x0f, 0xbf, 0xbd, 0xc9, 0x30, 0x6c, 0xee, 0x47, 0xd3, 0x09, 0x3b, 0xcc, 0xfe,
-	0x56, 0x84, 0x5c, 0xb1, 0x98, 0xfb, 0x93, 0x6c, 0x67, 0x1a, 0xbc, 0x5d, 0x84, 0x41, 0xc9, 0xfc,
-	0xd5, 0x38, 0xfe, 0x2f, 0x00, 0x00, 0xff, 0xff, 0xae, 0x29, 0x10, 0x0f, 0x88, 0x08, 0x00, 0x00,
+	// 1073 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x56, 0x5d, 0x4f, 0x1b, 0x47,
+	0x14, 0x65, 0xbd, 0x6b, 0x1b, 0x5f, 0xe3, 0x84, 0x0c, 0x0e, 0x6c, 0x51, 0x15, 0x39, 0x9b, 0x54,
+	0xb2, 0x88, 0x0a, 0xc5, 0xf0, 0x10, 0x35, 0x52, 0xa5, 0x02, 0xae, 0x00, 0x95, 0x38, 0x1a, 0x43,
+	0x1f, 0xfa, 0x42, 0x77, 0xbd, 0x03, 0xde, 0xe0, 0x9d, 0x71, 0x77, 0xc6, 0x60, 0xd4, 0xa7, 0x3e,
+	0xf5, 0xb9, 0xfd, 0x2d, 0xfd, 0x25, 0xfd, 0x45, 0xd5, 0x7c, 0xac, 0xbf, 0x76, 0x21, 0x79, 0xc8,
+	0xdb, 0xbd, 0x33, 0x67, 0xee, 0x9c, 0x3d, 0xf7, 0xce, 0xb1, 0x61, 0x33, 0x61, 0xbd, 0x9b, 0xbb,
+	0x88, 0x86, 0x3b, 0xb7, 0xbb, 0x3b, 0x1f, 0x59, 0xc0, 0x05, 0x4b, 0xc8, 0xf6, 0x30, 0x61, 0x82,
+	0xa1, 0x6a, 0xba, 0xb7, 0x7d, 0xbb, 0xeb, 0xfd, 0x6d, 0x01, 0x74, 0xe5, 0x66, 0x78, 0x22, 0x48,
+	0x8c, 0x9e, 0x40, 0x21, 0x0a, 0x5d, 0xab, 0x61, 0x35, 0x2b, 0xb8, 0x10, 0x85, 0x08, 0x81, 0x33,
+	0xf4, 0x45, 0xdf, 0x2d, 0xa8, 0x15, 0x15, 0xa3, 0x3d, 0x28, 0xf7, 0x89, 0x1f, 0x92, 0x84, 0xbb,
+	0x76, 0xc3, 0x6e, 0x56, 0x5b, 0x5f, 0x6d, 0xcf, 0x54, 0xdc, 0xd6, 0xd5, 0x8e, 0x15, 0x02, 0xa7,
+	0x48, 0x59, 0x28, 0x60, 0xe1, 0xbd, 0xeb, 0x34, 0xac, 0xe6, 0x0a, 0x56, 0x31, 0x5a, 0x87, 0x92,
+	0x60, 0x37, 0x84, 0x72, 0xb7, 0xd8, 0xb0, 0x9a, 0x0e, 0x36, 0x99, 0xf7, 0x16, 0x56, 0x66, 0x8b,
+	0xc8, 0xb3, 0xd4, 0x8f, 0x89, 0xa1, 0xa5, 0x62, 0x54, 0x87, 0xe2, 0xad, 0x3f, 0x18, 0x11, 0xc3,
+	0x4c, 0x27, 0xde, 0x20, 0x3d, 0x89, 0x09, 0x1f, 0x0d, 0x84, 0x3c, 0x19, 0x09, 0x12, 0xab, 0x93,
+	0x35, 0xac, 0x62, 0xb4, 0x0f, 0x65, 0x36, 0x12, 0x3d, 0x16, 0xeb, 0xb3, 0x4f, 0x5a, 0x9b, 0x39,
+	0xf4, 0x3b, 0x1a, 0x81, 0x53, 0xa8, 0xac, 0x24, 0xc8, 0x58, 0xb8, 0xb6, 0xe6, 0x2f, 0x63, 0xef,
+	0xcf, 0x02, 0x54, 0x34, 0xfc, 0x94, 0x05, 0x79, 0xd2, 0xf5, 0x19, 0x17, 0xa9, 0x74, 0x32, 0x9e,
+	0xc8, 0x69, 0xcf, 0xc8, 0xf9, 0x2d, 0x14, 0x25, 0x2f, 0xee, 0x3a, 0x4a, 0xcc, 0x8d, 0x1c, 0x36,
+	0xb2, 0x35, 0x58, 0xa3, 0xd0, 0x16, 0x3c, 0xe3, 0xa3, 0x20, 0x8e, 0x84, 0x20, 0xe1, 0xe5, 0x88,
+	0x46, 0xe3, 0xcb, 0x58, 0xeb, 0x67, 0xe3, 0xa7, 0x93, 0x8d, 0x0b, 0x1a, 0x8d, 0xcf, 0xb8, 0xec,
+	0x54, 0xa2, 0x84, 0xe0, 0x6e, 0xe9, 0xc1, 0x4e, 0x69, 0xa9, 0x70, 0x8a, 0x94, 0xca, 0x12, 0x1a,
+	0x92, 0xd0, 0x2d, 0x37, 0xac, 0xe6, 0x32, 0xd6, 0x89, 0xec, 0x55, 0x18, 0x5d, 0x13, 0x2e, 0xdc,
+	0x65, 0xa5, 0x80, 0xc9, 0xbc, 0x3e, 0xac, 0x77, 0xd5, 0xad, 0x13, 0x21, 0x30, 0xf9, 0x7d, 0x44,
+	0xb8, 0x40, 0x4d, 0xb0, 0x3f, 0xb2, 0x40, 0x09, 0x52, 0x6d, 0xad, 0xe7, 0x5c, 0x2c, 0xb1, 0x12,
+	0x82, 0x5e, 0x43, 0xad, 0xc7, 0xe8, 0x55, 0x74, 0x3d, 0x4a, 0x7c, 0x11, 0x31, 0xaa, 0x24, 0x73,
+	0xf0, 0xfc, 0xa2, 0xb7, 0x0b, 0x1b, 0x99, 0x9b, 0xf8, 0x90, 0x51, 0x4e, 0x24, 0xb9, 0x84, 0x70,
+	0x42, 0x85, 0xba, 0x6d, 0x19, 0x9b, 0xcc, 0x1b, 0x43, 0x1d, 0x13, 0x3f, 0xcc, 0x50, 0xcb, 0x69,
+	0xd5, 0x55, 0xc2, 0x62, 0x75, 0x6f, 0x0d, 0xab, 0x18, 0x6d, 0x40, 0xf9, 0xce, 0x8f, 0x84, 0x54,
+	0xd7, 0x56, 0xcb, 0x25, 0x99, 0x9e, 0x71, 0xf4, 0x0a, 0x6a, 0xb1, 0x3f, 0x8e, 0xe2, 0x51, 0x7c,
+	0x19, 0xdc, 0x0b, 0xc2, 0xd5, 0x48, 0xd7, 0xf0, 0x8a, 0x59, 0x3c, 0x90, 0x6b, 0xde, 0x6f, 0xf0,
+	0x7c, 0xe1, 0x66, 0x43, 0xb5, 0x0e, 0x45, 0xc1, 0x84, 0x3f, 0x30, 0x23, 0xa9, 0x13, 0xb4, 0x3b,
+	0x6d, 0x54, 0x21, 0x67, 0x0a, 0x64, 0xa9, 0x85, 0x36, 0x79, 0x57, 0x00, 0xd3, 0xe5, 0xcc, 0x17,
+	0x7d, 0xb9, 0x21, 0x7f, 0x07, 0x6b, 0xf2, 0x1e, 0x39, 0x82, 0x07, 0x2c, 0xbc, 0x4f, 0x25, 0x5c,
+	0x9d, 0x76, 0xb7, 0xa2, 0xbb, 0x98, 0xbe, 0x35, 0x33, 0xef, 0x32, 0xf6, 0xb6, 0x74, 0x03, 0xa6,
+	0x87, 0x8d, 0x0a, 0xa9, 0x1b, 0x58, 0x53, 0x37, 0xf0, 0xbe, 0x81, 0xb5, 0x36, 0xfd, 0x64, 0xaf,
+	0xbc, 0x75, 0xa8, 0xcf, 0xc3, 0x74, 0x49, 0xef, 0x1f, 0x4b, 0xde, 0xc5, 0x49, 0x72, 0x4b, 0xce,
+	0x95, 0x8d, 0xa4, 0x05, 0xea, 0x50, 0x4c, 0xd8, 0x48, 0xa4, 0xf6, 0xa1, 0x93, 0x94, 0x7f, 0x61,
+	0xca, 0xbf, 0x0e, 0x45, 0xde, 0xf7, 0x93, 0xd0, 0xb4, 0x5b, 0x27, 0x33, 0x1e, 0xe5, 0xcc, 0x7a,
+	0x54, 0x76, 0x66, 0x8b, 0x79, 0x33, 0xfb, 0x46, 0x8e, 0xc1, 0x1c, 0xa7, 0xa9, 0x00, 0x82, 0x24,
+	0xda, 0x98, 0x1c, 0xac, 0x62, 0xef, 0x0f, 0xa9, 0xf4, 0x90, 0x25, 0xe2, 0x73, 0xf8, 0x4f, 0xd8,
+	0x16, 0x66, 0xd9, 0xa6, 0x65, 0xed, 0x69, 0xd9, 0x2c, 0x53, 0x27, 0x8f, 0xe9, 0xb1, 0x54, 0x6f,
+	0xf6, 0x72, 0x43, 0xd4, 0xd5, 0xcf, 0x20, 0xa2, 0xd7, 0x86, 0x6b, 0x9a, 0x4a, 0x65, 0x7c, 0x7e,
+	0x23, 0x37, 0xe4, 0xc8, 0x56, 0xb0, 0xc9, 0xbc, 0x5f, 0xa0, 0x86, 0x49, 0x8f, 0x25, 0x66, 0x34,
+	0x79, 0xce, 0xa8, 0xec, 0x2d, 0x8e, 0xfb, 0x67, 0xf8, 0x92, 0xf7, 0x35, 0x2c, 0x1f, 0x25, 0x6c,
+	0x78, 0xca, 0x02, 0x55, 0x32, 0x0a, 0xb9, 0x6b, 0xa9, 0x8b, 0x65, 0xe8, 0xfd, 0x55, 0x80, 0xa7,
+	0xa7, 0x2c, 0x50, 0x47, 0x0f, 0x59, 0x1c, 0xfb, 0x34, 0x44, 0x2f, 0xa0, 0x4a, 0xd9, 0xdd, 0xc4,
+	0x24, 0x2d, 0x65, 0x92, 0x15, 0xca, 0xee, 0x8c, 0x3d, 0x7e, 0x07, 0x25, 0xed, 0x98, 0x4a, 0xc4,
+	0x07, 0x4d, 0xea, 0x78, 0x09, 0x1b, 0x1c, 0xda, 0x97, 0x46, 0x23, 0xbf, 0x4d, 0x29, 0x5c, 0x5d,
+	0x78, 0x55, 0x73, 0x9f, 0x2d, 0x4f, 0x69, 0x2c, 0xda, 0x07, 0x9b, 0xd0, 0x50, 0xe9, 0x5e, 0x6d,
+	0x35, 0xe6, 0x8e, 0xe4, 0x4c, 0xfc, 0xf1, 0x12, 0x96, 0x70, 0xf4, 0x06, 0x9c, 0x30, 0x61, 0x43,
+	0x35, 0x58, 0xd5, 0xd6, 0xf3, 0xb9, 0x63, 0xa9, 0x10, 0xc7, 0x4b, 0x58, 0x81, 0x0e, 0x2a, 0x50,
+	0xee, 0xe9, 0xaf, 0xf6, 0x7e, 0x80, 0xd5, 0x54, 0x88, 0x2e, 0xf5, 0x87, 0xbc, 0xcf, 0x04, 0xda,
+	0x02, 0x47, 0xfe, 0x09, 0x50, 0x82, 0x3d, 0x6c, 0xc6, 0x0a, 0xb3, 0xe5, 0x43, 0x6d, 0xce, 0x1e,
+	0xd0, 0x0b, 0xd8, 0xec, 0x9e, 0x77, 0x70, 0xfb, 0xe8, 0xb2, 0x73, 0x71, 0x7e, 0xd8, 0x39, 0x6b,
+	0x5f, 0x5e, 0xbc, 0xef, 0x7e, 0x68, 0x1f, 0x9e, 0xfc, 0x74, 0xd2, 0x3e, 0x5a, 0x5d, 0x42, 0x1b,
+	0xb0, 0xb6, 0xb0, 0x7f, 0xd4, 0x79, 0xdf, 0x5e, 0xb5, 0xf2, 0x36, 0xda, 0x3f, 0x1e, 0xad, 0x16,
+	0x5a, 0xff, 0xcd, 0x34, 0xab, 0x4b, 0x92, 0xdb, 0xa8, 0x47, 0x50, 0x17, 0x4a, 0xda, 0xde, 0xd1,
+	0xab, 0x79, 0x7a, 0xb9, 0xbf, 0x2e, 0x9b, 0xaf, 0x1f, 0x07, 0x99, 0xe9, 0x3d, 0x03, 0x47, 0xfa,
+	0x0f, 0x7a, 0x99, 0xb1, 0xd3, 0x4c, 0x41, 0xef, 0x31, 0x88, 0x29, 0xd7, 0x81, 0x65, 0xb9, 0x21,
+	0xad, 0x0c, 0x35, 0x32, 0xf8, 0x05, 0x8b, 0xdc, 0x7c, 0xf9, 0x08, 0xc2, 0x14, 0x3c, 0x05, 0xbb,
+	0x4d, 0x43, 0xf4, 0xc9, 0x99, 0x58, 0xa8, 0x95, 0x67, 0x80, 0xad, 0x7f, 0x2d, 0x78, 0xa6, 0x1e,
+	0xef, 0xcf, 0x91, 0xd4, 0xc2, 0xc8, 0xfa, 0x01, 0xca, 0xc6, 0x81, 0x32, 0x22, 0x64, 0xbd, 0x32,
+	0x23, 0x42, 0x9e, 0x75, 0x9d, 0x41, 0x49, 0x3b, 0x45, 0x46, 0x82, 0x8c, 0x77, 0x65, 0x24, 0xc8,
+	0x1a, 0xcc, 0xc1, 0xf7, 0xbf, 0xbe, 0x9d, 0x60, 0xc8, 0xd8, 0x8f, 0x87, 0x03, 0xb2, 0x33, 0xf9,
+	0xf3, 0x1a, 0x51, 0x41, 0x12, 0xea, 0x0f, 0x26, 0x2b, 0xc3, 0xe0, 0xdd, 0x34, 0x0c, 0x4a, 0xea,
+	0x0f, 0xed, 0xde, 0xff, 0x01, 0x00, 0x00, 0xff, 0xff, 0xe2, 0xb1, 0x2d, 0x7a, 0xee, 0x0a, 0x00,
+	0x00,
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -126,7 +126,7 @@
 		return
 	}
 	if route.GetKind() == rockwindpb.RouteKind_ROUTE_KIND_BATCH {
-		r.submit(writer, request, route, body)
+		r.submit(writer, request, route, body, index.Number())
 		return
 	}
 	facts, err := r.protocol.Facts(request.Header)
@@ -234,9 +234,9 @@
 	return nil, fault.New(fault.InvalidArgument, "the body could not be read", "send the whole body").WithRan(fault.NotRun)
 }
 
-// submit hands a batch job to the stores. It is answered once enough copies are
-// synced.
-func (r *Router) submit(writer http.ResponseWriter, request *http.Request, route *rockwindpb.Route, body []byte) {
+// submit hands a batch job to the stores, by the configuration of the given number. It is
+// answered once enough copies are synced.
+func (r *Router) submit(writer http.ResponseWriter, request *http.Request, route *rockwindpb.Route, body []byte, number uint64) {
 	job, err := r.protocol.Job(request.Header, body)
 	if err != nil {
 		refuseFault(writer, err)
@@ -248,19 +248,30 @@
 		refuseFault(writer, err)
 		return
 	}
+	limited := uint64(0)
+	if route.GetMaximumWaitingTokens() > 0 {
+		limited = number
+	}
 	began := time.Now()
-	err = r.jobs.Submit(request.Context(), job)
+	err = r.jobs.Submit(request.Context(), job, limited)
 	fields := log.Fields{"route": route.GetName(), "items": len(job.GetItems()), "bytes": len(body), "took_ms": time.Since(began).Milliseconds()}
 	if err != nil {
 		fields["error"] = err.Error()
 		decision.Default.Record(decision.JobRefused, job.GetId(), fields)
-		refuseFault(writer, err)
+		refuseFault(writer, r.withinReach(request.Header, err))
 		return
 	}
 	decision.Default.Record(decision.JobTaken, job.GetId(), fields)
 	writer.WriteHeader(http.StatusAccepted)
 }
 
+// withinReach bounds the time to come back of a refusal by what the client has left.
+func (r *Router) withinReach(header http.Header, err error) error {
+	failure := fault.From(err)
+	facts, _ := r.protocol.Facts(header)
+	return failure.WithRetryAfter(boundReturn(failure.RetryAfter, facts.Deadline))
+}
+
 // EndJob ends a job: once it returns nothing more of it is begun.
 func (r *Router) EndJob(ctx context.Context, id string) error {
 	err := r.jobs.End(ctx, id)
--- a/internal/store/service.go
+++ b/internal/store/service.go
@@ -21,18 +21,42 @@
 // jobStoreService answers for the jobs of the shards that this store leads.
 type jobStoreService struct{ store *Store }
 
-// shardOf returns the group and the state of a job's shard.
-func (s *Store) shardOf(job string) (replica.Group, *jobstore.Machine, error) {
+// shard is one shard that this store replicates.
+type shard struct {
+	number  uint32
+	group   replica.Group
+	machine *jobstore.Machine
+}
+
+// shard returns a shard by its number.
+func (s *Store) shard(number uint32) (shard, error) {
+	group, running := s.host.Group(number)
+	if !running {
+		return shard{}, notReplicated(number)
+	}
+	return shard{number: number, group: group, machine: s.machine(number)}, nil
+}
+
+// shards is how many shards the site has; zero before they are founded.
+func (s *Store) shards() int {
 	view := s.watcher.Directory()
-	if view == nil || view.StoreCluster() == nil {
-		return nil, nil, notFounded()
+	if view == nil {
+		return 0
 	}
-	shard := jobstore.ShardOf(job, len(view.StoreCluster().GetGroups()))
-	group, running := s.host.Group(shard)
-	if !running {
-		return nil, nil, fault.Newf(fault.NotLeader, "ask another store", "this store does not replicate shard %d", shard).WithRan(fault.NotRun)
+	return len(view.StoreCluster().GetGroups())
+}
+
+// shardOf returns a job's shard.
+func (s *Store) shardOf(job string) (shard, error) {
+	shards := s.shards()
+	if shards == 0 {
+		return shard{}, notFounded()
 	}
-	return group, s.machine(shard), nil
+	return s.shard(jobstore.ShardOf(job, shards))
+}
+
+func notReplicated(shard uint32) error {
+	return fault.Newf(fault.NotLeader, "ask another store", "this store does not replicate shard %d", shard).WithRan(fault.NotRun)
 }
 
 func notFounded() error {
@@ -72,11 +96,17 @@
 
 // Submit implements rockwindpb.JobStoreService.
 func (s jobStoreService) Submit(ctx context.Context, request *rockwindpb.SubmitStoredJobRequest) (*rockwindpb.SubmitStoredJobResponse, error) {
-	group, _, err := s.store.shardOf(request.GetJob().GetId())
+	job := request.GetJob()
+	keeper, err := s.store.shardOf(job.GetId())
+	if err != nil {
+		return nil, fault.ToTwirp(err)
+	}
+	admitted, err := s.store.limiter.admit(ctx, keeper, request)
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
-	outcome, err := propose(ctx, group, &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_Submit{Submit: request.GetJob()}})
+	outcome, err := propose(ctx, keeper.group, &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_Submit{Submit: job}})
+	admitted.end(err)
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
@@ -86,7 +116,7 @@
 // Read implements rockwindpb.JobStoreService. It waits for a result at the
 // position, at most as long as the request says.
 func (s jobStoreService) Read(ctx context.Context, request *rockwindpb.ReadStoredJobRequest) (*rockwindpb.ReadStoredJobResponse, error) {
-	group, machine, err := s.store.shardOf(request.GetId())
+	keeper, err := s.store.shardOf(request.GetId())
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
@@ -97,10 +127,10 @@
 	limit := time.NewTimer(min(time.Duration(request.GetWaitMs())*time.Millisecond, maximumWait))
 	defer limit.Stop()
 	for waiting := true; ; {
-		applied := group.Applied()
+		applied := keeper.group.Applied()
 		var response *rockwindpb.ReadStoredJobResponse
 		var failure error
-		if err := group.Read(ctx, func() { response, failure = machine.Read(request.GetId(), request.GetFrom(), most) }); err != nil {
+		if err := keeper.group.Read(ctx, func() { response, failure = keeper.machine.Read(request.GetId(), request.GetFrom(), most) }); err != nil {
 			return nil, fault.ToTwirp(notRunUnlessUnknown(err))
 		}
 		if failure != nil {
@@ -121,13 +151,13 @@
 
 // ReadBody implements rockwindpb.JobStoreService.
 func (s jobStoreService) ReadBody(ctx context.Context, request *rockwindpb.ReadItemBodyRequest) (*rockwindpb.ReadItemBodyResponse, error) {
-	group, machine, err := s.store.shardOf(request.GetJob())
+	keeper, err := s.store.shardOf(request.GetJob())
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
 	response := &rockwindpb.ReadItemBodyResponse{}
 	var failure error
-	err = group.Read(ctx, func() { response.Body, failure = machine.Body(request.GetJob(), request.GetItem()) })
+	err = keeper.group.Read(ctx, func() { response.Body, failure = keeper.machine.Body(request.GetJob(), request.GetItem()) })
 	if err != nil {
 		return nil, fault.ToTwirp(notRunUnlessUnknown(err))
 	}
@@ -136,10 +166,10 @@
 
 // End implements rockwindpb.JobStoreService.
 func (s jobStoreService) End(ctx context.Context, request *rockwindpb.EndStoredJobRequest) (*rockwindpb.EndStoredJobResponse, error) {
-	group, _, err := s.store.shardOf(request.GetId())
+	keeper, err := s.store.shardOf(request.GetId())
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
-	_, err = propose(ctx, group, &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_End{End: request}})
+	_, err = propose(ctx, keeper.group, &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_End{End: request}})
 	return &rockwindpb.EndStoredJobResponse{}, fault.ToTwirp(err)
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -46,6 +46,7 @@
 	dispatcher *router.Dispatcher
 	upstream   *upstream.Client
 	protocol   router.Protocol
+	limiter    *limiter
 
 	mutex    sync.Mutex
 	machines map[uint32]*jobstore.Machine
@@ -78,6 +79,7 @@
 	if s.watcher, err = site.NewWatcher(settings, s.client, filepath.Join(settings.GetDataFolder(), configurationFolder)); err != nil {
 		return err
 	}
+	s.limiter = newLimiter(s)
 	listener, err := site.Listen("internal_listen", settings.GetInternalListen())
 	if err != nil {
 		return err
@@ -138,6 +140,7 @@
 	for _, server := range []rockwindpb.TwirpServer{
 		rockwindpb.NewReplicaServiceServer(s.host.Service()),
 		rockwindpb.NewJobStoreServiceServer(jobStoreService{s}),
+		rockwindpb.NewTokenLimitServiceServer(tokenLimitService{s.limiter}),
 	} {
 		mux.Handle(server.PathPrefix(), server)
 	}
