Let batch fill every free slot and give way to requests that wait

What bound, from a trace of the stores each 200 ms (docs/design/decisions.md): after a loss of all processes the backlog was urgent by age, urgent items gave way no more, and a third of the streams of the next online peaks were late; in the valleys between them a quarter of the slots stayed empty with items waiting, since starts counted twice for 200 ms and a server took batch up to 0.6 of its slots; and what waited in routers was told to nobody.

Items that can be on time go first, by their due times, those that cannot come after them, and one of ten starts is theirs (package backlog, which learns how long items run). Digests tell how many online requests wait in a router's queue, and go out at once when one begins to wait, and when batch work starts or gives way; stores give way at once to as many as wait, each its share, first what cannot be on time, then the youngest. No batch work starts meanwhile; else it fills every free slot. What servers tell counts for batch only where requests wait.

--- /dev/null
+++ b/internal/backlog/backlog.go
@@ -0,0 +1,92 @@
+// Package backlog orders the items of batch jobs that wait for a server. Items that can
+// still be done by the time their job is due go first, the one that is due first before
+// the others; items that cannot come after them, so that work which is late already makes
+// no other work late. A part of the starts is theirs all the same: no item starves.
+//
+// The package is pure: time is an argument.
+package backlog
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// lateEvery is how many starts go to items that can be on time for one that goes to an
+// item that cannot, while there are both.
+const lateEvery = 9
+
+// Item is an item that waits, or one that runs.
+type Item struct {
+	submitted time.Time
+	due       time.Time
+	remaining time.Duration
+}
+
+// NewItem returns an item that was submitted at a time and takes as long as remaining once
+// it runs. A zero due time means that it is never due.
+func NewItem(submitted, due time.Time, remaining time.Duration) Item {
+	return Item{submitted: submitted, due: due, remaining: remaining}
+}
+
+// OnTime tells whether the item can be done when it is due.
+func (i Item) OnTime(now time.Time) bool {
+	return i.due.IsZero() || !now.Add(i.remaining).After(i.due)
+}
+
+// compareDue orders items by their due times, those that are never due last.
+func (i Item) compareDue(other Item) int {
+	switch {
+	case i.due.IsZero() && other.due.IsZero():
+		return i.submitted.Compare(other.submitted)
+	case i.due.IsZero():
+		return 1
+	case other.due.IsZero():
+		return -1
+	}
+	return cmp.Or(i.due.Compare(other.due), i.submitted.Compare(other.submitted))
+}
+
+// Order sorts what waits into the order in which it is to be started.
+func Order[T any](waiting []T, now time.Time, item func(T) Item) []T {
+	var early, late []T
+	for _, each := range waiting {
+		if item(each).OnTime(now) {
+			early = append(early, each)
+		} else {
+			late = append(late, each)
+		}
+	}
+	slices.SortStableFunc(early, func(a, b T) int { return item(a).compareDue(item(b)) })
+	slices.SortStableFunc(late, func(a, b T) int { return item(a).submitted.Compare(item(b).submitted) })
+	return interleave(early, late)
+}
+
+// interleave puts one late entry behind each lateEvery early ones, and the rest at the
+// end.
+func interleave[T any](early, late []T) []T {
+	ordered := make([]T, 0, len(early)+len(late))
+	for place, each := range early {
+		ordered = append(ordered, each)
+		if (place+1)%lateEvery == 0 && len(late) > 0 {
+			ordered = append(ordered, late[0])
+			late = late[1:]
+		}
+	}
+	return append(ordered, late...)
+}
+
+// Yielding sorts what runs into the order in which it is to give way: first what cannot be
+// on time, then what was submitted last.
+func Yielding[T any](running []T, now time.Time, item func(T) Item) {
+	slices.SortStableFunc(running, func(a, b T) int {
+		first, second := item(a), item(b)
+		if first.OnTime(now) != second.OnTime(now) {
+			if second.OnTime(now) {
+				return -1
+			}
+			return 1
+		}
+		return second.submitted.Compare(first.submitted)
+	})
+}
--- /dev/null
+++ b/internal/backlog/backlog_test.go
@@ -0,0 +1,79 @@
+package backlog_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"rockwind.example/rockwind/internal/backlog"
+)
+
+var start = time.UnixMilli(1_000_000)
+
+// at returns an item that was submitted and is due so many seconds after the start.
+func at(submitted, due, remaining float64) backlog.Item {
+	second := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	return backlog.NewItem(second(submitted), second(due), time.Duration(remaining*float64(time.Second)))
+}
+
+func same(i backlog.Item) backlog.Item { return i }
+
+// TestLateItemsDoNotMakeOthersLate: the oldest item cannot be on time any more; it went
+// first, and the others became late behind it.
+func TestLateItemsDoNotMakeOthersLate(t *testing.T) {
+	late, soon, later := at(0, 10, 5), at(1, 16, 5), at(2, 18, 5)
+	ordered := backlog.Order([]backlog.Item{late, later, soon}, start.Add(8*time.Second), same)
+	if !slices.Equal(ordered, []backlog.Item{soon, later, late}) {
+		t.Fatalf("the order is %v", ordered)
+	}
+}
+
+// TestLateItemsDoNotStarve while work that can be on time comes for ever.
+func TestLateItemsDoNotStarve(t *testing.T) {
+	waiting := []backlog.Item{at(-100, -50, 5), at(-90, -40, 5)}
+	for i := range 40 {
+		waiting = append(waiting, at(float64(i), 1000, 5))
+	}
+	ordered := backlog.Order(waiting, start, same)
+	if first, second := slices.Index(ordered, waiting[0]), slices.Index(ordered, waiting[1]); first > 10 || second > 20 {
+		t.Fatalf("late items come at %d and %d", first, second)
+	}
+}
+
+func TestItemsThatAreNeverDueComeAfterThoseThatAre(t *testing.T) {
+	never, due := backlog.NewItem(start.Add(-time.Hour), time.Time{}, time.Second), at(0, 20, 5)
+	ordered := backlog.Order([]backlog.Item{never, due}, start, same)
+	if ordered[0] != due || !never.OnTime(start.Add(time.Hour)) {
+		t.Fatalf("the order is %v", ordered)
+	}
+}
+
+func TestWhatCannotBeOnTimeGivesWayFirstThenTheYoungest(t *testing.T) {
+	late, old, young := at(0, 5, 5), at(1, 20, 5), at(2, 20, 5)
+	running := []backlog.Item{old, late, young}
+	backlog.Yielding(running, start.Add(3*time.Second), same)
+	if !slices.Equal(running, []backlog.Item{late, young, old}) {
+		t.Fatalf("the order is %v", running)
+	}
+}
+
+func TestPaceIsLearnedFromRuns(t *testing.T) {
+	var pace backlog.Pace
+	if pace.Remaining(0) != 0 {
+		t.Fatalf("%v remain before any run", pace.Remaining(0))
+	}
+	for range 100 {
+		pace.Ended(270, 270, 5*time.Second)
+		// A run that went on after 135 events.
+		pace.Ended(135, 270, 2500*time.Millisecond)
+	}
+	if whole := pace.Remaining(0); whole < 5*time.Second || whole > 8*time.Second {
+		t.Fatalf("a whole run is expected to take %v", whole)
+	}
+	if half := pace.Remaining(135); half < 2500*time.Millisecond || half > 4*time.Second {
+		t.Fatalf("half a run is expected to take %v", half)
+	}
+	if rest := pace.Remaining(400); rest <= 0 {
+		t.Fatalf("%v remain of an item longer than most", rest)
+	}
+}
--- a/internal/balance/headroom.go
+++ b/internal/balance/headroom.go
@@ -6,25 +6,22 @@
 )
 
 const (
-	// calmUse and urgentUse are the parts of all slots of a service up to which batch
-	// work fills them beside the online work of the moment: calm batch work, and
-	// batch work that is about to be late. Online work that comes later takes its
-	// place back, see Yield.
-	calmUse   = 0.85
-	urgentUse = 0.95
 	// leastUse is the part of all slots that batch work may use however much online
 	// work there is, so that it never starves.
 	leastUse = 0.1
 	// unseenFor is how long a start of batch work may be unknown to other processes;
 	// they are taken to have started as much in that time.
-	unseenFor = 200 * time.Millisecond
-	// spareSlots is how many slots of a server batch work leaves to the next online
-	// requests.
-	spareSlots = 1
+	unseenFor = 50 * time.Millisecond
+	// settleTime is how long it takes at most until a request that waits has the slot of
+	// a batch request that gave way.
+	settleTime = 60 * time.Millisecond
 )
 
-// headroom remembers the batch work that this process started lately.
-type headroom struct{ starts []time.Duration }
+// headroom remembers the batch work that this process started lately, and what gave way.
+type headroom struct {
+	starts []time.Duration
+	gave   []time.Duration
+}
 
 // started notes a start of batch work.
 func (h *headroom) started(now time.Duration) { h.starts = append(h.starts, now) }
@@ -37,67 +34,123 @@
 	return len(h.starts)
 }
 
-// batchBudget is how many batch requests a service with so many slots may have.
-func batchBudget(slots, online int, urgency float64) int {
-	use := calmUse + urgency*(urgentUse-calmUse)
-	return max(int(use*float64(slots))-online, int(leastUse*float64(slots)), 1)
+// yields notes batch requests that gave way.
+func (h *headroom) yields(requests int, now time.Duration) {
+	for range requests {
+		h.gave = append(h.gave, now)
+	}
+}
+
+// yielded is how many requests gave way so lately that the slots they left may be counted
+// as taken by those who wait for them.
+func (h *headroom) yielded(now time.Duration) int {
+	for len(h.gave) > 0 && now-h.gave[0] > settleTime {
+		h.gave = h.gave[1:]
+	}
+	return len(h.gave)
 }
 
 // usage is what a service's servers have in hand, of all processes.
 type usage struct {
+	// slots are those of the servers that take requests.
 	slots  int
 	online int
 	batch  int
+	// limited tells that all servers say their slots.
+	limited bool
 }
 
-// usage sums up the load of the servers that take requests. A server that does not
-// say its slots has no limit.
-func (p *Pool) usage(now time.Duration) (sum usage, limited bool) {
-	limited = true
+// usage sums up the load of the servers.
+func (p *Pool) usage(now time.Duration) usage {
+	sum := usage{limited: true}
 	for place, each := range p.servers {
 		if each == nil {
 			continue
 		}
 		batch := p.batchAt(each)
 		sum.batch += batch
-		sum.online += max(0, p.load(each, now)-batch)
+		sum.online += max(0, p.counted(each)-batch)
 		if each.Slots == 0 {
-			limited = false
+			sum.limited = false
 		}
 		if p.usable(place, now) {
 			sum.slots += each.Slots
 		}
 	}
-	return sum, limited
+	return sum
 }
 
 // batchAt is how much batch work a server has, of all processes.
 func (p *Pool) batchAt(s *server) int { return s.batch + p.shares.At(s.hash).Batch }
 
-// batchFits tells whether the service as a whole has room for one more batch
-// request.
-func (p *Pool) batchFits(demand Demand, now time.Duration) bool {
-	sum, limited := p.usage(now)
-	return !limited || sum.batch+p.headroom.unseen(now) < batchBudget(sum.slots, sum.online, demand.Urgency)
+// batchFits tells whether the service as a whole has room for one more batch request
+// beside the online work of the moment. What this process started a moment ago counts for
+// each process that starts batch work: those may have started as much. None starts while
+// online requests wait.
+func (p *Pool) batchFits(now time.Duration, random *rand.Rand) bool {
+	if p.shares.At(p.queue).Inflight > 0 {
+		return false
+	}
+	sum := p.usage(now)
+	if !sum.limited {
+		return true
+	}
+	budget := max(sum.slots-sum.online, int(leastUse*float64(sum.slots)), 1)
+	rivals := max(1, p.batchProcesses)
+	left := budget - sum.batch - (rivals-1)*p.headroom.unseen(now)
+	return float64(left) > float64(rivals-1)*random.Float64()
 }
 
-// Yield tells at which servers this process has batch work that should give way to
-// online work, and how much of it: at a server without spare slots, its share of
-// what is too much. A part of a request is drawn by chance, so that processes that
-// see the same do neither nothing nor all.
-func (p *Pool) Yield(now time.Duration, random *rand.Rand, visit func(server string, requests int)) {
+// SetBatchProcesses tells how many processes start batch work, this one included.
+func (p *Pool) SetBatchProcesses(count int) { p.batchProcesses = count }
+
+// Yield tells at which servers this process has batch work that should give way to online
+// work, and how much of it. At a server with more requests than slots that is its share of
+// what is too much; for online requests that wait in the queues of all processes, waiting
+// of them in this one's, it is its share of those. A part of a request is drawn by chance,
+// so that processes that see the same do neither nothing nor all. The visitor returns how
+// many gave way.
+func (p *Pool) Yield(waiting int, now time.Duration, random *rand.Rand, visit func(server string, requests int) int) {
 	for _, each := range p.servers {
 		if each == nil || each.batch == 0 || each.Slots == 0 {
 			continue
 		}
-		excess := p.load(each, now) - (each.Slots - spareSlots)
-		if excess <= 0 {
-			continue
+		excess := p.counted(each) - each.Slots
+		p.yieldAt(each, p.share(excess, each.batch, p.batchAt(each), random), now, visit)
+	}
+	own, all := 0, 0
+	for _, each := range p.servers {
+		if each != nil {
+			own += each.batch
+			all += p.batchAt(each)
 		}
-		share := float64(excess) * float64(each.batch) / float64(p.batchAt(each))
-		requests := min(each.batch, int(share+random.Float64()))
-		if requests > 0 {
-			visit(each.ID, requests)
+	}
+	queued := waiting + p.shares.At(p.queue).Inflight - p.headroom.yielded(now)
+	left := p.share(queued, own, all, random)
+	first := 0
+	if len(p.servers) > 0 {
+		first = random.IntN(len(p.servers))
+	}
+	for offset := range p.servers {
+		if each := p.servers[(first+offset)%len(p.servers)]; each != nil && left > 0 {
+			left -= p.yieldAt(each, min(left, each.batch), now, visit)
 		}
 	}
 }
+
+// share is the part of an excess that falls to whoever has own of all.
+func (p *Pool) share(excess, own, all int, random *rand.Rand) int {
+	if excess <= 0 || own <= 0 {
+		return 0
+	}
+	return min(own, int(float64(excess)*float64(own)/float64(all)+random.Float64()))
+}
+
+func (p *Pool) yieldAt(s *server, requests int, now time.Duration, visit func(server string, requests int) int) int {
+	if requests <= 0 {
+		return 0
+	}
+	gave := visit(s.ID, requests)
+	p.headroom.yields(gave, now)
+	return gave
+}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -54,10 +54,6 @@
 	partFor = 20 * time.Second
 	// maximumParts bounds the parts remembered for a server.
 	maximumParts = 512
-	// batchPart is the part of a server's slots up to which batch work may start
-	// there, and urgentPart that for work that is about to be late.
-	batchPart  = 0.6
-	urgentPart = 0.9
 )
 
 var homeTrust = [homes]float64{0.8, 0.5}
@@ -75,8 +71,6 @@
 	Parts []Part
 	// Batch requests only take what online requests leave.
 	Batch bool
-	// Urgency of batch work, from 0 to 1.
-	Urgency float64
 }
 
 // Member is a server as the directory describes it.
@@ -122,12 +116,16 @@
 	tracker *health.Tracker
 	// headroom is what batch work leaves to online work.
 	headroom headroom
+	// queue is the name of the service's queue in digests.
+	queue uint32
+	// batchProcesses is how many processes start batch work.
+	batchProcesses int
 }
 
-// NewPool returns a pool without servers, for a process in the given zone. The
-// shares are those of all pools of the process.
-func NewPool(zone string, shares *Shares) *Pool {
-	return &Pool{zone: zone, shares: shares, tracker: health.NewTracker(policy(), 0)}
+// NewPool returns a pool of a service without servers, for a process in the given zone.
+// The shares are those of all pools of the process.
+func NewPool(service, zone string, shares *Shares) *Pool {
+	return &Pool{zone: zone, shares: shares, queue: QueueHash(service), tracker: health.NewTracker(policy(), 0)}
 }
 
 // policy judges servers as health.DefaultPolicy does, but takes silence for
@@ -199,7 +197,7 @@
 // process and those that the others tell of. What the server told itself counts
 // beside it while it is new, and for longer where no other process tells anything.
 func (p *Pool) load(s *server, now time.Duration) int {
-	estimate := s.inflight + p.shares.At(s.hash).Inflight
+	estimate := p.counted(s)
 	valid := reportFor
 	if p.shares.Known() {
 		valid = reportBeside
@@ -210,6 +208,9 @@
 	return estimate
 }
 
+// counted is how many requests all processes together have at a server.
+func (p *Pool) counted(s *server) int { return s.inflight + p.shares.At(s.hash).Inflight }
+
 // Choice is a chosen server.
 type Choice struct {
 	ID      string
@@ -242,7 +243,7 @@
 // if each took the best one, all would take the same. A process that hears of no other
 // takes the best one.
 func (p *Pool) Choose(demand Demand, tried []string, now time.Duration, random *rand.Rand) (Choice, bool) {
-	if demand.Batch && !p.batchFits(demand, now) {
+	if demand.Batch && !p.batchFits(now, random) {
 		return Choice{}, false
 	}
 	var best *server
@@ -296,12 +297,12 @@
 	if s.Slots == 0 {
 		return true
 	}
-	limit := s.Slots
 	if demand.Batch {
-		part := batchPart + demand.Urgency*(urgentPart-batchPart)
-		limit = max(1, int(part*float64(s.Slots)))
+		// What servers tell is new and old by turns; added to the counts it would keep
+		// slots empty. It only tells of requests that wait at the server.
+		return p.counted(s) < s.Slots && p.load(s, now) <= s.Slots
 	}
-	return p.load(s, now) < limit
+	return p.load(s, now) < s.Slots
 }
 
 // noise makes the least of some costs a draw: with the logarithm of exponential noise each
--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -31,6 +31,10 @@
 // ServerHash is the short name of a server in digests.
 func ServerHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
+// QueueHash is the short name of the queue of a service in digests: the requests in flight
+// there are online requests that wait for a server.
+func QueueHash(service string) uint32 { return uint32(xxhash.Sum64String("queue of " + service)) }
+
 // sender is another process, or the delegate of a group, with its newest digest.
 type sender struct {
 	started  int64
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -28,6 +29,8 @@
 	// repeatInterval is the time after which a digest is sent although nothing has
 	// changed: receivers forget a sender that is silent for long.
 	repeatInterval = 400 * time.Millisecond
+	// nudgeSpacing is the least time between digests that are sent out of turn.
+	nudgeSpacing = 10 * time.Millisecond
 	// maximumBytes bounds a digest; longer datagrams are passed over.
 	maximumBytes = 8 << 10
 )
@@ -51,6 +54,7 @@
 	started time.Time
 	socket  *net.UDPConn
 	layout  atomic.Pointer[Layout]
+	nudges  chan struct{}
 	// sequence is that of the last digest; only Run uses it.
 	sequence uint64
 }
@@ -65,7 +69,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for load digests")
 	}
-	created := &Sharer{name: name, started: time.Now(), socket: socket}
+	created := &Sharer{name: name, started: time.Now(), socket: socket, nudges: make(chan struct{}, 1)}
 	created.SetLayout(NewLayout(nil, name))
 	return created, nil
 }
@@ -73,6 +77,15 @@
 // SetLayout replaces the processes that digests go to.
 func (s *Sharer) SetLayout(layout *Layout) { s.layout.Store(layout) }
 
+// Nudge has the digests sent out of turn, soon: others wait for what has changed. It never
+// blocks.
+func (s *Sharer) Nudge() {
+	select {
+	case s.nudges <- struct{}{}:
+	default:
+	}
+}
+
 // interval is the time between digests now.
 func (s *Sharer) interval() time.Duration {
 	return max(shortestInterval, time.Duration(s.layout.Load().senders())*intervalPerSender)
@@ -87,13 +100,17 @@
 	timer := time.NewTimer(s.interval())
 	defer timer.Stop()
 	var own, sum sending
+	var sent time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
-			timer.Reset(s.interval())
+		case <-s.nudges:
+			retry.Pause(ctx, nudgeSpacing-time.Since(sent))
 		}
+		timer.Reset(s.interval())
+		sent = time.Now()
 		layout := s.layout.Load()
 		if next := source.Own(); own.due(next) {
 			s.send(next, layout.Peers())
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -29,6 +29,10 @@
 	pools  map[string]*servicePool
 	shares *balance.Shares
 	order  uint64
+	// stores is how many processes start batch work.
+	stores int
+	// pressed is closed when online requests wait, and replaced.
+	pressed chan struct{}
 }
 
 // servicePool is the pool of one service with the requests that wait for it.
@@ -47,6 +51,8 @@
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pools:  make(map[string]*servicePool),
 		shares: balance.NewShares(),
+
+		pressed: make(chan struct{}),
 	}
 }
 
@@ -74,6 +80,7 @@
 	}
 	for name, list := range members {
 		d.service(name).pool.Update(list)
+		d.service(name).pool.SetBatchProcesses(d.stores)
 		d.serveWaiting(name)
 	}
 }
@@ -81,7 +88,7 @@
 func (d *Dispatcher) service(name string) *servicePool {
 	found, known := d.pools[name]
 	if !known {
-		found = &servicePool{pool: balance.NewPool(d.zone, d.shares), holding: typicalHolding}
+		found = &servicePool{pool: balance.NewPool(name, d.zone, d.shares), holding: typicalHolding}
 		d.pools[name] = found
 	}
 	return found
@@ -169,6 +176,7 @@
 	d.order++
 	entry := &waiter{demand: demand, priority: priority, order: d.order, tried: tried, granted: make(chan balance.Choice, 1)}
 	heap.Push(&pool.waiting, entry)
+	d.nudge()
 	d.mutex.Unlock()
 	return d.await(ctx, service, entry, patience)
 }
@@ -185,15 +193,41 @@
 	if !found {
 		return nil
 	}
+	if demand.Batch {
+		d.nudge()
+	}
 	return d.lease(service, choice)
 }
 
 // Yield visits the servers of a service at which batch work of this process should
-// give way to online requests, with how many of its requests.
-func (d *Dispatcher) Yield(service string, visit func(server string, requests int)) {
+// give way to online requests, with how many of its requests. The visitor returns how many
+// gave way; it must not use the dispatcher.
+func (d *Dispatcher) Yield(service string, visit func(server string, requests int) int) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.service(service).pool.Yield(d.now(), d.random, visit)
+	pool := d.service(service)
+	pool.pool.Yield(pool.waiting.Len(), d.now(), d.random, visit)
+}
+
+// nudge tells the others at once what has changed here. The mutex is held.
+func (d *Dispatcher) nudge() {
+	if d.sharer != nil {
+		d.sharer.Nudge()
+	}
+}
+
+// Pressed returns a channel that is closed when online requests next wait for a server
+// somewhere.
+func (d *Dispatcher) Pressed() <-chan struct{} {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.pressed
+}
+
+// press wakes those who look after batch work. The mutex is held.
+func (d *Dispatcher) press() {
+	close(d.pressed)
+	d.pressed = make(chan struct{})
 }
 
 func (d *Dispatcher) lease(service string, choice balance.Choice) *Lease {
@@ -306,5 +340,8 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.service(l.service).pool.Abandoned(l.Choice)
+	if l.Batch {
+		d.nudge()
+	}
 	d.serveWaiting(l.service)
 }
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -71,11 +71,14 @@
 	s.dispatcher.takeLoads(digest, loads)
 }
 
-// ownLoads is what this process has at servers, by their hashes.
+// ownLoads is what this process has at servers and in its queues, by their hashes.
 func (d *Dispatcher) ownLoads() map[uint32]balance.SharedLoad {
 	loads := make(map[uint32]balance.SharedLoad)
-	for _, pool := range d.pools {
+	for service, pool := range d.pools {
 		pool.pool.Own(func(server uint32, load balance.SharedLoad) { loads[server] = load })
+		if waiting := pool.waiting.Len(); waiting > 0 {
+			loads[balance.QueueHash(service)] = balance.SharedLoad{Inflight: waiting}
+		}
 	}
 	return loads
 }
@@ -102,10 +105,15 @@
 		d.shares.TakeGroup(digest.GetSender(), digest.GetGroup(), int(digest.GetMembers()),
 			digest.GetStartedUnixMs(), digest.GetSequence(), loads, d.now())
 	}
+	pressed := false
 	for service, pool := range d.pools {
 		if pool.waiting.Len() > 0 {
 			d.serveWaiting(service)
 		}
+		pressed = pressed || loads[balance.QueueHash(service)].Inflight > 0
+	}
+	if pressed {
+		d.press()
 	}
 }
 
@@ -122,11 +130,13 @@
 		return
 	}
 	var members []loadshare.Member
+	d.stores = 0
 	for _, machine := range view.Machines() {
 		rank := routerRank
 		switch machine.GetRole() {
 		case rockwindpb.SiteRole_SITE_ROLE_STORE:
 			rank = storeRank
+			d.stores++
 		case rockwindpb.SiteRole_SITE_ROLE_ROUTER:
 		default:
 			continue
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
+	"rockwind.example/rockwind/internal/backlog"
 	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/jobstore"
@@ -68,6 +69,7 @@
 		claims:  claims.NewTable(),
 		history: make(map[claims.Key]*history),
 		active:  make(map[claims.Key]*activeTry),
+		paces:   make(map[string]*backlog.Pace),
 		ended:   make(chan itemEnd, endBuffer),
 	}
 	e.run(ctx)
@@ -90,6 +92,9 @@
 	after time.Time
 }
 
+// made is how many events of the item's output were received.
+func (h *history) made() int { return int(h.received.Last()) }
+
 // itemEnd is the end of one try of an item. Outcome is unspecified where the item
 // has to be tried again.
 type itemEnd struct {
@@ -118,7 +123,9 @@
 	history map[claims.Key]*history
 	// active holds the tries in progress.
 	active map[claims.Key]*activeTry
-	ended  chan itemEnd
+	// paces holds how long items take, by service.
+	paces map[string]*backlog.Pace
+	ended chan itemEnd
 	// results wait to be recorded, by job.
 	results map[string][]pendingResult
 	dropped time.Time
@@ -135,19 +142,34 @@
 			interval = scheduleInterval
 		}
 		wake.Reset(interval)
+		e.await(ctx, wake.C, applied)
+	}
+	e.claims.Drop()
+}
+
+// await waits until there is reason for another look at the shard. Meanwhile tries give way
+// as soon as online requests wait.
+func (e *executor) await(ctx context.Context, wake <-chan time.Time, applied <-chan struct{}) {
+	for {
+		pressed := e.store.dispatcher.Pressed()
 		select {
 		case <-ctx.Done():
-		case <-wake.C:
+			return
+		case <-wake:
+			return
+		case <-pressed:
+			e.yield(time.Now())
 		case <-applied:
 			// One look for a burst of commands.
 			retry.Pause(ctx, recordLinger)
+			return
 		case end := <-e.ended:
 			e.finish(end)
 			e.gather(ctx)
 			e.record(ctx)
+			return
 		}
 	}
-	e.claims.Drop()
 }
 
 // schedule starts what can be started, and tells whether items are open.
@@ -173,11 +195,11 @@
 	}
 	e.dropExpired(ctx)
 	slices.SortFunc(open, func(a, b jobstore.OpenItem) int {
-		return cmp.Or(cmp.Compare(a.SubmittedUnixMs, b.SubmittedUnixMs), cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
 	})
 	now := time.Now()
 	e.yield(now)
-	for _, item := range open {
+	for _, item := range backlog.Order(open, now, e.backlogItem) {
 		if !e.begin(ctx, item, now) {
 			break
 		}
@@ -186,6 +208,39 @@
 	return len(open) > 0 || e.claims.Len() > 0
 }
 
+// backlogItem is what the order of the open items rests on.
+func (e *executor) backlogItem(item jobstore.OpenItem) backlog.Item {
+	submitted := time.UnixMilli(item.SubmittedUnixMs)
+	route, standing := e.route(item)
+	if standing != routeFound {
+		return backlog.NewItem(submitted, time.Time{}, 0)
+	}
+	made := 0
+	if known := e.history[claims.NewKey(item.Job, item.Index)]; known != nil {
+		made = known.made()
+	}
+	pace := e.pace(router.ServiceOf(route, item.Item.GetId()))
+	return backlog.NewItem(submitted, dueTime(route, submitted), pace.Remaining(made))
+}
+
+// dueTime is when an item that was submitted at a time is due, zero where it never is.
+func dueTime(route *rockwindpb.Route, submitted time.Time) time.Time {
+	if route.GetDueMs() == 0 {
+		return time.Time{}
+	}
+	return submitted.Add(time.Duration(route.GetDueMs()) * time.Millisecond)
+}
+
+// pace is what the runs of a service's items have shown.
+func (e *executor) pace(service string) *backlog.Pace {
+	found, known := e.paces[service]
+	if !known {
+		found = &backlog.Pace{}
+		e.paces[service] = found
+	}
+	return found
+}
+
 // waits tells whether an item neither runs nor has a result on its way.
 func (e *executor) waits(job string, index uint32) bool {
 	return !e.claims.Held(claims.NewKey(job, index))
@@ -229,8 +284,8 @@
 		cancel(nil)
 		return true
 	}
-	active := &activeTry{service: router.ServiceOf(route, item.Item.GetId()), route: route, submitted: time.UnixMilli(item.SubmittedUnixMs), began: now, cancel: cancel}
-	lease := e.store.dispatcher.TryAcquire(active.service, balance.Demand{Parts: facts.Parts, Batch: true, Urgency: active.urgency(now)})
+	active := &activeTry{service: router.ServiceOf(route, item.Item.GetId()), route: route, submitted: time.UnixMilli(item.SubmittedUnixMs), began: now, madeBefore: known.made(), cancel: cancel}
+	lease := e.store.dispatcher.TryAcquire(active.service, balance.Demand{Parts: facts.Parts, Batch: true})
 	if lease == nil {
 		cancel(nil)
 		e.claims.Release(claim)
@@ -259,22 +314,6 @@
 	return true
 }
 
-// Parts of the time until a job is due between which its items become urgent.
-const (
-	calmPart   = 0.25
-	urgentPart = 0.6
-)
-
-// urgency is how urgent an item is at an age, from 0 to 1.
-func urgency(route *rockwindpb.Route, age time.Duration) float64 {
-	due := time.Duration(route.GetDueMs()) * time.Millisecond
-	if due <= 0 {
-		return 0
-	}
-	passed := float64(age) / float64(due)
-	return min(1, max(0, (passed-calmPart)/(urgentPart-calmPart)))
-}
-
 // routeStanding is what is known of an item's route.
 type routeStanding int
 
@@ -333,11 +372,16 @@
 	if !e.claims.Current(end.claim) {
 		return
 	}
+	active := e.active[end.claim.Key()]
 	delete(e.active, end.claim.Key())
 	if end.recorded {
 		e.claims.Release(end.claim)
 		return
 	}
+	if active != nil && end.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_DONE {
+		whole := end.history.made()
+		e.pace(active.service).Ended(whole-active.madeBefore, whole, time.Since(active.began))
+	}
 	recordEnd(end, e.term)
 	if end.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_UNSPECIFIED {
 		e.claims.Release(end.claim)
--- a/internal/store/yield.go
+++ b/internal/store/yield.go
@@ -1,12 +1,11 @@
 package store
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"slices"
 	"time"
 
+	"rockwind.example/rockwind/internal/backlog"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -15,9 +14,7 @@
 	// costs the reading of the prompt.
 	shortestTry = 250 * time.Millisecond
 	// pauseAfterYield is the time before an item that gave way is tried again.
-	pauseAfterYield = 150 * time.Millisecond
-	// yieldBelow is the urgency from which on items give way no more.
-	yieldBelow = 0.9
+	pauseAfterYield = 50 * time.Millisecond
 )
 
 // errYielded ends a try that gives way to online requests. The next one goes on
@@ -31,19 +28,25 @@
 	route     *rockwindpb.Route
 	submitted time.Time
 	began     time.Time
-	cancel    context.CancelCauseFunc
-	yielding  bool
+	// madeBefore is how many events of the output earlier tries have made.
+	madeBefore int
+	cancel     context.CancelCauseFunc
+	yielding   bool
 }
 
-func (a *activeTry) urgency(now time.Time) float64 { return urgency(a.route, now.Sub(a.submitted)) }
-
 // mayYield tells whether the try may give way now.
 func (a *activeTry) mayYield(now time.Time) bool {
-	return !a.yielding && now.Sub(a.began) >= shortestTry && a.urgency(now) < yieldBelow
+	return !a.yielding && now.Sub(a.began) >= shortestTry
+}
+
+// backlogTry is what the order in which tries give way rests on. What a try has made since
+// it began is taken to be what others make in that time.
+func (e *executor) backlogTry(try *activeTry) backlog.Item {
+	remaining := e.pace(try.service).Remaining(try.madeBefore) - time.Since(try.began)
+	return backlog.NewItem(try.submitted, dueTime(try.route, try.submitted), max(0, remaining))
 }
 
-// yield ends tries at servers that online requests need, those of the youngest jobs
-// first.
+// yield ends tries at servers that online requests need, in the order of the backlog.
 func (e *executor) yield(now time.Time) {
 	services := make(map[string]bool)
 	byServer := make(map[string][]*activeTry)
@@ -54,15 +57,16 @@
 		}
 	}
 	for service := range services {
-		e.store.dispatcher.Yield(service, func(server string, requests int) {
+		e.store.dispatcher.Yield(service, func(server string, requests int) int {
 			tries := byServer[server]
-			slices.SortFunc(tries, func(a, b *activeTry) int {
-				return cmp.Or(b.submitted.Compare(a.submitted), b.began.Compare(a.began))
-			})
-			for _, try := range tries[:min(requests, len(tries))] {
+			backlog.Yielding(tries, now, e.backlogTry)
+			gave := min(requests, len(tries))
+			for _, try := range tries[:gave] {
 				try.yielding = true
 				try.cancel(errYielded)
 			}
+			byServer[server] = tries[gave:]
+			return gave
 		})
 	}
 }
