--- a/internal/store/limit.go
+++ b/internal/store/limit.go
@@ -19,6 +19,7 @@
 	"rockwind.example/rockwind/internal/quota"
 	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/sitemetrics"
 )
 
 const (
@@ -84,6 +85,24 @@
 	return found
 }
 
+// gauges lists the counts that this store owns now.
+func (l *limiter) gauges() []sitemetrics.Limit {
+	shards := l.store.shards()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var found []sitemetrics.Limit
+	for route, owned := range l.counts {
+		group, running := l.store.host.Group(quota.OwnerOf(route, shards))
+		if !running {
+			continue
+		}
+		if term, leading := group.Leading(); leading && term == owned.term {
+			found = append(found, sitemetrics.NewLimit(route, owned.limit, owned.count.Waiting()))
+		}
+	}
+	return found
+}
+
 // admission is a job between the owner's grant and its place in the log.
 type admission struct {
 	limiter *limiter
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -126,7 +126,7 @@
 	log.WithField("machine", s.settings.GetName()).WithField("address", s.settings.GetInternalListen()).Info("store serves")
 	return site.RunHost(ctx, s.host, func(group *errgroup.Group, parts context.Context) {
 		group.Go(func() error { return s.watcher.Run(parts) })
-		group.Go(func() error { return sitemetrics.New("store", decision.Default).Serve(parts, s.settings) })
+		group.Go(func() error { return s.metrics().Serve(parts, s.settings) })
 		group.Go(func() error { return site.Serve(parts, site.NewServer(s.handler()), listener, stopTimeout) })
 		group.Go(func() error { s.announce(parts); return nil })
 		group.Go(func() error { router.Follow(parts, s.watcher, s.dispatcher, s.upstream); return nil })
@@ -135,6 +135,12 @@
 	}, func() {})
 }
 
+func (s *Store) metrics() *sitemetrics.Set {
+	set := sitemetrics.New("store", decision.Default)
+	set.Limits(s.limiter.gauges)
+	return set
+}
+
 func (s *Store) handler() http.Handler {
 	mux := http.NewServeMux()
 	for _, server := range []rockwindpb.TwirpServer{
