--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -272,15 +272,21 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	found.ID, found.Address, found.Slots = best.ID, best.Address, best.Slots
-	found.Load, found.ReportAge = p.load(best, now), -1
-	if best.known {
-		found.ReportAge = now - best.toldAt
+	return p.take(best, found, demand, now), true
+}
+
+// take counts the request at the chosen server, and completes the choice with what it
+// rested on.
+func (p *Pool) take(chosen *server, choice Choice, demand Demand, now time.Duration) Choice {
+	choice.ID, choice.Address, choice.Slots = chosen.ID, chosen.Address, chosen.Slots
+	choice.Load, choice.ReportAge = p.load(chosen, now), -1
+	if chosen.known {
+		choice.ReportAge = now - chosen.toldAt
 	}
-	found.Batch = demand.Batch
-	p.start(best, demand, found.Uncached, now)
-	p.tracker.Sent(p.place(best.ID), found.Expected(), now)
-	return found, true
+	choice.Batch = demand.Batch
+	p.start(chosen, demand, choice.Uncached, now)
+	p.tracker.Sent(p.place(chosen.ID), choice.Expected(), now)
+	return choice
 }
 
 // usable tells whether the server at a place is taken to answer.
--- /dev/null
+++ b/internal/store/order.go
@@ -0,0 +1,51 @@
+package store
+
+import (
+	"time"
+
+	"rockwind.example/rockwind/internal/backlog"
+	"rockwind.example/rockwind/internal/jobstore"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/router"
+	"rockwind.example/rockwind/internal/store/claims"
+)
+
+// backlogItem is what the order of the open items rests on.
+func (e *executor) backlogItem(item jobstore.OpenItem) backlog.Item {
+	submitted := time.UnixMilli(item.SubmittedUnixMs)
+	route, standing := e.route(item)
+	if standing != routeFound {
+		return backlog.NewItem(submitted, time.Time{}, 0)
+	}
+	made := 0
+	if known := e.history[claims.NewKey(item.Job, item.Index)]; known != nil {
+		made = known.made()
+	}
+	pace := e.pace(router.ServiceOf(route, item.Item.GetId()))
+	return backlog.NewItem(submitted, dueTime(route, submitted), pace.Remaining(made))
+}
+
+// dueTime is when an item that was submitted at a time is due, zero where it never is.
+func dueTime(route *rockwindpb.Route, submitted time.Time) time.Time {
+	if route.GetDueMs() == 0 {
+		return time.Time{}
+	}
+	return submitted.Add(time.Duration(route.GetDueMs()) * time.Millisecond)
+}
+
+// pace is what the runs of a service's items have shown.
+func (e *executor) pace(service string) *backlog.Pace {
+	found, known := e.paces[service]
+	if !known {
+		found = &backlog.Pace{}
+		e.paces[service] = found
+	}
+	return found
+}
+
+// backlogTry is what the order in which tries give way rests on. What a try has made since
+// it began is taken to be what others make in that time.
+func (e *executor) backlogTry(try *activeTry) backlog.Item {
+	remaining := e.pace(try.service).Remaining(try.madeBefore) - time.Since(try.began)
+	return backlog.NewItem(try.submitted, dueTime(try.route, try.submitted), max(0, remaining))
+}
--- a/internal/store/yield.go
+++ b/internal/store/yield.go
@@ -39,13 +39,6 @@
 	return !a.yielding && now.Sub(a.began) >= shortestTry
 }
 
-// backlogTry is what the order in which tries give way rests on. What a try has made since
-// it began is taken to be what others make in that time.
-func (e *executor) backlogTry(try *activeTry) backlog.Item {
-	remaining := e.pace(try.service).Remaining(try.madeBefore) - time.Since(try.began)
-	return backlog.NewItem(try.submitted, dueTime(try.route, try.submitted), max(0, remaining))
-}
-
 // yield ends tries at servers that online requests need, in the order of the backlog.
 func (e *executor) yield(now time.Time) {
 	services := make(map[string]bool)
