--- /dev/null
+++ b/internal/loadshare/nudge_test.go
@@ -0,0 +1,78 @@
+package loadshare_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"rockwind.example/rockwind/internal/loadshare"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// countingSource has one load that a test changes, and counts the digests it is given.
+type countingSource struct {
+	inflight atomic.Uint32
+	heard    chan *rockwindpb.LoadDigest
+}
+
+func (s *countingSource) digest() *rockwindpb.LoadDigest {
+	return &rockwindpb.LoadDigest{Servers: []uint32{1}, Inflight: []uint32{s.inflight.Load()}, Unread: []uint32{0}, Batch: []uint32{0}}
+}
+
+func (s *countingSource) Own() *rockwindpb.LoadDigest         { return s.digest() }
+func (s *countingSource) Sum([]string) *rockwindpb.LoadDigest { return s.digest() }
+func (s *countingSource) Heard(string) bool                   { return true }
+func (s *countingSource) Take(digest *rockwindpb.LoadDigest)  { s.heard <- digest }
+
+func open(t *testing.T, name string) (*loadshare.Sharer, netip.AddrPort) {
+	t.Helper()
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := socket.LocalAddr().String()
+	_ = socket.Close()
+	sharer, err := loadshare.Open(name, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return sharer, netip.MustParseAddrPort(address)
+}
+
+// TestNudgedDigestIsNotHeldUntilItsTurn: among many processes a turn takes long; a request
+// that waits for a slot cannot.
+func TestNudgedDigestIsNotHeldUntilItsTurn(t *testing.T) {
+	sender, from := open(t, "sender")
+	receiver, to := open(t, "receiver")
+	members := []loadshare.Member{loadshare.NewMember("sender", "z", from, 1), loadshare.NewMember("receiver", "z", to, 0)}
+	// Processes that are not there lengthen the turns to more than the test bears.
+	const others = 20_000
+	for i := range others {
+		nowhere := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 9)
+		members = append(members, loadshare.NewMember(fmt.Sprint("other-", i), "z", nowhere, 9))
+	}
+	sender.SetLayout(loadshare.NewLayout(members, "sender"))
+	told := &countingSource{heard: make(chan *rockwindpb.LoadDigest, 16)}
+	heard := &countingSource{heard: make(chan *rockwindpb.LoadDigest, 16)}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = sender.Run(ctx, told) }()
+	go func() { _ = receiver.Run(ctx, heard) }()
+	for want := uint32(1); want <= 3; want++ {
+		told.inflight.Store(want)
+		sender.Nudge()
+		limit := time.After(2 * time.Second)
+		for got := uint32(0); got != want; {
+			select {
+			case digest := <-heard.heard:
+				got = digest.GetInflight()[0]
+			case <-limit:
+				t.Fatalf("the digest that was due at once did not come; load %d", want)
+			}
+		}
+	}
+}
