--- a/internal/bench/soak/jobs.go
+++ b/internal/bench/soak/jobs.go
@@ -23,6 +23,10 @@
 	// jobGap is the mean time between two jobs, mostItems the most items of one.
 	jobGap    = 700 * time.Millisecond
 	mostItems = 12
+	// mostWaiting is how many items may wait: few enough that submissions are refused
+	// while a store is lost. itemTokens is what each of them counts.
+	mostWaiting = 30
+	itemTokens  = 100
 	// poisonPart is the part of the items that can never be done, endPart the part of
 	// the jobs that are ended early, resendPart that of the jobs submitted again.
 	poisonPart = 0.05
@@ -96,7 +100,7 @@
 			headers = append(headers, &rockwindpb.StoredHeader{Name: backend.HeaderPoison, Value: "true"})
 			texts[name] = ""
 		}
-		message.Items = append(message.Items, &rockwindpb.StoredItem{Id: name, Path: backend.PathBatch + name, Headers: headers, Body: []byte(name)})
+		message.Items = append(message.Items, &rockwindpb.StoredItem{Id: name, Path: backend.PathBatch + name, Headers: headers, Body: []byte(name), Tokens: itemTokens})
 	}
 	return message, texts
 }
--- a/internal/bench/soak/operator.go
+++ b/internal/bench/soak/operator.go
@@ -74,6 +74,7 @@
 	add("resumable", backend.PathResumable, rockwindpb.RouteKind_ROUTE_KIND_STREAM, func(r *rockwindpb.Route) { r.Resumable = true })
 	add("batch", backend.PathBatch, rockwindpb.RouteKind_ROUTE_KIND_BATCH, func(r *rockwindpb.Route) {
 		r.DueMs, r.MaximumWaitMs, r.Priority, r.Attempts = 20_000, 600_000, 2, 30
+		r.MaximumWaitingTokens = mostWaiting * itemTokens
 	})
 	for marked := number; marked > 0 && marked+markers > number; marked-- {
 		add(fmt.Sprintf("marker-%d", marked), marker(marked), rockwindpb.RouteKind_ROUTE_KIND_SAFE, nil)
