--- a/internal/bench/soak/jobs.go
+++ b/internal/bench/soak/jobs.go
@@ -25,7 +25,7 @@
 	mostItems = 12
 	// mostWaiting is how many items may wait: few enough that submissions are refused
 	// while a store is lost. itemTokens is what each of them counts.
-	mostWaiting = 30
+	mostWaiting = 14
 	itemTokens  = 100
 	// poisonPart is the part of the items that can never be done, endPart the part of
 	// the jobs that are ended early, resendPart that of the jobs submitted again.
