Ask once for what the order of items rests on; one sliding window for two

Found by reading the whole change again. backlog.Order and Yielding asked for the item of each value at every comparison: a look-up of the route, of the history and of the pace n log n times a look, 25 looks a second a shard, and Yielding's answer read the clock, so that it could change during a sort. They ask once now. The starts and the yields of batch work were two copies of one sliding window in balance.headroom.

Behaviour is the same; the tests of balance, backlog, store, router, architecture and platform pass unchanged.

--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -47,40 +47,59 @@
 	return cmp.Or(i.due.Compare(other.due), i.submitted.Compare(other.submitted))
 }
 
+// entry is what is ordered, with what its order rests on.
+type entry[T any] struct {
+	value T
+	item  Item
+}
+
+// entries asks once for the item of each value: sorting compares it many times.
+func entries[T any](values []T, item func(T) Item) []entry[T] {
+	list := make([]entry[T], len(values))
+	for place, value := range values {
+		list[place] = entry[T]{value: value, item: item(value)}
+	}
+	return list
+}
+
 // Order sorts what waits into the order in which it is to be started.
 func Order[T any](waiting []T, now time.Time, item func(T) Item) []T {
-	var early, late []T
-	for _, each := range waiting {
-		if item(each).OnTime(now) {
+	var early, late []entry[T]
+	for _, each := range entries(waiting, item) {
+		if each.item.OnTime(now) {
 			early = append(early, each)
 		} else {
 			late = append(late, each)
 		}
 	}
-	slices.SortStableFunc(early, func(a, b T) int { return item(a).compareDue(item(b)) })
-	slices.SortStableFunc(late, func(a, b T) int { return item(a).submitted.Compare(item(b).submitted) })
+	slices.SortStableFunc(early, func(a, b entry[T]) int { return a.item.compareDue(b.item) })
+	slices.SortStableFunc(late, func(a, b entry[T]) int { return a.item.submitted.Compare(b.item.submitted) })
 	return interleave(early, late)
 }
 
-// interleave puts one late entry behind each lateEvery early ones, and the rest at the
+// interleave puts one late value behind each lateEvery early ones, and the rest at the
 // end.
-func interleave[T any](early, late []T) []T {
+func interleave[T any](early, late []entry[T]) []T {
 	ordered := make([]T, 0, len(early)+len(late))
 	for place, each := range early {
-		ordered = append(ordered, each)
+		ordered = append(ordered, each.value)
 		if (place+1)%lateEvery == 0 && len(late) > 0 {
-			ordered = append(ordered, late[0])
+			ordered = append(ordered, late[0].value)
 			late = late[1:]
 		}
 	}
-	return append(ordered, late...)
+	for _, each := range late {
+		ordered = append(ordered, each.value)
+	}
+	return ordered
 }
 
 // Yielding sorts what runs into the order in which it is to give way: first what cannot be
 // on time, then what was submitted last.
 func Yielding[T any](running []T, now time.Time, item func(T) Item) {
-	slices.SortStableFunc(running, func(a, b T) int {
-		first, second := item(a), item(b)
+	list := entries(running, item)
+	slices.SortStableFunc(list, func(a, b entry[T]) int {
+		first, second := a.item, b.item
 		if first.OnTime(now) != second.OnTime(now) {
 			if second.OnTime(now) {
 				return -1
@@ -89,4 +108,7 @@
 		}
 		return second.submitted.Compare(first.submitted)
 	})
+	for place, each := range list {
+		running[place] = each.value
+	}
 }
--- a/internal/balance/headroom.go
+++ b/internal/balance/headroom.go
@@ -19,35 +19,28 @@
 
 // headroom remembers the batch work that this process started lately, and what gave way.
 type headroom struct {
-	starts []time.Duration
-	gave   []time.Duration
+	// starts are those that other processes may not know of yet.
+	starts recent
+	// gave holds what left slots that may be counted as taken by those who wait for them.
+	gave recent
 }
 
-// started notes a start of batch work.
-func (h *headroom) started(now time.Duration) { h.starts = append(h.starts, now) }
+// recent holds when things happened, the oldest first.
+type recent []time.Duration
 
-// unseen is how many starts other processes may not know of yet.
-func (h *headroom) unseen(now time.Duration) int {
-	for len(h.starts) > 0 && now-h.starts[0] > unseenFor {
-		h.starts = h.starts[1:]
+// add notes that something happened so many times.
+func (r *recent) add(times int, now time.Duration) {
+	for range times {
+		*r = append(*r, now)
 	}
-	return len(h.starts)
 }
 
-// yields notes batch requests that gave way.
-func (h *headroom) yields(requests int, now time.Duration) {
-	for range requests {
-		h.gave = append(h.gave, now)
+// count is how many things happened within the given time. What is older is forgotten.
+func (r *recent) count(within, now time.Duration) int {
+	for len(*r) > 0 && now-(*r)[0] > within {
+		*r = (*r)[1:]
 	}
-}
-
-// yielded is how many requests gave way so lately that the slots they left may be counted
-// as taken by those who wait for them.
-func (h *headroom) yielded(now time.Duration) int {
-	for len(h.gave) > 0 && now-h.gave[0] > settleTime {
-		h.gave = h.gave[1:]
-	}
-	return len(h.gave)
+	return len(*r)
 }
 
 // usage is what a service's servers have in hand, of all processes.
@@ -97,7 +90,7 @@
 	}
 	budget := max(sum.slots-sum.online, int(leastUse*float64(sum.slots)), 1)
 	rivals := max(1, p.batchProcesses)
-	left := budget - sum.batch - (rivals-1)*p.headroom.unseen(now)
+	left := budget - sum.batch - (rivals-1)*p.headroom.starts.count(unseenFor, now)
 	return float64(left) > float64(rivals-1)*random.Float64()
 }
 
@@ -125,7 +118,7 @@
 			all += p.batchAt(each)
 		}
 	}
-	queued := waiting + p.shares.At(p.queue).Inflight - p.headroom.yielded(now)
+	queued := waiting + p.shares.At(p.queue).Inflight - p.headroom.gave.count(settleTime, now)
 	left := p.share(queued, own, all, random)
 	first := 0
 	if len(p.servers) > 0 {
@@ -151,6 +144,6 @@
 		return 0
 	}
 	gave := visit(s.ID, requests)
-	p.headroom.yields(gave, now)
+	p.headroom.gave.add(gave, now)
 	return gave
 }
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -404,7 +404,7 @@
 	chosen.since++
 	if demand.Batch {
 		chosen.batch++
-		p.headroom.started(now)
+		p.headroom.starts.add(1, now)
 	}
 	chosen.unread += uncached
 	for _, part := range demand.Parts {
