Offer a place in groups of others to one machine at a time, not to all

Change: a machine that only offers to take a place asks one peer drawn by chance; all do, so each leader is asked as often as by one that asks everybody. One that lacks a place it should have asks all as before, also for ten seconds after it has joined. An answer leaves the groups out where the caller holds them, by checksum.

--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -81,6 +82,8 @@
 type network struct {
 	mutex    sync.Mutex
 	handlers map[string]http.Handler
+	// joins counts the calls to join, and joinBytes what was answered.
+	joins, joinBytes int
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -93,9 +96,29 @@
 	}
 	recorder := httptest.NewRecorder()
 	handler.ServeHTTP(recorder, request)
+	if strings.HasSuffix(request.URL.Path, "/Join") {
+		n.countJoin(recorder.Body.Len())
+	}
 	return recorder.Result(), nil
 }
 
+func (n *network) countJoin(answered int) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.joins++
+	n.joinBytes += answered
+}
+
+// takeJoins returns how many calls to join there were and what was answered, and begins
+// to count anew.
+func (n *network) takeJoins() (calls, bytes int) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	calls, bytes = n.joins, n.joinBytes
+	n.joins, n.joinBytes = 0, 0
+	return calls, bytes
+}
+
 func (n *network) mount(address string, handler http.Handler) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -147,6 +170,11 @@
 
 // inBubble runs a test with virtual time and stops its fleet at the end.
 func inBubble(t *testing.T, size int, adjust func(*replica.Options), run func(f *fleet)) {
+	inBubbleWith(t, size, 2, adjust, run)
+}
+
+// inBubbleWith is inBubble with a number of job shards.
+func inBubbleWith(t *testing.T, size, shards int, adjust func(*replica.Options), run func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{t: t, links: &replica.Links{}, random: rand.New(rand.NewPCG(1, 2)), adjust: adjust}
 		f.network = &network{handlers: map[string]http.Handler{}}
@@ -164,7 +192,7 @@
 				f.kill(m)
 			}
 		}()
-		f.found(2)
+		f.found(shards)
 		run(f)
 	})
 }
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -47,6 +47,11 @@
 	changed chan struct{}
 	// told lists the members that the last answer to a call to join named.
 	told []*rockwindpb.ControlMachine
+	// checksums are those of the groups that each address told last.
+	checksums map[string]uint64
+	// joined is when this machine came to its cluster through another one; zero where it
+	// founded it, or belonged to it at its start.
+	joined time.Time
 }
 
 // NewHost opens the log in options.Folder. It fails with fault.Corrupt when
@@ -74,6 +79,8 @@
 		started:  make(chan struct{}),
 		owners:   map[uint32]*owner{},
 		changed:  make(chan struct{}),
+
+		checksums: make(map[string]uint64),
 	}
 	h.writer = newWriter(opened, h.pin)
 	h.transport = newTransportFor(h)
--- a/internal/replica/joining.go
+++ b/internal/replica/joining.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -13,14 +16,28 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
+// joinPeriod is how long a machine that has joined asks all others, so that a leader that
+// was not heard at first lets it join too.
+const joinPeriod = 10 * time.Second
+
 // keepJoining asks the peers to let this machine join while it belongs to no
-// cluster, or while a group does not count its disk as a voter yet.
+// cluster, or while a group does not count its disk as a voter yet. A machine that only
+// offers to take a place in groups of others asks one peer at a time, drawn by chance:
+// all machines do, so that each leader is asked about as often as it would be by one that
+// asks everybody.
 func (h *Host) keepJoining() error {
+	random := rand.New(rand.NewPCG(h.options.Random, h.log.DiskID()))
 	for h.pause(h.options.electionTimeout()) {
-		if !h.wantsToJoin() {
+		peers := h.joinPeers()
+		switch {
+		case h.needsToJoin():
+		case !h.options.AdmitNew || !h.leftOut() || len(peers) == 0:
 			continue
+		default:
+			chosen := random.IntN(len(peers))
+			peers = peers[chosen : chosen+1]
 		}
-		for _, peer := range h.joinPeers() {
+		for _, peer := range peers {
 			h.askToJoin(peer)
 		}
 	}
@@ -48,9 +65,9 @@
 
 // tellPeers keeps the members that an answer to a call to join named: the leaders
 // may be machines that the settings do not list.
-func (h *Host) tellPeers(groups []*rockwindpb.FoundingGroup) {
+func (h *Host) tellPeers(address string, response *rockwindpb.JoinResponse) {
 	var told []*rockwindpb.ControlMachine
-	for _, group := range groups {
+	for _, group := range response.GetGroups() {
 		for _, member := range group.GetMembership().GetMembers() {
 			told = append(told, &rockwindpb.ControlMachine{Machine: member.GetMachine(), Address: member.GetAddress()})
 		}
@@ -58,6 +75,21 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.told = told
+	h.checksums[address] = response.GetChecksum()
+}
+
+// toldChecksum is that of the groups that the machine at an address told last.
+func (h *Host) toldChecksum(address string) uint64 {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.checksums[address]
+}
+
+// forgetChecksum has the machine at an address tell its groups again.
+func (h *Host) forgetChecksum(address string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	delete(h.checksums, address)
 }
 
 func (h *Host) toldPeers() []*rockwindpb.ControlMachine {
@@ -66,11 +98,9 @@
 	return h.told
 }
 
-func (h *Host) wantsToJoin() bool {
-	if h.clusterID() == "" {
-		return true
-	}
-	if h.options.AdmitNew && h.leftOut() {
+// needsToJoin tells whether this machine lacks a place that it should have.
+func (h *Host) needsToJoin() bool {
+	if h.clusterID() == "" || h.joinedWithin(joinPeriod) {
 		return true
 	}
 	for _, o := range h.allOwners() {
@@ -81,6 +111,13 @@
 	return false
 }
 
+// joinedWithin tells whether this machine came to its cluster through another one lately.
+func (h *Host) joinedWithin(period time.Duration) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return !h.joined.IsZero() && time.Since(h.joined) < period
+}
+
 // leftOut tells whether there is a group that does not run here. This machine may
 // be wanted there.
 func (h *Host) leftOut() bool {
@@ -93,18 +130,35 @@
 	ctx, cancel := context.WithTimeout(h.ctx, sendTimeout)
 	defer cancel()
 	response, err := h.clientOf(peer.GetAddress()).Join(ctx, &rockwindpb.JoinRequest{
-		Machine: h.options.Machine,
-		DiskId:  h.log.DiskID(),
-		Address: h.options.Address,
+		Machine:      h.options.Machine,
+		DiskId:       h.log.DiskID(),
+		Address:      h.options.Address,
+		HaveChecksum: h.toldChecksum(peer.GetAddress()),
 	})
 	if err != nil {
 		log.WithError(fault.From(err)).WithField("machine", peer.GetMachine()).Info("not joined")
 		return
 	}
-	h.tellPeers(response.GetGroups())
+	if len(response.GetGroups()) == 0 {
+		return
+	}
+	h.tellPeers(peer.GetAddress(), response)
+	first := h.clusterID() == ""
 	if err := h.enter(&cluster{id: response.GetClusterId(), groups: response.GetGroups()}); err != nil {
+		h.forgetChecksum(peer.GetAddress())
 		log.WithError(err).WithField("machine", peer.GetMachine()).Warn("not joined")
+		return
 	}
+	if first {
+		h.noteJoined()
+	}
+}
+
+// noteJoined notes that this machine has come to its cluster through another one.
+func (h *Host) noteJoined() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.joined = time.Now()
 }
 
 // Join implements rockwindpb.ReplicaService. It begins the replacement in the
@@ -146,6 +200,20 @@
 			setMembership(response, o.id, membership)
 		}
 	}
+	return shortened(response, request.GetHaveChecksum())
+}
+
+// shortened completes a response with its checksum, and leaves out groups that the caller
+// holds: on a large site they are most of it.
+func shortened(response *rockwindpb.JoinResponse, have uint64) (*rockwindpb.JoinResponse, error) {
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(response)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the groups")
+	}
+	response.Checksum = xxhash.Sum64(encoded)
+	if response.Checksum == have {
+		response.Groups = nil
+	}
 	return response, nil
 }
 
