Tell loads by zones, and the directory's news together and from near

Load digests. Cause: delegates of groups of 16 told each process of all other groups, out of turn up to each 10 ms: some 33,000 datagrams a second between 24 groups of a site of 295. Change: a zone is a group. Members tell its relays; the delegate, the first relay that is heard, tells the members the zone's sum and the sum of all other zones, and the delegates of the other zones that of its own. A member takes its own part out of the zone's sum, by stamps of the digests that it covers. The decisions are pure now (loadshare.Protocol). Counters of digests sent, in all and to other zones, are on the metrics page.

Each change told each watcher the founding of the stores' cluster, 12 KB with 45 shards; each announcement was answered with it. It is told once now. News are gathered for 50 ms: at a start hundreds of entries appear within a second. A process that watches a far coordinator (a seed, as a rule) moves to one of its zone that answers, and the watchers of a lost one spread over the others; tests in internal/site.

--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -45,6 +45,8 @@
 	// how many processes it covers.
 	group   string
 	members int
+	// elsewhere tells that it sums up all groups but that one.
+	elsewhere bool
 }
 
 // Shares holds the newest digests of the other processes and their sums by server.
@@ -68,20 +70,36 @@
 }
 
 // TakeGroup replaces what was told of a group before, by this delegate or by
-// another one.
+// another one, also within a sum of all groups but one.
 func (s *Shares) TakeGroup(delegate, group string, members int, started int64, sequence uint64, loads map[uint32]SharedLoad, now time.Duration) {
-	key := groupKey(delegate)
+	key := "group of " + delegate
+	s.dropOthers(key, func(known *sender) bool {
+		if known.elsewhere {
+			return known.group != group
+		}
+		return known.group == group
+	})
+	s.take(key, sender{started: started, sequence: sequence, at: now, loads: loads, group: group, members: members})
+}
+
+// TakeElsewhere replaces what was told of all groups but the named one.
+func (s *Shares) TakeElsewhere(delegate, group string, started int64, sequence uint64, loads map[uint32]SharedLoad, now time.Duration) {
+	key := "elsewhere of " + delegate
+	s.dropOthers(key, func(known *sender) bool {
+		return known.elsewhere || (known.group != "" && known.group != group)
+	})
+	s.take(key, sender{started: started, sequence: sequence, at: now, loads: loads, group: group, elsewhere: true})
+}
+
+// dropOthers drops the senders whose digests a newer one under the given key covers.
+func (s *Shares) dropOthers(key string, covered func(known *sender) bool) {
 	for other, known := range s.senders {
-		if other != key && known.group == group {
+		if other != key && covered(known) {
 			s.drop(other)
 		}
 	}
-	s.take(key, sender{started: started, sequence: sequence, at: now, loads: loads, group: group, members: members})
 }
 
-// groupKey sets the digests of a delegate's group apart from its own.
-func groupKey(delegate string) string { return "group of " + delegate }
-
 func (s *Shares) take(key string, next sender) {
 	known := s.senders[key]
 	if known != nil {
@@ -153,6 +171,29 @@
 	return sums
 }
 
+// Sequences lists the newest digests of the named processes themselves.
+func (s *Shares) Sequences(names []string, visit func(name string, started int64, sequence uint64)) {
+	for _, name := range names {
+		if known, found := s.senders[name]; found {
+			visit(name, known.started, known.sequence)
+		}
+	}
+}
+
+// SumElsewhere adds up what was told of all groups but the named one.
+func (s *Shares) SumElsewhere(group string) map[uint32]SharedLoad {
+	sums := make(map[uint32]SharedLoad)
+	for _, known := range s.senders {
+		if known.group == "" || (known.group == group) != known.elsewhere {
+			continue
+		}
+		for server, load := range known.loads {
+			sums[server] = sums[server].plus(load, 1)
+		}
+	}
+	return sums
+}
+
 // At is what all other processes together have at a server.
 func (s *Shares) At(server uint32) SharedLoad { return s.sums[server] }
 
--- a/internal/coordinator/services.go
+++ b/internal/coordinator/services.go
@@ -7,6 +7,7 @@
 	"rockwind.example/rockwind/internal/catalog"
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -16,6 +17,10 @@
 	// freshnessInterval is how often a call that waits checks that this replica
 	// still hears the leader.
 	freshnessInterval = 250 * time.Millisecond
+	// newsLinger is how long news of the directory are gathered before a watcher is
+	// told: hundreds of processes and servers appear within a second at a start, and
+	// each change told alone costs every watcher a call.
+	newsLinger = 50 * time.Millisecond
 )
 
 // configurationService hands the configuration to routers and stores, and takes
@@ -90,7 +95,11 @@
 		}
 	}
 	s.coordinator.live.note(machineKey(request.GetMachine().GetName()), time.Now())
-	return &rockwindpb.AnnounceMachineResponse{StoreCluster: view.directory.StoreCluster()}, nil
+	response := &rockwindpb.AnnounceMachineResponse{}
+	if request.GetWantStoreCluster() {
+		response.StoreCluster = view.directory.StoreCluster()
+	}
+	return response, nil
 }
 
 // Note implements rockwindpb.DirectoryService.
@@ -115,14 +124,16 @@
 	return &rockwindpb.RetireMachineResponse{}, fault.ToTwirp(s.coordinator.Retire(ctx, request.GetName()))
 }
 
-// Watch implements rockwindpb.DirectoryService: it answers as soon as this
-// replica knows something newer, or without news after the wait. It fails as soon
-// as the replica no longer hears the leader.
+// Watch implements rockwindpb.DirectoryService: it answers soon after this replica
+// knows something newer, at once where that is a configuration or the watcher knows
+// nothing yet, or without news after the wait. It fails as soon as the replica no
+// longer hears the leader.
 func (s directoryService) Watch(ctx context.Context, request *rockwindpb.WatchDirectoryRequest) (*rockwindpb.WatchDirectoryResponse, error) {
 	wait := time.NewTimer(min(time.Duration(request.GetWaitMs())*time.Millisecond, maximumWait))
 	defer wait.Stop()
 	fresh := time.NewTicker(freshnessInterval)
 	defer fresh.Stop()
+	lingered := request.GetHaveRevision() == 0 || request.GetWaitMs() == 0
 	for over := false; ; {
 		applied, err := s.coordinator.applied()
 		if err != nil {
@@ -133,9 +144,15 @@
 			return nil, fault.ToTwirp(err)
 		}
 		number := view.catalog.Index().Number()
-		if over || view.directory.Revision() != request.GetHaveRevision() || number > request.GetHaveConfiguration() {
+		news := view.directory.Revision() != request.GetHaveRevision()
+		if over || number > request.GetHaveConfiguration() || (news && lingered) {
 			return answerWatch(view.directory, request, number), nil
 		}
+		if news {
+			lingered = true
+			retry.Pause(ctx, newsLinger)
+			continue
+		}
 		select {
 		case <-applied:
 		case <-fresh.C:
@@ -148,7 +165,7 @@
 }
 
 func answerWatch(view *directory.View, request *rockwindpb.WatchDirectoryRequest, number uint64) *rockwindpb.WatchDirectoryResponse {
-	response := view.Since(request.GetHaveRevision())
+	response := view.Since(request.GetHaveRevision(), request.GetHaveStoreCluster())
 	response.ConfigurationNumber = number
 	return response
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -185,11 +185,11 @@
 				second = restored
 			}
 			if rapid.Bool().Draw(t, "watch") {
-				revision := uint64(0)
+				revision, cluster := uint64(0), ""
 				if held != nil {
-					revision = held.Revision()
+					revision, cluster = held.Revision(), held.StoreCluster().GetClusterId()
 				}
-				held = Merge(held, first.View().Since(revision))
+				held = Merge(held, first.View().Since(revision, cluster))
 				same(t, "watcher", held, first.View())
 			}
 			same(t, "replica", second.View(), first.View())
@@ -207,3 +207,25 @@
 		}
 	}
 }
+
+// TestFoundingIsToldOnce: the founding of a large cluster is most of what a watcher would
+// be told at each change.
+func TestFoundingIsToldOnce(t *testing.T) {
+	d := New()
+	start := time.UnixMilli(10_000)
+	for i := range 3 {
+		d.Apply(announce(fmt.Sprintf("s%d", i), rockwindpb.SiteRole_SITE_ROLE_STORE, uint64(i+1), start.UnixMilli()))
+	}
+	founding := PlanStores(d.View(), 3, start.Add(foundingSettle))
+	d.Apply(&rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_FoundStores{FoundStores: founding}})
+	held := Merge(nil, d.View().Since(0, ""))
+	d.Apply(report("a", "x", ready, 1))
+	news := d.View().Since(held.Revision(), held.StoreCluster().GetClusterId())
+	if news.GetStoreCluster() != nil {
+		t.Error("the founding is told again")
+	}
+	held = Merge(held, news)
+	if held.StoreCluster().GetClusterId() != founding.GetClusterId() || len(held.Servers()) != 1 {
+		t.Errorf("the watcher holds founding %q and %d servers", held.StoreCluster().GetClusterId(), len(held.Servers()))
+	}
+}
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -38,15 +38,17 @@
 // StoreCluster is the founding of the stores' cluster, nil before it is decided.
 func (v *View) StoreCluster() *rockwindpb.FoundRequest { return v.storeCluster }
 
-// Since returns what a watcher at the given revision lacks. It is everything
-// where entries were dropped meanwhile, or where the watcher's revision is not
-// of this directory.
-func (v *View) Since(revision uint64) *rockwindpb.WatchDirectoryResponse {
+// Since returns what a watcher at the given revision, which knows the given store
+// cluster, lacks. It is everything where entries were dropped meanwhile, or where the
+// watcher's revision is not of this directory.
+func (v *View) Since(revision uint64, storeCluster string) *rockwindpb.WatchDirectoryResponse {
 	response := &rockwindpb.WatchDirectoryResponse{Revision: v.revision}
 	if revision == v.revision {
 		return response
 	}
-	response.StoreCluster = v.storeCluster
+	if v.storeCluster.GetClusterId() != storeCluster {
+		response.StoreCluster = v.storeCluster
+	}
 	response.Full = revision == 0 || revision < v.dropped || revision > v.revision
 	for _, server := range v.Servers() {
 		if response.Full || server.GetRevision() > revision {
@@ -75,6 +77,9 @@
 		servers:  make(map[string]*rockwindpb.Server),
 		machines: make(map[string]*rockwindpb.Machine),
 	}
+	if held != nil && merged.storeCluster == nil {
+		merged.storeCluster = held.storeCluster
+	}
 	if held != nil && !response.GetFull() {
 		for id, server := range held.servers {
 			merged.servers[id] = server
--- a/internal/loadshare/layout.go
+++ b/internal/loadshare/layout.go
@@ -2,14 +2,28 @@
 
 import (
 	"cmp"
-	"fmt"
 	"net/netip"
 	"slices"
+	"time"
 )
 
-// groupSize is how many processes tell each other of their loads directly. A site
-// with more of them is divided into groups.
-const groupSize = 16
+const (
+	// meshSize is up to how many processes all tell each other of their loads directly.
+	// A site with more of them is divided into the groups of its zones.
+	meshSize = 16
+	// relayCount is how many members of a group may be its delegate: the first of them
+	// that is heard is, and the others know what it knows when it falls silent.
+	relayCount = 3
+	// shortestInterval is the time between digests among few processes, and
+	// intervalPerMember lengthens it in large groups, so that a delegate spends the same
+	// on digests however many members there are. 50 members of a zone are told each
+	// 100 ms, so that a load is known in its zone within 200 ms.
+	shortestInterval  = 80 * time.Millisecond
+	intervalPerMember = 2 * time.Millisecond
+	// intervalPerGroup is the time between digests of a group to the others, for each of
+	// them: it bounds the bytes that a delegate sends to other zones.
+	intervalPerGroup = 20 * time.Millisecond
+)
 
 // Member is a process that shares its load.
 type Member struct {
@@ -19,8 +33,8 @@
 	rank    int
 }
 
-// NewMember describes a process. Among the members of a group the one with the
-// lowest rank is the delegate.
+// NewMember describes a process. Among the members of a group those with the lowest
+// rank are its relays.
 func NewMember(name, zone string, address netip.AddrPort, rank int) Member {
 	return Member{name: name, zone: zone, address: address, rank: rank}
 }
@@ -28,104 +42,137 @@
 // Name is the machine's name.
 func (m Member) Name() string { return m.name }
 
+// Zone is the zone that the machine stands in.
+func (m Member) Zone() string { return m.zone }
+
+// Address is where the process takes digests.
+func (m Member) Address() netip.AddrPort { return m.address }
+
 // Layout says whom one process tells of loads. It is immutable.
 //
-// Members of a group tell each other what they have. The delegate of each group,
-// the first member that is heard, tells the members of all other groups the sum of
-// its group. A process so hears of a site of n processes from about
-// groupSize + n/groupSize senders.
+// On a small site all processes tell each other. On a larger one the processes of a zone
+// are a group. Members tell their loads to the relays of the group. The delegate, the
+// first relay that is heard, tells the members the sum of the group and the sum of all
+// other groups, and tells the delegates of the other groups the sum of its own. What a
+// process sends and hears so does not grow with the number of processes, and between
+// zones only delegates talk.
 type Layout struct {
-	group     string
-	ranked    []string
-	self      string
-	peers     []netip.AddrPort
-	outsiders []netip.AddrPort
-	groups    int
+	self    string
+	group   string
+	members []Member
+	relays  []Member
+	others  []Group
 }
 
-// NewLayout divides the members into groups, zone by zone, and returns the layout
-// of the named one. All processes with the same members get the same groups.
+// Group is another group than the process's own.
+type Group struct {
+	name   string
+	relays []Member
+}
+
+// Name is the name of the group's zone.
+func (g Group) Name() string { return g.name }
+
+// NewLayout returns the layout of the named process among the members of a site. All
+// processes with the same members get the same groups.
 func NewLayout(members []Member, self string) *Layout {
 	sorted := slices.Clone(members)
 	slices.SortFunc(sorted, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(a.zone, b.zone), cmp.Compare(a.rank, b.rank), cmp.Compare(a.name, b.name))
 	})
 	layout := &Layout{self: self}
-	if len(sorted) <= groupSize {
-		layout.add("all", sorted)
+	if len(sorted) <= meshSize {
+		layout.members = sorted
 		return layout
 	}
-	for start := 0; start < len(sorted); {
-		end := start
-		for end < len(sorted) && sorted[end].zone == sorted[start].zone {
-			end++
+	for len(sorted) > 0 {
+		zone := sorted[0].zone
+		size := slices.IndexFunc(sorted, func(m Member) bool { return m.zone != zone })
+		if size < 0 {
+			size = len(sorted)
 		}
-		layout.addZone(sorted[start:end])
-		start = end
+		layout.addZone(zone, sorted[:size])
+		sorted = sorted[size:]
 	}
 	return layout
 }
 
-// addZone divides the members of one zone, in their order, so that each group has
-// members of every rank.
-func (l *Layout) addZone(zone []Member) {
-	count := (len(zone) + groupSize - 1) / groupSize
-	groups := make([][]Member, count)
-	for i, member := range zone {
-		groups[i%count] = append(groups[i%count], member)
-	}
-	for i, group := range groups {
-		l.add(fmt.Sprintf("%s/%d", zone[0].zone, i), group)
+// addZone makes the members of a zone a group: that of the process itself, or another.
+func (l *Layout) addZone(zone string, members []Member) {
+	relays := members[:min(relayCount, len(members))]
+	if slices.ContainsFunc(members, l.isSelf) {
+		l.group, l.members, l.relays = zone, members, relays
+		return
 	}
+	l.others = append(l.others, Group{name: zone, relays: relays})
 }
 
-// add places one group: that of the process itself, or one beside it.
-func (l *Layout) add(name string, group []Member) {
-	l.groups++
-	own := slices.ContainsFunc(group, func(m Member) bool { return m.name == l.self })
-	if own {
-		l.group = name
-	}
-	for _, member := range group {
-		if !own {
-			l.outsiders = append(l.outsiders, member.address)
-			continue
-		}
-		l.ranked = append(l.ranked, member.name)
-		if member.name != l.self {
-			l.peers = append(l.peers, member.address)
-		}
-	}
-}
+func (l *Layout) isSelf(member Member) bool { return member.name == l.self }
+
+// Mesh tells whether all processes tell each other directly.
+func (l *Layout) Mesh() bool { return len(l.relays) == 0 }
 
-// Group names this process's group.
+// Group names this process's group, empty in a mesh.
 func (l *Layout) Group() string { return l.group }
 
 // Members lists the names of the group's members, this process included, by rank.
-func (l *Layout) Members() []string { return l.ranked }
+func (l *Layout) Members() []string {
+	names := make([]string, 0, len(l.members))
+	for _, member := range l.members {
+		names = append(names, member.name)
+	}
+	return names
+}
 
-// Peers are the addresses of the other members of the group.
-func (l *Layout) Peers() []netip.AddrPort { return l.peers }
+// Receivers are the addresses of those that this process tells of its own load.
+func (l *Layout) Receivers() []netip.AddrPort {
+	if l.Mesh() {
+		return l.except(l.members)
+	}
+	return l.except(l.relays)
+}
 
-// Outsiders are the addresses of all processes of other groups.
-func (l *Layout) Outsiders() []netip.AddrPort { return l.outsiders }
+// Audience are the addresses of those that the delegate tells of all loads: the other
+// members of its group.
+func (l *Layout) Audience() []netip.AddrPort { return l.except(l.members) }
 
-// senders is from how many processes this one hears.
-func (l *Layout) senders() int { return len(l.peers) + max(0, l.groups-1) }
+// Others lists the other groups.
+func (l *Layout) Others() []Group { return l.others }
 
-// Delegate tells whether this process tells the other groups of its own: no member
-// before it is heard.
-func (l *Layout) Delegate(heard func(name string) bool) bool {
-	if len(l.outsiders) == 0 {
-		return false
+// except lists the addresses of the given members without this process.
+func (l *Layout) except(members []Member) []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, len(members))
+	for _, member := range members {
+		if !l.isSelf(member) {
+			addresses = append(addresses, member.address)
+		}
 	}
-	for _, name := range l.ranked {
-		if name == l.self {
+	return addresses
+}
+
+// Relay tells whether this process may be the delegate of its group.
+func (l *Layout) Relay() bool { return slices.ContainsFunc(l.relays, l.isSelf) }
+
+// Delegate tells whether this process is the delegate of its group: no relay before it
+// is heard.
+func (l *Layout) Delegate(heard func(name string) bool) bool {
+	for _, relay := range l.relays {
+		if l.isSelf(relay) {
 			return true
 		}
-		if heard(name) {
+		if heard(relay.name) {
 			return false
 		}
 	}
 	return false
 }
+
+// Interval is the time between digests within the group.
+func (l *Layout) Interval() time.Duration {
+	return max(shortestInterval, time.Duration(len(l.members))*intervalPerMember)
+}
+
+// GroupInterval is the time between digests to the other groups.
+func (l *Layout) GroupInterval() time.Duration {
+	return max(l.Interval(), time.Duration(len(l.others))*intervalPerGroup)
+}
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -1,15 +1,15 @@
 // Package loadshare carries load digests between the routers and stores of a
-// site. Each process tells the others of its group, several times a second, how
-// many requests it has at which server, and a delegate of each group tells the
-// other groups the sum; all together are the load of the servers, newer than what
-// the servers tell with their answers. A digest is a hint: it may be lost, and
-// nothing waits for it.
+// site. Each process tells several times a second how many requests it has at which
+// server; on a large site delegates sum that up for each zone. All together are the load
+// of the servers, newer than what the servers tell with their answers. A digest is a
+// hint: it may be lost, and nothing waits for it.
 package loadshare
 
 import (
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,18 +21,13 @@
 )
 
 const (
-	// shortestInterval is the time between digests among few processes, and
-	// intervalPerSender lengthens it among many, so that a process spends the same on
-	// digests however many there are.
-	shortestInterval  = 80 * time.Millisecond
-	intervalPerSender = 5 * time.Millisecond
-	// repeatInterval is the time after which a digest is sent although nothing has
-	// changed: receivers forget a sender that is silent for long.
-	repeatInterval = 400 * time.Millisecond
-	// nudgeSpacing is the least time between digests that are sent out of turn.
+	// nudgeSpacing is the least time between digests that are sent out of turn in a mesh.
 	nudgeSpacing = 10 * time.Millisecond
-	// maximumBytes bounds a digest; longer datagrams are passed over.
-	maximumBytes = 8 << 10
+	// groupNudgeSpacing is the least time between them in a group, whose relays hear them
+	// from all members.
+	groupNudgeSpacing = 50 * time.Millisecond
+	// maximumBytes bounds a datagram; longer ones are passed over.
+	maximumBytes = 16 << 10
 )
 
 // Source tells the loads that a process shares, and takes those of others. Its
@@ -40,8 +35,11 @@
 type Source interface {
 	// Own lists what this process has at servers.
 	Own() *rockwindpb.LoadDigest
-	// Sum lists what the named processes, this one included, have there.
+	// Sum lists what the named processes, this one included, have there, with the stamps
+	// of the digests that it covers.
 	Sum(names []string) *rockwindpb.LoadDigest
+	// Elsewhere lists what the processes of all groups but the named one have there.
+	Elsewhere(group string) *rockwindpb.LoadDigest
 	// Heard tells whether a digest of the named process came lately.
 	Heard(name string) bool
 	// Take takes the digest of another process or group.
@@ -50,13 +48,27 @@
 
 // Sharer sends this process's digests and receives those of others.
 type Sharer struct {
-	name    string
 	started time.Time
 	socket  *net.UDPConn
-	layout  atomic.Pointer[Layout]
 	nudges  chan struct{}
-	// sequence is that of the last digest; only Run uses it.
-	sequence uint64
+	// layout is the one in force. It is set by callers who may hold locks that the source
+	// takes, so it is not guarded by the mutex.
+	layout atomic.Pointer[Layout]
+
+	// mutex guards the protocol. It is held while the source is called.
+	mutex    sync.Mutex
+	protocol *Protocol
+
+	datagrams, bytes, otherZones atomic.Uint64
+}
+
+// Traffic counts what a process has sent since its start.
+type Traffic struct {
+	// Datagrams is how many were sent, and Bytes how many bytes they carried.
+	Datagrams uint64
+	Bytes     uint64
+	// OtherZones is how many of the bytes went to other groups.
+	OtherZones uint64
 }
 
 // Open binds the address for the digests of the named machine.
@@ -69,7 +81,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for load digests")
 	}
-	created := &Sharer{name: name, started: time.Now(), socket: socket, nudges: make(chan struct{}, 1)}
+	started := time.Now()
+	created := &Sharer{
+		started: started, socket: socket, nudges: make(chan struct{}, 1),
+		protocol: NewProtocol(name, started.UnixMilli()),
+	}
 	created.SetLayout(NewLayout(nil, name))
 	return created, nil
 }
@@ -86,9 +102,28 @@
 	}
 }
 
-// interval is the time between digests now.
-func (s *Sharer) interval() time.Duration {
-	return max(shortestInterval, time.Duration(s.layout.Load().senders())*intervalPerSender)
+// PassOn has the digests sent out of turn if this process may be its group's delegate:
+// it was told something that others wait for. It never blocks.
+func (s *Sharer) PassOn() {
+	if s.layout.Load().Relay() {
+		s.Nudge()
+	}
+}
+
+// Traffic tells what was sent since the start.
+func (s *Sharer) Traffic() Traffic {
+	return Traffic{Datagrams: s.datagrams.Load(), Bytes: s.bytes.Load(), OtherZones: s.otherZones.Load()}
+}
+
+// intervals are the time between digests now, and the least time between those that are
+// sent out of turn.
+func (s *Sharer) intervals() (turn, spacing time.Duration) {
+	layout := s.layout.Load()
+	turn, spacing = layout.Interval(), nudgeSpacing
+	if !layout.Mesh() {
+		spacing = groupNudgeSpacing
+	}
+	return turn, spacing
 }
 
 // Run sends what the source tells whenever it has changed, and hands over the
@@ -96,68 +131,61 @@
 func (s *Sharer) Run(ctx context.Context, source Source) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.socket.Close() })
 	defer stop()
-	go s.receive(source.Take)
-	timer := time.NewTimer(s.interval())
+	go s.receive(source)
+	timer := time.NewTimer(shortestInterval)
 	defer timer.Stop()
-	var own, sum sending
 	var sent time.Time
 	for {
+		turn, spacing := s.intervals()
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
 		case <-s.nudges:
-			retry.Pause(ctx, nudgeSpacing-time.Since(sent))
+			retry.Pause(ctx, spacing-time.Since(sent))
 		}
-		timer.Reset(s.interval())
+		timer.Reset(turn)
 		sent = time.Now()
-		layout := s.layout.Load()
-		if next := source.Own(); own.due(next) {
-			s.send(next, layout.Peers())
-		}
-		if !layout.Delegate(source.Heard) {
-			continue
-		}
-		next := source.Sum(layout.Members())
-		next.Group, next.Members = layout.Group(), uint32(len(layout.Members()))
-		if sum.due(next) {
-			s.send(next, layout.Outsiders())
-		}
+		s.takeTurn(source)
 	}
 }
 
-// sending remembers the digest that was sent last.
-type sending struct {
-	last *rockwindpb.LoadDigest
-	at   time.Time
-}
-
-// due tells whether a digest has to be sent: it differs from the last one, or that
-// one was sent long ago. It counts as sent then.
-func (s *sending) due(next *rockwindpb.LoadDigest) bool {
-	if s.last != nil && proto.Equal(s.last, next) && time.Since(s.at) < repeatInterval {
-		return false
+// takeTurn sends what the protocol has to send now.
+func (s *Sharer) takeTurn(source Source) {
+	s.mutex.Lock()
+	s.protocol.SetLayout(s.layout.Load())
+	datagrams := s.protocol.Turn(source, time.Since(s.started))
+	s.mutex.Unlock()
+	for _, datagram := range datagrams {
+		s.send(datagram)
 	}
-	s.last, s.at = proto.CloneOf(next), time.Now()
-	return true
 }
 
-func (s *Sharer) send(digest *rockwindpb.LoadDigest, receivers []netip.AddrPort) {
-	s.sequence++
-	digest.Sender, digest.Sequence, digest.StartedUnixMs = s.name, s.sequence, s.started.UnixMilli()
-	encoded, err := proto.Marshal(digest)
+func (s *Sharer) send(datagram Datagram) {
+	encoded, err := proto.Marshal(datagram.Bundle)
 	if err != nil || len(encoded) > maximumBytes {
 		return
 	}
-	for _, receiver := range receivers {
+	for _, receiver := range datagram.Receivers {
 		// What cannot be sent is lost, like what is lost on its way.
 		_, _ = s.socket.WriteToUDPAddrPort(encoded, receiver)
 	}
+	s.count(datagram, uint64(len(encoded)))
+}
+
+// count adds a datagram of the given size to the traffic.
+func (s *Sharer) count(datagram Datagram, size uint64) {
+	receivers := uint64(len(datagram.Receivers))
+	s.datagrams.Add(receivers)
+	s.bytes.Add(receivers * size)
+	if datagram.Outside {
+		s.otherZones.Add(receivers * size)
+	}
 }
 
 // receive takes digests until the socket is closed. Datagrams that are none are
 // passed over.
-func (s *Sharer) receive(take func(*rockwindpb.LoadDigest)) {
+func (s *Sharer) receive(source Source) {
 	buffer := make([]byte, maximumBytes+1)
 	for {
 		n, _, err := s.socket.ReadFromUDPAddrPort(buffer)
@@ -167,18 +195,13 @@
 		if err != nil || n > maximumBytes {
 			continue
 		}
-		received := &rockwindpb.LoadDigest{}
-		if proto.Unmarshal(buffer[:n], received) != nil || received.GetSender() == "" || received.GetSender() == s.name {
+		received := &rockwindpb.LoadBundle{}
+		if proto.Unmarshal(buffer[:n], received) != nil {
 			continue
 		}
-		if consistent(received) {
-			take(received)
-		}
+		s.mutex.Lock()
+		s.protocol.SetLayout(s.layout.Load())
+		s.protocol.Receive(source, received, time.Since(s.started))
+		s.mutex.Unlock()
 	}
 }
-
-// consistent tells whether the lists of a digest run beside each other.
-func consistent(digest *rockwindpb.LoadDigest) bool {
-	servers := len(digest.GetServers())
-	return len(digest.GetInflight()) == servers && len(digest.GetUnread()) == servers && len(digest.GetBatch()) == servers
-}
--- a/internal/loadshare/nudge_test.go
+++ b/internal/loadshare/nudge_test.go
@@ -25,8 +25,11 @@
 
 func (s *countingSource) Own() *rockwindpb.LoadDigest         { return s.digest() }
 func (s *countingSource) Sum([]string) *rockwindpb.LoadDigest { return s.digest() }
-func (s *countingSource) Heard(string) bool                   { return true }
-func (s *countingSource) Take(digest *rockwindpb.LoadDigest)  { s.heard <- digest }
+func (s *countingSource) Elsewhere(string) *rockwindpb.LoadDigest {
+	return &rockwindpb.LoadDigest{}
+}
+func (s *countingSource) Heard(string) bool                  { return true }
+func (s *countingSource) Take(digest *rockwindpb.LoadDigest) { s.heard <- digest }
 
 func open(t *testing.T, name string) (*loadshare.Sharer, netip.AddrPort) {
 	t.Helper()
--- /dev/null
+++ b/internal/loadshare/protocol.go
@@ -0,0 +1,187 @@
+package loadshare
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+const (
+	// repeatInterval is the time after which a digest is sent although nothing has
+	// changed: receivers forget a sender that is silent for long.
+	repeatInterval = 400 * time.Millisecond
+	// delegateFor is how long the delegate of another group counts as such after its last
+	// digest. Afterwards all relays of that group are told.
+	delegateFor = 700 * time.Millisecond
+)
+
+// Datagram is a bundle of digests with those that it goes to.
+type Datagram struct {
+	Receivers []netip.AddrPort
+	Bundle    *rockwindpb.LoadBundle
+	// Outside tells that the receivers are of other groups.
+	Outside bool
+}
+
+// Protocol decides what a process tells whom, and what it takes from others. It does no
+// I/O and reads no clock; times are durations since an origin of the caller's choice. It
+// belongs to one goroutine at a time.
+type Protocol struct {
+	name     string
+	started  int64
+	layout   *Layout
+	sequence uint64
+	history  history
+	// own, inside and outside are what was told last of this process, to the members of
+	// its group and to the other groups.
+	own, inside, outside sending
+	// delegates are those of the other groups, by group.
+	delegates map[string]delegate
+}
+
+// delegate is a process that told the sum of its group.
+type delegate struct {
+	name string
+	at   time.Duration
+}
+
+// NewProtocol returns the protocol of the named process, whose life began at the given
+// time in Unix milliseconds, on a site without other processes.
+func NewProtocol(name string, startedUnixMs int64) *Protocol {
+	return &Protocol{
+		name: name, started: startedUnixMs, layout: NewLayout(nil, name), delegates: make(map[string]delegate),
+	}
+}
+
+// SetLayout replaces the processes that digests go to.
+func (p *Protocol) SetLayout(layout *Layout) { p.layout = layout }
+
+// Layout is the layout in force.
+func (p *Protocol) Layout() *Layout { return p.layout }
+
+// Turn returns what is to be sent now.
+func (p *Protocol) Turn(source Source, now time.Duration) []Datagram {
+	var sent []Datagram
+	if own := source.Own(); p.own.due(own, now) {
+		p.sign(own)
+		p.history.add(own)
+		sent = append(sent, Datagram{Receivers: p.layout.Receivers(), Bundle: bundle(own)})
+	}
+	if !p.layout.Delegate(source.Heard) {
+		return sent
+	}
+	sum := source.Sum(p.layout.Members())
+	sum.Group, sum.Members = p.layout.Group(), uint32(len(p.layout.members))
+	sent = append(sent, p.tellMembers(source, proto.CloneOf(sum), now)...)
+	sum.Stamps = nil
+	return append(sent, p.tellOthers(sum, now)...)
+}
+
+// tellMembers tells the members of the group its sum and that of all others.
+func (p *Protocol) tellMembers(source Source, sum *rockwindpb.LoadDigest, now time.Duration) []Datagram {
+	elsewhere := source.Elsewhere(p.layout.Group())
+	elsewhere.Group, elsewhere.Elsewhere = p.layout.Group(), true
+	told := bundle(sum, elsewhere)
+	if !p.inside.due(told, now) {
+		return nil
+	}
+	p.sign(sum)
+	p.sign(elsewhere)
+	return []Datagram{{Receivers: p.layout.Audience(), Bundle: told}}
+}
+
+// tellOthers tells the other groups the sum of this one.
+func (p *Protocol) tellOthers(sum *rockwindpb.LoadDigest, now time.Duration) []Datagram {
+	soon := p.outside.last != nil && now-p.outside.at < p.layout.GroupInterval()
+	told := bundle(sum)
+	if soon || !p.outside.due(told, now) {
+		return nil
+	}
+	p.sign(sum)
+	return []Datagram{{Receivers: p.otherDelegates(now), Bundle: told, Outside: true}}
+}
+
+// sign names this process as the sender of a digest.
+func (p *Protocol) sign(digest *rockwindpb.LoadDigest) {
+	p.sequence++
+	digest.Sender, digest.Sequence, digest.StartedUnixMs = p.name, p.sequence, p.started
+}
+
+func bundle(digests ...*rockwindpb.LoadDigest) *rockwindpb.LoadBundle {
+	return &rockwindpb.LoadBundle{Digests: digests}
+}
+
+// otherDelegates lists whom the sum of this group goes to: in each other group the
+// delegate, or all relays where none was heard lately.
+func (p *Protocol) otherDelegates(now time.Duration) []netip.AddrPort {
+	var receivers []netip.AddrPort
+	for _, group := range p.layout.Others() {
+		known, found := p.delegates[group.name]
+		place := slices.IndexFunc(group.relays, func(m Member) bool { return m.name == known.name })
+		if found && place >= 0 && now-known.at <= delegateFor {
+			receivers = append(receivers, group.relays[place].address)
+			continue
+		}
+		for _, relay := range group.relays {
+			receivers = append(receivers, relay.address)
+		}
+	}
+	return receivers
+}
+
+// Receive hands the source what a datagram tells of others.
+func (p *Protocol) Receive(source Source, received *rockwindpb.LoadBundle, now time.Duration) {
+	for _, digest := range received.GetDigests() {
+		if digest.GetSender() == "" || digest.GetSender() == p.name || !consistent(digest) {
+			continue
+		}
+		if p.wanted(source, digest, now) {
+			source.Take(digest)
+		}
+	}
+}
+
+// wanted tells whether a digest says something that this process does not know better. It
+// takes this process's own part out of the sum of its group.
+func (p *Protocol) wanted(source Source, digest *rockwindpb.LoadDigest, now time.Duration) bool {
+	switch group := digest.GetGroup(); {
+	case group == "":
+		return true
+	case group != p.layout.Group():
+		p.delegates[group] = delegate{name: digest.GetSender(), at: now}
+		return !digest.GetElsewhere()
+	case digest.GetElsewhere():
+		return !p.layout.Delegate(source.Heard)
+	case p.layout.Relay():
+		// Members tell the relays themselves.
+		return false
+	}
+	p.history.takeOut(digest)
+	return true
+}
+
+// consistent tells whether the lists of a digest run beside each other.
+func consistent(digest *rockwindpb.LoadDigest) bool {
+	servers := len(digest.GetServers())
+	return len(digest.GetInflight()) == servers && len(digest.GetUnread()) == servers && len(digest.GetBatch()) == servers
+}
+
+// sending remembers what was sent last.
+type sending struct {
+	last proto.Message
+	at   time.Duration
+}
+
+// due tells whether something has to be sent: it differs from what was sent last, or that
+// was sent long ago. It counts as sent then. The sender signs it afterwards.
+func (s *sending) due(next proto.Message, now time.Duration) bool {
+	if s.last != nil && proto.Equal(s.last, next) && now-s.at < repeatInterval {
+		return false
+	}
+	s.last, s.at = proto.Clone(next), now
+	return true
+}
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -47,6 +47,7 @@
 	}
 	router := New(settings, watcher, protocol, jobclient.New(watcher, client))
 	router.metrics = sitemetrics.New("router", decision.Default)
+	router.metrics.LoadTraffic(router.dispatcher.LoadTraffic)
 	listener, err := site.Listen("listen", settings.GetListen())
 	if err != nil {
 		return err
@@ -120,7 +121,7 @@
 	}
 	for {
 		pause := announceInterval
-		if _, err := r.watcher.Announce(ctx, self); err != nil {
+		if _, err := r.watcher.Announce(ctx, self, false); err != nil {
 			log.WithError(err).Debug("no coordinator took the announcement")
 			pause = announceRetry
 		}
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -30,6 +30,16 @@
 	return sharer.Run(ctx, loadSource{d})
 }
 
+// LoadTraffic tells what this process has sent of load digests since its start.
+func (d *Dispatcher) LoadTraffic() loadshare.Traffic {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.sharer == nil {
+		return loadshare.Traffic{}
+	}
+	return d.sharer.Traffic()
+}
+
 // loadSource gives the sharer what the dispatcher knows.
 type loadSource struct{ dispatcher *Dispatcher }
 
@@ -50,7 +60,18 @@
 	for server, load := range s.dispatcher.ownLoads() {
 		loads[server] = loads[server].Plus(load)
 	}
-	return newDigest(loads)
+	digest := newDigest(loads)
+	s.dispatcher.shares.Sequences(names, func(name string, started int64, sequence uint64) {
+		digest.Stamps = append(digest.Stamps, loadshare.Stamp(name, started, sequence))
+	})
+	return digest
+}
+
+// Elsewhere implements loadshare.Source.
+func (s loadSource) Elsewhere(group string) *rockwindpb.LoadDigest {
+	s.dispatcher.mutex.Lock()
+	defer s.dispatcher.mutex.Unlock()
+	return newDigest(s.dispatcher.shares.SumElsewhere(group))
 }
 
 // Heard implements loadshare.Source.
@@ -99,11 +120,14 @@
 func (d *Dispatcher) takeLoads(digest *rockwindpb.LoadDigest, loads map[uint32]balance.SharedLoad) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if digest.GetGroup() == "" {
-		d.shares.Take(digest.GetSender(), digest.GetStartedUnixMs(), digest.GetSequence(), loads, d.now())
-	} else {
-		d.shares.TakeGroup(digest.GetSender(), digest.GetGroup(), int(digest.GetMembers()),
-			digest.GetStartedUnixMs(), digest.GetSequence(), loads, d.now())
+	sender, started, sequence := digest.GetSender(), digest.GetStartedUnixMs(), digest.GetSequence()
+	switch {
+	case digest.GetGroup() == "":
+		d.shares.Take(sender, started, sequence, loads, d.now())
+	case digest.GetElsewhere():
+		d.shares.TakeElsewhere(sender, digest.GetGroup(), started, sequence, loads, d.now())
+	default:
+		d.shares.TakeGroup(sender, digest.GetGroup(), int(digest.GetMembers()), started, sequence, loads, d.now())
 	}
 	pressed := false
 	for service, pool := range d.pools {
@@ -112,8 +136,12 @@
 		}
 		pressed = pressed || loads[balance.QueueHash(service)].Inflight > 0
 	}
-	if pressed {
-		d.press()
+	if !pressed {
+		return
+	}
+	d.press()
+	if digest.GetGroup() == "" && d.sharer != nil {
+		d.sharer.PassOn()
 	}
 }
 
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"rockwind.example/rockwind/internal/configuration"
@@ -173,13 +174,11 @@
 
 func (w *Watcher) watch(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, address := range w.Coordinators() {
-			if err := w.watchAt(ctx, address); err != nil {
-				w.avoid(address)
-				if ctx.Err() == nil {
-					w.recordDependency(address, err)
-				}
-				break
+		address := w.Coordinators()[0]
+		if err := w.watchAt(ctx, address); err != nil {
+			w.avoid(address)
+			if ctx.Err() == nil {
+				w.recordDependency(address, err)
 			}
 		}
 		if w.Directory() == nil || time.Since(w.LastHeard()) > watchWait {
@@ -188,13 +187,23 @@
 	}
 }
 
-// watchAt makes calls to one coordinator for as long as it answers.
+// watchAt makes calls to one coordinator for as long as it answers, or until a nearer
+// one answers too.
 func (w *Watcher) watchAt(ctx context.Context, address string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	nearer := w.seekNearer(ctx, address)
 	service := rockwindpb.NewDirectoryServiceProtobufClient("http://"+address, twirphttp.Client{Carrier: w.client})
 	for ctx.Err() == nil {
 		if err := w.watchOnce(ctx, address, service); err != nil {
 			return err
 		}
+		select {
+		case <-nearer:
+			w.preferNearest()
+			return nil
+		default:
+		}
 	}
 	return nil
 }
@@ -204,6 +213,7 @@
 	request := &rockwindpb.WatchDirectoryRequest{WaitMs: uint32(watchWait.Milliseconds())}
 	if held != nil {
 		request.HaveRevision = held.Revision()
+		request.HaveStoreCluster = held.StoreCluster().GetClusterId()
 	}
 	request.HaveConfiguration = w.Configuration().Number()
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
@@ -238,30 +248,17 @@
 }
 
 // Coordinators lists the internal addresses of the coordinators: the one that
-// answered last, then those of this zone, then the others, then the seeds. Those
-// that failed to answer lately come last, the one that failed first before the
-// others.
+// answered last, then the others from near to far, then the seeds. Those that failed
+// to answer lately come last, the one that failed first before the others.
 func (w *Watcher) Coordinators() []string {
 	w.mutex.Lock()
 	preferred := w.preferred
 	w.mutex.Unlock()
-	var addresses, elsewhere []string
+	var distinct []string
 	if preferred != "" {
-		addresses = append(addresses, preferred)
+		distinct = append(distinct, preferred)
 	}
-	if view := w.Directory(); view != nil {
-		for _, machine := range view.Machines() {
-			switch {
-			case machine.GetRole() != rockwindpb.SiteRole_SITE_ROLE_COORDINATOR:
-			case machine.GetZone() == w.settings.GetZone():
-				addresses = append(addresses, machine.GetAddress())
-			default:
-				elsewhere = append(elsewhere, machine.GetAddress())
-			}
-		}
-	}
-	var distinct []string
-	for _, address := range slices.Concat(addresses, elsewhere, w.settings.GetSeeds()) {
+	for _, address := range slices.Concat(w.byDistance(), w.settings.GetSeeds()) {
 		if !slices.Contains(distinct, address) {
 			distinct = append(distinct, address)
 		}
@@ -279,6 +276,31 @@
 	return distinct
 }
 
+// byDistance lists the coordinators of the directory: those of this zone, then the
+// others. Each process has the others in an order of its own, so that the watchers of
+// a coordinator that is lost spread over those that remain.
+func (w *Watcher) byDistance() []string {
+	view := w.Directory()
+	if view == nil {
+		return nil
+	}
+	var near, far []string
+	for _, machine := range view.Machines() {
+		switch {
+		case machine.GetRole() != rockwindpb.SiteRole_SITE_ROLE_COORDINATOR:
+		case machine.GetZone() == w.settings.GetZone():
+			near = append(near, machine.GetAddress())
+		default:
+			far = append(far, machine.GetAddress())
+		}
+	}
+	rank := func(address string) uint64 { return xxhash.Sum64String(w.settings.GetName() + " " + address) }
+	byRank := func(a, b string) int { return cmp.Compare(rank(a), rank(b)) }
+	slices.SortFunc(near, byRank)
+	slices.SortFunc(far, byRank)
+	return slices.Concat(near, far)
+}
+
 // prefer notes the coordinator that answers, and tells whether it is another one
 // than before.
 func (w *Watcher) prefer(address string) (changed bool) {
@@ -290,6 +312,13 @@
 	return changed
 }
 
+// preferNearest forgets which coordinator answered last: the nearest one comes first then.
+func (w *Watcher) preferNearest() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.preferred = ""
+}
+
 // avoidance is how long a coordinator that did not answer comes after the others.
 const avoidance = 10 * time.Second
 
@@ -318,14 +347,14 @@
 	return stores
 }
 
-// Announce makes this machine known in the directory and returns the founding of
-// the stores' cluster, nil before it is decided.
-func (w *Watcher) Announce(ctx context.Context, machine *rockwindpb.Machine) (*rockwindpb.FoundRequest, error) {
+// Announce makes this machine known in the directory. Where the founding of the stores'
+// cluster is wanted it is returned, nil before it is decided.
+func (w *Watcher) Announce(ctx context.Context, machine *rockwindpb.Machine, wantStoreCluster bool) (*rockwindpb.FoundRequest, error) {
 	var last error
 	for _, address := range w.Coordinators() {
 		service := rockwindpb.NewDirectoryServiceProtobufClient("http://"+address, twirphttp.Client{Carrier: w.client})
 		calling, cancel := context.WithTimeout(ctx, watchWait)
-		response, err := service.Announce(calling, &rockwindpb.AnnounceMachineRequest{Machine: machine})
+		response, err := service.Announce(calling, &rockwindpb.AnnounceMachineRequest{Machine: machine, WantStoreCluster: wantStoreCluster})
 		cancel()
 		if err == nil {
 			return response.GetStoreCluster(), nil
--- a/internal/site/watcher_test.go
+++ b/internal/site/watcher_test.go
@@ -20,6 +20,10 @@
 	// withholding makes calls for the configuration hang, although the watch of the
 	// directory tells its number.
 	withholding atomic.Bool
+	// machines are those of the directory. They are set before the start.
+	machines []*rockwindpb.Machine
+	// watches counts the calls.
+	watches atomic.Int64
 }
 
 func newFakeCoordinator(number uint64) *fakeCoordinator {
@@ -53,6 +57,7 @@
 type fakeDirectory struct{ *fakeCoordinator }
 
 func (f fakeDirectory) Watch(ctx context.Context, request *rockwindpb.WatchDirectoryRequest) (*rockwindpb.WatchDirectoryResponse, error) {
+	f.watches.Add(1)
 	if err := f.hang(ctx); err != nil {
 		return nil, err
 	}
@@ -62,7 +67,7 @@
 		case <-ctx.Done():
 		}
 	}
-	return &rockwindpb.WatchDirectoryResponse{Revision: 1, Full: true, ConfigurationNumber: f.number.Load()}, nil
+	return &rockwindpb.WatchDirectoryResponse{Revision: 1, Full: true, ConfigurationNumber: f.number.Load(), Machines: f.machines}, nil
 }
 
 func (fakeDirectory) Report(context.Context, *rockwindpb.ReportServerRequest) (*rockwindpb.ReportServerResponse, error) {
@@ -150,18 +155,7 @@
 // follow runs a watcher of the given seeds until the end of the test.
 func follow(t *testing.T, seeds ...string) *Watcher {
 	t.Helper()
-	watcher, err := NewWatcher(&rockwindpb.SiteSettings{Name: "front", Seeds: seeds}, &http.Client{Transport: &http.Transport{}}, "")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- watcher.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		<-ended
-	})
-	return watcher
+	return followFrom(t, "", seeds...)
 }
 
 func awaitNumber(t *testing.T, watcher *Watcher, number uint64, limit time.Duration) {
--- /dev/null
+++ b/internal/sitemetrics/traffic.go
@@ -0,0 +1,22 @@
+package sitemetrics
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"rockwind.example/rockwind/internal/loadshare"
+)
+
+// LoadTraffic serves what the process has sent of load digests since its start, as the
+// source tells at each scrape.
+func (s *Set) LoadTraffic(source func() loadshare.Traffic) {
+	counter := func(name, help string, value func(loadshare.Traffic) uint64) {
+		s.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help},
+			func() float64 { return float64(value(source())) }))
+	}
+	counter("rockwind_load_digests_sent_total", "Datagrams with load digests that were sent.",
+		func(t loadshare.Traffic) uint64 { return t.Datagrams })
+	counter("rockwind_load_digest_sent_bytes_total", "Bytes of load digests that were sent, without the headers of the network.",
+		func(t loadshare.Traffic) uint64 { return t.Bytes })
+	counter("rockwind_load_digest_sent_other_zones_bytes_total", "Bytes of load digests that were sent to other zones.",
+		func(t loadshare.Traffic) uint64 { return t.OtherZones })
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -138,6 +138,7 @@
 func (s *Store) metrics() *sitemetrics.Set {
 	set := sitemetrics.New("store", decision.Default)
 	set.Limits(s.limiter.gauges)
+	set.LoadTraffic(s.dispatcher.LoadTraffic)
 	return set
 }
 
@@ -164,7 +165,7 @@
 		Bootstrap: s.settings.GetBootstrap(),
 	}
 	for {
-		founding, err := s.watcher.Announce(ctx, self)
+		founding, err := s.watcher.Announce(ctx, self, !s.member())
 		if err != nil {
 			log.WithError(err).Debug("no coordinator took the announcement")
 		}
@@ -178,13 +179,21 @@
 	}
 }
 
-// enter makes this store a founding member, and tells whether it belongs to the
-// cluster.
-func (s *Store) enter(ctx context.Context, founding *rockwindpb.FoundRequest) bool {
+// member tells whether this store belongs to the stores' cluster.
+func (s *Store) member() bool {
 	select {
 	case <-s.host.Founded():
 		return true
 	default:
+		return false
+	}
+}
+
+// enter makes this store a founding member, and tells whether it belongs to the
+// cluster.
+func (s *Store) enter(ctx context.Context, founding *rockwindpb.FoundRequest) bool {
+	if s.member() {
+		return true
 	}
 	if founding == nil {
 		return false
