Remember the homes of shared prompt parts

Cause: each choice ranked all servers once for each server it looked at: quadratic in the servers. Change: the first servers of a part are found once and remembered until the members change; members are found by a map.

--- /dev/null
+++ b/internal/balance/homes_test.go
@@ -0,0 +1,91 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"rockwind.example/rockwind/internal/balance"
+)
+
+// manyServers is the number of servers of a service on a large site.
+const manyServers = 204
+
+func manyMembers() []balance.Member {
+	var members []balance.Member
+	for i := range manyServers {
+		name := fmt.Sprint("server-", i)
+		members = append(members, balance.Member{ID: name, Address: name, Zone: "here", Slots: 7})
+	}
+	return members
+}
+
+// longPrompt shares a long part with other prompts.
+func longPrompt(subject uint64) balance.Demand {
+	return balance.Demand{Parts: []balance.Part{{ID: subject, Tokens: 13_000}, {ID: subject << 32, Tokens: 10}}}
+}
+
+// TestSharedPartsHaveTheSameHomesEverywhere: processes that know nothing of each other
+// expect a shared part at the same servers, in whatever order they learned of them, also
+// after the members have changed.
+func TestSharedPartsHaveTheSameHomesEverywhere(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	chosen := make(map[uint64]map[string]bool)
+	for range 6 {
+		members := manyMembers()
+		random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+		for subject := uint64(1); subject <= 20; subject++ {
+			pool := balance.NewPool("service", "here", balance.NewShares())
+			// The homes of the first half are found and then have to be found again.
+			pool.Update(members[:manyServers/2])
+			pool.Choose(longPrompt(subject), nil, 0, random)
+			pool.Update(members)
+			choice, found := pool.Choose(longPrompt(subject), nil, time.Hour, random)
+			if !found {
+				t.Fatal("no server is chosen")
+			}
+			if chosen[subject] == nil {
+				chosen[subject] = make(map[string]bool)
+			}
+			chosen[subject][choice.ID] = true
+		}
+	}
+	for subject, servers := range chosen {
+		if len(servers) > 2 {
+			t.Errorf("processes expect subject %d at %d servers", subject, len(servers))
+		}
+	}
+}
+
+// TestChoicesOfManyServersSpread: prompts of many subjects go to many servers.
+func TestChoicesOfManyServersSpread(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	pool := balance.NewPool("service", "here", balance.NewShares())
+	pool.Update(manyMembers())
+	var servers []string
+	for subject := uint64(1); subject <= 400; subject++ {
+		if choice, found := pool.Choose(longPrompt(subject), nil, 0, random); found {
+			servers = append(servers, choice.ID)
+		}
+	}
+	slices.Sort(servers)
+	if distinct := len(slices.Compact(servers)); distinct < manyServers/2 {
+		t.Errorf("400 subjects went to %d of %d servers", distinct, manyServers)
+	}
+}
+
+// BenchmarkChoiceAmongManyServers is the time of one choice on a large site.
+func BenchmarkChoiceAmongManyServers(b *testing.B) {
+	random := rand.New(rand.NewPCG(1, 2))
+	shares := balance.NewShares()
+	shares.Take("other", 1, 1, map[uint32]balance.SharedLoad{1: {Inflight: 1}}, 0)
+	pool := balance.NewPool("service", "here", shares)
+	pool.Update(manyMembers())
+	for i := 0; b.Loop(); i++ {
+		if choice, found := pool.Choose(longPrompt(uint64(i%500+1)), nil, 0, random); found {
+			pool.Abandoned(choice)
+		}
+	}
+}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -10,14 +10,11 @@
 package balance
 
 import (
-	"encoding/binary"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"rockwind.example/rockwind/internal/health"
 )
 
@@ -44,9 +41,6 @@
 	leastFree = 0.1
 	// smallestNoise keeps the logarithm of zero away.
 	smallestNoise = 1e-12
-	// homes is how many servers are expected to keep a shared part, and homeTrust
-	// how likely the first and the second of them do.
-	homes = 2
 	// silentFor is how long no first event may come from a server while some are
 	// awaited.
 	silentFor = 350 * time.Millisecond
@@ -56,8 +50,6 @@
 	maximumParts = 512
 )
 
-var homeTrust = [homes]float64{0.8, 0.5}
-
 // Part is a piece of a prompt that requests may share.
 type Part struct {
 	// ID identifies the content, given everything before it.
@@ -113,7 +105,11 @@
 	zone    string
 	shares  *Shares
 	servers []*server
+	// places are those of the servers by identifier.
+	places  map[string]int
 	tracker *health.Tracker
+	// homes are the places of the servers that are expected to keep a shared part.
+	homes map[uint64]homePlaces
 	// headroom is what batch work leaves to online work.
 	headroom headroom
 	// queue is the name of the service's queue in digests.
@@ -125,7 +121,10 @@
 // NewPool returns a pool of a service without servers, for a process in the given zone.
 // The shares are those of all pools of the process.
 func NewPool(service, zone string, shares *Shares) *Pool {
-	return &Pool{zone: zone, shares: shares, queue: QueueHash(service), tracker: health.NewTracker(policy(), 0)}
+	return &Pool{
+		zone: zone, shares: shares, queue: QueueHash(service), tracker: health.NewTracker(policy(), 0),
+		places: make(map[string]int), homes: make(map[uint64]homePlaces),
+	}
 }
 
 // policy judges servers as health.DefaultPolicy does, but takes silence for
@@ -140,46 +139,61 @@
 func (p *Pool) Update(members []Member) {
 	// A server's place never changes while it is a member: the judgement of its
 	// health is kept by place.
+	byID := make(map[string]Member, len(members))
+	for _, member := range members {
+		byID[member.ID] = member
+	}
 	for place, known := range p.servers {
 		if known == nil {
 			continue
 		}
-		position := slices.IndexFunc(members, func(m Member) bool { return m.ID == known.ID })
-		if position < 0 {
-			p.servers[place] = nil
-			p.tracker.Forget(place)
+		member, stays := byID[known.ID]
+		if !stays {
+			p.remove(place)
 			continue
 		}
-		known.Member = members[position]
+		known.Member = member
 	}
 	for _, member := range members {
-		if p.find(member.ID) == nil {
+		if _, known := p.places[member.ID]; !known {
 			p.add(&server{Member: member, hash: ServerHash(member.ID), parts: make(map[uint64]time.Duration)})
 		}
 	}
 }
 
 func (p *Pool) add(added *server) {
+	clear(p.homes)
 	place := slices.Index(p.servers, nil)
 	if place < 0 {
-		p.servers = append(p.servers, added)
+		place = len(p.servers)
+		p.servers = append(p.servers, nil)
 		p.tracker.Resize(len(p.servers))
-		return
 	}
 	p.servers[place] = added
+	p.places[added.ID] = place
+}
+
+func (p *Pool) remove(place int) {
+	clear(p.homes)
+	delete(p.places, p.servers[place].ID)
+	p.servers[place] = nil
+	p.tracker.Forget(place)
 }
 
 func (p *Pool) find(id string) *server {
-	for _, known := range p.servers {
-		if known != nil && known.ID == id {
-			return known
-		}
+	place, known := p.places[id]
+	if !known {
+		return nil
 	}
-	return nil
+	return p.servers[place]
 }
 
 func (p *Pool) place(id string) int {
-	return slices.IndexFunc(p.servers, func(known *server) bool { return known != nil && known.ID == id })
+	place, known := p.places[id]
+	if !known {
+		return -1
+	}
+	return place
 }
 
 // Size is the number of members.
@@ -254,7 +268,7 @@
 		if candidate == nil || slices.Contains(tried, candidate.ID) || !p.room(candidate, demand, now) {
 			continue
 		}
-		uncached := p.uncached(candidate, demand, now)
+		uncached := p.uncached(place, demand, now)
 		state, _ := p.tracker.State(place, now)
 		if state == health.Ejected {
 			if !demand.Batch && p.tracker.StartTrial(place, now) {
@@ -353,7 +367,8 @@
 }
 
 // uncached estimates how many prompt tokens a server has to read.
-func (p *Pool) uncached(candidate *server, demand Demand, now time.Duration) int {
+func (p *Pool) uncached(place int, demand Demand, now time.Duration) int {
+	candidate := p.servers[place]
 	total := 0
 	kept := true
 	for i, part := range demand.Parts {
@@ -368,37 +383,13 @@
 		kept = false
 		trust := 0.0
 		if i < len(demand.Parts)-1 {
-			trust = p.trust(candidate, part.ID)
+			trust = p.trust(place, part.ID)
 		}
 		total += int(float64(part.Tokens) * (1 - trust))
 	}
 	return total
 }
 
-// trust is how likely a server keeps a shared part that this process did not send
-// there: the servers that rank first for the part are expected to.
-func (p *Pool) trust(candidate *server, part uint64) float64 {
-	own := rank(candidate.ID, part)
-	higher := 0
-	for _, other := range p.servers {
-		if other != nil && other != candidate && rank(other.ID, part) > own {
-			if higher++; higher >= homes {
-				return 0
-			}
-		}
-	}
-	return homeTrust[higher]
-}
-
-func rank(id string, part uint64) uint64 {
-	var encoded [8]byte
-	binary.LittleEndian.PutUint64(encoded[:], part)
-	digest := xxhash.New()
-	_, _ = digest.WriteString(id)
-	_, _ = digest.Write(encoded[:])
-	return digest.Sum64()
-}
-
 func (p *Pool) start(chosen *server, demand Demand, uncached int, now time.Duration) {
 	chosen.inflight++
 	chosen.since++
