Go on elsewhere with a stream whose server falls silent

Cause: the pause between events was not bounded, so that a stream of a server that had gone dark was held to the client's deadline. Change: where another server may go on, twice the route's pause objective is the limit. Other streams are held on: silence alone does not show that their server has stopped. Test: platform.TestStreamOfADarkServerGoesOnElsewhere fails without the limit.

--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -32,6 +32,9 @@
 	// room. One that may come back waits for earlyPatience of its goal only.
 	patiencePart  = 0.5
 	earlyPatience = 0.2
+	// silentPauses is how many of the route's longest good pauses a server may be silent
+	// within a stream that another server can go on with.
+	silentPauses = 2
 	// wholePart is the part of the route's time that a client has at least which
 	// asks for the first time.
 	wholePart = 0.97
@@ -339,8 +342,9 @@
 	var splitter upstream.EventSplitter
 	controller := http.NewResponseController(e.writer)
 	buffer := make([]byte, readSize)
+	silence := e.silence()
 	for {
-		n, err := response.Read(buffer, 0)
+		n, err := response.Read(buffer, silence)
 		if n > 0 {
 			lease.Read()
 			if !e.relayPiece(splitter.Add(buffer[:n]), response, controller) {
@@ -363,6 +367,16 @@
 	}
 }
 
+// silence is how long the server may be silent within the stream; zero is without limit.
+// A server that has gone dark says nothing: where another one can go on, the client need
+// not wait for the first one until its time is over.
+func (e *exchange) silence() time.Duration {
+	if !e.repeatable() || !e.mayTryAgain() {
+		return 0
+	}
+	return silentPauses * time.Duration(e.route.GetPauseGoalMs()) * time.Millisecond
+}
+
 // relayPiece writes whole events that were not relayed before. It fails where the
 // client has left.
 func (e *exchange) relayPiece(whole []byte, response *upstream.Response, controller *http.ResponseController) bool {
