Tell other processes which servers fail, and avoid those that two complain of

On a large site each of 250 routers meets a server some once a minute: each lost a request to learn that it had gone dark, or waited for the directory to call it silent.

--- a/internal/balance/fleet_test.go
+++ b/internal/balance/fleet_test.go
@@ -24,7 +24,9 @@
 	events    events
 	waits     []time.Duration
 	refused   int
-	sequence  uint64
+	// lost counts the requests sent to servers that had gone dark.
+	lost     int
+	sequence uint64
 }
 
 type process struct {
@@ -37,6 +39,8 @@
 	slots   int
 	running int
 	queue   []func(now time.Duration)
+	// dark servers answer nothing.
+	dark bool
 }
 
 // newFleet returns a fleet without traffic.
@@ -90,7 +94,7 @@
 // tell sends the digest of a process to all others.
 func (f *fleet) tell(sender *process, now time.Duration) {
 	loads := make(map[uint32]balance.SharedLoad)
-	sender.pool.Own(func(server uint32, load balance.SharedLoad) { loads[server] = load })
+	sender.pool.Own(now, func(server uint32, load balance.SharedLoad) { loads[server] = load })
 	f.sequence++
 	sequence := f.sequence
 	f.at(now+time.Millisecond, func(now time.Duration) {
@@ -123,6 +127,10 @@
 		return
 	}
 	chosen := f.servers[choice.ID]
+	if chosen.dark {
+		f.lost++
+		return
+	}
 	begin := func(began time.Duration) {
 		chosen.running++
 		f.waits = append(f.waits, began-now)
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -263,7 +263,7 @@
 	var best *server
 	var found Choice
 	lowest := 0.0
-	alone := !p.shares.Known()
+	alone, accused := !p.shares.Known(), p.accused()
 	for place, candidate := range p.servers {
 		if candidate == nil || slices.Contains(tried, candidate.ID) || !p.room(candidate, demand, now) {
 			continue
@@ -271,12 +271,15 @@
 		uncached := p.uncached(place, demand, now)
 		state, _ := p.tracker.State(place, now)
 		if state == health.Ejected {
-			if !demand.Batch && p.tracker.StartTrial(place, now) {
+			if !demand.Batch && !accused(place) && p.tracker.StartTrial(place, now) {
 				best, found.Uncached = candidate, uncached
 				break
 			}
 			continue
 		}
+		if state == health.Healthy && accused(place) {
+			state = health.Suspect
+		}
 		cost := p.cost(candidate, state, uncached, now) + noise(alone, random)
 		found.Candidates++
 		if best == nil || cost < lowest {
--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -15,6 +15,8 @@
 	Unread   int
 	// Batch is how many of the requests in flight are batch work.
 	Batch int
+	// Suspects is how many processes take the server for failing.
+	Suspects int
 }
 
 // Plus adds two loads.
@@ -25,6 +27,7 @@
 		Inflight: l.Inflight + sign*other.Inflight,
 		Unread:   l.Unread + sign*other.Unread,
 		Batch:    l.Batch + sign*other.Batch,
+		Suspects: l.Suspects + sign*other.Suspects,
 	}
 }
 
@@ -197,18 +200,19 @@
 // At is what all other processes together have at a server.
 func (s *Shares) At(server uint32) SharedLoad { return s.sums[server] }
 
-// Own lists what this process has at the servers of the pool.
-func (p *Pool) Own(visit func(server uint32, load SharedLoad)) {
-	for _, known := range p.servers {
+// Own lists what this process has at the servers of the pool, and which of them it takes
+// for failing.
+func (p *Pool) Own(now time.Duration, visit func(server uint32, load SharedLoad)) {
+	for place, known := range p.servers {
 		if known == nil {
 			continue
 		}
-		if load := known.own(); load != (SharedLoad{}) {
+		load := SharedLoad{Inflight: known.inflight, Unread: known.unread, Batch: known.batch}
+		if p.tracker.Failing(place, now) {
+			load.Suspects = 1
+		}
+		if load != (SharedLoad{}) {
 			visit(known.hash, load)
 		}
 	}
 }
-
-func (s *server) own() SharedLoad {
-	return SharedLoad{Inflight: s.inflight, Unread: s.unread, Batch: s.batch}
-}
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -288,6 +288,19 @@
 	return entry.state, float32(min(1, max(minimumSlowStart, part)))
 }
 
+// Failing tells whether a server is suspect or ejected for failures or silence, not for
+// being slow. It is not while an ejected server waits for a trial: others may try it then.
+func (t *Tracker) Failing(server int, now time.Duration) bool {
+	entry := &t.records[server]
+	switch entry.state {
+	case Suspect:
+		return entry.failures >= t.policy.SuspectAfter/2
+	case Ejected:
+		return now < entry.heldUntil
+	}
+	return false
+}
+
 // Ejected returns the number of ejected servers.
 func (t *Tracker) Ejected() int {
 	return t.ejected
--- a/internal/loadshare/history.go
+++ b/internal/loadshare/history.go
@@ -68,6 +68,7 @@
 		less(sum.Inflight, place, part.Inflight[i])
 		less(sum.Unread, place, part.Unread[i])
 		less(sum.Batch, place, part.Batch[i])
+		less(sum.Suspects, place, part.Suspects[i])
 	}
 }
 
--- a/internal/loadshare/nudge_test.go
+++ b/internal/loadshare/nudge_test.go
@@ -20,7 +20,7 @@
 }
 
 func (s *countingSource) digest() *rockwindpb.LoadDigest {
-	return &rockwindpb.LoadDigest{Servers: []uint32{1}, Inflight: []uint32{s.inflight.Load()}, Unread: []uint32{0}, Batch: []uint32{0}}
+	return &rockwindpb.LoadDigest{Servers: []uint32{1}, Inflight: []uint32{s.inflight.Load()}, Unread: []uint32{0}, Batch: []uint32{0}, Suspects: []uint32{0}}
 }
 
 func (s *countingSource) Own() *rockwindpb.LoadDigest         { return s.digest() }
--- a/internal/loadshare/protocol.go
+++ b/internal/loadshare/protocol.go
@@ -167,7 +167,8 @@
 // consistent tells whether the lists of a digest run beside each other.
 func consistent(digest *rockwindpb.LoadDigest) bool {
 	servers := len(digest.GetServers())
-	return len(digest.GetInflight()) == servers && len(digest.GetUnread()) == servers && len(digest.GetBatch()) == servers
+	return len(digest.GetInflight()) == servers && len(digest.GetUnread()) == servers &&
+		len(digest.GetBatch()) == servers && len(digest.GetSuspects()) == servers
 }
 
 // sending remembers what was sent last.
--- a/internal/loadshare/protocol_test.go
+++ b/internal/loadshare/protocol_test.go
@@ -56,7 +56,8 @@
 	loads := make(map[uint32]balance.SharedLoad)
 	for i, server := range digest.GetServers() {
 		loads[server] = balance.SharedLoad{
-			Inflight: int(digest.GetInflight()[i]), Unread: int(digest.GetUnread()[i]), Batch: int(digest.GetBatch()[i]),
+			Inflight: int(digest.GetInflight()[i]), Unread: int(digest.GetUnread()[i]),
+			Batch: int(digest.GetBatch()[i]), Suspects: int(digest.GetSuspects()[i]),
 		}
 	}
 	switch {
@@ -75,6 +76,7 @@
 		digest.Inflight = append(digest.Inflight, uint32(loads[server].Inflight))
 		digest.Unread = append(digest.Unread, uint32(loads[server].Unread))
 		digest.Batch = append(digest.Batch, uint32(loads[server].Batch))
+		digest.Suspects = append(digest.Suspects, uint32(loads[server].Suspects))
 	}
 	return digest
 }
@@ -206,7 +208,7 @@
 				s.own = map[uint32]balance.SharedLoad{}
 				for range rapid.IntRange(0, 3).Draw(t, "loads") {
 					server := uint32(rapid.IntRange(0, servers-1).Draw(t, "server"))
-					s.own[server] = balance.SharedLoad{Inflight: rapid.IntRange(1, 9).Draw(t, "inflight"), Batch: 1}
+					s.own[server] = balance.SharedLoad{Inflight: rapid.IntRange(1, 9).Draw(t, "inflight"), Batch: 1, Suspects: rapid.IntRange(0, 1).Draw(t, "suspects")}
 				}
 			}
 			w.run(t, settled, func() {})
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -86,7 +86,8 @@
 	loads := make(map[uint32]balance.SharedLoad, len(digest.GetServers()))
 	for i, server := range digest.GetServers() {
 		loads[server] = balance.SharedLoad{
-			Inflight: int(digest.GetInflight()[i]), Unread: int(digest.GetUnread()[i]), Batch: int(digest.GetBatch()[i]),
+			Inflight: int(digest.GetInflight()[i]), Unread: int(digest.GetUnread()[i]),
+			Batch: int(digest.GetBatch()[i]), Suspects: int(digest.GetSuspects()[i]),
 		}
 	}
 	s.dispatcher.takeLoads(digest, loads)
@@ -96,7 +97,7 @@
 func (d *Dispatcher) ownLoads() map[uint32]balance.SharedLoad {
 	loads := make(map[uint32]balance.SharedLoad)
 	for service, pool := range d.pools {
-		pool.pool.Own(func(server uint32, load balance.SharedLoad) { loads[server] = load })
+		pool.pool.Own(d.now(), func(server uint32, load balance.SharedLoad) { loads[server] = load })
 		if waiting := pool.waiting.Len(); waiting > 0 {
 			loads[balance.QueueHash(service)] = balance.SharedLoad{Inflight: waiting}
 		}
@@ -113,6 +114,7 @@
 		digest.Inflight = append(digest.Inflight, uint32(load.Inflight))
 		digest.Unread = append(digest.Unread, uint32(load.Unread))
 		digest.Batch = append(digest.Batch, uint32(load.Batch))
+		digest.Suspects = append(digest.Suspects, uint32(load.Suspects))
 	}
 	return digest
 }
