Decide once about what gives way, and take a server's word that another one is gone

Cause of the cuts: with digests by relays the loads of others are up to 250 ms old, and each store decided every 40 ms anew about the same excess and the same queue. Change: within the age of the view an amount is decided about once, and then only what is added to it; starts of batch work count as unseen for as long. In a mesh, where what others wait for is told at once, nothing changes. Cause of the refusals: an answer of another server counted as one failure and as one of three refusals. It is proof: the server is not chosen again, is told as failing, and does not count as a refusal.

An item's stream may be silent for 1.5 s instead of 4 s, and its head take 3 s instead of 5: items at servers that had gone dark lost their due times.

Tests: balance.TestBatchGivesWayOnceForWhatItSees and its neighbour, platform.TestRequestsFindTheServerThatIsLeft.

--- a/internal/balance/evidence.go
+++ b/internal/balance/evidence.go
@@ -53,6 +53,17 @@
 	p.tracker.Record(place, outcome, latency, now, random)
 }
 
+// Gone takes the end of an exchange in which another server answered at the address: the
+// chosen one has ended for good, whatever the directory still says.
+func (p *Pool) Gone(choice Choice) {
+	known := p.find(choice.ID)
+	if known == nil {
+		return
+	}
+	known.ended(choice)
+	known.gone = true
+}
+
 // Abandoned takes the end of an exchange that says nothing of the server.
 func (p *Pool) Abandoned(choice Choice) {
 	if known := p.find(choice.ID); known != nil {
--- a/internal/balance/headroom.go
+++ b/internal/balance/headroom.go
@@ -23,8 +23,35 @@
 	starts recent
 	// gave holds what left slots that may be counted as taken by those who wait for them.
 	gave recent
+	// queued is how many waiting requests were given way to already.
+	queued settled
 }
 
+// settled remembers what was decided about a quantity that others see too, so that it is
+// decided once and not again at each look until the digests show what came of it.
+type settled struct {
+	at     time.Duration
+	amount int
+}
+
+// rest is the part of an amount that was not decided about within the given time. It
+// counts as decided then.
+func (s *settled) rest(amount int, within, now time.Duration) int {
+	if within == 0 {
+		return amount
+	}
+	if s.amount == 0 || now-s.at >= within {
+		*s = settled{at: now, amount: amount}
+		return amount
+	}
+	rest := max(0, amount-s.amount)
+	s.amount += rest
+	return rest
+}
+
+// reopen has the amount decided about again: less was done than was decided.
+func (s *settled) reopen() { s.amount = 0 }
+
 // recent holds when things happened, the oldest first.
 type recent []time.Duration
 
@@ -90,13 +117,17 @@
 	}
 	budget := max(sum.slots-sum.online, int(leastUse*float64(sum.slots)), 1)
 	rivals := max(1, p.batchProcesses)
-	left := budget - sum.batch - (rivals-1)*p.headroom.starts.count(unseenFor, now)
+	left := budget - sum.batch - (rivals-1)*p.headroom.starts.count(max(unseenFor, p.viewAge), now)
 	return float64(left) > float64(rivals-1)*random.Float64()
 }
 
 // SetBatchProcesses tells how many processes start batch work, this one included.
 func (p *Pool) SetBatchProcesses(count int) { p.batchProcesses = count }
 
+// SetViewAge tells how old the loads of other processes may be where digests go by relays;
+// zero where all processes tell each other at once what others wait for.
+func (p *Pool) SetViewAge(age time.Duration) { p.viewAge = age }
+
 // Yield tells at which servers this process has batch work that should give way to online
 // work, and how much of it. At a server with more requests than slots that is its share of
 // what is too much; for online requests that wait in the queues of all processes, waiting
@@ -108,9 +139,18 @@
 		if each == nil || each.batch == 0 || each.Slots == 0 {
 			continue
 		}
-		excess := p.counted(each) - each.Slots
-		p.yieldAt(each, p.share(excess, each.batch, p.batchAt(each), random), now, visit)
+		excess := each.excess.rest(max(0, p.counted(each)-each.Slots), p.viewAge, now)
+		wanted := p.share(excess, each.batch, p.batchAt(each), random)
+		if p.yieldAt(each, wanted, now, visit) < wanted {
+			each.excess.reopen()
+		}
 	}
+	p.yieldToQueues(waiting, now, random, visit)
+}
+
+// yieldToQueues gives way to the online requests that wait in the queues of all processes,
+// waiting of them in this one's.
+func (p *Pool) yieldToQueues(waiting int, now time.Duration, random *rand.Rand, visit func(server string, requests int) int) {
 	own, all := 0, 0
 	for _, each := range p.servers {
 		if each != nil {
@@ -118,8 +158,11 @@
 			all += p.batchAt(each)
 		}
 	}
-	queued := waiting + p.shares.At(p.queue).Inflight - p.headroom.gave.count(settleTime, now)
-	left := p.share(queued, own, all, random)
+	queued := waiting + p.shares.At(p.queue).Inflight
+	if p.viewAge == 0 {
+		queued -= p.headroom.gave.count(settleTime, now)
+	}
+	left := p.share(p.headroom.queued.rest(max(0, queued), p.viewAge, now), own, all, random)
 	first := 0
 	if len(p.servers) > 0 {
 		first = random.IntN(len(p.servers))
@@ -129,6 +172,9 @@
 			left -= p.yieldAt(each, min(left, each.batch), now, visit)
 		}
 	}
+	if left > 0 {
+		p.headroom.queued.reopen()
+	}
 }
 
 // share is the part of an excess that falls to whoever has own of all.
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -95,6 +95,10 @@
 	known  bool
 	// fullUntil is when the server may be tried again after it refused as full.
 	fullUntil time.Duration
+	// gone tells that another server has its address now.
+	gone bool
+	// excess is how many requests beyond its slots were given way to already.
+	excess settled
 	// parts tells when a part was last sent here.
 	parts map[uint64]time.Duration
 }
@@ -116,6 +120,8 @@
 	queue uint32
 	// batchProcesses is how many processes start batch work.
 	batchProcesses int
+	// viewAge is how old the loads of other processes may be.
+	viewAge time.Duration
 }
 
 // NewPool returns a pool of a service without servers, for a process in the given zone.
@@ -309,12 +315,12 @@
 // usable tells whether the server at a place is taken to answer.
 func (p *Pool) usable(place int, now time.Duration) bool {
 	state, _ := p.tracker.State(place, now)
-	return state != health.Ejected && !p.servers[place].Silent
+	return state != health.Ejected && !p.servers[place].Silent && !p.servers[place].gone
 }
 
 // room tells whether a server can take a request at once.
 func (p *Pool) room(s *server, demand Demand, now time.Duration) bool {
-	if now < s.fullUntil {
+	if s.gone || now < s.fullUntil {
 		return false
 	}
 	if s.Slots == 0 {
--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -208,7 +208,7 @@
 			continue
 		}
 		load := SharedLoad{Inflight: known.inflight, Unread: known.unread, Batch: known.batch}
-		if p.tracker.Failing(place, now) {
+		if known.gone || p.tracker.Failing(place, now) {
 			load.Suspects = 1
 		}
 		if load != (SharedLoad{}) {
--- a/internal/loadshare/layout.go
+++ b/internal/loadshare/layout.go
@@ -176,3 +176,13 @@
 func (l *Layout) GroupInterval() time.Duration {
 	return max(l.Interval(), time.Duration(len(l.others))*intervalPerGroup)
 }
+
+// Age is how old the loads of other processes may be: from a member to its delegate, from
+// there to the other members, and half of the time between groups. It is zero in a mesh,
+// where what others wait for is told at once.
+func (l *Layout) Age() time.Duration {
+	if l.Mesh() {
+		return 0
+	}
+	return 2*l.Interval() + l.GroupInterval()/2
+}
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -29,8 +29,10 @@
 	pools  map[string]*servicePool
 	shares *balance.Shares
 	order  uint64
-	// stores is how many processes start batch work.
-	stores int
+	// stores is how many processes start batch work, and viewAge how old the loads of
+	// other processes may be.
+	stores  int
+	viewAge time.Duration
 	// pressed is closed when online requests wait, and replaced.
 	pressed chan struct{}
 }
@@ -81,6 +83,7 @@
 	for name, list := range members {
 		d.service(name).pool.Update(list)
 		d.service(name).pool.SetBatchProcesses(d.stores)
+		d.service(name).pool.SetViewAge(d.viewAge)
 		d.serveWaiting(name)
 	}
 }
@@ -333,6 +336,16 @@
 	d.serveWaiting(l.service)
 }
 
+// Gone ends the lease of an exchange in which another server answered at the address.
+func (l *Lease) Gone() {
+	l.noteRead(false)
+	d := l.dispatcher
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.service(l.service).pool.Gone(l.Choice)
+	d.serveWaiting(l.service)
+}
+
 // Abandon ends the lease of an exchange that shows nothing of the server.
 func (l *Lease) Abandon() {
 	l.noteRead(false)
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -26,6 +26,9 @@
 	// refusalLimit bounds the servers that a request is offered to beyond its
 	// attempts because others refused it.
 	refusalLimit = 3
+	// misdirectedLimit bounds the servers beyond them at whose address another one
+	// answered: after a crash of many servers the directory may name as many that are gone.
+	misdirectedLimit = 12
 	// readSize is the size of one read of a stream.
 	readSize = 8 << 10
 	// patiencePart is the part of the remaining time that a request may wait for
@@ -53,6 +56,8 @@
 	ends    time.Time
 	tried   []string
 	refused int
+	// misdirected counts the tries at servers that are gone.
+	misdirected int
 	// sent counts the tries that may have run.
 	sent     int
 	received time.Time
@@ -154,7 +159,7 @@
 	if e.sent > 0 && !e.repeatable() {
 		return false
 	}
-	return e.sent < attempts && e.refused <= refusalLimit && time.Until(e.ends) > 0
+	return e.sent < attempts && e.refused <= refusalLimit && e.misdirected <= misdirectedLimit && time.Until(e.ends) > 0
 }
 
 // try sends the request to one server.
@@ -172,15 +177,18 @@
 	if judgement.Load != nil {
 		lease.Told(*judgement.Load)
 	}
-	if judgement.NotRun || judgement.OtherServer {
+	if judgement.OtherServer {
+		e.misdirected++
+		e.reason = "another server has the address"
+		response.Discard()
+		lease.Gone()
+		return verdictElsewhere
+	}
+	if judgement.NotRun {
 		e.refused++
 		e.reason = "the server says that it did not run the request, status " + strconv.Itoa(response.Status)
 		response.Discard()
-		outcome := health.Refused
-		if judgement.OtherServer {
-			outcome = health.Failure
-		}
-		lease.Done(outcome, 0)
+		lease.Done(health.Refused, 0)
 		return verdictElsewhere
 	}
 	e.sent++
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -175,5 +175,7 @@
 			members = append(members, loadshare.NewMember(machine.GetName(), machine.GetZone(), address, rank))
 		}
 	}
-	d.sharer.SetLayout(loadshare.NewLayout(members, d.name))
+	layout := loadshare.NewLayout(members, d.name)
+	d.sharer.SetLayout(layout)
+	d.viewAge = layout.Age()
 }
--- a/internal/store/item.go
+++ b/internal/store/item.go
@@ -19,10 +19,13 @@
 const (
 	connectLimit = 400 * time.Millisecond
 	// answerLimit is how long the head of an answer may take: a server may run an item
-	// and lose the answer.
-	answerLimit = 5 * time.Second
-	// silenceLimit is how long a stream of an item may be silent.
-	silenceLimit = 4 * time.Second
+	// and lose the answer. An item goes to a free slot, where its prompt is read within
+	// half a second on the sites known.
+	answerLimit = 3 * time.Second
+	// silenceLimit is how long a stream of an item may be silent. Events come several times
+	// a second; to go on elsewhere costs the reading of the prompt, and to wait for a server
+	// that has gone dark costs the item its due time.
+	silenceLimit = 1500 * time.Millisecond
 	// pauseAfterRefusal and pauseAfterFailure are the times before an item is tried
 	// again.
 	pauseAfterRefusal = 150 * time.Millisecond
@@ -85,8 +88,8 @@
 		return t.again(pauseAfterRefusal, "")
 	case judgement.OtherServer:
 		response.Discard()
-		t.lease.Done(health.Failure, 0)
-		return t.again(pauseAfterRefusal, "another server has the address")
+		t.lease.Gone()
+		return t.again(0, "another server has the address")
 	case response.Status == http.StatusUnprocessableEntity:
 		response.Discard()
 		t.lease.Done(health.Success, latency)
