--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -343,7 +343,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.service(l.service).pool.Gone(l.Choice)
-	d.serveWaiting(l.service)
+	l.released()
 }
 
 // Abandon ends the lease of an exchange that shows nothing of the server.
@@ -353,8 +353,13 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.service(l.service).pool.Abandoned(l.Choice)
+	l.released()
+}
+
+// released hands on what an ended lease has left free. The dispatcher's mutex is held.
+func (l *Lease) released() {
 	if l.Batch {
-		d.nudge()
+		l.dispatcher.nudge()
 	}
-	d.serveWaiting(l.service)
+	l.dispatcher.serveWaiting(l.service)
 }
