--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -174,7 +174,12 @@
 
 func (w *Watcher) watch(ctx context.Context) {
 	for ctx.Err() == nil {
-		address := w.Coordinators()[0]
+		known := w.Coordinators()
+		if len(known) == 0 {
+			retry.Pause(ctx, retryPause)
+			continue
+		}
+		address := known[0]
 		if err := w.watchAt(ctx, address); err != nil {
 			w.avoid(address)
 			if ctx.Err() == nil {
