Count a new server as heard when the leader first sees it

Cause: the leader alone judges silence; a server that reports to another coordinator is in the directory before the leader is told that it was heard, and once marked silent its time of hearing was forgotten. Change: one that was not heard here counts as heard now. Test: coordinator.TestNewServerIsNotSilent fails without.

--- a/internal/coordinator/keeper.go
+++ b/internal/coordinator/keeper.go
@@ -107,7 +107,7 @@
 			ids = append(ids, server.GetId())
 		}
 	}
-	silent := c.live.silent(ids, now.Add(-patience))
+	silent := c.live.silent(ids, patience, now)
 	if len(silent) == 0 {
 		return
 	}
--- a/internal/coordinator/liveness.go
+++ b/internal/coordinator/liveness.go
@@ -55,9 +55,11 @@
 	return l.heard[id].After(since)
 }
 
-// silent returns those of the given servers that were not heard since a time, and
-// forgets servers that are not among them.
-func (l *liveness) silent(ids []string, since time.Time) []string {
+// silent returns those of the given servers that were not heard for the patience, and
+// forgets servers that are not among them. One that was never heard here counts as heard
+// now: it is in the directory since it reported to another coordinator, which tells the
+// leader a little later.
+func (l *liveness) silent(ids []string, patience time.Duration, now time.Time) []string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	kept := make(map[string]time.Time, len(l.heard))
@@ -69,10 +71,11 @@
 	var silent []string
 	for _, id := range ids {
 		heard, known := l.heard[id]
-		if known {
-			kept[id] = heard
+		if !known {
+			heard = now
 		}
-		if heard.Before(since) {
+		kept[id] = heard
+		if now.Sub(heard) > patience {
 			silent = append(silent, id)
 		}
 	}
