--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -187,11 +187,10 @@
 }
 
 func (p *Pool) find(id string) *server {
-	place, known := p.places[id]
-	if !known {
-		return nil
+	if place := p.place(id); place >= 0 {
+		return p.servers[place]
 	}
-	return p.servers[place]
+	return nil
 }
 
 func (p *Pool) place(id string) int {
--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -163,17 +163,20 @@
 func (s *Shares) SumOf(names []string) map[uint32]SharedLoad {
 	sums := make(map[uint32]SharedLoad)
 	for _, name := range names {
-		known, found := s.senders[name]
-		if !found {
-			continue
-		}
-		for server, load := range known.loads {
-			sums[server] = sums[server].plus(load, 1)
+		if known, found := s.senders[name]; found {
+			known.addTo(sums)
 		}
 	}
 	return sums
 }
 
+// addTo adds what the sender told to sums by server.
+func (s *sender) addTo(sums map[uint32]SharedLoad) {
+	for server, load := range s.loads {
+		sums[server] = sums[server].Plus(load)
+	}
+}
+
 // Sequences lists the newest digests of the named processes themselves.
 func (s *Shares) Sequences(names []string, visit func(name string, started int64, sequence uint64)) {
 	for _, name := range names {
@@ -187,11 +190,8 @@
 func (s *Shares) SumElsewhere(group string) map[uint32]SharedLoad {
 	sums := make(map[uint32]SharedLoad)
 	for _, known := range s.senders {
-		if known.group == "" || (known.group == group) != known.elsewhere {
-			continue
-		}
-		for server, load := range known.loads {
-			sums[server] = sums[server].plus(load, 1)
+		if known.group != "" && (known.group == group) == known.elsewhere {
+			known.addTo(sums)
 		}
 	}
 	return sums
--- /dev/null
+++ b/internal/loadshare/digest.go
@@ -0,0 +1,64 @@
+package loadshare
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// NewDigest lists loads in the order of the servers' hashes, so that equal loads give
+// equal digests.
+func NewDigest(loads map[uint32]balance.SharedLoad) *rockwindpb.LoadDigest {
+	digest := &rockwindpb.LoadDigest{Servers: slices.Sorted(maps.Keys(loads))}
+	for _, server := range digest.GetServers() {
+		load := loads[server]
+		digest.Inflight = append(digest.Inflight, uint32(load.Inflight))
+		digest.Unread = append(digest.Unread, uint32(load.Unread))
+		digest.Batch = append(digest.Batch, uint32(load.Batch))
+		digest.Suspects = append(digest.Suspects, uint32(load.Suspects))
+	}
+	return digest
+}
+
+// Loads reads the loads of a digest whose lists run beside each other.
+func Loads(digest *rockwindpb.LoadDigest) map[uint32]balance.SharedLoad {
+	loads := make(map[uint32]balance.SharedLoad, len(digest.GetServers()))
+	for i, server := range digest.GetServers() {
+		loads[server] = balance.SharedLoad{
+			Inflight: int(digest.GetInflight()[i]), Unread: int(digest.GetUnread()[i]),
+			Batch: int(digest.GetBatch()[i]), Suspects: int(digest.GetSuspects()[i]),
+		}
+	}
+	return loads
+}
+
+// SumDigest lists what the named processes told and what this one has, with the stamps of
+// the digests that it covers.
+func SumDigest(shares *balance.Shares, names []string, own map[uint32]balance.SharedLoad) *rockwindpb.LoadDigest {
+	loads := shares.SumOf(names)
+	for server, load := range own {
+		loads[server] = loads[server].Plus(load)
+	}
+	digest := NewDigest(loads)
+	shares.Sequences(names, func(name string, started int64, sequence uint64) {
+		digest.Stamps = append(digest.Stamps, stamp(name, started, sequence))
+	})
+	return digest
+}
+
+// TakeInto has the shares take the loads of the digest of a process, of a group, or of all
+// groups but one.
+func TakeInto(shares *balance.Shares, digest *rockwindpb.LoadDigest, loads map[uint32]balance.SharedLoad, now time.Duration) {
+	sender, started, sequence := digest.GetSender(), digest.GetStartedUnixMs(), digest.GetSequence()
+	switch group := digest.GetGroup(); {
+	case group == "":
+		shares.Take(sender, started, sequence, loads, now)
+	case digest.GetElsewhere():
+		shares.TakeElsewhere(sender, group, started, sequence, loads, now)
+	default:
+		shares.TakeGroup(sender, group, int(digest.GetMembers()), started, sequence, loads, now)
+	}
+}
--- a/internal/loadshare/history.go
+++ b/internal/loadshare/history.go
@@ -12,8 +12,8 @@
 // them, longer than a digest counts.
 const historySize = 64
 
-// Stamp is a short name of a digest of a single process.
-func Stamp(sender string, started int64, sequence uint64) uint32 {
+// stamp is a short name of a digest of a single process.
+func stamp(sender string, started int64, sequence uint64) uint32 {
 	digest := xxhash.New()
 	_, _ = digest.WriteString(sender)
 	var numbers [16]byte
@@ -36,8 +36,8 @@
 
 // add remembers a digest that was sent.
 func (h *history) add(digest *rockwindpb.LoadDigest) {
-	stamp := Stamp(digest.GetSender(), digest.GetStartedUnixMs(), digest.GetSequence())
-	h.sent = append(h.sent, stamped{stamp: stamp, digest: digest})
+	named := stamp(digest.GetSender(), digest.GetStartedUnixMs(), digest.GetSequence())
+	h.sent = append(h.sent, stamped{stamp: named, digest: digest})
 	if len(h.sent) > historySize {
 		h.sent = slices.Delete(h.sent, 0, len(h.sent)-historySize)
 	}
--- a/internal/loadshare/layout.go
+++ b/internal/loadshare/layout.go
@@ -70,9 +70,6 @@
 	relays []Member
 }
 
-// Name is the name of the group's zone.
-func (g Group) Name() string { return g.name }
-
 // NewLayout returns the layout of the named process among the members of a site. All
 // processes with the same members get the same groups.
 func NewLayout(members []Member, self string) *Layout {
--- a/internal/loadshare/protocol_test.go
+++ b/internal/loadshare/protocol_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -32,53 +31,20 @@
 	outside, datagrams int
 }
 
-func (s *station) Own() *rockwindpb.LoadDigest { return digestOf(s.own) }
+func (s *station) Own() *rockwindpb.LoadDigest { return loadshare.NewDigest(s.own) }
 
 func (s *station) Sum(names []string) *rockwindpb.LoadDigest {
-	sum := s.shares.SumOf(names)
-	for server, load := range s.own {
-		sum[server] = sum[server].Plus(load)
-	}
-	digest := digestOf(sum)
-	s.shares.Sequences(names, func(name string, started int64, sequence uint64) {
-		digest.Stamps = append(digest.Stamps, loadshare.Stamp(name, started, sequence))
-	})
-	return digest
+	return loadshare.SumDigest(s.shares, names, s.own)
 }
 
 func (s *station) Elsewhere(group string) *rockwindpb.LoadDigest {
-	return digestOf(s.shares.SumElsewhere(group))
+	return loadshare.NewDigest(s.shares.SumElsewhere(group))
 }
 
 func (s *station) Heard(name string) bool { return s.shares.Heard(name, s.now) }
 
 func (s *station) Take(digest *rockwindpb.LoadDigest) {
-	loads := make(map[uint32]balance.SharedLoad)
-	for i, server := range digest.GetServers() {
-		loads[server] = balance.SharedLoad{
-			Inflight: int(digest.GetInflight()[i]), Unread: int(digest.GetUnread()[i]),
-			Batch: int(digest.GetBatch()[i]), Suspects: int(digest.GetSuspects()[i]),
-		}
-	}
-	switch {
-	case digest.GetGroup() == "":
-		s.shares.Take(digest.GetSender(), digest.GetStartedUnixMs(), digest.GetSequence(), loads, s.now)
-	case digest.GetElsewhere():
-		s.shares.TakeElsewhere(digest.GetSender(), digest.GetGroup(), digest.GetStartedUnixMs(), digest.GetSequence(), loads, s.now)
-	default:
-		s.shares.TakeGroup(digest.GetSender(), digest.GetGroup(), int(digest.GetMembers()), digest.GetStartedUnixMs(), digest.GetSequence(), loads, s.now)
-	}
-}
-
-func digestOf(loads map[uint32]balance.SharedLoad) *rockwindpb.LoadDigest {
-	digest := &rockwindpb.LoadDigest{Servers: slices.Sorted(maps.Keys(loads))}
-	for _, server := range digest.GetServers() {
-		digest.Inflight = append(digest.Inflight, uint32(loads[server].Inflight))
-		digest.Unread = append(digest.Unread, uint32(loads[server].Unread))
-		digest.Batch = append(digest.Batch, uint32(loads[server].Batch))
-		digest.Suspects = append(digest.Suspects, uint32(loads[server].Suspects))
-	}
-	return digest
+	loadshare.TakeInto(s.shares, digest, loadshare.Loads(digest), s.now)
 }
 
 // world plays the processes of a site in virtual time, step by step of 5 ms. Datagrams
--- a/internal/replica/joining.go
+++ b/internal/replica/joining.go
@@ -65,9 +65,9 @@
 
 // tellPeers keeps the members that an answer to a call to join named: the leaders
 // may be machines that the settings do not list.
-func (h *Host) tellPeers(address string, response *rockwindpb.JoinResponse) {
+func (h *Host) tellPeers(groups []*rockwindpb.FoundingGroup) {
 	var told []*rockwindpb.ControlMachine
-	for _, group := range response.GetGroups() {
+	for _, group := range groups {
 		for _, member := range group.GetMembership().GetMembers() {
 			told = append(told, &rockwindpb.ControlMachine{Machine: member.GetMachine(), Address: member.GetAddress()})
 		}
@@ -75,23 +75,16 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.told = told
-	h.checksums[address] = response.GetChecksum()
 }
 
-// toldChecksum is that of the groups that the machine at an address told last.
+// toldChecksum is that of the groups that the machine at an address told and that were
+// heeded here.
 func (h *Host) toldChecksum(address string) uint64 {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	return h.checksums[address]
 }
 
-// forgetChecksum has the machine at an address tell its groups again.
-func (h *Host) forgetChecksum(address string) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	delete(h.checksums, address)
-}
-
 func (h *Host) toldPeers() []*rockwindpb.ControlMachine {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -142,23 +135,24 @@
 	if len(response.GetGroups()) == 0 {
 		return
 	}
-	h.tellPeers(peer.GetAddress(), response)
+	h.tellPeers(response.GetGroups())
 	first := h.clusterID() == ""
 	if err := h.enter(&cluster{id: response.GetClusterId(), groups: response.GetGroups()}); err != nil {
-		h.forgetChecksum(peer.GetAddress())
 		log.WithError(err).WithField("machine", peer.GetMachine()).Warn("not joined")
 		return
 	}
-	if first {
-		h.noteJoined()
-	}
+	h.noteEntered(peer.GetAddress(), response.GetChecksum(), first)
 }
 
-// noteJoined notes that this machine has come to its cluster through another one.
-func (h *Host) noteJoined() {
+// noteEntered notes that the groups of a checksum, told by the machine at an address, were
+// heeded here, and, where it was the first that let this one join, when.
+func (h *Host) noteEntered(address string, checksum uint64, first bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.joined = time.Now()
+	h.checksums[address] = checksum
+	if first {
+		h.joined = time.Now()
+	}
 }
 
 // Join implements rockwindpb.ReplicaService. It begins the replacement in the
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -337,29 +337,21 @@
 }
 
 // Gone ends the lease of an exchange in which another server answered at the address.
-func (l *Lease) Gone() {
-	l.noteRead(false)
-	d := l.dispatcher
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.service(l.service).pool.Gone(l.Choice)
-	l.released()
-}
+func (l *Lease) Gone() { l.release((*balance.Pool).Gone) }
 
 // Abandon ends the lease of an exchange that shows nothing of the server.
-func (l *Lease) Abandon() {
+func (l *Lease) Abandon() { l.release((*balance.Pool).Abandoned) }
+
+// release ends the lease of an exchange that gave no answer of the server, and hands on
+// what it has left free.
+func (l *Lease) release(end func(*balance.Pool, balance.Choice)) {
 	l.noteRead(false)
 	d := l.dispatcher
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.service(l.service).pool.Abandoned(l.Choice)
-	l.released()
-}
-
-// released hands on what an ended lease has left free. The dispatcher's mutex is held.
-func (l *Lease) released() {
+	end(d.service(l.service).pool, l.Choice)
 	if l.Batch {
-		l.dispatcher.nudge()
+		d.nudge()
 	}
-	l.dispatcher.serveWaiting(l.service)
+	d.serveWaiting(l.service)
 }
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"net/netip"
-	"slices"
 
 	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/directory"
@@ -49,29 +47,21 @@
 func (s loadSource) Own() *rockwindpb.LoadDigest {
 	s.dispatcher.mutex.Lock()
 	defer s.dispatcher.mutex.Unlock()
-	return newDigest(s.dispatcher.ownLoads())
+	return loadshare.NewDigest(s.dispatcher.ownLoads())
 }
 
 // Sum implements loadshare.Source.
 func (s loadSource) Sum(names []string) *rockwindpb.LoadDigest {
 	s.dispatcher.mutex.Lock()
 	defer s.dispatcher.mutex.Unlock()
-	loads := s.dispatcher.shares.SumOf(names)
-	for server, load := range s.dispatcher.ownLoads() {
-		loads[server] = loads[server].Plus(load)
-	}
-	digest := newDigest(loads)
-	s.dispatcher.shares.Sequences(names, func(name string, started int64, sequence uint64) {
-		digest.Stamps = append(digest.Stamps, loadshare.Stamp(name, started, sequence))
-	})
-	return digest
+	return loadshare.SumDigest(s.dispatcher.shares, names, s.dispatcher.ownLoads())
 }
 
 // Elsewhere implements loadshare.Source.
 func (s loadSource) Elsewhere(group string) *rockwindpb.LoadDigest {
 	s.dispatcher.mutex.Lock()
 	defer s.dispatcher.mutex.Unlock()
-	return newDigest(s.dispatcher.shares.SumElsewhere(group))
+	return loadshare.NewDigest(s.dispatcher.shares.SumElsewhere(group))
 }
 
 // Heard implements loadshare.Source.
@@ -83,14 +73,7 @@
 
 // Take implements loadshare.Source.
 func (s loadSource) Take(digest *rockwindpb.LoadDigest) {
-	loads := make(map[uint32]balance.SharedLoad, len(digest.GetServers()))
-	for i, server := range digest.GetServers() {
-		loads[server] = balance.SharedLoad{
-			Inflight: int(digest.GetInflight()[i]), Unread: int(digest.GetUnread()[i]),
-			Batch: int(digest.GetBatch()[i]), Suspects: int(digest.GetSuspects()[i]),
-		}
-	}
-	s.dispatcher.takeLoads(digest, loads)
+	s.dispatcher.takeLoads(digest, loadshare.Loads(digest))
 }
 
 // ownLoads is what this process has at servers and in its queues, by their hashes.
@@ -105,32 +88,10 @@
 	return loads
 }
 
-// newDigest lists loads in the order of the servers' hashes, so that equal loads
-// give equal digests.
-func newDigest(loads map[uint32]balance.SharedLoad) *rockwindpb.LoadDigest {
-	digest := &rockwindpb.LoadDigest{Servers: slices.Sorted(maps.Keys(loads))}
-	for _, server := range digest.GetServers() {
-		load := loads[server]
-		digest.Inflight = append(digest.Inflight, uint32(load.Inflight))
-		digest.Unread = append(digest.Unread, uint32(load.Unread))
-		digest.Batch = append(digest.Batch, uint32(load.Batch))
-		digest.Suspects = append(digest.Suspects, uint32(load.Suspects))
-	}
-	return digest
-}
-
 func (d *Dispatcher) takeLoads(digest *rockwindpb.LoadDigest, loads map[uint32]balance.SharedLoad) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	sender, started, sequence := digest.GetSender(), digest.GetStartedUnixMs(), digest.GetSequence()
-	switch {
-	case digest.GetGroup() == "":
-		d.shares.Take(sender, started, sequence, loads, d.now())
-	case digest.GetElsewhere():
-		d.shares.TakeElsewhere(sender, digest.GetGroup(), started, sequence, loads, d.now())
-	default:
-		d.shares.TakeGroup(sender, digest.GetGroup(), int(digest.GetMembers()), started, sequence, loads, d.now())
-	}
+	loadshare.TakeInto(d.shares, digest, loads, d.now())
 	pressed := false
 	for service, pool := range d.pools {
 		if pool.waiting.Len() > 0 {
--- a/internal/site/nearer.go
+++ b/internal/site/nearer.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/retry"
-	"rockwind.example/rockwind/internal/rockwindpb"
-	"rockwind.example/rockwind/internal/twirphttp"
 )
 
 const (
@@ -63,11 +61,7 @@
 	ctx, cancel := context.WithTimeout(ctx, seekTimeout)
 	defer cancel()
 	held := w.Directory()
-	service := rockwindpb.NewDirectoryServiceProtobufClient("http://"+address, twirphttp.Client{Carrier: w.client})
-	response, err := service.Watch(ctx, &rockwindpb.WatchDirectoryRequest{
-		HaveRevision: held.Revision(), HaveStoreCluster: held.StoreCluster().GetClusterId(),
-		HaveConfiguration: w.Configuration().Number(),
-	})
+	response, err := w.directoryAt(address).Watch(ctx, w.watchRequest(held, 0))
 	return err == nil && response.GetRevision() >= held.Revision() &&
 		response.GetConfigurationNumber() >= w.Configuration().Number()
 }
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -198,7 +198,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	nearer := w.seekNearer(ctx, address)
-	service := rockwindpb.NewDirectoryServiceProtobufClient("http://"+address, twirphttp.Client{Carrier: w.client})
+	service := w.directoryAt(address)
 	for ctx.Err() == nil {
 		if err := w.watchOnce(ctx, address, service); err != nil {
 			return err
@@ -213,17 +213,27 @@
 	return nil
 }
 
-func (w *Watcher) watchOnce(ctx context.Context, address string, service rockwindpb.DirectoryService) error {
-	held := w.Directory()
-	request := &rockwindpb.WatchDirectoryRequest{WaitMs: uint32(watchWait.Milliseconds())}
+// directoryAt is the directory as the coordinator at an address serves it.
+func (w *Watcher) directoryAt(address string) rockwindpb.DirectoryService {
+	return rockwindpb.NewDirectoryServiceProtobufClient("http://"+address, twirphttp.Client{Carrier: w.client})
+}
+
+// watchRequest asks for what is newer than the held directory, nil for none, and than the
+// configuration in force here.
+func (w *Watcher) watchRequest(held *directory.View, wait time.Duration) *rockwindpb.WatchDirectoryRequest {
+	request := &rockwindpb.WatchDirectoryRequest{WaitMs: uint32(wait.Milliseconds()), HaveConfiguration: w.Configuration().Number()}
 	if held != nil {
 		request.HaveRevision = held.Revision()
 		request.HaveStoreCluster = held.StoreCluster().GetClusterId()
 	}
-	request.HaveConfiguration = w.Configuration().Number()
+	return request
+}
+
+func (w *Watcher) watchOnce(ctx context.Context, address string, service rockwindpb.DirectoryService) error {
+	held := w.Directory()
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
 	defer cancel()
-	response, err := service.Watch(ctx, request)
+	response, err := service.Watch(ctx, w.watchRequest(held, watchWait))
 	if err != nil {
 		return fault.From(err)
 	}
@@ -357,7 +367,7 @@
 func (w *Watcher) Announce(ctx context.Context, machine *rockwindpb.Machine, wantStoreCluster bool) (*rockwindpb.FoundRequest, error) {
 	var last error
 	for _, address := range w.Coordinators() {
-		service := rockwindpb.NewDirectoryServiceProtobufClient("http://"+address, twirphttp.Client{Carrier: w.client})
+		service := w.directoryAt(address)
 		calling, cancel := context.WithTimeout(ctx, watchWait)
 		response, err := service.Announce(calling, &rockwindpb.AnnounceMachineRequest{Machine: machine, WantStoreCluster: wantStoreCluster})
 		cancel()
--- a/internal/sitemetrics/limits_test.go
+++ b/internal/sitemetrics/limits_test.go
@@ -14,14 +14,24 @@
 	"rockwind.example/rockwind/internal/sitemetrics"
 )
 
+// newSet returns the metrics of a process that logs nothing.
+func newSet(role string) *sitemetrics.Set {
+	return sitemetrics.New(role, decision.NewRecorder(&log.Logger{Handler: discard.New(), Level: log.InfoLevel}, time.Now))
+}
+
+// scrape returns the page of the metrics.
+func scrape(set *sitemetrics.Set) string {
+	answer := httptest.NewRecorder()
+	set.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, sitemetrics.Path, nil))
+	return answer.Body.String()
+}
+
 func TestScrapeShowsTheCountsOfRoutes(t *testing.T) {
-	set := sitemetrics.New("store", decision.NewRecorder(&log.Logger{Handler: discard.New(), Level: log.InfoLevel}, time.Now))
+	set := newSet("store")
 	waiting := uint64(7)
 	set.Limits(func() []sitemetrics.Limit { return []sitemetrics.Limit{sitemetrics.NewLimit("batch", 1000, waiting)} })
 	for _, waiting = range []uint64{7, 990} {
-		answer := httptest.NewRecorder()
-		set.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, sitemetrics.Path, nil))
-		page := answer.Body.String()
+		page := scrape(set)
 		for _, want := range []string{`rockwind_route_limit_tokens{route="batch"} 1000`, `rockwind_route_waiting_tokens{route="batch"} `} {
 			if !strings.Contains(page, want) {
 				t.Errorf("the page lacks %s", want)
