Serve tenants on while the owner of their rate is replaced

A call with little patience gave up before its attempt ended, so that the silent store was never forgotten and was asked again by each next request; and a hint at the leader was followed only after a pause.

Change: a call that ends in vain forgets the stores that it waited for, hints are followed at once, and a router spends its part of what the owner last said that the tenant had left before it refuses.

--- a/internal/jobclient/call.go
+++ b/internal/jobclient/call.go
@@ -35,14 +35,23 @@
 	err     error
 }
 
+// question is an attempt that is under way.
+type question struct {
+	shard uint32
+	at    time.Time
+}
+
 // caller performs one call. Only the goroutine of the call uses it.
 type caller[T any] struct {
 	client  *Client
 	target  target
 	wait    time.Duration
 	attempt attempt[T]
-	asked   map[string]bool
-	ended   chan outcome[T]
+	// asked holds the stores whose answers are awaited, with when they were asked, and met
+	// those that have said that they do not lead.
+	asked map[string]question
+	met   map[string]bool
+	ended chan outcome[T]
 	// doubt tells that an attempt that failed may have taken effect.
 	doubt bool
 }
@@ -54,7 +63,7 @@
 	defer cancel()
 	c := &caller[T]{
 		client: client, target: at, wait: wait, attempt: made,
-		asked: make(map[string]bool), ended: make(chan outcome[T], maximumAsked),
+		asked: make(map[string]question), met: make(map[string]bool), ended: make(chan outcome[T], maximumAsked),
 	}
 	return c.run(ctx)
 }
@@ -66,6 +75,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			c.leaveSilent(time.Now())
 			return nothing, c.client.unanswered(c.doubt || len(c.asked) > 0)
 		case <-next.C:
 			if c.ask(ctx) {
@@ -90,7 +100,37 @@
 			}
 			c.doubt = c.doubt || failure.Ran != fault.NotRun
 			c.client.follow(end.shard, end.address, failure)
-			next.Reset(pause)
+			next.Reset(c.pauseAfter(end.address, failure))
+		}
+	}
+}
+
+// pauseAfter is the time before the next attempt: none where a store does not lead and
+// another one that was not met in this call may.
+func (c *caller[T]) pauseAfter(address string, failure *fault.Fault) time.Duration {
+	if failure.Kind != fault.NotLeader {
+		return pause
+	}
+	c.met[address] = true
+	hinted := failure.Leader != "" && !c.met[failure.Leader]
+	if hinted || len(c.met) < len(c.client.site.Stores()) {
+		return 0
+	}
+	return pause
+}
+
+// passOver tells whether a store is not to be asked now: it is asked already.
+func (c *caller[T]) passOver(address string) bool {
+	_, found := c.asked[address]
+	return found
+}
+
+// leaveSilent forgets the stores that a call has waited for in vain: the caller may have
+// had less patience than an attempt has time.
+func (c *caller[T]) leaveSilent(now time.Time) {
+	for address, each := range c.asked {
+		if now.Sub(each.at) >= c.wait+silentAfter {
+			c.client.follow(each.shard, address, fault.New(fault.Unavailable, "the store did not answer in time", "ask another store"))
 		}
 	}
 }
@@ -100,11 +140,11 @@
 	if len(c.asked) >= maximumAsked {
 		return false
 	}
-	shard, address, known := c.client.pick(c.target, c.asked)
+	shard, address, known := c.client.pick(c.target, c.passOver)
 	if !known {
 		return false
 	}
-	c.asked[address] = true
+	c.asked[address] = question{shard: shard, at: time.Now()}
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, attemptTimeout+c.wait)
 		defer cancel()
--- a/internal/jobclient/call_test.go
+++ b/internal/jobclient/call_test.go
@@ -167,3 +167,43 @@
 		t.Fatalf("the call ends with %v", err)
 	}
 }
+
+// TestSilentLeaderIsForgottenByCallsWithLittlePatience: a call that gave up before its
+// attempt had ended forgot nothing, and each one after it asked the silent leader again.
+func TestSilentLeaderIsForgottenByCallsWithLittlePatience(t *testing.T) {
+	former, next := &fakeStore{submit: leads}, &fakeStore{}
+	client, addresses := newClient(t, former, next)
+	next.submit = notLeader(addresses[0])
+	if err := client.Submit(t.Context(), &rockwindpb.StoredJob{Id: "first"}, 0); err != nil {
+		t.Fatal(err)
+	}
+	former.submit, next.submit = silent, leads
+	short := func() error {
+		ctx, cancel := context.WithTimeout(t.Context(), 80*time.Millisecond)
+		defer cancel()
+		return client.Submit(ctx, &rockwindpb.StoredJob{Id: "second"}, 0)
+	}
+	if err := short(); err == nil {
+		t.Fatal("the silent leader has answered")
+	}
+	if err := short(); err != nil {
+		t.Fatalf("the next call ends with %v", err)
+	}
+}
+
+// TestHintIsFollowedAtOnce: a caller with little patience finds the leader through another
+// store, and through stores that know nothing of it.
+func TestHintIsFollowedAtOnce(t *testing.T) {
+	const stores = 8
+	var all []*fakeStore
+	for range stores {
+		all = append(all, &fakeStore{submit: notLeader("")})
+	}
+	client, _ := newClient(t, all...)
+	all[stores-1].submit = leads
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Millisecond)
+	defer cancel()
+	if err := client.Submit(ctx, &rockwindpb.StoredJob{Id: "job"}, 0); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/jobclient/client.go
+++ b/internal/jobclient/client.go
@@ -28,6 +28,9 @@
 	// after which another store is asked too: the leader may have lost its power, and
 	// another store may lead already.
 	hedgeAfter = 120 * time.Millisecond
+	// silentAfter is the time without an answer after which a store that was asked counts as
+	// silent when the caller gives up: ten times what an answer from another zone takes.
+	silentAfter = 40 * time.Millisecond
 	// maximumAsked is how many stores are asked at a time.
 	maximumAsked = 3
 	// avoidance is how long a store that did not answer is asked after the others.
@@ -152,9 +155,9 @@
 		WithRan(fault.NotRun).WithRetryAfter(comeBack)
 }
 
-// pick returns the shard of a call and a store to ask that is not asked already: the
-// shard's leader where it is known, else the members in turn.
-func (c *Client) pick(at target, asked map[string]bool) (shard uint32, address string, known bool) {
+// pick returns the shard of a call and a store to ask that is not passed over: the shard's
+// leader where it is known, else the members in turn.
+func (c *Client) pick(at target, passOver func(address string) bool) (shard uint32, address string, known bool) {
 	view := c.site.Directory()
 	if view == nil || view.StoreCluster() == nil {
 		return 0, "", false
@@ -163,14 +166,14 @@
 	stores := c.site.Stores()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if leader := c.leaders[shard]; leader != "" && !asked[leader] {
+	if leader := c.leaders[shard]; leader != "" && !passOver(leader) {
 		return shard, leader, true
 	}
 	c.rotate++
 	now := time.Now()
 	for offset := range stores {
 		candidate := stores[(int(shard)+c.rotate+offset)%len(stores)].GetAddress()
-		if asked[candidate] {
+		if passOver(candidate) {
 			continue
 		}
 		if now.After(c.avoided[candidate]) {
--- a/internal/rateclient/rateclient.go
+++ b/internal/rateclient/rateclient.go
@@ -18,9 +18,10 @@
 	// ownerReturn is the time to come back that is told where no owner answers: as long as
 	// the stores need to elect another one.
 	ownerReturn = 400 * time.Millisecond
-	// unaskedWindow is the time in which a router lets at most one request of a tenant
-	// through without asking, and unaskedRouters how many routers may do so: both together
-	// bound what a tenant gets beyond its limit while no owner answers.
+	// unaskedWindow is the time in which a router lets one request of a tenant through
+	// without asking although its part of what the tenant has left is smaller, and
+	// unaskedRouters how many routers may do so: both together bound what a tenant gets
+	// beyond its limit while no owner answers.
 	unaskedWindow  = 5 * time.Second
 	unaskedRouters = 40
 	// refusalFor is the longest time for which a refusal is given again without asking.
@@ -54,6 +55,11 @@
 	returned  uint32
 	unasked   uint32
 	unaskedAt time.Time
+	// remaining is what the owner said at toldAt that the tenant had left, and told that it
+	// ever did.
+	remaining uint32
+	told      bool
+	toldAt    time.Time
 	// refusedUntil is until when the owner's last refusal holds, and comeBack when it
 	// expected room.
 	refusedUntil time.Time
@@ -91,6 +97,7 @@
 	if err != nil {
 		return c.unanswered(request)
 	}
+	c.answered(tenant.GetName(), response.GetRemaining())
 	if response.GetGranted() {
 		return nil
 	}
@@ -129,6 +136,14 @@
 	return 0
 }
 
+// answered keeps what the owner said that the tenant has left.
+func (c *Client) answered(tenant string, remaining uint32) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	known := c.of(tenant)
+	known.remaining, known.told, known.toldAt = remaining, true, time.Now()
+}
+
 func (c *Client) refused(tenant string, comeBack time.Duration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -144,7 +159,8 @@
 	defer c.mutex.Unlock()
 	known, now := c.of(request.GetTenant()), time.Now()
 	known.unasked += request.GetUnasked()
-	if c.mayPassUnasked(request.GetTenant()) && now.Sub(known.unaskedAt) >= unaskedWindow {
+	one := now.Sub(known.unaskedAt) >= unaskedWindow && c.mayPassUnasked(request.GetTenant())
+	if one || float64(known.unasked+1) <= c.part(known, request, now) {
 		known.unaskedAt = now
 		known.unasked++
 		return nil
@@ -153,6 +169,17 @@
 		WithRan(fault.NotRun).WithRetryAfter(ownerReturn)
 }
 
+// part is this router's part of what the tenant has left by what its owner said last and by
+// what it has earned since. The mutex is held.
+func (c *Client) part(known *tenantRate, request *rockwindpb.TakeRequestsRequest, now time.Time) float64 {
+	if !known.told {
+		return 0
+	}
+	earned := request.GetRequestsPerSecond() * now.Sub(known.toldAt).Seconds()
+	left := min(float64(request.GetRequestBurst()), float64(known.remaining)+earned)
+	return left / float64(max(1, c.routers()))
+}
+
 // mayPassUnasked tells whether this router is one of those that may let requests of a
 // tenant through unasked: all on a small site, a part of them on a large one.
 func (c *Client) mayPassUnasked(tenant string) bool {
--- a/internal/rateclient/rateclient_test.go
+++ b/internal/rateclient/rateclient_test.go
@@ -126,6 +126,31 @@
 	})
 }
 
+// TestRouterSpendsItsPartOfWhatTheTenantHasLeft while no owner answers: a large tenant is
+// served on, and all routers together stay within what the owner said.
+func TestRouterSpendsItsPartOfWhatTheTenantHasLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		large := &rockwindpb.Tenant{Name: "large", Limits: &rockwindpb.Limits{RequestsPerSecond: 100, RequestBurst: 200}}
+		owner := &fakeOwner{answer: func(context.Context) (*rockwindpb.TakeRequestsResponse, error) {
+			return &rockwindpb.TakeRequestsResponse{Granted: true, Remaining: 200}, nil
+		}}
+		client := newClient(owner, 20)
+		if err := client.Take(t.Context(), large, 1, patience); err != nil {
+			t.Fatal(err)
+		}
+		owner.answer = silent
+		passed := 0
+		for range 30 {
+			if client.Take(t.Context(), large, 1, patience) == nil {
+				passed++
+			}
+		}
+		if passed != 10 {
+			t.Fatalf("%d requests passed at one of 20 routers, with 200 left", passed)
+		}
+	})
+}
+
 // TestOnALargeSiteSomeRoutersPassNothingUnasked: what all of them let through together is
 // bounded.
 func TestOnALargeSiteSomeRoutersPassNothingUnasked(t *testing.T) {
--- a/internal/requestrate/requestrate.go
+++ b/internal/requestrate/requestrate.go
@@ -78,8 +78,9 @@
 
 // Decision is the answer to a request.
 type Decision struct {
-	granted  bool
-	comeBack time.Duration
+	granted   bool
+	comeBack  time.Duration
+	remaining uint32
 }
 
 // Granted tells whether the request is within the limit.
@@ -88,6 +89,9 @@
 // ComeBack is when the tenant is expected to have room, where the request is not granted.
 func (d Decision) ComeBack() time.Duration { return d.comeBack }
 
+// Remaining is how many more requests the tenant could make at once.
+func (d Decision) Remaining() uint32 { return d.remaining }
+
 // bucket is the count of one tenant.
 type bucket struct {
 	limit  Limit
@@ -121,7 +125,7 @@
 	held.level = min(held.limit.burst, held.level+float64(request.returned)) - float64(request.unasked)
 	if held.level >= 1 {
 		held.level--
-		return Decision{granted: true}
+		return Decision{granted: true, remaining: uint32(held.level)}
 	}
 	held.refused++
 	return Decision{comeBack: held.comeBack()}
--- a/internal/store/rates.go
+++ b/internal/store/rates.go
@@ -49,7 +49,9 @@
 	if err := sameTerm(owner.group, term); err != nil {
 		return nil, fault.ToTwirp(err)
 	}
-	return &rockwindpb.TakeRequestsResponse{Granted: decided.Granted(), RetryAfterMs: uint32(decided.ComeBack().Milliseconds())}, nil
+	return &rockwindpb.TakeRequestsResponse{
+		Granted: decided.Granted(), RetryAfterMs: uint32(decided.ComeBack().Milliseconds()), Remaining: decided.Remaining(),
+	}, nil
 }
 
 // notLeading names the leader that this store knows of.
