Send online requests where batch work is, which gives way to them

Hypothesis: batch work fills all slots that online leaves, so that at the start of a peak few servers look free, all routers send there within the age of their view, and requests queue at those servers while the stores cut batch work elsewhere.

Change: an online request counts the batch work of a server as room; stores cut what is too much there, as before.

--- a/internal/balance/headroom_test.go
+++ b/internal/balance/headroom_test.go
@@ -151,3 +151,31 @@
 		}
 	})
 }
+
+// TestOnlineRequestsGoWhereBatchWorkIs: with all slots taken, most of them by batch work, the
+// few servers with a free slot got all online requests of all processes together.
+func TestOnlineRequestsGoWhereBatchWorkIs(t *testing.T) {
+	const servers, slots = 4, 4
+	pool, shares, names := newPool(servers, slots)
+	loads := map[uint32]balance.SharedLoad{}
+	for i, name := range names {
+		loads[balance.ServerHash(name)] = balance.SharedLoad{Inflight: slots, Batch: i}
+	}
+	shares.Take("store", 1, 1, loads, 0)
+	chosen := make(map[string]int)
+	for {
+		choice, found := pool.Choose(balance.Demand{}, nil, 0, seeded(1))
+		if !found {
+			break
+		}
+		chosen[choice.ID]++
+	}
+	for i, name := range names {
+		if chosen[name] != i {
+			t.Errorf("%s with %d batch requests in its %d slots got %d online requests", name, i, slots, chosen[name])
+		}
+	}
+	if _, found := pool.Choose(balance.Demand{Batch: true}, nil, 0, seeded(1)); found {
+		t.Error("batch work was started at a full server")
+	}
+}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -285,7 +285,7 @@
 		if state == health.Healthy && accused(place) {
 			state = health.Suspect
 		}
-		cost := p.cost(candidate, state, uncached, now) + noise(alone, random)
+		cost := p.cost(candidate, state, demand, uncached, now) + noise(alone, random)
 		found.Candidates++
 		if best == nil || cost < lowest {
 			best, lowest, found.Uncached = candidate, cost, uncached
@@ -330,7 +330,13 @@
 		// slots empty. It only tells of requests that wait at the server.
 		return p.counted(s) < s.Slots && p.load(s, now) <= s.Slots
 	}
-	return p.load(s, now) < s.Slots
+	return p.online(s, now) < s.Slots
+}
+
+// online is the load of a server without the batch work there, which gives way: a request
+// that goes to a server full of batch work begins as soon as some of it is cut.
+func (p *Pool) online(s *server, now time.Duration) int {
+	return max(0, p.load(s, now)-p.batchAt(s))
 }
 
 // noise makes the least of some costs a draw: with the logarithm of exponential noise each
@@ -344,14 +350,17 @@
 
 // cost is the time to the first event that a server is expected to take, in units of
 // costScale, less the logarithm of its free slots.
-func (p *Pool) cost(candidate *server, state health.State, uncached int, now time.Duration) float64 {
-	return p.firstEvent(candidate, state, uncached)/costScale - math.Log(p.free(candidate, now))
+func (p *Pool) cost(candidate *server, state health.State, demand Demand, uncached int, now time.Duration) float64 {
+	return p.firstEvent(candidate, state, uncached)/costScale - math.Log(p.free(candidate, demand, now))
 }
 
 // free is how many more requests a server is taken to have room for; where its slots are
 // not known, the less the more it has.
-func (p *Pool) free(candidate *server, now time.Duration) float64 {
+func (p *Pool) free(candidate *server, demand Demand, now time.Duration) float64 {
 	load := float64(p.load(candidate, now))
+	if !demand.Batch {
+		load = float64(p.online(candidate, now))
+	}
 	if candidate.Slots == 0 {
 		return 1 / (1 + load)
 	}
