Bridge starts and changes of owners: hold, go on from what was told, wait for the rate

Change: a router that starts holds a request which can't usefully come back; a client that came back waits for the owner or the rate where the wait is short; a new owner goes on from what the asking router was told last, else from a part of the tolerance that the settings give (rate_tolerance).

--- a/internal/loadshare/layout.go
+++ b/internal/loadshare/layout.go
@@ -14,10 +14,13 @@
 	// relayCount is how many members of a group may be its delegate: the first of them
 	// that is heard is, and the others know what it knows when it falls silent.
 	relayCount = 3
-	// shortestInterval is the time between digests among few processes, and
-	// intervalPerMember lengthens it in large groups, so that a delegate spends the same
-	// on digests however many members there are. 50 members of a zone are told each
-	// 100 ms, so that a load is known in its zone within 200 ms.
+	// meshInterval is the time between digests in a mesh, where news that others wait for
+	// are told at once besides.
+	meshInterval = 80 * time.Millisecond
+	// shortestInterval is the time between digests in a small group, and intervalPerMember
+	// lengthens it in large ones, so that a delegate spends the same on digests however many
+	// members there are. 50 members of a zone are told each 100 ms, so that a load is known
+	// in its zone within 200 ms.
 	shortestInterval  = 40 * time.Millisecond
 	intervalPerMember = 2 * time.Millisecond
 	// intervalPerGroup is the time between digests of a group to the others, for each of
@@ -164,8 +167,11 @@
 	return false
 }
 
-// Interval is the time between digests within the group.
+// Interval is the time between digests within the group, or the mesh.
 func (l *Layout) Interval() time.Duration {
+	if l.Mesh() {
+		return meshInterval
+	}
 	return max(shortestInterval, time.Duration(len(l.members))*intervalPerMember)
 }
 
--- a/internal/rateclient/rateclient.go
+++ b/internal/rateclient/rateclient.go
@@ -132,6 +132,11 @@
 		return max(shortestReturn, known.comeBack.Sub(now))
 	}
 	request.Returned, request.Unasked = known.returned, known.unasked
+	if known.told {
+		remaining := known.remaining
+		request.Remaining = &remaining
+		request.RemainingAgeMs = uint32(now.Sub(known.toldAt).Milliseconds())
+	}
 	known.returned, known.unasked = 0, 0
 	return 0
 }
--- a/internal/requestrate/requestrate.go
+++ b/internal/requestrate/requestrate.go
@@ -5,8 +5,9 @@
 //
 // A tenant's requests are a token bucket: it fills at the tenant's rate and holds its
 // burst. What is counted is state of one leadership and is not written to disk; a new
-// owner does not know what the one before has granted, and begins with nearly empty
-// buckets (freshLevel), so that both together stay within the limit.
+// owner begins with what the one before told the router that asks first, or with nearly
+// empty buckets where it told nothing, so that both together stay within the limit and its
+// tolerance but for what was granted between that word and the change of owners.
 //
 // The package is pure: time is an argument, as a duration since an origin of the
 // caller's choice.
@@ -20,9 +21,12 @@
 )
 
 const (
-	// freshLevel is how many requests a new owner grants a tenant at once before any time
-	// has passed: enough for a small tenant not to notice the change of owners.
+	// freshLevel is how many requests a new owner that was told nothing grants a tenant at
+	// once before any time has passed: enough for a small tenant not to notice the change of
+	// owners. Where a tolerance is set, a new owner grants freshPart of it; the rest is left
+	// for requests that reach servers later than others, and for those let through unasked.
 	freshLevel = 5.0
+	freshPart  = 0.6
 	// smallestBurst is the burst of a tenant whose limit has none, as part of a second's
 	// requests, and smallestBurstMost bounds it: requests do not come evenly spaced.
 	smallestBurst     = 0.5
@@ -54,6 +58,25 @@
 	return Limit{perSecond: perSecond, burst: max(float64(burst), least)}
 }
 
+// Tolerance says by how much a tenant's requests in a window may exceed its limit; the zero
+// value is none.
+type Tolerance struct {
+	window   time.Duration
+	part     float64
+	requests float64
+}
+
+// NewTolerance returns the tolerance of a part of what the limit lets through in the window,
+// and of so many requests beside it.
+func NewTolerance(window time.Duration, part, requests float64) Tolerance {
+	return Tolerance{window: window, part: part, requests: requests}
+}
+
+// of is how many requests beyond a limit are tolerated in the window.
+func (t Tolerance) of(limit Limit) float64 {
+	return t.part*(limit.perSecond*t.window.Seconds()+limit.burst) + t.requests
+}
+
 // Request is what a router asks for.
 type Request struct {
 	tenant   string
@@ -61,12 +84,16 @@
 	number   uint64
 	returned uint32
 	unasked  uint32
+	// remaining is what an owner said last that the tenant had left, so long ago; negative
+	// where none has.
+	remaining float64
+	age       time.Duration
 }
 
 // NewRequest asks for one request of a tenant, under the limit of the configuration with
 // the given number.
 func NewRequest(tenant string, limit Limit, number uint64) Request {
-	return Request{tenant: tenant, limit: limit, number: number}
+	return Request{tenant: tenant, limit: limit, number: number, remaining: -1}
 }
 
 // WithSettlement adds what the router has to settle: how many requests that it was granted
@@ -76,6 +103,12 @@
 	return r
 }
 
+// WithRemaining adds what an owner said last to the router that the tenant had left.
+func (r Request) WithRemaining(remaining uint32, age time.Duration) Request {
+	r.remaining, r.age = float64(remaining), age
+	return r
+}
+
 // Decision is the answer to a request.
 type Decision struct {
 	granted   bool
@@ -107,14 +140,15 @@
 // Counts is what the owner of tenants counts in one term. It belongs to one goroutine at a
 // time.
 type Counts struct {
-	began   time.Duration
-	swept   time.Duration
-	buckets map[string]*bucket
+	tolerance Tolerance
+	began     time.Duration
+	swept     time.Duration
+	buckets   map[string]*bucket
 }
 
 // NewCounts returns the counts of an owner whose term began at a time.
-func NewCounts(began time.Duration) *Counts {
-	return &Counts{began: began, swept: began, buckets: make(map[string]*bucket)}
+func NewCounts(tolerance Tolerance, began time.Duration) *Counts {
+	return &Counts{tolerance: tolerance, began: began, swept: began, buckets: make(map[string]*bucket)}
 }
 
 // Take decides on a request, and counts it where it is granted.
@@ -135,8 +169,7 @@
 func (c *Counts) bucket(request Request, now time.Duration) *bucket {
 	held, known := c.buckets[request.tenant]
 	if !known {
-		earned := request.limit.perSecond * (now - c.began).Seconds()
-		held = &bucket{limit: request.limit, number: request.number, level: min(request.limit.burst, freshLevel+earned), at: now}
+		held = &bucket{limit: request.limit, number: request.number, level: c.firstLevel(request, now), at: now}
 		c.buckets[request.tenant] = held
 	}
 	if request.number > held.number {
@@ -145,6 +178,15 @@
 	return held
 }
 
+// firstLevel is what a tenant has left that this owner has not counted yet.
+func (c *Counts) firstLevel(request Request, now time.Duration) float64 {
+	level := max(freshLevel, freshPart*c.tolerance.of(request.limit)) + request.limit.perSecond*(now-c.began).Seconds()
+	if request.remaining >= 0 {
+		level = max(level, request.remaining+request.limit.perSecond*request.age.Seconds())
+	}
+	return min(request.limit.burst, level)
+}
+
 // advance adds what the time since the last request has earned.
 func (b *bucket) advance(now time.Duration) {
 	elapsed := max(0, now-b.at)
--- a/internal/requestrate/requestrate_test.go
+++ b/internal/requestrate/requestrate_test.go
@@ -28,7 +28,7 @@
 }
 
 func TestTenantHasItsBurstAndThenItsRate(t *testing.T) {
-	counts, limit := requestrate.NewCounts(0), requestrate.NewLimit(10, 30)
+	counts, limit := requestrate.NewCounts(requestrate.Tolerance{}, 0), requestrate.NewLimit(10, 30)
 	if granted := grants(counts, ask(limit), 100, long); granted != 30 {
 		t.Fatalf("%d of 100 at once were granted", granted)
 	}
@@ -41,7 +41,7 @@
 }
 
 func TestLimitWithoutABurstTakesRequestsAsTheyCome(t *testing.T) {
-	counts := requestrate.NewCounts(0)
+	counts := requestrate.NewCounts(requestrate.Tolerance{}, 0)
 	if granted := grants(counts, ask(requestrate.NewLimit(4, 0)), 10, long); granted != 2 {
 		t.Fatalf("%d of 10 at once were granted", granted)
 	}
@@ -53,16 +53,42 @@
 // TestNewOwnerBeginsNearlyEmpty: it does not know what the one before has granted.
 func TestNewOwnerBeginsNearlyEmpty(t *testing.T) {
 	limit := requestrate.NewLimit(10, 100)
-	if granted := grants(requestrate.NewCounts(long), ask(limit), 100, long); granted != 5 {
+	if granted := grants(requestrate.NewCounts(requestrate.Tolerance{}, long), ask(limit), 100, long); granted != 5 {
 		t.Fatalf("%d were granted at the beginning of a term", granted)
 	}
-	if granted := grants(requestrate.NewCounts(long), ask(limit), 100, long+2*time.Second); granted != 25 {
+	if granted := grants(requestrate.NewCounts(requestrate.Tolerance{}, long), ask(limit), 100, long+2*time.Second); granted != 25 {
 		t.Fatalf("%d were granted two seconds later", granted)
 	}
 }
 
+// TestNewOwnerUsesAPartOfTheTolerance, up to the burst: small tenants have all of it.
+func TestNewOwnerUsesAPartOfTheTolerance(t *testing.T) {
+	tolerance := requestrate.NewTolerance(5*time.Second, 0.1, 20)
+	for burst, want := range map[uint32]int{10: 10, 200: 84} {
+		counts := requestrate.NewCounts(tolerance, long)
+		if granted := grants(counts, ask(requestrate.NewLimit(float64(burst), burst)), 300, long); granted != want {
+			t.Errorf("%d of a burst of %d were granted at the beginning of a term, want %d", granted, burst, want)
+		}
+	}
+}
+
+// TestNewOwnerGoesOnFromWhatTheOneBeforeTold, with what was earned since, up to the burst.
+func TestNewOwnerGoesOnFromWhatTheOneBeforeTold(t *testing.T) {
+	limit := requestrate.NewLimit(10, 100)
+	for _, told := range []struct {
+		remaining uint32
+		age       time.Duration
+		want      int
+	}{{40, 0, 40}, {40, 2 * time.Second, 60}, {90, time.Minute, 100}, {0, 0, 5}} {
+		counts := requestrate.NewCounts(requestrate.Tolerance{}, long)
+		if granted := grants(counts, ask(limit).WithRemaining(told.remaining, told.age), 200, long); granted != told.want {
+			t.Errorf("%d were granted after %+v", granted, told)
+		}
+	}
+}
+
 func TestNewestLimitHolds(t *testing.T) {
-	counts := requestrate.NewCounts(0)
+	counts := requestrate.NewCounts(requestrate.Tolerance{}, 0)
 	wide, narrow := requestrate.NewLimit(100, 100), requestrate.NewLimit(1, 3)
 	counts.Take(requestrate.NewRequest("tenant", wide, 7), long)
 	counts.Take(requestrate.NewRequest("tenant", narrow, 8), long)
@@ -72,7 +98,7 @@
 }
 
 func TestRequestsThatDidNotRunAreGivenBack(t *testing.T) {
-	counts, limit := requestrate.NewCounts(0), requestrate.NewLimit(1, 10)
+	counts, limit := requestrate.NewCounts(requestrate.Tolerance{}, 0), requestrate.NewLimit(1, 10)
 	grants(counts, ask(limit), 10, long)
 	if !counts.Take(ask(limit).WithSettlement(1, 0), long).Granted() {
 		t.Fatal("what was given back is not granted again")
@@ -86,7 +112,7 @@
 }
 
 func TestUnaskedRequestsCount(t *testing.T) {
-	counts, limit := requestrate.NewCounts(0), requestrate.NewLimit(10, 10)
+	counts, limit := requestrate.NewCounts(requestrate.Tolerance{}, 0), requestrate.NewLimit(10, 10)
 	grants(counts, ask(limit), 10, long)
 	counts.Take(ask(limit).WithSettlement(0, 20), long)
 	if counts.Take(ask(limit), long+1900*time.Millisecond).Granted() {
@@ -99,7 +125,7 @@
 
 // TestTimeToComeBackGrowsWithWhatIsAskedBeyondTheLimit, within its bounds.
 func TestTimeToComeBackGrowsWithWhatIsAskedBeyondTheLimit(t *testing.T) {
-	counts, limit := requestrate.NewCounts(0), requestrate.NewLimit(10, 10)
+	counts, limit := requestrate.NewCounts(requestrate.Tolerance{}, 0), requestrate.NewLimit(10, 10)
 	grants(counts, ask(limit), 10, long)
 	first := counts.Take(ask(limit), long).ComeBack()
 	grants(counts, ask(limit), 30, long)
@@ -118,14 +144,14 @@
 		perSecond := rapid.Float64Range(0.2, 50).Draw(t, "rate")
 		burst := rapid.Uint32Range(1, 80).Draw(t, "burst")
 		limit := requestrate.NewLimit(perSecond, burst)
-		counts := requestrate.NewCounts(0)
+		counts := requestrate.NewCounts(requestrate.Tolerance{}, 0)
 		now := long
 		owners := 0
 		var granted []time.Duration
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond
 			if rapid.IntRange(0, 40).Draw(t, "change") == 0 {
-				counts = requestrate.NewCounts(now)
+				counts = requestrate.NewCounts(requestrate.Tolerance{}, now)
 				owners++
 			}
 			if counts.Take(ask(limit), now).Granted() {
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -11,6 +11,7 @@
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/health"
+	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/upstream"
 )
@@ -101,10 +102,7 @@
 func (e *exchange) run(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, e.ends)
 	defer cancel()
-	asked := time.Now()
-	err := e.router.rates.Take(ctx, e.tenant, e.number, e.ownerPatience())
-	e.waited += time.Since(asked)
-	if err != nil {
+	if err := e.takeRate(ctx); err != nil {
 		e.refuseUncounted(fault.From(err))
 		return
 	}
@@ -153,10 +151,27 @@
 	return remaining
 }
 
-// ownerPatience is how long the request may wait for the owner of its tenant's rate.
-func (e *exchange) ownerPatience() time.Duration {
+// takeRate takes the request out of its tenant's rate. Where no owner answers soon, a client
+// that may come back is told to; for one that has come back the owner is asked on.
+func (e *exchange) takeRate(ctx context.Context) error {
+	began := time.Now()
+	defer func() { e.waited += time.Since(began) }()
 	goal := time.Duration(e.route.GetGoalMs()) * time.Millisecond
-	return max(leastOwnerPatience, time.Duration(ownerPatiencePart*float64(goal)))
+	soon := max(leastOwnerPatience, time.Duration(ownerPatiencePart*float64(goal)))
+	err := e.router.rates.Take(ctx, e.tenant, e.number, soon)
+	for err != nil && !e.mayComeBack() && e.awaitRate(ctx, fault.From(err)) {
+		err = e.router.rates.Take(ctx, e.tenant, e.number, e.patience())
+	}
+	return err
+}
+
+// awaitRate waits for as long as the refusal of a request says that its tenant's rate needs,
+// and tells whether to ask again: not where that is longer than the request may wait.
+func (e *exchange) awaitRate(ctx context.Context, refusal *fault.Fault) bool {
+	if refusal.Kind == fault.LimitReached {
+		return refusal.RetryAfter <= e.patience() && retry.Pause(ctx, refusal.RetryAfter)
+	}
+	return e.patience() > leastOwnerPatience && retry.Pause(ctx, shortestReturn)
 }
 
 // refuseUncounted answers a request that its tenant's rate has no room for, or whose owner
--- a/internal/router/recording.go
+++ b/internal/router/recording.go
@@ -25,6 +25,9 @@
 	fields["candidates"] = lease.Candidates
 	fields["uncached_tokens"] = lease.Uncached
 	fields["load_age_ms"] = lease.ReportAge.Milliseconds()
+	if e.started {
+		fields["first_ms"] = e.firstAfter.Milliseconds()
+	}
 	if reason != "" {
 		fields["reason"] = reason
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -44,6 +44,11 @@
 	// one as a rule.
 	unknownReturn = 300 * time.Millisecond
 	startTime     = 1600 * time.Millisecond
+	// soonKnown is the rest of that time for which a client is not sent away, and
+	// longestStart how long after its start a router holds requests at most: after that the
+	// coordinators are taken to be down.
+	soonKnown    = 400 * time.Millisecond
+	longestStart = 5 * time.Second
 	// returnSpread is the largest factor by which times to come back are spread.
 	returnSpread = 1.3
 	// evaluateInterval is the time between judgements of the servers.
@@ -114,7 +119,7 @@
 // ServeHTTP implements http.Handler.
 func (r *Router) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	received := time.Now()
-	if !r.watcher.Known() {
+	if !r.watcher.Known() && !r.awaitKnown(request) {
 		r.refuseUnknown(writer, request)
 		return
 	}
@@ -149,6 +154,24 @@
 	created.run(request.Context())
 }
 
+// awaitKnown holds a request of a router that has just started until a configuration is
+// known, and tells whether it is. A client that can come back once it is known, by what
+// starts take as a rule, is told so instead; one that would have to come back earlier, or
+// just then, is held: it may have come back once already.
+func (r *Router) awaitKnown(request *http.Request) bool {
+	facts, _ := r.protocol.Facts(request.Header)
+	elapsed := time.Since(r.started)
+	comeBack := startTime - elapsed
+	canReturn := comeBack > soonKnown && comeBack <= boundReturn(comeBack, facts.Deadline)
+	patience := min(longestStart-elapsed, time.Duration(patiencePart*float64(facts.Deadline)))
+	if canReturn || patience <= 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), patience)
+	defer cancel()
+	return r.watcher.AwaitKnown(ctx)
+}
+
 // refuseUnknown answers while no configuration is known: after a start this takes
 // about as long as the coordinators need to agree on a leader.
 func (r *Router) refuseUnknown(writer http.ResponseWriter, request *http.Request) {
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -154,6 +154,21 @@
 	return w.directory.Load() != nil && w.Configuration().Number() > 0
 }
 
+// AwaitKnown waits until Known, and returns false where the context ends before.
+func (w *Watcher) AwaitKnown(ctx context.Context) bool {
+	for {
+		changed := w.Changed()
+		if w.Known() {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // LastHeard is when a coordinator that hears its leader last answered.
 func (w *Watcher) LastHeard() time.Time { return time.Unix(0, w.heard.Load()) }
 
--- a/internal/store/rates.go
+++ b/internal/store/rates.go
@@ -13,8 +13,9 @@
 // requestRates counts the requests of the tenants whose shards this store leads. It
 // implements rockwindpb.RequestRateService; its methods may be called by any goroutine.
 type requestRates struct {
-	store  *Store
-	origin time.Time
+	store     *Store
+	tolerance requestrate.Tolerance
+	origin    time.Time
 
 	mutex sync.Mutex
 	terms map[uint32]*ratesOfTerm
@@ -27,7 +28,12 @@
 }
 
 func newRequestRates(s *Store) *requestRates {
-	return &requestRates{store: s, origin: time.Now(), terms: make(map[uint32]*ratesOfTerm)}
+	given := s.settings.GetRateTolerance()
+	window := time.Duration(given.GetWindowS() * float64(time.Second))
+	return &requestRates{
+		store: s, tolerance: requestrate.NewTolerance(window, given.GetPart(), given.GetRequests()),
+		origin: time.Now(), terms: make(map[uint32]*ratesOfTerm),
+	}
 }
 
 // Take implements rockwindpb.RequestRateService. Only a leader whose lease holds grants
@@ -64,12 +70,15 @@
 	limit := requestrate.NewLimit(request.GetRequestsPerSecond(), request.GetRequestBurst())
 	asked := requestrate.NewRequest(request.GetTenant(), limit, request.GetConfiguration()).
 		WithSettlement(request.GetReturned(), request.GetUnasked())
+	if request.Remaining != nil {
+		asked = asked.WithRemaining(request.GetRemaining(), time.Duration(request.GetRemainingAgeMs())*time.Millisecond)
+	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := time.Since(r.origin)
 	held := r.terms[shard]
 	if held == nil || held.term != term {
-		held = &ratesOfTerm{term: term, counts: requestrate.NewCounts(now)}
+		held = &ratesOfTerm{term: term, counts: requestrate.NewCounts(r.tolerance, now)}
 		r.terms[shard] = held
 	}
 	return held.counts.Take(asked, now)
