Pace online requests at saturation, and cut batch work for excess only

Hypothesis: at a peak all routers see the same few free slots and fill them together, so that requests queue at servers, where they cannot be moved, while slots that were freed since stay empty.

Change, where loads go by relays: a router starts as many online requests as it ends, and its part of the free slots for each age of the view; batch work gives way where a server has too much, and not to the queues of routers, whose requests go to servers with batch work anyway.

--- a/internal/balance/evidence.go
+++ b/internal/balance/evidence.go
@@ -46,7 +46,7 @@
 		return
 	}
 	known := p.servers[place]
-	known.ended(choice)
+	p.release(known, choice)
 	if outcome == health.Refused {
 		known.fullUntil = now + fullFor
 	}
@@ -60,24 +60,26 @@
 	if known == nil {
 		return
 	}
-	known.ended(choice)
+	p.release(known, choice)
 	known.gone = true
 }
 
 // Abandoned takes the end of an exchange that says nothing of the server.
 func (p *Pool) Abandoned(choice Choice) {
 	if known := p.find(choice.ID); known != nil {
-		known.ended(choice)
+		p.release(known, choice)
 	}
 }
 
-// ended takes a request off the counts.
-func (s *server) ended(choice Choice) {
+// release takes a request off the counts of its server.
+func (p *Pool) release(s *server, choice Choice) {
 	s.inflight = max(0, s.inflight-1)
 	s.since--
 	if choice.Batch {
 		s.batch = max(0, s.batch-1)
+		return
 	}
+	p.pacing.ended()
 }
 
 // Evaluate runs the judgements that depend on time. Call it a few times a second.
--- a/internal/balance/headroom.go
+++ b/internal/balance/headroom.go
@@ -105,10 +105,10 @@
 
 // batchFits tells whether the service as a whole has room for one more batch request
 // beside the online work of the moment. What this process started a moment ago counts for
-// each process that starts batch work: those may have started as much. None starts while
-// online requests wait.
+// each process that starts batch work: those may have started as much. Where requests that
+// wait have the slots of batch work only once that gives way, none starts while they do.
 func (p *Pool) batchFits(now time.Duration, random *rand.Rand) bool {
-	if p.shares.At(p.queue).Inflight > 0 {
+	if !p.paced() && p.shares.At(p.queue).Inflight > 0 {
 		return false
 	}
 	sum := p.usage(now)
@@ -131,7 +131,8 @@
 // Yield tells at which servers this process has batch work that should give way to online
 // work, and how much of it. At a server with more requests than slots that is its share of
 // what is too much; for online requests that wait in the queues of all processes, waiting
-// of them in this one's, it is its share of those. A part of a request is drawn by chance,
+// of them in this one's, it is its share of those. Requests that are paced are sent to servers
+// with batch work and do not wait for it to give way. A part of a request is drawn by chance,
 // so that processes that see the same do neither nothing nor all. The visitor returns how
 // many gave way.
 func (p *Pool) Yield(waiting int, now time.Duration, random *rand.Rand, visit func(server string, requests int) int) {
@@ -145,7 +146,9 @@
 			each.excess.reopen()
 		}
 	}
-	p.yieldToQueues(waiting, now, random, visit)
+	if !p.paced() {
+		p.yieldToQueues(waiting, now, random, visit)
+	}
 }
 
 // yieldToQueues gives way to the online requests that wait in the queues of all processes,
--- a/internal/balance/headroom_test.go
+++ b/internal/balance/headroom_test.go
@@ -18,7 +18,7 @@
 	var names []string
 	var members []balance.Member
 	for i := range servers {
-		name := fmt.Sprintf("server-%d", i)
+		name := serverName(i)
 		names = append(names, name)
 		members = append(members, balance.Member{ID: name, Address: name, Zone: "here", Slots: slots})
 	}
@@ -26,6 +26,8 @@
 	return pool, shares, names
 }
 
+func serverName(number int) string { return fmt.Sprintf("server-%d", number) }
+
 func seeded(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
 
 // TestBatchWorkFillsWhatOnlineWorkLeaves counts the batch requests that start beside
--- /dev/null
+++ b/internal/balance/pacing.go
@@ -0,0 +1,69 @@
+package balance
+
+import "time"
+
+const (
+	// leastCredit is how many online requests a process may start at once at least beyond
+	// what it has ended, where there is room.
+	leastCredit = 2.0
+	// spareSlots is the part of all slots beyond which online requests may queue at servers:
+	// it lets a process start something that has ended nothing while all others are busy.
+	spareSlots = 0.01
+)
+
+// pacing bounds the online requests that a process starts where the loads of others are
+// old. All processes see the same free slots; if each of them filled these, as many requests
+// as there are processes would queue at the servers that had a free slot, while the slots
+// that others have freed since stay empty. So a process starts as many as it ends itself,
+// and its part of the slots that are free beyond that.
+type pacing struct {
+	credit float64
+	at     time.Duration
+}
+
+// earn adds the process's part of the free slots of the time since the last look.
+func (c *pacing) earn(part float64, viewAge, now time.Duration) {
+	most := max(leastCredit, part)
+	elapsed := min(viewAge, now-c.at)
+	c.credit = min(most, c.credit+max(0, part)*float64(elapsed)/float64(viewAge))
+	c.at = now
+}
+
+// ended gives back the credit of a request that has left its slot.
+func (c *pacing) ended() { c.credit++ }
+
+// SetOnlineProcesses tells how many processes start online requests, this one included.
+func (p *Pool) SetOnlineProcesses(count int) { p.onlineProcesses = count }
+
+// paced tells whether online requests are paced: the loads of others are old, and there are
+// others that start online requests.
+func (p *Pool) paced() bool { return p.viewAge > 0 && p.onlineProcesses > 1 }
+
+// mayStart tells whether this process may start one more online request now.
+func (p *Pool) mayStart(now time.Duration) bool {
+	if !p.paced() {
+		return true
+	}
+	free, limited := p.freeSlots(now)
+	if !limited {
+		return true
+	}
+	p.pacing.earn(free/float64(p.onlineProcesses), p.viewAge, now)
+	return p.pacing.credit >= 1
+}
+
+// freeSlots is how many slots of all servers online requests could use, less those that
+// queue at servers, with the spare ones. It does not know where a server does not say its
+// slots.
+func (p *Pool) freeSlots(now time.Duration) (free float64, limited bool) {
+	for place, each := range p.servers {
+		if each == nil || !p.usable(place, now) {
+			continue
+		}
+		if each.Slots == 0 {
+			return 0, false
+		}
+		free += float64(each.Slots)*(1+spareSlots) - float64(p.online(each, now))
+	}
+	return free, true
+}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -122,6 +122,10 @@
 	batchProcesses int
 	// viewAge is how old the loads of other processes may be.
 	viewAge time.Duration
+	// onlineProcesses is how many processes start online requests, and pacing bounds what
+	// this one starts.
+	onlineProcesses int
+	pacing          pacing
 }
 
 // NewPool returns a pool of a service without servers, for a process in the given zone.
@@ -265,6 +269,9 @@
 	if demand.Batch && !p.batchFits(now, random) {
 		return Choice{}, false
 	}
+	if !demand.Batch && !p.mayStart(now) {
+		return Choice{}, false
+	}
 	var best *server
 	var found Choice
 	lowest := 0.0
@@ -413,6 +420,8 @@
 	if demand.Batch {
 		chosen.batch++
 		p.headroom.starts.add(1, now)
+	} else {
+		p.pacing.credit--
 	}
 	chosen.unread += uncached
 	for _, part := range demand.Parts {
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -34,6 +34,8 @@
 	// other processes may be.
 	stores  int
 	viewAge time.Duration
+	// routers is how many processes start online requests.
+	routers int
 	// pressed is closed when online requests wait, and replaced.
 	pressed chan struct{}
 }
@@ -84,6 +86,7 @@
 	for name, list := range members {
 		d.service(name).pool.Update(list)
 		d.service(name).pool.SetBatchProcesses(d.stores)
+		d.service(name).pool.SetOnlineProcesses(d.routers)
 		d.service(name).pool.SetViewAge(d.viewAge)
 		d.serveWaiting(name)
 	}
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -121,7 +121,7 @@
 		return
 	}
 	var members []loadshare.Member
-	d.stores = 0
+	d.stores, d.routers = 0, 0
 	for _, machine := range view.Machines() {
 		rank := routerRank
 		switch machine.GetRole() {
@@ -129,6 +129,7 @@
 			rank = storeRank
 			d.stores++
 		case rockwindpb.SiteRole_SITE_ROLE_ROUTER:
+			d.routers++
 		default:
 			continue
 		}
