--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"cmp"
 	"container/heap"
 	"context"
 	"math/rand/v2"
@@ -40,14 +39,6 @@
 	pressed chan struct{}
 }
 
-// servicePool is the pool of one service with the requests that wait for it.
-type servicePool struct {
-	pool    *balance.Pool
-	waiting waiters
-	// holding is how long requests held a server lately, for the time to come back.
-	holding time.Duration
-}
-
 // NewDispatcher returns a dispatcher without servers, for a process in a zone.
 func NewDispatcher(zone string) *Dispatcher {
 	return &Dispatcher{
@@ -101,71 +92,6 @@
 	return found
 }
 
-const (
-	// typicalHolding is how long requests are taken to hold a server before any has
-	// ended.
-	typicalHolding = time.Second
-	// holdingWeight is the weight of one request in the running mean.
-	holdingWeight = 0.05
-	// shortestReturn is the shortest time to come back that is told.
-	shortestReturn = 50 * time.Millisecond
-)
-
-// Priority orders requests that wait: by that of the tenant, then by that of the route.
-// Lower numbers go first.
-type Priority struct {
-	Tenant uint32
-	Route  uint32
-}
-
-// Before tells whether a request of this priority goes before one of the other.
-func (p Priority) Before(other Priority) bool {
-	return cmp.Or(cmp.Compare(p.Tenant, other.Tenant), cmp.Compare(p.Route, other.Route)) < 0
-}
-
-// waiter is a request that waits for room.
-type waiter struct {
-	demand   balance.Demand
-	priority Priority
-	order    uint64
-	tried    []string
-	granted  chan balance.Choice
-	// index is its place in the heap, -1 once it has left.
-	index int
-}
-
-// waiters orders those that wait by priority, then by arrival.
-type waiters []*waiter
-
-func (w waiters) Len() int { return len(w) }
-func (w waiters) Less(i, j int) bool {
-	if w[i].priority != w[j].priority {
-		return w[i].priority.Before(w[j].priority)
-	}
-	return w[i].order < w[j].order
-}
-func (w waiters) Swap(i, j int) {
-	w[i], w[j] = w[j], w[i]
-	w[i].index, w[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (w *waiters) Push(added any) {
-	entry := added.(*waiter)
-	entry.index = len(*w)
-	*w = append(*w, entry)
-}
-
-// Pop implements heap.Interface.
-func (w *waiters) Pop() any {
-	last := len(*w) - 1
-	entry := (*w)[last]
-	entry.index = -1
-	(*w)[last] = nil
-	*w = (*w)[:last]
-	return entry
-}
-
 // Lease is a server that a request may use. It ends with Done or Abandon.
 type Lease struct {
 	balance.Choice
@@ -286,9 +212,7 @@
 		return d.lease(service, <-entry.granted), nil
 	}
 	heap.Remove(&pool.waiting, entry.index)
-	comeBack := max(shortestReturn, pool.holding/2)
-	return nil, fault.Newf(fault.Overloaded, "come back after the time given", "all servers of service %s are busy", service).
-		WithRan(fault.NotRun).WithRetryAfter(comeBack)
+	return nil, pool.busy(service)
 }
 
 // serveWaiting gives servers with room to those that wait, in their order.
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -108,7 +108,7 @@
 	}
 	for {
 		asked := time.Now()
-		lease, err := e.router.dispatcher.Acquire(ctx, e.service, e.demand(), e.priority(), e.tried, e.patience())
+		lease, err := e.router.dispatcher.Acquire(ctx, e.service, e.demand(), e.priority(), e.tried, e.roomPatience())
 		e.waited += time.Since(asked)
 		if err != nil {
 			e.fail(ctx, err)
@@ -141,14 +141,18 @@
 	return Priority{Tenant: e.tenant.GetPriority(), Route: e.route.GetPriority()}
 }
 
-// patience is how long the request may wait for room now.
+// patience is how long the request may wait at most now.
 func (e *exchange) patience() time.Duration {
-	remaining := time.Duration(patiencePart * float64(time.Until(e.ends)))
+	return time.Duration(patiencePart * float64(time.Until(e.ends)))
+}
+
+// roomPatience is how long the request may wait for room now.
+func (e *exchange) roomPatience() time.Duration {
 	goal := time.Duration(e.route.GetGoalMs()) * time.Millisecond
 	if goal > 0 && e.sent == 0 && e.mayComeBack() {
-		return min(remaining, time.Duration(earlyPatience*float64(goal)))
+		return min(e.patience(), time.Duration(earlyPatience*float64(goal)))
 	}
-	return remaining
+	return e.patience()
 }
 
 // takeRate takes the request out of its tenant's rate. Where no owner answers soon, a client
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,23 +12,17 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
-	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/dial"
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/jobclient"
-	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/rateclient"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/site"
@@ -39,18 +33,6 @@
 const (
 	// defaultBodyBytes bounds a request's body where the configuration does not.
 	defaultBodyBytes = 4 << 20
-	// unknownReturn is the shortest time to come back that is told while no
-	// configuration is known, and startTime how long after its start a router knows
-	// one as a rule.
-	unknownReturn = 300 * time.Millisecond
-	startTime     = 1600 * time.Millisecond
-	// soonKnown is the rest of that time for which a client is not sent away, and
-	// longestStart how long after its start a router holds requests at most: after that the
-	// coordinators are taken to be down.
-	soonKnown    = 400 * time.Millisecond
-	longestStart = 5 * time.Second
-	// returnSpread is the largest factor by which times to come back are spread.
-	returnSpread = 1.3
 	// evaluateInterval is the time between judgements of the servers.
 	evaluateInterval = 250 * time.Millisecond
 )
@@ -154,47 +136,6 @@
 	created.run(request.Context())
 }
 
-// awaitKnown holds a request of a router that has just started until a configuration is
-// known, and tells whether it is. A client that can come back once it is known, by what
-// starts take as a rule, is told so instead; one that would have to come back earlier, or
-// just then, is held: it may have come back once already.
-func (r *Router) awaitKnown(request *http.Request) bool {
-	facts, _ := r.protocol.Facts(request.Header)
-	elapsed := time.Since(r.started)
-	comeBack := startTime - elapsed
-	canReturn := comeBack > soonKnown && comeBack <= boundReturn(comeBack, facts.Deadline)
-	patience := min(longestStart-elapsed, time.Duration(patiencePart*float64(facts.Deadline)))
-	if canReturn || patience <= 0 {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(request.Context(), patience)
-	defer cancel()
-	return r.watcher.AwaitKnown(ctx)
-}
-
-// refuseUnknown answers while no configuration is known: after a start this takes
-// about as long as the coordinators need to agree on a leader.
-func (r *Router) refuseUnknown(writer http.ResponseWriter, request *http.Request) {
-	facts, _ := r.protocol.Facts(request.Header)
-	comeBack := max(unknownReturn, startTime-time.Since(r.started))
-	failure := fault.New(fault.Unavailable, "this router knows no configuration yet", "come back, or ask another router").
-		WithRan(fault.NotRun).WithRetryAfter(boundReturn(comeBack, facts.Deadline))
-	refuse(writer, http.StatusServiceUnavailable, failure)
-}
-
-// returnPart is the part of the remaining time within which a client is told to
-// come back: later than a third of it, it would not come at all.
-const returnPart = 0.3 / returnSpread
-
-// boundReturn bounds a time to come back by what the client has left; zero is
-// unknown.
-func boundReturn(comeBack, remaining time.Duration) time.Duration {
-	if remaining <= 0 {
-		return comeBack
-	}
-	return min(comeBack, time.Duration(returnPart*float64(remaining)))
-}
-
 func (r *Router) newExchange(writer http.ResponseWriter, request *http.Request, route *rockwindpb.Route, facts Facts, body []byte, received time.Time) *exchange {
 	limit := time.Duration(route.GetTimeoutMs()) * time.Millisecond
 	if facts.Deadline > 0 {
@@ -280,93 +221,3 @@
 	}
 	return nil, fault.New(fault.InvalidArgument, "the body could not be read", "send the whole body").WithRan(fault.NotRun)
 }
-
-// submit hands a batch job of a tenant to the stores, by the configuration of the given
-// number. It is answered once enough copies are synced.
-func (r *Router) submit(writer http.ResponseWriter, request *http.Request, route *rockwindpb.Route, tenant *rockwindpb.Tenant, body []byte, number uint64) {
-	job, err := r.protocol.Job(request.Header, body)
-	if err != nil {
-		refuseFault(writer, err)
-		return
-	}
-	job.Host, job.Path, job.Tenant = request.Host, request.URL.EscapedPath(), tenant.GetName()
-	job.SubmittedUnixMs = time.Now().UnixMilli()
-	if job.Digest, err = jobstore.Digest(job); err != nil {
-		refuseFault(writer, err)
-		return
-	}
-	limited := uint64(0)
-	if route.GetMaximumWaitingTokens() > 0 {
-		limited = number
-	}
-	began := time.Now()
-	err = r.jobs.Submit(request.Context(), job, limited)
-	fields := log.Fields{"route": route.GetName(), "tenant": tenant.GetName(), "items": len(job.GetItems()), "bytes": len(body), "took_ms": time.Since(began).Milliseconds()}
-	if err != nil {
-		fields["error"] = err.Error()
-		decision.Default.Record(decision.JobRefused, job.GetId(), fields)
-		refuseFault(writer, r.withinReach(request.Header, err))
-		return
-	}
-	decision.Default.Record(decision.JobTaken, job.GetId(), fields)
-	writer.WriteHeader(http.StatusAccepted)
-}
-
-// withinReach bounds the time to come back of a refusal by what the client has left.
-func (r *Router) withinReach(header http.Header, err error) error {
-	failure := fault.From(err)
-	facts, _ := r.protocol.Facts(header)
-	return failure.WithRetryAfter(boundReturn(failure.RetryAfter, facts.Deadline))
-}
-
-// EndJob ends a job of a tenant: once it returns nothing more of it is begun.
-func (r *Router) EndJob(ctx context.Context, id, tenant string) error {
-	err := r.jobs.End(ctx, id, tenant)
-	fields := log.Fields{"tenant": tenant}
-	if err != nil {
-		fields["error"] = err.Error()
-	}
-	decision.Default.Record(decision.JobEnded, id, fields)
-	return err
-}
-
-// statusError is a fault with a status of its own.
-type statusError struct {
-	status int
-	fault  *fault.Fault
-}
-
-// Error implements error.
-func (e *statusError) Error() string { return e.fault.Error() }
-
-// refuseFault answers with the status of a fault.
-func refuseFault(writer http.ResponseWriter, err error) {
-	if own, found := err.(*statusError); found {
-		refuse(writer, own.status, own.fault)
-		return
-	}
-	failure := fault.From(err)
-	refuse(writer, failure.Kind.HTTPStatus(), failure)
-}
-
-// refuse answers with a fault, and with the time to come back where there is one.
-// A little chance keeps clients that are refused together from coming back
-// together.
-func refuse(writer http.ResponseWriter, status int, failure *fault.Fault) {
-	header := writer.Header()
-	header.Set("Content-Type", "application/json")
-	if failure.RetryAfter > 0 {
-		spread := 1 + (returnSpread-1)*rand.Float64()
-		header.Set("Retry-After", strconv.FormatFloat(spread*failure.RetryAfter.Seconds(), 'f', 3, 64))
-	}
-	body, err := json.Marshal(failure)
-	if err != nil {
-		body = nil
-	}
-	header.Set("Content-Length", strconv.Itoa(len(body)))
-	writer.WriteHeader(status)
-	_, _ = writer.Write(body)
-}
-
-// RefuseFault answers with the status of a fault, for handlers beside the router.
-func RefuseFault(writer http.ResponseWriter, err error) { refuseFault(writer, err) }
