Let requests that can be in time go before those that cannot

Hypothesis: routers served their queues by arrival, so that once the wait exceeded the goal every request was late, the new ones behind the old ones.

Change: among requests of a priority those go first that can still begin in time, then the late ones, which wait for a valley; a late one that is about to give up goes before all (package waiting, in place of the heap).

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -340,9 +340,14 @@
 	return p.online(s, now) < s.Slots
 }
 
-// online is the load of a server without the batch work there, which gives way: a request
-// that goes to a server full of batch work begins as soon as some of it is cut.
+// online is the load of a server as an online request counts it. Where requests are paced it
+// leaves out the batch work there, which gives way: a request that goes to a server full of
+// batch work begins as soon as some of it is cut. Where loads are new the request waits for
+// that in the router, and finds a server that others have left as well.
 func (p *Pool) online(s *server, now time.Duration) int {
+	if !p.paced() {
+		return p.load(s, now)
+	}
 	return max(0, p.load(s, now)-p.batchAt(s))
 }
 
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"container/heap"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -13,6 +12,7 @@
 	"rockwind.example/rockwind/internal/health"
 	"rockwind.example/rockwind/internal/loadshare"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/waiting"
 )
 
 // Dispatcher holds the servers of all services as one process sees them, and the
@@ -102,12 +102,16 @@
 }
 
 // Acquire waits for a server with room, at most until the patience or the context
-// ends. It fails with fault.Overloaded, which says when to come back, or with
-// fault.Unavailable where the service has no server that was not tried.
-func (d *Dispatcher) Acquire(ctx context.Context, service string, demand balance.Demand, priority Priority, tried []string, patience time.Duration) (*Lease, error) {
+// ends. The answer is in time until the given time. It fails with fault.Overloaded, which
+// says when to come back, or with fault.Unavailable where the service has no server that was
+// not tried.
+func (d *Dispatcher) Acquire(ctx context.Context, service string, demand balance.Demand, priority waiting.Priority, onTimeUntil time.Time, tried []string, patience time.Duration) (*Lease, error) {
 	d.mutex.Lock()
 	pool := d.service(service)
-	if pool.waiting.Len() == 0 || priority.Before(pool.waiting[0].priority) {
+	now := time.Now()
+	d.order++
+	place := waiting.NewPlace(priority, d.order, onTimeUntil, now.Add(patience))
+	if pool.waiting.GoesFirst(place, now) {
 		if choice, found := pool.pool.Choose(demand, tried, d.now(), d.random); found {
 			d.mutex.Unlock()
 			return d.lease(service, choice), nil
@@ -118,9 +122,7 @@
 		return nil, fault.Newf(fault.Unavailable, "come back later", "service %s has no server that can take the request", service).
 			WithRan(fault.NotRun).WithRetryAfter(typicalHolding / 4)
 	}
-	d.order++
-	entry := &waiter{demand: demand, priority: priority, order: d.order, tried: tried, granted: make(chan balance.Choice, 1)}
-	heap.Push(&pool.waiting, entry)
+	entry := pool.waiting.Add(place, &waiter{demand: demand, tried: tried, granted: make(chan balance.Choice, 1)})
 	d.nudge()
 	d.mutex.Unlock()
 	return d.await(ctx, service, entry, patience)
@@ -183,14 +185,14 @@
 // ended: a server that refused as full may have room again.
 const recheckInterval = 25 * time.Millisecond
 
-func (d *Dispatcher) await(ctx context.Context, service string, entry *waiter, patience time.Duration) (*Lease, error) {
+func (d *Dispatcher) await(ctx context.Context, service string, entry *waiting.Entry[*waiter], patience time.Duration) (*Lease, error) {
 	limit := time.NewTimer(patience)
 	defer limit.Stop()
 	recheck := time.NewTicker(recheckInterval)
 	defer recheck.Stop()
 	for {
 		select {
-		case choice := <-entry.granted:
+		case choice := <-entry.Value().granted:
 			return d.lease(service, choice), nil
 		case <-recheck.C:
 			d.mutex.Lock()
@@ -204,14 +206,14 @@
 	}
 }
 
-func (d *Dispatcher) giveUp(service string, entry *waiter) (*Lease, error) {
+func (d *Dispatcher) giveUp(service string, entry *waiting.Entry[*waiter]) (*Lease, error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	pool := d.service(service)
-	if entry.index < 0 {
-		return d.lease(service, <-entry.granted), nil
+	if entry.Left() {
+		return d.lease(service, <-entry.Value().granted), nil
 	}
-	heap.Remove(&pool.waiting, entry.index)
+	pool.waiting.Remove(entry)
 	return nil, pool.busy(service)
 }
 
@@ -219,13 +221,14 @@
 func (d *Dispatcher) serveWaiting(service string) {
 	pool := d.service(service)
 	for pool.waiting.Len() > 0 {
-		first := pool.waiting[0]
-		choice, found := pool.pool.Choose(first.demand, first.tried, d.now(), d.random)
+		first := pool.waiting.First(time.Now())
+		asked := first.Value()
+		choice, found := pool.pool.Choose(asked.demand, asked.tried, d.now(), d.random)
 		if !found {
 			return
 		}
-		heap.Pop(&pool.waiting)
-		first.granted <- choice
+		pool.waiting.Remove(first)
+		asked.granted <- choice
 	}
 }
 
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -14,6 +14,7 @@
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/upstream"
+	"rockwind.example/rockwind/internal/waiting"
 )
 
 const (
@@ -29,6 +30,9 @@
 	// room. One that may come back waits for earlyPatience of its goal only.
 	patiencePart  = 0.5
 	earlyPatience = 0.2
+	// onTimePart is the part of its goal within which a request has to begin at a server to
+	// be answered in time: the rest is the reading of its prompt and the way back.
+	onTimePart = 0.85
 	// wholePart is the part of the route's time that a client has at least which
 	// asks for the first time.
 	wholePart = 0.97
@@ -108,7 +112,7 @@
 	}
 	for {
 		asked := time.Now()
-		lease, err := e.router.dispatcher.Acquire(ctx, e.service, e.demand(), e.priority(), e.tried, e.roomPatience())
+		lease, err := e.router.dispatcher.Acquire(ctx, e.service, e.demand(), e.priority(), e.onTimeUntil(), e.tried, e.roomPatience())
 		e.waited += time.Since(asked)
 		if err != nil {
 			e.fail(ctx, err)
@@ -137,8 +141,8 @@
 
 func (e *exchange) demand() balance.Demand { return balance.Demand{Parts: e.facts.Parts} }
 
-func (e *exchange) priority() Priority {
-	return Priority{Tenant: e.tenant.GetPriority(), Route: e.route.GetPriority()}
+func (e *exchange) priority() waiting.Priority {
+	return waiting.Priority{Tenant: e.tenant.GetPriority(), Route: e.route.GetPriority()}
 }
 
 // patience is how long the request may wait at most now.
@@ -146,6 +150,12 @@
 	return time.Duration(patiencePart * float64(time.Until(e.ends)))
 }
 
+// onTimeUntil is until when the request may begin at a server and be answered in time.
+func (e *exchange) onTimeUntil() time.Time {
+	goal := time.Duration(e.route.GetGoalMs()) * time.Millisecond
+	return e.received.Add(time.Duration(onTimePart * float64(goal)))
+}
+
 // roomPatience is how long the request may wait for room now.
 func (e *exchange) roomPatience() time.Duration {
 	goal := time.Duration(e.route.GetGoalMs()) * time.Millisecond
