Keep the failures of items in the shard's log

Cause: a leader counted the failed tries of items for itself, and began anew when its lease lapsed or another one led; an item that fails on each run came to servers beyond its attempts.

Change: a failed try is proposed to the shard's log before its item may be tried again; leaders start from what the shard holds. What gives an item up has a file of its own.

--- a/internal/jobstore/machine.go
+++ b/internal/jobstore/machine.go
@@ -54,6 +54,16 @@
 	return created
 }
 
+// failuresOf finds the count of an item's failures, nil where there is none.
+func (j *job) failuresOf(item uint32) *rockwindpb.ItemFailures {
+	for _, each := range j.stored.GetFailures() {
+		if each.GetItem() == item {
+			return each
+		}
+	}
+	return nil
+}
+
 // open tells whether items of the job may still run.
 func (j *job) open() bool {
 	return !j.stored.GetEnded() && len(j.stored.GetResults()) < len(j.stored.GetItems())
@@ -90,6 +100,8 @@
 		return m.submit(content.Submit)
 	case *rockwindpb.JobStoreCommand_Record:
 		return m.record(content.Record)
+	case *rockwindpb.JobStoreCommand_Failure:
+		return m.fail(content.Failure)
 	case *rockwindpb.JobStoreCommand_End:
 		return m.end(content.End)
 	case *rockwindpb.JobStoreCommand_Drop:
@@ -128,9 +140,28 @@
 		known.stored.Results = append(known.stored.Results, result)
 		known.position[item] = uint32(len(known.stored.GetResults()))
 		known.waiting -= known.stored.GetItems()[item].GetTokens()
-		// The body has served its purpose.
+		// The body has served its purpose, and so have the failures.
 		known.stored.Items[item].Body = nil
+		known.stored.Failures = slices.DeleteFunc(known.stored.GetFailures(), func(each *rockwindpb.ItemFailures) bool { return each.GetItem() == item })
+	}
+	return Outcome{}
+}
+
+// fail counts a failed try of an item, so that a later leader does not begin anew.
+func (m *Machine) fail(failed *rockwindpb.RecordFailure) Outcome {
+	known, found := m.jobs[failed.GetJob()]
+	if !found {
+		return Outcome{Fault: unknownJob(failed.GetJob())}
+	}
+	item := failed.GetItem()
+	if int(item) >= len(known.position) || known.position[item] != 0 {
+		return Outcome{}
+	}
+	if counted := known.failuresOf(item); counted != nil {
+		counted.Count++
+		return Outcome{}
 	}
+	known.stored.Failures = append(known.stored.Failures, &rockwindpb.ItemFailures{Item: item, Count: 1})
 	return Outcome{}
 }
 
--- a/internal/jobstore/read.go
+++ b/internal/jobstore/read.go
@@ -41,6 +41,8 @@
 	SubmittedUnixMs int64
 	// Tenant owns the job; empty where the site has no tenants.
 	Tenant string
+	// Failures is how many tries a server answered as failed.
+	Failures int
 }
 
 // OpenItems lists the items without a result of jobs that are open, given a
@@ -58,7 +60,7 @@
 			open = append(open, OpenItem{
 				Job: id, Index: uint32(index), Host: known.stored.GetHost(), JobPath: known.stored.GetPath(),
 				Item: item, Body: item.GetBody(), SubmittedUnixMs: known.stored.GetSubmittedUnixMs(),
-				Tenant: known.stored.GetTenant(),
+				Tenant: known.stored.GetTenant(), Failures: int(known.failuresOf(uint32(index)).GetCount()),
 			})
 		}
 	}
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -78,7 +78,8 @@
 // endBuffer is how many ends of items may wait to be handled.
 const endBuffer = 256
 
-// history is what this leader knows of an item's tries. A new leader starts anew.
+// history is what this leader knows of an item's tries. A new leader starts with the
+// failures that the shard holds.
 type history struct {
 	// failures counts answers that say that the item failed.
 	failures int
@@ -99,11 +100,13 @@
 // has to be tried again.
 type itemEnd struct {
 	claim claims.Claim
-	// recorded tells that the state machine holds the item's result now.
+	// recorded tells that the state machine holds the item's result now, or its failure.
 	recorded bool
-	outcome  rockwindpb.StoredOutcome
-	history  *history
-	reason   string
+	// failed tells that the server answered that the item failed.
+	failed  bool
+	outcome rockwindpb.StoredOutcome
+	history *history
+	reason  string
 	// item and server are the identifiers of the item and of the server that had it,
 	// for the log.
 	item   string
@@ -126,9 +129,11 @@
 	// paces holds how long items take, by service.
 	paces map[string]*backlog.Pace
 	ended chan itemEnd
-	// results wait to be recorded, by job.
-	results map[string][]pendingResult
-	dropped time.Time
+	// results wait to be recorded, by job, and failures are the claims of items whose failed
+	// tries do.
+	results  map[string][]pendingResult
+	failures []claims.Claim
+	dropped  time.Time
 }
 
 func (e *executor) run(ctx context.Context) {
@@ -180,7 +185,7 @@
 		clear(e.active)
 		e.term = term
 		e.history = make(map[claims.Key]*history)
-		e.results = nil
+		e.results, e.failures = nil, nil
 	}
 	if !leading {
 		return false
@@ -227,6 +232,7 @@
 		known = &history{}
 		e.history[key] = known
 	}
+	known.noteFailures(item)
 	if now.Before(known.after) {
 		return true
 	}
@@ -281,59 +287,6 @@
 	return true
 }
 
-// routeStanding is what is known of an item's route.
-type routeStanding int
-
-const (
-	// routeUnknown: no configuration was heard from a coordinator since the start.
-	routeUnknown routeStanding = iota
-	// routeFound: the configuration in force has it.
-	routeFound
-	// routeAbsent: the configuration in force does not have it.
-	routeAbsent
-)
-
-func (e *executor) route(item jobstore.OpenItem) (*rockwindpb.Route, routeStanding) {
-	if !e.store.watcher.Known() {
-		return nil, routeUnknown
-	}
-	route, found := e.store.watcher.Configuration().Route(item.Host, item.JobPath)
-	if !found || route.GetKind() != rockwindpb.RouteKind_ROUTE_KIND_BATCH {
-		return nil, routeAbsent
-	}
-	return route, routeFound
-}
-
-// routeGoneAfter is how long an item's route must be absent before the item is
-// given up.
-const routeGoneAfter = 3 * time.Second
-
-// noteRoute keeps since when the item's route is absent.
-func (h *history) noteRoute(standing routeStanding, now time.Time) {
-	switch {
-	case standing != routeAbsent:
-		h.absentSince = time.Time{}
-	case h.absentSince.IsZero():
-		h.absentSince = now
-	}
-}
-
-// giveUpReason says why an item is given up, or nothing. The route is nil where it
-// is not found.
-func giveUpReason(item jobstore.OpenItem, route *rockwindpb.Route, known *history, now time.Time) string {
-	age := now.Sub(time.UnixMilli(item.SubmittedUnixMs))
-	limit := time.Duration(route.GetMaximumWaitMs()) * time.Millisecond
-	switch {
-	case !known.absentSince.IsZero() && now.Sub(known.absentSince) > routeGoneAfter:
-		return "its route is gone"
-	case limit > 0 && age > limit:
-		return "it has waited for too long"
-	case route != nil && known.failures >= max(1, int(route.GetAttempts())):
-		return "all attempts failed"
-	}
-	return ""
-}
-
 // finish takes the end of a try.
 func (e *executor) finish(end itemEnd) {
 	if !e.claims.Current(end.claim) {
@@ -351,6 +304,10 @@
 	}
 	recordEnd(end, e.term)
 	if end.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_UNSPECIFIED {
+		if end.failed {
+			e.failures = append(e.failures, end.claim)
+			return
+		}
 		e.claims.Release(end.claim)
 		return
 	}
--- a/internal/store/executor_test.go
+++ b/internal/store/executor_test.go
@@ -55,3 +55,19 @@
 		t.Error("kept past its limit")
 	}
 }
+
+// TestLeaderGoesOnFromTheFailuresThatTheShardHolds: one that leads anew knows no tries.
+func TestLeaderGoesOnFromTheFailuresThatTheShardHolds(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	item := jobstore.OpenItem{SubmittedUnixMs: now.UnixMilli(), Failures: 2}
+	known := &history{}
+	known.noteFailures(item)
+	if reason := giveUpReason(item, &rockwindpb.Route{Attempts: 2}, known, now); reason == "" {
+		t.Fatal("an item that has used up its attempts would run again")
+	}
+	known.failures = 3
+	known.noteFailures(item)
+	if known.failures != 3 {
+		t.Fatalf("%d failures after one that the shard does not hold yet", known.failures)
+	}
+}
--- a/internal/store/item.go
+++ b/internal/store/item.go
@@ -64,7 +64,9 @@
 	if t.history.failures >= t.attempts {
 		return itemEnd{outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DEAD, history: t.history, reason: reason}
 	}
-	return t.again(pauseAfterFailure, reason)
+	end := t.again(pauseAfterFailure, reason)
+	end.failed = true
+	return end
 }
 
 // run performs the try. A try whose context ends closes its connection, so that
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -65,6 +65,28 @@
 	for job, list := range results {
 		go e.recordJob(ctx, job, list)
 	}
+	failures := e.failures
+	e.failures = nil
+	for _, claim := range failures {
+		go e.recordFailure(ctx, claim)
+	}
+}
+
+// recordFailure counts a failed try in the log and then ends its claim, so that the item is
+// tried again by a leader that knows of the failure.
+func (e *executor) recordFailure(parent context.Context, claim claims.Claim) {
+	ctx, cancel := context.WithTimeout(parent, recordTimeout)
+	defer cancel()
+	key := claim.Key()
+	failure := &rockwindpb.RecordFailure{Job: key.Job(), Item: key.Index()}
+	_, err := propose(ctx, e.group, &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_Failure{Failure: failure}})
+	if err != nil {
+		log.WithError(err).WithField("job", key.Job()).WithField("item", key.Index()).Warn("a failed try was not counted")
+	}
+	select {
+	case e.ended <- itemEnd{claim: claim, history: &history{}, recorded: true}:
+	case <-parent.Done():
+	}
 }
 
 // recordJob records results of one job and then ends their claims. Where that
