--- a/internal/bench/routingfleet/fleet.go
+++ b/internal/bench/routingfleet/fleet.go
@@ -1,7 +1,6 @@
 package routingfleet
 
 import (
-	"math"
 	"math/rand"
 	"time"
 
@@ -9,9 +8,6 @@
 	"rockwind.example/rockwind/internal/virtualtime"
 )
 
-// never is the time of a wake-up that is not scheduled.
-const never = time.Duration(math.MaxInt64)
-
 // drainTime is how long a run goes on after its last arrival.
 const drainTime = 30 * time.Second
 
@@ -19,9 +15,10 @@
 type node struct {
 	engine *engine.Engine
 	zone   int
-	wakeAt time.Duration
-	owner  *gateway
-	state  nodeState
+	// alarm is set for the engine's next event.
+	alarm virtualtime.Alarm
+	owner *gateway
+	state nodeState
 }
 
 // fleet is one run in progress.
@@ -71,7 +68,6 @@
 		run.nodes = append(run.nodes, node{
 			engine: engine.New(scenario.Engine, source),
 			zone:   scenario.zoneOfServer(server),
-			wakeAt: never,
 		})
 	}
 	run.board = newBoard(run)
@@ -162,20 +158,14 @@
 	if !some {
 		return
 	}
-	next = max(next, f.queue.Now())
-	if next >= node.wakeAt {
-		return
-	}
-	node.wakeAt = next
-	f.queue.Wake(next, server)
+	node.alarm.Set(&f.queue, next, server)
 }
 
 func (f *fleet) advance(server int) {
 	node := &f.nodes[server]
-	if node.wakeAt != f.queue.Now() {
+	if !node.alarm.Rings(f.queue.Now()) {
 		return
 	}
-	node.wakeAt = never
 	f.events = node.engine.Advance(f.queue.Now(), f.events[:0])
 	for _, event := range f.events {
 		f.deliver(server, event)
--- a/internal/router/jobs.go
+++ b/internal/router/jobs.go
@@ -24,9 +24,9 @@
 func PlainHandler(r *Router) http.Handler {
 	calls := jobCalls{router: r}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+PathJobs+"{job}", calls.read)
-	mux.HandleFunc("DELETE "+PathJobs+"{job}", calls.end)
-	mux.HandleFunc("GET "+PathJobs+"{job}/items/{item}", calls.body)
+	mux.HandleFunc("GET "+PathJobs+"{job}", r.ForTenant(calls.read))
+	mux.HandleFunc("DELETE "+PathJobs+"{job}", r.ForTenant(calls.end))
+	mux.HandleFunc("GET "+PathJobs+"{job}/items/{item}", r.ForTenant(calls.body))
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if strings.HasPrefix(request.URL.Path, PathJobs) {
 			mux.ServeHTTP(writer, request)
@@ -42,7 +42,7 @@
 
 // read answers the results from a position on. With wait_ms it waits for the first
 // of them.
-func (c jobCalls) read(writer http.ResponseWriter, request *http.Request) {
+func (c jobCalls) read(writer http.ResponseWriter, request *http.Request, tenant string) {
 	query := request.URL.Query()
 	from, err := number(query.Get("from"))
 	if err != nil {
@@ -54,11 +54,6 @@
 		refuseFault(writer, err)
 		return
 	}
-	tenant, err := c.router.TenantOf(request.Header)
-	if err != nil {
-		RefuseRead(writer, err)
-		return
-	}
 	response, err := c.router.jobs.Read(request.Context(), &rockwindpb.ReadStoredJobRequest{
 		Id: request.PathValue("job"), From: from, WaitMs: wait, MaximumBytes: MaximumResultBytes, Tenant: tenant,
 	})
@@ -78,22 +73,13 @@
 	return uint32(value), nil
 }
 
-func (c jobCalls) end(writer http.ResponseWriter, request *http.Request) {
-	tenant, err := c.router.TenantOf(request.Header)
-	if err == nil {
-		err = c.router.EndJob(request.Context(), request.PathValue("job"), tenant)
-	}
-	if err != nil {
+func (c jobCalls) end(writer http.ResponseWriter, request *http.Request, tenant string) {
+	if err := c.router.EndJob(request.Context(), request.PathValue("job"), tenant); err != nil {
 		RefuseRead(writer, err)
 	}
 }
 
-func (c jobCalls) body(writer http.ResponseWriter, request *http.Request) {
-	tenant, err := c.router.TenantOf(request.Header)
-	if err != nil {
-		RefuseRead(writer, err)
-		return
-	}
+func (c jobCalls) body(writer http.ResponseWriter, request *http.Request, tenant string) {
 	body, err := c.router.jobs.ReadBody(request.Context(), &rockwindpb.ReadItemBodyRequest{
 		Job: request.PathValue("job"), Item: request.PathValue("item"), Tenant: tenant,
 	})
--- a/internal/router/tenants.go
+++ b/internal/router/tenants.go
@@ -43,9 +43,21 @@
 		WithRan(fault.NotRun).WithRetryAfter(unknownReturn)
 }
 
-// TenantOf names the tenant of a call about batch jobs by the key that its headers carry.
-// It is empty for calls without a key, which reach only the jobs of no tenant.
-func (r *Router) TenantOf(header http.Header) (string, error) {
+// ForTenant finds the tenant of a call about batch jobs by the key that its headers carry, and
+// refuses the call where there is none. The tenant's name is empty for calls without a key,
+// which reach only the jobs of no tenant.
+func (r *Router) ForTenant(handle func(writer http.ResponseWriter, request *http.Request, tenant string)) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		tenant, err := r.tenantOf(request.Header)
+		if err != nil {
+			RefuseRead(writer, err)
+			return
+		}
+		handle(writer, request, tenant)
+	}
+}
+
+func (r *Router) tenantOf(header http.Header) (string, error) {
 	if !r.watcher.Known() {
 		return "", fault.New(fault.Unavailable, "this router knows no configuration yet", "come back, or ask another router").WithRetryAfter(unknownReturn)
 	}
--- a/internal/simulator/fleet.go
+++ b/internal/simulator/fleet.go
@@ -1,7 +1,6 @@
 package simulator
 
 import (
-	"math"
 	"math/rand"
 	"strconv"
 	"time"
@@ -10,9 +9,6 @@
 	"rockwind.example/rockwind/internal/virtualtime"
 )
 
-// never is the time of a wake-up that is not scheduled.
-const never = time.Duration(math.MaxInt64)
-
 // drainTime is how long a run goes on after its end for online answers.
 const drainTime = 20 * time.Second
 
@@ -20,8 +16,9 @@
 type node struct {
 	engine *engine.Engine
 	zone   int
-	wakeAt time.Duration
-	owner  *gateway
+	// alarm is set for the engine's next event.
+	alarm virtualtime.Alarm
+	owner *gateway
 }
 
 // fleet is one run in progress.
@@ -76,7 +73,6 @@
 		run.nodes = append(run.nodes, node{
 			engine: engine.New(scenario.Engine, source),
 			zone:   index / scenario.EnginesPerZone,
-			wakeAt: never,
 		})
 	}
 	run.ledger = newLedger(run)
@@ -156,20 +152,14 @@
 	if !some {
 		return
 	}
-	next = max(next, f.clock.Now())
-	if next >= node.wakeAt {
-		return
-	}
-	node.wakeAt = next
-	f.clock.Wake(next, server)
+	node.alarm.Set(&f.clock, next, server)
 }
 
 func (f *fleet) advance(server int) {
 	node := &f.nodes[server]
-	if node.wakeAt != f.clock.Now() {
+	if !node.alarm.Rings(f.clock.Now()) {
 		return
 	}
-	node.wakeAt = never
 	f.events = node.engine.Advance(f.clock.Now(), f.events[:0])
 	for _, event := range f.events {
 		if event.Tag&tagBatch != 0 {
