Tell the owner of a rate what routers refuse by its word

Cause: a refusal holds for 100 ms at a router without a question, so that the owner saw a part of a flood only and told its tenant to come back in 200 ms, to be refused again.

Change: the next question tells how many were refused since the last one; the time to come back follows all of them.

--- a/internal/rateclient/rateclient.go
+++ b/internal/rateclient/rateclient.go
@@ -64,6 +64,8 @@
 	// expected room.
 	refusedUntil time.Time
 	comeBack     time.Time
+	// refused counts the requests that were refused by it, which the owner does not know of.
+	refused uint32
 }
 
 // New returns the client of the named router, given how many routers the site has.
@@ -129,6 +131,7 @@
 	defer c.mutex.Unlock()
 	known, now := c.of(request.GetTenant()), time.Now()
 	if now.Before(known.refusedUntil) {
+		known.refused++
 		return max(shortestReturn, known.comeBack.Sub(now))
 	}
 	request.Returned, request.Unasked = known.returned, known.unasked
@@ -137,7 +140,8 @@
 		request.Remaining = &remaining
 		request.RemainingAgeMs = uint32(now.Sub(known.toldAt).Milliseconds())
 	}
-	known.returned, known.unasked = 0, 0
+	request.Refused = known.refused
+	known.returned, known.unasked, known.refused = 0, 0, 0
 	return 0
 }
 
--- a/internal/rateclient/rateclient_test.go
+++ b/internal/rateclient/rateclient_test.go
@@ -90,6 +90,9 @@
 		if err := client.Take(t.Context(), tenant(), 1, patience); err != nil {
 			t.Fatal(err)
 		}
+		if told := owner.asked[1].GetRefused(); told != 49 {
+			t.Fatalf("the owner was told of %d refusals", told)
+		}
 	})
 }
 
--- a/internal/requestrate/requestrate.go
+++ b/internal/requestrate/requestrate.go
@@ -88,6 +88,8 @@
 	// where none has.
 	remaining float64
 	age       time.Duration
+	// refused is how many requests the router refused itself since it last asked.
+	refused uint32
 }
 
 // NewRequest asks for one request of a tenant, under the limit of the configuration with
@@ -109,6 +111,13 @@
 	return r
 }
 
+// WithRefused adds how many requests the router refused itself, by what the owner had
+// answered.
+func (r Request) WithRefused(refused uint32) Request {
+	r.refused = refused
+	return r
+}
+
 // Decision is the answer to a request.
 type Decision struct {
 	granted   bool
@@ -156,6 +165,7 @@
 	c.sweep(now)
 	held := c.bucket(request, now)
 	held.advance(now)
+	held.refused += float64(request.refused)
 	held.level = min(held.limit.burst, held.level+float64(request.returned)) - float64(request.unasked)
 	if held.level >= 1 {
 		held.level--
--- a/internal/requestrate/requestrate_test.go
+++ b/internal/requestrate/requestrate_test.go
@@ -137,6 +137,16 @@
 	}
 }
 
+// TestRefusalsOfRoutersCountForTheTimeToComeBack: a router answers for a moment by itself, so
+// that the owner saw a part of a flood only and told its tenant to come back at once.
+func TestRefusalsOfRoutersCountForTheTimeToComeBack(t *testing.T) {
+	counts, limit := requestrate.NewCounts(requestrate.Tolerance{}, 0), requestrate.NewLimit(10, 10)
+	grants(counts, ask(limit), 10, long)
+	if comeBack := counts.Take(ask(limit).WithRefused(40), long).ComeBack(); comeBack < 4*time.Second {
+		t.Fatalf("after 40 refusals it is told to come back after %v", comeBack)
+	}
+}
+
 // TestGrantsStayWithinTheLimitInEverySpan whatever is asked when, also where the owner
 // changes.
 func TestGrantsStayWithinTheLimitInEverySpan(t *testing.T) {
