Let keys in no longer than their life at a router that hears no coordinator

Cause: a machine that is cut off from the coordinators may go on with keys that were taken away, without a bound. The sheets of sites name such a bound where it is strict; none so far does.

Change: key_life_ms, filled from the sheet where revocation is strict; a router that has heard no coordinator for half of it answers 503 to keys.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -46,6 +46,9 @@
 	jobs       *jobclient.Client
 	rates      *rateclient.Client
 	started    time.Time
+	// keyLife is how long keys are let in after the last word of a coordinator; zero is
+	// without a limit.
+	keyLife time.Duration
 	// metrics is nil outside of Run.
 	metrics *sitemetrics.Set
 }
@@ -60,6 +63,7 @@
 		jobs:       jobs,
 		rates:      rateclient.New(jobs, settings.GetName(), func() int { return routersOf(watcher.Directory()) }),
 		started:    time.Now(),
+		keyLife:    time.Duration(settings.GetKeyLifeMs()) * time.Millisecond,
 	}
 }
 
--- a/internal/router/tenants.go
+++ b/internal/router/tenants.go
@@ -22,7 +22,7 @@
 		return nil, nil
 	}
 	if tenant, known := index.TenantByAPIKey(key); known && key != "" {
-		return tenant, nil
+		return tenant, r.keysHold()
 	}
 	if public {
 		return nil, nil
@@ -33,6 +33,20 @@
 	return nil, r.deny(fault.New(fault.Unauthenticated, "no tenant has this API key", "send a key that the configuration has"))
 }
 
+// keyLifePart is the part of the life of keys after which they are let in no more: a request
+// may wait and run for a while after it was let in.
+const keyLifePart = 0.5
+
+// keysHold fails where keys may have been taken away for so long without a word to this
+// router that they must not be let in any more.
+func (r *Router) keysHold() error {
+	if r.keyLife == 0 || time.Since(r.watcher.LastHeard()) <= time.Duration(keyLifePart*float64(r.keyLife)) {
+		return nil
+	}
+	return fault.New(fault.Unavailable, "this router has not heard for a while which API keys hold", "ask another router").
+		WithRan(fault.NotRun).WithRetryAfter(unknownReturn)
+}
+
 // deny is the refusal of what the configuration here does not have. A router that has not
 // heard of a coordinator for a while does not know whether a newer one has it.
 func (r *Router) deny(refusal *fault.Fault) *fault.Fault {
