Give a process that starts the least credit, and credit back for servers that left

The pace of a process began at no credit; where 250 routers share 18 slots it earns one in seven seconds. Requests at a server that left the pool took their credit along.

Change: the pace begins with the least credit, and the end of each request gives credit back. Two tests, failing before.

--- a/internal/balance/evidence.go
+++ b/internal/balance/evidence.go
@@ -41,12 +41,12 @@
 // Ended takes the end of an exchange. Latency is the time to the answer's head;
 // zero where there was none.
 func (p *Pool) Ended(choice Choice, outcome health.Outcome, latency, now time.Duration, random *rand.Rand) {
+	p.release(choice)
 	place := p.place(choice.ID)
 	if place < 0 {
 		return
 	}
 	known := p.servers[place]
-	p.release(known, choice)
 	if outcome == health.Refused {
 		known.fullUntil = now + fullFor
 	}
@@ -56,30 +56,31 @@
 // Gone takes the end of an exchange in which another server answered at the address: the
 // chosen one has ended for good, whatever the directory still says.
 func (p *Pool) Gone(choice Choice) {
-	known := p.find(choice.ID)
-	if known == nil {
-		return
+	p.release(choice)
+	if known := p.find(choice.ID); known != nil {
+		known.gone = true
 	}
-	p.release(known, choice)
-	known.gone = true
 }
 
 // Abandoned takes the end of an exchange that says nothing of the server.
 func (p *Pool) Abandoned(choice Choice) {
-	if known := p.find(choice.ID); known != nil {
-		p.release(known, choice)
-	}
+	p.release(choice)
 }
 
-// release takes a request off the counts of its server.
-func (p *Pool) release(s *server, choice Choice) {
-	s.inflight = max(0, s.inflight-1)
-	s.since--
-	if choice.Batch {
-		s.batch = max(0, s.batch-1)
+// release takes a request off the counts of its server, which may have left the pool.
+func (p *Pool) release(choice Choice) {
+	if !choice.Batch {
+		p.pacing.ended()
+	}
+	known := p.find(choice.ID)
+	if known == nil {
 		return
 	}
-	p.pacing.ended()
+	known.inflight = max(0, known.inflight-1)
+	known.since--
+	if choice.Batch {
+		known.batch = max(0, known.batch-1)
+	}
 }
 
 // Evaluate runs the judgements that depend on time. Call it a few times a second.
--- a/internal/balance/pacing_test.go
+++ b/internal/balance/pacing_test.go
@@ -89,3 +89,33 @@
 		t.Errorf("p90 of the waits at servers: %v unpaced, %v paced", unpaced, paced)
 	}
 }
+
+// TestProcessThatHasJustStartedMayStartRequests although its part of the free slots is small:
+// on a site of 250 routers before 18 slots each got its first request after seven seconds.
+func TestProcessThatHasJustStartedMayStartRequests(t *testing.T) {
+	pool, _ := pacedPool(90)
+	pool.SetOnlineProcesses(250)
+	if started := len(startAll(pool, time.Millisecond)); started != 2 {
+		t.Fatalf("%d requests were started", started)
+	}
+}
+
+// TestRequestsOfRemovedServersGiveTheirCreditBack: after a server was lost with requests of
+// this process on it, the process could start fewer for good.
+func TestRequestsOfRemovedServersGiveTheirCreditBack(t *testing.T) {
+	pool, _ := pacedPool(90)
+	pool.SetOnlineProcesses(250)
+	started := startAll(pool, time.Millisecond)
+	var left []balance.Member
+	for i := range 10 {
+		if name := serverName(i); name != started[0].ID && name != started[1].ID {
+			left = append(left, balance.Member{ID: name, Address: name, Zone: "here", Slots: 10})
+		}
+	}
+	pool.Update(left)
+	pool.Ended(started[0], health.Failure, 0, 2*time.Millisecond, seeded(1))
+	pool.Abandoned(started[1])
+	if again := len(startAll(pool, 2*time.Millisecond)); again != 2 {
+		t.Fatalf("%d requests were started after two had ended", again)
+	}
+}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -133,7 +133,7 @@
 func NewPool(service, zone string, shares *Shares) *Pool {
 	return &Pool{
 		zone: zone, shares: shares, queue: QueueHash(service), tracker: health.NewTracker(policy(), 0),
-		places: make(map[string]int), homes: make(map[uint64]homePlaces),
+		places: make(map[string]int), homes: make(map[uint64]homePlaces), pacing: pacing{credit: leastCredit},
 	}
 }
 
