Tell in the log which content failed at a server, and how the connection ended

Change: lines about tries that failed, and refusals after them, carry the fingerprint of the request's content and the error of the connection; so do items that are returned.

--- a/internal/router/recording.go
+++ b/internal/router/recording.go
@@ -8,6 +8,7 @@
 	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -30,15 +31,20 @@
 	}
 	if reason != "" {
 		fields["reason"] = reason
+		fields["content"] = e.content().String()
 	}
 	decision.Default.Record(kind, e.facts.ID, fields)
 }
 
-// recordRefusal writes a refusal of the router's own.
+// recordRefusal writes a refusal of the router's own. One after a try that failed tells the
+// content: clients come again with another identifier.
 func (e *exchange) recordRefusal(status int, failure *fault.Fault) {
 	e.measure(decision.RequestRefused)
 	fields := e.fields()
 	fields["status"] = status
+	if e.sent > 0 {
+		fields["content"] = e.content().String()
+	}
 	fields["reason"] = failure.Message
 	fields["last_try"] = e.reason
 	fields["retry_after_ms"] = failure.RetryAfter.Milliseconds()
@@ -54,6 +60,13 @@
 	})
 }
 
+// content identifies the request by what makes it the same when a client comes again.
+func (e *exchange) content() fingerprint.Fingerprint {
+	return fingerprint.Of(fingerprint.Content{
+		Tenant: e.tenant.GetName(), Method: e.request.Method, Host: e.request.Host, Target: e.request.Path, Body: e.request.Body,
+	})
+}
+
 // measure counts the end of the request.
 func (e *exchange) measure(kind decision.Kind) {
 	if kind != decision.RequestTriedAgain && e.router.metrics != nil {
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -34,7 +34,7 @@
 func (e *exchange) relayWhole(ctx context.Context, lease *Lease, response *upstream.Response, latency time.Duration) verdict {
 	body, err := io.ReadAll(io.LimitReader(response.Body(0), bufferedAnswer+1))
 	if err != nil {
-		return e.answerBroke(ctx, lease, response, latency)
+		return e.answerBroke(ctx, lease, response, latency, err)
 	}
 	whole := len(body) <= bufferedAnswer
 	if whole {
@@ -73,9 +73,9 @@
 }
 
 // answerBroke ends a try whose answer broke off at the server.
-func (e *exchange) answerBroke(ctx context.Context, lease *Lease, response *upstream.Response, latency time.Duration) verdict {
+func (e *exchange) answerBroke(ctx context.Context, lease *Lease, response *upstream.Response, latency time.Duration, cause error) verdict {
 	response.Abandon()
-	e.reason = "the answer broke off at the server"
+	e.reason = "the answer broke off at the server: " + cause.Error()
 	if errors.Is(ctx.Err(), context.Canceled) {
 		lease.Abandon()
 		return verdictGone
@@ -146,7 +146,7 @@
 			e.finish(lease, response, latency)
 			return verdictFinished
 		default:
-			return e.answerBroke(ctx, lease, response, latency)
+			return e.answerBroke(ctx, lease, response, latency, err)
 		}
 	}
 }
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -12,6 +12,7 @@
 	"rockwind.example/rockwind/internal/backlog"
 	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/decision"
+	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/retry"
@@ -107,10 +108,11 @@
 	outcome rockwindpb.StoredOutcome
 	history *history
 	reason  string
-	// item and server are the identifiers of the item and of the server that had it,
-	// for the log.
-	item   string
-	server string
+	// item and server are the identifiers of the item and of the server that had it, and
+	// content identifies the item's request, for the log.
+	item    string
+	server  string
+	content fingerprint.Fingerprint
 }
 
 // executor runs the items of one shard while this store leads it. One goroutine
@@ -277,7 +279,7 @@
 	try := &itemTry{store: e.store, item: item, history: known, lease: lease, attempts: max(1, int(route.GetAttempts()))}
 	go func() {
 		end := try.run(running)
-		end.claim, end.item, end.server = claim, item.Item.GetId(), lease.ID
+		end.claim, end.item, end.server, end.content = claim, item.Item.GetId(), lease.ID, contentOf(item)
 		cancel(nil)
 		select {
 		case e.ended <- end:
--- a/internal/store/item.go
+++ b/internal/store/item.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/health"
 	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/rockwindpb"
@@ -50,6 +51,13 @@
 	return header
 }
 
+// contentOf identifies an item by the content of its request.
+func contentOf(item jobstore.OpenItem) fingerprint.Fingerprint {
+	return fingerprint.Of(fingerprint.Content{
+		Tenant: item.Tenant, Method: http.MethodPost, Host: item.Host, Target: item.Item.GetPath(), Body: item.Body,
+	})
+}
+
 // again ends the try without a result.
 func (t *itemTry) again(pause time.Duration, reason string) itemEnd {
 	t.history.after = time.Now().Add(pause)
@@ -134,9 +142,9 @@
 	t.lease.Done(health.Failure, 0)
 	var failure *upstream.AttemptError
 	if errors.As(err, &failure) && failure.Ran() == fault.NotRun {
-		return t.again(pauseAfterRefusal, "the server was not reached")
+		return t.again(pauseAfterRefusal, "the server was not reached: "+err.Error())
 	}
-	return t.again(pauseAfterFailure, "the server did not answer")
+	return t.again(pauseAfterFailure, "the server did not answer: "+err.Error())
 }
 
 // stopped ends a try that this store has ended itself.
@@ -171,7 +179,7 @@
 				return t.stopped(ctx)
 			}
 			t.lease.Done(health.Failure, latency)
-			return t.again(pauseAfterRefusal, "the stream broke off")
+			return t.again(pauseAfterRefusal, "the stream broke off: "+err.Error())
 		}
 	}
 }
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -28,10 +28,14 @@
 		decision.Default.Skip(kind)
 		return
 	}
-	decision.Default.Record(kind, end.claim.Key().Job(), log.Fields{
+	fields := log.Fields{
 		"item": end.claim.Key().Index(), "item_id": end.item, "outcome": outcomeName(end.outcome), "failures": end.history.failures,
 		"reason": end.reason, "server": end.server, "term": term, "events": end.history.received.Last(),
-	})
+	}
+	if kind == decision.ItemReturned {
+		fields["content"] = end.content.String()
+	}
+	decision.Default.Record(kind, end.claim.Key().Job(), fields)
 }
 
 func outcomeName(outcome rockwindpb.StoredOutcome) string {
