Hold requests under which servers end, known by their content over the whole site

A request that ends each server that runs it comes again under another identifier at another router, and began anew each time; an item of a job was run again without any bound.

A held request is refused at once as not run (503), to come back when it is tried again; an item waits for its next trial. An answer of a server clears a content; ends that a held request explains do not count against items.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -128,6 +128,7 @@
 		rockwindpb.NewReplicaServiceServer(c.host.Service()),
 		rockwindpb.NewConfigurationServiceServer(configurationService{c}),
 		rockwindpb.NewDirectoryServiceServer(directoryService{c}),
+		rockwindpb.NewQuarantineServiceServer(quarantineService{c}),
 	} {
 		mux.Handle(server.PathPrefix(), server)
 	}
--- /dev/null
+++ b/internal/coordinator/quarantine.go
@@ -0,0 +1,107 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"rockwind.example/rockwind/internal/decision"
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/fingerprint"
+	"rockwind.example/rockwind/internal/quarantine"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// quarantineService takes what routers and stores saw of requests under which servers ended,
+// and shows operators which of them are held.
+type quarantineService struct{ coordinator *Coordinator }
+
+// Report implements rockwindpb.QuarantineService. It returns once the report is committed.
+func (s quarantineService) Report(ctx context.Context, request *rockwindpb.ReportQuarantineRequest) (*rockwindpb.ReportQuarantineResponse, error) {
+	err := s.coordinator.atLeader(ctx, func() error {
+		return s.coordinator.commitReport(ctx, request)
+	}, func(base string) error {
+		_, err := rockwindpb.NewQuarantineServiceProtobufClient(base, s.coordinator.carrier()).Report(ctx, request)
+		return err
+	})
+	return &rockwindpb.ReportQuarantineResponse{}, fault.ToTwirp(err)
+}
+
+// List implements rockwindpb.QuarantineService.
+func (s quarantineService) List(context.Context, *rockwindpb.ListQuarantineRequest) (*rockwindpb.ListQuarantineResponse, error) {
+	_, view, err := s.coordinator.current()
+	if err != nil {
+		return nil, fault.ToTwirp(err)
+	}
+	return &rockwindpb.ListQuarantineResponse{Suspects: view.quarantine.List(time.Now())}, nil
+}
+
+// Release implements rockwindpb.QuarantineService.
+func (s quarantineService) Release(ctx context.Context, request *rockwindpb.ReleaseContentRequest) (*rockwindpb.ReleaseContentResponse, error) {
+	_, view, err := s.coordinator.current()
+	if err != nil {
+		return nil, fault.ToTwirp(err)
+	}
+	content, ok := fingerprint.FromBytes(request.GetContent())
+	if !ok {
+		return nil, fault.ToTwirp(fault.Newf(fault.InvalidArgument, "take the content from the list of the quarantine",
+			"a content has %d bytes, not %d", fingerprint.Size, len(request.GetContent())))
+	}
+	_, known := view.quarantine.Suspect(content)
+	err = s.coordinator.atLeader(ctx, func() error {
+		return s.coordinator.commitQuarantine(ctx, &rockwindpb.QuarantineCommand{Command: &rockwindpb.QuarantineCommand_Release{Release: request}})
+	}, func(base string) error {
+		_, err := rockwindpb.NewQuarantineServiceProtobufClient(base, s.coordinator.carrier()).Release(ctx, request)
+		return err
+	})
+	if err == nil {
+		log.WithField("content", content.String()).WithField("known", known).Info("content released")
+	}
+	return &rockwindpb.ReleaseContentResponse{Known: known}, fault.ToTwirp(err)
+}
+
+// commitReport proposes a report as the leader, and writes what was decided by it.
+func (c *Coordinator) commitReport(ctx context.Context, report *rockwindpb.ReportQuarantineRequest) error {
+	if err := c.commitQuarantine(ctx, &rockwindpb.QuarantineCommand{Command: &rockwindpb.QuarantineCommand_Report{Report: report}}); err != nil {
+		return err
+	}
+	_, machine, err := c.group()
+	if err != nil {
+		return err
+	}
+	for _, end := range report.GetEnds() {
+		recordEnd(machine.view().quarantine, end)
+	}
+	for _, answered := range report.GetAnswered() {
+		if content, ok := fingerprint.FromBytes(answered); ok {
+			decision.Default.Record(decision.ContentCleared, content.String(), log.Fields{"reason": "a server answered it"})
+		}
+	}
+	return nil
+}
+
+// recordEnd writes that a server ended under a content, and what follows.
+func recordEnd(view *quarantine.View, end *rockwindpb.ServerEnd) {
+	content, ok := fingerprint.FromBytes(end.GetContent())
+	if !ok {
+		return
+	}
+	suspect, _ := view.Suspect(content)
+	decision.Default.Record(decision.ServerEnded, content.String(), log.Fields{
+		"server": end.GetServer(), "route": end.GetRoute(), "tenant": end.GetTenant(), "item": end.GetItem(),
+		"began_ms_ago": end.GetBeganMsAgo(), "ends": len(suspect.GetServers()), "later": suspect.GetLater(),
+		"held_ms": view.HeldFor(content, time.Now()).Milliseconds(),
+	})
+}
+
+// commitQuarantine proposes a command of the quarantine as the leader.
+func (c *Coordinator) commitQuarantine(ctx context.Context, command *rockwindpb.QuarantineCommand) error {
+	group, _, err := c.group()
+	if err != nil {
+		return err
+	}
+	command.NowUnixMs = time.Now().UnixMilli()
+	_, err = proposeRoot(ctx, group, &rockwindpb.RootCommand{Command: &rockwindpb.RootCommand_Quarantine{Quarantine: command}})
+	return err
+}
--- a/internal/coordinator/root.go
+++ b/internal/coordinator/root.go
@@ -9,33 +9,36 @@
 	"rockwind.example/rockwind/internal/catalog"
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/quarantine"
 	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
-// rootMachine is the replicated state of the root group: the configuration and
-// the directory.
+// rootMachine is the replicated state of the root group: the configuration, the
+// directory and the quarantine.
 type rootMachine struct {
-	catalog   *catalog.Machine
-	directory *directory.Directory
+	catalog    *catalog.Machine
+	directory  *directory.Directory
+	quarantine *quarantine.Register
 	// views is what other goroutines read.
 	views atomic.Pointer[rootView]
 }
 
 // rootView is the root group's state as applied here.
 type rootView struct {
-	catalog   *catalog.View
-	directory *directory.View
+	catalog    *catalog.View
+	directory  *directory.View
+	quarantine *quarantine.View
 }
 
 func newRootMachine() *rootMachine {
-	created := &rootMachine{catalog: catalog.NewWithPolicy(catalog.HighestNumber), directory: directory.New()}
+	created := &rootMachine{catalog: catalog.NewWithPolicy(catalog.HighestNumber), directory: directory.New(), quarantine: quarantine.New()}
 	created.publish()
 	return created
 }
 
 func (m *rootMachine) publish() {
-	m.views.Store(&rootView{catalog: m.catalog.View(), directory: m.directory.View()})
+	m.views.Store(&rootView{catalog: m.catalog.View(), directory: m.directory.View(), quarantine: m.quarantine.View()})
 }
 
 // view is the state as applied on this replica.
@@ -51,13 +54,17 @@
 	if accepted := decoded.GetCatalog(); accepted != nil {
 		return m.catalog.Accept(accepted)
 	}
+	if suspected := decoded.GetQuarantine(); suspected != nil {
+		m.quarantine.Apply(suspected)
+		return nil
+	}
 	m.directory.Apply(decoded.GetDirectory())
 	return nil
 }
 
 // Snapshot implements replica.StateMachine.
 func (m *rootMachine) Snapshot() ([]byte, error) {
-	snapshot := &rockwindpb.RootSnapshot{Catalog: m.catalog.Save(), Directory: m.directory.Save()}
+	snapshot := &rockwindpb.RootSnapshot{Catalog: m.catalog.Save(), Directory: m.directory.Save(), Quarantine: m.quarantine.Save()}
 	return proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 }
 
@@ -71,6 +78,7 @@
 		return err
 	}
 	m.directory.Load(decoded.GetDirectory())
+	m.quarantine.Load(decoded.GetQuarantine())
 	m.publish()
 	return nil
 }
--- a/internal/coordinator/services.go
+++ b/internal/coordinator/services.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/catalog"
-	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
@@ -144,9 +143,9 @@
 			return nil, fault.ToTwirp(err)
 		}
 		number := view.catalog.Index().Number()
-		news := view.directory.Revision() != request.GetHaveRevision()
+		news := view.directory.Revision() != request.GetHaveRevision() || view.quarantine.Revision() > request.GetHaveQuarantine()
 		if over || number > request.GetHaveConfiguration() || (news && lingered) {
-			return answerWatch(view.directory, request, number), nil
+			return answerWatch(view, request, time.Now()), nil
 		}
 		if news {
 			lingered = true
@@ -164,8 +163,13 @@
 	}
 }
 
-func answerWatch(view *directory.View, request *rockwindpb.WatchDirectoryRequest, number uint64) *rockwindpb.WatchDirectoryResponse {
-	response := view.Since(request.GetHaveRevision(), request.GetHaveStoreCluster())
-	response.ConfigurationNumber = number
+// answerWatch is what a watcher lacks of a view.
+func answerWatch(view *rootView, request *rockwindpb.WatchDirectoryRequest, now time.Time) *rockwindpb.WatchDirectoryResponse {
+	response := view.directory.Since(request.GetHaveRevision(), request.GetHaveStoreCluster())
+	response.ConfigurationNumber = view.catalog.Index().Number()
+	response.QuarantineRevision = view.quarantine.Revision()
+	if response.GetQuarantineRevision() > request.GetHaveQuarantine() {
+		response.Suspects = view.quarantine.Notices(now)
+	}
 	return response
 }
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -45,6 +45,14 @@
 	ItemRecorded Kind = "item recorded"
 	// ConfigurationInForce: another configuration is in force here.
 	ConfigurationInForce Kind = "configuration in force"
+	// ServerEnded: a server ended while it ran a request, and ContentCleared: what was held
+	// against a content is forgotten.
+	ServerEnded    Kind = "server ended under a request"
+	ContentCleared Kind = "content cleared"
+	// RequestHeld: a request was refused, and ItemHeld: an item was not started, since servers
+	// ended under the same content.
+	RequestHeld Kind = "request held"
+	ItemHeld    Kind = "item held"
 	// DependencyLost and DependencyRegained tell of coordinators and stores.
 	DependencyLost     Kind = "dependency lost"
 	DependencyRegained Kind = "dependency regained"
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -33,6 +33,8 @@
 	LimitReached Kind = "limit_reached"
 	// Overloaded: the fleet cannot meet the request's deadline.
 	Overloaded Kind = "overloaded"
+	// Quarantined: servers ended under the same request; it is not run for a while.
+	Quarantined Kind = "quarantined"
 	// Unavailable: no back end or no quorum can be reached for now.
 	Unavailable Kind = "unavailable"
 	// NotLeader: another replica leads the group; its address is in Leader.
@@ -154,7 +156,7 @@
 		return http.StatusConflict
 	case LimitReached:
 		return http.StatusTooManyRequests
-	case Overloaded, Unavailable, NotLeader:
+	case Overloaded, Quarantined, Unavailable, NotLeader:
 		return http.StatusServiceUnavailable
 	case OutcomeUnknown:
 		return http.StatusBadGateway
@@ -221,7 +223,7 @@
 		return twirp.NotFound
 	case Conflict, Stale:
 		return twirp.FailedPrecondition
-	case LimitReached, Overloaded:
+	case LimitReached, Overloaded, Quarantined:
 		return twirp.ResourceExhausted
 	case Unavailable, NotLeader, OutcomeUnknown:
 		return twirp.Unavailable
--- a/internal/rockwindpb/jobstore.twirp.go
+++ b/internal/rockwindpb/jobstore.twirp.go
@@ -1340,7 +1340,7 @@
 }
 
 func (s *jobStoreServiceServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor5, 0
+	return twirpFileDescriptor6, 0
 }
 
 func (s *jobStoreServiceServer) ProtocGenTwirpVersion() string {
@@ -2116,7 +2116,7 @@
 }
 
 func (s *tokenLimitServiceServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor5, 1
+	return twirpFileDescriptor6, 1
 }
 
 func (s *tokenLimitServiceServer) ProtocGenTwirpVersion() string {
@@ -2612,7 +2612,7 @@
 }
 
 func (s *requestRateServiceServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor5, 2
+	return twirpFileDescriptor6, 2
 }
 
 func (s *requestRateServiceServer) ProtocGenTwirpVersion() string {
@@ -2626,7 +2626,7 @@
 	return baseServicePath(s.pathPrefix, "rockwind.v1", "RequestRateService")
 }
 
-var twirpFileDescriptor5 = []byte{
+var twirpFileDescriptor6 = []byte{
 	// 1390 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x57, 0xcd, 0x72, 0xdb, 0x36,
 	0x10, 0x36, 0xf5, 0x67, 0x69, 0x6d, 0x39, 0x0e, 0xac, 0xd8, 0xac, 0x27, 0x93, 0x51, 0x98, 0x1c,
--- a/internal/rockwindpb/replication.twirp.go
+++ b/internal/rockwindpb/replication.twirp.go
@@ -1899,7 +1899,7 @@
 }
 
 func (s *replicaServiceServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *replicaServiceServer) ProtocGenTwirpVersion() string {
@@ -1913,7 +1913,7 @@
 	return baseServicePath(s.pathPrefix, "rockwind.v1", "ReplicaService")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 1358 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x57, 0xeb, 0x6e, 0xdb, 0xb6,
 	0x17, 0xff, 0xcb, 0x96, 0x6f, 0xc7, 0x76, 0xea, 0xb2, 0x69, 0x22, 0xbb, 0x09, 0x9a, 0xbf, 0x86,
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -48,6 +48,7 @@
 	router := New(settings, watcher, protocol, jobclient.New(watcher, client))
 	router.metrics = sitemetrics.New("router", decision.Default)
 	router.metrics.LoadTraffic(router.dispatcher.LoadTraffic)
+	router.metrics.Held(router.witness.Held)
 	listener, err := site.Listen("listen", settings.GetListen())
 	if err != nil {
 		return err
@@ -69,6 +70,7 @@
 	group.Go(func() error { return watcher.Run(parts) })
 	group.Go(func() error { return router.metrics.Serve(parts, settings) })
 	group.Go(func() error { router.Keep(parts); return nil })
+	group.Go(func() error { router.witness.Run(parts); return nil })
 	group.Go(func() error { return router.dispatcher.Share(parts, settings) })
 	group.Go(func() error { router.announce(parts, settings); return nil })
 	group.Go(func() error {
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -10,6 +10,7 @@
 	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/health"
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
@@ -73,6 +74,10 @@
 	reason string
 	// relayed holds which events were relayed.
 	relayed upstream.Sequence
+	// fingerprint is that of the content, nil before it was needed.
+	fingerprint *fingerprint.Fingerprint
+	// trySent is when the last try was sent.
+	trySent time.Time
 }
 
 // verdict tells what becomes of the request after a try.
@@ -106,6 +111,11 @@
 func (e *exchange) run(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, e.ends)
 	defer cancel()
+	if held := e.held(); held != nil {
+		e.recordHeld(held)
+		refuse(e.writer, held.Kind.HTTPStatus(), held)
+		return
+	}
 	if err := e.takeRate(ctx); err != nil {
 		e.refuseUncounted(fault.From(err))
 		return
@@ -118,6 +128,12 @@
 			e.fail(ctx, err)
 			return
 		}
+		if held := e.held(); held != nil {
+			// It became known while the request waited for room.
+			lease.Abandon()
+			e.fail(ctx, held)
+			return
+		}
 		switch e.try(ctx, lease) {
 		case verdictFinished:
 			e.record(decision.RequestFinished, lease, "")
@@ -132,6 +148,10 @@
 		}
 		e.record(decision.RequestTriedAgain, lease, e.reason)
 		e.tried = append(e.tried, lease.ID)
+		if held := e.held(); held != nil {
+			e.fail(ctx, held)
+			return
+		}
 		if !e.mayTryAgain() {
 			e.fail(ctx, fault.New(fault.Unavailable, "no server answered the request", "come back later").WithRetryAfter(shortestReturn))
 			return
@@ -223,6 +243,7 @@
 		ServerID: lease.ID, Remaining: time.Until(e.ends), ResumeAfter: e.relayed.String(), Tenant: e.tenant.GetName(),
 	})
 	began := time.Now()
+	e.trySent = began
 	response, err := e.router.client.Do(ctx, lease.Address, &e.request, 0)
 	if err != nil {
 		return e.tryFailed(ctx, lease, err)
@@ -261,6 +282,9 @@
 	switch {
 	case ctx.Err() == nil:
 		lease.Done(health.Failure, 0)
+		if !notRun {
+			e.broke(lease, err)
+		}
 	case notRun, errors.Is(ctx.Err(), context.Canceled):
 		lease.Abandon()
 	default:
@@ -325,6 +349,9 @@
 	case e.sent > 0:
 		return http.StatusBadGateway, cause.WithRan(fault.RanUnknown)
 	}
+	if cause.Kind == fault.Quarantined {
+		return cause.Kind.HTTPStatus(), cause
+	}
 	comeBack := boundReturn(cause.RetryAfter, time.Until(e.ends))
 	return http.StatusServiceUnavailable, cause.WithRan(fault.NotRun).WithRetryAfter(comeBack)
 }
--- a/internal/router/recording.go
+++ b/internal/router/recording.go
@@ -8,7 +8,6 @@
 	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/fault"
-	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -60,13 +59,6 @@
 	})
 }
 
-// content identifies the request by what makes it the same when a client comes again.
-func (e *exchange) content() fingerprint.Fingerprint {
-	return fingerprint.Of(fingerprint.Content{
-		Tenant: e.tenant.GetName(), Method: e.request.Method, Host: e.request.Host, Target: e.request.Path, Body: e.request.Body,
-	})
-}
-
 // measure counts the end of the request.
 func (e *exchange) measure(kind decision.Kind) {
 	if kind != decision.RequestTriedAgain && e.router.metrics != nil {
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -50,6 +50,8 @@
 	}
 	_, err = io.Copy(e.writer, response.Body(0))
 	if err != nil {
+		// A client that left breaks it off too; the witness looks at the server.
+		e.broke(lease, err)
 		e.abandon(lease, response)
 		return verdictBroken
 	}
@@ -60,6 +62,7 @@
 // finish ends an exchange whose answer was read whole.
 func (e *exchange) finish(lease *Lease, response *upstream.Response, latency time.Duration) {
 	response.Finish()
+	e.router.witness.Answered(e.content)
 	outcome := health.Success
 	if response.Status >= http.StatusInternalServerError {
 		outcome = health.Failure
@@ -89,6 +92,7 @@
 		return verdictElsewhere
 	}
 	lease.Done(health.Failure, latency)
+	e.broke(lease, cause)
 	return e.afterBreak()
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -41,6 +41,7 @@
 	watcher    *site.Watcher
 	dispatcher *Dispatcher
 	client     *upstream.Client
+	witness    *Witness
 	protocol   Protocol
 	jobs       *jobclient.Client
 	rates      *rateclient.Client
@@ -54,10 +55,12 @@
 
 // New returns a router that serves what the watcher knows.
 func New(settings *rockwindpb.SiteSettings, watcher *site.Watcher, protocol Protocol, jobs *jobclient.Client) *Router {
+	client := NewUpstream()
 	return &Router{
 		watcher:    watcher,
 		dispatcher: NewDispatcher(settings.GetZone()),
-		client:     NewUpstream(),
+		client:     client,
+		witness:    NewWitness(watcher, client),
 		protocol:   protocol,
 		jobs:       jobs,
 		rates:      rateclient.New(jobs, settings.GetName(), func() int { return len(watcher.Directory().WithRole(rockwindpb.SiteRole_SITE_ROLE_ROUTER)) }),
--- /dev/null
+++ b/internal/router/witness.go
@@ -0,0 +1,137 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"os"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"rockwind.example/rockwind/internal/decision"
+	"rockwind.example/rockwind/internal/fingerprint"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/site"
+	"rockwind.example/rockwind/internal/upstream"
+)
+
+// mostChecks bounds the connections that are looked into at a time. More fail together only
+// where a machine loses all of them; what is passed over then counts for nothing.
+const mostChecks = 64
+
+// Witness finds out which requests were running at a server that ended, and tells the
+// coordinators. A connection that broke off shows no more than that: servers reset connections
+// and lose answers. The server has ended where nobody listens at its address any more, though
+// it did not say that it leaves. One that is out of reach or silent refuses nothing.
+//
+// Its methods may be called by any goroutine and never block.
+type Witness struct {
+	watcher  *site.Watcher
+	client   *upstream.Client
+	reporter *site.Reporter
+	checks   singleflight.Group
+	room     chan struct{}
+}
+
+// NewWitness returns a witness that looks at servers through the given client.
+func NewWitness(watcher *site.Watcher, client *upstream.Client) *Witness {
+	return &Witness{watcher: watcher, client: client, reporter: site.NewReporter(watcher), room: make(chan struct{}, mostChecks)}
+}
+
+// Run tells what was found out until the context ends.
+func (w *Witness) Run(ctx context.Context) { w.reporter.Run(ctx) }
+
+// Attempt is a request at a server.
+type Attempt struct {
+	Content fingerprint.Fingerprint
+	Server  string
+	Address string
+	// Began is when it was sent there.
+	Began time.Time
+	// Route and Tenant are those of the request.
+	Route  string
+	Tenant string
+	// Item tells that the request is an item of a batch job.
+	Item bool
+}
+
+// Broke tells that the connection of an attempt broke off with the given error before the
+// answer was whole. A server that fell silent has not ended by this.
+func (w *Witness) Broke(attempt Attempt, cause error) {
+	if timedOut(cause) {
+		return
+	}
+	select {
+	case w.room <- struct{}{}:
+	default:
+		decision.Default.Skip(decision.ServerEnded)
+		return
+	}
+	go func() {
+		defer func() { <-w.room }()
+		if w.ended(attempt) {
+			w.reporter.Ended(&rockwindpb.ServerEnd{
+				Content: attempt.Content.Bytes(), Server: attempt.Server, Route: attempt.Route, Tenant: attempt.Tenant, Item: attempt.Item,
+			}, attempt.Began)
+		}
+	}()
+}
+
+// timedOut tells whether an error of a connection is a time that ran out here.
+func timedOut(cause error) bool {
+	var failure *upstream.AttemptError
+	if errors.As(cause, &failure) && failure.Timeout {
+		return true
+	}
+	return errors.Is(cause, os.ErrDeadlineExceeded)
+}
+
+// ended tells whether the server of an attempt has ended without leaving. Attempts that broke
+// off together share one look, which never fails.
+func (w *Witness) ended(attempt Attempt) bool {
+	if !w.serves(attempt.Server) {
+		return false
+	}
+	looked, _, _ := w.checks.Do(attempt.Server, func() (any, error) {
+		return w.client.Refuses(context.Background(), attempt.Address, connectLimit), nil
+	})
+	refused, _ := looked.(bool)
+	return refused
+}
+
+// serves tells whether a server belongs to the site and has not said that it leaves.
+func (w *Witness) serves(id string) bool {
+	server, known := w.watcher.Directory().Server(id)
+	if !known {
+		return false
+	}
+	state := server.GetState()
+	return state == rockwindpb.ServerState_SERVER_STATE_READY || state == rockwindpb.ServerState_SERVER_STATE_SILENT
+}
+
+// Suspected tells whether several servers ended under the content, which is computed only
+// where any content is suspected.
+func (w *Witness) Suspected(content func() fingerprint.Fingerprint) bool {
+	list := w.watcher.Quarantine()
+	return !list.Empty() && list.Suspected(content())
+}
+
+// HeldFor is for how much longer a content is held, zero where it may run.
+func (w *Witness) HeldFor(content func() fingerprint.Fingerprint) time.Duration {
+	list := w.watcher.Quarantine()
+	if list.Empty() {
+		return 0
+	}
+	return list.HeldFor(content(), time.Now())
+}
+
+// Answered tells that a server gave a whole answer to a request. What was held against it is
+// forgotten.
+func (w *Witness) Answered(content func() fingerprint.Fingerprint) {
+	if w.Suspected(content) {
+		w.reporter.Answered(content())
+	}
+}
+
+// Held counts the contents that are held here.
+func (w *Witness) Held() int { return w.watcher.Quarantine().Held(time.Now()) }
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -24,6 +24,7 @@
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/follower"
+	"rockwind.example/rockwind/internal/quarantine"
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/twirphttp"
@@ -50,7 +51,8 @@
 	client   *http.Client
 	follower *follower.Follower
 
-	directory atomic.Pointer[directory.View]
+	directory  atomic.Pointer[directory.View]
+	quarantine atomic.Pointer[quarantine.List]
 	// heard is when a coordinator last answered a watch, in Unix nanoseconds.
 	heard atomic.Int64
 
@@ -148,6 +150,9 @@
 // Directory is the newest directory that is known, nil before the first.
 func (w *Watcher) Directory() *directory.View { return w.directory.Load() }
 
+// Quarantine lists the requests under which servers ended, nil before the first directory.
+func (w *Watcher) Quarantine() *quarantine.List { return w.quarantine.Load() }
+
 // Known tells whether a configuration and a directory have been heard from a
 // coordinator since the start.
 func (w *Watcher) Known() bool {
@@ -234,9 +239,11 @@
 }
 
 // watchRequest asks for what is newer than the held directory, nil for none, and than the
-// configuration in force here.
+// configuration and the quarantine known here.
 func (w *Watcher) watchRequest(held *directory.View, wait time.Duration) *rockwindpb.WatchDirectoryRequest {
-	request := &rockwindpb.WatchDirectoryRequest{WaitMs: uint32(wait.Milliseconds()), HaveConfiguration: w.Configuration().Number()}
+	request := &rockwindpb.WatchDirectoryRequest{
+		WaitMs: uint32(wait.Milliseconds()), HaveConfiguration: w.Configuration().Number(), HaveQuarantine: w.Quarantine().Revision(),
+	}
 	if held != nil {
 		request.HaveRevision = held.Revision()
 		request.HaveStoreCluster = held.StoreCluster().GetClusterId()
@@ -261,6 +268,7 @@
 	} else {
 		w.follower.Hint(response.GetConfigurationNumber())
 	}
+	w.takeQuarantine(response)
 	merged := directory.Merge(held, response)
 	if merged != held {
 		w.directory.Store(merged)
@@ -277,6 +285,16 @@
 	return nil
 }
 
+// takeQuarantine takes what a coordinator tells of the quarantine, unless it is known here
+// already or older.
+func (w *Watcher) takeQuarantine(response *rockwindpb.WatchDirectoryResponse) {
+	if response.GetQuarantineRevision() <= w.Quarantine().Revision() {
+		return
+	}
+	w.quarantine.Store(quarantine.NewList(response.GetQuarantineRevision(), response.GetSuspects(), time.Now()))
+	w.announce()
+}
+
 // Coordinators lists the internal addresses of the coordinators: the one that
 // answered last, then the others from near to far, then the seeds. Those that failed
 // to answer lately come last, the one that failed first before the others.
@@ -370,18 +388,28 @@
 // Announce makes this machine known in the directory. Where the founding of the stores'
 // cluster is wanted it is returned, nil before it is decided.
 func (w *Watcher) Announce(ctx context.Context, machine *rockwindpb.Machine, wantStoreCluster bool) (*rockwindpb.FoundRequest, error) {
+	var founding *rockwindpb.FoundRequest
+	err := w.atCoordinator(ctx, func(calling context.Context, address string) error {
+		response, err := w.directoryAt(address).Announce(calling, &rockwindpb.AnnounceMachineRequest{Machine: machine, WantStoreCluster: wantStoreCluster})
+		founding = response.GetStoreCluster()
+		return err
+	})
+	return founding, err
+}
+
+// atCoordinator makes a call at one coordinator after the other until one takes it.
+func (w *Watcher) atCoordinator(ctx context.Context, call func(calling context.Context, address string) error) error {
 	var last error
 	for _, address := range w.Coordinators() {
-		service := w.directoryAt(address)
 		calling, cancel := context.WithTimeout(ctx, watchWait)
-		response, err := service.Announce(calling, &rockwindpb.AnnounceMachineRequest{Machine: machine, WantStoreCluster: wantStoreCluster})
+		err := call(calling, address)
 		cancel()
 		if err == nil {
-			return response.GetStoreCluster(), nil
+			return nil
 		}
 		last = fault.From(err)
 	}
-	return nil, last
+	return last
 }
 
 // configurationSource asks the coordinator that answers the watches.
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -92,6 +92,8 @@
 	absentSince time.Time
 	// after is when the item may be tried again.
 	after time.Time
+	// held tells that the item is not started since its content is held.
+	held bool
 }
 
 // made is how many events of the item's output were received.
@@ -246,7 +248,7 @@
 		}
 		return true
 	}
-	if standing != routeFound {
+	if standing != routeFound || e.held(item, known) {
 		return true
 	}
 	facts, err := e.store.protocol.Facts(itemHeader(item))
@@ -276,7 +278,7 @@
 			"failures": known.failures, "after_event": known.received.Last(), "age_ms": now.UnixMilli() - item.SubmittedUnixMs,
 		})
 	}
-	try := &itemTry{store: e.store, item: item, history: known, lease: lease, attempts: max(1, int(route.GetAttempts()))}
+	try := &itemTry{store: e.store, item: item, history: known, lease: lease, route: route.GetName(), attempts: max(1, int(route.GetAttempts()))}
 	go func() {
 		end := try.run(running)
 		end.claim, end.item, end.server, end.content = claim, item.Item.GetId(), lease.ID, contentOf(item)
@@ -289,6 +291,23 @@
 	return true
 }
 
+// held tells whether an item must not be started since servers ended under its content. The
+// first time that it is held back by this is written.
+func (e *executor) held(item jobstore.OpenItem, known *history) bool {
+	remaining := e.store.witness.HeldFor(func() fingerprint.Fingerprint { return contentOf(item) })
+	if remaining == 0 {
+		known.held = false
+		return false
+	}
+	if !known.held {
+		decision.Default.Record(decision.ItemHeld, item.Job, log.Fields{
+			"item": item.Index, "item_id": item.Item.GetId(), "content": contentOf(item).String(), "held_ms": remaining.Milliseconds(),
+		})
+	}
+	known.held = true
+	return true
+}
+
 // finish takes the end of a try.
 func (e *executor) finish(end itemEnd) {
 	if !e.claims.Current(end.claim) {
--- a/internal/store/item.go
+++ b/internal/store/item.go
@@ -40,7 +40,10 @@
 	item     jobstore.OpenItem
 	history  *history
 	lease    *router.Lease
+	route    string
 	attempts int
+	// began is when the try was sent to its server.
+	began time.Time
 }
 
 func itemHeader(item jobstore.OpenItem) http.Header {
@@ -58,6 +61,16 @@
 	})
 }
 
+func (t *itemTry) content() fingerprint.Fingerprint { return contentOf(t.item) }
+
+// broke tells that the connection of the try broke off before the answer was whole.
+func (t *itemTry) broke(cause error) {
+	t.store.witness.Broke(router.Attempt{
+		Content: t.content(), Server: t.lease.ID, Address: t.lease.Address, Began: t.began,
+		Route: t.route, Tenant: t.item.Tenant, Item: true,
+	}, cause)
+}
+
 // again ends the try without a result.
 func (t *itemTry) again(pause time.Duration, reason string) itemEnd {
 	t.history.after = time.Now().Add(pause)
@@ -81,7 +94,7 @@
 // the server stops.
 func (t *itemTry) run(ctx context.Context) itemEnd {
 	request := t.request()
-	began := time.Now()
+	t.began = time.Now()
 	response, err := t.store.upstream.Do(ctx, t.lease.Address, request, 0)
 	if err != nil {
 		return t.unanswered(ctx, err)
@@ -90,7 +103,7 @@
 	if judgement.Load != nil {
 		t.lease.Told(*judgement.Load)
 	}
-	latency := time.Since(began)
+	latency := time.Since(t.began)
 	switch {
 	case judgement.NotRun:
 		response.Discard()
@@ -144,6 +157,7 @@
 	if errors.As(err, &failure) && failure.Ran() == fault.NotRun {
 		return t.again(pauseAfterRefusal, "the server was not reached: "+err.Error())
 	}
+	t.broke(err)
 	return t.again(pauseAfterFailure, "the server did not answer: "+err.Error())
 }
 
@@ -171,6 +185,7 @@
 		case err == nil:
 		case errors.Is(err, io.EOF):
 			response.Finish()
+			t.store.witness.Answered(t.content)
 			t.lease.Done(health.Success, latency)
 			return itemEnd{outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DONE, history: t.history}
 		default:
@@ -179,6 +194,7 @@
 				return t.stopped(ctx)
 			}
 			t.lease.Done(health.Failure, latency)
+			t.broke(err)
 			return t.again(pauseAfterRefusal, "the stream broke off: "+err.Error())
 		}
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -45,6 +45,7 @@
 	watcher    *site.Watcher
 	dispatcher *router.Dispatcher
 	upstream   *upstream.Client
+	witness    *router.Witness
 	protocol   router.Protocol
 	limiter    *limiter
 	rates      *requestRates
@@ -80,6 +81,7 @@
 	if s.watcher, err = site.NewWatcher(settings, s.client, filepath.Join(settings.GetDataFolder(), configurationFolder)); err != nil {
 		return err
 	}
+	s.witness = router.NewWitness(s.watcher, s.upstream)
 	s.limiter = newLimiter(s)
 	s.rates = newRequestRates(s)
 	listener, err := site.Listen("internal_listen", settings.GetInternalListen())
@@ -131,6 +133,7 @@
 		group.Go(func() error { return s.metrics().Serve(parts, s.settings) })
 		group.Go(func() error { return site.Serve(parts, site.NewServer(s.handler()), listener, stopTimeout) })
 		group.Go(func() error { s.announce(parts); return nil })
+		group.Go(func() error { s.witness.Run(parts); return nil })
 		group.Go(func() error { router.Follow(parts, s.watcher, s.dispatcher, s.upstream); return nil })
 		group.Go(func() error { return s.execute(parts) })
 		group.Go(func() error { return s.dispatcher.Share(parts, s.settings) })
@@ -141,6 +144,7 @@
 	set := sitemetrics.New("store", decision.Default)
 	set.Limits(s.limiter.gauges)
 	set.LoadTraffic(s.dispatcher.LoadTraffic)
+	set.Held(s.witness.Held)
 	return set
 }
 
