End a leader's lease by a suspension of its machine

Cause: leases are checked by the steady clock, which stands still while a machine is suspended; after 5 s a leader that was suspended would take its lease for valid beside another leader, and serve old state. Change: internal/suspension reads how long the machine was suspended (CLOCK_BOOTTIME less CLOCK_MONOTONIC), and the lease counts that time.

--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -85,9 +85,9 @@
 	if !status.LeaseValid {
 		return nil
 	}
-	until := o.lease.until(o.node.LeaseRound())
-	if until.IsZero() {
+	end := o.lease.end(o.node.LeaseRound())
+	if end.none() {
 		return nil
 	}
-	return &leadership{term: status.Term, until: until}
+	return &leadership{term: status.Term, end: end}
 }
--- a/internal/replica/lease.go
+++ b/internal/replica/lease.go
@@ -2,30 +2,52 @@
 
 import "time"
 
-// leaseClock checks by a monotonic clock what the core counts in ticks, since
-// ticks stand still while a process is frozen. It belongs to one goroutine.
+// moment is a time as a machine measures it that may be suspended.
+type moment struct {
+	// at has a reading of the steady clock, which stands still during a suspension.
+	at time.Time
+	// suspended is how long the machine has been suspended by then.
+	suspended time.Duration
+}
+
+// leaseEnd is when a lease ends; the zero value is no lease.
+type leaseEnd struct {
+	until moment
+}
+
+// none tells whether there is no lease.
+func (e leaseEnd) none() bool { return e.until.at.IsZero() }
+
+// after tells whether the lease still holds at a moment. A suspension since it was made
+// counts, though the steady clock does not show it.
+func (e leaseEnd) after(now moment) bool {
+	suspended := max(0, now.suspended-e.until.suspended)
+	return now.at.Add(suspended).Before(e.until.at)
+}
+
+// leaseClock checks by clocks what the core counts in ticks, since ticks stand still while a
+// process is frozen or its machine suspended. It belongs to one goroutine.
 type leaseClock struct {
 	duration time.Duration
 	noted    []notedRound
 }
 
-// notedRound is a time before any message of a heartbeat round was sent.
+// notedRound is a moment before any message of a heartbeat round was sent.
 type notedRound struct {
 	round uint64
-	at    time.Time
+	moment
 }
 
 // note remembers that the messages of a round leave after now.
-func (l *leaseClock) note(round uint64, now time.Time) {
+func (l *leaseClock) note(round uint64, now moment) {
 	if round == 0 || (len(l.noted) > 0 && l.noted[len(l.noted)-1].round >= round) {
 		return
 	}
-	l.noted = append(l.noted, notedRound{round: round, at: now})
+	l.noted = append(l.noted, notedRound{round: round, moment: now})
 }
 
-// until returns when the lease ends that rests on a confirmed round, and the
-// zero time where there is none.
-func (l *leaseClock) until(confirmed uint64) time.Time {
+// end returns when the lease ends that rests on a confirmed round.
+func (l *leaseClock) end(confirmed uint64) leaseEnd {
 	newest := -1
 	for position, noted := range l.noted {
 		if noted.round > confirmed {
@@ -34,10 +56,11 @@
 		newest = position
 	}
 	if newest < 0 {
-		return time.Time{}
+		return leaseEnd{}
 	}
 	l.noted = l.noted[newest:]
-	return l.noted[0].at.Add(l.duration)
+	began := l.noted[0].moment
+	return leaseEnd{until: moment{at: began.at.Add(l.duration), suspended: began.suspended}}
 }
 
 // reset forgets the rounds of an earlier leadership.
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/suspension"
 	"rockwind.example/rockwind/internal/wal"
 )
 
@@ -74,6 +75,9 @@
 	// experiments with cut links, and is asked on both sides; nil allows
 	// everything. Links.Allow is one that can be changed while the host runs.
 	Allow func(from, to string) bool
+	// Suspended tells how long the machine has been suspended so far; nil means
+	// suspension.Total.
+	Suspended func() time.Duration
 	// Random seeds election timeouts; zero means a seed from the system.
 	Random uint64
 }
@@ -110,6 +114,9 @@
 	if o.Allow == nil {
 		o.Allow = func(string, string) bool { return true }
 	}
+	if o.Suspended == nil {
+		o.Suspended = suspension.Total
+	}
 	if o.Random == 0 {
 		o.Random = rand.Uint64()
 	}
--- a/internal/replica/owner.go
+++ b/internal/replica/owner.go
@@ -92,8 +92,8 @@
 
 // leadership is a lease as other goroutines see it.
 type leadership struct {
-	term  uint64
-	until time.Time
+	term uint64
+	end  leaseEnd
 }
 
 // waitingRead runs once the state holds everything up to index.
@@ -260,13 +260,18 @@
 	return o.maybeSnapshot()
 }
 
+// now is the present moment.
+func (o *owner) now() moment {
+	return moment{at: time.Now(), suspended: o.host.options.Suspended()}
+}
+
 // work does what the core asks for until it asks for nothing.
 func (o *owner) work() error {
 	for {
 		if err := o.node.Err(); err != nil {
 			return err
 		}
-		now := time.Now()
+		now := o.now()
 		o.followRole()
 		if !o.node.HasReady() {
 			o.publish()
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -165,7 +165,7 @@
 // from here on was current within the request.
 func (o *owner) leaseHolds() bool {
 	current := o.leadershipNow(o.node.Status())
-	return current != nil && time.Now().Before(current.until)
+	return current != nil && current.end.after(o.now())
 }
 
 func (o *owner) serve(r *read) {
@@ -233,7 +233,7 @@
 // Leading implements Group.
 func (o *owner) Leading() (uint64, bool) {
 	current := o.leadingUntil.Load()
-	if current == nil || !time.Now().Before(current.until) {
+	if current == nil || !current.end.after(o.now()) {
 		return 0, false
 	}
 	return current.term, true
