See ends of servers behind proxies and supervisors, soak requests that end back ends, show the quarantine

Cause: a proxy before a server, as in the soak, or a supervisor takes connections after the server has ended, so that no dial is refused. Change: the witness then waits for the directory to show the server silent, or another incarnation at its address ('replaced' in its entry); the soak sends contents that end each back end, and judges that the site lets few of them run; 'rockwind quarantine list' and 'release'.

--- a/internal/bench/soak/backend/backend.go
+++ b/internal/bench/soak/backend/backend.go
@@ -27,10 +27,12 @@
 	PathBatch     = "/batch/"
 )
 
-// HeaderJob names the job of an item, HeaderPoison marks one that can never be done.
+// HeaderJob names the job of an item, HeaderPoison marks one that can never be done, and
+// HeaderEnds names the content of a request that ends the back end.
 const (
 	HeaderJob    = "X-Soak-Job"
 	HeaderPoison = "X-Soak-Poison"
+	HeaderEnds   = "X-Soak-Ends"
 )
 
 const (
@@ -79,15 +81,18 @@
 	random *rand.Rand
 	// forbidden is since when no new request may come; zero while any may.
 	forbidden time.Duration
+	// end takes the content of a request that ends the back end.
+	end func(content string)
 }
 
-// Start starts an incarnation on an address.
-func Start(id, address string, seen *witness.Witness, since func() time.Duration, seed uint64) (*Server, error) {
+// Start starts an incarnation on an address. The function takes the content of a request that
+// ends it.
+func Start(id, address string, seen *witness.Witness, since func() time.Duration, seed uint64, end func(content string)) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{id: id, witness: seen, since: since, listener: listener, random: rand.New(rand.NewPCG(seed, 0))}
+	s := &Server{id: id, witness: seen, since: since, listener: listener, random: rand.New(rand.NewPCG(seed, 0)), end: end}
 	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(listener) }()
 	return s, nil
@@ -143,6 +148,10 @@
 	} else {
 		s.witness.Ran(id, s.id, s.since())
 	}
+	if content := request.Header.Get(HeaderEnds); content != "" {
+		s.end(content)
+		panic(http.ErrAbortHandler)
+	}
 	if request.Header.Get(HeaderPoison) != "" {
 		writer.WriteHeader(http.StatusUnprocessableEntity)
 		return
--- a/internal/bench/soak/backends.go
+++ b/internal/bench/soak/backends.go
@@ -70,7 +70,8 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.lives++
-	server, err := backend.Start(fmt.Sprintf("server-%d-%d", p.number, p.lives), p.address, run.witness, run.since, run.seed+uint64(p.lives))
+	id := fmt.Sprintf("server-%d-%d", p.number, p.lives)
+	server, err := backend.Start(id, p.address, run.witness, run.since, run.seed+uint64(p.lives), func(content string) { p.endBy(run, id, content) })
 	if err != nil {
 		return err
 	}
@@ -78,6 +79,24 @@
 	return nil
 }
 
+// endBy ends an incarnation by a request, and has the next one come.
+func (p *place) endBy(run *run, id, content string) {
+	now := run.since()
+	run.witness.EndedBackEnd(content, id, now, run.calm.since(now))
+	go func() {
+		p.busy.Lock()
+		defer p.busy.Unlock()
+		if current := p.current(); current == nil || current.ID() != id {
+			return
+		}
+		p.kill()
+		time.Sleep(reviveAfter)
+		if err := p.revive(run); err != nil {
+			log.WithError(err).Error("a back end was not started again")
+		}
+	}()
+}
+
 // kill ends the current incarnation.
 func (p *place) kill() {
 	p.mutex.Lock()
--- a/internal/bench/soak/command.go
+++ b/internal/bench/soak/command.go
@@ -225,6 +225,7 @@
 	for number := range callers {
 		load.Go(func() { newCaller(r, number).call(loading) })
 	}
+	load.Go(func() { r.endBackEnds(loading) })
 	load.Go(func() { r.submitAll(loading, following) })
 	load.Go(func() { r.operator.operate(loading) })
 	load.Go(func() { r.operator.readBack(loading) })
--- a/internal/bench/soak/witness/witness.go
+++ b/internal/bench/soak/witness/witness.go
@@ -46,6 +46,8 @@
 	ConfigurationLate Rule = "configuration late"
 	// LeavingServerUsed: a server that has left got a new request in calm times.
 	LeavingServerUsed Rule = "leaving server used"
+	// HeldButRan: a request under which three back ends have ended runs on and on.
+	HeldButRan Rule = "held, but ran"
 	// NoRecovery: requests are not served once everything runs again.
 	NoRecovery Rule = "no recovery"
 )
@@ -70,10 +72,29 @@
 	mutex      sync.Mutex
 	requests   map[string]*request
 	jobs       map[string]*job
+	enders     map[string]*ender
 	violations []Violation
 	counts     map[string]int
 }
 
+// ender is a content that ends each back end that runs it.
+type ender struct {
+	ends int
+	// convictedAt is when the third back end ended.
+	convictedAt time.Duration
+	// late counts the runs in calm times that began later than all may be bound to know.
+	late int
+}
+
+const (
+	// endsToHold is how many back ends have to end under a content before the site is bound
+	// to know, knownWithin how long that may take, and lateRuns how many more runs of it the
+	// site may try.
+	endsToHold  = 3
+	knownWithin = 4 * time.Second
+	lateRuns    = 3
+)
+
 // request is one online request.
 type request struct {
 	once    bool
@@ -115,7 +136,7 @@
 
 // New returns a witness that has seen nothing.
 func New() *Witness {
-	return &Witness{requests: make(map[string]*request), jobs: make(map[string]*job), counts: make(map[string]int)}
+	return &Witness{requests: make(map[string]*request), jobs: make(map[string]*job), enders: make(map[string]*ender), counts: make(map[string]int)}
 }
 
 // Report notes a breach that its observer judged itself.
@@ -167,6 +188,30 @@
 	}
 }
 
+// EndedBackEnd notes that a content has ended a back end. Calm tells that nothing has
+// disturbed the processes lately.
+func (w *Witness) EndedBackEnd(content, server string, at time.Duration, calm bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.counts["back ends ended by requests"]++
+	seen := w.enders[content]
+	if seen == nil {
+		seen = &ender{}
+		w.enders[content] = seen
+	}
+	seen.ends++
+	if seen.ends == endsToHold {
+		seen.convictedAt = at
+	}
+	if seen.ends <= endsToHold || !calm || at-seen.convictedAt < knownWithin {
+		return
+	}
+	seen.late++
+	if seen.late == lateRuns+1 {
+		w.report(HeldButRan, content, fmt.Sprintf("%d back ends ended, the third at %v, the last one is %s", seen.ends, seen.convictedAt, server), at)
+	}
+}
+
 // Refused notes that a caller was told that its request has not run.
 func (w *Witness) Refused(id string, at time.Duration) {
 	w.mutex.Lock()
--- a/internal/bench/soak/witness/witness_test.go
+++ b/internal/bench/soak/witness/witness_test.go
@@ -50,6 +50,13 @@
 	w.Ran("safe", "b", 0)
 	w.Sent("refused", true)
 	w.Refused("refused", 0)
+	for range 20 {
+		w.EndedBackEnd("at once", "a", 0, true)
+		w.EndedBackEnd("while others are harmed", "a", time.Hour, false)
+	}
+	for end := range 6 {
+		w.EndedBackEnd("three more", "a", time.Duration(end)*4*time.Second, true)
+	}
 	w.Accepted("job")
 	w.ItemRan("job", "good", "a", 0)
 	w.ItemRan("job", "good", "b", 0)
@@ -102,6 +109,11 @@
 			w.ItemRan("job", "good", "a", now+time.Second)
 			w.ItemRan("job", "good", "a", now+time.Minute)
 		},
+		witness.HeldButRan: func(w *witness.Witness) {
+			for end := range 7 {
+				w.EndedBackEnd("content", "a", time.Duration(end)*4*time.Second, true)
+			}
+		},
 		witness.RefusedJobRan: func(w *witness.Witness) { w.ItemRan("job", "good", "a", now) },
 		witness.WrongAnswer:   func(w *witness.Witness) { w.ItemRan("job", "other", "a", now) },
 	} {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -44,15 +44,16 @@
 	Control controlCommand `cmd:"" group:"Daemons" help:"Run a control daemon."`
 	Site    siteCommand    `cmd:"" group:"Daemons" help:"Run a coordinator, router or store of a site."`
 
-	Cluster clusterCommand `cmd:"" group:"Operation" help:"Found a cluster and look at its replicas."`
-	Apply   applyCommand   `cmd:"" group:"Operation" help:"Apply a configuration file as a whole."`
-	Diff    diffCommand    `cmd:"" group:"Operation" help:"Show what a configuration file would change."`
-	Get     getCommand     `cmd:"" group:"Operation" help:"Show the configuration in force, or the objects of a kind."`
-	Status  statusCommand  `cmd:"" group:"Operation" help:"Show which configuration is in force where, and the state of daemons and back ends."`
-	Jobs    jobsCommand    `cmd:"" group:"Operation" help:"Submit batch jobs and look at them."`
-	Drain   drainCommand   `cmd:"" group:"Operation" help:"Let a daemon finish its requests and take no new ones."`
-	Logs    logsCommand    `cmd:"" group:"Operation" help:"Show the last log entries of a daemon."`
-	Explain explainCommand `cmd:"" group:"Operation" help:"Show from logs what became of a request, job, item or server, and why."`
+	Cluster    clusterCommand    `cmd:"" group:"Operation" help:"Found a cluster and look at its replicas."`
+	Apply      applyCommand      `cmd:"" group:"Operation" help:"Apply a configuration file as a whole."`
+	Diff       diffCommand       `cmd:"" group:"Operation" help:"Show what a configuration file would change."`
+	Get        getCommand        `cmd:"" group:"Operation" help:"Show the configuration in force, or the objects of a kind."`
+	Status     statusCommand     `cmd:"" group:"Operation" help:"Show which configuration is in force where, and the state of daemons and back ends."`
+	Jobs       jobsCommand       `cmd:"" group:"Operation" help:"Submit batch jobs and look at them."`
+	Drain      drainCommand      `cmd:"" group:"Operation" help:"Let a daemon finish its requests and take no new ones."`
+	Logs       logsCommand       `cmd:"" group:"Operation" help:"Show the last log entries of a daemon."`
+	Quarantine quarantineCommand `cmd:"" group:"Operation" help:"Show requests under which servers of a site ended, and release them."`
+	Explain    explainCommand    `cmd:"" group:"Operation" help:"Show from logs what became of a request, job, item or server, and why."`
 }
 
 // session is what a command runs in.
@@ -129,7 +130,7 @@
 		return ExitRefused
 	case fault.Conflict, fault.Stale:
 		return ExitConflict
-	case fault.Unavailable, fault.NotLeader, fault.Overloaded, fault.LimitReached, fault.OutcomeUnknown:
+	case fault.Unavailable, fault.NotLeader, fault.Overloaded, fault.Quarantined, fault.LimitReached, fault.OutcomeUnknown:
 		return ExitUnavailable
 	default:
 		return ExitFailed
--- /dev/null
+++ b/internal/command/quarantine.go
@@ -0,0 +1,108 @@
+package command
+
+import (
+	"context"
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/fingerprint"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// quarantineCommand is 'rockwind quarantine'.
+type quarantineCommand struct {
+	List    quarantineList    `cmd:"" help:"Show the requests under which servers of a site ended, and which of them are held."`
+	Release quarantineRelease `cmd:"" help:"Let a held request run again."`
+}
+
+// quarantineList is 'rockwind quarantine list'.
+type quarantineList struct{}
+
+// Help implements kong.HelpProvider.
+func (*quarantineList) Help() string {
+	return `Asks the coordinators given with --control. A request is known by its content: caller, method, host,
+path and body. The same content stands in the lines of routers and stores ('request held', 'item held').`
+}
+
+// Run prints one row for each content.
+func (*quarantineList) Run(s *session) error {
+	ctx, cancel := s.bounded()
+	defer cancel()
+	var listed *rockwindpb.ListQuarantineResponse
+	err := s.atCoordinators(ctx, func(quarantine rockwindpb.QuarantineService) (err error) {
+		listed, err = quarantine.List(ctx, &rockwindpb.ListQuarantineRequest{})
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	people := &table{header: []string{"CONTENT", "ROUTE", "TENANT", "ENDED SERVERS", "LAST END", "HELD FOR"}}
+	for _, suspect := range listed.GetSuspects() {
+		people.add(hex.EncodeToString(suspect.GetContent()), suspect.GetRoute(), orDash(suspect.GetTenant()),
+			number(len(suspect.GetServers()))+": "+strings.Join(suspect.GetServers(), " "),
+			timeText(suspect.GetLastUnixMs()), heldFor(suspect))
+	}
+	return s.printer.print(listed, people)
+}
+
+// heldFor is for how much longer a content is held, for people.
+func heldFor(suspect *rockwindpb.Suspect) string {
+	if suspect.GetHeldMs() == 0 {
+		return orDash("")
+	}
+	return (time.Duration(suspect.GetHeldMs()) * time.Millisecond).Round(time.Second).String()
+}
+
+// quarantineRelease is 'rockwind quarantine release'.
+type quarantineRelease struct {
+	Content string `arg:"" help:"The content, as 'rockwind quarantine list' shows it."`
+}
+
+// Help implements kong.HelpProvider.
+func (*quarantineRelease) Help() string {
+	return `What is known of the content is forgotten. It is held again once three more servers have ended under
+it.`
+}
+
+// Run releases the content.
+func (r *quarantineRelease) Run(s *session) error {
+	decoded, err := hex.DecodeString(r.Content)
+	if _, ok := fingerprint.FromBytes(decoded); err != nil || !ok {
+		return fault.Newf(fault.InvalidArgument, "copy it from 'rockwind quarantine list'", "%q is not a content", r.Content)
+	}
+	ctx, cancel := s.bounded()
+	defer cancel()
+	var released *rockwindpb.ReleaseContentResponse
+	err = s.atCoordinators(ctx, func(quarantine rockwindpb.QuarantineService) (err error) {
+		released, err = quarantine.Release(ctx, &rockwindpb.ReleaseContentRequest{Content: decoded})
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	if !released.GetKnown() {
+		return fault.Newf(fault.NotFound, "look at 'rockwind quarantine list'", "no server has ended under the content %s lately", r.Content)
+	}
+	return s.printer.line(released, "%s may run again", r.Content)
+}
+
+// atCoordinators makes a call at one coordinator after the other, until one answers it.
+func (s *session) atCoordinators(ctx context.Context, call func(quarantine rockwindpb.QuarantineService) error) error {
+	machines, err := s.connection.machines()
+	if err != nil {
+		return err
+	}
+	carrier, err := s.connection.httpClient()
+	if err != nil {
+		return err
+	}
+	for _, machine := range machines {
+		err = call(rockwindpb.NewQuarantineServiceProtobufClient(s.connection.baseURL(machine.GetAddress()), carrier))
+		if err == nil || !fault.Is(err, fault.Unavailable) || ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -116,12 +116,15 @@
 	// In the order of identifiers, since replicas must number the changes alike.
 	for _, earlier := range sortedServers(d.servers) {
 		if earlier.GetAddress() == report.GetAddress() {
-			d.leave(earlier.GetId(), now)
+			d.goneServer(earlier.GetId(), earlier.GetState() == rockwindpb.ServerState_SERVER_STATE_READY, now)
 		}
 	}
 }
 
-func (d *Directory) leave(id string, now int64) {
+func (d *Directory) leave(id string, now int64) { d.goneServer(id, false, now) }
+
+// goneServer marks an incarnation as gone, one that was replaced while it was ready as such.
+func (d *Directory) goneServer(id string, replaced bool, now int64) {
 	known := d.servers[id]
 	if known.GetState() == rockwindpb.ServerState_SERVER_STATE_GONE {
 		return
@@ -131,6 +134,7 @@
 		gone = proto.CloneOf(known)
 	}
 	gone.State = rockwindpb.ServerState_SERVER_STATE_GONE
+	gone.Replaced = replaced
 	d.putServer(gone, now)
 }
 
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -229,3 +229,21 @@
 		t.Errorf("the watcher holds founding %q and %d servers", held.StoreCluster().GetClusterId(), len(held.Servers()))
 	}
 }
+
+func TestServersThatEndWithoutLeavingAreToldApart(t *testing.T) {
+	d := New()
+	for _, id := range []string{"left", "drained", "replaced", "silent", "serves"} {
+		d.Apply(report(id, id, ready, 1))
+	}
+	d.Apply(leave("left"))
+	d.Apply(report("drained", "drained", draining, 2))
+	for _, id := range []string{"left", "drained", "replaced"} {
+		d.Apply(report("next to "+id, id, ready, 1))
+	}
+	d.Apply(silence("silent"))
+	for id, want := range map[string]bool{"left": false, "drained": false, "replaced": true, "silent": true, "serves": false, "unknown": false} {
+		if got := d.View().Ended(id); got != want {
+			t.Errorf("%s ended without leaving: %v", id, got)
+		}
+	}
+}
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -28,6 +28,22 @@
 	return server, found
 }
 
+// Ended tells whether an incarnation ended without having said that it leaves: it is silent,
+// or another one reported from its address while it was ready.
+func (v *View) Ended(id string) bool {
+	server, known := v.servers[id]
+	if !known {
+		return false
+	}
+	switch server.GetState() {
+	case rockwindpb.ServerState_SERVER_STATE_SILENT:
+		return true
+	case rockwindpb.ServerState_SERVER_STATE_GONE:
+		return server.GetReplaced()
+	}
+	return false
+}
+
 // Machines lists the machines by name.
 func (v *View) Machines() []*rockwindpb.Machine { return sortedMachines(v.machines) }
 
--- a/internal/router/witness.go
+++ b/internal/router/witness.go
@@ -15,14 +15,21 @@
 	"rockwind.example/rockwind/internal/upstream"
 )
 
-// mostChecks bounds the connections that are looked into at a time. More fail together only
-// where a machine loses all of them; what is passed over then counts for nothing.
-const mostChecks = 64
+const (
+	// mostChecks bounds the connections that are looked into at a time. More fail together
+	// only where a machine loses all of them; what is passed over then counts for nothing.
+	mostChecks = 256
+	// noticedWithin is how long after a connection broke off the directory may show that its
+	// server has ended: longer than a server needs to start again, or to miss its heartbeats.
+	noticedWithin = 8 * time.Second
+)
 
 // Witness finds out which requests were running at a server that ended, and tells the
 // coordinators. A connection that broke off shows no more than that: servers reset connections
 // and lose answers. The server has ended where nobody listens at its address any more, though
-// it did not say that it leaves. One that is out of reach or silent refuses nothing.
+// it did not say that it leaves; or, where a proxy or a supervisor takes connections in its
+// place, where the directory shows soon that it is silent or that another incarnation has its
+// address. One that is out of reach refuses nothing, and its connections do not break off.
 //
 // Its methods may be called by any goroutine and never block.
 type Witness struct {
@@ -31,15 +38,22 @@
 	reporter *site.Reporter
 	checks   singleflight.Group
 	room     chan struct{}
+	stopped  chan struct{}
 }
 
 // NewWitness returns a witness that looks at servers through the given client.
 func NewWitness(watcher *site.Watcher, client *upstream.Client) *Witness {
-	return &Witness{watcher: watcher, client: client, reporter: site.NewReporter(watcher), room: make(chan struct{}, mostChecks)}
+	return &Witness{
+		watcher: watcher, client: client, reporter: site.NewReporter(watcher),
+		room: make(chan struct{}, mostChecks), stopped: make(chan struct{}),
+	}
 }
 
-// Run tells what was found out until the context ends.
-func (w *Witness) Run(ctx context.Context) { w.reporter.Run(ctx) }
+// Run tells what was found out until the context ends. It is called once.
+func (w *Witness) Run(ctx context.Context) {
+	defer close(w.stopped)
+	w.reporter.Run(ctx)
+}
 
 // Attempt is a request at a server.
 type Attempt struct {
@@ -87,7 +101,7 @@
 }
 
 // ended tells whether the server of an attempt has ended without leaving. Attempts that broke
-// off together share one look, which never fails.
+// off together share one look at the server, which never fails.
 func (w *Witness) ended(attempt Attempt) bool {
 	if !w.serves(attempt.Server) {
 		return false
@@ -96,7 +110,7 @@
 		return w.client.Refuses(context.Background(), attempt.Address, connectLimit), nil
 	})
 	refused, _ := looked.(bool)
-	return refused
+	return refused || w.noticed(attempt.Server)
 }
 
 // serves tells whether a server belongs to the site and has not said that it leaves.
@@ -109,6 +123,25 @@
 	return state == rockwindpb.ServerState_SERVER_STATE_READY || state == rockwindpb.ServerState_SERVER_STATE_SILENT
 }
 
+// noticed waits for the directory to show that a server has ended, and tells whether it did.
+func (w *Witness) noticed(id string) bool {
+	limit := time.NewTimer(noticedWithin)
+	defer limit.Stop()
+	for {
+		changed := w.watcher.Changed()
+		if w.watcher.Directory().Ended(id) {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			return false
+		case <-w.stopped:
+			return false
+		}
+	}
+}
+
 // Suspected tells whether several servers ended under the content, which is computed only
 // where any content is suspected.
 func (w *Witness) Suspected(content func() fingerprint.Fingerprint) bool {
