Number the questions of routers about a tenant's rate, so that each request counts once

What a router let through unasked was told with each further question and counted each time, and beside the grant of the question itself, so that a small tenant was refused below its limit.

--- /dev/null
+++ b/internal/rateclient/lossy_test.go
@@ -0,0 +1,87 @@
+package rateclient_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"rockwind.example/rockwind/internal/rateclient"
+	"rockwind.example/rockwind/internal/requestrate"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// lossyOwner counts as an owner does. Some questions do not reach it, and some of its answers
+// are lost.
+type lossyOwner struct {
+	counts *requestrate.Counts
+	now    time.Duration
+	fate   func() fate
+}
+
+// fate is what becomes of a question.
+type fate int
+
+const (
+	answered fate = iota
+	questionLost
+	answerLost
+)
+
+var errLost = errors.New("nobody answered")
+
+// TakeRequest implements rateclient.Owners.
+func (o *lossyOwner) TakeRequest(_ context.Context, request *rockwindpb.TakeRequestsRequest) (*rockwindpb.TakeRequestsResponse, error) {
+	fate := o.fate()
+	if fate == questionLost {
+		return nil, errLost
+	}
+	limit := requestrate.NewLimit(request.GetRequestsPerSecond(), request.GetRequestBurst())
+	decided := o.counts.Take(requestrate.NewRequest(request.GetTenant(), limit, request.GetConfiguration()).
+		From(request.GetRouter(), request.GetRouterStartedUnixMs(), request.GetQuestion()).
+		WithReturned(request.GetReturned()).WithUnanswered(request.GetPassed(), request.GetWithheld()), o.now)
+	if fate == answerLost {
+		return nil, errLost
+	}
+	return &rockwindpb.TakeRequestsResponse{
+		Granted: decided.Granted(), RetryAfterMs: uint32(decided.ComeBack().Milliseconds()), Remaining: decided.Remaining(),
+	}, nil
+}
+
+// TestLostAnswersCostATenantNothing: whatever questions and answers are lost, a tenant gets its
+// burst, and no more than that and what its routers may let through unasked.
+func TestLostAnswersCostATenantNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const burst, routers = 12, 2
+		limited := &rockwindpb.Tenant{Name: "tenant", Limits: &rockwindpb.Limits{RequestsPerSecond: 0.000001, RequestBurst: burst}}
+		owner := &lossyOwner{counts: requestrate.NewCounts(requestrate.Tolerance{}, 0), now: 1e6 * time.Hour}
+		var clients []*rateclient.Client
+		for _, name := range []string{"router-1", "router-2"} {
+			clients = append(clients, rateclient.New(owner, name, func() int { return routers }))
+		}
+		passed := 0
+		ask := func(client *rateclient.Client) {
+			if client.Take(context.Background(), limited, 1, time.Second) == nil {
+				passed++
+			}
+		}
+		owner.fate = func() fate {
+			return fate(rapid.SampledFrom([]int{int(answered), int(questionLost), int(answerLost)}).Draw(t, "fate"))
+		}
+		for range rapid.IntRange(0, 20).Draw(t, "lossy requests") {
+			ask(clients[rapid.IntRange(0, routers-1).Draw(t, "router")])
+		}
+		owner.fate = func() fate { return answered }
+		for range 2 * burst {
+			for _, client := range clients {
+				ask(client)
+			}
+		}
+		// Each router lets one through at any time, and its part of what the tenant has left.
+		if passed < burst || passed > 2*burst+routers {
+			t.Fatalf("%d requests passed with a burst of %d", passed, burst)
+		}
+	})
+}
--- a/internal/rateclient/rateclient.go
+++ b/internal/rateclient/rateclient.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,9 @@
 	refusalFor = 100 * time.Millisecond
 	// shortestReturn is the shortest time to come back that is told.
 	shortestReturn = 50 * time.Millisecond
+	// mostWithheld bounds the unanswered questions that are told of requests which were not
+	// let through; older ones are forgotten, against their tenant.
+	mostWithheld = 32
 )
 
 // Owners asks the owners of the tenants' rates. A jobclient.Client is one.
@@ -43,8 +47,10 @@
 // safe for concurrent use.
 type Client struct {
 	owners Owners
-	// router is the name of this process, and routers how many the site has.
+	// router is the name of this process, started when its life began, and routers how many
+	// the site has.
 	router  string
+	started time.Time
 	routers func() int
 
 	mutex sync.Mutex
@@ -54,10 +60,14 @@
 
 // tenantRate is what this router knows of one tenant's rate.
 type tenantRate struct {
-	// returned counts granted requests that have not run, and unasked those that were let
-	// through without asking, which the owner does not know of yet.
-	returned  uint32
-	unasked   uint32
+	// returned counts granted requests that have not run, which the owner does not know of yet.
+	returned uint32
+	// question numbers what was asked. Passed are the questions that no owner answered in
+	// time and whose requests were let through, and withheld those whose requests were not;
+	// they are told until an owner answers.
+	question  uint64
+	passed    []uint64
+	withheld  []uint64
 	unaskedAt time.Time
 	// remaining is what the owner said at toldAt that the tenant had left, and told that it
 	// ever did.
@@ -74,7 +84,7 @@
 
 // New returns the client of the named router, given how many routers the site has.
 func New(owners Owners, router string, routers func() int) *Client {
-	return &Client{owners: owners, router: router, routers: routers, tenants: make(map[string]*tenantRate)}
+	return &Client{owners: owners, router: router, started: time.Now(), routers: routers, tenants: make(map[string]*tenantRate)}
 }
 
 // limited tells whether a tenant has a limit on its requests; nil is none.
@@ -104,7 +114,7 @@
 		log.WithError(err).WithField("tenant", tenant.GetName()).Debug("no owner answered for the tenant's rate")
 		return c.unanswered(request)
 	}
-	c.answered(tenant.GetName(), response.GetRemaining())
+	c.answered(request, response.GetRemaining())
 	if response.GetGranted() {
 		return nil
 	}
@@ -139,23 +149,32 @@
 		known.refused++
 		return max(shortestReturn, known.comeBack.Sub(now))
 	}
-	request.Returned, request.Unasked = known.returned, known.unasked
+	known.question++
+	request.Router, request.RouterStartedUnixMs, request.Question = c.router, c.started.UnixMilli(), known.question
+	request.Returned, request.Passed, request.Withheld = known.returned, slices.Clone(known.passed), slices.Clone(known.withheld)
 	if known.told {
 		remaining := known.remaining
 		request.Remaining = &remaining
 		request.RemainingAgeMs = uint32(now.Sub(known.toldAt).Milliseconds())
 	}
 	request.Refused = known.refused
-	known.returned, known.unasked, known.refused = 0, 0, 0
+	known.returned, known.refused = 0, 0
 	return 0
 }
 
-// answered keeps what the owner said that the tenant has left.
-func (c *Client) answered(tenant string, remaining uint32) {
+// answered keeps what the owner said that the tenant has left, and forgets what it was told.
+func (c *Client) answered(request *rockwindpb.TakeRequestsRequest, remaining uint32) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	known := c.of(tenant)
+	known := c.of(request.GetTenant())
 	known.remaining, known.told, known.toldAt = remaining, true, time.Now()
+	known.passed = without(known.passed, request.GetPassed())
+	known.withheld = without(known.withheld, request.GetWithheld())
+}
+
+// without returns the numbers that are not among those told.
+func without(numbers, told []uint64) []uint64 {
+	return slices.DeleteFunc(numbers, func(number uint64) bool { return slices.Contains(told, number) })
 }
 
 func (c *Client) refused(tenant string, comeBack time.Duration) {
@@ -166,19 +185,22 @@
 }
 
 // unanswered lets a request through that no owner answered for, where that stays within
-// the bound. The owner may have counted what the request settled or not: what the tenant
-// was owed is dropped, and what it owes is told again.
+// the bound. An owner may have counted it or not: what became of it is told by its number.
+// What the tenant was owed is dropped.
 func (c *Client) unanswered(request *rockwindpb.TakeRequestsRequest) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	known, now := c.of(request.GetTenant()), time.Now()
-	known.unasked += request.GetUnasked()
 	one := now.Sub(known.unaskedAt) >= unaskedWindow && c.mayPassUnasked(request.GetTenant())
-	if one || float64(known.unasked+1) <= c.part(known, request, now) {
+	if one || float64(len(known.passed)+1) <= c.part(known, request, now) {
 		known.unaskedAt = now
-		known.unasked++
+		known.passed = append(known.passed, request.GetQuestion())
 		return nil
 	}
+	known.withheld = append(known.withheld, request.GetQuestion())
+	if surplus := len(known.withheld) - mostWithheld; surplus > 0 {
+		known.withheld = slices.Delete(known.withheld, 0, surplus)
+	}
 	return fault.Newf(fault.Unavailable, "come back after the time given", "the count of tenant %s's requests is not known now", request.GetTenant()).
 		WithRan(fault.NotRun).WithRetryAfter(ownerReturn)
 }
--- a/internal/rateclient/rateclient_test.go
+++ b/internal/rateclient/rateclient_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -120,10 +121,11 @@
 		if err := client.Take(t.Context(), tenant(), 1, patience); err != nil {
 			t.Fatal(err)
 		}
-		if told := owner.asked[len(owner.asked)-1].GetUnasked(); told != 2 {
-			t.Fatalf("the owner was told of %d", told)
+		last := owner.asked[len(owner.asked)-1]
+		if passed, withheld := last.GetPassed(), last.GetWithheld(); !slices.Equal(passed, []uint64{1, 3}) || !slices.Equal(withheld, []uint64{2}) {
+			t.Fatalf("the owner was told of %v let through and %v withheld", passed, withheld)
 		}
-		if err := client.Take(t.Context(), tenant(), 1, patience); err != nil || owner.asked[len(owner.asked)-1].GetUnasked() != 0 {
+		if err := client.Take(t.Context(), tenant(), 1, patience); err != nil || len(owner.asked[len(owner.asked)-1].GetPassed()) != 0 {
 			t.Fatalf("%v, the owner was told of them again", err)
 		}
 	})
--- a/internal/requestrate/requestrate.go
+++ b/internal/requestrate/requestrate.go
@@ -83,7 +83,14 @@
 	limit    Limit
 	number   uint64
 	returned uint32
-	unasked  uint32
+	// router asks in the given life of its process; question numbers what it asked, zero for
+	// one that needs no number.
+	router   string
+	life     int64
+	question uint64
+	// passed and withheld are earlier questions that had no answer.
+	passed   []uint64
+	withheld []uint64
 	// remaining is what an owner said last that the tenant had left, so long ago; negative
 	// where none has.
 	remaining float64
@@ -98,10 +105,23 @@
 	return Request{tenant: tenant, limit: limit, number: number, remaining: -1}
 }
 
-// WithSettlement adds what the router has to settle: how many requests that it was granted
-// have not run after all, and how many it let through without asking.
-func (r Request) WithSettlement(returned, unasked uint32) Request {
-	r.returned, r.unasked = returned, unasked
+// From adds which router asks, in which life of its process, and the number of its question:
+// one that is asked again under the same number counts once.
+func (r Request) From(router string, life int64, question uint64) Request {
+	r.router, r.life, r.question = router, life, question
+	return r
+}
+
+// WithReturned adds how many requests that the router was granted have not run after all.
+func (r Request) WithReturned(returned uint32) Request {
+	r.returned = returned
+	return r
+}
+
+// WithUnanswered adds the numbers of the router's questions that had no answer in time: those
+// whose requests it let through, and those whose requests it did not. They may be told again.
+func (r Request) WithUnanswered(passed, withheld []uint64) Request {
+	r.passed, r.withheld = passed, withheld
 	return r
 }
 
@@ -144,6 +164,8 @@
 	at    time.Duration
 	// refused is how many requests were refused, each weighted by its age.
 	refused float64
+	// asked holds which questions of each router were counted.
+	asked map[string]*questions
 }
 
 // Counts is what the owner of tenants counts in one term. It belongs to one goroutine at a
@@ -166,9 +188,12 @@
 	held := c.bucket(request, now)
 	held.advance(now)
 	held.refused += float64(request.refused)
-	held.level = min(held.limit.burst, held.level+float64(request.returned)) - float64(request.unasked)
+	held.settle(request)
+	if held.counted(request) {
+		return Decision{granted: true, remaining: uint32(max(0, held.level))}
+	}
 	if held.level >= 1 {
-		held.level--
+		held.count(request)
 		return Decision{granted: true, remaining: uint32(held.level)}
 	}
 	held.refused++
@@ -179,7 +204,7 @@
 func (c *Counts) bucket(request Request, now time.Duration) *bucket {
 	held, known := c.buckets[request.tenant]
 	if !known {
-		held = &bucket{limit: request.limit, number: request.number, level: c.firstLevel(request, now), at: now}
+		held = &bucket{limit: request.limit, number: request.number, level: c.firstLevel(request, now), at: now, asked: make(map[string]*questions)}
 		c.buckets[request.tenant] = held
 	}
 	if request.number > held.number {
--- a/internal/requestrate/requestrate_test.go
+++ b/internal/requestrate/requestrate_test.go
@@ -100,10 +100,10 @@
 func TestRequestsThatDidNotRunAreGivenBack(t *testing.T) {
 	counts, limit := requestrate.NewCounts(requestrate.Tolerance{}, 0), requestrate.NewLimit(1, 10)
 	grants(counts, ask(limit), 10, long)
-	if !counts.Take(ask(limit).WithSettlement(1, 0), long).Granted() {
+	if !counts.Take(ask(limit).WithReturned(1), long).Granted() {
 		t.Fatal("what was given back is not granted again")
 	}
-	if !counts.Take(ask(limit).WithSettlement(100, 0), 2*long).Granted() {
+	if !counts.Take(ask(limit).WithReturned(100), 2*long).Granted() {
 		t.Fatal("refused with a full bucket")
 	}
 	if granted := grants(counts, ask(limit), 100, 2*long); granted != 9 {
@@ -114,7 +114,11 @@
 func TestUnaskedRequestsCount(t *testing.T) {
 	counts, limit := requestrate.NewCounts(requestrate.Tolerance{}, 0), requestrate.NewLimit(10, 10)
 	grants(counts, ask(limit), 10, long)
-	counts.Take(ask(limit).WithSettlement(0, 20), long)
+	var passed []uint64
+	for number := range uint64(20) {
+		passed = append(passed, number+1)
+	}
+	counts.Take(ask(limit).From("router", 1, 21).WithUnanswered(passed, nil), long)
 	if counts.Take(ask(limit), long+1900*time.Millisecond).Granted() {
 		t.Fatal("granted before the unasked requests were made up for")
 	}
--- a/internal/store/rates.go
+++ b/internal/store/rates.go
@@ -69,7 +69,8 @@
 func (r *requestRates) decide(shard uint32, term uint64, request *rockwindpb.TakeRequestsRequest) requestrate.Decision {
 	limit := requestrate.NewLimit(request.GetRequestsPerSecond(), request.GetRequestBurst())
 	asked := requestrate.NewRequest(request.GetTenant(), limit, request.GetConfiguration()).
-		WithSettlement(request.GetReturned(), request.GetUnasked()).WithRefused(request.GetRefused())
+		From(request.GetRouter(), request.GetRouterStartedUnixMs(), request.GetQuestion()).
+		WithReturned(request.GetReturned()).WithUnanswered(request.GetPassed(), request.GetWithheld()).WithRefused(request.GetRefused())
 	if request.Remaining != nil {
 		asked = asked.WithRemaining(request.GetRemaining(), time.Duration(request.GetRemainingAgeMs())*time.Millisecond)
 	}
