--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -346,6 +346,9 @@
 	switch {
 	case e.sent > 0 && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return http.StatusGatewayTimeout, fault.New(fault.OutcomeUnknown, "the time for the request is over", "ask for more time").WithRan(fault.RanUnknown)
+	case e.sent > 0 && !e.repeatable():
+		// It may have run: nobody is asked to send it again.
+		return http.StatusBadGateway, cause.WithRan(fault.RanUnknown).WithRetryAfter(0)
 	case e.sent > 0:
 		return http.StatusBadGateway, cause.WithRan(fault.RanUnknown)
 	}
