--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -39,30 +40,50 @@
 
 // Release implements rockwindpb.QuarantineService.
 func (s quarantineService) Release(ctx context.Context, request *rockwindpb.ReleaseContentRequest) (*rockwindpb.ReleaseContentResponse, error) {
-	_, view, err := s.coordinator.current()
-	if err != nil {
-		return nil, fault.ToTwirp(err)
-	}
 	content, ok := fingerprint.FromBytes(request.GetContent())
 	if !ok {
 		return nil, fault.ToTwirp(fault.Newf(fault.InvalidArgument, "take the content from the list of the quarantine",
 			"a content has %d bytes, not %d", fingerprint.Size, len(request.GetContent())))
 	}
-	_, known := view.quarantine.Suspect(content)
-	err = s.coordinator.atLeader(ctx, func() error {
-		return s.coordinator.commitQuarantine(ctx, &rockwindpb.QuarantineCommand{Command: &rockwindpb.QuarantineCommand_Release{Release: request}})
-	}, func(base string) error {
-		_, err := rockwindpb.NewQuarantineServiceProtobufClient(base, s.coordinator.carrier()).Release(ctx, request)
+	var response *rockwindpb.ReleaseContentResponse
+	err := s.coordinator.atLeader(ctx, func() (err error) {
+		response, err = s.coordinator.release(ctx, content)
+		return err
+	}, func(base string) (err error) {
+		response, err = rockwindpb.NewQuarantineServiceProtobufClient(base, s.coordinator.carrier()).Release(ctx, request)
 		return err
 	})
-	if err == nil {
-		log.WithField("content", content.String()).WithField("known", known).Info("content released")
+	return response, fault.ToTwirp(err)
+}
+
+// release forgets a content as the leader, whose state shows whether it was known.
+func (c *Coordinator) release(ctx context.Context, content fingerprint.Fingerprint) (*rockwindpb.ReleaseContentResponse, error) {
+	_, view, err := c.current()
+	if err != nil {
+		return nil, err
 	}
-	return &rockwindpb.ReleaseContentResponse{Known: known}, fault.ToTwirp(err)
+	_, known := view.quarantine.Suspect(content)
+	command := &rockwindpb.QuarantineCommand{Command: &rockwindpb.QuarantineCommand_Release{
+		Release: &rockwindpb.ReleaseContentRequest{Content: content.Bytes()},
+	}}
+	if err := c.commitQuarantine(ctx, command); err != nil {
+		return nil, err
+	}
+	log.WithField("content", content.String()).WithField("known", known).Info("content released")
+	return &rockwindpb.ReleaseContentResponse{Known: known}, nil
 }
 
-// commitReport proposes a report as the leader, and writes what was decided by it.
-func (c *Coordinator) commitReport(ctx context.Context, report *rockwindpb.ReportQuarantineRequest) error {
+// commitReport proposes a report as the leader, and writes what was decided by it. Answers to
+// contents of which nothing is known need no entry in the log.
+func (c *Coordinator) commitReport(ctx context.Context, told *rockwindpb.ReportQuarantineRequest) error {
+	_, before, err := c.current()
+	if err != nil {
+		return err
+	}
+	report := &rockwindpb.ReportQuarantineRequest{Ends: told.GetEnds(), Answered: knownContents(before.quarantine, told.GetAnswered())}
+	if len(report.GetEnds())+len(report.GetAnswered()) == 0 {
+		return nil
+	}
 	if err := c.commitQuarantine(ctx, &rockwindpb.QuarantineCommand{Command: &rockwindpb.QuarantineCommand_Report{Report: report}}); err != nil {
 		return err
 	}
@@ -81,6 +102,18 @@
 	return nil
 }
 
+// knownContents returns those of the encoded contents of which something is known.
+func knownContents(view *quarantine.View, encoded [][]byte) [][]byte {
+	return slices.DeleteFunc(slices.Clone(encoded), func(each []byte) bool {
+		content, ok := fingerprint.FromBytes(each)
+		if !ok {
+			return true
+		}
+		_, known := view.Suspect(content)
+		return !known
+	})
+}
+
 // recordEnd writes that a server ended under a content, and what follows.
 func recordEnd(view *quarantine.View, end *rockwindpb.ServerEnd) {
 	content, ok := fingerprint.FromBytes(end.GetContent())
--- a/internal/router/witness.go
+++ b/internal/router/witness.go
@@ -39,13 +39,14 @@
 	checks   singleflight.Group
 	room     chan struct{}
 	stopped  chan struct{}
+	broken   *brokenContents
 }
 
 // NewWitness returns a witness that looks at servers through the given client.
 func NewWitness(watcher *site.Watcher, client *upstream.Client) *Witness {
 	return &Witness{
 		watcher: watcher, client: client, reporter: site.NewReporter(watcher),
-		room: make(chan struct{}, mostChecks), stopped: make(chan struct{}),
+		room: make(chan struct{}, mostChecks), stopped: make(chan struct{}), broken: newBrokenContents(),
 	}
 }
 
@@ -75,6 +76,7 @@
 	if timedOut(cause) {
 		return
 	}
+	w.broken.add(attempt.Content, time.Now())
 	select {
 	case w.room <- struct{}{}:
 	default:
@@ -142,13 +144,6 @@
 	}
 }
 
-// Suspected tells whether several servers ended under the content, which is computed only
-// where any content is suspected.
-func (w *Witness) Suspected(content func() fingerprint.Fingerprint) bool {
-	list := w.watcher.Quarantine()
-	return !list.Empty() && list.Suspected(content())
-}
-
 // HeldFor is for how much longer a content is held, zero where it may run.
 func (w *Witness) HeldFor(content func() fingerprint.Fingerprint) time.Duration {
 	list := w.watcher.Quarantine()
@@ -158,10 +153,15 @@
 	return list.HeldFor(content(), time.Now())
 }
 
-// Answered tells that a server gave a whole answer to a request. What was held against it is
-// forgotten.
+// Answered tells that a server gave a whole answer to a request. What is held against its
+// content is forgotten. The content is computed only where any is suspected, or broke off here
+// lately: such an answer may come before the coordinators have told of its ends.
 func (w *Witness) Answered(content func() fingerprint.Fingerprint) {
-	if w.Suspected(content) {
+	list, now := w.watcher.Quarantine(), time.Now()
+	if list.Empty() && w.broken.empty(now) {
+		return
+	}
+	if w.broken.tell(content(), list.Suspected(content()), now) {
 		w.reporter.Answered(content())
 	}
 }
