Let first tries wait where they can be served, and refuse at once behind too many

Hypothesis: a refusal of a first try after a fifth of its goal serves nobody since worth counts from the first try: it costs the client its return. Change: each request waits for up to half of its time; where the queues of all routers need longer than that, it is refused at once with the time to come back.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -216,6 +216,21 @@
 	return size
 }
 
+// Slots is how many requests all members run at once; zero where one does not say.
+func (p *Pool) Slots() int {
+	slots := 0
+	for _, known := range p.servers {
+		if known == nil {
+			continue
+		}
+		if known.Slots == 0 {
+			return 0
+		}
+		slots += known.Slots
+	}
+	return slots
+}
+
 // load estimates how many requests a server has, from all callers: those of this
 // process and those that the others tell of. What the server told itself counts
 // beside it while it is new, and for longer where no other process tells anything.
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -104,8 +104,8 @@
 
 // Acquire waits for a server with room, at most until the patience or the context
 // ends. The answer is in time until the given time. It fails with fault.Overloaded, which
-// says when to come back, or with fault.Unavailable where the service has no server that was
-// not tried.
+// says when to come back, at once where the queue is too long for the patience, or with
+// fault.Unavailable where the service has no server that was not tried.
 func (d *Dispatcher) Acquire(ctx context.Context, service string, demand balance.Demand, priority waiting.Priority, onTimeUntil time.Time, tried []string, patience time.Duration) (*Lease, error) {
 	d.mutex.Lock()
 	pool := d.service(service)
@@ -123,12 +123,28 @@
 		return nil, fault.Newf(fault.Unavailable, "come back later", "service %s has no server that can take the request", service).
 			WithRan(fault.NotRun).WithRetryAfter(typicalHolding / 4)
 	}
+	if expected := d.expectedWait(pool, service); expected > patience {
+		d.mutex.Unlock()
+		return nil, pool.crowded(service, expected-patience)
+	}
 	entry := pool.waiting.Add(place, &waiter{demand: demand, tried: tried, granted: make(chan balance.Choice, 1)})
 	d.nudge()
 	d.mutex.Unlock()
 	return d.await(ctx, service, entry, patience)
 }
 
+// expectedWait estimates how long a request that is added to the queues of all processes
+// waits: as long as the servers need to take those before it. It is zero where a server does
+// not say how many it runs. The mutex is held.
+func (d *Dispatcher) expectedWait(pool *servicePool, service string) time.Duration {
+	slots := pool.pool.Slots()
+	if slots == 0 {
+		return 0
+	}
+	ahead := pool.waiting.Len() + d.shares.At(balance.QueueHash(service)).Inflight
+	return time.Duration(float64(pool.holding) * float64(ahead+1) / float64(slots))
+}
+
 // TryAcquire returns a server with room now, or nil. Requests that wait go first.
 func (d *Dispatcher) TryAcquire(service string, demand balance.Demand) *Lease {
 	d.mutex.Lock()
--- /dev/null
+++ b/internal/router/dispatcher_test.go
@@ -0,0 +1,84 @@
+package router_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/directory"
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/health"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/router"
+	"rockwind.example/rockwind/internal/waiting"
+)
+
+// oneServer is a dispatcher with a server that runs so many requests at once.
+func oneServer(slots uint32) *router.Dispatcher {
+	register := directory.New()
+	register.Apply(&rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Report{Report: &rockwindpb.Server{
+		Id: "server", Service: "app", Address: "10.0.0.1:1", Slots: slots, State: rockwindpb.ServerState_SERVER_STATE_READY, Sequence: 1,
+	}}})
+	dispatcher := router.NewDispatcher("zone")
+	dispatcher.Update(register.View())
+	return dispatcher
+}
+
+func acquire(dispatcher *router.Dispatcher, patience time.Duration) (*router.Lease, error) {
+	return dispatcher.Acquire(context.Background(), "app", balance.Demand{}, waiting.Priority{}, time.Now().Add(time.Second), nil, patience)
+}
+
+// TestFirstTryWaitsWhileItCanBeServed: a request that finds all servers busy is served as
+// soon as one has room, and is not sent away before.
+func TestFirstTryWaitsWhileItCanBeServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dispatcher := oneServer(1)
+		running, err := acquire(dispatcher, 4*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.AfterFunc(800*time.Millisecond, func() { running.Done(health.Success, 0) })
+		began := time.Now()
+		served, err := acquire(dispatcher, 4*time.Second)
+		if err != nil || time.Since(began) > time.Second {
+			t.Fatalf("%v after %v", err, time.Since(began))
+		}
+		served.Done(health.Success, 0)
+	})
+}
+
+// TestRequestBehindTooManyIsRefusedAtOnce: the queue needs longer than it may wait.
+func TestRequestBehindTooManyIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dispatcher := oneServer(2)
+		for range 2 {
+			if _, err := acquire(dispatcher, time.Minute); err != nil {
+				t.Fatal(err)
+			}
+		}
+		const waiters = 12
+		ended := make(chan error, waiters)
+		for range waiters {
+			go func() {
+				_, err := acquire(dispatcher, 20*time.Second)
+				ended <- err
+			}()
+		}
+		synctest.Wait()
+		began := time.Now()
+		_, err := acquire(dispatcher, 4*time.Second)
+		failure := fault.From(err)
+		if time.Since(began) != 0 || failure == nil || failure.Kind != fault.Overloaded || failure.Ran != fault.NotRun || failure.RetryAfter < time.Second {
+			t.Fatalf("%v after %v", err, time.Since(began))
+		}
+		// One that may wait for longer than the queue needs does wait.
+		if _, err := acquire(dispatcher, 10*time.Second); time.Since(began) != 10*time.Second {
+			t.Fatalf("%v after %v", err, time.Since(began))
+		}
+		for range waiters {
+			<-ended
+		}
+	})
+}
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -27,10 +27,9 @@
 	// misdirectedLimit bounds the servers beyond them at whose address another one
 	// answered: after a crash of many servers the directory may name as many that are gone.
 	misdirectedLimit = 12
-	// patiencePart is the part of the remaining time that a request may wait for
-	// room. One that may come back waits for earlyPatience of its goal only.
-	patiencePart  = 0.5
-	earlyPatience = 0.2
+	// patiencePart is the part of the remaining time that a request may wait for room. One
+	// that is not expected to get any within it does not wait at all.
+	patiencePart = 0.5
 	// onTimePart is the part of its goal within which a request has to begin at a server to
 	// be answered in time: the rest is the reading of its prompt and the way back.
 	onTimePart = 0.85
@@ -122,7 +121,7 @@
 	}
 	for {
 		asked := time.Now()
-		lease, err := e.router.dispatcher.Acquire(ctx, e.service, e.demand(), e.priority(), e.onTimeUntil(), e.tried, e.roomPatience())
+		lease, err := e.router.dispatcher.Acquire(ctx, e.service, e.demand(), e.priority(), e.onTimeUntil(), e.tried, e.patience())
 		e.waited += time.Since(asked)
 		if err != nil {
 			e.fail(ctx, err)
@@ -180,14 +179,6 @@
 	return e.received.Add(e.ofGoal(onTimePart))
 }
 
-// roomPatience is how long the request may wait for room now.
-func (e *exchange) roomPatience() time.Duration {
-	if e.route.GetGoalMs() > 0 && e.sent == 0 && e.mayComeBack() {
-		return min(e.patience(), e.ofGoal(earlyPatience))
-	}
-	return e.patience()
-}
-
 // takeRate takes the request out of its tenant's rate. Where no owner answers soon, a client
 // that may come back is told to; for one that has come back the owner is asked on.
 func (e *exchange) takeRate(ctx context.Context) error {
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -33,6 +33,13 @@
 	granted chan balance.Choice
 }
 
+// crowded is the refusal of a request behind so many others that it would wait for too long.
+func (p *servicePool) crowded(service string, tooLong time.Duration) error {
+	return fault.Newf(fault.Overloaded, "come back after the time given",
+		"all servers of service %s are busy, and more requests wait than they take in time", service).
+		WithRan(fault.NotRun).WithRetryAfter(max(shortestReturn, tooLong))
+}
+
 // busy is the refusal of a request for which no server has room in time.
 func (p *servicePool) busy(service string) error {
 	return fault.Newf(fault.Overloaded, "come back after the time given", "all servers of service %s are busy", service).
