Read the quarantine again: fingerprints of items once, what is old forgotten once a second

No change of behaviour: an item's fingerprint is computed once and not at each look at the shard, the contents that broke off at a router are swept once a second and not at each answer, and a break that is passed over is a line of level debug and not a decision.

--- a/internal/router/broken.go
+++ b/internal/router/broken.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -16,19 +17,22 @@
 	// answeredInterval is the least time between two reports of answers to one content: one
 	// that is asked all the time is answered all the time.
 	answeredInterval = 50 * time.Millisecond
+	// sweepInterval is the time between looks for contents to forget.
+	sweepInterval = time.Second
 )
 
 // brokenContents remembers which contents broke off here lately, and which answers were told.
 // It is safe for concurrent use.
 type brokenContents struct {
 	mutex sync.Mutex
-	// until is until when a content is remembered, and told when an answer to it was.
-	until map[fingerprint.Fingerprint]time.Time
+	// broke is when a content broke off last, and told when an answer to it was told.
+	broke map[fingerprint.Fingerprint]time.Time
 	told  map[fingerprint.Fingerprint]time.Time
+	swept time.Time
 }
 
 func newBrokenContents() *brokenContents {
-	return &brokenContents{until: make(map[fingerprint.Fingerprint]time.Time), told: make(map[fingerprint.Fingerprint]time.Time)}
+	return &brokenContents{broke: make(map[fingerprint.Fingerprint]time.Time), told: make(map[fingerprint.Fingerprint]time.Time)}
 }
 
 // add remembers a content whose connection broke off. Beyond what is remembered none is added:
@@ -36,9 +40,9 @@
 func (b *brokenContents) add(content fingerprint.Fingerprint, now time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.expire(now)
-	if _, known := b.until[content]; known || len(b.until) < mostBroken {
-		b.until[content] = now.Add(brokenFor)
+	b.sweep(now)
+	if _, known := b.broke[content]; known || len(b.broke) < mostBroken {
+		b.broke[content] = now
 	}
 }
 
@@ -46,8 +50,8 @@
 func (b *brokenContents) empty(now time.Time) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.expire(now)
-	return len(b.until) == 0
+	b.sweep(now)
+	return len(b.broke) == 0
 }
 
 // tell decides whether an answer to a content is to be told: one that broke off here lately or
@@ -55,7 +59,7 @@
 func (b *brokenContents) tell(content fingerprint.Fingerprint, suspected bool, now time.Time) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if _, broke := b.until[content]; !broke && !suspected {
+	if _, broke := b.broke[content]; !broke && !suspected {
 		return false
 	}
 	if told, known := b.told[content]; known && now.Sub(told) < answeredInterval {
@@ -65,16 +69,13 @@
 	return true
 }
 
-// expire forgets what is old. The mutex is held.
-func (b *brokenContents) expire(now time.Time) {
-	for content, until := range b.until {
-		if now.After(until) {
-			delete(b.until, content)
-		}
-	}
-	for content, told := range b.told {
-		if now.Sub(told) > brokenFor {
-			delete(b.told, content)
-		}
+// sweep forgets what is old. The mutex is held.
+func (b *brokenContents) sweep(now time.Time) {
+	if now.Sub(b.swept) < sweepInterval {
+		return
 	}
+	b.swept = now
+	old := func(_ fingerprint.Fingerprint, at time.Time) bool { return now.Sub(at) > brokenFor }
+	maps.DeleteFunc(b.broke, old)
+	maps.DeleteFunc(b.told, old)
 }
--- a/internal/router/witness.go
+++ b/internal/router/witness.go
@@ -6,9 +6,9 @@
 	"os"
 	"time"
 
+	"github.com/apex/log"
 	"golang.org/x/sync/singleflight"
 
-	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/site"
@@ -80,7 +80,7 @@
 	select {
 	case w.room <- struct{}{}:
 	default:
-		decision.Default.Skip(decision.ServerEnded)
+		log.WithField("server", attempt.Server).Debug("too many connections broke off at once to look at each server")
 		return
 	}
 	go func() {
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net/http"
 	"slices"
 	"time"
 
@@ -94,6 +95,19 @@
 	after time.Time
 	// held tells that the item is not started since its content is held.
 	held bool
+	// fingerprint is that of the item's content, nil before it was needed.
+	fingerprint *fingerprint.Fingerprint
+}
+
+// content identifies the item by the content of its request.
+func (h *history) content(item jobstore.OpenItem) fingerprint.Fingerprint {
+	if h.fingerprint == nil {
+		computed := fingerprint.Of(fingerprint.Content{
+			Tenant: item.Tenant, Method: http.MethodPost, Host: item.Host, Target: item.Item.GetPath(), Body: item.Body,
+		})
+		h.fingerprint = &computed
+	}
+	return *h.fingerprint
 }
 
 // made is how many events of the item's output were received.
@@ -281,7 +295,7 @@
 	try := &itemTry{store: e.store, item: item, history: known, lease: lease, route: route.GetName(), attempts: max(1, int(route.GetAttempts()))}
 	go func() {
 		end := try.run(running)
-		end.claim, end.item, end.server, end.content = claim, item.Item.GetId(), lease.ID, contentOf(item)
+		end.claim, end.item, end.server, end.content = claim, item.Item.GetId(), lease.ID, try.content()
 		cancel(nil)
 		select {
 		case e.ended <- end:
@@ -294,14 +308,14 @@
 // held tells whether an item must not be started since servers ended under its content. The
 // first time that it is held back by this is written.
 func (e *executor) held(item jobstore.OpenItem, known *history) bool {
-	remaining := e.store.witness.HeldFor(func() fingerprint.Fingerprint { return contentOf(item) })
+	remaining := e.store.witness.HeldFor(func() fingerprint.Fingerprint { return known.content(item) })
 	if remaining == 0 {
 		known.held = false
 		return false
 	}
 	if !known.held {
 		decision.Default.Record(decision.ItemHeld, item.Job, log.Fields{
-			"item": item.Index, "item_id": item.Item.GetId(), "content": contentOf(item).String(), "held_ms": remaining.Milliseconds(),
+			"item": item.Index, "item_id": item.Item.GetId(), "content": known.content(item).String(), "held_ms": remaining.Milliseconds(),
 		})
 	}
 	known.held = true
--- a/internal/store/item.go
+++ b/internal/store/item.go
@@ -54,14 +54,7 @@
 	return header
 }
 
-// contentOf identifies an item by the content of its request.
-func contentOf(item jobstore.OpenItem) fingerprint.Fingerprint {
-	return fingerprint.Of(fingerprint.Content{
-		Tenant: item.Tenant, Method: http.MethodPost, Host: item.Host, Target: item.Item.GetPath(), Body: item.Body,
-	})
-}
-
-func (t *itemTry) content() fingerprint.Fingerprint { return contentOf(t.item) }
+func (t *itemTry) content() fingerprint.Fingerprint { return t.history.content(t.item) }
 
 // broke tells that the connection of the try broke off before the answer was whole.
 func (t *itemTry) broke(cause error) {
