--- a/internal/fingerprint/fingerprint_test.go
+++ b/internal/fingerprint/fingerprint_test.go
@@ -21,7 +21,8 @@
 			t.Errorf("the %s does not count", name)
 		}
 	}
-	if fingerprint.Of(base) != fingerprint.Of(base) {
+	same := fingerprint.Content{Tenant: "t", Method: "POST", Host: "h", Target: "/p?q", Body: []byte("b")}
+	if fingerprint.Of(base) != fingerprint.Of(same) {
 		t.Error("the same content has two fingerprints")
 	}
 }
