--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -311,11 +311,16 @@
 
 // commit proposes a command of the directory as the leader.
 func (c *Coordinator) commit(ctx context.Context, command *rockwindpb.DirectoryCommand) error {
+	command.NowUnixMs = time.Now().UnixMilli()
+	return c.propose(ctx, &rockwindpb.RootCommand{Command: &rockwindpb.RootCommand_Directory{Directory: command}})
+}
+
+// propose proposes a command of the root group as the leader.
+func (c *Coordinator) propose(ctx context.Context, command *rockwindpb.RootCommand) error {
 	group, _, err := c.group()
 	if err != nil {
 		return err
 	}
-	command.NowUnixMs = time.Now().UnixMilli()
-	_, err = proposeRoot(ctx, group, &rockwindpb.RootCommand{Command: &rockwindpb.RootCommand_Directory{Directory: command}})
+	_, err = proposeRoot(ctx, group, command)
 	return err
 }
--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -130,11 +130,6 @@
 
 // commitQuarantine proposes a command of the quarantine as the leader.
 func (c *Coordinator) commitQuarantine(ctx context.Context, command *rockwindpb.QuarantineCommand) error {
-	group, _, err := c.group()
-	if err != nil {
-		return err
-	}
 	command.NowUnixMs = time.Now().UnixMilli()
-	_, err = proposeRoot(ctx, group, &rockwindpb.RootCommand{Command: &rockwindpb.RootCommand_Quarantine{Quarantine: command}})
-	return err
+	return c.propose(ctx, &rockwindpb.RootCommand{Command: &rockwindpb.RootCommand_Quarantine{Quarantine: command}})
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -46,11 +46,19 @@
 	return end
 }
 
-// ended tells that a server ended under contents that were sent there 100 ms before.
+// ended tells of servers that ended.
 func (d *driver) ended(ends ...*rockwindpb.ServerEnd) {
 	d.report(&rockwindpb.ReportQuarantineRequest{Ends: ends})
 }
 
+// hold ends three servers under a content, one after the other.
+func (d *driver) hold(content string) {
+	for place := range 3 {
+		d.now = d.now.Add(gap)
+		d.ended(endOf(content, fmt.Sprint("s", place), shortRun))
+	}
+}
+
 func (d *driver) answered(content string) {
 	d.report(&rockwindpb.ReportQuarantineRequest{Answered: [][]byte{contentOf(content).Bytes()}})
 }
@@ -116,10 +124,7 @@
 
 func TestAnswerClearsAContent(t *testing.T) {
 	d := newDriver(t)
-	for place := range 3 {
-		d.now = d.now.Add(gap)
-		d.ended(endOf("a", fmt.Sprint("s", place), shortRun))
-	}
+	d.hold("a")
 	d.wantHeld("a", true)
 	revision := d.register.View().Revision()
 	d.answered("a")
@@ -131,10 +136,7 @@
 
 func TestHeldContentIsTriedAgainAndHeldAgain(t *testing.T) {
 	d := newDriver(t)
-	for place := range 3 {
-		d.now = d.now.Add(gap)
-		d.ended(endOf("a", fmt.Sprint("s", place), shortRun))
-	}
+	d.hold("a")
 	d.now = d.now.Add(d.heldFor("a"))
 	d.wantHeld("a", false)
 	d.now = d.now.Add(gap)
@@ -144,10 +146,7 @@
 
 func TestReleasedContentMayRun(t *testing.T) {
 	d := newDriver(t)
-	for place := range 3 {
-		d.now = d.now.Add(gap)
-		d.ended(endOf("a", fmt.Sprint("s", place), shortRun))
-	}
+	d.hold("a")
 	d.apply(&rockwindpb.QuarantineCommand{Command: &rockwindpb.QuarantineCommand_Release{
 		Release: &rockwindpb.ReleaseContentRequest{Content: contentOf("a").Bytes()},
 	}})
@@ -186,10 +185,7 @@
 
 func TestMemoryIsBoundedAndForgets(t *testing.T) {
 	d := newDriver(t)
-	for place := range 3 {
-		d.now = d.now.Add(gap)
-		d.ended(endOf("held", fmt.Sprint("s", place), shortRun))
-	}
+	d.hold("held")
 	for i := range 5000 {
 		d.ended(endOf(fmt.Sprint("other", i), "s", shortRun))
 	}
