--- a/internal/balance/evidence.go
+++ b/internal/balance/evidence.go
@@ -12,6 +12,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes there at the moment, as a multiple of what is usual at
+	// that server; zero where it does not say.
+	Pace float64
 }
 
 // Told takes what a server told.
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -9,6 +9,7 @@
 	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/gate"
 	"rockwind.example/rockwind/internal/health"
 	"rockwind.example/rockwind/internal/loadshare"
 	"rockwind.example/rockwind/internal/rockwindpb"
@@ -19,6 +20,7 @@
 // requests that wait for room. Its methods may be called by any goroutine.
 type Dispatcher struct {
 	zone   string
+	gates  gate.Set
 	origin time.Time
 
 	mutex sync.Mutex
@@ -39,10 +41,12 @@
 	pressed chan struct{}
 }
 
-// NewDispatcher returns a dispatcher without servers, for a process in a zone.
-func NewDispatcher(zone string) *Dispatcher {
+// NewDispatcher returns a dispatcher without servers, for a process in a zone with the given
+// gates.
+func NewDispatcher(zone string, gates gate.Set) *Dispatcher {
 	return &Dispatcher{
 		zone:   zone,
+		gates:  gates,
 		origin: time.Now(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pools:  make(map[string]*servicePool),
--- a/internal/router/dispatcher_test.go
+++ b/internal/router/dispatcher_test.go
@@ -9,6 +9,7 @@
 	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/gate"
 	"rockwind.example/rockwind/internal/health"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/router"
@@ -21,7 +22,7 @@
 	register.Apply(&rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Report{Report: &rockwindpb.Server{
 		Id: "server", Service: "app", Address: "10.0.0.1:1", Slots: slots, State: rockwindpb.ServerState_SERVER_STATE_READY, Sequence: 1,
 	}}})
-	dispatcher := router.NewDispatcher("zone")
+	dispatcher := router.NewDispatcher("zone", gate.Set{})
 	dispatcher.Update(register.View())
 	return dispatcher
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -21,6 +21,7 @@
 
 	"rockwind.example/rockwind/internal/dial"
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/gate"
 	"rockwind.example/rockwind/internal/jobclient"
 	"rockwind.example/rockwind/internal/rateclient"
 	"rockwind.example/rockwind/internal/rockwindpb"
@@ -38,6 +39,7 @@
 
 // Router serves the routes of the configuration in force.
 type Router struct {
+	gates      gate.Set
 	watcher    *site.Watcher
 	dispatcher *Dispatcher
 	client     *upstream.Client
@@ -56,9 +58,11 @@
 // New returns a router that serves what the watcher knows.
 func New(settings *rockwindpb.SiteSettings, watcher *site.Watcher, protocol Protocol, jobs *jobclient.Client) *Router {
 	client := NewUpstream()
+	gates := gate.NewSet(settings.GetSwitchedOff())
 	return &Router{
+		gates:      gates,
 		watcher:    watcher,
-		dispatcher: NewDispatcher(settings.GetZone()),
+		dispatcher: NewDispatcher(settings.GetZone(), gates),
 		client:     client,
 		witness:    NewWitness(watcher, client),
 		protocol:   protocol,
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -165,3 +165,11 @@
 		}
 	}
 }
+
+func TestUnknownGatesOfASiteAreRefused(t *testing.T) {
+	path := write(t, "name: a\nrole: SITE_ROLE_ROUTER\nzone: z\nseeds: [\"127.0.0.1:1\"]\nlisten: \"127.0.0.1:2\"\nready_listen: \"127.0.0.1:3\"\nswitched_off: [pace, peace]\n")
+	_, err := LoadSite(path, nil)
+	if err == nil || !strings.Contains(err.Error(), `"peace"`) || strings.Contains(err.Error(), `"pace"`) {
+		t.Fatalf("got %v", err)
+	}
+}
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/gate"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -31,6 +33,11 @@
 			l.add(fieldPath{"seeds"}, "the seed "+seed+" cannot be used", addressRemedy)
 		}
 	}
+	for _, name := range settings.GetSwitchedOff() {
+		if err := gate.Check(name); err != nil {
+			l.add(fieldPath{"switched_off"}, fault.From(err).Message, fault.From(err).Remedy)
+		}
+	}
 	if settings.GetAdvertise() != "" {
 		l.checkAddress(fieldPath{"advertise"}, settings.GetAdvertise())
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -17,6 +17,7 @@
 
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/dial"
+	"rockwind.example/rockwind/internal/gate"
 	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/retry"
@@ -64,7 +65,7 @@
 	s := &Store{
 		settings:   settings,
 		client:     dial.NewClient(),
-		dispatcher: router.NewDispatcher(settings.GetZone()),
+		dispatcher: router.NewDispatcher(settings.GetZone(), gate.NewSet(settings.GetSwitchedOff())),
 		upstream:   router.NewUpstream(),
 		protocol:   protocol,
 		machines:   make(map[uint32]*jobstore.Machine),
