Ask at an address which incarnation of a server is there

A report of an incarnation that the directory does not know took the address of the one that it knew: a heartbeat held back by a cut, whose sender had crashed meanwhile, marked the living server as gone for good.

A coordinator now asks the address, by the service's health path on a connection of its own, before an unknown incarnation takes it from one that is not gone. Commands name the incarnations that were found to have ended; others are kept. Where the address does not answer within 250 ms both are kept, and the leader asks every second while one of them reports. Commands of earlier versions are applied as before.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -51,6 +51,9 @@
 	host     *replica.Host
 	root     atomic.Pointer[rootMachine]
 	live     *liveness
+	// identifier is nil where addresses can't be asked who is there.
+	identifier Identifier
+	identities identities
 }
 
 // Handler makes the handler of the calls of operators and servers.
@@ -59,9 +62,12 @@
 // Run serves until the context ends, and then stops as planned: it hands over
 // leadership and finishes the calls in progress. The handler answers on
 // settings.Listen, or on the internal address where that is empty; it may be nil.
-func Run(ctx context.Context, settings *rockwindpb.SiteSettings, handler Handler) error {
+func Run(ctx context.Context, settings *rockwindpb.SiteSettings, handler Handler, options ...Option) error {
 	site.BoundMemory(settings)
 	c := &Coordinator{settings: settings, client: dial.NewClient(), live: newLiveness()}
+	for _, option := range options {
+		option(c)
+	}
 	host, release, err := site.OpenHost(settings, c.client, site.HostOptions{
 		Discover: c.peers,
 		Places:   max(rootPlaces, site.Places(settings)),
@@ -278,9 +284,14 @@
 		return err
 	}
 	if view.directory.Changes(server) {
-		if err := c.change(ctx, &rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Report{Report: server}}); err != nil {
+		command := c.admission(view, server)
+		if err := c.change(ctx, command); err != nil {
 			return err
 		}
+		if command.GetReport() == nil {
+			log.WithField("server", server.GetId()).WithField("address", server.GetAddress()).Info("a late report of a server that has ended")
+			return nil
+		}
 		log.WithField("server", server.GetId()).WithField("service", server.GetService()).WithField("address", server.GetAddress()).
 			WithField("state", server.GetState().String()).WithField("sequence", server.GetSequence()).Info("server reported")
 	}
--- /dev/null
+++ b/internal/coordinator/incarnations.go
@@ -0,0 +1,141 @@
+package coordinator
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/sync/singleflight"
+
+	"rockwind.example/rockwind/internal/decision"
+	"rockwind.example/rockwind/internal/directory"
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+const (
+	// askTimeout bounds a question to an address: a server that has just started answers
+	// within a few milliseconds, and one whose report waits for the answer is not in use
+	// before.
+	askTimeout = 250 * time.Millisecond
+	// askInterval is the time between questions to an address that has not told who is
+	// there. Nobody waits for the answer: requests for the incarnation that has ended are
+	// turned away at the address, and go on elsewhere.
+	askInterval = time.Second
+	// mostAsked bounds the addresses that are asked in one round. More are contested only
+	// where many servers start again out of reach, and each round takes a part of them.
+	mostAsked = 32
+)
+
+// Identifier asks the server at an address which incarnation it is, on a connection of its own.
+// The expected one has the address in the directory; healthPath is that of its service. It
+// returns what the answer shows, together with an error where it shows nothing.
+type Identifier func(ctx context.Context, expected *rockwindpb.Server, healthPath string) (directory.Identity, error)
+
+// Option adjusts a coordinator.
+type Option func(*Coordinator)
+
+// WithIdentifier has addresses asked where it is in doubt which incarnation has them. Without
+// it the one that reports last counts as the newest.
+func WithIdentifier(identifier Identifier) Option {
+	return func(c *Coordinator) { c.identifier = identifier }
+}
+
+// identities asks addresses which incarnation is there.
+type identities struct {
+	asks singleflight.Group
+	// asked is when the addresses of contests were last asked; the keeper's own.
+	asked map[string]time.Time
+}
+
+// admission returns the command for a report that would change the directory. An unknown
+// incarnation at an address that another one may have is entered once the address was asked.
+func (c *Coordinator) admission(view *rootView, report *rockwindpb.Server) *rockwindpb.DirectoryCommand {
+	if c.identifier == nil {
+		return &rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Report{Report: report}}
+	}
+	holders := view.directory.Holders(report)
+	if len(holders) == 0 {
+		return directory.Admit(report, nil, directory.Identity{})
+	}
+	// Reports that were held back arrive together: one question serves them all.
+	asked, _, _ := c.identities.asks.Do(report.GetId(), func() (any, error) {
+		return c.identify(view, report), nil
+	})
+	identity, _ := asked.(directory.Identity)
+	command := directory.Admit(report, holders, identity)
+	recordIdentity(append(slices.Clone(holders), report), identity, command)
+	return command
+}
+
+// identify asks the address of a server who is there. It does not depend on the call that
+// brought the report, since others may wait for the same answer.
+func (c *Coordinator) identify(view *rootView, expected *rockwindpb.Server) directory.Identity {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	service, _ := view.catalog.Index().Service(expected.GetService())
+	identity, err := c.identifier(ctx, expected, service.GetHealthPath())
+	if err != nil {
+		log.WithError(fault.From(err)).WithField("address", expected.GetAddress()).WithField("server", expected.GetId()).
+			Debug("an address did not tell which server is there")
+	}
+	return identity
+}
+
+// settle asks, as the leader, the addresses of which several incarnations are not gone, and
+// marks those as gone that were found to have ended.
+func (c *Coordinator) settle(ctx context.Context, view *rootView, now time.Time) {
+	if c.identifier == nil {
+		return
+	}
+	var asks sync.WaitGroup
+	for _, contest := range c.identities.due(view.directory.Contests(), now) {
+		asks.Go(func() {
+			identity := c.identify(view, contest[0])
+			command := directory.Settle(contest, identity)
+			recordIdentity(contest, identity, command)
+			if command == nil {
+				return
+			}
+			calling, cancel := context.WithTimeout(ctx, keepTimeout)
+			defer cancel()
+			if err := c.change(calling, command); err != nil {
+				log.WithError(fault.From(err)).WithField("address", contest[0].GetAddress()).Info("the end of a server was not committed; the address is asked again")
+			}
+		})
+	}
+	asks.Wait()
+}
+
+// due returns the contests whose addresses are to be asked now, and remembers that they are.
+func (i *identities) due(contests [][]*rockwindpb.Server, now time.Time) [][]*rockwindpb.Server {
+	kept := make(map[string]time.Time)
+	var due [][]*rockwindpb.Server
+	for _, contest := range contests {
+		address := contest[0].GetAddress()
+		last, before := i.asked[address]
+		if (!before || now.Sub(last) >= askInterval) && len(due) < mostAsked {
+			due = append(due, contest)
+			last = now
+		}
+		kept[address] = last
+	}
+	i.asked = kept
+	return due
+}
+
+// recordIdentity writes what an address was asked for and what followed.
+func recordIdentity(incarnations []*rockwindpb.Server, identity directory.Identity, command *rockwindpb.DirectoryCommand) {
+	var known []string
+	for _, each := range incarnations {
+		known = append(known, each.GetId())
+	}
+	ended := append(command.GetSuccession().GetEnded(), command.GetLeave().GetId())
+	decision.Default.Record(decision.AddressAsked, incarnations[0].GetAddress(), log.Fields{
+		"incarnations": known, "found": identity.Found, "denied": identity.Denied, "ended": slices.DeleteFunc(ended, isEmpty),
+	})
+}
+
+func isEmpty(text string) bool { return text == "" }
--- a/internal/coordinator/keeper.go
+++ b/internal/coordinator/keeper.go
@@ -28,8 +28,8 @@
 )
 
 // keep does what a coordinator does unasked: it announces itself, tells the
-// leader which servers reported here, and as the leader marks silent servers and
-// founds the stores' cluster.
+// leader which servers reported here, and as the leader marks silent servers, founds the
+// stores' cluster and settles which server has an address.
 func (c *Coordinator) keep(ctx context.Context) {
 	var announced, ledSince time.Time
 	for retry.Pause(ctx, keepInterval) {
@@ -54,6 +54,7 @@
 		c.markSilent(ctx, view.directory, ledSince, now)
 		c.forgetMachines(ctx, view.directory, ledSince, now)
 		c.foundStores(ctx, view.directory, now)
+		c.settle(ctx, view, now)
 	}
 }
 
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -53,6 +53,8 @@
 	// ended under the same content.
 	RequestHeld Kind = "request held"
 	ItemHeld    Kind = "item held"
+	// AddressAsked: an address was asked which of several incarnations of servers is there.
+	AddressAsked Kind = "address asked"
 	// DependencyLost and DependencyRegained tell of coordinators and stores.
 	DependencyLost     Kind = "dependency lost"
 	DependencyRegained Kind = "dependency regained"
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -6,6 +6,7 @@
 // Invariants:
 //   - the state of one incarnation of a server never goes back from draining or
 //     gone, whatever reports arrive late;
+//   - of several incarnations at one address, none is gone before another one was found there;
 //   - every change raises the revision, and an entry carries the revision at
 //     which it last changed, so that a watcher learns what is new from one number;
 //   - the founding of the stores' cluster is decided once.
@@ -53,9 +54,10 @@
 func (d *Directory) Apply(command *rockwindpb.DirectoryCommand) {
 	now := command.GetNowUnixMs()
 	before := d.revision
+	d.succeed(command.GetSuccession().GetEnded(), now)
 	switch content := command.GetCommand().(type) {
 	case *rockwindpb.DirectoryCommand_Report:
-		d.report(content.Report, now)
+		d.report(content.Report, command.GetSuccession() == nil, now)
 	case *rockwindpb.DirectoryCommand_Leave:
 		d.leave(content.Leave.GetId(), now)
 	case *rockwindpb.DirectoryCommand_Silence:
@@ -99,11 +101,15 @@
 		known.GetVersion() != report.GetVersion() || known.GetSlots() != report.GetSlots()
 }
 
-func (d *Directory) report(report *rockwindpb.Server, now int64) {
+// report takes a report. Where the newest one counts, as in the logs of earlier versions, an
+// unknown incarnation has ended all others at its address.
+func (d *Directory) report(report *rockwindpb.Server, newest bool, now int64) {
 	if !changes(d.servers[report.GetId()], report) {
 		return
 	}
-	d.retireAddress(report, now)
+	if newest {
+		d.retireAddress(report, now)
+	}
 	d.putServer(proto.CloneOf(report), now)
 }
 
