Ask servers of plain sites who they are, too; one way to ask over HTTP

Cause: only the platform's coordinators asked an address which incarnation of a server is there; on a plain site a late report of one that had ended still took the address of the one that lives.

Change: coordinator.AskOverHTTP with the names of the headers; both kinds of site use it.

--- a/internal/command/site.go
+++ b/internal/command/site.go
@@ -34,7 +34,7 @@
 func runSite(s *session, loaded *rockwindpb.SiteSettings) error {
 	switch loaded.GetRole() {
 	case rockwindpb.SiteRole_SITE_ROLE_COORDINATOR:
-		return coordinator.Run(s.context, loaded, nil)
+		return coordinator.Run(s.context, loaded, nil, coordinator.WithIdentifier(coordinator.AskOverHTTP(router.HeaderServer, router.HeaderServer)))
 	case rockwindpb.SiteRole_SITE_ROLE_STORE:
 		return store.Run(s.context, loaded, router.PlainProtocol{})
 	}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -17,7 +17,8 @@
 const (
 	// HeaderTimeLeft is how long the client waits, in milliseconds.
 	HeaderTimeLeft = "X-Time-Left-Ms"
-	// HeaderServer names the incarnation that is meant.
+	// HeaderServer names the incarnation that is meant, and in an answer on the health path
+	// the one that gave it.
 	HeaderServer = "X-Server"
 	// HeaderLastEvent is the last event that was received.
 	HeaderLastEvent = "Last-Event-ID"
