Soak: back ends whose late reports come after their end, callers that read slowly

Cause: the soak knew neither the reports that a cut holds back nor slow readers.

Change: a fault that has an incarnation live unheard and its reports arrive after the next one's; a rule that each back end which lives and reports is in use in calm times; callers that read 12 MB slowly, and a rule that no process exceeds its memory. One way to build a caller's request instead of three.

--- a/internal/bench/soak/backend/backend.go
+++ b/internal/bench/soak/backend/backend.go
@@ -25,8 +25,12 @@
 	PathStream    = "/stream/"
 	PathResumable = "/resumable/"
 	PathBatch     = "/batch/"
+	PathLarge     = "/large/"
 )
 
+// PathHealth is where a back end tells which incarnation it is.
+const PathHealth = "/health"
+
 // HeaderJob names the job of an item, HeaderPoison marks one that can never be done, and
 // HeaderEnds names the content of a request that ends the back end.
 const (
@@ -44,6 +48,9 @@
 	eventGap = 8 * time.Millisecond
 	// workTime is how long a plain request takes.
 	workTime = 10 * time.Millisecond
+	// LargeBytes is the size of an answer on PathLarge: more than a caller's connection
+	// holds.
+	LargeBytes = 12 << 20
 	// Parts of the requests that are refused as not run, and whose answer is cut.
 	refusedPart = 0.02
 	cutPart     = 0.01
@@ -52,6 +59,12 @@
 // Answer is the body of a plain answer to a request.
 func Answer(id string) string { return "answer to " + id }
 
+// Large is the body of a large answer to a request.
+func Large(id string) string {
+	line := Answer(id) + "\n"
+	return strings.Repeat(line, LargeBytes/len(line))
+}
+
 // Data is the data of one event of the stream that answers a request.
 func Data(id string, event int) string {
 	if event == Events {
@@ -81,6 +94,8 @@
 	random *rand.Rand
 	// forbidden is since when no new request may come; zero while any may.
 	forbidden time.Duration
+	// lastRequest is when a request last came.
+	lastRequest time.Duration
 	// end takes the content of a request that ends the back end.
 	end func(content string)
 }
@@ -114,6 +129,19 @@
 	s.forbidden = s.since()
 }
 
+// LastRequest is when a request for this incarnation last came; zero before the first.
+func (s *Server) LastRequest() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.lastRequest
+}
+
+func (s *Server) noteRequest() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lastRequest = s.since()
+}
+
 func (s *Server) chance(part float64) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -133,10 +161,15 @@
 func (s *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get(upstream.HeaderRequestID)
 	writer.Header().Set(upstream.HeaderRequestID, id)
+	writer.Header().Set(router.HeaderServer, s.id)
 	if request.Header.Get(router.HeaderServer) != s.id {
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if request.URL.Path == PathHealth {
+		return
+	}
+	s.noteRequest()
 	s.checkForbidden(id)
 	if s.chance(refusedPart) {
 		writer.Header().Set(upstream.HeaderNotRun, "true")
@@ -156,6 +189,12 @@
 		writer.WriteHeader(http.StatusUnprocessableEntity)
 		return
 	}
+	if strings.HasPrefix(request.URL.Path, PathLarge) {
+		body := Large(id)
+		writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = writer.Write([]byte(body))
+		return
+	}
 	cut := s.chance(cutPart)
 	if strings.HasPrefix(request.URL.Path, PathSafe) || strings.HasPrefix(request.URL.Path, PathOnce) {
 		s.plain(request.Context(), writer, id, cut)
--- a/internal/bench/soak/backends.go
+++ b/internal/bench/soak/backends.go
@@ -44,6 +44,8 @@
 	state    rockwindpb.ServerState
 	sequence uint64
 	lives    int
+	// restedSince is when the place was last harmed, or its back end last started.
+	restedSince time.Duration
 	// busy keeps two faults from handling the place at once.
 	busy sync.Mutex
 }
@@ -76,6 +78,7 @@
 		return err
 	}
 	p.server, p.state, p.sequence = server, rockwindpb.ServerState_SERVER_STATE_READY, 0
+	p.restedSince = run.since()
 	return nil
 }
 
@@ -121,24 +124,38 @@
 		return nil
 	}
 	p.sequence++
+	return p.reportOf(p.server.ID(), p.state, p.sequence)
+}
+
+// reportOf is a report of an incarnation at the place.
+func (p *place) reportOf(id string, state rockwindpb.ServerState, sequence uint64) *rockwindpb.Server {
 	return &rockwindpb.Server{
-		Id: p.server.ID(), Service: service, Address: p.proxy.Address(), Zone: fmt.Sprintf("zone-%d", p.number%replicas),
-		Version: "v1", Slots: slots, State: p.state, Sequence: p.sequence,
+		Id: id, Service: service, Address: p.proxy.Address(), Zone: fmt.Sprintf("zone-%d", p.number%replicas),
+		Version: "v1", Slots: slots, State: state, Sequence: sequence,
 	}
 }
 
+// harmed notes that a fault of the place is over.
+func (p *place) harmed(run *run) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.restedSince = run.since()
+}
+
 func (p *place) setState(state rockwindpb.ServerState) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.state = state
 }
 
-// report tells coordinators in turn of the incarnation until one acknowledges.
+// report tells of the incarnation.
 func (p *place) report(ctx context.Context, run *run) bool {
 	described := p.description()
-	if described == nil {
-		return false
-	}
+	return described != nil && tell(ctx, run, described)
+}
+
+// tell hands a report to coordinators in turn until one acknowledges.
+func tell(ctx context.Context, run *run, described *rockwindpb.Server) bool {
 	client := newClient(reportTimeout)
 	all := run.site.coordinators()
 	first := rand.IntN(len(all))
--- a/internal/bench/soak/command.go
+++ b/internal/bench/soak/command.go
@@ -225,7 +225,12 @@
 	for number := range callers {
 		load.Go(func() { newCaller(r, number).call(loading) })
 	}
+	for number := range slowReaders {
+		load.Go(func() { newSlowReader(r, number).read(loading) })
+	}
 	load.Go(func() { r.endBackEnds(loading) })
+	load.Go(func() { r.watchUse(loading) })
+	load.Go(func() { r.watchMemory(loading) })
 	load.Go(func() { r.submitAll(loading, following) })
 	load.Go(func() { r.operator.operate(loading) })
 	load.Go(func() { r.operator.readBack(loading) })
--- a/internal/bench/soak/enders.go
+++ b/internal/bench/soak/enders.go
@@ -5,13 +5,10 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"time"
 
 	"rockwind.example/rockwind/internal/bench/soak/backend"
 	"rockwind.example/rockwind/internal/retry"
-	"rockwind.example/rockwind/internal/router"
-	"rockwind.example/rockwind/internal/upstream"
 )
 
 const (
@@ -39,22 +36,19 @@
 		for try := 0; r.since() < until && retry.Pause(ctx, time.Duration(random.Int64N(int64(enderPause)))); try++ {
 			routers := r.site.routers()
 			at := routers[random.IntN(len(routers))]
-			r.sendEnder(ctx, client, at.settings.GetListen(), path, content, fmt.Sprintf("%s-%d", content, try))
+			r.sendEnder(ctx, client, at, path, content, fmt.Sprintf("%s-%d", content, try))
 		}
 	}
 }
 
 // sendEnder sends one try. Its answer shows nothing: the back ends tell what it does.
-func (r *run) sendEnder(ctx context.Context, client *http.Client, address, path, content, id string) {
+func (r *run) sendEnder(ctx context.Context, client *http.Client, at *member, path, content, id string) {
 	calling, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	request, err := http.NewRequestWithContext(calling, http.MethodPost, "http://"+address+path+content, strings.NewReader(content))
+	request, err := newRequest(calling, at, path+content, id, content, patience)
 	if err != nil {
 		return
 	}
-	request.Host = host
-	request.Header.Set(upstream.HeaderRequestID, id)
-	request.Header.Set(router.HeaderTimeLeft, fmt.Sprint(patience.Milliseconds()))
 	request.Header.Set(backend.HeaderEnds, content)
 	response, err := client.Do(request)
 	if err != nil {
--- a/internal/bench/soak/inject.go
+++ b/internal/bench/soak/inject.go
@@ -45,7 +45,7 @@
 // strike brings one fault about.
 func (r *run) strike(ctx context.Context, fault Fault) {
 	switch fault.kind {
-	case KindServerKill, KindServerLeave, KindServerDelay, KindServerReset, KindServerSilence:
+	case KindServerKill, KindServerReborn, KindServerLeave, KindServerDelay, KindServerReset, KindServerSilence:
 		r.strikeServer(ctx, fault, r.places[fault.target%len(r.places)])
 		return
 	case KindKillAll:
@@ -182,6 +182,7 @@
 	}
 	defer target.busy.Unlock()
 	r.note(fault, target.current().ID())
+	defer target.harmed(r)
 	switch fault.kind {
 	case KindServerKill:
 		target.kill()
@@ -189,6 +190,8 @@
 		if err := target.revive(r); err != nil {
 			log.WithError(err).Error("a back end was not started again")
 		}
+	case KindServerReborn:
+		target.reborn(ctx, r, fault.length)
 	case KindServerLeave:
 		target.leave(ctx, r)
 	case KindServerDelay:
--- a/internal/bench/soak/online.go
+++ b/internal/bench/soak/online.go
@@ -83,14 +83,23 @@
 	err    error
 }
 
-func (c *caller) send(ctx context.Context, at *member, path, id string, stay time.Duration) answer {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at.settings.GetListen()+path+id, strings.NewReader("ask "+id))
+// newRequest returns a request to a router whose caller waits so long.
+func newRequest(ctx context.Context, at *member, path, id, body string, stay time.Duration) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at.settings.GetListen()+path, strings.NewReader(body))
 	if err != nil {
-		return answer{err: err}
+		return nil, err
 	}
 	request.Host = host
 	request.Header.Set(upstream.HeaderRequestID, id)
 	request.Header.Set(router.HeaderTimeLeft, strconv.FormatInt(stay.Milliseconds(), 10))
+	return request, nil
+}
+
+func (c *caller) send(ctx context.Context, at *member, path, id string, stay time.Duration) answer {
+	request, err := newRequest(ctx, at, path+id, id, "ask "+id, stay)
+	if err != nil {
+		return answer{err: err}
+	}
 	response, err := c.client.Do(request)
 	if err != nil {
 		return answer{err: err}
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -35,6 +35,9 @@
 	KindSilence Kind = "silence"
 	// KindServerKill kills a back end; another incarnation takes its address.
 	KindServerKill Kind = "server kill"
+	// KindServerReborn kills a back end twice; the reports of the incarnation between come
+	// late, when the next one is known already.
+	KindServerReborn Kind = "server reborn"
 	// KindServerLeave drains a back end.
 	KindServerLeave Kind = "server leave"
 	// KindServerDelay, KindServerReset and KindServerSilence harm a back end's link.
@@ -47,7 +50,7 @@
 func Kinds() []Kind {
 	return []Kind{
 		KindKill, KindTear, KindWipe, KindPause, KindStop, KindKillAll, KindDelay, KindReset, KindToward, KindAnswers, KindSilence,
-		KindServerKill, KindServerLeave, KindServerDelay, KindServerReset, KindServerSilence,
+		KindServerKill, KindServerReborn, KindServerLeave, KindServerDelay, KindServerReset, KindServerSilence,
 	}
 }
 
--- a/internal/bench/soak/plan_test.go
+++ b/internal/bench/soak/plan_test.go
@@ -13,7 +13,7 @@
 // TestPlanLosesOneDiskAtATime: what the promises rest on holds in every plan.
 func TestPlanLosesOneDiskAtATime(t *testing.T) {
 	server := map[soak.Kind]bool{
-		soak.KindServerKill: true, soak.KindServerLeave: true, soak.KindServerDelay: true,
+		soak.KindServerKill: true, soak.KindServerReborn: true, soak.KindServerLeave: true, soak.KindServerDelay: true,
 		soak.KindServerReset: true, soak.KindServerSilence: true,
 	}
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/bench/soak/witness/witness.go
+++ b/internal/bench/soak/witness/witness.go
@@ -46,6 +46,10 @@
 	ConfigurationLate Rule = "configuration late"
 	// LeavingServerUsed: a server that has left got a new request in calm times.
 	LeavingServerUsed Rule = "leaving server used"
+	// LiveServerForgotten: a server that runs and reports gets no requests in calm times.
+	LiveServerForgotten Rule = "live server forgotten"
+	// MemoryExceeded: a process keeps more than the memory that its settings give it.
+	MemoryExceeded Rule = "memory exceeded"
 	// HeldButRan: a request under which three back ends have ended runs on and on.
 	HeldButRan Rule = "held, but ran"
 	// NoRecovery: requests are not served once everything runs again.
