Elect at once where all voters of a group have restarted

Cause: a replica that restarts votes for nobody for an election timeout, since it may have promised so to a leader in an earlier life.

Change: replicas that have neither led nor heard a leader since their start poll all voters; the one whose log ends last, the greatest identity among equals, stands, and wins by the votes of all voters only. Whoever holds a lease is one of them and gives it up as it votes, so no promise is needed. With a voter away elections take their usual time.

--- a/internal/raft/cluster_test.go
+++ b/internal/raft/cluster_test.go
@@ -178,6 +178,7 @@
 	for _, m := range c.everyMachine() {
 		c.observe(m)
 	}
+	c.checkLeaders()
 }
 
 // deliver brings messages to their machines in any order.
@@ -321,15 +322,35 @@
 // checkLease checks that a leader that may serve reads knows of everything that
 // was committed anywhere.
 func (c *cluster) checkLease(m *machine) {
+	if !c.holdsLease(m) {
+		return
+	}
 	status := m.node.Status()
+	if status.Commit < uint64(len(c.committed)) {
+		c.failf("replica %d holds a lease at %d, but %d are committed", m.disk.id, status.Commit, len(c.committed))
+	}
+}
+
+// holdsLease tells whether a machine may serve reads as the leader.
+func (c *cluster) holdsLease(m *machine) bool {
 	noted, known := m.noted[m.node.LeaseRound()]
 	// Ticks stand still while a process is frozen; then the clock decides.
 	wasFrozen := m.thawed > 0
-	if !status.LeaseValid || (wasFrozen && (!known || c.now-noted >= leaseTicks)) {
-		return
+	return m.node.Status().LeaseValid && (!wasFrozen || known && c.now-noted < leaseTicks)
+}
+
+// checkLeaders checks that nobody holds a lease beside the leader of a newer term.
+func (c *cluster) checkLeaders() {
+	newest := uint64(0)
+	for _, m := range c.everyMachine() {
+		if m.node != nil && m.node.Status().Role == Leader {
+			newest = max(newest, m.node.Status().Term)
+		}
 	}
-	if status.Commit < uint64(len(c.committed)) {
-		c.failf("replica %d holds a lease at %d, but %d are committed", m.disk.id, status.Commit, len(c.committed))
+	for _, m := range c.everyMachine() {
+		if m.node != nil && m.node.Status().Term < newest && c.holdsLease(m) {
+			c.failf("replica %d holds a lease of term %d beside the leader of term %d", m.disk.id, m.node.Status().Term, newest)
+		}
 	}
 }
 
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -34,7 +34,7 @@
 		n.campaign(false)
 		return
 	}
-	n.requestVotes(rockwindpb.MessageKind_MESSAGE_KIND_PRE_VOTE, n.term+1, false)
+	n.requestVotes(&rockwindpb.Message{Kind: rockwindpb.MessageKind_MESSAGE_KIND_PRE_VOTE, Term: n.term + 1})
 }
 
 // campaign starts a new term. A transfer was ordered by the leader, who gave up
@@ -48,10 +48,11 @@
 		n.becomeLeader()
 		return
 	}
-	n.requestVotes(rockwindpb.MessageKind_MESSAGE_KIND_VOTE, n.term, transfer)
+	n.requestVotes(&rockwindpb.Message{Kind: rockwindpb.MessageKind_MESSAGE_KIND_VOTE, Term: n.term, Transfer: transfer})
 }
 
-func (n *Node) requestVotes(kind rockwindpb.MessageKind, term uint64, transfer bool) {
+// requestVotes sends a request to each other voter, with where this log ends.
+func (n *Node) requestVotes(request *rockwindpb.Message) {
 	last := n.log.lastIndex()
 	lastTerm, err := n.log.lastTerm()
 	if err != nil {
@@ -63,15 +64,20 @@
 			continue
 		}
 		n.send(&rockwindpb.Message{
-			Kind: kind, To: id, Term: term, Index: last, LogTerm: lastTerm, Transfer: transfer,
+			Kind: request.GetKind(), To: id, Term: request.GetTerm(), Index: last, LogTerm: lastTerm,
+			Transfer: request.GetTransfer(), Unanimous: request.GetUnanimous(),
 		})
 	}
 }
 
-// votesWon tells whether a majority of the voters of this replica's own
-// membership granted their votes. Answers of others do not count.
+// votesWon tells whether enough voters of this replica's own membership granted their
+// votes: a majority, or all in an election that needs all. Answers of others do not count.
 func (n *Node) votesWon() bool {
-	return n.countVotes(true) >= quorumOf(len(voters(n.members.current())))
+	count := len(voters(n.members.current()))
+	if n.unanimous && !n.faults.unanimousByMajority {
+		return n.countVotes(true) == count
+	}
+	return n.countVotes(true) >= quorumOf(count)
 }
 
 func (n *Node) countVotes(granted bool) int {
@@ -102,7 +108,11 @@
 		return err
 	}
 	reply := &rockwindpb.Message{
-		Kind: rockwindpb.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY, To: message.GetFrom(),
+		Kind: rockwindpb.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY, To: message.GetFrom(), Unanimous: message.GetUnanimous(),
+	}
+	if message.GetUnanimous() && n.standsFirst(message) {
+		current = false
+		reply.Term = max(n.term, message.GetTerm()-1)
 	}
 	if message.GetTerm() > n.term && current {
 		reply.Term = message.GetTerm()
@@ -121,7 +131,7 @@
 	if err != nil {
 		return err
 	}
-	if !message.GetTransfer() && n.leaderPromised() {
+	if !message.GetTransfer() && n.leaderPromised() && !n.mayWaivePromise(message) {
 		return nil
 	}
 	free := n.vote == message.GetFrom() || (n.vote == 0 && n.leader == 0)
@@ -138,6 +148,10 @@
 
 // handleVoteReply counts an answer to the election that is going on in role.
 func (n *Node) handleVoteReply(message *rockwindpb.Message, role Role) error {
+	if message.GetUnanimous() && role == PreCandidate {
+		n.handlePollReply(message)
+		return nil
+	}
 	if n.role != role {
 		return nil
 	}
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -36,6 +36,7 @@
 	n.role = Leader
 	n.leader = n.id
 	n.granted = nil
+	n.restarted, n.polled, n.unanimous = false, nil, false
 	n.electionElapsed = 0
 	n.leading = &leading{progress: make(map[uint64]*progress)}
 	n.trackMembers()
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -26,6 +26,12 @@
 	// Below ElectionTicks the replica votes for nobody, since a leader may hold
 	// a lease that rests on it.
 	leaderElapsed int
+	// restarted tells that this replica has neither led nor heard a leader since its start.
+	restarted bool
+	// polled holds the voters that would vote in an election that needs all of them.
+	polled map[uint64]bool
+	// unanimous tells that the election under way needs the votes of all voters.
+	unanimous bool
 	// granted holds the answers to this replica's (pre-)votes.
 	granted map[uint64]bool
 	leading *leading
@@ -54,6 +60,7 @@
 	anyMembershipChange  bool
 	leaseDuringTransfer  bool
 	readWithoutOwnCommit bool
+	unanimousByMajority  bool
 }
 
 // NewNode restores a replica from its storage. It fails with ErrLogLost when
@@ -81,6 +88,8 @@
 		log:     newEntryLog(config.Storage, hard.GetCommit(), config.Applied),
 		members: newMemberships(first-1, base),
 		stored:  proto.CloneOf(hard),
+
+		restarted: true,
 	}
 	if err := n.readMemberships(first, last); err != nil {
 		return nil, err
@@ -89,6 +98,8 @@
 		n.leaderElapsed = config.ElectionTicks
 	}
 	n.resetElectionTimer()
+	// The last one to start finds all others up.
+	n.poll()
 	return n, nil
 }
 
@@ -141,7 +152,9 @@
 	}
 	if n.electionElapsed >= n.electionTimeout && n.mayCampaign() {
 		n.campaignPreVote()
+		return
 	}
+	n.poll()
 }
 
 // Propose appends a command to the leader's log and returns where it stands.
--- a/internal/raft/simulation_test.go
+++ b/internal/raft/simulation_test.go
@@ -47,6 +47,8 @@
 	transfer
 	compactLog
 	replaceMachine
+	restartOthers
+	restartAll
 )
 
 // Menus of events; what stands twice happens more often.
@@ -63,6 +65,10 @@
 	termEvents = []event{cutLink, heal, freeze, delayMessages}
 	// memberEvents replace machines again and again.
 	memberEvents = []event{replaceMachine, loseDisk, restart, cutLink, cutOff, heal, delayMessages}
+	// restartEvents end many processes at once, while some may be cut off.
+	restartEvents = []event{
+		restartOthers, restartOthers, restartAll, cutOff, cutLink, heal, heal, loseMessages, delayMessages, crash, restart, transfer, replaceMachine,
+	}
 )
 
 // chooser draws a number below count.
@@ -136,6 +142,10 @@
 		c.transfer()
 	case replaceMachine:
 		c.replaceMachine(m)
+	case restartOthers:
+		c.restartBut(m)
+	case restartAll:
+		c.restartBut(nil)
 	case compactLog:
 		if m.node != nil && m.pending == nil && m.applied > 0 {
 			m.disk.compact(m.applied, m.node.MembershipAt(m.applied))
@@ -143,6 +153,16 @@
 	}
 }
 
+// restartBut ends all processes but that of one machine, and starts them again.
+func (c *cluster) restartBut(spared *machine) {
+	for _, m := range c.machines {
+		if m != spared {
+			c.crash(m)
+			c.start(m)
+		}
+	}
+}
+
 func (c *cluster) cutLink(from, to int, both bool) {
 	c.cut[[2]int{from, to}] = true
 	if both {
@@ -218,7 +238,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
 		choose := func(label string, count int) int { return rapid.IntRange(0, count-1).Draw(t, label) }
-		menus := [][]event{allEvents, allEvents, leaseEvents, answerEvents, termEvents, memberEvents}
+		menus := [][]event{allEvents, allEvents, leaseEvents, answerEvents, termEvents, memberEvents, restartEvents}
 		menu := menus[choose("menu", len(menus))]
 		if err := simulate(random, choose, menu, brokenBy{}); err != nil {
 			t.Fatal(err)
@@ -242,6 +262,7 @@
 		"any membership change":   {brokenBy{core: faultInjection{anyMembershipChange: true}}, allEvents},
 		"lease during transfer":   {brokenBy{core: faultInjection{leaseDuringTransfer: true}}, append(leaseEvents, transfer, transfer)},
 		"vote after disk loss":    {brokenBy{reuseIdentity: true}, allEvents},
+		"unanimous by majority":   {brokenBy{core: faultInjection{unanimousByMajority: true}}, restartEvents},
 		"read without own commit": {brokenBy{core: faultInjection{readWithoutOwnCommit: true}}, allEvents},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -35,13 +35,13 @@
 func (n *Node) acceptNewerTerm(message *rockwindpb.Message) bool {
 	switch message.GetKind() {
 	case rockwindpb.MessageKind_MESSAGE_KIND_PRE_VOTE:
-		return message.GetTransfer() || !n.leaderPromised()
+		return message.GetTransfer() || !n.leaderPromised() || n.mayWaivePromise(message)
 	case rockwindpb.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY:
 		if !message.GetReject() {
 			return true
 		}
 	case rockwindpb.MessageKind_MESSAGE_KIND_VOTE:
-		if !message.GetTransfer() && n.leaderPromised() {
+		if !message.GetTransfer() && n.leaderPromised() && !n.mayWaivePromise(message) {
 			return false
 		}
 	}
@@ -120,6 +120,7 @@
 	}
 	n.electionElapsed = 0
 	n.leaderElapsed = 0
+	n.restarted = false
 	return handle(message)
 }
 
@@ -145,5 +146,6 @@
 	n.leader = leader
 	n.leading = nil
 	n.granted = nil
+	n.polled, n.unanimous = nil, false
 	n.resetElectionTimer()
 }
