Hold calls of processes that start until the coordinators know, and requests until the router does

Cause: after a loss of all power a coordinator refused each watch while it did not hear its leader, and every router came back 50 ms later, all of them at the first seed. Requests were sent away in the first 1.2 s of a router.

Change: a coordinator that has just started holds calls up to 0.6 s, and answers once it has applied an entry of its leader's term (applied_term in GroupStatus). Each process asks the seeds in an order of its own. The first answer of a watch does not cut the call for the configuration at the same coordinator. A router holds requests until it has a configuration and has taken in a directory; nobody is sent away for that.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -36,6 +36,12 @@
 	foundingPause = 100 * time.Millisecond
 	// leaderPause is the time between attempts to reach a leader.
 	leaderPause = 30 * time.Millisecond
+	// startHold is how long a coordinator that has just started holds calls until it hears
+	// its leader: as long as an election takes at most where all coordinators answer. One
+	// that is cut off holds up those who ask it for no longer.
+	startHold = 600 * time.Millisecond
+	// startRecheck is how often it looks meanwhile; entries that are applied wake it.
+	startRecheck = 10 * time.Millisecond
 	// stopTimeout bounds the calls in progress at a planned stop.
 	stopTimeout = 2 * time.Second
 	// rootPlaces is how many coordinators hold a replica of the root group, where
@@ -51,6 +57,8 @@
 	host     *replica.Host
 	root     atomic.Pointer[rootMachine]
 	live     *liveness
+	// wasCurrent tells that this coordinator has heard its leader since its start.
+	wasCurrent atomic.Bool
 }
 
 // Handler makes the handler of the calls of operators and servers.
@@ -171,19 +179,45 @@
 	return group, machine, nil
 }
 
-// current returns the state as applied here, where this replica hears the leader.
+// current returns the state as applied here, where this replica hears the leader and has
+// applied all that was committed before that leader was elected. A replica that has just
+// started hears the leader before it has applied anything.
 func (c *Coordinator) current() (replica.Group, *rootView, error) {
 	group, machine, err := c.group()
 	if err != nil {
 		return nil, nil, err
 	}
-	if !group.Status().GetHearsLeader() {
+	if status := group.Status(); !status.GetHearsLeader() || status.GetAppliedTerm() != status.GetTerm() {
 		return nil, nil, fault.New(fault.Unavailable, "this coordinator does not hear the leader of the root group",
 			"ask another coordinator").WithRan(fault.NotRun)
 	}
+	c.wasCurrent.Store(true)
 	return group, machine.view(), nil
 }
 
+// awaitCurrent is current, and waits for it where this coordinator has just started: those
+// who ask would only come again. They get their answer with the first entry of the new
+// leader, and not with their next call. A coordinator that loses its leader later says so at
+// once, as another one may hear it.
+func (c *Coordinator) awaitCurrent(ctx context.Context) (replica.Group, *rootView, error) {
+	for began := time.Now(); ; {
+		group, view, err := c.current()
+		if err == nil || c.wasCurrent.Load() || time.Since(began) > startHold {
+			return group, view, err
+		}
+		applied, failure := c.applied()
+		if failure != nil {
+			return nil, nil, failure
+		}
+		select {
+		case <-applied:
+		case <-time.After(startRecheck):
+		case <-ctx.Done():
+			return nil, nil, err
+		}
+	}
+}
+
 // applied returns a channel that is closed at the next change of the state. It is
 // taken before the state is looked at, so that no change is missed.
 func (c *Coordinator) applied() (<-chan struct{}, error) {
@@ -273,7 +307,7 @@
 
 // Report takes a server's report. It returns once what is new in it is committed.
 func (c *Coordinator) Report(ctx context.Context, server *rockwindpb.Server) error {
-	_, view, err := c.current()
+	_, view, err := c.awaitCurrent(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/coordinator/services.go
+++ b/internal/coordinator/services.go
@@ -47,7 +47,7 @@
 // Watch implements rockwindpb.ConfigurationService. It fails at a replica that
 // does not hear the leader.
 func (s configurationService) Watch(ctx context.Context, request *rockwindpb.WatchConfigurationRequest) (*rockwindpb.WatchConfigurationResponse, error) {
-	if _, _, err := s.coordinator.current(); err != nil {
+	if _, _, err := s.coordinator.awaitCurrent(ctx); err != nil {
 		return nil, fault.ToTwirp(err)
 	}
 	service, err := s.service()
@@ -83,7 +83,7 @@
 
 // Announce implements rockwindpb.DirectoryService.
 func (s directoryService) Announce(ctx context.Context, request *rockwindpb.AnnounceMachineRequest) (*rockwindpb.AnnounceMachineResponse, error) {
-	_, view, err := s.coordinator.current()
+	_, view, err := s.coordinator.awaitCurrent(ctx)
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
@@ -128,6 +128,9 @@
 // nothing yet, or without news after the wait. It fails as soon as the replica no
 // longer hears the leader.
 func (s directoryService) Watch(ctx context.Context, request *rockwindpb.WatchDirectoryRequest) (*rockwindpb.WatchDirectoryResponse, error) {
+	if _, _, err := s.coordinator.awaitCurrent(ctx); err != nil {
+		return nil, fault.ToTwirp(err)
+	}
 	wait := time.NewTimer(min(time.Duration(request.GetWaitMs())*time.Millisecond, maximumWait))
 	defer wait.Stop()
 	fresh := time.NewTicker(freshnessInterval)
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -45,7 +45,7 @@
 func (o *owner) showApplied() {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	o.appliedShown = o.applied
+	o.appliedShown, o.appliedTermShown = o.applied, o.appliedTerm
 	close(o.moved)
 	o.moved = make(chan struct{})
 }
--- a/internal/replica/owner.go
+++ b/internal/replica/owner.go
@@ -86,6 +86,9 @@
 	mutex        sync.Mutex
 	status       raft.Status
 	appliedShown uint64
+	// appliedTermShown is the term of the entry at appliedShown.
+	appliedTermShown uint64
+
 	moved        chan struct{}
 	leadingUntil atomic.Pointer[leadership]
 }
@@ -160,7 +163,7 @@
 		return errors.Wrapf(err, "restore the state of group %d at %d", o.id, metadata.GetIndex())
 	}
 	o.applied, o.appliedTerm = metadata.GetIndex(), metadata.GetTerm()
-	o.appliedShown, o.snapshotIndex = o.applied, o.applied
+	o.appliedShown, o.appliedTermShown, o.snapshotIndex = o.applied, o.appliedTerm, o.applied
 	return nil
 }
 
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -242,7 +242,7 @@
 // Status implements Group.
 func (o *owner) Status() *rockwindpb.GroupStatus {
 	o.mutex.Lock()
-	status, applied := o.status, o.appliedShown
+	status, applied, appliedTerm := o.status, o.appliedShown, o.appliedTermShown
 	o.mutex.Unlock()
 	return &rockwindpb.GroupStatus{
 		Group:         o.id,
@@ -256,6 +256,7 @@
 		Membership:    status.Membership,
 		Repaired:      repaired(status),
 		HearsLeader:   status.HearsLeader,
+		AppliedTerm:   appliedTerm,
 	}
 }
 
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -74,7 +74,7 @@
 	group.Go(func() error { return router.dispatcher.Share(parts, settings) })
 	group.Go(func() error { router.announce(parts, settings); return nil })
 	group.Go(func() error {
-		return site.Serve(parts, site.NewServer(readiness(watcher, leaving)), readyListener, 0)
+		return site.Serve(parts, site.NewServer(readiness(router.acts, leaving)), readyListener, 0)
 	})
 	serving, stopServing := context.WithCancel(parts)
 	defer stopServing()
@@ -151,11 +151,11 @@
 	})
 }
 
-// readiness answers 200 while the router wants connections: it knows a
-// configuration and a directory, and does not leave.
-func readiness(watcher *site.Watcher, leaving *atomic.Bool) http.Handler {
+// readiness answers 200 while the router wants connections: it can serve, and does not
+// leave.
+func readiness(acts func() bool, leaving *atomic.Bool) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
-		if leaving.Load() || !watcher.Known() {
+		if leaving.Load() || !acts() {
 			writer.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -37,6 +37,8 @@
 	viewAge time.Duration
 	// routers is how many processes start online requests.
 	routers int
+	// ready is closed by the first Update.
+	ready chan struct{}
 	// pressed is closed when online requests wait, and replaced.
 	pressed chan struct{}
 }
@@ -52,6 +54,7 @@
 		pools:  make(map[string]*servicePool),
 		shares: balance.NewShares(),
 
+		ready:   make(chan struct{}),
 		pressed: make(chan struct{}),
 	}
 }
@@ -86,6 +89,29 @@
 		pool.SetViewAge(d.viewAge)
 		d.serveWaiting(name)
 	}
+	if !d.Ready() {
+		close(d.ready)
+	}
+}
+
+// Ready tells whether the dispatcher has taken a directory.
+func (d *Dispatcher) Ready() bool {
+	select {
+	case <-d.ready:
+		return true
+	default:
+		return false
+	}
+}
+
+// AwaitReady waits until Ready, and returns false where the context ends before.
+func (d *Dispatcher) AwaitReady(ctx context.Context) bool {
+	select {
+	case <-d.ready:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 func (d *Dispatcher) service(name string) *servicePool {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -111,7 +111,7 @@
 // ServeHTTP implements http.Handler.
 func (r *Router) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	received := time.Now()
-	if !r.watcher.Known() && !r.awaitKnown(request) {
+	if !r.acts() && !r.awaitActing(request) {
 		r.refuseUnknown(writer, request)
 		return
 	}
--- a/internal/router/unknown.go
+++ b/internal/router/unknown.go
@@ -9,42 +9,36 @@
 )
 
 const (
-	// unknownReturn is the shortest time to come back that is told while no
-	// configuration is known, and startTime how long after its start a router knows
-	// one as a rule.
+	// unknownReturn is the time to come back that is told while no configuration is known.
 	unknownReturn = 300 * time.Millisecond
-	startTime     = 1600 * time.Millisecond
-	// soonKnown is the rest of that time for which a client is not sent away, and
-	// longestStart how long after its start a router holds requests at most: after that the
-	// coordinators are taken to be down.
-	soonKnown    = 400 * time.Millisecond
+	// longestStart is how long after its start a router holds requests at most: after that
+	// the coordinators are taken to be down. Ten times what a return after a loss of all
+	// power takes.
 	longestStart = 5 * time.Second
 )
 
-// awaitKnown holds a request of a router that has just started until a configuration is
-// known, and tells whether it is. A client that can come back once it is known, by what
-// starts take as a rule, is told so instead; one that would have to come back earlier, or
-// just then, is held: it may have come back once already.
-func (r *Router) awaitKnown(request *http.Request) bool {
+// acts tells whether this router can serve: it knows a configuration and has taken in a
+// directory.
+func (r *Router) acts() bool { return r.watcher.Known() && r.dispatcher.Ready() }
+
+// awaitActing holds a request of a router that has just started until it can serve, and
+// tells whether it can. Nobody is sent away while that is under way: clients have few
+// tries, and come back later than the router is ready.
+func (r *Router) awaitActing(request *http.Request) bool {
 	facts, _ := r.protocol.Facts(request.Header)
-	elapsed := time.Since(r.started)
-	comeBack := startTime - elapsed
-	canReturn := comeBack > soonKnown && comeBack <= boundReturn(comeBack, facts.Deadline)
-	patience := min(longestStart-elapsed, time.Duration(patiencePart*float64(facts.Deadline)))
-	if canReturn || patience <= 0 {
+	patience := min(longestStart-time.Since(r.started), time.Duration(patiencePart*float64(facts.Deadline)))
+	if patience <= 0 {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), patience)
 	defer cancel()
-	return r.watcher.AwaitKnown(ctx)
+	return r.watcher.AwaitKnown(ctx) && r.dispatcher.AwaitReady(ctx)
 }
 
-// refuseUnknown answers while no configuration is known: after a start this takes
-// about as long as the coordinators need to agree on a leader.
+// refuseUnknown answers while no configuration is known.
 func (r *Router) refuseUnknown(writer http.ResponseWriter, request *http.Request) {
 	facts, _ := r.protocol.Facts(request.Header)
-	comeBack := max(unknownReturn, startTime-time.Since(r.started))
-	refuse(writer, http.StatusServiceUnavailable, knowsNothing(boundReturn(comeBack, facts.Deadline)).WithRan(fault.NotRun))
+	refuse(writer, http.StatusServiceUnavailable, knowsNothing(boundReturn(unknownReturn, facts.Deadline)).WithRan(fault.NotRun))
 }
 
 // knowsNothing is the refusal of a router that knows no configuration, with the time to come
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -60,6 +60,8 @@
 	changed chan struct{}
 	// preferred is the coordinator that answered last.
 	preferred string
+	// asked is the coordinator that was asked for the configuration last.
+	asked string
 	// lost tells that the last watch failed; it is true before the first.
 	lost bool
 	// avoided holds until when coordinators that did not answer come after the
@@ -262,8 +264,10 @@
 	w.recordDependency(address, nil)
 	w.heard.Store(time.Now().UnixNano())
 	// The hint makes the follower ask the preferred coordinator, which must be the
-	// one that has the news.
-	if w.prefer(address) {
+	// one that has the news. A call that hangs there already is answered by itself.
+	if changed := w.prefer(address); changed && w.asks(address) {
+		w.follower.Expect(response.GetConfigurationNumber())
+	} else if changed {
 		w.follower.Redirect(response.GetConfigurationNumber())
 	} else {
 		w.follower.Hint(response.GetConfigurationNumber())
@@ -306,7 +310,7 @@
 	if preferred != "" {
 		distinct = append(distinct, preferred)
 	}
-	for _, address := range slices.Concat(w.byDistance(), w.settings.GetSeeds()) {
+	for _, address := range slices.Concat(w.byDistance(), w.seeds()) {
 		if !slices.Contains(distinct, address) {
 			distinct = append(distinct, address)
 		}
@@ -342,13 +346,25 @@
 			far = append(far, machine.GetAddress())
 		}
 	}
-	rank := func(address string) uint64 { return xxhash.Sum64String(w.settings.GetName() + " " + address) }
-	byRank := func(a, b string) int { return cmp.Compare(rank(a), rank(b)) }
-	slices.SortFunc(near, byRank)
-	slices.SortFunc(far, byRank)
+	w.sortByRank(near)
+	w.sortByRank(far)
 	return slices.Concat(near, far)
 }
 
+// seeds lists the coordinators of the settings in an order of this process's own: all
+// processes of a site start with the same ones, and would all ask the first.
+func (w *Watcher) seeds() []string {
+	seeds := slices.Clone(w.settings.GetSeeds())
+	w.sortByRank(seeds)
+	return seeds
+}
+
+// sortByRank orders addresses differently in each process, and always alike in one.
+func (w *Watcher) sortByRank(addresses []string) {
+	rank := func(address string) uint64 { return xxhash.Sum64String(w.settings.GetName() + " " + address) }
+	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+}
+
 // prefer notes the coordinator that answers, and tells whether it is another one
 // than before.
 func (w *Watcher) prefer(address string) (changed bool) {
@@ -360,6 +376,20 @@
 	return changed
 }
 
+// noteAsked notes which coordinator is asked for the configuration.
+func (w *Watcher) noteAsked(address string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.asked = address
+}
+
+// asks tells whether a coordinator is the one that was asked for the configuration last.
+func (w *Watcher) asks(address string) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.asked == address
+}
+
 // preferNearest forgets which coordinator answered last: the nearest one comes first then.
 func (w *Watcher) preferNearest() {
 	w.mutex.Lock()
@@ -432,5 +462,6 @@
 
 func (s configurationSource) service() rockwindpb.ConfigurationService {
 	address := s.watcher.Coordinators()[0]
+	s.watcher.noteAsked(address)
 	return rockwindpb.NewConfigurationServiceProtobufClient("http://"+address, twirphttp.Client{Carrier: s.watcher.client})
 }
