--- /dev/null
+++ b/internal/coordinator/return_test.go
@@ -0,0 +1,306 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rockwind.example/rockwind/internal/replica"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/site"
+	"rockwind.example/rockwind/internal/wal/faultfs"
+)
+
+const (
+	coordinators = 5
+	// linkDelay is the time of a message between zones, and syncTime that of a disk.
+	linkDelay = 900 * time.Microsecond
+	syncTime  = 2 * time.Millisecond
+	// startSpread is how far apart processes start that come back together.
+	startSpread = 200 * time.Millisecond
+)
+
+// links carries the calls of a site in memory. A process that does not run refuses.
+type links struct {
+	mutex    sync.Mutex
+	handlers map[string]http.Handler
+	calls    int
+}
+
+// RoundTrip implements http.RoundTripper.
+func (l *links) RoundTrip(request *http.Request) (*http.Response, error) {
+	time.Sleep(linkDelay)
+	l.mutex.Lock()
+	l.calls++
+	handler := l.handlers[request.URL.Host]
+	l.mutex.Unlock()
+	if handler == nil {
+		return nil, errors.Newf("no process at %s", request.URL.Host)
+	}
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, request)
+	time.Sleep(linkDelay)
+	if err := request.Context().Err(); err != nil {
+		return nil, err
+	}
+	return recorder.Result(), nil
+}
+
+func (l *links) mount(address string, handler http.Handler) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.handlers[address] = handler
+}
+
+// process is a coordinator or a watcher of a site in virtual time.
+type process struct {
+	name        string
+	disk        *faultfs.Disk // nil at watchers
+	coordinator *Coordinator
+	watcher     *site.Watcher
+	stop        func()
+	// started is when it started last, and ready how long after that it had a
+	// configuration and a directory.
+	started time.Time
+	ready   time.Duration
+}
+
+// virtualSite is the coordinators and watchers of a site.
+type virtualSite struct {
+	t         *testing.T
+	links     *links
+	client    *http.Client
+	random    *rand.Rand
+	seeds     []string
+	processes []*process
+}
+
+// inVirtualSite runs a test with a site of the given size that knows a configuration.
+func inVirtualSite(t *testing.T, size int, run func(s *virtualSite)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &virtualSite{t: t, links: &links{handlers: map[string]http.Handler{}}, random: rand.New(rand.NewPCG(3, 3))}
+		s.client = &http.Client{Transport: s.links}
+		for position := range size {
+			added := &process{name: fmt.Sprintf("p%d", position)}
+			if position < coordinators {
+				added.disk = faultfs.New()
+				added.disk.DelaySync(func() { time.Sleep(syncTime) })
+				s.seeds = append(s.seeds, added.name)
+			}
+			s.processes = append(s.processes, added)
+		}
+		defer func() {
+			for _, p := range s.processes {
+				p.stop()
+			}
+		}()
+		for _, p := range s.processes {
+			s.start(p)
+		}
+		if err := replica.Found(t.Context(), s.client, s.seeds, 0); err != nil {
+			t.Fatal(err)
+		}
+		s.apply()
+		s.awaitReady(s.processes)
+		run(s)
+	})
+}
+
+// start runs a process anew; its disk stays.
+func (s *virtualSite) start(p *process) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.started, p.ready = time.Now(), 0
+	if p.disk == nil {
+		s.watch(ctx, cancel, p)
+		return
+	}
+	c := &Coordinator{settings: &rockwindpb.SiteSettings{Name: p.name, Seeds: s.seeds, InternalListen: p.name}, client: s.client, live: newLiveness()}
+	host, err := replica.NewHost(replica.Options{
+		Machine: p.name, Address: p.name, Folder: "data", FileSystem: p.disk, Client: s.client,
+		Tick: 30 * time.Millisecond, HeartbeatTicks: 2, Random: s.random.Uint64(),
+		StateMachines: func(uint32) replica.StateMachine {
+			created := newRootMachine()
+			c.root.Store(created)
+			return created
+		},
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	c.host, p.coordinator = host, c
+	s.links.mount(p.name, c.internalHandler(nil))
+	ended := make(chan error, 1)
+	go func() { ended <- host.Run(ctx) }()
+	p.stop = func() {
+		s.links.mount(p.name, nil)
+		p.disk.Kill()
+		cancel()
+		<-ended
+		p.stop = func() {}
+	}
+}
+
+// watch runs a watcher, and notes when it is ready.
+func (s *virtualSite) watch(ctx context.Context, cancel func(), p *process) {
+	watcher, err := site.NewWatcher(&rockwindpb.SiteSettings{Name: p.name, Seeds: s.seeds[:3]}, s.client, "")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	p.watcher = watcher
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = watcher.Run(ctx)
+	}()
+	noted := make(chan struct{})
+	go func() {
+		defer close(noted)
+		if watcher.AwaitKnown(ctx) {
+			p.ready = time.Since(p.started)
+		}
+	}()
+	p.stop = func() {
+		cancel()
+		<-ended
+		<-noted
+		p.stop = func() {}
+	}
+}
+
+// apply has a configuration and an entry of the directory accepted.
+func (s *virtualSite) apply() {
+	s.t.Helper()
+	c := s.processes[0].coordinator
+	request := &rockwindpb.ApplyConfigurationRequest{Configuration: &rockwindpb.Configuration{Number: 1}}
+	if _, err := c.Apply(s.t.Context(), request); err != nil {
+		s.t.Fatalf("the configuration is not accepted: %v", err)
+	}
+	machine := &rockwindpb.Machine{Name: "store", Role: rockwindpb.SiteRole_SITE_ROLE_STORE, Address: "store"}
+	command := &rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Announce{Announce: machine}}
+	if err := c.change(s.t.Context(), command); err != nil {
+		s.t.Fatalf("the directory is not changed: %v", err)
+	}
+}
+
+// awaitReady waits until all watchers among the processes are ready.
+func (s *virtualSite) awaitReady(among []*process) {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(s.t.Context(), time.Minute)
+	defer cancel()
+	for _, p := range among {
+		if p.watcher != nil && !p.watcher.AwaitKnown(ctx) {
+			s.t.Fatalf("%s knows nothing a minute after its start", p.name)
+		}
+	}
+	synctest.Wait()
+}
+
+// restart ends processes at once and starts them after a while, in any order, over the given
+// time.
+func (s *virtualSite) restart(among []*process, over time.Duration) {
+	for _, p := range among {
+		p.stop()
+	}
+	time.Sleep(600 * time.Millisecond)
+	s.links.mutex.Lock()
+	s.links.calls = 0
+	s.links.mutex.Unlock()
+	for _, place := range s.random.Perm(len(among)) {
+		s.start(among[place])
+		time.Sleep(over / time.Duration(len(among)))
+	}
+}
+
+// slowest is the longest time that a watcher took from the start of the last coordinator, or
+// its own if that was later, until it was ready.
+func slowest(among []*process) time.Duration {
+	var last time.Time
+	for _, p := range among {
+		if p.coordinator != nil && p.started.After(last) {
+			last = p.started
+		}
+	}
+	longest := time.Duration(0)
+	for _, p := range among {
+		if p.watcher == nil {
+			continue
+		}
+		began := p.started
+		if last.After(began) {
+			began = last
+		}
+		longest = max(longest, p.started.Add(p.ready).Sub(began))
+	}
+	return longest
+}
+
+// TestSiteIsBackSoonAfterEverythingStopped ends all processes of a site at once. From the
+// start of the last coordinator on, each process knows the configuration and the directory
+// within a tenth of a second, however many there are, and what was known is in the answers.
+func TestSiteIsBackSoonAfterEverythingStopped(t *testing.T) {
+	for _, size := range []int{96, 300} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			inVirtualSite(t, size, func(s *virtualSite) {
+				s.restart(s.processes, startSpread)
+				s.awaitReady(s.processes)
+				took := slowest(s.processes)
+				t.Logf("%d processes: ready %v after the last coordinator's start, %d calls", size, took, s.links.calls)
+				if took > 100*time.Millisecond {
+					t.Errorf("the last process is ready after %v", took)
+				}
+				for _, p := range s.processes {
+					if p.watcher != nil && (p.watcher.Configuration().Number() != 1 || len(p.watcher.Stores()) != 1) {
+						t.Fatalf("%s knows configuration %d and %d stores", p.name, p.watcher.Configuration().Number(), len(p.watcher.Stores()))
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestSiteIsBackAfterAPartStopped ends half of all processes with three of the five
+// coordinators, or the coordinators alone. Where some live on, promises to a leader that may
+// still lead are waited for. Afterwards all coordinators are current, and all watchers that
+// had ended know what they need.
+func TestSiteIsBackAfterAPartStopped(t *testing.T) {
+	for name, part := range map[string]func(s *virtualSite) []*process{
+		"half":         func(s *virtualSite) []*process { return s.processes[2 : len(s.processes)/2] },
+		"coordinators": func(s *virtualSite) []*process { return s.processes[:coordinators] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualSite(t, 96, func(s *virtualSite) {
+				s.restart(part(s), 0)
+				began := time.Now()
+				s.awaitCoordinators()
+				s.awaitReady(s.processes)
+				took := time.Since(began)
+				t.Logf("back %v after the last start", took)
+				if took > time.Second {
+					t.Errorf("the site is back after %v", took)
+				}
+			})
+		})
+	}
+}
+
+// awaitCoordinators waits until all coordinators hear their leader and are up to date.
+func (s *virtualSite) awaitCoordinators() {
+	s.t.Helper()
+	for _, p := range s.processes[:coordinators] {
+		for deadline := time.Now().Add(time.Minute); ; time.Sleep(time.Millisecond) {
+			if _, _, err := p.coordinator.current(); err == nil {
+				break
+			} else if time.Now().After(deadline) {
+				s.t.Fatalf("%s is not current a minute after its start: %v", p.name, err)
+			}
+		}
+	}
+}
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -53,6 +53,8 @@
 	// ended under the same content.
 	RequestHeld Kind = "request held"
 	ItemHeld    Kind = "item held"
+	// StartFinished: this process knows after its start what it needs to serve.
+	StartFinished Kind = "start finished"
 	// DependencyLost and DependencyRegained tell of coordinators and stores.
 	DependencyLost     Kind = "dependency lost"
 	DependencyRegained Kind = "dependency regained"
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -48,6 +48,7 @@
 	router := New(settings, watcher, protocol, jobclient.New(watcher, client))
 	router.metrics = sitemetrics.New("router", decision.Default)
 	router.metrics.LoadTraffic(router.dispatcher.LoadTraffic)
+	router.metrics.Start(func() time.Duration { return time.Duration(router.startTook.Load()) })
 	router.metrics.Held(router.witness.Held)
 	listener, err := site.Listen("listen", settings.GetListen())
 	if err != nil {
@@ -70,6 +71,7 @@
 	group.Go(func() error { return watcher.Run(parts) })
 	group.Go(func() error { return router.metrics.Serve(parts, settings) })
 	group.Go(func() error { router.Keep(parts); return nil })
+	group.Go(func() error { router.noteStart(parts, settings.GetName()); return nil })
 	group.Go(func() error { router.witness.Run(parts); return nil })
 	group.Go(func() error { return router.dispatcher.Share(parts, settings) })
 	group.Go(func() error { router.announce(parts, settings); return nil })
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,6 +15,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -48,6 +49,8 @@
 	jobs       *jobclient.Client
 	rates      *rateclient.Client
 	started    time.Time
+	// startTook is how long this router took until it could serve, in nanoseconds.
+	startTook atomic.Int64
 	// keyLife is how long keys are let in after the last word of a coordinator; zero is
 	// without a limit.
 	keyLife time.Duration
--- a/internal/router/unknown.go
+++ b/internal/router/unknown.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"time"
 
+	"github.com/apex/log"
+
+	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/fault"
 )
 
@@ -35,6 +38,20 @@
 	return r.watcher.AwaitKnown(ctx) && r.dispatcher.AwaitReady(ctx)
 }
 
+// noteStart writes, once this router can serve, how long each step since its start took.
+func (r *Router) noteStart(ctx context.Context, name string) {
+	if !r.watcher.AwaitKnown(ctx) || !r.dispatcher.AwaitReady(ctx) {
+		return
+	}
+	took := time.Since(r.started)
+	r.startTook.Store(int64(took))
+	configuration, directory := r.watcher.KnownSince()
+	decision.Default.Record(decision.StartFinished, name, log.Fields{
+		"configuration_ms": configuration.Sub(r.started).Milliseconds(), "directory_ms": directory.Sub(r.started).Milliseconds(),
+		"took_ms": took.Milliseconds(),
+	})
+}
+
 // refuseUnknown answers while no configuration is known.
 func (r *Router) refuseUnknown(writer http.ResponseWriter, request *http.Request) {
 	facts, _ := r.protocol.Facts(request.Header)
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -53,6 +53,9 @@
 
 	directory  atomic.Pointer[directory.View]
 	quarantine atomic.Pointer[quarantine.List]
+	// configurationSince and directorySince are when the first of each was known, in Unix
+	// nanoseconds; zero before that.
+	configurationSince, directorySince atomic.Int64
 	// heard is when a coordinator last answered a watch, in Unix nanoseconds.
 	heard atomic.Int64
 
@@ -102,8 +105,8 @@
 func (w *Watcher) passOn(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := w.follower.Changed()
-		w.announce()
 		w.recordConfiguration()
+		w.announce()
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -117,6 +120,7 @@
 	if current.Number() == 0 {
 		return
 	}
+	w.configurationSince.CompareAndSwap(0, time.Now().UnixNano())
 	decision.Default.Record(decision.ConfigurationInForce, strconv.FormatUint(current.Number(), 10), log.Fields{
 		"routes": len(current.Routes()), "checksum": fmt.Sprintf("%x", current.Checksum()[:4]),
 	})
@@ -161,6 +165,12 @@
 	return w.directory.Load() != nil && w.Configuration().Number() > 0
 }
 
+// KnownSince is when the first configuration and the first directory were known here, with
+// those that were read from disk; the Unix epoch before that.
+func (w *Watcher) KnownSince() (configuration, directory time.Time) {
+	return time.Unix(0, w.configurationSince.Load()), time.Unix(0, w.directorySince.Load())
+}
+
 // AwaitKnown waits until Known, and returns false where the context ends before.
 func (w *Watcher) AwaitKnown(ctx context.Context) bool {
 	for {
@@ -276,6 +286,7 @@
 	merged := directory.Merge(held, response)
 	if merged != held {
 		w.directory.Store(merged)
+		w.directorySince.CompareAndSwap(0, time.Now().UnixNano())
 		w.announce()
 	}
 	if response.GetConfigurationNumber() > w.Configuration().Number() {
