--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -55,6 +55,8 @@
 	ItemHeld    Kind = "item held"
 	// AddressAsked: an address was asked which of several incarnations of servers is there.
 	AddressAsked Kind = "address asked"
+	// StartFinished: this process knows after its start what it needs to serve.
+	StartFinished Kind = "start finished"
 	// DependencyLost and DependencyRegained tell of coordinators and stores.
 	DependencyLost     Kind = "dependency lost"
 	DependencyRegained Kind = "dependency regained"
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -53,6 +53,9 @@
 
 	directory  atomic.Pointer[directory.View]
 	quarantine atomic.Pointer[quarantine.List]
+	// configurationSince and directorySince are when the first of each was known, in Unix
+	// nanoseconds; zero before that.
+	configurationSince, directorySince atomic.Int64
 	// heard is when a coordinator last answered a watch, in Unix nanoseconds.
 	heard atomic.Int64
 
@@ -60,6 +63,8 @@
 	changed chan struct{}
 	// preferred is the coordinator that answered last.
 	preferred string
+	// asked is the coordinator that was asked for the configuration last.
+	asked string
 	// lost tells that the last watch failed; it is true before the first.
 	lost bool
 	// avoided holds until when coordinators that did not answer come after the
@@ -100,8 +105,8 @@
 func (w *Watcher) passOn(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := w.follower.Changed()
-		w.announce()
 		w.recordConfiguration()
+		w.announce()
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -115,6 +120,7 @@
 	if current.Number() == 0 {
 		return
 	}
+	w.configurationSince.CompareAndSwap(0, time.Now().UnixNano())
 	decision.Default.Record(decision.ConfigurationInForce, strconv.FormatUint(current.Number(), 10), log.Fields{
 		"routes": len(current.Routes()), "checksum": fmt.Sprintf("%x", current.Checksum()[:4]),
 	})
@@ -159,6 +165,12 @@
 	return w.directory.Load() != nil && w.Configuration().Number() > 0
 }
 
+// KnownSince is when the first configuration and the first directory were known here, with
+// those that were read from disk; the Unix epoch before that.
+func (w *Watcher) KnownSince() (configuration, directory time.Time) {
+	return time.Unix(0, w.configurationSince.Load()), time.Unix(0, w.directorySince.Load())
+}
+
 // AwaitKnown waits until Known, and returns false where the context ends before.
 func (w *Watcher) AwaitKnown(ctx context.Context) bool {
 	for {
@@ -262,8 +274,10 @@
 	w.recordDependency(address, nil)
 	w.heard.Store(time.Now().UnixNano())
 	// The hint makes the follower ask the preferred coordinator, which must be the
-	// one that has the news.
-	if w.prefer(address) {
+	// one that has the news. A call that hangs there already is answered by itself.
+	if changed := w.prefer(address); changed && w.asks(address) {
+		w.follower.Expect(response.GetConfigurationNumber())
+	} else if changed {
 		w.follower.Redirect(response.GetConfigurationNumber())
 	} else {
 		w.follower.Hint(response.GetConfigurationNumber())
@@ -272,6 +286,7 @@
 	merged := directory.Merge(held, response)
 	if merged != held {
 		w.directory.Store(merged)
+		w.directorySince.CompareAndSwap(0, time.Now().UnixNano())
 		w.announce()
 	}
 	if response.GetConfigurationNumber() > w.Configuration().Number() {
@@ -306,7 +321,7 @@
 	if preferred != "" {
 		distinct = append(distinct, preferred)
 	}
-	for _, address := range slices.Concat(w.byDistance(), w.settings.GetSeeds()) {
+	for _, address := range slices.Concat(w.byDistance(), w.seeds()) {
 		if !slices.Contains(distinct, address) {
 			distinct = append(distinct, address)
 		}
@@ -342,13 +357,25 @@
 			far = append(far, machine.GetAddress())
 		}
 	}
-	rank := func(address string) uint64 { return xxhash.Sum64String(w.settings.GetName() + " " + address) }
-	byRank := func(a, b string) int { return cmp.Compare(rank(a), rank(b)) }
-	slices.SortFunc(near, byRank)
-	slices.SortFunc(far, byRank)
+	w.sortByRank(near)
+	w.sortByRank(far)
 	return slices.Concat(near, far)
 }
 
+// seeds lists the coordinators of the settings in an order of this process's own: all
+// processes of a site start with the same ones, and would all ask the first.
+func (w *Watcher) seeds() []string {
+	seeds := slices.Clone(w.settings.GetSeeds())
+	w.sortByRank(seeds)
+	return seeds
+}
+
+// sortByRank orders addresses differently in each process, and always alike in one.
+func (w *Watcher) sortByRank(addresses []string) {
+	rank := func(address string) uint64 { return xxhash.Sum64String(w.settings.GetName() + " " + address) }
+	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+}
+
 // prefer notes the coordinator that answers, and tells whether it is another one
 // than before.
 func (w *Watcher) prefer(address string) (changed bool) {
@@ -360,6 +387,20 @@
 	return changed
 }
 
+// noteAsked notes which coordinator is asked for the configuration.
+func (w *Watcher) noteAsked(address string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.asked = address
+}
+
+// asks tells whether a coordinator is the one that was asked for the configuration last.
+func (w *Watcher) asks(address string) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.asked == address
+}
+
 // preferNearest forgets which coordinator answered last: the nearest one comes first then.
 func (w *Watcher) preferNearest() {
 	w.mutex.Lock()
@@ -432,5 +473,6 @@
 
 func (s configurationSource) service() rockwindpb.ConfigurationService {
 	address := s.watcher.Coordinators()[0]
+	s.watcher.noteAsked(address)
 	return rockwindpb.NewConfigurationServiceProtobufClient("http://"+address, twirphttp.Client{Carrier: s.watcher.client})
 }
