--- /dev/null
+++ b/internal/balance/pace/sighting.go
@@ -0,0 +1,48 @@
+package pace
+
+import (
+	"bytes"
+	"time"
+)
+
+// eventEnd is an empty line.
+var eventEnd = []byte("\n\n")
+
+// Sighting counts the events of a run in the pieces of its stream, and the time that they
+// took. The zero Sighting has seen nothing.
+type Sighting struct {
+	first, last time.Duration
+	events      int
+	// lineEnded tells that the last byte ended a line, so that another end of a line ends an
+	// event.
+	lineEnded bool
+}
+
+// Add takes a piece of the stream.
+func (s *Sighting) Add(piece []byte, now time.Duration) {
+	if len(piece) == 0 {
+		return
+	}
+	ended := bytes.Count(piece, eventEnd)
+	if s.lineEnded && piece[0] == '\n' {
+		ended++
+	}
+	s.lineEnded = piece[len(piece)-1] == '\n' && !bytes.HasSuffix(piece, eventEnd)
+	if ended == 0 {
+		return
+	}
+	if s.events == 0 {
+		s.first = now
+	}
+	s.events += ended
+	s.last = now
+}
+
+// Events is how many events have ended.
+func (s *Sighting) Events() int { return s.events }
+
+// Took is how long after the first event the last one ended.
+func (s *Sighting) Took() time.Duration { return s.last - s.first }
+
+// Restart begins anew with the last event, which ends the time before and begins the next.
+func (s *Sighting) Restart() { s.first, s.events = s.last, 1 }
--- /dev/null
+++ b/internal/balance/pace/sighting_test.go
@@ -0,0 +1,41 @@
+package pace_test
+
+import (
+	"testing"
+	"time"
+
+	"rockwind.example/rockwind/internal/balance/pace"
+)
+
+// TestEventsAreCountedInWhateverPiecesTheyCome: the time between events is that of whole ones.
+func TestEventsAreCountedInWhateverPiecesTheyCome(t *testing.T) {
+	for _, pieces := range [][]string{
+		{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"},
+		{"id: 1\ndata: a\n", "\nid: 2\ndata: b\n", "\n", "id: 3\ndata: c\n\n"},
+		{"id: 1\ndata: a\n\n", "id: 2\n", "data: b\n\nid: 3\ndata: c\n", "", "\n"},
+	} {
+		var seen pace.Sighting
+		for i, piece := range pieces {
+			seen.Add([]byte(piece), time.Duration(i)*time.Second)
+		}
+		if seen.Events() != 3 {
+			t.Errorf("%d events in %q", seen.Events(), pieces)
+		}
+	}
+}
+
+// TestTimeBetweenEventsBeginsWithTheFirst: the wait for it is not that of an event.
+func TestTimeBetweenEventsBeginsWithTheFirst(t *testing.T) {
+	var seen pace.Sighting
+	seen.Add([]byte("id: 1\n"), 0)
+	seen.Add([]byte("data: a\n\n"), time.Second)
+	seen.Add([]byte("id: 2\ndata: b\n\n"), 3*time.Second)
+	if took := seen.Took(); took != 2*time.Second {
+		t.Errorf("the events came within %v", took)
+	}
+	seen.Restart()
+	seen.Add([]byte("id: 3\ndata: c\n\n"), 4*time.Second)
+	if seen.Took() != time.Second || seen.Events() != 2 {
+		t.Errorf("%d events within %v after the second", seen.Events(), seen.Took())
+	}
+}
--- a/internal/balance/pacer.go
+++ b/internal/balance/pacer.go
@@ -113,7 +113,7 @@
 		return false
 	}
 	if place := p.place(choice.ID); place >= 0 && p.pacer != nil {
-		p.pacer.Seen(place, Run{Event: took / time.Duration(events-1), Beside: choice.Load, Told: told}, now)
+		p.pacer.Seen(place, Run{Event: took / time.Duration(events-1), Beside: choice.Load + 1, Told: told}, now)
 	}
 	return true
 }
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -48,6 +48,7 @@
 	router := New(settings, watcher, protocol, jobclient.New(watcher, client))
 	router.metrics = sitemetrics.New("router", decision.Default)
 	router.metrics.LoadTraffic(router.dispatcher.LoadTraffic)
+	router.metrics.Paces(router.dispatcher.Paces)
 	router.metrics.Held(router.witness.Held)
 	listener, err := site.Listen("listen", settings.GetListen())
 	if err != nil {
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/balance/pace"
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/gate"
@@ -107,7 +108,7 @@
 	// told is the pace that the server told with its answer, zero where it told none.
 	told float64
 	// sighting follows how fast the events of the run come.
-	sighting sighting
+	sighting pace.Sighting
 }
 
 // Acquire waits for a server with room, at most until the patience or the context
--- a/internal/router/pace.go
+++ b/internal/router/pace.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"bytes"
 	"time"
 
 	"rockwind.example/rockwind/internal/balance"
@@ -36,57 +35,24 @@
 	return paces
 }
 
-// sighting counts the events of a run since the last look at it.
-type sighting struct {
-	first, last time.Time
-	events      int
-	// lineEnded tells that the last byte ended a line, so that another end of a line ends an
-	// event.
-	lineEnded bool
-}
-
-// eventEnd is an empty line.
-var eventEnd = []byte("\n\n")
-
-// add takes a piece of the stream.
-func (s *sighting) add(piece []byte, now time.Time) {
-	ended := bytes.Count(piece, eventEnd)
-	if s.lineEnded && len(piece) > 0 && piece[0] == '\n' {
-		ended++
-	}
-	s.lineEnded = bytes.HasSuffix(piece, eventEnd[:1]) && !bytes.HasSuffix(piece, eventEnd)
-	if ended == 0 {
-		return
-	}
-	if s.events == 0 {
-		s.first = now
-	}
-	s.events += ended
-	s.last = now
-}
-
 // Received takes a piece of the stream that the server sends.
 func (l *Lease) Received(piece []byte) {
 	l.Read()
-	l.sighting.add(piece, time.Now())
-	if l.sighting.took() >= sightInterval {
+	l.sighting.Add(piece, l.dispatcher.now())
+	if l.sighting.Took() >= sightInterval {
 		l.look()
 	}
 }
 
-// took is how long after the first event the last one came.
-func (s *sighting) took() time.Duration { return s.last.Sub(s.first) }
-
-// look tells the pool how the run went since the last look. The event that ends this piece of
-// it begins the next one.
+// look tells the pool how the run went since the last look.
 func (l *Lease) look() {
-	if l.sighting.events < 2 {
+	if l.sighting.Events() == 0 {
 		return
 	}
 	d := l.dispatcher
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if d.service(l.service).pool.Seen(l.Choice, l.sighting.events, l.sighting.took(), l.told, d.now()) {
-		l.sighting.first, l.sighting.events = l.sighting.last, 1
+	if d.service(l.service).pool.Seen(l.Choice, l.sighting.Events(), l.sighting.Took(), l.told, d.now()) {
+		l.sighting.Restart()
 	}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -145,6 +145,7 @@
 	set := sitemetrics.New("store", decision.Default)
 	set.Limits(s.limiter.gauges)
 	set.LoadTraffic(s.dispatcher.LoadTraffic)
+	set.Paces(s.dispatcher.Paces)
 	set.Held(s.witness.Held)
 	return set
 }
