Split the pool of servers into files with one job

members.go holds the servers and how they come and go, cost.go what a server costs a request, pool.go the choice. Nothing but the place of the code changes.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -10,7 +10,6 @@
 package balance
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -26,21 +25,6 @@
 	reportBeside = 150 * time.Millisecond
 	// fullFor is how long a server that refused as full is passed over.
 	fullFor = 60 * time.Millisecond
-	// readRate is how many prompt tokens a server reads in a millisecond.
-	readRate = 85.0
-	// Costs in milliseconds of the time to the first event.
-	otherZoneCost = 4.0
-	suspectCost   = 1000.0
-	silentCost    = 2000.0
-	// costScale is how much later, in milliseconds, the first event may come from a server
-	// that has e times as many free slots.
-	costScale = 8.0
-	// tieCost breaks ties, in units of costScale.
-	tieCost = 0.1
-	// leastFree is what a server that was tried although it is full counts as.
-	leastFree = 0.1
-	// smallestNoise keeps the logarithm of zero away.
-	smallestNoise = 1e-12
 	// silentFor is how long no first event may come from a server while some are
 	// awaited.
 	silentFor = 350 * time.Millisecond
@@ -65,44 +49,6 @@
 	Batch bool
 }
 
-// Member is a server as the directory describes it.
-type Member struct {
-	ID      string
-	Address string
-	Zone    string
-	// Slots is how many requests it runs at once; zero is unknown.
-	Slots int
-	// Silent servers have not reported for long.
-	Silent bool
-}
-
-// server is a member with what is known of its load.
-type server struct {
-	Member
-	// hash is its short name in digests.
-	hash uint32
-	// inflight counts the requests of this process.
-	inflight int
-	// batch is how many of them are batch work.
-	batch int
-	// unread is the number of prompt tokens sent whose first event is awaited.
-	unread int
-	// told is the load that the server told last, at toldAt; since counts the
-	// requests of this process that began less those that ended since.
-	told   int
-	toldAt time.Duration
-	since  int
-	known  bool
-	// fullUntil is when the server may be tried again after it refused as full.
-	fullUntil time.Duration
-	// gone tells that another server has its address now.
-	gone bool
-	// excess is how many requests beyond its slots were given way to already.
-	excess settled
-	// parts tells when a part was last sent here.
-	parts map[uint64]time.Duration
-}
-
 // Pool is the servers of one service as one process sees them. It belongs to one
 // goroutine at a time.
 type Pool struct {
@@ -147,98 +93,6 @@
 	return adjusted
 }
 
-// Update replaces the members and keeps what is known of those that stay.
-func (p *Pool) Update(members []Member) {
-	// A server's place never changes while it is a member: the judgement of its
-	// health is kept by place.
-	byID := make(map[string]Member, len(members))
-	for _, member := range members {
-		byID[member.ID] = member
-	}
-	for place, known := range p.servers {
-		if known == nil {
-			continue
-		}
-		member, stays := byID[known.ID]
-		if !stays {
-			p.remove(place)
-			continue
-		}
-		known.Member = member
-	}
-	for _, member := range members {
-		if _, known := p.places[member.ID]; !known {
-			p.add(&server{Member: member, hash: ServerHash(member.ID), parts: make(map[uint64]time.Duration)})
-		}
-	}
-}
-
-func (p *Pool) add(added *server) {
-	clear(p.homes)
-	place := slices.Index(p.servers, nil)
-	if place < 0 {
-		place = len(p.servers)
-		p.servers = append(p.servers, nil)
-		p.tracker.Resize(len(p.servers))
-		if p.pacer != nil {
-			p.pacer.Resize(len(p.servers))
-		}
-	}
-	p.servers[place] = added
-	p.places[added.ID] = place
-}
-
-func (p *Pool) remove(place int) {
-	clear(p.homes)
-	delete(p.places, p.servers[place].ID)
-	p.servers[place] = nil
-	p.tracker.Forget(place)
-	if p.pacer != nil {
-		p.pacer.Forget(place)
-	}
-}
-
-func (p *Pool) find(id string) *server {
-	if place := p.place(id); place >= 0 {
-		return p.servers[place]
-	}
-	return nil
-}
-
-func (p *Pool) place(id string) int {
-	place, known := p.places[id]
-	if !known {
-		return -1
-	}
-	return place
-}
-
-// Size is the number of members.
-func (p *Pool) Size() int {
-	size := 0
-	for _, known := range p.servers {
-		if known != nil {
-			size++
-		}
-	}
-	return size
-}
-
-// Slots is how many requests all members run at once; zero where one does not say.
-func (p *Pool) Slots() int {
-	slots := 0
-	for _, known := range p.servers {
-		if known == nil {
-			continue
-		}
-		if known.Slots == 0 {
-			return 0
-		}
-		slots += known.Slots
-	}
-	return slots
-}
-
 // load estimates how many requests a server has, from all callers: those of this
 // process and those that the others tell of. What the server told itself counts
 // beside it while it is new, and for longer where no other process tells anything.
@@ -325,8 +179,7 @@
 		}
 		pace := 0.0
 		if informed {
-			pace = p.paceFor(place, demand, now)
-			state = p.withoutSlowness(place, state, now)
+			pace, state = p.paceFor(place, demand, now), p.withoutSlowness(place, state, now)
 		}
 		if state == health.Healthy && accused(place) {
 			state = health.Suspect
@@ -390,82 +243,6 @@
 	return max(0, p.load(s, now)-p.batchAt(s))
 }
 
-// noise makes the least of some costs a draw: with the logarithm of exponential noise each
-// is the least with a probability in proportion to the exponential of its negative.
-func noise(alone bool, random *rand.Rand) float64 {
-	if alone {
-		return tieCost * random.Float64()
-	}
-	return math.Log(random.ExpFloat64() + smallestNoise)
-}
-
-// cost is the time to the first event that a server is expected to take, in units of
-// costScale, less the logarithm of what its free slots are worth: one at a server that is
-// twice as slow serves half as many requests. Sent that way, 64 processes that share 90 servers
-// of 0.6 to 1.6 times the usual pace, a quarter of them three times slower, have the ends of
-// answers come 18% earlier at 0.8 of the capacity than by free slots alone.
-func (p *Pool) cost(candidate *server, state health.State, demand Demand, uncached int, pace float64, now time.Duration) float64 {
-	free := p.free(candidate, demand, now)
-	if pace == 0 {
-		pace = usualPace
-	}
-	return p.firstEvent(candidate, state, uncached, pace)/costScale - math.Log(free/pace)
-}
-
-// free is how many more requests a server is taken to have room for; where its slots are
-// not known, the less the more it has.
-func (p *Pool) free(candidate *server, demand Demand, now time.Duration) float64 {
-	seen := p.online
-	if demand.Batch {
-		seen = p.load
-	}
-	load := float64(seen(candidate, now))
-	if candidate.Slots == 0 {
-		return 1 / (1 + load)
-	}
-	return max(leastFree, float64(candidate.Slots)-load)
-}
-
-// firstEvent is the time to the first event that a server is expected to take, beyond that
-// of the best one, in milliseconds.
-func (p *Pool) firstEvent(candidate *server, state health.State, uncached int, pace float64) float64 {
-	cost := float64(uncached+candidate.unread+p.shares.At(candidate.hash).Unread) / readRate * pace
-	if candidate.Zone != p.zone {
-		cost += otherZoneCost
-	}
-	if state != health.Healthy {
-		cost += suspectCost
-	}
-	if candidate.Silent {
-		cost += silentCost
-	}
-	return cost
-}
-
-// uncached estimates how many prompt tokens a server has to read.
-func (p *Pool) uncached(place int, demand Demand, now time.Duration) int {
-	candidate := p.servers[place]
-	total := 0
-	kept := true
-	for i, part := range demand.Parts {
-		if !kept {
-			total += part.Tokens
-			continue
-		}
-		last, sent := candidate.parts[part.ID]
-		if sent && now-last < partFor {
-			continue
-		}
-		kept = false
-		trust := 0.0
-		if i < len(demand.Parts)-1 {
-			trust = p.trust(place, part.ID)
-		}
-		total += int(float64(part.Tokens) * (1 - trust))
-	}
-	return total
-}
-
 func (p *Pool) start(chosen *server, demand Demand, uncached int, now time.Duration) {
 	chosen.inflight++
 	chosen.since++
@@ -483,17 +260,3 @@
 		chosen.dropOldParts(now)
 	}
 }
-
-func (s *server) dropOldParts(now time.Duration) {
-	for id, last := range s.parts {
-		if now-last > partFor {
-			delete(s.parts, id)
-		}
-	}
-	for id := range s.parts {
-		if len(s.parts) <= maximumParts {
-			return
-		}
-		delete(s.parts, id)
-	}
-}
