--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -49,6 +49,7 @@
 	router.metrics = sitemetrics.New("router", decision.Default)
 	router.metrics.LoadTraffic(router.dispatcher.LoadTraffic)
 	router.metrics.Start(func() time.Duration { return time.Duration(router.startTook.Load()) })
+	router.metrics.Paces(router.dispatcher.Paces)
 	router.metrics.Held(router.witness.Held)
 	listener, err := site.Listen("listen", settings.GetListen())
 	if err != nil {
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/balance/pace"
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/gate"
@@ -117,7 +118,7 @@
 func (d *Dispatcher) service(name string) *servicePool {
 	found, known := d.pools[name]
 	if !known {
-		found = &servicePool{pool: balance.NewPool(name, d.zone, d.shares), holding: typicalHolding}
+		found = &servicePool{pool: d.newPool(name), holding: typicalHolding}
 		d.pools[name] = found
 	}
 	return found
@@ -130,6 +131,10 @@
 	service    string
 	began      time.Time
 	read       bool
+	// told is the pace that the server told with its answer, zero where it told none.
+	told float64
+	// sighting follows how fast the events of the run come.
+	sighting pace.Sighting
 }
 
 // Acquire waits for a server with room, at most until the patience or the context
@@ -291,6 +296,7 @@
 
 // Told takes the load that the server told with an answer.
 func (l *Lease) Told(load balance.Load) {
+	l.told = load.Pace
 	d := l.dispatcher
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -314,6 +320,7 @@
 // Done ends the lease with what the exchange showed of the server.
 func (l *Lease) Done(outcome health.Outcome, latency time.Duration) {
 	l.noteRead(outcome == health.Success || outcome == health.Refused)
+	l.look()
 	d := l.dispatcher
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
