Read answers as fast as servers give them, whatever the client reads

Cause: a router read 8 KB from the server and then waited for the client. A client that read nothing held up the server and its slot, and writes to it had no end but the kernel's.

Change: package clientconn keeps what a client does not take at once, within the budget of package relaybudget (a quarter of memory_mb), and writes it by and by. A write is tried once without waiting; only its rest is kept. The lease ends when the server's answer is whole. Answers that are ended are reset, so that they never look whole; what is kept ends with the request's time. Bodies count before they are read, and large ones without room are refused as not run (503 with a time to come back). The kernel keeps 64 KB for a connection. A stop waits for what is kept.

--- /dev/null
+++ b/internal/clientconn/buffers.go
@@ -0,0 +1,250 @@
+// Package clientconn holds the connections of clients of which some read slowly. What such a
+// client does not take at once is kept in memory and written to it by and by, so that an
+// answer is read from its server as fast as that gives it. What is kept for all connections
+// of the process is bounded: see package relaybudget, which decides who waits and whose
+// answer is ended. An answer that is ended never looks whole: its connection is reset.
+//
+// A client that keeps up costs nothing beyond the write itself: no copy, no goroutine and no
+// allocation. Each write is tried once without waiting, and only its rest is kept.
+package clientconn
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"rockwind.example/rockwind/internal/relaybudget"
+	"rockwind.example/rockwind/internal/retry"
+)
+
+const (
+	// chunkSize is the unit in which unread bytes are kept and counted.
+	chunkSize = 8 << 10
+	// kernelBuffer is how much the kernel may keep unread for a connection, in bytes: a
+	// client 10 ms away still gets 50 Mbit/s, and a thousand slow ones cost 64 MB at most
+	// where the kernel would take some MB for each.
+	kernelBuffer = 64 << 10
+	// drainInterval is the time between two looks at whether all clients have read what is
+	// kept for them.
+	drainInterval = 10 * time.Millisecond
+)
+
+// Buffers is what a process keeps for the clients of its connections, and the bodies of
+// requests. It is safe for concurrent use.
+type Buffers struct {
+	ended func(Ended)
+
+	mutex   sync.Mutex
+	budget  *relaybudget.Budget[*Conn]
+	waiting map[*Conn]struct{}
+	chunks  sync.Pool
+}
+
+// Usage is what is kept at a moment.
+type Usage struct {
+	// Limit, Unread and Bodies are bytes: of the budget, of answers and of requests.
+	Limit, Unread, Bodies int64
+	// Readers is how many clients are behind, and Waiting how many answers wait for room.
+	Readers, Waiting int
+}
+
+// Part is the part of the limit that is in use.
+func (u Usage) Part() float64 { return float64(u.Unread+u.Bodies) / float64(u.Limit) }
+
+// Reason is why the answer of a reader was ended.
+type Reason string
+
+// The reasons.
+const (
+	// ReasonRoom: other requests needed the memory.
+	ReasonRoom Reason = "others needed the memory"
+	// ReasonStalled: it waited for memory, and the client read nothing.
+	ReasonStalled Reason = "the client read nothing while memory was short"
+	// ReasonWrite: nothing could be written to the client any more, or its time was over.
+	ReasonWrite Reason = "the client read nothing until its time was over, or left"
+)
+
+// Ended is a reader whose answer was ended.
+type Ended struct {
+	// Exchange is the identifier that Conn.Begin was told.
+	Exchange string
+	Reason   Reason
+	// Kept is how many bytes were kept for it, Taken how many it took since it fell behind,
+	// and Behind how long ago that was.
+	Kept, Taken int64
+	Behind      time.Duration
+	// Cause is the error of the connection, nil where there was none.
+	Cause error
+}
+
+// NewBuffers returns buffers of so many bytes in all. The function is told of readers whose
+// answer was ended; it must not block.
+func NewBuffers(limit int64, ended func(Ended)) *Buffers {
+	return &Buffers{
+		ended:   ended,
+		budget:  relaybudget.New[*Conn](limit),
+		waiting: make(map[*Conn]struct{}),
+		chunks:  sync.Pool{New: func() any { return new(chunk) }},
+	}
+}
+
+// Usage returns what is kept now.
+func (b *Buffers) Usage() Usage {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return Usage{
+		Limit: b.budget.Limit(), Unread: b.budget.Unread(), Bodies: b.budget.Bodies(),
+		Readers: b.budget.Readers(), Waiting: len(b.waiting),
+	}
+}
+
+// Drain waits until the clients have read all that is kept for them, or the context ends.
+func (b *Buffers) Drain(ctx context.Context) {
+	for b.Usage().Readers > 0 && retry.Pause(ctx, drainInterval) {
+	}
+}
+
+// TakeBody asks to keep so many bytes of a body of the given size, and tells whether there
+// is room.
+func (b *Buffers) TakeBody(bytes, size int64) bool {
+	b.mutex.Lock()
+	verdict, ended := b.budget.TakeBody(bytes, size, time.Now())
+	b.mutex.Unlock()
+	endAll(ended)
+	return verdict == relaybudget.Kept
+}
+
+// ReturnBody gives back bytes that TakeBody gave.
+func (b *Buffers) ReturnBody(bytes int64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.budget.ReturnBody(bytes)
+	b.wake()
+}
+
+// reserve asks for one more chunk for a connection. One that is told to wait is woken when
+// there may be room.
+func (b *Buffers) reserve(conn *Conn) relaybudget.Verdict {
+	b.mutex.Lock()
+	verdict, ended := b.budget.Keep(conn.reader, chunkSize, time.Now())
+	if verdict == relaybudget.Wait {
+		b.waiting[conn] = struct{}{}
+	} else {
+		delete(b.waiting, conn)
+		b.wake()
+	}
+	b.mutex.Unlock()
+	endAll(ended)
+	return verdict
+}
+
+// took gives back a chunk that the client has taken.
+func (b *Buffers) took(conn *Conn) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.budget.Took(conn.reader, chunkSize)
+	b.wake()
+}
+
+// leave forgets a connection and returns since when it was behind, and what it has taken
+// after that.
+func (b *Buffers) leave(conn *Conn) (since time.Time, taken int64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	since, taken = conn.reader.Behind()
+	b.budget.Leave(conn.reader)
+	delete(b.waiting, conn)
+	b.wake()
+	return since, taken
+}
+
+// wake lets one connection that waits ask again where there is room; it wakes the next. The
+// mutex is held.
+func (b *Buffers) wake() {
+	if len(b.waiting) == 0 || !b.budget.HasRoom(chunkSize) {
+		return
+	}
+	for conn := range b.waiting {
+		conn.signal()
+		return
+	}
+}
+
+// endAll ends the answers of readers that had to make room.
+func endAll(readers []*relaybudget.Reader[*Conn]) {
+	for _, reader := range readers {
+		reader.Owner().end(ReasonRoom, nil)
+	}
+}
+
+// Listener wraps a listener so that its connections keep what their clients do not take.
+// The kernel keeps little of it: its memory counts as well, and is not in the budget.
+func (b *Buffers) Listener(listener net.Listener) net.Listener {
+	if err := boundKernel(listener); err != nil {
+		log.WithError(err).Warn("the kernel's memory for clients that read slowly has no bound of this process's")
+	}
+	return keepingListener{Listener: listener, buffers: b}
+}
+
+// boundKernel bounds what the kernel keeps unread for each connection that the listener
+// accepts.
+func boundKernel(listener net.Listener) error {
+	raw, found := listener.(syscall.Conn)
+	if !found {
+		return nil
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failure error
+	err = control.Control(func(descriptor uintptr) {
+		failure = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_SNDBUF, kernelBuffer)
+	})
+	return errors.CombineErrors(err, failure)
+}
+
+// keepingListener accepts connections of the buffers.
+type keepingListener struct {
+	net.Listener
+	buffers *Buffers
+}
+
+// Accept implements net.Listener.
+func (l keepingListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	raw, found := accepted.(syscall.Conn)
+	if !found {
+		return accepted, nil
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return accepted, nil
+	}
+	return newConn(accepted, control, l.buffers), nil
+}
+
+// connKey is the key of the connection in contexts.
+type connKey struct{}
+
+// WithConn is the ConnContext of servers: FromContext finds the connection again.
+func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	if own, found := conn.(*Conn); found {
+		return context.WithValue(ctx, connKey{}, own)
+	}
+	return ctx
+}
+
+// FromContext returns the connection of a request, nil where it is none of this package.
+func FromContext(ctx context.Context) *Conn {
+	conn, _ := ctx.Value(connKey{}).(*Conn)
+	return conn
+}
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -31,6 +31,10 @@
 	RequestBroken Kind = "request broken"
 	// RequestAbandoned: the client left before the end.
 	RequestAbandoned Kind = "request abandoned"
+	// AnswerEnded: what a client had not read of an answer was dropped.
+	AnswerEnded Kind = "answer ended"
+	// BodyRefused: there was no memory for the body of a request.
+	BodyRefused Kind = "body refused"
 	// JobTaken, JobRefused and JobEnded tell what became of a call about a job.
 	JobTaken   Kind = "job taken"
 	JobRefused Kind = "job refused"
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
+	"rockwind.example/rockwind/internal/clientconn"
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/dial"
 	"rockwind.example/rockwind/internal/jobclient"
@@ -49,6 +51,7 @@
 	router.metrics = sitemetrics.New("router", decision.Default)
 	router.metrics.LoadTraffic(router.dispatcher.LoadTraffic)
 	router.metrics.Held(router.witness.Held)
+	router.metrics.ClientBuffers(router.buffers.Usage)
 	listener, err := site.Listen("listen", settings.GetListen())
 	if err != nil {
 		return err
@@ -63,7 +66,9 @@
 		ReadHeaderTimeout: clientHeaderTimeout,
 		IdleTimeout:       clientIdleTimeout,
 		ErrorLog:          logring.ServerLog(log.Log),
+		ConnContext:       clientconn.WithConn,
 	}
+	listener = router.buffers.Listener(listener)
 	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopParts()
 	group, parts := errgroup.WithContext(parts)
@@ -81,7 +86,7 @@
 	grace := graceOf(settings)
 	group.Go(func() error {
 		defer stopParts()
-		return site.Serve(serving, server, listener, grace-leaveNotice-stopMargin)
+		return router.serveClients(serving, server, listener, grace-leaveNotice-stopMargin)
 	})
 	group.Go(func() error {
 		select {
@@ -102,6 +107,19 @@
 	return group.Wait()
 }
 
+// serveClients serves until the context ends. Then the requests in progress have the given
+// time, and the clients to read what is kept for them.
+func (r *Router) serveClients(ctx context.Context, server *http.Server, listener net.Listener, grace time.Duration) error {
+	err := site.Serve(ctx, server, listener, grace)
+	if ctx.Err() == nil {
+		return err
+	}
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopMargin/2)
+	defer cancel()
+	r.buffers.Drain(stopping)
+	return err
+}
+
 // announceInterval is the time between this router's announcements, and
 // announceRetry the time until the next one where no coordinator took one: until
 // then nobody tells this router of loads, nor hears its own.
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/clientconn"
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/fingerprint"
@@ -45,8 +46,10 @@
 
 // exchange is one client request on its way through the servers.
 type exchange struct {
-	router  *Router
-	writer  http.ResponseWriter
+	router *Router
+	writer http.ResponseWriter
+	// client is the connection of the client, nil where it keeps nothing.
+	client  *clientconn.Conn
 	route   *rockwindpb.Route
 	service string
 	facts   Facts
@@ -110,6 +113,8 @@
 func (e *exchange) run(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, e.ends)
 	defer cancel()
+	e.client = clientconn.FromContext(ctx)
+	e.client.Begin(e.facts.ID, e.ends)
 	if held := e.held(); held != nil {
 		e.recordHeld(held)
 		refuse(e.writer, held.Kind.HTTPStatus(), held)
@@ -138,7 +143,7 @@
 			e.record(decision.RequestFinished, lease, "")
 			return
 		case verdictGone:
-			e.record(decision.RequestAbandoned, lease, "the client left")
+			e.recordGone(lease)
 			// Nobody reads the answer, but it must not end as if it were whole.
 			panic(http.ErrAbortHandler)
 		case verdictBroken:
--- /dev/null
+++ b/internal/router/memory.go
@@ -0,0 +1,160 @@
+package router
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"rockwind.example/rockwind/internal/clientconn"
+	"rockwind.example/rockwind/internal/decision"
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/upstream"
+)
+
+const (
+	// defaultBodyBytes bounds a request's body where the configuration does not.
+	defaultBodyBytes = 4 << 20
+	// relayMemoryPart is the part of the process's memory that is kept for others at most:
+	// with 144 MB that is 36 MB beside some 30 MB of the program's own and 20 KB for each of
+	// three thousand connections.
+	relayMemoryPart = 0.25
+	// defaultMemory is the process's memory where the settings give none.
+	defaultMemory = 256 << 20
+	megabyte      = 1 << 20
+	// bodyStep is by how much memory is asked for a body whose length is not known.
+	bodyStep = 64 << 10
+	// memoryReturn is when a request comes back that was refused since bodies fill the
+	// memory: the time in which a machine with the narrowest link of 22 Mbit/s passes on 1 MB
+	// of them.
+	memoryReturn = 400 * time.Millisecond
+)
+
+// errMemoryFull tells that bodies fill the memory.
+var errMemoryFull = errors.New("the memory for bodies is full")
+
+// relayMemory is how many bytes the settings let a router keep for others.
+func relayMemory(settings *rockwindpb.SiteSettings) int64 {
+	memory := int64(settings.GetMemoryMb()) * megabyte
+	if memory == 0 {
+		memory = defaultMemory
+	}
+	return int64(relayMemoryPart * float64(memory))
+}
+
+// recordEnded writes that the answer of a client was ended.
+func recordEnded(ended clientconn.Ended) {
+	fields := log.Fields{
+		"reason": string(ended.Reason), "unread_bytes": ended.Kept, "taken_bytes": ended.Taken,
+		"behind_ms": ended.Behind.Milliseconds(),
+	}
+	if ended.Cause != nil {
+		fields["error"] = ended.Cause.Error()
+	}
+	decision.Default.Record(decision.AnswerEnded, ended.Exchange, fields)
+}
+
+// bodyMemory is the memory of the body of one request.
+type bodyMemory struct {
+	buffers *clientconn.Buffers
+	taken   int64
+}
+
+// read reads the body of a request. One for which there is no memory is refused before it is
+// read, as far as its length is known.
+func (m *bodyMemory) read(writer http.ResponseWriter, request *http.Request, limits *rockwindpb.ClientLimits) ([]byte, error) {
+	most := int64(defaultBodyBytes)
+	if limits.GetMaxBodyBytes() > 0 {
+		most = int64(limits.GetMaxBodyBytes())
+	}
+	source := io.Reader(http.MaxBytesReader(writer, request.Body, most))
+	switch length := request.ContentLength; {
+	case length < 0:
+		source = &countedBody{memory: m, body: source}
+	case length <= most && !m.take(length, length):
+		return nil, memoryFull()
+	}
+	body, err := io.ReadAll(source)
+	if err == nil {
+		return body, nil
+	}
+	if errors.Is(err, errMemoryFull) {
+		return nil, memoryFull()
+	}
+	if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
+		return nil, &statusError{status: http.StatusRequestEntityTooLarge,
+			fault: fault.Newf(fault.InvalidArgument, "send a smaller body", "the body is larger than %d bytes", most).WithRan(fault.NotRun)}
+	}
+	return nil, fault.New(fault.InvalidArgument, "the body could not be read", "send the whole body").WithRan(fault.NotRun)
+}
+
+// take asks for so many bytes more of a body of the given size.
+func (m *bodyMemory) take(bytes, size int64) bool {
+	if !m.buffers.TakeBody(bytes, size) {
+		return false
+	}
+	m.taken += bytes
+	return true
+}
+
+func (m *bodyMemory) giveBack() {
+	if m.taken > 0 {
+		m.buffers.ReturnBody(m.taken)
+		m.taken = 0
+	}
+}
+
+// countedBody asks for memory as the body is read.
+type countedBody struct {
+	memory *bodyMemory
+	body   io.Reader
+	read   int64
+}
+
+// Read implements io.Reader.
+func (c *countedBody) Read(p []byte) (int, error) {
+	n, err := c.body.Read(p)
+	c.read += int64(n)
+	for c.read > c.memory.taken {
+		if !c.memory.take(bodyStep, c.memory.taken+bodyStep) {
+			return n, errMemoryFull
+		}
+	}
+	return n, err
+}
+
+// memoryFull is the refusal of a request whose body there is no memory for.
+func memoryFull() error {
+	return fault.New(fault.Overloaded, "come back after the time given", "the bodies of requests fill the memory of this router").
+		WithRan(fault.NotRun).WithRetryAfter(memoryReturn)
+}
+
+// refuseBody answers a request whose body was not read.
+func (r *Router) refuseBody(writer http.ResponseWriter, facts Facts, route *rockwindpb.Route, err error) {
+	var full *fault.Fault
+	if !errors.As(err, &full) || full.Kind != fault.Overloaded {
+		refuseFault(writer, err)
+		return
+	}
+	full = full.WithRetryAfter(boundReturn(full.RetryAfter, facts.Deadline))
+	usage := r.buffers.Usage()
+	decision.Default.Record(decision.BodyRefused, facts.ID, log.Fields{
+		"route": route.GetName(), "bodies_bytes": usage.Bodies, "unread_bytes": usage.Unread, "limit_bytes": usage.Limit,
+	})
+	refuse(writer, http.StatusServiceUnavailable, full)
+}
+
+// readAnswer reads the beginning of an answer, up to the given size, and tells whether that
+// is all of it. Where memory is short nothing is read: the answer goes on as it comes.
+func (e *exchange) readAnswer(response *upstream.Response) (body []byte, whole bool, err error) {
+	size := max(response.Length, readSize)
+	if size > bufferedAnswer || !e.router.buffers.TakeBody(size, size) {
+		return nil, false, nil
+	}
+	defer e.router.buffers.ReturnBody(size)
+	body, err = io.ReadAll(io.LimitReader(response.Body(0), bufferedAnswer+1))
+	return body, len(body) <= bufferedAnswer, err
+}
--- a/internal/router/recording.go
+++ b/internal/router/recording.go
@@ -35,6 +35,15 @@
 	decision.Default.Record(kind, e.facts.ID, fields)
 }
 
+// recordGone writes that the client left, or that its answer was ended to spare memory.
+func (e *exchange) recordGone(lease *Lease) {
+	if reason := e.client.Ended(); reason != "" {
+		e.record(decision.RequestBroken, lease, string(reason))
+		return
+	}
+	e.record(decision.RequestAbandoned, lease, "the client left")
+}
+
 // recordRefusal writes a refusal of the router's own. One after a try that failed tells the
 // content: clients come again with another identifier.
 func (e *exchange) recordRefusal(status int, failure *fault.Fault) {
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -32,11 +32,10 @@
 // relayWhole passes on an answer that is no stream. It is read whole first, where
 // it is not too large.
 func (e *exchange) relayWhole(ctx context.Context, lease *Lease, response *upstream.Response, latency time.Duration) verdict {
-	body, err := io.ReadAll(io.LimitReader(response.Body(0), bufferedAnswer+1))
+	body, whole, err := e.readAnswer(response)
 	if err != nil {
 		return e.answerBroke(ctx, lease, response, latency, err)
 	}
-	whole := len(body) <= bufferedAnswer
 	if whole {
 		e.finish(lease, response, latency)
 		e.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -49,6 +48,10 @@
 		return verdictFinished
 	}
 	_, err = io.Copy(e.writer, response.Body(0))
+	if e.client.Ended() != "" {
+		e.abandon(lease, response)
+		return verdictGone
+	}
 	if err != nil {
 		// A client that left breaks it off too; the witness looks at the server.
 		e.broke(lease, err)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,13 +12,13 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"rockwind.example/rockwind/internal/clientconn"
 	"rockwind.example/rockwind/internal/dial"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/gate"
@@ -31,8 +31,6 @@
 )
 
 const (
-	// defaultBodyBytes bounds a request's body where the configuration does not.
-	defaultBodyBytes = 4 << 20
 	// evaluateInterval is the time between judgements of the servers.
 	evaluateInterval = 250 * time.Millisecond
 )
@@ -47,6 +45,7 @@
 	protocol   Protocol
 	jobs       *jobclient.Client
 	rates      *rateclient.Client
+	buffers    *clientconn.Buffers
 	started    time.Time
 	// keyLife is how long keys are let in after the last word of a coordinator; zero is
 	// without a limit.
@@ -68,6 +67,7 @@
 		protocol:   protocol,
 		jobs:       jobs,
 		rates:      rateclient.New(jobs, settings.GetName(), func() int { return len(watcher.Directory().WithRole(rockwindpb.SiteRole_SITE_ROLE_ROUTER)) }),
+		buffers:    clientconn.NewBuffers(relayMemory(settings), recordEnded),
 		started:    time.Now(),
 		keyLife:    time.Duration(settings.GetKeyLifeMs()) * time.Millisecond,
 	}
@@ -132,9 +132,11 @@
 		refuseFault(writer, err)
 		return
 	}
-	body, err := readBody(writer, request, index.ClientLimits())
+	kept := bodyMemory{buffers: r.buffers}
+	defer kept.giveBack()
+	body, err := kept.read(writer, request, index.ClientLimits())
 	if err != nil {
-		refuseFault(writer, err)
+		r.refuseBody(writer, facts, route, err)
 		return
 	}
 	if route.GetKind() == rockwindpb.RouteKind_ROUTE_KIND_BATCH {
@@ -201,19 +203,3 @@
 	}
 	return ""
 }
-
-func readBody(writer http.ResponseWriter, request *http.Request, limits *rockwindpb.ClientLimits) ([]byte, error) {
-	most := int64(defaultBodyBytes)
-	if limits.GetMaxBodyBytes() > 0 {
-		most = int64(limits.GetMaxBodyBytes())
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, most))
-	if err == nil {
-		return body, nil
-	}
-	if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
-		return nil, &statusError{status: http.StatusRequestEntityTooLarge,
-			fault: fault.Newf(fault.InvalidArgument, "send a smaller body", "the body is larger than %d bytes", most).WithRan(fault.NotRun)}
-	}
-	return nil, fault.New(fault.InvalidArgument, "the body could not be read", "send the whole body").WithRan(fault.NotRun)
-}
