--- /dev/null
+++ b/internal/clientconn/body_test.go
@@ -0,0 +1,121 @@
+package clientconn_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"rockwind.example/rockwind/internal/clientconn"
+)
+
+// darkServer accepts connections and never reads from them.
+func darkServer(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// passOn writes a body to a server until the client leaves.
+func passOn(request *http.Request, server string, body []byte) error {
+	conn, err := (&net.Dialer{}).DialContext(request.Context(), "tcp", server)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	for request.Context().Err() == nil && len(body) > 0 {
+		_ = conn.SetWriteDeadline(time.Now().Add(10 * time.Millisecond))
+		n, _ := conn.Write(body)
+		body = body[n:]
+	}
+	<-request.Context().Done()
+	return nil
+}
+
+// TestTenDarkServersFillTheMemoryNoFurther: bodies of 1 MB gather before ten servers that read
+// nothing. Those without room are refused before they are read, and small bodies go through.
+func TestTenDarkServersFillTheMemoryNoFurther(t *testing.T) {
+	const (
+		limit = 36 << 20
+		size  = 1 << 20
+		sent  = 60
+	)
+	buffers := clientconn.NewBuffers(limit, func(clientconn.Ended) {})
+	var servers []string
+	for range 10 {
+		servers = append(servers, darkServer(t))
+	}
+	var next, refused atomic.Int64
+	address, _ := serve(t, buffers, func(writer http.ResponseWriter, request *http.Request) {
+		memory := buffers.NewBody()
+		defer memory.GiveBack()
+		body, err := memory.Read(request.Body, request.ContentLength)
+		if errors.Is(err, clientconn.ErrFull) {
+			refused.Add(1)
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if err == nil && len(body) == size {
+			err = passOn(request, servers[next.Add(1)%10], body)
+		}
+		if err != nil {
+			t.Error(err)
+		}
+	})
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second}
+	before := heap()
+	large := strings.Repeat("x", size)
+	ended := make(chan struct{}, sent)
+	for i := range sent {
+		// Every other body comes in chunks.
+		body := io.Reader(strings.NewReader(large))
+		if i%2 == 0 {
+			body = io.MultiReader(body)
+		}
+		go func() {
+			response, err := client.Post("http://"+address, "", body)
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			ended <- struct{}{}
+		}()
+	}
+	until(t, "some are refused, and the others are at servers", func() bool {
+		return refused.Load() > sent/4 && next.Load()+refused.Load() == sent
+	})
+	usage := buffers.Usage()
+	if usage.Bodies > limit*3/4 || usage.Bodies < limit/2 {
+		t.Errorf("kept are %+v", usage)
+	}
+	// A body that was read in steps lies in up to twice its memory.
+	if grown := heap() - before; grown > 2*limit {
+		t.Errorf("the heap grew by %d MB", grown>>20)
+	}
+	response, err := client.Post("http://"+address, "", bytes.NewReader(make([]byte, 4<<10)))
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("a small body: %v %v", response, err)
+	}
+	_ = response.Body.Close()
+	for range sent {
+		<-ended
+	}
+	until(t, "nothing is kept any more", func() bool { return buffers.Usage().Bodies == 0 })
+}
--- a/internal/relaybudget/budget.go
+++ b/internal/relaybudget/budget.go
@@ -31,8 +31,9 @@
 	readersPart = 0.5
 	// bodiesPart is the part up to which large bodies are taken.
 	bodiesPart = 0.75
-	// SmallBody is the size up to which a body is small: the prompt of an ordinary request.
-	SmallBody = 64 << 10
+	// SmallBody is the size up to which a body is small, in bytes: a prompt of some 4,000
+	// tokens, as most requests have.
+	SmallBody = 16 << 10
 	// leastTaken stands for what a client has taken that has taken less, in bytes.
 	leastTaken = 16 << 10
 )
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -25,17 +25,12 @@
 	// defaultMemory is the process's memory where the settings give none.
 	defaultMemory = 256 << 20
 	megabyte      = 1 << 20
-	// bodyStep is by how much memory is asked for a body whose length is not known.
-	bodyStep = 64 << 10
 	// memoryReturn is when a request comes back that was refused since bodies fill the
 	// memory: the time in which a machine with the narrowest link of 22 Mbit/s passes on 1 MB
 	// of them.
 	memoryReturn = 400 * time.Millisecond
 )
 
-// errMemoryFull tells that bodies fill the memory.
-var errMemoryFull = errors.New("the memory for bodies is full")
-
 // relayMemory is how many bytes the settings let a router keep for others.
 func relayMemory(settings *rockwindpb.SiteSettings) int64 {
 	memory := int64(settings.GetMemoryMb()) * megabyte
@@ -57,31 +52,17 @@
 	decision.Default.Record(decision.AnswerEnded, ended.Exchange, fields)
 }
 
-// bodyMemory is the memory of the body of one request.
-type bodyMemory struct {
-	buffers *clientconn.Buffers
-	taken   int64
-}
-
-// read reads the body of a request. One for which there is no memory is refused before it is
-// read, as far as its length is known.
-func (m *bodyMemory) read(writer http.ResponseWriter, request *http.Request, limits *rockwindpb.ClientLimits) ([]byte, error) {
+// readBody reads the body of a request into its memory.
+func readBody(writer http.ResponseWriter, request *http.Request, limits *rockwindpb.ClientLimits, memory *clientconn.Body) ([]byte, error) {
 	most := int64(defaultBodyBytes)
 	if limits.GetMaxBodyBytes() > 0 {
 		most = int64(limits.GetMaxBodyBytes())
 	}
-	source := io.Reader(http.MaxBytesReader(writer, request.Body, most))
-	switch length := request.ContentLength; {
-	case length < 0:
-		source = &countedBody{memory: m, body: source}
-	case length <= most && !m.take(length, length):
-		return nil, memoryFull()
-	}
-	body, err := io.ReadAll(source)
+	body, err := memory.Read(http.MaxBytesReader(writer, request.Body, most), min(request.ContentLength, most))
 	if err == nil {
 		return body, nil
 	}
-	if errors.Is(err, errMemoryFull) {
+	if errors.Is(err, clientconn.ErrFull) {
 		return nil, memoryFull()
 	}
 	if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
@@ -91,41 +72,6 @@
 	return nil, fault.New(fault.InvalidArgument, "the body could not be read", "send the whole body").WithRan(fault.NotRun)
 }
 
-// take asks for so many bytes more of a body of the given size.
-func (m *bodyMemory) take(bytes, size int64) bool {
-	if !m.buffers.TakeBody(bytes, size) {
-		return false
-	}
-	m.taken += bytes
-	return true
-}
-
-func (m *bodyMemory) giveBack() {
-	if m.taken > 0 {
-		m.buffers.ReturnBody(m.taken)
-		m.taken = 0
-	}
-}
-
-// countedBody asks for memory as the body is read.
-type countedBody struct {
-	memory *bodyMemory
-	body   io.Reader
-	read   int64
-}
-
-// Read implements io.Reader.
-func (c *countedBody) Read(p []byte) (int, error) {
-	n, err := c.body.Read(p)
-	c.read += int64(n)
-	for c.read > c.memory.taken {
-		if !c.memory.take(bodyStep, c.memory.taken+bodyStep) {
-			return n, errMemoryFull
-		}
-	}
-	return n, err
-}
-
 // memoryFull is the refusal of a request whose body there is no memory for.
 func memoryFull() error {
 	return fault.New(fault.Overloaded, "come back after the time given", "the bodies of requests fill the memory of this router").
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -132,9 +132,9 @@
 		refuseFault(writer, err)
 		return
 	}
-	kept := bodyMemory{buffers: r.buffers}
-	defer kept.giveBack()
-	body, err := kept.read(writer, request, index.ClientLimits())
+	memory := r.buffers.NewBody()
+	defer memory.GiveBack()
+	body, err := readBody(writer, request, index.ClientLimits(), &memory)
 	if err != nil {
 		r.refuseBody(writer, facts, route, err)
 		return
