--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
+	"rockwind.example/rockwind/internal/clientconn"
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/dial"
 	"rockwind.example/rockwind/internal/jobclient"
@@ -51,6 +53,7 @@
 	router.metrics.Start(func() time.Duration { return time.Duration(router.startTook.Load()) })
 	router.metrics.Paces(router.dispatcher.Paces)
 	router.metrics.Held(router.witness.Held)
+	router.metrics.ClientBuffers(router.buffers.Usage)
 	listener, err := site.Listen("listen", settings.GetListen())
 	if err != nil {
 		return err
@@ -65,7 +68,9 @@
 		ReadHeaderTimeout: clientHeaderTimeout,
 		IdleTimeout:       clientIdleTimeout,
 		ErrorLog:          logring.ServerLog(log.Log),
+		ConnContext:       clientconn.WithConn,
 	}
+	listener = router.buffers.Listener(listener)
 	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopParts()
 	group, parts := errgroup.WithContext(parts)
@@ -84,7 +89,7 @@
 	grace := graceOf(settings)
 	group.Go(func() error {
 		defer stopParts()
-		return site.Serve(serving, server, listener, grace-leaveNotice-stopMargin)
+		return router.serveClients(serving, server, listener, grace-leaveNotice-stopMargin)
 	})
 	group.Go(func() error {
 		select {
@@ -105,6 +110,19 @@
 	return group.Wait()
 }
 
+// serveClients serves until the context ends. Then the requests in progress have the given
+// time, and the clients to read what is kept for them.
+func (r *Router) serveClients(ctx context.Context, server *http.Server, listener net.Listener, grace time.Duration) error {
+	err := site.Serve(ctx, server, listener, grace)
+	if ctx.Err() == nil {
+		return err
+	}
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopMargin/2)
+	defer cancel()
+	r.buffers.Drain(stopping)
+	return err
+}
+
 // announceInterval is the time between this router's announcements, and
 // announceRetry the time until the next one where no coordinator took one: until
 // then nobody tells this router of loads, nor hears its own.
