Reach machines that come up soon after that

Change: calls between processes of a site make one more connection attempt each 60 ms, within the same limit of 1 s. A process that knows no directory asks the next coordinator where it has no connection after 250 ms.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -59,10 +59,11 @@
 	return configuration.Listen(context.Background(), "tcp", address)
 }
 
-// NewClient returns a client for calls between the site's own processes.
+// NewClient returns a client for calls between the site's own processes. It reaches a
+// machine that comes up soon after that.
 func NewClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         Dialer().DialContext,
+		DialContext:         Again(Dialer().DialContext, attemptInterval, connectTimeout),
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleConnectionTimeout,
 		DisableCompression:  true,
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -267,6 +267,11 @@
 	held := w.Directory()
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
 	defer cancel()
+	if held == nil {
+		var disarm func()
+		ctx, disarm = withConnectLimit(ctx, connectPatience)
+		defer disarm()
+	}
 	response, err := service.Watch(ctx, w.watchRequest(held, watchWait))
 	if err != nil {
 		return fault.From(err)
