Learn at once how long requests hold a server

Cause: a router that has just started takes requests for a second long, and moved from there by a twentieth each.

Change: the first ones count evenly.

--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -320,8 +320,7 @@
 	pool := d.service(l.service)
 	pool.pool.Ended(l.Choice, outcome, latency, d.now(), d.random)
 	if outcome == health.Success {
-		held := time.Since(l.began)
-		pool.holding += time.Duration(holdingWeight * float64(held-pool.holding))
+		pool.learn(time.Since(l.began))
 	}
 	d.serveWaiting(l.service)
 }
--- a/internal/router/dispatcher_test.go
+++ b/internal/router/dispatcher_test.go
@@ -83,3 +83,25 @@
 		}
 	})
 }
+
+// TestProcessLearnsAtOnceHowLongRequestsTake: a process that has just started takes requests
+// for long ones until the first has ended, and not until dozens have.
+func TestProcessLearnsAtOnceHowLongRequestsTake(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dispatcher := oneServer(1)
+		first, err := acquire(dispatcher, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+		first.Done(health.Success, 0)
+		running, err := acquire(dispatcher, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.AfterFunc(20*time.Millisecond, func() { running.Done(health.Success, 0) })
+		if _, err := acquire(dispatcher, 300*time.Millisecond); err != nil {
+			t.Fatalf("refused before a request of 20 ms: %v", err)
+		}
+	})
+}
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -22,8 +22,19 @@
 type servicePool struct {
 	pool    *balance.Pool
 	waiting waiting.Queue[*waiter]
-	// holding is how long requests held a server lately, for the time to come back.
+	// holding is how long requests held a server lately, for the time to come back, and
+	// ended how many that rests on.
 	holding time.Duration
+	ended   int
+}
+
+// learn takes how long a request held a server. The first ones count evenly: a process that
+// has just started knows nothing, and would refuse for want of room as if short requests took
+// typicalHolding, until dozens of them had ended here.
+func (p *servicePool) learn(held time.Duration) {
+	p.ended++
+	weight := max(holdingWeight, 1/float64(p.ended))
+	p.holding += time.Duration(weight * float64(held-p.holding))
 }
 
 // waiter is a request that waits for room.
