--- a/internal/coordinator/root.go
+++ b/internal/coordinator/root.go
@@ -33,11 +33,12 @@
 
 func newRootMachine() *rootMachine {
 	created := &rootMachine{catalog: catalog.NewWithPolicy(catalog.HighestNumber), directory: directory.New(), quarantine: quarantine.New()}
-	created.publish()
+	created.Publish()
 	return created
 }
 
-func (m *rootMachine) publish() {
+// Publish implements replica.Publisher.
+func (m *rootMachine) Publish() {
 	m.views.Store(&rootView{catalog: m.catalog.View(), directory: m.directory.View(), quarantine: m.quarantine.View()})
 }
 
@@ -50,7 +51,6 @@
 	if err := proto.Unmarshal(command, decoded); err != nil {
 		return catalog.Outcome{Fault: fault.Newf(fault.Internal, "run the same version on all coordinators", "a command of the root group cannot be read: %v", err)}
 	}
-	defer m.publish()
 	if accepted := decoded.GetCatalog(); accepted != nil {
 		return m.catalog.Accept(accepted)
 	}
@@ -79,7 +79,7 @@
 	}
 	m.directory.Load(decoded.GetDirectory())
 	m.quarantine.Load(decoded.GetQuarantine())
-	m.publish()
+	m.Publish()
 	return nil
 }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -34,18 +34,21 @@
 	servers      map[string]*rockwindpb.Server
 	machines     map[string]*rockwindpb.Machine
 	storeCluster *rockwindpb.FoundRequest
-	view         *View
+	// view is nil where the state has changed since the last call of View.
+	view *View
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	d := &Directory{servers: make(map[string]*rockwindpb.Server), machines: make(map[string]*rockwindpb.Machine)}
-	d.publish()
-	return d
+	return &Directory{servers: make(map[string]*rockwindpb.Server), machines: make(map[string]*rockwindpb.Machine)}
 }
 
-// View is the directory at one moment.
+// View is the directory at one moment. Only the owner goroutine may call it. It costs a copy
+// where the state has changed since the last call.
 func (d *Directory) View() *View {
+	if d.view == nil {
+		d.publish()
+	}
 	return d.view
 }
 
@@ -71,7 +74,7 @@
 	}
 	d.dropOld(now)
 	if d.revision != before {
-		d.publish()
+		d.view = nil
 	}
 }
 
@@ -114,11 +117,20 @@
 		return
 	}
 	// In the order of identifiers, since replicas must number the changes alike.
-	for _, earlier := range sortedServers(d.servers) {
-		if earlier.GetAddress() == report.GetAddress() {
-			d.goneServer(earlier.GetId(), earlier.GetState() == rockwindpb.ServerState_SERVER_STATE_READY, now)
+	for _, earlier := range sortedServers(d.at(report.GetAddress())) {
+		d.goneServer(earlier.GetId(), earlier.GetState() == rockwindpb.ServerState_SERVER_STATE_READY, now)
+	}
+}
+
+// at returns the incarnations at an address.
+func (d *Directory) at(address string) map[string]*rockwindpb.Server {
+	found := make(map[string]*rockwindpb.Server)
+	for id, server := range d.servers {
+		if server.GetAddress() == address {
+			found[id] = server
 		}
 	}
+	return found
 }
 
 func (d *Directory) leave(id string, now int64) { d.goneServer(id, false, now) }
@@ -250,7 +262,7 @@
 	for _, machine := range snapshot.GetMachines() {
 		d.machines[machine.GetName()] = machine
 	}
-	d.publish()
+	d.view = nil
 }
 
 func (d *Directory) publish() {
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
@@ -14,13 +15,22 @@
 	servers      map[string]*rockwindpb.Server
 	machines     map[string]*rockwindpb.Machine
 	storeCluster *rockwindpb.FoundRequest
+
+	// sorted holds the servers by identifier, once somebody has asked for them.
+	sorted  []*rockwindpb.Server
+	sorting sync.Once
 }
 
 // Revision is the number of the last change.
 func (v *View) Revision() uint64 { return v.revision }
 
-// Servers lists all entries by identifier, those of servers that left too.
-func (v *View) Servers() []*rockwindpb.Server { return sortedServers(v.servers) }
+// Servers lists all entries by identifier, those of servers that left too. All callers share
+// the list, which must not be changed: each watcher is told from it what is new, and sorting
+// 3,000 servers takes 0.6 ms.
+func (v *View) Servers() []*rockwindpb.Server {
+	v.sorting.Do(func() { v.sorted = sortedServers(v.servers) })
+	return v.sorted
+}
 
 // Server finds an incarnation by its identifier.
 func (v *View) Server(id string) (*rockwindpb.Server, bool) {
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -13,21 +13,31 @@
 	if len(entries) == 0 {
 		return nil
 	}
-	for _, entry := range entries {
+	results := make([]any, len(entries))
+	for position, entry := range entries {
 		if entry.GetIndex() != o.applied+1 {
 			return errors.Newf("entry %d is committed after entry %d", entry.GetIndex(), o.applied)
 		}
-		var result any
 		if entry.GetKind() == rockwindpb.EntryKind_ENTRY_KIND_COMMAND {
-			result = o.machine.Apply(entry.GetIndex(), entry.GetData())
+			results[position] = o.machine.Apply(entry.GetIndex(), entry.GetData())
 		}
 		o.applied, o.appliedTerm = entry.GetIndex(), entry.GetTerm()
-		o.answer(entry, result)
+	}
+	publish(o.machine)
+	for position, entry := range entries {
+		o.answer(entry, results[position])
 	}
 	o.showApplied()
 	return nil
 }
 
+// publish has a state machine show its state, if it does so.
+func publish(machine StateMachine) {
+	if publisher, shows := machine.(Publisher); shows {
+		publisher.Publish()
+	}
+}
+
 // answer ends the proposal that stands at the entry's index.
 func (o *owner) answer(entry *rockwindpb.Entry, result any) {
 	waiting, found := o.pending[entry.GetIndex()]
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -22,6 +22,13 @@
 	Restore(snapshot []byte) error
 }
 
+// Publisher is a StateMachine that shows its state to other goroutines. Publish is called
+// after a batch of commands was applied, before their proposers are answered. A replica that
+// starts applies thousands at once.
+type Publisher interface {
+	Publish()
+}
+
 // Group is one replicated group as the services see it.
 type Group interface {
 	// Propose replicates a command and returns the result of Apply once the
