--- a/internal/clientconn/body.go
+++ b/internal/clientconn/body.go
@@ -6,13 +6,13 @@
 )
 
 // bodyStep is by how much memory is asked for a body whose length is not known, in bytes.
-const bodyStep = 64 << 10
+const bodyStep = 8 << 10
 
 // ErrFull tells that there is no memory for a body.
 var ErrFull = errors.New("the memory for bodies is full")
 
-// Body is the memory of the body of one request, from before it is read until GiveBack. It is
-// not safe for concurrent use.
+// Body is the memory of one body, of a request or an answer that is read whole, from before
+// it is read until GiveBack. It is not safe for concurrent use.
 type Body struct {
 	buffers *Buffers
 	taken   int64
@@ -22,7 +22,8 @@
 func (b *Buffers) NewBody() Body { return Body{buffers: b} }
 
 // Read reads a body of the given length, negative where it is not known. It fails with
-// ErrFull where there is no memory for it: before it is read, as far as its length is known.
+// ErrFull where there is no memory for it: before it is read where its length is known, else
+// with what was read.
 func (m *Body) Read(source io.Reader, length int64) ([]byte, error) {
 	if length < 0 {
 		source = &countedBody{memory: m, source: source}
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -93,14 +93,14 @@
 	refuse(writer, http.StatusServiceUnavailable, full)
 }
 
-// readAnswer reads the beginning of an answer, up to the given size, and tells whether that
-// is all of it. Where memory is short nothing is read: the answer goes on as it comes.
+// readAnswer reads the beginning of an answer, up to bufferedAnswer, and tells whether that is
+// all of it. Where memory is short less is read: the answer goes on as it comes.
 func (e *exchange) readAnswer(response *upstream.Response) (body []byte, whole bool, err error) {
-	size := max(response.Length, readSize)
-	if size > bufferedAnswer || !e.router.buffers.TakeBody(size, size) {
-		return nil, false, nil
+	memory := e.router.buffers.NewBody()
+	defer memory.GiveBack()
+	body, err = memory.Read(io.LimitReader(response.Body(0), bufferedAnswer+1), min(response.Length, bufferedAnswer+1))
+	if errors.Is(err, clientconn.ErrFull) {
+		return body, false, nil
 	}
-	defer e.router.buffers.ReturnBody(size)
-	body, err = io.ReadAll(io.LimitReader(response.Body(0), bufferedAnswer+1))
 	return body, len(body) <= bufferedAnswer, err
 }
