Relief: a router that is short sends clients elsewhere

Cause: clients come to routers by a hash and the routers of a zone differ by three times, so that one can be short while others have room. Nothing measured what a router lacks, and nothing sent its clients on; a slowed machine kept all of its clients.

Change: package relief decides from ten samples a second, a window of 2 s: how late the router's timer is, the parts of its memory and descriptors in use, how long what waits for clients needs. Short in most of a window, one answer in eight asks its client to come anew; short for 4 s it also says that it is not ready, in turns by the clock, a quarter of a zone at once at most and none in zones of fewer than four. Line "relief changed", metrics rockwind_relief_*.

Result: pure tests: an hour of ordinary samples with every fourth 100 ms late brings nothing, a freeze of 4 s brings nothing, a slowed machine sends clients away and takes them again; of 1 to 28 routers that are all short at once a quarter at most is not ready. Passed once with the race detector.

--- a/internal/architecture/architecture_test.go
+++ b/internal/architecture/architecture_test.go
@@ -17,7 +17,7 @@
 // purePackages decide and do nothing else: time and randomness are arguments.
 var purePackages = []string{
 	"admission", "backlog", "balance", "directory", "engine", "fingerprint", "health", "jobstore", "ledger", "limits", "ownership", "placement",
-	"quarantine", "quota", "raft", "relaybudget", "requestrate", "routing", "sharding", "sharing", "simulator", "virtualtime", "waiting",
+	"quarantine", "quota", "raft", "relaybudget", "relief", "requestrate", "routing", "sharding", "sharing", "simulator", "virtualtime", "waiting",
 }
 
 // impureImports bring in the network, the disk or the machine.
--- a/internal/clientconn/buffers.go
+++ b/internal/clientconn/buffers.go
@@ -12,6 +12,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -43,6 +44,9 @@
 	budget  *relaybudget.Budget[*Conn]
 	waiting map[*Conn]struct{}
 	chunks  sync.Pool
+	taken   int64
+
+	open atomic.Int64
 }
 
 // Usage is what is kept at a moment.
@@ -51,6 +55,10 @@
 	Limit, Unread, Bodies int64
 	// Readers is how many clients are behind, and Waiting how many answers wait for room.
 	Readers, Waiting int
+	// Open is how many connections of clients there are.
+	Open int
+	// Taken is how many bytes clients took that had to be kept for them, since the start.
+	Taken int64
 }
 
 // Part is the part of the limit that is in use.
@@ -99,7 +107,7 @@
 	defer b.mutex.Unlock()
 	return Usage{
 		Limit: b.budget.Limit(), Unread: b.budget.Unread(), Bodies: b.budget.Bodies(),
-		Readers: b.budget.Readers(), Waiting: len(b.waiting),
+		Readers: b.budget.Readers(), Waiting: len(b.waiting), Open: int(b.open.Load()), Taken: b.taken,
 	}
 }
 
@@ -148,6 +156,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.budget.Took(conn.reader, chunkSize)
+	b.taken += chunkSize
 	b.wake()
 }
 
@@ -229,6 +238,7 @@
 	if err != nil {
 		return accepted, nil
 	}
+	l.buffers.open.Add(1)
 	return newConn(accepted, control, l.buffers), nil
 }
 
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -64,6 +64,8 @@
 	reason Reason
 	// closing and closingWrite tell what is to be closed once all is read.
 	closing, closingWrite bool
+
+	closeOnce sync.Once
 }
 
 func newConn(accepted net.Conn, raw syscall.RawConn, buffers *Buffers) *Conn {
@@ -281,7 +283,7 @@
 		_ = c.closeWriteNow()
 	}
 	if c.closing {
-		_ = c.Conn.Close()
+		_ = c.closeNow()
 	}
 	return nil, time.Time{}
 }
@@ -321,7 +323,7 @@
 	if lingering, found := c.Conn.(interface{ SetLinger(seconds int) error }); found {
 		_ = lingering.SetLinger(0)
 	}
-	_ = c.Conn.Close()
+	_ = c.closeNow()
 	c.signal()
 	c.buffers.ended(Ended{
 		Exchange: exchange, Reason: reason, Kept: int64(unread), Taken: taken, Behind: time.Since(since), Cause: cause,
@@ -339,6 +341,12 @@
 	}
 	c.mutex.Unlock()
 	c.buffers.leave(c)
+	return c.closeNow()
+}
+
+// closeNow closes the connection whatever is kept.
+func (c *Conn) closeNow() error {
+	c.closeOnce.Do(func() { c.buffers.open.Add(-1) })
 	return c.Conn.Close()
 }
 
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -35,6 +35,8 @@
 	AnswerEnded Kind = "answer ended"
 	// BodyRefused: there was no memory for the body of a request.
 	BodyRefused Kind = "body refused"
+	// ReliefChanged: a router began or ceased to send clients elsewhere.
+	ReliefChanged Kind = "relief changed"
 	// JobTaken, JobRefused and JobEnded tell what became of a call about a job.
 	JobTaken   Kind = "job taken"
 	JobRefused Kind = "job refused"
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -61,8 +61,10 @@
 		return err
 	}
 	leaving := &atomic.Bool{}
+	reliever := newReliever(router, settings)
+	router.metrics.Relief(reliever.state)
 	server := &http.Server{
-		Handler:           closeWhile(leaving, handler(router)),
+		Handler:           closeWhile(leaving, reliever.handler(handler(router))),
 		ReadHeaderTimeout: clientHeaderTimeout,
 		IdleTimeout:       clientIdleTimeout,
 		ErrorLog:          logring.ServerLog(log.Log),
@@ -78,8 +80,9 @@
 	group.Go(func() error { router.witness.Run(parts); return nil })
 	group.Go(func() error { return router.dispatcher.Share(parts, settings) })
 	group.Go(func() error { router.announce(parts, settings); return nil })
+	group.Go(func() error { reliever.run(parts); return nil })
 	group.Go(func() error {
-		return site.Serve(parts, site.NewServer(readiness(watcher, leaving)), readyListener, 0)
+		return site.Serve(parts, site.NewServer(readiness(watcher, leaving, &reliever.unready)), readyListener, 0)
 	})
 	serving, stopServing := context.WithCancel(parts)
 	defer stopServing()
@@ -170,10 +173,11 @@
 }
 
 // readiness answers 200 while the router wants connections: it knows a
-// configuration and a directory, and does not leave.
-func readiness(watcher *site.Watcher, leaving *atomic.Bool) http.Handler {
+// configuration and a directory, does not leave, and is not so short that clients should go to
+// others.
+func readiness(watcher *site.Watcher, leaving, unready *atomic.Bool) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
-		if leaving.Load() || !watcher.Known() {
+		if leaving.Load() || unready.Load() || !watcher.Known() {
 			writer.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
