--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -63,8 +63,10 @@
 		return err
 	}
 	leaving := &atomic.Bool{}
+	reliever := newReliever(router, settings)
+	router.metrics.Relief(reliever.state)
 	server := &http.Server{
-		Handler:           closeWhile(leaving, handler(router)),
+		Handler:           closeWhile(leaving, reliever.handler(handler(router))),
 		ReadHeaderTimeout: clientHeaderTimeout,
 		IdleTimeout:       clientIdleTimeout,
 		ErrorLog:          logring.ServerLog(log.Log),
@@ -81,8 +83,9 @@
 	group.Go(func() error { router.witness.Run(parts); return nil })
 	group.Go(func() error { return router.dispatcher.Share(parts, settings) })
 	group.Go(func() error { router.announce(parts, settings); return nil })
+	group.Go(func() error { reliever.run(parts); return nil })
 	group.Go(func() error {
-		return site.Serve(parts, site.NewServer(readiness(router.acts, leaving)), readyListener, 0)
+		return site.Serve(parts, site.NewServer(readiness(router.acts, leaving, &reliever.unready)), readyListener, 0)
 	})
 	serving, stopServing := context.WithCancel(parts)
 	defer stopServing()
@@ -172,11 +175,11 @@
 	})
 }
 
-// readiness answers 200 while the router wants connections: it can serve, and does not
-// leave.
-func readiness(acts func() bool, leaving *atomic.Bool) http.Handler {
+// readiness answers 200 while the router wants connections: it can serve, does not leave, and
+// is not so short that clients should go to others.
+func readiness(acts func() bool, leaving, unready *atomic.Bool) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
-		if leaving.Load() || !acts() {
+		if leaving.Load() || unready.Load() || !acts() {
 			writer.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
