Take slots that own requests have left first where loads are old

Cause: where the loads of others are a quarter of a second old, all processes see the same free slots and meet there.

Change: where paces are known and requests are paced, a free slot that only this process knows of, since a request of its own has just left it, counts a thousand times one that all see.

--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -44,7 +44,10 @@
 func (p *Pool) cost(candidate *server, state health.State, demand Demand, uncached int, pace float64, now time.Duration) float64 {
 	free := p.free(candidate, demand, now)
 	if pace == 0 {
-		pace = usualPace
+		return p.firstEvent(candidate, state, uncached, usualPace)/costScale - math.Log(free)
+	}
+	if !demand.Batch && p.paced() {
+		free = p.surely(candidate, free, now)
 	}
 	return p.firstEvent(candidate, state, uncached, pace)/costScale - math.Log(free/pace)
 }
--- a/internal/balance/evidence.go
+++ b/internal/balance/evidence.go
@@ -53,8 +53,11 @@
 		return
 	}
 	known := p.servers[place]
-	if outcome == health.Refused {
+	switch {
+	case outcome == health.Refused:
 		known.fullUntil = now + fullFor
+	case outcome == health.Success && !choice.Batch:
+		known.vacate(now)
 	}
 	p.tracker.Record(place, outcome, latency, now, random)
 }
--- a/internal/balance/members.go
+++ b/internal/balance/members.go
@@ -39,6 +39,8 @@
 	gone bool
 	// excess is how many requests beyond its slots were given way to already.
 	excess settled
+	// vacated is when requests of this process left slots here that none has taken since.
+	vacated recent
 	// parts tells when a part was last sent here.
 	parts map[uint64]time.Duration
 }
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -251,6 +251,7 @@
 		p.headroom.starts.add(1, now)
 	} else {
 		p.pacing.credit--
+		chosen.occupy()
 	}
 	chosen.unread += uncached
 	for _, part := range demand.Parts {
