--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -179,10 +179,6 @@
 	f.wake()
 }
 
-// Expect tells the follower that the replica which it asks already is about to answer with
-// a number. Later hints of that number change nothing.
-func (f *Follower) Expect(number uint64) { f.firstHint(number) }
-
 // wake makes Run ask at once.
 func (f *Follower) wake() {
 	select {
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -154,7 +154,9 @@
 		n.campaignPreVote()
 		return
 	}
-	n.poll()
+	if n.ticks < uint64(pollRounds*n.config.ElectionTicks) {
+		n.poll()
+	}
 }
 
 // Propose appends a command to the leader's log and returns where it stands.
--- a/internal/raft/unanimous.go
+++ b/internal/raft/unanimous.go
@@ -17,6 +17,11 @@
 // greatest identity decides among equals: votes are not split. Where a voter is down or
 // not up to date, elections take their usual time.
 
+// pollRounds is for how many election timeouts after its start a replica polls with each
+// tick: processes that end together start within less. Whoever starts later polls itself, and
+// makes the one that goes first do so. A group without a majority is quiet after that.
+const pollRounds = 2
+
 // mayWaivePromise tells whether a request may be granted although this replica may have
 // promised its vote to a leader in an earlier life.
 func (n *Node) mayWaivePromise(message *rockwindpb.Message) bool {
--- a/internal/raft/unanimous_test.go
+++ b/internal/raft/unanimous_test.go
@@ -85,3 +85,32 @@
 		t.Fatalf("term %d became %d, or the leader changed", term, status.Term)
 	}
 }
+
+// TestLateVoterCompletesTheElection starts one machine long after the others, which have no
+// majority without it: the group has a leader as soon as it would have at once.
+func TestLateVoterCompletesTheElection(t *testing.T) {
+	c := restarted(t)
+	late := c.machines[:2]
+	for _, m := range late {
+		c.crash(m)
+	}
+	for range 20 * electionTicks {
+		c.pass()
+	}
+	if polls := len(c.flights); polls > 2 {
+		t.Errorf("%d messages are under way from a replica that is alone", polls)
+	}
+	for _, m := range late {
+		c.start(m)
+	}
+	led := false
+	for range electionTicks / 2 {
+		c.pass()
+		for _, m := range c.machines {
+			led = led || m.node.Status().Role == Leader
+		}
+	}
+	if !led {
+		t.Fatalf("no leader %d ticks after the last start", electionTicks/2)
+	}
+}
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -279,12 +279,13 @@
 	w.recordDependency(address, nil)
 	w.heard.Store(time.Now().UnixNano())
 	// The hint makes the follower ask the preferred coordinator, which must be the
-	// one that has the news. A call that hangs there already is answered by itself.
-	if changed := w.prefer(address); changed && w.asks(address) {
-		w.follower.Expect(response.GetConfigurationNumber())
-	} else if changed {
+	// one that has the news. A call that waits there already is about to be answered, and
+	// is not cut: the next watch hints where it is not.
+	switch changed := w.prefer(address); {
+	case changed && w.asks(address):
+	case changed:
 		w.follower.Redirect(response.GetConfigurationNumber())
-	} else {
+	default:
 		w.follower.Hint(response.GetConfigurationNumber())
 	}
 	w.takeQuarantine(response)
--- a/internal/site/watcher_test.go
+++ b/internal/site/watcher_test.go
@@ -20,6 +20,8 @@
 	// withholding makes calls for the configuration hang, although the watch of the
 	// directory tells its number.
 	withholding atomic.Bool
+	// lostCalls is how many calls for the configuration are never answered.
+	lostCalls atomic.Int64
 	// machines are those of the directory. They are set before the start.
 	machines []*rockwindpb.Machine
 	// watches counts the calls.
@@ -105,6 +107,10 @@
 }
 
 func (f fakeConfiguration) Watch(ctx context.Context, request *rockwindpb.WatchConfigurationRequest) (*rockwindpb.WatchConfigurationResponse, error) {
+	if f.lostCalls.Add(-1) >= 0 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if err := f.hang(ctx); err != nil {
 		return nil, err
 	}
@@ -152,6 +158,16 @@
 	awaitNumber(t, watcher, 2, watchWait+watchGrace+500*time.Millisecond)
 }
 
+// TestLostCallAtTheCoordinatorThatAnswersIsMadeAgain: a process that starts asks one
+// coordinator for the directory and the configuration. The latter call is lost; it is made
+// again long before its time is over.
+func TestLostCallAtTheCoordinatorThatAnswersIsMadeAgain(t *testing.T) {
+	only := newFakeCoordinator(1)
+	only.lostCalls.Store(1)
+	watcher := follow(t, only.start(t))
+	awaitNumber(t, watcher, 1, watchWait)
+}
+
 // follow runs a watcher of the given seeds until the end of the test.
 func follow(t *testing.T, seeds ...string) *Watcher {
 	t.Helper()
