Grant a tenant's rate first to those who can still be in time

Cause: within a flood beyond a tenant's limit its room is fixed.

Change: a router tells the owner of the count whether a request can still be in time, and how long it may wait. The owner keeps what those will ask for within 0.1 s from the others, and grants up to a quarter of the goal ahead of what the rate has earned; the router waits until then. What was granted ahead is carried to another owner by what the router tells it. Gate 'returns'; off asks as before.

--- a/internal/rateclient/rateclient.go
+++ b/internal/rateclient/rateclient.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -74,14 +75,32 @@
 	remaining uint32
 	told      bool
 	toldAt    time.Time
-	// refusedUntil is until when the owner's last refusal holds, and comeBack when it
-	// expected room.
-	refusedUntil time.Time
-	comeBack     time.Time
+	// refusal is the owner's last one, and lateRefusal its last one of a request that could
+	// not be in time.
+	refusal     refusal
+	lateRefusal refusal
 	// refused counts the requests that were refused by it, which the owner does not know of.
 	refused uint32
 }
 
+// refusal is an answer of the owner that holds until a time, and when it expected room.
+type refusal struct {
+	until    time.Time
+	comeBack time.Time
+}
+
+// holds tells whether the refusal is given again without asking.
+func (r refusal) holds(now time.Time) bool { return now.Before(r.until) }
+
+// Turn is how a request goes before others of its tenant. The zero value has it go by its
+// arrival.
+type Turn struct {
+	// Late tells that its answer cannot be in time any more.
+	Late bool
+	// Wait is how long it may wait for its turn once it is granted.
+	Wait time.Duration
+}
+
 // New returns the client of the named router, given how many routers the site has.
 func New(owners Owners, router string, routers func() int) *Client {
 	return &Client{owners: owners, router: router, started: time.Now(), routers: routers, tenants: make(map[string]*tenantRate)}
@@ -95,34 +114,46 @@
 // Take takes a request out of the tenant's rate, under the configuration of the given
 // number. It fails with fault.LimitReached where the tenant has used it up, and with
 // fault.Unavailable where no owner answers within the patience and the request may not be
-// let through unasked.
-func (c *Client) Take(ctx context.Context, tenant *rockwindpb.Tenant, number uint64, patience time.Duration) error {
+// let through unasked. It returns when the request may go to a server.
+func (c *Client) Take(ctx context.Context, tenant *rockwindpb.Tenant, number uint64, patience time.Duration, turn Turn) error {
 	if !limited(tenant) {
 		return nil
 	}
 	request := &rockwindpb.TakeRequestsRequest{
 		Tenant: tenant.GetName(), Configuration: number,
 		RequestsPerSecond: tenant.GetLimits().GetRequestsPerSecond(), RequestBurst: tenant.GetLimits().GetRequestBurst(),
+		Late: turn.Late, WaitMs: uint32(turn.Wait.Milliseconds()),
 	}
 	if comeBack := c.begin(request); comeBack > 0 {
 		return rateExceeded(tenant, comeBack)
 	}
-	ctx, cancel := context.WithTimeout(ctx, patience)
+	asking, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	response, err := c.owners.TakeRequest(ctx, request)
+	response, err := c.owners.TakeRequest(asking, request)
 	if err != nil {
 		log.WithError(err).WithField("tenant", tenant.GetName()).Debug("no owner answered for the tenant's rate")
 		return c.unanswered(request)
 	}
-	c.answered(request, response.GetRemaining())
+	wait := time.Duration(response.GetWaitMs()) * time.Millisecond
+	c.answered(request, response.GetRemaining(), wait)
 	if response.GetGranted() {
-		return nil
+		return c.awaitTurn(ctx, tenant, wait)
 	}
 	comeBack := time.Duration(response.GetRetryAfterMs()) * time.Millisecond
-	c.refused(tenant.GetName(), comeBack)
+	c.refused(request, comeBack)
 	return rateExceeded(tenant, comeBack)
 }
 
+// awaitTurn waits until a granted request is within the rate.
+func (c *Client) awaitTurn(ctx context.Context, tenant *rockwindpb.Tenant, wait time.Duration) error {
+	if wait == 0 || retry.Pause(ctx, wait) {
+		return nil
+	}
+	c.GiveBack(tenant)
+	return fault.New(fault.Unavailable, "come back later", "the request's time ended before its turn").
+		WithRan(fault.NotRun).WithRetryAfter(shortestReturn)
+}
+
 func rateExceeded(tenant *rockwindpb.Tenant, comeBack time.Duration) error {
 	return fault.Newf(fault.LimitReached, "come back after the time given, or ask for a higher limit",
 		"tenant %s has used up its %v requests a second", tenant.GetName(), tenant.GetLimits().GetRequestsPerSecond()).
@@ -145,9 +176,9 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	known, now := c.of(request.GetTenant()), time.Now()
-	if now.Before(known.refusedUntil) {
+	if held := known.held(request.GetLate(), now); held.holds(now) {
 		known.refused++
-		return max(shortestReturn, known.comeBack.Sub(now))
+		return max(shortestReturn, held.comeBack.Sub(now))
 	}
 	known.question++
 	request.Router, request.RouterStartedUnixMs, request.Question = c.router, c.started.UnixMilli(), known.question
@@ -155,19 +186,29 @@
 	if known.told {
 		remaining := known.remaining
 		request.Remaining = &remaining
-		request.RemainingAgeMs = uint32(now.Sub(known.toldAt).Milliseconds())
+		request.RemainingAgeMs = uint32(max(0, now.Sub(known.toldAt)).Milliseconds())
 	}
 	request.Refused = known.refused
 	known.returned, known.refused = 0, 0
 	return 0
 }
 
-// answered keeps what the owner said that the tenant has left, and forgets what it was told.
-func (c *Client) answered(request *rockwindpb.TakeRequestsRequest, remaining uint32) {
+// held is the refusal that a request may be given again: what is refused to one that can be
+// in time is to one that cannot, but not the other way.
+func (r *tenantRate) held(late bool, now time.Time) refusal {
+	if late && !r.refusal.holds(now) {
+		return r.lateRefusal
+	}
+	return r.refusal
+}
+
+// answered keeps what the owner said that the tenant has left after a wait, and forgets what
+// it was told.
+func (c *Client) answered(request *rockwindpb.TakeRequestsRequest, remaining uint32, wait time.Duration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	known := c.of(request.GetTenant())
-	known.remaining, known.told, known.toldAt = remaining, true, time.Now()
+	known.remaining, known.told, known.toldAt = remaining, true, time.Now().Add(wait)
 	known.passed = without(known.passed, request.GetPassed())
 	known.withheld = without(known.withheld, request.GetWithheld())
 }
@@ -177,11 +218,16 @@
 	return slices.DeleteFunc(numbers, func(number uint64) bool { return slices.Contains(told, number) })
 }
 
-func (c *Client) refused(tenant string, comeBack time.Duration) {
+func (c *Client) refused(request *rockwindpb.TakeRequestsRequest, comeBack time.Duration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	known, now := c.of(tenant), time.Now()
-	known.refusedUntil, known.comeBack = now.Add(min(comeBack, refusalFor)), now.Add(comeBack)
+	known, now := c.of(request.GetTenant()), time.Now()
+	held := refusal{until: now.Add(min(comeBack, refusalFor)), comeBack: now.Add(comeBack)}
+	if request.GetLate() {
+		known.lateRefusal = held
+		return
+	}
+	known.refusal = held
 }
 
 // unanswered lets a request through that no owner answered for, where that stays within
--- a/internal/requestrate/requestrate.go
+++ b/internal/requestrate/requestrate.go
@@ -9,6 +9,11 @@
 // empty buckets where it told nothing, so that both together stay within the limit and its
 // tolerance but for what was granted between that word and the change of owners.
 //
+// Of a tenant that asks for more than its limit, some are refused in any case; the requests
+// that can still be answered in time are granted first. One of them may be granted a few
+// tens of milliseconds ahead, and goes to a server when the rate has earned it. Those whose
+// clients have come back too late get what the others leave.
+//
 // The package is pure: time is an argument, as a duration since an origin of the
 // caller's choice.
 package requestrate
@@ -36,6 +41,12 @@
 	// shortestReturn and longestReturn bound the time to come back that is told.
 	shortestReturn = 200 * time.Millisecond
 	longestReturn  = 10 * time.Second
+	// reserveFor is for how long ahead the requests that can be in time keep what they are
+	// expected to ask for from those that cannot: a third of the shortest objectives. What
+	// comes later finds what the rate has earned by then.
+	reserveFor = 100 * time.Millisecond
+	// timelyMemory is the time constant of the estimate of what they ask for.
+	timelyMemory = time.Second
 	// idleFor is after how long without requests a tenant is forgotten. Its bucket is full
 	// by then at any rate of a request in ten seconds or more.
 	idleFor = time.Minute
@@ -97,6 +108,10 @@
 	age       time.Duration
 	// refused is how many requests the router refused itself since it last asked.
 	refused uint32
+	// late tells that the answer cannot be in time any more, and wait is how long the request
+	// may wait for its turn.
+	late bool
+	wait time.Duration
 }
 
 // NewRequest asks for one request of a tenant, under the limit of the configuration with
@@ -138,9 +153,22 @@
 	return r
 }
 
+// Late marks a request whose answer cannot be in time any more.
+func (r Request) Late() Request {
+	r.late = true
+	return r
+}
+
+// WithWait adds how long the request may wait for its turn once it is granted.
+func (r Request) WithWait(wait time.Duration) Request {
+	r.wait = wait
+	return r
+}
+
 // Decision is the answer to a request.
 type Decision struct {
 	granted   bool
+	wait      time.Duration
 	comeBack  time.Duration
 	remaining uint32
 }
@@ -148,6 +176,9 @@
 // Granted tells whether the request is within the limit.
 func (d Decision) Granted() bool { return d.granted }
 
+// Wait is after how long a granted request is within the limit.
+func (d Decision) Wait() time.Duration { return d.wait }
+
 // ComeBack is when the tenant is expected to have room, where the request is not granted.
 func (d Decision) ComeBack() time.Duration { return d.comeBack }
 
@@ -164,6 +195,8 @@
 	at    time.Duration
 	// refused is how many requests were refused, each weighted by its age.
 	refused float64
+	// timely is how many asked lately that could be in time, each weighted by its age.
+	timely float64
 	// asked holds which questions of each router were counted.
 	asked map[string]*questions
 }
@@ -190,11 +223,14 @@
 	held.refused += float64(request.refused)
 	held.settle(request)
 	if held.counted(request) {
-		return Decision{granted: true, remaining: uint32(max(0, held.level))}
+		return held.grant(request)
 	}
-	if held.level >= 1 {
+	if !request.late {
+		held.timely++
+	}
+	if held.room(request) {
 		held.count(request)
-		return Decision{granted: true, remaining: uint32(held.level)}
+		return held.grant(request)
 	}
 	held.refused++
 	return Decision{comeBack: held.comeBack()}
@@ -213,6 +249,27 @@
 	return held
 }
 
+// room tells whether there is room for a request: for one that can be in time, also if the
+// rate earns it while it waits; for one that cannot, beyond what those will ask for.
+func (b *bucket) room(request Request) bool {
+	if request.late {
+		reserve := min(b.timely*reserveFor.Seconds()/timelyMemory.Seconds(), (b.limit.burst-1)/2)
+		return b.level >= 1+reserve
+	}
+	return b.level+b.limit.perSecond*request.wait.Seconds() >= 1
+}
+
+// grant is the answer to a request that was counted. What the tenant owes then is the time
+// until the request is within the limit.
+func (b *bucket) grant(request Request) Decision {
+	decided := Decision{granted: true, remaining: uint32(max(0, b.level))}
+	if b.level < 0 && b.limit.perSecond > 0 {
+		owed := time.Duration(-b.level / b.limit.perSecond * float64(time.Second))
+		decided.wait = min(owed, request.wait)
+	}
+	return decided
+}
+
 // firstLevel is what a tenant has left that this owner has not counted yet.
 func (c *Counts) firstLevel(request Request, now time.Duration) float64 {
 	level := max(freshLevel, freshPart*c.tolerance.of(request.limit)) + request.limit.perSecond*(now-c.began).Seconds()
@@ -227,6 +284,7 @@
 	elapsed := max(0, now-b.at)
 	b.level = min(b.limit.burst, b.level+b.limit.perSecond*elapsed.Seconds())
 	b.refused *= math.Exp(-elapsed.Seconds() / refusedMemory.Seconds())
+	b.timely *= math.Exp(-elapsed.Seconds() / timelyMemory.Seconds())
 	b.at = now
 }
 
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -13,6 +13,7 @@
 	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/gate"
 	"rockwind.example/rockwind/internal/health"
+	"rockwind.example/rockwind/internal/rateclient"
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/returning"
 	"rockwind.example/rockwind/internal/rockwindpb"
@@ -43,6 +44,10 @@
 	// within a few milliseconds, and a machine that is busy within some tens.
 	ownerPatiencePart  = 0.2
 	leastOwnerPatience = 50 * time.Millisecond
+	// turnPart is the part of its goal that a request waits at most for its tenant's rate to
+	// earn it: with the wait for the owner it leaves half of the goal to the server, some 75 ms
+	// of 300.
+	turnPart = 0.25
 )
 
 // exchange is one client request on its way through the servers.
@@ -207,13 +212,22 @@
 func (e *exchange) takeRate(ctx context.Context) error {
 	began := time.Now()
 	defer func() { e.waited += time.Since(began) }()
-	err := e.router.rates.Take(ctx, e.tenant, e.number, max(leastOwnerPatience, e.ofGoal(ownerPatiencePart)))
+	err := e.router.rates.Take(ctx, e.tenant, e.number, max(leastOwnerPatience, e.ofGoal(ownerPatiencePart)), e.turn())
 	for err != nil && !e.mayComeBack() && e.awaitRate(ctx, fault.From(err)) {
-		err = e.router.rates.Take(ctx, e.tenant, e.number, e.patience())
+		err = e.router.rates.Take(ctx, e.tenant, e.number, e.patience(), e.turn())
 	}
 	return err
 }
 
+// turn is how the request goes before others of its tenant now.
+func (e *exchange) turn() rateclient.Turn {
+	if e.route.GetGoalMs() == 0 || !e.router.gates.On(gate.Returns) {
+		return rateclient.Turn{}
+	}
+	left := time.Until(e.onTimeUntil())
+	return rateclient.Turn{Late: left <= 0, Wait: max(0, min(left, e.ofGoal(turnPart)))}
+}
+
 // awaitRate waits for as long as the refusal of a request says that its tenant's rate needs,
 // and tells whether to ask again: not where that is longer than the request may wait.
 func (e *exchange) awaitRate(ctx context.Context, refusal *fault.Fault) bool {
--- a/internal/store/rates.go
+++ b/internal/store/rates.go
@@ -57,6 +57,7 @@
 	}
 	return &rockwindpb.TakeRequestsResponse{
 		Granted: decided.Granted(), RetryAfterMs: uint32(decided.ComeBack().Milliseconds()), Remaining: decided.Remaining(),
+		WaitMs: uint32((decided.Wait() + time.Millisecond - 1).Milliseconds()),
 	}, nil
 }
 
@@ -74,6 +75,10 @@
 	if request.Remaining != nil {
 		asked = asked.WithRemaining(request.GetRemaining(), time.Duration(request.GetRemainingAgeMs())*time.Millisecond)
 	}
+	asked = asked.WithWait(time.Duration(request.GetWaitMs()) * time.Millisecond)
+	if request.GetLate() {
+		asked = asked.Late()
+	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := time.Since(r.origin)
