Refuse at once what a tenant's share has no room for in time

Cause: under a lasting lack of room the wait that was expected of a request counted those that wait before it, not those that come later and go before it. The requests of tenants beyond their share waited for half of their time and were refused then.

Change: while room has been too little for a second, a request is expected to wait for its tenant's others at the rate that tenants beyond their share get, by what all routers tell. A request whose time was over counts for how long servers are held.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -128,6 +128,22 @@
 	return behind
 }
 
+// Highest is the highest virtual time among the tenants that wait here or elsewhere. Under a
+// lasting lack of room it is what each tenant that asks for more than its share gets of a
+// Memory, by unit of weight.
+func (l *Ledger) Highest(waiting map[string]int, weight func(tenant string) uint32, now time.Duration) float64 {
+	highest := 0.0
+	for tenant, known := range l.accounts {
+		if waiting[tenant] > 0 || l.told(known.hash).Waiting > 0 {
+			highest = max(highest, l.Virtual(tenant, weight(tenant), now))
+		}
+	}
+	return highest
+}
+
+// Waiting is how many requests of a tenant wait elsewhere.
+func (l *Ledger) Waiting(tenant string) int { return l.told(l.account(tenant).hash).Waiting }
+
 // Entry is what a process tells of a tenant.
 type Entry struct {
 	// Hash is the tenant's name in digests.
--- a/internal/router/class.go
+++ b/internal/router/class.go
@@ -17,8 +17,11 @@
 // leastWork is the work of a request that reads no prompt and writes no events, in tokens.
 const leastWork = 1.0
 
-// writtenWeight is the weight of one answer in the running mean of events.
-const writtenWeight = 0.05
+// writtenWeight and workWeight are the weights of one request in the running means.
+const (
+	writtenWeight = 0.05
+	workWeight    = 0.05
+)
 
 // class is the requests of one priority for a service, among which tenants share.
 type class struct {
@@ -64,9 +67,13 @@
 
 // judgeRoom judges whether there is too little room for what waits at all processes. Where the
 // servers do not say how many requests they run, what waits tells that.
-func (p *servicePool) judgeRoom() {
+func (p *servicePool) judgeRoom(now time.Duration) {
 	waits := p.waiting.Len() + p.shares.At(balance.QueueHash(p.name)).Inflight
+	before := p.scarce
 	p.scarce = waits > 0 && (p.pool.Slots() == 0 || fairshare.Scarce(p.room().After(waits)))
+	if p.scarce && !before {
+		p.scarceSince = now
+	}
 }
 
 // virtual is what the order of a request among others of its priority rests on: how much its
@@ -85,10 +92,11 @@
 
 // begin notes the work of a request that goes to a server.
 func (p *servicePool) begin(ask Ask, choice balance.Choice, now time.Duration) {
-	if !p.gates.On(gate.FairShare) {
-		return
-	}
 	work := max(leastWork, float64(choice.Uncached)+p.written)
+	if p.work == 0 {
+		p.work = work
+	}
+	p.work += workWeight * (work - p.work)
 	p.class(ask.Priority).ledger.Begin(ask.Tenant.Name, work, now)
 }
 
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -126,7 +126,7 @@
 func (d *Dispatcher) Acquire(ctx context.Context, ask Ask) (*Lease, error) {
 	d.mutex.Lock()
 	pool := d.service(ask.Service)
-	pool.judgeRoom()
+	pool.judgeRoom(d.now())
 	now := time.Now()
 	d.order++
 	place := ask.place(d.order, now)
@@ -142,8 +142,8 @@
 		return nil, fault.Newf(fault.Unavailable, "come back later", "service %s has no server that can take the request", ask.Service).
 			WithRan(fault.NotRun).WithRetryAfter(typicalHolding / 4)
 	}
-	if ahead := pool.ahead(place, now, d.now()); pool.room().After(ahead) > ask.Patience {
-		refusal := pool.crowded(ahead, ask.Patience, now)
+	if ahead := pool.ahead(place, now, d.now()); pool.expected(ask, ahead, d.now()) > ask.Patience {
+		refusal := pool.crowded(ask, ahead, now, d.now())
 		d.mutex.Unlock()
 		return nil, refusal
 	}
@@ -253,14 +253,14 @@
 		return d.lease(service, <-entry.Value().granted), nil
 	}
 	pool.waiting.Remove(entry)
-	now := time.Now()
-	return nil, pool.busy(pool.ahead(entry.Value().place, now, d.now()), now)
+	now, waiter := time.Now(), entry.Value()
+	return nil, pool.busy(waiter.ask, pool.ahead(waiter.place, now, d.now()), now, d.now())
 }
 
 // serveWaiting gives servers with room to those that wait, in their order.
 func (d *Dispatcher) serveWaiting(service string) {
 	pool := d.service(service)
-	pool.judgeRoom()
+	pool.judgeRoom(d.now())
 	for pool.waiting.Len() > 0 {
 		first := pool.waiting.First(time.Now())
 		waiter := first.Value()
@@ -331,7 +331,8 @@
 	defer d.mutex.Unlock()
 	pool := d.service(l.service)
 	pool.pool.Ended(l.Choice, outcome, latency, d.now(), d.random)
-	if outcome == health.Success {
+	// One whose time was over held its slot for at least as long.
+	if outcome == health.Success || (outcome == health.Timeout && d.gates.On(gate.Returns)) {
 		held := time.Since(l.began)
 		pool.holding += time.Duration(holdingWeight * float64(held-pool.holding))
 	}
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/fairshare"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/gate"
 	"rockwind.example/rockwind/internal/returning"
@@ -18,6 +19,9 @@
 	holdingWeight = 0.05
 	// shortestReturn is the shortest time to come back that is told.
 	shortestReturn = 50 * time.Millisecond
+	// longestExpected bounds the wait that is expected, in times of fairshare.Memory: no
+	// client waits for longer.
+	longestExpected = 60.0
 )
 
 // Ask is what a request wants of a service.
@@ -50,14 +54,17 @@
 	waiting waiting.Queue[*waiter]
 	// classes are the requests by priority, among which tenants share.
 	classes map[waiting.Priority]*class
-	// scarce tells whether there is too little room, so that tenants share.
-	scarce bool
+	// scarce tells whether there is too little room, so that tenants share, and scarceSince
+	// since when.
+	scarce      bool
+	scarceSince time.Duration
 	// promises are the clients that were told to come back.
 	promises returning.Promises
 	// holding is how long requests held a server lately, for the time to come back.
 	holding time.Duration
-	// written is how many events answers had lately.
+	// written is how many events answers had lately, and work what requests took, in tokens.
 	written float64
+	work    float64
 }
 
 // waiter is a request that waits for room.
@@ -94,20 +101,44 @@
 // room is how fast servers become free.
 func (p *servicePool) room() returning.Room { return returning.NewRoom(p.pool.Slots(), p.holding) }
 
+// expected is how long a request waits that has so many others before it: until the servers
+// have taken those; and while room has been too little for long enough to show what a tenant
+// gets, until its tenant gets room for it behind its others.
+func (p *servicePool) expected(ask Ask, ahead int, elapsed time.Duration) time.Duration {
+	expected := p.room().After(ahead)
+	if p.gates.On(gate.Returns) && p.scarce && elapsed-p.scarceSince >= fairshare.Memory {
+		expected = max(expected, p.ofShare(ask, elapsed))
+	}
+	return expected
+}
+
+// ofShare is how long a request waits that its tenant's others go before, by what the tenants
+// that ask for more than their share get.
+func (p *servicePool) ofShare(ask Ask, elapsed time.Duration) time.Duration {
+	class, waits := p.class(ask.Priority), p.waitsOf()[ask.Priority]
+	share := class.ledger.Highest(waits, class.weight, elapsed) * float64(max(1, ask.Tenant.Weight))
+	if share <= 0 {
+		return 0
+	}
+	before := waits[ask.Tenant.Name] + class.ledger.Waiting(ask.Tenant.Name)
+	memories := float64(before+1) * p.work / share
+	return time.Duration(min(memories, longestExpected) * float64(fairshare.Memory))
+}
+
 // comeBack is when a request that is refused now will find room, and promises it. Clients
 // that were told to come back are before it as if they waited, here and elsewhere.
-func (p *servicePool) comeBack(ahead int, now time.Time) time.Duration {
-	ahead += p.promises.Open(now) + p.shares.At(balance.QueueHash(p.name)).Unread
-	comeBack := max(shortestReturn, p.room().After(ahead))
+func (p *servicePool) comeBack(ask Ask, ahead int, now time.Time, elapsed time.Duration) time.Duration {
+	promised := p.promises.Open(now) + p.shares.At(balance.QueueHash(p.name)).Unread
+	comeBack := max(shortestReturn, p.expected(ask, ahead, elapsed), p.room().After(ahead+promised))
 	p.promises.Add(now.Add(comeBack))
 	return comeBack
 }
 
 // crowded is the refusal of a request behind so many others that it would wait for too long.
-func (p *servicePool) crowded(ahead int, patience time.Duration, now time.Time) error {
-	comeBack := max(shortestReturn, p.room().After(ahead)-patience)
+func (p *servicePool) crowded(ask Ask, ahead int, now time.Time, elapsed time.Duration) error {
+	comeBack := max(shortestReturn, p.room().After(ahead)-ask.Patience)
 	if p.gates.On(gate.Returns) {
-		comeBack = p.comeBack(ahead, now)
+		comeBack = p.comeBack(ask, ahead, now, elapsed)
 	}
 	return fault.Newf(fault.Overloaded, "come back after the time given",
 		"all servers of service %s are busy, and more requests wait than they take in time", p.name).
@@ -115,10 +146,10 @@
 }
 
 // busy is the refusal of a request for which no server has room in time.
-func (p *servicePool) busy(ahead int, now time.Time) error {
+func (p *servicePool) busy(ask Ask, ahead int, now time.Time, elapsed time.Duration) error {
 	comeBack := max(shortestReturn, p.holding/2)
 	if p.gates.On(gate.Returns) {
-		comeBack = p.comeBack(ahead, now)
+		comeBack = p.comeBack(ask, ahead, now, elapsed)
 	}
 	return fault.Newf(fault.Overloaded, "come back after the time given", "all servers of service %s are busy", p.name).
 		WithRan(fault.NotRun).WithRetryAfter(comeBack)
--- a/internal/router/room_test.go
+++ b/internal/router/room_test.go
@@ -197,3 +197,41 @@
 		}
 	})
 }
+
+// TestTenantsShareTellsWhenRoomComes: a tenant whose requests get a fifth of the room behind
+// those of one with four times its weight is refused at once what it would wait too long for,
+// although the servers would take all that waits now in half of the time.
+func TestTenantsShareTellsWhenRoomComes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dispatcher := newDispatcher(1, gate.Set{})
+		serve := func(ask router.Ask) {
+			lease, err := dispatcher.Acquire(t.Context(), ask)
+			if err != nil {
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+			lease.Done(health.Success, 0)
+		}
+		for range 12 {
+			go serve(asks("light", time.Minute))
+		}
+		heavy := asks("heavy", time.Minute)
+		heavy.Tenant.Weight = 4
+		for range 24 {
+			go serve(heavy)
+			time.Sleep(125 * time.Millisecond)
+		}
+		began := time.Now()
+		_, err := dispatcher.Acquire(t.Context(), asks("light", 2*time.Second))
+		failure := fault.From(err)
+		if time.Since(began) != 0 || failure == nil || failure.Ran != fault.NotRun {
+			t.Fatalf("%v after %v", err, time.Since(began))
+		}
+		if failure.RetryAfter < 2*time.Second || failure.RetryAfter > 6*time.Second {
+			t.Fatalf("it is told to come back after %v", failure.RetryAfter)
+		}
+		if _, err := dispatcher.Acquire(t.Context(), heavy); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
