--- a/internal/fairshare/flood_test.go
+++ b/internal/fairshare/flood_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -37,6 +38,20 @@
 	dayEnds     = 7500 * time.Millisecond
 )
 
+// names are those of the tenants, and usual how many requests each makes in a step on average.
+var names, usual = func() (names []string, usual []float64) {
+	total := 0.0
+	for tenant := range tenantCount {
+		names = append(names, fmt.Sprint("tenant ", tenant))
+		usual = append(usual, math.Pow(float64(tenant+1), -skew))
+		total += usual[tenant]
+	}
+	for tenant := range usual {
+		usual[tenant] *= usualPerMs * float64(step.Milliseconds()) / total
+	}
+	return names, usual
+}()
+
 // flooding are the tenants that send more than their usual.
 var flooding = []int{0, 3}
 
@@ -166,12 +181,7 @@
 
 // arrive has the requests of one step come to routers by chance.
 func (s *simulation) arrive() {
-	total := 0.0
-	for tenant := range tenantCount {
-		total += math.Pow(float64(tenant+1), -skew)
-	}
-	for tenant := range tenantCount {
-		mean := usualPerMs * float64(step.Milliseconds()) * math.Pow(float64(tenant+1), -skew) / total
+	for tenant, mean := range usual {
 		if s.way.flood && s.inFlood() && slices.Contains(flooding, tenant) {
 			mean *= floodFactor
 		}
@@ -194,7 +204,7 @@
 	s.order++
 	now := origin().Add(s.now)
 	place := waiting.NewPlace(waiting.Priority{}, s.order, now.Add(timely), now.Add(patience)).
-		Of(waiting.Tenant{Name: fmt.Sprint("tenant ", tenant)})
+		Of(waiting.Tenant{Name: names[tenant]})
 	s.routers[router].queue.Add(place, request{tenant: tenant, router: router, arrived: s.now})
 	if s.inFlood() {
 		s.asked[class(tenant)]++
@@ -284,7 +294,7 @@
 		router.queue.Remove(first)
 		router.credit--
 		router.since++
-		router.ledger.Begin(fmt.Sprint("tenant ", served.tenant), work, s.now)
+		router.ledger.Begin(names[served.tenant], work, s.now)
 		s.started = append(s.started, served)
 	}
 }
@@ -305,47 +315,68 @@
 	}
 }
 
-// TestFloodOfOneTenantDoesNotMakeOthersLate weighs the ways: by arrival nearly all of the
-// others are late, by what each router knows itself a few are, and what the others tell and
-// slots that follow what waits leave hardly any.
-func TestFloodOfOneTenantDoesNotMakeOthersLate(t *testing.T) {
-	calm := play(way{shares: true, tells: true, byDemand: true})
+// playAll plays the load once for each way, at the same time, and returns what came of each
+// by its name.
+func playAll(t *testing.T, ways []way) map[string]outcome {
+	var mutex sync.Mutex
+	var group sync.WaitGroup
 	results := make(map[string]outcome)
-	for _, each := range []way{
+	for _, each := range ways {
+		group.Go(func() {
+			result := play(each)
+			mutex.Lock()
+			defer mutex.Unlock()
+			results[each.name] = result
+		})
+	}
+	group.Wait()
+	for _, each := range ways {
+		t.Logf("%-34s %v", each.name, results[each.name])
+	}
+	return results
+}
+
+// TestFloodOfOneTenantDoesNotMakeOthersLate weighs the ways: by arrival most of the others
+// are late, by what each router knows itself a few are, and what the others tell and slots
+// that follow what waits leave hardly any.
+func TestFloodOfOneTenantDoesNotMakeOthersLate(t *testing.T) {
+	results := playAll(t, []way{
 		{name: "calm, by arrival"},
 		{name: "calm, by arrival, slots by demand", byDemand: true},
+		{name: "calm, told, slots by demand", shares: true, tells: true, byDemand: true},
 		{name: "by arrival", flood: true},
 		{name: "by arrival, slots by demand", flood: true, byDemand: true},
 		{name: "local", flood: true, shares: true},
 		{name: "local, slots by demand", flood: true, shares: true, byDemand: true},
 		{name: "told", flood: true, shares: true, tells: true},
 		{name: "told, slots by demand", flood: true, shares: true, tells: true, byDemand: true},
-	} {
-		results[each.name] = play(each)
-		t.Logf("%-34s %v", each.name, results[each.name])
-	}
-	t.Logf("%-34s %v", "calm, told, slots by demand", calm)
-	if kept := results["told, slots by demand"]; kept.others < calm.others-0.02 {
-		t.Fatalf("with the flood %v, without it %v", kept, calm)
+	})
+	calm, kept := results["calm, told, slots by demand"], results["told, slots by demand"]
+	if kept.others < calm.others-0.02 {
+		t.Errorf("with the flood %v, without it %v", kept, calm)
 	}
 	if without := results["by arrival"]; without.others > calm.others-0.1 {
-		t.Fatalf("the load is none: by arrival %v", without)
+		t.Errorf("the load is none: by arrival %v", without)
+	}
+	if equal := results["calm, by arrival"]; calm.others < equal.others+0.1 {
+		t.Errorf("slots by demand gain nothing: %v instead of %v", calm, equal)
 	}
 }
 
 // TestFloodDuringFailures: routers that start anew have no second helping for the flood, and
 // lost digests cost little.
 func TestFloodDuringFailures(t *testing.T) {
-	plain := way{flood: true, shares: true, tells: true, byDemand: true}
+	plain := way{name: "no failure", flood: true, shares: true, tells: true, byDemand: true}
 	restarted, lossy := plain, plain
-	restarted.restarts = routerCount / 2
-	lossy.lost = 0.5
-	reference := play(plain)
-	for name, each := range map[string]way{"half of the routers start anew": restarted, "half of the digests get lost": lossy} {
-		result := play(each)
-		t.Logf("%s: %v", name, result)
-		if result.others < reference.others-0.02 {
-			t.Errorf("%s: %v instead of %v", name, result, reference)
+	restarted.name, restarted.restarts = "half of the routers start anew", routerCount/2
+	lossy.name, lossy.lost = "half of the digests get lost", 0.5
+	results := playAll(t, []way{plain, restarted, lossy})
+	for name, result := range results {
+		if result.others < results[plain.name].others-0.02 {
+			t.Errorf("%s: %v instead of %v", name, result, results[plain.name])
 		}
 	}
+	if results[restarted.name].flood > results[plain.name].flood+0.02 {
+		t.Errorf("the flood gains by restarts: %v instead of %v", results[restarted.name], results[plain.name])
+	}
 }
--- a/internal/router/class.go
+++ b/internal/router/class.go
@@ -5,10 +5,7 @@
 	"maps"
 	"time"
 
-	"github.com/apex/log"
-
 	"rockwind.example/rockwind/internal/balance"
-	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/fairshare"
 	"rockwind.example/rockwind/internal/gate"
 	"rockwind.example/rockwind/internal/waiting"
@@ -149,47 +146,3 @@
 	}
 	return sum
 }
-
-// heldTenant is a tenant whose requests wait behind those of others.
-type heldTenant struct {
-	service string
-	tenant  string
-	// waiting is how many of its requests wait here, and virtual how much it had lately,
-	// here and elsewhere, over its weight.
-	waiting int
-	virtual float64
-	// others is how many requests of other tenants wait here.
-	others int
-}
-
-// heldBack lists the tenants that others go before here: of each class in which several wait,
-// the one that had most.
-func (p *servicePool) heldBack(now time.Duration) []heldTenant {
-	if !p.scarce {
-		return nil
-	}
-	var held []heldTenant
-	for priority, waits := range p.waitsOf() {
-		if len(waits) < 2 {
-			continue
-		}
-		class := p.class(priority)
-		most := heldTenant{service: p.name, virtual: -1}
-		for tenant, waiting := range waits {
-			virtual := class.ledger.Virtual(tenant, class.weight(tenant), now)
-			if virtual > most.virtual || (virtual == most.virtual && tenant < most.tenant) {
-				most.tenant, most.waiting, most.virtual = tenant, waiting, virtual
-			}
-		}
-		most.others = sumOf(waits) - most.waiting
-		held = append(held, most)
-	}
-	return held
-}
-
-// record writes that others go before the tenant.
-func (h heldTenant) record() {
-	decision.Default.Record(decision.TenantHeldBack, h.tenant, log.Fields{
-		"service": h.service, "waiting": h.waiting, "others_waiting": h.others, "tokens_lately": int(h.virtual),
-	})
-}
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -49,6 +49,7 @@
 	router.metrics = sitemetrics.New("router", decision.Default)
 	router.metrics.LoadTraffic(router.dispatcher.LoadTraffic)
 	router.metrics.Held(router.witness.Held)
+	router.metrics.Waiting(router.dispatcher.Waiting)
 	listener, err := site.Listen("listen", settings.GetListen())
 	if err != nil {
 		return err
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -284,23 +284,6 @@
 	d.recordHeldBack()
 }
 
-// heldBackInterval is the time between lines about tenants that others go before.
-const heldBackInterval = time.Second
-
-// recordHeldBack writes which tenants others go before. The mutex is held; writing does not
-// block.
-func (d *Dispatcher) recordHeldBack() {
-	if !d.gates.On(gate.FairShare) || d.now()-d.heldAt < heldBackInterval {
-		return
-	}
-	d.heldAt = d.now()
-	for _, pool := range d.pools {
-		for _, held := range pool.heldBack(d.now()) {
-			held.record()
-		}
-	}
-}
-
 // Told takes the load that the server told with an answer.
 func (l *Lease) Told(load balance.Load) {
 	d := l.dispatcher
