Have tenants share what runs of batch items there is room for

Cause: items were started by when they are due, so that a heap of jobs of one tenant went before all items of others that came a moment later.

Change: where what waits at a shard cannot all be on time with as many runs as there are, tenants share by how long items run; else by due time as before, and without tenants always. Gate 'fair_share'.

Measured without a site (backlog.TestHeapOfOneTenantDoesNotMakeItemsOfOthersLate: 200 items of one tenant, 8 of another a second later, 8 runs): on time of the 8 before 0, now 8.

--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -21,6 +21,9 @@
 	submitted time.Time
 	due       time.Time
 	remaining time.Duration
+	// tenant shares with the others by its weight.
+	tenant string
+	weight uint32
 }
 
 // NewItem returns an item that was submitted at a time and takes as long as remaining once
@@ -64,7 +67,12 @@
 
 // Order sorts what waits into the order in which it is to be started.
 func Order[T any](waiting []T, now time.Time, item func(T) Item) []T {
-	var early, late []entry[T]
+	return interleave(split(waiting, now, item))
+}
+
+// split divides what waits into what can be on time, the first that is due first, and what
+// cannot, the first that was submitted first.
+func split[T any](waiting []T, now time.Time, item func(T) Item) (early, late []entry[T]) {
 	for _, each := range entries(waiting, item) {
 		if each.item.OnTime(now) {
 			early = append(early, each)
@@ -74,7 +82,7 @@
 	}
 	slices.SortStableFunc(early, func(a, b entry[T]) int { return a.item.compareDue(b.item) })
 	slices.SortStableFunc(late, func(a, b entry[T]) int { return a.item.submitted.Compare(b.item.submitted) })
-	return interleave(early, late)
+	return early, late
 }
 
 // interleave puts one late value behind each lateEvery early ones, and the rest at the
--- /dev/null
+++ b/internal/backlog/share_test.go
@@ -0,0 +1,69 @@
+package backlog_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"rockwind.example/rockwind/internal/backlog"
+)
+
+// jobs are the items of a tenant that come in one heap, each to run for five seconds and due
+// 18 s after it came.
+func jobs(tenant string, count int, came float64) []backlog.Item {
+	var items []backlog.Item
+	for range count {
+		items = append(items, at(came, came+18, 5).Of(tenant, 0))
+	}
+	return items
+}
+
+// onTime plays the start of items with eight runs at a time and counts those on time.
+func onTime(ordered []backlog.Item, now time.Time) map[string]int {
+	const runs = 8
+	done := make(map[string]int)
+	for place, item := range ordered {
+		ends := now.Add(time.Duration(place/runs+1) * 5 * time.Second)
+		for _, tenant := range []string{"flood", "small"} {
+			if item == item.Of(tenant, 0) && item.OnTime(ends.Add(-5*time.Second)) {
+				done[tenant]++
+			}
+		}
+	}
+	return done
+}
+
+// TestHeapOfOneTenantDoesNotMakeItemsOfOthersLate: by when they are due alone the later
+// tenant's items came after 200 others.
+func TestHeapOfOneTenantDoesNotMakeItemsOfOthersLate(t *testing.T) {
+	waiting := append(jobs("flood", 200, 0), jobs("small", 8, 1)...)
+	now := start.Add(time.Second)
+	running := jobs("flood", 8, 0)
+	if before := onTime(backlog.Order(waiting, now, same), now); before["small"] != 0 {
+		t.Fatalf("the load is none: %v", before)
+	}
+	after := onTime(backlog.OrderShared(waiting, running, now, same), now)
+	if after["small"] != 8 || after["flood"] < 12 {
+		t.Fatalf("on time: %v", after)
+	}
+}
+
+// TestItemsThatAllFitGoByWhenTheyAreDue, whoever's they are.
+func TestItemsThatAllFitGoByWhenTheyAreDue(t *testing.T) {
+	waiting := append(jobs("flood", 6, 0), jobs("small", 2, 1)...)
+	now := start.Add(time.Second)
+	shared := backlog.OrderShared(waiting, jobs("flood", 8, 0), now, same)
+	if !slices.Equal(shared, backlog.Order(waiting, now, same)) {
+		t.Fatalf("the order is %v", shared)
+	}
+}
+
+// TestHeapWithoutTenantsGoesByWhenItIsDue.
+func TestHeapWithoutTenantsGoesByWhenItIsDue(t *testing.T) {
+	waiting := append(jobs("", 150, 2), jobs("", 150, 0)...)
+	now := start.Add(2 * time.Second)
+	shared := backlog.OrderShared(waiting, jobs("", 8, 0), now, same)
+	if !slices.Equal(shared, backlog.Order(waiting, now, same)) {
+		t.Fatal("the order is another one than without sharing")
+	}
+}
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -222,7 +222,7 @@
 	})
 	now := time.Now()
 	e.yield(now)
-	for _, item := range backlog.Order(open, now, e.backlogItem) {
+	for _, item := range e.order(open, now) {
 		if !e.begin(ctx, item, now) {
 			break
 		}
@@ -275,7 +275,7 @@
 		cancel(nil)
 		return true
 	}
-	active := &activeTry{service: router.ServiceOf(route, item.Item.GetId()), route: route, submitted: time.UnixMilli(item.SubmittedUnixMs), began: now, madeBefore: known.made(), cancel: cancel}
+	active := &activeTry{tenant: item.Tenant, service: router.ServiceOf(route, item.Item.GetId()), route: route, submitted: time.UnixMilli(item.SubmittedUnixMs), began: now, madeBefore: known.made(), cancel: cancel}
 	lease := e.store.dispatcher.TryAcquire(active.service, balance.Demand{Parts: facts.Parts, Batch: true})
 	if lease == nil {
 		cancel(nil)
--- a/internal/store/order.go
+++ b/internal/store/order.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/backlog"
+	"rockwind.example/rockwind/internal/gate"
 	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/router"
@@ -22,7 +23,28 @@
 		made = known.made()
 	}
 	pace := e.pace(router.ServiceOf(route, item.Item.GetId()))
-	return backlog.NewItem(submitted, dueTime(route, submitted), pace.Remaining(made))
+	return backlog.NewItem(submitted, dueTime(route, submitted), pace.Remaining(made)).Of(item.Tenant, e.weight(item.Tenant))
+}
+
+// order sorts the open items into the order in which they are to be started.
+func (e *executor) order(open []jobstore.OpenItem, now time.Time) []jobstore.OpenItem {
+	if !e.store.gates.On(gate.FairShare) {
+		return backlog.Order(open, now, e.backlogItem)
+	}
+	running := make([]backlog.Item, 0, len(e.active))
+	for _, try := range e.active {
+		running = append(running, e.backlogTry(try))
+	}
+	return backlog.OrderShared(open, running, now, e.backlogItem)
+}
+
+// weight is that of a tenant by the configuration in force, zero where it has none.
+func (e *executor) weight(tenant string) uint32 {
+	if tenant == "" || !e.store.watcher.Known() {
+		return 0
+	}
+	found, _ := e.store.watcher.Configuration().Tenant(tenant)
+	return found.GetWeight()
 }
 
 // dueTime is when an item that was submitted at a time is due, zero where it never is.
@@ -47,5 +69,5 @@
 // it began is taken to be what others make in that time.
 func (e *executor) backlogTry(try *activeTry) backlog.Item {
 	remaining := e.pace(try.service).Remaining(try.madeBefore) - time.Since(try.began)
-	return backlog.NewItem(try.submitted, dueTime(try.route, try.submitted), max(0, remaining))
+	return backlog.NewItem(try.submitted, dueTime(try.route, try.submitted), max(0, remaining)).Of(try.tenant, e.weight(try.tenant))
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -41,6 +41,7 @@
 // Store is a running store.
 type Store struct {
 	settings   *rockwindpb.SiteSettings
+	gates      gate.Set
 	client     *http.Client
 	host       *replica.Host
 	watcher    *site.Watcher
@@ -62,10 +63,12 @@
 // Run serves until the context ends, and then hands over leadership and stops.
 func Run(ctx context.Context, settings *rockwindpb.SiteSettings, protocol router.Protocol) error {
 	site.BoundMemory(settings)
+	gates := gate.NewSet(settings.GetSwitchedOff())
 	s := &Store{
 		settings:   settings,
+		gates:      gates,
 		client:     dial.NewClient(),
-		dispatcher: router.NewDispatcher(settings.GetZone(), gate.NewSet(settings.GetSwitchedOff())),
+		dispatcher: router.NewDispatcher(settings.GetZone(), gates),
 		upstream:   router.NewUpstream(),
 		protocol:   protocol,
 		machines:   make(map[uint32]*jobstore.Machine),
--- a/internal/store/yield.go
+++ b/internal/store/yield.go
@@ -23,6 +23,7 @@
 
 // activeTry is a try in progress.
 type activeTry struct {
+	tenant    string
 	service   string
 	server    string
 	route     *rockwindpb.Route
