Write since when a client has been asking on the lines of its requests

An operator tells those that came back from those that ask for the first time by asking_ms beside held_ms; before, only left_ms and the route's timeout told it.

--- a/internal/router/recording.go
+++ b/internal/router/recording.go
@@ -76,6 +76,7 @@
 		"sent":          e.sent,
 		"refused":       e.refused,
 		"waited_ms":     e.waited.Milliseconds(),
+		"asking_ms":     time.Since(e.firstTry()).Milliseconds(),
 		"held_ms":       time.Since(e.received).Milliseconds(),
 		"left_ms":       time.Until(e.ends).Milliseconds(),
 	}
