--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -63,6 +63,8 @@
 	AddressAsked Kind = "address asked"
 	// StartFinished: this process knows after its start what it needs to serve.
 	StartFinished Kind = "start finished"
+	// TenantHeldBack: requests of other tenants go before those of one that had more.
+	TenantHeldBack Kind = "tenant held back"
 	// DependencyLost and DependencyRegained tell of coordinators and stores.
 	DependencyLost     Kind = "dependency lost"
 	DependencyRegained Kind = "dependency regained"
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -54,6 +54,7 @@
 	router.metrics.Paces(router.dispatcher.Paces)
 	router.metrics.Held(router.witness.Held)
 	router.metrics.ClientBuffers(router.buffers.Usage)
+	router.metrics.Waiting(router.dispatcher.Waiting)
 	listener, err := site.Listen("listen", settings.GetListen())
 	if err != nil {
 		return err
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -42,6 +42,8 @@
 	ready chan struct{}
 	// pressed is closed when online requests wait, and replaced.
 	pressed chan struct{}
+	// heldAt is when it was last written which tenants others go before.
+	heldAt time.Duration
 }
 
 // NewDispatcher returns a dispatcher without servers, for a process in a zone with the given
@@ -118,12 +120,23 @@
 func (d *Dispatcher) service(name string) *servicePool {
 	found, known := d.pools[name]
 	if !known {
-		found = &servicePool{pool: d.newPool(name), holding: typicalHolding}
+		found = d.newServicePool(name)
 		d.pools[name] = found
 	}
 	return found
 }
 
+func (d *Dispatcher) newServicePool(name string) *servicePool {
+	created := &servicePool{
+		name: name, gates: d.gates, pool: d.newPool(name), shares: d.shares,
+		classes: make(map[waiting.Priority]*class), holding: typicalHolding,
+	}
+	if d.gates.On(gate.FairShare) {
+		created.waiting.Share(func(place waiting.Place) float64 { return created.virtual(place, d.now()) })
+	}
+	return created
+}
+
 // Lease is a server that a request may use. It ends with Done or Abandon.
 type Lease struct {
 	balance.Choice
@@ -137,47 +150,50 @@
 	sighting pace.Sighting
 }
 
-// Acquire waits for a server with room, at most until the patience or the context
-// ends. The answer is in time until the given time. It fails with fault.Overloaded, which
-// says when to come back, at once where the queue is too long for the patience, or with
-// fault.Unavailable where the service has no server that was not tried.
-func (d *Dispatcher) Acquire(ctx context.Context, service string, demand balance.Demand, priority waiting.Priority, onTimeUntil time.Time, tried []string, patience time.Duration) (*Lease, error) {
+// Acquire waits for a server with room, at most until the patience or the context ends. It
+// fails with fault.Overloaded, which says when to come back, at once where those that go
+// before it need longer than its patience, or with fault.Unavailable where the service has
+// no server that was not tried.
+func (d *Dispatcher) Acquire(ctx context.Context, ask Ask) (*Lease, error) {
 	d.mutex.Lock()
-	pool := d.service(service)
+	pool := d.service(ask.Service)
+	pool.judgeRoom(d.now())
 	now := time.Now()
 	d.order++
-	place := waiting.NewPlace(priority, d.order, onTimeUntil, now.Add(patience))
+	place := ask.place(d.order, now)
+	pool.class(ask.Priority).note(ask.Tenant)
 	if pool.waiting.GoesFirst(place, now) {
-		if choice, found := pool.pool.Choose(demand, tried, d.now(), d.random); found {
+		if choice, found := d.choose(pool, ask); found {
 			d.mutex.Unlock()
-			return d.lease(service, choice), nil
+			return d.lease(ask.Service, choice), nil
 		}
 	}
-	if pool.pool.Size() <= len(tried) {
+	if pool.pool.Size() <= len(ask.Tried) {
 		d.mutex.Unlock()
-		return nil, fault.Newf(fault.Unavailable, "come back later", "service %s has no server that can take the request", service).
+		return nil, fault.Newf(fault.Unavailable, "come back later", "service %s has no server that can take the request", ask.Service).
 			WithRan(fault.NotRun).WithRetryAfter(typicalHolding / 4)
 	}
-	if expected := d.expectedWait(pool, service); expected > patience {
+	if ahead := pool.ahead(place, now, d.now()); pool.expected(ask, ahead, d.now()) > ask.Patience {
+		refusal := pool.crowded(ask, ahead, now, d.now())
 		d.mutex.Unlock()
-		return nil, pool.crowded(service, expected-patience)
+		return nil, refusal
 	}
-	entry := pool.waiting.Add(place, &waiter{demand: demand, tried: tried, granted: make(chan balance.Choice, 1)})
+	entry := pool.waiting.Add(place, &waiter{ask: ask, place: place, granted: make(chan balance.Choice, 1)})
 	d.nudge()
 	d.mutex.Unlock()
-	return d.await(ctx, service, entry, patience)
+	return d.await(ctx, entry)
 }
 
-// expectedWait estimates how long a request that is added to the queues of all processes
-// waits: as long as the servers need to take those before it. It is zero where a server does
-// not say how many it runs. The mutex is held.
-func (d *Dispatcher) expectedWait(pool *servicePool, service string) time.Duration {
-	slots := pool.pool.Slots()
-	if slots == 0 {
-		return 0
+// choose returns a server with room for a request that goes first. The mutex is held.
+func (d *Dispatcher) choose(pool *servicePool, ask Ask) (balance.Choice, bool) {
+	if d.gates.On(gate.Returns) {
+		pool.pool.SetWaiting(pool.waiting.Len())
 	}
-	ahead := pool.waiting.Len() + d.shares.At(balance.QueueHash(service)).Inflight
-	return time.Duration(float64(pool.holding) * float64(ahead+1) / float64(slots))
+	choice, found := pool.pool.Choose(ask.Demand, ask.Tried, d.now(), d.random)
+	if found {
+		pool.begin(ask, choice, d.now())
+	}
+	return choice, found
 }
 
 // TryAcquire returns a server with room now, or nil. Requests that wait go first.
@@ -237,8 +253,9 @@
 // ended: a server that refused as full may have room again.
 const recheckInterval = 25 * time.Millisecond
 
-func (d *Dispatcher) await(ctx context.Context, service string, entry *waiting.Entry[*waiter], patience time.Duration) (*Lease, error) {
-	limit := time.NewTimer(patience)
+func (d *Dispatcher) await(ctx context.Context, entry *waiting.Entry[*waiter]) (*Lease, error) {
+	service := entry.Value().ask.Service
+	limit := time.NewTimer(entry.Value().ask.Patience)
 	defer limit.Stop()
 	recheck := time.NewTicker(recheckInterval)
 	defer recheck.Stop()
@@ -254,33 +271,36 @@
 		case <-limit.C:
 		case <-ctx.Done():
 		}
-		return d.giveUp(service, entry)
+		return d.giveUp(entry)
 	}
 }
 
-func (d *Dispatcher) giveUp(service string, entry *waiting.Entry[*waiter]) (*Lease, error) {
+func (d *Dispatcher) giveUp(entry *waiting.Entry[*waiter]) (*Lease, error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	service := entry.Value().ask.Service
 	pool := d.service(service)
 	if entry.Left() {
 		return d.lease(service, <-entry.Value().granted), nil
 	}
 	pool.waiting.Remove(entry)
-	return nil, pool.busy(service)
+	now, waiter := time.Now(), entry.Value()
+	return nil, pool.busy(waiter.ask, pool.ahead(waiter.place, now, d.now()), now, d.now())
 }
 
 // serveWaiting gives servers with room to those that wait, in their order.
 func (d *Dispatcher) serveWaiting(service string) {
 	pool := d.service(service)
+	pool.judgeRoom(d.now())
 	for pool.waiting.Len() > 0 {
 		first := pool.waiting.First(time.Now())
-		asked := first.Value()
-		choice, found := pool.pool.Choose(asked.demand, asked.tried, d.now(), d.random)
+		waiter := first.Value()
+		choice, found := d.choose(pool, waiter.ask)
 		if !found {
 			return
 		}
 		pool.waiting.Remove(first)
-		asked.granted <- choice
+		waiter.granted <- choice
 	}
 }
 
@@ -292,6 +312,7 @@
 	for _, pool := range d.pools {
 		pool.pool.Evaluate(d.now(), d.random)
 	}
+	d.recordHeldBack()
 }
 
 // Told takes the load that the server told with an answer.
@@ -326,12 +347,21 @@
 	defer d.mutex.Unlock()
 	pool := d.service(l.service)
 	pool.pool.Ended(l.Choice, outcome, latency, d.now(), d.random)
-	if outcome == health.Success {
+	// One whose time was over held its slot for at least as long.
+	if outcome == health.Success || (outcome == health.Timeout && d.gates.On(gate.Returns)) {
 		pool.learn(time.Since(l.began))
 	}
 	d.serveWaiting(l.service)
 }
 
+// Wrote tells how many events the answer had.
+func (l *Lease) Wrote(events uint64) {
+	d := l.dispatcher
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.service(l.service).wrote(events)
+}
+
 // Gone ends the lease of an exchange in which another server answered at the address.
 func (l *Lease) Gone() { l.release((*balance.Pool).Gone) }
 
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -12,8 +12,11 @@
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/fingerprint"
+	"rockwind.example/rockwind/internal/gate"
 	"rockwind.example/rockwind/internal/health"
+	"rockwind.example/rockwind/internal/rateclient"
 	"rockwind.example/rockwind/internal/retry"
+	"rockwind.example/rockwind/internal/returning"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/upstream"
 	"rockwind.example/rockwind/internal/waiting"
@@ -42,6 +45,11 @@
 	// within a few milliseconds, and a machine that is busy within some tens.
 	ownerPatiencePart  = 0.2
 	leastOwnerPatience = 50 * time.Millisecond
+	// turnWait is how long a request waits at most for its tenant's rate to earn it: a fifth of
+	// the shortest goals. It is the same for all routes: where those of a longer goal could
+	// wait for longer, they took all the room of a flood's tenant, 0.99 of their worth was
+	// served and 0.88 of that of the others.
+	turnWait = 60 * time.Millisecond
 )
 
 // exchange is one client request on its way through the servers.
@@ -126,7 +134,7 @@
 	}
 	for {
 		asked := time.Now()
-		lease, err := e.router.dispatcher.Acquire(ctx, e.service, e.demand(), e.priority(), e.onTimeUntil(), e.tried, e.patience())
+		lease, err := e.router.dispatcher.Acquire(ctx, e.ask())
 		e.waited += time.Since(asked)
 		if err != nil {
 			e.fail(ctx, err)
@@ -140,6 +148,7 @@
 		}
 		switch e.try(ctx, lease) {
 		case verdictFinished:
+			lease.Wrote(e.relayed.Last())
 			e.record(decision.RequestFinished, lease, "")
 			return
 		case verdictGone:
@@ -163,7 +172,27 @@
 	}
 }
 
-func (e *exchange) demand() balance.Demand { return balance.Demand{Parts: e.facts.Parts} }
+// ask is what the request wants of its service now.
+func (e *exchange) ask() Ask {
+	ask := Ask{
+		Service: e.service, Demand: balance.Demand{Parts: e.facts.Parts}, Priority: e.priority(),
+		Tenant:      waiting.Tenant{Name: e.tenant.GetName(), Weight: e.tenant.GetWeight()},
+		OnTimeUntil: e.onTimeUntil(), Tried: e.tried, Patience: e.patience(),
+	}
+	if e.router.gates.On(gate.Returns) {
+		ask.Asked = e.firstTry()
+	}
+	return ask
+}
+
+// firstTry is since when the client has been asking, as far as it shows.
+func (e *exchange) firstTry() time.Time {
+	if !e.router.gates.On(gate.Returns) {
+		return e.received
+	}
+	whole := time.Duration(e.route.GetTimeoutMs()) * time.Millisecond
+	return returning.FirstTry(e.received, whole, e.facts.Deadline)
+}
 
 func (e *exchange) priority() waiting.Priority {
 	return waiting.Priority{Tenant: e.tenant.GetPriority(), Route: e.route.GetPriority()}
@@ -181,7 +210,7 @@
 
 // onTimeUntil is until when the request may begin at a server and be answered in time.
 func (e *exchange) onTimeUntil() time.Time {
-	return e.received.Add(e.ofGoal(onTimePart))
+	return e.firstTry().Add(e.ofGoal(onTimePart))
 }
 
 // takeRate takes the request out of its tenant's rate. Where no owner answers soon, a client
@@ -189,13 +218,22 @@
 func (e *exchange) takeRate(ctx context.Context) error {
 	began := time.Now()
 	defer func() { e.waited += time.Since(began) }()
-	err := e.router.rates.Take(ctx, e.tenant, e.number, max(leastOwnerPatience, e.ofGoal(ownerPatiencePart)))
+	err := e.router.rates.Take(ctx, e.tenant, e.number, max(leastOwnerPatience, e.ofGoal(ownerPatiencePart)), e.turn())
 	for err != nil && !e.mayComeBack() && e.awaitRate(ctx, fault.From(err)) {
-		err = e.router.rates.Take(ctx, e.tenant, e.number, e.patience())
+		err = e.router.rates.Take(ctx, e.tenant, e.number, e.patience(), e.turn())
 	}
 	return err
 }
 
+// turn is how the request goes before others of its tenant now.
+func (e *exchange) turn() rateclient.Turn {
+	if e.route.GetGoalMs() == 0 || !e.router.gates.On(gate.Returns) {
+		return rateclient.Turn{}
+	}
+	left := time.Until(e.onTimeUntil())
+	return rateclient.Turn{Late: left <= 0, Wait: max(0, min(left, turnWait))}
+}
+
 // awaitRate waits for as long as the refusal of a request says that its tenant's rate needs,
 // and tells whether to ask again: not where that is longer than the request may wait.
 func (e *exchange) awaitRate(ctx context.Context, refusal *fault.Fault) bool {
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -4,7 +4,10 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/fairshare"
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/gate"
+	"rockwind.example/rockwind/internal/returning"
 	"rockwind.example/rockwind/internal/waiting"
 )
 
@@ -16,16 +19,57 @@
 	holdingWeight = 0.05
 	// shortestReturn is the shortest time to come back that is told.
 	shortestReturn = 50 * time.Millisecond
+	// longestExpected bounds the wait that is expected, in times of fairshare.Memory: no
+	// client waits for longer.
+	longestExpected = 60.0
+	// returnsWithin is within how many times its patience a client comes back: it has so much
+	// time left (patiencePart).
+	returnsWithin = 2
 )
 
+// Ask is what a request wants of a service.
+type Ask struct {
+	Service  string
+	Demand   balance.Demand
+	Priority waiting.Priority
+	Tenant   waiting.Tenant
+	// Asked is since when its client has been asking; zero is not known.
+	Asked time.Time
+	// OnTimeUntil is until when it may begin at a server and be answered in time.
+	OnTimeUntil time.Time
+	// Tried are servers that it must not go to again.
+	Tried []string
+	// Patience is how long it may wait.
+	Patience time.Duration
+}
+
+// place is what the order of the request rests on, which is the given arrival.
+func (a Ask) place(arrival uint64, now time.Time) waiting.Place {
+	return waiting.NewPlace(a.Priority, arrival, a.OnTimeUntil, now.Add(a.Patience)).Of(a.Tenant).AskedAt(a.Asked)
+}
+
 // servicePool is the pool of one service with the requests that wait for it.
 type servicePool struct {
+	name    string
+	gates   gate.Set
 	pool    *balance.Pool
+	shares  *balance.Shares
 	waiting waiting.Queue[*waiter]
+	// classes are the requests by priority, among which tenants share.
+	classes map[waiting.Priority]*class
+	// scarce tells whether there is too little room, so that tenants share, and scarceSince
+	// since when.
+	scarce      bool
+	scarceSince time.Duration
+	// promises are the clients that were told to come back.
+	promises returning.Promises
 	// holding is how long requests held a server lately, for the time to come back, and
 	// ended how many that rests on.
 	holding time.Duration
 	ended   int
+	// written is how many events answers had lately, and work what requests took, in tokens.
+	written float64
+	work    float64
 }
 
 // learn takes how long a request held a server. The first ones count evenly: a process that
@@ -39,20 +83,91 @@
 
 // waiter is a request that waits for room.
 type waiter struct {
-	demand  balance.Demand
-	tried   []string
+	ask     Ask
+	place   waiting.Place
 	granted chan balance.Choice
 }
 
+// ahead is how many requests go before one with the given place, here and, as they tell, at
+// the other processes.
+func (p *servicePool) ahead(place waiting.Place, now time.Time, elapsed time.Duration) int {
+	elsewhere := p.shares.At(balance.QueueHash(p.name)).Inflight
+	if p.gates.On(gate.Returns) {
+		elsewhere -= p.lower(place.Priority())
+	}
+	if p.scarce && p.gates.On(gate.FairShare) {
+		elsewhere -= p.class(place.Priority()).behind(place.Tenant(), elapsed)
+	}
+	return p.waiting.Ahead(place, now) + max(0, elsewhere)
+}
+
+// lower is how many requests wait at other processes whose priority is known here and lower.
+func (p *servicePool) lower(priority waiting.Priority) int {
+	count := 0
+	for other, class := range p.classes {
+		if priority.Before(other) {
+			count += p.shares.At(balance.QueueHash(class.name)).Inflight
+		}
+	}
+	return count
+}
+
+// room is how fast servers become free.
+func (p *servicePool) room() returning.Room { return returning.NewRoom(p.pool.Slots(), p.holding) }
+
+// expected is how long a request waits that has so many others before it: until the servers
+// have taken those; and while room has been too little for long enough to show what a tenant
+// gets, until its tenant gets room for it behind its others.
+func (p *servicePool) expected(ask Ask, ahead int, elapsed time.Duration) time.Duration {
+	expected := p.room().After(ahead)
+	if p.gates.On(gate.Returns) && p.scarce && elapsed-p.scarceSince >= fairshare.Memory {
+		expected = max(expected, p.ofShare(ask, elapsed))
+	}
+	return expected
+}
+
+// ofShare is how long a request waits that its tenant's others go before, by what the tenants
+// that ask for more than their share get.
+func (p *servicePool) ofShare(ask Ask, elapsed time.Duration) time.Duration {
+	class, waits := p.class(ask.Priority), p.waitsOf()[ask.Priority]
+	share := class.ledger.Highest(waits, class.weight, elapsed) * float64(max(1, ask.Tenant.Weight))
+	if share <= 0 {
+		return 0
+	}
+	before := waits[ask.Tenant.Name] + class.ledger.Waiting(ask.Tenant.Name)
+	memories := float64(before+1) * p.work / share
+	return time.Duration(min(memories, longestExpected) * float64(fairshare.Memory))
+}
+
+// comeBack is when a request that is refused now will find room, and promises it where the
+// client has time left then. Clients that were told to come back are before it as if they
+// waited, here and elsewhere.
+func (p *servicePool) comeBack(ask Ask, ahead int, now time.Time, elapsed time.Duration) time.Duration {
+	promised := p.promises.Open(now) + p.shares.At(balance.QueueHash(p.name)).Unread
+	comeBack := max(shortestReturn, p.expected(ask, ahead, elapsed), p.room().After(ahead+promised))
+	if comeBack <= returnsWithin*ask.Patience {
+		p.promises.Add(now.Add(comeBack))
+	}
+	return comeBack
+}
+
 // crowded is the refusal of a request behind so many others that it would wait for too long.
-func (p *servicePool) crowded(service string, tooLong time.Duration) error {
+func (p *servicePool) crowded(ask Ask, ahead int, now time.Time, elapsed time.Duration) error {
+	comeBack := max(shortestReturn, p.room().After(ahead)-ask.Patience)
+	if p.gates.On(gate.Returns) {
+		comeBack = p.comeBack(ask, ahead, now, elapsed)
+	}
 	return fault.Newf(fault.Overloaded, "come back after the time given",
-		"all servers of service %s are busy, and more requests wait than they take in time", service).
-		WithRan(fault.NotRun).WithRetryAfter(max(shortestReturn, tooLong))
+		"all servers of service %s are busy, and more requests wait than they take in time", p.name).
+		WithRan(fault.NotRun).WithRetryAfter(comeBack)
 }
 
 // busy is the refusal of a request for which no server has room in time.
-func (p *servicePool) busy(service string) error {
-	return fault.Newf(fault.Overloaded, "come back after the time given", "all servers of service %s are busy", service).
-		WithRan(fault.NotRun).WithRetryAfter(max(shortestReturn, p.holding/2))
+func (p *servicePool) busy(ask Ask, ahead int, now time.Time, elapsed time.Duration) error {
+	comeBack := max(shortestReturn, p.holding/2)
+	if p.gates.On(gate.Returns) {
+		comeBack = p.comeBack(ask, ahead, now, elapsed)
+	}
+	return fault.Newf(fault.Overloaded, "come back after the time given", "all servers of service %s are busy", p.name).
+		WithRan(fault.NotRun).WithRetryAfter(comeBack)
 }
