--- a/internal/requestrate/flood_test.go
+++ b/internal/requestrate/flood_test.go
@@ -111,6 +111,32 @@
 	}
 }
 
+// TestLateRequestsLeaveRoomForThoseInTime: after a flood its clients come back all the time; a
+// dozen requests that come at once found no room beside them.
+func TestLateRequestsLeaveRoomForThoseInTime(t *testing.T) {
+	limit := requestrate.NewLimit(100, 50)
+	counts := requestrate.NewCounts(requestrate.Tolerance{}, 0)
+	asked, timely, late := 0, 0, 0
+	for i := range 1000 {
+		now := long + time.Duration(i)*5*time.Millisecond
+		if counts.Take(ask(limit).Late(), now).Granted() {
+			late++
+		}
+		if i%40 != 39 {
+			continue
+		}
+		for range 12 {
+			asked++
+			if counts.Take(ask(limit).WithWait(20*time.Millisecond), now).Granted() {
+				timely++
+			}
+		}
+	}
+	if timely < asked/2 || timely+late < 500 {
+		t.Fatalf("%d of %d in time and %d late ones are granted", timely, asked, late)
+	}
+}
+
 // TestGrantAheadIsWaitedFor until the rate has earned it, and is told again with its wait where
 // the answer got lost.
 func TestGrantAheadIsWaitedFor(t *testing.T) {
--- a/internal/router/room_test.go
+++ b/internal/router/room_test.go
@@ -102,6 +102,27 @@
 	})
 }
 
+// TestFloodElsewhereDoesNotRefuseOthers: what waits of it at another process goes after a
+// tenant that had less.
+func TestFloodElsewhereDoesNotRefuseOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		here, there := newCrowd(t, 2), newCrowd(t, 2)
+		for range 12 {
+			there.add(asks("flood", time.Minute))
+		}
+		tell(t, there.dispatcher, here.dispatcher)
+		time.Sleep(10 * time.Millisecond) // what was known before is used for a moment
+		if _, err := here.dispatcher.Acquire(t.Context(), asks("flood", 4*time.Second)); err == nil {
+			t.Fatal("one more of the flood is not refused")
+		}
+		here.add(asks("small", 4*time.Second))
+		here.end()
+		if !slices.Contains(here.served, "small") {
+			t.Fatal("the other tenant's request is not served")
+		}
+	})
+}
+
 // TestRefusedAreToldTimesApart: each is told when the room that is left comes, and with the
 // gate off all the same.
 func TestRefusedAreToldTimesApart(t *testing.T) {
@@ -140,10 +161,11 @@
 		for range 6 {
 			here.add(lower)
 			there.add(lower)
+			there.add(lower)
 		}
 		tell(t, there.dispatcher, here.dispatcher)
 		if _, err := here.dispatcher.Acquire(t.Context(), lowerFor(4*time.Second)); err == nil || fault.From(err).RetryAfter < 6*time.Second {
-			t.Fatalf("a less urgent request behind 12 others: %v", err)
+			t.Fatalf("a less urgent request behind 18 others: %v", err)
 		}
 		here.add(asks("", 4*time.Second))
 		here.end()
