Begin each request of a connection anew; the kernel's patience for clients as ours

Cause: the time of a request bound what was kept for the next one on the same connection where that tells none (calls about jobs): its answer was reset at once. And the kernel gave up a client that read nothing for 3 s, as all connections of a site, so that one that pauses for 4 s lost its answer although memory was there.

Change: clientconn.Handler forgets the request before; the listener of clients has a TCP_USER_TIMEOUT of 5 s, as long as what is kept for a client that takes nothing.

--- a/internal/clientconn/buffers.go
+++ b/internal/clientconn/buffers.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -18,6 +19,7 @@
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"rockwind.example/rockwind/internal/relaybudget"
 	"rockwind.example/rockwind/internal/retry"
@@ -192,16 +194,17 @@
 }
 
 // Listener wraps a listener so that its connections keep what their clients do not take.
-// The kernel keeps little of it: its memory counts as well, and is not in the budget.
+// The kernel keeps little of it, since its memory counts as well and is not in the budget, and
+// has as much patience as this package.
 func (b *Buffers) Listener(listener net.Listener) net.Listener {
 	if err := boundKernel(listener); err != nil {
-		log.WithError(err).Warn("the kernel's memory for clients that read slowly has no bound of this process's")
+		log.WithError(err).Warn("the kernel's memory and patience for clients that read slowly are its own")
 	}
 	return keepingListener{Listener: listener, buffers: b}
 }
 
 // boundKernel bounds what the kernel keeps unread for each connection that the listener
-// accepts.
+// accepts, and for how long.
 func boundKernel(listener net.Listener) error {
 	raw, found := listener.(syscall.Conn)
 	if !found {
@@ -213,7 +216,9 @@
 	}
 	var failure error
 	err = control.Control(func(descriptor uintptr) {
-		failure = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_SNDBUF, kernelBuffer)
+		failure = errors.CombineErrors(
+			unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_SNDBUF, kernelBuffer),
+			unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(stallLimit.Milliseconds())))
 	})
 	return errors.CombineErrors(err, failure)
 }
@@ -258,3 +263,12 @@
 	conn, _ := ctx.Value(connKey{}).(*Conn)
 	return conn
 }
+
+// Handler wraps the handler of a server of such connections: each request starts anew,
+// whatever Begin told of the one before.
+func Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		FromContext(request.Context()).Begin("", time.Time{})
+		next.ServeHTTP(writer, request)
+	})
+}
--- a/internal/clientconn/conn_test.go
+++ b/internal/clientconn/conn_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/clientconn"
+	"rockwind.example/rockwind/internal/dial"
 )
 
 // endings collects what buffers tell of ended answers.
@@ -39,7 +40,7 @@
 // serve starts a server on loopback whose connections keep what their clients do not read.
 func serve(t testing.TB, buffers *clientconn.Buffers, handler http.HandlerFunc) (address string, server *http.Server) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := dial.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -422,3 +423,62 @@
 		})
 	}
 }
+
+// TestTimeOfOneRequestDoesNotBindTheNextOne: a connection is kept, and the answer to its
+// second request, of which the handler tells nothing, is read when the first one's time is
+// over.
+func TestTimeOfOneRequestDoesNotBindTheNextOne(t *testing.T) {
+	const size = 4 << 20
+	buffers := clientconn.NewBuffers(16<<20, func(clientconn.Ended) {})
+	handler := clientconn.Handler(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/first" {
+			clientconn.FromContext(request.Context()).Begin("first", time.Now().Add(time.Millisecond))
+			return
+		}
+		_ = answer(writer, size)
+	}))
+	address, _ := serve(t, buffers, handler.ServeHTTP)
+	conn := ask(t, address, "/first")
+	reader := bufio.NewReader(conn)
+	if _, err := http.ReadResponse(reader, nil); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, "GET /second HTTP/1.1\r\nHost: test\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "bytes are kept", func() bool { return buffers.Usage().Unread > size/2 })
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(response.Body); err != nil || len(got) != size {
+		t.Errorf("%d bytes came, %v", len(got), err)
+	}
+}
+
+// TestClientThatPausesGetsItsAnswer: a client that reads nothing for four seconds is no dark
+// one, also for the kernel.
+func TestClientThatPausesGetsItsAnswer(t *testing.T) {
+	const size = 4 << 20
+	buffers := clientconn.NewBuffers(16<<20, func(ended clientconn.Ended) { t.Logf("ended was %+v", ended) })
+	listener, err := dial.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{ConnContext: clientconn.WithConn, Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		clientconn.FromContext(request.Context()).Begin("pauses", time.Now().Add(time.Minute))
+		_ = answer(writer, size)
+	})}
+	t.Cleanup(func() { _ = server.Close() })
+	keeping := buffers.Listener(listener)
+	go func() { _ = server.Serve(keeping) }()
+	conn := ask(t, listener.Addr().String(), "/")
+	time.Sleep(4 * time.Second)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(response.Body); err != nil || len(got) != size {
+		t.Errorf("%d bytes came, %v", len(got), err)
+	}
+}
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -64,7 +64,7 @@
 	reliever := newReliever(router, settings)
 	router.metrics.Relief(reliever.state)
 	server := &http.Server{
-		Handler:           closeWhile(leaving, reliever.handler(handler(router))),
+		Handler:           clientconn.Handler(closeWhile(leaving, reliever.handler(handler(router)))),
 		ReadHeaderTimeout: clientHeaderTimeout,
 		IdleTimeout:       clientIdleTimeout,
 		ErrorLog:          logring.ServerLog(log.Log),
