Relief: a few slow clients of an idle router are no lack of its link

Cause: clients behind were compared with the requests in progress alone, of which an idle router has none.

Change: eight clients at least must be behind.

Result: the test has the case and passes.

--- a/internal/relief/relief.go
+++ b/internal/relief/relief.go
@@ -43,6 +43,9 @@
 	// behindPart is the part of requests in progress whose clients are behind from which
 	// that is the link's lack and not the clients'.
 	behindPart = 0.5
+	// leastBehind is how many clients must be behind for that: fewer slow clients of a router
+	// with little else to do say nothing of its link.
+	leastBehind = 8
 	// turnAfter is how long a router is short before it says that it is not ready: closing
 	// connections has had time to help.
 	turnAfter = 4 * time.Second
@@ -101,7 +104,7 @@
 	case Descriptors:
 		return s.DescriptorPart >= descriptorPart
 	case Link:
-		return s.Unsent >= unsentTime && float64(s.Behind) >= behindPart*float64(s.InProgress)
+		return s.Unsent >= unsentTime && s.Behind >= leastBehind && float64(s.Behind) >= behindPart*float64(s.InProgress)
 	}
 	return false
 }
--- a/internal/relief/relief_test.go
+++ b/internal/relief/relief_test.go
@@ -100,16 +100,22 @@
 
 // TestEachLackIsSeen: what a router is short of is told.
 func TestEachLackIsSeen(t *testing.T) {
-	for want, sample := range map[relief.Lack]relief.Sample{
-		relief.Processor:   late,
-		relief.Memory:      {MemoryPart: 0.8},
-		relief.Descriptors: {DescriptorPart: 0.9},
-		relief.Link:        {Unsent: 200 * time.Millisecond, InProgress: 20, Behind: 15},
-		relief.None:        {Unsent: 200 * time.Millisecond, InProgress: 20, Behind: 2},
+	for _, each := range []struct {
+		want   relief.Lack
+		sample relief.Sample
+	}{
+		{relief.Processor, late},
+		{relief.Memory, relief.Sample{MemoryPart: 0.8}},
+		{relief.Descriptors, relief.Sample{DescriptorPart: 0.9}},
+		{relief.Link, relief.Sample{Unsent: 200 * time.Millisecond, InProgress: 20, Behind: 15}},
+		// A part of the clients is slow.
+		{relief.None, relief.Sample{Unsent: 200 * time.Millisecond, InProgress: 40, Behind: 15}},
+		// A few slow clients are all that an idle router has.
+		{relief.None, relief.Sample{Unsent: 2 * time.Second, Behind: 3}},
 	} {
 		var judge relief.Judge
-		if last, _, _ := seconds(&judge, sample, zone, clock, 3*time.Second); last.Lack != want {
-			t.Errorf("%+v is taken for a lack of %q", sample, last.Lack)
+		if last, _, _ := seconds(&judge, each.sample, zone, clock, 3*time.Second); last.Lack != each.want {
+			t.Errorf("%+v is taken for a lack of %q", each.sample, last.Lack)
 		}
 	}
 }
