Tell who has come back by unusual deadlines, not by the route's limit

Cause: a try with less of its deadline left than the route's limit counted as one of a client that has come back, and so as late. Where a limit is raised under clients that know nothing of it, or clients wait for less than the limit, all of them counted as late.

Change: a router learns by route with which deadlines clients ask for the first time: the few that are told again and again. What is left to one that has come back is a time like no other.

--- a/internal/returning/returning.go
+++ b/internal/returning/returning.go
@@ -13,24 +13,30 @@
 )
 
 const (
-	// wholePart is the part of the route's time that a client has at least which asks for
-	// the first time: the rest is its way here.
+	// wholePart is the part of its time that a client has at least which asks for the first
+	// time: the rest is its way here.
 	wholePart = 0.97
 	// mostPromised bounds the promises that are held: as many as come back to one router
 	// within a few seconds of the hardest floods, some 50 a second.
 	mostPromised = 256
 )
 
-// FirstTry is since when a client has been asking whose try was received at a time with so much
-// of the route's time left. One that asks for the first time has nearly all of it, and one
-// that says nothing of its time is taken for such.
+// FirstTry is since when a client has been asking that waits so long in all, and whose try was
+// received at a time with so much of that left. One that asks for the first time has nearly
+// all of it, and one that says nothing of its time is taken for such.
 func FirstTry(received time.Time, whole, left time.Duration) time.Time {
-	if left <= 0 || left >= time.Duration(wholePart*float64(whole)) {
+	if AsksFirst(whole, left) {
 		return received
 	}
 	return received.Add(left - whole)
 }
 
+// AsksFirst tells whether a client that waits so long in all, with so much of that left, asks
+// for the first time.
+func AsksFirst(whole, left time.Duration) bool {
+	return left <= 0 || left >= time.Duration(wholePart*float64(whole))
+}
+
 // Room is how fast servers become free.
 type Room struct {
 	slots   int
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -37,9 +37,6 @@
 	// onTimePart is the part of its goal within which a request has to begin at a server to
 	// be answered in time: the rest is the reading of its prompt and the way back.
 	onTimePart = 0.85
-	// wholePart is the part of the route's time that a client has at least which
-	// asks for the first time.
-	wholePart = 0.97
 	// ownerPatiencePart is the part of its goal that a request may wait for the owner of its
 	// tenant's rate, and leastOwnerPatience the least time: an owner in another zone answers
 	// within a few milliseconds, and a machine that is busy within some tens.
@@ -64,6 +61,8 @@
 	tenant  *rockwindpb.Tenant
 	request upstream.Request
 	header  http.Header
+	// whole is how long the client waits in all, which has less left if it has come back.
+	whole time.Duration
 	// ends is when the client or the route no longer waits.
 	ends    time.Time
 	tried   []string
@@ -190,8 +189,7 @@
 	if !e.router.gates.On(gate.Returns) {
 		return e.received
 	}
-	whole := time.Duration(e.route.GetTimeoutMs()) * time.Millisecond
-	return returning.FirstTry(e.received, whole, e.facts.Deadline)
+	return returning.FirstTry(e.received, e.whole, e.facts.Deadline)
 }
 
 func (e *exchange) priority() waiting.Priority {
@@ -257,8 +255,7 @@
 // mayComeBack tells whether the client has all of its time left: it is told early
 // to come back, and is in time then. One that has come back waits instead.
 func (e *exchange) mayComeBack() bool {
-	whole := time.Duration(e.route.GetTimeoutMs()) * time.Millisecond
-	return e.facts.Deadline >= time.Duration(wholePart*float64(whole))
+	return e.facts.Deadline > 0 && returning.AsksFirst(e.whole, e.facts.Deadline)
 }
 
 // mayTryAgain tells whether another server may be tried.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -45,6 +45,7 @@
 	witness    *Witness
 	protocol   Protocol
 	jobs       *jobclient.Client
+	deadlines  routeDeadlines
 	rates      *rateclient.Client
 	buffers    *clientconn.Buffers
 	started    time.Time
@@ -169,6 +170,7 @@
 		facts:   facts,
 		header:  header,
 		ends:    received.Add(limit),
+		whole:   r.wholeTime(route, facts.Deadline),
 
 		received: received,
 		request: upstream.Request{
@@ -188,6 +190,15 @@
 	return created
 }
 
+// wholeTime is how long a client waits in all that has so much of its time left, zero where it
+// does not say.
+func (r *Router) wholeTime(route *rockwindpb.Route, left time.Duration) time.Duration {
+	if !r.gates.On(gate.Returns) {
+		return time.Duration(route.GetTimeoutMs()) * time.Millisecond
+	}
+	return r.deadlines.whole(route.GetName(), left)
+}
+
 // ServiceOf chooses the service of a request by the weights of the route's split.
 func ServiceOf(route *rockwindpb.Route, id string) string {
 	total := uint64(0)
