Copy runs that may run once where servers end, and go on from the copy

A stream that may run once was lost when its server ended. Servers keep copies of a run's memory at a second server if they are asked to; nothing asked.

The second server is a healthy one with room in the same zone, or in another one where the zone fails. A run goes on there once the one before is known to have ended (it refuses connections, or another incarnation has its address) or is out of reach, and its connection is closed; a server that only closed the connection may still work on the run. The gate continuation switches it off.

--- /dev/null
+++ b/internal/balance/second_test.go
@@ -0,0 +1,66 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"rockwind.example/rockwind/internal/balance"
+)
+
+// copyingPool is a pool in zone-0 with two servers in each of two zones.
+func copyingPool() (*balance.Pool, *rand.Rand) {
+	pool := balance.NewPool("app", "zone-0", balance.NewShares())
+	var members []balance.Member
+	for each := range 4 {
+		members = append(members, balance.Member{
+			ID: fmt.Sprint("s", each), Address: fmt.Sprint("address-", each), Zone: fmt.Sprint("zone-", each%2), Slots: 2,
+		})
+	}
+	pool.Update(members)
+	return pool, rand.New(rand.NewPCG(1, 2))
+}
+
+func TestCopyIsInTheZoneOfItsRunUnlessThatFails(t *testing.T) {
+	pool, random := copyingPool()
+	for range 20 {
+		if holder, found := pool.Second("s1", false, 0, random); !found || holder.ID != "s3" {
+			t.Fatalf("the copy of a run at s1 is at %q", holder.ID)
+		}
+		if holder, found := pool.Second("s1", true, 0, random); !found || holder.Zone != "zone-0" {
+			t.Fatalf("the copy is at %q in %q", holder.ID, holder.Zone)
+		}
+	}
+}
+
+// TestNoCopyIsSentWhereThereIsNoRoom fills the servers one after the other.
+func TestNoCopyIsSentWhereThereIsNoRoom(t *testing.T) {
+	pool, random := copyingPool()
+	fill := func(id string) {
+		for range 2 {
+			if _, found := pool.At(id, balance.Demand{}, 0); !found {
+				t.Fatalf("no request begins at %s", id)
+			}
+		}
+	}
+	fill("s2")
+	if holder, found := pool.Second("s0", false, 0, random); !found || holder.Zone != "zone-1" {
+		t.Fatalf("with its zone full the copy is at %q", holder.ID)
+	}
+	fill("s1")
+	fill("s3")
+	if holder, found := pool.Second("s0", false, 0, random); found {
+		t.Fatalf("with all others full the copy is at %q", holder.ID)
+	}
+}
+
+func TestRunDoesNotGoOnAtAServerThatLeft(t *testing.T) {
+	pool, _ := copyingPool()
+	choice, _ := pool.At("s2", balance.Demand{}, 0)
+	pool.Gone(choice)
+	for _, id := range []string{"s2", "never-seen"} {
+		if _, found := pool.At(id, balance.Demand{}, 0); found {
+			t.Errorf("a run goes on at %s", id)
+		}
+	}
+}
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -53,6 +53,12 @@
 	// ended under the same content.
 	RequestHeld Kind = "request held"
 	ItemHeld    Kind = "item held"
+	// RunCopied: a run that may run once is copied to a second server, and RunContinued: it
+	// goes on there since the first one has ended. RunLost: it ended with its server, though it
+	// was copied.
+	RunCopied    Kind = "run copied"
+	RunContinued Kind = "run continued"
+	RunLost      Kind = "run lost"
 	// AddressAsked: an address was asked which of several incarnations of servers is there.
 	AddressAsked Kind = "address asked"
 	// DependencyLost and DependencyRegained tell of coordinators and stores.
@@ -61,7 +67,7 @@
 )
 
 // sampled kinds are written for one request in sampleOf only.
-var sampled = map[Kind]bool{RequestFinished: true, RequestAbandoned: true, ItemStarted: true}
+var sampled = map[Kind]bool{RequestFinished: true, RequestAbandoned: true, ItemStarted: true, RunCopied: true}
 
 const (
 	// sampleOf is how many requests stand for one that is written.
--- /dev/null
+++ b/internal/router/continuation.go
@@ -0,0 +1,260 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/continuation"
+	"rockwind.example/rockwind/internal/decision"
+	"rockwind.example/rockwind/internal/directory"
+	"rockwind.example/rockwind/internal/gate"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/upstream"
+)
+
+// endedLook is how long a server may take to show, by refusing connections, that it has
+// ended: it shows at once, or its machine is gone.
+const endedLook = 100 * time.Millisecond
+
+// copies decides which runs are copied. Its methods may be called by any goroutine.
+type copies struct {
+	origin time.Time
+
+	mutex sync.Mutex
+	watch *continuation.Watch
+	// seen is the directory that the watch has seen.
+	seen *directory.View
+}
+
+func newCopies() *copies {
+	return &copies{origin: time.Now(), watch: continuation.NewWatch(continuation.Selective)}
+}
+
+// plan decides about a run at the server of a lease.
+func (c *copies) plan(view *directory.View, service string, lease *Lease) continuation.Plan {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	now := time.Since(c.origin)
+	if view != c.seen {
+		c.seen = view
+		c.watch.See(incarnations(view), now)
+	}
+	known, _ := view.Server(lease.ID)
+	return c.watch.Plan(continuation.Run{Service: service, Address: lease.Address, Zone: known.GetZone()}, now)
+}
+
+func (c *copies) ran(service string, took time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.watch.Ran(service, took)
+}
+
+// ran notes how long a stream was at its server.
+func (e *exchange) ran() {
+	if e.route.GetKind() == rockwindpb.RouteKind_ROUTE_KIND_STREAM && e.router.gates.On(gate.Continuation) {
+		e.router.copies.ran(e.service, time.Since(e.trySent))
+	}
+}
+
+// incarnations lists the servers of a directory that serve or have ended without leaving.
+func incarnations(view *directory.View) []continuation.Server {
+	var all []continuation.Server
+	for _, server := range view.Servers() {
+		ended := view.Ended(server.GetId())
+		if server.GetState() == rockwindpb.ServerState_SERVER_STATE_GONE && !ended {
+			continue
+		}
+		all = append(all, continuation.Server{
+			ID: server.GetId(), Service: server.GetService(), Address: server.GetAddress(), Zone: server.GetZone(), Ended: ended,
+		})
+	}
+	return all
+}
+
+// copied is a run that a second server keeps a copy of.
+type copied struct {
+	holder balance.Member
+	// began tells that an event of it was relayed, and unnumbered that one had no number: the
+	// run can't go on after it.
+	began      bool
+	unnumbered bool
+	// lookout watches the first server.
+	lookout *Lookout
+	// continued tells that it goes on at the holder; torn, that it did not go on after the
+	// last event.
+	continued bool
+	torn      bool
+}
+
+// mayCopy tells whether the request is one that a copy can help: it may run once, and its
+// servers keep copies.
+func (e *exchange) mayCopy() bool {
+	if e.repeatable() || e.sent > 0 || e.route.GetKind() != rockwindpb.RouteKind_ROUTE_KIND_STREAM || !e.router.gates.On(gate.Continuation) {
+		return false
+	}
+	service, found := e.router.watcher.Configuration().Service(e.service)
+	return found && service.GetEngine().GetCopiesRuns()
+}
+
+// copyRun decides whether the run that begins at the server of the lease is copied, and where.
+func (e *exchange) copyRun(lease *Lease) {
+	if e.copy != nil && e.copy.continued {
+		return
+	}
+	e.copy = nil
+	if !e.mayCopy() {
+		return
+	}
+	plan := e.router.copies.plan(e.router.watcher.Directory(), e.service, lease)
+	if !plan.Copied() {
+		return
+	}
+	holder, found := e.router.dispatcher.Second(e.service, lease.ID, plan.OtherZone())
+	if !found {
+		return
+	}
+	e.copy = &copied{holder: holder}
+	decision.Default.Record(decision.RunCopied, e.facts.ID, log.Fields{
+		"service": e.service, "server": lease.ID, "holder": holder.ID, "other_zone": plan.OtherZone(), "chance": plan.Chance(),
+	})
+}
+
+// address tells the fields of a try about the copy.
+func (c *copied) address(try Try) Try {
+	switch {
+	case c == nil:
+	case c.continued:
+		try.ContinueFrom = c.holder.Address
+	default:
+		try.CopyTo = c.holder.Address
+	}
+	return try
+}
+
+// watched returns the context of a try, which ends where its server falls silent and is out
+// of reach although the run could go on.
+func (e *exchange) watched(ctx context.Context, lease *Lease) (context.Context, func()) {
+	run := e.copy
+	if run == nil || run.continued {
+		return ctx, func() {}
+	}
+	run.lookout = NewLookout(ctx, e.router.client, lease.Address, time.Duration(e.route.GetPauseGoalMs())*time.Millisecond)
+	return run.lookout.Context(), run.lookout.Stop
+}
+
+// heard notes that the server has sent something of a run that could go on from there.
+func (e *exchange) heard() {
+	if e.copy != nil && e.copy.began && !e.copy.continued {
+		e.copy.lookout.Heard()
+	}
+}
+
+// numbered returns those of the events of a copied run that go to the client: all of them
+// at the first server, whose last number is noted. Where the run went on, the first one has to
+// be the next one.
+func (e *exchange) numbered(whole []byte) []byte {
+	run := e.copy
+	for _, event := range upstream.Events(whole) {
+		if run.continued && event.HasSequence && !run.began {
+			run.torn = event.Sequence != e.relayed.Last()+1
+			run.began = true
+		}
+		run.unnumbered = run.unnumbered || !event.HasSequence
+		if !run.continued {
+			run.began = true
+			e.relayed.Take(event)
+		}
+	}
+	switch {
+	case run.torn:
+		return nil
+	case run.continued:
+		return e.newEvents(whole)
+	}
+	return whole
+}
+
+// torn tells that the run did not go on after its last event.
+func (e *exchange) torn() bool { return e.copy != nil && e.copy.torn }
+
+// notRelayed is the verdict on a stream of which a piece was not passed on.
+func (e *exchange) notRelayed() verdict {
+	if !e.torn() {
+		return verdictGone
+	}
+	e.reason = "the server with the copy did not go on after the last event"
+	return verdictBroken
+}
+
+// mayContinue tells whether a run that broke off goes on at the server with its copy. The
+// server before has to be known to have ended, or to be out of reach: one that only closed
+// the connection may still work on it.
+func (e *exchange) mayContinue(ctx context.Context, lease *Lease) bool {
+	run := e.copy
+	if run == nil || run.continued || !run.began || run.unnumbered || ctx.Err() != nil || time.Until(e.ends) <= 0 || e.held() != nil {
+		return false
+	}
+	if run.lookout.Dark() {
+		return true
+	}
+	switch e.router.client.Reach(ctx, lease.Address, endedLook) {
+	case upstream.ReachRefused, upstream.ReachSilent:
+		return true
+	case upstream.ReachListens:
+		// Another incarnation may have the address by now.
+		return e.router.watcher.Directory().Ended(lease.ID)
+	}
+	return false
+}
+
+// goOn has the run go on at the server with its copy, and returns the lease of that server
+// and what came of it.
+func (e *exchange) goOn(ctx context.Context, before *Lease) (*Lease, verdict) {
+	run := e.copy
+	lease := e.router.dispatcher.At(e.service, run.holder.ID, e.demand())
+	if lease == nil {
+		e.reason = "the server with the copy of the run has left"
+		e.recordLost(before)
+		return before, verdictBroken
+	}
+	fields := e.fields()
+	fields["server"], fields["holder"], fields["last_event"], fields["reason"] = before.ID, lease.ID, e.relayed.Last(), e.reason
+	decision.Default.Record(decision.RunContinued, e.facts.ID, fields)
+	run.continued, run.began = true, false
+	outcome := e.try(ctx, lease)
+	if outcome == verdictElsewhere {
+		outcome = verdictBroken
+	}
+	if outcome == verdictBroken {
+		e.recordLost(lease)
+	}
+	return lease, outcome
+}
+
+func (e *exchange) recordLost(lease *Lease) {
+	fields := e.fields()
+	fields["server"], fields["reason"] = lease.ID, e.reason
+	decision.Default.Record(decision.RunLost, e.facts.ID, fields)
+}
+
+// Second returns a server that keeps the copy of a run, where one is well and has room.
+func (d *Dispatcher) Second(service, first string, otherZone bool) (balance.Member, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.service(service).pool.Second(first, otherZone, d.now(), d.random)
+}
+
+// At returns a lease of a given server, whatever its load, or nil where it has left.
+func (d *Dispatcher) At(service, id string, demand balance.Demand) *Lease {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	choice, found := d.service(service).pool.At(id, demand, d.now())
+	if !found {
+		return nil
+	}
+	return d.lease(service, choice)
+}
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -77,6 +77,8 @@
 	fingerprint *fingerprint.Fingerprint
 	// trySent is when the last try was sent.
 	trySent time.Time
+	// copy is that of the run, nil where there is none.
+	copy *copied
 }
 
 // verdict tells what becomes of the request after a try.
@@ -91,6 +93,8 @@
 	verdictBroken
 	// verdictGone: the client has left.
 	verdictGone
+	// verdictContinue: the run goes on at the server that has a copy of it.
+	verdictContinue
 )
 
 // repeatable tells whether the request may run more than once.
@@ -133,7 +137,11 @@
 			e.fail(ctx, held)
 			return
 		}
-		switch e.try(ctx, lease) {
+		outcome := e.try(ctx, lease)
+		if outcome == verdictContinue {
+			lease, outcome = e.goOn(ctx, lease)
+		}
+		switch outcome {
 		case verdictFinished:
 			e.record(decision.RequestFinished, lease, "")
 			return
@@ -229,13 +237,16 @@
 
 // try sends the request to one server.
 func (e *exchange) try(ctx context.Context, lease *Lease) verdict {
+	e.copyRun(lease)
 	e.request.Header = e.header.Clone()
-	e.router.protocol.Prepare(e.request.Header, Try{
+	e.router.protocol.Prepare(e.request.Header, e.copy.address(Try{
 		ServerID: lease.ID, Remaining: time.Until(e.ends), ResumeAfter: e.relayed.String(), Tenant: e.tenant.GetName(),
-	})
+	}))
+	trying, end := e.watched(ctx, lease)
+	defer end()
 	began := time.Now()
 	e.trySent = began
-	response, err := e.router.client.Do(ctx, lease.Address, &e.request, 0)
+	response, err := e.router.client.Do(trying, lease.Address, &e.request, 0)
 	if err != nil {
 		return e.tryFailed(ctx, lease, err)
 	}
--- /dev/null
+++ b/internal/router/lookout.go
@@ -0,0 +1,85 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"rockwind.example/rockwind/internal/upstream"
+)
+
+const (
+	// quietPart is the part of the longest good pause of a stream after which its server is
+	// looked at: what is left is for the look, and for the way to another server, so that the
+	// client sees no pause beyond the good one.
+	quietPart = 0.5
+	// lookPart is the part of that pause within which a server that is in reach takes a
+	// connection, and leastLook the least time for it: machines in another zone that are busy
+	// take some tens of milliseconds.
+	lookPart  = 0.25
+	leastLook = 100 * time.Millisecond
+	// lookAgain is the time between looks at a server that says nothing but is in reach: it is
+	// slow, and each look costs it a connection.
+	lookAgain = time.Second
+	// neverYet is longer than any request, for a timer that is not to run yet.
+	neverYet = time.Hour
+)
+
+// errServerDark ends a try whose server is out of reach.
+var errServerDark = errors.New("the server says nothing and is out of reach")
+
+// Lookout watches the server of a stream that could go on elsewhere. It ends the context of the
+// try once the server says nothing and is out of reach. A server that says nothing but takes
+// connections may be slow, and is waited for.
+type Lookout struct {
+	client  *upstream.Client
+	address string
+	pause   time.Duration
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	timer   *time.Timer
+}
+
+// NewLookout returns a lookout for the server at an address, whose longest good pause is
+// given; zero is none, and then nothing is looked at. It looks at the server from the first
+// call of Heard on.
+func NewLookout(ctx context.Context, client *upstream.Client, address string, pause time.Duration) *Lookout {
+	trying, cancel := context.WithCancelCause(ctx)
+	created := &Lookout{client: client, address: address, pause: pause, ctx: trying, cancel: cancel}
+	created.timer = time.AfterFunc(neverYet, created.look)
+	created.timer.Stop()
+	return created
+}
+
+// Context is that of the try.
+func (l *Lookout) Context() context.Context { return l.ctx }
+
+// Heard notes that the server has sent something.
+func (l *Lookout) Heard() {
+	if l.pause > 0 {
+		l.timer.Reset(l.of(quietPart))
+	}
+}
+
+func (l *Lookout) of(part float64) time.Duration { return time.Duration(part * float64(l.pause)) }
+
+// look ends the try where the server is out of reach.
+func (l *Lookout) look() {
+	switch l.client.Reach(l.ctx, l.address, max(leastLook, l.of(lookPart))) {
+	case upstream.ReachSilent, upstream.ReachRefused:
+		l.cancel(errServerDark)
+	default:
+		if l.ctx.Err() == nil {
+			l.timer.Reset(lookAgain)
+		}
+	}
+}
+
+// Dark tells whether the server was found out of reach.
+func (l *Lookout) Dark() bool { return errors.Is(context.Cause(l.ctx), errServerDark) }
+
+// Stop ends the watch, and the context.
+func (l *Lookout) Stop() {
+	l.timer.Stop()
+	l.cancel(nil)
+}
--- a/internal/router/protocol.go
+++ b/internal/router/protocol.go
@@ -33,6 +33,12 @@
 	Remaining time.Duration
 	// ResumeAfter is the last event that was relayed, empty for a new stream.
 	ResumeAfter string
+	// CopyTo is the address of the server that keeps a copy of the run's memory, empty where
+	// none does.
+	CopyTo string
+	// ContinueFrom is the address that had the copy from which the run goes on, empty for a
+	// run that begins. ResumeAfter is set beside it.
+	ContinueFrom string
 	// Tenant is the one that the client's key belongs to, empty where there is none.
 	Tenant string
 }
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -63,6 +63,7 @@
 func (e *exchange) finish(lease *Lease, response *upstream.Response, latency time.Duration) {
 	response.Finish()
 	e.router.witness.Answered(e.content())
+	e.ran()
 	outcome := health.Success
 	if response.Status >= http.StatusInternalServerError {
 		outcome = health.Failure
@@ -93,6 +94,9 @@
 	}
 	lease.Done(health.Failure, latency)
 	e.broke(lease, cause)
+	if e.mayContinue(ctx, lease) {
+		return verdictContinue
+	}
 	return e.afterBreak()
 }
 
@@ -137,8 +141,9 @@
 			lease.Read()
 			if !e.relayPiece(splitter.Add(buffer[:n]), response, controller) {
 				e.abandon(lease, response)
-				return verdictGone
+				return e.notRelayed()
 			}
+			e.heard()
 		}
 		switch {
 		case err == nil:
@@ -172,11 +177,14 @@
 		return true
 	}
 	kept := whole
-	if e.route.GetResumable() {
+	switch {
+	case e.copy != nil:
+		kept = e.numbered(whole)
+	case e.route.GetResumable():
 		kept = e.newEvents(whole)
 	}
 	if len(kept) == 0 {
-		return true
+		return !e.torn()
 	}
 	e.writeHead(response)
 	if _, err := e.writer.Write(kept); err != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -44,6 +44,7 @@
 	dispatcher *Dispatcher
 	client     *upstream.Client
 	witness    *Witness
+	copies     *copies
 	protocol   Protocol
 	jobs       *jobclient.Client
 	rates      *rateclient.Client
@@ -65,6 +66,7 @@
 		dispatcher: NewDispatcher(settings.GetZone(), gates),
 		client:     client,
 		witness:    NewWitness(watcher, client),
+		copies:     newCopies(),
 		protocol:   protocol,
 		jobs:       jobs,
 		rates:      rateclient.New(jobs, settings.GetName(), func() int { return len(watcher.Directory().WithRole(rockwindpb.SiteRole_SITE_ROLE_ROUTER)) }),
--- /dev/null
+++ b/internal/upstream/reach_test.go
@@ -0,0 +1,35 @@
+package upstream_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rockwind.example/rockwind/internal/upstream"
+)
+
+func TestReachTellsAServerThatEndedFromOneOutOfReach(t *testing.T) {
+	for name, test := range map[string]struct {
+		dial upstream.DialFunc
+		want upstream.Reach
+	}{
+		"listens": {func(context.Context, string) (net.Conn, error) { near, _ := net.Pipe(); return near, nil }, upstream.ReachListens},
+		"refuses": {func(context.Context, string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+		}, upstream.ReachRefused},
+		"says nothing": {func(ctx context.Context, _ string) (net.Conn, error) { <-ctx.Done(); return nil, ctx.Err() }, upstream.ReachSilent},
+		"unclear":      {func(context.Context, string) (net.Conn, error) { return nil, errors.New("no descriptors") }, upstream.ReachUnclear},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				if got := upstream.NewClientWithDial(test.dial).Reach(t.Context(), "10.0.0.1:1", time.Second); got != test.want {
+					t.Errorf("got %v, want %v", got, test.want)
+				}
+			})
+		})
+	}
+}
