--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -307,7 +307,7 @@
 		lease.Done(health.Failure, latency)
 		return verdictElsewhere
 	}
-	if e.started && response.Status != http.StatusOK {
+	if e.started && (response.Status != http.StatusOK || !isEventStream(response.Header)) {
 		response.Abandon()
 		lease.Done(health.Failure, latency)
 		return e.afterBreak()
