A stop waits for slow clients until its grace is over

Cause: a router that stopped gave clients 350 ms after the last request to read what was kept for them, although the requests in progress had seconds.

--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -111,13 +111,15 @@
 }
 
 // serveClients serves until the context ends. Then the requests in progress have the given
-// time, and the clients to read what is kept for them.
+// time, and the clients to read what is kept for them a little more.
 func (r *Router) serveClients(ctx context.Context, server *http.Server, listener net.Listener, grace time.Duration) error {
+	stopped := make(chan time.Time, 1)
+	context.AfterFunc(ctx, func() { stopped <- time.Now() })
 	err := site.Serve(ctx, server, listener, grace)
 	if ctx.Err() == nil {
 		return err
 	}
-	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopMargin/2)
+	stopping, cancel := context.WithDeadline(context.WithoutCancel(ctx), (<-stopped).Add(grace+stopMargin/2))
 	defer cancel()
 	r.buffers.Drain(stopping)
 	return err
