What is kept for a client ends with its request, however slowly it reads

Cause: a client that takes less than 4 KB a second lets the kernel take nothing more for 5 s, and its answer was ended although its request had time left and it was reading.

Change: only requests that tell no end are bound by 5 s.

--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -12,8 +13,11 @@
 
 const (
 	// stallLimit is how long a client may take nothing of what is kept for it where its
-	// request gave no end: longer than the pause after which a client of a stream gives up
-	// itself, and so short that a client that has gone dark costs memory for no longer.
+	// request gave no end, and how long the kernel waits for one that accepts nothing: longer
+	// than the 2 s after which a client of a stream gives up a silent one, and so short that a
+	// client that has gone dark costs memory for no longer. The kernel takes more only when a
+	// third of its buffer is free, so that one slower than 4 KB a second takes nothing for as
+	// long.
 	stallLimit = 5 * time.Second
 	// shortStallLimit is the same for an answer that waits for room: its server waits as
 	// well, would cut the answer off after a few seconds, and has a place taken until then.
@@ -254,7 +258,7 @@
 		if n > 0 {
 			c.signal()
 		}
-		if err != nil {
+		if err != nil && (n == 0 || !errors.Is(err, os.ErrDeadlineExceeded)) {
 			c.end(ReasonWrite, err)
 			return
 		}
@@ -270,9 +274,9 @@
 		return nil, time.Time{}
 	}
 	if len(c.kept) > 0 {
-		deadline := time.Now().Add(stallLimit)
-		if !c.ends.IsZero() && c.ends.Before(deadline) {
-			deadline = c.ends
+		deadline := c.ends
+		if deadline.IsZero() {
+			deadline = time.Now().Add(stallLimit)
 		}
 		first := c.kept[0]
 		return first.bytes[first.read:first.written], deadline
