Hear at once that a coordinator is back

Cause: a process that had lost its coordinator asked the next one as usual, and was held for 1 s for want of news.

Change: the first watch after a lost one asks without a wait. The test's network breaks calls off as their process ends.

--- a/internal/coordinator/return_test.go
+++ b/internal/coordinator/return_test.go
@@ -28,11 +28,18 @@
 	startSpread = 200 * time.Millisecond
 )
 
-// links carries the calls of a site in memory. A process that does not run refuses.
+// links carries the calls of a site in memory. A process that does not run refuses, and one
+// that ends breaks the calls off that it has.
 type links struct {
-	mutex    sync.Mutex
-	handlers map[string]http.Handler
-	calls    int
+	mutex   sync.Mutex
+	serving map[string]listening
+	calls   int
+}
+
+// listening is a process that takes calls, until its context ends.
+type listening struct {
+	ctx     context.Context
+	handler http.Handler
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -40,24 +47,28 @@
 	time.Sleep(linkDelay)
 	l.mutex.Lock()
 	l.calls++
-	handler := l.handlers[request.URL.Host]
+	called, runs := l.serving[request.URL.Host]
 	l.mutex.Unlock()
-	if handler == nil {
+	if !runs || called.ctx.Err() != nil {
 		return nil, errors.Newf("no process at %s", request.URL.Host)
 	}
+	ctx, cancel := context.WithCancel(request.Context())
+	defer cancel()
+	defer context.AfterFunc(called.ctx, cancel)()
 	recorder := httptest.NewRecorder()
-	handler.ServeHTTP(recorder, request)
+	called.handler.ServeHTTP(recorder, request.WithContext(ctx))
 	time.Sleep(linkDelay)
-	if err := request.Context().Err(); err != nil {
-		return nil, err
+	if ctx.Err() != nil {
+		return nil, errors.Newf("the call to %s broke off", request.URL.Host)
 	}
 	return recorder.Result(), nil
 }
 
-func (l *links) mount(address string, handler http.Handler) {
+// serve has a process take calls until the context ends.
+func (l *links) serve(ctx context.Context, address string, handler http.Handler) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.handlers[address] = handler
+	l.serving[address] = listening{ctx: ctx, handler: handler}
 }
 
 // process is a coordinator or a watcher of a site in virtual time.
@@ -86,7 +97,7 @@
 // inVirtualSite runs a test with a site of the given size that knows a configuration.
 func inVirtualSite(t *testing.T, size int, run func(s *virtualSite)) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &virtualSite{t: t, links: &links{handlers: map[string]http.Handler{}}, random: rand.New(rand.NewPCG(3, 3))}
+		s := &virtualSite{t: t, links: &links{serving: map[string]listening{}}, random: rand.New(rand.NewPCG(3, 3))}
 		s.client = &http.Client{Transport: s.links}
 		for position := range size {
 			added := &process{name: fmt.Sprintf("p%d", position)}
@@ -136,11 +147,10 @@
 		s.t.Fatal(err)
 	}
 	c.host, p.coordinator = host, c
-	s.links.mount(p.name, c.internalHandler(nil))
+	s.links.serve(ctx, p.name, c.internalHandler(nil))
 	ended := make(chan error, 1)
 	go func() { ended <- host.Run(ctx) }()
 	p.stop = func() {
-		s.links.mount(p.name, nil)
 		p.disk.Kill()
 		cancel()
 		<-ended
@@ -252,13 +262,13 @@
 				s.restart(s.processes, startSpread)
 				s.awaitReady(s.processes)
 				took := slowest(s.processes)
-				t.Logf("%d processes: ready %v after the last coordinator's start, %d calls", size, took, s.links.calls)
+				s.t.Logf("%d processes: ready %v after the last coordinator's start, %d calls", size, took, s.links.calls)
 				if took > 150*time.Millisecond {
-					t.Errorf("the last process is ready after %v", took)
+					s.t.Errorf("the last process is ready after %v", took)
 				}
 				for _, p := range s.processes {
 					if p.watcher != nil && (p.watcher.Configuration().Number() != 1 || len(p.watcher.Stores()) != 1) {
-						t.Fatalf("%s knows configuration %d and %d stores", p.name, p.watcher.Configuration().Number(), len(p.watcher.Stores()))
+						s.t.Fatalf("%s knows configuration %d and %d stores", p.name, p.watcher.Configuration().Number(), len(p.watcher.Stores()))
 					}
 				}
 			})
@@ -288,15 +298,32 @@
 				s.awaitCoordinators()
 				s.awaitReady(s.processes)
 				took := time.Since(began)
-				t.Logf("back %v after the last start", took)
+				s.t.Logf("back %v after the last start", took)
 				if took > time.Second {
-					t.Errorf("the site is back after %v", took)
+					s.t.Errorf("the site is back after %v", took)
 				}
 			})
 		})
 	}
 }
 
+// TestLivingProcessesHearAtOnceThatCoordinatorsAreBack ends the coordinators alone. The others
+// have nothing to learn, and know soon after the start that a coordinator hears them: what
+// they deny or let in rests on when one was heard last.
+func TestLivingProcessesHearAtOnceThatCoordinatorsAreBack(t *testing.T) {
+	inVirtualSite(t, 96, func(s *virtualSite) {
+		s.restart(s.processes[:coordinators], 0)
+		s.awaitCoordinators()
+		began := time.Now()
+		time.Sleep(300 * time.Millisecond)
+		for _, p := range s.processes {
+			if p.watcher != nil && p.watcher.LastHeard().Before(began.Add(-100*time.Millisecond)) {
+				s.t.Fatalf("%s heard a coordinator %v before they were back", p.name, began.Sub(p.watcher.LastHeard()))
+			}
+		}
+	})
+}
+
 // awaitCoordinators waits until all coordinators hear their leader and are up to date.
 func (s *virtualSite) awaitCoordinators() {
 	s.t.Helper()
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -150,6 +150,13 @@
 	decision.Default.Record(decision.DependencyRegained, address, fields)
 }
 
+// isLost tells whether the last watch failed, or there was none.
+func (w *Watcher) isLost() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.lost
+}
+
 // Configuration is the one in force; it has number zero before the first.
 func (w *Watcher) Configuration() *configuration.Index { return w.follower.Current() }
 
@@ -272,7 +279,12 @@
 		ctx, disarm = withConnectLimit(ctx, connectPatience)
 		defer disarm()
 	}
-	response, err := service.Watch(ctx, w.watchRequest(held, watchWait))
+	wait := watchWait
+	if w.isLost() {
+		// Nothing may be new; that the coordinator answers is.
+		wait = 0
+	}
+	response, err := service.Watch(ctx, w.watchRequest(held, wait))
 	if err != nil {
 		return fault.From(err)
 	}
