Tell paces only where servers tell theirs

Cause: on sites whose servers do not tell their pace, digests carried what runs showed, which nobody used: bytes between zones that were not there before.

Change: Pool.Own leaves paces out until a server has told its own. The test of such sites asks for it and fails without the change.

--- a/internal/balance/pace/regret_test.go
+++ b/internal/balance/pace/regret_test.go
@@ -133,6 +133,22 @@
 	}
 }
 
+// TestProcessesDoNotMeetAtTheSameFreeSlots: at all that uneven servers can do, processes whose
+// loads are old fill the slots that all see as free, and find them taken, while others stay
+// empty. Those that pass their own slots on have a quarter of the requests late.
+func TestProcessesDoNotMeetAtTheSameFreeSlots(t *testing.T) {
+	const (
+		load, slowdown = 1, 3
+		part           = 0.25
+	)
+	plain := play(1, ways[0].pacer, slowdown, load)
+	paced := play(1, func(*site) balance.Pacer { return pace.New() }, slowdown, load)
+	t.Logf("free slots %+v, paces %+v", plain, paced)
+	if paced.late > part*plain.late {
+		t.Errorf("%+v with paces, %+v by free slots", paced, plain)
+	}
+}
+
 // BenchmarkRegret reports what requests meet by each way to know the paces, in milliseconds.
 func BenchmarkRegret(b *testing.B) {
 	const seeds = 4
--- a/internal/balance/pacer_test.go
+++ b/internal/balance/pacer_test.go
@@ -41,6 +41,11 @@
 			pool.Ended(choice, health.Success, 20*time.Millisecond, now, rand.New(rand.NewPCG(1, 2)))
 		}
 	}
+	paced.Own(requests*10*time.Millisecond, func(_ uint32, load balance.SharedLoad) {
+		if load.Pace != (balance.SharedPace{}) {
+			t.Errorf("others are told %+v", load.Pace)
+		}
+	})
 	if known := paced.Paces(requests * 10 * time.Millisecond); known != nil {
 		t.Errorf("the paces count as known: %v", known)
 	}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -152,7 +152,8 @@
 // exponentially with the time to the first event that it is expected to take. Processes
 // that see the same loads fill the servers evenly that way, however old their digests are:
 // if each took the best one, all would take the same. A process that hears of no other
-// takes the best one.
+// takes the best one. Where servers tell their pace, a free slot counts the less the slower
+// its server is, and far more if only this process knows of it.
 func (p *Pool) Choose(demand Demand, tried []string, now time.Duration, random *rand.Rand) (Choice, bool) {
 	if demand.Batch && !p.batchFits(now, random) {
 		return Choice{}, false
--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -203,9 +203,10 @@
 // At is what all other processes together have at a server.
 func (s *Shares) At(server uint32) SharedLoad { return s.sums[server] }
 
-// Own lists what this process has at the servers of the pool, and which of them it takes
-// for failing.
+// Own lists what this process has at the servers of the pool, which of them it takes for
+// failing, and their paces where servers tell theirs.
 func (p *Pool) Own(now time.Duration, visit func(server uint32, load SharedLoad)) {
+	informed := p.informed(now)
 	for place, known := range p.servers {
 		if known == nil {
 			continue
@@ -214,7 +215,7 @@
 		if known.gone || p.tracker.Failing(place, now) {
 			load.Suspects = 1
 		}
-		if p.pacer != nil {
+		if informed {
 			load.Pace = p.pacer.Own(place, now)
 		}
 		if load != (SharedLoad{}) {
--- a/internal/loadshare/pace_test.go
+++ b/internal/loadshare/pace_test.go
@@ -1,7 +1,6 @@
 package loadshare_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -102,7 +101,7 @@
 			}
 			bytes[paced] /= len(members) * seconds
 		}
-		t.Log(fmt.Sprintf("%d processes: %d bytes a second to other zones a process, %d with paces", len(members), bytes[0], bytes[1]))
+		t.Logf("%d processes: %d bytes a second to other zones a process, %d with paces", len(members), bytes[0], bytes[1])
 		if bytes[1] > budget {
 			t.Errorf("%d processes: %d bytes a second to other zones a process, more than %d", len(members), bytes[1], budget)
 		}
