--- a/internal/relaybudget/budget.go
+++ b/internal/relaybudget/budget.go
@@ -98,9 +98,6 @@
 // Readers is how many clients are behind.
 func (b *Budget[O]) Readers() int { return len(b.readers) }
 
-// Used is the part of the budget that is in use.
-func (b *Budget[O]) Used() float64 { return float64(b.used()) / float64(b.limit) }
-
 func (b *Budget[O]) used() int64 { return b.unread + b.bodies }
 
 // HasRoom tells whether any reader may keep so many bytes more.
