--- a/internal/balance/pacer_test.go
+++ b/internal/balance/pacer_test.go
@@ -143,3 +143,17 @@
 		t.Error("the server is out")
 	}
 }
+
+// TestRunsAreComparedByWhatAUsualServerNeeds: where paces are not known all are usual.
+func TestRunsAreComparedByWhatAUsualServerNeeds(t *testing.T) {
+	slow, unknown := balance.Choice{Pace: 2.5}, balance.Choice{}
+	if got := slow.Usual(5 * time.Second); got != 2*time.Second {
+		t.Errorf("5 s at a server that is 2.5 times slower are %v", got)
+	}
+	if got := slow.There(2 * time.Second); got != 5*time.Second {
+		t.Errorf("2 s are %v there", got)
+	}
+	if unknown.Usual(time.Second) != time.Second || unknown.There(time.Second) != time.Second {
+		t.Error("a server of unknown pace is not usual")
+	}
+}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -136,6 +136,17 @@
 	return time.Duration(float64(c.Uncached) / readRate * c.Slowness() * float64(time.Millisecond))
 }
 
+// Usual is how long a usual server takes for what the chosen one takes so long for. Items of
+// jobs are compared by what they need themselves, not by where the last ones ran.
+func (c Choice) Usual(ran time.Duration) time.Duration {
+	return time.Duration(float64(ran) / c.Slowness())
+}
+
+// There is how long the chosen server takes for what a usual one takes so long for.
+func (c Choice) There(usual time.Duration) time.Duration {
+	return time.Duration(float64(usual) * c.Slowness())
+}
+
 // Slowness is the pace, 1 where servers count as alike.
 func (c Choice) Slowness() float64 {
 	if c.Pace == 0 {
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -282,7 +282,7 @@
 		e.claims.Release(claim)
 		return false
 	}
-	active.server, active.slowness = lease.ID, lease.Slowness()
+	active.server, active.choice = lease.ID, lease.Choice
 	e.active[key] = active
 	if !decision.Wanted(decision.ItemStarted, item.Job) {
 		decision.Default.Skip(decision.ItemStarted)
@@ -335,7 +335,7 @@
 	}
 	if active != nil && end.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_DONE {
 		whole := end.history.made()
-		e.pace(active.service).Ended(whole-active.madeBefore, whole, active.usual(time.Since(active.began)))
+		e.pace(active.service).Ended(whole-active.madeBefore, whole, active.choice.Usual(time.Since(active.began)))
 	}
 	recordEnd(end, e.term)
 	if end.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_UNSPECIFIED {
--- a/internal/store/yield.go
+++ b/internal/store/yield.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/backlog"
+	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -30,9 +31,8 @@
 	began     time.Time
 	// madeBefore is how many events of the output earlier tries have made.
 	madeBefore int
-	// slowness is how long work was expected to take at the server, as a multiple of what is
-	// usual.
-	slowness float64
+	// choice is the choice of the server, which tells how fast it is.
+	choice balance.Choice
 	cancel   context.CancelCauseFunc
 	yielding bool
 }
@@ -42,17 +42,6 @@
 	return !a.yielding && now.Sub(a.began) >= shortestTry
 }
 
-// usual is how long a usual server takes for what the one of the try takes so long for, and
-// there is how long that one takes for what takes a usual one so long. Items are compared by
-// what they need themselves, not by where the last ones ran.
-func (a *activeTry) usual(ran time.Duration) time.Duration {
-	return time.Duration(float64(ran) / a.slowness)
-}
-
-func (a *activeTry) there(usual time.Duration) time.Duration {
-	return time.Duration(float64(usual) * a.slowness)
-}
-
 // yield ends tries at servers that online requests need, in the order of the backlog.
 func (e *executor) yield(now time.Time) {
 	services := make(map[string]bool)
