--- a/internal/store/yield.go
+++ b/internal/store/yield.go
@@ -32,7 +32,7 @@
 	// madeBefore is how many events of the output earlier tries have made.
 	madeBefore int
 	// choice is the choice of the server, which tells how fast it is.
-	choice balance.Choice
+	choice   balance.Choice
 	cancel   context.CancelCauseFunc
 	yielding bool
 }
