--- a/internal/store/order.go
+++ b/internal/store/order.go
@@ -70,4 +70,6 @@
 func (e *executor) backlogTry(try *activeTry) backlog.Item {
 	remaining := try.there(e.pace(try.service).Remaining(try.madeBefore)) - time.Since(try.began)
 	return backlog.NewItem(try.submitted, dueTime(try.route, try.submitted), max(0, remaining)).Of(try.tenant, e.weight(try.tenant))
+	remaining := try.choice.There(e.pace(try.service).Remaining(try.madeBefore)) - time.Since(try.began)
+	return backlog.NewItem(try.submitted, dueTime(try.route, try.submitted), max(0, remaining))
 }
