Leave the view's list of servers as it is when asking who holds an address

Cause: the list of a view is shared by all who look at it since answers to watchers come from one sorted list; View.Holders deleted from it in place, and each first report of a server emptied the list that watchers and the keeper read.

Change: Holders works on a copy. Found by reading the join.

Measured: TestQuestionsLeaveTheViewAsItIs fails without the change.

--- a/internal/directory/incarnations.go
+++ b/internal/directory/incarnations.go
@@ -37,7 +37,8 @@
 	if v.servers[report.GetId()] != nil {
 		return nil
 	}
-	return slices.DeleteFunc(v.Servers(), func(server *rockwindpb.Server) bool {
+	// The list of all servers is shared by all who look at the view.
+	return slices.DeleteFunc(slices.Clone(v.Servers()), func(server *rockwindpb.Server) bool {
 		return server.GetState() == rockwindpb.ServerState_SERVER_STATE_GONE || server.GetAddress() != report.GetAddress()
 	})
 }
--- a/internal/directory/incarnations_test.go
+++ b/internal/directory/incarnations_test.go
@@ -328,3 +328,21 @@
 		}
 	})
 }
+
+// TestQuestionsLeaveTheViewAsItIs: others read the same view meanwhile.
+func TestQuestionsLeaveTheViewAsItIs(t *testing.T) {
+	d := directory.New()
+	for _, id := range []string{"a", "b", "c"} {
+		d.Apply(directory.Admit(&rockwindpb.Server{Id: id, Address: "at-" + id, State: ready, Sequence: 1}, nil, directory.Identity{}))
+	}
+	view := d.View()
+	before := fmt.Sprint(view.Servers())
+	unknown := &rockwindpb.Server{Id: "d", Address: "at-c", State: ready, Sequence: 1}
+	holders := view.Holders(unknown)
+	view.Holders(&rockwindpb.Server{Id: "e", Address: "at-e", State: ready, Sequence: 1})
+	directory.Settle(append(holders, unknown), directory.Identity{Found: "d"})
+	view.Contests()
+	if after := fmt.Sprint(view.Servers()); after != before {
+		t.Fatalf("the view has %s after the questions, %s before", after, before)
+	}
+}
