Answer nothing from before a restart: wait for what the leader had committed

Cause: a coordinator answered as soon as it heard its leader and had applied an entry of the leader's term. That proves only what was committed before the election. One that restarts alone, while leader and term stay, has such an entry in its log, and the first heartbeat tells only the commit that is known of its own log: it answered the state from before it was away.

Change: heartbeats carry all that the leader has committed. The core keeps the first that a replica hears in a term (entries carry it already), and until its first answer since a start a coordinator waits until it has applied as much.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -60,7 +60,8 @@
 	// identifier is nil where addresses can't be asked who is there.
 	identifier Identifier
 	identities identities
-	// wasCurrent tells that this coordinator has heard its leader since its start.
+	// wasCurrent tells that this coordinator was up to date with its leader once since its
+	// start: it has answered from its state.
 	wasCurrent atomic.Bool
 }
 
@@ -185,15 +186,16 @@
 	return group, machine, nil
 }
 
-// current returns the state as applied here, where this replica hears the leader and has
-// applied all that was committed before that leader was elected. A replica that has just
-// started hears the leader before it has applied anything.
+// current returns the state as applied here, where this replica hears the leader. It has then
+// applied all that was committed before that leader was elected and, until the first answer
+// since the start, all that the leader had committed when it was first heard: a replica that
+// was away hears the leader of its last term before it holds what it missed.
 func (c *Coordinator) current() (replica.Group, *rootView, error) {
 	group, machine, err := c.group()
 	if err != nil {
 		return nil, nil, err
 	}
-	if status := group.Status(); !status.GetHearsLeader() || status.GetAppliedTerm() != status.GetTerm() {
+	if !upToDate(group.Status(), c.wasCurrent.Load()) {
 		return nil, nil, fault.New(fault.Unavailable, "this coordinator does not hear the leader of the root group",
 			"ask another coordinator").WithRan(fault.NotRun)
 	}
@@ -201,6 +203,16 @@
 	return group, machine.view(), nil
 }
 
+// upToDate tells whether a replica may answer from what it has applied. Before is set once it
+// has answered since its start.
+func upToDate(status *rockwindpb.GroupStatus, before bool) bool {
+	if !status.GetHearsLeader() || status.GetAppliedTerm() != status.GetTerm() {
+		return false
+	}
+	known := status.GetLeaderCommit()
+	return before || (known != 0 && status.GetApplied() >= known)
+}
+
 // awaitCurrent is current, and waits for it where this coordinator has just started: those
 // who ask would only come again. They get their answer with the first entry of the new
 // leader, and not with their next call. A coordinator that loses its leader later says so at
--- a/internal/coordinator/return_test.go
+++ b/internal/coordinator/return_test.go
@@ -348,3 +348,48 @@
 		}
 	}
 }
+
+// TestCoordinatorThatWasAwayDoesNotAnswerItsOldState restarts one coordinator alone. Leader
+// and term stay, and what was committed meanwhile it must hold before it answers.
+func TestCoordinatorThatWasAwayDoesNotAnswerItsOldState(t *testing.T) {
+	inVirtualSite(t, coordinators, func(s *virtualSite) {
+		s.awaitCoordinators()
+		away := s.processes[1]
+		if _, leads := s.rootOf(away).Leading(); leads {
+			away = s.processes[2]
+		}
+		term := s.rootOf(away).Status().GetTerm()
+		away.stop()
+		machine := &rockwindpb.Machine{Name: "late", Role: rockwindpb.SiteRole_SITE_ROLE_STORE, Address: "late"}
+		command := &rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Announce{Announce: machine}}
+		if err := s.processes[0].coordinator.change(s.t.Context(), command); err != nil {
+			s.t.Fatal(err)
+		}
+		// Longer than any call to the coordinator that is away is under way.
+		time.Sleep(5 * time.Second)
+		s.start(away)
+		for deadline := time.Now().Add(time.Minute); ; time.Sleep(100 * time.Microsecond) {
+			if _, view, err := away.coordinator.current(); err == nil {
+				if !view.directory.KnowsMachine(machine) {
+					s.t.Errorf("%v after its start it answers the state from before it was away", time.Since(away.started))
+				}
+				break
+			} else if time.Now().After(deadline) {
+				s.t.Fatalf("not current a minute after its start: %v", err)
+			}
+		}
+		if now := s.rootOf(away).Status().GetTerm(); now != term {
+			s.t.Fatalf("term %d became %d: the test shows nothing", term, now)
+		}
+	})
+}
+
+// rootOf returns the root group at a coordinator.
+func (s *virtualSite) rootOf(p *process) replica.Group {
+	s.t.Helper()
+	group, _, err := p.coordinator.group()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return group
+}
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -41,9 +41,11 @@
 	n.leading = &leading{progress: make(map[uint64]*progress)}
 	n.trackMembers()
 	n.leading.progress[n.id].match = n.log.persisted()
-	if _, err := n.appendOwn(rockwindpb.EntryKind_ENTRY_KIND_EMPTY, nil); err != nil {
+	first, err := n.appendOwn(rockwindpb.EntryKind_ENTRY_KIND_EMPTY, nil)
+	if err != nil {
 		return
 	}
+	n.leaderCommit = first
 	n.broadcastHeartbeat()
 }
 
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -26,6 +26,9 @@
 	// Below ElectionTicks the replica votes for nobody, since a leader may hold
 	// a lease that rests on it.
 	leaderElapsed int
+	// leaderCommit is what the leader of the term had committed when this replica first
+	// heard it since its start; see Status.
+	leaderCommit uint64
 	// restarted tells that this replica has neither led nor heard a leader since its start.
 	restarted bool
 	// polled holds the voters that would vote in an election that needs all of them.
@@ -247,6 +250,7 @@
 		MembershipIndex: n.members.currentIndex(),
 		LeaseValid:      n.LeaseValid(),
 		HearsLeader:     n.hearsLeader(),
+		LeaderCommit:    n.leaderCommit,
 	}
 	if n.role != Leader {
 		return status
--- a/internal/raft/read.go
+++ b/internal/raft/read.go
@@ -87,6 +87,8 @@
 			To:      member.GetId(),
 			Commit:  min(n.matchOf(member.GetId()), n.log.committed),
 			Context: n.round,
+
+			LeaderCommit: n.log.committed,
 		})
 	}
 	n.leading.progress[n.id].ackedRound = n.round
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -121,6 +121,11 @@
 	n.electionElapsed = 0
 	n.leaderElapsed = 0
 	n.restarted = false
+	if n.leaderCommit == 0 {
+		// The commit of a heartbeat of an earlier version is as much as can be known, and
+		// that of entries is all. A snapshot tells neither; a heartbeat follows.
+		n.leaderCommit = max(message.GetLeaderCommit(), message.GetCommit())
+	}
 	return handle(message)
 }
 
@@ -141,6 +146,7 @@
 	if term != n.term {
 		n.term = term
 		n.vote = 0
+		n.leaderCommit = 0
 	}
 	n.role = Follower
 	n.leader = leader
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -257,6 +257,7 @@
 		Repaired:      repaired(status),
 		HearsLeader:   status.HearsLeader,
 		AppliedTerm:   appliedTerm,
+		LeaderCommit:  status.LeaderCommit,
 	}
 }
 
