End a call for the configuration that was spared and hangs

Cause: when a coordinator becomes the preferred one, a call for the configuration that waits there is not cut, as it is about to be answered. Where it is not, the next watch only hinted: a number that was hinted before wakes nobody, and the call hung to its end, 3 s and more.

Change: the watch remembers that it spared a call, and the next answer of the same coordinator redirects. It cuts a call only where a higher number is told than is in force.

The packages site and coordinator pass.

--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -59,6 +59,10 @@
 	// heard is when a coordinator last answered a watch, in Unix nanoseconds.
 	heard atomic.Int64
 
+	// spared is the coordinator whose last answer left a call there alone, empty otherwise;
+	// the watch's own.
+	spared string
+
 	mutex   sync.Mutex
 	changed chan struct{}
 	// preferred is the coordinator that answered last.
@@ -292,10 +296,14 @@
 	w.heard.Store(time.Now().UnixNano())
 	// The hint makes the follower ask the preferred coordinator, which must be the
 	// one that has the news. A call that waits there already is about to be answered, and
-	// is not cut: the next watch hints where it is not.
+	// is not cut. Where the next answer shows that it was not, it hangs: a hint would not
+	// end it, as the number may have been hinted before.
+	spared := w.spared == address
+	w.spared = ""
 	switch changed := w.prefer(address); {
 	case changed && w.asks(address):
-	case changed:
+		w.spared = address
+	case changed || spared:
 		w.follower.Redirect(response.GetConfigurationNumber())
 	default:
 		w.follower.Hint(response.GetConfigurationNumber())
--- a/internal/site/watcher_test.go
+++ b/internal/site/watcher_test.go
@@ -24,8 +24,9 @@
 	lostCalls atomic.Int64
 	// machines are those of the directory. They are set before the start.
 	machines []*rockwindpb.Machine
-	// watches counts the calls.
-	watches atomic.Int64
+	// watches counts the calls for the directory, and configurationCalls those for the
+	// configuration.
+	watches, configurationCalls atomic.Int64
 }
 
 func newFakeCoordinator(number uint64) *fakeCoordinator {
@@ -107,6 +108,7 @@
 }
 
 func (f fakeConfiguration) Watch(ctx context.Context, request *rockwindpb.WatchConfigurationRequest) (*rockwindpb.WatchConfigurationResponse, error) {
+	f.configurationCalls.Add(1)
 	if f.lostCalls.Add(-1) >= 0 {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -168,6 +170,29 @@
 	awaitNumber(t, watcher, 1, watchWait)
 }
 
+// TestCallThatHangsIsGivenUpThoughItsCoordinatorIsPreferredAnew: the call for a newer
+// configuration hangs at the coordinator that tells of it, whose number was hinted before. The
+// coordinator's first answer leaves the call alone, since it waits at the right place; the
+// next one ends it.
+func TestCallThatHangsIsGivenUpThoughItsCoordinatorIsPreferredAnew(t *testing.T) {
+	only := newFakeCoordinator(1)
+	watcher := follow(t, only.start(t))
+	awaitNumber(t, watcher, 1, 10*time.Second)
+	awaitCall := func(before int64) {
+		for deadline := time.Now().Add(10 * time.Second); only.configurationCalls.Load() == before; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatal("the configuration is not asked for")
+			}
+		}
+	}
+	awaitCall(1)
+	watcher.follower.Hint(2)
+	awaitCall(2)
+	only.number.Store(2)
+	watcher.preferNearest()
+	awaitNumber(t, watcher, 2, watchWait)
+}
+
 // follow runs a watcher of the given seeds until the end of the test.
 func follow(t *testing.T, seeds ...string) *Watcher {
 	t.Helper()
