Let a lost unanimous candidate step down, and candidates refuse polls

Cause: a candidate that needs all votes and got a rejection stayed a candidate, and refused all polls, until its timer fired. An ordinary candidate granted polls: whoever it granted one could start the next term against a leader that was just elected. A replica that goes first polled anew for each poll that reached it, and each of those may make others poll.

Change: one rejection ends a unanimous election; a candidate of either kind refuses polls; a replica polls once a tick. The comment on leases says what spec/lease.pml says: a leader never votes in such an election.

Measured: the three tests fail without the change (candidate after a rejection; a poll granted by a candidate; 3 polls in a tick) and pass with it. The simulation tests of raft pass unchanged, replica and coordinator too.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -166,12 +166,21 @@
 		n.campaign(false)
 	case n.votesWon():
 		n.becomeLeader()
-	case n.countVotes(false) >= quorumOf(len(voters(n.members.current()))):
+	case n.votesLost():
 		n.becomeFollower(n.term, 0)
 	}
 	return nil
 }
 
+// votesLost tells whether the election can't be won any more: by the rejection of a majority,
+// or of one voter where all votes are needed.
+func (n *Node) votesLost() bool {
+	if n.unanimous {
+		return n.countVotes(false) > 0
+	}
+	return n.countVotes(false) >= quorumOf(len(voters(n.members.current())))
+}
+
 func (n *Node) handleTimeoutNow(message *rockwindpb.Message) error {
 	if n.role == Follower && n.leader == message.GetFrom() && n.mayCampaign() {
 		n.campaign(true)
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -33,6 +33,8 @@
 	restarted bool
 	// polled holds the voters that would vote in an election that needs all of them.
 	polled map[uint64]bool
+	// nextPoll is the first tick at which this replica may poll again.
+	nextPoll uint64
 	// unanimous tells that the election under way needs the votes of all voters.
 	unanimous bool
 	// granted holds the answers to this replica's (pre-)votes.
--- a/internal/raft/unanimous.go
+++ b/internal/raft/unanimous.go
@@ -8,9 +8,10 @@
 // buys nothing: measured, 0.3 to 0.6 s of each return after a loss of all power.
 //
 // A candidate that needs the votes of all voters is safe at any time. Whoever holds a
-// lease is one of them, and gives it up as it moves to the candidate's term to vote:
-// once all votes are granted, no leader of an older term is left. It takes a membership
-// that is known to be committed, since a leader that removes itself leads until then.
+// lease is one of them, and grants no vote: it has led since its start, and ignores the
+// request. Once all votes are granted, nobody holds one (spec/lease.pml). It takes a
+// membership that is known to be committed, since a leader that removes itself leads until
+// then.
 //
 // Only replicas that have neither led nor heard a leader since their start take part, so
 // that no leader is disturbed. Among them the one whose log ends last stands, and the
@@ -34,12 +35,13 @@
 		n.mayCampaign() && n.members.currentIndex() <= n.log.committed
 }
 
-// poll asks all voters whether they would vote. The election timer goes on, so that an
-// election that a majority wins is not put off.
+// poll asks all voters whether they would vote, at most once a tick: each poll may make others
+// poll. The election timer goes on, so that an election that a majority wins is not put off.
 func (n *Node) poll() {
-	if !n.mayPoll() {
+	if !n.mayPoll() || n.ticks < n.nextPoll {
 		return
 	}
+	n.nextPoll = n.ticks + 1
 	n.polled = map[uint64]bool{n.id: true}
 	if n.pollWon() {
 		n.campaignForAll()
@@ -87,9 +89,10 @@
 }
 
 // standsFirst tells whether this replica goes before a candidate that needs the votes of
-// all. It asks for votes itself then: the other one has just shown that it is up.
+// all. It asks for votes itself then: the other one has just shown that it is up. A candidate
+// of either kind may lead in a moment, and goes before everyone.
 func (n *Node) standsFirst(message *rockwindpb.Message) bool {
-	if n.role == Candidate && n.unanimous {
+	if n.role == Candidate {
 		return true
 	}
 	if !n.mayPoll() || !n.outranks(message) {
--- a/internal/raft/unanimous_test.go
+++ b/internal/raft/unanimous_test.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"testing"
+
+	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
 // restarted returns a cluster that had a leader and whose processes all started again.
@@ -114,3 +116,94 @@
 		t.Fatalf("no leader %d ticks after the last start", electionTicks/2)
 	}
 }
+
+// TestUnanimousCandidateStepsDownAtARejection: an election that needs all votes is lost with
+// one rejection. Its candidate answers polls again at once.
+func TestUnanimousCandidateStepsDownAtARejection(t *testing.T) {
+	n, other := polling(t)
+	n.campaignForAll()
+	if n.role != Candidate {
+		t.Fatalf("it is %v", n.role)
+	}
+	step(t, n, &rockwindpb.Message{Kind: rockwindpb.MessageKind_MESSAGE_KIND_VOTE_REPLY, From: other[0], Term: n.term, Reject: true})
+	if n.role != Follower {
+		t.Errorf("after a rejection it is %v", n.role)
+	}
+}
+
+// TestCandidateGrantsNoPoll: a candidate may lead in a moment, and a poll that it granted would
+// start the next term against it.
+func TestCandidateGrantsNoPoll(t *testing.T) {
+	for name, stand := range map[string]func(n *Node){
+		"ordinary":  func(n *Node) { n.campaign(false) },
+		"unanimous": (*Node).campaignForAll,
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, other := polling(t)
+			stand(n)
+			n.messages = nil
+			poll(t, n, other[0], n.log.lastIndex()+1)
+			if len(n.messages) != 1 || !n.messages[0].GetReject() {
+				t.Errorf("it answers a poll with %v", n.messages)
+			}
+		})
+	}
+}
+
+// TestReplicaPollsOnceATick: whoever goes first polls when a poll shows that another replica
+// is up, but not for each of them.
+func TestReplicaPollsOnceATick(t *testing.T) {
+	n, other := polling(t)
+	for tick := range 3 {
+		for _, id := range other {
+			poll(t, n, id, n.log.lastIndex()-1)
+		}
+		polls := 0
+		for _, message := range n.messages {
+			if message.GetKind() == rockwindpb.MessageKind_MESSAGE_KIND_PRE_VOTE && message.GetTo() == other[0] {
+				polls++
+			}
+		}
+		if polls != 1 {
+			t.Errorf("%d polls in tick %d", polls, tick)
+		}
+		n.messages = nil
+		n.Tick()
+	}
+}
+
+// polling returns a replica that has just started again, and the identities of the others.
+func polling(t *testing.T) (*Node, []uint64) {
+	t.Helper()
+	n := restarted(t).machines[0].node
+	if !n.mayPoll() {
+		t.Fatal("it may not poll")
+	}
+	var others []uint64
+	for _, id := range voters(n.members.current()) {
+		if id != n.id {
+			others = append(others, id)
+		}
+	}
+	return n, others
+}
+
+// poll has a replica polled by one whose log ends at the given index.
+func poll(t *testing.T, n *Node, from, index uint64) {
+	t.Helper()
+	lastTerm, err := n.log.lastTerm()
+	if err != nil {
+		t.Fatal(err)
+	}
+	step(t, n, &rockwindpb.Message{
+		Kind: rockwindpb.MessageKind_MESSAGE_KIND_PRE_VOTE, From: from, Term: n.term + 1, LogTerm: lastTerm, Index: index, Unanimous: true,
+	})
+}
+
+func step(t *testing.T, n *Node, message *rockwindpb.Message) {
+	t.Helper()
+	message.To = n.id
+	if err := n.Step(message); err != nil {
+		t.Fatal(err)
+	}
+}
