Ask contested addresses in turn, and end only those a question was about

Cause: (a) a report that joined another one's question applied the answer to the holders that it knew itself: one that became known after the address was asked could be taken for ended. (b) A round asked the first 32 contested addresses in a fixed order; the others were never asked. (c) The record of an answer wrote into the list of the command that was on its way.

Change: the question returns its holders with the answer; those that were not asked for longest go first; the record copies the list.

--- a/internal/coordinator/incarnations.go
+++ b/internal/coordinator/incarnations.go
@@ -46,7 +46,8 @@
 // identities asks addresses which incarnation is there.
 type identities struct {
 	asks singleflight.Group
-	// asked is when the addresses of contests were last asked; the keeper's own.
+	// asked is when the addresses of contests were last asked, zero for those that were not;
+	// the keeper's own.
 	asked map[string]time.Time
 }
 
@@ -60,16 +61,24 @@
 	if len(holders) == 0 {
 		return directory.Admit(report, nil, directory.Identity{})
 	}
-	// Reports that were held back arrive together: one question serves them all.
-	asked, _, _ := c.identities.asks.Do(report.GetId(), func() (any, error) {
-		return c.identify(view, report), nil
+	// Reports that were held back arrive together: one question serves them all. It tells of
+	// the holders from before it was asked, and not of those that a later caller knows.
+	shared, _, _ := c.identities.asks.Do(report.GetId(), func() (any, error) {
+		return answered{identity: c.identify(view, report), holders: holders}, nil
 	})
-	identity, _ := asked.(directory.Identity)
-	command := directory.Admit(report, holders, identity)
-	recordIdentity(append(slices.Clone(holders), report), identity, command)
+	answer, _ := shared.(answered)
+	command := directory.Admit(report, answer.holders, answer.identity)
+	recordIdentity(append(slices.Clone(answer.holders), report), answer.identity, command)
 	return command
 }
 
+// answered is what a question to an address found out, and about whom it was asked beside the
+// incarnation that reported.
+type answered struct {
+	identity directory.Identity
+	holders  []*rockwindpb.Server
+}
+
 // identify asks the address of a server who is there. It does not depend on the call that
 // brought the report, since others may wait for the same answer.
 func (c *Coordinator) identify(view *rootView, expected *rockwindpb.Server) directory.Identity {
@@ -110,17 +119,23 @@
 }
 
 // due returns the contests whose addresses are to be asked now, and remembers that they are.
+// Where they are too many for one round, those go first that were not asked for longest.
 func (i *identities) due(contests [][]*rockwindpb.Server, now time.Time) [][]*rockwindpb.Server {
 	kept := make(map[string]time.Time)
 	var due [][]*rockwindpb.Server
 	for _, contest := range contests {
 		address := contest[0].GetAddress()
-		last, before := i.asked[address]
-		if (!before || now.Sub(last) >= askInterval) && len(due) < mostAsked {
+		kept[address] = i.asked[address]
+		if now.Sub(kept[address]) >= askInterval {
 			due = append(due, contest)
-			last = now
 		}
-		kept[address] = last
+	}
+	slices.SortStableFunc(due, func(a, b []*rockwindpb.Server) int {
+		return kept[a[0].GetAddress()].Compare(kept[b[0].GetAddress()])
+	})
+	due = due[:min(len(due), mostAsked)]
+	for _, contest := range due {
+		kept[contest[0].GetAddress()] = now
 	}
 	i.asked = kept
 	return due
@@ -132,7 +147,7 @@
 	for _, each := range incarnations {
 		known = append(known, each.GetId())
 	}
-	ended := append(command.GetSuccession().GetEnded(), command.GetLeave().GetId())
+	ended := append(slices.Clone(command.GetSuccession().GetEnded()), command.GetLeave().GetId())
 	decision.Default.Record(decision.AddressAsked, incarnations[0].GetAddress(), log.Fields{
 		"incarnations": known, "found": identity.Found, "denied": identity.Denied, "ended": slices.DeleteFunc(ended, isEmpty),
 	})
