Let the hold after a start fit the times of those who ask

Cause: a coordinator that has just started holds calls for up to 600 ms. Who looked for a nearer one waited 400 ms, took it for failed and avoided it for 10 s, also once it answered. A watcher's wait of 1 s began after the hold: 1.6 s, beyond its 1.5 s.

A coordinator that answers a look is no longer avoided. The hold counts within the wait of calls for the directory and for the configuration.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -36,10 +36,6 @@
 	foundingPause = 100 * time.Millisecond
 	// leaderPause is the time between attempts to reach a leader.
 	leaderPause = 30 * time.Millisecond
-	// startHold is how long a coordinator that has just started holds calls until it hears
-	// its leader: as long as an election takes at most where all coordinators answer. One
-	// that is cut off holds up those who ask it for no longer.
-	startHold = 600 * time.Millisecond
 	// startRecheck is how often it looks meanwhile; entries that are applied wake it.
 	startRecheck = 10 * time.Millisecond
 	// stopTimeout bounds the calls in progress at a planned stop.
@@ -220,7 +216,7 @@
 func (c *Coordinator) awaitCurrent(ctx context.Context) (replica.Group, *rootView, error) {
 	for began := time.Now(); ; {
 		group, view, err := c.current()
-		if err == nil || c.wasCurrent.Load() || time.Since(began) > startHold {
+		if err == nil || c.wasCurrent.Load() || time.Since(began) > site.StartHold {
 			return group, view, err
 		}
 		applied, failure := c.applied()
--- a/internal/coordinator/return_test.go
+++ b/internal/coordinator/return_test.go
@@ -393,3 +393,52 @@
 	}
 	return group
 }
+
+// TestHoldAfterAStartCountsWithinTheWait: whoever asks for news sets how long it waits for an
+// answer, which a coordinator that has just started and hears no leader must not exceed.
+func TestHoldAfterAStartCountsWithinTheWait(t *testing.T) {
+	const wait, until = time.Second, 300 * time.Millisecond
+	for name, watch := range map[string]func(ctx context.Context, c *Coordinator, held *rootView) error{
+		"directory": func(ctx context.Context, c *Coordinator, held *rootView) error {
+			_, err := directoryService{c}.Watch(ctx, &rockwindpb.WatchDirectoryRequest{
+				HaveRevision: held.directory.Revision(), HaveConfiguration: held.catalog.Index().Number(), WaitMs: uint32(wait.Milliseconds()),
+			})
+			return err
+		},
+		"configuration": func(ctx context.Context, c *Coordinator, held *rootView) error {
+			index := held.catalog.Index()
+			_, err := configurationService{c}.Watch(ctx, &rockwindpb.WatchConfigurationRequest{
+				HaveNumber: index.Number(), HaveChecksum: index.Checksum(), WaitMs: uint32(wait.Milliseconds()),
+			})
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualSite(t, coordinators, func(s *virtualSite) {
+				s.awaitCoordinators()
+				first, others := s.processes[0], s.processes[1:]
+				_, held, err := first.coordinator.current()
+				if err != nil {
+					s.t.Fatal(err)
+				}
+				for _, p := range s.processes {
+					p.stop()
+				}
+				s.start(first)
+				time.Sleep(20 * time.Millisecond)
+				began, ended := time.Now(), make(chan error, 1)
+				go func() { ended <- watch(s.t.Context(), first.coordinator, held) }()
+				time.Sleep(until)
+				for _, p := range others {
+					s.start(p)
+				}
+				if err := <-ended; err != nil {
+					s.t.Fatal(err)
+				}
+				if took := time.Since(began); took < until || took > wait+freshnessInterval/5 {
+					s.t.Errorf("a call that waits for %v is answered after %v", wait, took)
+				}
+			})
+		})
+	}
+}
--- a/internal/coordinator/services.go
+++ b/internal/coordinator/services.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"rockwind.example/rockwind/internal/catalog"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/retry"
@@ -44,9 +46,10 @@
 	return service.Get(ctx, request)
 }
 
-// Watch implements rockwindpb.ConfigurationService. It fails at a replica that
-// does not hear the leader.
+// Watch implements rockwindpb.ConfigurationService. It fails at a replica that does not hear
+// the leader; where that has just started it waits for it first, as a part of the call's wait.
 func (s configurationService) Watch(ctx context.Context, request *rockwindpb.WatchConfigurationRequest) (*rockwindpb.WatchConfigurationResponse, error) {
+	began := time.Now()
 	if _, _, err := s.coordinator.awaitCurrent(ctx); err != nil {
 		return nil, fault.ToTwirp(err)
 	}
@@ -54,6 +57,8 @@
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
+	request = proto.CloneOf(request)
+	request.WaitMs -= min(request.GetWaitMs(), uint32(time.Since(began).Milliseconds()))
 	return service.Watch(ctx, request)
 }
 
@@ -126,13 +131,14 @@
 // Watch implements rockwindpb.DirectoryService: it answers soon after this replica
 // knows something newer, at once where that is a configuration or the watcher knows
 // nothing yet, or without news after the wait. It fails as soon as the replica no
-// longer hears the leader.
+// longer hears the leader; where that has just started it waits for it first, as a part of
+// the call's wait.
 func (s directoryService) Watch(ctx context.Context, request *rockwindpb.WatchDirectoryRequest) (*rockwindpb.WatchDirectoryResponse, error) {
+	wait := time.NewTimer(min(time.Duration(request.GetWaitMs())*time.Millisecond, maximumWait))
+	defer wait.Stop()
 	if _, _, err := s.coordinator.awaitCurrent(ctx); err != nil {
 		return nil, fault.ToTwirp(err)
 	}
-	wait := time.NewTimer(min(time.Duration(request.GetWaitMs())*time.Millisecond, maximumWait))
-	defer wait.Stop()
 	fresh := time.NewTicker(freshnessInterval)
 	defer fresh.Stop()
 	lingered := request.GetHaveRevision() == 0 || request.GetWaitMs() == 0
--- a/internal/site/nearer_test.go
+++ b/internal/site/nearer_test.go
@@ -56,6 +56,40 @@
 	awaitNumber(t, watcher, 2, 300*time.Millisecond)
 }
 
+// TestWatcherMovesToANearCoordinatorThatHasJustStarted: it holds calls until it hears its
+// leader, and has not failed.
+func TestWatcherMovesToANearCoordinatorThatHasJustStarted(t *testing.T) {
+	far, near := newFakeCoordinator(1), newFakeCoordinator(1)
+	near.hold.Store(int64(StartHold))
+	nearAddress := near.start(t)
+	far.machines = []*rockwindpb.Machine{coordinatorAt(nearAddress, "here")}
+	near.machines = far.machines
+	watcher := followFrom(t, "here", far.start(t))
+	awaitFirst(t, watcher, nearAddress, 4*time.Second)
+}
+
+// TestWatcherMovesToANearCoordinatorThatAnswersAgain: one that failed lately comes after the
+// others only until it answers.
+func TestWatcherMovesToANearCoordinatorThatAnswersAgain(t *testing.T) {
+	far, near := newFakeCoordinator(1), newFakeCoordinator(1)
+	nearAddress := near.start(t)
+	far.machines = []*rockwindpb.Machine{coordinatorAt(nearAddress, "here")}
+	near.machines = far.machines
+	watcher := followFrom(t, "here", far.start(t))
+	watcher.avoid(nearAddress)
+	awaitFirst(t, watcher, nearAddress, 4*time.Second)
+}
+
+// awaitFirst waits until a watcher prefers a coordinator.
+func awaitFirst(t *testing.T, watcher *Watcher, address string, limit time.Duration) {
+	t.Helper()
+	for deadline := time.Now().Add(limit); len(watcher.Coordinators()) == 0 || watcher.Coordinators()[0] != address; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("the watcher is with %v after %v", watcher.Coordinators(), limit)
+		}
+	}
+}
+
 // followFrom runs a watcher in a zone until the end of the test.
 func followFrom(t *testing.T, zone string, seeds ...string) *Watcher {
 	t.Helper()
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -447,6 +447,13 @@
 	}
 }
 
+// readmit notes that a coordinator answers again.
+func (w *Watcher) readmit(answering string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	delete(w.avoided, answering)
+}
+
 // Stores lists the internal addresses of the stores by name.
 func (w *Watcher) Stores() []*rockwindpb.Machine {
 	return w.Directory().WithRole(rockwindpb.SiteRole_SITE_ROLE_STORE)
--- a/internal/site/watcher_test.go
+++ b/internal/site/watcher_test.go
@@ -22,6 +22,8 @@
 	withholding atomic.Bool
 	// lostCalls is how many calls for the configuration are never answered.
 	lostCalls atomic.Int64
+	// hold is how long calls for the directory are held, in nanoseconds.
+	hold atomic.Int64
 	// machines are those of the directory. They are set before the start.
 	machines []*rockwindpb.Machine
 	// watches counts the calls for the directory, and configurationCalls those for the
@@ -64,6 +66,11 @@
 	if err := f.hang(ctx); err != nil {
 		return nil, err
 	}
+	select {
+	case <-time.After(time.Duration(f.hold.Load())):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 	if request.GetHaveRevision() == 1 && request.GetHaveConfiguration() >= f.number.Load() {
 		select {
 		case <-time.After(50 * time.Millisecond):
