Say in comments what directory, views and watches do now

Cause: comments told of the rule before addresses were asked who is there, and of a watch that fails at once at a coordinator that has just started.

--- a/internal/coordinator/services.go
+++ b/internal/coordinator/services.go
@@ -47,7 +47,8 @@
 }
 
 // Watch implements rockwindpb.ConfigurationService. It fails at a replica that does not hear
-// the leader; where that has just started it waits for it first, as a part of the call's wait.
+// the leader when the call comes; one that has just started waits until it is up to date with
+// its leader first, as a part of the call's wait.
 func (s configurationService) Watch(ctx context.Context, request *rockwindpb.WatchConfigurationRequest) (*rockwindpb.WatchConfigurationResponse, error) {
 	began := time.Now()
 	if _, _, err := s.coordinator.awaitCurrent(ctx); err != nil {
@@ -131,8 +132,8 @@
 // Watch implements rockwindpb.DirectoryService: it answers soon after this replica
 // knows something newer, at once where that is a configuration or the watcher knows
 // nothing yet, or without news after the wait. It fails as soon as the replica no
-// longer hears the leader; where that has just started it waits for it first, as a part of
-// the call's wait.
+// longer hears the leader; one that has just started waits until it is up to date with its
+// leader first, as a part of the call's wait.
 func (s directoryService) Watch(ctx context.Context, request *rockwindpb.WatchDirectoryRequest) (*rockwindpb.WatchDirectoryResponse, error) {
 	wait := time.NewTimer(min(time.Duration(request.GetWaitMs())*time.Millisecond, maximumWait))
 	defer wait.Stop()
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -6,7 +6,9 @@
 // Invariants:
 //   - the state of one incarnation of a server never goes back from draining or
 //     gone, whatever reports arrive late;
-//   - of several incarnations at one address, none is gone before another one was found there;
+//   - of several incarnations at one address, one is gone only where it left, or the address
+//     was asked and another one answered; a report of a version that did not ask ends all
+//     others there;
 //   - every change raises the revision, and an entry carries the revision at
 //     which it last changed, so that a watcher learns what is new from one number;
 //   - the founding of the stores' cluster is decided once.
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -39,7 +39,7 @@
 }
 
 // Ended tells whether an incarnation ended without having said that it leaves: it is silent,
-// or another one reported from its address while it was ready.
+// or another one was found at its address while it was ready.
 func (v *View) Ended(id string) bool {
 	server, known := v.servers[id]
 	if !known {
--- a/internal/site/nearer.go
+++ b/internal/site/nearer.go
@@ -15,8 +15,8 @@
 	firstSeek = time.Second
 	// seekInterval is the time between later looks. A look costs one call.
 	seekInterval = 5 * time.Second
-	// StartHold is how long a coordinator that has just started holds calls until it hears
-	// its leader: as long as an election takes at most where all coordinators answer. One
+	// StartHold is how long a coordinator that has just started holds calls until it is up to
+	// date with its leader: as long as an election takes at most where all coordinators answer. One
 	// that is cut off holds up those who ask it for no longer.
 	StartHold = 600 * time.Millisecond
 	// seekTimeout bounds the call that shows whether a coordinator answers: one that holds it
