--- a/internal/raft/unanimous_test.go
+++ b/internal/raft/unanimous_test.go
@@ -207,3 +207,28 @@
 		t.Fatal(err)
 	}
 }
+
+// TestFirstCommitOfALeaderIsKept: what a replica must hold before it is up to date does not
+// move on with each heartbeat, and is another one in the next term.
+func TestFirstCommitOfALeaderIsKept(t *testing.T) {
+	n, other := polling(t)
+	held := n.log.committed
+	heartbeat := func(term, commit, leaderCommit, want uint64) {
+		t.Helper()
+		step(t, n, &rockwindpb.Message{
+			Kind: rockwindpb.MessageKind_MESSAGE_KIND_HEARTBEAT, From: other[0], Term: term, Commit: commit, LeaderCommit: leaderCommit,
+		})
+		if got := n.Status().LeaderCommit; got != want {
+			t.Errorf("in term %d, after commits %d and %d, it is %d in place of %d", term, commit, leaderCommit, got, want)
+		}
+	}
+	if got := n.Status().LeaderCommit; got != 0 {
+		t.Errorf("before a leader is heard it is %d", got)
+	}
+	term := n.term
+	heartbeat(term, held, held+5, held+5)
+	heartbeat(term, held, held+9, held+5)
+	heartbeat(term+1, held, held+7, held+7)
+	// A leader of an earlier version does not tell.
+	heartbeat(term+2, held, 0, held)
+}
