--- a/internal/coordinator/return_test.go
+++ b/internal/coordinator/return_test.go
@@ -348,3 +348,97 @@
 		}
 	}
 }
+
+// TestCoordinatorThatWasAwayDoesNotAnswerItsOldState restarts one coordinator alone. Leader
+// and term stay, and what was committed meanwhile it must hold before it answers.
+func TestCoordinatorThatWasAwayDoesNotAnswerItsOldState(t *testing.T) {
+	inVirtualSite(t, coordinators, func(s *virtualSite) {
+		s.awaitCoordinators()
+		away := s.processes[1]
+		if _, leads := s.rootOf(away).Leading(); leads {
+			away = s.processes[2]
+		}
+		term := s.rootOf(away).Status().GetTerm()
+		away.stop()
+		machine := &rockwindpb.Machine{Name: "late", Role: rockwindpb.SiteRole_SITE_ROLE_STORE, Address: "late"}
+		command := &rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Announce{Announce: machine}}
+		if err := s.processes[0].coordinator.change(s.t.Context(), command); err != nil {
+			s.t.Fatal(err)
+		}
+		// Longer than any call to the coordinator that is away is under way.
+		time.Sleep(5 * time.Second)
+		s.start(away)
+		for deadline := time.Now().Add(time.Minute); ; time.Sleep(100 * time.Microsecond) {
+			if _, view, err := away.coordinator.current(); err == nil {
+				if !view.directory.KnowsMachine(machine) {
+					s.t.Errorf("%v after its start it answers the state from before it was away", time.Since(away.started))
+				}
+				break
+			} else if time.Now().After(deadline) {
+				s.t.Fatalf("not current a minute after its start: %v", err)
+			}
+		}
+		if now := s.rootOf(away).Status().GetTerm(); now != term {
+			s.t.Fatalf("term %d became %d: the test shows nothing", term, now)
+		}
+	})
+}
+
+// rootOf returns the root group at a coordinator.
+func (s *virtualSite) rootOf(p *process) replica.Group {
+	s.t.Helper()
+	group, _, err := p.coordinator.group()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return group
+}
+
+// TestHoldAfterAStartCountsWithinTheWait: whoever asks for news sets how long it waits for an
+// answer, which a coordinator that has just started and hears no leader must not exceed.
+func TestHoldAfterAStartCountsWithinTheWait(t *testing.T) {
+	const wait, until = time.Second, 300 * time.Millisecond
+	for name, watch := range map[string]func(ctx context.Context, c *Coordinator, held *rootView) error{
+		"directory": func(ctx context.Context, c *Coordinator, held *rootView) error {
+			_, err := directoryService{c}.Watch(ctx, &rockwindpb.WatchDirectoryRequest{
+				HaveRevision: held.directory.Revision(), HaveConfiguration: held.catalog.Index().Number(), WaitMs: uint32(wait.Milliseconds()),
+			})
+			return err
+		},
+		"configuration": func(ctx context.Context, c *Coordinator, held *rootView) error {
+			index := held.catalog.Index()
+			_, err := configurationService{c}.Watch(ctx, &rockwindpb.WatchConfigurationRequest{
+				HaveNumber: index.Number(), HaveChecksum: index.Checksum(), WaitMs: uint32(wait.Milliseconds()),
+			})
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualSite(t, coordinators, func(s *virtualSite) {
+				s.awaitCoordinators()
+				first, others := s.processes[0], s.processes[1:]
+				_, held, err := first.coordinator.current()
+				if err != nil {
+					s.t.Fatal(err)
+				}
+				for _, p := range s.processes {
+					p.stop()
+				}
+				s.start(first)
+				time.Sleep(20 * time.Millisecond)
+				began, ended := time.Now(), make(chan error, 1)
+				go func() { ended <- watch(s.t.Context(), first.coordinator, held) }()
+				time.Sleep(until)
+				for _, p := range others {
+					s.start(p)
+				}
+				if err := <-ended; err != nil {
+					s.t.Fatal(err)
+				}
+				if took := time.Since(began); took < until || took > wait+freshnessInterval/5 {
+					s.t.Errorf("a call that waits for %v is answered after %v", wait, took)
+				}
+			})
+		})
+	}
+}
