Refuse nobody by a tenant's share that has decayed or is not known

Cause: a tenant's share is work weighted by e^-t over a second. After seconds without a start it is nearly nothing, the wait expected of it up to 60 s, and requests that the servers would have taken within 0.2 s were refused at once, also those without a tenant. A lack of room was taken to last from one seen before a gap in which nobody had looked.

Change: the share is not used for requests without a tenant, at servers that do not say how many they run, and where no tenant that waits had three requests begun within a Memory. A look more than a Memory after the last one begins the lack of room anew.

Not covered: where 80 requests a second began, three seconds without any leave work of four requests, and the share still counts.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -130,15 +130,16 @@
 
 // Highest is the highest virtual time among the tenants that wait here or elsewhere. Under a
 // lasting lack of room it is what each tenant that asks for more than its share gets of a
-// Memory, by unit of weight.
-func (l *Ledger) Highest(waiting map[string]int, weight func(tenant string) uint32, now time.Duration) float64 {
-	highest := 0.0
+// Memory, by unit of weight. Work is the most that one of them had, on which that rests.
+func (l *Ledger) Highest(waiting map[string]int, weight func(tenant string) uint32, now time.Duration) (highest, work float64) {
 	for tenant, known := range l.accounts {
-		if waiting[tenant] > 0 || l.told(known.hash).Waiting > 0 {
-			highest = max(highest, l.Virtual(tenant, weight(tenant), now))
+		if waiting[tenant] == 0 && l.told(known.hash).Waiting == 0 {
+			continue
 		}
+		highest = max(highest, l.Virtual(tenant, weight(tenant), now))
+		work = max(work, known.total)
 	}
-	return highest
+	return highest, work
 }
 
 // Waiting is how many requests of a tenant wait elsewhere.
--- a/internal/router/class.go
+++ b/internal/router/class.go
@@ -63,14 +63,16 @@
 }
 
 // judgeRoom judges whether there is too little room for what waits at all processes. Where the
-// servers do not say how many requests they run, what waits tells that.
+// servers do not say how many requests they run, what waits tells that. After a Memory without
+// a look it is not known whether there was too little room all the while.
 func (p *servicePool) judgeRoom(now time.Duration) {
 	waits := p.waiting.Len() + p.shares.At(balance.QueueHash(p.name)).Inflight
 	before := p.scarce
 	p.scarce = waits > 0 && (p.pool.Slots() == 0 || fairshare.Scarce(p.room().After(waits)))
-	if p.scarce && !before {
+	if p.scarce && (!before || now-p.judgedAt > fairshare.Memory) {
 		p.scarceSince = now
 	}
+	p.judgedAt = now
 }
 
 // virtual is what the order of a request among others of its priority rests on: how much its
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -22,6 +22,10 @@
 	// longestExpected bounds the wait that is expected, in times of fairshare.Memory: no
 	// client waits for longer.
 	longestExpected = 60.0
+	// leastStarts is on how many requests of one tenant, begun within a Memory, the share of
+	// each rests at least: with fewer, what it has decayed to since the last start says more of
+	// the time since then than of what the tenants get.
+	leastStarts = 3.0
 	// returnsWithin is within how many times its patience a client comes back: it has so much
 	// time left (patiencePart).
 	returnsWithin = 2
@@ -58,9 +62,10 @@
 	// classes are the requests by priority, among which tenants share.
 	classes map[waiting.Priority]*class
 	// scarce tells whether there is too little room, so that tenants share, and scarceSince
-	// since when.
+	// since when, as judged last at judgedAt.
 	scarce      bool
 	scarceSince time.Duration
+	judgedAt    time.Duration
 	// promises are the clients that were told to come back.
 	promises returning.Promises
 	// holding is how long requests held a server lately, for the time to come back, and
@@ -127,11 +132,16 @@
 }
 
 // ofShare is how long a request waits that its tenant's others go before, by what the tenants
-// that ask for more than their share get.
+// that ask for more than their share get. It is zero where that is not known: for a request
+// without a tenant, at servers that do not say how many they run, and after too few starts.
 func (p *servicePool) ofShare(ask Ask, elapsed time.Duration) time.Duration {
+	if ask.Tenant.Name == "" || p.pool.Slots() == 0 {
+		return 0
+	}
 	class, waits := p.class(ask.Priority), p.waitsOf()[ask.Priority]
-	share := class.ledger.Highest(waits, class.weight, elapsed) * float64(max(1, ask.Tenant.Weight))
-	if share <= 0 {
+	highest, work := class.ledger.Highest(waits, class.weight, elapsed)
+	share := highest * float64(max(1, ask.Tenant.Weight))
+	if share <= 0 || work < leastStarts*p.work {
 		return 0
 	}
 	before := waits[ask.Tenant.Name] + class.ledger.Waiting(ask.Tenant.Name)
