Believe only a fresh word of what a tenant had left at its former owner

Cause: a new owner took the word of the router that asked first, plus the rate times its age however old, as if nobody had used anything since. Where a flood had drained the burst at other routers, the tenant had it a second time (QUOTA).

Change: a word older than a second is not believed, and the part of the tolerance stays the floor. In the owner's first second a newer word of the former owner lowers the level, never below the floor; its own words do not.

--- a/internal/requestrate/requestrate.go
+++ b/internal/requestrate/requestrate.go
@@ -5,9 +5,10 @@
 //
 // A tenant's requests are a token bucket: it fills at the tenant's rate and holds its
 // burst. What is counted is state of one leadership and is not written to disk; a new
-// owner begins with what the one before told the router that asks first, or with nearly
-// empty buckets where it told nothing, so that both together stay within the limit and its
-// tolerance but for what was granted between that word and the change of owners.
+// owner begins with what the one before told the router that asks first, where that is not
+// old, or with nearly empty buckets, and goes by the newest such word that routers bring in
+// its first second. So both together stay within the limit and its tolerance but for what
+// was granted between that word and the change of owners.
 //
 // Of a tenant that asks for more than its limit, some are refused in any case; the requests
 // that can still be answered in time are granted first. One of them may be granted a few
@@ -32,6 +33,10 @@
 	// for requests that reach servers later than others, and for those let through unasked.
 	freshLevel = 5.0
 	freshPart  = 0.6
+	// wordFor is how old the word of the owner before may be to be believed, and for how long
+	// newer ones are heard: about as long as the stores need to elect another owner. Others
+	// may have used up since what an older word left.
+	wordFor = time.Second
 	// smallestBurst is the burst of a tenant whose limit has none, as part of a second's
 	// requests, and smallestBurstMost bounds it: requests do not come evenly spaced.
 	smallestBurst     = 0.5
@@ -197,6 +202,11 @@
 	refused float64
 	// timely is how many asked lately that could be in time, each weighted by its age.
 	timely float64
+	// began is when this owner first heard of the tenant, and first the level that it had
+	// then, by what the owner before had told at wordAt.
+	began  time.Duration
+	first  float64
+	wordAt time.Duration
 	// asked holds which questions of each router were counted.
 	asked map[string]*questions
 }
@@ -240,8 +250,17 @@
 func (c *Counts) bucket(request Request, now time.Duration) *bucket {
 	held, known := c.buckets[request.tenant]
 	if !known {
-		held = &bucket{limit: request.limit, number: request.number, level: c.firstLevel(request, now), at: now, asked: make(map[string]*questions)}
+		first := c.firstLevel(request, now)
+		held = &bucket{
+			limit: request.limit, number: request.number, level: first, at: now,
+			began: now, first: first, wordAt: now - request.age, asked: make(map[string]*questions),
+		}
+		if request.remaining < 0 {
+			held.wordAt = now - wordFor
+		}
 		c.buckets[request.tenant] = held
+	} else {
+		c.lower(held, request, now)
 	}
 	if request.number > held.number {
 		held.limit, held.number = request.limit, request.number
@@ -273,12 +292,27 @@
 // firstLevel is what a tenant has left that this owner has not counted yet.
 func (c *Counts) firstLevel(request Request, now time.Duration) float64 {
 	level := max(freshLevel, freshPart*c.tolerance.of(request.limit)) + request.limit.perSecond*(now-c.began).Seconds()
-	if request.remaining >= 0 {
+	if request.remaining >= 0 && request.age <= wordFor {
 		level = max(level, request.remaining+request.limit.perSecond*request.age.Seconds())
 	}
 	return min(request.limit.burst, level)
 }
 
+// lower takes a newer word of the owner before than the one that the bucket began with. What
+// this owner said itself is newer than the bucket.
+func (c *Counts) lower(held *bucket, request Request, now time.Duration) {
+	wordAt := now - request.age
+	if request.remaining < 0 || now-held.began > wordFor || wordAt <= held.wordAt || wordAt >= held.began {
+		return
+	}
+	request.age = held.began - wordAt
+	if first := c.firstLevel(request, held.began); first < held.first {
+		held.level -= held.first - first
+		held.first = first
+	}
+	held.wordAt = wordAt
+}
+
 // advance adds what the time since the last request has earned.
 func (b *bucket) advance(now time.Duration) {
 	elapsed := max(0, now-b.at)
