Tell large sums of loads in datagrams that fit

Cause: the sum of a group and that of the others went out as one bundle, and one above 16 KB was left unsent without a word: 1,200 servers alone overflow it, 600 to 800 with entries of tenants. The bound on paces counted tenants' entries too.

Change: two sums that do not fit together go as datagrams of their own. One that does not fit alone leaves out the entries of tenants first (what this process does not know as a server, a queue or a class), then the paces; what is too long even so is counted (rockwind_load_digests_unsent_total) and logged at most once a minute. Paces are told of up to 400 servers that have one.

The world of the tests now drops datagrams that a sharer would not send. Not done: a sum of servers alone that is too long without paces is not split.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -30,8 +30,9 @@
 	// up the others for more than a moment.
 	Memory = time.Second
 	// MostTold is of how many tenants of one class a process tells at most: the few that had
-	// the most. With 250 routers of three zones, the largest sum is 670 entries of some 11
-	// bytes, 7 KB, below half of a datagram, even where no two routers tell of the same.
+	// the most. With 250 routers of three zones, the sum of two zones is 670 entries of some 11
+	// bytes, 7 KB beside those of the servers, even where no two routers tell of the same. Where
+	// that is too long for a datagram, the tenants are left out (package loadshare).
 	MostTold = 4
 	// leastWork is the work in tokens below which a tenant is forgotten: a request of 400
 	// tokens is, after six seconds.
--- a/internal/loadshare/digest.go
+++ b/internal/loadshare/digest.go
@@ -26,22 +26,20 @@
 	return digest
 }
 
-// mostPaced is how many servers a digest lists at most to tell their paces: two such sums
-// fit in a datagram. Without paces servers count as alike.
+// mostPaced is of how many servers a digest tells the paces at most: two sums of so many
+// servers fit in a datagram. Without paces servers count as alike.
 const mostPaced = 400
 
 // tellsPace tells whether the paces of the servers go into a digest: some are known, and
-// there is room for all.
+// there is room for all. Queues, classes and tenants have none and do not count.
 func tellsPace(loads map[uint32]balance.SharedLoad) bool {
-	if len(loads) > mostPaced {
-		return false
-	}
+	paced := 0
 	for _, load := range loads {
 		if load.Pace != (balance.SharedPace{}) {
-			return true
+			paced++
 		}
 	}
-	return false
+	return paced > 0 && paced <= mostPaced
 }
 
 func addPaces(digest *rockwindpb.LoadDigest, loads map[uint32]balance.SharedLoad) {
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -26,8 +27,8 @@
 	// groupNudgeSpacing is the least time between them in a group, whose relays hear them
 	// from all members.
 	groupNudgeSpacing = 50 * time.Millisecond
-	// maximumBytes bounds a datagram; longer ones are passed over.
-	maximumBytes = 16 << 10
+	// unsentInterval is the least time between lines in the log of datagrams that were too long.
+	unsentInterval = time.Minute
 )
 
 // Source tells the loads that a process shares, and takes those of others. Its
@@ -42,6 +43,9 @@
 	Elsewhere(group string) *rockwindpb.LoadDigest
 	// Heard tells whether a digest of the named process came lately.
 	Heard(name string) bool
+	// Spare tells whether the entry of a hash may be left out of a digest that is too long:
+	// it is that of a tenant, as far as this process knows.
+	Spare(hash uint32) bool
 	// Take takes the digest of another process or group.
 	Take(digest *rockwindpb.LoadDigest)
 }
@@ -59,7 +63,9 @@
 	mutex    sync.Mutex
 	protocol *Protocol
 
-	datagrams, bytes, otherZones atomic.Uint64
+	datagrams, bytes, otherZones, unsent atomic.Uint64
+	// unsentAt is when it was last written that datagrams were too long. Only Run uses it.
+	unsentAt time.Time
 }
 
 // Traffic counts what a process has sent since its start.
@@ -69,6 +75,8 @@
 	Bytes     uint64
 	// OtherZones is how many of the bytes went to other groups.
 	OtherZones uint64
+	// Unsent is how many datagrams were not sent as they were too long.
+	Unsent uint64
 }
 
 // Open binds the address for the digests of the named machine.
@@ -112,7 +120,7 @@
 
 // Traffic tells what was sent since the start.
 func (s *Sharer) Traffic() Traffic {
-	return Traffic{Datagrams: s.datagrams.Load(), Bytes: s.bytes.Load(), OtherZones: s.otherZones.Load()}
+	return Traffic{Datagrams: s.datagrams.Load(), Bytes: s.bytes.Load(), OtherZones: s.otherZones.Load(), Unsent: s.unsent.Load()}
 }
 
 // intervals are the time between digests now, and the least time between those that are
@@ -163,7 +171,11 @@
 
 func (s *Sharer) send(datagram Datagram) {
 	encoded, err := proto.Marshal(datagram.Bundle)
-	if err != nil || len(encoded) > maximumBytes {
+	if err != nil {
+		return
+	}
+	if len(encoded) > maximumBytes {
+		s.tooLong(len(encoded))
 		return
 	}
 	for _, receiver := range datagram.Receivers {
@@ -173,6 +185,16 @@
 	s.count(datagram, uint64(len(encoded)))
 }
 
+// tooLong counts a datagram that is not sent, and writes so now and then.
+func (s *Sharer) tooLong(size int) {
+	unsent := s.unsent.Add(1)
+	if !s.unsentAt.IsZero() && time.Since(s.unsentAt) < unsentInterval {
+		return
+	}
+	s.unsentAt = time.Now()
+	log.WithField("bytes", size).WithField("unsent", unsent).Warn("a load digest is too long for a datagram and is not sent")
+}
+
 // count adds a datagram of the given size to the traffic.
 func (s *Sharer) count(datagram Datagram, size uint64) {
 	receivers := uint64(len(datagram.Receivers))
--- a/internal/loadshare/nudge_test.go
+++ b/internal/loadshare/nudge_test.go
@@ -79,3 +79,6 @@
 		}
 	}
 }
+
+// Spare implements loadshare.Source.
+func (*countingSource) Spare(uint32) bool { return false }
--- a/internal/loadshare/protocol.go
+++ b/internal/loadshare/protocol.go
@@ -68,8 +68,9 @@
 	var sent []Datagram
 	if own := source.Own(); p.own.due(own, now) {
 		p.sign(own)
+		fit(source, own)
 		p.history.add(own)
-		sent = append(sent, Datagram{Receivers: p.layout.Receivers(), Bundle: bundle(own)})
+		sent = append(sent, datagrams(p.layout.Receivers(), false, own)...)
 	}
 	if !p.layout.Delegate(source.Heard) {
 		return sent
@@ -78,7 +79,7 @@
 	sum.Group, sum.Members = p.layout.Group(), uint32(len(p.layout.members))
 	sent = append(sent, p.tellMembers(source, proto.CloneOf(sum), now)...)
 	sum.Stamps = nil
-	return append(sent, p.tellOthers(sum, now)...)
+	return append(sent, p.tellOthers(source, sum, now)...)
 }
 
 // tellMembers tells the members of the group its sum and that of all others.
@@ -91,18 +92,21 @@
 	}
 	p.sign(sum)
 	p.sign(elsewhere)
-	return []Datagram{{Receivers: p.layout.Audience(), Bundle: told}}
+	fit(source, sum)
+	fit(source, elsewhere)
+	return datagrams(p.layout.Audience(), false, sum, elsewhere)
 }
 
 // tellOthers tells the other groups the sum of this one.
-func (p *Protocol) tellOthers(sum *rockwindpb.LoadDigest, now time.Duration) []Datagram {
+func (p *Protocol) tellOthers(source Source, sum *rockwindpb.LoadDigest, now time.Duration) []Datagram {
 	soon := p.outside.last != nil && now-p.outside.at < p.layout.GroupInterval()
 	told := bundle(sum)
 	if soon || !p.outside.due(told, now) {
 		return nil
 	}
 	p.sign(sum)
-	return []Datagram{{Receivers: p.otherDelegates(now), Bundle: told, Outside: true}}
+	fit(source, sum)
+	return datagrams(p.otherDelegates(now), true, sum)
 }
 
 // sign names this process as the sender of a digest.
--- a/internal/loadshare/protocol_test.go
+++ b/internal/loadshare/protocol_test.go
@@ -43,6 +43,12 @@
 
 func (s *station) Heard(name string) bool { return s.shares.Heard(name, s.now) }
 
+// Spare implements loadshare.Source: the hashes of tenants have the highest bit.
+func (s *station) Spare(hash uint32) bool { return hash >= firstTenant }
+
+// firstTenant is the first hash of a tenant.
+const firstTenant = 1 << 31
+
 func (s *station) Take(digest *rockwindpb.LoadDigest) {
 	loadshare.TakeInto(s.shares, digest, loadshare.Loads(digest), s.now)
 }
@@ -107,6 +113,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if len(encoded) > mostBytes {
+		return // a sharer does not send it
+	}
 	for _, receiver := range datagram.Receivers {
 		from.datagrams++
 		to := w.byAddress[receiver]
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -30,8 +30,10 @@
 	name   string
 	random *rand.Rand
 	pools  map[string]*servicePool
-	shares *balance.Shares
-	order  uint64
+	// servers are the hashes of all servers of the directory.
+	servers map[uint32]struct{}
+	shares  *balance.Shares
+	order   uint64
 	// stores is how many processes start batch work, and viewAge how old the loads of
 	// other processes may be.
 	stores  int
@@ -67,7 +69,9 @@
 // Update takes the servers of the directory.
 func (d *Dispatcher) Update(view *directory.View) {
 	members := make(map[string][]balance.Member)
+	servers := make(map[uint32]struct{})
 	for _, server := range view.Servers() {
+		servers[balance.ServerHash(server.GetId())] = struct{}{}
 		switch server.GetState() {
 		case rockwindpb.ServerState_SERVER_STATE_READY, rockwindpb.ServerState_SERVER_STATE_SILENT:
 			members[server.GetService()] = append(members[server.GetService()], balance.Member{
@@ -79,6 +83,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.setPeers(view)
+	d.servers = servers
 	for name := range d.pools {
 		if members[name] == nil {
 			members[name] = []balance.Member{}
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -72,6 +72,31 @@
 	return s.dispatcher.shares.Heard(name, s.dispatcher.now())
 }
 
+// Spare implements loadshare.Source.
+func (s loadSource) Spare(hash uint32) bool {
+	s.dispatcher.mutex.Lock()
+	defer s.dispatcher.mutex.Unlock()
+	return !s.dispatcher.names(hash)
+}
+
+// names tells whether a hash is that of a server, of a queue, or of a class. The mutex is held.
+func (d *Dispatcher) names(hash uint32) bool {
+	if _, isServer := d.servers[hash]; isServer {
+		return true
+	}
+	for name, pool := range d.pools {
+		if hash == balance.QueueHash(name) {
+			return true
+		}
+		for _, class := range pool.classes {
+			if hash == balance.QueueHash(class.name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Take implements loadshare.Source.
 func (s loadSource) Take(digest *rockwindpb.LoadDigest) {
 	s.dispatcher.takeLoads(digest, loadshare.Loads(digest))
--- a/internal/sitemetrics/traffic.go
+++ b/internal/sitemetrics/traffic.go
@@ -19,4 +19,6 @@
 		func(t loadshare.Traffic) uint64 { return t.Bytes })
 	counter("rockwind_load_digest_sent_other_zones_bytes_total", "Bytes of load digests that were sent to other zones.",
 		func(t loadshare.Traffic) uint64 { return t.OtherZones })
+	counter("rockwind_load_digests_unsent_total", "Datagrams with load digests that were too long and not sent.",
+		func(t loadshare.Traffic) uint64 { return t.Unsent })
 }
