Promise the time that a refused client is told, and only to one that comes back

Cause: a promise was noted at the time at which room comes, and the client was told an earlier one, bounded by what it has left. Promises were also made for clients that had left, that had been told to come back before, and for requests of which a try had been sent; others were told later times for their sake.

Change: comeBack bounds the time by what the request has left and promises that; a request is marked whose client does not come back, also where its context has ended while it waited.

Measured: TestPromisesAreOfTheTimeThatIsTold (told 6.5 s of 8 s that remain) and TestNothingIsPromisedToAClientThatLeft fail without the change, the tests of router pass with it. The spread by chance, up to 1.3, is still added to what is told and not to the promise.

--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -183,7 +183,7 @@
 		d.mutex.Unlock()
 		return nil, refusal
 	}
-	entry := pool.waiting.Add(place, &waiter{ask: ask, place: place, granted: make(chan balance.Choice, 1)})
+	entry := pool.waiting.Add(place, &waiter{ask: ask, place: place, began: now, granted: make(chan balance.Choice, 1)})
 	d.nudge()
 	d.mutex.Unlock()
 	return d.await(ctx, entry)
@@ -276,11 +276,13 @@
 		case <-limit.C:
 		case <-ctx.Done():
 		}
-		return d.giveUp(entry)
+		return d.giveUp(ctx, entry)
 	}
 }
 
-func (d *Dispatcher) giveUp(entry *waiting.Entry[*waiter]) (*Lease, error) {
+// giveUp ends the wait of a request. One whose client has left or waits no longer does not
+// come back.
+func (d *Dispatcher) giveUp(ctx context.Context, entry *waiting.Entry[*waiter]) (*Lease, error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	service := entry.Value().ask.Service
@@ -290,7 +292,12 @@
 	}
 	pool.waiting.Remove(entry)
 	now, waiter := time.Now(), entry.Value()
-	return nil, pool.busy(waiter.ask, pool.ahead(waiter.place, now, d.now()), now, d.now())
+	ask := waiter.ask
+	ask.Final = ask.Final || ctx.Err() != nil
+	if ask.Remaining > 0 {
+		ask.Remaining = max(time.Millisecond, ask.Remaining-now.Sub(waiter.began))
+	}
+	return nil, pool.busy(ask, pool.ahead(waiter.place, now, d.now()), now, d.now())
 }
 
 // serveWaiting gives servers with room to those that wait, in their order.
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -185,6 +185,7 @@
 		Service: e.service, Demand: balance.Demand{Parts: e.facts.Parts}, Priority: e.priority(),
 		Tenant:      waiting.Tenant{Name: e.tenant.GetName(), Weight: e.tenant.GetWeight()},
 		OnTimeUntil: e.onTimeUntil(), Tried: e.tried, Patience: e.patience(),
+		Remaining: time.Until(e.ends), Final: e.sent > 0 || !returning.AsksFirst(e.whole, e.facts.Deadline),
 	}
 	if e.router.gates.On(gate.Returns) {
 		ask.Asked = e.firstTry()
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -45,6 +45,11 @@
 	Tried []string
 	// Patience is how long it may wait.
 	Patience time.Duration
+	// Remaining is how long its client waits for the answer; zero is not known.
+	Remaining time.Duration
+	// Final tells that its client does not come back where it is refused: it has come back
+	// already, or what it gets is not a refusal, as a try was sent.
+	Final bool
 }
 
 // place is what the order of the request rests on, which is the given arrival.
@@ -90,6 +95,7 @@
 type waiter struct {
 	ask     Ask
 	place   waiting.Place
+	began   time.Time
 	granted chan balance.Choice
 }
 
@@ -149,13 +155,15 @@
 	return time.Duration(min(memories, longestExpected) * float64(fairshare.Memory))
 }
 
-// comeBack is when a request that is refused now will find room, and promises it where the
-// client has time left then. Clients that were told to come back are before it as if they
-// waited, here and elsewhere.
+// comeBack is when a request that is refused now will find room, no later than its client
+// would come back in time. That is what the client is told, but for the little that chance
+// adds (returnSpread), and it is promised where the client is expected then. Clients that
+// were told to come back are before it as if they waited, here and elsewhere.
 func (p *servicePool) comeBack(ask Ask, ahead int, now time.Time, elapsed time.Duration) time.Duration {
 	promised := p.promises.Open(now) + p.shares.At(balance.QueueHash(p.name)).Unread
 	comeBack := max(shortestReturn, p.expected(ask, ahead, elapsed), p.room().After(ahead+promised))
-	if comeBack <= returnsWithin*ask.Patience {
+	comeBack = boundReturn(comeBack, ask.Remaining)
+	if !ask.Final && comeBack <= returnsWithin*ask.Patience {
 		p.promises.Add(now.Add(comeBack))
 	}
 	return comeBack
