Count what a question gives back once, however often it is asked

Cause: a question that is repeated under its number counted once, but what it gave back and how many requests its router had refused counted each time.

Change: the questions that came are remembered beside those that were counted, and what is told with one counts when it first comes. One that is too old to be remembered gives nothing back, so that the limit holds.

Measured: with one request returned and asked five times, 1 remained at the second time without the change and 0 each time with it (TestWhatAQuestionTellsCountsOnce); the tests of requestrate pass.

--- a/internal/requestrate/questions.go
+++ b/internal/requestrate/questions.go
@@ -4,22 +4,33 @@
 // remembered. A router has fewer without an answer at a time.
 const rememberedQuestions = 64
 
-// questions remembers which of a router's questions about a tenant were counted. It costs some
-// tens of bytes for each router at which the tenant was seen within idleFor.
+// questions remembers which of a router's questions about a tenant were counted, and which
+// came. It costs some tens of bytes for each router at which the tenant was seen within idleFor.
 type questions struct {
-	life int64
-	// newest is the highest number counted; bit i of mask tells whether newest - i was.
+	life    int64
+	counted numbers
+	came    numbers
+}
+
+// numbers is a set of the latest numbers.
+type numbers struct {
+	// newest is the highest number added; bit i of mask tells whether newest - i was.
 	newest uint64
 	mask   uint64
 }
 
-// counted tells whether a question was counted. Of one that is too old to be remembered it is
-// not known; it is taken for one that was not, so that the limit holds.
-func (q *questions) counted(number uint64) bool {
-	return number <= q.newest && q.newest-number < rememberedQuestions && q.mask&(1<<(q.newest-number)) != 0
+// has tells whether a number was added. Of one that is too old to be remembered it is not
+// known, and false.
+func (q *numbers) has(number uint64) bool {
+	return number <= q.newest && !q.forgotten(number) && q.mask&(1<<(q.newest-number)) != 0
 }
 
-func (q *questions) add(number uint64) {
+// forgotten tells whether a number is too old to be remembered.
+func (q *numbers) forgotten(number uint64) bool {
+	return number <= q.newest && q.newest-number >= rememberedQuestions
+}
+
+func (q *numbers) add(number uint64) {
 	if number > q.newest {
 		q.mask = shifted(q.mask, number-q.newest)
 		q.newest = number
@@ -29,7 +40,7 @@
 	}
 }
 
-func (q *questions) remove(number uint64) {
+func (q *numbers) remove(number uint64) {
 	q.mask &^= 1 << (q.newest - number)
 }
 
@@ -51,36 +62,55 @@
 	return known
 }
 
-// counted tells whether the question was counted already.
+// comes tells whether the question comes for the first time, and notes that it came. One that
+// is too old to be remembered is taken for one that came.
+func (b *bucket) comes(request Request) bool {
+	if request.question == 0 {
+		return true
+	}
+	came := &b.questionsOf(request).came
+	if came.has(request.question) || came.forgotten(request.question) {
+		return false
+	}
+	came.add(request.question)
+	return true
+}
+
+// counted tells whether the question was counted already. One that is too old to be
+// remembered is taken for one that was not, so that the limit holds.
 func (b *bucket) counted(request Request) bool {
-	return request.question > 0 && b.questionsOf(request).counted(request.question)
+	return request.question > 0 && b.questionsOf(request).counted.has(request.question)
 }
 
 // count counts the question of a request.
 func (b *bucket) count(request Request) {
 	b.level--
 	if request.question > 0 {
-		b.questionsOf(request).add(request.question)
+		b.questionsOf(request).counted.add(request.question)
 	}
 }
 
 // settle takes what the router tells of earlier questions: a request that it let through
 // counts once, whether its question was granted here or never came; one that was granted and
-// did not run counts nothing.
+// did not run counts nothing. What it gives back, and what it refused itself, is told with one
+// question and counts with the first that comes of it.
 func (b *bucket) settle(request Request) {
-	b.level = min(b.limit.burst, b.level+float64(request.returned))
+	if b.comes(request) {
+		b.refused += float64(request.refused)
+		b.level = min(b.limit.burst, b.level+float64(request.returned))
+	}
 	if len(request.passed)+len(request.withheld) == 0 {
 		return
 	}
-	known := b.questionsOf(request)
+	known := &b.questionsOf(request).counted
 	for _, number := range request.passed {
-		if !known.counted(number) {
+		if !known.has(number) {
 			b.level--
 			known.add(number)
 		}
 	}
 	for _, number := range request.withheld {
-		if known.counted(number) {
+		if known.has(number) {
 			b.level = min(b.limit.burst, b.level+1)
 			known.remove(number)
 		}
--- a/internal/requestrate/requestrate.go
+++ b/internal/requestrate/requestrate.go
@@ -230,7 +230,6 @@
 	c.sweep(now)
 	held := c.bucket(request, now)
 	held.advance(now)
-	held.refused += float64(request.refused)
 	held.settle(request)
 	if held.counted(request) {
 		return held.grant(request)
--- a/internal/requestrate/requestrate_test.go
+++ b/internal/requestrate/requestrate_test.go
@@ -185,3 +185,20 @@
 		}
 	})
 }
+
+// TestWhatAQuestionTellsCountsOnce however often the question is asked.
+func TestWhatAQuestionTellsCountsOnce(t *testing.T) {
+	counts, limit := requestrate.NewCounts(requestrate.Tolerance{}, 0), requestrate.NewLimit(10, 30)
+	grants(counts, ask(limit), 30, long)
+	request := ask(limit).From("router", 1, 1).WithReturned(1)
+	for i := range 5 {
+		if decided := counts.Take(request, long); !decided.Granted() || decided.Remaining() != 0 {
+			t.Fatalf("asked %d times: granted %v, %d remain", i+1, decided.Granted(), decided.Remaining())
+		}
+	}
+	refused := ask(limit).From("router", 1, 2).WithRefused(20)
+	first := counts.Take(refused, long).ComeBack()
+	if again := counts.Take(refused, long).ComeBack(); again > first+100*time.Millisecond {
+		t.Fatalf("asked again it is told %v instead of %v", again, first)
+	}
+}
