Give a kept refusal only to requests that can wait no longer

Cause: a router gives the owner's refusal of a request again for up to 100 ms; one that could wait for its turn for longer got that of one that could wait less, though the owner would have granted it.

Change: the wait is kept with the refusal, which holds for no longer ones.

Measured: TestRefusalHoldsForThoseThatCanWaitNoLonger fails without the change (the owner is asked once instead of twice); the tests of rateclient pass.

--- a/internal/rateclient/rateclient.go
+++ b/internal/rateclient/rateclient.go
@@ -83,14 +83,19 @@
 	refused uint32
 }
 
-// refusal is an answer of the owner that holds until a time, and when it expected room.
+// refusal is an answer of the owner that holds until a time, and when it expected room, for a
+// request that could wait for so long.
 type refusal struct {
 	until    time.Time
 	comeBack time.Time
+	waitMs   uint32
 }
 
-// holds tells whether the refusal is given again without asking.
-func (r refusal) holds(now time.Time) bool { return now.Before(r.until) }
+// holds tells whether the refusal is given again without asking to a request that can wait for
+// so long: one that can wait for longer might be granted.
+func (r refusal) holds(waitMs uint32, now time.Time) bool {
+	return now.Before(r.until) && waitMs <= r.waitMs
+}
 
 // Turn is how a request goes before others of its tenant. The zero value has it go by its
 // arrival.
@@ -176,7 +181,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	known, now := c.of(request.GetTenant()), time.Now()
-	if held := known.held(request.GetLate(), now); held.holds(now) {
+	if held := known.held(request, now); held.holds(request.GetWaitMs(), now) {
 		known.refused++
 		return max(shortestReturn, held.comeBack.Sub(now))
 	}
@@ -195,8 +200,8 @@
 
 // held is the refusal that a request may be given again: what is refused to one that can be
 // in time is to one that cannot, but not the other way.
-func (r *tenantRate) held(late bool, now time.Time) refusal {
-	if late && !r.refusal.holds(now) {
+func (r *tenantRate) held(request *rockwindpb.TakeRequestsRequest, now time.Time) refusal {
+	if request.GetLate() && !r.refusal.holds(request.GetWaitMs(), now) {
 		return r.lateRefusal
 	}
 	return r.refusal
@@ -222,7 +227,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	known, now := c.of(request.GetTenant()), time.Now()
-	held := refusal{until: now.Add(min(comeBack, refusalFor)), comeBack: now.Add(comeBack)}
+	held := refusal{until: now.Add(min(comeBack, refusalFor)), comeBack: now.Add(comeBack), waitMs: request.GetWaitMs()}
 	if request.GetLate() {
 		known.lateRefusal = held
 		return
--- a/internal/rateclient/turn_test.go
+++ b/internal/rateclient/turn_test.go
@@ -87,3 +87,19 @@
 		}
 	})
 }
+
+// TestRefusalHoldsForThoseThatCanWaitNoLonger: the owner might grant one that can wait longer.
+func TestRefusalHoldsForThoseThatCanWaitNoLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := &fakeOwner{answer: refuses}
+		client := newClient(owner, 1)
+		for _, each := range []struct {
+			wait  time.Duration
+			asked int
+		}{{20 * time.Millisecond, 1}, {20 * time.Millisecond, 1}, {0, 1}, {60 * time.Millisecond, 2}, {40 * time.Millisecond, 2}} {
+			if client.Take(t.Context(), tenant(), 1, patience, rateclient.Turn{Wait: each.wait}) == nil || len(owner.asked) != each.asked {
+				t.Fatalf("with a wait of %v the owner is asked %d times, not %d", each.wait, len(owner.asked), each.asked)
+			}
+		}
+	})
+}
