Have requests that find no room at untried servers hold up nobody

Cause: a request that has tried servers finds no room where others do; while it was the first in the queue, nothing behind it was served, though servers were free, and those that came waited behind it.

Change: such a request is passed over when it finds nothing, and one that comes while such a one waits has the queue looked through at once.

Measured: TestRequestThatHasTriedTheFreeServersHoldsUpNobody fails without the change; the tests of router and waiting pass.

--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -184,6 +184,10 @@
 		return nil, refusal
 	}
 	entry := pool.waiting.Add(place, &waiter{ask: ask, place: place, began: now, granted: make(chan balance.Choice, 1)})
+	if pool.someTried() {
+		// Those before it may be such as find no room where it does.
+		d.serveWaiting(ask.Service)
+	}
 	d.nudge()
 	d.mutex.Unlock()
 	return d.await(ctx, entry)
@@ -300,19 +304,28 @@
 	return nil, pool.busy(ask, pool.ahead(waiter.place, now, d.now()), now, d.now())
 }
 
-// serveWaiting gives servers with room to those that wait, in their order.
+// serveWaiting gives servers with room to those that wait, in their order. One that must not go
+// to the servers with room, which it has tried, does not hold up those behind it.
 func (d *Dispatcher) serveWaiting(service string) {
 	pool := d.service(service)
 	pool.judgeRoom(d.now())
+	passed := make(map[*waiting.Entry[*waiter]]bool)
 	for pool.waiting.Len() > 0 {
-		first := pool.waiting.First(time.Now())
+		first := pool.waiting.FirstOf(time.Now(), func(entry *waiting.Entry[*waiter]) bool { return !passed[entry] })
+		if first == nil {
+			return
+		}
 		waiter := first.Value()
 		choice, found := d.choose(pool, waiter.ask)
-		if !found {
+		switch {
+		case found:
+			pool.waiting.Remove(first)
+			waiter.granted <- choice
+		case len(waiter.ask.Tried) > 0:
+			passed[first] = true
+		default:
 			return
 		}
-		pool.waiting.Remove(first)
-		waiter.granted <- choice
 	}
 }
 
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -99,6 +99,11 @@
 	granted chan balance.Choice
 }
 
+// someTried tells whether a request waits that has tried servers.
+func (p *servicePool) someTried() bool {
+	return p.waiting.Any(func(waiter *waiter) bool { return len(waiter.ask.Tried) > 0 })
+}
+
 // ahead is how many requests go before one with the given place, here and, as they tell, at
 // the other processes.
 func (p *servicePool) ahead(place waiting.Place, now time.Time, elapsed time.Duration) int {
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -161,12 +161,26 @@
 	}
 }
 
+// Any tells whether a request waits of which that holds.
+func (q *Queue[T]) Any(holds func(value T) bool) bool {
+	return slices.ContainsFunc(q.entries, func(each *Entry[T]) bool { return holds(each.value) })
+}
+
 // First is the request that goes before all others now, nil where none waits.
 func (q *Queue[T]) First(now time.Time) *Entry[T] {
+	return q.FirstOf(now, func(*Entry[T]) bool { return true })
+}
+
+// FirstOf is the request that goes before all others now among those that may, nil where none
+// may.
+func (q *Queue[T]) FirstOf(now time.Time, may func(entry *Entry[T]) bool) *Entry[T] {
 	var first *Entry[T]
 	var best ranked
 	least := q.least(now)
 	for _, each := range q.entries {
+		if !may(each) {
+			continue
+		}
 		if rank := q.rank(each.place, least, now); first == nil || rank.before(best) {
 			first, best = each, rank
 		}
