Count no time for the events that came with the first piece of a stream

Cause: all events of the first piece counted as ended at its time, so that a run whose events come bunched looked many times as fast as it was, and one whose events all came together as if they took no time at all.

Change: the first piece counts as one event, and a sight without time between its events tells nothing.

Measured: TestEventsThatCameTogetherTellNoPace and the first case of TestEventsAreCountedInWhateverPiecesTheyCome fail without the change; the tests of balance, pace and router pass.

--- a/internal/balance/pace/sighting.go
+++ b/internal/balance/pace/sighting.go
@@ -31,14 +31,16 @@
 	if ended == 0 {
 		return
 	}
+	s.last = now
 	if s.events == 0 {
-		s.first = now
+		// How long the events of the first piece took is not known: it counts as its last one.
+		s.first, s.events = now, 1
+		return
 	}
 	s.events += ended
-	s.last = now
 }
 
-// Events is how many events have ended.
+// Events is how many events have ended, of which those that came with the first count as one.
 func (s *Sighting) Events() int { return s.events }
 
 // Took is how long after the first event the last one ended.
--- a/internal/balance/pacer.go
+++ b/internal/balance/pacer.go
@@ -109,7 +109,7 @@
 // a server that told the given pace; zero where it told none. It returns false where that is
 // too little to tell anything.
 func (p *Pool) Seen(choice Choice, events int, took time.Duration, told float64, now time.Duration) bool {
-	if events < leastEventsLong || (events < leastEvents && took < longSight) {
+	if took <= 0 || events < leastEventsLong || (events < leastEvents && took < longSight) {
 		return false
 	}
 	if place := p.place(choice.ID); place >= 0 && p.pacer != nil {
--- a/internal/balance/pacer_test.go
+++ b/internal/balance/pacer_test.go
@@ -157,3 +157,12 @@
 		t.Error("a server of unknown pace is not usual")
 	}
 }
+
+// TestEventsThatCameTogetherTellNoPace: how long they took is not known.
+func TestEventsThatCameTogetherTellNoPace(t *testing.T) {
+	pool, _ := poolByPace(1)
+	choice, found := pool.Choose(balance.Demand{}, nil, 0, rand.New(rand.NewPCG(1, 2)))
+	if !found || pool.Seen(choice, 20, 0, 0, time.Second) || !pool.Seen(choice, 20, time.Second, 0, time.Second) {
+		t.Fatal("events that came at one time are taken for a sight, or others are not")
+	}
+}
