--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -131,14 +131,15 @@
 
 // Highest is the highest virtual time among the tenants that wait here or elsewhere. Under a
 // lasting lack of room it is what each tenant that asks for more than its share gets of a
-// Memory, by unit of weight. Work is the most that one of them had, on which that rests.
+// Memory, by unit of weight. Work is the most that any tenant had, also one that does not wait
+// now: where that is little, the share rests on too little.
 func (l *Ledger) Highest(waiting map[string]int, weight func(tenant string) uint32, now time.Duration) (highest, work float64) {
 	for tenant, known := range l.accounts {
-		if waiting[tenant] == 0 && l.told(known.hash).Waiting == 0 {
-			continue
-		}
-		highest = max(highest, l.Virtual(tenant, weight(tenant), now))
+		virtual := l.Virtual(tenant, weight(tenant), now)
 		work = max(work, known.total)
+		if waiting[tenant] > 0 || l.told(known.hash).Waiting > 0 {
+			highest = max(highest, virtual)
+		}
 	}
 	return highest, work
 }
