Add up the loads whose hashes meet, and say all that digests list

Cause: a process told of two loads with the same hash only the one that came last. The comments of digests named servers only, while queues, classes and tenants' shares are told too.

Measured: TestLoadsOfTheSameHashAreToldTogether tells 1 of 2 requests without the change; the tests of router and balance pass.

--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -9,7 +9,9 @@
 // senderFor is how long the digest of a process counts without a newer one.
 const senderFor = 1200 * time.Millisecond
 
-// SharedLoad is what another process has at a server.
+// SharedLoad is what another process has at a server; or, under other hashes, what waits there
+// for a service (QueueHash) and in a class of its requests, with how many clients were told to
+// come back, and what a tenant had of a class (fairshare.Hash).
 type SharedLoad struct {
 	Inflight int
 	Unread   int
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -102,12 +102,14 @@
 	s.dispatcher.takeLoads(digest, loadshare.Loads(digest))
 }
 
-// ownLoads is what this process has at servers and in its queues, by their hashes.
+// ownLoads is what this process has at servers and in its queues, by their hashes. Where two
+// have the same hash, it is what both have together.
 func (d *Dispatcher) ownLoads() map[uint32]balance.SharedLoad {
 	loads := make(map[uint32]balance.SharedLoad)
+	add := func(hash uint32, load balance.SharedLoad) { loads[hash] = loads[hash].Plus(load) }
 	for _, pool := range d.pools {
-		pool.pool.Own(d.now(), func(server uint32, load balance.SharedLoad) { loads[server] = load })
-		pool.queued(time.Now(), d.now(), func(hash uint32, load balance.SharedLoad) { loads[hash] = load })
+		pool.pool.Own(d.now(), add)
+		pool.queued(time.Now(), d.now(), add)
 	}
 	return loads
 }
--- /dev/null
+++ b/internal/router/sharing_test.go
@@ -0,0 +1,50 @@
+package router_test
+
+import (
+	"strconv"
+	"testing"
+
+	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/directory"
+	"rockwind.example/rockwind/internal/gate"
+	"rockwind.example/rockwind/internal/loadshare"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/router"
+)
+
+// sameHash names two servers whose hashes are the same.
+func sameHash(t *testing.T) [2]string {
+	t.Helper()
+	names := make(map[uint32]string)
+	for i := range 1 << 20 {
+		name := "server-" + strconv.Itoa(i)
+		hash := balance.ServerHash(name)
+		if other, found := names[hash]; found {
+			return [2]string{other, name}
+		}
+		names[hash] = name
+	}
+	t.Fatal("no two names have the same hash")
+	return [2]string{}
+}
+
+// TestLoadsOfTheSameHashAreToldTogether: one of the two was told.
+func TestLoadsOfTheSameHashAreToldTogether(t *testing.T) {
+	register, names := directory.New(), sameHash(t)
+	for i, id := range names {
+		register.Apply(&rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Report{Report: &rockwindpb.Server{
+			Id: id, Service: "app", Address: "10.0.0.1:" + strconv.Itoa(i+1), Slots: 1,
+			State: rockwindpb.ServerState_SERVER_STATE_READY, Sequence: uint64(i + 1),
+		}}})
+	}
+	dispatcher := router.NewDispatcher("zone", gate.Set{})
+	dispatcher.Update(register.View())
+	for range names {
+		if dispatcher.TryAcquire("app", balance.Demand{}) == nil {
+			t.Fatal("no server has room")
+		}
+	}
+	if told := loadshare.Loads(dispatcher.LoadSource().Own())[balance.ServerHash(names[0])]; told.Inflight != 2 {
+		t.Fatalf("%d requests are told", told.Inflight)
+	}
+}
