Say of clients that come back what is decided of them

Cause: the comment of package returning said that who comes back as told is not late; a request's time counts from its client's first try (onTimeUntil).

Change: the comment. The tests of returning pass.

--- a/internal/returning/returning.go
+++ b/internal/returning/returning.go
@@ -1,8 +1,9 @@
 // Package returning decides about clients that come back after a refusal: since when they
 // have been asking, and when those that are refused for want of room are to come back. It
 // answers a time with too little room, in which more ask than can be served: who is refused
-// is told a time at which there is room, each another one, and is not late for having come
-// back as told.
+// is told a time at which there is room, each another one, and goes before those who began
+// to ask later. Its time to be answered counts from its first try all the same: who comes back
+// after that, though as told, is late, and goes after those who can be in time.
 //
 // The package is pure: time is an argument.
 package returning
