--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -30,8 +30,9 @@
 	// up the others for more than a moment.
 	Memory = time.Second
 	// MostTold is of how many tenants of one class a process tells at most: the few that had
-	// the most. With 250 routers of three zones, the largest sum is 670 entries of some 11
-	// bytes, 7 KB, below half of a datagram, even where no two routers tell of the same.
+	// the most. With 250 routers of three zones, the sum of two zones is 670 entries of some 11
+	// bytes, 7 KB beside those of the servers, even where no two routers tell of the same. Where
+	// that is too long for a datagram, the tenants are left out (package loadshare).
 	MostTold = 4
 	// leastWork is the work in tokens below which a tenant is forgotten: a request of 400
 	// tokens is, after six seconds.
@@ -130,15 +131,17 @@
 
 // Highest is the highest virtual time among the tenants that wait here or elsewhere. Under a
 // lasting lack of room it is what each tenant that asks for more than its share gets of a
-// Memory, by unit of weight.
-func (l *Ledger) Highest(waiting map[string]int, weight func(tenant string) uint32, now time.Duration) float64 {
-	highest := 0.0
+// Memory, by unit of weight. Work is the most that any tenant had, also one that does not wait
+// now: where that is little, the share rests on too little.
+func (l *Ledger) Highest(waiting map[string]int, weight func(tenant string) uint32, now time.Duration) (highest, work float64) {
 	for tenant, known := range l.accounts {
+		virtual := l.Virtual(tenant, weight(tenant), now)
+		work = max(work, known.total)
 		if waiting[tenant] > 0 || l.told(known.hash).Waiting > 0 {
-			highest = max(highest, l.Virtual(tenant, weight(tenant), now))
+			highest = max(highest, virtual)
 		}
 	}
-	return highest
+	return highest, work
 }
 
 // Waiting is how many requests of a tenant wait elsewhere.
--- a/internal/requestrate/requestrate_test.go
+++ b/internal/requestrate/requestrate_test.go
@@ -72,14 +72,15 @@
 	}
 }
 
-// TestNewOwnerGoesOnFromWhatTheOneBeforeTold, with what was earned since, up to the burst.
+// TestNewOwnerGoesOnFromWhatTheOneBeforeTold, with what was earned since, up to the burst; not
+// from an old word, after which others may have used up what was left.
 func TestNewOwnerGoesOnFromWhatTheOneBeforeTold(t *testing.T) {
 	limit := requestrate.NewLimit(10, 100)
 	for _, told := range []struct {
 		remaining uint32
 		age       time.Duration
 		want      int
-	}{{40, 0, 40}, {40, 2 * time.Second, 60}, {90, time.Minute, 100}, {0, 0, 5}} {
+	}{{40, 0, 40}, {40, time.Second, 50}, {95, time.Second, 100}, {40, 2 * time.Second, 5}, {90, time.Minute, 5}, {0, 0, 5}} {
 		counts := requestrate.NewCounts(requestrate.Tolerance{}, long)
 		if granted := grants(counts, ask(limit).WithRemaining(told.remaining, told.age), 200, long); granted != told.want {
 			t.Errorf("%d were granted after %+v", granted, told)
@@ -184,3 +185,20 @@
 		}
 	})
 }
+
+// TestWhatAQuestionTellsCountsOnce however often the question is asked.
+func TestWhatAQuestionTellsCountsOnce(t *testing.T) {
+	counts, limit := requestrate.NewCounts(requestrate.Tolerance{}, 0), requestrate.NewLimit(10, 30)
+	grants(counts, ask(limit), 30, long)
+	request := ask(limit).From("router", 1, 1).WithReturned(1)
+	for i := range 5 {
+		if decided := counts.Take(request, long); !decided.Granted() || decided.Remaining() != 0 {
+			t.Fatalf("asked %d times: granted %v, %d remain", i+1, decided.Granted(), decided.Remaining())
+		}
+	}
+	refused := ask(limit).From("router", 1, 2).WithRefused(20)
+	first := counts.Take(refused, long).ComeBack()
+	if again := counts.Take(refused, long).ComeBack(); again > first+100*time.Millisecond {
+		t.Fatalf("asked again it is told %v instead of %v", again, first)
+	}
+}
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -30,8 +30,10 @@
 	name   string
 	random *rand.Rand
 	pools  map[string]*servicePool
-	shares *balance.Shares
-	order  uint64
+	// servers are the hashes of all servers of the directory.
+	servers map[uint32]struct{}
+	shares  *balance.Shares
+	order   uint64
 	// stores is how many processes start batch work, and viewAge how old the loads of
 	// other processes may be.
 	stores  int
@@ -67,7 +69,9 @@
 // Update takes the servers of the directory.
 func (d *Dispatcher) Update(view *directory.View) {
 	members := make(map[string][]balance.Member)
+	servers := make(map[uint32]struct{})
 	for _, server := range view.Servers() {
+		servers[balance.ServerHash(server.GetId())] = struct{}{}
 		switch server.GetState() {
 		case rockwindpb.ServerState_SERVER_STATE_READY, rockwindpb.ServerState_SERVER_STATE_SILENT:
 			members[server.GetService()] = append(members[server.GetService()], balance.Member{
@@ -79,6 +83,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.setPeers(view)
+	d.servers = servers
 	for name := range d.pools {
 		if members[name] == nil {
 			members[name] = []balance.Member{}
@@ -178,7 +183,11 @@
 		d.mutex.Unlock()
 		return nil, refusal
 	}
-	entry := pool.waiting.Add(place, &waiter{ask: ask, place: place, granted: make(chan balance.Choice, 1)})
+	entry := pool.waiting.Add(place, &waiter{ask: ask, place: place, began: now, granted: make(chan balance.Choice, 1)})
+	if pool.someTried() {
+		// Those before it may be such as find no room where it does.
+		d.serveWaiting(ask.Service)
+	}
 	d.nudge()
 	d.mutex.Unlock()
 	return d.await(ctx, entry)
@@ -271,11 +280,13 @@
 		case <-limit.C:
 		case <-ctx.Done():
 		}
-		return d.giveUp(entry)
+		return d.giveUp(ctx, entry)
 	}
 }
 
-func (d *Dispatcher) giveUp(entry *waiting.Entry[*waiter]) (*Lease, error) {
+// giveUp ends the wait of a request. One whose client has left or waits no longer does not
+// come back.
+func (d *Dispatcher) giveUp(ctx context.Context, entry *waiting.Entry[*waiter]) (*Lease, error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	service := entry.Value().ask.Service
@@ -285,22 +296,36 @@
 	}
 	pool.waiting.Remove(entry)
 	now, waiter := time.Now(), entry.Value()
-	return nil, pool.busy(waiter.ask, pool.ahead(waiter.place, now, d.now()), now, d.now())
+	ask := waiter.ask
+	ask.Final = ask.Final || ctx.Err() != nil
+	if ask.Remaining > 0 {
+		ask.Remaining = max(time.Millisecond, ask.Remaining-now.Sub(waiter.began))
+	}
+	return nil, pool.busy(ask, pool.ahead(waiter.place, now, d.now()), now, d.now())
 }
 
-// serveWaiting gives servers with room to those that wait, in their order.
+// serveWaiting gives servers with room to those that wait, in their order. One that must not go
+// to the servers with room, which it has tried, does not hold up those behind it.
 func (d *Dispatcher) serveWaiting(service string) {
 	pool := d.service(service)
 	pool.judgeRoom(d.now())
+	passed := make(map[*waiting.Entry[*waiter]]bool)
 	for pool.waiting.Len() > 0 {
-		first := pool.waiting.First(time.Now())
+		first := pool.waiting.FirstOf(time.Now(), func(entry *waiting.Entry[*waiter]) bool { return !passed[entry] })
+		if first == nil {
+			return
+		}
 		waiter := first.Value()
 		choice, found := d.choose(pool, waiter.ask)
-		if !found {
+		switch {
+		case found:
+			pool.waiting.Remove(first)
+			waiter.granted <- choice
+		case len(waiter.ask.Tried) > 0:
+			passed[first] = true
+		default:
 			return
 		}
-		pool.waiting.Remove(first)
-		waiter.granted <- choice
 	}
 }
 
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -22,6 +22,10 @@
 	// longestExpected bounds the wait that is expected, in times of fairshare.Memory: no
 	// client waits for longer.
 	longestExpected = 60.0
+	// leastStarts is on how many requests of one tenant, begun within a Memory, the share of
+	// each rests at least: with fewer, what it has decayed to since the last start says more of
+	// the time since then than of what the tenants get.
+	leastStarts = 3.0
 	// returnsWithin is within how many times its patience a client comes back: it has so much
 	// time left (patiencePart).
 	returnsWithin = 2
@@ -41,6 +45,11 @@
 	Tried []string
 	// Patience is how long it may wait.
 	Patience time.Duration
+	// Remaining is how long its client waits for the answer; zero is not known.
+	Remaining time.Duration
+	// Final tells that its client does not come back where it is refused: it has come back
+	// already, or what it gets is not a refusal, as a try was sent.
+	Final bool
 }
 
 // place is what the order of the request rests on, which is the given arrival.
@@ -58,9 +67,10 @@
 	// classes are the requests by priority, among which tenants share.
 	classes map[waiting.Priority]*class
 	// scarce tells whether there is too little room, so that tenants share, and scarceSince
-	// since when.
+	// since when, as judged last at judgedAt.
 	scarce      bool
 	scarceSince time.Duration
+	judgedAt    time.Duration
 	// promises are the clients that were told to come back.
 	promises returning.Promises
 	// holding is how long requests held a server lately, for the time to come back, and
@@ -85,9 +95,15 @@
 type waiter struct {
 	ask     Ask
 	place   waiting.Place
+	began   time.Time
 	granted chan balance.Choice
 }
 
+// someTried tells whether a request waits that has tried servers.
+func (p *servicePool) someTried() bool {
+	return p.waiting.Any(func(waiter *waiter) bool { return len(waiter.ask.Tried) > 0 })
+}
+
 // ahead is how many requests go before one with the given place, here and, as they tell, at
 // the other processes.
 func (p *servicePool) ahead(place waiting.Place, now time.Time, elapsed time.Duration) int {
@@ -127,11 +143,16 @@
 }
 
 // ofShare is how long a request waits that its tenant's others go before, by what the tenants
-// that ask for more than their share get.
+// that ask for more than their share get. It is zero where that is not known: for a request
+// without a tenant, at servers that do not say how many they run, and after too few starts.
 func (p *servicePool) ofShare(ask Ask, elapsed time.Duration) time.Duration {
+	if ask.Tenant.Name == "" || p.pool.Slots() == 0 {
+		return 0
+	}
 	class, waits := p.class(ask.Priority), p.waitsOf()[ask.Priority]
-	share := class.ledger.Highest(waits, class.weight, elapsed) * float64(max(1, ask.Tenant.Weight))
-	if share <= 0 {
+	highest, work := class.ledger.Highest(waits, class.weight, elapsed)
+	share := highest * float64(max(1, ask.Tenant.Weight))
+	if share <= 0 || work < leastStarts*p.work {
 		return 0
 	}
 	before := waits[ask.Tenant.Name] + class.ledger.Waiting(ask.Tenant.Name)
@@ -139,13 +160,15 @@
 	return time.Duration(min(memories, longestExpected) * float64(fairshare.Memory))
 }
 
-// comeBack is when a request that is refused now will find room, and promises it where the
-// client has time left then. Clients that were told to come back are before it as if they
-// waited, here and elsewhere.
+// comeBack is when a request that is refused now will find room, no later than its client
+// would come back in time. That is what the client is told, but for the little that chance
+// adds (returnSpread), and it is promised where the client is expected then. Clients that
+// were told to come back are before it as if they waited, here and elsewhere.
 func (p *servicePool) comeBack(ask Ask, ahead int, now time.Time, elapsed time.Duration) time.Duration {
 	promised := p.promises.Open(now) + p.shares.At(balance.QueueHash(p.name)).Unread
 	comeBack := max(shortestReturn, p.expected(ask, ahead, elapsed), p.room().After(ahead+promised))
-	if comeBack <= returnsWithin*ask.Patience {
+	comeBack = boundReturn(comeBack, ask.Remaining)
+	if !ask.Final && comeBack <= returnsWithin*ask.Patience {
 		p.promises.Add(now.Add(comeBack))
 	}
 	return comeBack
