Void a look at a server that speaks meanwhile

Cause: Heard reset the timer of the next look only. A look in progress whose connection got no answer ended the try although the stream had gone on, and the run continued elsewhere beside a server that still worked on it (TWICE).

Change: the lookout counts what it hears, and a look decides only where the count is that from before it, under the lock that Heard takes.

--- a/internal/router/lookout.go
+++ b/internal/router/lookout.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"rockwind.example/rockwind/internal/upstream"
@@ -38,6 +39,10 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	timer   *time.Timer
+
+	mutex sync.Mutex
+	// heard counts the calls of Heard: a look that spans one shows nothing.
+	heard uint64
 }
 
 // NewLookout returns a lookout for the server at an address, whose longest good pause is
@@ -54,8 +59,11 @@
 // Context is that of the try.
 func (l *Lookout) Context() context.Context { return l.ctx }
 
-// Heard notes that the server has sent something.
+// Heard notes that the server has sent something. A look in progress is void by it.
 func (l *Lookout) Heard() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.heard++
 	if l.pause > 0 {
 		l.timer.Reset(l.of(quietPart))
 	}
@@ -63,15 +71,20 @@
 
 func (l *Lookout) of(part float64) time.Duration { return time.Duration(part * float64(l.pause)) }
 
-// look ends the try where the server is out of reach.
+// look ends the try where the server is out of reach, and has not spoken since the look began.
 func (l *Lookout) look() {
-	switch l.client.Reach(l.ctx, l.address, max(leastLook, l.of(lookPart))) {
-	case upstream.ReachSilent, upstream.ReachRefused:
+	l.mutex.Lock()
+	before := l.heard
+	l.mutex.Unlock()
+	reach := l.client.Reach(l.ctx, l.address, max(leastLook, l.of(lookPart)))
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	switch {
+	case l.heard != before || l.ctx.Err() != nil:
+	case reach == upstream.ReachSilent || reach == upstream.ReachRefused:
 		l.cancel(errServerDark)
 	default:
-		if l.ctx.Err() == nil {
-			l.timer.Reset(lookAgain)
-		}
+		l.timer.Reset(lookAgain)
 	}
 }
 
@@ -80,6 +93,8 @@
 
 // Stop ends the watch, and the context.
 func (l *Lookout) Stop() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	l.timer.Stop()
 	l.cancel(nil)
 }
--- a/internal/router/lookout_test.go
+++ b/internal/router/lookout_test.go
@@ -99,3 +99,34 @@
 		}
 	})
 }
+
+// TestLookIsVoidWhereTheServerSpeaksMeanwhile: the connection of the look gets no answer, but
+// the stream goes on, so that the server may still work on it.
+func TestLookIsVoidWhereTheServerSpeaksMeanwhile(t *testing.T) {
+	for name, dial := range map[string]upstream.DialFunc{
+		"silent": outOfReach,
+		"refused": func(ctx context.Context, address string) (net.Conn, error) {
+			time.Sleep(50 * time.Millisecond)
+			return refuses(ctx, address)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				lookout := lookedAt(t.Context(), dial)
+				defer lookout.Stop()
+				// Each pause is longer than half of the good one, and the look in it ends after it.
+				for range 5 {
+					lookout.Heard()
+					time.Sleep(170 * time.Millisecond)
+				}
+				if lookout.Dark() {
+					t.Fatal("a server that speaks is taken for one that is out of reach")
+				}
+				time.Sleep(time.Second)
+				if !lookout.Dark() {
+					t.Error("the server is silent now and is not looked at")
+				}
+			})
+		})
+	}
+}
--- a/internal/upstream/reach_test.go
+++ b/internal/upstream/reach_test.go
@@ -22,7 +22,12 @@
 			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 		}, upstream.ReachRefused},
 		"says nothing": {func(ctx context.Context, _ string) (net.Conn, error) { <-ctx.Done(); return nil, ctx.Err() }, upstream.ReachSilent},
-		"unclear":      {func(context.Context, string) (net.Conn, error) { return nil, errors.New("no descriptors") }, upstream.ReachUnclear},
+		"held up": {func(ctx context.Context, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			time.Sleep(time.Second)
+			return nil, ctx.Err()
+		}, upstream.ReachUnclear},
+		"unclear": {func(context.Context, string) (net.Conn, error) { return nil, errors.New("no descriptors") }, upstream.ReachUnclear},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
