Look at no server while its client is written to

Cause: the lookout heard of a piece after it was written to the client, which may take up to 2 s where memory is short. Nothing is read from the server meanwhile: its silence was the router's own, and a look that then got no answer had the run go on elsewhere.

Change: the lookout is held from the read of a piece until the write is over.

Measured: the new test, whose second write takes 2 s, gets verdictContinue and a dark server without the change, and a whole answer with it; the tests of internal/router pass.

--- a/internal/router/continuation.go
+++ b/internal/router/continuation.go
@@ -146,7 +146,15 @@
 	return run.lookout.Context(), run.lookout.Stop
 }
 
-// heard notes that the server has sent something of a run that could go on from there.
+// hold notes that something was read of a run that could go on elsewhere, and that nothing
+// more is read until heard: a write to the client may take seconds.
+func (e *exchange) hold() {
+	if e.copy != nil && !e.copy.continued {
+		e.copy.lookout.Hold()
+	}
+}
+
+// heard notes that the server is read from again, in a run that could go on from there.
 func (e *exchange) heard() {
 	if e.copy != nil && e.copy.began && !e.copy.continued {
 		e.copy.lookout.Heard()
--- a/internal/router/lookout.go
+++ b/internal/router/lookout.go
@@ -41,7 +41,7 @@
 	timer   *time.Timer
 
 	mutex sync.Mutex
-	// heard counts the calls of Heard: a look that spans one shows nothing.
+	// heard counts the calls of Heard and Hold: a look that spans one shows nothing.
 	heard uint64
 }
 
@@ -69,6 +69,15 @@
 	}
 }
 
+// Hold has the server not be looked at until Heard: the router does not read from it, so that
+// its silence shows nothing. A look in progress is void by it.
+func (l *Lookout) Hold() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.heard++
+	l.timer.Stop()
+}
+
 func (l *Lookout) of(part float64) time.Duration { return time.Duration(part * float64(l.pause)) }
 
 // look ends the try where the server is out of reach, and has not spoken since the look began.
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -141,6 +141,7 @@
 	for {
 		n, err := response.Read(buffer, silence)
 		if n > 0 {
+			e.hold()
 			lease.Received(buffer[:n])
 			if !e.relayPiece(splitter.Add(buffer[:n]), response, controller) {
 				e.abandon(lease, response)
