Let no silent server count as ended that takes connections

Cause: after a break a run went on elsewhere where something listens at the server's address and the directory calls it ended.

Change: Over asks whether another incarnation has the address: the entry is gone and replaced (View.Replaced).

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -246,4 +246,14 @@
 			t.Errorf("%s ended without leaving: %v", id, got)
 		}
 	}
+	for id, want := range map[string]bool{"left": false, "drained": false, "replaced": true, "silent": false, "serves": false, "unknown": false} {
+		if got := d.View().Replaced(id); got != want {
+			t.Errorf("%s was replaced: %v", id, got)
+		}
+	}
+	for id, want := range map[string]bool{"left": true, "drained": true, "replaced": true, "silent": true, "serves": false, "unknown": false} {
+		if got := d.View().Absent(id); got != want {
+			t.Errorf("%s is absent: %v", id, got)
+		}
+	}
 }
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -42,16 +42,21 @@
 // or another one reported from its address while it was ready.
 func (v *View) Ended(id string) bool {
 	server, known := v.servers[id]
-	if !known {
-		return false
-	}
-	switch server.GetState() {
-	case rockwindpb.ServerState_SERVER_STATE_SILENT:
-		return true
-	case rockwindpb.ServerState_SERVER_STATE_GONE:
-		return server.GetReplaced()
-	}
-	return false
+	return v.Replaced(id) || (known && server.GetState() == rockwindpb.ServerState_SERVER_STATE_SILENT)
+}
+
+// Replaced tells whether another incarnation has the address of one that was ready: that one
+// has ended for certain, which its silence does not show.
+func (v *View) Replaced(id string) bool {
+	server, known := v.servers[id]
+	return known && server.GetState() == rockwindpb.ServerState_SERVER_STATE_GONE && server.GetReplaced()
+}
+
+// Absent tells whether an incarnation is gone, or is silent.
+func (v *View) Absent(id string) bool {
+	server, known := v.servers[id]
+	state := server.GetState()
+	return known && (state == rockwindpb.ServerState_SERVER_STATE_GONE || state == rockwindpb.ServerState_SERVER_STATE_SILENT)
 }
 
 // Machines lists the machines by name.
--- a/internal/router/continuation.go
+++ b/internal/router/continuation.go
@@ -16,10 +16,6 @@
 	"rockwind.example/rockwind/internal/upstream"
 )
 
-// endedLook is how long a server may take to show, by refusing connections, that it has
-// ended: it shows at once, or its machine is gone.
-const endedLook = 100 * time.Millisecond
-
 // copies decides which runs are copied. Its methods may be called by any goroutine.
 type copies struct {
 	origin time.Time
@@ -209,14 +205,7 @@
 	if run.lookout.Dark() {
 		return true
 	}
-	switch e.router.client.Reach(ctx, lease.Address, endedLook) {
-	case upstream.ReachRefused, upstream.ReachSilent:
-		return true
-	case upstream.ReachListens:
-		// Another incarnation may have the address by now.
-		return e.router.watcher.Directory().Ended(lease.ID)
-	}
-	return false
+	return Over(ctx, e.router.client, e.router.watcher.Directory, lease.ID, lease.Address)
 }
 
 // goOn has the run go on at the server with its copy, and returns the lease of that server
