--- a/internal/router/over_test.go
+++ b/internal/router/over_test.go
@@ -1,6 +1,8 @@
 package router_test
 
 import (
+	"context"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,6 +39,18 @@
 	return all
 }
 
+// first answers the first connection in one way and all further ones in another.
+func first(one, further upstream.DialFunc) upstream.DialFunc {
+	dialed := false
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		if dialed {
+			return further(ctx, address)
+		}
+		dialed = true
+		return one(ctx, address)
+	}
+}
+
 // TestOnlyProofEndsAServer whose connection broke off: a run must not go on elsewhere while it
 // still works on it.
 func TestOnlyProofEndsAServer(t *testing.T) {
@@ -50,6 +64,9 @@
 		{"listens", func() upstream.DialFunc { return listens }, map[string]bool{"replaced": true}},
 		{"unclear", func() upstream.DialFunc { return broken }, nil},
 		{"out of reach", func() upstream.DialFunc { return outOfReach }, map[string]bool{"ready": true, "silent": true, "left": true, "replaced": true}},
+		{"out of reach, then listens", func() upstream.DialFunc { return first(outOfReach, listens) }, map[string]bool{"silent": true, "left": true, "replaced": true}},
+		{"out of reach, then refuses", func() upstream.DialFunc { return first(outOfReach, refuses) }, map[string]bool{"ready": true, "silent": true, "left": true, "replaced": true}},
+		{"out of reach, then unclear", func() upstream.DialFunc { return first(outOfReach, broken) }, map[string]bool{"silent": true, "left": true, "replaced": true}},
 	} {
 		for state, view := range views() {
 			t.Run(test.name+" and "+state, func(t *testing.T) {
