--- a/internal/router/continuation.go
+++ b/internal/router/continuation.go
@@ -16,10 +16,6 @@
 	"rockwind.example/rockwind/internal/upstream"
 )
 
-// endedLook is how long a server may take to show, by refusing connections, that it has
-// ended: it shows at once, or its machine is gone.
-const endedLook = 100 * time.Millisecond
-
 // copies decides which runs are copied. Its methods may be called by any goroutine.
 type copies struct {
 	origin time.Time
@@ -146,7 +142,15 @@
 	return run.lookout.Context(), run.lookout.Stop
 }
 
-// heard notes that the server has sent something of a run that could go on from there.
+// hold notes that something was read of a run that could go on elsewhere, and that nothing
+// more is read until heard: a write to the client may take seconds.
+func (e *exchange) hold() {
+	if e.copy != nil && !e.copy.continued {
+		e.copy.lookout.Hold()
+	}
+}
+
+// heard notes that the server is read from again, in a run that could go on from there.
 func (e *exchange) heard() {
 	if e.copy != nil && e.copy.began && !e.copy.continued {
 		e.copy.lookout.Heard()
@@ -201,14 +205,7 @@
 	if run.lookout.Dark() {
 		return true
 	}
-	switch e.router.client.Reach(ctx, lease.Address, endedLook) {
-	case upstream.ReachRefused, upstream.ReachSilent:
-		return true
-	case upstream.ReachListens:
-		// Another incarnation may have the address by now.
-		return e.router.watcher.Directory().Ended(lease.ID)
-	}
-	return false
+	return Over(ctx, e.router.client, e.router.watcher.Directory, lease.ID, lease.Address)
 }
 
 // goOn has the run go on at the server with its copy, and returns the lease of that server
