Guard what the crowd of the tests of room has served

Cause: requests of a crowd that are served at once added to one list without a lock; a new test has eight do so, and the race detector failed it (TestRequestWithoutATenantHasNoShare).

Measured: router, rateclient and requestrate pass three times with -race -short.

--- a/internal/router/room_test.go
+++ b/internal/router/room_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,7 +30,9 @@
 	t          *testing.T
 	dispatcher *router.Dispatcher
 	leases     []*router.Lease
-	served     []string
+	// mutex guards served, which several requests add to at once.
+	mutex  sync.Mutex
+	served []string
 }
 
 func newCrowd(t *testing.T, slots int, off ...string) *crowd {
@@ -51,7 +54,9 @@
 		if err != nil {
 			return
 		}
+		c.mutex.Lock()
 		c.served = append(c.served, ask.Tenant.Name)
+		c.mutex.Unlock()
 		lease.Done(health.Success, 0)
 	}()
 	synctest.Wait()
