Take memory for a body as it comes, and for as long as its client waits

Cause: the whole announced length of a body was taken before any of it was read, and nothing bounded the reading: a few clients that announce much and stall hold all the memory that is kept for bodies.

Change: the announced length is checked for admission only, and memory is taken in steps of 8 KB as the body is read. The reading has a deadline, that of the request or of its route (30 s where it sets none), which is cleared once the body is whole. A body that is late is answered with 408, as one that did not run.

Without the change of body.go the run with TestAnnouncedBodyThatDoesNotComeTakesNoMemory did not end within 600 s: it hangs where it should fail.

--- a/internal/clientconn/body.go
+++ b/internal/clientconn/body.go
@@ -5,7 +5,7 @@
 	"io"
 )
 
-// bodyStep is by how much memory is asked for a body whose length is not known, in bytes.
+// bodyStep is by how much memory is asked for a body as it is read, in bytes.
 const bodyStep = 8 << 10
 
 // ErrFull tells that there is no memory for a body.
@@ -22,15 +22,13 @@
 func (b *Buffers) NewBody() Body { return Body{buffers: b} }
 
 // Read reads a body of the given length, negative where it is not known. It fails with
-// ErrFull where there is no memory for it: before it is read where its length is known, else
-// with what was read.
+// ErrFull where there is no memory for it: before it is read where the announced length shows
+// it, else with what was read. Memory is taken as the body comes, whatever was announced.
 func (m *Body) Read(source io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		source = &countedBody{memory: m, source: source}
-	} else if !m.take(length, length) {
+	if length > 0 && !m.buffers.hasRoomForBody(length) {
 		return nil, ErrFull
 	}
-	return io.ReadAll(source)
+	return io.ReadAll(&countedBody{memory: m, source: source, length: length})
 }
 
 // GiveBack tells that the body is not kept any more.
@@ -43,9 +41,6 @@
 
 // take asks for so many bytes more of a body of the given size.
 func (m *Body) take(bytes, size int64) bool {
-	if bytes == 0 {
-		return true
-	}
 	if !m.buffers.TakeBody(bytes, size) {
 		return false
 	}
@@ -57,7 +52,8 @@
 type countedBody struct {
 	memory *Body
 	source io.Reader
-	read   int64
+	// length is the announced one, negative where there is none.
+	length, read int64
 }
 
 // Read implements io.Reader.
@@ -65,7 +61,11 @@
 	n, err := c.source.Read(p)
 	c.read += int64(n)
 	for c.read > c.memory.taken {
-		if !c.memory.take(bodyStep, c.memory.taken+bodyStep) {
+		step := int64(bodyStep)
+		if left := c.length - c.memory.taken; left > 0 {
+			step = min(step, left)
+		}
+		if !c.memory.take(step, max(c.length, c.memory.taken+step)) {
 			return n, ErrFull
 		}
 	}
--- a/internal/clientconn/body_test.go
+++ b/internal/clientconn/body_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"rockwind.example/rockwind/internal/clientconn"
@@ -127,3 +128,52 @@
 	}
 	until(t, "nothing is kept any more", func() bool { return buffers.Usage().Bodies == 0 })
 }
+
+// TestAnnouncedBodyThatDoesNotComeTakesNoMemory: clients announce more than there is room for
+// and send little of it.
+func TestAnnouncedBodyThatDoesNotComeTakesNoMemory(t *testing.T) {
+	const (
+		limit   = 4 << 20
+		size    = 1 << 20
+		stalled = 20
+	)
+	buffers := clientconn.NewBuffers(limit, func(clientconn.Ended) {})
+	sources := make([]*io.PipeWriter, stalled)
+	read := make(chan error, stalled)
+	for i := range sources {
+		reader, writer := io.Pipe()
+		sources[i] = writer
+		go func() {
+			memory := buffers.NewBody()
+			defer memory.GiveBack()
+			_, err := memory.Read(reader, size)
+			read <- err
+		}()
+		if _, err := writer.Write(make([]byte, 1000)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	until(t, "what came is taken", func() bool { return buffers.Usage().Bodies > 0 })
+	if usage := buffers.Usage(); usage.Bodies > stalled*8<<10 {
+		t.Errorf("kept are %+v", usage)
+	}
+	whole := buffers.NewBody()
+	defer whole.GiveBack()
+	if body, err := whole.Read(bytes.NewReader(make([]byte, size)), size); err != nil || len(body) != size {
+		t.Errorf("beside them: %d bytes, %v", len(body), err)
+	}
+	tooLarge := buffers.NewBody()
+	if _, err := tooLarge.Read(iotest.ErrReader(errors.New("it is read")), limit); !errors.Is(err, clientconn.ErrFull) {
+		t.Errorf("a body without room: %v", err)
+	}
+	for _, source := range sources {
+		_ = source.CloseWithError(io.ErrUnexpectedEOF)
+		if err := <-read; !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Error(err)
+		}
+	}
+	whole.GiveBack()
+	if usage := buffers.Usage(); usage.Bodies != 0 {
+		t.Errorf("kept are %+v", usage)
+	}
+}
--- a/internal/clientconn/buffers.go
+++ b/internal/clientconn/buffers.go
@@ -119,7 +119,14 @@
 	}
 }
 
-// TakeBody asks to keep so many bytes of a body of the given size, and tells whether there
+// hasRoomForBody tells whether a body of the given size may be read.
+func (b *Buffers) hasRoomForBody(size int64) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.budget.HasRoomForBody(size)
+}
+
+// TakeBody asks to keep so many bytes more of a body of the given size, and tells whether there
 // is room.
 func (b *Buffers) TakeBody(bytes, size int64) bool {
 	b.mutex.Lock()
--- a/internal/relaybudget/budget.go
+++ b/internal/relaybudget/budget.go
@@ -9,7 +9,8 @@
 //
 //   - a large reader, one that keeps more than its equal share, waits: its answer is read no
 //     faster than the client reads. It alone notices.
-//   - large bodies are refused before they are read, while little has been spent on them.
+//   - large bodies are refused, before they are read where their announced length shows that
+//     there is no room for them: little has been spent on them then.
 //   - small readers and small bodies get what is left, and where that is used up, the room
 //     of the worst reader, whose answer is ended: the one that would hold the most memory
 //     for the longest time. Requests of others go on.
@@ -150,8 +151,16 @@
 	delete(b.readers, reader)
 }
 
-// TakeBody asks to keep so many bytes of a body of the given size. Of a large one it is
-// asked before it is read.
+// HasRoomForBody tells whether a body of the given size may be read now. Nothing is taken: it
+// may never come.
+func (b *Budget[O]) HasRoomForBody(size int64) bool {
+	if size > SmallBody {
+		return b.used()+size <= int64(bodiesPart*float64(b.limit))
+	}
+	return b.bodies+size <= b.limit
+}
+
+// TakeBody asks to keep so many bytes more of a body of the given size, as it is read.
 func (b *Budget[O]) TakeBody(bytes, size int64, now time.Time) (verdict Verdict, ended []*Reader[O]) {
 	if size > SmallBody {
 		if b.used()+bytes > int64(bodiesPart*float64(b.limit)) {
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/apex/log"
@@ -18,6 +19,9 @@
 const (
 	// defaultBodyBytes bounds a request's body where the configuration does not.
 	defaultBodyBytes = 4 << 20
+	// bodyTime is how long a body may take to come where its route sets no time, as those of
+	// batch jobs: one of defaultBodyBytes takes it on 1.1 Mbit/s.
+	bodyTime = 30 * time.Second
 	// relayMemoryPart is the part of the process's memory that is kept for others at most:
 	// with 144 MB that is 36 MB beside some 30 MB of the program's own and 20 KB for each of
 	// three thousand connections.
@@ -52,19 +56,45 @@
 	decision.Default.Record(decision.AnswerEnded, ended.Exchange, fields)
 }
 
-// readBody reads the body of a request into its memory.
-func readBody(writer http.ResponseWriter, request *http.Request, limits *rockwindpb.ClientLimits, memory *clientconn.Body) ([]byte, error) {
+// bodyEnds is until when the body of a request may come that was received at a time: for as
+// long as its client waits.
+func bodyEnds(route *rockwindpb.Route, facts Facts, received time.Time) time.Time {
+	limit := bodyTime
+	if route.GetTimeoutMs() > 0 {
+		limit = time.Duration(route.GetTimeoutMs()) * time.Millisecond
+	}
+	if facts.Deadline > 0 {
+		limit = min(limit, facts.Deadline)
+	}
+	return received.Add(limit)
+}
+
+// readBody reads the body of a request into its memory until the given time.
+func readBody(writer http.ResponseWriter, request *http.Request, limits *rockwindpb.ClientLimits, memory *clientconn.Body, ends time.Time) ([]byte, error) {
 	most := int64(defaultBodyBytes)
 	if limits.GetMaxBodyBytes() > 0 {
 		most = int64(limits.GetMaxBodyBytes())
 	}
+	controller := http.NewResponseController(writer)
+	if request.ContentLength != 0 {
+		// A writer without deadlines, as in tests, has no client that stalls.
+		_ = controller.SetReadDeadline(ends)
+	}
 	body, err := memory.Read(http.MaxBytesReader(writer, request.Body, most), min(request.ContentLength, most))
 	if err == nil {
+		if request.ContentLength != 0 {
+			_ = controller.SetReadDeadline(time.Time{})
+		}
 		return body, nil
 	}
+	// The deadline stays for what the server still reads of the body before it answers.
 	if errors.Is(err, clientconn.ErrFull) {
 		return nil, memoryFull()
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, &statusError{status: http.StatusRequestTimeout,
+			fault: fault.New(fault.Unavailable, "the body did not come in time", "send the whole body at once").WithRan(fault.NotRun)}
+	}
 	if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
 		return nil, &statusError{status: http.StatusRequestEntityTooLarge,
 			fault: fault.Newf(fault.InvalidArgument, "send a smaller body", "the body is larger than %d bytes", most).WithRan(fault.NotRun)}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -140,7 +140,7 @@
 	}
 	memory := r.buffers.NewBody()
 	defer memory.GiveBack()
-	body, err := readBody(writer, request, index.ClientLimits(), &memory)
+	body, err := readBody(writer, request, index.ClientLimits(), &memory, bodyEnds(route, facts, received))
 	if err != nil {
 		r.refuseBody(writer, facts, route, err)
 		return
