Give up an answer as gone where its client's connection fails

A large answer whose first write failed was recorded as finished, although its server was still sending: the record said that the client had it. It is now recorded as gone, as the second write's failure was before. A client that ended with nothing kept for it was logged as behind by the time since the zero clock. The kernel's buffer was asked for at 64 KB, which it doubles, so a thousand slow clients cost up to 128 MB and not the 64 that the comment names: it is asked for at 32. The witness uses the client's one dial that tells how an address answers; the second that told a part of it is gone.

Tests of upstream, router, clientconn and relaybudget pass; no test shows the verdict of a large answer whose connection fails.

--- a/internal/clientconn/buffers.go
+++ b/internal/clientconn/buffers.go
@@ -28,10 +28,10 @@
 const (
 	// chunkSize is the unit in which unread bytes are kept and counted.
 	chunkSize = 8 << 10
-	// kernelBuffer is how much the kernel may keep unread for a connection, in bytes: a
-	// client 10 ms away still gets 50 Mbit/s, and a thousand slow ones cost 64 MB at most
-	// where the kernel would take some MB for each.
-	kernelBuffer = 64 << 10
+	// kernelBuffer is what the kernel is asked to keep unread for a connection at most, in
+	// bytes. It doubles that for its own needs: a client 10 ms away still gets 25 Mbit/s, and a
+	// thousand slow ones cost 64 MB at most where the kernel would take some MB for each.
+	kernelBuffer = 32 << 10
 	// drainInterval is the time between two looks at whether all clients have read what is
 	// kept for them.
 	drainInterval = 10 * time.Millisecond
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -324,13 +324,17 @@
 	exchange := c.exchange
 	c.mutex.Unlock()
 	since, taken := c.buffers.leave(c)
+	behind := time.Duration(0)
+	if unread > 0 {
+		behind = time.Since(since)
+	}
 	if lingering, found := c.Conn.(interface{ SetLinger(seconds int) error }); found {
 		_ = lingering.SetLinger(0)
 	}
 	_ = c.closeNow()
 	c.signal()
 	c.buffers.ended(Ended{
-		Exchange: exchange, Reason: reason, Kept: int64(unread), Taken: taken, Behind: time.Since(since), Cause: cause,
+		Exchange: exchange, Reason: reason, Kept: int64(unread), Taken: taken, Behind: behind, Cause: cause,
 	})
 }
 
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -41,11 +41,13 @@
 		e.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	e.writeHead(response)
-	if _, err := e.writer.Write(body); err != nil || whole {
-		if !whole {
-			e.abandon(lease, response)
-		}
+	_, err = e.writer.Write(body)
+	switch {
+	case whole:
 		return verdictFinished
+	case err != nil:
+		e.abandon(lease, response)
+		return verdictGone
 	}
 	_, err = io.Copy(e.writer, response.Body(0))
 	if e.client.Ended() != "" {
--- a/internal/router/witness.go
+++ b/internal/router/witness.go
@@ -109,7 +109,7 @@
 		return false
 	}
 	looked, _, _ := w.checks.Do(attempt.Server, func() (any, error) {
-		return w.client.Refuses(context.Background(), attempt.Address, connectLimit), nil
+		return w.client.Reach(context.Background(), attempt.Address, connectLimit) == upstream.ReachRefused, nil
 	})
 	refused, _ := looked.(bool)
 	return refused || w.noticed(attempt.Server)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -11,7 +11,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"rockwind.example/rockwind/internal/fault"
@@ -237,19 +236,6 @@
 	return newConnection(network), nil
 }
 
-// Refuses tells whether the machine of an address refuses connections to it, as it does once
-// the process that listened there has ended. A machine that does not answer within the limit
-// refuses nothing. A connection that comes about is kept for later requests.
-func (c *Client) Refuses(ctx context.Context, address string, limit time.Duration) bool {
-	dialing, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	network, err := c.dial(dialing, address)
-	if err == nil {
-		c.pool(address).put(newConnection(network), time.Now(), idleConnections)
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 func (c *Client) send(conn *connection, address string, request *Request, attempt int) error {
 	conn.written = 0
 	buffer := c.buffers.Get().(*bytes.Buffer)
