Raft: start elections and compare logs in one way

The election that needs the votes of all voters had a copy of campaign with one field more, and standsFirst compared where two logs end beside upToDate. campaign takes which election it is, and both comparisons rest on compareLog.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -1,6 +1,8 @@
 package raft
 
 import (
+	"cmp"
+
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -31,24 +33,38 @@
 	n.role = PreCandidate
 	n.granted = map[uint64]bool{n.id: true}
 	if n.votesWon() {
-		n.campaign(false)
+		n.campaign(byMajority)
 		return
 	}
 	n.requestVotes(&rockwindpb.Message{Kind: rockwindpb.MessageKind_MESSAGE_KIND_PRE_VOTE, Term: n.term + 1})
 }
 
-// campaign starts a new term. A transfer was ordered by the leader, who gave up
-// its lease before.
-func (n *Node) campaign(transfer bool) {
+// election is what an election rests on.
+type election int
+
+const (
+	// byMajority is won by the votes of a majority.
+	byMajority election = iota
+	// byTransfer is the same, ordered by the leader, who gave up its lease before.
+	byTransfer
+	// byAll is won by the votes of all voters only.
+	byAll
+)
+
+// campaign starts a new term.
+func (n *Node) campaign(kind election) {
 	n.becomeFollower(n.term+1, 0)
 	n.role = Candidate
+	n.unanimous = kind == byAll
 	n.vote = n.id
 	n.granted = map[uint64]bool{n.id: true}
 	if n.votesWon() {
 		n.becomeLeader()
 		return
 	}
-	n.requestVotes(&rockwindpb.Message{Kind: rockwindpb.MessageKind_MESSAGE_KIND_VOTE, Term: n.term, Transfer: transfer})
+	n.requestVotes(&rockwindpb.Message{
+		Kind: rockwindpb.MessageKind_MESSAGE_KIND_VOTE, Term: n.term, Transfer: kind == byTransfer, Unanimous: kind == byAll,
+	})
 }
 
 // requestVotes sends a request to each other voter, with where this log ends.
@@ -92,14 +108,18 @@
 
 // upToDate tells whether a candidate's log holds at least what this one holds.
 func (n *Node) upToDate(message *rockwindpb.Message) (bool, error) {
+	order, err := n.compareLog(message)
+	return err == nil && order >= 0, err
+}
+
+// compareLog tells where a candidate's log ends beside this one: it is negative where that is
+// earlier, zero at the same place and positive where it is later.
+func (n *Node) compareLog(message *rockwindpb.Message) (int, error) {
 	lastTerm, err := n.log.lastTerm()
 	if err != nil {
-		return false, n.halt(err)
-	}
-	if message.GetLogTerm() != lastTerm {
-		return message.GetLogTerm() > lastTerm, nil
+		return 0, n.halt(err)
 	}
-	return message.GetIndex() >= n.log.lastIndex(), nil
+	return cmp.Or(cmp.Compare(message.GetLogTerm(), lastTerm), cmp.Compare(message.GetIndex(), n.log.lastIndex())), nil
 }
 
 func (n *Node) handlePreVote(message *rockwindpb.Message) error {
@@ -163,7 +183,7 @@
 	}
 	switch {
 	case n.votesWon() && role == PreCandidate:
-		n.campaign(false)
+		n.campaign(byMajority)
 	case n.votesWon():
 		n.becomeLeader()
 	case n.votesLost():
@@ -183,7 +203,7 @@
 
 func (n *Node) handleTimeoutNow(message *rockwindpb.Message) error {
 	if n.role == Follower && n.leader == message.GetFrom() && n.mayCampaign() {
-		n.campaign(true)
+		n.campaign(byTransfer)
 	}
 	return nil
 }
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -223,7 +223,7 @@
 		n.becomeFollower(n.term, 0)
 		return false
 	}
-	n.campaign(true)
+	n.campaign(byTransfer)
 	return false
 }
 
--- a/internal/raft/unanimous.go
+++ b/internal/raft/unanimous.go
@@ -1,6 +1,10 @@
 package raft
 
-import "rockwind.example/rockwind/internal/rockwindpb"
+import (
+	"cmp"
+
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
 
 // An election that needs all voters waits for no promise. A replica that has restarted
 // votes for nobody for an election timeout, since it may have promised so to a leader
@@ -44,7 +48,7 @@
 	n.nextPoll = n.ticks + 1
 	n.polled = map[uint64]bool{n.id: true}
 	if n.pollWon() {
-		n.campaignForAll()
+		n.campaign(byAll)
 		return
 	}
 	n.requestVotes(&rockwindpb.Message{Kind: rockwindpb.MessageKind_MESSAGE_KIND_PRE_VOTE, Term: n.term + 1, Unanimous: true})
@@ -70,22 +74,8 @@
 	}
 	n.polled[message.GetFrom()] = true
 	if n.pollWon() {
-		n.campaignForAll()
-	}
-}
-
-// campaignForAll starts a new term in which only the votes of all voters win.
-func (n *Node) campaignForAll() {
-	n.becomeFollower(n.term+1, 0)
-	n.role = Candidate
-	n.unanimous = true
-	n.vote = n.id
-	n.granted = map[uint64]bool{n.id: true}
-	if n.votesWon() {
-		n.becomeLeader()
-		return
+		n.campaign(byAll)
 	}
-	n.requestVotes(&rockwindpb.Message{Kind: rockwindpb.MessageKind_MESSAGE_KIND_VOTE, Term: n.term, Unanimous: true})
 }
 
 // standsFirst tells whether this replica goes before a candidate that needs the votes of
@@ -107,16 +97,6 @@
 // outranks tells whether this log ends later than that of a candidate, or at the same
 // place and this replica's identity is greater.
 func (n *Node) outranks(message *rockwindpb.Message) bool {
-	lastTerm, err := n.log.lastTerm()
-	if err != nil {
-		_ = n.halt(err)
-		return false
-	}
-	if message.GetLogTerm() != lastTerm {
-		return lastTerm > message.GetLogTerm()
-	}
-	if message.GetIndex() != n.log.lastIndex() {
-		return n.log.lastIndex() > message.GetIndex()
-	}
-	return n.id > message.GetFrom()
+	order, err := n.compareLog(message)
+	return err == nil && cmp.Or(-order, cmp.Compare(n.id, message.GetFrom())) > 0
 }
--- a/internal/raft/unanimous_test.go
+++ b/internal/raft/unanimous_test.go
@@ -121,7 +121,7 @@
 // one rejection. Its candidate answers polls again at once.
 func TestUnanimousCandidateStepsDownAtARejection(t *testing.T) {
 	n, other := polling(t)
-	n.campaignForAll()
+	n.campaign(byAll)
 	if n.role != Candidate {
 		t.Fatalf("it is %v", n.role)
 	}
@@ -135,8 +135,8 @@
 // start the next term against it.
 func TestCandidateGrantsNoPoll(t *testing.T) {
 	for name, stand := range map[string]func(n *Node){
-		"ordinary":  func(n *Node) { n.campaign(false) },
-		"unanimous": (*Node).campaignForAll,
+		"ordinary":  func(n *Node) { n.campaign(byMajority) },
+		"unanimous": func(n *Node) { n.campaign(byAll) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			n, other := polling(t)
