Count once who goes before a request that asks for room

Acquire counted those that wait here and go before the request to see whether it goes first, and again for how long it would wait: with each of them looked up by its tenant's share. It counts them once. First and FirstOf of the queue are one, GoesFirst is gone: it was Ahead compared with zero. The tests say the same with what is left. Not measured; tests of waiting, router and fairshare pass.

--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -167,7 +167,8 @@
 	d.order++
 	place := ask.place(d.order, now)
 	pool.class(ask.Priority).note(ask.Tenant)
-	if pool.waiting.GoesFirst(place, now) {
+	before := pool.waiting.Ahead(place, now)
+	if before == 0 {
 		if choice, found := d.choose(pool, ask); found {
 			d.mutex.Unlock()
 			return d.lease(ask.Service, choice), nil
@@ -178,7 +179,7 @@
 		return nil, fault.Newf(fault.Unavailable, "come back later", "service %s has no server that can take the request", ask.Service).
 			WithRan(fault.NotRun).WithRetryAfter(typicalHolding / 4)
 	}
-	if ahead := pool.ahead(place, now, d.now()); pool.expected(ask, ahead, d.now()) > ask.Patience {
+	if ahead := before + pool.elsewhere(place, d.now()); pool.expected(ask, ahead, d.now()) > ask.Patience {
 		refusal := pool.crowded(ask, ahead, now, d.now())
 		d.mutex.Unlock()
 		return nil, refusal
@@ -301,7 +302,8 @@
 	if ask.Remaining > 0 {
 		ask.Remaining = max(time.Millisecond, ask.Remaining-now.Sub(waiter.began))
 	}
-	return nil, pool.busy(ask, pool.ahead(waiter.place, now, d.now()), now, d.now())
+	ahead := pool.waiting.Ahead(waiter.place, now) + pool.elsewhere(waiter.place, d.now())
+	return nil, pool.busy(ask, ahead, now, d.now())
 }
 
 // serveWaiting gives servers with room to those that wait, in their order. One that must not go
@@ -311,7 +313,7 @@
 	pool.judgeRoom(d.now())
 	passed := make(map[*waiting.Entry[*waiter]]bool)
 	for pool.waiting.Len() > 0 {
-		first := pool.waiting.FirstOf(time.Now(), func(entry *waiting.Entry[*waiter]) bool { return !passed[entry] })
+		first := pool.waiting.First(time.Now(), func(entry *waiting.Entry[*waiter]) bool { return !passed[entry] })
 		if first == nil {
 			return
 		}
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -104,17 +104,17 @@
 	return p.waiting.Any(func(waiter *waiter) bool { return len(waiter.ask.Tried) > 0 })
 }
 
-// ahead is how many requests go before one with the given place, here and, as they tell, at
-// the other processes.
-func (p *servicePool) ahead(place waiting.Place, now time.Time, elapsed time.Duration) int {
-	elsewhere := p.shares.At(balance.QueueHash(p.name)).Inflight
+// elsewhere is how many requests go before one with the given place at the other processes, as
+// they tell.
+func (p *servicePool) elsewhere(place waiting.Place, elapsed time.Duration) int {
+	count := p.shares.At(balance.QueueHash(p.name)).Inflight
 	if p.gates.On(gate.Returns) {
-		elsewhere -= p.lower(place.Priority())
+		count -= p.lower(place.Priority())
 	}
 	if p.scarce && p.gates.On(gate.FairShare) {
-		elsewhere -= p.class(place.Priority()).behind(place.Tenant(), elapsed)
+		count -= p.class(place.Priority()).behind(place.Tenant(), elapsed)
 	}
-	return p.waiting.Ahead(place, now) + max(0, elsewhere)
+	return max(0, count)
 }
 
 // lower is how many requests wait at other processes whose priority is known here and lower.
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -166,19 +166,14 @@
 	return slices.ContainsFunc(q.entries, func(each *Entry[T]) bool { return holds(each.value) })
 }
 
-// First is the request that goes before all others now, nil where none waits.
-func (q *Queue[T]) First(now time.Time) *Entry[T] {
-	return q.FirstOf(now, func(*Entry[T]) bool { return true })
-}
-
-// FirstOf is the request that goes before all others now among those that may, nil where none
-// may.
-func (q *Queue[T]) FirstOf(now time.Time, may func(entry *Entry[T]) bool) *Entry[T] {
+// First is the request that goes before all others now among those that may, nil where none
+// may. Where may is nil all may.
+func (q *Queue[T]) First(now time.Time, may func(entry *Entry[T]) bool) *Entry[T] {
 	var first *Entry[T]
 	var best ranked
 	least := q.least(now)
 	for _, each := range q.entries {
-		if !may(each) {
+		if may != nil && !may(each) {
 			continue
 		}
 		if rank := q.rank(each.place, least, now); first == nil || rank.before(best) {
@@ -188,9 +183,6 @@
 	return first
 }
 
-// GoesFirst tells whether a request that does not wait yet goes before all that do.
-func (q *Queue[T]) GoesFirst(place Place, now time.Time) bool { return q.Ahead(place, now) == 0 }
-
 // Ahead is how many of those that wait go before a request that does not wait yet.
 func (q *Queue[T]) Ahead(place Place, now time.Time) int {
 	least := q.least(now, place)
--- a/internal/waiting/waiting_test.go
+++ b/internal/waiting/waiting_test.go
@@ -32,7 +32,7 @@
 	queue.Add(timely, "timely")
 	queue.Add(pressing, "pressing")
 	for _, want := range []string{"pressing", "timely", "late", "lower"} {
-		first := queue.First(now)
+		first := queue.First(now, nil)
 		if first.Value() != want {
 			t.Fatalf("the %s request goes first, want the %s one", first.Value(), want)
 		}
@@ -41,7 +41,7 @@
 			t.Fatalf("the %s request has not left", want)
 		}
 	}
-	if queue.First(now) != nil || queue.Len() != 0 {
+	if queue.First(now, nil) != nil || queue.Len() != 0 {
 		t.Fatalf("%d requests are left", queue.Len())
 	}
 }
@@ -52,10 +52,10 @@
 	queue := waiting.Queue[string]{}
 	queue.Add(late, "late")
 	queue.Add(timely, "timely")
-	if first := queue.First(now).Value(); first != "timely" {
+	if first := queue.First(now, nil).Value(); first != "timely" {
 		t.Fatalf("the %s request goes first", first)
 	}
-	if first := queue.First(now.Add(200 * time.Millisecond)).Value(); first != "late" {
+	if first := queue.First(now.Add(200*time.Millisecond), nil).Value(); first != "late" {
 		t.Fatalf("the %s request goes first once both are late", first)
 	}
 }
@@ -68,7 +68,7 @@
 		for _, place := range order {
 			queue.Add(place, place)
 		}
-		if queue.First(now).Value() != timely || queue.GoesFirst(next, now) {
+		if queue.First(now, nil).Value() != timely || queue.Ahead(next, now) == 0 {
 			t.Fatal("the later one goes first")
 		}
 	}
@@ -78,11 +78,11 @@
 func TestNewcomerGoesBeforeLateRequests(t *testing.T) {
 	late, timely, _, lower := places()
 	queue := waiting.Queue[string]{}
-	if !queue.GoesFirst(lower, now) {
+	if queue.Ahead(lower, now) != 0 {
 		t.Fatal("it does not go first where none waits")
 	}
 	queue.Add(late, "late")
-	if !queue.GoesFirst(timely, now) || queue.GoesFirst(lower, now) {
+	if queue.Ahead(timely, now) != 0 || queue.Ahead(lower, now) == 0 {
 		t.Fatal("the order of newcomers is not that of the queue")
 	}
 }
@@ -98,7 +98,7 @@
 	queue.Add(place(2, -100*time.Millisecond, 150*time.Millisecond), "back in time")
 	queue.Add(place(3, -time.Second, -750*time.Millisecond), "back late")
 	for _, want := range []string{"back in time", "new", "back late"} {
-		first := queue.First(now)
+		first := queue.First(now, nil)
 		if first.Value() != want {
 			t.Fatalf("the %s request goes first, want the %s one", first.Value(), want)
 		}
@@ -128,7 +128,7 @@
 		t.Fatalf("%d of the flood go before a request of a tenant that had little", ahead)
 	}
 	queue.Add(small, "small")
-	if first := queue.First(now).Value(); first != "small" {
+	if first := queue.First(now, nil).Value(); first != "small" {
 		t.Fatalf("the %s goes first", first)
 	}
 }
