Say until when a client waits in one place

The time of a request's body was worked out from its route and its client's deadline as the time of the whole request is, in another function. Online routes always have a time (the configuration is refused without), so one function serves both; routes of batch jobs without a time have 30 s for bodies as before. Tests of router pass.

--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -56,19 +56,6 @@
 	decision.Default.Record(decision.AnswerEnded, ended.Exchange, fields)
 }
 
-// bodyEnds is until when the body of a request may come that was received at a time: for as
-// long as its client waits.
-func bodyEnds(route *rockwindpb.Route, facts Facts, received time.Time) time.Time {
-	limit := bodyTime
-	if route.GetTimeoutMs() > 0 {
-		limit = time.Duration(route.GetTimeoutMs()) * time.Millisecond
-	}
-	if facts.Deadline > 0 {
-		limit = min(limit, facts.Deadline)
-	}
-	return received.Add(limit)
-}
-
 // readBody reads the body of a request into its memory until the given time.
 func readBody(writer http.ResponseWriter, request *http.Request, limits *rockwindpb.ClientLimits, memory *clientconn.Body, ends time.Time) ([]byte, error) {
 	most := int64(defaultBodyBytes)
--- a/internal/router/memory_test.go
+++ b/internal/router/memory_test.go
@@ -21,7 +21,7 @@
 		memory := buffers.NewBody()
 		defer memory.GiveBack()
 		route := &rockwindpb.Route{TimeoutMs: new(uint32(250))}
-		body, err := readBody(writer, request, nil, &memory, bodyEnds(route, Facts{}, time.Now()))
+		body, err := readBody(writer, request, nil, &memory, waitsUntil(route, Facts{}, time.Now()))
 		if err != nil {
 			refuseFault(writer, err)
 			return
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -140,7 +140,7 @@
 	}
 	memory := r.buffers.NewBody()
 	defer memory.GiveBack()
-	body, err := readBody(writer, request, index.ClientLimits(), &memory, bodyEnds(route, facts, received))
+	body, err := readBody(writer, request, index.ClientLimits(), &memory, waitsUntil(route, facts, received))
 	if err != nil {
 		r.refuseBody(writer, facts, route, err)
 		return
@@ -155,10 +155,6 @@
 }
 
 func (r *Router) newExchange(writer http.ResponseWriter, request *http.Request, route *rockwindpb.Route, facts Facts, body []byte, received time.Time) *exchange {
-	limit := time.Duration(route.GetTimeoutMs()) * time.Millisecond
-	if facts.Deadline > 0 {
-		limit = min(limit, facts.Deadline)
-	}
 	header := request.Header.Clone()
 	for name := range hopByHop {
 		delete(header, name)
@@ -171,7 +167,7 @@
 		service: ServiceOf(route, facts.ID),
 		facts:   facts,
 		header:  header,
-		ends:    received.Add(limit),
+		ends:    waitsUntil(route, facts, received),
 		whole:   r.wholeTime(route, facts.Deadline),
 
 		received: received,
@@ -192,6 +188,19 @@
 	return created
 }
 
+// waitsUntil is until when the client of a request waits that was received at a time, as far
+// as its route lets it; that is how long its body may take, too.
+func waitsUntil(route *rockwindpb.Route, facts Facts, received time.Time) time.Time {
+	limit := bodyTime
+	if route.GetTimeoutMs() > 0 {
+		limit = time.Duration(route.GetTimeoutMs()) * time.Millisecond
+	}
+	if facts.Deadline > 0 {
+		limit = min(limit, facts.Deadline)
+	}
+	return received.Add(limit)
+}
+
 // wholeTime is how long a client waits in all that has so much of its time left, zero where it
 // does not say.
 func (r *Router) wholeTime(route *rockwindpb.Route, left time.Duration) time.Duration {
