--- a/internal/relaybudget/budget.go
+++ b/internal/relaybudget/budget.go
@@ -32,6 +32,8 @@
 	readersPart = 0.5
 	// bodiesPart is the part up to which large bodies are taken.
 	bodiesPart = 0.75
+	// whole is the budget as a part of itself.
+	whole = 1.0
 	// SmallBody is the size up to which a body is small, in bytes: a prompt of some 4,000
 	// tokens, as most requests have.
 	SmallBody = 16 << 10
@@ -101,11 +103,14 @@
 
 func (b *Budget[O]) used() int64 { return b.unread + b.bodies }
 
-// HasRoom tells whether any reader may keep so many bytes more.
-func (b *Budget[O]) HasRoom(size int64) bool {
-	return b.used()+size <= int64(readersPart*float64(b.limit))
+// fits tells whether so many bytes more stay within a part of the budget.
+func (b *Budget[O]) fits(size int64, part float64) bool {
+	return b.used()+size <= int64(part*float64(b.limit))
 }
 
+// HasRoom tells whether any reader may keep so many bytes more.
+func (b *Budget[O]) HasRoom(size int64) bool { return b.fits(size, readersPart) }
+
 // share is the equal share of a reader beside the others.
 func (b *Budget[O]) share() int64 {
 	return int64(readersPart*float64(b.limit)) / int64(max(1, len(b.readers)))
@@ -119,7 +124,7 @@
 			return Wait, nil
 		}
 		ended = b.makeRoom(size, now)
-		if b.used()+size > b.limit {
+		if !b.fits(size, whole) {
 			return Refused, ended
 		}
 	}
@@ -155,7 +160,7 @@
 // may never come.
 func (b *Budget[O]) HasRoomForBody(size int64) bool {
 	if size > SmallBody {
-		return b.used()+size <= int64(bodiesPart*float64(b.limit))
+		return b.fits(size, bodiesPart)
 	}
 	return b.bodies+size <= b.limit
 }
@@ -163,12 +168,12 @@
 // TakeBody asks to keep so many bytes more of a body of the given size, as it is read.
 func (b *Budget[O]) TakeBody(bytes, size int64, now time.Time) (verdict Verdict, ended []*Reader[O]) {
 	if size > SmallBody {
-		if b.used()+bytes > int64(bodiesPart*float64(b.limit)) {
+		if !b.fits(bytes, bodiesPart) {
 			return Refused, nil
 		}
 	} else {
 		ended = b.makeRoom(bytes, now)
-		if b.used()+bytes > b.limit {
+		if !b.fits(bytes, whole) {
 			return Refused, ended
 		}
 	}
@@ -182,7 +187,7 @@
 // makeRoom ends the worst readers until so many bytes fit or none is left.
 func (b *Budget[O]) makeRoom(size int64, now time.Time) []*Reader[O] {
 	var ended []*Reader[O]
-	for b.used()+size > b.limit && len(b.readers) > 0 {
+	for !b.fits(size, whole) && len(b.readers) > 0 {
 		worst := b.worst(now)
 		ended = append(ended, worst)
 		b.Leave(worst)
