Find who may hold an address without copying the list of servers

The first report of each server copied the whole list, some 3,000 entries, to keep the one or two at its address. Those are picked from it. Tests of directory and coordinator pass, with that of the list left as it is.

--- a/internal/directory/incarnations.go
+++ b/internal/directory/incarnations.go
@@ -37,10 +37,13 @@
 	if v.servers[report.GetId()] != nil {
 		return nil
 	}
-	// The list of all servers is shared by all who look at the view.
-	return slices.DeleteFunc(slices.Clone(v.Servers()), func(server *rockwindpb.Server) bool {
-		return server.GetState() == rockwindpb.ServerState_SERVER_STATE_GONE || server.GetAddress() != report.GetAddress()
-	})
+	var holders []*rockwindpb.Server
+	for _, server := range v.Servers() {
+		if server.GetState() != rockwindpb.ServerState_SERVER_STATE_GONE && server.GetAddress() == report.GetAddress() {
+			holders = append(holders, server)
+		}
+	}
+	return holders
 }
 
 // Admit returns the command for a report. The holders are those from before the address was
