--- a/internal/bench/soak/enders.go
+++ b/internal/bench/soak/enders.go
@@ -34,8 +34,7 @@
 		path := enderPaths[number%len(enderPaths)]
 		until := r.since() + enderFor
 		for try := 0; r.since() < until && retry.Pause(ctx, time.Duration(random.Int64N(int64(enderPause)))); try++ {
-			routers := r.site.routers()
-			at := routers[random.IntN(len(routers))]
+			at := r.site.someRouter(random)
 			r.sendEnder(ctx, client, at, path, content, fmt.Sprintf("%s-%d", content, try))
 		}
 	}
--- a/internal/bench/soak/jobs.go
+++ b/internal/bench/soak/jobs.go
@@ -54,8 +54,7 @@
 }
 
 func (c *jobClient) router() *member {
-	routers := c.run.site.routers()
-	return routers[c.random.IntN(len(routers))]
+	return c.run.site.someRouter(c.random)
 }
 
 // job submits one job and follows it until its end is read or the context ends.
--- a/internal/bench/soak/online.go
+++ b/internal/bench/soak/online.go
@@ -63,8 +63,7 @@
 	c.sent++
 	path := onlinePaths[c.random.IntN(len(onlinePaths))]
 	id := fmt.Sprintf("r-%d-%d", c.number, c.sent)
-	routers := c.run.site.routers()
-	at := routers[c.random.IntN(len(routers))]
+	at := c.run.site.someRouter(c.random)
 	stay := patience
 	if c.random.Float64() < abandonPart {
 		stay = shortestStay + time.Duration(c.random.Int64N(int64(patience/20)))
--- a/internal/bench/soak/site.go
+++ b/internal/bench/soak/site.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"path/filepath"
 	"sync"
@@ -82,6 +83,12 @@
 
 func (s *site) routers() []*member { return s.of(rockwindpb.SiteRole_SITE_ROLE_ROUTER) }
 
+// someRouter draws a router by lot.
+func (s *site) someRouter(random *rand.Rand) *member {
+	routers := s.routers()
+	return routers[random.IntN(len(routers))]
+}
+
 // newSite prepares the processes in a folder. Nothing runs yet but the proxies.
 func newSite(ctx context.Context, folder, program string, addresses *fleet.Addresses) (*site, error) {
 	made := &site{}
--- a/internal/bench/soak/slowreaders.go
+++ b/internal/bench/soak/slowreaders.go
@@ -60,8 +60,7 @@
 
 func (s *slowReader) request(parent context.Context, id string, brisk bool) {
 	run := s.caller.run
-	routers := run.site.routers()
-	at := routers[s.random.IntN(len(routers))]
+	at := run.site.someRouter(s.random)
 	ctx, cancel := context.WithTimeout(parent, patience)
 	defer cancel()
 	request, err := newRequest(ctx, at, backend.PathLarge+id, id, id, patience)
