--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -23,7 +23,7 @@
 		}
 		o.applied, o.appliedTerm = entry.GetIndex(), entry.GetTerm()
 	}
-	publish(o.machine)
+	publishState(o.machine)
 	for position, entry := range entries {
 		o.answer(entry, results[position])
 	}
@@ -31,8 +31,8 @@
 	return nil
 }
 
-// publish has a state machine show its state, if it does so.
-func publish(machine StateMachine) {
+// publishState has a state machine show its state, if it does so.
+func publishState(machine StateMachine) {
 	if publisher, shows := machine.(Publisher); shows {
 		publisher.Publish()
 	}
--- a/internal/replica/local.go
+++ b/internal/replica/local.go
@@ -27,7 +27,7 @@
 	defer l.mutex.Unlock()
 	l.index++
 	result := l.machine.Apply(l.index, command)
-	publish(l.machine)
+	publishState(l.machine)
 	close(l.applied)
 	l.applied = make(chan struct{})
 	return result, nil
