Remove the scale run and its hollow daemons

Change: all of these go, with the tests that judged the run itself (layout of its zones, its limits, its page; load reports and cut links of its hollow processes). None of them guarded the product. Followers of the configuration stay for the experiment config.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SKIP_KNOWN_RED := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 STATICCHECK_VERSION := v0.8.2
 
-.PHONY: help build test race lint format-check generate generate-check model fuzz demo soak capacity clean
+.PHONY: help build test race lint format-check generate generate-check model fuzz demo soak clean
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | awk -F':.*## ' '{printf "%-16s %s\n", $$1, $$2}'
@@ -52,8 +52,5 @@
 soak: build ## harm a site of real processes from outside, three fresh seeds of 40 s
 	$(BIN)/rockwind-bench soak --count 3 --duration 40s
 
-capacity: build ## make the tables and plots of docs/CAPACITY.md again
-	$(BIN)/rockwind-bench scale --sweep --output docs/capacity --page docs/CAPACITY.md
-
 clean: ## remove what was built
 	rm -rf $(BIN) spec/build demo-data
--- a/cmd/rockwind-bench/main.go
+++ b/cmd/rockwind-bench/main.go
@@ -19,7 +19,6 @@
 	"rockwind.example/rockwind/internal/bench/experiment/sharing"
 	"rockwind.example/rockwind/internal/bench/hollow"
 	"rockwind.example/rockwind/internal/bench/load"
-	"rockwind.example/rockwind/internal/bench/scale"
 	"rockwind.example/rockwind/internal/bench/simulate"
 	"rockwind.example/rockwind/internal/bench/soak"
 	"rockwind.example/rockwind/internal/standin"
@@ -35,9 +34,7 @@
 	Load  load.Command      `cmd:"" help:"Send load and check every answer."`
 	Trace load.TraceCommand `cmd:"" help:"Write a trace of the two deployments' load."`
 
-	Scale scale.Command `cmd:"" help:"Run hundreds of hollow daemons beside real ones and measure what control costs."`
-
-	Hollow hollow.Commands `cmd:"" help:"Run hollow daemons and engines, many to a process."`
+	Hollow hollow.Commands `cmd:"" help:"Run many followers of the configuration in one process."`
 
 	Soak soak.Command `cmd:"" help:"Harm a site of real processes from outside and check what must always hold."`
 
--- a/internal/bench/hollow/followers.go
+++ b/internal/bench/hollow/followers.go
@@ -18,13 +18,6 @@
 	Report  string   `help:"Address of the report page." default:"127.0.0.1:0"`
 }
 
-// Pages of a process of followers, beside RestartPage.
-const (
-	// StopPage stops a follower, StartPage starts it again; the query names it.
-	StopPage  = "/stop"
-	StartPage = "/start"
-)
-
 // Run implements the command. It ends with the process.
 func (c *FollowersCommand) Run() error {
 	control, err := parseControl(c.Control)
--- a/internal/bench/hollow/report.go
+++ b/internal/bench/hollow/report.go
@@ -1,6 +1,6 @@
-// Package hollow runs many daemons and engines in one process, with their real
-// control code and real sockets but no traffic, so that one machine can stand
-// for a large fleet. All connections are counted.
+// Package hollow runs many followers of the configuration in one process: the part of a
+// daemon that follows it, with real sockets and folders but no traffic. All connections are
+// counted.
 package hollow
 
 import (
@@ -9,32 +9,24 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
-	"net/url"
 
 	"github.com/cockroachdb/errors"
-
-	"rockwind.example/rockwind/internal/bench/wire"
 )
 
 // Commands are `rockwind-bench hollow`.
 type Commands struct {
-	Engines   EnginesCommand   `cmd:"" help:"Run many hollow engines in one process."`
-	Gateways  GatewaysCommand  `cmd:"" help:"Run many hollow gateways in one process."`
 	Followers FollowersCommand `cmd:"" help:"Run many followers of the configuration in one process."`
-	Control   ControlCommand   `cmd:"" help:"Run a real control daemon and count its traffic."`
 }
 
-// Pages of a process of hollow daemons.
+// Pages of a process of followers.
 const (
 	// ReportPage answers the process's report as JSON.
 	ReportPage = "/report"
-	// RestartPage restarts a gateway as planned; the query names it.
-	RestartPage = "/restart"
-	// LosePage breaks a gateway's connections without warning and replaces it; the
+	// RestartPage restarts a follower, StopPage stops it and StartPage starts it again; the
 	// query names it.
-	LosePage = "/lose"
-	// BlockPage cuts the links to the addresses in the query and mends all others.
-	BlockPage = "/block"
+	RestartPage = "/restart"
+	StopPage    = "/stop"
+	StartPage   = "/start"
 	// ProfilePage answers a profile of the process's CPU time.
 	ProfilePage = "/profile"
 )
@@ -63,20 +55,5 @@
 	return http.Serve(listener, handler)
 }
 
-// addressParameter is the query parameter that names addresses.
-const addressParameter = "address"
-
-// blockPage cuts the links of some counters to the addresses that the query names.
-func blockPage(counters []*wire.Counter) http.HandlerFunc {
-	return func(_ http.ResponseWriter, request *http.Request) {
-		addresses := request.URL.Query()[addressParameter]
-		for _, counter := range counters {
-			counter.Block(addresses...)
-		}
-	}
-}
-
-// BlockQuery is the query of BlockPage for some addresses.
-func BlockQuery(addresses []string) string {
-	return url.Values{addressParameter: addresses}.Encode()
-}
+// nameParameter is the query parameter that names a follower.
+const nameParameter = "name"
