Let a zone go by what it saw itself of a server's pace

Cause: the sums of paces mix all zones. A server that is slow for the callers of one zone only looked less slow to these than it was, and slower to all others.

Change: what processes of the own zone saw counts in full, the runs that other zones saw as four at most, at their mean (balance.Shares.PaceAt). What servers tell of themselves counts from everywhere. Meshes know no zones and count all alike.

Tests of balance, pace, router, loadshare and fairshare pass; not played on a site.

--- a/internal/balance/evidence.go
+++ b/internal/balance/evidence.go
@@ -100,7 +100,7 @@
 	}
 	for place, each := range p.servers {
 		if each != nil {
-			p.pacer.Remember(place, p.shares.At(each.hash).Pace, now)
+			p.pacer.Remember(place, p.shares.PaceAt(each.hash), now)
 		}
 	}
 }
--- a/internal/balance/pace/uneven_test.go
+++ b/internal/balance/pace/uneven_test.go
@@ -37,13 +37,21 @@
 	events    agenda
 	order     uint64
 	processes []*process
-	servers   map[string]*server
-	names     []string
-	// first and whole are the times to the first event and to the end of each request; one
-	// without room counts as late.
+	// zones are those of the processes in turn; one that is empty shares everything.
+	zones   []string
+	servers map[string]*server
+	names   []string
+	met
+	// byZone is what the requests of the processes of each zone met.
+	byZone map[string]*met
+	until  time.Duration
+}
+
+// met is what some requests met: the times to the first event and to the end of each; one
+// without room counts as late.
+type met struct {
 	first, whole []time.Duration
 	refused      int
-	until        time.Duration
 }
 
 // server is an engine that advances all its requests by an event in each step.
@@ -56,6 +64,8 @@
 	running []*request
 	waiting []*request
 	stepped bool
+	// slowFor is how many steps an event takes for the callers of a zone, one where it is not said.
+	slowFor map[string]int
 }
 
 func (s *server) told() float64 {
@@ -70,6 +80,7 @@
 
 type process struct {
 	name    string
+	zone    string
 	pool    *balance.Pool
 	shares  *balance.Shares
 	waiting []*request
@@ -82,6 +93,7 @@
 	sent    time.Duration
 	began   time.Duration
 	told    float64
+	steps   int
 	made    int
 }
 
@@ -113,8 +125,9 @@
 
 // newSite returns a site whose processes choose with pacers that are made for each of them;
 // none chooses by free slots alone.
-func newSite(seed uint64, processes, servers int, pacer func(s *site) balance.Pacer) *site {
-	s := &site{random: rand.New(rand.NewPCG(seed, 1)), servers: make(map[string]*server)}
+func newSite(seed uint64, processes, servers int, pacer func(s *site) balance.Pacer, zones ...string) *site {
+	s := &site{random: rand.New(rand.NewPCG(seed, 1)), servers: make(map[string]*server), byZone: make(map[string]*met)}
+	s.zones = append(zones, "")[:max(1, len(zones))]
 	var members []balance.Member
 	for i := range servers {
 		name := fmt.Sprint("server-", i)
@@ -125,7 +138,10 @@
 	}
 	for i := range processes {
 		shares := balance.NewShares()
-		created := &process{name: fmt.Sprint("process-", i), shares: shares, pool: balance.NewPool("service", "here", shares)}
+		zone := s.zones[i%len(s.zones)]
+		shares.SetZone(zone)
+		s.byZone[zone] = &met{}
+		created := &process{name: fmt.Sprint("process-", i), zone: zone, shares: shares, pool: balance.NewPool("service", "here", shares)}
 		if made := pacer(s); made != nil {
 			created.pool.SetPacer(made)
 		}
@@ -137,6 +153,11 @@
 		s.after(s.part(recheck), func() { s.look(created) })
 		s.after(s.part(time.Second), func() { s.evaluate(created) })
 	}
+	for _, zone := range s.zones {
+		if zone != "" {
+			s.after(s.part(digestInterval), func() { s.tellZone(zone) })
+		}
+	}
 	return s
 }
 
@@ -156,7 +177,7 @@
 	})
 }
 
-// tell sends the digest of a process to all others.
+// tell sends the digest of a process to all others of its zone.
 func (s *site) tell(sender *process) {
 	loads := make(map[uint32]balance.SharedLoad)
 	sender.pool.Own(s.now, func(server uint32, load balance.SharedLoad) { loads[server] = load })
@@ -164,7 +185,7 @@
 	sequence := s.order
 	s.after(time.Millisecond, func() {
 		for _, other := range s.processes {
-			if other != sender {
+			if other != sender && other.zone == sender.zone {
 				other.shares.Take(sender.name, 1, sequence, loads, s.now)
 			}
 		}
@@ -172,6 +193,29 @@
 	s.after(digestInterval, func() { s.tell(sender) })
 }
 
+// tellZone sends the sum of a zone's digests to the processes of the other zones.
+func (s *site) tellZone(zone string) {
+	loads := make(map[uint32]balance.SharedLoad)
+	members := 0
+	for _, each := range s.processes {
+		if each.zone != zone {
+			continue
+		}
+		members++
+		each.pool.Own(s.now, func(server uint32, load balance.SharedLoad) { loads[server] = loads[server].Plus(load) })
+	}
+	s.order++
+	sequence := s.order
+	s.after(time.Millisecond, func() {
+		for _, other := range s.processes {
+			if other.zone != zone {
+				other.shares.TakeGroup("delegate of "+zone, zone, members, 1, sequence, loads, s.now)
+			}
+		}
+	})
+	s.after(digestInterval, func() { s.tellZone(zone) })
+}
+
 func (s *site) evaluate(each *process) {
 	each.pool.Evaluate(s.now, s.random)
 	s.after(time.Second, func() { s.evaluate(each) })
@@ -205,6 +249,7 @@
 		if s.now-first.arrived > patience {
 			by.waiting = by.waiting[1:]
 			s.refused++
+			s.byZone[by.zone].refused++
 			continue
 		}
 		choice, found := by.pool.Choose(balance.Demand{Parts: []balance.Part{{ID: s.random.Uint64(), Tokens: promptTokens}}}, nil, s.now, s.random)
@@ -242,13 +287,18 @@
 
 // made takes an event of a request, and tells whether it was the last one.
 func (s *site) made(each *server, r *request) bool {
-	pool := r.by.pool
+	pool, zone := r.by.pool, s.byZone[r.by.zone]
+	r.steps++
+	if r.steps%max(1, each.slowFor[r.by.zone]) != 0 {
+		return false
+	}
 	r.made++
 	if r.made == 1 {
 		r.began, r.told = s.now, each.told()
 		pool.Told(r.choice.ID, balance.Load{Running: len(each.running), Waiting: len(each.waiting), Slots: slots, Pace: r.told}, s.now)
 		pool.Read(r.choice, true, s.now)
 		s.first = append(s.first, s.now-r.arrived)
+		zone.first = append(zone.first, s.now-r.arrived)
 	}
 	if r.made < events {
 		return false
@@ -256,6 +306,7 @@
 	pool.Seen(r.choice, r.made, s.now-r.began, r.told, s.now)
 	pool.Ended(r.choice, health.Success, r.began-r.sent, s.now, s.random)
 	s.whole = append(s.whole, s.now-r.arrived)
+	zone.whole = append(zone.whole, s.now-r.arrived)
 	s.after(0, func() { s.serve(r.by) })
 	return true
 }
@@ -289,17 +340,17 @@
 	late float64
 }
 
-func (s *site) result() result {
-	late := s.refused
-	for _, each := range s.first {
+func (m *met) result() result {
+	late := m.refused
+	for _, each := range m.first {
 		if each > goal {
 			late++
 		}
 	}
-	slices.Sort(s.first)
+	slices.Sort(m.first)
 	return result{
-		first: mean(s.first), first99: s.first[len(s.first)*99/100], whole: mean(s.whole),
-		late: float64(late) / float64(len(s.first)+s.refused),
+		first: mean(m.first), first99: m.first[len(m.first)*99/100], whole: mean(m.whole),
+		late: float64(late) / float64(len(m.first)+m.refused),
 	}
 }
 
--- a/internal/balance/pacer.go
+++ b/internal/balance/pacer.go
@@ -75,7 +75,7 @@
 // paceFor is how long the work of a request is expected to take at the server at a place.
 // Batch work runs for longer than servers are slower for a moment.
 func (p *Pool) paceFor(place int, demand Demand, now time.Duration) float64 {
-	others := p.shares.At(p.servers[place].hash).Pace
+	others := p.shares.PaceAt(p.servers[place].hash)
 	if demand.Batch {
 		return p.pacer.Speed(place, others, now)
 	}
--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -64,11 +64,15 @@
 	sums    map[uint32]SharedLoad
 	// processes is how many processes all digests cover.
 	processes int
+	// zone is that of this process, empty where it was not set, and far what was told of paces
+	// by groups of other zones, by server.
+	zone string
+	far  map[uint32]SharedPace
 }
 
 // NewShares returns shares without senders.
 func NewShares() *Shares {
-	return &Shares{senders: make(map[string]*sender), sums: make(map[uint32]SharedLoad)}
+	return &Shares{senders: make(map[string]*sender), sums: make(map[uint32]SharedLoad), far: make(map[uint32]SharedPace)}
 }
 
 // Take replaces what a process told before. A digest that is older than the one
@@ -120,11 +124,13 @@
 	s.senders[key] = &next
 	s.processes += next.members
 	s.add(next.loads, 1)
+	s.addFar(&next, 1)
 }
 
 func (s *Shares) drop(key string) {
 	known := s.senders[key]
 	s.add(known.loads, -1)
+	s.addFar(known, -1)
 	s.processes -= known.members
 	delete(s.senders, key)
 }
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -51,6 +51,8 @@
 // NewDispatcher returns a dispatcher without servers, for a process in a zone with the given
 // gates.
 func NewDispatcher(zone string, gates gate.Set) *Dispatcher {
+	shares := balance.NewShares()
+	shares.SetZone(zone)
 	return &Dispatcher{
 		zone:   zone,
 		gates:  gates,
