Soak: floods of a tenant, keys and rates

Cause: the soak knew nothing of tenants. Rates counted over all routers, keys that are not handed on and callers that are refused within their rate were judged by tests of one failure each only.

Change: a route that needs a key, a tenant that sends five times its rate, one that stays within its own, and callers with an unknown key; three rules: rate exceeded, refused within its rate, wrong tenant. A back end tells for whom each request ran.

--- a/internal/bench/soak/backend/backend.go
+++ b/internal/bench/soak/backend/backend.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,6 +27,8 @@
 	PathResumable = "/resumable/"
 	PathBatch     = "/batch/"
 	PathLarge     = "/large/"
+	// PathTenant is the one route that needs the key of a tenant.
+	PathTenant = "/tenant/"
 )
 
 // PathHealth is where a back end tells which incarnation it is.
@@ -178,6 +181,8 @@
 	}
 	if job := request.Header.Get(HeaderJob); job != "" {
 		s.witness.ItemRan(job, id, s.id, s.since())
+	} else if strings.HasPrefix(request.URL.Path, PathTenant) {
+		s.ranForTenant(id, request.Header)
 	} else {
 		s.witness.Ran(id, s.id, s.since())
 	}
@@ -196,13 +201,26 @@
 		return
 	}
 	cut := s.chance(cutPart)
-	if strings.HasPrefix(request.URL.Path, PathSafe) || strings.HasPrefix(request.URL.Path, PathOnce) {
+	if hasAnyPrefix(request.URL.Path, PathSafe, PathOnce, PathTenant) {
 		s.plain(request.Context(), writer, id, cut)
 		return
 	}
 	s.stream(request, writer, id, cut)
 }
 
+// ranForTenant tells the witness for whom a request runs. The client's key is none of a back
+// end's business.
+func (s *Server) ranForTenant(id string, header http.Header) {
+	s.witness.RanFor(header.Get(router.HeaderTenant), id, s.id, s.since())
+	if header.Get("Authorization") != "" {
+		s.witness.Report(witness.WrongTenant, id, "server "+s.id+" was told a key", s.since())
+	}
+}
+
+func hasAnyPrefix(path string, prefixes ...string) bool {
+	return slices.ContainsFunc(prefixes, func(prefix string) bool { return strings.HasPrefix(path, prefix) })
+}
+
 func (s *Server) plain(ctx context.Context, writer http.ResponseWriter, id string, cut bool) {
 	select {
 	case <-ctx.Done():
--- a/internal/bench/soak/command.go
+++ b/internal/bench/soak/command.go
@@ -228,6 +228,9 @@
 	for number := range slowReaders {
 		load.Go(func() { newSlowReader(r, number).read(loading) })
 	}
+	for _, each := range r.tenantCallers() {
+		load.Go(func() { each.call(loading) })
+	}
 	load.Go(func() { r.endBackEnds(loading) })
 	load.Go(func() { r.watchUse(loading) })
 	load.Go(func() { r.watchMemory(loading) })
--- a/internal/bench/soak/operator.go
+++ b/internal/bench/soak/operator.go
@@ -57,11 +57,14 @@
 
 // configuration has a route of each kind, and one for each of the last numbers.
 func configuration(number uint64) *rockwindpb.Configuration {
-	made := &rockwindpb.Configuration{Number: number, Services: []*rockwindpb.Service{{Name: service, HealthPath: backend.PathHealth}}}
+	made := &rockwindpb.Configuration{
+		Number: number, Services: []*rockwindpb.Service{{Name: service, HealthPath: backend.PathHealth}}, Tenants: tenants(),
+	}
 	add := func(name, prefix string, kind rockwindpb.RouteKind, change func(*rockwindpb.Route)) {
 		route := &rockwindpb.Route{
 			Name: name, Host: host, PathPrefix: prefix, Kind: kind, Attempts: 3, TimeoutMs: proto.Uint32(uint32(patience.Milliseconds())),
 			GoalMs: 400, PauseGoalMs: 500, Split: []*rockwindpb.ServiceShare{{Service: service, Weight: 1}},
+			Public: true,
 		}
 		if change != nil {
 			change(route)
@@ -72,6 +75,7 @@
 	add("once", backend.PathOnce, rockwindpb.RouteKind_ROUTE_KIND_AT_MOST_ONCE, nil)
 	add("stream", backend.PathStream, rockwindpb.RouteKind_ROUTE_KIND_STREAM, nil)
 	add("resumable", backend.PathResumable, rockwindpb.RouteKind_ROUTE_KIND_STREAM, func(r *rockwindpb.Route) { r.Resumable = true })
+	add("tenant", backend.PathTenant, rockwindpb.RouteKind_ROUTE_KIND_SAFE, func(r *rockwindpb.Route) { r.Public = false })
 	add("large", backend.PathLarge, rockwindpb.RouteKind_ROUTE_KIND_SAFE, nil)
 	add("batch", backend.PathBatch, rockwindpb.RouteKind_ROUTE_KIND_BATCH, func(r *rockwindpb.Route) {
 		r.DueMs, r.MaximumWaitMs, r.Priority, r.Attempts = 20_000, 600_000, 2, 30
--- /dev/null
+++ b/internal/bench/soak/tenants.go
@@ -0,0 +1,127 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"rockwind.example/rockwind/internal/bench/fleet"
+	"rockwind.example/rockwind/internal/bench/soak/backend"
+	"rockwind.example/rockwind/internal/bench/soak/witness"
+	"rockwind.example/rockwind/internal/retry"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+const (
+	// floodingTenant sends many times its rate, modestTenant a fifth of it, and strangerName
+	// stands for callers whose key no configuration holds.
+	floodingTenant = "flooding"
+	modestTenant   = "modest"
+	strangerName   = "stranger"
+	// tenantRate and tenantBurst limit each tenant, in requests a second.
+	tenantRate  = 30.0
+	tenantBurst = 20
+	// floodCallers send the flood, each one request after the other with at most floodPause
+	// between: some 150 a second together.
+	floodCallers = 4
+	floodPause   = 20 * time.Millisecond
+	// modestPause is the longest time between two requests of the modest tenant, and
+	// strangerPause that between two of callers without a tenant.
+	modestPause   = 300 * time.Millisecond
+	strangerPause = time.Second
+)
+
+// tenants are those of the configuration, each with one key.
+func tenants() []*rockwindpb.Tenant {
+	var all []*rockwindpb.Tenant
+	for _, name := range []string{floodingTenant, modestTenant} {
+		all = append(all, &rockwindpb.Tenant{
+			Name: name, ApiKeySha256: []string{fleet.KeyHash(fleet.APIKey(name))},
+			Limits: &rockwindpb.Limits{RequestsPerSecond: tenantRate, RequestBurst: tenantBurst},
+		})
+	}
+	return all
+}
+
+// tenantCaller sends requests under the key of a tenant.
+type tenantCaller struct {
+	*caller
+	tenant string
+	pause  time.Duration
+}
+
+func newTenantCaller(run *run, number int, tenant string, pause time.Duration) *tenantCaller {
+	return &tenantCaller{caller: newCaller(run, number), tenant: tenant, pause: pause}
+}
+
+// tenantCallers are those of the flood, of the modest tenant and of a stranger.
+func (r *run) tenantCallers() []*tenantCaller {
+	for _, tenant := range tenants() {
+		r.witness.Limited(tenant.GetName(), witness.NewRate(tenantRate, tenantBurst))
+	}
+	first := callers + slowReaders
+	all := []*tenantCaller{
+		newTenantCaller(r, first, modestTenant, modestPause),
+		newTenantCaller(r, first+1, strangerName, strangerPause),
+	}
+	for number := range floodCallers {
+		all = append(all, newTenantCaller(r, first+len(all)+number, floodingTenant, floodPause))
+	}
+	return all
+}
+
+// call sends requests until the context ends.
+func (c *tenantCaller) call(ctx context.Context) {
+	for retry.Pause(ctx, time.Duration(c.random.Int64N(int64(c.pause)))) {
+		c.request(ctx)
+	}
+}
+
+func (c *tenantCaller) request(ctx context.Context) {
+	c.sent++
+	id := fmt.Sprintf("tenant-%s-%d-%d", c.tenant, c.number, c.sent)
+	calling, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	request, err := newRequest(calling, c.run.site.someRouter(c.random), backend.PathTenant+id, id, id, patience)
+	if err != nil {
+		return
+	}
+	request.Header.Set("Authorization", "Bearer "+fleet.APIKey(c.tenant))
+	sent := c.run.since()
+	c.run.witness.SentBy(c.tenant, id, sent)
+	response, err := c.client.Do(request)
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err == nil {
+		c.judge(id, sent, answer{status: response.StatusCode, body: string(body)})
+	}
+}
+
+// judge tells the witness what an answer shows.
+func (c *tenantCaller) judge(id string, sent time.Duration, got answer) {
+	w, now := c.run.witness, c.run.since()
+	w.Count(fmt.Sprintf("requests of tenant %s: status %d", c.tenant, got.status))
+	switch got.status {
+	case http.StatusOK:
+		if got.body != backend.Answer(id) {
+			w.Report(witness.WrongAnswer, id, fmt.Sprintf("%q", got.body), now)
+		}
+	case http.StatusUnauthorized:
+		if c.tenant != strangerName {
+			w.Report(witness.Denied, id, got.body, now)
+		}
+		w.Refused(id, now)
+	case http.StatusTooManyRequests:
+		w.Refused(id, now)
+		if c.tenant == modestTenant && c.run.calm.since(sent) {
+			w.Report(witness.RefusedWithinRate, id, got.body, now)
+		}
+	case http.StatusServiceUnavailable:
+		w.Refused(id, now)
+	}
+}
--- a/internal/bench/soak/witness/witness.go
+++ b/internal/bench/soak/witness/witness.go
@@ -77,6 +77,7 @@
 	requests   map[string]*request
 	jobs       map[string]*job
 	enders     map[string]*ender
+	tenants    map[string]*tenant
 	violations []Violation
 	counts     map[string]int
 }
@@ -140,7 +141,10 @@
 
 // New returns a witness that has seen nothing.
 func New() *Witness {
-	return &Witness{requests: make(map[string]*request), jobs: make(map[string]*job), enders: make(map[string]*ender), counts: make(map[string]int)}
+	return &Witness{
+		requests: make(map[string]*request), jobs: make(map[string]*job), enders: make(map[string]*ender),
+		tenants: make(map[string]*tenant), counts: make(map[string]int),
+	}
 }
 
 // Report notes a breach that its observer judged itself.
@@ -369,6 +373,7 @@
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	w.judgeRates()
 	for id, each := range w.jobs {
 		for name, one := range each.items {
 			if one.runs > 0 && !each.accepted && !each.doubt {
--- a/internal/bench/soak/witness/witness_test.go
+++ b/internal/bench/soak/witness/witness_test.go
@@ -1,6 +1,7 @@
 package witness_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -57,6 +58,16 @@
 	for end := range 6 {
 		w.EndedBackEnd("three more", "a", time.Duration(end)*4*time.Second, true)
 	}
+	w.Limited("tenant", witness.NewRate(10, 5))
+	for i := range 80 {
+		// What was sent before the span, or runs again, is not of the span.
+		for _, sent := range []time.Duration{0, time.Minute} {
+			id := fmt.Sprint("r-", i, "-", sent)
+			w.SentBy("tenant", id, sent)
+			w.RanFor("tenant", id, "a", time.Minute)
+			w.RanFor("tenant", id, "b", time.Minute)
+		}
+	}
 	w.Accepted("job")
 	w.ItemRan("job", "good", "a", 0)
 	w.ItemRan("job", "good", "b", 0)
@@ -114,6 +125,20 @@
 				w.EndedBackEnd("content", "a", time.Duration(end)*4*time.Second, true)
 			}
 		},
+		witness.RateExceeded: func(w *witness.Witness) {
+			w.Limited("tenant", witness.NewRate(10, 5))
+			for i := range 81 {
+				id := fmt.Sprint("r-", i)
+				w.SentBy("tenant", id, now)
+				w.RanFor("tenant", id, "a", now+time.Second)
+			}
+		},
+		witness.WrongTenant: func(w *witness.Witness) {
+			w.Limited("tenant", witness.NewRate(10, 5))
+			w.Limited("other", witness.NewRate(10, 5))
+			w.SentBy("tenant", "r", now)
+			w.RanFor("other", "r", "a", now)
+		},
 		witness.RefusedJobRan: func(w *witness.Witness) { w.ItemRan("job", "good", "a", now) },
 		witness.WrongAnswer:   func(w *witness.Witness) { w.ItemRan("job", "other", "a", now) },
 	} {
