--- a/internal/balance/accused.go
+++ b/internal/balance/accused.go
@@ -16,31 +16,32 @@
 // large site a process meets a server so rarely that each would have to lose a request to
 // learn that it has gone dark.
 func (p *Pool) accused(now time.Duration) func(place int) bool {
-	few := false
+	avoid := false
 	if p.large() {
-		few = p.summed(now).avoidAccused
+		avoid = p.summed(now).avoidAccused
 	} else {
-		few = p.fewAccused()
+		avoid = fewAccused(p.countAccused(), len(p.places))
 	}
-	if !few {
+	if !avoid {
 		return func(int) bool { return false }
 	}
-	return func(place int) bool { return p.isAccused(p.servers[place]) }
+	return func(place int) bool { return p.shares.At(p.servers[place].hash).accused() }
 }
 
-// fewAccused tells whether some servers are accused, and few enough of them to be avoided.
-func (p *Pool) fewAccused() bool {
-	count, members := 0, 0
+func (p *Pool) countAccused() int {
+	count := 0
 	for _, known := range p.servers {
-		if known == nil {
-			continue
-		}
-		members++
-		if p.isAccused(known) {
+		if known != nil && p.shares.At(known.hash).accused() {
 			count++
 		}
 	}
+	return count
+}
+
+// fewAccused tells whether some of the members are accused, and few enough to be avoided.
+func fewAccused(count, members int) bool {
 	return count > 0 && float64(count) <= maximumAccused*float64(members)
 }
 
-func (p *Pool) isAccused(s *server) bool { return p.shares.At(s.hash).Suspects >= accusers }
+// accused tells whether enough other processes take the server for failing.
+func (l SharedLoad) accused() bool { return l.Suspects >= accusers }
--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -41,35 +41,21 @@
 // twice as slow serves half as many requests. Sent that way, 64 processes that share 90 servers
 // of 0.6 to 1.6 times the usual pace, a quarter of them three times slower, have the ends of
 // answers come 18% earlier at 0.8 of the capacity than by free slots alone.
-func (p *Pool) cost(candidate *server, state health.State, demand Demand, uncached int, pace float64, now time.Duration) float64 {
-	free := p.free(candidate, demand, now)
+func (p *Pool) cost(candidate sight, state health.State, demand Demand, uncached int, pace float64, now time.Duration) float64 {
+	free := candidate.free(demand.Batch)
 	if pace == 0 {
 		return p.firstEvent(candidate, state, uncached, usualPace)/costScale - math.Log(free)
 	}
 	if !demand.Batch && p.paced() {
-		free = p.surely(candidate, free, now)
+		free = p.surely(candidate.server, free, now)
 	}
 	return p.firstEvent(candidate, state, uncached, pace)/costScale - math.Log(free/pace)
 }
 
-// free is how many more requests a server is taken to have room for; where its slots are
-// not known, the less the more it has.
-func (p *Pool) free(candidate *server, demand Demand, now time.Duration) float64 {
-	seen := p.online
-	if demand.Batch {
-		seen = p.load
-	}
-	load := float64(seen(candidate, now))
-	if candidate.Slots == 0 {
-		return 1 / (1 + load)
-	}
-	return max(leastFree, float64(candidate.Slots)-load)
-}
-
 // firstEvent is the time to the first event that a server is expected to take, beyond that
 // of the best one, in milliseconds.
-func (p *Pool) firstEvent(candidate *server, state health.State, uncached int, pace float64) float64 {
-	cost := float64(uncached+candidate.unread+p.shares.At(candidate.hash).Unread) / readRate * pace
+func (p *Pool) firstEvent(candidate sight, state health.State, uncached int, pace float64) float64 {
+	cost := float64(uncached+candidate.unread+candidate.others.Unread) / readRate * pace
 	if candidate.Zone != p.zone {
 		cost += otherZoneCost
 	}
--- a/internal/balance/headroom.go
+++ b/internal/balance/headroom.go
@@ -91,22 +91,25 @@
 func (p *Pool) sumUsage(now time.Duration) usage {
 	sum := usage{limited: true}
 	for place, each := range p.servers {
-		if each == nil {
-			continue
-		}
-		batch := p.batchAt(each)
-		sum.batch += batch
-		sum.online += max(0, p.counted(each)-batch)
-		if each.Slots == 0 {
-			sum.limited = false
-		}
-		if p.usable(place, now) {
-			sum.slots += each.Slots
+		if each != nil {
+			sum.add(p.see(each, now), p.usable(place, now))
 		}
 	}
 	return sum
 }
 
+// add counts what a server has in hand, and its slots where it is taken to answer.
+func (u *usage) add(seen sight, usable bool) {
+	u.batch += seen.batch
+	u.online += max(0, seen.counted-seen.batch)
+	if seen.Slots == 0 {
+		u.limited = false
+	}
+	if usable {
+		u.slots += seen.Slots
+	}
+}
+
 // batchAt is how much batch work a server has, of all processes.
 func (p *Pool) batchAt(s *server) int { return s.batch + p.shares.At(s.hash).Batch }
 
@@ -147,7 +150,7 @@
 		if each == nil || each.batch == 0 || each.Slots == 0 {
 			continue
 		}
-		excess := each.excess.rest(max(0, p.counted(each)-each.Slots), p.viewAge, now)
+		excess := each.excess.rest(max(0, p.see(each, now).counted-each.Slots), p.viewAge, now)
 		wanted := p.share(excess, each.batch, p.batchAt(each), random)
 		if p.yieldAt(each, wanted, now, visit) < wanted {
 			each.excess.reopen()
--- a/internal/balance/pacer.go
+++ b/internal/balance/pacer.go
@@ -75,8 +75,11 @@
 // paceFor is how long the work of a request is expected to take at the server at a place.
 // Batch work runs for longer than servers are slower for a moment.
 func (p *Pool) paceFor(place int, demand Demand, now time.Duration) float64 {
-	others := p.shares.At(p.servers[place].hash).Pace
-	if demand.Batch {
+	return p.paceWith(place, p.shares.At(p.servers[place].hash).Pace, demand.Batch, now)
+}
+
+func (p *Pool) paceWith(place int, others SharedPace, batch bool, now time.Duration) float64 {
+	if batch {
 		return p.pacer.Speed(place, others, now)
 	}
 	return p.pacer.At(place, others, now)
--- a/internal/balance/pacing.go
+++ b/internal/balance/pacing.go
@@ -89,7 +89,11 @@
 		if each.Slots == 0 {
 			return 0, false
 		}
-		free += float64(each.Slots)*(1+spareSlots) - float64(p.online(each, now))
+		free += p.see(each, now).freeSlots()
 	}
 	return free, true
 }
+
+// freeSlots is how many slots of a server online requests could use, less those that queue
+// there, with the spare ones.
+func (s sight) freeSlots() float64 { return float64(s.Slots)*(1+spareSlots) - float64(s.online) }
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -104,24 +104,6 @@
 	return adjusted
 }
 
-// load estimates how many requests a server has, from all callers: those of this
-// process and those that the others tell of. What the server told itself counts
-// beside it while it is new, and for longer where no other process tells anything.
-func (p *Pool) load(s *server, now time.Duration) int {
-	estimate := p.counted(s)
-	valid := reportFor
-	if p.shares.Known() {
-		valid = reportBeside
-	}
-	if s.known && now-s.toldAt <= valid {
-		estimate = max(estimate, s.told+s.since)
-	}
-	return estimate
-}
-
-// counted is how many requests all processes together have at a server.
-func (p *Pool) counted(s *server) int { return s.inflight + p.shares.At(s.hash).Inflight }
-
 // Choice is a chosen server.
 type Choice struct {
 	ID      string
@@ -201,7 +183,7 @@
 // rested on.
 func (p *Pool) take(chosen *server, choice Choice, demand Demand, now time.Duration) Choice {
 	choice.ID, choice.Address, choice.Slots = chosen.ID, chosen.Address, chosen.Slots
-	choice.Load, choice.ReportAge = p.load(chosen, now), -1
+	choice.Load, choice.ReportAge = p.see(chosen, now).load, -1
 	if chosen.known {
 		choice.ReportAge = now - chosen.toldAt
 	}
@@ -217,33 +199,6 @@
 	return state != health.Ejected && !p.servers[place].Silent && !p.servers[place].gone
 }
 
-// room tells whether a server can take a request at once.
-func (p *Pool) room(s *server, demand Demand, now time.Duration) bool {
-	if s.gone || now < s.fullUntil {
-		return false
-	}
-	if s.Slots == 0 {
-		return true
-	}
-	if demand.Batch {
-		// What servers tell is new and old by turns; added to the counts it would keep
-		// slots empty. It only tells of requests that wait at the server.
-		return p.counted(s) < s.Slots && p.load(s, now) <= s.Slots
-	}
-	return p.online(s, now) < s.Slots
-}
-
-// online is the load of a server as an online request counts it. Where requests are paced it
-// leaves out the batch work there, which gives way: a request that goes to a server full of
-// batch work begins as soon as some of it is cut. Where loads are new the request waits for
-// that in the router, and finds a server that others have left as well.
-func (p *Pool) online(s *server, now time.Duration) int {
-	if !p.paced() {
-		return p.load(s, now)
-	}
-	return max(0, p.load(s, now)-p.batchAt(s))
-}
-
 func (p *Pool) start(chosen *server, demand Demand, uncached int, now time.Duration) {
 	chosen.inflight++
 	chosen.since++
--- a/internal/balance/search.go
+++ b/internal/balance/search.go
@@ -46,21 +46,25 @@
 
 // look weighs the server at a place.
 func (s *search) look(place int) {
-	p, candidate := s.pool, s.pool.servers[place]
-	if candidate == nil || slices.Contains(s.tried, candidate.ID) || !p.room(candidate, s.demand, s.now) {
+	p, known := s.pool, s.pool.servers[place]
+	if known == nil || slices.Contains(s.tried, known.ID) {
+		return
+	}
+	candidate := p.see(known, s.now)
+	if !candidate.room(s.demand.Batch, s.now) {
 		return
 	}
 	uncached := p.uncached(place, s.demand, s.now)
 	state, _ := p.tracker.State(place, s.now)
 	if state == health.Ejected {
 		if !s.demand.Batch && !s.accused(place) && p.tracker.StartTrial(place, s.now) {
-			s.best, s.found.Uncached, s.trial = candidate, uncached, true
+			s.best, s.found.Uncached, s.trial = known, uncached, true
 		}
 		return
 	}
 	pace := 0.0
 	if s.informed {
-		pace, state = p.paceFor(place, s.demand, s.now), p.withoutSlowness(place, state, s.now)
+		pace, state = p.paceWith(place, candidate.others.Pace, s.demand.Batch, s.now), p.withoutSlowness(place, state, s.now)
 	}
 	if state == health.Healthy && s.accused(place) {
 		state = health.Suspect
@@ -68,7 +72,7 @@
 	cost := p.cost(candidate, state, s.demand, uncached, pace, s.now) + noise(s.alone, s.random)
 	s.found.Candidates++
 	if s.best == nil || cost < s.lowest {
-		s.best, s.lowest, s.found.Uncached, s.found.Pace = candidate, cost, uncached, pace
-		s.sound = state == health.Healthy && !candidate.Silent
+		s.best, s.lowest, s.found.Uncached, s.found.Pace = known, cost, uncached, pace
+		s.sound = state == health.Healthy && !known.Silent
 	}
 }
--- a/internal/balance/second.go
+++ b/internal/balance/second.go
@@ -24,7 +24,7 @@
 		return Member{}, false
 	}
 	chosen, other := candidates[random.IntN(len(candidates))], candidates[random.IntN(len(candidates))]
-	if p.online(other, now) < p.online(chosen, now) {
+	if p.see(other, now).online < p.see(chosen, now).online {
 		chosen = other
 	}
 	return chosen.Member, true
@@ -34,7 +34,7 @@
 func (p *Pool) seconds(first, zone string, now time.Duration) (near, far []*server) {
 	accused := p.accused(now)
 	for place, candidate := range p.servers {
-		if candidate == nil || candidate.ID == first || !p.usable(place, now) || accused(place) || !p.room(candidate, Demand{}, now) {
+		if candidate == nil || candidate.ID == first || !p.usable(place, now) || accused(place) || !p.see(candidate, now).room(false, now) {
 			continue
 		}
 		if state, _ := p.tracker.State(place, now); state != health.Healthy {
--- a/internal/balance/summary.go
+++ b/internal/balance/summary.go
@@ -37,23 +37,44 @@
 	if s.valid && now >= s.at && now-s.at < summaryFor {
 		return s
 	}
-	s.at, s.valid = now, true
-	s.usage = p.sumUsage(now)
-	s.free, s.limited = p.sumFreeSlots(now)
-	s.avoidAccused = p.fewAccused()
-	s.online, s.batch = s.online[:0], s.batch[:0]
+	p.sum(now)
+	return s
+}
+
+// sum makes the sums anew, with one look at each server.
+func (p *Pool) sum(now time.Duration) {
+	s := &p.summary
+	*s = summary{
+		at: now, valid: true, usage: usage{limited: true}, limited: true,
+		online: s.online[:0], batch: s.batch[:0],
+	}
+	accused := 0
 	for place, each := range p.servers {
-		if each == nil || !p.usable(place, now) {
+		if each == nil {
 			continue
 		}
-		if p.room(each, Demand{}, now) {
-			s.online = append(s.online, place)
+		seen, usable := p.see(each, now), p.usable(place, now)
+		if seen.others.accused() {
+			accused++
 		}
-		if p.room(each, Demand{Batch: true}, now) {
-			s.batch = append(s.batch, place)
+		s.usage.add(seen, usable)
+		if usable {
+			s.addUsable(place, seen, now)
 		}
 	}
-	return s
+	s.avoidAccused = fewAccused(accused, len(p.places))
+}
+
+// addUsable counts the server at a place, which is taken to answer.
+func (s *summary) addUsable(place int, seen sight, now time.Duration) {
+	s.limited = s.limited && seen.Slots > 0
+	s.free += seen.freeSlots()
+	if seen.room(false, now) {
+		s.online = append(s.online, place)
+	}
+	if seen.room(true, now) {
+		s.batch = append(s.batch, place)
+	}
 }
 
 // started counts a request that this process starts, ended one that has left its server.
