Balance: draw from all servers first, then from those seen with room

Tests for the only server with room, tried servers, trials, keepers of parts, and that 64 servers are chosen among as before.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -77,10 +77,11 @@
 	waiting      int
 	waitingKnown bool
 	// What follows spares choices of a large pool from looking at all servers: sums over them,
-	// where parts of prompts were sent, where own requests left slots, and which servers are
+	// where parts of prompts were sent, all places, where own requests left slots, and which servers are
 	// out for their failures.
 	summary summary
 	keepers keepers
+	every   []int
 	leavers []int
 	ejected []int
 	// choices counts the searches among a part of the servers.
--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -6,14 +6,15 @@
 	"rockwind.example/rockwind/internal/health"
 )
 
-// sampleSize is how many servers that had room a choice of a large pool draws.
+// sampleSize is how many servers a choice of a large pool draws.
 const sampleSize = 24
 
 // sample looks at a part of the servers of a large pool: those that are due for a trial, those
 // that are likely to keep a part of the prompt, those whose slots own requests have left, and
-// some drawn from those that had room when the sums were made. Each is weighed as among all;
-// as the draw is even, a server is chosen nearly with the probability that it would have had.
-// It returns false where none of them is well: then all have to be looked at.
+// some drawn from all. Each is weighed as among all; as the draw is even, a server is chosen
+// nearly with the probability that it would have had. Where none of them is well, some are
+// drawn from those that had room when the sums were made. It returns false where none of
+// these is well either: then all have to be looked at.
 func (s *search) sample() bool {
 	p := s.pool
 	p.choices++
@@ -23,15 +24,27 @@
 		}
 	}
 	s.lookAtKeepers()
-	roomy := p.summed(s.now).batch
 	if !s.demand.Batch {
-		roomy = p.summed(s.now).online
 		for _, place := range p.leftSlots(s.now) {
 			s.lookOnce(place)
 		}
 	}
-	s.draw(roomy)
-	return s.trial || s.sound
+	s.draw(p.everyPlace())
+	if !s.settled() {
+		s.draw(p.summed(s.now).roomy(s.demand.Batch))
+	}
+	return s.settled()
+}
+
+// settled tells that the best server so far will do.
+func (s *search) settled() bool { return s.trial || s.sound }
+
+// everyPlace lists the places of the servers, some of which may be vacant, in no order.
+func (p *Pool) everyPlace() []int {
+	for place := len(p.every); place < len(p.servers); place++ {
+		p.every = append(p.every, place)
+	}
+	return p.every
 }
 
 // lookAtKeepers looks at the servers that are likely to keep a part of the prompt.
--- /dev/null
+++ b/internal/balance/sample_test.go
@@ -0,0 +1,192 @@
+package balance_test
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/health"
+)
+
+// targetServers is the number of servers of the largest site that is planned for.
+const targetServers = 1200
+
+// fullBut has the others fill all servers of the target but the listed ones.
+func fullBut(servers int, free ...int) (*balance.Pool, *balance.Shares) {
+	shares := balance.NewShares()
+	pool := balance.NewPool("service", "here", shares)
+	var members []balance.Member
+	loads := make(map[uint32]balance.SharedLoad)
+	for i := range servers {
+		name := fmt.Sprint("server-", i)
+		members = append(members, balance.Member{ID: name, Address: name, Zone: "here", Slots: 4})
+		loads[balance.ServerHash(name)] = balance.SharedLoad{Inflight: 4}
+	}
+	for _, each := range free {
+		loads[balance.ServerHash(fmt.Sprint("server-", each))] = balance.SharedLoad{Inflight: 3}
+	}
+	pool.Update(members)
+	shares.Take("others", 1, 1, loads, 0)
+	return pool, shares
+}
+
+// TestOnlyServerWithRoomIsFound among many, and none is chosen where there is none.
+func TestOnlyServerWithRoomIsFound(t *testing.T) {
+	for _, batch := range []bool{false, true} {
+		for seed := range uint64(20) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			only := random.IntN(targetServers)
+			pool, _ := fullBut(targetServers, only)
+			demand := balance.Demand{Batch: batch}
+			choice, found := pool.Choose(demand, nil, 0, random)
+			if !found || choice.ID != fmt.Sprint("server-", only) {
+				t.Fatalf("seed %d, batch %v: %v, %v; only server-%d has room", seed, batch, choice.ID, found, only)
+			}
+			if _, found := pool.Choose(demand, nil, 0, random); found {
+				t.Fatalf("seed %d, batch %v: a full server is chosen", seed, batch)
+			}
+		}
+	}
+}
+
+// TestServerThatGotRoomSinceTheSumsIsFound: the sums over all servers may be older than the
+// loads.
+func TestServerThatGotRoomSinceTheSumsIsFound(t *testing.T) {
+	const later = time.Millisecond
+	random := rand.New(rand.NewPCG(1, 2))
+	pool, shares := fullBut(targetServers)
+	if choice, found := pool.Choose(balance.Demand{}, nil, 0, random); found {
+		t.Fatalf("%v is chosen though it is full", choice.ID)
+	}
+	loads := make(map[uint32]balance.SharedLoad)
+	for i := range targetServers - 1 {
+		loads[balance.ServerHash(fmt.Sprint("server-", i))] = balance.SharedLoad{Inflight: 4}
+	}
+	shares.Take("others", 1, 2, loads, later)
+	choice, found := pool.Choose(balance.Demand{}, nil, later, random)
+	if !found || choice.ID != fmt.Sprint("server-", targetServers-1) {
+		t.Fatalf("%v, %v", choice.ID, found)
+	}
+}
+
+// TestTriedServersAreNotTriedAgainAmongMany: also where no other one has room.
+func TestTriedServersAreNotTriedAgainAmongMany(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	pool, _ := fullBut(targetServers, 7, 900)
+	first, found := pool.Choose(balance.Demand{}, nil, 0, random)
+	if !found {
+		t.Fatal("no server is chosen")
+	}
+	pool.Abandoned(first)
+	second, found := pool.Choose(balance.Demand{}, []string{first.ID}, 0, random)
+	if !found || second.ID == first.ID {
+		t.Fatalf("%v after %v, %v", second.ID, first.ID, found)
+	}
+	pool.Abandoned(second)
+	if third, found := pool.Choose(balance.Demand{}, []string{first.ID, second.ID}, 0, random); found {
+		t.Fatalf("%v is chosen; both servers with room were tried", third.ID)
+	}
+}
+
+// TestEjectedServerAmongManyGetsItsTrial with the next request after its time has come.
+func TestEjectedServerAmongManyGetsItsTrial(t *testing.T) {
+	const held = time.Minute
+	random := rand.New(rand.NewPCG(1, 2))
+	pool := sitePool(targetServers)
+	sick, found := pool.Choose(balance.Demand{}, nil, 0, random)
+	if !found {
+		t.Fatal("no server is chosen")
+	}
+	for range 8 {
+		pool.Ended(sick, health.Failure, 0, 0, random)
+	}
+	pool.Evaluate(time.Second, random)
+	choice, found := pool.Choose(balance.Demand{}, nil, held, random)
+	if !found || choice.ID != sick.ID {
+		t.Errorf("%v is chosen, %v; %v is due for a trial", choice.ID, found, sick.ID)
+	}
+	if choice, _ := pool.Choose(balance.Demand{}, nil, held, random); choice.ID == sick.ID {
+		t.Errorf("%v gets a second request while its trial runs", sick.ID)
+	}
+}
+
+// TestPromptGoesWhereItsPartsWereSentAmongMany: also where that is none of their homes.
+func TestPromptGoesWhereItsPartsWereSentAmongMany(t *testing.T) {
+	const subjects, least = 50, 40
+	again := 0
+	random := rand.New(rand.NewPCG(1, 2))
+	pool, _ := fullBut(0)
+	var members []balance.Member
+	for i := range targetServers {
+		name := fmt.Sprint("server-", i)
+		members = append(members, balance.Member{ID: name, Address: name, Zone: "here", Slots: 4})
+	}
+	pool.Update(members)
+	for subject := range uint64(subjects) {
+		demand := longPrompt(subject + 1)
+		at := fmt.Sprint("server-", random.IntN(targetServers))
+		sent, found := pool.At(at, demand, 0)
+		if !found {
+			t.Fatalf("%v is not known", at)
+		}
+		pool.Abandoned(sent)
+		if choice, _ := pool.Choose(demand, nil, time.Second, random); choice.ID == at {
+			again++
+		}
+	}
+	if again < least {
+		t.Errorf("%d of %d prompts go where their parts were sent", again, subjects)
+	}
+}
+
+// TestChoiceAmongManyLooksAtAFew of those that have room.
+func TestChoiceAmongManyLooksAtAFew(t *testing.T) {
+	const most = 60
+	random := rand.New(rand.NewPCG(1, 2))
+	pool := sitePool(targetServers)
+	for i := range 200 {
+		choice, found := pool.Choose(longPrompt(uint64(i%20+1)), nil, time.Duration(i)*time.Millisecond, random)
+		if !found || choice.Candidates > most {
+			t.Fatalf("choice %d looks at %d servers, %v", i, choice.Candidates, found)
+		}
+		pool.Ended(choice, health.Success, time.Millisecond, time.Duration(i)*time.Millisecond, random)
+	}
+}
+
+// TestSmallSitesChooseAmongAll: up to 64 servers, the same requests go to the same servers as
+// by weighing all of them in the order of their places, which gave this sum.
+func TestSmallSitesChooseAmongAll(t *testing.T) {
+	const want = "40 13e51e87e2513cd9"
+	sum := fnv.New64a()
+	random := rand.New(rand.NewPCG(1, 2))
+	pool := sitePool(64)
+	var open []balance.Choice
+	for i := range 3000 {
+		now := time.Duration(i) * 3 * time.Millisecond
+		demand := longPrompt(uint64(random.IntN(30) + 1))
+		demand.Batch = i%5 == 0
+		if choice, found := pool.Choose(demand, nil, now, random); found {
+			_, _ = fmt.Fprint(sum, choice.ID, choice.Candidates, choice.Uncached)
+			open = append(open, choice)
+			pool.Told(choice.ID, balance.Load{Running: random.IntN(8), Pace: 1 + random.Float64()}, now)
+		}
+		if len(open) > 40 {
+			outcome := health.Success
+			if i%17 == 0 {
+				outcome = health.Failure
+			}
+			pool.Read(open[0], true, now)
+			pool.Ended(open[0], outcome, 20*time.Millisecond, now, random)
+			open = open[1:]
+		}
+		if i%100 == 0 {
+			pool.Evaluate(now, random)
+		}
+	}
+	if got := fmt.Sprintf("%d %x", len(open), sum.Sum64()); got != want {
+		t.Errorf("%s, want %s", got, want)
+	}
+}
--- a/internal/balance/summary.go
+++ b/internal/balance/summary.go
@@ -77,6 +77,14 @@
 	}
 }
 
+// roomy lists the places of the servers that had room when the sums were made, in no order.
+func (s *summary) roomy(batch bool) []int {
+	if batch {
+		return s.batch
+	}
+	return s.online
+}
+
 // started counts a request that this process starts, ended one that has left its server.
 func (s *summary) started(batch bool) { s.count(batch, 1) }
 
--- a/internal/balance/vacated.go
+++ b/internal/balance/vacated.go
@@ -29,13 +29,13 @@
 }
 
 // leftSlots lists the places of the servers of a large pool where own requests have left slots
-// that none has taken since, and that the loads may not show yet.
+// that none has taken since, and that the loads may not show yet: the newest ones of many.
 func (p *Pool) leftSlots(now time.Duration) []int {
 	p.leavers = slices.DeleteFunc(p.leavers, func(place int) bool {
 		known := p.servers[place]
 		return known == nil || known.vacated.count(p.viewAge, now) == 0
 	})
-	return p.leavers
+	return p.leavers[max(0, len(p.leavers)-sampleSize):]
 }
 
 // occupy notes that a request of this process takes a slot, one that was left if there is any.
