--- a/internal/balance/members.go
+++ b/internal/balance/members.go
@@ -69,11 +69,29 @@
 	}
 	for _, member := range members {
 		if _, known := p.places[member.ID]; !known {
-			p.add(&server{Member: member, hash: ServerHash(member.ID), parts: make(map[uint64]time.Duration)})
+			p.Put(member)
 		}
 	}
 }
 
+// Put adds a member, or takes what has changed of one.
+func (p *Pool) Put(member Member) {
+	p.summary.valid = false
+	if known := p.find(member.ID); known != nil {
+		known.Member = member
+		return
+	}
+	p.add(&server{Member: member, hash: ServerHash(member.ID), parts: make(map[uint64]time.Duration)})
+}
+
+// Drop removes a member, if it is one.
+func (p *Pool) Drop(id string) {
+	if place := p.place(id); place >= 0 {
+		p.summary.valid = false
+		p.remove(place)
+	}
+}
+
 func (p *Pool) add(added *server) {
 	clear(p.homes)
 	place := slices.Index(p.servers, nil)
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -13,7 +13,6 @@
 	"rockwind.example/rockwind/internal/gate"
 	"rockwind.example/rockwind/internal/health"
 	"rockwind.example/rockwind/internal/loadshare"
-	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/waiting"
 )
 
@@ -30,6 +29,8 @@
 	name   string
 	random *rand.Rand
 	pools  map[string]*servicePool
+	// view is the directory that was taken last, nil before the first one.
+	view *directory.View
 	// servers are the hashes of all servers of the directory.
 	servers map[uint32]struct{}
 	shares  *balance.Shares
@@ -59,6 +60,8 @@
 		pools:  make(map[string]*servicePool),
 		shares: balance.NewShares(),
 
+		servers: make(map[uint32]struct{}),
+
 		ready:   make(chan struct{}),
 		pressed: make(chan struct{}),
 	}
@@ -66,42 +69,6 @@
 
 func (d *Dispatcher) now() time.Duration { return time.Since(d.origin) }
 
-// Update takes the servers of the directory.
-func (d *Dispatcher) Update(view *directory.View) {
-	members := make(map[string][]balance.Member)
-	servers := make(map[uint32]struct{})
-	for _, server := range view.Servers() {
-		servers[balance.ServerHash(server.GetId())] = struct{}{}
-		switch server.GetState() {
-		case rockwindpb.ServerState_SERVER_STATE_READY, rockwindpb.ServerState_SERVER_STATE_SILENT:
-			members[server.GetService()] = append(members[server.GetService()], balance.Member{
-				ID: server.GetId(), Address: server.GetAddress(), Zone: server.GetZone(), Slots: int(server.GetSlots()),
-				Silent: server.GetState() == rockwindpb.ServerState_SERVER_STATE_SILENT,
-			})
-		}
-	}
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.setPeers(view)
-	d.servers = servers
-	for name := range d.pools {
-		if members[name] == nil {
-			members[name] = []balance.Member{}
-		}
-	}
-	for name, list := range members {
-		pool := d.service(name).pool
-		pool.Update(list)
-		pool.SetBatchProcesses(d.stores)
-		pool.SetOnlineProcesses(d.routers)
-		pool.SetViewAge(d.viewAge)
-		d.serveWaiting(name)
-	}
-	if !d.Ready() {
-		close(d.ready)
-	}
-}
-
 // Ready tells whether the dispatcher has taken a directory.
 func (d *Dispatcher) Ready() bool {
 	select {
--- /dev/null
+++ b/internal/router/members.go
@@ -0,0 +1,79 @@
+package router
+
+import (
+	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/directory"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// Update takes the servers of the directory. Only what is other than in the one before is
+// looked at closely: a site's directory holds thousands of servers, of which some change
+// many times a second.
+func (d *Dispatcher) Update(view *directory.View) {
+	d.mutex.Lock()
+	before := d.view
+	d.mutex.Unlock()
+	change := directory.Change{}
+	if view != before {
+		change = view.ChangeFrom(before)
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.view = view
+	if change.Machines() || before == nil {
+		d.setPeers(view)
+	}
+	for _, left := range change.Left() {
+		d.drop(left)
+	}
+	for _, server := range change.Servers() {
+		d.take(server, before)
+	}
+	d.nameServers(view, change)
+	for name, service := range d.pools {
+		service.pool.SetBatchProcesses(d.stores)
+		service.pool.SetOnlineProcesses(d.routers)
+		service.pool.SetViewAge(d.viewAge)
+		d.serveWaiting(name)
+	}
+	if !d.Ready() {
+		close(d.ready)
+	}
+}
+
+// take has the pool of a server's service know it as the directory describes it. The mutex is
+// held.
+func (d *Dispatcher) take(server *rockwindpb.Server, before *directory.View) {
+	if before != nil {
+		if old, known := before.Server(server.GetId()); known && old.GetService() != server.GetService() {
+			d.drop(old)
+		}
+	}
+	silent := server.GetState() == rockwindpb.ServerState_SERVER_STATE_SILENT
+	if !silent && server.GetState() != rockwindpb.ServerState_SERVER_STATE_READY {
+		d.drop(server)
+		return
+	}
+	d.service(server.GetService()).pool.Put(balance.Member{
+		ID: server.GetId(), Address: server.GetAddress(), Zone: server.GetZone(), Slots: int(server.GetSlots()), Silent: silent,
+	})
+}
+
+// drop takes a server out of the pool of its service. The mutex is held.
+func (d *Dispatcher) drop(server *rockwindpb.Server) {
+	if service, known := d.pools[server.GetService()]; known {
+		service.pool.Drop(server.GetId())
+	}
+}
+
+// nameServers keeps the short names of all servers of the directory. The mutex is held.
+func (d *Dispatcher) nameServers(view *directory.View, change directory.Change) {
+	news := change.Servers()
+	if len(change.Left()) > 0 {
+		// Servers may share a short name.
+		d.servers, news = make(map[uint32]struct{}), view.Servers()
+	}
+	for _, server := range news {
+		d.servers[balance.ServerHash(server.GetId())] = struct{}{}
+	}
+}
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -25,6 +25,9 @@
 	}
 	d.mutex.Lock()
 	d.sharer, d.name = sharer, settings.GetName()
+	if d.view != nil {
+		d.setPeers(d.view)
+	}
 	d.mutex.Unlock()
 	return sharer.Run(ctx, loadSource{d})
 }
