--- a/internal/coordinator/return_test.go
+++ b/internal/coordinator/return_test.go
@@ -266,7 +266,7 @@
 	if testing.Short() {
 		return []int{24}
 	}
-	return []int{96, 300}
+	return []int{96, 300, 1000}
 }
 
 // TestSiteIsBackSoonAfterEverythingStopped ends all processes of a site at once. From the
