--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -77,8 +77,8 @@
 	waiting      int
 	waitingKnown bool
 	// What follows spares choices of a large pool from looking at all servers: sums over them,
-	// where parts of prompts were sent, all places, where own requests left slots, and which servers are
-	// out for their failures.
+	// where parts of prompts were sent, all places in no order, where own requests left slots,
+	// and which servers are out for their failures.
 	summary summary
 	keepers keepers
 	every   []int
@@ -116,7 +116,7 @@
 	ReportAge time.Duration
 	// Uncached is how many prompt tokens the server is expected to read.
 	Uncached int
-	// Candidates is how many servers had room.
+	// Candidates is how many of the servers that were looked at had room.
 	Candidates int
 	// Batch tells that the request is batch work.
 	Batch bool
