--- a/internal/balance/near.go
+++ b/internal/balance/near.go
@@ -41,8 +41,11 @@
 
 // PaceAt is what all other processes together know of the pace of a server, those of other
 // zones with at most mostFar runs.
-func (s *Shares) PaceAt(server uint32) SharedPace {
-	all, far := s.sums[server].Pace, s.far[server]
+func (s *Shares) PaceAt(server uint32) SharedPace { return s.nearPace(server, s.sums[server].Pace) }
+
+// nearPace takes out of what all other processes know what other zones saw beyond mostFar runs.
+func (s *Shares) nearPace(server uint32, all SharedPace) SharedPace {
+	far := s.far[server]
 	if far.SeenVoices <= mostFar {
 		return all
 	}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -11,7 +11,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"rockwind.example/rockwind/internal/health"
@@ -77,6 +76,16 @@
 	// waiting is how many online requests wait in this process, where it is told.
 	waiting      int
 	waitingKnown bool
+	// What follows spares choices of a large pool from looking at all servers: sums over them,
+	// where parts of prompts were sent, all places in no order, where own requests left slots,
+	// and which servers are out for their failures.
+	summary summary
+	keepers keepers
+	every   []int
+	leavers []int
+	ejected []int
+	// choices counts the searches among a part of the servers.
+	choices uint64
 }
 
 // NewPool returns a pool of a service without servers, for a process in the given zone.
@@ -96,24 +105,6 @@
 	return adjusted
 }
 
-// load estimates how many requests a server has, from all callers: those of this
-// process and those that the others tell of. What the server told itself counts
-// beside it while it is new, and for longer where no other process tells anything.
-func (p *Pool) load(s *server, now time.Duration) int {
-	estimate := p.counted(s)
-	valid := reportFor
-	if p.shares.Known() {
-		valid = reportBeside
-	}
-	if s.known && now-s.toldAt <= valid {
-		estimate = max(estimate, s.told+s.since)
-	}
-	return estimate
-}
-
-// counted is how many requests all processes together have at a server.
-func (p *Pool) counted(s *server) int { return s.inflight + p.shares.At(s.hash).Inflight }
-
 // Choice is a chosen server.
 type Choice struct {
 	ID      string
@@ -125,7 +116,7 @@
 	ReportAge time.Duration
 	// Uncached is how many prompt tokens the server is expected to read.
 	Uncached int
-	// Candidates is how many servers had room.
+	// Candidates is how many of the servers that were looked at had room.
 	Candidates int
 	// Batch tells that the request is batch work.
 	Batch bool
@@ -167,7 +158,8 @@
 // that see the same loads fill the servers evenly that way, however old their digests are:
 // if each took the best one, all would take the same. A process that hears of no other
 // takes the best one. Where servers tell their pace, a free slot counts the less the slower
-// its server is, and far more if only this process knows of it.
+// its server is, and far more if only this process knows of it. Among many servers a part of
+// them is looked at, see sample.
 func (p *Pool) Choose(demand Demand, tried []string, now time.Duration, random *rand.Rand) (Choice, bool) {
 	if demand.Batch && !p.batchFits(now, random) {
 		return Choice{}, false
@@ -175,47 +167,24 @@
 	if !demand.Batch && !p.mayStart(now) {
 		return Choice{}, false
 	}
-	var best *server
-	var found Choice
-	lowest := 0.0
-	alone, accused, informed := !p.shares.Known(), p.accused(), p.informed(now)
-	for place, candidate := range p.servers {
-		if candidate == nil || slices.Contains(tried, candidate.ID) || !p.room(candidate, demand, now) {
-			continue
-		}
-		uncached := p.uncached(place, demand, now)
-		state, _ := p.tracker.State(place, now)
-		if state == health.Ejected {
-			if !demand.Batch && !accused(place) && p.tracker.StartTrial(place, now) {
-				best, found.Uncached = candidate, uncached
-				break
-			}
-			continue
-		}
-		pace := 0.0
-		if informed {
-			pace, state = p.paceFor(place, demand, now), p.withoutSlowness(place, state, now)
-		}
-		if state == health.Healthy && accused(place) {
-			state = health.Suspect
-		}
-		cost := p.cost(candidate, state, demand, uncached, pace, now) + noise(alone, random)
-		found.Candidates++
-		if best == nil || cost < lowest {
-			best, lowest, found.Uncached, found.Pace = candidate, cost, uncached, pace
+	s := p.newSearch(demand, tried, now, random)
+	if !p.large() || !s.sample() {
+		if p.large() {
+			s = p.newSearch(demand, tried, now, random)
 		}
+		s.all()
 	}
-	if best == nil {
+	if s.best == nil {
 		return Choice{}, false
 	}
-	return p.take(best, found, demand, now), true
+	return p.take(s.best, s.found, demand, now), true
 }
 
 // take counts the request at the chosen server, and completes the choice with what it
 // rested on.
 func (p *Pool) take(chosen *server, choice Choice, demand Demand, now time.Duration) Choice {
 	choice.ID, choice.Address, choice.Slots = chosen.ID, chosen.Address, chosen.Slots
-	choice.Load, choice.ReportAge = p.load(chosen, now), -1
+	choice.Load, choice.ReportAge = p.see(chosen, now).load, -1
 	if chosen.known {
 		choice.ReportAge = now - chosen.toldAt
 	}
@@ -231,36 +200,10 @@
 	return state != health.Ejected && !p.servers[place].Silent && !p.servers[place].gone
 }
 
-// room tells whether a server can take a request at once.
-func (p *Pool) room(s *server, demand Demand, now time.Duration) bool {
-	if s.gone || now < s.fullUntil {
-		return false
-	}
-	if s.Slots == 0 {
-		return true
-	}
-	if demand.Batch {
-		// What servers tell is new and old by turns; added to the counts it would keep
-		// slots empty. It only tells of requests that wait at the server.
-		return p.counted(s) < s.Slots && p.load(s, now) <= s.Slots
-	}
-	return p.online(s, now) < s.Slots
-}
-
-// online is the load of a server as an online request counts it. Where requests are paced it
-// leaves out the batch work there, which gives way: a request that goes to a server full of
-// batch work begins as soon as some of it is cut. Where loads are new the request waits for
-// that in the router, and finds a server that others have left as well.
-func (p *Pool) online(s *server, now time.Duration) int {
-	if !p.paced() {
-		return p.load(s, now)
-	}
-	return max(0, p.load(s, now)-p.batchAt(s))
-}
-
 func (p *Pool) start(chosen *server, demand Demand, uncached int, now time.Duration) {
 	chosen.inflight++
 	chosen.since++
+	p.summary.started(demand.Batch)
 	if demand.Batch {
 		chosen.batch++
 		p.headroom.starts.add(1, now)
@@ -272,6 +215,9 @@
 	for _, part := range demand.Parts {
 		chosen.parts[part.ID] = now
 	}
+	if p.large() {
+		p.keepers.note(demand.Parts, p.place(chosen.ID))
+	}
 	if len(chosen.parts) > maximumParts {
 		chosen.dropOldParts(now)
 	}
