Take back what a tenant is charged for a try that did not run

A request was charged to its tenant's room when a server was chosen for it. A try at a server that was gone, refused the connection or said that it had not run the request was charged all the same, and the next try once more: a tenant whose requests met such servers went behind others that had had more.

The lease keeps what was charged, and its NotRun, which the exchange calls where a try is known not to have run, gives back what is left of it. Waiting requests are granted a server together with the charge.

The calls in the exchange have no test of their own.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -107,6 +107,18 @@
 	known.totalAt = -totalFor
 }
 
+// GiveBack takes back work that was begun for a tenant at a time and did not run after all: what
+// is left of it by now.
+func (l *Ledger) GiveBack(tenant string, work float64, began, now time.Duration) {
+	known := l.accounts[tenant]
+	if known == nil {
+		return
+	}
+	left := (&account{work: work, at: began}).workAt(now)
+	known.work, known.at = max(0, known.workAt(now)-left), now
+	known.totalAt = -totalFor
+}
+
 // Virtual is the virtual time of a tenant with the given weight; a weight of zero is one.
 func (l *Ledger) Virtual(tenant string, weight uint32, now time.Duration) float64 {
 	known := l.account(tenant)
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -75,3 +75,19 @@
 		t.Fatalf("%d tenants are held at ten requests a second", ledger.Len())
 	}
 }
+
+// TestWorkThatDidNotRunIsGivenBack, as much of it as is left, and that of others stays.
+func TestWorkThatDidNotRunIsGivenBack(t *testing.T) {
+	ledger := fairshare.NewLedger("class", alone)
+	ledger.Begin("a", 300, 0)
+	ledger.Begin("a", 100, 500*time.Millisecond)
+	ledger.GiveBack("a", 100, 500*time.Millisecond, time.Second)
+	ledger.GiveBack("unknown", 100, 0, time.Second)
+	if virtual, want := ledger.Virtual("a", 1, time.Second), 300*math.Exp(-1); math.Abs(virtual-want) > 1e-9 {
+		t.Fatalf("the virtual time is %v, want %v", virtual, want)
+	}
+	ledger.GiveBack("a", 1000, time.Second, time.Second)
+	if virtual := ledger.Virtual("a", 1, time.Second); virtual != 0 {
+		t.Fatalf("the virtual time is %v", virtual)
+	}
+}
--- a/internal/router/class.go
+++ b/internal/router/class.go
@@ -89,17 +89,35 @@
 	return c.ledger.Behind(c.virtual(tenant, now), c.weight, now)
 }
 
+// charge is the work that a tenant was charged for a request that goes to a server. The zero
+// value is none.
+type charge struct {
+	class  *class
+	tenant string
+	work   float64
+	began  time.Duration
+}
+
+// giveBack takes the charge back: the request did not run.
+func (c charge) giveBack(now time.Duration) {
+	if c.class != nil {
+		c.class.ledger.GiveBack(c.tenant, c.work, c.began, now)
+	}
+}
+
 // begin notes the work of a request that goes to a server.
-func (p *servicePool) begin(ask Ask, choice balance.Choice, now time.Duration) {
+func (p *servicePool) begin(ask Ask, choice balance.Choice, now time.Duration) charge {
 	if !p.gates.On(gate.FairShare) {
-		return
+		return charge{}
 	}
 	work := max(leastWork, float64(choice.Uncached)+p.written)
 	if p.work == 0 {
 		p.work = work
 	}
 	p.work += workWeight * (work - p.work)
-	p.class(ask.Priority).ledger.Begin(ask.Tenant.Name, work, now)
+	class := p.class(ask.Priority)
+	class.ledger.Begin(ask.Tenant.Name, work, now)
+	return charge{class: class, tenant: ask.Tenant.Name, work: work, began: now}
 }
 
 // wrote takes how many events an answer had.
--- a/internal/router/continuation.go
+++ b/internal/router/continuation.go
@@ -253,5 +253,5 @@
 	if !found {
 		return nil
 	}
-	return d.lease(service, choice)
+	return d.lease(service, grant{choice: choice})
 }
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -148,7 +148,9 @@
 	dispatcher *Dispatcher
 	service    string
 	began      time.Time
-	read       bool
+	// charge is what its tenant was charged for the request.
+	charge charge
+	read   bool
 	// told is the pace that the server told with its answer, zero where it told none.
 	told float64
 	// sighting follows how fast the events of the run come.
@@ -169,9 +171,9 @@
 	pool.class(ask.Priority).note(ask.Tenant)
 	before := pool.waiting.Ahead(place, now)
 	if before == 0 {
-		if choice, found := d.choose(pool, ask); found {
+		if given, found := d.choose(pool, ask); found {
 			d.mutex.Unlock()
-			return d.lease(ask.Service, choice), nil
+			return d.lease(ask.Service, given), nil
 		}
 	}
 	if pool.pool.Size() <= len(ask.Tried) {
@@ -184,7 +186,7 @@
 		d.mutex.Unlock()
 		return nil, refusal
 	}
-	entry := pool.waiting.Add(place, &waiter{ask: ask, place: place, began: now, granted: make(chan balance.Choice, 1)})
+	entry := pool.waiting.Add(place, &waiter{ask: ask, place: place, began: now, granted: make(chan grant, 1)})
 	if pool.someTried() {
 		// Those before it may be such as find no room where it does.
 		d.serveWaiting(ask.Service)
@@ -195,15 +197,15 @@
 }
 
 // choose returns a server with room for a request that goes first. The mutex is held.
-func (d *Dispatcher) choose(pool *servicePool, ask Ask) (balance.Choice, bool) {
+func (d *Dispatcher) choose(pool *servicePool, ask Ask) (grant, bool) {
 	if d.gates.On(gate.Returns) {
 		pool.pool.SetWaiting(pool.waiting.Len())
 	}
 	choice, found := pool.pool.Choose(ask.Demand, ask.Tried, d.now(), d.random)
-	if found {
-		pool.begin(ask, choice, d.now())
+	if !found {
+		return grant{}, false
 	}
-	return choice, found
+	return grant{choice: choice, charge: pool.begin(ask, choice, d.now())}, true
 }
 
 // TryAcquire returns a server with room now, or nil. Requests that wait go first.
@@ -221,7 +223,7 @@
 	if demand.Batch {
 		d.nudge()
 	}
-	return d.lease(service, choice)
+	return d.lease(service, grant{choice: choice})
 }
 
 // Yield visits the servers of a service at which batch work of this process should
@@ -255,8 +257,8 @@
 	d.pressed = make(chan struct{})
 }
 
-func (d *Dispatcher) lease(service string, choice balance.Choice) *Lease {
-	return &Lease{Choice: choice, dispatcher: d, service: service, began: time.Now()}
+func (d *Dispatcher) lease(service string, given grant) *Lease {
+	return &Lease{Choice: given.choice, charge: given.charge, dispatcher: d, service: service, began: time.Now()}
 }
 
 // recheckInterval is how often a request that waits looks again although nothing
@@ -271,8 +273,8 @@
 	defer recheck.Stop()
 	for {
 		select {
-		case choice := <-entry.Value().granted:
-			return d.lease(service, choice), nil
+		case given := <-entry.Value().granted:
+			return d.lease(service, given), nil
 		case <-recheck.C:
 			d.mutex.Lock()
 			d.serveWaiting(service)
@@ -318,11 +320,11 @@
 			return
 		}
 		waiter := first.Value()
-		choice, found := d.choose(pool, waiter.ask)
+		given, found := d.choose(pool, waiter.ask)
 		switch {
 		case found:
 			pool.waiting.Remove(first)
-			waiter.granted <- choice
+			waiter.granted <- given
 		case len(waiter.ask.Tried) > 0:
 			passed[first] = true
 		default:
@@ -389,6 +391,16 @@
 	d.service(l.service).wrote(events)
 }
 
+// NotRun tells, before the lease ends, that the request did not run at the server: its tenant is
+// not charged for it.
+func (l *Lease) NotRun() {
+	d := l.dispatcher
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	l.charge.giveBack(d.now())
+	l.charge = charge{}
+}
+
 // Gone ends the lease of an exchange in which another server answered at the address.
 func (l *Lease) Gone() { l.release((*balance.Pool).Gone) }
 
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -145,6 +145,7 @@
 		}
 		if held := e.held(); held != nil {
 			// It became known while the request waited for room.
+			lease.NotRun()
 			lease.Abandon()
 			e.fail(ctx, held)
 			return
@@ -299,6 +300,7 @@
 		e.misdirected++
 		e.reason = "another server has the address"
 		response.Discard()
+		lease.NotRun()
 		lease.Gone()
 		return verdictElsewhere
 	}
@@ -306,6 +308,7 @@
 		e.refused++
 		e.reason = "the server says that it did not run the request, status " + strconv.Itoa(response.Status)
 		response.Discard()
+		lease.NotRun()
 		lease.Done(health.Refused, 0)
 		return verdictElsewhere
 	}
@@ -319,6 +322,7 @@
 	notRun := errors.As(err, &failure) && failure.Ran() == fault.NotRun
 	if notRun {
 		e.refused++
+		lease.NotRun()
 	} else {
 		e.sent++
 	}
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -96,7 +96,13 @@
 	ask     Ask
 	place   waiting.Place
 	began   time.Time
-	granted chan balance.Choice
+	granted chan grant
+}
+
+// grant is a server that a request may use, and what its tenant was charged for that.
+type grant struct {
+	choice balance.Choice
+	charge charge
 }
 
 // someTried tells whether a request waits that has tried servers.
