Requests of modest tenants go to servers beyond their slots by one

While a flood within its tenant's burst fills all servers, slots that come free stay with the routers that had them: others' requests waited for half a second at routers at which little ended, though servers took many more in that time.

A request of a tenant that had less than half of what another one had, and that finds nothing left, goes beyond its router's part by one and beyond a server's slots by one. It does so only among requests of the priority that goes first; others do not start behind it. Only where routers are paced.

--- a/internal/balance/pacing.go
+++ b/internal/balance/pacing.go
@@ -57,8 +57,22 @@
 // others that start online requests.
 func (p *Pool) paced() bool { return p.viewAge > 0 && p.onlineProcesses > 1 }
 
+// Paced tells whether this process may start only its part of what all may, where a request may
+// go beyond it (Demand.Beyond).
+func (p *Pool) Paced() bool { return p.paced() }
+
+// beyond is how many slots a request may count on that are not there, of this process's part and
+// of each server: it waits for one at the server, where the next of all requests there leaves it
+// one, while slots that are left stay with the process that had them.
+func (p *Pool) beyond(demand Demand) int {
+	if demand.Beyond && p.paced() {
+		return 1
+	}
+	return 0
+}
+
 // mayStart tells whether this process may start one more online request now.
-func (p *Pool) mayStart(now time.Duration) bool {
+func (p *Pool) mayStart(demand Demand, now time.Duration) bool {
 	if !p.paced() {
 		return true
 	}
@@ -67,7 +81,7 @@
 		return true
 	}
 	p.pacing.earn(free*p.part(), p.viewAge, now)
-	return p.pacing.credit >= 1
+	return p.pacing.credit+float64(p.beyond(demand)) >= 1
 }
 
 // freeSlots is how many slots of all servers online requests could use, less those that
--- a/internal/balance/pacing_test.go
+++ b/internal/balance/pacing_test.go
@@ -132,3 +132,32 @@
 		t.Fatalf("%d requests were started after two had ended", again)
 	}
 }
+
+// TestFewRequestsGoBeyondWhatIsThere: they start although others have filled all servers, by what
+// this process may start and one more; others do not start behind them, and the next one that
+// may goes beyond once one of them has ended.
+func TestFewRequestsGoBeyondWhatIsThere(t *testing.T) {
+	for free, want := range map[int]int{0: 3, 20: 1} {
+		pool, _ := pacedPool(free)
+		startAll(pool, time.Second)
+		beyond := balance.Demand{Beyond: true}
+		var started []balance.Choice
+		for {
+			choice, found := pool.Choose(beyond, nil, time.Second, seeded(1))
+			if !found {
+				break
+			}
+			started = append(started, choice)
+		}
+		if len(started) != want {
+			t.Fatalf("with %d free slots %d go beyond, want %d", free, len(started), want)
+		}
+		if more := startAll(pool, time.Second); len(more) != 0 {
+			t.Fatalf("with %d free slots %d others start behind them", free, len(more))
+		}
+		pool.Ended(started[0], health.Success, 0, time.Second, seeded(1))
+		if _, found := pool.Choose(beyond, nil, time.Second, seeded(1)); !found {
+			t.Fatalf("with %d free slots none goes beyond once one has ended", free)
+		}
+	}
+}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -47,6 +47,9 @@
 	Parts []Part
 	// Batch requests only take what online requests leave.
 	Batch bool
+	// Beyond lets an online request start one beyond this process's part of the slots, and one
+	// beyond those of a server, where requests are paced.
+	Beyond bool
 }
 
 // Pool is the servers of one service as one process sees them. It belongs to one
@@ -172,7 +175,7 @@
 	if demand.Batch && !p.batchFits(now, random) {
 		return Choice{}, false
 	}
-	if !demand.Batch && !p.mayStart(now) {
+	if !demand.Batch && !p.mayStart(demand, now) {
 		return Choice{}, false
 	}
 	var best *server
@@ -244,7 +247,7 @@
 		// slots empty. It only tells of requests that wait at the server.
 		return p.counted(s) < s.Slots && p.load(s, now) <= s.Slots
 	}
-	return p.online(s, now) < s.Slots
+	return p.online(s, now) < s.Slots+p.beyond(demand)
 }
 
 // online is the load of a server as an online request counts it. Where requests are paced it
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -55,6 +55,11 @@
 // waits.
 func Scarce(needed time.Duration) bool { return needed > scarceFrom }
 
+// modestPart is the part of what another tenant had below which a tenant is modest: its requests
+// do not wait until slots are left that those of the other one have taken. Of two tenants that
+// ask for alike much neither is.
+const modestPart = 0.5
+
 // Hash is the short name of a tenant's class in load digests: the requests in flight there are
 // those that wait, the tokens to read the work that was begun lately.
 func Hash(class, tenant string) uint32 {
@@ -91,12 +96,15 @@
 	told     func(hash uint32) Told
 	accounts map[string]*account
 	swept    time.Duration
+	// most is the highest virtual time of the time mostAt.
+	most   float64
+	mostAt time.Duration
 }
 
 // NewLedger returns an empty ledger of the named class; told looks up what the other
 // processes tell.
 func NewLedger(class string, told func(hash uint32) Told) *Ledger {
-	return &Ledger{class: class, told: told, accounts: make(map[string]*account)}
+	return &Ledger{class: class, told: told, accounts: make(map[string]*account), mostAt: -totalFor}
 }
 
 // Begin notes that work in tokens begins for a tenant.
@@ -156,6 +164,18 @@
 	return highest, work
 }
 
+// Modest tells whether a tenant had less than modestPart of what another one had, here and
+// elsewhere.
+func (l *Ledger) Modest(tenant string, weight func(tenant string) uint32, now time.Duration) bool {
+	if now-l.mostAt >= totalFor {
+		l.most, l.mostAt = 0, now
+		for other := range l.accounts {
+			l.most = max(l.most, l.Virtual(other, weight(other), now))
+		}
+	}
+	return l.Virtual(tenant, weight(tenant), now) < modestPart*l.most
+}
+
 // Waiting is how many requests of a tenant wait elsewhere.
 func (l *Ledger) Waiting(tenant string) int { return l.told(l.account(tenant).hash).Waiting }
 
--- a/internal/fairshare/flood_test.go
+++ b/internal/fairshare/flood_test.go
@@ -31,8 +31,10 @@
 	digestTurn  = 100 * time.Millisecond
 	viewAge     = 300 * time.Millisecond
 	leastCredit = 2.0
-	// full is the part of the slots up to which requests are started.
+	// full is the part of the slots up to which requests are started, and beyond the part up to
+	// which modest ones are: one more at each server of eight slots.
 	full        = 1.01
+	beyond      = 1.125
 	floodBegins = 4 * time.Second
 	floodEnds   = 7 * time.Second
 	dayEnds     = 7500 * time.Millisecond
@@ -62,6 +64,8 @@
 	shares, tells bool
 	// byDemand: free slots go to routers by what waits there; else to all alike.
 	byDemand bool
+	// modest: requests of tenants that had little beside another one start beyond the slots.
+	modest bool
 	// flood: the two tenants do send more.
 	flood bool
 	// restarts is how many routers lose what they know in the middle of the flood, and lost
@@ -281,17 +285,16 @@
 
 // start has a router start what it may.
 func (s *simulation) start(router *simulatedRouter) {
-	for router.queue.Len() > 0 {
-		first := router.queue.First(origin().Add(s.now))
+	for {
+		first := s.next(router)
+		if first == nil {
+			return
+		}
 		served := first.Value()
+		router.queue.Remove(first)
 		if s.now-served.arrived > patience {
-			router.queue.Remove(first)
 			continue
 		}
-		if !s.mayStart(router) {
-			return
-		}
-		router.queue.Remove(first)
 		router.credit--
 		router.since++
 		router.ledger.Begin(names[served.tenant], work, s.now)
@@ -299,8 +302,24 @@
 	}
 }
 
-func (s *simulation) mayStart(router *simulatedRouter) bool {
-	return router.credit >= 1 && float64(s.seen+router.since) < full*slotCount
+// next is the first request of a router that may start or gives up, nil where none does.
+func (s *simulation) next(router *simulatedRouter) *waiting.Entry[request] {
+	var found *waiting.Entry[request]
+	router.queue.Walk(origin().Add(s.now), func(entry *waiting.Entry[request]) bool {
+		if s.now-entry.Value().arrived > patience || s.mayStart(router, entry.Value()) {
+			found = entry
+		}
+		return found == nil && s.way.modest
+	})
+	return found
+}
+
+func (s *simulation) mayStart(router *simulatedRouter, each request) bool {
+	credit, most := router.credit, full
+	if s.way.modest && router.ledger.Modest(names[each.tenant], func(string) uint32 { return 1 }, s.now) {
+		credit, most = credit+1, beyond
+	}
+	return credit >= 1 && float64(s.seen+router.since) < most*slotCount
 }
 
 func (s *simulation) run(served request) {
@@ -350,7 +369,12 @@
 		{name: "local, slots by demand", flood: true, shares: true, byDemand: true},
 		{name: "told", flood: true, shares: true, tells: true},
 		{name: "told, slots by demand", flood: true, shares: true, tells: true, byDemand: true},
+		{name: "calm, modest go beyond", shares: true, tells: true, byDemand: true, modest: true},
+		{name: "modest go beyond", flood: true, shares: true, tells: true, byDemand: true, modest: true},
 	})
+	if modest := results["modest go beyond"]; modest.others < results["calm, modest go beyond"].others-0.01 {
+		t.Errorf("with the flood %v, without it %v", modest, results["calm, modest go beyond"])
+	}
 	calm, kept := results["calm, told, slots by demand"], results["told, slots by demand"]
 	if kept.others < calm.others-0.02 {
 		t.Errorf("with the flood %v, without it %v", kept, calm)
--- a/internal/router/class.go
+++ b/internal/router/class.go
@@ -120,6 +120,16 @@
 	return charge{class: class, tenant: ask.Tenant.Name, work: work, began: now}
 }
 
+// modest tells whether the tenant of a request had so little beside another one that the request
+// may go to a server beyond its slots.
+func (p *servicePool) modest(ask Ask, now time.Duration) bool {
+	if ask.Tenant.Name == "" || !p.gates.On(gate.FairShare) || !p.pool.Paced() {
+		return false
+	}
+	class := p.class(ask.Priority)
+	return class.ledger.Modest(ask.Tenant.Name, class.weight, now)
+}
+
 // wrote takes how many events an answer had.
 func (p *servicePool) wrote(events uint64) {
 	p.written += writtenWeight * (float64(events) - p.written)
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -187,7 +187,7 @@
 		return nil, refusal
 	}
 	entry := pool.waiting.Add(place, &waiter{ask: ask, place: place, began: now, granted: make(chan grant, 1)})
-	if pool.someTried() {
+	if pool.someTried() || pool.modest(ask, d.now()) {
 		// Those before it may be such as find no room where it does.
 		d.serveWaiting(ask.Service)
 	}
@@ -197,12 +197,18 @@
 	return d.await(ctx, entry)
 }
 
-// choose returns a server with room for a request that goes first. The mutex is held.
+// choose returns a server with room for a request that goes first, or beyond what is there for
+// one that may go beyond it. The mutex is held.
 func (d *Dispatcher) choose(pool *servicePool, ask Ask) (grant, bool) {
 	if d.gates.On(gate.Returns) {
 		pool.pool.SetWaiting(pool.waiting.Len())
 	}
 	choice, found := pool.pool.Choose(ask.Demand, ask.Tried, d.now(), d.random)
+	if !found && pool.modest(ask, d.now()) {
+		beyond := ask.Demand
+		beyond.Beyond = true
+		choice, found = pool.pool.Choose(beyond, ask.Tried, d.now(), d.random)
+	}
 	if !found {
 		return grant{}, false
 	}
@@ -326,18 +332,9 @@
 }
 
 // serveNext gives a server to the first of those that wait which finds room, and tells whether
-// one did. One that must not go to the servers with room, which it has tried, does not hold up
-// those behind it.
+// one did.
 func (d *Dispatcher) serveNext(pool *servicePool) bool {
-	var served *waiting.Entry[*waiter]
-	var given grant
-	pool.waiting.Walk(time.Now(), func(entry *waiting.Entry[*waiter]) bool {
-		var found bool
-		if given, found = d.choose(pool, entry.Value().ask); found {
-			served = entry
-		}
-		return !found && len(entry.Value().ask.Tried) > 0
-	})
+	served, given := d.firstWithRoom(pool)
 	if served == nil {
 		return false
 	}
@@ -346,6 +343,34 @@
 	return true
 }
 
+// firstWithRoom is the first of those that wait which finds room. One that must not go to the
+// servers with room, which it has tried, does not hold up those behind it, and none holds up the
+// first of its own priority that may go beyond the slots.
+func (d *Dispatcher) firstWithRoom(pool *servicePool) (served *waiting.Entry[*waiter], given grant) {
+	now := time.Now()
+	try := func(entry *waiting.Entry[*waiter]) bool {
+		var found bool
+		if given, found = d.choose(pool, entry.Value().ask); found {
+			served = entry
+		}
+		return found
+	}
+	pool.waiting.Walk(now, func(entry *waiting.Entry[*waiter]) bool {
+		return !try(entry) && len(entry.Value().ask.Tried) > 0
+	})
+	if served != nil || pool.waiting.Len() == 0 || !pool.pool.Paced() {
+		return served, given
+	}
+	priority := pool.waiting.First(now).Value().ask.Priority
+	modest := pool.waiting.FirstOf(now, func(each *waiter) bool {
+		return each.ask.Priority == priority && pool.modest(each.ask, d.now())
+	})
+	if modest != nil {
+		try(modest)
+	}
+	return served, given
+}
+
 // Evaluate runs the judgements that depend on time. Call it about once a second.
 func (d *Dispatcher) Evaluate() {
 	d.mutex.Lock()
--- a/internal/router/export_test.go
+++ b/internal/router/export_test.go
@@ -1,6 +1,10 @@
 package router
 
-import "rockwind.example/rockwind/internal/loadshare"
+import (
+	"time"
+
+	"rockwind.example/rockwind/internal/loadshare"
+)
 
 // LoadSource is what the dispatcher tells other processes, and takes from them.
 func (d *Dispatcher) LoadSource() loadshare.Source { return loadSource{d} }
@@ -11,3 +15,12 @@
 	defer d.mutex.Unlock()
 	return d.service(service).waiting.Len()
 }
+
+// Pace has the dispatcher be one of so many processes whose loads are so old.
+func (d *Dispatcher) Pace(service string, processes int, viewAge time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	pool := d.service(service).pool
+	pool.SetOnlineProcesses(processes)
+	pool.SetViewAge(viewAge)
+}
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -169,33 +169,35 @@
 
 // First is the request that goes before all others now, nil where none waits.
 func (q *Queue[T]) First(now time.Time) *Entry[T] {
-	var found *Entry[T]
-	q.Walk(now, func(entry *Entry[T]) bool {
-		found = entry
-		return false
-	})
-	return found
+	return q.FirstOf(now, func(T) bool { return true })
+}
+
+// FirstOf is the request that goes first now of those of which that holds, nil where it holds of
+// none.
+func (q *Queue[T]) FirstOf(now time.Time, holds func(value T) bool) *Entry[T] {
+	var first *Entry[T]
+	var best ranked
+	least := q.least(now)
+	for _, each := range q.entries {
+		if !holds(each.value) {
+			continue
+		}
+		if rank := q.rank(each.place, least, now); first == nil || rank.before(best) {
+			first, best = each, rank
+		}
+	}
+	return first
 }
 
 // Walk visits the requests in the order in which they go now, until the visitor returns false
 // or all were visited. The order is that of its beginning; the visitor must not change the queue.
 func (q *Queue[T]) Walk(now time.Time, visit func(entry *Entry[T]) bool) {
-	if len(q.entries) == 0 {
-		return
-	}
 	// Most walks end at the first one, which needs no order among the others.
-	least := q.least(now)
-	first := 0
-	best := q.rank(q.entries[0].place, least, now)
-	for place, each := range q.entries[1:] {
-		if rank := q.rank(each.place, least, now); rank.before(best) {
-			first, best = place+1, rank
-		}
-	}
-	if !visit(q.entries[first]) {
+	first := q.First(now)
+	if first == nil || !visit(first) {
 		return
 	}
-	for _, each := range q.after(first, least, now) {
+	for _, each := range q.after(first, now) {
 		if !visit(each) {
 			return
 		}
@@ -203,11 +205,12 @@
 }
 
 // after lists all requests but the first one, in their order.
-func (q *Queue[T]) after(first int, least map[Priority]float64, now time.Time) []*Entry[T] {
+func (q *Queue[T]) after(first *Entry[T], now time.Time) []*Entry[T] {
+	least := q.least(now)
 	ranks := make(map[*Entry[T]]ranked, len(q.entries))
 	others := make([]*Entry[T], 0, len(q.entries))
-	for place, each := range q.entries {
-		if place != first {
+	for _, each := range q.entries {
+		if each != first {
 			ranks[each] = q.rank(each.place, least, now)
 			others = append(others, each)
 		}
