--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -239,8 +239,8 @@
 
 // recheckInterval is how often what waits for a service is looked at again although nothing
 // ended: a server that refused as full may have room again. There is one look for all that
-// wait: where each looked for itself, 2,000 of them kept a processor busy, and a request that
-// ended waited for 1.5 s until its slot went to another one (BenchmarkEndWhileOthersWait).
+// wait, which costs 24 ms of a processor a second where 2,000 do (BenchmarkWaiting); one for
+// each of them would cost 1 s, and keep others from the dispatcher.
 const recheckInterval = 25 * time.Millisecond
 
 // recheckSoon has the requests that wait for a service looked at again until none does. The
