Calls to stores: pause between rounds while others name a silent leader

Cause: a call goes on without a pause to a store that it has not met. A leader that is silent answers nothing, so it never counted as met, and each answer of the others that names it set the next attempt to at once. One call then asked the other stores as fast as they answered until the attempt at the silent one had run out (700 ms) and again after that: beside load this takes the processors that the stores need to elect a leader.

Change: a call goes in rounds. A round asks each store once, those whose answers are awaited are part of it, and the next round begins after the pause of 25 ms.

--- a/internal/jobclient/call.go
+++ b/internal/jobclient/call.go
@@ -48,7 +48,8 @@
 	wait    time.Duration
 	attempt attempt[T]
 	// asked holds the stores whose answers are awaited, with when they were asked, and met
-	// those that have said that they do not lead.
+	// those that have said in this round that they do not lead. A round asks each store once;
+	// the next one begins after a pause.
 	asked map[string]question
 	met   map[string]bool
 	ended chan outcome[T]
@@ -81,6 +82,7 @@
 			if c.ask(ctx) {
 				next.Reset(hedgeAfter + c.wait)
 			} else {
+				clear(c.met)
 				next.Reset(pause)
 			}
 		case end := <-c.ended:
@@ -100,29 +102,26 @@
 			}
 			c.doubt = c.doubt || failure.Ran != fault.NotRun
 			c.client.follow(end.shard, end.address, failure)
-			next.Reset(c.pauseAfter(end.address, failure))
+			next.Reset(c.pauseAfter(end.address, failure.Kind))
 		}
 	}
 }
 
-// pauseAfter is the time before the next attempt: none where a store does not lead and
-// another one that was not met in this call may.
-func (c *caller[T]) pauseAfter(address string, failure *fault.Fault) time.Duration {
-	if failure.Kind != fault.NotLeader {
+// pauseAfter is the time before the next attempt: none where a store does not lead, since
+// another one that was not met in this round may.
+func (c *caller[T]) pauseAfter(address string, failed fault.Kind) time.Duration {
+	if failed != fault.NotLeader {
 		return pause
 	}
 	c.met[address] = true
-	hinted := failure.Leader != "" && !c.met[failure.Leader]
-	if hinted || len(c.met) < len(c.client.site.Stores()) {
-		return 0
-	}
-	return pause
+	return 0
 }
 
-// passOver tells whether a store is not to be asked now: it is asked already.
+// passOver tells whether a store is not to be asked now: it is asked already, or was met in
+// this round. Silent stores are asked for long, and others name them as the leader meanwhile.
 func (c *caller[T]) passOver(address string) bool {
 	_, found := c.asked[address]
-	return found
+	return found || c.met[address]
 }
 
 // leaveSilent forgets the stores that a call has waited for in vain: the caller may have
