Witness: ask a silent server who it is before its end counts

Cause: a connection that broke off at a server that was silent in the directory, or became so within 8 s, counted as the server's end. Servers are silent where their heartbeats come late (beside load all of them at once), and one that loses answers and listens lives: a request whose answers were lost was held ("quarantined").

Trace: the servers of platform's tests report once and are silent 1.2 s later, in every run. TestRequestWhoseAnswersAreLostIsNotHeld sends for 1.2 s, so that it was red whenever the tries went on past the silence. The product was wrong there too: the servers lived and said so.

Change: directory.View.Ending decides, purely: another incarnation at the address has ended it; a silent one, or one of two at an address, is asked by the health path on a connection of its own. Its own answer shows that it lives; a denial, that it has ended; two questions without its answer (a proxy takes connections in its place), that it has ended, unless most other servers are silent too, when it is asked on. Servers that report are asked nothing. site.AskOverHTTP moved from the coordinator, unchanged.

--- a/internal/command/site.go
+++ b/internal/command/site.go
@@ -6,6 +6,7 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/router"
 	"rockwind.example/rockwind/internal/settings"
+	"rockwind.example/rockwind/internal/site"
 	"rockwind.example/rockwind/internal/store"
 )
 
@@ -34,7 +35,7 @@
 func runSite(s *session, loaded *rockwindpb.SiteSettings) error {
 	switch loaded.GetRole() {
 	case rockwindpb.SiteRole_SITE_ROLE_COORDINATOR:
-		return coordinator.Run(s.context, loaded, nil, coordinator.WithIdentifier(coordinator.AskOverHTTP(router.HeaderServer, router.HeaderServer)))
+		return coordinator.Run(s.context, loaded, nil, coordinator.WithIdentifier(site.AskOverHTTP(router.PlainProtocol{}.IdentityHeaders())))
 	case rockwindpb.SiteRole_SITE_ROLE_STORE:
 		return store.Run(s.context, loaded, router.PlainProtocol{})
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -54,7 +54,7 @@
 	root     atomic.Pointer[rootMachine]
 	live     *liveness
 	// identifier is nil where addresses can't be asked who is there.
-	identifier Identifier
+	identifier site.Identifier
 	identities identities
 	// wasCurrent tells that this coordinator was up to date with its leader once since its
 	// start: it has answered from its state.
--- a/internal/coordinator/incarnations.go
+++ b/internal/coordinator/incarnations.go
@@ -13,6 +13,7 @@
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/site"
 )
 
 const (
@@ -29,17 +30,12 @@
 	mostAsked = 32
 )
 
-// Identifier asks the server at an address which incarnation it is, on a connection of its own.
-// The expected one has the address in the directory; healthPath is that of its service. It
-// returns what the answer shows, together with an error where it shows nothing.
-type Identifier func(ctx context.Context, expected *rockwindpb.Server, healthPath string) (directory.Identity, error)
-
 // Option adjusts a coordinator.
 type Option func(*Coordinator)
 
 // WithIdentifier has addresses asked where it is in doubt which incarnation has them. Without
 // it the one that reports last counts as the newest.
-func WithIdentifier(identifier Identifier) Option {
+func WithIdentifier(identifier site.Identifier) Option {
 	return func(c *Coordinator) { c.identifier = identifier }
 }
 
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -19,6 +19,10 @@
 	// sorted holds the servers by identifier, once somebody has asked for them.
 	sorted  []*rockwindpb.Server
 	sorting sync.Once
+
+	// counts is filled in once somebody asks whether a server has ended.
+	counts   counts
+	counting sync.Once
 }
 
 // Revision is the number of the last change.
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -73,6 +73,9 @@
 	return named == "" || named == request.Get(upstream.HeaderRequestID)
 }
 
+// IdentityHeaders implements Protocol.
+func (PlainProtocol) IdentityHeaders() (expected, found string) { return HeaderServer, HeaderServer }
+
 // Judge implements Protocol.
 func (PlainProtocol) Judge(status int, answer http.Header) Judgement {
 	return Judgement{NotRun: answer.Get(upstream.HeaderNotRun) == "true", OtherServer: status == http.StatusMisdirectedRequest}
--- a/internal/router/protocol.go
+++ b/internal/router/protocol.go
@@ -65,6 +65,9 @@
 	Belongs(request, answer http.Header) bool
 	// Judge reads an answer's head.
 	Judge(status int, answer http.Header) Judgement
+	// IdentityHeaders names the headers of the health path by which a server tells which
+	// incarnation it is: see site.AskOverHTTP.
+	IdentityHeaders() (expected, found string)
 	// Job reads the submission of a batch job. Its errors are faults.
 	Job(header http.Header, body []byte) (*rockwindpb.StoredJob, error)
 }
--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -61,7 +61,7 @@
 	})
 	created := &exchange{
 		router: &Router{
-			watcher: watcher, dispatcher: dispatcher, client: client, witness: NewWitness(watcher, client), copies: newCopies(),
+			watcher: watcher, dispatcher: dispatcher, client: client, witness: NewWitness(watcher, client, PlainProtocol{}), copies: newCopies(),
 			buffers: clientconn.NewBuffers(8<<20, func(clientconn.Ended) {}),
 		},
 		writer: writer, service: "app", received: time.Now(), ends: time.Now().Add(time.Minute),
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -68,7 +68,7 @@
 		watcher:    watcher,
 		dispatcher: NewDispatcher(settings.GetZone(), gates),
 		client:     client,
-		witness:    NewWitness(watcher, client),
+		witness:    NewWitness(watcher, client, protocol),
 		copies:     newCopies(),
 		protocol:   protocol,
 		jobs:       jobs,
--- a/internal/router/witness.go
+++ b/internal/router/witness.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/singleflight"
 
+	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/site"
@@ -22,30 +23,40 @@
 	// noticedWithin is how long after a connection broke off the directory may show that its
 	// server has ended: longer than a server needs to start again, or to miss its heartbeats.
 	noticedWithin = 8 * time.Second
+	// identityTimeout bounds a question to the address of a server that is silent: nobody waits
+	// for the answer, and one that lives answers in milliseconds, or later beside much load.
+	identityTimeout = time.Second
+	// identityPause is the time between such questions.
+	identityPause = 500 * time.Millisecond
 )
 
 // Witness finds out which requests were running at a server that ended, and tells the
 // coordinators. A connection that broke off shows no more than that: servers reset connections
 // and lose answers. The server has ended where nobody listens at its address any more, though
 // it did not say that it leaves; or, where a proxy or a supervisor takes connections in its
-// place, where the directory shows soon that it is silent or that another incarnation has its
-// address. One that is out of reach refuses nothing, and its connections do not break off.
+// place, where the directory shows soon that another incarnation has its address, or that it is
+// silent and its address does not answer for it: see directory.View.Ending. One that is out of
+// reach refuses nothing, and its connections do not break off.
 //
 // Its methods may be called by any goroutine and never block.
 type Witness struct {
 	watcher  *site.Watcher
 	client   *upstream.Client
 	reporter *site.Reporter
-	checks   singleflight.Group
-	room     chan struct{}
-	stopped  chan struct{}
-	answers  *recentAnswers
+	// identifier asks which incarnation is at an address.
+	identifier site.Identifier
+	checks     singleflight.Group
+	questions  singleflight.Group
+	room       chan struct{}
+	stopped    chan struct{}
+	answers    *recentAnswers
 }
 
-// NewWitness returns a witness that looks at servers through the given client.
-func NewWitness(watcher *site.Watcher, client *upstream.Client) *Witness {
+// NewWitness returns a witness that looks at servers through the given client, and asks them by
+// the given protocol who they are.
+func NewWitness(watcher *site.Watcher, client *upstream.Client, protocol Protocol) *Witness {
 	return &Witness{
-		watcher: watcher, client: client, reporter: site.NewReporter(watcher),
+		watcher: watcher, client: client, reporter: site.NewReporter(watcher), identifier: site.AskOverHTTP(protocol.IdentityHeaders()),
 		room: make(chan struct{}, mostChecks), stopped: make(chan struct{}), answers: newRecentAnswers(time.Now()),
 	}
 }
@@ -125,17 +136,31 @@
 	return state == rockwindpb.ServerState_SERVER_STATE_READY || state == rockwindpb.ServerState_SERVER_STATE_SILENT
 }
 
-// noticed waits for the directory to show that a server has ended, and tells whether it did.
+// noticed waits for it to show whether a server has ended, and tells whether it did.
 func (w *Witness) noticed(id string) bool {
 	limit := time.NewTimer(noticedWithin)
 	defer limit.Stop()
+	var asked directory.Inquiry
+	var askedAt time.Time
 	for {
 		changed := w.watcher.Changed()
-		if w.watcher.Directory().Ended(id) {
+		var again <-chan time.Time
+		switch w.watcher.Directory().Ending(id, asked) {
+		case directory.EndingCertain:
 			return true
+		case directory.EndingDenied:
+			return false
+		case directory.EndingInDoubt:
+			pause := identityPause - time.Since(askedAt)
+			if pause <= 0 {
+				asked, askedAt = asked.With(id, w.identify(id)), time.Now()
+				continue
+			}
+			again = time.After(pause)
 		}
 		select {
 		case <-changed:
+		case <-again:
 		case <-limit.C:
 			return false
 		case <-w.stopped:
@@ -144,6 +169,24 @@
 	}
 }
 
+// identify asks the address of a server who is there. Attempts that broke off together share
+// one question.
+func (w *Witness) identify(id string) directory.Identity {
+	shared, _, _ := w.questions.Do(id, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), identityTimeout)
+		defer cancel()
+		server, _ := w.watcher.Directory().Server(id)
+		service, _ := w.watcher.Configuration().Service(server.GetService())
+		identity, err := w.identifier(ctx, server, service.GetHealthPath())
+		if err != nil {
+			log.WithError(err).WithField("server", id).Debug("a server whose connection broke off does not tell who it is")
+		}
+		return identity, nil
+	})
+	identity, _ := shared.(directory.Identity)
+	return identity
+}
+
 // HeldFor is for how much longer a content is held, zero where it may run.
 func (w *Witness) HeldFor(content func() fingerprint.Fingerprint) time.Duration {
 	list := w.watcher.Quarantine()
--- a/internal/coordinator/ask.go
+++ b/internal/site/identity.go
@@ -1,4 +1,4 @@
-package coordinator
+package site
 
 import (
 	"context"
@@ -10,6 +10,11 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
+// Identifier asks the server at an address which incarnation it is, on a connection of its own.
+// The expected one has the address in the directory; healthPath is that of its service. It
+// returns what the answer shows, together with an error where it shows nothing.
+type Identifier func(ctx context.Context, expected *rockwindpb.Server, healthPath string) (directory.Identity, error)
+
 // AskOverHTTP returns an identifier that asks the health path which server is there. The first
 // header names the incarnation that a request is meant for, which another one answers with
 // status 421; the second names the incarnation that gave an answer.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -85,7 +85,7 @@
 	if s.watcher, err = site.NewWatcher(settings, s.client, filepath.Join(settings.GetDataFolder(), configurationFolder)); err != nil {
 		return err
 	}
-	s.witness = router.NewWitness(s.watcher, s.upstream)
+	s.witness = router.NewWitness(s.watcher, s.upstream, s.protocol)
 	s.limiter = newLimiter(s)
 	s.rates = newRequestRates(s)
 	listener, err := site.Listen("internal_listen", settings.GetInternalListen())
