--- a/internal/router/memory_test.go
+++ b/internal/router/memory_test.go
@@ -7,13 +7,18 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"rockwind.example/rockwind/internal/clientconn"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
+// beyondBody is for how long the request of a bodyServer goes on after the time for its body.
+const beyondBody = 250 * time.Millisecond
+
 // bodyServer reads bodies for as long as its route lets them take.
 func bodyServer(t *testing.T, buffers *clientconn.Buffers) string {
 	t.Helper()
@@ -21,14 +26,15 @@
 		memory := buffers.NewBody()
 		defer memory.GiveBack()
 		route := &rockwindpb.Route{TimeoutMs: new(uint32(250))}
-		body, err := readBody(writer, request, nil, &memory, waitsUntil(route, Facts{}, time.Now()))
+		ends := waitsUntil(route, Facts{}, time.Now())
+		body, err := readBody(writer, request, nil, &memory, ends)
 		if err != nil {
 			refuseFault(writer, err)
 			return
 		}
 		// A request may go on for longer than its body may take.
 		select {
-		case <-time.After(500 * time.Millisecond):
+		case <-time.After(time.Until(ends) + beyondBody):
 			_, _ = fmt.Fprint(writer, len(body))
 		case <-request.Context().Done():
 		}
@@ -81,3 +87,43 @@
 		}
 	}
 }
+
+// deadlineWriter notes the deadlines for what is read of a client.
+type deadlineWriter struct {
+	*httptest.ResponseRecorder
+	last time.Time
+}
+
+// SetReadDeadline is what http.ResponseController calls.
+func (w *deadlineWriter) SetReadDeadline(deadline time.Time) error {
+	w.last = deadline
+	return nil
+}
+
+// TestDeadlineOfABodyIsClearedOnceItIsWhole, and kept where it is not: the server still reads
+// the rest before it answers. The HTTP server clears deadlines too as it goes on to read, so
+// that a whole exchange does not show this.
+func TestDeadlineOfABodyIsClearedOnceItIsWhole(t *testing.T) {
+	ends := time.Now().Add(time.Minute)
+	for name, test := range map[string]struct {
+		body io.Reader
+		want time.Time
+	}{
+		"whole": {strings.NewReader("whole"), time.Time{}},
+		"cut":   {iotest.ErrReader(io.ErrUnexpectedEOF), ends},
+	} {
+		t.Run(name, func(t *testing.T) {
+			writer := &deadlineWriter{ResponseRecorder: httptest.NewRecorder()}
+			request := httptest.NewRequest(http.MethodPost, "/", test.body)
+			request.ContentLength = 5
+			memory := clientconn.NewBuffers(8<<20, func(clientconn.Ended) {}).NewBody()
+			defer memory.GiveBack()
+			if _, err := readBody(writer, request, nil, &memory, ends); (err == nil) != test.want.IsZero() {
+				t.Fatal(err)
+			}
+			if !writer.last.Equal(test.want) {
+				t.Errorf("the deadline is %v, want %v", writer.last, test.want)
+			}
+		})
+	}
+}
