Test that an answer whose client's connection failed is recorded as gone

The test writes a stream and a long answer to a client whose connection has failed, and looks at the verdict and at what the metrics count.

--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -8,15 +8,22 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
 	"rockwind.example/rockwind/internal/clientconn"
+	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/gate"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/site"
+	"rockwind.example/rockwind/internal/sitemetrics"
 	"rockwind.example/rockwind/internal/upstream"
 )
 
@@ -134,3 +141,43 @@
 		}
 	})
 }
+
+// goneWriter is that of a client whose connection has failed.
+type goneWriter struct{ *httptest.ResponseRecorder }
+
+func (goneWriter) Write([]byte) (int, error) { return 0, syscall.ECONNRESET }
+
+// TestAnswerWhoseClientsConnectionFailedIsRecordedAsGone, and not as one that its server broke
+// off: neither a stream nor a whole answer.
+func TestAnswerWhoseClientsConnectionFailedIsRecordedAsGone(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer string
+		relay  func(r *relayed, ctx context.Context) verdict
+	}{
+		"stream": {streamHead + event(1), func(r *relayed, ctx context.Context) verdict {
+			return r.relayEvents(ctx, r.lease, r.response, 0)
+		}},
+		"long answer": {
+			fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 2*bufferedAnswer, strings.Repeat("x", 2*bufferedAnswer)),
+			func(r *relayed, ctx context.Context) verdict { return r.relayWhole(ctx, r.lease, r.response, 0) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := relaying(t, goneWriter{httptest.NewRecorder()}, func(conn net.Conn) { _, _ = io.WriteString(conn, test.answer) })
+				r.router.metrics = sitemetrics.New("router", decision.NewRecorder(&log.Logger{Handler: discard.New(), Level: log.InfoLevel}, time.Now))
+				r.send(t)
+				got := test.relay(r, t.Context())
+				if got != verdictGone {
+					t.Fatalf("the verdict is %v: %s", got, r.reason)
+				}
+				r.recordGone(r.lease)
+				shown := httptest.NewRecorder()
+				r.router.metrics.Handler().ServeHTTP(shown, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+				if !strings.Contains(shown.Body.String(), string(decision.RequestAbandoned)) {
+					t.Errorf("shown is %s", shown.Body)
+				}
+			})
+		})
+	}
+}
