Calls to stores: ask one after the other while none leads, and end as the router leaves

A call could outlive the planned stop of its router, which cuts connections 4.3 s after it stops serving, and the deadline that its client states.

Change: only the first round goes on without a pause, and where a store names a leader that was not asked. A submission ends 0.1 s before the deadline in its request.

Tests, in virtual time: 14 stores without a leader are asked at most 60 times in a second; a call ends within 3 s of its process's leaving. go test ./internal/jobclient ./internal/router: ok.

--- a/internal/jobclient/call.go
+++ b/internal/jobclient/call.go
@@ -50,11 +50,14 @@
 	// patience is how long the call goes on, which changes with each word of a store.
 	patience patience
 	// asked holds the stores whose answers are awaited, with when they were asked, and met
-	// those that have said in this round that they do not lead. A round asks each store once;
-	// the next one begins after a pause.
-	asked map[string]question
-	met   map[string]bool
-	ended chan outcome[T]
+	// those that have said in this round that they do not lead. A round asks each store once.
+	// The first one goes on without a pause; in later ones, which repeats tells, stores are
+	// asked one after the other: a site with many stores must not ask those the more often
+	// that are to elect a leader.
+	asked   map[string]question
+	met     map[string]bool
+	repeats bool
+	ended   chan outcome[T]
 	// doubt tells that an attempt that failed may have taken effect.
 	doubt bool
 }
@@ -78,17 +81,23 @@
 	defer next.Stop()
 	limit := time.NewTimer(time.Until(c.patience.until()))
 	defer limit.Stop()
+	leaving := c.client.leaving
 	for {
 		select {
 		case <-ctx.Done():
 			return nothing, c.leave()
 		case <-limit.C:
 			return nothing, c.leave()
+		case <-leaving:
+			leaving = nil
+			c.patience.leave(time.Now())
+			limit.Reset(time.Until(c.patience.until()))
 		case <-next.C:
 			if c.ask(ctx) {
 				next.Reset(hedgeAfter + c.wait)
 			} else {
 				clear(c.met)
+				c.repeats = true
 				next.Reset(c.patience.pause(time.Now()))
 			}
 		case end := <-c.ended:
@@ -112,19 +121,23 @@
 				c.patience.spoke(time.Now())
 				limit.Reset(time.Until(c.patience.until()))
 			}
-			next.Reset(c.pauseAfter(end.address, failure.Kind))
+			next.Reset(c.pauseAfter(end.address, failure))
 		}
 	}
 }
 
-// pauseAfter is the time before the next attempt: none where a store does not lead, since
-// another one that was not met in this round may.
-func (c *caller[T]) pauseAfter(address string, failed fault.Kind) time.Duration {
-	if failed != fault.NotLeader {
+// pauseAfter is the time before the next attempt: none where a store does not lead and names
+// another one that was not asked in this round, or where others are left in the first round.
+func (c *caller[T]) pauseAfter(address string, failure *fault.Fault) time.Duration {
+	if failure.Kind != fault.NotLeader {
 		return c.patience.pause(time.Now())
 	}
 	c.met[address] = true
-	return 0
+	hinted := failure.Leader != "" && !c.passOver(failure.Leader)
+	if hinted || !c.repeats {
+		return 0
+	}
+	return c.patience.pause(time.Now())
 }
 
 // passOver tells whether a store is not to be asked now: it is asked already, or was met in
@@ -134,8 +147,9 @@
 	return found || c.met[address]
 }
 
-// spoken tells whether a failure is a store's own word: one that was not reached says neither
-// another kind nor that nothing has run.
+// spoken tells whether a failure shows that a store was reached: one that was not says neither
+// another kind nor that nothing has run. Some words of stores are taken for silence by this,
+// and do not prolong a call.
 func spoken(failure *fault.Fault) bool {
 	return failure.Kind != fault.Unavailable || failure.Ran != fault.RanNotApplicable
 }
--- a/internal/jobclient/client.go
+++ b/internal/jobclient/client.go
@@ -53,13 +53,21 @@
 	rotate  int
 	// avoided holds until when stores that did not answer are asked after the others.
 	avoided map[string]time.Time
+	// leaving is closed once this process leaves.
+	leaving chan struct{}
+	leave   sync.Once
 }
 
 // New returns a client of the given stores.
 func New(site Stores, client *http.Client) *Client {
-	return &Client{site: site, client: client, leaders: make(map[uint32]string), avoided: make(map[string]time.Time)}
+	return &Client{
+		site: site, client: client, leaders: make(map[uint32]string), avoided: make(map[string]time.Time), leaving: make(chan struct{}),
+	}
 }
 
+// Leave has all calls end soon, those that are under way as well: this process leaves.
+func (c *Client) Leave() { c.leave.Do(func() { close(c.leaving) }) }
+
 // Submit hands a job over. It returns once enough copies are synced. It fails with
 // fault.OutcomeUnknown where the job may have been taken although no answer says so, and
 // with fault.LimitReached where it does not fit below the limit of its route. Limited is
--- a/internal/jobclient/patience_test.go
+++ b/internal/jobclient/patience_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -154,3 +155,45 @@
 		}
 	})
 }
+
+// TestManyStoresWithoutALeaderAreNotAskedTheMoreOften: while a shard has no leader a call asks one
+// store after the other, however many there are.
+func TestManyStoresWithoutALeaderAreNotAskedTheMoreOften(t *testing.T) {
+	const stores, patience, most = 14, time.Second, 60
+	synctest.Test(t, func(t *testing.T) {
+		all := make(map[string]*fakeStore)
+		for i := range stores {
+			all[fmt.Sprintf("1.1.1.%d:1", i+1)] = &fakeStore{submit: func(ctx context.Context) error {
+				time.Sleep(time.Millisecond)
+				return notLeader("")(ctx)
+			}}
+		}
+		client := virtualClient(all)
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		defer cancel()
+		if err := client.Submit(ctx, &rockwindpb.StoredJob{Id: "job"}, 0); err == nil {
+			t.Fatal("nobody leads, and the call is answered")
+		}
+		asked := int64(0)
+		for _, each := range all {
+			asked += each.asked.Load()
+		}
+		if asked < stores || asked > most {
+			t.Fatalf("%d attempts in %v, want at most %d", asked, patience, most)
+		}
+	})
+}
+
+// TestCallsEndSoonOnceTheProcessLeaves: its clients are answered before their connections are cut.
+func TestCallsEndSoonOnceTheProcessLeaves(t *testing.T) {
+	const leaves, most = 5 * time.Second, 8 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		client := virtualClient(map[string]*fakeStore{"1.1.1.1:1": {submit: notLeader("")}, "1.1.1.1:2": {submit: notLeader("")}})
+		time.AfterFunc(leaves, client.Leave)
+		began := time.Now()
+		err := client.Submit(t.Context(), &rockwindpb.StoredJob{Id: "job"}, 0)
+		if took := time.Since(began); err == nil || took <= leaves || took >= most {
+			t.Fatalf("the call ended after %v with %v; the process left after %v", took, err, leaves)
+		}
+	})
+}
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -107,6 +107,7 @@
 		case <-time.After(leaveNotice):
 		case <-parts.Done():
 		}
+		router.jobs.Leave()
 		stopServing()
 		return nil
 	})
--- a/internal/router/submission.go
+++ b/internal/router/submission.go
@@ -32,7 +32,9 @@
 		limited = number
 	}
 	began := time.Now()
-	err = r.jobs.Submit(request.Context(), job, limited)
+	ctx, cancel := r.untilDeadline(request)
+	defer cancel()
+	err = r.jobs.Submit(ctx, job, limited)
 	fields := log.Fields{"route": route.GetName(), "tenant": tenant.GetName(), "items": len(job.GetItems()), "bytes": len(body), "took_ms": time.Since(began).Milliseconds()}
 	if err != nil {
 		fields["error"] = err.Error()
@@ -44,6 +46,20 @@
 	writer.WriteHeader(http.StatusAccepted)
 }
 
+// answerMargin is how long before a client gives up its submission is answered, if that is said
+// in its request: an answer takes some milliseconds of a busy router and of the way.
+const answerMargin = 100 * time.Millisecond
+
+// untilDeadline is the context of a submission, which ends before its client gives up: it may go
+// to another router then.
+func (r *Router) untilDeadline(request *http.Request) (context.Context, context.CancelFunc) {
+	facts, err := r.protocol.Facts(request.Header)
+	if err != nil || facts.Deadline <= answerMargin {
+		return context.WithCancel(request.Context())
+	}
+	return context.WithTimeout(request.Context(), facts.Deadline-answerMargin)
+}
+
 // withinReach bounds the time to come back of a refusal by what the client has left.
 func (r *Router) withinReach(header http.Header, err error) error {
 	failure := fault.From(err)
