Witness: ask a silent server four times at most, and look for 11 s

Change: four questions at most, then the directory decides; 11 s.

Measured: the four tests of requests that end servers and of lost answers pass (platform).

--- a/internal/router/witness.go
+++ b/internal/router/witness.go
@@ -21,13 +21,17 @@
 	// only where a machine loses all of them; what is passed over then counts for nothing.
 	mostChecks = 256
 	// noticedWithin is how long after a connection broke off the directory may show that its
-	// server has ended: longer than a server needs to start again, or to miss its heartbeats.
-	noticedWithin = 8 * time.Second
+	// server has ended: longer than a server needs to start again, or to miss its heartbeats
+	// (four of 1.2 s) and not to answer two questions.
+	noticedWithin = 11 * time.Second
 	// identityTimeout bounds a question to the address of a server that is silent: nobody waits
 	// for the answer, and one that lives answers in milliseconds, or later beside much load.
 	identityTimeout = time.Second
 	// identityPause is the time between such questions.
 	identityPause = 500 * time.Millisecond
+	// mostQuestions bounds these questions, which take a place at a server: two decide where
+	// the others report, and one of two more is answered by one that was busy.
+	mostQuestions = 4
 )
 
 // Witness finds out which requests were running at a server that ended, and tells the
@@ -142,6 +146,7 @@
 	defer limit.Stop()
 	var asked directory.Inquiry
 	var askedAt time.Time
+	questions := 0
 	for {
 		changed := w.watcher.Changed()
 		var again <-chan time.Time
@@ -152,11 +157,14 @@
 			return false
 		case directory.EndingInDoubt:
 			pause := identityPause - time.Since(askedAt)
-			if pause <= 0 {
+			if pause <= 0 && questions < mostQuestions {
 				asked, askedAt = asked.With(id, w.identify(id)), time.Now()
+				questions++
 				continue
 			}
-			again = time.After(pause)
+			if questions < mostQuestions {
+				again = time.After(pause)
+			}
 		}
 		select {
 		case <-changed:
