--- a/internal/jobclient/call.go
+++ b/internal/jobclient/call.go
@@ -47,22 +47,29 @@
 	target  target
 	wait    time.Duration
 	attempt attempt[T]
+	// patience is how long the call goes on, which changes with each word of a store.
+	patience patience
 	// asked holds the stores whose answers are awaited, with when they were asked, and met
-	// those that have said that they do not lead.
-	asked map[string]question
-	met   map[string]bool
-	ended chan outcome[T]
+	// those that have said in this round that they do not lead. A round asks each store once.
+	// The first one goes on without a pause; in later ones, which repeats tells, stores are
+	// asked one after the other: a site with many stores must not ask those the more often
+	// that are to elect a leader.
+	asked   map[string]question
+	met     map[string]bool
+	repeats bool
+	ended   chan outcome[T]
 	// doubt tells that an attempt that failed may have taken effect.
 	doubt bool
 }
 
-// call performs a call at the leader of a shard until it is answered. A store that does
-// not answer soon does not hold it up: another one is asked beside it.
+// call performs a call at the leader of a shard until it is answered, or its patience or the
+// caller's is over. A store that does not answer soon does not hold it up: another one is asked
+// beside it.
 func call[T any](ctx context.Context, client *Client, at target, wait time.Duration, made attempt[T]) (T, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c := &caller[T]{
-		client: client, target: at, wait: wait, attempt: made,
+		client: client, target: at, wait: wait, attempt: made, patience: newPatience(time.Now(), wait),
 		asked: make(map[string]question), met: make(map[string]bool), ended: make(chan outcome[T], maximumAsked),
 	}
 	return c.run(ctx)
@@ -72,16 +79,26 @@
 	var nothing T
 	next := time.NewTimer(0)
 	defer next.Stop()
+	limit := time.NewTimer(time.Until(c.patience.until()))
+	defer limit.Stop()
+	leaving := c.client.leaving
 	for {
 		select {
 		case <-ctx.Done():
-			c.leaveSilent(time.Now())
-			return nothing, c.client.unanswered(c.doubt || len(c.asked) > 0)
+			return nothing, c.leave()
+		case <-limit.C:
+			return nothing, c.leave()
+		case <-leaving:
+			leaving = nil
+			c.patience.leave(time.Now())
+			limit.Reset(time.Until(c.patience.until()))
 		case <-next.C:
 			if c.ask(ctx) {
 				next.Reset(hedgeAfter + c.wait)
 			} else {
-				next.Reset(pause)
+				clear(c.met)
+				c.repeats = true
+				next.Reset(c.patience.pause(time.Now()))
 			}
 		case end := <-c.ended:
 			delete(c.asked, end.address)
@@ -100,29 +117,47 @@
 			}
 			c.doubt = c.doubt || failure.Ran != fault.NotRun
 			c.client.follow(end.shard, end.address, failure)
+			if spoken(failure) {
+				c.patience.spoke(time.Now())
+				limit.Reset(time.Until(c.patience.until()))
+			}
 			next.Reset(c.pauseAfter(end.address, failure))
 		}
 	}
 }
 
-// pauseAfter is the time before the next attempt: none where a store does not lead and
-// another one that was not met in this call may.
+// pauseAfter is the time before the next attempt: none where a store does not lead and names
+// another one that was not asked in this round, or where others are left in the first round.
 func (c *caller[T]) pauseAfter(address string, failure *fault.Fault) time.Duration {
 	if failure.Kind != fault.NotLeader {
-		return pause
+		return c.patience.pause(time.Now())
 	}
 	c.met[address] = true
-	hinted := failure.Leader != "" && !c.met[failure.Leader]
-	if hinted || len(c.met) < len(c.client.site.Stores()) {
+	hinted := failure.Leader != "" && !c.passOver(failure.Leader)
+	if hinted || !c.repeats {
 		return 0
 	}
-	return pause
+	return c.patience.pause(time.Now())
 }
 
-// passOver tells whether a store is not to be asked now: it is asked already.
+// passOver tells whether a store is not to be asked now: it is asked already, or was met in
+// this round. Silent stores are asked for long, and others name them as the leader meanwhile.
 func (c *caller[T]) passOver(address string) bool {
 	_, found := c.asked[address]
-	return found
+	return found || c.met[address]
+}
+
+// spoken tells whether a failure shows that a store was reached: one that was not says neither
+// another kind nor that nothing has run. Some words of stores are taken for silence by this,
+// and do not prolong a call.
+func spoken(failure *fault.Fault) bool {
+	return failure.Kind != fault.Unavailable || failure.Ran != fault.RanNotApplicable
+}
+
+// leave gives the call up, and returns what its caller is told.
+func (c *caller[T]) leave() error {
+	c.leaveSilent(time.Now())
+	return c.client.unanswered(c.doubt || len(c.asked) > 0)
 }
 
 // leaveSilent forgets the stores that a call has waited for in vain: the caller may have
