Keep the progress of items in the shard's log: the state machine

Cause: what a leader received of a running item's output was in its memory alone, so that each loss of a leader, and each lease that lapsed, began the item anew.

Change: a command RecordProgress tells consecutive events of runs of items; StoredJob holds for each item without a result the first events of its output, with the term and number of the run. The first record of a run is its whole output and replaces what an earlier run left; later ones continue it without a gap; all else changes nothing. Results, failures and the end of a job give the progress back.

--- a/internal/jobstore/machine.go
+++ b/internal/jobstore/machine.go
@@ -51,6 +51,7 @@
 		created.position[result.GetItem()] = uint32(i) + 1
 		created.waiting -= stored.GetItems()[result.GetItem()].GetTokens()
 	}
+	created.cleanProgress()
 	return created
 }
 
@@ -102,6 +103,8 @@
 		return m.record(content.Record)
 	case *rockwindpb.JobStoreCommand_Failure:
 		return m.fail(content.Failure)
+	case *rockwindpb.JobStoreCommand_Progress:
+		m.progress(content.Progress)
 	case *rockwindpb.JobStoreCommand_End:
 		return m.end(content.End)
 	case *rockwindpb.JobStoreCommand_Drop:
@@ -140,8 +143,9 @@
 		known.stored.Results = append(known.stored.Results, result)
 		known.position[item] = uint32(len(known.stored.GetResults()))
 		known.waiting -= known.stored.GetItems()[item].GetTokens()
-		// The body has served its purpose, and so have the failures.
+		// The body has served its purpose, and so have the failures and the progress.
 		known.stored.Items[item].Body = nil
+		known.dropProgress(item)
 		known.stored.Failures = slices.DeleteFunc(known.stored.GetFailures(), func(each *rockwindpb.ItemFailures) bool { return each.GetItem() == item })
 	}
 	return Outcome{}
@@ -157,6 +161,8 @@
 	if int(item) >= len(known.position) || known.position[item] != 0 {
 		return Outcome{}
 	}
+	// The output of a failed run is not gone on with.
+	known.dropProgress(item)
 	if counted := known.failuresOf(item); counted != nil {
 		counted.Count++
 		return Outcome{}
@@ -171,6 +177,7 @@
 		return Outcome{Fault: failure}
 	}
 	known.stored.Ended = true
+	known.stored.Progress = nil
 	for _, item := range known.stored.GetItems() {
 		item.Body = nil
 	}
