Stores: go on with the items of a leader that was lost

Cause: a leader whose lease lapsed, that ended or lost power took with it what it had received of running items; each began anew at its first event, servers did the work twice and items were late.

Change: what a shard's leader received of an item is an output of its own (internal/store/output) to which the last try alone can add. A leader whose lease lapses and holds again in the same term goes on with it, since a term has one leader. Every 500 ms the leader records what is new of all running items in one command; a leader of a later term goes on after the last event that the shard holds. The gate item_progress switches the records off. Events without a number are cut off where the next try goes on, since servers send them again.

Result: platform.TestItemGoesOnAfterItsStoresWereLost (real processes, killed or frozen together) failed on the code before in both cases ("the last one after event ''") and passes, also 4 of 4 beside 12 busy loops. output.TestOutputOutlivesItsLeaders fails with six of nine rules taken out one at a time; with the other three a test of jobstore fails.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -28,10 +28,13 @@
 	// Continuation has runs that may run once copied to a second server, where they go on
 	// if the first one ends.
 	Continuation Gate = "continuation"
+	// ItemProgress has the leader of a shard record what it receives of items, so that another
+	// one goes on with them.
+	ItemProgress Gate = "item_progress"
 )
 
 // All lists the gates in the order of their names.
-func All() []Gate { return []Gate{Continuation, FairShare, Pace, Relief, Returns} }
+func All() []Gate { return []Gate{Continuation, FairShare, ItemProgress, Pace, Relief, Returns} }
 
 // Set tells which gates are off. The zero value has all on.
 type Set struct {
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"net/http"
 	"slices"
 	"time"
 
@@ -20,7 +19,7 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/router"
 	"rockwind.example/rockwind/internal/store/claims"
-	"rockwind.example/rockwind/internal/upstream"
+	"rockwind.example/rockwind/internal/store/output"
 )
 
 const (
@@ -73,6 +72,7 @@
 		active:  make(map[claims.Key]*activeTry),
 		paces:   make(map[string]*backlog.Pace),
 		ended:   make(chan itemEnd, endBuffer),
+		notes:   make(chan struct{}, 1),
 	}
 	e.run(ctx)
 }
@@ -80,39 +80,6 @@
 // endBuffer is how many ends of items may wait to be handled.
 const endBuffer = 256
 
-// history is what this leader knows of an item's tries. A new leader starts with the
-// failures that the shard holds.
-type history struct {
-	// failures counts answers that say that the item failed.
-	failures int
-	// text is what was received of the item's output so far, in the given events.
-	text     []byte
-	hasText  bool
-	received upstream.Sequence
-	// absentSince is since when the item's route is absent; zero while it is not.
-	absentSince time.Time
-	// after is when the item may be tried again.
-	after time.Time
-	// held tells that the item is not started since its content is held.
-	held bool
-	// fingerprint is that of the item's content, nil before it was needed.
-	fingerprint *fingerprint.Fingerprint
-}
-
-// content identifies the item by the content of its request.
-func (h *history) content(item jobstore.OpenItem) fingerprint.Fingerprint {
-	if h.fingerprint == nil {
-		computed := fingerprint.Of(fingerprint.Content{
-			Tenant: item.Tenant, Method: http.MethodPost, Host: item.Host, Target: item.Item.GetPath(), Body: item.Body,
-		})
-		h.fingerprint = &computed
-	}
-	return *h.fingerprint
-}
-
-// made is how many events of the item's output were received.
-func (h *history) made() int { return int(h.received.Last()) }
-
 // itemEnd is the end of one try of an item. Outcome is unspecified where the item
 // has to be tried again.
 type itemEnd struct {
@@ -147,6 +114,15 @@
 	// paces holds how long items take, by service.
 	paces map[string]*backlog.Pace
 	ended chan itemEnd
+	// runs numbers the runs whose progress is recorded.
+	runs output.Runs
+	// historyTerm is the term in which the histories were made.
+	historyTerm uint64
+	// noted is when the progress of items was last recorded, and noting tells that a record is
+	// under way, whose end comes by notes.
+	noted  time.Time
+	noting bool
+	notes  chan struct{}
 	// results wait to be recorded, by job, and failures are the claims of items whose failed
 	// tries do.
 	results  map[string][]pendingResult
@@ -182,6 +158,8 @@
 			return
 		case <-pressed:
 			e.yield(time.Now())
+		case <-e.notes:
+			e.noting = false
 		case <-applied:
 			// One look for a burst of commands.
 			retry.Pause(ctx, recordLinger)
@@ -197,30 +175,29 @@
 
 // schedule starts what can be started, and tells whether items are open.
 func (e *executor) schedule(ctx context.Context) bool {
-	term, leading := e.group.Leading()
-	if !leading || term != e.term {
-		e.claims.Drop()
-		clear(e.active)
-		e.term = term
-		e.history = make(map[claims.Key]*history)
-		e.results, e.failures = nil, nil
-	}
-	if !leading {
+	if !e.lead() {
 		return false
 	}
+	now := time.Now()
+	noting := e.noteDue(now)
 	var open []jobstore.OpenItem
 	err := e.group.Read(ctx, func() {
 		e.cancelStale()
+		if noting {
+			e.forgetEnded()
+		}
 		open = e.machine.OpenItems(e.waits)
 	})
 	if err != nil {
 		return false
 	}
+	if noting {
+		e.note(ctx, now)
+	}
 	e.dropExpired(ctx)
 	slices.SortFunc(open, func(a, b jobstore.OpenItem) int {
 		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
 	})
-	now := time.Now()
 	e.yield(now)
 	for _, item := range e.order(open, now) {
 		if !e.begin(ctx, item, now) {
@@ -231,6 +208,23 @@
 	return len(open) > 0 || e.claims.Len() > 0
 }
 
+// lead tells whether this store leads the shard, and drops what it has in hand where its lease
+// has lapsed or its term changed.
+func (e *executor) lead() bool {
+	term, leading := e.group.Leading()
+	if !leading {
+		term = 0
+	}
+	if term != e.term {
+		e.claims.Drop()
+		clear(e.active)
+		e.term = term
+		e.results, e.failures = nil, nil
+	}
+	e.keepHistory(term)
+	return leading
+}
+
 // waits tells whether an item neither runs nor has a result on its way.
 func (e *executor) waits(job string, index uint32) bool {
 	return !e.claims.Held(claims.NewKey(job, index))
@@ -247,7 +241,7 @@
 	key := claims.NewKey(item.Job, item.Index)
 	known := e.history[key]
 	if known == nil {
-		known = &history{}
+		known = e.newHistory(item)
 		e.history[key] = known
 	}
 	known.noteFailures(item)
@@ -289,10 +283,10 @@
 	} else {
 		decision.Default.Record(decision.ItemStarted, item.Job, log.Fields{
 			"item": item.Index, "item_id": item.Item.GetId(), "server": lease.ID, "load": lease.Load, "slots": lease.Slots, "pace": lease.Slowness(),
-			"failures": known.failures, "after_event": known.received.Last(), "age_ms": now.UnixMilli() - item.SubmittedUnixMs,
+			"failures": known.failures, "after_event": known.output.Last(), "age_ms": now.UnixMilli() - item.SubmittedUnixMs,
 		})
 	}
-	try := &itemTry{store: e.store, item: item, history: known, lease: lease, route: route.GetName(), attempts: max(1, int(route.GetAttempts()))}
+	try := &itemTry{store: e.store, item: item, history: known, writer: known.output.Write(known.failures), lease: lease, route: route.GetName(), attempts: max(1, int(route.GetAttempts()))}
 	go func() {
 		end := try.run(running)
 		end.claim, end.item, end.server, end.content = claim, item.Item.GetId(), lease.ID, try.content()
@@ -349,9 +343,8 @@
 	key := end.claim.Key()
 	result := &rockwindpb.StoredResult{Item: key.Index(), Outcome: end.outcome}
 	if end.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_DONE {
-		result.Text = end.history.text
+		result.Text = end.history.output.Text()
 	}
-	delete(e.history, key)
 	if e.results == nil {
 		e.results = make(map[string][]pendingResult)
 	}
--- a/internal/store/item.go
+++ b/internal/store/item.go
@@ -14,6 +14,7 @@
 	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/router"
+	"rockwind.example/rockwind/internal/store/output"
 	"rockwind.example/rockwind/internal/upstream"
 )
 
@@ -39,6 +40,7 @@
 	store    *Store
 	item     jobstore.OpenItem
 	history  *history
+	writer   output.Writer
 	lease    *router.Lease
 	route    string
 	attempts int
@@ -73,8 +75,7 @@
 // failed counts an answer that says that the item failed.
 func (t *itemTry) failed(reason string) itemEnd {
 	t.history.failures++
-	// The output of a failed run is not gone on with.
-	t.history.text, t.history.hasText, t.history.received = nil, false, upstream.Sequence{}
+	t.writer.Discard()
 	if t.history.failures >= t.attempts {
 		return itemEnd{outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DEAD, history: t.history, reason: reason}
 	}
@@ -125,7 +126,7 @@
 func (t *itemTry) request() *upstream.Request {
 	header := itemHeader(t.item)
 	t.store.protocol.Prepare(header, router.Try{
-		RequestID: t.item.Item.GetId(), ServerID: t.lease.ID, ResumeAfter: t.history.received.String(), Tenant: t.item.Tenant,
+		RequestID: t.item.Item.GetId(), ServerID: t.lease.ID, ResumeAfter: t.writer.ResumeAfter(), Tenant: t.item.Tenant,
 	})
 	return &upstream.Request{
 		ID:         t.item.Item.GetId(),
@@ -172,7 +173,7 @@
 		n, err := response.Read(buffer, silenceLimit)
 		if n > 0 {
 			t.lease.Received(buffer[:n])
-			t.take(splitter.Add(buffer[:n]))
+			t.writer.Add(upstream.Events(splitter.Add(buffer[:n])))
 		}
 		switch {
 		case err == nil:
@@ -192,16 +193,3 @@
 		}
 	}
 }
-
-func (t *itemTry) take(whole []byte) {
-	for _, event := range upstream.Events(whole) {
-		if !t.history.received.Take(event) || !event.HasData {
-			continue
-		}
-		if t.history.hasText {
-			t.history.text = append(t.history.text, '\n')
-		}
-		t.history.text = append(t.history.text, event.Data...)
-		t.history.hasText = true
-	}
-}
--- a/internal/store/order.go
+++ b/internal/store/order.go
@@ -18,12 +18,17 @@
 	if standing != routeFound {
 		return backlog.NewItem(submitted, time.Time{}, 0)
 	}
-	made := 0
+	pace := e.pace(router.ServiceOf(route, item.Item.GetId()))
+	return backlog.NewItem(submitted, dueTime(route, submitted), pace.Remaining(e.made(item))).Of(item.Tenant, e.weight(item.Tenant))
+}
+
+// made is how many events of an item's output there are.
+func (e *executor) made(item jobstore.OpenItem) int {
 	if known := e.history[claims.NewKey(item.Job, item.Index)]; known != nil {
-		made = known.made()
+		return known.made()
 	}
-	pace := e.pace(router.ServiceOf(route, item.Item.GetId()))
-	return backlog.NewItem(submitted, dueTime(route, submitted), pace.Remaining(made)).Of(item.Tenant, e.weight(item.Tenant))
+	last, _ := item.Received.Last()
+	return int(last)
 }
 
 // order sorts the open items into the order in which they are to be started.
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -30,7 +30,7 @@
 	}
 	fields := log.Fields{
 		"item": end.claim.Key().Index(), "item_id": end.item, "outcome": outcomeName(end.outcome), "failures": end.history.failures,
-		"reason": end.reason, "server": end.server, "term": term, "events": end.history.received.Last(),
+		"reason": end.reason, "server": end.server, "term": term, "events": end.history.made(),
 	}
 	if kind == decision.ItemReturned {
 		fields["content"] = end.content.String()
