Count what callers that are gone left behind at servers

A machine that loses power closes no connection: model servers go on with what its processes sent them, for seconds with items of batch jobs. The digests of those processes are forgotten or replaced by those of their next lives, which say zero, so that such servers counted as empty.

The fleet driver of internal/balance's tests can break requests off, end processes without a word and tells their starts; its other tests draw the same requests as before.

--- a/internal/balance/fleet_test.go
+++ b/internal/balance/fleet_test.go
@@ -33,6 +33,10 @@
 	name   string
 	pool   *balance.Pool
 	shares *balance.Shares
+	// started is when this life began, in Unix milliseconds, and gone that it has ended
+	// without a word to anyone.
+	started int64
+	gone    bool
 }
 
 type engine struct {
@@ -57,7 +61,7 @@
 	}
 	for i := range processes {
 		shares := balance.NewShares()
-		created := &process{name: fmt.Sprint("process-", i), pool: balance.NewPool("service", "here", shares), shares: shares}
+		created := &process{name: fmt.Sprint("process-", i), pool: balance.NewPool("service", "here", shares), shares: shares, started: 1}
 		created.pool.Update(members)
 		f.processes = append(f.processes, created)
 		f.at(time.Duration(f.random.Float64()*float64(interval)), func(now time.Duration) { f.tell(created, now) })
@@ -93,14 +97,19 @@
 
 // tell sends the digest of a process to all others.
 func (f *fleet) tell(sender *process, now time.Duration) {
+	if sender.gone {
+		return
+	}
 	loads := make(map[uint32]balance.SharedLoad)
-	sender.pool.Own(now, func(server uint32, load balance.SharedLoad) { loads[server] = load })
+	add := func(server uint32, load balance.SharedLoad) { loads[server] = load }
+	sender.pool.Own(now, add)
+	sender.shares.OwnLeftBehind(add)
 	f.sequence++
 	sequence := f.sequence
 	f.at(now+time.Millisecond, func(now time.Duration) {
 		for _, other := range f.processes {
 			if other != sender {
-				other.shares.Take(sender.name, 1, sequence, loads, now)
+				other.shares.Take(sender.name, sender.started, sequence, loads, now)
 			}
 		}
 	})
@@ -126,31 +135,58 @@
 		f.refused++
 		return
 	}
+	f.send(by, choice, f.holding, now)
+}
+
+// send has the chosen server run a request for about so long. It returns what breaks the
+// request off, which a process that is gone never does.
+func (f *fleet) send(by *process, choice balance.Choice, holding, now time.Duration) (breakOff func(now time.Duration)) {
 	chosen := f.servers[choice.ID]
 	if chosen.dark {
 		f.lost++
-		return
+		return func(time.Duration) {}
+	}
+	running, over := false, false
+	leave := func(now time.Duration) {
+		over = true
+		if !running {
+			return
+		}
+		chosen.running--
+		for len(chosen.queue) > 0 && chosen.running < chosen.slots {
+			first := chosen.queue[0]
+			chosen.queue = chosen.queue[1:]
+			first(now)
+		}
 	}
 	begin := func(began time.Duration) {
+		if over {
+			return
+		}
 		chosen.running++
-		f.waits = append(f.waits, began-now)
+		running = true
+		if !choice.Batch && !by.gone {
+			f.waits = append(f.waits, began-now)
+		}
 		by.pool.Read(choice, true, began)
-		ends := began + time.Duration((0.5+f.random.Float64())*float64(f.holding))
-		f.at(ends, func(now time.Duration) {
-			by.pool.Ended(choice, health.Success, began-now, now, f.random)
-			chosen.running--
-			if len(chosen.queue) > 0 {
-				first := chosen.queue[0]
-				chosen.queue = chosen.queue[1:]
-				first(now)
+		f.at(began+time.Duration((0.5+f.random.Float64())*float64(holding)), func(now time.Duration) {
+			if !over {
+				by.pool.Ended(choice, health.Success, began-now, now, f.random)
+				leave(now)
 			}
 		})
 	}
 	if chosen.running < chosen.slots {
 		begin(now)
-		return
+	} else {
+		chosen.queue = append(chosen.queue, begin)
+	}
+	return func(now time.Duration) {
+		if !over {
+			by.pool.Abandoned(choice)
+			leave(now)
+		}
 	}
-	chosen.queue = append(chosen.queue, begin)
 }
 
 // run plays all that was planned until the end.
--- a/internal/balance/members.go
+++ b/internal/balance/members.go
@@ -21,6 +21,8 @@
 	Member
 	// hash is its short name in digests.
 	hash uint32
+	// left is the short name of what was left behind there.
+	left uint32
 	// inflight counts the requests of this process.
 	inflight int
 	// batch is how many of them are batch work.
@@ -66,7 +68,7 @@
 	}
 	for _, member := range members {
 		if _, known := p.places[member.ID]; !known {
-			p.add(&server{Member: member, hash: ServerHash(member.ID), parts: make(map[uint64]time.Duration)})
+			p.add(&server{Member: member, hash: ServerHash(member.ID), left: LeftHash(member.ID), parts: make(map[uint64]time.Duration)})
 		}
 	}
 }
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -111,8 +111,9 @@
 	return estimate
 }
 
-// counted is how many requests all processes together have at a server.
-func (p *Pool) counted(s *server) int { return s.inflight + p.shares.At(s.hash).Inflight }
+// counted is how many requests all processes together have at a server, with what those that
+// are gone left behind there.
+func (p *Pool) counted(s *server) int { return p.living(s) + p.shares.leftBehind(s.left) }
 
 // Choice is a chosen server.
 type Choice struct {
--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -68,6 +68,11 @@
 	// by groups of other zones, by server.
 	zone string
 	far  map[uint32]SharedPace
+	// ownLeft is what this process tells of requests left behind, and leftKnown tells whether
+	// any process tells of some; leftIgnored has none counted here.
+	ownLeft     map[uint32]SharedLoad
+	leftKnown   bool
+	leftIgnored bool
 }
 
 // NewShares returns shares without senders.
@@ -144,6 +149,7 @@
 		}
 		s.sums[server] = sum
 	}
+	s.noteLeft()
 }
 
 // Expire forgets the processes that were silent for long.
@@ -158,6 +164,17 @@
 // Known tells whether any other process tells what it has.
 func (s *Shares) Known() bool { return len(s.senders) > 0 }
 
+// EarliestStart is the earliest start of the processes that tell what they have, or of the
+// delegates that tell it for them, in Unix milliseconds, and whether there is one.
+func (s *Shares) EarliestStart() (started int64, heard bool) {
+	for _, known := range s.senders {
+		if !heard || known.started < started {
+			started, heard = known.started, true
+		}
+	}
+	return started, heard
+}
+
 // Processes is how many other processes the digests cover.
 func (s *Shares) Processes() int { return s.processes }
 
--- a/internal/loadshare/fit.go
+++ b/internal/loadshare/fit.go
@@ -11,9 +11,10 @@
 // maximumBytes bounds a datagram; longer ones are passed over.
 const maximumBytes = 16 << 10
 
-// fit leaves out of a digest what is missed least until it fits in a datagram: the entries of
-// tenants first, without which requests of tenants that are not told of go by arrival, then
-// the paces, without which servers count as alike. What does not fit then is not sent.
+// fit leaves out of a digest what is missed least until it fits in a datagram: first the
+// entries of tenants, without which requests of tenants that are not told of go by arrival, and
+// of what was left behind at servers, without which that does not count; then the paces,
+// without which servers count as alike. What does not fit then is not sent.
 func fit(source Source, digest *rockwindpb.LoadDigest) {
 	if fits(digest) {
 		return
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -44,7 +44,8 @@
 	// Heard tells whether a digest of the named process came lately.
 	Heard(name string) bool
 	// Spare tells whether the entry of a hash may be left out of a digest that is too long:
-	// it is that of a tenant, as far as this process knows.
+	// it is that of a tenant, or of what was left behind at a server, as far as this process
+	// knows.
 	Spare(hash uint32) bool
 	// Take takes the digest of another process or group.
 	Take(digest *rockwindpb.LoadDigest)
