Ask servers after a start what was left behind there

Stores (routers, where a site has none) ask the model servers of their first directory by router.Inquiry, which the platform implements as GET /rockwind/report: no slot is needed for it. Items of batch jobs wait until the answers are judged, 0.4 s at most. Gate left_behind, line "servers asked", rockwind_left_behind_requests and rockwind_load_questions_total.

--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -67,6 +67,9 @@
 	RunLost      Kind = "run lost"
 	// AddressAsked: an address was asked which of several incarnations of servers is there.
 	AddressAsked Kind = "address asked"
+	// ServersAsked: this process has had servers asked after its start for what others left
+	// behind there.
+	ServersAsked Kind = "servers asked"
 	// StartFinished: this process knows after its start what it needs to serve.
 	StartFinished Kind = "start finished"
 	// TenantHeldBack: requests of other tenants go before those of one that had more.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -28,10 +28,13 @@
 	// Continuation has runs that may run once copied to a second server, where they go on
 	// if the first one ends.
 	Continuation Gate = "continuation"
+	// LeftBehind has servers asked after a start for what processes that are gone left
+	// behind there, which is counted until it is over.
+	LeftBehind Gate = "left_behind"
 )
 
 // All lists the gates in the order of their names.
-func All() []Gate { return []Gate{Continuation, FairShare, Pace, Relief, Returns} }
+func All() []Gate { return []Gate{Continuation, FairShare, LeftBehind, Pace, Relief, Returns} }
 
 // Set tells which gates are off. The zero value has all on.
 type Set struct {
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -55,6 +55,7 @@
 	router.metrics.Held(router.witness.Held)
 	router.metrics.ClientBuffers(router.buffers.Usage)
 	router.metrics.Waiting(router.dispatcher.Waiting)
+	router.metrics.LeftBehind(router.dispatcher.LeftBehind)
 	listener, err := site.Listen("listen", settings.GetListen())
 	if err != nil {
 		return err
@@ -83,6 +84,10 @@
 	group.Go(func() error { router.noteStart(parts, settings.GetName()); return nil })
 	group.Go(func() error { router.witness.Run(parts); return nil })
 	group.Go(func() error { return router.dispatcher.Share(parts, settings) })
+	group.Go(func() error {
+		router.dispatcher.Survey(parts, settings, watcher, protocol, router.client)
+		return nil
+	})
 	group.Go(func() error { router.announce(parts, settings); return nil })
 	group.Go(func() error { reliever.run(parts); return nil })
 	group.Go(func() error {
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -46,6 +46,8 @@
 	pressed chan struct{}
 	// heldAt is when it was last written which tenants others go before.
 	heldAt time.Duration
+	// survey is what this process asked servers after its start; nil before.
+	survey *survey
 }
 
 // NewDispatcher returns a dispatcher without servers, for a process in a zone with the given
@@ -53,13 +55,16 @@
 func NewDispatcher(zone string, gates gate.Set) *Dispatcher {
 	shares := balance.NewShares()
 	shares.SetZone(zone)
+	if !gates.On(gate.LeftBehind) {
+		shares.IgnoreLeftBehind()
+	}
 	return &Dispatcher{
 		zone:   zone,
 		gates:  gates,
 		origin: time.Now(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pools:  make(map[string]*servicePool),
-		shares: balance.NewShares(),
+		shares: shares,
 
 		ready:   make(chan struct{}),
 		pressed: make(chan struct{}),
@@ -213,7 +218,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	pool := d.service(service)
-	if pool.waiting.Len() > 0 {
+	if pool.waiting.Len() > 0 || d.holdsBatch(demand) {
 		return nil
 	}
 	choice, found := pool.pool.Choose(demand, nil, d.now(), d.random)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -139,6 +139,10 @@
 		group.Go(func() error { s.announce(parts); return nil })
 		group.Go(func() error { s.witness.Run(parts); return nil })
 		group.Go(func() error { router.Follow(parts, s.watcher, s.dispatcher, s.upstream); return nil })
+		group.Go(func() error {
+			s.dispatcher.Survey(parts, s.settings, s.watcher, s.protocol, s.upstream)
+			return nil
+		})
 		group.Go(func() error { return s.execute(parts) })
 		group.Go(func() error { return s.dispatcher.Share(parts, s.settings) })
 	}, func() {})
@@ -149,6 +153,7 @@
 	set.Limits(s.limiter.gauges)
 	set.LoadTraffic(s.dispatcher.LoadTraffic)
 	set.Paces(s.dispatcher.Paces)
+	set.LeftBehind(s.dispatcher.LeftBehind)
 	set.Held(s.witness.Held)
 	return set
 }
