Hold what servers tell after a start against all that live

Cause: requests of living processes counted as left behind. A first answer that came after the comparison with the living counted whole; a process that lived on, heard first after 0.4 s, took nothing back; and a machine back up to 2 s after the rest, or restarted after another, heard only such as counted as fresh, so that what these had sent since counted twice.

Change: such a first answer counts as far as the living don't know of it. Who lived on is compared with whenever it is first heard. Starts count as one loss within 0.5 s, no longer 2 s, and the word that some lived on is told for 0.9 s: 0.5 s, and 0.4 s in which a process takes it. Later word is not taken, since a machine back after the rest says so of the rest. The reason given for waiting 160 ms named two turns of digests, but one with the same load is repeated only after 400 ms.

--- a/internal/leftbehind/survey.go
+++ b/internal/leftbehind/survey.go
@@ -24,17 +24,23 @@
 	// mostAsked bounds the servers that one process asks, where few processes have many.
 	mostAsked = 64
 	// freshFor is how far apart the starts of processes may be that lost power together:
-	// machines come back over some tenths of a second, slow ones within two.
-	freshFor = 2 * time.Second
-	// hearWithin is how soon after its start a process hears of any other that lives: two
-	// turns of digests in a mesh (loadshare.meshInterval). What servers tell counts without
-	// that afterwards.
+	// machines come back over some tenths of a second. In longer time those that are back send
+	// requests, which would count twice as left behind at servers that tell of them.
+	freshFor = 500 * time.Millisecond
+	// hearWithin is how long a process waits for word of any other before what servers tell
+	// counts without it. A process whose load has changed is heard within two turns of digests
+	// in a mesh (loadshare.meshInterval); one with the same load repeats its digest only after
+	// loadshare.repeatInterval and a turn, and what was counted is compared with its load then.
 	hearWithin = 160 * time.Millisecond
 	// settleFor is how soon a process that starts beside others takes what it has heard for
 	// what these have at the servers: their digests of the first tenths of a second. Where the
 	// stores lose power and the routers live on, 0.03 to 0.05 of the first events are late in
 	// virtual time instead of 0.07 to 0.13 (balance.TestRequestsAfterALossOfAllStores...).
 	settleFor = 400 * time.Millisecond
+	// tellFor is how long after its start a process tells others that some have lived on. One
+	// that starts by freshFor later takes it for new, and takes the word until settleFor after
+	// its own start; later ones see by themselves that others lived on.
+	tellFor = freshFor + settleFor
 	// unknownPart is the part of what servers tell that has to be unknown to the living where
 	// some lived on, and leastUnknown the least of it: reports and digests are of different
 	// moments, so that a few requests always differ.
@@ -90,9 +96,11 @@
 	stage   stage
 	asked   map[string]*asked
 	counts  Counts
-	// lived tells that some others have lived on, and elapsed how long the survey runs.
-	lived   bool
-	elapsed time.Duration
+	// lived tells that some others have lived on, compared that what they have was held against
+	// what servers told, and elapsed how long the survey runs.
+	lived    bool
+	compared bool
+	elapsed  time.Duration
 }
 
 // Counts are those of a survey since its start.
@@ -191,7 +199,8 @@
 }
 
 // Answered takes how many requests a server told to have, running and waiting, and how many
-// all living processes count there now. What was left behind at a server only ever falls.
+// all living processes count there now. What was left behind at a server only ever falls,
+// unless others are heard later that lived on.
 func (s *Survey) Answered(id string, told, counted int) {
 	each := s.answering(id)
 	if each == nil {
@@ -205,7 +214,11 @@
 	s.counts.Answered++
 	if !each.known {
 		each.told, each.known = told, true
-		if s.stage == counting {
+		switch {
+		case s.stage != counting:
+		case s.lived:
+			s.count(each, unknown(told, counted))
+		default:
 			s.count(each, told)
 		}
 		return
@@ -267,12 +280,18 @@
 // of a moment before any of them sent a request. Where some lived on, it is what they do not
 // know of, once their loads are heard, and by a second answer: the first one is of a moment
 // before that. It is nothing where that is little, as after the planned restart of a process.
+//
+// Others that lived on may be heard only after their loads should have been: what was counted
+// is compared with these then. The word of others that some lived on is no longer taken by that
+// time, as machines that are back later than the rest say so of the rest.
 func (s *Survey) Judge(sight Sight, counted func(id string) int, now time.Duration) {
 	if !s.begun {
 		return
 	}
 	elapsed := now - s.began
-	old := sight.LivedOn || (sight.Heard && s.started-sight.Earliest > freshFor.Milliseconds())
+	settled := elapsed >= settleFor
+	older := sight.Heard && s.started-sight.Earliest > freshFor.Milliseconds()
+	old := older || (sight.LivedOn && !settled)
 	s.elapsed, s.lived = elapsed, s.lived || old
 	if s.stage == over {
 		return
@@ -280,9 +299,10 @@
 	switch {
 	case elapsed >= leftFor:
 		s.end()
-	case old && elapsed < settleFor:
+	case old && !settled:
+		s.withdraw()
+	case settled && !s.compared && (older || s.stage == beside):
 		s.withdraw()
-	case s.stage == beside && elapsed >= settleFor:
 		s.compare(counted)
 	case s.stage == listening && (sight.Heard || elapsed >= hearWithin):
 		s.stage = counting
@@ -316,7 +336,7 @@
 // compare has those servers asked once more that told of requests which the living do not
 // know of, unless that is little.
 func (s *Survey) compare(counted func(id string) int) {
-	s.stage = counting
+	s.stage, s.compared = counting, true
 	told, sum := 0, 0
 	for id, each := range s.asked {
 		each.most = unknown(each.told, counted(id))
@@ -353,8 +373,8 @@
 func (s *Survey) Over() bool { return s.begun && s.stage == over && !s.LivedOn() }
 
 // LivedOn tells whether the others are to be told that some have lived on: those that start at
-// about the same time.
-func (s *Survey) LivedOn() bool { return s.lived && s.elapsed < freshFor }
+// about the same time take it.
+func (s *Survey) LivedOn() bool { return s.lived && s.elapsed < tellFor }
 
 // Open tells whether it is not known yet what was left behind: work that can wait does.
 func (s *Survey) Open() bool { return s.begun && (s.stage == listening || s.stage == beside) }
