End a survey at once where servers have next to nothing

Cause: after each planned restart items were held for 0.4 s, also where all servers had answered that they have nothing. The limit of two missed questions was never reached: a server is asked twice at most, and not again after a first question without an answer.

Change: beside others that lived on, a survey ends once all servers asked have answered or missed and told of fewer than four requests together, which is what the comparison would come to. The limit is gone; what a server told counts on, falling, where it misses the second question, as before.

Measured: TestWorkIsNotHeldUpWhereServersHaveNothing failed before.

--- a/internal/leftbehind/survey.go
+++ b/internal/leftbehind/survey.go
@@ -61,8 +61,6 @@
 	// batch work last for two to three seconds, on slow servers longer; a server that tells a
 	// high load for good must come back into use.
 	leftFor = 4 * time.Second
-	// mostMissed is how many questions in a row a server may leave without an answer.
-	mostMissed = 2
 	// mostPerSlot bounds what is believed: a server queues a few requests beside those that it
 	// runs, and what tells of more is no load.
 	mostPerSlot = 4
@@ -141,7 +139,6 @@
 	at        time.Duration
 	questions int
 	open      bool
-	missed    int
 }
 
 // New returns the survey of a process whose life began at the given time in Unix milliseconds.
@@ -207,10 +204,9 @@
 		return
 	}
 	if told < 0 || told > mostPerSlot*each.Slots {
-		s.miss(each)
+		each.unsure = false
 		return
 	}
-	each.missed = 0
 	s.counts.Answered++
 	if !each.known {
 		each.told, each.known = told, true
@@ -233,10 +229,11 @@
 	each.left = min(before, each.left)
 }
 
-// Missed takes that a server gave no answer that can be read.
+// Missed takes that a server gave no answer that can be read. What it told before counts on,
+// less and less; where it was unsure nothing does.
 func (s *Survey) Missed(id string) {
 	if each := s.answering(id); each != nil {
-		s.miss(each)
+		each.unsure = false
 	}
 }
 
@@ -249,16 +246,6 @@
 	return each
 }
 
-// miss counts a question without an answer. A server that gives none may be gone: what it
-// told is not held against it for long.
-func (s *Survey) miss(each *asked) {
-	each.missed++
-	each.unsure = false
-	if each.missed >= mostMissed {
-		each.left = 0
-	}
-}
-
 // unknown is what a server tells beyond what the living have there; nothing where it is little.
 func unknown(told, counted int) int {
 	if told-counted < leastLeft {
@@ -301,6 +288,9 @@
 		s.end()
 	case old && !settled:
 		s.withdraw()
+		if s.toldLittle() {
+			s.end()
+		}
 	case settled && !s.compared && (older || s.stage == beside):
 		s.withdraw()
 		s.compare(counted)
@@ -333,6 +323,19 @@
 	}
 }
 
+// toldLittle tells whether all servers were asked, none is awaited, and all that they told is
+// so little that what others have there changes nothing.
+func (s *Survey) toldLittle() bool {
+	sum := 0
+	for _, each := range s.asked {
+		if each.open || each.questions == 0 {
+			return false
+		}
+		sum += each.told
+	}
+	return sum < leastUnknown
+}
+
 // compare has those servers asked once more that told of requests which the living do not
 // know of, unless that is little.
 func (s *Survey) compare(counted func(id string) int) {
@@ -386,7 +389,7 @@
 		return
 	}
 	for id, each := range s.asked {
-		if each.known && each.missed < mostMissed {
+		if each.known {
 			visit(id, each.left)
 		}
 	}
--- a/internal/leftbehind/survey_test.go
+++ b/internal/leftbehind/survey_test.go
@@ -395,3 +395,20 @@
 		}
 	}
 }
+
+// TestWorkIsNotHeldUpWhereServersHaveNothing, beside others that lived on.
+func TestWorkIsNotHeldUpWhereServersHaveNothing(t *testing.T) {
+	survey := begun(3)
+	due(survey, 0)
+	survey.Answered("server-0", 0, 0)
+	survey.Answered("server-1", 3, 0)
+	survey.Judge(alive, none, 20*time.Millisecond)
+	if !survey.Open() {
+		t.Fatal("the last server is not waited for")
+	}
+	survey.Missed("server-2")
+	survey.Judge(alive, none, 40*time.Millisecond)
+	if survey.Open() || left(survey, "server-1") > 0 {
+		t.Error("work waits for loads that change nothing")
+	}
+}
