Leave what was left behind out of long digests before tenants

Cause: both went together where a digest was too long for a datagram. The line in the log that ends a survey named nobody in a process without internal_listen.

Change: a source tells when an entry is spared: what was left behind first, tenants next. The line names the process of the survey.

loadshare_test's sources implement the new method in place of Spare; what they check is as before.

Measured: TestWhatWasLeftBehindIsLeftOutBeforeTenants fails with the order turned round (tenants missing), and passes.

--- a/internal/loadshare/fit.go
+++ b/internal/loadshare/fit.go
@@ -11,15 +11,30 @@
 // maximumBytes bounds a datagram; longer ones are passed over.
 const maximumBytes = 16 << 10
 
-// fit leaves out of a digest what is missed least until it fits in a datagram: first the
-// entries of tenants, without which requests of tenants that are not told of go by arrival, and
-// of what was left behind at servers, without which that does not count; then the paces,
-// without which servers count as alike. What does not fit then is not sent.
+// Sparing tells when an entry is left out of a digest that is too long.
+type Sparing int
+
+// The entries of a digest.
+const (
+	// NeverSpared are the loads of servers and queues.
+	NeverSpared Sparing = iota
+	// SparedFirst is what was left behind at servers, which does not count then. It is told
+	// for some seconds after a loss at most.
+	SparedFirst
+	// SparedNext are tenants, whose requests go by arrival then.
+	SparedNext
+)
+
+// fit leaves out of a digest what is missed least until it fits in a datagram: first what was
+// left behind at servers, next the entries of tenants, then the paces, without which servers
+// count as alike. What does not fit then is not sent.
 func fit(source Source, digest *rockwindpb.LoadDigest) {
-	if fits(digest) {
-		return
+	for _, left := range []Sparing{SparedFirst, SparedNext} {
+		if fits(digest) {
+			return
+		}
+		leaveOut(digest, func(hash uint32) bool { return source.Sparing(hash) == left })
 	}
-	leaveOut(digest, source.Spare)
 	if fits(digest) {
 		return
 	}
@@ -30,7 +45,7 @@
 	return proto.Size(bundle(digests...)) <= maximumBytes
 }
 
-// leaveOut takes the entries that can be spared out of all lists.
+// leaveOut takes the entries that are spared out of all lists.
 func leaveOut(digest *rockwindpb.LoadDigest, spare func(hash uint32) bool) {
 	var keep []bool
 	for _, hash := range digest.GetServers() {
--- a/internal/loadshare/fit_test.go
+++ b/internal/loadshare/fit_test.go
@@ -17,7 +17,12 @@
 // and returns its processes when they have told each other, and the longest datagram.
 func playSums(t *testing.T, servers, tenants int, pace balance.SharedPace) (*world, int) {
 	t.Helper()
-	w := newWorld(1, largeSite(3, 2, 8))
+	return playWorld(t, newWorld(1, largeSite(3, 2, 8)), servers, tenants, pace)
+}
+
+// playWorld is playSums with a world whose processes may have more to tell.
+func playWorld(t *testing.T, w *world, servers, tenants int, pace balance.SharedPace) (*world, int) {
+	t.Helper()
 	for i, s := range w.stations {
 		for server := range servers {
 			if server%len(w.stations) == i || server%7 == i {
@@ -53,6 +58,12 @@
 		t.Errorf("a datagram has %d bytes", longest)
 	}
 	w.agree(t, servers)
+	w.agreeOnTenants(t, tenants)
+}
+
+// agreeOnTenants checks that all processes are told what the others have of each tenant.
+func (w *world) agreeOnTenants(t *testing.T, tenants int) {
+	t.Helper()
 	for _, s := range w.stations {
 		for tenant := range uint32(tenants) {
 			if got, want := s.shares.At(firstTenant+tenant).Plus(s.own[firstTenant+tenant]), w.total(firstTenant+tenant); got != want {
@@ -62,6 +73,24 @@
 	}
 }
 
+// TestWhatWasLeftBehindIsLeftOutBeforeTenants: it is missed for some seconds at most.
+func TestWhatWasLeftBehindIsLeftOutBeforeTenants(t *testing.T) {
+	const servers, tenants, left = 1000, 330, 900
+	w := newWorld(1, largeSite(3, 2, 8))
+	// Some of each zone tell of all.
+	for i := 0; i < len(w.stations); i += 5 {
+		for server := range left {
+			w.stations[i].own[uint32(firstLeft+server)] = balance.SharedLoad{Inflight: 8, Unread: 1}
+		}
+	}
+	_, longest := playWorld(t, w, servers, tenants, balance.SharedPace{})
+	if longest > mostBytes {
+		t.Errorf("a datagram has %d bytes", longest)
+	}
+	w.agree(t, servers)
+	w.agreeOnTenants(t, tenants)
+}
+
 // TestTenantsAreLeftOutOfASumThatIsTooLong, and the servers are told.
 func TestTenantsAreLeftOutOfASumThatIsTooLong(t *testing.T) {
 	const servers = 1200
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -43,10 +43,9 @@
 	Elsewhere(group string) *rockwindpb.LoadDigest
 	// Heard tells whether a digest of the named process came lately.
 	Heard(name string) bool
-	// Spare tells whether the entry of a hash may be left out of a digest that is too long:
-	// it is that of a tenant, or of what was left behind at a server, as far as this process
-	// knows.
-	Spare(hash uint32) bool
+	// Sparing tells when the entry of a hash is left out of a digest that is too long, as far
+	// as this process knows what it is of.
+	Sparing(hash uint32) Sparing
 	// Take takes the digest of another process or group.
 	Take(digest *rockwindpb.LoadDigest)
 }
--- a/internal/loadshare/nudge_test.go
+++ b/internal/loadshare/nudge_test.go
@@ -80,5 +80,5 @@
 	}
 }
 
-// Spare implements loadshare.Source.
-func (*countingSource) Spare(uint32) bool { return false }
+// Sparing implements loadshare.Source.
+func (*countingSource) Sparing(uint32) loadshare.Sparing { return loadshare.NeverSpared }
--- a/internal/loadshare/protocol_test.go
+++ b/internal/loadshare/protocol_test.go
@@ -43,11 +43,25 @@
 
 func (s *station) Heard(name string) bool { return s.shares.Heard(name, s.now) }
 
-// Spare implements loadshare.Source: the hashes of tenants have the highest bit.
-func (s *station) Spare(hash uint32) bool { return hash >= firstTenant }
+// Sparing implements loadshare.Source: the hashes of tenants have the highest bit, those of
+// what was left behind the next one.
+func (s *station) Sparing(hash uint32) loadshare.Sparing {
+	switch {
+	case hash >= firstTenant:
+		return loadshare.SparedNext
+	case hash >= firstLeft:
+		return loadshare.SparedFirst
+	default:
+		return loadshare.NeverSpared
+	}
+}
 
-// firstTenant is the first hash of a tenant.
-const firstTenant = 1 << 31
+const (
+	// firstTenant is the first hash of a tenant.
+	firstTenant = 1 << 31
+	// firstLeft is the first hash of what was left behind at a server.
+	firstLeft = 1 << 30
+)
 
 func (s *station) Take(digest *rockwindpb.LoadDigest) {
 	loadshare.TakeInto(s.shares, digest, loadshare.Loads(digest), s.now)
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -30,8 +30,10 @@
 	name   string
 	random *rand.Rand
 	pools  map[string]*servicePool
-	// servers are the hashes of all servers of the directory.
+	// servers are the hashes of all servers of the directory, and lefts those of what was left
+	// behind there.
 	servers map[uint32]struct{}
+	lefts   map[uint32]struct{}
 	shares  *balance.Shares
 	order   uint64
 	// stores is how many processes start batch work, and viewAge how old the loads of
@@ -76,9 +78,10 @@
 // Update takes the servers of the directory.
 func (d *Dispatcher) Update(view *directory.View) {
 	members := make(map[string][]balance.Member)
-	servers := make(map[uint32]struct{})
+	servers, lefts := make(map[uint32]struct{}), make(map[uint32]struct{})
 	for _, server := range view.Servers() {
 		servers[balance.ServerHash(server.GetId())] = struct{}{}
+		lefts[balance.LeftHash(server.GetId())] = struct{}{}
 		switch server.GetState() {
 		case rockwindpb.ServerState_SERVER_STATE_READY, rockwindpb.ServerState_SERVER_STATE_SILENT:
 			members[server.GetService()] = append(members[server.GetService()], balance.Member{
@@ -90,7 +93,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.setPeers(view)
-	d.servers = servers
+	d.servers, d.lefts = servers, lefts
 	for name := range d.pools {
 		if members[name] == nil {
 			members[name] = []balance.Member{}
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -72,11 +72,17 @@
 	return s.dispatcher.shares.Heard(name, s.dispatcher.now())
 }
 
-// Spare implements loadshare.Source.
-func (s loadSource) Spare(hash uint32) bool {
+// Sparing implements loadshare.Source. What is not known here is taken for a tenant.
+func (s loadSource) Sparing(hash uint32) loadshare.Sparing {
 	s.dispatcher.mutex.Lock()
 	defer s.dispatcher.mutex.Unlock()
-	return !s.dispatcher.names(hash)
+	if s.dispatcher.names(hash) {
+		return loadshare.NeverSpared
+	}
+	if _, isLeft := s.dispatcher.lefts[hash]; isLeft {
+		return loadshare.SparedFirst
+	}
+	return loadshare.SparedNext
 }
 
 // names tells whether a hash is that of a server, of a queue, or of a class. The mutex is held.
--- a/internal/router/sharing_test.go
+++ b/internal/router/sharing_test.go
@@ -28,6 +28,19 @@
 	return [2]string{}
 }
 
+// TestEntriesAreSparedByWhatTheyAreOf: what was left behind goes before tenants.
+func TestEntriesAreSparedByWhatTheyAreOf(t *testing.T) {
+	source := oneServer(4).LoadSource()
+	for hash, want := range map[uint32]loadshare.Sparing{
+		balance.ServerHash("server"): loadshare.NeverSpared, balance.QueueHash("app"): loadshare.NeverSpared,
+		balance.LeftHash("server"): loadshare.SparedFirst, balance.QueueHash("a tenant"): loadshare.SparedNext,
+	} {
+		if got := source.Sparing(hash); got != want {
+			t.Errorf("%d is spared %d, want %d", hash, got, want)
+		}
+	}
+}
+
 // TestLoadsOfTheSameHashAreToldTogether: one of the two was told.
 func TestLoadsOfTheSameHashAreToldTogether(t *testing.T) {
 	register, names := directory.New(), sameHash(t)
--- a/internal/router/survey.go
+++ b/internal/router/survey.go
@@ -66,7 +66,7 @@
 	for {
 		due, over := d.judgeSurvey()
 		if over {
-			d.endSurvey()
+			d.endSurvey(self)
 			return
 		}
 		for _, server := range due {
@@ -174,14 +174,14 @@
 }
 
 // endSurvey writes what was asked and found.
-func (d *Dispatcher) endSurvey() {
+func (d *Dispatcher) endSurvey(self string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	counts := d.survey.Counts()
 	if counts.Asked == 0 {
 		return
 	}
-	decision.Default.Record(decision.ServersAsked, d.name, log.Fields{
+	decision.Default.Record(decision.ServersAsked, self, log.Fields{
 		"asked": counts.Asked, "answered": counts.Answered, "left_behind": counts.Left, "after_ms": d.now().Milliseconds(),
 	})
 }
