--- a/internal/balance/sight.go
+++ b/internal/balance/sight.go
@@ -7,8 +7,8 @@
 	*server
 	// others is what all other processes tell of it.
 	others SharedLoad
-	// counted is how many requests all processes together have there, and load the estimate
-	// that covers what the server told itself.
+	// counted is how many requests all processes together have there, with what those that are
+	// gone left behind, and load the estimate that covers what the server told itself.
 	counted int
 	load    int
 	// batch is how much batch work it has, of all processes.
@@ -26,7 +26,7 @@
 // left as well.
 func (p *Pool) see(s *server, now time.Duration) sight {
 	others := p.shares.At(s.hash)
-	seen := sight{server: s, others: others, counted: s.inflight + others.Inflight, batch: s.batch + others.Batch}
+	seen := sight{server: s, others: others, counted: s.inflight + others.Inflight + p.shares.leftBehind(s.left), batch: s.batch + others.Batch}
 	seen.load = seen.counted
 	valid := reportFor
 	if p.shares.Known() {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -31,10 +31,15 @@
 	// ItemProgress has the leader of a shard record what it receives of items, so that another
 	// one goes on with them.
 	ItemProgress Gate = "item_progress"
+	// LeftBehind has servers asked after a start for what processes that are gone left
+	// behind there, which is counted until it is over.
+	LeftBehind Gate = "left_behind"
 )
 
 // All lists the gates in the order of their names.
-func All() []Gate { return []Gate{Continuation, FairShare, ItemProgress, Pace, Relief, Returns} }
+func All() []Gate {
+	return []Gate{Continuation, FairShare, ItemProgress, LeftBehind, Pace, Relief, Returns}
+}
 
 // Set tells which gates are off. The zero value has all on.
 type Set struct {
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -31,8 +31,10 @@
 	pools  map[string]*servicePool
 	// view is the directory that was taken last, nil before the first one.
 	view *directory.View
-	// servers are the hashes of all servers of the directory.
+	// servers are the hashes of all servers of the directory, and lefts those of what was left
+	// behind there.
 	servers map[uint32]struct{}
+	lefts   map[uint32]struct{}
 	shares  *balance.Shares
 	order   uint64
 	// stores is how many processes start batch work, and viewAge how old the loads of
@@ -47,6 +49,8 @@
 	pressed chan struct{}
 	// heldAt is when it was last written which tenants others go before.
 	heldAt time.Duration
+	// survey is what this process asked servers after its start; nil before.
+	survey *survey
 }
 
 // NewDispatcher returns a dispatcher without servers, for a process in a zone with the given
@@ -54,15 +58,19 @@
 func NewDispatcher(zone string, gates gate.Set) *Dispatcher {
 	shares := balance.NewShares()
 	shares.SetZone(zone)
+	if !gates.On(gate.LeftBehind) {
+		shares.IgnoreLeftBehind()
+	}
 	return &Dispatcher{
 		zone:   zone,
 		gates:  gates,
 		origin: time.Now(),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pools:  make(map[string]*servicePool),
-		shares: balance.NewShares(),
+		shares: shares,
 
 		servers: make(map[uint32]struct{}),
+		lefts:   make(map[uint32]struct{}),
 
 		ready:   make(chan struct{}),
 		pressed: make(chan struct{}),
@@ -189,7 +197,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	pool := d.service(service)
-	if pool.waiting.Len() > 0 {
+	if pool.waiting.Len() > 0 || d.holdsBatch(demand) {
 		return nil
 	}
 	choice, found := pool.pool.Choose(demand, nil, d.now(), d.random)
--- a/internal/router/export_test.go
+++ b/internal/router/export_test.go
@@ -9,6 +9,9 @@
 // LoadSource is what the dispatcher tells other processes, and takes from them.
 func (d *Dispatcher) LoadSource() loadshare.Source { return loadSource{d} }
 
+// RunSurvey has the servers of a directory asked as after a start.
+var RunSurvey = (*Dispatcher).runSurvey
+
 // QueueLen is how many requests wait for a service.
 func (d *Dispatcher) QueueLen(service string) int {
 	d.mutex.Lock()
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -66,14 +66,16 @@
 	}
 }
 
-// nameServers keeps the short names of all servers of the directory. The mutex is held.
+// nameServers keeps the short names of all servers of the directory, and of what was left behind
+// there. The mutex is held.
 func (d *Dispatcher) nameServers(view *directory.View, change directory.Change) {
 	news := change.Servers()
 	if len(change.Left()) > 0 {
 		// Servers may share a short name.
-		d.servers, news = make(map[uint32]struct{}), view.Servers()
+		d.servers, d.lefts, news = make(map[uint32]struct{}), make(map[uint32]struct{}), view.Servers()
 	}
 	for _, server := range news {
 		d.servers[balance.ServerHash(server.GetId())] = struct{}{}
+		d.lefts[balance.LeftHash(server.GetId())] = struct{}{}
 	}
 }
