Hold requests that end servers by what a process saw itself until it is told

Cause: while the root group has no leader, nobody adds up the ends of servers.

Change: what waits to be told is judged by the same rules as the register of the coordinators (quarantine.Untold), and holds a content until all is told or given up.

--- a/internal/quarantine/view.go
+++ b/internal/quarantine/view.go
@@ -40,11 +40,17 @@
 
 // HeldFor is for how much longer a content is held, zero where it may run.
 func (v *View) HeldFor(content fingerprint.Fingerprint, now time.Time) time.Duration {
+	found, _ := v.notice(content)
+	return time.Duration(heldMs(found.heldUntil, now)) * time.Millisecond
+}
+
+// notice is that of a content, where there is one.
+func (v *View) notice(content fingerprint.Fingerprint) (found notice, known bool) {
 	place := slices.IndexFunc(v.notices, func(each notice) bool { return each.content == content })
 	if place < 0 {
-		return 0
+		return notice{}, false
 	}
-	return time.Duration(heldMs(v.notices[place].heldUntil, now)) * time.Millisecond
+	return v.notices[place], true
 }
 
 // List returns all contents that are remembered, those with the most ends first.
--- a/internal/router/witness.go
+++ b/internal/router/witness.go
@@ -197,17 +197,20 @@
 
 // HeldFor is for how much longer a content is held, zero where it may run.
 func (w *Witness) HeldFor(content func() fingerprint.Fingerprint) time.Duration {
+	now := time.Now()
+	untold := w.reporter.HeldFor(content, now)
 	list := w.watcher.Quarantine()
 	if list.Empty() {
-		return 0
+		return untold
 	}
-	return list.HeldFor(content(), time.Now())
+	return max(untold, list.HeldFor(content(), now))
 }
 
 // Answered tells that a server gave a whole answer to a request. It speaks for the content:
 // ends of servers under it are not told for a while, and what is held against it is forgotten.
 func (w *Witness) Answered(content fingerprint.Fingerprint) {
-	if w.answers.add(content, w.watcher.Quarantine().Suspected(content), time.Now()) {
+	suspected := w.watcher.Quarantine().Suspected(content) || w.reporter.Suspected(content)
+	if w.answers.add(content, suspected, time.Now()) {
 		w.reporter.Answered(content)
 	}
 }
--- a/internal/site/reporter.go
+++ b/internal/site/reporter.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
 
 	"rockwind.example/rockwind/internal/fingerprint"
+	"rockwind.example/rockwind/internal/quarantine"
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/twirphttp"
@@ -33,6 +35,10 @@
 type Reporter struct {
 	watcher *Watcher
 	queue   chan observation
+
+	mutex sync.Mutex
+	// untold is what waits to be told.
+	untold *quarantine.Untold
 }
 
 // observation is an end of a server, or an answer where the end is nil.
@@ -45,7 +51,28 @@
 
 // NewReporter returns a reporter to the coordinators that the watcher knows.
 func NewReporter(watcher *Watcher) *Reporter {
-	return &Reporter{watcher: watcher, queue: make(chan observation, reportQueue)}
+	return &Reporter{watcher: watcher, queue: make(chan observation, reportQueue), untold: quarantine.NewUntold()}
+}
+
+// HeldFor is for how much longer a content is held by what was not told yet.
+func (r *Reporter) HeldFor(content func() fingerprint.Fingerprint, now time.Time) time.Duration {
+	r.mutex.Lock()
+	empty := r.untold.Empty()
+	r.mutex.Unlock()
+	if empty {
+		return 0
+	}
+	computed := content()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.untold.HeldFor(computed, now)
+}
+
+// Suspected tells whether several servers ended under a content by what was not told yet.
+func (r *Reporter) Suspected(content fingerprint.Fingerprint) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.untold.Suspected(content)
 }
 
 // Ended tells that a server ended under a request that was sent there at the given time. How
@@ -60,13 +87,29 @@
 }
 
 func (r *Reporter) add(seen observation) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	// Before it is sent: how long ago a run began is filled in then.
+	if seen.end == nil {
+		r.untold.Answered(seen.answered, seen.noticed)
+	} else {
+		r.untold.Ended(seen.end, seen.noticed.Sub(seen.began), seen.noticed)
+	}
 	select {
 	case r.queue <- seen:
 	default:
+		r.untold.Done(1)
 		log.WithField("waiting", reportQueue).Warn("an end of a server is not told: too many wait")
 	}
 }
 
+// done notes that observations were told, or are given up.
+func (r *Reporter) done(count int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.untold.Done(count)
+}
+
 // Run sends what was observed until the context ends.
 func (r *Reporter) Run(ctx context.Context) {
 	for {
@@ -96,6 +139,7 @@
 
 // send tells the coordinators, until one has taken the report or it is too old.
 func (r *Reporter) send(ctx context.Context, seen []observation) {
+	defer r.done(len(seen))
 	for {
 		err := r.watcher.atCoordinator(ctx, func(calling context.Context, address string) error {
 			service := rockwindpb.NewQuarantineServiceProtobufClient("http://"+address, twirphttp.Client{Carrier: r.watcher.client})
