Give the fleets of each process loopback addresses of their own

Cause: each fleet of processes began at 127.20.0.1, so that two soaks on one machine found the same port free and one took it: a router did not start ('connection refused' for 30 s) in a run of the checks beside two soaks by hand. By reading: its log was in a folder of the test, which is gone; with one soak at a time it was not seen.

Change: 200 networks, one by the identifier of the process that runs the fleet.

--- a/internal/bench/fleet/address.go
+++ b/internal/bench/fleet/address.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -15,12 +16,22 @@
 	next  uint32
 }
 
-// firstHost is 127.20.0.1.
-const firstHost = 127<<24 | 20<<16 | 1
+const (
+	// firstNetwork is the first of the networks 127.20.0.0/16 to 127.219.0.0/16, of which each
+	// process that runs fleets has one, and networks is how many there are.
+	firstNetwork = 127<<24 | 20<<16
+	networks     = 200
+)
+
+// FirstHost is the first IP number that the process with the given identifier hands out. Fleets
+// of several processes do not share any, unless their identifiers differ by a multiple of 200.
+func FirstHost(process int) uint32 {
+	return firstNetwork + uint32(process%networks)<<16 + 1
+}
 
 func (b *addressBook) allocate() (string, error) {
 	b.mutex.Lock()
-	host := firstHost + b.next
+	host := FirstHost(os.Getpid()) + b.next
 	b.next++
 	b.mutex.Unlock()
 	ip := fmt.Sprintf("%d.%d.%d.%d", host>>24, host>>16&0xff, host>>8&0xff, host&0xff)
