Tests: listen on addresses that nobody else can take

Run 5 times beside other work it failed 4 times: a port that was found free on 127.0.0.2 was taken by another listener before its process listened there ("address already in use", 421 of a stand-in server), and TestServerThatDoesNotTellWhoItIsKeepsItsAddress started one more router every 20 ms, asked each before it could listen, and ended with 463 routers and "connection refused".

Change: internal/bench/loopback hands out an IP number for each address (as the fleets of the bench did before); the tests of platform and command, the soak's proxies and the fleets take all their addresses from it. The line "start finished" no longer tells a negative time where a configuration was seen before its moment was noted.

Ruled out: a fault of the site itself in the failed runs: the logs show nothing but the two causes.

--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"rockwind.example/rockwind/internal/bench/loopback"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
@@ -51,10 +52,9 @@
 	// Platform is nil where the plan has none.
 	Platform *Process
 
-	programs  string
-	addresses addressBook
-	client    *http.Client
-	number    uint64
+	programs string
+	client   *http.Client
+	number   uint64
 }
 
 // Start starts the processes of the plan under folder, which must not hold the
@@ -95,7 +95,7 @@
 
 // newProcess prepares a process with an address of its own.
 func (f *Fleet) newProcess(role string, number int, program string) (*Process, error) {
-	address, err := f.addresses.allocate()
+	address, err := loopback.Next()
 	if err != nil {
 		return nil, err
 	}
@@ -179,7 +179,7 @@
 		if err != nil {
 			return err
 		}
-		if process.InternalAddress, err = f.addresses.allocate(); err != nil {
+		if process.InternalAddress, err = loopback.Next(); err != nil {
 			return err
 		}
 		if err := f.startGateway(process); err != nil {
--- a/internal/bench/fleet/standalone.go
+++ b/internal/bench/fleet/standalone.go
@@ -36,13 +36,6 @@
 	return writeSettings(folder, settings)
 }
 
-// Addresses hands out loopback addresses, an IP number each. The zero value is
-// ready for use.
-type Addresses struct{ book addressBook }
-
-// Next returns an address whose port is free.
-func (a *Addresses) Next() (string, error) { return a.book.allocate() }
-
 // Again prepares a process like this one, with the same folder and without the
 // output of this one.
 func (p *Process) Again() *Process {
--- a/internal/bench/soak/backends.go
+++ b/internal/bench/soak/backends.go
@@ -9,7 +9,7 @@
 
 	"github.com/apex/log"
 
-	"rockwind.example/rockwind/internal/bench/fleet"
+	"rockwind.example/rockwind/internal/bench/loopback"
 	"rockwind.example/rockwind/internal/bench/soak/backend"
 	"rockwind.example/rockwind/internal/bench/soak/faultproxy"
 	"rockwind.example/rockwind/internal/retry"
@@ -50,12 +50,12 @@
 	busy sync.Mutex
 }
 
-func newPlace(ctx context.Context, number int, addresses *fleet.Addresses) (*place, error) {
-	address, err := addresses.Next()
+func newPlace(ctx context.Context, number int) (*place, error) {
+	address, err := loopback.Next()
 	if err != nil {
 		return nil, err
 	}
-	front, err := addresses.Next()
+	front, err := loopback.Next()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bench/soak/command.go
+++ b/internal/bench/soak/command.go
@@ -18,7 +18,6 @@
 
 	"github.com/apex/log"
 
-	"rockwind.example/rockwind/internal/bench/fleet"
 	"rockwind.example/rockwind/internal/bench/soak/witness"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/retry"
@@ -184,8 +183,7 @@
 
 // start brings the site up until it serves.
 func (r *run) start(ctx context.Context, folder, program string) error {
-	addresses := &fleet.Addresses{}
-	made, err := newSite(ctx, folder, program, addresses)
+	made, err := newSite(ctx, folder, program)
 	if err != nil {
 		return err
 	}
@@ -195,7 +193,7 @@
 		return err
 	}
 	for number := range servers {
-		added, err := newPlace(ctx, number, addresses)
+		added, err := newPlace(ctx, number)
 		if err != nil {
 			return err
 		}
--- a/internal/bench/soak/site.go
+++ b/internal/bench/soak/site.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/bench/fleet"
+	"rockwind.example/rockwind/internal/bench/loopback"
 	"rockwind.example/rockwind/internal/bench/soak/faultproxy"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
@@ -90,12 +91,12 @@
 }
 
 // newSite prepares the processes in a folder. Nothing runs yet but the proxies.
-func newSite(ctx context.Context, folder, program string, addresses *fleet.Addresses) (*site, error) {
+func newSite(ctx context.Context, folder, program string) (*site, error) {
 	made := &site{}
 	var seeds []string
 	for _, role := range roles {
 		for number := range replicas {
-			added, err := newMember(ctx, folder, program, role, number, addresses)
+			added, err := newMember(ctx, folder, program, role, number)
 			if err != nil {
 				return nil, err
 			}
@@ -114,10 +115,10 @@
 	return made, nil
 }
 
-func newMember(ctx context.Context, folder, program string, role rockwindpb.SiteRole, number int, addresses *fleet.Addresses) (*member, error) {
+func newMember(ctx context.Context, folder, program string, role rockwindpb.SiteRole, number int) (*member, error) {
 	given := make([]string, 4)
 	for i := range given {
-		address, err := addresses.Next()
+		address, err := loopback.Next()
 		if err != nil {
 			return nil, err
 		}
--- a/internal/command/cluster_test.go
+++ b/internal/command/cluster_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -21,6 +20,7 @@
 
 	"rockwind.example/rockwind/internal/bench/authority"
 	"rockwind.example/rockwind/internal/bench/fleet"
+	"rockwind.example/rockwind/internal/bench/loopback"
 	"rockwind.example/rockwind/internal/controlclient"
 	"rockwind.example/rockwind/internal/engine"
 	"rockwind.example/rockwind/internal/rockwindpb"
@@ -69,15 +69,14 @@
 	client *http.Client
 }
 
-// freeAddress finds a loopback address whose port is free.
+// freeAddress is a loopback address whose port is free, and stays so.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Next()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 func startSystem(t *testing.T, secured bool) *system {
@@ -85,10 +84,11 @@
 	s := &system{t: t, folder: t.TempDir(), scheme: "http://", client: http.DefaultClient}
 	s.startEngine()
 	address := freeAddress(t)
+	callers, internal := freeAddress(t), freeAddress(t)
 	machines := fmt.Sprintf("control: [{machine: control-1, address: %q, zone: a}]\n", address)
 	callerTLS := ""
 	if secured {
-		files := s.issue()
+		files := s.issue(address, callers, internal)
 		machines += "internal_tls: " + files
 		callerTLS = "caller_tls: " + files
 	}
@@ -96,22 +96,26 @@
 		fmt.Sprintf("machine: control-1\nzone: a\nlisten: %q\ndata_folder: %q\n", address, filepath.Join(s.folder, "control")))
 	s.await("/healthz", s.control.address)
 	s.expect(ExitOK, "founded", "cluster", "init", "--shards", "1")
-	s.callers, address = freeAddress(t), freeAddress(t)
-	s.gateway = s.start("gateway", address, machines+callerTLS+
-		fmt.Sprintf("name: gateway-1\nzone: a\nlisten: %q\ninternal_listen: %q\ndata_folder: %q\n", s.callers, address, filepath.Join(s.folder, "gateway")))
+	s.callers = callers
+	s.gateway = s.start("gateway", internal, machines+callerTLS+
+		fmt.Sprintf("name: gateway-1\nzone: a\nlisten: %q\ninternal_listen: %q\ndata_folder: %q\n", s.callers, internal, filepath.Join(s.folder, "gateway")))
 	s.await("/healthz", s.gateway.address)
 	return s
 }
 
-// issue makes certificates, gives them to the commands by their environment and
+// issue makes certificates for the hosts of the addresses, gives them to the commands by their environment and
 // returns the settings that name them.
-func (s *system) issue() string {
+func (s *system) issue(addresses ...string) string {
 	s.t.Helper()
+	var hosts []netip.Addr
+	for _, address := range addresses {
+		hosts = append(hosts, netip.MustParseAddrPort(address).Addr())
+	}
 	signer, err := authority.New("test", time.Hour)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	if err := signer.Write(s.folder, "process", netip.MustParseAddr("127.0.0.1")); err != nil {
+	if err := signer.Write(s.folder, "process", hosts...); err != nil {
 		s.t.Fatal(err)
 	}
 	files := &rockwindpb.TlsSettings{
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -170,7 +170,7 @@
 // Known tells whether a configuration and a directory have been heard from a
 // coordinator since the start.
 func (w *Watcher) Known() bool {
-	return w.directory.Load() != nil && w.Configuration().Number() > 0
+	return w.directory.Load() != nil && w.configurationSince.Load() > 0
 }
 
 // KnownSince is when the first configuration and the first directory were known here, with
