Tests of balance: play them on the event queue of the simulated fleets

Two tests brought an event queue of their own, each with the same order as internal/virtualtime. They use that one now, also for what repeats.

--- a/internal/balance/fleet_test.go
+++ b/internal/balance/fleet_test.go
@@ -1,7 +1,6 @@
 package balance_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -9,6 +8,7 @@
 
 	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/health"
+	"rockwind.example/rockwind/internal/virtualtime"
 )
 
 // fleet plays processes that choose servers in virtual time. Each process knows its own
@@ -21,11 +21,12 @@
 	names     []string
 	holding   time.Duration
 	interval  time.Duration
-	events    events
+	clock     virtualtime.Queue
 	waits     []time.Duration
 	refused   int
 	// lost counts the requests sent to servers that had gone dark.
-	lost     int
+	lost int
+	// sequence numbers the digests.
 	sequence uint64
 }
 
@@ -69,30 +70,9 @@
 	return f
 }
 
-// event is something that happens at a time.
-type event struct {
-	at    time.Duration
-	order uint64
-	run   func(now time.Duration)
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].order < e[j].order)
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
+// at plans what happens at a time.
 func (f *fleet) at(when time.Duration, run func(now time.Duration)) {
-	f.sequence++
-	heap.Push(&f.events, event{at: when, order: f.sequence, run: run})
+	f.clock.At(when, func() { run(f.clock.Now()) })
 }
 
 // tell sends the digest of a process to all others.
@@ -191,12 +171,12 @@
 
 // run plays all that was planned until the end.
 func (f *fleet) run(until time.Duration) {
-	for f.events.Len() > 0 {
-		next := heap.Pop(&f.events).(event)
-		if next.at > until {
+	for {
+		next, some := f.clock.Next(until)
+		if !some {
 			return
 		}
-		next.run(next.at)
+		next.Run()
 	}
 }
 
--- a/internal/balance/pace/uneven_test.go
+++ b/internal/balance/pace/uneven_test.go
@@ -1,7 +1,6 @@
 package pace_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -9,6 +8,7 @@
 
 	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/health"
+	"rockwind.example/rockwind/internal/virtualtime"
 )
 
 // Figures of the engines in these tests: a step takes some ms and more for each request in
@@ -32,10 +32,10 @@
 
 // site plays processes that choose among uneven servers in virtual time.
 type site struct {
-	random    *rand.Rand
-	now       time.Duration
-	events    agenda
-	order     uint64
+	random *rand.Rand
+	clock  virtualtime.Queue
+	// sequence numbers the digests.
+	sequence  uint64
 	processes []*process
 	// zones are those of the processes in turn; one that is empty shares everything.
 	zones   []string
@@ -97,32 +97,6 @@
 	made    int
 }
 
-// event is something that happens at a time.
-type event struct {
-	at    time.Duration
-	order uint64
-	run   func()
-}
-
-type agenda []event
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || (a[i].at == a[j].at && a[i].order < a[j].order)
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(event)) }
-func (a *agenda) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
-func (s *site) after(wait time.Duration, run func()) {
-	s.order++
-	heap.Push(&s.events, event{at: s.now + wait, order: s.order, run: run})
-}
-
 // newSite returns a site whose processes choose with pacers that are made for each of them;
 // none chooses by free slots alone.
 func newSite(seed uint64, processes, servers int, pacer func(s *site) balance.Pacer, zones ...string) *site {
@@ -149,13 +123,13 @@
 		created.pool.SetOnlineProcesses(processes)
 		created.pool.Update(members)
 		s.processes = append(s.processes, created)
-		s.after(s.part(digestInterval), func() { s.tell(created) })
-		s.after(s.part(recheck), func() { s.look(created) })
-		s.after(s.part(time.Second), func() { s.evaluate(created) })
+		s.clock.Every(s.part(digestInterval), digestInterval, func() { s.tell(created) })
+		s.clock.Every(s.part(recheck), recheck, func() { s.serve(created) })
+		s.clock.Every(s.part(time.Second), time.Second, func() { created.pool.Evaluate(s.clock.Now(), s.random) })
 	}
 	for _, zone := range s.zones {
 		if zone != "" {
-			s.after(s.part(digestInterval), func() { s.tellZone(zone) })
+			s.clock.Every(s.part(digestInterval), digestInterval, func() { s.tellZone(zone) })
 		}
 	}
 	return s
@@ -171,7 +145,7 @@
 	if !each.busy {
 		mean *= (1 - busyPart) / busyPart
 	}
-	s.after(time.Duration(s.random.ExpFloat64()*mean), func() {
+	s.clock.After(time.Duration(s.random.ExpFloat64()*mean), func() {
 		each.busy = !each.busy
 		s.share(each)
 	})
@@ -180,17 +154,16 @@
 // tell sends the digest of a process to all others of its zone.
 func (s *site) tell(sender *process) {
 	loads := make(map[uint32]balance.SharedLoad)
-	sender.pool.Own(s.now, func(server uint32, load balance.SharedLoad) { loads[server] = load })
-	s.order++
-	sequence := s.order
-	s.after(time.Millisecond, func() {
+	sender.pool.Own(s.clock.Now(), func(server uint32, load balance.SharedLoad) { loads[server] = load })
+	s.sequence++
+	sequence := s.sequence
+	s.clock.After(time.Millisecond, func() {
 		for _, other := range s.processes {
 			if other != sender && other.zone == sender.zone {
-				other.shares.Take(sender.name, 1, sequence, loads, s.now)
+				other.shares.Take(sender.name, 1, sequence, loads, s.clock.Now())
 			}
 		}
 	})
-	s.after(digestInterval, func() { s.tell(sender) })
 }
 
 // tellZone sends the sum of a zone's digests to the processes of the other zones.
@@ -202,28 +175,17 @@
 			continue
 		}
 		members++
-		each.pool.Own(s.now, func(server uint32, load balance.SharedLoad) { loads[server] = loads[server].Plus(load) })
+		each.pool.Own(s.clock.Now(), func(server uint32, load balance.SharedLoad) { loads[server] = loads[server].Plus(load) })
 	}
-	s.order++
-	sequence := s.order
-	s.after(time.Millisecond, func() {
+	s.sequence++
+	sequence := s.sequence
+	s.clock.After(time.Millisecond, func() {
 		for _, other := range s.processes {
 			if other.zone != zone {
-				other.shares.TakeGroup("delegate of "+zone, zone, members, 1, sequence, loads, s.now)
+				other.shares.TakeGroup("delegate of "+zone, zone, members, 1, sequence, loads, s.clock.Now())
 			}
 		}
 	})
-	s.after(digestInterval, func() { s.tellZone(zone) })
-}
-
-func (s *site) evaluate(each *process) {
-	each.pool.Evaluate(s.now, s.random)
-	s.after(time.Second, func() { s.evaluate(each) })
-}
-
-func (s *site) look(each *process) {
-	s.serve(each)
-	s.after(recheck, func() { s.look(each) })
 }
 
 // arrive sends requests at a rate a second until the end.
@@ -231,33 +193,33 @@
 	s.until = until
 	var next func()
 	next = func() {
-		if s.now >= until {
+		if s.clock.Now() >= until {
 			return
 		}
 		by := s.processes[s.random.IntN(len(s.processes))]
-		by.waiting = append(by.waiting, &request{by: by, arrived: s.now})
+		by.waiting = append(by.waiting, &request{by: by, arrived: s.clock.Now()})
 		s.serve(by)
-		s.after(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), next)
+		s.clock.After(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), next)
 	}
-	s.after(0, next)
+	s.clock.After(0, next)
 }
 
 // serve sends what waits at a process to servers with room.
 func (s *site) serve(by *process) {
 	for len(by.waiting) > 0 {
 		first := by.waiting[0]
-		if s.now-first.arrived > patience {
+		if s.clock.Now()-first.arrived > patience {
 			by.waiting = by.waiting[1:]
 			s.refused++
 			s.byZone[by.zone].refused++
 			continue
 		}
-		choice, found := by.pool.Choose(balance.Demand{Parts: []balance.Part{{ID: s.random.Uint64(), Tokens: promptTokens}}}, nil, s.now, s.random)
+		choice, found := by.pool.Choose(balance.Demand{Parts: []balance.Part{{ID: s.random.Uint64(), Tokens: promptTokens}}}, nil, s.clock.Now(), s.random)
 		if !found {
 			return
 		}
 		by.waiting = by.waiting[1:]
-		first.choice, first.sent = choice, s.now
+		first.choice, first.sent = choice, s.clock.Now()
 		chosen := s.servers[choice.ID]
 		chosen.waiting = append(chosen.waiting, first)
 		if !chosen.stepped {
@@ -279,7 +241,7 @@
 		return
 	}
 	took := stepBase + time.Duration(len(each.running))*stepEach + time.Duration(float64(reads)/tokensPerMilli*float64(time.Millisecond))
-	s.after(time.Duration(float64(took)*each.pace()), func() {
+	s.clock.After(time.Duration(float64(took)*each.pace()), func() {
 		each.running = slices.DeleteFunc(each.running, func(r *request) bool { return s.made(each, r) })
 		s.step(each)
 	})
@@ -294,32 +256,31 @@
 	}
 	r.made++
 	if r.made == 1 {
-		r.began, r.told = s.now, each.told()
-		pool.Told(r.choice.ID, balance.Load{Running: len(each.running), Waiting: len(each.waiting), Slots: slots, Pace: r.told}, s.now)
-		pool.Read(r.choice, true, s.now)
-		s.first = append(s.first, s.now-r.arrived)
-		zone.first = append(zone.first, s.now-r.arrived)
+		r.began, r.told = s.clock.Now(), each.told()
+		pool.Told(r.choice.ID, balance.Load{Running: len(each.running), Waiting: len(each.waiting), Slots: slots, Pace: r.told}, s.clock.Now())
+		pool.Read(r.choice, true, s.clock.Now())
+		s.first = append(s.first, s.clock.Now()-r.arrived)
+		zone.first = append(zone.first, s.clock.Now()-r.arrived)
 	}
 	if r.made < events {
 		return false
 	}
-	pool.Seen(r.choice, r.made, s.now-r.began, r.told, s.now)
-	pool.Ended(r.choice, health.Success, r.began-r.sent, s.now, s.random)
-	s.whole = append(s.whole, s.now-r.arrived)
-	zone.whole = append(zone.whole, s.now-r.arrived)
-	s.after(0, func() { s.serve(r.by) })
+	pool.Seen(r.choice, r.made, s.clock.Now()-r.began, r.told, s.clock.Now())
+	pool.Ended(r.choice, health.Success, r.began-r.sent, s.clock.Now(), s.random)
+	s.whole = append(s.whole, s.clock.Now()-r.arrived)
+	zone.whole = append(zone.whole, s.clock.Now()-r.arrived)
+	s.clock.After(0, func() { s.serve(r.by) })
 	return true
 }
 
 // run plays until the end.
 func (s *site) run(until time.Duration) {
-	for s.events.Len() > 0 {
-		next := heap.Pop(&s.events).(event)
-		if next.at > until {
+	for {
+		next, some := s.clock.Next(until)
+		if !some {
 			return
 		}
-		s.now = next.at
-		next.run()
+		next.Run()
 	}
 }
 
