Router: a submission reads its request's headers once

The headers of a batch job were parsed three times: for the route, for the time the stores have, and for the time to come back. What ServeHTTP has read goes along in a submission now, whose steps are functions of their own. Same answers and log.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -146,7 +146,8 @@
 		return
 	}
 	if route.GetKind() == rockwindpb.RouteKind_ROUTE_KIND_BATCH {
-		r.submit(writer, request, route, tenant, body, index.Number())
+		submitted := &submission{router: r, route: route, tenant: tenant, facts: facts, number: index.Number()}
+		submitted.run(writer, request, body)
 		return
 	}
 	created := r.newExchange(writer, request, route, facts, body, received)
--- a/internal/router/submission.go
+++ b/internal/router/submission.go
@@ -13,58 +13,84 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
-// submit hands a batch job of a tenant to the stores, by the configuration of the given
-// number. It is answered once enough copies are synced.
-func (r *Router) submit(writer http.ResponseWriter, request *http.Request, route *rockwindpb.Route, tenant *rockwindpb.Tenant, body []byte, number uint64) {
-	job, err := r.protocol.Job(request.Header, body)
+// submission is a batch job of a client on its way to the stores.
+type submission struct {
+	router *Router
+	route  *rockwindpb.Route
+	tenant *rockwindpb.Tenant
+	facts  Facts
+	// number is that of the configuration that has the route.
+	number uint64
+}
+
+// run hands the job to the stores, and answers once enough copies are synced.
+func (s *submission) run(writer http.ResponseWriter, request *http.Request, body []byte) {
+	job, err := s.job(request, body)
 	if err != nil {
 		refuseFault(writer, err)
 		return
 	}
-	job.Host, job.Path, job.Tenant = request.Host, request.URL.EscapedPath(), tenant.GetName()
-	job.SubmittedUnixMs = time.Now().UnixMilli()
-	if job.Digest, err = jobstore.Digest(job); err != nil {
-		refuseFault(writer, err)
+	began := time.Now()
+	ctx, cancel := s.untilDeadline(request.Context())
+	defer cancel()
+	err = s.router.jobs.Submit(ctx, job, s.limitedBy())
+	s.record(job, len(body), time.Since(began), err)
+	if err != nil {
+		refuseFault(writer, s.withinReach(err))
 		return
 	}
-	limited := uint64(0)
-	if route.GetMaximumWaitingTokens() > 0 {
-		limited = number
+	writer.WriteHeader(http.StatusAccepted)
+}
+
+// job is the job of a request, as the stores keep it.
+func (s *submission) job(request *http.Request, body []byte) (*rockwindpb.StoredJob, error) {
+	job, err := s.router.protocol.Job(request.Header, body)
+	if err != nil {
+		return nil, err
+	}
+	job.Host, job.Path, job.Tenant = request.Host, request.URL.EscapedPath(), s.tenant.GetName()
+	job.SubmittedUnixMs = time.Now().UnixMilli()
+	job.Digest, err = jobstore.Digest(job)
+	return job, err
+}
+
+// limitedBy is the number of the configuration whose limit the job has to fit, zero where its
+// route has none.
+func (s *submission) limitedBy() uint64 {
+	if s.route.GetMaximumWaitingTokens() == 0 {
+		return 0
 	}
-	began := time.Now()
-	ctx, cancel := r.untilDeadline(request)
-	defer cancel()
-	err = r.jobs.Submit(ctx, job, limited)
-	fields := log.Fields{"route": route.GetName(), "tenant": tenant.GetName(), "items": len(job.GetItems()), "bytes": len(body), "took_ms": time.Since(began).Milliseconds()}
+	return s.number
+}
+
+// record writes what became of the job.
+func (s *submission) record(job *rockwindpb.StoredJob, bytes int, took time.Duration, err error) {
+	fields := log.Fields{"route": s.route.GetName(), "tenant": s.tenant.GetName(), "items": len(job.GetItems()), "bytes": bytes, "took_ms": took.Milliseconds()}
 	if err != nil {
 		fields["error"] = err.Error()
 		decision.Default.Record(decision.JobRefused, job.GetId(), fields)
-		refuseFault(writer, r.withinReach(request.Header, err))
 		return
 	}
 	decision.Default.Record(decision.JobTaken, job.GetId(), fields)
-	writer.WriteHeader(http.StatusAccepted)
 }
 
 // answerMargin is how long before a client gives up its submission is answered, if that is said
 // in its request: an answer takes some milliseconds of a busy router and of the way.
 const answerMargin = 100 * time.Millisecond
 
-// untilDeadline is the context of a submission, which ends before its client gives up: it may go
-// to another router then.
-func (r *Router) untilDeadline(request *http.Request) (context.Context, context.CancelFunc) {
-	facts, err := r.protocol.Facts(request.Header)
-	if err != nil || facts.Deadline <= answerMargin {
-		return context.WithCancel(request.Context())
+// untilDeadline is the context of the submission, which ends before its client gives up: it may
+// go to another router then.
+func (s *submission) untilDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	if s.facts.Deadline <= answerMargin {
+		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(request.Context(), facts.Deadline-answerMargin)
+	return context.WithTimeout(ctx, s.facts.Deadline-answerMargin)
 }
 
 // withinReach bounds the time to come back of a refusal by what the client has left.
-func (r *Router) withinReach(header http.Header, err error) error {
+func (s *submission) withinReach(err error) error {
 	failure := fault.From(err)
-	facts, _ := r.protocol.Facts(header)
-	return failure.WithRetryAfter(boundReturn(failure.RetryAfter, facts.Deadline))
+	return failure.WithRetryAfter(boundReturn(failure.RetryAfter, s.facts.Deadline))
 }
 
 // EndJob ends a job of a tenant: once it returns nothing more of it is begun.
