Router: count a submission's time from its receipt

The time that the stores had for a job, and the time to come back of its refusal, were taken from the whole of the client's deadline, although its body had taken a part of it: with a body of 1.5 s and a deadline of 2 s the router answered up to 1.4 s after its client had given up (TestSubmissionIsAnsweredBeforeItsClientGivesUp as it failed before). Both go by what is left now.

--- a/internal/router/export_test.go
+++ b/internal/router/export_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"time"
 
 	"rockwind.example/rockwind/internal/loadshare"
@@ -27,3 +28,12 @@
 	pool.SetOnlineProcesses(processes)
 	pool.SetViewAge(viewAge)
 }
+
+// SubmissionEnds is when the stores' time for a job ends that was received at a time from a
+// client that waits for so long, and whether it does.
+func SubmissionEnds(received time.Time, deadline time.Duration) (time.Time, bool) {
+	submitted := &submission{facts: Facts{Deadline: deadline}, received: received}
+	ctx, cancel := submitted.untilDeadline(context.Background())
+	defer cancel()
+	return ctx.Deadline()
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -146,7 +146,7 @@
 		return
 	}
 	if route.GetKind() == rockwindpb.RouteKind_ROUTE_KIND_BATCH {
-		submitted := &submission{router: r, route: route, tenant: tenant, facts: facts, number: index.Number()}
+		submitted := &submission{router: r, route: route, tenant: tenant, facts: facts, number: index.Number(), received: received}
 		submitted.run(writer, request, body)
 		return
 	}
--- a/internal/router/submission.go
+++ b/internal/router/submission.go
@@ -21,6 +21,8 @@
 	facts  Facts
 	// number is that of the configuration that has the route.
 	number uint64
+	// received is when the head of the request came; its client has waited since.
+	received time.Time
 }
 
 // run hands the job to the stores, and answers once enough copies are synced.
@@ -81,16 +83,26 @@
 // untilDeadline is the context of the submission, which ends before its client gives up: it may
 // go to another router then.
 func (s *submission) untilDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
-	if s.facts.Deadline <= answerMargin {
+	remaining := s.remaining(time.Now())
+	if remaining <= answerMargin {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, s.facts.Deadline-answerMargin)
+	return context.WithTimeout(ctx, remaining-answerMargin)
+}
+
+// remaining is how long the client still waits, of which the body took a part; zero where it
+// does not say.
+func (s *submission) remaining(now time.Time) time.Duration {
+	if s.facts.Deadline == 0 {
+		return 0
+	}
+	return s.facts.Deadline - now.Sub(s.received)
 }
 
 // withinReach bounds the time to come back of a refusal by what the client has left.
 func (s *submission) withinReach(err error) error {
 	failure := fault.From(err)
-	return failure.WithRetryAfter(boundReturn(failure.RetryAfter, s.facts.Deadline))
+	return failure.WithRetryAfter(boundReturn(failure.RetryAfter, s.remaining(time.Now())))
 }
 
 // EndJob ends a job of a tenant: once it returns nothing more of it is begun.
--- /dev/null
+++ b/internal/router/submission_test.go
@@ -0,0 +1,25 @@
+package router_test
+
+import (
+	"testing"
+	"time"
+
+	"rockwind.example/rockwind/internal/router"
+)
+
+// TestSubmissionIsAnsweredBeforeItsClientGivesUp, also where its body took most of the time.
+func TestSubmissionIsAnsweredBeforeItsClientGivesUp(t *testing.T) {
+	const deadline = 2 * time.Second
+	received := time.Now().Add(-1500 * time.Millisecond)
+	ends, limited := router.SubmissionEnds(received, deadline)
+	if givesUp := received.Add(deadline); !limited || !ends.Before(givesUp) {
+		t.Errorf("it ends %v after its client gives up (limited: %v)", ends.Sub(givesUp), limited)
+	}
+}
+
+// TestSubmissionOfAClientThatDoesNotSayIsNotLimited.
+func TestSubmissionOfAClientThatDoesNotSayIsNotLimited(t *testing.T) {
+	if ends, limited := router.SubmissionEnds(time.Now().Add(-time.Hour), 0); limited {
+		t.Errorf("it ends at %v", ends)
+	}
+}
