--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -135,49 +135,71 @@
 		e.refuseUncounted(fault.From(err))
 		return
 	}
-	for {
-		asked := time.Now()
-		lease, err := e.router.dispatcher.Acquire(ctx, e.ask())
-		e.waited += time.Since(asked)
-		if err != nil {
-			e.fail(ctx, err)
-			return
-		}
-		if held := e.held(); held != nil {
-			// It became known while the request waited for room.
-			lease.NotRun()
-			lease.Abandon()
-			e.fail(ctx, held)
-			return
-		}
-		outcome := e.try(ctx, lease)
-		if outcome == verdictContinue {
-			lease, outcome = e.goOn(ctx, lease)
-		}
-		switch outcome {
-		case verdictFinished:
-			lease.Wrote(e.relayed.Last())
-			e.record(decision.RequestFinished, lease, "")
-			return
-		case verdictGone:
-			e.recordGone(lease)
-			// Nobody reads the answer, but it must not end as if it were whole.
-			panic(http.ErrAbortHandler)
-		case verdictBroken:
-			e.record(decision.RequestBroken, lease, e.reason)
-			panic(http.ErrAbortHandler)
-		}
-		e.record(decision.RequestTriedAgain, lease, e.reason)
-		e.tried = append(e.tried, lease.ID)
-		if held := e.held(); held != nil {
-			e.fail(ctx, held)
-			return
-		}
-		if !e.mayTryAgain() {
-			e.fail(ctx, fault.New(fault.Unavailable, "no server answered the request", "come back later").WithRetryAfter(shortestReturn))
-			return
-		}
+	for e.offer(ctx) {
+	}
+}
+
+// offer brings the request to one server. It returns false once the client has an answer or
+// nothing more may be tried.
+func (e *exchange) offer(ctx context.Context) (again bool) {
+	lease, err := e.acquire(ctx)
+	if err != nil {
+		e.fail(ctx, err)
+		return false
+	}
+	outcome := e.try(ctx, lease)
+	if outcome == verdictContinue {
+		lease, outcome = e.goOn(ctx, lease)
+	}
+	if e.over(lease, outcome) {
+		return false
+	}
+	e.record(decision.RequestTriedAgain, lease, e.reason)
+	e.tried = append(e.tried, lease.ID)
+	if held := e.held(); held != nil {
+		e.fail(ctx, held)
+		return false
 	}
+	if !e.mayTryAgain() {
+		e.fail(ctx, fault.New(fault.Unavailable, "no server answered the request", "come back later").WithRetryAfter(shortestReturn))
+		return false
+	}
+	return true
+}
+
+// acquire waits for a server with room.
+func (e *exchange) acquire(ctx context.Context) (*Lease, error) {
+	asked := time.Now()
+	lease, err := e.router.dispatcher.Acquire(ctx, e.ask())
+	e.waited += time.Since(asked)
+	if err != nil {
+		return nil, err
+	}
+	if held := e.held(); held != nil {
+		// It became known while the request waited for room.
+		lease.NotRun()
+		lease.Abandon()
+		return nil, held
+	}
+	return lease, nil
+}
+
+// over ends a request of which the client has all that it will get, and tells whether it has.
+func (e *exchange) over(lease *Lease, outcome verdict) bool {
+	switch outcome {
+	case verdictFinished:
+		lease.Wrote(e.relayed.Last())
+		e.record(decision.RequestFinished, lease, "")
+		return true
+	case verdictGone:
+		e.recordGone(lease)
+		// Nobody reads the answer, but it must not end as if it were whole.
+		panic(http.ErrAbortHandler)
+	case verdictBroken:
+		e.record(decision.RequestBroken, lease, e.reason)
+		panic(http.ErrAbortHandler)
+	}
+	return false
 }
 
 // ask is what the request wants of its service now.
