Router: split the start of the daemon by its steps

Metrics, listeners, the clients' server, what runs beside it and the leaving were one function of 79 lines. They are methods of a daemon. No behaviour changes.

--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -38,6 +38,17 @@
 // Handler makes the handler of the clients' address around a router.
 type Handler func(*Router) http.Handler
 
+// daemon is a router with what it runs beside it.
+type daemon struct {
+	settings *rockwindpb.SiteSettings
+	router   *Router
+	reliever *reliever
+	// clients is the listener of the clients' address, and ready that of the address at which
+	// the router says whether it wants connections.
+	clients, ready net.Listener
+	leaving        atomic.Bool
+}
+
 // Run serves until the context ends. Then it says that it is not ready, takes
 // what still comes for a while, finishes the requests in progress and stops.
 func Run(ctx context.Context, settings *rockwindpb.SiteSettings, protocol Protocol, handler Handler) error {
@@ -48,76 +59,110 @@
 		return err
 	}
 	router := New(settings, watcher, protocol, jobclient.New(watcher, client))
-	router.metrics = sitemetrics.New("router", decision.Default)
-	router.metrics.LoadTraffic(router.dispatcher.LoadTraffic)
-	router.metrics.Start(func() time.Duration { return time.Duration(router.startTook.Load()) })
-	router.metrics.Paces(router.dispatcher.Paces)
-	router.metrics.Held(router.witness.Held)
-	router.metrics.ClientBuffers(router.buffers.Usage)
-	router.metrics.Waiting(router.dispatcher.Waiting)
-	router.metrics.LeftBehind(router.dispatcher.LeftBehind)
-	listener, err := site.Listen("listen", settings.GetListen())
-	if err != nil {
+	d := &daemon{settings: settings, router: router, reliever: newReliever(router, settings)}
+	router.metrics = d.metrics()
+	if err := d.listen(); err != nil {
 		return err
 	}
-	readyListener, err := site.Listen("ready_listen", settings.GetReadyListen())
+	return d.run(ctx, d.server(handler(router)))
+}
+
+// metrics are those that the router shows.
+func (d *daemon) metrics() *sitemetrics.Set {
+	router := d.router
+	set := sitemetrics.New("router", decision.Default)
+	set.LoadTraffic(router.dispatcher.LoadTraffic)
+	set.Start(func() time.Duration { return time.Duration(router.startTook.Load()) })
+	set.Paces(router.dispatcher.Paces)
+	set.Held(router.witness.Held)
+	set.ClientBuffers(router.buffers.Usage)
+	set.Waiting(router.dispatcher.Waiting)
+	set.LeftBehind(router.dispatcher.LeftBehind)
+	set.Relief(d.reliever.state)
+	return set
+}
+
+// listen opens the addresses of the settings.
+func (d *daemon) listen() error {
+	listener, err := site.Listen("listen", d.settings.GetListen())
 	if err != nil {
 		return err
 	}
-	leaving := &atomic.Bool{}
-	reliever := newReliever(router, settings)
-	router.metrics.Relief(reliever.state)
-	server := &http.Server{
-		Handler:           clientconn.Handler(closeWhile(leaving, reliever.handler(handler(router)))),
+	d.clients = d.router.buffers.Listener(listener)
+	d.ready, err = site.Listen("ready_listen", d.settings.GetReadyListen())
+	return err
+}
+
+// server answers clients.
+func (d *daemon) server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           clientconn.Handler(closeWhile(&d.leaving, d.reliever.handler(handler))),
 		ReadHeaderTimeout: clientHeaderTimeout,
 		IdleTimeout:       clientIdleTimeout,
 		ErrorLog:          logring.ServerLog(log.Log),
 		ConnContext:       clientconn.WithConn,
 	}
-	listener = router.buffers.Listener(listener)
+}
+
+// run serves until the context ends. All else that the router runs goes on until the last
+// request has ended.
+func (d *daemon) run(ctx context.Context, server *http.Server) error {
 	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopParts()
 	group, parts := errgroup.WithContext(parts)
-	group.Go(func() error { return watcher.Run(parts) })
+	d.start(group, parts)
+	serving, stopServing := context.WithCancel(parts)
+	defer stopServing()
+	grace := graceOf(d.settings)
+	group.Go(func() error {
+		defer stopParts()
+		return d.router.serveClients(serving, server, d.clients, grace-leaveNotice-stopMargin)
+	})
+	group.Go(func() error {
+		d.leave(ctx, parts)
+		stopServing()
+		return nil
+	})
+	log.WithField("machine", d.settings.GetName()).WithField("address", d.settings.GetListen()).Info("router serves")
+	return group.Wait()
+}
+
+// start runs what the router does beside serving clients.
+func (d *daemon) start(group *errgroup.Group, parts context.Context) {
+	router, settings := d.router, d.settings
+	group.Go(func() error { return router.watcher.Run(parts) })
 	group.Go(func() error { return router.metrics.Serve(parts, settings) })
 	group.Go(func() error { router.Keep(parts); return nil })
 	group.Go(func() error { router.noteStart(parts, settings.GetName()); return nil })
 	group.Go(func() error { router.witness.Run(parts); return nil })
 	group.Go(func() error { return router.dispatcher.Share(parts, settings) })
 	group.Go(func() error {
-		router.dispatcher.Survey(parts, settings, watcher, protocol, router.client)
+		router.dispatcher.Survey(parts, settings, router.watcher, router.protocol, router.client)
 		return nil
 	})
 	group.Go(func() error { router.announce(parts, settings); return nil })
-	group.Go(func() error { reliever.run(parts); return nil })
-	group.Go(func() error {
-		return site.Serve(parts, site.NewServer(readiness(router.acts, leaving, &reliever.unready)), readyListener, 0)
-	})
-	serving, stopServing := context.WithCancel(parts)
-	defer stopServing()
-	grace := graceOf(settings)
-	group.Go(func() error {
-		defer stopParts()
-		return router.serveClients(serving, server, listener, grace-leaveNotice-stopMargin)
-	})
+	group.Go(func() error { d.reliever.run(parts); return nil })
 	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case <-parts.Done():
-			return nil
-		}
-		leaving.Store(true)
-		log.WithField("machine", settings.GetName()).Info("router leaves")
-		select {
-		case <-time.After(leaveNotice):
-		case <-parts.Done():
-		}
-		router.jobs.Leave()
-		stopServing()
-		return nil
+		ready := readiness(router.acts, &d.leaving, &d.reliever.unready)
+		return site.Serve(parts, site.NewServer(ready), d.ready, 0)
 	})
-	log.WithField("machine", settings.GetName()).WithField("address", settings.GetListen()).Info("router serves")
-	return group.Wait()
+}
+
+// leave waits until the context ends, and then until clients had time to hear that the router
+// leaves. It returns early where a part has failed.
+func (d *daemon) leave(ctx, parts context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-parts.Done():
+		return
+	}
+	d.leaving.Store(true)
+	log.WithField("machine", d.settings.GetName()).Info("router leaves")
+	select {
+	case <-time.After(leaveNotice):
+	case <-parts.Done():
+	}
+	d.router.jobs.Leave()
 }
 
 // serveClients serves until the context ends. Then the requests in progress have the given
