--- a/internal/store/admission.go
+++ b/internal/store/admission.go
@@ -48,21 +48,14 @@
 		return nil, nil
 	}
 	term, _ := keeper.group.Leading()
-	taken := false
-	if err := keeper.group.Read(ctx, func() { taken = keeper.machine.Has(job.GetId()) }); err != nil {
-		return nil, notRunUnlessUnknown(err)
-	}
-	if taken {
-		return nil, nil
+	if taken, err := keeper.has(ctx, job.GetId()); taken || err != nil {
+		return nil, err
 	}
-	admitted := &admission{limiter: l, shard: keeper.number, term: term}
 	request := &rockwindpb.ReserveTokensRequest{
 		Route: route.GetName(), Job: job.GetId(), Shard: keeper.number, Tokens: jobstore.TokensOf(job), Configuration: index.Number(),
 		Tenant: job.GetTenant(),
 	}
-	l.mutex.Lock()
-	admitted.ticket = l.intake(keeper.number).Begin(account(request), request.GetJob(), request.GetTokens())
-	l.mutex.Unlock()
+	admitted := l.begin(request, term)
 	err = l.reserve(ctx, admitted, request)
 	if err == nil {
 		err = sameTerm(keeper.group, term)
@@ -75,6 +68,22 @@
 	return admitted, nil
 }
 
+// has tells whether the shard has taken a job.
+func (s shard) has(ctx context.Context, job string) (taken bool, err error) {
+	if err := s.group.Read(ctx, func() { taken = s.machine.Has(job) }); err != nil {
+		return false, notRunUnlessUnknown(err)
+	}
+	return taken, nil
+}
+
+// begin notes a job that is about to ask for its tokens, in the term in which its shard is led.
+func (l *limiter) begin(request *rockwindpb.ReserveTokensRequest, term uint64) *admission {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	ticket := l.intake(request.GetShard()).Begin(account(request), request.GetJob(), request.GetTokens())
+	return &admission{limiter: l, shard: request.GetShard(), term: term, ticket: ticket}
+}
+
 // configuration returns the one in force here. It fails where the caller decided by a
 // newer one, which is on its way.
 func (l *limiter) configuration(wanted uint64) (*configuration.Index, error) {
--- a/internal/store/service.go
+++ b/internal/store/service.go
@@ -120,23 +120,13 @@
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
-	most := int(request.GetMaximumBytes())
-	if most <= 0 {
-		most = defaultReadBytes
-	}
 	limit := time.NewTimer(min(time.Duration(request.GetWaitMs())*time.Millisecond, maximumWait))
 	defer limit.Stop()
 	for waiting := true; ; {
 		applied := keeper.group.Applied()
-		var response *rockwindpb.ReadStoredJobResponse
-		var failure error
-		if err := keeper.group.Read(ctx, func() {
-			response, failure = keeper.machine.Read(request.GetId(), request.GetTenant(), request.GetFrom(), most)
-		}); err != nil {
-			return nil, fault.ToTwirp(notRunUnlessUnknown(err))
-		}
-		if failure != nil {
-			return nil, fault.ToTwirp(failure)
+		response, err := keeper.results(ctx, request)
+		if err != nil {
+			return nil, fault.ToTwirp(err)
 		}
 		if !waiting || len(response.GetResults()) > 0 || request.GetFrom() >= response.GetTotal() {
 			return response, nil
@@ -151,6 +141,21 @@
 	}
 }
 
+// results reads what the shard has of a job's results now, from a position on.
+func (s shard) results(ctx context.Context, request *rockwindpb.ReadStoredJobRequest) (response *rockwindpb.ReadStoredJobResponse, failure error) {
+	most := int(request.GetMaximumBytes())
+	if most <= 0 {
+		most = defaultReadBytes
+	}
+	err := s.group.Read(ctx, func() {
+		response, failure = s.machine.Read(request.GetId(), request.GetTenant(), request.GetFrom(), most)
+	})
+	if err != nil {
+		return nil, notRunUnlessUnknown(err)
+	}
+	return response, failure
+}
+
 // ReadBody implements rockwindpb.JobStoreService.
 func (s jobStoreService) ReadBody(ctx context.Context, request *rockwindpb.ReadItemBodyRequest) (*rockwindpb.ReadItemBodyResponse, error) {
 	keeper, err := s.store.shardOf(request.GetJob())
