--- a/internal/admission/seed_test.go
+++ b/internal/admission/seed_test.go
@@ -1,4 +1,4 @@
-package admission
+package admission_test
 
 import (
 	"flag"
--- a/internal/architecture/architecture_test.go
+++ b/internal/architecture/architecture_test.go
@@ -1,4 +1,4 @@
-package architecture
+package architecture_test
 
 import (
 	"go/ast"
--- a/internal/bench/fleet/fleet_test.go
+++ b/internal/bench/fleet/fleet_test.go
@@ -1,4 +1,4 @@
-package fleet
+package fleet_test
 
 import (
 	"context"
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"rockwind.example/rockwind/internal/bench/fleet"
 	"rockwind.example/rockwind/internal/fault"
 )
 
@@ -17,7 +18,7 @@
 	if err := os.MkdirAll(filepath.Join(folder, "control-2"), 0o755); err != nil {
 		t.Fatal(err)
 	}
-	_, err := Start(context.Background(), Plan{Controls: 2, Zones: []string{"zone-a"}}, folder, t.TempDir())
+	_, err := fleet.Start(context.Background(), fleet.Plan{Controls: 2, Zones: []string{"zone-a"}}, folder, t.TempDir())
 	if !fault.Is(err, fault.Conflict) || !strings.Contains(err.Error(), folder) {
 		t.Fatalf("the start gives %v", err)
 	}
--- a/internal/bench/load/load_test.go
+++ b/internal/bench/load/load_test.go
@@ -1,4 +1,4 @@
-package load
+package load_test
 
 import (
 	"bytes"
@@ -15,6 +15,7 @@
 
 	"pgregory.net/rapid"
 
+	"rockwind.example/rockwind/internal/bench/load"
 	"rockwind.example/rockwind/internal/engine"
 )
 
@@ -54,7 +55,7 @@
 			pieces = []string{engine.ExpectedText(prompt+"!", tokens)}
 		}
 		seen := 0
-		count, err := ReadStream(strings.NewReader(events(pieces, change != "no end")), prompt, tokens, func(n int) { seen += n })
+		count, err := load.ReadStream(strings.NewReader(events(pieces, change != "no end")), prompt, tokens, func(n int) { seen += n })
 		accepted := err == nil && count == tokens && seen == tokens
 		if accepted != (change == "none") {
 			t.Fatalf("change %q at %d of %d: count %d, error %v", change, at, len(pieces), count, err)
@@ -63,13 +64,13 @@
 }
 
 func TestTracesSurviveAFile(t *testing.T) {
-	mixes := []Mix{SchedulingMix("m", "s"), PuzzlesMix("m", "s")}
-	records := Generate(mixes, time.Minute, rand.New(rand.NewSource(3)))
+	mixes := []load.Mix{load.SchedulingMix("m", "s"), load.PuzzlesMix("m", "s")}
+	records := load.Generate(mixes, time.Minute, rand.New(rand.NewSource(3)))
 	var file bytes.Buffer
-	if err := WriteTrace(&file, records); err != nil {
+	if err := load.WriteTrace(&file, records); err != nil {
 		t.Fatal(err)
 	}
-	read, err := ReadTrace(&file)
+	read, err := load.ReadTrace(&file)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -79,7 +80,7 @@
 	online, items := 0, 0
 	for _, record := range records {
 		items += record.Items
-		if record.Kind != KindJob {
+		if record.Kind != load.KindJob {
 			online++
 		}
 	}
@@ -90,7 +91,7 @@
 }
 
 func TestReadTraceRefusesDisorder(t *testing.T) {
-	if _, err := ReadTrace(strings.NewReader("{\"at_ms\":5}\n{\"at_ms\":4}\n")); err == nil {
+	if _, err := load.ReadTrace(strings.NewReader("{\"at_ms\":5}\n{\"at_ms\":4}\n")); err == nil {
 		t.Fatal("a trace that goes back in time was accepted")
 	}
 }
@@ -107,18 +108,18 @@
 	defer server.Close()
 	const calls, places = 10, 3
 	number := 0
-	schedule := func() (Planned, bool) {
+	schedule := func() (load.Planned, bool) {
 		if number == calls {
 			close(release)
-			return Planned{}, false
+			return load.Planned{}, false
 		}
 		number++
-		return Planned{Call: Call{Target: server.Listener.Addr().String()}, Class: "c"}, true
+		return load.Planned{Call: load.Call{Target: server.Listener.Addr().String()}, Class: "c"}, true
 	}
-	result := Run(context.Background(), schedule, Options{MaxInFlight: places})
+	result := load.Run(context.Background(), schedule, load.Options{MaxInFlight: places})
 	class := result.Class("c")
 	report := result.Report().Classes[0]
-	if report.Sent != places || report.NotSent != calls-places || class.Count(OutcomeNotRun) != places {
+	if report.Sent != places || report.NotSent != calls-places || class.Count(load.OutcomeNotRun) != places {
 		t.Fatalf("%+v", report)
 	}
 }
@@ -126,11 +127,11 @@
 func TestLatencyCountsFromTheIntendedStart(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	defer server.Close()
-	client := NewClient(1, time.Minute)
+	client := load.NewClient(1, time.Minute)
 	defer client.Close()
 	late := time.Now().Add(-time.Hour)
-	measured := client.Do(context.Background(), Call{Target: server.Listener.Addr().String()}, late)
-	if measured.Latency < time.Hour || measured.Outcome != OutcomeTruncated {
+	measured := client.Do(context.Background(), load.Call{Target: server.Listener.Addr().String()}, late)
+	if measured.Latency < time.Hour || measured.Outcome != load.OutcomeTruncated {
 		t.Fatalf("%+v", measured)
 	}
 }
@@ -140,13 +141,13 @@
 	answer := func(text string) []byte {
 		return fmt.Appendf(nil, `{"choices":[{"message":{"content":%q},"finish_reason":"length"}]}`, text)
 	}
-	if count, err := CheckWhole(answer(text), "p", 3); err != nil || count != 3 {
+	if count, err := load.CheckWhole(answer(text), "p", 3); err != nil || count != 3 {
 		t.Fatal(count, err)
 	}
-	if _, err := CheckWhole(answer(text), "p", 4); !errors.Is(err, ErrTruncated) {
+	if _, err := load.CheckWhole(answer(text), "p", 4); !errors.Is(err, load.ErrTruncated) {
 		t.Fatal(err)
 	}
-	if _, err := CheckWhole(answer(text), "q", 3); !errors.Is(err, ErrWrong) {
+	if _, err := load.CheckWhole(answer(text), "q", 3); !errors.Is(err, load.ErrWrong) {
 		t.Fatal(err)
 	}
 }
--- a/internal/bench/load/seed_test.go
+++ b/internal/bench/load/seed_test.go
@@ -1,4 +1,4 @@
-package load
+package load_test
 
 import (
 	"flag"
--- a/internal/command/documentation_test.go
+++ b/internal/command/documentation_test.go
@@ -1,4 +1,4 @@
-package command
+package command_test
 
 import (
 	"maps"
--- a/internal/command/exitcode_test.go
+++ b/internal/command/exitcode_test.go
@@ -1,16 +1,18 @@
-package command
+package command_test
 
 import (
 	"regexp"
 	"strconv"
 	"testing"
+
+	"rockwind.example/rockwind/internal/command"
 )
 
 // numberRow finds rows of a table that begin with a number.
 var numberRow = regexp.MustCompile(`(?m)^\| (\d+) \|`)
 
 func TestOperationsPageListsTheExitCodes(t *testing.T) {
-	codes := map[int]bool{ExitOK: true, ExitFailed: true, ExitRefused: true, ExitConflict: true, ExitUnavailable: true}
+	codes := map[int]bool{command.ExitOK: true, command.ExitFailed: true, command.ExitRefused: true, command.ExitConflict: true, command.ExitUnavailable: true}
 	for _, row := range numberRow.FindAllStringSubmatch(page(t, "OPERATIONS.md"), -1) {
 		code, err := strconv.Atoi(row[1])
 		if err != nil || !codes[code] {
--- a/internal/configuration/routes_test.go
+++ b/internal/configuration/routes_test.go
@@ -1,8 +1,10 @@
-package configuration
+package configuration_test
 
 import (
 	"strings"
 	"testing"
+
+	"rockwind.example/rockwind/internal/configuration"
 )
 
 const routesFile = `number: 1
@@ -14,13 +16,13 @@
   - {name: long, host: site.example, path_prefix: /drafts/long/, kind: batch, split: [{service: app, weight: 1}]}
 `
 
-func routesIndex(t *testing.T) *Index {
+func routesIndex(t *testing.T) *configuration.Index {
 	t.Helper()
-	parsed, problems := Parse("routes.yaml", []byte(routesFile))
+	parsed, problems := configuration.Parse("routes.yaml", []byte(routesFile))
 	if len(problems) > 0 {
 		t.Fatal(problems)
 	}
-	index, err := NewIndex(parsed)
+	index, err := configuration.NewIndex(parsed)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -53,11 +55,11 @@
 	changed := before.Configuration()
 	changed.Number = 2
 	changed.Routes = changed.Routes[1:]
-	after, err := NewIndex(changed)
+	after, err := configuration.NewIndex(changed)
 	if err != nil {
 		t.Fatal(err)
 	}
-	next, err := before.Apply(Between(before, after))
+	next, err := before.Apply(configuration.Between(before, after))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -90,7 +92,7 @@
 		if wrong == routesFile {
 			t.Fatalf("%s: the file is not changed", name)
 		}
-		_, problems := Parse("routes.yaml", []byte(wrong))
+		_, problems := configuration.Parse("routes.yaml", []byte(wrong))
 		if len(problems) == 0 || problems[0].Line == 0 || problems[0].Remedy == "" {
 			t.Errorf("%s: %v", name, problems)
 		}
--- a/internal/control/exchange/models_test.go
+++ b/internal/control/exchange/models_test.go
@@ -1,16 +1,17 @@
-package exchange
+package exchange_test
 
 import (
 	"testing"
 	"time"
 
+	"rockwind.example/rockwind/internal/control/exchange"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
 // TestModelDemandsFollowTheGateways: steady reports of two gateways add up to their
 // rate, and a gateway that falls silent is left out.
 func TestModelDemandsFollowTheGateways(t *testing.T) {
-	board := NewBoard("machine", 1)
+	board := exchange.NewBoard("machine", 1)
 	now := time.Unix(1000, 0)
 	report := func(gateway string, cost float64) {
 		board.Exchange(now, &rockwindpb.ExchangeRequest{
@@ -18,7 +19,7 @@
 		})
 	}
 	for range 20 {
-		now = now.Add(Period)
+		now = now.Add(exchange.Period)
 		report("first", 100)
 		report("second", 300)
 	}
@@ -33,7 +34,7 @@
 		t.Fatalf("a demand of 400 a second is seen as %v", both)
 	}
 	for range 10 {
-		now = now.Add(Period)
+		now = now.Add(exchange.Period)
 		report("first", 100)
 	}
 	if one := demand(); one < 99 || one > 101 {
@@ -44,11 +45,11 @@
 // TestEmptiedServerIsPassedOn: a server that holds nothing any more, as between two
 // models, is passed on as such, and a list that did not change stays known.
 func TestEmptiedServerIsPassedOn(t *testing.T) {
-	board := NewBoard("machine", 1)
+	board := exchange.NewBoard("machine", 1)
 	now := time.Unix(1000, 0)
 	version := uint64(0)
 	pass := func(digest *rockwindpb.ServerDigest) *rockwindpb.ServerDigest {
-		now = now.Add(Period)
+		now = now.Add(exchange.Period)
 		digest.Name = "engine"
 		board.Exchange(now, &rockwindpb.ExchangeRequest{Gateway: "owner", Zone: "zone", Owned: []*rockwindpb.ServerDigest{digest}})
 		response := board.Exchange(now, &rockwindpb.ExchangeRequest{Gateway: "peer", Zone: "zone", SinceVersion: version})
--- a/internal/router/plain_test.go
+++ b/internal/router/plain_test.go
@@ -1,4 +1,4 @@
-package router
+package router_test
 
 import (
 	"net/http"
@@ -7,51 +7,52 @@
 
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/router"
 	"rockwind.example/rockwind/internal/upstream"
 )
 
 func TestPlainProtocolReadsAndWritesItsHeaders(t *testing.T) {
 	header := http.Header{}
 	header.Set(upstream.HeaderRequestID, "r1")
-	header.Set(HeaderTimeLeft, "1500")
-	facts, err := PlainProtocol{}.Facts(header)
+	header.Set(router.HeaderTimeLeft, "1500")
+	facts, err := router.PlainProtocol{}.Facts(header)
 	if err != nil || facts.ID != "r1" || facts.Deadline != 1500*time.Millisecond {
 		t.Fatalf("%+v, %v", facts, err)
 	}
-	PlainProtocol{}.Prepare(header, Try{ServerID: "s1", Remaining: 700 * time.Millisecond, ResumeAfter: "4"})
-	for name, want := range map[string]string{HeaderServer: "s1", HeaderTimeLeft: "700", HeaderLastEvent: "4", upstream.HeaderRequestID: "r1"} {
+	router.PlainProtocol{}.Prepare(header, router.Try{ServerID: "s1", Remaining: 700 * time.Millisecond, ResumeAfter: "4"})
+	for name, want := range map[string]string{router.HeaderServer: "s1", router.HeaderTimeLeft: "700", router.HeaderLastEvent: "4", upstream.HeaderRequestID: "r1"} {
 		if got := header.Get(name); got != want {
 			t.Errorf("%s is %q, want %q", name, got, want)
 		}
 	}
-	header.Set(HeaderTimeLeft, "soon")
-	if _, err := (PlainProtocol{}).Facts(header); !fault.Is(err, fault.InvalidArgument) {
+	header.Set(router.HeaderTimeLeft, "soon")
+	if _, err := (router.PlainProtocol{}).Facts(header); !fault.Is(err, fault.InvalidArgument) {
 		t.Errorf("a time that is no number: %v", err)
 	}
 }
 
 func TestPlainProtocolBelievesOnlyProof(t *testing.T) {
 	refused := http.Header{upstream.HeaderNotRun: {"true"}}
-	if !(PlainProtocol{}).Judge(http.StatusServiceUnavailable, refused).NotRun {
+	if !(router.PlainProtocol{}).Judge(http.StatusServiceUnavailable, refused).NotRun {
 		t.Error("a server's word that it did not run the request is passed over")
 	}
-	if (PlainProtocol{}).Judge(http.StatusServiceUnavailable, http.Header{}).NotRun {
+	if (router.PlainProtocol{}).Judge(http.StatusServiceUnavailable, http.Header{}).NotRun {
 		t.Error("a status alone is taken for proof")
 	}
 	request := http.Header{upstream.HeaderRequestID: {"r1"}}
-	if (PlainProtocol{}).Belongs(request, http.Header{upstream.HeaderRequestID: {"r2"}}) {
+	if (router.PlainProtocol{}).Belongs(request, http.Header{upstream.HeaderRequestID: {"r2"}}) {
 		t.Error("an answer to another request is taken")
 	}
 }
 
 func TestPlainJobsTakeOverOnlyWhatAClientDecides(t *testing.T) {
 	body := []byte(`{"id":"j1","ended":true,"items":[{"id":"i1","path":"/x"}],"results":[{"item":0,"outcome":"STORED_OUTCOME_DONE"}]}`)
-	job, err := PlainProtocol{}.Job(http.Header{}, body)
+	job, err := router.PlainProtocol{}.Job(http.Header{}, body)
 	if err != nil || job.GetId() != "j1" || len(job.GetItems()) != 1 || job.GetEnded() || len(job.GetResults()) != 0 {
 		t.Fatalf("%v, %v", job, err)
 	}
 	for _, wrong := range []string{`{`, `{"items":[]}`} {
-		if _, err := (PlainProtocol{}).Job(http.Header{}, []byte(wrong)); !fault.Is(err, fault.InvalidArgument) {
+		if _, err := (router.PlainProtocol{}).Job(http.Header{}, []byte(wrong)); !fault.Is(err, fault.InvalidArgument) {
 			t.Errorf("%s: %v", wrong, err)
 		}
 	}
@@ -62,12 +63,12 @@
 	counts := map[string]int{}
 	const requests = 20_000
 	for i := range requests {
-		counts[ServiceOf(route, time.Duration(i).String())]++
+		counts[router.ServiceOf(route, time.Duration(i).String())]++
 	}
 	if counts["none"] != 0 || counts["b"] < requests*8/100 || counts["b"] > requests*12/100 {
 		t.Errorf("%v", counts)
 	}
-	if got := ServiceOf(&rockwindpb.Route{}, "x"); got != "" {
+	if got := router.ServiceOf(&rockwindpb.Route{}, "x"); got != "" {
 		t.Errorf("a route without a split goes to %q", got)
 	}
 }
--- a/internal/settings/placement_test.go
+++ b/internal/settings/placement_test.go
@@ -1,4 +1,4 @@
-package settings
+package settings_test
 
 import (
 	"os"
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"rockwind.example/rockwind/internal/settings"
 )
 
 const controlFile = `machine: one
@@ -20,7 +22,7 @@
 	if err := os.WriteFile(file, []byte(controlFile), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	loaded, err := LoadControl(file, []string{"placement.enabled=true", "placement.margin=0.75", "placement.dwell=4m"})
+	loaded, err := settings.LoadControl(file, []string{"placement.enabled=true", "placement.margin=0.75", "placement.dwell=4m"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -36,7 +38,7 @@
 		"placement.weights_bytes=16e9":  "both or none",
 		"placement.minimum_pressure=so": "a number",
 	} {
-		if _, err := LoadControl(file, []string{setting}); err == nil || !strings.Contains(err.Error(), named) {
+		if _, err := settings.LoadControl(file, []string{setting}); err == nil || !strings.Contains(err.Error(), named) {
 			t.Fatalf("%s gave %v", setting, err)
 		}
 	}
--- a/internal/sitemetrics/metrics_test.go
+++ b/internal/sitemetrics/metrics_test.go
@@ -1,4 +1,4 @@
-package sitemetrics
+package sitemetrics_test
 
 import (
 	"net/http"
@@ -11,11 +11,12 @@
 	"github.com/apex/log/handlers/discard"
 
 	"rockwind.example/rockwind/internal/decision"
+	"rockwind.example/rockwind/internal/sitemetrics"
 )
 
 func TestScrapeShowsDecisionsAndLatencies(t *testing.T) {
 	recorder := decision.NewRecorder(&log.Logger{Handler: discard.New(), Level: log.InfoLevel}, time.Now)
-	set := New("router", recorder)
+	set := sitemetrics.New("router", recorder)
 	sampledOut := 0
 	for _, id := range []string{"a", "b", "c", "d", "e"} {
 		recorder.Record(decision.RequestFinished, id, nil)
@@ -27,7 +28,7 @@
 	set.Request("stream", decision.RequestFinished, 30*time.Millisecond, 900*time.Millisecond)
 	set.Request("safe", decision.RequestRefused, 0, time.Second)
 	answer := httptest.NewRecorder()
-	set.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, Path, nil))
+	set.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, sitemetrics.Path, nil))
 	page := answer.Body.String()
 	for _, want := range []string{
 		`rockwind_decisions_total{kind="request finished",role="router"} 5`,
--- a/internal/virtualtime/queue_test.go
+++ b/internal/virtualtime/queue_test.go
@@ -1,4 +1,4 @@
-package virtualtime
+package virtualtime_test
 
 import (
 	"slices"
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"rockwind.example/rockwind/internal/virtualtime"
 )
 
 // planned is an event as the model of the queue, a plain list, knows it.
@@ -34,7 +36,7 @@
 // of them at equal times or in the past, and compares each with a plain list.
 func TestQueueOrdersByTimeThenInsertion(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var queue Queue
+		var queue virtualtime.Queue
 		var model []planned
 		var now time.Duration
 		// ran is the event whose function was called last.
@@ -96,7 +98,7 @@
 // TestQueueRepeatsAtTheInterval follows one periodic event between others of the
 // same times: it comes after those that were scheduled before its last run.
 func TestQueueRepeatsAtTheInterval(t *testing.T) {
-	var queue Queue
+	var queue virtualtime.Queue
 	var came []time.Duration
 	queue.Every(2, 5, func() { came = append(came, queue.Now()) })
 	for at := range time.Duration(20) {
--- a/internal/virtualtime/seed_test.go
+++ b/internal/virtualtime/seed_test.go
@@ -1,4 +1,4 @@
-package virtualtime
+package virtualtime_test
 
 import (
 	"flag"
