--- a/internal/balance/shared_test.go
+++ b/internal/balance/shared_test.go
@@ -1,4 +1,4 @@
-package balance
+package balance_test
 
 import (
 	"fmt"
@@ -7,14 +7,16 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"rockwind.example/rockwind/internal/balance"
 )
 
-func pool(slots int, names ...string) (*Pool, *Shares) {
-	shares := NewShares()
-	created := NewPool("service", "here", shares)
-	var members []Member
+func pool(slots int, names ...string) (*balance.Pool, *balance.Shares) {
+	shares := balance.NewShares()
+	created := balance.NewPool("service", "here", shares)
+	var members []balance.Member
 	for _, name := range names {
-		members = append(members, Member{ID: name, Address: name, Zone: "here", Slots: slots})
+		members = append(members, balance.Member{ID: name, Address: name, Zone: "here", Slots: slots})
 	}
 	created.Update(members)
 	return created, shares
@@ -26,11 +28,11 @@
 // keep busy tells this process nothing, since it sends no request there.
 func TestBusyServerWithAnOldReportDoesNotSeemEmpty(t *testing.T) {
 	p, shares := pool(12, "busy", "free")
-	p.Told("busy", Load{Running: 12, Slots: 12}, 0)
+	p.Told("busy", balance.Load{Running: 12, Slots: 12}, 0)
 	now := 10 * time.Second
-	shares.Take("other", 1, 1, map[uint32]SharedLoad{ServerHash("busy"): {Inflight: 11}}, now)
+	shares.Take("other", 1, 1, map[uint32]balance.SharedLoad{balance.ServerHash("busy"): {Inflight: 11}}, now)
 	for range 8 {
-		choice, found := p.Choose(Demand{}, nil, now, random())
+		choice, found := p.Choose(balance.Demand{}, nil, now, random())
 		if !found || choice.ID != "free" {
 			t.Fatalf("chose %+v, %v", choice, found)
 		}
@@ -39,26 +41,26 @@
 
 func TestFullServersAreNotChosenByAnyone(t *testing.T) {
 	p, shares := pool(4, "a")
-	shares.Take("other", 1, 1, map[uint32]SharedLoad{ServerHash("a"): {Inflight: 3}}, 0)
-	if _, found := p.Choose(Demand{}, nil, 0, random()); !found {
+	shares.Take("other", 1, 1, map[uint32]balance.SharedLoad{balance.ServerHash("a"): {Inflight: 3}}, 0)
+	if _, found := p.Choose(balance.Demand{}, nil, 0, random()); !found {
 		t.Fatal("the last slot is not used")
 	}
-	if choice, found := p.Choose(Demand{}, nil, 0, random()); found {
+	if choice, found := p.Choose(balance.Demand{}, nil, 0, random()); found {
 		t.Fatalf("chose %+v beyond its slots", choice)
 	}
 }
 
 func TestBatchLeavesRoomForOnline(t *testing.T) {
 	p, shares := pool(10, "a")
-	shares.Take("other", 1, 1, map[uint32]SharedLoad{ServerHash("a"): {Inflight: 9}, QueueHash("service"): {Inflight: 1}}, 0)
-	if choice, found := p.Choose(Demand{Batch: true}, nil, 0, random()); found {
+	shares.Take("other", 1, 1, map[uint32]balance.SharedLoad{balance.ServerHash("a"): {Inflight: 9}, balance.QueueHash("service"): {Inflight: 1}}, 0)
+	if choice, found := p.Choose(balance.Demand{Batch: true}, nil, 0, random()); found {
 		t.Fatalf("batch takes %+v while online waits", choice)
 	}
-	if _, found := p.Choose(Demand{}, nil, 0, random()); !found {
+	if _, found := p.Choose(balance.Demand{}, nil, 0, random()); !found {
 		t.Fatal("online gets no room")
 	}
-	shares.Take("other", 1, 2, map[uint32]SharedLoad{ServerHash("a"): {Inflight: 10}}, 0)
-	if choice, found := p.Choose(Demand{Batch: true}, nil, 0, random()); found {
+	shares.Take("other", 1, 2, map[uint32]balance.SharedLoad{balance.ServerHash("a"): {Inflight: 10}}, 0)
+	if choice, found := p.Choose(balance.Demand{Batch: true}, nil, 0, random()); found {
 		t.Fatalf("batch takes %+v beside full online work", choice)
 	}
 }
@@ -66,8 +68,10 @@
 // TestGroupCountsOnceWhenItsDelegateChanges: the sum of a group replaces the one of
 // its former delegate, whichever of the two started first.
 func TestGroupCountsOnceWhenItsDelegateChanges(t *testing.T) {
-	shares := NewShares()
-	load := func(n int) map[uint32]SharedLoad { return map[uint32]SharedLoad{1: {Inflight: n, Batch: n}} }
+	shares := balance.NewShares()
+	load := func(n int) map[uint32]balance.SharedLoad {
+		return map[uint32]balance.SharedLoad{1: {Inflight: n, Batch: n}}
+	}
 	shares.Take("a", 1, 1, load(1), 0)
 	shares.TakeGroup("a", "west", 3, 9, 5, load(10), 0)
 	shares.TakeGroup("b", "west", 4, 2, 1, load(20), 0)
@@ -78,14 +82,14 @@
 	if sum := shares.SumOf([]string{"a", "b", "c"}); sum[1].Inflight != 1 {
 		t.Fatalf("the sum of the processes themselves is %+v", sum)
 	}
-	if !shares.Heard("a", heardFor) || shares.Heard("a", heardFor+1) || shares.Heard("b", 0) {
+	if !shares.Heard("a", balance.HeardFor) || shares.Heard("a", balance.HeardFor+1) || shares.Heard("b", 0) {
 		t.Fatal("a process is heard through its group's digest only, or after its time")
 	}
 }
 
 func TestOldAndRepeatedDigestsArePassedOver(t *testing.T) {
-	shares := NewShares()
-	load := func(n int) map[uint32]SharedLoad { return map[uint32]SharedLoad{1: {Inflight: n}} }
+	shares := balance.NewShares()
+	load := func(n int) map[uint32]balance.SharedLoad { return map[uint32]balance.SharedLoad{1: {Inflight: n}} }
 	shares.Take("a", 5, 2, load(2), 0)
 	shares.Take("a", 5, 1, load(1), 0)
 	shares.Take("a", 4, 9, load(9), 0)
@@ -96,8 +100,8 @@
 	if got := shares.At(1).Inflight; got != 7 {
 		t.Fatalf("after a restart the sum is %d", got)
 	}
-	shares.Expire(senderFor + 1)
-	if shares.Known() || shares.At(1) != (SharedLoad{}) {
+	shares.Expire(balance.SenderFor + 1)
+	if shares.Known() || shares.At(1) != (balance.SharedLoad{}) {
 		t.Fatal("a silent process still counts")
 	}
 }
@@ -106,11 +110,11 @@
 // come and go, with a count from scratch.
 func TestSumsAreThoseOfTheNewestDigests(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		shares := NewShares()
+		shares := balance.NewShares()
 		type held struct {
 			sequence uint64
 			at       time.Duration
-			loads    map[uint32]SharedLoad
+			loads    map[uint32]balance.SharedLoad
 		}
 		oracle := map[string]held{}
 		now := time.Duration(0)
@@ -118,10 +122,10 @@
 			now += time.Duration(rapid.IntRange(0, 700).Draw(t, "pass")) * time.Millisecond
 			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "sender")
 			sequence := rapid.Uint64Range(1, 40).Draw(t, "sequence")
-			loads := map[uint32]SharedLoad{}
+			loads := map[uint32]balance.SharedLoad{}
 			for server := range uint32(4) {
 				if n := rapid.IntRange(0, 3).Draw(t, "load"); n > 0 {
-					loads[server] = SharedLoad{Inflight: n, Unread: 10 * n}
+					loads[server] = balance.SharedLoad{Inflight: n, Unread: 10 * n}
 				}
 			}
 			if known, found := oracle[name]; !found || sequence > known.sequence {
@@ -130,12 +134,12 @@
 			shares.Take(name, 1, sequence, loads, now)
 			shares.Expire(now)
 			for sender, known := range oracle {
-				if now-known.at > senderFor {
+				if now-known.at > balance.SenderFor {
 					delete(oracle, sender)
 				}
 			}
 			for server := range uint32(4) {
-				want := SharedLoad{}
+				want := balance.SharedLoad{}
 				for _, known := range oracle {
 					want.Inflight += known.loads[server].Inflight
 					want.Unread += known.loads[server].Unread
@@ -156,23 +160,23 @@
 	for i := range 40 {
 		names = append(names, fmt.Sprintf("server-%d", i))
 	}
-	loads := map[uint32]SharedLoad{}
+	loads := map[uint32]balance.SharedLoad{}
 	for i, name := range names {
 		if i > 0 {
-			loads[ServerHash(name)] = SharedLoad{Inflight: 3}
+			loads[balance.ServerHash(name)] = balance.SharedLoad{Inflight: 3}
 		}
 	}
 	chosen := map[string]int{}
 	for process := range processes {
 		p, shares := pool(8, names...)
 		for sender := range processes - 1 {
-			told := map[uint32]SharedLoad{}
+			told := map[uint32]balance.SharedLoad{}
 			if sender == 0 {
 				told = loads
 			}
 			shares.Take(fmt.Sprint(sender), 1, 1, told, 0)
 		}
-		choice, found := p.Choose(Demand{}, nil, 0, rand.New(rand.NewPCG(uint64(process), 7)))
+		choice, found := p.Choose(balance.Demand{}, nil, 0, rand.New(rand.NewPCG(uint64(process), 7)))
 		if !found {
 			t.Fatal("no server is chosen")
 		}
@@ -187,18 +191,18 @@
 func TestSampleThatHoldsNoRoomIsWidened(t *testing.T) {
 	names := []string{"full-1", "full-2", "full-3", "free"}
 	p, shares := pool(1, names...)
-	loads := map[uint32]SharedLoad{}
+	loads := map[uint32]balance.SharedLoad{}
 	for _, name := range names[:3] {
-		loads[ServerHash(name)] = SharedLoad{Inflight: 1}
+		loads[balance.ServerHash(name)] = balance.SharedLoad{Inflight: 1}
 	}
 	for sender := range 160 {
-		told := map[uint32]SharedLoad{}
+		told := map[uint32]balance.SharedLoad{}
 		if sender == 0 {
 			told = loads
 		}
 		shares.Take(fmt.Sprint(sender), 1, 1, told, 0)
 	}
-	if choice, found := p.Choose(Demand{}, nil, 0, random()); !found || choice.ID != "free" {
+	if choice, found := p.Choose(balance.Demand{}, nil, 0, random()); !found || choice.ID != "free" {
 		t.Fatalf("%+v, %v", choice, found)
 	}
 }
--- /dev/null
+++ b/internal/bench/experiment/ledgercost/export_test.go
@@ -0,0 +1,4 @@
+package ledgercost
+
+// Its function that the tests use.
+var MeasureMemory = measureMemory
--- a/internal/bench/experiment/ledgercost/memory_test.go
+++ b/internal/bench/experiment/ledgercost/memory_test.go
@@ -1,12 +1,16 @@
-package ledgercost
+package ledgercost_test
 
-import "testing"
+import (
+	"testing"
+
+	"rockwind.example/rockwind/internal/bench/experiment/ledgercost"
+)
 
 // TestMemoryFallsAsItemsEnd measures small jobs. What an item takes must fall with
 // the end of its life, and the aim must be met even then.
 func TestMemoryFallsAsItemsEnd(t *testing.T) {
 	const aim = 2
-	measured, err := measureMemory(4, 40_000, 256)
+	measured, err := ledgercost.MeasureMemory(4, 40_000, 256)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/bench/hollow/export_test.go
@@ -0,0 +1,4 @@
+package hollow
+
+// Its function that the tests use.
+var ParseControl = parseControl
--- a/internal/bench/hollow/hollow_test.go
+++ b/internal/bench/hollow/hollow_test.go
@@ -1,4 +1,4 @@
-package hollow
+package hollow_test
 
 import (
 	"net"
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"rockwind.example/rockwind/internal/bench/hollow"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -18,13 +19,13 @@
 			Address: net.JoinHostPort("127.0.0.1", rapid.StringMatching(`[1-9][0-9]{0,3}`).Draw(t, "port")),
 			Zone:    rapid.StringMatching(`[a-z0-9-]{1,12}`).Draw(t, "zone"),
 		}
-		read, err := parseControl([]string{ControlFlag(machine)})
+		read, err := hollow.ParseControl([]string{hollow.ControlFlag(machine)})
 		if err != nil || len(read) != 1 || !proto.Equal(read[0], machine) {
 			t.Fatalf("%v was read as %v, %v", machine, read, err)
 		}
 	})
 	for _, wrong := range []string{"", "machine", "machine=127.0.0.1:1", "127.0.0.1:1@zone", "machine=127.0.0.1@zone"} {
-		if _, err := parseControl([]string{wrong}); err == nil {
+		if _, err := hollow.ParseControl([]string{wrong}); err == nil {
 			t.Errorf("%q was taken for a control machine", wrong)
 		}
 	}
--- a/internal/bench/hollow/seed_test.go
+++ b/internal/bench/hollow/seed_test.go
@@ -1,4 +1,4 @@
-package hollow
+package hollow_test
 
 import (
 	"flag"
--- /dev/null
+++ b/internal/bench/report/export_test.go
@@ -0,0 +1,4 @@
+package report
+
+// Its figure that the tests use.
+const PageFile = pageFile
--- a/internal/bench/report/report_test.go
+++ b/internal/bench/report/report_test.go
@@ -1,4 +1,4 @@
-package report
+package report_test
 
 import (
 	"image/png"
@@ -9,6 +9,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/bench/load"
+	"rockwind.example/rockwind/internal/bench/report"
 )
 
 func TestChartsAndPageAreWritten(t *testing.T) {
@@ -17,16 +18,20 @@
 	for milliseconds := range 100 {
 		histogram.Record(time.Duration(milliseconds+1) * time.Millisecond)
 	}
-	series := Distribution("latency", histogram)
+	series := report.Distribution("latency", histogram)
 	last := series.Points[len(series.Points)-1]
 	if last.Y < 0.999 || last.X < 99 || last.X > 101 {
 		t.Fatalf("the distribution ends at %+v", last)
 	}
-	constant := Series{Name: "constant", Points: []Point{{X: 1, Y: 5}, {X: 1, Y: 5}}}
+	constant := report.Series{Name: "constant", Points: []report.Point{{X: 1, Y: 5}, {X: 1, Y: 5}}}
 	for name, write := range map[string]func(string) error{
-		"cdf.png":     func(file string) error { return CDF(file, "latency", series) },
-		"lines.png":   func(file string) error { return Lines(file, Chart{Title: "share", Series: []Series{constant}}) },
-		"scatter.png": func(file string) error { return Scatter(file, Chart{LogX: true, Series: []Series{series, constant}}) },
+		"cdf.png": func(file string) error { return report.CDF(file, "latency", series) },
+		"lines.png": func(file string) error {
+			return report.Lines(file, report.Chart{Title: "share", Series: []report.Series{constant}})
+		},
+		"scatter.png": func(file string) error {
+			return report.Scatter(file, report.Chart{LogX: true, Series: []report.Series{series, constant}})
+		},
 	} {
 		file := filepath.Join(folder, name)
 		if err := write(file); err != nil {
@@ -34,11 +39,11 @@
 		}
 		checkImage(t, file)
 	}
-	section := Section{Heading: "Overhead <1>", Table: Table{Header: []string{"a"}, Rows: [][]string{{"1"}}}, Charts: []string{"cdf.png"}}
-	if err := WriteHTML(folder, "Report", []Section{section}); err != nil {
+	section := report.Section{Heading: "Overhead <1>", Table: report.Table{Header: []string{"a"}, Rows: [][]string{{"1"}}}, Charts: []string{"cdf.png"}}
+	if err := report.WriteHTML(folder, "Report", []report.Section{section}); err != nil {
 		t.Fatal(err)
 	}
-	page, err := os.ReadFile(filepath.Join(folder, pageFile))
+	page, err := os.ReadFile(filepath.Join(folder, report.PageFile))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -50,7 +55,7 @@
 }
 
 func TestEmptyChartIsAnError(t *testing.T) {
-	if err := CDF(filepath.Join(t.TempDir(), "x.png"), "nothing"); err == nil {
+	if err := report.CDF(filepath.Join(t.TempDir(), "x.png"), "nothing"); err == nil {
 		t.Fatal("a chart without points was written")
 	}
 }
--- /dev/null
+++ b/internal/bench/wire/export_test.go
@@ -0,0 +1,7 @@
+package wire
+
+// Its figures that the tests use.
+const (
+	PacketHeader = packetHeader
+	SegmentBytes = segmentBytes
+)
--- a/internal/bench/wire/seed_test.go
+++ b/internal/bench/wire/seed_test.go
@@ -1,4 +1,4 @@
-package wire
+package wire_test
 
 import (
 	"flag"
--- a/internal/bench/wire/wire_test.go
+++ b/internal/bench/wire/wire_test.go
@@ -1,4 +1,4 @@
-package wire
+package wire_test
 
 import (
 	"context"
@@ -7,17 +7,19 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"rockwind.example/rockwind/internal/bench/wire"
 )
 
 // exchanged sends the payloads in turn over one counted connection, each
 // answered by one byte, and returns the counts of both ends.
-func exchanged(t *rapid.T, payloads []int) (client, server Traffic) {
+func exchanged(t *rapid.T, payloads []int) (client, server wire.Traffic) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	var serverCounter, clientCounter Counter
+	var serverCounter, clientCounter wire.Counter
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
@@ -63,11 +65,11 @@
 		payload, segments := 0, 0
 		for _, each := range payloads {
 			payload += each
-			segments += (each + segmentBytes - 1) / segmentBytes
+			segments += (each + wire.SegmentBytes - 1) / wire.SegmentBytes
 		}
-		least := int64(payload + segments*packetHeader)
+		least := int64(payload + segments*wire.PacketHeader)
 		// The opening, the closing, and acknowledgements beside each transfer.
-		most := least + int64(6+4*segments)*packetHeader
+		most := least + int64(6+4*segments)*wire.PacketHeader
 		if client.Sent < least || client.Sent > most {
 			t.Fatalf("%d bytes in %d segments count as %d", payload, segments, client.Sent)
 		}
@@ -84,7 +86,7 @@
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	var counter Counter
+	var counter wire.Counter
 	connection, err := counter.Dial(context.Background(), listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -107,7 +109,7 @@
 
 // A blocked address cannot be reached, and others can.
 func TestBlockCutsOneLink(t *testing.T) {
-	var counter Counter
+	var counter wire.Counter
 	var addresses []string
 	for range 2 {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/configuration/change_test.go
+++ b/internal/configuration/change_test.go
@@ -1,4 +1,4 @@
-package configuration
+package configuration_test
 
 import (
 	"bytes"
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 	"pgregory.net/rapid"
 
+	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
@@ -54,8 +55,8 @@
 	return float64(rapid.IntRange(0, 2).Draw(t, "value"))
 }
 
-func mustIndex(t *rapid.T, configuration *rockwindpb.Configuration) *Index {
-	index, err := NewIndex(configuration)
+func mustIndex(t *rapid.T, given *rockwindpb.Configuration) *configuration.Index {
+	index, err := configuration.NewIndex(given)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -63,9 +64,9 @@
 }
 
 // sorted is the configuration in canonical order, for comparisons.
-func sorted(configuration *rockwindpb.Configuration) *rockwindpb.Configuration {
-	copied := proto.CloneOf(configuration)
-	sortObjects(copied)
+func sorted(given *rockwindpb.Configuration) *rockwindpb.Configuration {
+	copied := proto.CloneOf(given)
+	configuration.SortObjects(copied)
 	return copied
 }
 
@@ -77,11 +78,11 @@
 		for i := range steps {
 			next := drawConfiguration(t, uint64(i+2))
 			before := proto.CloneOf(chain[i])
-			change, err := Compare(chain[i], next)
+			change, err := configuration.Compare(chain[i], next)
 			if err != nil {
 				t.Fatal(err)
 			}
-			after, err := ApplyChange(chain[i], change)
+			after, err := configuration.ApplyChange(chain[i], change)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -103,7 +104,7 @@
 			}
 			assertLookups(t, stepwise)
 		}
-		merged := Merge(changes[from:])
+		merged := configuration.Merge(changes[from:])
 		after, err := mustIndex(t, chain[from]).Apply(merged)
 		if err != nil {
 			t.Fatal(err)
@@ -117,7 +118,7 @@
 
 // assertLookups compares the lookups of an index that was built from changes
 // with those of one built at once.
-func assertLookups(t *rapid.T, index *Index) {
+func assertLookups(t *rapid.T, index *configuration.Index) {
 	fresh := mustIndex(t, index.Configuration())
 	if !bytes.Equal(fresh.Checksum(), index.Checksum()) {
 		t.Fatal("the checksum depends on the way to the configuration")
@@ -138,7 +139,7 @@
 		}
 	}
 	for i := range 4 {
-		var hash Hash
+		var hash configuration.Hash
 		hash[len(hash)-1] = byte(i)
 		got, _ := index.TenantByKeyHash(hash)
 		want, _ := fresh.TenantByKeyHash(hash)
@@ -159,18 +160,18 @@
 		one := drawConfiguration(t, rapid.Uint64Range(1, 2).Draw(t, "number"))
 		other := drawConfiguration(t, rapid.Uint64Range(1, 2).Draw(t, "number"))
 		equal := proto.Equal(sorted(one), sorted(other))
-		first, err := Digest(one)
+		first, err := configuration.Digest(one)
 		if err != nil {
 			t.Fatal(err)
 		}
-		second, err := Digest(other)
+		second, err := configuration.Digest(other)
 		if err != nil {
 			t.Fatal(err)
 		}
 		if bytes.Equal(first, second) != equal {
 			t.Fatalf("equal checksums: %v, equal configurations: %v", !equal, equal)
 		}
-		if !equal && one.GetNumber() == other.GetNumber() && len(Diff(mustIndex(t, one), mustIndex(t, other))) == 0 {
+		if !equal && one.GetNumber() == other.GetNumber() && len(configuration.Diff(mustIndex(t, one), mustIndex(t, other))) == 0 {
 			t.Fatal("no difference is listed between different configurations")
 		}
 	})
@@ -179,7 +180,7 @@
 func TestDamagedChangesAreRefused(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		old := drawConfiguration(t, 1)
-		change, err := Compare(old, drawConfiguration(t, 2))
+		change, err := configuration.Compare(old, drawConfiguration(t, 2))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -208,28 +209,28 @@
 			damaged.Removals = damaged.Removals[1:]
 			wanted = fault.Corrupt
 		}
-		if _, err := ApplyChange(old, damaged); !fault.Is(err, wanted) {
+		if _, err := configuration.ApplyChange(old, damaged); !fault.Is(err, wanted) {
 			t.Fatalf("got %v, want %v", err, wanted)
 		}
 	})
 }
 
 func TestDiffNamesFields(t *testing.T) {
-	before, problems := Parse("before", []byte(base))
+	before, problems := configuration.Parse("before", []byte(base))
 	if len(problems) > 0 {
 		t.Fatal(problems)
 	}
 	text := strings.Replace(base, "tokens_per_second: 5", "tokens_per_second: 6", 1)
 	text = strings.Replace(text, "timeout: 2s", "timeout: 3s", 1)
 	text = strings.Replace(text, "- name: engine-1", "- name: engine-2", 1)
-	after, problems := Parse("after", []byte(text))
+	after, problems := configuration.Parse("after", []byte(text))
 	if len(problems) > 0 {
 		t.Fatal(problems)
 	}
-	old, _ := NewIndex(before)
-	new, _ := NewIndex(after)
+	old, _ := configuration.NewIndex(before)
+	new, _ := configuration.NewIndex(after)
 	var lines []string
-	for _, difference := range Diff(old, new) {
+	for _, difference := range configuration.Diff(old, new) {
 		lines = append(lines, fmt.Sprint(difference.Kind, " ", difference.Object, " ", difference.Name, " ", difference.Fields))
 	}
 	want := []string{
@@ -263,14 +264,14 @@
 			Serves: []string{fmt.Sprintf("model-%d", i%12)},
 		})
 	}
-	Normalise(fleet)
+	configuration.Normalise(fleet)
 	return fleet
 }
 
 func BenchmarkIndexFromScratch(b *testing.B) {
 	fleet := fleetOfTargetSize()
 	for b.Loop() {
-		if _, err := NewIndex(fleet); err != nil {
+		if _, err := configuration.NewIndex(fleet); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -278,18 +279,18 @@
 
 func BenchmarkApplyChangeOfOneTenant(b *testing.B) {
 	fleet := fleetOfTargetSize()
-	before, err := NewIndex(fleet)
+	before, err := configuration.NewIndex(fleet)
 	if err != nil {
 		b.Fatal(err)
 	}
 	changed := proto.CloneOf(fleet)
 	changed.Number++
 	changed.Tenants[5000].Limits.Concurrency++
-	after, err := NewIndex(changed)
+	after, err := configuration.NewIndex(changed)
 	if err != nil {
 		b.Fatal(err)
 	}
-	change := Between(before, after)
+	change := configuration.Between(before, after)
 	b.ReportMetric(float64(proto.Size(change)), "bytes/change")
 	for b.Loop() {
 		if _, err := before.Apply(change); err != nil {
--- /dev/null
+++ b/internal/configuration/export_test.go
@@ -0,0 +1,4 @@
+package configuration
+
+// Its function that the tests use.
+var SortObjects = sortObjects
--- a/internal/configuration/parse_test.go
+++ b/internal/configuration/parse_test.go
@@ -1,4 +1,4 @@
-package configuration
+package configuration_test
 
 import (
 	"bytes"
@@ -9,6 +9,8 @@
 	"testing"
 
 	"buf.build/go/protoyaml"
+
+	"rockwind.example/rockwind/internal/configuration"
 )
 
 const examplePath = "../../examples/two-groups.yaml"
@@ -18,11 +20,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	parsed, problems := Parse(examplePath, data)
+	parsed, problems := configuration.Parse(examplePath, data)
 	for _, problem := range problems {
 		t.Error(problem)
 	}
-	index, err := NewIndex(parsed)
+	index, err := configuration.NewIndex(parsed)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -104,68 +106,68 @@
 type badFile struct {
 	line    string
 	with    string
-	at      Position
+	at      configuration.Position
 	message string
 }
 
 var badFiles = []badFile{
-	{"number: 3", "number: 0", Position{Line: 1, Column: 9}, "no number"},
-	{"number: 3", "number: -1", Position{Line: 1, Column: 9}, "invalid integer"},
-	{"number: 3", "number: many", Position{Line: 1, Column: 9}, "invalid integer"},
-	{"number: 3", "nmuber: 3\nnumber: 3", Position{Line: 1, Column: 1}, `unknown field "nmuber" of configuration`},
-	{"number: 3", "number: 3\nnumber: 4", Position{Line: 2, Column: 1}, "given twice"},
-	{"number: 3", "number: &n 3", Position{Line: 1, Column: 9}, "anchors and aliases"},
-	{"number: 3", "number: 3\n---", Position{Line: 2, Column: 1}, "more than one YAML document"},
-	{"number: 3", "number: 3\x00", Position{Line: 1, Column: 10}, "control character"},
-	{"number: 3", "number: 3 # \x9b\xff", Position{Line: 1, Column: 13}, "not UTF-8"},
-	{"number: 3", "number: 3 # \u2028", Position{Line: 1, Column: 13}, "line separator"},
-	{"number: 3", ": : 3", Position{Line: 1, Column: 1}, "not YAML"},
-	{"number: 3", "number: [3", Position{Line: 1, Column: 1}, "not YAML"},
-	{"    share: 1", "    share: 0", Position{Line: 4, Column: 12}, "the share"},
-	{"    share: 1", "    share: -2", Position{Line: 4, Column: 12}, "the share"},
-	{"    share: 1", "    share: .nan", Position{Line: 4, Column: 12}, "invalid float"},
-	{"    share: 1", "    share: nan", Position{Line: 4, Column: 12}, "the share"},
-	{"    share: 1", "    share: inf", Position{Line: 4, Column: 12}, "the share"},
-	{"    share: 1", "    #", Position{Line: 3, Column: 5}, "the share"},
-	{"    objective: latency", "    objective: speed", Position{Line: 5, Column: 16}, "unknown enum value"},
-	{"    objective: latency", "    objective: 77", Position{Line: 5, Column: 16}, "objective 77"},
-	{"  - name: two", "  - name: one", Position{Line: 13, Column: 11}, `two tenant entries named "one"`},
-	{"  - name: two", "  - name: ''", Position{Line: 13, Column: 11}, "is missing"},
-	{"  - name: two", "  - name: t:wo", Position{Line: 13, Column: 11}, "not allowed"},
-	{"    group: alpha", "    group: beta", Position{Line: 8, Column: 12}, `group "beta", which does not exist`},
-	{"      - bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb", "      - aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa", Position{Line: 16, Column: 9}, `belongs to tenant "one"`},
-	{"      - bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb", "      - bbbb", Position{Line: 16, Column: 9}, "not a SHA-256"},
-	{"      - bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb", "      - BBBBbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb", Position{Line: 16, Column: 9}, "not a SHA-256"},
-	{"      tokens_per_second: 5", "      tokens_per_second: -5", Position{Line: 12, Column: 26}, "the limit"},
-	{"        weight: 1", "        weight: 0", Position{Line: 20, Column: 7}, "all versions have weight 0"},
-	{"      - name: v1", "      - name: v1\n        weight: 1\n      - name: v1", Position{Line: 22, Column: 15}, "two version entries"},
-	{"    timeout: 2s", "    timeout: 2 parsecs", Position{Line: 25, Column: 14}, "unit"},
-	{"    timeout: 2s", "    timeout: 2", Position{Line: 25, Column: 14}, "duration"},
-	{"    timeout: 2s", "    timeout: -2s", Position{Line: 25, Column: 14}, "the timeout"},
-	{"    tries: 3", "    tries: 0", Position{Line: 31, Column: 12}, "0 tries"},
-	{"    tries: 3", "    # no tries", Position{Line: 30, Column: 5}, "0 tries"},
-	{"    deadline: 10h", "    deadline: 0s", Position{Line: 32, Column: 15}, "the deadline"},
-	{"    deadline: 10h", "    deadline: 99999999h", Position{Line: 32, Column: 15}, "the deadline"},
-	{"    weight: 2", "    weight: 0", Position{Line: 33, Column: 13}, "the weight"},
-	{"  retry_ratio: 0.1", "  retry_ratio: 1.5", Position{Line: 35, Column: 16}, "retry ratio"},
-	{"  retry_ratio: 0.1", "  retry_ratio: 0", Position{Line: 35, Column: 16}, "retry ratio"},
-	{"    address: 127.0.0.1:8000", "    address: localhost:8000", Position{Line: 40, Column: 14}, "cannot be used"},
-	{"    address: 127.0.0.1:8000", "    address: 127.0.0.1:0", Position{Line: 40, Column: 14}, "cannot be used"},
-	{"    address: 127.0.0.1:8000", "    address: 0.0.0.0:80", Position{Line: 40, Column: 14}, "cannot be used"},
-	{"    address: 127.0.0.1:8001", "    address: 127.0.0.1:8000", Position{Line: 46, Column: 14}, `back end "engine-1" has this address`},
-	{"    address: 127.0.0.1:8001", "    address: '[::ffff:127.0.0.1]:8000'", Position{Line: 46, Column: 14}, "has this address"},
-	{"    kind: engine", "    kind: toaster", Position{Line: 39, Column: 11}, "unknown enum value"},
-	{"    kind: engine", "    #", Position{Line: 38, Column: 5}, "no known kind"},
-	{"    zone: north", "    zone: ''", Position{Line: 41, Column: 11}, "the zone"},
-	{"      - small", "      - large", Position{Line: 43, Column: 9}, `model "large", which does not exist`},
-	{"      - small", "      - small\n      - small", Position{Line: 44, Column: 9}, "listed twice"},
-	{"      - lookup", "      - lockup", Position{Line: 49, Column: 9}, `service "lockup", which does not exist`},
-	{"    version: current", "    version: old", Position{Line: 50, Column: 14}, `no version "old"`},
-	{"    version: current", "    #", Position{Line: 44, Column: 5}, `no version ""`},
+	{"number: 3", "number: 0", configuration.Position{Line: 1, Column: 9}, "no number"},
+	{"number: 3", "number: -1", configuration.Position{Line: 1, Column: 9}, "invalid integer"},
+	{"number: 3", "number: many", configuration.Position{Line: 1, Column: 9}, "invalid integer"},
+	{"number: 3", "nmuber: 3\nnumber: 3", configuration.Position{Line: 1, Column: 1}, `unknown field "nmuber" of configuration`},
+	{"number: 3", "number: 3\nnumber: 4", configuration.Position{Line: 2, Column: 1}, "given twice"},
+	{"number: 3", "number: &n 3", configuration.Position{Line: 1, Column: 9}, "anchors and aliases"},
+	{"number: 3", "number: 3\n---", configuration.Position{Line: 2, Column: 1}, "more than one YAML document"},
+	{"number: 3", "number: 3\x00", configuration.Position{Line: 1, Column: 10}, "control character"},
+	{"number: 3", "number: 3 # \x9b\xff", configuration.Position{Line: 1, Column: 13}, "not UTF-8"},
+	{"number: 3", "number: 3 # \u2028", configuration.Position{Line: 1, Column: 13}, "line separator"},
+	{"number: 3", ": : 3", configuration.Position{Line: 1, Column: 1}, "not YAML"},
+	{"number: 3", "number: [3", configuration.Position{Line: 1, Column: 1}, "not YAML"},
+	{"    share: 1", "    share: 0", configuration.Position{Line: 4, Column: 12}, "the share"},
+	{"    share: 1", "    share: -2", configuration.Position{Line: 4, Column: 12}, "the share"},
+	{"    share: 1", "    share: .nan", configuration.Position{Line: 4, Column: 12}, "invalid float"},
+	{"    share: 1", "    share: nan", configuration.Position{Line: 4, Column: 12}, "the share"},
+	{"    share: 1", "    share: inf", configuration.Position{Line: 4, Column: 12}, "the share"},
+	{"    share: 1", "    #", configuration.Position{Line: 3, Column: 5}, "the share"},
+	{"    objective: latency", "    objective: speed", configuration.Position{Line: 5, Column: 16}, "unknown enum value"},
+	{"    objective: latency", "    objective: 77", configuration.Position{Line: 5, Column: 16}, "objective 77"},
+	{"  - name: two", "  - name: one", configuration.Position{Line: 13, Column: 11}, `two tenant entries named "one"`},
+	{"  - name: two", "  - name: ''", configuration.Position{Line: 13, Column: 11}, "is missing"},
+	{"  - name: two", "  - name: t:wo", configuration.Position{Line: 13, Column: 11}, "not allowed"},
+	{"    group: alpha", "    group: beta", configuration.Position{Line: 8, Column: 12}, `group "beta", which does not exist`},
+	{"      - bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb", "      - aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa", configuration.Position{Line: 16, Column: 9}, `belongs to tenant "one"`},
+	{"      - bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb", "      - bbbb", configuration.Position{Line: 16, Column: 9}, "not a SHA-256"},
+	{"      - bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb", "      - BBBBbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb", configuration.Position{Line: 16, Column: 9}, "not a SHA-256"},
+	{"      tokens_per_second: 5", "      tokens_per_second: -5", configuration.Position{Line: 12, Column: 26}, "the limit"},
+	{"        weight: 1", "        weight: 0", configuration.Position{Line: 20, Column: 7}, "all versions have weight 0"},
+	{"      - name: v1", "      - name: v1\n        weight: 1\n      - name: v1", configuration.Position{Line: 22, Column: 15}, "two version entries"},
+	{"    timeout: 2s", "    timeout: 2 parsecs", configuration.Position{Line: 25, Column: 14}, "unit"},
+	{"    timeout: 2s", "    timeout: 2", configuration.Position{Line: 25, Column: 14}, "duration"},
+	{"    timeout: 2s", "    timeout: -2s", configuration.Position{Line: 25, Column: 14}, "the timeout"},
+	{"    tries: 3", "    tries: 0", configuration.Position{Line: 31, Column: 12}, "0 tries"},
+	{"    tries: 3", "    # no tries", configuration.Position{Line: 30, Column: 5}, "0 tries"},
+	{"    deadline: 10h", "    deadline: 0s", configuration.Position{Line: 32, Column: 15}, "the deadline"},
+	{"    deadline: 10h", "    deadline: 99999999h", configuration.Position{Line: 32, Column: 15}, "the deadline"},
+	{"    weight: 2", "    weight: 0", configuration.Position{Line: 33, Column: 13}, "the weight"},
+	{"  retry_ratio: 0.1", "  retry_ratio: 1.5", configuration.Position{Line: 35, Column: 16}, "retry ratio"},
+	{"  retry_ratio: 0.1", "  retry_ratio: 0", configuration.Position{Line: 35, Column: 16}, "retry ratio"},
+	{"    address: 127.0.0.1:8000", "    address: localhost:8000", configuration.Position{Line: 40, Column: 14}, "cannot be used"},
+	{"    address: 127.0.0.1:8000", "    address: 127.0.0.1:0", configuration.Position{Line: 40, Column: 14}, "cannot be used"},
+	{"    address: 127.0.0.1:8000", "    address: 0.0.0.0:80", configuration.Position{Line: 40, Column: 14}, "cannot be used"},
+	{"    address: 127.0.0.1:8001", "    address: 127.0.0.1:8000", configuration.Position{Line: 46, Column: 14}, `back end "engine-1" has this address`},
+	{"    address: 127.0.0.1:8001", "    address: '[::ffff:127.0.0.1]:8000'", configuration.Position{Line: 46, Column: 14}, "has this address"},
+	{"    kind: engine", "    kind: toaster", configuration.Position{Line: 39, Column: 11}, "unknown enum value"},
+	{"    kind: engine", "    #", configuration.Position{Line: 38, Column: 5}, "no known kind"},
+	{"    zone: north", "    zone: ''", configuration.Position{Line: 41, Column: 11}, "the zone"},
+	{"      - small", "      - large", configuration.Position{Line: 43, Column: 9}, `model "large", which does not exist`},
+	{"      - small", "      - small\n      - small", configuration.Position{Line: 44, Column: 9}, "listed twice"},
+	{"      - lookup", "      - lockup", configuration.Position{Line: 49, Column: 9}, `service "lockup", which does not exist`},
+	{"    version: current", "    version: old", configuration.Position{Line: 50, Column: 14}, `no version "old"`},
+	{"    version: current", "    #", configuration.Position{Line: 44, Column: 5}, `no version ""`},
 }
 
 func TestBadFilesAreRefusedWithPosition(t *testing.T) {
-	if _, problems := Parse("base", []byte(base)); len(problems) > 0 {
+	if _, problems := configuration.Parse("base", []byte(base)); len(problems) > 0 {
 		t.Fatalf("the unbroken file is refused: %v", problems)
 	}
 	for _, bad := range badFiles {
@@ -174,7 +176,7 @@
 			if text == base {
 				t.Fatalf("the file has no line %q", bad.line)
 			}
-			parsed, problems := Parse("bad.yaml", []byte(text))
+			parsed, problems := configuration.Parse("bad.yaml", []byte(text))
 			if parsed != nil || len(problems) != 1 {
 				t.Fatalf("got configuration %v and problems %v, want one problem", parsed, problems)
 			}
@@ -202,7 +204,7 @@
 		text = strings.Replace(text, edit[0], edit[1], 1)
 		broken++
 	}
-	_, problems := Parse("bad.yaml", []byte(text))
+	_, problems := configuration.Parse("bad.yaml", []byte(text))
 	if len(problems) != broken {
 		t.Errorf("got %d problems, want %d: %v", len(problems), broken, problems)
 	}
@@ -247,8 +249,8 @@
 func TestNoiseIsRefusedWithFewProblems(t *testing.T) {
 	for name, noise := range noises() {
 		t.Run(name, func(t *testing.T) {
-			parsed, problems := Parse("noise", noise)
-			if parsed != nil || len(problems) == 0 || len(problems) > MaximumListed+1 {
+			parsed, problems := configuration.Parse("noise", noise)
+			if parsed != nil || len(problems) == 0 || len(problems) > configuration.MaximumListed+1 {
 				t.Errorf("got configuration %v and %d problems", parsed, len(problems))
 			}
 			for _, problem := range problems {
@@ -258,8 +260,8 @@
 			}
 		})
 	}
-	oversize := bytes.Repeat([]byte("# c\n"), MaximumFileBytes/4+1)
-	if _, problems := Parse("large", oversize); len(problems) != 1 {
+	oversize := bytes.Repeat([]byte("# c\n"), configuration.MaximumFileBytes/4+1)
+	if _, problems := configuration.Parse("large", oversize); len(problems) != 1 {
 		t.Errorf("got problems %v", problems)
 	}
 }
@@ -275,7 +277,7 @@
 		f.Add(data)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		parsed, problems := Parse("fuzz", data)
+		parsed, problems := configuration.Parse("fuzz", data)
 		if (parsed == nil) == (len(problems) == 0) {
 			t.Fatalf("configuration %v with problems %v", parsed, problems)
 		}
@@ -286,12 +288,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		again, problems := Parse("again", text)
+		again, problems := configuration.Parse("again", text)
 		if len(problems) > 0 {
 			t.Fatalf("refused when written out: %v\n%s", problems, text)
 		}
-		first, _ := Digest(parsed)
-		second, _ := Digest(again)
+		first, _ := configuration.Digest(parsed)
+		second, _ := configuration.Digest(again)
 		if !bytes.Equal(first, second) {
 			t.Fatalf("changed when written out:\n%s", text)
 		}
--- a/internal/configuration/seed_test.go
+++ b/internal/configuration/seed_test.go
@@ -1,4 +1,4 @@
-package configuration
+package configuration_test
 
 import (
 	"flag"
--- a/internal/configuration/tenants_test.go
+++ b/internal/configuration/tenants_test.go
@@ -1,4 +1,4 @@
-package configuration
+package configuration_test
 
 import (
 	"fmt"
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -29,7 +30,7 @@
 				place := rapid.IntRange(0, len(whole.Tenants)-1).Draw(t, "place")
 				alter(t, whole, place)
 			}
-			next, err := current.Apply(Between(current, mustIndex(t, whole)))
+			next, err := current.Apply(configuration.Between(current, mustIndex(t, whole)))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -62,7 +63,7 @@
 	}
 }
 
-func assertTenants(t *rapid.T, index *Index) {
+func assertTenants(t *rapid.T, index *configuration.Index) {
 	fresh := mustIndex(t, index.Configuration())
 	for number := range manyTenants {
 		name := fmt.Sprintf("t%04d", number)
@@ -72,7 +73,7 @@
 		}
 	}
 	for key := range 2*manyTenants + 1 {
-		var hash Hash
+		var hash configuration.Hash
 		hash[len(hash)-1], hash[len(hash)-2] = byte(key), byte(key>>8)
 		got, _ := index.TenantByKeyHash(hash)
 		want, _ := fresh.TenantByKeyHash(hash)
--- a/internal/control/compress_test.go
+++ b/internal/control/compress_test.go
@@ -1,4 +1,4 @@
-package control
+package control_test
 
 import (
 	"context"
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"rockwind.example/rockwind/internal/bench/wire"
+	"rockwind.example/rockwind/internal/control"
 	"rockwind.example/rockwind/internal/controlclient"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
@@ -36,7 +37,7 @@
 		})
 	}
 	router := chi.NewRouter()
-	mountCompressed(router, rockwindpb.NewFleetServiceServer(answeringFleet{answer: answer}))
+	control.MountCompressed(router, rockwindpb.NewFleetServiceServer(answeringFleet{answer: answer}))
 	server := httptest.NewServer(router)
 	defer server.Close()
 	var counter wire.Counter
--- /dev/null
+++ b/internal/control/exchange/export_test.go
@@ -0,0 +1,4 @@
+package exchange
+
+// Its figure that the tests use.
+const LeavingFor = leavingFor
--- a/internal/control/exchange/leaving_test.go
+++ b/internal/control/exchange/leaving_test.go
@@ -1,15 +1,16 @@
-package exchange
+package exchange_test
 
 import (
 	"slices"
 	"testing"
 	"time"
 
+	"rockwind.example/rockwind/internal/control/exchange"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
 func TestLeavingServersAreNamedToAllZonesAndMachinesWhileGatewaysNameThem(t *testing.T) {
-	first, second := NewBoard("one", 1), NewBoard("two", 2)
+	first, second := exchange.NewBoard("one", 1), exchange.NewBoard("two", 2)
 	now := time.Unix(1000, 0)
 	first.Exchange(now, &rockwindpb.ExchangeRequest{Gateway: "a", Zone: "x", Leaving: []string{"engine-7"}})
 	if !first.TakeNews() || first.TakeNews() {
@@ -24,7 +25,7 @@
 	if !slices.Equal(answer.GetLeaving(), []string{"engine-7"}) {
 		t.Fatalf("another machine names %v", answer.GetLeaving())
 	}
-	later := now.Add(leavingFor)
+	later := now.Add(exchange.LeavingFor)
 	second.Learn(later, first.Aggregates(later))
 	answer = second.Exchange(later, &rockwindpb.ExchangeRequest{Gateway: "b", Zone: "y"})
 	if len(answer.GetLeaving()) != 0 {
--- /dev/null
+++ b/internal/control/export_test.go
@@ -0,0 +1,7 @@
+package control
+
+// Its functions that the tests use.
+var (
+	MountCompressed = mountCompressed
+	RetainAt        = retainAt
+)
--- a/internal/control/retention_test.go
+++ b/internal/control/retention_test.go
@@ -1,10 +1,11 @@
-package control
+package control_test
 
 import (
 	"context"
 	"testing"
 	"testing/synctest"
 
+	"rockwind.example/rockwind/internal/control"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -32,7 +33,7 @@
 func TestSilentMachineKeepsNoOtherFromRemoving(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		other := &reachedSegments{}
-		retainAt(t.Context(), []rockwindpb.SegmentService{silentSegments{}, other}, &rockwindpb.RetainSegmentsRequest{})
+		control.RetainAt(t.Context(), []rockwindpb.SegmentService{silentSegments{}, other}, &rockwindpb.RetainSegmentsRequest{})
 		if !other.reached {
 			t.Fatal("the report did not reach the machine after the silent one")
 		}
--- a/internal/decision/decision_test.go
+++ b/internal/decision/decision_test.go
@@ -1,4 +1,4 @@
-package decision
+package decision_test
 
 import (
 	"strconv"
@@ -9,30 +9,32 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
+
+	"rockwind.example/rockwind/internal/decision"
 )
 
-func recorder() (*Recorder, *memory.Handler, *time.Time) {
+func recorder() (*decision.Recorder, *memory.Handler, *time.Time) {
 	handler := memory.New()
 	now := time.UnixMilli(1)
-	return NewRecorder(&log.Logger{Handler: handler, Level: log.InfoLevel}, func() time.Time { return now }), handler, &now
+	return decision.NewRecorder(&log.Logger{Handler: handler, Level: log.InfoLevel}, func() time.Time { return now }), handler, &now
 }
 
 func TestBudgetBoundsTheLinesOfAKindAndCountsWhatIsLeftOut(t *testing.T) {
 	r, handler, now := recorder()
-	for range 10 * burst {
-		r.Record(RequestRefused, "a", nil)
+	for range 10 * decision.Burst {
+		r.Record(decision.RequestRefused, "a", nil)
 	}
-	if len(handler.Entries) != burst {
+	if len(handler.Entries) != decision.Burst {
 		t.Fatalf("%d lines at once", len(handler.Entries))
 	}
-	r.Record(JobTaken, "b", nil)
-	if len(handler.Entries) != burst+1 {
+	r.Record(decision.JobTaken, "b", nil)
+	if len(handler.Entries) != decision.Burst+1 {
 		t.Fatal("one kind uses up the budget of another")
 	}
 	*now = now.Add(time.Second)
-	r.Record(RequestRefused, "a", nil)
+	r.Record(decision.RequestRefused, "a", nil)
 	last := handler.Entries[len(handler.Entries)-1]
-	if omitted := last.Fields["omitted_before"]; omitted != uint64(9*burst) {
+	if omitted := last.Fields["omitted_before"]; omitted != uint64(9*decision.Burst) {
 		t.Fatalf("%v lines are said to be left out", omitted)
 	}
 }
@@ -42,16 +44,16 @@
 	for i := range 1000 {
 		id := strconv.Itoa(i)
 		before := len(handler.Entries)
-		r.Record(RequestFinished, id, nil)
-		r.Record(ItemStarted, id, nil)
+		r.Record(decision.RequestFinished, id, nil)
+		r.Record(decision.ItemStarted, id, nil)
 		written := len(handler.Entries) - before
 		if written != 0 && written != 2 {
 			t.Fatalf("%d of 2 lines of request %s are written", written, id)
 		}
-		if (written == 2) != Sampled(id) {
+		if (written == 2) != decision.Sampled(id) {
 			t.Fatalf("request %s is not written as Sampled says", id)
 		}
-		r.Record(RequestRefused, id, nil)
+		r.Record(decision.RequestRefused, id, nil)
 		if len(handler.Entries)-before != written+1 {
 			t.Fatalf("the refusal of request %s is not written", id)
 		}
@@ -81,8 +83,8 @@
 
 func TestBlockedOutputNeverBlocksWritersAndDropsAreTold(t *testing.T) {
 	target := &stuck{release: make(chan struct{})}
-	stream := NewStream(target)
-	const lines = 3 * streamLines
+	stream := decision.NewStream(target)
+	const lines = 3 * decision.StreamLines
 	for range lines {
 		if n, err := stream.Write([]byte("line\n")); n != 5 || err != nil {
 			t.Fatal(n, err)
@@ -90,7 +92,7 @@
 	}
 	dropped := stream.Dropped()
 	// One line may be in the hands of the goroutine that is blocked.
-	if dropped < lines-streamLines-1 || dropped > lines-streamLines {
+	if dropped < lines-decision.StreamLines-1 || dropped > lines-decision.StreamLines {
 		t.Fatalf("%d lines dropped", dropped)
 	}
 	close(target.release)
--- /dev/null
+++ b/internal/decision/export_test.go
@@ -0,0 +1,7 @@
+package decision
+
+// Its figures that the tests use.
+const (
+	Burst       = burst
+	StreamLines = streamLines
+)
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -1,4 +1,4 @@
-package directory
+package directory_test
 
 import (
 	"fmt"
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -38,13 +39,13 @@
 	}}
 }
 
-func state(d *Directory, id string) rockwindpb.ServerState {
+func state(d *directory.Directory, id string) rockwindpb.ServerState {
 	server, _ := d.View().Server(id)
 	return server.GetState()
 }
 
 func TestLateReportsReviveNobody(t *testing.T) {
-	d := New()
+	d := directory.New()
 	d.Apply(report("a", "x", ready, 3))
 	d.Apply(report("a", "x", draining, 4))
 	d.Apply(report("a", "x", ready, 3))
@@ -65,7 +66,7 @@
 }
 
 func TestNewIncarnationTakesTheAddress(t *testing.T) {
-	d := New()
+	d := directory.New()
 	d.Apply(report("old", "x", ready, 9))
 	d.Apply(report("new", "x", ready, 1))
 	if state(d, "old") != gone || state(d, "new") != ready {
@@ -74,7 +75,7 @@
 }
 
 func TestSilentServerIsBackWithItsNextReport(t *testing.T) {
-	d := New()
+	d := directory.New()
 	d.Apply(report("a", "x", ready, 1))
 	d.Apply(report("b", "y", draining, 1))
 	d.Apply(silence("a", "b"))
@@ -88,7 +89,7 @@
 }
 
 func TestRetiringLastsOverAnnouncements(t *testing.T) {
-	d := New()
+	d := directory.New()
 	d.Apply(announce("s", rockwindpb.SiteRole_SITE_ROLE_STORE, 1, 0))
 	d.Apply(&rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Retire{Retire: &rockwindpb.RetireMachine{Name: "s"}}})
 	d.Apply(announce("s", rockwindpb.SiteRole_SITE_ROLE_STORE, 2, 0))
@@ -98,16 +99,16 @@
 }
 
 func TestStoresAreFoundedOnceWithAllThatAppeared(t *testing.T) {
-	d := New()
+	d := directory.New()
 	role := rockwindpb.SiteRole_SITE_ROLE_STORE
 	start := time.UnixMilli(10_000)
 	for i := range 3 {
 		d.Apply(announce(fmt.Sprintf("s%d", i), role, uint64(i+1), start.UnixMilli()))
-		if PlanStores(d.View(), 3, start.Add(foundingSettle-time.Millisecond)) != nil {
+		if directory.PlanStores(d.View(), 3, start.Add(directory.FoundingSettle-time.Millisecond)) != nil {
 			t.Fatal("founded before the stores have settled")
 		}
 	}
-	founding := PlanStores(d.View(), 3, start.Add(foundingSettle))
+	founding := directory.PlanStores(d.View(), 3, start.Add(directory.FoundingSettle))
 	if len(founding.GetGroups()) != 3 {
 		t.Fatalf("%v", founding)
 	}
@@ -116,7 +117,7 @@
 			t.Fatalf("%v", group)
 		}
 	}
-	if !proto.Equal(founding, PlanStores(d.View(), 3, start.Add(time.Hour))) {
+	if !proto.Equal(founding, directory.PlanStores(d.View(), 3, start.Add(time.Hour))) {
 		t.Fatal("the same stores make another cluster")
 	}
 	found := &rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_FoundStores{FoundStores: founding}}
@@ -127,19 +128,19 @@
 	if got := d.View().StoreCluster().GetClusterId(); got != founding.GetClusterId() {
 		t.Fatalf("a second founding made %s", got)
 	}
-	if PlanStores(d.View(), 3, start.Add(time.Hour)) != nil {
+	if directory.PlanStores(d.View(), 3, start.Add(time.Hour)) != nil {
 		t.Fatal("founded twice")
 	}
 }
 
 func TestTooFewStoresAreWaitedForOnlySoLong(t *testing.T) {
-	d := New()
+	d := directory.New()
 	start := time.UnixMilli(10_000)
 	d.Apply(announce("s0", rockwindpb.SiteRole_SITE_ROLE_STORE, 1, start.UnixMilli()))
-	if PlanStores(d.View(), 3, start.Add(foundingPatience-time.Millisecond)) != nil {
+	if directory.PlanStores(d.View(), 3, start.Add(directory.FoundingPatience-time.Millisecond)) != nil {
 		t.Fatal("founded with one store of three at once")
 	}
-	if PlanStores(d.View(), 3, start.Add(foundingPatience)) == nil {
+	if directory.PlanStores(d.View(), 3, start.Add(directory.FoundingPatience)) == nil {
 		t.Fatal("never founded")
 	}
 }
@@ -149,8 +150,8 @@
 // revisions. All must hold the same servers.
 func TestWatchersAndReplicasAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		first, second := New(), New()
-		var held *View
+		first, second := directory.New(), directory.New()
+		var held *directory.View
 		now := int64(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += rapid.Int64Range(0, 90_000).Draw(t, "pass")
@@ -180,7 +181,7 @@
 				}
 			}
 			if rapid.Bool().Draw(t, "restart") {
-				restored := New()
+				restored := directory.New()
 				restored.Load(second.Save())
 				second = restored
 			}
@@ -189,7 +190,7 @@
 				if held != nil {
 					revision, cluster = held.Revision(), held.StoreCluster().GetClusterId()
 				}
-				held = Merge(held, first.View().Since(revision, cluster))
+				held = directory.Merge(held, first.View().Since(revision, cluster))
 				same(t, "watcher", held, first.View())
 			}
 			same(t, "replica", second.View(), first.View())
@@ -197,7 +198,7 @@
 	})
 }
 
-func same(t *rapid.T, who string, got, want *View) {
+func same(t *rapid.T, who string, got, want *directory.View) {
 	if got.Revision() != want.Revision() || len(got.Servers()) != len(want.Servers()) {
 		t.Fatalf("the %s is at %d with %d servers, not %d with %d", who, got.Revision(), len(got.Servers()), want.Revision(), len(want.Servers()))
 	}
@@ -211,27 +212,27 @@
 // TestFoundingIsToldOnce: the founding of a large cluster is most of what a watcher would
 // be told at each change.
 func TestFoundingIsToldOnce(t *testing.T) {
-	d := New()
+	d := directory.New()
 	start := time.UnixMilli(10_000)
 	for i := range 3 {
 		d.Apply(announce(fmt.Sprintf("s%d", i), rockwindpb.SiteRole_SITE_ROLE_STORE, uint64(i+1), start.UnixMilli()))
 	}
-	founding := PlanStores(d.View(), 3, start.Add(foundingSettle))
+	founding := directory.PlanStores(d.View(), 3, start.Add(directory.FoundingSettle))
 	d.Apply(&rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_FoundStores{FoundStores: founding}})
-	held := Merge(nil, d.View().Since(0, ""))
+	held := directory.Merge(nil, d.View().Since(0, ""))
 	d.Apply(report("a", "x", ready, 1))
 	news := d.View().Since(held.Revision(), held.StoreCluster().GetClusterId())
 	if news.GetStoreCluster() != nil {
 		t.Error("the founding is told again")
 	}
-	held = Merge(held, news)
+	held = directory.Merge(held, news)
 	if held.StoreCluster().GetClusterId() != founding.GetClusterId() || len(held.Servers()) != 1 {
 		t.Errorf("the watcher holds founding %q and %d servers", held.StoreCluster().GetClusterId(), len(held.Servers()))
 	}
 }
 
 func TestServersThatEndWithoutLeavingAreToldApart(t *testing.T) {
-	d := New()
+	d := directory.New()
 	for _, id := range []string{"left", "drained", "replaced", "silent", "serves"} {
 		d.Apply(report(id, id, ready, 1))
 	}
--- a/internal/directory/ending_test.go
+++ b/internal/directory/ending_test.go
@@ -8,9 +8,6 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
-// silent is the state of a server that was not heard for a while.
-const silent = rockwindpb.ServerState_SERVER_STATE_SILENT
-
 func TestEndingOfAServerWhoseConnectionBrokeOff(t *testing.T) {
 	itself := directory.Identity{Found: "a"}
 	another := directory.Identity{Found: "b", Denied: "a"}
--- /dev/null
+++ b/internal/directory/export_test.go
@@ -0,0 +1,7 @@
+package directory
+
+// Its figures that the tests use.
+const (
+	FoundingPatience = foundingPatience
+	FoundingSettle   = foundingSettle
+)
--- a/internal/directory/incarnations_test.go
+++ b/internal/directory/incarnations_test.go
@@ -12,12 +12,6 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
-const (
-	ready    = rockwindpb.ServerState_SERVER_STATE_READY
-	draining = rockwindpb.ServerState_SERVER_STATE_DRAINING
-	gone     = rockwindpb.ServerState_SERVER_STATE_GONE
-)
-
 func reportOf(id, address string, sequence uint64) *rockwindpb.Server {
 	return &rockwindpb.Server{Id: id, Service: "s", Address: address, State: ready, Sequence: sequence}
 }
--- a/internal/directory/seed_test.go
+++ b/internal/directory/seed_test.go
@@ -1,4 +1,4 @@
-package directory
+package directory_test
 
 import (
 	"flag"
--- /dev/null
+++ b/internal/follower/export_test.go
@@ -0,0 +1,4 @@
+package follower
+
+// Its figure that the tests use.
+const LongestAvoidance = longestAvoidance
--- a/internal/follower/sources_test.go
+++ b/internal/follower/sources_test.go
@@ -1,4 +1,4 @@
-package follower
+package follower_test
 
 import (
 	"context"
@@ -14,6 +14,7 @@
 
 	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/follower"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -89,7 +90,7 @@
 			var accepted atomic.Pointer[configuration.Index]
 			accepted.Store(numbered(t, 1))
 			machines, sources, awkward := stand(kinds, &accepted)
-			following, err := New(Options{
+			following, err := follower.New(follower.Options{
 				Sources: sources, Folder: folder, Log: &log.Logger{Handler: discard.Default}, Random: randomOf(position),
 			})
 			if err != nil {
@@ -105,7 +106,7 @@
 				<-following.Changed()
 			}
 			// Each machine that does not answer may hold it up by one call.
-			limit := DefaultWait + time.Duration(awkward)*(DefaultWait+DefaultGrace)
+			limit := follower.DefaultWait + time.Duration(awkward)*(follower.DefaultWait+follower.DefaultGrace)
 			if took := time.Since(begun); took > limit {
 				t.Fatalf("the change came in force after %s, limit %s", took, limit)
 			}
@@ -131,7 +132,7 @@
 // checkCalls checks that machines that do not answer are asked rarely.
 func checkCalls(t *testing.T, machines []*machine, length time.Duration) {
 	for _, each := range machines {
-		most := 10 + int(length/longestAvoidance)*3
+		most := 10 + int(length/follower.LongestAvoidance)*3
 		if each.behaviour == stranger {
 			most = 2
 		}
@@ -166,7 +167,7 @@
 	folder := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
 		source := slowMachine{accepted: numbered(t, 1), transfer: transfer}
-		following, err := New(Options{
+		following, err := follower.New(follower.Options{
 			Sources: []rockwindpb.ConfigurationService{source, source}, Folder: folder,
 			Log: &log.Logger{Handler: discard.Default}, Random: randomOf(1),
 		})
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -1,4 +1,4 @@
-package limits
+package limits_test
 
 import (
 	"testing"
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/limits"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -15,8 +16,8 @@
 // gateways is a model of gateways that share one tenant's limits.
 type gateways struct {
 	limits   *rockwindpb.Limits
-	limiters []*Limiter
-	running  [][]*Grant
+	limiters []*limits.Limiter
+	running  [][]*limits.Grant
 	now      time.Time
 	started  time.Time
 	admitted int
@@ -33,12 +34,12 @@
 	}
 	g.started = g.now
 	for range rapid.IntRange(1, 4).Draw(t, "gateways") {
-		g.limiters = append(g.limiters, New())
+		g.limiters = append(g.limiters, limits.New())
 	}
 	for _, limiter := range g.limiters {
 		limiter.SetGateways(len(g.limiters))
 	}
-	g.running = make([][]*Grant, len(g.limiters))
+	g.running = make([][]*limits.Grant, len(g.limiters))
 	return g
 }
 
@@ -51,10 +52,10 @@
 		return
 	}
 	refusal := fault.From(err)
-	if refusal.Kind != fault.LimitReached || refusal.Ran != fault.NotRun || refusal.RetryAfter < minimumRetryAfter {
+	if refusal.Kind != fault.LimitReached || refusal.Ran != fault.NotRun || refusal.RetryAfter < limits.MinimumRetryAfter {
 		t.Fatalf("refused with %+v", refusal)
 	}
-	if unlimited(g.limits) {
+	if limits.Unlimited(g.limits) {
 		t.Fatal("refused without limits")
 	}
 }
@@ -105,13 +106,13 @@
 // when nothing else used the limit in between.
 func TestRetryAfterIsEnough(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limits := &rockwindpb.Limits{
+		given := &rockwindpb.Limits{
 			RequestsPerSecond: rapid.Float64Range(0.1, 100).Draw(t, "requests"),
 			TokensPerSecond:   rapid.Float64Range(10, 1000).Draw(t, "tokens"),
 		}
-		limiter, now := New(), time.Unix(1_000_000, 0)
+		limiter, now := limits.New(), time.Unix(1_000_000, 0)
 		for range rapid.IntRange(1, 300).Draw(t, "tries") {
-			grant, err := limiter.Admit(tenantName, limits, now)
+			grant, err := limiter.Admit(tenantName, given, now)
 			if err == nil {
 				grant.Done(rapid.Float64Range(0, 50).Draw(t, "charged"))
 				continue
@@ -119,7 +120,7 @@
 			// One limit may hide the other, so there are two waits at most.
 			for range 2 {
 				now = now.Add(fault.From(err).RetryAfter)
-				if grant, err = limiter.Admit(tenantName, limits, now); err == nil {
+				if grant, err = limiter.Admit(tenantName, given, now); err == nil {
 					grant.Done(0)
 					return
 				}
@@ -131,31 +132,31 @@
 
 // TestRetryAfterAllowsForRounding waits for a level that rounds to just below one.
 func TestRetryAfterAllowsForRounding(t *testing.T) {
-	limits := &rockwindpb.Limits{RequestsPerSecond: 0.1, TokensPerSecond: 16.921875}
-	limiter, now := New(), time.Unix(1_000_000, 0)
-	grant, err := limiter.Admit(tenantName, limits, now)
+	given := &rockwindpb.Limits{RequestsPerSecond: 0.1, TokensPerSecond: 16.921875}
+	limiter, now := limits.New(), time.Unix(1_000_000, 0)
+	grant, err := limiter.Admit(tenantName, given, now)
 	if err != nil {
 		t.Fatal(err)
 	}
 	grant.Done(23.640625)
 	for range 2 {
-		if _, err = limiter.Admit(tenantName, limits, now); err == nil {
+		if _, err = limiter.Admit(tenantName, given, now); err == nil {
 			t.Fatal("admitted above the limits")
 		}
 		now = now.Add(fault.From(err).RetryAfter)
 	}
-	if _, err := limiter.Admit(tenantName, limits, now); err != nil {
+	if _, err := limiter.Admit(tenantName, given, now); err != nil {
 		t.Fatalf("refused after both waits: %v", err)
 	}
 }
 
 func TestAllowancesMoveLimitsToTheTraffic(t *testing.T) {
-	limits := &rockwindpb.Limits{RequestsPerSecond: 10, Concurrency: 10}
-	limiter, now := New(), time.Unix(1_000_000, 0)
+	given := &rockwindpb.Limits{RequestsPerSecond: 10, Concurrency: 10}
+	limiter, now := limits.New(), time.Unix(1_000_000, 0)
 	limiter.SetGateways(10)
 	admit := func(count int) (admitted int) {
 		for range count {
-			if _, err := limiter.Admit(tenantName, limits, now); err == nil {
+			if _, err := limiter.Admit(tenantName, given, now); err == nil {
 				admitted++
 			}
 		}
@@ -177,7 +178,7 @@
 	if admitted := admit(20); admitted != 9 {
 		t.Fatalf("the whole limits admitted %d beside one running", admitted)
 	}
-	now = now.Add(allowanceLife)
+	now = now.Add(limits.AllowanceLife)
 	if admitted := admit(5); admitted != 0 {
 		t.Fatalf("an allowance that is too old admitted %d", admitted)
 	}
--- a/internal/limits/seed_test.go
+++ b/internal/limits/seed_test.go
@@ -1,4 +1,4 @@
-package limits
+package limits_test
 
 import (
 	"flag"
--- /dev/null
+++ b/internal/settings/export_test.go
@@ -0,0 +1,4 @@
+package settings
+
+// Its function that the tests use.
+var Leaves = leaves
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,4 +1,4 @@
-package settings
+package settings_test
 
 import (
 	"os"
@@ -12,6 +12,7 @@
 
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/settings"
 )
 
 const goodGateway = `name: gateway-1
@@ -37,7 +38,7 @@
 	t.Setenv("ROCKWIND_NAME", "gateway-2")
 	t.Setenv("ROCKWIND_EXCHANGE_INTERVAL", "2s")
 	t.Setenv("ROCKWIND_CONTROL", "a=10.0.0.2:7000@zone-a, b=10.0.0.3:7000@zone-b")
-	loaded, err := LoadGateway(write(t, goodGateway), []string{"name=gateway-3", "batch-concurrency=7"})
+	loaded, err := settings.LoadGateway(write(t, goodGateway), []string{"name=gateway-3", "batch-concurrency=7"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -66,7 +67,7 @@
 	}
 	for _, each := range cases {
 		t.Run(each.name, func(t *testing.T) {
-			_, err := LoadGateway(write(t, each.content), each.flags)
+			_, err := settings.LoadGateway(write(t, each.content), each.flags)
 			expectRefusal(t, err, each.expected...)
 		})
 	}
@@ -85,7 +86,7 @@
 }
 
 func TestValuesAreChecked(t *testing.T) {
-	_, err := LoadGateway(write(t, `name: g
+	_, err := settings.LoadGateway(write(t, `name: g
 listen: nowhere
 internal_listen: 10.0.0.11:0
 data_folder: data
@@ -99,37 +100,37 @@
 	expectRefusal(t, err, "settings.yaml:2:", "settings.yaml:3:", "settings.yaml:5:", "settings.yaml:6:", "zone is missing",
 		"missing.pem", "internal_tls has one of certificate_file and key_file", "internal_tls has no ca_file",
 		"control machine 1 has the address", `control machine 2 has the name "a"`)
-	_, err = LoadControl(write(t, "machine: c\nzone: z\nlisten: 10.0.0.9:1\ndata_folder: d\ntick: 2s\ncontrol: [{machine: a, address: \"10.0.0.1:7000\"}]\n"), nil)
+	_, err = settings.LoadControl(write(t, "machine: c\nzone: z\nlisten: 10.0.0.9:1\ndata_folder: d\ntick: 2s\ncontrol: [{machine: a, address: \"10.0.0.1:7000\"}]\n"), nil)
 	expectRefusal(t, err, "settings.yaml:5:", "lacks this one")
-	_, err = LoadControl(filepath.Join(t.TempDir(), "nothing.yaml"), nil)
+	_, err = settings.LoadControl(filepath.Join(t.TempDir(), "nothing.yaml"), nil)
 	expectRefusal(t, err, "cannot be read")
 }
 
 func TestDataFolderHasOneDaemon(t *testing.T) {
 	folder := filepath.Join(t.TempDir(), "new", "data")
-	release, err := OpenDataFolder(folder)
+	release, err := settings.OpenDataFolder(folder)
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, err = OpenDataFolder(folder)
+	_, err = settings.OpenDataFolder(folder)
 	expectRefusal(t, err, "is in use")
 	release()
-	again, err := OpenDataFolder(folder)
+	again, err := settings.OpenDataFolder(folder)
 	if err != nil {
 		t.Fatal(err)
 	}
 	again()
-	_, err = OpenDataFolder(filepath.Join(write(t, "a file"), "data"))
+	_, err = settings.OpenDataFolder(filepath.Join(write(t, "a file"), "data"))
 	expectRefusal(t, err, "can't be made")
 }
 
 func TestListenNamesTheSetting(t *testing.T) {
-	first, err := Listen("listen", "127.0.0.1:0")
+	first, err := settings.Listen("listen", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer first.Close()
-	_, err = Listen("internal_listen", first.Addr().String())
+	_, err = settings.Listen("internal_listen", first.Addr().String())
 	expectRefusal(t, err, "address already in use", "set internal_listen")
 }
 
@@ -154,7 +155,7 @@
 		for _, row := range settingRow.FindAllStringSubmatch(section, -1) {
 			documented[row[1]] = true
 		}
-		for _, path := range leaves(message.ProtoReflect().Descriptor()) {
+		for _, path := range settings.Leaves(message.ProtoReflect().Descriptor()) {
 			if !documented[path.String()] {
 				t.Errorf("docs/OPERATIONS.md lacks %s under %q", path, heading)
 			}
@@ -168,7 +169,7 @@
 
 func TestUnknownGatesOfASiteAreRefused(t *testing.T) {
 	path := write(t, "name: a\nrole: SITE_ROLE_ROUTER\nzone: z\nseeds: [\"127.0.0.1:1\"]\nlisten: \"127.0.0.1:2\"\nready_listen: \"127.0.0.1:3\"\nswitched_off: [pace, peace]\n")
-	_, err := LoadSite(path, nil)
+	_, err := settings.LoadSite(path, nil)
 	if err == nil || !strings.Contains(err.Error(), `"peace"`) || strings.Contains(err.Error(), `"pace"`) {
 		t.Fatalf("got %v", err)
 	}
--- a/internal/sharing/seed_test.go
+++ b/internal/sharing/seed_test.go
@@ -1,4 +1,4 @@
-package sharing
+package sharing_test
 
 import (
 	"flag"
--- a/internal/sharing/sharing_test.go
+++ b/internal/sharing/sharing_test.go
@@ -1,4 +1,4 @@
-package sharing
+package sharing_test
 
 import (
 	"math"
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"rockwind.example/rockwind/internal/sharing"
 )
 
 // TestDebtCoversTheLagOfEveryAnswer holds the debt against an oracle that knows
@@ -14,7 +16,7 @@
 func TestDebtCoversTheLagOfEveryAnswer(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const perToken = 20 * time.Millisecond
-		var pace Pace
+		var pace sharing.Pace
 		now := time.Second
 		pace.Sent(1, 100, now)
 		pace.FirstToken(1, true, now)
@@ -39,18 +41,18 @@
 // nothing more to do.
 func TestReclaimGivesEveryWaitingGroupItsPlaces(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		picker := NewPicker()
+		picker := sharing.NewPicker()
 		names := []string{"a", "b", "c", "d"}[:rapid.IntRange(2, 4).Draw(t, "groups")]
-		groups := make([]GroupRunning, len(names))
-		allowances := make([]GroupAllowance, len(names))
+		groups := make([]sharing.GroupRunning, len(names))
+		allowances := make([]sharing.GroupAllowance, len(names))
 		total := 0.0
 		for index, name := range names {
-			groups[index] = GroupRunning{
+			groups[index] = sharing.GroupRunning{
 				Group:   name,
 				Running: float64(rapid.IntRange(0, 40).Draw(t, "running")),
 				Waiting: rapid.IntRange(0, 40).Draw(t, "waiting"),
 			}
-			allowances[index] = GroupAllowance{Group: name, BatchPart: rapid.Float64Range(0.05, 1).Draw(t, "part")}
+			allowances[index] = sharing.GroupAllowance{Group: name, BatchPart: rapid.Float64Range(0.05, 1).Draw(t, "part")}
 			total += groups[index].Running
 		}
 		picker.SetAllowances(allowances)
@@ -89,9 +91,9 @@
 func TestPickerServesByAllowance(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		part := rapid.Float64Range(0.1, 0.9).Draw(t, "part")
-		picker := NewPicker()
-		picker.SetAllowances([]GroupAllowance{{Group: "a", BatchPart: part}, {Group: "b", BatchPart: 1 - part}})
-		both := []Candidate{{Group: "a", Tenant: "x", Job: "1"}, {Group: "b", Tenant: "y", Job: "2"}}
+		picker := sharing.NewPicker()
+		picker.SetAllowances([]sharing.GroupAllowance{{Group: "a", BatchPart: part}, {Group: "b", BatchPart: 1 - part}})
+		both := []sharing.Candidate{{Group: "a", Tenant: "x", Job: "1"}, {Group: "b", Tenant: "y", Job: "2"}}
 		for range rapid.IntRange(0, 200).Draw(t, "alone") {
 			picker.Charge(&both[0], 1)
 		}
@@ -117,29 +119,29 @@
 // prompts and older reports never give batch more.
 func TestBudgetShrinksWithOnlineLoad(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		policy := DefaultBudgetPolicy(rapid.SampledFrom([]Objective{Throughput, Latency}).Draw(t, "objective"))
+		policy := sharing.DefaultBudgetPolicy(rapid.SampledFrom([]sharing.Objective{sharing.Throughput, sharing.Latency}).Draw(t, "objective"))
 		now := time.Second
-		pace := &Pace{}
-		state := ServerState{Pace: pace, Target: DefaultTarget, Online: float64(rapid.IntRange(0, 70).Draw(t, "online"))}
-		before := BatchBudget(state, policy, now)
+		pace := &sharing.Pace{}
+		state := sharing.ServerState{Pace: pace, Target: sharing.DefaultTarget, Online: float64(rapid.IntRange(0, 70).Draw(t, "online"))}
+		before := sharing.BatchBudget(state, policy, now)
 		if state.Online == 0 && before.Items != policy.MaximumItems {
 			t.Fatalf("an empty server gets %d items", before.Items)
 		}
 		more := state
 		more.Online++
-		if after := BatchBudget(more, policy, now); after.Items > before.Items {
+		if after := sharing.BatchBudget(more, policy, now); after.Items > before.Items {
 			t.Fatalf("one more online request raises the budget from %d to %d", before.Items, after.Items)
 		}
 		pace.Sent(1, rapid.IntRange(1, 8000).Draw(t, "prompt"), now)
-		if after := BatchBudget(more, policy, now); after.Items > before.Items {
+		if after := sharing.BatchBudget(more, policy, now); after.Items > before.Items {
 			t.Fatalf("a prompt raises the budget from %d to %d", before.Items, after.Items)
 		}
-		if late := BatchBudget(more, policy, now+DefaultTarget.FirstToken); late.Items != 0 {
+		if late := sharing.BatchBudget(more, policy, now+sharing.DefaultTarget.FirstToken); late.Items != 0 {
 			t.Fatalf("a request that is late leaves %d items", late.Items)
 		}
 		more.ReportAge = policy.StaleAfter + 1
-		stale := BatchBudget(more, policy, now)
-		if stale.Items > staleItems {
+		stale := sharing.BatchBudget(more, policy, now)
+		if stale.Items > sharing.StaleItems {
 			t.Fatalf("a stale report gives %d items", stale.Items)
 		}
 		// An engine takes the least bound of its items and keeps it while they run.
--- a/internal/sharing/tail_test.go
+++ b/internal/sharing/tail_test.go
@@ -1,4 +1,4 @@
-package sharing
+package sharing_test
 
 import (
 	"slices"
@@ -6,14 +6,16 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"rockwind.example/rockwind/internal/sharing"
 )
 
 // TestTailFollowsTheNewestAnswers holds the estimate against a sort of the
 // answers that it may remember.
 func TestTailFollowsTheNewestAnswers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var tail TailEstimator
-		count := rapid.IntRange(0, 3*tailSamples).Draw(t, "answers")
+		var tail sharing.TailEstimator
+		count := rapid.IntRange(0, 3*sharing.TailSamples).Draw(t, "answers")
 		seed := rapid.Uint64().Draw(t, "seed")
 		var all []time.Duration
 		for range count {
@@ -23,16 +25,16 @@
 			tail.PerToken(sample)
 		}
 		target := tail.Target(0)
-		if target.FirstToken != DefaultTarget.FirstToken {
+		if target.FirstToken != sharing.DefaultTarget.FirstToken {
 			t.Fatalf("a target of %v for first tokens that were never seen", target.FirstToken)
 		}
-		if count < tailMinimum {
+		if count < sharing.TailMinimum {
 			return
 		}
-		estimated := count - (count-tailMinimum)%tailEvery
-		newest := slices.Clone(all[max(0, estimated-tailSamples):estimated])
+		estimated := count - (count-sharing.TailMinimum)%sharing.TailEvery
+		newest := slices.Clone(all[max(0, estimated-sharing.TailSamples):estimated])
 		slices.Sort(newest)
-		if wanted := newest[int(tailQuantile*float64(len(newest)))]; target.PerToken != wanted {
+		if wanted := newest[int(sharing.TailQuantile*float64(len(newest)))]; target.PerToken != wanted {
 			t.Fatalf("the target is %v, the p99 of the newest answers %v", target.PerToken, wanted)
 		}
 		if limited := tail.Target(time.Microsecond); limited.PerToken > time.Microsecond {
@@ -48,11 +50,11 @@
 		const base = 12 * time.Millisecond
 		batch := time.Duration(rapid.IntRange(0, 10).Draw(t, "batch")) * time.Millisecond
 		online := base + time.Duration(rapid.IntRange(0, 8).Draw(t, "online"))*time.Millisecond
-		var pace Pace
+		var pace sharing.Pace
 		now := time.Second
 		pace.Sent(1, 10, now)
 		pace.FirstToken(1, true, now)
-		for range rapid.IntRange(shortAnswer, 100).Draw(t, "tokens") {
+		for range rapid.IntRange(sharing.ShortAnswer, 100).Draw(t, "tokens") {
 			now += online + batch
 			pace.Token(1, 1, time.Second, batch, now)
 		}
--- a/internal/site/nearer_test.go
+++ b/internal/site/nearer_test.go
@@ -1,4 +1,4 @@
-package site
+package site_test
 
 import (
 	"context"
@@ -9,6 +9,7 @@
 
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/site"
 )
 
 func coordinatorAt(address, zone string) *rockwindpb.Machine {
@@ -60,7 +61,7 @@
 // leader, and has not failed.
 func TestWatcherMovesToANearCoordinatorThatHasJustStarted(t *testing.T) {
 	far, near := newFakeCoordinator(1), newFakeCoordinator(1)
-	near.hold.Store(int64(StartHold))
+	near.hold.Store(int64(site.StartHold))
 	nearAddress := near.start(t)
 	far.machines = []*rockwindpb.Machine{coordinatorAt(nearAddress, "here")}
 	near.machines = far.machines
@@ -76,12 +77,12 @@
 	far.machines = []*rockwindpb.Machine{coordinatorAt(nearAddress, "here")}
 	near.machines = far.machines
 	watcher := followFrom(t, "here", far.start(t))
-	watcher.avoid(nearAddress)
+	watcher.Avoid(nearAddress)
 	awaitFirst(t, watcher, nearAddress, 4*time.Second)
 }
 
 // awaitFirst waits until a watcher prefers a coordinator.
-func awaitFirst(t *testing.T, watcher *Watcher, address string, limit time.Duration) {
+func awaitFirst(t *testing.T, watcher *site.Watcher, address string, limit time.Duration) {
 	t.Helper()
 	for deadline := time.Now().Add(limit); len(watcher.Coordinators()) == 0 || watcher.Coordinators()[0] != address; time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
@@ -91,9 +92,9 @@
 }
 
 // followFrom runs a watcher in a zone until the end of the test.
-func followFrom(t *testing.T, zone string, seeds ...string) *Watcher {
+func followFrom(t *testing.T, zone string, seeds ...string) *site.Watcher {
 	t.Helper()
-	watcher, err := NewWatcher(&rockwindpb.SiteSettings{Name: "front", Zone: zone, Seeds: seeds}, &http.Client{Transport: &http.Transport{}}, "")
+	watcher, err := site.NewWatcher(&rockwindpb.SiteSettings{Name: "front", Zone: zone, Seeds: seeds}, &http.Client{Transport: &http.Transport{}}, "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -117,11 +118,11 @@
 	}
 	first := map[string]int{}
 	for i := range processes {
-		watcher, err := NewWatcher(&rockwindpb.SiteSettings{Name: fmt.Sprint("front-", i), Zone: "here"}, http.DefaultClient, "")
+		watcher, err := site.NewWatcher(&rockwindpb.SiteSettings{Name: fmt.Sprint("front-", i), Zone: "here"}, http.DefaultClient, "")
 		if err != nil {
 			t.Fatal(err)
 		}
-		watcher.directory.Store(directory.Merge(nil, response))
+		watcher.SetDirectory(directory.Merge(nil, response))
 		first[watcher.Coordinators()[0]]++
 	}
 	for address, count := range first {
--- a/internal/site/watcher_test.go
+++ b/internal/site/watcher_test.go
@@ -1,4 +1,4 @@
-package site
+package site_test
 
 import (
 	"context"
@@ -11,6 +11,7 @@
 
 	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/site"
 )
 
 // fakeCoordinator answers watches with one state, or hangs.
@@ -147,7 +148,7 @@
 	first.hanging.Store(true)
 	second.hanging.Store(false)
 	// One watch of the silent coordinator, and what follows.
-	awaitNumber(t, watcher, 2, watchWait+watchGrace+time.Second)
+	awaitNumber(t, watcher, 2, site.WatchWait+site.WatchGrace+time.Second)
 }
 
 // TestNewsOfTheSilentCoordinatorIsFetchedElsewhere: the coordinator tells of a newer
@@ -164,7 +165,7 @@
 	time.Sleep(200 * time.Millisecond)
 	first.hanging.Store(true)
 	second.hanging.Store(false)
-	awaitNumber(t, watcher, 2, watchWait+watchGrace+500*time.Millisecond)
+	awaitNumber(t, watcher, 2, site.WatchWait+site.WatchGrace+500*time.Millisecond)
 }
 
 // TestLostCallAtTheCoordinatorThatAnswersIsMadeAgain: a process that starts asks one
@@ -174,7 +175,7 @@
 	only := newFakeCoordinator(1)
 	only.lostCalls.Store(1)
 	watcher := follow(t, only.start(t))
-	awaitNumber(t, watcher, 1, watchWait)
+	awaitNumber(t, watcher, 1, site.WatchWait)
 }
 
 // TestCallThatHangsIsGivenUpThoughItsCoordinatorIsPreferredAnew: the call for a newer
@@ -193,20 +194,20 @@
 		}
 	}
 	awaitCall(1)
-	watcher.follower.Hint(2)
+	watcher.Hint(2)
 	awaitCall(2)
 	only.number.Store(2)
-	watcher.preferNearest()
-	awaitNumber(t, watcher, 2, watchWait)
+	watcher.PreferNearest()
+	awaitNumber(t, watcher, 2, site.WatchWait)
 }
 
 // follow runs a watcher of the given seeds until the end of the test.
-func follow(t *testing.T, seeds ...string) *Watcher {
+func follow(t *testing.T, seeds ...string) *site.Watcher {
 	t.Helper()
 	return followFrom(t, "", seeds...)
 }
 
-func awaitNumber(t *testing.T, watcher *Watcher, number uint64, limit time.Duration) {
+func awaitNumber(t *testing.T, watcher *site.Watcher, number uint64, limit time.Duration) {
 	t.Helper()
 	for deadline := time.Now().Add(limit); watcher.Configuration().Number() != number; time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
@@ -225,5 +226,5 @@
 		seeds = append(seeds, silent.start(t))
 	}
 	seeds = append(seeds, newFakeCoordinator(3).start(t))
-	awaitNumber(t, follow(t, seeds...), 3, 3*(watchWait+watchGrace))
+	awaitNumber(t, follow(t, seeds...), 3, 3*(site.WatchWait+site.WatchGrace))
 }
