--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
-	"runtime"
 	"testing"
 
 	"github.com/apex/log"
@@ -16,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"rockwind.example/rockwind/internal/bench/mutant"
 	"rockwind.example/rockwind/internal/catalog"
 	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/rockwindpb"
@@ -256,44 +256,13 @@
 	rapid.Check(t, func(t *rapid.T) { run(t, hooks{}) })
 }
 
-// verdict takes the place of a test, to learn whether a property fails.
-type verdict struct {
-	*testing.T
-	failed bool
-}
-
-func (v *verdict) Logf(string, ...any)   {}
-func (v *verdict) Errorf(string, ...any) { v.failed = true }
-func (v *verdict) Error(...any)          { v.failed = true }
-func (v *verdict) Fatalf(string, ...any) { v.FailNow() }
-func (v *verdict) Fatal(...any)          { v.FailNow() }
-func (v *verdict) Fail()                 { v.failed = true }
-func (v *verdict) Failed() bool          { return v.failed }
-func (v *verdict) FailNow() {
-	v.failed = true
-	runtime.Goexit()
-}
-
 func TestDefectsAreNoticed(t *testing.T) {
-	const shrinkTime = "rapid.shrinktime"
-	before := flag.Lookup(shrinkTime).Value.String()
-	if err := flag.Set(shrinkTime, "1ns"); err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = flag.Set(shrinkTime, before) }()
 	for name, broken := range map[string]hooks{
 		"accept a lower number": {acceptLower: true},
 		"in force before saved": {forceFirst: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			observed := &verdict{T: t}
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				rapid.Check(observed, func(t *rapid.T) { run(t, broken) })
-			}()
-			<-done
-			if !observed.failed {
+			if !mutant.Noticed(t, func(t *rapid.T) { run(t, broken) }) {
 				t.Error("the property holds for a follower that is broken on purpose")
 			}
 		})
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -6,13 +6,13 @@
 	"fmt"
 	"hash/crc32"
 	"os"
-	"runtime"
 	"slices"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"rockwind.example/rockwind/internal/bench/mutant"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
@@ -363,27 +363,7 @@
 	})
 }
 
-// verdict records whether a property failed, without failing the test.
-type verdict struct {
-	testing.TB
-	failed bool
-}
-
-func (v *verdict) Helper()                {}
-func (v *verdict) Logf(string, ...any)    {}
-func (v *verdict) Log(...any)             {}
-func (v *verdict) Errorf(string, ...any)  { v.failed = true }
-func (v *verdict) Error(...any)           { v.failed = true }
-func (v *verdict) Fail()                  { v.failed = true }
-func (v *verdict) Failed() bool           { return v.failed }
-func (v *verdict) FailNow()               { v.failed = true; runtime.Goexit() }
-func (v *verdict) Fatalf(string, ...any)  { v.FailNow() }
-func (v *verdict) Fatal(arguments ...any) { v.FailNow() }
-
 func TestOracleSeesDefects(t *testing.T) {
-	if err := flag.Set("rapid.shrinktime", "0s"); err != nil {
-		t.Fatal(err)
-	}
 	for name, broken := range map[string]defects{
 		"no fence":             {noFence: true},
 		"unbounded retry":      {unboundedRetry: true},
@@ -392,16 +372,10 @@
 		"blind retry":          {blindRetry: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			seen := &verdict{TB: t}
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				rapid.Check(seen, func(t *rapid.T) {
-					t.Repeat(rapid.StateMachineActions(newSystem(broken)))
-				})
-			}()
-			<-done
-			if !seen.failed {
+			noticed := mutant.Noticed(t, func(t *rapid.T) {
+				t.Repeat(rapid.StateMachineActions(newSystem(broken)))
+			})
+			if !noticed {
 				t.Fatal("the oracle does not see the defect")
 			}
 		})
