Stand-ins, ledger: two doubles of logic become functions

The faults that flags of the engine and of the service give are injected by one function, and the two readers of packed numbers share what they do about a damaged one. No behaviour changes.

--- a/internal/ledger/packing.go
+++ b/internal/ledger/packing.go
@@ -156,24 +156,29 @@
 
 func (p *packedReader) unsigned() uint64 {
 	value, length := binary.Uvarint(p.rest)
-	if length <= 0 {
-		p.failed = true
-		p.rest = nil
+	if !p.pass(length) {
 		return 0
 	}
-	p.rest = p.rest[length:]
 	return value
 }
 
 func (p *packedReader) signed() int64 {
 	value, length := binary.Varint(p.rest)
+	if !p.pass(length) {
+		return 0
+	}
+	return value
+}
+
+// pass goes on behind a number of so many bytes. It fails where there is none.
+func (p *packedReader) pass(length int) bool {
 	if length <= 0 {
 		p.failed = true
 		p.rest = nil
-		return 0
+		return false
 	}
 	p.rest = p.rest[length:]
-	return value
+	return true
 }
 
 func (p *packedReader) small() uint32 {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -221,12 +220,8 @@
 	if err != nil {
 		return err
 	}
-	for _, text := range c.Fault {
-		var order FaultOrder
-		if err := json.Unmarshal([]byte(text), &order); err != nil {
-			return errors.Wrapf(err, "fault %q", text)
-		}
-		server.Inject(order)
+	if err := injectAll(c.Fault, server.Inject); err != nil {
+		return err
 	}
 	serveError := c.serve(server.Handler())
 	return errors.CombineErrors(serveError, server.Close())
--- a/internal/standin/process.go
+++ b/internal/standin/process.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -55,6 +56,18 @@
 	return nil
 }
 
+// injectAll injects the faults that flags give, each as the JSON of POST /fault.
+func injectAll(faults []string, inject func(FaultOrder)) error {
+	for _, text := range faults {
+		var order FaultOrder
+		if err := json.Unmarshal([]byte(text), &order); err != nil {
+			return errors.Wrapf(err, "fault %q", text)
+		}
+		inject(order)
+	}
+	return nil
+}
+
 // announce prints the address as the first line and writes the address file in
 // one rename, so that a reader never sees half of it.
 func (p Process) announce(address string) error {
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"encoding/hex"
-	"encoding/json"
 	"io"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 
 	"rockwind.example/rockwind/internal/engine"
@@ -289,12 +287,8 @@
 	if err != nil {
 		return err
 	}
-	for _, text := range c.Fault {
-		var order FaultOrder
-		if err := json.Unmarshal([]byte(text), &order); err != nil {
-			return errors.Wrapf(err, "fault %q", text)
-		}
-		service.Inject(order)
+	if err := injectAll(c.Fault, service.Inject); err != nil {
+		return err
 	}
 	return c.serve(service.Handler())
 }
