Router: a submission ends also where its body took all the time

Where no more than the margin of 100 ms was left, the stores had no limit at all: since the time counts from the receipt that concerns clients of any deadline, not only those of 100 ms. They have the margin then.

--- a/internal/router/submission.go
+++ b/internal/router/submission.go
@@ -81,13 +81,12 @@
 const answerMargin = 100 * time.Millisecond
 
 // untilDeadline is the context of the submission, which ends before its client gives up: it may
-// go to another router then.
+// go to another router then. The stores have answerMargin at least.
 func (s *submission) untilDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
-	remaining := s.remaining(time.Now())
-	if remaining <= answerMargin {
+	if s.facts.Deadline == 0 {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, remaining-answerMargin)
+	return context.WithTimeout(ctx, max(s.remaining(time.Now())-answerMargin, answerMargin))
 }
 
 // remaining is how long the client still waits, of which the body took a part; zero where it
--- a/internal/router/submission_test.go
+++ b/internal/router/submission_test.go
@@ -17,7 +17,15 @@
 	}
 }
 
-// TestSubmissionOfAClientThatDoesNotSayIsNotLimited.
+// TestSubmissionWhoseBodyTookAllTheTimeEnds: it does not go on for a client that has left.
+func TestSubmissionWhoseBodyTookAllTheTimeEnds(t *testing.T) {
+	const deadline = 2 * time.Second
+	if ends, limited := router.SubmissionEnds(time.Now().Add(-deadline), deadline); !limited || time.Until(ends) > time.Second {
+		t.Errorf("it ends in %v (limited: %v)", time.Until(ends), limited)
+	}
+}
+
+// TestSubmissionOfAClientThatDoesNotSayIsNotLimited, however long ago it was received.
 func TestSubmissionOfAClientThatDoesNotSayIsNotLimited(t *testing.T) {
 	if ends, limited := router.SubmissionEnds(time.Now().Add(-time.Hour), 0); limited {
 		t.Errorf("it ends at %v", ends)
