--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -6,18 +6,14 @@
 	"slices"
 	"time"
 
-	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
 	"rockwind.example/rockwind/internal/backlog"
-	"rockwind.example/rockwind/internal/balance"
-	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
-	"rockwind.example/rockwind/internal/router"
 	"rockwind.example/rockwind/internal/store/claims"
 	"rockwind.example/rockwind/internal/store/output"
 )
@@ -235,87 +231,6 @@
 	e.claims.Cancel(func(key claims.Key) bool { return !e.machine.Runnable(key.Job(), key.Index()) })
 }
 
-// begin starts an item, gives it up or passes it over. It returns false where no
-// server has room for batch work.
-func (e *executor) begin(ctx context.Context, item jobstore.OpenItem, now time.Time) bool {
-	key := claims.NewKey(item.Job, item.Index)
-	known := e.history[key]
-	if known == nil {
-		known = e.newHistory(item)
-		e.history[key] = known
-	}
-	known.noteFailures(item)
-	if now.Before(known.after) {
-		return true
-	}
-	route, standing := e.route(item)
-	known.noteRoute(standing, now)
-	if reason := giveUpReason(item, route, known, now); reason != "" {
-		if claim, made := e.claims.Make(key, func() {}); made {
-			e.finish(itemEnd{claim: claim, outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DEAD, history: known, reason: reason, item: item.Item.GetId()})
-		}
-		return true
-	}
-	if standing != routeFound || e.held(item, known) {
-		return true
-	}
-	facts, err := e.store.protocol.Facts(itemHeader(item))
-	if err != nil {
-		facts = router.Facts{}
-	}
-	running, cancel := context.WithCancelCause(ctx)
-	claim, made := e.claims.Make(key, func() { cancel(nil) })
-	if !made {
-		cancel(nil)
-		return true
-	}
-	active := &activeTry{tenant: item.Tenant, service: router.ServiceOf(route, item.Item.GetId()), route: route, submitted: time.UnixMilli(item.SubmittedUnixMs), began: now, madeBefore: known.made(), cancel: cancel}
-	lease := e.store.dispatcher.TryAcquire(active.service, balance.Demand{Parts: facts.Parts, Batch: true})
-	if lease == nil {
-		cancel(nil)
-		e.claims.Release(claim)
-		return false
-	}
-	active.server, active.choice = lease.ID, lease.Choice
-	e.active[key] = active
-	if !decision.Wanted(decision.ItemStarted, item.Job) {
-		decision.Default.Skip(decision.ItemStarted)
-	} else {
-		decision.Default.Record(decision.ItemStarted, item.Job, log.Fields{
-			"item": item.Index, "item_id": item.Item.GetId(), "server": lease.ID, "load": lease.Load, "slots": lease.Slots, "pace": lease.Slowness(),
-			"failures": known.failures, "after_event": known.output.Last(), "age_ms": now.UnixMilli() - item.SubmittedUnixMs,
-		})
-	}
-	try := &itemTry{store: e.store, item: item, history: known, writer: known.output.Write(known.failures), lease: lease, route: route.GetName(), attempts: max(1, int(route.GetAttempts()))}
-	go func() {
-		end := try.run(running)
-		end.claim, end.item, end.server, end.content = claim, item.Item.GetId(), lease.ID, try.content()
-		cancel(nil)
-		select {
-		case e.ended <- end:
-		case <-ctx.Done():
-		}
-	}()
-	return true
-}
-
-// held tells whether an item must not be started since servers ended under its content. The
-// first time that it is held back by this is written.
-func (e *executor) held(item jobstore.OpenItem, known *history) bool {
-	remaining := e.store.witness.HeldFor(func() fingerprint.Fingerprint { return known.content(item) })
-	if remaining == 0 {
-		known.held = false
-		return false
-	}
-	if !known.held {
-		decision.Default.Record(decision.ItemHeld, item.Job, log.Fields{
-			"item": item.Index, "item_id": item.Item.GetId(), "content": known.content(item).String(), "held_ms": remaining.Milliseconds(),
-		})
-	}
-	known.held = true
-	return true
-}
-
 // finish takes the end of a try.
 func (e *executor) finish(end itemEnd) {
 	if !e.claims.Current(end.claim) {
