A leader whose disk is slow for long hands over

A leader hands an entry out only once its own disk holds it, and what is proposed during a sync waits for its end. With syncs below an election timeout it led on for good, and a write took up to two of them. The core now measures its syncs against those of a quorum, in ticks, and hands over after three in a row that take half a lease and three times as long. It stays where a majority is as slow, and hands over at most once in 30 election timeouts. A hand-over is a decision in the log and the metrics.

--- a/internal/raft/cluster_test.go
+++ b/internal/raft/cluster_test.go
@@ -67,8 +67,10 @@
 	pending *Ready
 	// synced is when the pending Ready is synced, thawed when it runs again.
 	synced, thawed uint64
-	applied        uint64
-	noted          map[uint64]uint64
+	// syncTicks is how long each sync of its disk takes.
+	syncTicks uint64
+	applied   uint64
+	noted     map[uint64]uint64
 }
 
 func newCluster(random *rand.Rand, faults brokenBy) *cluster {
@@ -237,6 +239,9 @@
 		c.flights = append(c.flights, ready.MessagesBeforeSync...)
 		m.pending = &ready
 		m.synced = max(m.synced, c.now)
+		if ready.MustSync {
+			m.synced = max(m.synced, c.now+m.syncTicks)
+		}
 	}
 	if m.pending == nil || m.synced > c.now {
 		return
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -24,6 +24,12 @@
 	confirmedRound uint64
 	leaseStart     uint64
 	reads          []pendingRead
+	// sync is the write of the own log that is under way, and slowSyncs how many in a row were
+	// much slower than those of a quorum.
+	sync      ownSync
+	slowSyncs int
+	// slowDisk tells that the last transfer was for that.
+	slowDisk bool
 }
 
 // sentRound is the tick at which a heartbeat round was made.
@@ -101,6 +107,7 @@
 		return
 	}
 	n.log.committed = index
+	n.noteQuorum()
 	n.answerReads()
 	if n.members.currentIndex() <= index && !isVoter(n.members.current(), n.id) {
 		n.leaveLeadership()
@@ -187,20 +194,22 @@
 	if n.leading.transferTarget != 0 {
 		return ErrTransferring
 	}
-	n.leading.transferTarget = to
-	n.leading.transferElapsed = 0
+	n.beginTransfer(to)
 	n.continueTransfer()
 	return nil
 }
 
+func (n *Node) beginTransfer(to uint64) {
+	n.leading.transferTarget, n.leading.transferElapsed, n.leading.slowDisk = to, 0, false
+}
+
 // continueTransfer tells the target to take over once it holds the whole log.
 func (n *Node) continueTransfer() {
 	target := n.leading.transferTarget
 	if target == 0 || n.leading.progress[target] == nil || n.matchOf(target) != n.log.lastIndex() {
 		return
 	}
-	n.leading.leaseRevoked = true
-	n.sendEarly(&rockwindpb.Message{Kind: rockwindpb.MessageKind_MESSAGE_KIND_TIMEOUT_NOW, To: target})
+	n.orderTakeover(target)
 }
 
 // tickTransfer gives up a transfer after the election timeout. If the target
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -40,6 +40,9 @@
 	// granted holds the answers to this replica's (pre-)votes.
 	granted map[uint64]bool
 	leading *leading
+	// handedOver is the tick at which this replica last gave up leadership for its slow disk,
+	// zero for never.
+	handedOver uint64
 	// round counts the heartbeat rounds that this replica made in any term.
 	round uint64
 
@@ -258,6 +261,7 @@
 		return status
 	}
 	status.TransferTarget = n.leading.transferTarget
+	status.SlowDisk = n.leading.transferTarget != 0 && n.leading.slowDisk
 	for _, member := range membership.GetMembers() {
 		p := n.leading.progress[member.GetId()]
 		status.Progress = append(status.Progress, ProgressStatus{
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -35,6 +35,7 @@
 	n.messages, n.earlyMessages, n.readStates = nil, nil, nil
 	n.storedSoft = ready.SoftState
 	n.outstanding = true
+	n.beginSync(ready.Entries)
 	return ready
 }
 
@@ -50,6 +51,9 @@
 	if n.role == Leader {
 		n.countSelf(n.log.persisted())
 	}
+	if n.role == Leader {
+		n.endSync()
+	}
 }
 
 func (n *Node) softState() SoftState {
--- a/internal/raft/simulation_test.go
+++ b/internal/raft/simulation_test.go
@@ -49,6 +49,7 @@
 	replaceMachine
 	restartOthers
 	restartAll
+	slowDisk
 )
 
 // Menus of events; what stands twice happens more often.
@@ -65,6 +66,8 @@
 	termEvents = []event{cutLink, heal, freeze, delayMessages}
 	// memberEvents replace machines again and again.
 	memberEvents = []event{replaceMachine, loseDisk, restart, cutLink, cutOff, heal, delayMessages}
+	// diskEvents make disks slow for long, so that their leaders hand over.
+	diskEvents = []event{slowDisk, slowDisk, slowDisk, cutLink, cutOff, heal, heal, heal, delayMessages, loseMessages, crash, restart}
 	// restartEvents end many processes at once, while some may be cut off.
 	restartEvents = []event{
 		restartOthers, restartOthers, restartAll, cutOff, cutLink, heal, heal, loseMessages, delayMessages, crash, restart, transfer, replaceMachine,
@@ -117,6 +120,8 @@
 		m.node, m.pending = nil, nil
 	case slowSync:
 		m.synced = c.now + uint64(choose("slow", 3*electionTicks))
+	case slowDisk:
+		m.syncTicks = uint64(choose("sync", electionTicks))
 	case freeze:
 		m.thawed = c.now + uint64(choose("frozen", 3*electionTicks))
 	case cutLink:
@@ -204,7 +209,7 @@
 	c.former = nil
 	c.loss, c.repeat = 0, 0
 	for _, m := range c.machines {
-		m.synced, m.thawed = 0, min(m.thawed, c.now)
+		m.synced, m.syncTicks, m.thawed = 0, 0, min(m.thawed, c.now)
 		c.start(m)
 	}
 	before := uint64(len(c.committed))
@@ -238,7 +243,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
 		choose := func(label string, count int) int { return rapid.IntRange(0, count-1).Draw(t, label) }
-		menus := [][]event{allEvents, allEvents, leaseEvents, answerEvents, termEvents, memberEvents, restartEvents}
+		menus := [][]event{allEvents, allEvents, leaseEvents, answerEvents, termEvents, memberEvents, restartEvents, diskEvents}
 		menu := menus[choose("menu", len(menus))]
 		if err := simulate(random, choose, menu, brokenBy{}); err != nil {
 			t.Fatal(err)
--- a/internal/replica/ready.go
+++ b/internal/replica/ready.go
@@ -1,9 +1,13 @@
 package replica
 
 import (
+	"strconv"
+
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/raft"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/wal"
@@ -79,9 +83,24 @@
 	}
 	o.send(ready.Messages)
 	o.node.Advance(*ready)
+	o.recordSlowDisk()
 	return nil
 }
 
+// recordSlowDisk writes that leadership is handed over since the disk is slow.
+func (o *owner) recordSlowDisk() {
+	status := o.node.Status()
+	if status.SlowDisk == o.slowDisk {
+		return
+	}
+	o.slowDisk = status.SlowDisk
+	if o.slowDisk {
+		decision.Default.Record(decision.LeadershipHandedOver, strconv.FormatUint(uint64(o.id), 10), log.Fields{
+			"reason": "the disk is slow", "term": status.Term, "to": strconv.FormatUint(status.TransferTarget, 16),
+		})
+	}
+}
+
 // send hands messages to the transport. Snapshot messages go beside it, with
 // their data.
 func (o *owner) send(messages []*rockwindpb.Message) {
