Coordinators without a replica of the root group pass calls on

The sixth and later coordinators of a site refused the calls of servers, operators, routers and stores, and the directory did not name them. They now pass calls on to the members of the root group: one hop, at most five members a call, the leader where a member names it, until the caller's deadline while the group has no leader. After a restart they know the members from their disk.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -3,7 +3,8 @@
 // the routers and stores that watch it. Any coordinator takes any call; what
 // changes state is carried to the leader of the root group. A coordinator that
 // does not hear the leader answers that it is unavailable, so that nobody takes
-// an old state for the newest.
+// an old state for the newest. A coordinator without a replica of the root group passes
+// calls on to those that have one.
 package coordinator
 
 import (
@@ -41,7 +42,7 @@
 	// stopTimeout bounds the calls in progress at a planned stop.
 	stopTimeout = 2 * time.Second
 	// rootPlaces is how many coordinators hold a replica of the root group, where
-	// there are so many: one without answers nobody.
+	// there are so many. Others pass calls on.
 	rootPlaces = 5
 )
 
@@ -56,6 +57,8 @@
 	// identifier is nil where addresses can't be asked who is there.
 	identifier site.Identifier
 	identities identities
+	// members is used by a coordinator that is outside; see passOn.
+	members memberOrder
 	// wasCurrent tells that this coordinator was up to date with its leader once since its
 	// start: it has answered from its state.
 	wasCurrent atomic.Bool
@@ -143,7 +146,7 @@
 	} {
 		mux.Handle(server.PathPrefix(), server)
 	}
-	return mux
+	return markPassedOn(mux)
 }
 
 // found makes the seeds a cluster when the site starts for the first time. All
@@ -286,6 +289,11 @@
 // Apply accepts or refuses a whole configuration. See catalog.Service.Submit for
 // its faults.
 func (c *Coordinator) Apply(ctx context.Context, request *rockwindpb.ApplyConfigurationRequest) (*rockwindpb.ApplyConfigurationResponse, error) {
+	if c.outside() {
+		return passOnToLeader(ctx, c, func(ctx context.Context, base string) (*rockwindpb.ApplyConfigurationResponse, error) {
+			return c.configurationAt(base).Apply(ctx, request)
+		})
+	}
 	var response *rockwindpb.ApplyConfigurationResponse
 	err := c.atLeader(ctx, func() (err error) {
 		group, machine, err := c.group()
@@ -295,7 +303,7 @@
 		response, err = catalog.NewService(catalogGroup{group}, machine.catalog, time.Now).Submit(ctx, request)
 		return err
 	}, func(base string) (err error) {
-		response, err = rockwindpb.NewConfigurationServiceProtobufClient(base, c.carrier()).Apply(ctx, request)
+		response, err = c.configurationAt(base).Apply(ctx, request)
 		return err
 	})
 	return response, err
@@ -304,6 +312,11 @@
 // Newest returns a configuration that holds everything accepted before the call.
 func (c *Coordinator) Newest(ctx context.Context) (*rockwindpb.GetConfigurationResponse, error) {
 	request := &rockwindpb.GetConfigurationRequest{Newest: true}
+	if c.outside() {
+		return passOnToLeader(ctx, c, func(ctx context.Context, base string) (*rockwindpb.GetConfigurationResponse, error) {
+			return c.configurationAt(base).Get(ctx, request)
+		})
+	}
 	var response *rockwindpb.GetConfigurationResponse
 	err := c.atLeader(ctx, func() (err error) {
 		group, machine, err := c.group()
@@ -313,7 +326,7 @@
 		response, err = catalog.NewService(catalogGroup{group}, machine.catalog, time.Now).Get(ctx, request)
 		return err
 	}, func(base string) (err error) {
-		response, err = rockwindpb.NewConfigurationServiceProtobufClient(base, c.carrier()).Get(ctx, request)
+		response, err = c.configurationAt(base).Get(ctx, request)
 		return err
 	})
 	return response, err
@@ -321,6 +334,12 @@
 
 // Report takes a server's report. It returns once what is new in it is committed.
 func (c *Coordinator) Report(ctx context.Context, server *rockwindpb.Server) error {
+	if c.outside() {
+		_, err := passOn(ctx, c, func(ctx context.Context, base string) (*rockwindpb.ReportServerResponse, error) {
+			return c.directoryAt(base).Report(ctx, &rockwindpb.ReportServerRequest{Server: server})
+		})
+		return err
+	}
 	_, view, err := c.awaitCurrent(ctx)
 	if err != nil {
 		return err
@@ -343,6 +362,12 @@
 
 // Leave takes a server's leave. It returns once the leave is committed.
 func (c *Coordinator) Leave(ctx context.Context, id string) error {
+	if c.outside() {
+		_, err := passOn(ctx, c, func(ctx context.Context, base string) (*rockwindpb.LeaveServerResponse, error) {
+			return c.directoryAt(base).Leave(ctx, &rockwindpb.LeaveServerRequest{Id: id})
+		})
+		return err
+	}
 	err := c.change(ctx, &rockwindpb.DirectoryCommand{
 		Command: &rockwindpb.DirectoryCommand_Leave{Leave: &rockwindpb.LeaveServerRequest{Id: id}},
 	})
@@ -357,7 +382,7 @@
 	return c.atLeader(ctx, func() error {
 		return c.commit(ctx, command)
 	}, func(base string) error {
-		_, err := rockwindpb.NewDirectoryServiceProtobufClient(base, c.carrier()).Change(ctx, command)
+		_, err := c.directoryAt(base).Change(ctx, command)
 		return err
 	})
 }
--- a/internal/coordinator/keeper.go
+++ b/internal/coordinator/keeper.go
@@ -33,6 +33,13 @@
 func (c *Coordinator) keep(ctx context.Context) {
 	var announced, ledSince time.Time
 	for retry.Pause(ctx, keepInterval) {
+		if c.outside() {
+			ledSince = time.Time{}
+			if now := time.Now(); now.Sub(announced) >= announceInterval && c.announceOutside(ctx) {
+				announced = now
+			}
+			continue
+		}
 		group, view, err := c.current()
 		if err != nil {
 			ledSince = time.Time{}
@@ -58,8 +65,9 @@
 	}
 }
 
-func (c *Coordinator) announce(ctx context.Context, view *directory.View) bool {
-	machine := &rockwindpb.Machine{
+// self is this machine as the directory has it.
+func (c *Coordinator) self() *rockwindpb.Machine {
+	return &rockwindpb.Machine{
 		Name:      c.settings.GetName(),
 		Role:      rockwindpb.SiteRole_SITE_ROLE_COORDINATOR,
 		Zone:      c.settings.GetZone(),
@@ -67,6 +75,23 @@
 		DiskId:    c.host.DiskID(),
 		Bootstrap: c.settings.GetBootstrap(),
 	}
+}
+
+// announceOutside has a member of the root group announce this machine.
+func (c *Coordinator) announceOutside(ctx context.Context) bool {
+	calling, cancel := context.WithTimeout(ctx, keepTimeout)
+	defer cancel()
+	_, err := passOn(calling, c, func(ctx context.Context, base string) (*rockwindpb.AnnounceMachineResponse, error) {
+		return c.directoryAt(base).Announce(ctx, &rockwindpb.AnnounceMachineRequest{Machine: c.self()})
+	})
+	if err != nil {
+		log.WithError(err).Debug("no member of the root group announces this coordinator")
+	}
+	return err == nil
+}
+
+func (c *Coordinator) announce(ctx context.Context, view *directory.View) bool {
+	machine := c.self()
 	c.live.note(machineKey(machine.GetName()), time.Now())
 	if view.KnowsMachine(machine) {
 		return true
--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -20,17 +20,29 @@
 
 // Report implements rockwindpb.QuarantineService. It returns once the report is committed.
 func (s quarantineService) Report(ctx context.Context, request *rockwindpb.ReportQuarantineRequest) (*rockwindpb.ReportQuarantineResponse, error) {
+	if s.coordinator.outside() {
+		response, err := passOn(ctx, s.coordinator, func(ctx context.Context, base string) (*rockwindpb.ReportQuarantineResponse, error) {
+			return s.coordinator.quarantineAt(base).Report(ctx, request)
+		})
+		return response, fault.ToTwirp(err)
+	}
 	err := s.coordinator.atLeader(ctx, func() error {
 		return s.coordinator.commitReport(ctx, request)
 	}, func(base string) error {
-		_, err := rockwindpb.NewQuarantineServiceProtobufClient(base, s.coordinator.carrier()).Report(ctx, request)
+		_, err := s.coordinator.quarantineAt(base).Report(ctx, request)
 		return err
 	})
 	return &rockwindpb.ReportQuarantineResponse{}, fault.ToTwirp(err)
 }
 
 // List implements rockwindpb.QuarantineService.
-func (s quarantineService) List(context.Context, *rockwindpb.ListQuarantineRequest) (*rockwindpb.ListQuarantineResponse, error) {
+func (s quarantineService) List(ctx context.Context, request *rockwindpb.ListQuarantineRequest) (*rockwindpb.ListQuarantineResponse, error) {
+	if s.coordinator.outside() {
+		response, err := passOn(ctx, s.coordinator, func(ctx context.Context, base string) (*rockwindpb.ListQuarantineResponse, error) {
+			return s.coordinator.quarantineAt(base).List(ctx, request)
+		})
+		return response, fault.ToTwirp(err)
+	}
 	_, view, err := s.coordinator.current()
 	if err != nil {
 		return nil, fault.ToTwirp(err)
@@ -40,6 +52,12 @@
 
 // Release implements rockwindpb.QuarantineService.
 func (s quarantineService) Release(ctx context.Context, request *rockwindpb.ReleaseContentRequest) (*rockwindpb.ReleaseContentResponse, error) {
+	if s.coordinator.outside() {
+		response, err := passOn(ctx, s.coordinator, func(ctx context.Context, base string) (*rockwindpb.ReleaseContentResponse, error) {
+			return s.coordinator.quarantineAt(base).Release(ctx, request)
+		})
+		return response, fault.ToTwirp(err)
+	}
 	content, ok := fingerprint.FromBytes(request.GetContent())
 	if !ok {
 		return nil, fault.ToTwirp(fault.Newf(fault.InvalidArgument, "take the content from the list of the quarantine",
@@ -50,7 +68,7 @@
 		response, err = s.coordinator.release(ctx, content)
 		return err
 	}, func(base string) (err error) {
-		response, err = rockwindpb.NewQuarantineServiceProtobufClient(base, s.coordinator.carrier()).Release(ctx, request)
+		response, err = s.coordinator.quarantineAt(base).Release(ctx, request)
 		return err
 	})
 	return response, fault.ToTwirp(err)
--- a/internal/coordinator/retiring.go
+++ b/internal/coordinator/retiring.go
@@ -51,6 +51,12 @@
 // store that is not known, and with fault.Conflict where too few would be left to
 // bear the losses that the site tolerates. It may be repeated.
 func (c *Coordinator) Retire(ctx context.Context, name string) error {
+	if c.outside() {
+		_, err := passOnToLeader(ctx, c, func(ctx context.Context, base string) (*rockwindpb.RetireMachineResponse, error) {
+			return c.directoryAt(base).Retire(ctx, &rockwindpb.RetireMachine{Name: name})
+		})
+		return err
+	}
 	group, view, err := c.current()
 	if err != nil {
 		return err
@@ -91,7 +97,7 @@
 	return c.atLeader(ctx, func() error {
 		return fault.New(fault.Conflict, "leadership has changed", "send the order again")
 	}, func(base string) error {
-		return call(ctx, rockwindpb.NewDirectoryServiceProtobufClient(base, c.carrier()))
+		return call(ctx, c.directoryAt(base))
 	})
 }
 
@@ -104,16 +110,16 @@
 // Retired tells whether a store that retires keeps nothing any more: the leaders
 // of all shards say that it is no member.
 func (c *Coordinator) Retired(ctx context.Context, name string) (bool, error) {
-	_, view, err := c.current()
+	view, err := c.currentDirectory(ctx)
 	if err != nil {
 		return false, err
 	}
-	machine, known := view.directory.Machine(name)
+	machine, known := view.Machine(name)
 	if !known || !machine.GetRetiring() {
 		return false, fault.Newf(fault.NotFound, "ask the store to retire first", "no store named %q retires", name)
 	}
-	led := c.ledShards(ctx, stores(view.directory))
-	for _, group := range view.directory.StoreCluster().GetGroups() {
+	led := c.ledShards(ctx, stores(view))
+	for _, group := range view.StoreCluster().GetGroups() {
 		status := led[group.GetGroup()]
 		if status == nil || hasMember(status.GetMembership(), name) {
 			return false, nil
@@ -122,6 +128,25 @@
 	return true, nil
 }
 
+// currentDirectory returns the directory as it is known here, or by a member of the root group
+// where this coordinator is outside.
+func (c *Coordinator) currentDirectory(ctx context.Context) (*directory.View, error) {
+	if c.outside() {
+		response, err := passOn(ctx, c, func(ctx context.Context, base string) (*rockwindpb.WatchDirectoryResponse, error) {
+			return c.directoryAt(base).Watch(ctx, &rockwindpb.WatchDirectoryRequest{})
+		})
+		if err != nil {
+			return nil, err
+		}
+		return directory.Merge(nil, response), nil
+	}
+	_, view, err := c.current()
+	if err != nil {
+		return nil, err
+	}
+	return view.directory, nil
+}
+
 func hasMember(membership *rockwindpb.Membership, machine string) bool {
 	return slices.ContainsFunc(membership.GetMembers(), func(member *rockwindpb.Member) bool {
 		return member.GetMachine() == machine
--- a/internal/coordinator/return_test.go
+++ b/internal/coordinator/return_test.go
@@ -34,6 +34,10 @@
 	mutex   sync.Mutex
 	serving map[string]listening
 	calls   int
+	// unanswered counts calls to addresses where no process runs. They hang where silent is
+	// set, as those to a machine without power, and are refused otherwise.
+	unanswered int
+	silent     bool
 }
 
 // listening is a process that takes calls, until its context ends.
@@ -48,8 +52,15 @@
 	l.mutex.Lock()
 	l.calls++
 	called, runs := l.serving[request.URL.Host]
+	runs = runs && called.ctx.Err() == nil
+	if !runs {
+		l.unanswered++
+	}
 	l.mutex.Unlock()
-	if !runs || called.ctx.Err() != nil {
+	if !runs {
+		if l.silent {
+			<-request.Context().Done()
+		}
 		return nil, errors.Newf("no process at %s", request.URL.Host)
 	}
 	ctx, cancel := context.WithCancel(request.Context())
@@ -73,6 +84,22 @@
 	return calls
 }
 
+// takeUnanswered returns how many calls nobody answered, and begins to count anew.
+func (l *links) takeUnanswered() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	unanswered := l.unanswered
+	l.unanswered = 0
+	return unanswered
+}
+
+// alias has the process at an address take the calls to another one, too.
+func (l *links) alias(added, address string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.serving[added] = l.serving[address]
+}
+
 // serve has a process take calls until the context ends.
 func (l *links) serve(ctx context.Context, address string, handler http.Handler) {
 	l.mutex.Lock()
@@ -101,12 +128,21 @@
 	random    *rand.Rand
 	seeds     []string
 	processes []*process
+	// admits tells that machines with new names may take places in the root group.
+	admits bool
 }
 
 // inVirtualSite runs a test with a site of the given size that knows a configuration.
 func inVirtualSite(t *testing.T, size int, run func(s *virtualSite)) {
+	inSite(t, size, false, run)
+}
+
+// inSiteThatAdmits is inVirtualSite where machines with new names may take places.
+func inSiteThatAdmits(t *testing.T, size int, run func(s *virtualSite)) { inSite(t, size, true, run) }
+
+func inSite(t *testing.T, size int, admits bool, run func(s *virtualSite)) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &virtualSite{t: t, links: &links{serving: map[string]listening{}}, random: rand.New(rand.NewPCG(3, 3))}
+		s := &virtualSite{t: t, admits: admits, links: &links{serving: map[string]listening{}}, random: rand.New(rand.NewPCG(3, 3))}
 		s.client = &http.Client{Transport: s.links}
 		for position := range size {
 			added := &process{name: fmt.Sprintf("p%d", position)}
@@ -143,7 +179,7 @@
 		return
 	}
 	c := &Coordinator{settings: &rockwindpb.SiteSettings{Name: p.name, Seeds: s.seeds, InternalListen: p.name}, client: s.client, live: newLiveness()}
-	host, err := replica.NewHost(replica.Options{
+	options := replica.Options{
 		Machine: p.name, Address: p.name, Folder: "data", FileSystem: p.disk, Client: s.client,
 		Tick: 30 * time.Millisecond, HeartbeatTicks: 2, Random: s.random.Uint64(),
 		StateMachines: func(uint32) replica.StateMachine {
@@ -151,7 +187,11 @@
 			c.root.Store(created)
 			return created
 		},
-	})
+	}
+	if s.admits {
+		options.Discover, options.AdmitNew, options.Places = c.peers, true, rootPlaces
+	}
+	host, err := replica.NewHost(options)
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/coordinator/services.go
+++ b/internal/coordinator/services.go
@@ -30,6 +30,12 @@
 
 // Apply implements rockwindpb.ConfigurationService.
 func (s configurationService) Apply(ctx context.Context, request *rockwindpb.ApplyConfigurationRequest) (*rockwindpb.ApplyConfigurationResponse, error) {
+	if s.coordinator.outside() {
+		response, err := passOn(ctx, s.coordinator, func(ctx context.Context, base string) (*rockwindpb.ApplyConfigurationResponse, error) {
+			return s.coordinator.configurationAt(base).Apply(ctx, request)
+		})
+		return response, fault.ToTwirp(err)
+	}
 	service, err := s.service()
 	if err != nil {
 		return nil, fault.ToTwirp(err)
@@ -39,6 +45,12 @@
 
 // Get implements rockwindpb.ConfigurationService.
 func (s configurationService) Get(ctx context.Context, request *rockwindpb.GetConfigurationRequest) (*rockwindpb.GetConfigurationResponse, error) {
+	if s.coordinator.outside() {
+		response, err := passOn(ctx, s.coordinator, func(ctx context.Context, base string) (*rockwindpb.GetConfigurationResponse, error) {
+			return s.coordinator.configurationAt(base).Get(ctx, request)
+		})
+		return response, fault.ToTwirp(err)
+	}
 	service, err := s.service()
 	if err != nil {
 		return nil, fault.ToTwirp(err)
@@ -50,6 +62,12 @@
 // the leader when the call comes; one that has just started waits until it is up to date with
 // its leader first, as a part of the call's wait.
 func (s configurationService) Watch(ctx context.Context, request *rockwindpb.WatchConfigurationRequest) (*rockwindpb.WatchConfigurationResponse, error) {
+	if s.coordinator.outside() {
+		response, err := passOn(ctx, s.coordinator, func(ctx context.Context, base string) (*rockwindpb.WatchConfigurationResponse, error) {
+			return s.coordinator.configurationAt(base).Watch(ctx, request)
+		})
+		return response, fault.ToTwirp(err)
+	}
 	began := time.Now()
 	if _, _, err := s.coordinator.awaitCurrent(ctx); err != nil {
 		return nil, fault.ToTwirp(err)
@@ -89,6 +107,12 @@
 
 // Announce implements rockwindpb.DirectoryService.
 func (s directoryService) Announce(ctx context.Context, request *rockwindpb.AnnounceMachineRequest) (*rockwindpb.AnnounceMachineResponse, error) {
+	if s.coordinator.outside() {
+		response, err := passOn(ctx, s.coordinator, func(ctx context.Context, base string) (*rockwindpb.AnnounceMachineResponse, error) {
+			return s.coordinator.directoryAt(base).Announce(ctx, request)
+		})
+		return response, fault.ToTwirp(err)
+	}
 	_, view, err := s.coordinator.awaitCurrent(ctx)
 	if err != nil {
 		return nil, fault.ToTwirp(err)
@@ -121,9 +145,16 @@
 
 // Retire implements rockwindpb.DirectoryService.
 func (s directoryService) Retire(ctx context.Context, request *rockwindpb.RetireMachine) (*rockwindpb.RetireMachineResponse, error) {
+	if s.coordinator.outside() {
+		response, err := passOn(ctx, s.coordinator, func(ctx context.Context, base string) (*rockwindpb.RetireMachineResponse, error) {
+			return s.coordinator.directoryAt(base).Retire(ctx, request)
+		})
+		return response, fault.ToTwirp(err)
+	}
 	if group, _, err := s.coordinator.group(); err == nil {
 		if _, leading := group.Leading(); !leading {
-			return nil, fault.ToTwirp(fault.New(fault.NotLeader, "this coordinator does not lead the root group", "ask the leader"))
+			refused := fault.New(fault.NotLeader, "this coordinator does not lead the root group", "ask the leader")
+			return nil, fault.ToTwirp(refused.WithLeader(group.Status().GetLeaderAddress()))
 		}
 	}
 	return &rockwindpb.RetireMachineResponse{}, fault.ToTwirp(s.coordinator.Retire(ctx, request.GetName()))
@@ -135,6 +166,12 @@
 // longer hears the leader; one that has just started waits until it is up to date with its
 // leader first, as a part of the call's wait.
 func (s directoryService) Watch(ctx context.Context, request *rockwindpb.WatchDirectoryRequest) (*rockwindpb.WatchDirectoryResponse, error) {
+	if s.coordinator.outside() {
+		response, err := passOn(ctx, s.coordinator, func(ctx context.Context, base string) (*rockwindpb.WatchDirectoryResponse, error) {
+			return s.coordinator.directoryAt(base).Watch(ctx, request)
+		})
+		return response, fault.ToTwirp(err)
+	}
 	wait := time.NewTimer(min(time.Duration(request.GetWaitMs())*time.Millisecond, maximumWait))
 	defer wait.Stop()
 	if _, _, err := s.coordinator.awaitCurrent(ctx); err != nil {
--- a/internal/replica/joining.go
+++ b/internal/replica/joining.go
@@ -66,12 +66,7 @@
 // tellPeers keeps the members that an answer to a call to join named: the leaders
 // may be machines that the settings do not list.
 func (h *Host) tellPeers(groups []*rockwindpb.FoundingGroup) {
-	var told []*rockwindpb.ControlMachine
-	for _, group := range groups {
-		for _, member := range group.GetMembership().GetMembers() {
-			told = append(told, &rockwindpb.ControlMachine{Machine: member.GetMachine(), Address: member.GetAddress()})
-		}
-	}
+	told := membersOf(groups)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.told = told
@@ -85,10 +80,30 @@
 	return h.checksums[address]
 }
 
+// Told lists the members of groups that the last answer to a call to join named. A machine that
+// lacks a group offers to join it at each election timeout.
+func (h *Host) Told() []*rockwindpb.ControlMachine { return slices.Clone(h.toldPeers()) }
+
+// toldPeers is Told; before the first answer a machine that runs no group goes by the members that
+// its disk names, since all machines that its settings name may be gone.
 func (h *Host) toldPeers() []*rockwindpb.ControlMachine {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.told
+	if len(h.told) > 0 || len(h.owners) > 0 || h.cluster == nil {
+		return h.told
+	}
+	return membersOf(h.cluster.groups)
+}
+
+// membersOf lists the machines of the memberships of groups.
+func membersOf(groups []*rockwindpb.FoundingGroup) []*rockwindpb.ControlMachine {
+	var members []*rockwindpb.ControlMachine
+	for _, group := range groups {
+		for _, member := range group.GetMembership().GetMembers() {
+			members = append(members, &rockwindpb.ControlMachine{Machine: member.GetMachine(), Address: member.GetAddress()})
+		}
+	}
+	return members
 }
 
 // needsToJoin tells whether this machine lacks a place that it should have.
--- a/internal/site/connecting.go
+++ b/internal/site/connecting.go
@@ -6,15 +6,15 @@
 	"time"
 )
 
-// connectPatience is how long a process that knows no directory yet waits for a connection
+// ConnectPatience is how long a process that knows no directory yet waits for a connection
 // to a coordinator, before it asks another one: at a start some machines may not be up.
 // Once connected it waits for the answer, which the coordinator may hold until it knows.
 // It has room for a connection between regions, and for a start on a busy core.
-const connectPatience = 250 * time.Millisecond
+const ConnectPatience = 250 * time.Millisecond
 
-// withConnectLimit returns a context that ends where a call made with it has no connection
+// WithConnectLimit returns a context that ends where a call made with it has no connection
 // within the limit. The returned function releases it.
-func withConnectLimit(ctx context.Context, limit time.Duration) (context.Context, func()) {
+func WithConnectLimit(ctx context.Context, limit time.Duration) (context.Context, func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(limit, cancel)
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -277,7 +277,7 @@
 	defer cancel()
 	if held == nil {
 		var disarm func()
-		ctx, disarm = withConnectLimit(ctx, connectPatience)
+		ctx, disarm = WithConnectLimit(ctx, ConnectPatience)
 		defer disarm()
 	}
 	wait := watchWait
