Processes that reach no coordinator say so and ask less often

A router or store whose seeds were all gone asked 39 times a second (4 where the machines are silent) without end, and wrote nothing. The pause between tries is now a twentieth of the silence, between 50 ms and 0.5 s, calls for the configuration and announcements wait for the directory's, and the process writes what it asks after 3 s and each 30 s. Two metrics tell how long and how often.

--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -74,6 +74,8 @@
 	StartFinished Kind = "start finished"
 	// TenantHeldBack: requests of other tenants go before those of one that had more.
 	TenantHeldBack Kind = "tenant held back"
+	// CoordinatorsSilent: no coordinator that this process knows of has answered for long.
+	CoordinatorsSilent Kind = "coordinators are silent"
 	// LeadershipHandedOver: a replica gives up the leadership of a group without being told to.
 	LeadershipHandedOver Kind = "leadership handed over"
 	// DependencyLost and DependencyRegained tell of coordinators and stores.
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -56,6 +56,7 @@
 	router.metrics.ClientBuffers(router.buffers.Usage)
 	router.metrics.Waiting(router.dispatcher.Waiting)
 	router.metrics.LeftBehind(router.dispatcher.LeftBehind)
+	router.metrics.Coordinators(watcher.Silence)
 	listener, err := site.Listen("listen", settings.GetListen())
 	if err != nil {
 		return err
--- a/internal/site/source.go
+++ b/internal/site/source.go
@@ -7,11 +7,13 @@
 	"rockwind.example/rockwind/internal/twirphttp"
 )
 
-// configurationSource asks the coordinator that answers the watches.
+// configurationSource asks the coordinator that answers the watches. While none does it
+// waits for the watch.
 type configurationSource struct{ watcher *Watcher }
 
 // Watch implements rockwindpb.ConfigurationService.
 func (s configurationSource) Watch(ctx context.Context, request *rockwindpb.WatchConfigurationRequest) (*rockwindpb.WatchConfigurationResponse, error) {
+	s.watcher.awaitAnswer(ctx)
 	return s.service().Watch(ctx, request)
 }
 
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -56,6 +57,12 @@
 	// heard is when a coordinator last answered a watch, in Unix nanoseconds.
 	heard atomic.Int64
 
+	// started is when this watcher was made, and failedTries counts the watches that failed.
+	started     time.Time
+	failedTries atomic.Uint64
+	// said is when it was written last that no coordinator answers; the watch's own.
+	said time.Time
+
 	// spared is the coordinator whose last answer left a call there alone, empty otherwise;
 	// the watch's own.
 	spared string
@@ -76,7 +83,7 @@
 // NewWatcher returns a watcher that knows nothing yet. The folder keeps the
 // configuration over restarts; it is empty at processes without a disk.
 func NewWatcher(settings *rockwindpb.SiteSettings, client *http.Client, folder string) (*Watcher, error) {
-	w := &Watcher{settings: settings, client: client, changed: make(chan struct{}), avoided: make(map[string]time.Time), lost: true}
+	w := &Watcher{started: time.Now(), settings: settings, client: client, changed: make(chan struct{}), avoided: make(map[string]time.Time), lost: true}
 	following, err := follower.New(follower.Options{
 		Sources: []rockwindpb.ConfigurationService{configurationSource{w}},
 		Folder:  folder,
@@ -224,10 +231,11 @@
 			w.avoid(address)
 			if ctx.Err() == nil {
 				w.recordDependency(address, err)
+				w.saySilence(err)
 			}
 		}
-		if w.Directory() == nil || time.Since(w.LastHeard()) > watchWait {
-			retry.Pause(ctx, retryPause)
+		if w.Directory() == nil || w.SilentFor() > watchWait {
+			retry.Pause(ctx, pauseBetweenTries(w.SilentFor(), rand.Float64()))
 		}
 	}
 }
@@ -339,9 +347,11 @@
 }
 
 // Announce makes this machine known in the directory. Where the founding of the stores'
-// cluster is wanted it is returned, nil before it is decided.
+// cluster is wanted it is returned, nil before it is decided. While no coordinator has
+// answered for long it waits for one.
 func (w *Watcher) Announce(ctx context.Context, machine *rockwindpb.Machine, wantStoreCluster bool) (*rockwindpb.FoundRequest, error) {
 	var founding *rockwindpb.FoundRequest
+	w.awaitAnswer(ctx)
 	err := w.atCoordinator(ctx, func(calling context.Context, address string) error {
 		response, err := w.directoryAt(address).Announce(calling, &rockwindpb.AnnounceMachineRequest{Machine: machine, WantStoreCluster: wantStoreCluster})
 		founding = response.GetStoreCluster()
