--- a/internal/raft/slowdisk.go
+++ b/internal/raft/slowdisk.go
@@ -10,12 +10,15 @@
 // a voter whose disk is faster.
 const (
 	// slowSyncsToHandOver is how many syncs in a row have to be slow. One that is shorter than an
-	// election timeout may be chance; three of them take no more than 0.9 s, while operators
-	// and submitters wait for some seconds at most.
-	slowSyncsToHandOver = 3
+	// election timeout may be chance; four of them take some second at most, while operators
+	// and submitters wait for some seconds.
+	slowSyncsToHandOver = 4
 	// slowerThanQuorum is how many times as long as a quorum the own disk has to take. Where all
-	// disks are slow another leader would do no better: up to this factor leadership stays.
-	slowerThanQuorum = 3
+	// disks are slow another leader would do no better, and a hand-over costs what an election
+	// costs there, a second: up to this factor leadership stays. Where each sync of five disks takes
+	// up to 250 ms by chance, some sync in eleven is four times as long as those of a quorum, and so
+	// four in a row hardly ever.
+	slowerThanQuorum = 4
 	// handOverElections is the least time between two hand-overs of one replica, in election
 	// timeouts. It bounds what leadership costs that goes round between disks that are slow in
 	// turn: at 0.3 s each, a replica gives it up at most once in 9 s.
@@ -76,8 +79,7 @@
 	if sync.quorumAt == 0 {
 		return false
 	}
-	took := n.ticks - sync.began
-	others := max(1, sync.quorumAt-sync.began)
+	took, others := n.ticks-sync.began, sync.quorumAt-sync.began
 	return took >= n.slowSyncTicks() && took >= slowerThanQuorum*others
 }
 
