Routers stand in for the relays of loads while all stores of a zone are down

The relays of a zone are its first three stores, and while all were down nobody passed loads on there until the directory forgot them, after 12 s. Three other members, drawn by the hashes of their names, are now standbys: members that hear no relay for 0.6 s tell them their loads, and the first of them that a third of the members tell is the delegate. Relays that are back take over at once. Each load counts once, also at a standby that takes members' loads in place of their sum. A line in the log and a metric tell of it.

--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -82,17 +82,29 @@
 
 // Take replaces what a process told before. A digest that is older than the one
 // held, by the sender's start and its sequence, is passed over.
+// A sum of the process's own group covered it, and counts no more: members tell their loads to
+// relays, which take no such sum, and to those that stand in for them.
 func (s *Shares) Take(name string, started int64, sequence uint64, loads map[uint32]SharedLoad, now time.Duration) {
+	s.dropOthers(name, func(known *sender) bool { return s.sumsOwnGroup(known) })
 	s.take(name, sender{started: started, sequence: sequence, at: now, loads: loads, members: 1})
 }
 
+// sumsOwnGroup tells whether a sender sums up the group of this process.
+func (s *Shares) sumsOwnGroup(known *sender) bool {
+	return s.zone != "" && known.group == s.zone && !known.elsewhere
+}
+
 // TakeGroup replaces what was told of a group before, by this delegate or by
-// another one, also within a sum of all groups but one.
+// another one, also within a sum of all groups but one. The sum of the own group also
+// replaces what members of it told themselves.
 func (s *Shares) TakeGroup(delegate, group string, members int, started int64, sequence uint64, loads map[uint32]SharedLoad, now time.Duration) {
 	key := "group of " + delegate
 	s.dropOthers(key, func(known *sender) bool {
-		if known.elsewhere {
+		switch {
+		case known.elsewhere:
 			return known.group != group
+		case known.group == "":
+			return s.zone != "" && group == s.zone
 		}
 		return known.group == group
 	})
--- a/internal/loadshare/layout.go
+++ b/internal/loadshare/layout.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -14,6 +16,14 @@
 	// relayCount is how many members of a group may be its delegate: the first of them
 	// that is heard is, and the others know what it knows when it falls silent.
 	relayCount = 3
+	// standbyCount is how many other members stand in for the relays while all of these are
+	// silent: as many, so that a zone bears as many losses among them.
+	standbyCount = 3
+	// standbyVoices is of how many members one has to tell a standby its load, so that it stands in:
+	// members do while they hear no relay. One that alone hears none knows nothing to tell, while in a
+	// zone without relays nearly all of those that run tell it. A third of all stands for a zone
+	// that has lost two thirds of its routers, too.
+	standbyVoices = 3
 	// meshInterval is the time between digests in a mesh, where news that others wait for
 	// are told at once besides.
 	meshInterval = 80 * time.Millisecond
@@ -59,18 +69,37 @@
 // other groups, and tells the delegates of the other groups the sum of its own. What a
 // process sends and hears so does not grow with the number of processes, and between
 // zones only delegates talk.
+//
+// Relays have the lowest ranks, and may all be lost at once. Standbys, drawn by hashing from the
+// other members, take their part while a process hears none of them.
 type Layout struct {
 	self    string
 	group   string
 	members []Member
 	relays  []Member
-	others  []Group
+	// standbys stand in for the relays, the first that is heard before the others.
+	standbys []Member
+	others   []Group
 }
 
 // Group is another group than the process's own.
 type Group struct {
-	name   string
-	relays []Member
+	name     string
+	relays   []Member
+	standbys []Member
+}
+
+// candidates are the members that may be the group's delegate.
+func (g Group) candidates() []Member { return slices.Concat(g.relays, g.standbys) }
+
+// candidate returns the one of a name among those that may be the group's delegate.
+func (g Group) candidate(name string) (Member, bool) {
+	for _, each := range g.candidates() {
+		if each.name == name {
+			return each, true
+		}
+	}
+	return Member{}, false
 }
 
 // NewLayout returns the layout of the named process among the members of a site. All
@@ -100,11 +129,23 @@
 // addZone makes the members of a zone a group: that of the process itself, or another.
 func (l *Layout) addZone(zone string, members []Member) {
 	relays := members[:min(relayCount, len(members))]
+	standbys := drawStandbys(members[len(relays):])
 	if slices.ContainsFunc(members, l.isSelf) {
-		l.group, l.members, l.relays = zone, members, relays
+		l.group, l.members, l.relays, l.standbys = zone, members, relays, standbys
 		return
 	}
-	l.others = append(l.others, Group{name: zone, relays: relays})
+	l.others = append(l.others, Group{name: zone, relays: relays, standbys: standbys})
+}
+
+// drawStandbys draws the standbys of a group from its members without the relays, by the
+// hashes of their names: all processes draw the same, and one that comes or goes changes
+// one of them at most.
+func drawStandbys(members []Member) []Member {
+	drawn := slices.Clone(members)
+	slices.SortFunc(drawn, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.name), xxhash.Sum64String(b.name)), cmp.Compare(a.name, b.name))
+	})
+	return drawn[:min(standbyCount, len(drawn))]
 }
 
 func (l *Layout) isSelf(member Member) bool { return member.name == l.self }
@@ -124,10 +165,14 @@
 	return names
 }
 
-// Receivers are the addresses of those that this process tells of its own load.
-func (l *Layout) Receivers() []netip.AddrPort {
-	if l.Mesh() {
+// Receivers are the addresses of those that this process tells of its own load: the relays of
+// its group, and the standbys while the relays are silent.
+func (l *Layout) Receivers(relaysSilent bool) []netip.AddrPort {
+	switch {
+	case l.Mesh():
 		return l.except(l.members)
+	case relaysSilent:
+		return l.except(slices.Concat(l.relays, l.standbys))
 	}
 	return l.except(l.relays)
 }
@@ -167,6 +212,40 @@
 	return false
 }
 
+// Standby tells whether this process may stand in for the relays of its group.
+func (l *Layout) Standby() bool { return slices.ContainsFunc(l.standbys, l.isSelf) }
+
+// IsStandby tells whether the named process may stand in for the relays of this group.
+func (l *Layout) IsStandby(name string) bool {
+	return slices.ContainsFunc(l.standbys, func(m Member) bool { return m.name == name })
+}
+
+// StandsIn tells whether this process is the delegate of its group while the relays are
+// silent: no standby before it is heard, and enough members tell it their load.
+func (l *Layout) StandsIn(heard func(name string) bool) bool {
+	for _, standby := range l.standbys {
+		if l.isSelf(standby) {
+			return l.enoughHeard(heard)
+		}
+		if heard(standby.name) {
+			return false
+		}
+	}
+	return false
+}
+
+// enoughHeard tells whether enough members besides the relays are heard.
+func (l *Layout) enoughHeard(heard func(name string) bool) bool {
+	others := l.members[len(l.relays):]
+	voices := 0
+	for _, member := range others {
+		if l.isSelf(member) || heard(member.name) {
+			voices++
+		}
+	}
+	return voices*standbyVoices >= len(others)
+}
+
 // Interval is the time between digests within the group, or the mesh.
 func (l *Layout) Interval() time.Duration {
 	if l.Mesh() {
--- a/internal/loadshare/layout_test.go
+++ b/internal/loadshare/layout_test.go
@@ -30,8 +30,8 @@
 func TestSmallSiteIsAMesh(t *testing.T) {
 	members := site([]string{"a", "b", "c"}, 1, 3)
 	layout := loadshare.NewLayout(members, members[0].Name())
-	if !layout.Mesh() || len(layout.Receivers()) != len(members)-1 || len(layout.Others()) != 0 {
-		t.Fatalf("%d receivers, %d other groups", len(layout.Receivers()), len(layout.Others()))
+	if !layout.Mesh() || len(layout.Receivers(false)) != len(members)-1 || len(layout.Others()) != 0 {
+		t.Fatalf("%d receivers, %d other groups", len(layout.Receivers(false)), len(layout.Others()))
 	}
 	if layout.Relay() || layout.Delegate(func(string) bool { return false }) {
 		t.Fatal("a mesh has a delegate")
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -66,6 +66,9 @@
 	datagrams, bytes, otherZones, unsent atomic.Uint64
 	// unsentAt is when it was last written that datagrams were too long. Only Run uses it.
 	unsentAt time.Time
+	// missed is what was written last of the relays. Only Run uses it.
+	missed       bool
+	relaysMissed atomic.Bool
 }
 
 // Traffic counts what a process has sent since its start.
@@ -77,6 +80,8 @@
 	OtherZones uint64
 	// Unsent is how many datagrams were not sent as they were too long.
 	Unsent uint64
+	// RelaysMissed tells that this process hears no relay of its zone now.
+	RelaysMissed bool
 }
 
 // Open binds the address for the digests of the named machine.
@@ -120,7 +125,7 @@
 
 // Traffic tells what was sent since the start.
 func (s *Sharer) Traffic() Traffic {
-	return Traffic{Datagrams: s.datagrams.Load(), Bytes: s.bytes.Load(), OtherZones: s.otherZones.Load(), Unsent: s.unsent.Load()}
+	return Traffic{Datagrams: s.datagrams.Load(), Bytes: s.bytes.Load(), OtherZones: s.otherZones.Load(), Unsent: s.unsent.Load(), RelaysMissed: s.relaysMissed.Load()}
 }
 
 // intervals are the time between digests now, and the least time between those that are
@@ -163,12 +168,29 @@
 	s.mutex.Lock()
 	s.protocol.SetLayout(s.layout.Load())
 	datagrams := s.protocol.Turn(source, time.Since(s.started))
+	missed, standby := s.protocol.RelaysMissed()
 	s.mutex.Unlock()
+	s.recordRelays(missed, standby)
 	for _, datagram := range datagrams {
 		s.send(datagram)
 	}
 }
 
+// recordRelays writes that the relays of this zone fell silent, or are heard again.
+func (s *Sharer) recordRelays(missed, standby bool) {
+	if missed == s.missed {
+		return
+	}
+	s.missed = missed
+	s.relaysMissed.Store(missed)
+	line := log.WithField("standby", standby).WithField("zone", s.layout.Load().Group())
+	if missed {
+		line.Warn("no relay of load digests is heard")
+		return
+	}
+	line.Info("a relay of load digests is heard again")
+}
+
 func (s *Sharer) send(datagram Datagram) {
 	encoded, err := proto.Marshal(datagram.Bundle)
 	if err != nil {
--- a/internal/loadshare/protocol.go
+++ b/internal/loadshare/protocol.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -15,8 +14,13 @@
 	// changed: receivers forget a sender that is silent for long.
 	repeatInterval = 400 * time.Millisecond
 	// delegateFor is how long the delegate of another group counts as such after its last
-	// digest. Afterwards all relays of that group are told.
+	// digest. Afterwards all relays and standbys of that group are told.
 	delegateFor = 700 * time.Millisecond
+	// relaysSilentAfter is how long a process hears no sum of its group until it takes all relays for
+	// silent: longer than a repeat and a turn. With two turns in a group of 50 the members know of each
+	// other again within a second. Where only the delegate is lost, its follower is there
+	// after delegateFor, and standbys may fill the time between.
+	relaysSilentAfter = 600 * time.Millisecond
 )
 
 // Datagram is a bundle of digests with those that it goes to.
@@ -41,6 +45,12 @@
 	own, inside, outside sending
 	// delegates are those of the other groups, by group.
 	delegates map[string]delegate
+	// relayAt is when a relay of this group was heard last, and missed tells that the relays
+	// were silent at the last turn.
+	relayAt time.Duration
+	missed  bool
+	// grouped tells that the layout had groups at the last turn.
+	grouped bool
 }
 
 // delegate is a process that told the sum of its group.
@@ -66,13 +76,22 @@
 // Turn returns what is to be sent now.
 func (p *Protocol) Turn(source Source, now time.Duration) []Datagram {
 	var sent []Datagram
+	if grouped := !p.layout.Mesh(); grouped != p.grouped {
+		// Relays have not told anything in a mesh, nor before this process knew the site.
+		p.grouped, p.relayAt = grouped, now
+	}
+	silent := p.relaysSilent(now)
+	if silent != p.missed {
+		// Others are told from now on, who know nothing of this process yet.
+		p.missed, p.own = silent, sending{}
+	}
 	if own := source.Own(); p.own.due(own, now) {
 		p.sign(own)
 		fit(source, own)
 		p.history.add(own)
-		sent = append(sent, datagrams(p.layout.Receivers(), false, own)...)
+		sent = append(sent, datagrams(p.layout.Receivers(silent), false, own)...)
 	}
-	if !p.layout.Delegate(source.Heard) {
+	if !p.isDelegate(source, now) {
 		return sent
 	}
 	sum := source.Sum(p.layout.Members())
@@ -82,6 +101,23 @@
 	return append(sent, p.tellOthers(source, sum, now)...)
 }
 
+// relaysSilent tells whether this process takes all relays of its group for silent.
+func (p *Protocol) relaysSilent(now time.Duration) bool {
+	return p.grouped && !p.layout.Relay() && now-p.relayAt > relaysSilentAfter
+}
+
+// RelaysMissed tells whether this process took all relays of its group for silent at its last turn,
+// and whether it is one of those that stand in for them.
+func (p *Protocol) RelaysMissed() (missed, standby bool) { return p.missed, p.layout.Standby() }
+
+// isDelegate tells whether this process is the delegate of its group.
+func (p *Protocol) isDelegate(source Source, now time.Duration) bool {
+	if p.layout.Delegate(source.Heard) {
+		return true
+	}
+	return p.relaysSilent(now) && p.layout.StandsIn(source.Heard)
+}
+
 // tellMembers tells the members of the group its sum and that of all others.
 func (p *Protocol) tellMembers(source Source, sum *rockwindpb.LoadDigest, now time.Duration) []Datagram {
 	elsewhere := source.Elsewhere(p.layout.Group())
@@ -120,18 +156,19 @@
 }
 
 // otherDelegates lists whom the sum of this group goes to: in each other group the
-// delegate, or all relays where none was heard lately.
+// delegate, which may be a standby, or all relays and standbys where none was heard lately:
+// two groups without relays would not find each other otherwise.
 func (p *Protocol) otherDelegates(now time.Duration) []netip.AddrPort {
 	var receivers []netip.AddrPort
 	for _, group := range p.layout.Others() {
 		known, found := p.delegates[group.name]
-		place := slices.IndexFunc(group.relays, func(m Member) bool { return m.name == known.name })
-		if found && place >= 0 && now-known.at <= delegateFor {
-			receivers = append(receivers, group.relays[place].address)
+		member, placed := group.candidate(known.name)
+		if found && placed && now-known.at <= delegateFor {
+			receivers = append(receivers, member.address)
 			continue
 		}
-		for _, relay := range group.relays {
-			receivers = append(receivers, relay.address)
+		for _, candidate := range group.candidates() {
+			receivers = append(receivers, candidate.address)
 		}
 	}
 	return receivers
@@ -154,10 +191,16 @@
 func (p *Protocol) wanted(source Source, digest *rockwindpb.LoadDigest, now time.Duration) bool {
 	switch group := digest.GetGroup(); {
 	case group == "":
-		return true
+		// Who hears a relay knows of the members by its sum.
+		return p.layout.Mesh() || p.layout.Relay() || p.relaysSilent(now)
 	case group != p.layout.Group():
 		p.delegates[group] = delegate{name: digest.GetSender(), at: now}
-		return !digest.GetElsewhere()
+		return !digest.GetElsewhere() && (!p.layout.Standby() || p.relaysSilent(now))
+	case p.layout.IsStandby(digest.GetSender()):
+		return p.wantedOfStandby(source, digest, now)
+	}
+	p.relayAt = now
+	switch {
 	case digest.GetElsewhere():
 		return !p.layout.Delegate(source.Heard)
 	case p.layout.Relay():
@@ -168,6 +211,21 @@
 	return true
 }
 
+// wantedOfStandby is wanted for what a standby tells of this group, or of all others.
+func (p *Protocol) wantedOfStandby(source Source, digest *rockwindpb.LoadDigest, now time.Duration) bool {
+	switch {
+	case !p.relaysSilent(now):
+		return false
+	case digest.GetElsewhere():
+		return !p.isDelegate(source, now)
+	case p.layout.Standby():
+		// Members tell the standbys themselves.
+		return false
+	}
+	p.history.takeOut(digest)
+	return true
+}
+
 // consistent tells whether the lists of a digest run beside each other.
 func consistent(digest *rockwindpb.LoadDigest) bool {
 	servers := len(digest.GetServers())
--- a/internal/loadshare/protocol_test.go
+++ b/internal/loadshare/protocol_test.go
@@ -26,7 +26,9 @@
 	shares   *balance.Shares
 	own      map[uint32]balance.SharedLoad
 	silent   bool
-	now      time.Duration
+	// deaf has what others send to the process lost.
+	deaf bool
+	now  time.Duration
 	// outside counts the bytes sent to other zones, and datagrams all that were sent.
 	outside, datagrams int
 }
@@ -100,6 +102,7 @@
 	s.protocol = loadshare.NewProtocol(s.member.Name(), int64(w.now/time.Millisecond)+1)
 	s.protocol.SetLayout(loadshare.NewLayout(members, s.member.Name()))
 	s.shares = balance.NewShares()
+	s.shares.SetZone(s.member.Zone())
 	w.next[s] = w.now + time.Duration(w.random.Int64N(int64(100*time.Millisecond)))
 }
 
@@ -136,7 +139,7 @@
 		if to.member.Zone() != from.member.Zone() {
 			from.outside += len(encoded) + headerBytes
 		}
-		if to.silent || w.random.Float64() < w.lossPart {
+		if to.silent || to.deaf || w.random.Float64() < w.lossPart {
 			continue
 		}
 		received := &rockwindpb.LoadBundle{}
--- a/internal/sitemetrics/traffic.go
+++ b/internal/sitemetrics/traffic.go
@@ -21,4 +21,12 @@
 		func(t loadshare.Traffic) uint64 { return t.OtherZones })
 	counter("rockwind_load_digests_unsent_total", "Datagrams with load digests that were too long and not sent.",
 		func(t loadshare.Traffic) uint64 { return t.Unsent })
+	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "rockwind_load_relays_missed", Help: "1 while no relay of load digests of the own zone is heard.",
+	}, func() float64 {
+		if source().RelaysMissed {
+			return 1
+		}
+		return 0
+	}))
 }
