Streams that may run once end soon where their server is out of reach

A stream that may not be resumed, and of whose run there is no copy, was held to its client's deadline when its server went dark. The router now looks at the server once it has said nothing for the longest good pause of the route, as it does for copied runs, and breaks the answer off where it takes no connection. Servers that keep to the pause are never looked at, slow ones that are in reach are waited for.

--- a/internal/router/continuation.go
+++ b/internal/router/continuation.go
@@ -78,8 +78,6 @@
 	// run can't go on after it.
 	began      bool
 	unnumbered bool
-	// lookout watches the first server.
-	lookout *Lookout
 	// continued tells that it goes on at the holder; torn, that it did not go on after the
 	// last event.
 	continued bool
@@ -131,32 +129,6 @@
 	return try
 }
 
-// watched returns the context of a try, which ends where its server falls silent and is out
-// of reach although the run could go on.
-func (e *exchange) watched(ctx context.Context, lease *Lease) (context.Context, func()) {
-	run := e.copy
-	if run == nil || run.continued {
-		return ctx, func() {}
-	}
-	run.lookout = NewLookout(ctx, e.router.client, lease.Address, time.Duration(e.route.GetPauseGoalMs())*time.Millisecond)
-	return run.lookout.Context(), run.lookout.Stop
-}
-
-// hold notes that something was read of a run that could go on elsewhere, and that nothing
-// more is read until heard: a write to the client may take seconds.
-func (e *exchange) hold() {
-	if e.copy != nil && !e.copy.continued {
-		e.copy.lookout.Hold()
-	}
-}
-
-// heard notes that the server is read from again, in a run that could go on from there.
-func (e *exchange) heard() {
-	if e.copy != nil && e.copy.began && !e.copy.continued {
-		e.copy.lookout.Heard()
-	}
-}
-
 // numbered returns those of the events of a copied run that go to the client: all of them
 // at the first server, whose last number is noted. Where the run went on, the first one has to
 // be the next one.
@@ -202,7 +174,7 @@
 	if run == nil || run.continued || !run.began || run.unnumbered || ctx.Err() != nil || time.Until(e.ends) <= 0 || e.held() != nil {
 		return false
 	}
-	if run.lookout.Dark() {
+	if e.lookout.Dark() {
 		return true
 	}
 	return Over(ctx, e.router.client, e.router.watcher.Directory, lease.ID, lease.Address)
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -89,6 +89,8 @@
 	trySent time.Time
 	// copy is that of the run, nil where there is none.
 	copy *copied
+	// lookout watches the server of the last try, nil where its silence ends nothing.
+	lookout *Lookout
 }
 
 // verdict tells what becomes of the request after a try.
--- a/internal/router/lookout.go
+++ b/internal/router/lookout.go
@@ -14,6 +14,9 @@
 	// looked at: what is left is for the look, and for the way to another server, so that the
 	// client sees no pause beyond the good one.
 	quietPart = 0.5
+	// latePart is the same for a stream that can go on nowhere, so that servers that keep to the
+	// good pause are never looked at. With lookPart the client knows within twice that pause.
+	latePart = 1
 	// lookPart is the part of that pause within which a server that is in reach takes a
 	// connection, and leastLook the least time for it: machines in another zone that are busy
 	// take some tens of milliseconds.
@@ -29,16 +32,18 @@
 // errServerDark ends a try whose server is out of reach.
 var errServerDark = errors.New("the server says nothing and is out of reach")
 
-// Lookout watches the server of a stream that could go on elsewhere. It ends the context of the
+// Lookout watches the server of a stream that may run once. It ends the context of the
 // try once the server says nothing and is out of reach. A server that says nothing but takes
 // connections may be slow, and is waited for.
 type Lookout struct {
 	client  *upstream.Client
 	address string
 	pause   time.Duration
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
-	timer   *time.Timer
+	// quiet is the part of the pause after which the server is looked at.
+	quiet  float64
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	timer  *time.Timer
 
 	mutex sync.Mutex
 	// heard counts the calls of Heard and Hold: a look that spans one shows nothing.
@@ -50,12 +55,20 @@
 // call of Heard on.
 func NewLookout(ctx context.Context, client *upstream.Client, address string, pause time.Duration) *Lookout {
 	trying, cancel := context.WithCancelCause(ctx)
-	created := &Lookout{client: client, address: address, pause: pause, ctx: trying, cancel: cancel}
+	created := &Lookout{client: client, address: address, pause: pause, quiet: quietPart, ctx: trying, cancel: cancel}
 	created.timer = time.AfterFunc(neverYet, created.look)
 	created.timer.Stop()
 	return created
 }
 
+// NewLateLookout is NewLookout for a stream that can go on nowhere: its server is looked at only
+// after the whole good pause.
+func NewLateLookout(ctx context.Context, client *upstream.Client, address string, pause time.Duration) *Lookout {
+	created := NewLookout(ctx, client, address, pause)
+	created.quiet = latePart
+	return created
+}
+
 // Context is that of the try.
 func (l *Lookout) Context() context.Context { return l.ctx }
 
@@ -65,7 +78,7 @@
 	defer l.mutex.Unlock()
 	l.heard++
 	if l.pause > 0 {
-		l.timer.Reset(l.of(quietPart))
+		l.timer.Reset(l.of(l.quiet))
 	}
 }
 
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -97,6 +97,9 @@
 		}
 		return verdictElsewhere
 	}
+	if e.dark() {
+		e.reason = errServerDark.Error()
+	}
 	lease.Done(health.Failure, latency)
 	e.broke(lease, cause)
 	if e.mayContinue(ctx, lease) {
--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -37,6 +37,15 @@
 // relaying has a server answer a request of a stream's route. Every connection after the first
 // one gets no answer.
 func relaying(t *testing.T, writer http.ResponseWriter, answer func(conn net.Conn)) *relayed {
+	t.Helper()
+	return relayingWith(t, writer, answer, func(ctx context.Context) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+}
+
+// relayingWith is relaying where connections after the first one are made by the given function.
+func relayingWith(t *testing.T, writer http.ResponseWriter, answer func(conn net.Conn), later func(ctx context.Context) (net.Conn, error)) *relayed {
 	t.Helper()
 	watcher, err := site.NewWatcher(&rockwindpb.SiteSettings{}, http.DefaultClient, "")
 	if err != nil {
@@ -51,8 +60,7 @@
 	dialed := false
 	client := upstream.NewClientWithDial(func(ctx context.Context, _ string) (net.Conn, error) {
 		if dialed {
-			<-ctx.Done()
-			return nil, ctx.Err()
+			return later(ctx)
 		}
 		dialed = true
 		near, far := net.Pipe()
@@ -136,7 +144,7 @@
 		if got := r.relayEvents(t.Context(), r.lease, r.response, 0); got != verdictFinished {
 			t.Errorf("the verdict is %v: %s", got, r.reason)
 		}
-		if r.copy.lookout.Dark() {
+		if r.lookout.Dark() {
 			t.Error("the server is taken for one that is out of reach")
 		}
 	})
