Coordinators outside leave members that hang

A call that is passed on waits for one member 1 s at most, or 0.3 s longer than the member may hold it, and goes to the next one. Before, a member that took calls and did not answer held them to the caller's deadline, and was asked first again. That a caller's time is over tells nothing of a member any more. A test of streams read a time without a lock.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -290,7 +290,7 @@
 // its faults.
 func (c *Coordinator) Apply(ctx context.Context, request *rockwindpb.ApplyConfigurationRequest) (*rockwindpb.ApplyConfigurationResponse, error) {
 	if c.outside() {
-		return passOnToLeader(ctx, c, func(ctx context.Context, base string) (*rockwindpb.ApplyConfigurationResponse, error) {
+		return passOnToLeader(ctx, c, passTimeout, func(ctx context.Context, base string) (*rockwindpb.ApplyConfigurationResponse, error) {
 			return c.configurationAt(base).Apply(ctx, request)
 		})
 	}
@@ -313,7 +313,7 @@
 func (c *Coordinator) Newest(ctx context.Context) (*rockwindpb.GetConfigurationResponse, error) {
 	request := &rockwindpb.GetConfigurationRequest{Newest: true}
 	if c.outside() {
-		return passOnToLeader(ctx, c, func(ctx context.Context, base string) (*rockwindpb.GetConfigurationResponse, error) {
+		return passOnToLeader(ctx, c, passTimeout, func(ctx context.Context, base string) (*rockwindpb.GetConfigurationResponse, error) {
 			return c.configurationAt(base).Get(ctx, request)
 		})
 	}
@@ -335,7 +335,7 @@
 // Report takes a server's report. It returns once what is new in it is committed.
 func (c *Coordinator) Report(ctx context.Context, server *rockwindpb.Server) error {
 	if c.outside() {
-		_, err := passOn(ctx, c, func(ctx context.Context, base string) (*rockwindpb.ReportServerResponse, error) {
+		_, err := passOn(ctx, c, passTimeout, func(ctx context.Context, base string) (*rockwindpb.ReportServerResponse, error) {
 			return c.directoryAt(base).Report(ctx, &rockwindpb.ReportServerRequest{Server: server})
 		})
 		return err
@@ -363,7 +363,7 @@
 // Leave takes a server's leave. It returns once the leave is committed.
 func (c *Coordinator) Leave(ctx context.Context, id string) error {
 	if c.outside() {
-		_, err := passOn(ctx, c, func(ctx context.Context, base string) (*rockwindpb.LeaveServerResponse, error) {
+		_, err := passOn(ctx, c, passTimeout, func(ctx context.Context, base string) (*rockwindpb.LeaveServerResponse, error) {
 			return c.directoryAt(base).Leave(ctx, &rockwindpb.LeaveServerRequest{Id: id})
 		})
 		return err
--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -24,6 +24,12 @@
 	passTries = rootPlaces
 	// memberAvoidance is how long a member that failed to answer comes after the others.
 	memberAvoidance = 10 * time.Second
+	// passTimeout bounds one try, and is longer than an election: a member that hangs is left for
+	// another one while the caller, with its some seconds, still waits.
+	passTimeout = time.Second
+	// holdGrace is how much longer than its hold a member's answer to a call that waits for news may
+	// take. Callers give 0.5 s themselves.
+	holdGrace = 300 * time.Millisecond
 	// leaderlessPause is the time between rounds of calls for the leader while members name none:
 	// elections take 0.3 s and more, and a round costs a call at each member.
 	leaderlessPause = 100 * time.Millisecond
@@ -107,8 +113,9 @@
 // passOn makes a call at one member of the root group after the other until one takes it, for
 // a coordinator that is outside. The call must have the same effect when it is performed
 // twice. It goes to a leader that a member names, and is never passed on twice, so that
-// coordinators that take each other for members do not pass calls round.
-func passOn[Response any](ctx context.Context, c *Coordinator, call func(ctx context.Context, base string) (Response, error)) (Response, error) {
+// coordinators that take each other for members do not pass calls round. One try takes no longer
+// than the given time.
+func passOn[Response any](ctx context.Context, c *Coordinator, within time.Duration, call func(ctx context.Context, base string) (Response, error)) (Response, error) {
 	var none Response
 	var last error = fault.New(fault.Unavailable, "this coordinator holds no replica of the root group, and reaches no member of it",
 		"ask another coordinator").WithRan(fault.NotRun)
@@ -122,7 +129,7 @@
 	asked := c.members.order(c.settings.GetName(), c.rootMembers(), time.Now())
 	for tries := 0; tries < passTries && len(asked) > 0 && ctx.Err() == nil; tries++ {
 		address := asked[0]
-		response, err := passOnce(ctx, address, call)
+		response, err := passOnce(ctx, address, within, call)
 		if err == nil {
 			c.members.note(address, true, time.Now())
 			return response, nil
@@ -137,8 +144,10 @@
 			last = failure
 		}
 		switch {
+		case ctx.Err() != nil:
+			// The caller's time is over, which tells nothing of the member.
 		case failure.Kind != fault.NotLeader:
-			c.members.note(address, ctx.Err() != nil, time.Now())
+			c.members.note(address, false, time.Now())
 		case failure.Leader != "" && failure.Leader != site.Advertised(c.settings):
 			asked = slices.Insert(asked, 0, failure.Leader)
 		}
@@ -148,18 +157,26 @@
 
 // passOnToLeader is passOn for a call that only the leader takes. Where members answer that there is
 // none it is repeated until the context ends, as at members.
-func passOnToLeader[Response any](ctx context.Context, c *Coordinator, call func(ctx context.Context, base string) (Response, error)) (Response, error) {
+func passOnToLeader[Response any](ctx context.Context, c *Coordinator, within time.Duration, call func(ctx context.Context, base string) (Response, error)) (Response, error) {
 	for {
-		response, err := passOn(ctx, c, call)
+		response, err := passOn(ctx, c, within, call)
 		if !fault.Is(err, fault.NotLeader) || !retry.Pause(ctx, leaderlessPause) {
 			return response, err
 		}
 	}
 }
 
-// passOnce makes a call at one address, and gives up where there is no connection soon.
-func passOnce[Response any](ctx context.Context, address string, call func(ctx context.Context, base string) (Response, error)) (Response, error) {
-	limited, release := site.WithConnectLimit(ctx, site.ConnectPatience)
+// holdOf is how long a member may take for a call that waits for news for the given time.
+func holdOf(waitMs uint32) time.Duration {
+	return min(time.Duration(waitMs)*time.Millisecond, maximumWait) + holdGrace
+}
+
+// passOnce makes a call at one address, and gives up where there is no connection soon, or no
+// answer within the given time.
+func passOnce[Response any](ctx context.Context, address string, within time.Duration, call func(ctx context.Context, base string) (Response, error)) (Response, error) {
+	limited, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	limited, release := site.WithConnectLimit(limited, site.ConnectPatience)
 	defer release()
 	return call(limited, "http://"+address)
 }
--- a/internal/coordinator/members_test.go
+++ b/internal/coordinator/members_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"testing"
 	"time"
@@ -155,6 +157,33 @@
 	})
 }
 
+// TestCoordinatorsOutsideLeaveMembersThatHang has two followers take calls and never answer. Calls
+// at a coordinator outside wait for them once, and go to others afterwards.
+func TestCoordinatorsOutsideLeaveMembersThatHang(t *testing.T) {
+	inSiteThatAdmits(t, coordinators, func(s *virtualSite) {
+		outside := s.startOutside(1)[0]
+		leader, hanging := s.leader(), 0
+		for _, name := range outside.coordinator.members.order(outside.name, s.seeds, time.Now()) {
+			if name != leader.name && hanging < 2 {
+				hanging++
+				s.links.serve(s.t.Context(), name, http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+					// The connection is there; a caller's limit for it is over.
+					if trace := httptrace.ContextClientTrace(request.Context()); trace != nil && trace.GotConn != nil {
+						trace.GotConn(httptrace.GotConnInfo{})
+					}
+					<-request.Context().Done()
+				}))
+			}
+		}
+		first := s.callAll(outside, 2)
+		later := s.callAll(outside, 3)
+		s.t.Logf("the longest call takes %v, later %v", first, later)
+		if first > 2*passTimeout+100*time.Millisecond || later > 100*time.Millisecond {
+			t.Errorf("a call takes %v, later %v", first, later)
+		}
+	})
+}
+
 // TestCoordinatorsOutsideDoNotPassCallsRound ends all members. Two coordinators outside that
 // know each other refuse then, soon and after few calls.
 func TestCoordinatorsOutsideDoNotPassCallsRound(t *testing.T) {
--- a/internal/coordinator/retiring.go
+++ b/internal/coordinator/retiring.go
@@ -52,7 +52,7 @@
 // bear the losses that the site tolerates. It may be repeated.
 func (c *Coordinator) Retire(ctx context.Context, name string) error {
 	if c.outside() {
-		_, err := passOnToLeader(ctx, c, func(ctx context.Context, base string) (*rockwindpb.RetireMachineResponse, error) {
+		_, err := passOnToLeader(ctx, c, passTimeout, func(ctx context.Context, base string) (*rockwindpb.RetireMachineResponse, error) {
 			return c.directoryAt(base).Retire(ctx, &rockwindpb.RetireMachine{Name: name})
 		})
 		return err
@@ -132,7 +132,7 @@
 // where this coordinator is outside.
 func (c *Coordinator) currentDirectory(ctx context.Context) (*directory.View, error) {
 	if c.outside() {
-		response, err := passOn(ctx, c, func(ctx context.Context, base string) (*rockwindpb.WatchDirectoryResponse, error) {
+		response, err := passOn(ctx, c, passTimeout, func(ctx context.Context, base string) (*rockwindpb.WatchDirectoryResponse, error) {
 			return c.directoryAt(base).Watch(ctx, &rockwindpb.WatchDirectoryRequest{})
 		})
 		if err != nil {
--- a/internal/coordinator/services.go
+++ b/internal/coordinator/services.go
@@ -31,7 +31,7 @@
 // Apply implements rockwindpb.ConfigurationService.
 func (s configurationService) Apply(ctx context.Context, request *rockwindpb.ApplyConfigurationRequest) (*rockwindpb.ApplyConfigurationResponse, error) {
 	if s.coordinator.outside() {
-		response, err := passOn(ctx, s.coordinator, func(ctx context.Context, base string) (*rockwindpb.ApplyConfigurationResponse, error) {
+		response, err := passOn(ctx, s.coordinator, passTimeout, func(ctx context.Context, base string) (*rockwindpb.ApplyConfigurationResponse, error) {
 			return s.coordinator.configurationAt(base).Apply(ctx, request)
 		})
 		return response, fault.ToTwirp(err)
@@ -46,7 +46,7 @@
 // Get implements rockwindpb.ConfigurationService.
 func (s configurationService) Get(ctx context.Context, request *rockwindpb.GetConfigurationRequest) (*rockwindpb.GetConfigurationResponse, error) {
 	if s.coordinator.outside() {
-		response, err := passOn(ctx, s.coordinator, func(ctx context.Context, base string) (*rockwindpb.GetConfigurationResponse, error) {
+		response, err := passOn(ctx, s.coordinator, passTimeout, func(ctx context.Context, base string) (*rockwindpb.GetConfigurationResponse, error) {
 			return s.coordinator.configurationAt(base).Get(ctx, request)
 		})
 		return response, fault.ToTwirp(err)
@@ -63,7 +63,7 @@
 // its leader first, as a part of the call's wait.
 func (s configurationService) Watch(ctx context.Context, request *rockwindpb.WatchConfigurationRequest) (*rockwindpb.WatchConfigurationResponse, error) {
 	if s.coordinator.outside() {
-		response, err := passOn(ctx, s.coordinator, func(ctx context.Context, base string) (*rockwindpb.WatchConfigurationResponse, error) {
+		response, err := passOn(ctx, s.coordinator, holdOf(request.GetWaitMs()), func(ctx context.Context, base string) (*rockwindpb.WatchConfigurationResponse, error) {
 			return s.coordinator.configurationAt(base).Watch(ctx, request)
 		})
 		return response, fault.ToTwirp(err)
@@ -108,7 +108,7 @@
 // Announce implements rockwindpb.DirectoryService.
 func (s directoryService) Announce(ctx context.Context, request *rockwindpb.AnnounceMachineRequest) (*rockwindpb.AnnounceMachineResponse, error) {
 	if s.coordinator.outside() {
-		response, err := passOn(ctx, s.coordinator, func(ctx context.Context, base string) (*rockwindpb.AnnounceMachineResponse, error) {
+		response, err := passOn(ctx, s.coordinator, passTimeout, func(ctx context.Context, base string) (*rockwindpb.AnnounceMachineResponse, error) {
 			return s.coordinator.directoryAt(base).Announce(ctx, request)
 		})
 		return response, fault.ToTwirp(err)
@@ -146,7 +146,7 @@
 // Retire implements rockwindpb.DirectoryService.
 func (s directoryService) Retire(ctx context.Context, request *rockwindpb.RetireMachine) (*rockwindpb.RetireMachineResponse, error) {
 	if s.coordinator.outside() {
-		response, err := passOn(ctx, s.coordinator, func(ctx context.Context, base string) (*rockwindpb.RetireMachineResponse, error) {
+		response, err := passOn(ctx, s.coordinator, passTimeout, func(ctx context.Context, base string) (*rockwindpb.RetireMachineResponse, error) {
 			return s.coordinator.directoryAt(base).Retire(ctx, request)
 		})
 		return response, fault.ToTwirp(err)
@@ -167,7 +167,7 @@
 // leader first, as a part of the call's wait.
 func (s directoryService) Watch(ctx context.Context, request *rockwindpb.WatchDirectoryRequest) (*rockwindpb.WatchDirectoryResponse, error) {
 	if s.coordinator.outside() {
-		response, err := passOn(ctx, s.coordinator, func(ctx context.Context, base string) (*rockwindpb.WatchDirectoryResponse, error) {
+		response, err := passOn(ctx, s.coordinator, holdOf(request.GetWaitMs()), func(ctx context.Context, base string) (*rockwindpb.WatchDirectoryResponse, error) {
 			return s.coordinator.directoryAt(base).Watch(ctx, request)
 		})
 		return response, fault.ToTwirp(err)
--- a/internal/router/watching_test.go
+++ b/internal/router/watching_test.go
@@ -36,12 +36,12 @@
 	}{"silent": {silent, true}, "in reach": {reached, false}, "refused": {refused, true}} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				var last time.Time
+				last := make(chan time.Time, 1)
 				r := relayingWith(t, httptest.NewRecorder(), func(conn net.Conn) {
 					_, _ = io.WriteString(conn, streamHead+event(1))
 					time.Sleep(250 * time.Millisecond)
 					_, _ = io.WriteString(conn, event(2))
-					last = time.Now()
+					last <- time.Now()
 					time.Sleep(outlasts)
 				}, test.later)
 				ctx, cancel := context.WithTimeout(t.Context(), outlasts/2)
@@ -54,7 +54,7 @@
 				}
 				r.sent++
 				got := r.relayEvents(ctx, r.lease, response, 0)
-				took := time.Since(last)
+				took := time.Since(<-last)
 				t.Logf("verdict %v after %v: %s", got, took, r.reason)
 				if got != verdictBroken {
 					t.Errorf("the verdict is %v", got)
