--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -78,6 +78,7 @@
 	set.ClientBuffers(router.buffers.Usage)
 	set.Waiting(router.dispatcher.Waiting)
 	set.LeftBehind(router.dispatcher.LeftBehind)
+	set.Coordinators(router.watcher.Silence)
 	set.Relief(d.reliever.state)
 	return set
 }
