Submissions: a time to come back is bounded also once the client gave up

Cause, found in the review: with nothing left of the client's time the bound was taken for 'does not say': a refusal of 5 s was told as 5 s at 50 ms after the deadline, and 346 ms with 1.5 s left. The tests allowed 1 s where the code has 100 ms; they go by that constant now, and one looks at the time to come back.

--- a/internal/router/export_test.go
+++ b/internal/router/export_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/loadshare"
 )
 
@@ -37,3 +38,14 @@
 	defer cancel()
 	return ctx.Deadline()
 }
+
+// AnswerMargin is the least time that stores have for a job.
+const AnswerMargin = answerMargin
+
+// SubmissionComesBack is when a client is told to come back whose job was received at a time and
+// is refused with the given time to come back.
+func SubmissionComesBack(received time.Time, deadline, told time.Duration) time.Duration {
+	submitted := &submission{facts: Facts{Deadline: deadline}, received: received}
+	refusal := fault.New(fault.Unavailable, "no store", "come back").WithRetryAfter(told)
+	return fault.From(submitted.withinReach(refusal)).RetryAfter
+}
--- a/internal/router/submission.go
+++ b/internal/router/submission.go
@@ -89,13 +89,13 @@
 	return context.WithTimeout(ctx, max(s.remaining(time.Now())-answerMargin, answerMargin))
 }
 
-// remaining is how long the client still waits, of which the body took a part; zero where it
-// does not say.
+// remaining is how long the client still waits, of which the body took a part, and next to nothing
+// once it has given up; zero where it does not say.
 func (s *submission) remaining(now time.Time) time.Duration {
 	if s.facts.Deadline == 0 {
 		return 0
 	}
-	return s.facts.Deadline - now.Sub(s.received)
+	return max(time.Nanosecond, s.facts.Deadline-now.Sub(s.received))
 }
 
 // withinReach bounds the time to come back of a refusal by what the client has left.
