Stores: record what running items received before a planned hand-over

A shard that was handed over on plan (stop, drain, another member in its place, an operator's transfer) held what the last periodic record told, up to 500 ms ago, and the next leader had that much of each running item made again.

replica.Options.HandingOver is called before leadership is handed over, while the group still takes commands; the hand-over begins when it returns, or after 250 ms. The store's executor waits there for a record under way and records the rest.

--- a/internal/replica/host_test.go
+++ b/internal/replica/host_test.go
@@ -179,3 +179,56 @@
 		}
 	})
 }
+
+// TestHandOverIsPreparedWhileTheGroupTakesCommands: what the leader has in memory alone must be
+// with the next leader, so it is told before the hand-over begins.
+func TestHandOverIsPreparedWhileTheGroupTakesCommands(t *testing.T) {
+	var leaving *machine
+	var refused error
+	prepared := 0
+	adjust := func(options *replica.Options) {
+		options.HandingOver = func(ctx context.Context, group uint32) {
+			if group != 1 {
+				return
+			}
+			prepared++
+			_, refused = leaving.group(group).Propose(ctx, encode(command{Key: "last", Value: 1}))
+		}
+	}
+	inBubble(t, 3, adjust, func(f *fleet) {
+		f.add(1, "a")
+		leaving = f.leader(1)
+		if err := leaving.host.Drain(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		if prepared == 0 || refused != nil {
+			t.Fatalf("the hand-over was prepared %d times, the last command was refused: %v", prepared, refused)
+		}
+		if got := f.read(1, "last"); got != prepared {
+			t.Fatalf("the next leader holds %d of %d commands", got, prepared)
+		}
+	})
+}
+
+// TestHandOverWaitsNoLongerThanItsLimit for what is to be prepared.
+func TestHandOverWaitsNoLongerThanItsLimit(t *testing.T) {
+	var release chan struct{}
+	adjust := func(options *replica.Options) {
+		options.HandingOver = func(context.Context, uint32) { <-release }
+	}
+	inBubble(t, 3, adjust, func(f *fleet) {
+		release = make(chan struct{})
+		f.add(1, "a")
+		leaving := f.leader(1)
+		began := time.Now()
+		err := leaving.host.Drain(context.Background())
+		took := time.Since(began)
+		close(release)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if took < 250*time.Millisecond || took > 250*time.Millisecond+10*tick {
+			t.Fatalf("the hand-over took %v", took)
+		}
+	})
+}
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -62,6 +63,11 @@
 	// it once for each group that it runs. Group 0 is the root group, 1 and up
 	// are the job shards.
 	StateMachines func(group uint32) StateMachine
+	// HandingOver is called before this machine hands over the leadership of a group on plan,
+	// on a goroutine of its own, while the group still takes commands. The hand-over begins when
+	// it returns, or when its context ends, which is after 250 ms at most. Nil means that
+	// nothing is to be done.
+	HandingOver func(ctx context.Context, group uint32)
 	// SnapshotEntries and SnapshotBytes limit the log behind the newest snapshot
 	// of a group, in entries and in bytes of commands; zero means the defaults.
 	SnapshotEntries uint64
--- a/internal/replica/owner.go
+++ b/internal/replica/owner.go
@@ -71,6 +71,8 @@
 	// snapshotIndex is the index of the newest snapshot.
 	snapshotIndex uint64
 	draining      bool
+	// preparing tells that Options.HandingOver is under way.
+	preparing bool
 	// received waits for the Ready that installs it, installing for its sync.
 	received   receivedSnapshot
 	installing receivedSnapshot
--- a/internal/site/host.go
+++ b/internal/site/host.go
@@ -60,6 +60,7 @@
 	Discover      func() []*rockwindpb.ControlMachine
 	Vacate        func(machine string) bool
 	StateMachines func(group uint32) replica.StateMachine
+	HandingOver   func(ctx context.Context, group uint32)
 	Places        int
 }
 
@@ -85,6 +86,7 @@
 		TrailingBytes:   LogBytes(given) / 2,
 		SegmentBytes:    segmentBytes,
 		StateMachines:   options.StateMachines,
+		HandingOver:     options.HandingOver,
 	})
 	if err != nil {
 		release()
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -64,15 +64,16 @@
 		replicated, running = s.host.Group(shard)
 	}
 	e := &executor{
-		store:   s,
-		group:   replicated,
-		machine: s.machine(shard),
-		claims:  claims.NewTable(),
-		history: make(map[claims.Key]*history),
-		active:  make(map[claims.Key]*activeTry),
-		paces:   make(map[string]*backlog.Pace),
-		ended:   make(chan itemEnd, endBuffer),
-		notes:   make(chan struct{}, 1),
+		store:    s,
+		group:    replicated,
+		machine:  s.machine(shard),
+		claims:   claims.NewTable(),
+		history:  make(map[claims.Key]*history),
+		active:   make(map[claims.Key]*activeTry),
+		paces:    make(map[string]*backlog.Pace),
+		ended:    make(chan itemEnd, endBuffer),
+		notes:    make(chan struct{}, 1),
+		partings: s.partingsOf(shard),
 	}
 	e.run(ctx)
 }
@@ -123,6 +124,10 @@
 	noted  time.Time
 	noting bool
 	notes  chan struct{}
+	// partings tells that leading is about to end on plan, and parted are those that wait until
+	// all that was received is recorded.
+	partings <-chan parting
+	parted   []parting
 	// results wait to be recorded, by job, and failures are the claims of items whose failed
 	// tries do.
 	results  map[string][]pendingResult
@@ -160,6 +165,10 @@
 			e.yield(time.Now())
 		case <-e.notes:
 			e.noting = false
+			e.notePartings(ctx)
+		case told := <-e.partings:
+			e.parted = append(e.parted, told)
+			e.notePartings(ctx)
 		case <-applied:
 			// One look for a burst of commands.
 			retry.Pause(ctx, recordLinger)
--- a/internal/store/progress.go
+++ b/internal/store/progress.go
@@ -38,12 +38,18 @@
 // note records what was received of items since the last record, in few commands for all. One
 // such record is under way at a time, so the events of an item come in their order.
 func (e *executor) note(ctx context.Context, now time.Time) {
+	e.noteThen(ctx, now, func() {})
+}
+
+// noteThen is note, and calls then once the records are applied or lost.
+func (e *executor) noteThen(ctx context.Context, now time.Time, then func()) {
 	e.noted = now
-	if !e.store.gates.On(gate.ItemProgress) {
-		return
+	var records []*progressRecord
+	if e.store.gates.On(gate.ItemProgress) {
+		records = e.unrecorded()
 	}
-	records := e.unrecorded()
 	if len(records) == 0 {
+		then()
 		return
 	}
 	e.noting = true
@@ -51,6 +57,7 @@
 		for _, record := range records {
 			e.recordProgress(ctx, record)
 		}
+		then()
 		e.notes <- struct{}{}
 	}()
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -54,6 +54,8 @@
 
 	mutex    sync.Mutex
 	machines map[uint32]*jobstore.Machine
+	// partings are the channels by which the shards' executors are told of a hand-over.
+	partings map[uint32]chan parting
 	created  chan uint32
 }
 
@@ -72,10 +74,11 @@
 		upstream:   router.NewUpstream(),
 		protocol:   protocol,
 		machines:   make(map[uint32]*jobstore.Machine),
+		partings:   make(map[uint32]chan parting),
 		created:    make(chan uint32, maximumShards),
 	}
 	host, release, err := site.OpenHost(settings, s.client, site.HostOptions{
-		Discover: s.peers, Vacate: s.retiring, StateMachines: s.create, Places: site.Places(settings),
+		Discover: s.peers, Vacate: s.retiring, StateMachines: s.create, HandingOver: s.part, Places: site.Places(settings),
 	})
 	if err != nil {
 		return err
@@ -101,6 +104,7 @@
 	defer s.mutex.Unlock()
 	machine := jobstore.New()
 	s.machines[shard] = machine
+	s.partings[shard] = make(chan parting)
 	s.created <- shard
 	return machine
 }
