Replicas: tell entries by reference to earlier ones

The result of an item tells again the text that its progress records told, so since progress is recorded an item took twice the bytes on the links between stores, which cross zones.

A leader now sends entries as pieces, bytes or parts of earlier entries, to members whose replies say that they understand it.

--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -271,6 +271,26 @@
 	return status
 }
 
+// Matches tells whether the log has an entry of the term at the index, so that it agrees with
+// every log that has it, up to there.
+func (n *Node) Matches(index, term uint64) bool { return n.log.hasTerm(index, term) }
+
+// Entry returns the entry at an index of the log. It fails with ErrCompacted or ErrUnavailable
+// where the log doesn't hold it.
+func (n *Node) Entry(index uint64) (*rockwindpb.Entry, error) {
+	if index > n.log.lastIndex() {
+		return nil, ErrUnavailable
+	}
+	entries, err := n.log.entries(index, index+1, 0)
+	if err != nil {
+		return nil, err
+	}
+	if len(entries) == 0 {
+		return nil, ErrUnavailable
+	}
+	return entries[0], nil
+}
+
 // Err returns the reason for which the node halted, nil while it runs. A halted
 // node does nothing any more; its process should stop and be looked at.
 func (n *Node) Err() error {
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -72,6 +72,7 @@
 	}
 	o.wasLeading = leading
 	o.lease.reset()
+	o.short = shortener{}
 	clear(o.targets)
 	o.failPending("leadership was lost before the command was committed")
 	o.failReads()
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -1,9 +1,12 @@
 package replica_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +17,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/rockwindpb"
@@ -37,8 +41,13 @@
 	Key   string
 	Set   bool
 	Value int
+	// Note is text that goes into the digest of the key's notes.
+	Note string `json:",omitempty"`
 }
 
+// digestOf names the register that holds the digest of all notes of a key, in their order.
+func digestOf(key string) string { return "digest of " + key }
+
 func newRegisters(uint32) replica.StateMachine {
 	return &registers{values: map[string]int{}}
 }
@@ -56,6 +65,11 @@
 	} else {
 		r.values[c.Key] += c.Value
 	}
+	if c.Note != "" {
+		digest := fnv.New64a()
+		_, _ = fmt.Fprint(digest, r.values[digestOf(c.Key)], c.Note)
+		r.values[digestOf(c.Key)] = int(digest.Sum64() >> 12)
+	}
 	return r.values[c.Key]
 }
 
@@ -82,18 +96,35 @@
 type network struct {
 	mutex    sync.Mutex
 	handlers map[string]http.Handler
+	// pass changes the messages of a call that go from one machine to another; nil leaves them.
+	pass passing
 	// joins counts the calls to join, and joinBytes what was answered.
 	joins, joinBytes int
 }
 
+// passing changes messages of a call.
+type passing func(from, to string, messages []*rockwindpb.GroupMessage) []*rockwindpb.GroupMessage
+
+// usePass has pass change the messages from here on.
+func (n *network) usePass(pass passing) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.pass = pass
+}
+
 // RoundTrip implements http.RoundTripper.
 func (n *network) RoundTrip(request *http.Request) (*http.Response, error) {
 	n.mutex.Lock()
-	handler := n.handlers[request.URL.Host]
+	handler, pass := n.handlers[request.URL.Host], n.pass
 	n.mutex.Unlock()
 	if handler == nil {
 		return nil, errors.Newf("no process at %s", request.URL.Host)
 	}
+	if pass != nil && strings.HasSuffix(request.URL.Path, "/Send") {
+		if err := change(request, pass); err != nil {
+			return nil, err
+		}
+	}
 	recorder := httptest.NewRecorder()
 	handler.ServeHTTP(recorder, request)
 	if strings.HasSuffix(request.URL.Path, "/Join") {
@@ -102,6 +133,24 @@
 	return recorder.Result(), nil
 }
 
+// change has pass change the messages of a call.
+func change(request *http.Request, pass passing) error {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return err
+	}
+	sent := &rockwindpb.SendRequest{}
+	if err := proto.Unmarshal(body, sent); err != nil {
+		return err
+	}
+	sent.Messages = pass(sent.GetMachine(), request.URL.Host, sent.GetMessages())
+	if body, err = proto.Marshal(sent); err != nil {
+		return err
+	}
+	request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+	return nil
+}
+
 func (n *network) countJoin(answered int) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- a/internal/replica/owner.go
+++ b/internal/replica/owner.go
@@ -76,6 +76,8 @@
 	// received waits for the Ready that installs it, installing for its sync.
 	received   receivedSnapshot
 	installing receivedSnapshot
+	// short tells entries to members by reference.
+	short shortener
 	// targets holds the index that each learner must reach to be promoted.
 	targets    map[uint64]uint64
 	wasLeading uint64
@@ -245,6 +247,14 @@
 }
 
 func (o *owner) stepOne(message *rockwindpb.Message) {
+	o.short.heard(message)
+	switch message.GetKind() {
+	case rockwindpb.MessageKind_MESSAGE_KIND_SHORT_APPEND:
+		message = o.whole(message)
+	case rockwindpb.MessageKind_MESSAGE_KIND_WANT_WHOLE:
+		o.sendWhole(message)
+		return
+	}
 	if err := o.node.Step(message); err != nil && !errors.Is(err, raft.ErrBadMessage) {
 		log.WithError(err).WithField("group", o.id).Error("message refused")
 	}
--- /dev/null
+++ b/internal/replica/pieces/pieces_test.go
@@ -0,0 +1,220 @@
+package pieces_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"rockwind.example/rockwind/internal/replica/pieces"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+// drawData draws the data of an entry: new bytes, few different ones, and parts of earlier entries.
+func drawData(t *rapid.T, entries [][]byte) []byte {
+	var data []byte
+	for range rapid.IntRange(0, 6).Draw(t, "parts") {
+		switch {
+		case len(entries) > 0 && rapid.Bool().Draw(t, "repeated"):
+			from := entries[rapid.IntRange(0, len(entries)-1).Draw(t, "entry")]
+			begin := rapid.IntRange(0, len(from)).Draw(t, "begin")
+			data = append(data, from[begin:rapid.IntRange(begin, len(from)).Draw(t, "end")]...)
+		case rapid.Bool().Draw(t, "uniform"):
+			data = append(data, bytes.Repeat([]byte{rapid.Byte().Draw(t, "byte")}, rapid.IntRange(0, 300).Draw(t, "times"))...)
+		default:
+			random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+			for range rapid.IntRange(0, 800).Draw(t, "length") {
+				data = append(data, byte(random.Uint32()))
+			}
+		}
+	}
+	return data
+}
+
+// TestEntriesAreMadeWhole: what is cut is made whole from the entries before it, those that were
+// made whole themselves. Where one is not held, nothing is made.
+func TestEntriesAreMadeWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		coder := &pieces.Coder{}
+		first := rapid.Uint64Range(1, 1000).Draw(t, "first")
+		var sent, held [][]byte
+		for range rapid.IntRange(1, 12).Draw(t, "entries") {
+			index := first + uint64(len(sent))
+			data := drawData(t, sent)
+			cut, oldest := coder.Code(index, data)
+			sent = append(sent, data)
+			again, same := coder.Code(index, data)
+			if len(again) != len(cut) || same != oldest {
+				t.Fatalf("entry %d is cut in another way the second time", index)
+			}
+			if oldest == 0 {
+				if cut != nil {
+					t.Fatal("there are pieces without a reference")
+				}
+				held = append(held, data)
+				continue
+			}
+			if oldest < first || oldest >= index {
+				t.Fatalf("entry %d refers to entry %d", index, oldest)
+			}
+			missing := false
+			made, found := pieces.Join(index, cut, func(wanted uint64) ([]byte, bool) {
+				if wanted < oldest {
+					t.Fatalf("entry %d refers to entry %d, before %d", index, wanted, oldest)
+				}
+				return held[wanted-first], true
+			})
+			if !found || !bytes.Equal(made, data) {
+				t.Fatalf("entry %d was made whole as another one, found: %v", index, found)
+			}
+			_, found = pieces.Join(index, cut, func(wanted uint64) ([]byte, bool) {
+				missing = missing || wanted == oldest
+				return held[wanted-first], wanted != oldest
+			})
+			if found || !missing {
+				t.Fatalf("entry %d was made whole without entry %d", index, oldest)
+			}
+			held = append(held, made)
+		}
+	})
+}
+
+// TestReferencesToWhatIsNotThereMakeNothing, whatever they are.
+func TestReferencesToWhatIsNotThereMakeNothing(t *testing.T) {
+	earlier := func(index uint64) ([]byte, bool) { return []byte("0123456789"), index >= 3 }
+	for name, piece := range map[string]*rockwindpb.Piece{
+		"an entry before the first":     {Back: 5, Length: 1},
+		"an entry that isn't held":      {Back: 3, Length: 1},
+		"beyond the end":                {Back: 1, Offset: 8, Length: 3},
+		"an offset beyond the end":      {Back: 1, Offset: 11},
+		"the largest numbers there are": {Back: 1, Offset: 1<<32 - 1, Length: 1<<32 - 1},
+		"a distance beyond all":         {Back: 1<<64 - 1, Length: 1},
+	} {
+		if data, found := pieces.Join(5, []*rockwindpb.Piece{{Literal: []byte("a")}, piece}, earlier); found {
+			t.Errorf("%s gives %q", name, data)
+		}
+	}
+	data, found := pieces.Join(5, []*rockwindpb.Piece{{Literal: []byte("a")}, {Back: 2, Offset: 4, Length: 3}}, earlier)
+	if !found || string(data) != "a456" {
+		t.Errorf("made whole is %q, %v", data, found)
+	}
+}
+
+// TestWindowIsBounded: what is older is not referred to.
+func TestWindowIsBounded(t *testing.T) {
+	coder := &pieces.Coder{}
+	random := rand.New(rand.NewPCG(1, 1))
+	first := []byte(words(random, 4000))
+	coder.Code(1, first)
+	if _, oldest := coder.Code(2, first); oldest != 1 {
+		t.Fatal("an entry in the window is not referred to")
+	}
+	index := uint64(3)
+	for size := 0; size <= pieces.Window; size += 100_000 {
+		coder.Code(index, []byte(words(random, 100_000)))
+		index++
+	}
+	if _, oldest := coder.Code(index, first); oldest != 0 {
+		t.Fatalf("entry %d is referred to, beyond the window", oldest)
+	}
+}
+
+func words(random *rand.Rand, length int) string {
+	var text strings.Builder
+	for text.Len() < length {
+		fmt.Fprintf(&text, "%x ", random.Uint64())
+	}
+	return text.String()[:length]
+}
+
+// link counts the bytes of entries, whole and by reference.
+type link struct {
+	coder        pieces.Coder
+	index        uint64
+	whole, short int
+}
+
+func (l *link) send(t *testing.T, command *rockwindpb.JobStoreCommand) {
+	t.Helper()
+	data, err := proto.Marshal(command)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.index++
+	entry := &rockwindpb.Entry{Term: 3, Index: l.index, Kind: rockwindpb.EntryKind_ENTRY_KIND_COMMAND, Data: data}
+	l.whole += proto.Size(entry)
+	cut, oldest := l.coder.Code(l.index, data)
+	if oldest == 0 {
+		l.short += proto.Size(entry)
+		return
+	}
+	l.short += proto.Size(&rockwindpb.ShortEntry{Term: 3, Index: l.index, Kind: entry.Kind, Pieces: cut, Checksum: 1 << 31})
+}
+
+// TestResultCostsWhatItsProgressDoesNotTell: five items of 5 s run beside each other, and each one's
+// result repeats what was recorded of it. A quarter of the text is left for the references, and for
+// records so short that no anchor is in them.
+func TestResultCostsWhatItsProgressDoesNotTell(t *testing.T) {
+	const items, seconds = 5, 5.0
+	for _, size := range []struct{ events, bytes int }{{140, 20}, {140, 50}, {268, 55}} {
+		for _, interval := range []float64{0, 0.25, 0.5, 1, 2} {
+			l := &link{index: 1000}
+			random := rand.New(rand.NewPCG(3, 3))
+			var texts [items]string
+			for item := range texts {
+				var lines []string
+				for range size.events {
+					lines = append(lines, words(random, size.bytes))
+				}
+				texts[item] = strings.Join(lines, "\n")
+			}
+			told := 0
+			// The phase of an item to the records is half an interval on average.
+			for at := interval / 2; interval > 0 && at < seconds; at += interval {
+				record := &rockwindpb.JobProgress{Job: "5f2c9a41d7e04b6c"}
+				until := int(at / seconds * float64(size.events))
+				for item, text := range texts {
+					progress := &rockwindpb.ReceivedEvents{Progress: &rockwindpb.ItemProgress{
+						Item: uint32(item), Term: 3, Run: uint64(item) + 1, Last: uint64(until), Text: []byte(text[told*(size.bytes+1) : until*(size.bytes+1)]),
+					}}
+					if told > 0 {
+						progress.After = proto.Uint64(uint64(told))
+					}
+					record.Items = append(record.Items, progress)
+				}
+				told = until
+				l.send(t, &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_Progress{Progress: &rockwindpb.RecordProgress{Jobs: []*rockwindpb.JobProgress{record}}}})
+			}
+			progress, short := l.whole, l.short
+			for item, text := range texts {
+				l.send(t, &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_Record{Record: &rockwindpb.RecordResults{
+					Job: "5f2c9a41d7e04b6c", Results: []*rockwindpb.StoredResult{{Item: uint32(item), Outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DONE, Text: []byte(text)}},
+				}}})
+			}
+			t.Logf("%d events of %d B, every %.2f s: an item's progress %d B (%d by reference), its result %d B (%d by reference), both %d B (%d)",
+				size.events, size.bytes, interval, progress/items, short/items, (l.whole-progress)/items, (l.short-short)/items, l.whole/items, l.short/items)
+			untold := float64(size.events-told) * float64(size.bytes+1)
+			if result := float64(l.short-short) / items; interval > 0 && result > untold+0.25*float64(len(texts[0])) {
+				t.Errorf("%d events of %d B, every %.2f s: a result of %d B takes %.0f B, %.0f B were not told before", size.events, size.bytes, interval, len(texts[0]), result, untold)
+			}
+		}
+	}
+}
+
+// BenchmarkCode is the cost of cutting commands that repeat little.
+func BenchmarkCode(b *testing.B) {
+	random := rand.New(rand.NewPCG(4, 4))
+	data := []byte(words(random, 8000))
+	coder := &pieces.Coder{}
+	b.SetBytes(int64(len(data)))
+	index := uint64(0)
+	for b.Loop() {
+		index++
+		data[index%8000]++
+		coder.Code(index, bytes.Clone(data))
+	}
+}
--- a/internal/replica/ready.go
+++ b/internal/replica/ready.go
@@ -90,7 +90,7 @@
 			o.sendSnapshot(message)
 			continue
 		}
-		o.host.transport.send(o.route(message.GetTo()), o.id, message)
+		o.host.transport.send(o.route(message.GetTo()), o.id, o.short.outgoing(message))
 	}
 }
 
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -159,6 +159,11 @@
 	for _, entry := range message.GetMessage().GetEntries() {
 		size += len(entry.GetData())
 	}
+	for _, entry := range message.GetMessage().GetShortEntries() {
+		for _, piece := range entry.GetPieces() {
+			size += len(piece.GetLiteral())
+		}
+	}
 	return size
 }
 
