Entries by reference: bound what is remembered, count references on the way

Cause, found in the review: the window of a coder counted data alone (2.2 MB for entries of 20 B where 512 KiB were meant) and pinned entries that the log had let go; a bundle's size left references out; no test failed without the checksum. The heavy tests of load digests ran one after the other (61, 46, 37 and 32 s with the detector).

Change: entries and pieces count with what they take, at most 2,048 entries; 16 bytes a reference; a test of a damaged reference; the heavy tests run side by side.

--- a/internal/loadshare/fit_test.go
+++ b/internal/loadshare/fit_test.go
@@ -51,6 +51,7 @@
 // TestLargeSumsAreToldInDatagramsThatFit: two sums of 1,200 servers and 330 tenants did not
 // fit in one and were not sent, without a word.
 func TestLargeSumsAreToldInDatagramsThatFit(t *testing.T) {
+	t.Parallel()
 	const servers, tenants = 1200, 330
 	w, longest := playSums(t, servers, tenants, balance.SharedPace{})
 	t.Logf("the longest datagram has %d bytes", longest)
@@ -75,6 +76,7 @@
 
 // TestWhatWasLeftBehindIsLeftOutBeforeTenants: it is missed for some seconds at most.
 func TestWhatWasLeftBehindIsLeftOutBeforeTenants(t *testing.T) {
+	t.Parallel()
 	const servers, tenants, left = 1000, 330, 900
 	w := newWorld(1, largeSite(2, 2, 8))
 	// Some of each zone tell of all.
@@ -93,6 +95,7 @@
 
 // TestTenantsAreLeftOutOfASumThatIsTooLong, and the servers are told.
 func TestTenantsAreLeftOutOfASumThatIsTooLong(t *testing.T) {
+	t.Parallel()
 	const servers = 1200
 	w, longest := playSums(t, servers, 2000, balance.SharedPace{})
 	if longest > mostBytes {
--- a/internal/loadshare/pace_test.go
+++ b/internal/loadshare/pace_test.go
@@ -70,6 +70,7 @@
 // TestPacesStayInTheBudgetBetweenZones: each process tells what it saw of twenty servers
 // within the last seconds, beside three requests that it has.
 func TestPacesStayInTheBudgetBetweenZones(t *testing.T) {
+	t.Parallel()
 	const (
 		seconds, watched = 2, 20
 		// budget is the bytes a second that a process may send to other zones, in the mean.
--- a/internal/loadshare/standby_test.go
+++ b/internal/loadshare/standby_test.go
@@ -46,6 +46,7 @@
 // again, and these of them, and loads are as old as before; when the stores are back, they are the
 // relays again.
 func TestRoutersStandInWhileAllRelaysOfAZoneAreDown(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ zones, stores, routers int }{{3, 3, 9}, {6, 8, 42}} {
 		members := largeSite(size.zones, size.stores, size.routers)
 		t.Run(fmt.Sprint(len(members)), func(t *testing.T) {
--- a/internal/replica/pieces/pieces.go
+++ b/internal/replica/pieces/pieces.go
@@ -15,9 +15,18 @@
 )
 
 const (
-	// Window is how many bytes of entries a Coder refers to. A member keeps as much before its
-	// newest snapshot on the smallest machines: half of 1 MiB (site.LogBytes).
+	// Window is how many bytes of entries a Coder refers to, with what it takes to remember them. A
+	// member keeps as much before its newest snapshot on the smallest machines: half of 1 MiB
+	// (site.LogBytes).
 	Window = 512 << 10
+	// mostEntries is how many entries a Coder refers to: as many as a log keeps in memory before its
+	// newest snapshot (wal's trailing entries), so that it pins none that the log let go.
+	mostEntries = 2048
+	// entryCost and pieceCost are what an entry and a piece take beside the data, in bytes: their
+	// structs, and the pointers to them. Counted without them, a Coder full of entries of
+	// 20 B took 2.2 MB.
+	entryCost = 128
+	pieceCost = 120
 	// leastMatch is the shortest part that is told by reference, in bytes. A reference takes some
 	// 12 bytes, and splits what is around it in two.
 	leastMatch = 32
@@ -36,6 +45,9 @@
 	oldest uint64
 }
 
+// size is what the entry takes in memory, in bytes.
+func (e entry) size() int { return entryCost + len(e.data) + pieceCost*len(e.pieces) }
+
 // anchor is a place in the window, after the byte at offset-1 of an entry. The zero value is none.
 type anchor struct {
 	index  uint64
@@ -46,7 +58,7 @@
 type Coder struct {
 	// known holds the entries of the window in their order.
 	known []entry
-	// last is the index of the newest, and size the bytes of all.
+	// last is the index of the newest, and size the bytes that all take.
 	last  uint64
 	size  int
 	table [1 << tableBits]anchor
@@ -161,9 +173,9 @@
 func (c *Coder) remember(newest entry) {
 	c.last = newest.index
 	c.known = append(c.known, newest)
-	c.size += len(newest.data)
-	for c.size > Window && len(c.known) > 1 {
-		c.size -= len(c.known[0].data)
+	c.size += newest.size()
+	for (c.size > Window || len(c.known) > mostEntries) && len(c.known) > 1 {
+		c.size -= c.known[0].size()
 		c.known[0] = entry{}
 		c.known = c.known[1:]
 	}
--- a/internal/replica/short_test.go
+++ b/internal/replica/short_test.go
@@ -22,6 +22,8 @@
 type versions struct {
 	mutex sync.Mutex
 	old   map[string]bool
+	// damaging has the next short append lose its first byte.
+	damaging bool
 	// short and wanted count messages, and bytes those of all appends.
 	short, wanted, bytes int
 }
@@ -50,6 +52,9 @@
 			if v.old[to] {
 				continue
 			}
+			if v.damaging {
+				v.damaging, message = false, damaged(message)
+			}
 		case rockwindpb.MessageKind_MESSAGE_KIND_WANT_WHOLE:
 			v.wanted++
 		}
@@ -61,6 +66,27 @@
 	return passed
 }
 
+// damaged is a short append whose last entry is told with the reference of another place.
+func damaged(message *rockwindpb.GroupMessage) *rockwindpb.GroupMessage {
+	changed := proto.CloneOf(message)
+	entries := changed.GetMessage().GetShortEntries()
+	for _, piece := range entries[len(entries)-1].GetPieces() {
+		if piece.GetBack() > 0 {
+			piece.Offset++
+			piece.Length--
+			return changed
+		}
+	}
+	return changed
+}
+
+// damage has the next short append damaged.
+func (v *versions) damage() {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.damaging = true
+}
+
 // counts returns how many short appends there were, and how often whole ones were wanted.
 func (v *versions) counts() (short, wanted int) {
 	v.mutex.Lock()
@@ -168,6 +194,25 @@
 	})
 }
 
+// TestDamagedReferenceIsNoticed: the entry that it makes has another checksum than the leader's.
+func TestDamagedReferenceIsNoticed(t *testing.T) {
+	told := &versions{}
+	inBubble(t, 3, nil, func(f *fleet) {
+		f.network.usePass(told.pass)
+		f.add(1, "a")
+		time.Sleep(10 * tick)
+		text := words(rand.New(rand.NewPCG(3, 3)), 900)
+		f.note("item", text)
+		f.eventually("all hold the text", f.alike)
+		told.damage()
+		f.note("item", text)
+		f.eventually("all hold the same", f.alike)
+		if _, wanted := told.counts(); wanted != 1 {
+			t.Fatalf("whole entries were wanted %d times", wanted)
+		}
+	})
+}
+
 // TestReplicasHoldTheSameWhateverTheirVersions plays machines that are killed, crashed, cut off, robbed
 // of their disks, and of one version or the other from one moment to the next, while commands repeat
 // parts of each other: progress of items, results, and commands that are told again.
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -154,6 +154,10 @@
 	return false
 }
 
+// pieceSize is what a piece takes beside what it tells literally, in bytes: a reference.
+const pieceSize = 16
+
+// messageSize is about how many bytes the entries of a message take on the way.
 func messageSize(message *rockwindpb.GroupMessage) int {
 	size := 0
 	for _, entry := range message.GetMessage().GetEntries() {
@@ -161,7 +165,7 @@
 	}
 	for _, entry := range message.GetMessage().GetShortEntries() {
 		for _, piece := range entry.GetPieces() {
-			size += len(piece.GetLiteral())
+			size += pieceSize + len(piece.GetLiteral())
 		}
 	}
 	return size
