Share the room for batch items among tenants over all shards

The leader of each shard ordered its own items by tenant and knew nothing of what the tenant had running in other shards: one with jobs in all shards had as many times the room of one with jobs in a single shard.

The use of a tenant is now how many of its items run in all shards, over its weight; stores tell it in the load digests while items are short, of the four tenants that have most, and how many short items wait at which level of use, whoever's they are. Items go by the use, leave room to short items elsewhere of tenants with less, those take it at once, and items of tenants with the most give way first. Without tenants, and with the gate fair_share off, items go as before.

--- a/internal/backlog/share.go
+++ b/internal/backlog/share.go
@@ -6,32 +6,40 @@
 	"time"
 )
 
-// leastRemaining is what an item counts for that is expected to take no time: before any run
-// of a service has ended, tenants share by the number of items.
-const leastRemaining = time.Millisecond
-
 // Of returns an item of a tenant with the given weight; zero is one.
 func (i Item) Of(tenant string, weight uint32) Item {
 	i.tenant, i.weight = tenant, weight
 	return i
 }
 
-// share is what the item counts for with its tenant.
-func (i Item) share() time.Duration {
-	return max(leastRemaining, i.remaining) / time.Duration(max(1, i.weight))
-}
+// Tenant is whose item it is; empty without tenants.
+func (i Item) Tenant() string { return i.tenant }
 
-// OrderShared is Order for items of tenants, of which some run. It answers jobs of one tenant
-// that come many at a time: the items of others, which are due later, were started after
-// all of those and could not be on time any more. Where what waits cannot all be on time
-// with as many runs as there are now, tenants share: the first items of each go before the
-// second ones, counted by how long they run, and each tenant's go by when they are due.
-func OrderShared[T any](waiting []T, running []Item, now time.Time, item func(T) Item) []T {
+// share is what part of the room the item's tenant has beside one that has 1.
+func (i Item) share() float64 { return float64(max(1, i.weight)) }
+
+// OrderShared is Order for items of tenants, given how many each has running in all shards, and
+// how many run here. It answers jobs of one tenant that come many at a time: the items of
+// others, which are due later, were started after all of those and could not be on time any
+// more. Where what waits here cannot all be on time with as many runs as there are now, tenants
+// share: the first items of each go before the second ones, those that run included, and each
+// tenant's go by when they are due; short lists what waits then. An item that would miss its due time by waiting goes
+// before none of a tenant that has less: a heap that is due at once would be before all others.
+func OrderShared[T any](waiting []T, runs int, use Use, now time.Time, item func(T) Item) (ordered, short []T) {
 	early, late := split(waiting, now, item)
-	if !fits(early, len(running), now) {
-		early = byShare(early, running)
+	if !fits(early, runs, now) {
+		early = byShare(early, use)
+		short = values(early)
+	}
+	return interleave(early, late), short
+}
+
+func values[T any](list []entry[T]) []T {
+	all := make([]T, 0, len(list))
+	for _, each := range list {
+		all = append(all, each.value)
 	}
-	return interleave(early, late)
+	return all
 }
 
 // fits tells whether items that are started in their order with so many runs at a time can
@@ -47,26 +55,42 @@
 	return true
 }
 
+// tagged is an entry with how many items its tenant has running before it.
+type tagged[T any] struct {
+	entry entry[T]
+	tag   float64
+}
+
 // byShare sorts items by what their tenants have before them: the items that run, and those
 // that are due sooner.
-func byShare[T any](ordered []entry[T], running []Item) []entry[T] {
-	had := make(map[string]time.Duration)
-	for _, each := range running {
-		had[each.tenant] += each.share()
-	}
-	type tagged struct {
-		entry entry[T]
-		start time.Duration
+func byShare[T any](ordered []entry[T], use Use) []entry[T] {
+	had := use.clone()
+	list := make([]tagged[T], 0, len(ordered))
+	for _, each := range ordered {
+		list = append(list, tagged[T]{entry: each, tag: had.Of(each.item)})
+		had.Begin(each.item)
 	}
-	list := make([]tagged, 0, len(ordered))
+	slices.SortStableFunc(list, func(a, b tagged[T]) int { return cmp.Compare(a.tag, b.tag) })
+	return untagged(list)
+}
+
+// fromMost sorts items that run by what their tenants have running without those before them,
+// the most first.
+func fromMost[T any](ordered []entry[T], use Use) []entry[T] {
+	had := use.clone()
+	list := make([]tagged[T], 0, len(ordered))
 	for _, each := range ordered {
-		list = append(list, tagged{entry: each, start: had[each.item.tenant]})
-		had[each.item.tenant] += each.item.share()
+		list = append(list, tagged[T]{entry: each, tag: had.Of(each.item)})
+		had.end(each.item)
 	}
-	slices.SortStableFunc(list, func(a, b tagged) int { return cmp.Compare(a.start, b.start) })
-	shared := make([]entry[T], 0, len(list))
+	slices.SortStableFunc(list, func(a, b tagged[T]) int { return cmp.Compare(b.tag, a.tag) })
+	return untagged(list)
+}
+
+func untagged[T any](list []tagged[T]) []entry[T] {
+	entries := make([]entry[T], 0, len(list))
 	for _, each := range list {
-		shared = append(shared, each.entry)
+		entries = append(entries, each.entry)
 	}
-	return shared
+	return entries
 }
--- a/internal/backlog/share_test.go
+++ b/internal/backlog/share_test.go
@@ -18,6 +18,12 @@
 	return items
 }
 
+// orderShared orders the items of a single shard.
+func orderShared(waiting, running []backlog.Item, now time.Time) []backlog.Item {
+	ordered, _ := backlog.OrderShared(waiting, len(running), backlog.NewUse(running, nil), now, same)
+	return ordered
+}
+
 // onTime plays the start of items with eight runs at a time and counts those on time.
 func onTime(ordered []backlog.Item, now time.Time) map[string]int {
 	const runs = 8
@@ -42,7 +48,7 @@
 	if before := onTime(backlog.Order(waiting, now, same), now); before["small"] != 0 {
 		t.Fatalf("the load is none: %v", before)
 	}
-	after := onTime(backlog.OrderShared(waiting, running, now, same), now)
+	after := onTime(orderShared(waiting, running, now), now)
 	if after["small"] != 8 || after["flood"] < 12 {
 		t.Fatalf("on time: %v", after)
 	}
@@ -52,7 +58,7 @@
 func TestItemsThatAllFitGoByWhenTheyAreDue(t *testing.T) {
 	waiting := append(jobs("flood", 6, 0), jobs("small", 2, 1)...)
 	now := start.Add(time.Second)
-	shared := backlog.OrderShared(waiting, jobs("flood", 8, 0), now, same)
+	shared := orderShared(waiting, jobs("flood", 8, 0), now)
 	if !slices.Equal(shared, backlog.Order(waiting, now, same)) {
 		t.Fatalf("the order is %v", shared)
 	}
@@ -62,7 +68,7 @@
 func TestHeapWithoutTenantsGoesByWhenItIsDue(t *testing.T) {
 	waiting := append(jobs("", 150, 2), jobs("", 150, 0)...)
 	now := start.Add(2 * time.Second)
-	shared := backlog.OrderShared(waiting, jobs("", 8, 0), now, same)
+	shared := orderShared(waiting, jobs("", 8, 0), now)
 	if !slices.Equal(shared, backlog.Order(waiting, now, same)) {
 		t.Fatal("the order is another one than without sharing")
 	}
--- /dev/null
+++ b/internal/backlog/use.go
@@ -0,0 +1,147 @@
+package backlog
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// needUnit is the bound of the lowest need level in runs: only tenants without runs are there,
+	// whatever their weights.
+	needUnit = 0.01
+	// needSteps is how many levels there are from one amount to twice as much. Tenants of one level
+	// count as alike, which is within a fifth.
+	needSteps = 4
+	// NeedLevels is how many levels there are: the highest begins at 10,000 runs.
+	NeedLevels = 82
+	// alikeSteps is within how many levels no tenant is taken to be ahead of another one: what
+	// leaders of shards know of one and the same tenant differs by as much.
+	alikeSteps = 1
+)
+
+// Memory is for how long an item that ended still counts as one that runs: for longer than others
+// need to hear of it on a large site (some 300 ms). Where many end together, what is told of the
+// others is as old as what is known here, and none seems to be ahead that is not.
+const Memory = 500 * time.Millisecond
+
+// Need is how many items wait that cannot all be on time, by how much their tenants have
+// running: the levels grow geometrically. It names no tenant, so that a process tells as little of
+// 11,000 tenants as of two, and counts of several processes add up.
+type Need [NeedLevels]int
+
+// level is that of a tenant which has so many items running.
+func level(running float64) int {
+	if running <= needUnit {
+		return 0
+	}
+	return min(NeedLevels-1, int(math.Ceil(needSteps*math.Log2(running/needUnit))))
+}
+
+// most is the highest number of runs of a level.
+func most(level int) float64 { return needUnit * math.Exp2(float64(level)/needSteps) }
+
+// Add counts an item that waits whose tenant has so many running.
+func (n *Need) Add(running float64) { n[level(running)]++ }
+
+// Plus adds what waits elsewhere.
+func (n *Need) Plus(other Need) {
+	for level, waiting := range other {
+		n[level] += waiting
+	}
+}
+
+// Len is how many items wait.
+func (n *Need) Len() int {
+	sum := 0
+	for _, waiting := range n {
+		sum += waiting
+	}
+	return sum
+}
+
+// empty tells whether no item waits.
+func (n *Need) empty() bool { return *n == Need{} }
+
+// Use is how many items run, by tenant, in all shards: those of this process, and those of
+// others as they tell. Each holds a slot, so tenants that have alike many get as much time of
+// servers, however long their items run. What is running counts and nothing before it: a tenant that
+// was quiet is ahead until it runs as much as the others, and no longer; and a process that
+// starts anew, which runs nothing, finds what the others run.
+//
+// The zero Use is that of items without tenants, which share by nothing.
+type Use struct {
+	running map[string]float64
+	needs   map[string]*Need
+}
+
+// NewUse returns the use of items that run in one shard, given how many those of a tenant in
+// other shards are; nil where none runs.
+func NewUse(running []Item, elsewhere map[string]float64) Use {
+	use := Use{running: make(map[string]float64), needs: make(map[string]*Need)}
+	maps.Copy(use.running, elsewhere)
+	for _, each := range running {
+		use.Begin(each)
+	}
+	return use
+}
+
+// SetNeed takes what waits for a service at other processes.
+func (u Use) SetNeed(service string, need Need) {
+	if !need.empty() {
+		u.needs[service] = &need
+	}
+}
+
+// Begin counts an item that begins to run.
+func (u Use) Begin(item Item) {
+	if u.running != nil {
+		u.running[item.tenant]++
+	}
+}
+
+// end counts an item that does not run any more.
+func (u Use) end(item Item) {
+	if u.running != nil {
+		u.running[item.tenant]--
+	}
+}
+
+func (u Use) clone() Use { return Use{running: maps.Clone(u.running)} }
+
+// Of is how many items the tenant of an item has running, over its weight.
+func (u Use) Of(item Item) float64 { return u.running[item.tenant] / item.share() }
+
+// Reserved is how many runs an item that is to be started leaves to items that wait at other
+// processes, of tenants that have less running than its own. It answers a tenant that has jobs in
+// all shards beside one that has them in a single one: by the order within each shard alone the
+// first one had as many times the room of the other as there are shards. What is left is the runs by
+// which the two differ, and no more than wait: room that others do not ask for goes to whoever
+// asks.
+func (u Use) Reserved(service string, item Item) int {
+	need := u.needs[service]
+	if need == nil || item.tenant == "" {
+		return 0
+	}
+	reserved := 0
+	own := u.Of(item)
+	for level, waiting := range need {
+		if waiting == 0 || own <= most(level) {
+			continue
+		}
+		reserved += min(waiting, int((own-most(level))*item.share()))
+	}
+	return reserved
+}
+
+// First tells whether an item that is to be started goes before all that wait for the service at
+// other processes: its tenant has less running than those of all of them, which leave it room.
+func (u Use) First(service string, item Item) bool {
+	need := u.needs[service]
+	if need == nil || item.tenant == "" {
+		return false
+	}
+	alike := min(NeedLevels-1, level(u.Of(item))+alikeSteps)
+	return !slices.ContainsFunc(need[:alike+1], func(waiting int) bool { return waiting > 0 })
+}
--- a/internal/balance/headroom.go
+++ b/internal/balance/headroom.go
@@ -17,6 +17,12 @@
 	settleTime = 60 * time.Millisecond
 )
 
+// firstRivals is how many processes at a time are taken to start batch work to which the others
+// leave their slots. With one, 11 leaders were up to 70 runs beyond 88 slots where many runs ended
+// at once; with three up to 21, and a tenant with jobs at one leader had 164 of 200 items on time
+// instead of 182, and 147 where all 11 count (backlog.TestTenantsShareOverAllShards).
+const firstRivals = 3
+
 // headroom remembers the batch work that this process started lately, and what gave way.
 type headroom struct {
 	// starts are those that other processes may not know of yet.
@@ -114,10 +120,11 @@
 func (p *Pool) batchAt(s *server) int { return s.batch + p.shares.At(s.hash).Batch }
 
 // batchFits tells whether the service as a whole has room for one more batch request
-// beside the online work of the moment. What this process started a moment ago counts for
-// each process that starts batch work: those may have started as much. Where requests that
+// beside the online work of the moment and the slots that it leaves to others. What this process started a moment ago counts for
+// each process that starts batch work: those may have started as much, but where they leave their
+// slots to this one. Where requests that
 // wait have the slots of batch work only once that gives way, none starts while they do.
-func (p *Pool) batchFits(now time.Duration, random *rand.Rand) bool {
+func (p *Pool) batchFits(demand Demand, now time.Duration, random *rand.Rand) bool {
 	if !p.paced() && p.shares.At(p.queue).Inflight > 0 {
 		return false
 	}
@@ -127,7 +134,10 @@
 	}
 	budget := max(sum.slots-sum.online, int(leastUse*float64(sum.slots)), 1)
 	rivals := max(1, p.batchProcesses)
-	left := budget - sum.batch - (rivals-1)*p.headroom.starts.count(max(unseenFor, p.viewAge), now)
+	if demand.First {
+		rivals = min(rivals, firstRivals)
+	}
+	left := budget - sum.batch - demand.Reserved - (rivals-1)*p.headroom.starts.count(max(unseenFor, p.viewAge), now)
 	return float64(left) > float64(rivals-1)*random.Float64()
 }
 
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -46,6 +46,10 @@
 	Parts []Part
 	// Batch requests only take what online requests leave.
 	Batch bool
+	// Reserved is how many slots of the service a batch request leaves to others, and First tells
+	// that the others leave theirs to it.
+	Reserved int
+	First    bool
 	// Beyond lets an online request start one beyond this process's part of the slots, and one
 	// beyond those of a server, where requests are paced.
 	Beyond bool
@@ -164,7 +168,7 @@
 // its server is, and far more if only this process knows of it. Among many servers a part of
 // them is looked at, see sample.
 func (p *Pool) Choose(demand Demand, tried []string, now time.Duration, random *rand.Rand) (Choice, bool) {
-	if demand.Batch && !p.batchFits(now, random) {
+	if demand.Batch && !p.batchFits(demand, now, random) {
 		return Choice{}, false
 	}
 	if !demand.Batch && !p.mayStart(demand, now) {
--- /dev/null
+++ b/internal/router/batchshare_test.go
@@ -0,0 +1,107 @@
+package router_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"rockwind.example/rockwind/internal/backlog"
+	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/gate"
+	"rockwind.example/rockwind/internal/loadshare"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/router"
+)
+
+// itemsOf are so many items of a tenant.
+func itemsOf(tenant string, count int) []backlog.Item {
+	var items []backlog.Item
+	for range count {
+		items = append(items, backlog.NewItem(time.Time{}, time.Time{}, time.Second).Of(tenant, 0))
+	}
+	return items
+}
+
+// shortOf is the load of a shard with items running and so many short of a tenant that has so many
+// running in all shards.
+func shortOf(running []backlog.Item, short int, use float64) backlog.ShardLoad {
+	load := backlog.NewShardLoad(running)
+	for range short {
+		load.Wait("app", use, false)
+	}
+	return load
+}
+
+// digestOf is what a store tells of itself.
+func digestOf(store *router.Dispatcher, name string, sequence uint64) *rockwindpb.LoadDigest {
+	digest := store.LoadSource().Own()
+	digest.Sender, digest.StartedUnixMs, digest.Sequence = name, 1, sequence
+	return digest
+}
+
+func tenantSet(names ...string) map[string]struct{} {
+	set := make(map[string]struct{})
+	for _, name := range names {
+		set[name] = struct{}{}
+	}
+	return set
+}
+
+// TestLeaderKnowsTheUseOfTenantsInAllShards: in other shards of its own store and at other stores.
+// An item of the tenant that has much leaves room to one that waits elsewhere, which goes first.
+func TestLeaderKnowsTheUseOfTenantsInAllShards(t *testing.T) {
+	here, there := newDispatcher(8, gate.Set{}), newDispatcher(8, gate.Set{})
+	here.SetBatchLoad(1, shortOf(itemsOf("everywhere", 30), 50, 42))
+	there.SetBatchLoad(2, shortOf(itemsOf("everywhere", 10), 6, 0))
+	here.LoadSource().Take(digestOf(there, "there", 1))
+	there.LoadSource().Take(digestOf(here, "here", 1))
+	everywhere, one := itemsOf("everywhere", 1)[0], itemsOf("one", 1)[0]
+	use := here.BatchUse(3, itemsOf("everywhere", 2), tenantSet("everywhere", "one"))
+	if got := use.Of(everywhere); got != 42 {
+		t.Errorf("%v items run", got)
+	}
+	if got := use.Reserved("app", everywhere); got != 6 {
+		t.Errorf("room for %d items is left", got)
+	}
+	use = there.BatchUse(2, itemsOf("everywhere", 10), tenantSet("everywhere", "one"))
+	if use.Reserved("app", one) != 0 || !use.First("app", one) {
+		t.Error("the item of the tenant that has nothing does not go first")
+	}
+	there.SetBatchLoad(2, backlog.NewShardLoad(nil))
+	here.LoadSource().Take(digestOf(there, "there", 2))
+	if got := here.BatchUse(3, nil, tenantSet("everywhere")).Reserved("app", everywhere); got != 0 {
+		t.Errorf("room for %d items is left though none waits", got)
+	}
+}
+
+// TestNothingIsToldOfTenantsWhileNoItemIsShort.
+func TestNothingIsToldOfTenantsWhileNoItemIsShort(t *testing.T) {
+	store := newDispatcher(8, gate.Set{})
+	before := len(digestOf(store, "store", 1).GetServers())
+	store.SetBatchLoad(1, backlog.NewShardLoad(itemsOf("tenant", 40)))
+	if after := len(digestOf(store, "store", 2).GetServers()); after != before {
+		t.Errorf("%d entries instead of %d", after, before)
+	}
+}
+
+// TestSharesOfItemsFitInADatagram: the sum of the stores of two of three zones, where no two tell of
+// the same tenants and items wait at all levels.
+func TestSharesOfItemsFitInADatagram(t *testing.T) {
+	const mostBytes, tenants = 16 << 10, 11_000
+	for _, stores := range []int{11, 45, 300} {
+		loads := make(map[uint32]balance.SharedLoad)
+		for tenant := range min(tenants, stores*2/3*backlog.MostTold) {
+			loads[backlog.UseHash(fmt.Sprint("tenant ", tenant))] = balance.SharedLoad{Inflight: 300}
+		}
+		for _, hash := range backlog.NeedHashes("app") {
+			loads[hash] = balance.SharedLoad{Inflight: 2000}
+		}
+		bytes := proto.Size(loadshare.NewDigest(loads))
+		t.Logf("%d stores: %d entries, %d bytes", stores, len(loads), bytes)
+		if bytes > mostBytes/2 {
+			t.Errorf("%d stores: %d bytes", stores, bytes)
+		}
+	}
+}
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"rockwind.example/rockwind/internal/backlog"
 	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/balance/pace"
 	"rockwind.example/rockwind/internal/directory"
@@ -49,6 +50,8 @@
 	pressed chan struct{}
 	// heldAt is when it was last written which tenants others go before.
 	heldAt time.Duration
+	// batch is what runs and waits of the shards that this process leads.
+	batch *backlog.Ledger
 	// survey is what this process asked servers after its start; nil before.
 	survey *survey
 }
@@ -68,6 +71,7 @@
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pools:  make(map[string]*servicePool),
 		shares: shares,
+		batch:  backlog.NewLedger(),
 
 		servers: make(map[uint32]struct{}),
 		lefts:   make(map[uint32]struct{}),
@@ -112,6 +116,7 @@
 	created := &servicePool{
 		name: name, gates: d.gates, pool: d.newPool(name), shares: d.shares,
 		classes: make(map[waiting.Priority]*class), holding: typicalHolding,
+		needHashes: backlog.NeedHashes(name),
 	}
 	if d.gates.On(gate.FairShare) {
 		created.waiting.Share(func(place waiting.Place) float64 { return created.virtual(place, d.now()) })
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rockwind.example/rockwind/internal/backlog"
 	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/fairshare"
 	"rockwind.example/rockwind/internal/fault"
@@ -79,6 +80,8 @@
 	// ended how many that rests on.
 	holding time.Duration
 	ended   int
+	// needHashes are the names in digests of the batch items that wait.
+	needHashes *[backlog.NeedLevels]uint32
 	// written is how many events answers had lately, and work what requests took, in tokens.
 	written float64
 	work    float64
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -120,6 +120,7 @@
 		pool.pool.Own(d.now(), add)
 		pool.queued(time.Now(), d.now(), add)
 	}
+	d.batchLoads(add)
 	d.shares.OwnLeftBehind(add)
 	return loads
 }
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -10,7 +10,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"rockwind.example/rockwind/internal/backlog"
-	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/jobstore"
@@ -65,6 +64,8 @@
 	}
 	e := &executor{
 		store:   s,
+		shard:   shard,
+		share:   newShare(),
 		group:   replicated,
 		machine: s.machine(shard),
 		claims:  claims.NewTable(),
@@ -102,6 +103,7 @@
 // owns its fields; tries run on goroutines of their own and report their ends.
 type executor struct {
 	store   *Store
+	shard   uint32
 	group   replica.Group
 	machine *jobstore.Machine
 
@@ -113,7 +115,13 @@
 	active map[claims.Key]*activeTry
 	// paces holds how long items take, by service.
 	paces map[string]*backlog.Pace
-	ended chan itemEnd
+	// left are the items whose runs ended a moment ago.
+	left []leftItem
+	// share is what the last look knew of the tenants' shares, and heldAt when it was last
+	// written whose items leave room to those of others.
+	share  share
+	heldAt time.Time
+	ended  chan itemEnd
 	// runs numbers the runs whose progress is recorded.
 	runs output.Runs
 	// historyTerm is the term in which the histories were made.
@@ -199,11 +207,16 @@
 		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
 	})
 	e.yield(now)
-	for _, item := range e.order(open, now) {
+	ordered, short := e.order(open, now)
+	for _, item := range ordered {
+		if e.heldBack(item) {
+			continue
+		}
 		if !e.begin(ctx, item, now) {
 			break
 		}
 	}
+	e.tellShare(short, now)
 	e.record(ctx)
 	return len(open) > 0 || e.claims.Len() > 0
 }
@@ -216,6 +229,8 @@
 		term = 0
 	}
 	if term != e.term {
+		e.store.dispatcher.DropBatchLoad(e.shard)
+		e.share, e.left = newShare(), nil
 		e.claims.Drop()
 		clear(e.active)
 		e.term = term
@@ -270,11 +285,11 @@
 		return true
 	}
 	active := &activeTry{tenant: item.Tenant, service: router.ServiceOf(route, item.Item.GetId()), route: route, submitted: time.UnixMilli(item.SubmittedUnixMs), began: now, madeBefore: known.made(), cancel: cancel}
-	lease := e.store.dispatcher.TryAcquire(active.service, balance.Demand{Parts: facts.Parts, Batch: true})
+	lease, goOn := e.acquire(active.service, item, facts)
 	if lease == nil {
 		cancel(nil)
 		e.claims.Release(claim)
-		return false
+		return goOn
 	}
 	active.server, active.choice = lease.ID, lease.Choice
 	e.active[key] = active
@@ -284,6 +299,7 @@
 		decision.Default.Record(decision.ItemStarted, item.Job, log.Fields{
 			"item": item.Index, "item_id": item.Item.GetId(), "server": lease.ID, "load": lease.Load, "slots": lease.Slots, "pace": lease.Slowness(),
 			"failures": known.failures, "after_event": known.output.Last(), "age_ms": now.UnixMilli() - item.SubmittedUnixMs,
+			"tenant": item.Tenant,
 		})
 	}
 	try := &itemTry{store: e.store, item: item, history: known, writer: known.output.Write(known.failures), lease: lease, route: route.GetName(), attempts: max(1, int(route.GetAttempts()))}
@@ -323,6 +339,9 @@
 	}
 	active := e.active[end.claim.Key()]
 	delete(e.active, end.claim.Key())
+	if active != nil {
+		e.left = append(e.left, leftItem{item: e.backlogTry(active), at: time.Now()})
+	}
 	if end.recorded {
 		e.claims.Release(end.claim)
 		return
@@ -331,7 +350,7 @@
 		whole := end.history.made()
 		e.pace(active.service).Ended(whole-active.madeBefore, whole, active.choice.Usual(time.Since(active.began)))
 	}
-	recordEnd(end, e.term)
+	recordEnd(end, active, e.term)
 	if end.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_UNSPECIFIED {
 		if end.failed {
 			e.failures = append(e.failures, end.claim)
--- a/internal/store/order.go
+++ b/internal/store/order.go
@@ -31,16 +31,15 @@
 	return int(last)
 }
 
-// order sorts the open items into the order in which they are to be started.
-func (e *executor) order(open []jobstore.OpenItem, now time.Time) []jobstore.OpenItem {
+// order sorts the open items into the order in which they are to be started, and lists those
+// that cannot all be on time.
+func (e *executor) order(open []jobstore.OpenItem, now time.Time) (ordered, short []jobstore.OpenItem) {
+	e.share = newShare()
 	if !e.store.gates.On(gate.FairShare) {
-		return backlog.Order(open, now, e.backlogItem)
+		return backlog.Order(open, now, e.backlogItem), nil
 	}
-	running := make([]backlog.Item, 0, len(e.active))
-	for _, try := range e.active {
-		running = append(running, e.backlogTry(try))
-	}
-	return backlog.OrderShared(open, running, now, e.backlogItem)
+	e.share.use = e.tenantsUse(open, now)
+	return backlog.OrderShared(open, len(e.active), e.share.use, now, e.backlogItem)
 }
 
 // weight is that of a tenant by the configuration in force, zero where it has none.
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -18,8 +18,9 @@
 	result *rockwindpb.StoredResult
 }
 
-// recordEnd writes what became of a try. Ordinary ends are sampled by job.
-func recordEnd(end itemEnd, term uint64) {
+// recordEnd writes what became of a try, nil where none was begun. Ordinary ends are sampled by
+// job.
+func recordEnd(end itemEnd, try *activeTry, term uint64) {
 	kind := decision.ItemRecorded
 	switch {
 	case end.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_UNSPECIFIED:
@@ -32,6 +33,9 @@
 		"item": end.claim.Key().Index(), "item_id": end.item, "outcome": outcomeName(end.outcome), "failures": end.history.failures,
 		"reason": end.reason, "server": end.server, "term": term, "events": end.history.made(),
 	}
+	if try != nil {
+		fields["tenant"], fields["age_ms"] = try.tenant, time.Since(try.submitted).Milliseconds()
+	}
 	if kind == decision.ItemReturned {
 		fields["content"] = end.content.String()
 	}
--- /dev/null
+++ b/internal/store/share.go
@@ -0,0 +1,141 @@
+package store
+
+import (
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"rockwind.example/rockwind/internal/backlog"
+	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/decision"
+	"rockwind.example/rockwind/internal/gate"
+	"rockwind.example/rockwind/internal/jobstore"
+	"rockwind.example/rockwind/internal/router"
+)
+
+// heldBackInterval is the time between lines about items that leave room to those of others.
+const heldBackInterval = time.Second
+
+// share is what one look at a shard knows of the tenants' shares of the room for batch work.
+type share struct {
+	use backlog.Use
+	// refused is the least reservation of a service with which an item found no room.
+	refused map[string]int
+}
+
+func newShare() share { return share{refused: make(map[string]int)} }
+
+// tenantsUse is what the tenants of this shard's items have running in all shards.
+func (e *executor) tenantsUse(open []jobstore.OpenItem, now time.Time) backlog.Use {
+	running, tenants := e.runningItems(now), make(map[string]struct{})
+	for _, item := range open {
+		tenants[item.Tenant] = struct{}{}
+	}
+	for _, item := range running {
+		tenants[item.Tenant()] = struct{}{}
+	}
+	delete(tenants, "")
+	if len(tenants) == 0 {
+		return backlog.Use{}
+	}
+	return e.store.dispatcher.BatchUse(e.shard, running, tenants)
+}
+
+// runningItems are the items that run in this shard, and those that ended a moment ago.
+func (e *executor) runningItems(now time.Time) []backlog.Item {
+	e.left = slices.DeleteFunc(e.left, func(each leftItem) bool { return now.Sub(each.at) >= backlog.Memory })
+	items := make([]backlog.Item, 0, len(e.active)+len(e.left))
+	for _, try := range e.active {
+		items = append(items, e.backlogTry(try))
+	}
+	for _, each := range e.left {
+		items = append(items, each.item)
+	}
+	return items
+}
+
+// leftItem is an item whose run ended at a time.
+type leftItem struct {
+	item backlog.Item
+	at   time.Time
+}
+
+// heldBack tells whether an item is known to find no room: one that reserves as little found none
+// in this look.
+func (e *executor) heldBack(item jobstore.OpenItem) bool {
+	if len(e.share.refused) == 0 {
+		return false
+	}
+	service, found := e.serviceOf(item)
+	least, refused := e.share.refused[service]
+	return found && refused && e.share.use.Reserved(service, e.backlogItem(item)) >= least
+}
+
+func (e *executor) serviceOf(item jobstore.OpenItem) (service string, found bool) {
+	route, standing := e.route(item)
+	if standing != routeFound {
+		return "", false
+	}
+	return router.ServiceOf(route, item.Item.GetId()), true
+}
+
+// acquire gets a server for an item; it leaves room to items of tenants that have less. Where
+// there is none, goOn tells whether the next item may find some.
+func (e *executor) acquire(service string, item jobstore.OpenItem, facts router.Facts) (lease *router.Lease, goOn bool) {
+	wanted := e.backlogItem(item)
+	demand := balance.Demand{
+		Parts: facts.Parts, Batch: true,
+		Reserved: e.share.use.Reserved(service, wanted), First: e.share.use.First(service, wanted),
+	}
+	lease = e.store.dispatcher.TryAcquire(service, demand)
+	if lease != nil {
+		e.share.use.Begin(wanted)
+		return lease, true
+	}
+	if demand.Reserved == 0 {
+		return nil, false
+	}
+	if least, refused := e.share.refused[service]; !refused || demand.Reserved < least {
+		e.share.refused[service] = demand.Reserved
+	}
+	return nil, true
+}
+
+// tellShare tells the other leaders what runs here and which items wait that cannot all be on
+// time.
+func (e *executor) tellShare(short []jobstore.OpenItem, now time.Time) {
+	if !e.store.gates.On(gate.FairShare) {
+		return
+	}
+	load := backlog.NewShardLoad(e.runningItems(now))
+	held := make(map[heldItems]int)
+	for _, item := range short {
+		service, found := e.serviceOf(item)
+		if !found || item.Tenant == "" || !e.waits(item.Job, item.Index) {
+			continue
+		}
+		wanted := e.backlogItem(item)
+		isHeld := e.share.use.Reserved(service, wanted) > 0
+		load.Wait(service, e.share.use.Of(wanted), isHeld)
+		if isHeld {
+			held[heldItems{service: service, tenant: item.Tenant}]++
+		}
+	}
+	e.store.dispatcher.SetBatchLoad(e.shard, load)
+	e.recordHeld(held, now)
+}
+
+// heldItems are items of a tenant that leave room to those of others.
+type heldItems struct{ service, tenant string }
+
+// recordHeld writes which tenants' items leave room to those of others.
+func (e *executor) recordHeld(held map[heldItems]int, now time.Time) {
+	if len(held) == 0 || now.Sub(e.heldAt) < heldBackInterval {
+		return
+	}
+	e.heldAt = now
+	for each, items := range held {
+		decision.Default.Record(decision.TenantHeldBack, each.tenant, log.Fields{"service": each.service, "shard": e.shard, "items": items})
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -155,6 +155,7 @@
 	set.Paces(s.dispatcher.Paces)
 	set.LeftBehind(s.dispatcher.LeftBehind)
 	set.Held(s.witness.Held)
+	set.ShortItems(s.dispatcher.ShortItems)
 	return set
 }
 
