Leave no room to items that wait for something else

Items that are held, or to be tried again later, were told as short: the leaders elsewhere would have left slots unused for them.

--- a/internal/store/share.go
+++ b/internal/store/share.go
@@ -12,9 +12,11 @@
 	"rockwind.example/rockwind/internal/gate"
 	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/router"
+	"rockwind.example/rockwind/internal/store/claims"
 )
 
-// heldBackInterval is the time between lines about items that leave room to those of others.
+// heldBackInterval is the time between lines of a shard about items that leave room to those of
+// others.
 const heldBackInterval = time.Second
 
 // share is what one look at a shard knows of the tenants' shares of the room for batch work.
@@ -102,6 +104,13 @@
 	return nil, true
 }
 
+// startable tells whether an item waits for nothing but room: others leave none to one that is
+// held or is to be tried again later.
+func (e *executor) startable(item jobstore.OpenItem, now time.Time) bool {
+	known := e.history[claims.NewKey(item.Job, item.Index)]
+	return e.waits(item.Job, item.Index) && (known == nil || (!known.held && !now.Before(known.after)))
+}
+
 // tellShare tells the other leaders what runs here and which items wait that cannot all be on
 // time.
 func (e *executor) tellShare(short []jobstore.OpenItem, now time.Time) {
@@ -112,7 +121,7 @@
 	held := make(map[heldItems]int)
 	for _, item := range short {
 		service, found := e.serviceOf(item)
-		if !found || item.Tenant == "" || !e.waits(item.Job, item.Index) {
+		if !found || item.Tenant == "" || !e.startable(item, now) {
 			continue
 		}
 		wanted := e.backlogItem(item)
@@ -129,13 +138,18 @@
 // heldItems are items of a tenant that leave room to those of others.
 type heldItems struct{ service, tenant string }
 
-// recordHeld writes which tenants' items leave room to those of others.
+// recordHeld writes whose items leave room to those of others: of the tenants, the one with the
+// most such items.
 func (e *executor) recordHeld(held map[heldItems]int, now time.Time) {
 	if len(held) == 0 || now.Sub(e.heldAt) < heldBackInterval {
 		return
 	}
 	e.heldAt = now
+	var most heldItems
 	for each, items := range held {
-		decision.Default.Record(decision.TenantHeldBack, each.tenant, log.Fields{"service": each.service, "shard": e.shard, "items": items})
+		if items > held[most] || (items == held[most] && each.tenant < most.tenant) {
+			most = each
+		}
 	}
+	decision.Default.Record(decision.TenantHeldBack, most.tenant, log.Fields{"service": most.service, "shard": e.shard, "items": held[most]})
 }
--- /dev/null
+++ b/internal/store/share_test.go
@@ -0,0 +1,43 @@
+package store
+
+import (
+	"testing"
+	"time"
+
+	"rockwind.example/rockwind/internal/backlog"
+	"rockwind.example/rockwind/internal/jobstore"
+	"rockwind.example/rockwind/internal/store/claims"
+)
+
+// TestNoRoomIsLeftToItemsThatWaitForSomethingElse: others would leave slots unused for as long.
+func TestNoRoomIsLeftToItemsThatWaitForSomethingElse(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	e := &executor{claims: claims.NewTable(), history: make(map[claims.Key]*history)}
+	item := jobstore.OpenItem{Job: "job"}
+	key := claims.NewKey(item.Job, item.Index)
+	if !e.startable(item, now) {
+		t.Error("a new item waits for something else than room")
+	}
+	for name, known := range map[string]*history{"held": {held: true}, "tried again later": {after: now.Add(time.Second)}} {
+		e.history[key] = known
+		if e.startable(item, now) {
+			t.Errorf("an item that is %s asks for room", name)
+		}
+	}
+	e.history[key] = &history{}
+	if _, made := e.claims.Make(key, func() {}); !made || e.startable(item, now) {
+		t.Error("an item that runs asks for room")
+	}
+}
+
+// TestRunThatEndedCountsForAMoment, as others are told of it late.
+func TestRunThatEndedCountsForAMoment(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	e := &executor{left: []leftItem{{item: backlog.NewItem(now, time.Time{}, 0).Of("tenant", 1), at: now}}}
+	if count := len(e.runningItems(now.Add(backlog.Memory - time.Millisecond))); count != 1 {
+		t.Errorf("%d items count a moment later", count)
+	}
+	if count := len(e.runningItems(now.Add(backlog.Memory))); count != 0 {
+		t.Errorf("%d items count after that", count)
+	}
+}
