--- a/internal/store/share.go
+++ b/internal/store/share.go
@@ -84,10 +84,10 @@
 
 // acquire gets a server for an item; it leaves room to items of tenants that have less. Where
 // there is none, goOn tells whether the next item may find some.
-func (e *executor) acquire(service string, item jobstore.OpenItem, facts router.Facts) (lease *router.Lease, goOn bool) {
+func (e *executor) acquire(service string, item jobstore.OpenItem) (lease *router.Lease, goOn bool) {
 	wanted := e.backlogItem(item)
 	demand := balance.Demand{
-		Parts: facts.Parts, Batch: true,
+		Parts: e.parts(item), Batch: true,
 		Reserved: e.share.use.Reserved(service, wanted), First: e.share.use.First(service, wanted),
 	}
 	lease = e.store.dispatcher.TryAcquire(service, demand)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -156,6 +156,7 @@
 	set.LeftBehind(s.dispatcher.LeftBehind)
 	set.Held(s.witness.Held)
 	set.ShortItems(s.dispatcher.ShortItems)
+	set.Coordinators(s.watcher.Silence)
 	return set
 }
 
