Forget runs that ended also where tenants do not share

With the gate fair_share off nobody asked for what runs, and what had ended was dropped only there: one entry a try was kept until the term changed. The test fails before.

--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -255,7 +255,7 @@
 	active := e.active[end.claim.Key()]
 	delete(e.active, end.claim.Key())
 	if active != nil {
-		e.left = append(e.left, leftItem{item: e.backlogTry(active), at: time.Now()})
+		e.leave(e.backlogTry(active), time.Now())
 	}
 	if end.recorded {
 		e.claims.Release(end.claim)
--- a/internal/store/share.go
+++ b/internal/store/share.go
@@ -46,7 +46,7 @@
 
 // runningItems are the items that run in this shard, and those that ended a moment ago.
 func (e *executor) runningItems(now time.Time) []backlog.Item {
-	e.left = slices.DeleteFunc(e.left, func(each leftItem) bool { return now.Sub(each.at) >= backlog.Memory })
+	e.forgetLeft(now)
 	items := make([]backlog.Item, 0, len(e.active)+len(e.left))
 	for _, try := range e.active {
 		items = append(items, e.backlogTry(try))
@@ -57,6 +57,18 @@
 	return items
 }
 
+// leave notes that the run of an item has ended. What is older is forgotten here too: nobody asks
+// for what runs while tenants do not share.
+func (e *executor) leave(item backlog.Item, now time.Time) {
+	e.forgetLeft(now)
+	e.left = append(e.left, leftItem{item: item, at: now})
+}
+
+// forgetLeft drops the runs that ended too long ago to count.
+func (e *executor) forgetLeft(now time.Time) {
+	e.left = slices.DeleteFunc(e.left, func(each leftItem) bool { return now.Sub(each.at) >= backlog.Memory })
+}
+
 // leftItem is an item whose run ended at a time.
 type leftItem struct {
 	item backlog.Item
--- a/internal/store/share_test.go
+++ b/internal/store/share_test.go
@@ -41,3 +41,16 @@
 		t.Errorf("%d items count after that", count)
 	}
 }
+
+// TestEndedRunsAreForgottenAlsoWithoutShares: with the gate off nobody asks for them.
+func TestEndedRunsAreForgottenAlsoWithoutShares(t *testing.T) {
+	e := &executor{claims: claims.NewTable(), active: make(map[claims.Key]*activeTry), paces: make(map[string]*backlog.Pace)}
+	e.left = []leftItem{{at: time.Now().Add(-backlog.Memory)}}
+	key := claims.NewKey("job", 0)
+	claim, _ := e.claims.Make(key, func() {})
+	e.active[key] = &activeTry{began: time.Now()}
+	e.finish(itemEnd{claim: claim, recorded: true})
+	if len(e.left) != 1 {
+		t.Errorf("%d items are kept after a run that ended and one that ended long ago", len(e.left))
+	}
+}
