Tell an item as short again once its hold has lapsed

Whether an item is held was looked up only where it was its turn to start. One that was passed over as there was no room stayed held in what others were told, and they left it none. The end of the hold is kept with it. The test fails before.

--- a/internal/store/history.go
+++ b/internal/store/history.go
@@ -21,8 +21,10 @@
 	absentSince time.Time
 	// after is when the item may be tried again.
 	after time.Time
-	// held tells that the item is not started since its content is held.
-	held bool
+	// held tells that the item was not started when last looked at since its content is held, and
+	// heldUntil is when that ends at the latest, as known then.
+	held      bool
+	heldUntil time.Time
 	// fingerprint is that of the item's content, nil before it was needed.
 	fingerprint *fingerprint.Fingerprint
 }
--- a/internal/store/share.go
+++ b/internal/store/share.go
@@ -120,7 +120,7 @@
 // held or is to be tried again later.
 func (e *executor) startable(item jobstore.OpenItem, now time.Time) bool {
 	known := e.history[claims.NewKey(item.Job, item.Index)]
-	return e.waits(item.Job, item.Index) && (known == nil || (!known.held && !now.Before(known.after)))
+	return e.waits(item.Job, item.Index) && (known == nil || (!now.Before(known.heldUntil) && !now.Before(known.after)))
 }
 
 // tellShare tells the other leaders what runs here and which items wait that cannot all be on
--- a/internal/store/share_test.go
+++ b/internal/store/share_test.go
@@ -18,12 +18,16 @@
 	if !e.startable(item, now) {
 		t.Error("a new item waits for something else than room")
 	}
-	for name, known := range map[string]*history{"held": {held: true}, "tried again later": {after: now.Add(time.Second)}} {
+	for name, known := range map[string]*history{"held": {held: true, heldUntil: now.Add(time.Millisecond)}, "tried again later": {after: now.Add(time.Second)}} {
 		e.history[key] = known
 		if e.startable(item, now) {
 			t.Errorf("an item that is %s asks for room", name)
 		}
 	}
+	e.history[key] = &history{held: true, heldUntil: now}
+	if !e.startable(item, now) {
+		t.Error("an item whose hold has lapsed asks for no room")
+	}
 	e.history[key] = &history{}
 	if _, made := e.claims.Make(key, func() {}); !made || e.startable(item, now) {
 		t.Error("an item that runs asks for room")
--- a/internal/store/start.go
+++ b/internal/store/start.go
@@ -28,7 +28,7 @@
 		e.giveUp(item, known, reason)
 		return true
 	}
-	if standing != routeFound || e.held(item, known) {
+	if standing != routeFound || e.held(item, known, now) {
 		return true
 	}
 	return e.start(ctx, item, route, known, now)
@@ -125,10 +125,10 @@
 
 // held tells whether an item must not be started since servers ended under its content. The
 // first time that it is held back by this is written.
-func (e *executor) held(item jobstore.OpenItem, known *history) bool {
+func (e *executor) held(item jobstore.OpenItem, known *history, now time.Time) bool {
 	remaining := e.store.witness.HeldFor(func() fingerprint.Fingerprint { return known.content(item) })
 	if remaining == 0 {
-		known.held = false
+		known.held, known.heldUntil = false, time.Time{}
 		return false
 	}
 	if !known.held {
@@ -136,6 +136,6 @@
 			"item": item.Index, "item_id": item.Item.GetId(), "content": known.content(item).String(), "held_ms": remaining.Milliseconds(),
 		})
 	}
-	known.held = true
+	known.held, known.heldUntil = true, now.Add(remaining)
 	return true
 }
