Tell no need of a shard that cannot be read

A leader that reaches no quorum ended its look before it told its share, and what it had told last went out afresh in each digest: others left room to items that nobody started. What runs there is still told. The test fails before.

--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -194,6 +194,8 @@
 		open = e.machine.OpenItems(e.waits)
 	})
 	if err != nil {
+		// What waits is not known: others would leave room to what was told last.
+		e.tellShare(nil, now)
 		return false
 	}
 	if noting {
--- a/internal/store/share_test.go
+++ b/internal/store/share_test.go
@@ -1,11 +1,18 @@
 package store
 
 import (
+	"context"
+	"errors"
 	"testing"
 	"time"
 
 	"rockwind.example/rockwind/internal/backlog"
+	"rockwind.example/rockwind/internal/directory"
+	"rockwind.example/rockwind/internal/gate"
 	"rockwind.example/rockwind/internal/jobstore"
+	"rockwind.example/rockwind/internal/replica"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/router"
 	"rockwind.example/rockwind/internal/store/claims"
 )
 
@@ -58,3 +65,35 @@
 		t.Errorf("%d items are kept after a run that ended and one that ended long ago", len(e.left))
 	}
 }
+
+// silentGroup is led here and reaches no quorum.
+type silentGroup struct{ replica.Group }
+
+func (silentGroup) Leading() (term uint64, leading bool) { return 1, true }
+
+func (silentGroup) Read(context.Context, func()) error { return errors.New("no quorum") }
+
+// TestNoNeedIsToldOfAShardThatCannotBeRead: others would leave room to items that nobody starts.
+func TestNoNeedIsToldOfAShardThatCannotBeRead(t *testing.T) {
+	register := directory.New()
+	register.Apply(&rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Report{Report: &rockwindpb.Server{
+		Id: "server", Service: "app", Address: "10.0.0.1:1", Slots: 1, State: rockwindpb.ServerState_SERVER_STATE_READY, Sequence: 1,
+	}}})
+	dispatcher := router.NewDispatcher("", gate.Set{})
+	dispatcher.Update(register.View())
+	load := backlog.NewShardLoad(nil)
+	load.Wait("app", 0, false)
+	dispatcher.SetBatchLoad(0, load)
+	e := &executor{
+		store: &Store{dispatcher: dispatcher}, group: silentGroup{}, claims: claims.NewTable(),
+		history: make(map[claims.Key]*history), term: 1, historyTerm: 1,
+	}
+	if e.schedule(t.Context()) {
+		t.Error("items are open that could not be read")
+	}
+	for _, short := range dispatcher.ShortItems() {
+		if short.Here != 0 {
+			t.Errorf("%d items are told as waiting", short.Here)
+		}
+	}
+}
