Tell no need while batch work waits for what was left behind

A store that has just started holds its batch work back until servers have told what was left behind there, but told its items as short: others left slots unused for as long. It tells none until the answers are in. The test fails before.

--- a/internal/router/batchshare.go
+++ b/internal/router/batchshare.go
@@ -64,12 +64,22 @@
 	return need
 }
 
+// startableNeed is what waits for a service in the shards of this process, none while it holds
+// batch work back until servers have told what was left behind there: others would leave room
+// that is not taken. The mutex is held.
+func (d *Dispatcher) startableNeed(service string) backlog.Need {
+	if d.holdsBatch(balance.Demand{Batch: true}) {
+		return backlog.Need{}
+	}
+	return d.batch.Need(service, noShard)
+}
+
 // batchLoads visits what this process tells of batch items: what waits and, while some wait here
 // or elsewhere, what tenants have running. The mutex is held.
 func (d *Dispatcher) batchLoads(visit func(hash uint32, load balance.SharedLoad)) {
 	wanted := false
 	for name, pool := range d.pools {
-		own, told := d.batch.Need(name, noShard), pool.toldNeed()
+		own, told := d.startableNeed(name), pool.toldNeed()
 		wanted = wanted || own.Len()+told.Len() > 0
 		for level, waiting := range own {
 			if waiting > 0 {
--- a/internal/router/survey_test.go
+++ b/internal/router/survey_test.go
@@ -168,6 +168,32 @@
 	})
 }
 
+// TestNoNeedIsToldWhileBatchWorkWaitsForAnswers: others would leave room that nobody may take.
+func TestNoNeedIsToldWhileBatchWorkWaitsForAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		answer := make(chan struct{})
+		dispatcher, run, _ := surveyed(t, map[string]http.HandlerFunc{"empty": func(writer http.ResponseWriter, _ *http.Request) {
+			<-answer
+			_, _ = writer.Write([]byte("0"))
+		}})
+		ended := make(chan struct{})
+		go func() { run(t.Context()); close(ended) }()
+		time.Sleep(100 * time.Millisecond)
+		dispatcher.SetBatchLoad(1, shortOf(nil, 6, 0))
+		other := newDispatcher(4, gate.Set{})
+		for sequence, wanted := range []int{0, 6} {
+			other.LoadSource().Take(digestOf(dispatcher, "store", uint64(sequence+1)))
+			if told := other.ShortItems()[0].Elsewhere; told != wanted {
+				t.Errorf("%d items are told of instead of %d", told, wanted)
+			}
+			if wanted == 0 {
+				close(answer)
+				<-ended
+			}
+		}
+	})
+}
+
 // inquiring is the product's own protocol with a question for loads.
 type inquiring struct {
 	router.PlainProtocol
