--- a/internal/backlog/share.go
+++ b/internal/backlog/share.go
@@ -23,8 +23,9 @@
 // others, which are due later, were started after all of those and could not be on time any
 // more. Where what waits here cannot all be on time with as many runs as there are now, tenants
 // share: the first items of each go before the second ones, those that run included, and each
-// tenant's go by when they are due; short lists what waits then. An item that would miss its due time by waiting goes
-// before none of a tenant that has less: a heap that is due at once would be before all others.
+// tenant's go by when they are due; short lists what waits then. An item that would miss its due
+// time by waiting goes before none of a tenant that has less: a heap that is due at once would be
+// before all others.
 func OrderShared[T any](waiting []T, runs int, use Use, now time.Time, item func(T) Item) (ordered, short []T) {
 	early, late := split(waiting, now, item)
 	if !fits(early, runs, now) {
--- a/internal/backlog/use.go
+++ b/internal/backlog/use.go
@@ -68,7 +68,9 @@
 // others as they tell. Each holds a slot, so tenants that have alike many get as much time of
 // servers, however long their items run. What is running counts and nothing before it: a tenant that
 // was quiet is ahead until it runs as much as the others, and no longer; and a process that
-// starts anew, which runs nothing, finds what the others run.
+// starts anew, which runs nothing, finds what the others run. Runs count over all services, as
+// what waits does not: a tenant with many runs of one service leaves room at another one too, where
+// it has none.
 //
 // The zero Use is that of items without tenants, which share by nothing.
 type Use struct {
@@ -117,6 +119,9 @@
 	if need == nil || item.tenant == "" {
 		return 0
 	}
+	// Both bound what is left: reserved what waits, of each level no more than makes it alike; most
+	// the difference to the least. Levels add up to more than that where many tenants have little,
+	// and the item's own tenant would fall behind them.
 	reserved, most := 0, 0
 	own := u.Of(item)
 	for level, waiting := range need {
