--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -70,6 +70,17 @@
 		ended:    make(chan itemEnd, endBuffer),
 		notes:    make(chan struct{}, 1),
 		partings: s.partingsOf(shard),
+		store:   s,
+		shard:   shard,
+		share:   newShare(),
+		group:   replicated,
+		machine: s.machine(shard),
+		claims:  claims.NewTable(),
+		history: make(map[claims.Key]*history),
+		active:  make(map[claims.Key]*activeTry),
+		paces:   make(map[string]*backlog.Pace),
+		ended:   make(chan itemEnd, endBuffer),
+		notes:   make(chan struct{}, 1),
 	}
 	e.run(ctx)
 }
@@ -99,6 +110,7 @@
 // owns its fields; tries run on goroutines of their own and report their ends.
 type executor struct {
 	store   *Store
+	shard   uint32
 	group   replica.Group
 	machine *jobstore.Machine
 
@@ -110,7 +122,13 @@
 	active map[claims.Key]*activeTry
 	// paces holds how long items take, by service.
 	paces map[string]*backlog.Pace
-	ended chan itemEnd
+	// left are the items whose runs ended a moment ago.
+	left []leftItem
+	// share is what the last look knew of the tenants' shares, and heldAt when it was last
+	// written whose items leave room to those of others.
+	share  share
+	heldAt time.Time
+	ended  chan itemEnd
 	// runs numbers the runs whose progress is recorded.
 	runs output.Runs
 	// historyTerm is the term in which the histories were made.
@@ -194,6 +212,8 @@
 		open = e.machine.OpenItems(e.waits)
 	})
 	if err != nil {
+		// What waits is not known: others would leave room to what was told last.
+		e.tellShare(nil, now)
 		return false
 	}
 	if noting {
@@ -204,11 +224,16 @@
 		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
 	})
 	e.yield(now)
-	for _, item := range e.order(open, now) {
+	ordered, short := e.order(open, now)
+	for _, item := range ordered {
+		if e.heldBack(item) {
+			continue
+		}
 		if !e.begin(ctx, item, now) {
 			break
 		}
 	}
+	e.tellShare(short, now)
 	e.record(ctx)
 	return len(open) > 0 || e.claims.Len() > 0
 }
@@ -221,6 +246,8 @@
 		term = 0
 	}
 	if term != e.term {
+		e.store.dispatcher.DropBatchLoad(e.shard)
+		e.share, e.left = newShare(), nil
 		e.claims.Drop()
 		clear(e.active)
 		e.term = term
@@ -247,6 +274,9 @@
 	}
 	active := e.active[end.claim.Key()]
 	delete(e.active, end.claim.Key())
+	if active != nil {
+		e.leave(e.backlogTry(active), time.Now())
+	}
 	if end.recorded {
 		e.claims.Release(end.claim)
 		return
@@ -255,7 +285,7 @@
 		whole := end.history.made()
 		e.pace(active.service).Ended(whole-active.madeBefore, whole, active.choice.Usual(time.Since(active.began)))
 	}
-	recordEnd(end, e.term)
+	recordEnd(end, active, e.term)
 	if end.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_UNSPECIFIED {
 		if end.failed {
 			e.failures = append(e.failures, end.claim)
--- a/internal/store/start.go
+++ b/internal/store/start.go
@@ -28,7 +28,7 @@
 		e.giveUp(item, known, reason)
 		return true
 	}
-	if standing != routeFound || e.held(item, known) {
+	if standing != routeFound || e.held(item, known, now) {
 		return true
 	}
 	return e.start(ctx, item, route, known, now)
@@ -57,7 +57,8 @@
 	})
 }
 
-// start tries an item at a server. It returns false where none has room for batch work.
+// start tries an item at a server. It returns false where none has room for batch work, also not
+// for an item of another tenant.
 func (e *executor) start(ctx context.Context, item jobstore.OpenItem, route *rockwindpb.Route, known *history, now time.Time) bool {
 	key := claims.NewKey(item.Job, item.Index)
 	running, cancel := context.WithCancelCause(ctx)
@@ -67,11 +68,11 @@
 		return true
 	}
 	service := router.ServiceOf(route, item.Item.GetId())
-	lease := e.store.dispatcher.TryAcquire(service, balance.Demand{Parts: e.parts(item), Batch: true})
+	lease, goOn := e.acquire(service, item)
 	if lease == nil {
 		cancel(nil)
 		e.claims.Release(claim)
-		return false
+		return goOn
 	}
 	e.active[key] = &activeTry{
 		tenant: item.Tenant, service: service, server: lease.ID, route: route, submitted: time.UnixMilli(item.SubmittedUnixMs),
@@ -118,15 +119,16 @@
 	decision.Default.Record(decision.ItemStarted, item.Job, log.Fields{
 		"item": item.Index, "item_id": item.Item.GetId(), "server": lease.ID, "load": lease.Load, "slots": lease.Slots, "pace": lease.Slowness(),
 		"failures": known.failures, "after_event": known.output.Last(), "age_ms": now.UnixMilli() - item.SubmittedUnixMs,
+		"tenant": item.Tenant,
 	})
 }
 
 // held tells whether an item must not be started since servers ended under its content. The
 // first time that it is held back by this is written.
-func (e *executor) held(item jobstore.OpenItem, known *history) bool {
+func (e *executor) held(item jobstore.OpenItem, known *history, now time.Time) bool {
 	remaining := e.store.witness.HeldFor(func() fingerprint.Fingerprint { return known.content(item) })
 	if remaining == 0 {
-		known.held = false
+		known.held, known.heldUntil = false, time.Time{}
 		return false
 	}
 	if !known.held {
@@ -134,6 +136,6 @@
 			"item": item.Index, "item_id": item.Item.GetId(), "content": known.content(item).String(), "held_ms": remaining.Milliseconds(),
 		})
 	}
-	known.held = true
+	known.held, known.heldUntil = true, now.Add(remaining)
 	return true
 }
