Router: a refused connection alone ends no stream

A server that stops as planned closes its listener and finishes its open streams. A refusal counts now where the directory calls the server silent or replaced, and is looked at again each second otherwise; a server that takes connections has ended where it is replaced.

--- a/internal/router/lookout.go
+++ b/internal/router/lookout.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/upstream"
 )
 
@@ -22,8 +23,8 @@
 	// take some tens of milliseconds.
 	lookPart  = 0.25
 	leastLook = 100 * time.Millisecond
-	// lookAgain is the time between looks at a server that says nothing but is in reach: it is
-	// slow, and each look costs it a connection.
+	// lookAgain is the time between looks at a server that says nothing but is in reach, or
+	// finishes what it has: it is slow, and each look costs it a connection.
 	lookAgain = time.Second
 	// neverYet is longer than any request, for a timer that is not to run yet.
 	neverYet = time.Hour
@@ -33,14 +34,16 @@
 var errServerDark = errors.New("the server says nothing and is out of reach")
 
 // Lookout watches the server of a stream that may run once. It ends the context of the
-// try once the server says nothing and is out of reach. A server that says nothing but takes
-// connections may be slow, and is waited for.
+// try once the server says nothing and is out of reach, or has ended. A server that says nothing
+// but takes connections may be slow, and is waited for.
 type Lookout struct {
 	client  *upstream.Client
 	address string
 	pause   time.Duration
 	// quiet is the part of the pause after which the server is looked at.
-	quiet  float64
+	quiet float64
+	// ended tells of a late lookout what the directory adds to a look, nil for others.
+	ended  func(reach upstream.Reach) bool
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
@@ -61,11 +64,23 @@
 	return created
 }
 
-// NewLateLookout is NewLookout for a stream that can go on nowhere: its server is looked at only
-// after the whole good pause.
-func NewLateLookout(ctx context.Context, client *upstream.Client, address string, pause time.Duration) *Lookout {
+// NewLateLookout is NewLookout for a stream that can go on nowhere: its server, an incarnation of
+// the directory, is looked at only after the whole good pause. A planned stop closes the
+// listener and finishes the open streams, so that a refusal ends nothing unless the directory
+// calls the server ended. The view may be nil: nothing is known then.
+func NewLateLookout(ctx context.Context, client *upstream.Client, view func() *directory.View, id, address string, pause time.Duration) *Lookout {
 	created := NewLookout(ctx, client, address, pause)
 	created.quiet = latePart
+	created.ended = func(reach upstream.Reach) bool {
+		known := view()
+		switch {
+		case known == nil:
+			return false
+		case reach == upstream.ReachRefused:
+			return known.Ended(id)
+		}
+		return reach == upstream.ReachListens && known.Replaced(id)
+	}
 	return created
 }
 
@@ -103,13 +118,24 @@
 	defer l.mutex.Unlock()
 	switch {
 	case l.heard != before || l.ctx.Err() != nil:
-	case reach == upstream.ReachSilent || reach == upstream.ReachRefused:
+	case l.shows(reach):
 		l.cancel(errServerDark)
 	default:
 		l.timer.Reset(lookAgain)
 	}
 }
 
+// shows tells whether a look shows that nothing more comes of the server.
+func (l *Lookout) shows(reach upstream.Reach) bool {
+	if reach == upstream.ReachSilent {
+		return true
+	}
+	if l.ended != nil {
+		return l.ended(reach)
+	}
+	return reach == upstream.ReachRefused
+}
+
 // Dark tells whether the server was found out of reach.
 func (l *Lookout) Dark() bool { return errors.Is(context.Cause(l.ctx), errServerDark) }
 
--- a/internal/router/watching.go
+++ b/internal/router/watching.go
@@ -17,7 +17,7 @@
 	case e.hasCopy():
 		e.lookout = NewLookout(ctx, e.router.client, lease.Address, pause)
 	case !e.repeatable() && e.route.GetKind() == rockwindpb.RouteKind_ROUTE_KIND_STREAM && pause > 0:
-		e.lookout = NewLateLookout(ctx, e.router.client, lease.Address, pause)
+		e.lookout = NewLateLookout(ctx, e.router.client, e.router.watcher.Directory, lease.ID, lease.Address, pause)
 	default:
 		return ctx, func() {}
 	}
