Coordinators outside pass nothing on that a member took to the leader

Only the first call of a coordinator outside was marked. The member that got it took it to the leader's address without the mark; where another machine serves that address by now, which is outside too, it passed the call on again, and so on until the group had elected another leader. Members mark now what they take to the leader.

Links of the tests gave the context of the caller to the handler, with its marks, so that the round did not show; now only its end comes over, and callers are told of the connection.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -248,9 +248,9 @@
 // atLeader performs a call at the leader of the root group, here or elsewhere.
 // The call must have the same effect when it is performed twice: it is repeated
 // while the leader changes, until the context ends.
-func (c *Coordinator) atLeader(ctx context.Context, here func() error, elsewhere func(base string) error) error {
+func (c *Coordinator) atLeader(ctx context.Context, here func() error, elsewhere func(ctx context.Context, base string) error) error {
 	for {
-		err := c.onceAtLeader(here, elsewhere)
+		err := c.onceAtLeader(ctx, here, elsewhere)
 		if err == nil || !passing(err) {
 			return err
 		}
@@ -260,7 +260,9 @@
 	}
 }
 
-func (c *Coordinator) onceAtLeader(here func() error, elsewhere func(base string) error) error {
+// onceAtLeader is one try of atLeader. A call elsewhere is marked as passed on: the machine at the
+// leader's address may be another one by now, which belongs to no root group and would pass it on.
+func (c *Coordinator) onceAtLeader(ctx context.Context, here func() error, elsewhere func(ctx context.Context, base string) error) error {
 	group, _, err := c.group()
 	if err != nil {
 		return err
@@ -272,7 +274,11 @@
 	if leader == "" || leader == site.Advertised(c.settings) {
 		return fault.New(fault.Unavailable, "the root group has no leader that is known here", "try again, at another coordinator too")
 	}
-	return elsewhere("http://" + leader)
+	marked, err := withPassedOn(ctx)
+	if err != nil {
+		return err
+	}
+	return elsewhere(marked, "http://"+leader)
 }
 
 // passing tells whether a fault may be over soon.
@@ -302,7 +308,7 @@
 		}
 		response, err = catalog.NewService(catalogGroup{group}, machine.catalog, time.Now).Submit(ctx, request)
 		return err
-	}, func(base string) (err error) {
+	}, func(ctx context.Context, base string) (err error) {
 		response, err = c.configurationAt(base).Apply(ctx, request)
 		return err
 	})
@@ -325,7 +331,7 @@
 		}
 		response, err = catalog.NewService(catalogGroup{group}, machine.catalog, time.Now).Get(ctx, request)
 		return err
-	}, func(base string) (err error) {
+	}, func(ctx context.Context, base string) (err error) {
 		response, err = c.configurationAt(base).Get(ctx, request)
 		return err
 	})
@@ -381,7 +387,7 @@
 func (c *Coordinator) change(ctx context.Context, command *rockwindpb.DirectoryCommand) error {
 	return c.atLeader(ctx, func() error {
 		return c.commit(ctx, command)
-	}, func(base string) error {
+	}, func(ctx context.Context, base string) error {
 		_, err := c.directoryAt(base).Change(ctx, command)
 		return err
 	})
--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -33,7 +33,8 @@
 	// leaderlessPause is the time between rounds of calls for the leader while members name none:
 	// elections take 0.3 s and more, and a round costs a call at each member.
 	leaderlessPause = 100 * time.Millisecond
-	// passedOnHeader marks a call that a coordinator passed on. It is never passed on again.
+	// passedOnHeader marks a call that a coordinator passed on, or that a member took to the leader.
+	// A coordinator outside never passes it on.
 	passedOnHeader = "Rockwind-Passed-On"
 )
 
@@ -122,7 +123,7 @@
 	if ctx.Value(passedOn{}) != nil {
 		return none, last
 	}
-	ctx, err := twirp.WithHTTPRequestHeaders(ctx, http.Header{passedOnHeader: {"1"}})
+	ctx, err := withPassedOn(ctx)
 	if err != nil {
 		return none, err
 	}
@@ -184,6 +185,11 @@
 // passedOn is the key under which a call's context tells that a coordinator passed it on.
 type passedOn struct{}
 
+// withPassedOn returns a context whose calls are marked as passed on.
+func withPassedOn(ctx context.Context) (context.Context, error) {
+	return twirp.WithHTTPRequestHeaders(ctx, http.Header{passedOnHeader: {"1"}})
+}
+
 // markPassedOn has the contexts of calls that were passed on tell so.
 func markPassedOn(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
--- a/internal/coordinator/members_test.go
+++ b/internal/coordinator/members_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"fmt"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
 	"testing"
 	"time"
 
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/wal/faultfs"
 )
@@ -167,10 +167,6 @@
 			if name != leader.name && hanging < 2 {
 				hanging++
 				s.links.serve(s.t.Context(), name, http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
-					// The connection is there; a caller's limit for it is over.
-					if trace := httptrace.ContextClientTrace(request.Context()); trace != nil && trace.GotConn != nil {
-						trace.GotConn(httptrace.GotConnInfo{})
-					}
 					<-request.Context().Done()
 				}))
 			}
@@ -208,6 +204,47 @@
 	})
 }
 
+// TestCoordinatorsOutsideDoNotPassOnWhatMembersTakeToTheLeader has a coordinator outside serve the
+// address of a leader that has ended, as where its machine was replaced. Members that still take
+// that one for the leader do not get their calls back from there.
+func TestCoordinatorsOutsideDoNotPassOnWhatMembersTakeToTheLeader(t *testing.T) {
+	content := make([]byte, fingerprint.Size)
+	end := &rockwindpb.ServerEnd{Content: content, Server: "server", Route: "route"}
+	for method, call := range map[string]func(ctx context.Context, c *Coordinator) error{
+		"Report": func(ctx context.Context, c *Coordinator) error {
+			_, err := quarantineService{c}.Report(ctx, &rockwindpb.ReportQuarantineRequest{Ends: []*rockwindpb.ServerEnd{end}})
+			return err
+		},
+		"Release": func(ctx context.Context, c *Coordinator) error {
+			_, err := quarantineService{c}.Release(ctx, &rockwindpb.ReleaseContentRequest{Content: content})
+			return err
+		},
+		"Apply": func(ctx context.Context, c *Coordinator) error {
+			_, err := c.Apply(ctx, &rockwindpb.ApplyConfigurationRequest{Configuration: &rockwindpb.Configuration{Number: 2}})
+			return err
+		},
+	} {
+		t.Run(method, func(t *testing.T) {
+			inSiteThatAdmits(t, coordinators, func(s *virtualSite) {
+				outside := s.startOutside(1)[0]
+				leader := s.leader()
+				leader.stop()
+				s.links.alias(leader.name, outside.name)
+				ctx, cancel := context.WithTimeout(s.t.Context(), callPatience)
+				defer cancel()
+				before, began := s.links.callsOf(method), time.Now()
+				err := call(ctx, outside.coordinator)
+				took, calls := time.Since(began), s.links.callsOf(method)-before
+				s.t.Logf("served after %v and %d calls: %v", took, calls, err)
+				// A member asks anew after each pause, or each of them is asked in rounds.
+				if err != nil || took > 1500*time.Millisecond || calls > int(2*took/leaderPause)+passTries {
+					s.t.Errorf("the call ends after %v and %d calls with %v", took, calls, err)
+				}
+			})
+		})
+	}
+}
+
 // TestMembersAreAskedInOrder keeps the order in which a coordinator outside asks members: its
 // own, with those that failed lately at the end, and no more of them than there are tries.
 func TestMembersAreAskedInOrder(t *testing.T) {
--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -28,7 +28,7 @@
 	}
 	err := s.coordinator.atLeader(ctx, func() error {
 		return s.coordinator.commitReport(ctx, request)
-	}, func(base string) error {
+	}, func(ctx context.Context, base string) error {
 		_, err := s.coordinator.quarantineAt(base).Report(ctx, request)
 		return err
 	})
@@ -67,7 +67,7 @@
 	err := s.coordinator.atLeader(ctx, func() (err error) {
 		response, err = s.coordinator.release(ctx, content)
 		return err
-	}, func(base string) (err error) {
+	}, func(ctx context.Context, base string) (err error) {
 		response, err = s.coordinator.quarantineAt(base).Release(ctx, request)
 		return err
 	})
--- a/internal/coordinator/retiring.go
+++ b/internal/coordinator/retiring.go
@@ -96,7 +96,7 @@
 func (c *Coordinator) elsewhere(ctx context.Context, call func(context.Context, rockwindpb.DirectoryService) error) error {
 	return c.atLeader(ctx, func() error {
 		return fault.New(fault.Conflict, "leadership has changed", "send the order again")
-	}, func(base string) error {
+	}, func(ctx context.Context, base string) error {
 		return call(ctx, c.directoryAt(base))
 	})
 }
--- a/internal/coordinator/return_test.go
+++ b/internal/coordinator/return_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
+	"path"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -34,6 +36,8 @@
 	mutex   sync.Mutex
 	serving map[string]listening
 	calls   int
+	// methods counts calls by method, with those of the replicas.
+	methods map[string]int
 	// unanswered counts calls to addresses where no process runs. They hang where silent is
 	// set, as those to a machine without power, and are refused otherwise.
 	unanswered int
@@ -51,6 +55,7 @@
 	time.Sleep(linkDelay)
 	l.mutex.Lock()
 	l.calls++
+	l.methods[path.Base(request.URL.Path)]++
 	called, runs := l.serving[request.URL.Host]
 	runs = runs && called.ctx.Err() == nil
 	if !runs {
@@ -63,9 +68,14 @@
 		}
 		return nil, errors.Newf("no process at %s", request.URL.Host)
 	}
-	ctx, cancel := context.WithCancel(request.Context())
+	if trace := httptrace.ContextClientTrace(request.Context()); trace != nil && trace.GotConn != nil {
+		trace.GotConn(httptrace.GotConnInfo{})
+	}
+	// Nothing of the caller's context comes over but its end.
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer context.AfterFunc(called.ctx, cancel)()
+	defer context.AfterFunc(request.Context(), cancel)()
 	recorder := httptest.NewRecorder()
 	called.handler.ServeHTTP(recorder, request.WithContext(ctx))
 	time.Sleep(linkDelay)
@@ -84,6 +94,13 @@
 	return calls
 }
 
+// callsOf returns how many calls of a method there were.
+func (l *links) callsOf(method string) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.methods[method]
+}
+
 // takeUnanswered returns how many calls nobody answered, and begins to count anew.
 func (l *links) takeUnanswered() int {
 	l.mutex.Lock()
@@ -142,7 +159,7 @@
 
 func inSite(t *testing.T, size int, admits bool, run func(s *virtualSite)) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &virtualSite{t: t, admits: admits, links: &links{serving: map[string]listening{}}, random: rand.New(rand.NewPCG(3, 3))}
+		s := &virtualSite{t: t, admits: admits, links: &links{serving: map[string]listening{}, methods: map[string]int{}}, random: rand.New(rand.NewPCG(3, 3))}
 		s.client = &http.Client{Transport: s.links}
 		for position := range size {
 			added := &process{name: fmt.Sprintf("p%d", position)}
