Coordinators outside wait for commits as long as their callers

Each try at a member ended after a second, also at a live leader whose commit took longer: the commit was cut, the member came last for 10 s, and the call was made anew. A change is now waited for as long as its caller waits, while the member answers a call that does nothing each half second; one that hangs is left after a second as before. Virtual time, a commit of 1.5 s, a caller with 3 s: three calls without success and two members avoided before, one call, 1.51 s and none now (TestCoordinatorsOutsideWaitForCommits).

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -296,7 +296,7 @@
 // its faults.
 func (c *Coordinator) Apply(ctx context.Context, request *rockwindpb.ApplyConfigurationRequest) (*rockwindpb.ApplyConfigurationResponse, error) {
 	if c.outside() {
-		return passOnToLeader(ctx, c, passTimeout, func(ctx context.Context, base string) (*rockwindpb.ApplyConfigurationResponse, error) {
+		return passOnToLeader(ctx, c, toCommit, func(ctx context.Context, base string) (*rockwindpb.ApplyConfigurationResponse, error) {
 			return c.configurationAt(base).Apply(ctx, request)
 		})
 	}
@@ -341,7 +341,7 @@
 // Report takes a server's report. It returns once what is new in it is committed.
 func (c *Coordinator) Report(ctx context.Context, server *rockwindpb.Server) error {
 	if c.outside() {
-		_, err := passOn(ctx, c, passTimeout, func(ctx context.Context, base string) (*rockwindpb.ReportServerResponse, error) {
+		_, err := passOn(ctx, c, toCommit, func(ctx context.Context, base string) (*rockwindpb.ReportServerResponse, error) {
 			return c.directoryAt(base).Report(ctx, &rockwindpb.ReportServerRequest{Server: server})
 		})
 		return err
@@ -369,7 +369,7 @@
 // Leave takes a server's leave. It returns once the leave is committed.
 func (c *Coordinator) Leave(ctx context.Context, id string) error {
 	if c.outside() {
-		_, err := passOn(ctx, c, passTimeout, func(ctx context.Context, base string) (*rockwindpb.LeaveServerResponse, error) {
+		_, err := passOn(ctx, c, toCommit, func(ctx context.Context, base string) (*rockwindpb.LeaveServerResponse, error) {
 			return c.directoryAt(base).Leave(ctx, &rockwindpb.LeaveServerRequest{Id: id})
 		})
 		return err
--- a/internal/coordinator/keeper.go
+++ b/internal/coordinator/keeper.go
@@ -81,7 +81,7 @@
 func (c *Coordinator) announceOutside(ctx context.Context) bool {
 	calling, cancel := context.WithTimeout(ctx, keepTimeout)
 	defer cancel()
-	_, err := passOn(calling, c, passTimeout, func(ctx context.Context, base string) (*rockwindpb.AnnounceMachineResponse, error) {
+	_, err := passOn(calling, c, toCommit, func(ctx context.Context, base string) (*rockwindpb.AnnounceMachineResponse, error) {
 		return c.directoryAt(base).Announce(ctx, &rockwindpb.AnnounceMachineRequest{Machine: c.self()})
 	})
 	if err != nil {
--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 	"github.com/twitchtv/twirp"
 
@@ -24,9 +25,16 @@
 	passTries = rootPlaces
 	// memberAvoidance is how long a member that failed to answer comes after the others.
 	memberAvoidance = 10 * time.Second
-	// passTimeout bounds one try, and is longer than an election: a member that hangs is left for
+	// passTimeout bounds one try of a call that changes nothing, and is longer than an election: a member that hangs is left for
 	// another one while the caller, with its some seconds, still waits.
 	passTimeout = time.Second
+	// toCommit stands for the time of a try that changes something: it lasts as long as its caller
+	// waits, while the member shows that it lives. A commit may take longer than passTimeout where
+	// disks are slow; cut and made again it would take longer still.
+	toCommit time.Duration = 0
+	// aliveLook is the time between looks at a member that has a change and does not answer, and the
+	// longest that a look may take: one that hangs is left after passTimeout.
+	aliveLook = passTimeout / 2
 	// holdGrace is how much longer than its hold a member's answer to a call that waits for news may
 	// take. Callers give 0.5 s themselves.
 	holdGrace = 300 * time.Millisecond
@@ -115,7 +123,7 @@
 // a coordinator that is outside. The call must have the same effect when it is performed
 // twice. It goes to a leader that a member names, and is never passed on twice, so that
 // coordinators that take each other for members do not pass calls round. One try takes no longer
-// than the given time.
+// than the given time, or is toCommit.
 func passOn[Response any](ctx context.Context, c *Coordinator, within time.Duration, call func(ctx context.Context, base string) (Response, error)) (Response, error) {
 	var none Response
 	var last error = fault.New(fault.Unavailable, "this coordinator holds no replica of the root group, and reaches no member of it",
@@ -130,7 +138,7 @@
 	asked := c.members.order(c.settings.GetName(), c.rootMembers(), time.Now())
 	for tries := 0; tries < passTries && len(asked) > 0 && ctx.Err() == nil; tries++ {
 		address := asked[0]
-		response, err := passOnce(ctx, address, within, call)
+		response, err := passOnce(ctx, c, address, within, call)
 		if err == nil {
 			c.members.note(address, true, time.Now())
 			return response, nil
@@ -174,12 +182,33 @@
 
 // passOnce makes a call at one address, and gives up where there is no connection soon, or no
 // answer within the given time.
-func passOnce[Response any](ctx context.Context, address string, within time.Duration, call func(ctx context.Context, base string) (Response, error)) (Response, error) {
-	limited, cancel := context.WithTimeout(ctx, within)
+func passOnce[Response any](ctx context.Context, c *Coordinator, address string, within time.Duration, call func(ctx context.Context, base string) (Response, error)) (Response, error) {
+	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
-	limited, release := site.WithConnectLimit(limited, site.ConnectPatience)
+	base := "http://" + address
+	if within == toCommit {
+		go c.leaveHanging(limited, base, cancel)
+	} else {
+		defer time.AfterFunc(within, cancel).Stop()
+	}
+	traced, release := site.WithConnectLimit(limited, site.ConnectPatience)
 	defer release()
-	return call(limited, "http://"+address)
+	return call(traced, base)
+}
+
+// leaveHanging has a try at a member end once the member does not answer anything else either.
+func (c *Coordinator) leaveHanging(ctx context.Context, base string, leave func()) {
+	for retry.Pause(ctx, aliveLook) {
+		looking, cancel := context.WithTimeout(ctx, aliveLook)
+		// A note of no servers is answered at once, and changes nothing.
+		_, err := c.directoryAt(base).Note(looking, &rockwindpb.NoteServersRequest{})
+		cancel()
+		if err != nil && !fault.Told(err) && ctx.Err() == nil {
+			log.WithError(err).WithField("address", base).Warn("a member has a change, and hangs")
+			leave()
+			return
+		}
+	}
 }
 
 // passedOn is the key under which a call's context tells that a coordinator passed it on.
--- a/internal/coordinator/members_test.go
+++ b/internal/coordinator/members_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"path"
 	"sync"
 	"testing"
 	"time"
 
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/fingerprint"
+	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/wal/faultfs"
 )
@@ -245,6 +247,39 @@
 	}
 }
 
+// TestCoordinatorsOutsideWaitForCommits has the leader take longer for a commit than a member may
+// for other calls: the call is not cut, nor made again elsewhere, nor is a member avoided.
+func TestCoordinatorsOutsideWaitForCommits(t *testing.T) {
+	const slowCommit = passTimeout + passTimeout/2
+	inSiteThatAdmits(t, coordinators, func(s *virtualSite) {
+		outside := s.startOutside(1)[0]
+		leader := s.leader()
+		serving := leader.coordinator.internalHandler(nil)
+		s.links.serve(s.t.Context(), leader.name, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			if path.Base(request.URL.Path) == "Change" {
+				retry.Pause(request.Context(), slowCommit)
+			}
+			serving.ServeHTTP(writer, request)
+		}))
+		// Followers take it to the leader.
+		outside.coordinator.members.note(leader.name, false, time.Now())
+		ctx, cancel := context.WithTimeout(s.t.Context(), callPatience)
+		defer cancel()
+		made := func() int { return s.links.callsOf("Leave") + s.links.callsOf("Change") }
+		before, began := made(), time.Now()
+		err := outside.coordinator.Leave(ctx, "nobody")
+		took, calls := time.Since(began), made()-before
+		s.t.Logf("committed after %v with %d calls: %v", took, calls, err)
+		// One call at a follower, and one at the leader.
+		if err != nil || took < slowCommit || took > slowCommit+100*time.Millisecond || calls != 2 {
+			s.t.Errorf("the call ends after %v and %d calls with %v", took, calls, err)
+		}
+		if failed := len(outside.coordinator.members.failed); failed != 1 {
+			s.t.Errorf("%d members are avoided, and one was before", failed)
+		}
+	})
+}
+
 // TestMembersAreAskedInOrder keeps the order in which a coordinator outside asks members: its
 // own, with those that failed lately at the end, and no more of them than there are tries.
 func TestMembersAreAskedInOrder(t *testing.T) {
--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -21,7 +21,7 @@
 // Report implements rockwindpb.QuarantineService. It returns once the report is committed.
 func (s quarantineService) Report(ctx context.Context, request *rockwindpb.ReportQuarantineRequest) (*rockwindpb.ReportQuarantineResponse, error) {
 	if s.coordinator.outside() {
-		response, err := passOn(ctx, s.coordinator, passTimeout, func(ctx context.Context, base string) (*rockwindpb.ReportQuarantineResponse, error) {
+		response, err := passOn(ctx, s.coordinator, toCommit, func(ctx context.Context, base string) (*rockwindpb.ReportQuarantineResponse, error) {
 			return s.coordinator.quarantineAt(base).Report(ctx, request)
 		})
 		return response, fault.ToTwirp(err)
@@ -53,7 +53,7 @@
 // Release implements rockwindpb.QuarantineService.
 func (s quarantineService) Release(ctx context.Context, request *rockwindpb.ReleaseContentRequest) (*rockwindpb.ReleaseContentResponse, error) {
 	if s.coordinator.outside() {
-		response, err := passOn(ctx, s.coordinator, passTimeout, func(ctx context.Context, base string) (*rockwindpb.ReleaseContentResponse, error) {
+		response, err := passOn(ctx, s.coordinator, toCommit, func(ctx context.Context, base string) (*rockwindpb.ReleaseContentResponse, error) {
 			return s.coordinator.quarantineAt(base).Release(ctx, request)
 		})
 		return response, fault.ToTwirp(err)
--- a/internal/coordinator/retiring.go
+++ b/internal/coordinator/retiring.go
@@ -52,7 +52,7 @@
 // bear the losses that the site tolerates. It may be repeated.
 func (c *Coordinator) Retire(ctx context.Context, name string) error {
 	if c.outside() {
-		_, err := passOnToLeader(ctx, c, passTimeout, func(ctx context.Context, base string) (*rockwindpb.RetireMachineResponse, error) {
+		_, err := passOnToLeader(ctx, c, toCommit, func(ctx context.Context, base string) (*rockwindpb.RetireMachineResponse, error) {
 			return c.directoryAt(base).Retire(ctx, &rockwindpb.RetireMachine{Name: name})
 		})
 		return err
--- a/internal/coordinator/services.go
+++ b/internal/coordinator/services.go
@@ -31,7 +31,7 @@
 // Apply implements rockwindpb.ConfigurationService.
 func (s configurationService) Apply(ctx context.Context, request *rockwindpb.ApplyConfigurationRequest) (*rockwindpb.ApplyConfigurationResponse, error) {
 	if s.coordinator.outside() {
-		response, err := passOn(ctx, s.coordinator, passTimeout, func(ctx context.Context, base string) (*rockwindpb.ApplyConfigurationResponse, error) {
+		response, err := passOn(ctx, s.coordinator, toCommit, func(ctx context.Context, base string) (*rockwindpb.ApplyConfigurationResponse, error) {
 			return s.coordinator.configurationAt(base).Apply(ctx, request)
 		})
 		return response, fault.ToTwirp(err)
@@ -108,7 +108,7 @@
 // Announce implements rockwindpb.DirectoryService.
 func (s directoryService) Announce(ctx context.Context, request *rockwindpb.AnnounceMachineRequest) (*rockwindpb.AnnounceMachineResponse, error) {
 	if s.coordinator.outside() {
-		response, err := passOn(ctx, s.coordinator, passTimeout, func(ctx context.Context, base string) (*rockwindpb.AnnounceMachineResponse, error) {
+		response, err := passOn(ctx, s.coordinator, toCommit, func(ctx context.Context, base string) (*rockwindpb.AnnounceMachineResponse, error) {
 			return s.coordinator.directoryAt(base).Announce(ctx, request)
 		})
 		return response, fault.ToTwirp(err)
@@ -146,7 +146,7 @@
 // Retire implements rockwindpb.DirectoryService.
 func (s directoryService) Retire(ctx context.Context, request *rockwindpb.RetireMachine) (*rockwindpb.RetireMachineResponse, error) {
 	if s.coordinator.outside() {
-		response, err := passOn(ctx, s.coordinator, passTimeout, func(ctx context.Context, base string) (*rockwindpb.RetireMachineResponse, error) {
+		response, err := passOn(ctx, s.coordinator, toCommit, func(ctx context.Context, base string) (*rockwindpb.RetireMachineResponse, error) {
 			return s.coordinator.directoryAt(base).Retire(ctx, request)
 		})
 		return response, fault.ToTwirp(err)
