Coordinators outside say that a change may be in force

An answer of not_leader from one member covered that another one had got a change and not answered, or had answered that its outcome is unknown, wherever it came in the order: callers took a change that may be in force for one that was not made. Such a change ends now with outcome_unknown unless another member makes it or refuses it for good. One that only the leader takes goes round until the caller's time is over, as without a leader, and keeps that it is unknown. Reads are as before.

--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"context"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -123,7 +125,8 @@
 // a coordinator that is outside. The call must have the same effect when it is performed
 // twice. It goes to a leader that a member names, and is never passed on twice, so that
 // coordinators that take each other for members do not pass calls round. One try takes no longer
-// than the given time, or is toCommit.
+// than the given time, or is toCommit. Such a call fails with fault.OutcomeUnknown once a member
+// that may have carried it out did not say so, whatever others say.
 func passOn[Response any](ctx context.Context, c *Coordinator, within time.Duration, call func(ctx context.Context, base string) (Response, error)) (Response, error) {
 	var none Response
 	var last error = fault.New(fault.Unavailable, "this coordinator holds no replica of the root group, and reaches no member of it",
@@ -135,10 +138,11 @@
 	if err != nil {
 		return none, err
 	}
+	var unknown error
 	asked := c.members.order(c.settings.GetName(), c.rootMembers(), time.Now())
 	for tries := 0; tries < passTries && len(asked) > 0 && ctx.Err() == nil; tries++ {
 		address := asked[0]
-		response, err := passOnce(ctx, c, address, within, call)
+		response, connected, err := passOnce(ctx, c, address, within, call)
 		if err == nil {
 			c.members.note(address, true, time.Now())
 			return response, nil
@@ -147,6 +151,9 @@
 		if !passing(failure) {
 			return none, failure
 		}
+		if within == toCommit && (failure.Kind == fault.OutcomeUnknown || (connected && !fault.Told(err))) {
+			unknown = outcomeUnknown(address)
+		}
 		asked = asked[1:]
 		if !fault.Is(last, fault.NotLeader) {
 			// That a member answers, and knows no leader, tells more than that another is gone.
@@ -161,17 +168,30 @@
 			asked = slices.Insert(asked, 0, failure.Leader)
 		}
 	}
-	return none, last
+	return none, cmp.Or(unknown, last)
+}
+
+// outcomeUnknown is the fault of a change that the member at an address may have made.
+func outcomeUnknown(address string) error {
+	return fault.Newf(fault.OutcomeUnknown, "send it again, or look whether it is in force",
+		"the member of the root group at %s took the change and did not tell what came of it", address).WithRan(fault.RanUnknown)
 }
 
 // passOnToLeader is passOn for a call that only the leader takes. Where members answer that there is
-// none it is repeated until the context ends, as at members.
+// none, or do not tell what came of a change, it is repeated until the context ends, as at members.
 func passOnToLeader[Response any](ctx context.Context, c *Coordinator, within time.Duration, call func(ctx context.Context, base string) (Response, error)) (Response, error) {
+	var unknown error
 	for {
 		response, err := passOn(ctx, c, within, call)
-		if !fault.Is(err, fault.NotLeader) || !retry.Pause(ctx, leaderlessPause) {
+		if err == nil || !passing(err) {
 			return response, err
 		}
+		if fault.Is(err, fault.OutcomeUnknown) {
+			unknown = err
+		}
+		if fault.Is(err, fault.Unavailable) || !retry.Pause(ctx, leaderlessPause) {
+			return response, cmp.Or(unknown, err)
+		}
 	}
 }
 
@@ -181,8 +201,8 @@
 }
 
 // passOnce makes a call at one address, and gives up where there is no connection soon, or no
-// answer within the given time.
-func passOnce[Response any](ctx context.Context, c *Coordinator, address string, within time.Duration, call func(ctx context.Context, base string) (Response, error)) (Response, error) {
+// answer within the given time. It tells whether there was a connection.
+func passOnce[Response any](ctx context.Context, c *Coordinator, address string, within time.Duration, call func(ctx context.Context, base string) (Response, error)) (Response, bool, error) {
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
 	base := "http://" + address
@@ -191,9 +211,14 @@
 	} else {
 		defer time.AfterFunc(within, cancel).Stop()
 	}
+	var connected atomic.Bool
 	traced, release := site.WithConnectLimit(limited, site.ConnectPatience)
 	defer release()
-	return call(traced, base)
+	traced = httptrace.WithClientTrace(traced, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	response, err := call(traced, base)
+	return response, connected.Load(), err
 }
 
 // leaveHanging has a try at a member end once the member does not answer anything else either.
--- a/internal/coordinator/members_test.go
+++ b/internal/coordinator/members_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/retry"
@@ -280,6 +282,67 @@
 	})
 }
 
+// TestCoordinatorsOutsideSayThatAChangeMayBeInForce has one member take changes and not tell
+// what came of them, while the others know no leader, wherever it comes in the order. A caller
+// is not told then that nothing led, which it takes for a change that was not made. Reads change
+// nothing.
+func TestCoordinatorsOutsideSayThatAChangeMayBeInForce(t *testing.T) {
+	refuse := func(kind fault.Kind) http.Handler {
+		return http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			if err := twirp.WriteError(writer, fault.ToTwirp(fault.New(kind, "refused", "ask again"))); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	hang := http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() })
+	change := func(ctx context.Context, c *Coordinator) error {
+		_, err := c.Apply(ctx, &rockwindpb.ApplyConfigurationRequest{Configuration: &rockwindpb.Configuration{Number: 2}})
+		return err
+	}
+	report := func(ctx context.Context, c *Coordinator) error {
+		_, err := quarantineService{c}.Report(ctx, &rockwindpb.ReportQuarantineRequest{})
+		return err
+	}
+	read := func(ctx context.Context, c *Coordinator) error {
+		_, err := c.Newest(ctx)
+		return err
+	}
+	for name, test := range map[string]struct {
+		one  http.Handler
+		call func(ctx context.Context, c *Coordinator) error
+		want fault.Kind
+	}{
+		"apply, no answer":        {hang, change, fault.OutcomeUnknown},
+		"apply, outcome unknown":  {refuse(fault.OutcomeUnknown), change, fault.OutcomeUnknown},
+		"apply, all know":         {refuse(fault.NotLeader), change, fault.NotLeader},
+		"report, no answer":       {hang, report, fault.OutcomeUnknown},
+		"report, outcome unknown": {refuse(fault.OutcomeUnknown), report, fault.OutcomeUnknown},
+		"report, all know":        {refuse(fault.NotLeader), report, fault.NotLeader},
+		"read, no answer":         {hang, read, fault.NotLeader},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for place := range coordinators {
+				inSiteThatAdmits(t, coordinators, func(s *virtualSite) {
+					outside := s.startOutside(1)[0].coordinator
+					ordered := outside.members.order(outside.settings.GetName(), outside.rootMembers(), time.Now())
+					for other, address := range ordered {
+						handler := refuse(fault.NotLeader)
+						if other == place {
+							handler = test.one
+						}
+						s.links.serve(s.t.Context(), address, handler)
+					}
+					ctx, cancel := context.WithTimeout(s.t.Context(), callPatience)
+					defer cancel()
+					if err := test.call(ctx, outside); !fault.Is(err, test.want) {
+						s.t.Errorf("place %d: the call ends with %v, want %v", place, err, test.want)
+					}
+				})
+			}
+		})
+	}
+}
+
 // TestMembersAreAskedInOrder keeps the order in which a coordinator outside asks members: its
 // own, with those that failed lately at the end, and no more of them than there are tries.
 func TestMembersAreAskedInOrder(t *testing.T) {
