Replicas: ask for a slow disk's hand-over without a copy of the status

Each Ready built a whole status, with a list of all members' progress, to learn of a hand-over that is rare. The core answers just that now; a status is taken only for the line in the log. No measurement: the work that is left out is a slice of one struct a member.

--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -261,7 +261,6 @@
 		return status
 	}
 	status.TransferTarget = n.leading.transferTarget
-	status.SlowDisk = n.leading.transferTarget != 0 && n.leading.slowDisk
 	for _, member := range membership.GetMembers() {
 		p := n.leading.progress[member.GetId()]
 		status.Progress = append(status.Progress, ProgressStatus{
--- a/internal/raft/slowdisk.go
+++ b/internal/raft/slowdisk.go
@@ -102,6 +102,15 @@
 	}
 }
 
+// SlowDiskTarget is the member that leadership is being handed to since the disk here is slow,
+// zero for none. It costs no copy, so that it can be asked after each Ready.
+func (n *Node) SlowDiskTarget() uint64 {
+	if n.role != Leader || !n.leading.slowDisk {
+		return 0
+	}
+	return n.leading.transferTarget
+}
+
 // orderTakeover tells a voter to take over. The lease ends before it may be elected.
 func (n *Node) orderTakeover(target uint64) {
 	n.leading.leaseRevoked = true
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -183,8 +183,6 @@
 	// HearsLeader tells whether this replica has heard from the leader of its term
 	// within an election timeout, or leads with a valid lease.
 	HearsLeader bool
-	// SlowDisk tells that this replica is handing over leadership since its disk is slow.
-	SlowDisk bool
 	// LeaderCommit is what the leader of the term had committed, as this replica knows from
 	// its first heartbeat or entries since its start; zero before that. At the leader it is
 	// the first entry of its term.
--- a/internal/replica/ready.go
+++ b/internal/replica/ready.go
@@ -89,14 +89,14 @@
 
 // recordSlowDisk writes that leadership is handed over since the disk is slow.
 func (o *owner) recordSlowDisk() {
-	status := o.node.Status()
-	if status.SlowDisk == o.slowDisk {
+	target := o.node.SlowDiskTarget()
+	if (target != 0) == o.slowDisk {
 		return
 	}
-	o.slowDisk = status.SlowDisk
+	o.slowDisk = target != 0
 	if o.slowDisk {
 		decision.Default.Record(decision.LeadershipHandedOver, strconv.FormatUint(uint64(o.id), 10), log.Fields{
-			"reason": "the disk is slow", "term": status.Term, "to": strconv.FormatUint(status.TransferTarget, 16),
+			"reason": "the disk is slow", "term": o.node.Status().Term, "to": strconv.FormatUint(target, 16),
 		})
 	}
 }
