--- a/internal/raft/cluster_test.go
+++ b/internal/raft/cluster_test.go
@@ -55,6 +55,8 @@
 	reads     map[uint64]uint64
 	// disks holds all disks by identity, the lost ones with what they held.
 	disks map[uint64]*disk
+	// handingOver counts the times at which a leader was handing over for its slow disk.
+	handingOver int
 	// copied is the newest commit index whose copies were counted.
 	copied uint64
 }
@@ -252,6 +254,9 @@
 	c.flights = append(c.flights, ready.Messages...)
 	c.apply(m, ready)
 	m.node.Advance(*ready)
+	if m.node.SlowDiskTarget() != 0 {
+		c.handingOver++
+	}
 	c.checkCopies(m)
 }
 
--- a/internal/raft/simulation_test.go
+++ b/internal/raft/simulation_test.go
@@ -25,6 +25,10 @@
 	os.Exit(m.Run())
 }
 
+// leastHandOvers bounds how rarely leaders hand over in the simulations of slow disks: in one
+// of so many.
+const leastHandOvers = 5
+
 // events is how many events a simulation has.
 const events = 60
 
@@ -50,6 +54,7 @@
 	restartOthers
 	restartAll
 	slowDisk
+	slowLeader
 )
 
 // Menus of events; what stands twice happens more often.
@@ -67,7 +72,7 @@
 	// memberEvents replace machines again and again.
 	memberEvents = []event{replaceMachine, loseDisk, restart, cutLink, cutOff, heal, delayMessages}
 	// diskEvents make disks slow for long, so that their leaders hand over.
-	diskEvents = []event{slowDisk, slowDisk, slowDisk, cutLink, cutOff, heal, heal, heal, delayMessages, loseMessages, crash, restart}
+	diskEvents = []event{slowDisk, slowDisk, slowDisk, slowLeader, slowLeader, cutLink, cutOff, heal, heal, heal, delayMessages, loseMessages, crash, restart}
 	// restartEvents end many processes at once, while some may be cut off.
 	restartEvents = []event{
 		restartOthers, restartOthers, restartAll, cutOff, cutLink, heal, heal, loseMessages, delayMessages, crash, restart, transfer, replaceMachine,
@@ -77,9 +82,15 @@
 // chooser draws a number below count.
 type chooser func(label string, count int) int
 
-// simulate runs a cluster through events that choose draws, lets it heal, and
+// simulate runs a new cluster through events that choose draws, lets it heal, and
 // returns what did not hold.
-func simulate(random *rand.Rand, choose chooser, menu []event, faults brokenBy) (err error) {
+func simulate(random *rand.Rand, choose chooser, menu []event, faults brokenBy) error {
+	return newCluster(random, faults).play(choose, menu)
+}
+
+// play runs the cluster through events that choose draws, lets it heal, and returns what did
+// not hold.
+func (c *cluster) play(choose chooser, menu []event) (err error) {
 	defer func() {
 		switch found := recover().(type) {
 		case nil:
@@ -89,14 +100,13 @@
 			panic(found)
 		}
 	}()
-	c := newCluster(random, faults)
 	for range events {
 		m := c.machines[choose("machine", machineCount)]
 		c.happen(m, menu[choose("event", len(menu))], choose)
 		busy := float64(choose("busy", 3)) / 8
 		for range choose("time", 2*electionTicks) {
 			c.pass()
-			if random.Float64() < busy {
+			if c.random.Float64() < busy {
 				c.ask()
 			}
 		}
@@ -122,6 +132,8 @@
 		m.synced = c.now + uint64(choose("slow", 3*electionTicks))
 	case slowDisk:
 		m.syncTicks = uint64(choose("sync", electionTicks))
+	case slowLeader:
+		c.slowLeader(electionTicks/2 + uint64(choose("sync", electionTicks/2)))
 	case freeze:
 		m.thawed = c.now + uint64(choose("frozen", 3*electionTicks))
 	case cutLink:
@@ -158,6 +170,23 @@
 	}
 }
 
+// slowLeader gives whoever leads syncs of the given ticks, and the others none, while writes
+// last long enough for a row of slow syncs.
+func (c *cluster) slowLeader(ticks uint64) {
+	for _, m := range c.machines {
+		m.syncTicks = 0
+		if m.node != nil && m.node.role == Leader {
+			m.syncTicks = ticks
+		}
+	}
+	for range (slowSyncsToHandOver + 1) * electionTicks {
+		c.pass()
+		if c.random.Float64() < 0.25 {
+			c.ask()
+		}
+	}
+}
+
 // restartBut ends all processes but that of one machine, and starts them again.
 func (c *cluster) restartBut(spared *machine) {
 	for _, m := range c.machines {
@@ -254,13 +283,22 @@
 // TestGroupKeepsItsPromisesWithSlowDisks is the same for disks that are slow for long, whose
 // leaders hand over.
 func TestGroupKeepsItsPromisesWithSlowDisks(t *testing.T) {
+	played, handedOver := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
-		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		c := newCluster(rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), brokenBy{})
 		choose := func(label string, count int) int { return rapid.IntRange(0, count-1).Draw(t, label) }
-		if err := simulate(random, choose, diskEvents, brokenBy{}); err != nil {
+		if err := c.play(choose, diskEvents); err != nil {
 			t.Fatal(err)
 		}
+		played++
+		if c.handingOver > 0 {
+			handedOver++
+		}
 	})
+	t.Logf("leaders hand over in %d of %d simulations", handedOver, played)
+	if handedOver < played/leastHandOvers {
+		t.Errorf("leaders hand over for slow disks in %d of %d simulations", handedOver, played)
+	}
 }
 
 // TestSimulationFindsFaults shows that the simulation notices each way in which
@@ -278,6 +316,8 @@
 		"lease from answer":       {brokenBy{core: faultInjection{leaseFromAnswer: true}}, answerEvents},
 		"any membership change":   {brokenBy{core: faultInjection{anyMembershipChange: true}}, allEvents},
 		"lease during transfer":   {brokenBy{core: faultInjection{leaseDuringTransfer: true}}, append(leaseEvents, transfer, transfer)},
+		"lease for a slow disk":   {brokenBy{core: faultInjection{leaseDuringTransfer: true}}, append(diskEvents, slowLeader, slowLeader, delayMessages, delayMessages)},
+		"count a slow sync early": {brokenBy{core: faultInjection{countSelfBeforeSync: true}}, diskEvents},
 		"vote after disk loss":    {brokenBy{reuseIdentity: true}, allEvents},
 		"unanimous by majority":   {brokenBy{core: faultInjection{unanimousByMajority: true}}, restartEvents},
 		"read without own commit": {brokenBy{core: faultInjection{readWithoutOwnCommit: true}}, allEvents},
