--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -60,7 +60,10 @@
 		replicated, running = s.host.Group(shard)
 	}
 	e := &executor{
+		partings: s.partingsOf(shard),
 		store:    s,
+		shard:    shard,
+		share:    newShare(),
 		group:    replicated,
 		machine:  s.machine(shard),
 		claims:   claims.NewTable(),
@@ -69,18 +72,6 @@
 		paces:    make(map[string]*backlog.Pace),
 		ended:    make(chan itemEnd, endBuffer),
 		notes:    make(chan struct{}, 1),
-		partings: s.partingsOf(shard),
-		store:   s,
-		shard:   shard,
-		share:   newShare(),
-		group:   replicated,
-		machine: s.machine(shard),
-		claims:  claims.NewTable(),
-		history: make(map[claims.Key]*history),
-		active:  make(map[claims.Key]*activeTry),
-		paces:   make(map[string]*backlog.Pace),
-		ended:   make(chan itemEnd, endBuffer),
-		notes:   make(chan struct{}, 1),
 	}
 	e.run(ctx)
 }
