Coordinators: the leader lists the quarantine

Cause, by reading and from platform.TestHeldContentIsShownAndReleased, red once at load 43 (an empty list): the coordinator that was asked answered from its own state, which lags the leader's that had told the router. Now the leader is asked, for a second, and the own state is told with a log line while none answers. TestHeldContentIsShownAndReleased: green once after it.

--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -35,7 +35,8 @@
 	return &rockwindpb.ReportQuarantineResponse{}, fault.ToTwirp(err)
 }
 
-// List implements rockwindpb.QuarantineService.
+// List implements rockwindpb.QuarantineService. The leader answers, which knows what was reported a moment ago;
+// while there is none this coordinator tells what it knows itself.
 func (s quarantineService) List(ctx context.Context, request *rockwindpb.ListQuarantineRequest) (*rockwindpb.ListQuarantineResponse, error) {
 	if s.coordinator.outside() {
 		response, err := passOn(ctx, s.coordinator, passTimeout, func(ctx context.Context, base string) (*rockwindpb.ListQuarantineResponse, error) {
@@ -43,9 +44,34 @@
 		})
 		return response, fault.ToTwirp(err)
 	}
+	response, err := s.listedByLeader(ctx, request)
+	if err != nil {
+		log.WithError(err).Warn("the quarantine is listed as this coordinator knows it: no leader answers")
+		response, err = s.listed()
+	}
+	return response, fault.ToTwirp(err)
+}
+
+// listedByLeader is the list as the leader knows it.
+func (s quarantineService) listedByLeader(ctx context.Context, request *rockwindpb.ListQuarantineRequest) (*rockwindpb.ListQuarantineResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, passTimeout)
+	defer cancel()
+	var response *rockwindpb.ListQuarantineResponse
+	err := s.coordinator.atLeader(ctx, func() (err error) {
+		response, err = s.listed()
+		return err
+	}, func(ctx context.Context, base string) (err error) {
+		response, err = s.coordinator.quarantineAt(base).List(ctx, request)
+		return err
+	})
+	return response, err
+}
+
+// listed is the list as this coordinator knows it.
+func (s quarantineService) listed() (*rockwindpb.ListQuarantineResponse, error) {
 	_, view, err := s.coordinator.current()
 	if err != nil {
-		return nil, fault.ToTwirp(err)
+		return nil, err
 	}
 	return &rockwindpb.ListQuarantineResponse{Suspects: view.quarantine.List(time.Now())}, nil
 }
