Tell other processes of ends of servers that no coordinator has taken

While the root group has no leader nobody adds up under which contents servers ended: each process held a content by what it saw itself, so that n processes had it end three servers each.

--- a/internal/loadshare/protocol_test.go
+++ b/internal/loadshare/protocol_test.go
@@ -13,6 +13,7 @@
 
 	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/loadshare"
+	"rockwind.example/rockwind/internal/quarantine"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -27,20 +28,33 @@
 	own      map[uint32]balance.SharedLoad
 	silent   bool
 	now      time.Duration
-	// outside counts the bytes sent to other zones, and datagrams all that were sent.
-	outside, datagrams int
+	// outside counts the bytes sent to other zones, and datagrams and bytes all that were sent.
+	outside, datagrams, bytes int
+	// untold is what no coordinator was told of ends of servers.
+	untold *quarantine.Untold
 }
 
-func (s *station) Own() *rockwindpb.LoadDigest { return loadshare.NewDigest(s.own) }
+func (s *station) Own() *rockwindpb.LoadDigest {
+	digest := loadshare.NewDigest(s.own)
+	digest.Untold = s.untold.TellOwn(s.clock())
+	return digest
+}
 
 func (s *station) Sum(names []string) *rockwindpb.LoadDigest {
-	return loadshare.SumDigest(s.shares, names, s.own)
+	digest := loadshare.SumDigest(s.shares, names, s.own)
+	digest.Untold = s.untold.TellGroup(s.clock())
+	return digest
 }
 
 func (s *station) Elsewhere(group string) *rockwindpb.LoadDigest {
-	return loadshare.NewDigest(s.shares.SumElsewhere(group))
+	digest := loadshare.NewDigest(s.shares.SumElsewhere(group))
+	digest.Untold = s.untold.TellElsewhere(s.clock())
+	return digest
 }
 
+// clock is the virtual time as a time of day.
+func (s *station) clock() time.Time { return time.UnixMilli(1_000_000).Add(s.now) }
+
 func (s *station) Heard(name string) bool { return s.shares.Heard(name, s.now) }
 
 // Sparing implements loadshare.Source: the hashes of tenants have the highest bit, those of
@@ -65,6 +79,7 @@
 
 func (s *station) Take(digest *rockwindpb.LoadDigest) {
 	loadshare.TakeInto(s.shares, digest, loadshare.Loads(digest), s.now)
+	s.untold.Hear(digest.GetUntold(), digest.GetGroup() == "", s.clock())
 }
 
 // world plays the processes of a site in virtual time, step by step of 5 ms. Datagrams
@@ -100,6 +115,7 @@
 	s.protocol = loadshare.NewProtocol(s.member.Name(), int64(w.now/time.Millisecond)+1)
 	s.protocol.SetLayout(loadshare.NewLayout(members, s.member.Name()))
 	s.shares = balance.NewShares()
+	s.untold = quarantine.NewUntold()
 	w.next[s] = w.now + time.Duration(w.random.Int64N(int64(100*time.Millisecond)))
 }
 
@@ -132,6 +148,7 @@
 	}
 	for _, receiver := range datagram.Receivers {
 		from.datagrams++
+		from.bytes += len(encoded) + headerBytes
 		to := w.byAddress[receiver]
 		if to.member.Zone() != from.member.Zone() {
 			from.outside += len(encoded) + headerBytes
--- a/internal/quarantine/untold_test.go
+++ b/internal/quarantine/untold_test.go
@@ -1,10 +1,14 @@
 package quarantine_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"rockwind.example/rockwind/internal/quarantine"
+	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
 // TestUntoldEndsHoldAContentUntilTheyAreTold: a process that reaches no coordinator judges by what
@@ -53,3 +57,122 @@
 		}
 	}
 }
+
+// neighbours are processes that tell each other what no coordinator has taken.
+type neighbours struct {
+	now   time.Time
+	first *quarantine.Untold
+	other *quarantine.Untold
+}
+
+func newNeighbours() *neighbours {
+	return &neighbours{now: time.UnixMilli(1_000_000), first: quarantine.NewUntold(), other: quarantine.NewUntold()}
+}
+
+// pass lets time pass, and the two tell each other in between.
+func (n *neighbours) pass(length time.Duration) {
+	const turn = 50 * time.Millisecond
+	for end := n.now.Add(length); n.now.Before(end); n.now = n.now.Add(turn) {
+		n.other.Hear(n.first.TellOwn(n.now), true, n.now)
+		n.first.Hear(n.other.TellOwn(n.now), true, n.now)
+	}
+}
+
+func (n *neighbours) wantHeld(t *testing.T, content string, want bool) {
+	t.Helper()
+	if held := n.other.HeldFor(contentOf(content), n.now); (held > 0) != want {
+		t.Errorf("%s is held for %v", content, held)
+	}
+}
+
+// TestEndsThatOthersSawHoldAContent: one process saw two ends, another one the third.
+func TestEndsThatOthersSawHoldAContent(t *testing.T) {
+	n := newNeighbours()
+	for _, server := range []string{"a", "b"} {
+		n.first.Ended(endOf("a", server, 0), shortRun, n.now)
+		n.pass(gap)
+	}
+	n.wantHeld(t, "a", false)
+	n.other.Ended(endOf("a", "c", 0), shortRun, n.now)
+	n.wantHeld(t, "a", true)
+	n.wantHeld(t, "b", false)
+	// Both have told a coordinator: its list decides.
+	n.first.Done(2)
+	n.other.Done(1)
+	n.pass(2 * time.Second)
+	n.wantHeld(t, "a", false)
+	if told := n.other.TellGroup(n.now); !n.other.Empty() || len(told) > 0 {
+		t.Errorf("%d observations are told on", len(told))
+	}
+}
+
+// TestAnEndThatTwoSawCountsOnce, however often it is told.
+func TestAnEndThatTwoSawCountsOnce(t *testing.T) {
+	n := newNeighbours()
+	for _, seen := range []*quarantine.Untold{n.first, n.other} {
+		for _, server := range []string{"a", "b"} {
+			seen.Ended(endOf("a", server, 0), shortRun, n.now)
+			n.pass(gap)
+		}
+	}
+	n.pass(time.Second)
+	n.wantHeld(t, "a", false)
+}
+
+// TestAnswerThatAnotherSawClearsAContent: it was told after the ends.
+func TestAnswerThatAnotherSawClearsAContent(t *testing.T) {
+	n := newNeighbours()
+	for _, server := range []string{"a", "b", "c"} {
+		n.other.Ended(endOf("a", server, 0), shortRun, n.now)
+		n.pass(gap)
+	}
+	n.wantHeld(t, "a", true)
+	n.first.Answered(contentOf("a"), n.now)
+	n.pass(gap)
+	n.wantHeld(t, "a", false)
+}
+
+// TestServersThatEndTogetherDoNotHoldWhatOthersSaw: all began before the first end was known.
+func TestServersThatEndTogetherDoNotHoldWhatOthersSaw(t *testing.T) {
+	n := newNeighbours()
+	for _, server := range []string{"a", "b", "c", "d"} {
+		n.first.Ended(endOf("popular", server, 0), shortRun, n.now)
+		n.now = n.now.Add(10 * time.Millisecond)
+	}
+	n.pass(time.Second)
+	n.wantHeld(t, "popular", false)
+}
+
+// TestEndsOfALostProcessLapse: it told of three, and tells nothing any more.
+func TestEndsOfALostProcessLapse(t *testing.T) {
+	n := newNeighbours()
+	for _, server := range []string{"a", "b", "c"} {
+		n.first.Ended(endOf("a", server, 0), shortRun, n.now)
+		n.pass(gap)
+	}
+	n.wantHeld(t, "a", true)
+	n.now = n.now.Add(2 * time.Second)
+	if told := n.other.TellElsewhere(n.now); len(told) > 0 {
+		t.Errorf("%d observations are told on", len(told))
+	}
+	n.wantHeld(t, "a", false)
+}
+
+// TestWhatIsHeardIsBounded: many servers end at once, and nonsense is passed over.
+func TestWhatIsHeardIsBounded(t *testing.T) {
+	n := newNeighbours()
+	for _, server := range []string{"a", "b", "c"} {
+		n.first.Ended(endOf("a", server, 0), shortRun, n.now)
+		n.pass(gap)
+	}
+	for place := range 2000 {
+		n.first.Ended(endOf(fmt.Sprint("beside", place), "d", 0), shortRun, n.now)
+	}
+	n.pass(gap)
+	n.wantHeld(t, "a", true)
+	told := n.first.TellOwn(n.now)
+	if size := proto.Size(&rockwindpb.LoadDigest{Untold: told}); size > 2048 {
+		t.Errorf("%d observations are told in %d bytes", len(told), size)
+	}
+	n.other.Hear([]*rockwindpb.UntoldObservation{{}, {Content: []byte("short"), Server: 1}, {Content: contentOf("old").Bytes(), Server: 1, NoticedMsAgo: 1 << 20}}, true, n.now)
+}
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -83,7 +83,7 @@
 	group.Go(func() error { router.Keep(parts); return nil })
 	group.Go(func() error { router.noteStart(parts, settings.GetName()); return nil })
 	group.Go(func() error { router.witness.Run(parts); return nil })
-	group.Go(func() error { return router.dispatcher.Share(parts, settings) })
+	group.Go(func() error { return router.dispatcher.Share(parts, settings, router.witness) })
 	group.Go(func() error {
 		router.dispatcher.Survey(parts, settings, watcher, protocol, router.client)
 		return nil
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -12,9 +12,9 @@
 )
 
 // Share tells the other routers and stores what this process has at servers, and
-// takes what they tell, until the context ends. The settings give the address; a
-// process without one shares nothing.
-func (d *Dispatcher) Share(ctx context.Context, settings *rockwindpb.SiteSettings) error {
+// takes what they tell, until the context ends; and so with what the witness has not told the
+// coordinators yet. The settings give the address; a process without one shares nothing.
+func (d *Dispatcher) Share(ctx context.Context, settings *rockwindpb.SiteSettings, witness *Witness) error {
 	if settings.GetInternalListen() == "" {
 		<-ctx.Done()
 		return nil
@@ -29,7 +29,7 @@
 		d.setPeers(d.view)
 	}
 	d.mutex.Unlock()
-	return sharer.Run(ctx, loadSource{d})
+	return sharer.Run(ctx, untoldSource{Source: loadSource{d}, reporter: witness.reporter})
 }
 
 // LoadTraffic tells what this process has sent of load digests since its start.
--- a/internal/router/witness.go
+++ b/internal/router/witness.go
@@ -144,31 +144,25 @@
 func (w *Witness) noticed(id string) bool {
 	limit := time.NewTimer(noticedWithin)
 	defer limit.Stop()
-	var asked directory.Inquiry
-	var askedAt time.Time
-	questions := 0
+	var questions questioning
 	for {
 		changed := w.watcher.Changed()
-		var again <-chan time.Time
-		switch w.watcher.Directory().Ending(id, asked) {
+		var nextQuestion <-chan time.Time
+		switch w.watcher.Directory().Ending(id, questions.answers) {
 		case directory.EndingCertain:
 			return true
 		case directory.EndingDenied:
 			return false
 		case directory.EndingInDoubt:
-			pause := identityPause - time.Since(askedAt)
-			if pause <= 0 && questions < mostQuestions {
-				asked, askedAt = asked.With(id, w.identify(id)), time.Now()
-				questions++
+			if questions.due(time.Now()) {
+				questions.answered(id, w.identify(id), time.Now())
 				continue
 			}
-			if questions < mostQuestions {
-				again = time.After(pause)
-			}
+			nextQuestion = questions.next(time.Now())
 		}
 		select {
 		case <-changed:
-		case <-again:
+		case <-nextQuestion:
 		case <-limit.C:
 			return false
 		case <-w.stopped:
@@ -177,6 +171,34 @@
 	}
 }
 
+// questioning is the course of the questions to the address of one server: mostQuestions, with
+// identityPause between them.
+type questioning struct {
+	answers directory.Inquiry
+	asked   int
+	last    time.Time
+}
+
+// due tells whether a question may be asked now.
+func (q *questioning) due(now time.Time) bool {
+	return q.asked < mostQuestions && now.Sub(q.last) >= identityPause
+}
+
+// answered notes what the address answered to a question about a server.
+func (q *questioning) answered(id string, identity directory.Identity, now time.Time) {
+	q.answers = q.answers.With(id, identity)
+	q.asked++
+	q.last = now
+}
+
+// next fires when the next question is due, never after the last one.
+func (q *questioning) next(now time.Time) <-chan time.Time {
+	if q.asked >= mostQuestions {
+		return nil
+	}
+	return time.After(q.last.Add(identityPause).Sub(now))
+}
+
 // identify asks the address of a server who is there. Attempts that broke off together share
 // one question.
 func (w *Witness) identify(id string) directory.Identity {
@@ -215,5 +237,9 @@
 	}
 }
 
-// Held counts the contents that are held here.
-func (w *Witness) Held() int { return w.watcher.Quarantine().Held(time.Now()) }
+// Held counts the contents that are held here: by the list of the coordinators, or, while they
+// take no reports, by what the processes told each other.
+func (w *Witness) Held() int {
+	now := time.Now()
+	return max(w.watcher.Quarantine().Held(now), w.reporter.Held(now))
+}
--- a/internal/site/reporter.go
+++ b/internal/site/reporter.go
@@ -19,9 +19,10 @@
 	// of a server fail together when it ends.
 	reportLinger = 5 * time.Millisecond
 	// reportRetry is the pause after no coordinator took a report, and reportFor how old an
-	// observation may become: longer than the coordinators need to elect a leader.
+	// observation may become: far longer than the coordinators need to elect a leader, since
+	// a content that ends servers runs again at each process that has given up.
 	reportRetry = 100 * time.Millisecond
-	reportFor   = 10 * time.Second
+	reportFor   = 30 * time.Second
 	// reportQueue bounds the observations that wait, and reportMost those of one call. After
 	// the loss of many servers at once the rest goes without: each of them tells of requests
 	// that have ended no other server.
@@ -37,7 +38,7 @@
 	queue   chan observation
 
 	mutex sync.Mutex
-	// untold is what waits to be told.
+	// untold is what waits to be told, here and at other processes.
 	untold *quarantine.Untold
 }
 
@@ -75,6 +76,45 @@
 	return r.untold.Suspected(content)
 }
 
+// Held counts the contents that are held by what was not told yet.
+func (r *Reporter) Held(now time.Time) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.untold.Held(now)
+}
+
+// Hear takes what another process has not told the coordinators yet; direct tells that it saw
+// that itself.
+func (r *Reporter) Hear(told []*rockwindpb.UntoldObservation, direct bool, now time.Time) {
+	if len(told) == 0 {
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.untold.Hear(told, direct, now)
+}
+
+// Untold lists what this process has not told the coordinators yet, for the other processes.
+func (r *Reporter) Untold(now time.Time) []*rockwindpb.UntoldObservation {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.untold.TellOwn(now)
+}
+
+// UntoldInGroup lists the same with what others told of themselves.
+func (r *Reporter) UntoldInGroup(now time.Time) []*rockwindpb.UntoldObservation {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.untold.TellGroup(now)
+}
+
+// UntoldElsewhere lists what was told for other groups of processes.
+func (r *Reporter) UntoldElsewhere(now time.Time) []*rockwindpb.UntoldObservation {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.untold.TellElsewhere(now)
+}
+
 // Ended tells that a server ended under a request that was sent there at the given time. How
 // long ago that was is filled in when it is told.
 func (r *Reporter) Ended(end *rockwindpb.ServerEnd, began time.Time) {
@@ -143,7 +183,7 @@
 	for {
 		err := r.watcher.atCoordinator(ctx, func(calling context.Context, address string) error {
 			service := rockwindpb.NewQuarantineServiceProtobufClient("http://"+address, twirphttp.Client{Carrier: r.watcher.client})
-			_, err := service.Report(calling, reportOf(seen, time.Now()))
+			_, err := service.Report(calling, r.reportOf(seen, time.Now()))
 			return err
 		})
 		if err == nil {
@@ -157,7 +197,9 @@
 }
 
 // reportOf is the call for observations at a moment.
-func reportOf(seen []observation, now time.Time) *rockwindpb.ReportQuarantineRequest {
+func (r *Reporter) reportOf(seen []observation, now time.Time) *rockwindpb.ReportQuarantineRequest {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	report := &rockwindpb.ReportQuarantineRequest{}
 	for _, each := range seen {
 		if each.end == nil {
@@ -165,6 +207,9 @@
 			continue
 		}
 		each.end.BeganMsAgo = uint64(max(0, now.Sub(each.began).Milliseconds()))
+		if r.untold.Later(each.end, now) {
+			each.end.BeganMsAgo = 0
+		}
 		report.Ends = append(report.Ends, each.end)
 	}
 	return report
