Look at a server whose connection broke off before the next one is tried

A request that may be repeated was sent to its second server at once, so that a third end under it was known only after a fourth had begun.

--- a/internal/quarantine/untold.go
+++ b/internal/quarantine/untold.go
@@ -332,6 +332,24 @@
 	return u.seen.View().HeldFor(content, now)
 }
 
+// HeldBy is for how much longer a content is held that the coordinators suspect: the list tells
+// of two ends, and a run that began after the list was taken has ended another server, which
+// they don't know yet. It needs no news from them. Items of jobs are left to the coordinators,
+// which know what ran beside them.
+func (u *Untold) HeldBy(list *List, content fingerprint.Fingerprint, now time.Time) time.Duration {
+	if _, ended := u.seen.View().Suspect(content); !ended || !list.Suspected(content) {
+		return 0
+	}
+	held := time.Duration(0)
+	for key, seen := range u.observed {
+		if key.content != content || key.server == 0 || seen.item || seen.began.Before(list.taken) {
+			continue
+		}
+		held = max(held, holdFor-now.Sub(seen.noticed))
+	}
+	return held
+}
+
 // Held counts the contents that are held by what is not told.
 func (u *Untold) Held(now time.Time) int {
 	held := 0
--- a/internal/quarantine/untold_test.go
+++ b/internal/quarantine/untold_test.go
@@ -176,3 +176,28 @@
 	}
 	n.other.Hear([]*rockwindpb.UntoldObservation{{}, {Content: []byte("short"), Server: 1}, {Content: contentOf("old").Bytes(), Server: 1, NoticedMsAgo: 1 << 20}}, true, n.now)
 }
+
+// TestEndAfterThoseOfTheListHolds: the coordinators told of two ends, and know no third yet.
+func TestEndAfterThoseOfTheListHolds(t *testing.T) {
+	d := newDriver(t)
+	for _, server := range []string{"a", "b"} {
+		d.now = d.now.Add(gap)
+		d.ended(endOf("a", server, shortRun), endOf("together", server, shortRun), itemEnd("item", server, shortRun))
+	}
+	list := quarantine.NewList(d.register.View().Revision(), d.register.View().Notices(d.now), d.now)
+	untold := quarantine.NewUntold()
+	d.now = d.now.Add(shortRun)
+	for content, began := range map[string]time.Duration{"a": shortRun / 2, "together": 2 * shortRun, "unknown": shortRun / 2} {
+		untold.Ended(endOf(content, "c", 0), began, d.now)
+	}
+	untold.Ended(itemEnd("item", "c", 0), shortRun/2, d.now)
+	for content, want := range map[string]bool{"a": true, "together": false, "unknown": false, "item": false} {
+		if held := untold.HeldBy(list, contentOf(content), d.now); (held > 0) != want {
+			t.Errorf("%s is held for %v", content, held)
+		}
+	}
+	untold.Answered(contentOf("a"), d.now.Add(time.Millisecond))
+	if held := untold.HeldBy(list, contentOf("a"), d.now); held > 0 {
+		t.Errorf("what was answered is held for %v", held)
+	}
+}
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -330,7 +330,7 @@
 	case ctx.Err() == nil:
 		lease.Done(health.Failure, 0)
 		if !notRun {
-			e.broke(lease, err)
+			e.brokeOff(ctx, lease, err)
 		}
 	case notRun, errors.Is(ctx.Err(), context.Canceled):
 		lease.Abandon()
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -98,7 +98,7 @@
 		return verdictElsewhere
 	}
 	lease.Done(health.Failure, latency)
-	e.broke(lease, cause)
+	e.brokeOff(ctx, lease, cause)
 	if e.mayContinue(ctx, lease) {
 		return verdictContinue
 	}
--- a/internal/router/witness.go
+++ b/internal/router/witness.go
@@ -86,26 +86,55 @@
 }
 
 // Broke tells that the connection of an attempt broke off with the given error before the
-// answer was whole. A server that fell silent has not ended by this.
-func (w *Witness) Broke(attempt Attempt, cause error) {
+// answer was whole. A server that fell silent has not ended by this. The channel that it returns
+// is closed once the server was looked at: if it refused connections its end counts by then.
+func (w *Witness) Broke(attempt Attempt, cause error) <-chan struct{} {
+	looked := make(chan struct{})
 	if timedOut(cause) {
-		return
+		close(looked)
+		return looked
 	}
 	select {
 	case w.room <- struct{}{}:
 	default:
 		log.WithField("server", attempt.Server).Debug("too many connections broke off at once to look at each server")
-		return
+		close(looked)
+		return looked
 	}
 	go func() {
 		defer func() { <-w.room }()
-		// It may take seconds until the end shows: an answer before or since speaks for the content.
-		if w.ended(attempt) && !w.answers.has(attempt.Content, time.Now()) {
-			w.reporter.Ended(&rockwindpb.ServerEnd{
-				Content: attempt.Content.Bytes(), Server: attempt.Server, Route: attempt.Route, Tenant: attempt.Tenant, Item: attempt.Item,
-			}, attempt.Began)
-		}
+		w.find(attempt, looked)
 	}()
+	return looked
+}
+
+// find finds out whether the server of an attempt has ended, and tells so. It closes the channel
+// once the server was looked at.
+func (w *Witness) find(attempt Attempt, looked chan<- struct{}) {
+	if !w.serves(attempt.Server) {
+		close(looked)
+		return
+	}
+	if w.refuses(attempt) {
+		w.tellEnd(attempt)
+		close(looked)
+		return
+	}
+	close(looked)
+	if w.noticed(attempt.Server) {
+		w.tellEnd(attempt)
+	}
+}
+
+// tellEnd tells that the server of an attempt has ended. It may have taken seconds until that
+// showed: an answer before or since speaks for the content.
+func (w *Witness) tellEnd(attempt Attempt) {
+	if w.answers.has(attempt.Content, time.Now()) {
+		return
+	}
+	w.reporter.Ended(&rockwindpb.ServerEnd{
+		Content: attempt.Content.Bytes(), Server: attempt.Server, Route: attempt.Route, Tenant: attempt.Tenant, Item: attempt.Item,
+	}, attempt.Began)
 }
 
 // timedOut tells whether an error of a connection is a time that ran out here.
@@ -117,17 +146,14 @@
 	return errors.Is(cause, os.ErrDeadlineExceeded)
 }
 
-// ended tells whether the server of an attempt has ended without leaving. Attempts that broke
-// off together share one look at the server, which never fails.
-func (w *Witness) ended(attempt Attempt) bool {
-	if !w.serves(attempt.Server) {
-		return false
-	}
+// refuses tells whether nobody listens at the address of an attempt. Attempts that broke off
+// together share one look at the server, which never fails.
+func (w *Witness) refuses(attempt Attempt) bool {
 	looked, _, _ := w.checks.Do(attempt.Server, func() (any, error) {
 		return w.client.Reach(context.Background(), attempt.Address, connectLimit) == upstream.ReachRefused, nil
 	})
 	refused, _ := looked.(bool)
-	return refused || w.noticed(attempt.Server)
+	return refused
 }
 
 // serves tells whether a server belongs to the site and has not said that it leaves.
@@ -225,7 +251,7 @@
 	if list.Empty() {
 		return untold
 	}
-	return max(untold, list.HeldFor(content(), now))
+	return max(untold, list.HeldFor(content(), now), w.reporter.HeldBy(list, content(), now))
 }
 
 // Answered tells that a server gave a whole answer to a request. It speaks for the content:
--- a/internal/site/reporter.go
+++ b/internal/site/reporter.go
@@ -69,6 +69,17 @@
 	return r.untold.HeldFor(computed, now)
 }
 
+// HeldBy is for how much longer a content is held by the list of the coordinators together with
+// what was not told yet.
+func (r *Reporter) HeldBy(list *quarantine.List, content fingerprint.Fingerprint, now time.Time) time.Duration {
+	if !list.Suspected(content) {
+		return 0
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.untold.HeldBy(list, content, now)
+}
+
 // Suspected tells whether several servers ended under a content by what was not told yet.
 func (r *Reporter) Suspected(content fingerprint.Fingerprint) bool {
 	r.mutex.Lock()
