Tell of untold ends directly instead of by the relays of load digests

A process now tells all others itself, in datagrams beside the digests, 128 KB a second at most and nothing while coordinators take reports.

--- a/internal/loadshare/fit.go
+++ b/internal/loadshare/fit.go
@@ -27,7 +27,7 @@
 
 // fit leaves out of a digest what is missed least until it fits in a datagram: first what was
 // left behind at servers, next the entries of tenants, then the paces, without which servers
-// count as alike, and at last what no coordinator was told. What does not fit then is not sent.
+// count as alike. What does not fit then is not sent.
 func fit(source Source, digest *rockwindpb.LoadDigest) {
 	for _, left := range []Sparing{SparedFirst, SparedNext} {
 		if fits(digest) {
@@ -39,9 +39,6 @@
 		return
 	}
 	digest.ToldPaces, digest.ToldVoices, digest.SeenPaces, digest.SeenVoices = nil, nil, nil, nil
-	if !fits(digest) {
-		digest.Untold = nil
-	}
 }
 
 func fits(digests ...*rockwindpb.LoadDigest) bool {
--- a/internal/loadshare/protocol.go
+++ b/internal/loadshare/protocol.go
@@ -17,6 +17,13 @@
 	// delegateFor is how long the delegate of another group counts as such after its last
 	// digest. Afterwards all relays of that group are told.
 	delegateFor = 700 * time.Millisecond
+	// untoldRate bounds what a process sends of untold ends, in bytes a second, and
+	// untoldSpacing is the least time between such datagrams: one that saw three ends reaches 65
+	// others each 100 ms, and 349 others twice a second.
+	untoldRate    = 128 << 10
+	untoldSpacing = 100 * time.Millisecond
+	// datagramHeader is what IP and UDP add to a datagram, in bytes.
+	datagramHeader = 28
 )
 
 // Datagram is a bundle of digests with those that it goes to.
@@ -41,6 +48,8 @@
 	own, inside, outside sending
 	// delegates are those of the other groups, by group.
 	delegates map[string]delegate
+	// untoldAfter is from when on untold ends may be sent again.
+	untoldAfter time.Duration
 }
 
 // delegate is a process that told the sum of its group.
@@ -65,7 +74,7 @@
 
 // Turn returns what is to be sent now.
 func (p *Protocol) Turn(source Source, now time.Duration) []Datagram {
-	var sent []Datagram
+	sent := p.tellUntold(source, now)
 	if own := source.Own(); p.own.due(own, now) {
 		p.sign(own)
 		fit(source, own)
@@ -82,6 +91,23 @@
 	return append(sent, p.tellOthers(source, sum, now)...)
 }
 
+// tellUntold tells all processes what no coordinator was told of ends of servers. It goes to each
+// directly: relays end together with the coordinators where machines are lost by role.
+func (p *Protocol) tellUntold(source Source, now time.Duration) []Datagram {
+	if now < p.untoldAfter {
+		return nil
+	}
+	told := source.Untold()
+	if len(told) == 0 {
+		return nil
+	}
+	receivers := p.layout.Everyone()
+	datagram := Datagram{Receivers: receivers, Bundle: &rockwindpb.LoadBundle{Untold: told}}
+	sent := len(receivers) * (proto.Size(datagram.Bundle) + datagramHeader)
+	p.untoldAfter = now + max(untoldSpacing, time.Duration(sent)*time.Second/untoldRate)
+	return []Datagram{datagram}
+}
+
 // tellMembers tells the members of the group its sum and that of all others.
 func (p *Protocol) tellMembers(source Source, sum *rockwindpb.LoadDigest, now time.Duration) []Datagram {
 	elsewhere := source.Elsewhere(p.layout.Group())
@@ -139,6 +165,9 @@
 
 // Receive hands the source what a datagram tells of others.
 func (p *Protocol) Receive(source Source, received *rockwindpb.LoadBundle, now time.Duration) {
+	if told := received.GetUntold(); len(told) > 0 {
+		source.Hear(told)
+	}
 	for _, digest := range received.GetDigests() {
 		if digest.GetSender() == "" || digest.GetSender() == p.name || !consistent(digest) {
 			continue
--- a/internal/quarantine/untold.go
+++ b/internal/quarantine/untold.go
@@ -19,26 +19,25 @@
 	// are told nothing.
 	tellAfter = 100 * time.Millisecond
 	// heardFor is for how long an observation of another process counts after it was told
-	// last: the list of the coordinators takes its place within that time. passedOnFor is for how
-	// long it is told on, at two places on its way at most. Digests that tell of ends go out each
-	// 200 ms or sooner, so that two may be lost.
-	heardFor    = 1200 * time.Millisecond
-	passedOnFor = 600 * time.Millisecond
+	// last: the list of the coordinators takes its place within that time. It is told again
+	// each 400 ms, or each two seconds on sites of hundreds of processes where many ended.
+	heardFor = 3 * time.Second
 	// oldestHeard is the age of an observation that is not taken any more: its process has given up
 	// telling it by then.
 	oldestHeard = 35 * time.Second
 	// knownAfter is how long after an end was noticed by another process it counts as known: as
 	// long as it takes to tell a coordinator. Runs that began before began at the same time.
 	knownAfter = 20 * time.Millisecond
-	// mostTold bounds the observations of one list for others: 40 bytes each.
-	mostTold = 48
+	// mostTold bounds the observations that others are told of at a time: 40 bytes each. A
+	// process sees few ends of servers that it did not bring about itself.
+	mostTold = 16
 	// mostObserved bounds those that are remembered, some 200 bytes each: as many as wait for a
 	// coordinator at most.
 	mostObserved = 512
 )
 
 // Untold is what processes saw and no coordinator has taken yet: this process itself, and the
-// others, which tell it by their load digests. While the root group has no leader nobody adds up
+// others, which tell it beside their load digests. While the root group has no leader nobody adds up
 // the ends of servers, and each process does so itself, by the rules of the Register. Once all
 // is told it knows nothing more: the list of the coordinators counts then. It belongs to one
 // goroutine at a time.
@@ -67,10 +66,8 @@
 	later bool
 	// waiting counts how often this process has still to tell it.
 	waiting int
-	// heard is when another process told of it last, zero for never; direct tells that it was one
-	// which saw it, and not a sum of several.
-	heard  time.Time
-	direct bool
+	// heard is when another process told of it last, zero for never or for long ago.
+	heard time.Time
 }
 
 // NewUntold returns an Untold that has seen nothing.
@@ -136,12 +133,11 @@
 	u.seen = New()
 }
 
-// Hear takes what another process told: direct tells that it tells of itself only. Nothing that
-// is no observation is taken.
-func (u *Untold) Hear(told []*rockwindpb.UntoldObservation, direct bool, now time.Time) {
+// Hear takes what another process told. What is no observation is passed over.
+func (u *Untold) Hear(told []*rockwindpb.UntoldObservation, now time.Time) {
 	changed := false
 	for _, each := range told {
-		changed = u.hear(each, direct, now) || changed
+		changed = u.hear(each, now) || changed
 	}
 	if changed {
 		u.judge()
@@ -149,7 +145,7 @@
 }
 
 // hear takes one observation, and tells whether it says something new.
-func (u *Untold) hear(told *rockwindpb.UntoldObservation, direct bool, now time.Time) bool {
+func (u *Untold) hear(told *rockwindpb.UntoldObservation, now time.Time) bool {
 	content, ok := fingerprint.FromBytes(told.GetContent())
 	age := time.Duration(told.GetNoticedMsAgo()) * time.Millisecond
 	if !ok || age > oldestHeard {
@@ -160,10 +156,9 @@
 	began := now.Add(-time.Duration(told.GetBeganMsAgo()) * time.Millisecond)
 	known := u.observed[key]
 	if known == nil {
-		u.observed[key] = &observation{noticed: noticed, began: began, item: told.GetItem(), heard: now, direct: direct}
+		u.observed[key] = &observation{noticed: noticed, began: began, item: told.GetItem(), heard: now}
 		return true
 	}
-	known.direct = known.direct || direct
 	known.heard = now
 	if known.waiting > 0 || !better(key, noticed, known) {
 		return false
@@ -212,9 +207,6 @@
 	return o.noticed.Add(knownAfter)
 }
 
-// fresh tells whether another process told of it so lately that it is told on.
-func (o *observation) fresh(now time.Time) bool { return now.Sub(o.heard) <= passedOnFor }
-
 // inOrder lists the observations, the oldest first.
 func (u *Untold) inOrder() []observationKey {
 	return slices.SortedFunc(maps.Keys(u.observed), func(a, b observationKey) int {
@@ -248,30 +240,16 @@
 	}
 }
 
-// TellOwn lists for others what this process saw itself. It is empty while coordinators take
-// what they are told.
-func (u *Untold) TellOwn(now time.Time) []*rockwindpb.UntoldObservation {
-	return u.tell(now, func(seen *observation) bool { return seen.waiting > 0 })
-}
-
-// TellGroup lists for others what this process saw, and what others told of themselves.
-func (u *Untold) TellGroup(now time.Time) []*rockwindpb.UntoldObservation {
-	return u.tell(now, func(seen *observation) bool { return seen.waiting > 0 || seen.direct && seen.fresh(now) })
-}
-
-// TellElsewhere lists for others what was told by sums of other processes only.
-func (u *Untold) TellElsewhere(now time.Time) []*rockwindpb.UntoldObservation {
-	return u.tell(now, func(seen *observation) bool { return !seen.direct && seen.fresh(now) })
-}
-
-func (u *Untold) tell(now time.Time, chosen func(*observation) bool) []*rockwindpb.UntoldObservation {
+// Tell lists for others what this process saw itself. It is empty while coordinators take what they
+// are told.
+func (u *Untold) Tell(now time.Time) []*rockwindpb.UntoldObservation {
 	u.expire(now)
 	if !u.spreads(now) {
 		return nil
 	}
 	var keys []observationKey
 	for key, seen := range u.observed {
-		if chosen(seen) {
+		if seen.waiting > 0 {
 			keys = append(keys, key)
 		}
 	}
@@ -302,7 +280,7 @@
 func (u *Untold) expire(now time.Time) {
 	for _, seen := range u.observed {
 		if now.Sub(seen.heard) > heardFor {
-			seen.heard, seen.direct = time.Time{}, false
+			seen.heard = time.Time{}
 		}
 	}
 	u.clear()
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -9,6 +9,7 @@
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/loadshare"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/site"
 )
 
 // Share tells the other routers and stores what this process has at servers, and
@@ -29,7 +30,7 @@
 		d.setPeers(d.view)
 	}
 	d.mutex.Unlock()
-	return sharer.Run(ctx, untoldSource{Source: loadSource{d}, reporter: witness.reporter})
+	return sharer.Run(ctx, loadSource{dispatcher: d, reporter: witness.reporter})
 }
 
 // LoadTraffic tells what this process has sent of load digests since its start.
@@ -42,8 +43,11 @@
 	return d.sharer.Traffic()
 }
 
-// loadSource gives the sharer what the dispatcher knows.
-type loadSource struct{ dispatcher *Dispatcher }
+// loadSource gives the sharer what the dispatcher knows, and the reporter of the witness.
+type loadSource struct {
+	dispatcher *Dispatcher
+	reporter   *site.Reporter
+}
 
 var _ loadshare.Source = loadSource{}
 
@@ -111,6 +115,12 @@
 	s.dispatcher.takeLoads(digest, loadshare.Loads(digest))
 }
 
+// Untold implements loadshare.Source.
+func (s loadSource) Untold() []*rockwindpb.UntoldObservation { return s.reporter.Untold(time.Now()) }
+
+// Hear implements loadshare.Source.
+func (s loadSource) Hear(told []*rockwindpb.UntoldObservation) { s.reporter.Hear(told, time.Now()) }
+
 // ownLoads is what this process has at servers and in its queues, by their hashes. Where two
 // have the same hash, it is what both have together.
 func (d *Dispatcher) ownLoads() map[uint32]balance.SharedLoad {
--- a/internal/site/reporter.go
+++ b/internal/site/reporter.go
@@ -94,36 +94,18 @@
 	return r.untold.Held(now)
 }
 
-// Hear takes what another process has not told the coordinators yet; direct tells that it saw
-// that itself.
-func (r *Reporter) Hear(told []*rockwindpb.UntoldObservation, direct bool, now time.Time) {
-	if len(told) == 0 {
-		return
-	}
+// Hear takes what another process has not told the coordinators yet.
+func (r *Reporter) Hear(told []*rockwindpb.UntoldObservation, now time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.untold.Hear(told, direct, now)
+	r.untold.Hear(told, now)
 }
 
 // Untold lists what this process has not told the coordinators yet, for the other processes.
 func (r *Reporter) Untold(now time.Time) []*rockwindpb.UntoldObservation {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.untold.TellOwn(now)
-}
-
-// UntoldInGroup lists the same with what others told of themselves.
-func (r *Reporter) UntoldInGroup(now time.Time) []*rockwindpb.UntoldObservation {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return r.untold.TellGroup(now)
-}
-
-// UntoldElsewhere lists what was told for other groups of processes.
-func (r *Reporter) UntoldElsewhere(now time.Time) []*rockwindpb.UntoldObservation {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return r.untold.TellElsewhere(now)
+	return r.untold.Tell(now)
 }
 
 // Ended tells that a server ended under a request that was sent there at the given time. How
