--- a/internal/site/reporter.go
+++ b/internal/site/reporter.go
@@ -40,6 +40,8 @@
 	mutex sync.Mutex
 	// untold is what waits to be told, here and at other processes.
 	untold *quarantine.Untold
+	// telling notes that the other processes are told of it.
+	telling bool
 }
 
 // observation is an end of a server, or an answer where the end is nil.
@@ -105,7 +107,12 @@
 func (r *Reporter) Untold(now time.Time) []*rockwindpb.UntoldObservation {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.untold.Tell(now)
+	told := r.untold.Tell(now)
+	if len(told) > 0 && !r.telling {
+		log.WithField("observations", len(told)).Warn("no coordinator takes under which requests servers ended: the other processes are told")
+	}
+	r.telling = len(told) > 0
+	return told
 }
 
 // Ended tells that a server ended under a request that was sent there at the given time. How
