--- a/internal/quarantine/untold.go
+++ b/internal/quarantine/untold.go
@@ -104,7 +104,7 @@
 		known.noticed, known.began = seen.noticed, seen.began
 	}
 	known.waiting++
-	u.judge()
+	u.judge(key.content)
 }
 
 // Done notes that so many of the oldest observations have been told, or never will be.
@@ -135,20 +135,22 @@
 
 // Hear takes what another process told. What is no observation is passed over.
 func (u *Untold) Hear(told []*rockwindpb.UntoldObservation, now time.Time) {
-	changed := false
+	var changed []fingerprint.Fingerprint
 	for _, each := range told {
-		changed = u.hear(each, now) || changed
+		content, ok := fingerprint.FromBytes(each.GetContent())
+		if ok && u.hear(content, each, now) {
+			changed = append(changed, content)
+		}
 	}
-	if changed {
-		u.judge()
+	if len(changed) > 0 {
+		u.judge(changed...)
 	}
 }
 
-// hear takes one observation, and tells whether it says something new.
-func (u *Untold) hear(told *rockwindpb.UntoldObservation, now time.Time) bool {
-	content, ok := fingerprint.FromBytes(told.GetContent())
+// hear takes one observation about a content, and tells whether it says something new.
+func (u *Untold) hear(content fingerprint.Fingerprint, told *rockwindpb.UntoldObservation, now time.Time) bool {
 	age := time.Duration(told.GetNoticedMsAgo()) * time.Millisecond
-	if !ok || age > oldestHeard {
+	if age > oldestHeard {
 		return false
 	}
 	key := observationKey{content: content, server: told.GetServer()}
@@ -176,27 +178,31 @@
 	return noticed.Before(known.noticed)
 }
 
-// judge adds up all observations in the order in which they were noticed.
-func (u *Untold) judge() {
-	u.bound()
-	judged := New()
-	for _, key := range u.inOrder() {
+// judge adds up anew what was observed of some contents.
+func (u *Untold) judge(contents ...fingerprint.Fingerprint) {
+	for _, content := range append(contents, u.bound()...) {
+		u.judgeOne(content)
+	}
+	u.seen.publish(nil)
+}
+
+// judgeOne adds up the observations of a content in the order in which they were noticed.
+func (u *Untold) judgeOne(content fingerprint.Fingerprint) {
+	delete(u.seen.suspects, content)
+	for _, key := range u.inOrder(content) {
 		seen := u.observed[key]
 		if key.server == 0 {
-			judged.forget(key.content.Bytes())
+			delete(u.seen.suspects, content)
 			continue
 		}
 		at := seen.known()
-		first, earlier := judged.suspects[key.content]
+		first, earlier := u.seen.suspects[content]
 		seen.later = earlier && seen.began.UnixMilli() >= first.GetFirstUnixMs()
-		judged.end(&rockwindpb.ServerEnd{
-			Content: key.content.Bytes(), Server: strconv.FormatUint(key.server, 16),
+		u.seen.end(&rockwindpb.ServerEnd{
+			Content: content.Bytes(), Server: strconv.FormatUint(key.server, 16),
 			BeganMsAgo: uint64(max(0, at.UnixMilli()-seen.began.UnixMilli())), Item: seen.item,
 		}, at.UnixMilli())
 	}
-	judged.bound()
-	judged.publish(nil)
-	u.seen = judged
 }
 
 // known is from when on an end counts as known.
@@ -207,11 +213,18 @@
 	return o.noticed.Add(knownAfter)
 }
 
-// inOrder lists the observations, the oldest first.
-func (u *Untold) inOrder() []observationKey {
-	return slices.SortedFunc(maps.Keys(u.observed), func(a, b observationKey) int {
+// inOrder lists the observations of a content, the oldest first.
+func (u *Untold) inOrder(content fingerprint.Fingerprint) []observationKey {
+	var keys []observationKey
+	for key := range u.observed {
+		if key.content == content {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(a, b observationKey) int {
 		return cmp.Or(u.observed[a].noticed.Compare(u.observed[b].noticed), compareKeys(a, b))
 	})
+	return keys
 }
 
 func compareKeys(a, b observationKey) int {
@@ -230,14 +243,17 @@
 	})
 }
 
-// bound forgets what weighs least beyond what is remembered.
-func (u *Untold) bound() {
+// bound forgets what weighs least beyond what is remembered, and returns its contents.
+func (u *Untold) bound() []fingerprint.Fingerprint {
 	if len(u.observed) <= mostObserved {
-		return
+		return nil
 	}
+	var forgotten []fingerprint.Fingerprint
 	for _, key := range u.byWeight(slices.Collect(maps.Keys(u.observed)))[mostObserved:] {
 		delete(u.observed, key)
+		forgotten = append(forgotten, key.content)
 	}
+	return forgotten
 }
 
 // Tell lists for others what this process saw itself. It is empty while coordinators take what they
--- a/internal/quarantine/untold_test.go
+++ b/internal/quarantine/untold_test.go
@@ -201,3 +201,57 @@
 		t.Errorf("what was answered is held for %v", held)
 	}
 }
+
+// twoAttempts plays a request that may go to a second server and ends each server that runs it: its
+// client comes each 100 ms, at one router after the other, each of which hears of what was told to
+// the coordinators after 30 ms. It returns how many servers end.
+func twoAttempts(t *testing.T, look time.Duration, waits bool) int {
+	const (
+		routers    = 2
+		tries      = 20
+		comesAgain = 100 * time.Millisecond
+		toldAfter  = 30 * time.Millisecond
+	)
+	d := newDriver(t)
+	var list *quarantine.List
+	ends := 0
+	for try := range tries {
+		untold := quarantine.NewUntold()
+		began := d.now
+		var reports []*rockwindpb.ServerEnd
+		for attempt := range 2 {
+			content := contentOf("ends servers")
+			if max(untold.HeldFor(content, d.now), list.HeldFor(content, d.now), untold.HeldBy(list, content, d.now)) > 0 {
+				break
+			}
+			ends++
+			d.now = d.now.Add(shortRun)
+			end := endOf("ends servers", fmt.Sprint("server-", try%routers, "-", try, "-", attempt), shortRun)
+			reports = append(reports, end)
+			if waits {
+				d.now = d.now.Add(look)
+				untold.Ended(end, shortRun+look, d.now)
+			}
+		}
+		for _, end := range reports {
+			d.now = d.now.Add(toldAfter)
+			end.BeganMsAgo = uint64((shortRun + toldAfter).Milliseconds())
+			d.ended(end)
+		}
+		list = quarantine.NewList(d.register.View().Revision(), d.register.View().Notices(d.now), d.now)
+		d.now = began.Add(max(comesAgain, d.now.Sub(began)))
+	}
+	return ends
+}
+
+// TestSecondServerOfARequestIsTriedAfterTheLook: a router that looks at the server of a broken
+// connection first knows of the third end before it tries a fourth server.
+func TestSecondServerOfARequestIsTriedAfterTheLook(t *testing.T) {
+	for _, look := range []time.Duration{time.Millisecond, 50 * time.Millisecond} {
+		at, after := twoAttempts(t, look, false), twoAttempts(t, look, true)
+		t.Logf("%d servers end where the second one is tried at once, %d after a look of %s", at, after, look)
+		if after != 3 {
+			t.Errorf("%d servers end after a look of %s", after, look)
+		}
+	}
+}
