--- a/internal/site/reporter.go
+++ b/internal/site/reporter.go
@@ -19,9 +19,10 @@
 	// of a server fail together when it ends.
 	reportLinger = 5 * time.Millisecond
 	// reportRetry is the pause after no coordinator took a report, and reportFor how old an
-	// observation may become: longer than the coordinators need to elect a leader.
+	// observation may become: far longer than the coordinators need to elect a leader, since
+	// a content that ends servers runs again at each process that has given up.
 	reportRetry = 100 * time.Millisecond
-	reportFor   = 10 * time.Second
+	reportFor   = 30 * time.Second
 	// reportQueue bounds the observations that wait, and reportMost those of one call. After
 	// the loss of many servers at once the rest goes without: each of them tells of requests
 	// that have ended no other server.
@@ -37,8 +38,10 @@
 	queue   chan observation
 
 	mutex sync.Mutex
-	// untold is what waits to be told.
+	// untold is what waits to be told, here and at other processes.
 	untold *quarantine.Untold
+	// telling notes that the other processes are told of it.
+	telling bool
 }
 
 // observation is an end of a server, or an answer where the end is nil.
@@ -68,6 +71,17 @@
 	return r.untold.HeldFor(computed, now)
 }
 
+// HeldBy is for how much longer a content is held by the list of the coordinators together with
+// what was not told yet.
+func (r *Reporter) HeldBy(list *quarantine.List, content fingerprint.Fingerprint, now time.Time) time.Duration {
+	if !list.Suspected(content) {
+		return 0
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.untold.HeldBy(list, content, now)
+}
+
 // Suspected tells whether several servers ended under a content by what was not told yet.
 func (r *Reporter) Suspected(content fingerprint.Fingerprint) bool {
 	r.mutex.Lock()
@@ -75,6 +89,32 @@
 	return r.untold.Suspected(content)
 }
 
+// Held counts the contents that are held by what was not told yet.
+func (r *Reporter) Held(now time.Time) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.untold.Held(now)
+}
+
+// Hear takes what another process has not told the coordinators yet.
+func (r *Reporter) Hear(told []*rockwindpb.UntoldObservation, now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.untold.Hear(told, now)
+}
+
+// Untold lists what this process has not told the coordinators yet, for the other processes.
+func (r *Reporter) Untold(now time.Time) []*rockwindpb.UntoldObservation {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	told := r.untold.Tell(now)
+	if len(told) > 0 && !r.telling {
+		log.WithField("observations", len(told)).Warn("no coordinator takes under which requests servers ended: the other processes are told")
+	}
+	r.telling = len(told) > 0
+	return told
+}
+
 // Ended tells that a server ended under a request that was sent there at the given time. How
 // long ago that was is filled in when it is told.
 func (r *Reporter) Ended(end *rockwindpb.ServerEnd, began time.Time) {
@@ -90,6 +130,9 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	// Before it is sent: how long ago a run began is filled in then.
+	if seen.end == nil && r.untold.Answering(seen.answered) {
+		return
+	}
 	if seen.end == nil {
 		r.untold.Answered(seen.answered, seen.noticed)
 	} else {
@@ -98,7 +141,7 @@
 	select {
 	case r.queue <- seen:
 	default:
-		r.untold.Done(1)
+		r.untold.Drop(seen.noticed)
 		log.WithField("waiting", reportQueue).Warn("an end of a server is not told: too many wait")
 	}
 }
@@ -107,7 +150,7 @@
 func (r *Reporter) done(count int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.untold.Done(count)
+	r.untold.Done(count, time.Now())
 }
 
 // Run sends what was observed until the context ends.
@@ -143,7 +186,7 @@
 	for {
 		err := r.watcher.atCoordinator(ctx, func(calling context.Context, address string) error {
 			service := rockwindpb.NewQuarantineServiceProtobufClient("http://"+address, twirphttp.Client{Carrier: r.watcher.client})
-			_, err := service.Report(calling, reportOf(seen, time.Now()))
+			_, err := service.Report(calling, r.reportOf(seen, time.Now()))
 			return err
 		})
 		if err == nil {
@@ -157,7 +200,9 @@
 }
 
 // reportOf is the call for observations at a moment.
-func reportOf(seen []observation, now time.Time) *rockwindpb.ReportQuarantineRequest {
+func (r *Reporter) reportOf(seen []observation, now time.Time) *rockwindpb.ReportQuarantineRequest {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	report := &rockwindpb.ReportQuarantineRequest{}
 	for _, each := range seen {
 		if each.end == nil {
@@ -165,6 +210,9 @@
 			continue
 		}
 		each.end.BeganMsAgo = uint64(max(0, now.Sub(each.began).Milliseconds()))
+		if r.untold.Later(each.end, now) {
+			each.end.BeganMsAgo = 0
+		}
 		report.Ends = append(report.Ends, each.end)
 	}
 	return report
