--- a/internal/loadshare/layout.go
+++ b/internal/loadshare/layout.go
@@ -80,8 +80,6 @@
 	// standbys stand in for the relays, the first that is heard before the others.
 	standbys []Member
 	others   []Group
-	// everyone are all processes of the site.
-	everyone []Member
 }
 
 // Group is another group than the process's own.
@@ -111,7 +109,7 @@
 	slices.SortFunc(sorted, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(a.zone, b.zone), cmp.Compare(a.rank, b.rank), cmp.Compare(a.name, b.name))
 	})
-	layout := &Layout{self: self, everyone: sorted}
+	layout := &Layout{self: self}
 	if len(sorted) <= meshSize {
 		layout.members = sorted
 		return layout
@@ -183,9 +181,6 @@
 // members of its group.
 func (l *Layout) Audience() []netip.AddrPort { return l.except(l.members) }
 
-// Everyone are the addresses of all other processes of the site.
-func (l *Layout) Everyone() []netip.AddrPort { return l.except(l.everyone) }
-
 // Others lists the other groups.
 func (l *Layout) Others() []Group { return l.others }
 
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -48,11 +48,6 @@
 	Sparing(hash uint32) Sparing
 	// Take takes the digest of another process or group.
 	Take(digest *rockwindpb.LoadDigest)
-	// Untold lists what this process saw of ends of servers and no coordinator has taken yet;
-	// empty as long as they take it.
-	Untold() []*rockwindpb.UntoldObservation
-	// Hear takes the same of another process.
-	Hear(told []*rockwindpb.UntoldObservation)
 }
 
 // Sharer sends this process's digests and receives those of others.
--- a/internal/loadshare/nudge_test.go
+++ b/internal/loadshare/nudge_test.go
@@ -82,7 +82,3 @@
 
 // Sparing implements loadshare.Source.
 func (*countingSource) Sparing(uint32) loadshare.Sparing { return loadshare.NeverSpared }
-
-func (*countingSource) Untold() []*rockwindpb.UntoldObservation { return nil }
-
-func (*countingSource) Hear([]*rockwindpb.UntoldObservation) {}
--- a/internal/loadshare/protocol.go
+++ b/internal/loadshare/protocol.go
@@ -21,18 +21,6 @@
 	// other again within a second. Where only the delegate is lost, its follower is there
 	// after delegateFor, and standbys may fill the time between.
 	relaysSilentAfter = 600 * time.Millisecond
-	// untoldRate bounds what a process sends of untold ends, in bytes a second, and
-	// untoldSpacing is the least time between such datagrams: one that saw three ends reaches 65
-	// others each 100 ms, and 349 others twice a second.
-	untoldRate    = 128 << 10
-	untoldSpacing = 100 * time.Millisecond
-	// untoldSiteRate bounds what all processes together send of them, in bytes a second, down to
-	// one datagram each untoldPause, a third of the time for which what was told counts: three
-	// tellers reach all of 350 in some 0.3 s, and where all tell each takes its time.
-	untoldSiteRate = 512 << 10
-	untoldPause    = time.Second
-	// datagramHeader is what IP and UDP add to a datagram, in bytes.
-	datagramHeader = 28
 )
 
 // Datagram is a bundle of digests with those that it goes to.
@@ -63,11 +51,6 @@
 	missed  bool
 	// grouped tells that the layout had groups at the last turn.
 	grouped bool
-	// untoldAfter is from when on untold ends may be sent again.
-	untoldAfter time.Duration
-	// tellers counts the datagrams with untold ends of others since the own last one: as many
-	// processes as tell at the same pace.
-	tellers int
 }
 
 // delegate is a process that told the sum of its group.
@@ -92,6 +75,7 @@
 
 // Turn returns what is to be sent now.
 func (p *Protocol) Turn(source Source, now time.Duration) []Datagram {
+	var sent []Datagram
 	if grouped := !p.layout.Mesh(); grouped != p.grouped {
 		// Relays have not told anything in a mesh, nor before this process knew the site.
 		p.grouped, p.relayAt = grouped, now
@@ -101,7 +85,6 @@
 		// Others are told from now on, who know nothing of this process yet.
 		p.missed, p.own = silent, sending{}
 	}
-	sent := p.tellUntold(source, now)
 	if own := source.Own(); p.own.due(own, now) {
 		p.sign(own)
 		fit(source, own)
@@ -135,25 +118,6 @@
 	return p.relaysSilent(now) && p.layout.StandsIn(source.Heard)
 }
 
-// tellUntold tells all processes what no coordinator was told of ends of servers. It goes to each
-// directly: relays end together with the coordinators where machines are lost by role.
-func (p *Protocol) tellUntold(source Source, now time.Duration) []Datagram {
-	if now < p.untoldAfter {
-		return nil
-	}
-	told := source.Untold()
-	if len(told) == 0 {
-		return nil
-	}
-	receivers := p.layout.Everyone()
-	datagram := Datagram{Receivers: receivers, Bundle: &rockwindpb.LoadBundle{Untold: told}}
-	sent := len(receivers) * (proto.Size(datagram.Bundle) + datagramHeader)
-	ofSite := time.Duration(sent*(1+p.tellers)) * time.Second / untoldSiteRate
-	p.tellers = 0
-	p.untoldAfter = now + max(untoldSpacing, time.Duration(sent)*time.Second/untoldRate, min(untoldPause, ofSite))
-	return []Datagram{datagram}
-}
-
 // tellMembers tells the members of the group its sum and that of all others.
 func (p *Protocol) tellMembers(source Source, sum *rockwindpb.LoadDigest, now time.Duration) []Datagram {
 	elsewhere := source.Elsewhere(p.layout.Group())
@@ -212,10 +176,6 @@
 
 // Receive hands the source what a datagram tells of others.
 func (p *Protocol) Receive(source Source, received *rockwindpb.LoadBundle, now time.Duration) {
-	if told := received.GetUntold(); len(told) > 0 {
-		p.tellers++
-		source.Hear(told)
-	}
 	for _, digest := range received.GetDigests() {
 		if digest.GetSender() == "" || digest.GetSender() == p.name || !consistent(digest) {
 			continue
--- a/internal/loadshare/protocol_test.go
+++ b/internal/loadshare/protocol_test.go
@@ -13,7 +13,6 @@
 
 	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/loadshare"
-	"rockwind.example/rockwind/internal/quarantine"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -30,15 +29,11 @@
 	// deaf has what others send to the process lost.
 	deaf bool
 	now  time.Duration
-	// outside counts the bytes sent to other zones, and datagrams and bytes all that were sent.
-	outside, datagrams, bytes int
-	// untold is what no coordinator was told of ends of servers.
-	untold *quarantine.Untold
+	// outside counts the bytes sent to other zones, and datagrams all that were sent.
+	outside, datagrams int
 }
 
-func (s *station) Own() *rockwindpb.LoadDigest {
-	return loadshare.NewDigest(s.own)
-}
+func (s *station) Own() *rockwindpb.LoadDigest { return loadshare.NewDigest(s.own) }
 
 func (s *station) Sum(names []string) *rockwindpb.LoadDigest {
 	return loadshare.SumDigest(s.shares, names, s.own)
@@ -48,9 +43,6 @@
 	return loadshare.NewDigest(s.shares.SumElsewhere(group))
 }
 
-// clock is the virtual time as a time of day.
-func (s *station) clock() time.Time { return time.UnixMilli(1_000_000).Add(s.now) }
-
 func (s *station) Heard(name string) bool { return s.shares.Heard(name, s.now) }
 
 // Sparing implements loadshare.Source: the hashes of tenants have the highest bit, those of
@@ -77,10 +69,6 @@
 	loadshare.TakeInto(s.shares, digest, loadshare.Loads(digest), s.now)
 }
 
-func (s *station) Untold() []*rockwindpb.UntoldObservation { return s.untold.Tell(s.clock()) }
-
-func (s *station) Hear(told []*rockwindpb.UntoldObservation) { s.untold.Hear(told, s.clock()) }
-
 // world plays the processes of a site in virtual time, step by step of 5 ms. Datagrams
 // arrive within the step in which they are sent.
 type world struct {
@@ -115,7 +103,6 @@
 	s.protocol.SetLayout(loadshare.NewLayout(members, s.member.Name()))
 	s.shares = balance.NewShares()
 	s.shares.SetZone(s.member.Zone())
-	s.untold = quarantine.NewUntold()
 	w.next[s] = w.now + time.Duration(w.random.Int64N(int64(100*time.Millisecond)))
 }
 
@@ -148,7 +135,6 @@
 	}
 	for _, receiver := range datagram.Receivers {
 		from.datagrams++
-		from.bytes += len(encoded) + headerBytes
 		to := w.byAddress[receiver]
 		if to.member.Zone() != from.member.Zone() {
 			from.outside += len(encoded) + headerBytes
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -11,15 +11,13 @@
 // any goroutine; a nil list is empty.
 type List struct {
 	revision uint64
-	// taken is when it was told.
-	taken time.Time
 	// held holds until when each suspected content is held, zero for one that is not.
 	held map[fingerprint.Fingerprint]time.Time
 }
 
 // NewList returns what a coordinator told at the given moment.
 func NewList(revision uint64, notices []*rockwindpb.SuspectNotice, now time.Time) *List {
-	list := &List{revision: revision, taken: now, held: make(map[fingerprint.Fingerprint]time.Time, len(notices))}
+	list := &List{revision: revision, held: make(map[fingerprint.Fingerprint]time.Time, len(notices))}
 	for _, each := range notices {
 		content, ok := fingerprint.FromBytes(each.GetContent())
 		if !ok {
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -136,7 +136,7 @@
 	group.Go(func() error { router.Keep(parts); return nil })
 	group.Go(func() error { router.noteStart(parts, settings.GetName()); return nil })
 	group.Go(func() error { router.witness.Run(parts); return nil })
-	group.Go(func() error { return router.dispatcher.Share(parts, settings, router.witness) })
+	group.Go(func() error { return router.dispatcher.Share(parts, settings) })
 	group.Go(func() error {
 		router.dispatcher.Survey(parts, settings, router.watcher, router.protocol, router.client)
 		return nil
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -354,7 +354,7 @@
 	case ctx.Err() == nil:
 		lease.Done(health.Failure, 0)
 		if !notRun {
-			e.brokeOff(ctx, lease, err)
+			e.broke(lease, err)
 		}
 	case notRun, errors.Is(ctx.Err(), context.Canceled):
 		lease.Abandon()
--- a/internal/router/export_test.go
+++ b/internal/router/export_test.go
@@ -9,7 +9,7 @@
 )
 
 // LoadSource is what the dispatcher tells other processes, and takes from them.
-func (d *Dispatcher) LoadSource() loadshare.Source { return loadSource{dispatcher: d} }
+func (d *Dispatcher) LoadSource() loadshare.Source { return loadSource{d} }
 
 // RunSurvey has the servers of a directory asked as after a start.
 var RunSurvey = (*Dispatcher).runSurvey
@@ -49,6 +49,3 @@
 	refusal := fault.New(fault.Unavailable, "no store", "come back").WithRetryAfter(told)
 	return fault.From(submitted.withinReach(refusal)).RetryAfter
 }
-
-// LookPatienceOf is how long a request waits for the look at a server whose connection broke off.
-var LookPatienceOf = lookPatienceOf
--- a/internal/router/held.go
+++ b/internal/router/held.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"context"
 	"time"
 
 	"rockwind.example/rockwind/internal/decision"
@@ -46,48 +45,10 @@
 	decision.Default.Record(decision.RequestHeld, e.facts.ID, fields)
 }
 
-// broke tells that the connection of the last try broke off before the answer was whole. The
-// channel that it returns is closed once the server was looked at.
-func (e *exchange) broke(lease *Lease, cause error) <-chan struct{} {
-	return e.router.witness.Broke(Attempt{
+// broke tells that the connection of the last try broke off before the answer was whole.
+func (e *exchange) broke(lease *Lease, cause error) {
+	e.router.witness.Broke(Attempt{
 		Content: e.content(), Server: lease.ID, Address: lease.Address, Began: e.trySent,
 		Route: e.route.GetName(), Tenant: e.tenant.GetName(),
 	}, cause)
 }
-
-const (
-	// lookPatience is the longest that a request waits for the look at the server whose
-	// connection broke off, and lookPatiencePart the part of its route's goal and of the time that
-	// it has left that it waits at most, so that nineteen of twenty parts stay for the second
-	// server. A server that has ended refuses within a millisecond or a few beside load.
-	lookPatience     = 50 * time.Millisecond
-	lookPatiencePart = 0.05
-)
-
-// brokeOff tells that the connection of the last try broke off, and waits for the look at its
-// server where the request may go to another one: if this was the third server to end, the
-// request is held before it ends a fourth.
-func (e *exchange) brokeOff(ctx context.Context, lease *Lease, cause error) {
-	looked := e.broke(lease, cause)
-	if !e.mayTryAgain() && e.copy == nil {
-		return
-	}
-	patience := lookPatienceOf(time.Until(e.ends), e.ofGoal(lookPatiencePart))
-	limit := time.NewTimer(patience)
-	defer limit.Stop()
-	select {
-	case <-looked:
-	case <-limit.C:
-	case <-ctx.Done():
-	}
-}
-
-// lookPatienceOf is the longest wait of a request with so much time left, and with such a part of
-// its goal, zero where its route has none.
-func lookPatienceOf(left, ofGoal time.Duration) time.Duration {
-	patience := min(lookPatience, time.Duration(lookPatiencePart*float64(left)))
-	if ofGoal > 0 {
-		patience = min(patience, ofGoal)
-	}
-	return max(0, patience)
-}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -101,7 +101,7 @@
 		e.reason = errServerDark.Error()
 	}
 	lease.Done(health.Failure, latency)
-	e.brokeOff(ctx, lease, cause)
+	e.broke(lease, cause)
 	if e.mayContinue(ctx, lease) {
 		return verdictContinue
 	}
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -9,13 +9,12 @@
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/loadshare"
 	"rockwind.example/rockwind/internal/rockwindpb"
-	"rockwind.example/rockwind/internal/site"
 )
 
 // Share tells the other routers and stores what this process has at servers, and
-// takes what they tell, until the context ends; and so with what the witness has not told the
-// coordinators yet. The settings give the address; a process without one shares nothing.
-func (d *Dispatcher) Share(ctx context.Context, settings *rockwindpb.SiteSettings, witness *Witness) error {
+// takes what they tell, until the context ends. The settings give the address; a
+// process without one shares nothing.
+func (d *Dispatcher) Share(ctx context.Context, settings *rockwindpb.SiteSettings) error {
 	if settings.GetInternalListen() == "" {
 		<-ctx.Done()
 		return nil
@@ -30,7 +29,7 @@
 		d.setPeers(d.view)
 	}
 	d.mutex.Unlock()
-	return sharer.Run(ctx, loadSource{dispatcher: d, reporter: witness.reporter})
+	return sharer.Run(ctx, loadSource{d})
 }
 
 // LoadTraffic tells what this process has sent of load digests since its start.
@@ -43,11 +42,8 @@
 	return d.sharer.Traffic()
 }
 
-// loadSource gives the sharer what the dispatcher knows, and the reporter of the witness.
-type loadSource struct {
-	dispatcher *Dispatcher
-	reporter   *site.Reporter
-}
+// loadSource gives the sharer what the dispatcher knows.
+type loadSource struct{ dispatcher *Dispatcher }
 
 var _ loadshare.Source = loadSource{}
 
@@ -115,12 +111,6 @@
 	s.dispatcher.takeLoads(digest, loadshare.Loads(digest))
 }
 
-// Untold implements loadshare.Source.
-func (s loadSource) Untold() []*rockwindpb.UntoldObservation { return s.reporter.Untold(time.Now()) }
-
-// Hear implements loadshare.Source.
-func (s loadSource) Hear(told []*rockwindpb.UntoldObservation) { s.reporter.Hear(told, time.Now()) }
-
 // ownLoads is what this process has at servers and in its queues, by their hashes. Where two
 // have the same hash, it is what both have together.
 func (d *Dispatcher) ownLoads() map[uint32]balance.SharedLoad {
--- a/internal/router/witness.go
+++ b/internal/router/witness.go
@@ -86,55 +86,26 @@
 }
 
 // Broke tells that the connection of an attempt broke off with the given error before the
-// answer was whole. A server that fell silent has not ended by this. The channel that it returns
-// is closed once the server was looked at: if it refused connections its end counts by then.
-func (w *Witness) Broke(attempt Attempt, cause error) <-chan struct{} {
-	looked := make(chan struct{})
+// answer was whole. A server that fell silent has not ended by this.
+func (w *Witness) Broke(attempt Attempt, cause error) {
 	if timedOut(cause) {
-		close(looked)
-		return looked
+		return
 	}
 	select {
 	case w.room <- struct{}{}:
 	default:
 		log.WithField("server", attempt.Server).Debug("too many connections broke off at once to look at each server")
-		close(looked)
-		return looked
+		return
 	}
 	go func() {
 		defer func() { <-w.room }()
-		w.find(attempt, looked)
+		// It may take seconds until the end shows: an answer before or since speaks for the content.
+		if w.ended(attempt) && !w.answers.has(attempt.Content, time.Now()) {
+			w.reporter.Ended(&rockwindpb.ServerEnd{
+				Content: attempt.Content.Bytes(), Server: attempt.Server, Route: attempt.Route, Tenant: attempt.Tenant, Item: attempt.Item,
+			}, attempt.Began)
+		}
 	}()
-	return looked
-}
-
-// find finds out whether the server of an attempt has ended, and tells so. It closes the channel
-// once the server was looked at.
-func (w *Witness) find(attempt Attempt, looked chan<- struct{}) {
-	if !w.serves(attempt.Server) {
-		close(looked)
-		return
-	}
-	if w.refuses(attempt) {
-		w.tellEnd(attempt)
-		close(looked)
-		return
-	}
-	close(looked)
-	if w.noticed(attempt.Server) {
-		w.tellEnd(attempt)
-	}
-}
-
-// tellEnd tells that the server of an attempt has ended. It may have taken seconds until that
-// showed: an answer before or since speaks for the content.
-func (w *Witness) tellEnd(attempt Attempt) {
-	if w.answers.has(attempt.Content, time.Now()) {
-		return
-	}
-	w.reporter.Ended(&rockwindpb.ServerEnd{
-		Content: attempt.Content.Bytes(), Server: attempt.Server, Route: attempt.Route, Tenant: attempt.Tenant, Item: attempt.Item,
-	}, attempt.Began)
 }
 
 // timedOut tells whether an error of a connection is a time that ran out here.
@@ -146,14 +117,17 @@
 	return errors.Is(cause, os.ErrDeadlineExceeded)
 }
 
-// refuses tells whether nobody listens at the address of an attempt. Attempts that broke off
-// together share one look at the server, which never fails.
-func (w *Witness) refuses(attempt Attempt) bool {
+// ended tells whether the server of an attempt has ended without leaving. Attempts that broke
+// off together share one look at the server, which never fails.
+func (w *Witness) ended(attempt Attempt) bool {
+	if !w.serves(attempt.Server) {
+		return false
+	}
 	looked, _, _ := w.checks.Do(attempt.Server, func() (any, error) {
 		return w.client.Reach(context.Background(), attempt.Address, connectLimit) == upstream.ReachRefused, nil
 	})
 	refused, _ := looked.(bool)
-	return refused
+	return refused || w.noticed(attempt.Server)
 }
 
 // serves tells whether a server belongs to the site and has not said that it leaves.
@@ -170,25 +144,31 @@
 func (w *Witness) noticed(id string) bool {
 	limit := time.NewTimer(noticedWithin)
 	defer limit.Stop()
-	var questions questioning
+	var asked directory.Inquiry
+	var askedAt time.Time
+	questions := 0
 	for {
 		changed := w.watcher.Changed()
-		var nextQuestion <-chan time.Time
-		switch w.watcher.Directory().Ending(id, questions.answers) {
+		var again <-chan time.Time
+		switch w.watcher.Directory().Ending(id, asked) {
 		case directory.EndingCertain:
 			return true
 		case directory.EndingDenied:
 			return false
 		case directory.EndingInDoubt:
-			if questions.due(time.Now()) {
-				questions.answered(id, w.identify(id), time.Now())
+			pause := identityPause - time.Since(askedAt)
+			if pause <= 0 && questions < mostQuestions {
+				asked, askedAt = asked.With(id, w.identify(id)), time.Now()
+				questions++
 				continue
 			}
-			nextQuestion = questions.next(time.Now())
+			if questions < mostQuestions {
+				again = time.After(pause)
+			}
 		}
 		select {
 		case <-changed:
-		case <-nextQuestion:
+		case <-again:
 		case <-limit.C:
 			return false
 		case <-w.stopped:
@@ -197,34 +177,6 @@
 	}
 }
 
-// questioning is the course of the questions to the address of one server: mostQuestions, with
-// identityPause between them.
-type questioning struct {
-	answers directory.Inquiry
-	asked   int
-	last    time.Time
-}
-
-// due tells whether a question may be asked now.
-func (q *questioning) due(now time.Time) bool {
-	return q.asked < mostQuestions && now.Sub(q.last) >= identityPause
-}
-
-// answered notes what the address answered to a question about a server.
-func (q *questioning) answered(id string, identity directory.Identity, now time.Time) {
-	q.answers = q.answers.With(id, identity)
-	q.asked++
-	q.last = now
-}
-
-// next fires when the next question is due, never after the last one.
-func (q *questioning) next(now time.Time) <-chan time.Time {
-	if q.asked >= mostQuestions {
-		return nil
-	}
-	return time.After(q.last.Add(identityPause).Sub(now))
-}
-
 // identify asks the address of a server who is there. Attempts that broke off together share
 // one question.
 func (w *Witness) identify(id string) directory.Identity {
@@ -251,7 +203,7 @@
 	if list.Empty() {
 		return untold
 	}
-	return max(untold, list.HeldFor(content(), now), w.reporter.HeldBy(list, content(), now))
+	return max(untold, list.HeldFor(content(), now))
 }
 
 // Answered tells that a server gave a whole answer to a request. It speaks for the content:
@@ -263,9 +215,5 @@
 	}
 }
 
-// Held counts the contents that are held here: by the list of the coordinators, or, while they
-// take no reports, by what the processes told each other.
-func (w *Witness) Held() int {
-	now := time.Now()
-	return max(w.watcher.Quarantine().Held(now), w.reporter.Held(now))
-}
+// Held counts the contents that are held here.
+func (w *Witness) Held() int { return w.watcher.Quarantine().Held(time.Now()) }
--- a/internal/site/reporter.go
+++ b/internal/site/reporter.go
@@ -19,10 +19,9 @@
 	// of a server fail together when it ends.
 	reportLinger = 5 * time.Millisecond
 	// reportRetry is the pause after no coordinator took a report, and reportFor how old an
-	// observation may become: far longer than the coordinators need to elect a leader, since
-	// a content that ends servers runs again at each process that has given up.
+	// observation may become: longer than the coordinators need to elect a leader.
 	reportRetry = 100 * time.Millisecond
-	reportFor   = 30 * time.Second
+	reportFor   = 10 * time.Second
 	// reportQueue bounds the observations that wait, and reportMost those of one call. After
 	// the loss of many servers at once the rest goes without: each of them tells of requests
 	// that have ended no other server.
@@ -38,10 +37,8 @@
 	queue   chan observation
 
 	mutex sync.Mutex
-	// untold is what waits to be told, here and at other processes.
+	// untold is what waits to be told.
 	untold *quarantine.Untold
-	// telling notes that the other processes are told of it.
-	telling bool
 }
 
 // observation is an end of a server, or an answer where the end is nil.
@@ -71,17 +68,6 @@
 	return r.untold.HeldFor(computed, now)
 }
 
-// HeldBy is for how much longer a content is held by the list of the coordinators together with
-// what was not told yet.
-func (r *Reporter) HeldBy(list *quarantine.List, content fingerprint.Fingerprint, now time.Time) time.Duration {
-	if !list.Suspected(content) {
-		return 0
-	}
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return r.untold.HeldBy(list, content, now)
-}
-
 // Suspected tells whether several servers ended under a content by what was not told yet.
 func (r *Reporter) Suspected(content fingerprint.Fingerprint) bool {
 	r.mutex.Lock()
@@ -89,32 +75,6 @@
 	return r.untold.Suspected(content)
 }
 
-// Held counts the contents that are held by what was not told yet.
-func (r *Reporter) Held(now time.Time) int {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return r.untold.Held(now)
-}
-
-// Hear takes what another process has not told the coordinators yet.
-func (r *Reporter) Hear(told []*rockwindpb.UntoldObservation, now time.Time) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.untold.Hear(told, now)
-}
-
-// Untold lists what this process has not told the coordinators yet, for the other processes.
-func (r *Reporter) Untold(now time.Time) []*rockwindpb.UntoldObservation {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	told := r.untold.Tell(now)
-	if len(told) > 0 && !r.telling {
-		log.WithField("observations", len(told)).Warn("no coordinator takes under which requests servers ended: the other processes are told")
-	}
-	r.telling = len(told) > 0
-	return told
-}
-
 // Ended tells that a server ended under a request that was sent there at the given time. How
 // long ago that was is filled in when it is told.
 func (r *Reporter) Ended(end *rockwindpb.ServerEnd, began time.Time) {
@@ -130,9 +90,6 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	// Before it is sent: how long ago a run began is filled in then.
-	if seen.end == nil && r.untold.Answering(seen.answered) {
-		return
-	}
 	if seen.end == nil {
 		r.untold.Answered(seen.answered, seen.noticed)
 	} else {
@@ -141,7 +98,7 @@
 	select {
 	case r.queue <- seen:
 	default:
-		r.untold.Drop(seen.noticed)
+		r.untold.Done(1)
 		log.WithField("waiting", reportQueue).Warn("an end of a server is not told: too many wait")
 	}
 }
@@ -150,7 +107,7 @@
 func (r *Reporter) done(count int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.untold.Done(count, time.Now())
+	r.untold.Done(count)
 }
 
 // Run sends what was observed until the context ends.
@@ -186,7 +143,7 @@
 	for {
 		err := r.watcher.atCoordinator(ctx, func(calling context.Context, address string) error {
 			service := rockwindpb.NewQuarantineServiceProtobufClient("http://"+address, twirphttp.Client{Carrier: r.watcher.client})
-			_, err := service.Report(calling, r.reportOf(seen, time.Now()))
+			_, err := service.Report(calling, reportOf(seen, time.Now()))
 			return err
 		})
 		if err == nil {
@@ -200,9 +157,7 @@
 }
 
 // reportOf is the call for observations at a moment.
-func (r *Reporter) reportOf(seen []observation, now time.Time) *rockwindpb.ReportQuarantineRequest {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
+func reportOf(seen []observation, now time.Time) *rockwindpb.ReportQuarantineRequest {
 	report := &rockwindpb.ReportQuarantineRequest{}
 	for _, each := range seen {
 		if each.end == nil {
@@ -210,9 +165,6 @@
 			continue
 		}
 		each.end.BeganMsAgo = uint64(max(0, now.Sub(each.began).Milliseconds()))
-		if r.untold.Later(each.end, now) {
-			each.end.BeganMsAgo = 0
-		}
 		report.Ends = append(report.Ends, each.end)
 	}
 	return report
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -148,7 +148,7 @@
 			return nil
 		})
 		group.Go(func() error { return s.execute(parts) })
-		group.Go(func() error { return s.dispatcher.Share(parts, s.settings, s.witness) })
+		group.Go(func() error { return s.dispatcher.Share(parts, s.settings) })
 	}, func() {})
 }
 
