Loads: look for a sum of the own group only where there are groups

Cause: each digest that came looked at all senders for a sum of the own group, also in a mesh: balance.TestDarkServersOfALargeSiteAreKnownByTheLossesOfFew (250 processes) took more than 50 s with the race detector, and the checks' race step did not get beyond it. Change: not without groups.

--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -85,7 +85,10 @@
 // A sum of the process's own group covered it, and counts no more: members tell their loads to
 // relays, which take no such sum, and to those that stand in for them.
 func (s *Shares) Take(name string, started int64, sequence uint64, loads map[uint32]SharedLoad, now time.Duration) {
-	s.dropOthers(name, func(known *sender) bool { return s.sumsOwnGroup(known) })
+	if s.zone != "" {
+		// Without groups there is nothing to look for among all senders.
+		s.dropOthers(name, s.sumsOwnGroup)
+	}
 	s.take(name, sender{started: started, sequence: sequence, at: now, loads: loads, members: 1})
 }
 
