Call what is there already instead of saying it twice

Found on reading the change again; nothing behaves differently.

* Coordinators: five calls took an answer out of two closures each, and wrote the call elsewhere twice (passed on, and taken to the leader). fromLeader does the first, the call elsewhere has a name.
The route is looked up once where service and order are wanted (routed).
* Lookouts: the plain rule for a server that has ended is a value like the late one, not a special case of nil.
* Smaller: the survey is asked whether it is open without a demand made up for that; hasCopy and dark are used where they were written out; the core's endSync asks for the role as beginSync does; one check of the zone instead of two.

Measured: tests of coordinator, store, router, raft, balance: green.

--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -92,9 +92,9 @@
 	s.take(name, sender{started: started, sequence: sequence, at: now, loads: loads, members: 1})
 }
 
-// sumsOwnGroup tells whether a sender sums up the group of this process.
+// sumsOwnGroup tells whether a sender sums up the group of this process, whose zone is known.
 func (s *Shares) sumsOwnGroup(known *sender) bool {
-	return s.zone != "" && known.group == s.zone && !known.elsewhere
+	return known.group == s.zone && !known.elsewhere
 }
 
 // TakeGroup replaces what was told of a group before, by this delegate or by
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -260,6 +260,21 @@
 	}
 }
 
+// fromLeader is atLeader for a call that is answered with something.
+func fromLeader[Response any](
+	ctx context.Context, c *Coordinator, here func() (Response, error), elsewhere func(ctx context.Context, base string) (Response, error),
+) (Response, error) {
+	var response Response
+	err := c.atLeader(ctx, func() (err error) {
+		response, err = here()
+		return err
+	}, func(ctx context.Context, base string) (err error) {
+		response, err = elsewhere(ctx, base)
+		return err
+	})
+	return response, err
+}
+
 // onceAtLeader is one try of atLeader. A call elsewhere is marked as passed on: the machine at the
 // leader's address may be another one by now, which belongs to no root group and would pass it on.
 func (c *Coordinator) onceAtLeader(ctx context.Context, here func() error, elsewhere func(ctx context.Context, base string) error) error {
@@ -295,47 +310,37 @@
 // Apply accepts or refuses a whole configuration. See catalog.Service.Submit for
 // its faults.
 func (c *Coordinator) Apply(ctx context.Context, request *rockwindpb.ApplyConfigurationRequest) (*rockwindpb.ApplyConfigurationResponse, error) {
+	elsewhere := func(ctx context.Context, base string) (*rockwindpb.ApplyConfigurationResponse, error) {
+		return c.configurationAt(base).Apply(ctx, request)
+	}
 	if c.outside() {
-		return passOnToLeader(ctx, c, toCommit, func(ctx context.Context, base string) (*rockwindpb.ApplyConfigurationResponse, error) {
-			return c.configurationAt(base).Apply(ctx, request)
-		})
+		return passOnToLeader(ctx, c, toCommit, elsewhere)
 	}
-	var response *rockwindpb.ApplyConfigurationResponse
-	err := c.atLeader(ctx, func() (err error) {
+	return fromLeader(ctx, c, func() (*rockwindpb.ApplyConfigurationResponse, error) {
 		group, machine, err := c.group()
 		if err != nil {
-			return err
+			return nil, err
 		}
-		response, err = catalog.NewService(catalogGroup{group}, machine.catalog, time.Now).Submit(ctx, request)
-		return err
-	}, func(ctx context.Context, base string) (err error) {
-		response, err = c.configurationAt(base).Apply(ctx, request)
-		return err
-	})
-	return response, err
+		return catalog.NewService(catalogGroup{group}, machine.catalog, time.Now).Submit(ctx, request)
+	}, elsewhere)
 }
 
 // Newest returns a configuration that holds everything accepted before the call.
 func (c *Coordinator) Newest(ctx context.Context) (*rockwindpb.GetConfigurationResponse, error) {
 	request := &rockwindpb.GetConfigurationRequest{Newest: true}
+	elsewhere := func(ctx context.Context, base string) (*rockwindpb.GetConfigurationResponse, error) {
+		return c.configurationAt(base).Get(ctx, request)
+	}
 	if c.outside() {
-		return passOnToLeader(ctx, c, passTimeout, func(ctx context.Context, base string) (*rockwindpb.GetConfigurationResponse, error) {
-			return c.configurationAt(base).Get(ctx, request)
-		})
+		return passOnToLeader(ctx, c, passTimeout, elsewhere)
 	}
-	var response *rockwindpb.GetConfigurationResponse
-	err := c.atLeader(ctx, func() (err error) {
+	return fromLeader(ctx, c, func() (*rockwindpb.GetConfigurationResponse, error) {
 		group, machine, err := c.group()
 		if err != nil {
-			return err
+			return nil, err
 		}
-		response, err = catalog.NewService(catalogGroup{group}, machine.catalog, time.Now).Get(ctx, request)
-		return err
-	}, func(ctx context.Context, base string) (err error) {
-		response, err = c.configurationAt(base).Get(ctx, request)
-		return err
-	})
-	return response, err
+		return catalog.NewService(catalogGroup{group}, machine.catalog, time.Now).Get(ctx, request)
+	}, elsewhere)
 }
 
 // Report takes a server's report. It returns once what is new in it is committed.
--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -20,31 +20,32 @@
 
 // Report implements rockwindpb.QuarantineService. It returns once the report is committed.
 func (s quarantineService) Report(ctx context.Context, request *rockwindpb.ReportQuarantineRequest) (*rockwindpb.ReportQuarantineResponse, error) {
+	elsewhere := func(ctx context.Context, base string) (*rockwindpb.ReportQuarantineResponse, error) {
+		return s.coordinator.quarantineAt(base).Report(ctx, request)
+	}
 	if s.coordinator.outside() {
-		response, err := passOn(ctx, s.coordinator, toCommit, func(ctx context.Context, base string) (*rockwindpb.ReportQuarantineResponse, error) {
-			return s.coordinator.quarantineAt(base).Report(ctx, request)
-		})
+		response, err := passOn(ctx, s.coordinator, toCommit, elsewhere)
 		return response, fault.ToTwirp(err)
 	}
-	err := s.coordinator.atLeader(ctx, func() error {
-		return s.coordinator.commitReport(ctx, request)
-	}, func(ctx context.Context, base string) error {
-		_, err := s.coordinator.quarantineAt(base).Report(ctx, request)
-		return err
-	})
-	return &rockwindpb.ReportQuarantineResponse{}, fault.ToTwirp(err)
+	response, err := fromLeader(ctx, s.coordinator, func() (*rockwindpb.ReportQuarantineResponse, error) {
+		return &rockwindpb.ReportQuarantineResponse{}, s.coordinator.commitReport(ctx, request)
+	}, elsewhere)
+	return response, fault.ToTwirp(err)
 }
 
 // List implements rockwindpb.QuarantineService. The leader answers, which knows what was reported a moment ago;
 // while there is none this coordinator tells what it knows itself.
 func (s quarantineService) List(ctx context.Context, request *rockwindpb.ListQuarantineRequest) (*rockwindpb.ListQuarantineResponse, error) {
+	elsewhere := func(ctx context.Context, base string) (*rockwindpb.ListQuarantineResponse, error) {
+		return s.coordinator.quarantineAt(base).List(ctx, request)
+	}
 	if s.coordinator.outside() {
-		response, err := passOn(ctx, s.coordinator, passTimeout, func(ctx context.Context, base string) (*rockwindpb.ListQuarantineResponse, error) {
-			return s.coordinator.quarantineAt(base).List(ctx, request)
-		})
+		response, err := passOn(ctx, s.coordinator, passTimeout, elsewhere)
 		return response, fault.ToTwirp(err)
 	}
-	response, err := s.listedByLeader(ctx, request)
+	asking, cancel := context.WithTimeout(ctx, passTimeout)
+	defer cancel()
+	response, err := fromLeader(asking, s.coordinator, s.listed, elsewhere)
 	if err != nil {
 		log.WithError(err).Warn("the quarantine is listed as this coordinator knows it: no leader answers")
 		response, err = s.listed()
@@ -52,21 +53,6 @@
 	return response, fault.ToTwirp(err)
 }
 
-// listedByLeader is the list as the leader knows it.
-func (s quarantineService) listedByLeader(ctx context.Context, request *rockwindpb.ListQuarantineRequest) (*rockwindpb.ListQuarantineResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, passTimeout)
-	defer cancel()
-	var response *rockwindpb.ListQuarantineResponse
-	err := s.coordinator.atLeader(ctx, func() (err error) {
-		response, err = s.listed()
-		return err
-	}, func(ctx context.Context, base string) (err error) {
-		response, err = s.coordinator.quarantineAt(base).List(ctx, request)
-		return err
-	})
-	return response, err
-}
-
 // listed is the list as this coordinator knows it.
 func (s quarantineService) listed() (*rockwindpb.ListQuarantineResponse, error) {
 	_, view, err := s.coordinator.current()
@@ -78,10 +64,11 @@
 
 // Release implements rockwindpb.QuarantineService.
 func (s quarantineService) Release(ctx context.Context, request *rockwindpb.ReleaseContentRequest) (*rockwindpb.ReleaseContentResponse, error) {
+	elsewhere := func(ctx context.Context, base string) (*rockwindpb.ReleaseContentResponse, error) {
+		return s.coordinator.quarantineAt(base).Release(ctx, request)
+	}
 	if s.coordinator.outside() {
-		response, err := passOn(ctx, s.coordinator, toCommit, func(ctx context.Context, base string) (*rockwindpb.ReleaseContentResponse, error) {
-			return s.coordinator.quarantineAt(base).Release(ctx, request)
-		})
+		response, err := passOn(ctx, s.coordinator, toCommit, elsewhere)
 		return response, fault.ToTwirp(err)
 	}
 	content, ok := fingerprint.FromBytes(request.GetContent())
@@ -89,14 +76,9 @@
 		return nil, fault.ToTwirp(fault.Newf(fault.InvalidArgument, "take the content from the list of the quarantine",
 			"a content has %d bytes, not %d", fingerprint.Size, len(request.GetContent())))
 	}
-	var response *rockwindpb.ReleaseContentResponse
-	err := s.coordinator.atLeader(ctx, func() (err error) {
-		response, err = s.coordinator.release(ctx, content)
-		return err
-	}, func(ctx context.Context, base string) (err error) {
-		response, err = s.coordinator.quarantineAt(base).Release(ctx, request)
-		return err
-	})
+	response, err := fromLeader(ctx, s.coordinator, func() (*rockwindpb.ReleaseContentResponse, error) {
+		return s.coordinator.release(ctx, content)
+	}, elsewhere)
 	return response, fault.ToTwirp(err)
 }
 
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -51,9 +51,7 @@
 	if n.role == Leader {
 		n.countSelf(n.log.persisted())
 	}
-	if n.role == Leader {
-		n.endSync()
-	}
+	n.endSync()
 }
 
 func (n *Node) softState() SoftState {
--- a/internal/raft/slowdisk.go
+++ b/internal/raft/slowdisk.go
@@ -59,6 +59,9 @@
 // endSync judges a sync of the leader's own log that is over, and hands over once too many
 // in a row were slow.
 func (n *Node) endSync() {
+	if n.role != Leader {
+		return
+	}
 	sync := n.leading.sync
 	n.leading.sync = ownSync{}
 	if sync.last == 0 {
--- a/internal/router/batchshare.go
+++ b/internal/router/batchshare.go
@@ -68,7 +68,7 @@
 // batch work back until servers have told what was left behind there: others would leave room
 // that is not taken. The mutex is held.
 func (d *Dispatcher) startableNeed(service string) backlog.Need {
-	if d.holdsBatch(balance.Demand{Batch: true}) {
+	if d.surveyOpen() {
 		return backlog.Need{}
 	}
 	return d.batch.Need(service, noShard)
--- a/internal/router/continuation.go
+++ b/internal/router/continuation.go
@@ -171,10 +171,10 @@
 // the connection may still work on it.
 func (e *exchange) mayContinue(ctx context.Context, lease *Lease) bool {
 	run := e.copy
-	if run == nil || run.continued || !run.began || run.unnumbered || ctx.Err() != nil || time.Until(e.ends) <= 0 || e.held() != nil {
+	if !e.hasCopy() || !run.began || run.unnumbered || ctx.Err() != nil || time.Until(e.ends) <= 0 || e.held() != nil {
 		return false
 	}
-	if e.lookout.Dark() {
+	if e.dark() {
 		return true
 	}
 	return Over(ctx, e.router.client, e.router.watcher.Directory, lease.ID, lease.Address)
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -202,7 +202,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	pool := d.service(service)
-	if pool.waiting.Len() > 0 || d.holdsBatch(demand) {
+	if pool.waiting.Len() > 0 || (demand.Batch && d.surveyOpen()) {
 		return nil
 	}
 	choice, found := pool.pool.Choose(demand, nil, d.now(), d.random)
--- a/internal/router/lookout.go
+++ b/internal/router/lookout.go
@@ -42,7 +42,7 @@
 	pause   time.Duration
 	// quiet is the part of the pause after which the server is looked at.
 	quiet float64
-	// ended tells of a late lookout what the directory adds to a look, nil for others.
+	// ended tells whether a server that is in reach has ended, by what a look shows.
 	ended  func(reach upstream.Reach) bool
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -58,12 +58,15 @@
 // call of Heard on.
 func NewLookout(ctx context.Context, client *upstream.Client, address string, pause time.Duration) *Lookout {
 	trying, cancel := context.WithCancelCause(ctx)
-	created := &Lookout{client: client, address: address, pause: pause, quiet: quietPart, ctx: trying, cancel: cancel}
+	created := &Lookout{client: client, address: address, pause: pause, quiet: quietPart, ended: refuses, ctx: trying, cancel: cancel}
 	created.timer = time.AfterFunc(neverYet, created.look)
 	created.timer.Stop()
 	return created
 }
 
+// refuses tells whether nobody listens at the address any more.
+func refuses(reach upstream.Reach) bool { return reach == upstream.ReachRefused }
+
 // NewLateLookout is NewLookout for a stream that can go on nowhere: its server, an incarnation of
 // the directory, is looked at only after the whole good pause. A planned stop closes the
 // listener and finishes the open streams, so that a refusal ends nothing unless the directory
@@ -127,13 +130,7 @@
 
 // shows tells whether a look shows that nothing more comes of the server.
 func (l *Lookout) shows(reach upstream.Reach) bool {
-	if reach == upstream.ReachSilent {
-		return true
-	}
-	if l.ended != nil {
-		return l.ended(reach)
-	}
-	return reach == upstream.ReachRefused
+	return reach == upstream.ReachSilent || l.ended(reach)
 }
 
 // Dark tells whether the server was found out of reach.
--- a/internal/router/survey.go
+++ b/internal/router/survey.go
@@ -8,7 +8,6 @@
 
 	"github.com/apex/log"
 
-	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/directory"
@@ -186,11 +185,9 @@
 	})
 }
 
-// holdsBatch tells whether batch work waits until it is known what was left behind. The mutex
-// is held.
-func (d *Dispatcher) holdsBatch(demand balance.Demand) bool {
-	return demand.Batch && d.survey != nil && d.survey.Open()
-}
+// surveyOpen tells whether it is not known yet what was left behind: batch work waits for that. The
+// mutex is held.
+func (d *Dispatcher) surveyOpen() bool { return d.survey != nil && d.survey.Open() }
 
 // LeftBehind tells how many requests of processes that are gone the servers are taken to have,
 // as all processes tell, and how many questions this one put since its start.
--- a/internal/store/order.go
+++ b/internal/store/order.go
@@ -13,13 +13,20 @@
 
 // backlogItem is what the order of the open items rests on.
 func (e *executor) backlogItem(item jobstore.OpenItem) backlog.Item {
+	_, wanted, _ := e.routed(item)
+	return wanted
+}
+
+// routed is an open item as the backlog has it, with the service of its route where that is found.
+func (e *executor) routed(item jobstore.OpenItem) (service string, wanted backlog.Item, found bool) {
 	submitted := time.UnixMilli(item.SubmittedUnixMs)
 	route, standing := e.route(item)
 	if standing != routeFound {
-		return backlog.NewItem(submitted, time.Time{}, 0)
+		return "", backlog.NewItem(submitted, time.Time{}, 0), false
 	}
-	pace := e.pace(router.ServiceOf(route, item.Item.GetId()))
-	return backlog.NewItem(submitted, dueTime(route, submitted), pace.Remaining(e.made(item))).Of(item.Tenant, e.weight(item.Tenant))
+	service = router.ServiceOf(route, item.Item.GetId())
+	remaining := e.pace(service).Remaining(e.made(item))
+	return service, backlog.NewItem(submitted, dueTime(route, submitted), remaining).Of(item.Tenant, e.weight(item.Tenant)), true
 }
 
 // made is how many events of an item's output there are.
--- a/internal/store/share.go
+++ b/internal/store/share.go
@@ -81,17 +81,9 @@
 	if len(e.share.refused) == 0 {
 		return false
 	}
-	service, found := e.serviceOf(item)
+	service, wanted, found := e.routed(item)
 	least, refused := e.share.refused[service]
-	return found && refused && e.share.use.Reserved(service, e.backlogItem(item)) >= least
-}
-
-func (e *executor) serviceOf(item jobstore.OpenItem) (service string, found bool) {
-	route, standing := e.route(item)
-	if standing != routeFound {
-		return "", false
-	}
-	return router.ServiceOf(route, item.Item.GetId()), true
+	return found && refused && e.share.use.Reserved(service, wanted) >= least
 }
 
 // acquire gets a server for an item; it leaves room to items of tenants that have less. Where
@@ -132,11 +124,13 @@
 	load := backlog.NewShardLoad(e.runningItems(now))
 	held := make(map[heldItems]int)
 	for _, item := range short {
-		service, found := e.serviceOf(item)
-		if !found || item.Tenant == "" || !e.startable(item, now) {
+		if item.Tenant == "" || !e.startable(item, now) {
+			continue
+		}
+		service, wanted, found := e.routed(item)
+		if !found {
 			continue
 		}
-		wanted := e.backlogItem(item)
 		isHeld := e.share.use.Reserved(service, wanted) > 0
 		load.Wait(service, e.share.use.Of(wanted), isHeld)
 		if isHeld {
