Tests: one piece for what several wrote out

* restart, heal, encode and openSurvey serve the tests that had their lines again.

No assertion is changed.

--- a/internal/bench/loopback/loopback.go
+++ b/internal/bench/loopback/loopback.go
@@ -7,7 +7,6 @@
 package loopback
 
 import (
-	"fmt"
 	"net"
 	"os"
 	"sync/atomic"
@@ -31,10 +30,10 @@
 // used counts the IP numbers that this process has handed out.
 var used atomic.Uint32
 
-// Host returns an IP number that this process has handed out to nobody else.
-func Host() net.IP {
-	host := FirstHost(os.Getpid()) + used.Add(1) - 1
-	return net.IPv4(byte(host>>24), byte(host>>16), byte(host>>8), byte(host))
+// host returns an IP number that this process has handed out to nobody else.
+func host() net.IP {
+	number := FirstHost(os.Getpid()) + used.Add(1) - 1
+	return net.IPv4(byte(number>>24), byte(number>>16), byte(number>>8), byte(number))
 }
 
 // Next returns an address, as "host:port", whose port is free for listeners and for datagrams.
@@ -47,12 +46,28 @@
 	return listener.Addr().String(), nil
 }
 
+// Test is what Address needs of a test.
+type Test interface {
+	Helper()
+	Fatal(values ...any)
+}
+
+// Address is Next for a test, which ends where there is none.
+func Address(t Test) string {
+	t.Helper()
+	address, err := Next()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return address
+}
+
 // Listen opens a listener on an address that nobody else has.
 func Listen() (net.Listener, error) {
-	host := Host()
-	listener, err := net.Listen("tcp", net.JoinHostPort(host.String(), "0"))
+	ip := host().String()
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
-		return nil, errors.Wrap(err, fmt.Sprintf("find a free port on %s", host))
+		return nil, errors.Wrapf(err, "find a free port on %s", ip)
 	}
 	return listener, nil
 }
--- a/internal/bench/soak/faultproxy/proxy_test.go
+++ b/internal/bench/soak/faultproxy/proxy_test.go
@@ -38,7 +38,7 @@
 
 func open(t *testing.T) *faultproxy.Proxy {
 	t.Helper()
-	proxy, err := faultproxy.Open(loopbackAddress(t), echo(t))
+	proxy, err := faultproxy.Open(loopback.Address(t), echo(t))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -117,23 +117,13 @@
 	}
 }
 
-// loopbackAddress is an address of which nobody else takes the port for datagrams.
-func loopbackAddress(t *testing.T) string {
-	t.Helper()
-	address, err := loopback.Next()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return address
-}
-
 func TestDatagramsPassUnlessSilenced(t *testing.T) {
 	target, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer target.Close()
-	proxy, err := faultproxy.Open(loopbackAddress(t), target.LocalAddr().String())
+	proxy, err := faultproxy.Open(loopback.Address(t), target.LocalAddr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/command/cluster_test.go
+++ b/internal/command/cluster_test.go
@@ -69,22 +69,12 @@
 	client *http.Client
 }
 
-// freeAddress is a loopback address whose port is free, and stays so.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	address, err := loopback.Next()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return address
-}
-
 func startSystem(t *testing.T, secured bool) *system {
 	t.Helper()
 	s := &system{t: t, folder: t.TempDir(), scheme: "http://", client: http.DefaultClient}
 	s.startEngine()
-	address := freeAddress(t)
-	callers, internal := freeAddress(t), freeAddress(t)
+	address := loopback.Address(t)
+	callers, internal := loopback.Address(t), loopback.Address(t)
 	machines := fmt.Sprintf("control: [{machine: control-1, address: %q, zone: a}]\n", address)
 	callerTLS := ""
 	if secured {
@@ -341,12 +331,12 @@
 		{ExitRefused, "--deadline is -1s", []string{"drain", s.gateway.address, "--deadline=-1s"}},
 		{ExitRefused, "--timeout is 0s", []string{"status", "--timeout", "0s"}},
 		{ExitRefused, "give both or none", []string{"status", "--tls-key", input, "--tls-certificate", ""}},
-		{ExitUnavailable, "check that the process", []string{"logs", freeAddress(s.t)}},
+		{ExitUnavailable, "check that the process", []string{"logs", loopback.Address(s.t)}},
 	} {
 		s.expect(refused.code, refused.text, refused.arguments...)
 	}
 	out := &output{}
-	code := Run(s.t.Context(), []string{"status", "--control", freeAddress(s.t), "--timeout", "1s"}, nil, out, out)
+	code := Run(s.t.Context(), []string{"status", "--control", loopback.Address(s.t), "--timeout", "1s"}, nil, out, out)
 	if code != ExitUnavailable || !strings.Contains(out.String(), "no control machine answered") {
 		s.t.Errorf("status without control ended with %d: %s", code, out)
 	}
--- a/internal/coordinator/slowdisk_test.go
+++ b/internal/coordinator/slowdisk_test.go
@@ -7,8 +7,6 @@
 	"sync"
 	"testing"
 	"time"
-
-	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
 const (
@@ -129,8 +127,7 @@
 func (s *virtualSite) write(ctx context.Context, through *process) error {
 	ctx, cancel := context.WithTimeout(ctx, submitPatience)
 	defer cancel()
-	machine := &rockwindpb.Machine{Name: "store", Role: rockwindpb.SiteRole_SITE_ROLE_STORE, Address: "store"}
-	return through.coordinator.change(ctx, &rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Announce{Announce: machine}})
+	return through.coordinator.change(ctx, announcing(storeNamed("store")))
 }
 
 // longestGap is the longest time without an acknowledged write.
--- a/internal/jobstore/failures_test.go
+++ b/internal/jobstore/failures_test.go
@@ -27,14 +27,7 @@
 	for _, item := range []uint32{1, 1, 2, 9} {
 		apply(t, machine, failure("job", item))
 	}
-	snapshot, err := machine.Snapshot()
-	if err != nil {
-		t.Fatal(err)
-	}
-	restored := jobstore.New()
-	if err := restored.Restore(snapshot); err != nil {
-		t.Fatal(err)
-	}
+	restored := restart(t, machine)
 	for name, each := range map[string]*jobstore.Machine{"leader": machine, "next leader": restored} {
 		if got := failures(each); got[0] != 0 || got[1] != 2 || got[2] != 1 || len(got) != 3 {
 			t.Errorf("the %s counts %v", name, got)
--- a/internal/jobstore/waiting_test.go
+++ b/internal/jobstore/waiting_test.go
@@ -48,14 +48,7 @@
 	if got := of(machine, "/p/"); got != 45 {
 		t.Errorf("%d tokens wait, want 45", got)
 	}
-	snapshot, err := machine.Snapshot()
-	if err != nil {
-		t.Fatal(err)
-	}
-	restored := jobstore.New()
-	if err := restored.Restore(snapshot); err != nil {
-		t.Fatal(err)
-	}
+	restored := restart(t, machine)
 	if got := of(restored, "/p/"); got != 45 {
 		t.Errorf("%d tokens wait after the restart, want 45", got)
 	}
--- a/internal/replica/linearizable_test.go
+++ b/internal/replica/linearizable_test.go
@@ -187,6 +187,16 @@
 	}
 }
 
+// heal ends all that disturbs the fleet, and waits until it is whole.
+func (f *fleet) heal() {
+	f.t.Helper()
+	f.links.Heal()
+	for _, m := range f.machines {
+		m.disk.DelaySync(nil)
+	}
+	f.eventually("the fleet is whole after the faults", f.whole)
+}
+
 // TestHistoriesAreLinearizable lets clients work while machines are killed,
 // crashed, cut off, frozen, slowed down and robbed of their disks. Every
 // history must be one of a single register a key, and nothing that was refused
@@ -218,11 +228,7 @@
 		f.disturb(random)
 		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
 	}
-	f.links.Heal()
-	for _, m := range f.machines {
-		m.disk.DelaySync(nil)
-	}
-	f.eventually("the fleet is whole after the faults", f.whole)
+	f.heal()
 	close(stop)
 	group.Wait()
 	for key := range 3 {
--- a/internal/replica/short_test.go
+++ b/internal/replica/short_test.go
@@ -249,11 +249,7 @@
 		}
 		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
 	}
-	f.links.Heal()
-	for _, m := range f.machines {
-		m.disk.DelaySync(nil)
-	}
-	f.eventually("the fleet is whole after the faults", f.whole)
+	f.heal()
 	close(stop)
 	<-ended
 	f.eventually("all replicas hold the same", f.alike)
--- a/internal/router/survey_test.go
+++ b/internal/router/survey_test.go
@@ -142,17 +142,24 @@
 	})
 }
 
+// openSurvey is a dispatcher whose only server has not answered yet; it tells that it is empty once
+// answer is closed. The survey ends by that, which closes ended.
+func openSurvey(t *testing.T) (dispatcher *router.Dispatcher, answer, ended chan struct{}) {
+	t.Helper()
+	answer, ended = make(chan struct{}), make(chan struct{})
+	dispatcher, run, _ := surveyed(t, map[string]http.HandlerFunc{"empty": func(writer http.ResponseWriter, request *http.Request) {
+		<-answer
+		tells("0")(writer, request)
+	}})
+	go func() { run(t.Context()); close(ended) }()
+	time.Sleep(100 * time.Millisecond)
+	return dispatcher, answer, ended
+}
+
 // TestBatchWorkWaitsUntilItIsKnownWhatWasLeftBehind, and online work does not.
 func TestBatchWorkWaitsUntilItIsKnownWhatWasLeftBehind(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		answer := make(chan struct{})
-		dispatcher, run, _ := surveyed(t, map[string]http.HandlerFunc{"empty": func(writer http.ResponseWriter, _ *http.Request) {
-			<-answer
-			_, _ = writer.Write([]byte("0"))
-		}})
-		ended := make(chan struct{})
-		go func() { run(t.Context()); close(ended) }()
-		time.Sleep(100 * time.Millisecond)
+		dispatcher, answer, ended := openSurvey(t)
 		if lease := dispatcher.TryAcquire("app", balance.Demand{Batch: true}); lease != nil {
 			t.Error("batch work starts while the answer is open")
 		}
@@ -171,14 +178,7 @@
 // TestNoNeedIsToldWhileBatchWorkWaitsForAnswers: others would leave room that nobody may take.
 func TestNoNeedIsToldWhileBatchWorkWaitsForAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		answer := make(chan struct{})
-		dispatcher, run, _ := surveyed(t, map[string]http.HandlerFunc{"empty": func(writer http.ResponseWriter, _ *http.Request) {
-			<-answer
-			_, _ = writer.Write([]byte("0"))
-		}})
-		ended := make(chan struct{})
-		go func() { run(t.Context()); close(ended) }()
-		time.Sleep(100 * time.Millisecond)
+		dispatcher, answer, ended := openSurvey(t)
 		dispatcher.SetBatchLoad(1, shortOf(nil, 6, 0))
 		other := newDispatcher(4, gate.Set{})
 		for sequence, wanted := range []int{0, 6} {
--- a/internal/store/output/outlives_test.go
+++ b/internal/store/output/outlives_test.go
@@ -57,7 +57,7 @@
 	return p
 }
 
-func encode(t *rapid.T, command *rockwindpb.JobStoreCommand) []byte {
+func encode(t rapid.TB, command *rockwindpb.JobStoreCommand) []byte {
 	encoded, err := proto.Marshal(command)
 	if err != nil {
 		t.Fatal(err)
@@ -302,13 +302,7 @@
 // shard passes over; the one after that is told whole.
 func TestFailureThatIsKnownLateStopsNoRecords(t *testing.T) {
 	machine := jobstore.New()
-	apply := func(command *rockwindpb.JobStoreCommand) {
-		encoded, err := proto.Marshal(command)
-		if err != nil {
-			t.Fatal(err)
-		}
-		machine.Apply(0, encoded)
-	}
+	apply := func(command *rockwindpb.JobStoreCommand) { machine.Apply(0, encode(t, command)) }
 	apply(&rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_Submit{Submit: &rockwindpb.StoredJob{
 		Id: job, Items: []*rockwindpb.StoredItem{{Id: "item"}},
 	}}})
--- a/internal/store/output/output_test.go
+++ b/internal/store/output/output_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 
-	"google.golang.org/protobuf/proto"
-
 	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/store/output"
@@ -122,13 +120,7 @@
 // TestNewLeaderTellsNothingThatTheShardHolds until it has received more.
 func TestNewLeaderTellsNothingThatTheShardHolds(t *testing.T) {
 	machine := jobstore.New()
-	apply := func(command *rockwindpb.JobStoreCommand) {
-		encoded, err := proto.Marshal(command)
-		if err != nil {
-			t.Fatal(err)
-		}
-		machine.Apply(0, encoded)
-	}
+	apply := func(command *rockwindpb.JobStoreCommand) { machine.Apply(0, encode(t, command)) }
 	apply(&rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_Submit{Submit: &rockwindpb.StoredJob{Id: "job", Items: []*rockwindpb.StoredItem{{}}}}})
 	apply(&rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_Progress{Progress: &rockwindpb.RecordProgress{
 		Jobs: []*rockwindpb.JobProgress{{Job: "job", Items: []*rockwindpb.ReceivedEvents{{Progress: &rockwindpb.ItemProgress{Term: 1, Run: 1, Last: 2, Text: []byte("a\nb")}}}}},
