Operators drain zones: their servers get nothing new

Cause: an operator could not have the servers of a zone left alone; the order had no answer. Change: a state of the root group beside directory and quarantine, told to routers and stores with their watches; their dispatchers leave servers of drained zones out of the pools.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -53,6 +53,7 @@
 	Drain      drainCommand      `cmd:"" group:"Operation" help:"Let a daemon finish its requests and take no new ones."`
 	Logs       logsCommand       `cmd:"" group:"Operation" help:"Show the last log entries of a daemon."`
 	Quarantine quarantineCommand `cmd:"" group:"Operation" help:"Show requests under which servers of a site ended, and release them."`
+	Zones      zonesCommand      `cmd:"" group:"Operation" help:"Drain the zones of a site, and show which are drained."`
 	Explain    explainCommand    `cmd:"" group:"Operation" help:"Show from logs what became of a request, job, item or server, and why."`
 }
 
--- a/internal/command/quarantine.go
+++ b/internal/command/quarantine.go
@@ -31,8 +31,8 @@
 	ctx, cancel := s.bounded()
 	defer cancel()
 	var listed *rockwindpb.ListQuarantineResponse
-	err := s.atCoordinators(ctx, func(quarantine rockwindpb.QuarantineService) (err error) {
-		listed, err = quarantine.List(ctx, &rockwindpb.ListQuarantineRequest{})
+	err := s.atCoordinators(ctx, func(base string, carrier rockwindpb.HTTPClient) (err error) {
+		listed, err = rockwindpb.NewQuarantineServiceProtobufClient(base, carrier).List(ctx, &rockwindpb.ListQuarantineRequest{})
 		return err
 	})
 	if err != nil {
@@ -75,8 +75,8 @@
 	ctx, cancel := s.bounded()
 	defer cancel()
 	var released *rockwindpb.ReleaseContentResponse
-	err = s.atCoordinators(ctx, func(quarantine rockwindpb.QuarantineService) (err error) {
-		released, err = quarantine.Release(ctx, &rockwindpb.ReleaseContentRequest{Content: decoded})
+	err = s.atCoordinators(ctx, func(base string, carrier rockwindpb.HTTPClient) (err error) {
+		released, err = rockwindpb.NewQuarantineServiceProtobufClient(base, carrier).Release(ctx, &rockwindpb.ReleaseContentRequest{Content: decoded})
 		return err
 	})
 	if err != nil {
@@ -89,7 +89,7 @@
 }
 
 // atCoordinators makes a call at one coordinator after the other, until one answers it.
-func (s *session) atCoordinators(ctx context.Context, call func(quarantine rockwindpb.QuarantineService) error) error {
+func (s *session) atCoordinators(ctx context.Context, call func(base string, carrier rockwindpb.HTTPClient) error) error {
 	machines, err := s.connection.machines()
 	if err != nil {
 		return err
@@ -99,7 +99,7 @@
 		return err
 	}
 	for _, machine := range machines {
-		err = call(rockwindpb.NewQuarantineServiceProtobufClient(s.connection.baseURL(machine.GetAddress()), carrier))
+		err = call(s.connection.baseURL(machine.GetAddress()), carrier)
 		if err == nil || !fault.Is(err, fault.Unavailable) || ctx.Err() != nil {
 			return err
 		}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -143,6 +143,7 @@
 		rockwindpb.NewConfigurationServiceServer(configurationService{c}),
 		rockwindpb.NewDirectoryServiceServer(directoryService{c}),
 		rockwindpb.NewQuarantineServiceServer(quarantineService{c}),
+		rockwindpb.NewZoneDrainServiceServer(zoneDrainService{c}),
 	} {
 		mux.Handle(server.PathPrefix(), server)
 	}
--- a/internal/coordinator/root.go
+++ b/internal/coordinator/root.go
@@ -12,14 +12,16 @@
 	"rockwind.example/rockwind/internal/quarantine"
 	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/zonedrain"
 )
 
 // rootMachine is the replicated state of the root group: the configuration, the
-// directory and the quarantine.
+// directory, the quarantine and the drains of zones.
 type rootMachine struct {
 	catalog    *catalog.Machine
 	directory  *directory.Directory
 	quarantine *quarantine.Register
+	zoneDrains *zonedrain.Register
 	// views is what other goroutines read.
 	views atomic.Pointer[rootView]
 }
@@ -29,17 +31,22 @@
 	catalog    *catalog.View
 	directory  *directory.View
 	quarantine *quarantine.View
+	zoneDrains *zonedrain.List
 }
 
 func newRootMachine() *rootMachine {
-	created := &rootMachine{catalog: catalog.NewWithPolicy(catalog.HighestNumber), directory: directory.New(), quarantine: quarantine.New()}
+	created := &rootMachine{
+		catalog: catalog.NewWithPolicy(catalog.HighestNumber), directory: directory.New(), quarantine: quarantine.New(), zoneDrains: zonedrain.New(),
+	}
 	created.Publish()
 	return created
 }
 
 // Publish implements replica.Publisher.
 func (m *rootMachine) Publish() {
-	m.views.Store(&rootView{catalog: m.catalog.View(), directory: m.directory.View(), quarantine: m.quarantine.View()})
+	m.views.Store(&rootView{
+		catalog: m.catalog.View(), directory: m.directory.View(), quarantine: m.quarantine.View(), zoneDrains: m.zoneDrains.List(),
+	})
 }
 
 // view is the state as applied on this replica.
@@ -58,13 +65,19 @@
 		m.quarantine.Apply(suspected)
 		return nil
 	}
+	if drained := decoded.GetZoneDrain(); drained != nil {
+		m.zoneDrains.Apply(drained)
+		return nil
+	}
 	m.directory.Apply(decoded.GetDirectory())
 	return nil
 }
 
 // Snapshot implements replica.StateMachine.
 func (m *rootMachine) Snapshot() ([]byte, error) {
-	snapshot := &rockwindpb.RootSnapshot{Catalog: m.catalog.Save(), Directory: m.directory.Save(), Quarantine: m.quarantine.Save()}
+	snapshot := &rockwindpb.RootSnapshot{
+		Catalog: m.catalog.Save(), Directory: m.directory.Save(), Quarantine: m.quarantine.Save(), ZoneDrains: m.zoneDrains.Save(),
+	}
 	return proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 }
 
@@ -79,6 +92,7 @@
 	}
 	m.directory.Load(decoded.GetDirectory())
 	m.quarantine.Load(decoded.GetQuarantine())
+	m.zoneDrains.Load(decoded.GetZoneDrains())
 	m.Publish()
 	return nil
 }
--- a/internal/coordinator/services.go
+++ b/internal/coordinator/services.go
@@ -190,7 +190,8 @@
 			return nil, fault.ToTwirp(err)
 		}
 		number := view.catalog.Index().Number()
-		news := view.directory.Revision() != request.GetHaveRevision() || view.quarantine.Revision() > request.GetHaveQuarantine()
+		news := view.directory.Revision() != request.GetHaveRevision() || view.quarantine.Revision() > request.GetHaveQuarantine() ||
+			lacksZoneDrains(view, request)
 		if over || number > request.GetHaveConfiguration() || (news && lingered) {
 			return answerWatch(view, request, time.Now()), nil
 		}
@@ -218,5 +219,14 @@
 	if response.GetQuarantineRevision() > request.GetHaveQuarantine() {
 		response.Suspects = view.quarantine.Notices(now)
 	}
+	if lacksZoneDrains(view, request) {
+		response.ZoneDrainsRevision = view.zoneDrains.Revision()
+		response.ZoneDrains = view.zoneDrains.Drains()
+	}
 	return response
 }
+
+// lacksZoneDrains tells whether a watcher takes zone drains, and holds older ones than a view.
+func lacksZoneDrains(view *rootView, request *rockwindpb.WatchDirectoryRequest) bool {
+	return request.GetKnowsZoneDrains() && view.zoneDrains.Revision() > request.GetHaveZoneDrains()
+}
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -78,6 +78,8 @@
 	CoordinatorsSilent Kind = "coordinators are silent"
 	// LeadershipHandedOver: a replica gives up the leadership of a group without being told to.
 	LeadershipHandedOver Kind = "leadership handed over"
+	// ZoneDrainsInForce: this process has learnt which zones are drained.
+	ZoneDrainsInForce Kind = "zone drains in force"
 	// DependencyLost and DependencyRegained tell of coordinators and stores.
 	DependencyLost     Kind = "dependency lost"
 	DependencyRegained Kind = "dependency regained"
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -80,6 +80,21 @@
 	return machine, found
 }
 
+// HasZone tells whether a machine or a server is in a zone.
+func (v *View) HasZone(zone string) bool {
+	for _, machine := range v.machines {
+		if machine.GetZone() == zone {
+			return true
+		}
+	}
+	for _, server := range v.servers {
+		if server.GetZone() == zone {
+			return true
+		}
+	}
+	return false
+}
+
 // StoreCluster is the founding of the stores' cluster, nil before it is decided.
 func (v *View) StoreCluster() *rockwindpb.FoundRequest { return v.storeCluster }
 
--- a/internal/rockwindpb/jobstore.twirp.go
+++ b/internal/rockwindpb/jobstore.twirp.go
@@ -1340,7 +1340,7 @@
 }
 
 func (s *jobStoreServiceServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor6, 0
+	return twirpFileDescriptor7, 0
 }
 
 func (s *jobStoreServiceServer) ProtocGenTwirpVersion() string {
@@ -2116,7 +2116,7 @@
 }
 
 func (s *tokenLimitServiceServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor6, 1
+	return twirpFileDescriptor7, 1
 }
 
 func (s *tokenLimitServiceServer) ProtocGenTwirpVersion() string {
@@ -2612,7 +2612,7 @@
 }
 
 func (s *requestRateServiceServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor6, 2
+	return twirpFileDescriptor7, 2
 }
 
 func (s *requestRateServiceServer) ProtocGenTwirpVersion() string {
@@ -2626,7 +2626,7 @@
 	return baseServicePath(s.pathPrefix, "rockwind.v1", "RequestRateService")
 }
 
-var twirpFileDescriptor6 = []byte{
+var twirpFileDescriptor7 = []byte{
 	// 1659 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x58, 0xcd, 0x72, 0xdb, 0xc8,
 	0x11, 0x16, 0x48, 0xf0, 0xaf, 0x49, 0xca, 0xf4, 0x88, 0x2b, 0x61, 0xb9, 0x5b, 0x5b, 0x34, 0xd6,
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -75,6 +75,7 @@
 	set.Start(func() time.Duration { return time.Duration(router.startTook.Load()) })
 	set.Paces(router.dispatcher.Paces)
 	set.Held(router.witness.Held)
+	set.DrainedZones(router.dispatcher.DrainedZones)
 	set.ClientBuffers(router.buffers.Usage)
 	set.Waiting(router.dispatcher.Waiting)
 	set.LeftBehind(router.dispatcher.LeftBehind)
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -15,6 +15,7 @@
 	"rockwind.example/rockwind/internal/health"
 	"rockwind.example/rockwind/internal/loadshare"
 	"rockwind.example/rockwind/internal/waiting"
+	"rockwind.example/rockwind/internal/zonedrain"
 )
 
 // Dispatcher holds the servers of all services as one process sees them, and the
@@ -32,6 +33,8 @@
 	pools  map[string]*servicePool
 	// view is the directory that was taken last, nil before the first one.
 	view *directory.View
+	// drains are the zones whose servers get nothing new.
+	drains *zonedrain.List
 	// servers are the hashes of all servers of the directory, and lefts those of what was left
 	// behind there.
 	servers map[uint32]struct{}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -4,6 +4,7 @@
 	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/zonedrain"
 )
 
 // Update takes the servers of the directory. Only what is other than in the one before is
@@ -41,6 +42,33 @@
 	}
 }
 
+// DrainZones takes which zones are drained. Servers of a drained zone leave their pools, so that
+// no request, item, trial or copy is begun there, and finish what they have.
+func (d *Dispatcher) DrainZones(drains *zonedrain.List) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if drains.Revision() == d.drains.Revision() {
+		return
+	}
+	d.drains = drains
+	if d.view == nil {
+		return
+	}
+	for _, server := range d.view.Servers() {
+		d.take(server, nil)
+	}
+	for name := range d.pools {
+		d.serveWaiting(name)
+	}
+}
+
+// DrainedZones counts the zones that are known to be drained.
+func (d *Dispatcher) DrainedZones() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return len(d.drains.Drains())
+}
+
 // take has the pool of a server's service know it as the directory describes it. The mutex is
 // held.
 func (d *Dispatcher) take(server *rockwindpb.Server, before *directory.View) {
@@ -50,7 +78,8 @@
 		}
 	}
 	silent := server.GetState() == rockwindpb.ServerState_SERVER_STATE_SILENT
-	if !silent && server.GetState() != rockwindpb.ServerState_SERVER_STATE_READY {
+	serves := silent || server.GetState() == rockwindpb.ServerState_SERVER_STATE_READY
+	if !serves || d.drains.Drained(server.GetZone()) {
 		d.drop(server)
 		return
 	}
--- /dev/null
+++ b/internal/router/zonedrain_test.go
@@ -0,0 +1,94 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/directory"
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/gate"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/router"
+	"rockwind.example/rockwind/internal/zonedrain"
+)
+
+// zonedView is a directory with two servers of a slot in each zone.
+func zonedView(zones ...string) *directory.View {
+	full := &rockwindpb.WatchDirectoryResponse{Revision: 1, Full: true}
+	for place, zone := range zones {
+		for i := range 2 {
+			server := ready(2*place+i, 1, 1)
+			server.Id, server.Zone = fmt.Sprint(zone, i), zone
+			full.Servers = append(full.Servers, server)
+		}
+	}
+	return directory.Merge(nil, full)
+}
+
+func drainsOf(revision uint64, zones ...string) *zonedrain.List {
+	var drains []*rockwindpb.ZoneDrain
+	for _, zone := range zones {
+		drains = append(drains, &rockwindpb.ZoneDrain{Zone: zone})
+	}
+	return zonedrain.NewList(revision, drains)
+}
+
+// TestDrainedZonesGetNothingNew: neither requests nor items begin in a drained zone, known before
+// the directory or after it; what waits finds room there once the drain has ended.
+func TestDrainedZonesGetNothingNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dispatcher := router.NewDispatcher("east", gate.Set{})
+		dispatcher.DrainZones(drainsOf(1, "east"))
+		dispatcher.Update(zonedView("east", "west"))
+		view := zonedView("east", "west")
+		for range 2 {
+			lease, err := dispatcher.Acquire(context.Background(), router.Ask{Service: "app"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if server, _ := view.Server(lease.ID); server.GetZone() == "east" {
+				t.Fatalf("a request goes to %s in a drained zone", lease.ID)
+			}
+			if item := dispatcher.TryAcquire("app", balance.Demand{Batch: true}); item != nil {
+				if server, _ := view.Server(item.ID); server.GetZone() == "east" {
+					t.Fatalf("an item goes to %s in a drained zone", item.ID)
+				}
+				item.Abandon()
+			}
+		}
+		waiting := make(chan *router.Lease, 1)
+		go func() {
+			lease, _ := dispatcher.Acquire(context.Background(), router.Ask{Service: "app", Patience: time.Minute})
+			waiting <- lease
+		}()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if len(waiting) > 0 {
+			t.Fatal("a third request finds room while a zone is drained")
+		}
+		dispatcher.DrainZones(drainsOf(2))
+		if lease := <-waiting; lease == nil {
+			t.Fatal("a request that waited finds no room after the drain")
+		}
+	})
+}
+
+// TestServiceInDrainedZonesRefusesAtOnce: all servers of the service are in drained zones, so that
+// waiting helps nobody.
+func TestServiceInDrainedZonesRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dispatcher := router.NewDispatcher("east", gate.Set{})
+		dispatcher.Update(zonedView("east"))
+		dispatcher.DrainZones(drainsOf(1, "east"))
+		began := time.Now()
+		_, err := dispatcher.Acquire(context.Background(), router.Ask{Service: "app", Patience: time.Minute})
+		refused := fault.From(err)
+		if refused == nil || refused.Ran != fault.NotRun || refused.RetryAfter <= 0 || time.Since(began) > 0 {
+			t.Fatalf("the request is answered %v after %v", err, time.Since(began))
+		}
+	})
+}
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -26,6 +26,7 @@
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/twirphttp"
+	"rockwind.example/rockwind/internal/zonedrain"
 )
 
 const (
@@ -51,6 +52,7 @@
 
 	directory  atomic.Pointer[directory.View]
 	quarantine atomic.Pointer[quarantine.List]
+	zoneDrains atomic.Pointer[zonedrain.List]
 	// configurationSince and directorySince are when the first of each was known, in Unix
 	// nanoseconds; zero before that.
 	configurationSince, directorySince atomic.Int64
@@ -174,6 +176,9 @@
 // Quarantine lists the requests under which servers ended, nil before the first directory.
 func (w *Watcher) Quarantine() *quarantine.List { return w.quarantine.Load() }
 
+// ZoneDrains lists the zones whose servers get nothing new, nil before the first directory.
+func (w *Watcher) ZoneDrains() *zonedrain.List { return w.zoneDrains.Load() }
+
 // Known tells whether a configuration and a directory have been heard from a
 // coordinator since the start.
 func (w *Watcher) Known() bool {
@@ -267,10 +272,11 @@
 }
 
 // watchRequest asks for what is newer than the held directory, nil for none, and than the
-// configuration and the quarantine known here.
+// configuration, the quarantine and the zone drains known here.
 func (w *Watcher) watchRequest(held *directory.View, wait time.Duration) *rockwindpb.WatchDirectoryRequest {
 	request := &rockwindpb.WatchDirectoryRequest{
 		WaitMs: uint32(wait.Milliseconds()), HaveConfiguration: w.Configuration().Number(), HaveQuarantine: w.Quarantine().Revision(),
+		KnowsZoneDrains: true, HaveZoneDrains: w.ZoneDrains().Revision(),
 	}
 	if held != nil {
 		request.HaveRevision = held.Revision()
@@ -314,6 +320,7 @@
 		w.follower.Hint(response.GetConfigurationNumber())
 	}
 	w.takeQuarantine(response)
+	w.takeZoneDrains(response)
 	merged := directory.Merge(held, response)
 	if merged != held {
 		w.directory.Store(merged)
@@ -341,6 +348,22 @@
 	w.announce()
 }
 
+// takeZoneDrains takes what a coordinator tells of zone drains, unless it is known here already
+// or older. It is known before the directory that comes with it.
+func (w *Watcher) takeZoneDrains(response *rockwindpb.WatchDirectoryResponse) {
+	if response.GetZoneDrainsRevision() <= w.ZoneDrains().Revision() {
+		return
+	}
+	told := zonedrain.NewList(response.GetZoneDrainsRevision(), response.GetZoneDrains())
+	w.zoneDrains.Store(told)
+	w.announce()
+	zones := make([]string, 0, len(told.Drains()))
+	for _, drain := range told.Drains() {
+		zones = append(zones, drain.GetZone())
+	}
+	decision.Default.Record(decision.ZoneDrainsInForce, strconv.FormatUint(told.Revision(), 10), log.Fields{"zones": zones})
+}
+
 // Stores lists the internal addresses of the stores by name.
 func (w *Watcher) Stores() []*rockwindpb.Machine {
 	return w.Directory().WithRole(rockwindpb.SiteRole_SITE_ROLE_STORE)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -157,6 +157,7 @@
 	set.Limits(s.limiter.gauges)
 	set.LoadTraffic(s.dispatcher.LoadTraffic)
 	set.Paces(s.dispatcher.Paces)
+	set.DrainedZones(s.dispatcher.DrainedZones)
 	set.LeftBehind(s.dispatcher.LeftBehind)
 	set.Held(s.witness.Held)
 	set.ShortItems(s.dispatcher.ShortItems)
