Directory: a change costs what has changed, not what there is

Cause: each change of the directory copied all entries at each watcher, which then compared all of them, and at each coordinator; a report of an unknown server looked at all addresses, and each command for old entries at all. Change: entries in ordered maps whose copies share what did not change, by name and by revision, servers that are not gone by address, gone ones by time. A view is told apart from an earlier one by revisions.

--- a/internal/coordinator/retiring.go
+++ b/internal/coordinator/retiring.go
@@ -102,9 +102,7 @@
 }
 
 func stores(view *directory.View) []*rockwindpb.Machine {
-	return slices.DeleteFunc(view.Machines(), func(machine *rockwindpb.Machine) bool {
-		return machine.GetRole() != rockwindpb.SiteRole_SITE_ROLE_STORE
-	})
+	return view.WithRole(rockwindpb.SiteRole_SITE_ROLE_STORE)
 }
 
 // Retired tells whether a store that retires keeps nothing any more: the leaders
--- a/internal/directory/change.go
+++ b/internal/directory/change.go
@@ -24,42 +24,36 @@
 // Machines tells whether any machine is new, other than before or no more.
 func (c Change) Machines() bool { return c.machines }
 
-// ChangeFrom compares the view with one before, nil for an empty one. It looks at each entry
-// once and sorts only what it finds.
+// ChangeFrom compares the view with one before that the same watcher held, nil for an empty
+// one. It looks at what has changed; where entries may have left meanwhile, at each of them.
 func (v *View) ChangeFrom(before *View) Change {
 	if before == nil {
-		before = &View{}
+		before = newView()
 	}
-	change := Change{
-		servers: entriesUnlike(v.servers, before.servers), left: missing(before.servers, v.servers),
-		machines: len(v.machines) != len(before.machines),
+	if before.revision >= v.whole && before.revision <= v.revision {
+		change := Change{servers: byID(slices.Collect(v.servers.since(before.revision)))}
+		for range v.machines.since(before.revision) {
+			change.machines = true
+		}
+		return change
 	}
-	for name, machine := range v.machines {
-		change.machines = change.machines || before.machines[name] != machine
+	change := Change{
+		servers: unlike(&v.servers.entries, &before.servers.entries), left: missing(&before.servers.entries, &v.servers.entries),
+		machines: v.machines.size() != before.machines.size(),
 	}
+	change.machines = change.machines || len(unlike(&v.machines, &before.machines)) > 0
 	return change
 }
 
-// entriesUnlike lists the entries that are not the same messages in the others.
-func entriesUnlike(entries, others map[string]*rockwindpb.Server) []*rockwindpb.Server {
-	var found []*rockwindpb.Server
-	for id, server := range entries {
-		if others[id] != server {
-			found = append(found, server)
-		}
-	}
-	return byID(found)
+// unlike lists the entries that are not the same messages in the others, by name.
+func unlike[M message](of, others *entries[M]) []M {
+	return slices.DeleteFunc(of.list(), func(entry M) bool { return others.get(of.name(entry)) == entry })
 }
 
-// missing lists the entries that the others lack.
-func missing(entries, others map[string]*rockwindpb.Server) []*rockwindpb.Server {
-	var found []*rockwindpb.Server
-	for id, server := range entries {
-		if _, there := others[id]; !there {
-			found = append(found, server)
-		}
-	}
-	return byID(found)
+// missing lists the entries that the others lack, by name.
+func missing[M message](of, others *entries[M]) []M {
+	var none M
+	return slices.DeleteFunc(of.list(), func(entry M) bool { return others.get(of.name(entry)) != none })
 }
 
 func byID(servers []*rockwindpb.Server) []*rockwindpb.Server {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -15,9 +15,6 @@
 package directory
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -34,8 +31,8 @@
 type Directory struct {
 	revision     uint64
 	dropped      uint64
-	servers      map[string]*rockwindpb.Server
-	machines     map[string]*rockwindpb.Machine
+	servers      servers
+	machines     entries[*rockwindpb.Machine]
 	storeCluster *rockwindpb.FoundRequest
 	// view is nil where the state has changed since the last call of View.
 	view *View
@@ -43,11 +40,10 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{servers: make(map[string]*rockwindpb.Server), machines: make(map[string]*rockwindpb.Machine)}
+	return &Directory{servers: newServers(), machines: newEntries((*rockwindpb.Machine).GetName)}
 }
 
-// View is the directory at one moment. Only the owner goroutine may call it. It costs a copy
-// where the state has changed since the last call.
+// View is the directory at one moment. Only the owner goroutine may call it.
 func (d *Directory) View() *View {
 	if d.view == nil {
 		d.publish()
@@ -85,7 +81,7 @@
 // Changes tells whether a report would change the directory. A report that
 // would not needs no entry in the log.
 func (v *View) Changes(report *rockwindpb.Server) bool {
-	return changes(v.servers[report.GetId()], report)
+	return changes(v.servers.get(report.GetId()), report)
 }
 
 func changes(known, report *rockwindpb.Server) bool {
@@ -109,7 +105,7 @@
 // report takes a report. Where the newest one counts, as in the logs of earlier versions, an
 // unknown incarnation has ended all others at its address.
 func (d *Directory) report(report *rockwindpb.Server, newest bool, now int64) {
-	if !changes(d.servers[report.GetId()], report) {
+	if !changes(d.servers.get(report.GetId()), report) {
 		return
 	}
 	if newest {
@@ -121,31 +117,20 @@
 // retireAddress marks the earlier incarnations at the address of a new one as
 // gone: an address belongs to one server at a time.
 func (d *Directory) retireAddress(report *rockwindpb.Server, now int64) {
-	if d.servers[report.GetId()] != nil {
+	if d.servers.get(report.GetId()) != nil {
 		return
 	}
 	// In the order of identifiers, since replicas must number the changes alike.
-	for _, earlier := range sortedServers(d.at(report.GetAddress())) {
+	for _, earlier := range d.servers.at(report.GetAddress()) {
 		d.goneServer(earlier.GetId(), earlier.GetState() == rockwindpb.ServerState_SERVER_STATE_READY, now)
 	}
 }
 
-// at returns the incarnations at an address.
-func (d *Directory) at(address string) map[string]*rockwindpb.Server {
-	found := make(map[string]*rockwindpb.Server)
-	for id, server := range d.servers {
-		if server.GetAddress() == address {
-			found[id] = server
-		}
-	}
-	return found
-}
-
 func (d *Directory) leave(id string, now int64) { d.goneServer(id, false, now) }
 
 // goneServer marks an incarnation as gone, one that was replaced while it was ready as such.
 func (d *Directory) goneServer(id string, replaced bool, now int64) {
-	known := d.servers[id]
+	known := d.servers.get(id)
 	if known.GetState() == rockwindpb.ServerState_SERVER_STATE_GONE {
 		return
 	}
@@ -160,7 +145,7 @@
 
 func (d *Directory) silence(ids []string, now int64) {
 	for _, id := range ids {
-		known := d.servers[id]
+		known := d.servers.get(id)
 		switch known.GetState() {
 		case rockwindpb.ServerState_SERVER_STATE_READY:
 			silent := proto.CloneOf(known)
@@ -176,12 +161,12 @@
 	d.revision++
 	server.Revision = d.revision
 	server.ChangedUnixMs = now
-	d.servers[server.GetId()] = server
+	d.servers.put(server)
 }
 
 // KnowsMachine tells whether an announcement would change nothing.
 func (v *View) KnowsMachine(announced *rockwindpb.Machine) bool {
-	return sameMachine(v.machines[announced.GetName()], announced)
+	return sameMachine(v.machines.get(announced.GetName()), announced)
 }
 
 func sameMachine(known, announced *rockwindpb.Machine) bool {
@@ -190,11 +175,11 @@
 }
 
 func (d *Directory) announce(announced *rockwindpb.Machine, now int64) {
-	if sameMachine(d.machines[announced.GetName()], announced) {
+	if sameMachine(d.machines.get(announced.GetName()), announced) {
 		return
 	}
 	added := proto.CloneOf(announced)
-	added.Retiring = d.machines[announced.GetName()].GetRetiring()
+	added.Retiring = d.machines.get(announced.GetName()).GetRetiring()
 	d.putMachine(added, now)
 }
 
@@ -202,12 +187,12 @@
 	d.revision++
 	machine.Revision = d.revision
 	machine.ChangedUnixMs = now
-	d.machines[machine.GetName()] = machine
+	d.machines.put(machine)
 }
 
 // retire marks a machine for good.
 func (d *Directory) retire(name string, now int64) {
-	known := d.machines[name]
+	known := d.machines.get(name)
 	if known == nil || known.GetRetiring() {
 		return
 	}
@@ -226,21 +211,18 @@
 }
 
 func (d *Directory) forget(name string) {
-	if d.machines[name] == nil {
+	if d.machines.get(name) == nil {
 		return
 	}
-	delete(d.machines, name)
+	d.machines.drop(name)
 	d.revision++
 	d.dropped = d.revision
 }
 
 // dropOld removes entries of servers that left long ago.
 func (d *Directory) dropOld(now int64) {
-	for id, server := range d.servers {
-		if server.GetState() != rockwindpb.ServerState_SERVER_STATE_GONE || now-server.GetChangedUnixMs() < goneRetention.Milliseconds() {
-			continue
-		}
-		delete(d.servers, id)
+	for _, server := range d.servers.goneBefore(now - goneRetention.Milliseconds() + 1) {
+		d.servers.drop(server.GetId())
 		d.revision++
 		d.dropped = d.revision
 	}
@@ -251,8 +233,8 @@
 	return &rockwindpb.DirectorySnapshot{
 		Revision:     d.revision,
 		Dropped:      d.dropped,
-		Servers:      sortedServers(d.servers),
-		Machines:     sortedMachines(d.machines),
+		Servers:      d.servers.list(),
+		Machines:     d.machines.list(),
 		StoreCluster: d.storeCluster,
 	}
 }
@@ -262,13 +244,12 @@
 	d.revision = snapshot.GetRevision()
 	d.dropped = snapshot.GetDropped()
 	d.storeCluster = snapshot.GetStoreCluster()
-	d.servers = make(map[string]*rockwindpb.Server, len(snapshot.GetServers()))
+	d.servers, d.machines = newServers(), newEntries((*rockwindpb.Machine).GetName)
 	for _, server := range snapshot.GetServers() {
-		d.servers[server.GetId()] = server
+		d.servers.put(server)
 	}
-	d.machines = make(map[string]*rockwindpb.Machine, len(snapshot.GetMachines()))
 	for _, machine := range snapshot.GetMachines() {
-		d.machines[machine.GetName()] = machine
+		d.machines.put(machine)
 	}
 	d.view = nil
 }
@@ -277,16 +258,9 @@
 	d.view = &View{
 		revision:     d.revision,
 		dropped:      d.dropped,
-		servers:      maps.Clone(d.servers),
-		machines:     maps.Clone(d.machines),
+		whole:        d.dropped,
+		servers:      d.servers.copy(),
+		machines:     d.machines.copy(),
 		storeCluster: d.storeCluster,
 	}
 }
-
-func sortedServers(servers map[string]*rockwindpb.Server) []*rockwindpb.Server {
-	return slices.SortedFunc(maps.Values(servers), func(a, b *rockwindpb.Server) int { return cmp.Compare(a.GetId(), b.GetId()) })
-}
-
-func sortedMachines(machines map[string]*rockwindpb.Machine) []*rockwindpb.Machine {
-	return slices.SortedFunc(maps.Values(machines), func(a, b *rockwindpb.Machine) int { return cmp.Compare(a.GetName(), b.GetName()) })
-}
--- a/internal/directory/ending.go
+++ b/internal/directory/ending.go
@@ -69,37 +69,11 @@
 // contested tells whether another incarnation is known at the address of one that is not gone:
 // one of the two has ended.
 func (v *View) contested(id string) bool {
-	server, known := v.servers[id]
-	return known && server.GetState() != rockwindpb.ServerState_SERVER_STATE_GONE && v.counted().at[server.GetAddress()] > 1
+	server, known := v.Server(id)
+	return known && server.GetState() != rockwindpb.ServerState_SERVER_STATE_GONE && len(v.servers.at(server.GetAddress())) > 1
 }
 
 // othersSilent tells whether most of the servers beside one that is silent are so too.
 func (v *View) othersSilent() bool {
-	counts := v.counted()
-	return 2*(counts.silent-1) > counts.here-1
-}
-
-// counts are the incarnations of a view that are not gone.
-type counts struct {
-	here, silent int
-	// at counts them by address.
-	at map[string]int
-}
-
-// counted counts the incarnations, once for all who look into their servers at this view.
-func (v *View) counted() *counts {
-	v.counting.Do(func() {
-		v.counts.at = make(map[string]int)
-		for _, server := range v.servers {
-			switch server.GetState() {
-			case rockwindpb.ServerState_SERVER_STATE_GONE:
-				continue
-			case rockwindpb.ServerState_SERVER_STATE_SILENT:
-				v.counts.silent++
-			}
-			v.counts.here++
-			v.counts.at[server.GetAddress()]++
-		}
-	})
-	return &v.counts
+	return 2*(v.servers.silent-1) > v.servers.here.Len()-1
 }
--- a/internal/directory/incarnations.go
+++ b/internal/directory/incarnations.go
@@ -34,16 +34,10 @@
 // where the report is of an unknown one: whether it is newer or older than they are has to be
 // asked at the address.
 func (v *View) Holders(report *rockwindpb.Server) []*rockwindpb.Server {
-	if v.servers[report.GetId()] != nil {
+	if v.servers.get(report.GetId()) != nil {
 		return nil
 	}
-	var holders []*rockwindpb.Server
-	for _, server := range v.Servers() {
-		if server.GetState() != rockwindpb.ServerState_SERVER_STATE_GONE && server.GetAddress() == report.GetAddress() {
-			holders = append(holders, server)
-		}
-	}
-	return holders
+	return v.servers.at(report.GetAddress())
 }
 
 // Admit returns the command for a report. The holders are those from before the address was
@@ -64,24 +58,18 @@
 // Contests returns the addresses of which several incarnations are not gone, those of each by
 // identifier. Addresses at which none reports any more are left out.
 func (v *View) Contests() [][]*rockwindpb.Server {
-	held := make(map[string][]*rockwindpb.Server)
-	var addresses []string
-	for _, server := range v.Servers() {
-		if server.GetState() == rockwindpb.ServerState_SERVER_STATE_GONE {
-			continue
-		}
-		if held[server.GetAddress()] == nil {
-			addresses = append(addresses, server.GetAddress())
-		}
-		held[server.GetAddress()] = append(held[server.GetAddress()], server)
-	}
 	var contests [][]*rockwindpb.Server
-	for _, address := range addresses {
-		if len(held[address]) > 1 && slices.ContainsFunc(held[address], reports) {
-			contests = append(contests, held[address])
+	var before *rockwindpb.Server
+	v.servers.here.Scan(func(_ string, server *rockwindpb.Server) bool {
+		again := before != nil && before.GetAddress() == server.GetAddress()
+		counted := len(contests) > 0 && contests[len(contests)-1][0].GetAddress() == server.GetAddress()
+		if again && !counted {
+			contests = append(contests, v.servers.at(server.GetAddress()))
 		}
-	}
-	return contests
+		before = server
+		return true
+	})
+	return slices.DeleteFunc(contests, func(contest []*rockwindpb.Server) bool { return !slices.ContainsFunc(contest, reports) })
 }
 
 // reports tells whether a server was heard lately.
@@ -102,6 +90,6 @@
 // succeed marks incarnations as gone that were found to have ended.
 func (d *Directory) succeed(ended []string, now int64) {
 	for _, id := range ended {
-		d.goneServer(id, d.servers[id].GetState() == rockwindpb.ServerState_SERVER_STATE_READY, now)
+		d.goneServer(id, d.servers.get(id).GetState() == rockwindpb.ServerState_SERVER_STATE_READY, now)
 	}
 }
