Continuation: follow what changes among the servers

Cause: with each request that may run once, a router whose directory had changed listed and sorted all incarnations: milliseconds at 10,000 servers, with requests seconds apart and changes many times a second. Change: the watch takes the incarnations that are other than before.

--- a/internal/continuation/continuation.go
+++ b/internal/continuation/continuation.go
@@ -70,34 +70,31 @@
 type Watch struct {
 	way      Way
 	services map[string]*service
-	// ended are the incarnations that were seen to have ended.
-	ended map[string]bool
 }
 
 // NewWatch returns a watch that has seen no server.
 func NewWatch(way Way) *Watch {
-	return &Watch{way: way, services: make(map[string]*service), ended: make(map[string]bool)}
+	return &Watch{way: way, services: make(map[string]*service)}
 }
 
-// See takes all incarnations that the directory holds, those of servers that ended too.
-func (w *Watch) See(servers []Server, now time.Duration) {
-	ended := make(map[string]bool)
-	for _, known := range w.services {
-		known.serving = 0
-		known.ends = slices.DeleteFunc(known.ends, func(each end) bool { return now-each.at > window })
+// Take takes that an incarnation in the directory is other than before; nil is one that it does
+// not hold.
+func (w *Watch) Take(before, after *Server, now time.Duration) {
+	if before != nil && !before.Ended {
+		w.service(before.Service).serving--
 	}
-	for _, server := range servers {
-		known := w.service(server.Service)
-		if !server.Ended {
-			known.serving++
-			continue
-		}
-		ended[server.ID] = true
-		if !w.ended[server.ID] {
-			known.ends = append(known.ends, end{at: now, address: server.Address, zone: server.Zone})
-		}
+	if after == nil {
+		return
+	}
+	known := w.service(after.Service)
+	if !after.Ended {
+		known.serving++
+		return
+	}
+	if before == nil || !before.Ended {
+		known.ends = slices.DeleteFunc(known.ends, func(each end) bool { return now-each.at > window })
+		known.ends = append(known.ends, end{at: now, address: after.Address, zone: after.Zone})
 	}
-	w.ended = ended
 }
 
 func (w *Watch) service(name string) *service {
--- a/internal/continuation/continuation_test.go
+++ b/internal/continuation/continuation_test.go
@@ -21,6 +21,29 @@
 	return all
 }
 
+// follower has a watch take what each list of servers tells, of those that stay as they were too.
+type follower struct {
+	*continuation.Watch
+	seen map[string]*continuation.Server
+}
+
+func follow(way continuation.Way) *follower {
+	return &follower{Watch: continuation.NewWatch(way), seen: make(map[string]*continuation.Server)}
+}
+
+func (f *follower) See(servers []continuation.Server, now time.Duration) {
+	listed := make(map[string]*continuation.Server)
+	for _, server := range servers {
+		f.Take(f.seen[server.ID], &server, now)
+		listed[server.ID] = &server
+		delete(f.seen, server.ID)
+	}
+	for _, left := range f.seen {
+		f.Take(left, nil, now)
+	}
+	f.seen = listed
+}
+
 func run(server int) continuation.Run {
 	return continuation.Run{Service: "app", Address: fmt.Sprint("address-", server), Zone: fmt.Sprint("zone-", server%3)}
 }
@@ -42,7 +65,7 @@
 		"all are copied":               {way: continuation.All, run: 50, want: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			watch := continuation.NewWatch(test.way)
+			watch := follow(test.way)
 			watch.See(fleet(90, 0), 0)
 			watch.See(fleet(90, test.ended), time.Second)
 			if plan := watch.Plan(run(test.run), time.Second+test.at); plan.Copied() != test.want {
@@ -53,7 +76,7 @@
 }
 
 func TestAnEndCountsOnce(t *testing.T) {
-	watch := continuation.NewWatch(continuation.Selective)
+	watch := follow(continuation.Selective)
 	for second := range 20 {
 		watch.See(fleet(90, 1), time.Duration(second)*time.Second)
 	}
@@ -64,7 +87,7 @@
 }
 
 func TestServerThatEndsAgainCountsAgain(t *testing.T) {
-	watch := continuation.NewWatch(continuation.Selective)
+	watch := follow(continuation.Selective)
 	watch.See(fleet(90, 1), 0)
 	once := watch.Plan(run(0), 0).Chance()
 	watch.See(fleet(90, 0), time.Second)
@@ -75,7 +98,7 @@
 }
 
 func TestShortRunsAreLessLikelyToEnd(t *testing.T) {
-	watch := continuation.NewWatch(continuation.Selective)
+	watch := follow(continuation.Selective)
 	watch.See(fleet(90, 1), 0)
 	for range 200 {
 		watch.Ran("app", 10*time.Millisecond)
@@ -86,7 +109,7 @@
 }
 
 func TestCopiesLeaveAZoneThatFails(t *testing.T) {
-	watch := continuation.NewWatch(continuation.Selective)
+	watch := follow(continuation.Selective)
 	servers := fleet(90, 0)
 	for each := range servers {
 		servers[each].Ended = servers[each].Zone == "zone-1" && each < 30
@@ -99,3 +122,15 @@
 		t.Error("a run elsewhere has its copy in another zone")
 	}
 }
+
+// TestServersThatLeaveAreNotCountedAmongThoseThatServe: the chance of an end is one of those that
+// are left.
+func TestServersThatLeaveAreNotCountedAmongThoseThatServe(t *testing.T) {
+	watch := follow(continuation.Selective)
+	watch.See(fleet(90, 1), 0)
+	many := watch.Plan(run(50), 0).Chance()
+	watch.See(fleet(9, 1), time.Second)
+	if few := watch.Plan(run(50), time.Second).Chance(); few < 10*many {
+		t.Errorf("the chance is %v with 89 servers and %v with 8", many, few)
+	}
+}
--- a/internal/router/continuation.go
+++ b/internal/router/continuation.go
@@ -36,8 +36,7 @@
 	defer c.mutex.Unlock()
 	now := time.Since(c.origin)
 	if view != c.seen {
-		c.seen = view
-		c.watch.See(incarnations(view), now)
+		c.follow(view, now)
 	}
 	known, _ := view.Server(lease.ID)
 	return c.watch.Plan(continuation.Run{Service: service, Address: lease.Address, Zone: known.GetZone()}, now)
@@ -49,6 +48,19 @@
 	c.watch.Ran(service, took)
 }
 
+// follow has the watch take what is other in a view than in the one that it has seen. The mutex
+// is held.
+func (c *copies) follow(view *directory.View, now time.Duration) {
+	change := view.ChangeFrom(c.seen)
+	for _, server := range change.Servers() {
+		c.watch.Take(incarnation(c.seen, server.GetId()), incarnation(view, server.GetId()), now)
+	}
+	for _, left := range change.Left() {
+		c.watch.Take(incarnation(c.seen, left.GetId()), nil, now)
+	}
+	c.seen = view
+}
+
 // ran notes how long a stream was at its server.
 func (e *exchange) ran() {
 	if e.route.GetKind() == rockwindpb.RouteKind_ROUTE_KIND_STREAM && e.router.gates.On(gate.Continuation) {
@@ -56,19 +68,20 @@
 	}
 }
 
-// incarnations lists the servers of a directory that serve or have ended without leaving.
-func incarnations(view *directory.View) []continuation.Server {
-	var all []continuation.Server
-	for _, server := range view.Servers() {
-		ended := view.Ended(server.GetId())
-		if server.GetState() == rockwindpb.ServerState_SERVER_STATE_GONE && !ended {
-			continue
-		}
-		all = append(all, continuation.Server{
-			ID: server.GetId(), Service: server.GetService(), Address: server.GetAddress(), Zone: server.GetZone(), Ended: ended,
-		})
+// incarnation is a server of a directory that serves or has ended without leaving, nil for any
+// other; a nil view has none.
+func incarnation(view *directory.View, id string) *continuation.Server {
+	if view == nil {
+		return nil
+	}
+	server, known := view.Server(id)
+	ended := view.Ended(id)
+	if !known || (server.GetState() == rockwindpb.ServerState_SERVER_STATE_GONE && !ended) {
+		return nil
+	}
+	return &continuation.Server{
+		ID: server.GetId(), Service: server.GetService(), Address: server.GetAddress(), Zone: server.GetZone(), Ended: ended,
 	}
-	return all
 }
 
 // copied is a run that a second server keeps a copy of.
