Coordinators: answers to watchers bounded a second, and held calls woken by what they wait for

Cause: a coordinator answered each watcher up to 20 times a second while servers come and go, as through the whole start of a site of thousands; each commit woke each held call for a configuration, which then asked the group's owner. Change: news are gathered for 2 ms a watcher, 50 to 500 ms, so at most 500 answers a second and coordinator; a configuration or a drain of a zone still goes at once, by a signal of its own.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -59,6 +59,8 @@
 	identities identities
 	// members is used by a coordinator that is outside; see passOn.
 	members memberOrder
+	// watchers counts the calls for news of the directory that are held here.
+	watchers atomic.Int64
 	// wasCurrent tells that this coordinator was up to date with its leader once since its
 	// start: it has answered from its state.
 	wasCurrent atomic.Bool
@@ -246,6 +248,16 @@
 	return group.Applied(), nil
 }
 
+// changes returns channels that are closed at the next change of the state, and at the next
+// urgent one, with the errors of group. They are taken before the state is looked at.
+func (c *Coordinator) changes() (applied, urgent <-chan struct{}, err error) {
+	group, machine, err := c.group()
+	if err != nil {
+		return nil, nil, err
+	}
+	return group.Applied(), machine.urgent.next(), nil
+}
+
 // atLeader performs a call at the leader of the root group, here or elsewhere.
 // The call must have the same effect when it is performed twice: it is repeated
 // while the leader changes, until the context ends.
@@ -322,7 +334,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return catalog.NewService(catalogGroup{group}, machine.catalog, time.Now).Submit(ctx, request)
+		return catalog.NewService(catalogGroup{Group: group, machine: machine}, machine.catalog, time.Now).Submit(ctx, request)
 	}, elsewhere)
 }
 
@@ -340,7 +352,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return catalog.NewService(catalogGroup{group}, machine.catalog, time.Now).Get(ctx, request)
+		return catalog.NewService(catalogGroup{Group: group, machine: machine}, machine.catalog, time.Now).Get(ctx, request)
 	}, elsewhere)
 }
 
--- a/internal/coordinator/root.go
+++ b/internal/coordinator/root.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
@@ -24,6 +25,37 @@
 	zoneDrains *zonedrain.Register
 	// views is what other goroutines read.
 	views atomic.Pointer[rootView]
+	// urgent is raised at changes that watchers are told at once: of the configuration and of
+	// the drains of zones. Other changes come hundreds of times a second at a large site, and
+	// would wake each of its held calls.
+	urgent signal
+}
+
+// signal wakes those who wait for a change. The zero value is ready for use; its methods may be
+// called by any goroutine.
+type signal struct {
+	mutex  sync.Mutex
+	raised chan struct{}
+}
+
+// next returns a channel that is closed at the next change.
+func (s *signal) next() <-chan struct{} {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.raised == nil {
+		s.raised = make(chan struct{})
+	}
+	return s.raised
+}
+
+// raise wakes those who wait.
+func (s *signal) raise() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.raised != nil {
+		close(s.raised)
+		s.raised = nil
+	}
 }
 
 // rootView is the root group's state as applied here.
@@ -44,9 +76,13 @@
 
 // Publish implements replica.Publisher.
 func (m *rootMachine) Publish() {
-	m.views.Store(&rootView{
+	next := &rootView{
 		catalog: m.catalog.View(), directory: m.directory.View(), quarantine: m.quarantine.View(), zoneDrains: m.zoneDrains.List(),
-	})
+	}
+	before := m.views.Swap(next)
+	if before == nil || before.catalog != next.catalog || before.zoneDrains != next.zoneDrains {
+		m.urgent.raise()
+	}
 }
 
 // view is the state as applied on this replica.
@@ -99,7 +135,14 @@
 
 // catalogGroup lets the catalog's service propose to the root group, whose
 // commands have an envelope.
-type catalogGroup struct{ replica.Group }
+type catalogGroup struct {
+	replica.Group
+	machine *rootMachine
+}
+
+// Applied implements replica.Group for calls that wait for a configuration: it is closed at urgent
+// changes alone.
+func (g catalogGroup) Applied() <-chan struct{} { return g.machine.urgent.next() }
 
 // Propose implements replica.Group.
 func (g catalogGroup) Propose(ctx context.Context, command []byte) (any, error) {
--- a/internal/coordinator/services.go
+++ b/internal/coordinator/services.go
@@ -8,7 +8,6 @@
 
 	"rockwind.example/rockwind/internal/catalog"
 	"rockwind.example/rockwind/internal/fault"
-	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -22,6 +21,13 @@
 	// told: hundreds of processes and servers appear within a second at a start, and
 	// each change told alone costs every watcher a call.
 	newsLinger = 50 * time.Millisecond
+	// newsPerWatcher lengthens that by the watchers of this coordinator, so that it makes at most
+	// 500 answers a second however many they are: where servers come and go all the time, each
+	// watcher is answered as soon as it has asked again.
+	newsPerWatcher = 2 * time.Millisecond
+	// longestLinger bounds it: a server that leaves is to get nothing new after two seconds at the
+	// strictest sites. It is reached by 250 watchers, 1,250 processes with five coordinators.
+	longestLinger = 500 * time.Millisecond
 )
 
 // configurationService hands the configuration to routers and stores, and takes
@@ -86,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return catalog.NewService(catalogGroup{group}, machine.catalog, time.Now), nil
+	return catalog.NewService(catalogGroup{Group: group, machine: machine}, machine.catalog, time.Now), nil
 }
 
 // directoryService is the directory towards routers, stores and other
@@ -161,7 +167,7 @@
 }
 
 // Watch implements rockwindpb.DirectoryService: it answers soon after this replica
-// knows something newer, at once where that is a configuration or the watcher knows
+// knows something newer, at once where that is urgent or the watcher knows
 // nothing yet, or without news after the wait. It fails as soon as the replica no
 // longer hears the leader; one that has just started waits until it is up to date with its
 // leader first, as a part of the call's wait.
@@ -177,11 +183,14 @@
 	if _, _, err := s.coordinator.awaitCurrent(ctx); err != nil {
 		return nil, fault.ToTwirp(err)
 	}
+	s.coordinator.watchers.Add(1)
+	defer s.coordinator.watchers.Add(-1)
 	fresh := time.NewTicker(freshnessInterval)
 	defer fresh.Stop()
 	lingered := request.GetHaveRevision() == 0 || request.GetWaitMs() == 0
+	var lingering <-chan time.Time
 	for over := false; ; {
-		applied, err := s.coordinator.applied()
+		applied, urgent, err := s.coordinator.changes()
 		if err != nil {
 			return nil, fault.ToTwirp(err)
 		}
@@ -189,19 +198,22 @@
 		if err != nil {
 			return nil, fault.ToTwirp(err)
 		}
-		number := view.catalog.Index().Number()
-		news := view.directory.Revision() != request.GetHaveRevision() || view.quarantine.Revision() > request.GetHaveQuarantine() ||
-			lacksZoneDrains(view, request)
-		if over || number > request.GetHaveConfiguration() || (news && lingered) {
+		news := view.directory.Revision() != request.GetHaveRevision() || view.quarantine.Revision() > request.GetHaveQuarantine()
+		if over || hasUrgent(view, request) || (news && lingered) {
 			return answerWatch(view, request, time.Now()), nil
 		}
-		if news {
-			lingered = true
-			retry.Pause(ctx, newsLinger)
-			continue
+		if news && lingering == nil {
+			lingering = time.After(s.coordinator.lingerTime())
+		}
+		if lingering != nil {
+			// What changes meanwhile is told with the rest.
+			applied = nil
 		}
 		select {
 		case <-applied:
+		case <-urgent:
+		case <-lingering:
+			lingered = true
 		case <-fresh.C:
 		case <-wait.C:
 			over = true
@@ -211,6 +223,16 @@
 	}
 }
 
+// lingerTime is how long news of the directory are gathered before a watcher is told.
+func (c *Coordinator) lingerTime() time.Duration {
+	return min(longestLinger, max(newsLinger, time.Duration(c.watchers.Load())*newsPerWatcher))
+}
+
+// hasUrgent tells whether a view holds what a watcher is told at once.
+func hasUrgent(view *rootView, request *rockwindpb.WatchDirectoryRequest) bool {
+	return view.catalog.Index().Number() > request.GetHaveConfiguration() || lacksZoneDrains(view, request)
+}
+
 // answerWatch is what a watcher lacks of a view.
 func answerWatch(view *rootView, request *rockwindpb.WatchDirectoryRequest, now time.Time) *rockwindpb.WatchDirectoryResponse {
 	response := view.directory.Since(request.GetHaveRevision(), request.GetHaveStoreCluster())
