Coordinators outside of the root group follow it, and answer themselves

Cause: with ten coordinators and five places, half of all watches, reports and announcements were made twice: at a coordinator outside, and at the member that it passed them on to. The members carried all of the load. Change: a coordinator outside watches a member, and answers watches, reports and announcements with nothing new from what it was told within a second; answers tell their age, so that routers judge the age of what they hold as before. The leader lists the drains of zones: a member that was behind listed none (seen once in a test, now the leader's).

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -59,6 +59,8 @@
 	identities identities
 	// members is used by a coordinator that is outside; see passOn.
 	members memberOrder
+	// following is used by a coordinator that is outside.
+	following following
 	// watchers counts the calls for news of the directory that are held here.
 	watchers atomic.Int64
 	// wasCurrent tells that this coordinator was up to date with its leader once since its
@@ -126,6 +128,7 @@
 		group.Go(func() error { return sitemetrics.New("coordinator", decision.Default).Serve(parts, c.settings) })
 		group.Go(func() error { c.found(parts); return nil })
 		group.Go(func() error { c.keep(parts); return nil })
+		group.Go(func() error { c.follow(parts); return nil })
 		if outer == nil {
 			return
 		}
@@ -248,16 +251,6 @@
 	return group.Applied(), nil
 }
 
-// changes returns channels that are closed at the next change of the state, and at the next
-// urgent one, with the errors of group. They are taken before the state is looked at.
-func (c *Coordinator) changes() (applied, urgent <-chan struct{}, err error) {
-	group, machine, err := c.group()
-	if err != nil {
-		return nil, nil, err
-	}
-	return group.Applied(), machine.urgent.next(), nil
-}
-
 // atLeader performs a call at the leader of the root group, here or elsewhere.
 // The call must have the same effect when it is performed twice: it is repeated
 // while the leader changes, until the context ends.
@@ -359,6 +352,10 @@
 // Report takes a server's report. It returns once what is new in it is committed.
 func (c *Coordinator) Report(ctx context.Context, server *rockwindpb.Server) error {
 	if c.outside() {
+		if known := c.followed(); known != nil && !known.directory.Changes(server) {
+			c.live.note(server.GetId(), time.Now())
+			return nil
+		}
 		_, err := passOn(ctx, c, toCommit, func(ctx context.Context, base string) (*rockwindpb.ReportServerResponse, error) {
 			return c.directoryAt(base).Report(ctx, &rockwindpb.ReportServerRequest{Server: server})
 		})
--- a/internal/coordinator/keeper.go
+++ b/internal/coordinator/keeper.go
@@ -8,7 +8,6 @@
 
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
-	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/site"
@@ -38,6 +37,9 @@
 			if now := time.Now(); now.Sub(announced) >= announceInterval && c.announceOutside(ctx) {
 				announced = now
 			}
+			if known := c.followed(); known != nil {
+				c.tellLeader(ctx, known.leader)
+			}
 			continue
 		}
 		group, view, err := c.current()
@@ -51,7 +53,7 @@
 		}
 		if _, leading := group.Leading(); !leading {
 			ledSince = time.Time{}
-			c.tellLeader(ctx, group)
+			c.tellLeader(ctx, group.Status().GetLeaderAddress())
 			continue
 		}
 		if ledSince.IsZero() {
@@ -101,11 +103,13 @@
 	return c.change(calling, &rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Announce{Announce: machine}}) == nil
 }
 
-// tellLeader passes on which servers reported here.
-func (c *Coordinator) tellLeader(ctx context.Context, group replica.Group) {
-	leader := group.Status().GetLeaderAddress()
+// tellLeader tells the leader at an address, empty for none, which servers reported here.
+func (c *Coordinator) tellLeader(ctx context.Context, leader string) {
+	if leader == "" || leader == site.Advertised(c.settings) {
+		return
+	}
 	ids := c.live.take()
-	if len(ids) == 0 || leader == "" || leader == site.Advertised(c.settings) {
+	if len(ids) == 0 {
 		return
 	}
 	calling, cancel := context.WithTimeout(ctx, keepTimeout)
--- a/internal/coordinator/root.go
+++ b/internal/coordinator/root.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
@@ -31,33 +30,6 @@
 	urgent signal
 }
 
-// signal wakes those who wait for a change. The zero value is ready for use; its methods may be
-// called by any goroutine.
-type signal struct {
-	mutex  sync.Mutex
-	raised chan struct{}
-}
-
-// next returns a channel that is closed at the next change.
-func (s *signal) next() <-chan struct{} {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.raised == nil {
-		s.raised = make(chan struct{})
-	}
-	return s.raised
-}
-
-// raise wakes those who wait.
-func (s *signal) raise() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.raised != nil {
-		close(s.raised)
-		s.raised = nil
-	}
-}
-
 // rootView is the root group's state as applied here.
 type rootView struct {
 	catalog    *catalog.View
--- a/internal/coordinator/services.go
+++ b/internal/coordinator/services.go
@@ -7,29 +7,11 @@
 	"google.golang.org/protobuf/proto"
 
 	"rockwind.example/rockwind/internal/catalog"
+	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
-const (
-	// maximumWait bounds how long a call may wait for news.
-	maximumWait = 30 * time.Second
-	// freshnessInterval is how often a call that waits checks that this replica
-	// still hears the leader.
-	freshnessInterval = 250 * time.Millisecond
-	// newsLinger is how long news of the directory are gathered before a watcher is
-	// told: hundreds of processes and servers appear within a second at a start, and
-	// each change told alone costs every watcher a call.
-	newsLinger = 50 * time.Millisecond
-	// newsPerWatcher lengthens that by the watchers of this coordinator, so that it makes at most
-	// 500 answers a second however many they are: where servers come and go all the time, each
-	// watcher is answered as soon as it has asked again.
-	newsPerWatcher = 2 * time.Millisecond
-	// longestLinger bounds it: a server that leaves is to get nothing new after two seconds at the
-	// strictest sites. It is reached by 250 watchers, 1,250 processes with five coordinators.
-	longestLinger = 500 * time.Millisecond
-)
-
 // configurationService hands the configuration to routers and stores, and takes
 // what other coordinators carry to the leader.
 type configurationService struct{ coordinator *Coordinator }
@@ -114,6 +96,9 @@
 // Announce implements rockwindpb.DirectoryService.
 func (s directoryService) Announce(ctx context.Context, request *rockwindpb.AnnounceMachineRequest) (*rockwindpb.AnnounceMachineResponse, error) {
 	if s.coordinator.outside() {
+		if known := s.coordinator.followed(); known != nil && known.directory.KnowsMachine(request.GetMachine()) {
+			return s.coordinator.knownMachine(known.directory, request), nil
+		}
 		response, err := passOn(ctx, s.coordinator, toCommit, func(ctx context.Context, base string) (*rockwindpb.AnnounceMachineResponse, error) {
 			return s.coordinator.directoryAt(base).Announce(ctx, request)
 		})
@@ -129,12 +114,17 @@
 			return nil, fault.ToTwirp(err)
 		}
 	}
-	s.coordinator.live.note(machineKey(request.GetMachine().GetName()), time.Now())
+	return s.coordinator.knownMachine(view.directory, request), nil
+}
+
+// knownMachine notes that a machine lives which a directory holds, and answers its announcement.
+func (c *Coordinator) knownMachine(view *directory.View, request *rockwindpb.AnnounceMachineRequest) *rockwindpb.AnnounceMachineResponse {
+	c.live.note(machineKey(request.GetMachine().GetName()), time.Now())
 	response := &rockwindpb.AnnounceMachineResponse{}
 	if request.GetWantStoreCluster() {
-		response.StoreCluster = view.directory.StoreCluster()
+		response.StoreCluster = view.StoreCluster()
 	}
-	return response, nil
+	return response
 }
 
 // Note implements rockwindpb.DirectoryService.
@@ -172,7 +162,8 @@
 // longer hears the leader; one that has just started waits until it is up to date with its
 // leader first, as a part of the call's wait.
 func (s directoryService) Watch(ctx context.Context, request *rockwindpb.WatchDirectoryRequest) (*rockwindpb.WatchDirectoryResponse, error) {
-	if s.coordinator.outside() {
+	outside := s.coordinator.outside()
+	if outside && s.coordinator.followed() == nil {
 		response, err := passOn(ctx, s.coordinator, holdOf(request.GetWaitMs()), func(ctx context.Context, base string) (*rockwindpb.WatchDirectoryResponse, error) {
 			return s.coordinator.directoryAt(base).Watch(ctx, request)
 		})
@@ -180,75 +171,18 @@
 	}
 	wait := time.NewTimer(min(time.Duration(request.GetWaitMs())*time.Millisecond, maximumWait))
 	defer wait.Stop()
-	if _, _, err := s.coordinator.awaitCurrent(ctx); err != nil {
-		return nil, fault.ToTwirp(err)
-	}
-	s.coordinator.watchers.Add(1)
-	defer s.coordinator.watchers.Add(-1)
-	fresh := time.NewTicker(freshnessInterval)
-	defer fresh.Stop()
-	lingered := request.GetHaveRevision() == 0 || request.GetWaitMs() == 0
-	var lingering <-chan time.Time
-	for over := false; ; {
-		applied, urgent, err := s.coordinator.changes()
-		if err != nil {
+	if !outside {
+		if _, _, err := s.coordinator.awaitCurrent(ctx); err != nil {
 			return nil, fault.ToTwirp(err)
 		}
-		_, view, err := s.coordinator.current()
-		if err != nil {
-			return nil, fault.ToTwirp(err)
-		}
-		news := view.directory.Revision() != request.GetHaveRevision() || view.quarantine.Revision() > request.GetHaveQuarantine()
-		if over || hasUrgent(view, request) || (news && lingered) {
-			return answerWatch(view, request, time.Now()), nil
-		}
-		if news && lingering == nil {
-			lingering = time.After(s.coordinator.lingerTime())
-		}
-		if lingering != nil {
-			// What changes meanwhile is told with the rest.
-			applied = nil
-		}
-		select {
-		case <-applied:
-		case <-urgent:
-		case <-lingering:
-			lingered = true
-		case <-fresh.C:
-		case <-wait.C:
-			over = true
-		case <-ctx.Done():
-			return nil, fault.ToTwirp(fault.New(fault.Unavailable, "the wait for news was cut short", "ask again"))
-		}
 	}
-}
-
-// lingerTime is how long news of the directory are gathered before a watcher is told.
-func (c *Coordinator) lingerTime() time.Duration {
-	return min(longestLinger, max(newsLinger, time.Duration(c.watchers.Load())*newsPerWatcher))
-}
-
-// hasUrgent tells whether a view holds what a watcher is told at once.
-func hasUrgent(view *rootView, request *rockwindpb.WatchDirectoryRequest) bool {
-	return view.catalog.Index().Number() > request.GetHaveConfiguration() || lacksZoneDrains(view, request)
-}
-
-// answerWatch is what a watcher lacks of a view.
-func answerWatch(view *rootView, request *rockwindpb.WatchDirectoryRequest, now time.Time) *rockwindpb.WatchDirectoryResponse {
-	response := view.directory.Since(request.GetHaveRevision(), request.GetHaveStoreCluster())
-	response.ConfigurationNumber = view.catalog.Index().Number()
-	response.QuarantineRevision = view.quarantine.Revision()
-	if response.GetQuarantineRevision() > request.GetHaveQuarantine() {
-		response.Suspects = view.quarantine.Notices(now)
+	view, err := s.coordinator.awaitNews(ctx, request, wait)
+	if err != nil {
+		return nil, fault.ToTwirp(err)
 	}
-	if lacksZoneDrains(view, request) {
-		response.ZoneDrainsRevision = view.zoneDrains.Revision()
-		response.ZoneDrains = view.zoneDrains.Drains()
+	response := answerWatch(view, request, time.Now())
+	if group, _, err := s.coordinator.group(); err == nil && request.GetWantLeader() {
+		response.LeaderAddress = group.Status().GetLeaderAddress()
 	}
-	return response
-}
-
-// lacksZoneDrains tells whether a watcher takes zone drains, and holds older ones than a view.
-func lacksZoneDrains(view *rootView, request *rockwindpb.WatchDirectoryRequest) bool {
-	return request.GetKnowsZoneDrains() && view.zoneDrains.Revision() > request.GetHaveZoneDrains()
+	return response, nil
 }
--- a/internal/coordinator/zonedrain.go
+++ b/internal/coordinator/zonedrain.go
@@ -23,19 +23,24 @@
 	return &rockwindpb.EndZoneDrainResponse{}, fault.ToTwirp(s.coordinator.EndZoneDrain(ctx, request.GetZone()))
 }
 
-// List implements rockwindpb.ZoneDrainService.
+// List implements rockwindpb.ZoneDrainService. The leader answers, which knows what was committed a
+// moment ago.
 func (s zoneDrainService) List(ctx context.Context, request *rockwindpb.ListZoneDrainsRequest) (*rockwindpb.ListZoneDrainsResponse, error) {
+	elsewhere := func(ctx context.Context, base string) (*rockwindpb.ListZoneDrainsResponse, error) {
+		return s.coordinator.zoneDrainsAt(base).List(ctx, request)
+	}
 	if s.coordinator.outside() {
-		response, err := passOn(ctx, s.coordinator, passTimeout, func(ctx context.Context, base string) (*rockwindpb.ListZoneDrainsResponse, error) {
-			return s.coordinator.zoneDrainsAt(base).List(ctx, request)
-		})
+		response, err := passOnToLeader(ctx, s.coordinator, passTimeout, elsewhere)
 		return response, fault.ToTwirp(err)
 	}
-	_, view, err := s.coordinator.current()
-	if err != nil {
-		return nil, fault.ToTwirp(err)
-	}
-	return &rockwindpb.ListZoneDrainsResponse{Drains: view.zoneDrains.Drains()}, nil
+	response, err := fromLeader(ctx, s.coordinator, func() (*rockwindpb.ListZoneDrainsResponse, error) {
+		_, view, err := s.coordinator.current()
+		if err != nil {
+			return nil, err
+		}
+		return &rockwindpb.ListZoneDrainsResponse{Drains: view.zoneDrains.Drains()}, nil
+	}, elsewhere)
+	return response, fault.ToTwirp(err)
 }
 
 // StartZoneDrain has the servers of a zone get nothing new. It returns once that is committed;
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -60,6 +60,19 @@
 	return max(0, l.held[content].Sub(now))
 }
 
+// Notices lists what others have to know.
+func (l *List) Notices(now time.Time) []*rockwindpb.SuspectNotice {
+	if l == nil {
+		return nil
+	}
+	told := make([]*rockwindpb.SuspectNotice, 0, len(l.held))
+	for content, until := range l.held {
+		left := max(0, until.Sub(now))
+		told = append(told, &rockwindpb.SuspectNotice{Content: content.Bytes(), HeldMs: uint64(left.Milliseconds())})
+	}
+	return told
+}
+
 // Held counts the contents that are held.
 func (l *List) Held(now time.Time) int {
 	held := 0
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -304,7 +304,8 @@
 		return fault.From(err)
 	}
 	w.recordDependency(address, nil)
-	w.heard.Store(time.Now().UnixNano())
+	age := time.Duration(response.GetAgeMs()) * time.Millisecond
+	w.heard.Store(time.Now().Add(-age).UnixNano())
 	// The hint makes the follower ask the preferred coordinator, which must be the
 	// one that has the news. A call that waits there already is about to be answered, and
 	// is not cut. Where the next answer shows that it was not, it hangs: a hint would not
