Cold servers get from all processes together what they bear

Change: the right to send to a cold server is split among processes by hashing, the configuration tells what it bears.

--- a/internal/balance/members.go
+++ b/internal/balance/members.go
@@ -11,6 +11,10 @@
 	Slots int
 	// Silent servers have not reported for long.
 	Silent bool
+	// ColdUntil is until when it is cold, in the pool's time, and ColdSpacing the least time between
+	// requests of this process meanwhile; zero means none.
+	ColdUntil   time.Duration
+	ColdSpacing time.Duration
 }
 
 // server is a member with what is known of its load.
@@ -40,6 +44,8 @@
 	excess settled
 	// vacated is when requests of this process left slots here that none has taken since.
 	vacated recent
+	// coldNext is when this process may send the next request there while it is cold.
+	coldNext time.Duration
 	// looked is the last search among a part of the servers that looked at this one.
 	looked uint64
 	// parts tells when a part was last sent here.
@@ -157,6 +163,11 @@
 	return slots
 }
 
+// refusesCold tells whether a server is cold and gets nothing more from this process now.
+func (s *server) refusesCold(now time.Duration) bool {
+	return now < s.ColdUntil && (s.ColdSpacing == 0 || now < s.coldNext)
+}
+
 func (s *server) dropOldParts(now time.Duration) {
 	for id, last := range s.parts {
 		if now-last > partFor {
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -220,6 +220,7 @@
 
 func (p *Pool) start(chosen *server, demand Demand, uncached int, now time.Duration) {
 	chosen.inflight++
+	chosen.coldNext = now + chosen.ColdSpacing
 	chosen.since++
 	p.summary.started(demand.Batch)
 	if demand.Batch {
--- a/internal/balance/search.go
+++ b/internal/balance/search.go
@@ -51,7 +51,7 @@
 // look weighs the server at a place.
 func (s *search) look(place int) {
 	p, known := s.pool, s.pool.servers[place]
-	if known == nil || slices.Contains(s.tried, known.ID) {
+	if known == nil || known.refusesCold(s.now) || slices.Contains(s.tried, known.ID) {
 		return
 	}
 	candidate := p.see(known, s.now)
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -9,6 +9,7 @@
 	"rockwind.example/rockwind/internal/backlog"
 	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/balance/pace"
+	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/gate"
@@ -35,6 +36,10 @@
 	view *directory.View
 	// drains are the zones whose servers get nothing new.
 	drains *zonedrain.List
+	// index is the configuration in force, nil before the first one, and processes the names of
+	// those that send to servers.
+	index     *configuration.Index
+	processes []string
 	// servers are the hashes of all servers of the directory, and lefts those of what was left
 	// behind there.
 	servers map[uint32]struct{}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -1,7 +1,11 @@
 package router
 
 import (
+	"time"
+
 	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/coldstart"
+	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/zonedrain"
@@ -50,12 +54,16 @@
 	if drains.Revision() == d.drains.Revision() {
 		return
 	}
+	before := d.drains
 	d.drains = drains
 	if d.view == nil {
 		return
 	}
 	for _, server := range d.view.Servers() {
 		d.take(server, nil)
+		if before.Drained(server.GetZone()) && !drains.Drained(server.GetZone()) {
+			d.takeCold(server, d.coldTime(server.GetService()))
+		}
 	}
 	for name := range d.pools {
 		d.serveWaiting(name)
@@ -69,6 +77,13 @@
 	return len(d.drains.Drains())
 }
 
+// Configure takes the configuration in force.
+func (d *Dispatcher) Configure(index *configuration.Index) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.index = index
+}
+
 // take has the pool of a server's service know it as the directory describes it. The mutex is
 // held.
 func (d *Dispatcher) take(server *rockwindpb.Server, before *directory.View) {
@@ -83,9 +98,24 @@
 		d.drop(server)
 		return
 	}
-	d.service(server.GetService()).pool.Put(balance.Member{
-		ID: server.GetId(), Address: server.GetAddress(), Zone: server.GetZone(), Slots: int(server.GetSlots()), Silent: silent,
-	})
+	d.takeCold(server, coldLeft(server, time.Now()))
+}
+
+// takeCold has the pool of a server's service know the server, which is cold for the given time. The
+// mutex is held.
+func (d *Dispatcher) takeCold(server *rockwindpb.Server, cold time.Duration) {
+	if d.drains.Drained(server.GetZone()) {
+		return
+	}
+	member := balance.Member{
+		ID: server.GetId(), Address: server.GetAddress(), Zone: server.GetZone(), Slots: int(server.GetSlots()),
+		Silent: server.GetState() == rockwindpb.ServerState_SERVER_STATE_SILENT,
+	}
+	if rate := d.coldRate(server.GetService()); cold > 0 && rate > 0 {
+		member.ColdUntil = d.now() + cold
+		member.ColdSpacing, _ = coldstart.Spacing(server.GetId(), d.name, d.processes, rate)
+	}
+	d.service(server.GetService()).pool.Put(member)
 }
 
 // drop takes a server out of the pool of its service. The mutex is held.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -102,6 +102,7 @@
 	for ctx.Err() == nil {
 		changed := watcher.Changed()
 		if view := watcher.Directory(); view != nil {
+			dispatcher.Configure(watcher.Configuration())
 			dispatcher.DrainZones(watcher.ZoneDrains())
 			dispatcher.Update(view)
 		}
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -158,7 +158,7 @@
 		return
 	}
 	var members []loadshare.Member
-	d.stores, d.routers = 0, 0
+	d.stores, d.routers, d.processes = 0, 0, nil
 	for _, machine := range view.Machines() {
 		rank := routerRank
 		switch machine.GetRole() {
@@ -170,6 +170,7 @@
 		default:
 			continue
 		}
+		d.processes = append(d.processes, machine.GetName())
 		if address, err := netip.ParseAddrPort(machine.GetAddress()); err == nil {
 			members = append(members, loadshare.NewMember(machine.GetName(), machine.GetZone(), address, rank))
 		}
