Directory: starts under the same identifier are told apart, and reports of other writers are refused

Cause: a server that started again under its identifier reported smaller counts than before, so that its reports changed nothing: one that was silent stayed so, one that had left never came back. A report of any state was taken for one of a ready server, whatever else it lacked. Change: reports and leaves carry when the server started; a later start is another incarnation, and what comes late from an earlier one changes nothing. A report without a known state, service, identifier or usable address is refused.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -22,6 +22,7 @@
 	"rockwind.example/rockwind/internal/catalog"
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/dial"
+	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/retry"
@@ -349,8 +350,12 @@
 	}, elsewhere)
 }
 
-// Report takes a server's report. It returns once what is new in it is committed.
+// Report takes a server's report. It returns once what is new in it is committed. It fails with
+// fault.InvalidArgument for a report that names no server to use.
 func (c *Coordinator) Report(ctx context.Context, server *rockwindpb.Server) error {
+	if err := directory.CheckReport(server); err != nil {
+		return err
+	}
 	if c.outside() {
 		if known := c.followed(); known != nil && !known.directory.Changes(server) {
 			c.live.note(server.GetId(), time.Now())
@@ -382,18 +387,18 @@
 }
 
 // Leave takes a server's leave. It returns once the leave is committed.
-func (c *Coordinator) Leave(ctx context.Context, id string) error {
+func (c *Coordinator) Leave(ctx context.Context, leaving *rockwindpb.LeaveServerRequest) error {
 	if c.outside() {
 		_, err := passOn(ctx, c, toCommit, func(ctx context.Context, base string) (*rockwindpb.LeaveServerResponse, error) {
-			return c.directoryAt(base).Leave(ctx, &rockwindpb.LeaveServerRequest{Id: id})
+			return c.directoryAt(base).Leave(ctx, leaving)
 		})
 		return err
 	}
 	err := c.change(ctx, &rockwindpb.DirectoryCommand{
-		Command: &rockwindpb.DirectoryCommand_Leave{Leave: &rockwindpb.LeaveServerRequest{Id: id}},
+		Command: &rockwindpb.DirectoryCommand_Leave{Leave: leaving},
 	})
 	if err == nil {
-		log.WithField("server", id).Info("server left")
+		log.WithField("server", leaving.GetId()).Info("server left")
 	}
 	return err
 }
--- a/internal/coordinator/following_test.go
+++ b/internal/coordinator/following_test.go
@@ -45,7 +45,7 @@
 // changeFor has a server report something new each 10 ms for a time.
 func (s *virtualSite) changeFor(c *Coordinator, span time.Duration) {
 	s.t.Helper()
-	server := &rockwindpb.Server{Id: "changes", Address: "changes", State: rockwindpb.ServerState_SERVER_STATE_READY}
+	server := &rockwindpb.Server{Id: "changes", Service: "app", Address: "10.0.0.1:80", State: rockwindpb.ServerState_SERVER_STATE_READY}
 	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		server.Sequence++
 		server.Slots++
@@ -99,7 +99,7 @@
 	inSiteThatAdmits(t, coordinators, func(s *virtualSite) {
 		outside, stop := s.startFollower()
 		defer stop()
-		server := &rockwindpb.Server{Id: "server", Address: "address", State: rockwindpb.ServerState_SERVER_STATE_READY}
+		server := &rockwindpb.Server{Id: "server", Service: "app", Address: "10.0.0.2:80", State: rockwindpb.ServerState_SERVER_STATE_READY}
 		for report := range 5 {
 			server.Sequence++
 			if err := outside.Report(s.t.Context(), server); err != nil {
--- a/internal/coordinator/members_test.go
+++ b/internal/coordinator/members_test.go
@@ -49,7 +49,7 @@
 	c := p.coordinator
 	service, configurations := directoryService{c}, configurationService{c}
 	id := fmt.Sprintf("server%d", number)
-	server := &rockwindpb.Server{Id: id, Service: "app", Address: id, Sequence: 1, State: rockwindpb.ServerState_SERVER_STATE_READY}
+	server := &rockwindpb.Server{Id: id, Service: "app", Address: fmt.Sprintf("10.0.0.%d:80", number), Sequence: 1, State: rockwindpb.ServerState_SERVER_STATE_READY}
 	configuration := &rockwindpb.Configuration{Number: number}
 	machine := &rockwindpb.Machine{Name: "store", Role: rockwindpb.SiteRole_SITE_ROLE_STORE, Address: "store"}
 	longest := time.Duration(0)
@@ -68,7 +68,7 @@
 			if err := c.Report(ctx, server); err != nil {
 				return err
 			}
-			return c.Leave(ctx, id)
+			return c.Leave(ctx, &rockwindpb.LeaveServerRequest{Id: id})
 		},
 		"announce": func(ctx context.Context) error {
 			_, err := service.Announce(ctx, &rockwindpb.AnnounceMachineRequest{Machine: machine})
@@ -269,7 +269,7 @@
 		defer cancel()
 		made := func() int { return s.links.callsOf("Leave") + s.links.callsOf("Change") }
 		before, began := made(), time.Now()
-		err := outside.coordinator.Leave(ctx, "nobody")
+		err := outside.coordinator.Leave(ctx, &rockwindpb.LeaveServerRequest{Id: "nobody"})
 		took, calls := time.Since(began), made()-before
 		s.t.Logf("committed after %v with %d calls: %v", took, calls, err)
 		// One call at a follower, and one at the leader.
--- a/internal/coordinator/services.go
+++ b/internal/coordinator/services.go
@@ -89,7 +89,7 @@
 
 // Leave implements rockwindpb.DirectoryService.
 func (s directoryService) Leave(ctx context.Context, request *rockwindpb.LeaveServerRequest) (*rockwindpb.LeaveServerResponse, error) {
-	err := s.coordinator.Leave(ctx, request.GetId())
+	err := s.coordinator.Leave(ctx, request)
 	return &rockwindpb.LeaveServerResponse{}, fault.ToTwirp(err)
 }
 
--- a/internal/coordinator/zonedrain_test.go
+++ b/internal/coordinator/zonedrain_test.go
@@ -33,7 +33,7 @@
 // zoneWithAServer has a server in a zone report.
 func (s *virtualSite) zoneWithAServer(zone string) {
 	s.t.Helper()
-	server := &rockwindpb.Server{Id: "in " + zone, Address: zone, Zone: zone, State: rockwindpb.ServerState_SERVER_STATE_READY}
+	server := &rockwindpb.Server{Id: "in " + zone, Service: "app", Address: "10.0.0.1:80", Zone: zone, State: rockwindpb.ServerState_SERVER_STATE_READY}
 	if err := s.processes[0].coordinator.Report(s.t.Context(), server); err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -5,7 +5,8 @@
 //
 // Invariants:
 //   - the state of one incarnation of a server never goes back from draining or
-//     gone, whatever reports arrive late;
+//     gone, whatever reports arrive late; a later start under the same identifier is another
+//     incarnation, and what comes late from an earlier one changes nothing;
 //   - of several incarnations at one address, one is gone only where it left, or the address
 //     was asked and another one answered; a report of a version that did not ask ends all
 //     others there;
@@ -60,7 +61,7 @@
 	case *rockwindpb.DirectoryCommand_Report:
 		d.report(content.Report, command.GetSuccession() == nil, now)
 	case *rockwindpb.DirectoryCommand_Leave:
-		d.leave(content.Leave.GetId(), now)
+		d.leaveOf(content.Leave, now)
 	case *rockwindpb.DirectoryCommand_Silence:
 		d.silence(content.Silence.GetIds(), now)
 	case *rockwindpb.DirectoryCommand_Announce:
@@ -85,9 +86,12 @@
 }
 
 func changes(known, report *rockwindpb.Server) bool {
-	if known == nil {
+	if known == nil || startedAgain(known, report) {
 		return true
 	}
+	if report.GetBornUnixMs() != 0 && report.GetBornUnixMs() < known.GetBornUnixMs() {
+		return false
+	}
 	switch known.GetState() {
 	case rockwindpb.ServerState_SERVER_STATE_GONE:
 		return false
@@ -97,11 +101,18 @@
 	if report.GetSequence() < known.GetSequence() {
 		return false
 	}
-	return known.GetState() != report.GetState() || known.GetAddress() != report.GetAddress() ||
+	learnsStart := known.GetBornUnixMs() == 0 && report.GetBornUnixMs() != 0
+	return learnsStart || known.GetState() != report.GetState() || known.GetAddress() != report.GetAddress() ||
 		known.GetService() != report.GetService() || known.GetZone() != report.GetZone() ||
 		known.GetVersion() != report.GetVersion() || known.GetSlots() != report.GetSlots()
 }
 
+// startedAgain tells whether a report is of a later start under the identifier of a known server,
+// whose state and sequence tell nothing of it.
+func startedAgain(known, report *rockwindpb.Server) bool {
+	return known.GetBornUnixMs() != 0 && report.GetBornUnixMs() > known.GetBornUnixMs()
+}
+
 // report takes a report. Where the newest one counts, as in the logs of earlier versions, an
 // unknown incarnation has ended all others at its address.
 func (d *Directory) report(report *rockwindpb.Server, newest bool, now int64) {
@@ -126,6 +137,15 @@
 	}
 }
 
+// leaveOf takes a leave, unless it comes late from an earlier start.
+func (d *Directory) leaveOf(leaving *rockwindpb.LeaveServerRequest, now int64) {
+	known := d.servers.get(leaving.GetId())
+	if leaving.GetBornUnixMs() != 0 && leaving.GetBornUnixMs() < known.GetBornUnixMs() {
+		return
+	}
+	d.leave(leaving.GetId(), now)
+}
+
 func (d *Directory) leave(id string, now int64) { d.goneServer(id, false, now) }
 
 // goneServer marks an incarnation as gone, one that was replaced while it was ready as such.
--- /dev/null
+++ b/internal/directory/report_test.go
@@ -0,0 +1,96 @@
+package directory_test
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"rockwind.example/rockwind/internal/directory"
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
+
+func bornReport(born int64, state rockwindpb.ServerState, sequence uint64) *rockwindpb.DirectoryCommand {
+	command := report("a", "x", state, sequence)
+	command.GetReport().BornUnixMs = born
+	// As coordinators that ask addresses commit it.
+	command.Succession = &rockwindpb.Succession{}
+	return command
+}
+
+// TestServerThatStartsAgainUnderItsIdentifier: its counts begin anew, and what it was before, silent,
+// draining or gone, tells nothing of it. What comes late from before changes nothing.
+func TestServerThatStartsAgainUnderItsIdentifier(t *testing.T) {
+	leaveOf := func(born int64) *rockwindpb.DirectoryCommand {
+		return &rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Leave{
+			Leave: &rockwindpb.LeaveServerRequest{Id: "a", BornUnixMs: born},
+		}}
+	}
+	for name, before := range map[string]*rockwindpb.DirectoryCommand{
+		"ready": bornReport(1000, ready, 90), "draining": bornReport(1000, draining, 90), "silent": silence("a"), "gone": leaveOf(1000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := directory.New()
+			d.Apply(bornReport(1000, ready, 80))
+			d.Apply(before)
+			d.Apply(bornReport(2000, ready, 1))
+			if got := state(d, "a"); got != ready {
+				t.Fatalf("a server that started again is %v", got)
+			}
+			revision := d.View().Revision()
+			for _, late := range []*rockwindpb.DirectoryCommand{bornReport(1000, draining, 99), leaveOf(1000)} {
+				if d.Apply(late); state(d, "a") != ready || d.View().Revision() != revision {
+					t.Fatalf("%v from before the start makes it %v", late, state(d, "a"))
+				}
+			}
+			d.Apply(bornReport(2000, draining, 2))
+			d.Apply(bornReport(2000, ready, 3))
+			if got := state(d, "a"); got != draining {
+				t.Fatalf("a draining server is %v", got)
+			}
+			if d.Apply(leaveOf(2000)); state(d, "a") != gone {
+				t.Fatalf("a server that left is %v", state(d, "a"))
+			}
+		})
+	}
+}
+
+// TestStartIsLearnt: a version that did not know of starts has entered the server, or it did not tell.
+func TestStartIsLearnt(t *testing.T) {
+	d := directory.New()
+	d.Apply(report("a", "x", ready, 80))
+	d.Apply(bornReport(1000, ready, 81))
+	d.Apply(bornReport(2000, ready, 1))
+	if server, _ := d.View().Server("a"); server.GetBornUnixMs() != 2000 || server.GetSequence() != 1 {
+		t.Fatalf("the entry is %v", server)
+	}
+	d = directory.New()
+	d.Apply(leave("a"))
+	if d.Apply(bornReport(1000, ready, 9)); state(d, "a") != gone {
+		t.Fatalf("a server that left before it told its start is %v", state(d, "a"))
+	}
+}
+
+// TestReportsThatNameNoServer come from other writers.
+func TestReportsThatNameNoServer(t *testing.T) {
+	good := &rockwindpb.Server{Id: "a", Service: "s", Address: "10.0.0.1:80", State: ready}
+	if err := directory.CheckReport(good); err != nil {
+		t.Fatal(err)
+	}
+	for name, spoil := range map[string]func(server *rockwindpb.Server){
+		"no state":      func(server *rockwindpb.Server) { server.State = rockwindpb.ServerState_SERVER_STATE_UNSPECIFIED },
+		"gone":          func(server *rockwindpb.Server) { server.State = gone },
+		"unknown state": func(server *rockwindpb.Server) { server.State = 99 },
+		"no service":    func(server *rockwindpb.Server) { server.Service = "" },
+		"no identifier": func(server *rockwindpb.Server) { server.Id = "" },
+		"no address":    func(server *rockwindpb.Server) { server.Address = "" },
+		"no port":       func(server *rockwindpb.Server) { server.Address = "10.0.0.1" },
+		"name":          func(server *rockwindpb.Server) { server.Address = "server:80" },
+	} {
+		bad := proto.CloneOf(good)
+		spoil(bad)
+		if err := directory.CheckReport(bad); !fault.Is(err, fault.InvalidArgument) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
