Health: time passes for servers with evidence alone

Cause: four times a second each process looked at the record of each server, of which it sends to a few a second. Change: the tracker lists the servers with evidence, in order, so that judgements and draws stay as they were.

--- a/internal/health/evaluate.go
+++ b/internal/health/evaluate.go
@@ -18,7 +18,7 @@
 // forgets old ejections. Call it about once a second.
 func (t *Tracker) Evaluate(now time.Duration, random *rand.Rand) {
 	median, comparable := t.medianLatency()
-	for index := range t.records {
+	for _, index := range t.touched {
 		entry := &t.records[index]
 		if entry.state == Ejected {
 			continue
@@ -40,7 +40,7 @@
 
 func (t *Tracker) medianLatency() (float64, bool) {
 	t.scratch = t.scratch[:0]
-	for index := range t.records {
+	for _, index := range t.touched {
 		entry := &t.records[index]
 		if entry.state != Ejected && entry.samples >= minimumSamples {
 			t.scratch = append(t.scratch, entry.latency)
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -12,6 +12,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -124,6 +125,8 @@
 	slow          bool
 	wantsEjection bool
 	silence       silence
+	// touched tells that its server is listed among those with evidence.
+	touched bool
 }
 
 // Tracker judges a set of servers, known by index.
@@ -132,6 +135,9 @@
 	records []record
 	ejected int
 	scratch []float64
+	// touched lists the servers with evidence in order. Of 10,000 servers a process of a large site
+	// sends to a few each second, and what depends on time concerns these alone.
+	touched []int
 }
 
 // NewTracker returns a tracker of so many servers, all healthy.
@@ -146,6 +152,8 @@
 	}
 	if servers <= len(t.records) {
 		t.records = t.records[:servers]
+		place, _ := slices.BinarySearch(t.touched, servers)
+		t.touched = t.touched[:place]
 		return
 	}
 	t.records = append(t.records, make([]record, servers-len(t.records))...)
@@ -156,13 +164,24 @@
 	if t.records[server].state == Ejected {
 		t.ejected--
 	}
-	t.records[server] = record{}
+	t.records[server] = record{touched: t.records[server].touched}
+}
+
+// touch returns the record of a server that there is evidence of.
+func (t *Tracker) touch(server int) *record {
+	entry := &t.records[server]
+	if !entry.touched {
+		entry.touched = true
+		place, _ := slices.BinarySearch(t.touched, server)
+		t.touched = slices.Insert(t.touched, place, server)
+	}
+	return entry
 }
 
 // Record takes the outcome of one exchange with a server. Latency is the time
 // to the first token or to the answer's head; zero means not measured.
 func (t *Tracker) Record(server int, outcome Outcome, latency, now time.Duration, random *rand.Rand) {
-	entry := &t.records[server]
+	entry := t.touch(server)
 	entry.decay(now, t.policy.HalfLife)
 	switch outcome {
 	case Success:
@@ -219,7 +238,7 @@
 	}
 	t.ejected--
 	ejections := entry.ejections
-	*entry = record{ejections: ejections, returned: true, returnedAt: now, healthySince: now, failuresAt: now, silence: entry.silence}
+	*entry = record{touched: true, ejections: ejections, returned: true, returnedAt: now, healthySince: now, failuresAt: now, silence: entry.silence}
 }
 
 func (t *Tracker) failed(entry *record, weight float64, now time.Duration, random *rand.Rand) {
--- a/internal/health/silence.go
+++ b/internal/health/silence.go
@@ -23,7 +23,7 @@
 // Sent tells that a streamed request was sent to a server, and how long its
 // first token was expected to take.
 func (t *Tracker) Sent(server int, expected, now time.Duration) {
-	found := &t.records[server].silence
+	found := &t.touch(server).silence
 	if found.awaited == 0 {
 		found.quietSince = now
 		found.patience = 0
@@ -35,7 +35,7 @@
 // FirstToken tells that the wait for a streamed request's first token is over,
 // and whether the token came.
 func (t *Tracker) FirstToken(server int, came bool, now time.Duration) {
-	found := &t.records[server].silence
+	found := &t.touch(server).silence
 	found.awaited = max(0, found.awaited-1)
 	if came {
 		found.quietSince = now
--- /dev/null
+++ b/internal/health/size_test.go
@@ -0,0 +1,64 @@
+package health_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"rockwind.example/rockwind/internal/health"
+)
+
+// TestEvidenceIsJudgedWhereverItIs: servers that were forgotten, and places that are no more, come
+// back without history, and those with evidence are judged whatever was there before.
+func TestEvidenceIsJudgedWhereverItIs(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	tracker := health.NewTracker(health.DefaultPolicy, 10)
+	fail := func(server int, now time.Duration) {
+		for range 5 {
+			tracker.Record(server, health.Failure, 0, now, random)
+		}
+	}
+	state := func(server int, now time.Duration) health.State {
+		tracker.Evaluate(now, random)
+		found, _ := tracker.State(server, now)
+		return found
+	}
+	fail(7, 0)
+	if state(7, 0) != health.Ejected {
+		t.Fatal("a server that failed five times is not ejected")
+	}
+	tracker.Forget(7)
+	if state(7, time.Second) != health.Healthy {
+		t.Fatal("a server that was forgotten is not healthy")
+	}
+	tracker.Resize(5)
+	tracker.Resize(10)
+	fail(7, time.Second)
+	if state(7, time.Second) != health.Ejected || tracker.Ejected() != 1 {
+		t.Fatal("a server at a place that was no more is not judged")
+	}
+	tracker.Sent(3, 0, time.Second)
+	for now := time.Second; now < 20*time.Second; now += 250 * time.Millisecond {
+		tracker.Evaluate(now, random)
+	}
+	if state(3, 20*time.Second) == health.Healthy {
+		t.Fatal("a server that is silent for long is healthy")
+	}
+}
+
+// BenchmarkEvaluate is what depends on time, at a process that has sent to 100 of so many servers.
+func BenchmarkEvaluate(b *testing.B) {
+	for _, servers := range []int{300, 1000, 3000, 10_000, 20_000} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			random := rand.New(rand.NewPCG(1, 1))
+			tracker := health.NewTracker(health.DefaultPolicy, servers)
+			for place := range 100 {
+				tracker.Record(place*servers/100, health.Success, 20*time.Millisecond, 0, random)
+			}
+			for now := time.Duration(0); b.Loop(); now += 250 * time.Millisecond {
+				tracker.Evaluate(now, random)
+			}
+		})
+	}
+}
