Balance: speeds of servers are remembered where servers tell their pace

Cause: four times a second each process looked at what all processes know of the pace of each server, at services whose servers tell none: no choice goes by it there. Change: passed over while no server has told its pace for 30 s.

--- a/internal/balance/evidence.go
+++ b/internal/balance/evidence.go
@@ -97,7 +97,8 @@
 func (p *Pool) Evaluate(now time.Duration, random *rand.Rand) {
 	p.tracker.Evaluate(now, random)
 	p.findEjected(now)
-	if p.pacer == nil {
+	if !p.informed(now) {
+		// No server tells its pace, and no choice goes by what would be remembered.
 		return
 	}
 	for place, each := range p.servers {
