Balance: what gives way is looked for where own batch work runs

Cause: 25 times a second each store with open items went through all servers three times to find those of its own runs, and summed up the batch work of all processes at each. Change: the pool lists the places with batch work of this process; the sum over all is made where requests wait.

--- a/internal/balance/headroom.go
+++ b/internal/balance/headroom.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -139,8 +140,9 @@
 // so that processes that see the same do neither nothing nor all. The visitor returns how
 // many gave way.
 func (p *Pool) Yield(waiting int, now time.Duration, random *rand.Rand, visit func(server string, requests int) int) {
-	for _, each := range p.servers {
-		if each == nil || each.batch == 0 || each.Slots == 0 {
+	for _, place := range p.withBatch() {
+		each := p.servers[place]
+		if each.Slots == 0 {
 			continue
 		}
 		excess := each.excess.rest(max(0, p.see(each, now).counted-each.Slots), p.viewAge, now)
@@ -157,32 +159,59 @@
 // yieldToQueues gives way to the online requests that wait in the queues of all processes,
 // waiting of them in this one's.
 func (p *Pool) yieldToQueues(waiting int, now time.Duration, random *rand.Rand, visit func(server string, requests int) int) {
-	own, all := 0, 0
-	for _, each := range p.servers {
-		if each != nil {
-			own += each.batch
-			all += p.batchAt(each)
-		}
+	own := 0
+	places := p.withBatch()
+	for _, place := range places {
+		own += p.servers[place].batch
 	}
 	queued := waiting + p.shares.At(p.queue).Inflight
 	if p.viewAge == 0 {
 		queued -= p.headroom.gave.count(settleTime, now)
 	}
-	left := p.share(p.headroom.queued.rest(max(0, queued), p.viewAge, now), own, all, random)
+	left := 0
+	if excess := p.headroom.queued.rest(max(0, queued), p.viewAge, now); excess > 0 && own > 0 {
+		left = p.share(excess, own, p.allBatch(), random)
+	}
 	first := 0
 	if len(p.servers) > 0 {
-		first = random.IntN(len(p.servers))
+		first, _ = slices.BinarySearch(places, random.IntN(len(p.servers)))
 	}
-	for offset := range p.servers {
-		if each := p.servers[(first+offset)%len(p.servers)]; each != nil && left > 0 {
-			left -= p.yieldAt(each, min(left, each.batch), now, visit)
-		}
+	for offset := range places {
+		each := p.servers[places[(first+offset)%len(places)]]
+		left -= p.yieldAt(each, min(left, each.batch), now, visit)
 	}
 	if left > 0 {
 		p.headroom.queued.reopen()
 	}
 }
 
+// allBatch is how much batch work all servers have, of all processes.
+func (p *Pool) allBatch() int {
+	all := 0
+	for _, each := range p.servers {
+		if each != nil {
+			all += p.batchAt(each)
+		}
+	}
+	return all
+}
+
+// withBatch lists the places of the servers that have batch work of this process, in order: a store
+// looks at them 25 times a second, and of 10,000 servers it uses some tens.
+func (p *Pool) withBatch() []int {
+	p.batchPlaces = slices.DeleteFunc(p.batchPlaces, func(place int) bool {
+		return p.servers[place] == nil || p.servers[place].batch == 0
+	})
+	return p.batchPlaces
+}
+
+// noteBatch notes that the server at a place has batch work of this process.
+func (p *Pool) noteBatch(place int) {
+	if at, listed := slices.BinarySearch(p.batchPlaces, place); !listed {
+		p.batchPlaces = slices.Insert(p.batchPlaces, at, place)
+	}
+}
+
 // share is the part of an excess that falls to whoever has own of all.
 func (p *Pool) share(excess, own, all int, random *rand.Rand) int {
 	if excess <= 0 || own <= 0 {
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -64,6 +64,8 @@
 	// places are those of the servers by identifier, and vacant those that no server has.
 	places  map[string]int
 	vacant  []int
+	// batchPlaces are those of servers that had batch work of this process, see withBatch.
+	batchPlaces []int
 	tracker *health.Tracker
 	// pacer estimates how long work takes at the servers; nil where they count as alike.
 	pacer Pacer
@@ -225,6 +227,7 @@
 	p.summary.started(demand.Batch)
 	if demand.Batch {
 		chosen.batch++
+		p.noteBatch(p.place(chosen.ID))
 		p.headroom.starts.add(1, now)
 	} else {
 		p.pacing.credit--
