--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -62,11 +62,11 @@
 	shares  *Shares
 	servers []*server
 	// places are those of the servers by identifier, and vacant those that no server has.
-	places  map[string]int
-	vacant  []int
+	places map[string]int
+	vacant []int
 	// batchPlaces are those of servers that had batch work of this process, see withBatch.
 	batchPlaces []int
-	tracker *health.Tracker
+	tracker     *health.Tracker
 	// pacer estimates how long work takes at the servers; nil where they count as alike.
 	pacer Pacer
 	// homes are the places of the servers that are expected to keep a shared part.
