Router: a drain of a zone that ends brings back what serves

Cause: as a zone was served again, all its servers went back into the pools, those that had left or leave too. Change: one way into a pool, which drops what does not serve; the time for which servers may be cold is its argument. Measured: TestDrainThatEndsBringsBackWhatServes, which fails without the change (a request goes to a server that leaves).

--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -60,10 +60,11 @@
 		return
 	}
 	for _, server := range d.view.Servers() {
-		d.take(server, nil)
-		if before.Drained(server.GetZone()) && !drains.Drained(server.GetZone()) {
-			d.takeCold(server, d.coldTime(server.GetService()))
+		cold := coldLeft(server, time.Now())
+		if before.Drained(server.GetZone()) {
+			cold = max(cold, d.coldTime(server.GetService()))
 		}
+		d.put(server, cold)
 	}
 	for name := range d.pools {
 		d.serveWaiting(name)
@@ -92,24 +93,20 @@
 			d.drop(old)
 		}
 	}
+	d.put(server, coldLeft(server, time.Now()))
+}
+
+// put has the pool of a server's service know a server that serves, which is cold for the given time,
+// and drops any other. The mutex is held.
+func (d *Dispatcher) put(server *rockwindpb.Server, cold time.Duration) {
 	silent := server.GetState() == rockwindpb.ServerState_SERVER_STATE_SILENT
 	serves := silent || server.GetState() == rockwindpb.ServerState_SERVER_STATE_READY
 	if !serves || d.drains.Drained(server.GetZone()) {
 		d.drop(server)
 		return
 	}
-	d.takeCold(server, coldLeft(server, time.Now()))
-}
-
-// takeCold has the pool of a server's service know the server, which is cold for the given time. The
-// mutex is held.
-func (d *Dispatcher) takeCold(server *rockwindpb.Server, cold time.Duration) {
-	if d.drains.Drained(server.GetZone()) {
-		return
-	}
 	member := balance.Member{
-		ID: server.GetId(), Address: server.GetAddress(), Zone: server.GetZone(), Slots: int(server.GetSlots()),
-		Silent: server.GetState() == rockwindpb.ServerState_SERVER_STATE_SILENT,
+		ID: server.GetId(), Address: server.GetAddress(), Zone: server.GetZone(), Slots: int(server.GetSlots()), Silent: silent,
 	}
 	if rate := d.coldRate(server.GetService()); cold > 0 && rate > 0 {
 		member.ColdUntil = d.now() + cold
--- a/internal/router/zonedrain_test.go
+++ b/internal/router/zonedrain_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/gate"
@@ -92,3 +93,48 @@
 		}
 	})
 }
+
+// TestDrainThatEndsBringsBackWhatServes: servers that left or leave while their zone was drained stay
+// out, and the others take what they bear while they may be cold.
+func TestDrainThatEndsBringsBackWhatServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dispatcher := router.NewDispatcher("east", gate.Set{})
+		index, err := configuration.NewIndex(&rockwindpb.Configuration{
+			Number: 1, Services: []*rockwindpb.Service{{Name: "app", ColdMs: 3000, ColdRequestsPerSecond: 2}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		dispatcher.Configure(index)
+		dispatcher.DrainZones(drainsOf(1, "east"))
+		full := &rockwindpb.WatchDirectoryResponse{Revision: 1, Full: true}
+		for place, state := range []rockwindpb.ServerState{
+			rockwindpb.ServerState_SERVER_STATE_READY, rockwindpb.ServerState_SERVER_STATE_DRAINING, rockwindpb.ServerState_SERVER_STATE_GONE,
+		} {
+			server := ready(place, 1, 8)
+			server.Zone, server.State = "east", state
+			full.Servers = append(full.Servers, server)
+		}
+		dispatcher.Update(directory.Merge(nil, full))
+		dispatcher.DrainZones(drainsOf(2))
+		sent := func() (count int) {
+			for {
+				lease := dispatcher.TryAcquire("app", balance.Demand{})
+				if lease == nil {
+					return count
+				}
+				if lease.ID != "server-0" {
+					t.Fatalf("a request goes to %s, which has left or leaves", lease.ID)
+				}
+				count++
+			}
+		}
+		if cold := sent(); cold != 1 {
+			t.Errorf("%d requests at once go to a server that may be cold and bears two a second", cold)
+		}
+		time.Sleep(4 * time.Second)
+		if warm := sent(); warm != 7 {
+			t.Errorf("%d requests find one of seven slots left after the cold time", warm)
+		}
+	})
+}
