Directory: a replica that is behind tells a watcher nothing

Cause: a coordinator whose directory was a commit behind what a watcher knew took it for a watcher of another directory, and told it everything, which the watcher did not take: 1 MB at 10,000 servers, at each look for a nearer coordinator while servers come and go. Change: it tells nothing, and holds the call until it knows more.

--- a/internal/coordinator/watching.go
+++ b/internal/coordinator/watching.go
@@ -161,7 +161,7 @@
 
 // hasNews tells whether a view holds anything that a watcher lacks.
 func hasNews(view watched, request *rockwindpb.WatchDirectoryRequest) bool {
-	return view.directoryView().Revision() != request.GetHaveRevision() || view.quarantineRevision() > request.GetHaveQuarantine()
+	return view.directoryView().Revision() > request.GetHaveRevision() || view.quarantineRevision() > request.GetHaveQuarantine()
 }
 
 // hasUrgent tells whether a view holds what a watcher is told at once.
--- a/internal/directory/size_test.go
+++ b/internal/directory/size_test.go
@@ -97,3 +97,17 @@
 		})
 	}
 }
+
+// TestReplicaThatIsBehindTellsNothing: watchers that look for a nearer coordinator ask several, of which
+// some are a commit behind while servers come and go. Each of them told the whole directory, which the
+// watcher did not take: 1 MB at 10,000 servers.
+func TestReplicaThatIsBehindTellsNothing(t *testing.T) {
+	behind, held := watched(100), follow(watched(100), 7)
+	told := behind.Since(held.Revision(), "")
+	if told.GetFull() || len(told.GetServers()) > 0 || told.GetRevision() != behind.Revision() {
+		t.Errorf("a replica at revision %d tells a watcher at %d: full %v, %d servers", behind.Revision(), held.Revision(), told.GetFull(), len(told.GetServers()))
+	}
+	if directory.Merge(held, told) != held {
+		t.Error("a watcher takes what is older than what it holds")
+	}
+}
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -106,8 +106,8 @@
 func (v *View) StoreCluster() *rockwindpb.FoundRequest { return v.storeCluster }
 
 // Since returns what a watcher at the given revision, which knows the given store
-// cluster, lacks. It is everything where entries were dropped meanwhile, or where the
-// watcher's revision is not of this directory.
+// cluster, lacks. It is everything where entries were dropped meanwhile, and nothing where the
+// watcher knows more than this view.
 func (v *View) Since(revision uint64, storeCluster string) *rockwindpb.WatchDirectoryResponse {
 	response := &rockwindpb.WatchDirectoryResponse{Revision: v.revision}
 	if revision == v.revision {
@@ -116,7 +116,11 @@
 	if v.storeCluster.GetClusterId() != storeCluster {
 		response.StoreCluster = v.storeCluster
 	}
-	response.Full = revision == 0 || revision < v.dropped || revision > v.revision
+	if revision > v.revision {
+		// This replica is behind the one that told the watcher more, which would not take what is older.
+		return response
+	}
+	response.Full = revision == 0 || revision < v.dropped
 	if response.Full {
 		response.Servers, response.Machines = v.Servers(), v.Machines()
 		return response
