Coordinators outside: a watch that no member answers has a line in the log

Cause: read again, the error of the watch at a member was dropped without a line. Change: a line of level debug, as where a member does not announce this coordinator. Behaviour is as before. Measured: the tests of coordinators outside pass.

--- a/internal/coordinator/following.go
+++ b/internal/coordinator/following.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/quarantine"
 	"rockwind.example/rockwind/internal/retry"
@@ -62,6 +64,7 @@
 		return c.directoryAt(base).Watch(ctx, request)
 	})
 	if err != nil {
+		log.WithError(err).Debug("no member of the root group tells this coordinator its state")
 		return false
 	}
 	next := held.with(response, time.Now())
