--- a/internal/wal/filesystem.go
+++ b/internal/wal/filesystem.go
@@ -109,12 +109,12 @@
 
 var _ FileSystem = OSFileSystem{}
 
-// WriteAtomically replaces the content of the file name in folder. It writes and
+// WriteAtomically replaces the content of the file name in folder by the parts. It writes and
 // syncs a temporary file, renames it and syncs the folder, so that after a crash
 // the file holds either the old or the new content.
-func WriteAtomically(fileSystem FileSystem, folder, name string, content []byte) error {
+func WriteAtomically(fileSystem FileSystem, folder, name string, parts ...[]byte) error {
 	temporary := filepath.Join(folder, name+temporarySuffix)
-	if err := writeSynced(fileSystem, temporary, content); err != nil {
+	if err := writeSynced(fileSystem, temporary, parts); err != nil {
 		return err
 	}
 	if err := fileSystem.Rename(temporary, filepath.Join(folder, name)); err != nil {
@@ -123,14 +123,16 @@
 	return fileSystem.SyncFolder(folder)
 }
 
-func writeSynced(fileSystem FileSystem, path string, content []byte) error {
+func writeSynced(fileSystem FileSystem, path string, parts [][]byte) error {
 	file, err := fileSystem.Create(path)
 	if err != nil {
 		return err
 	}
-	if _, err := file.Write(content); err != nil {
-		_ = file.Close()
-		return err
+	for _, part := range parts {
+		if _, err := file.Write(part); err != nil {
+			_ = file.Close()
+			return err
+		}
 	}
 	if err := file.Sync(); err != nil {
 		_ = file.Close()
--- a/internal/wal/frame.go
+++ b/internal/wal/frame.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"hash/crc32"
+
+	"rockwind.example/rockwind/internal/protobytes"
 )
 
 // A frame is the unit of a sync: a header and a payload of records. A frame is
@@ -26,11 +28,18 @@
 }
 
 func appendFrame(target, payload []byte) []byte {
+	return append(appendFrameHeader(target, protobytes.Parts{payload}), payload...)
+}
+
+func appendFrameHeader(target []byte, payload protobytes.Parts) []byte {
 	start := len(target)
-	target = binary.LittleEndian.AppendUint32(target, uint32(len(payload)))
-	target = binary.LittleEndian.AppendUint32(target, Checksum(payload))
-	target = binary.LittleEndian.AppendUint32(target, Checksum(target[start:]))
-	return append(target, payload...)
+	checksum := uint32(0)
+	for _, part := range payload {
+		checksum = crc32.Update(checksum, castagnoli, part)
+	}
+	target = binary.LittleEndian.AppendUint32(target, uint32(payload.Size()))
+	target = binary.LittleEndian.AppendUint32(target, checksum)
+	return binary.LittleEndian.AppendUint32(target, Checksum(target[start:]))
 }
 
 // frameState is the result of reading a frame.
--- a/internal/wal/index.go
+++ b/internal/wal/index.go
@@ -137,6 +137,24 @@
 	return g.bytesSinceSnapshot
 }
 
+// HeldBytes returns the size of the commands in memory.
+func (g *Group) HeldBytes() int64 {
+	g.mutex.RLock()
+	defer g.mutex.RUnlock()
+	held := int64(0)
+	for _, entry := range g.entries {
+		held += int64(len(entry.Data))
+	}
+	return held
+}
+
+// SnapshotBytes returns the size of the newest snapshot.
+func (g *Group) SnapshotBytes() int64 {
+	g.mutex.RLock()
+	defer g.mutex.RUnlock()
+	return int64(g.snapshot.Size)
+}
+
 func (g *Group) setHardState(state *rockwindpb.HardState) {
 	g.adoptHardState(proto.CloneOf(state))
 }
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"rockwind.example/rockwind/internal/protobytes"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -39,6 +40,9 @@
 	TrailingEntries uint64
 	// TrailingBytes limits the size of the trailing entries; zero means no limit.
 	TrailingBytes int64
+	// MinTrailingBytes, if it is not zero, lowers the limit of the trailing entries to a quarter of the
+	// snapshot, but not below MinTrailingBytes: a replica that lacks more gets the snapshot instead.
+	MinTrailingBytes int64
 }
 
 // Update is a set of changes to one group that become durable together.
@@ -71,6 +75,21 @@
 	file     File
 	size     int64
 	failed   error
+	// payload and frame are the buffers of the latest write, for the next one.
+	payload []byte
+	frame   []byte
+}
+
+// maxReusedBytes limits the size of a buffer that is kept for the next write. Ordinary writes are a few
+// KB; a large job would otherwise stay in memory until the next one.
+const maxReusedBytes = 256 << 10
+
+// reusable returns the buffer if it may be kept for the next write.
+func reusable(buffer []byte) []byte {
+	if cap(buffer) > maxReusedBytes {
+		return nil
+	}
+	return buffer
 }
 
 // Open reads the log in options.Folder, truncates a torn tail and starts a new
@@ -98,6 +117,18 @@
 	return l, nil
 }
 
+// trailingBytes returns the limit of the entries that stay in memory before a snapshot; zero means no limit.
+func (o *Options) trailingBytes(metadata *rockwindpb.SnapshotMetadata) int64 {
+	if o.MinTrailingBytes == 0 {
+		return o.TrailingBytes
+	}
+	limit := max(o.MinTrailingBytes, int64(metadata.Size/4))
+	if o.TrailingBytes == 0 {
+		return limit
+	}
+	return min(o.TrailingBytes, limit)
+}
+
 func withDefaults(options Options) Options {
 	if options.FileSystem == nil {
 		options.FileSystem = OSFileSystem{}
@@ -190,7 +221,7 @@
 	if err != nil {
 		return l.fail(err)
 	}
-	if len(payload) == 0 {
+	if payload.Size() == 0 {
 		return nil
 	}
 	if l.size >= l.options.SegmentBytes {
@@ -233,42 +264,43 @@
 	return l.failed
 }
 
-func (l *Log) encode(updates []Update) ([]byte, error) {
-	var payload []byte
+func (l *Log) encode(updates []Update) (protobytes.Parts, error) {
+	payload := payloadBuffer{current: l.payload[:0]}
 	for position := range updates {
-		var err error
-		if payload, err = l.encodeUpdate(payload, &updates[position]); err != nil {
+		if err := l.encodeUpdate(&payload, &updates[position]); err != nil {
 			return nil, err
 		}
 	}
-	if len(payload) > MaximumFrameBytes {
-		return nil, errors.Newf("write of %d bytes exceeds the maximum frame size", len(payload))
+	parts := payload.parts()
+	l.payload = reusable(parts[0])
+	if size := parts.Size(); size > MaximumFrameBytes {
+		return nil, errors.Newf("write of %d bytes exceeds the maximum frame size", size)
 	}
-	return payload, nil
+	return parts, nil
 }
 
-func (l *Log) encodeUpdate(payload []byte, update *Update) ([]byte, error) {
-	var err error
+func (l *Log) encodeUpdate(payload *payloadBuffer, update *Update) (err error) {
 	if update.Snapshot != nil {
-		payload = l.encodeSnapshotTruncation(payload, update)
-		if payload, err = appendMessage(payload, recordSnapshot, update.Group, update.Snapshot); err != nil {
-			return nil, err
+		payload.current = l.encodeSnapshotTruncation(payload.current, update)
+		if payload.current, err = appendMessage(payload.current, recordSnapshot, update.Group, update.Snapshot); err != nil {
+			return err
 		}
 	}
 	if len(update.Entries) > 0 {
 		if first := update.Entries[0].Index; first <= l.lastIndexAfterSnapshot(update) {
-			payload = appendNumber(payload, recordTruncation, update.Group, first)
+			payload.current = appendNumber(payload.current, recordTruncation, update.Group, first)
 		}
 	}
 	for _, entry := range update.Entries {
-		if payload, err = appendMessage(payload, recordEntry, update.Group, entry); err != nil {
-			return nil, err
+		if err := payload.appendEntry(update.Group, entry); err != nil {
+			return err
 		}
 	}
 	if update.HardState == nil {
-		return payload, nil
+		return nil
 	}
-	return appendMessage(payload, recordHardState, update.Group, update.HardState)
+	payload.current, err = appendMessage(payload.current, recordHardState, update.Group, update.HardState)
+	return err
 }
 
 // lastIndexAfterSnapshot returns the last index of the group after the snapshot of
@@ -315,7 +347,7 @@
 }
 
 func (l *Log) applySnapshot(id uint32, group *Group, metadata *rockwindpb.SnapshotMetadata) error {
-	group.install(metadata, l.options.TrailingEntries, l.options.TrailingBytes)
+	group.install(metadata, l.options.TrailingEntries, l.options.trailingBytes(metadata))
 	return l.removeOldSnapshots(id, group.Snapshot())
 }
 
--- a/internal/wal/record.go
+++ b/internal/wal/record.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"rockwind.example/rockwind/internal/protobytes"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -38,19 +40,55 @@
 
 var errMalformedRecord = errors.New("malformed record")
 
+// maxRecordHeadBytes is the largest size of a record without its body.
+const maxRecordHeadBytes = 1 + 2*binary.MaxVarintLen64
+
 func appendRecord(target []byte, r record) []byte {
-	target = append(target, byte(r.kind))
-	target = binary.AppendUvarint(target, uint64(r.group))
-	target = binary.AppendUvarint(target, uint64(len(r.body)))
-	return append(target, r.body...)
+	return append(appendRecordHead(target, r.kind, r.group, len(r.body)), r.body...)
 }
 
-func appendMessage(target []byte, kind recordKind, group uint32, message proto.Message) ([]byte, error) {
-	body, err := proto.Marshal(message)
+// largeDataBytes is the size from which the data of an entry is written from the entry itself. The copies of a job
+// of 20 MB in the payload and in the frame would take 40 MB.
+const largeDataBytes = 64 << 10
+
+// payloadBuffer collects the records of a payload. Large data of entries is a part of its own.
+type payloadBuffer struct {
+	done    protobytes.Parts
+	current []byte
+}
+
+func (p *payloadBuffer) appendEntry(group uint32, entry *rockwindpb.Entry) (err error) {
+	if len(entry.GetData()) < largeDataBytes {
+		p.current, err = appendMessage(p.current, recordEntry, group, entry)
+		return err
+	}
+	body, err := protobytes.Marshal(entry, largeDataBytes)
 	if err != nil {
-		return nil, errors.Wrap(err, "encode log record")
+		return errors.Wrap(err, "encode log record")
 	}
-	return appendRecord(target, record{kind: kind, group: group, body: body}), nil
+	p.current = append(appendRecordHead(p.current, recordEntry, group, body.Size()), body[0]...)
+	p.done = append(append(p.done, p.current), body[1:len(body)-1]...)
+	p.current = body[len(body)-1]
+	return nil
+}
+
+// parts returns the payload. The first part is the buffer that was current at the start.
+func (p *payloadBuffer) parts() protobytes.Parts {
+	return append(p.done, p.current)
+}
+
+func appendRecordHead(target []byte, kind recordKind, group uint32, size int) []byte {
+	target = append(target, byte(kind))
+	target = binary.AppendUvarint(target, uint64(group))
+	return binary.AppendUvarint(target, uint64(size))
+}
+
+func appendMessage(target []byte, kind recordKind, group uint32, message proto.Message) ([]byte, error) {
+	size := proto.Size(message)
+	target = slices.Grow(target, maxRecordHeadBytes+size)
+	target = appendRecordHead(target, kind, group, size)
+	target, err := proto.MarshalOptions{}.MarshalAppend(target, message)
+	return target, errors.Wrap(err, "encode log record")
 }
 
 func appendNumber(target []byte, kind recordKind, group uint32, number uint64) []byte {
--- a/internal/wal/segment.go
+++ b/internal/wal/segment.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -10,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/protobytes"
 )
 
 const (
@@ -49,7 +51,7 @@
 	number := l.nextSegmentNumber()
 	path := l.segmentPath(number)
 	content := appendFrame(nil, payload)
-	if err := writeSynced(l.options.FileSystem, path, content); err != nil {
+	if err := writeSynced(l.options.FileSystem, path, [][]byte{content}); err != nil {
 		return l.failUnlessFull(err, "start log segment")
 	}
 	if err := l.options.FileSystem.SyncFolder(filepath.Dir(path)); err != nil {
@@ -70,9 +72,8 @@
 
 // appendPayload writes and syncs one frame. If the disk is full, it truncates the
 // segment to its previous size.
-func (l *Log) appendPayload(payload []byte) error {
-	frame := appendFrame(make([]byte, 0, frameHeaderBytes+len(payload)), payload)
-	if _, err := l.file.Write(frame); err != nil {
+func (l *Log) appendPayload(payload protobytes.Parts) error {
+	if err := l.writeFrame(payload); err != nil {
 		if !isFull(err) {
 			return l.fail(diskFault(err, "write log"))
 		}
@@ -86,7 +87,27 @@
 	if err := l.file.Sync(); err != nil {
 		return l.fail(syncFault(err))
 	}
-	l.size += int64(len(frame))
+	l.size += int64(frameHeaderBytes + payload.Size())
+	return nil
+}
+
+// writeFrame writes the header and the first part of the payload in one call; only payloads with large data have
+// further parts.
+func (l *Log) writeFrame(payload protobytes.Parts) error {
+	frame := appendFrameHeader(slices.Grow(l.frame[:0], frameHeaderBytes+len(payload[0])), payload)
+	frame = append(frame, payload[0]...)
+	l.frame = reusable(frame)
+	if _, err := l.file.Write(frame); err != nil {
+		return err
+	}
+	for _, part := range payload[1:] {
+		if len(part) == 0 {
+			continue
+		}
+		if _, err := l.file.Write(part); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -32,10 +32,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode snapshot metadata")
 	}
-	file := make([]byte, 0, frameHeaderBytes+len(description)+len(content))
-	file = append(appendFrame(file, description), content...)
+	head := appendFrame(make([]byte, 0, frameHeaderBytes+len(description)), description)
 	folder := filepath.Join(l.options.Folder, snapshotFolder)
-	if err := WriteAtomically(l.options.FileSystem, folder, snapshotName(group, saved), file); err != nil {
+	if err := WriteAtomically(l.options.FileSystem, folder, snapshotName(group, saved), head, content); err != nil {
 		return nil, diskFault(err, "write snapshot")
 	}
 	return saved, nil
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -332,3 +332,37 @@
 		}
 	}
 }
+
+// TestTrailingEntriesFollowTheSnapshot guards against a lower limit that has no effect where TrailingBytes is
+// zero, which means no limit, and against one that exceeds TrailingBytes.
+func TestTrailingEntriesFollowTheSnapshot(t *testing.T) {
+	const snapshotBytes = 2000
+	for _, each := range []struct {
+		trailing, minimum int64
+		first             uint64
+	}{{0, 0, 3}, {0, 100, 6}, {0, 700, 4}, {300, 100, 8}, {300, 700, 8}} {
+		log, err := wal.Open(wal.Options{
+			Folder: folder, FileSystem: faultfs.New(), TrailingEntries: 8, TrailingBytes: each.trailing, MinTrailingBytes: each.minimum,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var entries []*rockwindpb.Entry
+		for index := uint64(1); index <= 10; index++ {
+			entries = append(entries, &rockwindpb.Entry{Index: index, Term: 1, Data: make([]byte, 100)})
+		}
+		if err := log.Write([]wal.Update{{Group: 1, Entries: entries}}); err != nil {
+			t.Fatal(err)
+		}
+		metadata, err := log.SaveSnapshot(1, &rockwindpb.SnapshotMetadata{Index: 10, Term: 1}, make([]byte, snapshotBytes))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := log.Write([]wal.Update{{Group: 1, Snapshot: metadata}}); err != nil {
+			t.Fatal(err)
+		}
+		if got := log.Group(1).FirstIndex(); got != each.first {
+			t.Errorf("TrailingBytes %d, MinTrailingBytes %d: the first entry is %d, want %d", each.trailing, each.minimum, got, each.first)
+		}
+	}
+}
