clientconn, upstream, waitqueue, orphans: idle time of connections, order of late requests, share of orphaned requests

Cause: idle_timeout_ms of the configuration had no effect, late requests took free slots before requests that could still be in time, and the estimate of orphaned requests ended at once.

--- a/internal/clientconn/buffers.go
+++ b/internal/clientconn/buffers.go
@@ -252,6 +252,17 @@
 	return newConn(accepted, control, l.buffers), nil
 }
 
+// IdleTimeout returns a function for http.Server.ConnState that makes connections use the current timeout each time
+// they become idle. The server's IdleTimeout applies if the timeout is zero. The server calls the function right
+// before it sets the read deadline of the idle connection.
+func IdleTimeout(current func() time.Duration) func(net.Conn, http.ConnState) {
+	return func(conn net.Conn, state http.ConnState) {
+		if own, found := conn.(*Conn); found && state == http.StateIdle {
+			own.idleTimeout.Store(int64(current()))
+		}
+	}
+}
+
 // connKey is the context key of the connection.
 type connKey struct{}
 
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -69,6 +70,9 @@
 	closing, closingWrite bool
 
 	closeOnce sync.Once
+
+	// idleTimeout replaces that of the server at the next read deadline, unless it is zero.
+	idleTimeout atomic.Int64
 }
 
 func newConn(accepted net.Conn, raw syscall.RawConn, buffers *Buffers) *Conn {
@@ -345,7 +349,7 @@
 		c.closing = true
 		c.mutex.Unlock()
 		// Unblock a read in progress.
-		return c.SetReadDeadline(expiredDeadline)
+		return c.Conn.SetReadDeadline(expiredDeadline)
 	}
 	c.mutex.Unlock()
 	c.buffers.remove(c)
@@ -362,6 +366,15 @@
 // the deadline of buffered bytes is set by BeginRequest.
 func (c *Conn) SetWriteDeadline(time.Time) error { return nil }
 
+// SetReadDeadline implements net.Conn. The first deadline after the connection became idle is that of the HTTP
+// server's IdleTimeout, which can't change while the server runs.
+func (c *Conn) SetReadDeadline(deadline time.Time) error {
+	if timeout := time.Duration(c.idleTimeout.Swap(0)); timeout > 0 {
+		deadline = time.Now().Add(timeout)
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
 // SetDeadline implements net.Conn. It only applies to reads.
 func (c *Conn) SetDeadline(deadline time.Time) error { return c.SetReadDeadline(deadline) }
 
--- a/internal/clientconn/conn_test.go
+++ b/internal/clientconn/conn_test.go
@@ -481,3 +481,47 @@
 		t.Errorf("got %d bytes, %v", len(got), err)
 	}
 }
+
+// TestIdleTimeoutMayBeLongerThanTheServers guards against a timeout that only shortens that of the server, and
+// against one that applies to more than the idle time.
+func TestIdleTimeoutMayBeLongerThanTheServers(t *testing.T) {
+	const ofServer, longer = 200 * time.Millisecond, time.Minute
+	var timeout atomic.Int64
+	timeout.Store(int64(longer))
+	listener, err := dial.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{
+		Handler:     http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+		IdleTimeout: ofServer, ReadHeaderTimeout: ofServer,
+		ConnState: clientconn.IdleTimeout(func() time.Duration { return time.Duration(timeout.Load()) }),
+	}
+	buffers := clientconn.NewBuffers(1<<20, func(clientconn.EndedResponse) {})
+	go func() { _ = server.Serve(buffers.Listener(listener)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn := ask(t, listener.Addr().String(), "/")
+	reader := bufio.NewReader(conn)
+	closedWithin := func(limit time.Duration) bool {
+		t.Helper()
+		_ = conn.SetReadDeadline(time.Now().Add(limit))
+		_, err := io.Copy(io.Discard, reader)
+		return err == nil
+	}
+	if closedWithin(4 * ofServer) {
+		t.Error("the connection was closed after the time of the server")
+	}
+	// A client that sends part of a header has the time for headers.
+	if _, err := fmt.Fprint(conn, "GET / HTTP/1.1\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if !closedWithin(10 * time.Second) {
+		t.Error("the timeout applies to headers")
+	}
+	timeout.Store(0)
+	conn = ask(t, listener.Addr().String(), "/")
+	reader.Reset(conn)
+	if !closedWithin(10 * time.Second) {
+		t.Error("the time of the server does not apply")
+	}
+}
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -71,14 +71,23 @@
 	ServersAsked Kind = "servers asked"
 	// StartFinished: this process has the state that it needs to serve.
 	StartFinished Kind = "start finished"
+	// StartsLimited and StartsUnlimited: the number of online requests that this process may have at
+	// servers is limited because the loads of other processes are unknown, or is no longer limited.
+	StartsLimited   Kind = "starts limited"
+	StartsUnlimited Kind = "starts no longer limited"
 	// TenantHeldBack: requests of a tenant wait behind those of tenants that used less.
 	TenantHeldBack Kind = "tenant held back"
 	// CoordinatorsSilent: no known coordinator has answered for some time.
 	CoordinatorsSilent Kind = "coordinators are silent"
 	// LeadershipTransferred: a replica gave up the leadership of a group without being told to.
 	LeadershipTransferred Kind = "leadership handed over"
+	// StateConfirmed: after a restart, a majority confirmed a replica's state before a leader was
+	// elected.
+	StateConfirmed Kind = "state confirmed"
 	// ZoneDrainsInForce: this process applied another list of drained zones.
 	ZoneDrainsInForce Kind = "zone drains in force"
+	// ColdServersInForce: this process applied another list of cold servers.
+	ColdServersInForce Kind = "cold servers in force"
 	// DependencyLost and DependencyRegained: a coordinator or store stopped answering or answers
 	// again.
 	DependencyLost     Kind = "dependency lost"
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -60,10 +60,14 @@
 }
 
 // NewClient returns an HTTP client for calls between the site's processes. It connects promptly to
-// machines that are just starting.
-func NewClient() *http.Client {
+// machines that are just starting. Each wrapper wraps the dial function that the ones before it return.
+func NewClient(wrappers ...func(DialFunc) DialFunc) *http.Client {
+	dial := Hedged(Dialer().DialContext, attemptInterval, connectTimeout)
+	for _, wrap := range wrappers {
+		dial = wrap(dial)
+	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         Hedged(Dialer().DialContext, attemptInterval, connectTimeout),
+		DialContext:         dial,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleConnectionTimeout,
 		DisableCompression:  true,
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -76,6 +76,9 @@
 	RetryAfter time.Duration `json:"-"`
 	// Leader is the address of the leader, for NotLeader.
 	Leader string `json:"leader,omitempty"`
+	// FeatureLevel is the feature level that the call needs and that some coordinators have not announced;
+	// zero for all other faults. Another coordinator would answer the same.
+	FeatureLevel uint32 `json:"-"`
 }
 
 // New returns a fault of the given kind.
@@ -117,6 +120,13 @@
 	return &copied
 }
 
+// WithFeatureLevel returns a copy with the given feature level.
+func (f *Fault) WithFeatureLevel(level uint32) *Fault {
+	copied := *f
+	copied.FeatureLevel = level
+	return &copied
+}
+
 // From returns the fault in the chain of err, also if it crossed a twirp call. Other errors become
 // Internal faults with their text, and nil remains nil.
 func From(err error) *Fault {
@@ -184,6 +194,7 @@
 	metaRan    = "fault_ran"
 	metaRetry  = "fault_retry_ms"
 	metaLeader = "fault_leader"
+	metaLevel  = "fault_feature_level"
 )
 
 // ToTwirp converts an error to a twirp error from which From restores the fault. It returns nil
@@ -205,6 +216,9 @@
 	if f.Leader != "" {
 		result = result.WithMeta(metaLeader, f.Leader)
 	}
+	if f.FeatureLevel != 0 {
+		result = result.WithMeta(metaLevel, strconv.FormatUint(uint64(f.FeatureLevel), 10))
+	}
 	return result
 }
 
@@ -220,6 +234,9 @@
 	if milliseconds, err := strconv.ParseInt(remote.Meta(metaRetry), 10, 64); err == nil {
 		f.RetryAfter = time.Duration(milliseconds) * time.Millisecond
 	}
+	if level, err := strconv.ParseUint(remote.Meta(metaLevel), 10, 32); err == nil {
+		f.FeatureLevel = uint32(level)
+	}
 	return f
 }
 
--- a/internal/fault/fault_test.go
+++ b/internal/fault/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/twitchtv/twirp"
 
@@ -26,3 +27,12 @@
 		}
 	}
 }
+
+// Guards against a field of a fault that is lost in a twirp call.
+func TestFaultKeepsItsFieldsAcrossACall(t *testing.T) {
+	sent := fault.New(fault.Unavailable, "not announced", "run this version").
+		WithRan(fault.NotRun).WithRetryAfter(2 * time.Second).WithLeader("10.0.0.1:1").WithFeatureLevel(3)
+	if received := fault.From(fault.ToTwirp(sent)); *received != *sent {
+		t.Errorf("received %+v, sent %+v", *received, *sent)
+	}
+}
--- a/internal/featuregate/featuregate.go
+++ b/internal/featuregate/featuregate.go
@@ -33,11 +33,14 @@
 	// Orphans lets a starting process query the servers for orphaned requests, that is
 	// requests of terminated processes, and count these as load until they end.
 	Orphans Gate = "left_behind"
+	// StartLimit limits what a process sends to servers after a restart of the whole site, until it knows
+	// the loads of the others, and lets late requests and batch work leave slots to requests in time.
+	StartLimit Gate = "start_limit"
 )
 
 // All lists the gates in alphabetical order.
 func All() []Gate {
-	return []Gate{Continuation, FairShare, ItemProgress, Orphans, Pace, OverloadRelief, RetryAfter}
+	return []Gate{Continuation, FairShare, ItemProgress, Orphans, Pace, OverloadRelief, RetryAfter, StartLimit}
 }
 
 // Set is the set of gates that are on. In the zero value all are on.
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -286,7 +286,7 @@
 }
 
 // StartTrial reports whether a request may be sent to an ejected server as a trial,
-// and starts the trial. Its outcome must be recorded.
+// and starts the trial. Its outcome must be recorded, or the trial abandoned.
 func (t *Tracker) StartTrial(server int, now time.Duration) bool {
 	entry := &t.records[server]
 	if entry.state != Ejected || entry.trialRunning || now < entry.ejectedUntil {
@@ -296,6 +296,11 @@
 	return true
 }
 
+// AbandonTrial ends a trial that says nothing about the server, so that another one may start.
+func (t *Tracker) AbandonTrial(server int) {
+	t.records[server].trialRunning = false
+}
+
 // State returns the state of a server and its traffic weight, which is greater than
 // 0 and rises to 1 during the slow start.
 func (t *Tracker) State(server int, now time.Duration) (State, float32) {
--- a/internal/orphans/survey.go
+++ b/internal/orphans/survey.go
@@ -18,9 +18,9 @@
 
 // Limits and intervals of a survey.
 const (
-	// queriersPerServer is the number of processes that query each server, so that one of them
+	// QueriersPerServer is the number of processes that query each server, so that one of them
 	// may still be down or fail.
-	queriersPerServer = 2
+	QueriersPerServer = 2
 	// maxServers limits the servers that one process queries where few processes share many
 	// servers.
 	maxServers = 64
@@ -67,6 +67,8 @@
 	ID      string
 	Address string
 	Slots   int
+	// Processes lists the processes that may query the server; if it is empty, all processes of the survey may.
+	Processes []string
 }
 
 // PeerStatus is what a process has learned about its peers since its start.
@@ -96,6 +98,9 @@
 	survivors bool
 	compared  bool
 	elapsed   time.Duration
+	// late is set if the survey began so late after the start of this process that peers which started
+	// together with it may have sent requests before.
+	late bool
 }
 
 // Counts are the totals of a survey.
@@ -142,6 +147,11 @@
 	return &Survey{processStartUnixMs: startedUnixMs, servers: make(map[string]*serverState)}
 }
 
+// MarkLate records that this process got its first directory the given time after its start. Beyond
+// restartWindow its peers may have sent requests by then, so that the reported load is compared with
+// theirs. Call it before Start.
+func (s *Survey) MarkLate(after time.Duration) { s.late = after >= restartWindow }
+
 // Start selects the servers to query among those of the first directory view, given the names
 // of the processes that take part. Servers that appear later have no orphaned requests. Only
 // the first call has an effect.
@@ -154,8 +164,12 @@
 		if server.Slots == 0 || len(s.servers) >= maxServers {
 			continue
 		}
-		order := ownership.Order(processes, server.ID)
-		if slices.Contains(order[:min(queriersPerServer, len(order))], self) {
+		candidates := processes
+		if len(server.Processes) > 0 {
+			candidates = server.Processes
+		}
+		order := ownership.Order(candidates, server.ID)
+		if slices.Contains(order[:min(QueriersPerServer, len(order))], self) {
 			s.servers[server.ID] = &serverState{Server: server}
 		}
 	}
@@ -208,7 +222,7 @@
 		state.reported, state.hasReport = reported, true
 		switch {
 		case s.stage != counting:
-		case s.survivors:
+		case s.survivors || s.late:
 			s.setLeft(state, excess(reported, liveLoad))
 		default:
 			s.setLeft(state, reported)
@@ -265,6 +279,8 @@
 // their loads is orphaned, once those loads have arrived and a second answer confirms it. A
 // small excess is ignored, as after a planned restart of a single process.
 //
+// The same applies if this process got its first directory late: its peers may have sent requests by then.
+//
 // Surviving peers may be heard only after settleTime; the counts are then compared with their
 // loads. Reports of survivors by others are ignored by that time, since a machine that restarts
 // later than the rest takes the rest for survivors.
@@ -283,7 +299,7 @@
 	switch {
 	case elapsed >= maxDuration:
 		s.end()
-	case survived && !settled:
+	case (survived || s.late) && !settled:
 		s.discardCounts()
 		if s.reportedLittle() {
 			s.end()
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rockwind.example/rockwind/internal/fault"
@@ -60,8 +61,17 @@
 	buffers sync.Pool
 	mutex   sync.RWMutex
 	pools   map[string]*pool
+	// observeConnect is set by ObserveConnects.
+	observeConnect atomic.Pointer[ConnectObserver]
 }
 
+// ConnectObserver receives the address of each new connection and the time that connecting took. Calls may be
+// concurrent.
+type ConnectObserver func(address string, took time.Duration)
+
+// ObserveConnects sets the observer of new connections.
+func (c *Client) ObserveConnects(observer ConnectObserver) { c.observeConnect.Store(&observer) }
+
 // DialFunc connects to an address.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
@@ -228,10 +238,14 @@
 	}
 	dialing, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	began := time.Now()
 	network, err := c.dial(dialing, address)
 	if err != nil {
 		return nil, err
 	}
+	if observer := c.observeConnect.Load(); observer != nil {
+		(*observer)(address, time.Since(began))
+	}
 	return newConnection(network), nil
 }
 
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -9,7 +9,9 @@
 	"time"
 )
 
-const readBufferSize = 16 << 10
+// readBufferSize is the size of the read buffer of a connection. A process keeps hundreds of connections, most of
+// them idle. Larger reads of bodies bypass the buffer.
+const readBufferSize = 4 << 10
 
 // connection is a connection to a backend.
 type connection struct {
@@ -31,8 +33,8 @@
 
 func newConnection(network net.Conn) *connection {
 	c := &connection{network: network, reader: bufio.NewReaderSize(network, readBufferSize)}
-	if tcp, ok := network.(*net.TCPConn); ok {
-		c.raw, _ = tcp.SyscallConn()
+	if socket, ok := network.(syscall.Conn); ok {
+		c.raw, _ = socket.SyscallConn()
 	}
 	return c
 }
--- a/internal/waitqueue/waitqueue.go
+++ b/internal/waitqueue/waitqueue.go
@@ -1,9 +1,9 @@
 // Package waitqueue orders the online requests that wait in one process for a server. Requests that
 // can still meet their latency objective go before late ones, so that late work delays no other
-// work. A late request that is about to time out goes before others of its priority. With fair
-// share, requests of equal rank are ordered by their tenants' virtual times, and a late request
-// that is about to time out only goes ahead if no other waiting tenant has a lower virtual time:
-// the late requests of a flooding tenant must not overtake the others.
+// work. A late request that is about to time out goes before other late ones. With fair share,
+// requests of equal rank are ordered by their tenants' virtual times, and a late request that is
+// about to time out only goes ahead if no other waiting tenant has a lower virtual time: the late
+// requests of a flooding tenant must not overtake the others.
 //
 // The package has no clock: times are arguments.
 package waitqueue
@@ -77,10 +77,10 @@
 type urgency int
 
 const (
-	// urgent requests are late and about to time out.
-	urgent urgency = iota
 	// timely requests can still meet their objective.
-	timely
+	timely urgency = iota
+	// urgent requests are late and about to time out.
+	urgent
 	// late requests cannot, and wait until there is less load.
 	late
 )
@@ -159,11 +159,36 @@
 	}
 }
 
+// Late reports whether a request with the key can no longer meet its objective.
+func (k SortKey) Late(now time.Time) bool { return k.urgency(now) != timely }
+
+// CountTimely returns how many waiting requests can still meet their objective.
+func (q *Queue[T]) CountTimely(now time.Time) int {
+	count := 0
+	for _, each := range q.entries {
+		if each.key.urgency(now) == timely {
+			count++
+		}
+	}
+	return count
+}
+
 // Any reports whether any waiting request matches.
 func (q *Queue[T]) Any(matches func(value T) bool) bool {
 	return slices.ContainsFunc(q.entries, func(each *Entry[T]) bool { return matches(each.value) })
 }
 
+// Matching returns the waiting requests that match, in no particular order.
+func (q *Queue[T]) Matching(matches func(value T) bool) []*Entry[T] {
+	var found []*Entry[T]
+	for _, each := range q.entries {
+		if matches(each.value) {
+			found = append(found, each)
+		}
+	}
+	return found
+}
+
 // First returns the request that goes first now, or nil.
 func (q *Queue[T]) First(now time.Time) *Entry[T] {
 	return q.FirstMatching(now, func(T) bool { return true })
@@ -217,15 +242,21 @@
 
 // CountAhead returns how many waiting requests go before one that is not in the queue.
 func (q *Queue[T]) CountAhead(key SortKey, now time.Time) int {
+	ahead := 0
+	q.EachAhead(key, now, func(T) { ahead++ })
+	return ahead
+}
+
+// EachAhead visits the waiting requests that go before one that is not in the queue, in no
+// particular order.
+func (q *Queue[T]) EachAhead(key SortKey, now time.Time, visit func(value T)) {
 	minVirtualTimes := q.minVirtualTimes(now, key)
 	own := q.rank(key, minVirtualTimes, now)
-	ahead := 0
 	for _, each := range q.entries {
 		if !own.before(q.rank(each.key, minVirtualTimes, now)) {
-			ahead++
+			visit(each.value)
 		}
 	}
-	return ahead
 }
 
 // minVirtualTimes returns the least virtual time per priority of the waiting requests and the
