--- a/internal/balance/copyserver.go
+++ b/internal/balance/copyserver.go
@@ -5,21 +5,26 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/health"
+	"rockwind.example/rockwind/internal/topology"
 )
 
 // ChooseCopyServer returns the server that keeps the copy of a run at the first server: the less
 // loaded of two drawn at random from the healthy servers with room. It is in the first server's
-// zone if possible, or in another zone with otherZone. ChooseCopyServer returns false if there is
-// none. The run counts at the copy server only once it continues there.
-func (p *Pool) ChooseCopyServer(first string, otherZone bool, now time.Duration, random *rand.Rand) (Member, bool) {
+// zone if possible, or in another zone with otherZone, and in another region only if there is none in
+// the first server's region. Only servers in the allowed regions are considered. ChooseCopyServer returns
+// false if there is none. The run counts at the copy server only once it continues there.
+func (p *Pool) ChooseCopyServer(first string, otherZone bool, regions topology.RegionSet, now time.Duration, random *rand.Rand) (Member, bool) {
 	zone := p.zone
 	if srv := p.find(first); srv != nil {
 		zone = srv.Zone
 	}
-	near, far := p.copyCandidates(first, zone, now)
-	candidates := near
-	if otherZone || len(near) == 0 {
-		candidates = far
+	byDistance := p.copyCandidates(first, zone, regions, now)
+	candidates := byDistance[topology.SameZone]
+	if otherZone || len(candidates) == 0 {
+		candidates = byDistance[topology.SameRegion]
+	}
+	if len(candidates) == 0 {
+		candidates = byDistance[topology.OtherRegion]
 	}
 	if len(candidates) == 0 {
 		return Member{}, false
@@ -31,11 +36,12 @@
 	return chosen.Member, true
 }
 
-// copyCandidates returns the servers that can keep a copy, those in the given zone and the others.
-func (p *Pool) copyCandidates(first, zone string, now time.Duration) (near, far []*server) {
-	avoidSuspected := p.overview().avoidsSuspected(now)
+// copyCandidates returns the servers that can keep a copy, by their distance from the given zone.
+func (p *Pool) copyCandidates(first, zone string, regions topology.RegionSet, now time.Duration) map[topology.Distance][]*server {
+	candidates := make(map[topology.Distance][]*server)
+	avoidSuspected := p.overviewOf(regions).avoidsSuspected(now)
 	for place, candidate := range p.servers {
-		if candidate == nil || candidate.ID == first || !p.usable(place, now) {
+		if candidate == nil || candidate.ID == first || !regions.Allows(candidate.Region) || !p.usable(place, now) {
 			continue
 		}
 		view := p.viewOf(candidate, now)
@@ -45,20 +51,18 @@
 		if state, _ := p.tracker.State(place, now); state != health.Healthy {
 			continue
 		}
-		if candidate.Zone == zone {
-			near = append(near, candidate)
-		} else {
-			far = append(far, candidate)
-		}
+		distance := p.topology.Distance(zone, candidate.Zone)
+		candidates[distance] = append(candidates[distance], candidate)
 	}
-	return near, far
+	return candidates
 }
 
 // StartAt counts a request at the given server, regardless of its load, since a run continues where
-// its copy is. It returns false if the server is not available anymore.
+// its copy is. It returns false if the server is not available anymore or not in a region that the
+// demand allows.
 func (p *Pool) StartAt(id string, demand Demand, now time.Duration) (Choice, bool) {
 	srv := p.find(id)
-	if srv == nil || srv.replaced {
+	if srv == nil || srv.replaced || !demand.Regions.Allows(srv.Region) {
 		return Choice{}, false
 	}
 	return p.commit(srv, Choice{Candidates: 1}, demand, now), true
--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -12,7 +12,8 @@
 const (
 	// prefillTokensPerMillisecond is the prefill rate of a server.
 	prefillTokensPerMillisecond = 85.0
-	// Penalties in milliseconds of time to first event.
+	// Penalties in milliseconds of time to first event. otherZoneCost is that of another zone of the
+	// own region; see distanceCost for other regions.
 	otherZoneCost = 4.0
 	suspectCost   = 1000.0
 	silentCost    = 2000.0
@@ -43,22 +44,20 @@
 func (p *Pool) cost(candidate serverView, state health.State, demand Demand, uncached int, pace float64, now time.Duration) float64 {
 	free := candidate.freeEstimate(demand.Batch)
 	if pace == 0 {
-		return p.firstEventCost(candidate, state, uncached, defaultPace)/costScale - math.Log(free)
+		return p.firstEventCost(candidate, state, demand, uncached, defaultPace, now)/costScale - math.Log(free)
 	}
 	if !demand.Batch && p.paced() {
 		free = p.weighFreeSlots(candidate.server, free, now)
 	}
-	return p.firstEventCost(candidate, state, uncached, pace)/costScale - math.Log(free/pace)
+	return p.firstEventCost(candidate, state, demand, uncached, pace, now)/costScale - math.Log(free/pace)
 }
 
 // firstEventCost returns the expected time to the first event, in milliseconds. It includes the
-// prompt tokens already queued at the server and penalties for another zone, a suspect server and a
-// silent one.
-func (p *Pool) firstEventCost(candidate serverView, state health.State, uncached int, pace float64) float64 {
+// prompt tokens already queued at the server, the cost of its distance and penalties for a suspect
+// server and a silent one.
+func (p *Pool) firstEventCost(candidate serverView, state health.State, demand Demand, uncached int, pace float64, now time.Duration) float64 {
 	cost := float64(uncached+candidate.unread+candidate.peers.Unread) / prefillTokensPerMillisecond * pace
-	if candidate.Zone != p.zone {
-		cost += otherZoneCost
-	}
+	cost += p.distanceCost(candidate.server, demand, now)
 	if state != health.Healthy {
 		cost += suspectCost
 	}
@@ -85,7 +84,7 @@
 		cached = false
 		hitProbability := 0.0
 		if i < len(demand.Parts)-1 {
-			hitProbability = p.homeHitProbability(place, part.ID)
+			hitProbability = p.affinityHitProbability(place, part.ID, demand.Regions)
 		}
 		total += int(float64(part.Tokens) * (1 - hitProbability))
 	}
--- a/internal/balance/feedback.go
+++ b/internal/balance/feedback.go
@@ -74,12 +74,19 @@
 // Abandon records the end of an exchange that says nothing about the server.
 func (p *Pool) Abandon(choice Choice) {
 	p.release(choice)
+	if place := p.place(choice.ID); place >= 0 {
+		p.tracker.AbandonTrial(place)
+	}
 }
 
 // release subtracts a request from the counts of its server, which may have left the pool.
 func (p *Pool) release(choice Choice) {
 	if !choice.Batch {
-		p.pacing.refund()
+		p.refundCredit(choice.Region)
+		p.onlineInflight--
+		if choice.Late {
+			p.lateInflight--
+		}
 	}
 	srv := p.find(choice.ID)
 	if srv == nil {
@@ -87,7 +94,7 @@
 	}
 	srv.inflight = max(0, srv.inflight-1)
 	srv.inflightDelta--
-	p.summary.ended(choice.Batch)
+	p.countEnded(choice.Region, choice.Batch)
 	if choice.Batch {
 		srv.batch = max(0, srv.batch-1)
 	}
@@ -97,6 +104,10 @@
 func (p *Pool) Evaluate(now time.Duration, random *rand.Rand) {
 	p.tracker.Evaluate(now, random)
 	p.findEjected(now)
+	if p.startLimited {
+		// Without further requests nothing else would notice the end of the limit.
+		p.limitStarts(now)
+	}
 	// Unless servers report their pace, choices don't use the remembered one.
 	if !p.usesPace(now) {
 		return
--- a/internal/balance/headroom.go
+++ b/internal/balance/headroom.go
@@ -83,10 +83,28 @@
 	slots  int
 	online int
 	batch  int
-	// slotsKnown is set if all servers report their slots.
-	slotsKnown bool
+	// orphaned is the number of orphaned requests at the usable servers, and counted the number of
+	// usable servers at which they are counted.
+	orphaned int
+	counted  int
+	// servers is the number of usable servers. reports is how many of them reported their load
+	// recently, reported the sum of these loads, up to their slots, and reportedFree the sum of the
+	// slots that are free there for online requests.
+	servers      int
+	reports      int
+	reported     int
+	reportedFree float64
+	// slotsKnown is set if all servers report their slots, and usableSlotsKnown if all usable ones do.
+	slotsKnown       bool
+	usableSlotsKnown bool
+	// free is how many slots of the usable servers online requests may use, including spare ones and
+	// less the requests that queue at servers.
+	free float64
 }
 
+// noUsage is the load of no servers.
+var noUsage = usage{slotsKnown: true, usableSlotsKnown: true}
+
 // add adds the load of a server, and its slots if it is usable.
 func (u *usage) add(view serverView, usable bool) {
 	u.batch += view.batch
@@ -95,7 +113,19 @@
 		u.slotsKnown = false
 	}
 	if usable {
+		u.usableSlotsKnown = u.usableSlotsKnown && view.Slots > 0
+		u.free += view.freeSlots()
 		u.slots += view.Slots
+		u.orphaned += view.orphaned
+		if view.orphansCounted {
+			u.counted++
+		}
+		u.servers++
+		if view.hasReport && view.reportAge <= reportTTL {
+			u.reports++
+			u.reported += min(view.reportedLoad, view.Slots)
+			u.reportedFree += view.freeSlots()
+		}
 	}
 }
 
@@ -106,24 +136,44 @@
 // and the slots reserved for others. Every process that starts batch work is assumed to have
 // started as many requests recently as this one, which other processes may not know of yet. Unless
 // requests are paced, no batch work starts while online requests wait, because these need preempted
-// slots.
+// slots. Where they are paced, the online requests that wait count as online work: after a power
+// loss they need all slots for seconds, and batch work would have to be preempted for them.
 func (p *Pool) batchFits(demand Demand, now time.Duration, random *rand.Rand) bool {
 	if !p.paced() && p.loads.At(p.queueHash).Inflight > 0 {
 		return false
 	}
-	sum := p.overview().usage(now)
+	if p.ownBatch() >= p.maxUninformedBatch(now) {
+		return false
+	}
+	sum := p.overviewOf(demand.Regions).usage(now)
 	if !sum.slotsKnown {
 		return true
 	}
-	budget := max(sum.slots-sum.online, int(minBatchFraction*float64(sum.slots)), 1)
+	part := p.partOfSlots(sum.slots, demand, now)
+	waiting := int(part * float64(p.loads.At(p.queueHash).Inflight))
+	least := max(1, int(minBatchFraction*float64(sum.slots)))
+	if p.returning(now) {
+		least = 0
+	}
+	budget := max(sum.slots-sum.online-waiting, least)
 	processes := max(1, p.batchProcesses)
 	if demand.Prioritized {
 		processes = min(processes, maxPrioritizedProcesses)
 	}
-	left := budget - sum.batch - demand.Reserved - (processes-1)*p.headroom.batchStarts.countWithin(max(startPropagation, p.maxLoadAge), now)
+	elsewhere := demand.Reserved + (processes-1)*p.headroom.batchStarts.countWithin(max(startPropagation, p.maxLoadAge), now)
+	left := budget - sum.batch - int(part*float64(elsewhere))
 	return float64(left) > float64(processes-1)*random.Float64()
 }
 
+// ownBatch returns the number of batch requests of this process.
+func (p *Pool) ownBatch() int {
+	own := 0
+	for _, place := range p.placesWithBatch() {
+		own += p.servers[place].batch
+	}
+	return own
+}
+
 // SetBatchProcesses sets the number of processes that start batch work, including this one.
 func (p *Pool) SetBatchProcesses(count int) { p.batchProcesses = count }
 
@@ -131,6 +181,18 @@
 // zero where processes send each other digests directly, including the lengths of their queues.
 func (p *Pool) SetMaxLoadAge(age time.Duration) { p.maxLoadAge = age }
 
+// SetMaxRegionLoadAge sets how old the loads of processes in other regions may be. Those at a server count
+// until then as what they were, so the pool acts on the excess at such a server less often.
+func (p *Pool) SetMaxRegionLoadAge(age time.Duration) { p.maxRegionLoadAge = age }
+
+// excessAge returns how old the loads may be that make up the excess at a server.
+func (p *Pool) excessAge(view serverView) time.Duration {
+	if view.peers.Far > 0 {
+		return max(p.maxLoadAge, p.maxRegionLoadAge)
+	}
+	return p.maxLoadAge
+}
+
 // PreemptBatch calls visit for each server where batch requests of this process should be preempted
 // for online work, with the number of requests. visit returns how many were preempted.
 //
@@ -145,7 +207,8 @@
 		if srv.Slots == 0 {
 			continue
 		}
-		excess := srv.handledExcess.unhandled(max(0, p.viewOf(srv, now).totalInflight-srv.Slots), p.maxLoadAge, now)
+		view := p.viewOf(srv, now)
+		excess := srv.handledExcess.unhandled(max(0, view.totalInflight-srv.Slots), p.excessAge(view), now)
 		wanted := p.ownShare(excess, srv.batch, p.batchAt(srv), random)
 		if p.preemptAt(srv, wanted, now, visit) < wanted {
 			srv.handledExcess.reset()
--- a/internal/balance/headroom_test.go
+++ b/internal/balance/headroom_test.go
@@ -53,6 +53,27 @@
 	}
 }
 
+// TestBatchWorkLeavesSlotsToAPacedQueue guards against batch work that takes the slots for which
+// online requests wait where these are paced, and has to be preempted for them. A tenth of the slots
+// stays for batch work.
+func TestBatchWorkLeavesSlotsToAPacedQueue(t *testing.T) {
+	for queued, want := range map[int]int{0: 100, 30: 70, 95: 10, 2000: 10} {
+		pool, sharedLoads, _ := newPool(10, 10)
+		pool.SetOnlineProcesses(20)
+		pool.SetMaxLoadAge(250 * time.Millisecond)
+		sharedLoads.Apply("router", 1, 1, map[uint32]balance.SharedLoad{balance.QueueHash("service"): {Inflight: queued}}, 0)
+		started := 0
+		for now := time.Duration(0); now < 30*time.Second; now += 250 * time.Millisecond {
+			if _, found := pool.Choose(balance.Demand{Batch: true}, nil, now, newRandom(1)); found {
+				started++
+			}
+		}
+		if started != want {
+			t.Errorf("while %d online requests wait %d batch requests start, want %d", queued, started, want)
+		}
+	}
+}
+
 // TestProcessLeavesBatchSlotsToOtherProcesses checks that recent starts count twice, since the
 // other process may have started as many.
 func TestProcessLeavesBatchSlotsToOtherProcesses(t *testing.T) {
--- a/internal/balance/members.go
+++ b/internal/balance/members.go
@@ -1,12 +1,18 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"rockwind.example/rockwind/internal/topology"
+)
 
 // Member is a server as the directory describes it.
 type Member struct {
 	ID      string
 	Address string
 	Zone    string
+	// Region is that of the zone; empty on a site whose settings name no regions.
+	Region string
 	// Slots is the number of requests it runs concurrently; zero if unknown.
 	Slots int
 	// Silent is set for a server that has not reported to the directory for long.
@@ -20,6 +26,8 @@
 // server is a member with what is known of its load.
 type server struct {
 	Member
+	// distance is how far the server is from this process.
+	distance topology.Distance
 	// hash identifies the server in digests.
 	hash uint32
 	// orphanHash identifies the orphaned requests there.
@@ -56,7 +64,7 @@
 
 // Update replaces the members and keeps the state of those that stay.
 func (p *Pool) Update(members []Member) {
-	p.summary.invalidate()
+	p.invalidateSums()
 	// A server's place never changes while it is a member, because its health and pace are tracked
 	// by place.
 	byID := make(map[string]Member, len(members))
@@ -72,7 +80,7 @@
 			p.remove(place)
 			continue
 		}
-		srv.Member = member
+		p.setMember(srv, member)
 	}
 	for _, member := range members {
 		if _, present := p.places[member.ID]; !present {
@@ -83,9 +91,9 @@
 
 // Put adds or updates a member.
 func (p *Pool) Put(member Member) {
-	p.summary.invalidate()
+	p.invalidateSums()
 	if srv := p.find(member.ID); srv != nil {
-		srv.Member = member
+		p.setMember(srv, member)
 		return
 	}
 	p.add(&server{Member: member, hash: ServerHash(member.ID), orphanHash: OrphanHash(member.ID), parts: make(map[uint64]time.Duration)})
@@ -94,13 +102,15 @@
 // Drop removes a member, if present.
 func (p *Pool) Drop(id string) {
 	if place := p.place(id); place >= 0 {
-		p.summary.invalidate()
+		p.invalidateSums()
 		p.remove(place)
 	}
 }
 
 func (p *Pool) add(added *server) {
-	clear(p.homes)
+	clear(p.affinities)
+	p.regionPlaces.valid = false
+	added.distance = p.topology.Distance(p.zone, added.Zone)
 	place := p.vacantPlace()
 	p.servers[place] = added
 	p.places[added.ID] = place
@@ -122,7 +132,8 @@
 }
 
 func (p *Pool) remove(place int) {
-	clear(p.homes)
+	clear(p.affinities)
+	p.regionPlaces.valid = false
 	delete(p.places, p.servers[place].ID)
 	p.servers[place] = nil
 	p.vacant = append(p.vacant, place)
@@ -151,10 +162,14 @@
 func (p *Pool) Size() int { return len(p.places) }
 
 // Slots returns the number of slots of all members, or zero if that of any is unknown.
-func (p *Pool) Slots() int {
+func (p *Pool) Slots() int { return p.SlotsIn(topology.RegionSet{}) }
+
+// SlotsIn returns the number of slots of the members in the given regions, or zero if that of any is
+// unknown.
+func (p *Pool) SlotsIn(regions topology.RegionSet) int {
 	slots := 0
 	for _, srv := range p.servers {
-		if srv == nil {
+		if srv == nil || !regions.Allows(srv.Region) {
 			continue
 		}
 		if srv.Slots == 0 {
--- a/internal/balance/orphans.go
+++ b/internal/balance/orphans.go
@@ -74,6 +74,12 @@
 	return (reported.Inflight + reported.Unread - 1) / reported.Unread
 }
 
+// orphansCounted reports whether any process has counted the orphaned requests at a server, which may be
+// none.
+func (s *SharedLoads) orphansCounted(hash uint32) bool {
+	return s.hasOrphaned && s.sums[hash].Unread+s.ownOrphaned[hash].Unread > 0
+}
+
 // Orphaned returns the number of orphaned requests at all servers of the pool.
 func (p *Pool) Orphaned() int {
 	sum := 0
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -6,7 +6,7 @@
 // answer is delayed but covers all callers; a server's load is estimated from both and from the
 // digests of other processes. Prompt parts that were recently sent to a server are likely still
 // cached there. Without such knowledge, all processes expect a shared part at the same few servers,
-// its homes, which are found by rendezvous hashing.
+// its affinity servers, which are found by rendezvous hashing.
 //
 // The state of a server is kept under its place, an index that doesn't change while the server is a
 // member of the pool.
@@ -17,6 +17,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/health"
+	"rockwind.example/rockwind/internal/topology"
 )
 
 // Periods and limits for the state of a server.
@@ -46,6 +47,8 @@
 type Demand struct {
 	// Parts of the prompt in order; the last one belongs to this request alone.
 	Parts []Part
+	// Bytes is the size of the request.
+	Bytes int
 	// Batch requests only take what online requests leave.
 	Batch bool
 	// Reserved is how many slots of the service a batch request leaves to others. Prioritized is set
@@ -55,13 +58,23 @@
 	// Overcommit lets an online request exceed this process's share of the slots, and the slots of a
 	// server, by one while requests are paced.
 	Overcommit bool
+	// Late is set for an online request that can no longer meet its objective, while others that can
+	// arrive. Where the number of requests is limited, it leaves some of it to these.
+	Late bool
+	// Regions are those in which the request may be served.
+	Regions topology.RegionSet
 }
 
 // Pool holds the servers of one service as seen by one process. It is not safe for concurrent use.
 type Pool struct {
+	service string
 	zone    string
 	loads   *SharedLoads
 	servers []*server
+	// topology has the distances of servers, and roundTrips the round-trip times to other regions. They
+	// are zero and nil if all servers are in one region.
+	topology   topology.Map
+	roundTrips *RoundTrips
 	// places maps server identifiers to places. vacant lists the places without a server.
 	places map[string]int
 	vacant []int
@@ -71,8 +84,8 @@
 	tracker     *health.Tracker
 	// paces estimates how long work takes at the servers; if nil, all are considered equally fast.
 	paces PaceEstimator
-	// homes caches the homes of parts.
-	homes map[uint64]homePlaces
+	// affinities caches the affinity servers of parts.
+	affinities map[affinityKey]affinityPlaces
 	// headroom limits batch work to what online work leaves.
 	headroom headroom
 	// queueHash identifies the service's queue in digests.
@@ -81,13 +94,49 @@
 	batchProcesses int
 	// maxLoadAge is how old the loads of other processes may be.
 	maxLoadAge time.Duration
+	// maxRegionLoadAge is how old those of processes in other regions may be.
+	maxRegionLoadAge time.Duration
 	// onlineProcesses is the number of processes that start online requests. pacing limits those of
 	// this one.
 	onlineProcesses int
 	pacing          pacing
-	// waiting is the number of online requests that wait in this process, if waitingKnown.
+	// waiting and timely are the numbers of online requests that wait in this process, and of those
+	// among them that can still meet their objective, if waitingKnown.
 	waiting      int
+	timely       int
 	waitingKnown bool
+	// timelyHash identifies the requests in the service's queue that can meet their objective.
+	timelyHash uint32
+	// onlineInflight is the number of online requests of this process at all servers. uninformed is
+	// set while it does not know the loads of the others, since uninformedSince, and startLimited if
+	// the number is limited for that. informedOnce is set once it has known them, and wasLimited once the
+	// number has been limited, last at limitedAt.
+	onlineInflight  int
+	uninformed      bool
+	startLimited    bool
+	informedOnce    bool
+	wasLimited      bool
+	uninformedSince time.Duration
+	limitedAt       time.Duration
+	// informedAt is when it last knew them.
+	informedAt time.Duration
+	// assumedOrphaned is the number of orphaned requests that was assumed at assumedAt. assumedByReports is
+	// set if servers had reported their loads then.
+	assumedOrphaned  float64
+	assumedAt        time.Duration
+	assumedByReports bool
+	// startLimitOff is set by DisableStartLimit.
+	startLimitOff bool
+	// orphansKnown is set once the orphaned requests have been counted at most servers.
+	orphansKnown bool
+	// lateInflight counts those of onlineInflight that were late at their start, and expectedTimely is
+	// how many others this process is expected to have.
+	lateInflight   int
+	expectedTimely float64
+	// regional is the state for restricted requests, by the key of their regions.
+	regional map[string]*regionalState
+	// scan computes the sums over a small pool.
+	scan fullScan
 	// The following fields avoid a scan of all servers for each choice in a large pool: cached sums,
 	// where prompt parts were sent, all places in random order, the places with slots freed by this
 	// process, and the places of ejected servers.
@@ -96,6 +145,9 @@
 	allPlaces     []int
 	freedPlaces   []int
 	ejected       []int
+	// regionPlaces are the places of the servers by region, and regionRoom the room in the own one.
+	regionPlaces regionPlaces
+	regionRoom   regionRoom
 	// searches counts the sampling searches.
 	searches uint64
 }
@@ -104,10 +156,10 @@
 // process use the same loads.
 func NewPool(service, zone string, loads *SharedLoads) *Pool {
 	created := &Pool{
-		zone: zone, loads: loads, queueHash: QueueHash(service), tracker: health.NewTracker(healthPolicy(), 0),
-		places: make(map[string]int), homes: make(map[uint64]homePlaces), pacing: pacing{credit: minCredit},
+		service: service, zone: zone, loads: loads, queueHash: QueueHash(service), timelyHash: TimelyHash(service), tracker: health.NewTracker(healthPolicy(), 0),
+		places: make(map[string]int), affinities: make(map[affinityKey]affinityPlaces), pacing: pacing{credit: minCredit},
 	}
-	created.summary.pool = created
+	created.summary.pool, created.scan.pool = created, created
 	return created
 }
 
@@ -123,6 +175,7 @@
 type Choice struct {
 	ID      string
 	Address string
+	Region  string
 	// Load and Slots are those at the time of the choice. ReportAge is the age of the server's last
 	// load report; negative if there was none.
 	Load      int
@@ -134,9 +187,16 @@
 	Candidates int
 	// Batch is set if the request is batch work.
 	Batch bool
+	// Late is that of the demand.
+	Late bool
+	// StartLimit is how many online requests this process might have at servers at the time because
+	// it did not know the loads of the others; zero if that was not limited.
+	StartLimit int
 	// Pace is the expected duration of work at the server as a multiple of the usual one; zero if
 	// pace is not used.
 	Pace float64
+	// Distance is how far the server is from this process.
+	Distance topology.Distance
 }
 
 // ExpectedFirstEvent returns the expected time to the first event.
@@ -202,12 +262,15 @@
 
 // commit counts the request at the chosen server and completes the choice.
 func (p *Pool) commit(chosen *server, choice Choice, demand Demand, now time.Duration) Choice {
-	choice.ID, choice.Address, choice.Slots = chosen.ID, chosen.Address, chosen.Slots
+	choice.ID, choice.Address, choice.Region, choice.Slots = chosen.ID, chosen.Address, chosen.Region, chosen.Slots
 	choice.Load, choice.ReportAge = p.viewOf(chosen, now).load, -1
 	if chosen.hasReport {
 		choice.ReportAge = now - chosen.reportedAt
 	}
-	choice.Batch = demand.Batch
+	choice.Batch, choice.Late, choice.Distance = demand.Batch, demand.Late, chosen.distance
+	if limit := p.StartLimit(); limit.Active && !demand.Batch {
+		choice.StartLimit = limit.Requests
+	}
 	p.start(chosen, demand, choice.Uncached, now)
 	p.tracker.RecordSent(p.place(chosen.ID), choice.ExpectedFirstEvent(), now)
 	return choice
@@ -223,13 +286,17 @@
 	chosen.inflight++
 	chosen.coldNext = now + chosen.ColdSpacing
 	chosen.inflightDelta++
-	p.summary.started(demand.Batch)
+	p.countStarted(chosen.Region, demand.Batch)
 	if demand.Batch {
 		chosen.batch++
 		p.noteBatch(p.place(chosen.ID))
 		p.headroom.batchStarts.add(1, now)
 	} else {
-		p.pacing.credit--
+		p.spendCredit(chosen.Region, now)
+		p.onlineInflight++
+		if demand.Late {
+			p.lateInflight++
+		}
 		chosen.takeFreedSlot()
 	}
 	chosen.unread += uncached
--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -10,6 +10,9 @@
 // sampleSize is how many servers a choice in a large pool draws, see docs/design/size.md.
 const sampleSize = 24
 
+// nearSampleSize is how many of them are of the own region, if there are several regions.
+const nearSampleSize = 16
+
 // sample considers some servers of a large pool: those due for a trial, those with slots that this
 // process freed, those likely to have a part of the prompt cached, and a random sample. Each
 // randomly drawn server stands for many others, but a part's location only for itself; its penalty
@@ -27,9 +30,9 @@
 	}
 	s.considerFreed()
 	s.considerPartLocations()
-	s.considerRandom(p.shuffledPlaces())
+	s.considerByRegion()
 	if !s.foundGood() {
-		s.considerRandom(p.summary.placesWithRoom(s.demand.Batch, s.now))
+		s.considerRandom(p.summaryOf(s.demand.Regions).placesWithRoom(s.demand.Batch, s.now), sampleSize)
 	}
 	return s.foundGood()
 }
@@ -57,10 +60,10 @@
 }
 
 // considerPartLocations considers the servers that are likely to have a part of the prompt cached.
-// All processes consider the same homes of a part. Without the penalty, homes would receive all
+// All processes consider the same affinity servers of a part. Without the penalty, affinity servers would receive all
 // requests even for parts that are cheap to prefill.
 func (s *search) considerPartLocations() {
-	s.penalty = math.Log(float64(len(s.pool.places)) / sampleSize)
+	s.penalty = math.Log(max(1, float64(s.pool.summaryOf(s.demand.Regions).current(s.now).members)/sampleSize))
 	defer func() { s.penalty = 0 }()
 	for i, part := range s.demand.Parts {
 		places := s.pool.partLocations.places(part.ID)
@@ -70,24 +73,50 @@
 		if i == len(s.demand.Parts)-1 {
 			return
 		}
-		for _, home := range s.pool.homesOf(part.ID) {
-			s.considerOnce(home)
+		for _, place := range s.pool.affinityServers(part.ID, s.demand.Regions) {
+			s.considerOnce(place)
 		}
 		// uncachedTokens assumes no cached parts after the first one that was sent nowhere, so that
-		// later homes are of no use.
+		// later affinity servers are of no use.
 		if places == (partPlaces{}) {
 			return
 		}
 	}
 }
 
-// considerRandom considers up to sampleSize of the places, drawn without replacement by a partial
-// shuffle in place.
-func (s *search) considerRandom(places []int) {
-	for i := range min(sampleSize, len(places)) {
+// considerByRegion considers a random sample of all servers. If there are several regions, most of
+// the sample is from the own one, since servers of others are rarely chosen while it has room. A
+// server drawn from a region stands for fewer or more others than one drawn from all; its penalty
+// makes up for that. For a request that is restricted to some regions, all allowed servers count alike.
+func (s *search) considerByRegion() {
+	near, away := s.pool.placesByRegion()
+	if len(near) == 0 || len(away) == 0 || s.demand.Regions.Restricted() {
+		s.considerRandom(s.pool.shuffledPlaces(), sampleSize)
+		return
+	}
+	defer func() { s.penalty = 0 }()
+	drawn := 0
+	for _, stratum := range []struct {
+		places []int
+		count  int
+	}{{near, nearSampleSize}, {away, sampleSize}} {
+		count := min(stratum.count-drawn, len(stratum.places))
+		drawn += count
+		s.penalty = math.Log(float64(len(near)+len(away)) / sampleSize * float64(count) / float64(len(stratum.places)))
+		s.considerRandom(stratum.places, count)
+	}
+}
+
+// considerRandom considers up to count of the places in allowed regions, drawn without replacement by
+// a partial shuffle in place.
+func (s *search) considerRandom(places []int, count int) {
+	for i, drawn := 0, 0; i < len(places) && drawn < count; i++ {
 		other := i + s.random.IntN(len(places)-i)
 		places[i], places[other] = places[other], places[i]
-		s.considerOnce(places[i])
+		if s.pool.allowedAt(places[i], s.demand.Regions) {
+			drawn++
+			s.considerOnce(places[i])
+		}
 	}
 }
 
--- a/internal/balance/search.go
+++ b/internal/balance/search.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/health"
+	"rockwind.example/rockwind/internal/topology"
 )
 
 // search is the state of one choice.
@@ -19,6 +20,8 @@
 	usesPace bool
 	// avoidSuspected is set if servers that other processes suspect are avoided.
 	avoidSuspected bool
+	// contended are the regions that the request leaves to others if it can, see contendedRegions.
+	contended []topology.RegionSet
 	// penalty is added to the cost of servers that are considered for their cached parts, in units
 	// of costScale.
 	penalty    float64
@@ -35,7 +38,8 @@
 func (p *Pool) newSearch(demand Demand, tried []string, now time.Duration, random *rand.Rand) *search {
 	return &search{
 		pool: p, demand: demand, tried: tried, now: now, random: random,
-		noPeers: !p.loads.HasPeers(), usesPace: p.usesPace(now), avoidSuspected: p.overview().avoidsSuspected(now),
+		noPeers: !p.loads.HasPeers(), usesPace: p.usesPace(now), avoidSuspected: p.overviewOf(demand.Regions).avoidsSuspected(now),
+		contended: p.contendedRegions(demand),
 	}
 }
 
@@ -51,7 +55,7 @@
 // consider compares the server at a place with the best one so far.
 func (s *search) consider(place int) {
 	p, srv := s.pool, s.pool.servers[place]
-	if srv == nil || srv.refusesCold(s.now) || slices.Contains(s.tried, srv.ID) {
+	if srv == nil || !s.demand.Regions.Allows(srv.Region) || srv.refusesCold(s.now) || slices.Contains(s.tried, srv.ID) {
 		return
 	}
 	candidate := p.viewOf(srv, s.now)
@@ -67,6 +71,9 @@
 		}
 		return
 	}
+	if s.demand.Regions.Restricted() && srv.lost(state) {
+		return
+	}
 	pace := 0.0
 	if s.usesPace {
 		others := p.loads.limitRemotePace(srv.hash, candidate.peers.Pace)
@@ -75,7 +82,7 @@
 	if state == health.Healthy && suspected {
 		state = health.Suspect
 	}
-	cost := p.cost(candidate, state, s.demand, uncached, pace, s.now) + noise(s.noPeers, s.random) + s.penalty
+	cost := p.cost(candidate, state, s.demand, uncached, pace, s.now) + noise(s.noPeers, s.random) + s.penalty + s.contention(srv.Region)
 	s.choice.Candidates++
 	if s.best == nil || cost < s.lowestCost {
 		s.best, s.lowestCost, s.choice.Uncached, s.choice.Pace = srv, cost, uncached, pace
--- a/internal/balance/serverview.go
+++ b/internal/balance/serverview.go
@@ -8,9 +8,15 @@
 	// peers is the load of all other processes.
 	peers SharedLoad
 	// totalInflight is the number of requests of all processes, including orphaned ones. load is
-	// the estimate that also includes the server's own report.
+	// the estimate that also includes the server's own report. orphaned is the number of orphaned
+	// requests alone.
 	totalInflight int
 	load          int
+	orphaned      int
+	// orphansCounted is set if the orphaned requests there are counted.
+	orphansCounted bool
+	// reportAge is the age of the server's last load report, if hasReport is set.
+	reportAge time.Duration
 	// batch is the number of batch requests of all processes.
 	batch int
 	// online is the load that counts for an online request.
@@ -18,20 +24,21 @@
 }
 
 // viewOf estimates the load of a server. The server's own report counts only while it is recent,
-// and for longer if no other process shares its loads.
+// and for longer while the loads of other processes are not known.
 //
 // Where requests are paced, batch work doesn't count for online requests: a request sent to a
 // server full of batch work starts once some of that is preempted. Otherwise the request waits in
 // the router for the preemption.
 func (p *Pool) viewOf(s *server, now time.Duration) serverView {
 	peers := p.loads.At(s.hash)
-	view := serverView{server: s, peers: peers, totalInflight: s.inflight + peers.Inflight + p.loads.orphaned(s.orphanHash), batch: s.batch + peers.Batch}
-	view.load = view.totalInflight
+	view := serverView{server: s, peers: peers, orphaned: p.loads.orphaned(s.orphanHash), orphansCounted: p.loads.orphansCounted(s.orphanHash), batch: s.batch + peers.Batch}
+	view.totalInflight = s.inflight + peers.Inflight + view.orphaned
+	view.load, view.reportAge = view.totalInflight, now-s.reportedAt
 	ttl := reportTTL
-	if p.loads.HasPeers() {
+	if p.loads.HasPeers() && !p.uninformed {
 		ttl = reportTTLWithPeers
 	}
-	if s.hasReport && now-s.reportedAt <= ttl {
+	if s.hasReport && view.reportAge <= ttl {
 		view.load = max(view.load, s.reportedLoad+s.inflightDelta)
 	}
 	view.online = view.load
--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -1,9 +1,12 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"rockwind.example/rockwind/internal/topology"
 )
 
 // senderTTL is how long the last digest of a process counts.
@@ -20,7 +23,9 @@
 	Batch int
 	// Suspects is the number of processes that consider the server failing.
 	Suspects int
-	// Pace is what is known of how long work takes there.
+	// Far counts the requests in flight that are those of processes in other regions, whose loads are older.
+	Far int
+	// Pace holds the reported and observed paces of the server.
 	Pace SharedPace
 }
 
@@ -33,6 +38,7 @@
 		Unread:   l.Unread + sign*other.Unread,
 		Batch:    l.Batch + sign*other.Batch,
 		Suspects: l.Suspects + sign*other.Suspects,
+		Far:      l.Far + sign*other.Far,
 		Pace:     l.Pace.plus(other.Pace, sign),
 	}
 }
@@ -44,6 +50,18 @@
 // online requests that wait in it.
 func QueueHash(service string) uint32 { return uint32(xxhash.Sum64String("queue of " + service)) }
 
+// RegionsQueueHash returns the hash that identifies the requests in the queue of a service that are
+// restricted to the given regions.
+func RegionsQueueHash(service string, regions topology.RegionSet) uint32 {
+	return QueueHash(service + " " + regions.Key())
+}
+
+// TimelyHash returns the hash that identifies in digests those requests in the queue of a service
+// that can still meet their objective. Inflight is their number.
+func TimelyHash(service string) uint32 {
+	return uint32(xxhash.Sum64String("timely in queue of " + service))
+}
+
 // sender is the newest digest of another process or of the delegate of a group.
 type sender struct {
 	started  int64
@@ -56,6 +74,11 @@
 	members int
 	// allButGroup is set if the digest sums up all groups except that one.
 	allButGroup bool
+	// counts is set if the sender has sent a number of covered processes since its start, in a digest of all
+	// groups except one.
+	counts bool
+	// zones are the hashes of the groups that the digest of a region sums up; empty for others.
+	zones []uint32
 }
 
 // SharedLoads holds the newest digests of the other processes and their sums by server. It is not
@@ -63,24 +86,61 @@
 type SharedLoads struct {
 	senders map[string]*sender
 	sums    map[uint32]SharedLoad
+	// spares are maps of dropped digests, which Spare returns; at most maxSpares.
+	spares []map[uint32]SharedLoad
 	// processes is the number of processes covered by all digests.
 	processes int
 	// zone is the zone of this process; empty if not set. remotePaces holds the paces sent by groups
 	// of other zones, by server.
 	zone        string
 	remotePaces map[uint32]SharedPace
-	// ownOrphaned is what this process tells of orphaned requests. hasOrphaned is set if any
-	// process tells of some and ignoreOrphaned is not set.
+	// ownOrphaned holds the orphaned requests that this process reports. hasOrphaned is set if any
+	// process reports some and ignoreOrphaned is not set.
 	ownOrphaned    map[uint32]SharedLoad
 	hasOrphaned    bool
 	ignoreOrphaned bool
+	// started is when this process started, in Unix milliseconds; zero is unknown. everHeard is set
+	// once a digest has arrived, heardAt is the arrival of the last one, and heardSince that of the first
+	// one since the last long pause.
+	started    int64
+	everHeard  bool
+	heardAt    time.Duration
+	heardSince time.Duration
+	// firstHeardAt is when the first digest arrived.
+	firstHeardAt time.Duration
 }
 
 func NewSharedLoads() *SharedLoads {
 	return &SharedLoads{senders: make(map[string]*sender), sums: make(map[uint32]SharedLoad), remotePaces: make(map[uint32]SharedPace)}
 }
 
-// Apply replaces the last digest of a process. Digests that are not newer, by the sender's start
+// maxSpares is the largest number of maps that are kept for the next digests. A digest of a group may replace
+// several others.
+const maxSpares = 4
+
+// Spare returns an empty map for the loads of the next digest, which has the given number of entries. It is
+// the map of a dropped digest of similar size, if there is one: these maps were most of what a router with
+// little traffic allocated. Large ones are not used for small digests, since a map keeps its size.
+func (s *SharedLoads) Spare(entries int) map[uint32]SharedLoad {
+	for i, spare := range s.spares {
+		if len(spare) <= 2*entries && entries <= 2*len(spare) {
+			s.spares = slices.Delete(s.spares, i, i+1)
+			clear(spare)
+			return spare
+		}
+	}
+	return make(map[uint32]SharedLoad, entries)
+}
+
+// keepSpare keeps the map of a dropped digest instead of the oldest one.
+func (s *SharedLoads) keepSpare(loads map[uint32]SharedLoad) {
+	if len(s.spares) == maxSpares {
+		s.spares = slices.Delete(s.spares, 0, 1)
+	}
+	s.spares = append(s.spares, loads)
+}
+
+// Apply replaces the last digest of a process. It takes over the map. Digests that are not newer, by the sender's start
 // and the sequence number, are ignored. Sums of the process's own group that include the sender are
 // dropped.
 func (s *SharedLoads) Apply(name string, started int64, sequence uint64, loads map[uint32]SharedLoad, now time.Duration) {
@@ -102,6 +162,8 @@
 	key := "group of " + delegate
 	s.dropCovered(key, func(held *sender) bool {
 		switch {
+		case len(held.zones) > 0:
+			return slices.Contains(held.zones, ZoneHash(group))
 		case held.allButGroup:
 			return held.group != group
 		case held.group == "":
@@ -121,6 +183,60 @@
 	s.apply(key, sender{started: started, sequence: sequence, at: now, loads: loads, group: group, allButGroup: true})
 }
 
+// ZoneHash returns the hash that identifies a group in the digest of a region.
+func ZoneHash(group string) uint32 { return uint32(xxhash.Sum64String("zone " + group)) }
+
+// coverageWindow is how long the sum of a region replaces those of other delegates that cover fewer
+// groups. It exceeds the time that a relay needs to replace a delegate and to receive the sums of all
+// groups, and is shorter than senderTTL.
+const coverageWindow = time.Second
+
+// otherRegionGroup is the group of senders that sum up a region. No zone has this name.
+const otherRegionGroup = "\x00region"
+
+// ApplyRegion replaces the digests that cover groups of another region, from any delegate. A digest
+// that covers fewer groups than a recent one of another delegate is ignored: a new delegate has not
+// received the sums of all groups yet.
+func (s *SharedLoads) ApplyRegion(delegate string, zones []uint32, members int, started int64, sequence uint64, loads map[uint32]SharedLoad, now time.Duration) {
+	key := "region of " + delegate
+	for other, held := range s.senders {
+		if other != key && now-held.at <= coverageWindow && len(held.zones) > len(zones) && containsAll(held.zones, zones) {
+			return
+		}
+	}
+	s.dropCovered(key, func(held *sender) bool {
+		if held.allButGroup || containsAny(held.zones, zones) {
+			return true
+		}
+		return held.group != "" && slices.Contains(zones, ZoneHash(held.group))
+	})
+	far := make(map[uint32]SharedLoad, len(loads))
+	for server, load := range loads {
+		load.Far = load.Inflight
+		far[server] = load
+	}
+	s.apply(key, sender{started: started, sequence: sequence, at: now, loads: far, group: otherRegionGroup, members: members, zones: zones})
+}
+
+func containsAny(zones, wanted []uint32) bool {
+	return slices.ContainsFunc(wanted, func(zone uint32) bool { return slices.Contains(zones, zone) })
+}
+
+func containsAll(zones, wanted []uint32) bool {
+	return !slices.ContainsFunc(wanted, func(zone uint32) bool { return !slices.Contains(zones, zone) })
+}
+
+// SumOfGroups adds up the digests that cover the named groups.
+func (s *SharedLoads) SumOfGroups(groups []string) map[uint32]SharedLoad {
+	sums := make(map[uint32]SharedLoad)
+	for _, held := range s.senders {
+		if held.group != "" && !held.allButGroup && slices.Contains(groups, held.group) {
+			held.addTo(sums)
+		}
+	}
+	return sums
+}
+
 // dropCovered drops the senders that a newer digest under the given key covers.
 func (s *SharedLoads) dropCovered(key string, covered func(held *sender) bool) {
 	for other, held := range s.senders {
@@ -137,8 +253,10 @@
 		if older {
 			return
 		}
+		next.counts = held.counts && next.started == held.started
 		s.drop(key)
 	}
+	s.noteHeard(next.at)
 	s.senders[key] = &next
 	s.processes += next.members
 	s.add(next.loads, 1)
@@ -150,6 +268,7 @@
 	s.add(held.loads, -1)
 	s.addRemotePaces(held, -1)
 	s.processes -= held.members
+	s.keepSpare(held.loads)
 	delete(s.senders, key)
 }
 
--- a/internal/balance/shared_test.go
+++ b/internal/balance/shared_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -205,3 +206,51 @@
 		t.Fatalf("chose %+v, %v", choice, found)
 	}
 }
+
+// TestMapsOfDroppedDigestsAreUsedAgain guards against garbage that grows with the rate of digests, against loads of
+// a dropped digest in the next one, and against large maps that are kept for small digests.
+func TestMapsOfDroppedDigestsAreUsedAgain(t *testing.T) {
+	const servers = 150
+	sharedLoads := balance.NewSharedLoads()
+	sequence := uint64(0)
+	receive := func(first, count int) {
+		loads := sharedLoads.Spare(count)
+		if len(loads) > 0 {
+			t.Fatalf("a map for the next digest has %d loads", len(loads))
+		}
+		for server := range count {
+			loads[uint32(first+server)] = balance.SharedLoad{Inflight: 2}
+		}
+		sequence++
+		sharedLoads.Apply("a", 1, sequence, loads, 0)
+	}
+	receive(0, servers)
+	receive(0, servers)
+	if allocations := testing.AllocsPerRun(100, func() { receive(0, servers) }); allocations > 2 {
+		t.Errorf("a digest takes %.0f allocations", allocations)
+	}
+	receive(servers, servers)
+	if old, current := sharedLoads.At(0), sharedLoads.At(servers); old != (balance.SharedLoad{}) || current.Inflight != 2 {
+		t.Errorf("the sums are %+v and %+v", old, current)
+	}
+	large := sharedLoads.Spare(servers)
+	if small := sharedLoads.Spare(10); len(small) != 0 {
+		t.Errorf("a map has %d loads", len(small))
+	}
+	large[1] = balance.SharedLoad{Inflight: 1}
+	if again := sharedLoads.Spare(servers); len(again) != 0 {
+		t.Error("a map is returned twice")
+	}
+}
+
+// TestFewMapsOfDroppedDigestsAreKept guards against memory that grows with the number of processes that were lost.
+func TestFewMapsOfDroppedDigestsAreKept(t *testing.T) {
+	sharedLoads := balance.NewSharedLoads()
+	for process := range 100 {
+		sharedLoads.Apply(strconv.Itoa(process), 1, 1, map[uint32]balance.SharedLoad{1: {Inflight: 1}}, 0)
+	}
+	sharedLoads.Expire(balance.SenderTTL + 1)
+	if kept := sharedLoads.KeptSpares(); kept > balance.MaxSpares {
+		t.Errorf("%d maps are kept", kept)
+	}
+}
--- a/internal/balance/size_test.go
+++ b/internal/balance/size_test.go
@@ -17,6 +17,8 @@
 // report their pace and have about one free slot each.
 func sitePool(servers int) *balance.Pool {
 	sharedLoads := balance.NewSharedLoads()
+	// The others started long before, so their loads are known at once.
+	sharedLoads.SetStarted(time.Hour.Milliseconds())
 	pool := balance.NewPool("service", "here", sharedLoads)
 	pool.SetPaceEstimator(pace.New())
 	pool.SetMaxLoadAge(maxLoadAge)
--- a/internal/balance/summary.go
+++ b/internal/balance/summary.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"rockwind.example/rockwind/internal/topology"
+)
 
 // summaryTTL is how long the sums over the servers of a large pool are reused. Loads of other
 // processes are older than that on large sites, and this process's own starts and ends are counted
@@ -10,6 +14,8 @@
 // summary implements overview for a large pool with cached sums.
 type summary struct {
 	pool *Pool
+	// regions are those whose servers are summed up.
+	regions topology.RegionSet
 	totals
 }
 
@@ -17,12 +23,10 @@
 type totals struct {
 	at    time.Duration
 	valid bool
+	// members counts the servers.
+	members int
 	// inUse is the load of the servers.
 	inUse usage
-	// free is the number of slots that online requests may use. slotsKnown is set if all usable
-	// servers report their slots.
-	free       float64
-	slotsKnown bool
 	// suspected counts the servers that other processes suspect.
 	suspected int
 	// onlinePlaces and batchPlaces are the places of the servers with room for such requests.
@@ -32,13 +36,9 @@
 
 func (s *summary) usage(now time.Duration) usage { return s.current(now).inUse }
 
-func (s *summary) freeSlots(now time.Duration) (free float64, slotsKnown bool) {
-	current := s.current(now)
-	return current.free, current.slotsKnown
-}
-
 func (s *summary) avoidsSuspected(now time.Duration) bool {
-	return fewSuspected(s.current(now).suspected, len(s.pool.places))
+	current := s.current(now)
+	return fewSuspected(current.suspected, current.members)
 }
 
 // placesWithRoom returns the places of the servers that had room when the sums were computed, in no
@@ -61,11 +61,11 @@
 // recompute computes the sums from all servers.
 func (s *summary) recompute(now time.Duration) {
 	s.totals = totals{
-		at: now, valid: true, inUse: usage{slotsKnown: true}, slotsKnown: true,
+		at: now, valid: true, inUse: noUsage,
 		onlinePlaces: s.onlinePlaces[:0], batchPlaces: s.batchPlaces[:0],
 	}
 	for place, srv := range s.pool.servers {
-		if srv != nil {
+		if srv != nil && s.regions.Allows(srv.Region) {
 			s.add(place, s.pool.viewOf(srv, now), s.pool.usable(place, now), now)
 		}
 	}
@@ -73,6 +73,7 @@
 
 // add adds the server at a place.
 func (s *totals) add(place int, view serverView, usable bool, now time.Duration) {
+	s.members++
 	if view.peers.suspectedByPeers() {
 		s.suspected++
 	}
@@ -80,8 +81,6 @@
 	if !usable {
 		return
 	}
-	s.slotsKnown = s.slotsKnown && view.Slots > 0
-	s.free += view.freeSlots()
 	if view.hasRoom(false, 0, now) {
 		s.onlinePlaces = append(s.onlinePlaces, place)
 	}
@@ -105,5 +104,5 @@
 		return
 	}
 	s.inUse.online += requests
-	s.free -= float64(requests)
+	s.inUse.free -= float64(requests)
 }
--- a/internal/bench/soak/online.go
+++ b/internal/bench/soak/online.go
@@ -34,7 +34,7 @@
 
 // onlinePaths are the routes of online requests; those of PathOnce and PathStream may run
 // at most once.
-var onlinePaths = []string{backend.PathSafe, backend.PathOnce, backend.PathStream, backend.PathResumable}
+var onlinePaths = []string{backend.PathSafe, backend.PathOnce, backend.PathStream, backend.PathResumable, backend.PathRestricted}
 
 // caller sends online requests to random routers, one at a time.
 type caller struct {
--- a/internal/bench/soak/operator.go
+++ b/internal/bench/soak/operator.go
@@ -78,6 +78,7 @@
 	add("stream", backend.PathStream, rockwindpb.RouteKind_ROUTE_KIND_STREAM, nil)
 	add("resumable", backend.PathResumable, rockwindpb.RouteKind_ROUTE_KIND_STREAM, func(r *rockwindpb.Route) { r.Resumable = true })
 	add("tenant", backend.PathTenant, rockwindpb.RouteKind_ROUTE_KIND_SAFE, func(r *rockwindpb.Route) { r.Public = false })
+	add("home", backend.PathRestricted, rockwindpb.RouteKind_ROUTE_KIND_SAFE, func(r *rockwindpb.Route) { r.Regions = []string{regionOf(allowedZone)} })
 	add("large", backend.PathLarge, rockwindpb.RouteKind_ROUTE_KIND_SAFE, nil)
 	add("batch", backend.PathBatch, rockwindpb.RouteKind_ROUTE_KIND_BATCH, func(r *rockwindpb.Route) {
 		r.DueMs, r.MaximumWaitMs, r.Priority, r.Attempts = 20_000, 600_000, 2, 30
--- a/internal/bench/soak/site.go
+++ b/internal/bench/soak/site.go
@@ -29,6 +29,12 @@
 	retentionS = 3600
 )
 
+// allowedZone is the zone whose region is allowed for requests of backend.PathRestricted.
+const allowedZone = 0
+
+// regionOf returns the region of a zone.
+func regionOf(zone int) string { return fmt.Sprintf("region-%d", zone) }
+
 var roles = []rockwindpb.SiteRole{
 	rockwindpb.SiteRole_SITE_ROLE_COORDINATOR,
 	rockwindpb.SiteRole_SITE_ROLE_STORE,
@@ -127,8 +133,13 @@
 	}
 	go proxy.Run(ctx)
 	name := fmt.Sprintf("%s-%d", roleNames[role], number)
+	var zoneRegions []*rockwindpb.ZoneRegion
+	for zone := range replicas {
+		zoneRegions = append(zoneRegions, &rockwindpb.ZoneRegion{Zone: fmt.Sprintf("zone-%d", zone), Region: regionOf(zone)})
+	}
 	settings := &rockwindpb.SiteSettings{
-		Name: name, Role: role, Zone: fmt.Sprintf("zone-%d", number),
+		ZoneRegions: zoneRegions,
+		Name:        name, Role: role, Zone: fmt.Sprintf("zone-%d", number),
 		InternalListen: addresses[0], Advertise: addresses[1], Bootstrap: true, MemoryMb: memoryMb, ToleratedLosses: 1,
 		HeartbeatMs: uint32(heartbeat.Milliseconds()), GraceS: graceS, ResultRetentionS: retentionS,
 	}
--- a/internal/bench/soak/witness/witness.go
+++ b/internal/bench/soak/witness/witness.go
@@ -47,6 +47,8 @@
 	DrainedServerUsed Rule = "leaving server used"
 	// LiveServerUnused: a server that runs and reports got no requests in a fault-free period.
 	LiveServerUnused Rule = "live server forgotten"
+	// OutsideRegions: a server received a request that is restricted to another region.
+	OutsideRegions Rule = "outside home"
 	// MemoryExceeded: a process exceeded its memory limit.
 	MemoryExceeded Rule = "memory exceeded"
 	// QuarantinedButRan: requests that crashed three backends kept running.
--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -10,6 +10,7 @@
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/topology"
 )
 
 // maximumWait bounds how long Watch waits for a newer configuration.
@@ -20,6 +21,8 @@
 	group   replica.Group
 	machine *Machine
 	now     func() time.Time
+	// topology is the zones and regions of the site.
+	topology topology.Map
 }
 
 // NewService returns the service of one replica. The machine must be the state machine
@@ -28,13 +31,20 @@
 	return &Service{group: group, machine: machine, now: now}
 }
 
+// WithTopology sets the regions that configurations may name, and returns the service. Without it,
+// configurations that name regions are refused.
+func (s *Service) WithTopology(zones topology.Map) *Service {
+	s.topology = zones
+	return s
+}
+
 // Submit accepts or refuses a full configuration. It fails with fault.InvalidArgument,
 // fault.Conflict or fault.Stale if the configuration is refused, with fault.NotLeader
 // if this replica is not the leader, and with fault.OutcomeUnknown if the
 // configuration may still be accepted; sending the same file again then returns the
 // same acceptance.
 func (s *Service) Submit(ctx context.Context, request *rockwindpb.ApplyConfigurationRequest) (*rockwindpb.ApplyConfigurationResponse, error) {
-	next, err := checked(request.GetConfiguration())
+	next, err := checked(request.GetConfiguration(), s.topology)
 	if err != nil {
 		return nil, err
 	}
@@ -83,12 +93,13 @@
 
 // checked normalises and validates a received configuration, so that replicas don't
 // rely on validation by clients.
-func checked(received *rockwindpb.Configuration) (*configuration.Index, error) {
+func checked(received *rockwindpb.Configuration, zones topology.Map) (*configuration.Index, error) {
 	if received == nil {
 		return nil, fault.New(fault.InvalidArgument, "the request holds no configuration", "send the whole configuration")
 	}
 	configuration.Normalise(received)
-	if err := configuration.ProblemsError(configuration.Check(received)); err != nil {
+	problems := append(configuration.Check(received), configuration.CheckRegions(received, zones)...)
+	if err := configuration.ProblemsError(problems); err != nil {
 		return nil, err
 	}
 	return configuration.NewIndex(received)
--- a/internal/configuration/check.go
+++ b/internal/configuration/check.go
@@ -57,6 +57,7 @@
 	c.checkBackEnds()
 	c.checkPolicy()
 	c.checkRoutes()
+	c.checkCommonRegions()
 }
 
 func (c *checker) indexObjects() {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -2,7 +2,8 @@
 // configuration and its directory of servers and machines, and serve both to the routers and
 // stores that watch them. Any coordinator accepts any call; changes go to the leader of the root
 // group. A coordinator without contact to the leader fails calls with fault.Unavailable instead
-// of answering from stale state. A non-member, a coordinator without a replica of the root group,
+// of answering from stale state. Only watches may be answered before a leader is elected after a
+// start, from a state that a majority confirmed. A non-member, a coordinator without a replica of the root group,
 // forwards calls to the members.
 package coordinator
 
@@ -29,6 +30,7 @@
 	"rockwind.example/rockwind/internal/sharding"
 	"rockwind.example/rockwind/internal/site"
 	"rockwind.example/rockwind/internal/sitemetrics"
+	"rockwind.example/rockwind/internal/traffic"
 	"rockwind.example/rockwind/internal/twirphttp"
 )
 
@@ -50,6 +52,7 @@
 type Coordinator struct {
 	settings  *rockwindpb.SiteSettings
 	client    *http.Client
+	traffic   *traffic.Counter
 	host      *replica.Host
 	rootState atomic.Pointer[rootStateMachine]
 	liveness  *liveness
@@ -74,7 +77,8 @@
 // empty; it may be nil.
 func Run(ctx context.Context, settings *rockwindpb.SiteSettings, handler Handler, options ...Option) error {
 	site.SetMemoryLimit(settings)
-	c := &Coordinator{settings: settings, client: dial.NewClient(), liveness: newLiveness()}
+	counter := traffic.NewCounter(settings.GetZone(), site.Topology(settings))
+	c := &Coordinator{settings: settings, client: dial.NewClient(counter.Dial), traffic: counter, liveness: newLiveness()}
 	for _, option := range options {
 		option(c)
 	}
@@ -121,9 +125,10 @@
 	stopServing := func() {}
 	return site.RunHost(ctx, c.host, func(group *errgroup.Group, groupCtx context.Context) {
 		group.Go(func() error {
-			return site.Serve(groupCtx, site.NewServer(c.internalHandler(handler)), internalListener, stopTimeout)
+			return site.Serve(groupCtx, site.NewServer(c.internalHandler(handler)), c.traffic.Listener(internalListener), stopTimeout)
 		})
-		group.Go(func() error { return sitemetrics.New("coordinator", decision.Default).Serve(groupCtx, c.settings) })
+		group.Go(func() error { return c.metrics().Serve(groupCtx, c.settings) })
+		group.Go(func() error { c.traffic.Follow(groupCtx, c.knownDirectory); return nil })
 		group.Go(func() error { c.foundCluster(groupCtx); return nil })
 		group.Go(func() error { c.runMaintenance(groupCtx); return nil })
 		group.Go(func() error { c.followMembers(groupCtx); return nil })
@@ -132,21 +137,41 @@
 		}
 		var servingCtx context.Context
 		servingCtx, stopServing = context.WithCancel(groupCtx)
-		group.Go(func() error { return site.Serve(servingCtx, site.NewServer(handler(c)), publicListener, stopTimeout) })
+		group.Go(func() error {
+			return site.Serve(servingCtx, site.NewServer(handler(c)), c.traffic.Listener(publicListener), stopTimeout)
+		})
 	}, func() { stopServing() })
 }
 
+func (c *Coordinator) metrics() *sitemetrics.Set {
+	set := sitemetrics.New("coordinator", decision.Default)
+	set.Traffic(c.traffic)
+	return set
+}
+
+// knownDirectory returns the directory that this coordinator holds, which may be outdated, or nil.
+func (c *Coordinator) knownDirectory() *directory.View {
+	if machine := c.rootState.Load(); machine != nil {
+		return machine.view().directory
+	}
+	if known := c.follower.state.Load(); known != nil {
+		return known.directory
+	}
+	return nil
+}
+
 func (c *Coordinator) internalHandler(handler Handler) http.Handler {
 	mux := http.NewServeMux()
 	if handler != nil && c.settings.GetListen() == "" {
 		mux.Handle("/", handler(c))
 	}
 	for _, server := range []rockwindpb.TwirpServer{
-		rockwindpb.NewReplicaServiceServer(c.host.Service()),
+		replica.NewServer(c.host),
 		rockwindpb.NewConfigurationServiceServer(configurationService{c}),
 		rockwindpb.NewDirectoryServiceServer(directoryService{c}),
 		rockwindpb.NewQuarantineServiceServer(quarantineService{c}),
 		rockwindpb.NewZoneDrainServiceServer(zoneDrainService{c}),
+		rockwindpb.NewColdServerServiceServer(coldServerService{c}),
 	} {
 		mux.Handle(server.PathPrefix(), server)
 	}
@@ -219,21 +244,30 @@
 // awaitCurrentState is currentState, but waits up to site.MaxStartupHold after a start, so that callers
 // need not retry. A coordinator that loses its leader later fails immediately, since another one
 // may be in contact with it.
-func (c *Coordinator) awaitCurrentState(ctx context.Context) (replica.Group, *rootView, error) {
+func (c *Coordinator) awaitCurrentState(ctx context.Context) (group replica.Group, view *rootView, err error) {
+	err = c.awaitAfterStart(ctx, func() (err error) {
+		group, view, err = c.currentState()
+		return err
+	})
+	return group, view, err
+}
+
+// awaitAfterStart calls ready until it succeeds, but does not wait longer than awaitCurrentState.
+func (c *Coordinator) awaitAfterStart(ctx context.Context, ready func() error) error {
 	for began := time.Now(); ; {
-		group, view, err := c.currentState()
+		err := ready()
 		if err == nil || c.wasUpToDate.Load() || time.Since(began) > site.MaxStartupHold {
-			return group, view, err
+			return err
 		}
 		applied, groupErr := c.applied()
 		if groupErr != nil {
-			return nil, nil, groupErr
+			return groupErr
 		}
 		select {
 		case <-applied:
 		case <-time.After(startPollInterval):
 		case <-ctx.Done():
-			return nil, nil, err
+			return err
 		}
 	}
 }
@@ -322,7 +356,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return catalog.NewService(catalogGroup{Group: group, machine: machine}, machine.catalog, time.Now).Submit(ctx, request)
+		return catalog.NewService(catalogGroup{Group: group, machine: machine}, machine.catalog, time.Now).WithTopology(site.Topology(c.settings)).Submit(ctx, request)
 	}, elsewhere)
 }
 
@@ -351,7 +385,7 @@
 		return err
 	}
 	if c.isNonMember() {
-		if known := c.recentState(); known != nil && !known.directory.WouldChange(report) {
+		if known := c.recentState(); known != nil && !known.directory.WouldChange(report) && !turnsCold(known.directory, known.cold, report, time.Now()) {
 			c.liveness.record(report.GetId(), time.Now())
 			return nil
 		}
@@ -364,6 +398,10 @@
 	if err != nil {
 		return err
 	}
+	report = limitColdTime(view, report)
+	if err := c.reportCold(ctx, view, report); err != nil {
+		return err
+	}
 	if view.directory.WouldChange(report) {
 		command := c.reportCommand(view, report)
 		if err := c.commitOnLeader(ctx, command); err != nil {
--- a/internal/coordinator/follower.go
+++ b/internal/coordinator/follower.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"rockwind.example/rockwind/internal/coldstart"
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/quarantine"
 	"rockwind.example/rockwind/internal/retry"
@@ -32,6 +33,7 @@
 	directory     *directory.View
 	quarantine    *quarantine.List
 	zoneDrains    *zonedrain.List
+	cold          *coldstart.List
 	configuration uint64
 	// leader is the leader's address, empty if the member's version does not send it.
 	leader string
@@ -72,7 +74,8 @@
 	if previous == nil || next.directory != previous.directory || next.quarantine != previous.quarantine {
 		c.follower.changed.notify()
 	}
-	if previous == nil || next.configuration != previous.configuration || next.zoneDrains != previous.zoneDrains {
+	if previous == nil || next.configuration != previous.configuration || next.zoneDrains != previous.zoneDrains ||
+		next.cold != previous.cold {
 		c.follower.urgent.notify()
 	}
 	return true
@@ -89,21 +92,24 @@
 
 // watchRequest returns the request for changes since f, which may be nil.
 func (f *followedState) watchRequest(wait time.Duration) *rockwindpb.WatchDirectoryRequest {
-	request := &rockwindpb.WatchDirectoryRequest{WaitMs: uint32(wait.Milliseconds()), KnowsZoneDrains: true, WantLeader: true}
+	request := &rockwindpb.WatchDirectoryRequest{WaitMs: uint32(wait.Milliseconds()), KnowsZoneDrains: true, KnowsColdServers: true, WantLeader: true}
 	if f == nil {
 		return request
 	}
 	request.HaveRevision, request.HaveStoreCluster = f.directory.Revision(), f.directory.StoreCluster().GetClusterId()
 	request.HaveConfiguration, request.HaveQuarantine, request.HaveZoneDrains = f.configuration, f.quarantine.Revision(), f.zoneDrains.Revision()
+	request.HaveColdServers = f.cold.Revision()
 	return request
 }
 
 // merge returns the state after a member's answer. Members may lag behind each other, so newer
 // parts of f are kept.
 func (f *followedState) merge(response *rockwindpb.WatchDirectoryResponse, now time.Time) *followedState {
-	next := &followedState{receivedAt: now, leader: response.GetLeaderAddress()}
+	age := time.Duration(response.GetAgeMs()) * time.Millisecond
+	next := &followedState{receivedAt: now.Add(-age), leader: response.GetLeaderAddress()}
 	if f != nil {
 		next.directory, next.quarantine, next.zoneDrains, next.configuration = f.directory, f.quarantine, f.zoneDrains, f.configuration
+		next.cold = f.cold
 	}
 	next.directory = directory.Merge(next.directory, response)
 	next.configuration = max(next.configuration, response.GetConfigurationNumber())
@@ -113,5 +119,8 @@
 	if response.GetZoneDrainsRevision() > next.zoneDrains.Revision() {
 		next.zoneDrains = zonedrain.NewList(response.GetZoneDrainsRevision(), response.GetZoneDrains())
 	}
+	if response.GetColdServersRevision() > next.cold.Revision() {
+		next.cold = coldstart.NewList(response.GetColdServersRevision(), response.GetColdServers())
+	}
 	return next
 }
--- a/internal/coordinator/incarnations.go
+++ b/internal/coordinator/incarnations.go
@@ -61,6 +61,7 @@
 		return probeResult{identity: c.probe(view, report), conflicting: conflicting}, nil
 	})
 	result, _ := shared.(probeResult)
+	report = withColdTime(view, report, result.identity)
 	command := directory.ReportCommand(report, result.conflicting, result.identity)
 	recordProbe(append(slices.Clone(result.conflicting), report), result.identity, command)
 	return command
@@ -83,6 +84,7 @@
 		log.WithError(fault.From(err)).WithField("address", expected.GetAddress()).WithField("server", expected.GetId()).
 			Debug("probe of a server address failed")
 	}
+	c.observeIdentity(view, identity)
 	return identity
 }
 
--- a/internal/coordinator/machines.go
+++ b/internal/coordinator/machines.go
@@ -23,6 +23,9 @@
 	machineRemovalTimeout = 12 * time.Second
 	// aliveTimeout is how long a machine may be silent and still count as alive.
 	aliveTimeout = 7 * time.Second
+	// minStoresOfRegion is how many other stores must remain in a region with a shard of its own if a
+	// store retires: a single copy of the shard would not survive the loss of a disk.
+	minStoresOfRegion = 2
 	// identityTimeout bounds the query of all stores for their groups.
 	identityTimeout = 400 * time.Millisecond
 )
@@ -75,16 +78,13 @@
 	if machine.GetRetiring() {
 		return nil
 	}
-	remaining := 0
-	for _, other := range stores(view.directory) {
-		alive := c.liveness.heardSince(machineKey(other.GetName()), time.Now().Add(-aliveTimeout))
-		if other.GetName() != name && !other.GetRetiring() && alive {
-			remaining++
-		}
-	}
+	remaining := c.countRemaining(view.directory, name, func(*rockwindpb.Machine) bool { return true })
 	if wanted := site.GroupSize(c.settings); remaining < wanted {
 		return fault.Newf(fault.Conflict, "add a store first", "only %d stores would remain, but the site needs %d", remaining, wanted)
 	}
+	if err := c.checkRegionOfRetiring(view.directory, machine); err != nil {
+		return err
+	}
 	err = c.commitOnLeader(ctx, &rockwindpb.DirectoryCommand{
 		Command: &rockwindpb.DirectoryCommand_Retire{Retire: &rockwindpb.RetireMachine{Name: name}},
 	})
@@ -92,6 +92,36 @@
 	return err
 }
 
+// countRemaining counts the wanted stores that are alive and not retiring, without the named one.
+func (c *Coordinator) countRemaining(view *directory.View, name string, wanted func(*rockwindpb.Machine) bool) int {
+	remaining := 0
+	for _, other := range stores(view) {
+		alive := c.liveness.heardSince(machineKey(other.GetName()), time.Now().Add(-aliveTimeout))
+		if other.GetName() != name && !other.GetRetiring() && alive && wanted(other) {
+			remaining++
+		}
+	}
+	return remaining
+}
+
+// checkRegionOfRetiring fails with fault.Conflict if too few stores would remain in the region of a
+// store for the shard of the region. Fewer than the site's fault tolerance needs are enough, since
+// no store of another region may replace one of the region.
+func (c *Coordinator) checkRegionOfRetiring(view *directory.View, retiring *rockwindpb.Machine) error {
+	regions := site.Topology(c.settings)
+	region := regions.Region(retiring.GetZone())
+	if _, found := view.RegionalShard(region); !found {
+		return nil
+	}
+	remaining := c.countRemaining(view, retiring.GetName(), func(other *rockwindpb.Machine) bool {
+		return regions.Region(other.GetZone()) == region
+	})
+	if remaining < minStoresOfRegion {
+		return fault.Newf(fault.Conflict, "add a store in the region first", "only %d stores would remain in region %s, but its shard needs %d", remaining, region, minStoresOfRegion)
+	}
+	return nil
+}
+
 // callLeaderDirectory calls the directory service of a remote leader of the root group.
 func (c *Coordinator) callLeaderDirectory(ctx context.Context, call func(context.Context, rockwindpb.DirectoryService) error) error {
 	return c.runOnLeader(ctx, func() error {
@@ -105,8 +135,8 @@
 	return view.WithRole(rockwindpb.SiteRole_SITE_ROLE_STORE)
 }
 
-// Retired reports whether a retiring store holds no data any more: the leaders of all shards are
-// known, and none lists it as a member.
+// Retired reports whether a retiring store holds no data any more: the leaders of all shards that it
+// may be a member of are known, and none lists it as a member.
 func (c *Coordinator) Retired(ctx context.Context, name string) (bool, error) {
 	view, err := c.currentDirectory(ctx)
 	if err != nil {
@@ -117,7 +147,11 @@
 		return false, fault.Newf(fault.NotFound, "ask the store to retire first", "no store named %q is retiring", name)
 	}
 	led := c.ledShards(ctx, stores(view))
+	region := site.Topology(c.settings).Region(machine.GetZone())
 	for _, group := range view.StoreCluster().GetGroups() {
+		if group.GetRegion() != "" && group.GetRegion() != region && !directory.HasWitnesses(group.GetMembership()) {
+			continue
+		}
 		status := led[group.GetGroup()]
 		if status == nil || hasMember(status.GetMembership(), name) {
 			return false, nil
--- a/internal/coordinator/maintenance.go
+++ b/internal/coordinator/maintenance.go
@@ -8,6 +8,7 @@
 
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/featurelevel"
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/site"
@@ -48,7 +49,7 @@
 			continue
 		}
 		now := time.Now()
-		if now.Sub(announced) >= announceInterval && c.announceSelf(ctx, view.directory) {
+		if now.Sub(announced) >= announceInterval && c.announceSelf(ctx, view) {
 			announced = now
 		}
 		if _, leading := group.Leading(); !leading {
@@ -76,6 +77,8 @@
 		Address:   site.AdvertisedAddress(c.settings),
 		DiskId:    c.host.DiskID(),
 		Bootstrap: c.settings.GetBootstrap(),
+
+		FeatureLevel: featurelevel.Current,
 	}
 }
 
@@ -92,10 +95,10 @@
 	return err == nil
 }
 
-func (c *Coordinator) announceSelf(ctx context.Context, view *directory.View) bool {
+func (c *Coordinator) announceSelf(ctx context.Context, view *rootView) bool {
 	machine := c.selfMachine()
 	c.liveness.record(machineKey(machine.GetName()), time.Now())
-	if view.KnowsMachine(machine) {
+	if view.knowsMachine(machine) {
 		return true
 	}
 	callCtx, cancel := context.WithTimeout(ctx, maintenanceCallTimeout)
@@ -151,7 +154,9 @@
 
 // foundStoreCluster founds the store cluster if it is due.
 func (c *Coordinator) foundStoreCluster(ctx context.Context, view *directory.View, now time.Time) {
-	founding := directory.PlanStoreCluster(view, site.GroupSize(c.settings), now)
+	founding := directory.PlanStoreCluster(view, directory.FoundingPolicy{
+		Replicas: site.GroupSize(c.settings), Regions: site.Topology(c.settings), ToleratedRegionLosses: int(c.settings.GetToleratedRegionLosses()),
+	}, now)
 	if founding == nil {
 		return
 	}
--- a/internal/coordinator/services.go
+++ b/internal/coordinator/services.go
@@ -10,6 +10,7 @@
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/site"
 )
 
 // configurationService serves the configuration to routers, stores and other coordinators.
@@ -46,8 +47,8 @@
 }
 
 // Watch implements rockwindpb.ConfigurationService. It fails if the replica is not in contact with
-// the leader. After a start it first waits until it is up to date, which counts towards the
-// call's wait.
+// the leader. After a start it first waits until it is up to date or its state is confirmed, which
+// counts towards the call's wait.
 func (s configurationService) Watch(ctx context.Context, request *rockwindpb.WatchConfigurationRequest) (*rockwindpb.WatchConfigurationResponse, error) {
 	if s.coordinator.isNonMember() {
 		response, err := forward(ctx, s.coordinator, watchTimeout(request.GetWaitMs()), func(ctx context.Context, base string) (*rockwindpb.WatchConfigurationResponse, error) {
@@ -56,7 +57,7 @@
 		return response, fault.ToTwirp(err)
 	}
 	began := time.Now()
-	if _, _, err := s.coordinator.awaitCurrentState(ctx); err != nil {
+	if err := s.coordinator.awaitConfiguration(ctx, request.GetHaveNumber()); err != nil {
 		return nil, fault.ToTwirp(err)
 	}
 	service, err := s.service()
@@ -73,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return catalog.NewService(catalogGroup{Group: group, machine: machine}, machine.catalog, time.Now), nil
+	return catalog.NewService(catalogGroup{Group: group, machine: machine}, machine.catalog, time.Now).WithTopology(site.Topology(s.coordinator.settings)), nil
 }
 
 // directoryService serves the directory to routers, stores and other coordinators.
@@ -94,7 +95,7 @@
 // Announce implements rockwindpb.DirectoryService.
 func (s directoryService) Announce(ctx context.Context, request *rockwindpb.AnnounceMachineRequest) (*rockwindpb.AnnounceMachineResponse, error) {
 	if s.coordinator.isNonMember() {
-		if known := s.coordinator.recentState(); known != nil && known.directory.KnowsMachine(request.GetMachine()) {
+		if known := s.coordinator.recentState(); known != nil && known.directory.KnowsMachine(request.GetMachine()) && !announcesLevel(request.GetMachine()) {
 			return s.coordinator.knownMachine(known.directory, request), nil
 		}
 		response, err := forward(ctx, s.coordinator, untilCommitted, func(ctx context.Context, base string) (*rockwindpb.AnnounceMachineResponse, error) {
@@ -106,7 +107,7 @@
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
-	if !view.directory.KnowsMachine(request.GetMachine()) {
+	if !view.knowsMachine(request.GetMachine()) {
 		command := &rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Announce{Announce: request.GetMachine()}}
 		if err := s.coordinator.commitOnLeader(ctx, command); err != nil {
 			return nil, fault.ToTwirp(err)
@@ -157,7 +158,7 @@
 // Watch implements rockwindpb.DirectoryService. It answers shortly after a change, immediately if
 // the change is urgent or the watcher has no state yet, or without changes after the wait. It
 // fails once the replica loses contact with the leader. After a start it first waits until it is up
-// to date, which counts towards the call's wait.
+// to date or its state is confirmed, which counts towards the call's wait.
 func (s directoryService) Watch(ctx context.Context, request *rockwindpb.WatchDirectoryRequest) (*rockwindpb.WatchDirectoryResponse, error) {
 	nonMember := s.coordinator.isNonMember()
 	if nonMember && s.coordinator.recentState() == nil {
@@ -169,7 +170,7 @@
 	wait := time.NewTimer(min(time.Duration(request.GetWaitMs())*time.Millisecond, maxWatchWait))
 	defer wait.Stop()
 	if !nonMember {
-		if _, _, err := s.coordinator.awaitCurrentState(ctx); err != nil {
+		if _, err := s.coordinator.awaitWatchableState(ctx); err != nil {
 			return nil, fault.ToTwirp(err)
 		}
 	}
--- a/internal/coordinator/statemachine.go
+++ b/internal/coordinator/statemachine.go
@@ -7,8 +7,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"rockwind.example/rockwind/internal/catalog"
+	"rockwind.example/rockwind/internal/coldstart"
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/featurelevel"
 	"rockwind.example/rockwind/internal/quarantine"
 	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/rockwindpb"
@@ -16,16 +18,18 @@
 )
 
 // rootStateMachine is the replicated state of the root group: the configuration, the directory,
-// the quarantine and the drained zones.
+// the quarantine, the drained zones, the cold servers and the feature levels of the coordinators.
 type rootStateMachine struct {
 	catalog    *catalog.Machine
 	directory  *directory.Directory
 	quarantine *quarantine.Registry
 	zoneDrains *zonedrain.Registry
+	cold       *coldstart.Registry
+	levels     *featurelevel.Levels
 	// published is the view for other goroutines.
 	published atomic.Pointer[rootView]
-	// urgent is notified at changes that watchers receive immediately: those of the configuration
-	// and of zone drains. A large site has hundreds of other changes per second, which must not
+	// urgent is notified at changes that watchers receive immediately: those of the configuration,
+	// of zone drains and of cold servers. A large site has hundreds of other changes per second, which must not
 	// wake every watch.
 	urgent signal
 }
@@ -36,11 +40,14 @@
 	directory  *directory.View
 	quarantine *quarantine.View
 	zoneDrains *zonedrain.List
+	cold       *coldstart.List
+	levels     *featurelevel.Levels
 }
 
 func newRootStateMachine() *rootStateMachine {
 	created := &rootStateMachine{
 		catalog: catalog.NewWithPolicy(catalog.HighestNumber), directory: directory.New(), quarantine: quarantine.New(), zoneDrains: zonedrain.New(),
+		cold: coldstart.NewRegistry(),
 	}
 	created.Publish()
 	return created
@@ -50,9 +57,10 @@
 func (m *rootStateMachine) Publish() {
 	next := &rootView{
 		catalog: m.catalog.View(), directory: m.directory.View(), quarantine: m.quarantine.View(), zoneDrains: m.zoneDrains.List(),
+		cold: m.cold.List(), levels: m.levels,
 	}
 	previous := m.published.Swap(next)
-	if previous == nil || previous.catalog != next.catalog || previous.zoneDrains != next.zoneDrains {
+	if previous == nil || previous.catalog != next.catalog || previous.zoneDrains != next.zoneDrains || previous.cold != next.cold {
 		m.urgent.notify()
 	}
 }
@@ -77,14 +85,29 @@
 		m.zoneDrains.Apply(drained)
 		return nil
 	}
+	if cold := decoded.GetColdServer(); cold != nil {
+		m.cold.Apply(cold)
+		return nil
+	}
 	m.directory.Apply(decoded.GetDirectory())
+	m.applyLevel(decoded.GetDirectory())
 	return nil
 }
 
+// applyLevel records the feature level of an announced coordinator. The level of a coordinator that
+// is forgotten is kept: it stays a member of the root group, and a gate must not close whenever a
+// coordinator is silent. One of an earlier version that returns announces itself without a level.
+func (m *rootStateMachine) applyLevel(command *rockwindpb.DirectoryCommand) {
+	if announced := command.GetAnnounce(); announced.GetRole() == rockwindpb.SiteRole_SITE_ROLE_COORDINATOR {
+		m.levels = m.levels.With(announced.GetName(), announced.GetFeatureLevel())
+	}
+}
+
 // Snapshot implements replica.StateMachine.
 func (m *rootStateMachine) Snapshot() ([]byte, error) {
 	snapshot := &rockwindpb.RootSnapshot{
 		Catalog: m.catalog.Save(), Directory: m.directory.Save(), Quarantine: m.quarantine.Save(), ZoneDrains: m.zoneDrains.Save(),
+		ColdServers: m.cold.Save(), FeatureLevels: m.levels.Save(),
 	}
 	return proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 }
@@ -101,6 +124,8 @@
 	m.directory.Load(decoded.GetDirectory())
 	m.quarantine.Load(decoded.GetQuarantine())
 	m.zoneDrains.Load(decoded.GetZoneDrains())
+	m.cold.Load(decoded.GetColdServers())
+	m.levels = featurelevel.Load(decoded.GetFeatureLevels())
 	m.Publish()
 	return nil
 }
--- a/internal/coordinator/watching.go
+++ b/internal/coordinator/watching.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"rockwind.example/rockwind/internal/coldstart"
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
@@ -60,6 +61,7 @@
 type watchedState interface {
 	directoryView() *directory.View
 	zoneDrainList() *zonedrain.List
+	coldServerList() *coldstart.List
 	configurationNumber() uint64
 	quarantineRevision() uint64
 	notices(now time.Time) []*rockwindpb.SuspectNotice
@@ -67,17 +69,19 @@
 	age(now time.Time) time.Duration
 }
 
-func (v *rootView) directoryView() *directory.View { return v.directory }
-func (v *rootView) zoneDrainList() *zonedrain.List { return v.zoneDrains }
-func (v *rootView) configurationNumber() uint64    { return v.catalog.Index().Number() }
-func (v *rootView) quarantineRevision() uint64     { return v.quarantine.Revision() }
-func (v *rootView) age(time.Time) time.Duration    { return 0 }
+func (v *rootView) directoryView() *directory.View  { return v.directory }
+func (v *rootView) zoneDrainList() *zonedrain.List  { return v.zoneDrains }
+func (v *rootView) coldServerList() *coldstart.List { return v.cold }
+func (v *rootView) configurationNumber() uint64     { return v.catalog.Index().Number() }
+func (v *rootView) quarantineRevision() uint64      { return v.quarantine.Revision() }
+func (v *rootView) age(time.Time) time.Duration     { return 0 }
 func (v *rootView) notices(now time.Time) []*rockwindpb.SuspectNotice {
 	return v.quarantine.Notices(now)
 }
 
 func (f *followedState) directoryView() *directory.View  { return f.directory }
 func (f *followedState) zoneDrainList() *zonedrain.List  { return f.zoneDrains }
+func (f *followedState) coldServerList() *coldstart.List { return f.cold }
 func (f *followedState) configurationNumber() uint64     { return f.configuration }
 func (f *followedState) quarantineRevision() uint64      { return f.quarantine.Revision() }
 func (f *followedState) age(now time.Time) time.Duration { return now.Sub(f.receivedAt) }
@@ -106,7 +110,7 @@
 		return nil, wakeups{}, err
 	}
 	next := wakeups{changed: group.Applied(), urgent: machine.urgent.wait()}
-	_, view, err := c.currentState()
+	view, err := c.watchableState()
 	if err != nil {
 		return nil, wakeups{}, err
 	}
@@ -114,7 +118,7 @@
 }
 
 // awaitChanges waits until there are changes for a watcher or its wait is over. It fails as soon as
-// this coordinator has no current state.
+// this coordinator has no state for watchers, but waits for the first current state after a start.
 func (c *Coordinator) awaitChanges(ctx context.Context, request *rockwindpb.WatchDirectoryRequest, wait *time.Timer) (watchedState, error) {
 	c.watchers.Add(1)
 	defer c.watchers.Add(-1)
@@ -125,7 +129,14 @@
 	for expired := false; ; {
 		view, next, err := c.watchState()
 		if err != nil {
-			return nil, err
+			if c.isNonMember() {
+				return nil, err
+			}
+			// A confirmed state ends with the first message of a leader, whose state is current soon after.
+			if _, err = c.awaitWatchableState(ctx); err != nil {
+				return nil, err
+			}
+			continue
 		}
 		changed := hasChanges(view, request)
 		if expired || hasUrgentChanges(view, request) || (changed && lingered) {
@@ -164,7 +175,8 @@
 
 // hasUrgentChanges reports whether a view has changes that a watcher receives immediately.
 func hasUrgentChanges(view watchedState, request *rockwindpb.WatchDirectoryRequest) bool {
-	return view.configurationNumber() > request.GetHaveConfiguration() || lacksZoneDrains(view, request)
+	return view.configurationNumber() > request.GetHaveConfiguration() || lacksZoneDrains(view, request) ||
+		lacksColdServers(view, request)
 }
 
 // answerWatch returns the parts of a view that a watcher lacks.
@@ -180,6 +192,10 @@
 		response.ZoneDrainsRevision = view.zoneDrainList().Revision()
 		response.ZoneDrains = view.zoneDrainList().Drains()
 	}
+	if lacksColdServers(view, request) {
+		response.ColdServersRevision = view.coldServerList().Revision()
+		response.ColdServers = view.coldServerList().Servers()
+	}
 	return response
 }
 
@@ -187,3 +203,8 @@
 func lacksZoneDrains(view watchedState, request *rockwindpb.WatchDirectoryRequest) bool {
 	return request.GetKnowsZoneDrains() && view.zoneDrainList().Revision() > request.GetHaveZoneDrains()
 }
+
+// lacksColdServers reports whether a watcher supports cold servers and has an older list than the view.
+func lacksColdServers(view watchedState, request *rockwindpb.WatchDirectoryRequest) bool {
+	return request.GetKnowsColdServers() && view.coldServerList().Revision() > request.GetHaveColdServers()
+}
--- a/internal/coordinator/zonedrain.go
+++ b/internal/coordinator/zonedrain.go
@@ -7,9 +7,13 @@
 	"github.com/apex/log"
 
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/featurelevel"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
+// drainCommand names the command in refusals.
+const drainCommand = "the drain of a zone"
+
 // zoneDrainService serves zone drains to operators and other coordinators.
 type zoneDrainService struct{ coordinator *Coordinator }
 
@@ -45,8 +49,15 @@
 
 // StartZoneDrain drains a zone: its servers receive no new work. It returns once the drain is
 // committed; watchers are notified of it as an urgent change. It is idempotent and returns
-// fault.NotFound for a zone without machines and servers.
+// fault.NotFound for a zone without machines and servers, and fault.Unavailable while coordinators of
+// an earlier version run, which would ignore the command or leave it out of their snapshots.
 func (c *Coordinator) StartZoneDrain(ctx context.Context, zone string) error {
+	if !c.isNonMember() {
+		// A leader of an earlier version doesn't check the level, so each member does.
+		if refusal, _ := splitFeatureRefusal(c.awaitFeature(ctx, featurelevel.ZoneDrains, drainCommand)); refusal != nil {
+			return refusal
+		}
+	}
 	return c.changeZoneDrain(ctx, zone, &rockwindpb.ZoneDrainCommand{
 		Command: &rockwindpb.ZoneDrainCommand_Start{Start: &rockwindpb.StartZoneDrainRequest{Zone: zone}},
 	}, func(ctx context.Context, service rockwindpb.ZoneDrainService) error {
@@ -55,7 +66,8 @@
 	})
 }
 
-// EndZoneDrain ends the drain of a zone. It is idempotent and has the same faults.
+// EndZoneDrain ends the drain of a zone, whatever versions run. It is idempotent and returns
+// fault.NotFound as StartZoneDrain does.
 func (c *Coordinator) EndZoneDrain(ctx context.Context, zone string) error {
 	return c.changeZoneDrain(ctx, zone, &rockwindpb.ZoneDrainCommand{
 		Command: &rockwindpb.ZoneDrainCommand_End{End: &rockwindpb.EndZoneDrainRequest{Zone: zone}},
@@ -69,14 +81,21 @@
 func (c *Coordinator) changeZoneDrain(
 	ctx context.Context, zone string, command *rockwindpb.ZoneDrainCommand, call func(context.Context, rockwindpb.ZoneDrainService) error,
 ) error {
-	elsewhere := func(ctx context.Context, base string) (struct{}, error) {
-		return struct{}{}, call(ctx, c.zoneDrainsAt(base))
+	elsewhere := func(ctx context.Context, base string) (*fault.Fault, error) {
+		return splitFeatureRefusal(call(ctx, c.zoneDrainsAt(base)))
 	}
+	var refusal *fault.Fault
+	var err error
 	if c.isNonMember() {
-		_, err := forwardToLeader(ctx, c, untilCommitted, elsewhere)
-		return err
+		refusal, err = forwardToLeader(ctx, c, untilCommitted, elsewhere)
+	} else {
+		refusal, err = callOnLeader(ctx, c, func() (*fault.Fault, error) {
+			return splitFeatureRefusal(c.commitZoneDrain(ctx, zone, command))
+		}, elsewhere)
+	}
+	if refusal != nil {
+		return refusal
 	}
-	_, err := callOnLeader(ctx, c, func() (struct{}, error) { return struct{}{}, c.commitZoneDrain(ctx, zone, command) }, elsewhere)
 	return err
 }
 
@@ -89,6 +108,11 @@
 	if zone != c.settings.GetZone() && !view.zoneDrains.Drained(zone) && !view.directory.HasZone(zone) {
 		return fault.Newf(fault.NotFound, "name a zone of the site", "no machine or server is in zone %q", zone)
 	}
+	if command.GetStart() != nil {
+		if refusal := c.featureRefusal(view, featurelevel.ZoneDrains, drainCommand); refusal != nil {
+			return refusal
+		}
+	}
 	command.NowUnixMs = time.Now().UnixMilli()
 	err = c.propose(ctx, &rockwindpb.RootCommand{Command: &rockwindpb.RootCommand_ZoneDrain{ZoneDrain: command}})
 	log.WithField("zone", zone).WithField("drained", command.GetStart() != nil).WithField("committed", err == nil).Info("zone drain")
--- a/internal/directory/incarnations.go
+++ b/internal/directory/incarnations.go
@@ -13,6 +13,8 @@
 	// Rejected is the identifier of the probed incarnation if another one answered in its
 	// place, empty otherwise.
 	Rejected string
+	// ColdMs is for how long the found incarnation says that it stays cold, zero if it does not.
+	ColdMs uint32
 }
 
 // endedAmong returns the incarnations that have ended, given all that were known at the address
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -99,8 +99,13 @@
 		slices.ContainsFunc(v.Servers(), func(server *rockwindpb.Server) bool { return server.GetZone() == zone })
 }
 
-// StoreCluster returns the founding of the store cluster, nil before it.
-func (v *View) StoreCluster() *rockwindpb.FoundRequest { return v.storeCluster }
+// StoreCluster returns the founding of the store cluster, nil before it. A nil view has none.
+func (v *View) StoreCluster() *rockwindpb.FoundRequest {
+	if v == nil {
+		return nil
+	}
+	return v.storeCluster
+}
 
 // Since returns the changes for a watcher at the given revision that knows the given store
 // cluster. The response is full if entries were removed since, and has no entries if the
--- a/internal/jobclient/call.go
+++ b/internal/jobclient/call.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
+	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
-	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -19,13 +21,8 @@
 // storeCall makes a call at one store.
 type storeCall[T any] func(context.Context, storeClient) (T, error)
 
-// shardSelector returns the shard that a call is for, given the number of shards.
-type shardSelector func(shards int) uint32
-
-// shardOfJob selects the shard that holds a job.
-func shardOfJob(job string) shardSelector {
-	return func(shards int) uint32 { return jobstore.ShardOf(job, shards) }
-}
+// shardSelector returns the shard that a call is for, given a directory with a store cluster.
+type shardSelector func(view *directory.View) uint32
 
 // attemptResult is the result of an attempt at one store.
 type attemptResult[T any] struct {
@@ -33,6 +30,8 @@
 	address string
 	value   T
 	err     error
+	// sent reports whether the request may have reached the store.
+	sent bool
 }
 
 // pendingAttempt is an attempt in progress.
@@ -44,6 +43,7 @@
 // callRun is the state of one call. It belongs to the goroutine that makes the call.
 type callRun[T any] struct {
 	client      *Client
+	cancel      context.CancelFunc
 	selectShard shardSelector
 	wait        time.Duration
 	call        storeCall[T]
@@ -57,6 +57,8 @@
 	notLeaders map[string]bool
 	laterRound bool
 	results    chan attemptResult[T]
+	// unreached holds the stores to which there was no connection, in calls for regional shards.
+	unreached map[string]bool
 	// mayHaveRun is set once a failed attempt may have taken effect.
 	mayHaveRun bool
 }
@@ -67,8 +69,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c := &callRun[T]{
-		client: client, selectShard: selectShard, wait: wait, call: attempt, deadline: newCallDeadline(time.Now(), wait),
-		pending: make(map[string]pendingAttempt), notLeaders: make(map[string]bool), results: make(chan attemptResult[T], maxConcurrentAttempts),
+		client: client, cancel: cancel, selectShard: selectShard, wait: wait, call: attempt, deadline: newCallDeadline(time.Now(), wait),
+		pending: make(map[string]pendingAttempt), notLeaders: make(map[string]bool), unreached: make(map[string]bool), results: make(chan attemptResult[T], maxConcurrentAttempts),
 	}
 	return c.run(ctx)
 }
@@ -91,11 +93,13 @@
 			c.deadline.beginShutdown(time.Now())
 			deadline.Reset(time.Until(c.deadline.at()))
 		case <-nextAttempt.C:
+			if down, err := c.regionDown(); down {
+				return nothing, err
+			}
 			if c.startAttempt(ctx) {
 				nextAttempt.Reset(hedgeAfter + c.wait)
 			} else {
-				clear(c.notLeaders)
-				c.laterRound = true
+				c.beginRound()
 				nextAttempt.Reset(c.deadline.retryDelay(time.Now()))
 			}
 		case result := <-c.results:
@@ -113,7 +117,8 @@
 			if isFinal(failure.Kind) {
 				return nothing, failure
 			}
-			c.mayHaveRun = c.mayHaveRun || failure.Ran != fault.NotRun
+			c.mayHaveRun = c.mayHaveRun || (failure.Ran != fault.NotRun && c.maybeSent(result.sent))
+			c.unreached[result.address] = !c.maybeSent(result.sent)
 			c.client.recordFailure(result.shard, result.address, failure)
 			if reachedStore(failure) {
 				c.deadline.recordResponse(time.Now())
@@ -143,7 +148,17 @@
 // leader for some time.
 func (c *callRun[T]) excluded(address string) bool {
 	_, pending := c.pending[address]
-	return pending || c.notLeaders[address]
+	return pending || c.notLeaders[address] || c.unreached[address]
+}
+
+// beginRound allows all stores to be asked again. While attempts are in progress, stores to which
+// there was no connection stay excluded, so that regionDown can be decided.
+func (c *callRun[T]) beginRound() {
+	clear(c.notLeaders)
+	c.laterRound = true
+	if len(c.pending) == 0 {
+		clear(c.unreached)
+	}
 }
 
 // reachedStore reports whether a failure proves that a store was reached. An unreachable store
@@ -156,7 +171,7 @@
 // giveUp ends the call and returns the error for its caller.
 func (c *callRun[T]) giveUp() error {
 	c.recordUnresponsive(time.Now())
-	return c.client.unansweredError(c.mayHaveRun || len(c.pending) > 0)
+	return c.client.unansweredError(c.mayHaveRun || c.pendingMayRun())
 }
 
 // recordUnresponsive records a failure of each store that has not answered in time. The caller's
@@ -180,10 +195,13 @@
 	}
 	c.pending[address] = pendingAttempt{shard: shard, startedAt: time.Now()}
 	go func() {
+		// sent is set once there is a connection to the store.
+		var sent atomic.Bool
 		ctx, cancel := context.WithTimeout(ctx, attemptTimeout+c.wait)
 		defer cancel()
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
 		value, err := c.call(ctx, c.client.store(address))
-		c.results <- attemptResult[T]{shard: shard, address: address, value: value, err: err}
+		c.results <- attemptResult[T]{shard: shard, address: address, value: value, err: err, sent: sent.Load()}
 	}()
 	return true
 }
--- a/internal/jobclient/client.go
+++ b/internal/jobclient/client.go
@@ -4,16 +4,21 @@
 package jobclient
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/quota"
 	"rockwind.example/rockwind/internal/requestrate"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/topology"
 	"rockwind.example/rockwind/internal/twirphttp"
 )
 
@@ -47,6 +52,7 @@
 type Client struct {
 	site   Stores
 	client *http.Client
+	regionalState
 
 	mutex sync.Mutex
 	// leaders has the address of the last known leader of each shard.
@@ -54,15 +60,22 @@
 	rotation int
 	// avoidedUntil holds until when stores that did not answer are tried after the others.
 	avoidedUntil map[string]time.Time
+	// declinedUntil holds until when followers are not asked for results.
+	declinedUntil map[replica]time.Time
 	// shuttingDown is closed by BeginShutdown.
 	shuttingDown chan struct{}
 	shutdownOnce sync.Once
+
+	// zone and sites are set by PreferNear. Without it the site counts as one region.
+	zone  string
+	sites topology.Map
 }
 
 // New returns a client of the given stores.
 func New(site Stores, client *http.Client) *Client {
 	return &Client{
-		site: site, client: client, leaders: make(map[uint32]string), avoidedUntil: make(map[string]time.Time), shuttingDown: make(chan struct{}),
+		site: site, client: client, leaders: make(map[uint32]string), avoidedUntil: make(map[string]time.Time), declinedUntil: make(map[replica]time.Time), shuttingDown: make(chan struct{}),
+		regionalState: newRegionalState(),
 	}
 }
 
@@ -70,29 +83,54 @@
 // process is shutting down.
 func (c *Client) BeginShutdown() { c.shutdownOnce.Do(func() { close(c.shuttingDown) }) }
 
+// PreferNear sets the zone of the process and the topology of the site. On a site with several regions,
+// near stores are then asked first while it is not known which store leads a shard. It must be called
+// before the client is used.
+func (c *Client) PreferNear(zone string, sites topology.Map) { c.zone, c.sites = zone, sites }
+
+// inOrder returns stores in the order in which they are asked: the nearest first, each distance in
+// rotation.
+func (c *Client) inOrder(stores []*rockwindpb.Machine, first int) []*rockwindpb.Machine {
+	ordered := make([]*rockwindpb.Machine, 0, len(stores))
+	for offset := range stores {
+		ordered = append(ordered, stores[(first+offset)%len(stores)])
+	}
+	if c.sites.MultiRegion() {
+		slices.SortStableFunc(ordered, func(a, b *rockwindpb.Machine) int {
+			return cmp.Compare(c.sites.Distance(c.zone, a.GetZone()), c.sites.Distance(c.zone, b.GetZone()))
+		})
+	}
+	return ordered
+}
+
 // Submit submits a job. It returns once a quorum has synced it to disk. It fails with
 // fault.OutcomeUnknown if the job may have been accepted without an acknowledgement, and with
 // fault.LimitReached if it exceeds the token limit of its route. limitedBy is the number of the
 // configuration that defines the limit, zero if the route has none.
 func (c *Client) Submit(ctx context.Context, job *rockwindpb.StoredJob, limitedBy uint64) error {
-	request := &rockwindpb.SubmitStoredJobRequest{Job: job, Configuration: limitedBy}
-	_, err := call(ctx, c, shardOfJob(job.GetId()), 0, func(ctx context.Context, service storeClient) (*rockwindpb.SubmitStoredJobResponse, error) {
-		return service.Submit(ctx, request)
-	})
-	return err
+	return c.SubmitWithin(ctx, job, limitedBy, topology.RegionSet{})
 }
 
-// Read returns results of a job; see jobstore.Machine.Read.
+// Read returns results of a job; see jobstore.Machine.Read. On a site with several regions they may
+// come from a follower in the own region and lack those of the last second.
 func (c *Client) Read(ctx context.Context, request *rockwindpb.ReadStoredJobRequest) (*rockwindpb.ReadStoredJobResponse, error) {
-	wait := time.Duration(request.GetWaitMs()) * time.Millisecond
-	return call(ctx, c, shardOfJob(request.GetId()), wait, func(ctx context.Context, service storeClient) (*rockwindpb.ReadStoredJobResponse, error) {
+	response, waited := c.readNear(ctx, request)
+	if response != nil {
+		return response, nil
+	}
+	wait := max(0, time.Duration(request.GetWaitMs())*time.Millisecond-waited)
+	return callJob(ctx, c, request.GetId(), request.GetTenant(), wait, func(ctx context.Context, service storeClient, region string) (*rockwindpb.ReadStoredJobResponse, error) {
+		request := proto.CloneOf(request)
+		request.Region, request.WaitMs = region, uint32(wait.Milliseconds())
 		return service.Read(ctx, request)
 	})
 }
 
 // ReadBody returns the body of an item that has no result yet.
 func (c *Client) ReadBody(ctx context.Context, request *rockwindpb.ReadItemBodyRequest) ([]byte, error) {
-	response, err := call(ctx, c, shardOfJob(request.GetJob()), 0, func(ctx context.Context, service storeClient) (*rockwindpb.ReadItemBodyResponse, error) {
+	response, err := callJob(ctx, c, request.GetJob(), request.GetTenant(), 0, func(ctx context.Context, service storeClient, region string) (*rockwindpb.ReadItemBodyResponse, error) {
+		request := proto.CloneOf(request)
+		request.Region = region
 		return service.ReadBody(ctx, request)
 	})
 	return response.GetBody(), err
@@ -100,15 +138,15 @@
 
 // End ends a job of a tenant. Once it returns, no further item of the job is started.
 func (c *Client) End(ctx context.Context, id, tenant string) error {
-	_, err := call(ctx, c, shardOfJob(id), 0, func(ctx context.Context, service storeClient) (*rockwindpb.EndStoredJobResponse, error) {
-		return service.End(ctx, &rockwindpb.EndStoredJobRequest{Id: id, Tenant: tenant})
+	_, err := callJob(ctx, c, id, tenant, 0, func(ctx context.Context, service storeClient, region string) (*rockwindpb.EndStoredJobResponse, error) {
+		return service.End(ctx, &rockwindpb.EndStoredJobRequest{Id: id, Tenant: tenant, Region: region})
 	})
 	return err
 }
 
 // TakeRequest requests admission of a request from the owner of its tenant's rate.
 func (c *Client) TakeRequest(ctx context.Context, request *rockwindpb.TakeRequestsRequest) (*rockwindpb.TakeRequestsResponse, error) {
-	owner := func(shards int) uint32 { return requestrate.OwnerOf(request.GetTenant(), shards) }
+	owner := func(view *directory.View) uint32 { return requestrate.OwnerOf(request.GetTenant(), view.Shards()) }
 	return call(ctx, c, owner, 0, func(ctx context.Context, service storeClient) (*rockwindpb.TakeRequestsResponse, error) {
 		return service.rates.Take(ctx, request)
 	})
@@ -117,8 +155,8 @@
 // Reserve reserves the tokens of a job at the owner of a route's token count. If they exceed the
 // limit it fails with fault.LimitReached and a RetryAfter.
 func (c *Client) Reserve(ctx context.Context, request *rockwindpb.ReserveTokensRequest) (*rockwindpb.ReserveTokensResponse, error) {
-	owner := func(shards int) uint32 {
-		return quota.OwnerOf(quota.AccountKey(request.GetRoute(), request.GetTenant()), shards)
+	owner := func(view *directory.View) uint32 {
+		return quota.OwnerOf(quota.AccountKey(request.GetRoute(), request.GetTenant()), view.Shards())
 	}
 	return call(ctx, c, owner, 0, func(ctx context.Context, service storeClient) (*rockwindpb.ReserveTokensResponse, error) {
 		return service.limits.Reserve(ctx, request)
@@ -127,7 +165,7 @@
 
 // Report asks the leader of a shard for the tokens that wait there on a route.
 func (c *Client) Report(ctx context.Context, request *rockwindpb.ReportTokensRequest) (*rockwindpb.ReportTokensResponse, error) {
-	shard := func(int) uint32 { return request.GetShard() }
+	shard := func(*directory.View) uint32 { return request.GetShard() }
 	return call(ctx, c, shard, 0, func(ctx context.Context, service storeClient) (*rockwindpb.ReportTokensResponse, error) {
 		return service.limits.Report(ctx, request)
 	})
@@ -163,25 +201,26 @@
 }
 
 // selectStore returns the shard of a call and a store to ask that is not excluded: the shard's
-// leader if it is known, otherwise one of all stores in rotation.
+// leader if it is known, otherwise one of all stores in the order of inOrder.
 func (c *Client) selectStore(selectShard shardSelector, excluded func(address string) bool) (shard uint32, address string, known bool) {
 	view := c.site.Directory()
 	if view == nil || view.StoreCluster() == nil {
 		return 0, "", false
 	}
-	shard = selectShard(len(view.StoreCluster().GetGroups()))
+	shard = selectShard(view)
+	region := view.ShardRegion(shard)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if leader := c.leaders[shard]; leader != "" && !excluded(leader) {
+	if leader := c.leaders[shard]; leader != "" && !excluded(leader) && c.mayAsk(leader, region) {
 		return shard, leader, true
 	}
 	// The list is only built if needed, because each request of a tenant with a limit makes a
 	// call.
-	stores := c.site.Stores()
+	stores := c.storesOf(region)
 	c.rotation++
 	now := time.Now()
-	for offset := range stores {
-		candidate := stores[(int(shard)+c.rotation+offset)%len(stores)].GetAddress()
+	for _, store := range c.inOrder(stores, int(shard)+c.rotation) {
+		candidate := store.GetAddress()
 		if excluded(candidate) {
 			continue
 		}
@@ -197,6 +236,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.leaders[shard] = leader
+	delete(c.downUntil, shard)
 }
 
 // recordFailure takes over the leader that a store names, or forgets a leader that failed. Stores
--- a/internal/jobclient/deadline_test.go
+++ b/internal/jobclient/deadline_test.go
@@ -85,6 +85,60 @@
 	})
 }
 
+// TestHintIsFollowedAtOnce guards against pauses between the stores of the first round, with which a call
+// with a short timeout does not find the leader among stores that do not know it.
+func TestHintIsFollowedAtOnce(t *testing.T) {
+	const (
+		stores   = 8
+		callTime = 5 * time.Millisecond
+		timeout  = 60 * time.Millisecond
+	)
+	after := func(respond func(context.Context) error) func(context.Context) error {
+		return func(ctx context.Context) error {
+			time.Sleep(callTime)
+			return respond(ctx)
+		}
+	}
+	for leader := range stores {
+		synctest.Test(t, func(t *testing.T) {
+			all := make(map[string]*fakeStore)
+			for i := range stores {
+				all[fmt.Sprint("1.1.1.1:", i+1)] = &fakeStore{submit: after(notLeader(""))}
+			}
+			all[fmt.Sprint("1.1.1.1:", leader+1)].submit = after(succeeds)
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			if err := newVirtualTimeClient(all).Submit(ctx, &rockwindpb.StoredJob{Id: "job"}, 0); err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+}
+
+// TestHintsAtAnUnresponsiveLeaderDoNotEndTheSearch verifies that the new leader is found after
+// stores have named the unresponsive one.
+func TestHintsAtAnUnresponsiveLeaderDoNotEndTheSearch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const leader = "1.1.1.1:1"
+		elected := time.Now().Add(300 * time.Millisecond)
+		other := &fakeStore{submit: func(ctx context.Context) error {
+			// A call takes a millisecond, because virtual time does not advance in a busy loop.
+			time.Sleep(time.Millisecond)
+			if time.Now().Before(elected) {
+				return notLeader(leader)(ctx)
+			}
+			return nil
+		}}
+		client := newVirtualTimeClient(map[string]*fakeStore{leader: {submit: unresponsive}, "1.1.1.1:2": other})
+		if err := client.Submit(t.Context(), &rockwindpb.StoredJob{Id: "job"}, 0); err != nil {
+			t.Fatal(err)
+		}
+		if late := time.Since(elected); late > 300*time.Millisecond {
+			t.Fatalf("the call ended %v after the election of the leader", late)
+		}
+	})
+}
+
 // TestCallOutlivesALongElection guards against calls that end during a long election although the
 // caller still waits.
 func TestCallOutlivesALongElection(t *testing.T) {
--- /dev/null
+++ b/internal/jobclient/regions.go
@@ -0,0 +1,367 @@
+package jobclient
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"time"
+
+	"rockwind.example/rockwind/internal/directory"
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/jobstore"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/topology"
+)
+
+const (
+	// findTimeout bounds the search for an earlier submission of a job. It is several times the
+	// latency between regions.
+	findTimeout = 150 * time.Millisecond
+	// regionRetryAfter is the advice to callers if no store of a region is reached. Machines take
+	// about a second to start.
+	regionRetryAfter = time.Second
+	// downDuration is how long submissions are refused without an attempt after no store of their
+	// region was reached.
+	downDuration = 300 * time.Millisecond
+	// maxKnownRegions bounds the number of jobs whose shards are remembered.
+	maxKnownRegions = 8192
+)
+
+// AllowedRegions returns the regions to which the current configuration restricts the jobs of a tenant, for
+// each route that accepts jobs.
+type AllowedRegions func(tenant string) []topology.RegionSet
+
+// regionalState is what a Client knows of regional shards. The mutex of the Client guards the maps.
+type regionalState struct {
+	// allowed is set by UseRegions.
+	allowed AllowedRegions
+	// knownRegions holds the regions of the shards that have recently used jobs, empty for the
+	// ordinary shard of a job.
+	knownRegions map[string]string
+	// downUntil holds until when a regional shard counts as down, because none of its stores was
+	// reached.
+	downUntil map[uint32]time.Time
+}
+
+func newRegionalState() regionalState {
+	return regionalState{knownRegions: make(map[string]string), downUntil: make(map[uint32]time.Time)}
+}
+
+// UseRegions sets the allowed regions by which jobs are looked up. It must be called before the client is used.
+func (c *Client) UseRegions(allowed AllowedRegions) { c.allowed = allowed }
+
+// SubmitWithin is Submit for a job that may be stored in some regions only. A restricted job goes to
+// the regional shard of one of them, and straight to a store of that region. If no such store can be
+// reached the job is refused at once, as not run.
+func (c *Client) SubmitWithin(ctx context.Context, job *rockwindpb.StoredJob, limitedBy uint64, allowed topology.RegionSet) error {
+	view := c.site.Directory()
+	region, err := c.place(view, job.GetId(), allowed)
+	if err != nil {
+		return err
+	}
+	if c.mayBeElsewhere(view, job, allowed) {
+		if submitted, err := c.submittedElsewhere(ctx, view, job, region); submitted || err != nil {
+			return err
+		}
+	}
+	request := &rockwindpb.SubmitStoredJobRequest{Job: job, Configuration: limitedBy, Region: region}
+	_, err = call(ctx, c, shardIn(job.GetId(), region), 0, func(ctx context.Context, service storeClient) (*rockwindpb.SubmitStoredJobResponse, error) {
+		return service.Submit(ctx, request)
+	})
+	if err == nil {
+		c.remember(view, job.GetId(), region)
+	}
+	return err
+}
+
+// shardIn selects the shard of a region, or the ordinary shard of a job if the region is empty. The
+// shards of a site do not change.
+func shardIn(job, region string) shardSelector {
+	return func(view *directory.View) uint32 {
+		if shard, found := view.RegionalShard(region); found {
+			return shard
+		}
+		return jobstore.ShardOf(job, view.Shards())
+	}
+}
+
+// place returns the region whose shard takes a job, empty for the ordinary shard. It fails if none of
+// the allowed regions has a shard, unless all stores of the site are in allowed regions, and if the
+// shard that takes the job is known to be down.
+func (c *Client) place(view *directory.View, job string, allowed topology.RegionSet) (string, error) {
+	if !allowed.Restricted() {
+		return "", nil
+	}
+	if view.StoreCluster() == nil {
+		return "", c.unansweredError(false)
+	}
+	region, found := regionIn(view, job, allowed)
+	if !found && c.allStoresIn(view, allowed) {
+		return "", nil
+	}
+	if !found {
+		return "", fault.Newf(fault.Unavailable, "allow a region that had a store when the site was founded",
+			"none of the allowed regions %v has a shard", allowed.Names()).WithRan(fault.NotRun).WithRetryAfter(regionRetryAfter)
+	}
+	shard, _ := view.RegionalShard(region)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if time.Now().Before(c.downUntil[shard]) {
+		return "", regionUnreachable(region)
+	}
+	return region, nil
+}
+
+// regionIn returns the region of a job among those of the allowed regions that have a shard.
+func regionIn(view *directory.View, job string, allowed topology.RegionSet) (string, bool) {
+	var regions []string
+	for _, region := range allowed.Names() {
+		if _, found := view.RegionalShard(region); found {
+			regions = append(regions, region)
+		}
+	}
+	return jobstore.RegionOf(job, regions), len(regions) > 0
+}
+
+// allStoresIn reports whether a site without regional shards has stores in allowed regions only. This is
+// so on a site with one region, whose jobs are in ordinary shards.
+func (c *Client) allStoresIn(view *directory.View, allowed topology.RegionSet) bool {
+	stores := c.site.Stores()
+	return len(view.RegionalShards()) == 0 && len(stores) > 0 && !slices.ContainsFunc(stores, func(store *rockwindpb.Machine) bool {
+		return !allowed.Allows(c.sites.Region(store.GetZone()))
+	})
+}
+
+func regionUnreachable(region string) error {
+	return fault.Newf(fault.Unavailable, "repeat the call later", "no store of region %s was reached", region).
+		WithRan(fault.NotRun).WithRetryAfter(regionRetryAfter)
+}
+
+// mayBeElsewhere reports whether a job may have been submitted to another shard before, under another
+// configuration. Sites without restricted jobs skip the search.
+func (c *Client) mayBeElsewhere(view *directory.View, job *rockwindpb.StoredJob, allowed topology.RegionSet) bool {
+	if len(view.RegionalShards()) == 0 {
+		return false
+	}
+	return allowed.Restricted() || slices.ContainsFunc(c.allowedSets(job.GetTenant()), topology.RegionSet.Restricted)
+}
+
+func (c *Client) allowedSets(tenant string) []topology.RegionSet {
+	if c.allowed == nil {
+		return nil
+	}
+	return c.allowed(tenant)
+}
+
+// submittedElsewhere reports whether a shard other than that of a region has the job, so that it is
+// not run twice. It fails with fault.Conflict if another job has its identifier. Shards that do not
+// answer in time count as not having the job.
+func (c *Client) submittedElsewhere(ctx context.Context, view *directory.View, job *rockwindpb.StoredJob, region string) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	found, digest, err := c.locate(ctx, job.GetId(), places(view, region))
+	if err != nil {
+		return false, nil
+	}
+	if !bytes.Equal(digest, job.GetDigest()) {
+		return false, fault.Newf(fault.Conflict, "use a unique identifier for each job", "identifier %q is in use by another job", job.GetId()).
+			WithRan(fault.NotRun)
+	}
+	c.remember(view, job.GetId(), found)
+	return true, nil
+}
+
+// places lists the regions of all shards that may have a job, without the excluded ones. The empty
+// string stands for the job's ordinary shard.
+func places(view *directory.View, excluded ...string) []string {
+	all := []string{""}
+	for _, group := range view.RegionalShards() {
+		all = append(all, group.GetRegion())
+	}
+	return slices.DeleteFunc(all, func(region string) bool { return slices.Contains(excluded, region) })
+}
+
+// locate asks the shards of the given regions for a job. It returns the region of the one that has
+// the job, and the job's digest. It fails with fault.NotFound if all shards answered that they do not
+// have it.
+func (c *Client) locate(ctx context.Context, id string, regions []string) (region string, digest []byte, err error) {
+	type answer struct {
+		region   string
+		response *rockwindpb.FindStoredJobResponse
+		err      error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answer, len(regions))
+	for _, each := range regions {
+		go func() {
+			response, err := call(ctx, c, shardIn(id, each), 0, func(ctx context.Context, service storeClient) (*rockwindpb.FindStoredJobResponse, error) {
+				return service.Find(ctx, &rockwindpb.FindStoredJobRequest{Id: id, Region: each})
+			})
+			answers <- answer{region: each, response: response, err: err}
+		}()
+	}
+	unanswered := false
+	for range regions {
+		switch got := <-answers; {
+		case got.err != nil:
+			unanswered = true
+		case got.response.GetFound():
+			return got.region, got.response.GetDigest(), nil
+		}
+	}
+	if unanswered {
+		return "", nil, fault.New(fault.Unavailable, "not all shards that may have the job answered", "repeat the call later").
+			WithRan(fault.NotRun).WithRetryAfter(retryAfter)
+	}
+	return "", nil, fault.Newf(fault.NotFound, "check the identifier of the job", "no job has the identifier %q", id)
+}
+
+// jobCall makes a call about a job at a store, for the shard of a region.
+type jobCall[T any] func(ctx context.Context, service storeClient, region string) (T, error)
+
+// callJob makes a call about a job whose regions are not known to the caller. It asks the shard that
+// is likely to have the job, and if that does not have it or does not answer, searches all others.
+func callJob[T any](ctx context.Context, c *Client, id, tenant string, wait time.Duration, attempt jobCall[T]) (T, error) {
+	at := func(region string) (T, error) {
+		return call(ctx, c, shardIn(id, region), wait, func(ctx context.Context, service storeClient) (T, error) {
+			return attempt(ctx, service, region)
+		})
+	}
+	view := c.site.Directory()
+	if len(view.RegionalShards()) == 0 {
+		return at("")
+	}
+	first := c.likelyRegion(view, id, tenant)
+	value, err := at(first)
+	if err == nil {
+		c.remember(view, id, first)
+		return value, nil
+	}
+	failure := fault.From(err)
+	missing := failure.Kind == fault.NotFound
+	if (isFinal(failure.Kind) && !missing) || ctx.Err() != nil {
+		return value, err
+	}
+	excluded := []string{first}
+	if missing {
+		// The shard may have the job but not the item that was asked for.
+		excluded = nil
+	}
+	found, _, searchErr := c.locate(ctx, id, places(view, excluded...))
+	switch {
+	case searchErr != nil && missing:
+		return value, searchErr
+	case searchErr != nil || found == first:
+		return value, err
+	}
+	c.remember(view, id, found)
+	return at(found)
+}
+
+// likelyRegion returns the region of the shard that had a job when it was last used, otherwise of the
+// one that takes jobs of the tenant under the current configuration.
+func (c *Client) likelyRegion(view *directory.View, id, tenant string) string {
+	c.mutex.Lock()
+	region, known := c.knownRegions[id]
+	c.mutex.Unlock()
+	if known {
+		return region
+	}
+	for _, allowed := range c.allowedSets(tenant) {
+		if !allowed.Restricted() {
+			return ""
+		}
+		if region, found := regionIn(view, id, allowed); found {
+			return region
+		}
+	}
+	return ""
+}
+
+// remember notes the region of the shard that has a job.
+func (c *Client) remember(view *directory.View, id, region string) {
+	if len(view.RegionalShards()) == 0 {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if len(c.knownRegions) >= maxKnownRegions {
+		clear(c.knownRegions)
+	}
+	c.knownRegions[id] = region
+}
+
+// storesOf lists the stores of a region, or all if the region is empty.
+func (c *Client) storesOf(region string) []*rockwindpb.Machine {
+	stores := c.site.Stores()
+	if region == "" {
+		return stores
+	}
+	var inRegion []*rockwindpb.Machine
+	for _, store := range stores {
+		if c.sites.Region(store.GetZone()) == region {
+			inRegion = append(inRegion, store)
+		}
+	}
+	return inRegion
+}
+
+// mayAsk reports whether the store at an address may be asked about a shard of a region. Stores of
+// other regions must not receive the bodies of jobs, whatever store names them as the leader.
+func (c *Client) mayAsk(address, region string) bool {
+	return region == "" || slices.ContainsFunc(c.storesOf(region), func(store *rockwindpb.Machine) bool {
+		return store.GetAddress() == address
+	})
+}
+
+// region returns the region of the call's shard, empty for an ordinary shard.
+func (c *callRun[T]) region() (region string, shard uint32) {
+	view := c.client.site.Directory()
+	if view.StoreCluster() == nil {
+		return "", 0
+	}
+	shard = c.selectShard(view)
+	return view.ShardRegion(shard), shard
+}
+
+// regionDown reports whether the call is for a regional shard and none of the region's stores could be
+// connected to, and returns the error for the caller. Calls for ordinary shards, whose stores are in
+// several regions, wait for a store instead.
+func (c *callRun[T]) regionDown() (bool, error) {
+	region, shard := c.region()
+	if region == "" || len(c.pending) > 0 || c.mayHaveRun {
+		return false, nil
+	}
+	for _, store := range c.client.storesOf(region) {
+		if !c.unreached[store.GetAddress()] {
+			return false, nil
+		}
+	}
+	c.client.mutex.Lock()
+	defer c.client.mutex.Unlock()
+	c.client.downUntil[shard] = time.Now().Add(downDuration)
+	return true, regionUnreachable(region)
+}
+
+// maybeSent reports whether a failed attempt may have reached its store. Ordinary calls assume so for
+// each attempt.
+func (c *callRun[T]) maybeSent(sent bool) bool {
+	region, _ := c.region()
+	return sent || region == ""
+}
+
+// pendingMayRun reports whether an attempt in progress may have reached its store. It ends the attempts
+// of calls for regional shards, since one may get a connection until it has ended.
+func (c *callRun[T]) pendingMayRun() bool {
+	if region, _ := c.region(); region == "" {
+		return len(c.pending) > 0
+	}
+	c.cancel()
+	mayRun := false
+	for range c.pending {
+		result := <-c.results
+		mayRun = mayRun || result.sent
+	}
+	return mayRun
+}
--- a/internal/jobstore/machine.go
+++ b/internal/jobstore/machine.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/protobytes"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -24,6 +25,20 @@
 	return uint32(hash(id) % uint64(shards))
 }
 
+// RegionOf returns the region whose shard takes a job, or an empty string if there are no regions. It is
+// the region with the highest hash of job and region (rendezvous hashing): the choice does not depend on the
+// order of the regions, and adding or removing a region moves as few jobs as possible.
+func RegionOf(id string, regions []string) string {
+	chosen, highest := "", uint64(0)
+	for _, region := range regions {
+		score := hash(region + "\x00" + id)
+		if chosen == "" || score > highest || (score == highest && region < chosen) {
+			chosen, highest = region, score
+		}
+	}
+	return chosen
+}
+
 // job is a stored job with derived indexes.
 type job struct {
 	stored *rockwindpb.StoredJob
@@ -33,6 +48,9 @@
 	indexByID    map[string]uint32
 	// waitingTokens is the sum of the tokens of the items without a result.
 	waitingTokens uint64
+	// sharedBytes is the size of the bodies that share memory with the command that submitted the job, and
+	// openBytes that of those among them that are still needed.
+	sharedBytes, openBytes int
 }
 
 func newJob(stored *rockwindpb.StoredJob) *job {
@@ -87,10 +105,10 @@
 }
 
 // Apply implements replica.StateMachine. The command is an encoded JobStoreCommand; the result
-// is an Outcome.
+// is an Outcome. The state shares memory with the command.
 func (m *Machine) Apply(_ uint64, command []byte) any {
 	decoded := &rockwindpb.JobStoreCommand{}
-	if err := proto.Unmarshal(command, decoded); err != nil {
+	if err := protobytes.Unmarshal(command, decoded, sharedBytes); err != nil {
 		return Outcome{Fault: fault.Newf(fault.Internal, "run the same version on all stores", "cannot decode a command of a job shard: %v", err)}
 	}
 	switch content := decoded.GetCommand().(type) {
@@ -122,7 +140,9 @@
 		return Outcome{Fault: fault.Newf(fault.Conflict, "use a unique identifier for each job",
 			"identifier %q is in use by another job", submitted.GetId())}
 	}
-	m.jobs[submitted.GetId()] = newJob(submitted)
+	j := newJob(submitted)
+	j.countSharedBodies()
+	m.jobs[submitted.GetId()] = j
 	return Outcome{}
 }
 
@@ -141,7 +161,7 @@
 		j.resultNumber[item] = uint32(len(j.stored.GetResults()))
 		j.waitingTokens -= j.stored.GetItems()[item].GetTokens()
 		// An item with a result needs no body, failure count or progress.
-		j.stored.Items[item].Body = nil
+		j.dropBody(item)
 		j.dropProgress(item)
 		j.stored.Failures = slices.DeleteFunc(j.stored.GetFailures(), func(f *rockwindpb.ItemFailures) bool { return f.GetItem() == item })
 	}
--- a/internal/jobstore/progress.go
+++ b/internal/jobstore/progress.go
@@ -87,6 +87,7 @@
 	index, found := j.findProgress(next.GetItem())
 	if !found {
 		if complete {
+			ownText(next)
 			j.stored.Progress = slices.Insert(j.stored.GetProgress(), index, next)
 		}
 		return
@@ -96,12 +97,21 @@
 	newer := next.GetLast() > current.GetLast()
 	switch {
 	case complete && (order > 0 || order == 0 && newer):
+		ownText(next)
 		j.stored.Progress[index] = next
 	case !complete && order == 0 && newer && received.GetAfter() == current.GetLast():
 		appendEvents(current, next)
 	}
 }
 
+// ownText copies a large text. Text that shares memory with its command would keep the progress of the other
+// items of the command in memory.
+func ownText(progress *rockwindpb.ItemProgress) {
+	if len(progress.GetText()) >= sharedBytes {
+		progress.Text = slices.Clone(progress.GetText())
+	}
+}
+
 func appendEvents(current, next *rockwindpb.ItemProgress) {
 	current.Last = next.GetLast()
 	if next.Text == nil {
--- a/internal/jobstore/read.go
+++ b/internal/jobstore/read.go
@@ -74,6 +74,15 @@
 	return found
 }
 
+// DigestOf returns the digest of a job, and whether the job exists.
+func (m *Machine) DigestOf(id string) ([]byte, bool) {
+	found, exists := m.jobs[id]
+	if !exists {
+		return nil, false
+	}
+	return found.stored.GetDigest(), true
+}
+
 // WaitingTokens returns the sum of the tokens of the items that may still run, for jobs of the
 // tenant whose host and path are wanted.
 func (m *Machine) WaitingTokens(tenant string, wanted func(host, path string) bool) uint64 {
--- a/internal/jobstore/waiting_test.go
+++ b/internal/jobstore/waiting_test.go
@@ -60,3 +60,26 @@
 		t.Error("Has does not match the submitted jobs")
 	}
 }
+
+// TestSizesFollowTheState guards against gauges that keep counting bodies and partial outputs of items that have
+// results.
+func TestSizesFollowTheState(t *testing.T) {
+	machine := jobstore.New()
+	apply(t, machine, &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_Submit{Submit: &rockwindpb.StoredJob{
+		Id: "job", Items: []*rockwindpb.StoredItem{{Id: "a", Body: make([]byte, 100)}},
+	}}})
+	apply(t, machine, &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_Progress{Progress: &rockwindpb.RecordProgress{
+		Jobs: []*rockwindpb.JobProgress{{Job: "job", Items: []*rockwindpb.ReceivedEvents{{
+			Progress: &rockwindpb.ItemProgress{Term: 1, Run: 1, Last: 1, Text: make([]byte, 40)},
+		}}}},
+	}}})
+	if got := machine.Sizes(); got.Bodies != 100 || got.PartialOutputs < 40 || got.Results != 0 {
+		t.Errorf("got %+v", got)
+	}
+	apply(t, machine, &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_Record{Record: &rockwindpb.RecordResults{
+		Job: "job", Results: []*rockwindpb.StoredResult{{Outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DONE, Text: make([]byte, 70)}},
+	}}})
+	if got := machine.Sizes(); got != (jobstore.Sizes{Results: 70}) {
+		t.Errorf("got %+v", got)
+	}
+}
--- a/internal/loadshare/digest.go
+++ b/internal/loadshare/digest.go
@@ -23,6 +23,11 @@
 	if includesPaces(loads) {
 		appendPaces(digest, loads)
 	}
+	if slices.ContainsFunc(digest.GetServers(), func(server uint32) bool { return loads[server].Far > 0 }) {
+		for _, server := range digest.GetServers() {
+			digest.Far = append(digest.Far, uint32(loads[server].Far))
+		}
+	}
 	return digest
 }
 
@@ -55,14 +60,24 @@
 // Loads returns the loads of a digest by hash. The digest's lists must have equal lengths.
 func Loads(digest *rockwindpb.LoadDigest) map[uint32]balance.SharedLoad {
 	loads := make(map[uint32]balance.SharedLoad, len(digest.GetServers()))
+	AddLoads(digest, loads)
+	return loads
+}
+
+// AddLoads adds the loads of a digest to an empty map by hash. The digest's lists must have equal lengths.
+func AddLoads(digest *rockwindpb.LoadDigest, loads map[uint32]balance.SharedLoad) {
 	for i, server := range digest.GetServers() {
 		loads[server] = balance.SharedLoad{
 			Inflight: int(digest.GetInflight()[i]), Unread: int(digest.GetUnread()[i]),
 			Batch: int(digest.GetBatch()[i]), Suspects: int(digest.GetSuspects()[i]),
 			Pace: paceAt(digest, i),
 		}
+		if far := digest.GetFar(); len(far) > 0 {
+			load := loads[server]
+			load.Far = int(far[i])
+			loads[server] = load
+		}
 	}
-	return loads
 }
 
 // paceAt returns the pace of the entry at an index of a digest.
@@ -90,16 +105,45 @@
 	return digest
 }
 
+// RegionDigest returns the sum of the loads that the named processes and groups reported and this
+// process's own.
+func RegionDigest(shares *balance.SharedLoads, names, groups []string, own map[uint32]balance.SharedLoad) *rockwindpb.LoadDigest {
+	loads := shares.SumOf(names)
+	for _, part := range []map[uint32]balance.SharedLoad{shares.SumOfGroups(groups), own} {
+		for server, load := range part {
+			loads[server] = loads[server].Plus(load)
+		}
+	}
+	digest := NewDigest(loads)
+	digest.Members = uint32(shares.ProcessesOf(names, groups) + 1)
+	return digest
+}
+
+// OtherGroupsDigest returns the sum of the loads of all groups but one.
+func OtherGroupsDigest(shares *balance.SharedLoads, group string) *rockwindpb.LoadDigest {
+	digest := NewDigest(shares.SumOtherGroups(group))
+	digest.Members = uint32(shares.ProcessesElsewhere(group))
+	return digest
+}
+
 // ApplyDigest adds the loads of a received digest to shares. The digest covers a process, a
-// group, or all groups but one.
+// group, all groups but one, or a region.
 func ApplyDigest(shares *balance.SharedLoads, digest *rockwindpb.LoadDigest, loads map[uint32]balance.SharedLoad, now time.Duration) {
 	sender, started, sequence := digest.GetSender(), digest.GetStartedUnixMs(), digest.GetSequence()
 	switch group := digest.GetGroup(); {
+	case len(digest.GetZones()) > 0:
+		shares.ApplyRegion(sender, digest.GetZones(), int(digest.GetMembers()), started, sequence, loads, now)
 	case group == "":
 		shares.Apply(sender, started, sequence, loads, now)
 	case digest.GetElsewhere():
 		shares.ApplyOtherGroups(sender, group, started, sequence, loads, now)
+		shares.SetProcessesElsewhere(sender, int(digest.GetMembers()))
 	default:
-		shares.ApplyGroup(sender, group, int(digest.GetMembers()), started, sequence, loads, now)
+		members := int(digest.GetMembers())
+		if stamps := len(digest.GetStamps()); stamps > 0 {
+			// The sender counts its own load, which has no stamp.
+			members = stamps + 1
+		}
+		shares.ApplyGroup(sender, group, members, started, sequence, loads, now)
 	}
 }
--- a/internal/loadshare/fit.go
+++ b/internal/loadshare/fit.go
@@ -52,10 +52,7 @@
 		keep = append(keep, !remove(hash))
 	}
 	digest.Servers = filter(digest.GetServers(), keep)
-	for _, list := range []*[]uint32{
-		&digest.Inflight, &digest.Unread, &digest.Batch, &digest.Suspects,
-		&digest.ToldPaces, &digest.ToldVoices, &digest.SeenPaces, &digest.SeenVoices,
-	} {
+	for _, list := range lists(digest) {
 		*list = filter(*list, keep)
 	}
 }
--- a/internal/loadshare/layout.go
+++ b/internal/loadshare/layout.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"rockwind.example/rockwind/internal/topology"
 )
 
 const (
@@ -33,6 +35,11 @@
 	// intervalPerGroup is the time between digests to other groups, for each of these groups. It
 	// bounds the traffic of a delegate to other zones.
 	intervalPerGroup = 20 * time.Millisecond
+	// minRegionInterval is the least time between digests to other regions, intervalPerRegion lengthens it for
+	// many regions, and maxRegionInterval bounds it, so that a receiver that loses two of them keeps the loads.
+	minRegionInterval = 250 * time.Millisecond
+	intervalPerRegion = 20 * time.Millisecond
+	maxRegionInterval = 400 * time.Millisecond
 )
 
 // Member is a process that shares its load.
@@ -66,6 +73,10 @@
 // groups. So the traffic of a process does not grow with the number of processes, and only
 // delegates send to other zones.
 //
+// On a site of several regions, a group sends its sum to the groups of its region only. The region's
+// delegate, which is the delegate of its first group that is alive, sends the sum of the region to the
+// delegates of the other regions, which forward it to the groups of theirs.
+//
 // Relays have the lowest ranks and may all fail at once. Standbys, selected from the other
 // members by hashes of their names, replace them while a process receives no sums from them.
 type Layout struct {
@@ -76,18 +87,41 @@
 	// standbys replace silent relays, in order of preference.
 	standbys    []Member
 	otherGroups []Group
+	// region, nearGroups (the other groups of the region) and otherRegions are set on sites of several regions
+	// if that of this process is known.
+	sites        topology.Map
+	region       string
+	nearGroups   []Group
+	otherRegions []Region
 }
 
 // Group is a group other than the process's own.
 type Group struct {
 	name     string
+	region   string
+	size     int
 	relays   []Member
 	standbys []Member
 }
 
+// Region is a region other than the process's own.
+type Region struct {
+	name   string
+	groups []Group
+}
+
 // candidates returns the members that may be the group's delegate.
 func (g Group) candidates() []Member { return slices.Concat(g.relays, g.standbys) }
 
+// candidateAddresses returns the addresses of all candidates.
+func (g Group) candidateAddresses() []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, candidate := range g.candidates() {
+		addresses = append(addresses, candidate.address)
+	}
+	return addresses
+}
+
 // candidate returns the named candidate.
 func (g Group) candidate(name string) (Member, bool) {
 	for _, each := range g.candidates() {
@@ -99,13 +133,14 @@
 }
 
 // NewLayout returns the layout of the named process among the members of a site. Processes with
-// the same list of members compute the same groups.
-func NewLayout(members []Member, self string) *Layout {
+// the same list of members compute the same groups. Processes with regions and without exchange
+// loads as all did before there were regions, and so do those in zones without a region.
+func NewLayout(members []Member, self string, sites topology.Map) *Layout {
 	sorted := slices.Clone(members)
 	slices.SortFunc(sorted, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(a.zone, b.zone), cmp.Compare(a.rank, b.rank), cmp.Compare(a.name, b.name))
 	})
-	layout := &Layout{self: self}
+	layout := &Layout{self: self, sites: sites}
 	if len(sorted) <= meshSize {
 		layout.members = sorted
 		return layout
@@ -119,9 +154,43 @@
 		layout.addZone(zone, sorted[:size])
 		sorted = sorted[size:]
 	}
+	layout.findRegions()
 	return layout
 }
 
+// findRegions sets the region of this process and the other ones.
+func (l *Layout) findRegions() {
+	region := l.sites.Region(l.group)
+	if region == "" {
+		return
+	}
+	byName := make(map[string]int)
+	for _, group := range l.otherGroups {
+		switch group.region {
+		case region:
+			l.nearGroups = append(l.nearGroups, group)
+			continue
+		case "":
+			continue
+		}
+		index, found := byName[group.region]
+		if !found {
+			index = len(l.otherRegions)
+			byName[group.region] = index
+			l.otherRegions = append(l.otherRegions, Region{name: group.region})
+		}
+		l.otherRegions[index].groups = append(l.otherRegions[index].groups, group)
+	}
+	if len(l.otherRegions) > 0 {
+		l.region = region
+		return
+	}
+	l.nearGroups = nil
+}
+
+// Regional reports whether the site has several regions and that of this process is known.
+func (l *Layout) Regional() bool { return l.region != "" }
+
 // addZone adds the members of a zone as the process's own group or as another one.
 func (l *Layout) addZone(zone string, members []Member) {
 	relays := members[:min(relayCount, len(members))]
@@ -130,7 +199,7 @@
 		l.group, l.members, l.relays, l.standbys = zone, members, relays, standbys
 		return
 	}
-	l.otherGroups = append(l.otherGroups, Group{name: zone, relays: relays, standbys: standbys})
+	l.otherGroups = append(l.otherGroups, Group{name: zone, region: l.sites.Region(zone), size: len(members), relays: relays, standbys: standbys})
 }
 
 // selectStandbys selects the standbys of a group from its members other than relays, by hashes of
@@ -254,7 +323,23 @@
 	return max(l.Interval(), time.Duration(len(l.otherGroups))*intervalPerGroup)
 }
 
-// MaxAge returns how old the loads of other processes may be: one interval from a member to the
+// RegionInterval returns the time between digests to the other regions.
+func (l *Layout) RegionInterval() time.Duration {
+	return min(max(minRegionInterval, time.Duration(len(l.otherRegions))*intervalPerRegion), maxRegionInterval)
+}
+
+// MaxRegionAge returns how old the loads of processes in other regions may be: those of a digest to
+// other groups and of one to other regions, and five intervals within groups: from the member to
+// its delegate, until the next tick of this delegate, of that of the region, of the one that forwards
+// the digest, and of the one that sends it to its members. It is MaxAge on sites of one region.
+func (l *Layout) MaxRegionAge() time.Duration {
+	if !l.Regional() {
+		return l.MaxAge()
+	}
+	return 5*l.Interval() + l.GroupInterval() + l.RegionInterval()
+}
+
+// MaxAge returns how old the loads of other processes of the region may be: one interval from a member to the
 // delegate, one from there to the other members, and half an interval between groups. It is zero
 // in a mesh, where urgent changes are sent at once.
 func (l *Layout) MaxAge() time.Duration {
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -19,6 +19,8 @@
 
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/topology"
+	"rockwind.example/rockwind/internal/traffic"
 )
 
 const (
@@ -40,6 +42,9 @@
 	Sum(names []string) *rockwindpb.LoadDigest
 	// SumOtherGroups returns the summed load of all groups but the named one.
 	SumOtherGroups(group string) *rockwindpb.LoadDigest
+	// SumRegion returns the summed load of the named processes, including this one, and of the named
+	// groups.
+	SumRegion(names, groups []string) *rockwindpb.LoadDigest
 	// Heard reports whether a digest of the named process was received recently.
 	Heard(name string) bool
 	// DropPriority returns when the entry of a hash is removed from an oversized digest, as far
@@ -62,6 +67,9 @@
 	mutex    sync.Mutex
 	protocol *Protocol
 
+	// counter counts the traffic by distance; nil if it is not counted.
+	counter *traffic.Counter
+
 	datagrams, bytes, crossZoneBytes, oversized atomic.Uint64
 	// oversizedLoggedAt is when an oversized datagram was last logged. Only Run uses it.
 	oversizedLoggedAt time.Time
@@ -98,13 +106,16 @@
 		started: started, socket: socket, triggers: make(chan struct{}, 1),
 		protocol: NewProtocol(name, started.UnixMilli()),
 	}
-	created.SetLayout(NewLayout(nil, name))
+	created.SetLayout(NewLayout(nil, name, topology.Map{}))
 	return created, nil
 }
 
 // SetLayout replaces the layout.
 func (s *Sharer) SetLayout(layout *Layout) { s.layout.Store(layout) }
 
+// CountTraffic sets the counter of the traffic by distance, which may be nil. Call it before Run.
+func (s *Sharer) CountTraffic(counter *traffic.Counter) { s.counter = counter }
+
 // TriggerSend sends digests soon instead of at the next interval, because other processes wait
 // for a change. It never blocks.
 func (s *Sharer) TriggerSend() {
@@ -199,6 +210,7 @@
 		return
 	}
 	for _, receiver := range datagram.Receivers {
+		s.counter.AddDatagram(traffic.Sent, receiver, traffic.LoadDigests, len(encoded))
 		// Datagrams may be lost, so send errors are ignored.
 		_, _ = s.socket.WriteToUDPAddrPort(encoded, receiver)
 	}
@@ -229,13 +241,14 @@
 func (s *Sharer) receive(source Source) {
 	buffer := make([]byte, maxDatagramBytes+1)
 	for {
-		n, _, err := s.socket.ReadFromUDPAddrPort(buffer)
+		n, from, err := s.socket.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil || n > maxDatagramBytes {
 			continue
 		}
+		s.counter.AddDatagram(traffic.Received, from, traffic.LoadDigests, n)
 		received := &rockwindpb.LoadBundle{}
 		if proto.Unmarshal(buffer[:n], received) != nil {
 			continue
--- a/internal/loadshare/protocol.go
+++ b/internal/loadshare/protocol.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/topology"
 )
 
 const (
@@ -45,6 +46,8 @@
 	lastOwn, lastMembers, lastGroups lastSent
 	// delegates are those of the other groups, by group.
 	delegates map[string]delegate
+	// regions is the exchange between regions.
+	regions regionExchange
 	// relayHeardAt is when a relay of this group was last heard, and silent whether
 	// the relays were silent at the last tick.
 	relayHeardAt time.Duration
@@ -57,13 +60,16 @@
 type delegate struct {
 	name string
 	at   time.Duration
+	// region is the region that it gave as its own; empty if it takes no part in the exchange between regions.
+	region string
 }
 
 // NewProtocol returns the protocol of the named process, started at the given time in Unix
 // milliseconds, on a site without other processes.
 func NewProtocol(name string, startedUnixMs int64) *Protocol {
 	return &Protocol{
-		name: name, started: startedUnixMs, layout: NewLayout(nil, name), delegates: make(map[string]delegate),
+		name: name, started: startedUnixMs, layout: NewLayout(nil, name, topology.Map{}), delegates: make(map[string]delegate),
+		regions: newRegionExchange(),
 	}
 }
 
@@ -95,10 +101,14 @@
 		return sent
 	}
 	sum := source.Sum(p.layout.Members())
-	sum.Group, sum.Members = p.layout.Group(), uint32(len(p.layout.members))
+	// Each covered process other than this one has a stamp. Listed processes without a recent digest are not
+	// counted, so that the others learn of their loss.
+	sum.Group, sum.Members = p.layout.Group(), uint32(len(sum.GetStamps())+1)
 	sent = append(sent, p.sendToMembers(source, proto.CloneOf(sum), now)...)
 	sum.Stamps = nil
-	return append(sent, p.sendToOtherGroups(source, sum, now)...)
+	sum.Region = p.layout.region
+	sent = append(sent, p.sendToOtherGroups(source, sum, now)...)
+	return append(sent, p.sendToOtherRegions(source, now)...)
 }
 
 // relaysSilent reports whether this process considers all relays of its group silent.
@@ -161,29 +171,43 @@
 func (p *Protocol) otherDelegates(now time.Duration) []netip.AddrPort {
 	var receivers []netip.AddrPort
 	for _, group := range p.layout.OtherGroups() {
-		known, found := p.delegates[group.name]
-		member, current := group.candidate(known.name)
-		if found && current && now-known.at <= delegateTimeout {
-			receivers = append(receivers, member.address)
-			continue
-		}
-		for _, candidate := range group.candidates() {
-			receivers = append(receivers, candidate.address)
+		if !p.inRegionExchange(group, now) {
+			receivers = append(receivers, p.delegateAddresses(group, now)...)
 		}
 	}
 	return receivers
 }
 
+// delegateAddresses returns the address of a group's delegate, or those of all its relays and standbys if it is
+// not known.
+func (p *Protocol) delegateAddresses(group Group, now time.Duration) []netip.AddrPort {
+	if known, found := p.knownDelegate(group, now); found {
+		member, _ := group.candidate(known.name)
+		return []netip.AddrPort{member.address}
+	}
+	return group.candidateAddresses()
+}
+
+// knownDelegate returns the delegate of a group if it sent a digest recently and is still a candidate.
+func (p *Protocol) knownDelegate(group Group, now time.Duration) (delegate, bool) {
+	known, found := p.delegates[group.name]
+	_, current := group.candidate(known.name)
+	return known, found && current && now-known.at <= delegateTimeout
+}
+
 // Receive passes the accepted digests of a datagram to the source.
 func (p *Protocol) Receive(source Source, received *rockwindpb.LoadBundle, now time.Duration) {
 	for _, digest := range received.GetDigests() {
-		if digest.GetSender() == "" || digest.GetSender() == p.name || !consistent(digest) {
+		if digest.GetSender() == "" || digest.GetSender() == p.name || !consistent(digest) || len(digest.GetZones()) > 0 {
 			continue
 		}
 		if p.accepts(source, digest, now) {
 			source.Take(digest)
 		}
 	}
+	for _, digest := range received.GetRegions() {
+		p.receiveRegion(source, digest, now)
+	}
 }
 
 // accepts reports whether a digest is the best information available to this process. It
@@ -194,7 +218,8 @@
 		// While a relay is alive, its sum covers the members.
 		return p.layout.Mesh() || p.layout.IsRelay() || p.relaysSilent(now)
 	case group != p.layout.Group():
-		p.delegates[group] = delegate{name: digest.GetSender(), at: now}
+		p.noteNewcomer(group, digest.GetSender(), now)
+		p.delegates[group] = delegate{name: digest.GetSender(), at: now, region: digest.GetRegion()}
 		return !digest.GetElsewhere() && (!p.layout.IsStandby() || p.relaysSilent(now))
 	case p.layout.HasStandby(digest.GetSender()):
 		return p.acceptsFromStandby(source, digest, now)
@@ -228,8 +253,8 @@
 
 // consistent reports whether the lists of a digest have equal lengths.
 func consistent(digest *rockwindpb.LoadDigest) bool {
-	servers := len(digest.GetServers())
-	return len(digest.GetInflight()) == servers && len(digest.GetUnread()) == servers &&
+	servers, far := len(digest.GetServers()), len(digest.GetFar())
+	return (far == 0 || far == servers) && len(digest.GetInflight()) == servers && len(digest.GetUnread()) == servers &&
 		len(digest.GetBatch()) == servers && len(digest.GetSuspects()) == servers && consistentPaces(digest)
 }
 
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -16,7 +16,7 @@
 
 // mayCampaign reports whether this replica may become leader.
 func (n *Node) mayCampaign() bool {
-	return isVoter(n.members.current(), n.id) && n.log.snapshot == nil
+	return isVoter(n.members.current(), n.id) && !isWitness(n.members.current(), n.id) && n.log.snapshot == nil
 }
 
 // mustWithholdVote reports whether a leader may hold a lease that depends on this replica
@@ -83,7 +83,7 @@
 		}
 		n.send(&rockwindpb.Message{
 			Kind: request.GetKind(), To: id, Term: request.GetTerm(), Index: last, LogTerm: lastTerm,
-			Transfer: request.GetTransfer(), Unanimous: request.GetUnanimous(),
+			Transfer: request.GetTransfer(), Unanimous: request.GetUnanimous(), Context: request.GetContext(),
 		})
 	}
 }
@@ -131,6 +131,7 @@
 	}
 	reply := &rockwindpb.Message{
 		Kind: rockwindpb.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY, To: message.GetFrom(), Unanimous: message.GetUnanimous(),
+		RestartState: n.restartState(message),
 	}
 	if message.GetUnanimous() && n.takesPrecedence(message) {
 		upToDate = false
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -30,6 +30,10 @@
 	slowSyncs int
 	// slowDiskTransfer reports whether the last transfer was because of a slow disk.
 	slowDiskTransfer bool
+	// hasWitnesses reports whether the membership contains a witness, and witnessLimit is the last index
+	// that witnesses may receive.
+	hasWitnesses bool
+	witnessLimit uint64
 }
 
 // sentRound is a heartbeat round and the tick at which it was sent.
@@ -71,6 +75,7 @@
 	if n.leaderState.progress[n.id] == nil {
 		n.leaderState.progress[n.id] = &progress{}
 	}
+	n.trackWitnesses()
 }
 
 // appendLeaderEntry appends an entry of the current term to the leader's log.
@@ -93,6 +98,7 @@
 func (n *Node) advanceOwnMatch(index uint64) {
 	p := n.leaderState.progress[n.id]
 	p.match = max(p.match, index)
+	n.advanceWitnessLimit()
 	n.maybeCommit()
 }
 
@@ -129,12 +135,12 @@
 	n.becomeFollower(n.term, 0)
 }
 
-// mostAdvancedVoter returns the active voter, other than this replica, with the highest
-// match index, or 0 if there is none.
+// mostAdvancedVoter returns the active voter, other than this replica and witnesses, with the
+// highest match index, or 0 if there is none.
 func (n *Node) mostAdvancedVoter() uint64 {
 	best := uint64(0)
 	for _, id := range voters(n.members.current()) {
-		if id == n.id || !n.active(n.leaderState.progress[id]) {
+		if p := n.leaderState.progress[id]; id == n.id || p.witness || !n.active(p) {
 			continue
 		}
 		if best == 0 || n.matchOf(id) > n.matchOf(best) {
@@ -154,6 +160,7 @@
 		n.becomeFollower(n.term, 0)
 		return
 	}
+	n.tickInSync()
 	if n.leaderState.transferTarget != 0 && !n.tickTransfer() {
 		return
 	}
@@ -193,6 +200,9 @@
 	if !isVoter(n.members.current(), to) {
 		return errors.Wrapf(ErrMembershipInvalid, "replica %x is not a voter", to)
 	}
+	if isWitness(n.members.current(), to) {
+		return errors.Wrapf(ErrMembershipInvalid, "replica %x is a witness", to)
+	}
 	if n.leaderState.transferTarget != 0 {
 		return ErrTransferring
 	}
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -28,6 +28,10 @@
 	leaderElapsed int
 	// leaderCommit is the value of Status.LeaderCommit.
 	leaderCommit uint64
+	// newestCommit is the value of Status.NewestCommit.
+	newestCommit uint64
+	// leaderMessages is the value of Status.LeaderMessages.
+	leaderMessages uint64
 	// noLeaderSinceStart reports whether this replica has neither led nor heard from a
 	// leader since it started.
 	noLeaderSinceStart bool
@@ -35,6 +39,12 @@
 	unanimousGrants map[uint64]bool
 	// nextUnanimousPreVote is the earliest tick for the next unanimous pre-vote.
 	nextUnanimousPreVote uint64
+	// poll is the number of the newest poll, or 0. A poll is a unanimous pre-vote.
+	poll uint64
+	// confirmations holds the newest poll in which each voter confirmed the log's end.
+	confirmations map[uint64]uint64
+	// confirmedPoll is the value of Status.ConfirmedPoll until the first message of a leader.
+	confirmedPoll uint64
 	// unanimous reports whether the current election requires the votes of all voters.
 	unanimous bool
 	// votes holds the replies to the current vote or pre-vote requests: true if granted.
@@ -69,6 +79,15 @@
 	leaseDuringTransfer  bool
 	readWithoutOwnCommit bool
 	unanimousByMajority  bool
+	// witnessesGetAll, contentToWitnesses and shrinkWithoutEvidence drop rules of witnesses.
+	witnessesGetAll       bool
+	contentToWitnesses    bool
+	shrinkWithoutEvidence bool
+	// confirmInAnyTerm and confirmAfterLeader drop a condition of a confirmed state, and
+	// confirmOldPolls counts replies to polls from before the restart.
+	confirmInAnyTerm   bool
+	confirmAfterLeader bool
+	confirmOldPolls    bool
 }
 
 // NewNode restores a replica from its storage. It fails with ErrLogLost if synced
@@ -193,7 +212,8 @@
 // ProposeMembership appends a membership, which takes effect immediately and is final
 // once committed. At most one voter may be added, removed, promoted or demoted at a
 // time, and a new voter must be a learner that holds all committed entries. It fails
-// with ErrNotLeader, ErrTransferring, ErrMembershipPending or ErrMembershipInvalid.
+// with ErrNotLeader, ErrTransferring, ErrMembershipPending or ErrMembershipInvalid. The caller must check that
+// a witness that it promotes has caught up; see promotionIndex.
 func (n *Node) ProposeMembership(membership *rockwindpb.Membership) error {
 	if err := n.mayPropose(); err != nil {
 		return err
@@ -218,12 +238,18 @@
 	if err := checkChange(n.members.current(), membership); err != nil {
 		return err
 	}
+	if err := checkWitnesses(n.members.current(), membership); err != nil {
+		return err
+	}
+	if err := n.checkInSyncAfter(membership); err != nil {
+		return err
+	}
 	for _, id := range voters(membership) {
 		if isVoter(n.members.current(), id) {
 			continue
 		}
 		p := n.leaderState.progress[id]
-		if p.match < n.log.committed || !n.active(p) {
+		if p.match < n.promotionIndex(p) || !n.active(p) {
 			return errors.Wrapf(ErrMembershipInvalid, "member %x is inactive or behind: match index %d, commit index %d",
 				id, p.match, n.log.committed)
 		}
@@ -254,6 +280,11 @@
 		LeaseValid:      n.LeaseValid(),
 		HearsLeader:     n.hearsLeader(),
 		LeaderCommit:    n.leaderCommit,
+		NewestCommit:    n.newestCommit,
+		LeaderMessages:  n.leaderMessages,
+	}
+	if n.awaitsFirstLeader() {
+		status.ConfirmedPoll, status.Confirmers = n.confirmedPoll, n.confirmers()
 	}
 	if n.role != Leader {
 		return status
@@ -267,6 +298,8 @@
 			Active:             member.GetId() == n.id || n.active(p),
 			Learner:            member.GetLearner(),
 			InstallingSnapshot: p.state == installing,
+			Witness:            member.GetWitness(),
+			InSync:             p.fullVoter && p.sync == inSync,
 		})
 	}
 	return status
--- a/internal/raft/progress.go
+++ b/internal/raft/progress.go
@@ -33,6 +33,16 @@
 	lastHeard uint64
 	// ackedRound is the newest heartbeat round that the member replied to.
 	ackedRound uint64
+	// witness is set for a witness, and fullVoter for any other voter.
+	witness, fullVoter bool
+	// sync is the relation of a full voter to the in-sync set.
+	sync syncState
+	// diskLost is the evidence of ReportDiskLost.
+	diskLost bool
+	// lagging is set while a full voter has not synced lagIndex, up to which the leader had synced at lagTick.
+	// prompt reports whether the last such index was reached within an election timeout.
+	lagging, prompt   bool
+	lagIndex, lagTick uint64
 }
 
 func (p *progress) becomeProbing() {
--- a/internal/raft/read.go
+++ b/internal/raft/read.go
@@ -148,7 +148,7 @@
 
 func (n *Node) handleHeartbeatReply(p *progress, message *rockwindpb.Message) error {
 	p.ackedRound = max(p.ackedRound, message.GetContext())
-	p.recordHeartbeatReply(n.log.lastIndex(), n.config.MaxInflight)
+	p.recordHeartbeatReply(n.sendLimit(p), n.config.MaxInflight)
 	n.confirmRounds()
 	return nil
 }
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -28,6 +28,7 @@
 		Messages:           n.messages,
 		ReadStates:         n.readStates,
 		HeartbeatRound:     n.round,
+		Poll:               n.poll,
 	}
 	n.takeHardState(&ready)
 	n.takeCommitted(&ready)
--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -51,7 +51,7 @@
 	case probing:
 		return !p.waiting
 	case replicating:
-		pending := p.next <= n.log.lastIndex() || p.sentCommit < n.log.committed || p.resend
+		pending := p.next <= n.sendLimit(p) || p.sentCommit < n.log.committed || p.resend
 		return pending && len(p.inflight) < n.config.MaxInflight
 	}
 	return false
@@ -59,7 +59,7 @@
 
 // sendAppend sends the next entries to a member, or a snapshot if they were compacted.
 func (n *Node) sendAppend(id uint64, p *progress) {
-	entries, err := n.log.entries(p.next, n.log.lastIndex()+1, n.config.MaxAppendBytes)
+	entries, err := n.log.entries(p.next, n.sendLimit(p)+1, n.config.MaxAppendBytes)
 	var previousTerm uint64
 	if err == nil {
 		previousTerm, err = n.log.term(p.next - 1)
@@ -72,6 +72,9 @@
 		_ = n.halt(err)
 		return
 	}
+	if p.witness && !n.faults.contentToWitnesses {
+		entries = withoutContent(entries)
+	}
 	n.sendBeforeSync(&rockwindpb.Message{
 		Kind:    rockwindpb.MessageKind_MESSAGE_KIND_APPEND,
 		To:      id,
@@ -105,9 +108,12 @@
 		_ = n.halt(errors.Wrap(err, "read the snapshot's metadata"))
 		return
 	}
-	if snapshot.GetIndex() == 0 {
+	if snapshot.GetIndex() == 0 || (p.witness && snapshot.GetIndex() > n.sendLimit(p)) {
 		return
 	}
+	if p.witness {
+		snapshot = snapshotWithoutState(snapshot)
+	}
 	p.becomeInstalling(snapshot.GetIndex())
 	n.send(&rockwindpb.Message{
 		Kind: rockwindpb.MessageKind_MESSAGE_KIND_SNAPSHOT, To: id, Snapshot: snapshot,
@@ -126,6 +132,10 @@
 	}
 	entries := message.GetEntries()
 	entries = entries[n.log.firstConflict(entries):]
+	if isWitness(n.members.current(), n.id) && !n.faults.contentToWitnesses {
+		// A leader of an earlier version would send content.
+		entries = withoutContent(entries)
+	}
 	if len(entries) > 0 {
 		if err := n.log.replace(entries); err != nil {
 			return n.halt(err)
@@ -181,6 +191,7 @@
 	if !p.recordAccept(message.GetIndex()) {
 		return nil
 	}
+	n.advanceWitnessLimit()
 	n.maybeCommit()
 	if n.role == Leader && message.GetFrom() == n.leaderState.transferTarget && !n.leaderState.leaseRevoked {
 		n.continueTransfer()
