--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -126,6 +126,12 @@
 		// heartbeat follows it.
 		n.leaderCommit = max(message.GetLeaderCommit(), message.GetCommit())
 	}
+	n.leaderMessages++
+	n.newestCommit = max(n.newestCommit, message.GetLeaderCommit())
+	if message.GetKind() == rockwindpb.MessageKind_MESSAGE_KIND_APPEND {
+		// The commit index of a heartbeat is limited to the log of its receiver.
+		n.newestCommit = max(n.newestCommit, message.GetCommit())
+	}
 	return handle(message)
 }
 
@@ -139,6 +145,7 @@
 		return nil
 	}
 	p.lastHeard = n.ticks
+	p.diskLost = false
 	return handle(p, message)
 }
 
@@ -146,7 +153,7 @@
 	if term != n.term {
 		n.term = term
 		n.vote = 0
-		n.leaderCommit = 0
+		n.leaderCommit, n.newestCommit = 0, 0
 	}
 	n.role = Follower
 	n.leader = leader
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -76,6 +76,10 @@
 	// MaxAppendBytes limits the entry data in one append message, and that of the
 	// entries in Ready.CommittedEntries.
 	MaxAppendBytes int
+	// FirstPoll is the number before that of the first poll. It must be below 1<<63 and be
+	// drawn at random at each start, so that replies to polls from before a restart are not
+	// counted.
+	FirstPoll uint64
 	// Random is the source of randomness for election timeouts.
 	Random *rand.Rand
 	// Storage is the persisted log.
@@ -140,6 +144,10 @@
 	// HeartbeatRound is the newest heartbeat round when the Ready was created. The
 	// caller uses it to check leases against a clock; see Node.LeaseRound.
 	HeartbeatRound uint64
+	// Poll is the newest poll when the Ready was created, or 0. Its messages and those of
+	// the polls since the previous Ready are in this one. The caller uses it to determine
+	// the age of a confirmed state; see Status.ConfirmedPoll.
+	Poll uint64
 	// MustSync reports whether Entries, Snapshot or HardState must be synced.
 	MustSync bool
 }
@@ -155,6 +163,11 @@
 	Learner bool
 	// InstallingSnapshot reports whether the member is installing a snapshot.
 	InstallingSnapshot bool
+	// Witness reports whether the member is a witness.
+	Witness bool
+	// InSync reports whether the member belongs to the in-sync set. It is only meaningful in groups with
+	// witnesses; in others all voters belong to it.
+	InSync bool
 }
 
 // Status describes a Node.
@@ -187,4 +200,15 @@
 	// first heard from it, or 0 before that. On the leader it is the index of the first
 	// entry of its term.
 	LeaderCommit uint64
+	// ConfirmedPoll is nonzero if this replica has neither led nor followed a leader since its
+	// start, but a majority of the voters has confirmed that everything that was committed when
+	// the poll of this number was sent is committed here, too.
+	ConfirmedPoll uint64
+	// Confirmers lists the other voters that confirmed it.
+	Confirmers []uint64
+	// NewestCommit is the highest commit index in the messages that this replica has received from
+	// the leader of its term, or 0 before that. Unlike Commit it may be beyond the log of this replica.
+	NewestCommit uint64
+	// LeaderMessages counts the messages of leaders since the start of this replica.
+	LeaderMessages uint64
 }
--- a/internal/raft/unanimous.go
+++ b/internal/raft/unanimous.go
@@ -53,7 +53,9 @@
 		n.campaign(unanimousElection)
 		return
 	}
-	n.requestVotes(&rockwindpb.Message{Kind: rockwindpb.MessageKind_MESSAGE_KIND_PRE_VOTE, Term: n.term + 1, Unanimous: true})
+	n.requestVotes(&rockwindpb.Message{
+		Kind: rockwindpb.MessageKind_MESSAGE_KIND_PRE_VOTE, Term: n.term + 1, Unanimous: true, Context: n.startPoll(),
+	})
 }
 
 // unanimousPreVoteWon reports whether all voters granted the unanimous pre-vote.
@@ -71,6 +73,7 @@
 
 // handleUnanimousPreVoteReply counts a reply to the unanimous pre-vote.
 func (n *Node) handleUnanimousPreVoteReply(message *rockwindpb.Message) {
+	n.countConfirmation(message)
 	if n.unanimousGrants == nil || !n.mayRequestUnanimousPreVote() || message.GetReject() || message.GetTerm() != n.term+1 {
 		return
 	}
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -77,13 +77,17 @@
 	clear(o.promotionIndexes)
 	o.failPending("leadership was lost before the command was committed")
 	o.failReads()
+	o.failSyncWaits()
 	log.WithField("group", o.id).WithField("term", status.Term).WithField("leading", term != 0).Info("leadership changed")
 }
 
-// publish makes the state of the Raft node visible to other goroutines.
-func (o *owner) publish() {
+// publish makes the state of the Raft node visible to other goroutines. The clock was read since the
+// last tick.
+func (o *owner) publish(now clockReading) {
 	status := o.node.Status()
+	o.recordRoundWithoutMessages(status, now)
 	o.publishedLeadership.Store(o.leadershipUnderLease(status))
+	o.publishedConfirmation.Store(o.confirmation(status))
 	o.mutex.Lock()
 	changed := status.Role != o.status.Role || status.Leader != o.status.Leader || status.Term != o.status.Term
 	o.status = status
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -279,7 +279,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel, m.ended = cancel, make(chan error, 1)
 	m.set(host)
-	f.network.mount(m.name, rockwindpb.NewReplicaServiceServer(host.Service()))
+	f.network.mount(m.name, replica.NewServer(host))
 	ended := m.ended
 	go func() { ended <- host.Run(ctx) }()
 	synctest.Wait()
--- a/internal/replica/drain.go
+++ b/internal/replica/drain.go
@@ -43,7 +43,17 @@
 
 func (h *Host) leadsAny() bool {
 	for _, o := range h.allOwners() {
-		if o.leads() && hasOtherVoters(o.Status().GetMembership(), h.log.DiskID()) {
+		if o.leads() && hasOtherCandidates(o.Status().GetMembership(), h.log.DiskID()) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasOtherCandidates reports whether a group has another voter that could lead it.
+func hasOtherCandidates(membership *rockwindpb.Membership, disk uint64) bool {
+	for _, member := range membership.GetMembers() {
+		if member.GetId() != disk && !member.GetLearner() && !member.GetWitness() {
 			return true
 		}
 	}
@@ -75,18 +85,22 @@
 
 // transferLeadership calls Options.BeforeLeadershipTransfer and then transfers
 // leadership to the most up-to-date active voter, if there is one.
-func (o *owner) transferLeadership() error {
+func (o *owner) transferLeadership() error { return o.prepareTransfer(o.startTransfer) }
+
+// prepareTransfer calls Options.BeforeLeadershipTransfer and then start, which starts a transfer. It
+// does nothing if no transfer is possible or one is already in preparation.
+func (o *owner) prepareTransfer(start func() error) error {
 	status := o.node.Status()
 	if o.preparingTransfer || !canTransferLeadership(status) {
 		return nil
 	}
 	if o.host.options.BeforeLeadershipTransfer == nil || !hasActiveOtherVoter(status) {
-		return o.startTransfer()
+		return start()
 	}
 	o.preparingTransfer = true
 	o.host.spawn(func() error {
 		o.runBeforeTransfer()
-		err := o.do(o.ctx, o.transferAfterPreparation)
+		err := o.do(o.ctx, func() error { return o.transferAfterPreparation(start) })
 		if err != nil {
 			log.WithError(err).WithField("group", o.id).Info("leadership transfer failed")
 		}
@@ -113,24 +127,24 @@
 }
 
 // transferAfterPreparation starts the transfer unless leadership was lost meanwhile.
-func (o *owner) transferAfterPreparation() error {
+func (o *owner) transferAfterPreparation(start func() error) error {
 	o.preparingTransfer = false
 	if !canTransferLeadership(o.node.Status()) {
 		return nil
 	}
-	return o.startTransfer()
+	return start()
 }
 
 // canTransferLeadership reports whether the replica leads a group that another
 // voter could lead and no transfer is in progress.
 func canTransferLeadership(status raft.Status) bool {
-	return status.Role == raft.Leader && status.TransferTarget == 0 && hasOtherVoters(status.Membership, status.ID)
+	return status.Role == raft.Leader && status.TransferTarget == 0 && hasOtherCandidates(status.Membership, status.ID)
 }
 
 // hasActiveOtherVoter reports whether another voter is active.
 func hasActiveOtherVoter(status raft.Status) bool {
 	for _, member := range status.Membership.GetMembers() {
-		if member.GetId() != status.ID && !member.GetLearner() && progressOf(status, member.GetId()).Active {
+		if member.GetId() != status.ID && !member.GetLearner() && !member.GetWitness() && progressOf(status, member.GetId()).Active {
 			return true
 		}
 	}
--- a/internal/replica/founding.go
+++ b/internal/replica/founding.go
@@ -255,7 +255,7 @@
 	for _, group := range described.groups {
 		kept := known[group.GetGroup()]
 		if kept == nil || (h.owners[group.GetGroup()] == nil && memberByID(group.GetMembership(), h.log.DiskID()) != nil) {
-			kept = group
+			kept = withRegion(group, kept.GetRegion())
 			changed = true
 		}
 		result.groups = append(result.groups, kept)
@@ -266,6 +266,15 @@
 	return result
 }
 
+// withRegion returns a group with the region that is known here, if its description has none:
+// machines of earlier versions omit it.
+func withRegion(group *rockwindpb.FoundingGroup, known string) *rockwindpb.FoundingGroup {
+	if group.GetRegion() != "" || known == "" {
+		return group
+	}
+	return &rockwindpb.FoundingGroup{Group: group.GetGroup(), Membership: group.GetMembership(), Region: known}
+}
+
 // alreadyInCluster reports whether this machine belongs to a cluster. It fails if
 // that is not the target.
 func (h *Host) alreadyInCluster(target *cluster) (bool, error) {
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -36,6 +36,10 @@
 	// fault.NotLeader, which names the leader if it is known, or with
 	// fault.OutcomeUnknown if the command may still be committed later.
 	Propose(ctx context.Context, command []byte) (any, error)
+	// AwaitSynced waits until all voters that the leader is in contact with have
+	// synced everything that was committed before the call, and returns nil. It fails
+	// on other replicas, if leadership is lost, and if the context ends.
+	AwaitSynced(ctx context.Context) error
 	// Read runs view on the owner goroutine once this replica has confirmed that
 	// it is the leader and has applied everything that was committed before the
 	// call. It fails with fault.NotLeader on other replicas.
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +46,11 @@
 	cluster           *cluster
 	owners            map[uint32]*owner
 	leadershipChanged chan struct{}
+	// encodingSnapshot is set while a group encodes and saves a snapshot. Only one does at a time, so that
+	// the encoded states of all groups are never in memory together.
+	encodingSnapshot atomic.Bool
+	// encodedBytes and sentBytes are the sizes of the snapshots that are being saved and sent.
+	encodedBytes, sentBytes atomic.Int64
 	// lastJoinMembers lists the members in the latest response to a join call.
 	lastJoinMembers []*rockwindpb.ControlMachine
 	// groupChecksums maps an address to the checksum of the groups in its latest
@@ -67,6 +73,8 @@
 		FileSystem:    options.FileSystem,
 		SegmentBytes:  options.SegmentBytes,
 		TrailingBytes: options.TrailingBytes,
+
+		MinTrailingBytes: options.MinSnapshotBytes / 2,
 	})
 	if err != nil {
 		return nil, err
@@ -161,7 +169,7 @@
 		if h.owners[group.GetGroup()] != nil || !hasMachine(group.GetMembership(), h.options.Machine) {
 			continue
 		}
-		started, err := newOwner(h.ctx, h, group.GetGroup(), foundingMembership(group.GetMembership(), h.log.DiskID()))
+		started, err := newOwner(h.ctx, h, group)
 		if err != nil {
 			return err
 		}
@@ -182,10 +190,11 @@
 	return h.inCluster
 }
 
-// Group returns a group that this machine runs.
+// Group returns a group that this machine runs with its state. It does not return groups of which this
+// machine holds a witness.
 func (h *Host) Group(id uint32) (Group, bool) {
 	found := h.owner(id)
-	if found == nil {
+	if found == nil || found.witness {
 		return nil, false
 	}
 	return found, true
@@ -346,11 +355,14 @@
 }
 
 func (h *Host) clientFor(address string) rockwindpb.ReplicaService {
-	base := scheme + address
+	return rockwindpb.NewReplicaServiceProtobufClient(h.baseURL(address), twirphttp.Client{HTTPClient: h.options.Client})
+}
+
+func (h *Host) baseURL(address string) string {
 	if h.options.Secure {
-		base = secureScheme + address
+		return secureScheme + address
 	}
-	return rockwindpb.NewReplicaServiceProtobufClient(base, twirphttp.Client{HTTPClient: h.options.Client})
+	return scheme + address
 }
 
 // allowedBothWays reports whether a call to a machine and its response may pass.
--- a/internal/replica/inmemory.go
+++ b/internal/replica/inmemory.go
@@ -33,6 +33,9 @@
 	return result, nil
 }
 
+// AwaitSynced implements Group.
+func (l *InMemoryGroup) AwaitSynced(context.Context) error { return nil }
+
 // Read implements Group.
 func (l *InMemoryGroup) Read(_ context.Context, view func()) error {
 	l.mutex.Lock()
--- a/internal/replica/joining.go
+++ b/internal/replica/joining.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/featurelevel"
 	"rockwind.example/rockwind/internal/raft"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
@@ -130,12 +131,14 @@
 	return !h.joinedAt.IsZero() && time.Since(h.joinedAt) < period
 }
 
-// lacksGroup reports whether the cluster has a group that does not run here. This
-// machine may be needed there.
+// lacksGroup reports whether the cluster has a group that does not run here and
+// that this machine may join. This machine may be needed there.
 func (h *Host) lacksGroup() bool {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return len(h.owners) < len(h.cluster.groups)
+	_, groups := h.knownGroups()
+	return slices.ContainsFunc(groups, func(group knownGroup) bool {
+		region := group.founding.GetRegion()
+		return group.owner == nil && (h.mayHold(h.options.Machine, region) || h.mayWitness(h.options.Machine, region, group.founding.GetMembership()))
+	})
 }
 
 func (h *Host) requestJoin(peer *rockwindpb.ControlMachine) {
@@ -146,6 +149,7 @@
 		DiskId:       h.log.DiskID(),
 		Address:      h.options.Address,
 		HaveChecksum: h.groupChecksum(peer.GetAddress()),
+		FeatureLevel: featurelevel.Current,
 	})
 	if err != nil {
 		log.WithError(fault.From(err)).WithField("machine", peer.GetMachine()).Info("not joined")
@@ -262,7 +266,7 @@
 				membership = current
 			}
 		}
-		response.Groups = append(response.Groups, &rockwindpb.FoundingGroup{Group: group.founding.GetGroup(), Membership: membership})
+		response.Groups = append(response.Groups, &rockwindpb.FoundingGroup{Group: group.founding.GetGroup(), Membership: membership, Region: group.founding.GetRegion()})
 	}
 	return response, nil
 }
@@ -275,12 +279,24 @@
 	if status.Role != raft.Leader {
 		return o.notLeader()
 	}
-	if memberByID(status.Membership, request.GetDiskId()) != nil {
+	mayHold := o.host.mayHold(request.GetMachine(), o.region)
+	mayWitness := o.host.mayWitness(request.GetMachine(), o.region, status.Membership)
+	if memberByID(status.Membership, request.GetDiskId()) != nil || (!mayHold && !mayWitness) {
 		return nil
 	}
+	if err := checkLevel(status.Membership, request); err != nil {
+		return err
+	}
+	if mayWitness && !hasMachine(status.Membership, request.GetMachine()) {
+		return o.admitWitness(status, request)
+	}
 	if !hasMachine(status.Membership, request.GetMachine()) {
 		return o.admitNew(status, request)
 	}
+	isWitness := isWitnessMachine(status.Membership, request.GetMachine())
+	if hasWitnesses(status.Membership) && !isWitness && !o.confirmJoin(status, request, time.Now()) {
+		return unavailable("the call must be repeated after an election timeout")
+	}
 	changed := &rockwindpb.Membership{}
 	for _, member := range status.Membership.GetMembers() {
 		if member.GetMachine() == request.GetMachine() {
@@ -298,6 +314,7 @@
 		Machine: request.GetMachine(),
 		Address: request.GetAddress(),
 		Learner: true,
+		Witness: isWitness,
 	})
 	return o.proposeMembership(changed)
 }
@@ -335,7 +352,7 @@
 // promotes a learner that holds everything committed at the first check after it
 // was added, and only then removes the older member. The number of copies of an
 // acknowledged write thus never decreases.
-func (o *owner) advanceReplacement() {
+func (o *owner) advanceReplacement(now time.Time) {
 	status := o.node.Status()
 	if status.Role != raft.Leader || status.MembershipIndex > status.Commit {
 		return
@@ -358,6 +375,14 @@
 			return
 		}
 	}
+	switch leaving := o.leavingWithoutReplacement(status, now); {
+	case leaving == nil:
+	case leaving.GetId() == status.ID:
+		_ = o.transferLeadership()
+	default:
+		log.WithField("group", o.id).WithField("machine", leaving.GetMachine()).WithField("region", o.region).Info("member leaves without a replacement")
+		o.removeMember(status.Membership, leaving)
+	}
 }
 
 func (o *owner) promoteLearner(status raft.Status, learner *rockwindpb.Member) bool {
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -59,6 +59,16 @@
 	// MustLeave reports whether a machine must leave its groups as soon as
 	// another one can replace it; nil means that none must.
 	MustLeave func(machine string) bool
+	// InRegion reports whether a machine is in a region. Only machines in the region
+	// of a group may join it, if the group was founded with one. It must not report
+	// true for a machine whose region is unknown. nil means that no machine is in any
+	// region.
+	InRegion func(machine, region string) bool
+	// RegionOf returns the region of a machine, empty if it is not known. The leader of a group of which one
+	// region holds a majority of the voters then transfers leadership to a voter in that region, if it is in
+	// another one: see package leaderregion. nil means that leadership stays where it is. It is called by
+	// leaders at each tick.
+	RegionOf func(machine string) string
 	// StateMachines returns the empty state machine of a group. The host calls it
 	// once for each group that it runs. Group 0 is the root group; groups from 1
 	// are the job shards.
@@ -72,6 +82,10 @@
 	// of a group, in entries and in bytes of commands; zero means the defaults.
 	SnapshotEntries uint64
 	SnapshotBytes   int64
+	// MinSnapshotBytes, if it is not zero, lowers the limit of the log after the newest snapshot to half of
+	// the size of that snapshot, but not below MinSnapshotBytes. Small states are then snapshotted more
+	// often. Half as much is kept before the snapshot, within TrailingBytes.
+	MinSnapshotBytes int64
 	// TrailingBytes limits the log entries before the newest snapshot of a group
 	// that stay in memory, in bytes of commands; zero means no limit.
 	TrailingBytes int64
--- a/internal/replica/owner.go
+++ b/internal/replica/owner.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rockwind.example/rockwind/internal/raft"
+	"rockwind.example/rockwind/internal/replica/leaderregion"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/wal"
 )
@@ -36,12 +37,17 @@
 // one group does not delay another, and groups run in parallel. All owners share
 // one writer, so that one sync serves several groups.
 type owner struct {
-	host    *Host
-	id      uint32
+	host *Host
+	id   uint32
+	// region is the one to which the replicas are restricted, empty if they are not.
+	region string
+	// witness is set if this replica is a witness.
+	witness bool
 	node    *raft.Node
 	machine StateMachine
 	stored  *wal.Group
 	lease   leaseClock
+	polls   pollClock
 
 	requests chan any
 	inbox    chan *rockwindpb.Message
@@ -68,6 +74,7 @@
 	confirmedReads    []confirmedRead
 	lastReadContext   uint64
 	unconfirmedReads  map[uint64][]*read
+	syncWaits         []*syncWait
 	snapshotting      bool
 	// snapshotIndex is the index of the newest snapshot.
 	snapshotIndex uint64
@@ -86,10 +93,22 @@
 	// promotionIndexes holds the index that each learner must reach to be promoted.
 	promotionIndexes map[uint64]uint64
 	leadingTerm      uint64
+	// confirmationRecorded is set once a confirmed state has been recorded.
+	confirmationRecorded bool
 	// inactiveSince holds when each inactive member became inactive, as observed by
 	// this leader in inactivityTerm.
 	inactiveSince  map[uint64]time.Time
 	inactivityTerm uint64
+	// joins holds the join calls of each disk beside a voter with content on the same machine, as observed by
+	// this leader in joinsTerm.
+	joins     map[uint64]repeatedJoin
+	joinsTerm uint64
+	// removableSince is since when a member has been removable without a replacement, as observed
+	// by this leader in removableTerm.
+	removableSince time.Time
+	removableTerm  uint64
+	// leaderRegion decides about transfers to the region that holds a majority of the voters.
+	leaderRegion leaderregion.Tracker
 
 	// Guarded by mutex; read by other goroutines.
 	mutex            sync.Mutex
@@ -100,6 +119,8 @@
 
 	appliedChanged      chan struct{}
 	publishedLeadership atomic.Pointer[leadership]
+	// publishedConfirmation is the time as of which the applied state is confirmed, or nil.
+	publishedConfirmation atomic.Pointer[clockReading]
 }
 
 // leadership is a term and the end of its lease, as published to other goroutines.
@@ -115,12 +136,15 @@
 }
 
 // newOwner restores a group from the log.
-func newOwner(ctx context.Context, host *Host, id uint32, founding *rockwindpb.Membership) (*owner, error) {
+func newOwner(ctx context.Context, host *Host, founding *rockwindpb.FoundingGroup) (*owner, error) {
+	id := founding.GetGroup()
 	o := &owner{
 		ctx:              ctx,
 		host:             host,
 		id:               id,
-		machine:          host.options.StateMachines(id),
+		region:           founding.GetRegion(),
+		witness:          isWitnessMachine(founding.GetMembership(), host.options.Machine),
+		machine:          host.newStateMachine(founding),
 		stored:           host.log.Group(id),
 		lease:            leaseClock{duration: time.Duration(host.options.leaseTicks()) * host.options.Tick},
 		requests:         make(chan any, requestBuffer),
@@ -134,6 +158,7 @@
 		unconfirmedReads: map[uint64][]*read{},
 		promotionIndexes: map[uint64]uint64{},
 		inactiveSince:    map[uint64]time.Time{},
+		joins:            map[uint64]repeatedJoin{},
 		appliedChanged:   make(chan struct{}),
 	}
 	if err := o.restore(); err != nil {
@@ -146,15 +171,16 @@
 		LeaseTicks:     host.options.leaseTicks(),
 		MaxInflight:    maxInflight,
 		MaxAppendBytes: maxAppendBytes,
+		FirstPoll:      rand.Uint64() >> 1,
 		Random:         rand.New(rand.NewPCG(host.options.RandomSeed, host.log.DiskID()^uint64(id))),
-		Storage:        &storage{group: o.stored, founding: founding},
+		Storage:        &storage{group: o.stored, founding: foundingMembership(founding.GetMembership(), host.log.DiskID())},
 		Applied:        o.applied,
 	})
 	if err != nil {
 		return nil, errors.Wrapf(err, "restore group %d", id)
 	}
 	o.node = node
-	o.publish()
+	o.publish(o.now())
 	return o, nil
 }
 
@@ -237,7 +263,9 @@
 func (o *owner) stop() {
 	o.failPending("this control process stops")
 	o.failReads()
+	o.failSyncWaits()
 	o.publishedLeadership.Store(nil)
+	o.publishedConfirmation.Store(nil)
 	close(o.stopped)
 }
 
@@ -277,8 +305,10 @@
 	o.lastTick = now
 	o.node.Tick()
 	o.trackInactivity(now)
-	o.advanceReplacement()
+	o.reportRetired(o.node.Status())
+	o.advanceReplacement(now)
 	o.continueDrain()
+	o.returnToRegion(now)
 	return o.maybeSnapshot()
 }
 
@@ -295,20 +325,30 @@
 		now := o.now()
 		o.handleRoleChange()
 		if !o.node.HasReady() {
-			o.publish()
+			o.publish(now)
+			o.finishSyncWaits()
 			o.dropUnusedSnapshot()
 			return nil
 		}
 		ready := o.node.Ready()
 		o.lease.recordRound(ready.HeartbeatRound, now)
+		o.polls.record(ready.Poll, now)
 		// Publish a revoked lease before sending the message that revokes it.
-		o.publish()
+		o.publish(now)
 		if err := o.handleReady(&ready); err != nil {
 			return err
 		}
 	}
 }
 
+// recordRoundWithoutMessages records the heartbeat rounds of a leader that is the only voter. They send no
+// message, so no Ready has them, and the lease by the clock would end while the group is idle.
+func (o *owner) recordRoundWithoutMessages(status raft.Status, now clockReading) {
+	if status.Role == raft.Leader && !hasOtherVoters(status.Membership, status.ID) {
+		o.lease.recordRound(o.node.LeaseRound(), now)
+	}
+}
+
 // dropUnusedSnapshot releases the data of a snapshot that the Raft node did not
 // install.
 func (o *owner) dropUnusedSnapshot() {
--- a/internal/replica/ready.go
+++ b/internal/replica/ready.go
@@ -111,7 +111,10 @@
 			o.sendSnapshot(message)
 			continue
 		}
-		o.host.transport.send(o.memberRoute(message.GetTo()), o.id, o.shortEntries.encodeOutgoing(message))
+		if !o.isAppendToWitness(message) {
+			message = o.shortEntries.encodeOutgoing(message)
+		}
+		o.host.transport.send(o.memberRoute(message.GetTo()), o.id, message)
 	}
 }
 
--- a/internal/replica/receive.go
+++ b/internal/replica/receive.go
@@ -11,6 +11,10 @@
 	"rockwind.example/rockwind/internal/wal"
 )
 
+// maxReservedBytes limits what is reserved for a snapshot at its first chunk. Without a reservation, the copies
+// of a growing slice add twice the size of the snapshot in garbage.
+const maxReservedBytes = 32 << 20
+
 // receiver assembles snapshots from chunks, one at a time for each group.
 type receiver struct {
 	mutex    sync.Mutex
@@ -38,7 +42,10 @@
 	}
 	partial := r.partials[chunk.GetGroup()]
 	if partial == nil || partial.from != chunk.GetFrom() || !proto.Equal(partial.metadata, chunk.GetMetadata()) {
-		partial = &partialSnapshot{from: chunk.GetFrom(), metadata: chunk.GetMetadata()}
+		partial = &partialSnapshot{
+			from: chunk.GetFrom(), metadata: chunk.GetMetadata(),
+			content: make([]byte, 0, min(chunk.GetMetadata().GetSize(), maxReservedBytes)),
+		}
 		r.partials[chunk.GetGroup()] = partial
 	}
 	have := uint64(len(partial.content))
--- a/internal/replica/repair_test.go
+++ b/internal/replica/repair_test.go
@@ -113,7 +113,7 @@
 		}
 		duplicate := &machine{name: original.name, disk: faultfs.New()}
 		f.start(duplicate)
-		f.network.mount(original.name, rockwindpb.NewReplicaServiceServer(original.host.Service()))
+		f.network.mount(original.name, replica.NewServer(original.host))
 		time.Sleep(time.Minute)
 		members := f.leader(1).group(1).Status().GetMembership().GetMembers()
 		if len(members) != 3 || !isVoter(members, original.host.DiskID()) {
--- a/internal/replica/replacing.go
+++ b/internal/replica/replacing.go
@@ -35,17 +35,22 @@
 }
 
 // admitNew adds a machine with a new name as a learner if the group has fewer
-// members than Options.TargetVoters, or as a replacement of a member that is
+// members than its target, or as a replacement of a member that is
 // inactive or must leave. Otherwise it does nothing.
 func (o *owner) admitNew(status raft.Status, request *rockwindpb.JoinRequest) error {
 	if !o.host.options.AdmitNew || o.host.mustLeave(request.GetMachine()) {
 		return nil
 	}
-	if len(status.Membership.GetMembers()) < o.host.options.TargetVoters {
-		return o.addLearner(status, request, nil)
-	}
 	outgoing := o.replaceableMember(status)
-	if outgoing == nil {
+	incomplete := fullMembers(status.Membership) < o.targetVoters()
+	switch {
+	case incomplete && o.region != "" && outgoing != nil:
+		// A group in a region may stay below its target. If it kept an inactive voter beside its
+		// replacement, the quorum would grow and the next loss could stop the group.
+		return o.addLearner(status, request, outgoing)
+	case incomplete:
+		return o.addLearner(status, request, nil)
+	case outgoing == nil:
 		return nil
 	}
 	return o.addLearner(status, request, outgoing)
@@ -70,19 +75,20 @@
 		Address:  request.GetAddress(),
 		Learner:  true,
 		Replaces: outgoing.GetId(),
+		Witness:  outgoing.GetWitness(),
 	})
 	log.WithField("group", o.id).WithField("machine", request.GetMachine()).WithField("replaces", outgoing.GetMachine()).
 		WithField("silent", o.inactiveFor(outgoing.GetId()).String()).Info("machine admitted")
 	return o.proposeMembership(changed)
 }
 
-// replaceableMember returns a voter that has been inactive for inactivityTimeout,
+// replaceableMember returns a voter, other than a witness, that has been inactive for inactivityTimeout,
 // otherwise one that must leave, or nil if there is none.
 func (o *owner) replaceableMember(status raft.Status) *rockwindpb.Member {
 	var leaving *rockwindpb.Member
 	for _, member := range status.Membership.GetMembers() {
 		switch {
-		case member.GetLearner():
+		case member.GetLearner() || member.GetWitness():
 		case o.inactiveFor(member.GetId()) >= inactivityTimeout:
 			return member
 		case leaving == nil && o.host.mustLeave(member.GetMachine()):
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/raft"
@@ -244,7 +245,7 @@
 	o.mutex.Lock()
 	status, applied, appliedTerm := o.status, o.publishedApplied, o.publishedAppliedTerm
 	o.mutex.Unlock()
-	return &rockwindpb.GroupStatus{
+	published := &rockwindpb.GroupStatus{
 		Group:         o.id,
 		Term:          status.Term,
 		Leader:        status.Leader,
@@ -258,7 +259,14 @@
 		HearsLeader:   status.HearsLeader,
 		AppliedTerm:   appliedTerm,
 		LeaderCommit:  status.LeaderCommit,
+		NewestCommit:  status.NewestCommit,
+
+		LeaderMessages: status.LeaderMessages,
+	}
+	if age, confirmed := o.confirmedAge(); confirmed {
+		published.ConfirmedAgeMs = proto.Uint32(uint32((age + time.Millisecond - 1) / time.Millisecond))
 	}
+	return published
 }
 
 // repaired reports, on the leader, whether the membership is committed and every
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -15,7 +15,7 @@
 var _ rockwindpb.ReplicaService = (*service)(nil)
 
 // Service returns the RPC service for the other control machines. The caller
-// mounts it with rockwindpb.NewReplicaServiceServer.
+// mounts it with NewServer, or with rockwindpb.NewReplicaServiceServer if it needs hooks.
 func (h *Host) Service() rockwindpb.ReplicaService {
 	return &service{host: h}
 }
--- a/internal/replica/shortentries.go
+++ b/internal/replica/shortentries.go
@@ -80,7 +80,13 @@
 	shortened := make([]*rockwindpb.ShortEntry, 0, len(message.GetEntries()))
 	for _, entry := range message.GetEntries() {
 		short := &rockwindpb.ShortEntry{Term: entry.GetTerm(), Index: entry.GetIndex(), Kind: entry.GetKind(), Checksum: wal.Checksum(entry.GetData())}
-		parts, oldest := s.coder.Encode(entry.GetIndex(), entry.GetData())
+		var parts []*rockwindpb.Piece
+		var oldest uint64
+		// The search for references in a large entry would delay the heartbeats of the leader, and the window
+		// can't hold the entry.
+		if len(entry.GetData()) <= pieces.WindowBytes {
+			parts, oldest = s.coder.Encode(entry.GetIndex(), entry.GetData())
+		}
 		if oldest != 0 && oldest >= member.firstReference {
 			short.Pieces, saves = parts, true
 		} else {
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -37,8 +37,13 @@
 	if o.snapshotting || !o.snapshotDue() {
 		return nil
 	}
+	if !o.host.encodingSnapshot.CompareAndSwap(false, true) {
+		// The next Ready or the next call of requestSnapshots tries again.
+		return nil
+	}
 	content, err := o.machine.Snapshot()
 	if err != nil {
+		o.host.encodingSnapshot.Store(false)
 		return errors.Wrap(err, "encode the state")
 	}
 	metadata := &rockwindpb.SnapshotMetadata{
@@ -49,7 +54,12 @@
 	o.snapshotting = true
 	o.snapshotRequested.Store(false)
 	previousIndex := o.snapshotIndex
-	o.host.spawn(func() error { return o.saveLocalSnapshot(metadata, content, previousIndex) })
+	o.host.encodedBytes.Store(int64(len(content)))
+	o.host.spawn(func() error {
+		defer o.host.encodingSnapshot.Store(false)
+		defer o.host.encodedBytes.Store(0)
+		return o.saveLocalSnapshot(metadata, content, previousIndex)
+	})
 	return nil
 }
 
@@ -59,7 +69,18 @@
 	}
 	options := &o.host.options
 	return o.applied-o.snapshotIndex >= options.SnapshotEntries ||
-		o.stored.BytesSinceSnapshot() >= options.SnapshotBytes || o.snapshotRequested.Load()
+		o.stored.BytesSinceSnapshot() >= o.snapshotBytes() || o.snapshotRequested.Load()
+}
+
+// snapshotBytes returns how many bytes of commands after the newest snapshot make the next one due. A limit
+// relative to the state bounds the work: encoding the state costs at most about three bytes for each
+// byte of the log.
+func (o *owner) snapshotBytes() int64 {
+	options := &o.host.options
+	if options.MinSnapshotBytes == 0 {
+		return options.SnapshotBytes
+	}
+	return min(options.SnapshotBytes, max(options.MinSnapshotBytes, o.stored.SnapshotBytes()/2))
 }
 
 // saveLocalSnapshot makes a snapshot durable. It skips the snapshot if the disk is
@@ -129,8 +150,9 @@
 // sendSnapshot starts the transfer that a snapshot message asks for.
 func (o *owner) sendSnapshot(message *rockwindpb.Message) {
 	to := o.memberRoute(message.GetTo())
+	toWitness := memberByID(o.node.Status().Membership, message.GetTo()).GetWitness()
 	o.host.spawn(func() error {
-		installed := o.transferSnapshot(to, message)
+		installed := o.transferSnapshot(to, message, toWitness)
 		_ = o.do(o.ctx, func() error {
 			o.node.ReportSnapshot(message.GetTo(), installed)
 			return nil
@@ -140,13 +162,19 @@
 }
 
 // transferSnapshot sends a snapshot in chunks. The receiver returns the next offset,
-// so that an interrupted transfer can be resumed.
-func (o *owner) transferSnapshot(to route, message *rockwindpb.Message) bool {
-	content, metadata, err := o.loadSnapshot(message.GetSnapshot())
+// so that an interrupted transfer can be resumed. A snapshot for a witness has no content, and is exactly the
+// one of the message: a newer one might be beyond what witnesses may receive.
+func (o *owner) transferSnapshot(to route, message *rockwindpb.Message, toWitness bool) bool {
+	content, metadata, err := []byte(nil), message.GetSnapshot(), error(nil)
+	if !toWitness {
+		content, metadata, err = o.loadSnapshot(metadata)
+	}
 	if err != nil || to.address == "" {
 		log.WithField("group", o.id).WithField("to", to.machine).Warn("cannot send snapshot")
 		return false
 	}
+	o.host.sentBytes.Add(int64(len(content)))
+	defer o.host.sentBytes.Add(-int64(len(content)))
 	client := o.host.clientFor(to.address)
 	failures := 0
 	for offset := uint64(0); ; {
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -4,7 +4,9 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -23,6 +25,11 @@
 	peerQueueSize = 8192
 	// sendBatchBytes limits the entry data in one call.
 	sendBatchBytes = 4 << 20
+	// largeMessageBytes is the size above which a message is sent in a call of its own, beside those with the
+	// heartbeats: a job of 20 MB takes longer to send than an election timeout.
+	largeMessageBytes = 1 << 20
+	// largeSendTimeout bounds a call with a large message. It suffices for 20 MB at 30 Mbit/s.
+	largeSendTimeout = 6 * time.Second
 	// heartbeatBatchDelay is how long a call that carries only heartbeats waits for
 	// those of other groups.
 	heartbeatBatchDelay = time.Millisecond
@@ -55,6 +62,8 @@
 	learnedRoutes map[uint64]route
 	// replyCollectors holds the open collectors by the route of the caller.
 	replyCollectors map[route]*replyCollector
+	// largeSend is held during a call with a large message, so that only one of them is encoded at a time.
+	largeSend chan struct{}
 }
 
 // peer is the message queue to one machine.
@@ -63,10 +72,12 @@
 	route  route
 	client rockwindpb.ReplicaService
 	queue  chan *rockwindpb.GroupMessage
+	// sendingLarge is set while a large message is sent or waits for that.
+	sendingLarge atomic.Bool
 }
 
 func newTransport(host *Host) *transport {
-	return &transport{host: host, peers: map[route]*peer{}, learnedRoutes: map[uint64]route{}, replyCollectors: map[route]*replyCollector{}}
+	return &transport{host: host, peers: map[route]*peer{}, learnedRoutes: map[uint64]route{}, replyCollectors: map[route]*replyCollector{}, largeSend: make(chan struct{}, 1)}
 }
 
 // learnRoute records where a member sends from, for replies to members that are not
@@ -125,7 +136,9 @@
 		case <-p.host.ctx.Done():
 			return nil
 		case first := <-p.queue:
-			p.sendBatch(p.nextBatch(first))
+			if batch := p.withoutLarge(p.nextBatch(first)); len(batch) > 0 {
+				p.sendBatch(batch, sendTimeout, p.client.Send)
+			}
 		}
 	}
 }
@@ -148,6 +161,35 @@
 	return batch
 }
 
+// withoutLarge starts to send the large messages of a batch and returns the others. Only one large message
+// to a machine is in progress; the leader sends those that are dropped again.
+func (p *peer) withoutLarge(batch []*rockwindpb.GroupMessage) []*rockwindpb.GroupMessage {
+	return slices.DeleteFunc(batch, func(message *rockwindpb.GroupMessage) bool {
+		if messageSize(message) <= largeMessageBytes {
+			return false
+		}
+		if p.sendingLarge.CompareAndSwap(false, true) {
+			p.host.spawn(func() error {
+				defer p.sendingLarge.Store(false)
+				p.sendLarge(message)
+				return nil
+			})
+		}
+		return true
+	})
+}
+
+func (p *peer) sendLarge(message *rockwindpb.GroupMessage) {
+	slot := p.host.transport.largeSend
+	select {
+	case slot <- struct{}{}:
+	case <-p.host.ctx.Done():
+		return
+	}
+	defer func() { <-slot }()
+	p.sendBatch([]*rockwindpb.GroupMessage{message}, largeSendTimeout, p.sendInParts)
+}
+
 func (p *peer) waitForHeartbeats() {
 	select {
 	case <-p.host.ctx.Done():
@@ -180,14 +222,17 @@
 	return size
 }
 
-func (p *peer) sendBatch(batch []*rockwindpb.GroupMessage) {
+func (p *peer) sendBatch(
+	batch []*rockwindpb.GroupMessage, timeout time.Duration,
+	send func(context.Context, *rockwindpb.SendRequest) (*rockwindpb.SendResponse, error),
+) {
 	if !p.host.options.Allow(p.host.options.Machine, p.route.machine) {
 		p.unreachable(batch)
 		return
 	}
-	ctx, cancel := context.WithTimeout(p.host.ctx, sendTimeout)
+	ctx, cancel := context.WithTimeout(p.host.ctx, timeout)
 	defer cancel()
-	response, err := p.client.Send(ctx, &rockwindpb.SendRequest{
+	response, err := send(ctx, &rockwindpb.SendRequest{
 		ClusterId:    p.host.clusterID(),
 		Messages:     batch,
 		Machine:      p.host.options.Machine,
--- a/internal/rockwindpb/fleet.twirp.go
+++ b/internal/rockwindpb/fleet.twirp.go
@@ -1063,7 +1063,7 @@
 }
 
 func (s *fleetServiceServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor5, 0
+	return twirpFileDescriptor6, 0
 }
 
 func (s *fleetServiceServer) ProtocGenTwirpVersion() string {
@@ -2116,7 +2116,7 @@
 }
 
 func (s *adminServiceServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor5, 1
+	return twirpFileDescriptor6, 1
 }
 
 func (s *adminServiceServer) ProtocGenTwirpVersion() string {
@@ -2130,7 +2130,7 @@
 	return baseServicePath(s.pathPrefix, "rockwind.v1", "AdminService")
 }
 
-var twirpFileDescriptor5 = []byte{
+var twirpFileDescriptor6 = []byte{
 	// 1571 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xcc, 0x58, 0xcd, 0x6e, 0xdb, 0xc6,
 	0x16, 0xbe, 0xb4, 0x7e, 0x6c, 0x1f, 0xc9, 0xb6, 0x32, 0x76, 0x14, 0x46, 0x37, 0x81, 0x75, 0x99,
--- a/internal/rockwindpb/jobs.twirp.go
+++ b/internal/rockwindpb/jobs.twirp.go
@@ -2456,7 +2456,7 @@
 }
 
 func (s *jobServiceServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor6, 0
+	return twirpFileDescriptor7, 0
 }
 
 func (s *jobServiceServer) ProtocGenTwirpVersion() string {
@@ -3230,7 +3230,7 @@
 }
 
 func (s *recordServiceServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor6, 1
+	return twirpFileDescriptor7, 1
 }
 
 func (s *recordServiceServer) ProtocGenTwirpVersion() string {
@@ -4004,7 +4004,7 @@
 }
 
 func (s *fileServiceServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor6, 2
+	return twirpFileDescriptor7, 2
 }
 
 func (s *fileServiceServer) ProtocGenTwirpVersion() string {
@@ -4018,7 +4018,7 @@
 	return baseServicePath(s.pathPrefix, "rockwind.v1", "FileService")
 }
 
-var twirpFileDescriptor6 = []byte{
+var twirpFileDescriptor7 = []byte{
 	// 2635 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xc4, 0x19, 0x4d, 0x6f, 0x1b, 0xc7,
 	0xd5, 0x2b, 0x7e, 0x3f, 0x8a, 0x12, 0x3d, 0x96, 0xe4, 0x95, 0x6c, 0x27, 0xca, 0x26, 0x28, 0x04,
--- a/internal/rockwindpb/quarantine.twirp.go
+++ b/internal/rockwindpb/quarantine.twirp.go
@@ -1062,7 +1062,7 @@
 }
 
 func (s *quarantineServiceServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *quarantineServiceServer) ProtocGenTwirpVersion() string {
@@ -1076,7 +1076,7 @@
 	return baseServicePath(s.pathPrefix, "rockwind.v1", "QuarantineService")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 629 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x54, 0xdf, 0x6e, 0xd3, 0x3e,
 	0x14, 0x5e, 0xda, 0x2e, 0x69, 0x4f, 0xb7, 0x8b, 0x9f, 0xb5, 0x75, 0x51, 0xf5, 0x13, 0x8a, 0x0c,
--- a/internal/rockwindpb/storage.twirp.go
+++ b/internal/rockwindpb/storage.twirp.go
@@ -783,7 +783,7 @@
 }
 
 func (s *bodyServiceServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor8, 0
+	return twirpFileDescriptor9, 0
 }
 
 func (s *bodyServiceServer) ProtocGenTwirpVersion() string {
@@ -2396,7 +2396,7 @@
 }
 
 func (s *segmentServiceServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor8, 1
+	return twirpFileDescriptor9, 1
 }
 
 func (s *segmentServiceServer) ProtocGenTwirpVersion() string {
@@ -2410,7 +2410,7 @@
 	return baseServicePath(s.pathPrefix, "rockwind.v1", "SegmentService")
 }
 
-var twirpFileDescriptor8 = []byte{
+var twirpFileDescriptor9 = []byte{
 	// 884 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x56, 0xdd, 0x6e, 0xdc, 0x44,
 	0x14, 0x96, 0xe3, 0x8d, 0x93, 0x9c, 0xac, 0x37, 0x30, 0x49, 0x83, 0x71, 0x25, 0xea, 0xba, 0xfc,
--- a/internal/rockwindpb/zonedrain.twirp.go
+++ b/internal/rockwindpb/zonedrain.twirp.go
@@ -1062,7 +1062,7 @@
 }
 
 func (s *zoneDrainServiceServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 0
+	return twirpFileDescriptor4, 0
 }
 
 func (s *zoneDrainServiceServer) ProtocGenTwirpVersion() string {
@@ -1076,7 +1076,7 @@
 	return baseServicePath(s.pathPrefix, "rockwind.v1", "ZoneDrainService")
 }
 
-var twirpFileDescriptor3 = []byte{
+var twirpFileDescriptor4 = []byte{
 	// 410 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x93, 0x41, 0xab, 0xd3, 0x40,
 	0x10, 0xc7, 0x5f, 0x9a, 0xbe, 0xa7, 0x99, 0x20, 0xe8, 0x6a, 0x63, 0xa8, 0x20, 0x71, 0xbd, 0x54,
--- a/internal/router/class.go
+++ b/internal/router/class.go
@@ -8,6 +8,7 @@
 	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/fairshare"
 	"rockwind.example/rockwind/internal/featuregate"
+	"rockwind.example/rockwind/internal/topology"
 	"rockwind.example/rockwind/internal/waitqueue"
 )
 
@@ -28,6 +29,8 @@
 	ledger *fairshare.Ledger
 	// weights are the configured weights of tenants.
 	weights map[string]uint32
+	// timelyAt is when the last request arrived that could meet its objective.
+	timelyAt time.Time
 }
 
 // class returns the class of a priority and creates it if needed. Classes are never removed;
@@ -48,6 +51,33 @@
 	return fairshare.RemoteUsage{Waiting: load.Inflight, Work: load.Unread}
 }
 
+// noteArrival records that a request arrived.
+func (c *priorityClass) noteArrival(request AcquireRequest, now time.Time) {
+	if now.Before(request.StartBy) {
+		c.timelyAt = now
+	}
+}
+
+// timelyWindow is how long after a request that could meet its objective another one is expected.
+const timelyWindow = 500 * time.Millisecond
+
+// yieldsToTimely reports whether a request is late and leaves some slots to requests of its priority
+// or a higher one that can meet their objective.
+func (p *servicePool) yieldsToTimely(request AcquireRequest, now time.Time, elapsed time.Duration) bool {
+	if now.Before(request.StartBy) {
+		return false
+	}
+	if p.pool.ArrivalsUnknown(elapsed) {
+		return true
+	}
+	for priority, class := range p.classes {
+		if !request.Priority.Before(priority) && now.Sub(class.timelyAt) <= timelyWindow {
+			return true
+		}
+	}
+	return false
+}
+
 // setWeight updates the weight of a tenant.
 func (c *priorityClass) setWeight(tenant waitqueue.Tenant) {
 	if tenant.Weight > 0 {
@@ -70,7 +100,7 @@
 func (p *servicePool) updateOverload(now time.Duration) {
 	total := p.waiting.Len() + p.shares.At(balance.QueueHash(p.name)).Inflight
 	wasOverloaded := p.overloaded
-	p.overloaded = total > 0 && (p.pool.Slots() == 0 || fairshare.Overloaded(p.slotRate().EstimateWait(total)))
+	p.overloaded = total > 0 && (p.pool.Slots() == 0 || fairshare.Overloaded(p.slotRate(topology.RegionSet{}).EstimateWait(total)))
 	if p.overloaded && (!wasOverloaded || now-p.overloadCheckedAt > fairshare.DecayTime) {
 		p.overloadedSince = now
 	}
@@ -150,15 +180,20 @@
 }
 
 // visitQueueLoads visits the loads of the queue that this process shares: the total with the
-// expected retries, the requests by priority, and the tenants with the highest usage.
+// expected retries, the restricted requests by their regions, the requests by priority, and the
+// tenants with the highest usage.
 func (p *servicePool) visitQueueLoads(now time.Time, elapsed time.Duration, visit func(hash uint32, load balance.SharedLoad)) {
-	total := balance.SharedLoad{Inflight: p.waiting.Len()}
+	total := balance.SharedLoad{Inflight: p.sharedQueueLength()}
 	if p.gates.On(featuregate.RetryAfter) {
 		total.Unread = p.pendingRetries.Count(now)
 	}
 	if total != (balance.SharedLoad{}) {
 		visit(balance.QueueHash(p.name), total)
 	}
+	p.visitRestrictedLoads(now, visit)
+	if timely := p.waiting.CountTimely(now); timely > 0 && p.gates.On(featuregate.RetryAfter) {
+		visit(balance.TimelyHash(p.name), balance.SharedLoad{Inflight: timely})
+	}
 	waits := p.waitingCounts()
 	for priority, class := range p.classes {
 		waiting := waits[priority]
--- a/internal/router/continuation.go
+++ b/internal/router/continuation.go
@@ -13,6 +13,7 @@
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/featuregate"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/topology"
 	"rockwind.example/rockwind/internal/upstream"
 )
 
@@ -120,7 +121,7 @@
 	if !plan.Copied() {
 		return
 	}
-	server, found := e.router.dispatcher.ChooseCopyServer(e.service, lease.ID, plan.OtherZone())
+	server, found := e.router.dispatcher.ChooseCopyServer(e.service, lease.ID, plan.OtherZone(), e.allowedRegions())
 	if !found {
 		return
 	}
@@ -223,15 +224,16 @@
 	decision.Default.Record(decision.RunLost, e.info.ID, fields)
 }
 
-// ChooseCopyServer chooses a healthy server with capacity to keep the copy of a run.
-func (d *Dispatcher) ChooseCopyServer(service, first string, otherZone bool) (balance.Member, bool) {
+// ChooseCopyServer chooses a healthy server with capacity in one of the regions to keep the copy of a
+// run.
+func (d *Dispatcher) ChooseCopyServer(service, first string, otherZone bool, regions topology.RegionSet) (balance.Member, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.poolOf(service).pool.ChooseCopyServer(first, otherZone, d.now(), d.random)
+	return d.poolOf(service).pool.ChooseCopyServer(first, otherZone, regions, d.now(), d.random)
 }
 
 // AcquireAt returns a lease of a given server regardless of its load, or nil if the server has
-// left.
+// left or is not in a region that the demand allows.
 func (d *Dispatcher) AcquireAt(service, id string, demand balance.Demand) *Lease {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/router/crashreporter.go
+++ b/internal/router/crashreporter.go
@@ -49,7 +49,11 @@
 	client   *upstream.Client
 	reporter *site.QuarantineReporter
 	// identifier queries which incarnation is at an address.
-	identifier      site.Identifier
+	identifier site.Identifier
+	// observeCold applies the cold time of a health answer to this process's pools and reports whether
+	// it extends what was known.
+	observeCold     func(id string, cold time.Duration) bool
+	coldReports     singleflight.Group
 	checks          singleflight.Group
 	identityQueries singleflight.Group
 	checkSlots      chan struct{}
@@ -58,11 +62,12 @@
 }
 
 // NewCrashReporter returns a reporter that probes servers with the given client and identifies
-// them by the given protocol.
-func NewCrashReporter(watcher *site.Watcher, client *upstream.Client, protocol Protocol) *CrashReporter {
+// them by the given protocol. The dispatcher receives the cold times that servers give on that occasion.
+func NewCrashReporter(watcher *site.Watcher, client *upstream.Client, protocol Protocol, dispatcher *Dispatcher) *CrashReporter {
 	return &CrashReporter{
 		watcher: watcher, client: client, reporter: site.NewQuarantineReporter(watcher), identifier: site.HTTPIdentifier(protocol.IdentityHeaders()),
-		checkSlots: make(chan struct{}, maxChecks), stopped: make(chan struct{}), answers: newRecentAnswers(time.Now()),
+		observeCold: dispatcher.ObserveCold,
+		checkSlots:  make(chan struct{}, maxChecks), stopped: make(chan struct{}), answers: newRecentAnswers(time.Now()),
 	}
 }
 
@@ -191,12 +196,34 @@
 		if err != nil {
 			log.WithError(err).WithField("server", id).Debug("server did not identify itself after its connection broke")
 		}
+		r.reportCold(identity)
 		return identity, nil
 	})
 	identity, _ := shared.(directory.Identity)
 	return identity
 }
 
+// reportCold applies the cold time of a health answer and reports it to the coordinators in the
+// background, unless it was known. Each server has at most one report on its way.
+func (r *CrashReporter) reportCold(identity directory.Identity) {
+	cold := time.Duration(identity.ColdMs) * time.Millisecond
+	if cold <= 0 || !r.observeCold(identity.Found, cold) {
+		return
+	}
+	r.coldReports.DoChan(identity.Found, func() (any, error) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go func() {
+			select {
+			case <-r.stopped:
+				cancel()
+			case <-ctx.Done():
+			}
+		}()
+		return nil, r.watcher.ReportCold(ctx, identity.Found, cold)
+	})
+}
+
 // QuarantinedFor returns how much longer a fingerprint is quarantined, or zero if it may run.
 func (r *CrashReporter) QuarantinedFor(content func() fingerprint.Fingerprint) time.Duration {
 	now := time.Now()
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -19,10 +19,11 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/site"
 	"rockwind.example/rockwind/internal/sitemetrics"
+	"rockwind.example/rockwind/internal/traffic"
 )
 
 const (
-	// clientIdleTimeout is how long idle client connections are kept.
+	// clientIdleTimeout is how long idle client connections are kept if the configuration does not set it.
 	clientIdleTimeout = 30 * time.Second
 	// clientHeaderTimeout is how long a client may take to send its headers.
 	clientHeaderTimeout = 5 * time.Second
@@ -31,6 +32,10 @@
 	shutdownDelay = 3 * time.Second
 	// stopMargin is how long before the end of the grace period the router stops.
 	stopMargin = 700 * time.Millisecond
+	// gcDelay is how long after its start a router collects garbage as rarely as the runtime's default is.
+	// After a power loss, requests of several seconds arrive with the first ones, and a router has a fifth
+	// of a processor.
+	gcDelay = 5 * time.Second
 	// defaultGrace is the grace period if the settings give none.
 	defaultGrace = 8 * time.Second
 )
@@ -52,14 +57,17 @@
 // connections for a while, finishes running requests and returns.
 func Run(ctx context.Context, settings *rockwindpb.SiteSettings, protocol Protocol, handler HandlerFactory) error {
 	site.SetMemoryLimit(settings)
-	client := dial.NewClient()
+	counter := traffic.NewCounter(settings.GetZone(), site.Topology(settings))
+	client := dial.NewClient(counter.Dial)
 	watcher, err := site.NewWatcher(settings, client, "")
 	if err != nil {
 		return err
 	}
-	router := New(settings, watcher, protocol, jobclient.New(watcher, client))
+	router := New(settings, watcher, protocol, jobclient.New(watcher, client), WithTraffic(counter))
 	d := &daemon{settings: settings, router: router, overload: newOverloadController(router, settings)}
+	router.jobs.PreferNear(settings.GetZone(), site.Topology(settings))
 	router.metrics = d.metrics()
+	router.useRegions()
 	if err := d.listen(); err != nil {
 		return err
 	}
@@ -71,14 +79,18 @@
 	router := d.router
 	set := sitemetrics.New("router", decision.Default)
 	set.LoadTraffic(router.dispatcher.LoadTraffic)
+	set.Traffic(router.traffic)
 	set.StartupTime(func() time.Duration { return time.Duration(router.startupTime.Load()) })
 	set.Paces(router.dispatcher.Paces)
 	set.Quarantined(router.crashes.QuarantinedCount)
 	set.DrainedZones(router.dispatcher.DrainedZones)
+	set.ColdServers(router.dispatcher.ColdServers)
 	set.ClientBuffers(router.buffers.Usage)
 	set.Waiting(router.dispatcher.Waiting)
 	set.Orphaned(router.dispatcher.Orphaned)
+	set.StartLimits(router.dispatcher.StartLimits)
 	set.Coordinators(router.watcher.WatchFailures)
+	set.RequestDistances(router.dispatcher.StartsByDistance, router.dispatcher.RoundTrips)
 	set.OverloadRelief(d.overload.state)
 	return set
 }
@@ -102,9 +114,16 @@
 		IdleTimeout:       clientIdleTimeout,
 		ErrorLog:          logring.ServerLog(log.Log),
 		ConnContext:       clientconn.WithConn,
+		ConnState:         clientconn.IdleTimeout(d.router.idleTimeout),
 	}
 }
 
+// idleTimeout returns how long client connections that become idle are kept according to the configuration in
+// force, or zero if it does not set that.
+func (r *Router) idleTimeout() time.Duration {
+	return time.Duration(r.watcher.Configuration().ClientLimits().GetIdleTimeoutMs()) * time.Millisecond
+}
+
 // run serves until the context ends. The background tasks continue until the last request has
 // ended.
 func (d *daemon) run(ctx context.Context, server *http.Server) error {
@@ -134,7 +153,14 @@
 	group.Go(func() error { return router.watcher.Run(background) })
 	group.Go(func() error { return router.metrics.Serve(background, settings) })
 	group.Go(func() error { router.FollowDirectory(background); return nil })
-	group.Go(func() error { router.recordStart(background, settings.GetName()); return nil })
+	group.Go(func() error { router.traffic.Follow(background, router.watcher.Directory); return nil })
+	group.Go(func() error {
+		router.recordStart(background, settings.GetName())
+		if retry.Pause(background, gcDelay) {
+			site.SetDefaultGCPercent(settings)
+		}
+		return nil
+	})
 	group.Go(func() error { router.crashes.Run(background); return nil })
 	group.Go(func() error { return router.dispatcher.ShareLoads(background, settings) })
 	group.Go(func() error {
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -9,12 +9,14 @@
 	"rockwind.example/rockwind/internal/backlog"
 	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/balance/pace"
+	"rockwind.example/rockwind/internal/coldstart"
 	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/directory"
-	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/featuregate"
 	"rockwind.example/rockwind/internal/health"
 	"rockwind.example/rockwind/internal/loadshare"
+	"rockwind.example/rockwind/internal/topology"
+	"rockwind.example/rockwind/internal/traffic"
 	"rockwind.example/rockwind/internal/waitqueue"
 	"rockwind.example/rockwind/internal/zonedrain"
 )
@@ -22,9 +24,12 @@
 // Dispatcher assigns requests to the servers of all services and queues those that find no
 // capacity. It is safe for concurrent use.
 type Dispatcher struct {
-	zone   string
-	gates  featuregate.Set
-	origin time.Time
+	zone     string
+	topology topology.Map
+	gates    featuregate.Set
+	origin   time.Time
+	// traffic counts load digests; nil if they are not counted.
+	traffic *traffic.Counter
 
 	mutex sync.Mutex
 	// sharer shares loads with other processes; nil before ShareLoads.
@@ -36,20 +41,36 @@
 	view *directory.View
 	// zoneDrains are the zones whose servers get no new work.
 	zoneDrains *zonedrain.List
+	// coldServers are the servers that reported that they are cold. coldUntil holds the servers of the
+	// pools that are cold, by identifier, and until when; liveProcesses is the number of processes for which
+	// their spacings were computed. observedCold holds the cold times that health answers gave.
+	coldServers   *coldstart.List
+	coldUntil     map[string]coldMember
+	observedCold  map[string]observedCold
+	liveProcesses int
 	// index is the current configuration, nil before the first one. processNames are the
 	// processes that send requests to servers.
-	index        *configuration.Index
+	index *configuration.Index
+	// regionSets are the sets of regions to which it may restrict requests.
+	regionSets   []topology.RegionSet
 	processNames []string
+	// groupSize is the number of processes with which this one shares its loads directly.
+	groupSize int
 	// serverHashes are the hashes of all servers of the directory, and orphanHashes those of
 	// the orphaned requests there.
 	serverHashes map[uint32]struct{}
 	orphanHashes map[uint32]struct{}
+	// addressZones holds the zones of the addresses of servers, and roundTrips the round-trip times to
+	// them; only on sites with several regions.
+	addressZones map[string]string
+	roundTrips   *balance.RoundTrips
 	shares       *balance.SharedLoads
 	lastArrival  uint64
 	// storeCount is the number of processes that start batch work, and maxLoadAge how old the
-	// shared loads may be.
-	storeCount int
-	maxLoadAge time.Duration
+	// shared loads may be; maxRegionLoadAge is that of loads of other regions.
+	storeCount       int
+	maxLoadAge       time.Duration
+	maxRegionLoadAge time.Duration
 	// routerCount is the number of processes that start online requests.
 	routerCount int
 	// ready is closed by the first Update.
@@ -62,19 +83,29 @@
 	batch *backlog.Ledger
 	// survey is the survey of servers after the start; nil before.
 	survey *survey
+
+	// multiRegion is set if the site has several regions; it never changes. started counts requests by
+	// distance and needs no mutex.
+	multiRegion bool
+	started     startCounts
 }
 
-// NewDispatcher returns a dispatcher without servers for a process in the given zone.
-func NewDispatcher(zone string, gates featuregate.Set) *Dispatcher {
-	shares := balance.NewSharedLoads()
+// NewDispatcher returns a dispatcher without servers for a process in the given zone of a site.
+func NewDispatcher(zone string, sites topology.Map, gates featuregate.Set) *Dispatcher {
+	origin, shares := time.Now(), balance.NewSharedLoads()
 	shares.SetZone(zone)
+	shares.SetStarted(origin.UnixMilli())
 	if !gates.On(featuregate.Orphans) {
 		shares.IgnoreOrphaned()
 	}
 	return &Dispatcher{
-		zone:   zone,
-		gates:  gates,
-		origin: time.Now(),
+		zone:     zone,
+		topology: sites,
+		gates:    gates,
+		origin:   origin,
+
+		multiRegion: sites.MultiRegion(),
+
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pools:  make(map[string]*servicePool),
 		shares: shares,
@@ -82,6 +113,10 @@
 
 		serverHashes: make(map[uint32]struct{}),
 		orphanHashes: make(map[uint32]struct{}),
+		coldUntil:    make(map[string]coldMember),
+		observedCold: make(map[string]observedCold),
+		addressZones: make(map[string]string),
+		roundTrips:   balance.NewRoundTrips(),
 
 		ready:         make(chan struct{}),
 		onlineWaiting: make(chan struct{}),
@@ -126,6 +161,7 @@
 		classes: make(map[waitqueue.Priority]*priorityClass), holdTime: defaultHoldTime,
 		needHashes: backlog.UnmetDemandHashes(name),
 	}
+	created.pool.KnowRegions(d.regionSets)
 	if d.gates.On(featuregate.FairShare) {
 		created.waiting.EnableFairShare(func(key waitqueue.SortKey) float64 { return created.virtualTime(key, d.now()) })
 	}
@@ -156,9 +192,12 @@
 	pool := d.poolOf(request.Service)
 	pool.updateOverload(d.now())
 	now := time.Now()
+	request.Demand.Regions = d.allowedRegions(request)
 	d.lastArrival++
 	key := request.sortKey(d.lastArrival, now)
 	pool.class(request.Priority).setWeight(request.Tenant)
+	pool.class(request.Priority).noteArrival(request, now)
+	pool.noteTimelyArrival(request, now)
 	aheadHere := pool.waiting.CountAhead(key, now)
 	if aheadHere == 0 {
 		if given, found := d.choose(pool, request); found {
@@ -166,19 +205,20 @@
 			return d.lease(request.Service, given), nil
 		}
 	}
-	if pool.pool.Size() <= len(request.Tried) {
+	if refusal := pool.noServerFault(request, d.now()); refusal != nil {
 		d.mutex.Unlock()
-		return nil, fault.Newf(fault.Unavailable, "come back later", "service %s has no server that can take the request", request.Service).
-			WithRan(fault.NotRun).WithRetryAfter(defaultHoldTime / 4)
+		return nil, refusal
 	}
-	if ahead := aheadHere + pool.aheadElsewhere(key, d.now()); pool.expectedWait(request, ahead, d.now()) > request.MaxWait {
+	if ahead := pool.ahead(request, key, now, d.now()); pool.expectedWait(request, ahead, d.now()) > request.MaxWait {
 		refusal := pool.queueFullFault(request, ahead, now, d.now())
 		d.mutex.Unlock()
 		return nil, refusal
 	}
 	entry := pool.waiting.Add(key, &waiter{request: request, key: key, waitingSince: now, granted: make(chan grant, 1)})
-	if pool.anyTried() || pool.mayOvercommit(request, d.now()) {
-		// Requests ahead may have tried the servers that have capacity for this one.
+	pool.updateWaitingIn()
+	if pool.anySkippable() || pool.mayOvercommit(request, d.now()) {
+		// Requests ahead may have tried the servers that have capacity for this one, or may not use
+		// them.
 		d.serveWaiting(request.Service)
 	}
 	d.scheduleRecheck(pool)
@@ -190,15 +230,19 @@
 // choose returns a server with capacity for the next request. If there is none, a request that
 // may overcommit gets a server beyond its slots. The caller holds d.mutex.
 func (d *Dispatcher) choose(pool *servicePool, request AcquireRequest) (grant, bool) {
+	now := time.Now()
 	if d.gates.On(featuregate.RetryAfter) {
-		pool.pool.SetWaiting(pool.waiting.Len())
+		pool.pool.SetWaiting(pool.waiting.Len(), pool.waiting.CountTimely(now))
+		pool.pool.SetExpectedTimely(pool.timelyArrivals.perSecond(now) * pool.holdTime.Seconds())
 	}
+	request.Demand.Late = pool.yieldsToTimely(request, now, d.now())
 	choice, found := pool.pool.Choose(request.Demand, request.Tried, d.now(), d.random)
 	if !found && pool.mayOvercommit(request, d.now()) {
 		overcommitted := request.Demand
 		overcommitted.Overcommit = true
 		choice, found = pool.pool.Choose(overcommitted, request.Tried, d.now(), d.random)
 	}
+	pool.recordStartLimit(d.now())
 	if !found {
 		return grant{}, false
 	}
@@ -255,6 +299,7 @@
 }
 
 func (d *Dispatcher) lease(service string, given grant) *Lease {
+	d.started[given.choice.Distance].Add(1)
 	return &Lease{Choice: given.choice, charge: given.charge, dispatcher: d, service: service, startedAt: time.Now()}
 }
 
@@ -285,7 +330,7 @@
 	defer limit.Stop()
 	select {
 	case given := <-entry.Value().granted:
-		return d.lease(entry.Value().request.Service, given), nil
+		return d.leaseGranted(entry.Value().request.Service, given)
 	case <-limit.C:
 	case <-ctx.Done():
 	}
@@ -300,17 +345,17 @@
 	service := entry.Value().request.Service
 	pool := d.poolOf(service)
 	if entry.Removed() {
-		return d.lease(service, <-entry.Value().granted), nil
+		return d.leaseGranted(service, <-entry.Value().granted)
 	}
 	pool.waiting.Remove(entry)
+	pool.updateWaitingIn()
 	now, waiter := time.Now(), entry.Value()
 	request := waiter.request
 	request.LastAttempt = request.LastAttempt || ctx.Err() != nil
 	if request.Remaining > 0 {
 		request.Remaining = max(time.Millisecond, request.Remaining-now.Sub(waiter.waitingSince))
 	}
-	ahead := pool.waiting.CountAhead(waiter.key, now) + pool.aheadElsewhere(waiter.key, d.now())
-	return nil, pool.busyFault(request, ahead, now, d.now())
+	return nil, pool.busyFault(request, pool.ahead(request, waiter.key, now, d.now()), now, d.now())
 }
 
 // serveWaiting assigns servers with capacity to waiting requests in queue order. The caller holds
@@ -320,6 +365,7 @@
 	pool.updateOverload(d.now())
 	for d.serveNext(pool) {
 	}
+	pool.refuseUnreachable(d.now())
 }
 
 // serveNext assigns a server to the first waiting request that finds capacity and reports whether
@@ -335,10 +381,12 @@
 }
 
 // firstWithCapacity returns the first waiting request that finds capacity. A request that has
-// tried the servers with capacity does not block those behind it, and no request blocks the first
-// of the same priority that may overcommit. The caller holds d.mutex.
+// tried the servers with capacity, or that is restricted to regions without any, does not block
+// those behind it, and no request blocks the first of the same priority that may overcommit. The
+// caller holds d.mutex.
 func (d *Dispatcher) firstWithCapacity(pool *servicePool) (served *waitqueue.Entry[*waiter], given grant) {
 	now := time.Now()
+	pool.updateWaitingIn()
 	try := func(entry *waitqueue.Entry[*waiter]) bool {
 		var found bool
 		if given, found = d.choose(pool, entry.Value().request); found {
@@ -346,8 +394,17 @@
 		}
 		return found
 	}
+	full := make(fullRegions)
 	pool.waiting.Walk(now, func(entry *waitqueue.Entry[*waiter]) bool {
-		return !try(entry) && len(entry.Value().request.Tried) > 0
+		request := entry.Value().request
+		if full.excludes(request) && !pool.mayOvercommit(request, d.now()) {
+			return true
+		}
+		if try(entry) {
+			return false
+		}
+		full.add(request)
+		return entry.Value().skippable()
 	})
 	if served != nil || pool.waiting.Len() == 0 || !pool.pool.Paced() {
 		return served, given
@@ -367,8 +424,10 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.shares.Expire(d.now())
+	d.updateColdSpacings(false)
 	for _, pool := range d.pools {
 		pool.pool.Evaluate(d.now(), d.random)
+		pool.recordStartLimit(d.now())
 	}
 	d.recordHeldBack()
 }
--- a/internal/router/dispatcher_test.go
+++ b/internal/router/dispatcher_test.go
@@ -12,6 +12,7 @@
 	"rockwind.example/rockwind/internal/health"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/router"
+	"rockwind.example/rockwind/internal/topology"
 )
 
 // oneServer returns a dispatcher for a server with the given slots.
@@ -22,7 +23,7 @@
 	register.Apply(&rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Report{Report: &rockwindpb.Server{
 		Id: "server", Service: "app", Address: "10.0.0.1:1", Slots: slots, State: rockwindpb.ServerState_SERVER_STATE_READY, Sequence: 1,
 	}}})
-	dispatcher := router.NewDispatcher("zone", gates)
+	dispatcher := router.NewDispatcher("zone", topology.Map{}, gates)
 	dispatcher.Update(register.View())
 	return dispatcher
 }
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -18,6 +18,7 @@
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/retryafter"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/topology"
 	"rockwind.example/rockwind/internal/upstream"
 	"rockwind.example/rockwind/internal/waitqueue"
 )
@@ -33,6 +34,9 @@
 	// maxWaitFraction is the fraction of the remaining time that a request may wait for capacity.
 	// A request with a longer expected wait is refused at once.
 	maxWaitFraction = 0.5
+	// lastWaitFraction is the same for a client that does not retry after a refusal: it only has to
+	// leave time for the response.
+	lastWaitFraction = 0.8
 	// startByFraction is the fraction of the route's goal within which a request has to start at
 	// a server. The rest is for reading the prompt and for the response.
 	startByFraction = 0.85
@@ -71,7 +75,12 @@
 	sent         int
 	received     time.Time
 	configNumber uint64
-	waited       time.Duration
+	// residency determines the allowed regions. regions are those last determined, by the
+	// configuration with the number regionsNumber.
+	residency     *Residency
+	regions       topology.RegionSet
+	regionsNumber uint64
+	waited        time.Duration
 	// headAfter is the time from the receipt of the request until the response head was sent;
 	// zero before.
 	headAfter time.Duration
@@ -170,6 +179,12 @@
 func (e *exchange) acquire(ctx context.Context) (*Lease, error) {
 	asked := time.Now()
 	lease, err := e.router.dispatcher.Acquire(ctx, e.acquireRequest())
+	for err == nil && !e.allowedRegions().Allows(lease.Region) {
+		// The configuration has changed since the server was assigned.
+		lease.MarkNotRun()
+		lease.Abandon()
+		lease, err = e.router.dispatcher.Acquire(ctx, e.acquireRequest())
+	}
 	e.waited += time.Since(asked)
 	if err != nil {
 		return nil, err
@@ -204,11 +219,13 @@
 
 // acquireRequest returns the current request for a server.
 func (e *exchange) acquireRequest() AcquireRequest {
+	regions := e.allowedRegions()
 	request := AcquireRequest{
-		Service: e.service, Demand: balance.Demand{Parts: e.info.Parts}, Priority: e.priority(),
+		Service: e.service, Demand: balance.Demand{Parts: e.info.Parts, Bytes: len(e.request.Body), Regions: regions}, Priority: e.priority(),
+		Residency: e.residency, ConfigNumber: e.regionsNumber,
 		Tenant:  waitqueue.Tenant{Name: e.tenant.GetName(), Weight: e.tenant.GetWeight()},
 		StartBy: e.startBy(), Tried: e.tried, MaxWait: e.maxWait(),
-		Remaining: time.Until(e.deadline), LastAttempt: e.sent > 0 || !retryafter.IsFirstAttempt(e.totalTimeout, e.info.Timeout),
+		Remaining: time.Until(e.deadline), LastAttempt: e.lastAttempt(),
 	}
 	if e.router.gates.On(featuregate.RetryAfter) {
 		request.FirstAsked = e.firstAsked()
@@ -228,9 +245,18 @@
 	return waitqueue.Priority{Tenant: e.tenant.GetPriority(), Route: e.route.GetPriority()}
 }
 
+// lastAttempt reports whether the client is not expected to retry after a refusal.
+func (e *exchange) lastAttempt() bool {
+	return e.sent > 0 || !retryafter.IsFirstAttempt(e.totalTimeout, e.info.Timeout)
+}
+
 // maxWait returns how long the request may wait from now.
 func (e *exchange) maxWait() time.Duration {
-	return time.Duration(maxWaitFraction * float64(time.Until(e.deadline)))
+	fraction := maxWaitFraction
+	if e.lastAttempt() && e.router.gates.On(featuregate.RetryAfter) {
+		fraction = lastWaitFraction
+	}
+	return time.Duration(fraction * float64(time.Until(e.deadline)))
 }
 
 // goalFraction returns a fraction of the route's goal.
@@ -339,6 +365,8 @@
 	return e.handleResponse(ctx, lease, response, time.Since(began))
 }
 
+// handleSendError handles an attempt without a response. A request whose client has left is not sent to
+// further servers: a router that resumes after a freeze has hundreds of them.
 func (e *exchange) handleSendError(ctx context.Context, lease *Lease, err error) verdict {
 	e.reason = err.Error()
 	var failure *upstream.AttemptError
@@ -360,6 +388,12 @@
 	default:
 		lease.Done(health.Timeout, 0)
 	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		if e.sent == 0 {
+			e.router.rates.Refund(e.tenant)
+		}
+		return verdictClientGone
+	}
 	if e.headSent && !e.mayRetry() {
 		return verdictBroken
 	}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/balance"
-	"rockwind.example/rockwind/internal/coldstart"
 	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/rockwindpb"
@@ -34,10 +33,12 @@
 		d.applyServer(server, before)
 	}
 	d.updateServerHashes(view, change)
+	d.updateColdSpacings(change.MachinesChanged())
 	for name, service := range d.pools {
 		service.pool.SetBatchProcesses(d.storeCount)
 		service.pool.SetOnlineProcesses(d.routerCount)
 		service.pool.SetMaxLoadAge(d.maxLoadAge)
+		service.pool.SetMaxRegionLoadAge(d.maxRegionLoadAge)
 		d.serveWaiting(name)
 	}
 	if !d.Ready() {
@@ -59,7 +60,7 @@
 		return
 	}
 	for _, server := range d.view.Servers() {
-		cold := coldRemaining(server, time.Now())
+		cold := d.coldRemaining(server, time.Now())
 		if before.Drained(server.GetZone()) {
 			cold = max(cold, d.defaultColdTime(server.GetService()))
 		}
@@ -81,7 +82,11 @@
 func (d *Dispatcher) Configure(index *configuration.Index) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	if index == d.index {
+		return
+	}
 	d.index = index
+	d.updateRegions()
 }
 
 // applyServer updates the pools from a directory entry, which may have moved to another service.
@@ -92,7 +97,7 @@
 			d.dropServer(old)
 		}
 	}
-	d.putServer(server, coldRemaining(server, time.Now()))
+	d.putServer(server, d.coldRemaining(server, time.Now()))
 }
 
 // putServer adds or updates a server in the pool of its service, cold for the given time, or
@@ -105,17 +110,16 @@
 		return
 	}
 	member := balance.Member{
-		ID: server.GetId(), Address: server.GetAddress(), Zone: server.GetZone(), Slots: int(server.GetSlots()), Silent: silent,
-	}
-	if rate := d.coldRate(server.GetService()); cold > 0 && rate > 0 {
-		member.ColdUntil = d.now() + cold
-		member.ColdSpacing, _ = coldstart.Spacing(server.GetId(), d.name, d.processNames, rate)
+		ID: server.GetId(), Address: server.GetAddress(), Zone: server.GetZone(),
+		Region: d.topology.Region(server.GetZone()), Slots: int(server.GetSlots()), Silent: silent,
 	}
+	d.setCold(server, &member, cold)
 	d.poolOf(server.GetService()).pool.Put(member)
 }
 
 // dropServer removes a server from the pool of its service. The caller holds d.mutex.
 func (d *Dispatcher) dropServer(server *rockwindpb.Server) {
+	delete(d.coldUntil, server.GetId())
 	if service, known := d.pools[server.GetService()]; known {
 		service.pool.Drop(server.GetId())
 	}
@@ -129,6 +133,7 @@
 		// Several servers may have the same hash, so a removal rebuilds the sets.
 		d.serverHashes, d.orphanHashes, added = make(map[uint32]struct{}), make(map[uint32]struct{}), view.Servers()
 	}
+	d.updateAddressZones(added, len(change.Removed()) > 0)
 	for _, server := range added {
 		d.serverHashes[balance.ServerHash(server.GetId())] = struct{}{}
 		d.orphanHashes[balance.OrphanHash(server.GetId())] = struct{}{}
--- a/internal/router/pace.go
+++ b/internal/router/pace.go
@@ -16,9 +16,13 @@
 // on.
 func (d *Dispatcher) newPool(service string) *balance.Pool {
 	created := balance.NewPool(service, d.zone, d.shares)
+	created.SetTopology(d.topology, d.roundTrips)
 	if d.gates.On(featuregate.Pace) {
 		created.SetPaceEstimator(pace.New())
 	}
+	if !d.gates.On(featuregate.StartLimit) {
+		created.DisableStartLimit()
+	}
 	return created
 }
 
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -74,7 +74,9 @@
 }
 
 // IdentityHeaders implements Protocol.
-func (PlainProtocol) IdentityHeaders() (expected, found string) { return HeaderServer, HeaderServer }
+func (PlainProtocol) IdentityHeaders() (expected, found, cold string) {
+	return HeaderServer, HeaderServer, ""
+}
 
 // ParseResponse implements Protocol.
 func (PlainProtocol) ParseResponse(status int, answer http.Header) ResponseInfo {
--- a/internal/router/protocol.go
+++ b/internal/router/protocol.go
@@ -65,8 +65,9 @@
 	// ParseResponse parses the head of a response.
 	ParseResponse(status int, answer http.Header) ResponseInfo
 	// IdentityHeaders returns the headers by which a server identifies its incarnation on the
-	// health path: see site.HTTPIdentifier.
-	IdentityHeaders() (expected, found string)
+	// health path, and the one by which it says how long it stays cold, empty if there is none: see
+	// site.HTTPIdentifier.
+	IdentityHeaders() (expected, found, cold string)
 	// ParseJob parses a submitted batch job. Its errors are faults.
 	ParseJob(header http.Header, body []byte) (*rockwindpb.StoredJob, error)
 }
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -9,6 +9,7 @@
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/featuregate"
 	"rockwind.example/rockwind/internal/retryafter"
+	"rockwind.example/rockwind/internal/topology"
 	"rockwind.example/rockwind/internal/waitqueue"
 )
 
@@ -33,10 +34,15 @@
 
 // AcquireRequest describes a request for a server of a service.
 type AcquireRequest struct {
-	Service  string
-	Demand   balance.Demand
-	Priority waitqueue.Priority
-	Tenant   waitqueue.Tenant
+	Service string
+	Demand  balance.Demand
+	// Residency determines the regions of the demand, also after a change of the configuration while
+	// the request waits. If it is nil, the regions of the demand apply unchanged.
+	Residency *Residency
+	// ConfigNumber is the number of the configuration that the regions of the demand are from.
+	ConfigNumber uint64
+	Priority     waitqueue.Priority
+	Tenant       waitqueue.Tenant
 	// FirstAsked is when the client first sent the request, including earlier refusals; zero is
 	// unknown.
 	FirstAsked time.Time
@@ -74,8 +80,14 @@
 	overloaded        bool
 	overloadedSince   time.Duration
 	overloadCheckedAt time.Duration
+	// startLimited is whether the last recorded start limit was active.
+	startLimited bool
 	// pendingRetries are the times at which refused clients were told to retry.
 	pendingRetries retryafter.PendingRetries
+	// restrictedRetries are those of restricted requests among them, by the key of their regions.
+	restrictedRetries map[string]*regionalRetries
+	// timelyArrivals measures the rate of the requests that could meet their objective on arrival.
+	timelyArrivals arrivalRate
 	// holdTime is the moving average of slot hold times, and holdTimeSamples the number of
 	// samples in it.
 	holdTime        time.Duration
@@ -104,22 +116,23 @@
 	granted      chan grant
 }
 
-// grant is a server assigned to a request, and the charge to its tenant.
+// grant is a server assigned to a request, and the charge to its tenant, or the refusal of a request
+// that no server can take anymore.
 type grant struct {
-	choice balance.Choice
-	charge charge
+	choice  balance.Choice
+	charge  charge
+	refusal error
 }
 
-// anyTried reports whether a waiting request has tried servers.
-func (p *servicePool) anyTried() bool {
-	return p.waiting.Any(func(waiter *waiter) bool { return len(waiter.request.Tried) > 0 })
-}
-
-// aheadElsewhere estimates how many requests at other processes are ahead of the given key.
-func (p *servicePool) aheadElsewhere(key waitqueue.SortKey, elapsed time.Duration) int {
+// aheadElsewhere estimates how many requests at other processes are ahead of the given key. Late
+// ones of the same or a lower priority are not ahead of a request that can be in time.
+func (p *servicePool) aheadElsewhere(key waitqueue.SortKey, now time.Time, elapsed time.Duration) int {
 	count := p.shares.At(balance.QueueHash(p.name)).Inflight
 	if p.gates.On(featuregate.RetryAfter) {
 		count -= p.lowerElsewhere(key.Priority())
+		if !key.Late(now) {
+			count = min(count, p.higherElsewhere(key.Priority())+p.shares.At(balance.TimelyHash(p.name)).Inflight)
+		}
 	}
 	if p.overloaded && p.gates.On(featuregate.FairShare) {
 		count -= p.class(key.Priority()).waitingBehind(key.Tenant(), elapsed)
@@ -129,25 +142,40 @@
 
 // lowerElsewhere returns how many requests of known lower priorities wait at other processes.
 func (p *servicePool) lowerElsewhere(priority waitqueue.Priority) int {
+	return p.waitingElsewhere(priority.Before)
+}
+
+// higherElsewhere returns how many requests of known higher priorities wait at other processes.
+func (p *servicePool) higherElsewhere(priority waitqueue.Priority) int {
+	return p.waitingElsewhere(func(other waitqueue.Priority) bool { return other.Before(priority) })
+}
+
+// waitingElsewhere returns how many requests of matching priorities wait at other processes.
+func (p *servicePool) waitingElsewhere(matches func(priority waitqueue.Priority) bool) int {
 	count := 0
 	for other, class := range p.classes {
-		if priority.Before(other) {
+		if matches(other) {
 			count += p.shares.At(balance.QueueHash(class.name)).Inflight
 		}
 	}
 	return count
 }
 
-// slotRate is the rate at which slots become free.
-func (p *servicePool) slotRate() retryafter.Rate {
-	return retryafter.NewRate(p.pool.Slots(), p.holdTime)
+// slotRate is the rate at which slots become free in the given regions, of those that have no orphaned
+// requests. These are assumed to be spread evenly.
+func (p *servicePool) slotRate(regions topology.RegionSet) retryafter.Rate {
+	slots := p.pool.SlotsIn(regions)
+	if slots > 0 {
+		slots = max(1, slots-p.pool.Orphaned()*slots/max(1, p.pool.Slots()))
+	}
+	return retryafter.NewRate(slots, p.holdTime)
 }
 
 // expectedWait estimates the wait of a request behind the given number of others. If capacity has
 // been short for long enough to know the shares of the tenants, it also considers the other
 // requests of its tenant.
 func (p *servicePool) expectedWait(request AcquireRequest, ahead int, elapsed time.Duration) time.Duration {
-	expected := p.slotRate().EstimateWait(ahead)
+	expected := p.slotRate(request.Demand.Regions).EstimateWait(ahead)
 	if p.gates.On(featuregate.RetryAfter) && p.overloaded && elapsed-p.overloadedSince >= fairshare.DecayTime {
 		expected = max(expected, p.expectedShareWait(request, elapsed))
 	}
@@ -176,18 +204,18 @@
 // the client's remaining time. Refused clients that are expected back count as ahead of it. The
 // time is added to the pending retries if the client is expected to retry.
 func (p *servicePool) retryAfter(request AcquireRequest, ahead int, now time.Time, elapsed time.Duration) time.Duration {
-	pending := p.pendingRetries.Count(now) + p.shares.At(balance.QueueHash(p.name)).Unread
-	retryAfter := max(minRetryAfter, p.expectedWait(request, ahead, elapsed), p.slotRate().EstimateWait(ahead+pending))
+	pending := p.pendingAhead(request.Demand.Regions, now)
+	retryAfter := max(minRetryAfter, p.expectedWait(request, ahead, elapsed), p.slotRate(request.Demand.Regions).EstimateWait(ahead+pending))
 	retryAfter = boundRetryAfter(retryAfter, request.Remaining)
 	if !request.LastAttempt && retryAfter <= maxRetryWaits*request.MaxWait {
-		p.pendingRetries.Add(now.Add(retryAfter))
+		p.addPendingRetry(request.Demand.Regions, now.Add(retryAfter))
 	}
 	return retryAfter
 }
 
 // queueFullFault returns the refusal of a request whose expected wait is too long.
 func (p *servicePool) queueFullFault(request AcquireRequest, ahead int, now time.Time, elapsed time.Duration) error {
-	retryAfter := max(minRetryAfter, p.slotRate().EstimateWait(ahead)-request.MaxWait)
+	retryAfter := max(minRetryAfter, p.slotRate(request.Demand.Regions).EstimateWait(ahead)-request.MaxWait)
 	if p.gates.On(featuregate.RetryAfter) {
 		retryAfter = p.retryAfter(request, ahead, now, elapsed)
 	}
--- a/internal/router/queue_test.go
+++ b/internal/router/queue_test.go
@@ -198,6 +198,48 @@
 	to.LoadSource().Take(digest)
 }
 
+// TestLateRequestsElsewhereAreNotAhead guards against refusing a request that can be in time, or
+// expecting a long wait for it, because of late requests that wait at other processes.
+func TestLateRequestsElsewhereAreNotAhead(t *testing.T) {
+	for _, each := range []struct {
+		late    bool
+		refused bool
+	}{{true, false}, {false, true}} {
+		synctest.Test(t, func(t *testing.T) {
+			here, there := newQueueTest(t, 8), newQueueTest(t, 8)
+			for range 60 {
+				request := requestOf("other", time.Minute)
+				if each.late {
+					request.StartBy = time.Now().Add(-time.Second)
+				}
+				there.addWaiter(request)
+			}
+			shareQueue(t, there.dispatcher, here.dispatcher)
+			request := requestOf("other", 2*time.Second)
+			request.StartBy = time.Now().Add(time.Minute)
+			began := time.Now()
+			time.AfterFunc(time.Second, here.endFirst)
+			_, err := here.dispatcher.Acquire(t.Context(), request)
+			if refused := err != nil && time.Since(began) == 0; refused != each.refused {
+				t.Errorf("late requests elsewhere: %v: %v after %v", each.late, err, time.Since(began))
+			}
+		})
+	}
+}
+
+// TestClientWithoutARetryMayWaitLonger guards against refusing a client for good while there is
+// time left to serve it.
+func TestClientWithoutARetryMayWaitLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		if wait := router.MaxWait(5*time.Second, 5*time.Second); wait != 2500*time.Millisecond {
+			t.Errorf("a first attempt waits %v of 5 s", wait)
+		}
+		if wait := router.MaxWait(5*time.Second, 2*time.Second); wait != 1600*time.Millisecond {
+			t.Errorf("a retry waits %v of 2 s", wait)
+		}
+	})
+}
+
 // TestUsageAtOtherProcessesCounts checks that a flood goes behind a tenant with more local usage,
 // as long as digests report its usage at another process.
 func TestUsageAtOtherProcessesCounts(t *testing.T) {
--- a/internal/router/recording.go
+++ b/internal/router/recording.go
@@ -20,12 +20,19 @@
 	}
 	fields := e.logFields()
 	fields["server"] = lease.ID
+	if e.regions.Restricted() {
+		fields["server_region"] = lease.Region
+	}
 	fields["load"] = lease.Load
 	fields["slots"] = lease.Slots
 	fields["candidates"] = lease.Candidates
+	fields["distance"] = lease.Distance.String()
 	fields["uncached_tokens"] = lease.Uncached
 	fields["load_age_ms"] = lease.ReportAge.Milliseconds()
 	fields["expected_first_ms"] = lease.ExpectedFirstEvent().Milliseconds()
+	if lease.StartLimit > 0 {
+		fields["start_limit"] = lease.StartLimit
+	}
 	if lease.Pace > 0 {
 		fields["pace"] = lease.Pace
 	}
@@ -77,12 +84,15 @@
 func (e *exchange) recordMetrics(kind decision.Kind) {
 	if kind != decision.RequestTriedAgain && e.router.metrics != nil {
 		e.router.metrics.ObserveRequest(configuration.RouteKindName(e.route.GetKind()), kind, e.headAfter, time.Since(e.received))
+		if e.regions.Restricted() {
+			e.router.metrics.CountRestricted(kind)
+		}
 	}
 }
 
 // logFields returns the fields that all records about the request have.
 func (e *exchange) logFields() log.Fields {
-	return log.Fields{
+	fields := log.Fields{
 		"route":         e.route.GetName(),
 		"service":       e.service,
 		"tenant":        e.tenant.GetName(),
@@ -94,4 +104,8 @@
 		"held_ms":       time.Since(e.received).Milliseconds(),
 		"left_ms":       time.Until(e.deadline).Milliseconds(),
 	}
+	if e.regions.Restricted() {
+		fields["regions"] = e.regions.Names()
+	}
+	return fields
 }
--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -24,6 +24,7 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/site"
 	"rockwind.example/rockwind/internal/sitemetrics"
+	"rockwind.example/rockwind/internal/topology"
 	"rockwind.example/rockwind/internal/upstream"
 )
 
@@ -55,7 +56,7 @@
 	register.Apply(&rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Report{Report: &rockwindpb.Server{
 		Id: "server", Service: "app", Address: "10.0.0.1:1", Slots: 1, State: rockwindpb.ServerState_SERVER_STATE_READY, Sequence: 1,
 	}}})
-	dispatcher := NewDispatcher("zone", featuregate.Set{})
+	dispatcher := NewDispatcher("zone", topology.Map{}, featuregate.Set{})
 	dispatcher.Update(register.View())
 	dialed := false
 	client := upstream.NewClientWithDial(func(ctx context.Context, _ string) (net.Conn, error) {
@@ -76,7 +77,7 @@
 	})
 	created := &exchange{
 		router: &Router{
-			watcher: watcher, dispatcher: dispatcher, client: client, crashes: NewCrashReporter(watcher, client, PlainProtocol{}), copyPlanner: newCopyPlanner(),
+			watcher: watcher, dispatcher: dispatcher, client: client, crashes: NewCrashReporter(watcher, client, PlainProtocol{}, dispatcher), copyPlanner: newCopyPlanner(),
 			buffers: clientconn.NewBuffers(8<<20, func(clientconn.EndedResponse) {}),
 		},
 		writer: writer, service: "app", received: time.Now(), deadline: time.Now().Add(time.Minute),
@@ -189,3 +190,21 @@
 		})
 	}
 }
+
+// TestRequestOfAGoneClientIsNotSentAgain guards against a router that tries the remaining servers for a
+// request whose client left during an attempt.
+func TestRequestOfAGoneClientIsNotSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRelayTest(t, httptest.NewRecorder(), func(net.Conn) {})
+		ctx, leave := context.WithCancel(t.Context())
+		leave()
+		if got := r.handleSendError(ctx, r.lease, ctx.Err()); got != verdictClientGone {
+			t.Errorf("the verdict is %v after the client left", got)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 0)
+		defer cancel()
+		if got := r.handleSendError(ctx, r.lease, ctx.Err()); got == verdictClientGone {
+			t.Error("a request whose time is up counts as one whose client left")
+		}
+	})
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -27,6 +27,7 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/site"
 	"rockwind.example/rockwind/internal/sitemetrics"
+	"rockwind.example/rockwind/internal/traffic"
 	"rockwind.example/rockwind/internal/upstream"
 )
 
@@ -54,20 +55,26 @@
 	// keyLifetime is how long keys are accepted after the last contact with a coordinator; zero
 	// is no limit.
 	keyLifetime time.Duration
-	// metrics is nil outside of Run.
+	// metrics and traffic are nil outside of Run.
 	metrics *sitemetrics.Set
+	traffic *traffic.Counter
+}
+
+// Option changes a router that is being created.
+type Option func(*Router)
+
+// WithTraffic counts the router's traffic to servers and its load digests.
+func WithTraffic(counter *traffic.Counter) Option {
+	return func(r *Router) { r.traffic = counter }
 }
 
 // New returns a router for the site that the watcher follows.
-func New(settings *rockwindpb.SiteSettings, watcher *site.Watcher, protocol Protocol, jobs *jobclient.Client) *Router {
-	client := NewUpstreamClient()
+func New(settings *rockwindpb.SiteSettings, watcher *site.Watcher, protocol Protocol, jobs *jobclient.Client, options ...Option) *Router {
 	gates := featuregate.NewSet(settings.GetSwitchedOff())
-	return &Router{
+	r := &Router{
 		gates:       gates,
 		watcher:     watcher,
-		dispatcher:  NewDispatcher(settings.GetZone(), gates),
-		client:      client,
-		crashes:     NewCrashReporter(watcher, client, protocol),
+		dispatcher:  NewDispatcher(settings.GetZone(), site.Topology(settings), gates),
 		copyPlanner: newCopyPlanner(),
 		protocol:    protocol,
 		jobs:        jobs,
@@ -76,13 +83,21 @@
 		started:     time.Now(),
 		keyLifetime: time.Duration(settings.GetKeyLifeMs()) * time.Millisecond,
 	}
+	for _, option := range options {
+		option(r)
+	}
+	r.client = NewUpstreamClient(r.traffic)
+	r.crashes = NewCrashReporter(watcher, r.client, protocol, r.dispatcher)
+	r.dispatcher.CountTraffic(r.traffic)
+	return r
 }
 
-// NewUpstreamClient returns a client for servers. Its connections detect dead peers.
-func NewUpstreamClient() *upstream.Client {
-	dialer := dial.Dialer()
+// NewUpstreamClient returns a client for servers. Its connections detect dead peers. The counter of its
+// traffic may be nil.
+func NewUpstreamClient(counter *traffic.Counter) *upstream.Client {
+	dialer := counter.DialFor(traffic.ServerRequests, dial.Dialer().DialContext)
 	return upstream.NewClientWithDial(func(ctx context.Context, address string) (net.Conn, error) {
-		return dialer.DialContext(ctx, "tcp", address)
+		return dialer(ctx, "tcp", address)
 	})
 }
 
@@ -97,6 +112,7 @@
 // FollowDirectory applies the newest directory and configuration to a dispatcher until the
 // context ends.
 func FollowDirectory(ctx context.Context, watcher *site.Watcher, dispatcher *Dispatcher, client *upstream.Client) {
+	client.ObserveConnects(dispatcher.RecordConnect)
 	ticker := time.NewTicker(evaluateInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
@@ -104,6 +120,7 @@
 		if view := watcher.Directory(); view != nil {
 			dispatcher.Configure(watcher.Configuration())
 			dispatcher.SetZoneDrains(watcher.ZoneDrains())
+			dispatcher.SetColdServers(watcher.ColdServers())
 			dispatcher.Update(view)
 		}
 		select {
@@ -148,12 +165,13 @@
 		return
 	}
 	if route.GetKind() == rockwindpb.RouteKind_ROUTE_KIND_BATCH {
-		job := &submission{router: r, route: route, tenant: tenant, info: info, configNumber: index.Number(), received: received}
+		job := &submission{router: r, route: route, tenant: tenant, info: info, configNumber: index.Number(), allowed: index.AllowedRegions(route, tenant), received: received}
 		job.run(writer, request, body)
 		return
 	}
 	exchange := r.newExchange(writer, request, route, info, body, received)
 	exchange.configNumber, exchange.tenant = index.Number(), tenant
+	exchange.residency = NewResidency(index, request.Host, request.URL.EscapedPath(), route, tenant)
 	exchange.run(request.Context())
 }
 
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -9,6 +9,7 @@
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/loadshare"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/traffic"
 )
 
 // ShareLoads exchanges loads with the other routers and stores until the context ends. It does
@@ -23,6 +24,7 @@
 		return err
 	}
 	d.mutex.Lock()
+	sharer.CountTraffic(d.traffic)
 	d.sharer, d.name = sharer, settings.GetName()
 	if d.view != nil {
 		d.setPeers(d.view)
@@ -31,6 +33,9 @@
 	return sharer.Run(ctx, loadSource{d})
 }
 
+// CountTraffic sets the counter of load digests, which may be nil. Call it before ShareLoads.
+func (d *Dispatcher) CountTraffic(counter *traffic.Counter) { d.traffic = counter }
+
 // LoadTraffic returns the load digest traffic of this process since its start.
 func (d *Dispatcher) LoadTraffic() loadshare.Traffic {
 	d.mutex.Lock()
@@ -64,7 +69,14 @@
 func (s loadSource) SumOtherGroups(group string) *rockwindpb.LoadDigest {
 	s.dispatcher.mutex.Lock()
 	defer s.dispatcher.mutex.Unlock()
-	return loadshare.NewDigest(s.dispatcher.shares.SumOtherGroups(group))
+	return loadshare.OtherGroupsDigest(s.dispatcher.shares, group)
+}
+
+// SumRegion implements loadshare.Source.
+func (s loadSource) SumRegion(names, groups []string) *rockwindpb.LoadDigest {
+	s.dispatcher.mutex.Lock()
+	defer s.dispatcher.mutex.Unlock()
+	return loadshare.RegionDigest(s.dispatcher.shares, names, groups, s.dispatcher.ownLoads())
 }
 
 // Heard implements loadshare.Source.
@@ -94,7 +106,7 @@
 		return true
 	}
 	for name, pool := range d.pools {
-		if hash == balance.QueueHash(name) {
+		if hash == balance.QueueHash(name) || hash == balance.TimelyHash(name) {
 			return true
 		}
 		for _, class := range pool.classes {
@@ -108,7 +120,7 @@
 
 // Take implements loadshare.Source.
 func (s loadSource) Take(digest *rockwindpb.LoadDigest) {
-	s.dispatcher.applyLoads(digest, loadshare.Loads(digest))
+	s.dispatcher.applyLoads(digest)
 }
 
 // ownLoads returns the loads of this process at servers and in its queues by hash. Loads with the
@@ -125,9 +137,11 @@
 	return loads
 }
 
-func (d *Dispatcher) applyLoads(digest *rockwindpb.LoadDigest, loads map[uint32]balance.SharedLoad) {
+func (d *Dispatcher) applyLoads(digest *rockwindpb.LoadDigest) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	loads := d.shares.Spare(len(digest.GetServers()))
+	loadshare.AddLoads(digest, loads)
 	loadshare.ApplyDigest(d.shares, digest, loads, d.now())
 	waiting := false
 	for service, pool := range d.pools {
@@ -140,7 +154,7 @@
 		return
 	}
 	d.signalOnlineWaiting()
-	if digest.GetGroup() == "" && d.sharer != nil {
+	if digest.GetGroup() == "" && len(digest.GetZones()) == 0 && d.sharer != nil {
 		d.sharer.TriggerForward()
 	}
 }
@@ -176,7 +190,8 @@
 			members = append(members, loadshare.NewMember(machine.GetName(), machine.GetZone(), address, rank))
 		}
 	}
-	layout := loadshare.NewLayout(members, d.name)
+	layout := loadshare.NewLayout(members, d.name, d.topology)
 	d.sharer.SetLayout(layout)
-	d.maxLoadAge = layout.MaxAge()
+	d.groupSize = len(layout.Members())
+	d.maxLoadAge, d.maxRegionLoadAge = layout.MaxAge(), layout.MaxRegionAge()
 }
--- a/internal/router/sharing_test.go
+++ b/internal/router/sharing_test.go
@@ -10,6 +10,7 @@
 	"rockwind.example/rockwind/internal/loadshare"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/router"
+	"rockwind.example/rockwind/internal/topology"
 )
 
 // hashCollision returns two server names with the same hash.
@@ -51,7 +52,7 @@
 			State: rockwindpb.ServerState_SERVER_STATE_READY, Sequence: uint64(i + 1),
 		}}})
 	}
-	dispatcher := router.NewDispatcher("zone", featuregate.Set{})
+	dispatcher := router.NewDispatcher("zone", topology.Map{}, featuregate.Set{})
 	dispatcher.Update(register.View())
 	for range names {
 		if dispatcher.TryAcquire("app", balance.Demand{}) == nil {
@@ -62,3 +63,20 @@
 		t.Fatalf("%d requests are shared", load.Inflight)
 	}
 }
+
+// Guards against sums of a region that lack the own load or that of a zone, or include other zones.
+func TestSumOfARegion(t *testing.T) {
+	dispatcher := oneServer(4)
+	if dispatcher.TryAcquire("app", balance.Demand{}) == nil {
+		t.Fatal("no server has room")
+	}
+	source, hash := dispatcher.LoadSource(), balance.ServerHash("server")
+	for i, group := range []string{"near", "other"} {
+		digest := loadshare.NewDigest(map[uint32]balance.SharedLoad{hash: {Inflight: 10 * (i + 1)}})
+		digest.Sender, digest.Sequence, digest.StartedUnixMs, digest.Group = "delegate of "+group, 1, 1, group
+		source.Take(digest)
+	}
+	if load := loadshare.Loads(source.SumRegion(nil, []string{"near"}))[hash]; load.Inflight != 11 {
+		t.Errorf("the sum has %d requests, want 11", load.Inflight)
+	}
+}
--- a/internal/router/submission.go
+++ b/internal/router/submission.go
@@ -7,10 +7,12 @@
 
 	"github.com/apex/log"
 
+	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/topology"
 )
 
 // submission is the request of a client that submits a batch job.
@@ -21,6 +23,8 @@
 	info   RequestInfo
 	// configNumber is the number of the configuration that has the route.
 	configNumber uint64
+	// allowed are the regions in which the job may be stored.
+	allowed topology.RegionSet
 	// received is when the head of the request arrived.
 	received time.Time
 }
@@ -35,7 +39,7 @@
 	began := time.Now()
 	ctx, cancel := s.withDeadline(request.Context())
 	defer cancel()
-	err = s.router.jobs.Submit(ctx, job, s.limitConfig())
+	err = s.router.jobs.SubmitWithin(ctx, job, s.limitConfig(), s.allowed)
 	s.record(job, len(body), time.Since(began), err)
 	if err != nil {
 		writeError(writer, s.withBoundedRetryAfter(err))
@@ -44,6 +48,26 @@
 	writer.WriteHeader(http.StatusAccepted)
 }
 
+// useRegions makes the client of the stores look for jobs by the regions of the current configuration.
+func (r *Router) useRegions() {
+	r.jobs.UseRegions(func(tenant string) []topology.RegionSet {
+		return batchRegions(r.watcher.Configuration(), tenant)
+	})
+}
+
+// batchRegions returns the regions to which a configuration restricts the jobs of a tenant, for each
+// route that accepts jobs.
+func batchRegions(index *configuration.Index, name string) []topology.RegionSet {
+	tenant, _ := index.Tenant(name)
+	var regions []topology.RegionSet
+	for _, route := range index.Routes() {
+		if route.GetKind() == rockwindpb.RouteKind_ROUTE_KIND_BATCH {
+			regions = append(regions, index.AllowedRegions(route, tenant))
+		}
+	}
+	return regions
+}
+
 // job returns the job of a request in the form that the stores keep.
 func (s *submission) job(request *http.Request, body []byte) (*rockwindpb.StoredJob, error) {
 	job, err := s.router.protocol.ParseJob(request.Header, body)
@@ -68,6 +92,9 @@
 // record records the outcome of the submission.
 func (s *submission) record(job *rockwindpb.StoredJob, bytes int, took time.Duration, err error) {
 	fields := log.Fields{"route": s.route.GetName(), "tenant": s.tenant.GetName(), "items": len(job.GetItems()), "bytes": bytes, "took_ms": took.Milliseconds()}
+	if s.allowed.Restricted() {
+		fields["regions"] = s.allowed.Names()
+	}
 	if err != nil {
 		fields["error"] = err.Error()
 		decision.Default.Record(decision.JobRefused, job.GetId(), fields)
--- a/internal/router/survey.go
+++ b/internal/router/survey.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"time"
 
@@ -79,17 +80,22 @@
 }
 
 // surveyingProcesses lists the processes that query servers: the stores, whose runs are the
-// longest and which have more CPU, or the routers of a site without stores.
-func surveyingProcesses(view *directory.View) []string {
+// longest and which have more CPU, or the routers of a site without stores. byRegion has those of
+// each region with enough of them to query its servers.
+func (d *Dispatcher) surveyingProcesses(view *directory.View) (names []string, byRegion map[string][]string) {
 	machines := view.WithRole(rockwindpb.SiteRole_SITE_ROLE_STORE)
 	if len(machines) == 0 {
 		machines = view.WithRole(rockwindpb.SiteRole_SITE_ROLE_ROUTER)
 	}
-	names := make([]string, 0, len(machines))
+	names, byRegion = make([]string, 0, len(machines)), make(map[string][]string)
 	for _, machine := range machines {
 		names = append(names, machine.GetName())
+		if region := d.topology.Region(machine.GetZone()); d.multiRegion && region != "" {
+			byRegion[region] = append(byRegion[region], machine.GetName())
+		}
 	}
-	return names
+	maps.DeleteFunc(byRegion, func(_ string, inRegion []string) bool { return len(inRegion) < orphans.QueriersPerServer })
+	return names, byRegion
 }
 
 // beginSurvey selects the servers to query: model engines, because their runs are long. Orphaned
@@ -97,18 +103,23 @@
 func (d *Dispatcher) beginSurvey(self string, view *directory.View, index *configuration.Index) {
 	services := make(map[string]string)
 	var servers []orphans.Server
+	processes, byRegion := d.surveyingProcesses(view)
 	for _, server := range view.Servers() {
 		service, known := index.Service(server.GetService())
 		if !known || service.GetEngine() == nil || server.GetState() != rockwindpb.ServerState_SERVER_STATE_READY {
 			continue
 		}
 		services[server.GetId()] = server.GetService()
-		servers = append(servers, orphans.Server{ID: server.GetId(), Address: server.GetAddress(), Slots: int(server.GetSlots())})
+		servers = append(servers, orphans.Server{
+			ID: server.GetId(), Address: server.GetAddress(), Slots: int(server.GetSlots()),
+			Processes: byRegion[d.topology.Region(server.GetZone())],
+		})
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.survey = &survey{Survey: orphans.New(d.origin.UnixMilli()), services: services}
-	d.survey.Start(self, surveyingProcesses(view), servers, d.now())
+	d.survey.MarkLate(d.now())
+	d.survey.Start(self, processes, servers, d.now())
 }
 
 // updateSurvey updates the survey with what other processes shared and returns the servers to
--- a/internal/router/survey_test.go
+++ b/internal/router/survey_test.go
@@ -16,6 +16,7 @@
 	"rockwind.example/rockwind/internal/featuregate"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/router"
+	"rockwind.example/rockwind/internal/topology"
 )
 
 // jsonLoadQuery queries the load as a JSON number.
@@ -59,7 +60,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	dispatcher = router.NewDispatcher("zone", featuregate.Set{})
+	dispatcher = router.NewDispatcher("zone", topology.Map{}, featuregate.Set{})
 	dispatcher.Update(register.View())
 	client := network.client()
 	t.Cleanup(client.Close)
--- a/internal/router/tried_test.go
+++ b/internal/router/tried_test.go
@@ -10,6 +10,7 @@
 	"rockwind.example/rockwind/internal/health"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/router"
+	"rockwind.example/rockwind/internal/topology"
 )
 
 // TestRequestThatTriedFreeServersBlocksNobody covers new and waiting requests.
@@ -22,7 +23,7 @@
 				State: rockwindpb.ServerState_SERVER_STATE_READY, Sequence: uint64(i + 1),
 			}}})
 		}
-		dispatcher := router.NewDispatcher("zone", featuregate.Set{})
+		dispatcher := router.NewDispatcher("zone", topology.Map{}, featuregate.Set{})
 		dispatcher.Update(register.View())
 		tried := requestOf("", time.Minute)
 		tried.Tried = []string{"a"}
--- a/internal/router/update_test.go
+++ b/internal/router/update_test.go
@@ -10,6 +10,7 @@
 	"rockwind.example/rockwind/internal/featuregate"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/router"
+	"rockwind.example/rockwind/internal/topology"
 )
 
 // ready returns the directory entry of a ready server.
@@ -38,7 +39,7 @@
 // leasedServers returns the servers that a new dispatcher leases after the given updates, until
 // none has capacity.
 func leasedServers(views []*directory.View) []string {
-	dispatcher := router.NewDispatcher("zone", featuregate.Set{})
+	dispatcher := router.NewDispatcher("zone", topology.Map{}, featuregate.Set{})
 	for _, view := range views {
 		dispatcher.Update(view)
 		dispatcher.Update(view)
@@ -88,12 +89,12 @@
 	for _, servers := range []int{48, 1200, 3000} {
 		b.Run(fmt.Sprintf("change/servers=%d", servers), func(b *testing.B) {
 			var all []*directory.View
-			dispatcher := router.NewDispatcher("zone", featuregate.Set{})
+			dispatcher := router.NewDispatcher("zone", topology.Map{}, featuregate.Set{})
 			for i := 0; b.Loop(); i++ {
 				if i%changes == 0 {
 					b.StopTimer()
 					all = viewsOf(servers, changes)
-					dispatcher = router.NewDispatcher("zone", featuregate.Set{})
+					dispatcher = router.NewDispatcher("zone", topology.Map{}, featuregate.Set{})
 					dispatcher.Update(all[0])
 					b.StartTimer()
 				}
@@ -102,7 +103,7 @@
 		})
 		b.Run(fmt.Sprintf("known/servers=%d", servers), func(b *testing.B) {
 			view := viewsOf(servers, 0)[0]
-			dispatcher := router.NewDispatcher("zone", featuregate.Set{})
+			dispatcher := router.NewDispatcher("zone", topology.Map{}, featuregate.Set{})
 			for b.Loop() {
 				dispatcher.Update(view)
 			}
--- a/internal/router/zonedrain_test.go
+++ b/internal/router/zonedrain_test.go
@@ -14,6 +14,7 @@
 	"rockwind.example/rockwind/internal/featuregate"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/router"
+	"rockwind.example/rockwind/internal/topology"
 	"rockwind.example/rockwind/internal/zonedrain"
 )
 
@@ -43,7 +44,7 @@
 // served once it ends.
 func TestDrainedZonesGetNothingNew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		dispatcher := router.NewDispatcher("east", featuregate.Set{})
+		dispatcher := router.NewDispatcher("east", topology.Map{}, featuregate.Set{})
 		dispatcher.SetZoneDrains(drainsOf(1, "east"))
 		dispatcher.Update(zonedView("east", "west"))
 		view := zonedView("east", "west")
@@ -83,7 +84,7 @@
 // service are in drained zones.
 func TestServiceInDrainedZonesRefusesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		dispatcher := router.NewDispatcher("east", featuregate.Set{})
+		dispatcher := router.NewDispatcher("east", topology.Map{}, featuregate.Set{})
 		dispatcher.Update(zonedView("east"))
 		dispatcher.SetZoneDrains(drainsOf(1, "east"))
 		began := time.Now()
@@ -99,7 +100,7 @@
 // the others start as cold.
 func TestEndOfDrainRestoresServers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		dispatcher := router.NewDispatcher("east", featuregate.Set{})
+		dispatcher := router.NewDispatcher("east", topology.Map{}, featuregate.Set{})
 		index, err := configuration.NewIndex(&rockwindpb.Configuration{
 			Number: 1, Services: []*rockwindpb.Service{{Name: "app", ColdMs: 3000, ColdRequestsPerSecond: 2}},
 		})
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -174,3 +174,35 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// Guards against a machine whose zone has no region, which would count as one of another region everywhere.
+func TestZoneRegionsAreChecked(t *testing.T) {
+	site := "name: a\nrole: SITE_ROLE_ROUTER\nzone: z\nseeds: [\"127.0.0.1:1\"]\nlisten: \"127.0.0.1:2\"\nready_listen: \"127.0.0.1:3\"\nzone_regions:\n"
+	for _, each := range []struct{ name, entries, problem string }{
+		{"own zone missing", "- {zone: y, region: r}\n", "the zone of this machine is not listed"},
+		{"zone listed twice", "- {zone: z, region: r}\n- {zone: z, region: s}\n", "the zone z is listed twice"},
+		{"no region", "- {zone: z}\n", "an entry has no zone or no region"},
+		{"valid", "- {zone: z, region: r}\n- {zone: y, region: s}\n", ""},
+	} {
+		t.Run(each.name, func(t *testing.T) {
+			_, err := settings.LoadSite(write(t, site+each.entries), nil)
+			switch {
+			case each.problem == "" && err != nil:
+				t.Errorf("rejected: %v", err)
+			case each.problem != "" && (err == nil || !strings.Contains(err.Error(), each.problem)):
+				t.Errorf("got %v, want %q", err, each.problem)
+			}
+		})
+	}
+}
+
+// TestGCPercentHasARange guards against a percentage at which collections take all processor time, or at which
+// garbage grows to a multiple of the live heap.
+func TestGCPercentHasARange(t *testing.T) {
+	site := "name: a\nrole: SITE_ROLE_ROUTER\nzone: z\nseeds: [\"127.0.0.1:1\"]\nlisten: \"127.0.0.1:2\"\nready_listen: \"127.0.0.1:3\"\ngc_percent: "
+	for given, valid := range map[string]bool{"0": true, "19": false, "20": true, "400": true, "401": false} {
+		if _, err := settings.LoadSite(write(t, site+given+"\n"), nil); (err == nil) != valid {
+			t.Errorf("%s: %v", given, err)
+		}
+	}
+}
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
 
 	"rockwind.example/rockwind/internal/fault"
@@ -8,6 +9,12 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
+// Bounds of gc_percent. Below the lower bound, collections take most of the processor time of a loaded store.
+const (
+	minGCPercent = 20
+	maxGCPercent = 400
+)
+
 // LoadSite returns the validated settings of a coordinator, router or store; see
 // LoadGateway.
 func LoadSite(path string, overrides []string) (*rockwindpb.SiteSettings, error) {
@@ -26,6 +33,7 @@
 func (l *loader) checkSite(settings *rockwindpb.SiteSettings) {
 	l.checkNotEmpty(fieldPath{"name"}, settings.GetName(), "give each machine a name of its own")
 	l.checkNotEmpty(fieldPath{"zone"}, settings.GetZone(), "name the zone that the machine stands in")
+	l.checkZoneRegions(settings)
 	if len(settings.GetSeeds()) == 0 {
 		l.add(fieldPath{"seeds"}, "no seed is given", "list the internal addresses of some coordinators")
 	}
@@ -39,6 +47,10 @@
 			l.add(fieldPath{"switched_off"}, fault.From(err).Message, fault.From(err).Remedy)
 		}
 	}
+	if percent := settings.GetGcPercent(); percent != 0 && (percent < minGCPercent || percent > maxGCPercent) {
+		l.add(fieldPath{"gc_percent"}, fmt.Sprintf("the percentage %d is not from %d to %d", percent, minGCPercent, maxGCPercent),
+			fmt.Sprintf("leave it out, or write a number from %d to %d", minGCPercent, maxGCPercent))
+	}
 	if settings.GetAdvertise() != "" {
 		l.checkAddress(fieldPath{"advertise"}, settings.GetAdvertise())
 	}
@@ -56,3 +68,22 @@
 		l.add(fieldPath{"role"}, "the role is missing", "write coordinator, router or store")
 	}
 }
+
+// checkZoneRegions reports zones that are listed twice or without a region. If any zone is listed, the zone of
+// the machine itself must be listed.
+func (l *loader) checkZoneRegions(settings *rockwindpb.SiteSettings) {
+	regions := make(map[string]string)
+	for _, entry := range settings.GetZoneRegions() {
+		if entry.GetZone() == "" || entry.GetRegion() == "" {
+			l.add(fieldPath{"zone_regions"}, "an entry has no zone or no region", "give each entry a zone and its region")
+			continue
+		}
+		if _, listed := regions[entry.GetZone()]; listed {
+			l.add(fieldPath{"zone_regions"}, "the zone "+entry.GetZone()+" is listed twice", "list each zone once")
+		}
+		regions[entry.GetZone()] = entry.GetRegion()
+	}
+	if _, listed := regions[settings.GetZone()]; len(regions) > 0 && !listed {
+		l.add(fieldPath{"zone_regions"}, "the zone of this machine is not listed", "list all zones of the site, or none")
+	}
+}
--- a/internal/site/coordinators.go
+++ b/internal/site/coordinators.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/topology"
 )
 
 // Coordinators lists the internal addresses of the coordinators in the order in which they are
@@ -39,27 +40,27 @@
 	return addresses
 }
 
-// byDistance lists the coordinators of the directory: those of this zone, then the others. The
-// order within each part depends on the process, so that the watchers of a failed coordinator are
-// spread over the others.
+// byDistance lists the coordinators of the directory: those of this zone, then those of this region,
+// then the others. The order within each part depends on the process, so that the watchers of a failed
+// coordinator are spread over the others.
 func (w *Watcher) byDistance() []string {
 	view := w.Directory()
 	if view == nil {
 		return nil
 	}
-	var near, far []string
+	coordinators := make(map[topology.Distance][]string)
 	for _, machine := range view.Machines() {
-		switch {
-		case machine.GetRole() != rockwindpb.SiteRole_SITE_ROLE_COORDINATOR:
-		case machine.GetZone() == w.settings.GetZone():
-			near = append(near, machine.GetAddress())
-		default:
-			far = append(far, machine.GetAddress())
+		if machine.GetRole() == rockwindpb.SiteRole_SITE_ROLE_COORDINATOR {
+			distance := w.topology.Distance(w.settings.GetZone(), machine.GetZone())
+			coordinators[distance] = append(coordinators[distance], machine.GetAddress())
 		}
 	}
-	w.sortByRank(near)
-	w.sortByRank(far)
-	return slices.Concat(near, far)
+	var addresses []string
+	for _, distance := range topology.Distances() {
+		w.sortByRank(coordinators[distance])
+		addresses = append(addresses, coordinators[distance]...)
+	}
+	return addresses
 }
 
 // seeds lists the seed coordinators of the settings in an order that depends on the process,
@@ -86,21 +87,6 @@
 	return changed
 }
 
-// setConfigurationAddress records which coordinator is asked for the configuration.
-func (w *Watcher) setConfigurationAddress(address string) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.configurationAddress = address
-}
-
-// isConfigurationAddress reports whether a coordinator was the last to be asked for the
-// configuration.
-func (w *Watcher) isConfigurationAddress(address string) bool {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return w.configurationAddress == address
-}
-
 // clearPreferred clears the coordinator that answered last, so that the nearest one comes first.
 func (w *Watcher) clearPreferred() {
 	w.mutex.Lock()
--- a/internal/site/export_test.go
+++ b/internal/site/export_test.go
@@ -1,11 +1,17 @@
 package site
 
-import "rockwind.example/rockwind/internal/directory"
+import (
+	"rockwind.example/rockwind/internal/directory"
+	"rockwind.example/rockwind/internal/rockwindpb"
+)
 
 // Constants for tests.
 const (
 	WatchWait  = watchWait
 	WatchGrace = watchGrace
+
+	RouterGCPercent = routerGCPercent
+	StoreGCPercent  = storeGCPercent
 )
 
 // Avoid is avoid for tests.
@@ -19,3 +25,6 @@
 
 // SetDirectory replaces the watcher's directory.
 func (w *Watcher) SetDirectory(view *directory.View) { w.directory.Store(view) }
+
+// GCPercent is gcPercent for tests.
+func GCPercent(settings *rockwindpb.SiteSettings) int { return gcPercent(settings) }
--- a/internal/site/host.go
+++ b/internal/site/host.go
@@ -13,6 +13,7 @@
 	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/settings"
+	"rockwind.example/rockwind/internal/wal"
 )
 
 const (
@@ -28,7 +29,8 @@
 	segmentBytes    = 6 << 20
 	// logFraction is the fraction of the process's memory for the log of one group since its
 	// latest snapshot; half as much is kept from before the snapshot. A store of a large site has
-	// five groups. minLogBytes and maxLogBytes bound the size.
+	// five groups. minLogBytes and maxLogBytes bound the size. If half of the
+	// snapshot is less than that, it is the limit instead, but at least minLogBytes.
 	logFraction = 0.02
 	minLogBytes = 1 << 20
 	maxLogBytes = 12 << 20
@@ -61,6 +63,9 @@
 	StateMachines            func(group uint32) replica.StateMachine
 	BeforeLeadershipTransfer func(ctx context.Context, group uint32)
 	TargetVoters             int
+	InRegion                 func(machine, region string) bool
+	RegionOf                 func(machine string) string
+	FileSystem               wal.FileSystem
 }
 
 // OpenHost locks the data folder of the settings and opens the replicas in it. The returned
@@ -80,8 +85,12 @@
 		AdmitNew:                 true,
 		TargetVoters:             options.TargetVoters,
 		MustLeave:                options.MustLeave,
+		InRegion:                 options.InRegion,
+		RegionOf:                 options.RegionOf,
+		FileSystem:               options.FileSystem,
 		SnapshotEntries:          snapshotEntries,
 		SnapshotBytes:            LogBytes(given),
+		MinSnapshotBytes:         minLogBytes,
 		TrailingBytes:            LogBytes(given) / 2,
 		SegmentBytes:             segmentBytes,
 		StateMachines:            options.StateMachines,
--- a/internal/site/identity.go
+++ b/internal/site/identity.go
@@ -2,7 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
 
 	"rockwind.example/rockwind/internal/dial"
 	"rockwind.example/rockwind/internal/directory"
@@ -17,8 +22,9 @@
 
 // HTTPIdentifier returns an identifier that requests the health path. expectedHeader names the
 // request header with the expected incarnation, which another incarnation rejects with status 421.
-// foundHeader names the response header with the incarnation that answers.
-func HTTPIdentifier(expectedHeader, foundHeader string) Identifier {
+// foundHeader names the response header with the incarnation that answers, and coldHeader the one
+// with the milliseconds for which that incarnation stays cold; empty if there is none.
+func HTTPIdentifier(expectedHeader, foundHeader, coldHeader string) Identifier {
 	// Connections are not reused, because an earlier one may have been accepted by a server that
 	// has ended since.
 	client := &http.Client{
@@ -37,9 +43,22 @@
 		}
 		defer response.Body.Close()
 		identity := directory.Identity{Found: response.Header.Get(foundHeader)}
+		if coldHeader != "" && identity.Found != "" {
+			identity.ColdMs = parseMilliseconds(response.Header.Get(coldHeader))
+		}
 		if response.StatusCode == http.StatusMisdirectedRequest {
 			identity.Rejected = expected.GetId()
 		}
 		return identity, nil
 	}
 }
+
+// parseMilliseconds parses a number of milliseconds. It returns zero for text that is not a positive
+// number, and bounds the others to what fits.
+func parseMilliseconds(text string) uint32 {
+	milliseconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if !(milliseconds > 0) || (err != nil && !errors.Is(err, strconv.ErrRange)) {
+		return 0
+	}
+	return uint32(min(milliseconds, math.MaxUint32))
+}
--- a/internal/site/nearer_test.go
+++ b/internal/site/nearer_test.go
@@ -1,7 +1,6 @@
 package site_test
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -21,64 +20,72 @@
 // TestWatcherMovesToACoordinatorInItsZone guards against hundreds of processes that stay with the
 // seeds, which may be in other zones.
 func TestWatcherMovesToACoordinatorInItsZone(t *testing.T) {
-	far, near := newFakeCoordinator(1), newFakeCoordinator(1)
-	nearAddress, farAddress := near.start(t), ""
-	far.machines = []*rockwindpb.Machine{newCoordinatorMachine(nearAddress, "here"), newCoordinatorMachine("127.0.0.1:9", "there")}
-	near.machines = far.machines
-	farAddress = far.start(t)
-	watcher := startWatcherInZone(t, "here", farAddress)
-	awaitConfiguration(t, watcher, 1, 10*time.Second)
-	for deadline := time.Now().Add(10 * time.Second); watcher.Coordinators()[0] != nearAddress || near.watches.Load() < 5; time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatalf("the watcher uses %v after %d calls to the near coordinator", watcher.Coordinators(), near.watches.Load())
+	inVirtualTime(t, func(t *testing.T, network *virtualNetwork) {
+		far, near := newFakeCoordinator(1), newFakeCoordinator(1)
+		nearAddress, farAddress := network.add(near), ""
+		far.machines = []*rockwindpb.Machine{newCoordinatorMachine(nearAddress, "here"), newCoordinatorMachine("127.0.0.1:9", "there")}
+		near.machines = far.machines
+		farAddress = network.add(far)
+		watcher := network.startWatcherInZone(t, "here", farAddress)
+		awaitConfiguration(t, watcher, 1, 10*time.Second)
+		for deadline := time.Now().Add(10 * time.Second); watcher.Coordinators()[0] != nearAddress || near.watches.Load() < 5; time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("the watcher uses %v after %d calls to the near coordinator", watcher.Coordinators(), near.watches.Load())
+			}
 		}
-	}
-	before := far.watches.Load()
-	time.Sleep(300 * time.Millisecond)
-	if far.watches.Load() > before+1 {
-		t.Error("the watcher still calls the far coordinator")
-	}
+		before := far.watches.Load()
+		time.Sleep(300 * time.Millisecond)
+		if far.watches.Load() > before+1 {
+			t.Error("the watcher still calls the far coordinator")
+		}
+	})
 }
 
 // TestWatcherKeepsItsCoordinatorWhileANearerOneHangs verifies that the search for a nearer
 // coordinator does not delay changes.
 func TestWatcherKeepsItsCoordinatorWhileANearerOneHangs(t *testing.T) {
-	far, near := newFakeCoordinator(1), newFakeCoordinator(1)
-	near.hanging.Store(true)
-	far.machines = []*rockwindpb.Machine{newCoordinatorMachine(near.start(t), "here")}
-	watcher := startWatcherInZone(t, "here", far.start(t))
-	awaitConfiguration(t, watcher, 1, 10*time.Second)
-	for deadline := time.Now().Add(10 * time.Second); near.watches.Load() == 0; time.Sleep(time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatal("the near coordinator is not probed")
+	inVirtualTime(t, func(t *testing.T, network *virtualNetwork) {
+		far, near := newFakeCoordinator(1), newFakeCoordinator(1)
+		near.hanging.Store(true)
+		far.machines = []*rockwindpb.Machine{newCoordinatorMachine(network.add(near), "here")}
+		watcher := network.startWatcherInZone(t, "here", network.add(far))
+		awaitConfiguration(t, watcher, 1, 10*time.Second)
+		for deadline := time.Now().Add(10 * time.Second); near.watches.Load() == 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatal("the near coordinator is not probed")
+			}
 		}
-	}
-	far.number.Store(2)
-	awaitConfiguration(t, watcher, 2, 300*time.Millisecond)
+		far.number.Store(2)
+		awaitConfiguration(t, watcher, 2, 300*time.Millisecond)
+	})
 }
 
 // TestWatcherMovesToANearCoordinatorThatHasJustStarted: a coordinator that holds calls after its
 // start has not failed.
 func TestWatcherMovesToANearCoordinatorThatHasJustStarted(t *testing.T) {
-	far, near := newFakeCoordinator(1), newFakeCoordinator(1)
-	near.watchDelay.Store(int64(site.MaxStartupHold))
-	nearAddress := near.start(t)
-	far.machines = []*rockwindpb.Machine{newCoordinatorMachine(nearAddress, "here")}
-	near.machines = far.machines
-	watcher := startWatcherInZone(t, "here", far.start(t))
-	awaitPreferred(t, watcher, nearAddress, 4*time.Second)
+	inVirtualTime(t, func(t *testing.T, network *virtualNetwork) {
+		far, near := newFakeCoordinator(1), newFakeCoordinator(1)
+		near.watchDelay.Store(int64(site.MaxStartupHold))
+		nearAddress := network.add(near)
+		far.machines = []*rockwindpb.Machine{newCoordinatorMachine(nearAddress, "here")}
+		near.machines = far.machines
+		watcher := network.startWatcherInZone(t, "here", network.add(far))
+		awaitPreferred(t, watcher, nearAddress, 4*time.Second)
+	})
 }
 
 // TestWatcherMovesToANearCoordinatorThatAnswersAgain: a coordinator is avoided only until it
 // answers.
 func TestWatcherMovesToANearCoordinatorThatAnswersAgain(t *testing.T) {
-	far, near := newFakeCoordinator(1), newFakeCoordinator(1)
-	nearAddress := near.start(t)
-	far.machines = []*rockwindpb.Machine{newCoordinatorMachine(nearAddress, "here")}
-	near.machines = far.machines
-	watcher := startWatcherInZone(t, "here", far.start(t))
-	watcher.Avoid(nearAddress)
-	awaitPreferred(t, watcher, nearAddress, 4*time.Second)
+	inVirtualTime(t, func(t *testing.T, network *virtualNetwork) {
+		far, near := newFakeCoordinator(1), newFakeCoordinator(1)
+		nearAddress := network.add(near)
+		far.machines = []*rockwindpb.Machine{newCoordinatorMachine(nearAddress, "here")}
+		near.machines = far.machines
+		watcher := network.startWatcherInZone(t, "here", network.add(far))
+		watcher.Avoid(nearAddress)
+		awaitPreferred(t, watcher, nearAddress, 4*time.Second)
+	})
 }
 
 // awaitPreferred waits until a watcher prefers a coordinator.
@@ -91,23 +98,6 @@
 	}
 }
 
-// startWatcherInZone runs a watcher in a zone until the end of the test.
-func startWatcherInZone(t *testing.T, zone string, seeds ...string) *site.Watcher {
-	t.Helper()
-	watcher, err := site.NewWatcher(&rockwindpb.SiteSettings{Name: "front", Zone: zone, Seeds: seeds}, &http.Client{Transport: &http.Transport{}}, "")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- watcher.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		<-ended
-	})
-	return watcher
-}
-
 // TestWatchersSpreadOverCoordinatorsOfOtherZones verifies that processes rank the coordinators of
 // other zones differently.
 func TestWatchersSpreadOverCoordinatorsOfOtherZones(t *testing.T) {
--- a/internal/site/process.go
+++ b/internal/site/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"time"
 
@@ -21,19 +22,55 @@
 	// runtime.
 	memoryFraction = 0.7
 	megabyte       = 1 << 20
+	// storeGCPercent is the GC percentage of stores. The live heap of a store is large and its
+	// allocation rate low, so that a lower percentage than the runtime's 100 saves memory for little
+	// processor time; see docs/design/memory.md.
+	storeGCPercent = 50
+	// routerGCPercent is the GC percentage of routers. Stacks of connections count in the runtime's goal as
+	// live memory does, and a router allocates little; see docs/design/memory.md for the figures.
+	routerGCPercent = 30
 	// readHeaderTimeout bounds how long another process may take to send headers.
 	readHeaderTimeout = 3 * time.Second
 	// idleTimeout closes idle connections of other processes.
 	idleTimeout = time.Minute
 )
 
-// SetMemoryLimit sets the memory limit of the Go runtime from the settings.
+// SetMemoryLimit sets the memory limit of the Go runtime and how often garbage is collected from the
+// settings. The environment variable GOGC takes precedence over the default of the role. The default of
+// routers is set later, by SetDefaultGCPercent.
 func SetMemoryLimit(settings *rockwindpb.SiteSettings) {
+	if settings.GetGcPercent() > 0 || settings.GetRole() != rockwindpb.SiteRole_SITE_ROLE_ROUTER {
+		SetDefaultGCPercent(settings)
+	}
 	if settings.GetMemoryMb() > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.GetMemoryMb()) * megabyte * memoryFraction))
 	}
 }
 
+// SetDefaultGCPercent sets how often garbage is collected from the settings or the default of the role. A
+// router calls it some time after its start: collections during the start would delay it.
+func SetDefaultGCPercent(settings *rockwindpb.SiteSettings) {
+	if percent := gcPercent(settings); percent > 0 {
+		debug.SetGCPercent(percent)
+	}
+}
+
+// gcPercent returns the GC percentage of a process, or zero for that of the Go runtime.
+func gcPercent(settings *rockwindpb.SiteSettings) int {
+	_, inEnvironment := os.LookupEnv("GOGC")
+	switch {
+	case settings.GetGcPercent() > 0:
+		return int(settings.GetGcPercent())
+	case inEnvironment:
+		return 0
+	case settings.GetRole() == rockwindpb.SiteRole_SITE_ROLE_STORE:
+		return storeGCPercent
+	case settings.GetRole() == rockwindpb.SiteRole_SITE_ROLE_ROUTER:
+		return routerGCPercent
+	}
+	return 0
+}
+
 // Listen opens a listener. The setting is where the address comes from, for the error message.
 func Listen(setting, address string) (net.Listener, error) {
 	listener, err := dial.Listen(address)
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -17,6 +17,7 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
+	"rockwind.example/rockwind/internal/coldstart"
 	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/directory"
@@ -25,6 +26,7 @@
 	"rockwind.example/rockwind/internal/quarantine"
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/topology"
 	"rockwind.example/rockwind/internal/twirphttp"
 	"rockwind.example/rockwind/internal/zonedrain"
 )
@@ -41,18 +43,26 @@
 	// watch of the directory announces new configurations, so the wait only bounds how long the
 	// call hangs at a coordinator that becomes unresponsive.
 	configurationWait = 3 * time.Second
+	// lostCallTimeout is how long a coordinator may take to begin its answer to a configuration call
+	// although it announces a newer configuration. Then the call counts as lost. The time doubles
+	// with each lost call, because the coordinator may be slow.
+	lostCallTimeout = 500 * time.Millisecond
+	// maxLostCallDoublings bounds the time to the timeout of a call.
+	maxLostCallDoublings = 3
 )
 
 // Watcher watches the coordinators. Run owns its state; the other methods may be called by any
 // goroutine.
 type Watcher struct {
 	settings *rockwindpb.SiteSettings
+	topology topology.Map
 	client   *http.Client
 	follower *follower.Follower
 
-	directory  atomic.Pointer[directory.View]
-	quarantine atomic.Pointer[quarantine.List]
-	zoneDrains atomic.Pointer[zonedrain.List]
+	directory   atomic.Pointer[directory.View]
+	quarantine  atomic.Pointer[quarantine.List]
+	zoneDrains  atomic.Pointer[zonedrain.List]
+	coldServers atomic.Pointer[coldstart.List]
 	// configurationFirstAt and directoryFirstAt are when there first was a configuration and a
 	// directory, in Unix nanoseconds; zero before that.
 	configurationFirstAt, directoryFirstAt atomic.Int64
@@ -66,16 +76,14 @@
 	// silenceLoggedAt is when logSilence last wrote a record. Only the watch goroutine uses it.
 	silenceLoggedAt time.Time
 
-	// skippedRedirect is the coordinator whose last answer did not redirect the configuration
-	// call, because that was already in progress there. Only the watch goroutine uses it.
-	skippedRedirect string
-
 	mutex   sync.Mutex
 	changed chan struct{}
 	// preferred is the coordinator that answered last.
 	preferred string
-	// configurationAddress is the coordinator that was last asked for the configuration.
-	configurationAddress string
+	// configurationCall is the configuration call in progress, nil if there is none.
+	configurationCall *configurationCall
+	// lostCalls counts the configuration calls that were aborted as lost since the last answer.
+	lostCalls int
 	// watchFailed is set if the last watch failed. It is true before the first.
 	watchFailed bool
 	// avoidedUntil holds until when coordinators that did not answer are tried after the others.
@@ -85,7 +93,7 @@
 // NewWatcher returns a watcher without a directory. The folder keeps the configuration across
 // restarts; it is empty for processes without a disk.
 func NewWatcher(settings *rockwindpb.SiteSettings, client *http.Client, folder string) (*Watcher, error) {
-	w := &Watcher{createdAt: time.Now(), settings: settings, client: client, changed: make(chan struct{}), avoidedUntil: make(map[string]time.Time), watchFailed: true}
+	w := &Watcher{createdAt: time.Now(), settings: settings, topology: Topology(settings), client: client, changed: make(chan struct{}), avoidedUntil: make(map[string]time.Time), watchFailed: true}
 	configurationFollower, err := follower.New(follower.Options{
 		Sources: []rockwindpb.ConfigurationService{configurationSource{w}},
 		Folder:  folder,
@@ -181,6 +189,10 @@
 // first directory.
 func (w *Watcher) ZoneDrains() *zonedrain.List { return w.zoneDrains.Load() }
 
+// ColdServers returns the list of servers that have reported that they are cold since their registration,
+// nil before the first directory.
+func (w *Watcher) ColdServers() *coldstart.List { return w.coldServers.Load() }
+
 // Initialized reports whether the watcher has a directory and a configuration, which may have been
 // read from disk.
 func (w *Watcher) Initialized() bool {
@@ -212,8 +224,8 @@
 // LastHeard returns when a coordinator that is in contact with its leader last answered.
 func (w *Watcher) LastHeard() time.Time { return time.Unix(0, w.lastHeard.Load()) }
 
-// Changed returns a channel that is closed when the configuration, the directory, the quarantine
-// or the zone drains change after the call.
+// Changed returns a channel that is closed when the configuration, the directory, the quarantine,
+// the zone drains or the cold servers change after the call.
 func (w *Watcher) Changed() <-chan struct{} {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -276,11 +288,12 @@
 }
 
 // watchRequest asks for what is newer than the held directory, which may be nil, and than the
-// watcher's configuration, quarantine and zone drains.
+// watcher's configuration, quarantine, zone drains and cold servers.
 func (w *Watcher) watchRequest(held *directory.View, wait time.Duration) *rockwindpb.WatchDirectoryRequest {
 	request := &rockwindpb.WatchDirectoryRequest{
 		WaitMs: uint32(wait.Milliseconds()), HaveConfiguration: w.Configuration().Number(), HaveQuarantine: w.Quarantine().Revision(),
 		KnowsZoneDrains: true, HaveZoneDrains: w.ZoneDrains().Revision(),
+		KnowsColdServers: true, HaveColdServers: w.ColdServers().Revision(),
 	}
 	if held != nil {
 		request.HaveRevision = held.Revision()
@@ -311,22 +324,10 @@
 	w.recordDependency(address, nil)
 	age := time.Duration(response.GetAgeMs()) * time.Millisecond
 	w.lastHeard.Store(time.Now().Add(-age).UnixNano())
-	// Hints and redirects make the follower ask the preferred coordinator, which has the new
-	// configuration. A call that is already in progress there is about to be answered and is not
-	// aborted. If the next answer shows that it was not answered, it hangs, and only a redirect
-	// ends it, because the number may have been hinted before.
-	skipped := w.skippedRedirect == address
-	w.skippedRedirect = ""
-	switch changed := w.setPreferred(address); {
-	case changed && w.isConfigurationAddress(address):
-		w.skippedRedirect = address
-	case changed || skipped:
-		w.follower.Redirect(response.GetConfigurationNumber())
-	default:
-		w.follower.Hint(response.GetConfigurationNumber())
-	}
+	w.requestConfiguration(address, response.GetConfigurationNumber())
 	w.updateQuarantine(response)
 	w.updateZoneDrains(response)
+	w.updateColdServers(response)
 	merged := directory.Merge(held, response)
 	if merged != held {
 		w.directory.Store(merged)
@@ -345,6 +346,22 @@
 	return nil
 }
 
+// requestConfiguration has the follower ask for the configuration that a coordinator announced, if it
+// is newer than the current one. Hints and redirects abort a call in progress and ask the preferred
+// coordinator. A recent call at the announcing coordinator is about to be answered and is not aborted.
+func (w *Watcher) requestConfiguration(address string, number uint64) {
+	changed := w.setPreferred(address)
+	if number <= w.Configuration().Number() {
+		return
+	}
+	switch inProgress, lost := w.configurationCallAt(address); {
+	case lost || (changed && !inProgress):
+		w.follower.Redirect(number)
+	case !inProgress:
+		w.follower.Hint(number)
+	}
+}
+
 // updateQuarantine stores the quarantine list of a response if it is newer.
 func (w *Watcher) updateQuarantine(response *rockwindpb.WatchDirectoryResponse) {
 	if response.GetQuarantineRevision() <= w.Quarantine().Revision() {
@@ -370,6 +387,22 @@
 	decision.Default.Record(decision.ZoneDrainsInForce, strconv.FormatUint(drains.Revision(), 10), log.Fields{"zones": zones})
 }
 
+// updateColdServers stores the cold servers of a response if they are newer. It is called before the
+// directory of the same response is stored, so that a server is not used as warm in between.
+func (w *Watcher) updateColdServers(response *rockwindpb.WatchDirectoryResponse) {
+	if response.GetColdServersRevision() <= w.ColdServers().Revision() {
+		return
+	}
+	cold := coldstart.NewList(response.GetColdServersRevision(), response.GetColdServers())
+	w.coldServers.Store(cold)
+	w.notifyChanged()
+	servers := make([]string, 0, len(cold.Servers()))
+	for _, server := range cold.Servers() {
+		servers = append(servers, server.GetId())
+	}
+	decision.Default.Record(decision.ColdServersInForce, strconv.FormatUint(cold.Revision(), 10), log.Fields{"servers": servers})
+}
+
 // Stores lists the machines of the directory that run a store, by name.
 func (w *Watcher) Stores() []*rockwindpb.Machine {
 	return w.Directory().WithRole(rockwindpb.SiteRole_SITE_ROLE_STORE)
--- a/internal/site/watcher_test.go
+++ b/internal/site/watcher_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -45,8 +43,7 @@
 	return ctx.Err()
 }
 
-func (f *fakeCoordinator) start(t *testing.T) string {
-	t.Helper()
+func (f *fakeCoordinator) handler() http.Handler {
 	mux := http.NewServeMux()
 	for _, server := range []rockwindpb.TwirpServer{
 		rockwindpb.NewDirectoryServiceServer(fakeDirectory{f}),
@@ -54,9 +51,7 @@
 	} {
 		mux.Handle(server.PathPrefix(), server)
 	}
-	started := httptest.NewServer(mux)
-	t.Cleanup(started.Close)
-	return strings.TrimPrefix(started.URL, "http://")
+	return mux
 }
 
 type fakeDirectory struct{ *fakeCoordinator }
@@ -139,68 +134,106 @@
 // unresponsive coordinator. A change announced by another coordinator must abort it and be fetched
 // from that one.
 func TestConfigurationArrivesAfterTheWatchedCoordinatorHangs(t *testing.T) {
-	first, second := newFakeCoordinator(1), newFakeCoordinator(2)
-	second.hanging.Store(true)
-	watcher := startWatcher(t, first.start(t), second.start(t))
-	awaitConfiguration(t, watcher, 1, 10*time.Second)
-	first.hanging.Store(true)
-	second.hanging.Store(false)
-	// The watch of the unresponsive coordinator must time out first.
-	awaitConfiguration(t, watcher, 2, site.WatchWait+site.WatchGrace+time.Second)
+	inVirtualTime(t, func(t *testing.T, network *virtualNetwork) {
+		first, second := newFakeCoordinator(1), newFakeCoordinator(2)
+		second.hanging.Store(true)
+		watcher := network.startWatcher(t, network.add(first), network.add(second))
+		awaitConfiguration(t, watcher, 1, 10*time.Second)
+		first.hanging.Store(true)
+		second.hanging.Store(false)
+		// The watch of the unresponsive coordinator must time out first.
+		awaitConfiguration(t, watcher, 2, site.WatchWait+site.WatchGrace+time.Second)
+	})
 }
 
 // TestHangingConfigurationCallIsAbortedByNextCoordinator: a coordinator announces a newer configuration
 // and hangs before it delivers it. The same announcement by the next coordinator must abort the call.
 func TestHangingConfigurationCallIsAbortedByNextCoordinator(t *testing.T) {
-	first, second := newFakeCoordinator(1), newFakeCoordinator(2)
-	second.hanging.Store(true)
-	watcher := startWatcher(t, first.start(t), second.start(t))
-	awaitConfiguration(t, watcher, 1, 10*time.Second)
-	first.hangingConfiguration.Store(true)
-	first.number.Store(2)
-	// Long enough for the watcher to receive the announcement.
-	time.Sleep(200 * time.Millisecond)
-	first.hanging.Store(true)
-	second.hanging.Store(false)
-	awaitConfiguration(t, watcher, 2, site.WatchWait+site.WatchGrace+500*time.Millisecond)
-}
-
-// TestLostConfigurationCallIsRetriedAtTheSameCoordinator verifies that a lost configuration call
-// is retried long before its timeout if the directory watch is answered.
+	inVirtualTime(t, func(t *testing.T, network *virtualNetwork) {
+		first, second := newFakeCoordinator(1), newFakeCoordinator(2)
+		second.hanging.Store(true)
+		watcher := network.startWatcher(t, network.add(first), network.add(second))
+		awaitConfiguration(t, watcher, 1, 10*time.Second)
+		first.hangingConfiguration.Store(true)
+		first.number.Store(2)
+		// Long enough for the watcher to receive the announcement.
+		time.Sleep(200 * time.Millisecond)
+		first.hanging.Store(true)
+		second.hanging.Store(false)
+		awaitConfiguration(t, watcher, 2, site.WatchWait+site.WatchGrace+500*time.Millisecond)
+	})
+}
+
+// TestLostConfigurationCallIsRetriedAtTheSameCoordinator guards against a lost configuration call that
+// hangs until its timeout of 4 s although the same coordinator answers directory watches. With a delay, an
+// earlier call was aborted before it reached the coordinator, and the later one that was lost was not
+// retried.
 func TestLostConfigurationCallIsRetriedAtTheSameCoordinator(t *testing.T) {
-	only := newFakeCoordinator(1)
-	only.droppedCalls.Store(1)
-	watcher := startWatcher(t, only.start(t))
-	awaitConfiguration(t, watcher, 1, site.WatchWait)
+	for _, delay := range []time.Duration{0, 20 * time.Millisecond, 40 * time.Millisecond, 60 * time.Millisecond, 120 * time.Millisecond, 240 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T, network *virtualNetwork) {
+				network.configurationDelay = delay
+				only := newFakeCoordinator(1)
+				only.droppedCalls.Store(1)
+				watcher := network.startWatcher(t, network.add(only))
+				awaitConfiguration(t, watcher, 1, site.WatchWait+2*delay)
+			})
+		})
+	}
+}
+
+// TestSecondLostConfigurationCallIsRetried guards against a retry that is made only once for a number.
+func TestSecondLostConfigurationCallIsRetried(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, network *virtualNetwork) {
+		only := newFakeCoordinator(1)
+		only.droppedCalls.Store(2)
+		watcher := network.startWatcher(t, network.add(only))
+		awaitConfiguration(t, watcher, 1, 2*site.WatchWait)
+	})
+}
+
+// TestSlowConfigurationCallsAreNotAbortedForever guards against calls to a slow coordinator, or transfers
+// over a slow link, that are aborted as lost again and again. A transfer is not aborted at all.
+func TestSlowConfigurationCallsAreNotAbortedForever(t *testing.T) {
+	for name, each := range map[string]struct {
+		delay, transfer, limit time.Duration
+	}{
+		// Calls count as lost after 0.5 s, 1 s and 2 s; the fourth is answered after 2.5 s.
+		"coordinator": {delay: 1250 * time.Millisecond, limit: 6200 * time.Millisecond},
+		"transfer":    {transfer: 3 * time.Second, limit: 3100 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T, network *virtualNetwork) {
+				network.configurationDelay, network.transfer = each.delay, each.transfer
+				watcher := network.startWatcher(t, network.add(newFakeCoordinator(1)))
+				awaitConfiguration(t, watcher, 1, each.limit)
+			})
+		})
+	}
 }
 
 // TestHangingConfigurationCallIsAbortedAtAReselectedCoordinator: the configuration call hangs at
 // the coordinator that announces the configuration, whose number was hinted before. After the
-// coordinator is preferred again, its first answer leaves the call alone and the next one aborts
-// it.
+// coordinator is preferred again, its answers abort the call.
 func TestHangingConfigurationCallIsAbortedAtAReselectedCoordinator(t *testing.T) {
-	only := newFakeCoordinator(1)
-	watcher := startWatcher(t, only.start(t))
-	awaitConfiguration(t, watcher, 1, 10*time.Second)
-	awaitCall := func(before int64) {
-		for deadline := time.Now().Add(10 * time.Second); only.configurationCalls.Load() == before; time.Sleep(time.Millisecond) {
-			if time.Now().After(deadline) {
-				t.Fatal("the configuration is not requested")
+	inVirtualTime(t, func(t *testing.T, network *virtualNetwork) {
+		only := newFakeCoordinator(1)
+		watcher := network.startWatcher(t, network.add(only))
+		awaitConfiguration(t, watcher, 1, 10*time.Second)
+		awaitCall := func(before int64) {
+			for deadline := time.Now().Add(10 * time.Second); only.configurationCalls.Load() == before; time.Sleep(time.Millisecond) {
+				if time.Now().After(deadline) {
+					t.Fatal("the configuration is not requested")
+				}
 			}
 		}
-	}
-	awaitCall(1)
-	watcher.Hint(2)
-	awaitCall(2)
-	only.number.Store(2)
-	watcher.PreferNearest()
-	awaitConfiguration(t, watcher, 2, site.WatchWait)
-}
-
-// startWatcher runs a watcher with the given seeds until the end of the test.
-func startWatcher(t *testing.T, seeds ...string) *site.Watcher {
-	t.Helper()
-	return startWatcherInZone(t, "", seeds...)
+		awaitCall(1)
+		watcher.Hint(2)
+		awaitCall(2)
+		only.number.Store(2)
+		watcher.PreferNearest()
+		awaitConfiguration(t, watcher, 2, site.WatchWait)
+	})
 }
 
 func awaitConfiguration(t *testing.T, watcher *site.Watcher, number uint64, limit time.Duration) {
@@ -215,12 +248,14 @@
 // TestWatcherReachesTheOnlyCoordinatorThatAnswers guards against alternating between two
 // unresponsive coordinators out of three.
 func TestWatcherReachesTheOnlyCoordinatorThatAnswers(t *testing.T) {
-	var seeds []string
-	for range 2 {
-		unresponsive := newFakeCoordinator(1)
-		unresponsive.hanging.Store(true)
-		seeds = append(seeds, unresponsive.start(t))
-	}
-	seeds = append(seeds, newFakeCoordinator(3).start(t))
-	awaitConfiguration(t, startWatcher(t, seeds...), 3, 3*(site.WatchWait+site.WatchGrace))
+	inVirtualTime(t, func(t *testing.T, network *virtualNetwork) {
+		var seeds []string
+		for range 2 {
+			unresponsive := newFakeCoordinator(1)
+			unresponsive.hanging.Store(true)
+			seeds = append(seeds, network.add(unresponsive))
+		}
+		seeds = append(seeds, network.add(newFakeCoordinator(3)))
+		awaitConfiguration(t, network.startWatcher(t, seeds...), 3, 3*(site.WatchWait+site.WatchGrace))
+	})
 }
--- a/internal/sitemetrics/metrics.go
+++ b/internal/sitemetrics/metrics.go
@@ -31,6 +31,7 @@
 	registry   *prometheus.Registry
 	timeToHead *prometheus.HistogramVec
 	duration   *prometheus.HistogramVec
+	restricted *prometheus.CounterVec
 }
 
 // New returns the metrics of a process with the given role. The decision counters are read from
@@ -47,8 +48,12 @@
 			Name: "rockwind_held_seconds", Help: "Time from the receipt of a request to the end of its answer.",
 			ConstLabels: labels, Buckets: latencyBuckets,
 		}, []string{"route_kind", "outcome"}),
+		restricted: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "rockwind_restricted_requests_total", Help: "Ended requests that may be served in some regions only, by outcome.",
+			ConstLabels: labels,
+		}, []string{"outcome"}),
 	}
-	set.registry.MustRegister(set.timeToHead, set.duration, decisionCollector{recorder: recorder, labels: labels},
+	set.registry.MustRegister(set.timeToHead, set.duration, set.restricted, decisionCollector{recorder: recorder, labels: labels},
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return set
 }
@@ -62,6 +67,11 @@
 	s.duration.WithLabelValues(routeKind, string(outcome)).Observe(duration.Seconds())
 }
 
+// CountRestricted counts the end of a request that may be served in some regions only.
+func (s *Set) CountRestricted(outcome decision.Kind) {
+	s.restricted.WithLabelValues(string(outcome)).Inc()
+}
+
 // Handler returns the handler of scrapes.
 func (s *Set) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/store/limit.go
+++ b/internal/store/limit.go
@@ -12,6 +12,7 @@
 	"rockwind.example/rockwind/internal/jobclient"
 	"rockwind.example/rockwind/internal/quota"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/site"
 )
 
 const (
@@ -47,9 +48,11 @@
 }
 
 func newLimiter(s *Store) *limiter {
+	client := jobclient.New(s.watcher, s.client)
+	client.PreferNear(s.settings.GetZone(), site.Topology(s.settings))
 	return &limiter{
 		store:   s,
-		client:  jobclient.New(s.watcher, s.client),
+		client:  client,
 		origin:  time.Now(),
 		intakes: make(map[uint32]*quota.Intake),
 		counts:  make(map[string]*ownedCount),
--- a/internal/store/owner.go
+++ b/internal/store/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -68,7 +69,9 @@
 	if limit == 0 {
 		return term, nil
 	}
-	return term, l.decide(l.countOf(accountOf(request), term, shards), request, limit, index.Number())
+	// Jobs wait in the regional shards as well.
+	all := l.store.watcher.Directory().AllShards()
+	return term, l.decide(l.countOf(accountOf(request), term, all), request, limit, index.Number())
 }
 
 // accountOf returns the name of the count that a request refers to.
@@ -89,7 +92,7 @@
 	return 0
 }
 
-// countOf returns the count of an account in a term. It replaces the count of an earlier term.
+// countOf returns the count of an account over a number of shards in a term. It replaces the count of an earlier term.
 func (l *limiter) countOf(account string, term uint64, shards int) *ownedCount {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -175,9 +178,22 @@
 	})
 }
 
+// regionIsGone reports whether a shard is that of a region of which the directory lists no store. No
+// item of such a shard can run.
+func (l *limiter) regionIsGone(shard uint32) bool {
+	region := l.store.watcher.Directory().ShardRegion(shard)
+	return region != "" && !slices.ContainsFunc(l.store.watcher.Stores(), func(store *rockwindpb.Machine) bool {
+		return l.store.regions.Region(store.GetZone()) == region
+	})
+}
+
 // pollShard requests the report of one shard. On failure the previous report stays in use.
 func (l *limiter) pollShard(ctx context.Context, owned *ownedCount, poll quota.Poll, query *rockwindpb.ReportTokensRequest) {
 	response, err := l.client.Report(ctx, query)
+	if err != nil && l.regionIsGone(query.GetShard()) {
+		// Otherwise the loss of a region would block the limited routes of all others.
+		response, err = &rockwindpb.ReportTokensResponse{}, nil
+	}
 	if err != nil {
 		log.WithError(err).WithField("route", query.GetRoute()).WithField("shard", query.GetShard()).Debug("shard did not report its waiting tokens")
 		return
--- a/internal/store/service.go
+++ b/internal/store/service.go
@@ -4,12 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
 	"google.golang.org/protobuf/proto"
 
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/store/contact"
 )
 
 // Limits of reads.
@@ -36,26 +38,29 @@
 	return shard{number: number, group: group, machine: s.machine(number)}, nil
 }
 
-// shards returns the number of shards of the site, or zero before the cluster is bootstrapped.
-func (s *Store) shards() int {
-	view := s.watcher.Directory()
-	if view == nil {
-		return 0
-	}
-	return len(view.StoreCluster().GetGroups())
-}
+// shards returns the number of ordinary shards of the site, or zero before the cluster is
+// bootstrapped.
+func (s *Store) shards() int { return s.watcher.Directory().Shards() }
 
-// shardOf returns a job's shard.
-func (s *Store) shardOf(job string) (shard, error) {
-	shards := s.shards()
-	if shards == 0 {
+// shardOf returns a job's shard: that of the region, or the ordinary one if the region is empty.
+func (s *Store) shardOf(job, region string) (shard, error) {
+	view := s.watcher.Directory()
+	if view.Shards() == 0 {
 		return shard{}, clusterUnknown()
 	}
-	return s.shard(jobstore.ShardOf(job, shards))
+	if region == "" {
+		return s.shard(jobstore.ShardOf(job, view.Shards()))
+	}
+	number, found := view.RegionalShard(region)
+	if !found {
+		return shard{}, fault.Newf(fault.Unavailable, "found the site with a store in the region", "region %s has no shard", region).WithRan(fault.NotRun)
+	}
+	return s.shard(number)
 }
 
 func notReplicated(shard uint32) error {
-	return fault.Newf(fault.NotLeader, "ask another store", "this store does not replicate shard %d", shard).WithRan(fault.NotRun)
+	return fault.Newf(fault.NotLeader, "ask another store", "this store does not replicate shard %d", shard).
+		WithRan(fault.NotRun).WithRetryAfter(notReplicatedRetryAfter)
 }
 
 func clusterUnknown() error {
@@ -95,7 +100,7 @@
 // Submit implements rockwindpb.JobStoreService.
 func (s jobStoreService) Submit(ctx context.Context, request *rockwindpb.SubmitStoredJobRequest) (*rockwindpb.SubmitStoredJobResponse, error) {
 	job := request.GetJob()
-	jobShard, err := s.store.shardOf(job.GetId())
+	jobShard, err := s.store.shardOf(job.GetId(), request.GetRegion())
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
@@ -108,45 +113,104 @@
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
+	if request.GetRegion() != "" {
+		jobShard.awaitSynced(ctx)
+	}
 	return &rockwindpb.SubmitStoredJobResponse{Resent: outcome.Resent}, nil
 }
 
+// regionSyncTimeout bounds the wait for the replicas of a regional shard beyond a quorum. A sync takes
+// some milliseconds.
+const regionSyncTimeout = 100 * time.Millisecond
+
+// awaitSynced waits until all replicas that the leader is in contact with have synced a committed
+// job. A region may have only three stores, so a quorum alone would not survive the loss of two
+// disks. After regionSyncTimeout a quorum suffices.
+func (s shard) awaitSynced(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, regionSyncTimeout)
+	defer cancel()
+	if err := s.group.AwaitSynced(ctx); err != nil {
+		log.WithError(err).WithField("shard", s.number).Warn("a job is acknowledged by a quorum only")
+	}
+}
+
+// Find implements rockwindpb.JobStoreService.
+func (s jobStoreService) Find(ctx context.Context, request *rockwindpb.FindStoredJobRequest) (*rockwindpb.FindStoredJobResponse, error) {
+	jobShard, err := s.store.shardOf(request.GetId(), request.GetRegion())
+	if err != nil {
+		return nil, fault.ToTwirp(err)
+	}
+	response := &rockwindpb.FindStoredJobResponse{}
+	if err := jobShard.group.Read(ctx, func() { response.Digest, response.Found = jobShard.machine.DigestOf(request.GetId()) }); err != nil {
+		return nil, fault.ToTwirp(notRunUnlessUnknown(err))
+	}
+	return response, nil
+}
+
 // Read implements rockwindpb.JobStoreService. It waits until there is a result at the position,
 // up to the time in the request.
 func (s jobStoreService) Read(ctx context.Context, request *rockwindpb.ReadStoredJobRequest) (*rockwindpb.ReadStoredJobResponse, error) {
-	jobShard, err := s.store.shardOf(request.GetId())
+	jobShard, err := s.store.shardOf(request.GetId(), request.GetRegion())
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
+	response, err := jobShard.awaitResults(ctx, request, s.store.contacts)
+	return response, fault.ToTwirp(err)
+}
+
+// awaitResults returns the results of a job from a position on as soon as there is one, or none after the
+// time in the request.
+func (s shard) awaitResults(ctx context.Context, request *rockwindpb.ReadStoredJobRequest, known *contacts) (*rockwindpb.ReadStoredJobResponse, error) {
 	limit := time.NewTimer(min(time.Duration(request.GetWaitMs())*time.Millisecond, maximumWait))
 	defer limit.Stop()
+	// A follower that waits looks at its contact with the leader again and again.
+	var recheck <-chan time.Time
+	if request.GetFollowerMayAnswer() {
+		ticker := time.NewTicker(contact.MaxSilence)
+		defer ticker.Stop()
+		recheck = ticker.C
+	}
 	for waiting := true; ; {
-		applied := jobShard.group.Applied()
-		response, err := jobShard.results(ctx, request)
+		applied := s.group.Applied()
+		response, err := s.read(ctx, request, known)
 		if err != nil {
-			return nil, fault.ToTwirp(err)
+			return nil, err
 		}
 		if !waiting || len(response.GetResults()) > 0 || request.GetFrom() >= response.GetTotal() {
 			return response, nil
 		}
 		select {
 		case <-applied:
+		case <-recheck:
 		case <-limit.C:
 			waiting = false
 		case <-ctx.Done():
-			return nil, fault.ToTwirp(fault.New(fault.Unavailable, "the wait for results was interrupted", "ask again"))
+			return nil, fault.New(fault.Unavailable, "the wait for results was interrupted", "ask again")
 		}
 	}
 }
 
+// read returns the current results of a job from the state of the leader or, if the request accepts
+// that, of a follower.
+func (s shard) read(ctx context.Context, request *rockwindpb.ReadStoredJobRequest, known *contacts) (*rockwindpb.ReadStoredJobResponse, error) {
+	if _, leading := s.group.Leading(); request.GetFollowerMayAnswer() && !leading {
+		return s.followerResults(ctx, request, known)
+	}
+	return s.results(ctx, request)
+}
+
+// readBytes returns the bound of the results' text in a response.
+func readBytes(request *rockwindpb.ReadStoredJobRequest) int {
+	if maximum := int(request.GetMaximumBytes()); maximum > 0 {
+		return maximum
+	}
+	return defaultReadBytes
+}
+
 // results returns the current results of a job from a position on.
 func (s shard) results(ctx context.Context, request *rockwindpb.ReadStoredJobRequest) (response *rockwindpb.ReadStoredJobResponse, failure error) {
-	maximumBytes := int(request.GetMaximumBytes())
-	if maximumBytes <= 0 {
-		maximumBytes = defaultReadBytes
-	}
 	err := s.group.Read(ctx, func() {
-		response, failure = s.machine.Read(request.GetId(), request.GetTenant(), request.GetFrom(), maximumBytes)
+		response, failure = s.machine.Read(request.GetId(), request.GetTenant(), request.GetFrom(), readBytes(request))
 	})
 	if err != nil {
 		return nil, notRunUnlessUnknown(err)
@@ -156,7 +220,7 @@
 
 // ReadBody implements rockwindpb.JobStoreService.
 func (s jobStoreService) ReadBody(ctx context.Context, request *rockwindpb.ReadItemBodyRequest) (*rockwindpb.ReadItemBodyResponse, error) {
-	jobShard, err := s.store.shardOf(request.GetJob())
+	jobShard, err := s.store.shardOf(request.GetJob(), request.GetRegion())
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
@@ -173,10 +237,12 @@
 
 // End implements rockwindpb.JobStoreService.
 func (s jobStoreService) End(ctx context.Context, request *rockwindpb.EndStoredJobRequest) (*rockwindpb.EndStoredJobResponse, error) {
-	jobShard, err := s.store.shardOf(request.GetId())
+	jobShard, err := s.store.shardOf(request.GetId(), request.GetRegion())
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
-	_, err = propose(ctx, jobShard.group, &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_End{End: request}})
+	_, err = propose(ctx, jobShard.group, &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_End{
+		End: &rockwindpb.EndStoredJobRequest{Id: request.GetId(), Tenant: request.GetTenant()},
+	}})
 	return &rockwindpb.EndStoredJobResponse{}, fault.ToTwirp(err)
 }
--- a/internal/store/share.go
+++ b/internal/store/share.go
@@ -11,8 +11,10 @@
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/featuregate"
 	"rockwind.example/rockwind/internal/jobstore"
+	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/router"
 	"rockwind.example/rockwind/internal/store/claims"
+	"rockwind.example/rockwind/internal/topology"
 )
 
 // heldBackInterval is the time between log entries of a shard about tenants whose items are
@@ -23,12 +25,38 @@
 // scheduling pass.
 type tenantShares struct {
 	use backlog.Usage
-	// smallestRefused is the smallest reservation with which an item was refused a slot, by
-	// service.
-	smallestRefused map[string]int
+	// smallestRefused is the smallest reservation with which an item was refused a slot.
+	smallestRefused map[serverGroup]int
+	// regions are the allowed regions of items.
+	regions map[itemOwner]topology.RegionSet
 }
 
-func newTenantShares() tenantShares { return tenantShares{smallestRefused: make(map[string]int)} }
+func newTenantShares() tenantShares {
+	return tenantShares{smallestRefused: make(map[serverGroup]int), regions: make(map[itemOwner]topology.RegionSet)}
+}
+
+// serverGroup is the servers of a service in a set of regions, which is identified by its key.
+type serverGroup struct{ service, regions string }
+
+// itemOwner is the route and the tenant of items.
+type itemOwner struct {
+	route  *rockwindpb.Route
+	tenant string
+}
+
+// allowedRegions returns the regions in which an item may run, by the current configuration.
+func (e *executor) allowedRegions(item jobstore.OpenItem) topology.RegionSet {
+	route, _ := e.route(item)
+	owner := itemOwner{route: route, tenant: item.Tenant}
+	allowed, known := e.shares.regions[owner]
+	if !known {
+		index := e.store.watcher.Configuration()
+		tenant, _ := index.Tenant(item.Tenant)
+		allowed = index.AllowedRegions(route, tenant)
+		e.shares.regions[owner] = allowed
+	}
+	return allowed
+}
 
 // tenantsUse returns what the tenants of this shard's items are running in all shards.
 func (e *executor) tenantsUse(open []jobstore.OpenItem, now time.Time) backlog.Usage {
@@ -77,23 +105,32 @@
 	at   time.Time
 }
 
-// cannotFit reports whether the item would be refused: an item with the same or a smaller
-// reservation was refused in this pass.
+// cannotFit reports whether the item would be refused: an item with the same regions and the same or
+// a smaller reservation was refused in this pass.
 func (e *executor) cannotFit(item jobstore.OpenItem) bool {
 	if len(e.shares.smallestRefused) == 0 {
 		return false
 	}
 	service, entry, found := e.resolve(item)
-	smallest, refused := e.shares.smallestRefused[service]
+	smallest, refused := e.shares.smallestRefused[serverGroup{service, e.allowedRegions(item).Key()}]
 	return found && refused && e.shares.use.Reserved(service, entry) >= smallest
 }
 
+// regionsFull reports whether the item is restricted to regions in which no item got a slot in this
+// pass although none was reserved for others.
+func (e *executor) regionsFull(service string, item jobstore.OpenItem) bool {
+	allowed := e.allowedRegions(item)
+	smallest, refused := e.shares.smallestRefused[serverGroup{service, allowed.Key()}]
+	return allowed.Restricted() && refused && smallest == 0
+}
+
 // acquire acquires a slot on a server for an item, and leaves reserved slots to tenants with a
-// smaller share. If there is none, tryNext reports whether another item may still get a slot.
+// smaller share. If there is none, tryNext reports whether another item may still get a slot, which
+// items with a smaller reservation or with other regions may.
 func (e *executor) acquire(service string, item jobstore.OpenItem) (lease *router.Lease, tryNext bool) {
 	entry := e.backlogItem(item)
 	demand := balance.Demand{
-		Parts: e.promptParts(item), Batch: true,
+		Parts: e.promptParts(item), Bytes: len(item.Body), Batch: true, Regions: e.allowedRegions(item),
 		Reserved: e.shares.use.Reserved(service, entry), Prioritized: e.shares.use.GoesFirst(service, entry),
 	}
 	lease = e.store.dispatcher.TryAcquire(service, demand)
@@ -101,11 +138,12 @@
 		e.shares.use.AddRunning(entry)
 		return lease, true
 	}
-	if demand.Reserved == 0 {
+	if demand.Reserved == 0 && !demand.Regions.Restricted() {
 		return nil, false
 	}
-	if smallest, refused := e.shares.smallestRefused[service]; !refused || demand.Reserved < smallest {
-		e.shares.smallestRefused[service] = demand.Reserved
+	group := serverGroup{service, demand.Regions.Key()}
+	if smallest, refused := e.shares.smallestRefused[group]; !refused || demand.Reserved < smallest {
+		e.shares.smallestRefused[group] = demand.Reserved
 	}
 	return nil, true
 }
@@ -133,6 +171,10 @@
 		if !found {
 			continue
 		}
+		if e.regionsFull(service, item) {
+			// Slots that it can't use must not be reserved for it.
+			continue
+		}
 		heldBack := e.shares.use.Reserved(service, entry) > 0
 		load.AddWaiting(service, e.shares.use.RunsPerWeight(entry), heldBack)
 		if heldBack {
--- a/internal/store/share_test.go
+++ b/internal/store/share_test.go
@@ -14,6 +14,7 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/router"
 	"rockwind.example/rockwind/internal/store/claims"
+	"rockwind.example/rockwind/internal/topology"
 )
 
 // TestOnlyItemsThatWaitForASlotAreStartable: slots reserved for other items would stay unused.
@@ -80,7 +81,7 @@
 	register.Apply(&rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Report{Report: &rockwindpb.Server{
 		Id: "server", Service: "app", Address: "10.0.0.1:1", Slots: 1, State: rockwindpb.ServerState_SERVER_STATE_READY, Sequence: 1,
 	}}})
-	dispatcher := router.NewDispatcher("", featuregate.Set{})
+	dispatcher := router.NewDispatcher("", topology.Map{}, featuregate.Set{})
 	dispatcher.Update(register.View())
 	load := backlog.NewShardLoad(nil)
 	load.AddWaiting("app", 0, false)
--- a/internal/store/start.go
+++ b/internal/store/start.go
@@ -13,6 +13,7 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/router"
 	"rockwind.example/rockwind/internal/store/claims"
+	"rockwind.example/rockwind/internal/topology"
 )
 
 // process starts an item, gives it up or skips it. It returns false if no server has a slot for
@@ -78,7 +79,7 @@
 		tenant: item.Tenant, service: service, server: lease.ID, route: route, submitted: time.UnixMilli(item.SubmittedUnixMs),
 		began: now, eventsBefore: h.eventCount(), choice: lease.Choice, cancel: cancel,
 	}
-	logStart(item, h, lease, now)
+	logStart(item, h, lease, e.allowedRegions(item), now)
 	attempt := &itemAttempt{
 		store: e.store, item: item, history: h, writer: h.output.NewWriter(h.failures),
 		lease: lease, route: route.GetName(), maxAttempts: max(1, int(route.GetAttempts())),
@@ -111,16 +112,20 @@
 }
 
 // logStart logs the start of an item.
-func logStart(item jobstore.OpenItem, h *history, lease *router.Lease, now time.Time) {
+func logStart(item jobstore.OpenItem, h *history, lease *router.Lease, allowed topology.RegionSet, now time.Time) {
 	if !decision.Enabled(decision.ItemStarted, item.Job) {
 		decision.Default.Skip(decision.ItemStarted)
 		return
 	}
-	decision.Default.Record(decision.ItemStarted, item.Job, log.Fields{
-		"item": item.Index, "item_id": item.Item.GetId(), "server": lease.ID, "load": lease.Load, "slots": lease.Slots, "pace": lease.Slowness(),
+	fields := log.Fields{
+		"item": item.Index, "item_id": item.Item.GetId(), "server": lease.ID, "distance": lease.Distance.String(), "load": lease.Load, "slots": lease.Slots, "pace": lease.Slowness(),
 		"failures": h.failures, "after_event": h.output.LastEvent(), "age_ms": now.UnixMilli() - item.SubmittedUnixMs,
 		"tenant": item.Tenant,
-	})
+	}
+	if allowed.Restricted() {
+		fields["regions"], fields["server_region"] = allowed.Names(), lease.Region
+	}
+	decision.Default.Record(decision.ItemStarted, item.Job, fields)
 }
 
 // quarantined reports whether the item must wait because servers failed while running the same
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -18,6 +18,7 @@
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/dial"
 	"rockwind.example/rockwind/internal/featuregate"
+	"rockwind.example/rockwind/internal/featurelevel"
 	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/retry"
@@ -25,6 +26,7 @@
 	"rockwind.example/rockwind/internal/router"
 	"rockwind.example/rockwind/internal/site"
 	"rockwind.example/rockwind/internal/sitemetrics"
+	"rockwind.example/rockwind/internal/traffic"
 	"rockwind.example/rockwind/internal/upstream"
 )
 
@@ -43,6 +45,7 @@
 	settings      *rockwindpb.SiteSettings
 	gates         featuregate.Set
 	client        *http.Client
+	traffic       *traffic.Counter
 	host          *replica.Host
 	watcher       *site.Watcher
 	dispatcher    *router.Dispatcher
@@ -51,6 +54,8 @@
 	protocol      router.Protocol
 	limiter       *limiter
 	rates         *requestRates
+	regions       siteRegions
+	contacts      *contacts
 
 	mutex    sync.Mutex
 	machines map[uint32]*jobstore.Machine
@@ -66,20 +71,23 @@
 func Run(ctx context.Context, settings *rockwindpb.SiteSettings, protocol router.Protocol) error {
 	site.SetMemoryLimit(settings)
 	gates := featuregate.NewSet(settings.GetSwitchedOff())
+	counter := traffic.NewCounter(settings.GetZone(), site.Topology(settings))
 	s := &Store{
 		settings:   settings,
 		gates:      gates,
-		client:     dial.NewClient(),
-		dispatcher: router.NewDispatcher(settings.GetZone(), gates),
-		upstream:   router.NewUpstreamClient(),
+		client:     dial.NewClient(counter.Dial),
+		traffic:    counter,
+		dispatcher: router.NewDispatcher(settings.GetZone(), site.Topology(settings), gates),
+		upstream:   router.NewUpstreamClient(counter),
 		protocol:   protocol,
+		regions:    siteRegions{site.Topology(settings)},
+		contacts:   newContacts(),
 		machines:   make(map[uint32]*jobstore.Machine),
 		transfers:  make(map[uint32]chan leadershipTransfer),
 		created:    make(chan uint32, maximumShards),
 	}
-	host, release, err := site.OpenHost(settings, s.client, site.HostOptions{
-		Discover: s.peers, MustLeave: s.retiring, StateMachines: s.create, BeforeLeadershipTransfer: s.prepareLeadershipTransfer, TargetVoters: site.GroupSize(settings),
-	})
+	s.dispatcher.CountTraffic(counter)
+	host, release, err := site.OpenHost(settings, s.client, s.hostOptions())
 	if err != nil {
 		return err
 	}
@@ -88,14 +96,26 @@
 	if s.watcher, err = site.NewWatcher(settings, s.client, filepath.Join(settings.GetDataFolder(), configurationFolder)); err != nil {
 		return err
 	}
-	s.crashReporter = router.NewCrashReporter(s.watcher, s.upstream, s.protocol)
+	s.crashReporter = router.NewCrashReporter(s.watcher, s.upstream, s.protocol, s.dispatcher)
 	s.limiter = newLimiter(s)
 	s.rates = newRequestRates(s)
 	listener, err := site.Listen("internal_listen", settings.GetInternalListen())
 	if err != nil {
 		return err
 	}
-	return s.run(ctx, listener)
+	return s.run(ctx, counter.Listener(listener))
+}
+
+// hostOptions returns the options of the replicas.
+func (s *Store) hostOptions() site.HostOptions {
+	options := site.HostOptions{
+		Discover: s.peers, MustLeave: s.retiring, StateMachines: s.create, BeforeLeadershipTransfer: s.prepareLeadershipTransfer, TargetVoters: site.GroupSize(s.settings),
+		InRegion: s.inRegion,
+	}
+	if s.regions.MultiRegion() {
+		options.RegionOf = s.regionOf
+	}
+	return options
 }
 
 // create returns the state machine of a new shard.
@@ -138,9 +158,11 @@
 	log.WithField("machine", s.settings.GetName()).WithField("address", s.settings.GetInternalListen()).Info("store serves")
 	return site.RunHost(ctx, s.host, func(group *errgroup.Group, parts context.Context) {
 		group.Go(func() error { return s.watcher.Run(parts) })
+		group.Go(func() error { s.traffic.Follow(parts, s.watcher.Directory); return nil })
 		group.Go(func() error { return s.metrics().Serve(parts, s.settings) })
 		group.Go(func() error { return site.Serve(parts, site.NewServer(s.handler()), listener, stopTimeout) })
 		group.Go(func() error { s.announce(parts); return nil })
+		group.Go(func() error { s.followLeaders(parts); return nil })
 		group.Go(func() error { s.crashReporter.Run(parts); return nil })
 		group.Go(func() error { router.FollowDirectory(parts, s.watcher, s.dispatcher, s.upstream); return nil })
 		group.Go(func() error {
@@ -156,19 +178,23 @@
 	set := sitemetrics.New("store", decision.Default)
 	set.Limits(s.limiter.gauges)
 	set.LoadTraffic(s.dispatcher.LoadTraffic)
+	set.Traffic(s.traffic)
+	set.StoreMemory(s.memory)
 	set.Paces(s.dispatcher.Paces)
 	set.DrainedZones(s.dispatcher.DrainedZones)
+	set.ColdServers(s.dispatcher.ColdServers)
 	set.Orphaned(s.dispatcher.Orphaned)
 	set.Quarantined(s.crashReporter.QuarantinedCount)
 	set.ShortItems(s.dispatcher.ShortItems)
 	set.Coordinators(s.watcher.WatchFailures)
+	set.RequestDistances(s.dispatcher.StartsByDistance, s.dispatcher.RoundTrips)
 	return set
 }
 
 func (s *Store) handler() http.Handler {
 	mux := http.NewServeMux()
 	for _, server := range []rockwindpb.TwirpServer{
-		rockwindpb.NewReplicaServiceServer(s.host.Service()),
+		replica.NewServer(s.host),
 		rockwindpb.NewJobStoreServiceServer(jobStoreService{s}),
 		rockwindpb.NewTokenLimitServiceServer(tokenLimitService{s.limiter}),
 		rockwindpb.NewRequestRateServiceServer(s.rates),
@@ -188,6 +214,8 @@
 		Address:   site.AdvertisedAddress(s.settings),
 		DiskId:    s.host.DiskID(),
 		Bootstrap: s.settings.GetBootstrap(),
+
+		FeatureLevel: featurelevel.Current,
 	}
 	for {
 		founding, err := s.watcher.Announce(ctx, self, !s.member())
--- a/internal/store/transfer_test.go
+++ b/internal/store/transfer_test.go
@@ -15,6 +15,7 @@
 	"rockwind.example/rockwind/internal/router"
 	"rockwind.example/rockwind/internal/store/claims"
 	"rockwind.example/rockwind/internal/store/output"
+	"rockwind.example/rockwind/internal/topology"
 	"rockwind.example/rockwind/internal/upstream"
 )
 
@@ -33,7 +34,7 @@
 	t.Helper()
 	gates := featuregate.NewSet(switchedOff)
 	s := &Store{
-		gates: gates, settings: &rockwindpb.SiteSettings{}, dispatcher: router.NewDispatcher("zone", gates),
+		gates: gates, settings: &rockwindpb.SiteSettings{}, dispatcher: router.NewDispatcher("zone", topology.Map{}, gates),
 		machines: make(map[uint32]*jobstore.Machine), transfers: make(map[uint32]chan leadershipTransfer), created: make(chan uint32, 1),
 	}
 	machine := s.create(1).(*jobstore.Machine)
@@ -96,9 +97,10 @@
 
 // transferWithin returns how long a transfer took, with a time limit.
 func (s *transferShard) transferWithin(limit time.Duration) time.Duration {
+	// The timeout begins after this, so that a pause in between does not shorten what is measured.
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(s.t.Context(), limit)
 	defer cancel()
-	began := time.Now()
 	s.store.prepareLeadershipTransfer(ctx, 1)
 	return time.Since(began)
 }
