replica: transfer leadership straight into the region on a drain

Cause: A draining store transferred leadership to the most advanced active voter, often outside the region that holds the majority of the voters; the leader there transferred it back a second later. Change: A drain prefers a voter of that region that meets the conditions of a target of the regional transfer (leaderregion.DecideDrain), and takes any active voter at once if there is none, after a failed attempt, or if the target fails during the preparation. Tests: the number of transfers, a target that dies, a drain in the first second of a leadership, and the conditions.

--- a/internal/replica/drain.go
+++ b/internal/replica/drain.go
@@ -76,11 +76,16 @@
 }
 
 // continueDrain transfers any leadership that a draining replica still has or has
-// regained.
+// regained, if possible into the region that holds a majority of the voters.
 func (o *owner) continueDrain() {
-	if o.draining {
-		_ = o.transferLeadership()
+	if !o.draining {
+		return
 	}
+	if target := o.drainTarget(time.Now()); target != 0 {
+		_ = o.prepareTransfer(func() error { return o.startDrainTransfer(target) })
+		return
+	}
+	_ = o.transferLeadership()
 }
 
 // transferLeadership calls Options.BeforeLeadershipTransfer and then transfers
--- a/internal/replica/leaderregion.go
+++ b/internal/replica/leaderregion.go
@@ -34,6 +34,27 @@
 	}
 }
 
+// drainTarget returns the voter of the preferred region to which a draining leader transfers leadership,
+// zero if any voter will do. The caller must start the transfer.
+func (o *owner) drainTarget(now time.Time) uint64 {
+	if o.host.options.RegionOf == nil {
+		return 0
+	}
+	target := o.leaderRegion.DrainTarget(now, o.regionView())
+	if target != 0 {
+		o.leaderRegion.Begin(now, target)
+	}
+	return target
+}
+
+// startDrainTransfer starts a transfer after its preparation, to any voter if the target has failed meanwhile.
+func (o *owner) startDrainTransfer(target uint64) error {
+	if !o.leaderRegion.Eligible(time.Now(), o.regionView(), target) {
+		return o.startTransfer()
+	}
+	return o.node.TransferLeadership(target)
+}
+
 // startTransferToRegion starts a transfer after its preparation, unless the target has failed meanwhile.
 func (o *owner) startTransferToRegion(target uint64) error {
 	if !o.leaderRegion.Eligible(time.Now(), o.regionView(), target) {
--- a/internal/replica/leaderregion/decide.go
+++ b/internal/replica/leaderregion/decide.go
@@ -45,13 +45,32 @@
 // the first of the membership, which is a different store for each shard of a new site.
 func Decide(now time.Time, s Situation) uint64 {
 	region := majorityRegion(s.Voters)
-	if region == "" || now.Sub(s.LedSince) < leadingTime || now.Before(s.NotBefore) || !isElsewhere(s, region) {
+	if region == "" || now.Sub(s.LedSince) < leadingTime || !isElsewhere(s, region) {
+		return 0
+	}
+	return targetIn(region, now, s)
+}
+
+// DecideDrain returns the voter to which a draining leader transfers leadership, zero if any voter will do.
+// The conditions of a target are those of Decide, so that the next leader does not transfer leadership again.
+// Those of the leader do not apply: it must not lead on, wherever it is.
+func DecideDrain(now time.Time, s Situation) uint64 {
+	region := majorityRegion(s.Voters)
+	if region == "" {
+		return 0
+	}
+	return targetIn(region, now, s)
+}
+
+// targetIn returns the target in a region, zero if there is none.
+func targetIn(region string, now time.Time, s Situation) uint64 {
+	if now.Before(s.NotBefore) {
 		return 0
 	}
 	target := uint64(0)
 	for _, voter := range s.Voters {
 		switch {
-		case voter.Region != region || !voter.Complete || !eligible(now, voter):
+		case voter.ID == s.Self || voter.Region != region || !voter.Complete || !eligible(now, voter):
 		case voter.ID != s.Avoided:
 			return voter.ID
 		default:
--- a/internal/replica/leaderregion/tracker.go
+++ b/internal/replica/leaderregion/tracker.go
@@ -171,9 +171,24 @@
 // Target returns the voter to which the leader transfers leadership now, zero if to none. It follows a
 // call of Observe with the same arguments.
 func (t *Tracker) Target(now time.Time, view View) uint64 {
-	if !view.leading() || view.Transferring || !view.Stable {
+	if !mayTransfer(view) {
 		return 0
 	}
+	return Decide(now, t.situation(now, view))
+}
+
+// DrainTarget returns the voter to which a draining leader transfers leadership, zero if any voter will do.
+// What earlier calls of Observe recorded of the voters must be of this leadership.
+func (t *Tracker) DrainTarget(now time.Time, view View) uint64 {
+	if !mayTransfer(view) || t.term != view.Term {
+		return 0
+	}
+	return DecideDrain(now, t.situation(now, view))
+}
+
+func mayTransfer(view View) bool { return view.leading() && !view.Transferring && view.Stable }
+
+func (t *Tracker) situation(now time.Time, view View) Situation {
 	situation := Situation{Self: view.Self, LedSince: t.ledSince, NotBefore: t.pause.until}
 	if now.Sub(t.attempted) < targetMemory {
 		situation.Avoided = t.target
@@ -181,7 +196,7 @@
 	for _, voter := range view.Voters {
 		situation.Voters = append(situation.Voters, t.candidate(view, voter))
 	}
-	return Decide(now, situation)
+	return situation
 }
 
 // Eligible reports whether a voter is still a target of a transfer that is in preparation. It may lack
--- a/internal/replica/leaderregion/tracker_test.go
+++ b/internal/replica/leaderregion/tracker_test.go
@@ -267,3 +267,69 @@
 		})
 	}
 }
+
+// Guards against a drain that prefers a voter which the regional transfer would not choose, and against one that
+// waits although no voter of the region can be chosen.
+func TestDrainTarget(t *testing.T) {
+	for name, test := range map[string]struct {
+		self uint64
+		edit func(g *group)
+		want uint64
+	}{
+		"leader elsewhere":         {want: 1},
+		"leader in the region":     {self: 1, want: 2},
+		"no majority":              {edit: func(g *group) { g.view.Voters[0].Region = "south" }},
+		"regions not known":        {edit: func(g *group) { g.view.Voters[0].Region, g.view.Voters[1].Region = "", "" }},
+		"first inactive":           {edit: func(g *group) { g.view.Voters[0].Active = false }, want: 2},
+		"first lacks entries":      {edit: func(g *group) { g.view.Voters[0].Match-- }, want: 2},
+		"first leaves":             {edit: func(g *group) { g.view.Voters[0].Leaving = true }, want: 2},
+		"region inactive":          {edit: func(g *group) { g.onlyFirstInNorth(); g.view.Voters[0].Active = false }},
+		"membership not committed": {edit: func(g *group) { g.view.Stable = false }},
+		"transfer in progress":     {edit: func(g *group) { g.view.Transferring = true }},
+		"follower":                 {edit: func(g *group) { g.view.Leader = 5 }},
+		"new leadership":           {edit: func(g *group) { g.view.Term++ }},
+		"after a failed transfer":  {edit: func(g *group) { g.tracker.Begin(g.now, 1) }},
+		"after the pause":          {edit: func(g *group) { g.tracker.Begin(g.now, 1); g.now = g.now.Add(2 * time.Second) }, want: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGroup(t)
+			if test.self != 0 {
+				g.view.Self = test.self
+			}
+			g.lead(g.view.Self)
+			for end := g.now.Add(1500 * time.Millisecond); g.now.Before(end); g.now = g.now.Add(interval) {
+				g.tracker.Observe(g.now, g.view)
+			}
+			if test.edit != nil {
+				test.edit(g)
+			}
+			if got := g.tracker.DrainTarget(g.now, g.view); got != test.want {
+				t.Errorf("the target is %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a drain that transfers leadership to a voter which has just given it up, or in the first second
+// of a leadership, in which no voter has been current for long enough.
+func TestDrainTargetHasBeenCurrentAndHasNotGivenUp(t *testing.T) {
+	g := newGroup(t)
+	g.onlyFirstInNorth()
+	g.lead(1)
+	g.observe(10 * time.Second)
+	g.lead(self)
+	g.observe(900 * time.Millisecond)
+	if got := g.tracker.DrainTarget(g.now, g.view); got != 0 {
+		t.Errorf("in the first second the target is %d", got)
+	}
+	g.observe(time.Minute)
+	if got := g.tracker.DrainTarget(g.now, g.view); got != 0 {
+		t.Errorf("the target %d gave up leadership a minute ago", got)
+	}
+	for end := g.now.Add(5 * time.Minute); g.now.Before(end); g.now = g.now.Add(interval) {
+		g.tracker.Observe(g.now, g.view)
+	}
+	if got := g.tracker.DrainTarget(g.now, g.view); got != 1 {
+		t.Errorf("after the exclusion the target is %d", got)
+	}
+}
--- a/internal/replica/leaderregion_test.go
+++ b/internal/replica/leaderregion_test.go
@@ -18,6 +18,8 @@
 	northMajority = []string{"north", "north", "north", "south", "west"}
 	noMajority    = []string{"north", "north", "south", "south", "west"}
 	oneRegion     = []string{"north", "north", "north", "north", "north"}
+	// northLast has the voters of the other regions first, to which a transfer without a target goes.
+	northLast = []string{"south", "west", "north", "north", "north"}
 )
 
 // leaderCluster is a cluster whose machines are in regions.
@@ -459,3 +461,121 @@
 		f.expectStable(5 * time.Minute)
 	})
 }
+
+// drainFirstInNorth lets control-2 lead some groups of a cluster whose regions are northLast and drains it. It
+// returns the numbers of elections until leadership has settled, and of transfers that were prepared.
+func drainFirstInNorth(f *leaderCluster, groups uint32) (elections, prepared int) {
+	terms := make(map[uint32]uint64)
+	for group := range groups {
+		f.add(group, "a")
+		terms[group] = f.moveTo(group, "control-2")
+	}
+	for group := range groups {
+		if leader := f.leader(group); leader != f.machines[2] {
+			f.t.Fatalf("%s leads group %d", leader.name, group)
+		}
+		terms[group] = f.term(group)
+		before, _ := f.preparations(group)
+		prepared -= before
+	}
+	if err := f.machines[2].running().Drain(f.t.Context()); err != nil {
+		f.t.Fatal(err)
+	}
+	time.Sleep(time.Minute)
+	for group := range groups {
+		if leader := f.leader(group); leader == f.machines[2] || !f.leaderIn(group, "north") {
+			f.t.Errorf("%s leads group %d", leader.name, group)
+		}
+		after, _ := f.preparations(group)
+		elections, prepared = elections+int(f.term(group)-terms[group]), prepared+after
+		if got := f.add(group, "a"); got != 2 {
+			f.t.Errorf("group %d: the second increment gave %d", group, got)
+		}
+	}
+	return elections, prepared
+}
+
+// Guards against a drain that transfers leadership out of the region of the majority, from where a second
+// transfer brings it back.
+func TestDrainTransfersStraightIntoTheRegion(t *testing.T) {
+	runLeaderCluster(t, northLast, func(f *leaderCluster) {
+		const groups = 3
+		elections, prepared := drainFirstInNorth(f, groups)
+		t.Logf("%d elections, %d transfers of %d groups", elections, prepared, groups)
+		if elections != groups || prepared != groups {
+			t.Errorf("%d elections and %d transfers for a drain of %d groups", elections, prepared, groups)
+		}
+	})
+}
+
+// Guards against a drain that waits for a voter of the region that does not take leadership: another voter
+// leads as soon as the first transfer has failed.
+func TestDrainGoesOnWhenTheTargetInTheRegionDies(t *testing.T) {
+	runLeaderCluster(t, northLast, func(f *leaderCluster) {
+		f.add(leaderGroup, "a")
+		f.moveTo(leaderGroup, "control-2")
+		var targets []string
+		var mutex sync.Mutex
+		f.network.setRewrite(func(_, to string, messages []*rockwindpb.GroupMessage) []*rockwindpb.GroupMessage {
+			mutex.Lock()
+			defer mutex.Unlock()
+			for _, message := range messages {
+				asked := message.GetGroup() == leaderGroup && message.GetMessage().GetKind() == rockwindpb.MessageKind_MESSAGE_KIND_TIMEOUT_NOW
+				if !asked || slices.Contains(targets, to) {
+					continue
+				}
+				if targets = append(targets, to); len(targets) == 1 {
+					f.isolate(to)
+				}
+			}
+			if len(targets) > 0 && to == targets[0] {
+				return nil
+			}
+			return messages
+		})
+		began := time.Now()
+		if err := f.machines[2].running().Drain(f.t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		f.eventually("a transfer begins", func() bool { mutex.Lock(); defer mutex.Unlock(); return len(targets) > 0 })
+		mutex.Lock()
+		first := targets[0]
+		mutex.Unlock()
+		if f.region(first) != "north" {
+			t.Errorf("the first transfer was to %s", first)
+		}
+		f.eventually("another voter leads", func() bool {
+			leader := f.leaderNow(leaderGroup)
+			return leader != nil && leader.name != first && leader != f.machines[2]
+		})
+		// A failed transfer ends after an election timeout of a second, and the drained machine may be elected again.
+		if took := time.Since(began); took > 3*time.Second {
+			t.Errorf("leadership was at another voter after %v", took)
+		}
+		if got := f.add(leaderGroup, "a"); got != 2 {
+			t.Errorf("the second increment gave %d", got)
+		}
+	})
+}
+
+// Guards against a drain that is delayed until a voter of the region meets the conditions of a target: in the
+// first second of a leadership none does.
+func TestDrainDoesNotWaitForATargetInTheRegion(t *testing.T) {
+	runLeaderCluster(t, northLast, func(f *leaderCluster) {
+		f.add(leaderGroup, "a")
+		old := f.leader(leaderGroup)
+		f.kill(old)
+		f.eventually("another machine leads", func() bool { return f.leaderNow(leaderGroup) != nil })
+		began := time.Now()
+		if err := f.leader(leaderGroup).running().Drain(f.t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(began); took > time.Second/2 {
+			t.Errorf("the drain took %v", took)
+		}
+		f.start(old)
+		if got := f.add(leaderGroup, "a"); got != 2 {
+			t.Errorf("the second increment gave %d", got)
+		}
+	})
+}
