router: repeatable simulation of restarts, with urgent digests

Cause: Runs of the simulation with the same seed differed: dispatchers had unseeded random sources, all requests shared one source, and what woke at the same virtual time went on in any order. The simulation sent no urgent digests, so routers learned of started batch items up to 80 ms late and sent requests behind them: TestMeshWithoutBacklogAfterARestart failed in 9 of 200 runs, TestStoresComeBackAfterRouters in 1 of 60. Change: Dispatchers, requests, items and processes of the simulation have seeded sources of their own and go on at times that differ by nanoseconds. The schedule of digests is loadshare.Schedule, which the simulation runs as well. Bounds, checks and seeds are as before; the seeds give other arrivals, since these no longer share a random source with the rest. New test: TestRestartRunsAreRepeatable.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -17,20 +17,13 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
-	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/topology"
 	"rockwind.example/rockwind/internal/traffic"
 )
 
-const (
-	// minTriggerSpacing is the least time before a triggered digest in a mesh.
-	minTriggerSpacing = 10 * time.Millisecond
-	// minGroupTriggerSpacing is the same in a group, whose relays receive the digests of all members.
-	minGroupTriggerSpacing = 50 * time.Millisecond
-	// oversizedLogInterval is the least time between log lines about oversized datagrams.
-	oversizedLogInterval = time.Minute
-)
+// oversizedLogInterval is the least time between log lines about oversized datagrams.
+const oversizedLogInterval = time.Minute
 
 // Source provides the loads that a process shares and receives those of others. Its methods must
 // be safe for concurrent use.
@@ -58,7 +51,7 @@
 type Sharer struct {
 	started  time.Time
 	socket   *net.UDPConn
-	triggers chan struct{}
+	schedule *Schedule
 	// layout is the current layout. Callers that set it may hold locks that the source takes, so
 	// it is not guarded by the mutex.
 	layout atomic.Pointer[Layout]
@@ -103,7 +96,7 @@
 	}
 	started := time.Now()
 	created := &Sharer{
-		started: started, socket: socket, triggers: make(chan struct{}, 1),
+		started: started, socket: socket, schedule: NewSchedule(),
 		protocol: NewProtocol(name, started.UnixMilli()),
 	}
 	created.SetLayout(NewLayout(nil, name, topology.Map{}))
@@ -118,12 +111,7 @@
 
 // TriggerSend sends digests soon instead of at the next interval, because other processes wait
 // for a change. It never blocks.
-func (s *Sharer) TriggerSend() {
-	select {
-	case s.triggers <- struct{}{}:
-	default:
-	}
-}
+func (s *Sharer) TriggerSend() { s.schedule.Trigger() }
 
 // TriggerForward triggers a send if this process is a relay, after it received a change that
 // other processes wait for. It never blocks.
@@ -138,38 +126,14 @@
 	return Traffic{Datagrams: s.datagrams.Load(), Bytes: s.bytes.Load(), CrossZoneBytes: s.crossZoneBytes.Load(), Oversized: s.oversized.Load(), RelaysSilent: s.relaysSilent.Load()}
 }
 
-// intervals returns the time between digests, and the least time before a triggered digest.
-func (s *Sharer) intervals() (interval, spacing time.Duration) {
-	layout := s.layout.Load()
-	interval, spacing = layout.Interval(), minTriggerSpacing
-	if !layout.Mesh() {
-		spacing = minGroupTriggerSpacing
-	}
-	return interval, spacing
-}
-
 // Run sends digests of the source's loads when they change, and passes received digests to the
 // source, until the context ends.
 func (s *Sharer) Run(ctx context.Context, source Source) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.socket.Close() })
 	defer stop()
 	go s.receive(source)
-	timer := time.NewTimer(minGroupInterval)
-	defer timer.Stop()
-	var sent time.Time
-	for {
-		interval, spacing := s.intervals()
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-timer.C:
-		case <-s.triggers:
-			retry.Pause(ctx, spacing-time.Since(sent))
-		}
-		timer.Reset(interval)
-		sent = time.Now()
-		s.sendDue(source)
-	}
+	s.schedule.Run(ctx, s.layout.Load, func() { s.sendDue(source) })
+	return nil
 }
 
 // sendDue sends what the protocol has due.
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -32,11 +32,12 @@
 	traffic *traffic.Counter
 
 	mutex sync.Mutex
-	// sharer shares loads with other processes; nil before ShareLoads.
-	sharer *loadshare.Sharer
-	name   string
-	random *rand.Rand
-	pools  map[string]*servicePool
+	// sharer shares loads with other processes, and trigger has it send digests soon; nil before ShareLoads.
+	sharer  *loadshare.Sharer
+	trigger digestTrigger
+	name    string
+	random  *rand.Rand
+	pools   map[string]*servicePool
 	// view is the current directory, nil before the first one.
 	view *directory.View
 	// zoneDrains are the zones whose servers get no new work.
@@ -279,8 +280,8 @@
 
 // shareLoadsNow shares a change of loads without delay. The caller holds d.mutex.
 func (d *Dispatcher) shareLoadsNow() {
-	if d.sharer != nil {
-		d.sharer.TriggerSend()
+	if d.trigger != nil {
+		d.trigger.TriggerSend()
 	}
 }
 
--- a/internal/router/export_test.go
+++ b/internal/router/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"rockwind.example/rockwind/internal/fault"
@@ -12,6 +13,20 @@
 // LoadSource returns the source of the loads that the dispatcher shares.
 func (d *Dispatcher) LoadSource() loadshare.Source { return loadSource{d} }
 
+// SetTrigger sets what has load digests sent soon, instead of ShareLoads.
+func (d *Dispatcher) SetTrigger(trigger digestTrigger) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.trigger = trigger
+}
+
+// Seed makes the choices of the dispatcher repeatable.
+func (d *Dispatcher) Seed(first, second uint64) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.random = rand.New(rand.NewPCG(first, second))
+}
+
 // RunSurvey surveys the servers of a directory as after a start.
 var RunSurvey = (*Dispatcher).runSurvey
 
--- a/internal/router/restartload_test.go
+++ b/internal/router/restartload_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"reflect"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -138,9 +140,15 @@
 
 // restartProcess is a router or a store with its load digests.
 type restartProcess struct {
-	name       string
-	zone       string
+	name string
+	zone string
+	// skew orders what several processes do at the same time, see requestSkew.
+	skew       time.Duration
 	dispatcher *router.Dispatcher
+	schedule   *loadshare.Schedule
+	triggered  atomic.Bool
+	layout     *loadshare.Layout
+	random     *lockedRandom
 	mutex      sync.Mutex
 	protocol   *loadshare.Protocol
 	source     loadshare.Source
@@ -148,9 +156,54 @@
 	readyAt    time.Duration
 }
 
+// TriggerSend has the digests of the process sent soon, once for all changes of the same time.
+func (p *restartProcess) TriggerSend() {
+	if p.triggered.Swap(true) {
+		return
+	}
+	time.AfterFunc(wakeTime+p.skew, func() {
+		p.triggered.Store(false)
+		p.schedule.Trigger()
+	})
+}
+
+// TriggerForward is TriggerSend if the process is a relay.
+func (p *restartProcess) TriggerForward() {
+	if p.layout.IsRelay() {
+		p.TriggerSend()
+	}
+}
+
+// Goroutines that run at the same virtual time run in any order. So that a seed gives the same run each
+// time, whatever wakes together goes on at different times: wakeTime later, and by a skew of a few
+// nanoseconds that differs between requests, items and processes. Each of these draws from a random
+// source of its own.
+const (
+	wakeTime    = time.Microsecond
+	requestSkew = time.Nanosecond
+	processSkew = 10 * time.Nanosecond
+)
+
+// lockedRandom is a random source for several goroutines.
+type lockedRandom struct {
+	mutex  sync.Mutex
+	random *rand.Rand
+}
+
+func newLockedRandom(first, second uint64) *lockedRandom {
+	return &lockedRandom{random: rand.New(rand.NewPCG(first, second))}
+}
+
+func (r *lockedRandom) between(least, most time.Duration) time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return least + time.Duration(r.random.Int64N(int64(most-least)))
+}
+
 // restartSite is a site whose processes return together.
 type restartSite struct {
 	t         *testing.T
+	seed      uint64
 	random    *rand.Rand
 	mutex     sync.Mutex
 	servers   map[string]*queueingServer
@@ -160,6 +213,8 @@
 	byAddress map[netip.AddrPort]*restartProcess
 	began     time.Time
 	tally     restartTally
+	// requestCount and itemCount number the requests and the batch items.
+	requestCount, itemCount uint64
 	// stores run batch items, and storeRuns ends with them.
 	stores    []*restartStore
 	storeRuns sync.WaitGroup
@@ -245,7 +300,7 @@
 
 func newRestartSite(t *testing.T, options restartOptions) *restartSite {
 	s := &restartSite{
-		t: t, random: rand.New(rand.NewPCG(options.seed, 7)), servers: make(map[string]*queueingServer),
+		t: t, seed: options.seed, random: rand.New(rand.NewPCG(options.seed, 7)), servers: make(map[string]*queueingServer),
 		byAddress: make(map[netip.AddrPort]*restartProcess), began: time.Now(),
 	}
 	register := directory.New()
@@ -267,7 +322,10 @@
 		number := len(s.processes)
 		address := netip.MustParseAddrPort(fmt.Sprintf("10.9.%d.%d:1", number/200, number%200+1))
 		members = append(members, loadshare.NewMember(name, zone, address, rank))
-		created := &restartProcess{name: name, zone: zone}
+		created := &restartProcess{
+			name: name, zone: zone, skew: time.Duration(number+1) * processSkew,
+			schedule: loadshare.NewSchedule(), random: newLockedRandom(options.seed, processStream+uint64(number)),
+		}
 		s.processes, s.byAddress[address] = append(s.processes, created), created
 		return created
 	}
@@ -280,15 +338,17 @@
 		}
 	}
 	layout, view := loadshare.NewLayout(members, members[0].Name(), topology.Map{}), register.View()
-	for _, each := range s.processes {
+	for number, each := range s.processes {
 		each.readyAt = time.Duration(s.random.Float64() * float64(options.readySpread))
 		if slices.Contains(s.processes[:options.stores], each) {
 			each.readyAt += options.storesLater
 		}
 		each.started = time.Now()
 		each.protocol = loadshare.NewProtocol(each.name, each.started.UnixMilli())
-		each.protocol.SetLayout(loadshare.NewLayout(members, each.name, topology.Map{}))
+		each.layout = loadshare.NewLayout(members, each.name, topology.Map{})
+		each.protocol.SetLayout(each.layout)
 		each.dispatcher = router.NewDispatcher(each.zone, topology.Map{}, featuregate.Set{})
+		each.dispatcher.Seed(options.seed, dispatcherStream+uint64(number))
 		each.source = each.dispatcher.LoadSource()
 		time.AfterFunc(each.readyAt, func() {
 			each.dispatcher.Update(view)
@@ -296,7 +356,8 @@
 			each.dispatcher.SetBatchProcesses("app", options.stores)
 		})
 		if !options.noDigests {
-			time.AfterFunc(each.readyAt+s.between(50*time.Millisecond, 200*time.Millisecond), func() { s.tick(each, layout.Interval(), options.length) })
+			each.dispatcher.SetTrigger(each)
+			time.AfterFunc(each.readyAt+s.between(50*time.Millisecond, 200*time.Millisecond), func() { s.share(each, 3*options.length) })
 		}
 	}
 	s.orphan(options)
@@ -319,20 +380,29 @@
 
 func (s *restartSite) elapsed() time.Duration { return time.Since(s.began) }
 
-// tick sends the digests of a process that are due, repeatedly.
-func (s *restartSite) tick(sender *restartProcess, interval, length time.Duration) {
+// share sends the digests of a process until the site has run for the given time.
+func (s *restartSite) share(sender *restartProcess, length time.Duration) {
+	s.sendDue(sender)
+	ctx, cancel := context.WithTimeout(s.t.Context(), length-s.elapsed())
+	defer cancel()
+	sender.schedule.Run(ctx, func() *loadshare.Layout { return sender.layout }, func() { s.sendDue(sender) })
+}
+
+// sendDue sends the digests of a process that are due.
+func (s *restartSite) sendDue(sender *restartProcess) {
 	sender.mutex.Lock()
 	due := sender.protocol.Tick(sender.source, s.elapsed())
 	sender.mutex.Unlock()
-	for _, datagram := range due {
+	for i, datagram := range due {
 		for _, address := range datagram.Receivers {
 			receiver := s.byAddress[address]
 			if receiver == nil || s.elapsed() < receiver.readyAt {
 				continue
 			}
-			delay := 500 * time.Microsecond
+			// Datagrams of one process arrive in the order in which they were sent.
+			delay := 500*time.Microsecond + receiver.skew + time.Duration(i)*wakeTime
 			if datagram.CrossZone {
-				delay = s.between(time.Millisecond, 9*time.Millisecond)
+				delay = sender.random.between(time.Millisecond, 9*time.Millisecond)
 			}
 			bundle := datagram.Bundle
 			time.AfterFunc(delay, func() {
@@ -342,9 +412,6 @@
 			})
 		}
 	}
-	if s.elapsed() < 3*length {
-		time.AfterFunc(interval, func() { s.tick(sender, interval, length) })
-	}
 }
 
 // report updates the reported load of a server repeatedly.
@@ -392,9 +459,33 @@
 	time.AfterFunc(options.countedAfter, count)
 }
 
-// request sends a request that its client first sent at asked, which is before now for a request
+// restartRequest is a request of a client.
+type restartRequest struct {
+	skew   time.Duration
+	random *lockedRandom
+	asked  time.Time
+	// trace is nil for requests of the backlog.
+	trace *requestTrace
+}
+
+// newRequest returns a request. Requests are numbered in the order of the calls.
+func (s *restartSite) newRequest() *restartRequest {
+	s.requestCount++
+	return &restartRequest{skew: time.Duration(s.requestCount) * requestSkew, random: newLockedRandom(s.seed, requestStream+s.requestCount)}
+}
+
+// Streams of random numbers that belong to the same seed.
+const (
+	processStream    = 1 << 32
+	dispatcherStream = 2 << 32
+	requestStream    = 3 << 32
+	itemStream       = 4 << 32
+)
+
+// send sends a request that its client first sent at asked, which is before now for a request
 // of the backlog. The client retries once after a refusal.
-func (s *restartSite) request(by *restartProcess, asked time.Time, fresh bool) {
+func (s *restartSite) send(request *restartRequest, by *restartProcess, asked time.Time, fresh bool) {
+	request.asked = asked
 	second := min(int(s.elapsed()/time.Second), len(s.tally.fresh)-1)
 	s.mutex.Lock()
 	if fresh {
@@ -403,9 +494,8 @@
 		s.tally.backlog++
 	}
 	s.mutex.Unlock()
-	var traced *requestTrace
 	if fresh {
-		traced = s.trace(by, second)
+		request.trace = s.trace(by, second)
 	}
 	for attempt := range 2 {
 		deadline := asked.Add(restartTimeout)
@@ -413,9 +503,9 @@
 		ctx, cancel := context.WithDeadline(s.t.Context(), deadline)
 		if by.dispatcher.AwaitReady(ctx) {
 			// A real router gets the number of processes together with the directory.
-			time.Sleep(time.Microsecond)
+			time.Sleep(wakeTime + request.skew)
 		}
-		err := s.attempt(ctx, by, asked, traced, attempt > 0)
+		err := s.attempt(ctx, by, request, attempt > 0)
 		cancel()
 		if err == nil {
 			return
@@ -428,8 +518,8 @@
 		if attempt > 0 || pause <= 0 {
 			break
 		}
-		time.Sleep(time.Duration(float64(pause) * (1 + 0.3*float64(s.between(0, time.Second))/float64(time.Second))))
-		by = s.routers[s.between(0, time.Duration(len(s.routers)))]
+		time.Sleep(time.Duration(float64(pause) * (1 + 0.3*float64(request.random.between(0, time.Second))/float64(time.Second))))
+		by = s.routers[request.random.between(0, time.Duration(len(s.routers)))]
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -482,8 +572,9 @@
 
 // attempt sends a request to servers until one does not refuse it as full. It fails if the router
 // refuses the request.
-func (s *restartSite) attempt(ctx context.Context, by *restartProcess, asked time.Time, traced *requestTrace, last bool) error {
+func (s *restartSite) attempt(ctx context.Context, by *restartProcess, request *restartRequest, last bool) error {
 	var tried []string
+	asked := request.asked
 	for {
 		remaining := time.Until(asked.Add(restartTimeout))
 		total := remaining
@@ -497,7 +588,7 @@
 		if err != nil {
 			return err
 		}
-		if s.serve(lease, asked, traced) {
+		if s.serve(lease, request) {
 			return nil
 		}
 		s.mutex.Lock()
@@ -511,16 +602,17 @@
 
 // serve sends a request to its server and waits until the response is complete. It returns false if
 // the server refuses the request.
-func (s *restartSite) serve(lease *router.Lease, asked time.Time, traced *requestTrace) bool {
+func (s *restartSite) serve(lease *router.Lease, request *restartRequest) bool {
 	began, ended := time.Now(), make(chan struct{})
+	asked, traced := request.asked, request.trace
 	s.setLeased(traced, true)
-	time.Sleep(time.Millisecond)
+	time.Sleep(time.Millisecond + request.skew)
 	first := make(chan balance.LoadReport, 1)
 	kind := timelyRun
 	if time.Since(asked) > restartGoal*85/100 {
 		kind = lateRun
 	}
-	run := &serverRun{kind: kind, hold: s.between(300*time.Millisecond, 600*time.Millisecond), firstEvent: func(report balance.LoadReport) { first <- report }, end: func() { close(ended) }}
+	run := &serverRun{kind: kind, hold: request.random.between(300*time.Millisecond, 600*time.Millisecond), firstEvent: func(report balance.LoadReport) { first <- report }, end: func() { close(ended) }}
 	if !s.servers[lease.ID].submit(run) {
 		lease.Done(health.Refused, 0)
 		s.setLeased(traced, false)
@@ -548,6 +640,11 @@
 		case report := <-first:
 			record(report)
 		case <-ended:
+			select {
+			case report := <-first:
+				record(report)
+			default:
+			}
 			return
 		}
 	}
@@ -587,20 +684,24 @@
 			break
 		}
 		for range options.backlog + int(s.between(0, 11)) {
-			asked := s.began.Add(-s.between(0, options.age))
-			requests.Go(func() { s.request(each, asked, false) })
+			asked, request := s.began.Add(-s.between(0, options.age)), s.newRequest()
+			requests.Go(func() { s.send(request, each, asked, false) })
 		}
 	}
 	for _, each := range s.routers {
 		for range options.burst {
+			request := s.newRequest()
 			time.AfterFunc(options.burstAt+s.between(0, burstLength), func() {
-				requests.Go(func() { s.request(each, time.Now().Add(-s.between(burstAge/2, burstAge)), false) })
+				requests.Go(func() {
+					s.send(request, each, time.Now().Add(-request.random.between(burstAge/2, burstAge)), false)
+				})
 			})
 		}
 	}
 	for s.elapsed() < options.length {
 		by := s.routers[s.between(0, time.Duration(len(s.routers)))]
-		requests.Go(func() { s.request(by, time.Now(), true) })
+		request := s.newRequest()
+		requests.Go(func() { s.send(request, by, time.Now(), true) })
 		s.mutex.Lock()
 		rate := options.rate
 		if options.peak > 0 && s.elapsed() >= time.Second && s.elapsed() < 3400*time.Millisecond {
@@ -731,6 +832,25 @@
 	}
 }
 
+// TestRestartRunsAreRepeatable guards against simulated runs of the same seed that differ by the order in which
+// goroutines run: the other tests would then fail in some runs only.
+func TestRestartRunsAreRepeatable(t *testing.T) {
+	for name, options := range map[string]restartOptions{
+		"mesh": changedSiteB(func(o *restartOptions) {
+			o.zones, o.stores, o.servers, o.rate, o.orphaned, o.backlog = []int{4, 4, 4}, 3, 22, 220, 0, 0
+			o.items, o.itemRate = 70, 12
+		}),
+		"groups": changedSiteB(func(o *restartOptions) { o.storesLater, o.burst, o.burstAt = 500*time.Millisecond, 4, time.Second }),
+	} {
+		t.Run(name, func(t *testing.T) {
+			first := runRestart(t, options)
+			if again := runRestart(t, options); !reflect.DeepEqual(again, first) {
+				t.Errorf("a second run differs: %v", again)
+			}
+		})
+	}
+}
+
 // TestBurstWithLittleTimeLeft guards against a burst of requests with little time left at servers
 // that are not empty, of which most are sent to servers at once and delay all that follow. The load
 // is two thirds of the capacity; the burst has six times as many requests as there are free slots.
--- a/internal/router/restartstores_test.go
+++ b/internal/router/restartstores_test.go
@@ -32,6 +32,8 @@
 
 // restartItem is a batch item of a store.
 type restartItem struct {
+	// skew is as that of a request.
+	skew      time.Duration
 	remaining time.Duration
 	retryAt   time.Time
 }
@@ -65,13 +67,14 @@
 	stores := s.stores
 	for i := range options.items {
 		store := stores[i%len(stores)]
-		store.waiting = append(store.waiting, &restartItem{remaining: s.between(leastItemTime, itemTime)})
+		store.waiting = append(store.waiting, s.newItem(s.between(leastItemTime, itemTime)))
 	}
+	random := newLockedRandom(options.seed, itemStream)
 	var arrive func()
 	arrive = func() {
-		store := stores[s.between(0, time.Duration(len(stores)))]
+		store := stores[random.between(0, time.Duration(len(stores)))]
 		store.mutex.Lock()
-		store.waiting = append(store.waiting, &restartItem{remaining: itemTime})
+		store.waiting = append(store.waiting, s.newItem(itemTime))
 		store.mutex.Unlock()
 		if s.elapsed() < options.length {
 			time.AfterFunc(time.Duration(float64(time.Second)/options.itemRate), arrive)
@@ -88,6 +91,12 @@
 	}
 }
 
+// newItem returns an item that runs for the given time. Items are numbered in the order of the calls.
+func (s *restartSite) newItem(remaining time.Duration) *restartItem {
+	s.itemCount++
+	return &restartItem{skew: time.Duration(s.itemCount) * requestSkew, remaining: remaining}
+}
+
 // run starts and preempts items until the site has run for the given time.
 func (s *restartStore) run(length time.Duration) {
 	for s.site.elapsed() < length {
@@ -99,6 +108,7 @@
 			case <-wake:
 				waiting = false
 			case <-s.process.dispatcher.OnlineWaiting():
+				time.Sleep(wakeTime)
 				s.preempt()
 			}
 		}
@@ -117,7 +127,7 @@
 			if preempted < requests && !each.preempted && each.lease.ID == server && time.Since(each.began) >= preemptableAfter {
 				each.preempted = true
 				preempted++
-				time.AfterFunc(time.Millisecond, func() { s.site.servers[server].finish(each.run) })
+				time.AfterFunc(time.Millisecond+each.item.skew, func() { s.site.servers[server].finish(each.run) })
 			}
 		}
 		return preempted
@@ -158,7 +168,7 @@
 	s.site.tally.itemStarts[min(int(s.site.elapsed()/time.Second), len(s.site.tally.itemStarts)-1)]++
 	s.site.mutex.Unlock()
 	s.site.storeRuns.Go(func() {
-		time.Sleep(time.Millisecond)
+		time.Sleep(time.Millisecond + item.skew)
 		if !s.site.servers[lease.ID].submit(started.run) {
 			lease.Done(health.Refused, 0)
 			s.end(started, item.remaining)
@@ -209,7 +219,7 @@
 		update = func() {
 			due, over := store.dispatcher.UpdateSurvey()
 			for _, server := range due {
-				time.AfterFunc(s.between(2*time.Millisecond, 20*time.Millisecond), func() {
+				time.AfterFunc(store.random.between(2*time.Millisecond, 20*time.Millisecond), func() {
 					queried := s.servers[server.ID]
 					queried.mutex.Lock()
 					requests := queried.reported.Running + queried.reported.Waiting
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -12,6 +12,14 @@
 	"rockwind.example/rockwind/internal/traffic"
 )
 
+// digestTrigger has load digests sent soon instead of at the next interval. Its methods never block.
+type digestTrigger interface {
+	// TriggerSend is called at a change of this process's loads that other processes wait for.
+	TriggerSend()
+	// TriggerForward is called when such a change of another process was received.
+	TriggerForward()
+}
+
 // ShareLoads exchanges loads with the other routers and stores until the context ends. It does
 // nothing if the settings have no internal address.
 func (d *Dispatcher) ShareLoads(ctx context.Context, settings *rockwindpb.SiteSettings) error {
@@ -25,7 +33,7 @@
 	}
 	d.mutex.Lock()
 	sharer.CountTraffic(d.traffic)
-	d.sharer, d.name = sharer, settings.GetName()
+	d.sharer, d.trigger, d.name = sharer, sharer, settings.GetName()
 	if d.view != nil {
 		d.setPeers(d.view)
 	}
@@ -154,8 +162,8 @@
 		return
 	}
 	d.signalOnlineWaiting()
-	if digest.GetGroup() == "" && len(digest.GetZones()) == 0 && d.sharer != nil {
-		d.sharer.TriggerForward()
+	if digest.GetGroup() == "" && len(digest.GetZones()) == 0 && d.trigger != nil {
+		d.trigger.TriggerForward()
 	}
 }
 
