orphans: late processes count small excesses after a restart of all

Cause: A survey ended without a count if less than a quarter of the reported load was unaccounted for. This rule is for a process that restarts beside running ones. Servers were overfilled and requests late. Change: If no process survived, the quarter does not apply, each server that has answered is queried again, and the second answer alone counts. The new test fails without the change. go test ./internal/orphans ./internal/balance and the simulated tests of ./internal/router pass.

--- a/internal/orphans/survey.go
+++ b/internal/orphans/survey.go
@@ -229,6 +229,12 @@
 		}
 		return
 	}
+	if state.unconfirmed && s.restartedTogether() {
+		// The first answer is older than the loads of the peers, which have sent requests since.
+		state.unconfirmed = false
+		s.setLeft(state, excess(reported, liveLoad))
+		return
+	}
 	before := state.orphaned
 	state.orphaned = min(state.maxOrphaned, excess(reported, liveLoad))
 	if state.unconfirmed {
@@ -256,6 +262,10 @@
 	return state
 }
 
+// restartedTogether reports whether a late process has found no surviving peers: all processes lost power, and
+// others have sent requests before this one had its first directory.
+func (s *Survey) restartedTogether() bool { return s.late && !s.survivors }
+
 // excess returns the reported load that live processes do not account for, or zero if it is
 // within the tolerance.
 func excess(reported, liveLoad int) int {
@@ -279,7 +289,8 @@
 // their loads is orphaned, once those loads have arrived and a second answer confirms it. A
 // small excess is ignored, as after a planned restart of a single process.
 //
-// The same applies if this process got its first directory late: its peers may have sent requests by then.
+// A process that got its first directory late waits for those loads as well, since its peers may have sent requests by
+// then. If no peer survived, a smaller excess counts, and the second answer alone.
 //
 // Surviving peers may be heard only after settleTime; the counts are then compared with their
 // loads. Reports of survivors by others are ignored by that time, since a machine that restarts
@@ -350,17 +361,19 @@
 }
 
 // compareWithPeers requires another query to each server that reported more than its live
-// callers account for, unless the total excess is small.
+// callers account for, unless the total excess is small. After a restart of all processes it requires one to
+// each server that has answered: the peers may have sent more requests since the first answers than are orphaned,
+// so these show too small an excess.
 func (s *Survey) compareWithPeers(liveLoad func(id string) int) {
 	s.stage, s.compared = counting, true
 	reported, sum := 0, 0
 	for id, state := range s.servers {
 		state.maxOrphaned = excess(state.reported, liveLoad(id))
-		state.unconfirmed = state.maxOrphaned > 0
+		state.unconfirmed = state.maxOrphaned > 0 || (s.restartedTogether() && state.hasReport)
 		reported += state.reported
 		sum += state.maxOrphaned
 	}
-	if sum < minTotalExcess || float64(sum) < minExcessFraction*float64(reported) {
+	if sum < minTotalExcess || (!s.restartedTogether() && float64(sum) < minExcessFraction*float64(reported)) {
 		s.end()
 	}
 }
--- a/internal/orphans/survey_test.go
+++ b/internal/orphans/survey_test.go
@@ -462,3 +462,44 @@
 		t.Error("the process announces peers that survived")
 	}
 }
+
+// Guards against a process which comes back after its peers and finds nothing orphaned, because these have sent
+// more requests since the first answers than are orphaned: at half of the servers no excess shows, and at all
+// of them together it is less than a quarter of the reported load.
+func TestLateProcessCountsBesideTheRequestsOfItsPeers(t *testing.T) {
+	for name, test := range map[string]struct {
+		peers orphans.PeerStatus
+		want  int
+	}{"all restarted": {restartedPeers, 3}, "some survived": {survivingPeers, 0}} {
+		t.Run(name, func(t *testing.T) {
+			survey := orphans.New(started)
+			survey.MarkLate(600 * time.Millisecond)
+			survey.Start("store", []string{"store"}, makeServers(4), 0)
+			for _, server := range survey.Due(0) {
+				survey.Answered(server.ID, 6, 0)
+			}
+			live := func(id string) int {
+				if id < "server-2" {
+					return 4
+				}
+				return 6
+			}
+			queries := 0
+			for now := time.Duration(0); now < 900*time.Millisecond; now += 20 * time.Millisecond {
+				survey.Evaluate(test.peers, live, now)
+				for _, server := range survey.Due(now) {
+					queries++
+					survey.Answered(server.ID, live(server.ID)+3, live(server.ID))
+				}
+			}
+			for _, server := range makeServers(4) {
+				if found := max(0, orphanedAt(survey, server.ID)); found != test.want {
+					t.Errorf("%d requests count as orphaned at %s, want %d", found, server.ID, test.want)
+				}
+			}
+			if queries > 4 {
+				t.Errorf("%d further queries", queries)
+			}
+		})
+	}
+}
