router: share starts soon where slots are scarce

Cause: In a mesh, routers learned of each other's online starts up to 80 ms late. With few free slots beside batch work, many of them sent requests to the same server: eleven within 73 ms in a trace of the restart of a mesh, where up to three slots were free. Change: While fewer slots are free than there are processes that start online requests, an online start in a mesh has a digest sent at once, as the start of a batch item has (balance.Pool.SlotsScarce). Larger sites, where starts are paced, are as before.

--- a/internal/balance/headroom.go
+++ b/internal/balance/headroom.go
@@ -165,6 +165,17 @@
 	return float64(left) > float64(processes-1)*random.Float64()
 }
 
+// SlotsScarce reports whether fewer slots of the regions of a demand are free than processes may each start a
+// request in before they learn of the others' starts. Where processes are paced it is false: none then starts more than
+// its share.
+func (p *Pool) SlotsScarce(demand Demand, now time.Duration) bool {
+	if p.paced() || p.onlineProcesses <= 1 {
+		return false
+	}
+	sum := p.overviewOf(demand.Regions).usage(now)
+	return sum.usableSlotsKnown && sum.free < float64(p.onlineProcesses)
+}
+
 // ownBatch returns the number of batch requests of this process.
 func (p *Pool) ownBatch() int {
 	own := 0
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -247,6 +247,10 @@
 	if !found {
 		return grant{}, false
 	}
+	if pool.pool.SlotsScarce(request.Demand, d.now()) {
+		// Otherwise the others would send requests to the same slot until the next regular digest.
+		d.shareLoadsNow()
+	}
 	return grant{choice: choice, charge: pool.chargeRequest(request, choice, d.now())}, true
 }
 
--- a/internal/router/sharing_test.go
+++ b/internal/router/sharing_test.go
@@ -1,8 +1,10 @@
 package router_test
 
 import (
+	"fmt"
 	"strconv"
 	"testing"
+	"time"
 
 	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/directory"
@@ -80,3 +82,43 @@
 		t.Errorf("the sum has %d requests, want 11", load.Inflight)
 	}
 }
+
+// countingTrigger counts the digests that are sent soon.
+type countingTrigger struct{ sent int }
+
+func (c *countingTrigger) TriggerSend()    { c.sent++ }
+func (c *countingTrigger) TriggerForward() {}
+
+// TestStartsAreSharedSoonWhereSlotsAreScarce guards against processes of a mesh that all send requests to the same few
+// free slots until the next regular digest, and against a digest for each request while many slots are free or
+// requests are paced.
+func TestStartsAreSharedSoonWhereSlotsAreScarce(t *testing.T) {
+	for name, test := range map[string]struct {
+		processes int
+		maxAge    time.Duration
+		want      int
+	}{"mesh": {4, 0, 3}, "groups": {4, 100 * time.Millisecond, 0}, "one process": {1, 0, 0}} {
+		t.Run(name, func(t *testing.T) {
+			dispatcher, trigger := oneServer(8), &countingTrigger{}
+			dispatcher.SetProcesses("app", test.processes, test.maxAge)
+			for peer := range test.processes - 1 {
+				digest := loadshare.NewDigest(nil)
+				digest.Sender, digest.Sequence = fmt.Sprint("router-", peer), 1
+				dispatcher.LoadSource().Take(digest)
+			}
+			dispatcher.SetTrigger(trigger)
+			for started := range 8 {
+				_, err := dispatcher.Acquire(t.Context(), router.AcquireRequest{Service: "app", MaxWait: time.Nanosecond})
+				if err != nil && test.maxAge == 0 {
+					t.Fatal(err)
+				}
+				if free := 7 - started; free >= 4 && trigger.sent > 0 {
+					t.Fatalf("a digest is sent soon with %d free slots", free)
+				}
+			}
+			if trigger.sent < test.want || test.want == 0 && trigger.sent > 0 {
+				t.Errorf("%d digests are sent soon, want %d", trigger.sent, test.want)
+			}
+		})
+	}
+}
