--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -32,11 +32,12 @@
 	traffic *traffic.Counter
 
 	mutex sync.Mutex
-	// sharer shares loads with other processes; nil before ShareLoads.
-	sharer *loadshare.Sharer
-	name   string
-	random *rand.Rand
-	pools  map[string]*servicePool
+	// sharer shares loads with other processes, and trigger has it send digests soon; nil before ShareLoads.
+	sharer  *loadshare.Sharer
+	trigger digestTrigger
+	name    string
+	random  *rand.Rand
+	pools   map[string]*servicePool
 	// view is the current directory, nil before the first one.
 	view *directory.View
 	// zoneDrains are the zones whose servers get no new work.
@@ -246,6 +247,10 @@
 	if !found {
 		return grant{}, false
 	}
+	if pool.pool.SlotsScarce(request.Demand, d.now()) {
+		// Otherwise the others would send requests to the same slot until the next regular digest.
+		d.shareLoadsNow()
+	}
 	return grant{choice: choice, charge: pool.chargeRequest(request, choice, d.now())}, true
 }
 
@@ -279,8 +284,8 @@
 
 // shareLoadsNow shares a change of loads without delay. The caller holds d.mutex.
 func (d *Dispatcher) shareLoadsNow() {
-	if d.sharer != nil {
-		d.sharer.TriggerSend()
+	if d.trigger != nil {
+		d.trigger.TriggerSend()
 	}
 }
 
