store: try ejected servers again with batch items

Cause: batch work was excluded from trials of ejected servers, so a store did not use a server again that it had ejected until the store restarted. Sending any item there as a trial would make items late, fail items with a single attempt, and start one item every 0.5 s at a server that refuses them all. Change: an item that has an attempt left after a failed one, and is overdue, has no due time or can be in time after the longest failed trial, may be a trial, once. A refused batch trial is repeated after 2 s. Hold-downs after failed batch trials are not reported in load digests, so routers choose as before. A scheduling pass goes on past items that may not be a trial while one is due. Services whose items all have a single attempt still get no trials from stores.

--- a/internal/backlog/runtimeestimator.go
+++ b/internal/backlog/runtimeestimator.go
@@ -20,6 +20,9 @@
 	meanInterval float64
 }
 
+// Known reports whether a run was recorded.
+func (e *RunTimeEstimator) Known() bool { return e.meanEvents > 0 }
+
 // RecordRun records a run that produced a number of events of an output with total events.
 func (e *RunTimeEstimator) RecordRun(produced, total int, duration time.Duration) {
 	if produced <= 0 || duration <= 0 {
--- a/internal/balance/feedback.go
+++ b/internal/balance/feedback.go
@@ -53,7 +53,12 @@
 		return
 	}
 	srv := p.servers[place]
+	if choice.Trial && choice.Batch {
+		srv.batchTrialFailed = outcome == health.Failure || outcome == health.Timeout
+	}
 	switch {
+	case outcome == health.Refused && choice.Trial && choice.Batch:
+		srv.fullUntil = now + refusedTrialBackoff
 	case outcome == health.Refused:
 		srv.fullUntil = now + fullBackoff
 	case outcome == health.Success && !choice.Batch:
--- a/internal/balance/members.go
+++ b/internal/balance/members.go
@@ -46,6 +46,8 @@
 	hasReport     bool
 	// fullUntil is when the server may be used again after it refused a request as full.
 	fullUntil time.Duration
+	// batchTrialFailed is set if the last trial with a batch request failed.
+	batchTrialFailed bool
 	// replaced is set once another server answers at its address.
 	replaced bool
 	// handledExcess is the number of requests beyond its slots that preemptions were already decided
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -34,6 +34,9 @@
 	partTTL = 20 * time.Second
 	// maxPartsPerServer bounds the parts remembered for a server.
 	maxPartsPerServer = 512
+	// refusedTrialBackoff is how long an ejected server that refused a batch request gets no other one. It
+	// is as long as the first hold-down.
+	refusedTrialBackoff = 2 * time.Second
 )
 
 // Part is a piece of a prompt that requests may have in common.
@@ -55,6 +58,9 @@
 	// if others leave their slots to it.
 	Reserved    int
 	Prioritized bool
+	// MayTry is set for a batch request that may be sent to an ejected server as a trial. Online requests
+	// always may.
+	MayTry bool
 	// Overcommit lets an online request exceed this process's share of the slots, and the slots of a
 	// server, by one while requests are paced.
 	Overcommit bool
@@ -65,6 +71,9 @@
 	Regions topology.RegionSet
 }
 
+// mayTry reports whether the request may be sent to an ejected server as a trial.
+func (d Demand) mayTry() bool { return !d.Batch || d.MayTry }
+
 // Pool holds the servers of one service as seen by one process. It is not safe for concurrent use.
 type Pool struct {
 	service string
@@ -189,6 +198,8 @@
 	Batch bool
 	// Late is that of the demand.
 	Late bool
+	// Trial is set if the server is ejected and gets the request as a trial, which ends the search.
+	Trial bool
 	// StartLimit is how many online requests this process might have at servers at the time because
 	// it did not know the loads of the others; zero if that was not limited.
 	StartLimit int
--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/health"
+	"rockwind.example/rockwind/internal/topology"
 )
 
 // sampleSize is how many servers a choice in a large pool draws, see docs/design/size.md.
@@ -49,7 +50,7 @@
 }
 
 // foundGood reports whether the best server so far is good enough to stop.
-func (s *search) foundGood() bool { return s.trial || s.healthy }
+func (s *search) foundGood() bool { return s.choice.Trial || s.healthy }
 
 // shuffledPlaces returns all places, including vacant ones, in random order.
 func (p *Pool) shuffledPlaces() []int {
@@ -124,7 +125,7 @@
 // already considered it or has found a trial.
 func (s *search) considerOnce(place int) {
 	p := s.pool
-	if s.trial || place < 0 || place >= len(p.servers) || p.servers[place] == nil || p.servers[place].lastSearch == p.searches {
+	if s.choice.Trial || place < 0 || place >= len(p.servers) || p.servers[place] == nil || p.servers[place].lastSearch == p.searches {
 		return
 	}
 	p.servers[place].lastSearch = p.searches
@@ -140,6 +141,19 @@
 	return state == health.Ejected && !p.tracker.Failing(place, now)
 }
 
+// TrialDue reports whether any ejected server in the given regions may be sent a trial request.
+func (p *Pool) TrialDue(regions topology.RegionSet, now time.Duration) bool {
+	if p.tracker.Ejected() == 0 {
+		return false
+	}
+	for place, srv := range p.servers {
+		if srv != nil && regions.Allows(srv.Region) && p.trialDue(place, now) && p.viewOf(srv, now).hasRoom(true, 0, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // findEjected updates the list of ejected servers. It is enough to call it now and then, since the
 // first trial is due seconds after an ejection.
 func (p *Pool) findEjected(now time.Duration) {
--- a/internal/balance/search.go
+++ b/internal/balance/search.go
@@ -30,9 +30,6 @@
 	lowestCost float64
 	// healthy is set if the best server is healthy and not silent.
 	healthy bool
-	// trial is set if the best server is ejected and gets the request as a trial, which ends the
-	// search.
-	trial bool
 }
 
 func (p *Pool) newSearch(demand Demand, tried []string, now time.Duration, random *rand.Rand) *search {
@@ -46,7 +43,7 @@
 // considerAll considers all servers.
 func (s *search) considerAll() {
 	for place := range s.pool.servers {
-		if s.consider(place); s.trial {
+		if s.consider(place); s.choice.Trial {
 			return
 		}
 	}
@@ -66,8 +63,8 @@
 	uncached := p.uncachedTokens(place, s.demand, s.now)
 	state, _ := p.tracker.State(place, s.now)
 	if state == health.Ejected {
-		if !s.demand.Batch && !suspected && p.tracker.StartTrial(place, s.now) {
-			s.best, s.choice.Uncached, s.trial = srv, uncached, true
+		if s.demand.mayTry() && !suspected && p.tracker.StartTrial(place, s.now) {
+			s.best, s.choice.Uncached, s.choice.Trial = srv, uncached, true
 		}
 		return
 	}
--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -369,7 +369,9 @@
 			continue
 		}
 		load := SharedLoad{Inflight: srv.inflight, Unread: srv.unread, Batch: srv.batch}
-		if srv.replaced || p.tracker.Failing(place, now) {
+		// Hold-downs after failed trials with batch requests are not reported: a partition may separate some
+		// stores from servers that routers reach, and routers avoid servers that two processes report.
+		if srv.replaced || (p.tracker.Failing(place, now) && !srv.batchTrialFailed) {
 			load.Suspects = 1
 		}
 		if usesPace {
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -267,6 +267,13 @@
 	return d.lease(service, grant{choice: choice})
 }
 
+// TrialDue reports whether an ejected server of a service in the given regions may get a trial request.
+func (d *Dispatcher) TrialDue(service string, regions topology.RegionSet) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.poolOf(service).pool.TrialDue(regions, d.now())
+}
+
 // PreemptBatch visits the servers of a service at which batch work of this process should be
 // preempted, with the number of requests. The visitor returns how many items it preempted; it must
 // not use the dispatcher.
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -220,7 +220,7 @@
 	e.preempt(now)
 	ordered, short := e.order(open, now)
 	for _, item := range ordered {
-		if e.cannotFit(item) {
+		if e.cannotFit(item, now) {
 			continue
 		}
 		if !e.process(ctx, item, now) {
--- a/internal/store/history.go
+++ b/internal/store/history.go
@@ -22,6 +22,8 @@
 	routeAbsentSince time.Time
 	// retryAt is the earliest time of the next attempt.
 	retryAt time.Time
+	// tried reports whether an attempt was a trial of an ejected server.
+	tried bool
 	// quarantined reports whether the item's content was quarantined at the last check, and
 	// quarantinedUntil is the latest end of the quarantine.
 	quarantined      bool
--- a/internal/store/share.go
+++ b/internal/store/share.go
@@ -35,8 +35,31 @@
 	return tenantShares{smallestRefused: make(map[serverGroup]int), regions: make(map[itemOwner]topology.RegionSet)}
 }
 
-// serverGroup is the servers of a service in a set of regions, which is identified by its key.
-type serverGroup struct{ service, regions string }
+// serverGroup is the servers of a service in a set of regions, which is identified by its key. mayTry is set
+// if it includes ejected servers that are due for a trial.
+type serverGroup struct {
+	service, regions string
+	mayTry           bool
+}
+
+// recordRefusal records that an item with a reservation was refused a slot.
+func (s tenantShares) recordRefusal(group serverGroup, reserved int) {
+	if smallest, refused := s.smallestRefused[group]; !refused || reserved < smallest {
+		s.smallestRefused[group] = reserved
+	}
+}
+
+// refuses reports whether an item with the same or a smaller reservation was refused a slot at the servers of
+// the group or at more servers.
+func (s tenantShares) refuses(group serverGroup, reserved int) bool {
+	for _, mayTry := range []bool{group.mayTry, true} {
+		group.mayTry = mayTry
+		if smallest, refused := s.smallestRefused[group]; refused && reserved >= smallest {
+			return true
+		}
+	}
+	return false
+}
 
 // itemOwner is the route and the tenant of items.
 type itemOwner struct {
@@ -105,46 +128,45 @@
 	at   time.Time
 }
 
-// cannotFit reports whether the item would be refused: an item with the same regions and the same or
-// a smaller reservation was refused in this pass.
-func (e *executor) cannotFit(item jobstore.OpenItem) bool {
+// cannotFit reports whether the item would be refused: an item with the same regions, the same or more
+// servers and the same or a smaller reservation was refused in this pass.
+func (e *executor) cannotFit(item jobstore.OpenItem, now time.Time) bool {
 	if len(e.shares.smallestRefused) == 0 {
 		return false
 	}
 	service, entry, found := e.resolve(item)
-	smallest, refused := e.shares.smallestRefused[serverGroup{service, e.allowedRegions(item).Key()}]
-	return found && refused && e.shares.use.Reserved(service, entry) >= smallest
+	return found && e.shares.refuses(serverGroup{service, e.allowedRegions(item).Key(), e.mayTry(service, entry, item, now)}, e.shares.use.Reserved(service, entry))
 }
 
 // regionsFull reports whether the item is restricted to regions in which no item got a slot in this
 // pass although none was reserved for others.
 func (e *executor) regionsFull(service string, item jobstore.OpenItem) bool {
 	allowed := e.allowedRegions(item)
-	smallest, refused := e.shares.smallestRefused[serverGroup{service, allowed.Key()}]
-	return allowed.Restricted() && refused && smallest == 0
+	return allowed.Restricted() && e.shares.refuses(serverGroup{service: service, regions: allowed.Key()}, 0)
 }
 
 // acquire acquires a slot on a server for an item, and leaves reserved slots to tenants with a
 // smaller share. If there is none, tryNext reports whether another item may still get a slot, which
-// items with a smaller reservation or with other regions may.
-func (e *executor) acquire(service string, item jobstore.OpenItem) (lease *router.Lease, tryNext bool) {
+// items with a smaller reservation or with other regions may, and those that may be sent to an ejected
+// server that is due for a trial.
+func (e *executor) acquire(service string, item jobstore.OpenItem, now time.Time) (lease *router.Lease, tryNext bool) {
 	entry := e.backlogItem(item)
 	demand := balance.Demand{
 		Parts: e.promptParts(item), Bytes: len(item.Body), Batch: true, Regions: e.allowedRegions(item),
 		Reserved: e.shares.use.Reserved(service, entry), Prioritized: e.shares.use.GoesFirst(service, entry),
+		MayTry: e.mayTry(service, entry, item, now),
 	}
 	lease = e.store.dispatcher.TryAcquire(service, demand)
 	if lease != nil {
 		e.shares.use.AddRunning(entry)
 		return lease, true
 	}
-	if demand.Reserved == 0 && !demand.Regions.Restricted() {
+	// While no trial is due, items that may be a trial have no more servers than others.
+	all := demand.MayTry || !e.store.dispatcher.TrialDue(service, demand.Regions)
+	if all && demand.Reserved == 0 && !demand.Regions.Restricted() {
 		return nil, false
 	}
-	group := serverGroup{service, demand.Regions.Key()}
-	if smallest, refused := e.shares.smallestRefused[group]; !refused || demand.Reserved < smallest {
-		e.shares.smallestRefused[group] = demand.Reserved
-	}
+	e.shares.recordRefusal(serverGroup{service, demand.Regions.Key(), all}, demand.Reserved)
 	return nil, true
 }
 
--- a/internal/store/start.go
+++ b/internal/store/start.go
@@ -69,12 +69,13 @@
 		return true
 	}
 	service := router.ChooseService(route, item.Item.GetId())
-	lease, tryNext := e.acquire(service, item)
+	lease, tryNext := e.acquire(service, item, now)
 	if lease == nil {
 		cancel(nil)
 		e.claims.Release(claim)
 		return tryNext
 	}
+	h.tried = h.tried || lease.Trial
 	e.active[key] = &activeAttempt{
 		tenant: item.Tenant, service: service, server: lease.ID, route: route, submitted: time.UnixMilli(item.SubmittedUnixMs),
 		began: now, eventsBefore: h.eventCount(), choice: lease.Choice, cancel: cancel,
