balance: trials of batch work while all other servers are full

Cause: a batch request for which there is no slot within the slots of usable servers was refused before ejected servers were considered. While all others are full, a store made no trial unless an item that may be one was first in order when a slot became free. Change: such a request, if it may be a trial, gets an ejected server that is due for one. It does not start while online requests wait that are not paced, or before loads are known.

--- a/internal/balance/batchtrial_test.go
+++ b/internal/balance/batchtrial_test.go
@@ -216,3 +216,29 @@
 		t.Error("an ejection after the recovery is not reported")
 	}
 }
+
+// Guards against ejected servers that stay unused as long as all others are full, which is when they are
+// needed: the slots that batch work may use are those of the other servers.
+func TestTrialNeedsNoFreeSlotElsewhere(t *testing.T) {
+	for _, servers := range []int{10, targetServers} {
+		s, ejected := newSimulatedItems(servers, balance.Demand{Batch: true})
+		const now = 10 * time.Second
+		for {
+			if _, found := s.pool.Choose(s.demand, nil, now, s.random); !found {
+				break
+			}
+		}
+		trials := make(map[string]bool)
+		for range 2 * len(ejected) {
+			if choice, found := s.pool.Choose(balance.Demand{Batch: true, MayTry: true}, nil, now, s.random); found {
+				if !choice.Trial || trials[choice.ID] || !slices.Contains(ejected, choice.ID) {
+					t.Fatalf("%d servers: %v is chosen, trial %v", servers, choice.ID, choice.Trial)
+				}
+				trials[choice.ID] = true
+			}
+		}
+		if len(trials) != len(ejected) {
+			t.Errorf("%d servers: %d trials at %d ejected servers while all others are full", servers, len(trials), len(ejected))
+		}
+	}
+}
--- a/internal/balance/headroom.go
+++ b/internal/balance/headroom.go
@@ -132,6 +132,15 @@
 // batchAt returns the number of batch requests at a server, of all processes.
 func (p *Pool) batchAt(s *server) int { return s.batch + p.loads.At(s.hash).Batch }
 
+// batchMayStart reports whether batch work may start at all, regardless of how many slots it may use: no online
+// requests wait unless they are paced, and the loads of other processes are known.
+func (p *Pool) batchMayStart(now time.Duration) bool {
+	if !p.paced() && p.loads.At(p.queueHash).Inflight > 0 {
+		return false
+	}
+	return p.ownBatch() < p.maxUninformedBatch(now)
+}
+
 // batchFits reports whether the service has room for one more batch request besides its online work
 // and the slots reserved for others. Every process that starts batch work is assumed to have
 // started as many requests recently as this one, which other processes may not know of yet. Unless
@@ -139,10 +148,7 @@
 // slots. Where they are paced, the online requests that wait count as online work: after a power
 // loss they need all slots for seconds, and batch work would have to be preempted for them.
 func (p *Pool) batchFits(demand Demand, now time.Duration, random *rand.Rand) bool {
-	if !p.paced() && p.loads.At(p.queueHash).Inflight > 0 {
-		return false
-	}
-	if p.ownBatch() >= p.maxUninformedBatch(now) {
+	if !p.batchMayStart(now) {
 		return false
 	}
 	sum := p.overviewOf(demand.Regions).usage(now)
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -245,7 +245,7 @@
 // much more if only this process knows of it. Large pools are sampled, see sample.
 func (p *Pool) Choose(demand Demand, tried []string, now time.Duration, random *rand.Rand) (Choice, bool) {
 	if demand.Batch && !p.batchFits(demand, now, random) {
-		return Choice{}, false
+		return p.chooseTrial(demand, tried, now, random)
 	}
 	if !demand.Batch && !p.mayStart(demand, now) {
 		return Choice{}, false
--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"rockwind.example/rockwind/internal/health"
@@ -141,6 +142,24 @@
 	return state == health.Ejected && !p.tracker.Failing(place, now)
 }
 
+// chooseTrial returns an ejected server that is due for a trial, for a batch request for which there is no
+// slot at the other servers. The slots of ejected servers are not among those that batch work shares with online requests.
+func (p *Pool) chooseTrial(demand Demand, tried []string, now time.Duration, random *rand.Rand) (Choice, bool) {
+	if !demand.MayTry || p.tracker.Ejected() == 0 || !p.batchMayStart(now) {
+		return Choice{}, false
+	}
+	s := p.newSearch(demand, tried, now, random)
+	for place := range p.servers {
+		if !p.trialDue(place, now) {
+			continue
+		}
+		if s.consider(place); s.choice.Trial {
+			return p.commit(s.best, s.choice, demand, now), true
+		}
+	}
+	return Choice{}, false
+}
+
 // TrialDue reports whether any ejected server in the given regions may be sent a trial request.
 func (p *Pool) TrialDue(regions topology.RegionSet, now time.Duration) bool {
 	if p.tracker.Ejected() == 0 {
