Rename "heard" to terms of the field

Cause: "heard" in names and comments of loadshare, balance, orphans, site, coordinator and command is not a term of the field. Change: RecentlySeen, LastContact, seenSince, Reported, receivedAny and the like, also in the router that uses them and in names and messages of tests. Result: go vet passes for internal, platform and cmd. Tests of balance, store, router, loadshare, orphans, command, site and architecture pass. No check changed but for names and messages.

--- a/internal/balance/export_test.go
+++ b/internal/balance/export_test.go
@@ -1,9 +1,9 @@
 package balance
 
 const (
-	HeardWindow = heardWindow
-	SenderTTL   = senderTTL
-	MaxSpares   = maxSpares
+	SeenWindow = seenWindow
+	SenderTTL  = senderTTL
+	MaxSpares  = maxSpares
 
 	CoverageWindow = coverageWindow
 )
--- a/internal/balance/orphans.go
+++ b/internal/balance/orphans.go
@@ -10,7 +10,7 @@
 // Without it, each choice would have to look up a second hash per server.
 var orphanMarker = uint32(xxhash.Sum64String("left behind"))
 
-// survivorsMarker is the hash under which a restarted process tells that it heard of processes that
+// survivorsMarker is the hash under which a restarted process reports that it knows of processes that
 // have not restarted.
 var survivorsMarker = uint32(xxhash.Sum64String("others lived on"))
 
--- a/internal/balance/orphans_test.go
+++ b/internal/balance/orphans_test.go
@@ -162,8 +162,8 @@
 
 // survey has a store query servers until its survey is over.
 func (l *loss) survey(store *process, survey *orphans.Survey, now time.Duration) {
-	earliest, heard := store.sharedLoads.EarliestStart()
-	survey.Evaluate(orphans.PeerStatus{Heard: heard, EarliestStart: earliest, SurvivorsReported: store.sharedLoads.SurvivorsReported()}, store.pool.LiveInflight, now)
+	earliest, reported := store.sharedLoads.EarliestStart()
+	survey.Evaluate(orphans.PeerStatus{Reported: reported, EarliestStart: earliest, SurvivorsReported: store.sharedLoads.SurvivorsReported()}, store.pool.LiveInflight, now)
 	l.reportOrphaned(store, survey)
 	for _, server := range survey.Due(now) {
 		l.queried++
--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -99,15 +99,15 @@
 	ownOrphaned    map[uint32]SharedLoad
 	hasOrphaned    bool
 	ignoreOrphaned bool
-	// started is when this process started, in Unix milliseconds; zero is unknown. everHeard is set
-	// once a digest has arrived, heardAt is the arrival of the last one, and heardSince that of the first
+	// started is when this process started, in Unix milliseconds; zero is unknown. receivedAny is set
+	// once a digest has arrived, lastReceivedAt is the arrival of the last one, and receivingSince that of the first
 	// one since the last long pause.
-	started    int64
-	everHeard  bool
-	heardAt    time.Duration
-	heardSince time.Duration
-	// firstHeardAt is when the first digest arrived.
-	firstHeardAt time.Duration
+	started        int64
+	receivedAny    bool
+	lastReceivedAt time.Duration
+	receivingSince time.Duration
+	// firstReceivedAt is when the first digest arrived.
+	firstReceivedAt time.Duration
 }
 
 func NewSharedLoads() *SharedLoads {
@@ -256,7 +256,7 @@
 		next.counts = held.counts && next.started == held.started
 		s.drop(key)
 	}
-	s.noteHeard(next.at)
+	s.noteDigest(next.at)
 	s.senders[key] = &next
 	s.processes += next.members
 	s.add(next.loads, 1)
@@ -298,25 +298,25 @@
 
 // EarliestStart returns the earliest start of the known processes, or of the delegates that report
 // for them, in Unix milliseconds. It returns false if there are none.
-func (s *SharedLoads) EarliestStart() (started int64, heard bool) {
+func (s *SharedLoads) EarliestStart() (started int64, known bool) {
 	for _, held := range s.senders {
-		if !heard || held.started < started {
-			started, heard = held.started, true
+		if !known || held.started < started {
+			started, known = held.started, true
 		}
 	}
-	return started, heard
+	return started, known
 }
 
 // Processes returns the number of other processes that the digests cover.
 func (s *SharedLoads) Processes() int { return s.processes }
 
-// heardWindow is how long a process counts as heard after its last digest.
-const heardWindow = 700 * time.Millisecond
+// seenWindow is how long a process counts as recently seen after its last digest.
+const seenWindow = 700 * time.Millisecond
 
-// Heard reports whether a digest of the process itself arrived recently.
-func (s *SharedLoads) Heard(name string, now time.Duration) bool {
+// RecentlySeen reports whether a digest of the process itself arrived recently.
+func (s *SharedLoads) RecentlySeen(name string, now time.Duration) bool {
 	held, found := s.senders[name]
-	return found && now-held.at <= heardWindow
+	return found && now-held.at <= seenWindow
 }
 
 // SumOf adds up the digests of the named processes themselves.
--- a/internal/balance/shared_test.go
+++ b/internal/balance/shared_test.go
@@ -83,8 +83,8 @@
 	if sum := sharedLoads.SumOf([]string{"a", "b", "c"}); sum[1].Inflight != 1 {
 		t.Fatalf("the sum of the processes themselves is %+v", sum)
 	}
-	if !sharedLoads.Heard("a", balance.HeardWindow) || sharedLoads.Heard("a", balance.HeardWindow+1) || sharedLoads.Heard("b", 0) {
-		t.Fatal("a process counts as heard because of its group's digest or after the window")
+	if !sharedLoads.RecentlySeen("a", balance.SeenWindow) || sharedLoads.RecentlySeen("a", balance.SeenWindow+1) || sharedLoads.RecentlySeen("b", 0) {
+		t.Fatal("a process counts as recently seen because of its group's digest or after the window")
 	}
 }
 
--- a/internal/balance/startlimit.go
+++ b/internal/balance/startlimit.go
@@ -88,15 +88,15 @@
 // SetStarted sets when this process started, in Unix milliseconds.
 func (s *SharedLoads) SetStarted(unixMs int64) { s.started = unixMs }
 
-// noteHeard records that a digest arrived.
-func (s *SharedLoads) noteHeard(at time.Duration) {
-	if !s.everHeard {
-		s.firstHeardAt = at
+// noteDigest records that a digest arrived.
+func (s *SharedLoads) noteDigest(at time.Duration) {
+	if !s.receivedAny {
+		s.firstReceivedAt = at
 	}
-	if !s.everHeard || at-s.heardAt > senderTTL {
-		s.heardSince = at
+	if !s.receivedAny || at-s.lastReceivedAt > senderTTL {
+		s.receivingSince = at
 	}
-	s.everHeard, s.heardAt = true, max(s.heardAt, at)
+	s.receivedAny, s.lastReceivedAt = true, max(s.lastReceivedAt, at)
 }
 
 // knowsLoads reports whether this process knows the loads of the others: digests cover most of the
@@ -106,18 +106,18 @@
 	if !p.loads.HasPeers() {
 		return false
 	}
-	if p.informedOnce && p.loads.heardSince <= p.informedAt {
+	if p.informedOnce && p.loads.receivingSince <= p.informedAt {
 		// The sums of a new delegate cover few processes at first, which is no loss of contact.
 		return true
 	}
-	return now-p.loads.heardSince >= max(minSettleTime, settleAges*p.maxLoadAge) ||
+	return now-p.loads.receivingSince >= max(minSettleTime, settleAges*p.maxLoadAge) ||
 		float64(p.loads.Processes()) >= minCoverage*float64(p.otherProcesses()) || p.loads.hasSurvivor()
 }
 
 // hasSurvivor reports whether any digest is from a process that runs for longer than this one.
 func (s *SharedLoads) hasSurvivor() bool {
-	earliest, heard := s.EarliestStart()
-	return heard && s.started > 0 && s.started-earliest > survivorAge.Milliseconds()
+	earliest, known := s.EarliestStart()
+	return known && s.started > 0 && s.started-earliest > survivorAge.Milliseconds()
 }
 
 // limitStarts returns whether the number of requests that this process has at the servers is
@@ -190,7 +190,7 @@
 
 // returning reports whether this process and the others have just restarted together.
 func (p *Pool) returning(now time.Duration) bool {
-	return !p.startLimitOff && p.paced() && p.loads.started > 0 && p.loads.everHeard && now-p.loads.firstHeardAt < batchReturnTime &&
+	return !p.startLimitOff && p.paced() && p.loads.started > 0 && p.loads.receivedAny && now-p.loads.firstReceivedAt < batchReturnTime &&
 		!p.loads.hasSurvivor()
 }
 
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -19,8 +19,8 @@
 
 // Help implements kong.HelpProvider.
 func (*statusCommand) Help() string {
-	return `Asks every control machine given with --control. Gateways and back ends are shown as control heard of them
-last; a gateway that stands still or is cut off shows an old time.`
+	return `Asks every control machine given with --control. Gateways and back ends are shown by their last
+reports to control; a gateway that stands still or is cut off shows an old time.`
 }
 
 // fleetState is the state of the fleet, merged from the responses of all control
@@ -102,9 +102,9 @@
 	return merged, nil
 }
 
-// mergeDaemons keeps the most recently heard status of each daemon.
-func mergeDaemons(known map[string]*rockwindpb.DaemonStatus, heard []*rockwindpb.DaemonStatus) {
-	for _, daemon := range heard {
+// mergeDaemons keeps the status of each daemon with the latest contact.
+func mergeDaemons(known map[string]*rockwindpb.DaemonStatus, received []*rockwindpb.DaemonStatus) {
+	for _, daemon := range received {
 		before := known[daemon.GetName()]
 		if before == nil || daemon.GetLastHeardUnixMs() > before.GetLastHeardUnixMs() {
 			known[daemon.GetName()] = daemon
@@ -113,8 +113,8 @@
 }
 
 // mergeServers keeps the most recent digest of each back end.
-func mergeServers(known map[string]*rockwindpb.ServerDigest, heard []*rockwindpb.ServerDigest) {
-	for _, server := range heard {
+func mergeServers(known map[string]*rockwindpb.ServerDigest, received []*rockwindpb.ServerDigest) {
+	for _, server := range received {
 		before := known[server.GetName()]
 		if before == nil || server.GetAgeMs() < before.GetAgeMs() {
 			known[server.GetName()] = server
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -216,7 +216,7 @@
 
 // currentState returns the applied state if this replica is in contact with the leader and has
 // applied an entry of its term. Until the first success after a start, the replica must also have
-// applied everything committed when it first heard from the leader: after a restart it may be in
+// applied everything committed when it was first in contact with the leader: after a restart it may be in
 // contact with the leader of an unchanged term before it has caught up.
 func (c *Coordinator) currentState() (replica.Group, *rootView, error) {
 	group, machine, err := c.rootGroup()
--- a/internal/coordinator/follower_test.go
+++ b/internal/coordinator/follower_test.go
@@ -85,8 +85,8 @@
 			if got := p.watcher.Directory().Revision(); got != view.directory.Revision() {
 				s.t.Fatalf("%s is at revision %d, want %d", p.name, got, view.directory.Revision())
 			}
-			if silent := time.Since(p.watcher.LastHeard()); silent > 2*time.Second {
-				s.t.Fatalf("%s has not heard a coordinator for %v", p.name, silent)
+			if silent := time.Since(p.watcher.LastContact()); silent > 2*time.Second {
+				s.t.Fatalf("%s had no contact with a coordinator for %v", p.name, silent)
 			}
 		}
 	})
@@ -109,7 +109,7 @@
 				// A member handled the first report, and members do not relay reports in this test.
 				continue
 			}
-			if !s.leader().coordinator.liveness.heardSince("server", time.Now().Add(-2*time.Second-maintenanceInterval)) {
+			if !s.leader().coordinator.liveness.seenSince("server", time.Now().Add(-2*time.Second-maintenanceInterval)) {
 				s.t.Fatal("the report was not relayed to the leader")
 			}
 		}
--- a/internal/coordinator/liveness.go
+++ b/internal/coordinator/liveness.go
@@ -9,21 +9,21 @@
 // and relays them to the leader, which alone detects silence. The state is not replicated: a new
 // leader gives every server a full timeout.
 type liveness struct {
-	mutex     sync.Mutex
-	lastHeard map[string]time.Time
+	mutex       sync.Mutex
+	lastContact map[string]time.Time
 	// pending holds the servers that reported here since the last relay to the leader.
 	pending map[string]bool
 }
 
 func newLiveness() *liveness {
-	return &liveness{lastHeard: make(map[string]time.Time), pending: make(map[string]bool)}
+	return &liveness{lastContact: make(map[string]time.Time), pending: make(map[string]bool)}
 }
 
 // record records a report received by this coordinator.
 func (l *liveness) record(id string, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.lastHeard[id] = now
+	l.lastContact[id] = now
 	l.pending[id] = true
 }
 
@@ -32,7 +32,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for _, id := range ids {
-		l.lastHeard[id] = now
+		l.lastContact[id] = now
 	}
 }
 
@@ -48,36 +48,36 @@
 	return ids
 }
 
-// heardSince reports whether a server or machine was heard from after a time.
-func (l *liveness) heardSince(id string, since time.Time) bool {
+// seenSince reports whether a server or machine reported after a time.
+func (l *liveness) seenSince(id string, since time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.lastHeard[id].After(since)
+	return l.lastContact[id].After(since)
 }
 
-// silentServers returns the given servers not heard from for longer than the timeout and drops the
-// records of all others. A server without a record counts as heard from now: it may have reported to
+// silentServers returns the given servers without a report for longer than the timeout and drops the
+// records of all others. A server without a record counts as having reported now: it may have reported to
 // another coordinator that has not yet relayed the report.
 func (l *liveness) silentServers(ids []string, timeout time.Duration, now time.Time) []string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	kept := make(map[string]time.Time, len(l.lastHeard))
-	for id, heard := range l.lastHeard {
+	kept := make(map[string]time.Time, len(l.lastContact))
+	for id, last := range l.lastContact {
 		if isMachineKey(id) {
-			kept[id] = heard
+			kept[id] = last
 		}
 	}
 	var silent []string
 	for _, id := range ids {
-		heard, known := l.lastHeard[id]
+		last, known := l.lastContact[id]
 		if !known {
-			heard = now
+			last = now
 		}
-		kept[id] = heard
-		if now.Sub(heard) > timeout {
+		kept[id] = last
+		if now.Sub(last) > timeout {
 			silent = append(silent, id)
 		}
 	}
-	l.lastHeard = kept
+	l.lastContact = kept
 	return silent
 }
--- a/internal/coordinator/machines.go
+++ b/internal/coordinator/machines.go
@@ -32,13 +32,13 @@
 
 func machineKey(name string) string { return machinePrefix + name }
 
-// removeSilentMachines removes the entries of machines not heard from for machineRemovalTimeout.
+// removeSilentMachines removes the entries of machines that sent no announcement for machineRemovalTimeout.
 func (c *Coordinator) removeSilentMachines(ctx context.Context, view *directory.View, leaderSince, now time.Time) {
 	if now.Sub(leaderSince) < machineRemovalTimeout {
 		return
 	}
 	for _, machine := range view.Machines() {
-		if machine.GetRetiring() || c.liveness.heardSince(machineKey(machine.GetName()), now.Add(-machineRemovalTimeout)) {
+		if machine.GetRetiring() || c.liveness.seenSince(machineKey(machine.GetName()), now.Add(-machineRemovalTimeout)) {
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, maintenanceCallTimeout)
@@ -96,7 +96,7 @@
 func (c *Coordinator) countRemaining(view *directory.View, name string, wanted func(*rockwindpb.Machine) bool) int {
 	remaining := 0
 	for _, other := range stores(view) {
-		alive := c.liveness.heardSince(machineKey(other.GetName()), time.Now().Add(-aliveTimeout))
+		alive := c.liveness.seenSince(machineKey(other.GetName()), time.Now().Add(-aliveTimeout))
 		if other.GetName() != name && !other.GetRetiring() && alive && wanted(other) {
 			remaining++
 		}
--- a/internal/coordinator/restart_test.go
+++ b/internal/coordinator/restart_test.go
@@ -107,8 +107,8 @@
 		began := time.Now()
 		time.Sleep(300 * time.Millisecond)
 		for _, p := range s.processes {
-			if p.watcher != nil && p.watcher.LastHeard().Before(began.Add(-100*time.Millisecond)) {
-				s.t.Fatalf("%s last heard a coordinator %v before their recovery", p.name, began.Sub(p.watcher.LastHeard()))
+			if p.watcher != nil && p.watcher.LastContact().Before(began.Add(-100*time.Millisecond)) {
+				s.t.Fatalf("%s had its last contact with a coordinator %v before their recovery", p.name, began.Sub(p.watcher.LastContact()))
 			}
 		}
 	})
--- a/internal/coordinator/seeds_test.go
+++ b/internal/coordinator/seeds_test.go
@@ -70,7 +70,7 @@
 		time.Sleep(5 * time.Second)
 		for _, p := range s.processes[coordinators:] {
 			if silent, _ := p.watcher.WatchFailures(); silent > 2*time.Second {
-				t.Errorf("%s has heard no coordinator for %v with three of five running", p.name, silent)
+				t.Errorf("%s had no contact with a coordinator for %v with three of five running", p.name, silent)
 			}
 		}
 		added := s.startWatchersWithSeeds(20, s.seeds[0], s.seeds[1], s.seeds[2])
--- a/internal/loadshare/layout.go
+++ b/internal/loadshare/layout.go
@@ -264,12 +264,12 @@
 func (l *Layout) IsRelay() bool { return slices.ContainsFunc(l.relays, l.isSelf) }
 
 // IsDelegate reports whether this process is a relay of its group and no preferred relay is alive.
-func (l *Layout) IsDelegate(heard func(name string) bool) bool {
+func (l *Layout) IsDelegate(seen func(name string) bool) bool {
 	for _, relay := range l.relays {
 		if l.isSelf(relay) {
 			return true
 		}
-		if heard(relay.name) {
+		if seen(relay.name) {
 			return false
 		}
 	}
@@ -286,12 +286,12 @@
 
 // IsActingDelegate reports whether this process replaces the silent relays of its group: no
 // preferred standby is alive, and a quorum of members sends it loads.
-func (l *Layout) IsActingDelegate(heard func(name string) bool) bool {
+func (l *Layout) IsActingDelegate(seen func(name string) bool) bool {
 	for _, standby := range l.standbys {
 		if l.isSelf(standby) {
-			return l.hasQuorum(heard)
+			return l.hasQuorum(seen)
 		}
-		if heard(standby.name) {
+		if seen(standby.name) {
 			return false
 		}
 	}
@@ -299,11 +299,11 @@
 }
 
 // hasQuorum reports whether enough members other than relays are alive.
-func (l *Layout) hasQuorum(heard func(name string) bool) bool {
+func (l *Layout) hasQuorum(seen func(name string) bool) bool {
 	others := l.members[len(l.relays):]
 	alive := 0
 	for _, member := range others {
-		if l.isSelf(member) || heard(member.name) {
+		if l.isSelf(member) || seen(member.name) {
 			alive++
 		}
 	}
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -45,8 +45,8 @@
 	// SumRegion returns the summed load of the named processes, including this one, and of the named
 	// groups.
 	SumRegion(names, groups []string) *rockwindpb.LoadDigest
-	// Heard reports whether a digest of the named process was received recently.
-	Heard(name string) bool
+	// RecentlySeen reports whether a digest of the named process was received recently.
+	RecentlySeen(name string) bool
 	// DropPriority returns when the entry of a hash is removed from an oversized digest, as far
 	// as this process knows what the hash stands for.
 	DropPriority(hash uint32) DropPriority
@@ -185,7 +185,7 @@
 	}
 }
 
-// logRelayStatus logs that the relays of this zone have become silent or are heard again.
+// logRelayStatus logs that the relays of this zone have become silent or send digests again.
 func (s *Sharer) logRelayStatus(silent, standby bool) {
 	if silent == s.loggedSilent {
 		return
--- a/internal/loadshare/protocol.go
+++ b/internal/loadshare/protocol.go
@@ -48,10 +48,10 @@
 	delegates map[string]delegate
 	// regions is the exchange between regions.
 	regions regionExchange
-	// relayHeardAt is when a relay of this group was last heard, and silent whether
+	// relaySeenAt is when the last digest of a relay of this group arrived, and silent whether
 	// the relays were silent at the last tick.
-	relayHeardAt time.Duration
-	silent       bool
+	relaySeenAt time.Duration
+	silent      bool
 	// grouped is whether the layout had groups at the last tick.
 	grouped bool
 }
@@ -84,7 +84,7 @@
 	var sent []Datagram
 	if grouped := !p.layout.Mesh(); grouped != p.grouped {
 		// In a mesh, or before this process knew the site, relays have not sent anything.
-		p.grouped, p.relayHeardAt = grouped, now
+		p.grouped, p.relaySeenAt = grouped, now
 	}
 	silent := p.relaysSilent(now)
 	if silent != p.silent {
@@ -113,7 +113,7 @@
 
 // relaysSilent reports whether this process considers all relays of its group silent.
 func (p *Protocol) relaysSilent(now time.Duration) bool {
-	return p.grouped && !p.layout.IsRelay() && now-p.relayHeardAt > relayTimeout
+	return p.grouped && !p.layout.IsRelay() && now-p.relaySeenAt > relayTimeout
 }
 
 // RelayStatus reports whether all relays of the group were silent at the last tick, and whether
@@ -122,10 +122,10 @@
 
 // isDelegate reports whether this process acts as the delegate of its group.
 func (p *Protocol) isDelegate(source Source, now time.Duration) bool {
-	if p.layout.IsDelegate(source.Heard) {
+	if p.layout.IsDelegate(source.RecentlySeen) {
 		return true
 	}
-	return p.relaysSilent(now) && p.layout.IsActingDelegate(source.Heard)
+	return p.relaysSilent(now) && p.layout.IsActingDelegate(source.RecentlySeen)
 }
 
 // sendToMembers sends the members of the group its sum and that of all other groups.
@@ -224,10 +224,10 @@
 	case p.layout.HasStandby(digest.GetSender()):
 		return p.acceptsFromStandby(source, digest, now)
 	}
-	p.relayHeardAt = now
+	p.relaySeenAt = now
 	switch {
 	case digest.GetElsewhere():
-		return !p.layout.IsDelegate(source.Heard)
+		return !p.layout.IsDelegate(source.RecentlySeen)
 	case p.layout.IsRelay():
 		// Relays receive the members' digests directly.
 		return false
--- a/internal/loadshare/protocol_test.go
+++ b/internal/loadshare/protocol_test.go
@@ -54,7 +54,7 @@
 	return loadshare.RegionDigest(s.shares, names, groups, s.own)
 }
 
-func (s *simProcess) Heard(name string) bool { return s.shares.Heard(name, s.now) }
+func (s *simProcess) RecentlySeen(name string) bool { return s.shares.RecentlySeen(name, s.now) }
 
 // DropPriority implements loadshare.Source. Hashes of tenants have the highest bit set, those of
 // orphaned requests the next one.
--- a/internal/loadshare/trigger_test.go
+++ b/internal/loadshare/trigger_test.go
@@ -33,7 +33,7 @@
 func (s *countingSource) SumRegion(_, _ []string) *rockwindpb.LoadDigest {
 	return s.digest()
 }
-func (s *countingSource) Heard(string) bool                  { return true }
+func (s *countingSource) RecentlySeen(string) bool           { return true }
 func (s *countingSource) Take(digest *rockwindpb.LoadDigest) { s.received <- digest }
 
 func open(t *testing.T, name string) (*loadshare.Sharer, netip.AddrPort) {
--- a/internal/orphans/survey.go
+++ b/internal/orphans/survey.go
@@ -73,8 +73,8 @@
 
 // PeerStatus is what a process has learned about its peers since its start.
 type PeerStatus struct {
-	// Heard reports whether any peer has sent its load.
-	Heard bool
+	// Reported reports whether any peer has sent its load.
+	Reported bool
 	// EarliestStart is the earliest start time among those peers, in Unix milliseconds.
 	EarliestStart int64
 	// SurvivorsReported reports whether a peer that has just started announced surviving peers.
@@ -115,7 +115,7 @@
 type stage int
 
 const (
-	// listening: no peer has been heard.
+	// listening: no peer has reported its load.
 	listening stage = iota
 	// settling: some peers survived, and their loads are still arriving.
 	settling
@@ -207,7 +207,7 @@
 
 // Answered records how many requests a server reported, running and queued, and how many all
 // live processes have there. The number of orphaned requests at a server only decreases,
-// unless surviving peers are heard later.
+// unless surviving peers report later.
 func (s *Survey) Answered(id string, reported, liveLoad int) {
 	state := s.endQuery(id)
 	if state == nil {
@@ -281,7 +281,7 @@
 //
 // The same applies if this process got its first directory late: its peers may have sent requests by then.
 //
-// Surviving peers may be heard only after settleTime; the counts are then compared with their
+// Surviving peers may report only after settleTime; the counts are then compared with their
 // loads. Reports of survivors by others are ignored by that time, since a machine that restarts
 // later than the rest takes the rest for survivors.
 func (s *Survey) Evaluate(peers PeerStatus, liveLoad func(id string) int, now time.Duration) {
@@ -290,8 +290,8 @@
 	}
 	elapsed := now - s.startedAt
 	settled := elapsed >= settleTime
-	survivorHeard := peers.Heard && s.processStartUnixMs-peers.EarliestStart > restartWindow.Milliseconds()
-	survived := survivorHeard || (peers.SurvivorsReported && !settled)
+	survivorSeen := peers.Reported && s.processStartUnixMs-peers.EarliestStart > restartWindow.Milliseconds()
+	survived := survivorSeen || (peers.SurvivorsReported && !settled)
 	s.elapsed, s.survivors = elapsed, s.survivors || survived
 	if s.stage == finished {
 		return
@@ -304,10 +304,10 @@
 		if s.reportedLittle() {
 			s.end()
 		}
-	case settled && !s.compared && (survivorHeard || s.stage == settling):
+	case settled && !s.compared && (survivorSeen || s.stage == settling):
 		s.discardCounts()
 		s.compareWithPeers(liveLoad)
-	case s.stage == listening && (peers.Heard || elapsed >= peerTimeout):
+	case s.stage == listening && (peers.Reported || elapsed >= peerTimeout):
 		s.stage = counting
 		for _, state := range s.servers {
 			s.setLeft(state, state.reported)
--- a/internal/orphans/survey_test.go
+++ b/internal/orphans/survey_test.go
@@ -16,8 +16,8 @@
 // restartedPeers is the status where all peers have just started too, and survivingPeers where
 // one of them started a minute earlier.
 var (
-	restartedPeers = orphans.PeerStatus{Heard: true, EarliestStart: started - 300}
-	survivingPeers = orphans.PeerStatus{Heard: true, EarliestStart: started - 60_000}
+	restartedPeers = orphans.PeerStatus{Reported: true, EarliestStart: started - 300}
+	survivingPeers = orphans.PeerStatus{Reported: true, EarliestStart: started - 60_000}
 	noLoad         = func(string) int { return 0 }
 )
 
@@ -120,7 +120,7 @@
 	}
 	survey.Answered("server-0", 5, 3)
 	if orphanedAt(survey, "server-0") != -1 {
-		t.Error("a count exists before a peer is heard")
+		t.Error("a count exists before a peer reports")
 	}
 	survey.Evaluate(restartedPeers, noLoad, 40*time.Millisecond)
 	if survey.Pending() || orphanedAt(survey, "server-0") != 5 {
@@ -181,7 +181,7 @@
 			survey.Answered(server.ID, 6, liveLoad(server.ID))
 		}
 		if now < 300*time.Millisecond && orphanedAt(survey, "server-0") > 0 {
-			t.Fatalf("counted at %v, before the peers are heard", now)
+			t.Fatalf("counted at %v, before the peers report", now)
 		}
 	}
 	if got := orphanedAt(survey, "server-0"); got < 3 || got > 4 {
@@ -189,8 +189,8 @@
 	}
 }
 
-// TestPeerLoadHeardLateIsNotCounted: not all peer loads have arrived at the first comparison.
-func TestPeerLoadHeardLateIsNotCounted(t *testing.T) {
+// TestPeerLoadReportedLateIsNotCounted: not all peer loads have arrived at the first comparison.
+func TestPeerLoadReportedLateIsNotCounted(t *testing.T) {
 	survey, queries := startSurvey(4), 0
 	for now := time.Duration(0); now < 3*time.Second; now += 20 * time.Millisecond {
 		survey.Evaluate(survivingPeers, noLoad, now)
@@ -207,9 +207,9 @@
 	}
 }
 
-// TestSurvivorHeardLateDiscardsCounts: two processes that restart while others run may hear
+// TestSurvivorSeenLateDiscardsCounts: two processes that restart while others run may hear
 // each other first.
-func TestSurvivorHeardLateDiscardsCounts(t *testing.T) {
+func TestSurvivorSeenLateDiscardsCounts(t *testing.T) {
 	survey := startSurvey(1)
 	countDue(survey, 0)
 	survey.Answered("server-0", 6, 0)
@@ -351,9 +351,9 @@
 	}
 }
 
-// TestSurvivorHeardAfterSettleTimeDiscardsCounts covers a surviving peer whose load arrives
+// TestSurvivorSeenAfterSettleTimeDiscardsCounts covers a surviving peer whose load arrives
 // late.
-func TestSurvivorHeardAfterSettleTimeDiscardsCounts(t *testing.T) {
+func TestSurvivorSeenAfterSettleTimeDiscardsCounts(t *testing.T) {
 	for _, peers := range []orphans.PeerStatus{{}, restartedPeers} {
 		survey := startSurvey(2)
 		liveLoad := noLoad
@@ -403,7 +403,7 @@
 func TestLateRestartCountsNoLoadOfPeers(t *testing.T) {
 	for _, later := range []int64{600, 1000, 1500} {
 		survey := startSurvey(4)
-		laterPeers := orphans.PeerStatus{Heard: true, EarliestStart: started - later}
+		laterPeers := orphans.PeerStatus{Reported: true, EarliestStart: started - later}
 		liveLoad := func(string) int { return 6 }
 		for now := time.Duration(0); now < 2*time.Second; now += 20 * time.Millisecond {
 			survey.Evaluate(laterPeers, liveLoad, now)
--- a/internal/router/coldstart.go
+++ b/internal/router/coldstart.go
@@ -116,7 +116,7 @@
 }
 
 // updateColdSpacings recomputes how often this process may send to each cold server, if the
-// listed processes changed or another number of them is heard from. The caller holds d.mutex.
+// listed processes changed or another number of them sends digests. The caller holds d.mutex.
 func (d *Dispatcher) updateColdSpacings(listChanged bool) {
 	live := d.shares.LiveProcesses(len(d.processNames), d.groupSize)
 	if !listChanged && live == d.liveProcesses {
--- a/internal/router/overload.go
+++ b/internal/router/overload.go
@@ -113,7 +113,7 @@
 // zonePosition returns this router's position among the routers of its zone, ordered by name, or
 // a zero Zone if the directory is out of date.
 func (r *overloadController) zonePosition() overload.ZonePosition {
-	if time.Since(r.router.watcher.LastHeard()) > maxDirectoryAge {
+	if time.Since(r.router.watcher.LastContact()) > maxDirectoryAge {
 		return overload.ZonePosition{}
 	}
 	var names []string
--- a/internal/router/recording.go
+++ b/internal/router/recording.go
@@ -76,7 +76,7 @@
 	failure := fault.From(err)
 	decision.Default.Record(decision.RequestRefused, id, log.Fields{
 		"route": route.GetName(), "configuration": configNumber, "status": failure.Kind.HTTPStatus(), "reason": failure.Message,
-		"heard_ms_ago": time.Since(r.watcher.LastHeard()).Milliseconds(),
+		"heard_ms_ago": time.Since(r.watcher.LastContact()).Milliseconds(),
 	})
 }
 
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -79,11 +79,11 @@
 	return loadshare.RegionDigest(s.dispatcher.shares, names, groups, s.dispatcher.ownLoads())
 }
 
-// Heard implements loadshare.Source.
-func (s loadSource) Heard(name string) bool {
+// RecentlySeen implements loadshare.Source.
+func (s loadSource) RecentlySeen(name string) bool {
 	s.dispatcher.mutex.Lock()
 	defer s.dispatcher.mutex.Unlock()
-	return s.dispatcher.shares.Heard(name, s.dispatcher.now())
+	return s.dispatcher.shares.RecentlySeen(name, s.dispatcher.now())
 }
 
 // DropPriority implements loadshare.Source. An unknown hash is treated as that of a tenant.
--- a/internal/router/survey.go
+++ b/internal/router/survey.go
@@ -128,8 +128,8 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.now()
-	earliest, heard := d.shares.EarliestStart()
-	d.survey.Evaluate(orphans.PeerStatus{Heard: heard, EarliestStart: earliest, SurvivorsReported: d.shares.SurvivorsReported()}, d.liveLoad, now)
+	earliest, reported := d.shares.EarliestStart()
+	d.survey.Evaluate(orphans.PeerStatus{Reported: reported, EarliestStart: earliest, SurvivorsReported: d.shares.SurvivorsReported()}, d.liveLoad, now)
 	d.shareOrphaned()
 	return d.survey.Due(now), d.survey.Done()
 }
--- a/internal/router/survey_test.go
+++ b/internal/router/survey_test.go
@@ -98,7 +98,7 @@
 		if got := orphaned(dispatcher); got != 4 {
 			t.Fatalf("%d requests of the full server are counted, want 4", got)
 		}
-		if heard := dispatcher.LoadSource().Own(); len(heard.GetServers()) < 2 {
+		if own := dispatcher.LoadSource().Own(); len(own.GetServers()) < 2 {
 			t.Error("orphaned requests are not shared")
 		}
 		for range 12 {
--- a/internal/router/tenants.go
+++ b/internal/router/tenants.go
@@ -38,7 +38,7 @@
 // checkKeysCurrent fails if this router has been without contact to a coordinator for too long to
 // rule out that keys were revoked.
 func (r *Router) checkKeysCurrent() error {
-	if r.keyLifetime == 0 || time.Since(r.watcher.LastHeard()) <= time.Duration(keyLifetimeFraction*float64(r.keyLifetime)) {
+	if r.keyLifetime == 0 || time.Since(r.watcher.LastContact()) <= time.Duration(keyLifetimeFraction*float64(r.keyLifetime)) {
 		return nil
 	}
 	return fault.New(fault.Unavailable, "this router has not heard for a while which API keys hold", "use another router").
@@ -49,7 +49,7 @@
 // lost contact to the coordinators, a newer configuration may have it, and the client should ask
 // another router.
 func (r *Router) denial(refusal *fault.Fault) *fault.Fault {
-	if time.Since(r.watcher.LastHeard()) <= maxConfigAge {
+	if time.Since(r.watcher.LastContact()) <= maxConfigAge {
 		return refusal.WithRan(fault.NotRun)
 	}
 	return fault.Newf(fault.Unavailable, "use another router", "this router may not have the newest configuration; according to its own, %s", refusal.Message).
--- a/internal/site/silence.go
+++ b/internal/site/silence.go
@@ -41,8 +41,8 @@
 // SinceLastAnswer returns the time since a coordinator last answered a watch, or since the
 // creation of the watcher if none has.
 func (w *Watcher) SinceLastAnswer() time.Duration {
-	if lastHeard := w.lastHeard.Load(); lastHeard != 0 {
-		return time.Since(time.Unix(0, lastHeard))
+	if lastContact := w.lastContact.Load(); lastContact != 0 {
+		return time.Since(time.Unix(0, lastContact))
 	}
 	return time.Since(w.createdAt)
 }
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -66,9 +66,9 @@
 	// configurationFirstAt and directoryFirstAt are when there first was a configuration and a
 	// directory, in Unix nanoseconds; zero before that.
 	configurationFirstAt, directoryFirstAt atomic.Int64
-	// lastHeard is when a coordinator last answered a watch, minus the age of the answer, in Unix
+	// lastContact is when a coordinator last answered a watch, minus the age of the answer, in Unix
 	// nanoseconds.
-	lastHeard atomic.Int64
+	lastContact atomic.Int64
 
 	// createdAt is when the watcher was created, and failedWatches counts failed watches.
 	createdAt     time.Time
@@ -154,8 +154,8 @@
 		return
 	}
 	fields := log.Fields{"directory": uint64(0), "heard_ms_ago": int64(-1)}
-	if w.lastHeard.Load() != 0 {
-		fields["heard_ms_ago"] = time.Since(w.LastHeard()).Milliseconds()
+	if w.lastContact.Load() != 0 {
+		fields["heard_ms_ago"] = time.Since(w.LastContact()).Milliseconds()
 	}
 	if view := w.Directory(); view != nil {
 		fields["directory"] = view.Revision()
@@ -221,8 +221,8 @@
 	}
 }
 
-// LastHeard returns when a coordinator that is in contact with its leader last answered.
-func (w *Watcher) LastHeard() time.Time { return time.Unix(0, w.lastHeard.Load()) }
+// LastContact returns when a coordinator that is in contact with its leader last answered.
+func (w *Watcher) LastContact() time.Time { return time.Unix(0, w.lastContact.Load()) }
 
 // Changed returns a channel that is closed when the configuration, the directory, the quarantine,
 // the zone drains or the cold servers change after the call.
@@ -323,7 +323,7 @@
 	}
 	w.recordDependency(address, nil)
 	age := time.Duration(response.GetAgeMs()) * time.Millisecond
-	w.lastHeard.Store(time.Now().Add(-age).UnixNano())
+	w.lastContact.Store(time.Now().Add(-age).UnixNano())
 	w.requestConfiguration(address, response.GetConfigurationNumber())
 	w.updateQuarantine(response)
 	w.updateZoneDrains(response)
