--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -2,9 +2,11 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"rockwind.example/rockwind/internal/health"
+	"rockwind.example/rockwind/internal/topology"
 )
 
 // sampleSize is how many servers a choice in a large pool draws, see docs/design/size.md.
@@ -49,7 +51,7 @@
 }
 
 // foundGood reports whether the best server so far is good enough to stop.
-func (s *search) foundGood() bool { return s.trial || s.healthy }
+func (s *search) foundGood() bool { return s.choice.Trial || s.healthy }
 
 // shuffledPlaces returns all places, including vacant ones, in random order.
 func (p *Pool) shuffledPlaces() []int {
@@ -124,7 +126,7 @@
 // already considered it or has found a trial.
 func (s *search) considerOnce(place int) {
 	p := s.pool
-	if s.trial || place < 0 || place >= len(p.servers) || p.servers[place] == nil || p.servers[place].lastSearch == p.searches {
+	if s.choice.Trial || place < 0 || place >= len(p.servers) || p.servers[place] == nil || p.servers[place].lastSearch == p.searches {
 		return
 	}
 	p.servers[place].lastSearch = p.searches
@@ -140,6 +142,37 @@
 	return state == health.Ejected && !p.tracker.Failing(place, now)
 }
 
+// chooseTrial returns an ejected server that is due for a trial, for a batch request for which there is no
+// slot at the other servers. The slots of ejected servers are not among those that batch work shares with online requests.
+func (p *Pool) chooseTrial(demand Demand, tried []string, now time.Duration, random *rand.Rand) (Choice, bool) {
+	if !demand.MayTry || p.tracker.Ejected() == 0 || !p.batchMayStart(now) {
+		return Choice{}, false
+	}
+	s := p.newSearch(demand, tried, now, random)
+	for place := range p.servers {
+		if !p.trialDue(place, now) {
+			continue
+		}
+		if s.consider(place); s.choice.Trial {
+			return p.commit(s.best, s.choice, demand, now), true
+		}
+	}
+	return Choice{}, false
+}
+
+// TrialDue reports whether any ejected server in the given regions may be sent a trial request.
+func (p *Pool) TrialDue(regions topology.RegionSet, now time.Duration) bool {
+	if p.tracker.Ejected() == 0 {
+		return false
+	}
+	for place, srv := range p.servers {
+		if srv != nil && regions.Allows(srv.Region) && p.trialDue(place, now) && p.viewOf(srv, now).hasRoom(true, 0, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // findEjected updates the list of ejected servers. It is enough to call it now and then, since the
 // first trial is due seconds after an ejection.
 func (p *Pool) findEjected(now time.Duration) {
