router: a restricted job needs a store with its configuration

Cause: within the time that a configuration takes to reach all processes, a store with an older one took a job that its router had restricted, and started the items by its own configuration: in a run with the race detector at load 34 to 58, 3 of 10 items of a job for the south started in the north (TestWaitingItemsFollowTheNewRegions). No rule prevented it; the race with the watch of the configuration decided. Change: the router names its configuration in the submission of a restricted job, as it did for a route with a limit of waiting tokens. A store with an older one does not take the job (not run), and the call is repeated. The new unit test covers free, limited and restricted jobs.

--- a/internal/jobclient/client.go
+++ b/internal/jobclient/client.go
@@ -105,10 +105,10 @@
 
 // Submit submits a job. It returns once a quorum has synced it to disk. It fails with
 // fault.OutcomeUnknown if the job may have been accepted without an acknowledgement, and with
-// fault.LimitReached if it exceeds the token limit of its route. limitedBy is the number of the
-// configuration that defines the limit, zero if the route has none.
-func (c *Client) Submit(ctx context.Context, job *rockwindpb.StoredJob, limitedBy uint64) error {
-	return c.SubmitWithin(ctx, job, limitedBy, topology.RegionSet{})
+// fault.LimitReached if it exceeds the token limit of its route. neededConfig is the number of the
+// configuration that a store must have to take the job, zero if any will do.
+func (c *Client) Submit(ctx context.Context, job *rockwindpb.StoredJob, neededConfig uint64) error {
+	return c.SubmitWithin(ctx, job, neededConfig, topology.RegionSet{})
 }
 
 // Read returns results of a job; see jobstore.Machine.Read. On a site with several regions they may
--- a/internal/jobclient/regions.go
+++ b/internal/jobclient/regions.go
@@ -53,7 +53,7 @@
 // SubmitWithin is Submit for a job that may be stored in some regions only. A restricted job goes to
 // the regional shard of one of them, and straight to a store of that region. If no such store can be
 // reached the job is refused at once, as not run.
-func (c *Client) SubmitWithin(ctx context.Context, job *rockwindpb.StoredJob, limitedBy uint64, allowed topology.RegionSet) error {
+func (c *Client) SubmitWithin(ctx context.Context, job *rockwindpb.StoredJob, neededConfig uint64, allowed topology.RegionSet) error {
 	view := c.site.Directory()
 	region, err := c.place(view, job.GetId(), allowed)
 	if err != nil {
@@ -64,7 +64,7 @@
 			return err
 		}
 	}
-	request := &rockwindpb.SubmitStoredJobRequest{Job: job, Configuration: limitedBy, Region: region}
+	request := &rockwindpb.SubmitStoredJobRequest{Job: job, Configuration: neededConfig, Region: region}
 	_, err = call(ctx, c, shardIn(job.GetId(), region), 0, func(ctx context.Context, service storeClient) (*rockwindpb.SubmitStoredJobResponse, error) {
 		return service.Submit(ctx, request)
 	})
--- a/internal/router/export_test.go
+++ b/internal/router/export_test.go
@@ -7,6 +7,8 @@
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/loadshare"
 	"rockwind.example/rockwind/internal/orphans"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/topology"
 )
 
 // LoadSource returns the source of the loads that the dispatcher shares.
@@ -63,6 +65,15 @@
 	return ctx.Deadline()
 }
 
+// NeededConfig returns the number of the configuration that a store must have to take a job of a route
+// with the given limit and regions, from a router whose configuration has the number 9.
+func NeededConfig(maxWaitingTokens uint64, regions ...string) uint64 {
+	submitted := &submission{
+		route: &rockwindpb.Route{MaximumWaitingTokens: maxWaitingTokens}, allowed: topology.NewRegionSet(regions), configNumber: 9,
+	}
+	return submitted.neededConfig()
+}
+
 // AnswerMargin is the least time that the stores have for a submission.
 const AnswerMargin = answerMargin
 
--- a/internal/router/submission.go
+++ b/internal/router/submission.go
@@ -39,7 +39,7 @@
 	began := time.Now()
 	ctx, cancel := s.withDeadline(request.Context())
 	defer cancel()
-	err = s.router.jobs.SubmitWithin(ctx, job, s.limitConfig(), s.allowed)
+	err = s.router.jobs.SubmitWithin(ctx, job, s.neededConfig(), s.allowed)
 	s.record(job, len(body), time.Since(began), err)
 	if err != nil {
 		writeError(writer, s.withBoundedRetryAfter(err))
@@ -80,10 +80,11 @@
 	return job, err
 }
 
-// limitConfig returns the number of the configuration whose limit of waiting tokens applies to
-// the job, or zero if its route has none.
-func (s *submission) limitConfig() uint64 {
-	if s.route.GetMaximumWaitingTokens() == 0 {
+// neededConfig returns the number of the configuration that a store must have to take the job, or zero
+// if any will do. A limit of waiting tokens applies by that configuration, and a store with an earlier
+// one would start the items of a restricted job in other regions.
+func (s *submission) neededConfig() uint64 {
+	if s.route.GetMaximumWaitingTokens() == 0 && !s.allowed.Restricted() {
 		return 0
 	}
 	return s.configNumber
--- a/internal/router/submission_test.go
+++ b/internal/router/submission_test.go
@@ -44,3 +44,17 @@
 		}
 	}
 }
+
+// TestRestrictedJobNeedsAStoreWithItsConfiguration guards against a store that takes a restricted job
+// before it has the restriction, and starts its items in other regions.
+func TestRestrictedJobNeedsAStoreWithItsConfiguration(t *testing.T) {
+	for name, each := range map[string]struct{ got, want uint64 }{
+		"free":       {router.NeededConfig(0), 0},
+		"limited":    {router.NeededConfig(100), 9},
+		"restricted": {router.NeededConfig(0, "south"), 9},
+	} {
+		if each.got != each.want {
+			t.Errorf("%s: the store needs configuration %d, want %d", name, each.got, each.want)
+		}
+	}
+}
