platform: measure the timing rules of routers in virtual time

Cause: beside load, tests of ./platform counted stalls of the machine as delays of the product or lost their premise. The crowd of TestPunctualRetryRunsBeforeNewRequests arrived one by one, 0.5 s apart, and gave up before the queue was full. TestPunctualRetryGoesFirst checks the order at a difference of 1 ms.

--- a/internal/router/queue_test.go
+++ b/internal/router/queue_test.go
@@ -306,3 +306,79 @@
 		}
 	})
 }
+
+// TestPunctualRetryGoesFirst guards against a client that retries when it was told to and finds itself behind one that
+// retried too early and has waited longer, or behind one that came later, although it started 1 ms before them.
+func TestPunctualRetryGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const deadline, hold = 10 * time.Second, 500 * time.Millisecond
+		dispatcher := newDispatcher(1, featuregate.Set{})
+		var started []string
+		release := make(chan struct{})
+		// ask sends an attempt of a client that first asked at the given time. It returns the refusal, nil once the
+		// request waits or runs.
+		ask := func(name string, firstAsked time.Time) error {
+			left := deadline - time.Since(firstAsked)
+			request := requestOf("", router.MaxWait(deadline, left))
+			request.FirstAsked, request.StartBy, request.Remaining = firstAsked, firstAsked.Add(deadline*85/100), left
+			var refusal error
+			go func() {
+				lease, err := dispatcher.Acquire(t.Context(), request)
+				if err != nil {
+					refusal = err
+					return
+				}
+				started = append(started, name)
+				<-release
+				lease.Done(health.Success, 0)
+			}()
+			synctest.Wait()
+			return refusal
+		}
+		end := func() {
+			release <- struct{}{}
+			synctest.Wait()
+		}
+		for range 4 {
+			if err := ask("learn", time.Now()); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(hold)
+			end()
+		}
+		waiting := 0
+		var refusal error
+		for ; refusal == nil; waiting++ {
+			refusal = ask("crowd", time.Now())
+		}
+		first := time.Now()
+		after := fault.From(refusal).RetryAfter
+		time.Sleep(time.Millisecond)
+		second := time.Now()
+		early := ask("second", second)
+		if early == nil || fault.From(early).Ran != fault.NotRun || fault.From(early).RetryAfter < after {
+			t.Fatalf("the second client: %v; the first has to wait %v", early, after)
+		}
+		if ask("second", second) == nil {
+			t.Fatal("an immediate retry is admitted")
+		}
+		for range waiting - 2 {
+			end()
+		}
+		for name, at := range map[string]time.Time{"second": second, "fresh": time.Now()} {
+			if err := ask(name, at); err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+		}
+		time.Sleep(time.Until(first.Add(after)))
+		if err := ask("first", first); err != nil {
+			t.Fatal(err)
+		}
+		for range 4 {
+			end()
+		}
+		if last := started[len(started)-3:]; !slices.Equal(last, []string{"first", "second", "fresh"}) {
+			t.Errorf("they ran in the order %v", started)
+		}
+	})
+}
