--- a/internal/router/queue_test.go
+++ b/internal/router/queue_test.go
@@ -365,6 +365,7 @@
 		for range waiting - 2 {
 			end()
 		}
+		time.Sleep(time.Millisecond)
 		for name, at := range map[string]time.Time{"second": second, "fresh": time.Now()} {
 			if err := ask(name, at); err != nil {
 				t.Fatalf("%s: %v", name, err)
