--- a/internal/coordinator/propagation_test.go
+++ b/internal/coordinator/propagation_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -16,6 +17,9 @@
 	// maxPropagationTime bounds the time from the acknowledgement of a change until all processes
 	// know it. It is the requirement of the strictest sites.
 	maxPropagationTime = 2 * time.Second
+	// maxHoldTime bounds the time from the report of the last server that a content crashed until all processes hold
+	// the content: a client that retries each 100 ms crashes three more servers by then.
+	maxHoldTime = 300 * time.Millisecond
 )
 
 // runCoordinators runs the background work of all coordinators until the returned function is called.
@@ -79,6 +83,19 @@
 				took["configuration"] = s.propagationTime("configuration", func(p *process) bool { return p.watcher.Configuration().Number() == 2 })
 				took["new server"] = s.propagationTime("new server", report(rockwindpb.ServerState_SERVER_STATE_READY))
 				took["server that leaves"] = s.propagationTime("server that leaves", report(rockwindpb.ServerState_SERVER_STATE_DRAINING))
+				content := make([]byte, fingerprint.Size)
+				suspect, _ := fingerprint.FromBytes(content)
+				for i := range 3 {
+					if _, err := (quarantineService{c}).Report(s.t.Context(), &rockwindpb.ReportQuarantineRequest{
+						Ends: []*rockwindpb.ServerEnd{{Content: content, Server: fmt.Sprint("crashed-", i), Route: "once"}},
+					}); err != nil {
+						s.t.Fatal(err)
+					}
+				}
+				held := s.propagationTime("held content", func(p *process) bool { return p.watcher.Quarantine().QuarantinedFor(suspect, time.Now()) > 0 })
+				if s.t.Logf("%d processes: held content after %v", size, held); held > maxHoldTime {
+					s.t.Errorf("%d processes: the last one holds a content after %v", size, held)
+				}
 				s.processes[1].stop()
 				apply(3)
 				took["configuration, a coordinator lost"] = s.propagationTime("configuration, a coordinator lost", func(p *process) bool { return p.watcher.Configuration().Number() == 3 })
