jobclient: report a refusal as uncertain if not all shards were searched

Cause: a shard that does not answer the search for an earlier submission counts as not having the job. If the chosen shard then refused the job by a limit, a repeated submission of an accepted job was answered as not run. Change: SubmitWithin answers outcome_unknown in this case. Refusals after a complete search are as before. Result: TestRefusalIsUncertainIfNotAllShardsWereSearched, which needs the change for its last check; the tests of internal/jobclient pass.

--- a/internal/jobclient/regions.go
+++ b/internal/jobclient/regions.go
@@ -59,10 +59,13 @@
 	if err != nil {
 		return err
 	}
+	maybeSubmitted := false
 	if c.mayBeElsewhere(view, job, allowed) {
-		if submitted, err := c.submittedElsewhere(ctx, view, job, region); submitted || err != nil {
+		submitted, complete, err := c.submittedElsewhere(ctx, view, job, region)
+		if submitted || err != nil {
 			return err
 		}
+		maybeSubmitted = !complete
 	}
 	request := &rockwindpb.SubmitStoredJobRequest{Job: job, Configuration: limitedBy, Region: region}
 	_, err = call(ctx, c, shardIn(job.GetId(), region), 0, func(ctx context.Context, service storeClient) (*rockwindpb.SubmitStoredJobResponse, error) {
@@ -71,6 +74,11 @@
 	if err == nil {
 		c.remember(view, job.GetId(), region)
 	}
+	if maybeSubmitted && fault.Is(err, fault.LimitReached) {
+		// A shard that did not answer the search may have accepted the job, so it must not be reported as
+		// refused.
+		return c.unansweredError(true)
+	}
 	return err
 }
 
@@ -155,20 +163,20 @@
 
 // submittedElsewhere reports whether a shard other than that of a region has the job, so that it is
 // not run twice. It fails with fault.Conflict if another job has its identifier. Shards that do not
-// answer in time count as not having the job.
-func (c *Client) submittedElsewhere(ctx context.Context, view *directory.View, job *rockwindpb.StoredJob, region string) (bool, error) {
+// answer in time count as not having the job; complete reports whether all answered.
+func (c *Client) submittedElsewhere(ctx context.Context, view *directory.View, job *rockwindpb.StoredJob, region string) (submitted, complete bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	found, digest, err := c.locate(ctx, job.GetId(), places(view, region))
 	if err != nil {
-		return false, nil
+		return false, fault.Is(err, fault.NotFound), nil
 	}
 	if !bytes.Equal(digest, job.GetDigest()) {
-		return false, fault.Newf(fault.Conflict, "use a unique identifier for each job", "identifier %q is in use by another job", job.GetId()).
+		return false, true, fault.Newf(fault.Conflict, "use a unique identifier for each job", "identifier %q is in use by another job", job.GetId()).
 			WithRan(fault.NotRun)
 	}
 	c.remember(view, job.GetId(), found)
-	return true, nil
+	return true, true, nil
 }
 
 // places lists the regions of all shards that may have a job, without the excluded ones. The empty
--- a/internal/jobclient/regions_test.go
+++ b/internal/jobclient/regions_test.go
@@ -35,7 +35,9 @@
 	// bodies counts the submissions that reached the stores of a region.
 	bodies map[string]int
 	// finds counts the searches for each job.
-	finds   map[string]int
+	finds map[string]int
+	// refuses lets stores refuse new jobs.
+	refuses bool
 	servers map[string][]*httptest.Server
 }
 
@@ -100,6 +102,9 @@
 	if before, found := jobs[request.GetJob().GetId()]; found && !bytes.Equal(before.GetDigest(), request.GetJob().GetDigest()) {
 		return nil, fault.ToTwirp(fault.New(fault.Conflict, "none", "in use"))
 	}
+	if f.site.refuses {
+		return nil, fault.ToTwirp(fault.New(fault.LimitReached, "the region is full", "come back").WithRan(fault.NotRun).WithRetryAfter(time.Second))
+	}
 	jobs[request.GetJob().GetId()] = request.GetJob()
 	return &rockwindpb.SubmitStoredJobResponse{}, nil
 }
@@ -443,3 +448,27 @@
 		t.Errorf("%d submissions reached the region", bodies)
 	}
 }
+
+// Guards against a refusal as not run of a job that a shard which can't be searched may have accepted under
+// an earlier configuration.
+func TestRefusalIsUncertainIfNotAllShardsWereSearched(t *testing.T) {
+	s := newRegionalSite(t)
+	if err := s.client.SubmitWithin(callContext(t), newJob("job"), 0, south); err != nil {
+		t.Fatal(err)
+	}
+	s.refuses = true
+	err := s.newClient().SubmitWithin(callContext(t), newJob("other"), 0, north)
+	if failure := fault.From(err); failure.Kind != fault.LimitReached || failure.Ran != fault.NotRun || failure.RetryAfter != time.Second {
+		t.Errorf("the refusal of a new job is %v, ran %v", err, failure.Ran)
+	}
+	if err := s.newClient().SubmitWithin(callContext(t), newJob("job"), 0, north); err != nil {
+		t.Errorf("the repeated submission is refused: %v", err)
+	}
+	for _, server := range s.servers["south"] {
+		server.Close()
+	}
+	err = s.newClient().SubmitWithin(callContext(t), newJob("job"), 0, north)
+	if failure := fault.From(err); failure.Kind != fault.OutcomeUnknown || failure.Ran == fault.NotRun {
+		t.Errorf("the repeated submission failed with %v, ran %v", err, failure.Ran)
+	}
+}
