jobadmission: decide whether a further job can be done by its due time

Cause: jobs restricted to regions are accepted although their regions have too few slots. The scheduler then leaves out single items, so in an overload by 7% a seventh of the jobs has late items.

--- a/internal/architecture/architecture_test.go
+++ b/internal/architecture/architecture_test.go
@@ -17,7 +17,7 @@
 // purePackages are the decision packages. They have no side effects, and take time
 // and randomness as arguments.
 var purePackages = []string{
-	"admission", "backlog", "balance", "coldstart", "continuation", "directory", "engine", "fairshare", "featurelevel", "fingerprint", "health", "jobstore", "orphans", "ledger", "tenantlimits", "topology", "ownership", "placement",
+	"admission", "backlog", "balance", "coldstart", "continuation", "directory", "engine", "fairshare", "featurelevel", "fingerprint", "health", "jobadmission", "jobstore", "orphans", "ledger", "tenantlimits", "topology", "ownership", "placement",
 	"quarantine", "quota", "raft", "relaybudget", "replica/leaderregion", "overload", "requestrate", "retryafter", "routing", "sharding", "sharing", "simulator", "store/contact", "virtualtime", "waitqueue", "zonedrain",
 }
 
--- a/internal/backlog/backlog_test.go
+++ b/internal/backlog/backlog_test.go
@@ -78,3 +78,25 @@
 		t.Fatalf("%v remain of an item longer than most", rest)
 	}
 }
+
+// TestMeanRunTimeIsKnownAfterSomeRuns: jobs are refused by it, so one slow run must not stand for all.
+func TestMeanRunTimeIsKnownAfterSomeRuns(t *testing.T) {
+	var estimator backlog.RunTimeEstimator
+	for range 19 {
+		estimator.RecordRun(100, 100, 5*time.Second)
+		if mean, known := estimator.MeanRemaining(0); known {
+			t.Fatalf("known too early: %v", mean)
+		}
+	}
+	estimator.RecordRun(0, 100, time.Second)
+	if _, known := estimator.MeanRemaining(0); known {
+		t.Error("a run without events counts")
+	}
+	estimator.RecordRun(100, 100, 5*time.Second)
+	for produced, want := range map[int]time.Duration{0: 5 * time.Second, 50: 2500 * time.Millisecond, 100: 0, 200: 0} {
+		mean, known := estimator.MeanRemaining(produced)
+		if !known || (mean-want).Abs() > time.Millisecond {
+			t.Errorf("%v remain after %d events, want %v", mean, produced, want)
+		}
+	}
+}
