store: refuse restricted jobs that can't be done by their due time

Cause: a job that is known to be late waited until its due time passed and took slots of jobs that can be on time. Change: the leader of a regional shard refuses such a job before anything is stored, as limit_reached and not run, with Retry-After, a log line and its counter. Repeated submissions of stored or uncertain jobs are accepted; unknown run times or slots, routes without a due time or regions, and ordinary shards decide nothing. Not measured on a whole site.

--- a/internal/balance/headroom.go
+++ b/internal/balance/headroom.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"rockwind.example/rockwind/internal/topology"
 )
 
 const (
@@ -165,6 +167,26 @@
 	return float64(left) > float64(processes-1)*random.Float64()
 }
 
+// BatchSlots returns how many slots all servers in some regions offer to batch work besides the online
+// requests there. Servers that are not usable at the moment count. The number is not known if a server does
+// not report its slots, or if there are no servers.
+func (p *Pool) BatchSlots(regions topology.RegionSet, now time.Duration) (slots int, known bool) {
+	online := 0
+	for _, srv := range p.servers {
+		if srv == nil || !regions.Allows(srv.Region) {
+			continue
+		}
+		if srv.Slots == 0 {
+			return 0, false
+		}
+		view := p.viewOf(srv, now)
+		slots += srv.Slots
+		online += min(srv.Slots, max(0, view.totalInflight-view.batch))
+	}
+	least := max(1, int(minBatchFraction*float64(slots)))
+	return max(slots-online, least), slots > 0
+}
+
 // ownBatch returns the number of batch requests of this process.
 func (p *Pool) ownBatch() int {
 	own := 0
--- a/internal/balance/headroom_test.go
+++ b/internal/balance/headroom_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/topology"
 )
 
 // newPool returns a pool of the given number of servers, its shared loads and the server names.
@@ -202,3 +203,41 @@
 		t.Error("batch work was started at a full server")
 	}
 }
+
+// TestBatchSlotsOfRegions: jobs are refused by this number, so it must include servers that are lost for a
+// moment, and must not be known if a server does not report its slots.
+func TestBatchSlotsOfRegions(t *testing.T) {
+	const servers, slots = 20, 8
+	sharedLoads := balance.NewSharedLoads()
+	pool := balance.NewPool("service", "here", sharedLoads)
+	loads := make(map[uint32]balance.SharedLoad)
+	for i := range servers {
+		region := "north"
+		if i%2 == 1 {
+			region = "south"
+		}
+		pool.Put(balance.Member{ID: serverName(i), Address: serverName(i), Zone: region, Region: region, Slots: slots, Silent: i == 0})
+		loads[balance.ServerHash(serverName(i))] = balance.SharedLoad{Inflight: 5, Batch: 3}
+	}
+	north, west := topology.NewRegionSet([]string{"north"}), topology.NewRegionSet([]string{"west"})
+	check := func(regions topology.RegionSet, want int, wantKnown bool) {
+		t.Helper()
+		if got, known := pool.BatchSlots(regions, 0); known != wantKnown || (known && got != want) {
+			t.Errorf("%d slots in %v, known %v, want %d, %v", got, regions.Names(), known, want, wantKnown)
+		}
+	}
+	check(north, servers/2*slots, true)
+	check(topology.RegionSet{}, servers*slots, true)
+	check(west, 0, false)
+	sharedLoads.Apply("router", 1, 1, loads, 0)
+	check(north, servers/2*(slots-2), true)
+	overloaded := make(map[uint32]balance.SharedLoad)
+	for i := range servers {
+		overloaded[balance.ServerHash(serverName(i))] = balance.SharedLoad{Inflight: 30}
+	}
+	sharedLoads.Apply("router", 1, 2, overloaded, 0)
+	// Batch work may always use a tenth of the slots.
+	check(north, servers/2*slots/10, true)
+	pool.Put(balance.Member{ID: serverName(0), Address: serverName(0), Zone: "north", Region: "north"})
+	check(north, 0, false)
+}
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -43,6 +43,8 @@
 	JobEnded   Kind = "job ended"
 	// TokensRefused: a job exceeds the token limit of its route.
 	TokensRefused Kind = "tokens refused"
+	// JobWouldBeLate: a job can't be done by its due time and is refused.
+	JobWouldBeLate Kind = "job would be late"
 	// ItemStarted: an item was sent to a server.
 	ItemStarted Kind = "item started"
 	// ItemReturned: an attempt of an item ended without a result.
--- a/internal/router/batchshare.go
+++ b/internal/router/batchshare.go
@@ -4,6 +4,7 @@
 	"rockwind.example/rockwind/internal/backlog"
 	"rockwind.example/rockwind/internal/balance"
 	"rockwind.example/rockwind/internal/sitemetrics"
+	"rockwind.example/rockwind/internal/topology"
 )
 
 // BatchUse returns what the given tenants have running in all shards and what waits at other
@@ -40,6 +41,19 @@
 	d.batch.Drop(shard)
 }
 
+// BatchSlots returns how many slots the servers of a service in some regions offer to batch work besides
+// online requests, also servers that are lost at the moment. It is not known if a server does not report its
+// slots.
+func (d *Dispatcher) BatchSlots(service string, regions topology.RegionSet) (slots int, known bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	pool, found := d.pools[service]
+	if !found {
+		return 0, false
+	}
+	return pool.pool.BatchSlots(regions, d.now())
+}
+
 // ShortItems counts by service the waiting batch items that cannot all meet their deadline, for
 // metrics.
 func (d *Dispatcher) ShortItems() []sitemetrics.ShortItems {
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -61,6 +61,7 @@
 	}
 	e := &executor{
 		transfers:    s.transfersOf(shard),
+		dueCheck:     s.dueCheck(shard),
 		store:        s,
 		shard:        shard,
 		shares:       newTenantShares(),
@@ -114,6 +115,8 @@
 	active map[claims.Key]*activeAttempt
 	// paces holds statistics of item run times, by service.
 	paces map[string]*backlog.RunTimeEstimator
+	// dueCheck gets the open items of the shard; nil in tests.
+	dueCheck *dueCheck
 	// recentlyEnded holds items that still count as running, since other leaders learn of their
 	// end with a delay.
 	recentlyEnded []endedItem
@@ -228,6 +231,7 @@
 		}
 	}
 	e.publishBatchLoad(short, now)
+	e.publishOpenWork(open, now)
 	e.recordPending(ctx)
 	return len(open) > 0 || e.claims.Len() > 0
 }
--- a/internal/store/service.go
+++ b/internal/store/service.go
@@ -104,12 +104,18 @@
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
+	checked, err := s.store.checkDue(ctx, jobShard, request)
+	if err != nil {
+		return nil, fault.ToTwirp(err)
+	}
 	admitted, err := s.store.limiter.admit(ctx, jobShard, request)
 	if err != nil {
+		checked.finish(fault.From(err).WithRan(fault.NotRun))
 		return nil, fault.ToTwirp(err)
 	}
 	outcome, err := propose(ctx, jobShard.group, &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_Submit{Submit: job}})
 	admitted.finish(err)
+	checked.finish(err)
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -62,6 +62,8 @@
 	// transfers holds the channels that notify the shards' executors of a leadership transfer.
 	transfers map[uint32]chan leadershipTransfer
 	created   chan uint32
+	// dueChecks holds the checks of due times by shard.
+	dueChecks map[uint32]*dueCheck
 }
 
 // maximumShards limits the number of shards of one store.
@@ -83,6 +85,7 @@
 		regions:    siteRegions{site.Topology(settings)},
 		contacts:   newContacts(),
 		machines:   make(map[uint32]*jobstore.Machine),
+		dueChecks:  make(map[uint32]*dueCheck),
 		transfers:  make(map[uint32]chan leadershipTransfer),
 		created:    make(chan uint32, maximumShards),
 	}
--- a/internal/topology/regionset.go
+++ b/internal/topology/regionset.go
@@ -43,6 +43,14 @@
 // Names lists the regions in alphabetical order; empty if the set is unrestricted or allows none.
 func (s RegionSet) Names() []string { return slices.Clone(s.names) }
 
+// Within reports whether all regions that the set allows are allowed by another one.
+func (s RegionSet) Within(other RegionSet) bool {
+	if !other.Restricted() || !s.Restricted() {
+		return !other.Restricted()
+	}
+	return !slices.ContainsFunc(s.names, func(name string) bool { return !other.Allows(name) })
+}
+
 // Len returns the number of regions; zero if the set is unrestricted or allows none.
 func (s RegionSet) Len() int { return len(s.names) }
 
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -70,3 +70,23 @@
 		}
 	}
 }
+
+// TestWithin guards against counting items that may run in regions where another one may not.
+func TestWithin(t *testing.T) {
+	none, north, both := topology.RegionSet{}, topology.NewRegionSet([]string{"north"}), topology.NewRegionSet([]string{"south", "north"})
+	for _, each := range []struct {
+		set, other topology.RegionSet
+		want       bool
+	}{
+		{north, north, true},
+		{north, both, true},
+		{north, none, true},
+		{none, none, true},
+		{both, north, false},
+		{none, north, false},
+	} {
+		if got := each.set.Within(each.other); got != each.want {
+			t.Errorf("%v within %v: %v", each.set.Names(), each.other.Names(), got)
+		}
+	}
+}
