--- a/internal/jobclient/regions_test.go
+++ b/internal/jobclient/regions_test.go
@@ -36,6 +36,8 @@
 	network *memoryNetwork
 	// addresses are those of the stores by region.
 	addresses map[string][]string
+	// refuses lets stores refuse new jobs.
+	refuses bool
 }
 
 // regionalStore is a store of a regionalSite.
@@ -99,6 +101,9 @@
 	if before, found := jobs[request.GetJob().GetId()]; found && !bytes.Equal(before.GetDigest(), request.GetJob().GetDigest()) {
 		return nil, fault.ToTwirp(fault.New(fault.Conflict, "none", "in use"))
 	}
+	if f.site.refuses {
+		return nil, fault.ToTwirp(fault.New(fault.LimitReached, "the region is full", "come back").WithRan(fault.NotRun).WithRetryAfter(time.Second))
+	}
 	jobs[request.GetJob().GetId()] = request.GetJob()
 	return &rockwindpb.SubmitStoredJobResponse{}, nil
 }
@@ -450,3 +455,29 @@
 		}
 	})
 }
+
+// Guards against a refusal as not run of a job that a shard which can't be searched may have accepted under
+// an earlier configuration.
+func TestRefusalIsUncertainIfNotAllShardsWereSearched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRegionalSite(t)
+		if err := s.client.SubmitWithin(callContext(t), newJob("job"), 0, south); err != nil {
+			t.Fatal(err)
+		}
+		s.refuses = true
+		err := s.newClient().SubmitWithin(callContext(t), newJob("other"), 0, north)
+		if failure := fault.From(err); failure.Kind != fault.LimitReached || failure.Ran != fault.NotRun || failure.RetryAfter != time.Second {
+			t.Errorf("the refusal of a new job is %v, ran %v", err, failure.Ran)
+		}
+		if err := s.newClient().SubmitWithin(callContext(t), newJob("job"), 0, north); err != nil {
+			t.Errorf("the repeated submission is refused: %v", err)
+		}
+		for _, address := range s.addresses["south"] {
+			s.network.stop(t, address)
+		}
+		err = s.newClient().SubmitWithin(callContext(t), newJob("job"), 0, north)
+		if failure := fault.From(err); failure.Kind != fault.OutcomeUnknown || failure.Ran == fault.NotRun {
+			t.Errorf("the repeated submission failed with %v, ran %v", err, failure.Ran)
+		}
+	})
+}
