Move jobs whose allowed regions change to the shard of an allowed region

Cause: stored bodies and results stayed in the shard that took a job when the regions of its route or tenant changed. Change: a state machine of both shards in jobstore (leaving, arriving, moved) with numbers and versions as fences, driven by the leader of the old shard; the new shard starts items only after a linearizable read of the old one. Find names the new shard, and routers follow it. Feature level 4, which stores ask each other for; gate and byte counter job_moves; gauge rockwind_moving_jobs; pages.

--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -49,6 +49,12 @@
 	ItemReturned Kind = "item returned"
 	// ItemRecorded: the result of an item was recorded, done or dead.
 	ItemRecorded Kind = "item recorded"
+	// JobMoveBegan, JobMoved and JobMoveAborted are the steps of a job's move at the shard that it leaves, and
+	// JobArrived is its activation at the other shard.
+	JobMoveBegan   Kind = "job move began"
+	JobMoved       Kind = "job moved"
+	JobMoveAborted Kind = "job move aborted"
+	JobArrived     Kind = "job arrived"
 	// ConfigurationInForce: this process applied another configuration.
 	ConfigurationInForce Kind = "configuration in force"
 	// ServerEnded: a server ended while it ran a request. ContentCleared: the suspicion against a
--- a/internal/featuregate/featuregate.go
+++ b/internal/featuregate/featuregate.go
@@ -30,6 +30,9 @@
 	// ItemProgress lets the leader of a shard record the partial results of items, so that the next
 	// leader can resume them.
 	ItemProgress Gate = "item_progress"
+	// JobMoves lets the leader of a shard move jobs whose allowed regions changed to another shard. Moves that have
+	// begun are completed.
+	JobMoves Gate = "job_moves"
 	// Orphans lets a starting process query the servers for orphaned requests, that is
 	// requests of terminated processes, and count these as load until they end.
 	Orphans Gate = "left_behind"
@@ -40,7 +43,7 @@
 
 // All lists the gates in alphabetical order.
 func All() []Gate {
-	return []Gate{Continuation, FairShare, ItemProgress, Orphans, Pace, OverloadRelief, RetryAfter, StartLimit}
+	return []Gate{Continuation, FairShare, ItemProgress, JobMoves, Orphans, Pace, OverloadRelief, RetryAfter, StartLimit}
 }
 
 // Set is the set of gates that are on. In the zero value all are on.
--- a/internal/featurelevel/featurelevel.go
+++ b/internal/featurelevel/featurelevel.go
@@ -23,8 +23,11 @@
 	ZoneDrains uint32 = 2
 	// Witnesses is the level of groups with witnesses, which have no content.
 	Witnesses uint32 = 3
+	// JobMoves is the level of the commands that move jobs between shards. Stores ask each other for their levels,
+	// since those in the directory are not updated.
+	JobMoves uint32 = 4
 	// Current is the level of this version.
-	Current = Witnesses
+	Current = JobMoves
 )
 
 // Levels is an immutable set of announced levels, safe for concurrent use. A nil Levels is empty.
--- a/internal/jobclient/call.go
+++ b/internal/jobclient/call.go
@@ -16,6 +16,7 @@
 	rockwindpb.JobStoreService
 	limits rockwindpb.TokenLimitService
 	rates  rockwindpb.RequestRateService
+	moves  rockwindpb.JobMoveService
 }
 
 // storeCall makes a call at one store.
--- a/internal/jobclient/client.go
+++ b/internal/jobclient/client.go
@@ -178,6 +178,7 @@
 		JobStoreService: rockwindpb.NewJobStoreServiceProtobufClient("http://"+address, client),
 		limits:          rockwindpb.NewTokenLimitServiceProtobufClient("http://"+address, client),
 		rates:           rockwindpb.NewRequestRateServiceProtobufClient("http://"+address, client),
+		moves:           rockwindpb.NewJobMoveServiceProtobufClient("http://"+address, client),
 	}
 }
 
--- a/internal/jobclient/regions.go
+++ b/internal/jobclient/regions.go
@@ -159,15 +159,15 @@
 func (c *Client) submittedElsewhere(ctx context.Context, view *directory.View, job *rockwindpb.StoredJob, region string) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	found, digest, err := c.locate(ctx, job.GetId(), places(view, region))
+	found, err := c.locate(ctx, job.GetId(), places(view, region))
 	if err != nil {
 		return false, nil
 	}
-	if !bytes.Equal(digest, job.GetDigest()) {
+	if !bytes.Equal(found.digest, job.GetDigest()) {
 		return false, fault.Newf(fault.Conflict, "use a unique identifier for each job", "identifier %q is in use by another job", job.GetId()).
 			WithRan(fault.NotRun)
 	}
-	c.remember(view, job.GetId(), found)
+	c.remember(view, job.GetId(), found.region)
 	return true, nil
 }
 
@@ -182,9 +182,9 @@
 }
 
 // locate asks the shards of the given regions for a job. It returns the region of the one that has
-// the job, and the job's digest. It fails with fault.NotFound if all shards answered that they do not
-// have it.
-func (c *Client) locate(ctx context.Context, id string, regions []string) (region string, digest []byte, err error) {
+// the job, or if none answers so, the region that the marker of a moved job names. It fails with
+// fault.NotFound if all shards answered that they have neither.
+func (c *Client) locate(ctx context.Context, id string, regions []string) (location, error) {
 	type answer struct {
 		region   string
 		response *rockwindpb.FindStoredJobResponse
@@ -195,26 +195,31 @@
 	answers := make(chan answer, len(regions))
 	for _, each := range regions {
 		go func() {
-			response, err := call(ctx, c, shardIn(id, each), 0, func(ctx context.Context, service storeClient) (*rockwindpb.FindStoredJobResponse, error) {
-				return service.Find(ctx, &rockwindpb.FindStoredJobRequest{Id: id, Region: each})
-			})
+			response, err := c.find(ctx, each, id)
 			answers <- answer{region: each, response: response, err: err}
 		}()
 	}
 	unanswered := false
+	var marker *rockwindpb.FindStoredJobResponse
 	for range regions {
 		switch got := <-answers; {
 		case got.err != nil:
 			unanswered = true
 		case got.response.GetFound():
-			return got.region, got.response.GetDigest(), nil
+			return location{region: got.region, digest: got.response.GetDigest()}, nil
+		case got.response.GetMoved() && got.response.GetMove().GetNumber() > marker.GetMove().GetNumber():
+			// The marker of the latest move is the most likely to name the shard that has the job.
+			marker = got.response
 		}
 	}
+	if marker != nil {
+		return location{region: marker.GetMove().GetRegion(), digest: marker.GetDigest(), marked: true}, nil
+	}
 	if unanswered {
-		return "", nil, fault.New(fault.Unavailable, "not all shards that may have the job answered", "repeat the call later").
+		return location{}, fault.New(fault.Unavailable, "not all shards that may have the job answered", "repeat the call later").
 			WithRan(fault.NotRun).WithRetryAfter(retryAfter)
 	}
-	return "", nil, fault.Newf(fault.NotFound, "check the identifier of the job", "no job has the identifier %q", id)
+	return location{}, fault.Newf(fault.NotFound, "check the identifier of the job", "no job has the identifier %q", id)
 }
 
 // jobCall makes a call about a job at a store, for the shard of a region.
@@ -248,15 +253,31 @@
 		// The shard may have the job but not the item that was asked for.
 		excluded = nil
 	}
-	found, _, searchErr := c.locate(ctx, id, places(view, excluded...))
+	found, searchErr := c.locate(ctx, id, places(view, excluded...))
 	switch {
 	case searchErr != nil && missing:
 		return value, searchErr
-	case searchErr != nil || found == first:
+	case searchErr != nil:
+		return value, err
+	case found.region == first && !missing:
 		return value, err
 	}
-	c.remember(view, id, found)
-	return at(found)
+	value, err = at(found.region)
+	if err == nil {
+		c.remember(view, id, found.region)
+		return value, nil
+	}
+	if !fault.Is(err, fault.NotFound) {
+		return value, err
+	}
+	if !found.marked {
+		// The shard lacks the item, or the job has moved since.
+		again, searchErr := c.locate(ctx, id, places(view))
+		if searchErr == nil && again.region == found.region && !again.marked {
+			return value, err
+		}
+	}
+	return value, beingMoved(id)
 }
 
 // likelyRegion returns the region of the shard that had a job when it was last used, otherwise of the
--- a/internal/jobclient/regions_test.go
+++ b/internal/jobclient/regions_test.go
@@ -35,8 +35,13 @@
 	// bodies counts the submissions that reached the stores of a region.
 	bodies map[string]int
 	// finds counts the searches for each job.
-	finds   map[string]int
-	servers map[string][]*httptest.Server
+	finds map[string]int
+	// markers holds the markers of moved jobs in each region's shard, and arriving the copies that do not count yet.
+	markers  map[string]map[string]*rockwindpb.FindStoredJobResponse
+	arriving map[string]map[string]*rockwindpb.StoredJob
+	servers  map[string][]*httptest.Server
+	// activateOnRead activates the move of a job after a read that did not find it.
+	activateOnRead bool
 }
 
 // regionalStore is a store of a regionalSite.
@@ -50,7 +55,9 @@
 	t.Helper()
 	s := &regionalSite{
 		t: t, jobs: map[string]map[string]*rockwindpb.StoredJob{"": {}, "north": {}, "south": {}},
-		bodies: make(map[string]int), finds: make(map[string]int), servers: make(map[string][]*httptest.Server),
+		markers:  map[string]map[string]*rockwindpb.FindStoredJobResponse{"": {}, "north": {}, "south": {}},
+		arriving: map[string]map[string]*rockwindpb.StoredJob{"": {}, "north": {}, "south": {}},
+		bodies:   make(map[string]int), finds: make(map[string]int), servers: make(map[string][]*httptest.Server),
 	}
 	founding := &rockwindpb.FoundRequest{ClusterId: "c"}
 	for shard := range uint32(4) {
@@ -113,6 +120,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if marker, moved := f.site.markers[request.GetRegion()][request.GetId()]; moved && request.GetFollowMoves() {
+		return marker, nil
+	}
 	job, found := jobs[request.GetId()]
 	return &rockwindpb.FindStoredJobResponse{Found: found, Digest: job.GetDigest()}, nil
 }
@@ -125,6 +135,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if f.site.activateOnRead {
+		defer f.site.activate(request.GetJob())
+	}
 	for _, item := range jobs[request.GetJob()].GetItems() {
 		if item.GetId() == request.GetItem() {
 			return &rockwindpb.ReadItemBodyResponse{Body: item.GetBody()}, nil
--- a/internal/jobstore/machine.go
+++ b/internal/jobstore/machine.go
@@ -67,6 +67,7 @@
 		created.resultNumber[result.GetItem()] = uint32(i) + 1
 		created.waitingTokens -= stored.GetItems()[result.GetItem()].GetTokens()
 	}
+	created.waitingTokens += stored.GetMove().GetWaitingTokens()
 	created.dropStaleProgress()
 	return created
 }
@@ -81,7 +82,7 @@
 	return nil
 }
 
-// open reports whether any item of the job may still run.
+// open reports whether any item of the job may still run, here or in the shard that the job moves to or from.
 func (j *job) open() bool {
 	return !j.stored.GetEnded() && len(j.stored.GetResults()) < len(j.stored.GetItems())
 }
@@ -124,8 +125,14 @@
 		return m.end(content.End)
 	case *rockwindpb.JobStoreCommand_Drop:
 		for _, id := range content.Drop.GetIds() {
-			delete(m.jobs, id)
+			if j, found := m.jobs[id]; found && j.mayDrop() {
+				delete(m.jobs, id)
+			}
 		}
+	case *rockwindpb.JobStoreCommand_Stage:
+		return m.stage(content.Stage)
+	case *rockwindpb.JobStoreCommand_Move:
+		return m.move(content.Move)
 	}
 	return Outcome{}
 }
@@ -135,6 +142,11 @@
 func (m *Machine) submit(submitted *rockwindpb.StoredJob) Outcome {
 	if j, taken := m.jobs[submitted.GetId()]; taken {
 		if bytes.Equal(j.stored.GetDigest(), submitted.GetDigest()) {
+			if j.moveState() == arriving {
+				// The copy may be discarded, so it is no proof that the job is stored.
+				return Outcome{Fault: fault.Newf(fault.Unavailable, "send the job again", "job %q is being moved to this shard", submitted.GetId()).
+					WithRan(fault.NotRun).WithRetryAfter(arrivingRetryAfter)}
+			}
 			return Outcome{Resent: true}
 		}
 		return Outcome{Fault: fault.Newf(fault.Conflict, "use a unique identifier for each job",
@@ -148,10 +160,11 @@
 
 // record appends results. Only the first result of an item is kept.
 func (m *Machine) record(recorded *rockwindpb.RecordResults) Outcome {
-	j, found := m.jobs[recorded.GetJob()]
+	j, found := m.jobHere(recorded.GetJob())
 	if !found {
 		return Outcome{Fault: unknownJob(recorded.GetJob())}
 	}
+	j.changed()
 	for _, result := range recorded.GetResults() {
 		item := result.GetItem()
 		if int(item) >= len(j.resultNumber) || j.resultNumber[item] != 0 {
@@ -171,10 +184,11 @@
 // fail counts a failed attempt of an item in the replicated state, so that the count survives a
 // change of leader.
 func (m *Machine) fail(failed *rockwindpb.RecordFailure) Outcome {
-	j, found := m.jobs[failed.GetJob()]
+	j, found := m.jobHere(failed.GetJob())
 	if !found {
 		return Outcome{Fault: unknownJob(failed.GetJob())}
 	}
+	j.changed()
 	item := failed.GetItem()
 	if int(item) >= len(j.resultNumber) || j.resultNumber[item] != 0 {
 		return Outcome{}
@@ -194,6 +208,7 @@
 	if failure != nil {
 		return Outcome{Fault: failure}
 	}
+	j.changed()
 	j.stored.Ended = true
 	j.stored.Progress = nil
 	for _, item := range j.stored.GetItems() {
--- a/internal/jobstore/progress.go
+++ b/internal/jobstore/progress.go
@@ -64,10 +64,11 @@
 // addProgress adds received events of items.
 func (m *Machine) addProgress(recorded *rockwindpb.RecordProgress) {
 	for _, jobProgress := range recorded.GetJobs() {
-		j, found := m.jobs[jobProgress.GetJob()]
+		j, found := m.jobHere(jobProgress.GetJob())
 		if !found {
 			continue
 		}
+		j.changed()
 		for _, received := range jobProgress.GetItems() {
 			j.addEvents(received)
 		}
--- a/internal/jobstore/read.go
+++ b/internal/jobstore/read.go
@@ -46,11 +46,11 @@
 	PartialOutput PartialOutput
 }
 
-// OpenItems returns the items that may still run and are wanted.
+// OpenItems returns the items that may be started in this shard and are wanted.
 func (m *Machine) OpenItems(wanted func(job string, index uint32) bool) []OpenItem {
 	var open []OpenItem
 	for id, j := range m.jobs {
-		if !j.open() {
+		if !j.open() || j.moveState() != owned {
 			continue
 		}
 		for index, item := range j.stored.GetItems() {
@@ -68,27 +68,18 @@
 	return open
 }
 
-// Has reports whether the job exists.
+// Has reports whether the shard has the job, a copy of it that does not count yet, or a marker of it.
 func (m *Machine) Has(id string) bool {
 	_, found := m.jobs[id]
 	return found
 }
 
-// DigestOf returns the digest of a job, and whether the job exists.
-func (m *Machine) DigestOf(id string) ([]byte, bool) {
-	found, exists := m.jobs[id]
-	if !exists {
-		return nil, false
-	}
-	return found.stored.GetDigest(), true
-}
-
 // WaitingTokens returns the sum of the tokens of the items that may still run, for jobs of the
-// tenant whose host and path are wanted.
+// tenant whose host and path are wanted. A job that moves counts in both shards until its move is confirmed.
 func (m *Machine) WaitingTokens(tenant string, wanted func(host, path string) bool) uint64 {
 	sum := uint64(0)
 	for _, j := range m.jobs {
-		if j.open() && j.stored.GetTenant() == tenant && wanted(j.stored.GetHost(), j.stored.GetPath()) {
+		if (j.open() || j.moveState() == moved) && j.stored.GetTenant() == tenant && wanted(j.stored.GetHost(), j.stored.GetPath()) {
 			sum += j.waitingTokens
 		}
 	}
@@ -104,15 +95,16 @@
 	return sum
 }
 
-// Runnable reports whether an item may still run.
+// Runnable reports whether the result of an item is still wanted in this shard. Items of a leaving job are
+// runnable, although none is started.
 func (m *Machine) Runnable(id string, index uint32) bool {
-	j, found := m.jobs[id]
+	j, found := m.jobHere(id)
 	return found && j.open() && j.resultNumber[index] == 0
 }
 
 // jobOfTenant returns a job if it belongs to the tenant.
 func (m *Machine) jobOfTenant(id, tenant string) (*job, *fault.Fault) {
-	j, found := m.jobs[id]
+	j, found := m.jobHere(id)
 	if !found {
 		return nil, unknownJob(id)
 	}
@@ -159,11 +151,12 @@
 	return j.stored.GetItems()[index].GetBody(), nil
 }
 
-// Expired returns the jobs that have no open items and were submitted before the given time.
+// Expired returns the jobs that have no open items and were submitted before the given time, and the markers of such
+// a time whose move is confirmed.
 func (m *Machine) Expired(beforeUnixMs int64) []string {
 	var expired []string
 	for id, j := range m.jobs {
-		if !j.open() && j.stored.GetSubmittedUnixMs() < beforeUnixMs {
+		if j.mayDrop() && !j.open() && j.stored.GetSubmittedUnixMs() < beforeUnixMs {
 			expired = append(expired, id)
 		}
 	}
--- a/internal/replica/joining.go
+++ b/internal/replica/joining.go
@@ -287,6 +287,9 @@
 	if err := checkLevel(status.Membership, request); err != nil {
 		return err
 	}
+	if err := o.checkStateLevel(request); err != nil {
+		return err
+	}
 	if mayWitness && !hasMachine(status.Membership, request.GetMachine()) {
 		return o.admitWitness(status, request)
 	}
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -69,6 +69,9 @@
 	// another one: see package leaderregion. nil means that leadership stays where it is. It is called by
 	// leaders at each tick.
 	RegionOf func(machine string) string
+	// MinimumLevel returns the feature level that a machine needs to join a group because of what the group's
+	// state contains; nil means that none is needed. The group's owner goroutine calls it.
+	MinimumLevel func(group uint32) uint32
 	// StateMachines returns the empty state machine of a group. The host calls it
 	// once for each group that it runs. Group 0 is the root group; groups from 1
 	// are the job shards.
--- a/internal/replica/witness.go
+++ b/internal/replica/witness.go
@@ -120,6 +120,18 @@
 		request.GetMachine(), request.GetFeatureLevel(), featurelevel.Witnesses)
 }
 
+// checkStateLevel refuses a machine of a version that does not know the commands that the state rests on.
+func (o *owner) checkStateLevel(request *rockwindpb.JoinRequest) error {
+	if o.host.options.MinimumLevel == nil {
+		return nil
+	}
+	if needed := o.host.options.MinimumLevel(o.id); request.GetFeatureLevel() < needed {
+		return fault.Newf(fault.Conflict, "run this version on it", "machine %s has feature level %d, and the state of the group needs %d",
+			request.GetMachine(), request.GetFeatureLevel(), needed)
+	}
+	return nil
+}
+
 // admitWitness adds a machine of another region as a learner in the place of a witness that is inactive or must
 // leave.
 func (o *owner) admitWitness(status raft.Status, request *rockwindpb.JoinRequest) error {
--- a/internal/replica/witness_test.go
+++ b/internal/replica/witness_test.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
@@ -207,6 +209,31 @@
 	})
 }
 
+// Guards against a machine of an earlier version that joins a group whose state it does not understand.
+func TestOlderMachineDoesNotJoinAGroupWhoseStateNeedsMore(t *testing.T) {
+	needed := atomic.Uint32{}
+	change := func(options *replica.Options) {
+		options.MinimumLevel = func(group uint32) uint32 {
+			if group != north {
+				return 0
+			}
+			return needed.Load()
+		}
+	}
+	runRegionalClusterWithWitnesses(t, threeEach, nil, change, func(f *regionalCluster) {
+		f.addNoted("a", "")
+		needed.Store(5)
+		request := &rockwindpb.JoinRequest{Machine: "north-9", Address: "north-9", DiskId: 99, FeatureLevel: 4}
+		if err := f.callJoin(f.leader(north), request); err == nil || includes(f.members(north), "north-9") {
+			t.Errorf("a machine below the level was admitted, error %v", err)
+		}
+		request.FeatureLevel = 5
+		if err := f.callJoin(f.leader(north), request); fault.Is(err, fault.Conflict) {
+			t.Errorf("a machine of the level is refused: %v", err)
+		}
+	})
+}
+
 // TestWitnessIsReplaced guards against a group that loses its witnesses one by one: one that lost its disk rejoins
 // under its name, and one that is lost for good or leaves is replaced by another machine of its region.
 func TestWitnessIsReplaced(t *testing.T) {
--- a/internal/site/host.go
+++ b/internal/site/host.go
@@ -65,6 +65,7 @@
 	TargetVoters             int
 	InRegion                 func(machine, region string) bool
 	RegionOf                 func(machine string) string
+	MinimumLevel             func(group uint32) uint32
 	FileSystem               wal.FileSystem
 }
 
@@ -87,6 +88,7 @@
 		MustLeave:                options.MustLeave,
 		InRegion:                 options.InRegion,
 		RegionOf:                 options.RegionOf,
+		MinimumLevel:             options.MinimumLevel,
 		FileSystem:               options.FileSystem,
 		SnapshotEntries:          snapshotEntries,
 		SnapshotBytes:            LogBytes(given),
--- a/internal/store/claims/claims.go
+++ b/internal/store/claims/claims.go
@@ -64,6 +64,16 @@
 	return found
 }
 
+// HeldBy reports whether any item of a job is claimed.
+func (t *Table) HeldBy(job string) bool {
+	for key := range t.current {
+		if key.job == job {
+			return true
+		}
+	}
+	return false
+}
+
 // Current reports whether a claim is current.
 func (t *Table) Current(claim Claim) bool {
 	found, known := t.current[claim.key]
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -72,6 +72,7 @@
 		paces:        make(map[string]*backlog.RunTimeEstimator),
 		ended:        make(chan attemptResult, resultBuffer),
 		progressDone: make(chan struct{}, 1),
+		moves:        newJobMoves(),
 	}
 	e.run(ctx)
 }
@@ -140,6 +141,7 @@
 	results  map[string][]pendingResult
 	failures []claims.Claim
 	lastDrop time.Time
+	moves    jobMoves
 }
 
 func (e *executor) run(ctx context.Context) {
@@ -180,6 +182,9 @@
 			// Handle a burst of commands in one scheduling pass.
 			retry.Pause(ctx, recordBatchDelay)
 			return
+		case ended := <-e.moves.ended:
+			e.moveEnded(ended, time.Now())
+			return
 		case r := <-e.ended:
 			e.finish(r)
 			e.gatherResults(ctx)
@@ -195,14 +200,18 @@
 		return false
 	}
 	now := time.Now()
-	due := e.progressDue(now)
+	due, movesDue := e.progressDue(now), e.movesDue(now)
 	var open []jobstore.OpenItem
+	var candidates []jobstore.MoveCandidate
 	err := e.group.Read(ctx, func() {
 		e.cancelStale()
 		if due {
 			e.dropEndedItems()
 		}
 		open = e.machine.OpenItems(e.unclaimed)
+		if movesDue {
+			candidates = e.machine.Moves(e.mayMove)
+		}
 	})
 	if err != nil {
 		// The open items are unknown, so other leaders must not reserve slots for the last
@@ -214,6 +223,9 @@
 		e.recordProgress(ctx, now)
 	}
 	e.dropExpired(ctx)
+	if movesDue {
+		e.moveJobs(ctx, candidates, now)
+	}
 	slices.SortFunc(open, func(a, b jobstore.OpenItem) int {
 		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
 	})
@@ -229,7 +241,7 @@
 	}
 	e.publishBatchLoad(short, now)
 	e.recordPending(ctx)
-	return len(open) > 0 || e.claims.Len() > 0
+	return len(open) > 0 || e.claims.Len() > 0 || e.moves.leaving > 0
 }
 
 // updateLeadership reports whether this store leads the shard, and resets the executor's state
@@ -246,6 +258,7 @@
 		clear(e.active)
 		e.term = term
 		e.results, e.failures = nil, nil
+		e.moves.reset(e.store, e.shard)
 	}
 	e.updateHistory(term)
 	return leading
--- a/internal/store/service.go
+++ b/internal/store/service.go
@@ -140,9 +140,17 @@
 	if err != nil {
 		return nil, fault.ToTwirp(err)
 	}
-	response := &rockwindpb.FindStoredJobResponse{}
-	if err := jobShard.group.Read(ctx, func() { response.Digest, response.Found = jobShard.machine.DigestOf(request.GetId()) }); err != nil {
-		return nil, fault.ToTwirp(notRunUnlessUnknown(err))
+	location, err := jobShard.locate(ctx, request.GetId())
+	if err != nil {
+		return nil, fault.ToTwirp(err)
+	}
+	response := &rockwindpb.FindStoredJobResponse{Found: location.Here, Digest: location.Digest, Move: location.Move}
+	switch {
+	case location.Moved && request.GetFollowMoves():
+		response.Moved = true
+	case location.Moved:
+		// The caller would report a job as unknown that the target has not activated yet.
+		response.Found = !location.Move.GetConfirmed()
 	}
 	return response, nil
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -56,6 +56,10 @@
 	rates         *requestRates
 	regions       siteRegions
 	contacts      *contacts
+	moveGate      *moveGate
+	movingJobs    *movingJobs
+	// copying holds a value while a job is copied to another shard: the copy of a large job takes much memory.
+	copying chan struct{}
 
 	mutex    sync.Mutex
 	machines map[uint32]*jobstore.Machine
@@ -82,6 +86,8 @@
 		protocol:   protocol,
 		regions:    siteRegions{site.Topology(settings)},
 		contacts:   newContacts(),
+		movingJobs: newMovingJobs(),
+		copying:    make(chan struct{}, 1),
 		machines:   make(map[uint32]*jobstore.Machine),
 		transfers:  make(map[uint32]chan leadershipTransfer),
 		created:    make(chan uint32, maximumShards),
@@ -98,6 +104,7 @@
 	}
 	s.crashReporter = router.NewCrashReporter(s.watcher, s.upstream, s.protocol, s.dispatcher)
 	s.limiter = newLimiter(s)
+	s.moveGate = newMoveGate(s.limiter.client, s.watcher.Stores)
 	s.rates = newRequestRates(s)
 	listener, err := site.Listen("internal_listen", settings.GetInternalListen())
 	if err != nil {
@@ -110,7 +117,7 @@
 func (s *Store) hostOptions() site.HostOptions {
 	options := site.HostOptions{
 		Discover: s.peers, MustLeave: s.retiring, StateMachines: s.create, BeforeLeadershipTransfer: s.prepareLeadershipTransfer, TargetVoters: site.GroupSize(s.settings),
-		InRegion: s.inRegion,
+		InRegion: s.inRegion, MinimumLevel: s.minimumLevel,
 	}
 	if s.regions.MultiRegion() {
 		options.RegionOf = s.regionOf
@@ -163,6 +170,7 @@
 		group.Go(func() error { return site.Serve(parts, site.NewServer(s.handler()), listener, stopTimeout) })
 		group.Go(func() error { s.announce(parts); return nil })
 		group.Go(func() error { s.followLeaders(parts); return nil })
+		group.Go(func() error { s.followLevels(parts); return nil })
 		group.Go(func() error { s.crashReporter.Run(parts); return nil })
 		group.Go(func() error { router.FollowDirectory(parts, s.watcher, s.dispatcher, s.upstream); return nil })
 		group.Go(func() error {
@@ -186,6 +194,7 @@
 	set.Orphaned(s.dispatcher.Orphaned)
 	set.Quarantined(s.crashReporter.QuarantinedCount)
 	set.ShortItems(s.dispatcher.ShortItems)
+	set.MovingJobs(s.movingJobs.counts)
 	set.Coordinators(s.watcher.WatchFailures)
 	set.RequestDistances(s.dispatcher.StartsByDistance, s.dispatcher.RoundTrips)
 	return set
@@ -196,6 +205,7 @@
 	for _, server := range []rockwindpb.TwirpServer{
 		replica.NewServer(s.host),
 		rockwindpb.NewJobStoreServiceServer(jobStoreService{s}),
+		rockwindpb.NewJobMoveServiceServer(jobMoveService{s}),
 		rockwindpb.NewTokenLimitServiceServer(tokenLimitService{s.limiter}),
 		rockwindpb.NewRequestRateServiceServer(s.rates),
 	} {
--- a/internal/traffic/call.go
+++ b/internal/traffic/call.go
@@ -20,6 +20,7 @@
 	JobSubmissions
 	JobReads
 	JobLookups
+	JobMoves
 	TokenLimits
 	TenantRates
 	Quarantine
@@ -32,7 +33,7 @@
 // callNames are the values of the metric label.
 var callNames = [callCount]string{
 	"other", "api", "directory_watch", "configuration_watch", "directory", "configuration", "replication", "snapshots",
-	"membership", "job_submissions", "job_reads", "job_lookups", "token_limits", "tenant_rates", "quarantine",
+	"membership", "job_submissions", "job_reads", "job_lookups", "job_moves", "token_limits", "tenant_rates", "quarantine",
 	"zone_drains", "load_digests", "server_requests",
 }
 
@@ -65,6 +66,9 @@
 	"JobStoreService/ReadBody":          JobReads,
 	"JobStoreService/End":               JobReads,
 	"JobStoreService/Find":              JobLookups,
+	"JobMoveService/Take":               JobMoves,
+	"JobMoveService/Finish":             JobMoves,
+	"JobMoveService/FeatureLevel":       JobMoves,
 	"TokenLimitService/Reserve":         TokenLimits,
 	"TokenLimitService/Report":          TokenLimits,
 	"RequestRateService/Take":           TenantRates,
