--- a/internal/jobclient/regions_test.go
+++ b/internal/jobclient/regions_test.go
@@ -38,6 +38,11 @@
 	addresses map[string][]string
 	// refuses lets stores refuse new jobs.
 	refuses bool
+	// markers holds the markers of moved jobs in each region's shard, and arriving the copies that do not count yet.
+	markers  map[string]map[string]*rockwindpb.FindStoredJobResponse
+	arriving map[string]map[string]*rockwindpb.StoredJob
+	// activateOnRead activates the move of a job after a read that did not find it.
+	activateOnRead bool
 }
 
 // regionalStore is a store of a regionalSite.
@@ -52,6 +57,8 @@
 	s := &regionalSite{
 		t: t, jobs: map[string]map[string]*rockwindpb.StoredJob{"": {}, "north": {}, "south": {}},
 		bodies: make(map[string]int), finds: make(map[string]int), network: newMemoryNetwork(), addresses: make(map[string][]string),
+		markers:  map[string]map[string]*rockwindpb.FindStoredJobResponse{"": {}, "north": {}, "south": {}},
+		arriving: map[string]map[string]*rockwindpb.StoredJob{"": {}, "north": {}, "south": {}},
 	}
 	founding := &rockwindpb.FoundRequest{ClusterId: "c"}
 	for shard := range uint32(4) {
@@ -117,6 +124,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if marker, moved := f.site.markers[request.GetRegion()][request.GetId()]; moved && request.GetFollowMoves() {
+		return marker, nil
+	}
 	job, found := jobs[request.GetId()]
 	return &rockwindpb.FindStoredJobResponse{Found: found, Digest: job.GetDigest()}, nil
 }
@@ -129,6 +139,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if f.site.activateOnRead {
+		defer f.site.activate(request.GetJob())
+	}
 	for _, item := range jobs[request.GetJob()].GetItems() {
 		if item.GetId() == request.GetItem() {
 			return &rockwindpb.ReadItemBodyResponse{Body: item.GetBody()}, nil
