Comments: reports instead of tells, contact instead of hearing

Cause: comments of messages and tests used figurative words for flags (tells), contact with a leader (hears) and refused clients (was told). No name or statement changes.

--- a/internal/balance/orphans.go
+++ b/internal/balance/orphans.go
@@ -6,7 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// orphanMarker is the hash under which a digest tells that it contains orphaned requests.
+// orphanMarker is the hash under which a digest reports that it contains orphaned requests.
 // Without it, each choice would have to look up a second hash per server.
 var orphanMarker = uint32(xxhash.Sum64String("left behind"))
 
@@ -41,7 +41,7 @@
 	return changed
 }
 
-// SurvivorsReported reports whether another restarted process tells that some processes have not
+// SurvivorsReported reports whether another restarted process reports that some processes have not
 // restarted.
 func (s *SharedLoads) SurvivorsReported() bool { return s.sums[survivorsMarker].Inflight > 0 }
 
--- a/internal/jobadmission/overload_test.go
+++ b/internal/jobadmission/overload_test.go
@@ -55,7 +55,7 @@
 	// alternating lets submissions alternate between two levels as on deployment B.
 	alternating bool
 	// online is the mean number of slots that online requests use, alternating in the same way. Batch
-	// work gives way to them.
+	// work does not get these slots.
 	online float64
 }
 
@@ -156,7 +156,7 @@
 	}
 }
 
-// submit submits a job. A client tries again once, at the time that it was told.
+// submit submits a job. A refused client retries once, after its Retry-After delay.
 func (r *region) submit(job *simulatedJob, now time.Time) {
 	if !job.repeated {
 		r.jobs = append(r.jobs, job)
--- a/internal/jobclient/memorynet_test.go
+++ b/internal/jobclient/memorynet_test.go
@@ -59,7 +59,7 @@
 	}
 }
 
-// isolate lets connections to an address wait for ever.
+// isolate makes connection attempts to an address block until their context ends.
 func (n *memoryNetwork) isolate(address string) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- a/internal/jobstore/move_test.go
+++ b/internal/jobstore/move_test.go
@@ -370,7 +370,7 @@
 	// allowed holds the only allowed region of each configuration.
 	allowed  []string
 	messages []func()
-	// results are the recorded results in their order. cancelled tells that the job was ended.
+	// results are the recorded results in their order. cancelled reports whether the job was ended.
 	results   []uint32
 	cancelled bool
 	moves     int
--- a/internal/orphans/survey_test.go
+++ b/internal/orphans/survey_test.go
@@ -207,7 +207,7 @@
 	}
 }
 
-// TestSurvivorSeenLateDiscardsCounts: two processes that restart while others run may hear
+// TestSurvivorSeenLateDiscardsCounts: two processes that restart while others run may receive
 // each other first.
 func TestSurvivorSeenLateDiscardsCounts(t *testing.T) {
 	survey := startSurvey(1)
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -14,7 +14,7 @@
 	// transferTarget is the target of the leadership transfer in progress, or 0.
 	transferTarget  uint64
 	transferElapsed int
-	// leaseRevoked is set once a member was told to start an election: from then on the
+	// leaseRevoked is set once a member was ordered to start an election: from then on the
 	// members vote regardless of leases.
 	leaseRevoked bool
 	// sentRounds holds, in ascending order, the heartbeat rounds without a quorum of
@@ -224,7 +224,7 @@
 	n.sendTimeoutNow(target)
 }
 
-// tickTransfer aborts a transfer after the election timeout. If the target was told to
+// tickTransfer aborts a transfer after the election timeout. If the target was ordered to
 // start an election, its vote requests may still arrive, so the lease stays revoked in
 // this term, and the leader starts an election itself to regain a lease. It returns false
 // if this replica no longer leads.
--- a/internal/replica/joining.go
+++ b/internal/replica/joining.go
@@ -110,7 +110,7 @@
 
 // needsToJoin reports whether this machine must ask all peers: it belongs to no
 // cluster, has joined recently, is not a voter of a group that it runs or, if
-// AdmitNew is set, does not hear from the leader of such a group.
+// AdmitNew is set, receives nothing from the leader of such a group.
 func (h *Host) needsToJoin() bool {
 	if h.clusterID() == "" || h.joinedWithin(joinRetryPeriod) {
 		return true
--- a/internal/rockwindpb/directory.twirp.go
+++ b/internal/rockwindpb/directory.twirp.go
@@ -26,7 +26,7 @@
 // DirectoryService Interface
 // ==========================
 
-// DirectoryService is answered by any coordinator that hears the leader; calls
+// DirectoryService is answered by any coordinator that is in contact with the leader; calls
 // that change the directory are carried to the leader.
 type DirectoryService interface {
 	Report(context.Context, *ReportServerRequest) (*ReportServerResponse, error)
--- a/internal/rockwindpb/quarantine.twirp.go
+++ b/internal/rockwindpb/quarantine.twirp.go
@@ -26,7 +26,7 @@
 // QuarantineService Interface
 // ===========================
 
-// QuarantineService is answered by any coordinator that hears the leader; what changes the
+// QuarantineService is answered by any coordinator that is in contact with the leader; what changes the
 // state is carried to the leader.
 type QuarantineService interface {
 	Report(context.Context, *ReportQuarantineRequest) (*ReportQuarantineResponse, error)
--- a/internal/rockwindpb/zonedrain.twirp.go
+++ b/internal/rockwindpb/zonedrain.twirp.go
@@ -26,7 +26,7 @@
 // ZoneDrainService Interface
 // ==========================
 
-// ZoneDrainService is answered by any coordinator that hears the leader; what changes the state
+// ZoneDrainService is answered by any coordinator that is in contact with the leader; what changes the state
 // is carried to the leader. Start and End may be repeated.
 type ZoneDrainService interface {
 	Start(context.Context, *StartZoneDrainRequest) (*StartZoneDrainResponse, error)
--- a/internal/router/queue_test.go
+++ b/internal/router/queue_test.go
@@ -307,7 +307,7 @@
 	})
 }
 
-// TestPunctualRetryGoesFirst guards against a client that retries when it was told to and finds itself behind one that
+// TestPunctualRetryGoesFirst guards against a client that retries after its Retry-After delay and finds itself behind one that
 // retried too early and has waited longer, or behind one that came later, although it started 1 ms before them.
 func TestPunctualRetryGoesFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/store/moveservice.go
+++ b/internal/store/moveservice.go
@@ -123,7 +123,7 @@
 	FeatureLevel(ctx context.Context, address string) (level uint32, known bool)
 }
 
-// moveGate tells whether all stores know the commands of moves. Stores ask each other, since the levels in the
+// moveGate reports whether all stores know the commands of moves. Stores ask each other, since the levels in the
 // directory are those of the founding. It is safe for concurrent use.
 type moveGate struct {
 	asker  levelAsker
