upstream: a stall of the probing process is no proof against a server

Cause: a probe ended at a deadline of the wall clock, and up to half of the limit beyond it counted as time without a reply. The Go runtime lets an expired deadline pass before it looks for the reply, so a stall of the router of 100 to 150 ms turned a connection that the kernel had established into an unreachable server. One lost SYN did the same. Probes of silent servers make a second attempt if the first gets no prompt reply, within the same limit.

--- a/internal/router/watchdog.go
+++ b/internal/router/watchdog.go
@@ -118,7 +118,7 @@
 	w.mutex.Lock()
 	resets := w.resets
 	w.mutex.Unlock()
-	reach := w.client.Probe(w.ctx, w.address, max(minProbeTimeout, w.ofGoal(probeFraction)))
+	reach := w.client.ProbeRedundantly(w.ctx, w.address, max(minProbeTimeout, w.ofGoal(probeFraction)))
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	switch {
