store: outcomes of attempts outlive a lapse of the leader's lease

Cause: a leader whose lease lapsed for a moment, or whose record of an outcome failed, dropped the claims, attempts and failure counts of all items it was running. Answers that arrived afterwards were ignored, without a trace in the log, and after the lapse the same leader started the items again in the same term. Change: attempts, claims and outcomes that are not recorded yet are kept while no other store can run the items: until this replica follows another leader, or for 3 s without a lease. An outcome is recorded again until it is; its claim is held, so the item does not run meanwhile. As a failure counts each time that it is applied, its command has no time-out any more, and it is proposed again only after a read of a later term has shown that it was not committed. Dropped attempts are logged, with answers that come too late.

--- a/internal/jobstore/read.go
+++ b/internal/jobstore/read.go
@@ -102,6 +102,15 @@
 	return found && j.open() && j.resultNumber[index] == 0
 }
 
+// Failures returns the number of recorded failed attempts of an item.
+func (m *Machine) Failures(id string, index uint32) int {
+	j, found := m.jobHere(id)
+	if !found {
+		return 0
+	}
+	return int(j.failuresOf(index).GetCount())
+}
+
 // jobOfTenant returns a job if it belongs to the tenant.
 func (m *Machine) jobOfTenant(id, tenant string) (*job, *fault.Fault) {
 	j, found := m.jobHere(id)
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -50,6 +50,8 @@
 	// Leading reports whether this replica holds a valid leader lease, and the
 	// term in which it leads.
 	Leading() (term uint64, leading bool)
+	// Following reports whether this replica knows another one as the leader of its term.
+	Following() bool
 	// Status describes the group as this replica sees it.
 	Status() *rockwindpb.GroupStatus
 	// Applied returns a channel that is closed when the applied index moves past
--- a/internal/replica/inmemory.go
+++ b/internal/replica/inmemory.go
@@ -54,6 +54,9 @@
 	return 1, true
 }
 
+// Following implements Group.
+func (l *InMemoryGroup) Following() bool { return false }
+
 // Status implements Group.
 func (l *InMemoryGroup) Status() *rockwindpb.GroupStatus {
 	l.mutex.Lock()
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -240,6 +240,13 @@
 	return current.term, true
 }
 
+// Following implements Group.
+func (o *owner) Following() bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.status.Leader != 0 && o.status.Leader != o.status.ID
+}
+
 // Status implements Group.
 func (o *owner) Status() *rockwindpb.GroupStatus {
 	o.mutex.Lock()
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
 	"rockwind.example/rockwind/internal/backlog"
@@ -25,7 +26,7 @@
 	idleInterval = 500 * time.Millisecond
 	// recordBatchDelay is how long results are collected before they are recorded together.
 	recordBatchDelay = 8 * time.Millisecond
-	// recordTimeout limits one attempt to record results.
+	// recordTimeout limits one attempt to record progress or to delete jobs.
 	recordTimeout = 2 * time.Second
 	// dropInterval is the time between checks for expired jobs.
 	dropInterval = 5 * time.Second
@@ -85,9 +86,9 @@
 // has to be retried.
 type attemptResult struct {
 	claim claims.Claim
-	// recorded reports that the claim can be released: the result is applied, or the recording
-	// of the failure has ended.
-	recorded bool
+	// recorded and unrecorded report that this is not the end of an attempt, but that the
+	// recording of its outcome has succeeded or failed.
+	recorded, unrecorded bool
 	// failed reports that the server answered that the item failed.
 	failed  bool
 	outcome rockwindpb.StoredOutcome
@@ -139,10 +140,10 @@
 	// wait for progress to be recorded.
 	transfers        <-chan leadershipTransfer
 	pendingTransfers []leadershipTransfer
-	// results holds results to record, by job, and failures the claims of items whose failed
-	// attempts are to be recorded.
-	results  map[string][]pendingResult
-	failures []claims.Claim
+	// outcomes holds the outcomes of attempts that are not recorded yet.
+	outcomes map[claims.Key]*pendingOutcome
+	// lapsedAt is when the lease lapsed; zero while it is valid.
+	lapsedAt time.Time
 	lastDrop time.Time
 	moves    jobMoves
 }
@@ -199,15 +200,17 @@
 
 // schedule starts items that can run and reports whether any items are open.
 func (e *executor) schedule(ctx context.Context) bool {
-	if !e.updateLeadership() {
-		return false
-	}
 	now := time.Now()
+	if !e.updateLeadership(now) {
+		_ = e.group.ReadLocal(ctx, e.cancelStale)
+		return e.claims.Len() > 0
+	}
 	due, movesDue := e.progressDue(now), e.movesDue(now)
 	var open []jobstore.OpenItem
 	var candidates []jobstore.MoveCandidate
 	err := e.group.Read(ctx, func() {
 		e.cancelStale()
+		e.settleOutcomes()
 		if due {
 			e.dropEndedItems()
 		}
@@ -250,7 +253,7 @@
 
 // updateLeadership reports whether this store leads the shard, and resets the executor's state
 // if the lease or the term has changed.
-func (e *executor) updateLeadership() bool {
+func (e *executor) updateLeadership(now time.Time) bool {
 	term, leading := e.group.Leading()
 	if !leading {
 		term = 0
@@ -258,16 +261,39 @@
 	if term != e.term {
 		e.store.dispatcher.DropBatchLoad(e.shard)
 		e.shares, e.recentlyEnded = newTenantShares(), nil
-		e.claims.Drop()
-		clear(e.active)
 		e.term = term
-		e.results, e.failures = nil, nil
 		e.moves.reset(e.store, e.shard)
 	}
+	e.updateAttempts(leading, now)
 	e.updateHistory(term)
 	return leading
 }
 
+// attemptRetention is how long attempts continue after the lease has lapsed. A new leader is
+// normally elected within this time.
+const attemptRetention = 3 * time.Second
+
+// updateAttempts drops the attempts and their unrecorded outcomes once another store may run
+// the items. The lease of a busy leader may lapse for a moment: if its attempts ended then, the
+// servers' work would be lost and failed attempts would not count.
+func (e *executor) updateAttempts(leading bool, now time.Time) {
+	if leading {
+		e.lapsedAt = time.Time{}
+		return
+	}
+	if e.lapsedAt.IsZero() {
+		e.lapsedAt = now
+	}
+	if e.claims.Len() > 0 && (e.group.Following() || now.Sub(e.lapsedAt) > attemptRetention) {
+		log.WithFields(log.Fields{"group": e.shard, "attempts": len(e.active), "outcomes": len(e.outcomes), "following": e.group.Following()}).
+			Info("attempts of items are dropped: this store no longer leads their shard")
+		e.claims.Drop()
+		clear(e.active)
+		clear(e.outcomes)
+		e.revokeWriters()
+	}
+}
+
 // unclaimed reports whether an item is neither running nor being recorded.
 func (e *executor) unclaimed(job string, index uint32) bool {
 	return !e.claims.Held(claims.NewKey(job, index))
@@ -278,18 +304,23 @@
 	e.claims.Cancel(func(key claims.Key) bool { return !e.machine.Runnable(key.Job(), key.Index()) })
 }
 
-// finish processes the result of an attempt.
+// finish processes the end of an attempt or of the recording of its outcome.
 func (e *executor) finish(r attemptResult) {
 	if !e.claims.Current(r.claim) {
+		if !r.recorded && !r.unrecorded {
+			r.reason = "another store may lead its shard"
+			logResult(r, nil, e.term)
+		}
 		return
 	}
-	active := e.active[r.claim.Key()]
-	delete(e.active, r.claim.Key())
+	key := r.claim.Key()
+	active := e.active[key]
+	delete(e.active, key)
 	if active != nil {
 		e.addEnded(e.backlogAttempt(active), time.Now())
 	}
-	if r.recorded {
-		e.claims.Release(r.claim)
+	if r.recorded || r.unrecorded {
+		e.recordingEnded(r)
 		return
 	}
 	if active != nil && r.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_DONE {
@@ -297,21 +328,12 @@
 		e.pace(active.service).RecordRun(total-active.eventsBefore, total, active.choice.NormalizeDuration(time.Since(active.began)))
 	}
 	logResult(r, active, e.term)
-	if r.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_UNSPECIFIED {
-		if r.failed {
-			e.failures = append(e.failures, r.claim)
-			return
-		}
+	if r.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_UNSPECIFIED && !r.failed {
 		e.claims.Release(r.claim)
 		return
 	}
-	key := r.claim.Key()
-	result := &rockwindpb.StoredResult{Item: key.Index(), Outcome: r.outcome}
-	if r.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_DONE {
-		result.Text = r.history.output.Text()
-	}
-	if e.results == nil {
-		e.results = make(map[string][]pendingResult)
+	if e.outcomes == nil {
+		e.outcomes = make(map[claims.Key]*pendingOutcome)
 	}
-	e.results[key.Job()] = append(e.results[key.Job()], pendingResult{claim: r.claim, result: result})
+	e.outcomes[key] = newPendingOutcome(r)
 }
--- a/internal/store/history.go
+++ b/internal/store/history.go
@@ -69,7 +69,6 @@
 		if len(e.history) > 0 && e.group.Status().GetTerm() != e.historyTerm {
 			clear(e.history)
 		}
-		e.revokeWriters()
 	case term != e.historyTerm:
 		clear(e.history)
 		e.historyTerm = term
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -12,10 +12,28 @@
 	"rockwind.example/rockwind/internal/store/claims"
 )
 
-// pendingResult is a result that is being recorded, with the claim to release afterwards.
-type pendingResult struct {
-	claim  claims.Claim
+// pendingOutcome is the outcome of an attempt that is not recorded yet: a result or a failed
+// attempt. Its claim is held until it is recorded, so that the item does not run meanwhile.
+type pendingOutcome struct {
+	claim claims.Claim
+	// result is nil for a failed attempt.
 	result *rockwindpb.StoredResult
+	// failures is the number of failed attempts, this one included.
+	failures int
+	// proposed is set while a command that records the outcome is in flight.
+	proposed bool
+}
+
+func newPendingOutcome(r attemptResult) *pendingOutcome {
+	created := &pendingOutcome{claim: r.claim, failures: r.history.failures}
+	if r.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_UNSPECIFIED {
+		return created
+	}
+	created.result = &rockwindpb.StoredResult{Item: r.claim.Key().Index(), Outcome: r.outcome}
+	if r.outcome == rockwindpb.StoredOutcome_STORED_OUTCOME_DONE {
+		created.result.Text = r.history.output.Text()
+	}
+	return created
 }
 
 // logResult writes the result of an attempt to the decision log; attempt is nil if none was
@@ -65,61 +83,87 @@
 	}
 }
 
-// recordPending starts to record the pending results and failures. Results that cannot be
-// recorded are dropped, and their items run again.
+// recordPending starts to record the pending outcomes if this store leads the shard.
 func (e *executor) recordPending(ctx context.Context) {
-	results := e.results
-	e.results = nil
+	if e.term == 0 {
+		return
+	}
+	results := make(map[string][]*pendingOutcome)
+	for key, pending := range e.outcomes {
+		if pending.proposed {
+			continue
+		}
+		pending.proposed = true
+		if pending.result == nil {
+			go e.recordFailure(ctx, pending.claim)
+			continue
+		}
+		results[key.Job()] = append(results[key.Job()], pending)
+	}
 	for job, list := range results {
-		go e.recordResults(ctx, job, list)
+		command := &rockwindpb.RecordResults{Job: job}
+		recorded := make([]claims.Claim, 0, len(list))
+		for _, pending := range list {
+			command.Results = append(command.Results, pending.result)
+			recorded = append(recorded, pending.claim)
+		}
+		go e.recordResults(ctx, command, recorded)
+	}
+}
+
+// settleOutcomes releases the items of outcomes that turn out to be recorded or to be needed no
+// longer. It is called in a read of the shard, which shows the commands of earlier terms that
+// were committed: the others cannot be committed any more. Commands of this term are in flight.
+func (e *executor) settleOutcomes() {
+	for key, pending := range e.outcomes {
+		if pending.proposed {
+			continue
+		}
+		recorded := pending.result == nil && e.machine.Failures(key.Job(), key.Index()) >= pending.failures
+		if recorded || !e.machine.Runnable(key.Job(), key.Index()) {
+			delete(e.outcomes, key)
+			e.claims.Release(pending.claim)
+		}
+	}
+}
+
+// recordingEnded handles the end of the recording of an outcome. An outcome that was not
+// recorded is recorded again at a later scheduling pass.
+func (e *executor) recordingEnded(r attemptResult) {
+	key := r.claim.Key()
+	if r.recorded {
+		delete(e.outcomes, key)
+		e.claims.Release(r.claim)
+		return
 	}
-	failures := e.failures
-	e.failures = nil
-	for _, claim := range failures {
-		go e.recordFailure(ctx, claim)
+	if pending := e.outcomes[key]; pending != nil {
+		pending.proposed = false
 	}
 }
 
-// recordFailure records a failed attempt and releases its claim afterwards, so that the item is
-// only retried once the failure is counted.
-func (e *executor) recordFailure(parent context.Context, claim claims.Claim) {
-	ctx, cancel := context.WithTimeout(parent, recordTimeout)
-	defer cancel()
+// recordFailure records a failed attempt. The command counts one more failure each time that it
+// is applied, so its recording ends only when it is applied or its term is over.
+func (e *executor) recordFailure(ctx context.Context, claim claims.Claim) {
 	key := claim.Key()
 	failure := &rockwindpb.RecordFailure{Job: key.Job(), Item: key.Index()}
 	_, err := propose(ctx, e.group, &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_Failure{Failure: failure}})
 	if err != nil {
 		log.WithError(err).WithField("job", key.Job()).WithField("item", key.Index()).Warn("failed to record a failed attempt")
 	}
-	select {
-	case e.ended <- attemptResult{claim: claim, history: &history{}, recorded: true}:
-	case <-parent.Done():
-	}
+	e.sendResult(ctx, attemptResult{claim: claim, recorded: err == nil, unrecorded: err != nil, history: &history{}})
 }
 
-// recordResults records results of one job and releases their claims afterwards. On failure the
-// items run again.
-func (e *executor) recordResults(parent context.Context, job string, list []pendingResult) {
-	ctx, cancel := context.WithTimeout(parent, recordTimeout)
-	defer cancel()
-	command := &rockwindpb.RecordResults{Job: job}
-	for _, pending := range list {
-		command.Results = append(command.Results, pending.result)
-	}
+// recordResults records results of one job.
+func (e *executor) recordResults(ctx context.Context, command *rockwindpb.RecordResults, list []claims.Claim) {
 	_, err := propose(ctx, e.group, &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_Record{Record: command}})
 	if err != nil {
-		log.WithError(err).WithField("job", job).WithField("results", len(list)).Warn("failed to record results")
+		log.WithError(err).WithField("job", command.GetJob()).WithField("results", len(list)).Warn("failed to record results")
 	}
-	for _, pending := range list {
-		select {
-		case e.ended <- attemptResult{claim: pending.claim, recorded: err == nil, history: &history{}, reason: unrecordedReason}:
-		case <-parent.Done():
-		}
+	for _, claim := range list {
+		e.sendResult(ctx, attemptResult{claim: claim, recorded: err == nil, unrecorded: err != nil, history: &history{}})
 	}
 }
 
-const unrecordedReason = "its result was not recorded"
-
 // dropExpired deletes jobs past their retention time.
 func (e *executor) dropExpired(ctx context.Context) {
 	now := time.Now()
--- a/internal/store/transfer.go
+++ b/internal/store/transfer.go
@@ -43,7 +43,7 @@
 	}
 	waiting := e.pendingTransfers
 	e.pendingTransfers = nil
-	if e.updateLeadership() {
+	if e.updateLeadership(time.Now()) {
 		e.recordProgressThen(ctx, time.Now(), func() { completeTransfers(waiting) })
 		return
 	}
