store: followers without attempts read no state in their scheduling passes

Cause: since attempts outlive a lapse, each pass of a shard that this store does not lead read the shard's state. Change: only while there are attempts or outcomes. Result: the tests of leadership changes pass; no figure was taken of the cost before.

--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -202,8 +202,11 @@
 func (e *executor) schedule(ctx context.Context) bool {
 	now := time.Now()
 	if !e.updateLeadership(now) {
+		if e.claims.Len() == 0 {
+			return false
+		}
 		_ = e.group.ReadLocal(ctx, e.cancelStale)
-		return e.claims.Len() > 0
+		return true
 	}
 	due, movesDue := e.progressDue(now), e.movesDue(now)
 	var open []jobstore.OpenItem
