store: log an outcome that is not recorded once

Cause: outcomes are recorded again at each scheduling pass, and each failure wrote a line, up to 25 a second for each job while leadership is transferred or a disk is full. Change: one line for each outcome, with its first error. Results that fail together have a line each now. Result: go test -race -short ./internal/store passes.

--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -86,9 +86,10 @@
 // has to be retried.
 type attemptResult struct {
 	claim claims.Claim
-	// recorded and unrecorded report that this is not the end of an attempt, but that the
-	// recording of its outcome has succeeded or failed.
-	recorded, unrecorded bool
+	// recorded is set and unrecorded is not nil if this is not the end of an attempt, but the end of
+	// the recording of its outcome: it is applied, or the error states why that is not known.
+	recorded   bool
+	unrecorded error
 	// failed reports that the server answered that the item failed.
 	failed  bool
 	outcome rockwindpb.StoredOutcome
@@ -310,7 +311,7 @@
 // finish processes the end of an attempt or of the recording of its outcome.
 func (e *executor) finish(r attemptResult) {
 	if !e.claims.Current(r.claim) {
-		if !r.recorded && !r.unrecorded {
+		if !r.recorded && r.unrecorded == nil {
 			r.reason = "another store may lead its shard"
 			logResult(r, nil, e.term)
 		}
@@ -322,7 +323,7 @@
 	if active != nil {
 		e.addEnded(e.backlogAttempt(active), time.Now())
 	}
-	if r.recorded || r.unrecorded {
+	if r.recorded || r.unrecorded != nil {
 		e.recordingEnded(r)
 		return
 	}
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -20,8 +20,9 @@
 	result *rockwindpb.StoredResult
 	// failures is the number of failed attempts, this one included.
 	failures int
-	// proposed is set while a command that records the outcome is in flight.
-	proposed bool
+	// proposed is set while a command that records the outcome is in flight, and logged once a
+	// command has failed.
+	proposed, logged bool
 }
 
 func newPendingOutcome(r attemptResult) *pendingOutcome {
@@ -136,9 +137,14 @@
 		e.claims.Release(r.claim)
 		return
 	}
-	if pending := e.outcomes[key]; pending != nil {
-		pending.proposed = false
+	pending := e.outcomes[key]
+	if pending == nil {
+		return
+	}
+	if !pending.logged {
+		log.WithError(r.unrecorded).WithField("job", key.Job()).WithField("item", key.Index()).Warn("the outcome of an item is not recorded yet")
 	}
+	pending.proposed, pending.logged = false, true
 }
 
 // recordFailure records a failed attempt. The command counts one more failure each time that it
@@ -147,20 +153,14 @@
 	key := claim.Key()
 	failure := &rockwindpb.RecordFailure{Job: key.Job(), Item: key.Index()}
 	_, err := propose(ctx, e.group, &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_Failure{Failure: failure}})
-	if err != nil {
-		log.WithError(err).WithField("job", key.Job()).WithField("item", key.Index()).Warn("failed to record a failed attempt")
-	}
-	e.sendResult(ctx, attemptResult{claim: claim, recorded: err == nil, unrecorded: err != nil, history: &history{}})
+	e.sendResult(ctx, attemptResult{claim: claim, recorded: err == nil, unrecorded: err, history: &history{}})
 }
 
 // recordResults records results of one job.
 func (e *executor) recordResults(ctx context.Context, command *rockwindpb.RecordResults, list []claims.Claim) {
 	_, err := propose(ctx, e.group, &rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_Record{Record: command}})
-	if err != nil {
-		log.WithError(err).WithField("job", command.GetJob()).WithField("results", len(list)).Warn("failed to record results")
-	}
 	for _, claim := range list {
-		e.sendResult(ctx, attemptResult{claim: claim, recorded: err == nil, unrecorded: err != nil, history: &history{}})
+		e.sendResult(ctx, attemptResult{claim: claim, recorded: err == nil, unrecorded: err, history: &history{}})
 	}
 }
 
