upstream: log only probes without a reply

Cause: a probe whose reply arrived after its last step was logged as one without a reply, and as conclusive (seen once in a red run: took_ms=1192 with a limit of 125 ms). The result was right. Change: such a probe returns before the line is written. Result: the tests of probes and watchdogs pass.

--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -88,11 +88,14 @@
 	}
 	cancel()
 	result := awaitCanceled(results, attempts, time.Duration(stallTolerance*float64(limit)))
-	if result == ProbeTimedOut && (waited.steps < probeSteps || ctx.Err() != nil) {
+	switch {
+	case result == ProbeConnected, result == ProbeRefused:
+		return result
+	case waited.steps < probeSteps, ctx.Err() != nil:
 		result = ProbeInconclusive
 	}
 	log.WithFields(log.Fields{
-		"address": address, "conclusive": result != ProbeInconclusive, "attempts": attempts,
+		"address": address, "conclusive": result == ProbeTimedOut, "attempts": attempts,
 		"took_ms": time.Since(began).Milliseconds(), "limit_ms": limit.Milliseconds(), "stalled_ms": waited.stalled.Milliseconds(),
 	}).Info("no reply to a probe")
 	return result
