--- a/internal/upstream/probestall_test.go
+++ b/internal/upstream/probestall_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -95,9 +96,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				dialed := 0
+				var dialed atomic.Int32 // the attempts run beside each other
 				client := upstream.NewClientWithDial(func(ctx context.Context, address string) (net.Conn, error) {
-					if dialed++; dialed == 1 {
+					if dialed.Add(1) == 1 {
 						return noReply(ctx, address)
 					}
 					return test.second(ctx, address)
@@ -106,8 +107,8 @@
 				if got := client.ProbeRedundantly(t.Context(), "10.0.0.1:1", limit); got != test.want {
 					t.Errorf("got %v, want %v", got, test.want)
 				}
-				if took := time.Since(began); dialed != 2 || took > limit {
-					t.Errorf("%d attempts in %v", dialed, took)
+				if took := time.Since(began); dialed.Load() != 2 || took > limit {
+					t.Errorf("%d attempts in %v", dialed.Load(), took)
 				}
 			})
 		})
