--- a/internal/router/queue_test.go
+++ b/internal/router/queue_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"sync"
@@ -383,3 +384,53 @@
 		}
 	})
 }
+
+// TestReturningClientWaits guards against a second rejection of a client that has only one attempt left to use: it may
+// wait longer than a client that can still retry. An immediate retry is no such attempt.
+func TestReturningClientWaits(t *testing.T) {
+	const deadline, hold = 24 * time.Second, 1500 * time.Millisecond
+	for name, test := range map[string]struct {
+		delay    time.Duration
+		admitted bool
+	}{
+		"immediate": {0, false},
+		"at 97%":    {deadline * 3 / 100, false},
+		"below 97%": {deadline*3/100 + time.Millisecond, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dispatcher := newDispatcher(1, featuregate.Set{})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				rejected := func(left time.Duration) bool {
+					request := requestOf("", router.MaxWait(deadline, left))
+					request.StartBy = time.Now().Add(deadline)
+					var refusal error
+					go func() {
+						if lease, err := dispatcher.Acquire(ctx, request); err != nil {
+							refusal = err
+						} else {
+							<-ctx.Done()
+							lease.Done(health.Success, 0)
+						}
+					}()
+					synctest.Wait()
+					return refusal != nil
+				}
+				lease, err := dispatcher.Acquire(t.Context(), requestOf("", time.Minute))
+				if err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(hold)
+				lease.Done(health.Success, 0)
+				for !rejected(deadline) {
+				}
+				if got := rejected(deadline - test.delay); got == test.admitted {
+					t.Errorf("a retry %v after the first attempt: rejected %v", test.delay, got)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
