replica: log calls, ticks and writes where leadership is lost without a quorum

Cause: TestResultsAreReadInEachRegion and TestBodiesOfRestrictedJobsStayInTheirRegion were red beside load with leaders that lost the leadership an election timeout after their election, in many groups at once. The logs did not distinguish a process that does not run from a slow disk or from replies that the product delays. Change: a leader that steps down without a quorum logs the latest call to each member, the longest delay of its latest ticks and the age of the write in progress. Delays of ticks from half an election timeout on are logged once a second. Result: TestContactDescribesCalls, TestTickDelaysKeepTheLatest and the tests of the package pass.

--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -71,6 +71,9 @@
 	if term == o.leadingTerm {
 		return
 	}
+	if term == 0 && status.Term == o.leadingTerm && status.Leader == 0 && status.Voter {
+		o.logLostContact(status)
+	}
 	o.leadingTerm = term
 	o.lease.reset()
 	o.shortEntries = shortEntryEncoder{}
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -46,6 +46,8 @@
 	cluster           *cluster
 	owners            map[uint32]*owner
 	leadershipChanged chan struct{}
+	// tickDelays are those of the ticks of all groups.
+	tickDelays tickDelays
 	// encodingSnapshot is set while a group encodes and saves a snapshot. Only one does at a time, so that
 	// the encoded states of all groups are never in memory together.
 	encodingSnapshot atomic.Bool
@@ -282,12 +284,16 @@
 func (h *Host) runTicker() error {
 	ticker := time.NewTicker(h.options.Tick)
 	defer ticker.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-h.ctx.Done():
 			return nil
 		case <-ticker.C:
 		}
+		now := time.Now()
+		h.tickDelays.add(now, now.Sub(last)-h.options.Tick, h.options.ElectionTicks, h.options.electionTimeout()/2)
+		last = now
 		for _, o := range h.allOwners() {
 			select {
 			case o.ticks <- struct{}{}:
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -74,6 +74,7 @@
 	queue  chan *rockwindpb.GroupMessage
 	// sendingLarge is set while a large message is sent or waits for that.
 	sendingLarge atomic.Bool
+	contact      contact
 }
 
 func newTransport(host *Host) *transport {
@@ -137,7 +138,7 @@
 			return nil
 		case first := <-p.queue:
 			if batch := p.withoutLarge(p.nextBatch(first)); len(batch) > 0 {
-				p.sendBatch(batch, sendTimeout, p.client.Send)
+				p.sendBatch(batch, sendTimeout, p.sendRecorded)
 			}
 		}
 	}
--- a/internal/replica/writer.go
+++ b/internal/replica/writer.go
@@ -32,6 +32,8 @@
 	queue chan write
 	// diskFull is set while the disk rejects writes for lack of space.
 	diskFull atomic.Bool
+	// writing is when the write in progress began, as a Unix time in nanoseconds, or 0.
+	writing atomic.Int64
 	// requestSnapshots is called with the groups that keep old segments in use.
 	requestSnapshots func(groups []uint32)
 }
@@ -101,7 +103,9 @@
 // failed sync may not.
 func (w *writer) writeUntilRoom(ctx context.Context, updates []wal.Update) error {
 	for {
+		w.writing.Store(time.Now().UnixNano())
 		err := w.log.Write(updates)
+		w.writing.Store(0)
 		if err == nil {
 			w.diskFull.Store(false)
 			return nil
@@ -119,3 +123,11 @@
 		}
 	}
 }
+
+// writeAge returns how long the write in progress has taken, or 0.
+func (w *writer) writeAge(now time.Time) time.Duration {
+	if began := w.writing.Load(); began != 0 {
+		return now.Sub(time.Unix(0, began))
+	}
+	return 0
+}
