raft: a leader steps down after two election timeouts without a quorum

Symptom: beside load callers got 503 for 5 to 30 s while groups changed their leaders again and again, many of them within a few milliseconds (TestResultsAreReadInEachRegion, TestBodiesOfRestrictedJobsStayInTheirRegion). A leader stepped down after one election timeout without replies, 300 ms on a site, the shortest time after which a follower campaigns. So a stall of the followers a little longer than that ended each term, although no other replica had campaigned, and a leader whose first heartbeats were answered later than that could not remain. Change: it steps down after two election timeouts, the longest time after which a follower campaigns. The lease, six ticks from a heartbeat with a quorum, is as before, so nothing stale is served; followers campaign and vote as before. Result: the tests of raft and replica pass with -short.

--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -150,6 +150,12 @@
 	return best
 }
 
+// contactTimeouts is the number of election timeouts without contact to a quorum after which a leader steps down. It is
+// the longest time after which a follower starts an election. If processes are stalled for a little longer than an
+// election timeout, stepping down earlier would add an election after each stall, and a leader whose first
+// heartbeats take that long to be answered would not remain. The lease has ended long before.
+const contactTimeouts = 2
+
 // active reports whether a member was heard from within the election timeout.
 func (n *Node) active(p *progress) bool {
 	return n.ticks-p.lastHeard < uint64(n.config.ElectionTicks)
@@ -170,10 +176,11 @@
 	}
 }
 
-// hasQuorumContact reports whether a quorum was heard from within the election timeout.
+// hasQuorumContact reports whether a quorum was heard from within contactTimeouts.
 func (n *Node) hasQuorumContact() bool {
+	limit := uint64(contactTimeouts * n.config.ElectionTicks)
 	heard := quorumValue(n.members.current(), func(id uint64) uint64 {
-		if id == n.id || n.active(n.leaderState.progress[id]) {
+		if id == n.id || n.ticks-n.leaderState.progress[id].lastHeard < limit {
 			return 1
 		}
 		return 0
