--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -88,6 +88,7 @@
 // last tick.
 func (o *owner) publish(now clockReading) {
 	status := o.node.Status()
+	o.logInSync(status)
 	o.recordRoundWithoutMessages(status, now)
 	o.publishedLeadership.Store(o.leadershipUnderLease(status))
 	o.publishedConfirmation.Store(o.confirmation(status))
--- a/internal/replica/owner.go
+++ b/internal/replica/owner.go
@@ -93,6 +93,8 @@
 	// promotionIndexes holds the index that each learner must reach to be promoted.
 	promotionIndexes map[uint64]uint64
 	leadingTerm      uint64
+	// loggedInSync is the in-sync set that was logged last, as machine names.
+	loggedInSync []string
 	// confirmationRecorded is set once a confirmed state has been recorded.
 	confirmationRecorded bool
 	// inactiveSince holds when each inactive member became inactive, as observed by
--- a/internal/replica/syncwait.go
+++ b/internal/replica/syncwait.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"slices"
+
+	"github.com/apex/log"
 
 	"rockwind.example/rockwind/internal/raft"
 )
@@ -84,3 +87,23 @@
 	}
 	return synced
 }
+
+// logInSync logs changes of the in-sync set of a group with witnesses, which this replica leads. A change is logged
+// before it ends a wait for the set.
+func (o *owner) logInSync(status raft.Status) {
+	if status.Role != raft.Leader || !hasWitnesses(status.Membership) {
+		o.loggedInSync = nil
+		return
+	}
+	var machines []string
+	for i, progress := range status.Progress {
+		if progress.InSync {
+			machines = append(machines, status.Membership.GetMembers()[i].GetMachine())
+		}
+	}
+	if slices.Equal(machines, o.loggedInSync) {
+		return
+	}
+	o.loggedInSync = machines
+	log.WithField("group", o.id).WithField("term", status.Term).WithField("machines", machines).Info("in-sync set changed")
+}
