soak: processes write their log entries after a violation

Cause: seeds that broke a rule could not be traced: daemons keep their log entries in memory, and the folder of a red seed had empty files, against docs/operations/soak.md. Change: after a violation all processes get SIGUSR1 and a second to write their entries, before they are killed.

--- a/internal/bench/fleet/process.go
+++ b/internal/bench/fleet/process.go
@@ -167,6 +167,9 @@
 // Resume continues a suspended process.
 func (p *Process) Resume() { p.signal(syscall.SIGCONT) }
 
+// WriteLogs has a daemon that keeps its log entries in memory write them to its output.
+func (p *Process) WriteLogs() { p.signal(syscall.SIGUSR1) }
+
 // WipeDisk deletes the contents of the process's data folder. The process must not be running.
 func (p *Process) WipeDisk() error {
 	data := filepath.Join(p.Folder, dataFolderName)
--- a/internal/bench/soak/command.go
+++ b/internal/bench/soak/command.go
@@ -162,6 +162,9 @@
 	}
 	defer r.site.kill()
 	r.soak(ctx, NewPlan(seed, c.Duration, c.kinds()))
+	if len(r.witness.Violations()) > 0 {
+		r.site.writeLogs()
+	}
 	return &Report{
 		Seed: seed, Duration: c.Duration.String(), Folder: folder, Counts: r.witness.Counts(), Violations: r.witness.Violations(),
 	}, nil
--- a/internal/bench/soak/site.go
+++ b/internal/bench/soak/site.go
@@ -196,6 +196,18 @@
 	}
 }
 
+// logWriteTime is the time that the processes get to write their log entries.
+const logWriteTime = time.Second
+
+// writeLogs resumes suspended processes and has all of them write their log entries, which daemons keep in memory.
+func (s *site) writeLogs() {
+	for _, each := range s.members {
+		each.Resume()
+		each.WriteLogs()
+	}
+	time.Sleep(logWriteTime)
+}
+
 // newClient returns a client that opens a connection for each call.
 func newClient(timeout time.Duration) *http.Client {
 	return &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}
