site: crash reports are kept until a coordinator accepts them

Cause: a report without a coordinator was given up after ten seconds, and with the last pending one the process dropped its observations, which were the only reason to hold the content. TestUnreportedCrashesHoldWhileCoordinatorsAreUnreachable, in virtual time, failed before: "10s after the last crash the content is no longer held". Change: a report is sent again for as long as a content is quarantined, each second after the first ten seconds. A report that coordinators refuse is given up after ten seconds as before.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -38,9 +38,9 @@
 	// are notified of a content, and crashesToHold the number after which it is held.
 	crashesToSuspect = 2
 	crashesToHold    = 3
-	// holdDuration is how long a request is quarantined after the last crash. It may then run
+	// HoldDuration is how long a request is quarantined after the last crash. It may then run
 	// once more; if the server crashes, the request is quarantined again.
-	holdDuration = 10 * time.Minute
+	HoldDuration = 10 * time.Minute
 	// suspectTTL and confirmedTTL are how long after its last crash a content is kept,
 	// if it is suspected only and if it is confirmed.
 	suspectTTL   = 10 * time.Minute
@@ -52,7 +52,7 @@
 )
 
 // itemHolds is how long an item of a batch job is quarantined after its third and fourth
-// crash; later crashes hold it for holdDuration. Only the store reruns an item, and a job
+// crash; later crashes hold it for HoldDuration. Only the store reruns an item, and a job
 // waits for all of its items, so an item that may only have run alongside the cause is retried
 // soon.
 var itemHolds = []time.Duration{5 * time.Second, 15 * time.Second}
--- a/internal/quarantine/view.go
+++ b/internal/quarantine/view.go
@@ -107,7 +107,7 @@
 		return 0
 	}
 	if !suspect.GetItem() {
-		return suspect.GetLastUnixMs() + holdDuration.Milliseconds()
+		return suspect.GetLastUnixMs() + HoldDuration.Milliseconds()
 	}
 	crashes := 0
 	for _, server := range suspect.GetServers() {
@@ -118,7 +118,7 @@
 	if crashes < crashesToHold {
 		return 0
 	}
-	held := holdDuration
+	held := HoldDuration
 	if trial := crashes - crashesToHold; trial < len(itemHolds) {
 		held = itemHolds[trial]
 	}
--- a/internal/site/coldreport.go
+++ b/internal/site/coldreport.go
@@ -12,9 +12,12 @@
 	"rockwind.example/rockwind/internal/twirphttp"
 )
 
+// maxColdReportAge is how long a cold time is reported. This process applies it in any case.
+const maxColdReportAge = 10 * time.Second
+
 // ReportCold reports to the coordinators for how long a server stays cold, as read in a health answer
 // just now. It tries one coordinator after the other until one accepts the report, for up to
-// maxReportAge.
+// maxColdReportAge.
 func (w *Watcher) ReportCold(ctx context.Context, id string, cold time.Duration) error {
 	observedAt := time.Now()
 	for {
@@ -26,7 +29,7 @@
 		if err == nil {
 			return nil
 		}
-		if time.Since(observedAt) > min(cold, maxReportAge) || !retry.Pause(ctx, reportRetryPause) {
+		if time.Since(observedAt) > min(cold, maxColdReportAge) || !retry.Pause(ctx, reportRetryPause) {
 			log.WithError(err).WithField("server", id).Debug("no coordinator accepted the cold time of a health answer")
 			return err
 		}
--- a/internal/site/reporter.go
+++ b/internal/site/reporter.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/quarantine"
 	"rockwind.example/rockwind/internal/retry"
@@ -18,11 +19,11 @@
 	// batchDelay is how long observations are collected before they are sent, because all requests
 	// of a server fail together when it ends.
 	batchDelay = 5 * time.Millisecond
-	// reportRetryPause is the pause after no coordinator accepted a report. maxReportAge is the
-	// age at which observations are given up; it is longer than the coordinators need to elect a
-	// leader.
-	reportRetryPause = 100 * time.Millisecond
-	maxReportAge     = 10 * time.Second
+	// reportRetryPause is the pause after no coordinator accepted a report, and lateReportRetryPause
+	// that after promptRetryTime, which is longer than the coordinators need to elect a leader.
+	reportRetryPause     = 100 * time.Millisecond
+	lateReportRetryPause = time.Second
+	promptRetryTime      = 10 * time.Second
 	// reportQueueSize bounds the observations in the queue, and maxBatchSize those of one call.
 	// After the loss of many servers at once the rest is dropped; the requests of such servers
 	// have ended no other server.
@@ -139,7 +140,9 @@
 	return collected
 }
 
-// send sends a report until a coordinator accepts it or it is too old.
+// send sends a report until a coordinator accepts it, or until its contents would no longer be quarantined: a
+// report that is given up ends the quarantine in this process, which the coordinators do not know of. A report that
+// the coordinators refuse for another reason than their state is given up after promptRetryTime.
 func (r *QuarantineReporter) send(ctx context.Context, observations []observation) {
 	defer r.markDone(len(observations))
 	for {
@@ -151,13 +154,30 @@
 		if err == nil {
 			return
 		}
-		if time.Since(observations[0].observedAt) > maxReportAge || !retry.Pause(ctx, reportRetryPause) {
+		age := time.Since(observations[0].observedAt)
+		limit, pause := quarantine.HoldDuration, reportRetryPause
+		if !reachesNoLeader(err) {
+			limit = promptRetryTime
+		}
+		if age > promptRetryTime {
+			pause = lateReportRetryPause
+		}
+		if age > limit || !retry.Pause(ctx, pause) {
 			log.WithError(err).WithField("observations", len(observations)).Warn("no coordinator accepted the report of ended servers")
 			return
 		}
 	}
 }
 
+// reachesNoLeader reports whether a call failed because no coordinator could be reached or none led.
+func reachesNoLeader(err error) bool {
+	switch fault.From(err).Kind {
+	case fault.Unavailable, fault.NotLeader, fault.OutcomeUnknown, fault.Overloaded:
+		return true
+	}
+	return false
+}
+
 // newReport returns the report of observations at the given time.
 func newReport(observations []observation, now time.Time) *rockwindpb.ReportQuarantineRequest {
 	report := &rockwindpb.ReportQuarantineRequest{}
--- a/internal/site/reporter_test.go
+++ b/internal/site/reporter_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/site"
 )
@@ -51,3 +52,48 @@
 		<-ended
 	})
 }
+
+// TestUnreportedCrashesHoldWhileCoordinatorsAreUnreachable guards against a request that crashes further servers because the
+// router gave up its report of the first ones, and with it the quarantine, after ten seconds without a coordinator.
+func TestUnreportedCrashesHoldWhileCoordinatorsAreUnreachable(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, network *virtualNetwork) {
+		watcher, err := site.NewWatcher(&rockwindpb.SiteSettings{Seeds: []string{"core:1"}}, &http.Client{Transport: network}, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		reporter := site.NewQuarantineReporter(watcher)
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			reporter.Run(ctx)
+		}()
+		content, _ := fingerprint.FromBytes(make([]byte, 16))
+		held := func() time.Duration {
+			return reporter.QuarantinedFor(func() fingerprint.Fingerprint { return content }, time.Now())
+		}
+		for _, server := range []string{"a", "b", "c"} {
+			reporter.ReportCrash(&rockwindpb.ServerEnd{Content: content.Bytes(), Server: server, Route: "once"}, time.Now())
+			time.Sleep(100 * time.Millisecond)
+		}
+		crashed := time.Now()
+		for time.Since(crashed) < 9*time.Minute {
+			if held() == 0 {
+				t.Fatalf("%v after the last crash the content is no longer held", time.Since(crashed))
+			}
+			time.Sleep(time.Second)
+		}
+		coordinator := &quarantineCoordinator{}
+		network.coordinators["core:1"] = rockwindpb.NewQuarantineServiceServer(coordinator)
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		if len(coordinator.received) == 0 {
+			t.Error("the crashes are not reported once a coordinator answers")
+		}
+		if left := held(); left > 0 {
+			t.Errorf("reported crashes are still held here for %v", left)
+		}
+		stop()
+		<-ended
+	})
+}
