site: the test of unreported crashes has no data race

Change: the coordinator is there from the start and refuses reports while it is in an election; both tests of the reporter share its start. The checks stay. One comment names replies instead of what was heard.

--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -176,7 +176,7 @@
 	}
 }
 
-// hasQuorumContact reports whether a quorum was heard from within contactTimeouts.
+// hasQuorumContact reports whether a quorum has replied within contactTimeouts.
 func (n *Node) hasQuorumContact() bool {
 	limit := uint64(contactTimeouts * n.config.ElectionTicks)
 	heard := quorumValue(n.members.current(), func(id uint64) uint64 {
--- a/internal/site/reporter_test.go
+++ b/internal/site/reporter_test.go
@@ -3,44 +3,60 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/site"
 )
 
-// quarantineCoordinator records when it received reports.
+// quarantineCoordinator records when it received reports. It accepts none while it is in an election.
 type quarantineCoordinator struct {
 	rockwindpb.QuarantineService
+	electing atomic.Bool
 	received []time.Time
 }
 
 // Report implements rockwindpb.QuarantineService.
 func (c *quarantineCoordinator) Report(context.Context, *rockwindpb.ReportQuarantineRequest) (*rockwindpb.ReportQuarantineResponse, error) {
+	if c.electing.Load() {
+		return nil, fault.ToTwirp(fault.New(fault.Unavailable, "no coordinator leads", "repeat the call"))
+	}
 	c.received = append(c.received, time.Now())
 	return &rockwindpb.ReportQuarantineResponse{}, nil
 }
 
+// startReporter starts a reporter on a site with one coordinator. The returned function stops it.
+func startReporter(t *testing.T, network *virtualNetwork, coordinator *quarantineCoordinator) (reporter *site.QuarantineReporter, stop func()) {
+	t.Helper()
+	network.coordinators["core:1"] = rockwindpb.NewQuarantineServiceServer(coordinator)
+	watcher, err := site.NewWatcher(&rockwindpb.SiteSettings{Seeds: []string{"core:1"}}, &http.Client{Transport: network}, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	reporter = site.NewQuarantineReporter(watcher)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		reporter.Run(ctx)
+	}()
+	return reporter, func() {
+		cancel()
+		<-ended
+	}
+}
+
 // Guards against crashes that are reported late: a client that retries each 100 ms crashes further servers meanwhile.
 func TestCrashIsReportedSoon(t *testing.T) {
 	const maxDelay = 100 * time.Millisecond
 	inVirtualTime(t, func(t *testing.T, network *virtualNetwork) {
 		coordinator := &quarantineCoordinator{}
-		network.coordinators["core:1"] = rockwindpb.NewQuarantineServiceServer(coordinator)
-		watcher, err := site.NewWatcher(&rockwindpb.SiteSettings{Seeds: []string{"core:1"}}, &http.Client{Transport: network}, "")
-		if err != nil {
-			t.Fatal(err)
-		}
-		reporter := site.NewQuarantineReporter(watcher)
-		ctx, stop := context.WithCancel(t.Context())
-		ended := make(chan struct{})
-		go func() {
-			defer close(ended)
-			reporter.Run(ctx)
-		}()
+		reporter, stop := startReporter(t, network, coordinator)
 		began := time.Now()
 		reporter.ReportCrash(&rockwindpb.ServerEnd{Content: make([]byte, 16), Server: "crashed", Route: "once"}, began)
 		time.Sleep(time.Second)
@@ -49,7 +65,6 @@
 			t.Errorf("reported at %v after the crash at %v", coordinator.received, began)
 		}
 		stop()
-		<-ended
 	})
 }
 
@@ -57,17 +72,9 @@
 // router gave up its report of the first ones, and with it the quarantine, after ten seconds without a coordinator.
 func TestUnreportedCrashesHoldWhileCoordinatorsAreUnreachable(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T, network *virtualNetwork) {
-		watcher, err := site.NewWatcher(&rockwindpb.SiteSettings{Seeds: []string{"core:1"}}, &http.Client{Transport: network}, "")
-		if err != nil {
-			t.Fatal(err)
-		}
-		reporter := site.NewQuarantineReporter(watcher)
-		ctx, stop := context.WithCancel(t.Context())
-		ended := make(chan struct{})
-		go func() {
-			defer close(ended)
-			reporter.Run(ctx)
-		}()
+		coordinator := &quarantineCoordinator{}
+		coordinator.electing.Store(true)
+		reporter, stop := startReporter(t, network, coordinator)
 		content, _ := fingerprint.FromBytes(make([]byte, 16))
 		held := func() time.Duration {
 			return reporter.QuarantinedFor(func() fingerprint.Fingerprint { return content }, time.Now())
@@ -83,8 +90,7 @@
 			}
 			time.Sleep(time.Second)
 		}
-		coordinator := &quarantineCoordinator{}
-		network.coordinators["core:1"] = rockwindpb.NewQuarantineServiceServer(coordinator)
+		coordinator.electing.Store(false)
 		time.Sleep(5 * time.Second)
 		synctest.Wait()
 		if len(coordinator.received) == 0 {
@@ -94,6 +100,5 @@
 			t.Errorf("reported crashes are still held here for %v", left)
 		}
 		stop()
-		<-ended
 	})
 }
