Record how a server's answer was framed, and streams that end inside an event

Cause: the logs showed neither whether an answer had a length or chunks nor whether a stream ended inside an event, so the hypotheses on truncated streams (docs/incidents/truncated-streams.md) could not be told apart. Change: upstream.Response has its framing; records about requests have it as a field. A new record, stream ended inside an event, is written for requests and items whenever a body ends with bytes of an incomplete event, and counted in rockwind_decisions_total. No decision changes.

--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -31,6 +31,8 @@
 	RequestBroken Kind = "request broken"
 	// RequestAbandoned: the client disconnected before the end.
 	RequestAbandoned Kind = "request abandoned"
+	// StreamEndedInEvent: the body of a stream ended before the end of an event.
+	StreamEndedInEvent Kind = "stream ended inside an event"
 	// AnswerEnded: the unread rest of a response was dropped.
 	AnswerEnded Kind = "answer ended"
 	// BodyRefused: there was no memory for the body of a request.
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -95,6 +95,8 @@
 	fingerprint *fingerprint.Fingerprint
 	// attemptSentAt is when the last attempt was sent.
 	attemptSentAt time.Time
+	// framing is that of the last response; empty before.
+	framing upstream.Framing
 	// runCopy is the copy of the run, nil if there is none.
 	runCopy *runCopy
 	// watchdog watches the server of the last attempt, nil if it is not watched.
@@ -363,6 +365,7 @@
 		return verdictRetry
 	}
 	e.sent++
+	e.framing = response.Framing
 	return e.handleResponse(ctx, lease, response, time.Since(began))
 }
 
--- a/internal/router/recording.go
+++ b/internal/router/recording.go
@@ -36,6 +36,9 @@
 	if lease.Pace > 0 {
 		fields["pace"] = lease.Pace
 	}
+	if e.framing != "" {
+		fields["framing"] = string(e.framing)
+	}
 	if e.headSent {
 		fields["first_ms"] = e.headAfter.Milliseconds()
 	}
@@ -46,6 +49,14 @@
 	decision.Default.Record(kind, e.info.ID, fields)
 }
 
+// recordEndedInEvent records that the body of a stream ended after the given bytes of an incomplete
+// event.
+func (e *exchange) recordEndedInEvent(lease *Lease, partial int) {
+	fields := e.logFields()
+	fields["server"], fields["framing"], fields["partial_bytes"], fields["last_event"] = lease.ID, string(e.framing), partial, e.relayedEvents.Last()
+	decision.Default.Record(decision.StreamEndedInEvent, e.info.ID, fields)
+}
+
 // recordClientGone records that the client disconnected or that its response was cut off to save
 // memory.
 func (e *exchange) recordClientGone(lease *Lease) {
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -158,6 +158,7 @@
 		case errors.Is(err, io.EOF):
 			e.writeHead(response)
 			if rest := splitter.Rest(); len(rest) > 0 {
+				e.recordEndedInEvent(lease, len(rest))
 				_, _ = e.writer.Write(rest)
 			}
 			e.finish(lease, response, latency)
--- a/internal/store/item.go
+++ b/internal/store/item.go
@@ -8,6 +8,9 @@
 	"strconv"
 	"time"
 
+	"github.com/apex/log"
+
+	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/health"
@@ -177,6 +180,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
+			a.recordEndedInEvent(response, len(splitter.Rest()))
 			response.Finish()
 			a.store.crashReporter.Answered(a.content())
 			a.lease.Done(health.Success, latency)
@@ -192,3 +196,14 @@
 		}
 	}
 }
+
+// recordEndedInEvent records that the output ended after the given bytes of an incomplete event.
+func (a *itemAttempt) recordEndedInEvent(response *upstream.Response, partial int) {
+	if partial == 0 {
+		return
+	}
+	decision.Default.Record(decision.StreamEndedInEvent, a.item.Job, log.Fields{
+		"item": a.item.Index, "item_id": a.item.Item.GetId(), "server": a.lease.ID, "framing": string(response.Framing),
+		"partial_bytes": partial, "events": a.history.eventCount(),
+	})
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -101,6 +101,8 @@
 	Header http.Header
 	// Length of the body in bytes, -1 if unknown.
 	Length int64
+	// Framing is how the response marks the end of its body.
+	Framing Framing
 
 	body       io.ReadCloser
 	connection *connection
@@ -185,7 +187,7 @@
 		return nil, attemptError(PhaseSent, err)
 	}
 	return &Response{
-		Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, body: head.Body,
+		Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, Framing: framingOf(head), body: head.Body,
 		connection: conn, client: c, address: address, keep: !head.Close, stop: stop, ctx: ctx,
 	}, nil
 }
