--- a/internal/router/crashreporter.go
+++ b/internal/router/crashreporter.go
@@ -139,7 +139,11 @@
 
 // isServing reports whether a server belongs to the site and has not announced that it leaves.
 func (r *CrashReporter) isServing(id string) bool {
-	server, known := r.watcher.Directory().Server(id)
+	view := r.watcher.Directory()
+	if view == nil {
+		return false
+	}
+	server, known := view.Server(id)
 	if !known {
 		return false
 	}
--- a/internal/router/exchange_test.go
+++ b/internal/router/exchange_test.go
@@ -85,6 +85,8 @@
 type exchangeResult struct {
 	*httptest.ResponseRecorder
 	took time.Duration
+	// aborted is set if the response was ended as incomplete.
+	aborted bool
 }
 
 // send sends a request of a client with the given timeout. The regions restrict it, if there are any.
@@ -95,12 +97,13 @@
 	created := c.router.newExchange(recorder, request, route, RequestInfo{ID: "request", Timeout: timeout}, nil, began)
 	created.service = "app"
 	created.regions = topology.NewRegionSet(regions)
+	aborted := false
 	func() {
 		// A response that breaks ends with a panic.
-		defer func() { _ = recover() }()
+		defer func() { aborted = recover() == http.ErrAbortHandler }()
 		created.run(ctx)
 	}()
-	return exchangeResult{ResponseRecorder: recorder, took: time.Since(began)}
+	return exchangeResult{ResponseRecorder: recorder, took: time.Since(began), aborted: aborted}
 }
 
 // hangs runs a request until its connection closes.
