Streams that end inside an event are broken off, not complete

Items of batch jobs could be done without the events after the break. Cause: the end of a body was taken for the end of the stream. For a body without a length or chunks, net/http reports the end of the connection, however the server ended, as the regular end (io.EOF); the router then wrote the incomplete event and finished the answer. Class of fault: the end of the transport is taken for the end of the message. Elsewhere in a stream its end counts as a lost connection: the stream continues at another server if its route allows it, and otherwise the client's connection is aborted. The incomplete event isn't relayed. Events may end with CR LF now, and a stream with other line endings is complete if its last line is blank, since such a stream was whole before and must still arrive.

--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -413,12 +413,12 @@
 		lease.Done(health.Failure, latency)
 		return verdictRetry
 	}
-	if e.headSent && (response.Status != http.StatusOK || !isEventStream(response.Header)) {
+	if e.headSent && (response.Status != http.StatusOK || !upstream.IsEventStream(response.Header)) {
 		response.Abandon()
 		lease.Done(health.Failure, latency)
 		return e.verdictAfterBreak()
 	}
-	if isEventStream(response.Header) && !failed {
+	if upstream.IsEventStream(response.Header) && !failed {
 		return e.relayStream(ctx, lease, response, latency)
 	}
 	return e.relayResponse(ctx, lease, response, latency)
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"rockwind.example/rockwind/internal/health"
@@ -25,10 +24,6 @@
 	silenceFactor = 2
 )
 
-func isEventStream(header http.Header) bool {
-	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
-}
-
 // relayResponse relays a response that is not a stream. It is buffered first unless it is too
 // large.
 func (e *exchange) relayResponse(ctx context.Context, lease *Lease, response *upstream.Response, latency time.Duration) verdict {
@@ -155,10 +150,12 @@
 		}
 		switch {
 		case err == nil:
+		case errors.Is(err, io.EOF) && splitter.InEvent():
+			e.recordEndedInEvent(lease, len(splitter.Rest()))
+			return e.handleBrokenResponse(ctx, lease, response, latency, upstream.ErrEndedInEvent)
 		case errors.Is(err, io.EOF):
 			e.writeHead(response)
 			if rest := splitter.Rest(); len(rest) > 0 {
-				e.recordEndedInEvent(lease, len(rest))
 				_, _ = e.writer.Write(rest)
 			}
 			e.finish(lease, response, latency)
--- a/internal/router/truncation_test.go
+++ b/internal/router/truncation_test.go
@@ -110,7 +110,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				r := newRelayTest(t, httptest.NewRecorder(), func(conn net.Conn) { sendsStream(framing, brokenEvent)(conn, nil, nil) })
 				r.relayedEvents = upstream.NewEventDeduplicator("1")
-				r.runCopy, r.headSent = &runCopy{continued: true}, true
+				r.runCopy, r.headSent, r.sent = &runCopy{continued: true}, true, 1
 				r.send(t)
 				if got := r.relayStream(t.Context(), r.lease, r.response, 0); got != verdictBroken {
 					t.Errorf("the verdict is %v: %s", got, r.reason)
--- a/internal/store/item.go
+++ b/internal/store/item.go
@@ -179,29 +179,35 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF):
+		case errors.Is(err, io.EOF) && splitter.InEvent():
 			a.recordEndedInEvent(response, len(splitter.Rest()))
+			return a.handleBroken(ctx, response, latency, upstream.ErrEndedInEvent)
+		case errors.Is(err, io.EOF):
+			// Without LF in its line endings, the output is one piece.
+			a.writer.Add(upstream.Events(splitter.Rest()))
 			response.Finish()
 			a.store.crashReporter.Answered(a.content())
 			a.lease.Done(health.Success, latency)
 			return attemptResult{outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DONE, history: a.history}
 		default:
-			response.Abandon()
-			if ctx.Err() != nil {
-				return a.handleCanceled(ctx)
-			}
-			a.lease.Done(health.Failure, latency)
-			a.reportBroken(err)
-			return a.retryAfter(refusalDelay, "the stream broke off: "+err.Error())
+			return a.handleBroken(ctx, response, latency, err)
 		}
 	}
 }
 
+// handleBroken ends an attempt whose output broke off.
+func (a *itemAttempt) handleBroken(ctx context.Context, response *upstream.Response, latency time.Duration, cause error) attemptResult {
+	response.Abandon()
+	if ctx.Err() != nil {
+		return a.handleCanceled(ctx)
+	}
+	a.lease.Done(health.Failure, latency)
+	a.reportBroken(cause)
+	return a.retryAfter(refusalDelay, "the stream broke off: "+cause.Error())
+}
+
 // recordEndedInEvent records that the output ended after the given bytes of an incomplete event.
 func (a *itemAttempt) recordEndedInEvent(response *upstream.Response, partial int) {
-	if partial == 0 {
-		return
-	}
 	decision.Default.Record(decision.StreamEndedInEvent, a.item.Job, log.Fields{
 		"item": a.item.Index, "item_id": a.item.Item.GetId(), "server": a.lease.ID, "framing": string(response.Framing),
 		"partial_bytes": partial, "events": a.history.eventCount(),
--- a/internal/store/truncation_test.go
+++ b/internal/store/truncation_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -105,3 +106,19 @@
 		})
 	}
 }
+
+// Guards against an item without its text because its events have other line endings.
+func TestItemIsDoneWithEachLineEnding(t *testing.T) {
+	for _, ending := range []string{"\n", "\r\n", "\r"} {
+		t.Run(fmt.Sprintf("%q", ending), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := newItemTest(t, func(string) string {
+					return "\r\n" + strings.ReplaceAll("id: 1\ndata: begin\n\nid: 2\ndata: end\n\n", "\n", ending)
+				})
+				if got := i.attempt(t); got.outcome != rockwindpb.StoredOutcome_STORED_OUTCOME_DONE || string(i.history.output.Text()) != "begin\nend" {
+					t.Fatalf("the outcome is %v with %q", got.outcome, i.history.output.Text())
+				}
+			})
+		})
+	}
+}
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -187,25 +187,46 @@
 
 func (e *exchange) relayBuffered(ctx context.Context, response *Response, report *Report) verdict {
 	body, err := e.readAll(response)
+	if err == nil && IsEventStream(response.Header) {
+		err = checkEventsComplete(body)
+	}
 	if err != nil {
 		return e.handleTruncatedService(ctx, err, report)
 	}
 	return e.deliver(response, body)
 }
 
+// checkEventsComplete returns an error if a stream ends inside an event.
+func checkEventsComplete(body []byte) error {
+	var tail eventTail
+	tail.add(body)
+	if tail.inEvent {
+		return ErrEndedInEvent
+	}
+	return nil
+}
+
 // copyBody relays a body as it arrives.
 func (e *exchange) copyBody(ctx context.Context, response *Response, report *Report) verdict {
 	buffer := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buffer)
+	var tail eventTail
+	isEventStream := IsEventStream(response.Header)
 	for {
 		n, err := response.Read(*buffer, e.silenceTimeout())
 		if n > 0 {
+			if isEventStream {
+				tail.add((*buffer)[:n])
+			}
 			if writeErr := e.sink.Write((*buffer)[:n]); writeErr != nil {
 				response.Abandon()
 				report.Outcome = Canceled
 				return e.endCanceled()
 			}
 		}
+		if errors.Is(err, io.EOF) && tail.inEvent {
+			err = ErrEndedInEvent
+		}
 		if errors.Is(err, io.EOF) {
 			response.Finish()
 			e.result.Complete = true
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -2,8 +2,21 @@
 
 import (
 	"bytes"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
 )
 
+// ErrEndedInEvent means that the body of a stream ended before the end of an event. The server broke off, whatever
+// the framing of the response says.
+var ErrEndedInEvent = errors.New("the stream ended inside an event")
+
+// IsEventStream reports whether the headers of a response announce server-sent events.
+func IsEventStream(header http.Header) bool {
+	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
+}
+
 var (
 	eventEnd        = []byte("\n\n")
 	idField         = []byte("id:")
@@ -16,22 +29,75 @@
 func completeEvents(p []byte) int {
 	end := 0
 	for {
-		at := bytes.Index(p[end:], eventEnd)
-		if at < 0 {
+		length := eventLength(p[end:])
+		if length < 0 {
 			return end
 		}
-		end += at + len(eventEnd)
+		end += length
+	}
+}
+
+// eventLength returns the length of the first event of p including the blank line at its end, or -1 if the event is
+// incomplete. Lines end with LF or CR LF.
+func eventLength(p []byte) int {
+	if bytes.IndexByte(p, '\r') < 0 {
+		at := bytes.Index(p, eventEnd)
+		if at < 0 {
+			return -1
+		}
+		return at + len(eventEnd)
+	}
+	for at := 0; ; {
+		found := bytes.IndexByte(p[at:], '\n')
+		if found < 0 {
+			return -1
+		}
+		at += found + 1
+		if rest := bytes.TrimPrefix(p[at:], []byte("\r")); len(rest) > 0 && rest[0] == '\n' {
+			return len(p) - len(rest) + 1
+		}
+	}
+}
+
+// normalizeLines returns p with all line endings, also those with a CR alone, replaced by LF.
+func normalizeLines(p []byte) []byte {
+	if bytes.IndexByte(p, '\r') < 0 {
+		return p
+	}
+	return bytes.ReplaceAll(bytes.ReplaceAll(p, []byte("\r\n"), []byte("\n")), []byte("\r"), []byte("\n"))
+}
+
+// eventTail tracks whether the bytes of a stream so far end inside an event. Blank lines and comments between events
+// belong to none. The zero value is the start of a stream.
+type eventTail struct {
+	inEvent     bool
+	lineStarted bool
+	afterCR     bool
+}
+
+// add appends bytes.
+func (t *eventTail) add(p []byte) {
+	for _, b := range p {
+		switch {
+		case b == '\n' && t.afterCR:
+		case b == '\n' || b == '\r':
+			t.inEvent = t.inEvent && t.lineStarted
+			t.lineStarted = false
+		case !t.lineStarted:
+			t.lineStarted = true
+			t.inEvent = t.inEvent || b != ':'
+		}
+		t.afterCR = b == '\r'
 	}
 }
 
 // nextEvent returns the length of the first event of p, which holds only complete
 // events.
 func nextEvent(p []byte) int {
-	at := bytes.Index(p, eventEnd)
-	if at < 0 {
-		return len(p)
+	if length := eventLength(p); length >= 0 {
+		return length
 	}
-	return at + len(eventEnd)
+	return len(p)
 }
 
 // event holds the fields of a server-sent event that the relay needs.
@@ -47,6 +113,7 @@
 // readEvent parses one event.
 func readEvent(p []byte) event {
 	var found event
+	p = normalizeLines(p)
 	for len(p) > 0 {
 		line := p
 		if at := bytes.IndexByte(p, '\n'); at >= 0 {
--- a/internal/upstream/events_test.go
+++ b/internal/upstream/events_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 )
 
@@ -28,7 +31,7 @@
 		}
 		for len(joined) > 0 {
 			length := nextEvent(joined)
-			if length < len(eventEnd) || !bytes.HasSuffix(joined[:length], eventEnd) {
+			if !bytes.HasSuffix(joined[:length], []byte("\n\n")) && !bytes.HasSuffix(joined[:length], []byte("\n\r\n")) {
 				t.Fatalf("event boundary at %d of %q", length, joined)
 			}
 			if readEvent(joined[:length]).done != hasEndMarker(joined[:length]) {
@@ -40,7 +43,7 @@
 }
 
 func hasEndMarker(event []byte) bool {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
+	for line := range bytes.FieldsFuncSeq(event, func(r rune) bool { return r == '\n' || r == '\r' }) {
 		field, value, _ := bytes.Cut(line, []byte(":"))
 		if string(field) == "data" && bytes.HasPrefix(bytes.TrimPrefix(value, []byte(" ")), []byte("[DONE]")) {
 			return true
@@ -48,3 +51,51 @@
 	}
 	return false
 }
+
+// Guards against events that are found only with one kind of line ending, or only if they arrive in one piece.
+func TestEventsAreFoundWithEachLineEnding(t *testing.T) {
+	for _, ending := range []string{"\n", "\r\n"} {
+		stream := []byte(strings.ReplaceAll("id: 1\ndata: a\ndata: b\n\n: comment\nid: 2\ndata: c\n\n", "\n", ending))
+		for first := range len(stream) + 1 {
+			var splitter EventSplitter
+			var found []Event
+			var relayed []byte
+			for _, piece := range [][]byte{stream[:first], stream[first:]} {
+				whole := bytes.Clone(splitter.Add(piece))
+				relayed = append(relayed, whole...)
+				found = append(found, Events(whole)...)
+			}
+			if splitter.InEvent() || string(append(relayed, splitter.Rest()...)) != string(stream) {
+				t.Fatalf("ending %q, first piece %d: in an event %v, relayed %q", ending, first, splitter.InEvent(), relayed)
+			}
+			var data []string
+			for _, event := range found {
+				if event.HasSequence {
+					data = append(data, fmt.Sprintf("%d %s", event.Sequence, event.Data))
+				}
+			}
+			if want := []string{"1 a\nb", "2 c"}; !slices.Equal(data, want) {
+				t.Fatalf("ending %q, first piece %d: found %q", ending, first, data)
+			}
+		}
+	}
+}
+
+// Guards against a stream that counts as complete at another place than between two events.
+func TestStreamIsInEventUntilBlankLine(t *testing.T) {
+	for _, ending := range []string{"\n", "\r\n", "\r"} {
+		for stream, inEvent := range map[string]bool{
+			"": false, "\n": false, "\n\n\n": false, ": c": false, ": c\n": false, "d": true, "data: a\n": true, "data: a\n: c": true,
+			"data: a\n: c\n": true, "data: a\n\n": false, "data: a\n\n: c": false, "data: a\n\n\n": false, "data: a\n\ni": true,
+		} {
+			stream = strings.ReplaceAll(stream, "\n", ending)
+			var splitter EventSplitter
+			for index := range len(stream) {
+				splitter.Add([]byte{stream[index]})
+			}
+			if splitter.InEvent() != inEvent {
+				t.Errorf("%q: in an event is %v", stream, splitter.InEvent())
+			}
+		}
+	}
+}
--- a/internal/upstream/splitter.go
+++ b/internal/upstream/splitter.go
@@ -18,9 +18,16 @@
 	return complete
 }
 
-// Rest returns the bytes of an incomplete event.
+// Rest returns the bytes after the last complete event.
 func (s *EventSplitter) Rest() []byte { return s.rest }
 
+// InEvent reports whether these are part of an event, rather than blank lines and comments alone.
+func (s *EventSplitter) InEvent() bool {
+	var tail eventTail
+	tail.add(s.rest)
+	return tail.inEvent
+}
+
 // Event is one complete server-sent event.
 type Event struct {
 	// Raw holds the bytes of the event including the blank line at its end.
@@ -53,7 +60,7 @@
 // eventData joins the contents of the data lines. A single space after the colon is
 // not part of the content.
 func eventData(raw []byte) (data []byte, found bool) {
-	for _, line := range bytes.Split(raw, []byte("\n")) {
+	for _, line := range bytes.Split(normalizeLines(raw), []byte("\n")) {
 		content, isData := bytes.CutPrefix(line, dataField)
 		if !isData {
 			continue
