Broken answers to HTTP/1.0 clients end with a reset

What callers saw: a client of HTTP/1.0 could not tell a broken answer from a complete one. Cause: an answer to HTTP/1.0 has no chunks, and one without a length ends with its connection. The abort of the handler left out the last chunk, which does not exist there, and closed the connection regularly. Change: internal/httpabort aborts handlers, at routers and gateways: as before with HTTP/1.1, and with a reset with HTTP/1.0.

--- a/internal/clientconn/buffers.go
+++ b/internal/clientconn/buffers.go
@@ -77,6 +77,8 @@
 	ReasonStalled Reason = "the client read nothing while memory was short"
 	// ReasonWriteFailed: writing to the client failed, or the deadline passed.
 	ReasonWriteFailed Reason = "the client read nothing until its time was over, or left"
+	// ReasonIncomplete: the response could not be completed.
+	ReasonIncomplete Reason = "the response could not be completed"
 )
 
 // EndedResponse describes a response that was cut off.
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -342,6 +342,10 @@
 	})
 }
 
+// Reset drops the buffered bytes and resets the connection, so that a response whose end only the
+// connection marks does not look complete.
+func (c *Conn) Reset() { c.end(ReasonIncomplete, nil) }
+
 // Close implements net.Conn. The client still receives the buffered bytes.
 func (c *Conn) Close() error {
 	c.mutex.Lock()
--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -11,6 +11,7 @@
 
 	"rockwind.example/rockwind/internal/admission"
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/httpabort"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/sharing"
 	"rockwind.example/rockwind/internal/upstream"
@@ -130,7 +131,7 @@
 	g.modelUsage.addOnline(c.chooser.wanted, c.servedCost(result), result.Begun)
 	if result.Begun && !result.Complete && !c.upstream.Stream {
 		// Abort the connection so that the caller does not take the response for complete.
-		panic(http.ErrAbortHandler)
+		httpabort.Abort(c.writer, c.request)
 	}
 }
 
--- a/internal/gateway/files.go
+++ b/internal/gateway/files.go
@@ -11,6 +11,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/httpabort"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -145,7 +146,7 @@
 	for _, chunk := range file.GetChunks() {
 		bodies, err := g.readBodies(r, []*rockwindpb.BodyReference{chunk.GetBody()})
 		if err != nil {
-			g.abortContent(w, err)
+			g.abortContent(w, r, err)
 			return
 		}
 		deadline.extend()
@@ -169,9 +170,9 @@
 
 // abortContent logs the error and aborts the connection, so that the caller does not
 // take a partial file for complete.
-func (g *Gateway) abortContent(_ http.ResponseWriter, err error) {
+func (g *Gateway) abortContent(w http.ResponseWriter, r *http.Request, err error) {
 	g.log.WithError(err).Warn("can't read the content of a file; connection aborted")
-	panic(http.ErrAbortHandler)
+	httpabort.Abort(w, r)
 }
 
 // resultFile identifies the output file of a batch or, if failed is set, its error
--- a/internal/gateway/listeners.go
+++ b/internal/gateway/listeners.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/httpabort"
 	"rockwind.example/rockwind/internal/logring"
 	"rockwind.example/rockwind/internal/settings"
 	"rockwind.example/rockwind/internal/upstream"
@@ -194,7 +195,7 @@
 				panic(recovered)
 			}
 			g.log.WithField("panic", recovered).WithField("path", r.URL.Path).Error("panic in a request handler")
-			panic(http.ErrAbortHandler)
+			httpabort.Abort(w, r)
 		}()
 		next.ServeHTTP(w, r)
 	})
--- a/internal/gateway/results.go
+++ b/internal/gateway/results.go
@@ -106,7 +106,7 @@
 		return
 	}
 	if output.begun {
-		g.abortContent(w, err)
+		g.abortContent(w, r, err)
 	}
 	writeFault(w, err)
 }
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -14,6 +14,7 @@
 	"rockwind.example/rockwind/internal/featuregate"
 	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/health"
+	"rockwind.example/rockwind/internal/httpabort"
 	"rockwind.example/rockwind/internal/rateclient"
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/retryafter"
@@ -56,6 +57,8 @@
 type exchange struct {
 	router *Router
 	writer http.ResponseWriter
+	// clientRequest is the request as the client sent it.
+	clientRequest *http.Request
 	// client is the connection of the client, nil if it is not tracked.
 	client  *clientconn.Conn
 	route   *rockwindpb.Route
@@ -130,9 +133,8 @@
 	return false
 }
 
-// run tries servers until the request is answered or may not be tried again. It panics with
-// http.ErrAbortHandler if a partly sent response cannot be completed, so that it never looks
-// complete to the client.
+// run tries servers until the request is answered or may not be tried again. It panics if a
+// partly sent response cannot be completed, see httpabort.Abort.
 func (e *exchange) run(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, e.deadline)
 	defer cancel()
@@ -212,10 +214,10 @@
 	case verdictClientGone:
 		e.recordClientGone(lease)
 		// An incomplete response must not look complete, even if the client is gone.
-		panic(http.ErrAbortHandler)
+		httpabort.Abort(e.writer, e.clientRequest)
 	case verdictBroken:
 		e.record(decision.RequestBroken, lease, e.reason)
-		panic(http.ErrAbortHandler)
+		httpabort.Abort(e.writer, e.clientRequest)
 	}
 	return false
 }
@@ -438,7 +440,7 @@
 // refuseRequest ends the request with an error of the router itself.
 func (e *exchange) refuseRequest(ctx context.Context, err error) {
 	if e.headSent {
-		panic(http.ErrAbortHandler)
+		httpabort.Abort(e.writer, e.clientRequest)
 	}
 	status, failure := e.refusal(ctx, fault.From(err))
 	if e.sent == 0 {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -182,14 +182,15 @@
 	}
 	delete(header, "Content-Length")
 	created := &exchange{
-		router:       r,
-		writer:       writer,
-		route:        route,
-		service:      ChooseService(route, info.ID),
-		info:         info,
-		header:       header,
-		deadline:     requestDeadline(route, info, received),
-		totalTimeout: r.totalTimeout(route, info.Timeout),
+		router:        r,
+		writer:        writer,
+		clientRequest: request,
+		route:         route,
+		service:       ChooseService(route, info.ID),
+		info:          info,
+		header:        header,
+		deadline:      requestDeadline(route, info, received),
+		totalTimeout:  r.totalTimeout(route, info.Timeout),
 
 		received: received,
 		request: upstream.Request{
