Soak and simulator: servers that answer without length or chunks and break off

Cause: neither sent answers without framing, so neither could find the truncated streams. Change: a fifth of the answers of the soak's back ends have neither a length nor chunks, and one in twenty of these is cut: texts by a reset, streams inside an event by a regular close. A proxy that dropped data of a connection resets it at its end instead of closing it regularly. In the simulator broken streams (truncate) are lost to their gateway and never complete.

--- a/internal/bench/simulate/command.go
+++ b/internal/bench/simulate/command.go
@@ -31,7 +31,7 @@
 	Seed       uint64        `help:"Seed of the run." default:"1"`
 	Measured   time.Duration `help:"Simulated time measured, after the warm-up." default:"120s"`
 	Trace      string        `help:"Trace to replay in place of the drawn load; rockwind-bench trace writes one." type:"existingfile"`
-	Fault      []string      `help:"Fault as kind@time:engine or kind@time:engine:duration, for example die@30s:4:10s; kinds are die, hang, slow, lie and refuse."`
+	Fault      []string      `help:"Fault as kind@time:engine or kind@time:engine:duration, for example die@30s:4:10s; kinds are die, hang, slow, lie, refuse and truncate."`
 	FirstToken time.Duration `help:"Time to the first token that batch must keep; by default gateways estimate it."`
 	PerToken   time.Duration `help:"Time per token that batch must keep; by default gateways estimate it."`
 	JSON       bool          `help:"Print the figures as JSON." name:"json"`
--- a/internal/bench/simulate/fault.go
+++ b/internal/bench/simulate/fault.go
@@ -16,7 +16,7 @@
 // faultKinds maps the names of faults in the flag to engine faults.
 var faultKinds = map[string]engine.FaultKind{
 	"die": engine.FaultDie, "hang": engine.FaultHang, "slow": engine.FaultSlow,
-	"lie": engine.FaultReportIdle, "refuse": engine.FaultRefuse,
+	"lie": engine.FaultReportIdle, "refuse": engine.FaultRefuse, "truncate": engine.FaultTruncate,
 }
 
 // parseFault parses kind@time:engine or kind@time:engine:duration.
--- a/internal/bench/soak/backend/backend.go
+++ b/internal/bench/soak/backend/backend.go
@@ -47,6 +47,8 @@
 const (
 	// Events is the number of events of a stream.
 	Events = 12
+	// eventBeginning is the beginning of each event.
+	eventBeginning = "id: "
 	// LastData marks the data of the last event.
 	LastData = "end"
 	// eventInterval is the time between two events.
@@ -59,6 +61,10 @@
 	// Fractions of the requests that are refused as not run, and whose answers are cut.
 	refusedFraction = 0.02
 	cutFraction     = 0.01
+	// unframedFraction is the fraction of the answers that have neither a length nor chunks.
+	// More of these are cut, since only the end of the connection ends them.
+	unframedFraction    = 0.2
+	unframedCutFraction = 0.05
 )
 
 // Answer is the body of the plain answer to a request.
@@ -207,11 +213,21 @@
 		return
 	}
 	cut := s.chance(cutFraction)
+	unframed := s.chance(unframedFraction)
+	if unframed {
+		cut = s.chance(unframedCutFraction)
+		// Makes net/http send the body without chunks and close the connection after it.
+		writer.Header().Set("Transfer-Encoding", "identity")
+		s.witness.Count("answers without length or chunks")
+	}
+	if cut {
+		s.witness.Count("answers cut")
+	}
 	if hasAnyPrefix(request.URL.Path, PathSafe, PathOnce, PathTenant, PathRestricted) {
-		s.serveText(request.Context(), writer, id, cut)
+		s.serveText(request.Context(), writer, id, unframed, cut)
 		return
 	}
-	s.serveStream(request, writer, id, cut)
+	s.serveStream(request, writer, id, unframed, cut)
 }
 
 // ranForTenant records the tenant that a request runs for. The API key of the client must
@@ -227,30 +243,60 @@
 	return slices.ContainsFunc(prefixes, func(prefix string) bool { return strings.HasPrefix(path, prefix) })
 }
 
-func (s *Server) serveText(ctx context.Context, writer http.ResponseWriter, id string, cut bool) {
+func (s *Server) serveText(ctx context.Context, writer http.ResponseWriter, id string, unframed, cut bool) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(serviceTime):
 	}
 	body := Answer(id)
-	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if !unframed {
+		writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	if cut {
 		_, _ = writer.Write([]byte(body[:len(body)/2]))
+		if unframed {
+			resetConnection(writer)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = writer.Write([]byte(body))
 }
 
-// serveStream sends the events after the one in the Last-Event-ID header of the request.
-func (s *Server) serveStream(request *http.Request, writer http.ResponseWriter, id string, cut bool) {
+// resetConnection resets the connection of an answer without a length or chunks, since a regular close would
+// complete it.
+func resetConnection(writer http.ResponseWriter) {
+	controller := http.NewResponseController(writer)
+	_ = controller.Flush()
+	conn, _, err := controller.Hijack()
+	if err != nil {
+		return
+	}
+	if socket, found := conn.(*net.TCPConn); found {
+		_ = socket.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// serveStream sends the events after the one in the Last-Event-ID header of the request. A stream without chunks that
+// is cut, or whose server is killed, ends inside an event with a regular close: each write but the last ends with the
+// beginning of the next event.
+func (s *Server) serveStream(request *http.Request, writer http.ResponseWriter, id string, unframed, cut bool) {
 	after, _ := strconv.Atoi(request.Header.Get(router.HeaderLastEvent))
 	writer.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(writer)
+	sent := 0
 	for event := after + 1; event <= Events; event++ {
-		piece := fmt.Sprintf("id: %d\ndata: %s\n\n", event, EventData(id, event))
+		piece := fmt.Sprintf("id: %d\ndata: %s\n\n", event, EventData(id, event))[sent:]
+		if unframed && event < Events {
+			piece += eventBeginning
+			sent = len(eventBeginning)
+		}
 		if cut && event == after+Events/2 {
 			_, _ = writer.Write([]byte(piece[:len(piece)/2]))
 			_ = controller.Flush()
+			if unframed {
+				return
+			}
 			panic(http.ErrAbortHandler)
 		}
 		if _, err := writer.Write([]byte(piece)); err != nil {
--- a/internal/bench/soak/faultproxy/proxy.go
+++ b/internal/bench/soak/faultproxy/proxy.go
@@ -165,6 +165,10 @@
 	both.Wait()
 	p.mutex.Lock()
 	delete(p.connections, conns)
+	if conns.dataLost {
+		// A regular close would complete an answer whose end was lost.
+		conns.reset()
+	}
 	p.mutex.Unlock()
 	client.Close()
 	server.Close()
--- a/internal/simulator/fleet.go
+++ b/internal/simulator/fleet.go
@@ -193,7 +193,7 @@
 	case engine.EventFinished:
 		record.doneAt = max(record.firstAt, arrives+f.scenario.ClientDelay+f.hops.draw()+f.hops.draw())
 		f.clock.At(arrives, func() { gateway.requestEnded(record, server) })
-	case engine.EventLost:
+	case engine.EventLost, engine.EventTruncated:
 		f.clock.At(arrives, func() { gateway.requestFailed(int(event.Tag), server) })
 	}
 }
@@ -209,7 +209,7 @@
 		}
 	case engine.EventFinished:
 		f.clock.At(arrives, func() { gateway.itemCompleted(item, server) })
-	case engine.EventLost:
+	case engine.EventLost, engine.EventTruncated:
 		f.clock.At(arrives, func() { gateway.itemFailed(item, server) })
 	}
 }
--- a/internal/simulator/simulator_test.go
+++ b/internal/simulator/simulator_test.go
@@ -42,7 +42,7 @@
 }
 
 // Every batch item must complete exactly once, even if engines crash, hang, slow
-// down or report no load.
+// down, report no load or break streams off.
 func TestEveryItemCompletesOnceUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		scenario := small(Shares())
@@ -54,12 +54,12 @@
 			scenario.Batch[index].JobItems = 40
 			scenario.Batch[index].ActiveUntil = 5 * time.Second
 		}
-		kinds := []engine.FaultKind{engine.FaultDie, engine.FaultHang, engine.FaultSlow, engine.FaultReportIdle}
+		kinds := []engine.FaultKind{engine.FaultDie, engine.FaultHang, engine.FaultSlow, engine.FaultReportIdle, engine.FaultTruncate}
 		for range rapid.IntRange(0, 3).Draw(t, "faults") {
 			scenario.Faults = append(scenario.Faults, ScheduledFault{
 				At:     time.Duration(rapid.IntRange(0, 6000).Draw(t, "at")) * time.Millisecond,
 				Engine: rapid.IntRange(0, scenario.Engines()-1).Draw(t, "engine"),
-				Fault:  engine.Fault{Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Duration: 2 * time.Second, Factor: 3},
+				Fault:  engine.Fault{Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Duration: 2 * time.Second, Factor: 3, Count: 10, Tokens: 5},
 			})
 		}
 		policy := Rockwind(&scenario)
@@ -117,3 +117,18 @@
 		t.Fatalf("batch adds %v to the tail latency, with priorities alone %v", increase, priorityIncrease)
 	}
 }
+
+// Guards against an online request that counts as complete although its stream was broken off.
+func TestTruncatedStreamsAreNotComplete(t *testing.T) {
+	scenario := small(Magnolia())
+	scenario.Online.BurstFactor = 1
+	const truncated = 8
+	scenario.Faults = []ScheduledFault{{At: scenario.Warmup, Fault: engine.Fault{Kind: engine.FaultTruncate, Count: truncated, Tokens: 1}}}
+	policy := OnlineAlone(&scenario)
+	intact := scenario
+	intact.Faults = nil
+	before, after := Run(intact, policy, 5), Run(scenario, policy, 5)
+	if lost := len(before.TTFT) - len(after.TTFT); lost != truncated || after.Refused-before.Refused != truncated {
+		t.Errorf("%d of %d truncated streams are not complete, %d count as lost", lost, truncated, after.Refused-before.Refused)
+	}
+}
