Record the software version of servers, and what a resumed stream names

Cause: the logs did not show at which version an attempt ran nor which request began a resumed stream, so the hypotheses on streams of two versions (docs/incidents/mixed-versions.md) could not be told apart. Change: members of pools and choices have the version from the directory; records about requests and started items show it. The request that a client names as the one that brought its first event (Resumes; X-Resumes in the plain protocol) is parsed and recorded, with the last event. No decision changes. Result: go test ./internal/balance ./platform -run 'Protocol|Parse|Choose|Copy' passes.

--- a/internal/balance/members.go
+++ b/internal/balance/members.go
@@ -13,6 +13,8 @@
 	Zone    string
 	// Region is that of the zone; empty on a site whose settings name no regions.
 	Region string
+	// Version of its software; empty if it does not say.
+	Version string
 	// Slots is the number of requests it runs concurrently; zero if unknown.
 	Slots int
 	// Silent is set for a server that has not reported to the directory for long.
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -185,6 +185,8 @@
 	ID      string
 	Address string
 	Region  string
+	// Version is that of the server's software.
+	Version string
 	// Load and Slots are those at the time of the choice. ReportAge is the age of the server's last
 	// load report; negative if there was none.
 	Load      int
@@ -273,7 +275,7 @@
 
 // commit counts the request at the chosen server and completes the choice.
 func (p *Pool) commit(chosen *server, choice Choice, demand Demand, now time.Duration) Choice {
-	choice.ID, choice.Address, choice.Region, choice.Slots = chosen.ID, chosen.Address, chosen.Region, chosen.Slots
+	choice.ID, choice.Address, choice.Region, choice.Version, choice.Slots = chosen.ID, chosen.Address, chosen.Region, chosen.Version, chosen.Slots
 	choice.Load, choice.ReportAge = p.viewOf(chosen, now).load, -1
 	if chosen.hasReport {
 		choice.ReportAge = now - chosen.reportedAt
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -111,7 +111,7 @@
 	}
 	member := balance.Member{
 		ID: server.GetId(), Address: server.GetAddress(), Zone: server.GetZone(),
-		Region: d.topology.Region(server.GetZone()), Slots: int(server.GetSlots()), Silent: silent,
+		Region: d.topology.Region(server.GetZone()), Version: server.GetVersion(), Slots: int(server.GetSlots()), Silent: silent,
 	}
 	d.setCold(server, &member, cold)
 	d.poolOf(server.GetService()).pool.Put(member)
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -22,6 +22,8 @@
 	HeaderServer = "X-Server"
 	// HeaderLastEvent is the ID of the last event that the client has received.
 	HeaderLastEvent = "Last-Event-ID"
+	// HeaderResumes is the ID of the request that brought the first event of a resumed stream.
+	HeaderResumes = "X-Resumes"
 	// HeaderTenant names the tenant of the client to the server.
 	HeaderTenant = "X-Tenant"
 	// headerKey carries the client's API key, after keyScheme.
@@ -36,7 +38,7 @@
 
 // ParseRequest implements Protocol.
 func (PlainProtocol) ParseRequest(header http.Header) (RequestInfo, error) {
-	info := RequestInfo{ID: header.Get(upstream.HeaderRequestID), ResumeAfter: header.Get(HeaderLastEvent)}
+	info := RequestInfo{ID: header.Get(upstream.HeaderRequestID), ResumeAfter: header.Get(HeaderLastEvent), Resumes: header.Get(HeaderResumes)}
 	info.APIKey, _ = strings.CutPrefix(header.Get(headerKey), keyScheme)
 	if text := header.Get(HeaderTimeLeft); text != "" {
 		milliseconds, err := strconv.ParseUint(text, 10, 32)
--- a/internal/router/protocol.go
+++ b/internal/router/protocol.go
@@ -18,6 +18,9 @@
 	Parts []balance.Part
 	// ResumeAfter is the last event that the client has, empty for a new stream.
 	ResumeAfter string
+	// Resumes is the ID of the request that brought the first event of the stream that the client
+	// resumes; empty if it does not say.
+	Resumes string
 	// APIKey is the client's key, empty if it sent none.
 	APIKey string
 }
--- a/internal/router/recording.go
+++ b/internal/router/recording.go
@@ -19,7 +19,7 @@
 		return
 	}
 	fields := e.logFields()
-	fields["server"] = lease.ID
+	fields["server"], fields["version"] = lease.ID, lease.Version
 	if e.regions.Restricted() {
 		fields["server_region"] = lease.Region
 	}
@@ -118,5 +118,8 @@
 	if e.regions.Restricted() {
 		fields["regions"] = e.regions.Names()
 	}
+	if e.info.ResumeAfter != "" {
+		fields["resume_after"], fields["resumes"] = e.info.ResumeAfter, e.info.Resumes
+	}
 	return fields
 }
--- a/internal/store/start.go
+++ b/internal/store/start.go
@@ -119,7 +119,7 @@
 		return
 	}
 	fields := log.Fields{
-		"item": item.Index, "item_id": item.Item.GetId(), "server": lease.ID, "distance": lease.Distance.String(), "load": lease.Load, "slots": lease.Slots, "pace": lease.Slowness(),
+		"item": item.Index, "item_id": item.Item.GetId(), "server": lease.ID, "version": lease.Version, "distance": lease.Distance.String(), "load": lease.Load, "slots": lease.Slots, "pace": lease.Slowness(),
 		"failures": h.failures, "after_event": h.output.LastEvent(), "age_ms": now.UnixMilli() - item.SubmittedUnixMs,
 		"tenant": item.Tenant,
 	}
