Failing tests: streams that hold events of two software versions

Where a stream goes on, the version of the server is not considered. The stand-in of the platform's servers reports a version of its own.

--- a/internal/balance/copyserver_test.go
+++ b/internal/balance/copyserver_test.go
@@ -65,3 +65,23 @@
 		}
 	}
 }
+
+// Guards against a copied run that continues at a server of another software version.
+func TestCopyIsAtTheSameVersion(t *testing.T) {
+	pool, random := twoZonePool()
+	for each := range 4 {
+		pool.Put(balance.Member{
+			ID: fmt.Sprint("s", each), Address: fmt.Sprint("address-", each), Zone: fmt.Sprint("zone-", each%2), Slots: 2, Version: fmt.Sprint("v", each/2),
+		})
+	}
+	for range 50 {
+		// The servers of version v1 are s2 in zone-0 and s3 in zone-1.
+		if copyServer, found := pool.ChooseCopyServer("s2", false, topology.RegionSet{}, 0, random); !found || copyServer.ID != "s3" {
+			t.Fatalf("the copy of a run at s2 is at %q", copyServer.ID)
+		}
+	}
+	pool.Drop("s3")
+	if copyServer, found := pool.ChooseCopyServer("s2", false, topology.RegionSet{}, 0, random); found {
+		t.Fatalf("without another server of the version the copy is at %q", copyServer.ID)
+	}
+}
--- a/internal/router/exchange_test.go
+++ b/internal/router/exchange_test.go
@@ -58,10 +58,15 @@
 
 // addServer adds a server with one slot.
 func (c *exchangeTest) addServer(id, zone string, serve exchangeServer) {
+	c.addVersionServer(id, zone, "", 1, serve)
+}
+
+// addVersionServer adds a server with a software version.
+func (c *exchangeTest) addVersionServer(id, zone, version string, slots uint32, serve exchangeServer) {
 	address := fmt.Sprintf("10.0.0.%d:1", len(c.servers)+1)
 	c.servers[address] = serve
 	c.register.Apply(&rockwindpb.DirectoryCommand{Command: &rockwindpb.DirectoryCommand_Report{Report: &rockwindpb.Server{
-		Id: id, Service: "app", Address: address, Zone: zone, Slots: 1, State: rockwindpb.ServerState_SERVER_STATE_READY, Sequence: uint64(len(c.servers)),
+		Id: id, Service: "app", Address: address, Zone: zone, Version: version, Slots: slots, State: rockwindpb.ServerState_SERVER_STATE_READY, Sequence: uint64(len(c.servers)),
 	}}})
 	c.router.dispatcher.Update(c.register.View())
 }
@@ -91,10 +96,15 @@
 
 // send sends a request of a client with the given timeout. The regions restrict it, if there are any.
 func (c *exchangeTest) send(ctx context.Context, route *rockwindpb.Route, timeout time.Duration, regions ...string) exchangeResult {
+	return c.sendInfo(ctx, route, RequestInfo{ID: "request", Timeout: timeout}, regions...)
+}
+
+// sendInfo is send with the protocol data of the request.
+func (c *exchangeTest) sendInfo(ctx context.Context, route *rockwindpb.Route, info RequestInfo, regions ...string) exchangeResult {
 	began := time.Now()
 	request := httptest.NewRequest(http.MethodPost, "http://app/", nil)
 	recorder := httptest.NewRecorder()
-	created := c.router.newExchange(recorder, request, route, RequestInfo{ID: "request", Timeout: timeout}, nil, began)
+	created := c.router.newExchange(recorder, request, route, info, nil, began)
 	created.service = "app"
 	created.regions = topology.NewRegionSet(regions)
 	aborted := false
