Streams go on at the software version that began them

Cause: wherever a stream goes on, the candidates were all servers of its service. Nothing read the version that servers report, nor the request that a client names in Resumes. Class of fault: a choice that continues earlier work is made as if the work began. Change: internal/streamversion decides, pure and with its facts in the log (stream version decided, item restarted). Within an answer the version of the first relayed event holds; copies of runs are kept at the same version; an item's output is recorded with its version and begins anew if no server of it takes the item on. Nothing is sent while a service has had one version for two minutes. If no server of the version is left, or nothing is known while versions are mixed, the client gets 503 with the type version_gone at once, without Retry-After; an answer that has begun is aborted at once. Pool.Reachable takes a demand instead of its regions; its tests pass the same regions.

--- a/internal/balance/copyserver.go
+++ b/internal/balance/copyserver.go
@@ -11,14 +11,14 @@
 // ChooseCopyServer returns the server that keeps the copy of a run at the first server: the less
 // loaded of two drawn at random from the healthy servers with room. It is in the first server's
 // zone if possible, or in another zone with otherZone, and in another region only if there is none in
-// the first server's region. Only servers in the allowed regions are considered. ChooseCopyServer returns
-// false if there is none. The run counts at the copy server only once it continues there.
+// the first server's region. Only servers in the allowed regions and of the first server's software version are
+// considered. ChooseCopyServer returns false if there is none. The run counts at the copy server only once it continues there.
 func (p *Pool) ChooseCopyServer(first string, otherZone bool, regions topology.RegionSet, now time.Duration, random *rand.Rand) (Member, bool) {
-	zone := p.zone
-	if srv := p.find(first); srv != nil {
-		zone = srv.Zone
+	srv := p.find(first)
+	if srv == nil {
+		return Member{}, false
 	}
-	byDistance := p.copyCandidates(first, zone, regions, now)
+	byDistance := p.copyCandidates(srv, regions, now)
 	candidates := byDistance[topology.SameZone]
 	if otherZone || len(candidates) == 0 {
 		candidates = byDistance[topology.SameRegion]
@@ -36,12 +36,12 @@
 	return chosen.Member, true
 }
 
-// copyCandidates returns the servers that can keep a copy, by their distance from the given zone.
-func (p *Pool) copyCandidates(first, zone string, regions topology.RegionSet, now time.Duration) map[topology.Distance][]*server {
+// copyCandidates returns the servers that can keep a copy of a run at the first server, by their distance from it.
+func (p *Pool) copyCandidates(first *server, regions topology.RegionSet, now time.Duration) map[topology.Distance][]*server {
 	candidates := make(map[topology.Distance][]*server)
 	avoidSuspected := p.overviewOf(regions).avoidsSuspected(now)
 	for place, candidate := range p.servers {
-		if candidate == nil || candidate.ID == first || !regions.Allows(candidate.Region) || !p.usable(place, now) {
+		if candidate == nil || candidate == first || candidate.Version != first.Version || !regions.Allows(candidate.Region) || !p.usable(place, now) {
 			continue
 		}
 		view := p.viewOf(candidate, now)
@@ -51,18 +51,18 @@
 		if state, _ := p.tracker.State(place, now); state != health.Healthy {
 			continue
 		}
-		distance := p.topology.Distance(zone, candidate.Zone)
+		distance := p.topology.Distance(first.Zone, candidate.Zone)
 		candidates[distance] = append(candidates[distance], candidate)
 	}
 	return candidates
 }
 
 // StartAt counts a request at the given server, regardless of its load, since a run continues where
-// its copy is. It returns false if the server is not available anymore or not in a region that the
-// demand allows.
+// its copy is. It returns false if the server is not available anymore or not one that the demand
+// allows.
 func (p *Pool) StartAt(id string, demand Demand, now time.Duration) (Choice, bool) {
 	srv := p.find(id)
-	if srv == nil || srv.replaced || !demand.Regions.Allows(srv.Region) {
+	if srv == nil || srv.replaced || !demand.allows(srv.Member) {
 		return Choice{}, false
 	}
 	return p.commit(srv, Choice{Candidates: 1}, demand, now), true
--- a/internal/balance/distance.go
+++ b/internal/balance/distance.go
@@ -33,6 +33,8 @@
 		clear(p.affinities)
 	}
 	srv.setColdSpacing(member.ColdSpacing)
+	p.countVersion(srv.Version, -1)
+	p.countVersion(member.Version, 1)
 	srv.Member = member
 	srv.distance = p.topology.Distance(p.zone, member.Zone)
 }
--- a/internal/balance/members.go
+++ b/internal/balance/members.go
@@ -118,6 +118,7 @@
 	place := p.vacantPlace()
 	p.servers[place] = added
 	p.places[added.ID] = place
+	p.countVersion(added.Version, 1)
 }
 
 // vacantPlace returns a place that no server has and grows the pool if there is none.
@@ -139,6 +140,7 @@
 	clear(p.affinities)
 	p.regionPlaces.valid = false
 	delete(p.places, p.servers[place].ID)
+	p.countVersion(p.servers[place].Version, -1)
 	p.servers[place] = nil
 	p.vacant = append(p.vacant, place)
 	p.tracker.Forget(place)
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -69,6 +69,15 @@
 	Late bool
 	// Regions are those in which the request may be served.
 	Regions topology.RegionSet
+	// SameVersion restricts the request to servers of the software version Version: it continues a
+	// stream that began there.
+	SameVersion bool
+	Version     string
+}
+
+// allows reports whether the request may be served by a member.
+func (d Demand) allows(member Member) bool {
+	return d.Regions.Allows(member.Region) && (!d.SameVersion || member.Version == d.Version)
 }
 
 // mayTry reports whether the request may be sent to an ejected server as a trial.
@@ -87,6 +96,8 @@
 	// places maps server identifiers to places. vacant lists the places without a server.
 	places map[string]int
 	vacant []int
+	// versions counts the members of each software version.
+	versions map[string]int
 	// batchPlaces are the places of servers that had batch work of this process, see
 	// placesWithBatch.
 	batchPlaces []int
@@ -166,7 +177,7 @@
 func NewPool(service, zone string, loads *SharedLoads) *Pool {
 	created := &Pool{
 		service: service, zone: zone, loads: loads, queueHash: QueueHash(service), timelyHash: TimelyHash(service), tracker: health.NewTracker(healthPolicy(), 0),
-		places: make(map[string]int), affinities: make(map[affinityKey]affinityPlaces), pacing: pacing{credit: minCredit},
+		places: make(map[string]int), versions: make(map[string]int), affinities: make(map[affinityKey]affinityPlaces), pacing: pacing{credit: minCredit},
 	}
 	created.summary.pool, created.scan.pool = created, created
 	return created
@@ -263,7 +274,8 @@
 // knows no others, and all servers only if the sample has no suitable one.
 func (p *Pool) search(demand Demand, tried []string, now time.Duration, random *rand.Rand) *search {
 	s := p.newSearch(demand, tried, now, random)
-	if p.large() && !s.noPeers {
+	// Few servers may have the version of a stream that continues, so that a sample could miss them.
+	if p.large() && !s.noPeers && !demand.SameVersion {
 		if s.sample() {
 			return s
 		}
--- a/internal/balance/regions.go
+++ b/internal/balance/regions.go
@@ -193,11 +193,11 @@
 	return float64(slots) / max(1, float64(p.overview().usage(now).slots))
 }
 
-// Reachable reports whether any server in the given regions, apart from those already tried, may
+// Reachable reports whether any server that the demand allows, apart from those already tried, may
 // answer.
-func (p *Pool) Reachable(regions topology.RegionSet, tried []string, now time.Duration) bool {
+func (p *Pool) Reachable(demand Demand, tried []string, now time.Duration) bool {
 	for place, srv := range p.servers {
-		if srv == nil || !regions.Allows(srv.Region) || slices.Contains(tried, srv.ID) {
+		if srv == nil || !demand.allows(srv.Member) || slices.Contains(tried, srv.ID) {
 			continue
 		}
 		if state, _ := p.tracker.State(place, now); !srv.lost(state) {
--- a/internal/balance/regions_test.go
+++ b/internal/balance/regions_test.go
@@ -160,7 +160,7 @@
 				pool.RecordOutcome(choice, health.Failure, 0, now, random)
 			}
 		}
-		if most := 4 * servers / len(testRegions); sent == 0 || sent > most || pool.Reachable(in("south"), nil, now) {
+		if most := 4 * servers / len(testRegions); sent == 0 || sent > most || pool.Reachable(balance.Demand{Regions: in("south")}, nil, now) {
 			t.Errorf("%d servers: %d requests are sent, at most %d are expected", servers, sent, most)
 		}
 		for i := range members {
@@ -282,18 +282,18 @@
 	for _, servers := range []int{3, 90} {
 		pool := regionalPool(servers, nil)
 		demand := balance.Demand{Regions: in("west")}
-		if _, found := pool.Choose(demand, nil, 0, random); found || pool.SlotsIn(in("west")) != 0 || pool.Reachable(in("west"), nil, 0) {
+		if _, found := pool.Choose(demand, nil, 0, random); found || pool.SlotsIn(in("west")) != 0 || pool.Reachable(balance.Demand{Regions: in("west")}, nil, 0) {
 			t.Fatal("a region without servers is used")
 		}
 		pool.Put(balance.Member{ID: "west-0", Address: "west-0", Zone: "w", Region: "west", Slots: 2})
 		if choice, found := pool.Choose(demand, nil, 0, random); !found || choice.ID != "west-0" || pool.SlotsIn(in("west")) != 2 {
 			t.Fatalf("chose %v, %v", choice, found)
 		}
-		if !pool.Reachable(in("west"), nil, 0) || pool.Reachable(in("west"), []string{"west-0"}, 0) {
+		if !pool.Reachable(balance.Demand{Regions: in("west")}, nil, 0) || pool.Reachable(balance.Demand{Regions: in("west")}, []string{"west-0"}, 0) {
 			t.Error("Reachable is wrong")
 		}
 		pool.Put(balance.Member{ID: "west-0", Address: "west-0", Zone: "w", Region: "west", Slots: 2, Silent: true})
-		if !pool.Reachable(in("west"), nil, 0) {
+		if !pool.Reachable(balance.Demand{Regions: in("west")}, nil, 0) {
 			t.Error("a server that does not report is unreachable before it has failed here")
 		}
 		for range 2 {
@@ -303,7 +303,7 @@
 			}
 			pool.RecordOutcome(choice, health.Failure, 0, 0, random)
 		}
-		if pool.Reachable(in("west"), nil, 0) {
+		if pool.Reachable(balance.Demand{Regions: in("west")}, nil, 0) {
 			t.Error("a server that fails and does not report is reachable")
 		}
 		pool.Drop("west-0")
--- a/internal/balance/search.go
+++ b/internal/balance/search.go
@@ -52,7 +52,7 @@
 // consider compares the server at a place with the best one so far.
 func (s *search) consider(place int) {
 	p, srv := s.pool, s.pool.servers[place]
-	if srv == nil || !s.demand.Regions.Allows(srv.Region) || srv.refusesCold(s.now) || slices.Contains(s.tried, srv.ID) {
+	if srv == nil || !s.demand.allows(srv.Member) || srv.refusesCold(s.now) || slices.Contains(s.tried, srv.ID) {
 		return
 	}
 	candidate := p.viewOf(srv, s.now)
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -33,6 +33,8 @@
 	RequestAbandoned Kind = "request abandoned"
 	// StreamEndedInEvent: the body of a stream ended before the end of an event.
 	StreamEndedInEvent Kind = "stream ended inside an event"
+	// StreamVersionDecided: at which software version of its servers a stream goes on.
+	StreamVersionDecided Kind = "stream version decided"
 	// AnswerEnded: the unread rest of a response was dropped.
 	AnswerEnded Kind = "answer ended"
 	// BodyRefused: there was no memory for the body of a request.
@@ -49,6 +51,8 @@
 	JobWouldBeLate Kind = "job would be late"
 	// ItemStarted: an item was sent to a server.
 	ItemStarted Kind = "item started"
+	// ItemRestarted: an item begins anew, because its output cannot go on at any server.
+	ItemRestarted Kind = "item restarted"
 	// ItemReturned: an attempt of an item ended without a result.
 	ItemReturned Kind = "item returned"
 	// ItemRecorded: the result of an item was recorded, done or dead.
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -34,6 +34,9 @@
 	Overloaded Kind = "overloaded"
 	// Quarantined: servers ended while they ran the same request, which is refused for some time.
 	Quarantined Kind = "quarantined"
+	// VersionGone: the stream can't go on, because no server has the software version at which it began, or that is not
+	// known. It can begin again.
+	VersionGone Kind = "version_gone"
 	// Unavailable: no back end or no quorum can be reached.
 	Unavailable Kind = "unavailable"
 	// NotLeader: another replica leads the group. Leader has its address if it is known.
@@ -176,7 +179,7 @@
 		return http.StatusConflict
 	case LimitReached:
 		return http.StatusTooManyRequests
-	case Overloaded, Quarantined, Unavailable, NotLeader:
+	case Overloaded, Quarantined, VersionGone, Unavailable, NotLeader:
 		return http.StatusServiceUnavailable
 	case OutcomeUnknown:
 		return http.StatusBadGateway
@@ -252,6 +255,8 @@
 		return twirp.FailedPrecondition
 	case LimitReached, Overloaded, Quarantined:
 		return twirp.ResourceExhausted
+	case VersionGone:
+		return twirp.FailedPrecondition
 	case Unavailable, NotLeader, OutcomeUnknown:
 		return twirp.Unavailable
 	case Cancelled:
--- a/internal/jobstore/progress.go
+++ b/internal/jobstore/progress.go
@@ -14,6 +14,8 @@
 	last      uint64
 	text      []byte
 	hasText   bool
+	// version is nil if it is not known.
+	version *string
 }
 
 // LastEvent returns the number of the last recorded event; found is false if there is none.
@@ -23,6 +25,15 @@
 // data. The caller must not modify it.
 func (r PartialOutput) Text() (text []byte, found bool) { return r.text, r.hasText }
 
+// Version returns the software version of the servers that sent the events; known is false if it was
+// not recorded.
+func (r PartialOutput) Version() (version string, known bool) {
+	if r.version == nil {
+		return "", false
+	}
+	return *r.version, true
+}
+
 // partialOutput returns the recorded output of an item. The result stays valid while the state
 // changes, since recorded text is only appended to.
 func (j *job) partialOutput(item uint32) PartialOutput {
@@ -31,7 +42,7 @@
 		return PartialOutput{}
 	}
 	current := j.stored.GetProgress()[index]
-	return PartialOutput{hasEvents: true, last: current.GetLast(), text: slices.Clip(current.GetText()), hasText: current.Text != nil}
+	return PartialOutput{hasEvents: true, last: current.GetLast(), text: slices.Clip(current.GetText()), hasText: current.Text != nil, version: current.Version}
 }
 
 // findProgress returns the index of an item's progress, or the index to insert it at.
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -62,6 +62,8 @@
 
 	// counter counts the traffic by distance; nil if it is not counted.
 	counter *traffic.Counter
+	// onOrigins receives bundles with origins of streams or queries of them; nil if nobody does.
+	onOrigins func(received *rockwindpb.LoadBundle)
 
 	datagrams, bytes, crossZoneBytes, oversized atomic.Uint64
 	// oversizedLoggedAt is when an oversized datagram was last logged. Only Run uses it.
@@ -109,6 +111,23 @@
 // CountTraffic sets the counter of the traffic by distance, which may be nil. Call it before Run.
 func (s *Sharer) CountTraffic(counter *traffic.Counter) { s.counter = counter }
 
+// OnOrigins sets the receiver of bundles with origins of streams or queries of them, which are no part of the exchange of
+// loads. It must be safe for concurrent use. Call it before Run.
+func (s *Sharer) OnOrigins(receive func(received *rockwindpb.LoadBundle)) { s.onOrigins = receive }
+
+// SendTo sends a bundle to one process, outside of the exchange of loads. It may be called concurrently. A bundle that
+// is too long for a datagram is counted and not sent.
+func (s *Sharer) SendTo(receiver netip.AddrPort, bundle *rockwindpb.LoadBundle) {
+	encoded, err := proto.Marshal(bundle)
+	if err != nil || len(encoded) > maxDatagramBytes {
+		s.oversized.Add(1)
+		return
+	}
+	s.counter.AddDatagram(traffic.Sent, receiver, traffic.LoadDigests, len(encoded))
+	_, _ = s.socket.WriteToUDPAddrPort(encoded, receiver)
+	s.recordTraffic(Datagram{Receivers: []netip.AddrPort{receiver}}, uint64(len(encoded)))
+}
+
 // TriggerSend sends digests soon instead of at the next interval, because other processes wait
 // for a change. It never blocks.
 func (s *Sharer) TriggerSend() { s.schedule.Trigger() }
@@ -217,6 +236,9 @@
 		if proto.Unmarshal(buffer[:n], received) != nil {
 			continue
 		}
+		if s.onOrigins != nil && (len(received.GetOrigins()) > 0 || len(received.GetOriginQueries()) > 0) {
+			s.onOrigins(received)
+		}
 		s.mutex.Lock()
 		s.protocol.SetLayout(s.layout.Load())
 		s.protocol.Receive(source, received, time.Since(s.started))
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -83,6 +83,7 @@
 	set.StartupTime(func() time.Duration { return time.Duration(router.startupTime.Load()) })
 	set.Paces(router.dispatcher.Paces)
 	set.Quarantined(router.crashes.QuarantinedCount)
+	set.StreamOrigins(router.dispatcher.StreamOrigins)
 	set.DrainedZones(router.dispatcher.DrainedZones)
 	set.ColdServers(router.dispatcher.ColdServers)
 	set.ClientBuffers(router.buffers.Usage)
--- a/internal/router/dispatcher.go
+++ b/internal/router/dispatcher.go
@@ -82,6 +82,8 @@
 	heldBackRecordedAt time.Duration
 	// batch holds what runs and waits in the shards that this process leads.
 	batch *backlog.Ledger
+	// origins holds at which software versions streams began.
+	origins *streamOrigins
 	// survey is the survey of servers after the start; nil before.
 	survey *survey
 
@@ -107,10 +109,11 @@
 
 		multiRegion: sites.MultiRegion(),
 
-		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		pools:  make(map[string]*servicePool),
-		shares: shares,
-		batch:  backlog.NewLedger(),
+		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		pools:   make(map[string]*servicePool),
+		shares:  shares,
+		batch:   backlog.NewLedger(),
+		origins: newStreamOrigins(origin),
 
 		serverHashes: make(map[uint32]struct{}),
 		orphanHashes: make(map[uint32]struct{}),
@@ -159,7 +162,8 @@
 func (d *Dispatcher) newServicePool(name string) *servicePool {
 	created := &servicePool{
 		name: name, gates: d.gates, pool: d.newPool(name), shares: d.shares,
-		classes: make(map[waitqueue.Priority]*priorityClass), holdTime: defaultHoldTime,
+		versions: make(versionHistory),
+		classes:  make(map[waitqueue.Priority]*priorityClass), holdTime: defaultHoldTime,
 		needHashes: backlog.UnmetDemandHashes(name),
 	}
 	created.pool.KnowRegions(d.regionSets)
@@ -442,6 +446,7 @@
 		pool.recordStartLimit(d.now())
 	}
 	d.recordHeldBack()
+	d.origins.expire()
 }
 
 // RecordLoad records the load that the server reported with its response.
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -19,6 +19,7 @@
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/retryafter"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/streamversion"
 	"rockwind.example/rockwind/internal/topology"
 	"rockwind.example/rockwind/internal/upstream"
 	"rockwind.example/rockwind/internal/waitqueue"
@@ -98,6 +99,10 @@
 	fingerprint *fingerprint.Fingerprint
 	// attemptSentAt is when the last attempt was sent.
 	attemptSentAt time.Time
+	// begun is set once an event was relayed. origin is what is known of the server that sent the first event of
+	// the stream, in this answer or an earlier one.
+	begun  bool
+	origin streamversion.Origin
 	// framing is that of the last response; empty before.
 	framing upstream.Framing
 	// runCopy is the copy of the run, nil if there is none.
@@ -145,6 +150,11 @@
 		writeErrorStatus(e.writer, refusal.Kind.HTTPStatus(), refusal)
 		return
 	}
+	if refusal := e.findOrigin(ctx); refusal != nil {
+		e.recordRefusal(refusal.Kind.HTTPStatus(), refusal)
+		writeErrorStatus(e.writer, refusal.Kind.HTTPStatus(), refusal)
+		return
+	}
 	if err := e.takeRate(ctx); err != nil {
 		e.refuseByRate(fault.From(err))
 		return
@@ -168,6 +178,9 @@
 		return false
 	}
 	e.record(decision.RequestTriedAgain, lease, e.reason)
+	if facts := e.streamFacts(); facts.Begun {
+		e.recordVersionDecision(facts, streamversion.Decide(facts))
+	}
 	e.tried = append(e.tried, lease.ID)
 	if refusal := e.quarantined(); refusal != nil {
 		e.refuseRequest(ctx, refusal)
@@ -226,7 +239,7 @@
 func (e *exchange) acquireRequest() AcquireRequest {
 	regions := e.allowedRegions()
 	request := AcquireRequest{
-		Service: e.service, Demand: balance.Demand{Parts: e.info.Parts, Bytes: len(e.request.Body), Regions: regions}, Priority: e.priority(),
+		Service: e.service, Demand: e.restrictVersion(balance.Demand{Parts: e.info.Parts, Bytes: len(e.request.Body), Regions: regions}), Priority: e.priority(),
 		Residency: e.residency, ConfigNumber: e.regionsNumber,
 		Tenant:  waitqueue.Tenant{Name: e.tenant.GetName(), Weight: e.tenant.GetWeight()},
 		StartBy: e.startBy(), Tried: e.tried, MaxWait: e.maxWait(),
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -30,8 +30,12 @@
 		d.dropServer(left)
 	}
 	for _, server := range change.Servers() {
+		if before == nil {
+			d.recordVersionsBefore(server)
+		}
 		d.applyServer(server, before)
 	}
+	d.announceMixed()
 	d.updateServerHashes(view, change)
 	d.updateColdSpacings(change.MachinesChanged())
 	for name, service := range d.pools {
@@ -120,9 +124,14 @@
 // dropServer removes a server from the pool of its service. The caller holds d.mutex.
 func (d *Dispatcher) dropServer(server *rockwindpb.Server) {
 	delete(d.coldUntil, server.GetId())
-	if service, known := d.pools[server.GetService()]; known {
-		service.pool.Drop(server.GetId())
+	service, known := d.pools[server.GetService()]
+	if !known {
+		return
+	}
+	if service.pool.Has(server.GetId()) {
+		service.versions.left(server.GetVersion(), d.now())
 	}
+	service.pool.Drop(server.GetId())
 }
 
 // updateServerHashes updates the hashes of all servers of the directory and of the requests left
--- /dev/null
+++ b/internal/router/origins.go
@@ -0,0 +1,268 @@
+package router
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/streamversion"
+)
+
+const (
+	// originTimeout bounds the search for the origin of a stream. Processes of another region answer
+	// within some tens of milliseconds.
+	originTimeout = 250 * time.Millisecond
+	// originRepeat is the time after which a query is sent again: datagrams may be lost.
+	originRepeat = 60 * time.Millisecond
+	// originExpiry is the time between two removals of origins that are no longer needed.
+	originExpiry = 5 * time.Second
+	// originsPerDatagram bounds the origins that are announced together, at some 40 bytes each.
+	originsPerDatagram = 25
+)
+
+// sendOrigins sends a datagram to a process. It never blocks.
+type sendOrigins func(to netip.AddrPort, bundle *rockwindpb.LoadBundle)
+
+// streamOrigins holds at which software versions streams began: those of this process, and those that other
+// processes announced to it. It is safe for concurrent use.
+type streamOrigins struct {
+	started time.Time
+
+	mutex     sync.Mutex
+	table     *streamversion.Table
+	expiredAt time.Duration
+	// self is the name of this process, members are all that hold origins, and send reaches them; nil before
+	// setPeers.
+	self    string
+	members []streamversion.Member
+	send    sendOrigins
+	// searches are the searches in progress, by stream.
+	searches map[streamversion.Key]*originSearch
+}
+
+// originSearch is a search for the origin of a stream.
+type originSearch struct {
+	// ended is closed once a process knew the origin, or all that were asked knew nothing.
+	ended  chan struct{}
+	origin streamversion.Origin
+	// unanswered holds the processes that have not answered.
+	unanswered map[string]bool
+	// searchers counts the requests that wait.
+	searchers int
+}
+
+func newStreamOrigins(started time.Time) *streamOrigins {
+	return &streamOrigins{started: started, table: streamversion.NewTable(), searches: make(map[streamversion.Key]*originSearch)}
+}
+
+func (o *streamOrigins) now() time.Duration { return time.Since(o.started) }
+
+// setPeers sets the processes that hold origins, and how they are reached.
+func (o *streamOrigins) setPeers(self string, members []streamversion.Member, send sendOrigins) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.self, o.members, o.send = self, members, send
+}
+
+// add records the origin of a stream that this process began, and announces it if announced is set.
+func (o *streamOrigins) add(key streamversion.Key, service, version string, keep time.Duration, announced bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	now := o.now()
+	o.table.Put(key, service, version, true, now+keep, now)
+	if announced && o.send != nil {
+		bundle := &rockwindpb.LoadBundle{Origins: []*rockwindpb.StreamOrigin{newOrigin(key, service, version, keep)}}
+		for _, holder := range streamversion.Announced(key, o.members, o.self) {
+			o.send(holder.Address, bundle)
+		}
+	}
+}
+
+func newOrigin(key streamversion.Key, service, version string, keep time.Duration) *rockwindpb.StreamOrigin {
+	return &rockwindpb.StreamOrigin{Key: uint64(key), Version: version, Service: service, KeepMs: uint32(keep.Milliseconds())}
+}
+
+// announceOwn announces the origins of all streams that this process began at a service.
+func (o *streamOrigins) announceOwn(service string) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.send == nil {
+		return
+	}
+	now := o.now()
+	announced := make(map[netip.AddrPort][]*rockwindpb.StreamOrigin)
+	o.table.EachOwn(service, now, func(key streamversion.Key, version string, expires time.Duration) {
+		for _, holder := range streamversion.Announced(key, o.members, o.self) {
+			announced[holder.Address] = append(announced[holder.Address], newOrigin(key, service, version, expires-now))
+		}
+	})
+	for address, origins := range announced {
+		for len(origins) > 0 {
+			count := min(len(origins), originsPerDatagram)
+			o.send(address, &rockwindpb.LoadBundle{Origins: origins[:count]})
+			origins = origins[count:]
+		}
+	}
+}
+
+// get returns the origin of a stream as far as this process knows it.
+func (o *streamOrigins) get(key streamversion.Key) streamversion.Origin {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.table.Get(key, o.now())
+}
+
+// find returns the origin of a stream. It asks the processes that hold it unless this one does.
+func (o *streamOrigins) find(ctx context.Context, key streamversion.Key) streamversion.Origin {
+	search, origin := o.beginSearch(key)
+	if search == nil {
+		return origin
+	}
+	defer o.endSearch(key, search)
+	timeout := time.NewTimer(originTimeout)
+	defer timeout.Stop()
+	repeat := time.NewTicker(originRepeat)
+	defer repeat.Stop()
+	for {
+		o.query(key, search)
+		select {
+		case <-search.ended:
+			return search.origin
+		case <-timeout.C:
+			return streamversion.Origin{}
+		case <-ctx.Done():
+			return streamversion.Origin{}
+		case <-repeat.C:
+		}
+	}
+}
+
+// beginSearch returns the search for a stream, or nil and the origin if no other process needs to be asked.
+func (o *streamOrigins) beginSearch(key streamversion.Key) (*originSearch, streamversion.Origin) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	origin := o.table.Get(key, o.now())
+	holders := streamversion.Holders(key, o.members, o.self)
+	if origin.Known || o.send == nil || len(holders) == 0 {
+		return nil, origin
+	}
+	search := o.searches[key]
+	if search == nil {
+		search = &originSearch{ended: make(chan struct{}), unanswered: make(map[string]bool)}
+		for _, holder := range holders {
+			search.unanswered[holder.Name] = true
+		}
+		o.searches[key] = search
+	}
+	search.searchers++
+	return search, streamversion.Origin{}
+}
+
+func (o *streamOrigins) endSearch(key streamversion.Key, search *originSearch) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if search.searchers--; search.searchers == 0 && o.searches[key] == search {
+		delete(o.searches, key)
+	}
+}
+
+// query asks the processes that have not answered yet.
+func (o *streamOrigins) query(key streamversion.Key, search *originSearch) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	bundle := &rockwindpb.LoadBundle{OriginQueries: []uint64{uint64(key)}, Sender: o.self}
+	for _, holder := range streamversion.Holders(key, o.members, o.self) {
+		if search.unanswered[holder.Name] {
+			o.send(holder.Address, bundle)
+		}
+	}
+}
+
+// receive processes the origins and queries of a datagram.
+func (o *streamOrigins) receive(received *rockwindpb.LoadBundle) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	now := o.now()
+	for _, origin := range received.GetOrigins() {
+		o.receiveOrigin(origin, received.GetSender(), now)
+	}
+	if len(received.GetOriginQueries()) > 0 {
+		o.answer(received, now)
+	}
+}
+
+// receiveOrigin processes an announcement or the answer to a query. The caller holds o.mutex.
+func (o *streamOrigins) receiveOrigin(origin *rockwindpb.StreamOrigin, sender string, now time.Duration) {
+	key := streamversion.Key(origin.GetKey())
+	if !origin.GetUnknown() {
+		o.table.Put(key, origin.GetService(), origin.GetVersion(), false, now+time.Duration(origin.GetKeepMs())*time.Millisecond, now)
+	}
+	search := o.searches[key]
+	if search == nil || search.origin.Known || len(search.unanswered) == 0 {
+		return
+	}
+	delete(search.unanswered, sender)
+	if !origin.GetUnknown() {
+		search.origin = streamversion.Origin{Known: true, Version: origin.GetVersion()}
+		clear(search.unanswered)
+	}
+	if len(search.unanswered) == 0 {
+		close(search.ended)
+	}
+}
+
+// answer answers queries. The caller holds o.mutex.
+func (o *streamOrigins) answer(received *rockwindpb.LoadBundle, now time.Duration) {
+	answered := &rockwindpb.LoadBundle{Sender: o.self}
+	for _, key := range received.GetOriginQueries() {
+		origin := o.table.Get(streamversion.Key(key), now)
+		answered.Origins = append(answered.Origins, &rockwindpb.StreamOrigin{
+			Key: key, Version: origin.Version, Unknown: !origin.Known, KeepMs: uint32(originRetention.Milliseconds()),
+		})
+	}
+	for _, member := range o.members {
+		if member.Name == received.GetSender() && o.send != nil {
+			o.send(member.Address, answered)
+		}
+	}
+}
+
+// expire removes the origins of streams that can no longer be resumed.
+func (o *streamOrigins) expire() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if now := o.now(); now-o.expiredAt >= originExpiry {
+		o.expiredAt = now
+		o.table.Expire(now)
+	}
+}
+
+// counts returns the number of origins held, and of those that found no room.
+func (o *streamOrigins) counts() (held int, dropped uint64) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.table.Len(), o.table.Dropped()
+}
+
+// StreamOrigins returns the number of streams whose software version this process holds, and of those that found no
+// room.
+func (d *Dispatcher) StreamOrigins() (held int, dropped uint64) { return d.origins.counts() }
+
+// announceOrigin records the origin of a stream, and announces it if streams may have begun at several versions.
+func (d *Dispatcher) announceOrigin(key streamversion.Key, service, version string, keep time.Duration) {
+	d.origins.add(key, service, version, keep, d.Mixed(service))
+}
+
+// announceMixed announces the streams of services that have begun to have servers of several versions. The caller holds
+// d.mutex.
+func (d *Dispatcher) announceMixed() {
+	for name, pool := range d.pools {
+		mixed := pool.mixed(d.now())
+		if mixed && !pool.wasMixed {
+			d.origins.announceOwn(name)
+		}
+		pool.wasMixed = mixed
+	}
+}
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -66,11 +66,15 @@
 
 // servicePool is the pool of one service with its queue.
 type servicePool struct {
-	name    string
-	gates   featuregate.Set
-	pool    *balance.Pool
-	shares  *balance.SharedLoads
-	waiting waitqueue.Queue[*waiter]
+	name   string
+	gates  featuregate.Set
+	pool   *balance.Pool
+	shares *balance.SharedLoads
+	// versions holds when servers of each software version last served.
+	versions versionHistory
+	// wasMixed is whether they were mixed at the last directory.
+	wasMixed bool
+	waiting  waitqueue.Queue[*waiter]
 	// rechecking is set while a recheck of the queue is scheduled.
 	rechecking bool
 	// classes are the priority classes, within which tenants share capacity.
--- a/internal/router/regions.go
+++ b/internal/router/regions.go
@@ -103,7 +103,9 @@
 func (a AcquireRequest) restricted() bool { return a.Demand.Regions.Restricted() }
 
 // skippable reports whether the request does not block those behind it while it finds no capacity.
-func (w *waiter) skippable() bool { return len(w.request.Tried) > 0 || w.request.restricted() }
+func (w *waiter) skippable() bool {
+	return len(w.request.Tried) > 0 || w.request.restricted() || w.request.Demand.SameVersion
+}
 
 // anySkippable reports whether requests may be served before one that waits.
 func (p *servicePool) anySkippable() bool { return p.waiting.Any((*waiter).skippable) }
@@ -112,10 +114,10 @@
 // their keys. It avoids a search of all servers for each waiting request.
 type fullRegions map[string]bool
 
-// add records that the request found no capacity. A request that has tried servers says nothing about
-// others.
+// add records that the request found no capacity. A request that has tried servers, or that continues a
+// stream at one version, says nothing about others.
 func (f fullRegions) add(request AcquireRequest) {
-	if request.restricted() && len(request.Tried) == 0 {
+	if request.restricted() && len(request.Tried) == 0 && !request.Demand.SameVersion {
 		f[request.Demand.Regions.Key()] = true
 	}
 }
@@ -125,8 +127,11 @@
 }
 
 // noServerFault returns the refusal of a request that no server can take, or nil. A request that is
-// restricted to some regions is refused if no server there can be reached.
+// restricted to some regions or to a software version is refused if no server there can be reached.
 func (p *servicePool) noServerFault(request AcquireRequest, elapsed time.Duration) error {
+	if request.Demand.SameVersion {
+		return p.noVersionFault(request, elapsed)
+	}
 	if !request.restricted() {
 		if p.pool.Size() > len(request.Tried) {
 			return nil
@@ -134,7 +139,7 @@
 		return fault.Newf(fault.Unavailable, "come back later", "service %s has no server that can take the request", p.name).
 			WithRan(fault.NotRun).WithRetryAfter(defaultHoldTime / 4)
 	}
-	if p.pool.Reachable(request.Demand.Regions, request.Tried, elapsed) {
+	if p.pool.Reachable(request.Demand, request.Tried, elapsed) {
 		return nil
 	}
 	return fault.Newf(fault.Unavailable, "come back later",
@@ -142,19 +147,19 @@
 		WithRan(fault.NotRun).WithRetryAfter(unreachableRetryAfter)
 }
 
-// refuseUnreachable refuses the waiting requests that are restricted to regions where no server can
-// be reached anymore.
+// refuseUnreachable refuses the waiting requests that are restricted to regions or to a version where no
+// server can be reached anymore.
 func (p *servicePool) refuseUnreachable(elapsed time.Duration) {
-	if !p.anyRestricted() {
+	if !p.waiting.Any(func(each *waiter) bool { return each.request.restricted() || each.request.Demand.SameVersion }) {
 		return
 	}
 	reachable := make(map[string]bool)
 	refused := p.waiting.Matching(func(each *waiter) bool {
-		if !each.request.restricted() {
+		if !each.request.restricted() && !each.request.Demand.SameVersion {
 			return false
 		}
 		key := each.request.Demand.Regions.Key()
-		if len(each.request.Tried) > 0 {
+		if len(each.request.Tried) > 0 || each.request.Demand.SameVersion {
 			return p.noServerFault(each.request, elapsed) != nil
 		}
 		if _, known := reachable[key]; !known {
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -142,7 +142,7 @@
 		if n > 0 {
 			e.suspendWatchdog()
 			lease.Received(buffer[:n])
-			if !e.relayChunk(splitter.Add(buffer[:n]), response, controller) {
+			if !e.relayChunk(lease, splitter.Add(buffer[:n]), response, controller) {
 				e.abandon(lease, response)
 				return e.verdictNotRelayed()
 			}
@@ -177,7 +177,7 @@
 
 // relayChunk relays complete events that were not relayed before. It returns false if the client
 // has disconnected or the events have a gap.
-func (e *exchange) relayChunk(whole []byte, response *upstream.Response, controller *http.ResponseController) bool {
+func (e *exchange) relayChunk(lease *Lease, whole []byte, response *upstream.Response, controller *http.ResponseController) bool {
 	if len(whole) == 0 {
 		return true
 	}
@@ -191,6 +191,7 @@
 	if len(kept) == 0 {
 		return !e.hasGap()
 	}
+	e.noteBegun(lease)
 	e.writeHead(response)
 	if _, err := e.writer.Write(kept); err != nil {
 		return false
--- a/internal/router/sharing.go
+++ b/internal/router/sharing.go
@@ -9,6 +9,7 @@
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/loadshare"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/streamversion"
 	"rockwind.example/rockwind/internal/traffic"
 )
 
@@ -33,6 +34,7 @@
 	}
 	d.mutex.Lock()
 	sharer.CountTraffic(d.traffic)
+	sharer.OnOrigins(d.origins.receive)
 	d.sharer, d.trigger, d.name = sharer, sharer, settings.GetName()
 	if d.view != nil {
 		d.setPeers(d.view)
@@ -181,6 +183,7 @@
 		return
 	}
 	var members []loadshare.Member
+	var holders []streamversion.Member
 	d.storeCount, d.routerCount, d.processNames = 0, 0, nil
 	for _, machine := range view.Machines() {
 		rank := routerRank
@@ -196,10 +199,12 @@
 		d.processNames = append(d.processNames, machine.GetName())
 		if address, err := netip.ParseAddrPort(machine.GetAddress()); err == nil {
 			members = append(members, loadshare.NewMember(machine.GetName(), machine.GetZone(), address, rank))
+			holders = append(holders, streamversion.Member{Name: machine.GetName(), Address: address, Store: rank == storeRank})
 		}
 	}
 	layout := loadshare.NewLayout(members, d.name, d.topology)
 	d.sharer.SetLayout(layout)
+	d.origins.setPeers(d.name, holders, d.sharer.SendTo)
 	d.groupSize = len(layout.Members())
 	d.maxLoadAge, d.maxRegionLoadAge = layout.MaxAge(), layout.MaxRegionAge()
 }
--- a/internal/router/streamversion_test.go
+++ b/internal/router/streamversion_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/upstream"
 )
@@ -135,7 +136,7 @@
 		version := c.begin("first")
 		c.removeVersion(version)
 		got := c.resume("next", "first")
-		if got.Code != http.StatusServiceUnavailable || got.took > 0 || got.Header().Get("Retry-After") != "" || !strings.Contains(got.Body.String(), version) {
+		if got.Code != http.StatusServiceUnavailable || got.took > 0 || got.Header().Get("Retry-After") != "" || !strings.Contains(got.Body.String(), version) || !strings.Contains(got.Body.String(), string(fault.VersionGone)) {
 			t.Errorf("status %d after %v, Retry-After %q, body %q", got.Code, got.took, got.Header().Get("Retry-After"), got.Body)
 		}
 	})
--- /dev/null
+++ b/internal/router/versions.go
@@ -0,0 +1,162 @@
+package router
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/decision"
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/streamversion"
+)
+
+// originRetention is for how long after its client's deadline a stream may be resumed, and for how long the versions
+// of servers that have left count.
+const originRetention = 2 * time.Minute
+
+// restartRemedy is the remedy for a stream that can't go on.
+const restartRemedy = "start the stream again from its beginning"
+
+// versionHistory holds when servers of each version last served. It guards against taking a service for one of a
+// single version while streams may be resumed that began at servers of another one.
+type versionHistory map[string]time.Duration
+
+// left records that a server of a version does not serve at a time.
+func (h versionHistory) left(version string, now time.Duration) { h[version] = now }
+
+// mixed reports whether servers of several versions serve, or have served within originRetention.
+func (h versionHistory) mixed(serving map[string]int, now time.Duration) bool {
+	versions := len(serving)
+	for version, last := range h {
+		switch {
+		case now-last > originRetention:
+			delete(h, version)
+		case serving[version] == 0:
+			versions++
+		}
+	}
+	return versions > 1
+}
+
+// mixed reports whether servers of several versions of the service serve, or have lately. The caller holds the
+// dispatcher's mutex.
+func (p *servicePool) mixed(now time.Duration) bool { return p.versions.mixed(p.pool.Versions(), now) }
+
+// noVersionFault returns the refusal of a request that continues a stream, or nil if a server of its version may take
+// it. Without any such server there is no use in another try: the stream has to begin again.
+func (p *servicePool) noVersionFault(request AcquireRequest, elapsed time.Duration) error {
+	switch {
+	case p.pool.Reachable(request.Demand, request.Tried, elapsed):
+		return nil
+	case p.pool.HasVersion(request.Demand.Version):
+		return fault.Newf(fault.Unavailable, "come back later",
+			"no server of service %s with the software version %q, at which the stream began, can be reached", p.name, request.Demand.Version).
+			WithRan(fault.NotRun).WithRetryAfter(defaultHoldTime / 4)
+	}
+	return fault.Newf(fault.VersionGone, restartRemedy,
+		"service %s has no server left with the software version %q, at which the stream began", p.name, request.Demand.Version).
+		WithRan(fault.NotRun)
+}
+
+// unknownVersionFault returns the refusal of a resumed stream whose version is not known.
+func unknownVersionFault(service string) *fault.Fault {
+	return fault.Newf(fault.VersionGone, restartRemedy,
+		"servers of service %s have several software versions, and it is not known at which one the stream began", service).WithRan(fault.NotRun)
+}
+
+// recordVersionsBefore records the versions of servers that left before this process had a directory. The caller holds
+// d.mutex.
+func (d *Dispatcher) recordVersionsBefore(server *rockwindpb.Server) {
+	if server.GetState() == rockwindpb.ServerState_SERVER_STATE_GONE {
+		ago := max(0, time.Since(time.UnixMilli(server.GetChangedUnixMs())))
+		d.poolOf(server.GetService()).versions.left(server.GetVersion(), d.now()-ago)
+	}
+}
+
+// Mixed reports whether servers of several versions of a service serve, or have lately.
+func (d *Dispatcher) Mixed(service string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.poolOf(service).mixed(d.now())
+}
+
+// Versions returns the number of servers of each version of a service.
+func (d *Dispatcher) Versions(service string) map[string]int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return maps.Clone(d.poolOf(service).pool.Versions())
+}
+
+// HasVersion reports whether a service has a server of a version.
+func (d *Dispatcher) HasVersion(service, version string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.poolOf(service).pool.HasVersion(version)
+}
+
+// streamFacts returns the facts for the decision at which version the stream goes on.
+func (e *exchange) streamFacts() streamversion.Facts {
+	return streamversion.Facts{
+		Begun: e.begun, Origin: e.origin, Resumed: e.info.ResumeAfter != "", Named: e.info.Resumes != "", Mixed: e.router.dispatcher.Mixed(e.service),
+	}
+}
+
+// findOrigin finds the version at which the stream that the client resumes began, and refuses the request if that is
+// needed and not known.
+func (e *exchange) findOrigin(ctx context.Context) *fault.Fault {
+	facts := e.streamFacts()
+	if facts.Resumed && facts.Named {
+		origins, key := e.router.dispatcher.origins, streamversion.KeyOf(e.info.Resumes)
+		e.origin = origins.get(key)
+		if facts.Origin = e.origin; streamversion.NeedsOrigin(facts) {
+			e.origin = origins.find(ctx, key)
+		}
+		facts.Origin = e.origin
+	}
+	if facts.Resumed {
+		e.recordVersionDecision(facts, streamversion.Decide(facts))
+	}
+	if streamversion.Decide(facts).Verdict == streamversion.Unknown {
+		return unknownVersionFault(e.service)
+	}
+	return nil
+}
+
+// restrictVersion restricts a demand to the servers at which the stream may go on.
+func (e *exchange) restrictVersion(demand balance.Demand) balance.Demand {
+	if e.route.GetKind() != rockwindpb.RouteKind_ROUTE_KIND_STREAM {
+		return demand
+	}
+	decided := streamversion.Decide(e.streamFacts())
+	demand.SameVersion, demand.Version = decided.Verdict == streamversion.Same, decided.Version
+	return demand
+}
+
+// noteBegun records the version of the server that sends the first event of the stream, before the event is relayed.
+func (e *exchange) noteBegun(lease *Lease) {
+	if e.begun {
+		return
+	}
+	e.begun, e.origin = true, streamversion.Origin{Known: true, Version: lease.Version}
+	if !e.route.GetResumable() {
+		return
+	}
+	began := e.info.ID
+	if e.info.ResumeAfter != "" && e.info.Resumes != "" {
+		began = e.info.Resumes
+	}
+	// The client may come back until its own deadline, which may be later than that of the route.
+	keep := max(time.Until(e.deadline), e.info.Timeout) + originRetention
+	e.router.dispatcher.announceOrigin(streamversion.KeyOf(began), e.service, lease.Version, keep)
+}
+
+// recordVersionDecision records at which version a stream goes on, with the facts.
+func (e *exchange) recordVersionDecision(facts streamversion.Facts, decided streamversion.Decision) {
+	fields := e.logFields()
+	fields["verdict"], fields["reason"], fields["version"] = string(decided.Verdict), decided.Reason, decided.Version
+	fields["begun"], fields["named"], fields["origin_known"], fields["origin"], fields["mixed"] = facts.Begun, facts.Named, facts.Origin.Known, facts.Origin.Version, facts.Mixed
+	fields["serving"] = e.router.dispatcher.Versions(e.service)
+	decision.Default.Record(decision.StreamVersionDecided, e.info.ID, fields)
+}
--- a/internal/store/output/output.go
+++ b/internal/store/output/output.go
@@ -15,6 +15,7 @@
 
 	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/streamversion"
 	"rockwind.example/rockwind/internal/upstream"
 )
 
@@ -36,9 +37,12 @@
 	// writerCount is the number of writers created so far.
 	writerCount uint64
 	failures    uint32
-	text        []byte
-	hasText     bool
-	received    upstream.EventDeduplicator
+	// version is the software version of the servers that sent the numbered events, if versionKnown.
+	version      string
+	versionKnown bool
+	text         []byte
+	hasText      bool
+	received     upstream.EventDeduplicator
 	// lastNumbered is the end of the text after the last numbered event. Unnumbered events
 	// after it are sent again to the next attempt, since servers resume after a number.
 	lastNumbered textEnd
@@ -70,10 +74,27 @@
 	if last, known := partial.LastEvent(); known {
 		created.received.Accept(upstream.Event{Sequence: last, HasSequence: true})
 		created.inherited = last
+		created.version, created.versionKnown = partial.Version()
 	}
 	return created
 }
 
+// Origin returns what is known of the servers that sent the received events; begun is false if no numbered one was
+// received, so that the next attempt begins anew.
+func (o *Output) Origin() (origin streamversion.Origin, begun bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return streamversion.Origin{Known: o.versionKnown, Version: o.version}, o.received.String() != ""
+}
+
+// Restart discards the received output, so that the next attempt begins anew. The current writer can add nothing more.
+func (o *Output) Restart() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.activeWriter = 0
+	o.discard()
+}
+
 // LastEvent returns the number of the last received event, or zero.
 func (o *Output) LastEvent() uint64 {
 	o.mutex.Lock()
@@ -92,7 +113,10 @@
 // is the item's number of failed attempts. If it has changed since the last attempt began, the
 // shard has ignored records with the old number, so a new run starts and the whole output is
 // recorded again.
-func (o *Output) NewWriter(failures int) Writer {
+func (o *Output) NewWriter(failures int) Writer { return o.NewWriterAt(failures, "") }
+
+// NewWriterAt is NewWriter for an attempt at a server of the given software version.
+func (o *Output) NewWriterAt(failures int, version string) Writer {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if o.writerCount > 0 && uint32(failures) != o.failures {
@@ -101,7 +125,7 @@
 	o.writerCount++
 	o.activeWriter, o.failures = o.writerCount, uint32(failures)
 	o.text, o.hasText = o.text[:o.lastNumbered.length], o.lastNumbered.hasText
-	return Writer{output: o, number: o.activeWriter}
+	return Writer{output: o, number: o.activeWriter, version: version}
 }
 
 // RevokeWriter stops the current writer from adding events.
@@ -113,8 +137,9 @@
 
 // Writer adds the events that one attempt receives.
 type Writer struct {
-	output *Output
-	number uint64
+	output  *Output
+	number  uint64
+	version string
 }
 
 // ResumeAfter returns the number of the event after which the server should resume, or an empty
@@ -135,6 +160,9 @@
 	}
 	for _, event := range events {
 		if o.received.Accept(event) {
+			if event.HasSequence && !o.versionKnown {
+				o.version, o.versionKnown = w.version, true
+			}
 			o.add(event)
 		}
 	}
@@ -161,7 +189,13 @@
 	if o.activeWriter != w.number {
 		return
 	}
+	o.discard()
+}
+
+// discard deletes the received output and begins a new run. The mutex must be held.
+func (o *Output) discard() {
 	o.text, o.hasText, o.received, o.lastNumbered = nil, false, upstream.EventDeduplicator{}, textEnd{}
+	o.version, o.versionKnown = "", false
 	o.run, o.inherited = o.runs.next(), 0
 }
 
@@ -193,6 +227,9 @@
 		from = o.recorded.length
 		events.After = proto.Uint64(o.recorded.last)
 	}
+	if o.versionKnown {
+		progress.Version = proto.String(o.version)
+	}
 	if o.lastNumbered.hasText {
 		progress.Text = append([]byte{}, o.text[from:end.length]...)
 	}
--- a/internal/store/share.go
+++ b/internal/store/share.go
@@ -14,6 +14,7 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/router"
 	"rockwind.example/rockwind/internal/store/claims"
+	"rockwind.example/rockwind/internal/streamversion"
 	"rockwind.example/rockwind/internal/topology"
 )
 
@@ -149,18 +150,22 @@
 // smaller share. If there is none, tryNext reports whether another item may still get a slot, which
 // items with a smaller reservation or with other regions may, and those that may be sent to an ejected
 // server that is due for a trial.
-func (e *executor) acquire(service string, item jobstore.OpenItem, now time.Time) (lease *router.Lease, tryNext bool) {
+func (e *executor) acquire(service string, item jobstore.OpenItem, version streamversion.Decision, now time.Time) (lease *router.Lease, tryNext bool) {
 	entry := e.backlogItem(item)
 	demand := balance.Demand{
 		Parts: e.promptParts(item), Bytes: len(item.Body), Batch: true, Regions: e.allowedRegions(item),
 		Reserved: e.shares.use.Reserved(service, entry), Prioritized: e.shares.use.GoesFirst(service, entry),
-		MayTry: e.mayTry(service, entry, item, now),
+		MayTry: e.mayTry(service, entry, item, now), SameVersion: version.Verdict == streamversion.Same, Version: version.Version,
 	}
 	lease = e.store.dispatcher.TryAcquire(service, demand)
 	if lease != nil {
 		e.shares.use.AddRunning(entry)
 		return lease, true
 	}
+	if demand.SameVersion {
+		// Servers of other versions may have slots for other items.
+		return nil, true
+	}
 	// While no trial is due, items that may be a trial have no more servers than others.
 	all := demand.MayTry || !e.store.dispatcher.TrialDue(service, demand.Regions)
 	if all && demand.Reserved == 0 && !demand.Regions.Restricted() {
--- a/internal/store/start.go
+++ b/internal/store/start.go
@@ -69,20 +69,22 @@
 		return true
 	}
 	service := router.ChooseService(route, item.Item.GetId())
-	lease, tryNext := e.acquire(service, item, now)
+	decided := e.decideVersion(service, h, now)
+	lease, tryNext := e.acquire(service, item, decided, now)
 	if lease == nil {
 		cancel(nil)
 		e.claims.Release(claim)
 		return tryNext
 	}
 	h.tried = h.tried || lease.Trial
+	e.restartUnlessSame(service, item, h, lease, decided)
 	e.active[key] = &activeAttempt{
 		tenant: item.Tenant, service: service, server: lease.ID, route: route, submitted: time.UnixMilli(item.SubmittedUnixMs),
 		began: now, eventsBefore: h.eventCount(), choice: lease.Choice, cancel: cancel,
 	}
 	logStart(item, h, lease, e.allowedRegions(item), now)
 	attempt := &itemAttempt{
-		store: e.store, item: item, history: h, writer: h.output.NewWriter(h.failures),
+		store: e.store, item: item, history: h, writer: h.output.NewWriterAt(h.failures, lease.Version),
 		lease: lease, route: route.GetName(), maxAttempts: max(1, int(route.GetAttempts())),
 	}
 	go func() {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -196,6 +196,7 @@
 	set.ColdServers(s.dispatcher.ColdServers)
 	set.Orphaned(s.dispatcher.Orphaned)
 	set.Quarantined(s.crashReporter.QuarantinedCount)
+	set.StreamOrigins(s.dispatcher.StreamOrigins)
 	set.ShortItems(s.dispatcher.ShortItems)
 	set.MovingJobs(s.movingJobs.counts)
 	set.Coordinators(s.watcher.WatchFailures)
