--- a/internal/router/protocol.go
+++ b/internal/router/protocol.go
@@ -25,6 +25,14 @@
 	APIKey string
 }
 
+// streamID returns the ID of the request that began the stream: that of this request unless it resumes another one.
+func (i RequestInfo) streamID() string {
+	if i.ResumeAfter != "" && i.Resumes != "" {
+		return i.Resumes
+	}
+	return i.ID
+}
+
 // AttemptInfo is the protocol data of one attempt at a server.
 type AttemptInfo struct {
 	// RequestID is the request ID; empty if the headers have it already.
--- a/internal/router/streamversion_test.go
+++ b/internal/router/streamversion_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
@@ -177,3 +178,19 @@
 		}
 	})
 }
+
+// Guards against a resumed stream that goes on at another service of a split route, because the service is chosen by the
+// identifier of the client's new try.
+func TestResumedStreamGoesOnAtItsService(t *testing.T) {
+	c := newExchangeTest(t, nil)
+	route := streamRoute(true)
+	route.Split = []*rockwindpb.ServiceShare{{Service: "app", Weight: 50}, {Service: "other", Weight: 50}}
+	for try := range versionTries {
+		first, next := fmt.Sprint("first-", try), fmt.Sprint("next-", try)
+		request := httptest.NewRequest(http.MethodPost, "http://app/", nil)
+		created := c.router.newExchange(httptest.NewRecorder(), request, route, RequestInfo{ID: next, ResumeAfter: "1", Resumes: first}, nil, time.Now())
+		if want := ChooseService(route, first); created.service != want {
+			t.Fatalf("the stream of %s goes on at %s instead of %s", first, created.service, want)
+		}
+	}
+}
--- a/internal/router/versions.go
+++ b/internal/router/versions.go
@@ -143,13 +143,9 @@
 	if !e.route.GetResumable() {
 		return
 	}
-	began := e.info.ID
-	if e.info.ResumeAfter != "" && e.info.Resumes != "" {
-		began = e.info.Resumes
-	}
 	// The client may come back until its own deadline, which may be later than that of the route.
 	keep := max(time.Until(e.deadline), e.info.Timeout) + originRetention
-	e.router.dispatcher.announceOrigin(streamversion.KeyOf(began), e.service, lease.Version, keep)
+	e.router.dispatcher.announceOrigin(streamversion.KeyOf(e.info.streamID()), e.service, lease.Version, keep)
 }
 
 // recordVersionDecision records at which version a stream goes on, with the facts.
