Requests that begin a stream don't look at versions

Cause: each request of a stream route asked the dispatcher whether versions are mixed, although that matters only for streams that go on.

--- a/internal/router/versions.go
+++ b/internal/router/versions.go
@@ -106,8 +106,11 @@
 // findOrigin finds the version at which the stream that the client resumes began, and refuses the request if that is
 // needed and not known.
 func (e *exchange) findOrigin(ctx context.Context) *fault.Fault {
+	if e.info.ResumeAfter == "" || e.route.GetKind() != rockwindpb.RouteKind_ROUTE_KIND_STREAM {
+		return nil
+	}
 	facts := e.streamFacts()
-	if facts.Resumed && facts.Named {
+	if facts.Named {
 		origins, key := e.router.dispatcher.origins, streamversion.KeyOf(e.info.Resumes)
 		e.origin = origins.get(key)
 		if facts.Origin = e.origin; streamversion.NeedsOrigin(facts) {
@@ -115,10 +118,9 @@
 		}
 		facts.Origin = e.origin
 	}
-	if facts.Resumed {
-		e.recordVersionDecision(facts, streamversion.Decide(facts))
-	}
-	if streamversion.Decide(facts).Verdict == streamversion.Unknown {
+	decided := streamversion.Decide(facts)
+	e.recordVersionDecision(facts, decided)
+	if decided.Verdict == streamversion.Unknown {
 		return unknownVersionFault(e.service)
 	}
 	return nil
@@ -126,7 +128,7 @@
 
 // restrictVersion restricts a demand to the servers at which the stream may go on.
 func (e *exchange) restrictVersion(demand balance.Demand) balance.Demand {
-	if e.route.GetKind() != rockwindpb.RouteKind_ROUTE_KIND_STREAM {
+	if !e.begun && e.info.ResumeAfter == "" {
 		return demand
 	}
 	decided := streamversion.Decide(e.streamFacts())
