Soak and simulator: software versions side by side

Cause: all back ends of the soak and all engines of the simulator had one version, so neither could find streams of two. Change: the soak's back ends run three versions; one that is drained comes back with the next. Each event and each line of an item's output names the version, and callers resume broken streams at random routers; events of several versions break the new rule 'mixed versions', also in answers that are not whole. In the simulator engines have versions and gateways resume streams by the same decision; ignoring it mixes them.

--- a/internal/bench/soak/backend/backend.go
+++ b/internal/bench/soak/backend/backend.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"path"
 	"slices"
 	"strconv"
 	"strings"
@@ -76,7 +77,23 @@
 	return strings.Repeat(line, LargeBytes/len(line))
 }
 
-// EventData is the data of one event of the stream that answers a request.
+// versionMark separates the data of an event from the software version of the backend that sent it.
+const versionMark = " by "
+
+// SplitVersions removes the versions from the lines of a stream's data, and returns those that it found.
+func SplitVersions(text string) (plain string, versions []string) {
+	var lines []string
+	for _, line := range strings.Split(text, "\n") {
+		data, version, marked := strings.Cut(line, versionMark)
+		if marked && !slices.Contains(versions, version) {
+			versions = append(versions, version)
+		}
+		lines = append(lines, data)
+	}
+	return strings.Join(lines, "\n"), versions
+}
+
+// EventData is the data of one event of the stream that answers a request, without the version.
 func EventData(id string, event int) string {
 	if event == Events {
 		return id + " " + LastData
@@ -96,6 +113,7 @@
 // Server is one incarnation of a backend.
 type Server struct {
 	id       string
+	version  string
 	witness  *witness.Witness
 	elapsed  func() time.Duration
 	listener net.Listener
@@ -112,14 +130,14 @@
 	crash func(content string)
 }
 
-// Start starts an incarnation on an address. allowed reports whether it is in the region of PathRestricted. It
+// Start starts an incarnation of a software version on an address. allowed reports whether it is in the region of PathRestricted. It
 // calls crash with the content of a request that crashes it.
-func Start(id, address string, allowed bool, seen *witness.Witness, elapsed func() time.Duration, seed uint64, crash func(content string)) (*Server, error) {
+func Start(id, version, address string, allowed bool, seen *witness.Witness, elapsed func() time.Duration, seed uint64, crash func(content string)) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{id: id, allowed: allowed, witness: seen, elapsed: elapsed, listener: listener, random: rand.New(rand.NewPCG(seed, 0)), crash: crash}
+	s := &Server{id: id, version: version, allowed: allowed, witness: seen, elapsed: elapsed, listener: listener, random: rand.New(rand.NewPCG(seed, 0)), crash: crash}
 	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(listener) }()
 	return s, nil
@@ -286,7 +304,7 @@
 	controller := http.NewResponseController(writer)
 	sent := 0
 	for event := after + 1; event <= Events; event++ {
-		piece := fmt.Sprintf("id: %d\ndata: %s\n\n", event, EventData(id, event))[sent:]
+		piece := fmt.Sprintf("id: %d\ndata: %s\n\n", event, EventData(path.Base(request.URL.Path), event)+versionMark+s.version)[sent:]
 		if unframed && event < Events {
 			piece += eventBeginning
 			sent = len(eventBeginning)
--- a/internal/bench/soak/backends.go
+++ b/internal/bench/soak/backends.go
@@ -29,6 +29,9 @@
 	// coordinator acknowledged the drain; it keeps serving for drainLinger after that.
 	drainNotice = 2 * time.Second
 	drainLinger = 2 * time.Second
+	// versions is the number of software versions that backends have. Endpoints begin with two of them, and each that
+	// is drained comes back with the next one.
+	versions = 3
 	// restartDelay is the downtime of a backend between two incarnations.
 	restartDelay = 500 * time.Millisecond
 )
@@ -44,6 +47,8 @@
 	state        rockwindpb.ServerState
 	sequence     uint64
 	incarnations int
+	// release selects the software version of the incarnations.
+	release int
 	// stableSince is when the last fault here ended or the current incarnation started.
 	stableSince time.Duration
 	// faultMutex is held during a fault, so that faults don't overlap here.
@@ -64,7 +69,7 @@
 		return nil, err
 	}
 	go proxy.Run(ctx)
-	return &endpoint{number: number, address: address, proxy: proxy}, nil
+	return &endpoint{number: number, release: number % 2, address: address, proxy: proxy}, nil
 }
 
 // start starts the next incarnation.
@@ -73,7 +78,7 @@
 	defer e.mutex.Unlock()
 	e.incarnations++
 	id := fmt.Sprintf("server-%d-%d", e.number, e.incarnations)
-	server, err := backend.Start(id, e.address, e.number%replicas == allowedZone, run.witness, run.elapsed, run.seed+uint64(e.incarnations), func(content string) { e.crash(run, id, content) })
+	server, err := backend.Start(id, e.version(), e.address, e.number%replicas == allowedZone, run.witness, run.elapsed, run.seed+uint64(e.incarnations), func(content string) { e.crash(run, id, content) })
 	if err != nil {
 		return err
 	}
@@ -82,6 +87,9 @@
 	return nil
 }
 
+// version returns the software version of the current incarnation.
+func (e *endpoint) version() string { return fmt.Sprint("v", 1+e.release%versions) }
+
 // crash records that a request crashed an incarnation and restarts the backend.
 func (e *endpoint) crash(run *run, id, content string) {
 	now := run.elapsed()
@@ -131,7 +139,7 @@
 func (e *endpoint) serverReport(id string, state rockwindpb.ServerState, sequence uint64) *rockwindpb.Server {
 	return &rockwindpb.Server{
 		Id: id, Service: service, Address: e.proxy.Address(), Zone: fmt.Sprintf("zone-%d", e.number%replicas),
-		Version: "v1", Slots: slots, State: state, Sequence: sequence,
+		Version: e.version(), Slots: slots, State: state, Sequence: sequence,
 	}
 }
 
@@ -142,6 +150,13 @@
 	e.stableSince = run.elapsed()
 }
 
+// upgrade has the next incarnation run the next software version.
+func (e *endpoint) upgrade() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.release++
+}
+
 func (e *endpoint) setState(state rockwindpb.ServerState) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -197,6 +212,7 @@
 	}
 	retry.Pause(ctx, drainLinger)
 	e.kill()
+	e.upgrade()
 	retry.Pause(ctx, restartDelay)
 	if err := e.start(run); err != nil {
 		log.WithError(err).Error("backend failed to restart")
--- a/internal/bench/soak/jobs.go
+++ b/internal/bench/soak/jobs.go
@@ -166,7 +166,11 @@
 	var seen []witness.Result
 	for _, each := range response.GetResults() {
 		done := each.GetOutcome() == rockwindpb.StoredOutcome_STORED_OUTCOME_DONE
-		seen = append(seen, witness.NewResult(each.GetId(), done, string(each.GetText())))
+		text, versions := backend.SplitVersions(string(each.GetText()))
+		if len(versions) > 1 {
+			c.run.witness.Report(witness.MixedVersions, id, fmt.Sprintf("item %s has events of %v", each.GetId(), versions), c.run.elapsed())
+		}
+		seen = append(seen, witness.NewResult(each.GetId(), done, text))
 	}
 	c.run.witness.Results(id, 0, seen, c.run.elapsed())
 	return len(seen)
--- a/internal/bench/soak/online.go
+++ b/internal/bench/soak/online.go
@@ -30,6 +30,8 @@
 	abandonFraction = 0.03
 	// minimumTimeout is the shortest time after which a request is canceled.
 	minimumTimeout = 5 * time.Millisecond
+	// maximumResumes is how often a caller resumes a stream.
+	maximumResumes = 3
 )
 
 // onlinePaths are the routes of online requests; those of PathOnce and PathStream may run
@@ -72,7 +74,50 @@
 	c.run.witness.Sent(id, path == backend.PathOnce || path == backend.PathStream)
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	c.check(id, path, c.send(callCtx, at, path, id, timeout))
+	got := c.send(callCtx, at, path, id, "", "", timeout)
+	if path == backend.PathResumable {
+		got = c.resume(callCtx, id, got, timeout)
+	}
+	c.check(id, path, got)
+}
+
+// resume resumes a stream that broke off, at random routers, until it ends, a router refuses it or the caller's time is
+// over. It returns the joined answer.
+func (c *caller) resume(ctx context.Context, id string, got answer, timeout time.Duration) answer {
+	for try := 1; try <= maximumResumes && got.err != nil && ctx.Err() == nil; try++ {
+		received, last := wholeEvents(got.body)
+		if last == "" {
+			break
+		}
+		next := fmt.Sprintf("%s-%d", id, try)
+		c.run.witness.Sent(next, false)
+		c.run.witness.Count("streams resumed")
+		resumed := c.send(ctx, c.run.site.randomRouter(c.random), backend.PathResumable, next, id, last, timeout)
+		switch {
+		case resumed.err == nil && resumed.status == http.StatusServiceUnavailable:
+			c.run.witness.Count("resumed streams refused")
+			c.run.witness.Refused(next, c.run.elapsed())
+			return got
+		case resumed.status == http.StatusOK && resumed.id == next:
+			got = answer{status: http.StatusOK, body: received + resumed.body, id: id, err: resumed.err}
+		}
+	}
+	return got
+}
+
+// wholeEvents returns the complete events of a stream, and the number of the last one.
+func wholeEvents(body string) (events, last string) {
+	end := strings.LastIndex(body, "\n\n")
+	if end < 0 {
+		return "", ""
+	}
+	events = body[:end+len("\n\n")]
+	for line := range strings.Lines(events) {
+		if number, found := strings.CutPrefix(strings.TrimSuffix(line, "\n"), "id: "); found {
+			last = number
+		}
+	}
+	return events, last
 }
 
 // answer is the response to a request, or the error.
@@ -95,11 +140,20 @@
 	return request, nil
 }
 
-func (c *caller) send(ctx context.Context, at *member, path, id string, timeout time.Duration) answer {
-	request, err := newRequest(ctx, at, path+id, id, "ask "+id, timeout)
+// send sends a request. Resumes and last are the request that began a stream and its last event, if it is resumed.
+func (c *caller) send(ctx context.Context, at *member, path, id, resumes, last string, timeout time.Duration) answer {
+	target := id
+	if resumes != "" {
+		target = resumes
+	}
+	request, err := newRequest(ctx, at, path+target, id, "ask "+target, timeout)
 	if err != nil {
 		return answer{err: err}
 	}
+	if resumes != "" {
+		request.Header.Set(router.HeaderResumes, resumes)
+		request.Header.Set(router.HeaderLastEvent, last)
+	}
 	response, err := c.client.Do(request)
 	if err != nil {
 		return answer{err: err}
@@ -113,6 +167,10 @@
 func (c *caller) check(id, path string, got answer) {
 	w, now := c.run.witness, c.run.elapsed()
 	w.Count("requests")
+	// Also those of streams that are not whole.
+	if _, versions := backend.SplitVersions(streamData(got.body)); len(versions) > 1 {
+		w.Report(witness.MixedVersions, id, fmt.Sprintf("its events are of %v", versions), now)
+	}
 	switch {
 	case got.err != nil:
 		w.Count("requests without a whole answer")
@@ -133,7 +191,8 @@
 	want := backend.Answer(id)
 	found := got.body
 	if path == backend.PathStream || path == backend.PathResumable {
-		want, found = backend.StreamText(id), streamData(got.body)
+		want = backend.StreamText(id)
+		found, _ = backend.SplitVersions(streamData(got.body))
 	}
 	if found != want || got.id != id {
 		w.Report(witness.WrongAnswer, id, fmt.Sprintf("answer of %q: %q, want %q", got.id, found, want), now)
@@ -176,7 +235,7 @@
 		id := fmt.Sprintf("r-%d-%d", c.number, c.sent)
 		c.run.witness.Sent(id, path == backend.PathOnce || path == backend.PathStream)
 		callCtx, cancel := context.WithTimeout(ctx, callerTimeout)
-		got := c.send(callCtx, at, path, id, callerTimeout)
+		got := c.send(callCtx, at, path, id, "", "", callerTimeout)
 		cancel()
 		c.check(id, path, got)
 		if got.err == nil && got.status == http.StatusOK {
--- a/internal/bench/soak/witness/witness.go
+++ b/internal/bench/soak/witness/witness.go
@@ -31,6 +31,9 @@
 	ResultChanged Rule = "result changed"
 	// ResultWrong: a result is not what the backend returned for the item.
 	ResultWrong Rule = "result wrong"
+	// MixedVersions: a stream, in one answer or over the tries of its client, or the text of an item holds events of
+	// backends of several software versions.
+	MixedVersions Rule = "mixed versions"
 	// ItemDuplicated: a job lists an item at two positions.
 	ItemDuplicated Rule = "item twice"
 	// RanAfterEnd: an item was started later than endGrace after the end of its job.
--- a/internal/simulator/fleet.go
+++ b/internal/simulator/fleet.go
@@ -171,6 +171,9 @@
 	f.schedule(server)
 }
 
+// softwareVersion returns the software version of an engine.
+func (f *fleet) softwareVersion(server int) int { return server % max(1, f.scenario.SoftwareVersions) }
+
 // tagBatch is set in the tags of batch items; the other bits are an index.
 const tagBatch = 1 << 63
 
@@ -188,13 +191,14 @@
 			f.clock.At(arrives, func() { gateway.trackTokens(record, server, event.Count) })
 			return
 		}
+		record.begunAt = f.softwareVersion(server)
 		record.firstAt = arrives + f.scenario.ClientDelay + f.hops.draw() + f.hops.draw()
 		f.clock.At(arrives, func() { gateway.firstToken(record, server) })
 	case engine.EventFinished:
 		record.doneAt = max(record.firstAt, arrives+f.scenario.ClientDelay+f.hops.draw()+f.hops.draw())
 		f.clock.At(arrives, func() { gateway.requestEnded(record, server) })
 	case engine.EventLost, engine.EventTruncated:
-		f.clock.At(arrives, func() { gateway.requestFailed(int(event.Tag), server) })
+		f.clock.At(arrives, func() { gateway.requestFailed(int(event.Tag), server, event.Sequence) })
 	}
 }
 
--- a/internal/simulator/gateway.go
+++ b/internal/simulator/gateway.go
@@ -2,12 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"rockwind.example/rockwind/internal/engine"
 	"rockwind.example/rockwind/internal/health"
 	"rockwind.example/rockwind/internal/routing"
 	"rockwind.example/rockwind/internal/sharing"
+	"rockwind.example/rockwind/internal/streamversion"
 )
 
 // modelName is the only model of the simulated fleet.
@@ -89,6 +91,7 @@
 			server.Key = uint64(first+zoneIndex+1) * serverKeyMultiplier
 			if g.fleet.policy.BatchOnly == nil || !g.fleet.policy.BatchOnly(zoneIndex, scenario.EnginesPerZone) {
 				server.Loaded.Add(modelName)
+				server.Loaded.Add(softwareName(g.fleet.softwareVersion(first + zoneIndex)))
 			}
 		}
 	}
@@ -120,7 +123,7 @@
 		g.refresh()
 	}
 	request := routing.Request{
-		Versions:     g.versions,
+		Versions:     g.versionsFor(record),
 		Adapter:      routing.NoName,
 		PromptTokens: int32(record.arrival.shape.prompt),
 		Hints:        g.hintsFor(record.arrival.shape),
@@ -159,6 +162,7 @@
 	record := &run.online[index]
 	shape := record.arrival.shape
 	record.server = server
+	record.mixed = record.mixed || (record.firstAt > 0 && g.fleet.softwareVersion(server) != record.begunAt)
 	record.attempts++
 	attempt := record.attempts
 	if shape.prefix > 0 && g.prefixes[shape.prefix][0] != server {
@@ -173,13 +177,13 @@
 			ID:           onlineID(index, attempt),
 			Tag:          uint64(index),
 			Priority:     engine.PriorityOnline,
-			PromptTokens: shape.prompt,
-			MaxTokens:    shape.output,
+			PromptTokens: shape.prompt + record.produced,
+			MaxTokens:    max(1, shape.output-record.produced),
 			Blocks:       shape.blocks,
 		})
 		run.schedule(server)
 		if !accepted {
-			run.clock.After(run.delay(g, server), func() { g.requestFailed(index, server) })
+			run.clock.After(run.delay(g, server), func() { g.requestFailed(index, server, 0) })
 		}
 	})
 }
@@ -200,8 +204,8 @@
 // maxAttempts is the maximum number of times an online request is sent.
 const maxAttempts = 3
 
-// requestFailed retries a request that its server lost or refused.
-func (g *gateway) requestFailed(index, server int) {
+// requestFailed retries a request that its server lost or refused after the given number of tokens.
+func (g *gateway) requestFailed(index, server, produced int) {
 	record := &g.fleet.online[index]
 	g.trackEnd(record, server)
 	g.view.RecordEnd(server, false)
@@ -209,13 +213,33 @@
 	g.recent[server].RecordEnd(g.fleet.clock.Now())
 	g.health.Record(server, health.Failure, 0, g.fleet.clock.Now(), g.random)
 	g.publishHealth(server)
-	if record.attempts >= maxAttempts || record.firstAt > 0 {
+	begun := record.firstAt > 0
+	if record.attempts >= maxAttempts || (begun && !g.fleet.scenario.ResumeStreams) {
 		record.refused = true
 		return
 	}
+	if begun {
+		record.resumed = true
+		record.produced += produced
+	}
 	g.routeOnline(index)
 }
 
+// versionsFor returns the versions of which a server must have one to take a request: that of its weights, or, if the
+// stream has begun, that of the software which began it.
+func (g *gateway) versionsFor(record *onlineRecord) []routing.WeightedVersion {
+	decided := streamversion.Decide(streamversion.Facts{
+		Begun: record.firstAt > 0, Origin: streamversion.Origin{Known: record.firstAt > 0, Version: strconv.Itoa(record.begunAt)},
+	})
+	if decided.Verdict != streamversion.Same || g.fleet.scenario.IgnoreVersions {
+		return g.versions
+	}
+	return []routing.WeightedVersion{{Name: softwareName(record.begunAt), Weight: 1}}
+}
+
+// softwareName returns the name under which the servers of a software version are found.
+func softwareName(version int) routing.NameID { return modelName + 1 + routing.NameID(version) }
+
 func (g *gateway) publishHealth(server int) {
 	state, weight := g.health.State(server, g.fleet.clock.Now())
 	g.view.Servers[server].Health = routing.Health(state)
--- a/internal/simulator/result.go
+++ b/internal/simulator/result.go
@@ -16,6 +16,12 @@
 	firstAt  time.Duration
 	doneAt   time.Duration
 	refused  bool
+	// produced is the number of tokens received of earlier attempts, and begunAt the software version that sent the
+	// first one.
+	produced int
+	begunAt  int
+	resumed  bool
+	mixed    bool
 }
 
 // batchTotals holds counters of the batch work.
@@ -57,6 +63,10 @@
 	Requests   int
 	Refused    int
 	Unfinished int
+	// Resumed is the number of online requests whose stream was resumed at another engine, and Mixed that of those with
+	// tokens of several software versions.
+	Resumed int
+	Mixed   int
 	// TTFT and TPOT are the sorted times to first token and times per output token
 	// of the completed online requests.
 	TTFT []time.Duration
@@ -106,6 +116,12 @@
 		return
 	}
 	result.Requests++
+	if record.resumed {
+		result.Resumed++
+	}
+	if record.mixed {
+		result.Mixed++
+	}
 	switch {
 	case record.refused:
 		result.Refused++
--- a/internal/simulator/scenario.go
+++ b/internal/simulator/scenario.go
@@ -47,6 +47,12 @@
 	Warmup   time.Duration
 	Measured time.Duration
 	Faults   []ScheduledFault
+	// SoftwareVersions is the number of software versions of the engines, which have them in turn; zero is one.
+	SoftwareVersions int
+	// ResumeStreams has gateways resume broken streams of online requests at other engines, of the same software version
+	// unless IgnoreVersions is set.
+	ResumeStreams  bool
+	IgnoreVersions bool
 	// SampleEvery is the sampling interval of the batch service of the groups;
 	// zero disables sampling.
 	SampleEvery time.Duration
--- a/internal/simulator/simulator_test.go
+++ b/internal/simulator/simulator_test.go
@@ -132,3 +132,29 @@
 		t.Errorf("%d of %d truncated streams are not complete, %d count as lost", lost, truncated, after.Refused-before.Refused)
 	}
 }
+
+// Guards against a stream that is resumed at another software version while several serve, and against one that is
+// not resumed although its version serves.
+func TestResumedStreamsKeepTheirSoftwareVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		scenario := small(Magnolia())
+		scenario.GatewaysPerZone, scenario.EnginesPerZone = 1, 3
+		scenario.SoftwareVersions, scenario.ResumeStreams = rapid.IntRange(1, 3).Draw(t, "versions"), true
+		for number := range 4 {
+			scenario.Faults = append(scenario.Faults, ScheduledFault{
+				At:     scenario.Warmup + time.Duration(number)*time.Second,
+				Engine: rapid.IntRange(0, scenario.Engines()-1).Draw(t, "engine"),
+				Fault:  engine.Fault{Kind: engine.FaultDie, Duration: 500 * time.Millisecond},
+			})
+		}
+		policy, seed := OnlineAlone(&scenario), rapid.Uint64().Draw(t, "seed")
+		result := Run(scenario, policy, seed)
+		if result.Mixed > 0 || result.Refused > result.Resumed {
+			t.Fatalf("of %d resumed streams %d are mixed, and %d requests were refused", result.Resumed, result.Mixed, result.Refused)
+		}
+		scenario.IgnoreVersions = true
+		if ignoring := Run(scenario, policy, seed); scenario.SoftwareVersions > 1 && ignoring.Resumed >= 10 && ignoring.Mixed == 0 {
+			t.Fatalf("none of %d streams is mixed although versions are ignored", ignoring.Resumed)
+		}
+	})
+}
