--- /dev/null
+++ b/internal/router/streamversion.go
@@ -0,0 +1,75 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"rockwind.example/rockwind/internal/balance"
+	"rockwind.example/rockwind/internal/decision"
+	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/streamversion"
+)
+
+// streamFacts returns the facts for the decision at which version the stream goes on.
+func (e *exchange) streamFacts() streamversion.Facts {
+	return streamversion.Facts{
+		Begun: e.begun, Origin: e.origin, Resumed: e.info.ResumeAfter != "", Named: e.info.Resumes != "", Mixed: e.router.dispatcher.Mixed(e.service),
+	}
+}
+
+// findOrigin finds the version at which the stream that the client resumes began, and refuses the request if that is
+// needed and not known.
+func (e *exchange) findOrigin(ctx context.Context) *fault.Fault {
+	if e.info.ResumeAfter == "" || e.route.GetKind() != rockwindpb.RouteKind_ROUTE_KIND_STREAM {
+		return nil
+	}
+	facts := e.streamFacts()
+	if facts.Named {
+		origins, key := e.router.dispatcher.origins, streamversion.KeyOf(e.info.Resumes)
+		e.origin = origins.get(key)
+		if facts.Origin = e.origin; streamversion.NeedsOrigin(facts) {
+			e.origin = origins.find(ctx, key)
+		}
+		facts.Origin = e.origin
+	}
+	decided := streamversion.Decide(facts)
+	e.recordVersionDecision(facts, decided)
+	if decided.Verdict == streamversion.Unknown {
+		return unknownVersionFault(e.service)
+	}
+	return nil
+}
+
+// restrictVersion restricts a demand to the servers at which the stream may go on.
+func (e *exchange) restrictVersion(demand balance.Demand) balance.Demand {
+	if !e.begun && e.info.ResumeAfter == "" {
+		return demand
+	}
+	decided := streamversion.Decide(e.streamFacts())
+	demand.SameVersion, demand.Version = decided.Verdict == streamversion.Same, decided.Version
+	return demand
+}
+
+// noteBegun records the version of the server that sends the first event of the stream, before the event is relayed.
+func (e *exchange) noteBegun(lease *Lease) {
+	if e.begun {
+		return
+	}
+	e.begun, e.origin = true, streamversion.Origin{Known: true, Version: lease.Version}
+	if !e.route.GetResumable() {
+		return
+	}
+	// The client may come back until its own deadline, which may be later than that of the route.
+	keep := max(time.Until(e.deadline), e.info.Timeout) + originRetention
+	e.router.dispatcher.announceOrigin(streamversion.KeyOf(e.info.streamID()), e.service, lease.Version, keep)
+}
+
+// recordVersionDecision records at which version a stream goes on, with the facts.
+func (e *exchange) recordVersionDecision(facts streamversion.Facts, decided streamversion.Decision) {
+	fields := e.logFields()
+	fields["verdict"], fields["reason"], fields["version"] = string(decided.Verdict), decided.Reason, decided.Version
+	fields["begun"], fields["named"], fields["origin_known"], fields["origin"], fields["mixed"] = facts.Begun, facts.Named, facts.Origin.Known, facts.Origin.Version, facts.Mixed
+	fields["serving"] = e.router.dispatcher.Versions(e.service)
+	decision.Default.Record(decision.StreamVersionDecided, e.info.ID, fields)
+}
--- a/internal/store/output/output_test.go
+++ b/internal/store/output/output_test.go
@@ -137,3 +137,35 @@
 		t.Fatalf("the recorded text was changed to %q", text)
 	}
 }
+
+// Guards against an output whose recorded version is not that of its events, which would let the next leader continue
+// it at another one, and against events of an earlier run after a restart.
+func TestVersionOfOutputIsRecorded(t *testing.T) {
+	item, _ := newOutput()
+	if _, begun := item.Origin(); begun {
+		t.Fatal("a new output has begun")
+	}
+	unnumbered := item.NewWriterAt(0, "v1")
+	unnumbered.Add([]upstream.Event{{Data: []byte("x"), HasData: true}})
+	if _, begun := item.Origin(); begun {
+		t.Fatal("an output without numbered events has begun")
+	}
+	first := item.NewWriterAt(0, "v2")
+	first.Add([]upstream.Event{event(1, "a"), event(2, "b")})
+	expect := func(version, text string) {
+		t.Helper()
+		origin, begun := item.Origin()
+		part, found := item.Unrecorded()
+		if progress := part.Events().GetProgress(); !begun || origin.Version != version || !found || progress.GetVersion() != version || string(progress.GetText()) != text {
+			t.Fatalf("begun %v at %+v, to record: %v", begun, origin, part.Events())
+		}
+	}
+	expect("v2", "a\nb")
+	item.Restart()
+	first.Add([]upstream.Event{event(3, "late")})
+	if _, begun := item.Origin(); begun {
+		t.Fatal("an output that was restarted has begun")
+	}
+	item.NewWriterAt(0, "v3").Add([]upstream.Event{event(1, "c")})
+	expect("v3", "c")
+}
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -107,22 +107,22 @@
 		members := site(2+random.IntN(20), 1+random.IntN(4))
 		key := streamversion.Key(random.Uint64())
 		began, resumes := members[0].Name, members[1].Name
-		told := streamversion.Announced(key, members, began)
+		announced := streamversion.Announced(key, members, began)
 		left := slices.Clone(members)
 		if random.IntN(2) == 0 {
 			left = slices.Delete(left, 0, 1)
 		}
 		asked := streamversion.Holders(key, left, resumes)
-		for _, holder := range told {
+		for _, holder := range announced {
 			if holder.Name != resumes && !slices.Contains(asked, holder) {
-				t.Fatalf("%s holds the origin and is not asked: told %v, asked %v", holder.Name, told, asked)
+				t.Fatalf("%s holds the origin and is not asked: announced to %v, asked %v", holder.Name, announced, asked)
 			}
 			if holder.Name == began {
 				t.Fatal("the router announces a stream to itself")
 			}
 		}
-		if len(told) > streamversion.RouterHolders+streamversion.StoreHolders {
-			t.Fatalf("announced to %d processes", len(told))
+		if len(announced) > streamversion.RouterHolders+streamversion.StoreHolders {
+			t.Fatalf("announced to %d processes", len(announced))
 		}
 	}
 }
