store: the wait of an item for its version is named after what it measures

Cause: the store and the router each had a type versionHistory, for different things. Change: outputGrowth in the store; names and comments only. Result: go test ./internal/store and the tests of items in ./platform pass.

--- a/internal/store/history.go
+++ b/internal/store/history.go
@@ -22,8 +22,8 @@
 	routeAbsentSince time.Time
 	// retryAt is the earliest time of the next attempt.
 	retryAt time.Time
-	// version is the item's wait for servers of the version of its output.
-	version versionHistory
+	// growth bounds the wait for servers of the version of the output.
+	growth outputGrowth
 	// tried reports whether an attempt was a trial of an ejected server.
 	tried bool
 	// quarantined reports whether the item's content was quarantined at the last check, and
--- a/internal/store/versions.go
+++ b/internal/store/versions.go
@@ -16,9 +16,9 @@
 // seconds.
 const versionWait = 2 * time.Second
 
-// versionHistory is what an executor knows of an item's wait for servers of the version of its output.
-type versionHistory struct {
-	// since is when the output last grew, as far as this executor has seen; zero if it has not begun.
+// outputGrowth says how long an item's output has not grown.
+type outputGrowth struct {
+	// since is when the executor first saw the output with this number of events; zero if it has not begun.
 	since  time.Time
 	events int
 }
@@ -30,15 +30,15 @@
 	if !begun {
 		return streamversion.Decision{Verdict: streamversion.Any, Reason: "the output begins here"}
 	}
-	if events := h.eventCount(); h.version.since.IsZero() || events != h.version.events {
-		h.version = versionHistory{since: now, events: events}
+	if events := h.eventCount(); h.growth.since.IsZero() || events != h.growth.events {
+		h.growth = outputGrowth{since: now, events: events}
 	}
 	decided := streamversion.Decide(streamversion.Facts{Begun: true, Origin: origin, Mixed: e.store.dispatcher.Mixed(service)})
 	switch {
 	case decided.Verdict != streamversion.Same:
 	case !e.store.dispatcher.HasVersion(service, decided.Version):
 		decided = streamversion.Decision{Verdict: streamversion.Any, Reason: "no server has the version that began the output"}
-	case now.Sub(h.version.since) > versionWait:
+	case now.Sub(h.growth.since) > versionWait:
 		decided = streamversion.Decision{Verdict: streamversion.Any, Reason: "no server of the version that began the output has taken it on"}
 	}
 	return decided
@@ -57,5 +57,5 @@
 		"reason": decided.Reason, "origin_known": origin.Known, "origin": origin.Version, "mixed": mixed, "serving": e.store.dispatcher.Versions(service),
 	})
 	h.output.Restart()
-	h.version = versionHistory{}
+	h.growth = outputGrowth{}
 }
