Record the parts of prompts whose requests break off

Cause: the lines about broken requests and ended servers show the whole content only. They can't tell requests with a part in common from bystanders of servers that crash by themselves. Change: 'request tried again', 'request broken', 'request refused', 'request held', 'item returned' and 'server ended under a request' name the fingerprints of the shared parts of the prompt, 'request finished' as well where it is recorded. A report of an ended server carries them. No decision uses them yet.

--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"slices"
 	"time"
 
@@ -147,11 +148,24 @@
 		return
 	}
 	suspect, _ := view.Suspect(content)
-	decision.Default.Record(decision.ServerEnded, content.String(), log.Fields{
+	fields := log.Fields{
 		"server": end.GetServer(), "route": end.GetRoute(), "tenant": end.GetTenant(), "item": end.GetItem(),
 		"began_ms_ago": end.GetBeganMsAgo(), "ends": len(suspect.GetServers()), "later": suspect.GetLater(),
 		"held_ms": view.QuarantinedFor(content, time.Now()).Milliseconds(),
-	})
+	}
+	if len(end.GetParts()) > 0 {
+		fields["parts"] = hexStrings(end.GetParts())
+	}
+	decision.Default.Record(decision.ServerEnded, content.String(), fields)
+}
+
+// hexStrings returns encoded fingerprints in hexadecimal.
+func hexStrings(encoded [][]byte) []string {
+	strings := make([]string, 0, len(encoded))
+	for _, each := range encoded {
+		strings = append(strings, hex.EncodeToString(each))
+	}
+	return strings
 }
 
 // commitQuarantine proposes a quarantine command; this coordinator must be the leader.
--- a/internal/router/crashreporter.go
+++ b/internal/router/crashreporter.go
@@ -80,6 +80,8 @@
 // Attempt is a request that was sent to a server.
 type Attempt struct {
 	Content fingerprint.Fingerprint
+	// Parts are the parts of the request's prompt that other requests may share.
+	Parts   []fingerprint.Fingerprint
 	Server  string
 	Address string
 	// SentAt is when the request was sent.
@@ -109,7 +111,8 @@
 		// that the request is harmless.
 		if r.serverCrashed(attempt) && !r.answers.has(attempt.Content, time.Now()) {
 			r.reporter.ReportCrash(&rockwindpb.ServerEnd{
-				Content: attempt.Content.Bytes(), Server: attempt.Server, Route: attempt.Route, Tenant: attempt.Tenant, Item: attempt.BatchItem,
+				Content: attempt.Content.Bytes(), Parts: fingerprint.BytesOf(attempt.Parts), Server: attempt.Server,
+				Route: attempt.Route, Tenant: attempt.Tenant, Item: attempt.BatchItem,
 			}, attempt.SentAt)
 		}
 	}()
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -97,6 +97,9 @@
 	relayedEvents upstream.EventDeduplicator
 	// fingerprint is computed when first needed; nil before.
 	fingerprint *fingerprint.Fingerprint
+	// promptParts are the fingerprints of the parts of the prompt, once partsKnown is set.
+	promptParts []fingerprint.Fingerprint
+	partsKnown  bool
 	// attemptSentAt is when the last attempt was sent.
 	attemptSentAt time.Time
 	// begun is set once an event was relayed. origin is what is known of the server that sent the first event of
--- a/internal/router/protocol.go
+++ b/internal/router/protocol.go
@@ -16,6 +16,8 @@
 	Timeout time.Duration
 	// Parts are the parts of the prompt in order.
 	Parts []balance.Part
+	// PartIDs identify the parts each by itself, in the same order.
+	PartIDs []string
 	// ResumeAfter is the last event that the client has, empty for a new stream.
 	ResumeAfter string
 	// Resumes is the ID of the request that brought the first event of the stream that the client
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/apex/log"
+
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/fingerprint"
@@ -19,6 +21,22 @@
 	return *e.fingerprint
 }
 
+// parts returns the fingerprints of the parts of the prompt that other requests may share.
+func (e *exchange) parts() []fingerprint.Fingerprint {
+	if !e.partsKnown {
+		e.promptParts, e.partsKnown = fingerprint.OfParts(e.service, e.info.PartIDs), true
+	}
+	return e.promptParts
+}
+
+// addContentFields adds the fingerprints of the request and of its parts to a log record.
+func (e *exchange) addContentFields(fields log.Fields) {
+	fields["content"] = e.content().String()
+	if parts := e.parts(); len(parts) > 0 {
+		fields["parts"] = fingerprint.Strings(parts)
+	}
+}
+
 // quarantined returns the refusal of a request whose fingerprint is quarantined, or nil if it may
 // run.
 func (e *exchange) quarantined() *fault.Fault {
@@ -40,7 +58,7 @@
 func (e *exchange) recordQuarantined(refusal *fault.Fault) {
 	e.recordMetrics(decision.RequestHeld)
 	fields := e.logFields()
-	fields["content"] = e.content().String()
+	e.addContentFields(fields)
 	fields["retry_after_ms"] = refusal.RetryAfter.Milliseconds()
 	decision.Default.Record(decision.RequestHeld, e.info.ID, fields)
 }
@@ -49,7 +67,7 @@
 // was complete.
 func (e *exchange) reportConnectionLost(lease *Lease, cause error) {
 	e.router.crashes.ConnectionLost(Attempt{
-		Content: e.content(), Server: lease.ID, Address: lease.Address, SentAt: e.attemptSentAt,
+		Content: e.content(), Parts: e.parts(), Server: lease.ID, Address: lease.Address, SentAt: e.attemptSentAt,
 		Route: e.route.GetName(), Tenant: e.tenant.GetName(),
 	}, cause)
 }
--- a/internal/router/recording.go
+++ b/internal/router/recording.go
@@ -8,6 +8,7 @@
 	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -44,7 +45,9 @@
 	}
 	if reason != "" {
 		fields["reason"] = reason
-		fields["content"] = e.content().String()
+		e.addContentFields(fields)
+	} else if parts := e.parts(); len(parts) > 0 {
+		fields["parts"] = fingerprint.Strings(parts)
 	}
 	decision.Default.Record(kind, e.info.ID, fields)
 }
@@ -74,7 +77,7 @@
 	fields := e.logFields()
 	fields["status"] = status
 	if e.sent > 0 {
-		fields["content"] = e.content().String()
+		e.addContentFields(fields)
 	}
 	fields["reason"] = failure.Message
 	fields["last_try"] = e.reason
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -100,6 +100,8 @@
 	item    string
 	server  string
 	content fingerprint.Fingerprint
+	// parts are the fingerprints of the parts of the item's prompt.
+	parts []fingerprint.Fingerprint
 }
 
 // executor runs the items of one shard while this store leads it. Its fields belong to one
--- a/internal/store/history.go
+++ b/internal/store/history.go
@@ -32,6 +32,9 @@
 	quarantinedUntil time.Time
 	// fingerprint is the fingerprint of the item's request, computed on first use.
 	fingerprint *fingerprint.Fingerprint
+	// parts are the fingerprints of the parts of the item's prompt at partsService.
+	parts        []fingerprint.Fingerprint
+	partsService string
 }
 
 // newHistory returns the history of an item without attempts by this leader.
--- a/internal/store/item.go
+++ b/internal/store/item.go
@@ -38,11 +38,13 @@
 
 // itemAttempt is one attempt to run an item on a server.
 type itemAttempt struct {
-	store       *Store
-	item        jobstore.OpenItem
-	history     *history
-	writer      output.Writer
-	lease       *router.Lease
+	store   *Store
+	item    jobstore.OpenItem
+	history *history
+	writer  output.Writer
+	lease   *router.Lease
+	// parts are the fingerprints of the parts of the item's prompt.
+	parts       []fingerprint.Fingerprint
 	route       string
 	maxAttempts int
 	// began is when the request was sent.
@@ -63,7 +65,7 @@
 // complete.
 func (a *itemAttempt) reportBroken(cause error) {
 	a.store.crashReporter.ConnectionLost(router.Attempt{
-		Content: a.content(), Server: a.lease.ID, Address: a.lease.Address, SentAt: a.began,
+		Content: a.content(), Parts: a.parts, Server: a.lease.ID, Address: a.lease.Address, SentAt: a.began,
 		Route: a.route, Tenant: a.item.Tenant, BatchItem: true,
 	}, cause)
 }
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"rockwind.example/rockwind/internal/decision"
+	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/store/claims"
@@ -57,6 +58,9 @@
 	}
 	if kind == decision.ItemReturned {
 		fields["content"] = r.content.String()
+		if len(r.parts) > 0 {
+			fields["parts"] = fingerprint.Strings(r.parts)
+		}
 	}
 	decision.Default.Record(kind, r.claim.Key().Job(), fields)
 }
--- a/internal/store/start.go
+++ b/internal/store/start.go
@@ -85,12 +85,12 @@
 	logStart(item, h, lease, e.allowedRegions(item), now)
 	attempt := &itemAttempt{
 		store: e.store, item: item, history: h, writer: h.output.NewWriterAt(h.failures, lease.Version),
-		lease: lease, route: route.GetName(), maxAttempts: max(1, int(route.GetAttempts())),
+		lease: lease, parts: e.partFingerprints(item, h, service), route: route.GetName(), maxAttempts: max(1, int(route.GetAttempts())),
 	}
 	go func() {
 		r := attempt.run(attemptCtx)
 		cancel(nil)
-		r.claim, r.item, r.server, r.content = claim, item.Item.GetId(), lease.ID, attempt.content()
+		r.claim, r.item, r.server, r.content, r.parts = claim, item.Item.GetId(), lease.ID, attempt.content(), attempt.parts
 		e.sendResult(ctx, r)
 	}()
 	return true
@@ -106,6 +106,19 @@
 	return facts.Parts
 }
 
+// partFingerprints returns the fingerprints of the parts of the item's prompt that other requests
+// to its service may share.
+func (e *executor) partFingerprints(item jobstore.OpenItem, h *history, service string) []fingerprint.Fingerprint {
+	if h.partsService == service {
+		return h.parts
+	}
+	h.partsService, h.parts = service, nil
+	if facts, err := e.store.protocol.ParseRequest(itemHeader(item)); err == nil {
+		h.parts = fingerprint.OfParts(service, facts.PartIDs)
+	}
+	return h.parts
+}
+
 // sendResult sends the result of an attempt to the executor's goroutine.
 func (e *executor) sendResult(ctx context.Context, r attemptResult) {
 	select {
