Hold prompt parts that crash servers

Callers saw 502 and broken streams of whichever requests ran on crashed servers, of one model server after the other. Cause: the quarantine counted crashes per whole content; requests that have one part of their prompts in common are new to it each time. Class: a bound kept for less than the thing that does harm. Change: the root group records the crashes of each shared part, what stood beside it, and the newest answered request with it (internal/quarantine/parts.go). blame.go holds a part by what an answer has not cleared, what other held parts do not explain, and in the company in which it always stood. Routers and stores refuse or keep waiting what holds a held part; one request at a time is let through as a trial that the coordinators grant, so that a wrong hold ends. Routers report answers with all parts of their requests. Replicas of the root group get reports of parts once all announce the feature level.

--- a/internal/command/quarantine_test.go
+++ b/internal/command/quarantine_test.go
@@ -42,6 +42,11 @@
 	return &rockwindpb.ReleaseContentResponse{Known: bytes.Equal(request.GetContent(), f.content.Bytes())}, nil
 }
 
+// ClaimTrial implements rockwindpb.QuarantineService.
+func (f fakeQuarantine) ClaimTrial(context.Context, *rockwindpb.ClaimTrialRequest) (*rockwindpb.ClaimTrialResponse, error) {
+	return nil, fault.ToTwirp(f.failure)
+}
+
 // addressOf starts a server for a coordinator and returns its address.
 func addressOf(t *testing.T, coordinator fakeQuarantine) string {
 	t.Helper()
--- a/internal/coordinator/maintenance.go
+++ b/internal/coordinator/maintenance.go
@@ -28,8 +28,8 @@
 )
 
 // runMaintenance announces this coordinator and relays server reports to the leader. On the leader
-// it marks silent servers, removes absent machines, founds the store cluster and resolves address
-// conflicts.
+// it marks silent servers, holds prompt parts that were not answered in time, removes absent machines,
+// founds the store cluster and resolves address conflicts.
 func (c *Coordinator) runMaintenance(ctx context.Context) {
 	var announced, leaderSince time.Time
 	for retry.Pause(ctx, maintenanceInterval) {
@@ -60,6 +60,7 @@
 		if leaderSince.IsZero() {
 			leaderSince = now
 		}
+		c.holdUnanswered(ctx, view, now)
 		c.liveness.takePending()
 		c.markSilent(ctx, view.directory, leaderSince, now)
 		c.removeSilentMachines(ctx, view.directory, leaderSince, now)
--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/apex/log"
+	"google.golang.org/protobuf/proto"
 
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/featurelevel"
 	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/quarantine"
 	"rockwind.example/rockwind/internal/rockwindpb"
@@ -90,6 +92,8 @@
 		return nil, err
 	}
 	_, known := view.quarantine.Suspect(content)
+	_, knownPart := view.quarantine.Part(content)
+	known = known || knownPart
 	command := &rockwindpb.QuarantineCommand{Command: &rockwindpb.QuarantineCommand_Release{
 		Release: &rockwindpb.ReleaseContentRequest{Content: content.Bytes()},
 	}}
@@ -100,6 +104,40 @@
 	return &rockwindpb.ReleaseContentResponse{Known: known}, nil
 }
 
+// ClaimTrial implements rockwindpb.QuarantineService.
+func (s quarantineService) ClaimTrial(ctx context.Context, request *rockwindpb.ClaimTrialRequest) (*rockwindpb.ClaimTrialResponse, error) {
+	elsewhere := func(ctx context.Context, base string) (*rockwindpb.ClaimTrialResponse, error) {
+		return s.coordinator.quarantineAt(base).ClaimTrial(ctx, request)
+	}
+	if s.coordinator.isNonMember() {
+		response, err := forward(ctx, s.coordinator, untilCommitted, elsewhere)
+		return response, fault.ToTwirp(err)
+	}
+	response, err := callOnLeader(ctx, s.coordinator, func() (*rockwindpb.ClaimTrialResponse, error) {
+		return s.coordinator.grantTrial(ctx, request)
+	}, elsewhere)
+	return response, fault.ToTwirp(err)
+}
+
+// grantTrial grants the trial of held parts to one claim; this coordinator must be the leader.
+func (c *Coordinator) grantTrial(ctx context.Context, request *rockwindpb.ClaimTrialRequest) (*rockwindpb.ClaimTrialResponse, error) {
+	_, view, err := c.currentState()
+	if err != nil {
+		return nil, err
+	}
+	if request.GetClaim() == "" || !view.quarantine.TrialDue(request.GetParts(), time.Now()) {
+		return &rockwindpb.ClaimTrialResponse{}, nil
+	}
+	if err := c.commitQuarantine(ctx, &rockwindpb.QuarantineCommand{Command: &rockwindpb.QuarantineCommand_Trial{Trial: request}}); err != nil {
+		return nil, err
+	}
+	_, machine, err := c.rootGroup()
+	if err != nil {
+		return nil, err
+	}
+	return &rockwindpb.ClaimTrialResponse{Granted: machine.view().quarantine.Claimed(request.GetParts(), request.GetClaim())}, nil
+}
+
 // commitQuarantineReport commits a report as the leader and records the resulting decisions. Answers
 // to unknown contents are dropped, since they change nothing.
 func (c *Coordinator) commitQuarantineReport(ctx context.Context, reported *rockwindpb.ReportQuarantineRequest) error {
@@ -107,8 +145,14 @@
 	if err != nil {
 		return err
 	}
-	report := &rockwindpb.ReportQuarantineRequest{Ends: reported.GetEnds(), Answered: knownContents(view.quarantine, reported.GetAnswered())}
-	if len(report.GetEnds())+len(report.GetAnswered()) == 0 {
+	report := &rockwindpb.ReportQuarantineRequest{
+		Ends: reported.GetEnds(), Answered: knownContents(view.quarantine, reported.GetAnswered()),
+		AnsweredParts: clearingAnswers(view.quarantine, reported.GetAnsweredParts(), time.Now()),
+	}
+	if !c.featureOpen(view, featurelevel.PromptParts) {
+		report = withoutParts(report)
+	}
+	if len(report.GetEnds())+len(report.GetAnswered())+len(report.GetAnsweredParts()) == 0 {
 		return nil
 	}
 	if err := c.commitQuarantine(ctx, &rockwindpb.QuarantineCommand{Command: &rockwindpb.QuarantineCommand_Report{Report: report}}); err != nil {
@@ -126,9 +170,51 @@
 			decision.Default.Record(decision.ContentCleared, content.String(), log.Fields{"reason": "a server answered it"})
 		}
 	}
+	for _, answer := range report.GetAnsweredParts() {
+		if part, ok := fingerprint.FromBytes(answer.GetPart()); ok && view.quarantine.ClearedBy(answer, time.Now()) {
+			record, _ := machine.view().quarantine.Part(part)
+			decision.Default.Record(decision.ContentCleared, part.String(), log.Fields{
+				"reason": "a server answered a request with this part", "sent_ms_ago": answer.GetSentMsAgo(), "crashes": len(record.GetCrashes()),
+			})
+		}
+	}
 	return nil
 }
 
+// holdUnanswered commits an empty report once a suspected part has not been answered in time, by which it
+// is held; this coordinator must be the leader.
+func (c *Coordinator) holdUnanswered(ctx context.Context, view *rootView, now time.Time) {
+	if !view.quarantine.HoldDue(now) {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, maintenanceCallTimeout)
+	defer cancel()
+	report := &rockwindpb.QuarantineCommand_Report{Report: &rockwindpb.ReportQuarantineRequest{}}
+	if err := c.commitQuarantine(callCtx, &rockwindpb.QuarantineCommand{Command: report}); err != nil {
+		log.WithError(err).Debug("failed to hold a suspected prompt part")
+	}
+}
+
+// clearingAnswers returns the answers if one of them clears crashes. The others are those to parts of the
+// same requests.
+func clearingAnswers(view *quarantine.View, answers []*rockwindpb.PartAnswer, now time.Time) []*rockwindpb.PartAnswer {
+	if !slices.ContainsFunc(answers, func(answer *rockwindpb.PartAnswer) bool { return view.ClearedBy(answer, now) }) {
+		return nil
+	}
+	return answers
+}
+
+// withoutParts returns a report without what coordinators of earlier versions do not apply: all
+// replicas of the root group must have the same state.
+func withoutParts(report *rockwindpb.ReportQuarantineRequest) *rockwindpb.ReportQuarantineRequest {
+	reduced := proto.CloneOf(report)
+	reduced.AnsweredParts = nil
+	for _, end := range reduced.GetEnds() {
+		end.Parts, end.PartAnsweredMsAgo = nil, nil
+	}
+	return reduced
+}
+
 // knownContents returns the encoded contents that the quarantine knows.
 func knownContents(view *quarantine.View, encoded [][]byte) [][]byte {
 	return slices.DeleteFunc(slices.Clone(encoded), func(each []byte) bool {
@@ -143,10 +229,8 @@
 
 // recordEnd records the end of a server under a content in the decision log.
 func recordEnd(view *quarantine.View, end *rockwindpb.ServerEnd) {
-	content, ok := fingerprint.FromBytes(end.GetContent())
-	if !ok {
-		return
-	}
+	// Without a content, only the parts are suspected.
+	content, _ := fingerprint.FromBytes(end.GetContent())
 	suspect, _ := view.Suspect(content)
 	fields := log.Fields{
 		"server": end.GetServer(), "route": end.GetRoute(), "tenant": end.GetTenant(), "item": end.GetItem(),
@@ -155,10 +239,32 @@
 	}
 	if len(end.GetParts()) > 0 {
 		fields["parts"] = hexStrings(end.GetParts())
+		addPartFields(fields, view, end.GetParts())
 	}
 	decision.Default.Record(decision.ServerEnded, content.String(), fields)
 }
 
+// addPartFields adds the crashes of each part, how long it is held and in which company.
+func addPartFields(fields log.Fields, view *quarantine.View, parts [][]byte) {
+	var crashes []int
+	held := make(map[string]string)
+	for _, encoded := range parts {
+		part, ok := fingerprint.FromBytes(encoded)
+		if !ok {
+			continue
+		}
+		record, _ := view.Part(part)
+		crashes = append(crashes, len(record.GetCrashes()))
+		if left := view.PartHeldFor(part, time.Now()); left > 0 {
+			held[part.String()] = left.String()
+		}
+	}
+	fields["part_crashes"] = crashes
+	if len(held) > 0 {
+		fields["held_parts"] = held
+	}
+}
+
 // hexStrings returns encoded fingerprints in hexadecimal.
 func hexStrings(encoded [][]byte) []string {
 	strings := make([]string, 0, len(encoded))
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -70,9 +70,10 @@
 	ServerEnded    Kind = "server ended under a request"
 	ContentCleared Kind = "content cleared"
 	// RequestHeld and ItemHeld: a request was refused or an item was not started, because its
-	// content is quarantined.
-	RequestHeld Kind = "request held"
-	ItemHeld    Kind = "item held"
+	// content or a part of its prompt is quarantined. RequestTried: it runs as a trial of its parts.
+	RequestHeld  Kind = "request held"
+	RequestTried Kind = "request tried although held"
+	ItemHeld     Kind = "item held"
 	// RunCopied: a run that must not run twice was copied to a second server. RunContinued: the
 	// first server ended and the run continues on the second one. RunLost: a copied run ended with
 	// its server.
--- a/internal/featurelevel/featurelevel.go
+++ b/internal/featurelevel/featurelevel.go
@@ -26,8 +26,10 @@
 	// JobMoves is the level of the commands that move jobs between shards. Stores ask each other for their levels,
 	// since those in the directory are not updated.
 	JobMoves uint32 = 4
+	// PromptParts is the level of the commands about parts of prompts in the quarantine.
+	PromptParts uint32 = 5
 	// Current is the level of this version.
-	Current = JobMoves
+	Current = PromptParts
 )
 
 // Levels is an immutable set of announced levels, safe for concurrent use. A nil Levels is empty.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,6 +1,6 @@
 // Package quarantine implements the state machine that records which requests were
-// running when servers crashed, by the fingerprint of their content, and decides
-// which contents are quarantined. It is part of the root group's state, so that it
+// running when servers crashed, by the fingerprints of their content and of the parts of their
+// prompts, and decides which contents and parts are quarantined. It is part of the root group's state, so that it
 // combines the reports of all routers and stores and survives their restarts. The
 // package is pure: time is part of the commands.
 //
@@ -15,6 +15,9 @@
 //     items of batch jobs. Such items are rerun immediately, so they may run beside the
 //     same crashing request several times.
 //
+// Parts of prompts are judged in blame.go: all requests of a server share parts with requests that
+// crash servers, so that the same evidence is weighed differently.
+//
 // Invariants:
 //   - a crash counts once per content, no matter who reports it and how often;
 //   - the number of records is bounded, and a content without new crashes expires;
@@ -62,13 +65,18 @@
 type Registry struct {
 	revision uint64
 	suspects map[fingerprint.Fingerprint]*rockwindpb.Suspect
+	parts    map[fingerprint.Fingerprint]*rockwindpb.SuspectPart
 	view     *View
+	// evaluated is the time of the last command, in Unix milliseconds.
+	evaluated int64
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	r := &Registry{suspects: make(map[fingerprint.Fingerprint]*rockwindpb.Suspect)}
-	r.publish(nil)
+	r := &Registry{
+		suspects: make(map[fingerprint.Fingerprint]*rockwindpb.Suspect), parts: make(map[fingerprint.Fingerprint]*rockwindpb.SuspectPart),
+	}
+	r.publish(&View{})
 	return r
 }
 
@@ -82,16 +90,24 @@
 	case *rockwindpb.QuarantineCommand_Report:
 		for _, crash := range content.Report.GetEnds() {
 			r.recordCrash(crash, now)
+			r.recordPartCrashes(crash, now)
 		}
 		for _, answered := range content.Report.GetAnswered() {
 			r.forget(answered)
 		}
+		for _, answered := range content.Report.GetAnsweredParts() {
+			r.recordPartAnswer(answered, now)
+		}
 	case *rockwindpb.QuarantineCommand_Release:
-		r.forget(content.Release.GetContent())
+		r.release(content.Release.GetContent())
+	case *rockwindpb.QuarantineCommand_Trial:
+		r.grantTrial(content.Trial, now)
 	}
 	r.dropExpired(now)
 	r.evictSurplus()
-	r.publish(r.view.notices)
+	r.dropExpiredParts(now)
+	r.evaluated = now
+	r.publish(r.view)
 }
 
 // recordCrash records the crash of a server that ran a content.
@@ -123,6 +139,14 @@
 	}
 }
 
+// release forgets what is known of a content or of a part.
+func (r *Registry) release(encoded []byte) {
+	r.forget(encoded)
+	if part, ok := fingerprint.FromBytes(encoded); ok {
+		delete(r.parts, part)
+	}
+}
+
 // dropExpired deletes contents without recent crashes.
 func (r *Registry) dropExpired(now int64) {
 	maps.DeleteFunc(r.suspects, func(_ fingerprint.Fingerprint, suspect *rockwindpb.Suspect) bool {
@@ -161,19 +185,37 @@
 	return len(suspect.GetServers()) >= crashesToHold && suspect.GetLater()
 }
 
-// publish replaces the view. It increases the revision if the notices differ from the given
-// ones.
-func (r *Registry) publish(previous []notice) {
-	notices := noticesOf(r.suspects)
-	if !slices.Equal(previous, notices) {
+// publish replaces the view. It increases the revision if the notices differ from those of the
+// previous one.
+func (r *Registry) publish(previous *View) {
+	partNotices, nextHold := judgeParts(r.parts, r.evaluated)
+	notices := noticesOf(r.suspects, r.attributedToParts(partNotices))
+	if !slices.Equal(previous.notices, notices) || !slices.EqualFunc(previous.partNotices, partNotices, partNotice.equal) {
 		r.revision++
 	}
-	r.view = &View{revision: r.revision, suspects: maps.Clone(r.suspects), notices: notices}
+	r.view = &View{
+		revision: r.revision, suspects: maps.Clone(r.suspects), notices: notices, parts: maps.Clone(r.parts), partNotices: partNotices,
+		nextHold: nextHold,
+	}
+}
+
+// attributedToParts returns the servers whose crashes are attributed to a held part.
+func (r *Registry) attributedToParts(notices []partNotice) map[string]bool {
+	attributed := make(map[string]bool)
+	for _, each := range notices {
+		if each.heldUntil == 0 {
+			continue
+		}
+		for _, crash := range r.parts[each.part].GetCrashes() {
+			attributed[crash.GetServer()] = true
+		}
+	}
+	return attributed
 }
 
 // Save returns the whole state in a fixed order.
 func (r *Registry) Save() *rockwindpb.QuarantineSnapshot {
-	return &rockwindpb.QuarantineSnapshot{Revision: r.revision, Suspects: sortedByCrashes(r.suspects)}
+	return &rockwindpb.QuarantineSnapshot{Revision: r.revision, Suspects: sortedByCrashes(r.suspects), Parts: sortedParts(r.parts), EvaluatedUnixMs: r.evaluated}
 }
 
 // Load replaces the whole state with one returned by Save.
@@ -184,6 +226,15 @@
 			r.suspects[content] = suspect
 		}
 	}
+	r.parts = make(map[fingerprint.Fingerprint]*rockwindpb.SuspectPart, len(snapshot.GetParts()))
+	for _, record := range snapshot.GetParts() {
+		if part, ok := fingerprint.FromBytes(record.GetPart()); ok {
+			r.parts[part] = record
+		}
+	}
+	r.evaluated = snapshot.GetEvaluatedUnixMs()
+	r.publish(&View{})
+	// The same state has the same revision in all replicas.
 	r.revision = snapshot.GetRevision()
-	r.publish(noticesOf(r.suspects))
+	r.view.revision = r.revision
 }
--- a/internal/quarantine/unreported.go
+++ b/internal/quarantine/unreported.go
@@ -16,10 +16,12 @@
 type Unreported struct {
 	registry *Registry
 	pending  int
+	// list is made from the registry.
+	list *List
 }
 
 // NewUnreported returns an empty Unreported.
-func NewUnreported() *Unreported { return &Unreported{registry: New()} }
+func NewUnreported() *Unreported { return &Unreported{registry: New(), list: &List{}} }
 
 // RecordCrash records the crash of a server while it ran a request that started the given
 // time ago.
@@ -36,17 +38,33 @@
 	u.apply(&rockwindpb.ReportQuarantineRequest{Answered: [][]byte{content.Bytes()}}, now)
 }
 
+// RecordPartAnswers records that servers answered requests with the given parts.
+func (u *Unreported) RecordPartAnswers(answers []*rockwindpb.PartAnswer, now time.Time) {
+	u.pending++
+	u.apply(&rockwindpb.ReportQuarantineRequest{AnsweredParts: answers}, now)
+}
+
+// List returns what the observations hold. The list is immutable.
+func (u *Unreported) List(now time.Time) *List {
+	if u.registry.View().HoldDue(now) {
+		u.apply(&rockwindpb.ReportQuarantineRequest{}, now)
+	}
+	return u.list
+}
+
 func (u *Unreported) apply(report *rockwindpb.ReportQuarantineRequest, now time.Time) {
 	u.registry.Apply(&rockwindpb.QuarantineCommand{
 		NowUnixMs: now.UnixMilli(), Command: &rockwindpb.QuarantineCommand_Report{Report: report},
 	})
+	view := u.registry.View()
+	u.list = NewList(view.Revision(), view.Notices(now), now)
 }
 
 // MarkReported records that the given number of observations were reported or dropped.
 func (u *Unreported) MarkReported(count int) {
 	u.pending = max(0, u.pending-count)
 	if u.pending == 0 {
-		u.registry = New()
+		u.registry, u.list = New(), &List{}
 	}
 }
 
--- a/internal/router/continuation.go
+++ b/internal/router/continuation.go
@@ -98,10 +98,10 @@
 	gap       bool
 }
 
-// mayCopy reports whether the request benefits from a copy: it must not run twice, and its
-// servers support copies.
+// mayCopy reports whether the request benefits from a copy: it must not run twice, its servers support
+// copies, and it is no trial of a part that may crash the second server as well.
 func (e *exchange) mayCopy() bool {
-	if e.repeatable() || e.sent > 0 || e.route.GetKind() != rockwindpb.RouteKind_ROUTE_KIND_STREAM || !e.router.gates.On(featuregate.Continuation) {
+	if e.trial || e.repeatable() || e.sent > 0 || e.route.GetKind() != rockwindpb.RouteKind_ROUTE_KIND_STREAM || !e.router.gates.On(featuregate.Continuation) {
 		return false
 	}
 	service, found := e.router.watcher.Configuration().Service(e.service)
--- a/internal/router/crashreporter.go
+++ b/internal/router/crashreporter.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -11,6 +12,7 @@
 
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fingerprint"
+	"rockwind.example/rockwind/internal/quarantine"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/site"
 	"rockwind.example/rockwind/internal/upstream"
@@ -59,6 +61,9 @@
 	checkSlots      chan struct{}
 	stopped         chan struct{}
 	answers         *recentAnswers
+	partAnswers     *quarantine.PartAnswers
+	// trialClaims holds the claim of a trial that is being made.
+	trialClaims chan struct{}
 }
 
 // NewCrashReporter returns a reporter that probes servers with the given client and identifies
@@ -68,12 +73,16 @@
 		watcher: watcher, client: client, reporter: site.NewQuarantineReporter(watcher), identifier: site.HTTPIdentifier(protocol.IdentityHeaders()),
 		observeCold: dispatcher.ObserveCold,
 		checkSlots:  make(chan struct{}, maxChecks), stopped: make(chan struct{}), answers: newRecentAnswers(time.Now()),
+		partAnswers: quarantine.NewPartAnswers(time.Now()), trialClaims: make(chan struct{}, 1),
 	}
 }
 
 // Run sends reports until the context ends. It may be called only once.
 func (r *CrashReporter) Run(ctx context.Context) {
 	defer close(r.stopped)
+	var answers sync.WaitGroup
+	defer answers.Wait()
+	answers.Go(func() { r.reportKnownAnswers(ctx) })
 	r.reporter.Run(ctx)
 }
 
@@ -107,17 +116,34 @@
 	}
 	go func() {
 		defer func() { <-r.checkSlots }()
-		// The check may take seconds. A response to the same fingerprint before or since shows
-		// that the request is harmless.
-		if r.serverCrashed(attempt) && !r.answers.has(attempt.Content, time.Now()) {
-			r.reporter.ReportCrash(&rockwindpb.ServerEnd{
-				Content: attempt.Content.Bytes(), Parts: fingerprint.BytesOf(attempt.Parts), Server: attempt.Server,
-				Route: attempt.Route, Tenant: attempt.Tenant, Item: attempt.BatchItem,
-			}, attempt.SentAt)
+		if r.serverCrashed(attempt) {
+			r.reportCrash(attempt)
 		}
 	}()
 }
 
+// reportCrash reports that the server of an attempt crashed. The check may have taken seconds: a response
+// to the same content before or since shows that the request is harmless, and is needed no more.
+// Responses to its parts are reported with the crash.
+func (r *CrashReporter) reportCrash(attempt Attempt) {
+	now := time.Now()
+	end := &rockwindpb.ServerEnd{
+		Content: attempt.Content.Bytes(), Parts: fingerprint.BytesOf(attempt.Parts), Server: attempt.Server,
+		Route: attempt.Route, Tenant: attempt.Tenant, Item: attempt.BatchItem,
+	}
+	if r.answers.has(attempt.Content, now) {
+		if len(attempt.Parts) == 0 {
+			return
+		}
+		end.Content = nil
+	}
+	var answeredAt []time.Time
+	for _, part := range attempt.Parts {
+		answeredAt = append(answeredAt, r.partAnswers.LastSent(part, now))
+	}
+	r.reporter.ReportCrash(end, attempt.SentAt, answeredAt)
+}
+
 // timedOut reports whether a connection failed by a local timeout.
 func timedOut(cause error) bool {
 	var failure *upstream.AttemptError
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -100,6 +100,8 @@
 	// promptParts are the fingerprints of the parts of the prompt, once partsKnown is set.
 	promptParts []fingerprint.Fingerprint
 	partsKnown  bool
+	// trial is set once the request may be sent to one server although its parts are held.
+	trial bool
 	// attemptSentAt is when the last attempt was sent.
 	attemptSentAt time.Time
 	// begun is set once an event was relayed. origin is what is known of the server that sent the first event of
@@ -148,7 +150,7 @@
 	defer cancel()
 	e.client = clientconn.FromContext(ctx)
 	e.client.BeginRequest(e.info.ID, e.deadline)
-	if refusal := e.quarantined(); refusal != nil {
+	if refusal := e.quarantined(); refusal != nil && !e.claimTrial(ctx) {
 		e.recordQuarantined(refusal)
 		writeErrorStatus(e.writer, refusal.Kind.HTTPStatus(), refusal)
 		return
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"context"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -8,6 +10,7 @@
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/fingerprint"
+	"rockwind.example/rockwind/internal/quarantine"
 )
 
 // content returns the fingerprint of the request, which is the same when a client retries it.
@@ -37,23 +40,51 @@
 	}
 }
 
-// quarantined returns the refusal of a request whose fingerprint is quarantined, or nil if it may
-// run.
+// quarantined returns the refusal of a request whose content, or a part of whose prompt, is
+// quarantined, or nil if it may run.
 func (e *exchange) quarantined() *fault.Fault {
-	remaining := e.router.crashes.QuarantinedFor(e.content)
-	if remaining == 0 {
+	if remaining := e.router.crashes.QuarantinedFor(e.content); remaining > 0 {
+		return contentFault(e.content(), remaining)
+	}
+	if e.trial && e.sent == 0 {
+		return nil
+	}
+	held := e.router.crashes.HeldParts(e.parts())
+	if held.For == 0 {
 		return nil
 	}
-	return quarantineFault(e.content(), remaining)
+	return partFault(held)
+}
+
+// claimTrial claims that the request may be sent although its parts are held, and reports whether it may.
+func (e *exchange) claimTrial(ctx context.Context) bool {
+	held := e.router.crashes.HeldParts(e.parts())
+	e.trial = e.router.crashes.ClaimTrial(ctx, held, e.info.ID)
+	if !e.trial || e.quarantined() != nil {
+		return false
+	}
+	fields := e.logFields()
+	e.addContentFields(fields)
+	fields["held_parts"] = fingerprint.Strings(held.Parts)
+	decision.Default.Record(decision.RequestTried, e.info.ID, fields)
+	return true
 }
 
-// quarantineFault returns the refusal of a quarantined fingerprint.
-func quarantineFault(content fingerprint.Fingerprint, remaining time.Duration) *fault.Fault {
+// contentFault returns the refusal of a request whose content is quarantined.
+func contentFault(content fingerprint.Fingerprint, remaining time.Duration) *fault.Fault {
 	return fault.Newf(fault.Quarantined, "change the request; an operator can release its content, "+content.String(),
 		"servers crashed while running this request, so it is not sent to another server for now").
 		WithRan(fault.NotRun).WithRetryAfter(remaining)
 }
 
+// partFault returns the refusal of a request with quarantined parts.
+func partFault(held quarantine.HeldParts) *fault.Fault {
+	parts := strings.Join(fingerprint.Strings(held.Parts), ", ")
+	return fault.Newf(fault.Quarantined, "change the prompt; an operator can release its part, "+parts,
+		"servers crashed while running requests with a part of this prompt, so it is not sent to another server for now").
+		WithRan(fault.NotRun).WithRetryAfter(held.For)
+}
+
 // recordQuarantined records that the request was refused because of a quarantine.
 func (e *exchange) recordQuarantined(refusal *fault.Fault) {
 	e.recordMetrics(decision.RequestHeld)
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -63,6 +63,9 @@
 func (e *exchange) finish(lease *Lease, response *upstream.Response, latency time.Duration) {
 	response.Finish()
 	e.router.crashes.Answered(e.content())
+	if response.Status < http.StatusBadRequest {
+		e.router.crashes.PartsAnswered(e.parts(), e.attemptSentAt)
+	}
 	e.recordRunDuration()
 	outcome := health.Success
 	if response.Status >= http.StatusInternalServerError {
--- a/internal/site/reporter.go
+++ b/internal/site/reporter.go
@@ -43,12 +43,16 @@
 	unreported *quarantine.Unreported
 }
 
-// observation is the end of a server, or the answer to a suspected request if end is nil.
+// observation is the end of a server, the answers to suspected parts of prompts, or the answer to a
+// suspected request if neither is set.
 type observation struct {
-	end        *rockwindpb.ServerEnd
-	startedAt  time.Time
-	answered   fingerprint.Fingerprint
-	observedAt time.Time
+	end       *rockwindpb.ServerEnd
+	startedAt time.Time
+	// partAnsweredAt holds for each part of end when the newest answered request with it was sent.
+	partAnsweredAt []time.Time
+	answeredParts  []quarantine.PartAnswer
+	answered       fingerprint.Fingerprint
+	observedAt     time.Time
 }
 
 // NewQuarantineReporter returns a reporter to the coordinators that the watcher knows.
@@ -79,9 +83,33 @@
 }
 
 // ReportCrash reports that a server ended while it ran a request that was sent at the given time.
-// BeganMsAgo is set when the report is sent.
-func (r *QuarantineReporter) ReportCrash(end *rockwindpb.ServerEnd, startedAt time.Time) {
-	r.add(observation{end: end, startedAt: startedAt, observedAt: time.Now()})
+// partAnsweredAt holds for each part of the prompt when the newest answered request with it was sent,
+// zero if none is known. The ages are set when the report is sent.
+func (r *QuarantineReporter) ReportCrash(end *rockwindpb.ServerEnd, startedAt time.Time, partAnsweredAt []time.Time) {
+	r.add(observation{end: end, startedAt: startedAt, partAnsweredAt: partAnsweredAt, observedAt: time.Now()})
+}
+
+// ReportPartAnswers reports that servers answered requests with suspected parts.
+func (r *QuarantineReporter) ReportPartAnswers(answers []quarantine.PartAnswer) {
+	r.add(observation{answeredParts: answers, observedAt: time.Now()})
+}
+
+// Unreported returns what the observations that no coordinator has accepted hold.
+func (r *QuarantineReporter) Unreported() *quarantine.List {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.unreported.List(time.Now())
+}
+
+// ClaimTrial asks the coordinators to let one request with the given held parts through.
+func (r *QuarantineReporter) ClaimTrial(ctx context.Context, parts []fingerprint.Fingerprint, claim string) (granted bool, err error) {
+	err = r.watcher.callCoordinators(ctx, func(callCtx context.Context, address string) error {
+		service := rockwindpb.NewQuarantineServiceProtobufClient("http://"+address, twirphttp.Client{HTTPClient: r.watcher.client})
+		response, err := service.ClaimTrial(callCtx, &rockwindpb.ClaimTrialRequest{Parts: fingerprint.BytesOf(parts), Claim: claim})
+		granted = response.GetGranted()
+		return err
+	})
+	return granted && err == nil, err
 }
 
 // ReportAnswer reports that a server answered a suspected request.
@@ -92,11 +120,15 @@
 func (r *QuarantineReporter) add(observed observation) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	// Run sets end.BeganMsAgo, so end must be read before it is queued.
-	if observed.end == nil {
-		r.unreported.RecordAnswer(observed.answered, observed.observedAt)
-	} else {
+	// Run sets the ages of end, so end must be read before it is queued.
+	switch {
+	case observed.end != nil:
+		observed.setAges(observed.observedAt)
 		r.unreported.RecordCrash(observed.end, observed.observedAt.Sub(observed.startedAt), observed.observedAt)
+	case observed.answeredParts != nil:
+		r.unreported.RecordPartAnswers(partAnswers(observed.answeredParts, observed.observedAt), observed.observedAt)
+	default:
+		r.unreported.RecordAnswer(observed.answered, observed.observedAt)
 	}
 	select {
 	case r.queue <- observed:
@@ -182,12 +214,37 @@
 func newReport(observations []observation, now time.Time) *rockwindpb.ReportQuarantineRequest {
 	report := &rockwindpb.ReportQuarantineRequest{}
 	for _, each := range observations {
-		if each.end == nil {
+		switch {
+		case each.end != nil:
+			each.setAges(now)
+			report.Ends = append(report.Ends, each.end)
+		case each.answeredParts != nil:
+			report.AnsweredParts = append(report.AnsweredParts, partAnswers(each.answeredParts, now)...)
+		default:
 			report.Answered = append(report.Answered, each.answered.Bytes())
-			continue
 		}
-		each.end.BeganMsAgo = uint64(max(0, now.Sub(each.startedAt).Milliseconds()))
-		report.Ends = append(report.Ends, each.end)
 	}
 	return report
 }
+
+// setAges sets the ages of an end at the given time.
+func (o observation) setAges(now time.Time) {
+	o.end.BeganMsAgo = uint64(max(0, now.Sub(o.startedAt).Milliseconds()))
+	o.end.PartAnsweredMsAgo = nil
+	for _, at := range o.partAnsweredAt {
+		age := uint64(0)
+		if !at.IsZero() {
+			age = uint64(max(1, now.Sub(at).Milliseconds()))
+		}
+		o.end.PartAnsweredMsAgo = append(o.end.PartAnsweredMsAgo, age)
+	}
+}
+
+// partAnswers returns answers with their ages at the given time.
+func partAnswers(answers []quarantine.PartAnswer, now time.Time) []*rockwindpb.PartAnswer {
+	encoded := make([]*rockwindpb.PartAnswer, 0, len(answers))
+	for _, each := range answers {
+		encoded = append(encoded, &rockwindpb.PartAnswer{Part: each.Part.Bytes(), SentMsAgo: uint64(max(0, now.Sub(each.SentAt).Milliseconds()))})
+	}
+	return encoded
+}
--- a/internal/site/reporter_test.go
+++ b/internal/site/reporter_test.go
@@ -58,7 +58,7 @@
 		coordinator := &quarantineCoordinator{}
 		reporter, stop := startReporter(t, network, coordinator)
 		began := time.Now()
-		reporter.ReportCrash(&rockwindpb.ServerEnd{Content: make([]byte, 16), Server: "crashed", Route: "once"}, began)
+		reporter.ReportCrash(&rockwindpb.ServerEnd{Content: make([]byte, 16), Server: "crashed", Route: "once"}, began, nil)
 		time.Sleep(time.Second)
 		synctest.Wait()
 		if len(coordinator.received) != 1 || coordinator.received[0].Sub(began) > maxDelay {
@@ -80,7 +80,7 @@
 			return reporter.QuarantinedFor(func() fingerprint.Fingerprint { return content }, time.Now())
 		}
 		for _, server := range []string{"a", "b", "c"} {
-			reporter.ReportCrash(&rockwindpb.ServerEnd{Content: content.Bytes(), Server: server, Route: "once"}, time.Now())
+			reporter.ReportCrash(&rockwindpb.ServerEnd{Content: content.Bytes(), Server: server, Route: "once"}, time.Now(), nil)
 			time.Sleep(100 * time.Millisecond)
 		}
 		crashed := time.Now()
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -149,6 +149,8 @@
 	lapsedAt time.Time
 	lastDrop time.Time
 	moves    jobMoves
+	// trial is the last claim of an item whose parts are held; nil if there is none.
+	trial *itemTrial
 }
 
 func (e *executor) run(ctx context.Context) {
--- a/internal/store/item.go
+++ b/internal/store/item.go
@@ -189,6 +189,7 @@
 			a.writer.Add(upstream.Events(splitter.Rest()))
 			response.Finish()
 			a.store.crashReporter.Answered(a.content())
+			a.store.crashReporter.PartsAnswered(a.parts, a.began)
 			a.lease.Done(health.Success, latency)
 			return attemptResult{outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DONE, history: a.history}
 		default:
--- a/internal/store/start.go
+++ b/internal/store/start.go
@@ -29,7 +29,7 @@
 		e.giveUp(item, h, reason)
 		return true
 	}
-	if status != routeFound || e.quarantined(item, h, now) {
+	if status != routeFound || e.quarantined(item, route, h, now) {
 		return true
 	}
 	return e.start(ctx, item, route, h, now)
@@ -143,20 +143,3 @@
 	}
 	decision.Default.Record(decision.ItemStarted, item.Job, fields)
 }
-
-// quarantined reports whether the item must wait because servers failed while running the same
-// content. It logs the start of a quarantine.
-func (e *executor) quarantined(item jobstore.OpenItem, h *history, now time.Time) bool {
-	remaining := e.store.crashReporter.QuarantinedFor(func() fingerprint.Fingerprint { return h.content(item) })
-	if remaining == 0 {
-		h.quarantined, h.quarantinedUntil = false, time.Time{}
-		return false
-	}
-	if !h.quarantined {
-		decision.Default.Record(decision.ItemHeld, item.Job, log.Fields{
-			"item": item.Index, "item_id": item.Item.GetId(), "content": h.content(item).String(), "held_ms": remaining.Milliseconds(),
-		})
-	}
-	h.quarantined, h.quarantinedUntil = true, now.Add(remaining)
-	return true
-}
--- a/internal/traffic/call.go
+++ b/internal/traffic/call.go
@@ -75,6 +75,7 @@
 	"QuarantineService/Report":          Quarantine,
 	"QuarantineService/List":            Quarantine,
 	"QuarantineService/Release":         Quarantine,
+	"QuarantineService/ClaimTrial":      Quarantine,
 	"ZoneDrainService/Start":            ZoneDrains,
 	"ZoneDrainService/End":              ZoneDrains,
 	"ZoneDrainService/List":             ZoneDrains,
