Refuse waiting requests once they are held

Cause: a request that waits for a server was asked whether it is held before and after the wait only. With all servers busy, or crashed, it waited for half of its time for a refusal that was certain. Held parts are refused with the time of the next trial as Retry-After, spread, instead of the rest of the hold.

--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -103,7 +103,8 @@
 	For time.Duration
 	// Parts are its held parts.
 	Parts []fingerprint.Fingerprint
-	// TrialDue is set if it may be sent as a trial.
+	// TrialIn is after which time it may be sent as a trial, and TrialDue is set if it may be now.
+	TrialIn  time.Duration
 	TrialDue bool
 }
 
@@ -111,7 +112,7 @@
 // process knows an answer to a request with a part that was sent later than the given time; such a
 // part is not held. It may be nil.
 func (l *List) HeldParts(parts []fingerprint.Fingerprint, answeredSince func(part fingerprint.Fingerprint, since time.Time) bool, now time.Time) HeldParts {
-	held := HeldParts{TrialDue: true}
+	var held HeldParts
 	if l == nil || len(l.parts) == 0 {
 		return HeldParts{}
 	}
@@ -122,11 +123,12 @@
 		}
 		held.For = max(held.For, known.heldUntil.Sub(now))
 		held.Parts = append(held.Parts, part)
-		held.TrialDue = held.TrialDue && !now.Before(known.trialAt)
+		held.TrialIn = max(held.TrialIn, known.trialAt.Sub(now))
 	}
 	if len(held.Parts) == 0 {
 		return HeldParts{}
 	}
+	held.TrialDue = held.TrialIn == 0
 	return held
 }
 
--- a/internal/quarantine/partsimulation_test.go
+++ b/internal/quarantine/partsimulation_test.go
@@ -215,7 +215,7 @@
 	held := router.list.HeldParts(request.parts, answeredSince, s.now)
 	if held.For == 0 {
 		held = router.unreported.List(s.now).HeldParts(request.parts, answeredSince, s.now)
-		held.TrialDue = false
+		held.TrialIn, held.TrialDue = held.For, false
 	}
 	switch {
 	case held.For == 0:
--- a/internal/router/crashreporter.go
+++ b/internal/router/crashreporter.go
@@ -277,5 +277,11 @@
 	}
 }
 
+// QuarantinesAny reports whether any content or part may be quarantined.
+func (r *CrashReporter) QuarantinesAny() bool {
+	unreported := r.reporter.Unreported()
+	return !r.watcher.Quarantine().Empty() || r.watcher.Quarantine().SuspectsParts() || !unreported.Empty() || unreported.SuspectsParts()
+}
+
 // QuarantinedCount counts the quarantined fingerprints known here.
 func (r *CrashReporter) QuarantinedCount() int { return r.watcher.Quarantine().Quarantined(time.Now()) }
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -163,6 +163,7 @@
 		return nil
 	})
 	group.Go(func() error { router.crashes.Run(background); return nil })
+	group.Go(func() error { router.refuseHeldWaiting(background); return nil })
 	group.Go(func() error { return router.dispatcher.ShareLoads(background, settings) })
 	group.Go(func() error {
 		router.dispatcher.Survey(background, settings, router.watcher, router.protocol, router.client)
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -201,6 +201,8 @@
 // acquire waits for a server with capacity.
 func (e *exchange) acquire(ctx context.Context) (*Lease, error) {
 	asked := time.Now()
+	ctx, endWait := e.router.waiting.add(ctx, &waitingRequest{parts: e.parts(), content: e.contentOnce(), trial: e.trial && e.sent == 0})
+	defer endWait()
 	lease, err := e.router.dispatcher.Acquire(ctx, e.acquireRequest())
 	for err == nil && !e.allowedRegions().Allows(lease.Region) {
 		// The configuration has changed since the server was assigned.
@@ -210,6 +212,9 @@
 	}
 	e.waited += time.Since(asked)
 	if err != nil {
+		if held := heldWhileWaiting(ctx); held != nil {
+			return nil, held
+		}
 		return nil, err
 	}
 	if refusal := e.quarantined(); refusal != nil {
--- a/internal/router/promptparts.go
+++ b/internal/router/promptparts.go
@@ -31,7 +31,7 @@
 	}
 	// Without a coordinator nobody grants trials.
 	held = r.reporter.Unreported().HeldParts(parts, answeredSince, now)
-	held.TrialDue = false
+	held.TrialIn, held.TrialDue = held.For, false
 	return held
 }
 
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -13,6 +15,10 @@
 	"rockwind.example/rockwind/internal/quarantine"
 )
 
+// minTrialRetryAfter is the shortest time after which the client of a held request is asked to come back, since
+// the result of a trial that is being made takes as long.
+const minTrialRetryAfter = 2 * time.Second
+
 // content returns the fingerprint of the request, which is the same when a client retries it.
 func (e *exchange) content() fingerprint.Fingerprint {
 	if e.fingerprint == nil {
@@ -24,6 +30,19 @@
 	return *e.fingerprint
 }
 
+// contentOnce returns a function that computes the content once and may be called by other goroutines
+// while the request waits.
+func (e *exchange) contentOnce() func() fingerprint.Fingerprint {
+	if e.fingerprint != nil {
+		known := *e.fingerprint
+		return func() fingerprint.Fingerprint { return known }
+	}
+	content := fingerprint.Content{
+		Tenant: e.tenant.GetName(), Method: e.request.Method, Host: e.request.Host, Target: e.request.Path, Body: e.request.Body,
+	}
+	return sync.OnceValue(func() fingerprint.Fingerprint { return fingerprint.Of(content) })
+}
+
 // parts returns the fingerprints of the parts of the prompt that other requests may share.
 func (e *exchange) parts() []fingerprint.Fingerprint {
 	if !e.partsKnown {
@@ -80,9 +99,12 @@
 // partFault returns the refusal of a request with quarantined parts.
 func partFault(held quarantine.HeldParts) *fault.Fault {
 	parts := strings.Join(fingerprint.Strings(held.Parts), ", ")
+	// The hold may end with the next trial. Spread times to come back keep one trial from drawing all callers.
+	untilTrial := max(held.TrialIn, minTrialRetryAfter)
+	retryAfter := min(held.For, untilTrial+rand.N(untilTrial/2))
 	return fault.Newf(fault.Quarantined, "change the prompt; an operator can release its part, "+parts,
 		"servers crashed while running requests with a part of this prompt, so it is not sent to another server for now").
-		WithRan(fault.NotRun).WithRetryAfter(held.For)
+		WithRan(fault.NotRun).WithRetryAfter(retryAfter)
 }
 
 // recordQuarantined records that the request was refused because of a quarantine.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -44,6 +44,7 @@
 	client      *upstream.Client
 	crashes     *CrashReporter
 	copyPlanner *copyPlanner
+	waiting     waitingRequests
 	protocol    Protocol
 	jobs        *jobclient.Client
 	timeouts    routeTimeouts
