Share crashes under prompt parts while the root group has no leader

Callers saw servers crash on and on: each router sees one crash of a part only, and holds nothing by itself. Cause: reports wait for a leader, and until then each process decides by its own observations. Reports say how long ago the crash was noticed, so that a report that waited keeps the order of the crashes. Processes that never saw a prompt with parts exchange nothing.

--- a/internal/command/quarantine_test.go
+++ b/internal/command/quarantine_test.go
@@ -47,6 +47,11 @@
 	return nil, fault.ToTwirp(f.failure)
 }
 
+// ShareUnreported implements rockwindpb.QuarantineService.
+func (f fakeQuarantine) ShareUnreported(context.Context, *rockwindpb.ShareUnreportedRequest) (*rockwindpb.ShareUnreportedResponse, error) {
+	return nil, fault.ToTwirp(f.failure)
+}
+
 // addressOf starts a server for a coordinator and returns its address.
 func addressOf(t *testing.T, coordinator fakeQuarantine) string {
 	t.Helper()
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -65,6 +65,8 @@
 	follower rootFollower
 	// watchers is the number of directory watches in progress.
 	watchers atomic.Int64
+	// unreported is what processes share while the root group has no leader.
+	unreported unreportedShare
 	// wasUpToDate is set once this coordinator has been up to date with its leader since its start.
 	wasUpToDate atomic.Bool
 }
--- a/internal/coordinator/quarantine.go
+++ b/internal/coordinator/quarantine.go
@@ -210,7 +210,7 @@
 	reduced := proto.CloneOf(report)
 	reduced.AnsweredParts = nil
 	for _, end := range reduced.GetEnds() {
-		end.Parts, end.PartAnsweredMsAgo = nil, nil
+		end.Parts, end.PartAnsweredMsAgo, end.EndedMsAgo = nil, nil, 0
 	}
 	return reduced
 }
--- a/internal/quarantine/blame.go
+++ b/internal/quarantine/blame.go
@@ -89,7 +89,7 @@
 	if !isHeld {
 		return created
 	}
-	last := lastCrash(record).GetReportedUnixMs()
+	last := lastCrash(record).GetKnownUnixMs()
 	backoff := trialBackoff[min(int(record.GetTrials()), len(trialBackoff)-1)]
 	created.heldUntil = last + HoldDuration.Milliseconds()
 	created.trialAt = max(last, record.GetTrialUnixMs()) + backoff.Milliseconds()
@@ -101,7 +101,7 @@
 func isCandidate(record *rockwindpb.SuspectPart) bool {
 	crashes := record.GetCrashes()
 	return len(crashes) >= crashesToHold && slices.ContainsFunc(crashes[1:], func(crash *rockwindpb.PartCrash) bool {
-		return crash.GetBeganUnixMs() >= crashes[0].GetReportedUnixMs()
+		return crash.GetBeganUnixMs() >= crashes[0].GetKnownUnixMs()
 	})
 }
 
@@ -149,7 +149,7 @@
 // answer took.
 func graceEnd(record *rockwindpb.SuspectPart) int64 {
 	grace := min(maxAnswerGrace.Milliseconds(), max(minAnswerGrace.Milliseconds(), 2*record.GetAnswerAgeMs()))
-	return record.GetCrashes()[0].GetReportedUnixMs() + grace
+	return record.GetCrashes()[0].GetKnownUnixMs() + grace
 }
 
 // unexplained counts the crashes of a part that no held part explains. A part that was answered does
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -60,7 +60,7 @@
 	began := now - int64(crash.GetBeganMsAgo())
 	place := slices.IndexFunc(record.Crashes, func(known *rockwindpb.PartCrash) bool { return known.GetServer() == crash.GetServer() })
 	if place < 0 {
-		record.Crashes = append(record.Crashes, &rockwindpb.PartCrash{Server: crash.GetServer(), BeganUnixMs: began, ReportedUnixMs: now})
+		record.Crashes = append(record.Crashes, &rockwindpb.PartCrash{Server: crash.GetServer(), BeganUnixMs: began, KnownUnixMs: knownAt(crash, now)})
 		if surplus := len(record.Crashes) - maxPartCrashes; surplus > 0 {
 			record.Crashes = slices.Delete(record.Crashes, 0, surplus)
 		}
@@ -136,9 +136,9 @@
 		case crashes == 0:
 			return now-record.GetAnsweredUnixMs() > answeredTTL.Milliseconds()
 		case crashes >= crashesToHold:
-			return now-lastCrash(record).GetReportedUnixMs() > confirmedTTL.Milliseconds()
+			return now-lastCrash(record).GetKnownUnixMs() > confirmedTTL.Milliseconds()
 		}
-		return now-lastCrash(record).GetReportedUnixMs() > suspectTTL.Milliseconds()
+		return now-lastCrash(record).GetKnownUnixMs() > suspectTTL.Milliseconds()
 	})
 	if surplus := len(r.parts) - maxSuspectParts; surplus > 0 {
 		for _, record := range sortedParts(r.parts)[:surplus] {
@@ -151,7 +151,7 @@
 func sortedParts(parts map[fingerprint.Fingerprint]*rockwindpb.SuspectPart) []*rockwindpb.SuspectPart {
 	return slices.SortedFunc(maps.Values(parts), func(a, b *rockwindpb.SuspectPart) int {
 		return cmp.Or(cmp.Compare(len(a.GetCrashes()), len(b.GetCrashes())),
-			cmp.Compare(lastCrash(a).GetReportedUnixMs(), lastCrash(b).GetReportedUnixMs()),
+			cmp.Compare(lastCrash(a).GetKnownUnixMs(), lastCrash(b).GetKnownUnixMs()),
 			cmp.Compare(a.GetAnsweredUnixMs(), b.GetAnsweredUnixMs()), slices.Compare(a.GetPart(), b.GetPart()))
 	})
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -48,6 +48,8 @@
 	// if it is suspected only and if it is confirmed.
 	suspectTTL   = 10 * time.Minute
 	confirmedTTL = time.Hour
+	// noticeDelay is how long after a process has noticed a crash others know of it.
+	noticeDelay = 30 * time.Millisecond
 	// maximumSuspects bounds the number of contents, which take some 200 bytes each.
 	maximumSuspects = 1024
 	// maximumServers bounds the crashed servers that are recorded per content.
@@ -120,7 +122,7 @@
 	if slices.Contains(known.GetServers(), crash.GetServer()) {
 		return
 	}
-	next := &rockwindpb.Suspect{Content: crash.GetContent(), FirstUnixMs: now, Route: crash.GetRoute(), Tenant: crash.GetTenant(), Item: crash.GetItem()}
+	next := &rockwindpb.Suspect{Content: crash.GetContent(), FirstUnixMs: knownAt(crash, now), Route: crash.GetRoute(), Tenant: crash.GetTenant(), Item: crash.GetItem()}
 	if known != nil {
 		next = proto.CloneOf(known)
 		next.Later = next.GetLater() || now-int64(crash.GetBeganMsAgo()) >= next.GetFirstUnixMs()
@@ -133,6 +135,12 @@
 	r.suspects[content] = next
 }
 
+// knownAt returns when a crash was known, in Unix milliseconds. That of a report that waited for a leader was
+// known to its reporter, and by the processes' exchange to all, long before.
+func knownAt(crash *rockwindpb.ServerEnd, now int64) int64 {
+	return min(now, now-int64(crash.GetEndedMsAgo())+noticeDelay.Milliseconds())
+}
+
 func (r *Registry) forget(encoded []byte) {
 	if content, ok := fingerprint.FromBytes(encoded); ok {
 		delete(r.suspects, content)
--- a/internal/quarantine/view.go
+++ b/internal/quarantine/view.go
@@ -143,7 +143,7 @@
 		found, _ := v.partNotice(part)
 		shown := &rockwindpb.Suspect{
 			Content: record.GetPart(), Part: true, Route: record.GetRoute(), Tenant: record.GetTenant(), Later: isCandidate(record),
-			FirstUnixMs: record.GetCrashes()[0].GetReportedUnixMs(), LastUnixMs: lastCrash(record).GetReportedUnixMs(),
+			FirstUnixMs: record.GetCrashes()[0].GetKnownUnixMs(), LastUnixMs: lastCrash(record).GetKnownUnixMs(),
 			HeldMs: uint64(v.PartHeldFor(part, now).Milliseconds()), With: fingerprint.BytesOf(found.with),
 		}
 		for _, crash := range record.GetCrashes() {
--- a/internal/router/crashreporter.go
+++ b/internal/router/crashreporter.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -137,6 +138,9 @@
 		}
 		end.Content = nil
 	}
+	if len(attempt.Parts) > 0 {
+		r.reporter.ShareParts()
+	}
 	var answeredAt []time.Time
 	for _, part := range attempt.Parts {
 		answeredAt = append(answeredAt, r.partAnswers.LastSent(part, now))
@@ -260,18 +264,19 @@
 // QuarantinedFor returns how much longer a fingerprint is quarantined, or zero if it may run.
 func (r *CrashReporter) QuarantinedFor(content func() fingerprint.Fingerprint) time.Duration {
 	now := time.Now()
-	unreported := r.reporter.QuarantinedFor(content, now)
-	list := r.watcher.Quarantine()
-	if list.Empty() {
-		return unreported
+	remaining := r.reporter.QuarantinedFor(content, now)
+	for _, list := range []*quarantine.List{r.watcher.Quarantine(), r.reporter.Shared()} {
+		if !list.Empty() {
+			remaining = max(remaining, list.QuarantinedFor(content(), now))
+		}
 	}
-	return max(unreported, list.QuarantinedFor(content(), now))
+	return remaining
 }
 
 // Answered records a complete response to a request. It clears the suspicion against the
 // fingerprint, and crashes are not attributed to it for a while.
 func (r *CrashReporter) Answered(content fingerprint.Fingerprint) {
-	suspected := r.watcher.Quarantine().Suspected(content) || r.reporter.Suspected(content)
+	suspected := r.watcher.Quarantine().Suspected(content) || r.reporter.Suspected(content) || r.reporter.Shared().Suspected(content)
 	if r.answers.add(content, suspected, time.Now()) {
 		r.reporter.ReportAnswer(content)
 	}
@@ -279,8 +284,7 @@
 
 // QuarantinesAny reports whether any content or part may be quarantined.
 func (r *CrashReporter) QuarantinesAny() bool {
-	unreported := r.reporter.Unreported()
-	return !r.watcher.Quarantine().Empty() || r.watcher.Quarantine().SuspectsParts() || !unreported.Empty() || unreported.SuspectsParts()
+	return slices.ContainsFunc(r.lists(), func(list *quarantine.List) bool { return !list.Empty() || list.SuspectsParts() })
 }
 
 // QuarantinedCount counts the quarantined fingerprints known here.
--- a/internal/router/promptparts.go
+++ b/internal/router/promptparts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -26,12 +27,13 @@
 		return r.partAnswers.LastSent(part, now).After(since)
 	}
 	held := r.watcher.Quarantine().HeldParts(parts, answeredSince, now)
-	if held.For > 0 {
-		return held
+	for _, list := range []*quarantine.List{r.reporter.Unreported(), r.reporter.Shared()} {
+		if held.For == 0 {
+			// Without a leader nobody grants trials.
+			held = list.HeldParts(parts, answeredSince, now)
+			held.TrialIn, held.TrialDue = held.For, false
+		}
 	}
-	// Without a coordinator nobody grants trials.
-	held = r.reporter.Unreported().HeldParts(parts, answeredSince, now)
-	held.TrialIn, held.TrialDue = held.For, false
 	return held
 }
 
@@ -41,21 +43,30 @@
 	if len(parts) == 0 {
 		return
 	}
+	r.reporter.ShareParts()
 	r.partAnswers.Add(parts, sentAt, time.Now())
 	r.reportPartAnswers(parts)
 }
 
+// lists returns what the coordinators hold, what this process has not reported, and what the processes share
+// while the root group has no leader.
+func (r *CrashReporter) lists() []*quarantine.List {
+	return []*quarantine.List{r.watcher.Quarantine(), r.reporter.Unreported(), r.reporter.Shared()}
+}
+
 // reportPartAnswers reports those of the parts that are suspected and have been answered since.
 func (r *CrashReporter) reportPartAnswers(parts []fingerprint.Fingerprint) {
-	list, unreported := r.watcher.Quarantine(), r.reporter.Unreported()
-	if !list.SuspectsParts() && !unreported.SuspectsParts() {
+	lists := r.lists()
+	if !slices.ContainsFunc(lists, (*quarantine.List).SuspectsParts) {
 		return
 	}
-	suspected := func(part fingerprint.Fingerprint) (time.Time, bool) {
-		if since, found := list.SuspectedPart(part); found {
-			return since, true
+	suspected := func(part fingerprint.Fingerprint) (since time.Time, found bool) {
+		for _, list := range lists {
+			if since, found = list.SuspectedPart(part); found {
+				break
+			}
 		}
-		return unreported.SuspectedPart(part)
+		return since, found
 	}
 	if answers := r.partAnswers.TakeReport(parts, suspected, r.partReportInterval(), time.Now()); len(answers) > 0 {
 		r.reporter.ReportPartAnswers(answers)
--- a/internal/site/reporter.go
+++ b/internal/site/reporter.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
+	"google.golang.org/protobuf/proto"
 
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/fingerprint"
@@ -39,8 +42,17 @@
 	queue   chan observation
 
 	mutex sync.Mutex
-	// unreported holds the observations that no coordinator has accepted yet.
-	unreported *quarantine.Unreported
+	// unreported holds the observations that no coordinator has accepted yet, which are pending in the
+	// order of the queue. The first one has the number pendingFrom.
+	unreported  *quarantine.Unreported
+	pending     []observation
+	pendingFrom uint64
+
+	// observed is signaled at each observation.
+	observed chan struct{}
+	shared   sharedObservations
+	// sharesParts is set once this process has handled a prompt with parts.
+	sharesParts atomic.Bool
 }
 
 // observation is the end of a server, the answers to suspected parts of prompts, or the answer to a
@@ -57,7 +69,7 @@
 
 // NewQuarantineReporter returns a reporter to the coordinators that the watcher knows.
 func NewQuarantineReporter(watcher *Watcher) *QuarantineReporter {
-	return &QuarantineReporter{watcher: watcher, queue: make(chan observation, reportQueueSize), unreported: quarantine.NewUnreported()}
+	return &QuarantineReporter{watcher: watcher, queue: make(chan observation, reportQueueSize), unreported: quarantine.NewUnreported(), observed: make(chan struct{}, 1)}
 }
 
 // QuarantinedFor returns for how much longer a content is quarantined by unreported observations.
@@ -132,6 +144,11 @@
 	}
 	select {
 	case r.queue <- observed:
+		r.pending = append(r.pending, observed.clone())
+		select {
+		case r.observed <- struct{}{}:
+		default:
+		}
 	default:
 		r.unreported.MarkReported(1)
 		log.WithField("waiting", reportQueueSize).Warn("dropping the report of a server's end: the queue is full")
@@ -143,10 +160,15 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.unreported.MarkReported(count)
+	r.pending = slices.Delete(r.pending, 0, min(count, len(r.pending)))
+	r.pendingFrom += uint64(count)
 }
 
 // Run sends reports until the context ends.
 func (r *QuarantineReporter) Run(ctx context.Context) {
+	var sharing sync.WaitGroup
+	defer sharing.Wait()
+	sharing.Go(func() { r.runSharing(ctx) })
 	for {
 		select {
 		case first := <-r.queue:
@@ -227,9 +249,16 @@
 	return report
 }
 
+// clone returns a copy whose ages can be set independently.
+func (o observation) clone() observation {
+	o.end = proto.CloneOf(o.end)
+	return o
+}
+
 // setAges sets the ages of an end at the given time.
 func (o observation) setAges(now time.Time) {
 	o.end.BeganMsAgo = uint64(max(0, now.Sub(o.startedAt).Milliseconds()))
+	o.end.EndedMsAgo = uint64(max(0, now.Sub(o.observedAt).Milliseconds()))
 	o.end.PartAnsweredMsAgo = nil
 	for _, at := range o.partAnsweredAt {
 		age := uint64(0)
--- a/internal/traffic/call.go
+++ b/internal/traffic/call.go
@@ -76,6 +76,7 @@
 	"QuarantineService/List":            Quarantine,
 	"QuarantineService/Release":         Quarantine,
 	"QuarantineService/ClaimTrial":      Quarantine,
+	"QuarantineService/ShareUnreported": Quarantine,
 	"ZoneDrainService/Start":            ZoneDrains,
 	"ZoneDrainService/End":              ZoneDrains,
 	"ZoneDrainService/List":             ZoneDrains,
