site: reports are copies, since several coordinators are told at once

Cause: the race detector in TestCrashesAreSharedWithoutALeader and TestCrashIsReportedSoon: the ages of an end were set in place while another call encoded it. Change: each report has its own copy. Result: both packages pass with the race detector, red before.

--- a/internal/site/reporter.go
+++ b/internal/site/reporter.go
@@ -132,11 +132,9 @@
 func (r *QuarantineReporter) add(observed observation) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	// Run sets the ages of end, so end must be read before it is queued.
 	switch {
 	case observed.end != nil:
-		observed.setAges(observed.observedAt)
-		r.unreported.RecordCrash(observed.end, observed.observedAt.Sub(observed.startedAt), observed.observedAt)
+		r.unreported.RecordCrash(observed.endAt(observed.observedAt), observed.observedAt.Sub(observed.startedAt), observed.observedAt)
 	case observed.answeredParts != nil:
 		r.unreported.RecordPartAnswers(partAnswers(observed.answeredParts, observed.observedAt), observed.observedAt)
 	default:
@@ -144,7 +142,7 @@
 	}
 	select {
 	case r.queue <- observed:
-		r.pending = append(r.pending, observed.clone())
+		r.pending = append(r.pending, observed)
 		select {
 		case r.observed <- struct{}{}:
 		default:
@@ -238,8 +236,7 @@
 	for _, each := range observations {
 		switch {
 		case each.end != nil:
-			each.setAges(now)
-			report.Ends = append(report.Ends, each.end)
+			report.Ends = append(report.Ends, each.endAt(now))
 		case each.answeredParts != nil:
 			report.AnsweredParts = append(report.AnsweredParts, partAnswers(each.answeredParts, now)...)
 		default:
@@ -249,24 +246,20 @@
 	return report
 }
 
-// clone returns a copy whose ages can be set independently.
-func (o observation) clone() observation {
-	o.end = proto.CloneOf(o.end)
-	return o
-}
-
-// setAges sets the ages of an end at the given time.
-func (o observation) setAges(now time.Time) {
-	o.end.BeganMsAgo = uint64(max(0, now.Sub(o.startedAt).Milliseconds()))
-	o.end.EndedMsAgo = uint64(max(0, now.Sub(o.observedAt).Milliseconds()))
-	o.end.PartAnsweredMsAgo = nil
+// endAt returns a copy of the end with its ages at the given time. The same end may be sent to several
+// coordinators at once.
+func (o observation) endAt(now time.Time) *rockwindpb.ServerEnd {
+	end := proto.CloneOf(o.end)
+	end.BeganMsAgo = uint64(max(0, now.Sub(o.startedAt).Milliseconds()))
+	end.EndedMsAgo = uint64(max(0, now.Sub(o.observedAt).Milliseconds()))
 	for _, at := range o.partAnsweredAt {
 		age := uint64(0)
 		if !at.IsZero() {
 			age = uint64(max(1, now.Sub(at).Milliseconds()))
 		}
-		o.end.PartAnsweredMsAgo = append(o.end.PartAnsweredMsAgo, age)
+		end.PartAnsweredMsAgo = append(end.PartAnsweredMsAgo, age)
 	}
+	return end
 }
 
 // partAnswers returns answers with their ages at the given time.
