Turn new connections away unread that a router can't serve

Cause: a router took each connection. Without descriptors for its servers it read requests that it then refused; beyond its memory it went on; with a short processor nearly all of its clients waited until their time was over. It asked one client in eight to come anew, after its answer, and was unready only at its turn. Change: overload.ConnectionGate (pure) admits as many open connections as descriptors and memory allow, and during a flood of new connections a fraction that shrinks with each late timer. Others are reset before anything is read, so that their clients may try another router. The relief gate of the settings turns it off; without a flood, and below the bounds of the settings, all connections are taken as before.

--- a/internal/clientconn/buffers.go
+++ b/internal/clientconn/buffers.go
@@ -48,6 +48,10 @@
 	taken   int64
 
 	open atomic.Int64
+	// admit decides on new connections, by the number of open ones; nil takes all.
+	admit func(open int) bool
+	// turnedAway counts the connections that were closed unread.
+	turnedAway atomic.Int64
 }
 
 // Usage is the memory use at one moment.
@@ -236,9 +240,22 @@
 	buffers *Buffers
 }
 
-// Accept implements net.Listener.
+// SetAdmission sets the function that decides on new connections, by the number of open ones. It must be
+// set before the listener is used, and may be called by several goroutines.
+func (b *Buffers) SetAdmission(admit func(open int) bool) { b.admit = admit }
+
+// TurnedAway returns how many connections were closed before anything was read from them.
+func (b *Buffers) TurnedAway() int64 { return b.turnedAway.Load() }
+
+// Accept implements net.Listener. Connections that are not admitted are reset, so that their clients
+// know at once that nothing was read.
 func (l bufferingListener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
+	for err == nil && l.buffers.admit != nil && !l.buffers.admit(int(l.buffers.open.Load())) {
+		l.buffers.turnedAway.Add(1)
+		reset(accepted)
+		accepted, err = l.Listener.Accept()
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -254,6 +271,14 @@
 	return newConn(accepted, control, l.buffers), nil
 }
 
+// reset closes a connection without sending what may be unsent, which also leaves no state in the kernel.
+func reset(conn net.Conn) {
+	if lingering, found := conn.(interface{ SetLinger(seconds int) error }); found {
+		_ = lingering.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // IdleTimeout returns a function for http.Server.ConnState that makes connections use the current timeout each time
 // they become idle. The server's IdleTimeout applies if the timeout is zero. The server calls the function right
 // before it sets the read deadline of the idle connection.
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -90,6 +90,8 @@
 	// servers is limited because the loads of other processes are unknown, or is no longer limited.
 	StartsLimited   Kind = "starts limited"
 	StartsUnlimited Kind = "starts no longer limited"
+	// ConnectionsTurnedAway: an overloaded router closed new connections of clients unread.
+	ConnectionsTurnedAway Kind = "connections turned away"
 	// TenantHeldBack: requests of a tenant wait behind those of tenants that used less.
 	TenantHeldBack Kind = "tenant held back"
 	// CoordinatorsSilent: no known coordinator has answered for some time.
--- a/internal/router/overload.go
+++ b/internal/router/overload.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
+	"golang.org/x/sys/unix"
 
 	"rockwind.example/rockwind/internal/clientconn"
 	"rockwind.example/rockwind/internal/decision"
@@ -18,14 +21,13 @@
 )
 
 const (
-	// descriptorsPerClient is how many file descriptors a client needs: its connection and one to
-	// the server.
-	descriptorsPerClient = 2
 	// maxDirectoryAge is how old the directory may be for its routers to be considered ready:
 	// watches are answered once a second.
 	maxDirectoryAge = 2500 * time.Millisecond
 	// positionInterval is how often an overloaded router looks up its position in its zone.
 	positionInterval = time.Second
+	// turnedAwayInterval is the shortest time between two records of connections that were closed unread.
+	turnedAwayInterval = time.Second
 )
 
 // overloadController monitors the load of a router and sends clients to other routers when it is
@@ -45,13 +47,64 @@
 	// position is the router's position in its zone, looked up at positionedAt.
 	position     overload.ZonePosition
 	positionedAt time.Time
+
+	// gateMutex guards gate.
+	gateMutex sync.Mutex
+	gate      overload.ConnectionGate
+	// turnedAway is the number of connections that were closed unread when that was last recorded.
+	turnedAway int64
+	recordedAt time.Time
 }
 
 func newOverloadController(router *Router, settings *rockwindpb.SiteSettings) *overloadController {
-	return &overloadController{
+	created := &overloadController{
 		router: router, enabled: router.gates.On(featuregate.OverloadRelief),
 		name: settings.GetName(), zone: settings.GetZone(), descriptors: int(settings.GetMaxDescriptors()),
+		gate: overload.NewConnectionGate(connectionLimits(settings)),
+	}
+	if created.enabled {
+		router.buffers.SetAdmission(created.admit)
 	}
+	return created
+}
+
+// connectionLimits returns what the connections of clients may use: the bounds of the settings, and the
+// descriptors that the process has.
+func connectionLimits(settings *rockwindpb.SiteSettings) overload.ConnectionLimits {
+	limits := overload.ConnectionLimits{Descriptors: int(settings.GetMaxDescriptors()), MemoryBytes: int64(settings.GetMemoryMb()) * megabyte}
+	var available unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &available); err != nil {
+		log.WithError(err).Warn("could not read the limit of file descriptors; connections are bounded by the settings only")
+		return limits
+	}
+	if limits.Descriptors == 0 || uint64(limits.Descriptors) > available.Cur {
+		limits.Descriptors = int(min(available.Cur, math.MaxInt32))
+	}
+	return limits
+}
+
+// admit reports whether a new connection of a client is taken while the given number is open.
+func (r *overloadController) admit(open int) bool {
+	r.gateMutex.Lock()
+	defer r.gateMutex.Unlock()
+	return r.gate.Admit(open, rand.Float64())
+}
+
+// observeGate updates the gate with the delay of a timer, and records once a second how many connections
+// were closed unread.
+func (r *overloadController) observeGate(delay time.Duration, now time.Time) {
+	r.gateMutex.Lock()
+	r.gate.Observe(delay)
+	fraction := r.gate.TurnedAway()
+	r.gateMutex.Unlock()
+	turnedAway := r.router.buffers.TurnedAway()
+	if turnedAway == r.turnedAway || now.Sub(r.recordedAt) < turnedAwayInterval {
+		return
+	}
+	decision.Default.Record(decision.ConnectionsTurnedAway, r.name, log.Fields{
+		"connections": turnedAway - r.turnedAway, "open": r.usage.Open, "fraction": fraction, "late_ms": delay.Milliseconds(),
+	})
+	r.turnedAway, r.recordedAt = turnedAway, now
 }
 
 // run takes and applies samples until the context ends.
@@ -70,6 +123,7 @@
 		case <-timer.C:
 		}
 		now := time.Now()
+		r.observeGate(now.Sub(due), now)
 		r.apply(r.sample(now.Sub(due)), now)
 		due = now
 	}
@@ -83,7 +137,7 @@
 		TimerDelay: delay, MemoryFraction: r.usage.Fraction(), InProgress: int(r.inProgress.Load()), Behind: r.usage.Readers,
 	}
 	if r.descriptors > 0 {
-		sample.DescriptorFraction = float64(descriptorsPerClient*r.usage.Open) / float64(r.descriptors)
+		sample.DescriptorFraction = float64(overload.DescriptorsPerClient*r.usage.Open) / float64(r.descriptors)
 	}
 	if taken := r.usage.Taken - before.Taken; taken > 0 {
 		sample.SendTime = time.Duration(float64(overload.Interval+delay) * float64(r.usage.Unread) / float64(taken))
