router: samples of the load at varying intervals

Cause: the samples came each 100 ms and a quota is granted each 100 ms: all samples could fall into the part in which the process runs, and none was late. Change: intervals of 50 to 150 ms at random.

--- a/internal/overload/connections.go
+++ b/internal/overload/connections.go
@@ -85,7 +85,7 @@
 	return random >= g.turnedAway
 }
 
-// Observe takes the delay of a timer that fires each Interval.
+// Observe takes the delay of a timer that fires once in Interval on average.
 func (g *ConnectionGate) Observe(timerDelay time.Duration) {
 	recent := 0
 	for _, count := range g.counts {
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -17,7 +17,7 @@
 
 import "time"
 
-// Interval is the time between two samples. It is short enough to detect delays of
+// Interval is the average time between two samples. It is short enough to detect delays of
 // MaxTimerDelay and costs a thousandth of the smallest machine's processor.
 const Interval = 100 * time.Millisecond
 
--- a/internal/router/overload.go
+++ b/internal/router/overload.go
@@ -114,7 +114,10 @@
 	}
 	due := time.Now()
 	for {
-		due = due.Add(overload.Interval)
+		// A quota of the processor is granted at a fixed period. Samples at another fixed one could all fall into
+		// the time in which the process runs.
+		interval := overload.Interval/2 + rand.N(overload.Interval)
+		due = due.Add(interval)
 		timer := time.NewTimer(time.Until(due))
 		select {
 		case <-ctx.Done():
@@ -124,13 +127,13 @@
 		}
 		now := time.Now()
 		r.observeGate(now.Sub(due), now)
-		r.apply(r.sample(now.Sub(due)), now)
+		r.apply(r.sample(interval, now.Sub(due)), now)
 		due = now
 	}
 }
 
-// sample measures the load of the router. The delay is that of its timer.
-func (r *overloadController) sample(delay time.Duration) overload.Sample {
+// sample measures the load of the router since the last sample. The delay is that of its timer.
+func (r *overloadController) sample(interval, delay time.Duration) overload.Sample {
 	before := r.usage
 	r.usage = r.router.buffers.Usage()
 	sample := overload.Sample{
@@ -140,7 +143,7 @@
 		sample.DescriptorFraction = float64(overload.DescriptorsPerClient*r.usage.Open) / float64(r.descriptors)
 	}
 	if taken := r.usage.Taken - before.Taken; taken > 0 {
-		sample.SendTime = time.Duration(float64(overload.Interval+delay) * float64(r.usage.Unread) / float64(taken))
+		sample.SendTime = time.Duration(float64(interval+delay) * float64(r.usage.Unread) / float64(taken))
 	}
 	return sample
 }
