Soak: prompt parts that crash back ends

Cause: back ends of the soak crashed by whole contents only, and no prompt had parts. Change: all prompts of the soak have a shared part, one of eight subjects and one of their own; every other cause of crashes is a part, first or second, in requests that are never alike. New rule 'sound, but held': sound requests must not be refused as quarantined for more than 8 s without other faults. The plain protocol reads the IDs of parts from X-Prompt-Parts.

--- a/internal/bench/soak/online.go
+++ b/internal/bench/soak/online.go
@@ -12,6 +12,7 @@
 
 	"rockwind.example/rockwind/internal/bench/soak/backend"
 	"rockwind.example/rockwind/internal/bench/soak/witness"
+	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/retry"
 	"rockwind.example/rockwind/internal/router"
 	"rockwind.example/rockwind/internal/upstream"
@@ -150,6 +151,7 @@
 	if err != nil {
 		return answer{err: err}
 	}
+	request.Header.Set(router.HeaderPromptParts, strings.Join([]string{sharedPart, subject(target), target}, ","))
 	if resumes != "" {
 		request.Header.Set(router.HeaderResumes, resumes)
 		request.Header.Set(router.HeaderLastEvent, last)
@@ -179,6 +181,9 @@
 	case got.status == http.StatusServiceUnavailable || got.status == http.StatusTooManyRequests:
 		w.Count("requests refused")
 		w.Refused(id, now)
+		if strings.Contains(got.body, string(fault.Quarantined)) {
+			w.HeldSound(id, now, c.run.faults.quietSince(now))
+		}
 	case got.status >= http.StatusInternalServerError:
 		w.Count("requests failed")
 	default:
--- a/internal/bench/soak/witness/witness.go
+++ b/internal/bench/soak/witness/witness.go
@@ -56,6 +56,8 @@
 	MemoryExceeded Rule = "memory exceeded"
 	// QuarantinedButRan: requests that crashed three backends kept running.
 	QuarantinedButRan Rule = "held, but ran"
+	// SoundHeld: sound requests were refused for what they share with requests that crash backends.
+	SoundHeld Rule = "sound, but held"
 	// NoRecovery: requests were not served in time after the last fault.
 	NoRecovery Rule = "no recovery"
 )
@@ -81,6 +83,7 @@
 	jobs             map[string]*job
 	crashingContents map[string]*crashingContent
 	tenants          map[string]*tenant
+	heldSound        heldSound
 	violations       []Violation
 	counts           map[string]int
 }
@@ -94,7 +97,16 @@
 	lateCrashes int
 }
 
+// heldSound is the last series of refusals of sound requests as quarantined.
+type heldSound struct {
+	began, last time.Duration
+}
+
 const (
+	// A wrong hold must end within wrongHoldWithin: some seconds until a trial, and its answer. Refusals
+	// that are further apart than wrongHoldGap belong to different holds.
+	wrongHoldWithin = 8 * time.Second
+	wrongHoldGap    = 3 * time.Second
 	// A content must be quarantined within quarantineWithin of its crash number
 	// crashesToQuarantine; maximumLateCrashes is how many more crashes are tolerated
 	// after that.
@@ -221,6 +233,21 @@
 	}
 }
 
+// HeldSound records that a sound request was refused as quarantined; faultFree tells whether no fault was
+// active lately.
+func (w *Witness) HeldSound(id string, at time.Duration, faultFree bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.counts["sound requests held"]++
+	if !faultFree || at-w.heldSound.last > wrongHoldGap {
+		w.heldSound.began = at
+	}
+	w.heldSound.last = at
+	if held := at - w.heldSound.began; held > wrongHoldWithin {
+		w.report(SoundHeld, id, fmt.Sprintf("sound requests are refused for %v", held), at)
+	}
+}
+
 // Refused records that a caller was told that its request has not run.
 func (w *Witness) Refused(id string, at time.Duration) {
 	w.mutex.Lock()
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -24,6 +24,9 @@
 	HeaderLastEvent = "Last-Event-ID"
 	// HeaderResumes is the ID of the request that brought the first event of a resumed stream.
 	HeaderResumes = "X-Resumes"
+	// HeaderPromptParts lists the IDs of the parts of the prompt in order, separated by commas. Equal parts of
+	// two prompts have the same ID; the last part belongs to the request alone.
+	HeaderPromptParts = "X-Prompt-Parts"
 	// HeaderTenant names the tenant of the client to the server.
 	HeaderTenant = "X-Tenant"
 	// headerKey carries the client's API key, after keyScheme.
@@ -47,6 +50,9 @@
 		}
 		info.Timeout = time.Duration(milliseconds) * time.Millisecond
 	}
+	if parts := header.Get(HeaderPromptParts); parts != "" {
+		info.PartIDs = strings.Split(parts, ",")
+	}
 	return info, nil
 }
 
