--- a/internal/command/quarantine.go
+++ b/internal/command/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"fmt"
 	"strings"
 	"time"
 
@@ -23,7 +24,9 @@
 // Help implements kong.HelpProvider.
 func (*quarantineList) Help() string {
 	return `Asks the coordinators given with --control. A request is known by its content: caller, method, host,
-path and body. The same content stands in the lines of routers and stores ('request held', 'item held').`
+path and body. A part of prompts is held for all requests that have it; 'part, with 1' only where they also
+have the one other part that always stood beside it. The same contents and parts stand in the lines of routers
+and stores ('request held', 'item held').`
 }
 
 // Run prints one row for each request content.
@@ -38,15 +41,27 @@
 	if err != nil {
 		return err
 	}
-	listing := &table{header: []string{"CONTENT", "ROUTE", "TENANT", "ENDED SERVERS", "LAST END", "HELD FOR"}}
+	listing := &table{header: []string{"CONTENT", "KIND", "ROUTE", "TENANT", "ENDED SERVERS", "LAST END", "HELD FOR"}}
 	for _, suspect := range listed.GetSuspects() {
-		listing.add(hex.EncodeToString(suspect.GetContent()), suspect.GetRoute(), orDash(suspect.GetTenant()),
+		listing.add(hex.EncodeToString(suspect.GetContent()), kindOf(suspect), suspect.GetRoute(), orDash(suspect.GetTenant()),
 			number(len(suspect.GetServers()))+": "+strings.Join(suspect.GetServers(), " "),
 			timeText(suspect.GetLastUnixMs()), remainingHold(suspect))
 	}
 	return s.printer.print(listed, listing)
 }
 
+// kindOf returns whether a suspect is the content of a request or a part of prompts, and how many other
+// parts a prompt must have to be held for it.
+func kindOf(suspect *rockwindpb.Suspect) string {
+	switch {
+	case !suspect.GetPart():
+		return "request"
+	case len(suspect.GetWith()) > 0:
+		return fmt.Sprintf("part, with %d", len(suspect.GetWith()))
+	}
+	return "part"
+}
+
 // remainingHold formats how much longer a request content is held.
 func remainingHold(suspect *rockwindpb.Suspect) string {
 	if suspect.GetHeldMs() == 0 {
@@ -57,13 +72,13 @@
 
 // quarantineRelease is 'rockwind quarantine release'.
 type quarantineRelease struct {
-	Content string `arg:"" help:"The content, as 'rockwind quarantine list' shows it."`
+	Content string `arg:"" help:"The content or part, as 'rockwind quarantine list' shows it."`
 }
 
 // Help implements kong.HelpProvider.
 func (*quarantineRelease) Help() string {
-	return `What is known of the content is forgotten. It is held again once three more servers have ended under
-it.`
+	return `What is known of the content or part is forgotten. It is held again once three more servers have ended
+under it.`
 }
 
 // Run releases the content.
--- a/internal/command/quarantine_test.go
+++ b/internal/command/quarantine_test.go
@@ -31,6 +31,9 @@
 	}
 	return &rockwindpb.ListQuarantineResponse{Suspects: []*rockwindpb.Suspect{{
 		Content: f.content.Bytes(), Servers: []string{"s1", "s2", "s3"}, Route: "hints", HeldMs: 90_000, LastUnixMs: 1_000,
+	}, {
+		Content: fingerprint.OfParts("models", []string{"part", "own"})[0].Bytes(), Part: true, With: [][]byte{f.content.Bytes()},
+		Servers: []string{"s1", "s2", "s3"}, Route: "hints", HeldMs: 90_000, LastUnixMs: 1_000,
 	}}}, nil
 }
 
@@ -70,7 +73,7 @@
 		code      int
 		shown     []string
 	}{
-		{[]string{"quarantine", "list"}, command.ExitOK, []string{content.String(), "hints", "3: s1 s2 s3", "1m30s"}},
+		{[]string{"quarantine", "list"}, command.ExitOK, []string{content.String(), "hints", "3: s1 s2 s3", "1m30s", "request", "part, with 1"}},
 		{[]string{"quarantine", "list", "--output", "json"}, command.ExitOK, []string{`"held_ms": "90000"`}},
 		{[]string{"quarantine", "release", content.String()}, command.ExitOK, []string{"may run again"}},
 		{[]string{"quarantine", "release", other.String()}, command.ExitRefused, []string{"quarantine list"}},
