Simulator: a prefix whose requests crash engines

Cause: the simulator had no fault that comes from what a request holds. Change: Scenario.CrashingPrefix; its gateways hold prompts by the quarantine package, with delays of reports and lists. Scenarios without it run as before.

--- a/internal/quarantine/partsimulation_test.go
+++ b/internal/quarantine/partsimulation_test.go
@@ -91,7 +91,6 @@
 	names  []string
 	parts  []fingerprint.Fingerprint
 	sentAt time.Time
-	done   bool
 }
 
 // crashCause is a part that crashes servers.
--- a/internal/simulator/fleet.go
+++ b/internal/simulator/fleet.go
@@ -35,6 +35,8 @@
 	totals   batchTotals
 	hops     hopJitter
 	sampling *sampling
+	// quarantine is nil if no prefix crashes engines.
+	quarantine *prefixQuarantine
 	// onCompleted is called for every completed item; it may be nil.
 	onCompleted func(entry *item)
 }
@@ -79,6 +81,9 @@
 	for index := range scenario.Gateways() {
 		run.gateways = append(run.gateways, newGateway(run, index, seed))
 	}
+	if scenario.CrashingPrefix > 0 {
+		run.quarantine = newPrefixQuarantine(run)
+	}
 	run.assignOwners()
 	for _, gateway := range run.gateways {
 		if policy.Routing == nil {
@@ -196,9 +201,17 @@
 		f.clock.At(arrives, func() { gateway.firstToken(record, server) })
 	case engine.EventFinished:
 		record.doneAt = max(record.firstAt, arrives+f.scenario.ClientDelay+f.hops.draw()+f.hops.draw())
-		f.clock.At(arrives, func() { gateway.requestEnded(record, server) })
+		f.clock.At(arrives, func() {
+			f.quarantine.answered(gateway, record)
+			gateway.requestEnded(record, server)
+		})
 	case engine.EventLost, engine.EventTruncated:
-		f.clock.At(arrives, func() { gateway.requestFailed(int(event.Tag), server, event.Sequence) })
+		f.clock.At(arrives, func() {
+			if event.Kind == engine.EventLost {
+				f.quarantine.lost(gateway, record, server)
+			}
+			gateway.requestFailed(int(event.Tag), server, event.Sequence)
+		})
 	}
 }
 
--- a/internal/simulator/gateway.go
+++ b/internal/simulator/gateway.go
@@ -122,6 +122,10 @@
 	if g.fleet.policy.ZeroLag {
 		g.refresh()
 	}
+	if g.fleet.quarantine.holds(g, record.arrival.shape) {
+		record.refused, record.held = true, true
+		return
+	}
 	request := routing.Request{
 		Versions:     g.versionsFor(record),
 		Adapter:      routing.NoName,
@@ -164,6 +168,7 @@
 	record.server = server
 	record.mixed = record.mixed || (record.firstAt > 0 && g.fleet.softwareVersion(server) != record.begunAt)
 	record.attempts++
+	record.sentAt = run.clock.Now()
 	attempt := record.attempts
 	if shape.prefix > 0 && g.prefixes[shape.prefix][0] != server {
 		g.prefixes[shape.prefix] = [2]int{server, g.prefixes[shape.prefix][0]}
@@ -184,7 +189,9 @@
 		run.schedule(server)
 		if !accepted {
 			run.clock.After(run.delay(g, server), func() { g.requestFailed(index, server, 0) })
+			return
 		}
+		run.quarantine.submitted(shape, server)
 	})
 }
 
--- a/internal/simulator/result.go
+++ b/internal/simulator/result.go
@@ -16,6 +16,9 @@
 	firstAt  time.Duration
 	doneAt   time.Duration
 	refused  bool
+	// sentAt is when the last attempt was sent, and held is set if the request was refused as quarantined.
+	sentAt time.Duration
+	held   bool
 	// produced is the number of tokens received of earlier attempts, and begunAt the software version that sent the
 	// first one.
 	produced int
@@ -82,7 +85,10 @@
 	// Engines is the sum of some counters of all engines, including the warm-up.
 	Engines engine.Totals
 	// Served holds samples of the batch service, if Scenario.SampleEvery is set.
-	Served []ServiceSample
+	// Crashes is how many engines crashed under the crashing prefix, and SoundHeld how many requests without it were
+	// refused as quarantined.
+	Crashes, SoundHeld int
+	Served             []ServiceSample
 }
 
 func (f *fleet) result() Result {
@@ -90,6 +96,7 @@
 		Policy: f.policy.Name, Seconds: f.scenario.Measured.Seconds(), BatchItems: f.totals.items, BatchCost: f.totals.cost,
 		BatchPerSecond: f.totals.series, Pauses: f.totals.pauses,
 	}
+	result.Crashes = f.quarantine.totalCrashes()
 	if f.sampling != nil {
 		result.Served = f.sampling.samples
 	}
@@ -122,6 +129,9 @@
 	if record.mixed {
 		result.Mixed++
 	}
+	if record.held && record.arrival.shape.prefix != f.scenario.CrashingPrefix {
+		result.SoundHeld++
+	}
 	switch {
 	case record.refused:
 		result.Refused++
--- a/internal/simulator/scenario.go
+++ b/internal/simulator/scenario.go
@@ -53,6 +53,10 @@
 	// unless IgnoreVersions is set.
 	ResumeStreams  bool
 	IgnoreVersions bool
+	// CrashingPrefix is the shared prefix whose requests crash engines after the warm-up; zero is none.
+	// IgnorePrefixes makes gateways send them on all the same.
+	CrashingPrefix int
+	IgnorePrefixes bool
 	// SampleEvery is the sampling interval of the batch service of the groups;
 	// zero disables sampling.
 	SampleEvery time.Duration
--- a/internal/simulator/simulator_test.go
+++ b/internal/simulator/simulator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -158,3 +159,25 @@
 		}
 	})
 }
+
+// Guards against a prefix whose requests crash one engine after the other, and against the refusal of requests with others.
+func TestCrashingPrefixIsHeld(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		scenario := small(Kvistborg())
+		scenario.Measured = 12 * time.Second
+		scenario.Online.Classes = slices.Clone(scenario.Online.Classes)
+		for class := range scenario.Online.Classes {
+			// One request in eight has the crashing prefix.
+			scenario.Online.Classes[class].Prefixes = min(8, scenario.Online.Classes[class].Prefixes)
+		}
+		scenario.CrashingPrefix = 1
+		policy := OnlineAlone(&scenario)
+		held := Run(scenario, policy, seed)
+		scenario.IgnorePrefixes = true
+		ignored := Run(scenario, policy, seed)
+		t.Logf("seed %d: %d engines crash, %d if the prefix is not held; %d of %d sound requests are refused", seed, held.Crashes, ignored.Crashes, held.SoundHeld, held.Requests)
+		if held.Crashes*3 > ignored.Crashes || held.SoundHeld*50 > held.Requests {
+			t.Errorf("seed %d: too many", seed)
+		}
+	}
+}
