--- a/internal/bench/soak/command.go
+++ b/internal/bench/soak/command.go
@@ -233,6 +233,7 @@
 		load.Go(func() { each.call(loadCtx) })
 	}
 	load.Go(func() { r.sendCrashingRequests(loadCtx) })
+	load.Go(func() { r.floodConnections(loadCtx) })
 	load.Go(func() { r.watchUsage(loadCtx) })
 	load.Go(func() { r.watchMemory(loadCtx) })
 	load.Go(func() { r.submitAll(loadCtx, followCtx) })
--- a/internal/bench/soak/witness/witness.go
+++ b/internal/bench/soak/witness/witness.go
@@ -58,6 +58,8 @@
 	QuarantinedButRan Rule = "held, but ran"
 	// SoundHeld: sound requests were refused for what they share with requests that crash backends.
 	SoundHeld Rule = "sound, but held"
+	// FloodNotServed: a router that most new connections came to read requests that it did not serve.
+	FloodNotServed Rule = "read, but not served"
 	// NoRecovery: requests were not served in time after the last fault.
 	NoRecovery Rule = "no recovery"
 )
