--- a/internal/overload/connections.go
+++ b/internal/overload/connections.go
@@ -26,6 +26,11 @@
 	punctualIncrease = 0.05
 	// minAdmitted is the smallest admitted fraction, which shows when the shortage is over.
 	minAdmitted = 0.02
+	// maxPauseSamples is after how many samples without an admitted connection the next one is taken all the
+	// same, so that a router that is ready never seems to take none. reserveFraction of the connections is
+	// kept for that beyond their bound.
+	maxPauseSamples = 5
+	reserveFraction = 0.1
 )
 
 // ConnectionLimits bound what clients' connections may use; zero means no bound.
@@ -68,6 +73,8 @@
 	usual float64
 	// turnedAway is the fraction of new connections that are not taken.
 	turnedAway float64
+	// pause is the number of samples since a connection was taken.
+	pause int
 }
 
 // NewConnectionGate returns a gate that takes all connections within the limits.
@@ -79,10 +86,13 @@
 // in [0, 1).
 func (g *ConnectionGate) Admit(open int, random float64) bool {
 	g.counts[g.next]++
-	if g.maxConnections > 0 && open >= g.maxConnections {
-		return false
+	within := g.maxConnections == 0 || open < g.maxConnections
+	withinReserve := within || float64(open) < (1+reserveFraction)*float64(g.maxConnections)
+	isTaken := (within && random >= g.turnedAway) || (withinReserve && g.pause >= maxPauseSamples)
+	if isTaken {
+		g.pause = 0
 	}
-	return random >= g.turnedAway
+	return isTaken
 }
 
 // Observe takes the delay of a timer that fires once in Interval on average.
@@ -102,6 +112,7 @@
 		admitted = min(1, admitted+punctualIncrease)
 	}
 	g.turnedAway = 1 - admitted
+	g.pause++
 	g.next = (g.next + 1) % len(g.counts)
 	g.counts[g.next] = 0
 }
--- a/internal/overload/connections_test.go
+++ b/internal/overload/connections_test.go
@@ -69,3 +69,32 @@
 		t.Error("a router without limits turns connections away")
 	}
 }
+
+// Guards against a router that says that it is ready and takes no new connection for seconds.
+func TestSomeConnectionsAreTakenDuringAFlood(t *testing.T) {
+	const maxPause, full = time.Second, 64
+	for name, open := range map[string]int{"processor": 0, "descriptors": full} {
+		gate := overload.NewConnectionGate(overload.ConnectionLimits{Descriptors: 2*full + 32})
+		admitted(&gate, 40, 2*overload.MaxTimerDelay, 3*time.Second)
+		pause := time.Duration(0)
+		for range 100 {
+			isTaken := false
+			for range 40 {
+				isTaken = gate.Admit(open, 0) || isTaken
+			}
+			gate.Observe(2 * overload.MaxTimerDelay)
+			if pause += overload.Interval; isTaken {
+				pause = 0
+			}
+			if pause > maxPause {
+				t.Fatalf("%s: no connection is taken for %v", name, pause)
+			}
+		}
+	}
+	gate := overload.NewConnectionGate(overload.ConnectionLimits{Descriptors: 2*full + 32})
+	for range 100 {
+		if gate.Observe(time.Millisecond); gate.Admit(full+full/8, 0.5) {
+			t.Fatal("more connections are taken than there are descriptors")
+		}
+	}
+}
