store: a granted trial lasts until its item has started

Jobs whose items share a part that had crashed servers saw them wait for minutes after the servers were fixed. Cause: the item used up its trial when it was allowed to run, also where no server had a slot for it then; the next trial is due 20 s later, and so on. Found by TestItemsAreDoneOnceServersAreFixed, red in one of three runs: two trials, no start. Change: the trial ends when the item has started, or after 15 s.

--- a/internal/store/quarantine.go
+++ b/internal/store/quarantine.go
@@ -16,8 +16,12 @@
 	"rockwind.example/rockwind/internal/store/claims"
 )
 
-// itemTrialLifetime is how long a granted trial may be used, and how long a denied one is not claimed again.
-const itemTrialLifetime = 2 * time.Second
+const (
+	// grantedTrialLifetime is how long an item may wait for a server after its trial was granted.
+	grantedTrialLifetime = 15 * time.Second
+	// claimInterval is how long after a claim that was not granted the next one is made.
+	claimInterval = 2 * time.Second
+)
 
 // itemTrial is the claim of an item to run once although parts of its prompt are held.
 type itemTrial struct {
@@ -57,16 +61,14 @@
 // if that is due.
 func (e *executor) mayTryHeld(item jobstore.OpenItem, held quarantine.HeldParts, now time.Time) bool {
 	key := claims.NewKey(item.Job, item.Index)
-	trial := e.trial
-	if trial != nil && trial.key == key && trial.granted.Load() {
-		e.trial = nil
-		decision.Default.Record(decision.RequestTried, item.Job, log.Fields{
-			"item": item.Index, "item_id": item.Item.GetId(), "held_parts": fingerprint.Strings(held.Parts),
-		})
-		return true
-	}
-	if trial != nil && now.Sub(trial.began) < itemTrialLifetime {
-		return false
+	if trial := e.trial; trial != nil {
+		granted, age := trial.granted.Load(), now.Sub(trial.began)
+		if granted && age < grantedTrialLifetime {
+			return trial.key == key
+		}
+		if age < claimInterval {
+			return false
+		}
 	}
 	e.trial = nil
 	if !held.TrialDue {
@@ -79,3 +81,14 @@
 	}()
 	return false
 }
+
+// trialStarted ends the trial of an item that has started, if there is one.
+func (e *executor) trialStarted(item jobstore.OpenItem, parts []fingerprint.Fingerprint) {
+	if e.trial == nil || e.trial.key != claims.NewKey(item.Job, item.Index) || !e.trial.granted.Load() {
+		return
+	}
+	e.trial = nil
+	decision.Default.Record(decision.RequestTried, item.Job, log.Fields{
+		"item": item.Index, "item_id": item.Item.GetId(), "parts": fingerprint.Strings(parts),
+	})
+}
--- a/internal/store/start.go
+++ b/internal/store/start.go
@@ -77,6 +77,7 @@
 		return tryNext
 	}
 	h.tried = h.tried || lease.Trial
+	e.trialStarted(item, h.parts)
 	e.restartUnlessSame(service, item, h, lease, decided)
 	e.active[key] = &activeAttempt{
 		tenant: item.Tenant, service: service, server: lease.ID, route: route, submitted: time.UnixMilli(item.SubmittedUnixMs),
