overload: a usual rate of new connections is no flood

Clients of a router on a busy machine saw their connections reset without a flood. Cause: 30 new connections a second counted as a flood from the start of the router on, and while they did, the usual rate was not learned; one late sample of ten was enough. Change: 200 a second and three times the usual rate, which is always learned, and is the largest one of the first 10 s; three of ten samples late.

--- a/internal/overload/connections.go
+++ b/internal/overload/connections.go
@@ -16,11 +16,17 @@
 	connectionBytes          = 48 << 10
 	connectionMemoryFraction = 0.35
 	// floodWindow is the time over which new connections are counted. There is a flood if at least
-	// minFloodRate come in it and floodFactor times as many as usual. The usual rate adapts over usualRateTime.
+	// minFloodRate come in it, which a small part of a processor can serve, and floodFactor times as many
+	// as usual. The usual rate adapts over usualRateTime, so that a higher rate that stays is no flood; it
+	// is not known before firstSamples.
 	floodWindow   = time.Second
-	minFloodRate  = 30
+	minFloodRate  = 200
 	floodFactor   = 3
 	usualRateTime = 30 * time.Second
+	firstSamples  = int(LearningTime / Interval)
+	// minLate is how many samples of floodWindow must be late for the processor to be short: single ones are
+	// late on any busy machine.
+	minLate = 3
 	// lateDecrease and punctualIncrease change the admitted fraction with each late and punctual sample.
 	lateDecrease     = 0.6
 	punctualIncrease = 0.05
@@ -33,6 +39,10 @@
 	reserveFraction = 0.1
 )
 
+// LearningTime is how long after its start a router takes all new connections within its limits, while it
+// learns their usual rate.
+const LearningTime = 10 * time.Second
+
 // ConnectionLimits bound what clients' connections may use; zero means no bound.
 type ConnectionLimits struct {
 	// Descriptors is the number of file descriptors of the process, and MemoryBytes its memory.
@@ -68,7 +78,11 @@
 	maxConnections int
 	// counts holds the new connections of the last samples, the newest at next-1.
 	counts [int(floodWindow / Interval)]int
-	next   int
+	// late tells which of these samples were late.
+	late [int(floodWindow / Interval)]bool
+	next int
+	// samples is the number of samples, up to firstSamples.
+	samples int
 	// usual is the usual number of new connections in floodWindow.
 	usual float64
 	// turnedAway is the fraction of new connections that are not taken.
@@ -97,19 +111,21 @@
 
 // Observe takes the delay of a timer that fires once in Interval on average.
 func (g *ConnectionGate) Observe(timerDelay time.Duration) {
-	recent := 0
-	for _, count := range g.counts {
+	g.late[g.next] = timerDelay >= MaxTimerDelay
+	recent, late := 0, 0
+	for index, count := range g.counts {
 		recent += count
+		if g.late[index] {
+			late++
+		}
 	}
-	flood := recent >= minFloodRate && float64(recent) >= floodFactor*g.usual
-	if !flood {
-		g.usual += (float64(recent) - g.usual) * float64(Interval) / float64(usualRateTime)
-	}
+	flood := g.observeRate(float64(recent))
 	admitted := 1 - g.turnedAway
-	if flood && timerDelay >= MaxTimerDelay {
-		admitted = max(minAdmitted, admitted*lateDecrease)
-	} else {
+	switch {
+	case !flood || !g.late[g.next]:
 		admitted = min(1, admitted+punctualIncrease)
+	case late >= minLate:
+		admitted = max(minAdmitted, admitted*lateDecrease)
 	}
 	g.turnedAway = 1 - admitted
 	g.pause++
@@ -117,5 +133,18 @@
 	g.counts[g.next] = 0
 }
 
+// observeRate updates the usual number of new connections in floodWindow and reports whether the recent one
+// is a flood.
+func (g *ConnectionGate) observeRate(recent float64) (flood bool) {
+	if g.samples < firstSamples {
+		g.samples++
+		g.usual = max(g.usual, recent)
+		return false
+	}
+	flood = recent >= minFloodRate && recent >= floodFactor*g.usual
+	g.usual += (recent - g.usual) * float64(Interval) / float64(usualRateTime)
+	return flood
+}
+
 // TurnedAway returns the fraction of new connections that are not taken although the limits allow them.
 func (g *ConnectionGate) TurnedAway() float64 { return g.turnedAway }
