Comments of the quarantine of parts and of the connection gate

Cause: a newcomer's reading: one comment named the wrong entry of a ring, others told what was told.

--- a/internal/bench/soak/witness/witness.go
+++ b/internal/bench/soak/witness/witness.go
@@ -235,8 +235,8 @@
 	}
 }
 
-// HeldSound records that a sound request was refused as quarantined; faultFree tells whether no fault was
-// active lately.
+// HeldSound records that a sound request was refused as quarantined; faultFree reports whether no fault was
+// active recently.
 func (w *Witness) HeldSound(id string, at time.Duration, faultFree bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/internal/overload/connections.go
+++ b/internal/overload/connections.go
@@ -76,9 +76,9 @@
 // ConnectionGate is not safe for concurrent use.
 type ConnectionGate struct {
 	maxConnections int
-	// counts holds the new connections of the last samples, the newest at next-1.
+	// counts holds the new connections of the last samples, a ring whose current entry is next.
 	counts [int(floodWindow / Interval)]int
-	// late tells which of these samples were late.
+	// late marks the samples of counts whose timer was late.
 	late [int(floodWindow / Interval)]bool
 	next int
 	// samples is the number of samples, up to firstSamples.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -15,8 +15,8 @@
 //     items of batch jobs. Such items are rerun immediately, so they may run beside the
 //     same crashing request several times.
 //
-// Parts of prompts are judged in blame.go: all requests of a server share parts with requests that
-// crash servers, so that the same evidence is weighed differently.
+// Parts of prompts follow other rules, which are in blame.go: most requests of a crashed server share
+// parts with the one that crashed it.
 //
 // Invariants:
 //   - a crash counts once per content, no matter who reports it and how often;
--- a/internal/site/shareunreported.go
+++ b/internal/site/shareunreported.go
@@ -17,8 +17,8 @@
 	// leaderlessAfter is how long after the last answer of a coordinator there may be no leader: longer
 	// than a watch without changes.
 	leaderlessAfter = watchWait + 250*time.Millisecond
-	// shareInterval is the pause between two exchanges, and shareWait how long a coordinator waits for news
-	// before it answers.
+	// shareInterval is the pause between two exchanges, and shareWait how long a coordinator waits for a
+	// change before it answers.
 	shareInterval = 50 * time.Millisecond
 	shareWait     = 500 * time.Millisecond
 	// shareRetryPause is the pause after an exchange that no coordinator answered, or that found a leader.
@@ -31,8 +31,8 @@
 )
 
 // sharedObservations is what one process knows of the others' unreported observations. While the root
-// group has no leader, each process tells all coordinators that it reaches what it has not reported, and
-// one of them tells it what all have told.
+// group has no leader, each process sends its unreported observations to all coordinators that it reaches,
+// and receives those of all processes from one of them.
 type sharedObservations struct {
 	mutex sync.Mutex
 	list  *quarantine.List
@@ -41,12 +41,12 @@
 	source  string
 	// confirmedAt is when a coordinator last confirmed that there is no leader.
 	confirmedAt time.Time
-	// sent tells for each coordinator what it was told.
+	// sent holds for each coordinator which observations were sent to it.
 	sent map[string]sentObservations
 }
 
 // sentObservations is up to which number the pending observations were sent to a coordinator. Its collection
-// has an epoch, without which it was told nothing.
+// has an epoch; a collection with another epoch lacks them.
 type sentObservations struct{ epoch, upTo uint64 }
 
 // ShareParts turns the sharing of observations on: prompts with parts in common come to this process.
