--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -34,7 +34,7 @@
 func main() {
 	// The processes end with the thread that started them.
 	runtime.LockOSThread()
-	cases := map[string]func(r *record, program string, trouble bool) bool{"split": playSplit, "surplus": playSurplus, "resend": playResend}
+	cases := map[string]func(r *record, program string, trouble bool) bool{"split": playSplit, "surplus": playSurplus, "resend": playResend, "builds": playBuilds}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins CASE RECORD PROGRAM")
 		os.Exit(exitNotRun)
--- a/review/standins/platform.go
+++ b/review/standins/platform.go
@@ -95,6 +95,7 @@
 	record                  *record
 	site                    *site
 	service, id, zone, addr string
+	version                 string
 	slots, events           int
 	eventEvery, firstAfter  time.Duration
 	listener                net.Listener
@@ -110,8 +111,14 @@
 }
 
 func newServer(s *site, service, name string, number int) *server {
+	return newServerOf(s, service, name, number, "v1")
+}
+
+// newServerOf starts a server of a software version.
+func newServerOf(s *site, service, name string, number int, version string) *server {
 	created := &server{
-		record: s.record, site: s, service: service, id: "i-" + name + "-" + newID()[:6], zone: s.zones[number%len(s.zones)],
+		version: version,
+		record:  s.record, site: s, service: service, id: "i-" + name + "-" + newID()[:6], zone: s.zones[number%len(s.zones)],
 		addr: fmt.Sprintf("%s.%d:%d", s.network, 100+number, portServer), slots: 8, events: 10, eventEvery: 20 * time.Millisecond,
 		failures: map[string]int{}, failed: map[string]int{}, stopped: make(chan struct{}),
 	}
@@ -133,7 +140,7 @@
 	for {
 		seq++
 		body, _ := json.Marshal(map[string]any{
-			"service": v.service, "addr": v.addr, "zone": v.zone, "version": "v1", "slots": v.slots, "state": "ready", "cold_left_ms": 0,
+			"service": v.service, "addr": v.addr, "zone": v.zone, "version": v.version, "slots": v.slots, "state": "ready", "cold_left_ms": 0,
 			"stage": "both", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}, "seq": seq,
 		})
 		for _, offset := range rand.Perm(len(v.site.control())) {
--- a/review/standins/site.go
+++ b/review/standins/site.go
@@ -147,7 +147,7 @@
 // start opens the proxies and starts all processes.
 func (s *site) start() {
 	for _, p := range s.processes {
-		if s.withProxy && p.role != "router" {
+		if s.withProxy {
 			p.proxy = openProxy(s, p)
 		}
 	}
