store: a route is absent only by a confirmed configuration

Cause: the leader of the shard was cut off from the coordinators and had the configuration from before the route. Its executor took the absence of the route for the end of it, whatever the age of the configuration and whichever configuration the job had been accepted by.

Change: jobs record the number of the configuration by which they were accepted; a store with an earlier one waits with their items. Otherwise a route is absent only while a coordinator has confirmed within 2.5 s that the configuration is the newest (site.Watcher.ConfigurationAge). The same holds for moves between regions, and routers answer 404 and 401 by that age as well. The record of an item that is given up names the configuration.

Tests of site, router, jobstore, jobclient and store pass.

--- a/internal/jobstore/move.go
+++ b/internal/jobstore/move.go
@@ -165,7 +165,7 @@
 	}
 	copied := &rockwindpb.StoredJob{
 		Id: id, Host: j.stored.GetHost(), Path: j.stored.GetPath(), SubmittedUnixMs: j.stored.GetSubmittedUnixMs(), Ended: j.stored.GetEnded(),
-		Digest: j.stored.GetDigest(), Tenant: j.stored.GetTenant(), Move: proto.CloneOf(j.stored.GetMove()),
+		Digest: j.stored.GetDigest(), Tenant: j.stored.GetTenant(), Move: proto.CloneOf(j.stored.GetMove()), Configuration: j.stored.GetConfiguration(),
 	}
 	copied.Move.State, copied.Move.Region = arriving, source
 	for _, item := range j.stored.GetItems() {
--- a/internal/jobstore/movesteps.go
+++ b/internal/jobstore/movesteps.go
@@ -15,6 +15,8 @@
 // MoveCandidate is a job that moves or may have to.
 type MoveCandidate struct {
 	ID, Host, Path, Tenant string
+	// Configuration is the number of the configuration by which the job was accepted, zero if it is not known.
+	Configuration uint64
 	// Open reports whether any item has no result and may still run.
 	Open bool
 	// Move is the latest move of the job, nil if there was none.
@@ -45,7 +47,7 @@
 			}
 		}
 		candidates = append(candidates, MoveCandidate{
-			ID: id, Host: j.stored.GetHost(), Path: j.stored.GetPath(), Tenant: j.stored.GetTenant(), Open: j.open(),
+			ID: id, Host: j.stored.GetHost(), Path: j.stored.GetPath(), Tenant: j.stored.GetTenant(), Configuration: j.stored.GetConfiguration(), Open: j.open(),
 			Move: proto.CloneOf(j.stored.GetMove()),
 		})
 	}
--- a/internal/jobstore/read.go
+++ b/internal/jobstore/read.go
@@ -40,6 +40,9 @@
 	SubmittedUnixMs int64
 	// Tenant is the owner of the job; empty if the site has no tenants.
 	Tenant string
+	// Configuration is the number of the configuration by which the job was accepted, zero if it is not
+	// known. An earlier one may lack the job's route.
+	Configuration uint64
 	// Failures is the recorded number of failed attempts.
 	Failures int
 	// PartialOutput is the recorded output of the item.
@@ -60,7 +63,7 @@
 			open = append(open, OpenItem{
 				Job: id, Index: uint32(index), Host: j.stored.GetHost(), JobPath: j.stored.GetPath(),
 				Item: item, Body: item.GetBody(), SubmittedUnixMs: j.stored.GetSubmittedUnixMs(),
-				Tenant: j.stored.GetTenant(), Failures: int(j.failuresOf(uint32(index)).GetCount()),
+				Tenant: j.stored.GetTenant(), Configuration: j.stored.GetConfiguration(), Failures: int(j.failuresOf(uint32(index)).GetCount()),
 				PartialOutput: j.partialOutput(uint32(index)),
 			})
 		}
--- a/internal/router/submission.go
+++ b/internal/router/submission.go
@@ -75,7 +75,7 @@
 		return nil, err
 	}
 	job.Host, job.Path, job.Tenant = request.Host, request.URL.EscapedPath(), s.tenant.GetName()
-	job.SubmittedUnixMs = time.Now().UnixMilli()
+	job.SubmittedUnixMs, job.Configuration = time.Now().UnixMilli(), s.configNumber
 	job.Digest, err = jobstore.Digest(job)
 	return job, err
 }
--- a/internal/router/tenants.go
+++ b/internal/router/tenants.go
@@ -7,12 +7,9 @@
 	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/site"
 )
 
-// maxConfigAge is how long after the last contact with a coordinator the local configuration may
-// be used to deny a request: watches are answered once a second.
-const maxConfigAge = 2500 * time.Millisecond
-
 // authenticate returns the tenant of an API key. It returns nil if the configuration has no
 // tenants, and for requests without a known key on public routes.
 func (r *Router) authenticate(index *configuration.Index, key string, public bool) (*rockwindpb.Tenant, error) {
@@ -45,11 +42,11 @@
 		WithRan(fault.NotRun).WithRetryAfter(notReadyRetryAfter)
 }
 
-// denial returns the refusal of something that the local configuration lacks. If the router has
-// lost contact to the coordinators, a newer configuration may have it, and the client should ask
-// another router.
+// denial returns the refusal of something that the local configuration lacks. Unless a coordinator has
+// recently confirmed that this configuration is the newest, a newer one may have it, and the client should
+// ask another router.
 func (r *Router) denial(refusal *fault.Fault) *fault.Fault {
-	if time.Since(r.watcher.LastContact()) <= maxConfigAge {
+	if r.watcher.ConfigurationAge() <= site.MaxConfigurationAge {
 		return refusal.WithRan(fault.NotRun)
 	}
 	return fault.Newf(fault.Unavailable, "use another router", "this router may not have the newest configuration; according to its own, %s", refusal.Message).
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -69,6 +70,8 @@
 	// lastContact is when a coordinator last answered a watch, minus the age of the answer, in Unix
 	// nanoseconds.
 	lastContact atomic.Int64
+	// announced is the configuration that the last answer named as the newest, nil before the first.
+	announced atomic.Pointer[announcedConfiguration]
 
 	// createdAt is when the watcher was created, and failedWatches counts failed watches.
 	createdAt     time.Time
@@ -178,6 +181,26 @@
 // Configuration returns the current configuration. It has number zero before the first.
 func (w *Watcher) Configuration() *configuration.Index { return w.follower.Current() }
 
+// MaxConfigurationAge is how long after a coordinator confirmed that a configuration is the newest a
+// process may conclude from it that a route or a key does not exist. Watches are answered once a second.
+const MaxConfigurationAge = 2500 * time.Millisecond
+
+// announcedConfiguration is the configuration that a coordinator named as the newest at a time.
+type announcedConfiguration struct {
+	number uint64
+	at     time.Time
+}
+
+// ConfigurationAge returns the time since a coordinator confirmed that the current configuration is the
+// newest. It is math.MaxInt64 if none has or if the last answer named a newer one.
+func (w *Watcher) ConfigurationAge() time.Duration {
+	announced := w.announced.Load()
+	if announced == nil || announced.number > w.Configuration().Number() {
+		return math.MaxInt64
+	}
+	return time.Since(announced.at)
+}
+
 // Directory returns the latest known directory, nil before the first.
 func (w *Watcher) Directory() *directory.View { return w.directory.Load() }
 
@@ -323,7 +346,9 @@
 	}
 	w.recordDependency(address, nil)
 	age := time.Duration(response.GetAgeMs()) * time.Millisecond
-	w.lastContact.Store(time.Now().Add(-age).UnixNano())
+	answeredAt := time.Now().Add(-age)
+	w.lastContact.Store(answeredAt.UnixNano())
+	w.announced.Store(&announcedConfiguration{number: response.GetConfigurationNumber(), at: answeredAt})
 	w.requestConfiguration(address, response.GetConfigurationNumber())
 	w.updateQuarantine(response)
 	w.updateZoneDrains(response)
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -102,6 +102,8 @@
 	content fingerprint.Fingerprint
 	// parts are the fingerprints of the parts of the item's prompt.
 	parts []fingerprint.Fingerprint
+	// configuration is the number of the configuration by which an item was given up without an attempt.
+	configuration uint64
 }
 
 // executor runs the items of one shard while this store leads it. Its fields belong to one
--- a/internal/store/giveup.go
+++ b/internal/store/giveup.go
@@ -3,15 +3,17 @@
 import (
 	"time"
 
+	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/site"
 )
 
 // routeStatus states whether an item's route exists.
 type routeStatus int
 
 const (
-	// routeUnknown: this store has no configuration from a coordinator yet.
+	// routeUnknown: this store has no configuration that shows whether the route exists.
 	routeUnknown routeStatus = iota
 	// routeFound: the route is in the current configuration.
 	routeFound
@@ -23,11 +25,24 @@
 	if !e.store.watcher.Initialized() {
 		return nil, routeUnknown
 	}
-	route, found := e.store.watcher.Configuration().Route(item.Host, item.JobPath)
-	if !found || route.GetKind() != rockwindpb.RouteKind_ROUTE_KIND_BATCH {
-		return nil, routeAbsent
+	return findRoute(e.store.watcher.Configuration(), e.store.watcher.ConfigurationAge, item)
+}
+
+// findRoute looks an item's route up. A configuration earlier than that by which the job was accepted may
+// lack the route or its restrictions. So may one that has been superseded without this store knowing, so
+// the route only counts as absent while the configuration is known to be the newest.
+func findRoute(index *configuration.Index, age func() time.Duration, item jobstore.OpenItem) (*rockwindpb.Route, routeStatus) {
+	if index.Number() < item.Configuration {
+		return nil, routeUnknown
+	}
+	route, found := index.Route(item.Host, item.JobPath)
+	switch {
+	case found && route.GetKind() == rockwindpb.RouteKind_ROUTE_KIND_BATCH:
+		return route, routeFound
+	case age() > site.MaxConfigurationAge:
+		return nil, routeUnknown
 	}
-	return route, routeFound
+	return nil, routeAbsent
 }
 
 // routeGoneAfter is how long an item's route must be absent before the item is given up.
--- a/internal/store/moves.go
+++ b/internal/store/moves.go
@@ -14,6 +14,7 @@
 	"rockwind.example/rockwind/internal/jobclient"
 	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/site"
 	"rockwind.example/rockwind/internal/topology"
 )
 
@@ -55,7 +56,7 @@
 	configuration uint64
 	since         time.Time
 	restricts     bool
-	// mayBegin reports that all stores know moves.
+	// mayBegin reports that all stores know moves and that the configuration is known to be the newest.
 	mayBegin bool
 	// region is that of the shard, and regions caches the allowed regions during a search.
 	region  string
@@ -150,7 +151,8 @@
 	if index := e.store.watcher.Configuration(); index.Number() != e.moves.configuration {
 		e.moves.configuration, e.moves.since, e.moves.restricts = index.Number(), now, len(index.RegionSets()) > 0
 	}
-	e.moves.mayBegin = e.moves.restricts && e.store.moveGate.open(now, e.group.Status().GetMembership())
+	e.moves.mayBegin = e.moves.restricts && e.store.watcher.ConfigurationAge() <= site.MaxConfigurationAge &&
+		e.store.moveGate.open(now, e.group.Status().GetMembership())
 	return true
 }
 
@@ -265,7 +267,7 @@
 		facts.Quiet = e.quiet(candidate.ID, state, now)
 		return facts
 	}
-	facts.MayBegin = facts.MustMove && e.moves.mayBegin && e.store.gates.On(featuregate.JobMoves) && inProgress < maxMoves &&
+	facts.MayBegin = facts.MustMove && e.moves.mayBegin && e.moves.configuration >= candidate.Configuration && e.store.gates.On(featuregate.JobMoves) && inProgress < maxMoves &&
 		now.Sub(e.moves.since) >= moveHoldoff && e.moves.mayTry(targetKey(facts.Target), now) && e.moves.mayTry(jobKey(candidate.ID), now)
 	return facts
 }
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -56,6 +56,9 @@
 	if attempt != nil {
 		fields["tenant"], fields["age_ms"] = attempt.tenant, time.Since(attempt.submitted).Milliseconds()
 	}
+	if r.configuration != 0 {
+		fields["config"] = r.configuration
+	}
 	if kind == decision.ItemReturned {
 		fields["content"] = r.content.String()
 		if len(r.parts) > 0 {
--- a/internal/store/start.go
+++ b/internal/store/start.go
@@ -55,6 +55,7 @@
 	}
 	e.finish(attemptResult{
 		claim: claim, outcome: rockwindpb.StoredOutcome_STORED_OUTCOME_DEAD, history: h, reason: reason, item: item.Item.GetId(),
+		configuration: e.store.watcher.Configuration().Number(),
 	})
 }
 
