gateway: deny nothing for good by an old configuration

A gateway that has started from the configuration on its disk, or has lost contact to control, answered 401 and 404 for keys, models, services and batch classes that only a newer configuration has. Callers take these answers as final.

Change: unless a control replica has answered within twice the time for which a call without a change is held, such a refusal is 503, not run.

Result: TestOldConfigurationDeniesNothingForGood is red without the change (its four lookups answer 401 and 404 out of contact); tests of internal/gateway pass.

--- a/internal/gateway/batches.go
+++ b/internal/gateway/batches.go
@@ -143,9 +143,9 @@
 		return nil, invalid("name the url of the file's lines", "the endpoint %q is not that of the file, %q", request.Endpoint, url)
 	}
 	if _, _, found := index.ResolveModel(model); !found {
-		return nil, invalid("name a model that GET /v1/models lists", "there is no model %q", model)
+		return nil, g.denial(fault.From(invalid("name a model that GET /v1/models lists", "there is no model %q", model)))
 	}
-	class, window, err := classAndWindow(index, request)
+	class, window, err := g.classAndWindow(index, request)
 	if err != nil {
 		return nil, err
 	}
@@ -212,11 +212,11 @@
 
 // classAndWindow returns the batch class and the completion window. The deadline of
 // a class that the request names takes precedence over the requested window.
-func classAndWindow(index *configuration.Index, request *batchRequest) (*rockwindpb.BatchClass, time.Duration, error) {
+func (g *Gateway) classAndWindow(index *configuration.Index, request *batchRequest) (*rockwindpb.BatchClass, time.Duration, error) {
 	if name := request.Metadata[metadataBatchClass]; name != "" {
 		class, found := index.BatchClass(name)
 		if !found {
-			return nil, 0, invalid("name a batch class of the configuration", "there is no batch class %q", name)
+			return nil, 0, g.denial(fault.From(invalid("name a batch class of the configuration", "there is no batch class %q", name)))
 		}
 		if deadline := class.GetDeadline().AsDuration(); deadline > 0 {
 			return class, deadline, nil
--- a/internal/gateway/completions.go
+++ b/internal/gateway/completions.go
@@ -51,7 +51,7 @@
 	}
 	wanted, model, err := parsed.wanted(g.follower.Current())
 	if err != nil {
-		writeFault(w, err)
+		writeFault(w, g.denial(fault.From(err)))
 		return
 	}
 	call := &call{gateway: g, writer: w, request: r, body: body, cost: sharing.Cost(wanted.PromptTokens, 0, 0), promptTokens: wanted.PromptTokens}
--- a/internal/gateway/control_test.go
+++ b/internal/gateway/control_test.go
@@ -219,6 +219,8 @@
 	mutex   sync.Mutex
 	index   *configuration.Index
 	changed chan struct{}
+	// outOfContact is set while no control replica answers.
+	outOfContact bool
 }
 
 func newFixedConfiguration() *fixedConfiguration {
@@ -247,6 +249,21 @@
 
 func (*fixedConfiguration) Hint(uint64) {}
 
+func (f *fixedConfiguration) setOutOfContact(outOfContact bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.outOfContact = outOfContact
+}
+
+func (f *fixedConfiguration) LastHeard() time.Time {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.outOfContact {
+		return time.Time{}
+	}
+	return time.Now()
+}
+
 func (*fixedConfiguration) Run(ctx context.Context) error {
 	<-ctx.Done()
 	return ctx.Err()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,8 @@
 	Current() *configuration.Index
 	Changed() <-chan struct{}
 	Hint(number uint64)
+	// LastHeard returns when a control replica last answered, the zero time if none has.
+	LastHeard() time.Time
 	Run(ctx context.Context) error
 }
 
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -55,7 +55,7 @@
 func (g *Gateway) serveModel(w http.ResponseWriter, r *http.Request) {
 	id := chi.URLParam(r, "id")
 	if _, _, found := g.follower.Current().ResolveModel(id); !found {
-		writeFault(w, fault.Newf(fault.NotFound, "name a model that GET /v1/models lists", "there is no model %q", id))
+		writeFault(w, g.denial(fault.Newf(fault.NotFound, "name a model that GET /v1/models lists", "there is no model %q", id)))
 		return
 	}
 	writeJSON(w, newModelObject(id))
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -24,7 +24,7 @@
 	name := chi.URLParam(r, "service")
 	service, found := g.follower.Current().Service(name)
 	if !found {
-		writeFault(w, fault.Newf(fault.NotFound, "check the name of the service", "there is no service %q", name).WithRan(fault.NotRun))
+		writeFault(w, g.denial(fault.Newf(fault.NotFound, "check the name of the service", "there is no service %q", name).WithRan(fault.NotRun)))
 		return
 	}
 	body, err := readBody(w, r)
