upstream: attempts with one identifier use different connections

Cause: a server may send an answer once more in the place of the next one. The next attempt of the item went out under the same identifier on the connection of the 500 before, so that the surplus 500 matched it and counted as one more failure.

Change: a connection remembers hashes of the identifiers that it has carried, and is not used for a second request with one of them; it is closed after 512 requests. This holds for items, retries, resumed streams and copies. Gateways skip answers that name another request, each of their polls has its own identifier, and a connection carries one load query.

--- a/internal/router/survey.go
+++ b/internal/router/survey.go
@@ -29,6 +29,8 @@
 	loadQueryTimeout = 250 * time.Millisecond
 	// maxLoadResponse bounds the size of a response to a load query.
 	maxLoadResponse = 64 << 10
+	// loadQueryID identifies load queries to upstream.Client; it is not sent.
+	loadQueryID = "load-query"
 )
 
 // LoadQuery is implemented by a Protocol that can query servers for their load.
@@ -170,8 +172,9 @@
 	defer cancel()
 	header := make(http.Header)
 	path := query.PrepareLoadRequest(header, server.ID)
+	// Responses to load queries do not name their query, so a connection carries only one.
 	response, err := client.Do(ctx, server.Address, &upstream.Request{
-		Kind: upstream.Passthrough, Method: http.MethodGet, Path: path, Header: header, Repeatable: true,
+		ID: loadQueryID, Kind: upstream.Passthrough, Method: http.MethodGet, Path: path, Header: header, Repeatable: true,
 		Timeouts: upstream.Timeouts{Connect: loadQueryTimeout, FirstByte: loadQueryTimeout},
 	}, 1)
 	if err != nil {
--- a/internal/serverview/poll.go
+++ b/internal/serverview/poll.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"rockwind.example/rockwind/internal/health"
@@ -119,7 +120,7 @@
 	bounded, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	request := &upstream.Request{
-		ID: "poll", Kind: upstream.Service, Method: http.MethodGet, Path: path, Repeatable: true,
+		ID: "poll-" + strconv.FormatUint(v.polls.Add(1), 10), Kind: upstream.Service, Method: http.MethodGet, Path: path, Repeatable: true,
 		Timeouts: upstream.Timeouts{Connect: pollTimeout, FirstByte: pollTimeout},
 	}
 	response, err := v.options.Client.Do(bounded, target.Address, request, 0)
--- a/internal/serverview/view.go
+++ b/internal/serverview/view.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,6 +45,8 @@
 type View struct {
 	options Options
 	epoch   time.Time
+	// polls numbers the polls, whose identifiers must differ.
+	polls atomic.Uint64
 
 	// outcomes passes request outcomes to the owner goroutine.
 	outcomes chan serverOutcome
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -27,6 +27,9 @@
 	// unrepeatable request: if a backend closes an idle connection while the request
 	// is being written, its outcome is unknown.
 	maximumIdleUnrepeatable = time.Second
+	// maximumRequestsPerConnection bounds the requests that a connection carries, and so the
+	// identifiers that it remembers.
+	maximumRequestsPerConnection = 512
 	// maximumStrayResponses bounds the responses read in search of the one that
 	// belongs to the request.
 	maximumStrayResponses = 4
@@ -165,10 +168,12 @@
 // caller must end the response with Finish, Discard or Abandon. Errors are of type
 // *AttemptError.
 func (c *Client) Do(ctx context.Context, address string, request *Request, attempt int) (*Response, error) {
-	conn, err := c.connect(ctx, address, request)
+	identifier := identifierHash(request.attemptID(attempt))
+	conn, err := c.connect(ctx, address, request, identifier)
 	if err != nil {
 		return nil, attemptError(PhaseConnect, err)
 	}
+	conn.addCarried(identifier)
 	stop := context.AfterFunc(ctx, conn.interrupt)
 	if err := c.send(conn, address, request, attempt); err != nil {
 		written := conn.written
@@ -180,7 +185,7 @@
 		return nil, attemptError(PhaseSent, err)
 	}
 	conn.setReadTimeout(ctx, request.Timeouts.FirstByte)
-	head, err := readMatchingHead(conn, request)
+	head, err := readMatchingHead(conn, request, attempt)
 	if err != nil {
 		stop()
 		conn.close()
@@ -193,10 +198,10 @@
 }
 
 // readMatchingHead reads the headers of the response that belongs to the request.
-func readMatchingHead(conn *connection, request *Request) (*http.Response, error) {
+func readMatchingHead(conn *connection, request *Request, attempt int) (*http.Response, error) {
 	for range maximumStrayResponses {
 		head, err := readHead(conn, request.Method)
-		if err != nil || request.MatchesResponse == nil || request.MatchesResponse(head.Header) {
+		if err != nil || request.matches(head.Header, attempt) {
 			return head, err
 		}
 		if _, err := io.Copy(io.Discard, head.Body); err != nil {
@@ -223,7 +228,7 @@
 	}
 }
 
-func (c *Client) connect(ctx context.Context, address string, request *Request) (*connection, error) {
+func (c *Client) connect(ctx context.Context, address string, request *Request, identifier uint32) (*connection, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
@@ -231,7 +236,7 @@
 	if !request.Repeatable {
 		idle = maximumIdleUnrepeatable
 	}
-	if conn := c.pool(address).take(time.Now(), idle); conn != nil {
+	if conn := c.pool(address).take(time.Now(), idle, identifier); conn != nil {
 		return conn, nil
 	}
 	limit := request.Timeouts.Connect
@@ -334,7 +339,7 @@
 // Finish ends a response whose body was read to its end and keeps the connection
 // for reuse if possible.
 func (r *Response) Finish() {
-	if !r.stop() || !r.keep {
+	if !r.stop() || !r.keep || len(r.connection.carried) >= maximumRequestsPerConnection {
 		r.connection.close()
 		return
 	}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // readBufferSize is the size of the read buffer of a connection. A process keeps hundreds of connections, most of
@@ -23,6 +26,8 @@
 	// idleLimit is how long the backend keeps the connection open while idle, zero if
 	// it did not say.
 	idleLimit time.Duration
+	// carried holds the hashes of the identifiers of all requests that were sent on the connection.
+	carried []uint32
 	// written counts the bytes of the current request that the kernel accepted.
 	written int64
 	// deadline is the current read deadline, zero if there is none. It was set for the
@@ -59,6 +64,32 @@
 	return err == nil && silent
 }
 
+// noIdentifier is the hash of requests without an identifier, which connections do not remember.
+const noIdentifier = 0
+
+// identifierHash returns the hash by which connections remember an identifier. Connections may be avoided
+// needlessly where hashes collide.
+func identifierHash(id string) uint32 {
+	if id == "" {
+		return noIdentifier
+	}
+	return max(noIdentifier+1, uint32(xxhash.Sum64String(id)))
+}
+
+// hasCarried reports whether a request with the identifier was sent on the connection. A surplus response
+// to that request may still arrive, and the identifier would not distinguish it from the response to
+// another attempt.
+func (c *connection) hasCarried(identifier uint32) bool {
+	return slices.Contains(c.carried, identifier)
+}
+
+// addCarried notes that a request is sent on the connection.
+func (c *connection) addCarried(identifier uint32) {
+	if identifier != noIdentifier {
+		c.carried = append(c.carried, identifier)
+	}
+}
+
 // write sends bytes and counts those that the kernel accepted.
 func (c *connection) write(p []byte) error {
 	n, err := c.network.Write(p)
@@ -113,11 +144,11 @@
 	idle  []*connection
 }
 
-// take returns a usable connection that has been idle for at most maximumIdle,
-// or nil. It closes connections that have been idle for longer.
-func (p *pool) take(now time.Time, maximumIdle time.Duration) *connection {
+// take returns a usable connection that has been idle for at most maximumIdle and has not
+// carried a request with the identifier, or nil. It closes unusable connections.
+func (p *pool) take(now time.Time, maximumIdle time.Duration, identifier uint32) *connection {
 	for {
-		c := p.pop()
+		c := p.pop(identifier)
 		if c == nil {
 			return nil
 		}
@@ -129,17 +160,17 @@
 	}
 }
 
-func (p *pool) pop() *connection {
+// pop removes the most recently used connection that has not carried a request with the identifier.
+func (p *pool) pop(identifier uint32) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	last := len(p.idle) - 1
-	if last < 0 {
-		return nil
+	for at := len(p.idle) - 1; at >= 0; at-- {
+		if c := p.idle[at]; !c.hasCarried(identifier) {
+			p.idle = slices.Delete(p.idle, at, at+1)
+			return c
+		}
 	}
-	c := p.idle[last]
-	p.idle[last] = nil
-	p.idle = p.idle[:last]
-	return c
+	return nil
 }
 
 // put returns a connection to the pool, or closes it if the pool is full.
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -55,14 +56,16 @@
 
 // Request is one request, regardless of the number of attempts.
 type Request struct {
-	// ID is unique per request; further attempts get a suffix.
+	// ID is unique per request; further attempts get a suffix unless Kind is Passthrough. Attempts
+	// with the same identifier go on different connections.
 	ID string
 	// Kind is the protocol of the backend.
 	Kind Kind
 	// Host is sent in the Host header; if empty, the address of the backend is sent.
 	Host string
 	// MatchesResponse reports by its headers whether a response belongs to this
-	// request; nil accepts every response. Other responses are skipped, because a
+	// request. If it is nil, Passthrough requests accept every response, and others those that name
+	// the attempt's ID or none. Other responses are skipped, because a
 	// backend may send a stray response ahead of the right one.
 	MatchesResponse func(http.Header) bool
 	// Method is the HTTP method.
@@ -89,14 +92,32 @@
 	Timeouts Timeouts
 }
 
-// attemptID returns the ID of an attempt, counted from zero.
+// attemptID returns the ID of an attempt, counted from zero. Headers of Passthrough requests are sent
+// unchanged, so their attempts share an ID.
 func (r *Request) attemptID(attempt int) string {
-	if attempt == 0 {
+	if attempt == 0 || r.ID == "" || r.Kind == Passthrough {
 		return r.ID
 	}
 	return r.ID + "-" + strconv.Itoa(attempt)
 }
 
+// matches reports whether a response belongs to an attempt.
+func (r *Request) matches(answer http.Header, attempt int) bool {
+	switch {
+	case r.MatchesResponse != nil:
+		return r.MatchesResponse(answer)
+	case r.Kind == Passthrough:
+		return true
+	}
+	return namesAny(answer, r.attemptID(attempt))
+}
+
+// namesAny reports whether a response names one of the IDs, or none at all.
+func namesAny(answer http.Header, ids ...string) bool {
+	found := answer.Get(HeaderRequestID)
+	return found == "" || slices.Contains(ids, found)
+}
+
 // maximumCombinedWrite is the largest body that is copied after the headers so that
 // both are sent in one write.
 const maximumCombinedWrite = 64 << 10
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -239,6 +239,9 @@
 		ID: e.request.ID, Kind: Engine, Method: http.MethodPost, Body: body,
 		Path: "/v1/requests/" + e.request.attemptID(number) + "/resume", Priority: e.request.Priority,
 		Timeouts: Timeouts{Connect: e.request.Timeouts.Connect, FirstByte: resumeTimeout},
+		MatchesResponse: func(answer http.Header) bool {
+			return namesAny(answer, e.request.ID, e.request.attemptID(number))
+		},
 	}
 	delay, failures := initialResumeDelay, 0
 	for try := 0; try < maximumResumeAttempts && failures < maximumResumeFailures; try++ {
@@ -290,6 +293,9 @@
 		ID: request.ID, Kind: Engine, Method: http.MethodDelete, Repeatable: true,
 		Path:     "/v1/requests/" + request.attemptID(number),
 		Timeouts: Timeouts{Connect: request.Timeouts.Connect, FirstByte: cancelTimeout, BetweenBytes: cancelTimeout},
+		MatchesResponse: func(answer http.Header) bool {
+			return namesAny(answer, request.ID, request.attemptID(number))
+		},
 	}
 	response, err := r.client.Do(callCtx, target.Address, command, 0)
 	if err != nil {
