jobclient: a silent shard is not one without the job

Cause: before a job is stored in a regional shard, the other shards are asked for an earlier submission. Those that did not answer within 150 ms counted as not having it; an election takes longer. The end went to one copy.

Change: shards that may have the job have to answer, for as long as the caller waits: its ordinary shard, and those of regions to which configurations that this router has seen restrict its address and tenant. Otherwise the outcome is unknown. An end is acknowledged once all shards that may have a copy have answered, and the leader of an ended job asks the other shards again for 12 s and until all have answered, which ends copies that are stored or found later.

Tests of jobclient, store, jobstore and router pass, and those of platform about regions, moves, limits and tenants.

--- a/internal/jobclient/client.go
+++ b/internal/jobclient/client.go
@@ -136,12 +136,27 @@
 	return response.GetBody(), err
 }
 
-// End ends a job of a tenant. Once it returns, no further item of the job is started.
+// End ends a job of a tenant and its copies, as far as shards may have some. Once it returns, no further item of
+// the job is started. The leader of the job's shard ends copies that are found later.
 func (c *Client) End(ctx context.Context, id, tenant string) error {
+	var mutex sync.Mutex
+	endedIn := ""
 	_, err := callJob(ctx, c, id, tenant, 0, func(ctx context.Context, service storeClient, region string) (*rockwindpb.EndStoredJobResponse, error) {
-		return service.End(ctx, &rockwindpb.EndStoredJobRequest{Id: id, Tenant: tenant, Region: region})
+		response, err := service.End(ctx, &rockwindpb.EndStoredJobRequest{Id: id, Tenant: tenant, Region: region})
+		if err == nil {
+			mutex.Lock()
+			defer mutex.Unlock()
+			endedIn = region
+		}
+		return response, err
 	})
-	return err
+	if err != nil || len(c.site.Directory().RegionalShards()) == 0 {
+		return err
+	}
+	mutex.Lock()
+	defer mutex.Unlock()
+	sets := c.regionsOfTenant(tenant)
+	return c.endCopies(ctx, id, tenant, endedIn, func(region string) bool { return mayHold(region, sets) })
 }
 
 // TakeRequest requests admission of a request from the owner of its tenant's rate.
--- a/internal/jobclient/regions.go
+++ b/internal/jobclient/regions.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/jobstore"
@@ -14,8 +16,8 @@
 )
 
 const (
-	// findTimeout bounds the search for an earlier submission of a job. It is several times the
-	// latency between regions.
+	// findTimeout bounds the search for an earlier submission of a job in shards that are not known to
+	// take jobs of its tenant. It is several times the latency between regions.
 	findTimeout = 150 * time.Millisecond
 	// regionRetryAfter is the advice to callers if no store of a region is reached. Machines take
 	// about a second to start.
@@ -33,8 +35,9 @@
 
 // regionalState is what a Client knows of regional shards. The mutex of the Client guards the maps.
 type regionalState struct {
-	// allowed is set by UseRegions.
+	// allowed and history are set by UseRegions and UseRegionHistory.
 	allowed AllowedRegions
+	history RegionHistory
 	// knownRegions holds the regions of the shards that have recently used jobs, empty for the
 	// ordinary shard of a job.
 	knownRegions map[string]string
@@ -50,6 +53,19 @@
 // UseRegions sets the allowed regions by which jobs are looked up. It must be called before the client is used.
 func (c *Client) UseRegions(allowed AllowedRegions) { c.allowed = allowed }
 
+// RegionHistory provides the regions to which configurations have restricted jobs. Jobs that were submitted under
+// an earlier one may be there.
+type RegionHistory struct {
+	// OfJob returns those of the jobs of a tenant at an address.
+	OfJob func(host, path, tenant string) []topology.RegionSet
+	// OfTenant returns those of all jobs of a tenant.
+	OfTenant func(tenant string) []topology.RegionSet
+}
+
+// UseRegionHistory sets the history by which a search for a job has to wait for shards that do not answer. It must
+// be called before the client is used. Without it, the allowed regions of UseRegions count.
+func (c *Client) UseRegionHistory(history RegionHistory) { c.history = history }
+
 // SubmitWithin is Submit for a job that may be stored in some regions only. A restricted job goes to
 // the regional shard of one of them, and straight to a store of that region. If no such store can be
 // reached the job is refused at once, as not run.
@@ -61,11 +77,11 @@
 	}
 	maybeSubmitted := false
 	if c.mayBeElsewhere(view, job, allowed) {
-		submitted, complete, err := c.submittedElsewhere(ctx, view, job, region)
-		if submitted || err != nil {
+		found, err := c.findElsewhere(ctx, view, job, region)
+		if found == submittedBefore || err != nil {
 			return err
 		}
-		maybeSubmitted = !complete
+		maybeSubmitted = found == maybeSubmittedBefore
 	}
 	request := &rockwindpb.SubmitStoredJobRequest{Job: job, Configuration: neededConfig, Region: region}
 	_, err = call(ctx, c, shardIn(job.GetId(), region), 0, func(ctx context.Context, service storeClient) (*rockwindpb.SubmitStoredJobResponse, error) {
@@ -151,9 +167,11 @@
 	if len(view.RegionalShards()) == 0 {
 		return false
 	}
-	return allowed.Restricted() || slices.ContainsFunc(c.allowedSets(job.GetTenant()), topology.RegionSet.Restricted)
+	return allowed.Restricted() || slices.ContainsFunc(c.regionsOf(job), topology.RegionSet.Restricted)
 }
 
+// allowedSets returns the regions to which the current configuration restricts the jobs of a tenant, for
+// each route that accepts jobs.
 func (c *Client) allowedSets(tenant string) []topology.RegionSet {
 	if c.allowed == nil {
 		return nil
@@ -161,22 +179,114 @@
 	return c.allowed(tenant)
 }
 
-// submittedElsewhere reports whether a shard other than that of a region has the job, so that it is
-// not run twice. It fails with fault.Conflict if another job has its identifier. Shards that do not
-// answer in time count as not having the job; complete reports whether all answered.
-func (c *Client) submittedElsewhere(ctx context.Context, view *directory.View, job *rockwindpb.StoredJob, region string) (submitted, complete bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+// regionsOf returns the regions to which the job is or was restricted, as far as this process knows.
+func (c *Client) regionsOf(job *rockwindpb.StoredJob) []topology.RegionSet {
+	if c.history.OfJob == nil {
+		return c.allowedSets(job.GetTenant())
+	}
+	return c.history.OfJob(job.GetHost(), job.GetPath(), job.GetTenant())
+}
+
+// regionsOfTenant returns the regions to which jobs of the tenant are or were restricted.
+func (c *Client) regionsOfTenant(tenant string) []topology.RegionSet {
+	if c.history.OfTenant == nil {
+		return c.allowedSets(tenant)
+	}
+	return c.history.OfTenant(tenant)
+}
+
+// mayHold reports whether the shard of a region may have jobs that are or were restricted to sets of regions.
+// Ordinary shards may.
+func mayHold(region string, sets []topology.RegionSet) bool {
+	return region == "" || slices.ContainsFunc(sets, func(allowed topology.RegionSet) bool {
+		return slices.Contains(allowed.Names(), region)
+	})
+}
+
+// earlierSubmission is what a search found out about an earlier submission of a job.
+type earlierSubmission int
+
+const (
+	notSubmittedBefore earlierSubmission = iota
+	// maybeSubmittedBefore: no shard that may have the job has it, and another shard did not answer.
+	maybeSubmittedBefore
+	submittedBefore
+)
+
+// findElsewhere searches the shards other than that of a region for a job, so that it is not stored twice. It
+// fails with fault.Conflict if another job has its identifier, and with fault.OutcomeUnknown if a shard that
+// may have the job does not answer, as during an election: the job is only stored once it is known not to be there.
+func (c *Client) findElsewhere(ctx context.Context, view *directory.View, job *rockwindpb.StoredJob, region string) (earlierSubmission, error) {
+	others := places(view, region)
+	sets := c.regionsOf(job)
+	likely := slices.DeleteFunc(slices.Clone(others), func(region string) bool { return !mayHold(region, sets) })
+	unlikely := slices.DeleteFunc(others, func(region string) bool { return mayHold(region, sets) })
+	shortly, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	found, err := c.locate(ctx, job.GetId(), places(view, region))
-	if err != nil {
-		return false, fault.Is(err, fault.NotFound), nil
+	further := make(chan error, 1)
+	var there location
+	go func() {
+		var err error
+		there, err = c.locate(shortly, job.GetId(), unlikely)
+		further <- err
+	}()
+	found, err := c.locate(ctx, job.GetId(), likely)
+	furtherErr := <-further
+	if err != nil && furtherErr == nil {
+		found, err = there, nil
 	}
-	if !bytes.Equal(found.digest, job.GetDigest()) {
-		return false, true, fault.Newf(fault.Conflict, "use a unique identifier for each job", "identifier %q is in use by another job", job.GetId()).
+	switch {
+	case err == nil && !bytes.Equal(found.digest, job.GetDigest()):
+		return notSubmittedBefore, fault.Newf(fault.Conflict, "use a unique identifier for each job", "identifier %q is in use by another job", job.GetId()).
 			WithRan(fault.NotRun)
+	case err == nil:
+		c.remember(view, job.GetId(), found.region)
+		return submittedBefore, nil
+	case !fault.Is(err, fault.NotFound):
+		return maybeSubmittedBefore, c.unansweredError(true)
+	case !fault.Is(furtherErr, fault.NotFound):
+		return maybeSubmittedBefore, nil
+	}
+	return notSubmittedBefore, nil
+}
+
+// EndCopies ends the copies of a job in the shards other than that of a region. There are some if the job was
+// submitted at two routers with different configurations at the same time. It fails if a shard does not answer.
+func (c *Client) EndCopies(ctx context.Context, id, tenant, region string) error {
+	return c.endCopies(ctx, id, tenant, region, func(string) bool { return true })
+}
+
+// endCopies is EndCopies, but only shards that are required have to answer.
+func (c *Client) endCopies(ctx context.Context, id, tenant, region string, required func(region string) bool) error {
+	var ending errgroup.Group
+	for _, other := range places(c.site.Directory(), region) {
+		ending.Go(func() error {
+			if required(other) {
+				return c.endCopy(ctx, id, tenant, other)
+			}
+			ctx, cancel := context.WithTimeout(ctx, findTimeout)
+			defer cancel()
+			_ = c.endCopy(ctx, id, tenant, other)
+			return nil
+		})
 	}
-	c.remember(view, job.GetId(), found.region)
-	return true, true, nil
+	return ending.Wait()
+}
+
+// endCopy ends the copy of a job in the shard of a region, if it has one.
+func (c *Client) endCopy(ctx context.Context, id, tenant, region string) error {
+	found, err := c.find(ctx, region, id)
+	if err != nil || !found.GetFound() {
+		return err
+	}
+	_, err = call(ctx, c, shardIn(id, region), 0, func(ctx context.Context, service storeClient) (*rockwindpb.EndStoredJobResponse, error) {
+		return service.End(ctx, &rockwindpb.EndStoredJobRequest{Id: id, Tenant: tenant, Region: region})
+	})
+	if fault.Is(err, fault.NotFound) || fault.Is(err, fault.Unauthenticated) {
+		// The copy has been dropped, or the job is that of another tenant.
+		return nil
+	}
+	return err
 }
 
 // places lists the regions of all shards that may have a job, without the excluded ones. The empty
--- a/internal/jobclient/regions_test.go
+++ b/internal/jobclient/regions_test.go
@@ -41,6 +41,8 @@
 	// markers holds the markers of moved jobs in each region's shard, and arriving the copies that do not count yet.
 	markers  map[string]map[string]*rockwindpb.FindStoredJobResponse
 	arriving map[string]map[string]*rockwindpb.StoredJob
+	// electing holds the regions whose shard has no leader.
+	electing map[string]bool
 	// activateOnRead activates the move of a job after a read that did not find it.
 	activateOnRead bool
 }
@@ -90,7 +92,7 @@
 
 // shard returns the jobs of a shard if the store holds it. The caller holds the mutex.
 func (f *regionalStore) shard(region string) (map[string]*rockwindpb.StoredJob, error) {
-	if region != "" && region != f.region {
+	if f.site.electing[region] || (region != "" && region != f.region) {
 		return nil, fault.ToTwirp(fault.New(fault.NotLeader, "ask another", "not held here").WithRan(fault.NotRun))
 	}
 	return f.site.jobs[region], nil
--- a/internal/jobstore/read.go
+++ b/internal/jobstore/read.go
@@ -71,6 +71,20 @@
 	return open
 }
 
+// EndedJob is a job of this shard that its owner has ended.
+type EndedJob struct{ ID, Tenant string }
+
+// EndedJobs returns the ended jobs that the shard has.
+func (m *Machine) EndedJobs() []EndedJob {
+	var ended []EndedJob
+	for id, j := range m.jobs {
+		if j.here() && j.stored.GetEnded() {
+			ended = append(ended, EndedJob{ID: id, Tenant: j.stored.GetTenant()})
+		}
+	}
+	return ended
+}
+
 // Has reports whether the shard has the job, a copy of it that does not count yet, or a marker of it.
 func (m *Machine) Has(id string) bool {
 	_, found := m.jobs[id]
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -154,6 +154,9 @@
 	group.Go(func() error { return router.watcher.Run(background) })
 	group.Go(func() error { return router.metrics.Serve(background, settings) })
 	group.Go(func() error { router.FollowDirectory(background); return nil })
+	if site.Topology(d.settings).MultiRegion() {
+		group.Go(func() error { router.regionHistory.follow(background, router.watcher); return nil })
+	}
 	group.Go(func() error { router.traffic.Follow(background, router.watcher.Directory); return nil })
 	group.Go(func() error {
 		router.recordStart(background, settings.GetName())
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -48,9 +48,11 @@
 	protocol    Protocol
 	jobs        *jobclient.Client
 	timeouts    routeTimeouts
-	rates       *rateclient.Client
-	buffers     *clientconn.Buffers
-	started     time.Time
+	// regionHistory is followed on sites with several regions.
+	regionHistory regionHistory
+	rates         *rateclient.Client
+	buffers       *clientconn.Buffers
+	started       time.Time
 	// startupTime is how long this router took to become ready, in nanoseconds.
 	startupTime atomic.Int64
 	// keyLifetime is how long keys are accepted after the last contact with a coordinator; zero
--- a/internal/router/submission.go
+++ b/internal/router/submission.go
@@ -10,6 +10,7 @@
 	"rockwind.example/rockwind/internal/configuration"
 	"rockwind.example/rockwind/internal/decision"
 	"rockwind.example/rockwind/internal/fault"
+	"rockwind.example/rockwind/internal/jobclient"
 	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/topology"
@@ -53,6 +54,16 @@
 	r.jobs.UseRegions(func(tenant string) []topology.RegionSet {
 		return batchRegions(r.watcher.Configuration(), tenant)
 	})
+	r.jobs.UseRegionHistory(jobclient.RegionHistory{
+		OfJob: func(host, path, tenant string) []topology.RegionSet {
+			r.regionHistory.observe(r.watcher.Configuration())
+			return r.regionHistory.of(host, path, tenant)
+		},
+		OfTenant: func(tenant string) []topology.RegionSet {
+			r.regionHistory.observe(r.watcher.Configuration())
+			return r.regionHistory.ofTenant(tenant)
+		},
+	})
 }
 
 // batchRegions returns the regions to which a configuration restricts the jobs of a tenant, for each
--- a/internal/store/executor.go
+++ b/internal/store/executor.go
@@ -151,6 +151,8 @@
 	lapsedAt time.Time
 	lastDrop time.Time
 	moves    jobMoves
+	// ends passes the ends of jobs on to other shards.
+	ends endedJobs
 	// trial is the last claim of an item whose parts are held; nil if there is none.
 	trial *itemTrial
 }
@@ -215,8 +217,9 @@
 		_ = e.group.ReadLocal(ctx, e.cancelStale)
 		return true
 	}
-	due, movesDue := e.progressDue(now), e.movesDue(now)
+	due, movesDue, endsDue := e.progressDue(now), e.movesDue(now), e.endsDue(now)
 	var open []jobstore.OpenItem
+	var ended []jobstore.EndedJob
 	var candidates []jobstore.MoveCandidate
 	err := e.group.Read(ctx, func() {
 		e.cancelStale()
@@ -228,6 +231,9 @@
 		if movesDue {
 			candidates = e.machine.Moves(e.mayMove)
 		}
+		if endsDue {
+			ended = e.machine.EndedJobs()
+		}
 	})
 	if err != nil {
 		// The open items are unknown, so other leaders must not reserve slots for the last
@@ -242,6 +248,9 @@
 	if movesDue {
 		e.moveJobs(ctx, candidates, now)
 	}
+	if endsDue {
+		e.passEndsOn(ctx, ended, now)
+	}
 	slices.SortFunc(open, func(a, b jobstore.OpenItem) int {
 		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
 	})
@@ -273,6 +282,7 @@
 		e.shares, e.recentlyEnded = newTenantShares(), nil
 		e.term = term
 		e.moves.reset(e.store, e.shard)
+		e.ends.reset()
 	}
 	e.updateAttempts(leading, now)
 	e.updateHistory(term)
