store: try held items again once no server crashes

Items under which several servers crashed by chance are held for ten minutes after the fifth crash, longer than they may wait, although no server crashes any more: the registry can't tell them from items that crash servers, and a held item gets no answer.

Change: internal/store/retrial lets a store run held items once no server has crashed for 3 to 5 s, few at a time and one for each content or part. A trial whose server crashes alone delays the next one by 20 s, 2 min and 10 min; one that crashes beside others counts for nothing. Online requests are held as before.

--- a/internal/router/crashreporter.go
+++ b/internal/router/crashreporter.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"os"
 	"slices"
 	"sync"
 	"time"
@@ -63,6 +61,8 @@
 	stopped         chan struct{}
 	answers         *recentAnswers
 	partAnswers     *quarantine.PartAnswers
+	// observeCrash is called with the identifier of each server that crashed; nil if it is not set.
+	observeCrash func(server string)
 	// trialClaims holds the claim of a trial that is being made.
 	trialClaims chan struct{}
 }
@@ -78,6 +78,9 @@
 	}
 }
 
+// ObserveCrashes sets the observer of crashed servers. It must be called before the reporter is used.
+func (r *CrashReporter) ObserveCrashes(observe func(server string)) { r.observeCrash = observe }
+
 // Run sends reports until the context ends. It may be called only once.
 func (r *CrashReporter) Run(ctx context.Context) {
 	defer close(r.stopped)
@@ -106,7 +109,7 @@
 // ConnectionLost records that the connection of an attempt broke with the given error before the
 // response was complete. Timeouts are ignored: the server may be alive.
 func (r *CrashReporter) ConnectionLost(attempt Attempt, cause error) {
-	if timedOut(cause) {
+	if upstream.IsTimeout(cause) {
 		return
 	}
 	select {
@@ -118,6 +121,9 @@
 	go func() {
 		defer func() { <-r.checkSlots }()
 		if r.serverCrashed(attempt) {
+			if r.observeCrash != nil {
+				r.observeCrash(attempt.Server)
+			}
 			r.reportCrash(attempt)
 		}
 	}()
@@ -148,15 +154,6 @@
 	r.reporter.ReportCrash(end, attempt.SentAt, answeredAt)
 }
 
-// timedOut reports whether a connection failed by a local timeout.
-func timedOut(cause error) bool {
-	var failure *upstream.AttemptError
-	if errors.As(cause, &failure) && failure.Timeout {
-		return true
-	}
-	return errors.Is(cause, os.ErrDeadlineExceeded)
-}
-
 // serverCrashed reports whether the server of an attempt ended without leaving. Concurrent checks
 // of one server share a probe, which never fails.
 func (r *CrashReporter) serverCrashed(attempt Attempt) bool {
--- a/internal/store/history.go
+++ b/internal/store/history.go
@@ -8,6 +8,7 @@
 	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/store/output"
+	"rockwind.example/rockwind/internal/store/retrial"
 )
 
 // history is what this leader knows of an item's attempts. After a change of leader it starts
@@ -30,6 +31,8 @@
 	// quarantinedUntil is the latest end of the quarantine.
 	quarantined      bool
 	quarantinedUntil time.Time
+	// retrial is the permission to run once although the item is held, nil if there is none.
+	retrial *retrial.Trial
 	// fingerprint is the fingerprint of the item's request, computed on first use.
 	fingerprint *fingerprint.Fingerprint
 	// parts are the fingerprints of the parts of the item's prompt at partsService.
--- a/internal/store/item.go
+++ b/internal/store/item.go
@@ -49,6 +49,8 @@
 	maxAttempts int
 	// began is when the request was sent.
 	began time.Time
+	// broken reports that the connection broke before the response was complete.
+	broken bool
 }
 
 func itemHeader(item jobstore.OpenItem) http.Header {
@@ -64,6 +66,7 @@
 // reportBroken reports to the crash reporter that the connection broke before the response was
 // complete.
 func (a *itemAttempt) reportBroken(cause error) {
+	a.broken = !upstream.IsTimeout(cause)
 	a.store.crashReporter.ConnectionLost(router.Attempt{
 		Content: a.content(), Parts: a.parts, Server: a.lease.ID, Address: a.lease.Address, SentAt: a.began,
 		Route: a.route, Tenant: a.item.Tenant, BatchItem: true,
--- a/internal/store/quarantine.go
+++ b/internal/store/quarantine.go
@@ -2,18 +2,22 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 
 	"rockwind.example/rockwind/internal/decision"
+	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/jobstore"
 	"rockwind.example/rockwind/internal/quarantine"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/router"
 	"rockwind.example/rockwind/internal/store/claims"
+	"rockwind.example/rockwind/internal/store/retrial"
 )
 
 const (
@@ -40,6 +44,9 @@
 		held = quarantine.HeldParts{}
 	}
 	remaining = max(remaining, held.For)
+	if remaining > 0 && e.mayRetry(item, h, held, now) {
+		remaining = 0
+	}
 	if remaining == 0 {
 		h.quarantined, h.quarantinedUntil = false, time.Time{}
 		return false
@@ -57,6 +64,74 @@
 	return true
 }
 
+// mayRetry reports whether a held item may run once, because no server has crashed for a while.
+func (e *executor) mayRetry(item jobstore.OpenItem, h *history, held quarantine.HeldParts, now time.Time) bool {
+	h.retrial = e.store.retrials.grant(h.retrial, e.store.watcher.Directory(), append([]fingerprint.Fingerprint{h.content(item)}, held.Parts...), now)
+	return h.retrial != nil
+}
+
+// takeRetrial returns the permission by which a held item has started, nil if it was not held.
+func (e *executor) takeRetrial(item jobstore.OpenItem, h *history) *retrial.Trial {
+	permission := h.retrial
+	h.retrial = nil
+	if permission != nil {
+		e.store.retrials.start(permission)
+		decision.Default.Record(decision.RequestTried, item.Job, log.Fields{"item": item.Index, "item_id": item.Item.GetId(), "content": h.content(item).String()})
+	}
+	return permission
+}
+
+// retrialOutcome returns how an attempt ended for a trial.
+func (a *itemAttempt) retrialOutcome(r attemptResult) retrial.Outcome {
+	switch {
+	case a.broken:
+		return retrial.Crashed
+	case r.outcome != rockwindpb.StoredOutcome_STORED_OUTCOME_UNSPECIFIED || r.failed:
+		return retrial.Succeeded
+	}
+	return retrial.NotRun
+}
+
+// itemRetrials is a retrial.Tracker for the executors of all shards.
+type itemRetrials struct {
+	mutex   sync.Mutex
+	tracker *retrial.Tracker
+}
+
+func newItemRetrials() *itemRetrials {
+	return &itemRetrials{tracker: retrial.NewTracker(rand.Float64())}
+}
+
+// grant returns the trial of an item if it is still valid, otherwise a new one, or nil.
+func (r *itemRetrials) grant(current *retrial.Trial, view *directory.View, keys []fingerprint.Fingerprint, now time.Time) *retrial.Trial {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.tracker.Observe(view, now)
+	if r.tracker.Valid(current, now) {
+		return current
+	}
+	return r.tracker.Grant(keys, now)
+}
+
+// serverCrashed notes that a server of this store's items has crashed.
+func (r *itemRetrials) serverCrashed(server string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.tracker.ServerCrashed(server, time.Now())
+}
+
+func (r *itemRetrials) start(trial *retrial.Trial) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.tracker.Start(trial)
+}
+
+func (r *itemRetrials) end(trial *retrial.Trial, server string, outcome retrial.Outcome) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.tracker.End(trial, server, outcome, time.Now())
+}
+
 // mayTryHeld reports whether an item may run as a trial of its held parts. It claims the trial in the background
 // if that is due.
 func (e *executor) mayTryHeld(item jobstore.OpenItem, held quarantine.HeldParts, now time.Time) bool {
--- a/internal/store/start.go
+++ b/internal/store/start.go
@@ -79,6 +79,7 @@
 	}
 	h.tried = h.tried || lease.Trial
 	e.trialStarted(item, h.parts)
+	permission := e.takeRetrial(item, h)
 	e.restartUnlessSame(service, item, h, lease, decided)
 	e.active[key] = &activeAttempt{
 		tenant: item.Tenant, service: service, server: lease.ID, route: route, submitted: time.UnixMilli(item.SubmittedUnixMs),
@@ -92,6 +93,9 @@
 	go func() {
 		r := attempt.run(attemptCtx)
 		cancel(nil)
+		if permission != nil {
+			e.store.retrials.end(permission, lease.ID, attempt.retrialOutcome(r))
+		}
 		r.claim, r.item, r.server, r.content, r.parts = claim, item.Item.GetId(), lease.ID, attempt.content(), attempt.parts
 		e.sendResult(ctx, r)
 	}()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -58,6 +58,8 @@
 	contacts      *contacts
 	moveGate      *moveGate
 	movingJobs    *movingJobs
+	// retrials decides on trials of held items of all shards.
+	retrials *itemRetrials
 	// copying holds a value while a job is copied to another shard: the copy of a large job takes much memory.
 	copying chan struct{}
 
@@ -89,6 +91,7 @@
 		regions:    siteRegions{site.Topology(settings)},
 		contacts:   newContacts(),
 		movingJobs: newMovingJobs(),
+		retrials:   newItemRetrials(),
 		copying:    make(chan struct{}, 1),
 		machines:   make(map[uint32]*jobstore.Machine),
 		dueChecks:  make(map[uint32]*dueCheck),
@@ -106,6 +109,7 @@
 		return err
 	}
 	s.crashReporter = router.NewCrashReporter(s.watcher, s.upstream, s.protocol, s.dispatcher)
+	s.crashReporter.ObserveCrashes(s.retrials.serverCrashed)
 	s.limiter = newLimiter(s)
 	s.moveGate = newMoveGate(s.limiter.client, s.watcher.Stores)
 	s.rates = newRequestRates(s)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -152,6 +152,12 @@
 	return fault.RanUnknown
 }
 
+// IsTimeout reports whether an attempt or the read of a response failed since the backend sent nothing for too long.
+func IsTimeout(err error) bool {
+	var failure *AttemptError
+	return errors.Is(err, os.ErrDeadlineExceeded) || (errors.As(err, &failure) && failure.Timeout)
+}
+
 func attemptError(phase Phase, cause error) *AttemptError {
 	return &AttemptError{Phase: phase, Timeout: errors.Is(cause, os.ErrDeadlineExceeded), Cause: cause}
 }
