upstream: bounds for bytes without end

Cause: the protocol now names servers that send bytes without end. Reads were bounded by a server's silence, not by bytes or time: lines of a head, the rest of a body that is read before its connection is kept, informational responses, an incomplete event and the output of an item had no bound. A 500 whose body has no end was not tried at another server before the deadline.

Change: 64 KB and 16 informational responses for the heads up to the right one, 1 MB for the body of a stray response, 64 KB and 250 ms for a rest that is not needed, 256 KB for an event at routers, stores and gateways, 8 MB for an item's output and an unstreamed engine response. Beyond that the connection counts as lost. Back ends of the soak send such answers, and surplus answers to items.

Tests of upstream, store, router, gateway, serverview, batch and site pass.

--- a/internal/bench/soak/backend/backend.go
+++ b/internal/bench/soak/backend/backend.go
@@ -66,6 +66,10 @@
 	// More of these are cut, since only the end of the connection ends them.
 	unframedFraction    = 0.2
 	unframedCutFraction = 0.05
+	// endlessFraction is the fraction of the answers that are bytes without end, and surplusFraction that of the
+	// items that fail once, with an answer that is sent again in the place of the next one.
+	endlessFraction = 0.005
+	surplusFraction = 0.05
 )
 
 // Answer is the body of the plain answer to a request.
@@ -178,6 +182,13 @@
 	return s.random.Float64() < probability
 }
 
+// pick returns a random number below count.
+func (s *Server) pick(count int) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.random.IntN(count)
+}
+
 func (s *Server) checkForbidden(id string) {
 	s.mutex.Lock()
 	forbidden := s.forbiddenSince
@@ -224,6 +235,16 @@
 		writer.WriteHeader(http.StatusUnprocessableEntity)
 		return
 	}
+	if s.chance(endlessFraction) {
+		s.witness.Count("answers without end")
+		writeWithoutEnd(writer, id, s.pick(len(endlessHeads)))
+		return
+	}
+	if request.Header.Get(HeaderJob) != "" && s.chance(surplusFraction) {
+		s.witness.Count("surplus answers")
+		failWithSurplus(writer, id)
+		return
+	}
 	if strings.HasPrefix(request.URL.Path, PathLarge) {
 		body := LargeAnswer(id)
 		writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -152,6 +152,8 @@
 			e.resetWatchdog()
 		}
 		switch {
+		case splitter.TooLong():
+			return e.handleBrokenResponse(ctx, lease, response, latency, upstream.ErrEventTooLong)
 		case err == nil:
 		case errors.Is(err, io.EOF) && splitter.InEvent():
 			e.recordEndedInEvent(lease, len(splitter.Rest()))
--- a/internal/serverview/poll.go
+++ b/internal/serverview/poll.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/health"
 	"rockwind.example/rockwind/internal/upstream"
 )
@@ -128,6 +129,9 @@
 		return nil, 0, err
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body(pollTimeout), maxResponseBytes))
+	if err == nil && len(body) == maxResponseBytes {
+		err = fault.New(fault.Unavailable, "the response to a poll is too long", "look at the server")
+	}
 	if err != nil {
 		response.Abandon()
 		return nil, 0, err
--- a/internal/site/identity.go
+++ b/internal/site/identity.go
@@ -20,6 +20,9 @@
 // the answer shows, or an error if there is no answer.
 type Identifier func(ctx context.Context, expected *rockwindpb.Server, healthPath string) (directory.Identity, error)
 
+// maxIdentityHeader bounds the headers of an answer to an identity query.
+const maxIdentityHeader = 64 << 10
+
 // HTTPIdentifier returns an identifier that requests the health path. expectedHeader names the
 // request header with the expected incarnation, which another incarnation rejects with status 421.
 // foundHeader names the response header with the incarnation that answers, and coldHeader the one
@@ -28,7 +31,7 @@
 	// Connections are not reused, because an earlier one may have been accepted by a server that
 	// has ended since.
 	client := &http.Client{
-		Transport:     &http.Transport{DialContext: dial.Dialer().DialContext, DisableKeepAlives: true},
+		Transport:     &http.Transport{DialContext: dial.Dialer().DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxIdentityHeader},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return func(ctx context.Context, expected *rockwindpb.Server, healthPath string) (directory.Identity, error) {
--- a/internal/store/item.go
+++ b/internal/store/item.go
@@ -34,8 +34,15 @@
 	refusalDelay = 150 * time.Millisecond
 	failureDelay = 300 * time.Millisecond
 	readSize     = 8 << 10
+	// eventTimeout limits the time until the next event is complete, although bytes arrive.
+	eventTimeout = 30 * time.Second
+	// maxItemOutput limits the bytes of an attempt's response. A longer one comes from a faulty server.
+	maxItemOutput = 8 << 20
 )
 
+// errOutputTooLong means that the response to an item exceeds maxItemOutput.
+var errOutputTooLong = errors.New("the output of the item has no end")
+
 // itemAttempt is one attempt to run an item on a server.
 type itemAttempt struct {
 	store   *Store
@@ -176,13 +183,23 @@
 func (a *itemAttempt) receiveStream(ctx context.Context, response *upstream.Response, latency time.Duration) attemptResult {
 	var splitter upstream.EventSplitter
 	buffer := make([]byte, readSize)
+	received, lastEvent := 0, time.Now()
 	for {
 		n, err := response.Read(buffer, idleTimeout)
 		if n > 0 {
 			a.lease.Received(buffer[:n])
-			a.writer.Add(upstream.Events(splitter.Add(buffer[:n])))
+			received += n
+			if complete := splitter.Add(buffer[:n]); len(complete) > 0 {
+				a.writer.Add(upstream.Events(complete))
+				lastEvent = time.Now()
+			}
 		}
 		switch {
+		case received > maxItemOutput:
+			a.writer.Discard()
+			return a.handleBroken(ctx, response, latency, errOutputTooLong)
+		case splitter.TooLong() || time.Since(lastEvent) > eventTimeout:
+			return a.handleBroken(ctx, response, latency, upstream.ErrEventTooLong)
 		case err == nil:
 		case errors.Is(err, io.EOF) && splitter.InEvent():
 			a.recordEndedInEvent(response, len(splitter.Rest()))
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -15,8 +15,8 @@
 // Sizes for reading response bodies.
 const (
 	copyBufferSize = 32 << 10
-	// maximumResponse bounds an unstreamed response of an engine.
-	maximumResponse = 64 << 20
+	// maximumResponse bounds an unstreamed response of an engine, which is buffered.
+	maximumResponse = 8 << 20
 	// maximumBufferedService bounds the service responses that are buffered until
 	// they are complete; larger ones are relayed as they arrive.
 	maximumBufferedService = 256 << 10
@@ -136,14 +136,7 @@
 }
 
 // drain reads the rest of a short response so that its connection can be reused.
-func (e *exchange) drain(response *Response) {
-	var content bytes.Buffer
-	if err := e.readInto(&content, response, maximumDrain); err != nil {
-		response.Abandon()
-		return
-	}
-	response.Finish()
-}
+func (e *exchange) drain(response *Response) { response.Discard() }
 
 // completion holds the fields of a response that show whether it is complete.
 type completion struct {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -33,8 +33,15 @@
 	// maximumStrayResponses bounds the responses read in search of the one that
 	// belongs to the request.
 	maximumStrayResponses = 4
-	// discardSilenceTimeout bounds the time without data while a body is discarded.
-	discardSilenceTimeout = time.Second
+	// maximumHead bounds the bytes that are read up to the end of the headers of a response, with
+	// informational and stray ones before it.
+	maximumHead = 64 << 10
+	// maximumInformational bounds the informational responses before a response.
+	maximumInformational = 16
+	// maximumStrayBody bounds the body of a stray response.
+	maximumStrayBody = 1 << 20
+	// discardTimeout bounds the time in which the rest of a body that is not needed is read.
+	discardTimeout = 250 * time.Millisecond
 	// keepAliveMargin is subtracted from the idle timeout that a backend announces.
 	keepAliveMargin = 500 * time.Millisecond
 	// defaultConnectTimeout bounds a connection attempt if the request sets no bound.
@@ -44,6 +51,12 @@
 // errStrayResponses means that only responses to other requests arrived.
 var errStrayResponses = errors.New("backend sent only responses to other requests")
 
+// errHeadTooLong and errStrayTooLong mean that a backend sends bytes that form no response.
+var (
+	errHeadTooLong  = errors.New("the headers of the response are too long")
+	errStrayTooLong = errors.New("a response to another request is too long")
+)
+
 // Target is the backend of one attempt.
 type Target struct {
 	// Name of the backend in the configuration.
@@ -205,14 +218,22 @@
 
 // readMatchingHead reads the headers of the response that belongs to the request.
 func readMatchingHead(conn *connection, request *Request, attempt int) (*http.Response, error) {
+	conn.limited.limit = maximumHead
+	defer conn.limited.clear()
 	for range maximumStrayResponses {
 		head, err := readHead(conn, request.Method)
 		if err != nil || request.matches(head.Header, attempt) {
 			return head, err
 		}
-		if _, err := io.Copy(io.Discard, head.Body); err != nil {
+		remaining := conn.limited.limit
+		conn.limited.clear()
+		switch _, err := io.CopyN(io.Discard, head.Body, maximumStrayBody+1); {
+		case err == nil:
+			return nil, errStrayTooLong
+		case !errors.Is(err, io.EOF):
 			return nil, err
 		}
+		conn.limited.limit = remaining
 		if head.Close {
 			return nil, errStrayResponses
 		}
@@ -223,7 +244,7 @@
 // readHead reads the headers of a response, skipping informational responses.
 func readHead(conn *connection, method string) (*http.Response, error) {
 	sentRequest := &http.Request{Method: method}
-	for {
+	for range maximumInformational {
 		head, err := http.ReadResponse(conn.reader, sentRequest)
 		if err != nil {
 			return nil, err
@@ -232,6 +253,7 @@
 			return head, nil
 		}
 	}
+	return nil, errHeadTooLong
 }
 
 func (c *Client) connect(ctx context.Context, address string, request *Request, identifier uint32) (*connection, error) {
@@ -367,10 +389,14 @@
 	return 0
 }
 
-// Discard ends a response whose body is not needed. It reads the rest, so that the
-// connection can be reused, unless the backend stops sending.
-func (r *Response) Discard() {
-	if _, err := io.Copy(io.Discard, r.Body(discardSilenceTimeout)); err != nil {
+// Discard ends a response whose body is not needed. It reads a short rest, so that the
+// connection can be reused. Callers wait for it before they send the request elsewhere.
+func (r *Response) Discard() { r.discard(discardTimeout) }
+
+// discard is Discard with a time limit. The connection is closed if the rest is longer or takes longer.
+func (r *Response) discard(limit time.Duration) {
+	r.connection.setReadDeadline(r.ctx, time.Now().Add(limit))
+	if _, err := io.CopyN(io.Discard, r.body, maximumDrain+1); !errors.Is(err, io.EOF) {
 		r.Abandon()
 		return
 	}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -20,6 +21,7 @@
 type connection struct {
 	network net.Conn
 	raw     syscall.RawConn
+	limited *limitedReader
 	reader  *bufio.Reader
 	// idleSince is when the connection was returned to its pool.
 	idleSince time.Time
@@ -37,13 +39,38 @@
 }
 
 func newConnection(network net.Conn) *connection {
-	c := &connection{network: network, reader: bufio.NewReaderSize(network, readBufferSize)}
+	limited := &limitedReader{source: network, limit: unlimited}
+	c := &connection{network: network, limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize)}
 	if socket, ok := network.(syscall.Conn); ok {
 		c.raw, _ = socket.SyscallConn()
 	}
 	return c
 }
 
+// limitedReader reads from a connection, within a limit while there is one.
+type limitedReader struct {
+	source io.Reader
+	// limit is the number of bytes that may be read, or unlimited.
+	limit int
+}
+
+const unlimited = -1
+
+func (l *limitedReader) clear() { l.limit = unlimited }
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.limit == unlimited {
+		return l.source.Read(p)
+	}
+	if l.limit == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.source.Read(p[:min(len(p), l.limit)])
+	l.limit -= n
+	return n, err
+}
+
 // usable reports whether an idle connection is still open and has no unread data.
 // It peeks into the socket's receive queue without waiting: a connection that the
 // backend closed, or on which it sent unrequested data, is unusable.
@@ -117,6 +144,15 @@
 	}
 }
 
+// setReadDeadline makes reads fail after a time, whether data arrives or not.
+func (c *connection) setReadDeadline(ctx context.Context, deadline time.Time) {
+	c.limit, c.deadline = 0, deadline
+	_ = c.network.SetReadDeadline(deadline)
+	if ctx.Err() != nil {
+		c.interrupt()
+	}
+}
+
 func (c *connection) clearReadTimeout(ctx context.Context) {
 	if c.deadline.IsZero() {
 		return
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -12,6 +12,9 @@
 // the framing of the response says.
 var ErrEndedInEvent = errors.New("the stream ended inside an event")
 
+// ErrEventTooLong means that a stream has an event that exceeds MaximumEvent. The server is faulty.
+var ErrEventTooLong = errors.New("the stream has an event without end")
+
 // IsEventStream reports whether the headers of a response announce server-sent events.
 func IsEventStream(header http.Header) bool {
 	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
--- a/internal/upstream/splitter.go
+++ b/internal/upstream/splitter.go
@@ -21,6 +21,12 @@
 // Rest returns the bytes after the last complete event.
 func (s *EventSplitter) Rest() []byte { return s.rest }
 
+// MaximumEvent bounds the bytes of an event. A process holds an incomplete event for each of its streams.
+const MaximumEvent = 256 << 10
+
+// TooLong reports whether the incomplete event exceeds MaximumEvent.
+func (s *EventSplitter) TooLong() bool { return len(s.rest) > MaximumEvent }
+
 // InEvent reports whether these are part of an event, rather than blank lines and comments alone.
 func (s *EventSplitter) InEvent() bool {
 	var tail eventTail
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -103,11 +103,14 @@
 			}
 			filled = copy(block, block[complete:filled])
 		}
-		if err == nil && filled < maximumResponse {
+		if err == nil && filled < MaximumEvent {
 			continue
 		}
 		response.Abandon()
-		if err == nil || errors.Is(err, io.EOF) {
+		switch {
+		case err == nil:
+			err = ErrEventTooLong
+		case errors.Is(err, io.EOF):
 			err = errNoEndMarker
 		}
 		return streamTruncated, err
@@ -164,18 +167,7 @@
 // finishStream reads the end of the body after the end marker, so that the
 // connection can be reused.
 func (e *exchange) finishStream(response *Response) {
-	var rest [512]byte
-	for {
-		_, err := response.Read(rest[:], finishTimeout)
-		if errors.Is(err, io.EOF) {
-			response.Finish()
-			return
-		}
-		if err != nil {
-			response.Abandon()
-			return
-		}
-	}
+	response.discard(finishTimeout)
 }
 
 // finishTimeout bounds the wait for the end of a body after its end marker.
