soak: bursts of crashes, jobs on added routes

Cause: none of the reported faults was within reach of the soak: backends never crashed together under sound items, and jobs went to one route that all configurations have.

--- a/internal/bench/soak/command.go
+++ b/internal/bench/soak/command.go
@@ -243,7 +243,11 @@
 		load.Go(func() { r.operator.watchRouter(loadCtx, at) })
 	}
 	r.faultsBegan = r.elapsed()
+	burstCtx, stopBursts := context.WithCancel(ctx)
+	defer stopBursts()
+	load.Go(func() { r.crashInBursts(burstCtx) })
 	r.inject(ctx, plan)
+	stopBursts()
 	if err := r.waitUntilServing(ctx, recoverWithin); err != nil {
 		r.witness.Report(witness.NoRecovery, "site", err.Error(), r.elapsed())
 	}
--- a/internal/bench/soak/jobs.go
+++ b/internal/bench/soak/jobs.go
@@ -7,8 +7,10 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"rockwind.example/rockwind/internal/bench/soak/backend"
@@ -32,6 +34,8 @@
 	poisonFraction = 0.05
 	endFraction    = 0.2
 	resendFraction = 0.3
+	// One in addedBatchJobs jobs is submitted to a route that was just added.
+	addedBatchJobs = 3
 	// submitTries limits the attempts to submit a job.
 	submitTries = 30
 	// visibleWithin is how long after its acceptance a router may not find a job yet.
@@ -68,14 +72,15 @@
 		return
 	}
 	c.run.witness.Submitting(id, texts)
-	submitted := c.submit(ctx, id, encoded)
+	path := c.jobPath(id)
+	submitted := c.submit(ctx, path, id, encoded)
 	c.run.submitting.Done()
 	if !submitted {
 		return
 	}
 	accepted := c.run.elapsed()
 	if c.random.Float64() < resendFraction {
-		c.submit(ctx, id, encoded)
+		c.submit(ctx, path, id, encoded)
 	}
 	endsEarly := c.random.Float64() < endFraction
 	for retry.Pause(ctx, readInterval) {
@@ -105,10 +110,20 @@
 	return message, texts
 }
 
+// jobPath returns the path that a job is submitted to. Some jobs go to a route that was just added, which stores
+// that are cut off from the coordinators do not know.
+func (c *jobClient) jobPath(id string) string {
+	if xxhash.Sum64String(id)%addedBatchJobs != 0 {
+		return backend.PathBatch + id
+	}
+	c.run.witness.Count("jobs on added routes")
+	return addedBatch(c.run.operator.newestNumber()) + id
+}
+
 // submit retries the submission of a job and returns whether it was accepted.
-func (c *jobClient) submit(ctx context.Context, id string, encoded []byte) bool {
+func (c *jobClient) submit(ctx context.Context, path, id string, encoded []byte) bool {
 	for range submitTries {
-		status, body, err := c.call(ctx, http.MethodPost, c.router(), backend.PathBatch+id, id, encoded)
+		status, body, err := c.call(ctx, http.MethodPost, c.router(), path, id, encoded)
 		switch {
 		case err == nil && status == http.StatusAccepted:
 			c.run.witness.Accepted(id)
@@ -118,6 +133,9 @@
 			c.run.witness.Count("submissions refused")
 		case err != nil || status >= http.StatusInternalServerError:
 			c.run.witness.SubmissionUncertain(id)
+		case status == http.StatusNotFound && !strings.HasPrefix(path, backend.PathBatch):
+			// The router does not have the added route yet.
+			c.run.witness.Count("submissions before their route")
 		default:
 			c.run.witness.Report(witness.Denied, id, fmt.Sprintf("submission: status %d %s", status, body), c.run.elapsed())
 			return false
--- a/internal/bench/soak/operator.go
+++ b/internal/bench/soak/operator.go
@@ -24,6 +24,9 @@
 	// markerCount is the number of recent configurations that each configuration has a
 	// marker route for.
 	markerCount = 40
+	// addedBatchCount is the number of recent configurations whose added batch routes each configuration has. Jobs
+	// end long before their route is removed.
+	addedBatchCount = 400
 	// applyTimeout bounds one call to a coordinator.
 	applyTimeout = 2 * time.Second
 	// In fault-free periods a configuration must be in force within inForceWithin of its
@@ -87,9 +90,17 @@
 	for marked := number; marked > 0 && marked+markerCount > number; marked-- {
 		add(fmt.Sprintf("marker-%d", marked), marker(marked), rockwindpb.RouteKind_ROUTE_KIND_SAFE, nil)
 	}
+	for added := number; added > 0 && added+addedBatchCount > number; added-- {
+		add(fmt.Sprintf("batch-%d", added), addedBatch(added), rockwindpb.RouteKind_ROUTE_KIND_BATCH, func(r *rockwindpb.Route) {
+			r.DueMs, r.MaximumWaitMs, r.Priority, r.Attempts = 20_000, 600_000, 2, 30
+		})
+	}
 	return result
 }
 
+// addedBatch is the path prefix of the batch route that a configuration adds.
+func addedBatch(number uint64) string { return fmt.Sprintf("/added-batch-%d/", number) }
+
 // marker is the path prefix of the route that shows that a configuration is in force.
 func marker(number uint64) string { return fmt.Sprintf("/marker-%d/", number) }
 
@@ -128,6 +139,13 @@
 	o.run.witness.Count("configurations acknowledged")
 }
 
+// newestNumber returns the number of the newest acknowledged configuration.
+func (o *operator) newestNumber() uint64 {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.newest.number
+}
+
 // newestBefore returns the newest configuration acknowledged before a moment.
 func (o *operator) newestBefore(moment time.Duration) (found acknowledged) {
 	o.mutex.Lock()
