Searches of jobs end once one is found; trials without a server are withdrawn

A repeated submission whose job was found still waited up to 150 ms for regions that do not answer. A trial that had got no server before another server crashed kept its content from a next one for 15 s. A job whose own address is not restricted was no longer looked for in regions to which other routes of its tenant are.

Change: the search of the other regions is cancelled, such a trial is withdrawn, and the tenant's routes count as before for whether to search at all.

--- a/internal/jobclient/regions.go
+++ b/internal/jobclient/regions.go
@@ -167,7 +167,8 @@
 	if len(view.RegionalShards()) == 0 {
 		return false
 	}
-	return allowed.Restricted() || slices.ContainsFunc(c.regionsOf(job), topology.RegionSet.Restricted)
+	return allowed.Restricted() || slices.ContainsFunc(c.regionsOf(job), topology.RegionSet.Restricted) ||
+		slices.ContainsFunc(c.allowedSets(job.GetTenant()), topology.RegionSet.Restricted)
 }
 
 // allowedSets returns the regions to which the current configuration restricts the jobs of a tenant, for
@@ -231,6 +232,9 @@
 		further <- err
 	}()
 	found, err := c.locate(ctx, job.GetId(), likely)
+	if err == nil {
+		cancel()
+	}
 	furtherErr := <-further
 	if err != nil && furtherErr == nil {
 		found, err = there, nil
--- a/internal/store/quarantine.go
+++ b/internal/store/quarantine.go
@@ -110,6 +110,7 @@
 	if r.tracker.Valid(current, now) {
 		return current
 	}
+	r.tracker.Withdraw(current)
 	return r.tracker.Grant(keys, now)
 }
 
--- a/internal/store/retrial/retrial.go
+++ b/internal/store/retrial/retrial.go
@@ -205,6 +205,13 @@
 	return trial != nil && !trial.started && now.Sub(trial.grantedAt) < grantLifetime && now.Sub(t.lastCrash()) >= t.calm
 }
 
+// Withdraw ends a trial that has not started, nil if there is none.
+func (t *Tracker) Withdraw(trial *Trial) {
+	if trial != nil && !trial.started {
+		delete(t.running, trial)
+	}
+}
+
 // Start notes that the item of a trial runs.
 func (t *Tracker) Start(trial *Trial) { trial.started = true }
 
--- a/internal/store/retrial/retrial_test.go
+++ b/internal/store/retrial/retrial_test.go
@@ -176,3 +176,25 @@
 		t.Errorf("items with one part crashed %d servers in 15 s", f.crashes)
 	}
 }
+
+// Guards against items that wait for a trial that got no server before another server crashed.
+func TestTrialWithoutAServerIsWithdrawn(t *testing.T) {
+	f := newFleet(4, 1, false)
+	keys := f.items[0].keys
+	f.items = nil
+	f.advance(10 * time.Second)
+	trial := f.tracker.Grant(keys, f.now)
+	if trial == nil || !f.tracker.Valid(trial, f.now) {
+		t.Fatal("no trial although all is calm")
+	}
+	f.crash(0)
+	f.advance(step)
+	if f.tracker.Valid(trial, f.now) {
+		t.Error("the trial may start right after a crash")
+	}
+	f.tracker.Withdraw(trial)
+	f.advance(6 * time.Second)
+	if f.tracker.Grant(keys, f.now) == nil {
+		t.Error("no trial 6 s after the crash")
+	}
+}
