Comments of trials and of refusals by an old configuration

Cause: two comments said other things than their code, one test's head was figurative.

Change: comments only.

Result: builds; gofmt and vet pass.

--- a/internal/gateway/denial_test.go
+++ b/internal/gateway/denial_test.go
@@ -7,8 +7,8 @@
 	"rockwind.example/rockwind/internal/engine"
 )
 
-// Guards against callers that are told for good that a key, a model or a service does not exist by a gateway
-// whose configuration may be old, as after a start without control.
+// Guards against final refusals of keys, models and services that the configuration of a gateway lacks although it
+// may be old, as after a start without control.
 func TestOldConfigurationDeniesNothingForGood(t *testing.T) {
 	f := startFixture(t, 1, engine.Config{})
 	status := func(method, path, key, body string) int {
--- a/internal/store/retrial/retrial.go
+++ b/internal/store/retrial/retrial.go
@@ -35,7 +35,7 @@
 	// initialTrials and maxTrials bound the trials at the same time. The bound doubles with each success.
 	initialTrials = 2
 	maxTrials     = 32
-	// maxKeys bounds the remembered contents and parts. Those without a trial in progress are forgotten first.
+	// maxKeys bounds the remembered contents and parts. Beyond it, all of them are forgotten.
 	maxKeys = 4096
 	// maxCrashes bounds the remembered crashes.
 	maxCrashes = 64
@@ -53,7 +53,7 @@
 	Succeeded Outcome = iota
 	// NotRun: no server ran the item, or it was stopped.
 	NotRun
-	// Crashed: the connection to the server broke.
+	// Crashed: the connection to the server broke, or it sent something that is no response.
 	Crashed
 )
 
