--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -35,7 +35,7 @@
 	maximumStrayResponses = 4
 	// maximumHead bounds the bytes that are read up to the end of the headers of a response, with
 	// informational and stray ones before it.
-	maximumHead = 64 << 10
+	maximumHead = 32 << 10
 	// maximumInformational bounds the informational responses before a response.
 	maximumInformational = 16
 	// maximumStrayBody bounds the body of a stray response.
