--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -24,6 +24,7 @@
 var scenarios = map[string]scenario{
 	"event-lookup":      {routers: 2, play: playEventLookup},
 	"foreign-heartbeat": {routers: 2, play: playForeignHeartbeat},
+	"lost-store":        {routers: 2, play: playLostStore},
 	"smuggled-request":  {routers: 2, play: playSmuggledRequest},
 }
 
--- a/review/standins-2/site.go
+++ b/review/standins-2/site.go
@@ -44,6 +44,8 @@
 	coordinators    []*process
 	stores          []*process
 	routers         []*process
+	// founded is set once further processes belong to a site that exists.
+	founded bool
 }
 
 // record writes the lines of record.txt.
@@ -109,6 +111,22 @@
 	return s, nil
 }
 
+// addStore starts a further store with an empty disk, which does not found the site.
+func (s *site) addStore() (*process, error) {
+	s.founded = true
+	p, err := s.start("store", len(s.stores), "")
+	if err == nil {
+		s.stores = append(s.stores, p)
+	}
+	return p, err
+}
+
+// kill ends a process as a loss of its machine does.
+func (p *process) kill() {
+	_ = p.command.Process.Kill()
+	<-p.exited
+}
+
 func (s *site) start(role string, index int, internal string) (*process, error) {
 	p := &process{name: fmt.Sprintf("%s-%d", role, index+1), role: role, zone: fmt.Sprintf("zone-%d", index%3+1), internal: internal}
 	var err error
@@ -145,7 +163,7 @@
 	for _, seed := range s.seeds {
 		fmt.Fprintf(&text, "- %q\n", seed)
 	}
-	fmt.Fprintf(&text, "bootstrap: true\nmemory_mb: %d\nmax_descriptors: 4096\ntolerated_losses: 1\nmetrics_listen: %q\n", memory, metrics)
+	fmt.Fprintf(&text, "bootstrap: %t\nmemory_mb: %d\nmax_descriptors: 4096\ntolerated_losses: 1\nmetrics_listen: %q\n", !s.founded, memory, metrics)
 	fmt.Fprintf(&text, "heartbeat_ms: %d\ndrain_ms: %d\ngrace_s: %d\nresult_retention_s: 120\n", heartbeat.Milliseconds(), drainMs, graceS)
 	p.settings = filepath.Join(s.folder, p.name+".yaml")
 	if err := os.WriteFile(p.settings, []byte(text.String()), 0o600); err != nil {
