replica: log and metrics for groups that are short of members

Cause: nothing told that a group lacks a member, for how long, and why a machine that asks to join is not admitted.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -148,6 +148,7 @@
 		return err
 	}
 	d.metrics = newMetrics(d.bodies)
+	d.metrics.registry.MustRegister(replica.Metrics{Host: d.host})
 	if d.certificates != nil {
 		d.metrics.registry.MustRegister(secure.Metrics{d.certificates})
 	}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/twitchtv/twirp"
 
 	"rockwind.example/rockwind/internal/ledger"
+	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/secure"
 	"rockwind.example/rockwind/internal/segment"
@@ -59,6 +60,7 @@
 func DescribeMetrics(descriptions chan<- *prometheus.Desc) {
 	newMetrics(nil).registry.Describe(descriptions)
 	secure.Metrics(nil).Describe(descriptions)
+	replica.Metrics{}.Describe(descriptions)
 }
 
 func (m *metrics) registerBodies(bodies *segment.Node) {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -148,6 +148,7 @@
 func (c *Coordinator) metrics() *sitemetrics.Set {
 	set := sitemetrics.New("coordinator", decision.Default)
 	set.Traffic(c.traffic)
+	set.Groups(c.host)
 	return set
 }
 
--- a/internal/replica/joining.go
+++ b/internal/replica/joining.go
@@ -215,6 +215,8 @@
 		}
 		if err == nil {
 			setMembership(response, o.id, membership)
+		} else {
+			log.WithError(err).WithField("group", o.id).WithField("machine", request.GetMachine()).Debug("machine not admitted")
 		}
 	}
 	return omitKnownGroups(response, request.GetHaveChecksum())
--- a/internal/replica/owner.go
+++ b/internal/replica/owner.go
@@ -109,6 +109,7 @@
 	// by this leader in removableTerm.
 	removableSince time.Time
 	removableTerm  uint64
+	shortages      shortageTracker
 	// leaderRegion decides about transfers to the region that holds a majority of the voters.
 	leaderRegion leaderregion.Tracker
 
@@ -121,6 +122,8 @@
 
 	appliedChanged      chan struct{}
 	publishedLeadership atomic.Pointer[leadership]
+	// publishedShortage is set on the leader.
+	publishedShortage atomic.Pointer[Shortage]
 	// publishedConfirmation is the time as of which the applied state is confirmed, or nil.
 	publishedConfirmation atomic.Pointer[clockReading]
 }
@@ -268,6 +271,7 @@
 	o.failSyncWaits()
 	o.publishedLeadership.Store(nil)
 	o.publishedConfirmation.Store(nil)
+	o.publishedShortage.Store(nil)
 	close(o.stopped)
 }
 
@@ -309,6 +313,7 @@
 	o.trackInactivity(now)
 	o.reportRetired(o.node.Status())
 	o.advanceReplacement(now)
+	o.trackShortage(now)
 	o.continueDrain()
 	o.returnToRegion(now)
 	return o.maybeSnapshot()
--- a/internal/replica/replacing.go
+++ b/internal/replica/replacing.go
@@ -39,6 +39,7 @@
 // inactive or must leave. Otherwise it does nothing.
 func (o *owner) admitNew(status raft.Status, request *rockwindpb.JoinRequest) error {
 	if !o.host.options.AdmitNew || o.host.mustLeave(request.GetMachine()) {
+		o.refuse(request.GetMachine(), "machines with new names may not join, or it must leave its groups", time.Now())
 		return nil
 	}
 	outgoing := o.replaceableMember(status)
@@ -51,6 +52,7 @@
 	case incomplete:
 		return o.addLearner(status, request, nil)
 	case outgoing == nil:
+		o.refuse(request.GetMachine(), "no member needs a replacement", time.Now())
 		return nil
 	}
 	return o.addLearner(status, request, outgoing)
@@ -66,6 +68,7 @@
 			continue
 		}
 		if !member.GetLearner() || progressOf(status, member.GetId()).Active {
+			o.refuse(request.GetMachine(), member.GetMachine()+" is replacing "+outgoing.GetMachine(), time.Now())
 			return nil
 		}
 	}
--- a/internal/sitemetrics/metrics.go
+++ b/internal/sitemetrics/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"rockwind.example/rockwind/internal/decision"
+	"rockwind.example/rockwind/internal/replica"
 	"rockwind.example/rockwind/internal/rockwindpb"
 	"rockwind.example/rockwind/internal/site"
 )
@@ -58,6 +59,11 @@
 	return set
 }
 
+// Groups registers gauges of the members that the groups of a host lack.
+func (s *Set) Groups(host *replica.Host) {
+	s.registry.MustRegister(replica.Metrics{Host: host})
+}
+
 // ObserveRequest records a finished request. The time to the response headers is zero if there was
 // no response.
 func (s *Set) ObserveRequest(routeKind string, outcome decision.Kind, timeToHead, duration time.Duration) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -195,6 +195,7 @@
 	set.LoadTraffic(s.dispatcher.LoadTraffic)
 	set.Traffic(s.traffic)
 	set.StoreMemory(s.memory)
+	set.Groups(s.host)
 	set.Paces(s.dispatcher.Paces)
 	set.DrainedZones(s.dispatcher.DrainedZones)
 	set.ColdServers(s.dispatcher.ColdServers)
