replica: a member that was replaced once can be replaced again

Cause: a member that replaces another one names it for good. When the replaced machine had been admitted again with its disk, and was lost, that name stood for a replacement in progress, and all spares were refused. The root group has the same fault.

Change: a replacement is in progress only while the member that names another one comes after it in the membership. Learners are added at the end, so one that was admitted again comes after its former replacement. Each change of a membership drops names without meaning, and stored ones have no effect.

--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -224,6 +224,14 @@
 
 // runClusterWithShards is runCluster with a given number of job shards.
 func runClusterWithShards(t *testing.T, size, shards int, adjust func(*replica.Options), run func(f *testCluster)) {
+	runUnfoundedCluster(t, size, adjust, func(f *testCluster) {
+		f.found(shards)
+		run(f)
+	})
+}
+
+// runUnfoundedCluster runs a test on machines that belong to no cluster yet.
+func runUnfoundedCluster(t *testing.T, size int, adjust func(*replica.Options), run func(f *testCluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &testCluster{t: t, links: &replica.Links{}, random: rand.New(rand.NewPCG(1, 2)), adjust: adjust}
 		f.network = &network{handlers: map[string]http.Handler{}}
@@ -241,7 +249,6 @@
 				f.kill(m)
 			}
 		}()
-		f.found(shards)
 		run(f)
 	})
 }
--- a/internal/replica/joining.go
+++ b/internal/replica/joining.go
@@ -343,7 +343,7 @@
 // is retried: the joining machine asks until it is a voter, and the leader checks
 // at each tick.
 func (o *owner) proposeMembership(changed *rockwindpb.Membership) error {
-	err := o.node.ProposeMembership(changed)
+	err := o.node.ProposeMembership(withoutEndedReplacements(changed))
 	if errors.Is(err, raft.ErrMembershipPending) || errors.Is(err, raft.ErrTransferring) {
 		return unavailable("another change of the membership is under way")
 	}
@@ -353,6 +353,20 @@
 	return err
 }
 
+// withoutEndedReplacements returns a membership in which members name only earlier ones that they replace. A replaced
+// member that was admitted again comes later than the one that replaced it, since learners are added at the end.
+func withoutEndedReplacements(membership *rockwindpb.Membership) *rockwindpb.Membership {
+	result := proto.CloneOf(membership)
+	earlier := make(map[uint64]bool)
+	for _, member := range result.GetMembers() {
+		if !earlier[member.GetReplaces()] {
+			member.Replaces = 0
+		}
+		earlier[member.GetId()] = true
+	}
+	return result
+}
+
 // advanceReplacement takes the next step of a replacement on the leader. It
 // promotes a learner that holds everything committed at the first check after it
 // was added, and only then removes the older member. The number of copies of an
--- a/internal/replica/replacing.go
+++ b/internal/replica/replacing.go
@@ -59,11 +59,14 @@
 }
 
 // addLearner adds a learner that replaces outgoing, or no member if that is nil. It
-// does nothing if another machine is already replacing outgoing.
+// does nothing if another machine is already replacing outgoing: a later member that names it. An earlier one
+// names it since a replacement that has ended, after which outgoing was admitted again.
 func (o *owner) addLearner(status raft.Status, request *rockwindpb.JoinRequest, outgoing *rockwindpb.Member) error {
 	changed := &rockwindpb.Membership{}
+	passed := false
 	for _, member := range status.Membership.GetMembers() {
-		if outgoing == nil || member.GetReplaces() != outgoing.GetId() {
+		passed = passed || member.GetId() == outgoing.GetId()
+		if outgoing == nil || !passed || member.GetReplaces() != outgoing.GetId() {
 			changed.Members = append(changed.Members, member)
 			continue
 		}
--- a/internal/replica/replacing_test.go
+++ b/internal/replica/replacing_test.go
@@ -1,6 +1,7 @@
 package replica_test
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -203,3 +204,103 @@
 		}
 	})
 }
+
+// TestMachineThatWasReplacedOnceIsReplacedAgain guards against a group that never replaces a member whose disk was
+// replaced and admitted again before: the next loss takes the majority.
+func TestMachineThatWasReplacedOnceIsReplacedAgain(t *testing.T) {
+	runCluster(t, 3, admitNew, func(f *testCluster) {
+		first, second, third := f.machines[0], f.machines[1], f.machines[2]
+		for group := range uint32(3) {
+			f.add(group, "a")
+		}
+		f.addMachine("added")
+		f.replaceAndReturn(first, "added")
+		f.replaceAndReturn(second, first.name)
+		f.loseDisk(first)
+		f.awaitReplacement(second.name, first.name)
+		f.loseDisk(third)
+		f.addMachine("last")
+		f.awaitReplacement("last", third.name)
+		for group := range uint32(3) {
+			if got := f.add(group, "a"); got != 2 {
+				t.Errorf("the second increment of group %d gave %d", group, got)
+			}
+		}
+	})
+}
+
+// TestMarksOfEndedReplacementsInStoredMembershipsHaveNoEffect guards against groups that refuse a replacement by the
+// membership in a snapshot or at the founding, in which a voter still names a member that it once replaced.
+func TestMarksOfEndedReplacementsInStoredMembershipsHaveNoEffect(t *testing.T) {
+	for name, writes := range map[string]int{"founding": 1, "snapshot": 50} {
+		t.Run(name, func(t *testing.T) {
+			adjust := func(options *replica.Options) { options.AdmitNew, options.SnapshotEntries = true, 20 }
+			runUnfoundedCluster(t, 3, adjust, func(f *testCluster) {
+				f.foundWithMarks()
+				for range writes {
+					f.add(1, "a")
+				}
+				for _, m := range f.machines {
+					f.kill(m)
+				}
+				for _, m := range f.machines {
+					f.start(m)
+				}
+				f.add(1, "a")
+				lost := f.machines[2]
+				f.loseDisk(lost)
+				f.addMachine("spare")
+				f.awaitReplacement("spare", lost.name)
+				for _, member := range f.leader(1).group(1).Status().GetMembership().GetMembers() {
+					if member.GetReplaces() != 0 {
+						t.Errorf("%s still names a replaced member", member.GetMachine())
+					}
+				}
+				if got := f.read(1, "a"); got != writes+1 {
+					t.Errorf("%d increments were acknowledged, %d are left", writes+1, got)
+				}
+			})
+		})
+	}
+}
+
+// replaceAndReturn stops a machine until a spare one has taken its place in all groups, and starts it again as a
+// spare with its disk.
+func (f *testCluster) replaceAndReturn(m *machine, spare string) {
+	f.t.Helper()
+	f.kill(m)
+	f.awaitReplacement(spare, m.name)
+	f.start(m)
+	f.awaitReplacement(spare, m.name)
+}
+
+// awaitReplacement waits until a machine has taken the place of another one in all groups.
+func (f *testCluster) awaitReplacement(incoming, outgoing string) {
+	f.t.Helper()
+	for group := range uint32(3) {
+		f.eventually(fmt.Sprintf("%s takes the place of %s in group %d", incoming, outgoing, group), func() bool {
+			voters := f.repairedVoters(group)
+			return len(voters) == 3 && includes(voters, incoming, outgoing)
+		})
+	}
+}
+
+// foundWithMarks founds the groups of a cluster of three with memberships in which the first member names the third,
+// which it replaced before the third was admitted again.
+func (f *testCluster) foundWithMarks() {
+	f.t.Helper()
+	request := &rockwindpb.FoundRequest{ClusterId: "marked"}
+	for group := range uint32(3) {
+		membership := &rockwindpb.Membership{}
+		for _, m := range f.machines {
+			membership.Members = append(membership.Members, &rockwindpb.Member{Id: m.running().DiskID(), Machine: m.name, Address: m.name})
+		}
+		membership.Members[0].Replaces = membership.Members[2].GetId()
+		request.Groups = append(request.Groups, &rockwindpb.FoundingGroup{Group: group, Membership: membership})
+	}
+	for _, m := range f.machines {
+		if err := m.running().AcceptFounding(f.t.Context(), request); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+}
