replica: one member that can't be replaced no longer hides the others

What callers would see: a group that stays short of members, or keeps a voter too many, after losses that it bears, until a further loss stops it.

Cause: admission, promotion and removal each looked at the first member only, or at the marks of learners without their state. - A learner for a free place that was lost kept the place for good. - A learner that stores nothing kept its place, and as the first inactive member was the only one that could be replaced, those of all members that were lost after it. - A machine that came back with an empty disk while another one was taking its place was admitted as well: the group had a voter too many from then on. - One group that refused a machine, for its version or its name, hid from it the groups that admitted it.

Change: package repair plans all steps as functions of a view of the group: a replacement ends with the loss of its learner, a learner that stores nothing for 10 s gets a second one beside it, replaced members leave before further learners are promoted, and learners without a place leave.

--- a/internal/architecture/architecture_test.go
+++ b/internal/architecture/architecture_test.go
@@ -18,7 +18,7 @@
 // and randomness as arguments.
 var purePackages = []string{
 	"admission", "backlog", "balance", "coldstart", "continuation", "directory", "engine", "fairshare", "featurelevel", "fingerprint", "health", "jobadmission", "jobstore", "orphans", "ledger", "tenantlimits", "topology", "ownership", "placement",
-	"quarantine", "quota", "raft", "relaybudget", "replica/leaderregion", "overload", "requestrate", "retryafter", "routing", "sharding", "sharing", "simulator", "store/contact", "streamversion", "virtualtime", "waitqueue", "zonedrain",
+	"quarantine", "quota", "raft", "relaybudget", "replica/leaderregion", "replica/repair", "overload", "requestrate", "retryafter", "routing", "sharding", "sharing", "simulator", "store/contact", "streamversion", "virtualtime", "waitqueue", "zonedrain",
 }
 
 // impureImports give access to the network, the disk or the operating system.
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -77,7 +77,6 @@
 	o.leadingTerm = term
 	o.lease.reset()
 	o.shortEntries = shortEntryEncoder{}
-	clear(o.promotionIndexes)
 	o.failPending("leadership was lost before the command was committed")
 	o.failReads()
 	o.failSyncWaits()
--- a/internal/replica/joining.go
+++ b/internal/replica/joining.go
@@ -200,6 +200,9 @@
 		return nil, fault.Newf(fault.Conflict, "give it the name of the machine that it replaces, or list it in the settings of all machines",
 			"no machine of this cluster is named %s", request.GetMachine())
 	}
+	// A group that refuses the machine must not hide those that admit it.
+	var refused error
+	admitted := false
 	for _, o := range h.allOwners() {
 		if !o.leads() {
 			continue
@@ -211,14 +214,16 @@
 			return failure
 		})
 		if fault.Is(err, fault.Conflict) {
-			return nil, err
+			refused = err
 		}
 		if err == nil {
 			setMembership(response, o.id, membership)
-		} else {
-			log.WithError(err).WithField("group", o.id).WithField("machine", request.GetMachine()).Debug("machine not admitted")
+			admitted = admitted || memberByID(membership, request.GetDiskId()) != nil
 		}
 	}
+	if refused != nil && !admitted {
+		return nil, refused
+	}
 	return omitKnownGroups(response, request.GetHaveChecksum())
 }
 
@@ -273,63 +278,6 @@
 	return response, nil
 }
 
-// admit adds a disk as a learner next to the member with the same machine name.
-// It is rejected while that member is active, since two processes would then share
-// a name. The new learner replaces an earlier learner of that name.
-func (o *owner) admit(request *rockwindpb.JoinRequest) error {
-	status := o.node.Status()
-	if status.Role != raft.Leader {
-		return o.notLeader()
-	}
-	mayHold := o.host.mayHold(request.GetMachine(), o.region)
-	mayWitness := o.host.mayWitness(request.GetMachine(), o.region, status.Membership)
-	if memberByID(status.Membership, request.GetDiskId()) != nil || (!mayHold && !mayWitness) {
-		return nil
-	}
-	if err := checkLevel(status.Membership, request); err != nil {
-		return err
-	}
-	if err := o.checkStateLevel(request); err != nil {
-		return err
-	}
-	if mayWitness && !hasMachine(status.Membership, request.GetMachine()) {
-		return o.admitWitness(status, request)
-	}
-	if !hasMachine(status.Membership, request.GetMachine()) {
-		return o.admitNew(status, request)
-	}
-	isWitness := isWitnessMachine(status.Membership, request.GetMachine())
-	if hasWitnesses(status.Membership) && !isWitness && !o.confirmJoin(status, request, time.Now()) {
-		return unavailable("the call must be repeated after an election timeout")
-	}
-	changed := &rockwindpb.Membership{}
-	for _, member := range status.Membership.GetMembers() {
-		if member.GetMachine() == request.GetMachine() {
-			if progressOf(status, member.GetId()).Active {
-				return machineAlive(member)
-			}
-			if member.GetLearner() {
-				continue
-			}
-		}
-		changed.Members = append(changed.Members, member)
-	}
-	changed.Members = append(changed.Members, &rockwindpb.Member{
-		Id:      request.GetDiskId(),
-		Machine: request.GetMachine(),
-		Address: request.GetAddress(),
-		Learner: true,
-		Witness: isWitness,
-	})
-	return o.proposeMembership(changed)
-}
-
-func machineAlive(member *rockwindpb.Member) error {
-	return fault.Newf(fault.Conflict,
-		"stop one of the two processes, or wait for an election timeout when the old one has just ended",
-		"machine %s is alive with disk %016x", member.GetMachine(), member.GetId())
-}
-
 func progressOf(status raft.Status, id uint64) raft.ProgressStatus {
 	for _, progress := range status.Progress {
 		if progress.ID == id {
@@ -343,7 +291,7 @@
 // is retried: the joining machine asks until it is a voter, and the leader checks
 // at each tick.
 func (o *owner) proposeMembership(changed *rockwindpb.Membership) error {
-	err := o.node.ProposeMembership(withoutEndedReplacements(changed))
+	err := o.node.ProposeMembership(changed)
 	if errors.Is(err, raft.ErrMembershipPending) || errors.Is(err, raft.ErrTransferring) {
 		return unavailable("another change of the membership is under way")
 	}
@@ -352,91 +300,3 @@
 	}
 	return err
 }
-
-// withoutEndedReplacements returns a membership in which members name only earlier ones that they replace. A replaced
-// member that was admitted again comes later than the one that replaced it, since learners are added at the end.
-func withoutEndedReplacements(membership *rockwindpb.Membership) *rockwindpb.Membership {
-	result := proto.CloneOf(membership)
-	earlier := make(map[uint64]bool)
-	for _, member := range result.GetMembers() {
-		if !earlier[member.GetReplaces()] {
-			member.Replaces = 0
-		}
-		earlier[member.GetId()] = true
-	}
-	return result
-}
-
-// advanceReplacement takes the next step of a replacement on the leader. It
-// promotes a learner that holds everything committed at the first check after it
-// was added, and only then removes the older member. The number of copies of an
-// acknowledged write thus never decreases.
-func (o *owner) advanceReplacement(now time.Time) {
-	status := o.node.Status()
-	if status.Role != raft.Leader || status.MembershipIndex > status.Commit {
-		return
-	}
-	for _, member := range status.Membership.GetMembers() {
-		if member.GetLearner() {
-			if o.promoteLearner(status, member) {
-				return
-			}
-		}
-	}
-	for position, member := range status.Membership.GetMembers() {
-		if member.GetId() == status.ID && isReplaced(status.Membership, position) {
-			// The leader cannot remove itself; the next leader does.
-			_ = o.transferLeadership()
-			return
-		}
-		if !member.GetLearner() && isReplaced(status.Membership, position) {
-			o.removeMember(status.Membership, member)
-			return
-		}
-	}
-	switch leaving := o.leavingWithoutReplacement(status, now); {
-	case leaving == nil:
-	case leaving.GetId() == status.ID:
-		_ = o.transferLeadership()
-	default:
-		log.WithField("group", o.id).WithField("machine", leaving.GetMachine()).WithField("region", o.region).Info("member leaves without a replacement")
-		o.removeMember(status.Membership, leaving)
-	}
-}
-
-func (o *owner) promoteLearner(status raft.Status, learner *rockwindpb.Member) bool {
-	target, known := o.promotionIndexes[learner.GetId()]
-	if !known {
-		o.promotionIndexes[learner.GetId()] = status.Commit
-		return false
-	}
-	progress := progressOf(status, learner.GetId())
-	if !progress.Active || progress.Match < target {
-		return false
-	}
-	changed := proto.CloneOf(status.Membership)
-	memberByID(changed, learner.GetId()).Learner = false
-	return o.proposeMembership(changed) == nil
-}
-
-// isReplaced reports whether a later voter has the same machine name as the member
-// or was admitted as its replacement.
-func isReplaced(membership *rockwindpb.Membership, position int) bool {
-	members := membership.GetMembers()
-	return slices.ContainsFunc(members[position+1:], func(later *rockwindpb.Member) bool {
-		return !later.GetLearner() &&
-			(later.GetMachine() == members[position].GetMachine() || later.GetReplaces() == members[position].GetId())
-	})
-}
-
-func (o *owner) removeMember(membership *rockwindpb.Membership, old *rockwindpb.Member) {
-	changed := &rockwindpb.Membership{}
-	for _, member := range membership.GetMembers() {
-		if member.GetId() != old.GetId() {
-			changed.Members = append(changed.Members, member)
-		}
-	}
-	if err := o.proposeMembership(changed); err != nil {
-		log.WithError(err).WithField("group", o.id).Info("replaced member not removed yet")
-	}
-}
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -50,7 +50,7 @@
 	// Their names may be empty. It is called periodically.
 	Discover func() []*rockwindpb.ControlMachine
 	// AdmitNew lets machines with new names replace members that have been
-	// inactive for inactivityTimeout or that must leave.
+	// inactive for repair.InactivityTimeout or that must leave.
 	AdmitNew bool
 	// TargetVoters is how many voters a group should have. If AdmitNew is set,
 	// machines with new names may join groups that have fewer members. Zero keeps
--- a/internal/replica/owner.go
+++ b/internal/replica/owner.go
@@ -90,16 +90,15 @@
 	installing receivedSnapshot
 	// shortEntries encodes entries for members by reference to earlier entries.
 	shortEntries shortEntryEncoder
-	// promotionIndexes holds the index that each learner must reach to be promoted.
-	promotionIndexes map[uint64]uint64
-	leadingTerm      uint64
+	leadingTerm  uint64
 	// loggedInSync is the in-sync set that was logged last, as machine names.
 	loggedInSync []string
 	// confirmationRecorded is set once a confirmed state has been recorded.
 	confirmationRecorded bool
 	// inactiveSince holds when each inactive member became inactive, as observed by
-	// this leader in inactivityTerm.
+	// this leader in inactivityTerm, and learners what it has observed of the learners.
 	inactiveSince  map[uint64]time.Time
+	learners       map[uint64]learnerProgress
 	inactivityTerm uint64
 	// joins holds the join calls of each disk beside a voter with content on the same machine, as observed by
 	// this leader in joinsTerm.
@@ -161,7 +160,7 @@
 		stopped:          make(chan struct{}),
 		pending:          map[uint64]*proposal{},
 		unconfirmedReads: map[uint64][]*read{},
-		promotionIndexes: map[uint64]uint64{},
+		learners:         map[uint64]learnerProgress{},
 		inactiveSince:    map[uint64]time.Time{},
 		joins:            map[uint64]repeatedJoin{},
 		appliedChanged:   make(chan struct{}),
@@ -310,9 +309,10 @@
 	}
 	o.lastTick = now
 	o.node.Tick()
-	o.trackInactivity(now)
-	o.reportRetired(o.node.Status())
-	o.advanceReplacement(now)
+	status := o.node.Status()
+	o.trackMembers(status, now)
+	o.reportRetired(status)
+	o.advanceReplacement(status, now)
 	o.trackShortage(now)
 	o.continueDrain()
 	o.returnToRegion(now)
--- a/internal/replica/region.go
+++ b/internal/replica/region.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rockwind.example/rockwind/internal/raft"
+	"rockwind.example/rockwind/internal/replica/repair"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -15,7 +16,7 @@
 // removalDelay returns how long all remaining voters must have been active before a member is removed
 // without a replacement. A voter that has just failed counts as active for an election timeout.
 func (h *Host) removalDelay() time.Duration {
-	return max(inactivityTimeout, 2*h.options.electionTimeout())
+	return max(repair.InactivityTimeout, 2*h.options.electionTimeout())
 }
 
 // mayHold reports whether a machine may hold a replica of a group that is restricted to a region.
--- a/internal/replica/replacing.go
+++ b/internal/replica/replacing.go
@@ -1,118 +1,206 @@
 package replica
 
 import (
+	"maps"
 	"time"
 
 	"github.com/apex/log"
 
+	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/raft"
+	"rockwind.example/rockwind/internal/replica/repair"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
-// inactivityTimeout is how long a member must be inactive before a machine with
-// another name may replace it. A replaced member that was only partitioned keeps
-// its disk and asks to join again.
-const inactivityTimeout = time.Second
+// learnerProgress is what the leader has seen of a learner.
+type learnerProgress struct {
+	// target is the index that the learner must reach to be promoted.
+	target uint64
+	// match is the last index that the learner has stored, and since when.
+	match uint64
+	since time.Time
+}
 
-// trackInactivity records since when each member has been inactive, as the leader
-// sees it. The record is reset in each term.
-func (o *owner) trackInactivity(now time.Time) {
-	status := o.node.Status()
+// trackMembers records since when each member has been inactive, and the progress of the learners, as the
+// leader sees them. The record is reset in each term.
+func (o *owner) trackMembers(status raft.Status, now time.Time) {
 	if status.Role != raft.Leader || status.Term != o.inactivityTerm {
 		o.inactivityTerm = status.Term
 		clear(o.inactiveSince)
+		clear(o.learners)
 	}
 	if status.Role != raft.Leader {
 		return
 	}
+	maps.DeleteFunc(o.learners, func(id uint64, _ learnerProgress) bool { return !memberByID(status.Membership, id).GetLearner() })
 	for _, progress := range status.Progress {
 		if progress.Active {
 			delete(o.inactiveSince, progress.ID)
 		} else if _, known := o.inactiveSince[progress.ID]; !known {
 			o.inactiveSince[progress.ID] = now
 		}
+		o.trackLearner(status, progress, now)
 	}
 }
 
-// admitNew adds a machine with a new name as a learner if the group has fewer
-// members than its target, or as a replacement of a member that is
-// inactive or must leave. Otherwise it does nothing.
-func (o *owner) admitNew(status raft.Status, request *rockwindpb.JoinRequest) error {
-	if !o.host.options.AdmitNew || o.host.mustLeave(request.GetMachine()) {
-		o.refuse(request.GetMachine(), "machines with new names may not join, or it must leave its groups", time.Now())
-		return nil
+// trackLearner records the progress of a learner. Its target is what was committed at the first check after its
+// addition was.
+func (o *owner) trackLearner(status raft.Status, progress raft.ProgressStatus, now time.Time) {
+	if !progress.Learner || status.MembershipIndex > status.Commit {
+		return
 	}
-	outgoing := o.replaceableMember(status)
-	incomplete := fullMembers(status.Membership) < o.targetVoters()
-	switch {
-	case incomplete && o.region != "" && outgoing != nil:
-		// A group in a region may stay below its target. If it kept an inactive voter beside its
-		// replacement, the quorum would grow and the next loss could stop the group.
-		return o.addLearner(status, request, outgoing)
-	case incomplete:
-		return o.addLearner(status, request, nil)
-	case outgoing == nil:
-		o.refuse(request.GetMachine(), "no member needs a replacement", time.Now())
-		return nil
+	seen, known := o.learners[progress.ID]
+	if !known {
+		seen = learnerProgress{target: status.Commit, since: now}
+	}
+	if progress.Match > seen.match || progress.Match == status.LastIndex {
+		seen.match, seen.since = progress.Match, now
+	}
+	o.learners[progress.ID] = seen
+}
+
+func (o *owner) inactiveFor(id uint64) time.Duration {
+	since, inactive := o.inactiveSince[id]
+	if !inactive {
+		return 0
 	}
-	return o.addLearner(status, request, outgoing)
+	return time.Since(since)
 }
 
-// addLearner adds a learner that replaces outgoing, or no member if that is nil. It
-// does nothing if another machine is already replacing outgoing: a later member that names it. An earlier one
-// names it since a replacement that has ended, after which outgoing was admitted again.
-func (o *owner) addLearner(status raft.Status, request *rockwindpb.JoinRequest, outgoing *rockwindpb.Member) error {
-	changed := &rockwindpb.Membership{}
-	passed := false
+// mustLeave reports whether a machine must leave its groups.
+func (h *Host) mustLeave(machine string) bool {
+	return h.options.MustLeave != nil && h.options.MustLeave(machine)
+}
+
+// repairView returns what the leader sees of the group.
+func (o *owner) repairView(status raft.Status, now time.Time) repair.View {
+	view := repair.View{Self: status.ID, Target: o.targetVoters()}
 	for _, member := range status.Membership.GetMembers() {
-		passed = passed || member.GetId() == outgoing.GetId()
-		if outgoing == nil || !passed || member.GetReplaces() != outgoing.GetId() {
-			changed.Members = append(changed.Members, member)
-			continue
+		progress := progressOf(status, member.GetId())
+		seen := repair.Member{Member: member, Active: progress.Active, MustLeave: o.host.mustLeave(member.GetMachine())}
+		if since, inactive := o.inactiveSince[member.GetId()]; inactive && !progress.Active {
+			seen.Inactive = now.Sub(since)
 		}
-		if !member.GetLearner() || progressOf(status, member.GetId()).Active {
-			o.refuse(request.GetMachine(), member.GetMachine()+" is replacing "+outgoing.GetMachine(), time.Now())
-			return nil
+		if learner, known := o.learners[member.GetId()]; known && member.GetLearner() {
+			seen.Complete, seen.Stalled = progress.Match >= learner.target, now.Sub(learner.since)
 		}
+		view.Members = append(view.Members, seen)
 	}
-	changed.Members = append(changed.Members, &rockwindpb.Member{
-		Id:       request.GetDiskId(),
-		Machine:  request.GetMachine(),
-		Address:  request.GetAddress(),
-		Learner:  true,
-		Replaces: outgoing.GetId(),
-		Witness:  outgoing.GetWitness(),
-	})
-	log.WithField("group", o.id).WithField("machine", request.GetMachine()).WithField("replaces", outgoing.GetMachine()).
-		WithField("silent", o.inactiveFor(outgoing.GetId()).String()).Info("machine admitted")
-	return o.proposeMembership(changed)
+	return view
 }
 
-// replaceableMember returns a voter, other than a witness, that has been inactive for inactivityTimeout,
-// otherwise one that must leave, or nil if there is none.
-func (o *owner) replaceableMember(status raft.Status) *rockwindpb.Member {
-	var leaving *rockwindpb.Member
-	for _, member := range status.Membership.GetMembers() {
-		switch {
-		case member.GetLearner() || member.GetWitness():
-		case o.inactiveFor(member.GetId()) >= inactivityTimeout:
-			return member
-		case leaving == nil && o.host.mustLeave(member.GetMachine()):
-			leaving = member
+// admit adds a machine that asks to join as a learner, if the group needs it.
+func (o *owner) admit(request *rockwindpb.JoinRequest) error {
+	now := time.Now()
+	status := o.node.Status()
+	if status.Role != raft.Leader {
+		return o.notLeader()
+	}
+	if o.needsEvidence(status, request) && !o.confirmJoin(status, request, now) {
+		return unavailable("the call must be repeated after an election timeout")
+	}
+	view := o.repairView(status, now)
+	changed, refused := view.Admit(repair.Candidate{
+		Machine: request.GetMachine(), DiskID: request.GetDiskId(), Address: request.GetAddress(),
+		MayHold: o.host.mayHold(request.GetMachine(), o.region), MayWitness: o.host.mayWitness(request.GetMachine(), o.region, status.Membership),
+		MustLeave: o.host.mustLeave(request.GetMachine()), AdmitNew: o.host.options.AdmitNew,
+	})
+	if refused == repair.NameInUse {
+		o.refuse(request.GetMachine(), string(refused), now)
+		return machineAlive(request.GetMachine())
+	}
+	if refused != repair.Admitted {
+		if refused.IsOfSpare() {
+			o.refuse(request.GetMachine(), string(refused), now)
 		}
+		return nil
 	}
-	return leaving
+	err := o.checkLevels(status, request)
+	if err == nil {
+		err = o.proposeMembership(changed)
+	}
+	if err != nil {
+		o.refuse(request.GetMachine(), err.Error(), now)
+		return err
+	}
+	log.WithField("group", o.id).WithField("machine", request.GetMachine()).
+		WithField("replaces", machineOf(status.Membership, memberByID(changed, request.GetDiskId()).GetReplaces())).Info("machine admitted")
+	return nil
 }
 
-func (o *owner) inactiveFor(id uint64) time.Duration {
-	since, inactive := o.inactiveSince[id]
-	if !inactive {
-		return 0
+// needsEvidence reports whether a call to join says that the disk of a full voter is lost; see confirmJoin.
+func (o *owner) needsEvidence(status raft.Status, request *rockwindpb.JoinRequest) bool {
+	machine := request.GetMachine()
+	return hasWitnesses(status.Membership) && hasMachine(status.Membership, machine) && !isWitnessMachine(status.Membership, machine) &&
+		memberByID(status.Membership, request.GetDiskId()) == nil
+}
+
+// checkLevels refuses a machine of a version that does not know what the group's members must.
+func (o *owner) checkLevels(status raft.Status, request *rockwindpb.JoinRequest) error {
+	if err := checkLevel(status.Membership, request); err != nil {
+		return err
 	}
-	return time.Since(since)
+	return o.checkStateLevel(request)
 }
 
-// mustLeave reports whether a machine must leave its groups.
-func (h *Host) mustLeave(machine string) bool {
-	return h.options.MustLeave != nil && h.options.MustLeave(machine)
+// machineOf returns the machine of the member with a disk, empty if there is none.
+func machineOf(membership *rockwindpb.Membership, disk uint64) string {
+	return memberByID(membership, disk).GetMachine()
+}
+
+func machineAlive(machine string) error {
+	return fault.Newf(fault.Conflict,
+		"stop one of the two processes, or wait for an election timeout when the old one has just ended",
+		"machine %s is alive with another disk", machine)
+}
+
+// advanceReplacement takes the next step of the replacements on the leader: the first that is possible of those
+// that are due, otherwise the removal of a member that no machine can replace.
+func (o *owner) advanceReplacement(status raft.Status, now time.Time) {
+	if status.Role != raft.Leader || status.MembershipIndex > status.Commit {
+		return
+	}
+	if o.isSettled(status) {
+		o.removableSince, o.removableTerm = now, status.Term
+		return
+	}
+	view := o.repairView(status, now)
+	for _, step := range view.Steps() {
+		if step.TransferLeadership {
+			_ = o.transferLeadership()
+			return
+		}
+		if err := o.proposeMembership(step.Change); err == nil {
+			return
+		}
+	}
+	switch leaving := o.leavingWithoutReplacement(status, now); {
+	case leaving == nil:
+	case leaving.GetId() == status.ID:
+		_ = o.transferLeadership()
+	default:
+		log.WithField("group", o.id).WithField("machine", leaving.GetMachine()).WithField("region", o.region).Info("member leaves without a replacement")
+		if err := o.proposeMembership(view.Without(leaving.GetId())); err != nil {
+			log.WithError(err).WithField("group", o.id).Info("member not removed yet")
+		}
+	}
+}
+
+// isSettled reports whether all members are active voters that may stay, and none is missing.
+func (o *owner) isSettled(status raft.Status) bool {
+	full := 0
+	for _, progress := range status.Progress {
+		if !progress.Active || progress.Learner {
+			return false
+		}
+		if !progress.Witness {
+			full++
+		}
+	}
+	for _, member := range status.Membership.GetMembers() {
+		if o.host.mustLeave(member.GetMachine()) {
+			return false
+		}
+	}
+	return full == o.targetVoters() || o.targetVoters() == 0 && full == len(status.Progress)
 }
--- a/internal/replica/replacing_test.go
+++ b/internal/replica/replacing_test.go
@@ -304,3 +304,78 @@
 		}
 	}
 }
+
+// TestLostLearnerOfAGrowingGroupIsReplaced guards against a group that never reaches its target since the machine that
+// was joining is lost: its learner took the free place for good.
+func TestLostLearnerOfAGrowingGroupIsReplaced(t *testing.T) {
+	runCluster(t, 3, func(options *replica.Options) { options.AdmitNew, options.TargetVoters = true, 4 }, func(f *testCluster) {
+		f.add(1, "a")
+		f.network.setRewrite(dropEntries("lost"))
+		lost := f.addMachine("lost")
+		f.eventually("the machine is a learner", func() bool { return f.hasLearner(1, lost.name) })
+		f.loseDisk(lost)
+		f.addMachine("next")
+		f.eventually("another machine takes the free place", func() bool { return len(f.repairedVoters(1)) == 4 })
+	})
+}
+
+// TestSecondLossIsReplacedBesideALearnerThatStalls guards against a learner that never catches up, and so keeps its own
+// place, and those of members that are lost after it, from other machines.
+func TestSecondLossIsReplacedBesideALearnerThatStalls(t *testing.T) {
+	runCluster(t, 5, admitNew, func(f *testCluster) {
+		f.add(1, "a")
+		f.network.setRewrite(dropEntries("stalls"))
+		f.addMachine("stalls")
+		f.loseDisk(f.machines[0])
+		f.eventually("the machine is a learner", func() bool { return f.hasLearner(1, "stalls") })
+		f.loseDisk(f.machines[1])
+		for _, name := range []string{"next-1", "next-2"} {
+			f.addMachine(name)
+		}
+		f.eventually("both lost members are replaced", func() bool {
+			voters := f.repairedVoters(1)
+			return len(voters) == 5 && includes(voters, "next-1", "control-0", "control-1", "stalls") && includes(voters, "next-2")
+		})
+	})
+}
+
+// TestReplacedMachineThatReturnsEmptyDoesNotEnlargeItsGroup guards against groups with a voter more than their target, whose
+// quorum is larger: the machine came back with an empty disk while another one took its place.
+func TestReplacedMachineThatReturnsEmptyDoesNotEnlargeItsGroup(t *testing.T) {
+	runCluster(t, 3, admitNew, func(f *testCluster) {
+		f.add(1, "a")
+		f.network.setRewrite(dropEntries("next"))
+		f.addMachine("next")
+		lost := f.machines[0]
+		f.loseDisk(lost)
+		f.eventually("another machine is a learner", func() bool { return f.hasLearner(1, "next") })
+		f.start(lost)
+		time.Sleep(2 * time.Second)
+		f.network.setRewrite(nil)
+		f.eventually("the group is whole", func() bool { return len(f.repairedVoters(1)) == 3 })
+		time.Sleep(time.Minute)
+		if voters := f.repairedVoters(1); len(voters) != 3 {
+			t.Errorf("the voters are %v", voters)
+		}
+	})
+}
+
+// dropEntries drops all entries and snapshots for a machine, whose heartbeats arrive.
+func dropEntries(machine string) rewriteFunc {
+	return func(_, to string, messages []*rockwindpb.GroupMessage) []*rockwindpb.GroupMessage {
+		if to != machine {
+			return messages
+		}
+		return slices.DeleteFunc(slices.Clone(messages), func(message *rockwindpb.GroupMessage) bool {
+			return len(message.GetMessage().GetEntries()) > 0 || len(message.GetMessage().GetShortEntries()) > 0
+		})
+	}
+}
+
+// hasLearner reports whether a machine is a learner of a group.
+func (f *testCluster) hasLearner(group uint32, machine string) bool {
+	leader := f.leaderNow(group)
+	return leader != nil && slices.ContainsFunc(leader.group(group).Status().GetMembership().GetMembers(), func(member *rockwindpb.Member) bool {
+		return member.GetLearner() && member.GetMachine() == machine
+	})
+}
--- a/internal/replica/shortage.go
+++ b/internal/replica/shortage.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"rockwind.example/rockwind/internal/raft"
+	"rockwind.example/rockwind/internal/replica/repair"
 )
 
 const (
@@ -27,7 +28,7 @@
 	// Since is when the first of them became inactive, or when the leader was elected if that is later.
 	Since time.Time
 	// Reason is what the group waits for.
-	Reason string
+	Reason repair.Reason
 	// Refused maps the machines that ask to join to why they are refused.
 	Refused map[string]string
 }
@@ -43,7 +44,7 @@
 	term     uint64
 	refusals map[string]refusal
 	// logged is the reason that was logged last, at loggedAt; empty if the shortage was not logged.
-	logged   string
+	logged   repair.Reason
 	loggedAt time.Time
 }
 
@@ -75,17 +76,14 @@
 // findShortage returns the present shortage; its Missing is empty if there is none.
 func (o *owner) findShortage(status raft.Status, now time.Time) *Shortage {
 	found := &Shortage{Refused: make(map[string]string)}
-	copying := false
 	for _, member := range status.Membership.GetMembers() {
 		since, inactive := o.inactiveSince[member.GetId()]
-		switch {
-		case member.GetLearner():
-			copying = copying || !inactive
-		case inactive:
-			found.Missing = append(found.Missing, member.GetMachine())
-			if found.Since.IsZero() || since.Before(found.Since) {
-				found.Since = since
-			}
+		if member.GetLearner() || !inactive {
+			continue
+		}
+		found.Missing = append(found.Missing, member.GetMachine())
+		if found.Since.IsZero() || since.Before(found.Since) {
+			found.Since = since
 		}
 	}
 	for machine, refused := range o.shortages.refusals {
@@ -93,16 +91,8 @@
 			found.Refused[machine] = refused.reason
 		}
 	}
-	switch {
-	case len(found.Missing) == 0:
-	case now.Sub(found.Since) < inactivityTimeout:
-		found.Reason = "timeout"
-	case copying:
-		found.Reason = "copying"
-	case len(found.Refused) > 0:
-		found.Reason = "spare_refused"
-	default:
-		found.Reason = "no_spare"
+	if len(found.Missing) > 0 {
+		found.Reason = o.repairView(status, now).Reason(len(found.Refused))
 	}
 	return found
 }
@@ -169,7 +159,7 @@
 		label := strconv.FormatUint(uint64(group), 10)
 		metrics <- prometheus.MustNewConstMetric(missingMembersMetric, prometheus.GaugeValue, float64(len(shortage.Missing)), label)
 		if len(shortage.Missing) > 0 {
-			metrics <- prometheus.MustNewConstMetric(shortSecondsMetric, prometheus.GaugeValue, time.Since(shortage.Since).Seconds(), label, shortage.Reason)
+			metrics <- prometheus.MustNewConstMetric(shortSecondsMetric, prometheus.GaugeValue, time.Since(shortage.Since).Seconds(), label, string(shortage.Reason))
 		}
 	}
 }
--- a/internal/replica/witness.go
+++ b/internal/replica/witness.go
@@ -3,11 +3,10 @@
 import (
 	"time"
 
-	"github.com/apex/log"
-
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/featurelevel"
 	"rockwind.example/rockwind/internal/raft"
+	"rockwind.example/rockwind/internal/replica/repair"
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
@@ -104,7 +103,7 @@
 		return
 	}
 	for _, member := range status.Membership.GetMembers() {
-		if !member.GetLearner() && !member.GetWitness() && o.host.mustLeave(member.GetMachine()) && o.inactiveFor(member.GetId()) >= inactivityTimeout {
+		if !member.GetLearner() && !member.GetWitness() && o.host.mustLeave(member.GetMachine()) && o.inactiveFor(member.GetId()) >= repair.InactivityTimeout {
 			o.node.ReportDiskLost(member.GetId())
 		}
 	}
@@ -132,33 +131,6 @@
 	return nil
 }
 
-// admitWitness adds a machine of another region as a learner in the place of a witness that is inactive or must
-// leave.
-func (o *owner) admitWitness(status raft.Status, request *rockwindpb.JoinRequest) error {
-	if !o.host.options.AdmitNew || o.host.mustLeave(request.GetMachine()) {
-		return nil
-	}
-	for _, member := range status.Membership.GetMembers() {
-		isGone := o.inactiveFor(member.GetId()) >= inactivityTimeout || o.host.mustLeave(member.GetMachine())
-		if member.GetWitness() && !member.GetLearner() && isGone {
-			log.WithField("group", o.id).WithField("machine", request.GetMachine()).Info("machine becomes a witness")
-			return o.addLearner(status, request, member)
-		}
-	}
-	return nil
-}
-
-// fullMembers returns the number of members without the witnesses.
-func fullMembers(membership *rockwindpb.Membership) int {
-	count := 0
-	for _, member := range membership.GetMembers() {
-		if !member.GetWitness() {
-			count++
-		}
-	}
-	return count
-}
-
 // isAppendToWitness reports whether a message brings entries to a witness. They are not encoded by reference to
 // earlier entries, whose content it does not have.
 func (o *owner) isAppendToWitness(message *rockwindpb.Message) bool {
