replica: members at another address are reached again

What callers would see: a member that comes back with its disk at another address takes part in nothing, and a machine that joins after that never catches up, so that the group stays short of members.

Cause: the address in the membership was that of the admission for good. A call to join from a member with the same disk was ignored, a leader could not change its own entry, and replies went to the address in the membership that the replier holds: one that is catching up holds earlier ones. After a restart a member knew only its seeds, not the members in its log.

Change: the leader changes the entry of a member that is inactive at its former address and asks from another one, and its own; replies go to where the message came from; members ask the fellow members in their logs. Where machines with new names may not join, nothing changes.

Result: TestMemberIsReachedAtItsNewAddress and TestLearnerAnswersALeaderAtANewAddress fail without the change and pass with it.

--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -176,16 +177,21 @@
 
 // machine is a control machine of a test.
 type machine struct {
-	name   string
-	disk   *faultfs.Disk
-	cancel context.CancelFunc
-	ended  chan error
+	name string
+	// address is that of the name if it is empty.
+	address string
+	disk    *faultfs.Disk
+	cancel  context.CancelFunc
+	ended   chan error
 
 	mutex    sync.Mutex
 	host     *replica.Host
 	machines map[uint32]*registers
 }
 
+// at returns the address of the machine.
+func (m *machine) at() string { return cmp.Or(m.address, m.name) }
+
 // state returns the machine's copy of a group's registers.
 func (m *machine) state(group uint32) *registers {
 	m.mutex.Lock()
@@ -260,7 +266,7 @@
 	m.mutex.Unlock()
 	options := replica.Options{
 		Machine:    m.name,
-		Address:    m.name,
+		Address:    m.at(),
 		Folder:     "data",
 		FileSystem: m.disk,
 		Client:     f.client,
@@ -286,7 +292,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel, m.ended = cancel, make(chan error, 1)
 	m.set(host)
-	f.network.mount(m.name, replica.NewServer(host))
+	f.network.mount(m.at(), replica.NewServer(host))
 	ended := m.ended
 	go func() { ended <- host.Run(ctx) }()
 	synctest.Wait()
@@ -297,7 +303,7 @@
 	if m.running() == nil {
 		return
 	}
-	f.network.mount(m.name, nil)
+	f.network.mount(m.at(), nil)
 	m.disk.KillProcess()
 	m.cancel()
 	<-m.ended
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -349,15 +349,19 @@
 	return h.leadershipChanged
 }
 
-// routeTo returns the route to a member. The address in Options.Peers takes
-// precedence over the one in the membership.
+// routeTo returns the route to a member.
 func (h *Host) routeTo(member *rockwindpb.Member) route {
+	return h.preferredRoute(route{machine: member.GetMachine(), address: member.GetAddress()})
+}
+
+// preferredRoute returns a route with the address of the machine in Options.Peers, which takes precedence over others.
+func (h *Host) preferredRoute(known route) route {
 	for _, peer := range h.options.Peers {
-		if peer.GetMachine() == member.GetMachine() {
-			return route{machine: member.GetMachine(), address: peer.GetAddress()}
+		if peer.GetMachine() == known.machine {
+			known.address = peer.GetAddress()
 		}
 	}
-	return route{machine: member.GetMachine(), address: member.GetAddress()}
+	return known
 }
 
 func (h *Host) clientFor(address string) rockwindpb.ReplicaService {
--- a/internal/replica/joining.go
+++ b/internal/replica/joining.go
@@ -50,7 +50,7 @@
 	if h.options.Discover != nil {
 		known = slices.Concat(known, h.options.Discover())
 	}
-	known = slices.Concat(known, h.members())
+	known = slices.Concat(known, h.members(), h.fellowMembers())
 	seen := map[string]bool{h.options.Address: true}
 	var peers []*rockwindpb.ControlMachine
 	for _, peer := range known {
@@ -63,6 +63,16 @@
 	return peers
 }
 
+// fellowMembers lists the members of the groups that run here, by the newest memberships in the log. After a restart they
+// may be the only known machines.
+func (h *Host) fellowMembers() []*rockwindpb.ControlMachine {
+	var groups []*rockwindpb.FoundingGroup
+	for _, o := range h.allOwners() {
+		groups = append(groups, &rockwindpb.FoundingGroup{Membership: o.Status().GetMembership()})
+	}
+	return groupMachines(groups)
+}
+
 // recordJoinMembers stores the members in a response to a join call. The leaders
 // may be machines that the settings do not list.
 func (h *Host) recordJoinMembers(groups []*rockwindpb.FoundingGroup) {
--- a/internal/replica/ready.go
+++ b/internal/replica/ready.go
@@ -114,10 +114,29 @@
 		if !o.isAppendToWitness(message) {
 			message = o.shortEntries.encodeOutgoing(message)
 		}
-		o.host.transport.send(o.memberRoute(message.GetTo()), o.id, message)
+		o.host.transport.send(o.routeOf(message), o.id, message)
 	}
 }
 
+// routeOf returns the route of a message.
+func (o *owner) routeOf(message *rockwindpb.Message) route {
+	switch message.GetKind() {
+	case rockwindpb.MessageKind_MESSAGE_KIND_APPEND_REPLY, rockwindpb.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY,
+		rockwindpb.MessageKind_MESSAGE_KIND_VOTE_REPLY, rockwindpb.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY:
+		return o.replyRoute(message.GetTo())
+	}
+	return o.memberRoute(message.GetTo())
+}
+
+// replyRoute returns the route from which a member sends. The membership is no source for it: a replica that is
+// catching up holds earlier ones, in which the member may have another address.
+func (o *owner) replyRoute(id uint64) route {
+	if learned := o.host.transport.learnedRoute(id); learned.address != "" {
+		return o.host.preferredRoute(learned)
+	}
+	return o.memberRoute(id)
+}
+
 // memberRoute returns the route to a member.
 func (o *owner) memberRoute(id uint64) route {
 	for _, member := range o.node.Status().Membership.GetMembers() {
--- a/internal/replica/replacing.go
+++ b/internal/replica/replacing.go
@@ -75,6 +75,9 @@
 // repairView returns what the leader sees of the group.
 func (o *owner) repairView(status raft.Status, now time.Time) repair.View {
 	view := repair.View{Self: status.ID, Target: o.targetVoters()}
+	if o.host.options.AdmitNew {
+		view.Address = o.host.options.Address
+	}
 	for _, member := range status.Membership.GetMembers() {
 		progress := progressOf(status, member.GetId())
 		seen := repair.Member{Member: member, Active: progress.Active, MustLeave: o.host.mustLeave(member.GetMachine())}
@@ -186,7 +189,8 @@
 	}
 }
 
-// isSettled reports whether all members are active voters that may stay, and none is missing.
+// isSettled reports whether all members are active voters that may stay, none is missing, and the leader is where the
+// membership has it.
 func (o *owner) isSettled(status raft.Status) bool {
 	full := 0
 	for _, progress := range status.Progress {
@@ -198,7 +202,8 @@
 		}
 	}
 	for _, member := range status.Membership.GetMembers() {
-		if o.host.mustLeave(member.GetMachine()) {
+		isMoved := o.host.options.AdmitNew && member.GetId() == status.ID && member.GetAddress() != o.host.options.Address
+		if isMoved || o.host.mustLeave(member.GetMachine()) {
 			return false
 		}
 	}
--- a/internal/replica/replacing_test.go
+++ b/internal/replica/replacing_test.go
@@ -360,6 +360,61 @@
 	})
 }
 
+// TestMemberIsReachedAtItsNewAddress guards against a member that comes back at another address and takes part in nothing:
+// the membership holds the earlier one. No spare asks.
+func TestMemberIsReachedAtItsNewAddress(t *testing.T) {
+	adjust := func(options *replica.Options) { options.AdmitNew, options.Peers = true, nil }
+	runCluster(t, 3, adjust, func(f *testCluster) {
+		for _, m := range f.machines {
+			f.kill(m)
+			m.address = m.name + "-moved"
+			f.start(m)
+			for group := range uint32(3) {
+				f.eventually(m.name+" is a member again", func() bool { return f.isMemberAt(group, m) })
+				f.add(group, "a")
+			}
+		}
+		f.kill(f.machines[0])
+		if got := f.add(1, "a"); got != 4 {
+			t.Errorf("the fourth increment gave %d", got)
+		}
+	})
+}
+
+// TestLearnerAnswersALeaderAtANewAddress guards against a learner that never catches up: the memberships in the log that it
+// receives hold an earlier address of the leader.
+func TestLearnerAnswersALeaderAtANewAddress(t *testing.T) {
+	adjust := func(options *replica.Options) { options.AdmitNew, options.Peers = true, nil }
+	runCluster(t, 3, adjust, func(f *testCluster) {
+		f.add(1, "a")
+		for _, m := range f.machines {
+			f.kill(m)
+			m.address = m.name + "-moved"
+			f.start(m)
+			f.eventually(m.name+" is a member again", func() bool { return f.isMemberAt(1, m) })
+		}
+		leader := f.leader(1)
+		f.peers = []*rockwindpb.ControlMachine{{Address: leader.at()}}
+		f.adjust = func(options *replica.Options) { options.AdmitNew = true }
+		lost := f.machines[0]
+		if lost == leader {
+			lost = f.machines[1]
+		}
+		f.loseDisk(lost)
+		f.addMachine("next")
+		f.eventually("a new machine takes the place", func() bool { return includes(f.repairedVoters(1), "next", lost.name) })
+	})
+}
+
+// isMemberAt reports whether a group is whole and has a machine as a member at its present address.
+func (f *testCluster) isMemberAt(group uint32, m *machine) bool {
+	leader := f.leaderNow(group)
+	return leader != nil && len(f.repairedVoters(group)) == 3 &&
+		slices.ContainsFunc(leader.group(group).Status().GetMembership().GetMembers(), func(member *rockwindpb.Member) bool {
+			return member.GetMachine() == m.name && member.GetAddress() == m.at()
+		})
+}
+
 // dropEntries drops all entries and snapshots for a machine, whose heartbeats arrive.
 func dropEntries(machine string) rewriteFunc {
 	return func(_, to string, messages []*rockwindpb.GroupMessage) []*rockwindpb.GroupMessage {
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -297,12 +297,10 @@
 	if status.Leader == 0 {
 		return ""
 	}
-	for _, member := range status.Membership.GetMembers() {
-		if member.GetId() == status.Leader {
-			return o.host.routeTo(member).address
-		}
+	if learned := o.host.transport.learnedRoute(status.Leader); learned.address != "" {
+		return o.host.preferredRoute(learned).address
 	}
-	return o.host.transport.learnedRoute(status.Leader).address
+	return o.host.routeTo(memberByID(status.Membership, status.Leader)).address
 }
 
 // Applied implements Group.
--- a/internal/replica/shortentries.go
+++ b/internal/replica/shortentries.go
@@ -118,7 +118,7 @@
 	entries, found := o.expandEntries(message)
 	if !found {
 		log.WithField("group", o.id).WithField("index", message.GetIndex()).Info("entries refer to what is not held, whole ones are asked for")
-		o.host.transport.send(o.memberRoute(message.GetFrom()), o.id, &rockwindpb.Message{
+		o.host.transport.send(o.replyRoute(message.GetFrom()), o.id, &rockwindpb.Message{
 			Kind: rockwindpb.MessageKind_MESSAGE_KIND_WANT_WHOLE, From: message.GetTo(), To: message.GetFrom(), Term: message.GetTerm(),
 		})
 		return appended
