replica: groups are whole within 3 s of a loss

What callers would see: the time until a lost member was replaced depended on chance. A group whose member was lost bore no further loss until then.

Cause: a machine that is spare asks one random peer every election timeout, and only a call to the right leader after the second in which the member may come back had an effect. A peer that doesn't answer held up all calls for a second. Messages to a machine that doesn't run a group yet also dropped those for its other groups.

Change: machines remember for 10 s who asked, and a leader admits one of them as soon as a member may be replaced; spare machines ask all peers in turn; a machine that gets messages for a group that it doesn't run asks their sender at once; peers are asked four at a time.

Result: TestGroupsAreWholeSoonAfterEachLossOfASeries plays random series of 14 cuts, stops, lost disks, moves to other addresses, returns, additions and retirements on groups of three and five, and asks for whole groups 3 s after each.

--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -61,6 +61,10 @@
 	// joinedAt is when another machine first let this one join its cluster. It is
 	// zero if this machine founded the cluster or belonged to it at startup.
 	joinedAt time.Time
+	// spares are the machines that ask to join.
+	spares spares
+	// invitations holds the address of a machine whose messages are for a group that does not run here yet.
+	invitations chan string
 }
 
 // NewHost opens the log in options.Folder. It fails with fault.Corrupt if the
@@ -92,6 +96,7 @@
 		leadershipChanged: make(chan struct{}),
 
 		groupChecksums: make(map[string]uint64),
+		invitations:    make(chan string, 1),
 	}
 	h.writer = newWriter(opened, h.requestSnapshots)
 	h.transport = newTransport(h)
@@ -266,12 +271,8 @@
 
 // targetOwner returns the owner of the group that a call from another machine is for.
 func (h *Host) targetOwner(clusterID, machine string, group uint32) (*owner, error) {
-	if !h.options.Allow(machine, h.options.Machine) {
-		return nil, unavailable("the link is cut")
-	}
-	if clusterID == "" || clusterID != h.clusterID() {
-		return nil, fault.New(fault.Conflict, "the call is for another cluster",
-			"check the list of control machines of both sides")
+	if err := h.checkCaller(clusterID, machine); err != nil {
+		return nil, err
 	}
 	if found := h.owner(group); found != nil {
 		return found, nil
@@ -279,6 +280,18 @@
 	return nil, unavailable("the group does not run here")
 }
 
+// checkCaller refuses calls over a cut link and of another cluster.
+func (h *Host) checkCaller(clusterID, machine string) error {
+	if !h.options.Allow(machine, h.options.Machine) {
+		return unavailable("the link is cut")
+	}
+	if clusterID == "" || clusterID != h.clusterID() {
+		return fault.New(fault.Conflict, "the call is for another cluster",
+			"check the list of control machines of both sides")
+	}
+	return nil
+}
+
 // runTicker ticks all groups at the same time, so that their heartbeats can share
 // calls.
 func (h *Host) runTicker() error {
--- a/internal/replica/joining.go
+++ b/internal/replica/joining.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	"rockwind.example/rockwind/internal/fault"
@@ -23,25 +24,84 @@
 
 // runJoinLoop asks all peers to let this machine join while needsToJoin holds. A
 // machine that is merely available to replace members of other groups asks one
-// random peer at a time: since all machines do so, each leader gets about as many
-// calls as if one machine asked every peer.
+// peer at a time, in random order: since all machines do so, each leader gets about as many
+// calls as if one machine asked every peer. Leaders remember who asked, and a machine that
+// one of them has admitted asks it at its first message.
 func (h *Host) runJoinLoop() error {
-	random := rand.New(rand.NewPCG(h.options.RandomSeed, h.log.DiskID()))
-	for h.sleep(h.options.electionTimeout()) {
+	turns := peerTurns{random: rand.New(rand.NewPCG(h.options.RandomSeed, h.log.DiskID()))}
+	next := time.After(h.options.electionTimeout())
+	for {
+		select {
+		case <-h.ctx.Done():
+			return nil
+		case address := <-h.invitations:
+			h.requestJoin(&rockwindpb.ControlMachine{Address: address})
+			if !h.sleep(h.options.electionTimeout() / invitationsPerTimeout) {
+				return nil
+			}
+			continue
+		case <-next:
+		}
 		peers := h.joinPeers()
 		switch {
 		case h.needsToJoin():
-		case !h.options.AdmitNew || !h.lacksGroup() || len(peers) == 0:
-			continue
+		case h.options.AdmitNew && h.lacksGroup():
+			peers = turns.next(peers)
 		default:
-			chosen := random.IntN(len(peers))
-			peers = peers[chosen : chosen+1]
+			peers = nil
 		}
-		for _, peer := range peers {
+		h.requestJoins(peers)
+		next = time.After(h.options.electionTimeout())
+	}
+}
+
+// parallelJoinCalls bounds the calls to join at a time: a peer that does not answer must not delay the others.
+const parallelJoinCalls = 4
+
+func (h *Host) requestJoins(peers []*rockwindpb.ControlMachine) {
+	var calls errgroup.Group
+	calls.SetLimit(parallelJoinCalls)
+	for _, peer := range peers {
+		calls.Go(func() error {
 			h.requestJoin(peer)
-		}
+			return nil
+		})
+	}
+	_ = calls.Wait()
+}
+
+// invitationsPerTimeout bounds the calls for invitations, in calls per election timeout.
+const invitationsPerTimeout = 4
+
+// noteInvitation records that the machine at an address sends messages for a group that does not run here.
+func (h *Host) noteInvitation(address string) {
+	select {
+	case h.invitations <- address:
+	default:
+	}
+}
+
+// peerTurns selects one peer at a time, at random among those that have not had their turn.
+type peerTurns struct {
+	random *rand.Rand
+	had    map[string]bool
+}
+
+// next returns the peer whose turn it is, or none if there are no peers.
+func (t *peerTurns) next(peers []*rockwindpb.ControlMachine) []*rockwindpb.ControlMachine {
+	waiting := slices.DeleteFunc(slices.Clone(peers), func(peer *rockwindpb.ControlMachine) bool { return t.had[peer.GetAddress()] })
+	if len(waiting) == 0 {
+		waiting, t.had = peers, nil
+	}
+	if len(waiting) == 0 {
+		return nil
+	}
+	if t.had == nil {
+		t.had = make(map[string]bool)
 	}
-	return nil
+	chosen := waiting[t.random.IntN(len(waiting))]
+	t.had[chosen.GetAddress()] = true
+	return []*rockwindpb.ControlMachine{chosen}
 }
 
 // joinPeers lists the machines that may let this one join.
@@ -210,6 +270,7 @@
 		return nil, fault.Newf(fault.Conflict, "give it the name of the machine that it replaces, or list it in the settings of all machines",
 			"no machine of this cluster is named %s", request.GetMachine())
 	}
+	h.spares.record(request, time.Now())
 	// A group that refuses the machine must not hide those that admit it.
 	var refused error
 	admitted := false
--- a/internal/replica/replacing.go
+++ b/internal/replica/replacing.go
@@ -158,7 +158,8 @@
 }
 
 // advanceReplacement takes the next step of the replacements on the leader: the first that is possible of those
-// that are due, otherwise the removal of a member that no machine can replace.
+// that are due, otherwise the admission of a machine that has asked, otherwise the removal of a member that no
+// machine can replace.
 func (o *owner) advanceReplacement(status raft.Status, now time.Time) {
 	if status.Role != raft.Leader || status.MembershipIndex > status.Commit {
 		return
@@ -177,6 +178,9 @@
 			return
 		}
 	}
+	if view.NeedsMember() && o.admitAsking(status, now) {
+		return
+	}
 	switch leaving := o.leavingWithoutReplacement(status, now); {
 	case leaving == nil:
 	case leaving.GetId() == status.ID:
@@ -209,3 +213,17 @@
 	}
 	return full == o.targetVoters() || o.targetVoters() == 0 && full == len(status.Progress)
 }
+
+// admitAsking admits one of the machines that have asked to join, if the group needs it. It reports whether it did.
+// A call that must be repeated as evidence has to be made again.
+func (o *owner) admitAsking(status raft.Status, now time.Time) bool {
+	for _, request := range o.host.spares.candidates(o.id, now) {
+		if memberByID(status.Membership, request.GetDiskId()) != nil || o.needsEvidence(status, request) {
+			continue
+		}
+		if o.admit(request) == nil && o.node.Status().MembershipIndex != status.MembershipIndex {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/replica/series_test.go
@@ -0,0 +1,384 @@
+package replica_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rockwind.example/rockwind/internal/replica"
+	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/wal/faultfs"
+)
+
+var (
+	seriesCount = flag.Int("series", 0, "how many random series of losses to play; zero plays those of the test suite")
+	seriesFirst = flag.Uint64("series.first", 1, "the seed of the first series")
+)
+
+const (
+	// wholeTimeout is how long after a loss a group may be short of members while a sound machine asks to join.
+	wholeTimeout = 3 * time.Second
+	// catchUpTime passes after each step, as on a site that bears one loss at a time.
+	catchUpTime = 4900 * time.Millisecond
+	// retireTimeout is how long a machine that must leave may remain a member.
+	retireTimeout  = 6 * time.Second
+	stepsPerSeries = 14
+)
+
+// series is a random series of cuts, returns, losses, additions and retirements on a cluster with the options of
+// a site. At most as many members are lost at once as the groups tolerate.
+type series struct {
+	*testCluster
+	target  int
+	mutex   sync.Mutex
+	leaving map[string]bool
+	cut     map[*machine]bool
+	// away are stopped machines that may return with their disks.
+	away  []*machine
+	added int
+	// acknowledged counts the increments of each group.
+	acknowledged [3]int
+	steps        []string
+}
+
+// runSeries plays one series.
+func runSeries(t *testing.T, target int, seed uint64) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &series{
+			testCluster: &testCluster{t: t, links: &replica.Links{}, random: rand.New(rand.NewPCG(seed, uint64(target)))},
+			target:      target, leaving: make(map[string]bool), cut: make(map[*machine]bool),
+		}
+		s.adjust = s.siteOptions
+		s.network = &network{handlers: map[string]http.Handler{}}
+		s.client = &http.Client{Transport: s.network}
+		for number := range target {
+			s.machines = append(s.machines, &machine{name: fmt.Sprintf("first-%d", number), disk: faultfs.New()})
+			s.peers = append(s.peers, &rockwindpb.ControlMachine{Address: s.machines[number].name})
+		}
+		for _, m := range s.machines {
+			s.start(m)
+		}
+		defer func() {
+			for _, m := range s.machines {
+				s.kill(m)
+			}
+		}()
+		s.found(2)
+		s.addSpare()
+		s.awaitWhole(time.Now(), eventuallyTimeout, "after the start")
+		for range stepsPerSeries {
+			s.write()
+			s.step()
+			time.Sleep(catchUpTime)
+			s.awaitWhole(time.Now(), wholeTimeout, "after the step")
+			if t.Failed() {
+				break
+			}
+		}
+		for group, want := range s.acknowledged {
+			if got := s.read(uint32(group), "a"); got != want {
+				t.Errorf("%d increments of group %d were acknowledged, %d are left", want, group, got)
+			}
+		}
+		if t.Failed() {
+			t.Logf("target %d, seed %d: %q", target, seed, s.steps)
+		}
+	})
+}
+
+// siteOptions are those of a store or coordinator of a site.
+func (s *series) siteOptions(options *replica.Options) {
+	options.AdmitNew, options.TargetVoters = true, s.target
+	options.Tick, options.HeartbeatTicks, options.ElectionTicks = 30*time.Millisecond, 2, 10
+	options.SnapshotEntries = 20
+	options.Peers = nil
+	options.Discover = func() []*rockwindpb.ControlMachine {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		return slices.Clone(s.peers)
+	}
+	options.MustLeave = func(name string) bool {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		return s.leaving[name]
+	}
+}
+
+// write increments a register of each group.
+func (s *series) write() {
+	s.t.Helper()
+	for group := range s.acknowledged {
+		for range 3 {
+			s.add(uint32(group), "a")
+			s.acknowledged[group]++
+		}
+	}
+}
+
+// addSpare starts a machine with an empty disk and a new name.
+func (s *series) addSpare() *machine {
+	s.added++
+	added := &machine{name: fmt.Sprintf("added-%d", s.added), disk: faultfs.New()}
+	s.machines = append(s.machines, added)
+	s.start(added)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.peers = append(s.peers, &rockwindpb.ControlMachine{Address: added.name})
+	return added
+}
+
+// sound returns the machines that run, are connected and may stay.
+func (s *series) sound() []*machine {
+	var found []*machine
+	for _, m := range s.machines {
+		if m.running() != nil && !s.cut[m] && !s.mustLeave(m) {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+func (s *series) mustLeave(m *machine) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.leaving[m.name]
+}
+
+// isSpare reports whether a machine is no member of some group.
+func (s *series) isSpare(m *machine) bool {
+	for group := range s.acknowledged {
+		if !slices.ContainsFunc(s.voters(uint32(group)), func(voter *rockwindpb.Member) bool { return voter.GetId() == m.running().DiskID() }) {
+			return true
+		}
+	}
+	return false
+}
+
+// voters returns the voters of a group as its leader has them.
+func (s *series) voters(group uint32) []*rockwindpb.Member {
+	return slices.DeleteFunc(slices.Clone(s.leader(group).group(group).Status().GetMembership().GetMembers()), (*rockwindpb.Member).GetLearner)
+}
+
+// isWhole reports whether a group has its target of voters, all of them on sound machines, and no other member.
+func (s *series) isWhole(group uint32) bool {
+	leader := s.leaderNow(group)
+	if leader == nil || !leader.group(group).Status().GetRepaired() {
+		return false
+	}
+	members := leader.group(group).Status().GetMembership().GetMembers()
+	if len(members) != s.target {
+		return false
+	}
+	for _, member := range members {
+		if !slices.ContainsFunc(s.sound(), func(m *machine) bool { return m.running().DiskID() == member.GetId() }) {
+			return false
+		}
+	}
+	return true
+}
+
+// awaitWhole fails the test if a group is not whole within a time after an event.
+func (s *series) awaitWhole(since time.Time, timeout time.Duration, what string) {
+	s.t.Helper()
+	for group := range s.acknowledged {
+		for !s.isWhole(uint32(group)) {
+			if time.Since(since) > timeout {
+				s.t.Errorf("%s: group %d is not whole %v after %v: %s", what, group, time.Since(since), s.steps[max(0, len(s.steps)-1):], s.describe(uint32(group)))
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+func (s *series) describe(group uint32) string {
+	leader := s.leaderNow(group)
+	if leader == nil {
+		return "no leader"
+	}
+	return fmt.Sprintf("leader %s, members %v, shortage %+v", leader.name, leader.group(group).Status().GetMembership().GetMembers(), s.shortage(group))
+}
+
+// between returns a random duration.
+func (s *series) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(s.random.Int64N(int64(most-least)))
+}
+
+// note records a step.
+func (s *series) note(format string, arguments ...any) {
+	s.steps = append(s.steps, fmt.Sprintf(format, arguments...))
+}
+
+// victims chooses sound machines to be lost at once: as many as the groups tolerate at most.
+func (s *series) victims() []*machine {
+	sound := s.sound()
+	s.random.Shuffle(len(sound), func(i, j int) { sound[i], sound[j] = sound[j], sound[i] })
+	return sound[:1+s.random.IntN(s.target/2)]
+}
+
+// step plays one step and checks that the groups are whole in time.
+func (s *series) step() {
+	s.t.Helper()
+	if len(s.sound()) > s.target+2 && s.random.IntN(2) == 0 {
+		s.retire()
+		return
+	}
+	switch s.random.IntN(6) {
+	case 0:
+		s.note("a spare is added")
+		s.addSpare()
+	case 1:
+		s.retire()
+	default:
+		s.lose()
+	}
+}
+
+// lose lets machines disappear one shortly after the other, and return, or others come in their place.
+func (s *series) lose() {
+	s.t.Helper()
+	victims := s.victims()
+	spares := len(s.sound()) - len(victims)
+	var returns []func()
+	for _, victim := range victims {
+		returns = append(returns, s.loseOne(victim))
+		time.Sleep(s.between(0, time.Second))
+	}
+	lastLoss := time.Now()
+	if spares >= s.target {
+		s.awaitWhole(lastLoss, wholeTimeout, "after the loss")
+	}
+	for _, comeBack := range returns {
+		comeBack()
+	}
+	if len(s.sound()) < s.target+1 {
+		s.note("a spare is added")
+		s.addSpare()
+	}
+	if spares < s.target {
+		s.awaitWhole(time.Now(), wholeTimeout, "after the return")
+	}
+}
+
+// loseOne lets a machine disappear. The returned function ends that.
+func (s *series) loseOne(victim *machine) func() {
+	kind := s.random.IntN(6)
+	away := s.between(200*time.Millisecond, 4500*time.Millisecond)
+	until := time.Now().Add(away)
+	wait := func() { time.Sleep(time.Until(until)) }
+	switch kind {
+	case 0:
+		s.note("%s is cut off for %v", victim.name, away)
+		s.setCut(victim, true)
+		return func() { wait(); s.setCut(victim, false) }
+	case 1:
+		s.note("%s is stopped for %v", victim.name, away)
+		s.crash(victim)
+		return func() { wait(); s.start(victim) }
+	case 2:
+		s.note("%s loses its disk, and is back after %v", victim.name, away)
+		s.loseDisk(victim)
+		return func() { wait(); s.start(victim) }
+	case 3:
+		s.note("%s is stopped for %v, and has another address then", victim.name, away)
+		s.crash(victim)
+		return func() { wait(); s.move(victim); s.start(victim) }
+	case 4:
+		s.note("%s is gone until a later step", victim.name)
+		s.crash(victim)
+		s.away = append(s.away, victim)
+	default:
+		s.note("%s is gone for good", victim.name)
+		s.loseDisk(victim)
+	}
+	return func() {
+		wait()
+		if len(s.away) > 0 && s.random.IntN(2) == 0 && s.away[0] != victim {
+			s.note("%s is back", s.away[0].name)
+			s.start(s.away[0])
+			s.away = s.away[1:]
+			return
+		}
+		s.note("a spare is added")
+		s.addSpare()
+	}
+}
+
+// setCut cuts a machine off from all others, or ends that.
+func (s *series) setCut(victim *machine, cut bool) {
+	if !cut {
+		delete(s.cut, victim)
+		s.links.Heal()
+		for m := range s.cut {
+			s.setCut(m, true)
+		}
+		return
+	}
+	s.cut[victim] = true
+	for _, other := range s.machines {
+		if other != victim {
+			s.links.CutBoth(victim.name, other.name)
+		}
+	}
+}
+
+// move gives a stopped machine another address, which all others come to know.
+func (s *series) move(m *machine) {
+	former := m.at()
+	m.address = former + "-moved"
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for position, peer := range s.peers {
+		if peer.GetAddress() == former {
+			s.peers[position] = &rockwindpb.ControlMachine{Address: m.address}
+		}
+	}
+}
+
+// retire lets a member leave if enough other machines are sound, and stops it once it has left.
+func (s *series) retire() {
+	s.t.Helper()
+	sound := s.sound()
+	if len(sound) <= s.target {
+		s.note("a spare is added")
+		s.addSpare()
+		return
+	}
+	victim := sound[s.random.IntN(len(sound))]
+	s.note("%s retires", victim.name)
+	s.mutex.Lock()
+	s.leaving[victim.name] = true
+	s.mutex.Unlock()
+	s.awaitWhole(time.Now(), retireTimeout, "after the retirement")
+	s.kill(victim)
+	if s.random.IntN(2) == 0 {
+		s.note("%s is a spare again", victim.name)
+		s.mutex.Lock()
+		delete(s.leaving, victim.name)
+		s.mutex.Unlock()
+		s.start(victim)
+	}
+}
+
+// TestGroupsAreWholeSoonAfterEachLossOfASeries guards against groups that stay short of members after some series of
+// cuts, returns, losses, additions and retirements, although a sound machine asks to join.
+func TestGroupsAreWholeSoonAfterEachLossOfASeries(t *testing.T) {
+	count := *seriesCount
+	if count == 0 {
+		count = 4
+		if testing.Short() {
+			count = 1
+		}
+	}
+	for seed := *seriesFirst; seed < *seriesFirst+uint64(count); seed++ {
+		for _, target := range []int{3, 5} {
+			t.Run(fmt.Sprintf("%d members, seed %d", target, seed), func(t *testing.T) { runSeries(t, target, seed) })
+		}
+	}
+}
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -34,16 +34,21 @@
 }
 
 // deliver queues messages from a machine for their groups. Messages that do not
-// fit in the queue, or that are for another disk, are dropped.
+// fit in the queue, or that are for another disk, are dropped. A message for a group that does not run here says
+// that this machine was admitted to it.
 func (h *Host) deliver(clusterID string, from route, messages []*rockwindpb.GroupMessage) error {
 	for _, message := range messages {
-		o, err := h.targetOwner(clusterID, from.machine, message.GetGroup())
-		if err != nil {
+		if err := h.checkCaller(clusterID, from.machine); err != nil {
 			return err
 		}
 		if message.GetMessage().GetTo() != h.log.DiskID() {
 			continue
 		}
+		o := h.owner(message.GetGroup())
+		if o == nil {
+			h.noteInvitation(from.address)
+			continue
+		}
 		h.transport.learnRoute(message.GetMessage().GetFrom(), from)
 		select {
 		case o.inbox <- message.GetMessage():
--- a/internal/replica/shortage.go
+++ b/internal/replica/shortage.go
@@ -17,8 +17,6 @@
 	shortageLogDelay = 3 * time.Second
 	// shortageLogInterval is the shortest time between two log records of one shortage for the same reason.
 	shortageLogInterval = 10 * time.Second
-	// askingTime is how long a machine counts as asking after its latest call.
-	askingTime = 10 * time.Second
 )
 
 // Shortage describes the members that a group lacks, as its leader sees them.
