--- a/internal/bench/soak/command.go
+++ b/internal/bench/soak/command.go
@@ -21,6 +21,7 @@
 	"rockwind.example/rockwind/internal/bench/soak/witness"
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/retry"
+	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
 // Command implements `rockwind-bench soak`.
@@ -31,8 +32,11 @@
 	Duration time.Duration `help:"How long faults go on, for each seed." default:"40s"`
 	Kinds    []Kind        `help:"Bring about only these kinds of fault." sep:","`
 	Bursts   bool          `help:"Let all backends crash several times within seconds, now and then."`
-	Folder   string        `help:"Folder for the processes' files and logs; empty makes a temporary one." type:"path"`
-	Program  string        `help:"The program rockwind; empty takes the one beside this program." type:"path"`
+	// Replacements is the number of steps in the series of losses that takes the place of the other faults.
+	Replacements int `help:"Let so many processes with a disk be lost one after the other, for a while or for good, and no other faults."`
+
+	Folder  string `help:"Folder for the processes' files and logs; empty makes a temporary one." type:"path"`
+	Program string `help:"The program rockwind; empty takes the one beside this program." type:"path"`
 }
 
 // Time limits of one run.
@@ -119,14 +123,16 @@
 
 // run is the state of the soak of one seed.
 type run struct {
-	seed      uint64
-	bursts    bool
-	began     time.Time
-	witness   *witness.Witness
-	faults    *faultTracker
-	site      *site
-	endpoints []*endpoint
-	operator  *operator
+	seed   uint64
+	bursts bool
+	// replacements is the number of steps in the series of losses, zero for other faults.
+	replacements int
+	began        time.Time
+	witness      *witness.Witness
+	faults       *faultTracker
+	site         *site
+	endpoints    []*endpoint
+	operator     *operator
 	// faultsBegan is when fault injection started.
 	faultsBegan time.Duration
 	// probes counts the calls of waitUntilServing; each gets its own caller number.
@@ -154,7 +160,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	r := &run{seed: seed, bursts: c.Bursts, began: time.Now(), witness: witness.New()}
+	r := &run{seed: seed, bursts: c.Bursts, replacements: c.Replacements, began: time.Now(), witness: witness.New()}
 	r.faults = &faultTracker{now: r.elapsed}
 	if err := r.start(ctx, folder, program); err != nil {
 		if r.site != nil {
@@ -188,7 +194,14 @@
 
 // start starts the site and the backends and waits until requests are served.
 func (r *run) start(ctx context.Context, folder, program string) error {
-	site, err := newSite(ctx, folder, program)
+	size := usualSize()
+	if r.replacements > 0 {
+		size = siteSize{reserves: reserves, used: map[rockwindpb.SiteRole]int{
+			rockwindpb.SiteRole_SITE_ROLE_COORDINATOR: coordinatorsWithSpare, rockwindpb.SiteRole_SITE_ROLE_STORE: storesWithSpare,
+			rockwindpb.SiteRole_SITE_ROLE_ROUTER: replicas,
+		}}
+	}
+	site, err := newSite(ctx, folder, program, size)
 	if err != nil {
 		return err
 	}
@@ -250,7 +263,11 @@
 	if r.bursts {
 		load.Go(func() { r.crashInBursts(burstCtx) })
 	}
-	r.inject(ctx, plan)
+	if r.replacements > 0 {
+		r.replaceInSeries(ctx, r.replacements)
+	} else {
+		r.inject(ctx, plan)
+	}
 	stopBursts()
 	if err := r.waitUntilServing(ctx, recoverWithin); err != nil {
 		r.witness.Report(witness.NoRecovery, "site", err.Error(), r.elapsed())
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -30,6 +30,9 @@
 	KindDropInbound  Kind = "cut toward"
 	KindDropOutbound Kind = "cut answers"
 	KindDropAll      Kind = "silence"
+	// KindGone ends a process with a disk for good; another one comes with an empty disk. It occurs in series of
+	// replacements only.
+	KindGone Kind = "gone"
 	// KindServerKill kills a backend; a new incarnation starts at the same address.
 	KindServerKill Kind = "server kill"
 	// KindServerLateReports restarts a backend; reports of an incarnation in between arrive
--- a/internal/bench/soak/site.go
+++ b/internal/bench/soak/site.go
@@ -57,8 +57,19 @@
 	starts atomic.Int64
 	// faultMutex is held during a fault, so that faults of one process don't overlap.
 	faultMutex sync.Mutex
+	// isSeed reports whether the settings of all processes name this one.
+	isSeed bool
+	// state is whether the process is in use, is kept in reserve or is lost for good.
+	state atomic.Int32
 }
 
+// States of a member.
+const (
+	memberInUse int32 = iota
+	memberInReserve
+	memberGone
+)
+
 // keepsDisk returns whether the process has a data folder.
 func (m *member) keepsDisk() bool { return m.settings.GetDataFolder() != "" }
 
@@ -71,17 +82,27 @@
 // site is the set of processes of a soak.
 type site struct{ members []*member }
 
-// withRole lists the members with a role.
+// withRole lists the members in use with a role.
 func (s *site) withRole(role rockwindpb.SiteRole) []*member {
 	var found []*member
 	for _, each := range s.members {
-		if each.settings.GetRole() == role {
+		if each.settings.GetRole() == role && each.state.Load() == memberInUse {
 			found = append(found, each)
 		}
 	}
 	return found
 }
 
+// reserve returns a member with a role that is kept in reserve, or nil if there is none.
+func (s *site) reserve(role rockwindpb.SiteRole) *member {
+	for _, each := range s.members {
+		if each.settings.GetRole() == role && each.state.Load() == memberInReserve {
+			return each
+		}
+	}
+	return nil
+}
+
 func (s *site) coordinators() []*member {
 	return s.withRole(rockwindpb.SiteRole_SITE_ROLE_COORDINATOR)
 }
@@ -93,19 +114,42 @@
 	return routers[random.IntN(len(routers))]
 }
 
+// siteSize is how many processes of each role a site starts with, and how many with a disk are kept in reserve.
+type siteSize struct {
+	used     map[rockwindpb.SiteRole]int
+	reserves int
+}
+
+// usualSize has one process of each role per zone.
+func usualSize() siteSize {
+	size := siteSize{used: make(map[rockwindpb.SiteRole]int)}
+	for _, role := range roles {
+		size.used[role] = replicas
+	}
+	return size
+}
+
 // newSite writes the settings of all processes and starts their proxies only.
-func newSite(ctx context.Context, folder, program string) (*site, error) {
+func newSite(ctx context.Context, folder, program string, size siteSize) (*site, error) {
 	s := &site{}
 	var seeds []string
 	for _, role := range roles {
-		for number := range replicas {
+		count := size.used[role]
+		if role != rockwindpb.SiteRole_SITE_ROLE_ROUTER {
+			count += size.reserves
+		}
+		for number := range count {
 			added, err := newMember(ctx, folder, program, role, number)
 			if err != nil {
 				return nil, err
 			}
 			s.members = append(s.members, added)
-			if role == rockwindpb.SiteRole_SITE_ROLE_COORDINATOR {
+			if number >= size.used[role] {
+				added.state.Store(memberInReserve)
+			}
+			if role == rockwindpb.SiteRole_SITE_ROLE_COORDINATOR && number < replicas {
 				seeds = append(seeds, added.settings.GetAdvertise())
+				added.isSeed = true
 			}
 		}
 	}
@@ -119,7 +163,7 @@
 }
 
 func newMember(ctx context.Context, folder, program string, role rockwindpb.SiteRole, number int) (*member, error) {
-	addresses := make([]string, 4)
+	addresses := make([]string, 5)
 	for i := range addresses {
 		address, err := loopback.Next()
 		if err != nil {
@@ -139,7 +183,7 @@
 	}
 	settings := &rockwindpb.SiteSettings{
 		ZoneRegions: zoneRegions,
-		Name:        name, Role: role, Zone: fmt.Sprintf("zone-%d", number),
+		Name:        name, Role: role, Zone: fmt.Sprintf("zone-%d", number%replicas), MetricsListen: addresses[4],
 		InternalListen: addresses[0], Advertise: addresses[1], Bootstrap: true, MemoryMb: memoryMb, ToleratedLosses: 1,
 		HeartbeatMs: uint32(heartbeat.Milliseconds()), GraceS: graceS, ResultRetentionS: retentionS,
 	}
@@ -167,9 +211,12 @@
 	return err
 }
 
-// start starts all processes at once, for the first time.
+// start starts all processes in use at once, for the first time.
 func (s *site) start() error {
 	for _, each := range s.members {
+		if each.state.Load() != memberInUse {
+			continue
+		}
 		if err := each.start(); err != nil {
 			return err
 		}
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -15,12 +15,30 @@
 	if testing.Short() {
 		t.Skip("runs real processes for a minute and a half")
 	}
-	program := filepath.Join(t.TempDir(), "rockwind")
-	if output, err := exec.Command("go", "build", "-o", program, "rockwind.example/rockwind/cmd/rockwind").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, output)
+	command := soak.Command{Seeds: []uint64{12, 102}, Duration: 18 * time.Second, Folder: t.TempDir(), Program: buildProgram(t)}
+	if err := command.Run(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestGroupsAreWholeInASeriesOfLosses guards against groups that stay short of members while stores and coordinators are
+// lost one after the other, for a while or for good, and spare ones ask to join.
+func TestGroupsAreWholeInASeriesOfLosses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs real processes for a minute and a half")
 	}
-	command := soak.Command{Seeds: []uint64{12, 102}, Duration: 18 * time.Second, Folder: t.TempDir(), Program: program}
+	command := soak.Command{Seeds: []uint64{7001}, Replacements: 10, Folder: t.TempDir(), Program: buildProgram(t)}
 	if err := command.Run(); err != nil {
 		t.Fatal(err)
 	}
 }
+
+// buildProgram builds the program of the daemons.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "rockwind")
+	if output, err := exec.Command("go", "build", "-o", program, "rockwind.example/rockwind/cmd/rockwind").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, output)
+	}
+	return program
+}
--- a/internal/bench/soak/witness/witness.go
+++ b/internal/bench/soak/witness/witness.go
@@ -60,6 +60,8 @@
 	SoundHeld Rule = "sound, but held"
 	// FloodNotServed: a router that most new connections came to read requests that it did not serve.
 	FloodNotServed Rule = "read, but not served"
+	// GroupShort: a replicated group lacked members for too long after a loss, although a sound process could replace them.
+	GroupShort Rule = "group short of members"
 	// NoRecovery: requests were not served in time after the last fault.
 	NoRecovery Rule = "no recovery"
 )
--- a/internal/replica/shortage.go
+++ b/internal/replica/shortage.go
@@ -73,7 +73,7 @@
 
 // findShortage returns the present shortage; its Missing is empty if there is none.
 func (o *owner) findShortage(status raft.Status, now time.Time) *Shortage {
-	found := &Shortage{Refused: make(map[string]string)}
+	found := &Shortage{}
 	for _, member := range status.Membership.GetMembers() {
 		since, inactive := o.inactiveSince[member.GetId()]
 		if member.GetLearner() || !inactive {
@@ -84,14 +84,16 @@
 			found.Since = since
 		}
 	}
+	if len(found.Missing) == 0 {
+		return found
+	}
+	found.Refused = make(map[string]string)
 	for machine, refused := range o.shortages.refusals {
 		if now.Sub(refused.at) < askingTime {
 			found.Refused[machine] = refused.reason
 		}
 	}
-	if len(found.Missing) > 0 {
-		found.Reason = o.repairView(status, now).Reason(len(found.Refused))
-	}
+	found.Reason = o.repairView(status, now).Reason(len(found.Refused))
 	return found
 }
 
