replica: leaders look for a spare four times per election timeout

Cause: the leader of a regional group, which may lack members for good, went through all machines that ask to join at each tick, and viewed the group for each of them, also for those of other regions. On a site with hundreds of stores nearly all of them ask.

Change: the search runs four times per election timeout, and machines that may not join are passed over first.

Result: go test ./internal/replica/... and make lint pass. By reading: no large site was played before and after.

--- a/internal/replica/owner.go
+++ b/internal/replica/owner.go
@@ -97,8 +97,10 @@
 	confirmationRecorded bool
 	// inactiveSince holds when each inactive member became inactive, as observed by
 	// this leader in inactivityTerm, and learners what it has observed of the learners.
-	inactiveSince  map[uint64]time.Time
-	learners       map[uint64]learnerProgress
+	inactiveSince map[uint64]time.Time
+	learners      map[uint64]learnerProgress
+	// nextAdmission is the time before which this leader does not look for a machine that has asked to join.
+	nextAdmission  time.Time
 	inactivityTerm uint64
 	// joins holds the join calls of each disk beside a voter with content on the same machine, as observed by
 	// this leader in joinsTerm.
--- a/internal/replica/repair/admission.go
+++ b/internal/replica/repair/admission.go
@@ -82,7 +82,7 @@
 	if !candidate.AdmitNew || member.Active || member.GetAddress() == candidate.Address && member.GetMachine() == candidate.Machine {
 		return nil, IsMember
 	}
-	return v.at(member, candidate.Machine, candidate.Address), Admitted
+	return v.relocated(member, candidate.Machine, candidate.Address), Admitted
 }
 
 // admitKnown admits a disk on a machine with the name of a member. It replaces the voter of that name, or takes
--- a/internal/replica/repair/step.go
+++ b/internal/replica/repair/step.go
@@ -24,7 +24,7 @@
 	var removals, promotions, moves, transfers []Step
 	for position, member := range v.Members {
 		if member.GetId() == v.Self && v.Address != "" && v.Address != member.GetAddress() {
-			moves = append(moves, Step{Change: v.at(member, member.GetMachine(), v.Address)})
+			moves = append(moves, Step{Change: v.relocated(member, member.GetMachine(), v.Address)})
 		}
 		switch {
 		case member.GetLearner() && v.isSurplus(position):
@@ -61,16 +61,16 @@
 }
 
 func (v View) promote(learner Member) Step {
-	return Step{Change: v.replacing(learner, func(member *rockwindpb.Member) { member.Learner = false })}
+	return Step{Change: v.withMember(learner, func(member *rockwindpb.Member) { member.Learner = false })}
 }
 
-// at returns the membership with another machine name and address of a member.
-func (v View) at(moved Member, machine, address string) *rockwindpb.Membership {
-	return v.replacing(moved, func(member *rockwindpb.Member) { member.Machine, member.Address = machine, address })
+// relocated returns the membership with another machine name and address of a member.
+func (v View) relocated(moved Member, machine, address string) *rockwindpb.Membership {
+	return v.withMember(moved, func(member *rockwindpb.Member) { member.Machine, member.Address = machine, address })
 }
 
-// replacing returns the membership with one member changed.
-func (v View) replacing(changed Member, change func(*rockwindpb.Member)) *rockwindpb.Membership {
+// withMember returns the membership with one member changed.
+func (v View) withMember(changed Member, change func(*rockwindpb.Member)) *rockwindpb.Membership {
 	result := v.membership(func(Member) bool { return true })
 	for position, member := range result.GetMembers() {
 		if member.GetId() == changed.GetId() {
--- a/internal/replica/replacing.go
+++ b/internal/replica/replacing.go
@@ -12,6 +12,9 @@
 	"rockwind.example/rockwind/internal/rockwindpb"
 )
 
+// admissionsPerTimeout is how often per election timeout a leader looks for a machine that has asked to join.
+const admissionsPerTimeout = 4
+
 // learnerProgress is what the leader has seen of a learner.
 type learnerProgress struct {
 	// target is the index that the learner must reach to be promoted.
@@ -217,8 +220,15 @@
 // admitAsking admits one of the machines that have asked to join, if the group needs it. It reports whether it did.
 // A call that must be repeated as evidence has to be made again.
 func (o *owner) admitAsking(status raft.Status, now time.Time) bool {
+	if now.Before(o.nextAdmission) {
+		return false
+	}
+	// A group of a region may lack members for good, while many machines of other regions ask.
+	o.nextAdmission = now.Add(o.host.options.electionTimeout() / admissionsPerTimeout)
 	for _, request := range o.host.spares.candidates(o.id, now) {
-		if memberByID(status.Membership, request.GetDiskId()) != nil || o.needsEvidence(status, request) {
+		machine := request.GetMachine()
+		mayJoin := o.host.mayHold(machine, o.region) || o.host.mayWitness(machine, o.region, status.Membership)
+		if !mayJoin || memberByID(status.Membership, request.GetDiskId()) != nil || o.needsEvidence(status, request) {
 			continue
 		}
 		if o.admit(request) == nil && o.node.Status().MembershipIndex != status.MembershipIndex {
--- a/internal/replica/series_test.go
+++ b/internal/replica/series_test.go
@@ -150,21 +150,6 @@
 	return s.leaving[m.name]
 }
 
-// isSpare reports whether a machine is no member of some group.
-func (s *series) isSpare(m *machine) bool {
-	for group := range s.acknowledged {
-		if !slices.ContainsFunc(s.voters(uint32(group)), func(voter *rockwindpb.Member) bool { return voter.GetId() == m.running().DiskID() }) {
-			return true
-		}
-	}
-	return false
-}
-
-// voters returns the voters of a group as its leader has them.
-func (s *series) voters(group uint32) []*rockwindpb.Member {
-	return slices.DeleteFunc(slices.Clone(s.leader(group).group(group).Status().GetMembership().GetMembers()), (*rockwindpb.Member).GetLearner)
-}
-
 // isWhole reports whether a group has its target of voters, all of them on sound machines, and no other member.
 func (s *series) isWhole(group uint32) bool {
 	leader := s.leaderNow(group)
