replica: a group does not grow beside a lost member

What callers would see: a group of three whose member is lost stops at the next loss, although a machine has joined it in between.

Cause: for one second a lost member can't be replaced, since it may come back. A machine that asked in this second and found a free place took it: four voters, one of them lost, need all three others. In a region that has no further machine the lost one was then never replaced.

Change: no machine is admitted for a free place while a voter is inactive; a learner for a free place takes over that of a member that is lost meanwhile, and is not promoted before that.

Result: TestGroupDoesNotGrowBesideALostMember fails on ("not reached: the new machine replaces the lost one") and passes. Random series with regions and witnesses (new): 2 of 12 failed before, 12 of 12 pass. go test ./internal/replica/... passes.

--- a/internal/replica/repair/step.go
+++ b/internal/replica/repair/step.go
@@ -21,14 +21,18 @@
 // quorum. A learner becomes a voter before the member that it replaces is removed, so that the number of
 // copies of an acknowledged write never decreases.
 func (v View) Steps() []Step {
-	var removals, promotions, moves, transfers []Step
+	var removals, promotions, updates, transfers []Step
 	for position, member := range v.Members {
 		if member.GetId() == v.Self && v.Address != "" && v.Address != member.GetAddress() {
-			moves = append(moves, Step{Change: v.relocated(member, member.GetMachine(), v.Address)})
+			updates = append(updates, Step{Change: v.relocated(member, member.GetMachine(), v.Address)})
 		}
 		switch {
 		case member.GetLearner() && v.isSurplus(position):
 			removals = append(removals, v.remove(member))
+		case member.GetLearner() && !v.hasOutgoing(position) && v.hasInactiveVoter():
+			if outgoing, found := v.outgoing(false); found {
+				updates = append(updates, v.assign(member, v.Members[outgoing]))
+			}
 		case member.GetLearner():
 			if member.Complete && member.Active {
 				promotions = append(promotions, v.promote(member))
@@ -40,7 +44,7 @@
 			removals = append(removals, v.remove(member))
 		}
 	}
-	return slices.Concat(removals, promotions, moves, transfers)
+	return slices.Concat(removals, promotions, updates, transfers)
 }
 
 // isSurplus reports whether a member has no place in the group: a learner that is inactive or whose place another
@@ -64,6 +68,11 @@
 	return Step{Change: v.withMember(learner, func(member *rockwindpb.Member) { member.Learner = false })}
 }
 
+// assign lets a learner for a free place replace a member that was lost meanwhile.
+func (v View) assign(learner, outgoing Member) Step {
+	return Step{Change: v.withMember(learner, func(member *rockwindpb.Member) { member.Replaces = outgoing.GetId() })}
+}
+
 // relocated returns the membership with another machine name and address of a member.
 func (v View) relocated(moved Member, machine, address string) *rockwindpb.Membership {
 	return v.withMember(moved, func(member *rockwindpb.Member) { member.Machine, member.Address = machine, address })
--- a/internal/replica/repair/view.go
+++ b/internal/replica/repair/view.go
@@ -134,8 +134,22 @@
 	return false
 }
 
+// hasInactiveVoter reports whether a voter with content that has not been replaced is inactive. The group does not grow
+// then: with the same number of working members its quorum would be larger. A machine that joins waits to replace it.
+func (v View) hasInactiveVoter() bool {
+	for position, member := range v.Members {
+		if member.fullVoter() && !member.Active && !v.isReplaced(position) {
+			return true
+		}
+	}
+	return false
+}
+
 // lacksMembers reports whether a further machine may become a full voter beside the present ones.
 func (v View) lacksMembers() bool {
+	if v.hasInactiveVoter() {
+		return false
+	}
 	learners, copying := 0, 0
 	for position, member := range v.Members {
 		if !member.GetLearner() || member.GetWitness() || isDead(member) || v.hasOutgoing(position) {
--- a/internal/replica/replacing_test.go
+++ b/internal/replica/replacing_test.go
@@ -434,3 +434,19 @@
 		return member.GetLearner() && member.GetMachine() == machine
 	})
 }
+
+// TestGroupDoesNotGrowBesideALostMember guards against a machine that joins right after a loss, and takes a free place
+// instead of that of the lost member: with a larger quorum the next loss stops the group.
+func TestGroupDoesNotGrowBesideALostMember(t *testing.T) {
+	runCluster(t, 3, func(options *replica.Options) { options.AdmitNew, options.TargetVoters = true, 5 }, func(f *testCluster) {
+		f.add(1, "a")
+		lost := f.machines[0]
+		f.loseDisk(lost)
+		f.addMachine("next")
+		f.eventually("the new machine replaces the lost one", func() bool { return includes(f.repairedVoters(1), "next", lost.name) })
+		f.loseDisk(f.machines[1])
+		if got := f.add(1, "a"); got != 2 {
+			t.Errorf("the second increment gave %d", got)
+		}
+	})
+}
--- a/internal/replica/series_test.go
+++ b/internal/replica/series_test.go
@@ -1,11 +1,13 @@
 package replica_test
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -35,10 +37,12 @@
 // a site. At most as many members are lost at once as the groups tolerate.
 type series struct {
 	*testCluster
-	target  int
-	mutex   sync.Mutex
-	leaving map[string]bool
-	cut     map[*machine]bool
+	target int
+	// regional reports whether there are two regions with a group each, that of the north with witnesses in the south.
+	regional bool
+	mutex    sync.Mutex
+	leaving  map[string]bool
+	cut      map[*machine]bool
 	// away are stopped machines that may return with their disks.
 	away  []*machine
 	added int
@@ -47,19 +51,26 @@
 	steps        []string
 }
 
-// runSeries plays one series.
-func runSeries(t *testing.T, target int, seed uint64) {
+// runSeries plays one series on groups that any machine may join, or with groups of regions.
+func runSeries(t *testing.T, target int, regional bool, seed uint64) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &series{
 			testCluster: &testCluster{t: t, links: &replica.Links{}, random: rand.New(rand.NewPCG(seed, uint64(target)))},
-			target:      target, leaving: make(map[string]bool), cut: make(map[*machine]bool),
+			target:      target, regional: regional, leaving: make(map[string]bool), cut: make(map[*machine]bool),
 		}
 		s.adjust = s.siteOptions
 		s.network = &network{handlers: map[string]http.Handler{}}
 		s.client = &http.Client{Transport: s.network}
-		for number := range target {
-			s.machines = append(s.machines, &machine{name: fmt.Sprintf("first-%d", number), disk: faultfs.New()})
-			s.peers = append(s.peers, &rockwindpb.ControlMachine{Address: s.machines[number].name})
+		names := threeEach
+		if !regional {
+			names = nil
+			for number := range target {
+				names = append(names, fmt.Sprintf("first-%d", number))
+			}
+		}
+		for _, name := range names {
+			s.machines = append(s.machines, &machine{name: name, disk: faultfs.New()})
+			s.peers = append(s.peers, &rockwindpb.ControlMachine{Address: name})
 		}
 		for _, m := range s.machines {
 			s.start(m)
@@ -69,8 +80,12 @@
 				s.kill(m)
 			}
 		}()
-		s.found(2)
-		s.addSpare()
+		if regional {
+			s.foundRegions()
+		} else {
+			s.found(2)
+			s.addSpare("")
+		}
 		s.awaitWhole(time.Now(), eventuallyTimeout, "after the start")
 		for range stepsPerSeries {
 			s.write()
@@ -103,6 +118,10 @@
 		defer s.mutex.Unlock()
 		return slices.Clone(s.peers)
 	}
+	if s.regional {
+		options.InRegion = inRegion
+		withRegions(options)
+	}
 	options.MustLeave = func(name string) bool {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
@@ -121,10 +140,34 @@
 	}
 }
 
-// addSpare starts a machine with an empty disk and a new name.
-func (s *series) addSpare() *machine {
+// foundRegions founds a group of three machines of both regions, and one of each region.
+func (s *series) foundRegions() {
+	s.t.Helper()
+	members := func(witness bool, machines ...*machine) []*rockwindpb.Member {
+		var list []*rockwindpb.Member
+		for _, m := range machines {
+			list = append(list, &rockwindpb.Member{Id: m.running().DiskID(), Machine: m.name, Address: m.at(), Witness: witness})
+		}
+		return list
+	}
+	m := s.machines
+	request := &rockwindpb.FoundRequest{ClusterId: "regional", Groups: []*rockwindpb.FoundingGroup{
+		{Group: anywhere, Membership: &rockwindpb.Membership{Members: members(false, m[0], m[1], m[3])}},
+		{Group: north, Region: "north", Membership: &rockwindpb.Membership{Members: append(members(false, m[:3]...), members(true, m[3:5]...)...)}},
+		{Group: south, Region: "south", Membership: &rockwindpb.Membership{Members: members(false, m[3:]...)}},
+	}}
+	for _, each := range m {
+		if err := each.running().AcceptFounding(s.t.Context(), request); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+}
+
+// addSpare starts a machine with an empty disk and a new name, in a region if there are any.
+func (s *series) addSpare(region string) *machine {
 	s.added++
-	added := &machine{name: fmt.Sprintf("added-%d", s.added), disk: faultfs.New()}
+	s.note("a spare is added")
+	added := &machine{name: fmt.Sprintf("%s-%d", cmp.Or(region, "added"), 100+s.added), disk: faultfs.New()}
 	s.machines = append(s.machines, added)
 	s.start(added)
 	s.mutex.Lock()
@@ -157,7 +200,7 @@
 		return false
 	}
 	members := leader.group(group).Status().GetMembership().GetMembers()
-	if len(members) != s.target {
+	if len(members) != s.targetOf(group) {
 		return false
 	}
 	for _, member := range members {
@@ -168,6 +211,46 @@
 	return true
 }
 
+// targetOf returns how many members a group shall have: one of a region has all sound machines there, up to five, and the
+// one with witnesses two of these.
+func (s *series) targetOf(group uint32) int {
+	if !s.regional || group == anywhere {
+		return s.target
+	}
+	region, witnesses := "north", 2
+	if group == south {
+		region, witnesses = "south", 0
+	}
+	return min(5, s.soundIn(region)) + witnesses
+}
+
+func (s *series) soundIn(region string) int {
+	count := 0
+	for _, m := range s.sound() {
+		if inRegion(m.name, region) {
+			count++
+		}
+	}
+	return count
+}
+
+// anyRegion returns a random region, or none.
+func (s *series) anyRegion() string {
+	if !s.regional {
+		return ""
+	}
+	return []string{"north", "south"}[s.random.IntN(2)]
+}
+
+// regionOf returns the region of a machine, or none.
+func (s *series) regionOf(m *machine) string {
+	if !s.regional {
+		return ""
+	}
+	region, _, _ := strings.Cut(m.name, "-")
+	return region
+}
+
 // awaitWhole fails the test if a group is not whole within a time after an event.
 func (s *series) awaitWhole(since time.Time, timeout time.Duration, what string) {
 	s.t.Helper()
@@ -216,8 +299,7 @@
 	}
 	switch s.random.IntN(6) {
 	case 0:
-		s.note("a spare is added")
-		s.addSpare()
+		s.addSpare(s.anyRegion())
 	case 1:
 		s.retire()
 	default:
@@ -236,17 +318,22 @@
 		time.Sleep(s.between(0, time.Second))
 	}
 	lastLoss := time.Now()
-	if spares >= s.target {
+	spared := spares >= s.target && !s.regional // A region may have no machine that is no member.
+	if spared {
 		s.awaitWhole(lastLoss, wholeTimeout, "after the loss")
 	}
 	for _, comeBack := range returns {
 		comeBack()
 	}
+	for _, region := range []string{"north", "south"} {
+		if s.regional && s.soundIn(region) < 3 {
+			s.addSpare(region)
+		}
+	}
 	if len(s.sound()) < s.target+1 {
-		s.note("a spare is added")
-		s.addSpare()
+		s.addSpare(s.anyRegion())
 	}
-	if spares < s.target {
+	if !spared {
 		s.awaitWhole(time.Now(), wholeTimeout, "after the return")
 	}
 }
@@ -290,8 +377,7 @@
 			s.away = s.away[1:]
 			return
 		}
-		s.note("a spare is added")
-		s.addSpare()
+		s.addSpare(s.regionOf(victim))
 	}
 }
 
@@ -330,12 +416,11 @@
 func (s *series) retire() {
 	s.t.Helper()
 	sound := s.sound()
-	if len(sound) <= s.target {
-		s.note("a spare is added")
-		s.addSpare()
+	victim := sound[s.random.IntN(len(sound))]
+	if len(sound) <= s.target || s.regional && s.soundIn(s.regionOf(victim)) <= 3 {
+		s.addSpare(s.regionOf(victim))
 		return
 	}
-	victim := sound[s.random.IntN(len(sound))]
 	s.note("%s retires", victim.name)
 	s.mutex.Lock()
 	s.leaving[victim.name] = true
@@ -363,7 +448,8 @@
 	}
 	for seed := *seriesFirst; seed < *seriesFirst+uint64(count); seed++ {
 		for _, target := range []int{3, 5} {
-			t.Run(fmt.Sprintf("%d members, seed %d", target, seed), func(t *testing.T) { runSeries(t, target, seed) })
+			t.Run(fmt.Sprintf("%d members, seed %d", target, seed), func(t *testing.T) { runSeries(t, target, false, seed) })
 		}
+		t.Run(fmt.Sprintf("regions, seed %d", seed), func(t *testing.T) { runSeries(t, 3, true, seed) })
 	}
 }
