--- a/internal/bench/soak/replacements.go
+++ b/internal/bench/soak/replacements.go
@@ -28,6 +28,7 @@
 	// wholeWithin is how long after a loss a group may be short of members.
 	wholeWithin    = 3 * time.Second
 	metricsTimeout = 500 * time.Millisecond
+	// remainingSeeds is how many seeds are not lost for good: processes that start ask them for the others.
 	remainingSeeds = 1
 	// unrestrictedShards is the number of shards that any store may hold; they come before those of the regions.
 	unrestrictedShards = storesWithSpare
@@ -69,6 +70,7 @@
 	return r.site.reserve(target.settings.GetRole()) != nil && (!target.isSeed || seeds >= remainingSeeds)
 }
 
+// replacementStep injects one fault and checks the groups wholeWithin after its beginning.
 func (r *run) replacementStep(ctx context.Context, fault Fault, target *member) {
 	target.faultMutex.Lock()
 	defer target.faultMutex.Unlock()
@@ -94,8 +96,8 @@
 	<-checked
 }
 
-// checkWhole checks that each group has a leader, and that none is short of members. One that can only be called by nobody
-// may still lead, since its own calls are answered.
+// checkWhole checks that each group has a leader, and that none is short of members. The lost process is asked, too: if it
+// can't be called, it may still lead, since its own calls are answered.
 func (r *run) checkWhole(ctx context.Context, lost *member) {
 	now := r.elapsed()
 	for role, groups := range map[rockwindpb.SiteRole]int{
