replica: a group with an even number of voters removes a lost one

Callers: a group of four that lost one member, which no machine replaced, stopped at its next loss although three of its machines worked.

Cause: the leader takes a lost member for active for an election timeout. A machine that asks in that time takes a free place, and is a voter before the loss is noticed. Nothing asks then, and the lost member counts in a quorum of three of four for good.

Change: when no machine replaces a lost voter within 2 s, and the number of voters is even, the leader removes it: the quorum falls by one. Witnesses stay, and so do two copies. The machine joins again when it is back.

--- a/internal/replica/repair/repair_test.go
+++ b/internal/replica/repair/repair_test.go
@@ -201,6 +201,36 @@
 	}
 }
 
+// TestShrink guards against groups whose quorum counts a lost member that no machine replaces, and against groups that
+// lose members without a gain.
+func TestShrink(t *testing.T) {
+	for name, test := range map[string]struct {
+		target  int
+		members string
+		want    string
+	}{
+		"lost member":                     {5, "A B C- D", "A B D"},
+		"one of two lost members":         {7, "A B- C- D E F", "A C D E F"},
+		"member that may be back":         {5, "A B C~ D", ""},
+		"odd number of voters":            {5, "A B C-", ""},
+		"no loss":                         {5, "A B C D", ""},
+		"fixed size":                      {0, "A B C- D", ""},
+		"replacement in progress":         {5, "A B C- D e>3", ""},
+		"replacement that is a voter":     {5, "A B C- D>3", ""},
+		"two members":                     {5, "A B-", ""},
+		"lost member beside witnesses":    {5, "A B C- D S^ T^", "A B D S^ T^"},
+		"lost witness":                    {5, "A B C S^-", ""},
+		"last copy but one beside others": {5, "A B- S^ T^", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			shrunk, due := view(test.target, test.members).Shrink()
+			if got := describe(shrunk); due != (test.want != "") || got != test.want {
+				t.Errorf("got %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
 // TestReason guards against operators who look for a cause in the wrong place.
 func TestReason(t *testing.T) {
 	for members, want := range map[string]map[int]repair.Reason{
--- a/internal/replica/repair/step.go
+++ b/internal/replica/repair/step.go
@@ -64,6 +64,30 @@
 	return v.membership(func(member Member) bool { return member.GetId() != id })
 }
 
+// Shrink returns the membership without a lost voter if the number of voters is even: the others then bear one more
+// loss. It is due when no machine has begun to replace the voter within removalTimeout. If its machine returns, it
+// joins again. A group whose size is fixed, and one that would keep a single copy of its content, does not shrink.
+func (v View) Shrink() (shrunk *rockwindpb.Membership, due bool) {
+	voters, copies := 0, 0
+	var lost *Member
+	for position, member := range v.Members {
+		if member.GetLearner() || v.isReplaced(position) {
+			return nil, false
+		}
+		voters++
+		if !member.GetWitness() {
+			copies++
+		}
+		if lost == nil && member.fullVoter() && member.Inactive >= removalTimeout {
+			lost = &member
+		}
+	}
+	if lost == nil || v.Target == 0 || voters%2 != 0 || copies <= minimumCopies {
+		return nil, false
+	}
+	return v.Without(lost.GetId()), true
+}
+
 func (v View) promote(learner Member) Step {
 	return Step{Change: v.withMember(learner, func(member *rockwindpb.Member) { member.Learner = false })}
 }
--- a/internal/replica/repair/view.go
+++ b/internal/replica/repair/view.go
@@ -19,6 +19,11 @@
 	// InactivityTimeout is how long a voter must be inactive before another machine may replace it. A voter
 	// that was only partitioned keeps its disk and asks to join again.
 	InactivityTimeout = time.Second
+	// removalTimeout is how long a voter must be inactive before a group with an even number of voters removes it
+	// without a replacement. Machines that ask to join have time to do so before.
+	removalTimeout = 2 * time.Second
+	// minimumCopies is how many full voters a removal without a replacement must leave.
+	minimumCopies = 2
 	// learnerTimeout is how long a learner may be inactive before another machine takes its place, and
 	// abandonTimeout before it is removed without one.
 	learnerTimeout = time.Second
--- a/internal/replica/replacing.go
+++ b/internal/replica/replacing.go
@@ -184,6 +184,11 @@
 	if view.NeedsMember() && o.admitAsking(status, now) {
 		return
 	}
+	if shrunk, due := view.Shrink(); due && o.host.options.AdmitNew && o.proposeMembership(shrunk) == nil {
+		log.WithField("group", o.id).WithField("region", o.region).WithField("voters", len(shrunk.GetMembers())).
+			Info("lost member removed without a replacement")
+		return
+	}
 	switch leaving := o.leavingWithoutReplacement(status, now); {
 	case leaving == nil:
 	case leaving.GetId() == status.ID:
--- a/internal/replica/replacing_test.go
+++ b/internal/replica/replacing_test.go
@@ -450,3 +450,23 @@
 		}
 	})
 }
+
+// TestGroupWithAnEvenNumberOfVotersShrinks guards against a group that stops at its second loss although its four members
+// were lost one after the other: no machine asked to replace the first.
+func TestGroupWithAnEvenNumberOfVotersShrinks(t *testing.T) {
+	runCluster(t, 3, func(options *replica.Options) { options.AdmitNew, options.TargetVoters = true, 5 }, func(f *testCluster) {
+		f.add(1, "a")
+		f.addMachine("fourth")
+		f.eventually("the machine joins", func() bool { return len(f.repairedVoters(1)) == 4 })
+		first, second := f.machines[0], f.machines[1]
+		f.kill(first)
+		f.eventually("the group shrinks", func() bool { return len(f.repairedVoters(1)) == 3 })
+		f.kill(second)
+		if got := f.add(1, "a"); got != 2 {
+			t.Errorf("the second increment gave %d", got)
+		}
+		f.start(second)
+		f.start(first)
+		f.eventually("the machine joins again", func() bool { return len(f.repairedVoters(1)) == 4 })
+	})
+}
