replica: a replaced member that is active again leaves its group

Callers: a group kept a voter too many, and so a larger quorum, once the replaced machine was back before it was removed. The group reported that it was whole.

Cause: a leader plans nothing while all members are active voters and as many as the target; without a target, any number was enough. It did not look for replaced members.

Change: a membership in which a member takes the place of another one is not settled.

--- a/internal/replica/repair/view.go
+++ b/internal/replica/repair/view.go
@@ -94,10 +94,27 @@
 	if later <= earlier {
 		return false
 	}
-	incoming, outgoing := v.Members[later], v.Members[earlier]
+	return isSuccessor(v.Members[later].Member, v.Members[earlier].Member)
+}
+
+// isSuccessor reports whether a member takes the place of one that precedes it in the membership.
+func isSuccessor(incoming, outgoing *rockwindpb.Member) bool {
 	return incoming.GetReplaces() == outgoing.GetId() || incoming.GetMachine() == outgoing.GetMachine()
 }
 
+// HasReplacement reports whether a member takes the place of another one that has not left yet.
+func HasReplacement(membership *rockwindpb.Membership) bool {
+	members := membership.GetMembers()
+	for later := range members {
+		for earlier := range later {
+			if isSuccessor(members[later], members[earlier]) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // isReplaced reports whether a voter has taken the place of a member.
 func (v View) isReplaced(position int) bool {
 	for later, member := range v.Members {
--- a/internal/replica/replacing.go
+++ b/internal/replica/replacing.go
@@ -201,8 +201,8 @@
 	}
 }
 
-// isSettled reports whether all members are active voters that may stay, none is missing, and the leader is where the
-// membership has it.
+// isSettled reports whether all members are active voters that may stay, none is missing or replaced, and the leader is
+// where the membership has it.
 func (o *owner) isSettled(status raft.Status) bool {
 	full := 0
 	for _, progress := range status.Progress {
@@ -219,6 +219,9 @@
 			return false
 		}
 	}
+	if repair.HasReplacement(status.Membership) {
+		return false
+	}
 	return full == o.targetVoters() || o.targetVoters() == 0 && full == len(status.Progress)
 }
 
--- a/internal/replica/replacing_test.go
+++ b/internal/replica/replacing_test.go
@@ -470,3 +470,23 @@
 		f.eventually("the machine joins again", func() bool { return len(f.repairedVoters(1)) == 4 })
 	})
 }
+
+// TestReplacedMemberThatIsActiveAgainLeaves guards against groups with a voter too many: the replaced machine was back
+// before it was removed, and a group whose members are all active was taken for whole.
+func TestReplacedMemberThatIsActiveAgainLeaves(t *testing.T) {
+	runCluster(t, 3, admitNew, func(f *testCluster) {
+		f.add(1, "a")
+		f.network.setRewrite(dropEntries("next"))
+		f.addMachine("next")
+		lost := f.machines[0]
+		f.kill(lost)
+		f.eventually("another machine is a learner", func() bool { return f.hasLearner(1, "next") })
+		f.start(lost)
+		time.Sleep(2 * time.Second)
+		f.network.setRewrite(nil)
+		f.eventually("the replaced member has left", func() bool {
+			voters := f.repairedVoters(1)
+			return len(voters) == 3 && includes(voters, "next", lost.name)
+		})
+	})
+}
