replica: a retirement does not wait for a spare that is gone

Callers: a machine of a region that was to retire stayed for good, although its group has enough other members.

Cause: the group waits for a spare while the directory lists a machine of the region that is no member. The directory also lists machines that are gone, or can't be admitted.

--- a/internal/replica/region.go
+++ b/internal/replica/region.go
@@ -37,7 +37,7 @@
 // leavingWithoutReplacement returns the voter to remove without a replacement, if any: it has been
 // removable for removalDelay.
 func (o *owner) leavingWithoutReplacement(status raft.Status, now time.Time) *rockwindpb.Member {
-	leaving := o.mustLeaveWithoutReplacement(status)
+	leaving := o.mustLeaveWithoutReplacement(status, now)
 	if leaving == nil || o.removableTerm != status.Term {
 		o.removableSince, o.removableTerm = now, status.Term
 	}
@@ -51,7 +51,7 @@
 // nil if there is none. Only groups that are restricted to a region remove members without a
 // replacement, and only if the remaining voters are enough and all active. A member that is merely
 // inactive stays, since its machine may return with its disk.
-func (o *owner) mustLeaveWithoutReplacement(status raft.Status) *rockwindpb.Member {
+func (o *owner) mustLeaveWithoutReplacement(status raft.Status, now time.Time) *rockwindpb.Member {
 	if o.region == "" {
 		return nil
 	}
@@ -72,16 +72,16 @@
 			return nil
 		}
 	}
-	if leaving == nil || remaining < minimumWithoutReplacement || o.hasSpare(status.Membership) {
+	if leaving == nil || remaining < minimumWithoutReplacement || o.hasSpare(status.Membership, now) {
 		return nil
 	}
 	return leaving
 }
 
-// hasSpare reports whether a known machine that is not a member may join the group.
-func (o *owner) hasSpare(membership *rockwindpb.Membership) bool {
-	return slices.ContainsFunc(o.host.joinPeers(), func(peer *rockwindpb.ControlMachine) bool {
-		machine := peer.GetMachine()
-		return machine != "" && !hasMachine(membership, machine) && !o.host.mustLeave(machine) && o.host.mayHold(machine, o.region)
+// hasSpare reports whether a machine that is not a member and may join the group asks to.
+func (o *owner) hasSpare(membership *rockwindpb.Membership, now time.Time) bool {
+	return slices.ContainsFunc(o.host.spares.candidates(o.id, now), func(call joinCall) bool {
+		machine := call.request.GetMachine()
+		return !hasMachine(membership, machine) && !o.host.mustLeave(machine) && o.host.mayHold(machine, o.region)
 	})
 }
--- a/internal/replica/region_test.go
+++ b/internal/replica/region_test.go
@@ -293,6 +293,19 @@
 	})
 }
 
+// TestLeavingMemberDoesNotWaitForAMachineThatIsGone guards against a retirement that never ends: the directory lists a machine
+// of the region that has no replica and does not run.
+func TestLeavingMemberDoesNotWaitForAMachineThatIsGone(t *testing.T) {
+	runRegionalCluster(t, threeEach, func(f *regionalCluster) {
+		f.add(north, "a")
+		f.mutex.Lock()
+		f.peers = append(f.peers[:len(f.peers):len(f.peers)], &rockwindpb.ControlMachine{Machine: "north-gone", Address: "north-gone"})
+		f.mutex.Unlock()
+		f.retire("north-0")
+		f.eventually("the member has left", func() bool { return !includes(f.members(north), "north-0") && len(f.repairedVoters(north)) == 2 })
+	})
+}
+
 // Guards against the removal of a member that is only inactive: it may return with its disk.
 func TestInactiveMemberKeepsItsPlace(t *testing.T) {
 	runRegionalCluster(t, threeEach, func(f *regionalCluster) {
--- a/internal/replica/replacing.go
+++ b/internal/replica/replacing.go
@@ -233,8 +233,8 @@
 	}
 	// A group of a region may lack members for good, while many machines of other regions ask.
 	o.nextAdmission = now.Add(o.host.options.electionTimeout() / admissionsPerTimeout)
-	for _, request := range o.host.spares.candidates(o.id, now) {
-		machine := request.GetMachine()
+	for _, call := range o.host.spares.candidates(o.id, now) {
+		request, machine := call.request, call.request.GetMachine()
 		mayJoin := o.host.mayHold(machine, o.region) || o.host.mayWitness(machine, o.region, status.Membership)
 		if !mayJoin || memberByID(status.Membership, request.GetDiskId()) != nil || o.needsEvidence(status, request) {
 			continue
--- a/internal/replica/spares.go
+++ b/internal/replica/spares.go
@@ -46,7 +46,7 @@
 
 // candidates returns the calls of the machines that ask: those that asked recently first, and among them in an
 // order of each group, so that several groups choose different machines.
-func (s *spares) candidates(group uint32, now time.Time) []*rockwindpb.JoinRequest {
+func (s *spares) candidates(group uint32, now time.Time) []joinCall {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	calls := slices.DeleteFunc(slices.Collect(maps.Values(s.asked)), func(call joinCall) bool { return now.Sub(call.at) >= askingTime })
@@ -62,9 +62,5 @@
 	slices.SortFunc(calls, func(a, b joinCall) int {
 		return cmp.Or(cmp.Compare(isOld(a), isOld(b)), cmp.Compare(rank(a), rank(b)))
 	})
-	requests := make([]*rockwindpb.JoinRequest, 0, len(calls))
-	for _, call := range calls {
-		requests = append(requests, call.request)
-	}
-	return requests
+	return calls
 }
