replica: a lost machine is not admitted by an earlier call

Callers: a group changed its membership every 2 s for up to 10 s, and had a learner that never answers, after the loss of a machine that had asked to join other groups shortly before.

Cause: a leader remembers the machines that asked for 10 s. A machine that was lost as a member is a spare again as soon as it is removed, by a call from before its loss.

Change: a call counts only if it came after the machine was last an inactive member of the group.

--- a/internal/replica/owner.go
+++ b/internal/replica/owner.go
@@ -99,6 +99,8 @@
 	// this leader in inactivityTerm, and learners what it has observed of the learners.
 	inactiveSince map[uint64]time.Time
 	learners      map[uint64]learnerProgress
+	// lastInactive holds when the member on a machine was last inactive.
+	lastInactive map[string]time.Time
 	// nextAdmission is the time before which this leader does not look for a machine that has asked to join.
 	nextAdmission  time.Time
 	inactivityTerm uint64
@@ -164,6 +166,7 @@
 		unconfirmedReads: map[uint64][]*read{},
 		learners:         map[uint64]learnerProgress{},
 		inactiveSince:    map[uint64]time.Time{},
+		lastInactive:     map[string]time.Time{},
 		joins:            map[uint64]repeatedJoin{},
 		appliedChanged:   make(chan struct{}),
 	}
--- a/internal/replica/replacing.go
+++ b/internal/replica/replacing.go
@@ -36,7 +36,11 @@
 		return
 	}
 	maps.DeleteFunc(o.learners, func(id uint64, _ learnerProgress) bool { return !memberByID(status.Membership, id).GetLearner() })
+	maps.DeleteFunc(o.lastInactive, func(_ string, at time.Time) bool { return now.Sub(at) >= askingTime })
 	for _, progress := range status.Progress {
+		if !progress.Active {
+			o.lastInactive[machineOf(status.Membership, progress.ID)] = now
+		}
 		if progress.Active {
 			delete(o.inactiveSince, progress.ID)
 		} else if _, known := o.inactiveSince[progress.ID]; !known {
@@ -226,7 +230,7 @@
 }
 
 // admitAsking admits one of the machines that have asked to join, if the group needs it. It reports whether it did.
-// A call that must be repeated as evidence has to be made again.
+// A call that must be repeated as evidence has to be made again, as has one of a machine that was an inactive member since.
 func (o *owner) admitAsking(status raft.Status, now time.Time) bool {
 	if now.Before(o.nextAdmission) {
 		return false
@@ -236,7 +240,7 @@
 	for _, call := range o.host.spares.candidates(o.id, now) {
 		request, machine := call.request, call.request.GetMachine()
 		mayJoin := o.host.mayHold(machine, o.region) || o.host.mayWitness(machine, o.region, status.Membership)
-		if !mayJoin || memberByID(status.Membership, request.GetDiskId()) != nil || o.needsEvidence(status, request) {
+		if !mayJoin || !call.at.After(o.lastInactive[machine]) || memberByID(status.Membership, request.GetDiskId()) != nil || o.needsEvidence(status, request) {
 			continue
 		}
 		if o.admit(request) == nil && o.node.Status().MembershipIndex != status.MembershipIndex {
--- a/internal/replica/replacing_test.go
+++ b/internal/replica/replacing_test.go
@@ -490,3 +490,23 @@
 		})
 	})
 }
+
+// TestMachineThatIsLostIsNotAdmittedByAnEarlierCall guards against a group that takes a lost machine, which asked before, for
+// a spare: each time it adds a learner that never answers.
+func TestMachineThatIsLostIsNotAdmittedByAnEarlierCall(t *testing.T) {
+	runCluster(t, 3, func(options *replica.Options) { options.AdmitNew, options.TargetVoters = true, 4 }, func(f *testCluster) {
+		f.add(1, "a")
+		f.network.setRewrite(dropEntries("lost"))
+		f.addMachine("lost")
+		f.eventually("the machine is a learner", func() bool { return f.hasLearner(1, "lost") })
+		time.Sleep(time.Second)
+		f.loseDisk(f.machines[3])
+		f.eventually("the learner is removed", func() bool { return !f.hasLearner(1, "lost") })
+		for range 100 {
+			time.Sleep(50 * time.Millisecond)
+			if f.hasLearner(1, "lost") {
+				t.Fatal("the lost machine is a learner again")
+			}
+		}
+	})
+}
