Regional series: a lost member may stay where no spare asks and it costs nothing

The check demanded that a group has no lost member 3 s after a loss, also where no machine of its region asks to join. The target is a whole group when a sound machine asks. Four of five bear one further loss, as four of four would.

The check is now: all sound machines of the region, up to five, are voters, and a lost member remains only if the group bears as many further losses as without it.

--- a/internal/replica/series_test.go
+++ b/internal/replica/series_test.go
@@ -187,28 +187,42 @@
 	return found
 }
 
-func (s *series) mustLeave(m *machine) bool {
+func (s *series) mustLeave(m *machine) bool { return s.mustLeaveByName(m.name) }
+
+func (s *series) mustLeaveByName(name string) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.leaving[m.name]
+	return s.leaving[name]
 }
 
-// isWhole reports whether a group has its target of voters, all of them on sound machines, and no other member.
+// isWhole reports whether a group has its target of voters on sound machines, and no other member. A group whose region has
+// no spare may keep a lost member if it bears as many further losses as without it.
 func (s *series) isWhole(group uint32) bool {
 	leader := s.leaderNow(group)
-	if leader == nil || !leader.group(group).Status().GetRepaired() {
+	if leader == nil || leader.group(group).Status().GetMembership() == nil {
 		return false
 	}
 	members := leader.group(group).Status().GetMembership().GetMembers()
-	if len(members) != s.targetOf(group) {
-		return false
-	}
+	voters, lost := 0, 0
 	for _, member := range members {
-		if !slices.ContainsFunc(s.sound(), func(m *machine) bool { return m.running().DiskID() == member.GetId() }) {
+		isSound := slices.ContainsFunc(s.sound(), func(m *machine) bool { return m.running().DiskID() == member.GetId() })
+		switch {
+		case isSound && !member.GetLearner():
+			voters++
+		case !isSound && !member.GetLearner() && !member.GetWitness() && !s.mustLeaveByName(member.GetMachine()) && s.regional && group != anywhere:
+			lost++
+		default:
 			return false
 		}
 	}
-	return true
+	if voters != s.targetOf(group) {
+		return false
+	}
+	if lost == 0 {
+		return leader.group(group).Status().GetRepaired()
+	}
+	quorum := (voters+lost)/2 + 1
+	return voters-quorum == (voters-1)/2
 }
 
 // targetOf returns how many members a group shall have: one of a region has all sound machines there, up to five, and the
