replica: leadership returns to its region after a lost member is replaced

Callers: nothing yet; a group of a site with several regions lacked a member for 4.3 s after the loss of its leader, although a spare asked (target 3 s).

Cause: a leader outside the region of the majority hands leadership over after 1 s, and the next leader waits for the lost member anew: it knows only what it has seen itself.

Change: a leader does not hand over for the sake of its region while a voter has been inactive for less than 3 s, the time in which it is replaced. A draining leader still goes at once.

--- a/internal/replica/leaderregion.go
+++ b/internal/replica/leaderregion.go
@@ -11,6 +11,10 @@
 	"rockwind.example/rockwind/internal/replica/leaderregion"
 )
 
+// replacementTime is how long a leader that could transfer leadership to the preferred region leads on after the loss of a
+// voter.
+const replacementTime = 3 * time.Second
+
 // returnToRegion transfers leadership to the region that holds a majority of the voters, if this replica
 // leads elsewhere. It is called at each tick.
 func (o *owner) returnToRegion(now time.Time) {
@@ -21,7 +25,7 @@
 	if failed := o.leaderRegion.Observe(now, view); failed != 0 {
 		log.WithField("group", o.id).WithField("to", diskName(failed)).Info("leadership transfer to the preferred region failed")
 	}
-	if o.draining {
+	if o.draining || o.mayReplaceMember(now) {
 		return
 	}
 	target := o.leaderRegion.Target(now, view)
@@ -34,6 +38,20 @@
 	}
 }
 
+// mayReplaceMember reports whether a voter was lost so recently that its replacement may be under way. The next leader
+// would begin to wait for it anew.
+func (o *owner) mayReplaceMember(now time.Time) bool {
+	if !o.host.options.AdmitNew {
+		return false
+	}
+	for _, member := range o.node.Status().Membership.GetMembers() {
+		if since, inactive := o.inactiveSince[member.GetId()]; inactive && !member.GetLearner() && now.Sub(since) < replacementTime {
+			return true
+		}
+	}
+	return false
+}
+
 // drainTarget returns the voter of the preferred region to which a draining leader transfers leadership,
 // zero if any voter will do. The caller must start the transfer.
 func (o *owner) drainTarget(now time.Time) uint64 {
--- a/internal/replica/leaderregion_test.go
+++ b/internal/replica/leaderregion_test.go
@@ -579,3 +579,54 @@
 		}
 	})
 }
+
+// TestLossIsRepairedBeforeLeadershipReturnsToItsRegion guards against a group that lacks a member for longer than 3 s although a
+// machine asks to join: each new leader waits for the lost member anew.
+func TestLossIsRepairedBeforeLeadershipReturnsToItsRegion(t *testing.T) {
+	f := &leaderCluster{regions: northMajority, prepared: make(map[uint32]int), proposed: make(map[uint32]int)}
+	adjust := func(options *replica.Options) {
+		options.AdmitNew, options.RegionOf = true, func(machine string) string {
+			if machine == "spare" {
+				machine = "control-0"
+			}
+			return f.regionOf(machine)
+		}
+		options.Tick, options.HeartbeatTicks, options.ElectionTicks = 30*time.Millisecond, 2, 10
+	}
+	runCluster(t, len(northMajority), adjust, func(cluster *testCluster) {
+		f.testCluster = cluster
+		f.add(leaderGroup, "a")
+		f.addMachine("spare")
+		f.moveTo(leaderGroup, "control-0")
+		time.Sleep(5 * time.Second)
+		f.hidden.Store(true)
+		f.network.setRewrite(func(from, _ string, messages []*rockwindpb.GroupMessage) []*rockwindpb.GroupMessage {
+			return slices.DeleteFunc(messages, func(message *rockwindpb.GroupMessage) bool {
+				return message.GetGroup() == leaderGroup && from != "control-3" && isVoteRequest(message.GetMessage().GetKind())
+			})
+		})
+		lost := time.Now()
+		f.kill(f.machines[0])
+		f.eventually("the machine in the south leads", func() bool { return f.leaderIn(leaderGroup, "south") })
+		f.network.setRewrite(nil)
+		f.hidden.Store(false)
+		f.eventually("the group is whole", func() bool {
+			if leader := f.leaderNow(leaderGroup); leader != nil && leader.name != "control-3" && f.isMember(leaderGroup, "control-0") {
+				t.Fatal("another machine leads before the lost member is replaced")
+			}
+			return includes(f.repairedVoters(leaderGroup), "spare", "control-0")
+		})
+		if took := time.Since(lost); took > wholeTimeout {
+			t.Errorf("the group was short of a member for %v", took)
+		}
+		f.eventually("the leader is in the north", func() bool { leader := f.leaderNow(leaderGroup); return leader != nil && leader.name != "control-3" })
+	})
+}
+
+// isMember reports whether a machine is a member of a group that has a leader.
+func (f *leaderCluster) isMember(group uint32, machine string) bool {
+	leader := f.leaderNow(group)
+	return leader != nil && slices.ContainsFunc(leader.group(group).Status().GetMembership().GetMembers(), func(member *rockwindpb.Member) bool {
+		return member.GetMachine() == machine
+	})
+}
