router, store: an item of a job is one request

Cause: paths and headers of items come in JSON and were written into the head of a request unchecked.

Change: routers refuse a job with 400 if an item has an invalid path, identifier or header, and stores leave out the headers of a connection, the length and the host, as routers do for online requests. Items that an earlier version took are given up.

Tests of the store that gave items no path give them one now: a request without a path is invalid, and the checks are as before.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -180,10 +180,7 @@
 
 func (r *Router) newExchange(writer http.ResponseWriter, request *http.Request, route *rockwindpb.Route, info RequestInfo, body []byte, received time.Time) *exchange {
 	header := request.Header.Clone()
-	for name := range hopByHop {
-		delete(header, name)
-	}
-	delete(header, "Content-Length")
+	RemoveConnectionHeaders(header)
 	created := &exchange{
 		router:        r,
 		writer:        writer,
--- a/internal/router/submission.go
+++ b/internal/router/submission.go
@@ -85,6 +85,11 @@
 	if err != nil {
 		return nil, err
 	}
+	for _, item := range job.GetItems() {
+		if err := CheckItem(item); err != nil {
+			return nil, err
+		}
+	}
 	job.Host, job.Path, job.Tenant = request.Host, request.URL.EscapedPath(), s.tenant.GetName()
 	job.SubmittedUnixMs, job.Configuration = time.Now().UnixMilli(), s.configNumber
 	job.Digest, err = jobstore.Digest(job)
--- a/internal/store/executor_test.go
+++ b/internal/store/executor_test.go
@@ -71,3 +71,26 @@
 		t.Fatalf("%d failures, want 3: an unrecorded failure must count", h.failures)
 	}
 }
+
+// TestItemOfAnEarlierVersionThatIsNotOneRequestIsGivenUp guards against stored items that send servers a second request: an
+// earlier version took them.
+func TestItemOfAnEarlierVersionThatIsNotOneRequestIsGivenUp(t *testing.T) {
+	e := &executor{store: &Store{}}
+	route, now := &rockwindpb.Route{Attempts: 1}, time.UnixMilli(1_000_000)
+	for path, wanted := range map[string]bool{"/1": false, "/1 HTTP/1.1\r\n\r\nPOST /2": true} {
+		item := jobstore.OpenItem{Item: &rockwindpb.StoredItem{Id: "i", Path: path}, SubmittedUnixMs: now.UnixMilli()}
+		if reason := giveUpReason(item, route, e.newHistory(item), now); (reason != "") != wanted {
+			t.Errorf("path %q: the reason is %q", path, reason)
+		}
+	}
+}
+
+// TestItemIsSentWithoutHeadersOfItsConnection guards against servers that run an item with another body, or for another host.
+func TestItemIsSentWithoutHeadersOfItsConnection(t *testing.T) {
+	item := jobstore.OpenItem{Item: &rockwindpb.StoredItem{Headers: []*rockwindpb.StoredHeader{
+		{Name: "transfer-encoding", Value: "chunked"}, {Name: "Content-Length", Value: "0"}, {Name: "host", Value: "another"}, {Name: "model", Value: "m"},
+	}}}
+	if header := itemHeader(item); len(header) != 1 || header.Get("Model") != "m" {
+		t.Errorf("the headers are %v", header)
+	}
+}
--- a/internal/store/giveup.go
+++ b/internal/store/giveup.go
@@ -68,6 +68,8 @@
 	age := now.Sub(time.UnixMilli(item.SubmittedUnixMs))
 	limit := time.Duration(route.GetMaximumWaitMs()) * time.Millisecond
 	switch {
+	case h.invalid:
+		return "it is no valid request"
 	case !h.routeAbsentSince.IsZero() && now.Sub(h.routeAbsentSince) > routeGoneAfter:
 		return "its route is gone"
 	case limit > 0 && age > limit:
--- a/internal/store/giveup_test.go
+++ b/internal/store/giveup_test.go
@@ -102,7 +102,7 @@
 	shard.store.watcher, shard.store.movingJobs, shard.executor.moves = watcher, newMovingJobs(), newJobMoves()
 	shard.executor.claims = claims.NewTable()
 	command, err := proto.Marshal(&rockwindpb.JobStoreCommand{Command: &rockwindpb.JobStoreCommand_Submit{Submit: &rockwindpb.StoredJob{
-		Id: "accepted", Items: []*rockwindpb.StoredItem{{Id: "item"}}, SubmittedUnixMs: time.Now().UnixMilli(), Configuration: accepted,
+		Id: "accepted", Items: []*rockwindpb.StoredItem{{Id: "item", Path: "/item"}}, SubmittedUnixMs: time.Now().UnixMilli(), Configuration: accepted,
 	}}})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/store/history.go
+++ b/internal/store/history.go
@@ -7,6 +7,7 @@
 	"rockwind.example/rockwind/internal/featuregate"
 	"rockwind.example/rockwind/internal/fingerprint"
 	"rockwind.example/rockwind/internal/jobstore"
+	"rockwind.example/rockwind/internal/router"
 	"rockwind.example/rockwind/internal/store/output"
 	"rockwind.example/rockwind/internal/store/retrial"
 )
@@ -18,6 +19,8 @@
 	failures int
 	// output is the output received so far.
 	output *output.Output
+	// invalid reports whether the item can't be sent as one request. Stores of an earlier version took such items.
+	invalid bool
 	// routeAbsentSince is the time since which the item's route has been absent; zero if it
 	// exists.
 	routeAbsentSince time.Time
@@ -46,7 +49,7 @@
 	if !e.store.gates.On(featuregate.ItemProgress) {
 		received = jobstore.PartialOutput{}
 	}
-	return &history{output: output.New(&e.runs, received)}
+	return &history{output: output.New(&e.runs, received), invalid: router.CheckItem(item.Item) != nil}
 }
 
 // content returns the fingerprint of the item's request.
--- a/internal/store/item.go
+++ b/internal/store/item.go
@@ -60,11 +60,15 @@
 	broken bool
 }
 
+// itemHeader returns the headers with which an item is sent, except those that each attempt adds. The host is that of the
+// item's route.
 func itemHeader(item jobstore.OpenItem) http.Header {
 	header := make(http.Header, len(item.Item.GetHeaders()))
 	for _, h := range item.Item.GetHeaders() {
 		header.Add(h.GetName(), h.GetValue())
 	}
+	router.RemoveConnectionHeaders(header)
+	header.Del("Host")
 	return header
 }
 
