router: a safe request does not go on at another server after a part of its answer

Cause: events are relayed one by one on every route, and a safe request may be tried again after a break; only resumable streams go on after the last event.

Change: once the head of an answer was sent, only resumable streams try another server. Others break off, which clients see. The limit of a server's silence within a stream ends with the head too: nothing could continue it.

--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -345,10 +345,11 @@
 	return e.info.Timeout > 0 && retryafter.IsFirstAttempt(e.totalTimeout, e.info.Timeout)
 }
 
-// mayRetry reports whether another server may be tried.
+// mayRetry reports whether another server may be tried. After a part of an answer only a resumable stream goes on at
+// another server: any other one begins anew there.
 func (e *exchange) mayRetry() bool {
 	attempts := max(1, int(e.route.GetAttempts()))
-	if e.sent > 0 && !e.repeatable() {
+	if e.sent > 0 && !e.repeatable() || e.headSent && !e.route.GetResumable() {
 		return false
 	}
 	return e.sent < attempts && e.refused <= maxRefusals && e.misdirected <= maxMisdirected && time.Until(e.deadline) > 0
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -139,9 +139,8 @@
 	var splitter upstream.EventSplitter
 	controller := http.NewResponseController(e.writer)
 	buffer := make([]byte, readBufferSize)
-	silence := e.silenceTimeout()
 	for {
-		n, err := response.Read(buffer, silence)
+		n, err := response.Read(buffer, e.silenceTimeout())
 		if n > 0 {
 			e.suspendWatchdog()
 			lease.Received(buffer[:n])
--- a/internal/router/truncation_test.go
+++ b/internal/router/truncation_test.go
@@ -103,6 +103,39 @@
 	}
 }
 
+// TestEventsOfASafeRouteAreNotJoinedAcrossServers guards against an answer that looks complete, and holds a part of one server's
+// answer and then that of another server.
+func TestEventsOfASafeRouteAreNotJoinedAcrossServers(t *testing.T) {
+	for framing := range framings {
+		t.Run(string(framing), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				for name, test := range map[string]struct {
+					first   string
+					aborted bool
+				}{
+					"broken after an event":         {event(1) + brokenEvent, true},
+					"broken inside the first event": {brokenEvent, false},
+				} {
+					c := newExchangeTest(t, nil)
+					whole := event(1) + event(2) + event(3)
+					c.addServer("one", "zone", sendsStream(framing, test.first))
+					c.addServer("other", "zone", sendsStream(framing, test.first))
+					c.addServer("third", "zone", sendsStream(framing, whole))
+					route := streamRoute(false)
+					route.Kind, route.Attempts = rockwindpb.RouteKind_ROUTE_KIND_SAFE, 3
+					got := c.send(t.Context(), route, 5*time.Second)
+					if got.aborted && test.aborted {
+						continue
+					}
+					if got.aborted || got.Body.String() != whole {
+						t.Errorf("%s: aborted %v, status %d, body %q", name, got.aborted, got.Code, got.Body)
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against a copied run that counts as complete although its last server broke off inside an event.
 func TestContinuedRunEndingInsideEventIsNotComplete(t *testing.T) {
 	for framing := range framings {
