replica: comment on members that are inactive

The comment said that an inactive member always stays. It leaves where the number of voters is even and nobody replaces it. No code changes.

--- a/internal/replica/region.go
+++ b/internal/replica/region.go
@@ -50,7 +50,7 @@
 // mustLeaveWithoutReplacement returns a voter that must leave and that no machine can replace, or
 // nil if there is none. Only groups that are restricted to a region remove members without a
 // replacement, and only if the remaining voters are enough and all active. A member that is merely
-// inactive stays, since its machine may return with its disk.
+// inactive may return with its disk; see repair.View.Shrink.
 func (o *owner) mustLeaveWithoutReplacement(status raft.Status, now time.Time) *rockwindpb.Member {
 	if o.region == "" {
 		return nil
