Revision and age of the zone drains that each process obeys

Routers and stores have rockwind_zone_drains_revision and rockwind_zone_drains_age_seconds, coordinators the revision, and each coordinator that a command passes logs it, with whether its caller is gone. No decision changes.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -32,6 +32,7 @@
 	"rockwind.example/rockwind/internal/sitemetrics"
 	"rockwind.example/rockwind/internal/traffic"
 	"rockwind.example/rockwind/internal/twirphttp"
+	"rockwind.example/rockwind/internal/zonedrain"
 )
 
 const (
@@ -149,9 +150,21 @@
 	set := sitemetrics.New("coordinator", decision.Default)
 	set.Traffic(c.traffic)
 	set.Groups(c.host)
+	set.ZoneDrainRevision(func() uint64 { return c.knownZoneDrains().Revision() })
 	return set
 }
 
+// knownZoneDrains returns the zone drains that this coordinator holds, which may be outdated, or nil.
+func (c *Coordinator) knownZoneDrains() *zonedrain.List {
+	if machine := c.rootState.Load(); machine != nil {
+		return machine.view().zoneDrains
+	}
+	if known := c.follower.state.Load(); known != nil {
+		return known.zoneDrains
+	}
+	return nil
+}
+
 // knownDirectory returns the directory that this coordinator holds, which may be outdated, or nil.
 func (c *Coordinator) knownDirectory() *directory.View {
 	if machine := c.rootState.Load(); machine != nil {
--- a/internal/coordinator/zonedrain.go
+++ b/internal/coordinator/zonedrain.go
@@ -86,6 +86,7 @@
 	}
 	var refusal *fault.Fault
 	var err error
+	received := time.Now()
 	if c.isNonMember() {
 		refusal, err = forwardToLeader(ctx, c, untilCommitted, elsewhere)
 	} else {
@@ -94,11 +95,23 @@
 		}, elsewhere)
 	}
 	if refusal != nil {
-		return refusal
+		err = refusal
 	}
+	logZoneDrainCall(ctx, zone, command, time.Since(received), err)
 	return err
 }
 
+// logZoneDrainCall logs a command at each coordinator that it passes, so that the way of a command to its commit
+// can be followed.
+func logZoneDrainCall(ctx context.Context, zone string, command *rockwindpb.ZoneDrainCommand, took time.Duration, err error) {
+	entry := log.WithField("zone", zone).WithField("drained", command.GetStart() != nil).WithField("took_ms", took.Milliseconds()).
+		WithField("forwarded", ctx.Value(forwardedKey{}) != nil).WithField("caller_gone", ctx.Err() != nil)
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Info("zone drain command")
+}
+
 // commitZoneDrain proposes a command; this coordinator must be the leader.
 func (c *Coordinator) commitZoneDrain(ctx context.Context, zone string, command *rockwindpb.ZoneDrainCommand) error {
 	_, view, err := c.currentState()
@@ -115,7 +128,8 @@
 	}
 	command.NowUnixMs = time.Now().UnixMilli()
 	err = c.propose(ctx, &rockwindpb.RootCommand{Command: &rockwindpb.RootCommand_ZoneDrain{ZoneDrain: command}})
-	log.WithField("zone", zone).WithField("drained", command.GetStart() != nil).WithField("committed", err == nil).Info("zone drain")
+	log.WithField("zone", zone).WithField("drained", command.GetStart() != nil).WithField("committed", err == nil).
+		WithField("revision", c.knownZoneDrains().Revision()).Info("zone drain")
 	return err
 }
 
--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -85,6 +85,8 @@
 	set.Quarantined(router.crashes.QuarantinedCount)
 	set.StreamOrigins(router.dispatcher.StreamOrigins)
 	set.DrainedZones(router.dispatcher.DrainedZones)
+	set.ZoneDrainRevision(func() uint64 { return router.watcher.ZoneDrains().Revision() })
+	set.ZoneDrainAge(router.watcher.SinceLastAnswer)
 	set.ColdServers(router.dispatcher.ColdServers)
 	set.ClientBuffers(router.buffers.Usage)
 	set.Waiting(router.dispatcher.Waiting)
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -351,7 +351,7 @@
 	w.announced.Store(&announcedConfiguration{number: response.GetConfigurationNumber(), at: answeredAt})
 	w.requestConfiguration(address, response.GetConfigurationNumber())
 	w.updateQuarantine(response)
-	w.updateZoneDrains(response)
+	w.updateZoneDrains(address, response)
 	w.updateColdServers(response)
 	merged := directory.Merge(held, response)
 	if merged != held {
@@ -396,9 +396,9 @@
 	w.notifyChanged()
 }
 
-// updateZoneDrains stores the zone drains of a response if they are newer. It runs before the
-// directory of the same response is stored.
-func (w *Watcher) updateZoneDrains(response *rockwindpb.WatchDirectoryResponse) {
+// updateZoneDrains stores the zone drains of a coordinator's response if they are newer. It runs before
+// the directory of the same response is stored.
+func (w *Watcher) updateZoneDrains(address string, response *rockwindpb.WatchDirectoryResponse) {
 	if response.GetZoneDrainsRevision() <= w.ZoneDrains().Revision() {
 		return
 	}
@@ -409,7 +409,9 @@
 	for _, drain := range drains.Drains() {
 		zones = append(zones, drain.GetZone())
 	}
-	decision.Default.Record(decision.ZoneDrainsInForce, strconv.FormatUint(drains.Revision(), 10), log.Fields{"zones": zones})
+	decision.Default.Record(decision.ZoneDrainsInForce, strconv.FormatUint(drains.Revision(), 10), log.Fields{
+		"zones": zones, "coordinator": address, "age_ms": response.GetAgeMs(),
+	})
 }
 
 // updateColdServers stores the cold servers of a response if they are newer. It is called before the
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -198,6 +198,8 @@
 	set.Groups(s.host)
 	set.Paces(s.dispatcher.Paces)
 	set.DrainedZones(s.dispatcher.DrainedZones)
+	set.ZoneDrainRevision(func() uint64 { return s.watcher.ZoneDrains().Revision() })
+	set.ZoneDrainAge(s.watcher.SinceLastAnswer)
 	set.ColdServers(s.dispatcher.ColdServers)
 	set.Orphaned(s.dispatcher.Orphaned)
 	set.Quarantined(s.crashReporter.QuarantinedCount)
