Tests: a drain command that its sender gave up takes effect after later ones

What callers see: the start or end of a zone drain that was given up, repeated elsewhere and revoked with an acknowledgement is committed all the same, as soon as the coordinator that holds it unread goes on, the cut link that holds its bytes heals, or the call between two coordinators arrives.

--- a/internal/coordinator/virtualsite_test.go
+++ b/internal/coordinator/virtualsite_test.go
@@ -1,8 +1,10 @@
 package coordinator
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -23,6 +25,8 @@
 
 const (
 	coordinators = 5
+	// lateCallTimeout is how long a call that arrives late is processed before its connection is seen to have ended.
+	lateCallTimeout = 500 * time.Millisecond
 	// linkDelay is the one-way network delay between zones, diskSyncTime that of a disk sync.
 	linkDelay    = 900 * time.Microsecond
 	diskSyncTime = 2 * time.Millisecond
@@ -40,6 +44,8 @@
 	// like those to a machine without power, and are refused otherwise.
 	unanswered     int
 	dropUnanswered bool
+	// delayed holds, by method, the channel whose closing delivers the next call.
+	delayed map[string]chan struct{}
 }
 
 // listener is a process that accepts calls until its context ends.
@@ -59,7 +65,12 @@
 	if !runs {
 		l.unanswered++
 	}
+	delivered := l.delayed[path.Base(request.URL.Path)]
+	delete(l.delayed, path.Base(request.URL.Path))
 	l.mutex.Unlock()
+	if delivered != nil {
+		return deliverLate(request, called.handler, delivered)
+	}
 	if !runs {
 		if l.dropUnanswered {
 			<-request.Context().Done()
@@ -83,6 +94,33 @@
 	return recorder.Result(), nil
 }
 
+// delay has the network deliver the next call of a method when the returned function is called, and not before.
+func (l *network) delay(method string) (deliver func()) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	delivered := make(chan struct{})
+	l.delayed[method] = delivered
+	return sync.OnceFunc(func() { close(delivered) })
+}
+
+// deliverLate delivers a call whose caller has given it up. The response is lost.
+func deliverLate(request *http.Request, handler http.Handler, delivered chan struct{}) (*http.Response, error) {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		<-delivered
+		ctx, cancel := context.WithTimeout(context.Background(), lateCallTimeout)
+		defer cancel()
+		late := request.Clone(ctx)
+		late.Body = io.NopCloser(bytes.NewReader(body))
+		handler.ServeHTTP(httptest.NewRecorder(), late)
+	}()
+	<-request.Context().Done()
+	return nil, request.Context().Err()
+}
+
 // takeCalls returns and resets the number of calls.
 func (l *network) takeCalls() int {
 	l.mutex.Lock()
@@ -159,7 +197,7 @@
 
 func inSite(t *testing.T, size int, admits bool, run func(s *virtualSite)) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &virtualSite{t: t, admitsNew: admits, network: &network{serving: map[string]listener{}, methods: map[string]int{}}, random: rand.New(rand.NewPCG(3, 3))}
+		s := &virtualSite{t: t, admitsNew: admits, network: &network{serving: map[string]listener{}, methods: map[string]int{}, delayed: map[string]chan struct{}{}}, random: rand.New(rand.NewPCG(3, 3))}
 		s.client = &http.Client{Transport: s.network}
 		for position := range size {
 			added := &process{name: fmt.Sprintf("p%d", position)}
