coordinator: a drain command that its sender gave up is not committed later

What callers saw: an operator gives the end of a zone drain up, repeats it at another coordinator, starts the drain again, and has both acknowledged. The drain is gone all the same, and requests reach the zone until the next command. In the mirror image the zone is drained although nobody asks for it.

Cause: the commands have no number, and a coordinator took whatever it read, however long it had waited: unread while the process stood still, in a link that was cut, or in a call between coordinators.

Change: the coordinator that receives a command waits for 0.1 s for the end of its connection and refuses it for 0.5 s after a stall. It then asks the leader for a permit, checks its caller once more, and sends the command with it; the leader proposes a command only if it has proposed none since it issued the permit. So whatever delays the command after the check, it is refused once a later one was proposed. Leaders of an earlier version issue no permits and are served without. The retirement of a store, which cannot be revoked, is refused after a stall too.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -30,6 +30,7 @@
 	"rockwind.example/rockwind/internal/sharding"
 	"rockwind.example/rockwind/internal/site"
 	"rockwind.example/rockwind/internal/sitemetrics"
+	"rockwind.example/rockwind/internal/stall"
 	"rockwind.example/rockwind/internal/traffic"
 	"rockwind.example/rockwind/internal/twirphttp"
 	"rockwind.example/rockwind/internal/zonedrain"
@@ -64,6 +65,10 @@
 	memberSelector memberSelector
 	// follower holds the state that a non-member watches at members.
 	follower rootFollower
+	// commands orders the commands of operators while this coordinator leads the root group.
+	commands commandSequence
+	// stalls records when this process stood still.
+	stalls stall.Monitor
 	// watchers is the number of directory watches in progress.
 	watchers atomic.Int64
 	// unreported is what processes share while the root group has no leader.
@@ -135,6 +140,7 @@
 		group.Go(func() error { c.foundCluster(groupCtx); return nil })
 		group.Go(func() error { c.runMaintenance(groupCtx); return nil })
 		group.Go(func() error { c.followMembers(groupCtx); return nil })
+		group.Go(func() error { c.stalls.Run(groupCtx); return nil })
 		if publicListener == nil {
 			return
 		}
--- a/internal/coordinator/machines.go
+++ b/internal/coordinator/machines.go
@@ -54,6 +54,11 @@
 // for an unknown store and fault.Conflict if too few stores would remain for the site's fault
 // tolerance. It is idempotent.
 func (c *Coordinator) Retire(ctx context.Context, name string) error {
+	if !isForwarded(ctx) {
+		if err := c.operatorCall(ctx).checkCaller(); err != nil {
+			return err
+		}
+	}
 	if c.isNonMember() {
 		_, err := forwardToLeader(ctx, c, untilCommitted, func(ctx context.Context, base string) (*rockwindpb.RetireMachineResponse, error) {
 			return c.directoryAt(base).Retire(ctx, &rockwindpb.RetireMachine{Name: name})
--- a/internal/coordinator/members.go
+++ b/internal/coordinator/members.go
@@ -127,7 +127,7 @@
 	var none Response
 	var lastErr error = fault.New(fault.Unavailable, "this coordinator is not a member of the root group and cannot reach one",
 		"ask another coordinator").WithRan(fault.NotRun)
-	if ctx.Value(forwardedKey{}) != nil {
+	if isForwarded(ctx) {
 		return none, lastErr
 	}
 	ctx, err := withForwardedHeader(ctx)
--- a/internal/coordinator/zonedrain.go
+++ b/internal/coordinator/zonedrain.go
@@ -19,12 +19,30 @@
 
 // Start implements rockwindpb.ZoneDrainService.
 func (s zoneDrainService) Start(ctx context.Context, request *rockwindpb.StartZoneDrainRequest) (*rockwindpb.StartZoneDrainResponse, error) {
-	return &rockwindpb.StartZoneDrainResponse{}, fault.ToTwirp(s.coordinator.StartZoneDrain(ctx, request.GetZone()))
+	start := s.coordinator.StartZoneDrain
+	if isForwarded(ctx) {
+		start = func(ctx context.Context, zone string) error {
+			return s.coordinator.startZoneDrain(ctx, zone, request.GetPermit())
+		}
+	}
+	return &rockwindpb.StartZoneDrainResponse{}, fault.ToTwirp(start(ctx, request.GetZone()))
 }
 
 // End implements rockwindpb.ZoneDrainService.
 func (s zoneDrainService) End(ctx context.Context, request *rockwindpb.EndZoneDrainRequest) (*rockwindpb.EndZoneDrainResponse, error) {
-	return &rockwindpb.EndZoneDrainResponse{}, fault.ToTwirp(s.coordinator.EndZoneDrain(ctx, request.GetZone()))
+	end := s.coordinator.EndZoneDrain
+	if isForwarded(ctx) {
+		end = func(ctx context.Context, zone string) error {
+			return s.coordinator.endZoneDrain(ctx, zone, request.GetPermit())
+		}
+	}
+	return &rockwindpb.EndZoneDrainResponse{}, fault.ToTwirp(end(ctx, request.GetZone()))
+}
+
+// IssuePermit implements rockwindpb.ZoneDrainService.
+func (s zoneDrainService) IssuePermit(ctx context.Context, _ *rockwindpb.IssuePermitRequest) (*rockwindpb.CommandPermit, error) {
+	permit, err := s.coordinator.issuePermit(ctx)
+	return permit, fault.ToTwirp(err)
 }
 
 // List implements rockwindpb.ZoneDrainService. The leader answers, since it has all committed
@@ -50,36 +68,48 @@
 // StartZoneDrain drains a zone: its servers receive no new work. It returns once the drain is
 // committed; watchers are notified of it as an urgent change. It is idempotent and returns
 // fault.NotFound for a zone without machines and servers, and fault.Unavailable while coordinators of
-// an earlier version run, which would ignore the command or leave it out of their snapshots.
+// an earlier version run, which would ignore the command or leave it out of their snapshots. The command is not
+// committed once its context has ended.
 func (c *Coordinator) StartZoneDrain(ctx context.Context, zone string) error {
+	return c.operatorCall(ctx).commit(func(permit *rockwindpb.CommandPermit) error { return c.startZoneDrain(ctx, zone, permit) })
+}
+
+// EndZoneDrain ends the drain of a zone, whatever versions run. It is idempotent, returns
+// fault.NotFound as StartZoneDrain does, and is not committed once its context has ended.
+func (c *Coordinator) EndZoneDrain(ctx context.Context, zone string) error {
+	return c.operatorCall(ctx).commit(func(permit *rockwindpb.CommandPermit) error { return c.endZoneDrain(ctx, zone, permit) })
+}
+
+// startZoneDrain has the leader commit the start of a drain with a permit.
+func (c *Coordinator) startZoneDrain(ctx context.Context, zone string, permit *rockwindpb.CommandPermit) error {
 	if !c.isNonMember() {
 		// A leader of an earlier version doesn't check the level, so each member does.
 		if refusal, _ := splitFeatureRefusal(c.awaitFeature(ctx, featurelevel.ZoneDrains, drainCommand)); refusal != nil {
 			return refusal
 		}
 	}
-	return c.changeZoneDrain(ctx, zone, &rockwindpb.ZoneDrainCommand{
+	return c.changeZoneDrain(ctx, zone, permit, &rockwindpb.ZoneDrainCommand{
 		Command: &rockwindpb.ZoneDrainCommand_Start{Start: &rockwindpb.StartZoneDrainRequest{Zone: zone}},
 	}, func(ctx context.Context, service rockwindpb.ZoneDrainService) error {
-		_, err := service.Start(ctx, &rockwindpb.StartZoneDrainRequest{Zone: zone})
+		_, err := service.Start(ctx, &rockwindpb.StartZoneDrainRequest{Zone: zone, Permit: permit})
 		return err
 	})
 }
 
-// EndZoneDrain ends the drain of a zone, whatever versions run. It is idempotent and returns
-// fault.NotFound as StartZoneDrain does.
-func (c *Coordinator) EndZoneDrain(ctx context.Context, zone string) error {
-	return c.changeZoneDrain(ctx, zone, &rockwindpb.ZoneDrainCommand{
+// endZoneDrain has the leader commit the end of a drain with a permit.
+func (c *Coordinator) endZoneDrain(ctx context.Context, zone string, permit *rockwindpb.CommandPermit) error {
+	return c.changeZoneDrain(ctx, zone, permit, &rockwindpb.ZoneDrainCommand{
 		Command: &rockwindpb.ZoneDrainCommand_End{End: &rockwindpb.EndZoneDrainRequest{Zone: zone}},
 	}, func(ctx context.Context, service rockwindpb.ZoneDrainService) error {
-		_, err := service.End(ctx, &rockwindpb.EndZoneDrainRequest{Zone: zone})
+		_, err := service.End(ctx, &rockwindpb.EndZoneDrainRequest{Zone: zone, Permit: permit})
 		return err
 	})
 }
 
 // changeZoneDrain has the leader commit a command, locally or remotely.
 func (c *Coordinator) changeZoneDrain(
-	ctx context.Context, zone string, command *rockwindpb.ZoneDrainCommand, call func(context.Context, rockwindpb.ZoneDrainService) error,
+	ctx context.Context, zone string, permit *rockwindpb.CommandPermit, command *rockwindpb.ZoneDrainCommand,
+	call func(context.Context, rockwindpb.ZoneDrainService) error,
 ) error {
 	elsewhere := func(ctx context.Context, base string) (*fault.Fault, error) {
 		return splitFeatureRefusal(call(ctx, c.zoneDrainsAt(base)))
@@ -91,7 +121,7 @@
 		refusal, err = forwardToLeader(ctx, c, untilCommitted, elsewhere)
 	} else {
 		refusal, err = callOnLeader(ctx, c, func() (*fault.Fault, error) {
-			return splitFeatureRefusal(c.commitZoneDrain(ctx, zone, command))
+			return splitFeatureRefusal(c.commands.propose(ctx, permit, func() error { return c.commitZoneDrain(ctx, zone, command) }))
 		}, elsewhere)
 	}
 	if refusal != nil {
@@ -105,7 +135,7 @@
 // can be followed.
 func logZoneDrainCall(ctx context.Context, zone string, command *rockwindpb.ZoneDrainCommand, took time.Duration, err error) {
 	entry := log.WithField("zone", zone).WithField("drained", command.GetStart() != nil).WithField("took_ms", took.Milliseconds()).
-		WithField("forwarded", ctx.Value(forwardedKey{}) != nil).WithField("caller_gone", ctx.Err() != nil)
+		WithField("forwarded", isForwarded(ctx)).WithField("caller_gone", ctx.Err() != nil)
 	if err != nil {
 		entry = entry.WithError(err)
 	}
