router: a stream does not go on at another version after its own drained unseen

Cause: a router decides whether servers of several versions have served from what it has seen serve itself, and takes from the directory only servers that left before it started. One that starts while they drain, or while their zone is drained, has never seen them, and does not count them when they leave later either. A server that starts again under its identifier with another version leaves no trace at all, not even at a router that runs.

Change: a version counts as soon as the directory shows that it no longer serves, whether this process has seen it serve or not. Entries of the directory keep the versions at which a server served before it started again under its identifier.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -114,13 +114,37 @@
 // report applies a report. endOthers marks the other incarnations at the address of an
 // unknown one as gone, as log entries of earlier versions require.
 func (d *Directory) report(report *rockwindpb.Server, endOthers bool, now int64) {
-	if !wouldChange(d.servers.get(report.GetId()), report) {
+	known := d.servers.get(report.GetId())
+	if !wouldChange(known, report) {
 		return
 	}
 	if endOthers {
 		d.replaceAtAddress(report, now)
 	}
-	d.putServer(proto.CloneOf(report), now)
+	reported := proto.CloneOf(report)
+	reported.EarlierVersions = earlierVersions(known, report, now)
+	d.putServer(reported, now)
+}
+
+// maxEarlierVersions bounds the earlier versions of an entry; the oldest are dropped first.
+const maxEarlierVersions = 8
+
+// earlierVersions returns the versions at which the server of a known entry served before a report, the oldest first.
+func earlierVersions(known, report *rockwindpb.Server, now int64) []*rockwindpb.EarlierVersion {
+	var kept []*rockwindpb.EarlierVersion
+	for _, earlier := range known.GetEarlierVersions() {
+		if now-earlier.GetUntilUnixMs() < goneRetention.Milliseconds() {
+			kept = append(kept, earlier)
+		}
+	}
+	if known != nil && (known.GetVersion() != report.GetVersion() || known.GetService() != report.GetService()) {
+		until := now
+		if known.GetState() == rockwindpb.ServerState_SERVER_STATE_GONE {
+			until = known.GetChangedUnixMs()
+		}
+		kept = append(kept, &rockwindpb.EarlierVersion{Service: known.GetService(), Version: known.GetVersion(), UntilUnixMs: until})
+	}
+	return kept[max(0, len(kept)-maxEarlierVersions):]
 }
 
 // replaceAtAddress marks the other incarnations at the address of an unknown one as gone.
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -30,9 +30,7 @@
 		d.dropServer(left)
 	}
 	for _, server := range change.Servers() {
-		if before == nil {
-			d.recordVersionsBefore(server)
-		}
+		d.recordVersions(server)
 		d.applyServer(server, before)
 	}
 	d.announceMixed()
@@ -109,7 +107,11 @@
 func (d *Dispatcher) putServer(server *rockwindpb.Server, cold time.Duration) {
 	silent := server.GetState() == rockwindpb.ServerState_SERVER_STATE_SILENT
 	serves := silent || server.GetState() == rockwindpb.ServerState_SERVER_STATE_READY
-	if !serves || d.zoneDrains.Drained(server.GetZone()) {
+	if serves && d.zoneDrains.Drained(server.GetZone()) {
+		d.poolOf(server.GetService()).versions.left(server.GetVersion(), d.now())
+		serves = false
+	}
+	if !serves {
 		d.dropServer(server)
 		return
 	}
--- a/internal/router/versionhistory.go
+++ b/internal/router/versionhistory.go
@@ -19,8 +19,12 @@
 // single version while streams may be resumed that began at servers of another one.
 type versionHistory map[string]time.Duration
 
-// left records that a server of a version does not serve at a time.
-func (h versionHistory) left(version string, now time.Duration) { h[version] = now }
+// left records that a server of a version served until a time.
+func (h versionHistory) left(version string, until time.Duration) {
+	if last, known := h[version]; !known || until > last {
+		h[version] = until
+	}
+}
 
 // mixed reports whether servers of several versions serve, or have served within originRetention.
 func (h versionHistory) mixed(serving map[string]int, now time.Duration) bool {
@@ -62,12 +66,22 @@
 		"servers of service %s have several software versions, and it is not known at which one the stream began", service).WithRan(fault.NotRun)
 }
 
-// recordVersionsBefore records the versions of servers that left before this process had a directory. The caller holds
-// d.mutex.
-func (d *Dispatcher) recordVersionsBefore(server *rockwindpb.Server) {
-	if server.GetState() == rockwindpb.ServerState_SERVER_STATE_GONE {
-		ago := max(0, time.Since(time.UnixMilli(server.GetChangedUnixMs())))
-		d.poolOf(server.GetService()).versions.left(server.GetVersion(), d.now()-ago)
+// recordVersions records the versions at which a server of the directory served and no longer does. This process may not
+// have seen it serve: it may have started since. The caller holds d.mutex.
+func (d *Dispatcher) recordVersions(server *rockwindpb.Server) {
+	leftAt := func(service, version string, untilUnixMs int64) {
+		ago := max(0, time.Since(time.UnixMilli(untilUnixMs)))
+		d.poolOf(service).versions.left(version, d.now()-ago)
+	}
+	for _, earlier := range server.GetEarlierVersions() {
+		leftAt(earlier.GetService(), earlier.GetVersion(), earlier.GetUntilUnixMs())
+	}
+	switch server.GetState() {
+	case rockwindpb.ServerState_SERVER_STATE_GONE:
+		leftAt(server.GetService(), server.GetVersion(), server.GetChangedUnixMs())
+	case rockwindpb.ServerState_SERVER_STATE_DRAINING:
+		// Its streams go on, and clients may resume them.
+		d.poolOf(server.GetService()).versions.left(server.GetVersion(), d.now())
 	}
 }
 
