router: an old directory does not exclude another software version

One that is in contact does the same for the moment by which its directory is behind that of others, and a resumed stream that waits for a server of the only version gets one of a version that joins meanwhile.

Cause: streamversion took the router's own directory, however old, as proof that there is one version, and asked nobody then. A decision that was made once was not held to while the request waited.

The holders are asked always, briefly while the directory is current. An origin of a version that the router has not known, or whose directory is old, is refused with Retry-After, since only a router that knows the version can say that it is gone. The only version at the admission of a request stays its version.

With one version and live holders a resumption takes one round trip more.

--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -108,6 +108,9 @@
 	// the stream, in this answer or an earlier one.
 	begun  bool
 	origin streamversion.Origin
+	// onlyVersion is the version of all servers when the client's resumption was admitted. It is that of a stream whose
+	// origin is not known, also if servers of another one join.
+	onlyVersion streamversion.Origin
 	// framing is that of the last response; empty before.
 	framing upstream.Framing
 	// runCopy is the copy of the run, nil if there is none.
@@ -204,12 +207,19 @@
 	ctx, endWait := e.router.waiting.add(ctx, &waitingRequest{parts: e.parts(), content: e.contentOnce(), trial: e.trial && e.sent == 0})
 	defer endWait()
 	lease, err := e.router.dispatcher.Acquire(ctx, e.acquireRequest())
-	for err == nil && !e.allowedRegions().Allows(lease.Region) {
-		// The configuration has changed since the server was assigned.
+	for err == nil && !(e.allowedRegions().Allows(lease.Region) && e.allowsVersion(lease)) {
+		// The configuration or the versions of servers have changed since the server was assigned.
 		lease.MarkNotRun()
 		lease.Abandon()
+		if streamversion.Decide(e.streamFacts()).Verdict == streamversion.Unknown {
+			err = e.unknownVersionFault()
+			break
+		}
 		lease, err = e.router.dispatcher.Acquire(ctx, e.acquireRequest())
 	}
+	if fault.Is(err, fault.VersionGone) && e.router.directoryAge() > maxDirectoryAge {
+		err = e.outOfContactFault()
+	}
 	e.waited += time.Since(asked)
 	if err != nil {
 		if held := heldWhileWaiting(ctx); held != nil {
--- a/internal/router/exchange_test.go
+++ b/internal/router/exchange_test.go
@@ -36,6 +36,8 @@
 	router   *Router
 	register *directory.Directory
 	servers  map[string]exchangeServer
+	// directoryAge is the time since a coordinator confirmed the router's directory.
+	directoryAge time.Duration
 }
 
 func newExchangeTest(t *testing.T, regions map[string]string) *exchangeTest {
@@ -48,7 +50,7 @@
 	client := upstream.NewClientWithDial(c.dial)
 	dispatcher := NewDispatcher("zone", topology.New(regions), featuregate.Set{})
 	c.router = &Router{
-		watcher: watcher, dispatcher: dispatcher, client: client, protocol: PlainProtocol{}, started: time.Now(),
+		watcher: watcher, directoryAge: func() time.Duration { return c.directoryAge }, dispatcher: dispatcher, client: client, protocol: PlainProtocol{}, started: time.Now(),
 		crashes: NewCrashReporter(watcher, client, PlainProtocol{}, dispatcher), copyPlanner: newCopyPlanner(),
 		rates:   rateclient.New(nil, "router", func() int { return 1 }),
 		buffers: clientconn.NewBuffers(8<<20, func(clientconn.EndedResponse) {}),
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -14,6 +14,8 @@
 	// originTimeout bounds the search for the origin of a stream. Processes of another region answer
 	// within some tens of milliseconds.
 	originTimeout = 250 * time.Millisecond
+	// briefOriginTimeout is the same for a search that normally finds nothing.
+	briefOriginTimeout = originRepeat
 	// originRepeat is the time after which a query is sent again: datagrams may be lost.
 	originRepeat = 60 * time.Millisecond
 	// originExpiry is the time between two removals of origins that are no longer needed.
@@ -44,9 +46,11 @@
 
 // originSearch is a search for the origin of a stream.
 type originSearch struct {
-	// ended is closed once a process knew the origin, or all that were asked knew nothing.
-	ended  chan struct{}
-	origin streamversion.Origin
+	// ended is closed once a process knew the origin, or all that were asked knew nothing; nearlyEnded also when all but
+	// one did.
+	ended, nearlyEnded chan struct{}
+	nearlyEnd          sync.Once
+	origin             streamversion.Origin
 	// unanswered holds the processes that have not answered.
 	unanswered map[string]bool
 	// searchers counts the requests that wait.
@@ -114,22 +118,27 @@
 	return o.table.Get(key, o.now())
 }
 
-// find returns the origin of a stream. It asks the processes that hold it unless this one does.
-func (o *streamOrigins) find(ctx context.Context, key streamversion.Key) streamversion.Origin {
+// find returns the origin of a stream. It asks the processes that hold it unless this one does. A brief search ends once
+// all of them but one have answered: the router that began the stream may be among those asked, and gone.
+func (o *streamOrigins) find(ctx context.Context, key streamversion.Key, thoroughness streamversion.Search) streamversion.Origin {
 	search, origin := o.beginSearch(key)
 	if search == nil {
 		return origin
 	}
 	defer o.endSearch(key, search)
-	timeout := time.NewTimer(originTimeout)
+	limit, ended := originTimeout, search.ended
+	if thoroughness == streamversion.BriefSearch {
+		limit, ended = briefOriginTimeout, search.nearlyEnded
+	}
+	timeout := time.NewTimer(limit)
 	defer timeout.Stop()
 	repeat := time.NewTicker(originRepeat)
 	defer repeat.Stop()
 	for {
 		o.query(key, search)
 		select {
-		case <-search.ended:
-			return search.origin
+		case <-ended:
+			return o.found(search)
 		case <-timeout.C:
 			return streamversion.Origin{}
 		case <-ctx.Done():
@@ -139,6 +148,13 @@
 	}
 }
 
+// found returns the origin that a search has found so far.
+func (o *streamOrigins) found(search *originSearch) streamversion.Origin {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return search.origin
+}
+
 // beginSearch returns the search for a stream, or nil and the origin if no other process needs to be asked.
 func (o *streamOrigins) beginSearch(key streamversion.Key) (*originSearch, streamversion.Origin) {
 	o.mutex.Lock()
@@ -150,7 +166,7 @@
 	}
 	search := o.searches[key]
 	if search == nil {
-		search = &originSearch{ended: make(chan struct{}), unanswered: make(map[string]bool)}
+		search = &originSearch{ended: make(chan struct{}), nearlyEnded: make(chan struct{}), unanswered: make(map[string]bool)}
 		for _, holder := range holders {
 			search.unanswered[holder.Name] = true
 		}
@@ -208,6 +224,9 @@
 		search.origin = streamversion.Origin{Known: true, Version: origin.GetVersion()}
 		clear(search.unanswered)
 	}
+	if len(search.unanswered) <= 1 {
+		search.nearlyEnd.Do(func() { close(search.nearlyEnded) })
+	}
 	if len(search.unanswered) == 0 {
 		close(search.ended)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -38,16 +38,18 @@
 
 // Router serves the routes of the current configuration.
 type Router struct {
-	gates       featuregate.Set
-	watcher     *site.Watcher
-	dispatcher  *Dispatcher
-	client      *upstream.Client
-	crashes     *CrashReporter
-	copyPlanner *copyPlanner
-	waiting     waitingRequests
-	protocol    Protocol
-	jobs        *jobclient.Client
-	timeouts    routeTimeouts
+	gates   featuregate.Set
+	watcher *site.Watcher
+	// directoryAge returns the time since a coordinator confirmed the directory.
+	directoryAge func() time.Duration
+	dispatcher   *Dispatcher
+	client       *upstream.Client
+	crashes      *CrashReporter
+	copyPlanner  *copyPlanner
+	waiting      waitingRequests
+	protocol     Protocol
+	jobs         *jobclient.Client
+	timeouts     routeTimeouts
 	// regionHistory is followed on sites with several regions.
 	regionHistory regionHistory
 	rates         *rateclient.Client
@@ -75,8 +77,11 @@
 func New(settings *rockwindpb.SiteSettings, watcher *site.Watcher, protocol Protocol, jobs *jobclient.Client, options ...Option) *Router {
 	gates := featuregate.NewSet(settings.GetSwitchedOff())
 	r := &Router{
-		gates:       gates,
-		watcher:     watcher,
+		gates:   gates,
+		watcher: watcher,
+
+		directoryAge: watcher.SinceLastAnswer,
+
 		dispatcher:  NewDispatcher(settings.GetZone(), site.Topology(settings), gates),
 		copyPlanner: newCopyPlanner(),
 		protocol:    protocol,
--- a/internal/router/streamversion.go
+++ b/internal/router/streamversion.go
@@ -13,9 +13,14 @@
 
 // streamFacts returns the facts for the decision at which version the stream goes on.
 func (e *exchange) streamFacts() streamversion.Facts {
-	return streamversion.Facts{
+	facts := streamversion.Facts{
 		Begun: e.begun, Origin: e.origin, Resumed: e.info.ResumeAfter != "", Named: e.info.Resumes != "", Mixed: e.router.dispatcher.Mixed(e.service),
+		Unconfirmed: e.router.directoryAge() > maxDirectoryAge,
 	}
+	if !facts.Origin.Known && facts.Mixed {
+		facts.Origin = e.onlyVersion
+	}
+	return facts
 }
 
 // findOrigin finds the version at which the stream that the client resumes began, and refuses the request if that is
@@ -28,19 +33,40 @@
 	if facts.Named {
 		origins, key := e.router.dispatcher.origins, streamversion.KeyOf(e.info.Resumes)
 		e.origin = origins.get(key)
-		if facts.Origin = e.origin; streamversion.NeedsOrigin(facts) {
-			e.origin = origins.find(ctx, key)
-		}
 		facts.Origin = e.origin
+		if search := streamversion.NeededSearch(facts); search != streamversion.NoSearch {
+			e.origin = origins.find(ctx, key, search)
+		}
+		// The directory may have changed during the search.
+		facts = e.streamFacts()
+		if !facts.Mixed && !facts.Unconfirmed {
+			e.onlyVersion = e.router.dispatcher.onlyVersion(e.service)
+		}
 	}
 	decided := streamversion.Decide(facts)
 	e.recordVersionDecision(facts, decided)
 	if decided.Verdict == streamversion.Unknown {
-		return unknownVersionFault(e.service)
+		return e.unknownVersionFault()
 	}
 	return nil
 }
 
+// unknownVersionFault returns the refusal of a resumed stream whose version is not known.
+func (e *exchange) unknownVersionFault() *fault.Fault {
+	if e.router.directoryAge() > maxDirectoryAge {
+		return e.outOfContactFault()
+	}
+	return fault.Newf(fault.VersionGone, restartRemedy,
+		"servers of service %s have several software versions, and it is not known at which one the stream began", e.service).WithRan(fault.NotRun)
+}
+
+// outOfContactFault returns the refusal of a resumed stream by a router that can't know whether its version serves.
+func (e *exchange) outOfContactFault() *fault.Fault {
+	return fault.Newf(fault.Unavailable, "come back later, preferably at another router",
+		"this router is out of contact with the coordinators and does not know the software versions of service %s", e.service).
+		WithRan(fault.NotRun).WithRetryAfter(unreachableRetryAfter)
+}
+
 // restrictVersion restricts a demand to the servers at which the stream may go on.
 func (e *exchange) restrictVersion(demand balance.Demand) balance.Demand {
 	if !e.begun && e.info.ResumeAfter == "" {
@@ -51,6 +77,16 @@
 	return demand
 }
 
+// allowsVersion reports whether the stream may go on at a server that was assigned. The versions may have changed while
+// the request waited.
+func (e *exchange) allowsVersion(lease *Lease) bool {
+	if !e.begun && e.info.ResumeAfter == "" {
+		return true
+	}
+	decided := streamversion.Decide(e.streamFacts())
+	return decided.Verdict == streamversion.Any || (decided.Verdict == streamversion.Same && decided.Version == lease.Version)
+}
+
 // noteBegun records the version of the server that sends the first event of the stream, before the event is relayed.
 func (e *exchange) noteBegun(lease *Lease) {
 	if e.begun {
@@ -70,6 +106,7 @@
 	fields := e.logFields()
 	fields["verdict"], fields["reason"], fields["version"] = string(decided.Verdict), decided.Reason, decided.Version
 	fields["begun"], fields["named"], fields["origin_known"], fields["origin"], fields["mixed"] = facts.Begun, facts.Named, facts.Origin.Known, facts.Origin.Version, facts.Mixed
+	fields["directory_age_ms"] = e.router.directoryAge().Milliseconds()
 	fields["serving"] = e.router.dispatcher.Versions(e.service)
 	decision.Default.Record(decision.StreamVersionDecided, e.info.ID, fields)
 }
--- a/internal/router/versionhistory.go
+++ b/internal/router/versionhistory.go
@@ -6,12 +6,17 @@
 
 	"rockwind.example/rockwind/internal/fault"
 	"rockwind.example/rockwind/internal/rockwindpb"
+	"rockwind.example/rockwind/internal/streamversion"
 )
 
 // originRetention is for how long after its client's deadline a stream may be resumed, and for how long the versions
 // of servers that have left count.
 const originRetention = 2 * time.Minute
 
+// versionMemory is for how long a version that has left is known to have existed. Streams may begin at a version that is
+// not known at all: another router may have seen its servers earlier.
+const versionMemory = 5 * originRetention
+
 // restartRemedy is the remedy for a stream that can't go on.
 const restartRemedy = "start the stream again from its beginning"
 
@@ -31,9 +36,9 @@
 	versions := len(serving)
 	for version, last := range h {
 		switch {
-		case now-last > originRetention:
+		case now-last > versionMemory:
 			delete(h, version)
-		case serving[version] == 0:
+		case now-last <= originRetention && serving[version] == 0:
 			versions++
 		}
 	}
@@ -55,17 +60,16 @@
 			"no server of service %s with the software version %q, at which the stream began, can be reached", p.name, request.Demand.Version).
 			WithRan(fault.NotRun).WithRetryAfter(defaultHoldTime / 4)
 	}
+	if _, served := p.versions[request.Demand.Version]; !served {
+		return fault.Newf(fault.Unavailable, "come back later",
+			"the stream began at a server of service %s with the software version %q, which this router does not know yet", p.name, request.Demand.Version).
+			WithRan(fault.NotRun).WithRetryAfter(unreachableRetryAfter)
+	}
 	return fault.Newf(fault.VersionGone, restartRemedy,
 		"service %s has no server left with the software version %q, at which the stream began", p.name, request.Demand.Version).
 		WithRan(fault.NotRun)
 }
 
-// unknownVersionFault returns the refusal of a resumed stream whose version is not known.
-func unknownVersionFault(service string) *fault.Fault {
-	return fault.Newf(fault.VersionGone, restartRemedy,
-		"servers of service %s have several software versions, and it is not known at which one the stream began", service).WithRan(fault.NotRun)
-}
-
 // recordVersions records the versions at which a server of the directory served and no longer does. This process may not
 // have seen it serve: it may have started since. The caller holds d.mutex.
 func (d *Dispatcher) recordVersions(server *rockwindpb.Server) {
@@ -92,6 +96,21 @@
 	return d.poolOf(service).mixed(d.now())
 }
 
+// onlyVersion returns the version of a service whose servers have had one version lately. It is not known while the service
+// has no servers.
+func (d *Dispatcher) onlyVersion(service string) streamversion.Origin {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	pool := d.poolOf(service)
+	if pool.mixed(d.now()) {
+		return streamversion.Origin{}
+	}
+	for version := range pool.pool.Versions() {
+		return streamversion.Origin{Known: true, Version: version}
+	}
+	return streamversion.Origin{}
+}
+
 // Versions returns the number of servers of each version of a service.
 func (d *Dispatcher) Versions(service string) map[string]int {
 	d.mutex.Lock()
--- a/internal/streamversion/decide.go
+++ b/internal/streamversion/decide.go
@@ -26,6 +26,8 @@
 	Origin         Origin
 	// Mixed is set if servers of several versions have served within the time for which streams can be resumed.
 	Mixed bool
+	// Unconfirmed is set if the directory is too old to exclude a further version.
+	Unconfirmed bool
 }
 
 // Verdict is the result of a decision.
@@ -58,15 +60,36 @@
 		return Decision{Verdict: Any, Reason: "the stream begins here"}
 	case facts.Origin.Known:
 		return Decision{Verdict: Same, Version: facts.Origin.Version, Reason: "the stream began at this version"}
-	case !facts.Mixed:
+	case !facts.Mixed && !facts.Unconfirmed:
 		return Decision{Verdict: Any, Reason: "the servers have one version"}
 	case facts.Resumed && !facts.Named:
 		return Decision{Verdict: Any, Reason: "the client does not name the request that began the stream"}
+	case !facts.Mixed:
+		return Decision{Verdict: Unknown, Reason: "nothing is known of the beginning of the stream, and the directory is too old to exclude another version"}
 	}
 	return Decision{Verdict: Unknown, Reason: "nothing is known of the beginning of the stream"}
 }
 
-// NeedsOrigin reports whether the decision depends on an origin that has to be found first.
-func NeedsOrigin(facts Facts) bool {
-	return facts.Resumed && facts.Named && facts.Mixed && !facts.Origin.Known
+// Search is how thoroughly the origin of a stream has to be searched for.
+type Search int
+
+// The searches.
+const (
+	// NoSearch: the origin is known, or the decision does not depend on it.
+	NoSearch Search = iota
+	// BriefSearch: the origin is only known elsewhere if a version has joined that the directory does not have yet.
+	BriefSearch
+	// FullSearch: without the origin the stream can't go on.
+	FullSearch
+)
+
+// NeededSearch returns the search that the decision depends on.
+func NeededSearch(facts Facts) Search {
+	switch {
+	case !facts.Resumed || !facts.Named || facts.Origin.Known:
+		return NoSearch
+	case facts.Mixed || facts.Unconfirmed:
+		return FullSearch
+	}
+	return BriefSearch
 }
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -30,6 +30,9 @@
 		"resumed, origin found, one left":  {streamversion.Facts{Resumed: true, Named: true, Origin: known}, streamversion.Same},
 		"resumed, origin unknown":          {streamversion.Facts{Resumed: true, Named: true, Mixed: true}, streamversion.Unknown},
 		"resumed, one version":             {streamversion.Facts{Resumed: true, Named: true}, streamversion.Any},
+		"resumed, old directory":           {streamversion.Facts{Resumed: true, Named: true, Unconfirmed: true}, streamversion.Unknown},
+		"resumed, old directory, found":    {streamversion.Facts{Resumed: true, Named: true, Unconfirmed: true, Origin: known}, streamversion.Same},
+		"without a name, old directory":    {streamversion.Facts{Resumed: true, Unconfirmed: true}, streamversion.Any},
 		"resumed without a name, mixed":    {streamversion.Facts{Resumed: true, Mixed: true}, streamversion.Any},
 		"output of unknown version, mixed": {streamversion.Facts{Begun: true, Mixed: true}, streamversion.Unknown},
 		"output of unknown version":        {streamversion.Facts{Begun: true}, streamversion.Any},
@@ -38,8 +41,12 @@
 		if decided.Verdict != test.verdict || (decided.Verdict == streamversion.Same) != (decided.Version == "v1") || decided.Reason == "" {
 			t.Errorf("%s: %+v", name, decided)
 		}
-		if streamversion.NeedsOrigin(test.facts) != (test.verdict == streamversion.Unknown && test.facts.Named) {
-			t.Errorf("%s: needs the origin: %v", name, streamversion.NeedsOrigin(test.facts))
+		search := streamversion.NeededSearch(test.facts)
+		if (search == streamversion.FullSearch) != (test.verdict == streamversion.Unknown && test.facts.Named) {
+			t.Errorf("%s: search %v", name, search)
+		}
+		if (search == streamversion.BriefSearch) != (test.verdict == streamversion.Any && test.facts.Named) {
+			t.Errorf("%s: search %v", name, search)
 		}
 	}
 }
