--- a/internal/upstream/truncation_test.go
+++ b/internal/upstream/truncation_test.go
@@ -58,3 +58,36 @@
 		}
 	}
 }
+
+// TestRelayOfCutHeadIsIncomplete guards against an answer that a gateway relays, or keeps under an idempotency key, as
+// complete although its server stopped in the head.
+func TestRelayOfCutHeadIsIncomplete(t *testing.T) {
+	for _, kind := range []Kind{Engine, Service} {
+		for _, fields := range []string{"", "Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n"} {
+			for _, interim := range []string{"", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"} {
+				head := interim + "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: text/event-stream\r\n" + fields + "\r\n"
+				for cut := range len(head) {
+					synctest.Test(t, func(t *testing.T) {
+						client := NewClientWithDial(func(context.Context, string) (net.Conn, error) {
+							near, far := net.Pipe()
+							go func() {
+								defer far.Close()
+								if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
+									_, _ = io.WriteString(far, head[:cut])
+								}
+							}()
+							return near, nil
+						})
+						defer client.Close()
+						request := &Request{ID: "request", Kind: kind, Method: http.MethodGet, Path: "/"}
+						var sink recordingSink
+						result := NewRelay(client, retry.NewBudget(10)).Run(t.Context(), request, &scriptedChooser{names: []string{"a", "b"}}, &sink)
+						if result.Complete {
+							t.Errorf("kind %v: complete after %q, body %q", kind, head[:cut], sink.body.String())
+						}
+					})
+				}
+			}
+		}
+	}
+}
