soak: zone drains with commands that are given up and repeated

The soak reads back from the coordinators that only acknowledged commands change what is drained, and checks that a drained zone gets no request 1 s after the acknowledgement. Beside it processes are killed, stopped and lose their disks, also one of them with all others killed; each router must serve within 3 s after that.

--- a/internal/bench/soak/command.go
+++ b/internal/bench/soak/command.go
@@ -31,6 +31,7 @@
 	Cases    bool          `help:"Run the kept seeds, which failed once, instead."`
 	Duration time.Duration `help:"How long faults go on, for each seed." default:"40s"`
 	Kinds    []Kind        `help:"Bring about only these kinds of fault." sep:","`
+	Drains   bool          `help:"Drain zones, with commands that are given up and repeated, beside kills and lost disks."`
 	Bursts   bool          `help:"Let all backends crash several times within seconds, now and then."`
 	// Replacements is the number of steps in the series of losses that takes the place of the other faults.
 	Replacements int `help:"Let so many processes with a disk be lost one after the other, for a while or for good, and no other faults."`
@@ -133,6 +134,8 @@
 	site         *site
 	endpoints    []*endpoint
 	operator     *operator
+	// drains is nil without zone drains.
+	drains *zoneDrains
 	// faultsBegan is when fault injection started.
 	faultsBegan time.Duration
 	// probes counts the calls of waitUntilServing; each gets its own caller number.
@@ -162,6 +165,9 @@
 	defer cancel()
 	r := &run{seed: seed, bursts: c.Bursts, replacements: c.Replacements, began: time.Now(), witness: witness.New()}
 	r.faults = &faultTracker{now: r.elapsed}
+	if c.Drains {
+		r.drains = newZoneDrains(r)
+	}
 	if err := r.start(ctx, folder, program); err != nil {
 		if r.site != nil {
 			r.site.kill()
@@ -182,6 +188,9 @@
 	if len(c.Kinds) > 0 {
 		return c.Kinds
 	}
+	if c.Drains {
+		return drainKinds
+	}
 	return Kinds()
 }
 
@@ -263,12 +272,18 @@
 	if r.bursts {
 		load.Go(func() { r.crashInBursts(burstCtx) })
 	}
+	drainCtx, stopDrains := context.WithCancel(ctx)
+	defer stopDrains()
+	if r.drains != nil {
+		load.Go(func() { r.drains.operate(drainCtx) })
+	}
 	if r.replacements > 0 {
 		r.replaceInSeries(ctx, r.replacements)
 	} else {
 		r.inject(ctx, plan)
 	}
 	stopBursts()
+	stopDrains()
 	if err := r.waitUntilServing(ctx, recoverWithin); err != nil {
 		r.witness.Report(witness.NoRecovery, "site", err.Error(), r.elapsed())
 	}
--- a/internal/bench/soak/inject.go
+++ b/internal/bench/soak/inject.go
@@ -50,6 +50,9 @@
 	case KindKillAll:
 		r.killAll(ctx, fault)
 		return
+	case KindWipeAndKillAll:
+		r.wipeAndKillAll(ctx, fault)
+		return
 	}
 	targets := r.site.members
 	if fault.kind == KindTornWrite || fault.kind == KindWipeDisk {
--- a/internal/bench/soak/latereports.go
+++ b/internal/bench/soak/latereports.go
@@ -67,6 +67,9 @@
 	at.mutex.Lock()
 	server, state, stableSince := at.server, at.state, at.stableSince
 	at.mutex.Unlock()
+	if r.drains != nil && r.drains.mayDrain(at.number%replicas) {
+		return
+	}
 	if server == nil || state != rockwindpb.ServerState_SERVER_STATE_READY || now-stableSince < stableFor || !at.faultMutex.TryLock() {
 		return
 	}
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -21,6 +21,8 @@
 	KindStop Kind = "stop"
 	// KindKillAll kills all processes of a role, or of the whole site, at once.
 	KindKillAll Kind = "kill all"
+	// KindWipeAndKillAll kills all processes at once and wipes one disk. It occurs beside zone drains only.
+	KindWipeAndKillAll Kind = "wipe and kill all"
 	// KindDelay delays the traffic of a process in both directions.
 	KindDelay Kind = "delay"
 	// KindReset resets the connections to a process.
@@ -98,7 +100,7 @@
 			kind: kinds[random.IntN(len(kinds))], at: at,
 			duration: between(random, minimumDuration, maximumDuration), target: random.IntN(1 << 16),
 		}
-		if slices.Contains(diskKinds, fault.kind) || fault.kind == KindKillAll {
+		if slices.Contains(diskKinds, fault.kind) || fault.kind == KindKillAll || fault.kind == KindWipeAndKillAll {
 			if at < free {
 				continue
 			}
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -21,6 +21,18 @@
 	}
 }
 
+// TestZoneDrainsHoldBesideFaults guards against zones that begin or cease to be drained without a command, requests in drained
+// zones, and sites that serve late after all processes were killed and a disk was lost.
+func TestZoneDrainsHoldBesideFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs real processes for half a minute")
+	}
+	command := soak.Command{Seeds: []uint64{8104}, Duration: 18 * time.Second, Drains: true, Folder: t.TempDir(), Program: buildProgram(t)}
+	if err := command.Run(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestGroupsAreWholeInASeriesOfLosses guards against groups that stay short of members while stores and coordinators are
 // lost one after the other, for a while or for good, and spare ones ask to join.
 func TestGroupsAreWholeInASeriesOfLosses(t *testing.T) {
--- a/internal/bench/soak/witness/witness.go
+++ b/internal/bench/soak/witness/witness.go
@@ -48,6 +48,10 @@
 	ConfigurationLate Rule = "configuration late"
 	// DrainedServerUsed: a drained server got a new request in a fault-free period.
 	DrainedServerUsed Rule = "leaving server used"
+	// DrainChanged: a zone began or ceased to be drained without a command.
+	DrainChanged Rule = "zone drain changed"
+	// DrainedZoneUsed: a server of a drained zone got a new request.
+	DrainedZoneUsed Rule = "drained zone used"
 	// LiveServerUnused: a server that runs and reports got no requests in a fault-free period.
 	LiveServerUnused Rule = "live server forgotten"
 	// OutsideRegions: a server received a request that is restricted to another region.
