router, store: after a stall, drains are confirmed before work is sent

What callers saw: a process that stood still for some seconds sends the requests that waited for it to a zone that was drained meanwhile.

Cause: it serves what it reads from its clients before it reads the change of the drains, which was sent to it as well.

The check comes after a server was assigned, so that requests that waited for a slot are covered too. The dispatcher no longer takes an older list of drains for a newer one.

--- a/internal/router/daemon.go
+++ b/internal/router/daemon.go
@@ -156,6 +156,7 @@
 	group.Go(func() error { return router.watcher.Run(background) })
 	group.Go(func() error { return router.metrics.Serve(background, settings) })
 	group.Go(func() error { router.FollowDirectory(background); return nil })
+	group.Go(func() error { router.stallGuard.Run(background); return nil })
 	if site.Topology(d.settings).MultiRegion() {
 		group.Go(func() error { router.regionHistory.follow(background, router.watcher); return nil })
 	}
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -207,8 +207,8 @@
 	ctx, endWait := e.router.waiting.add(ctx, &waitingRequest{parts: e.parts(), content: e.contentOnce(), trial: e.trial && e.sent == 0})
 	defer endWait()
 	lease, err := e.router.dispatcher.Acquire(ctx, e.acquireRequest())
-	for err == nil && !(e.allowedRegions().Allows(lease.Region) && e.allowsVersion(lease)) {
-		// The configuration or the versions of servers have changed since the server was assigned.
+	for err == nil && (e.router.stallGuard.Await(ctx) || !e.allowedRegions().Allows(lease.Region) || !e.allowsVersion(lease)) {
+		// The drains, the configuration or the versions of servers may have changed since the server was assigned.
 		lease.MarkNotRun()
 		lease.Abandon()
 		if streamversion.Decide(e.streamFacts()).Verdict == streamversion.Unknown {
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -48,12 +48,12 @@
 	}
 }
 
-// SetZoneDrains sets the drained zones. Servers of a drained zone leave their pools, so that no
+// SetZoneDrains sets the drained zones, unless it has newer ones. Servers of a drained zone leave their pools, so that no
 // request, batch item, trial or run copy starts there; running work finishes.
 func (d *Dispatcher) SetZoneDrains(drains *zonedrain.List) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if drains.Revision() == d.zoneDrains.Revision() {
+	if drains.Revision() <= d.zoneDrains.Revision() {
 		return
 	}
 	before := d.zoneDrains
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -43,13 +43,15 @@
 	// directoryAge returns the time since a coordinator confirmed the directory.
 	directoryAge func() time.Duration
 	dispatcher   *Dispatcher
-	client       *upstream.Client
-	crashes      *CrashReporter
-	copyPlanner  *copyPlanner
-	waiting      waitingRequests
-	protocol     Protocol
-	jobs         *jobclient.Client
-	timeouts     routeTimeouts
+	// stallGuard is nil in tests that do not follow a directory.
+	stallGuard  *StallGuard
+	client      *upstream.Client
+	crashes     *CrashReporter
+	copyPlanner *copyPlanner
+	waiting     waitingRequests
+	protocol    Protocol
+	jobs        *jobclient.Client
+	timeouts    routeTimeouts
 	// regionHistory is followed on sites with several regions.
 	regionHistory regionHistory
 	rates         *rateclient.Client
@@ -91,6 +93,7 @@
 		started:     time.Now(),
 		keyLifetime: time.Duration(settings.GetKeyLifeMs()) * time.Millisecond,
 	}
+	r.stallGuard = NewStallGuard(watcher, r.dispatcher)
 	for _, option := range options {
 		option(r)
 	}
--- a/internal/site/watcher.go
+++ b/internal/site/watcher.go
@@ -79,6 +79,9 @@
 	// silenceLoggedAt is when logSilence last wrote a record. Only the watch goroutine uses it.
 	silenceLoggedAt time.Time
 
+	// drainsMutex is held while zone drains are replaced by newer ones.
+	drainsMutex sync.Mutex
+
 	mutex   sync.Mutex
 	changed chan struct{}
 	// preferred is the coordinator that answered last.
@@ -399,6 +402,8 @@
 // updateZoneDrains stores the zone drains of a coordinator's response if they are newer. It runs before
 // the directory of the same response is stored.
 func (w *Watcher) updateZoneDrains(address string, response *rockwindpb.WatchDirectoryResponse) {
+	w.drainsMutex.Lock()
+	defer w.drainsMutex.Unlock()
 	if response.GetZoneDrainsRevision() <= w.ZoneDrains().Revision() {
 		return
 	}
@@ -414,6 +419,27 @@
 	})
 }
 
+// confirmAttemptTimeout bounds the call to one coordinator in ConfirmZoneDrains.
+const confirmAttemptTimeout = 100 * time.Millisecond
+
+// ConfirmZoneDrains asks one coordinator after the other which zones are drained, until one answers or the context ends.
+func (w *Watcher) ConfirmZoneDrains(ctx context.Context) error {
+	var lastErr error = fault.New(fault.Unavailable, "no coordinator is known", "check the seeds of the settings")
+	for _, address := range w.Coordinators() {
+		callCtx, cancel := context.WithTimeout(ctx, confirmAttemptTimeout)
+		response, err := w.directoryAt(address).Watch(callCtx, w.watchRequest(w.Directory(), 0))
+		cancel()
+		if err == nil {
+			w.updateZoneDrains(address, response)
+			return nil
+		}
+		if lastErr = fault.From(err); ctx.Err() != nil {
+			break
+		}
+	}
+	return lastErr
+}
+
 // updateColdServers stores the cold servers of a response if they are newer. It is called before the
 // directory of the same response is stored, so that a server is not used as warm in between.
 func (w *Watcher) updateColdServers(response *rockwindpb.WatchDirectoryResponse) {
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -16,7 +16,7 @@
 	// Threshold is the shortest time without progress that counts as a stall.
 	Threshold = 500 * time.Millisecond
 	// interval is the time between two readings of the clocks.
-	interval = Threshold / 5
+	interval = Threshold / 2
 )
 
 // reading is one reading of the clocks.
@@ -52,17 +52,14 @@
 	}
 }
 
-// StalledSince reports whether a stall ended after a time. It does not depend on Run having noticed
-// a stall that has just ended.
+// StalledSince reports whether a stall ended after a time. It does not depend on Run having noticed a stall that has just
+// ended, unless only the clock since boot shows it.
 func (m *Monitor) StalledSince(since time.Time) bool {
-	m.mutex.Lock()
-	started := !m.last.time.IsZero()
-	m.mutex.Unlock()
-	if started {
-		m.observe(reading{time: time.Now(), suspended: suspension.Total()})
-	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if !m.last.time.IsZero() {
+		m.record(reading{time: time.Now(), suspended: m.last.suspended})
+	}
 	return m.ended.After(since)
 }
 
@@ -70,6 +67,11 @@
 func (m *Monitor) observe(now reading) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	m.record(now)
+}
+
+// record records a reading. The caller holds the mutex.
+func (m *Monitor) record(now reading) {
 	if !m.last.time.IsZero() && now.since(m.last) >= Threshold {
 		m.ended = now.time
 	}
--- a/internal/store/share.go
+++ b/internal/store/share.go
@@ -151,6 +151,9 @@
 // items with a smaller reservation or with other regions may, and those that may be sent to an ejected
 // server that is due for a trial.
 func (e *executor) acquire(service string, item jobstore.OpenItem, version streamversion.Decision, now time.Time) (lease *router.Lease, tryNext bool) {
+	if !e.store.stallGuard.Ready() {
+		return nil, false
+	}
 	entry := e.backlogItem(item)
 	demand := balance.Demand{
 		Parts: e.promptParts(item), Bytes: len(item.Body), Batch: true, Regions: e.allowedRegions(item),
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -49,6 +49,7 @@
 	host          *replica.Host
 	watcher       *site.Watcher
 	dispatcher    *router.Dispatcher
+	stallGuard    *router.StallGuard
 	upstream      *upstream.Client
 	crashReporter *router.CrashReporter
 	protocol      router.Protocol
@@ -108,6 +109,7 @@
 	if s.watcher, err = site.NewWatcher(settings, s.client, filepath.Join(settings.GetDataFolder(), configurationFolder)); err != nil {
 		return err
 	}
+	s.stallGuard = router.NewStallGuard(s.watcher, s.dispatcher)
 	s.crashReporter = router.NewCrashReporter(s.watcher, s.upstream, s.protocol, s.dispatcher)
 	s.crashReporter.ObserveCrashes(s.retrials.serverCrashed)
 	s.limiter = newLimiter(s)
@@ -180,6 +182,7 @@
 		group.Go(func() error { s.followLevels(parts); return nil })
 		group.Go(func() error { s.crashReporter.Run(parts); return nil })
 		group.Go(func() error { router.FollowDirectory(parts, s.watcher, s.dispatcher, s.upstream); return nil })
+		group.Go(func() error { s.stallGuard.Run(parts); return nil })
 		group.Go(func() error {
 			s.dispatcher.Survey(parts, s.settings, s.watcher, s.protocol, s.upstream)
 			return nil
