--- a/internal/bench/soak/command.go
+++ b/internal/bench/soak/command.go
@@ -210,6 +210,7 @@
 			rockwindpb.SiteRole_SITE_ROLE_ROUTER: replicas,
 		}}
 	}
+	size.oneRegion = r.drains != nil
 	site, err := newSite(ctx, folder, program, size)
 	if err != nil {
 		return err
