--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -79,19 +79,17 @@
 func New(settings *rockwindpb.SiteSettings, watcher *site.Watcher, protocol Protocol, jobs *jobclient.Client, options ...Option) *Router {
 	gates := featuregate.NewSet(settings.GetSwitchedOff())
 	r := &Router{
-		gates:   gates,
-		watcher: watcher,
-
+		gates:        gates,
+		watcher:      watcher,
 		directoryAge: watcher.SinceLastAnswer,
-
-		dispatcher:  NewDispatcher(settings.GetZone(), site.Topology(settings), gates),
-		copyPlanner: newCopyPlanner(),
-		protocol:    protocol,
-		jobs:        jobs,
-		rates:       rateclient.New(jobs, settings.GetName(), func() int { return len(watcher.Directory().WithRole(rockwindpb.SiteRole_SITE_ROLE_ROUTER)) }),
-		buffers:     clientconn.NewBuffers(relayMemoryBytes(settings), recordResponseEnded),
-		started:     time.Now(),
-		keyLifetime: time.Duration(settings.GetKeyLifeMs()) * time.Millisecond,
+		dispatcher:   NewDispatcher(settings.GetZone(), site.Topology(settings), gates),
+		copyPlanner:  newCopyPlanner(),
+		protocol:     protocol,
+		jobs:         jobs,
+		rates:        rateclient.New(jobs, settings.GetName(), func() int { return len(watcher.Directory().WithRole(rockwindpb.SiteRole_SITE_ROLE_ROUTER)) }),
+		buffers:      clientconn.NewBuffers(relayMemoryBytes(settings), recordResponseEnded),
+		started:      time.Now(),
+		keyLifetime:  time.Duration(settings.GetKeyLifeMs()) * time.Millisecond,
 	}
 	r.stallGuard = NewStallGuard(watcher, r.dispatcher)
 	for _, option := range options {
