--- a/internal/router/cuthead_test.go
+++ b/internal/router/cuthead_test.go
@@ -24,7 +24,7 @@
 		for framing, fields := range map[upstream.Framing]string{
 			upstream.FramingClose: "Connection: close\r\n\r\n", upstream.FramingLength: "Content-Length: 0\r\n\r\n", upstream.FramingChunked: "Transfer-Encoding: chunked\r\n\r\n",
 		} {
-			heads[string(framing)+interim] = before + "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\n" + fields
+			heads[string(framing)+interim] = before + "HTTP/1.1 200 OK\r\nServer: s\r\nContent-Type: text/event-stream\r\n" + fields
 		}
 	}
 	return heads
