--- a/internal/traffic/call.go
+++ b/internal/traffic/call.go
@@ -80,6 +80,7 @@
 	"ZoneDrainService/Start":            ZoneDrains,
 	"ZoneDrainService/End":              ZoneDrains,
 	"ZoneDrainService/List":             ZoneDrains,
+	"ZoneDrainService/IssuePermit":      ZoneDrains,
 	"ColdServerService/Report":          Directory,
 }
 
