jobclient: a regional shard whose disks are gone does not block other regions

What callers saw: after the only store of a region lost its disk, jobs of limited routes were refused in all regions for good ("not all shards have reported their waiting tokens"), and a full limit was answered as an unknown outcome.

Cause: the shard of that region has no leader any more, since its only voter is the lost disk. The owner of a limit in a later term has no earlier report of the shard and waits for one without end. The search for an earlier submission waits for the shard as well. Both take a shard that cannot answer for one that may.

Change: a process that gets no answer from a regional shard asks the stores of the region for the identities of their disks. If each full voter that they or the founding name has come back with another disk, the shard counts as empty: no tokens wait there and no job is found there. It is checked again before each use. While a store of the region does not answer, or calls to it fail, nothing is concluded. Jobs that are restricted to the region are refused at once. The shard itself is not founded again.

--- a/internal/directory/shards.go
+++ b/internal/directory/shards.go
@@ -41,13 +41,16 @@
 	return 0, false
 }
 
-// ShardRegion returns the region to which the replicas of a shard are restricted, empty for an
-// ordinary shard.
-func (v *View) ShardRegion(shard uint32) string {
+// Shard returns the founding of a shard, nil if it is not known.
+func (v *View) Shard(number uint32) *rockwindpb.FoundingGroup {
 	for _, group := range v.StoreCluster().GetGroups() {
-		if group.GetGroup() == shard {
-			return group.GetRegion()
+		if group.GetGroup() == number {
+			return group
 		}
 	}
-	return ""
+	return nil
 }
+
+// ShardRegion returns the region to which the replicas of a shard are restricted, empty for an
+// ordinary shard.
+func (v *View) ShardRegion(shard uint32) string { return v.Shard(shard).GetRegion() }
--- a/internal/jobclient/call.go
+++ b/internal/jobclient/call.go
@@ -18,9 +18,10 @@
 // storeClient holds the clients of one store.
 type storeClient struct {
 	rockwindpb.JobStoreService
-	limits rockwindpb.TokenLimitService
-	rates  rockwindpb.RequestRateService
-	moves  rockwindpb.JobMoveService
+	limits   rockwindpb.TokenLimitService
+	rates    rockwindpb.RequestRateService
+	moves    rockwindpb.JobMoveService
+	replicas rockwindpb.ReplicaService
 }
 
 // storeCall makes a call at one store.
--- a/internal/jobclient/client.go
+++ b/internal/jobclient/client.go
@@ -52,7 +52,7 @@
 type Client struct {
 	site   Stores
 	client *http.Client
-	regionalState
+	*regionalState
 
 	mutex sync.Mutex
 	// leaders has the address of the last known leader of each shard.
@@ -178,11 +178,13 @@
 	})
 }
 
-// Report asks the leader of a shard for the tokens that wait there on a route.
+// Report asks the leader of a shard for the tokens that wait there on a route. None wait in a shard whose data is lost.
 func (c *Client) Report(ctx context.Context, request *rockwindpb.ReportTokensRequest) (*rockwindpb.ReportTokensResponse, error) {
 	shard := func(*directory.View) uint32 { return request.GetShard() }
-	return call(ctx, c, shard, 0, func(ctx context.Context, service storeClient) (*rockwindpb.ReportTokensResponse, error) {
-		return service.limits.Report(ctx, request)
+	return unlessLost(ctx, c, request.GetShard(), &rockwindpb.ReportTokensResponse{}, func() (*rockwindpb.ReportTokensResponse, error) {
+		return call(ctx, c, shard, 0, func(ctx context.Context, service storeClient) (*rockwindpb.ReportTokensResponse, error) {
+			return service.limits.Report(ctx, request)
+		})
 	})
 }
 
@@ -194,6 +196,7 @@
 		limits:          rockwindpb.NewTokenLimitServiceProtobufClient("http://"+address, client),
 		rates:           rockwindpb.NewRequestRateServiceProtobufClient("http://"+address, client),
 		moves:           rockwindpb.NewJobMoveServiceProtobufClient("http://"+address, client),
+		replicas:        rockwindpb.NewReplicaServiceProtobufClient("http://"+address, client),
 	}
 }
 
--- a/internal/jobclient/moves.go
+++ b/internal/jobclient/moves.go
@@ -49,10 +49,13 @@
 	return jobstore.Location{Here: response.GetFound(), Moved: response.GetMoved(), Digest: response.GetDigest(), Move: response.GetMove()}, err
 }
 
-// find asks the leader of a region's shard for a job.
+// find asks the leader of a region's shard for a job. A shard whose data is lost has none.
 func (c *Client) find(ctx context.Context, region, id string) (*rockwindpb.FindStoredJobResponse, error) {
-	return call(ctx, c, shardIn(id, region), 0, func(ctx context.Context, service storeClient) (*rockwindpb.FindStoredJobResponse, error) {
-		return service.Find(ctx, &rockwindpb.FindStoredJobRequest{Id: id, Region: region, FollowMoves: true})
+	shard := shardIn(id, region)
+	return unlessLost(ctx, c, shard(c.site.Directory()), &rockwindpb.FindStoredJobResponse{}, func() (*rockwindpb.FindStoredJobResponse, error) {
+		return call(ctx, c, shard, 0, func(ctx context.Context, service storeClient) (*rockwindpb.FindStoredJobResponse, error) {
+			return service.Find(ctx, &rockwindpb.FindStoredJobRequest{Id: id, Region: region, FollowMoves: true})
+		})
 	})
 }
 
--- a/internal/jobclient/regions.go
+++ b/internal/jobclient/regions.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 
 	"rockwind.example/rockwind/internal/directory"
 	"rockwind.example/rockwind/internal/fault"
@@ -44,10 +45,13 @@
 	// downUntil holds until when a regional shard counts as down, because none of its stores was
 	// reached.
 	downUntil map[uint32]time.Time
+	// lost holds the regional shards whose data was lost at the latest check.
+	lost       map[uint32]bool
+	lossChecks singleflight.Group
 }
 
-func newRegionalState() regionalState {
-	return regionalState{knownRegions: make(map[string]string), downUntil: make(map[uint32]time.Time)}
+func newRegionalState() *regionalState {
+	return &regionalState{knownRegions: make(map[string]string), downUntil: make(map[uint32]time.Time), lost: make(map[uint32]bool)}
 }
 
 // UseRegions sets the allowed regions by which jobs are looked up. It must be called before the client is used.
@@ -84,10 +88,16 @@
 		maybeSubmitted = found == maybeSubmittedBefore
 	}
 	request := &rockwindpb.SubmitStoredJobRequest{Job: job, Configuration: neededConfig, Region: region}
-	_, err = call(ctx, c, shardIn(job.GetId(), region), 0, func(ctx context.Context, service storeClient) (*rockwindpb.SubmitStoredJobResponse, error) {
-		return service.Submit(ctx, request)
+	shard := shardIn(job.GetId(), region)
+	response, err := unlessLost(ctx, c, shard(view), nil, func() (*rockwindpb.SubmitStoredJobResponse, error) {
+		return call(ctx, c, shard, 0, func(ctx context.Context, service storeClient) (*rockwindpb.SubmitStoredJobResponse, error) {
+			return service.Submit(ctx, request)
+		})
 	})
-	if err == nil {
+	switch {
+	case err == nil && response == nil:
+		return shardLost(region)
+	case err == nil:
 		c.remember(view, job.GetId(), region)
 	}
 	if maybeSubmitted && fault.Is(err, fault.LimitReached) {
@@ -161,6 +171,11 @@
 		WithRan(fault.NotRun).WithRetryAfter(regionRetryAfter)
 }
 
+func shardLost(region string) error {
+	return fault.Newf(fault.Unavailable, "allow another region", "the shard of region %s has lost its data", region).
+		WithRan(fault.NotRun).WithRetryAfter(regionRetryAfter)
+}
+
 // mayBeElsewhere reports whether a job may have been submitted to another shard before, under another
 // configuration. Sites without restricted jobs skip the search.
 func (c *Client) mayBeElsewhere(view *directory.View, job *rockwindpb.StoredJob, allowed topology.RegionSet) bool {
