jobclient: only stores that run their replicas say that data is lost

After all disks of a region were replaced one by one, and all its stores restart together, none of them may know a membership with the disks of now for a moment. The data would count as lost, and tokens and earlier submissions as not there, although the stores have them: what a process does not know would be taken for no.

Change: the identity of a store tells whether its replicas run, which it reads before their memberships.

The moment itself was not reproduced with processes.

--- a/internal/jobclient/lostshards.go
+++ b/internal/jobclient/lostshards.go
@@ -18,11 +18,14 @@
 
 // isDataLost reports whether the data of a group is lost for good: each full voter of its founding membership, and of
 // those that the machines state, is one of the machines, with another disk. The identities must be those of all machines
-// that may hold data of the group.
+// that may hold data of the group. A machine that has not started its replicas does not know the newest membership yet.
 func isDataLost(founding *rockwindpb.FoundingGroup, machines []*rockwindpb.IdentityResponse) bool {
 	disks := make(map[string]uint64, len(machines))
 	memberships := []*rockwindpb.Membership{founding.GetMembership()}
 	for _, machine := range machines {
+		if !machine.GetStarted() {
+			return false
+		}
 		disks[machine.GetMachine()] = machine.GetDiskId()
 		for _, status := range machine.GetGroups() {
 			if status.GetGroup() == founding.GetGroup() {
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -152,6 +152,16 @@
 	return errors.CombineErrors(err, h.log.Close())
 }
 
+// hasStarted reports whether the groups of which this machine is a member run.
+func (h *Host) hasStarted() bool {
+	select {
+	case <-h.started:
+		return true
+	default:
+		return false
+	}
+}
+
 // spawn runs a goroutine that must end with the context. If it returns an error, the
 // host stops.
 func (h *Host) spawn(run func() error) {
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -63,7 +63,8 @@
 // cluster file.
 func (s *service) Identity(context.Context, *rockwindpb.IdentityRequest) (*rockwindpb.IdentityResponse, error) {
 	h := s.host
-	response := &rockwindpb.IdentityResponse{Machine: h.options.Machine, DiskId: h.log.DiskID()}
+	// Read before the groups, which start in between otherwise.
+	response := &rockwindpb.IdentityResponse{Machine: h.options.Machine, DiskId: h.log.DiskID(), Started: h.hasStarted()}
 	known, groups := h.knownGroups()
 	if known == nil {
 		return response, nil
